--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,39 @@
+// Bundles the program, the stand-ins and the scripts, each into one CommonJS file under build/.
+import { readFileSync } from 'node:fs';
+
+import { build } from 'esbuild';
+
+const { version } = JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8'));
+
+/** The commit of the checkout, without starting git: this also runs where git is missing. */
+function commit() {
+  const read = (path) => readFileSync(new URL(`../.git/${path}`, import.meta.url), 'utf8').trim();
+  try {
+    const head = read('HEAD');
+    return (head.startsWith('ref: ') ? read(head.slice('ref: '.length)) : head).slice(0, 10);
+  } catch {
+    return 'unknown';
+  }
+}
+
+await build({
+  entryPoints: {
+    goldcrestdock: 'src/cli/main.ts',
+    fakes: 'test/fakes/main.ts',
+    start: 'scripts/start.ts',
+    load: 'scripts/load.ts',
+    policies: 'scripts/policies.ts',
+    slopes: 'scripts/slopes.ts',
+    chaos: 'scripts/chaos.ts',
+  },
+  outdir: 'build',
+  outExtension: { '.js': '.cjs' },
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  mainFields: ['module', 'main'],
+  external: ['unix-dgram'],
+  define: { GOLDCRESTDOCK_VERSION: JSON.stringify(`${version} (${commit()})`) },
+  logLevel: 'warning',
+});
--- /dev/null
+++ b/src/cli/commands.ts
@@ -0,0 +1,84 @@
+/** The commands of the command line. */
+
+import type { CAC } from 'cac';
+
+import { Failure } from '../core/failure';
+import { loadConfig, loadConfigOf, readText } from '../node/config';
+import { Gateway } from '../node/gateway/daemon';
+import { createLog } from '../node/log';
+import { Scheduler } from '../node/scheduler/daemon';
+import { parseDocument } from '../core/settings/parse';
+import { registerCtl } from './ctl';
+
+/** Ends the process after a graceful stop; a second signal ends it at once. */
+function stopOnSignal(stop: () => Promise<void>): void {
+  let stopping = false;
+  const onSignal = (): void => {
+    if (stopping) process.exit(1);
+    stopping = true;
+    stop()
+      .then(() => process.exit(0))
+      .catch((error: Error) => {
+        process.stderr.write(`${error.message}\n`);
+        process.exit(1);
+      });
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
+
+async function runGateway(file: string): Promise<void> {
+  const config = loadConfigOf(file, 'gateway');
+  const gateway = new Gateway(config, createLog(config.log, config.vm));
+  await gateway.start();
+  stopOnSignal(() => gateway.stop());
+}
+
+async function runScheduler(file: string): Promise<void> {
+  const config = loadConfigOf(file, 'scheduler');
+  const log = createLog(config.log, config.vm);
+  const scheduler = new Scheduler(config, log);
+  await scheduler.start(log);
+  stopOnSignal(() => scheduler.stop());
+}
+
+interface CheckOptions {
+  readonly as?: string;
+}
+
+function checkFile(file: string, { as }: CheckOptions): void {
+  if (as === undefined) {
+    const { role, vm } = loadConfig(file);
+    process.stdout.write(`${file}: settings of ${role} ${vm} are well-formed\n`);
+    return;
+  }
+  parseDocument(as, readText(file));
+  process.stdout.write(`${file}: settings of ${as} are well-formed\n`);
+}
+
+/** Registers all commands. */
+export function registerCommands(cli: CAC): void {
+  cli
+    .command('gateway <file>', 'Run a gateway with the settings in FILE')
+    .example('goldcrestdock gateway /etc/goldcrestdock/gateway.jsonc')
+    .action(runGateway);
+  cli
+    .command('scheduler <file>', 'Run a scheduler with the settings in FILE')
+    .example('goldcrestdock scheduler /etc/goldcrestdock/scheduler.jsonc')
+    .action(runScheduler);
+  cli
+    .command('check <file>', 'Check a settings file without running anything')
+    .option('--as <path>', "Check it as operators' settings at PATH: consortium or teams/NAME")
+    .example('goldcrestdock check gateway.jsonc')
+    .example('goldcrestdock check dosel.jsonc --as teams/dosel')
+    .action(checkFile);
+  registerCtl(cli);
+}
+
+/** The failure for a command line that names no known command. */
+export function unknownCommand(args: readonly string[]): Failure {
+  return new Failure(
+    'usage',
+    `found '${args.join(' ')}', expected a command; see goldcrestdock --help`,
+  );
+}
--- /dev/null
+++ b/src/core/cell/places.ts
@@ -0,0 +1,210 @@
+/**
+ * Exact account of what this cell has given out: decode slots, prefill backlog
+ * and links. Load reports are late, so they only correct for what the cell did
+ * not grant itself.
+ */
+
+import type { LoadReport, Runner } from './types';
+
+/** Read-only view of the account. */
+export interface Places {
+  readonly prefillRunners: readonly PrefillPlace[];
+  readonly decodeRunners: readonly DecodePlace[];
+  /** Slots of all decode runners that take work, free or not. */
+  readonly decodeSlots: number;
+  /** Free decode slots less than batch caps allow. */
+  readonly freeSlots: number;
+  linkBusy(link: string): boolean;
+}
+
+/** A prefill runner and the work given to it. */
+export interface PrefillPlace {
+  readonly runner: Runner;
+  readonly leaving: boolean;
+  /** Prefills given and not yet reported done. */
+  readonly pending: number;
+  /** When its given work should be done. */
+  readonly busyUntil: number;
+  /** What its lagged report said, for baselines that go by reports. */
+  readonly reported: number;
+}
+
+/** A decode runner and the slots given on it. */
+export interface DecodePlace {
+  readonly runner: Runner;
+  readonly leaving: boolean;
+  readonly held: number;
+  /** Slots in use that this cell did not give: left over from earlier owners. */
+  readonly foreign: number;
+  /** Slots that may be used, from the batch cap. */
+  readonly cap: number;
+  readonly heldTokens: number;
+  readonly reported: number;
+}
+
+type Mutable<T> = { -readonly [K in keyof T]: T[K] };
+
+interface GrantChange {
+  readonly at: number;
+  readonly change: number;
+}
+
+/** How long changes are kept to interpret a late report, in milliseconds. */
+const REPORT_LAG_LIMIT = 5000;
+
+interface DecodeState extends Mutable<DecodePlace> {
+  readonly changes: GrantChange[];
+}
+
+/** Slots of a runner that can be given now. */
+export function freeOf(place: DecodePlace): number {
+  if (place.leaving) return 0;
+  return Math.max(0, place.cap - place.held - place.foreign);
+}
+
+/** The account itself; only the cell writes to it. */
+export class PlaceBook implements Places {
+  readonly #prefill = new Map<string, Mutable<PrefillPlace>>();
+
+  readonly #decode = new Map<string, DecodeState>();
+
+  readonly #links = new Map<string, number>();
+
+  /** Transfers at once on one link; more would only make each of them slower. */
+  readonly #transfersPerLink: number;
+
+  constructor(transfersPerLink = 1) {
+    this.#transfersPerLink = transfersPerLink;
+  }
+
+  get prefillRunners(): readonly PrefillPlace[] {
+    return [...this.#prefill.values()];
+  }
+
+  get decodeRunners(): readonly DecodePlace[] {
+    return [...this.#decode.values()];
+  }
+
+  get decodeSlots(): number {
+    let total = 0;
+    for (const place of this.#decode.values()) total += place.leaving ? 0 : place.cap;
+    return total;
+  }
+
+  get freeSlots(): number {
+    let total = 0;
+    for (const place of this.#decode.values()) total += freeOf(place);
+    return total;
+  }
+
+  prefillPlace(id: string): PrefillPlace | undefined {
+    return this.#prefill.get(id);
+  }
+
+  decodePlace(id: string): DecodePlace | undefined {
+    return this.#decode.get(id);
+  }
+
+  linkBusy(link: string): boolean {
+    return (this.#links.get(link) ?? 0) >= this.#transfersPerLink;
+  }
+
+  /** Takes over the operators' list; a runner that is gone from it keeps its account until its work ends. */
+  setRunners(runners: readonly Runner[]): void {
+    const listed = new Set(runners.map(({ id }) => id));
+    for (const place of [...this.#prefill.values(), ...this.#decode.values()]) {
+      if (!listed.has(place.runner.id)) place.leaving = true;
+    }
+    for (const runner of runners) {
+      if (runner.role === 'prefill') this.#addPrefill(runner);
+      if (runner.role === 'decode') this.#addDecode(runner);
+    }
+  }
+
+  setCap(runner: string, cap: number): void {
+    const place = this.#decode.get(runner);
+    if (place) place.cap = cap;
+  }
+
+  givePrefill(runner: string, now: number, ms: number): void {
+    const place = this.#prefill.get(runner);
+    if (!place) return;
+    place.pending += 1;
+    place.busyUntil = Math.max(now, place.busyUntil) + ms;
+  }
+
+  endPrefill(runner: string, now: number): void {
+    const place = this.#prefill.get(runner);
+    if (!place) return;
+    place.pending = Math.max(0, place.pending - 1);
+    if (place.pending === 0) place.busyUntil = now;
+  }
+
+  holdSlot(runner: string, now: number, tokens: number): void {
+    this.#changeSlot(runner, now, 1, tokens);
+  }
+
+  freeSlot(runner: string, now: number, tokens: number): void {
+    this.#changeSlot(runner, now, -1, -tokens);
+  }
+
+  holdLink(link: string): void {
+    this.#links.set(link, (this.#links.get(link) ?? 0) + 1);
+  }
+
+  freeLink(link: string): void {
+    const left = (this.#links.get(link) ?? 0) - 1;
+    if (left > 0) this.#links.set(link, left);
+    else this.#links.delete(link);
+  }
+
+  /** Nothing that was granted after the report's time is overridden by it. */
+  report(now: number, report: LoadReport): void {
+    const prefill = this.#prefill.get(report.runner);
+    if (prefill) {
+      prefill.reported = report.running;
+      prefill.leaving = report.leaving;
+    }
+    const decode = this.#decode.get(report.runner);
+    if (!decode) return;
+    decode.reported = report.running;
+    decode.leaving = report.leaving;
+    while (decode.changes[0] && decode.changes[0].at < now - REPORT_LAG_LIMIT)
+      { decode.changes.shift(); }
+    const since = decode.changes.filter(({ at }) => at >= report.asOf);
+    const heldThen = since.reduce((held, { change }) => held - change, decode.held);
+    // Slots asked for just before the report may not have reached the runner yet, so only a surplus counts.
+    decode.foreign = Math.max(0, report.running - heldThen);
+  }
+
+  #changeSlot(runner: string, at: number, change: 1 | -1, tokens: number): void {
+    const place = this.#decode.get(runner);
+    if (!place) return;
+    place.held += change;
+    place.heldTokens += tokens;
+    place.changes.push({ at, change });
+  }
+
+  #addPrefill(runner: Runner): void {
+    const known = this.#prefill.get(runner.id);
+    if (known) known.runner = runner;
+    else
+      { this.#prefill.set(runner.id, {
+        runner,
+        leaving: false,
+        pending: 0,
+        busyUntil: 0,
+        reported: 0,
+      }); }
+  }
+
+  #addDecode(runner: Runner): void {
+    const known = this.#decode.get(runner.id);
+    if (known) {
+      known.runner = runner;
+      return;
+    }
+    const empty = { leaving: false, held: 0, foreign: 0, heldTokens: 0, reported: 0, changes: [] };
+    this.#decode.set(runner.id, { ...empty, runner, cap: runner.slots });
+  }
+}
--- /dev/null
+++ b/src/core/cell/shares.ts
@@ -0,0 +1,146 @@
+/**
+ * Weighted fair queue between groups, work-conserving.
+ *
+ * Each group has a virtual time that grows by cost / weight as its entries are
+ * taken; the group with the least goes first. A group that was idle starts at the
+ * present virtual time, so it cannot save up a claim and then starve the others.
+ */
+
+/** Read-only view of who waits. */
+export interface Waiting {
+  /** Entries waiting in all groups. */
+  readonly size: number;
+  /** Entries waiting in one group. */
+  waitingOf(group: string): number;
+  /** Entries that go before a new entry of this group, when every entry costs the same. */
+  ahead(group: string): number;
+}
+
+interface Lane<T> {
+  readonly name: string;
+  readonly entries: T[];
+  /** Virtual time at which the next entry of this group starts. */
+  tag: number;
+}
+
+/** Entries in groups; one entry at a time is offered and then taken. */
+export class FairQueue<T> implements Waiting {
+  readonly #lanes = new Map<string, Lane<T>>();
+
+  readonly #tags = new Map<string, number>();
+
+  readonly #weightOf: (group: string) => number;
+
+  #virtual = 0;
+
+  #size = 0;
+
+  constructor(weightOf: (group: string) => number) {
+    this.#weightOf = weightOf;
+  }
+
+  get size(): number {
+    return this.#size;
+  }
+
+  waitingOf(group: string): number {
+    return this.#lanes.get(group)?.entries.length ?? 0;
+  }
+
+  ahead(group: string): number {
+    const own = this.waitingOf(group) + 1;
+    const rounds = own / this.#weightOf(group);
+    let count = own - 1;
+    for (const lane of this.#lanes.values()) {
+      if (lane.name !== group) {
+        count += Math.min(lane.entries.length, rounds * this.#weightOf(lane.name));
+      }
+    }
+    return count;
+  }
+
+  push(group: string, entry: T): void {
+    this.#laneFor(group).entries.push(entry);
+    this.#size += 1;
+  }
+
+  /** Puts an entry back before the others of its group. */
+  unshift(group: string, entry: T): void {
+    this.#laneFor(group).entries.unshift(entry);
+    this.#size += 1;
+  }
+
+  /** The entry whose turn it is. */
+  peek(): T | undefined {
+    return this.#next()?.entries[0];
+  }
+
+  /** Takes the entry that `peek` shows and charges its cost to its group. */
+  take(cost: number): T | undefined {
+    const lane = this.#next();
+    if (!lane) return undefined;
+    const entry = lane.entries.shift();
+    this.#size -= 1;
+    this.#virtual = Math.max(this.#virtual, lane.tag);
+    lane.tag = this.#virtual + cost / this.#weightOf(lane.name);
+    this.#dropEmpty(lane);
+    return entry;
+  }
+
+  /** Removes and returns every entry of which `gone` holds. */
+  removeWhere(gone: (entry: T) => boolean): readonly T[] {
+    const removed: T[] = [];
+    for (const lane of [...this.#lanes.values()]) {
+      const kept = lane.entries.filter((entry) => !gone(entry));
+      if (kept.length < lane.entries.length) {
+        removed.push(...lane.entries.filter(gone));
+        lane.entries.splice(0, lane.entries.length, ...kept);
+        this.#dropEmpty(lane);
+      }
+    }
+    this.#size -= removed.length;
+    return removed;
+  }
+
+  /** Removes one entry of a group. */
+  remove(group: string, entry: T): boolean {
+    const lane = this.#lanes.get(group);
+    const index = lane ? lane.entries.indexOf(entry) : -1;
+    if (!lane || index < 0) return false;
+    lane.entries.splice(index, 1);
+    this.#size -= 1;
+    this.#dropEmpty(lane);
+    return true;
+  }
+
+  #laneFor(group: string): Lane<T> {
+    const existing = this.#lanes.get(group);
+    if (existing) return existing;
+    const tag = Math.max(this.#tags.get(group) ?? 0, this.#virtual);
+    const lane: Lane<T> = { name: group, entries: [], tag };
+    this.#lanes.set(group, lane);
+    return lane;
+  }
+
+  #next(): Lane<T> | undefined {
+    let best: Lane<T> | undefined;
+    for (const lane of this.#lanes.values()) {
+      if (!best || lane.tag < best.tag) best = lane;
+    }
+    return best;
+  }
+
+  /** Keeps the tag of a group that emptied while it is ahead, so that leaving and coming back gains nothing. */
+  #dropEmpty(lane: Lane<T>): void {
+    if (lane.entries.length > 0) return;
+    this.#lanes.delete(lane.name);
+    this.#tags.set(lane.name, lane.tag);
+    if (this.#tags.size > 4096) this.#forgetOldTags();
+  }
+
+  #forgetOldTags(): void {
+    for (const [group, tag] of this.#tags) {
+      if (tag <= this.#virtual) this.#tags.delete(group);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/cell/start.ts
@@ -0,0 +1,41 @@
+/** When a prefill may start, given that its result needs a decode slot soon after. */
+
+import { chanceOfAtLeast, expectReleases } from './forecast';
+import type { CellView } from './view';
+
+/** A rule for starting prefills. */
+export interface StartRule {
+  /**
+   * @param readyInMs time until the prefill would be done
+   * @returns whether to start it now
+   */
+  mayStart(now: number, view: CellView, readyInMs: number): boolean;
+}
+
+/** Part of the time a result is kept that may be counted on; the rest covers messages and report lag. */
+const KEEP_MARGIN = 0.75;
+
+/**
+ * Starts a prefill when a slot will probably be free before its result is
+ * evicted. The threshold is the critical fractile of the two costs: prefill
+ * thrown away against a slot left idle.
+ */
+export class DecodeFirst implements StartRule {
+  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
+  mayStart(now: number, view: CellView, readyInMs: number): boolean {
+    const missing = view.promised + 1 - view.places.freeSlots;
+    if (missing <= 0) return true;
+    const { goodputWeight, wasteWeight, keepMs } = view.policy;
+    const threshold = wasteWeight / (wasteWeight + goodputWeight);
+    const releases = expectReleases(now, view, readyInMs + keepMs * KEEP_MARGIN);
+    return chanceOfAtLeast(releases, missing) >= threshold;
+  }
+}
+
+/** Baseline: starts at once and waits for a slot afterwards. */
+export class AtOnce implements StartRule {
+  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
+  mayStart(): boolean {
+    return true;
+  }
+}
--- /dev/null
+++ b/src/core/cell/view.ts
@@ -0,0 +1,51 @@
+/** The cell's blackboard: sections that one controller writes each and all may read. */
+
+import type { Costs } from './costs';
+import type { Health } from './health';
+import type { OutputLengths } from './outputs';
+import type { Places } from './places';
+import type { Prefixes } from './prefixes';
+import type { Waiting } from './shares';
+import type { Arrival, CellPolicy } from './types';
+
+/** How far a request has come. */
+export type Stage = 'queued' | 'prefilling' | 'prefilled' | 'transferring' | 'decoding';
+
+/** A request inside the cell. */
+export interface CellRequest {
+  readonly arrival: Arrival;
+  readonly stage: Stage;
+  /** When the stage began. */
+  readonly since: number;
+  readonly prefillRunner: string | undefined;
+  readonly decodeRunner: string | undefined;
+  /** Prompt blocks found in the cache, as predicted when the prefill was given. */
+  readonly hitBlocks: number;
+  /** Whether any runner was sent this request: after that, a refusal is not "not run". */
+  readonly sent: boolean;
+  /** When the runner evicts the finished prefill. */
+  readonly keptUntil: number;
+  /** Runner that failed this request last; it is tried last. */
+  readonly avoid: string | undefined;
+  /** Output tokens the caller has from earlier runners. */
+  readonly resumedAt: number;
+  /** Batch that the request joined, for learning time between tokens. */
+  readonly batch: number;
+}
+
+/** Everything a policy may look at. */
+export interface CellView {
+  readonly policy: CellPolicy;
+  readonly places: Places;
+  readonly outputs: OutputLengths;
+  readonly costs: Costs;
+  readonly waiting: Waiting;
+  readonly prefixes: Prefixes;
+  readonly health: Health;
+  /** Requests that hold a decode slot and stream. */
+  readonly decoding: Iterable<CellRequest>;
+  /** Prefills given or finished whose request holds no decode slot yet. */
+  readonly promised: number;
+  /** Fading mean of prefill cost after cache hits, in milliseconds. */
+  readonly meanPrefillMs: number;
+}
--- /dev/null
+++ b/src/core/ledger/shard.ts
@@ -0,0 +1,167 @@
+/**
+ * One shard of the run ledger: claims and outcomes of non-idempotent calls, as a
+ * single value in the key-value service.
+ *
+ * Safety rests on compare-and-swap alone. Two schedulers that both believe to
+ * own a shard cost conflicts, never a second run.
+ */
+
+import { createHash } from 'node:crypto';
+
+import { z } from 'zod';
+
+/** An answer kept for replay. */
+export interface Outcome {
+  readonly status: number;
+  readonly contentType: string;
+  readonly body: string;
+}
+
+/** A claim to run a call. */
+export interface Claim {
+  readonly key: string;
+  /** Names this attempt; tells our own claim from another's when an answer was lost. */
+  readonly nonce: string;
+  /** Fingerprint of the request, so that a key cannot stand for two. */
+  readonly fingerprint: string;
+}
+
+/** What a claim met. */
+export type ClaimResult =
+  | { readonly kind: 'claimed' }
+  | { readonly kind: 'running' }
+  | { readonly kind: 'done'; readonly outcome: Outcome }
+  | { readonly kind: 'mismatch' }
+  | { readonly kind: 'full' };
+
+/** A change to a shard. */
+export type ShardChange =
+  | { readonly kind: 'claim'; readonly claim: Claim; readonly at: number }
+  /** The outcome of the claim with this nonce. */
+  | {
+      readonly kind: 'settle';
+      readonly key: string;
+      readonly nonce: string;
+      readonly outcome: Outcome;
+    }
+  /** Takes a claim back of which it is proven that nothing ran. */
+  | { readonly kind: 'withdraw'; readonly key: string; readonly nonce: string };
+
+const entrySchema = z.object({
+  n: z.string(),
+  f: z.string(),
+  t: z.number(),
+  o: z.object({ s: z.int(), c: z.string(), b: z.string() }).optional(),
+});
+const shardSchema = z.object({ entries: z.record(z.string(), entrySchema) });
+
+type Entry = z.infer<typeof entrySchema>;
+
+/** How long entries are kept, in milliseconds; a key may be used again after that. */
+export const RETENTION_MS = 24 * 3600 * 1000;
+/** Time after its claim in which a call may be dispatched, in milliseconds; far below the retention. */
+export const DISPATCH_LIMIT_MS = 30_000;
+/** Largest value, in bytes; the service takes a megabyte. */
+export const SHARD_LIMIT_BYTES = 900_000;
+/** Largest answer kept for replay, in bytes. */
+export const OUTCOME_LIMIT_BYTES = 8192;
+/** Estimated bytes of an entry without its outcome. */
+const ENTRY_BYTES = 120;
+
+/** Short name of a team's key; it tells the store's readers nothing. */
+export function ledgerKey(team: string, key: string): string {
+  return createHash('sha256').update(`${team}\0${key}`).digest('base64url').slice(0, 22);
+}
+
+/** Values over which the ledger is spread. Fixed, since two VMs that disagreed would each claim the same call. */
+export const LEDGER_SHARDS = 16;
+
+/** Shard number of a ledger key. */
+export function shardOf(key: string): number {
+  return createHash('sha1').update(key).digest().readUInt32BE(0) % LEDGER_SHARDS;
+}
+
+function sizeOf(key: string, entry: Entry): number {
+  return ENTRY_BYTES + key.length + (entry.o ? entry.o.b.length + entry.o.c.length : 0);
+}
+
+/** The content of one shard. */
+export class LedgerShard {
+  readonly #entries: Map<string, Entry>;
+
+  #bytes = 0;
+
+  #changed = false;
+
+  private constructor(entries: Map<string, Entry>) {
+    this.#entries = entries;
+    for (const [key, entry] of entries) this.#bytes += sizeOf(key, entry);
+  }
+
+  /** Reads a stored value; undefined is an empty shard. */
+  static parse(value: string | undefined): LedgerShard {
+    if (value === undefined || value === '') return new LedgerShard(new Map());
+    const { entries } = shardSchema.parse(JSON.parse(value));
+    return new LedgerShard(new Map(Object.entries(entries)));
+  }
+
+  /** Whether the content differs from what was read. */
+  get changed(): boolean {
+    return this.#changed;
+  }
+
+  toString(): string {
+    return JSON.stringify({ entries: Object.fromEntries(this.#entries) });
+  }
+
+  /** Drops what is past its retention. */
+  prune(now: number): void {
+    for (const [key, entry] of this.#entries) {
+      if (entry.t + RETENTION_MS < now) this.#delete(key, entry);
+    }
+  }
+
+  apply(change: ShardChange): ClaimResult {
+    if (change.kind === 'claim') return this.#claim(change.claim, change.at);
+    const entry = this.#entries.get(change.key);
+    if (entry?.n === change.nonce) {
+      if (change.kind === 'withdraw') this.#delete(change.key, entry);
+      else this.#settle(change.key, entry, change.outcome);
+    }
+    return { kind: 'claimed' };
+  }
+
+  #claim({ key, nonce, fingerprint }: Claim, at: number): ClaimResult {
+    const known = this.#entries.get(key);
+    if (!known) return this.#add(key, { n: nonce, f: fingerprint, t: at });
+    if (known.n === nonce) return { kind: 'claimed' };
+    if (known.f !== fingerprint) return { kind: 'mismatch' };
+    if (!known.o) return { kind: 'running' };
+    const { s: status, c: contentType, b: body } = known.o;
+    return { kind: 'done', outcome: { status, contentType, body } };
+  }
+
+  #add(key: string, entry: Entry): ClaimResult {
+    const size = sizeOf(key, entry);
+    // Room for the outcome is taken with the claim: an outcome that did not fit could never be replayed.
+    if (this.#bytes + size + OUTCOME_LIMIT_BYTES > SHARD_LIMIT_BYTES) return { kind: 'full' };
+    this.#entries.set(key, entry);
+    this.#bytes += size;
+    this.#changed = true;
+    return { kind: 'claimed' };
+  }
+
+  #settle(key: string, entry: Entry, { status, contentType, body }: Outcome): void {
+    if (entry.o) return;
+    const kept = { ...entry, o: { s: status, c: contentType, b: body } };
+    this.#bytes += sizeOf(key, kept) - sizeOf(key, entry);
+    this.#entries.set(key, kept);
+    this.#changed = true;
+  }
+
+  #delete(key: string, entry: Entry): void {
+    this.#entries.delete(key);
+    this.#bytes -= sizeOf(key, entry);
+    this.#changed = true;
+  }
+}
--- /dev/null
+++ b/src/core/membership/types.ts
@@ -0,0 +1,68 @@
+/** Types of membership: which schedulers are there, as each of them sees it. */
+
+/** How a member is seen. `left` said so itself; `dead` did not answer. */
+export type MemberState = 'alive' | 'suspect' | 'left' | 'dead';
+
+/** One scheduler and what it tells of its VM. */
+export interface Member {
+  readonly vm: string;
+  readonly domain: string;
+  /** `HOST:PORT` for peer links and probes. */
+  readonly address: string;
+  /** Raised by the member itself only, to refute what others say of it. */
+  readonly incarnation: number;
+  readonly state: MemberState;
+  /** Whether the VM takes no new callers. */
+  readonly draining: boolean;
+  /** Callers' addresses of the gateways on the VM. */
+  readonly gateways: readonly string[];
+}
+
+/** News that a settings document has a new revision. */
+export interface Rumour {
+  readonly path: string;
+  readonly revision: number;
+}
+
+/** What goes over UDP. */
+export interface Packet {
+  readonly kind: 'ping' | 'ack' | 'probe' | 'news';
+  readonly seq: number;
+  readonly from: string;
+  readonly address: string;
+  /** For `probe`: the address that the receiver shall ping on behalf of the sender. */
+  readonly target?: string;
+  /** Digest of the sender's settings. */
+  readonly digest: string;
+  readonly members: readonly Member[];
+  readonly rumours: readonly Rumour[];
+}
+
+/** What happened. */
+export type MembershipEvent =
+  | { readonly kind: 'packet'; readonly packet: Packet }
+  | { readonly kind: 'listed'; readonly vms: readonly ListedMember[] }
+  | { readonly kind: 'described'; readonly gateways: readonly string[]; readonly draining: boolean }
+  | { readonly kind: 'rumour'; readonly rumour: Rumour }
+  | { readonly kind: 'leaving' }
+  | { readonly kind: 'woke' };
+
+/** A VM from the platform's list. */
+export interface ListedMember {
+  readonly vm: string;
+  readonly address: string;
+  readonly leaving: boolean;
+}
+
+/** What is to be done. */
+export type MembershipAction =
+  | { readonly kind: 'send'; readonly to: string; readonly packet: Packet }
+  | { readonly kind: 'changed'; readonly member: Member }
+  | { readonly kind: 'heard'; readonly rumour: Rumour; readonly address: string }
+  /** The settings of that member differ and it may have newer ones. */
+  | { readonly kind: 'differs'; readonly address: string };
+
+/** Whether a member may own cells, keys and ledger shards. */
+export function mayOwn({ state, draining }: Member): boolean {
+  return (state === 'alive' || state === 'suspect') && !draining;
+}
--- /dev/null
+++ b/src/core/ownership.ts
@@ -0,0 +1,88 @@
+/** Who owns what: cells, request keys and ledger shards, by rendezvous among live schedulers. */
+
+import { createHash } from 'node:crypto';
+
+import type { Member } from './membership/types';
+import { mayOwn } from './membership/types';
+import { rank } from './rendezvous';
+import type { Pool } from './settings/schema';
+
+/** Owners of a pool's cell by falling claim; nearer failure domains come first more often. */
+export function ownersOfPool(
+  name: string,
+  pool: Pool,
+  members: readonly Member[],
+): readonly Member[] {
+  const runners = new Map<string, number>();
+  for (const { domain } of pool.runners) runners.set(domain, (runners.get(domain) ?? 0) + 1);
+  const candidates = members.filter(mayOwn).map((member) => ({
+    id: member.vm,
+    weight: 1 + (runners.get(member.domain) ?? 0),
+    member,
+  }));
+  return rank(`pool/${name}`, candidates).map(({ member }) => member);
+}
+
+/** Owners of a key by falling claim. */
+export function ownersOfKey(key: string, members: readonly Member[]): readonly Member[] {
+  const candidates = members.filter(mayOwn).map((member) => ({ id: member.vm, weight: 1, member }));
+  return rank(key, candidates).map(({ member }) => member);
+}
+
+/** Parts into which request keys are grouped, so that owners are worked out for parts and not for each key. */
+const KEY_PARTS = 1024;
+
+/** Owners worked out once for each membership and kept until it changes. */
+export class Owners {
+  #members: readonly Member[] = [];
+
+  readonly #cached = new Map<string, readonly Member[]>();
+
+  /** Takes over a new membership. */
+  update(members: readonly Member[]): void {
+    this.#members = members;
+    this.#cached.clear();
+  }
+
+  /** Forgets what was worked out from older settings. */
+  settingsChanged(): void {
+    this.#cached.clear();
+  }
+
+  ofPool(name: string, pool: Pool): readonly Member[] {
+    return this.#get(`pool/${name}`, () => ownersOfPool(name, pool, this.#members));
+  }
+
+  ofShard(shard: number): readonly Member[] {
+    const key = `ledger/${shard}`;
+    return this.#get(key, () => ownersOfKey(key, this.#members));
+  }
+
+  ofRequestKey(key: string): readonly Member[] {
+    const part = `key/${createHash('sha1').update(key).digest().readUInt32BE(0) % KEY_PARTS}`;
+    return this.#get(part, () => ownersOfKey(part, this.#members));
+  }
+
+  #get(name: string, compute: () => readonly Member[]): readonly Member[] {
+    const known = this.#cached.get(name);
+    if (known) return known;
+    const owners = compute();
+    this.#cached.set(name, owners);
+    return owners;
+  }
+}
+
+/** Callers' addresses to answer with: of VMs that are alive and stay, spread by a random number. */
+export function chooseAddresses(
+  members: readonly Member[],
+  random: () => number,
+  limit: number,
+): readonly string[] {
+  const open = members.filter(({ state, draining }) => state === 'alive' && !draining);
+  const addresses = open.flatMap(({ gateways }) => gateways);
+  for (let i = addresses.length - 1; i > 0; i -= 1) {
+    const j = Math.floor(random() * (i + 1));
+    [addresses[i], addresses[j]] = [addresses[j] as string, addresses[i] as string];
+  }
+  return addresses.slice(0, limit);
+}
--- /dev/null
+++ b/src/node/gateway/daemon.ts
@@ -0,0 +1,237 @@
+/** The gateway daemon: puts its parts together, starts and stops them. */
+
+import { randomUUID } from 'node:crypto';
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
+
+import type { Logger } from 'pino';
+
+import { codes } from '../../core/codes';
+import { errorBody } from '../../utils/http';
+import { Failure } from '../../core/failure';
+import type { GatewayConfig } from '../config';
+import { logOf } from '../log';
+import type { Metrics } from '../metrics';
+import { ProcessMetrics } from '../metrics';
+import { HttpPlatform } from '../platform/client';
+import { HttpRunnerClient } from '../runner/client';
+import { BurnRecorder } from './burn';
+import { CallerHandler } from './callers';
+import { Canceller } from './canceller';
+import { Fleet } from './fleet';
+import { LedgerClient } from './ledger';
+import { ModelHandler } from './model';
+import { OperatorHandler } from './operator';
+import { PlainHandler } from './plain';
+import { Relay } from './relay';
+import { SettingsEditor } from './settings';
+
+/** Where a gateway listens. */
+export interface GatewayPorts {
+  readonly callers: number;
+  readonly operators: number;
+}
+
+/** Pause between looks whether all requests have ended, in milliseconds. */
+const DRAIN_LOOK_MS = 50;
+
+function listen(server: Server, host: string, port: number): Promise<number> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => {
+      const address = server.address();
+      resolve(typeof address === 'object' && address ? address.port : port);
+    });
+  });
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Answers what Node could not read as HTTP, so that the caller sees a numbered error and not a closed connection. */
+function answerGarbage(
+  error: NodeJS.ErrnoException,
+  socket: NodeJS.WritableStream & { destroy(): void; writable: boolean },
+): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const body = `${JSON.stringify(errorBody(new Failure('badRequest', `found ${error.code ?? 'garbage'}, expected HTTP`)))}\n`;
+  const head = `HTTP/1.1 ${codes.badRequest.http} Bad Request\r\ncontent-type: application/json\r\n`;
+  socket.end(
+    `${head}content-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`,
+  );
+}
+
+/** A running gateway. */
+export class Gateway {
+  readonly #config: GatewayConfig;
+
+  readonly #log: Logger;
+
+  readonly #metrics: Metrics;
+
+  readonly #platform: HttpPlatform;
+
+  readonly #runners = new HttpRunnerClient();
+
+  readonly #fleet: Fleet;
+
+  readonly #canceller: Canceller;
+
+  readonly #ledger: LedgerClient;
+
+  readonly #models: ModelHandler;
+
+  readonly #plain: PlainHandler;
+
+  readonly #callers: Server;
+
+  readonly #operators: Server;
+
+  #phase: 'open' | 'draining' | 'leaving' = 'open';
+
+  #port: number;
+
+  constructor(config: GatewayConfig, log: Logger) {
+    this.#config = config;
+    this.#port = config.listen.port;
+    this.#log = logOf(log, 'gateway');
+    this.#metrics = new ProcessMetrics('gateway', config.vm, config.metrics);
+    this.#platform = new HttpPlatform(config.platform);
+    const address = (): string => `${config.listen.host}:${this.#port}`;
+    this.#fleet = new Fleet({
+      id: `${config.vm}-${randomUUID().slice(0, 8)}`,
+      vm: config.vm,
+      key: config.peerKey,
+      home: config.scheduler,
+      address,
+      log: logOf(log, 'peer'),
+      onMessage: (link, message) => this.#models.receive(link, message),
+      onChange: () => this.#models.ownersChanged(),
+    });
+    this.#canceller = new Canceller(this.#runners, this.#log, this.#metrics);
+    this.#ledger = new LedgerClient(this.#fleet, logOf(log, 'ledger'));
+    const burn = new BurnRecorder(Date.now());
+    this.#models = new ModelHandler({
+      fleet: this.#fleet,
+      runners: this.#runners,
+      canceller: this.#canceller,
+      relay: new Relay(config.peerKey),
+      address,
+      bodyBytes: config.limits.bodyBytes,
+      log: this.#log,
+      metrics: this.#metrics,
+      onOutcome: (request, outcome) => burn.model(Date.now(), request, outcome),
+    });
+    this.#plain = new PlainHandler({
+      fleet: this.#fleet,
+      ledger: this.#ledger,
+      domain: config.domain,
+      bodyBytes: config.limits.bodyBytes,
+      log: this.#log,
+      metrics: this.#metrics,
+      onOutcome: (team, service, code) => burn.plain(Date.now(), team, service, code),
+    });
+    this.#callers = this.#serveCallers(burn);
+    this.#operators = this.#serveOperators();
+  }
+
+  /** Starts everything and gives the ports. */
+  async start(): Promise<GatewayPorts> {
+    const { listen: callers, operator } = this.#config;
+    this.#port = await listen(this.#callers, callers.host, callers.port);
+    const operators = await listen(this.#operators, operator.host, operator.port);
+    this.#fleet.start();
+    this.#log.info({ port: this.#port, operators }, 'Started.');
+    return { callers: this.#port, operators };
+  }
+
+  /**
+   * Leaves without cutting a request: callers keep addresses for a while, so new
+   * requests are taken until those have lapsed, and streams run to their end.
+   */
+  async stop(): Promise<void> {
+    if (this.#phase !== 'open') return;
+    this.#phase = 'draining';
+    this.#log.info('Draining.');
+    this.#fleet.home.send({ kind: 'draining' });
+    await pause(this.#config.addressTtlMs);
+    this.#phase = 'leaving';
+    while (this.#models.size + this.#plain.size > 0) await pause(DRAIN_LOOK_MS);
+    while (this.#ledger.pending > 0) await pause(DRAIN_LOOK_MS);
+    await this.close();
+    this.#log.info('Stopped.');
+  }
+
+  /** Ends at once. */
+  async close(): Promise<void> {
+    this.#fleet.close();
+    this.#canceller.stop();
+    this.#ledger.stop();
+    this.#plain.close();
+    this.#runners.close();
+    this.#platform.close();
+    this.#metrics.close();
+    for (const server of [this.#callers, this.#operators]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  #serveCallers(burn: BurnRecorder): Server {
+    const { limits, peerKey, addressTtlMs } = this.#config;
+    const handler = new CallerHandler({
+      fleet: this.#fleet,
+      models: this.#models,
+      plain: this.#plain,
+      burn,
+      peerKey,
+      addressTtlMs,
+      log: this.#log,
+      phase: () => this.#phase,
+    });
+    const server = createServer(
+      {
+        maxHeaderSize: limits.headerBytes,
+        headersTimeout: limits.headerTimeoutMs,
+        connectionsCheckingInterval: 1000,
+      },
+      (req, res) => {
+        handler.handle(req, res).catch((error: Error) => this.#log.error(error.message));
+      },
+    );
+    server.maxConnections = limits.connections;
+    server.on('clientError', answerGarbage);
+    return server;
+  }
+
+  #serveOperators(): Server {
+    const handler = new OperatorHandler({
+      fleet: this.#fleet,
+      editor: new SettingsEditor(this.#platform, () => this.#fleet.settings),
+      peerKey: this.#config.peerKey,
+      log: this.#log,
+      status: () => ({
+        vm: this.#config.vm,
+        phase: this.#phase,
+        digest: this.#fleet.settings.digest,
+        models: this.#models.size,
+        plain: this.#plain.size,
+        rss: process.memoryUsage().rss,
+        cpuMs: Math.round((process.cpuUsage().user + process.cpuUsage().system) / 1000),
+        metrics: this.#metrics.values,
+      }),
+    });
+    const server = createServer((req, res) => {
+      const url = new URL(req.url ?? '/', 'http://operator');
+      handler.handle(req, res, url).catch((error: Error) => this.#log.error(error.message));
+    });
+    server.on('clientError', answerGarbage);
+    return server;
+  }
+}
--- /dev/null
+++ b/src/node/gateway/model.ts
@@ -0,0 +1,304 @@
+/** Model requests: checks them, brings repeats of one key together, and keeps the runs. */
+
+import { createHash, randomUUID } from 'node:crypto';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import type { Logger } from 'pino';
+import { z } from 'zod';
+
+import { Failure, toFailure } from '../../core/failure';
+import { requestId } from '../../core/ids';
+import { countTokens, hashBlocks } from '../../core/prefix';
+import type { Attempt } from '../../core/registry/keys';
+import type { ModelService } from '../../core/settings/schema';
+import { readBody, sendFailure } from '../../utils/http';
+import type { PeerLink } from '../peer/link';
+import type { ToGateway } from '../peer/messages';
+import type { Relay } from './relay';
+import type { ModelRequest, RunContext, RunOutcome } from './run';
+import { ModelRun } from './run';
+import type { Sink } from './sink';
+import { EventSink, JsonSink, OnceSink } from './sink';
+
+/** What model requests work with. */
+export interface ModelHandlerOptions extends Omit<RunContext, 'onEnd' | 'onLocated'> {
+  readonly relay: Relay;
+  /** Callers' address of this gateway. */
+  readonly address: () => string;
+  readonly bodyBytes: number;
+  readonly log: Logger;
+  /** Told of every end, for the service-level report. */
+  readonly onOutcome: (request: ModelRequest, outcome: RunOutcome) => void;
+}
+
+const completionSchema = z.object({
+  model: z.string().min(1).max(63),
+  prompt: z.string().min(1),
+  max_tokens: z.int().positive().optional(),
+  stream: z.boolean().default(false),
+});
+
+type Completion = z.infer<typeof completionSchema>;
+
+/** Longest idempotency key. */
+const KEY_LIMIT = 200;
+/** Longest answer that is kept for replay, in characters. */
+const REPLAY_LIMIT = 128 * 1024;
+
+const attemptSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('fresh') }),
+  z.object({
+    kind: z.literal('running'),
+    gateway: z.string(),
+    id: z.string(),
+    place: z
+      .object({ runner: z.string(), runId: z.string() })
+      .nullish()
+      .transform((place) => place ?? undefined),
+  }),
+  z.object({ kind: z.literal('done'), answer: z.object({ text: z.string(), tokens: z.int() }) }),
+  z.object({ kind: z.literal('mismatch') }),
+]);
+
+/** Reads the idempotency key of a request. */
+export function keyOf(req: IncomingMessage): string | undefined {
+  const { 'idempotency-key': key } = req.headers;
+  if (key === undefined) return undefined;
+  if (typeof key !== 'string' || key === '' || key.length > KEY_LIMIT) {
+    throw new Failure(
+      'badRequest',
+      `found an unusable Idempotency-Key, expected 1 to ${KEY_LIMIT} characters`,
+    );
+  }
+  return key;
+}
+
+function parseCompletion(text: string): Completion {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    throw new Failure('badRequest', `the body is no JSON: ${(error as Error).message}`);
+  }
+  const result = completionSchema.safeParse(value);
+  if (result.success) return result.data;
+  const [issue] = result.error.issues;
+  throw new Failure(
+    'badRequest',
+    `at ${issue?.path.join('.') ?? 'the body'}: ${issue?.message ?? 'does not fit'}`,
+  );
+}
+
+/** Takes model requests of callers. */
+export class ModelHandler {
+  readonly #options: ModelHandlerOptions;
+
+  readonly #runs = new Map<string, ModelRun>();
+
+  /** Registry key of each keyed run. */
+  readonly #keys = new Map<string, string>();
+
+  constructor(options: ModelHandlerOptions) {
+    this.#options = options;
+  }
+
+  get size(): number {
+    return this.#runs.size;
+  }
+
+  run(id: string): ModelRun | undefined {
+    return this.#runs.get(id);
+  }
+
+  /** A message of a scheduler about a request. */
+  receive(link: PeerLink, message: ToGateway): void {
+    if ('id' in message) this.#runs.get(message.id)?.receive(link, message);
+  }
+
+  /** Owners may have changed: every run looks for its own again. */
+  ownersChanged(): void {
+    for (const run of this.#runs.values()) run.ownersChanged();
+  }
+
+  /** Answers `POST /v1/completions`. */
+  async handle(req: IncomingMessage, res: ServerResponse, team: string): Promise<void> {
+    const now = Date.now();
+    const key = keyOf(req);
+    const body = await readBody(req, this.#options.bodyBytes);
+    const completion = parseCompletion(body.toString());
+    const request = this.#check(team, completion, key !== undefined);
+    const sink = this.#sinkFor(res, request, completion.stream);
+    if (key === undefined) this.#startFresh(request, sink, res, now);
+    else await this.#startKeyed(request, `${team}/${key}`, sink, res, now);
+  }
+
+  #check(
+    team: string,
+    { model, prompt, max_tokens: wanted }: Completion,
+    keyed: boolean,
+  ): ModelRequest {
+    const service = this.#options.fleet.settings.service(team, model);
+    if (service?.kind !== 'model')
+      { throw new Failure('unknownService', `there is no model service '${model}'`); }
+    const salt = this.#saltOf(team, service);
+    return {
+      id: requestId(this.#options.address(), randomUUID().slice(0, 18)),
+      team,
+      serviceName: model,
+      service,
+      prompt,
+      promptTokens: countTokens(prompt),
+      maxTokens: Math.min(service.maxTokens, wanted ?? service.maxTokens),
+      blocks: hashBlocks(salt, prompt),
+      salt,
+      keyed,
+    };
+  }
+
+  /** A sharing group counts only for teams that may use the same pool; a team's own name cannot stand for a group. */
+  #saltOf(team: string, { sharingGroup }: ModelService): string {
+    return sharingGroup === undefined ? `team/${team}` : `group/${sharingGroup}`;
+  }
+
+  #sinkFor(res: ServerResponse, request: ModelRequest, stream: boolean): Sink {
+    const frame = { id: request.id, model: request.serviceName };
+    return new OnceSink(
+      stream ? new EventSink(res, frame) : new JsonSink(res, frame, request.promptTokens),
+    );
+  }
+
+  #startFresh(request: ModelRequest, sink: Sink, res: ServerResponse, now: number): ModelRun {
+    const run = this.#create(request, now);
+    this.#watch(run, sink, res);
+    run.place();
+    return run;
+  }
+
+  #create(request: ModelRequest, now: number): ModelRun {
+    const run = new ModelRun(
+      request,
+      {
+        ...this.#options,
+        onEnd: (ended, outcome) => this.#ended(ended, outcome),
+        onLocated: (located, runner, runId) => this.#located(located, runner, runId),
+      },
+      now,
+    );
+    this.#runs.set(request.id, run);
+    return run;
+  }
+
+  /** A caller that closes its connection gives up its answer. */
+  #watch(run: ModelRun, sink: Sink, res: ServerResponse): void {
+    run.attach(sink);
+    res.on('close', () => run.detach(sink));
+    if (res.destroyed) run.detach(sink);
+  }
+
+  async #startKeyed(
+    request: ModelRequest,
+    key: string,
+    sink: Sink,
+    res: ServerResponse,
+    now: number,
+  ): Promise<void> {
+    const fingerprint = createHash('sha256')
+      .update(`${request.serviceName}\0${request.maxTokens}\0${request.prompt}`)
+      .digest('base64url');
+    const gateway = this.#options.address();
+    const params = { key, fingerprint, gateway, id: request.id };
+    const attempt = attemptSchema.parse(
+      await this.#options.fleet.callKey(key, 'keys.attempt', params),
+    ) as Attempt;
+    if (attempt.kind === 'mismatch') {
+      throw new Failure('keyReused', 'this key was used with another request');
+    } else if (attempt.kind === 'done') {
+      sink.token(0, attempt.answer.text);
+      sink.end(attempt.answer.tokens);
+    } else if (attempt.kind === 'fresh') {
+      this.#keys.set(request.id, key);
+      this.#startFresh(request, sink, res, now);
+    } else {
+      await this.#join(request, key, attempt, sink, res, now);
+    }
+  }
+
+  /** Reads the answer of a run that is under way, here or on another gateway. */
+  async #join(
+    request: ModelRequest,
+    key: string,
+    attempt: Extract<Attempt, { kind: 'running' }>,
+    sink: Sink,
+    res: ServerResponse,
+    now: number,
+  ): Promise<void> {
+    const local = this.#runs.get(attempt.id);
+    if (local && !local.ended) {
+      local.supersede();
+      this.#watch(local, sink, res);
+      return;
+    }
+    const read = await this.#options.relay.read(attempt.gateway, attempt.id, sink, res);
+    if (read === 'whole' || res.destroyed) return;
+    await this.#takeOver(request, key, attempt, sink, res, now);
+  }
+
+  /** The gateway that had the run is gone, or broke off: goes on from its runner, or begins again. */
+  async #takeOver(
+    request: ModelRequest,
+    key: string,
+    { id, place }: Extract<Attempt, { kind: 'running' }>,
+    sink: Sink,
+    res: ServerResponse,
+    now: number,
+  ): Promise<void> {
+    const params = { key, from: id, gateway: this.#options.address(), id: request.id };
+    const taken = await this.#options.fleet.callKey(key, 'keys.transfer', params);
+    if (taken !== true) {
+      sendFailure(
+        res,
+        new Failure('alreadyRunning', 'another attempt took this key', { retryAfterMs: 1000 }),
+      );
+      return;
+    }
+    this.#keys.set(request.id, key);
+    this.#options.metrics.count('model.taken_over');
+    if (!place) {
+      this.#startFresh(request, sink, res, now);
+      return;
+    }
+    const run = this.#create(request, now);
+    this.#watch(run, sink, res);
+    run.takeOver(place.runner, place.runId);
+  }
+
+  #located(run: ModelRun, runner: string, runId: string): void {
+    const { id } = run.request;
+    const key = this.#keys.get(id);
+    if (key !== undefined) this.#tellRegistry(key, 'keys.locate', { key, id, runner, runId });
+  }
+
+  #ended(run: ModelRun, outcome: RunOutcome): void {
+    const { id } = run.request;
+    this.#runs.delete(id);
+    const key = this.#keys.get(id);
+    this.#keys.delete(id);
+    if (key !== undefined) this.#conclude(run, key, outcome);
+    this.#options.onOutcome(run.request, outcome);
+  }
+
+  #conclude(run: ModelRun, key: string, { code, cancelled, tokens }: RunOutcome): void {
+    const { id } = run.request;
+    const text = run.tokens.join('');
+    const whole = code === undefined && !cancelled;
+    if (whole && text.length <= REPLAY_LIMIT)
+      { this.#tellRegistry(key, 'keys.conclude', { key, id, text, tokens }); }
+    else this.#tellRegistry(key, 'keys.abandon', { key, id });
+  }
+
+  #tellRegistry(key: string, method: string, params: unknown): void {
+    this.#options.fleet.callKey(key, method, params).catch((error) => {
+      this.#options.log.debug(`The key registry did not take ${method}. ${toFailure(error).line}.`);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/gateway/run.ts
@@ -0,0 +1,421 @@
+/** One model request on its way: talks to the owner of its cell and to runners, and feeds its sinks. */
+
+import type { Logger } from 'pino';
+
+import type { CodeName } from '../../core/codes';
+import { codes } from '../../core/codes';
+import { Failure } from '../../core/failure';
+import { runIdOf } from '../../core/ids';
+import type { ModelService } from '../../core/settings/schema';
+import type { Metrics } from '../metrics';
+import type { PeerLink } from '../peer/link';
+import type { Message, ToGateway, ToScheduler } from '../peer/messages';
+import type { EngineJob, RunnerClient, Token } from '../runner/client';
+import { RunnerFailure } from '../runner/client';
+import type { Canceller } from './canceller';
+import type { Fleet } from './fleet';
+import type { Sink } from './sink';
+
+/** A checked model request. */
+export interface ModelRequest {
+  readonly id: string;
+  readonly team: string;
+  readonly serviceName: string;
+  readonly service: ModelService;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly blocks: readonly number[];
+  /** Keeps the prefix caches of teams apart. */
+  readonly salt: string;
+  /** Whether another attempt with the same key may come for the answer. */
+  readonly keyed: boolean;
+}
+
+/** What runs work with. */
+export interface RunContext {
+  readonly fleet: Fleet;
+  readonly runners: RunnerClient;
+  readonly canceller: Canceller;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Told once when the run has ended. */
+  readonly onEnd: (run: ModelRun, outcome: RunOutcome) => void;
+  /** Told where the answer streams, so that another gateway could go on with it. */
+  readonly onLocated: (run: ModelRun, runner: string, runId: string) => void;
+}
+
+/** How a run ended. */
+export interface RunOutcome {
+  readonly code: CodeName | undefined;
+  readonly cancelled: boolean;
+  readonly firstTokenMs: number | undefined;
+  /** Mean time between tokens, in milliseconds. */
+  readonly tokenMs: number | undefined;
+  readonly tokens: number;
+}
+
+interface Place {
+  readonly runner: string;
+  readonly url: string;
+  readonly runId: string;
+}
+
+type Stage = 'queued' | 'prefilling' | 'prefilled' | 'decoding' | 'ended';
+
+/** Pause before asking again when no owner can be reached, in milliseconds. */
+const OWNER_RETRY_MS = 50;
+/** A run without an owner waits at least this long for a new one once it was sent to runners, in milliseconds. */
+const OWNER_WAIT_MS = 10_000;
+/** How long a keyed run goes on without a reader, in milliseconds. */
+const UNREAD_MS = 2000;
+/** When callers should come back after no owner was found, in milliseconds. */
+const NO_OWNER_RETRY_MS = 1000;
+
+/** A request from its placing to its end. */
+export class ModelRun {
+  readonly request: ModelRequest;
+
+  readonly #context: RunContext;
+
+  readonly #startedAt: number;
+
+  readonly #tokens: string[] = [];
+
+  readonly #sinks = new Set<Sink>();
+
+  readonly #limit: NodeJS.Timeout;
+
+  #stage: Stage = 'queued';
+
+  #attempt = 0;
+
+  #prefill: Place | undefined;
+
+  #decode: Place | undefined;
+
+  #owner: PeerLink | undefined;
+
+  #work = new AbortController();
+
+  #retry: NodeJS.Timeout | undefined;
+
+  #unread: NodeJS.Timeout | undefined;
+
+  #sent = false;
+
+  #firstTokenAt: number | undefined;
+
+  constructor(request: ModelRequest, context: RunContext, now: number) {
+    this.request = request;
+    this.#context = context;
+    this.#startedAt = now;
+    this.#limit = setTimeout(
+      () => this.#fail('timedOut', 'the time limit of the answer has passed'),
+      request.service.totalMs,
+    );
+  }
+
+  get ended(): boolean {
+    return this.#stage === 'ended';
+  }
+
+  get tokens(): readonly string[] {
+    return this.#tokens;
+  }
+
+  /** Adds a reader and gives it what is out already. */
+  attach(sink: Sink): void {
+    clearTimeout(this.#unread);
+    this.#tokens.forEach((text, offset) => sink.token(offset, text));
+    this.#sinks.add(sink);
+  }
+
+  /** A reader is gone. Without readers the run ends, keyed runs after a while. */
+  detach(sink: Sink): void {
+    if (!this.#sinks.delete(sink) || this.#sinks.size > 0 || this.ended) return;
+    if (this.request.keyed) this.#unread = setTimeout(() => this.cancel(), UNREAD_MS);
+    else this.cancel();
+  }
+
+  /** Ends all readers in favour of a newer attempt. */
+  supersede(): void {
+    const failure = new Failure('superseded', 'a newer attempt with this key reads the answer now');
+    for (const sink of this.#sinks) sink.fail(failure, false);
+    this.#sinks.clear();
+  }
+
+  /** Asks the owner for a place; again when the owner has changed. */
+  place(): void {
+    if (this.ended) return;
+    const owner = this.#context.fleet.ownerOf(this.request.service.pool);
+    if (owner && owner === this.#owner && owner.up) return;
+    if (!owner) {
+      this.#placeLater();
+      return;
+    }
+    this.#owner?.send({ kind: 'cancelled', pool: this.request.service.pool, id: this.request.id });
+    this.#owner = owner;
+    this.#ask();
+  }
+
+  /** The link to the owner was lost or came back: everything is asked for again. */
+  ownersChanged(): void {
+    if (this.ended) return;
+    if (this.#owner && !this.#owner.up) this.#owner = undefined;
+    this.place();
+  }
+
+  receive(link: PeerLink, message: ToGateway): void {
+    if (link !== this.#owner || this.ended) return;
+    if (message.kind === 'prefill') this.#startPrefill(message);
+    else if (message.kind === 'decode') this.#startDecode(message);
+    else if (message.kind === 'refuse') this.#refused(message);
+    else if (message.kind === 'notOwner') this.#notOwner();
+  }
+
+  /** Goes on with an answer that streams on a runner since an earlier gateway's time. */
+  takeOver(runner: string, runId: string): void {
+    const url = this.#urlOf(runner);
+    if (url === undefined) {
+      this.place();
+      return;
+    }
+    this.#sent = true;
+    this.#stage = 'decoding';
+    this.#decode = { runner, url, runId };
+    this.place();
+    this.#stream(this.#context.runners.resume(url, runId, 0, this.#work.signal), this.#decode);
+  }
+
+  /** The caller is gone: frees every runner and the place at the owner. */
+  cancel(): void {
+    if (this.ended) return;
+    this.#context.metrics.count('model.cancelled');
+    this.#end({ code: undefined, cancelled: true });
+  }
+
+  #ask(): void {
+    const { id, team, service, promptTokens, maxTokens, blocks } = this.request;
+    const { pool, tier } = service;
+    const dueInMs = this.#dueInMs();
+    const common = { pool, id, team, tier, promptTokens, maxTokens, blocks: [...blocks], dueInMs };
+    const stage = this.#stage;
+    if (stage === 'prefilling' || stage === 'prefilled' || stage === 'decoding') {
+      const places: { prefillRunner?: string; decodeRunner?: string } = {};
+      if (this.#prefill) places.prefillRunner = this.#prefill.runner;
+      if (this.#decode) places.decodeRunner = this.#decode.runner;
+      this.#tell({ kind: 'adopt', ...common, stage, ...places });
+    } else {
+      this.#tell({ kind: 'arrive', ...common });
+    }
+  }
+
+  #dueInMs(): number {
+    if (this.#tokens.length > 0) return OWNER_WAIT_MS;
+    return this.#startedAt + this.request.service.firstTokenMs - Date.now();
+  }
+
+  #tell(message: ToScheduler): void {
+    this.#owner?.send(message);
+  }
+
+  #notOwner(): void {
+    this.#owner = undefined;
+    this.#placeLater();
+  }
+
+  #placeLater(): void {
+    const waited = Date.now() - this.#startedAt;
+    const limit = this.#sent ? this.request.service.totalMs : this.request.service.firstTokenMs;
+    if (waited > limit) {
+      this.#fail(
+        'noOwner',
+        `no scheduler plans pool ${this.request.service.pool}`,
+        NO_OWNER_RETRY_MS,
+      );
+      return;
+    }
+    clearTimeout(this.#retry);
+    this.#retry = setTimeout(() => this.place(), OWNER_RETRY_MS);
+  }
+
+  #refused({ code, retryAfterMs }: Message<'refuse'>): void {
+    this.#fail(code, codes[code].meaning, retryAfterMs);
+  }
+
+  #urlOf(runner: string): string | undefined {
+    const pool = this.#context.fleet.settings.pool(this.request.service.pool);
+    return pool?.runners.find(({ id }) => id === runner)?.url;
+  }
+
+  #job(runId: string): EngineJob {
+    const { prompt, maxTokens, service, salt, keyed } = this.request;
+    return {
+      runId,
+      // Tokens that are out become part of the prompt, so that the engine goes on behind them.
+      prompt: prompt + this.#tokens.join(''),
+      maxTokens: maxTokens - this.#tokens.length,
+      priority: service.tier === 'interactive' ? 0 : 1,
+      cacheSalt: salt,
+      resumable: keyed,
+    };
+  }
+
+  #newPlace(runner: string): Place | undefined {
+    const url = this.#urlOf(runner);
+    if (url === undefined) return undefined;
+    this.#attempt += 1;
+    return { runner, url, runId: runIdOf(this.request.id, this.#attempt) };
+  }
+
+  #startPrefill({ runner }: Message<'prefill'>): void {
+    if (this.#stage !== 'queued' && this.#stage !== 'prefilled') return;
+    const place = this.#newPlace(runner);
+    if (!place) {
+      this.#tellFailed(runner, 'lost');
+      return;
+    }
+    this.#stage = 'prefilling';
+    this.#prefill = place;
+    this.#sent = true;
+    const { id, service } = this.request;
+    this.#context.runners
+      .prefill(place.url, this.#job(place.runId), this.#work.signal)
+      .then(({ cachedTokens, keptMs }) => {
+        if (this.#prefill !== place || this.#stage !== 'prefilling') return;
+        this.#stage = 'prefilled';
+        this.#tell({ kind: 'prefilled', pool: service.pool, id, cachedTokens, keptMs });
+      })
+      .catch((error: Error) => this.#prefillFailed(place, error));
+  }
+
+  #prefillFailed(place: Place, error: Error): void {
+    if (this.ended || this.#prefill !== place) return;
+    this.#prefill = undefined;
+    this.#stage = 'queued';
+    this.#failedAt(place, error);
+  }
+
+  #startDecode({ runner, source }: Message<'decode'>): void {
+    const from = this.#prefill;
+    if (this.#stage !== 'prefilled' || from?.runner !== source) return;
+    const place = this.#newPlace(runner);
+    if (!place) {
+      this.#tellFailed(runner, 'lost');
+      return;
+    }
+    this.#stage = 'decoding';
+    this.#decode = place;
+    const job = this.#job(place.runId);
+    const tokens = this.#context.runners.decode(
+      place.url,
+      job,
+      { url: from.url, runId: from.runId },
+      this.#work.signal,
+    );
+    if (this.request.keyed) this.#context.onLocated(this, place.runner, place.runId);
+    this.#stream(tokens, place);
+  }
+
+  #stream(tokens: AsyncIterable<Token>, place: Place): void {
+    this.#read(tokens, place).catch((error: Error) => this.#decodeFailed(place, error));
+  }
+
+  async #read(tokens: AsyncIterable<Token>, place: Place): Promise<void> {
+    const base = this.#tokens.length;
+    for await (const { offset, text } of tokens) {
+      if (this.ended || this.#decode !== place) return;
+      this.#accept(base + offset, text);
+    }
+    if (this.ended || this.#decode !== place) return;
+    this.#finish();
+  }
+
+  /** A token that is out already is dropped; one too far ahead means that some were lost. */
+  #accept(offset: number, text: string): void {
+    const next = this.#tokens.length;
+    if (offset < next) return;
+    if (offset > next) throw new RunnerFailure('lost', `found token ${offset}, expected ${next}`);
+    if (next === 0) this.#firstTokenAt = Date.now();
+    if (this.#prefill) {
+      this.#prefill = undefined;
+      this.#tell({ kind: 'started', pool: this.request.service.pool, id: this.request.id });
+    }
+    this.#tokens.push(text);
+    for (const sink of this.#sinks) sink.token(offset, text);
+  }
+
+  #decodeFailed(place: Place, error: Error): void {
+    if (this.ended || this.#decode !== place) return;
+    this.#decode = undefined;
+    const keepsPrefill =
+      error instanceof RunnerFailure && error.reason === 'full' && this.#prefill !== undefined;
+    this.#stage = keepsPrefill ? 'prefilled' : 'queued';
+    if (!keepsPrefill) this.#dropPrefill();
+    this.#failedAt(place, error);
+  }
+
+  #dropPrefill(): void {
+    const prefill = this.#prefill;
+    this.#prefill = undefined;
+    if (prefill) this.#context.canceller.cancel(prefill.url, prefill.runId);
+  }
+
+  #failedAt(place: Place, error: Error): void {
+    const reason = error instanceof RunnerFailure ? error.reason : 'lost';
+    this.#context.metrics.count(`runner.${reason}`);
+    if (reason === 'lost') this.#context.canceller.cancel(place.url, place.runId);
+    this.#tellFailed(place.runner, reason);
+  }
+
+  #tellFailed(runner: string, reason: RunnerFailure['reason']): void {
+    const { id, service } = this.request;
+    const tokens = this.#tokens.length;
+    this.#tell({ kind: 'failed', pool: service.pool, id, runner, reason, tokens });
+  }
+
+  #finish(): void {
+    const { id, service } = this.request;
+    this.#decode = undefined;
+    this.#prefill = undefined;
+    this.#tell({ kind: 'finished', pool: service.pool, id, tokens: this.#tokens.length });
+    this.#owner = undefined;
+    const sinks = [...this.#sinks];
+    this.#end({ code: undefined, cancelled: false });
+    for (const sink of sinks) sink.end(this.#tokens.length);
+  }
+
+  /** "Not run" is said only if this gateway sent nothing to any runner. */
+  #fail(code: CodeName, detail: string, retryAfterMs?: number): void {
+    if (this.ended) return;
+    const failure = new Failure(code, detail, retryAfterMs === undefined ? {} : { retryAfterMs });
+    const sinks = [...this.#sinks];
+    const notRun = !this.#sent && codes[code].notRun;
+    this.#end({ code, cancelled: false });
+    for (const sink of sinks) sink.fail(failure, notRun);
+  }
+
+  #end(how: Pick<RunOutcome, 'code' | 'cancelled'>): void {
+    this.#stage = 'ended';
+    clearTimeout(this.#limit);
+    clearTimeout(this.#retry);
+    clearTimeout(this.#unread);
+    this.#sinks.clear();
+    this.#tell({ kind: 'cancelled', pool: this.request.service.pool, id: this.request.id });
+    this.#work.abort();
+    for (const place of [this.#prefill, this.#decode]) {
+      if (place) this.#context.canceller.cancel(place.url, place.runId);
+    }
+    this.#context.onEnd(this, { ...how, ...this.#timing() });
+  }
+
+  #timing(): Pick<RunOutcome, 'firstTokenMs' | 'tokenMs' | 'tokens'> {
+    const tokens = this.#tokens.length;
+    const first = this.#firstTokenAt;
+    const firstTokenMs = first === undefined ? undefined : first - this.#startedAt;
+    const tokenMs =
+      first === undefined || tokens < 2 ? undefined : (Date.now() - first) / (tokens - 1);
+    return { firstTokenMs, tokenMs, tokens };
+  }
+}
--- /dev/null
+++ b/src/node/scheduler/links.ts
@@ -0,0 +1,84 @@
+/** Links to other schedulers, opened when needed and closed when idle. */
+
+import type { Logger } from 'pino';
+
+import { Failure } from '../../core/failure';
+import { PeerLink } from '../peer/link';
+import { PROTOCOL_VERSION } from '../peer/messages';
+
+/** Who opens the links. */
+export interface SchedulerLinksOptions {
+  readonly vm: string;
+  readonly key: string;
+  readonly log: Logger;
+}
+
+interface Open {
+  readonly link: PeerLink;
+  readonly ready: Promise<void>;
+  idle: NodeJS.Timeout;
+}
+
+/** A link that was not used for this long is closed, in milliseconds. */
+const IDLE_MS = 10_000;
+/** Time in which a link must come up, in milliseconds. */
+const CONNECT_LIMIT_MS = 2000;
+
+/** Links by address. */
+export class SchedulerLinks {
+  readonly #options: SchedulerLinksOptions;
+
+  readonly #open = new Map<string, Open>();
+
+  constructor(options: SchedulerLinksOptions) {
+    this.#options = options;
+  }
+
+  /** Calls a method of another scheduler. */
+  async call(address: string, method: string, params: unknown): Promise<unknown> {
+    const open = this.#open.get(address) ?? this.#connect(address);
+    clearTimeout(open.idle);
+    open.idle = setTimeout(() => this.#close(address), IDLE_MS);
+    await open.ready;
+    return open.link.call(method, params);
+  }
+
+  close(): void {
+    for (const address of [...this.#open.keys()]) this.#close(address);
+  }
+
+  #connect(address: string): Open {
+    const { vm, key, log } = this.#options;
+    let up = (): void => {};
+    const ready = new Promise<void>((resolve, reject) => {
+      const limit = setTimeout(() => {
+        this.#close(address);
+        reject(new Failure('noOwner', `${address} did not answer within ${CONNECT_LIMIT_MS} ms`));
+      }, CONNECT_LIMIT_MS);
+      up = () => {
+        clearTimeout(limit);
+        resolve();
+      };
+    });
+    const hello = { key, role: 'scheduler' as const, id: vm, vm };
+    const link = new PeerLink({
+      address,
+      hello,
+      version: PROTOCOL_VERSION,
+      log,
+      onMessage: () => {},
+      onUp: up,
+    });
+    const opened: Open = { link, ready, idle: setTimeout(() => this.#close(address), IDLE_MS) };
+    this.#open.set(address, opened);
+    return opened;
+  }
+
+  #close(address: string): void {
+    const open = this.#open.get(address);
+    if (!open) return;
+    clearTimeout(open.idle);
+    this.#open.delete(address);
+    open.link.close();
+  }
+}
--- /dev/null
+++ b/src/node/scheduler/members.ts
@@ -0,0 +1,143 @@
+/** Membership over UDP: carries packets and timers for the membership core. */
+
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import type { Socket } from 'node:dgram';
+import { createSocket } from 'node:dgram';
+
+import { Packr } from 'msgpackr';
+import type { Logger } from 'pino';
+import { z } from 'zod';
+
+import { Membership } from '../../core/membership/membership';
+import type { MembershipOptions } from '../../core/membership/membership';
+import type {
+  Member,
+  MembershipAction,
+  MembershipEvent,
+  Packet,
+  Rumour,
+} from '../../core/membership/types';
+import type { Metrics } from '../metrics';
+
+/** What the rest of the scheduler hears from membership. */
+export interface MembershipListener {
+  onChange(member: Member): void;
+  onRumour(rumour: Rumour, address: string): void;
+  onDiffers(address: string): void;
+}
+
+/** How to start. */
+export interface MembershipDriverOptions {
+  readonly membership: MembershipOptions;
+  readonly host: string;
+  readonly port: number;
+  readonly key: string;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly listener: MembershipListener;
+}
+
+const TAG_BYTES = 16;
+
+const memberSchema = z.object({
+  vm: z.string().max(64),
+  domain: z.string().max(64),
+  address: z.string().max(100),
+  incarnation: z.number(),
+  state: z.enum(['alive', 'suspect', 'left', 'dead']),
+  draining: z.boolean(),
+  gateways: z.array(z.string().max(100)).max(16),
+});
+const packetSchema = z.object({
+  kind: z.enum(['ping', 'ack', 'probe', 'news']),
+  seq: z.int(),
+  from: z.string().max(64),
+  address: z.string().max(100),
+  target: z.string().max(100).optional(),
+  digest: z.string().max(40),
+  members: z.array(memberSchema).max(16),
+  rumours: z.array(z.object({ path: z.string().max(200), revision: z.int() })).max(32),
+});
+
+const packr = new Packr({ useRecords: false });
+
+/** Owns the UDP socket and the timer. */
+export class MembershipDriver {
+  readonly members: Membership;
+
+  readonly #options: MembershipDriverOptions;
+
+  readonly #socket: Socket;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(options: MembershipDriverOptions) {
+    this.#options = options;
+    this.members = new Membership(options.membership);
+    this.#socket = createSocket('udp4');
+    this.#socket.on('message', (data) => this.#receive(data));
+    this.#socket.on('error', (error) =>
+      options.log.error(`The probe socket failed. ${error.message}.`),
+    );
+  }
+
+  start(): Promise<void> {
+    const { host, port } = this.#options;
+    return new Promise((resolve, reject) => {
+      this.#socket.once('error', reject);
+      this.#socket.bind(port, host, () => {
+        this.tell({ kind: 'woke' });
+        resolve();
+      });
+    });
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+    this.#socket.close();
+  }
+
+  /** Hands an event to the core and carries out what it wants. */
+  tell(event: MembershipEvent): void {
+    const actions = this.members.handle(Date.now(), event);
+    for (const action of actions) this.#perform(action);
+    clearTimeout(this.#timer);
+    const wait = Math.max(1, this.members.nextWake() - Date.now());
+    this.#timer = setTimeout(() => this.tell({ kind: 'woke' }), wait);
+  }
+
+  #perform(action: MembershipAction): void {
+    const { listener } = this.#options;
+    if (action.kind === 'send') this.#send(action.to, action.packet);
+    else if (action.kind === 'changed') listener.onChange(action.member);
+    else if (action.kind === 'heard') listener.onRumour(action.rumour, action.address);
+    else listener.onDiffers(action.address);
+  }
+
+  #send(to: string, packet: Packet): void {
+    const [host = '', port = '0'] = to.split(':');
+    const body = packr.pack(packet);
+    const data = Buffer.concat([this.#tag(body), body]);
+    this.#options.metrics.count('members.packets');
+    this.#options.metrics.count('members.bytes', data.length);
+    // A datagram that cannot be sent is a lost datagram, which probing bears.
+    this.#socket.send(data, Number(port), host, () => {});
+  }
+
+  #receive(data: Buffer): void {
+    const body = data.subarray(TAG_BYTES);
+    const tag = data.subarray(0, TAG_BYTES);
+    if (tag.length < TAG_BYTES || !timingSafeEqual(tag, this.#tag(body))) {
+      this.#options.metrics.count('members.rejected');
+      return;
+    }
+    const packet = packetSchema.safeParse(packr.unpack(body));
+    if (packet.success) this.tell({ kind: 'packet', packet: packet.data });
+    else this.#options.metrics.count('members.rejected');
+  }
+
+  /** Without the tag, anyone on the network could have members called dead. */
+  #tag(body: Buffer): Buffer {
+    return createHmac('sha256', this.#options.key).update(body).digest().subarray(0, TAG_BYTES);
+  }
+}
--- /dev/null
+++ b/src/version.ts
@@ -0,0 +1,6 @@
+/** Version of this build; the bundler puts the values in. */
+
+declare const GOLDCRESTDOCK_VERSION: string | undefined;
+
+/** Version and commit, or `dev` when run from sources. */
+export const version = typeof GOLDCRESTDOCK_VERSION === 'undefined' ? 'dev' : GOLDCRESTDOCK_VERSION;
--- /dev/null
+++ b/test/fakes/http.ts
@@ -0,0 +1,81 @@
+/** What the stand-ins share: a small JSON server and client on Node's http. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, request } from 'node:http';
+
+/** Handles one request; `url` has only its path and query. */
+export type Handler = (req: IncomingMessage, res: ServerResponse, url: URL) => Promise<void> | void;
+
+export async function readBody(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
+
+export async function readJson(req: IncomingMessage): Promise<Record<string, unknown>> {
+  const text = await readBody(req);
+  return (text === '' ? {} : JSON.parse(text)) as Record<string, unknown>;
+}
+
+export function sendJson(res: ServerResponse, status: number, value: unknown): void {
+  res.writeHead(status, { 'content-type': 'application/json' });
+  res.end(JSON.stringify(value));
+}
+
+/** Starts a server on loopback and gives its port. */
+export async function listen(
+  handler: Handler,
+  port = 0,
+  host = '127.0.0.1',
+): Promise<{ server: Server; port: number }> {
+  const server = createServer((req, res) => {
+    const url = new URL(req.url ?? '/', 'http://localhost');
+    Promise.resolve(handler(req, res, url)).catch((error: Error) => {
+      if (!res.headersSent) sendJson(res, 500, { error: error.message });
+      else res.destroy();
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(port, host, resolve);
+  });
+  const address = server.address();
+  return { server, port: typeof address === 'object' && address ? address.port : port };
+}
+
+export function closeServer(server: Server): Promise<void> {
+  server.closeAllConnections();
+  return new Promise((resolve) => {
+    server.close(() => resolve());
+  });
+}
+
+/** One call with a JSON answer. */
+export function call(
+  method: string,
+  url: string,
+  body?: unknown,
+  headers: Record<string, string> = {},
+): Promise<{
+  status: number;
+  body: unknown;
+  headers: Record<string, string | string[] | undefined>;
+}> {
+  return new Promise((resolve, reject) => {
+    const req = request(url, { method, headers, agent: false }, (res) => {
+      readBody(res)
+        .then((text) => {
+          let parsed: unknown = text;
+          try {
+            parsed = JSON.parse(text);
+          } catch {
+            // Not JSON: the text itself is the answer.
+          }
+          resolve({ status: res.statusCode ?? 0, body: parsed, headers: res.headers });
+        })
+        .catch(reject);
+    });
+    req.on('error', reject);
+    const text = typeof body === 'string' ? body : JSON.stringify(body);
+    req.end(body === undefined ? undefined : text);
+  });
+}
