--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -20,6 +20,20 @@
       // Airbnb bans for-of for the sake of regenerator-runtime, which Node 20 does not need.
       'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
       'no-await-in-loop': 'off',
+      // Behaviour that varies is an interface with its classes side by side.
+      'max-classes-per-file': 'off',
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': [
+        'error',
+        { ignoreClassesThatImplementAnInterface: true },
+      ],
+      // Files read from the general to the particular; functions are hoisted.
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      // Records of a blackboard section are written in place by the controller that owns them.
+      'no-param-reassign': [
+        'error',
+        { props: true, ignorePropertyModificationsFor: ['entry', 'record', 'queue'] },
+      ],
       ...Object.fromEntries(
         [
           'array-bracket-newline',
@@ -53,4 +67,8 @@
     },
   },
   { files: ['scripts/**', 'test/**'], rules: { 'no-console': 'off' } },
+  {
+    files: ['scripts/*.mjs'],
+    languageOptions: { globals: { URL: 'readonly', process: 'readonly' } },
+  },
 ];
--- a/scripts/start.ts
+++ b/scripts/start.ts
@@ -64,8 +64,9 @@
   const { addresses } = body as { addresses: string[] };
   console.log(`${deployment.spec.name}: callers are told ${addresses.join(', ')}`);
   const samples = await send(addresses[0] as string);
-  for (const { what, ok, seen } of samples)
-    { console.log(`  ${ok ? 'ok  ' : 'FAIL'} ${what}: ${seen}`); }
+  for (const { what, ok, seen } of samples) {
+    console.log(`  ${ok ? 'ok  ' : 'FAIL'} ${what}: ${seen}`);
+  }
   return samples.every(({ ok }) => ok);
 }
 
--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -56,8 +56,9 @@
   headers: Record<string, string> = {},
 ): Promise<unknown> {
   const token = options.token ?? process.env.GOLDCRESTDOCK_TOKEN;
-  if (token === undefined)
-    { throw new Failure('usage', 'found no token, expected --token or GOLDCRESTDOCK_TOKEN'); }
+  if (token === undefined) {
+    throw new Failure('usage', 'found no token, expected --token or GOLDCRESTDOCK_TOKEN');
+  }
   const answer = await call({
     method,
     url: `http://${options.server}${path}`,
@@ -116,8 +117,9 @@
   value: string | undefined,
   options: CtlOptions,
 ): Promise<void> {
-  if (value === undefined)
-    { throw new Failure('usage', 'found no value, expected: ctl settings edit PATH JSON'); }
+  if (value === undefined) {
+    throw new Failure('usage', 'found no value, expected: ctl settings edit PATH JSON');
+  }
   parseText(value, 'the value');
   await writeSettings(path, value, options);
 }
@@ -127,8 +129,9 @@
   file: string | undefined,
   options: CtlOptions,
 ): Promise<void> {
-  if (file === undefined)
-    { throw new Failure('usage', 'found no file, expected: ctl settings diff PATH FILE'); }
+  if (file === undefined) {
+    throw new Failure('usage', 'found no file, expected: ctl settings diff PATH FILE');
+  }
   const { text, revision } = await readSettings(path, options);
   const lines = lineDiff(text, readText(file));
   print(lines.length === 0 ? `${path}: no difference from revision ${revision}` : lines.join('\n'));
@@ -147,8 +150,9 @@
       print(read.text);
     })
     .with('put', async () => {
-      if (value === undefined)
-        { throw new Failure('usage', 'found no file, expected: ctl settings put PATH FILE'); }
+      if (value === undefined) {
+        throw new Failure('usage', 'found no file, expected: ctl settings put PATH FILE');
+      }
       await writeSettings(path, readText(value), options);
     })
     .with('edit', () => editSettings(path, value, options))
@@ -213,14 +217,16 @@
       ) =>
         match(topic)
           .with('settings', () => {
-            if (verb === undefined || path === undefined)
-              { throw new Failure('usage', 'expected: ctl settings get|put|edit|diff|delete PATH'); }
+            if (verb === undefined || path === undefined) {
+              throw new Failure('usage', 'expected: ctl settings get|put|edit|diff|delete PATH');
+            }
             return settingsCommand(verb, path, value, options);
           })
           .with('status', () => statusCommand(options))
           .with('report', () => {
-            if (verb !== 'burn')
-              { throw new Failure('usage', `found '${verb ?? ''}', expected: ctl report burn`); }
+            if (verb !== 'burn') {
+              throw new Failure('usage', `found '${verb ?? ''}', expected: ctl report burn`);
+            }
             return burnCommand(options);
           })
           .otherwise(() => {
--- a/src/core/cell/admission.ts
+++ b/src/core/cell/admission.ts
@@ -1,5 +1,7 @@
 /** Admission: whether a new request is taken in or refused at once. */
 
+import { createHash } from 'node:crypto';
+
 import type { CodeName } from '../codes';
 import { BLOCK_TOKENS } from '../prefix';
 import { forecastFirstToken } from './forecast';
@@ -23,10 +25,7 @@
 
 /** A number in [0, 1) drawn from a request id, so that equal inputs give equal decisions. */
 export function fractionOf(id: string): number {
-  let hash = 2166136261;
-  for (let i = 0; i < id.length; i += 1) hash = Math.imul(hash ^ id.charCodeAt(i), 16777619);
-  hash ^= hash >>> 15;
-  return ((Math.imul(hash, 0x2c1b3c6d) ^ (hash >>> 12)) >>> 0) / 2 ** 32;
+  return createHash('sha1').update(id).digest().readUInt32BE(0) / 2 ** 32;
 }
 
 /**
@@ -48,7 +47,6 @@
 
 /** Refuses what cannot have its first token by its deadline. */
 export class DeadlineAdmission implements Admission {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   decide(now: number, view: CellView, arrival: Arrival): Verdict {
     const { policy, places, waiting } = view;
     if (places.decodeSlots === 0 || places.prefillRunners.every(({ leaving }) => leaving)) {
@@ -78,7 +76,6 @@
 
 /** Baseline: takes everything in until the queue is full. */
 export class OpenAdmission implements Admission {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   decide(_now: number, view: CellView, arrival: Arrival): Verdict {
     if (view.waiting.size >= view.policy.queueLimit) {
       return { admitted: false, code: 'queueFull', retryAfterMs: jitter(arrival.id, 0) };
--- /dev/null
+++ b/src/core/cell/admit.ts
@@ -0,0 +1,132 @@
+/** Controller of the queue: takes requests in, and refuses them as soon as they cannot be served in time. */
+
+import type { CodeName } from '../codes';
+import type { Admission } from './admission';
+import { jitter } from './admission';
+import type { CellBoard } from './board';
+import { RESUME_LANE } from './board';
+import type { Entry } from './entry';
+import { newEntry } from './entry';
+import type { Arrival } from './types';
+
+/** Time that a resumed request may wait for a slot, in milliseconds. */
+const RESUME_WAIT_MS = 20_000;
+
+/** Writes the queue. */
+export class QueueController {
+  readonly #board: CellBoard;
+
+  readonly #admission: Admission;
+
+  /** When the first queued request is lost. */
+  #nextLoss = Infinity;
+
+  constructor(board: CellBoard, admission: Admission) {
+    this.#board = board;
+    this.#admission = admission;
+  }
+
+  get nextLoss(): number {
+    return this.#nextLoss;
+  }
+
+  arrive(now: number, arrival: Arrival): void {
+    const board = this.#board;
+    const known = board.requests.get(arrival.id);
+    if (known) {
+      this.#arriveAgain(now, known);
+      return;
+    }
+    board.counters.arrived += 1;
+    const verdict = this.#admission.decide(now, board, arrival);
+    if (!verdict.admitted) {
+      board.counters.refused += 1;
+      const { code, retryAfterMs } = verdict;
+      board.emit({ kind: 'refuse', id: arrival.id, code, notRun: true, retryAfterMs });
+      return;
+    }
+    board.budget.earn(arrival.team);
+    const entry = newEntry(arrival, now);
+    board.requests.set(arrival.id, entry);
+    board.waiting.push(arrival.team, entry);
+    this.#expectLoss(entry);
+  }
+
+  /** Queues a request again, before the others, if the retry budget allows; gives it up otherwise. */
+  retry(now: number, entry: Entry): void {
+    const board = this.#board;
+    if (!board.budget.spend(entry.arrival.team)) {
+      this.giveUp(now, entry, 'retriesSpent');
+      return;
+    }
+    board.counters.retries += 1;
+    entry.stage = 'queued';
+    entry.since = now;
+    if (entry.resumedAt > 0) {
+      entry.arrival = { ...entry.arrival, deadline: now + RESUME_WAIT_MS };
+      board.waiting.unshift(RESUME_LANE, entry);
+    } else {
+      board.waiting.unshift(entry.arrival.team, entry);
+    }
+    this.#expectLoss(entry);
+  }
+
+  /** Ends a request that will not be served; after it was sent to a runner this is not "not run". */
+  giveUp(now: number, entry: Entry, code: CodeName): void {
+    const board = this.#board;
+    board.counters.refused += 1;
+    const { id } = entry.arrival;
+    const retryAfterMs = jitter(id, board.meanPrefillMs);
+    board.emit({ kind: 'refuse', id, code, notRun: !entry.sent, retryAfterMs });
+    board.drop(now, entry);
+  }
+
+  /** Refuses what can no longer have its first token in time, at the moment that is known. */
+  refuseLost(now: number): void {
+    if (now < this.#nextLoss) return;
+    const board = this.#board;
+    const lost = board.waiting.removeWhere((entry) => now >= this.#lossTime(entry));
+    for (const entry of lost) {
+      this.giveUp(now, entry, entry.sent ? 'timedOut' : 'deadlineUnreachable');
+    }
+    this.#nextLoss = Infinity;
+    for (const entry of board.requests.values()) {
+      if (entry.stage === 'queued') this.#expectLoss(entry);
+    }
+  }
+
+  /** Tells again what was lost with a link. */
+  repeat({ arrival: { id }, stage, prefillRunner, decodeRunner }: Entry): void {
+    if (prefillRunner === undefined) return;
+    if (stage === 'prefilling') this.#board.emit({ kind: 'prefill', id, runner: prefillRunner });
+    if (stage === 'transferring' && decodeRunner !== undefined) {
+      this.#board.emit({ kind: 'decode', id, runner: decodeRunner, source: prefillRunner });
+    }
+  }
+
+  /**
+   * A gateway asks again for a request that it holds nothing for: what it was
+   * told, or what it told, was lost with its link. Without starting over, the
+   * request would hold its place here and wait for ever.
+   */
+  #arriveAgain(now: number, entry: Entry): void {
+    if (entry.stage === 'queued') return;
+    if (entry.stage === 'prefilling') {
+      this.repeat(entry);
+      return;
+    }
+    this.#board.waste(entry);
+    this.#board.leaveStage(now, entry);
+    this.retry(now, entry);
+  }
+
+  #expectLoss(entry: Entry): void {
+    this.#nextLoss = Math.min(this.#nextLoss, this.#lossTime(entry));
+  }
+
+  /** Time from which even an idle cell could not deliver the first token by the deadline. */
+  #lossTime({ arrival }: Entry): number {
+    const { costs } = this.#board;
+    return arrival.deadline - costs.transferMs(arrival.promptTokens) - costs.tokenMs(1);
+  }
+}
--- /dev/null
+++ b/src/core/cell/board.ts
@@ -0,0 +1,159 @@
+/** The blackboard of a cell. Controllers read all of it; each section names who writes to it. */
+
+import { RetryBudget } from './budget';
+import { LearntCosts } from './costs';
+import type { Entry } from './entry';
+import { isPromised } from './entry';
+import { RunnerHealth } from './health';
+import { OutputHistogram } from './outputs';
+import type { PrefillPlace } from './places';
+import { PlaceBook } from './places';
+import { PrefixMap } from './prefixes';
+import { FairQueue } from './shares';
+import type { CellAction, CellPolicy } from './types';
+import type { CellRequest, CellView } from './view';
+import { BLOCK_TOKENS } from '../prefix';
+
+/** What a cell counted since it began. */
+export interface CellCounters {
+  arrived: number;
+  refused: number;
+  finished: number;
+  cancelled: number;
+  /** Prompt tokens that were worked through. */
+  prefillTokens: number;
+  /** Prompt tokens that were worked through in vain. */
+  wastedTokens: number;
+  retries: number;
+}
+
+/** Queue of requests whose caller has tokens already; it goes before all teams. */
+export const RESUME_LANE = '\u0000resume';
+/** Weight of that queue against a team of weight 1. */
+const RESUME_WEIGHT = 1e6;
+
+/** Sections of the blackboard. */
+export class CellBoard implements CellView {
+  /** Written by the cell on new settings. */
+  policy: CellPolicy;
+
+  /** Written by the lifecycle, the prefill and the transfer controller through `leaveStage` and their own grants. */
+  readonly places = new PlaceBook();
+
+  /** Written by the lifecycle controller. */
+  readonly outputs: OutputHistogram;
+
+  /** Written by the lifecycle and the prefill controller. */
+  readonly costs: LearntCosts;
+
+  /** Written by the prefill controller and on cache events. */
+  readonly prefixes = new PrefixMap();
+
+  /** Written by whoever gives work and hears how it went. */
+  readonly health = new RunnerHealth();
+
+  /** Written by the admission controller; the prefill controller takes from it. */
+  readonly waiting: FairQueue<Entry>;
+
+  /** Written by the admission and the lifecycle controller. */
+  readonly requests = new Map<string, Entry>();
+
+  /** Requests that stream. */
+  readonly decoding = new Set<Entry>();
+
+  /** Requests whose prefill is kept and that wait for a slot and a link. */
+  readonly prefilled = new Set<Entry>();
+
+  readonly budget = new RetryBudget();
+
+  readonly counters: CellCounters = {
+    arrived: 0,
+    refused: 0,
+    finished: 0,
+    cancelled: 0,
+    prefillTokens: 0,
+    wastedTokens: 0,
+    retries: 0,
+  };
+
+  promised = 0;
+
+  meanPrefillMs: number;
+
+  /** What is to be done, in order; taken after each event. */
+  readonly #actions: CellAction[] = [];
+
+  constructor(policy: CellPolicy) {
+    this.policy = policy;
+    this.outputs = new OutputHistogram(policy.outputTokens);
+    this.costs = new LearntCosts(policy);
+    this.meanPrefillMs = policy.prefillBaseMs;
+    this.waiting = new FairQueue<Entry>((team) =>
+      team === RESUME_LANE ? RESUME_WEIGHT : (this.policy.shares[team] ?? 1),
+    );
+  }
+
+  emit(action: CellAction): void {
+    this.#actions.push(action);
+  }
+
+  takeActions(): readonly CellAction[] {
+    return this.#actions.splice(0);
+  }
+
+  /** The prefill runner that has worked for a request. */
+  sourceOf({ prefillRunner }: CellRequest): PrefillPlace | undefined {
+    return prefillRunner === undefined ? undefined : this.places.prefillPlace(prefillRunner);
+  }
+
+  /** Gives back whatever the request holds at its stage and leaves it queued nowhere. */
+  leaveStage(now: number, entry: Entry): void {
+    const { stage, prefillRunner, decodeRunner, arrival } = entry;
+    if (stage === 'queued') this.#leaveQueue(entry);
+    if (stage === 'prefilling' && prefillRunner !== undefined) {
+      this.places.endPrefill(prefillRunner, now);
+    }
+    if (isPromised(stage)) this.promised -= 1;
+    if (stage === 'transferring') this.endTransfer(entry);
+    if (decodeRunner !== undefined) this.places.freeSlot(decodeRunner, now, arrival.promptTokens);
+    this.prefilled.delete(entry);
+    this.decoding.delete(entry);
+    entry.decodeRunner = undefined;
+    entry.stage = 'queued';
+  }
+
+  endTransfer(entry: Entry): void {
+    const source = this.sourceOf(entry);
+    if (source) this.places.freeLink(source.runner.link);
+  }
+
+  /** Forgets a request after giving back what it holds. */
+  drop(now: number, entry: Entry): void {
+    this.leaveStage(now, entry);
+    this.requests.delete(entry.arrival.id);
+  }
+
+  /** Counts the prefill of a request as thrown away. */
+  waste({ arrival, hitBlocks }: CellRequest): void {
+    this.counters.wastedTokens += Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS);
+  }
+
+  /** Checks the account against the requests; each line means a place was lost or counted twice. */
+  violations(): readonly string[] {
+    const all = [...this.requests.values()];
+    const found = this.places.decodeRunners.flatMap(({ runner, held }) => {
+      const holders = all.filter(({ decodeRunner }) => decodeRunner === runner.id).length;
+      return holders === held ? [] : [`${runner.id}: ${held} slots held by ${holders} requests`];
+    });
+    const promised = all.filter(({ stage }) => isPromised(stage)).length;
+    if (promised !== this.promised) found.push(`${this.promised} promised, ${promised} counted`);
+    const queued = all.filter(({ stage }) => stage === 'queued').length;
+    if (queued !== this.waiting.size) found.push(`${this.waiting.size} waiting, ${queued} counted`);
+    return found;
+  }
+
+  #leaveQueue(entry: Entry): void {
+    const left = this.waiting.remove(entry.arrival.team, entry);
+    if (!left) this.waiting.remove(RESUME_LANE, entry);
+  }
+}
--- /dev/null
+++ b/src/core/cell/lifecycle.ts
@@ -0,0 +1,143 @@
+/** Controller of ends and of steps back: finished, cancelled, failed and adopted requests. */
+
+import type { QueueController } from './admit';
+import type { CellBoard } from './board';
+import type { Entry } from './entry';
+import { newEntry } from './entry';
+import type { Adoption, CellEvent } from './types';
+
+type Failed = Extract<CellEvent, { kind: 'failed' }>;
+
+/** Writes requests that end or step back. */
+export class LifecycleController {
+  readonly #board: CellBoard;
+
+  readonly #queue: QueueController;
+
+  constructor(board: CellBoard, queue: QueueController) {
+    this.#board = board;
+    this.#queue = queue;
+  }
+
+  finish(now: number, id: string, tokens: number): void {
+    const board = this.#board;
+    const entry = board.requests.get(id);
+    if (!entry) return;
+    if (entry.stage === 'decoding') {
+      const fresh = Math.max(1, tokens - entry.resumedAt);
+      board.outputs.observe(tokens);
+      board.costs.observeTokens(this.#batchOf(entry), (now - entry.since) / fresh);
+    }
+    board.counters.finished += 1;
+    board.drop(now, entry);
+  }
+
+  cancel(now: number, id: string): void {
+    const board = this.#board;
+    const entry = board.requests.get(id);
+    if (!entry) return;
+    board.counters.cancelled += 1;
+    if (entry.stage === 'prefilling' || entry.stage === 'prefilled') board.waste(entry);
+    for (const runner of [entry.prefillRunner, entry.decodeRunner]) {
+      if (runner !== undefined) board.health.inconclusive(runner);
+    }
+    board.drop(now, entry);
+  }
+
+  /** What is proven not run, or lost, is queued again within the retry budget. */
+  fail(now: number, failed: Failed): void {
+    const board = this.#board;
+    const { id, runner, reason, tokens } = failed;
+    const entry = board.requests.get(id);
+    if (!entry || (entry.prefillRunner !== runner && entry.decodeRunner !== runner)) return;
+    this.#judge(now, failed);
+    const keepsPrefill =
+      reason === 'full' && entry.decodeRunner === runner && entry.keptUntil > now;
+    if (keepsPrefill) {
+      this.#backToPrefilled(now, entry);
+      return;
+    }
+    if (entry.stage === 'prefilled' || entry.stage === 'transferring') board.waste(entry);
+    board.leaveStage(now, entry);
+    entry.avoid = runner;
+    noteTokensOut(entry, tokens);
+    this.#queue.retry(now, entry);
+  }
+
+  /** Takes over a request that ran under another owner; it holds what its gateway says it holds. */
+  adopt(now: number, adoption: Adoption): void {
+    const board = this.#board;
+    const { arrival, prefillRunner } = adoption;
+    const known = board.requests.get(arrival.id);
+    if (known) {
+      this.#queue.repeat(known);
+      return;
+    }
+    const entry = newEntry(arrival, now);
+    entry.sent = true;
+    entry.prefillRunner = prefillRunner;
+    board.requests.set(arrival.id, entry);
+    if (adoption.stage === 'decoding') this.#adoptDecoding(now, entry, adoption);
+    else this.#adoptPrefill(now, entry, adoption);
+  }
+
+  #adoptDecoding(now: number, entry: Entry, { decodeRunner, arrival }: Adoption): void {
+    const board = this.#board;
+    entry.stage = 'decoding';
+    board.decoding.add(entry);
+    if (decodeRunner === undefined || !board.places.decodePlace(decodeRunner)) return;
+    entry.decodeRunner = decodeRunner;
+    board.places.holdSlot(decodeRunner, now, arrival.promptTokens);
+  }
+
+  #adoptPrefill(now: number, entry: Entry, { stage, prefillRunner, arrival }: Adoption): void {
+    const board = this.#board;
+    board.promised += 1;
+    if (stage === 'prefilling') {
+      entry.stage = 'prefilling';
+      const workMs = board.costs.prefillMs(arrival.promptTokens);
+      if (prefillRunner !== undefined) board.places.givePrefill(prefillRunner, now, workMs);
+      return;
+    }
+    entry.stage = 'prefilled';
+    // Nobody here knows when it was finished; half of the time is a fair guess, and an eviction is only a retry.
+    entry.keptUntil = now + board.policy.keepMs / 2;
+    board.prefilled.add(entry);
+  }
+
+  #judge(now: number, { runner, reason }: Failed): void {
+    const { health, prefixes, places } = this.#board;
+    if (reason === 'lost') {
+      health.failed(now, runner);
+      prefixes.forget(runner);
+    } else {
+      health.inconclusive(runner);
+    }
+    if (reason === 'leaving') places.refusedAsLeaving(runner, now);
+  }
+
+  /** A finished prefill whose decode place was lost is used again while it is kept. */
+  #backToPrefilled(now: number, entry: Entry): void {
+    const board = this.#board;
+    board.leaveStage(now, entry);
+    entry.stage = 'prefilled';
+    entry.since = now;
+    board.promised += 1;
+    board.prefilled.add(entry);
+  }
+
+  /** Mean of the batch that a request joined and the one it left. */
+  #batchOf({ decodeRunner, batch }: Entry): number {
+    const place =
+      decodeRunner === undefined ? undefined : this.#board.places.decodePlace(decodeRunner);
+    return (batch + (place?.held ?? batch)) / 2;
+  }
+}
+
+/** Tokens that the caller has become part of the prompt of the next run. */
+function noteTokensOut(entry: Entry, tokens: number): void {
+  const fresh = tokens - entry.resumedAt;
+  if (fresh <= 0) return;
+  entry.resumedAt = tokens;
+  entry.arrival = { ...entry.arrival, promptTokens: entry.arrival.promptTokens + fresh };
+}
--- a/src/core/cell/outputs.ts
+++ b/src/core/cell/outputs.ts
@@ -75,8 +75,9 @@
   }
 
   #rescale(): void {
-    for (let i = 0; i < BUCKET_COUNT; i += 1)
-      { this.#counts[i] = (this.#counts[i] ?? 0) / this.#weight; }
+    for (let i = 0; i < BUCKET_COUNT; i += 1) {
+      this.#counts[i] = (this.#counts[i] ?? 0) / this.#weight;
+    }
     this.#sum /= this.#weight;
     this.#total /= this.#weight;
     this.#weight = 1;
--- a/src/core/cell/placement.ts
+++ b/src/core/cell/placement.ts
@@ -37,7 +37,6 @@
 
 /** Least cost in milliseconds: queue, prefill left after the predicted hit, busy link. */
 export class CostPlacement implements Placement {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   prefill(
     now: number,
     view: CellView,
@@ -54,7 +53,6 @@
   }
 
   /** Least filled batch, since each further request slows every token of the batch. */
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   decode(
     _now: number,
     _view: CellView,
@@ -94,7 +92,6 @@
 
 /** Baseline: least load by the runners' own late reports. */
 export class LeastReported implements Placement {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   prefill(
     _now: number,
     _view: CellView,
@@ -104,7 +101,6 @@
     return least(able, ({ reported }) => reported);
   }
 
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   decode(
     _now: number,
     _view: CellView,
--- a/src/core/cell/places.ts
+++ b/src/core/cell/places.ts
@@ -44,6 +44,17 @@
 
 type Mutable<T> = { -readonly [K in keyof T]: T[K] };
 
+/**
+ * Signs that a runner leaves. Each comes from somewhere else and each is enough:
+ * a report that came before an operator's order must not undo the order.
+ */
+interface Signs {
+  unlisted: boolean;
+  reported: boolean;
+  departing: boolean;
+  refusedUntil: number;
+}
+
 interface GrantChange {
   readonly at: number;
   readonly change: number;
@@ -51,6 +62,8 @@
 
 /** How long changes are kept to interpret a late report, in milliseconds. */
 const REPORT_LAG_LIMIT = 5000;
+/** Reports that look further back than this after a refusal do not undo it, in milliseconds. */
+const REFUSED_MS = 500;
 
 interface DecodeState extends Mutable<DecodePlace> {
   readonly changes: GrantChange[];
@@ -70,6 +83,8 @@
 
   readonly #links = new Map<string, number>();
 
+  readonly #signs = new Map<string, Signs>();
+
   /** Transfers at once on one link; more would only make each of them slower. */
   readonly #transfersPerLink: number;
 
@@ -112,13 +127,28 @@
   /** Takes over the operators' list; a runner that is gone from it keeps its account until its work ends. */
   setRunners(runners: readonly Runner[]): void {
     const listed = new Set(runners.map(({ id }) => id));
-    for (const place of [...this.#prefill.values(), ...this.#decode.values()]) {
-      if (!listed.has(place.runner.id)) place.leaving = true;
-    }
     for (const runner of runners) {
       if (runner.role === 'prefill') this.#addPrefill(runner);
       if (runner.role === 'decode') this.#addDecode(runner);
     }
+    for (const id of this.#ids()) {
+      this.#signsOf(id).unlisted = !listed.has(id);
+      this.#weigh(id);
+    }
+  }
+
+  /** Runners that leave by the platform's list or the operators' word. */
+  setDeparting(runners: readonly string[]): void {
+    for (const id of this.#ids()) {
+      this.#signsOf(id).departing = runners.includes(id);
+      this.#weigh(id);
+    }
+  }
+
+  /** A runner that refused work as leaving gets none until a report from after that says otherwise. */
+  refusedAsLeaving(runner: string, now: number): void {
+    this.#signsOf(runner).refusedUntil = now + REFUSED_MS;
+    this.#weigh(runner);
   }
 
   setCap(runner: string, cap: number): void {
@@ -160,23 +190,45 @@
 
   /** Nothing that was granted after the report's time is overridden by it. */
   report(now: number, report: LoadReport): void {
+    const signs = this.#signsOf(report.runner);
+    signs.reported = report.leaving;
+    if (report.asOf >= signs.refusedUntil) signs.refusedUntil = 0;
+    this.#weigh(report.runner);
     const prefill = this.#prefill.get(report.runner);
-    if (prefill) {
-      prefill.reported = report.running;
-      prefill.leaving = report.leaving;
-    }
+    if (prefill) prefill.reported = report.running;
     const decode = this.#decode.get(report.runner);
     if (!decode) return;
     decode.reported = report.running;
-    decode.leaving = report.leaving;
-    while (decode.changes[0] && decode.changes[0].at < now - REPORT_LAG_LIMIT)
-      { decode.changes.shift(); }
+    while (decode.changes[0] && decode.changes[0].at < now - REPORT_LAG_LIMIT) {
+      decode.changes.shift();
+    }
     const since = decode.changes.filter(({ at }) => at >= report.asOf);
     const heldThen = since.reduce((held, { change }) => held - change, decode.held);
     // Slots asked for just before the report may not have reached the runner yet, so only a surplus counts.
     decode.foreign = Math.max(0, report.running - heldThen);
   }
 
+  #ids(): readonly string[] {
+    return [...this.#prefill.keys(), ...this.#decode.keys()];
+  }
+
+  #signsOf(runner: string): Signs {
+    const known = this.#signs.get(runner);
+    if (known) return known;
+    const signs = { unlisted: false, reported: false, departing: false, refusedUntil: 0 };
+    this.#signs.set(runner, signs);
+    return signs;
+  }
+
+  #weigh(runner: string): void {
+    const { unlisted, reported, departing, refusedUntil } = this.#signsOf(runner);
+    const leaving = unlisted || reported || departing || refusedUntil > 0;
+    const prefill = this.#prefill.get(runner);
+    const decode = this.#decode.get(runner);
+    if (prefill) prefill.leaving = leaving;
+    if (decode) decode.leaving = leaving;
+  }
+
   #changeSlot(runner: string, at: number, change: 1 | -1, tokens: number): void {
     const place = this.#decode.get(runner);
     if (!place) return;
@@ -188,14 +240,15 @@
   #addPrefill(runner: Runner): void {
     const known = this.#prefill.get(runner.id);
     if (known) known.runner = runner;
-    else
-      { this.#prefill.set(runner.id, {
+    else {
+      this.#prefill.set(runner.id, {
         runner,
         leaving: false,
         pending: 0,
         busyUntil: 0,
         reported: 0,
-      }); }
+      });
+    }
   }
 
   #addDecode(runner: Runner): void {
--- /dev/null
+++ b/src/core/cell/prefill.ts
@@ -0,0 +1,131 @@
+/** Controller of prefills: starts them when their results will be used, and gives up results that were not. */
+
+import { BLOCK_TOKENS } from '../prefix';
+import type { QueueController } from './admit';
+import type { CellBoard } from './board';
+import type { Entry } from './entry';
+import { residenceMs } from './forecast';
+import type { PrefillPlace } from './places';
+import type { Placement } from './placement';
+import type { StartRule } from './start';
+
+/** A prefill runner gets its next prefill this long before it is done with the last, in milliseconds. */
+const LOOKAHEAD_MS = 15;
+/** Prefills at one runner: one at work and one that follows. */
+const PENDING_LIMIT = 2;
+/** A result is given up this long before its eviction, in milliseconds. */
+const EVICTION_MARGIN_MS = 5;
+/** Weight of the newest prefill in the fading mean. */
+const MEAN_WEIGHT = 0.05;
+
+/** Writes the prefill backlog. */
+export class PrefillController {
+  readonly #board: CellBoard;
+
+  readonly #queue: QueueController;
+
+  readonly #rule: StartRule;
+
+  readonly #placement: Placement;
+
+  constructor(board: CellBoard, queue: QueueController, rule: StartRule, placement: Placement) {
+    this.#board = board;
+    this.#queue = queue;
+    this.#rule = rule;
+    this.#placement = placement;
+  }
+
+  /** Starts prefills while the rule allows and runners are able. */
+  startAll(now: number): void {
+    while (this.#startNext(now));
+  }
+
+  finish(now: number, id: string, cachedTokens: number, keptUntil: number): void {
+    const board = this.#board;
+    const entry = board.requests.get(id);
+    if (entry?.stage !== 'prefilling' || entry.prefillRunner === undefined) return;
+    const work = Math.max(0, entry.arrival.promptTokens - cachedTokens);
+    // Only a prefill that had the runner to itself tells what it costs.
+    const alone = board.sourceOf(entry)?.pending === 1;
+    if (alone) board.costs.observePrefill(work, now - entry.since);
+    board.places.endPrefill(entry.prefillRunner, now);
+    board.health.succeeded(entry.prefillRunner);
+    board.counters.prefillTokens += work;
+    entry.stage = 'prefilled';
+    entry.since = now;
+    entry.keptUntil = keptUntil;
+    board.prefilled.add(entry);
+  }
+
+  /** Results that were not used in time are queued again before the runner evicts them unseen. */
+  expire(now: number): void {
+    const board = this.#board;
+    for (const entry of board.prefilled) {
+      if (now >= entry.keptUntil - EVICTION_MARGIN_MS) {
+        board.waste(entry);
+        board.leaveStage(now, entry);
+        this.#queue.retry(now, entry);
+      }
+    }
+  }
+
+  /** When the next result is given up. */
+  get nextExpiry(): number {
+    let next = Infinity;
+    for (const { keptUntil } of this.#board.prefilled) {
+      next = Math.min(next, keptUntil - EVICTION_MARGIN_MS);
+    }
+    return next;
+  }
+
+  #startNext(now: number): boolean {
+    const board = this.#board;
+    const entry = board.waiting.peek();
+    const place = entry ? this.#choose(now, entry) : undefined;
+    if (!entry || !place) return false;
+    const { arrival } = entry;
+    const hitBlocks = board.prefixes.hits(place.runner.id, arrival.blocks);
+    const workMs = board.costs.prefillMs(
+      Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS),
+    );
+    const readyInMs = Math.max(0, place.busyUntil - now) + workMs;
+    if (!this.#rule.mayStart(now, board, readyInMs)) return false;
+    board.waiting.take(this.#costMs(workMs));
+    this.#start(now, entry, place, hitBlocks, workMs);
+    return true;
+  }
+
+  /** What a request takes from the cell: prefill time and its part of all decode slots. */
+  #costMs(workMs: number): number {
+    return workMs + residenceMs(this.#board) / Math.max(1, this.#board.places.decodeSlots);
+  }
+
+  #choose(now: number, entry: Entry): PrefillPlace | undefined {
+    const board = this.#board;
+    const able = board.places.prefillRunners.filter(
+      (place) =>
+        !place.leaving &&
+        place.busyUntil - now <= LOOKAHEAD_MS &&
+        place.pending < PENDING_LIMIT &&
+        board.health.allows(now, place.runner.id),
+    );
+    const others = able.filter(({ runner }) => runner.id !== entry.avoid);
+    return this.#placement.prefill(now, board, entry.arrival, others.length > 0 ? others : able);
+  }
+
+  #start(now: number, entry: Entry, place: PrefillPlace, hitBlocks: number, workMs: number): void {
+    const board = this.#board;
+    const runner = place.runner.id;
+    entry.stage = 'prefilling';
+    entry.since = now;
+    entry.prefillRunner = runner;
+    entry.hitBlocks = hitBlocks;
+    entry.sent = true;
+    board.promised += 1;
+    board.meanPrefillMs += MEAN_WEIGHT * (workMs - board.meanPrefillMs);
+    board.places.givePrefill(runner, now, workMs);
+    board.prefixes.add(runner, entry.arrival.blocks);
+    board.health.given(now, runner);
+    board.emit({ kind: 'prefill', id: entry.arrival.id, runner });
+  }
+}
--- a/src/core/cell/start.ts
+++ b/src/core/cell/start.ts
@@ -21,7 +21,6 @@
  * thrown away against a slot left idle.
  */
 export class DecodeFirst implements StartRule {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   mayStart(now: number, view: CellView, readyInMs: number): boolean {
     const missing = view.promised + 1 - view.places.freeSlots;
     if (missing <= 0) return true;
@@ -34,7 +33,6 @@
 
 /** Baseline: starts at once and waits for a slot afterwards. */
 export class AtOnce implements StartRule {
-  // eslint-disable-next-line class-methods-use-this -- one of several ways behind an interface
   mayStart(): boolean {
     return true;
   }
--- /dev/null
+++ b/src/core/cell/transfer.ts
@@ -0,0 +1,72 @@
+/** Controller of transfers: gives finished prefills a decode slot and their turn on the link. */
+
+import type { CellBoard } from './board';
+import type { Entry } from './entry';
+import type { DecodePlace } from './places';
+import { freeOf } from './places';
+import type { Placement } from './placement';
+
+/** Writes decode slots and links. */
+export class TransferController {
+  readonly #board: CellBoard;
+
+  readonly #placement: Placement;
+
+  constructor(board: CellBoard, placement: Placement) {
+    this.#board = board;
+    this.#placement = placement;
+  }
+
+  /** Sends what can be sent, the result that is evicted first before the others. */
+  sendAll(now: number): void {
+    const { prefilled } = this.#board;
+    if (prefilled.size === 0) return;
+    const urgent = [...prefilled].sort((a, b) => a.keptUntil - b.keptUntil);
+    for (const entry of urgent) this.#send(now, entry);
+  }
+
+  /** The first token is out: the link is free again. */
+  started(now: number, id: string): void {
+    const board = this.#board;
+    const entry = board.requests.get(id);
+    if (entry?.stage !== 'transferring') return;
+    board.endTransfer(entry);
+    if (entry.decodeRunner !== undefined) board.health.succeeded(entry.decodeRunner);
+    entry.stage = 'decoding';
+    entry.since = now;
+    board.decoding.add(entry);
+  }
+
+  #send(now: number, entry: Entry): void {
+    const board = this.#board;
+    const source = board.sourceOf(entry);
+    if (!source || board.places.linkBusy(source.runner.link)) return;
+    const target = this.#choose(now, entry);
+    if (!target) return;
+    const { id, promptTokens } = entry.arrival;
+    const runner = target.runner.id;
+    board.prefilled.delete(entry);
+    board.promised -= 1;
+    entry.stage = 'transferring';
+    entry.since = now;
+    entry.decodeRunner = runner;
+    entry.batch = target.held + target.foreign + 1;
+    board.places.holdSlot(runner, now, promptTokens);
+    board.places.holdLink(source.runner.link);
+    board.health.given(now, runner);
+    board.emit({ kind: 'decode', id, runner, source: source.runner.id });
+  }
+
+  #choose(now: number, entry: Entry): DecodePlace | undefined {
+    const board = this.#board;
+    const needed = entry.arrival.promptTokens + board.outputs.mean;
+    const able = board.places.decodeRunners.filter(
+      (place) =>
+        freeOf(place) > 0 &&
+        place.heldTokens + needed <= place.runner.memoryTokens &&
+        board.health.allows(now, place.runner.id),
+    );
+    const others = able.filter(({ runner }) => runner.id !== entry.avoid);
+    return this.#placement.decode(now, board, entry.arrival, others.length > 0 ? others : able);
+  }
+}
--- a/src/core/cell/types.ts
+++ b/src/core/cell/types.ts
@@ -74,6 +74,8 @@
     }
   | { readonly kind: 'runners'; readonly runners: readonly Runner[] }
   | { readonly kind: 'policy'; readonly policy: CellPolicy }
+  /** Runners whose VM leaves by the platform's list, or that operators drain. */
+  | { readonly kind: 'departing'; readonly runners: readonly string[] }
   | { readonly kind: 'woke' };
 
 /** Why a runner did not finish a step. `full` and `evicted` are its own word that it ran nothing. */
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -79,6 +79,11 @@
 
 const rankOf: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
+/** When a probe wants attention next. */
+function dueOf({ helped, helpAt, endAt }: Probe): number {
+  return helped ? endAt : helpAt;
+}
+
 function overrides(news: Member, known: Member): boolean {
   if (news.incarnation !== known.incarnation) return news.incarnation > known.incarnation;
   return rankOf[news.state] > rankOf[known.state];
@@ -159,13 +164,8 @@
   }
 
   nextWake(): number {
-    const probeAt = this.#probe
-      ? this.#probe.helped
-        ? this.#probe.endAt
-        : this.#probe.helpAt
-      : this.#nextProbeAt;
-    this.#expectedWake = probeAt;
-    return probeAt;
+    this.#expectedWake = this.#probe ? dueOf(this.#probe) : this.#nextProbeAt;
+    return this.#expectedWake;
   }
 
   #wake(now: number): void {
@@ -218,8 +218,9 @@
   #askHelpers({ seq, vm }: Probe): void {
     const target = this.#known.get(vm)?.member;
     if (!target) return;
-    for (const helper of this.#pick(HELPERS, vm))
-      { this.#send(helper.address, 'probe', seq, target.address); }
+    for (const helper of this.#pick(HELPERS, vm)) {
+      this.#send(helper.address, 'probe', seq, target.address);
+    }
   }
 
   /** Alive members at random, without one of them. */
@@ -323,8 +324,9 @@
     if (
       news.incarnation < this.#self.incarnation ||
       (news.incarnation === this.#self.incarnation && !wrong)
-    )
-      { return; }
+    ) {
+      return;
+    }
     this.#describe({ incarnation: Math.max(news.incarnation, this.#self.incarnation) });
   }
 
--- a/src/core/settings/book.ts
+++ b/src/core/settings/book.ts
@@ -122,8 +122,9 @@
   apply(offered: StoredDocument): Applied {
     const inForce = this.revisionOf(offered.path);
     if (offered.revision < inForce) return { kind: 'older', inForce };
-    if (offered.revision <= Math.max(inForce, this.#seen.get(offered.path) ?? 0))
-      { return { kind: 'known' }; }
+    if (offered.revision <= Math.max(inForce, this.#seen.get(offered.path) ?? 0)) {
+      return { kind: 'known' };
+    }
     this.#seen.set(offered.path, offered.revision);
     try {
       this.#install(offered);
--- a/src/core/settings/envelope.ts
+++ b/src/core/settings/envelope.ts
@@ -50,11 +50,12 @@
   const length = parts[0] === CONSORTIUM ? 1 : 2;
   const document = parts.slice(0, length).join('/');
   const known = document === CONSORTIUM || (document.startsWith(TEAM_PREFIX) && parts.length >= 2);
-  if (!known)
-    { throw new Failure(
+  if (!known) {
+    throw new Failure(
       'settingsNotFound',
       `found '${path}', expected ${CONSORTIUM}/… or ${TEAM_PREFIX}NAME/…`,
-    ); }
+    );
+  }
   return { path: document, inside: parts.slice(length) };
 }
 
--- a/src/core/settings/parse.ts
+++ b/src/core/settings/parse.ts
@@ -53,8 +53,9 @@
 /** Checks the text of the document at a path. */
 export function parseDocument(path: string, text: string): Document {
   const value = parseText(text, path);
-  if (path === CONSORTIUM)
-    { return { kind: 'consortium', value: check(consortiumSchema, value, path) }; }
+  if (path === CONSORTIUM) {
+    return { kind: 'consortium', value: check(consortiumSchema, value, path) };
+  }
   if (path.startsWith(TEAM_PREFIX)) {
     return {
       kind: 'team',
--- a/src/node/gateway/burn.ts
+++ b/src/node/gateway/burn.ts
@@ -10,7 +10,7 @@
 import type { BurnReport, BurnRow, GatewayBurn } from '../../types/burn';
 import type { ModelRequest, RunOutcome } from './run';
 
-interface Record {
+interface Standing {
   readonly windows: BurnWindows;
   readonly firstToken: Histogram;
   readonly token: Histogram;
@@ -33,7 +33,7 @@
 
 /** Records outcomes by team and service. */
 export class BurnRecorder {
-  readonly #records = new Map<string, Record>();
+  readonly #records = new Map<string, Standing>();
 
   readonly #since: number;
 
@@ -53,11 +53,11 @@
     if (tokenMs !== undefined) record.token.recordValue(Math.round(tokenMs));
     const inTime =
       (firstTokenMs ?? Infinity) <= service.firstTokenMs && (tokenMs ?? 0) <= service.tokenMs;
-    this.#count(now, record, code, code === undefined && inTime);
+    countOutcome(now, record, code, code === undefined && inTime);
   }
 
   plain(now: number, team: string, service: string, code: CodeName | undefined): void {
-    this.#count(now, this.#recordOf(team, service), code, code === undefined);
+    countOutcome(now, this.#recordOf(team, service), code, code === undefined);
   }
 
   /** What this gateway saw. */
@@ -84,11 +84,11 @@
     return { since: this.#since, rows };
   }
 
-  #recordOf(team: string, service: string): Record {
+  #recordOf(team: string, service: string): Standing {
     const name = `${team}/${service}`;
     const known = this.#records.get(name);
     if (known) return known;
-    const record: Record = {
+    const record: Standing = {
       windows: new BurnWindows(),
       firstToken: newHistogram(),
       token: newHistogram(),
@@ -100,13 +100,6 @@
     this.#records.set(name, record);
     return record;
   }
-
-  #count(now: number, record: Record, code: CodeName | undefined, good: boolean): void {
-    record.windows.add(now, good);
-    if (good) record.good += 1;
-    else record.bad += 1;
-    if (code !== undefined) record.refused[code] = (record.refused[code] ?? 0) + 1;
-  }
 }
 
 /** Puts the reports of gateways together; `team` leaves out all other teams' rows. */
@@ -147,8 +140,9 @@
   );
   const refused: Record<string, number> = {};
   for (const row of rows) {
-    for (const [code, count] of Object.entries(row.refused))
-      { refused[code] = (refused[code] ?? 0) + count; }
+    for (const [code, count] of Object.entries(row.refused)) {
+      refused[code] = (refused[code] ?? 0) + count;
+    }
   }
   const good = sum((row) => row.good);
   const bad = sum((row) => row.bad);
@@ -169,3 +163,15 @@
     tokenMs: Math.max(...rows.map((row) => row.tokenMs)),
   };
 }
+
+function countOutcome(
+  now: number,
+  record: Standing,
+  code: CodeName | undefined,
+  good: boolean,
+): void {
+  record.windows.add(now, good);
+  if (good) record.good += 1;
+  else record.bad += 1;
+  if (code !== undefined) record.refused[code] = (record.refused[code] ?? 0) + 1;
+}
--- a/src/node/gateway/callers.ts
+++ b/src/node/gateway/callers.ts
@@ -47,8 +47,9 @@
       else await this.#route(req, res, url);
     } catch (error) {
       const failure = toFailure(error);
-      if (failure.codeName === 'internal')
-        { this.#options.log.error({ stack: failure.stack }, failure.line); }
+      if (failure.codeName === 'internal') {
+        this.#options.log.error({ stack: failure.stack }, failure.line);
+      }
       sendFailure(res, failure);
     } finally {
       // A body that nobody reads would block the connection for the next request.
@@ -63,16 +64,17 @@
     else if (pathname === '/readyz') this.#ready(res);
     else if (pathname === '/v1/addresses') this.#addresses(res);
     else if (phase() === 'leaving') this.#refuseLeaving(res);
-    else if (!fleet.ready)
-      { throw new Failure('noOwner', 'the settings are not there yet', { retryAfterMs: 1000 }); }
-    else if (pathname === '/v1/completions' && req.method === 'POST') {
+    else if (!fleet.ready) {
+      throw new Failure('noOwner', 'the settings are not there yet', { retryAfterMs: 1000 });
+    } else if (pathname === '/v1/completions' && req.method === 'POST') {
       await this.#options.models.handle(req, res, teamOf(req, fleet.settings));
     } else if (pathname.startsWith(SERVICES_PATH)) await this.#plain(req, res, url);
-    else
-      { throw new Failure(
+    else {
+      throw new Failure(
         'badRequest',
         `found ${req.method} ${pathname}, expected POST /v1/completions, /services/NAME/… or GET /v1/addresses`,
-      ); }
+      );
+    }
   }
 
   #ready(res: ServerResponse): void {
--- a/src/node/gateway/fleet.ts
+++ b/src/node/gateway/fleet.ts
@@ -119,8 +119,9 @@
 
   #callFirst(owners: readonly Member[], method: string, params: unknown): Promise<unknown> {
     const link = this.#firstUp(owners, 2) ?? (this.home.up ? this.home : undefined);
-    if (!link)
-      { return Promise.reject(new Failure('noOwner', `${method}: no scheduler can be reached`)); }
+    if (!link) {
+      return Promise.reject(new Failure('noOwner', `${method}: no scheduler can be reached`));
+    }
     return link.call(method, params);
   }
 
@@ -179,8 +180,9 @@
   #learn(link: PeerLink, notices: readonly MemberNotice[]): void {
     const fromHome = link.address === this.#options.home;
     for (const notice of notices) {
-      if (fromHome || !this.#members.has(notice.vm))
-        { this.#members.set(notice.vm, { ...notice, incarnation: 0 }); }
+      if (fromHome || !this.#members.has(notice.vm)) {
+        this.#members.set(notice.vm, { ...notice, incarnation: 0 });
+      }
     }
     this.#owners.update(this.members);
     this.#options.onChange();
--- a/src/node/gateway/ledger.ts
+++ b/src/node/gateway/ledger.ts
@@ -73,20 +73,23 @@
   /** Claims a call or finds its outcome; throws what the caller is to be told otherwise. */
   async claim(team: string, key: string, fingerprint: string): Promise<ClaimGrant> {
     const nonce = randomUUID();
-    const ticket = this.#ticket(team, key, nonce);
+    const ticket = newTicket(team, key, nonce);
     const result = await this.#claim(ticket, fingerprint);
     if (result.kind === 'claimed') return { kind: 'ticket', ticket };
-    if (result.kind === 'full')
-      { throw new Failure('ledgerFull', 'the ledger has no room', { retryAfterMs: RETRY_AFTER_MS }); }
-    if (result.kind === 'mismatch')
-      { throw new Failure('keyReused', 'this key was used with another request'); }
+    if (result.kind === 'full') {
+      throw new Failure('ledgerFull', 'the ledger has no room', { retryAfterMs: RETRY_AFTER_MS });
+    }
+    if (result.kind === 'mismatch') {
+      throw new Failure('keyReused', 'this key was used with another request');
+    }
     if (result.kind === 'running') {
       throw new Failure('alreadyRunning', 'this key was claimed and its outcome is not known', {
         retryAfterMs: RETRY_AFTER_MS,
       });
     }
-    if (result.outcome.status === NOT_KEPT)
-      { throw new Failure('answerNotKept', 'the call ran and was answered'); }
+    if (result.outcome.status === NOT_KEPT) {
+      throw new Failure('answerNotKept', 'the call ran and was answered');
+    }
     return { kind: 'replay', outcome: result.outcome };
   }
 
@@ -107,11 +110,6 @@
     this.#timers.clear();
   }
 
-  #ticket(team: string, key: string, nonce: string): Ticket {
-    const until = performance.now() + DISPATCH_LIMIT_MS;
-    return { team, key, nonce, mayDispatch: () => performance.now() < until };
-  }
-
   async #claim(ticket: Ticket, fingerprint: string): Promise<z.infer<typeof resultSchema>> {
     try {
       const params = { ...nameOf(ticket), fingerprint };
@@ -146,3 +144,8 @@
 function nameOf({ team, key, nonce }: Ticket): { team: string; key: string; nonce: string } {
   return { team, key, nonce };
 }
+
+function newTicket(team: string, key: string, nonce: string): Ticket {
+  const until = performance.now() + DISPATCH_LIMIT_MS;
+  return { team, key, nonce, mayDispatch: () => performance.now() < until };
+}
--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -127,7 +127,7 @@
     const body = await readBody(req, this.#options.bodyBytes);
     const completion = parseCompletion(body.toString());
     const request = this.#check(team, completion, key !== undefined);
-    const sink = this.#sinkFor(res, request, completion.stream);
+    const sink = sinkFor(res, request, completion.stream);
     if (key === undefined) this.#startFresh(request, sink, res, now);
     else await this.#startKeyed(request, `${team}/${key}`, sink, res, now);
   }
@@ -138,9 +138,10 @@
     keyed: boolean,
   ): ModelRequest {
     const service = this.#options.fleet.settings.service(team, model);
-    if (service?.kind !== 'model')
-      { throw new Failure('unknownService', `there is no model service '${model}'`); }
-    const salt = this.#saltOf(team, service);
+    if (service?.kind !== 'model') {
+      throw new Failure('unknownService', `there is no model service '${model}'`);
+    }
+    const salt = saltOf(team, service);
     return {
       id: requestId(this.#options.address(), randomUUID().slice(0, 18)),
       team,
@@ -155,21 +156,9 @@
     };
   }
 
-  /** A sharing group counts only for teams that may use the same pool; a team's own name cannot stand for a group. */
-  #saltOf(team: string, { sharingGroup }: ModelService): string {
-    return sharingGroup === undefined ? `team/${team}` : `group/${sharingGroup}`;
-  }
-
-  #sinkFor(res: ServerResponse, request: ModelRequest, stream: boolean): Sink {
-    const frame = { id: request.id, model: request.serviceName };
-    return new OnceSink(
-      stream ? new EventSink(res, frame) : new JsonSink(res, frame, request.promptTokens),
-    );
-  }
-
   #startFresh(request: ModelRequest, sink: Sink, res: ServerResponse, now: number): ModelRun {
     const run = this.#create(request, now);
-    this.#watch(run, sink, res);
+    watch(run, sink, res);
     run.place();
     return run;
   }
@@ -188,13 +177,6 @@
     return run;
   }
 
-  /** A caller that closes its connection gives up its answer. */
-  #watch(run: ModelRun, sink: Sink, res: ServerResponse): void {
-    run.attach(sink);
-    res.on('close', () => run.detach(sink));
-    if (res.destroyed) run.detach(sink);
-  }
-
   async #startKeyed(
     request: ModelRequest,
     key: string,
@@ -235,7 +217,7 @@
     const local = this.#runs.get(attempt.id);
     if (local && !local.ended) {
       local.supersede();
-      this.#watch(local, sink, res);
+      watch(local, sink, res);
       return;
     }
     const read = await this.#options.relay.read(attempt.gateway, attempt.id, sink, res);
@@ -268,7 +250,7 @@
       return;
     }
     const run = this.#create(request, now);
-    this.#watch(run, sink, res);
+    watch(run, sink, res);
     run.takeOver(place.runner, place.runId);
   }
 
@@ -291,9 +273,9 @@
     const { id } = run.request;
     const text = run.tokens.join('');
     const whole = code === undefined && !cancelled;
-    if (whole && text.length <= REPLAY_LIMIT)
-      { this.#tellRegistry(key, 'keys.conclude', { key, id, text, tokens }); }
-    else this.#tellRegistry(key, 'keys.abandon', { key, id });
+    if (whole && text.length <= REPLAY_LIMIT) {
+      this.#tellRegistry(key, 'keys.conclude', { key, id, text, tokens });
+    } else this.#tellRegistry(key, 'keys.abandon', { key, id });
   }
 
   #tellRegistry(key: string, method: string, params: unknown): void {
@@ -302,3 +284,22 @@
     });
   }
 }
+
+/** A sharing group counts only for teams that may use the same pool; a team's own name cannot stand for a group. */
+function saltOf(team: string, { sharingGroup }: ModelService): string {
+  return sharingGroup === undefined ? `team/${team}` : `group/${sharingGroup}`;
+}
+
+function sinkFor(res: ServerResponse, request: ModelRequest, stream: boolean): Sink {
+  const frame = { id: request.id, model: request.serviceName };
+  return new OnceSink(
+    stream ? new EventSink(res, frame) : new JsonSink(res, frame, request.promptTokens),
+  );
+}
+
+/** A caller that closes its connection gives up its answer. */
+function watch(run: ModelRun, sink: Sink, res: ServerResponse): void {
+  run.attach(sink);
+  res.on('close', () => run.detach(sink));
+  if (res.destroyed) run.detach(sink);
+}
--- a/src/node/gateway/operator.ts
+++ b/src/node/gateway/operator.ts
@@ -56,11 +56,12 @@
     if (pathname.startsWith(SETTINGS_PATH)) await this.#settings(req, res, url);
     else if (pathname === '/v1/status') await this.#status(req, res);
     else if (pathname === '/v1/burn') await this.#burn(req, res);
-    else
-      { throw new Failure(
+    else {
+      throw new Failure(
         'badRequest',
         `found ${req.method} ${pathname}, expected /v1/settings/…, /v1/status or /v1/burn`,
-      ); }
+      );
+    }
   }
 
   async #settings(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
@@ -75,11 +76,12 @@
       throw new Failure('badRequest', `found ${req.method}, expected GET, PUT or DELETE`);
     }
     const expected = Number(req.headers['if-match'] ?? NaN);
-    if (!Number.isInteger(expected))
-      { throw new Failure(
+    if (!Number.isInteger(expected)) {
+      throw new Failure(
         'badRequest',
         'found no If-Match header, expected the revision that was read',
-      ); }
+      );
+    }
     const body = (await readBody(req, TEXT_LIMIT)).toString();
     const revision = await editor.write(path, req.method === 'DELETE' ? null : body, expected);
     const missing = url.searchParams.has('wait')
@@ -128,8 +130,9 @@
 
   async #status(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const { fleet, status } = this.#options;
-    if (!fleet.settings.isOperator(tokenOf(req)))
-      { throw new Failure('forbidden', 'the status needs an operator token'); }
+    if (!fleet.settings.isOperator(tokenOf(req))) {
+      throw new Failure('forbidden', 'the status needs an operator token');
+    }
     const schedulers = await Promise.all(
       fleet.members.map(async (member) => {
         const { vm, state, draining, gateways } = member;
@@ -144,8 +147,9 @@
     const { fleet } = this.#options;
     const token = tokenOf(req);
     const team = fleet.settings.teamOf(token);
-    if (team === undefined && !fleet.settings.isOperator(token))
-      { throw new Failure('unauthorized', 'found an unknown bearer token'); }
+    if (team === undefined && !fleet.settings.isOperator(token)) {
+      throw new Failure('unauthorized', 'found an unknown bearer token');
+    }
     sendJson(res, 200, await this.#collectBurn(team));
   }
 
--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -116,8 +116,9 @@
     path: string,
   ): Promise<void> {
     const service = this.#options.fleet.settings.service(team, serviceName);
-    if (service?.kind !== 'plain')
-      { throw new Failure('unknownService', `there is no plain service '${serviceName}'`); }
+    if (service?.kind !== 'plain') {
+      throw new Failure('unknownService', `there is no plain service '${serviceName}'`);
+    }
     const call: PlainCall = { req, res, team, serviceName, service, path };
     const once = isNonIdempotent(service, req.method ?? 'GET', path);
     this.#open += 1;
@@ -165,11 +166,12 @@
     sent: Exclude<Dispatch, { kind: 'answered' }>,
     kept: boolean,
   ): void {
-    if (!kept)
-      { throw new Failure(
+    if (!kept) {
+      throw new Failure(
         'runnerFailed',
         'the runner was lost, and the body was too large to be kept for another',
-      ); }
+      );
+    }
     if (sent.kind === 'refused') return;
     if (!this.#budget.spend(team)) {
       throw new Failure('retriesSpent', `the runner was lost: ${sent.error.message}`, {
@@ -268,9 +270,7 @@
     this.#balancer.begin(runner.id);
     const sent = await this.#send(call, runner, body);
     const leaving =
-      sent.kind === 'answered' &&
-      sent.answer.statusCode === 503 &&
-      (await this.#saysNotRun(sent.answer));
+      sent.kind === 'answered' && sent.answer.statusCode === 503 && (await saysNotRun(sent.answer));
     if (leaving) {
       this.#balancer.end(Date.now(), runner.id, 'leaving');
       return { kind: 'refused', leaving };
@@ -279,17 +279,6 @@
     return sent;
   }
 
-  /** A 503 counts as "not run" only if the runner says so in its body. */
-  async #saysNotRun(answer: IncomingMessage): Promise<boolean> {
-    if (answer.headers['content-type'] !== 'application/json') return false;
-    const text = (await readBody(answer, KEPT_BODY_BYTES)).toString();
-    try {
-      return (JSON.parse(text) as { not_run?: boolean }).not_run === true;
-    } catch {
-      return false;
-    }
-  }
-
   #send(
     { req, service, path }: PlainCall,
     { url }: RunnerSettings,
@@ -345,3 +334,14 @@
 export function refuseCall(res: ServerResponse, error: unknown): void {
   sendFailure(res, toFailure(error));
 }
+
+/** A 503 counts as "not run" only if the runner says so in its body. */
+async function saysNotRun(answer: IncomingMessage): Promise<boolean> {
+  if (answer.headers['content-type'] !== 'application/json') return false;
+  const text = (await readBody(answer, KEPT_BODY_BYTES)).toString();
+  try {
+    return (JSON.parse(text) as { not_run?: boolean }).not_run === true;
+  } catch {
+    return false;
+  }
+}
--- a/src/node/gateway/settings.ts
+++ b/src/node/gateway/settings.ts
@@ -50,8 +50,9 @@
     const { path: document } = splitPath(path);
     const team = settings.teamOf(token);
     const operator = settings.isOperator(token);
-    if (team === undefined && !operator)
-      { throw new Failure('unauthorized', 'found an unknown bearer token'); }
+    if (team === undefined && !operator) {
+      throw new Failure('unauthorized', 'found an unknown bearer token');
+    }
     const covered = document === CONSORTIUM ? operator : document === `${TEAM_PREFIX}${team}`;
     if (!covered) throw new Failure('forbidden', `the token does not cover ${path}`);
   }
@@ -77,23 +78,12 @@
         `${document} is at revision ${current.revision}, expected ${expected}`,
       );
     }
-    const text = this.#newText(document, inside, current.text ?? '', body);
+    const text = newText(document, inside, current.text ?? '', body);
     if (text !== null) parseDocument(document, text);
     const envelope: Envelope = { revision: current.revision + 1, nonce: randomUUID(), text };
     return this.#store(document, envelope, current.index);
   }
 
-  #newText(
-    document: string,
-    inside: readonly string[],
-    old: string,
-    body: string | null,
-  ): string | null {
-    if (inside.length === 0) return body;
-    const value = body === null ? undefined : parseText(body, document);
-    return editText(old, inside, value);
-  }
-
   /**
    * What is in force counts, also when the store is older: a write based on the
    * store's older revision would get a number that everybody has passed, and be
@@ -136,3 +126,14 @@
     );
   }
 }
+
+function newText(
+  document: string,
+  inside: readonly string[],
+  old: string,
+  body: string | null,
+): string | null {
+  if (inside.length === 0) return body;
+  const value = body === null ? undefined : parseText(body, document);
+  return editText(old, inside, value);
+}
--- a/src/node/peer/server.ts
+++ b/src/node/peer/server.ts
@@ -153,8 +153,9 @@
 
   #greet(socket: WebSocket, message: ToScheduler): Connection {
     const { key, vm } = this.#options;
-    if (message.kind !== 'hello')
-      { throw new Failure('peerRejected', `found ${message.kind}, expected hello`); }
+    if (message.kind !== 'hello') {
+      throw new Failure('peerRejected', `found ${message.kind}, expected hello`);
+    }
     if (message.version !== PROTOCOL_VERSION) {
       throw new Failure(
         'peerRejected',
--- a/src/node/platform/client.ts
+++ b/src/node/platform/client.ts
@@ -81,7 +81,7 @@
 
   async read(key: string): Promise<StoredValue | undefined> {
     const answer = await this.#call('GET', `/v1/kv/${encodeURIComponent(key)}`);
-    return answer.status === 404 ? undefined : this.#entries(answer)[0];
+    return answer.status === 404 ? undefined : parseEntries(answer)[0];
   }
 
   async watch(
@@ -92,7 +92,7 @@
   ): Promise<PrefixState> {
     const path = `/v1/kv/${encodeURIComponent(prefix)}?recurse=1&index=${index}&wait=${seconds(waitMs)}`;
     const answer = await this.#call('GET', path, undefined, CALL_LIMIT_MS + waitMs, signal);
-    const values = answer.status === 404 ? [] : this.#entries(answer);
+    const values = answer.status === 404 ? [] : parseEntries(answer);
     return { index: Number(answer.headers['x-consul-index'] ?? 0), values };
   }
 
@@ -154,15 +154,6 @@
     this.#agent.destroy();
   }
 
-  #entries(answer: Answer): readonly StoredValue[] {
-    const entries = entriesSchema.parse(JSON.parse(answer.body));
-    return entries.map(({ Key: key, Value, ModifyIndex: index }) => ({
-      key,
-      value: Buffer.from(Value ?? '', 'base64').toString(),
-      index,
-    }));
-  }
-
   async #call(
     method: string,
     path: string,
@@ -186,3 +177,12 @@
     }
   }
 }
+
+function parseEntries(answer: Answer): readonly StoredValue[] {
+  const entries = entriesSchema.parse(JSON.parse(answer.body));
+  return entries.map(({ Key: key, Value, ModifyIndex: index }) => ({
+    key,
+    value: Buffer.from(Value ?? '', 'base64').toString(),
+    index,
+  }));
+}
--- a/src/node/runner/client.ts
+++ b/src/node/runner/client.ts
@@ -142,8 +142,9 @@
     }).catch((error: Error) => {
       throw new RunnerFailure('lost', error.message);
     });
-    if (answer.status !== 200)
-      { throw new RunnerFailure(reasons[answer.status] ?? 'lost', `status ${answer.status}`); }
+    if (answer.status !== 200) {
+      throw new RunnerFailure(reasons[answer.status] ?? 'lost', `status ${answer.status}`);
+    }
     const { cached_tokens: cachedTokens, kept_ms: keptMs } = prefillSchema.parse(
       JSON.parse(answer.body),
     );
--- a/src/node/scheduler/cells.ts
+++ b/src/node/scheduler/cells.ts
@@ -99,15 +99,16 @@
   receive(peer: Peer, message: CellMessage): void {
     const hosted = this.#hosted.get(message.pool) ?? this.#open(message.pool);
     if (!hosted) {
-      if (message.kind === 'arrive')
-        { peer.send({ kind: 'notOwner', id: message.id, pool: message.pool }); }
+      if (message.kind === 'arrive') {
+        peer.send({ kind: 'notOwner', id: message.id, pool: message.pool });
+      }
       return;
     }
     const asks = message.kind === 'arrive' || message.kind === 'adopt';
     if (asks) hosted.peers.set(message.id, peer);
     if (
       !asks &&
-      !hosted.cell.has(message.id) &&
+      !hosted.cell.requests.has(message.id) &&
       message.kind !== 'cancelled' &&
       message.kind !== 'finished'
     ) {
@@ -117,8 +118,9 @@
     }
     const now = Date.now();
     this.handle(message.pool, eventOf(now, message));
-    if (message.kind === 'finished' || message.kind === 'cancelled')
-      { hosted.peers.delete(message.id); }
+    if (message.kind === 'finished' || message.kind === 'cancelled') {
+      hosted.peers.delete(message.id);
+    }
   }
 
   /** Hands an event to a cell and carries out its actions. */
@@ -126,7 +128,7 @@
     const hosted = this.#hosted.get(pool);
     if (!hosted) return;
     const now = Date.now();
-    for (const action of hosted.cell.handle(now, event)) this.#perform(hosted, action);
+    for (const action of hosted.cell.handle(now, event)) perform(hosted, action);
     this.#arm(pool, hosted, now);
   }
 
@@ -139,10 +141,11 @@
           peers.delete(id);
           this.handle(pool, { kind: 'cancelled', id });
         }
-        if (orphans.length > 0)
-          { this.#options.log.warn(
+        if (orphans.length > 0) {
+          this.#options.log.warn(
             `Dropped ${orphans.length} requests of the lost gateway ${peer.id}.`,
-          ); }
+          );
+        }
       }
     }, ORPHAN_MS).unref();
   }
@@ -153,7 +156,7 @@
     for (const [pool, hosted] of this.#hosted) {
       const spec = settings.pool(pool);
       const lost = !spec || this.#options.claim(pool) >= CLAIMS_SERVED;
-      const idle = this.#options.claim(pool) > 0 && [...hosted.cell.requests].length === 0;
+      const idle = this.#options.claim(pool) > 0 && hosted.cell.requests.size === 0;
       if (lost || idle) this.#close(pool, hosted);
       else this.#configure(pool, hosted.cell);
     }
@@ -167,10 +170,11 @@
         metrics.count('invariant.broken');
         log.error({ pool }, `An invariant is broken: ${violation}.`);
       }
-      for (const [name, value] of Object.entries(cell.counters))
-        { metrics.gauge(`cell.${pool}.${name}`, value as number); }
-      metrics.gauge(`cell.${pool}.queued`, cell.waiting.size);
-      metrics.gauge(`cell.${pool}.free`, cell.places.freeSlots);
+      for (const [name, value] of Object.entries(cell.counters)) {
+        metrics.gauge(`cell.${pool}.${name}`, value);
+      }
+      metrics.gauge(`cell.${pool}.queued`, cell.view.waiting.size);
+      metrics.gauge(`cell.${pool}.free`, cell.view.places.freeSlots);
     }
   }
 
@@ -182,8 +186,9 @@
   #open(pool: string): Hosted | undefined {
     const settings = this.#options.settings();
     const spec = settings.pool(pool);
-    if (!spec || !settings.consortium || this.#options.claim(pool) >= CLAIMS_SERVED)
-      { return undefined; }
+    if (!spec || !settings.consortium || this.#options.claim(pool) >= CLAIMS_SERVED) {
+      return undefined;
+    }
     const cell = new Cell({
       policy: policyOf(spec, settings.consortium),
       grantsFrom: Math.max(this.#startedAt, Date.now()) + CAUTION_MS,
@@ -212,12 +217,6 @@
     this.#options.log.info(`Pool ${pool} is planned elsewhere now.`);
   }
 
-  #perform({ peers }: Hosted, action: CellAction): void {
-    const peer = peers.get(action.id);
-    if (action.kind === 'refuse') peers.delete(action.id);
-    peer?.send(action);
-  }
-
   #arm(pool: string, hosted: Hosted, now: number): void {
     clearTimeout(hosted.timer);
     const next = hosted.cell.nextWake(now);
@@ -226,3 +225,9 @@
     Object.assign(hosted, { timer: setTimeout(() => this.handle(pool, { kind: 'woke' }), wait) });
   }
 }
+
+function perform({ peers }: Hosted, action: CellAction): void {
+  const peer = peers.get(action.id);
+  if (action.kind === 'refuse') peers.delete(action.id);
+  peer?.send(action);
+}
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -19,7 +19,6 @@
 import type { Platform } from '../platform/client';
 import { HttpPlatform } from '../platform/client';
 import { HttpRunnerClient } from '../runner/client';
-import type { CellMessage } from './cells';
 import { CellHost } from './cells';
 import { LedgerWriter } from './ledger';
 import { SchedulerLinks } from './links';
@@ -233,7 +232,7 @@
     peer.send({ kind: 'settings', documents: [...settings.newerThan({})] });
     peer.send({
       kind: 'members',
-      members: this.#allMembers().map((member) => this.#notice(member)),
+      members: this.#allMembers().map((member) => notice(member)),
     });
     if (peer.vm !== this.#config.vm) return;
     this.#gateways.set(peer.id, peer);
@@ -274,22 +273,21 @@
   }
 
   #notify(members: readonly Member[]): void {
-    const notices = members.map((member) => this.#notice(member));
-    for (const gateway of this.#gateways.values())
-      { gateway.send({ kind: 'members', members: notices }); }
-  }
-
-  #notice({ vm, domain, address, state, draining, gateways }: Member): MemberNotice {
-    return { vm, domain, address, state, draining, gateways: [...gateways] };
+    const notices = members.map((member) => notice(member));
+    for (const gateway of this.#gateways.values()) {
+      gateway.send({ kind: 'members', members: notices });
+    }
   }
 
   #applied(documents: readonly StoredDocument[]): void {
     this.#owners.settingsChanged();
     this.#members?.members.setDigest(this.#settings.settings.digest);
-    for (const { path, revision } of documents)
-      { this.#members?.tell({ kind: 'rumour', rumour: { path, revision } }); }
-    for (const gateway of this.#gateways.values())
-      { gateway.send({ kind: 'settings', documents: [...documents] }); }
+    for (const { path, revision } of documents) {
+      this.#members?.tell({ kind: 'rumour', rumour: { path, revision } });
+    }
+    for (const gateway of this.#gateways.values()) {
+      gateway.send({ kind: 'settings', documents: [...documents] });
+    }
     this.#cells.review();
   }
 
@@ -340,3 +338,7 @@
     work.catch((error) => this.#log.error(toFailure(error).line));
   }
 }
+
+function notice({ vm, domain, address, state, draining, gateways }: Member): MemberNotice {
+  return { vm, domain, address, state, draining, gateways: [...gateways] };
+}
--- a/src/node/scheduler/ledger.ts
+++ b/src/node/scheduler/ledger.ts
@@ -70,8 +70,9 @@
 
   #queueOf(shard: number): ShardQueue {
     const queue = this.#shards[shard];
-    if (!queue)
-      { throw new Failure('internal', `found shard ${shard}, expected less than ${LEDGER_SHARDS}`); }
+    if (!queue) {
+      throw new Failure('internal', `found shard ${shard}, expected less than ${LEDGER_SHARDS}`);
+    }
     return queue;
   }
 
--- a/src/node/scheduler/methods.ts
+++ b/src/node/scheduler/methods.ts
@@ -152,8 +152,9 @@
     try {
       return (await known(params)) ?? null;
     } catch (error) {
-      if (error instanceof z.ZodError)
-        { throw new Failure('peerRejected', `${method}: ${error.issues[0]?.message ?? ''}`); }
+      if (error instanceof z.ZodError) {
+        throw new Failure('peerRejected', `${method}: ${error.issues[0]?.message ?? ''}`);
+      }
       throw error;
     }
   }
--- a/src/node/scheduler/monitor.ts
+++ b/src/node/scheduler/monitor.ts
@@ -115,7 +115,7 @@
   async #readHeld(pool: string, runner: RunnerSettings, cell: Cell): Promise<void> {
     const now = Date.now();
     const held = await this.#options.runners.held(runner.url);
-    const strange = held.filter((runId) => !cell.has(requestOf(runId)));
+    const strange = held.filter((runId) => !cell.requests.has(requestOf(runId)));
     this.#forgetOthers(runner.id, new Set(strange));
     for (const runId of strange) {
       const key = `${runner.id}/${runId}`;
--- a/test/fakes/engine/server.ts
+++ b/test/fakes/engine/server.ts
@@ -142,16 +142,16 @@
     if (this.stalled) return;
     const route = `${req.method} ${url.pathname}`;
     if (route === 'POST /v1/completions') this.#complete(res, (await readJson(req)) as never);
-    else if (route === 'POST /v1/kv/send')
-      { this.#send(res, String((await readJson(req)).request_id)); }
-    else if (route === 'POST /v1/cancel')
-      { this.#cancel(res, String((await readJson(req)).request_id)); }
-    else if (route === 'GET /v1/requests') sendJson(res, 200, { held: this.model.held });
+    else if (route === 'POST /v1/kv/send') {
+      this.#send(res, String((await readJson(req)).request_id));
+    } else if (route === 'POST /v1/cancel') {
+      this.#cancel(res, String((await readJson(req)).request_id));
+    } else if (route === 'GET /v1/requests') sendJson(res, 200, { held: this.model.held });
     else if (url.pathname.startsWith('/v1/streams/')) this.#resume(res, url);
     else if (route === 'GET /v1/load') this.#load(res);
-    else if (route === 'GET /v1/cache/events')
-      { this.#cacheEvents(res, Number(url.searchParams.get('since'))); }
-    else if (route === 'POST /v1/orders') this.#order(res, await readJson(req));
+    else if (route === 'GET /v1/cache/events') {
+      this.#cacheEvents(res, Number(url.searchParams.get('since')));
+    } else if (route === 'POST /v1/orders') this.#order(res, await readJson(req));
     else if (route === 'POST /fault') this.#fault(res, await readJson(req));
     else if (route === 'GET /ran') sendJson(res, 200, { ran: [...this.ran] });
     else sendJson(res, 404, { error: 'no such route' });
@@ -323,13 +323,15 @@
     for (const event of this.model.advance(Date.now())) this.#tell(event);
     clearTimeout(this.#timer);
     const next = this.model.next();
-    if (next < Infinity)
-      { this.#timer = setTimeout(() => this.#pump(), Math.max(0, next - Date.now())); }
+    if (next < Infinity) {
+      this.#timer = setTimeout(() => this.#pump(), Math.max(0, next - Date.now()));
+    }
   }
 
   #tell(event: EngineEvent): void {
-    if (event.kind === 'prefilled')
-      { this.#tellPrefilled(event.id, event.cachedTokens, event.keptUntil); }
+    if (event.kind === 'prefilled') {
+      this.#tellPrefilled(event.id, event.cachedTokens, event.keptUntil);
+    }
     if (event.kind === 'sent') this.#tellSent(event.id);
     const stream = this.#streams.get(event.id);
     if (!stream) return;
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -51,14 +51,15 @@
           setTimeout(resolve, this.delayMs);
         });
         if (this.dropAnswers) res.destroy();
-        else
-          { sendJson(res, 200, {
+        else {
+          sendJson(res, 200, {
             path: url.pathname,
             method: req.method,
             bytes: body.length,
             key,
             run,
-          }); }
+          });
+        }
       },
       port,
       host,
