Learn costs by scale instead of fitting a free line

Cause looked for: goodput falling under load. A free line through batches of one size has any slope, and the batch cap read from it swings.

--- a/src/core/cell/costs.ts
+++ b/src/core/cell/costs.ts
@@ -1,6 +1,6 @@
 /** Learnt costs of a service's runners: prefill, transfer and time between tokens. */
 
-import { FittedLine } from './line';
+import { ScaledLine } from './line';
 import type { CellPolicy } from './types';
 
 /** Read-only view of the costs. */
@@ -15,22 +15,20 @@
   batchWithin(targetMs: number, slots: number): number;
 }
 
-/** Prompt length up to which the first guess at prefill cost is spread. */
-const GUESS_SPAN_TOKENS = 4000;
-/** Batch size up to which the first guess at decode cost is spread. */
-const GUESS_SPAN_SLOTS = 20;
+/** Keeps a batch that just meets the target from losing a place to rounding. */
+const ROUNDING = 1e-6;
 
 /** Costs corrected by every outcome. */
 export class LearntCosts implements Costs {
-  readonly #prefill: FittedLine;
+  readonly #prefill: ScaledLine;
 
-  readonly #token: FittedLine;
+  readonly #token: ScaledLine;
 
   readonly #linkTokensPerMs: number;
 
   constructor(policy: CellPolicy) {
-    this.#prefill = new FittedLine(policy.prefillBaseMs, policy.prefillTokenMs, GUESS_SPAN_TOKENS);
-    this.#token = new FittedLine(policy.decodeBaseMs, policy.decodeSlotMs, GUESS_SPAN_SLOTS);
+    this.#prefill = new ScaledLine(policy.prefillBaseMs, policy.prefillTokenMs);
+    this.#token = new ScaledLine(policy.decodeBaseMs, policy.decodeSlotMs);
     this.#linkTokensPerMs = policy.linkTokensPerMs;
   }
 
@@ -47,9 +45,8 @@
   }
 
   batchWithin(targetMs: number, slots: number): number {
-    const { base, slope } = this.#token;
-    if (slope <= 0) return slots;
-    return Math.max(1, Math.min(slots, Math.floor((targetMs - base) / slope + 1e-6)));
+    const batch = Math.floor(this.#token.sizeWithin(targetMs) + ROUNDING);
+    return Math.max(1, Math.min(slots, batch));
   }
 
   observePrefill(tokens: number, ms: number): void {
--- a/src/core/cell/line.ts
+++ b/src/core/cell/line.ts
@@ -1,53 +1,46 @@
-/** A straight line fitted to a fading stream of points: cost = base + slope × size. */
+/** A cost known by shape and learnt by scale: cost = scale × (base + slope × size). */
 
-/** Weight that old points keep when a new one comes. */
-const FADE = 0.99;
-/** Points that the first guess counts for. */
-const PRIOR_WEIGHT = 10;
+/** Weight of the newest observation. */
+const WEIGHT = 0.02;
+/** Bounds of the scale against a single wild observation. */
+const LEAST_SCALE = 0.05;
+const MOST_SCALE = 20;
 
-/** Fading least squares, started from a guess. */
-export class FittedLine {
-  #n = 0;
+/**
+ * A guess whose scale follows the outcomes.
+ *
+ * Fitting base and slope freely was tried: under load every batch has about the
+ * same size, a line through such points has any slope, and batch caps worked out
+ * from it swung between one and all slots.
+ */
+export class ScaledLine {
+  readonly #base: number;
 
-  #x = 0;
+  readonly #slope: number;
 
-  #y = 0;
-
-  #xx = 0;
-
-  #xy = 0;
+  #scale = 1;
 
   /**
    * @param base guess at the cost of size 0, in milliseconds
    * @param slope guess at the cost of each further unit
-   * @param span size up to which the guess is made to hold
    */
-  constructor(base: number, slope: number, span: number) {
-    for (let i = 0; i < PRIOR_WEIGHT; i += 1) {
-      const x = (span * i) / (PRIOR_WEIGHT - 1);
-      this.observe(x, base + slope * x);
-    }
-  }
-
-  observe(x: number, y: number): void {
-    this.#n = this.#n * FADE + 1;
-    this.#x = this.#x * FADE + x;
-    this.#y = this.#y * FADE + y;
-    this.#xx = this.#xx * FADE + x * x;
-    this.#xy = this.#xy * FADE + x * y;
+  constructor(base: number, slope: number) {
+    this.#base = base;
+    this.#slope = slope;
   }
 
-  get slope(): number {
-    const spread = this.#n * this.#xx - this.#x * this.#x;
-    if (spread <= 1e-9) return 0;
-    return Math.max(0, (this.#n * this.#xy - this.#x * this.#y) / spread);
+  observe(size: number, cost: number): void {
+    const ratio = cost / (this.#base + this.#slope * size);
+    const bounded = Math.min(MOST_SCALE, Math.max(LEAST_SCALE, ratio));
+    this.#scale += WEIGHT * (bounded - this.#scale);
   }
 
-  get base(): number {
-    return Math.max(0, (this.#y - this.slope * this.#x) / this.#n);
+  at(size: number): number {
+    return this.#scale * (this.#base + this.#slope * size);
   }
 
-  at(x: number): number {
-    return this.base + this.slope * x;
+  /** Largest size whose cost is at most this. */
+  sizeWithin(cost: number): number {
+    return (cost / this.#scale - this.#base) / this.#slope;
   }
 }
