Hold admission to the forecast's own error, and count prefill into the last moment

Cause: requests were admitted up to the very deadline by a forecast whose error nobody watched, and kept in the queue until even the transfer alone would be late; half of those started then missed their first token by a little. Now the 90th percentile of the error is added, and the last moment counts prefill.

--- a/src/core/cell/admission.ts
+++ b/src/core/cell/admission.ts
@@ -36,13 +36,13 @@
   return Math.round(Math.max(RETRY_AFTER_FLOOR_MS, ms) * (0.5 + fractionOf(id)));
 }
 
-/** Tokens of the prompt that the best placed prefill runner has cached. */
-export function bestHitTokens(view: CellView, blocks: readonly number[]): number {
+/** Leading blocks of the prompt that the best placed prefill runner has cached. */
+export function bestHitBlocks(view: CellView, blocks: readonly number[]): number {
   if (blocks.length === 0) return 0;
   const hits = view.places.prefillRunners.map(({ runner }) =>
     view.prefixes.hits(runner.id, blocks),
   );
-  return Math.max(0, ...hits) * BLOCK_TOKENS;
+  return Math.max(0, ...hits);
 }
 
 /** Refuses what cannot have its first token by its deadline. */
@@ -57,9 +57,9 @@
       };
     }
     const ahead = waiting.ahead(arrival.team);
-    const hitTokens = bestHitTokens(view, arrival.blocks);
+    const hitTokens = bestHitBlocks(view, arrival.blocks) * BLOCK_TOKENS;
     const forecastMs = forecastFirstToken(now, view, arrival.promptTokens, hitTokens, ahead);
-    const late = forecastMs - (arrival.deadline - now);
+    const late = forecastMs + view.forecastMarginMs - (arrival.deadline - now);
     if (late > 0) {
       return {
         admitted: false,
--- a/src/core/cell/admit.ts
+++ b/src/core/cell/admit.ts
@@ -1,8 +1,9 @@
 /** Controller of the queue: takes requests in, and refuses them as soon as they cannot be served in time. */
 
 import type { CodeName } from '../codes';
+import { BLOCK_TOKENS } from '../prefix';
 import type { Admission } from './admission';
-import { jitter } from './admission';
+import { bestHitBlocks, jitter } from './admission';
 import type { CellBoard } from './board';
 import { RESUME_LANE } from './board';
 import type { Entry } from './entry';
@@ -47,6 +48,8 @@
     }
     board.budget.earn(arrival.team);
     const entry = newEntry(arrival, now);
+    entry.forecastMs = verdict.forecastMs;
+    entry.hitBlocks = bestHitBlocks(board, arrival.blocks);
     board.requests.set(arrival.id, entry);
     board.waiting.push(arrival.team, entry);
     this.#expectLoss(entry);
@@ -87,6 +90,10 @@
     const board = this.#board;
     const lost = board.waiting.removeWhere((entry) => now >= this.#lossTime(entry));
     for (const entry of lost) {
+      // It would have come later still; counting only first tokens that came would make the forecast look better than it is.
+      if (!entry.sent) {
+        board.forecastErrors.observe(entry.arrival.deadline - entry.arrivedAt - entry.forecastMs);
+      }
       this.giveUp(now, entry, entry.sent ? 'timedOut' : 'deadlineUnreachable');
     }
     this.#nextLoss = Infinity;
@@ -125,8 +132,11 @@
   }
 
   /** Time from which even an idle cell could not deliver the first token by the deadline. */
-  #lossTime({ arrival }: Entry): number {
+  #lossTime({ arrival, hitBlocks }: Entry): number {
     const { costs } = this.#board;
-    return arrival.deadline - costs.transferMs(arrival.promptTokens) - costs.tokenMs(1);
+    const work = Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS);
+    const leastMs =
+      costs.prefillMs(work) + costs.transferMs(arrival.promptTokens) + costs.tokenMs(1);
+    return arrival.deadline - leastMs;
   }
 }
--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -9,6 +9,7 @@
 import type { PrefillPlace } from './places';
 import { PlaceBook } from './places';
 import { PrefixMap } from './prefixes';
+import { RunningQuantile } from './quantile';
 import { FairQueue } from './shares';
 import type { CellAction, CellPolicy } from './types';
 import type { CellRequest, CellView } from './view';
@@ -76,6 +77,9 @@
     retries: 0,
   };
 
+  /** First tokens against their forecast; written by the queue and the transfer controller. */
+  readonly forecastErrors = new RunningQuantile(0.9, 10, 0);
+
   promised = 0;
 
   meanPrefillMs: number;
@@ -93,6 +97,10 @@
     );
   }
 
+  get forecastMarginMs(): number {
+    return Math.max(0, this.forecastErrors.value);
+  }
+
   emit(action: CellAction): void {
     this.#actions.push(action);
   }
--- a/src/core/cell/entry.ts
+++ b/src/core/cell/entry.ts
@@ -17,6 +17,8 @@
     prefillRunner: undefined,
     decodeRunner: undefined,
     hitBlocks: 0,
+    forecastMs: 0,
+    arrivedAt: now,
     sent: false,
     keptUntil: 0,
     avoid: undefined,
--- a/src/core/cell/transfer.ts
+++ b/src/core/cell/transfer.ts
@@ -32,6 +32,9 @@
     if (entry?.stage !== 'transferring') return;
     board.endTransfer(entry);
     if (entry.decodeRunner !== undefined) board.health.succeeded(entry.decodeRunner);
+    if (entry.resumedAt === 0) {
+      board.forecastErrors.observe(now - entry.arrivedAt - entry.forecastMs);
+    }
     entry.stage = 'decoding';
     entry.since = now;
     board.decoding.add(entry);
--- a/src/core/cell/view.ts
+++ b/src/core/cell/view.ts
@@ -21,6 +21,10 @@
   readonly decodeRunner: string | undefined;
   /** Prompt blocks found in the cache, as predicted when the prefill was given. */
   readonly hitBlocks: number;
+  /** What admission forecast for the first token, in milliseconds from the arrival. */
+  readonly forecastMs: number;
+  /** When the request came in. */
+  readonly arrivedAt: number;
   /** Whether any runner was sent this request: after that, a refusal is not "not run". */
   readonly sent: boolean;
   /** When the runner evicts the finished prefill. */
@@ -46,6 +50,8 @@
   readonly decoding: Iterable<CellRequest>;
   /** Prefills given or finished whose request holds no decode slot yet. */
   readonly promised: number;
+  /** What nine in ten first tokens come later than forecast, at most, in milliseconds. */
+  readonly forecastMarginMs: number;
   /** Fading mean of prefill cost after cache hits, in milliseconds. */
   readonly meanPrefillMs: number;
 }
