Learn output lengths from running requests too

The histogram knew finished answers alone, and the first to finish are the short ones, so slots were expected too early. The same would follow each take-over. Ruled out: a wrong normal approximation, foreign slots, link order. Now ends are held against tokens at risk, running requests included.

--- a/src/core/cell/cell.ts
+++ b/src/core/cell/cell.ts
@@ -121,6 +121,7 @@
   }
 
   #pump(now: number): void {
+    this.#lifecycle.countRunning(now);
     this.#prefills.expire(now);
     this.#transfers.sendAll(now);
     this.#queue.refuseLost(now);
--- a/src/core/cell/entry.ts
+++ b/src/core/cell/entry.ts
@@ -23,6 +23,7 @@
     keptUntil: 0,
     avoid: undefined,
     resumedAt: 0,
+    countedTokens: 0,
     batch: 1,
   };
 }
--- a/src/core/cell/forecast.ts
+++ b/src/core/cell/forecast.ts
@@ -1,6 +1,6 @@
 /** Forecasts from live state: when slots come free and when a first token can be out. */
 
-import type { CellView } from './view';
+import type { CellRequest, CellView } from './view';
 
 /** Mean and variance of a count. */
 export interface Count {
@@ -15,14 +15,24 @@
   return Math.max(1, view.outputs.mean * view.costs.tokenMs(batch));
 }
 
+/** Output tokens that a streaming request should have by now. */
+export function ageOf(
+  now: number,
+  view: CellView,
+  { since, batch, resumedAt }: CellRequest,
+): number {
+  return resumedAt + (now - since) / view.costs.tokenMs(batch);
+}
+
 /** Slots that running requests will free within the horizon. */
 export function expectReleases(now: number, view: CellView, horizonMs: number): Count {
   let mean = 0;
   let variance = 0;
   for (const request of view.decoding) {
-    const tokenMs = view.costs.tokenMs(request.batch);
-    const age = (now - request.since) / tokenMs;
-    const ends = view.outputs.endsWithin(age, horizonMs / tokenMs);
+    const age = ageOf(now, view, request);
+    const more = horizonMs / view.costs.tokenMs(request.batch);
+    const mustEnd = age + more >= request.arrival.maxTokens;
+    const ends = mustEnd ? 1 : view.outputs.endsWithin(age, more);
     mean += ends;
     variance += ends * (1 - ends);
   }
--- a/src/core/cell/lifecycle.ts
+++ b/src/core/cell/lifecycle.ts
@@ -4,16 +4,22 @@
 import type { CellBoard } from './board';
 import type { Entry } from './entry';
 import { newEntry } from './entry';
+import { ageOf } from './forecast';
 import type { Adoption, CellEvent } from './types';
 
 type Failed = Extract<CellEvent, { kind: 'failed' }>;
 
+/** Period of counting running requests, in milliseconds. */
+const COUNT_MS = 500;
+
 /** Writes requests that end or step back. */
 export class LifecycleController {
   readonly #board: CellBoard;
 
   readonly #queue: QueueController;
 
+  #countedAt = 0;
+
   constructor(board: CellBoard, queue: QueueController) {
     this.#board = board;
     this.#queue = queue;
@@ -25,13 +31,28 @@
     if (!entry) return;
     if (entry.stage === 'decoding') {
       const fresh = Math.max(1, tokens - entry.resumedAt);
-      board.outputs.observe(tokens);
+      board.outputs.expose(Math.min(entry.countedTokens, tokens), tokens);
+      board.outputs.end(tokens);
       board.costs.observeTokens(this.#batchOf(entry), (now - entry.since) / fresh);
     }
     board.counters.finished += 1;
     board.drop(now, entry);
   }
 
+  /** Counts the tokens of running requests into the distribution of output lengths, from time to time. */
+  countRunning(now: number): void {
+    if (now - this.#countedAt < COUNT_MS) return;
+    this.#countedAt = now;
+    const board = this.#board;
+    for (const entry of board.decoding) {
+      const age = Math.min(entry.arrival.maxTokens, ageOf(now, board, entry));
+      if (age > entry.countedTokens) {
+        board.outputs.expose(entry.countedTokens, age);
+        entry.countedTokens = age;
+      }
+    }
+  }
+
   cancel(now: number, id: string): void {
     const board = this.#board;
     const entry = board.requests.get(id);
@@ -139,5 +160,6 @@
   const fresh = tokens - entry.resumedAt;
   if (fresh <= 0) return;
   entry.resumedAt = tokens;
+  entry.countedTokens = tokens;
   entry.arrival = { ...entry.arrival, promptTokens: entry.arrival.promptTokens + fresh };
 }
--- a/src/core/cell/outputs.ts
+++ b/src/core/cell/outputs.ts
@@ -1,4 +1,11 @@
-/** Learnt distribution of output lengths: how soon running requests will free their slots. */
+/**
+ * Learnt distribution of output lengths: how soon running requests will free
+ * their slots.
+ *
+ * It learns from running requests too. Learning from finished ones alone, a new
+ * owner would see the short answers first, take all answers for short, expect
+ * slots too early and start prefills whose results are evicted.
+ */
 
 /** Read-only view of the distribution. */
 export interface OutputLengths {
@@ -12,9 +19,9 @@
 const BUCKETS_PER_DOUBLING = 4;
 /** Longest length told apart: 2^16 tokens. */
 const BUCKET_COUNT = 16 * BUCKETS_PER_DOUBLING + 1;
-/** Observations after which old ones have lost half their weight. */
+/** Ends after which old ones have lost half their weight. */
 const HALF_LIFE = 500;
-/** Weight of the first guess, in observations. */
+/** Weight of the first guess, in requests. */
 const PRIOR_WEIGHT = 8;
 /** Weight at which all counts are scaled down again, against overflow. */
 const RESCALE_AT = 1e9;
@@ -25,78 +32,96 @@
 }
 
 function lowerBound(bucket: number): number {
-  return 2 ** (bucket / BUCKETS_PER_DOUBLING);
+  return bucket === 0 ? 0 : 2 ** (bucket / BUCKETS_PER_DOUBLING);
 }
 
-/** Histogram with geometric buckets whose counts fade by observation. */
+/** Ends against tokens at risk, in geometric buckets that fade by ends: a hazard rate for each bucket. */
 export class OutputHistogram implements OutputLengths {
-  readonly #counts = new Float64Array(BUCKET_COUNT);
+  readonly #ends = new Float64Array(BUCKET_COUNT);
 
-  /** Observations in or above each bucket; rebuilt on demand. */
-  readonly #above = new Float64Array(BUCKET_COUNT + 1);
+  /** Tokens that requests put out while their length was in the bucket. */
+  readonly #exposure = new Float64Array(BUCKET_COUNT);
 
-  #stale = true;
+  /** Integral of the hazard rate up to the lower bound of each bucket; rebuilt on demand. */
+  readonly #hazard = new Float64Array(BUCKET_COUNT + 1);
 
-  #weight = 1;
+  #mean = 0;
 
-  #sum = 0;
+  #stale = true;
 
-  #total = 0;
+  #weight = 1;
 
+  /** @param guess first guess at the mean, in tokens; an exponential distribution around it */
   constructor(guess: number) {
-    // An exponential guess around the mean, so that the first decisions are neither all nor nothing.
-    for (let quantile = 0.5; quantile < PRIOR_WEIGHT; quantile += 1) {
-      this.#add(-Math.log(1 - quantile / PRIOR_WEIGHT) * guess, 1);
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      const low = lowerBound(bucket);
+      const high = lowerBound(bucket + 1);
+      const survivors = PRIOR_WEIGHT * Math.max(1e-9, Math.exp(-low / guess));
+      this.#exposure[bucket] = survivors * (high - low);
+      this.#ends[bucket] = (survivors * (high - low)) / guess;
     }
   }
 
   get mean(): number {
-    return this.#sum / this.#total;
+    if (this.#stale) this.#integrate();
+    return this.#mean;
   }
 
-  observe(tokens: number): void {
+  /** Notes that a request went on from one length to another. */
+  expose(from: number, to: number): void {
+    for (let bucket = bucketOf(from); bucket <= bucketOf(to); bucket += 1) {
+      const low = Math.max(from, lowerBound(bucket));
+      const high = bucket === BUCKET_COUNT - 1 ? to : Math.min(to, lowerBound(bucket + 1));
+      this.#exposure[bucket] =
+        (this.#exposure[bucket] ?? 0) + this.#weight * Math.max(0, high - low);
+    }
+    this.#stale = true;
+  }
+
+  /** Notes that a request ended at a length; its tokens are noted with `expose`. */
+  end(tokens: number): void {
     this.#weight *= 2 ** (1 / HALF_LIFE);
-    this.#add(tokens, this.#weight);
+    const bucket = bucketOf(tokens);
+    this.#ends[bucket] = (this.#ends[bucket] ?? 0) + this.#weight;
+    this.#stale = true;
     if (this.#weight > RESCALE_AT) this.#rescale();
   }
 
   endsWithin(age: number, more: number): number {
-    const alive = this.#survivors(age);
-    if (alive <= 0) return 1;
-    return 1 - this.#survivors(age + more) / alive;
+    if (this.#stale) this.#integrate();
+    return 1 - Math.exp(this.#hazardAt(age) - this.#hazardAt(age + more));
   }
 
-  #add(tokens: number, weight: number): void {
+  #hazardAt(tokens: number): number {
     const bucket = bucketOf(tokens);
-    this.#counts[bucket] = (this.#counts[bucket] ?? 0) + weight;
-    this.#sum += tokens * weight;
-    this.#total += weight;
-    this.#stale = true;
+    return (
+      (this.#hazard[bucket] ?? 0) + this.#rateOf(bucket) * Math.max(0, tokens - lowerBound(bucket))
+    );
   }
 
-  #rescale(): void {
-    for (let i = 0; i < BUCKET_COUNT; i += 1) {
-      this.#counts[i] = (this.#counts[i] ?? 0) / this.#weight;
-    }
-    this.#sum /= this.#weight;
-    this.#total /= this.#weight;
-    this.#weight = 1;
-    this.#stale = true;
+  #rateOf(bucket: number): number {
+    return (this.#ends[bucket] ?? 0) / Math.max(1e-12, this.#exposure[bucket] ?? 0);
   }
 
-  /** Weight of observations longer than `tokens`, linear inside a bucket. */
-  #survivors(tokens: number): number {
-    if (this.#stale) this.#accumulate();
-    const bucket = bucketOf(tokens);
-    const low = lowerBound(bucket);
-    const into = Math.max(0, Math.min(1, (tokens - low) / (lowerBound(bucket + 1) - low)));
-    return (this.#above[bucket + 1] ?? 0) + (this.#counts[bucket] ?? 0) * (1 - into);
+  #integrate(): void {
+    this.#mean = 0;
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      const rate = this.#rateOf(bucket);
+      const width = lowerBound(bucket + 1) - lowerBound(bucket);
+      const before = this.#hazard[bucket] ?? 0;
+      this.#hazard[bucket + 1] = before + rate * width;
+      const survivors = Math.exp(-before);
+      this.#mean +=
+        rate < 1e-12 ? survivors * width : (survivors * (1 - Math.exp(-rate * width))) / rate;
+    }
+    this.#stale = false;
   }
 
-  #accumulate(): void {
-    for (let i = BUCKET_COUNT - 1; i >= 0; i -= 1) {
-      this.#above[i] = (this.#above[i + 1] ?? 0) + (this.#counts[i] ?? 0);
+  #rescale(): void {
+    for (let bucket = 0; bucket < BUCKET_COUNT; bucket += 1) {
+      this.#ends[bucket] = (this.#ends[bucket] ?? 0) / this.#weight;
+      this.#exposure[bucket] = (this.#exposure[bucket] ?? 0) / this.#weight;
     }
-    this.#stale = false;
+    this.#weight = 1;
   }
 }
--- a/src/core/cell/view.ts
+++ b/src/core/cell/view.ts
@@ -33,6 +33,8 @@
   readonly avoid: string | undefined;
   /** Output tokens the caller has from earlier runners. */
   readonly resumedAt: number;
+  /** Output length up to which the request has been counted in the learnt distribution. */
+  readonly countedTokens: number;
   /** Batch that the request joined, for learning time between tokens. */
   readonly batch: number;
 }
