--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -78,7 +78,7 @@
   };
 
   /** First tokens against their forecast; written by the queue and the transfer controller. */
-  readonly forecastErrors = new RunningQuantile(0.9, 10, 0);
+  readonly forecastErrors = new RunningQuantile(0.98, 10, 0);
 
   promised = 0;
 
--- a/src/core/cell/view.ts
+++ b/src/core/cell/view.ts
@@ -52,7 +52,7 @@
   readonly decoding: Iterable<CellRequest>;
   /** Prefills given or finished whose request holds no decode slot yet. */
   readonly promised: number;
-  /** What nine in ten first tokens come later than forecast, at most, in milliseconds. */
+  /** By how much 98 in 100 first tokens come later than forecast, at most, in milliseconds. */
   readonly forecastMarginMs: number;
   /** Fading mean of prefill cost after cache hits, in milliseconds. */
   readonly meanPrefillMs: number;
