Let teams below their share catch up in bursts, and count the queue by shares

Cause: a team at 0.9 of its share comes in bursts; an idle team started at the present virtual time, so its burst queued behind the flood and was refused. Now a team may lag by one second of the cell, cost is that of the scarcer resource, and the forecast counts who really goes before.

--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -33,6 +33,9 @@
 /** Weight of that queue against a team of weight 1. */
 const RESUME_WEIGHT = 1e6;
 
+/** Time of the whole cell that a team below its share may catch up in a burst, in milliseconds. */
+const CREDIT_MS = 1000;
+
 /** Sections of the blackboard. */
 export class CellBoard implements CellView {
   /** Written by the cell on new settings. */
@@ -92,8 +95,9 @@
     this.outputs = new OutputHistogram(policy.outputTokens);
     this.costs = new LearntCosts(policy);
     this.meanPrefillMs = policy.prefillBaseMs;
-    this.waiting = new FairQueue<Entry>((team) =>
-      team === RESUME_LANE ? RESUME_WEIGHT : (this.policy.shares[team] ?? 1),
+    this.waiting = new FairQueue<Entry>(
+      (team) => (team === RESUME_LANE ? RESUME_WEIGHT : (this.policy.shares[team] ?? 1)),
+      CREDIT_MS,
     );
   }
 
--- a/src/core/cell/prefill.ts
+++ b/src/core/cell/prefill.ts
@@ -95,9 +95,12 @@
     return true;
   }
 
-  /** What a request takes from the cell: prefill time and its part of all decode slots. */
+  /** Time of the whole cell that a request takes, on prefill or on decode, whichever is scarcer. */
   #costMs(workMs: number): number {
-    return workMs + residenceMs(this.#board) / Math.max(1, this.#board.places.decodeSlots);
+    const { places } = this.#board;
+    const prefillMs = workMs / Math.max(1, places.prefillRunners.length);
+    const decodeMs = residenceMs(this.#board) / Math.max(1, places.decodeSlots);
+    return Math.max(prefillMs, decodeMs);
   }
 
   #choose(now: number, entry: Entry): PrefillPlace | undefined {
--- a/src/core/cell/shares.ts
+++ b/src/core/cell/shares.ts
@@ -3,7 +3,8 @@
  *
  * Each group has a virtual time that grows by cost / weight as its entries are
  * taken; the group with the least goes first. A group that was idle starts at the
- * present virtual time, so it cannot save up a claim and then starve the others.
+ * present virtual time less a bounded credit: bursts of a group within its share
+ * go before a group that floods, and nobody saves up a claim to starve others.
  */
 
 /** Read-only view of who waits. */
@@ -12,10 +13,15 @@
   readonly size: number;
   /** Entries waiting in one group. */
   waitingOf(group: string): number;
-  /** Entries that go before a new entry of this group, when every entry costs the same. */
+  /** Entries that go before a new entry of this group, at the mean cost of an entry. */
   ahead(group: string): number;
 }
 
+/** Weight of the newest entry in the mean cost. */
+const MEAN_WEIGHT = 0.05;
+/** Groups remembered while they are idle. */
+const TAGS_LIMIT = 4096;
+
 interface Lane<T> {
   readonly name: string;
   readonly entries: T[];
@@ -31,12 +37,21 @@
 
   readonly #weightOf: (group: string) => number;
 
+  readonly #credit: number;
+
   #virtual = 0;
 
   #size = 0;
 
-  constructor(weightOf: (group: string) => number) {
+  #meanCost = 0;
+
+  /**
+   * @param weightOf share of a group against the others
+   * @param credit cost that a group may catch up after it was idle or below its share
+   */
+  constructor(weightOf: (group: string) => number, credit: number) {
     this.#weightOf = weightOf;
+    this.#credit = credit;
   }
 
   get size(): number {
@@ -48,13 +63,11 @@
   }
 
   ahead(group: string): number {
-    const own = this.waitingOf(group) + 1;
-    const rounds = own / this.#weightOf(group);
-    let count = own - 1;
+    const own = this.waitingOf(group);
+    const tag = this.#tagOf(group) + (own * this.#meanCost) / this.#weightOf(group);
+    let count = own;
     for (const lane of this.#lanes.values()) {
-      if (lane.name !== group) {
-        count += Math.min(lane.entries.length, rounds * this.#weightOf(lane.name));
-      }
+      if (lane.name !== group) count += this.#startsBefore(lane, tag);
     }
     return count;
   }
@@ -82,7 +95,8 @@
     const entry = lane.entries.shift();
     this.#size -= 1;
     this.#virtual = Math.max(this.#virtual, lane.tag);
-    lane.tag = this.#virtual + cost / this.#weightOf(lane.name);
+    lane.tag += cost / this.#weightOf(lane.name);
+    this.#meanCost += MEAN_WEIGHT * (cost - this.#meanCost);
     this.#dropEmpty(lane);
     return entry;
   }
@@ -113,11 +127,27 @@
     return true;
   }
 
+  /** Where the next entry of a group stands; a group that was away has at most its credit. */
+  #tagOf(group: string): number {
+    const lane = this.#lanes.get(group);
+    if (lane) return lane.tag;
+    return Math.max(
+      this.#tags.get(group) ?? -Infinity,
+      this.#virtual - this.#credit / this.#weightOf(group),
+    );
+  }
+
+  /** Entries of a lane that start before a virtual time. */
+  #startsBefore({ name, tag, entries }: Lane<T>, time: number): number {
+    if (this.#meanCost <= 0) return entries.length;
+    const started = Math.ceil(((time - tag) * this.#weightOf(name)) / this.#meanCost);
+    return Math.max(0, Math.min(entries.length, started));
+  }
+
   #laneFor(group: string): Lane<T> {
     const existing = this.#lanes.get(group);
     if (existing) return existing;
-    const tag = Math.max(this.#tags.get(group) ?? 0, this.#virtual);
-    const lane: Lane<T> = { name: group, entries: [], tag };
+    const lane: Lane<T> = { name: group, entries: [], tag: this.#tagOf(group) };
     this.#lanes.set(group, lane);
     return lane;
   }
@@ -135,12 +165,12 @@
     if (lane.entries.length > 0) return;
     this.#lanes.delete(lane.name);
     this.#tags.set(lane.name, lane.tag);
-    if (this.#tags.size > 4096) this.#forgetOldTags();
+    if (this.#tags.size > TAGS_LIMIT) this.#forgetOldTags();
   }
 
   #forgetOldTags(): void {
     for (const [group, tag] of this.#tags) {
-      if (tag <= this.#virtual) this.#tags.delete(group);
+      if (tag <= this.#virtual - this.#credit) this.#tags.delete(group);
     }
   }
 }
