Take the forecast's margin as a part of the forecast

Cause: one margin in milliseconds for all, so the long waits of a flooding team raised it for teams that hardly wait (665–913 ms of Bagmati's 2000), and those were refused on arrival (68 of 1134). Lateness is now learnt as a part of the forecast.

--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -36,6 +36,9 @@
 /** Time of the whole cell that a team below its share may catch up in a burst, in milliseconds. */
 const CREDIT_MS = 1000;
 
+/** Forecasts below this are told apart by milliseconds, not by parts, in milliseconds. */
+const SHORT_FORECAST_MS = 200;
+
 /** Sections of the blackboard. */
 export class CellBoard implements CellView {
   /** Written by the cell on new settings. */
@@ -80,8 +83,8 @@
     retries: 0,
   };
 
-  /** First tokens against their forecast; written by the queue and the transfer controller. */
-  readonly forecastErrors = new RunningQuantile(0.98, 10, 0);
+  /** Lateness of first tokens as a part of their forecast; written by the queue and the transfer controller. */
+  readonly forecastErrors = new RunningQuantile(0.98, 0.01, 0);
 
   promised = 0;
 
@@ -101,8 +104,13 @@
     );
   }
 
-  get forecastMarginMs(): number {
-    return Math.max(0, this.forecastErrors.value);
+  marginMs(forecastMs: number): number {
+    return Math.max(0, this.forecastErrors.value * Math.max(SHORT_FORECAST_MS, forecastMs));
+  }
+
+  /** Learns from a first token, or from one that will not come in time. */
+  observeFirstToken(forecastMs: number, actualMs: number): void {
+    this.forecastErrors.observe((actualMs - forecastMs) / Math.max(SHORT_FORECAST_MS, forecastMs));
   }
 
   emit(action: CellAction): void {
--- a/src/core/cell/view.ts
+++ b/src/core/cell/view.ts
@@ -52,8 +52,8 @@
   readonly decoding: Iterable<CellRequest>;
   /** Prefills given or finished whose request holds no decode slot yet. */
   readonly promised: number;
-  /** By how much 98 in 100 first tokens come later than forecast, at most, in milliseconds. */
-  readonly forecastMarginMs: number;
+  /** By how much 98 in 100 first tokens come later than such a forecast, at most, in milliseconds. */
+  marginMs(forecastMs: number): number;
   /** Fading mean of prefill cost after cache hits, in milliseconds. */
   readonly meanPrefillMs: number;
 }
