Learn the forecast's margin for each team, and lend three seconds of the cell

Cause: as before, a quiet team's requests were refused on arrival by a margin learnt from the flooding team.

--- a/scripts/policies.ts
+++ b/scripts/policies.ts
@@ -2,7 +2,7 @@
  * Compares policies of one cell under virtual time and prints the table of
  * `docs/MEASUREMENTS.md`.
  *
- *     node build/policies.cjs [SECONDS] [SEEDS]
+ *     node build/policies.cjs [SECONDS] [SEEDS] [POLICY]
  */
 
 import { OpenAdmission } from '../src/core/cell/admission';
@@ -151,6 +151,8 @@
 function main(): void {
   const seconds = Number(process.argv[2] ?? 120);
   const seeds = Number(process.argv[3] ?? 5);
+  const only = process.argv[4];
+  const names = Object.keys(policies).filter((name) => only === undefined || name === only);
   const durationMs = WARM_UP_MS + seconds * 1000;
   const extra: readonly Load[] = [
     { name: 'bursts 1.2', factor: 1.2, burstMs: 20_000, cancelled: 0, faults: {} },
@@ -179,7 +181,7 @@
   console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
   for (const work of [doselWork, bagmatiWork]) {
     for (const load of [0.5, 0.9, 1.2, 2].map(steady)) {
-      for (const name of Object.keys(policies)) printRow(work, load, name, seeds, durationMs);
+      for (const name of names) printRow(work, load, name, seeds, durationMs);
     }
     for (const load of extra) printRow(work, load, 'current', seeds, durationMs);
   }
--- a/src/core/cell/admission.ts
+++ b/src/core/cell/admission.ts
@@ -59,7 +59,8 @@
     const ahead = waiting.ahead(arrival.team);
     const hitTokens = bestHitBlocks(view, arrival.blocks) * BLOCK_TOKENS;
     const forecastMs = forecastFirstToken(now, view, arrival.promptTokens, hitTokens, ahead);
-    const late = forecastMs + view.marginMs(forecastMs) - (arrival.deadline - now);
+    const late =
+      forecastMs + view.margins.marginMs(arrival.team, forecastMs) - (arrival.deadline - now);
     if (late > 0) {
       return {
         admitted: false,
--- a/src/core/cell/admit.ts
+++ b/src/core/cell/admit.ts
@@ -92,7 +92,11 @@
     for (const entry of lost) {
       // It would have come later still; counting only first tokens that came would make the forecast look better than it is.
       if (!entry.sent) {
-        board.observeFirstToken(entry.forecastMs, entry.arrival.deadline - entry.arrivedAt);
+        board.margins.observe(
+          entry.arrival.team,
+          entry.forecastMs,
+          entry.arrival.deadline - entry.arrivedAt,
+        );
       }
       this.giveUp(now, entry, entry.sent ? 'timedOut' : 'deadlineUnreachable');
     }
--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -9,7 +9,7 @@
 import type { PrefillPlace } from './places';
 import { PlaceBook } from './places';
 import { PrefixMap } from './prefixes';
-import { RunningQuantile } from './quantile';
+import { Margins } from './margins';
 import { FairQueue } from './shares';
 import type { CellAction, CellPolicy } from './types';
 import type { CellRequest, CellView } from './view';
@@ -34,10 +34,7 @@
 const RESUME_WEIGHT = 1e6;
 
 /** Time of the whole cell that a team below its share may catch up in a burst, in milliseconds. */
-const CREDIT_MS = 1000;
-
-/** Forecasts below this are told apart by milliseconds, not by parts, in milliseconds. */
-const SHORT_FORECAST_MS = 200;
+const CREDIT_MS = 3000;
 
 /** Sections of the blackboard. */
 export class CellBoard implements CellView {
@@ -83,8 +80,8 @@
     retries: 0,
   };
 
-  /** Lateness of first tokens as a part of their forecast; written by the queue and the transfer controller. */
-  readonly forecastErrors = new RunningQuantile(0.98, 0.01, 0);
+  /** Written by the queue and the transfer controller. */
+  readonly margins = new Margins();
 
   promised = 0;
 
@@ -104,15 +101,6 @@
     );
   }
 
-  marginMs(forecastMs: number): number {
-    return Math.max(0, this.forecastErrors.value * Math.max(SHORT_FORECAST_MS, forecastMs));
-  }
-
-  /** Learns from a first token, or from one that will not come in time. */
-  observeFirstToken(forecastMs: number, actualMs: number): void {
-    this.forecastErrors.observe((actualMs - forecastMs) / Math.max(SHORT_FORECAST_MS, forecastMs));
-  }
-
   emit(action: CellAction): void {
     this.#actions.push(action);
   }
--- a/src/core/cell/transfer.ts
+++ b/src/core/cell/transfer.ts
@@ -33,7 +33,7 @@
     board.endTransfer(entry);
     if (entry.decodeRunner !== undefined) board.health.succeeded(entry.decodeRunner);
     if (entry.resumedAt === 0) {
-      board.observeFirstToken(entry.forecastMs, now - entry.arrivedAt);
+      board.margins.observe(entry.arrival.team, entry.forecastMs, now - entry.arrivedAt);
     }
     entry.stage = 'decoding';
     entry.since = now;
--- a/src/core/cell/view.ts
+++ b/src/core/cell/view.ts
@@ -2,6 +2,7 @@
 
 import type { Costs } from './costs';
 import type { Health } from './health';
+import type { ForecastMargins } from './margins';
 import type { OutputLengths } from './outputs';
 import type { Places } from './places';
 import type { Prefixes } from './prefixes';
@@ -52,8 +53,7 @@
   readonly decoding: Iterable<CellRequest>;
   /** Prefills given or finished whose request holds no decode slot yet. */
   readonly promised: number;
-  /** By how much 98 in 100 first tokens come later than such a forecast, at most, in milliseconds. */
-  marginMs(forecastMs: number): number;
+  readonly margins: ForecastMargins;
   /** Fading mean of prefill cost after cache hits, in milliseconds. */
   readonly meanPrefillMs: number;
 }
