--- a/src/core/cell/margins.ts
+++ b/src/core/cell/margins.ts
@@ -16,7 +16,7 @@
 
 const QUANTILE = 0.98;
 /** Movement of the estimate for each first token, as a part of the forecast. */
-const STEP = 0.01;
+const STEP = 0.03;
 /** Forecasts below this are told apart by milliseconds, not by parts, in milliseconds. */
 const SHORT_FORECAST_MS = 200;
 /** Teams remembered; the one that sent last stays longest. */
