--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -32,7 +32,7 @@
       // Records of a blackboard section are written in place by the controller that owns them.
       'no-param-reassign': [
         'error',
-        { props: true, ignorePropertyModificationsFor: ['entry', 'record', 'queue'] },
+        { props: true, ignorePropertyModificationsFor: ['entry', 'record', 'queue', 'live'] },
       ],
       ...Object.fromEntries(
         [
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -25,6 +25,7 @@
     policies: 'scripts/policies.ts',
     slopes: 'scripts/slopes.ts',
     chaos: 'scripts/chaos.ts',
+    soak: 'scripts/soak.ts',
   },
   outdir: 'build',
   outExtension: { '.js': '.cjs' },
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -16,7 +16,6 @@
 import type { MemberNotice, ToScheduler } from '../peer/messages';
 import type { Peer } from '../peer/server';
 import { PeerServer } from '../peer/server';
-import type { Platform } from '../platform/client';
 import { HttpPlatform } from '../platform/client';
 import { HttpRunnerClient } from '../runner/client';
 import { CellHost } from './cells';
@@ -46,7 +45,7 @@
 
   readonly #metrics: Metrics;
 
-  readonly #platform: Platform;
+  readonly #platform: HttpPlatform;
 
   readonly #runners = new HttpRunnerClient();
 
@@ -184,6 +183,12 @@
     await new Promise((resolve) => {
       setTimeout(resolve, LEAVE_MS);
     });
+    await this.close();
+    this.#log.info('Stopped.');
+  }
+
+  /** Ends at once. */
+  async close(): Promise<void> {
     clearInterval(this.#review);
     clearTimeout(this.#lister);
     this.#monitor.stop();
@@ -194,8 +199,8 @@
     this.#members?.stop();
     await this.#server.close();
     this.#runners.close();
+    this.#platform.close();
     this.#metrics.close();
-    this.#log.info('Stopped.');
   }
 
   /** What `ctl status` shows of this scheduler. */
--- a/src/node/scheduler/members.ts
+++ b/src/node/scheduler/members.ts
@@ -71,6 +71,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #stopped = false;
+
   constructor(options: MembershipDriverOptions) {
     this.#options = options;
     this.members = new Membership(options.membership);
@@ -93,12 +95,14 @@
   }
 
   stop(): void {
+    this.#stopped = true;
     clearTimeout(this.#timer);
     this.#socket.close();
   }
 
   /** Hands an event to the core and carries out what it wants. */
   tell(event: MembershipEvent): void {
+    if (this.#stopped) return;
     const actions = this.members.handle(Date.now(), event);
     for (const action of actions) this.#perform(action);
     clearTimeout(this.#timer);
--- /dev/null
+++ b/test/core/learning.test.ts
@@ -0,0 +1,106 @@
+import { RetryBudget } from '../../src/core/cell/budget';
+import { RunnerHealth } from '../../src/core/cell/health';
+import { ScaledLine } from '../../src/core/cell/line';
+import { OutputHistogram } from '../../src/core/cell/outputs';
+import { PlaceBook, freeOf } from '../../src/core/cell/places';
+import { RunningQuantile } from '../../src/core/cell/quantile';
+import { seeded } from '../fakes/virtual/workload';
+
+describe('what the cell learns', () => {
+  /*
+   * Many answers start together. The first to finish are the short ones. Learnt
+   * from them alone, every answer would look short and slots would be expected
+   * too early; counting the running ones keeps the mean near the truth.
+   */
+  test('of output lengths is not fooled by the short answers that finish first', () => {
+    const random = seeded(3);
+    const lengths = Array.from({ length: 400 }, () => -Math.log(1 - random()) * 300);
+    const histogram = new OutputHistogram(300);
+    const horizon = 100;
+    for (const length of lengths) {
+      histogram.expose(0, Math.min(length, horizon));
+      if (length <= horizon) histogram.end(length);
+    }
+    expect(histogram.mean).toBeGreaterThan(240);
+    expect(histogram.mean).toBeLessThan(360);
+    expect(histogram.endsWithin(0, 100)).toBeCloseTo(1 - Math.exp(-100 / 300), 1);
+  });
+
+  test('of costs holds at the size where it was learnt', () => {
+    const line = new ScaledLine(12, 1);
+    for (let i = 0; i < 400; i += 1) line.observe(20, 64);
+    expect(line.at(20)).toBeCloseTo(64, 0);
+    expect(Math.floor(line.sizeWithin(64.5))).toBe(20);
+  });
+
+  test('of a quantile ends where that part of the values lies below', () => {
+    const random = seeded(5);
+    const quantile = new RunningQuantile(0.9, 0.02, 0);
+    for (let i = 0; i < 20_000; i += 1) quantile.observe(random());
+    expect(quantile.value).toBeGreaterThan(0.85);
+    expect(quantile.value).toBeLessThan(0.95);
+  });
+});
+
+describe('a retry budget', () => {
+  test('is earned by first attempts and spent by retries', () => {
+    const budget = new RetryBudget();
+    const spent = (): number =>
+      Array.from({ length: 50 }, () => budget.spend('a')).filter(Boolean).length;
+    expect(spent()).toBe(10);
+    for (let i = 0; i < 25; i += 1) budget.earn('a');
+    expect(spent()).toBe(5);
+    expect(budget.spend('b')).toBe(true);
+  });
+});
+
+describe('runner health', () => {
+  test('ejects after failures in a row, probes once, and takes back after a success', () => {
+    const health = new RunnerHealth();
+    health.setPoolSize(4);
+    for (let i = 0; i < 3; i += 1) health.failed(0, 'a');
+    const seen = [health.allows(10, 'a'), health.allows(1000, 'a')];
+    health.given(1000, 'a');
+    seen.push(health.allows(1001, 'a'));
+    health.succeeded('a');
+    seen.push(health.allows(1002, 'a'));
+    expect(seen).toEqual([false, true, false, true]);
+  });
+
+  /* A whole failure domain fails. Ejecting all of a pool would turn its partial loss into a total one. */
+  test('never ejects more than half of a pool', () => {
+    const health = new RunnerHealth();
+    health.setPoolSize(4);
+    const runners = ['a', 'b', 'c', 'd'];
+    for (let i = 0; i < 10; i += 1) runners.forEach((runner) => health.failed(0, runner));
+    expect(runners.filter((runner) => health.allows(1, runner))).toHaveLength(2);
+  });
+});
+
+describe('the account of places', () => {
+  const runner = {
+    id: 'd',
+    role: 'decode',
+    domain: 'x',
+    slots: 20,
+    memoryTokens: 1e6,
+    link: 'd',
+  } as const;
+
+  /* A report looks 300 ms back. What was granted since is not in it and must not be overridden by it. */
+  test('is not overridden by a report from before the grant', () => {
+    const book = new PlaceBook();
+    book.setRunners([runner]);
+    for (let i = 0; i < 5; i += 1) book.holdSlot('d', 1000, 10);
+    book.report(1100, { runner: 'd', asOf: 800, running: 0, leaving: false });
+    expect(freeOf(book.decodePlace('d') as never)).toBe(15);
+  });
+
+  test('counts slots that others hold', () => {
+    const book = new PlaceBook();
+    book.setRunners([runner]);
+    book.holdSlot('d', 1000, 10);
+    book.report(2000, { runner: 'd', asOf: 1700, running: 8, leaving: false });
+    expect(freeOf(book.decodePlace('d') as never)).toBe(12);
+  });
+});
--- /dev/null
+++ b/test/core/membership.test.ts
@@ -0,0 +1,110 @@
+import { Fleet } from '../fakes/virtual/fleet';
+import { ownersOfKey } from '../../src/core/ownership';
+import { rank } from '../../src/core/rendezvous';
+
+describe('membership', () => {
+  test('brings a fleet that starts together to one view', () => {
+    const fleet = new Fleet(16, 1);
+    fleet.run(10_000);
+    expect(fleet.views().map((view) => view.alive)).toEqual(Array.from({ length: 16 }, () => 16));
+  });
+
+  /* A VM dies without a word. All others must see it within a bounded time, and none of the living may be blamed. */
+  test('finds a dead VM and blames nobody else', () => {
+    const fleet = new Fleet(16, 2);
+    fleet.run(10_000);
+    fleet.kill(3);
+    const found = fleet.runUntil(() => fleet.views().every(({ alive }) => alive === 15), 30_000);
+    expect(found).toBeLessThan(15_000);
+    expect(fleet.wronglyDead()).toBe(0);
+  });
+
+  /*
+   * A VM is frozen for longer than the suspicion lasts and then wakes. The others
+   * call it dead; on waking it hears so, raises its incarnation, and is back. It
+   * must not call the others dead for answers that it slept through.
+   */
+  test('takes a frozen VM back after it wakes, and it blames nobody', () => {
+    const fleet = new Fleet(8, 3);
+    fleet.run(10_000);
+    fleet.freeze(2, true);
+    fleet.run(15_000);
+    expect(fleet.viewOf(0).state('vm2')).toBe('dead');
+    fleet.freeze(2, false);
+    const back = fleet.runUntil(() => fleet.views().every(({ alive }) => alive === 8), 30_000);
+    expect(back).toBeLessThan(20_000);
+  });
+
+  /* The regions are cut for a minute and heal. Each side goes on by itself; afterwards both are one again. */
+  test('becomes one again after a partition heals', () => {
+    const fleet = new Fleet(10, 4);
+    fleet.run(10_000);
+    fleet.cut((vm) => vm < 5);
+    fleet.run(60_000);
+    expect(fleet.views().map(({ alive }) => alive)).toEqual(Array.from({ length: 10 }, () => 5));
+    fleet.cut(undefined);
+    const healed = fleet.runUntil(() => fleet.views().every(({ alive }) => alive === 10), 60_000);
+    expect(healed).toBeLessThan(60_000);
+  });
+
+  /* One direction between two VMs is cut. Helpers reach the VM for the one that cannot, so nobody calls it dead. */
+  test('bears a one-way cut between two VMs', () => {
+    const fleet = new Fleet(8, 5);
+    fleet.run(10_000);
+    fleet.cutOneWay(0, 1);
+    fleet.run(60_000);
+    expect(fleet.views().every(({ alive }) => alive === 8)).toBe(true);
+  });
+
+  test('passes a rumour to all in a few hops', () => {
+    const fleet = new Fleet(64, 6);
+    fleet.run(10_000);
+    const took = fleet.spread('teams/a', 7);
+    expect(took).toBeLessThan(5000);
+  });
+
+  test('knows a VM that leaves at once and not after a suspicion', () => {
+    const fleet = new Fleet(8, 7);
+    fleet.run(10_000);
+    fleet.leave(4);
+    const seen = fleet.runUntil(() => fleet.viewOf(0).state('vm4') === 'left', 30_000);
+    expect(seen).toBeLessThan(3000);
+  });
+});
+
+describe('ownership', () => {
+  const members = Array.from({ length: 20 }, (_, i) => ({
+    vm: `vm${i}`,
+    domain: 'x',
+    address: '',
+    incarnation: 0,
+    state: 'alive' as const,
+    draining: false,
+    gateways: [],
+  }));
+
+  test('of a key moves only when its owner goes', () => {
+    const keys = Array.from({ length: 500 }, (_, i) => `key-${i}`);
+    const [gone, ...rest] = members;
+    const moved = keys.filter(
+      (key) => ownersOfKey(key, members)[0]?.vm !== ownersOfKey(key, rest)[0]?.vm,
+    );
+    const owned = keys.filter((key) => ownersOfKey(key, members)[0]?.vm === gone?.vm);
+    expect(moved).toEqual(owned);
+  });
+
+  test('follows the weights', () => {
+    const candidates = [
+      { id: 'a', weight: 3 },
+      { id: 'b', weight: 1 },
+    ];
+    const firsts = Array.from({ length: 4000 }, (_, i) => rank(`k${i}`, candidates)[0]?.id);
+    expect(firsts.filter((id) => id === 'a').length / 4000).toBeCloseTo(0.75, 1);
+  });
+
+  test('passes over VMs that leave', () => {
+    const leaving = members.map((member, i) => (i < 10 ? { ...member, draining: true } : member));
+    const owners = Array.from({ length: 100 }, (_, i) => ownersOfKey(`k${i}`, leaving)[0]?.vm);
+    expect(owners.every((vm) => Number(vm?.slice(2)) >= 10)).toBe(true);
+  });
+});
--- a/test/fakes/virtual/workload.ts
+++ b/test/fakes/virtual/workload.ts
@@ -1,5 +1,6 @@
 /** Requests of the two deployments, drawn from a seed. */
 
+import { uniformInt } from 'pure-rand/distribution/uniformInt';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
 import type { EngineFigures } from '../engine/model';
@@ -8,10 +9,12 @@
 /** A source of uniform numbers in [0, 1). */
 export type Random = () => number;
 
+const RANGE = 2 ** 32;
+
 /** Seeded numbers; equal seeds give equal runs. */
 export function seeded(seed: number): Random {
   const generator = xoroshiro128plus(seed);
-  return () => (generator.next() >>> 0) / 2 ** 32;
+  return () => uniformInt(generator, 0, RANGE - 1) / RANGE;
 }
 
 /** A request to come. */
