--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -24,7 +24,7 @@
     load: 'scripts/load.ts',
     policies: 'scripts/policies.ts',
     slopes: 'scripts/slopes.ts',
-    chaos: 'scripts/chaos.ts',
+    chaos: 'scripts/chaos/main.ts',
     soak: 'scripts/soak.ts',
   },
   outdir: 'build',
@@ -34,7 +34,12 @@
   target: 'node20',
   format: 'cjs',
   mainFields: ['module', 'main'],
-  external: ['unix-dgram'],
+  alias: Object.fromEntries(
+    ['unix-dgram', 'bufferutil', 'utf-8-validate', 'msgpackr-extract'].map((name) => [
+      name,
+      './scripts/absent.cjs',
+    ]),
+  ),
   define: { GOLDCRESTDOCK_VERSION: JSON.stringify(`${version} (${commit()})`) },
   logLevel: 'warning',
 });
--- a/src/core/cell/lifecycle.ts
+++ b/src/core/cell/lifecycle.ts
@@ -85,15 +85,19 @@
     this.#queue.retry(now, entry);
   }
 
-  /** Takes over a request that ran under another owner; it holds what its gateway says it holds. */
+  /**
+   * Takes over a request that ran under another owner, or comes into line with
+   * its gateway after messages crossed: it holds what the gateway says it holds.
+   */
   adopt(now: number, adoption: Adoption): void {
     const board = this.#board;
     const { arrival, prefillRunner } = adoption;
     const known = board.requests.get(arrival.id);
-    if (known) {
+    if (known && agrees(known, adoption)) {
       this.#queue.repeat(known);
       return;
     }
+    if (known) board.drop(now, known);
     const entry = newEntry(arrival, now);
     entry.sent = true;
     entry.prefillRunner = prefillRunner;
@@ -106,7 +110,7 @@
     const board = this.#board;
     entry.stage = 'decoding';
     board.decoding.add(entry);
-    if (decodeRunner === undefined || !board.places.decodePlace(decodeRunner)) return;
+    if (decodeRunner === undefined) return;
     entry.decodeRunner = decodeRunner;
     board.places.holdSlot(decodeRunner, now, arrival.promptTokens);
   }
@@ -163,3 +167,13 @@
   entry.countedTokens = tokens;
   entry.arrival = { ...entry.arrival, promptTokens: entry.arrival.promptTokens + fresh };
 }
+
+/** Whether the cell and the gateway see a request alike, but for messages on their way. */
+function agrees({ stage, prefillRunner, decodeRunner }: Entry, told: Adoption): boolean {
+  if (told.stage === 'decoding') {
+    return (stage === 'transferring' || stage === 'decoding') && decodeRunner === told.decodeRunner;
+  }
+  if (prefillRunner !== told.prefillRunner) return false;
+  if (told.stage === 'prefilling') return stage === 'prefilling';
+  return stage === 'prefilled' || stage === 'transferring';
+}
--- a/src/core/registry/keys.ts
+++ b/src/core/registry/keys.ts
@@ -16,6 +16,11 @@
   readonly runner: string;
   /** Id under which the runner knows the request. */
   readonly runId: string;
+  /**
+   * Tokens of the answer that came from earlier runs. The runner's stream begins
+   * behind them, so a gateway that does not have them cannot go on from it.
+   */
+  readonly base: number;
 }
 
 /** What a new attempt is told. */
--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -221,6 +221,7 @@
         phase: this.#phase,
         digest: this.#fleet.settings.digest,
         models: this.#models.size,
+        oldest: this.#models.oldest(Date.now()),
         plain: this.#plain.size,
         rss: process.memoryUsage().rss,
         cpuMs: Math.round((process.cpuUsage().user + process.cpuUsage().system) / 1000),
--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -9,13 +9,13 @@
 import { Failure, toFailure } from '../../core/failure';
 import { requestId } from '../../core/ids';
 import { countTokens, hashBlocks } from '../../core/prefix';
-import type { Attempt } from '../../core/registry/keys';
+import type { Attempt, StreamPlace } from '../../core/registry/keys';
 import type { ModelService } from '../../core/settings/schema';
 import { readBody, sendFailure } from '../../utils/http';
 import type { PeerLink } from '../peer/link';
 import type { ToGateway } from '../peer/messages';
 import type { Relay } from './relay';
-import type { ModelRequest, RunContext, RunOutcome } from './run';
+import type { ModelRequest, RunContext, RunDescription, RunOutcome } from './run';
 import { ModelRun } from './run';
 import type { Sink } from './sink';
 import { EventSink, JsonSink, OnceSink } from './sink';
@@ -40,6 +40,10 @@
 
 type Completion = z.infer<typeof completionSchema>;
 
+/** Tells the caller the id under which logs and runners know its request. */
+const REQUEST_HEADER = 'goldcrestdock-request';
+/** Runs that the status shows. */
+const OLDEST_SHOWN = 5;
 /** Longest idempotency key. */
 const KEY_LIMIT = 200;
 /** Longest answer that is kept for replay, in characters. */
@@ -52,7 +56,7 @@
     gateway: z.string(),
     id: z.string(),
     place: z
-      .object({ runner: z.string(), runId: z.string() })
+      .object({ runner: z.string(), runId: z.string(), base: z.int() })
       .nullish()
       .transform((place) => place ?? undefined),
   }),
@@ -106,6 +110,11 @@
     return this.#runs.size;
   }
 
+  /** The runs that are under way for longest. */
+  oldest(now: number): readonly RunDescription[] {
+    return [...this.#runs.values()].slice(0, OLDEST_SHOWN).map((run) => run.describe(now));
+  }
+
   run(id: string): ModelRun | undefined {
     return this.#runs.get(id);
   }
@@ -127,6 +136,7 @@
     const body = await readBody(req, this.#options.bodyBytes);
     const completion = parseCompletion(body.toString());
     const request = this.#check(team, completion, key !== undefined);
+    res.setHeader(REQUEST_HEADER, request.id);
     const sink = sinkFor(res, request, completion.stream);
     if (key === undefined) this.#startFresh(request, sink, res, now);
     else await this.#startKeyed(request, `${team}/${key}`, sink, res, now);
@@ -169,7 +179,7 @@
       {
         ...this.#options,
         onEnd: (ended, outcome) => this.#ended(ended, outcome),
-        onLocated: (located, runner, runId) => this.#located(located, runner, runId),
+        onLocated: (located, place) => this.#located(located, place),
       },
       now,
     );
@@ -245,7 +255,7 @@
     }
     this.#keys.set(request.id, key);
     this.#options.metrics.count('model.taken_over');
-    if (!place) {
+    if (!place || place.base > 0) {
       this.#startFresh(request, sink, res, now);
       return;
     }
@@ -254,10 +264,10 @@
     run.takeOver(place.runner, place.runId);
   }
 
-  #located(run: ModelRun, runner: string, runId: string): void {
+  #located(run: ModelRun, place: StreamPlace): void {
     const { id } = run.request;
     const key = this.#keys.get(id);
-    if (key !== undefined) this.#tellRegistry(key, 'keys.locate', { key, id, runner, runId });
+    if (key !== undefined) this.#tellRegistry(key, 'keys.locate', { key, id, ...place });
   }
 
   #ended(run: ModelRun, outcome: RunOutcome): void {
--- a/src/node/gateway/run.ts
+++ b/src/node/gateway/run.ts
@@ -6,6 +6,7 @@
 import { codes } from '../../core/codes';
 import { Failure } from '../../core/failure';
 import { runIdOf } from '../../core/ids';
+import type { StreamPlace } from '../../core/registry/keys';
 import type { ModelService } from '../../core/settings/schema';
 import type { Metrics } from '../metrics';
 import type { PeerLink } from '../peer/link';
@@ -14,6 +15,7 @@
 import { RunnerFailure } from '../runner/client';
 import type { Canceller } from './canceller';
 import type { Fleet } from './fleet';
+import { Silence } from './silence';
 import type { Sink } from './sink';
 
 /** A checked model request. */
@@ -42,7 +44,7 @@
   /** Told once when the run has ended. */
   readonly onEnd: (run: ModelRun, outcome: RunOutcome) => void;
   /** Told where the answer streams, so that another gateway could go on with it. */
-  readonly onLocated: (run: ModelRun, runner: string, runId: string) => void;
+  readonly onLocated: (run: ModelRun, place: StreamPlace) => void;
 }
 
 /** How a run ended. */
@@ -55,10 +57,23 @@
   readonly tokens: number;
 }
 
+/** A run as the status shows it. */
+export interface RunDescription {
+  readonly id: string;
+  readonly stage: string;
+  readonly ageMs: number;
+  readonly owner: string | undefined;
+  readonly prefillRunner: string | undefined;
+  readonly decodeRunner: string | undefined;
+  readonly tokens: number;
+}
+
 interface Place {
   readonly runner: string;
   readonly url: string;
   readonly runId: string;
+  /** Ends the step at this place when the runner goes silent. */
+  readonly silence: Silence;
 }
 
 type Stage = 'queued' | 'prefilling' | 'prefilled' | 'decoding' | 'ended';
@@ -67,6 +82,10 @@
 const OWNER_RETRY_MS = 50;
 /** A run without an owner waits at least this long for a new one once it was sent to runners, in milliseconds. */
 const OWNER_WAIT_MS = 10_000;
+/** A runner that says nothing for this long during a prefill is given up, in milliseconds. */
+const PREFILL_SILENCE_MS = 15_000;
+/** A runner that sends no token for this long is given up, in milliseconds; the transfer comes before the first. */
+const TOKEN_SILENCE_MS = 5000;
 /** How long a keyed run goes on without a reader, in milliseconds. */
 const UNREAD_MS = 2000;
 /** When callers should come back after no owner was found, in milliseconds. */
@@ -120,6 +139,19 @@
     return this.#stage === 'ended';
   }
 
+  /** For operators who look for the cause of a slow request. */
+  describe(now: number): RunDescription {
+    return {
+      id: this.request.id,
+      stage: this.#stage,
+      ageMs: now - this.#startedAt,
+      owner: this.#owner?.address,
+      prefillRunner: this.#prefill?.runner,
+      decodeRunner: this.#decode?.runner,
+      tokens: this.#tokens.length,
+    };
+  }
+
   get tokens(): readonly string[] {
     return this.#tokens;
   }
@@ -183,9 +215,10 @@
     }
     this.#sent = true;
     this.#stage = 'decoding';
-    this.#decode = { runner, url, runId };
+    const place = { runner, url, runId, silence: new Silence(this.#work.signal) };
+    this.#decode = place;
     this.place();
-    this.#stream(this.#context.runners.resume(url, runId, 0, this.#work.signal), this.#decode);
+    this.#stream(this.#context.runners.resume(url, runId, 0, place.silence.signal), place);
   }
 
   /** The caller is gone: frees every runner and the place at the owner. */
@@ -266,11 +299,29 @@
     const url = this.#urlOf(runner);
     if (url === undefined) return undefined;
     this.#attempt += 1;
-    return { runner, url, runId: runIdOf(this.request.id, this.#attempt) };
+    return {
+      runner,
+      url,
+      runId: runIdOf(this.request.id, this.#attempt),
+      silence: new Silence(this.#work.signal),
+    };
+  }
+
+  /**
+   * The owner's action does not fit what this gateway holds: messages crossed
+   * while owners changed. Dropped without a word, the owner would wait for its
+   * action and this run for another, for ever; so the owner is told what is true
+   * here and comes into line. A repeated action needs nothing.
+   */
+  #contradict(repeated: boolean): void {
+    if (!repeated) this.#ask();
   }
 
   #startPrefill({ runner }: Message<'prefill'>): void {
-    if (this.#stage !== 'queued' && this.#stage !== 'prefilled') return;
+    if (this.#stage !== 'queued' && this.#stage !== 'prefilled') {
+      this.#contradict(this.#stage === 'prefilling' && this.#prefill?.runner === runner);
+      return;
+    }
     const place = this.#newPlace(runner);
     if (!place) {
       this.#tellFailed(runner, 'lost');
@@ -280,8 +331,10 @@
     this.#prefill = place;
     this.#sent = true;
     const { id, service } = this.request;
+    place.silence.expect(PREFILL_SILENCE_MS);
     this.#context.runners
-      .prefill(place.url, this.#job(place.runId), this.#work.signal)
+      .prefill(place.url, this.#job(place.runId), place.silence.signal)
+      .finally(() => place.silence.stop())
       .then(({ cachedTokens, keptMs }) => {
         if (this.#prefill !== place || this.#stage !== 'prefilling') return;
         this.#stage = 'prefilled';
@@ -299,7 +352,10 @@
 
   #startDecode({ runner, source }: Message<'decode'>): void {
     const from = this.#prefill;
-    if (this.#stage !== 'prefilled' || from?.runner !== source) return;
+    if (this.#stage !== 'prefilled' || from?.runner !== source) {
+      this.#contradict(this.#stage === 'decoding' && this.#decode?.runner === runner);
+      return;
+    }
     const place = this.#newPlace(runner);
     if (!place) {
       this.#tellFailed(runner, 'lost');
@@ -312,20 +368,27 @@
       place.url,
       job,
       { url: from.url, runId: from.runId },
-      this.#work.signal,
+      place.silence.signal,
     );
-    if (this.request.keyed) this.#context.onLocated(this, place.runner, place.runId);
+    if (this.request.keyed) {
+      const base = this.#tokens.length;
+      this.#context.onLocated(this, { runner: place.runner, runId: place.runId, base });
+    }
     this.#stream(tokens, place);
   }
 
   #stream(tokens: AsyncIterable<Token>, place: Place): void {
-    this.#read(tokens, place).catch((error: Error) => this.#decodeFailed(place, error));
+    place.silence.expect(TOKEN_SILENCE_MS);
+    this.#read(tokens, place)
+      .finally(() => place.silence.stop())
+      .catch((error: Error) => this.#decodeFailed(place, error));
   }
 
   async #read(tokens: AsyncIterable<Token>, place: Place): Promise<void> {
     const base = this.#tokens.length;
     for await (const { offset, text } of tokens) {
       if (this.ended || this.#decode !== place) return;
+      place.silence.expect(TOKEN_SILENCE_MS);
       this.#accept(base + offset, text);
     }
     if (this.ended || this.#decode !== place) return;
--- a/src/node/scheduler/cells.ts
+++ b/src/node/scheduler/cells.ts
@@ -39,6 +39,8 @@
 const CAUTION_MS = 250;
 /** Requests of a lost gateway are dropped after this time, in milliseconds; it may only have lost its link. */
 const ORPHAN_MS = 3000;
+/** Requests of each cell that the status shows. */
+const OLDEST_SHOWN = 5;
 /** Owner and next in line take requests; a third would only split the account further. */
 const CLAIMS_SERVED = 2;
 
@@ -96,6 +98,19 @@
     return new Map([...this.#hosted].map(([pool, { cell }]) => [pool, cell]));
   }
 
+  /** Requests that are in each cell for longest, for operators who look for the cause of a slow one. */
+  oldest(now: number): readonly unknown[] {
+    return [...this.#hosted].flatMap(([pool, { cell, peers }]) =>
+      [...cell.requests.values()].slice(0, OLDEST_SHOWN).map(({ arrival, stage, since }) => ({
+        pool,
+        id: arrival.id,
+        stage,
+        sinceMs: now - since,
+        gateway: peers.get(arrival.id)?.id,
+      })),
+    );
+  }
+
   receive(peer: Peer, message: CellMessage): void {
     const hosted = this.#hosted.get(message.pool) ?? this.#open(message.pool);
     if (!hosted) {
@@ -158,7 +173,7 @@
       const lost = !spec || this.#options.claim(pool) >= CLAIMS_SERVED;
       const idle = this.#options.claim(pool) > 0 && hosted.cell.requests.size === 0;
       if (lost || idle) this.#close(pool, hosted);
-      else this.#configure(pool, hosted.cell);
+      else this.#configure(pool);
     }
   }
 
@@ -195,17 +210,16 @@
     });
     const hosted: Hosted = { cell, peers: new Map(), timer: undefined };
     this.#hosted.set(pool, hosted);
-    this.#configure(pool, cell);
+    this.#configure(pool);
     this.#options.log.info(`Planning pool ${pool}.`);
     return hosted;
   }
 
-  #configure(pool: string, cell: Cell): void {
+  #configure(pool: string): void {
     const settings = this.#options.settings();
     const spec = settings.pool(pool);
     if (!spec || !settings.consortium) return;
-    const now = Date.now();
-    cell.handle(now, { kind: 'policy', policy: policyOf(spec, settings.consortium) });
+    this.handle(pool, { kind: 'policy', policy: policyOf(spec, settings.consortium) });
     this.handle(pool, { kind: 'runners', runners: runnersOf(spec) });
   }
 
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -212,6 +212,7 @@
       leaving: this.#leaving,
       digest: settings.digest,
       cells: [...this.#cells.cells.keys()],
+      oldest: this.#cells.oldest(Date.now()),
       gateways: [...this.#gateways.keys()],
       keys: this.#keys.size,
       rss: process.memoryUsage().rss,
--- a/src/node/scheduler/methods.ts
+++ b/src/node/scheduler/methods.ts
@@ -47,6 +47,7 @@
   id: z.string(),
   runner: z.string(),
   runId: z.string(),
+  base: z.int(),
 });
 const transferSchema = z.object({
   key: z.string(),
@@ -97,8 +98,8 @@
       return keys.attempt(Date.now(), key, fingerprint, gateway, id);
     },
     'keys.locate': (params) => {
-      const { key, id, runner, runId } = locateSchema.parse(params);
-      keys.locate(key, id, { runner, runId });
+      const { key, id, runner, runId, base } = locateSchema.parse(params);
+      keys.locate(key, id, { runner, runId, base });
     },
     'keys.transfer': (params) => {
       const { key, from, gateway, id } = transferSchema.parse(params);
--- a/test/fakes/caller.ts
+++ b/test/fakes/caller.ts
@@ -42,6 +42,8 @@
   /** Text so far. */
   text: string;
   id: string;
+  /** Id in the answer's header, of refusals too. */
+  requestId: string;
   /** Whether the end mark came. */
   whole: boolean;
   error: unknown;
@@ -67,7 +69,8 @@
 }
 
 async function readAll(stream: OpenStream, res: IncomingMessage): Promise<void> {
-  Object.assign(stream, { status: res.statusCode ?? 0 });
+  const requestId = String(res.headers['goldcrestdock-request'] ?? '');
+  Object.assign(stream, { status: res.statusCode ?? 0, requestId });
   res.setEncoding('utf8');
   let rest = '';
   for await (const chunk of res) {
@@ -78,13 +81,13 @@
   if (stream.status !== 200) Object.assign(stream, { error: JSON.parse(rest) });
 }
 
-/** Opens a stream; resolves as soon as the request is sent. */
-export async function openStream(
+/** Opens a stream. */
+export function openStream(
   gateway: string,
   prompt: string,
   maxTokens: number,
   options: AskOptions = {},
-): Promise<OpenStream> {
+): OpenStream {
   const req = request(`${gateway}/v1/completions`, {
     method: 'POST',
     headers: headersOf(options),
@@ -95,6 +98,7 @@
     offsets: [],
     text: '',
     id: '',
+    requestId: '',
     whole: false,
     error: undefined,
     status: 0,
@@ -109,16 +113,13 @@
       .finally(end);
   });
   req.on('error', end);
-  await new Promise<void>((resolve) => {
-    req.end(
-      JSON.stringify({
-        model: options.model ?? 'deeds',
-        prompt,
-        max_tokens: maxTokens,
-        stream: true,
-      }),
-      resolve,
-    );
-  });
+  req.end(
+    JSON.stringify({
+      model: options.model ?? 'deeds',
+      prompt,
+      max_tokens: maxTokens,
+      stream: true,
+    }),
+  );
   return stream;
 }
--- a/test/fakes/engine/server.ts
+++ b/test/fakes/engine/server.ts
@@ -259,7 +259,12 @@
 
   #cancel(res: ServerResponse, id: string): void {
     const known = this.model.cancel(Date.now(), id);
+    this.#streams.get(id)?.res?.destroy();
     this.#streams.delete(id);
+    this.#prefills.get(id)?.destroy();
+    this.#prefills.delete(id);
+    this.#sends.get(id)?.destroy();
+    this.#sends.delete(id);
     this.#pump();
     sendJson(res, 200, { known });
   }
--- a/test/node/edges.test.ts
+++ b/test/node/edges.test.ts
@@ -45,7 +45,7 @@
 
   /* Whatever a caller sends, others must not notice: one stream runs through all of it. */
   test('gets a numbered error and leaves another request untouched', async () => {
-    const witness = await openStream(cluster.callers(0), 'witness', 800);
+    const witness = openStream(cluster.callers(0), 'witness', 800);
     const post = (body: unknown, headers = clerk): Promise<unknown> =>
       call('POST', `${cluster.callers(0)}/v1/completions`, body, headers).then(
         ({ status, body: text }) => `${status} ${errorOf(text)}`,
--- a/test/node/model.test.ts
+++ b/test/node/model.test.ts
@@ -15,7 +15,7 @@
   });
 
   test('are answered whole as a stream with offsets', async () => {
-    const stream = await openStream(cluster.callers(1), 'a streamed history', 40);
+    const stream = openStream(cluster.callers(1), 'a streamed history', 40);
     await stream.ended;
     expect(stream.text).toBe(answerText('a streamed history', 40));
     expect(stream.offsets).toEqual(stream.offsets.map((_, i) => i));
@@ -77,9 +77,9 @@
     const prefills = (): number =>
       cluster.prefillRunners.reduce((sum, { ran }) => sum + ran.size, 0);
     const before = prefills();
-    const first = await openStream(cluster.callers(0), prompt, 900, { key: 'k3' });
+    const first = openStream(cluster.callers(0), prompt, 900, { key: 'k3' });
     await eventually('the first run streams', () => first.offsets.length > 3);
-    const second = await openStream(cluster.callers(1), prompt, 900, { key: 'k3' });
+    const second = openStream(cluster.callers(1), prompt, 900, { key: 'k3' });
     await Promise.all([first.ended, second.ended]);
     expect(second.text).toBe(answerText(prompt, 900));
     expect(first.whole).toBe(false);
@@ -106,7 +106,7 @@
     ['before the first token', 0],
     ['in mid-answer', 5],
   ])('whose caller leaves %s free all memory', async (_when, tokensSeen) => {
-    const stream = await openStream(cluster.callers(0), `abandoned ${tokensSeen}`.repeat(20), 1000);
+    const stream = openStream(cluster.callers(0), `abandoned ${tokensSeen}`.repeat(20), 1000);
     await eventually(
       'tokens came',
       () => cluster.held.length > 0 && stream.offsets.length >= tokensSeen,
@@ -122,7 +122,7 @@
    * answer goes on behind them: the caller sees one whole answer.
    */
   test('whose runner is lost in mid-answer go on at their offset', async () => {
-    const stream = await openStream(cluster.callers(0), 'long deed with many parts', 900);
+    const stream = openStream(cluster.callers(0), 'long deed with many parts', 900);
     await eventually('tokens came', () => stream.offsets.length > 5);
     await Promise.all(
       cluster.decodeRunners.map(({ url }) => call('POST', `${url}/fault`, { cut: true })),
