--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -26,6 +26,7 @@
     slopes: 'scripts/slopes.ts',
     chaos: 'scripts/chaos/main.ts',
     soak: 'scripts/soak.ts',
+    docs: 'scripts/docs/main.ts',
   },
   outdir: 'build',
   outExtension: { '.js': '.cjs' },
--- a/scripts/chaos/callers.ts
+++ b/scripts/chaos/callers.ts
@@ -101,10 +101,11 @@
   #tellWaiting(): void {
     for (const [key, { address, stream, since }] of this.#waiting) {
       const age = Date.now() - since;
-      if (age > SETTLE_MS / 3)
+      if (age > SETTLE_MS / 3) {
         console.error(
           `${key} waits for ${age} ms at ${address}: ${stream.requestId}, ${stream.offsets.length} tokens`,
         );
+      }
     }
   }
 
--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -11,7 +11,7 @@
 import { countTokens, hashBlocks } from '../../core/prefix';
 import type { Attempt, StreamPlace } from '../../core/registry/keys';
 import type { ModelService } from '../../core/settings/schema';
-import { readBody, sendFailure } from '../../utils/http';
+import { readBody } from '../../utils/http';
 import type { PeerLink } from '../peer/link';
 import type { ToGateway } from '../peer/messages';
 import type { Relay } from './relay';
@@ -247,9 +247,9 @@
     const params = { key, from: id, gateway: this.#options.address(), id: request.id };
     const taken = await this.#options.fleet.callKey(key, 'keys.transfer', params);
     if (taken !== true) {
-      sendFailure(
-        res,
+      sink.fail(
         new Failure('alreadyRunning', 'another attempt took this key', { retryAfterMs: 1000 }),
+        false,
       );
       return;
     }
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -101,12 +101,20 @@
   };
 }
 
-/** Answers with a failure and, where known, when to come back. */
+/**
+ * Answers with a failure and, where known, when to come back. Once a part of an
+ * answer is out, cutting the connection is the only way left to say that the
+ * rest will not come; left open, the caller would wait for ever.
+ */
 export function sendFailure(
   res: ServerResponse,
   failure: Failure,
   notRun = failure.code.notRun,
 ): void {
+  if (res.headersSent) {
+    if (!res.writableEnded) res.destroy();
+    return;
+  }
   const { retryAfterMs } = failure;
   const headers: OutgoingHttpHeaders = {};
   if (retryAfterMs !== undefined) headers['retry-after'] = String(Math.ceil(retryAfterMs / 1000));
--- a/test/node/model.test.ts
+++ b/test/node/model.test.ts
@@ -1,6 +1,9 @@
+import { Failure } from '../../src/core/failure';
+import { EventSink } from '../../src/node/gateway/sink';
+import { sendFailure } from '../../src/utils/http';
 import { answerText } from '../fakes/engine/text';
 import { Cluster, eventually, tokens } from '../fakes/cluster';
-import { call } from '../fakes/http';
+import { call, closeServer, listen } from '../fakes/http';
 import { ask, openStream } from '../fakes/caller';
 
 describe('model requests', () => {
@@ -145,3 +148,24 @@
     );
   });
 });
+
+/*
+ * A caller reads its answer through a second gateway from the first one. The
+ * first gateway dies after some tokens, and meanwhile another attempt has taken
+ * the key. The second gateway has sent a part already: it must end the answer
+ * with an error event. Seen in a random run: the connection stayed open for ever.
+ */
+describe('an answer that breaks off after a part is out', () => {
+  test('ends with an error event and never stays open', async () => {
+    const { server, port } = await listen((_req, res) => {
+      res.writeHead(200);
+      new EventSink(res, { id: 'x', model: 'm' }).token(0, ' part');
+      sendFailure(res, new Failure('alreadyRunning', 'gone'));
+    });
+    const cut = await call('GET', `http://127.0.0.1:${port}/`).catch(
+      (error: Error) => error.message,
+    );
+    await closeServer(server);
+    expect(cut).toMatchInlineSnapshot(`"socket hang up"`);
+  });
+});
