--- a/scripts/load.ts
+++ b/scripts/load.ts
@@ -2,7 +2,7 @@
  * Added latency and processor time of gateway and scheduler, against calling the
  * stand-in runners directly, side by side in one run.
  *
- *     node build/load.cjs [REQUESTS] [CALLERS]
+ *     node build/load.cjs [REQUESTS] [CALLERS] [MAX-TOKENS]
  */
 
 import { readFileSync } from 'node:fs';
@@ -15,7 +15,7 @@
 import { call } from '../test/fakes/http';
 
 const PROMPT = 'a title history of some length. '.repeat(60);
-const MAX_TOKENS = 24;
+const MAX_TOKENS = Number(process.argv[4] ?? 24);
 /** Clock ticks of /proc/PID/stat in a second, as on every Linux. */
 const TICKS = 100;
 const MICROSECONDS = 1000;
--- a/src/node/peer/server.ts
+++ b/src/node/peer/server.ts
@@ -46,6 +46,8 @@
 /** A peer that does not say hello within this time is cut off, in milliseconds. */
 const HELLO_LIMIT_MS = 2000;
 const CALL_LIMIT_MS = 2000;
+/** A peer that sends neither messages nor pings for this long is cut off, in milliseconds. */
+const SILENCE_LIMIT_MS = 5000;
 
 function sameKey(a: string, b: string): boolean {
   return timingSafeEqual(Buffer.from(hashToken(a)), Buffer.from(hashToken(b)));
@@ -127,8 +129,12 @@
 
   #accept(socket: WebSocket): void {
     let peer: Connection | undefined;
+    // A frozen gateway keeps its link open and its requests would hold their slots; peers ping every second.
+    const silence = setTimeout(() => socket.terminate(), SILENCE_LIMIT_MS);
+    socket.on('ping', () => silence.refresh());
     const limit = setTimeout(() => socket.terminate(), HELLO_LIMIT_MS);
     socket.on('message', (data: Buffer) => {
+      silence.refresh();
       try {
         const message = decode(toSchedulerSchema, data);
         if (peer) {
@@ -145,6 +151,7 @@
     socket.on('error', (error) => this.#reject(socket, new Failure('peerRejected', error.message)));
     socket.on('close', () => {
       clearTimeout(limit);
+      clearTimeout(silence);
       if (!peer) return;
       peer.calls.failAll('the link was lost');
       this.#options.handler.onClose(peer);
--- a/src/node/scheduler/cells.ts
+++ b/src/node/scheduler/cells.ts
@@ -177,6 +177,15 @@
     }
   }
 
+  /** Marks runners that stand on VMs which the platform lists as leaving. */
+  setLeavingHosts(hosts: ReadonlySet<string>): void {
+    for (const pool of this.#hosted.keys()) {
+      const runners = this.#options.settings().pool(pool)?.runners ?? [];
+      const departing = runners.filter(({ url }) => hosts.has(new URL(url).hostname));
+      this.handle(pool, { kind: 'departing', runners: departing.map(({ id }) => id) });
+    }
+  }
+
   /** Counts broken invariants and publishes the counters. */
   inspect(): void {
     const { metrics, log } = this.#options;
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -79,6 +79,8 @@
 
   #leaving = false;
 
+  #closed = false;
+
   constructor(config: SchedulerConfig, log: Logger) {
     this.#config = config;
     this.#log = logOf(log, 'scheduler');
@@ -189,6 +191,8 @@
 
   /** Ends at once. */
   async close(): Promise<void> {
+    if (this.#closed) return;
+    this.#closed = true;
     clearInterval(this.#review);
     clearTimeout(this.#lister);
     this.#monitor.stop();
@@ -312,6 +316,10 @@
         leaving,
       }));
       this.#members?.tell({ kind: 'listed', vms: listed });
+      const leavingHosts = vms
+        .filter(({ leaving }) => leaving)
+        .map(({ address }) => address.split(':')[0] ?? '');
+      this.#cells.setLeavingHosts(new Set(leavingHosts));
     } catch (error) {
       this.#log.debug(`The VM list could not be read. ${toFailure(error).line}.`);
     }
