--- a/test/docs.test.ts
+++ b/test/docs.test.ts
@@ -30,8 +30,8 @@
     const path = join(folder, file);
     const daemon = file.startsWith('gateway') || file.startsWith('scheduler');
     if (daemon) expect(loadConfig(path).vm).not.toBe('');
-    else if (file.startsWith('consortium'))
+    else if (file.startsWith('consortium')) {
       expect(parseDocument('consortium', read(path)).kind).toBe('consortium');
-    else expect(parseDocument('teams/x', read(path)).kind).toBe('team');
+    } else expect(parseDocument('teams/x', read(path)).kind).toBe('team');
   });
 });
