Give the random run a refusal that is sure to come

A caller now sends prompts too long to be served in time, and receipts whose caller was only ever told "not run" are held against the services' counts.

--- a/scripts/chaos/callers.ts
+++ b/scripts/chaos/callers.ts
@@ -10,6 +10,10 @@
 
 /** Callers at work at once. */
 const CALLERS = 24;
+/** The caller whose prompts are too long to be served in time. */
+const HOPELESS_CALLER = 3;
+/** Bytes of such a prompt: about 200,000 tokens. */
+const HOPELESS_BYTES = 800_000;
 /** Time in which a keyed request must be answered after the faults have ended, in milliseconds. */
 const SETTLE_MS = 30_000;
 const TEAMS = ['clerks', 'lawyers', 'loan-officers'];
@@ -143,6 +147,7 @@
       if (kind === 0) await this.#receipt();
       else if (kind === 1) this.#keyed(await this.#startKeyed());
       else if (kind === 2) await this.#stream(false);
+      else if (number === HOPELESS_CALLER) await this.#hopeless();
       else await this.#stream(true);
       await pause(50 + this.#random() * 400);
     }
@@ -153,6 +158,14 @@
     return `history ${this.#sequence} `.repeat(1 + Math.floor(this.#random() * 400));
   }
 
+  /** A prompt so long that no first token can be in time: refused at once as not run. */
+  async #hopeless(): Promise<void> {
+    const prompt = this.#prompt().padEnd(HOPELESS_BYTES, 'x');
+    const stream = openStream(this.#address(), prompt, 200, { token: this.#token() });
+    await stream.ended;
+    this.#judge(stream, prompt, 200, 'hopeless');
+  }
+
   /** A request without a key; it may be cut by a fault, but what ends must be whole. */
   async #stream(hangsUp: boolean): Promise<void> {
     const prompt = this.#prompt();
--- a/scripts/chaos/checks.ts
+++ b/scripts/chaos/checks.ts
@@ -21,11 +21,12 @@
   }
 }
 
-/** Every receipt ran at most once. */
+/** Every receipt ran at most once, and those whose caller was only ever told "not run" did not. */
 export async function checkRuns(
   deployment: Deployment,
   ledger: Ledger,
   receipts: ReadonlySet<string>,
+  neverRun: ReadonlySet<string>,
 ): Promise<void> {
   const { runners } = deployment.consortium.pools.registry ?? { runners: [] };
   const answers = await Promise.all(runners.map(({ url }) => call('GET', `${url}/runs`)));
@@ -36,6 +37,9 @@
     }
   }
   for (const key of receipts) {
+    if (neverRun.has(key)) {
+      ledger.check('notRun', !runs.has(key), () => `${key} ran, its caller was told it did not`);
+    }
     ledger.check(
       'atMostOnce',
       (runs.get(key) ?? 0) <= 1,
--- a/scripts/chaos/main.ts
+++ b/scripts/chaos/main.ts
@@ -49,7 +49,7 @@
     await timed('settings', operators.check());
     await snapshotRuns(deployment, ran);
     callers.checkNotRun(ran);
-    await checkRuns(deployment, ledger, callers.receipts);
+    await checkRuns(deployment, ledger, callers.receipts, callers.neverRun);
     await checkMemory(deployment, ledger);
     await checkStatus(deployment, ledger);
     console.log(`seed ${seed}, ${seconds} s, faults: ${faults.summary}`);
