Keep the data of a run apart from the run

src/node/gateway/run.ts had grown to 484 lines; its types, the engine's job and the timing of an answer move to request.ts.

--- a/src/node/gateway/burn.ts
+++ b/src/node/gateway/burn.ts
@@ -8,7 +8,7 @@
 import { BurnWindows, burnRate, windows } from '../../core/burn/windows';
 import type { Settings } from '../../core/settings/book';
 import type { BurnReport, BurnRow, GatewayBurn } from '../../types/burn';
-import type { ModelRequest, RunOutcome } from './run';
+import type { ModelRequest, RunOutcome } from './request';
 
 interface Standing {
   readonly windows: BurnWindows;
--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -15,7 +15,7 @@
 import type { PeerLink } from '../peer/link';
 import type { ToGateway } from '../peer/messages';
 import type { Relay } from './relay';
-import type { ModelRequest, RunContext, RunDescription, RunOutcome } from './run';
+import type { ModelRequest, RunContext, RunDescription, RunOutcome } from './request';
 import { ModelRun } from './run';
 import type { Sink } from './sink';
 import { EventSink, JsonSink, OnceSink } from './sink';
--- /dev/null
+++ b/src/node/gateway/request.ts
@@ -0,0 +1,103 @@
+/** Data of a model request and its run, and what is worked out from them alone. */
+
+import type { Logger } from 'pino';
+
+import type { CodeName } from '../../core/codes';
+import type { StreamPlace } from '../../core/registry/keys';
+import type { ModelService } from '../../core/settings/schema';
+import type { Metrics } from '../metrics';
+import type { EngineJob, RunnerClient } from '../runner/client';
+import type { Canceller } from './canceller';
+import type { Fleet } from './fleet';
+import type { ModelRun } from './run';
+import type { Silence } from './silence';
+
+/** A checked model request. */
+export interface ModelRequest {
+  readonly id: string;
+  readonly team: string;
+  readonly serviceName: string;
+  readonly service: ModelService;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  readonly blocks: readonly number[];
+  /** Keeps the prefix caches of teams apart. */
+  readonly salt: string;
+  /** Whether another attempt with the same key may come for the answer. */
+  readonly keyed: boolean;
+}
+
+/** What runs work with. */
+export interface RunContext {
+  readonly fleet: Fleet;
+  readonly runners: RunnerClient;
+  readonly canceller: Canceller;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Told once when the run has ended. */
+  readonly onEnd: (run: ModelRun, outcome: RunOutcome) => void;
+  /** Told where the answer streams, so that another gateway could go on with it. */
+  readonly onLocated: (run: ModelRun, place: StreamPlace) => void;
+}
+
+/** How a run ended. */
+export interface RunOutcome {
+  readonly code: CodeName | undefined;
+  readonly cancelled: boolean;
+  readonly firstTokenMs: number | undefined;
+  /** Mean time between tokens, in milliseconds. */
+  readonly tokenMs: number | undefined;
+  readonly tokens: number;
+}
+
+/** A run as the status shows it. */
+export interface RunDescription {
+  readonly id: string;
+  readonly stage: string;
+  readonly ageMs: number;
+  readonly owner: string | undefined;
+  readonly prefillRunner: string | undefined;
+  readonly decodeRunner: string | undefined;
+  readonly tokens: number;
+}
+
+/** A run's place on a runner. */
+export interface Place {
+  readonly runner: string;
+  readonly url: string;
+  readonly runId: string;
+  /** Ends the step at this place when the runner goes silent. */
+  readonly silence: Silence;
+}
+
+/** How far a run has come, as its gateway sees it. */
+export type RunStage = 'queued' | 'prefilling' | 'prefilled' | 'decoding' | 'ended';
+
+/** The engine's job for a run. Tokens that are out become part of the prompt, so that the engine goes on behind them. */
+export function jobOf(
+  { prompt, maxTokens, service, salt, keyed }: ModelRequest,
+  tokens: readonly string[],
+  runId: string,
+): EngineJob {
+  return {
+    runId,
+    prompt: prompt + tokens.join(''),
+    maxTokens: maxTokens - tokens.length,
+    priority: service.tier === 'interactive' ? 0 : 1,
+    cacheSalt: salt,
+    resumable: keyed,
+  };
+}
+
+/** Times of an answer, in milliseconds; `firstAt` is undefined if no token came. */
+export function timingOf(
+  startedAt: number,
+  firstAt: number | undefined,
+  tokens: number,
+  now: number,
+): Pick<RunOutcome, 'firstTokenMs' | 'tokenMs' | 'tokens'> {
+  if (firstAt === undefined) return { firstTokenMs: undefined, tokenMs: undefined, tokens };
+  const tokenMs = tokens < 2 ? undefined : (now - firstAt) / (tokens - 1);
+  return { firstTokenMs: firstAt - startedAt, tokenMs, tokens };
+}
--- a/src/node/gateway/run.ts
+++ b/src/node/gateway/run.ts
@@ -1,83 +1,25 @@
 /** One model request on its way: talks to the owner of its cell and to runners, and feeds its sinks. */
 
-import type { Logger } from 'pino';
-
 import type { CodeName } from '../../core/codes';
 import { codes } from '../../core/codes';
 import { Failure } from '../../core/failure';
 import { runIdOf } from '../../core/ids';
-import type { StreamPlace } from '../../core/registry/keys';
-import type { ModelService } from '../../core/settings/schema';
-import type { Metrics } from '../metrics';
 import type { PeerLink } from '../peer/link';
 import type { Message, ToGateway, ToScheduler } from '../peer/messages';
-import type { EngineJob, RunnerClient, Token } from '../runner/client';
+import type { Token } from '../runner/client';
 import { RunnerFailure } from '../runner/client';
-import type { Canceller } from './canceller';
-import type { Fleet } from './fleet';
 import { Silence } from './silence';
+import type {
+  ModelRequest,
+  Place,
+  RunContext,
+  RunDescription,
+  RunOutcome,
+  RunStage,
+} from './request';
+import { jobOf, timingOf } from './request';
 import type { Sink } from './sink';
 
-/** A checked model request. */
-export interface ModelRequest {
-  readonly id: string;
-  readonly team: string;
-  readonly serviceName: string;
-  readonly service: ModelService;
-  readonly prompt: string;
-  readonly promptTokens: number;
-  readonly maxTokens: number;
-  readonly blocks: readonly number[];
-  /** Keeps the prefix caches of teams apart. */
-  readonly salt: string;
-  /** Whether another attempt with the same key may come for the answer. */
-  readonly keyed: boolean;
-}
-
-/** What runs work with. */
-export interface RunContext {
-  readonly fleet: Fleet;
-  readonly runners: RunnerClient;
-  readonly canceller: Canceller;
-  readonly log: Logger;
-  readonly metrics: Metrics;
-  /** Told once when the run has ended. */
-  readonly onEnd: (run: ModelRun, outcome: RunOutcome) => void;
-  /** Told where the answer streams, so that another gateway could go on with it. */
-  readonly onLocated: (run: ModelRun, place: StreamPlace) => void;
-}
-
-/** How a run ended. */
-export interface RunOutcome {
-  readonly code: CodeName | undefined;
-  readonly cancelled: boolean;
-  readonly firstTokenMs: number | undefined;
-  /** Mean time between tokens, in milliseconds. */
-  readonly tokenMs: number | undefined;
-  readonly tokens: number;
-}
-
-/** A run as the status shows it. */
-export interface RunDescription {
-  readonly id: string;
-  readonly stage: string;
-  readonly ageMs: number;
-  readonly owner: string | undefined;
-  readonly prefillRunner: string | undefined;
-  readonly decodeRunner: string | undefined;
-  readonly tokens: number;
-}
-
-interface Place {
-  readonly runner: string;
-  readonly url: string;
-  readonly runId: string;
-  /** Ends the step at this place when the runner goes silent. */
-  readonly silence: Silence;
-}
-
-type Stage = 'queued' | 'prefilling' | 'prefilled' | 'decoding' | 'ended';
-
 /** Pause before asking again when no owner can be reached, in milliseconds. */
 const OWNER_RETRY_MS = 50;
 /** A run without an owner waits at least this long for a new one once it was sent to runners, in milliseconds. */
@@ -105,7 +47,7 @@
 
   readonly #limit: NodeJS.Timeout;
 
-  #stage: Stage = 'queued';
+  #stage: RunStage = 'queued';
 
   #attempt = 0;
 
@@ -282,19 +224,6 @@
     return pool?.runners.find(({ id }) => id === runner)?.url;
   }
 
-  #job(runId: string): EngineJob {
-    const { prompt, maxTokens, service, salt, keyed } = this.request;
-    return {
-      runId,
-      // Tokens that are out become part of the prompt, so that the engine goes on behind them.
-      prompt: prompt + this.#tokens.join(''),
-      maxTokens: maxTokens - this.#tokens.length,
-      priority: service.tier === 'interactive' ? 0 : 1,
-      cacheSalt: salt,
-      resumable: keyed,
-    };
-  }
-
   #newPlace(runner: string): Place | undefined {
     const url = this.#urlOf(runner);
     if (url === undefined) return undefined;
@@ -333,7 +262,7 @@
     const { id, service } = this.request;
     place.silence.expect(PREFILL_SILENCE_MS);
     this.#context.runners
-      .prefill(place.url, this.#job(place.runId), place.silence.signal)
+      .prefill(place.url, jobOf(this.request, this.#tokens, place.runId), place.silence.signal)
       .finally(() => place.silence.stop())
       .then(({ cachedTokens, keptMs }) => {
         if (this.#prefill !== place || this.#stage !== 'prefilling') return;
@@ -363,7 +292,7 @@
     }
     this.#stage = 'decoding';
     this.#decode = place;
-    const job = this.#job(place.runId);
+    const job = jobOf(this.request, this.#tokens, place.runId);
     const tokens = this.#context.runners.decode(
       place.url,
       job,
@@ -470,15 +399,9 @@
     for (const place of [this.#prefill, this.#decode]) {
       if (place) this.#context.canceller.cancel(place.url, place.runId);
     }
-    this.#context.onEnd(this, { ...how, ...this.#timing() });
-  }
-
-  #timing(): Pick<RunOutcome, 'firstTokenMs' | 'tokenMs' | 'tokens'> {
-    const tokens = this.#tokens.length;
-    const first = this.#firstTokenAt;
-    const firstTokenMs = first === undefined ? undefined : first - this.#startedAt;
-    const tokenMs =
-      first === undefined || tokens < 2 ? undefined : (Date.now() - first) / (tokens - 1);
-    return { firstTokenMs, tokenMs, tokens };
+    this.#context.onEnd(this, {
+      ...how,
+      ...timingOf(this.#startedAt, this.#firstTokenAt, this.#tokens.length, Date.now()),
+    });
   }
 }
