Say once what stood twice, and drop what nothing calls

Found on reading the change again: five copies of a pause (now the standard library's), the prompt's uncached tokens worked out in three places, the choice that avoids the last runner in two, two functions and a getter that nothing called, a promise made for nothing. Behaviour is as it was.

--- a/scripts/chaos/callers.ts
+++ b/scripts/chaos/callers.ts
@@ -1,5 +1,7 @@
 /** Callers of all kinds, as long as the run lasts. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Deployment } from '../../test/fakes/deployment';
 import { answerText } from '../../test/fakes/engine/text';
 import type { Random } from '../../test/fakes/virtual/workload';
@@ -22,12 +24,6 @@
   readonly error?: { readonly code: number; readonly notRun: boolean };
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Callers and what they saw. */
 export class Callers {
   /** Keys of receipts that were sent. */
@@ -145,7 +141,7 @@
     while (Date.now() < end) {
       const kind = number % 4;
       if (kind === 0) await this.#receipt();
-      else if (kind === 1) this.#keyed(await this.#startKeyed());
+      else if (kind === 1) this.#keyed(this.#newKeyed());
       else if (kind === 2) await this.#stream(false);
       else if (number === HOPELESS_CALLER) await this.#hopeless();
       else await this.#stream(true);
@@ -194,9 +190,9 @@
     return true;
   }
 
-  #startKeyed(): Promise<{ key: string; prompt: string; token: string }> {
+  #newKeyed(): { key: string; prompt: string; token: string } {
     const prompt = this.#prompt();
-    return Promise.resolve({ key: `key-${this.#sequence}`, prompt, token: this.#token() });
+    return { key: `key-${this.#sequence}`, prompt, token: this.#token() };
   }
 
   #keyed(request: { key: string; prompt: string; token: string }): void {
--- a/scripts/chaos/checks.ts
+++ b/scripts/chaos/checks.ts
@@ -1,5 +1,7 @@
 /** Checks against the stand-ins' own records. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Deployment } from '../../test/fakes/deployment';
 import { call } from '../../test/fakes/http';
 import type { Ledger } from './invariants';
@@ -56,9 +58,7 @@
     do {
       const { body } = await call('GET', `${url}/v1/requests`);
       ({ held } = body as { held: string[] });
-      await new Promise((resolve) => {
-        setTimeout(resolve, 100);
-      });
+      await pause(100);
     } while (held.length > 0 && Date.now() < until);
     ledger.check('memory', held.length === 0, () => `${url} holds ${held.join(', ')}`);
   }
--- a/scripts/chaos/faults.ts
+++ b/scripts/chaos/faults.ts
@@ -1,5 +1,7 @@
 /** Faults of all kinds, drawn at random. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Deployment } from '../../test/fakes/deployment';
 import { call } from '../../test/fakes/http';
 import type { Random } from '../../test/fakes/virtual/workload';
@@ -7,12 +9,6 @@
 
 type Fault = () => Promise<void>;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Draws faults and heals them. */
 export class Faults {
   readonly #deployment: Deployment;
--- a/scripts/chaos/operators.ts
+++ b/scripts/chaos/operators.ts
@@ -1,5 +1,7 @@
 /** Operators who write the same settings at the same time, and check what is in force. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Deployment } from '../../test/fakes/deployment';
 import { call } from '../../test/fakes/http';
 import type { Random } from '../../test/fakes/virtual/workload';
@@ -16,12 +18,6 @@
   readonly text: string;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Operators and what they were told. */
 export class Operators {
   readonly #deployment: Deployment;
--- a/src/core/cell/admit.ts
+++ b/src/core/cell/admit.ts
@@ -1,7 +1,7 @@
 /** Controller of the queue: takes requests in, and refuses them as soon as they cannot be served in time. */
 
 import type { CodeName } from '../codes';
-import { BLOCK_TOKENS } from '../prefix';
+import { uncachedTokens } from '../prefix';
 import type { Admission } from './admission';
 import { bestHitBlocks, jitter } from './admission';
 import type { CellBoard } from './board';
@@ -138,7 +138,7 @@
   /** Time from which even an idle cell could not deliver the first token by the deadline. */
   #lossTime({ arrival, hitBlocks }: Entry): number {
     const { costs } = this.#board;
-    const work = Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS);
+    const work = uncachedTokens(arrival.promptTokens, hitBlocks);
     const leastMs =
       costs.prefillMs(work) + costs.transferMs(arrival.promptTokens) + costs.tokenMs(1);
     return arrival.deadline - leastMs;
--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -13,7 +13,7 @@
 import { FairQueue } from './shares';
 import type { CellAction, CellPolicy } from './types';
 import type { CellRequest, CellView } from './view';
-import { BLOCK_TOKENS } from '../prefix';
+import { uncachedTokens } from '../prefix';
 
 /** What a cell counted since it began. */
 export interface CellCounters {
@@ -143,7 +143,7 @@
 
   /** Counts the prefill of a request as thrown away. */
   waste({ arrival, hitBlocks }: CellRequest): void {
-    this.counters.wastedTokens += Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS);
+    this.counters.wastedTokens += uncachedTokens(arrival.promptTokens, hitBlocks);
   }
 
   /** Checks the account against the requests; each line means a place was lost or counted twice. */
--- a/src/core/cell/places.ts
+++ b/src/core/cell/places.ts
@@ -75,6 +75,15 @@
   return Math.max(0, place.cap - place.held - place.foreign);
 }
 
+/** Places without the runner that failed last, unless there is no other. */
+export function avoiding<T extends { readonly runner: Runner }>(
+  places: readonly T[],
+  avoid: string | undefined,
+): readonly T[] {
+  const others = places.filter(({ runner }) => runner.id !== avoid);
+  return others.length > 0 ? others : places;
+}
+
 /** The account itself; only the cell writes to it. */
 export class PlaceBook implements Places {
   readonly #prefill = new Map<string, Mutable<PrefillPlace>>();
--- a/src/core/cell/pool.ts
+++ b/src/core/cell/pool.ts
@@ -22,8 +22,3 @@
   );
   return { ...pool.policy, shares };
 }
-
-/** Whether a pool is planned by a cell: pools of plain services are not. */
-export function isPlanned(pool: Pool): boolean {
-  return pool.runners.some(({ role }) => role !== 'plain');
-}
--- a/src/core/cell/prefill.ts
+++ b/src/core/cell/prefill.ts
@@ -1,11 +1,12 @@
 /** Controller of prefills: starts them when their results will be used, and gives up results that were not. */
 
-import { BLOCK_TOKENS } from '../prefix';
+import { uncachedTokens } from '../prefix';
 import type { QueueController } from './admit';
 import type { CellBoard } from './board';
 import type { Entry } from './entry';
 import { residenceMs } from './forecast';
 import type { PrefillPlace } from './places';
+import { avoiding } from './places';
 import type { Placement } from './placement';
 import type { StartRule } from './start';
 
@@ -85,9 +86,7 @@
     if (!entry || !place) return false;
     const { arrival } = entry;
     const hitBlocks = board.prefixes.hits(place.runner.id, arrival.blocks);
-    const workMs = board.costs.prefillMs(
-      Math.max(0, arrival.promptTokens - hitBlocks * BLOCK_TOKENS),
-    );
+    const workMs = board.costs.prefillMs(uncachedTokens(arrival.promptTokens, hitBlocks));
     const readyInMs = Math.max(0, place.busyUntil - now) + workMs;
     if (!this.#rule.mayStart(now, board, readyInMs)) return false;
     board.waiting.take(this.#costMs(workMs));
@@ -112,8 +111,7 @@
         place.pending < PENDING_LIMIT &&
         board.health.allows(now, place.runner.id),
     );
-    const others = able.filter(({ runner }) => runner.id !== entry.avoid);
-    return this.#placement.prefill(now, board, entry.arrival, others.length > 0 ? others : able);
+    return this.#placement.prefill(now, board, entry.arrival, avoiding(able, entry.avoid));
   }
 
   #start(now: number, entry: Entry, place: PrefillPlace, hitBlocks: number, workMs: number): void {
--- a/src/core/cell/transfer.ts
+++ b/src/core/cell/transfer.ts
@@ -3,7 +3,7 @@
 import type { CellBoard } from './board';
 import type { Entry } from './entry';
 import type { DecodePlace } from './places';
-import { freeOf } from './places';
+import { avoiding, freeOf } from './places';
 import type { Placement } from './placement';
 
 /** Writes decode slots and links. */
@@ -69,7 +69,6 @@
         place.heldTokens + needed <= place.runner.memoryTokens &&
         board.health.allows(now, place.runner.id),
     );
-    const others = able.filter(({ runner }) => runner.id !== entry.avoid);
-    return this.#placement.decode(now, board, entry.arrival, others.length > 0 ? others : able);
+    return this.#placement.decode(now, board, entry.arrival, avoiding(able, entry.avoid));
   }
 }
--- a/src/core/prefix.ts
+++ b/src/core/prefix.ts
@@ -32,6 +32,11 @@
   });
 }
 
+/** Tokens of a prompt that are left to work through when its leading blocks are cached. */
+export function uncachedTokens(promptTokens: number, hitBlocks: number): number {
+  return Math.max(0, promptTokens - hitBlocks * BLOCK_TOKENS);
+}
+
 /** Estimated tokens of a prompt. */
 export function countTokens(prompt: string): number {
   return Math.max(1, Math.ceil(Buffer.byteLength(prompt) / BYTES_PER_TOKEN));
--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import { createServer } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
 
@@ -45,12 +46,6 @@
   });
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Answers what Node could not read as HTTP, so that the caller sees a numbered error and not a closed connection. */
 function answerGarbage(
   error: NodeJS.ErrnoException,
--- a/src/node/gateway/operator.ts
+++ b/src/node/gateway/operator.ts
@@ -1,6 +1,7 @@
 /** The operators' port: settings, status and the service-level report. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
 
@@ -102,9 +103,7 @@
       const answers = await Promise.all(left.map((vm) => this.#revisionAt(vm, path)));
       left = left.filter((_, i) => (answers[i] ?? 0) < revision);
       if (left.length > 0) {
-        await new Promise((resolve) => {
-          setTimeout(resolve, IN_FORCE_LOOK_MS);
-        });
+        await pause(IN_FORCE_LOOK_MS);
       }
     }
     return left;
--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -12,7 +12,7 @@
 import { Failure, toFailure } from '../../core/failure';
 import { PlainBalancer } from '../../core/plain/balancer';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
-import { readBody, sendFailure } from '../../utils/http';
+import { readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Ticket } from './ledger';
@@ -330,11 +330,6 @@
   }
 }
 
-/** Answers a caller whose call failed. */
-export function refuseCall(res: ServerResponse, error: unknown): void {
-  sendFailure(res, toFailure(error));
-}
-
 /** A 503 counts as "not run" only if the runner says so in its body. */
 async function saysNotRun(answer: IncomingMessage): Promise<boolean> {
   if (answer.headers['content-type'] !== 'application/json') return false;
--- a/src/node/gateway/request.ts
+++ b/src/node/gateway/request.ts
@@ -6,6 +6,7 @@
 import type { StreamPlace } from '../../core/registry/keys';
 import type { ModelService } from '../../core/settings/schema';
 import type { Metrics } from '../metrics';
+import type { Message } from '../peer/messages';
 import type { EngineJob, RunnerClient } from '../runner/client';
 import type { Canceller } from './canceller';
 import type { Fleet } from './fleet';
@@ -74,6 +75,18 @@
 /** How far a run has come, as its gateway sees it. */
 export type RunStage = 'queued' | 'prefilling' | 'prefilled' | 'decoding' | 'ended';
 
+/** How messages to the owner name a request. */
+export function nameOf({ id, service }: ModelRequest): Pick<Message<'started'>, 'pool' | 'id'> {
+  return { pool: service.pool, id };
+}
+
+/** What the owner needs to know of a request to place it. */
+export function arrivalOf(request: ModelRequest, dueInMs: number): Omit<Message<'arrive'>, 'kind'> {
+  const { team, service, promptTokens, maxTokens, blocks } = request;
+  const { tier } = service;
+  return { ...nameOf(request), team, tier, promptTokens, maxTokens, blocks: [...blocks], dueInMs };
+}
+
 /** The engine's job for a run. Tokens that are out become part of the prompt, so that the engine goes on behind them. */
 export function jobOf(
   { prompt, maxTokens, service, salt, keyed }: ModelRequest,
--- a/src/node/gateway/run.ts
+++ b/src/node/gateway/run.ts
@@ -17,8 +17,9 @@
   RunOutcome,
   RunStage,
 } from './request';
-import { jobOf, timingOf } from './request';
+import { arrivalOf, jobOf, nameOf, timingOf } from './request';
 import type { Sink } from './sink';
+import { Answer } from './answer';
 
 /** Pause before asking again when no owner can be reached, in milliseconds. */
 const OWNER_RETRY_MS = 50;
@@ -41,9 +42,7 @@
 
   readonly #startedAt: number;
 
-  readonly #tokens: string[] = [];
-
-  readonly #sinks = new Set<Sink>();
+  readonly #answer = new Answer();
 
   readonly #limit: NodeJS.Timeout;
 
@@ -65,8 +64,6 @@
 
   #sent = false;
 
-  #firstTokenAt: number | undefined;
-
   constructor(request: ModelRequest, context: RunContext, now: number) {
     this.request = request;
     this.#context = context;
@@ -90,24 +87,23 @@
       owner: this.#owner?.address,
       prefillRunner: this.#prefill?.runner,
       decodeRunner: this.#decode?.runner,
-      tokens: this.#tokens.length,
+      tokens: this.#answer.tokens.length,
     };
   }
 
   get tokens(): readonly string[] {
-    return this.#tokens;
+    return this.#answer.tokens;
   }
 
   /** Adds a reader and gives it what is out already. */
   attach(sink: Sink): void {
     clearTimeout(this.#unread);
-    this.#tokens.forEach((text, offset) => sink.token(offset, text));
-    this.#sinks.add(sink);
+    this.#answer.attach(sink);
   }
 
   /** A reader is gone. Without readers the run ends, keyed runs after a while. */
   detach(sink: Sink): void {
-    if (!this.#sinks.delete(sink) || this.#sinks.size > 0 || this.ended) return;
+    if (!this.#answer.detach(sink) || this.ended) return;
     if (this.request.keyed) this.#unread = setTimeout(() => this.cancel(), UNREAD_MS);
     else this.cancel();
   }
@@ -115,8 +111,7 @@
   /** Ends all readers in favour of a newer attempt. */
   supersede(): void {
     const failure = new Failure('superseded', 'a newer attempt with this key reads the answer now');
-    for (const sink of this.#sinks) sink.fail(failure, false);
-    this.#sinks.clear();
+    this.#answer.fail(failure, false);
   }
 
   /** Asks the owner for a place; again when the owner has changed. */
@@ -128,7 +123,7 @@
       this.#placeLater();
       return;
     }
-    this.#owner?.send({ kind: 'cancelled', pool: this.request.service.pool, id: this.request.id });
+    this.#owner?.send({ kind: 'cancelled', ...nameOf(this.request) });
     this.#owner = owner;
     this.#ask();
   }
@@ -171,10 +166,7 @@
   }
 
   #ask(): void {
-    const { id, team, service, promptTokens, maxTokens, blocks } = this.request;
-    const { pool, tier } = service;
-    const dueInMs = this.#dueInMs();
-    const common = { pool, id, team, tier, promptTokens, maxTokens, blocks: [...blocks], dueInMs };
+    const common = arrivalOf(this.request, this.#dueInMs());
     const stage = this.#stage;
     if (stage === 'prefilling' || stage === 'prefilled' || stage === 'decoding') {
       const places: { prefillRunner?: string; decodeRunner?: string } = {};
@@ -187,7 +179,7 @@
   }
 
   #dueInMs(): number {
-    if (this.#tokens.length > 0) return OWNER_WAIT_MS;
+    if (this.#answer.tokens.length > 0) return OWNER_WAIT_MS;
     return this.#startedAt + this.request.service.firstTokenMs - Date.now();
   }
 
@@ -259,15 +251,18 @@
     this.#stage = 'prefilling';
     this.#prefill = place;
     this.#sent = true;
-    const { id, service } = this.request;
     place.silence.expect(PREFILL_SILENCE_MS);
     this.#context.runners
-      .prefill(place.url, jobOf(this.request, this.#tokens, place.runId), place.silence.signal)
+      .prefill(
+        place.url,
+        jobOf(this.request, this.#answer.tokens, place.runId),
+        place.silence.signal,
+      )
       .finally(() => place.silence.stop())
       .then(({ cachedTokens, keptMs }) => {
         if (this.#prefill !== place || this.#stage !== 'prefilling') return;
         this.#stage = 'prefilled';
-        this.#tell({ kind: 'prefilled', pool: service.pool, id, cachedTokens, keptMs });
+        this.#tell({ kind: 'prefilled', ...nameOf(this.request), cachedTokens, keptMs });
       })
       .catch((error: Error) => this.#prefillFailed(place, error));
   }
@@ -292,7 +287,7 @@
     }
     this.#stage = 'decoding';
     this.#decode = place;
-    const job = jobOf(this.request, this.#tokens, place.runId);
+    const job = jobOf(this.request, this.#answer.tokens, place.runId);
     const tokens = this.#context.runners.decode(
       place.url,
       job,
@@ -300,7 +295,7 @@
       place.silence.signal,
     );
     if (this.request.keyed) {
-      const base = this.#tokens.length;
+      const base = this.#answer.tokens.length;
       this.#context.onLocated(this, { runner: place.runner, runId: place.runId, base });
     }
     this.#stream(tokens, place);
@@ -314,7 +309,7 @@
   }
 
   async #read(tokens: AsyncIterable<Token>, place: Place): Promise<void> {
-    const base = this.#tokens.length;
+    const base = this.#answer.tokens.length;
     for await (const { offset, text } of tokens) {
       if (this.ended || this.#decode !== place) return;
       place.silence.expect(TOKEN_SILENCE_MS);
@@ -324,18 +319,14 @@
     this.#finish();
   }
 
-  /** A token that is out already is dropped; one too far ahead means that some were lost. */
+  /** A token that is out already is dropped. */
   #accept(offset: number, text: string): void {
-    const next = this.#tokens.length;
-    if (offset < next) return;
-    if (offset > next) throw new RunnerFailure('lost', `found token ${offset}, expected ${next}`);
-    if (next === 0) this.#firstTokenAt = Date.now();
+    if (!this.#answer.isNext(offset)) return;
     if (this.#prefill) {
       this.#prefill = undefined;
-      this.#tell({ kind: 'started', pool: this.request.service.pool, id: this.request.id });
+      this.#tell({ kind: 'started', ...nameOf(this.request) });
     }
-    this.#tokens.push(text);
-    for (const sink of this.#sinks) sink.token(offset, text);
+    this.#answer.add(Date.now(), text);
   }
 
   #decodeFailed(place: Place, error: Error): void {
@@ -362,30 +353,26 @@
   }
 
   #tellFailed(runner: string, reason: RunnerFailure['reason']): void {
-    const { id, service } = this.request;
-    const tokens = this.#tokens.length;
-    this.#tell({ kind: 'failed', pool: service.pool, id, runner, reason, tokens });
+    const tokens = this.#answer.tokens.length;
+    this.#tell({ kind: 'failed', ...nameOf(this.request), runner, reason, tokens });
   }
 
   #finish(): void {
-    const { id, service } = this.request;
     this.#decode = undefined;
     this.#prefill = undefined;
-    this.#tell({ kind: 'finished', pool: service.pool, id, tokens: this.#tokens.length });
+    this.#tell({ kind: 'finished', ...nameOf(this.request), tokens: this.#answer.tokens.length });
     this.#owner = undefined;
-    const sinks = [...this.#sinks];
     this.#end({ code: undefined, cancelled: false });
-    for (const sink of sinks) sink.end(this.#tokens.length);
+    this.#answer.end();
   }
 
   /** "Not run" is said only if this gateway sent nothing to any runner. */
   #fail(code: CodeName, detail: string, retryAfterMs?: number): void {
     if (this.ended) return;
     const failure = new Failure(code, detail, retryAfterMs === undefined ? {} : { retryAfterMs });
-    const sinks = [...this.#sinks];
     const notRun = !this.#sent && codes[code].notRun;
     this.#end({ code, cancelled: false });
-    for (const sink of sinks) sink.fail(failure, notRun);
+    this.#answer.fail(failure, notRun);
   }
 
   #end(how: Pick<RunOutcome, 'code' | 'cancelled'>): void {
@@ -393,15 +380,14 @@
     clearTimeout(this.#limit);
     clearTimeout(this.#retry);
     clearTimeout(this.#unread);
-    this.#sinks.clear();
-    this.#tell({ kind: 'cancelled', pool: this.request.service.pool, id: this.request.id });
+    this.#tell({ kind: 'cancelled', ...nameOf(this.request) });
     this.#work.abort();
     for (const place of [this.#prefill, this.#decode]) {
       if (place) this.#context.canceller.cancel(place.url, place.runId);
     }
     this.#context.onEnd(this, {
       ...how,
-      ...timingOf(this.#startedAt, this.#firstTokenAt, this.#tokens.length, Date.now()),
+      ...timingOf(this.#startedAt, this.#answer.firstAt, this.#answer.tokens.length, Date.now()),
     });
   }
 }
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -1,5 +1,7 @@
 /** The scheduler daemon: puts its parts together, starts and stops them. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Logger } from 'pino';
 
 import { toFailure } from '../../core/failure';
@@ -182,9 +184,7 @@
     this.#notify(this.#allMembers());
     this.#owners.update(this.#allMembers());
     this.#cells.review();
-    await new Promise((resolve) => {
-      setTimeout(resolve, LEAVE_MS);
-    });
+    await pause(LEAVE_MS);
     await this.close();
     this.#log.info('Stopped.');
   }
--- a/src/node/scheduler/ledger.ts
+++ b/src/node/scheduler/ledger.ts
@@ -3,6 +3,8 @@
  * next one, so the rate of writes is bounded by shards, not by requests.
  */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Logger } from 'pino';
 
 import { Failure } from '../../core/failure';
@@ -98,9 +100,7 @@
       } else {
         this.#giveUp(shard, queue, batch, withdrawals);
       }
-      await new Promise((resolve) => {
-        setTimeout(resolve, WRITE_GAP_MS);
-      });
+      await pause(WRITE_GAP_MS);
     }
     queue.busy = false;
   }
--- a/test/fakes/cluster.ts
+++ b/test/fakes/cluster.ts
@@ -1,5 +1,7 @@
 /** A small deployment inside the test's own process: real sockets, real daemons, stand-ins for the rest. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import pino from 'pino';
 
 import type { GatewayConfig, SchedulerConfig } from '../../src/node/config';
@@ -51,9 +53,7 @@
   const end = Date.now() + limitMs;
   while (!(await look())) {
     if (Date.now() > end) throw new Error(`${what}: not within ${limitMs} ms`);
-    await new Promise((resolve) => {
-      setTimeout(resolve, 10);
-    });
+    await pause(10);
   }
 }
 
--- a/test/fakes/deployment.ts
+++ b/test/fakes/deployment.ts
@@ -5,6 +5,7 @@
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Consortium } from '../../src/core/settings/schema';
 import { parseDocument } from '../../src/core/settings/parse';
@@ -46,12 +47,6 @@
 /** Time in which everything must be up, in milliseconds. */
 const START_LIMIT_MS = 30_000;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Runs `look` until it holds; throws after the limit. */
 export async function until(
   what: string,
--- a/test/fakes/platform.ts
+++ b/test/fakes/platform.ts
@@ -6,6 +6,7 @@
 
 import type { Server, ServerResponse } from 'node:http';
 import { randomUUID } from 'node:crypto';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { closeServer, listen, readBody, readJson, sendJson } from './http';
 
@@ -80,9 +81,7 @@
           return;
         }
         const body = await readBody(req);
-        await new Promise((resolve) => {
-          setTimeout(resolve, this.faults.delayMs);
-        });
+        await pause(this.faults.delayMs);
         if (pathname.startsWith('/v1/kv/') && req.method === 'GET') await this.#read(res, url);
         else if (pathname.startsWith('/v1/kv/')) this.#write(req.method ?? '', res, url, body);
         else if (pathname.startsWith('/v1/session/')) this.#session(res, pathname, body);
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -1,6 +1,7 @@
 /** Stand-in for a plain service: echoes, and counts each run by its idempotency key. */
 
 import type { Server } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { closeServer, listen, readBody, sendJson } from './http';
 
@@ -47,9 +48,7 @@
         const key = String(req.headers['idempotency-key'] ?? '');
         const run = (this.runs.get(key) ?? 0) + 1;
         this.runs.set(key, run);
-        await new Promise((resolve) => {
-          setTimeout(resolve, this.delayMs);
-        });
+        await pause(this.delayMs);
         if (this.dropAnswers) res.destroy();
         else {
           sendJson(res, 200, {
--- a/test/fakes/virtual/bench.ts
+++ b/test/fakes/virtual/bench.ts
@@ -171,10 +171,6 @@
     this.#tell({ kind: 'runners', runners });
   }
 
-  get nowMs(): number {
-    return this.#now;
-  }
-
   get cell(): Cell {
     return this.#cell;
   }
