Drop a torn event before a stream goes on, and let refused callers return in turn

Cause 2: refused callers came back after 300 ms into the same burst and were refused for good. Change 2: they are told times one after the other, by the memory that first attempts leave, and keep their place once they are back.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -11,6 +11,7 @@
 import { MemoryAccount, endOf, freeTokens } from './account';
 import { OutputLengths } from './lengths';
 import { backlogMs, learnSlowness, prefillMs, workMs } from './cost';
+import { TokenFlow } from './flow';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
 
 interface Waiting {
@@ -40,6 +41,10 @@
 const GRANT_TRAVEL_MS = 1000;
 /** How long a runner that failed or turned work away gets none, in milliseconds. */
 const AVOID_MS = 400;
+/** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
+const LAST_CHANCE_MS = 1300;
+/** Above every key of a request that can still meet its aim. */
+const LATE_KEY = 1e9;
 /** Part of the wait before the due time after which a large request goes before smaller ones. */
 const AGING_PART = 0.75;
 
@@ -48,18 +53,29 @@
   return prefillMs(promptTokens) + FIRST_EVENT_MS;
 }
 
+/** Those that missed their aim take what the others leave, but a caller that came back goes first before it leaves for good. */
+function lateKey(now: number, { returned, lostAt }: Demand): number {
+  const last = returned && lostAt - now < LAST_CHANCE_MS;
+  return (last ? 0 : LATE_KEY) + Math.max(0, lostAt - now);
+}
+
 /** Planner of one service. */
 export class Planner {
   readonly #account = new MemoryAccount();
 
   readonly #lengths = new OutputLengths();
 
+  readonly #flow = new TokenFlow();
+
   readonly #waiting = new Map<string, Waiting>();
 
   readonly #placed = new Map<string, Placed>();
 
   #engine: Engine | undefined;
 
+  /** When the caller that was refused last was told to come back. */
+  #returnAt = 0;
+
   #actions: PlanAction[] = [];
 
   /** Until then the account may lack what other VMs hold; only what surely fits is granted. */
@@ -121,7 +137,12 @@
   #ask(now: number, demand: Demand): void {
     const placed = this.#placed.get(demand.id);
     if (placed) this.#actions.push({ kind: 'grant', id: demand.id, grant: placed.grant });
-    else if (!this.#waiting.has(demand.id)) this.#waiting.set(demand.id, { demand, since: now });
+    else if (!this.#waiting.has(demand.id)) this.#enqueue(now, demand);
+  }
+
+  #enqueue(now: number, demand: Demand): void {
+    this.#waiting.set(demand.id, { demand, since: now });
+    if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
   }
 
   #prefilled(now: number, id: string, ms: number): void {
@@ -144,6 +165,7 @@
     const placed = this.#placed.get(id);
     if (!placed) return;
     this.#lengths.learn(placed.demand, outputTokens);
+    this.#flow.held(now - placed.grantedAt);
     this.#leave(now, id, placed);
   }
 
@@ -243,8 +265,8 @@
     if (demand.resuming) return 0;
     const needMs = leastMs(demand);
     const inTime = now + needMs <= demand.dueAt;
-    const size = demand.promptTokens + this.#lengths.expect(demand);
-    if (!inTime) return 1e9 + demand.lostAt;
+    const size = this.#sizeOf(demand);
+    if (!inTime) return lateKey(now, demand);
     const slack = Math.max(1, demand.dueAt - needMs - since);
     const aged = (now - since) / slack >= AGING_PART;
     return aged ? size / 2 : size;
@@ -258,7 +280,7 @@
   }
 
   #findDecode(now: number, demand: Demand): DecodeState | undefined {
-    const need = demand.promptTokens + this.#lengths.expect(demand);
+    const need = this.#sizeOf(demand);
     let best: DecodeState | undefined;
     let bestFree = 0;
     for (const state of this.#account.decode.values()) {
@@ -297,28 +319,50 @@
   }
 
   /**
-   * A request whose turn will not come before its caller leaves is refused as
-   * soon as that is known, with the time at which a place is likely. Held
-   * longer, it would only take from the time in which its caller can come back.
+   * Refuses what cannot be served while its caller waits, as soon as that is
+   * known. A first attempt that would miss its aim waits only if memory is likely
+   * to be left over for it; else it is told when to come back. A caller that came
+   * back has no further try, so it keeps its place until it leaves.
    */
   #refuseHopeless(now: number): void {
+    const spare = this.#flow.spare(now, this.#memory());
     let ahead = 0;
+    let late = 0;
     for (const { demand } of this.#order(now)) {
-      const size = demand.promptTokens + this.#lengths.expect(demand);
+      const size = this.#sizeOf(demand);
       ahead += size;
       const waitMs = Math.max(this.#waitForMemory(now, ahead), this.#waitForPrefill(ahead));
-      const firstAt = now + waitMs + leastMs(demand);
-      const inTime = firstAt <= demand.dueAt;
-      const limit = demand.returned || inTime ? demand.lostAt - LOST_MARGIN_MS : demand.dueAt;
-      if (firstAt > limit) {
+      const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
+      const lateMs = waitMs + (late + size) / spare;
+      const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
+      const keep = demand.returned || demand.resuming ? now <= lastAt : now + lateMs <= lastAt;
+      if (!inTime && keep) late += size;
+      if (!inTime && !keep) {
         ahead -= size;
-        this.#waiting.delete(demand.id);
-        const retryAfterMs = Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, waitMs));
-        this.#actions.push({ kind: 'refuse', id: demand.id, retryAfterMs });
+        this.#refuse(now, demand, lateMs, size / spare);
       }
     }
   }
 
+  /** Callers are told times one after the other, so that they do not all come back at once. */
+  #refuse(now: number, { id }: Demand, waitMs: number, turnMs: number): void {
+    this.#waiting.delete(id);
+    const from = Math.max(this.#returnAt, now + Math.min(waitMs, RETRY_MOST_MS / 2));
+    this.#returnAt = Math.min(now + RETRY_MOST_MS, from + turnMs);
+    const retryAfterMs = Math.max(RETRY_LEAST_MS, this.#returnAt - now);
+    this.#actions.push({ kind: 'refuse', id, retryAfterMs });
+  }
+
+  #sizeOf(demand: Demand): number {
+    return demand.promptTokens + this.#lengths.expect(demand);
+  }
+
+  #memory(): number {
+    let tokens = 0;
+    for (const { memoryTokens } of this.#account.decode.values()) tokens += memoryTokens;
+    return tokens;
+  }
+
   /** Time until that many tokens of memory will have come free, in milliseconds. */
   #waitForMemory(now: number, tokens: number): number {
     const ends: { readonly at: number; readonly tokens: number }[] = [];
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -239,6 +239,7 @@
       return 'broken';
     }
     const before = splitter.events;
+    splitter.restart();
     try {
       for await (const chunk of reply.body) {
         const events = splitter.push(chunk as Buffer);
--- a/src/node/router/splitter.ts
+++ b/src/node/router/splitter.ts
@@ -36,6 +36,11 @@
     return whole;
   }
 
+  /** Begins a new run that goes on after the last whole event; a torn one is sent again from its start. */
+  restart(): void {
+    this.#rest = Buffer.alloc(0);
+  }
+
   #read(text: string): void {
     for (const event of text.split('\n\n')) {
       if (event !== '') this.events += 1;
