Order idle prefill runners to decode, by one holder of a lock with a growing fence

Change: the owner works out from measured prompt sizes, outputs and times how many runners should prefill, and orders the rest to decode: at once before the first work, after 9 s of lack or excess later. Orders go out under a lock in the store by compare-and-swap; the fence is the store's revision; the lock is renewed right before each order; a new holder waits two leases. Ruled out: acting on each crash (a change takes 6 s, a crash passes in 2 to 5). Times of return also go round in heavy bursts (test).

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -96,7 +96,7 @@
 
   /** Takes over the runners that may get work. Work on others stays counted until it ends. */
   setRunners(engine: Engine, runners: readonly Runner[]): void {
-    const listed = new Set(runners.map(({ id }) => id));
+    const listed = new Map(runners.map(({ id, role }) => [id, role]));
     for (const runner of runners) {
       if (runner.role === 'decode' && !this.decode.has(runner.id)) {
         this.decode.set(runner.id, {
@@ -112,8 +112,10 @@
         this.prefill.set(runner.id, { runner, pending: new Map(), slowness: 1, avoidUntil: 0 });
       }
     }
-    for (const id of this.decode.keys()) if (!listed.has(id)) this.decode.delete(id);
-    for (const id of this.prefill.keys()) if (!listed.has(id)) this.prefill.delete(id);
+    for (const id of this.decode.keys()) if (listed.get(id) !== 'decode') this.decode.delete(id);
+    for (const id of this.prefill.keys()) {
+      if (listed.get(id) !== 'prefill') this.prefill.delete(id);
+    }
   }
 
   /** Compares a runner's own word with the account; what is not explained is somebody else's. */
--- a/src/core/memory/flow.ts
+++ b/src/core/memory/flow.ts
@@ -4,6 +4,8 @@
 const WINDOW_MS = 1500;
 /** Time that a request holds its memory before any was seen, in milliseconds. */
 const RESIDENCE_MS = 3500;
+/** Size of a prompt before any was seen, in tokens. */
+const PROMPT_TOKENS = 5000;
 /** Weight of one finished request in the mean time. */
 const STEP = 0.03;
 /** Least part of the memory's flow that is counted on for those who wait beyond their aim: bursts end. */
@@ -13,6 +15,8 @@
 export class TokenFlow {
   #residenceMs = RESIDENCE_MS;
 
+  #promptTokens = PROMPT_TOKENS;
+
   #askedPerMs = 0;
 
   #askedAt = 0;
@@ -23,6 +27,16 @@
     this.#askedPerMs += tokens / WINDOW_MS;
   }
 
+  /** Notes the size of a prompt. */
+  prompt(tokens: number): void {
+    this.#promptTokens += STEP * (tokens - this.#promptTokens);
+  }
+
+  /** What requests are like. */
+  get workload(): { readonly promptTokens: number; readonly residenceMs: number } {
+    return { promptTokens: this.#promptTokens, residenceMs: this.#residenceMs };
+  }
+
   /** Notes how long a request held its memory. */
   held(ms: number): void {
     this.#residenceMs += STEP * (ms - this.#residenceMs);
--- a/src/core/memory/lengths.ts
+++ b/src/core/memory/lengths.ts
@@ -4,6 +4,8 @@
 
 /** Share of the most output that is expected before anything was learnt. */
 const FIRST_SHARE = 0.4;
+/** Mean output before anything was learnt, in tokens. */
+const MEAN_TOKENS = 500;
 /** Weight of one finished request in the estimates. */
 const STEP = 0.02;
 /** Steps of the hint's weight that are weighed against each other. */
@@ -13,6 +15,8 @@
 export class OutputLengths {
   #share = FIRST_SHARE;
 
+  #mean = MEAN_TOKENS;
+
   /** Mean squared error of each weight of the hint, as a part of the most output. */
   readonly #errors = HINT_WEIGHTS.map(() => 0);
 
@@ -22,6 +26,11 @@
     return this.#mix(demand, HINT_WEIGHTS[best] ?? 0);
   }
 
+  /** Mean output of the requests that finished, in tokens. */
+  get mean(): number {
+    return this.#mean;
+  }
+
   learn(demand: Demand, outputTokens: number): void {
     const most = Math.max(1, demand.maxOutputTokens);
     if (demand.hintTokens !== undefined) {
@@ -30,6 +39,7 @@
         this.#errors[index] = (this.#errors[index] ?? 0) * (1 - STEP) + STEP * error * error;
       });
     }
+    this.#mean += STEP * (outputTokens - this.#mean);
     this.#share += STEP * (Math.min(1, outputTokens / most) - this.#share);
   }
 
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -10,6 +10,8 @@
 import type { DecodeState, Holder, PrefillState } from './account';
 import { MemoryAccount, endOf, freeTokens } from './account';
 import { OutputLengths } from './lengths';
+import type { StageChange } from './balance';
+import { StageBalance } from './balance';
 import { backlogMs, learnSlowness, prefillMs, workMs } from './cost';
 import { TokenFlow } from './flow';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
@@ -39,6 +41,12 @@
 const FAR_MS = 20;
 /** Time after which a VM surely knows of a grant, in milliseconds. */
 const GRANT_TRAVEL_MS = 1000;
+/** Time after a change of stage in which the runner lists itself anew, in milliseconds. */
+const CHANGE_LISTED_MS = 2500;
+/** Time in which an order that got no answer may still be carried out, in milliseconds. */
+const CHANGE_UNSURE_MS = 13_000;
+/** Longest step between the times of two refused callers, in milliseconds: in a heavy burst the times go round. */
+const RETURN_STEP_MS = 230;
 /** How long a runner that failed or turned work away gets none, in milliseconds. */
 const AVOID_MS = 400;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
@@ -67,6 +75,11 @@
 
   readonly #flow = new TokenFlow();
 
+  readonly #balance = new StageBalance();
+
+  /** Runners that were told to change, and until when no further change is considered. */
+  readonly #changing = new Map<string, number>();
+
   readonly #waiting = new Map<string, Waiting>();
 
   readonly #placed = new Map<string, Placed>();
@@ -110,6 +123,30 @@
     this.#cautiousUntil = until;
   }
 
+  /** Changes of runners' stages that would serve more requests; none while one is under way. */
+  stageChanges(now: number): readonly StageChange[] {
+    for (const [id, until] of this.#changing) if (now >= until) this.#changing.delete(id);
+    if (!this.#engine || this.#changing.size > 0) return [];
+    const { prefill, decode } = this.#account;
+    const idle = this.#placed.size === 0 && this.#waiting.size === 0;
+    return this.#balance.consider(
+      now,
+      this.#engine,
+      [...prefill.values()],
+      [...decode.values()],
+      { ...this.#flow.workload, outputTokens: this.#lengths.mean },
+      idle,
+    );
+  }
+
+  /** A runner took an order, or may have: it gets no new work until it is listed in its new stage. */
+  ordered(now: number, runner: string, accepted: boolean): void {
+    const switchMs = this.#engine?.switchMs ?? 0;
+    this.#changing.set(runner, now + (accepted ? switchMs + CHANGE_LISTED_MS : CHANGE_UNSURE_MS));
+    const state = this.#account.prefill.get(runner) ?? this.#account.decode.get(runner);
+    if (state && accepted) state.avoidUntil = now + switchMs + CHANGE_LISTED_MS;
+  }
+
   handle(now: number, event: PlanEvent): readonly PlanAction[] {
     this.#actions = [];
     match(event)
@@ -142,6 +179,7 @@
 
   #enqueue(now: number, demand: Demand): void {
     this.#waiting.set(demand.id, { demand, since: now });
+    this.#flow.prompt(demand.promptTokens);
     if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
   }
 
@@ -347,8 +385,9 @@
   /** Callers are told times one after the other, so that they do not all come back at once. */
   #refuse(now: number, { id }: Demand, waitMs: number, turnMs: number): void {
     this.#waiting.delete(id);
-    const from = Math.max(this.#returnAt, now + Math.min(waitMs, RETRY_MOST_MS / 2));
-    this.#returnAt = Math.min(now + RETRY_MOST_MS, from + turnMs);
+    const earliest = now + Math.min(waitMs, RETRY_MOST_MS / 2);
+    const next = Math.max(this.#returnAt, earliest) + Math.min(turnMs, RETURN_STEP_MS);
+    this.#returnAt = next > now + RETRY_MOST_MS ? earliest : next;
     const retryAfterMs = Math.max(RETRY_LEAST_MS, this.#returnAt - now);
     this.#actions.push({ kind: 'refuse', id, retryAfterMs });
   }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -40,6 +40,8 @@
   readonly eventTokens: number;
   /** How long a finished prefill is kept, in milliseconds. */
   readonly keepMs: number;
+  /** Time that a runner needs to change between prefill and decode, in milliseconds. Default: it cannot. */
+  readonly switchMs: number | undefined;
 }
 
 /** A service: model runners if it has an engine, plain ones if not. */
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -17,11 +17,19 @@
 import { Front } from './front';
 import { Knowledge } from './knowledge';
 import { ModelCaller } from './model';
+import { OrderDesk } from './orders';
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
 import { askSchema, holdSchema, noteSchema, verdictSchema } from './plans';
-import type { ControlCodec, Feed, IngressCodec, RouterSettings, RunnerClient } from './types';
+import type {
+  ControlCodec,
+  Feed,
+  IngressCodec,
+  OrderLock,
+  RouterSettings,
+  RunnerClient,
+} from './types';
 
 /** The system around the router. */
 export interface RouterPorts {
@@ -29,6 +37,7 @@
   readonly runners: RunnerClient;
   readonly ingress: IngressCodec;
   readonly control: ControlCodec;
+  readonly lock: OrderLock;
 }
 
 /** How long a leaving VM goes on taking connections, as a part of the grace: callers keep old addresses for a while. */
@@ -97,6 +106,8 @@
   /** Longest deadline seen on a route: what a first attempt carries. */
   readonly #deadlines = new Map<string, number>();
 
+  #orders: OrderDesk | undefined;
+
   #leaving = false;
 
   constructor(settings: RouterSettings, ports: RouterPorts, log: Logger) {
@@ -160,6 +171,16 @@
         else this.#log.warn({ detail }, 'The store does not answer.');
       },
     });
+    this.#orders = new OrderDesk({
+      vm,
+      knowledge: this.#knowledge,
+      host: this.#host,
+      runners: this.#ports.runners,
+      lock: this.#ports.lock,
+      owns: (service) => this.#owns(service),
+      leaseMs: this.#settings.leaseMs,
+      log: logOf(this.#log, 'orders'),
+    });
     await this.#front.listen(listen.front);
     await this.#listenControl();
     setTimeout(() => this.#askSeeds(), ALONE_MS).unref();
@@ -174,6 +195,7 @@
     const leaveUntil = performance.now() + graceMs * LEAVE_PART;
     this.#log.info({ active: this.#front.active }, 'Leaving.');
     this.#leaving = true;
+    this.#orders?.stop();
     this.#host.leave();
     this.#front.leave();
     this.#fleet.leave();
@@ -189,6 +211,11 @@
     await this.#fleet.stop();
   }
 
+  #owns(service: string): boolean {
+    const [owner] = this.#fleet.ownersOf(performance.now(), service);
+    return !this.#leaving && owner?.vm === this.#settings.vm;
+  }
+
   async #serve(exchange: Exchange): Promise<void> {
     const { service } = exchange;
     this.#retriesOf(service).first(performance.now());
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -3,13 +3,14 @@
 import { match } from 'ts-pattern';
 import type { Logger } from 'pino';
 
+import type { StageChange } from '../../core/memory/balance';
 import { Planner } from '../../core/memory/planner';
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
 import type { Knowledge } from './knowledge';
 import type { Ask, Hold, Note, Verdict } from './plans';
 import { fromHolding, toDemand } from './plans';
-import type { RunnerClient } from './types';
+import type { OrderOutcome, RunnerClient } from './types';
 
 /** How a verdict gets back to the VM that asked. */
 export type VerdictSink = (service: string, verdict: Verdict) => void;
@@ -103,6 +104,26 @@
     });
   }
 
+  /** Changes of stages that would serve more requests, of the services that this VM plans. */
+  stageChanges(
+    now: number,
+    owns: (service: string) => boolean,
+  ): readonly (StageChange & { readonly service: string })[] {
+    const { table } = this.#knowledge;
+    const services = table?.config.services.filter(({ engine }) => engine) ?? [];
+    return services.flatMap(({ name: service }) => {
+      if (this.#leaving || !owns(service)) return [];
+      const plan = this.#planOf(now, service);
+      this.#handle(now, service, plan, { kind: 'woke' });
+      return plan.planner.stageChanges(now).map((change) => ({ ...change, service }));
+    });
+  }
+
+  /** How an order was taken. */
+  ordered(now: number, service: string, runner: string, outcome: OrderOutcome): void {
+    this.#plans.get(service)?.planner.ordered(now, runner, outcome === 'accepted');
+  }
+
   /** A VM that is dead took its requests with it. */
   vmLost(now: number, vm: string): void {
     for (const [service, plan] of this.#plans) {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -27,6 +27,8 @@
   readonly retries: RetryBounds;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
+  /** Time for which holders of the right to give orders may not take turns, in milliseconds. */
+  readonly leaseMs: number;
   /** How long callers may keep a directory answer, in milliseconds. */
   readonly addressTtlMs: number;
 }
@@ -97,6 +99,33 @@
   prefill(dispatch: Dispatch): Promise<CacheHandle>;
   freeCache(cache: CacheHandle): Promise<void>;
   report(runner: Runner): Promise<MemoryReport>;
+  /** Orders a runner to prefill or to decode from now on. */
+  order(
+    runner: Runner,
+    role: 'prefill' | 'decode',
+    holder: string,
+    fence: number,
+  ): Promise<OrderOutcome>;
+}
+
+/** `unknown` orders may still be carried out seconds later. */
+export type OrderOutcome = 'accepted' | 'rejected' | 'unknown';
+
+/** The right to give orders, held by one VM at a time. */
+export interface OrderRight {
+  /** Grows with each holder. */
+  readonly fence: number;
+  /** Whether no other VM gave orders before. */
+  readonly fresh: boolean;
+  /** Whether the right still holds. */
+  renew(): Promise<boolean>;
+  release(): Promise<void>;
+}
+
+/** Where that right is taken. */
+export interface OrderLock {
+  /** Undefined if another VM holds it. */
+  acquire(): Promise<OrderRight | undefined>;
 }
 
 /** What a feed of facts tells. */
--- a/src/platform/facts.ts
+++ b/src/platform/facts.ts
@@ -39,6 +39,7 @@
   'kv-capacity-tokens': z.number(),
   stride: z.number().default(1),
   'kv-hold-s': z.number().default(1),
+  'switch-s': z.number().optional(),
 });
 
 const configSchema = z.object({
@@ -124,6 +125,7 @@
         memoryTokens: engine['kv-capacity-tokens'],
         eventTokens: engine.stride,
         keepMs: engine['kv-hold-s'] * 1000,
+        switchMs: engine['switch-s'] === undefined ? undefined : engine['switch-s'] * 1000,
       },
     })),
     limits: {
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -56,6 +56,11 @@
   runners: 'servers/',
   /** Followed by the VM's name: the router's own. */
   vms: 'goldcrestdock/vms/',
+  orders: 'goldcrestdock/orders/',
+  /** Under a lease: who may give orders to runners. */
+  orderHolder: 'goldcrestdock/orders/holder',
+  /** Without a lease: who had that right last. */
+  orderLast: 'goldcrestdock/orders/last',
 } as const;
 
 /** Paths of calls. */
@@ -65,6 +70,10 @@
   range: '/v1/kv-range',
   watch: '/v1/kv-watch',
   txn: '/v1/kv-txn',
+  lease: '/v1/kv-lease',
+  keep: '/v1/kv-keep/',
+  leaseEnd: '/v1/kv-lease-end/',
+  order: '/v1/order',
   report: '/v1/report',
   cacheHandle: '/v1/kv-handle/',
 } as const;
--- a/src/platform/run.ts
+++ b/src/platform/run.ts
@@ -6,6 +6,7 @@
 import { logOf } from '../node/log';
 import { Router } from '../node/router/daemon';
 import { StoreFeed } from './feed';
+import { StoreLock } from './lock';
 import { PlatformControl, PlatformIngress } from './ingress';
 import { PlatformRunnerClient } from './runner';
 import type { PlatformSettings } from './settings';
@@ -29,7 +30,8 @@
 /** A router on the platform, not yet started. */
 export function createRouter({ router, store }: PlatformSettings, log: Logger): Router {
   const { vm, peer } = router;
-  const feed = new StoreFeed(new StoreClient(store), { vm, address: peer }, logOf(log, 'store'));
+  const client = new StoreClient(store);
+  const feed = new StoreFeed(client, { vm, address: peer }, logOf(log, 'store'));
   return new Router(
     router,
     {
@@ -37,6 +39,7 @@
       runners: new PlatformRunnerClient(),
       ingress: new PlatformIngress(),
       control: new PlatformControl(),
+      lock: new StoreLock(client, vm),
     },
     log,
   );
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -12,6 +12,7 @@
   CacheHandle,
   DecodeDispatch,
   Dispatch,
+  OrderOutcome,
   Reply,
   RunnerClient,
 } from '../node/router/types';
@@ -29,11 +30,14 @@
 const PREFILL_ANSWER_BYTES = 64 * 1024;
 
 const HTTP_OK = 200;
+const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED = 421;
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
 const reportSchema = z.object({ 'kv-used': z.number() });
 
+const orderStateSchema = z.object({ sequence: z.number(), busy: z.boolean().default(false) });
+
 const none: ReadonlySet<string> = new Set();
 
 /** Sends requests, each over a connection of its own: bytes left over from another answer can then never be read as this one. */
@@ -77,6 +81,42 @@
     return { runner: id, usedTokens: reportSchema.parse(JSON.parse(body))['kv-used'] };
   }
 
+  async order(
+    { id, address }: Runner,
+    role: 'prefill' | 'decode',
+    holder: string,
+    fence: number,
+  ): Promise<OrderOutcome> {
+    const headers = { connection: 'close', [header.expectedRunner]: id };
+    const report = await call({
+      method: 'GET',
+      url: `http://${address}${path.report}`,
+      headers,
+      timeoutMs: SIDE_CALL_MS,
+    });
+    const { sequence, busy } = orderStateSchema.parse(JSON.parse(report.body));
+    if (busy) return 'rejected';
+    try {
+      const { status } = await call({
+        method: 'POST',
+        url: `http://${address}${path.order}`,
+        headers: { ...headers, 'content-type': 'application/json' },
+        // The number of orders that were accepted so far: one that is carried out late then changes nothing.
+        body: JSON.stringify({
+          operation: 'stage',
+          stage: role,
+          holder,
+          'fencing-token': fence,
+          expected: sequence,
+        }),
+        timeoutMs: SIDE_CALL_MS,
+      });
+      return status === HTTP_OK || status === HTTP_ACCEPTED ? 'accepted' : 'rejected';
+    } catch {
+      return 'unknown';
+    }
+  }
+
   async #exchange(dispatch: Dispatch, extra: readonly string[]): Promise<Reply> {
     for (let tries = 1; ; tries += 1) {
       try {
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -31,6 +31,7 @@
     'retry-budget-ratio': z.number(),
     'budget-window-s': z.number(),
     'retry-budget-extra': z.number(),
+    'lease-ms': z.number().default(3000),
     ttl_max_s: z.number().default(5),
   }),
   platform: z.object({ address }),
@@ -70,6 +71,7 @@
       extra: bounds['retry-budget-extra'],
       windowMs: bounds['budget-window-s'] * 1000,
     },
+    leaseMs: bounds['lease-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, ADDRESS_TTL_MS),
   };
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
+import type { Answer } from '../utils/http';
 import { call } from '../utils/http';
 import { path } from './names';
 
@@ -21,6 +22,18 @@
   readonly revision: number;
 }
 
+/** Writes that take effect together, or not at all. */
+export interface Transaction {
+  /** Revisions that keys must have; 0 means that there is no such key. */
+  readonly expected: readonly { readonly key: string; readonly revision: number }[];
+  /** `lease` 0 means none. */
+  readonly writes: readonly {
+    readonly key: string;
+    readonly value: string;
+    readonly lease: number;
+  }[];
+}
+
 const itemSchema = z.object({
   key: z.string(),
   /** Standard base64. */
@@ -33,6 +46,8 @@
   truncated: z.boolean().default(false),
   'as-of': z.number(),
 });
+const revisionSchema = z.object({ revision: z.number() });
+const leaseSchema = z.object({ lease: z.number() });
 const watchSchema = z.object({ events: z.array(itemSchema), 'as-of': z.number() });
 
 /** Time limit of one call, in milliseconds: a live store answers in some, a slow one in hundreds. */
@@ -40,7 +55,9 @@
 /** By how much a watch may overrun the wait it asked for, in milliseconds. */
 const WATCH_SLACK_MS = 700;
 const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
 const HTTP_GONE = 410;
+const HTTP_PRECONDITION = 412;
 
 function toItem({ key, value, revision, deleted }: z.infer<typeof itemSchema>): Item {
   const gone = deleted === true || value === undefined;
@@ -91,20 +108,54 @@
 
   /** Writes one item whatever it was before. */
   async put(key: string, value: string): Promise<void> {
-    const encoded = Buffer.from(value).toString('base64');
-    const body = JSON.stringify({
-      expected: [],
-      writes: [{ key, value: encoded, lease: 0 }],
-      remove: [],
+    await this.commit({ expected: [], writes: [{ key, value, lease: 0 }] });
+  }
+
+  /** Writes all items if all conditions hold. Gives the revision, or undefined if one did not hold. */
+  async commit({ expected, writes }: Transaction): Promise<number | undefined> {
+    const encoded = writes.map((write) => ({
+      ...write,
+      value: Buffer.from(write.value).toString('base64'),
+    }));
+    const { status, body } = await this.#post(path.txn, { expected, writes: encoded, remove: [] });
+    if (status === HTTP_PRECONDITION) return undefined;
+    if (status !== HTTP_OK) throw new Failure('platformUnavailable', `a write got ${status}`);
+    return revisionSchema.parse(JSON.parse(body)).revision;
+  }
+
+  /** A new lease. */
+  async grant(ttlMs: number): Promise<number> {
+    const { status, body } = await this.#post(path.lease, { 'ttl-ms': ttlMs });
+    if (status !== HTTP_OK) throw new Failure('platformUnavailable', `a lease got ${status}`);
+    return leaseSchema.parse(JSON.parse(body)).lease;
+  }
+
+  /** Renews a lease and tells whether it still runs. */
+  async keep(lease: number): Promise<boolean> {
+    const { status } = await this.#post(`${path.keep}${lease}`, {});
+    if (status === HTTP_OK) return true;
+    if (status === HTTP_NOT_FOUND) return false;
+    throw new Failure('platformUnavailable', `a renewal got ${status}`);
+  }
+
+  /** Ends a lease and with it its keys. */
+  async endLease(lease: number): Promise<void> {
+    await call({
+      method: 'DELETE',
+      url: `http://${this.#address}${path.leaseEnd}${lease}`,
+      headers: { connection: 'close' },
+      timeoutMs: CALL_LIMIT_MS,
     });
-    const { status } = await call({
+  }
+
+  #post(target: string, body: unknown): Promise<Answer> {
+    return call({
       method: 'POST',
-      url: `http://${this.#address}${path.txn}`,
+      url: `http://${this.#address}${target}`,
       headers: { 'content-type': 'application/json', connection: 'close' },
-      body,
+      body: JSON.stringify(body),
       timeoutMs: CALL_LIMIT_MS,
     });
-    if (status !== HTTP_OK) throw new Failure('platformUnavailable', `${key}: found ${status}`);
   }
 
   /** Undefined on 410. */
--- /dev/null
+++ b/test/router/planner.test.ts
@@ -0,0 +1,160 @@
+import { StageBalance, wantedPrefill } from '../../src/core/memory/balance';
+import { Planner } from '../../src/core/memory/planner';
+import type { Demand, PlanAction } from '../../src/core/memory/types';
+import type { Engine, Runner } from '../../src/core/routing/types';
+
+const engine: Engine = {
+  slots: 64,
+  memoryTokens: 65_000,
+  eventTokens: 7,
+  keepMs: 500,
+  switchMs: 6000,
+};
+
+const runner = (id: string, role: Runner['role']): Runner => ({
+  id,
+  role,
+  service: 'model',
+  address: `${id}:80`,
+  domain: 'a',
+  slots: 64,
+  leaving: false,
+});
+
+const demand = (id: string, now: number, change: Partial<Demand> = {}): Demand => ({
+  id,
+  vm: 'vm1',
+  promptTokens: 5000,
+  maxOutputTokens: 1200,
+  hintTokens: undefined,
+  dueAt: now + 900,
+  lostAt: now + 3600,
+  returned: false,
+  resuming: false,
+  avoid: [],
+  ...change,
+});
+
+function plannerOf(runners: readonly Runner[]): Planner {
+  const planner = new Planner();
+  planner.handle(0, { kind: 'runners', engine, runners });
+  return planner;
+}
+
+const pool = [runner('p1', 'prefill'), runner('p2', 'prefill'), runner('d1', 'decode')];
+
+const granted = (actions: readonly PlanAction[]): readonly string[] =>
+  actions.filter(({ kind }) => kind === 'grant').map(({ id }) => id);
+
+/** Asks for `count` places at once and gives what was decided. */
+function flood(planner: Planner, now: number, count: number): readonly PlanAction[] {
+  return Array.from({ length: count }, (_, i) =>
+    planner.handle(now, { kind: 'asked', demand: demand(`r${i}`, now) }),
+  ).flat();
+}
+
+/** Lets all prefills end, so that only memory binds. */
+function prefillAll(planner: Planner, now: number, ids: readonly string[]): readonly PlanAction[] {
+  return ids.flatMap((id) => planner.handle(now, { kind: 'prefilled', id, ms: 150 }));
+}
+
+describe('the planner', () => {
+  /*
+   * A burst of long prompts comes to one decode runner with 64 slots and memory
+   * for eleven of them. With slots as the limit the twelfth would be prefilled,
+   * turned away and prefilled again. It must not get a place.
+   */
+  test('gives no more places than the decode memory holds', () => {
+    const planner = plannerOf(pool);
+    const started: string[] = [];
+    for (let now = 0; now < 900; now += 20) {
+      const actions = now === 0 ? flood(planner, now, 20) : planner.handle(now, { kind: 'woke' });
+      started.push(...granted(actions));
+      started.push(...granted(prefillAll(planner, now + 10, [...started])));
+    }
+    expect(new Set(started).size).toBe(11);
+  });
+
+  /*
+   * Many callers are refused in one burst. Told the same time, they would come
+   * back as one burst and be refused for good; each is told a later time.
+   */
+  test('tells refused callers times one after the other', () => {
+    const planner = plannerOf(pool);
+    const refused = flood(planner, 0, 60).filter((action) => action.kind === 'refuse');
+    const times = refused.map((action) => (action.kind === 'refuse' ? action.retryAfterMs : 0));
+    expect(times.length).toBeGreaterThan(10);
+    const [least = 0, most = 0] = [Math.min(...times), Math.max(...times)];
+    expect(most).toBeLessThanOrEqual(4500);
+    expect(most - least).toBeGreaterThan(1500);
+    expect(new Set(times.map((ms) => Math.round(ms / 100))).size).toBeGreaterThan(8);
+  });
+
+  /* The answer to an ask was lost and the gateway asks again: it gets the place that is kept for it, not a second one. */
+  test('gives the same place to a request that asks again', () => {
+    const planner = plannerOf(pool);
+    const first = planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    const again = planner.handle(50, { kind: 'asked', demand: demand('r', 0) });
+    expect(again).toEqual(first);
+    expect(planner.placed).toBe(1);
+  });
+
+  /*
+   * The owner was frozen while requests ended elsewhere. What their VM says it
+   * holds replaces what the owner still counts, or its memory would look full.
+   */
+  test('takes the word of a VM for what that VM holds', () => {
+    const planner = plannerOf(pool);
+    flood(planner, 0, 2);
+    planner.handle(5000, { kind: 'told', vm: 'vm1', holdings: [] });
+    expect(planner.placed).toBe(0);
+  });
+
+  /* A new owner gets requests before the other VMs told what they hold: it must not fill runners that may be full. */
+  test('keeps to half of the memory until it was told what is held', () => {
+    const planner = plannerOf(pool);
+    planner.startCautiously(500);
+    const now = 10;
+    const started = granted(flood(planner, now, 20));
+    for (let t = 20; t < 400; t += 20) {
+      started.push(...granted(prefillAll(planner, t, [...started])));
+      started.push(...granted(planner.handle(t, { kind: 'woke' })));
+    }
+    expect(new Set(started).size).toBeLessThanOrEqual(6);
+  });
+});
+
+describe('the balance of stages', () => {
+  const workload = { promptTokens: 5200, outputTokens: 480, residenceMs: 3500 };
+
+  test('wants as many prefill runners as the decode runners can use, and two for safety', () => {
+    expect([6, 13, 63].map((count) => wantedPrefill(engine, count, 1, workload))).toEqual([
+      2, 4, 17,
+    ]);
+    expect(wantedPrefill(engine, 2, 1, workload)).toBe(1);
+  });
+
+  /*
+   * A decode runner crashes and is back after four seconds. A change takes six
+   * and would leave the service short of the other stage; none is ordered.
+   */
+  test('does not answer a crash that passes', () => {
+    const state = (id: string): never =>
+      ({ runner: runner(id, 'prefill'), pending: new Map(), slowness: 1, avoidUntil: 0 }) as never;
+    const balance = new StageBalance();
+    const consider = (now: number, prefill: readonly string[]): number =>
+      balance.consider(
+        now,
+        engine,
+        prefill.map(state),
+        [{ runner: runner('d', 'decode'), holders: new Map() } as never],
+        workload,
+        false,
+      ).length;
+    expect(consider(0, ['p1', 'p2', 'p3'])).toBe(0);
+    expect(consider(4000, ['p1', 'p2'])).toBe(0);
+    expect(consider(5000, ['p1', 'p2', 'p3'])).toBe(0);
+    expect(consider(13_900, ['p1', 'p2', 'p3'])).toBe(0);
+    expect(consider(14_100, ['p1', 'p2', 'p3'])).toBe(1);
+  });
+});
