--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -115,7 +115,7 @@
     const planner = plannerOf(pool);
     planner.startCautiously(500);
     const now = 10;
-    const started = granted(flood(planner, now, 20));
+    const started = [...granted(flood(planner, now, 20))];
     for (let t = 20; t < 400; t += 20) {
       started.push(...granted(prefillAll(planner, t, [...started])));
       started.push(...granted(planner.handle(t, { kind: 'woke' })));
