Bind the decode runner when the prefill is done, and start small prefills ahead

Cause: memory was kept for each request through its prefill, some 7 % of it idle. Change: the decode runner is bound when the prefill ends, by whoever has room then; prefilled requests go before all others; prefills of at most the usual size start ahead of memory for a quarter of the requests that should end by then.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -23,9 +23,12 @@
 
 interface Placed {
   readonly demand: Demand;
-  readonly grant: Grant;
+  grant: Grant;
   readonly grantedAt: number;
-  prefilled: boolean;
+  /** When the prefill was done. */
+  readyAt: number | undefined;
+  /** Whether a decode runner keeps memory for it. */
+  bound: boolean;
 }
 
 /** Prompts that wait at a prefill runner, in milliseconds of its work: enough that it never idles. */
@@ -47,6 +50,10 @@
 const CHANGE_UNSURE_MS = 13_000;
 /** Longest step between the times of two refused callers, in milliseconds: in a heavy burst the times go round. */
 const RETURN_STEP_MS = 230;
+/** Part of the time that a prefill is kept in which it may wait for memory; the rest covers messages and the move. */
+const KEEP_PART = 0.6;
+/** Part of the requests that should end by then that prefills may be started for; ends are only expected. */
+const AHEAD_PART = 0.25;
 /** How long a runner that failed or turned work away gets none, in milliseconds. */
 const AVOID_MS = 400;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
@@ -185,8 +192,10 @@
 
   #prefilled(now: number, id: string, ms: number): void {
     const placed = this.#placed.get(id);
-    if (!placed || placed.prefilled) return;
-    placed.prefilled = true;
+    if (!placed) return;
+    if (placed.bound) this.#actions.push({ kind: 'bind', id, decode: placed.grant.decode });
+    if (placed.readyAt !== undefined) return;
+    placed.readyAt = now;
     const state = this.#account.prefill.get(placed.grant.prefill);
     const pending = state?.pending.get(id);
     if (!state || !pending) return;
@@ -235,7 +244,7 @@
     for (const { demand, grant, startedAt } of holdings) {
       if (!this.#placed.has(demand.id)) {
         this.#waiting.delete(demand.id);
-        this.#place(now, demand, grant, startedAt);
+        this.#place(now, demand, grant, true, startedAt);
       }
     }
   }
@@ -247,16 +256,27 @@
     }
   }
 
-  #place(now: number, demand: Demand, grant: Grant, startedAt: number | undefined): void {
-    const prefilled = startedAt !== undefined;
-    this.#placed.set(demand.id, { demand, grant, grantedAt: now, prefilled });
+  #reserve(now: number, { demand, grant }: Placed, startedAt: number | undefined): void {
     this.#account.decode.get(grant.decode)?.holders.set(demand.id, {
       demand,
       grantedAt: now,
       expectedTokens: this.#lengths.expect(demand),
       startedAt,
     });
-    if (prefilled) return;
+  }
+
+  #place(
+    now: number,
+    demand: Demand,
+    grant: Grant,
+    bound: boolean,
+    startedAt: number | undefined,
+  ): void {
+    const readyAt = startedAt === undefined ? undefined : now;
+    const placed: Placed = { demand, grant, grantedAt: now, readyAt, bound };
+    this.#placed.set(demand.id, placed);
+    if (bound) this.#reserve(now, placed, startedAt);
+    if (readyAt !== undefined) return;
     const tokens = demand.promptTokens;
     const state = this.#account.prefill.get(grant.prefill);
     if (!state) return;
@@ -271,13 +291,21 @@
 
   /** Starts what can start, in order, and refuses what cannot be served. */
   #pump(now: number): void {
+    this.#bindReady(now);
     if (this.#waiting.size === 0) return;
     const order = this.#order(now);
+    let ahead = this.#allowedAhead();
     for (const { demand } of order) {
-      const grant = this.#find(now, demand);
-      if (grant) {
+      const decode = this.#findDecode(now, demand);
+      const bound = decode !== undefined;
+      const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
+      const chosen = decode ?? (mayLead ? this.#soonest(now, demand) : undefined);
+      const prefill = chosen && this.#findPrefill(now, demand, chosen.runner.domain);
+      if (chosen && prefill) {
+        if (!bound) ahead -= 1;
+        const grant = { prefill: prefill.runner.id, decode: chosen.runner.id };
         this.#waiting.delete(demand.id);
-        this.#place(now, demand, grant, undefined);
+        this.#place(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
       }
     }
@@ -310,11 +338,54 @@
     return aged ? size / 2 : size;
   }
 
-  #find(now: number, demand: Demand): Grant | undefined {
-    const decode = this.#findDecode(now, demand);
-    if (!decode) return undefined;
-    const prefill = this.#findPrefill(now, demand, decode.runner.domain);
-    return prefill && { prefill: prefill.runner.id, decode: decode.runner.id };
+  /** Prefilled requests get memory before any other, since what was read for them lapses. */
+  #bindReady(now: number): void {
+    const keepMs = (this.#engine?.keepMs ?? 0) * KEEP_PART;
+    for (const [id, placed] of this.#placed) {
+      if (!placed.bound && placed.readyAt !== undefined) {
+        const decode = this.#findDecode(now, placed.demand);
+        if (decode) {
+          placed.bound = true;
+          placed.grant = { ...placed.grant, decode: decode.runner.id };
+          this.#reserve(now, placed, undefined);
+          this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
+        } else if (now - placed.readyAt > keepMs) {
+          this.#leave(now, id, placed);
+          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_LEAST_MS });
+        }
+      }
+    }
+  }
+
+  /**
+   * Prefills that may start ahead of the memory for them: a part of the requests
+   * that should end while a prefill runs and is kept. Without it memory lies idle
+   * for the time of each prefill, some 7 % of it.
+   */
+  #allowedAhead(): number {
+    let holders = 0;
+    for (const state of this.#account.decode.values()) holders += state.holders.size;
+    let ahead = 0;
+    for (const { bound } of this.#placed.values()) if (!bound) ahead += 1;
+    const { residenceMs } = this.#flow.workload;
+    const horizonMs = prefillMs(this.#flow.workload.promptTokens);
+    const ends = (holders * (horizonMs + (this.#engine?.keepMs ?? 0) * KEEP_PART)) / residenceMs;
+    return Math.floor(AHEAD_PART * ends) - ahead;
+  }
+
+  /** The decode runner that will probably have room first; only a guess until the request is bound. */
+  #soonest(now: number, demand: Demand): DecodeState | undefined {
+    let best: DecodeState | undefined;
+    let bestFree = -Infinity;
+    for (const state of this.#account.decode.values()) {
+      const free = freeTokens(now, state);
+      const able = now >= state.avoidUntil && !demand.avoid.includes(state.runner.id);
+      if (able && free > bestFree && this.#isSafe(now, state)) {
+        best = state;
+        bestFree = free;
+      }
+    }
+    return best;
   }
 
   #findDecode(now: number, demand: Demand): DecodeState | undefined {
@@ -396,6 +467,11 @@
     return demand.promptTokens + this.#lengths.expect(demand);
   }
 
+  /** What one ending request gives back: a larger one would wait for several ends at one runner. */
+  #usualSize(): number {
+    return this.#flow.workload.promptTokens + this.#lengths.mean;
+  }
+
   #memory(): number {
     let tokens = 0;
     for (const { memoryTokens } of this.#account.decode.values()) tokens += memoryTokens;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -24,7 +24,7 @@
   readonly avoid: readonly string[];
 }
 
-/** A place that was given. */
+/** Where a request is prefilled and where it will probably decode; the latter is certain once it is bound. */
 export interface Grant {
   readonly prefill: string;
   readonly decode: string;
@@ -64,4 +64,6 @@
 /** What the planner decided. */
 export type PlanAction =
   | { readonly kind: 'grant'; readonly id: string; readonly grant: Grant }
+  /** The prefill is done and this decode runner has room for it. */
+  | { readonly kind: 'bind'; readonly id: string; readonly decode: string }
   | { readonly kind: 'refuse'; readonly id: string; readonly retryAfterMs: number };
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -21,7 +21,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
-import { askSchema, holdSchema, noteSchema, verdictSchema } from './plans';
+import { askSchema, holdSchema, noteSchema, readySchema, verdictSchema } from './plans';
 import type {
   ControlCodec,
   Feed,
@@ -326,6 +326,11 @@
         push('verdict', { service, verdict }),
       );
     }
+    if (method === 'ready') {
+      return this.#host.ready(now, vm, readySchema.parse(params), (service, verdict) =>
+        push('verdict', { service, verdict }),
+      );
+    }
     if (method === 'note') this.#host.note(now, vm, noteSchema.parse(params));
     else if (method === 'hold') this.#host.hold(now, vm, holdSchema.parse(params));
     else if (method === 'verdict') {
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -85,15 +85,20 @@
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
     try {
-      const cache = await this.#prefill(exchange, progress, demand.id, grant).catch((error) => {
+      const cache = await this.#prefill(exchange, progress, grant).catch((error) => {
         blame = grant.prefill;
         throw error;
       });
       if (!cache) return this.#again(exchange, progress, grant.prefill);
-      const outcome = await this.#decode(exchange, engine, progress, demand.id, grant, cache);
+      const decode = await places.bind(service, demand.id, cache.ms, signal);
+      if (decode === undefined) {
+        this.#free(cache);
+        throw refusal(progress, 'no decode runner had room while the prefill was kept');
+      }
+      const outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       if (outcome === 'done') return false;
-      blame = grant.decode;
-      return this.#afterDecode(exchange, progress, grant, outcome);
+      blame = decode;
+      return this.#afterDecode(exchange, progress, decode, outcome);
     } finally {
       places.note(service, { id: demand.id, kind: 'released', ...(blame ? { blame } : {}) });
     }
@@ -123,10 +128,9 @@
   async #prefill(
     exchange: Exchange,
     progress: Progress,
-    id: string,
     grant: Grant,
-  ): Promise<CacheHandle | undefined> {
-    const { knowledge, runners, places } = this.#context;
+  ): Promise<(CacheHandle & { readonly ms: number }) | undefined> {
+    const { knowledge, runners } = this.#context;
     const now = performance.now();
     const { service, request, signal } = exchange;
     const runner = find(knowledge.runnersOf(now, service, 'prefill'), grant.prefill);
@@ -144,8 +148,7 @@
       const ms = performance.now() - now;
       exchange.trail.push(`prefill ${runner.id} ${Math.round(ms)}`);
       if (signal.aborted) this.#free(cache);
-      places.note(service, { id, kind: 'prefilled', ms });
-      return cache;
+      return { ...cache, ms };
     } catch (error) {
       exchange.trail.push(`prefill ${runner.id} ${toFailure(error).codeName}`);
       return undefined;
@@ -171,13 +174,13 @@
     engine: Engine,
     progress: Progress,
     id: string,
-    grant: Grant,
+    decode: string,
     cache: CacheHandle,
   ): Promise<Outcome> {
     const { knowledge } = this.#context;
     const { service } = exchange;
     const now = performance.now();
-    const runner = find(knowledge.runnersOf(now, service, 'decode'), grant.decode);
+    const runner = find(knowledge.runnersOf(now, service, 'decode'), decode);
     if (!runner || exchange.signal.aborted) {
       this.#free(cache);
       return 'rejected';
@@ -238,13 +241,14 @@
       reply.body.destroy();
       return 'broken';
     }
-    const before = splitter.events;
+    let started = false;
     splitter.restart();
     try {
       for await (const chunk of reply.body) {
         const events = splitter.push(chunk as Buffer);
         if (events.length > 0) {
-          if (splitter.events > 0 && before === 0) places.note(service, { id, kind: 'started' });
+          if (!started) places.note(service, { id, kind: 'started' });
+          started = true;
           begin(exchange, reply);
           await exchange.write(events);
         }
@@ -264,7 +268,7 @@
   #afterDecode(
     exchange: Exchange,
     progress: Progress,
-    { decode }: Grant,
+    decode: string,
     outcome: Exclude<Outcome, 'done'>,
   ): boolean {
     const { route, service, signal } = exchange;
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -8,7 +8,7 @@
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
 import type { Knowledge } from './knowledge';
-import type { Ask, Hold, Note, Verdict } from './plans';
+import type { Ask, Hold, Note, Ready, Verdict } from './plans';
 import { fromHolding, toDemand } from './plans';
 import type { OrderOutcome, RunnerClient } from './types';
 
@@ -75,13 +75,21 @@
     return verdicts.get(ask.id) ?? { state: 'waiting', id: ask.id };
   }
 
+  /** A prefill is done: binds its request to a decode runner, now or when one has room. */
+  ready(now: number, vm: string, { service, id, ms }: Ready, sink: VerdictSink): Verdict {
+    const plan = this.#planOf(now, service);
+    plan.heard.set(vm, now);
+    plan.sinks.set(id, sink);
+    const verdicts = this.#handle(now, service, plan, { kind: 'prefilled', id, ms });
+    return verdicts.get(id) ?? { state: 'waiting', id };
+  }
+
   note(now: number, vm: string, note: Note): void {
     const plan = this.#planOf(now, note.service);
     plan.heard.set(vm, now);
     const { id } = note;
     const event = match(note)
       .returnType<PlanEvent>()
-      .with({ kind: 'prefilled' }, ({ ms }) => ({ kind: 'prefilled', id, ms: ms ?? 0 }))
       .with({ kind: 'started' }, () => ({ kind: 'started', id }))
       .with({ kind: 'finished' }, ({ outputTokens }) => ({
         kind: 'finished',
@@ -159,7 +167,7 @@
     plan.planner.handle(now, event).forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
     });
-    const asked = event.kind === 'asked' ? event.demand.id : undefined;
+    const asked = askerOf(event);
     for (const [id, verdict] of verdicts) {
       const sink = plan.sinks.get(id);
       plan.sinks.delete(id);
@@ -177,6 +185,10 @@
         this.#log.info({ request: id, service, ...grant, ...seen }, 'Gave a place.');
         return { state: 'granted', id, ...grant };
       })
+      .with({ kind: 'bind' }, ({ decode }) => {
+        this.#log.info({ request: id, service, bound: decode, ...seen }, 'Bound a request.');
+        return { state: 'bound', id, decode };
+      })
       .with({ kind: 'refuse' }, ({ retryAfterMs }) => {
         this.#log.info({ request: id, service, retryAfterMs, ...seen }, 'Refused a place.');
         return { state: 'refused', id, retryAfterMs };
@@ -215,3 +227,9 @@
     }
   }
 }
+
+/** The request whose gateway waits for the answer to this very call. */
+function askerOf(event: PlanEvent): string | undefined {
+  if (event.kind === 'asked') return event.demand.id;
+  return event.kind === 'prefilled' ? event.id : undefined;
+}
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -5,16 +5,21 @@
 import { Failure, toFailure } from '../../core/failure';
 import type { Demand, Grant } from '../../core/memory/types';
 import type { RouterFleet } from './fleet';
-import type { PlanHost } from './owner';
+import type { PlanHost, VerdictSink } from './owner';
 import type { Hold, Note, Verdict } from './plans';
 import { toHolding, toMessage, verdictSchema } from './plans';
 
 type OwnDemand = Omit<Demand, 'vm'>;
 
+interface Owner {
+  readonly vm: string;
+  readonly address: string;
+}
+
 interface Held {
   readonly service: string;
   readonly demand: OwnDemand;
-  readonly grant: Grant;
+  grant: Grant;
   startedAt: number | undefined;
 }
 
@@ -115,25 +120,61 @@
     return grant;
   }
 
+  /**
+   * Says that a prefill is done and gives the decode runner; undefined if none
+   * had room while the prefill is kept. An owner that is silent leaves the place
+   * that was likely when the prefill began.
+   */
+  async bind(
+    service: string,
+    id: string,
+    ms: number,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const held = this.#held.get(id);
+    const owner = this.#ownerOf(performance.now(), service);
+    if (!held || !owner) return held?.grant.decode;
+    const sink: VerdictSink = (name, verdict) => this.onVerdict(name, verdict);
+    const verdict = await this.#converse(owner, id, signal, (now) =>
+      owner.vm === this.#vm
+        ? this.#host.ready(now, this.#vm, { service, id, ms }, sink)
+        : this.#fleet.call(owner.address, 'ready', { service, id, ms }, ASK_LIMIT_MS),
+    );
+    if (verdict?.state === 'refused') return undefined;
+    if (verdict?.state === 'bound') held.grant = { ...held.grant, decode: verdict.decode };
+    return held.grant.decode;
+  }
+
   /** Asks one owner. Undefined if it says nothing in time. */
-  async #askOnce(
-    owner: { readonly vm: string; readonly address: string },
+  #askOnce(
+    owner: Owner,
     service: string,
     demand: OwnDemand,
     signal: AbortSignal,
   ): Promise<Verdict | undefined> {
-    const later = this.#waitFor(demand.id, signal);
-    try {
-      const now = performance.now();
+    const sink: VerdictSink = (name, verdict) => this.onVerdict(name, verdict);
+    return this.#converse(owner, demand.id, signal, (now) => {
       const ask = { service, ...toMessage(now, demand) };
-      const first =
-        owner.vm === this.#vm
-          ? this.#host.ask(now, this.#vm, ask, (name, verdict) => this.onVerdict(name, verdict))
-          : verdictSchema.parse(await this.#fleet.call(owner.address, 'ask', ask, ASK_LIMIT_MS));
+      return owner.vm === this.#vm
+        ? this.#host.ask(now, this.#vm, ask, sink)
+        : this.#fleet.call(owner.address, 'ask', ask, ASK_LIMIT_MS);
+    });
+  }
+
+  /** One call and, if its answer is to wait, the verdict that comes later. Undefined if the owner is silent. */
+  async #converse(
+    owner: Owner,
+    id: string,
+    signal: AbortSignal,
+    call: (now: number) => unknown,
+  ): Promise<Verdict | undefined> {
+    const later = this.#waitFor(id, signal);
+    try {
+      const first = verdictSchema.parse(await call(performance.now()));
       if (first.state !== 'waiting') return first;
       return (await later.verdict) ?? first;
     } catch (error) {
-      this.#log.debug({ request: demand.id, owner: owner.vm }, toFailure(error).line);
+      this.#log.debug({ request: id, owner: owner.vm }, toFailure(error).line);
       return undefined;
     } finally {
       later.stop();
@@ -161,10 +202,7 @@
     return { verdict, stop };
   }
 
-  #ownerOf(
-    now: number,
-    service: string,
-  ): { readonly vm: string; readonly address: string } | undefined {
+  #ownerOf(now: number, service: string): Owner | undefined {
     const [owner] = this.#fleet.ownersOf(now, service);
     if (!owner) return undefined;
     if (this.#told.get(service) !== owner.vm) {
@@ -183,11 +221,7 @@
     }
   }
 
-  #tell(
-    now: number,
-    service: string,
-    owner: { readonly vm: string; readonly address: string },
-  ): void {
+  #tell(now: number, service: string, owner: Owner): void {
     const hold: Hold = {
       service,
       holdings: [...this.#held.values()]
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -28,11 +28,12 @@
 export const noteSchema = z.object({
   service,
   id,
-  kind: z.enum(['prefilled', 'started', 'finished', 'released']),
-  ms: ms.optional(),
+  kind: z.enum(['started', 'finished', 'released']),
   outputTokens: tokens.optional(),
   blame: id.optional(),
 });
+/** Tells that a prefill is done, after `ms`, and asks for the decode runner. */
+export const readySchema = z.object({ service, id, ms });
 /** Tells all places that the sender holds. */
 export const holdSchema = z.object({
   service,
@@ -50,12 +51,14 @@
 /** The planner's word on a request. */
 export const verdictSchema = z.discriminatedUnion('state', [
   z.object({ state: z.literal('granted'), id, prefill: id, decode: id }),
+  z.object({ state: z.literal('bound'), id, decode: id }),
   z.object({ state: z.literal('refused'), id, retryAfterMs: ms }),
   z.object({ state: z.literal('waiting'), id }),
 ]);
 
 export type Ask = Readonly<z.infer<typeof askSchema>>;
 export type Note = Readonly<z.infer<typeof noteSchema>>;
+export type Ready = Readonly<z.infer<typeof readySchema>>;
 export type Hold = Readonly<z.infer<typeof holdSchema>>;
 export type Verdict = Readonly<z.infer<typeof verdictSchema>>;
 
