--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -48,6 +48,7 @@
   const router = createRouter(settings, createLog('info', settings.router.vm));
   await router.start();
   stopOnSignal(() => router.stop());
+  process.on('SIGHUP', () => router.reload(() => settingsOfEnvironment(process.env).router));
 }
 
 interface CheckOptions {
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod';
 
 import { RunnerHealth } from '../../core/cell/health';
-import { Failure } from '../../core/failure';
+import { Failure, toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
 import { logOf } from '../log';
 import { ProcessMetrics } from '../metrics';
@@ -77,7 +77,7 @@
 
 /** A running router. */
 export class Router {
-  readonly #settings: RouterSettings;
+  #settings: RouterSettings;
 
   readonly #ports: RouterPorts;
 
@@ -188,6 +188,17 @@
     this.#log.info({ vm, listen }, 'Started.');
   }
 
+  /** Takes changed settings over as far as a running process can; bad ones leave the old ones in force. */
+  reload(read: () => RouterSettings): void {
+    try {
+      this.#settings = read();
+      const { retries, graceMs, leaseMs, seeds } = this.#settings;
+      this.#log.info({ retries, graceMs, leaseMs, seeds }, 'Read the settings again.');
+    } catch (error) {
+      this.#log.error(`Kept the old settings. ${toFailure(error).line}.`);
+    }
+  }
+
   /** Leaves the directory, serves what old answers still bring, and ends when all is answered. */
   async stop(): Promise<void> {
     const { graceMs } = this.#settings;
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -170,7 +170,12 @@
     onConnected(req, () => {
       connected = true;
     });
-    req.on('response', resolve);
+    req.on('response', (message) => {
+      // An answer without a length ends with its connection, and Node takes a reset for such an end
+      // too: half an answer would look whole. The reset is an error of the request, so it is passed on.
+      req.on('error', (error) => message.destroy(error));
+      resolve(message);
+    });
     req.on('error', (error) => fail(error.message));
     req.end(request.body);
   });
