Let decode runners read prompts when the prefill runners cannot keep up

Change: a request with room at a decode runner and no prefill runner in reach is read there, one prompt at a time and only where memory stays free beside it; a lack of prefill runners is answered after 4 s instead of 9.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -18,6 +18,8 @@
   expectedTokens: number;
   /** When decoding began. */
   startedAt: number | undefined;
+  /** Whether the decode runner reads the prompt itself. */
+  readonly direct: boolean;
 }
 
 /** A decode runner and what it holds. */
@@ -73,6 +75,15 @@
   return inBlocks(demand.promptTokens + Math.min(demand.maxOutputTokens, output));
 }
 
+/** Prompts that a decode runner reads itself at the moment. */
+export function directReads({ holders }: DecodeState): number {
+  let count = 0;
+  for (const { direct, startedAt } of holders.values()) {
+    if (direct && startedAt === undefined) count += 1;
+  }
+  return count;
+}
+
 /** When a request will probably give its memory back. */
 export function endOf(now: number, holder: Holder): number {
   const { expectedTokens, startedAt, grantedAt } = holder;
--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -28,8 +28,10 @@
 const HEADROOM = 1.2;
 /** Prefill runners below which the loss of one would stop a service. */
 const LEAST_PREFILL = 2;
-/** Time for which a lack or excess must last before runners change, in milliseconds: a runner that crashed is usually back sooner than a change takes. */
-const PATIENCE_MS = 9000;
+/** Time for which an excess of prefill runners must last before they change, in milliseconds: a decode runner that crashed is usually back sooner than a change takes. */
+const EXCESS_MS = 9000;
+/** The same for a lack of them, which costs more, in milliseconds. */
+const LACK_MS = 4000;
 
 /** Prefill runners wanted out of all. */
 export function wantedPrefill(
@@ -65,7 +67,8 @@
     const surplus = prefill.length - wantedPrefill(engine, runners, slowness, workload);
     const sign = Math.sign(surplus);
     if (sign !== this.#since?.sign) this.#since = { at: now, sign };
-    if (sign === 0 || (!idle && now - this.#since.at < PATIENCE_MS)) return [];
+    const patienceMs = sign > 0 ? EXCESS_MS : LACK_MS;
+    if (sign === 0 || (!idle && now - this.#since.at < patienceMs)) return [];
     if (sign > 0) return idlest(prefill, surplus);
     const [least] = [...decode].sort((a, b) => a.holders.size - b.holders.size);
     return least ? [{ runner: least.runner.id, role: 'prefill' }] : [];
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -8,7 +8,7 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, Holder, PrefillState } from './account';
-import { MemoryAccount, endOf, freeTokens } from './account';
+import { MemoryAccount, directReads, endOf, freeTokens } from './account';
 import { OutputLengths } from './lengths';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
@@ -54,6 +54,8 @@
 const KEEP_PART = 0.6;
 /** Part of the requests that should end by then that prefills may be started for; ends are only expected. */
 const AHEAD_PART = 0.25;
+/** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
+const DIRECT_SPARE = 0.15;
 /** How long a runner that failed or turned work away gets none, in milliseconds. */
 const AVOID_MS = 400;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
@@ -196,7 +198,7 @@
     if (placed.bound) this.#actions.push({ kind: 'bind', id, decode: placed.grant.decode });
     if (placed.readyAt !== undefined) return;
     placed.readyAt = now;
-    const state = this.#account.prefill.get(placed.grant.prefill);
+    const state = this.#prefillOf(placed.grant);
     const pending = state?.pending.get(id);
     if (!state || !pending) return;
     state.pending.delete(id);
@@ -227,7 +229,7 @@
 
   #leave(now: number, id: string, { grant }: Placed): void {
     this.#placed.delete(id);
-    this.#account.prefill.get(grant.prefill)?.pending.delete(id);
+    this.#prefillOf(grant)?.pending.delete(id);
     this.#account.leave(now, grant.decode, id);
   }
 
@@ -262,6 +264,7 @@
       grantedAt: now,
       expectedTokens: this.#lengths.expect(demand),
       startedAt,
+      direct: grant.prefill === undefined,
     });
   }
 
@@ -278,12 +281,16 @@
     if (bound) this.#reserve(now, placed, startedAt);
     if (readyAt !== undefined) return;
     const tokens = demand.promptTokens;
-    const state = this.#account.prefill.get(grant.prefill);
+    const state = this.#prefillOf(grant);
     if (!state) return;
     const expectedMs = prefillMs(tokens) + backlogMs(state) / state.slowness;
     state.pending.set(demand.id, { tokens, expectedMs });
   }
 
+  #prefillOf({ prefill }: Grant): PrefillState | undefined {
+    return prefill === undefined ? undefined : this.#account.prefill.get(prefill);
+  }
+
   #holderOf(id: string): Holder | undefined {
     const placed = this.#placed.get(id);
     return placed && this.#account.decode.get(placed.grant.decode)?.holders.get(id);
@@ -301,9 +308,10 @@
       const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
       const chosen = decode ?? (mayLead ? this.#soonest(now, demand) : undefined);
       const prefill = chosen && this.#findPrefill(now, demand, chosen.runner.domain);
-      if (chosen && prefill) {
+      const direct = !prefill && decode !== undefined && this.#mayReadItself(now, decode, demand);
+      if (chosen && (prefill || direct)) {
         if (!bound) ahead -= 1;
-        const grant = { prefill: prefill.runner.id, decode: chosen.runner.id };
+        const grant = { prefill: prefill?.runner.id, decode: chosen.runner.id };
         this.#waiting.delete(demand.id);
         this.#place(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
@@ -373,6 +381,17 @@
     return Math.floor(AHEAD_PART * ends) - ahead;
   }
 
+  /**
+   * Where the prefill runners have more than they can read and decode memory lies
+   * idle, a decode runner reads the prompt itself, one at a time: after the loss
+   * of a prefill runner half of the decode memory was idle while requests were
+   * refused. It slows the other answers there, so a full runner does not do it.
+   */
+  #mayReadItself(now: number, state: DecodeState, demand: Demand): boolean {
+    const left = freeTokens(now, state) - this.#sizeOf(demand);
+    return directReads(state) === 0 && left > state.memoryTokens * DIRECT_SPARE;
+  }
+
   /** The decode runner that will probably have room first; only a guess until the request is bound. */
   #soonest(now: number, demand: Demand): DecodeState | undefined {
     let best: DecodeState | undefined;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -26,7 +26,8 @@
 
 /** Where a request is prefilled and where it will probably decode; the latter is certain once it is bound. */
 export interface Grant {
-  readonly prefill: string;
+  /** Undefined if the decode runner reads the prompt itself. */
+  readonly prefill: string | undefined;
   readonly decode: string;
 }
 
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -1,7 +1,7 @@
 /** The way of a request to a model service: a place, a prefill, then the stream of a decode runner. */
 
 import { Failure, toFailure } from '../../core/failure';
-import type { Demand, Grant } from '../../core/memory/types';
+import type { Demand } from '../../core/memory/types';
 import type { Engine, Runner } from '../../core/routing/types';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
@@ -85,14 +85,16 @@
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
     try {
-      const cache = await this.#prefill(exchange, progress, grant).catch((error) => {
-        blame = grant.prefill;
-        throw error;
-      });
-      if (!cache) return this.#again(exchange, progress, grant.prefill);
-      const decode = await places.bind(service, demand.id, cache.ms, signal);
+      const { prefill } = grant;
+      const cache =
+        prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
+      if (prefill !== undefined && !cache) {
+        blame = prefill;
+        return this.#again(exchange, progress, prefill);
+      }
+      const decode = cache ? await places.bind(service, demand.id, cache.ms, signal) : grant.decode;
       if (decode === undefined) {
-        this.#free(cache);
+        if (cache) this.#free(cache);
         throw refusal(progress, 'no decode runner had room while the prefill was kept');
       }
       const outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
@@ -128,12 +130,12 @@
   async #prefill(
     exchange: Exchange,
     progress: Progress,
-    grant: Grant,
+    id: string,
   ): Promise<(CacheHandle & { readonly ms: number }) | undefined> {
     const { knowledge, runners } = this.#context;
     const now = performance.now();
     const { service, request, signal } = exchange;
-    const runner = find(knowledge.runnersOf(now, service, 'prefill'), grant.prefill);
+    const runner = find(knowledge.runnersOf(now, service, 'prefill'), id);
     if (!runner) return undefined;
     progress.prefills += 1;
     const limit = AbortSignal.timeout(PREFILL_LIMIT_MS);
@@ -175,19 +177,19 @@
     progress: Progress,
     id: string,
     decode: string,
-    cache: CacheHandle,
+    cache: CacheHandle | undefined,
   ): Promise<Outcome> {
     const { knowledge } = this.#context;
     const { service } = exchange;
     const now = performance.now();
     const runner = find(knowledge.runnersOf(now, service, 'decode'), decode);
     if (!runner || exchange.signal.aborted) {
-      this.#free(cache);
+      if (cache) this.#free(cache);
       return 'rejected';
     }
     progress.sentTo.add(runner.id);
     let reply = await this.#send(exchange, progress, runner, cache);
-    if (reply === 'rejected' && this.#context.mayRepeat(performance.now(), service)) {
+    if (reply === 'rejected' && cache && this.#context.mayRepeat(performance.now(), service)) {
       // The handle may have lapsed on the way; the same runner can still read the prompt itself.
       reply = await this.#send(exchange, progress, runner, undefined);
     }
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -183,7 +183,8 @@
       .returnType<Verdict>()
       .with({ kind: 'grant' }, ({ grant }) => {
         this.#log.info({ request: id, service, ...grant, ...seen }, 'Gave a place.');
-        return { state: 'granted', id, ...grant };
+        const { prefill, decode } = grant;
+        return { state: 'granted', id, decode, ...(prefill === undefined ? {} : { prefill }) };
       })
       .with({ kind: 'bind' }, ({ decode }) => {
         this.#log.info({ request: id, service, bound: decode, ...seen }, 'Bound a request.');
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -114,7 +114,11 @@
     }
   }
 
-  #keep(service: string, demand: OwnDemand, { prefill, decode }: Grant): Grant {
+  #keep(
+    service: string,
+    demand: OwnDemand,
+    { prefill, decode }: Extract<Verdict, { readonly state: 'granted' }>,
+  ): Grant {
     const grant = { prefill, decode };
     this.#held.set(demand.id, { service, demand, grant, startedAt: undefined });
     return grant;
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -41,7 +41,7 @@
     .array(
       z.object({
         ...demandFields,
-        prefill: id,
+        prefill: id.optional(),
         decode: id,
         startedAgoMs: ms.optional(),
       }),
@@ -50,7 +50,7 @@
 });
 /** The planner's word on a request. */
 export const verdictSchema = z.discriminatedUnion('state', [
-  z.object({ state: z.literal('granted'), id, prefill: id, decode: id }),
+  z.object({ state: z.literal('granted'), id, prefill: id.optional(), decode: id }),
   z.object({ state: z.literal('bound'), id, decode: id }),
   z.object({ state: z.literal('refused'), id, retryAfterMs: ms }),
   z.object({ state: z.literal('waiting'), id }),
@@ -105,7 +105,8 @@
 ): Hold['holdings'][number] {
   return {
     ...toMessage(now, demand),
-    ...grant,
+    decode: grant.decode,
+    ...(grant.prefill === undefined ? {} : { prefill: grant.prefill }),
     ...(startedAt === undefined ? {} : { startedAgoMs: now - startedAt }),
   };
 }
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -90,6 +90,23 @@
     expect(new Set(times.map((ms) => Math.round(ms / 100))).size).toBeGreaterThan(8);
   });
 
+  /*
+   * One of two prefill runners has left for good and requests come faster than
+   * the other can read. Decode memory is half empty. Requests must not wait for
+   * the prefill runner alone, but a decode runner reads only one prompt at a time.
+   */
+  test('has decode runners read prompts when the prefill runners cannot keep up', () => {
+    const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+    const grants = flood(planner, 0, 6).filter((action) => action.kind === 'grant');
+    const direct = grants.filter(({ grant }) => grant.prefill === undefined);
+    expect(direct.length).toBe(1);
+    const next = planner.handle(300, { kind: 'started', id: direct[0]?.id ?? '' });
+    expect(next.map((action) => action.kind === 'grant' && action.grant)).toContainEqual({
+      prefill: undefined,
+      decode: 'd1',
+    });
+  });
+
   /* The answer to an ask was lost and the gateway asks again: it gets the place that is kept for it, not a second one. */
   test('gives the same place to a request that asks again', () => {
     const planner = plannerOf(pool);
