Tell a reset from an end in order, trust runners by their outcomes, ask peers

Change: at the end of an answer the socket is asked for its peer; a reset connection has none. Cause 2: a runner's failure kept work off it for 0.4 s only. Change: strikes that double the time and fade with good ends, bounded to half of a stage; streams whose events come far apart count as failures; a runner's own 5xx is blamed. Cause 3: a VM without store and configuration waited for a rumour. Change: VMs compare digests with each probe and ask when they are cut off from the store. Cause 4: facts from peers dropped runners whose entries had lapsed in an outage.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -8,6 +8,8 @@
  */
 
 import type { Engine, Runner } from '../routing/types';
+import type { Trust } from './trust';
+import { FULL_TRUST } from './trust';
 import type { Demand } from './types';
 
 /** A request in its place on a decode runner. */
@@ -31,8 +33,9 @@
   foreignTokens: number;
   /** Tokens given back a moment ago, which a late report may still count. */
   readonly ended: { readonly at: number; readonly tokens: number }[];
-  /** No work until then, after it turned work away or failed. */
+  /** No work until then, while it changes its stage. */
   avoidUntil: number;
+  trust: Trust;
 }
 
 /** A prompt that a prefill runner works on. */
@@ -49,6 +52,7 @@
   /** Measured time against expected time; 1.3 is a runner slower by 30 %. */
   slowness: number;
   avoidUntil: number;
+  trust: Trust;
 }
 
 /** Memory is taken in blocks of this many tokens. */
@@ -99,6 +103,19 @@
   return Math.max(0, state.memoryTokens * FILL - used);
 }
 
+/** Most runners of a stage that distrust may keep without work at once, as a part: what fails everywhere is not the runners' fault. */
+const DISTRUSTED_PART = 0.5;
+
+/** Runners of one stage that may get work: those that are not changing and, unless too many are not, trusted. */
+export function ableOf<T extends DecodeState | PrefillState>(
+  now: number,
+  states: Iterable<T>,
+): readonly T[] {
+  const steady = [...states].filter(({ avoidUntil }) => now >= avoidUntil);
+  const trusted = steady.filter(({ trust }) => now >= trust.avoidUntil);
+  return trusted.length >= steady.length * (1 - DISTRUSTED_PART) ? trusted : steady;
+}
+
 /** All runners of one service. */
 export class MemoryAccount {
   readonly decode = new Map<string, DecodeState>();
@@ -117,10 +134,17 @@
           foreignTokens: 0,
           ended: [],
           avoidUntil: 0,
+          trust: FULL_TRUST,
         });
       }
       if (runner.role === 'prefill' && !this.prefill.has(runner.id)) {
-        this.prefill.set(runner.id, { runner, pending: new Map(), slowness: 1, avoidUntil: 0 });
+        this.prefill.set(runner.id, {
+          runner,
+          pending: new Map(),
+          slowness: 1,
+          avoidUntil: 0,
+          trust: FULL_TRUST,
+        });
       }
     }
     for (const id of this.decode.keys()) if (listed.get(id) !== 'decode') this.decode.delete(id);
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -8,8 +8,9 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, Holder, PrefillState } from './account';
-import { MemoryAccount, directReads, endOf, freeTokens } from './account';
+import { MemoryAccount, ableOf, directReads, endOf, freeTokens } from './account';
 import { OutputLengths } from './lengths';
+import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
 import { backlogMs, learnSlowness, prefillMs, workMs } from './cost';
@@ -56,8 +57,6 @@
 const AHEAD_PART = 0.25;
 /** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
 const DIRECT_SPARE = 0.15;
-/** How long a runner that failed or turned work away gets none, in milliseconds. */
-const AVOID_MS = 400;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
 const LAST_CHANCE_MS = 1300;
 /** Above every key of a request that can still meet its aim. */
@@ -163,6 +162,7 @@
       .with({ kind: 'prefilled' }, ({ id, ms }) => this.#prefilled(now, id, ms))
       .with({ kind: 'started' }, ({ id }) => this.#started(now, id))
       .with({ kind: 'finished' }, ({ id, outputTokens }) => this.#finished(now, id, outputTokens))
+      .with({ kind: 'slow' }, ({ id }) => this.#slow(now, id))
       .with({ kind: 'released' }, ({ id, blame }) => this.#release(now, id, blame))
       .with({ kind: 'told' }, ({ vm, holdings }) => this.#adopt(now, vm, holdings))
       .with({ kind: 'vmLost' }, ({ vm }) => this.#vmLost(now, vm))
@@ -215,16 +215,25 @@
     if (!placed) return;
     this.#lengths.learn(placed.demand, outputTokens);
     this.#flow.held(now - placed.grantedAt);
+    const decode = this.#account.decode.get(placed.grant.decode);
+    if (decode) decode.trust = afterSuccess(decode.trust);
+    const prefill = this.#prefillOf(placed.grant);
+    if (prefill) prefill.trust = afterSuccess(prefill.trust);
     this.#leave(now, id, placed);
   }
 
+  #slow(now: number, id: string): void {
+    const decode = this.#account.decode.get(this.#placed.get(id)?.grant.decode ?? '');
+    if (decode) decode.trust = afterFailure(now, decode.trust);
+  }
+
   #release(now: number, id: string, blame: string | undefined): void {
     this.#waiting.delete(id);
     const placed = this.#placed.get(id);
     if (placed) this.#leave(now, id, placed);
     if (blame === undefined) return;
     const state = this.#account.decode.get(blame) ?? this.#account.prefill.get(blame);
-    if (state) state.avoidUntil = now + AVOID_MS;
+    if (state) state.trust = afterFailure(now, state.trust);
   }
 
   #leave(now: number, id: string, { grant }: Placed): void {
@@ -396,9 +405,9 @@
   #soonest(now: number, demand: Demand): DecodeState | undefined {
     let best: DecodeState | undefined;
     let bestFree = -Infinity;
-    for (const state of this.#account.decode.values()) {
+    for (const state of ableOf(now, this.#account.decode.values())) {
       const free = freeTokens(now, state);
-      const able = now >= state.avoidUntil && !demand.avoid.includes(state.runner.id);
+      const able = !demand.avoid.includes(state.runner.id);
       if (able && free > bestFree && this.#isSafe(now, state)) {
         best = state;
         bestFree = free;
@@ -411,7 +420,7 @@
     const need = this.#sizeOf(demand);
     let best: DecodeState | undefined;
     let bestFree = 0;
-    for (const state of this.#account.decode.values()) {
+    for (const state of ableOf(now, this.#account.decode.values())) {
       const free = freeTokens(now, state);
       const slots = (this.#engine?.slots ?? 0) - state.holders.size;
       const able = free >= need && slots > 0 && !demand.avoid.includes(state.runner.id);
@@ -432,9 +441,9 @@
   #findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
     let best: PrefillState | undefined;
     let bestMs = Infinity;
-    for (const state of this.#account.prefill.values()) {
+    for (const state of ableOf(now, this.#account.prefill.values())) {
       const backlog = backlogMs(state);
-      const able = now >= state.avoidUntil && backlog <= PREFILL_BACKLOG_MS;
+      const able = backlog <= PREFILL_BACKLOG_MS;
       // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
       const ms = backlog + prefillMs(demand.promptTokens, state.slowness);
       const cost = state.runner.domain === domain ? ms : ms + FAR_MS;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -52,6 +52,8 @@
   | { readonly kind: 'prefilled'; readonly id: string; readonly ms: number }
   | { readonly kind: 'started'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly outputTokens: number }
+  /** Its events come far apart: the decode runner is slow. */
+  | { readonly kind: 'slow'; readonly id: string }
   /** The request left its place without a whole answer; `runner` is whom it holds to blame. */
   | { readonly kind: 'released'; readonly id: string; readonly blame: string | undefined }
   /** All places that a VM holds. */
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -23,6 +23,8 @@
   readonly aimMs: number;
   /** Silence before the first event after which callers of a stream leave, in milliseconds. */
   readonly patienceMs: number;
+  /** Longest pause between events with which a stream is on time, in milliseconds; 0 if none is set. */
+  readonly gapMs: number;
   /** Runners that one request may be sent to. */
   readonly attempts: number;
   /** Rank, 0 first. */
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -50,6 +50,10 @@
 const ALONE_MS = 1500;
 /** Time limit of reading what another VM knows, in milliseconds. */
 const EXCHANGE_LIMIT_MS = 1000;
+/** Silence of the store after which other VMs are asked for news, in milliseconds: longer than a watch takes. */
+const STORE_SILENT_MS = 3000;
+/** Least time between two such readings, in milliseconds. */
+const LEARN_PACE_MS = 700;
 /** By how much a caller's deadline may vary between first attempts, in milliseconds. */
 const DEADLINE_SLACK_MS = 20;
 
@@ -110,6 +114,11 @@
 
   #leaving = false;
 
+  #storeUp = false;
+
+  /** Steady time of the last reading from another VM. */
+  #learntAt = -Infinity;
+
   constructor(settings: RouterSettings, ports: RouterPorts, log: Logger) {
     this.#settings = settings;
     this.#ports = ports;
@@ -122,7 +131,7 @@
     this.#fleet = new RouterFleet(settings, metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#onCall(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
-      onChange: () => {},
+      onDiffers: (address) => this.#onDiffers(performance.now(), address),
       onRumour: (path, revision, address) => this.#onRumour(path, revision, address),
     });
     this.#places = new Places(settings.vm, this.#fleet, this.#host, logOf(log, 'places'));
@@ -155,21 +164,12 @@
     const { listen, vm } = this.#settings;
     await this.#fleet.start();
     this.#ports.feed.start({
-      onConfig: (config, raw) => {
-        this.#knowledge.heardStore(performance.now());
-        this.#knowledge.learnConfig(performance.now(), config, raw, 'store');
-      },
-      onRunners: (facts, lapsed) => {
-        this.#knowledge.heardStore(performance.now());
-        this.#knowledge.learnRunners(performance.now(), facts, lapsed, 'store');
-      },
-      onListed: (ids, revision, lapsed) =>
-        this.#knowledge.learnList(performance.now(), ids, revision, lapsed),
+      onConfig: (config, raw) =>
+        this.#knowledge.learnConfig(performance.now(), config, raw, 'store'),
+      onRunners: (facts) => this.#knowledge.learnRunners(performance.now(), facts, 'store'),
+      onListed: (ids, revision) => this.#knowledge.learnList(performance.now(), ids, revision),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
-      onStore: (up, detail) => {
-        if (up) this.#log.info({ detail }, 'The store answers.');
-        else this.#log.warn({ detail }, 'The store does not answer.');
-      },
+      onStore: (up, detail) => this.#storeAnswered(performance.now(), up, detail),
     });
     this.#orders = new OrderDesk({
       vm,
@@ -291,7 +291,8 @@
   #onNews(kind: 'config' | 'runners', source: string): void {
     const { configVersion, runnersRevision } = this.#knowledge;
     if (kind === 'config') this.#describe();
-    if (source !== 'store') return;
+    this.#fleet.setDigest(`${configVersion}/${runnersRevision}`);
+    if (source !== 'store' && source !== 'list') return;
     this.#fleet.spread(kind, kind === 'config' ? configVersion : runnersRevision);
   }
 
@@ -301,6 +302,27 @@
     if (revision > own) this.#learnFrom(address);
   }
 
+  /** Notes the end of each call to the store, and logs where that changes. */
+  #storeAnswered(now: number, up: boolean, detail: string): void {
+    if (up) this.#knowledge.heardStore(now);
+    else this.#knowledge.storeFailed(now);
+    if (up === this.#storeUp) return;
+    this.#storeUp = up;
+    if (up) this.#log.info({ detail }, 'The store answers.');
+    else this.#log.warn({ detail }, 'The store does not answer.');
+  }
+
+  /**
+   * Another VM knows other things. The store brings them by itself; a VM that
+   * does not reach it, or has just started, asks.
+   */
+  #onDiffers(now: number, address: string): void {
+    const cutOff = this.#knowledge.storeAge(now) > STORE_SILENT_MS || !this.#knowledge.table;
+    if (!cutOff || now - this.#learntAt < LEARN_PACE_MS) return;
+    this.#learntAt = now;
+    this.#learnFrom(address);
+  }
+
   /** Reads what another VM knows; it may have heard what the store could not tell this one. */
   #learnFrom(address: string): void {
     this.#fleet
@@ -311,7 +333,7 @@
         const now = performance.now();
         if (decoded) this.#knowledge.learnConfig(now, decoded, config, address);
         const facts = runners.map(({ id, revision, runner }) => ({ id, revision, runner }));
-        this.#knowledge.learnRunners(now, facts, false, address);
+        this.#knowledge.learnRunners(now, facts, address);
       })
       .catch((error: Error) => this.#log.debug({ address }, error.message));
   }
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -25,8 +25,8 @@
   ): Promise<unknown>;
   /** A VM died or left. */
   onLost(vm: string): void;
-  /** Owners may have changed. */
-  onChange(): void;
+  /** Another VM knows other things than this one. */
+  onDiffers(address: string): void;
   /** Another VM has news of that kind and revision. */
   onRumour(path: string, revision: number, address: string): void;
 }
@@ -78,7 +78,7 @@
       listener: {
         onChange: (member) => this.#changed(member),
         onRumour: ({ path, revision }, address) => listener.onRumour(path, revision, address),
-        onDiffers: () => {},
+        onDiffers: (address) => listener.onDiffers(address),
       },
     });
     this.#server = new PeerServer({
@@ -134,6 +134,11 @@
     this.#members.tell({ kind: 'described', gateways: [front], draining });
   }
 
+  /** What this VM knows, in short, for others to compare. */
+  setDigest(digest: string): void {
+    this.#members.members.setDigest(digest);
+  }
+
   leave(): void {
     this.#members.tell({ kind: 'leaving' });
   }
@@ -200,6 +205,5 @@
       // The link is opened before it is needed: a request that has to wait for it would lose its time.
       this.#linkTo(address);
     }
-    this.#listener.onChange();
   }
 }
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -10,6 +10,9 @@
 import { RouteTable } from '../../core/routing/table';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
 
+/** How long after trouble with the store a vanished entry may be one that lapsed meanwhile, in milliseconds. */
+const LAPSE_MS = 3000;
+
 /** What one VM knows. */
 export class Knowledge {
   readonly #log: Logger;
@@ -23,6 +26,9 @@
   /** Steady time of the last word of the store. */
   #storeAt = -Infinity;
 
+  /** Steady time of the last failed call to the store. */
+  #troubleAt = -Infinity;
+
   readonly #onNews: (kind: 'config' | 'runners', source: string) => void;
 
   /** @param onNews called when a newer configuration or a change of the runners came in, and from where */
@@ -56,6 +62,15 @@
     this.#storeAt = now;
   }
 
+  storeFailed(now: number): void {
+    this.#troubleAt = now;
+  }
+
+  /** Whether an entry that vanishes now may have lapsed while the store was in trouble. */
+  mayHaveLapsed(now: number): boolean {
+    return now - this.#troubleAt < LAPSE_MS;
+  }
+
   /** Time since the store was last heard, in milliseconds. */
   storeAge(now: number): number {
     return now - this.#storeAt;
@@ -75,7 +90,8 @@
   }
 
   /** Takes facts of runners over, each if it is newer. */
-  learnRunners(now: number, facts: readonly RunnerFact[], lapsed: boolean, source: string): void {
+  learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
+    const lapsed = this.mayHaveLapsed(now);
     let changed = false;
     for (const fact of facts) {
       if (this.#directory.learn(now, fact, lapsed)) {
@@ -92,11 +108,11 @@
   }
 
   /** Runners that a full list of the store no longer names are gone as of its revision. */
-  learnList(now: number, listed: ReadonlySet<string>, revision: number, lapsed: boolean): void {
+  learnList(now: number, listed: ReadonlySet<string>, revision: number): void {
     const gone = this.#directory
       .missing(listed)
       .map((id): RunnerFact => ({ id, revision, runner: undefined }));
-    this.learnRunners(now, gone, lapsed, 'list');
+    this.learnRunners(now, gone, 'list');
   }
 
   /** Runners of a service that may get work now. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -6,6 +6,7 @@
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { Places } from './places';
+import { Pace } from './pace';
 import { EventSplitter } from './splitter';
 import type { CacheHandle, Reply, RunnerClient } from './types';
 
@@ -31,6 +32,7 @@
 const RETRY_MS = 400;
 /** Time spent on earlier attempts that shows a caller to have come back, in milliseconds. */
 const RETURNED_MS = 100;
+const SERVER_ERROR = 500;
 
 /** State of one request across its attempts. */
 interface Progress {
@@ -42,8 +44,8 @@
   places: number;
 }
 
-/** Outcome of one send to a decode runner. */
-type Outcome = 'done' | 'rejected' | 'broken';
+/** Outcome of one send to a decode runner; `failed` if the runner's own failure was passed on. */
+type Outcome = 'done' | 'failed' | 'rejected' | 'broken';
 
 /** Drives model requests. */
 export class ModelCaller {
@@ -100,6 +102,7 @@
       const outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       if (outcome === 'done') return false;
       blame = decode;
+      if (outcome === 'failed') return false;
       return this.#afterDecode(exchange, progress, decode, outcome);
     } finally {
       places.note(service, { id: demand.id, kind: 'released', ...(blame ? { blame } : {}) });
@@ -243,6 +246,7 @@
       reply.body.destroy();
       return 'broken';
     }
+    const pace = new Pace(exchange.route.gapMs);
     let started = false;
     splitter.restart();
     try {
@@ -251,6 +255,9 @@
         if (events.length > 0) {
           if (!started) places.note(service, { id, kind: 'started' });
           started = true;
+          if (pace.next(performance.now(), splitter.events)) {
+            places.note(service, { id, kind: 'slow' });
+          }
           begin(exchange, reply);
           await exchange.write(events);
         }
@@ -259,8 +266,11 @@
       return 'broken';
     }
     if (!reply.body.complete) return 'broken';
+    const failed = reply.status >= SERVER_ERROR;
+    if (failed && mayGoOn(exchange, progress)) return 'broken';
     begin(exchange, reply);
     exchange.end(splitter.rest);
+    if (failed) return 'failed';
     const outputTokens = splitter.events * engine.eventTokens;
     places.note(service, { id, kind: 'finished', outputTokens });
     return 'done';
@@ -271,7 +281,7 @@
     exchange: Exchange,
     progress: Progress,
     decode: string,
-    outcome: Exclude<Outcome, 'done'>,
+    outcome: 'rejected' | 'broken',
   ): boolean {
     const { route, service, signal } = exchange;
     if (signal.aborted) return false;
@@ -296,6 +306,11 @@
     : new Failure('runnerFailed', detail);
 }
 
+/** Whether a request that may run again has another decode runner left. */
+function mayGoOn({ route }: Exchange, { sentTo }: Progress): boolean {
+  return route.resumable && sentTo.size < route.attempts;
+}
+
 function begin(exchange: Exchange, { status, headers }: Reply): void {
   if (!exchange.headSent) exchange.head(status, headers);
 }
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -54,9 +54,13 @@
     this.#timer = setInterval(() => this.#wake(performance.now()), WAKE_MS);
   }
 
-  /** Takes no more requests; those that wait are told to ask elsewhere. */
+  /** Takes no more requests; those that wait are told to ask again, which brings them to the next owner. */
   leave(): void {
     this.#leaving = true;
+    for (const [service, { sinks }] of this.#plans) {
+      for (const [id, sink] of sinks) sink(service, { state: 'waiting', id });
+      sinks.clear();
+    }
   }
 
   stop(): void {
@@ -91,6 +95,7 @@
     const event = match(note)
       .returnType<PlanEvent>()
       .with({ kind: 'started' }, () => ({ kind: 'started', id }))
+      .with({ kind: 'slow' }, () => ({ kind: 'slow', id }))
       .with({ kind: 'finished' }, ({ outputTokens }) => ({
         kind: 'finished',
         id,
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -28,7 +28,7 @@
 export const noteSchema = z.object({
   service,
   id,
-  kind: z.enum(['started', 'finished', 'released']),
+  kind: z.enum(['started', 'slow', 'finished', 'released']),
   outputTokens: tokens.optional(),
   blame: id.optional(),
 });
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -131,11 +131,11 @@
 /** What a feed of facts tells. */
 export interface FeedListener {
   onConfig(config: RoutingConfig, raw: string): void;
-  /** @param lapsed whether a vanished entry may have lapsed while the store was in trouble */
-  onRunners(facts: readonly RunnerFact[], lapsed: boolean): void;
+  onRunners(facts: readonly RunnerFact[]): void;
   /** The full list of runners as of now. */
-  onListed(ids: ReadonlySet<string>, revision: number, lapsed: boolean): void;
+  onListed(ids: ReadonlySet<string>, revision: number): void;
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
+  /** After each call to the store: whether it was answered. */
   onStore(up: boolean, detail: string): void;
 }
 
--- a/src/platform/facts.ts
+++ b/src/platform/facts.ts
@@ -104,6 +104,7 @@
     targets: targetsOf(route),
     timeoutMs: route['timeout-ms'],
     aimMs,
+    gapMs,
     patienceMs: Math.max(PATIENCE_MS, PATIENCE_AIMS * aimMs, PATIENCE_GAPS * gapMs),
     attempts: Math.max(1, route['max-attempts']),
     priority: route.priority,
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -18,8 +18,6 @@
 /** Waits after a failure, in milliseconds; doubled up to the limit. */
 const RETRY_MS = 150;
 const RETRY_LIMIT_MS = 800;
-/** How long after trouble a vanished entry may be one that lapsed meanwhile, in milliseconds. */
-const LAPSE_MS = 3000;
 
 /** Everything below the root: one watch serves configuration, runners and VMs. */
 const ALL = '';
@@ -36,15 +34,10 @@
 
   #stopped = false;
 
-  #up = false;
-
   #registered = false;
 
   #waitMs = RETRY_MS;
 
-  /** Steady time of the last trouble. */
-  #troubleAt = -Infinity;
-
   constructor(
     store: StoreClient,
     self: { readonly vm: string; readonly address: string },
@@ -69,7 +62,7 @@
       try {
         await this.#follow();
       } catch (error) {
-        this.#trouble(toFailure(error).line);
+        this.#listener?.onStore(false, toFailure(error).line);
         // VMs that lost the store at the same moment should not come back at the same moment.
         await pause(this.#waitMs * (0.5 + Math.random()));
         this.#waitMs = Math.min(RETRY_LIMIT_MS, this.#waitMs * 2);
@@ -88,7 +81,7 @@
       if (!news) {
         ({ revision } = await this.#readAll());
       } else {
-        this.#recovered();
+        this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, news.revision);
         this.#tell(news.items);
       }
@@ -99,10 +92,10 @@
 
   async #readAll(): Promise<{ revision: number }> {
     const { items, revision } = await this.#store.range(ALL);
-    this.#recovered();
+    this.#listener?.onStore(true, 'answers');
     this.#tell(items);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
-    this.#listener?.onListed(new Set(ids), revision, this.#mayHaveLapsed());
+    this.#listener?.onListed(new Set(ids), revision);
     return { revision };
   }
 
@@ -120,7 +113,7 @@
         this.#log.error({ key: item.key, revision: item.revision }, toFailure(error).line);
       }
     }
-    if (runners.length > 0) this.#listener?.onRunners(runners, this.#mayHaveLapsed());
+    if (runners.length > 0) this.#listener?.onRunners(runners);
     if (vms.length > 0) this.#listener?.onVms(vms);
   }
 
@@ -128,21 +121,6 @@
     if (value !== undefined) this.#listener?.onConfig(decodeConfig(value), value);
   }
 
-  #mayHaveLapsed(): boolean {
-    return performance.now() - this.#troubleAt < LAPSE_MS;
-  }
-
-  #trouble(detail: string): void {
-    this.#troubleAt = performance.now();
-    if (this.#up) this.#listener?.onStore(false, detail);
-    this.#up = false;
-  }
-
-  #recovered(): void {
-    if (!this.#up) this.#listener?.onStore(true, 'answers');
-    this.#up = true;
-  }
-
   /** Lists this VM, so that others find it. The entry needs no lease: probes tell who lives. */
   #register(): void {
     if (this.#registered) return;
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -174,6 +174,7 @@
       // An answer without a length ends with its connection, and Node takes a reset for such an end
       // too: half an answer would look whole. The reset is an error of the request, so it is passed on.
       req.on('error', (error) => message.destroy(error));
+      failOnReset(message);
       resolve(message);
     });
     req.on('error', (error) => fail(error.message));
@@ -181,6 +182,18 @@
   });
 }
 
+/**
+ * A reset that arrives together with the last bytes is reported as an end in
+ * order. The kernel still tells them apart: a connection that was reset has no
+ * peer any more, one that was closed in order has.
+ */
+function failOnReset(message: IncomingMessage): void {
+  const { socket } = message;
+  socket.prependListener('end', () => {
+    if (socket.remoteAddress === undefined) message.destroy(new Error('reset by the runner'));
+  });
+}
+
 /** Calls back once the connection stands, and ends the request if that takes too long. */
 function onConnected(req: ClientRequest, callback: () => void): void {
   const timer = setTimeout(() => req.destroy(new Error('no connection')), CONNECT_MS);
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -77,4 +77,12 @@
     });
     expect(outcome).toMatch(/^failed/);
   });
+
+  /* The same, but the reset arrives together with the last bytes: Node then reports an end in order instead of the reset. */
+  test('is broken when bytes and reset arrive together', async () => {
+    const outcome = await outcomeOf((socket) => {
+      socket.write(`${HEAD}\r\nby`, () => socket.resetAndDestroy());
+    });
+    expect(outcome).toMatch(/^failed/);
+  });
 });
