Bind another decode runner when the first is not reached

Change: the owner is told and binds another runner; the kept prompt is used. The test fails without.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -23,7 +23,7 @@
 }
 
 interface Placed {
-  readonly demand: Demand;
+  demand: Demand;
   grant: Grant;
   readonly grantedAt: number;
   /** When the prefill was done. */
@@ -159,7 +159,10 @@
     this.#actions = [];
     match(event)
       .with({ kind: 'asked' }, ({ demand }) => this.#ask(now, demand))
-      .with({ kind: 'prefilled' }, ({ id, ms }) => this.#prefilled(now, id, ms))
+      .with({ kind: 'prefilled' }, ({ id, ms, unreachable }) => {
+        this.#unbind(now, id, unreachable);
+        this.#prefilled(now, id, ms);
+      })
       .with({ kind: 'started' }, ({ id }) => this.#started(now, id))
       .with({ kind: 'finished' }, ({ id, outputTokens }) => this.#finished(now, id, outputTokens))
       .with({ kind: 'slow' }, ({ id }) => this.#slow(now, id))
@@ -192,6 +195,17 @@
     if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
   }
 
+  /** Takes a request off a decode runner that was not reached, so that another is bound. */
+  #unbind(now: number, id: string, unreachable: string | undefined): void {
+    const placed = this.#placed.get(id);
+    const state = this.#account.decode.get(unreachable ?? '');
+    if (state) state.trust = afterFailure(now, state.trust);
+    if (!placed?.bound || placed.grant.decode !== unreachable) return;
+    this.#account.leave(now, unreachable, id);
+    placed.bound = false;
+    placed.demand = { ...placed.demand, avoid: [...placed.demand.avoid, unreachable] };
+  }
+
   #prefilled(now: number, id: string, ms: number): void {
     const placed = this.#placed.get(id);
     if (!placed) return;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -49,7 +49,13 @@
 /** What happened. */
 export type PlanEvent =
   | { readonly kind: 'asked'; readonly demand: Demand }
-  | { readonly kind: 'prefilled'; readonly id: string; readonly ms: number }
+  | {
+      readonly kind: 'prefilled';
+      readonly id: string;
+      readonly ms: number;
+      /** The decode runner that could not be reached; what was read still lies at the prefill runner. */
+      readonly unreachable: string | undefined;
+    }
   | { readonly kind: 'started'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly outputTokens: number }
   /** Its events come far apart: the decode runner is slow. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -45,7 +45,7 @@
 }
 
 /** Outcome of one send to a decode runner; `failed` if the runner's own failure was passed on. */
-type Outcome = 'done' | 'failed' | 'rejected' | 'broken';
+type Outcome = 'done' | 'failed' | 'rejected' | 'broken' | 'unreachable';
 
 /** Drives model requests. */
 export class ModelCaller {
@@ -94,16 +94,18 @@
         blame = prefill;
         return this.#again(exchange, progress, prefill);
       }
-      const decode = cache ? await places.bind(service, demand.id, cache.ms, signal) : grant.decode;
-      if (decode === undefined) {
-        if (cache) this.#free(cache);
-        throw refusal(progress, 'no decode runner had room while the prefill was kept');
+      let decode = cache ? await places.bind(service, demand.id, cache.ms, signal) : grant.decode;
+      let outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
+      if (outcome === 'unreachable' && cache) {
+        // Nothing was sent, and what was read still lies at the prefill runner.
+        decode = await places.bind(service, demand.id, cache.ms, signal, decode);
+        outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       }
-      const outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
+      if (outcome === 'unreachable') outcome = 'rejected';
       if (outcome === 'done') return false;
       blame = decode;
       if (outcome === 'failed') return false;
-      return this.#afterDecode(exchange, progress, decode, outcome);
+      return this.#afterDecode(exchange, progress, decode ?? '', outcome);
     } finally {
       places.note(service, { id: demand.id, kind: 'released', ...(blame ? { blame } : {}) });
     }
@@ -179,9 +181,13 @@
     engine: Engine,
     progress: Progress,
     id: string,
-    decode: string,
+    decode: string | undefined,
     cache: CacheHandle | undefined,
   ): Promise<Outcome> {
+    if (decode === undefined) {
+      if (cache) this.#free(cache);
+      throw refusal(progress, 'no decode runner had room while the prefill was kept');
+    }
     const { knowledge } = this.#context;
     const { service } = exchange;
     const now = performance.now();
@@ -196,7 +202,7 @@
       // The handle may have lapsed on the way; the same runner can still read the prompt itself.
       reply = await this.#send(exchange, progress, runner, undefined);
     }
-    if (reply === 'rejected' || reply === 'broken') return reply;
+    if (typeof reply === 'string') return reply;
     return this.#relay(exchange, engine, progress, id, reply);
   }
 
@@ -205,7 +211,7 @@
     progress: Progress,
     runner: Runner,
     cache: CacheHandle | undefined,
-  ): Promise<Reply | 'rejected' | 'broken'> {
+  ): Promise<Reply | 'rejected' | 'broken' | 'unreachable'> {
     const { request, signal } = exchange;
     const deadlineMs = exchange.leftMs(performance.now());
     const afterEvent = progress.splitter.lastId;
@@ -227,7 +233,9 @@
     } catch (error) {
       const { codeName } = toFailure(error);
       exchange.trail.push(`decode ${runner.id} ${codeName}`);
-      return codeName === 'runnerUnreachable' ? 'rejected' : 'broken';
+      if (codeName !== 'runnerUnreachable') return 'broken';
+      progress.sentTo.delete(runner.id);
+      return 'unreachable';
     }
   }
 
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -125,7 +125,8 @@
   }
 
   /**
-   * Says that a prefill is done and gives the decode runner; undefined if none
+   * Says that a prefill is done, or that the decode runner bound to it was not
+   * reached, and gives the decode runner; undefined if none
    * had room while the prefill is kept. An owner that is silent leaves the place
    * that was likely when the prefill began.
    */
@@ -134,15 +135,17 @@
     id: string,
     ms: number,
     signal: AbortSignal,
+    unreachable?: string,
   ): Promise<string | undefined> {
+    const ready = { service, id, ms, ...(unreachable === undefined ? {} : { unreachable }) };
     const held = this.#held.get(id);
     const owner = this.#ownerOf(performance.now(), service);
     if (!held || !owner) return held?.grant.decode;
     const sink: VerdictSink = (name, verdict) => this.onVerdict(name, verdict);
     const verdict = await this.#converse(owner, id, signal, (now) =>
       owner.vm === this.#vm
-        ? this.#host.ready(now, this.#vm, { service, id, ms }, sink)
-        : this.#fleet.call(owner.address, 'ready', { service, id, ms }, ASK_LIMIT_MS),
+        ? this.#host.ready(now, this.#vm, ready, sink)
+        : this.#fleet.call(owner.address, 'ready', ready, ASK_LIMIT_MS),
     );
     if (verdict?.state === 'refused') return undefined;
     if (verdict?.state === 'bound') held.grant = { ...held.grant, decode: verdict.decode };
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -55,7 +55,9 @@
 
 /** Lets all prefills end, so that only memory binds. */
 function prefillAll(planner: Planner, now: number, ids: readonly string[]): readonly PlanAction[] {
-  return ids.flatMap((id) => planner.handle(now, { kind: 'prefilled', id, ms: 150 }));
+  return ids.flatMap((id) =>
+    planner.handle(now, { kind: 'prefilled', id, ms: 150, unreachable: undefined }),
+  );
 }
 
 describe('the planner', () => {
@@ -107,6 +109,22 @@
     });
   });
 
+  /*
+   * A decode runner crashes between the prefill and the decode: the connection is
+   * refused and nothing was sent. What was read still lies at the prefill runner
+   * for half a second, so another decode runner gets it; it is not read again.
+   */
+  test('binds another decode runner when the first was not reached', () => {
+    const planner = plannerOf([...pool, runner('d2', 'decode')]);
+    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    const ready = { kind: 'prefilled', id: 'r', ms: 150 } as const;
+    const bound = planner.handle(150, { ...ready, unreachable: undefined });
+    const first = bound[0]?.kind === 'bind' ? bound[0].decode : '';
+    const again = planner.handle(160, { ...ready, unreachable: first });
+    const other = first === 'd1' ? 'd2' : 'd1';
+    expect(again).toEqual([{ kind: 'bind', id: 'r', decode: other }]);
+  });
+
   /* The answer to an ask was lost and the gateway asks again: it gets the place that is kept for it, not a second one. */
   test('gives the same place to a request that asks again', () => {
     const planner = plannerOf(pool);
