Serve metrics as text, write logs without waiting, test the store's client

Change: counters and latency histograms by prom-client on the metrics address; logs go out in the background with a bound, drops are counted and said. A stand-in of the store and tests of the feed (pages, a watch that hangs, forgotten history, an entry that cannot be decoded) and of the lock (one holder, growing fence, lapsed lease, lost answer).

--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -5,7 +5,7 @@
 import { Failure } from '../core/failure';
 import { loadConfig, loadConfigOf, readText } from '../node/config';
 import { Gateway } from '../node/gateway/daemon';
-import { createLog } from '../node/log';
+import { createBoundedLog, createLog } from '../node/log';
 import { Scheduler } from '../node/scheduler/daemon';
 import { parseDocument } from '../core/settings/parse';
 import { createRouter, settingsOfEnvironment } from '../platform/run';
@@ -45,9 +45,10 @@
 
 async function runNode(): Promise<void> {
   const settings = settingsOfEnvironment(process.env);
-  const router = createRouter(settings, createLog('info', settings.router.vm));
+  const { log, flush } = createBoundedLog('info', settings.router.vm);
+  const router = createRouter(settings, log);
   await router.start();
-  stopOnSignal(() => router.stop());
+  stopOnSignal(() => router.stop().finally(flush));
   process.on('SIGHUP', () => router.reload(() => settingsOfEnvironment(process.env).router));
 }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -11,11 +11,11 @@
 import { Failure, toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
 import { logOf } from '../log';
-import { ProcessMetrics } from '../metrics';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { Front } from './front';
 import { Knowledge } from './knowledge';
+import { RouterMetrics } from './metrics';
 import { ModelCaller } from './model';
 import { OrderDesk } from './orders';
 import { PlanHost } from './owner';
@@ -101,6 +101,8 @@
 
   readonly #model: ModelCaller;
 
+  readonly #metrics = new RouterMetrics();
+
   readonly #servers: Server[] = [];
 
   readonly #retries = new Map<string, RetryWindow>();
@@ -123,12 +125,11 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = logOf(log, 'router');
-    const metrics = new ProcessMetrics('router', settings.vm, undefined);
     this.#knowledge = new Knowledge(logOf(log, 'knowledge'), (kind, source) =>
       this.#onNews(kind, source),
     );
     this.#host = new PlanHost(this.#knowledge, ports.runners, logOf(log, 'cell'));
-    this.#fleet = new RouterFleet(settings, metrics, logOf(log, 'members'), {
+    this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#onCall(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onDiffers: (address) => this.#onDiffers(performance.now(), address),
@@ -183,6 +184,7 @@
     });
     await this.#front.listen(listen.front);
     await this.#listenControl();
+    if (listen.metrics !== undefined) await this.#metrics.listen(listen.metrics);
     setTimeout(() => this.#askSeeds(), ALONE_MS).unref();
     this.#describe();
     this.#log.info({ vm, listen }, 'Started.');
@@ -219,6 +221,7 @@
     this.#places.stop();
     this.#host.stop();
     this.#servers.forEach((server) => server.close());
+    this.#metrics.close();
     await this.#fleet.stop();
   }
 
@@ -238,6 +241,7 @@
   #done(exchange: Exchange, ms: number): void {
     const { request, route, service, status, code, trail, callerGone } = exchange;
     const { configVersion } = this.#knowledge;
+    this.#metrics.ended(service, status, code, ms);
     this.#log.info(
       {
         request: request.id,
@@ -306,6 +310,7 @@
   #storeAnswered(now: number, up: boolean, detail: string): void {
     if (up) this.#knowledge.heardStore(now);
     else this.#knowledge.storeFailed(now);
+    this.#metrics.count(up ? 'store.answers' : 'store.failures');
     if (up === this.#storeUp) return;
     this.#storeUp = up;
     if (up) this.#log.info({ detail }, 'The store answers.');
--- /dev/null
+++ b/test/platform/store.test.ts
@@ -0,0 +1,143 @@
+import pino from 'pino';
+
+import type { RoutingConfig } from '../../src/core/routing/types';
+import type { FeedListener } from '../../src/node/router/types';
+import { StoreFeed } from '../../src/platform/feed';
+import { StoreLock } from '../../src/platform/lock';
+import { StoreClient } from '../../src/platform/store';
+import { eventually } from '../fakes/cluster';
+import { FakeStore } from '../fakes/store';
+
+const config = (version: number): unknown => ({ version, routes: [], services: [] });
+const runner = (state: string): unknown => ({ service: 's', address: '10.0.0.1:80', state });
+
+/** Collects what a feed tells. */
+class Listener implements FeedListener {
+  readonly versions: number[] = [];
+
+  readonly runners: string[] = [];
+
+  readonly listed: (readonly string[])[] = [];
+
+  readonly store: boolean[] = [];
+
+  onConfig({ version }: RoutingConfig): void {
+    this.versions.push(version);
+  }
+
+  onRunners(facts: Parameters<FeedListener['onRunners']>[0]): void {
+    for (const { id, runner: found } of facts) {
+      this.runners.push(`${id} ${found ? (found.leaving && 'leaving') || 'ready' : 'gone'}`);
+    }
+  }
+
+  onListed(ids: ReadonlySet<string>): void {
+    this.listed.push([...ids]);
+  }
+
+  onVms(): void {}
+
+  onStore(up: boolean): void {
+    if (this.store.at(-1) !== up) this.store.push(up);
+  }
+}
+
+describe('the feed of the store', () => {
+  const log = pino({ level: 'silent' });
+  let store: FakeStore;
+  let feed: StoreFeed;
+  let listener: Listener;
+
+  beforeEach(async () => {
+    store = new FakeStore();
+    await store.start();
+    store.put('op/config', config(3));
+    for (const id of ['i-1', 'i-2', 'i-3', 'i-4']) store.put(`servers/${id}`, runner('ready'));
+    listener = new Listener();
+    const client = new StoreClient(store.address);
+    feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, log);
+    feed.start(listener);
+    await eventually('all is read', () => listener.listed.length > 0);
+  });
+
+  afterEach(() => {
+    feed.stop();
+    store.stop();
+  });
+
+  test('reads all pages, then changes as they come', async () => {
+    expect(listener.listed[0]).toEqual(['i-1', 'i-2', 'i-3', 'i-4']);
+    store.put('op/config', config(9));
+    store.put('servers/i-2', runner('draining'));
+    store.remove('servers/i-3');
+    await eventually('changes are told', () => listener.runners.includes('i-3 gone'));
+    expect(listener.versions).toEqual([3, 9]);
+    expect(listener.runners.slice(4)).toEqual(['i-2 leaving', 'i-3 gone']);
+  });
+
+  /*
+   * The store falls silent while a watch waits and comes back with a newer
+   * configuration. A watch without a deadline of its own would hang for ever and
+   * the VM would go on with the old version.
+   */
+  test('leaves a watch that hangs and reads everything again', async () => {
+    store.mood = 'silent';
+    await eventually('the silence is noticed', () => listener.store.at(-1) === false);
+    store.mood = 'well';
+    store.put('op/config', config(12));
+    await eventually('it is read again', () => listener.versions.at(-1) === 12);
+    expect(listener.store).toEqual([true, false, true]);
+  }, 15_000);
+
+  /* The store forgets its history while runners leave: the watch gets 410, and only a full list shows who is gone. */
+  test('reads the full list when the history is gone', async () => {
+    store.remove('servers/i-4');
+    store.compact();
+    await eventually('the list is read', () => listener.listed.length > 1);
+    expect(listener.listed.at(-1)).toEqual(['i-1', 'i-2', 'i-3']);
+  });
+
+  /* One entry cannot be decoded. The others are told, and the last good one of it stays in force. */
+  test('passes over an entry that cannot be decoded', async () => {
+    store.put('op/config', '{"version": 4');
+    store.put('servers/i-1', runner('draining'));
+    await eventually('the other is told', () => listener.runners.includes('i-1 leaving'));
+    expect(listener.versions).toEqual([3]);
+  });
+});
+
+describe('the right to give orders', () => {
+  let store: FakeStore;
+
+  beforeEach(async () => {
+    store = new FakeStore();
+    await store.start();
+  });
+
+  afterEach(() => store.stop());
+
+  const lockOf = (vm: string): StoreLock => new StoreLock(new StoreClient(store.address), vm);
+
+  test('is held by one VM, and its fence grows from holder to holder', async () => {
+    const first = await lockOf('vm1').acquire();
+    expect(await lockOf('vm2').acquire()).toBeUndefined();
+    await first?.release();
+    const second = await lockOf('vm2').acquire();
+    expect([first?.fresh, second?.fresh]).toEqual([true, false]);
+    expect(second?.fence).toBeGreaterThan(first?.fence ?? Infinity);
+  });
+
+  /* The holder was suspended until its lease ran out and another VM took over. It must not give one more order. */
+  test('is lost when the lease has run out', async () => {
+    const right = await lockOf('vm1').acquire();
+    expect(await right?.renew()).toBe(true);
+    store.expire(store.leases[0] ?? 0);
+    expect(await right?.renew()).toBe(false);
+  });
+
+  /* The write took effect and its answer was lost: the VM does not know and must act as if it had failed. */
+  test('is not assumed when the answer of the write is lost', async () => {
+    store.mood = 'deaf';
+    await expect(lockOf('vm1').acquire()).rejects.toThrow();
+  });
+});
