--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -152,6 +152,7 @@
     this.#actions = [];
     match(event)
       .with({ kind: 'packet' }, ({ packet }) => this.#receive(now, packet))
+      .with({ kind: 'contact' }, ({ addresses }) => this.#contact(addresses))
       .with({ kind: 'listed' }, ({ vms }) => this.#list(now, vms))
       .with({ kind: 'described' }, ({ gateways, draining }) =>
         this.#describe({ gateways, draining }),
@@ -337,6 +338,14 @@
     this.#actions.push({ kind: 'changed', member: this.#self });
   }
 
+  /** Their answers bring them in as members under their own names. */
+  #contact(addresses: readonly string[]): void {
+    for (const address of addresses) {
+      this.#seq += 1;
+      this.#send(address, 'ping', this.#seq);
+    }
+  }
+
   /** The list only adds members: it lags, so it never overrides what probes say. */
   #list(now: number, vms: readonly ListedMember[]): void {
     for (const { vm, address, leaving } of vms) {
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -41,6 +41,8 @@
 /** What happened. */
 export type MembershipEvent =
   | { readonly kind: 'packet'; readonly packet: Packet }
+  /** Says hello to whoever is at these addresses, without taking them for members. */
+  | { readonly kind: 'contact'; readonly addresses: readonly string[] }
   | { readonly kind: 'listed'; readonly vms: readonly ListedMember[] }
   | { readonly kind: 'described'; readonly gateways: readonly string[]; readonly draining: boolean }
   | { readonly kind: 'rumour'; readonly rumour: Rumour }
--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -47,11 +47,17 @@
   return Math.max(least, Math.min(runners - 1, Math.ceil(runners * share - 0.25)));
 }
 
+/** Time for which the number of runners must be the same, in milliseconds: runners register one after the other. */
+const STEADY_MS = 2500;
+
 /** Decides on changes; at once before the first work, patiently after. */
 export class StageBalance {
   /** Since when the wanted number differs from what is there, and by what sign. */
   #since: { readonly at: number; readonly sign: number } | undefined;
 
+  /** Since when the number of runners is the same. */
+  #steady: { readonly at: number; readonly runners: number } | undefined;
+
   /** Changes to make now. */
   consider(
     now: number,
@@ -67,8 +73,10 @@
     const surplus = prefill.length - wantedPrefill(engine, runners, slowness, workload);
     const sign = Math.sign(surplus);
     if (sign !== this.#since?.sign) this.#since = { at: now, sign };
+    if (runners !== this.#steady?.runners) this.#steady = { at: now, runners };
+    if (sign === 0 || now - this.#steady.at < STEADY_MS) return [];
     const patienceMs = sign > 0 ? EXCESS_MS : LACK_MS;
-    if (sign === 0 || (!idle && now - this.#since.at < patienceMs)) return [];
+    if (!idle && now - this.#since.at < patienceMs) return [];
     if (sign > 0) return idlest(prefill, surplus);
     const [least] = [...decode].sort((a, b) => a.holders.size - b.holders.size);
     return least ? [{ runner: least.runner.id, role: 'prefill' }] : [];
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -57,6 +57,10 @@
 const AHEAD_PART = 0.25;
 /** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
 const DIRECT_SPARE = 0.15;
+/** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
+const LAPSED_SPARE = 0.1;
+/** When a caller may come back whose decode runner was full, in milliseconds. */
+const RETRY_FULL_MS = 1000;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
 const LAST_CHANCE_MS = 1300;
 /** Above every key of a request that can still meet its aim. */
@@ -159,8 +163,9 @@
     this.#actions = [];
     match(event)
       .with({ kind: 'asked' }, ({ demand }) => this.#ask(now, demand))
-      .with({ kind: 'prefilled' }, ({ id, ms, unreachable }) => {
+      .with({ kind: 'prefilled' }, ({ id, ms, unreachable, shedBy }) => {
         this.#unbind(now, id, unreachable);
+        this.#shed(now, id, shedBy);
         this.#prefilled(now, id, ms);
       })
       .with({ kind: 'started' }, ({ id }) => this.#started(now, id))
@@ -206,6 +211,25 @@
     placed.demand = { ...placed.demand, avoid: [...placed.demand.avoid, unreachable] };
   }
 
+  /**
+   * A bound request was turned away: by the account there was room, so what was
+   * read for it has probably lapsed and the same runner may read it itself; or
+   * the runner is fuller than the account knows, and the caller has to come back.
+   */
+  #shed(now: number, id: string, shedBy: string | undefined): void {
+    const placed = this.#placed.get(id);
+    const state = this.#account.decode.get(shedBy ?? '');
+    if (!placed || !state) return;
+    if (freeTokens(now, state) >= state.memoryTokens * LAPSED_SPARE) {
+      const prefill = this.#prefillOf(placed.grant);
+      if (prefill) prefill.trust = afterFailure(now, prefill.trust);
+      return;
+    }
+    state.foreignTokens += this.#sizeOf(placed.demand);
+    this.#leave(now, id, placed);
+    this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
+  }
+
   #prefilled(now: number, id: string, ms: number): void {
     const placed = this.#placed.get(id);
     if (!placed) return;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -55,6 +55,8 @@
       readonly ms: number;
       /** The decode runner that could not be reached; what was read still lies at the prefill runner. */
       readonly unreachable: string | undefined;
+      /** The decode runner that turned the request away. */
+      readonly shedBy: string | undefined;
     }
   | { readonly kind: 'started'; readonly id: string }
   | { readonly kind: 'finished'; readonly id: string; readonly outputTokens: number }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -347,9 +347,8 @@
   #askSeeds(): void {
     if (this.#fleet.alive.length > 1) return;
     const { seeds, peer } = this.#settings;
-    const others = seeds.filter((address) => address !== peer);
-    this.#fleet.list(others.map((address) => ({ vm: address, address })));
-    others.forEach((address) => this.#learnFrom(address));
+    this.#fleet.contact(seeds);
+    seeds.filter((address) => address !== peer).forEach((address) => this.#learnFrom(address));
   }
 
   async #onCall(
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -23,7 +23,7 @@
     params: unknown,
     push: (method: string, params: unknown) => void,
   ): Promise<unknown>;
-  /** A VM died or left. */
+  /** A VM is gone and its requests with it. */
   onLost(vm: string): void;
   /** Another VM knows other things than this one. */
   onDiffers(address: string): void;
@@ -90,7 +90,7 @@
       handler: {
         onOpen: () => {},
         onMessage: () => {},
-        onClose: () => {},
+        onClose: (from) => this.#linkClosed(from.vm),
         onCall: (from, method, params) =>
           listener.onCall(from.vm, method, params, (name, value) => this.#push(from, name, value)),
       },
@@ -100,7 +100,7 @@
   async start(): Promise<void> {
     await this.#server.listen();
     await this.#members.start();
-    this.list(this.#settings.seeds.map((address) => ({ vm: address, address })));
+    this.contact(this.#settings.seeds);
   }
 
   async stop(): Promise<void> {
@@ -118,6 +118,12 @@
     return this.all.filter(({ state }) => state === 'alive' || state === 'suspect');
   }
 
+  /** Says hello to addresses at which other VMs may be. */
+  contact(addresses: readonly string[]): void {
+    const others = addresses.filter((address) => address !== this.#settings.peer);
+    this.#members.tell({ kind: 'contact', addresses: others });
+  }
+
   /** VMs that the store names; what probes say of them goes first. */
   list(vms: readonly { readonly vm: string; readonly address: string }[]): void {
     const known = new Set(this.all.map(({ address }) => address));
@@ -178,6 +184,11 @@
     });
   }
 
+  #linkClosed(vm: string): void {
+    const state = this.#members.members.get(vm)?.state;
+    if (state === 'left' || state === 'dead') this.#listener.onLost(vm);
+  }
+
   #linkTo(address: string): PeerLink {
     const known = this.#links.get(address);
     if (known) return known;
@@ -200,8 +211,11 @@
     if (state === 'dead' || state === 'left') {
       this.#links.get(address)?.close();
       this.#links.delete(address);
+    }
+    // A VM that has left still serves what it has; it is lost when its link closes.
+    if (state === 'dead') {
       this.#listener.onLost(vm);
-    } else if (vm !== this.#settings.vm && mayOwn(member)) {
+    } else if (state !== 'left' && vm !== this.#settings.vm && mayOwn(member)) {
       // The link is opened before it is needed: a request that has to wait for it would lose its time.
       this.#linkTo(address);
     }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -44,6 +44,11 @@
   places: number;
 }
 
+/** A prompt that lies at a prefill runner, and the time it took to read. */
+interface KeptPrompt extends CacheHandle {
+  readonly ms: number;
+}
+
 /** Outcome of one send to a decode runner; `failed` if the runner's own failure was passed on. */
 type Outcome = 'done' | 'failed' | 'rejected' | 'broken' | 'unreachable';
 
@@ -98,7 +103,9 @@
       let outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       if (outcome === 'unreachable' && cache) {
         // Nothing was sent, and what was read still lies at the prefill runner.
-        decode = await places.bind(service, demand.id, cache.ms, signal, decode);
+        decode = await places.bind(service, demand.id, cache.ms, signal, {
+          ...(decode === undefined ? {} : { unreachable: decode }),
+        });
         outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       }
       if (outcome === 'unreachable') outcome = 'rejected';
@@ -136,7 +143,7 @@
     exchange: Exchange,
     progress: Progress,
     id: string,
-  ): Promise<(CacheHandle & { readonly ms: number }) | undefined> {
+  ): Promise<KeptPrompt | undefined> {
     const { knowledge, runners } = this.#context;
     const now = performance.now();
     const { service, request, signal } = exchange;
@@ -182,7 +189,7 @@
     progress: Progress,
     id: string,
     decode: string | undefined,
-    cache: CacheHandle | undefined,
+    cache: KeptPrompt | undefined,
   ): Promise<Outcome> {
     if (decode === undefined) {
       if (cache) this.#free(cache);
@@ -198,9 +205,14 @@
     }
     progress.sentTo.add(runner.id);
     let reply = await this.#send(exchange, progress, runner, cache);
-    if (reply === 'rejected' && cache && this.#context.mayRepeat(performance.now(), service)) {
-      // The handle may have lapsed on the way; the same runner can still read the prompt itself.
-      reply = await this.#send(exchange, progress, runner, undefined);
+    if (reply === 'rejected' && cache) {
+      const { places, mayRepeat } = this.#context;
+      const failed = { shedBy: runner.id };
+      const again = await places.bind(service, id, cache.ms, exchange.signal, failed);
+      if (again === runner.id && mayRepeat(performance.now(), service)) {
+        // What was read has probably lapsed; the same runner can still read the prompt itself.
+        reply = await this.#send(exchange, progress, runner, undefined);
+      }
     }
     if (typeof reply === 'string') return reply;
     return this.#relay(exchange, engine, progress, id, reply);
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -81,11 +81,17 @@
 
   /** A prefill is done: binds its request to a decode runner, now or when one has room. */
   ready(now: number, vm: string, ready: Ready, sink: VerdictSink): Verdict {
-    const { service, id, ms, unreachable } = ready;
+    const { service, id, ms, unreachable, shedBy } = ready;
     const plan = this.#planOf(now, service);
     plan.heard.set(vm, now);
     plan.sinks.set(id, sink);
-    const verdicts = this.#handle(now, service, plan, { kind: 'prefilled', id, ms, unreachable });
+    const verdicts = this.#handle(now, service, plan, {
+      kind: 'prefilled',
+      id,
+      ms,
+      unreachable,
+      shedBy,
+    });
     return verdicts.get(id) ?? { state: 'waiting', id };
   }
 
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -135,9 +135,9 @@
     id: string,
     ms: number,
     signal: AbortSignal,
-    unreachable?: string,
+    failed: { readonly unreachable?: string; readonly shedBy?: string } = {},
   ): Promise<string | undefined> {
-    const ready = { service, id, ms, ...(unreachable === undefined ? {} : { unreachable }) };
+    const ready = { service, id, ms, ...failed };
     const held = this.#held.get(id);
     const owner = this.#ownerOf(performance.now(), service);
     if (!held || !owner) return held?.grant.decode;
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -33,7 +33,13 @@
   blame: id.optional(),
 });
 /** Tells that a prefill is done, after `ms`, and asks for the decode runner. */
-export const readySchema = z.object({ service, id, ms, unreachable: id.optional() });
+export const readySchema = z.object({
+  service,
+  id,
+  ms,
+  unreachable: id.optional(),
+  shedBy: id.optional(),
+});
 /** Tells all places that the sender holds. */
 export const holdSchema = z.object({
   service,
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -56,7 +56,13 @@
 /** Lets all prefills end, so that only memory binds. */
 function prefillAll(planner: Planner, now: number, ids: readonly string[]): readonly PlanAction[] {
   return ids.flatMap((id) =>
-    planner.handle(now, { kind: 'prefilled', id, ms: 150, unreachable: undefined }),
+    planner.handle(now, {
+      kind: 'prefilled',
+      id,
+      ms: 150,
+      unreachable: undefined,
+      shedBy: undefined,
+    }),
   );
 }
 
@@ -117,8 +123,8 @@
   test('binds another decode runner when the first was not reached', () => {
     const planner = plannerOf([...pool, runner('d2', 'decode')]);
     planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
-    const ready = { kind: 'prefilled', id: 'r', ms: 150 } as const;
-    const bound = planner.handle(150, { ...ready, unreachable: undefined });
+    const ready = { kind: 'prefilled', id: 'r', ms: 150, shedBy: undefined } as const;
+    const bound = planner.handle(150, { ...ready, unreachable: undefined, shedBy: undefined });
     const first = bound[0]?.kind === 'bind' ? bound[0].decode : '';
     const again = planner.handle(160, { ...ready, unreachable: first });
     const other = first === 'd1' ? 'd2' : 'd1';
