End all timers with their process, and say again that a gateway leaves

Cause: a jest worker did not exit by itself (landed code, test/node/once.test.ts): a ledger call that failed because of the stop started its next try, and calls under way at the stop opened links that connected again for ever. Found by recording the stack of each live timer. Change: neither starts after the stop. Before: the file never ends by itself; after: exit 0 in two runs. Also: a gateway told its scheduler once that it leaves; a link that came up later announced it as open. It now says so with each change of the link.

--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -107,7 +107,7 @@
       address,
       log: logOf(log, 'peer'),
       onMessage: (link, message) => this.#models.receive(link, message),
-      onChange: () => this.#models.ownersChanged(),
+      onChange: () => this.#fleetChanged(),
     });
     this.#canceller = new Canceller(this.#runners, this.#log, this.#metrics);
     this.#ledger = new LedgerClient(this.#fleet, logOf(log, 'ledger'));
@@ -163,6 +163,17 @@
     this.#log.info('Stopped.');
   }
 
+  /**
+   * A scheduler that starts anew, or whose link was lost, takes a gateway that
+   * connects for one that takes callers; it has to be told again.
+   */
+  #fleetChanged(): void {
+    if (this.#phase !== 'open' && this.#fleet.home.up) {
+      this.#fleet.home.send({ kind: 'draining' });
+    }
+    this.#models.ownersChanged();
+  }
+
   /** Ends at once. */
   async close(): Promise<void> {
     this.#fleet.close();
--- a/src/node/gateway/fleet.ts
+++ b/src/node/gateway/fleet.ts
@@ -52,6 +52,8 @@
 
   readonly #sweeper: NodeJS.Timeout;
 
+  #closed = false;
+
   constructor(options: FleetOptions) {
     this.#options = options;
     this.#sweeper = setInterval(() => this.#sweep(Date.now()), UNUSED_MS / 3);
@@ -112,6 +114,7 @@
   }
 
   close(): void {
+    this.#closed = true;
     clearInterval(this.#sweeper);
     for (const { link } of this.#links.values()) link.close();
     this.#links.clear();
@@ -161,6 +164,8 @@
       onDown: onChange,
     });
     this.#links.set(address, { link, usedAt: Date.now() });
+    // What is still under way at the stop asks for links; they would connect again for ever.
+    if (this.#closed) link.close();
     return link;
   }
 
--- a/src/node/gateway/ledger.ts
+++ b/src/node/gateway/ledger.ts
@@ -58,6 +58,8 @@
 
   readonly #log: Logger;
 
+  #stopped = false;
+
   readonly #timers = new Set<NodeJS.Timeout>();
 
   constructor(fleet: Fleet, log: Logger) {
@@ -106,6 +108,7 @@
   }
 
   stop(): void {
+    this.#stopped = true;
     for (const timer of this.#timers) clearTimeout(timer);
     this.#timers.clear();
   }
@@ -128,6 +131,8 @@
 
   #insist(ticket: Ticket, method: string, params: unknown, tries: number): void {
     this.#call(ticket, method, params).catch((error) => {
+      // A call that fails because of the stop itself must not start the next try.
+      if (this.#stopped) return;
       if (tries <= 1) {
         this.#log.error(`Gave up ${method}. ${toFailure(error).line}.`);
         return;
--- a/src/node/scheduler/links.ts
+++ b/src/node/scheduler/links.ts
@@ -30,12 +30,15 @@
 
   readonly #open = new Map<string, Open>();
 
+  #closed = false;
+
   constructor(options: SchedulerLinksOptions) {
     this.#options = options;
   }
 
   /** Calls a method of another scheduler. */
   async call(address: string, method: string, params: unknown): Promise<unknown> {
+    if (this.#closed) throw new Failure('noOwner', 'this scheduler is stopping');
     const open = this.#open.get(address) ?? this.#connect(address);
     clearTimeout(open.idle);
     open.idle = setTimeout(() => this.#close(address), IDLE_MS);
@@ -44,6 +47,7 @@
   }
 
   close(): void {
+    this.#closed = true;
     for (const address of [...this.#open.keys()]) this.#close(address);
   }
 
