--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -17,11 +17,27 @@
 import { TokenFlow } from './flow';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
 
+/** What is logged with each decision. */
+export interface PlanLoad {
+  /** Part of all decode memory that is given out. */
+  readonly memory: number;
+  /** By runner, of the first ones: requests, part of its memory, tokens of others. */
+  readonly decode: readonly string[];
+  /** By runner, of the first ones: backlog in milliseconds. */
+  readonly prefill: readonly number[];
+}
+
 interface Waiting {
   readonly demand: Demand;
   readonly since: number;
 }
 
+/** Tokens that come free, or are free, at a time. */
+interface Release {
+  readonly at: number;
+  readonly tokens: number;
+}
+
 interface Placed {
   demand: Demand;
   grant: Grant;
@@ -61,6 +77,8 @@
 const LAPSED_SPARE = 0.1;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
 const RETRY_FULL_MS = 1000;
+/** Runners whose load is logged one by one; in a large service they would fill the log. */
+const LOAD_RUNNERS = 6;
 /** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
 const LAST_CHANCE_MS = 1300;
 /** Above every key of a request that can still meet its aim. */
@@ -103,6 +121,11 @@
 
   #actions: PlanAction[] = [];
 
+  /** Free tokens at one moment; forgotten with each change of the account. */
+  readonly #freeKnown = new Map<DecodeState, number>();
+
+  #freeAt = -1;
+
   /** Until then the account may lack what other VMs hold; only what surely fits is granted. */
   #cautiousUntil = 0;
 
@@ -118,16 +141,19 @@
     return this.#account;
   }
 
-  /** Memory given out, as a part of what each decode runner has, and prompts given to each prefill runner: the inputs of a decision. */
-  load(now: number): { readonly decode: readonly string[]; readonly prefill: readonly number[] } {
-    const decode = [...this.#account.decode.values()].map((state) => {
-      const part = 1 - freeTokens(now, state) / state.memoryTokens;
+  /** The inputs of a decision: memory given out, as a part of all and by decode runner, and the backlog of prefill runners. */
+  load(now: number): PlanLoad {
+    const states = [...this.#account.decode.values()];
+    const free = states.reduce((sum, state) => sum + this.#free(now, state), 0);
+    const memory = Math.round((1 - free / Math.max(1, this.#memory())) * 100) / 100;
+    const decode = states.slice(0, LOAD_RUNNERS).map((state) => {
+      const part = 1 - this.#free(now, state) / state.memoryTokens;
       return `${state.holders.size}:${part.toFixed(2)}:${Math.round(state.foreignTokens)}`;
     });
-    const prefill = [...this.#account.prefill.values()].map((state) =>
-      Math.round(backlogMs(state)),
-    );
-    return { decode, prefill };
+    const prefill = [...this.#account.prefill.values()]
+      .slice(0, LOAD_RUNNERS)
+      .map((state) => Math.round(backlogMs(state)));
+    return { memory, decode, prefill };
   }
 
   /** Begins without a full account; `until` is when all VMs should have told what they hold. */
@@ -161,6 +187,7 @@
 
   handle(now: number, event: PlanEvent): readonly PlanAction[] {
     this.#actions = [];
+    this.#freeKnown.clear();
     match(event)
       .with({ kind: 'asked' }, ({ demand }) => this.#ask(now, demand))
       .with({ kind: 'prefilled' }, ({ id, ms, unreachable, shedBy }) => {
@@ -220,7 +247,7 @@
     const placed = this.#placed.get(id);
     const state = this.#account.decode.get(shedBy ?? '');
     if (!placed || !state) return;
-    if (freeTokens(now, state) >= state.memoryTokens * LAPSED_SPARE) {
+    if (this.#free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
       const prefill = this.#prefillOf(placed.grant);
       if (prefill) prefill.trust = afterFailure(now, prefill.trust);
       return;
@@ -275,6 +302,7 @@
   }
 
   #leave(now: number, id: string, { grant }: Placed): void {
+    this.#freeKnown.clear();
     this.#placed.delete(id);
     this.#prefillOf(grant)?.pending.delete(id);
     this.#account.leave(now, grant.decode, id);
@@ -306,6 +334,7 @@
   }
 
   #reserve(now: number, { demand, grant }: Placed, startedAt: number | undefined): void {
+    this.#freeKnown.clear();
     this.#account.decode.get(grant.decode)?.holders.set(demand.id, {
       demand,
       grantedAt: now,
@@ -349,8 +378,10 @@
     if (this.#waiting.size === 0) return;
     const order = this.#order(now);
     let ahead = this.#allowedAhead();
+    let room = this.#room(now);
     for (const { demand } of order) {
-      const decode = this.#findDecode(now, demand);
+      const fits = this.#sizeOf(demand) <= room;
+      const decode = fits ? this.#findDecode(now, demand) : undefined;
       const bound = decode !== undefined;
       const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
       const chosen = decode ?? (mayLead ? this.#soonest(now, demand) : undefined);
@@ -362,6 +393,7 @@
         this.#waiting.delete(demand.id);
         this.#place(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
+        room = this.#room(now);
       }
     }
     this.#refuseHopeless(now);
@@ -393,6 +425,15 @@
     return aged ? size / 2 : size;
   }
 
+  /** The most that one decode runner has free. */
+  #room(now: number): number {
+    let room = 0;
+    for (const state of this.#account.decode.values()) {
+      room = Math.max(room, this.#free(now, state));
+    }
+    return room;
+  }
+
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
   #bindReady(now: number): void {
     const keepMs = (this.#engine?.keepMs ?? 0) * KEEP_PART;
@@ -435,7 +476,7 @@
    * refused. It slows the other answers there, so a full runner does not do it.
    */
   #mayReadItself(now: number, state: DecodeState, demand: Demand): boolean {
-    const left = freeTokens(now, state) - this.#sizeOf(demand);
+    const left = this.#free(now, state) - this.#sizeOf(demand);
     return directReads(state) === 0 && left > state.memoryTokens * DIRECT_SPARE;
   }
 
@@ -444,7 +485,7 @@
     let best: DecodeState | undefined;
     let bestFree = -Infinity;
     for (const state of ableOf(now, this.#account.decode.values())) {
-      const free = freeTokens(now, state);
+      const free = this.#free(now, state);
       const able = !demand.avoid.includes(state.runner.id);
       if (able && free > bestFree && this.#isSafe(now, state)) {
         best = state;
@@ -459,7 +500,7 @@
     let best: DecodeState | undefined;
     let bestFree = 0;
     for (const state of ableOf(now, this.#account.decode.values())) {
-      const free = freeTokens(now, state);
+      const free = this.#free(now, state);
       const slots = (this.#engine?.slots ?? 0) - state.holders.size;
       const able = free >= need && slots > 0 && !demand.avoid.includes(state.runner.id);
       if (able && free > bestFree && this.#isSafe(now, state)) {
@@ -470,10 +511,21 @@
     return best;
   }
 
+  /** Free tokens, worked out once for each runner and moment: a pump asks for each waiting request. */
+  #free(now: number, state: DecodeState): number {
+    if (this.#freeAt !== now) this.#freeKnown.clear();
+    this.#freeAt = now;
+    const known = this.#freeKnown.get(state);
+    if (known !== undefined) return known;
+    const free = freeTokens(now, state);
+    this.#freeKnown.set(state, free);
+    return free;
+  }
+
   /** Until all VMs have told what they hold, half of each runner's memory counts as taken. */
   #isSafe(now: number, state: DecodeState): boolean {
     if (now >= this.#cautiousUntil) return true;
-    return freeTokens(now, state) > state.memoryTokens / 2;
+    return this.#free(now, state) > state.memoryTokens / 2;
   }
 
   #findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
@@ -501,12 +553,16 @@
    */
   #refuseHopeless(now: number): void {
     const spare = this.#flow.spare(now, this.#memory());
+    const releases = this.#releases(now);
+    const prefillBacklog = this.#prefillBacklogMs();
+    const prefillMsPerToken = this.#prefillMsPerToken();
     let ahead = 0;
     let late = 0;
     for (const { demand } of this.#order(now)) {
       const size = this.#sizeOf(demand);
       ahead += size;
-      const waitMs = Math.max(this.#waitForMemory(now, ahead), this.#waitForPrefill(ahead));
+      const prefillWaitMs = prefillBacklog + ahead * prefillMsPerToken;
+      const waitMs = Math.max(waitFor(now, releases, ahead), prefillWaitMs);
       const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
       const lateMs = waitMs + (late + size) / spare;
       const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
@@ -544,30 +600,47 @@
     return tokens;
   }
 
-  /** Time until that many tokens of memory will have come free, in milliseconds. */
-  #waitForMemory(now: number, tokens: number): number {
-    const ends: { readonly at: number; readonly tokens: number }[] = [];
+  /** Tokens that are free by each moment at which one more request will probably have ended. */
+  #releases(now: number): readonly Release[] {
+    const ends: Release[] = [];
     let free = 0;
     for (const state of this.#account.decode.values()) {
-      free += freeTokens(now, state);
+      free += this.#free(now, state);
       for (const holder of state.holders.values()) {
-        const size = holder.demand.promptTokens + holder.expectedTokens;
-        ends.push({ at: endOf(now, holder), tokens: size });
+        const tokens = holder.demand.promptTokens + holder.expectedTokens;
+        ends.push({ at: endOf(now, holder), tokens });
       }
     }
     ends.sort((a, b) => a.at - b.at);
-    if (free >= tokens) return 0;
-    for (const end of ends) {
-      free += end.tokens;
-      if (free >= tokens) return Math.max(0, end.at - now);
+    const sums: Release[] = [{ at: now, tokens: free }];
+    for (const { at, tokens } of ends) {
+      free += tokens;
+      sums.push({ at, tokens: free });
     }
-    return RETRY_MOST_MS;
+    return sums;
   }
 
-  #waitForPrefill(tokens: number): number {
+  /** Mean backlog of a prefill runner, in milliseconds. */
+  #prefillBacklogMs(): number {
     const states = [...this.#account.prefill.values()];
     if (states.length === 0) return RETRY_MOST_MS;
-    const backlog = states.reduce((sum, state) => sum + backlogMs(state), 0);
-    return (backlog + workMs(tokens)) / states.length;
+    return states.reduce((sum, state) => sum + backlogMs(state), 0) / states.length;
   }
+
+  #prefillMsPerToken(): number {
+    return workMs(1) / Math.max(1, this.#account.prefill.size);
+  }
+}
+
+/** Time until that many tokens will have come free, in milliseconds; the releases are in order. */
+function waitFor(now: number, releases: readonly Release[], tokens: number): number {
+  let low = 0;
+  let high = releases.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if ((releases[middle]?.tokens ?? 0) >= tokens) high = middle;
+    else low = middle + 1;
+  }
+  const release = releases[low];
+  return release ? Math.max(0, release.at - now) : RETRY_MOST_MS;
 }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -132,6 +132,7 @@
     this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#onCall(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
+      onMembers: () => this.#warmLinks(),
       onDiffers: (address) => this.#onDiffers(performance.now(), address),
       onRumour: (path, revision, address) => this.#onRumour(path, revision, address),
     });
@@ -225,6 +226,12 @@
     await this.#fleet.stop();
   }
 
+  #warmLinks(): void {
+    const services = this.#knowledge.table?.config.services ?? [];
+    const now = performance.now();
+    for (const { name, engine } of services) if (engine) this.#fleet.warm(now, name);
+  }
+
   #owns(service: string): boolean {
     const [owner] = this.#fleet.ownersOf(performance.now(), service);
     return !this.#leaving && owner?.vm === this.#settings.vm;
@@ -294,7 +301,10 @@
 
   #onNews(kind: 'config' | 'runners', source: string): void {
     const { configVersion, runnersRevision } = this.#knowledge;
-    if (kind === 'config') this.#describe();
+    if (kind === 'config') {
+      this.#describe();
+      this.#warmLinks();
+    }
     this.#fleet.setDigest(`${configVersion}/${runnersRevision}`);
     if (source !== 'store' && source !== 'list') return;
     this.#fleet.spread(kind, kind === 'config' ? configVersion : runnersRevision);
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -25,6 +25,8 @@
   ): Promise<unknown>;
   /** A VM is gone and its requests with it. */
   onLost(vm: string): void;
+  /** The membership changed. */
+  onMembers(): void;
   /** Another VM knows other things than this one. */
   onDiffers(address: string): void;
   /** Another VM has news of that kind and revision. */
@@ -35,6 +37,8 @@
 const PROBE_MS = 300;
 /** Time that a suspect has to answer, in milliseconds. */
 const SUSPECT_MS = 800;
+/** VMs that may plan a service to which links are kept: the owner and the next. */
+const WARM_OWNERS = 2;
 /** Time for which a VM that did not answer a call is passed over as an owner, in milliseconds. */
 const SHUNNED_MS = 1500;
 
@@ -54,6 +58,9 @@
 
   readonly #shunned = new Map<string, number>();
 
+  /** Owners by key, until the membership changes. */
+  readonly #ranking = new Map<string, readonly Member[]>();
+
   constructor(settings: RouterSettings, metrics: Metrics, log: Logger, listener: FleetListener) {
     this.#settings = settings;
     this.#log = log;
@@ -161,12 +168,29 @@
 
   /** VMs that may plan a key, by falling claim; those that did not answer lately come last. */
   ownersOf(now: number, key: string): readonly Member[] {
+    const owners = this.#ranked(key);
+    const isShunned = ({ vm }: Member): boolean => (this.#shunned.get(vm) ?? 0) > now;
+    return [...owners.filter((m) => !isShunned(m)), ...owners.filter(isShunned)];
+  }
+
+  /** Opens links to the VMs that may plan a key before they are needed: a request that had to wait for one would lose its time. */
+  warm(now: number, key: string): void {
+    const owners = this.ownersOf(now, key).slice(0, WARM_OWNERS);
+    owners
+      .filter(({ vm }) => vm !== this.#settings.vm)
+      .forEach(({ address }) => this.#linkTo(address));
+  }
+
+  /** Worked out once for each membership: a fleet of 65 costs 65 hashes. */
+  #ranked(key: string): readonly Member[] {
+    const known = this.#ranking.get(key);
+    if (known) return known;
     const candidates = this.all
       .filter(mayOwn)
       .map((member) => ({ id: member.vm, weight: 1, member }));
     const owners = rank(key, candidates).map(({ member }) => member);
-    const isShunned = ({ vm }: Member): boolean => (this.#shunned.get(vm) ?? 0) > now;
-    return [...owners.filter((m) => !isShunned(m)), ...owners.filter(isShunned)];
+    this.#ranking.set(key, owners);
+    return owners;
   }
 
   shun(now: number, vm: string): void {
@@ -213,11 +237,8 @@
       this.#links.delete(address);
     }
     // A VM that has left still serves what it has; it is lost when its link closes.
-    if (state === 'dead') {
-      this.#listener.onLost(vm);
-    } else if (state !== 'left' && vm !== this.#settings.vm && mayOwn(member)) {
-      // The link is opened before it is needed: a request that has to wait for it would lose its time.
-      this.#linkTo(address);
-    }
+    if (state === 'dead') this.#listener.onLost(vm);
+    this.#ranking.clear();
+    this.#listener.onMembers();
   }
 }
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -9,6 +9,7 @@
 import { Failure, toFailure } from '../../core/failure';
 import { pickTarget } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
+
 import { errorBody, readBody } from '../../utils/http';
 import { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
@@ -105,6 +106,11 @@
     try {
       const limit = knowledge.table?.config.limits.bodyBytes ?? BODY_BYTES;
       const body = await readBody(req, limit);
+      // A VM that is behind reads requests whose callers have left meanwhile. The close lies right
+      // behind the request; the second turn of the loop comes after it was read.
+      await yieldOnce();
+      await yieldOnce();
+      if (req.socket.destroyed) return undefined;
       const request = codec.decode(req, body);
       const route = this.#route(request);
       const { targets } = route;
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -7,6 +7,7 @@
 import { Planner } from '../../core/memory/planner';
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
+import type { Engine } from '../../core/routing/types';
 import type { Knowledge } from './knowledge';
 import type { Ask, Hold, Note, Ready, Verdict } from './plans';
 import { fromHolding, toDemand } from './plans';
@@ -22,10 +23,15 @@
   /** When each VM was last heard of about this service. */
   readonly heard: Map<string, number>;
   reportedAt: number;
+  /** When the planner was last told its runners, and the revision it was told. */
+  runnersAt: number;
+  revision: number;
 }
 
 /** Period in which waiting requests are looked at again, in milliseconds: callers' patience runs out without an event. */
 const WAKE_MS = 25;
+/** Period of telling the planner its runners though no change is known: lapsed ones run out without an event, in milliseconds. */
+const RUNNERS_MS = 100;
 /** Period of asking decode runners for their memory while there is work, in milliseconds. */
 const REPORT_MS = 1000;
 /** A new owner holds back until all VMs had time to tell what they hold, in milliseconds. */
@@ -156,7 +162,14 @@
     if (known) return known;
     const planner = new Planner();
     planner.startCautiously(now + CAUTION_MS);
-    const plan: Plan = { planner, sinks: new Map(), heard: new Map(), reportedAt: 0 };
+    const plan: Plan = {
+      planner,
+      sinks: new Map(),
+      heard: new Map(),
+      reportedAt: 0,
+      runnersAt: -Infinity,
+      revision: -1,
+    };
     this.#plans.set(service, plan);
     this.#log.info({ service }, 'Began to plan.');
     return plan;
@@ -172,8 +185,8 @@
     const engine = this.#knowledge.table?.service(service)?.engine;
     const verdicts = new Map<string, Verdict>();
     if (!engine) return verdicts;
-    const runners = this.#knowledge.runnersOf(now, service);
-    plan.planner.handle(now, { kind: 'runners', engine, runners }).forEach((action) => {
+    const fresh = this.#refreshRunners(now, service, engine, plan);
+    fresh.forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
     });
     plan.planner.handle(now, event).forEach((action) => {
@@ -188,6 +201,22 @@
     return verdicts;
   }
 
+  /** Tells the planner which runners there are, if that may have changed. */
+  #refreshRunners(
+    now: number,
+    service: string,
+    engine: Engine,
+    record: Plan,
+  ): readonly PlanAction[] {
+    const { runnersRevision } = this.#knowledge;
+    const due = now - record.runnersAt >= RUNNERS_MS || record.revision !== runnersRevision;
+    if (!due) return [];
+    record.runnersAt = now;
+    record.revision = runnersRevision;
+    const runners = this.#knowledge.runnersOf(now, service);
+    return record.planner.handle(now, { kind: 'runners', engine, runners });
+  }
+
   #decide(now: number, service: string, { planner }: Plan, action: PlanAction): Verdict {
     const { id } = action;
     const seen = { waiting: planner.waiting, placed: planner.placed, ...planner.load(now) };
