--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
+import { setImmediate as yieldOnce } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
 
