--- a/src/cli/commands.ts
+++ b/src/cli/commands.ts
@@ -9,6 +9,7 @@
 import { Scheduler } from '../node/scheduler/daemon';
 import { parseDocument } from '../core/settings/parse';
 import { createRouter, settingsOfEnvironment } from '../platform/run';
+import { loadSettings } from '../platform/settings';
 import { registerCtl } from './ctl';
 
 /** Ends the process after a graceful stop; a second signal ends it at once. */
@@ -56,7 +57,17 @@
   readonly as?: string;
 }
 
+/** Name under which a file is checked as the settings that the platform hands to `node`. */
+const PLATFORM = 'platform';
+
 function checkFile(file: string, { as }: CheckOptions): void {
+  if (as === PLATFORM) {
+    const { vm, listen, peer } = loadSettings(file).router;
+    process.stdout.write(
+      `${file}: settings of node ${vm} are well-formed: callers at ${listen.front}, links at ${peer}\n`,
+    );
+    return;
+  }
   if (as === undefined) {
     const { role, vm } = loadConfig(file);
     process.stdout.write(`${file}: settings of ${role} ${vm} are well-formed\n`);
@@ -85,7 +96,10 @@
     .action(runNode);
   cli
     .command('check <file>', 'Check a settings file without running anything')
-    .option('--as <path>', "Check it as operators' settings at PATH: consortium or teams/NAME")
+    .option(
+      '--as <path>',
+      "Check it as operators' settings at PATH (consortium or teams/NAME), or as the platform's (platform)",
+    )
     .example('goldcrestdock check gateway.jsonc')
     .example('goldcrestdock check dosel.jsonc --as teams/dosel')
     .action(checkFile);
--- /dev/null
+++ b/test/platform/settings.test.ts
@@ -0,0 +1,75 @@
+import { resolveSettings } from '../../src/platform/settings';
+
+const file = {
+  'node-name': 'front-a-1',
+  zone: 'a',
+  ip: '10.1.0.38',
+  listen: {
+    front: '10.1.0.38:8149',
+    ready: '10.1.0.38:8141',
+    directory: '10.1.0.38:8143',
+    control: '10.1.0.38:8144',
+  },
+  'internal-port-range': [7380, 7395],
+  seeds: ['10.1.0.38:8144', '10.2.0.40:8144'],
+  bounds: {
+    'grace-s': 8,
+    'retry-budget-ratio': 0.2,
+    'budget-window-s': 10,
+    'retry-budget-extra': 56,
+    'lease-ms': 3000,
+    ttl_max_s: 5,
+    'not-known-yet': true,
+  },
+  platform: { address: '10.200.1.7:8142', form: 'kv' },
+  'a-new-field': 1,
+};
+
+describe("the platform's settings file", () => {
+  test('is resolved into settings of the router; fields that are not known are passed over', () => {
+    const { router, store } = resolveSettings(JSON.stringify(file), 'boot.json');
+    expect({ ...router, peerKey: router.peerKey.length, store }).toMatchInlineSnapshot(`
+     {
+       "addressTtlMs": 1000,
+       "domain": "a",
+       "graceMs": 8000,
+       "leaseMs": 3000,
+       "listen": {
+         "directory": "10.1.0.38:8143",
+         "front": "10.1.0.38:8149",
+         "metrics": "10.1.0.38:9464",
+         "ready": "10.1.0.38:8141",
+       },
+       "peer": "10.1.0.38:7380",
+       "peerKey": 64,
+       "retries": {
+         "extra": 56,
+         "ratio": 0.2,
+         "windowMs": 10000,
+       },
+       "seeds": [
+         "10.1.0.38:7380",
+         "10.2.0.40:7380",
+       ],
+       "store": "10.200.1.7:8142",
+       "vm": "front-a-1",
+     }
+    `);
+  });
+
+  test('with a wrong field is refused with its name, what was found and a number', () => {
+    const wrong = { ...file, listen: { front: 'nowhere' } };
+    expect(() => resolveSettings(JSON.stringify(wrong), 'boot.json')).toThrow(
+      expect.objectContaining({
+        codeName: 'settingsInvalid',
+        message: expect.stringMatching(/boot.json: at listen.front/),
+      }),
+    );
+  });
+
+  test('that is not JSON is refused with the place', () => {
+    expect(() => resolveSettings('{"ip": ', 'boot.json')).toThrow(
+      expect.objectContaining({ codeName: 'fileMalformed' }),
+    );
+  });
+});
