Let a runner go soon that vanishes after the store came back; split the planner

Change: an entry missing from the first full list after trouble may have lapsed (2.5 s); one that vanishes after it most likely leaves (1 s). The test fails without.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -8,36 +8,18 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, Holder, PrefillState } from './account';
-import { MemoryAccount, ableOf, directReads, endOf, freeTokens } from './account';
+import { MemoryAccount } from './account';
 import { OutputLengths } from './lengths';
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
 import { backlogMs, learnSlowness, prefillMs, workMs } from './cost';
 import { TokenFlow } from './flow';
+import { WaitingQueue, leastMs } from './queue';
+import type { PlanLoad } from './room';
+import { Room, waitFor } from './room';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
 
-/** What is logged with each decision. */
-export interface PlanLoad {
-  /** Part of all decode memory that is given out. */
-  readonly memory: number;
-  /** By runner, of the first ones: requests, part of its memory, tokens of others. */
-  readonly decode: readonly string[];
-  /** By runner, of the first ones: backlog in milliseconds. */
-  readonly prefill: readonly number[];
-}
-
-interface Waiting {
-  readonly demand: Demand;
-  readonly since: number;
-}
-
-/** Tokens that come free, or are free, at a time. */
-interface Release {
-  readonly at: number;
-  readonly tokens: number;
-}
-
 interface Placed {
   demand: Demand;
   grant: Grant;
@@ -48,17 +30,11 @@
   bound: boolean;
 }
 
-/** Prompts that wait at a prefill runner, in milliseconds of its work: enough that it never idles. */
-const PREFILL_BACKLOG_MS = 120;
-/** Time from the end of the prefill to the first event, in milliseconds: move, one step for each token of an event. */
-const FIRST_EVENT_MS = 100;
 /** A request whose caller leaves sooner than this after its first event could come is not started, in milliseconds. */
 const LOST_MARGIN_MS = 250;
 /** Shortest and longest Retry-After, in milliseconds. */
 const RETRY_LEAST_MS = 300;
 const RETRY_MOST_MS = 4500;
-/** By how much a prefill in another failure domain may be sooner and still not be preferred, in milliseconds. */
-const FAR_MS = 20;
 /** Time after which a VM surely knows of a grant, in milliseconds. */
 const GRANT_TRAVEL_MS = 1000;
 /** Time after a change of stage in which the runner lists itself anew, in milliseconds. */
@@ -71,31 +47,10 @@
 const KEEP_PART = 0.6;
 /** Part of the requests that should end by then that prefills may be started for; ends are only expected. */
 const AHEAD_PART = 0.25;
-/** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
-const DIRECT_SPARE = 0.15;
 /** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
 const LAPSED_SPARE = 0.1;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
 const RETRY_FULL_MS = 1000;
-/** Runners whose load is logged one by one; in a large service they would fill the log. */
-const LOAD_RUNNERS = 6;
-/** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
-const LAST_CHANCE_MS = 1300;
-/** Above every key of a request that can still meet its aim. */
-const LATE_KEY = 1e9;
-/** Part of the wait before the due time after which a large request goes before smaller ones. */
-const AGING_PART = 0.75;
-
-/** Least time from a grant to the first event, in milliseconds. */
-function leastMs({ promptTokens }: Demand): number {
-  return prefillMs(promptTokens) + FIRST_EVENT_MS;
-}
-
-/** Those that missed their aim take what the others leave, but a caller that came back goes first before it leaves for good. */
-function lateKey(now: number, { returned, lostAt }: Demand): number {
-  const last = returned && lostAt - now < LAST_CHANCE_MS;
-  return (last ? 0 : LATE_KEY) + Math.max(0, lostAt - now);
-}
 
 /** Planner of one service. */
 export class Planner {
@@ -110,7 +65,9 @@
   /** Runners that were told to change, and until when no further change is considered. */
   readonly #changing = new Map<string, number>();
 
-  readonly #waiting = new Map<string, Waiting>();
+  readonly #waiting = new WaitingQueue((demand) => this.#sizeOf(demand));
+
+  readonly #room = new Room(this.#account);
 
   readonly #placed = new Map<string, Placed>();
 
@@ -121,14 +78,6 @@
 
   #actions: PlanAction[] = [];
 
-  /** Free tokens at one moment; forgotten with each change of the account. */
-  readonly #freeKnown = new Map<DecodeState, number>();
-
-  #freeAt = -1;
-
-  /** Until then the account may lack what other VMs hold; only what surely fits is granted. */
-  #cautiousUntil = 0;
-
   get waiting(): number {
     return this.#waiting.size;
   }
@@ -137,28 +86,14 @@
     return this.#placed.size;
   }
 
-  get account(): MemoryAccount {
-    return this.#account;
-  }
-
-  /** The inputs of a decision: memory given out, as a part of all and by decode runner, and the backlog of prefill runners. */
+  /** The inputs of a decision. */
   load(now: number): PlanLoad {
-    const states = [...this.#account.decode.values()];
-    const free = states.reduce((sum, state) => sum + this.#free(now, state), 0);
-    const memory = Math.round((1 - free / Math.max(1, this.#memory())) * 100) / 100;
-    const decode = states.slice(0, LOAD_RUNNERS).map((state) => {
-      const part = 1 - this.#free(now, state) / state.memoryTokens;
-      return `${state.holders.size}:${part.toFixed(2)}:${Math.round(state.foreignTokens)}`;
-    });
-    const prefill = [...this.#account.prefill.values()]
-      .slice(0, LOAD_RUNNERS)
-      .map((state) => Math.round(backlogMs(state)));
-    return { memory, decode, prefill };
+    return this.#room.load(now);
   }
 
   /** Begins without a full account; `until` is when all VMs should have told what they hold. */
   startCautiously(until: number): void {
-    this.#cautiousUntil = until;
+    this.#room.beCautious(until);
   }
 
   /** Changes of runners' stages that would serve more requests; none while one is under way. */
@@ -187,7 +122,7 @@
 
   handle(now: number, event: PlanEvent): readonly PlanAction[] {
     this.#actions = [];
-    this.#freeKnown.clear();
+    this.#room.changed();
     match(event)
       .with({ kind: 'asked' }, ({ demand }) => this.#ask(now, demand))
       .with({ kind: 'prefilled' }, ({ id, ms, unreachable, shedBy }) => {
@@ -222,7 +157,7 @@
   }
 
   #enqueue(now: number, demand: Demand): void {
-    this.#waiting.set(demand.id, { demand, since: now });
+    this.#waiting.add(now, demand);
     this.#flow.prompt(demand.promptTokens);
     if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
   }
@@ -247,7 +182,7 @@
     const placed = this.#placed.get(id);
     const state = this.#account.decode.get(shedBy ?? '');
     if (!placed || !state) return;
-    if (this.#free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
+    if (this.#room.free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
       const prefill = this.#prefillOf(placed.grant);
       if (prefill) prefill.trust = afterFailure(now, prefill.trust);
       return;
@@ -302,7 +237,7 @@
   }
 
   #leave(now: number, id: string, { grant }: Placed): void {
-    this.#freeKnown.clear();
+    this.#room.changed();
     this.#placed.delete(id);
     this.#prefillOf(grant)?.pending.delete(id);
     this.#account.leave(now, grant.decode, id);
@@ -327,14 +262,14 @@
   }
 
   #vmLost(now: number, vm: string): void {
-    for (const [id, { demand }] of this.#waiting) if (demand.vm === vm) this.#waiting.delete(id);
+    this.#waiting.dropVm(vm);
     for (const [id, placed] of this.#placed) {
       if (placed.demand.vm === vm) this.#leave(now, id, placed);
     }
   }
 
   #reserve(now: number, { demand, grant }: Placed, startedAt: number | undefined): void {
-    this.#freeKnown.clear();
+    this.#room.changed();
     this.#account.decode.get(grant.decode)?.holders.set(demand.id, {
       demand,
       grantedAt: now,
@@ -376,64 +311,32 @@
   #pump(now: number): void {
     this.#bindReady(now);
     if (this.#waiting.size === 0) return;
-    const order = this.#order(now);
+    const order = this.#waiting.order(now);
     let ahead = this.#allowedAhead();
-    let room = this.#room(now);
+    let largest = this.#room.largest(now);
     for (const { demand } of order) {
-      const fits = this.#sizeOf(demand) <= room;
+      const fits = this.#sizeOf(demand) <= largest;
       const decode = fits ? this.#findDecode(now, demand) : undefined;
       const bound = decode !== undefined;
       const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
-      const chosen = decode ?? (mayLead ? this.#soonest(now, demand) : undefined);
-      const prefill = chosen && this.#findPrefill(now, demand, chosen.runner.domain);
-      const direct = !prefill && decode !== undefined && this.#mayReadItself(now, decode, demand);
+      const chosen = decode ?? (mayLead ? this.#room.soonest(now, demand) : undefined);
+      const prefill = chosen && this.#room.findPrefill(now, demand, chosen.runner.domain);
+      const direct =
+        !prefill &&
+        decode !== undefined &&
+        this.#room.mayReadItself(now, decode, this.#sizeOf(demand));
       if (chosen && (prefill || direct)) {
         if (!bound) ahead -= 1;
         const grant = { prefill: prefill?.runner.id, decode: chosen.runner.id };
         this.#waiting.delete(demand.id);
         this.#place(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
-        room = this.#room(now);
+        largest = this.#room.largest(now);
       }
     }
     this.#refuseHopeless(now);
   }
 
-  /**
-   * Those that can still meet their aim first; among them the small ones, since
-   * in an overload they bring the most answers for the memory; a large one that
-   * has waited for most of its time goes before them, so that it is not starved.
-   */
-  #order(now: number): readonly Waiting[] {
-    const keyed = [...this.#waiting.values()].map((entry) => ({
-      entry,
-      key: this.#key(now, entry),
-    }));
-    keyed.sort((a, b) => a.key - b.key);
-    return keyed.map(({ entry }) => entry);
-  }
-
-  #key(now: number, { demand, since }: Waiting): number {
-    // Its caller sees a pause in the middle of an answer.
-    if (demand.resuming) return 0;
-    const needMs = leastMs(demand);
-    const inTime = now + needMs <= demand.dueAt;
-    const size = this.#sizeOf(demand);
-    if (!inTime) return lateKey(now, demand);
-    const slack = Math.max(1, demand.dueAt - needMs - since);
-    const aged = (now - since) / slack >= AGING_PART;
-    return aged ? size / 2 : size;
-  }
-
-  /** The most that one decode runner has free. */
-  #room(now: number): number {
-    let room = 0;
-    for (const state of this.#account.decode.values()) {
-      room = Math.max(room, this.#free(now, state));
-    }
-    return room;
-  }
-
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
   #bindReady(now: number): void {
     const keepMs = (this.#engine?.keepMs ?? 0) * KEEP_PART;
@@ -469,82 +372,6 @@
     return Math.floor(AHEAD_PART * ends) - ahead;
   }
 
-  /**
-   * Where the prefill runners have more than they can read and decode memory lies
-   * idle, a decode runner reads the prompt itself, one at a time: after the loss
-   * of a prefill runner half of the decode memory was idle while requests were
-   * refused. It slows the other answers there, so a full runner does not do it.
-   */
-  #mayReadItself(now: number, state: DecodeState, demand: Demand): boolean {
-    const left = this.#free(now, state) - this.#sizeOf(demand);
-    return directReads(state) === 0 && left > state.memoryTokens * DIRECT_SPARE;
-  }
-
-  /** The decode runner that will probably have room first; only a guess until the request is bound. */
-  #soonest(now: number, demand: Demand): DecodeState | undefined {
-    let best: DecodeState | undefined;
-    let bestFree = -Infinity;
-    for (const state of ableOf(now, this.#account.decode.values())) {
-      const free = this.#free(now, state);
-      const able = !demand.avoid.includes(state.runner.id);
-      if (able && free > bestFree && this.#isSafe(now, state)) {
-        best = state;
-        bestFree = free;
-      }
-    }
-    return best;
-  }
-
-  #findDecode(now: number, demand: Demand): DecodeState | undefined {
-    const need = this.#sizeOf(demand);
-    let best: DecodeState | undefined;
-    let bestFree = 0;
-    for (const state of ableOf(now, this.#account.decode.values())) {
-      const free = this.#free(now, state);
-      const slots = (this.#engine?.slots ?? 0) - state.holders.size;
-      const able = free >= need && slots > 0 && !demand.avoid.includes(state.runner.id);
-      if (able && free > bestFree && this.#isSafe(now, state)) {
-        best = state;
-        bestFree = free;
-      }
-    }
-    return best;
-  }
-
-  /** Free tokens, worked out once for each runner and moment: a pump asks for each waiting request. */
-  #free(now: number, state: DecodeState): number {
-    if (this.#freeAt !== now) this.#freeKnown.clear();
-    this.#freeAt = now;
-    const known = this.#freeKnown.get(state);
-    if (known !== undefined) return known;
-    const free = freeTokens(now, state);
-    this.#freeKnown.set(state, free);
-    return free;
-  }
-
-  /** Until all VMs have told what they hold, half of each runner's memory counts as taken. */
-  #isSafe(now: number, state: DecodeState): boolean {
-    if (now >= this.#cautiousUntil) return true;
-    return this.#free(now, state) > state.memoryTokens / 2;
-  }
-
-  #findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
-    let best: PrefillState | undefined;
-    let bestMs = Infinity;
-    for (const state of ableOf(now, this.#account.prefill.values())) {
-      const backlog = backlogMs(state);
-      const able = backlog <= PREFILL_BACKLOG_MS;
-      // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
-      const ms = backlog + prefillMs(demand.promptTokens, state.slowness);
-      const cost = state.runner.domain === domain ? ms : ms + FAR_MS;
-      if (able && cost < bestMs && !demand.avoid.includes(state.runner.id)) {
-        best = state;
-        bestMs = cost;
-      }
-    }
-    return best;
-  }
-
   /**
    * Refuses what cannot be served while its caller waits, as soon as that is
    * known. A first attempt that would miss its aim waits only if memory is likely
@@ -552,13 +379,13 @@
    * back has no further try, so it keeps its place until it leaves.
    */
   #refuseHopeless(now: number): void {
-    const spare = this.#flow.spare(now, this.#memory());
-    const releases = this.#releases(now);
-    const prefillBacklog = this.#prefillBacklogMs();
-    const prefillMsPerToken = this.#prefillMsPerToken();
+    const spare = this.#flow.spare(now, this.#room.memory);
+    const releases = this.#room.releases(now);
+    const prefillBacklog = this.#room.prefillBacklogMs();
+    const prefillMsPerToken = workMs(1) / Math.max(1, this.#account.prefill.size);
     let ahead = 0;
     let late = 0;
-    for (const { demand } of this.#order(now)) {
+    for (const { demand } of this.#waiting.order(now)) {
       const size = this.#sizeOf(demand);
       ahead += size;
       const prefillWaitMs = prefillBacklog + ahead * prefillMsPerToken;
@@ -589,58 +416,13 @@
     return demand.promptTokens + this.#lengths.expect(demand);
   }
 
+  #findDecode(now: number, demand: Demand): DecodeState | undefined {
+    const slots = this.#engine?.slots ?? 0;
+    return this.#room.findDecode(now, demand, this.#sizeOf(demand), slots);
+  }
+
   /** What one ending request gives back: a larger one would wait for several ends at one runner. */
   #usualSize(): number {
     return this.#flow.workload.promptTokens + this.#lengths.mean;
   }
-
-  #memory(): number {
-    let tokens = 0;
-    for (const { memoryTokens } of this.#account.decode.values()) tokens += memoryTokens;
-    return tokens;
-  }
-
-  /** Tokens that are free by each moment at which one more request will probably have ended. */
-  #releases(now: number): readonly Release[] {
-    const ends: Release[] = [];
-    let free = 0;
-    for (const state of this.#account.decode.values()) {
-      free += this.#free(now, state);
-      for (const holder of state.holders.values()) {
-        const tokens = holder.demand.promptTokens + holder.expectedTokens;
-        ends.push({ at: endOf(now, holder), tokens });
-      }
-    }
-    ends.sort((a, b) => a.at - b.at);
-    const sums: Release[] = [{ at: now, tokens: free }];
-    for (const { at, tokens } of ends) {
-      free += tokens;
-      sums.push({ at, tokens: free });
-    }
-    return sums;
-  }
-
-  /** Mean backlog of a prefill runner, in milliseconds. */
-  #prefillBacklogMs(): number {
-    const states = [...this.#account.prefill.values()];
-    if (states.length === 0) return RETRY_MOST_MS;
-    return states.reduce((sum, state) => sum + backlogMs(state), 0) / states.length;
-  }
-
-  #prefillMsPerToken(): number {
-    return workMs(1) / Math.max(1, this.#account.prefill.size);
-  }
-}
-
-/** Time until that many tokens will have come free, in milliseconds; the releases are in order. */
-function waitFor(now: number, releases: readonly Release[], tokens: number): number {
-  let low = 0;
-  let high = releases.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    if ((releases[middle]?.tokens ?? 0) >= tokens) high = middle;
-    else low = middle + 1;
-  }
-  const release = releases[low];
-  return release ? Math.max(0, release.at - now) : RETRY_MOST_MS;
 }
--- /dev/null
+++ b/src/core/memory/queue.ts
@@ -0,0 +1,89 @@
+/** Requests that wait for a place, and who of them goes first. */
+
+import { prefillMs } from './cost';
+import type { Demand } from './types';
+
+/** A request that waits. */
+export interface Waiting {
+  readonly demand: Demand;
+  readonly since: number;
+}
+
+/** Time from the end of the prefill to the first event, in milliseconds: move, one step for each token of an event. */
+const FIRST_EVENT_MS = 100;
+/** Time before a returned caller leaves at which it goes before all others, in milliseconds. */
+const LAST_CHANCE_MS = 1300;
+/** Above every key of a request that can still meet its aim. */
+const LATE_KEY = 1e9;
+/** Part of the wait before the due time after which a large request goes before smaller ones. */
+const AGING_PART = 0.75;
+
+/** Least time from a grant to the first event, in milliseconds. */
+export function leastMs({ promptTokens }: Demand): number {
+  return prefillMs(promptTokens) + FIRST_EVENT_MS;
+}
+
+/** Those that missed their aim take what the others leave, but a caller that came back goes first before it leaves for good. */
+function lateKey(now: number, { returned, lostAt }: Demand): number {
+  const last = returned && lostAt - now < LAST_CHANCE_MS;
+  return (last ? 0 : LATE_KEY) + Math.max(0, lostAt - now);
+}
+
+/** Waiting requests of one service. */
+export class WaitingQueue {
+  readonly #entries = new Map<string, Waiting>();
+
+  readonly #sizeOf: (demand: Demand) => number;
+
+  /** @param sizeOf tokens of memory that a request will take */
+  constructor(sizeOf: (demand: Demand) => number) {
+    this.#sizeOf = sizeOf;
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  has(id: string): boolean {
+    return this.#entries.has(id);
+  }
+
+  add(now: number, demand: Demand): void {
+    this.#entries.set(demand.id, { demand, since: now });
+  }
+
+  delete(id: string): void {
+    this.#entries.delete(id);
+  }
+
+  /** Forgets the requests of a VM that is gone. */
+  dropVm(vm: string): void {
+    for (const [id, { demand }] of this.#entries) if (demand.vm === vm) this.#entries.delete(id);
+  }
+
+  /**
+   * Those that can still meet their aim first; among them the small ones, since
+   * in an overload they bring the most answers for the memory; a large one that
+   * has waited for most of its time goes before them, so that it is not starved.
+   */
+  order(now: number): readonly Waiting[] {
+    const keyed = [...this.#entries.values()].map((entry) => ({
+      entry,
+      key: this.#key(now, entry),
+    }));
+    keyed.sort((a, b) => a.key - b.key);
+    return keyed.map(({ entry }) => entry);
+  }
+
+  #key(now: number, { demand, since }: Waiting): number {
+    // Its caller sees a pause in the middle of an answer.
+    if (demand.resuming) return 0;
+    const needMs = leastMs(demand);
+    const inTime = now + needMs <= demand.dueAt;
+    const size = this.#sizeOf(demand);
+    if (!inTime) return lateKey(now, demand);
+    const slack = Math.max(1, demand.dueAt - needMs - since);
+    const aged = (now - since) / slack >= AGING_PART;
+    return aged ? size / 2 : size;
+  }
+}
--- /dev/null
+++ b/src/core/memory/room.ts
@@ -0,0 +1,208 @@
+/** What the account leaves: which runner has room now, which will have it first, and when memory comes free. */
+
+import type { DecodeState, MemoryAccount, PrefillState } from './account';
+import { ableOf, directReads, endOf, freeTokens } from './account';
+import { backlogMs, prefillMs } from './cost';
+import type { Demand } from './types';
+
+/** What is logged with each decision. */
+export interface PlanLoad {
+  /** Part of all decode memory that is given out. */
+  readonly memory: number;
+  /** By runner, of the first ones: requests, part of its memory, tokens of others. */
+  readonly decode: readonly string[];
+  /** By runner, of the first ones: backlog in milliseconds. */
+  readonly prefill: readonly number[];
+}
+
+/** Tokens that are free by a time. */
+export interface Release {
+  readonly at: number;
+  readonly tokens: number;
+}
+
+/** By how much a prefill in another failure domain may be sooner and still not be preferred, in milliseconds. */
+const FAR_MS = 20;
+/** Prompts that wait at a prefill runner, in milliseconds of its work: enough that it never idles. */
+const PREFILL_BACKLOG_MS = 120;
+/** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
+const DIRECT_SPARE = 0.15;
+/** Runners whose load is logged one by one; in a large service they would fill the log. */
+const LOAD_RUNNERS = 6;
+
+/** A view of an account at one moment. */
+export class Room {
+  readonly #account: MemoryAccount;
+
+  /** Free tokens at one moment; forgotten with each change of the account. */
+  readonly #freeKnown = new Map<DecodeState, number>();
+
+  #freeAt = -1;
+
+  /** Until then only runners that are half empty by the account count as having room. */
+  #cautiousUntil = 0;
+
+  constructor(account: MemoryAccount) {
+    this.#account = account;
+  }
+
+  /** The account may lack what other VMs hold until then. */
+  beCautious(until: number): void {
+    this.#cautiousUntil = until;
+  }
+
+  /** To be called when the account has changed. */
+  changed(): void {
+    this.#freeKnown.clear();
+  }
+
+  /** The inputs of a decision: memory given out, as a part of all and by decode runner, and the backlog of prefill runners. */
+  load(now: number): PlanLoad {
+    const states = [...this.#account.decode.values()];
+    const free = states.reduce((sum, state) => sum + this.free(now, state), 0);
+    const memory = Math.round((1 - free / Math.max(1, this.memory)) * 100) / 100;
+    const decode = states.slice(0, LOAD_RUNNERS).map((state) => {
+      const part = 1 - this.free(now, state) / state.memoryTokens;
+      return `${state.holders.size}:${part.toFixed(2)}:${Math.round(state.foreignTokens)}`;
+    });
+    const prefill = [...this.#account.prefill.values()]
+      .slice(0, LOAD_RUNNERS)
+      .map((state) => Math.round(backlogMs(state)));
+    return { memory, decode, prefill };
+  }
+
+  /** The most that one decode runner has free. */
+  largest(now: number): number {
+    let room = 0;
+    for (const state of this.#account.decode.values()) {
+      room = Math.max(room, this.free(now, state));
+    }
+    return room;
+  }
+
+  findDecode(
+    now: number,
+    demand: Demand,
+    need: number,
+    mostSlots: number,
+  ): DecodeState | undefined {
+    let best: DecodeState | undefined;
+    let bestFree = 0;
+    for (const state of ableOf(now, this.#account.decode.values())) {
+      const free = this.free(now, state);
+      const slots = mostSlots - state.holders.size;
+      const able = free >= need && slots > 0 && !demand.avoid.includes(state.runner.id);
+      if (able && free > bestFree && this.#isSafe(now, state)) {
+        best = state;
+        bestFree = free;
+      }
+    }
+    return best;
+  }
+
+  /** The decode runner that will probably have room first; only a guess until the request is bound. */
+  soonest(now: number, demand: Demand): DecodeState | undefined {
+    let best: DecodeState | undefined;
+    let bestFree = -Infinity;
+    for (const state of ableOf(now, this.#account.decode.values())) {
+      const free = this.free(now, state);
+      const able = !demand.avoid.includes(state.runner.id);
+      if (able && free > bestFree && this.#isSafe(now, state)) {
+        best = state;
+        bestFree = free;
+      }
+    }
+    return best;
+  }
+
+  findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
+    let best: PrefillState | undefined;
+    let bestMs = Infinity;
+    for (const state of ableOf(now, this.#account.prefill.values())) {
+      const backlog = backlogMs(state);
+      const able = backlog <= PREFILL_BACKLOG_MS;
+      // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
+      const ms = backlog + prefillMs(demand.promptTokens, state.slowness);
+      const cost = state.runner.domain === domain ? ms : ms + FAR_MS;
+      if (able && cost < bestMs && !demand.avoid.includes(state.runner.id)) {
+        best = state;
+        bestMs = cost;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Where the prefill runners have more than they can read and decode memory lies
+   * idle, a decode runner reads the prompt itself, one at a time: after the loss
+   * of a prefill runner half of the decode memory was idle while requests were
+   * refused. It slows the other answers there, so a full runner does not do it.
+   */
+  mayReadItself(now: number, state: DecodeState, need: number): boolean {
+    const left = this.free(now, state) - need;
+    return directReads(state) === 0 && left > state.memoryTokens * DIRECT_SPARE;
+  }
+
+  /** Tokens that are free by each moment at which one more request will probably have ended. */
+  releases(now: number): readonly Release[] {
+    const ends: Release[] = [];
+    let free = 0;
+    for (const state of this.#account.decode.values()) {
+      free += this.free(now, state);
+      for (const holder of state.holders.values()) {
+        const tokens = holder.demand.promptTokens + holder.expectedTokens;
+        ends.push({ at: endOf(now, holder), tokens });
+      }
+    }
+    ends.sort((a, b) => a.at - b.at);
+    const sums: Release[] = [{ at: now, tokens: free }];
+    for (const { at, tokens } of ends) {
+      free += tokens;
+      sums.push({ at, tokens: free });
+    }
+    return sums;
+  }
+
+  /** Mean backlog of a prefill runner, in milliseconds. */
+  prefillBacklogMs(): number {
+    const states = [...this.#account.prefill.values()];
+    if (states.length === 0) return Infinity;
+    return states.reduce((sum, state) => sum + backlogMs(state), 0) / states.length;
+  }
+
+  get memory(): number {
+    let tokens = 0;
+    for (const { memoryTokens } of this.#account.decode.values()) tokens += memoryTokens;
+    return tokens;
+  }
+
+  /** Free tokens, worked out once for each runner and moment: a pump asks for each waiting request. */
+  free(now: number, state: DecodeState): number {
+    if (this.#freeAt !== now) this.#freeKnown.clear();
+    this.#freeAt = now;
+    const known = this.#freeKnown.get(state);
+    if (known !== undefined) return known;
+    const free = freeTokens(now, state);
+    this.#freeKnown.set(state, free);
+    return free;
+  }
+
+  /** Until all VMs have told what they hold, half of each runner's memory counts as taken. */
+  #isSafe(now: number, state: DecodeState): boolean {
+    if (now >= this.#cautiousUntil) return true;
+    return this.free(now, state) > state.memoryTokens / 2;
+  }
+}
+
+/** Time until that many tokens will have come free, in milliseconds; the releases are in order. */
+export function waitFor(now: number, releases: readonly Release[], tokens: number): number {
+  let low = 0;
+  let high = releases.length;
+  while (low < high) {
+    const middle = Math.floor((low + high) / 2);
+    if ((releases[middle]?.tokens ?? 0) >= tokens) high = middle;
+    else low = middle + 1;
+  }
+  const release = releases[low];
+  return release ? Math.max(0, release.at - now) : Infinity;
+}
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -24,14 +24,6 @@
 /** How long gone runners are remembered, so that an old fact cannot bring them back, in milliseconds. */
 const FORGET_MS = 60_000;
 
-/**
- * How long a runner stays in use whose entry vanished while the store was in
- * trouble: leases lapse in an outage and living runners are listed again within
- * two seconds of its end. Without this, the end of an outage would take every
- * runner away at once and all requests would be refused.
- */
-const LAPSE_GRACE_MS = 2500;
-
 /** Runners by id. */
 export class RunnerDirectory {
   readonly #known = new Map<string, Known>();
@@ -49,16 +41,16 @@
 
   /**
    * Takes a fact over if it is newer.
-   * @param lapsed whether a vanished entry may have lapsed in a store outage
+   * @param graceMs how long the runner stays in use if its entry vanished, in milliseconds
    * @returns whether anything that matters changed
    */
-  learn(now: number, fact: RunnerFact, lapsed: boolean): boolean {
+  learn(now: number, fact: RunnerFact, graceMs: number): boolean {
     const known = this.#known.get(fact.id);
     if (known && known.fact.revision >= fact.revision) return false;
     const before = known?.fact.runner;
     const changed = JSON.stringify(before) !== JSON.stringify(fact.runner);
     const last = fact.runner ?? before ?? known?.last;
-    const goneAt = lapsed && !last?.leaving ? now + LAPSE_GRACE_MS : now;
+    const goneAt = last?.leaving ? now : now + graceMs;
     this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt });
     if (changed) this.#revision = Math.max(this.#revision, fact.revision);
     return changed;
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -13,6 +13,20 @@
 /** How long after trouble with the store a vanished entry may be one that lapsed meanwhile, in milliseconds. */
 const LAPSE_MS = 3000;
 
+/**
+ * How long a runner stays in use whose entry was missing when the store came
+ * back: leases lapse in an outage and living runners are listed again within two
+ * seconds of its end. Without this, the end of an outage would take every runner
+ * away at once and all requests would be refused. In milliseconds.
+ */
+const LAPSED_GRACE_MS = 2500;
+
+/**
+ * The same for an entry that vanished after the first full list: most likely the
+ * runner leaves, and it must get no work two seconds after that. In milliseconds.
+ */
+const RETURNED_GRACE_MS = 1000;
+
 /** What one VM knows. */
 export class Knowledge {
   readonly #log: Logger;
@@ -29,6 +43,9 @@
   /** Steady time of the last failed call to the store. */
   #troubleAt = -Infinity;
 
+  /** Revision of the first full list after the last trouble; none yet while it lasts. */
+  #returnRevision = Infinity;
+
   readonly #onNews: (kind: 'config' | 'runners', source: string) => void;
 
   /** @param onNews called when a newer configuration or a change of the runners came in, and from where */
@@ -64,11 +81,13 @@
 
   storeFailed(now: number): void {
     this.#troubleAt = now;
+    this.#returnRevision = Infinity;
   }
 
-  /** Whether an entry that vanishes now may have lapsed while the store was in trouble. */
-  mayHaveLapsed(now: number): boolean {
-    return now - this.#troubleAt < LAPSE_MS;
+  /** How long a runner stays in use whose entry is gone as of a revision, in milliseconds. */
+  #graceMs(now: number, revision: number): number {
+    if (now - this.#troubleAt >= LAPSE_MS) return 0;
+    return revision <= this.#returnRevision ? LAPSED_GRACE_MS : RETURNED_GRACE_MS;
   }
 
   /** Time since the store was last heard, in milliseconds. */
@@ -91,15 +110,15 @@
 
   /** Takes facts of runners over, each if it is newer. */
   learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
-    const lapsed = this.mayHaveLapsed(now);
     let changed = false;
     for (const fact of facts) {
-      if (this.#directory.learn(now, fact, lapsed)) {
+      const { id, revision, runner } = fact;
+      const graceMs = runner ? 0 : this.#graceMs(now, revision);
+      if (this.#directory.learn(now, fact, graceMs)) {
         changed = true;
-        const { id, revision, runner } = fact;
         const leaving = runner?.leaving;
         this.#log.info(
-          { runner: id, revision, gone: !runner, leaving, lapsed, source },
+          { runner: id, revision, gone: !runner, leaving, graceMs, source },
           'Runner changed.',
         );
       }
@@ -109,6 +128,7 @@
 
   /** Runners that a full list of the store no longer names are gone as of its revision. */
   learnList(now: number, listed: ReadonlySet<string>, revision: number): void {
+    this.#returnRevision = Math.min(this.#returnRevision, revision);
     const gone = this.#directory
       .missing(listed)
       .map((id): RunnerFact => ({ id, revision, runner: undefined }));
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -57,6 +57,21 @@
     expect(ids(knowledge, 4100)).toEqual([]);
   });
 
+  /*
+   * One VM alone had lost the store and has read it again. A runner whose entry is
+   * removed after that reading leaves for good: its lease did not lapse meanwhile.
+   * Kept for as long as a lapsed one, it got work two seconds after it had left.
+   */
+  test('keeps a runner that vanishes after the return of the store only for a moment', () => {
+    const knowledge = fresh();
+    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
+    knowledge.storeFailed(1000);
+    knowledge.learnList(1500, new Set(['r']), 8);
+    knowledge.learnRunners(2100, [{ id: 'r', revision: 9, runner: undefined }], 'store');
+    expect(ids(knowledge, 3000)).toEqual(['r']);
+    expect(ids(knowledge, 3200)).toEqual([]);
+  });
+
   /* Its entry is removed without an outage: the runner is leaving and serves for a while longer, but gets nothing new. */
   test('drops a runner whose entry is removed while the store is well', () => {
     const knowledge = fresh();
