Say once how to listen and how to refuse; give the directory's server its own file

Cause, from reading the whole change: three copies of listening on HOST:PORT, two of the router's own answer, 40 lines of the directory's server and the schemas of messages in daemon.ts, a comment in account.ts that was not true and a result that nobody read. Change: `listenOn` in src/utils/http.ts, `sendRefusal`, src/node/router/control.ts; the schemas stand with the other messages. Behaviour as it was.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -122,7 +122,7 @@
 
   readonly prefill = new Map<string, PrefillState>();
 
-  /** Takes over the runners that may get work. Work on others stays counted until it ends. */
+  /** Takes over the runners that may get work; the account of others is dropped, since nothing more is given to them. */
   setRunners(engine: Engine, runners: readonly Runner[]): void {
     const listed = new Map(runners.map(({ id, role }) => [id, role]));
     for (const runner of runners) {
@@ -165,12 +165,11 @@
   }
 
   /** Takes a request off its decode runner. */
-  leave(now: number, runner: string, id: string): Holder | undefined {
+  leave(now: number, runner: string, id: string): void {
     const state = this.decode.get(runner);
     const holder = state?.holders.get(id);
-    if (!state || !holder) return undefined;
+    if (!state || !holder) return;
     state.holders.delete(id);
     state.ended.push({ at: now, tokens: peakTokens(now, holder) });
-    return holder;
   }
 }
--- /dev/null
+++ b/src/node/router/control.ts
@@ -0,0 +1,62 @@
+/** Answers the directory's look-ups and the question whether this VM is ready. */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+
+import { listenOn } from '../../utils/http';
+import type { ControlCodec } from './types';
+
+/** What the answers are made of. */
+export interface ControlContext {
+  readonly codec: ControlCodec;
+  readonly isReady: () => boolean;
+  /** Addresses of VMs that take callers. */
+  readonly callerAddresses: () => readonly string[];
+  /** How long callers may keep an answer, in milliseconds. */
+  readonly addressTtlMs: () => number;
+}
+
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+const HTTP_UNAVAILABLE = 503;
+
+/** Listens on the ready and the directory address. */
+export class Control {
+  readonly #context: ControlContext;
+
+  readonly #servers: Server[] = [];
+
+  constructor(context: ControlContext) {
+    this.#context = context;
+  }
+
+  /** Both questions may come to one address. */
+  async listen(addresses: readonly (string | undefined)[]): Promise<void> {
+    for (const address of new Set(addresses)) {
+      if (address !== undefined) {
+        const server = createServer((req, res) => this.#answer(req, res));
+        await listenOn(server, address);
+        this.#servers.push(server);
+      }
+    }
+  }
+
+  close(): void {
+    this.#servers.forEach((server) => server.close());
+  }
+
+  #answer(req: IncomingMessage, res: ServerResponse): void {
+    const { codec, isReady, callerAddresses, addressTtlMs } = this.#context;
+    const addresses = callerAddresses();
+    if (codec.isReadiness(req)) {
+      res.writeHead(isReady() ? HTTP_OK : HTTP_UNAVAILABLE).end();
+    } else if (!codec.isLookup(req)) {
+      res.writeHead(HTTP_NOT_FOUND).end();
+    } else if (addresses.length === 0) {
+      res.writeHead(HTTP_UNAVAILABLE).end();
+    } else {
+      const body = codec.lookupBody(addresses, addressTtlMs());
+      res.writeHead(HTTP_OK, { 'content-type': 'application/json' }).end(body);
+    }
+  }
+}
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -1,7 +1,5 @@
 /** The router daemon: one process a VM that takes callers, answers the directory and plans services. */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
@@ -11,6 +9,7 @@
 import { Failure, toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
 import { logOf } from '../log';
+import { Control } from './control';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { Front } from './front';
@@ -21,7 +20,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
-import { askSchema, holdSchema, noteSchema, readySchema, verdictSchema } from './plans';
+import { askSchema, factsSchema, holdSchema, noteSchema, pushSchema, readySchema } from './plans';
 import type {
   ControlCodec,
   Feed,
@@ -57,28 +56,6 @@
 /** By how much a caller's deadline may vary between first attempts, in milliseconds. */
 const DEADLINE_SLACK_MS = 20;
 
-const HTTP_OK = 200;
-const HTTP_NOT_FOUND = 404;
-const HTTP_UNAVAILABLE = 503;
-
-const runnerSchema = z.object({
-  id: z.string(),
-  service: z.string(),
-  address: z.string(),
-  domain: z.string(),
-  role: z.enum(['prefill', 'decode', 'plain']),
-  slots: z.number(),
-  leaving: z.boolean(),
-});
-/** What one VM tells another of what it knows. */
-const factsSchema = z.object({
-  config: z.string(),
-  runners: z.array(
-    z.object({ id: z.string(), revision: z.number(), runner: runnerSchema.optional() }),
-  ),
-});
-const pushSchema = z.object({ service: z.string(), verdict: verdictSchema });
-
 /** A running router. */
 export class Router {
   #settings: RouterSettings;
@@ -103,7 +80,7 @@
 
   readonly #metrics = new RouterMetrics();
 
-  readonly #servers: Server[] = [];
+  readonly #control: Control;
 
   readonly #retries = new Map<string, RetryWindow>();
 
@@ -153,6 +130,12 @@
       mayRepeat,
       spentMs: (exchange) => this.#spentMs(exchange),
     });
+    this.#control = new Control({
+      codec: ports.control,
+      isReady: () => this.#ready,
+      callerAddresses: () => this.#fleet.callerAddresses,
+      addressTtlMs: () => this.#settings.addressTtlMs,
+    });
     this.#front = new Front({
       knowledge: this.#knowledge,
       codec: ports.ingress,
@@ -184,7 +167,7 @@
       log: logOf(this.#log, 'orders'),
     });
     await this.#front.listen(listen.front);
-    await this.#listenControl();
+    await this.#control.listen([listen.ready, listen.directory]);
     if (listen.metrics !== undefined) await this.#metrics.listen(listen.metrics);
     setTimeout(() => this.#askSeeds(), ALONE_MS).unref();
     this.#describe();
@@ -221,7 +204,7 @@
     this.#ports.feed.stop();
     this.#places.stop();
     this.#host.stop();
-    this.#servers.forEach((server) => server.close());
+    this.#control.close();
     this.#metrics.close();
     await this.#fleet.stop();
   }
@@ -398,33 +381,4 @@
       ),
     };
   }
-
-  async #listenControl(): Promise<void> {
-    const { ready, directory } = this.#settings.listen;
-    const addresses = new Set([ready, directory].filter((a): a is string => a !== undefined));
-    for (const address of addresses) {
-      const server = createServer((req, res) => this.#answerControl(req, res));
-      const [host, port] = address.split(':');
-      await new Promise<void>((resolve, reject) => {
-        server.once('error', reject);
-        server.listen(Number(port), host, () => resolve());
-      });
-      this.#servers.push(server);
-    }
-  }
-
-  #answerControl(req: IncomingMessage, res: ServerResponse): void {
-    const { control } = this.#ports;
-    const { callerAddresses } = this.#fleet;
-    if (control.isReadiness(req)) {
-      res.writeHead(this.#ready ? HTTP_OK : HTTP_UNAVAILABLE).end();
-    } else if (!control.isLookup(req)) {
-      res.writeHead(HTTP_NOT_FOUND).end();
-    } else if (callerAddresses.length === 0) {
-      res.writeHead(HTTP_UNAVAILABLE).end();
-    } else {
-      const body = control.lookupBody(callerAddresses, this.#settings.addressTtlMs);
-      res.writeHead(HTTP_OK, { 'content-type': 'application/json' }).end(body);
-    }
-  }
 }
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -124,16 +124,27 @@
             retryAfterMs: Math.min(retryAfterMs, limitMs),
           });
     this.status = told.code.http;
-    const body = `${JSON.stringify(errorBody(told))}\n`;
-    this.#res.writeHead(told.code.http, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-      ...this.#codec.refusalHeaders(told, this.request.id),
-    });
-    this.#res.end(body);
+    sendRefusal(this.#res, told, this.#codec, this.request.id);
   }
 
   #deadlineLeft(now: number): number {
     return (this.request.deadlineMs ?? this.route.timeoutMs) - (now - this.arrivedAt);
   }
 }
+
+/** Answers with a failure of the router's own; does nothing if an answer has begun or the caller is gone. */
+export function sendRefusal(
+  res: ServerResponse,
+  failure: Failure,
+  codec: IngressCodec,
+  id: string | undefined,
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const body = `${JSON.stringify(errorBody(failure))}\n`;
+  res.writeHead(failure.code.http, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    ...codec.refusalHeaders(failure, id),
+  });
+  res.end(body);
+}
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -11,8 +11,8 @@
 import { pickTarget } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
 
-import { errorBody, readBody } from '../../utils/http';
-import { Exchange } from './exchange';
+import { listenOn, readBody } from '../../utils/http';
+import { Exchange, sendRefusal } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { CallRequest, IngressCodec } from './types';
 
@@ -65,11 +65,7 @@
   }
 
   listen(address: string): Promise<void> {
-    const [host, port] = address.split(':');
-    return new Promise((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(Number(port), host, () => resolve());
-    });
+    return listenOn(this.#server, address);
   }
 
   /** Goes on serving, but asks callers to take another address for their next request. */
@@ -123,7 +119,7 @@
       const id = codec.idOf(req);
       const { configVersion } = knowledge;
       log.info({ request: id, configVersion, code: failure.codeName }, 'Refused at the door.');
-      refuse(res, failure, codec, id);
+      sendRefusal(res, failure, codec, id);
       return undefined;
     }
   }
@@ -150,22 +146,6 @@
   }
 }
 
-function refuse(
-  res: ServerResponse,
-  failure: Failure,
-  codec: IngressCodec,
-  id: string | undefined,
-): void {
-  if (res.headersSent || res.destroyed) return;
-  const body = `${JSON.stringify(errorBody(failure))}\n`;
-  res.writeHead(failure.code.http, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
-    ...codec.refusalHeaders(failure, id),
-  });
-  res.end(body);
-}
-
 const STATUS_LINES: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
   ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
--- a/src/node/router/metrics.ts
+++ b/src/node/router/metrics.ts
@@ -5,6 +5,7 @@
 
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
+import { listenOn } from '../../utils/http';
 import type { Metrics } from '../metrics';
 
 /** Bounds of the latency histograms in seconds: from one round trip to the longest deadline. */
@@ -90,7 +91,6 @@
 
   /** Serves the text on every path of an address. */
   listen(address: string): Promise<void> {
-    const [host, port] = address.split(':');
     const server = createServer((_req, res) => {
       this.text()
         .then((text) => {
@@ -99,10 +99,7 @@
         .catch(() => res.destroy());
     });
     this.#server = server;
-    return new Promise((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(Number(port), host, () => resolve());
-    });
+    return listenOn(server, address);
   }
 
   close(): void {
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -1,4 +1,4 @@
-/** Messages between a VM that asks for places and the VM that plans the service. */
+/** Messages between VMs: places asked of the VM that plans a service, and what each knows. */
 
 import { z } from 'zod';
 
@@ -62,6 +62,25 @@
   z.object({ state: z.literal('waiting'), id }),
 ]);
 
+const runnerSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  address: z.string(),
+  domain: z.string(),
+  role: z.enum(['prefill', 'decode', 'plain']),
+  slots: z.number(),
+  leaving: z.boolean(),
+});
+/** What one VM tells another of what it knows. */
+export const factsSchema = z.object({
+  config: z.string(),
+  runners: z.array(
+    z.object({ id: z.string(), revision: z.number(), runner: runnerSchema.optional() }),
+  ),
+});
+/** A verdict that comes after a wait. */
+export const pushSchema = z.object({ service: z.string(), verdict: verdictSchema });
+
 export type Ask = Readonly<z.infer<typeof askSchema>>;
 export type Note = Readonly<z.infer<typeof noteSchema>>;
 export type Ready = Readonly<z.infer<typeof readySchema>>;
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,6 +1,12 @@
 /** Small helpers around Node's http, without state. */
 
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse, Agent } from 'node:http';
+import type {
+  IncomingMessage,
+  OutgoingHttpHeaders,
+  Server,
+  ServerResponse,
+  Agent,
+} from 'node:http';
 import { request } from 'node:http';
 
 import { Failure } from '../core/failure';
@@ -120,3 +126,12 @@
   if (retryAfterMs !== undefined) headers['retry-after'] = String(Math.ceil(retryAfterMs / 1000));
   sendJson(res, failure.code.http, errorBody(failure, notRun), headers);
 }
+
+/** Starts a server on `HOST:PORT`. */
+export function listenOn(server: Server, address: string): Promise<void> {
+  const [host, port] = address.split(':');
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => resolve());
+  });
+}
