Count failures that come together as one, and no pauses of a runner's own reading

Cause: a decode runner that reads a prompt itself slows all its streams at once; each told the owner that the runner was slow, and ten strikes kept it without work for six seconds.

Change: a failure that comes in while its runner is avoided anyway adds nothing; pauses while a runner reads, or within 0.8 s after, are no slowness; the owner logs one line when it begins to distrust a runner.

Ruled out: a real failure of that runner (no request on it failed between 8 and 19 s), a wrong account (its reports agreed).

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -88,6 +88,17 @@
   return count;
 }
 
+/** Time for which the streams of a decode runner show that it read a prompt itself, in milliseconds: the events over which their pace is taken. */
+const READ_SHOWS_MS = 800;
+
+/** Whether a decode runner's streams are slow because it reads a prompt itself, or did a moment ago. */
+export function slowedByRead(now: number, { holders }: DecodeState): boolean {
+  for (const { direct, startedAt } of holders.values()) {
+    if (direct && (startedAt === undefined || now - startedAt < READ_SHOWS_MS)) return true;
+  }
+  return false;
+}
+
 /** When a request will probably give its memory back. */
 export function endOf(now: number, holder: Holder): number {
   const { expectedTokens, startedAt, grantedAt } = holder;
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -8,7 +8,7 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, Holder, PrefillState } from './account';
-import { MemoryAccount } from './account';
+import { MemoryAccount, slowedByRead } from './account';
 import { OutputLengths } from './lengths';
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
@@ -91,6 +91,14 @@
     return this.#room.load(now);
   }
 
+  /** Runners that get no work for now because of how their requests went. */
+  distrusted(now: number): readonly string[] {
+    const { prefill, decode } = this.#account;
+    return [...prefill.values(), ...decode.values()]
+      .filter(({ trust }) => now < trust.avoidUntil)
+      .map(({ runner }) => runner.id);
+  }
+
   /** Begins without a full account; `until` is when all VMs should have told what they hold. */
   startCautiously(until: number): void {
     this.#room.beCautious(until);
@@ -224,7 +232,7 @@
 
   #slow(now: number, id: string): void {
     const decode = this.#account.decode.get(this.#placed.get(id)?.grant.decode ?? '');
-    if (decode) decode.trust = afterFailure(now, decode.trust);
+    if (decode && !slowedByRead(now, decode)) decode.trust = afterFailure(now, decode.trust);
   }
 
   #release(now: number, id: string, blame: string | undefined): void {
--- a/src/core/memory/trust.ts
+++ b/src/core/memory/trust.ts
@@ -25,10 +25,15 @@
 /** What a good end leaves of the strikes. */
 const GOOD_END = 0.5;
 
-/** After a failure. */
-export function afterFailure(now: number, { strikes, avoidUntil }: Trust): Trust {
-  const avoidMs = Math.min(AVOID_LIMIT_MS, AVOID_MS * 2 ** strikes);
-  return { strikes: strikes + 1, avoidUntil: Math.max(avoidUntil, now + avoidMs) };
+/**
+ * After a failure. Requests that were under way together fail together: ten
+ * streams slowed by the same prompt kept a sound runner without work for six
+ * seconds. What comes in while the runner is avoided anyway is the same failure.
+ */
+export function afterFailure(now: number, trust: Trust): Trust {
+  if (now < trust.avoidUntil) return trust;
+  const avoidMs = Math.min(AVOID_LIMIT_MS, AVOID_MS * 2 ** trust.strikes);
+  return { strikes: trust.strikes + 1, avoidUntil: now + avoidMs };
 }
 
 /** After a good end. */
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -185,6 +185,7 @@
     const engine = this.#knowledge.table?.service(service)?.engine;
     const verdicts = new Map<string, Verdict>();
     if (!engine) return verdicts;
+    const distrusted = new Set(plan.planner.distrusted(now));
     const fresh = this.#refreshRunners(now, service, engine, plan);
     fresh.forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
@@ -192,6 +193,7 @@
     plan.planner.handle(now, event).forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
     });
+    this.#logDistrust(now, service, plan, event, distrusted);
     const asked = askerOf(event);
     for (const [id, verdict] of verdicts) {
       const sink = plan.sinks.get(id);
@@ -201,6 +203,22 @@
     return verdicts;
   }
 
+  /** A runner gets no work for a while: one line with the event that was held against it. */
+  #logDistrust(
+    now: number,
+    service: string,
+    { planner }: Plan,
+    event: PlanEvent,
+    before: ReadonlySet<string>,
+  ): void {
+    for (const runner of planner.distrusted(now)) {
+      if (!before.has(runner)) {
+        const request = 'id' in event ? event.id : undefined;
+        this.#log.info({ request, service, runner, event: event.kind }, 'Distrusted a runner.');
+      }
+    }
+  }
+
   /** Tells the planner which runners there are, if that may have changed. */
   #refreshRunners(
     now: number,
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -131,6 +131,25 @@
     expect(again).toEqual([{ kind: 'bind', id: 'r', decode: other }]);
   });
 
+  /*
+   * A decode runner reads a prompt itself, so its streams pause. They are not a
+   * sign that the runner is slow; without work its memory would lie idle.
+   */
+  test('does not blame a decode runner for the pauses of its own reading', () => {
+    const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+    const grants = flood(planner, 0, 3).filter((action) => action.kind === 'grant');
+    const direct = grants.find(({ grant }) => grant.prefill === undefined)?.id ?? '';
+    const other = grants.find(({ grant }) => grant.prefill !== undefined)?.id ?? '';
+    const slow = (now: number): boolean => {
+      planner.handle(now, { kind: 'slow', id: other });
+      return planner.distrusted(now).includes('d1');
+    };
+    expect(slow(100)).toBe(false);
+    planner.handle(300, { kind: 'started', id: direct });
+    expect(slow(900)).toBe(false);
+    expect(slow(1200)).toBe(true);
+  });
+
   /* The answer to an ask was lost and the gateway asks again: it gets the place that is kept for it, not a second one. */
   test('gives the same place to a request that asks again', () => {
     const planner = plannerOf(pool);
--- a/test/router/trust.test.ts
+++ b/test/router/trust.test.ts
@@ -25,6 +25,17 @@
     expect(trust.avoidUntil).toBe(1400);
     expect(afterSuccess(afterSuccess(trust)).strikes).toBe(0.25);
   });
+
+  /*
+   * A decode runner reads a long prompt between its tokens and all of its ten
+   * streams slow down at once; each says so. It is one event: the runner is back
+   * after the time of one failure, not after that of ten.
+   */
+  test('counts failures that come together as one', () => {
+    const together = Array.from({ length: 10 }, (_, i) => 1000 + i * 10);
+    const trust = together.reduce((before, now) => afterFailure(now, before), FULL_TRUST);
+    expect(trust).toEqual({ strikes: 1, avoidUntil: 1400 });
+  });
 });
 
 describe('the pace of a stream', () => {
