Let every decode runner with room read a prompt, not only the roomiest

Change: the reader is chosen among those that read nothing at the moment.

Ruled out: memory (0.31 of it free by the account).

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -325,17 +325,15 @@
     for (const { demand } of order) {
       const fits = this.#sizeOf(demand) <= largest;
       const decode = fits ? this.#findDecode(now, demand) : undefined;
-      const bound = decode !== undefined;
       const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
       const chosen = decode ?? (mayLead ? this.#room.soonest(now, demand) : undefined);
       const prefill = chosen && this.#room.findPrefill(now, demand, chosen.runner.domain);
-      const direct =
-        !prefill &&
-        decode !== undefined &&
-        this.#room.mayReadItself(now, decode, this.#sizeOf(demand));
-      if (chosen && (prefill || direct)) {
+      const reader = decode && !prefill ? this.#findReader(now, demand) : undefined;
+      const place = prefill ? chosen : reader;
+      if (place) {
+        const bound = decode !== undefined;
         if (!bound) ahead -= 1;
-        const grant = { prefill: prefill?.runner.id, decode: chosen.runner.id };
+        const grant = { prefill: prefill?.runner.id, decode: place.runner.id };
         this.#waiting.delete(demand.id);
         this.#place(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
@@ -429,6 +427,12 @@
     return this.#room.findDecode(now, demand, this.#sizeOf(demand), slots);
   }
 
+  /** The decode runner that reads a prompt itself because no prefill runner can. */
+  #findReader(now: number, demand: Demand): DecodeState | undefined {
+    const slots = this.#engine?.slots ?? 0;
+    return this.#room.findReader(now, demand, this.#sizeOf(demand), slots);
+  }
+
   /** What one ending request gives back: a larger one would wait for several ends at one runner. */
   #usualSize(): number {
     return this.#flow.workload.promptTokens + this.#lengths.mean;
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -80,19 +80,51 @@
     return room;
   }
 
+  /** The decode runner with the most room. */
   findDecode(
     now: number,
     demand: Demand,
     need: number,
     mostSlots: number,
+  ): DecodeState | undefined {
+    return this.#roomiest(
+      now,
+      demand,
+      (state, free) => free >= need && mostSlots > state.holders.size,
+    );
+  }
+
+  /**
+   * The decode runner with the most room among those that may read the prompt
+   * themselves. Where the prefill runners have more than they can read and decode
+   * memory lies idle, decode runners read prompts, one at a time each: after the
+   * loss of a prefill runner half of the decode memory was idle while requests
+   * were refused. It slows the other answers there, so a full runner does not do it.
+   */
+  findReader(
+    now: number,
+    demand: Demand,
+    need: number,
+    mostSlots: number,
+  ): DecodeState | undefined {
+    return this.#roomiest(now, demand, (state, free) => {
+      const spare = free - need > state.memoryTokens * DIRECT_SPARE;
+      return spare && mostSlots > state.holders.size && directReads(state) === 0;
+    });
+  }
+
+  /** The decode runner with the most room that may get this request and meets a condition. */
+  #roomiest(
+    now: number,
+    { avoid }: Demand,
+    meets: (state: DecodeState, free: number) => boolean,
   ): DecodeState | undefined {
     let best: DecodeState | undefined;
-    let bestFree = 0;
+    let bestFree = -Infinity;
     for (const state of ableOf(now, this.#account.decode.values())) {
       const free = this.free(now, state);
-      const slots = mostSlots - state.holders.size;
-      const able = free >= need && slots > 0 && !demand.avoid.includes(state.runner.id);
-      if (able && free > bestFree && this.#isSafe(now, state)) {
+      const able = free > bestFree && meets(state, free) && !avoid.includes(state.runner.id);
+      if (able && this.#isSafe(now, state)) {
         best = state;
         bestFree = free;
       }
@@ -102,17 +134,7 @@
 
   /** The decode runner that will probably have room first; only a guess until the request is bound. */
   soonest(now: number, demand: Demand): DecodeState | undefined {
-    let best: DecodeState | undefined;
-    let bestFree = -Infinity;
-    for (const state of ableOf(now, this.#account.decode.values())) {
-      const free = this.free(now, state);
-      const able = !demand.avoid.includes(state.runner.id);
-      if (able && free > bestFree && this.#isSafe(now, state)) {
-        best = state;
-        bestFree = free;
-      }
-    }
-    return best;
+    return this.#roomiest(now, demand, () => true);
   }
 
   findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
@@ -132,17 +154,6 @@
     return best;
   }
 
-  /**
-   * Where the prefill runners have more than they can read and decode memory lies
-   * idle, a decode runner reads the prompt itself, one at a time: after the loss
-   * of a prefill runner half of the decode memory was idle while requests were
-   * refused. It slows the other answers there, so a full runner does not do it.
-   */
-  mayReadItself(now: number, state: DecodeState, need: number): boolean {
-    const left = this.free(now, state) - need;
-    return directReads(state) === 0 && left > state.memoryTokens * DIRECT_SPARE;
-  }
-
   /** Tokens that are free by each moment at which one more request will probably have ended. */
   releases(now: number): readonly Release[] {
     const ends: Release[] = [];
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -115,6 +115,22 @@
     });
   });
 
+  /*
+   * The same with three decode runners. The roomiest is busy with a prompt; the
+   * others have room too and can read one each, so that none of them waits idle.
+   */
+  test('has each decode runner with room read a prompt', () => {
+    const planner = plannerOf(['d1', 'd2', 'd3'].map((id) => runner(id, 'decode')));
+    const held = ['d2', 'd2', 'd3', 'd3'].map((decode, i) => ({
+      demand: demand(`held${i}`, 0),
+      grant: { prefill: undefined, decode },
+      startedAt: -1000,
+    }));
+    planner.handle(0, { kind: 'told', vm: 'vm1', holdings: held });
+    const grants = flood(planner, 0, 6).filter((action) => action.kind === 'grant');
+    expect(grants.map(({ grant }) => grant.decode)).toEqual(['d1', 'd2', 'd3']);
+  });
+
   /*
    * A decode runner crashes between the prefill and the decode: the connection is
    * refused and nothing was sent. What was read still lies at the prefill runner
