Choose stages by the requests that they serve, and change them only for a tenth more

Change: the number of prefill runners is the one with which most requests are served, counting the prompts that decode runners can read themselves; a change is ordered only if it brings a tenth more; beside work one at a time; patience starts anew when a runner comes or goes.

Ruled out: the balance within the stage (decode runners were even).

--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -24,27 +24,56 @@
   readonly residenceMs: number;
 }
 
-/** Prefill capacity kept beyond the decode runners' need, as a part: a burst of prompts comes first to the prefill runners. */
+/** Prefill capacity kept beyond the need, as a part: a burst of prompts comes first to the prefill runners. */
 const HEADROOM = 1.2;
-/** Prefill runners below which the loss of one would stop a service. */
-const LEAST_PREFILL = 2;
+/** A decode runner reads a prompt at half the speed of a prefill runner. */
+const DIRECT_READ_COST = 2;
+/**
+ * By how much a change must raise the requests served, as a part. A change takes
+ * a runner away for some ten seconds; one that was ordered for less, right before
+ * a burst, left a quarter of the decode memory unused while requests were refused.
+ */
+const LEAST_GAIN = 0.1;
+/** Rates that differ by less than this part count as the same: they are measured. */
+const TIE_PART = 0.03;
 /** Time for which an excess of prefill runners must last before they change, in milliseconds: a decode runner that crashed is usually back sooner than a change takes. */
 const EXCESS_MS = 9000;
 /** The same for a lack of them, which costs more, in milliseconds. */
 const LACK_MS = 4000;
 
-/** Prefill runners wanted out of all. */
+/**
+ * Requests in a millisecond that so many runners of each stage can serve. What
+ * the prefill runners cannot read, the decode runners read between their tokens.
+ */
+export function servedRate(
+  { memoryTokens }: Engine,
+  prefill: number,
+  decode: number,
+  slowness: number,
+  { promptTokens, outputTokens, residenceMs }: Workload,
+): number {
+  const prefillRate = prefill / (HEADROOM * workMs(promptTokens, slowness));
+  const decodeMs = ((promptTokens + outputTokens) * residenceMs) / memoryTokens;
+  if (prefillRate * decodeMs >= decode) return decode / decodeMs;
+  const readMs = DIRECT_READ_COST * HEADROOM * workMs(promptTokens);
+  return (decode + prefillRate * readMs) / (decodeMs + readMs);
+}
+
+/** Prefill runners with which most requests are served; in a tie more of them, since they take bursts better. */
 export function wantedPrefill(
   engine: Engine,
   runners: number,
   slowness: number,
-  { promptTokens, outputTokens, residenceMs }: Workload,
+  workload: Workload,
 ): number {
-  const prefillRate = 1 / workMs(promptTokens, slowness);
-  const decodeRate = engine.memoryTokens / ((promptTokens + outputTokens) * residenceMs);
-  const share = (HEADROOM * decodeRate) / (prefillRate + HEADROOM * decodeRate);
-  const least = Math.min(LEAST_PREFILL, runners - 1);
-  return Math.max(least, Math.min(runners - 1, Math.ceil(runners * share - 0.25)));
+  let best = 0;
+  let bestRate = 0;
+  for (let prefill = 1; prefill < runners; prefill += 1) {
+    const rate = servedRate(engine, prefill, runners - prefill, slowness, workload);
+    if (rate >= bestRate * (1 - TIE_PART)) best = prefill;
+    bestRate = Math.max(bestRate, rate);
+  }
+  return best;
 }
 
 /** Time for which the number of runners must be the same, in milliseconds: runners register one after the other. */
@@ -70,14 +99,22 @@
     const runners = prefill.length + decode.length;
     if (runners < 2 || engine.switchMs === undefined) return [];
     const slowness = mean(prefill.map((state) => state.slowness));
-    const surplus = prefill.length - wantedPrefill(engine, runners, slowness, workload);
+    const wanted = wantedPrefill(engine, runners, slowness, workload);
+    const rateOf = (count: number): number =>
+      servedRate(engine, count, runners - count, slowness, workload);
+    const worthwhile = rateOf(wanted) > rateOf(prefill.length) * (1 + LEAST_GAIN);
+    const surplus = worthwhile ? prefill.length - wanted : 0;
     const sign = Math.sign(surplus);
+    if (runners !== this.#steady?.runners) {
+      this.#steady = { at: now, runners };
+      this.#since = undefined;
+    }
     if (sign !== this.#since?.sign) this.#since = { at: now, sign };
-    if (runners !== this.#steady?.runners) this.#steady = { at: now, runners };
     if (sign === 0 || now - this.#steady.at < STEADY_MS) return [];
     const patienceMs = sign > 0 ? EXCESS_MS : LACK_MS;
     if (!idle && now - this.#since.at < patienceMs) return [];
-    if (sign > 0) return idlest(prefill, surplus);
+    // One at a time beside work: what each brings shows before the next.
+    if (sign > 0) return idlest(prefill, idle ? surplus : 1);
     const [least] = [...decode].sort((a, b) => a.holders.size - b.holders.size);
     return least ? [{ runner: least.runner.id, role: 'prefill' }] : [];
   }
