Count a request once that a runner reported before its VM told of it

Cause: a new owner reads the runners' reports before the VMs tell what they hold.

Change: a told request that the last report must have counted is taken off what is unexplained there.

Ruled out: caution of the new owner (it ends after half a second; the account was wrong for a second and more).

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -70,10 +70,15 @@
   return Math.ceil(tokens / BLOCK_TOKENS) * BLOCK_TOKENS;
 }
 
+/** Output tokens made so far, as expected. */
+function madeTokens(now: number, startedAt: number | undefined): number {
+  return startedAt === undefined ? 0 : (now - startedAt) / TOKEN_MS;
+}
+
 /** Tokens that a request takes at its end, as expected now. */
 export function peakTokens(now: number, holder: Holder): number {
   const { demand, expectedTokens, startedAt } = holder;
-  const made = startedAt === undefined ? 0 : (now - startedAt) / TOKEN_MS;
+  const made = madeTokens(now, startedAt);
   // A request that has outgrown its estimate goes on for about as long again as it overran.
   const output = made <= expectedTokens ? expectedTokens : made + (made - expectedTokens);
   return inBlocks(demand.promptTokens + Math.min(demand.maxOutputTokens, output));
@@ -175,6 +180,18 @@
     state.foreignTokens = Math.max(0, usedTokens - known);
   }
 
+  /**
+   * A request that somebody else placed has become known. Where the runner's last
+   * report must have counted it already, it is no longer unexplained there.
+   */
+  explain(now: number, id: string, request: string): void {
+    const state = this.decode.get(id);
+    const { demand, startedAt } = state?.holders.get(request) ?? {};
+    if (!state || !demand || startedAt === undefined || now - startedAt < REPORT_LAG_MS) return;
+    const tokens = inBlocks(demand.promptTokens + madeTokens(now, startedAt));
+    state.foreignTokens = Math.max(0, state.foreignTokens - tokens);
+  }
+
   /** Takes a request off its decode runner. */
   leave(now: number, runner: string, id: string): void {
     const state = this.decode.get(runner);
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -265,6 +265,7 @@
       if (!this.#placed.has(demand.id)) {
         this.#waiting.delete(demand.id);
         this.#place(now, demand, grant, true, startedAt);
+        this.#account.explain(now, grant.decode, demand.id);
       }
     }
   }
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -186,6 +186,25 @@
     expect(planner.placed).toBe(0);
   });
 
+  /*
+   * A new owner hears from a runner that it is full before the VMs tell which of
+   * its requests those are. Counted twice, the runner would look full until its
+   * next report, and a second of requests would be refused.
+   */
+  test('does not count a request twice that a runner reported before it was told', () => {
+    const planner = plannerOf(pool);
+    planner.handle(0, { kind: 'reported', report: { runner: 'd1', usedTokens: 32_000 } });
+    const holdings = Array.from({ length: 6 }, (_, i) => ({
+      demand: demand(`held${i}`, 0),
+      grant: { prefill: undefined, decode: 'd1' },
+      startedAt: -2000,
+    }));
+    const before = planner.load(0).memory;
+    planner.handle(10, { kind: 'told', vm: 'vm1', holdings });
+    expect(before).toBe(0.5);
+    expect(planner.load(10).memory).toBeCloseTo(0.55, 1);
+  });
+
   /* A new owner gets requests before the other VMs told what they hold: it must not fill runners that may be full. */
   test('keeps to half of the memory until it was told what is held', () => {
     const planner = plannerOf(pool);
