Give decode memory out by the coming peak, not by the sum of full lengths

Cause: each request was counted at its full length from its first token on. On a decode runner with eleven requests at all stages some 2,700 of 65,000 tokens stayed unused for good.

Change: the account takes the most that its requests will hold at once, as expected: whenever one ends, those that go on have grown by what it still made.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -111,11 +111,31 @@
   return Math.max(now + TOKEN_MS, from + expectedTokens * TOKEN_MS);
 }
 
+/**
+ * Most tokens that requests will hold at once, as expected now. They do not all
+ * reach their end together: whenever one ends, those that go on have grown by
+ * what it still made. Counting each at its full length left 4 % of the memory
+ * unused; this way 0.2 % of the prompts are pushed out in an overload.
+ */
+export function comingPeak(now: number, holders: Iterable<Holder>): number {
+  const entries = [...holders].map((holder) => {
+    const held = holder.demand.promptTokens + madeTokens(now, holder.startedAt);
+    return { held, left: Math.max(0, peakTokens(now, holder) - held) };
+  });
+  entries.sort((a, b) => b.left - a.left);
+  let held = 0;
+  let peak = 0;
+  entries.forEach((entry, index) => {
+    held += entry.held;
+    peak = Math.max(peak, held + (index + 1) * entry.left);
+  });
+  return peak;
+}
+
 /** Tokens that may still be given out at a runner. */
 export function freeTokens(now: number, state: DecodeState): number {
   if (now < state.avoidUntil) return 0;
-  let used = state.foreignTokens;
-  for (const holder of state.holders.values()) used += peakTokens(now, holder);
+  const used = state.foreignTokens + comingPeak(now, state.holders.values());
   return Math.max(0, state.memoryTokens * FILL - used);
 }
 
--- a/test/router/overload.test.ts
+++ b/test/router/overload.test.ts
@@ -43,7 +43,7 @@
     const planned = play(load, 2, () => new Planner());
     const bySlots = play(load, 2, () => new SlotPolicy(64));
     expect(planned.worth).toBeGreaterThan(bySlots.worth);
-    expect(planned.worth).toBeGreaterThan(0.9);
+    expect(planned.worth).toBeGreaterThan(0.915);
     expect(planned.wasted).toBeLessThan(0.005);
     expect(planned.worthOfLargest).toBeGreaterThan(0.65);
     expect(bySlots.wasted).toBeGreaterThan(0.1);
@@ -57,13 +57,13 @@
   test('go to requests that can be in time while more come than can be served', () => {
     const load = { perSecond: 16, bursts: [], untilMs: 34_000 };
     const planned = play(load, 2, () => new Planner());
-    expect(planned.worth).toBeGreaterThan(0.78);
+    expect(planned.worth).toBeGreaterThan(0.81);
     expect(planned.late / planned.asked).toBeLessThan(0.08);
     expect(planned.refused / planned.asked).toBeLessThan(0.12);
     expect(planned.failed).toBe(0);
     expect(planned.wasted).toBeLessThan(0.01);
     // Small ones go first, yet the largest tenth of the prompts gets its part.
-    expect(planned.worthOfLargest).toBeGreaterThan(0.27);
+    expect(planned.worthOfLargest).toBeGreaterThan(0.3);
   });
 
   /*
@@ -73,7 +73,7 @@
   test('are filled by decode runners that read prompts where one prefill runner is left', () => {
     const load = { perSecond: 8, bursts, untilMs: 34_000 };
     const planned = play(load, 1, () => new Planner());
-    expect(planned.worth).toBeGreaterThan(0.85);
+    expect(planned.worth).toBeGreaterThan(0.87);
     expect(planned.failed).toBe(0);
   });
 });
