Plan cautiously after a pause, and tell operators what a node believes

Cause: an owner that stood still, or that is asked again after others planned for it, gave places from an account that lacked what the others had given. Full decode runners turn such requests away after their prompts were read.

Change: an owner keeps to half of each runner's memory for half a second after its process stood still by either clock, and when it is asked again after seven silent seconds. The metrics address tells on /beliefs what the node goes by: configuration, runners with revision, VMs, owners, plans with load and distrusted runners; `goldcrestdock ctl node ADDRESS` prints it.

Ruled out: always asking the VMs for their holdings first (a round trip for each request of an idle service).

Before and after: the new test gave 11 places where 6 are cautious, now 6.

--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -13,6 +13,7 @@
 import { readText } from '../node/config';
 import { call } from '../utils/http';
 import type { BurnReport } from '../types/burn';
+import { BELIEFS_PATH } from '../types/beliefs';
 import { burnHtml, burnTable } from './report';
 import { lineDiff } from './diff';
 
@@ -171,6 +172,20 @@
   print(JSON.stringify(await ask(options, 'GET', '/v1/status'), null, 2));
 }
 
+/** Prints what one node of the platform goes by; its metrics address needs no token. */
+async function nodeCommand(server: string | undefined): Promise<void> {
+  if (server === undefined) {
+    throw new Failure('usage', 'found no address, expected: ctl node METRICS-ADDRESS');
+  }
+  const url = `http://${server}${BELIEFS_PATH}`;
+  const { body } = await call({ method: 'GET', url, timeoutMs: CALL_LIMIT_MS }).catch(
+    (error: Error) => {
+      throw new Failure('usage', `${server} does not answer: ${error.message}`);
+    },
+  );
+  print(JSON.stringify(JSON.parse(body), null, 2));
+}
+
 async function burnCommand(options: CtlOptions): Promise<void> {
   const report = (await ask(options, 'GET', '/v1/burn')) as BurnReport;
   if (options.html !== undefined) {
@@ -192,7 +207,7 @@
   common(
     cli.command(
       'ctl <topic> [verb] [path] [value]',
-      'Operate: settings get|put|edit|diff|delete PATH [FILE or JSON], status, report burn',
+      'Operate: settings get|put|edit|diff|delete PATH [FILE or JSON], status, node METRICS-ADDRESS, report burn',
     ),
   )
     .option(
@@ -206,6 +221,7 @@
     .example('goldcrestdock ctl settings put teams/dosel dosel.jsonc --wait')
     .example('goldcrestdock ctl settings edit teams/dosel/services/summaries/firstTokenMs 1500')
     .example('goldcrestdock ctl status')
+    .example('goldcrestdock ctl node 10.1.0.38:9464')
     .example('goldcrestdock ctl report burn --html burn.html')
     .action(
       (
@@ -223,6 +239,7 @@
             return settingsCommand(verb, path, value, options);
           })
           .with('status', () => statusCommand(options))
+          .with('node', () => nodeCommand(verb))
           .with('report', () => {
             if (verb !== 'burn') {
               throw new Failure('usage', `found '${verb ?? ''}', expected: ctl report burn`);
@@ -230,7 +247,10 @@
             return burnCommand(options);
           })
           .otherwise(() => {
-            throw new Failure('usage', `found '${topic}', expected settings, status or report`);
+            throw new Failure(
+              'usage',
+              `found '${topic}', expected settings, status, node or report`,
+            );
           }),
     );
 }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -168,7 +168,9 @@
     });
     await this.#front.listen(listen.front);
     await this.#control.listen([listen.ready, listen.directory]);
-    if (listen.metrics !== undefined) await this.#metrics.listen(listen.metrics);
+    if (listen.metrics !== undefined) {
+      await this.#metrics.listen(listen.metrics, () => this.#beliefs(performance.now()));
+    }
     setTimeout(() => this.#askSeeds(), ALONE_MS).unref();
     this.#describe();
     this.#log.info({ vm, listen }, 'Started.');
@@ -209,6 +211,23 @@
     await this.#fleet.stop();
   }
 
+  /** What this VM goes by: for operators who ask why it decides as it does. */
+  #beliefs(now: number): Readonly<Record<string, unknown>> {
+    const services = this.#knowledge.table?.config.services ?? [];
+    const models = services.filter(({ engine }) => engine).map(({ name }) => name);
+    return {
+      vm: this.#settings.vm,
+      ready: this.#ready,
+      active: this.#front.active,
+      ...this.#knowledge.beliefs(now),
+      vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
+      owners: Object.fromEntries(
+        models.map((name) => [name, this.#fleet.ownersOf(now, name)[0]?.vm ?? null]),
+      ),
+      plans: this.#host.beliefs(now),
+    };
+  }
+
   #warmLinks(): void {
     const services = this.#knowledge.table?.config.services ?? [];
     const now = performance.now();
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -135,6 +135,22 @@
     this.learnRunners(now, gone, 'list');
   }
 
+  /** What is known of configuration, store and runners, for operators. */
+  beliefs(now: number): Readonly<Record<string, unknown>> {
+    const usable = new Set(this.#directory.usable(now).map(({ id }) => id));
+    return {
+      configVersion: this.configVersion,
+      routes: this.#table?.config.routes.length ?? 0,
+      storeAgeMs: Number.isFinite(this.#storeAt) ? Math.round(this.storeAge(now)) : null,
+      runners: this.#directory.facts.map(({ id, revision, runner }) => ({
+        id,
+        revision,
+        usable: usable.has(id),
+        ...(runner ?? { gone: true }),
+      })),
+    };
+  }
+
   /** Runners of a service that may get work now. */
   runnersOf(now: number, service: string, role?: RunnerRole): readonly Runner[] {
     return this.#directory
--- a/src/node/router/metrics.ts
+++ b/src/node/router/metrics.ts
@@ -6,6 +6,7 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 import { listenOn } from '../../utils/http';
+import { BELIEFS_PATH } from '../../types/beliefs';
 import type { Metrics } from '../metrics';
 
 /** Bounds of the latency histograms in seconds: from one round trip to the longest deadline. */
@@ -89,9 +90,14 @@
     return this.#registry.metrics();
   }
 
-  /** Serves the text on every path of an address. */
-  listen(address: string): Promise<void> {
-    const server = createServer((_req, res) => {
+  /** Serves on an address: what the VM believes on one path, the metrics' text on all others. */
+  listen(address: string, beliefs: () => unknown): Promise<void> {
+    const server = createServer((req, res) => {
+      if (req.url === BELIEFS_PATH) {
+        const body = JSON.stringify(beliefs());
+        res.writeHead(HTTP_OK, { 'content-type': 'application/json' }).end(body);
+        return;
+      }
       this.text()
         .then((text) => {
           res.writeHead(HTTP_OK, { 'content-type': this.#registry.contentType }).end(text);
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -7,6 +7,7 @@
 import { Planner } from '../../core/memory/planner';
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
+import { PauseWatch } from '../../core/pause';
 import type { Engine } from '../../core/routing/types';
 import type { Knowledge } from './knowledge';
 import type { Ask, Hold, Note, Ready, Verdict } from './plans';
@@ -22,6 +23,8 @@
   readonly sinks: Map<string, VerdictSink>;
   /** When each VM was last heard of about this service. */
   readonly heard: Map<string, number>;
+  /** When any VM was last heard of about it. */
+  heardAt: number;
   reportedAt: number;
   /** When the planner was last told its runners, and the revision it was told. */
   runnersAt: number;
@@ -51,6 +54,8 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  readonly #pauses = new PauseWatch(WAKE_MS);
+
   #leaving = false;
 
   constructor(knowledge: Knowledge, runners: RunnerClient, log: Logger) {
@@ -76,7 +81,7 @@
   ask(now: number, vm: string, ask: Ask, sink: VerdictSink): Verdict {
     if (this.#leaving) throw new Failure('noOwner', 'this VM is leaving');
     const plan = this.#planOf(now, ask.service);
-    plan.heard.set(vm, now);
+    hear(now, plan, vm);
     plan.sinks.set(ask.id, sink);
     const verdicts = this.#handle(now, ask.service, plan, {
       kind: 'asked',
@@ -89,7 +94,7 @@
   ready(now: number, vm: string, ready: Ready, sink: VerdictSink): Verdict {
     const { service, id, ms, unreachable, shedBy } = ready;
     const plan = this.#planOf(now, service);
-    plan.heard.set(vm, now);
+    hear(now, plan, vm);
     plan.sinks.set(id, sink);
     const verdicts = this.#handle(now, service, plan, {
       kind: 'prefilled',
@@ -103,7 +108,7 @@
 
   note(now: number, vm: string, note: Note): void {
     const plan = this.#planOf(now, note.service);
-    plan.heard.set(vm, now);
+    hear(now, plan, vm);
     const { id } = note;
     const event = match(note)
       .returnType<PlanEvent>()
@@ -122,7 +127,7 @@
 
   hold(now: number, vm: string, { service, holdings }: Hold): void {
     const plan = this.#planOf(now, service);
-    plan.heard.set(vm, now);
+    hear(now, plan, vm);
     this.#handle(now, service, plan, {
       kind: 'told',
       vm,
@@ -130,6 +135,20 @@
     });
   }
 
+  /** What the planners of this VM go by, for operators. */
+  beliefs(now: number): readonly unknown[] {
+    return [...this.#plans].map(([service, { planner, heard }]) => ({
+      service,
+      waiting: planner.waiting,
+      placed: planner.placed,
+      ...planner.load(now),
+      distrusted: planner.distrusted(now),
+      heardAgoMs: Object.fromEntries(
+        [...heard].map(([vm, at]) => [vm, Math.round(now - at)] as const),
+      ),
+    }));
+  }
+
   /** Changes of stages that would serve more requests, of the services that this VM plans. */
   stageChanges(
     now: number,
@@ -157,6 +176,12 @@
     }
   }
 
+  /** This VM stood still: whoever planned meanwhile knows what it does not. */
+  #resumed(now: number): void {
+    this.#log.warn({ services: this.#plans.size }, 'Stood still; plans cautiously for a moment.');
+    for (const { planner } of this.#plans.values()) planner.startCautiously(now + CAUTION_MS);
+  }
+
   #planOf(now: number, service: string): Plan {
     const known = this.#plans.get(service);
     if (known) return known;
@@ -166,6 +191,7 @@
       planner,
       sinks: new Map(),
       heard: new Map(),
+      heardAt: now,
       reportedAt: 0,
       runnersAt: -Infinity,
       revision: -1,
@@ -257,6 +283,7 @@
   }
 
   #wake(now: number): void {
+    if (this.#pauses.tick(now, Date.now())) this.#resumed(now);
     for (const [service, plan] of this.#plans) {
       for (const [vm, at] of plan.heard) {
         if (now - at > SILENT_MS) {
@@ -288,6 +315,16 @@
   }
 }
 
+/**
+ * A VM said something about a service. After a long silence other VMs planned it
+ * meanwhile, and what is in place is unknown until they have told.
+ */
+function hear(now: number, record: Plan, vm: string): void {
+  if (now - record.heardAt > SILENT_MS) record.planner.startCautiously(now + CAUTION_MS);
+  record.heardAt = now;
+  record.heard.set(vm, now);
+}
+
 /** The request whose gateway waits for the answer to this very call. */
 function askerOf(event: PlanEvent): string | undefined {
   if (event.kind === 'asked') return event.demand.id;
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -41,6 +41,8 @@
       run('ctl', 'settings', 'get', 'consortium'),
       run('ctl', 'settings', 'burn', 'x', '--token', 't'),
       run('ctl', 'report', '--token', 't'),
+      run('ctl', 'node'),
+      run('ctl', 'node', '127.0.0.1:1'),
     ]);
     expect(runs.map(({ exit, out, err }) => `${exit} ${out}${err}`.trim())).toMatchInlineSnapshot(`
      [
@@ -56,6 +58,8 @@
        "2 goldcrestdock: [101] found no token, expected --token or GOLDCRESTDOCK_TOKEN",
        "2 goldcrestdock: [101] found 'burn', expected get, put, edit, diff or delete",
        "2 goldcrestdock: [101] found '', expected: ctl report burn",
+       "2 goldcrestdock: [101] found no address, expected: ctl node METRICS-ADDRESS",
+       "2 goldcrestdock: [101] 127.0.0.1:1 does not answer: connect ECONNREFUSED 127.0.0.1:1",
      ]
     `);
   });
--- /dev/null
+++ b/test/router/owner.test.ts
@@ -0,0 +1,111 @@
+import pino from 'pino';
+
+import { PauseWatch } from '../../src/core/pause';
+import type { RoutingConfig, Runner } from '../../src/core/routing/types';
+import { Knowledge } from '../../src/node/router/knowledge';
+import { PlanHost } from '../../src/node/router/owner';
+import type { Ask } from '../../src/node/router/plans';
+import type { RunnerClient } from '../../src/node/router/types';
+
+const log = pino({ level: 'silent' });
+
+const config: RoutingConfig = {
+  version: 1,
+  routes: [],
+  services: [
+    {
+      name: 's',
+      connections: 100,
+      engine: { slots: 64, memoryTokens: 65_000, eventTokens: 7, keepMs: 500, switchMs: undefined },
+    },
+  ],
+  limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+const runner = (id: string, role: Runner['role']): Runner => ({
+  id,
+  service: 's',
+  address: `${id}:80`,
+  domain: 'a',
+  role,
+  slots: 64,
+  leaving: false,
+});
+
+const ask = (id: string): Ask => ({
+  service: 's',
+  id,
+  promptTokens: 5000,
+  maxOutputTokens: 1200,
+  dueInMs: 900,
+  lostInMs: 3600,
+  returned: false,
+  resuming: false,
+  avoid: [],
+});
+
+/** A host that knows one decode runner with room for eleven and enough prefill runners. */
+function hostAt(now: number): PlanHost {
+  const knowledge = new Knowledge(log, () => {});
+  knowledge.learnConfig(now, config, '', 'store');
+  const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
+  const facts = runners.map((entry) => ({ id: entry.id, revision: 1, runner: entry }));
+  knowledge.learnRunners(now, facts, 'store');
+  return new PlanHost(knowledge, {} as RunnerClient, log);
+}
+
+/** Places given to a burst at one moment. */
+function burst(host: PlanHost, now: number): number {
+  const states = Array.from(
+    { length: 20 },
+    (_, i) => host.ask(now, 'vm2', ask(`${now}-${i}`), () => {}).state,
+  );
+  return states.filter((state) => state === 'granted').length;
+}
+
+describe('an owner', () => {
+  /*
+   * A VM planned a service, stood aside for another one, and is asked again ten
+   * seconds later. The other VMs have not told yet what they hold. Filled at once,
+   * decode runners that are full would turn requests away after their prefill.
+   */
+  test('plans cautiously again when it has not been asked for long', () => {
+    const now = performance.now();
+    const fresh = hostAt(now);
+    fresh.hold(now, 'vm2', { service: 's', holdings: [] });
+    const asked = burst(fresh, now + 1000);
+    const again = hostAt(now);
+    again.hold(now, 'vm2', { service: 's', holdings: [] });
+    const unheard = burst(again, now + 10_000);
+    fresh.stop();
+    again.stop();
+    expect([asked, unheard]).toEqual([11, 6]);
+  });
+});
+
+describe('a process that watches itself', () => {
+  test('notices that it was frozen, suspended with its VM, and nothing else', () => {
+    const watch = new PauseWatch(25);
+    const ticks = [
+      [0, 1000],
+      [25, 1025],
+      [400, 1400],
+      // Frozen: both clocks went on.
+      [3000, 4000],
+      [3025, 4025],
+      // Suspended: the steady clock stood still.
+      [3050, 9000],
+      // The time of day was set back.
+      [3075, 2000],
+    ] as const;
+    expect(ticks.map(([steady, wall]) => watch.tick(steady, wall))).toEqual([
+      false,
+      false,
+      false,
+      true,
+      false,
+      true,
+      false,
+    ]);
+  });
+});
