Forget prompts that are long overdue, and do not refuse where decode runners read

Cause: the prompts given to a prefill runner were counted until somebody said that they were read. The same for a prompt that a decode runner reads itself. And with no prefill runner at all, whatever did not start at once was refused: its time to be read counted as infinite.

Change: a prompt counts no more after twice the time that it should take (1.2 s where a decode runner reads it); without prefill runners the wait goes by the decode runners' own reading.

Ruled out: distrust of the runner (no line for it), decode memory (free).

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -41,6 +41,7 @@
 /** A prompt that a prefill runner works on. */
 export interface PendingPrompt {
   readonly tokens: number;
+  readonly givenAt: number;
   /** Time it should take on a runner of slowness 1 with what lay before it, in milliseconds. */
   readonly expectedMs: number;
 }
@@ -84,11 +85,14 @@
   return inBlocks(demand.promptTokens + Math.min(demand.maxOutputTokens, output));
 }
 
+/** Time after which a prompt that a decode runner reads itself was read or never will be, in milliseconds: three times that of the largest. */
+const READ_LIMIT_MS = 1200;
+
 /** Prompts that a decode runner reads itself at the moment. */
-export function directReads({ holders }: DecodeState): number {
+export function directReads(now: number, { holders }: DecodeState): number {
   let count = 0;
-  for (const { direct, startedAt } of holders.values()) {
-    if (direct && startedAt === undefined) count += 1;
+  for (const { direct, startedAt, grantedAt } of holders.values()) {
+    if (direct && startedAt === undefined && now - grantedAt < READ_LIMIT_MS) count += 1;
   }
   return count;
 }
--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -8,7 +8,7 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, PrefillState } from './account';
-import { workMs } from './cost';
+import { DIRECT_READ_COST, workMs } from './cost';
 
 /** A change of what a runner does. */
 export interface StageChange {
@@ -26,8 +26,6 @@
 
 /** Prefill capacity kept beyond the need, as a part: a burst of prompts comes first to the prefill runners. */
 const HEADROOM = 1.2;
-/** A decode runner reads a prompt at half the speed of a prefill runner. */
-const DIRECT_READ_COST = 2;
 /**
  * By how much a change must raise the requests served, as a part. A change takes
  * a runner away for some ten seconds; one that was ordered for less, right before
--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -6,6 +6,10 @@
 const TOKEN_MS = 0.018;
 /** Milliseconds of every prefill beside its tokens. */
 const BASE_MS = 70;
+/** A decode runner reads a prompt at half the speed of a prefill runner. */
+export const DIRECT_READ_COST = 2;
+/** A prompt counts as overdue after this many times the time that it should take. */
+const OVERDUE_TIMES = 2;
 /** Weight of one measurement. */
 const STEP = 0.15;
 /** Bounds of one measurement, so that a single stray one moves little. */
@@ -22,10 +26,18 @@
   return BASE_MS + workMs(tokens, slowness);
 }
 
-/** Time until a runner has read what it was given, in milliseconds. */
-export function backlogMs({ pending, slowness }: PrefillState): number {
+/**
+ * Time until a runner has read what it was given, in milliseconds. A prompt that
+ * is long overdue is not counted: its answer was lost or its VM stands still, and
+ * counted for as long as nobody says so, it kept the one prefill runner without
+ * work for three seconds while eleven requests waited.
+ */
+export function backlogMs(now: number, { pending, slowness }: PrefillState): number {
   let tokens = 0;
-  for (const entry of pending.values()) tokens += entry.tokens;
+  for (const entry of pending.values()) {
+    const overdueAt = entry.givenAt + OVERDUE_TIMES * entry.expectedMs * Math.max(1, slowness);
+    if (now < overdueAt) tokens += entry.tokens;
+  }
   return workMs(tokens, slowness);
 }
 
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -13,7 +13,7 @@
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
-import { backlogMs, learnSlowness, prefillMs, workMs } from './cost';
+import { backlogMs, learnSlowness, prefillMs } from './cost';
 import { TokenFlow } from './flow';
 import { WaitingQueue, leastMs } from './queue';
 import type { PlanLoad } from './room';
@@ -312,8 +312,8 @@
     const tokens = demand.promptTokens;
     const state = this.#prefillOf(grant);
     if (!state) return;
-    const expectedMs = prefillMs(tokens) + backlogMs(state) / state.slowness;
-    state.pending.set(demand.id, { tokens, expectedMs });
+    const expectedMs = prefillMs(tokens) + backlogMs(now, state) / state.slowness;
+    state.pending.set(demand.id, { tokens, givenAt: now, expectedMs });
   }
 
   #prefillOf({ prefill }: Grant): PrefillState | undefined {
@@ -405,15 +405,13 @@
   #refuseHopeless(now: number): void {
     const spare = this.#flow.spare(now, this.#room.memory);
     const releases = this.#room.releases(now);
-    const prefillBacklog = this.#room.prefillBacklogMs();
-    const prefillMsPerToken = workMs(1) / Math.max(1, this.#account.prefill.size);
+    const readMs = this.#room.readMs(now);
     let ahead = 0;
     let late = 0;
     for (const { demand } of this.#waiting.order(now)) {
       const size = this.#sizeOf(demand);
       ahead += size;
-      const prefillWaitMs = prefillBacklog + ahead * prefillMsPerToken;
-      const waitMs = Math.max(waitFor(now, releases, ahead), prefillWaitMs);
+      const waitMs = Math.max(waitFor(now, releases, ahead), readMs(ahead));
       const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
       const lateMs = waitMs + (late + size) / spare;
       const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -2,7 +2,7 @@
 
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
 import { ableOf, directReads, endOf, freeTokens } from './account';
-import { backlogMs, prefillMs } from './cost';
+import { DIRECT_READ_COST, backlogMs, prefillMs, workMs } from './cost';
 import type { Demand } from './types';
 
 /** What is logged with each decision. */
@@ -67,7 +67,7 @@
     });
     const prefill = [...this.#account.prefill.values()]
       .slice(0, LOAD_RUNNERS)
-      .map((state) => Math.round(backlogMs(state)));
+      .map((state) => Math.round(backlogMs(now, state)));
     return { memory, decode, prefill };
   }
 
@@ -109,7 +109,7 @@
   ): DecodeState | undefined {
     return this.#roomiest(now, demand, (state, free) => {
       const spare = free - need > state.memoryTokens * DIRECT_SPARE;
-      return spare && mostSlots > state.holders.size && directReads(state) === 0;
+      return spare && mostSlots > state.holders.size && directReads(now, state) === 0;
     });
   }
 
@@ -141,7 +141,7 @@
     let best: PrefillState | undefined;
     let bestMs = Infinity;
     for (const state of ableOf(now, this.#account.prefill.values())) {
-      const backlog = backlogMs(state);
+      const backlog = backlogMs(now, state);
       const able = backlog <= PREFILL_BACKLOG_MS;
       // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
       const ms = backlog + prefillMs(demand.promptTokens, state.slowness);
@@ -174,11 +174,19 @@
     return sums;
   }
 
-  /** Mean backlog of a prefill runner, in milliseconds. */
-  prefillBacklogMs(): number {
-    const states = [...this.#account.prefill.values()];
-    if (states.length === 0) return Infinity;
-    return states.reduce((sum, state) => sum + backlogMs(state), 0) / states.length;
+  /**
+   * Gives the time until prompts of so many tokens will have been read, in milliseconds.
+   * Without any prefill runner the decode runners read them all; taken for a
+   * service that cannot read, it refused whatever did not start at once.
+   */
+  readMs(now: number): (tokens: number) => number {
+    const { prefill, decode } = this.#account;
+    if (prefill.size === 0) {
+      return (tokens) => (DIRECT_READ_COST * workMs(tokens)) / Math.max(1, decode.size);
+    }
+    let backlog = 0;
+    for (const state of prefill.values()) backlog += backlogMs(now, state);
+    return (tokens) => (backlog + workMs(tokens)) / prefill.size;
   }
 
   get memory(): number {
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -147,6 +147,35 @@
     expect(again).toEqual([{ kind: 'bind', id: 'r', decode: other }]);
   });
 
+  /*
+   * A prefill runner reads a prompt and its answer is lost; or the VM that waits
+   * for it stands still. Nobody tells the owner for a second and more. The runner
+   * is idle meanwhile and has to get other prompts.
+   */
+  test('gives a prefill runner work though the answer for a prompt is overdue', () => {
+    const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+    const ask = (now: number, id: string): readonly PlanAction[] =>
+      planner.handle(now, { kind: 'asked', demand: demand(id, now, { promptTokens: 8000 }) });
+    const prefill = (actions: readonly PlanAction[]): string | undefined =>
+      actions[0]?.kind === 'grant' ? actions[0].grant.prefill : undefined;
+    expect(prefill(ask(0, 'lost'))).toBe('p1');
+    expect(prefill(ask(10, 'reads itself'))).toBeUndefined();
+    expect(prefill(ask(600, 'later'))).toBe('p1');
+  });
+
+  /*
+   * The same for a prompt that a decode runner reads itself: it may read the next
+   * one. No prefill runner is left; who waits for a turn must not be refused for it.
+   */
+  test('lets a decode runner read another prompt when one is overdue', () => {
+    const planner = plannerOf([runner('d1', 'decode')]);
+    const ask = (now: number, id: string): readonly string[] =>
+      granted(planner.handle(now, { kind: 'asked', demand: demand(id, now) }));
+    expect(ask(0, 'lost')).toEqual(['lost']);
+    expect(ask(600, 'waits')).toEqual([]);
+    expect(granted(planner.handle(1250, { kind: 'woke' }))).toEqual(['waits']);
+  });
+
   /*
    * A decode runner reads a prompt itself, so its streams pause. They are not a
    * sign that the runner is slow; without work its memory would lie idle.
