Have all VMs tell a new owner at once what they hold; split the planner

Cause: VMs tell what they hold every two seconds, or when they ask.

Change: an owner that begins, or is unsure, asks all VMs to tell at once, and reads the first reports 0.3 s later, when they have. Refusals and the times of return moved to a module of their own, as did orders under way.

--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -77,7 +77,12 @@
 /** Time for which the number of runners must be the same, in milliseconds: runners register one after the other. */
 const STEADY_MS = 2500;
 
-/** Decides on changes; at once before the first work, patiently after. */
+/** Time after a change of stage in which the runner lists itself anew, in milliseconds. */
+const LISTED_MS = 2500;
+/** Time in which an order that got no answer may still be carried out, in milliseconds. */
+const UNSURE_MS = 13_000;
+
+/** Decides on changes, one after the other; at once before the first work, patiently after. */
 export class StageBalance {
   /** Since when the wanted number differs from what is there, and by what sign. */
   #since: { readonly at: number; readonly sign: number } | undefined;
@@ -85,6 +90,16 @@
   /** Since when the number of runners is the same. */
   #steady: { readonly at: number; readonly runners: number } | undefined;
 
+  /** Runners that were told to change, and until when no further change is considered. */
+  readonly #changing = new Map<string, number>();
+
+  /** A runner took an order, or may have; gives the time until which that is under way. */
+  ordered(now: number, runner: string, accepted: boolean, engine: Engine | undefined): number {
+    const until = now + (accepted ? (engine?.switchMs ?? 0) + LISTED_MS : UNSURE_MS);
+    this.#changing.set(runner, until);
+    return until;
+  }
+
   /** Changes to make now. */
   consider(
     now: number,
@@ -94,8 +109,9 @@
     workload: Workload,
     idle: boolean,
   ): readonly StageChange[] {
+    for (const [id, until] of this.#changing) if (now >= until) this.#changing.delete(id);
     const runners = prefill.length + decode.length;
-    if (runners < 2 || engine.switchMs === undefined) return [];
+    if (this.#changing.size > 0 || runners < 2 || engine.switchMs === undefined) return [];
     const slowness = mean(prefill.map((state) => state.slowness));
     const wanted = wantedPrefill(engine, runners, slowness, workload);
     const rateOf = (count: number): number =>
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -17,7 +17,8 @@
 import { TokenFlow } from './flow';
 import { WaitingQueue, leastMs } from './queue';
 import type { PlanLoad } from './room';
-import { Room, waitFor } from './room';
+import { ReturnTimes, hopelessOf } from './refusal';
+import { Room } from './room';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
 
 interface Placed {
@@ -30,19 +31,10 @@
   bound: boolean;
 }
 
-/** A request whose caller leaves sooner than this after its first event could come is not started, in milliseconds. */
-const LOST_MARGIN_MS = 250;
-/** Shortest and longest Retry-After, in milliseconds. */
-const RETRY_LEAST_MS = 300;
-const RETRY_MOST_MS = 4500;
+/** When a caller may come back whose prefill found no memory, in milliseconds. */
+const RETRY_UNBOUND_MS = 300;
 /** Time after which a VM surely knows of a grant, in milliseconds. */
 const GRANT_TRAVEL_MS = 1000;
-/** Time after a change of stage in which the runner lists itself anew, in milliseconds. */
-const CHANGE_LISTED_MS = 2500;
-/** Time in which an order that got no answer may still be carried out, in milliseconds. */
-const CHANGE_UNSURE_MS = 13_000;
-/** Longest step between the times of two refused callers, in milliseconds: in a heavy burst the times go round. */
-const RETURN_STEP_MS = 230;
 /** Part of the time that a prefill is kept in which it may wait for memory; the rest covers messages and the move. */
 const KEEP_PART = 0.6;
 /** Part of the requests that should end by then that prefills may be started for; ends are only expected. */
@@ -54,8 +46,6 @@
  * last place in the queue raise the requests served in time from 72 to 85 % of all.
  */
 const LATE_SPARE = 0.1;
-/** Part of the estimated wait that must fit before the caller of a last try leaves: estimates vary by half. */
-const LAST_TRY_DOUBT = 0.5;
 /** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
 const LAPSED_SPARE = 0.1;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
@@ -71,9 +61,6 @@
 
   readonly #balance = new StageBalance();
 
-  /** Runners that were told to change, and until when no further change is considered. */
-  readonly #changing = new Map<string, number>();
-
   readonly #waiting = new WaitingQueue((demand) => this.#sizeOf(demand));
 
   readonly #room = new Room(this.#account);
@@ -82,8 +69,7 @@
 
   #engine: Engine | undefined;
 
-  /** When the caller that was refused last was told to come back. */
-  #returnAt = 0;
+  readonly #returnTimes = new ReturnTimes();
 
   #actions: PlanAction[] = [];
 
@@ -115,8 +101,7 @@
 
   /** Changes of runners' stages that would serve more requests; none while one is under way. */
   stageChanges(now: number): readonly StageChange[] {
-    for (const [id, until] of this.#changing) if (now >= until) this.#changing.delete(id);
-    if (!this.#engine || this.#changing.size > 0) return [];
+    if (!this.#engine) return [];
     const { prefill, decode } = this.#account;
     const idle = this.#placed.size === 0 && this.#waiting.size === 0;
     return this.#balance.consider(
@@ -131,10 +116,9 @@
 
   /** A runner took an order, or may have: it gets no new work until it is listed in its new stage. */
   ordered(now: number, runner: string, accepted: boolean): void {
-    const switchMs = this.#engine?.switchMs ?? 0;
-    this.#changing.set(runner, now + (accepted ? switchMs + CHANGE_LISTED_MS : CHANGE_UNSURE_MS));
+    const until = this.#balance.ordered(now, runner, accepted, this.#engine);
     const state = this.#account.prefill.get(runner) ?? this.#account.decode.get(runner);
-    if (state && accepted) state.avoidUntil = now + switchMs + CHANGE_LISTED_MS;
+    if (state && accepted) state.avoidUntil = until;
   }
 
   handle(now: number, event: PlanEvent): readonly PlanAction[] {
@@ -374,7 +358,7 @@
           this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
         } else if (now - placed.readyAt > keepMs) {
           this.#leave(now, id, placed);
-          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_LEAST_MS });
+          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_UNBOUND_MS });
         }
       }
     }
@@ -396,45 +380,25 @@
     return Math.floor(AHEAD_PART * ends) - ahead;
   }
 
-  /**
-   * Refuses what cannot be served while its caller waits, as soon as that is
-   * known. A request that would miss its aim waits only if memory is likely to be
-   * left over for it; else its caller is told at once, with a time to come back.
-   * One that came back has no further try, so it waits also for less likely room.
-   */
+  /** Refuses what cannot be served while its caller waits. */
   #refuseHopeless(now: number): void {
-    const spare = this.#flow.spare(now, this.#room.memory);
-    const releases = this.#room.releases(now);
-    const readMs = this.#room.readMs(now);
-    let ahead = 0;
-    let late = 0;
-    for (const { demand } of this.#waiting.order(now)) {
-      const size = this.#sizeOf(demand);
-      ahead += size;
-      const waitMs = Math.max(waitFor(now, releases, ahead), readMs(ahead));
-      const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
-      const lateMs = waitMs + (late + size) / spare;
-      const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
-      const likelyMs = demand.returned ? lateMs * LAST_TRY_DOUBT : lateMs;
-      const keep = now + (demand.resuming ? 0 : likelyMs) <= lastAt;
-      if (!inTime && keep) late += size;
-      if (!inTime && !keep) {
-        ahead -= size;
-        this.#refuse(now, demand, lateMs, size / spare);
-      }
+    const hopeless = hopelessOf(now, this.#waiting.order(now), {
+      sizeOf: (demand) => this.#sizeOf(demand),
+      spare: this.#flow.spare(now, this.#room.memory),
+      releases: this.#room.releases(now),
+      readMs: this.#room.readMs(now),
+    });
+    for (const wait of hopeless) {
+      const { id } = wait.demand;
+      this.#waiting.delete(id);
+      this.#actions.push({
+        kind: 'refuse',
+        id,
+        retryAfterMs: this.#returnTimes.next(now, wait),
+      });
     }
   }
 
-  /** Callers are told times one after the other, so that they do not all come back at once. */
-  #refuse(now: number, { id }: Demand, waitMs: number, turnMs: number): void {
-    this.#waiting.delete(id);
-    const earliest = now + Math.min(waitMs, RETRY_MOST_MS / 2);
-    const next = Math.max(this.#returnAt, earliest) + Math.min(turnMs, RETURN_STEP_MS);
-    this.#returnAt = next > now + RETRY_MOST_MS ? earliest : next;
-    const retryAfterMs = Math.max(RETRY_LEAST_MS, this.#returnAt - now);
-    this.#actions.push({ kind: 'refuse', id, retryAfterMs });
-  }
-
   #sizeOf(demand: Demand): number {
     return demand.promptTokens + this.#lengths.expect(demand);
   }
--- /dev/null
+++ b/src/core/memory/refusal.ts
@@ -0,0 +1,83 @@
+/** Who among the waiting requests is refused, and when their callers may come back. */
+
+import type { Release } from './room';
+import { waitFor } from './room';
+import type { Waiting } from './queue';
+import { leastMs } from './queue';
+import type { Demand } from './types';
+
+/** What is expected of the runners. */
+export interface Outlook {
+  /** Tokens of memory that a request will take. */
+  readonly sizeOf: (demand: Demand) => number;
+  /** Tokens in a millisecond that first attempts leave to the others. */
+  readonly spare: number;
+  readonly releases: readonly Release[];
+  /** Time until so many tokens of prompts will have been read, in milliseconds. */
+  readonly readMs: (tokens: number) => number;
+}
+
+/** A request that cannot be served while its caller waits. */
+export interface HopelessWait {
+  readonly demand: Demand;
+  /** Time until its turn would come, in milliseconds. */
+  readonly waitMs: number;
+  /** Time that its turn takes of what is left over for late requests, in milliseconds. */
+  readonly turnMs: number;
+}
+
+/** A request whose caller leaves sooner than this after its first event could come is not started, in milliseconds. */
+const LOST_MARGIN_MS = 250;
+/** Part of the estimated wait that must fit before the caller of a last try leaves: estimates vary by half. */
+const LAST_TRY_DOUBT = 0.5;
+/** Shortest and longest Retry-After, in milliseconds. */
+const RETRY_LEAST_MS = 300;
+const RETRY_MOST_MS = 4500;
+/** Longest step between the times of two refused callers, in milliseconds: in a heavy burst the times go round. */
+const RETURN_STEP_MS = 230;
+
+/**
+ * Finds what cannot be served while its caller waits, as soon as that is known.
+ * A request that would miss its aim waits only if memory is likely to be left
+ * over for it. One whose caller came back has no further try, so it waits also
+ * for less likely room.
+ * @param order waiting requests, who goes first in front
+ */
+export function hopelessOf(
+  now: number,
+  order: readonly Waiting[],
+  { sizeOf, spare, releases, readMs }: Outlook,
+): readonly HopelessWait[] {
+  const found: HopelessWait[] = [];
+  let ahead = 0;
+  let late = 0;
+  for (const { demand } of order) {
+    const size = sizeOf(demand);
+    ahead += size;
+    const waitMs = Math.max(waitFor(now, releases, ahead), readMs(ahead));
+    const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
+    const lateMs = waitMs + (late + size) / spare;
+    const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
+    const likelyMs = demand.returned ? lateMs * LAST_TRY_DOUBT : lateMs;
+    const keep = now + (demand.resuming ? 0 : likelyMs) <= lastAt;
+    if (!inTime && keep) late += size;
+    if (!inTime && !keep) {
+      ahead -= size;
+      found.push({ demand, waitMs: lateMs, turnMs: size / spare });
+    }
+  }
+  return found;
+}
+
+/** Times at which refused callers may come back: one after the other, so that they do not all come at once. */
+export class ReturnTimes {
+  #lastAt = 0;
+
+  /** Retry-After of the next one, in milliseconds. */
+  next(now: number, { waitMs, turnMs }: HopelessWait): number {
+    const earliest = now + Math.min(waitMs, RETRY_MOST_MS / 2);
+    const next = Math.max(this.#lastAt, earliest) + Math.min(turnMs, RETURN_STEP_MS);
+    this.#lastAt = next > now + RETRY_MOST_MS ? earliest : next;
+    return Math.max(RETRY_LEAST_MS, this.#lastAt - now);
+  }
+}
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -20,7 +20,15 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
-import { askSchema, factsSchema, holdSchema, noteSchema, pushSchema, readySchema } from './plans';
+import {
+  askSchema,
+  factsSchema,
+  gatherSchema,
+  holdSchema,
+  noteSchema,
+  pushSchema,
+  readySchema,
+} from './plans';
 import type {
   ControlCodec,
   Feed,
@@ -105,7 +113,9 @@
     this.#knowledge = new Knowledge(logOf(log, 'knowledge'), (kind, source) =>
       this.#onNews(kind, source),
     );
-    this.#host = new PlanHost(this.#knowledge, ports.runners, logOf(log, 'cell'));
+    this.#host = new PlanHost(this.#knowledge, ports.runners, logOf(log, 'cell'), (service) =>
+      this.#gather(service),
+    );
     this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#onCall(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
@@ -382,6 +392,7 @@
     }
     if (method === 'note') this.#host.note(now, vm, noteSchema.parse(params));
     else if (method === 'hold') this.#host.hold(now, vm, holdSchema.parse(params));
+    else if (method === 'gather') this.#tellTo(now, vm, gatherSchema.parse(params).service);
     else if (method === 'verdict') {
       const { service, verdict } = pushSchema.parse(params);
       this.#places.onVerdict(service, verdict);
@@ -390,6 +401,25 @@
     return null;
   }
 
+  /** Has every VM tell what it holds of a service. */
+  #gather(service: string): void {
+    const now = performance.now();
+    const { vm: self } = this.#settings;
+    for (const { vm, address } of this.#fleet.alive) {
+      if (vm === self) this.#tellTo(now, self, service);
+      else {
+        this.#fleet.call(address, 'gather', { service }, EXCHANGE_LIMIT_MS).catch((error) => {
+          this.#log.debug({ vm }, toFailure(error).line);
+        });
+      }
+    }
+  }
+
+  #tellTo(now: number, vm: string, service: string): void {
+    const owner = this.#fleet.all.find((member) => member.vm === vm);
+    if (owner) this.#places.tell(now, service, owner);
+  }
+
   #facts(params: unknown): z.infer<typeof factsSchema> {
     const { configVersion } = z.object({ configVersion: z.number() }).parse(params);
     const { rawConfig, facts } = this.#knowledge;
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -37,6 +37,8 @@
 const RUNNERS_MS = 100;
 /** Period of asking decode runners for their memory while there is work, in milliseconds. */
 const REPORT_MS = 1000;
+/** Time from the beginning of a plan to the first reports, in milliseconds: once the VMs have told, what they told is not taken for somebody else's. */
+const FIRST_REPORT_MS = 300;
 /** A new owner holds back until all VMs had time to tell what they hold, in milliseconds. */
 const CAUTION_MS = 500;
 /** A VM that tells nothing for this long holds nothing any more, in milliseconds; it tells every two seconds. */
@@ -50,6 +52,8 @@
 
   readonly #log: Logger;
 
+  readonly #onUnsure: (service: string) => void;
+
   readonly #plans = new Map<string, Plan>();
 
   readonly #timer: NodeJS.Timeout;
@@ -58,10 +62,17 @@
 
   #leaving = false;
 
-  constructor(knowledge: Knowledge, runners: RunnerClient, log: Logger) {
+  /** @param onUnsure called when what is in place of a service is unknown, to have all VMs tell what they hold */
+  constructor(
+    knowledge: Knowledge,
+    runners: RunnerClient,
+    log: Logger,
+    onUnsure: (service: string) => void,
+  ) {
     this.#knowledge = knowledge;
     this.#runners = runners;
     this.#log = log;
+    this.#onUnsure = onUnsure;
     this.#timer = setInterval(() => this.#wake(performance.now()), WAKE_MS);
   }
 
@@ -81,7 +92,7 @@
   ask(now: number, vm: string, ask: Ask, sink: VerdictSink): Verdict {
     if (this.#leaving) throw new Failure('noOwner', 'this VM is leaving');
     const plan = this.#planOf(now, ask.service);
-    hear(now, plan, vm);
+    this.#hear(now, ask.service, plan, vm);
     plan.sinks.set(ask.id, sink);
     const verdicts = this.#handle(now, ask.service, plan, {
       kind: 'asked',
@@ -94,7 +105,7 @@
   ready(now: number, vm: string, ready: Ready, sink: VerdictSink): Verdict {
     const { service, id, ms, unreachable, shedBy } = ready;
     const plan = this.#planOf(now, service);
-    hear(now, plan, vm);
+    this.#hear(now, service, plan, vm);
     plan.sinks.set(id, sink);
     const verdicts = this.#handle(now, service, plan, {
       kind: 'prefilled',
@@ -108,7 +119,7 @@
 
   note(now: number, vm: string, note: Note): void {
     const plan = this.#planOf(now, note.service);
-    hear(now, plan, vm);
+    this.#hear(now, note.service, plan, vm);
     const { id } = note;
     const event = match(note)
       .returnType<PlanEvent>()
@@ -127,7 +138,7 @@
 
   hold(now: number, vm: string, { service, holdings }: Hold): void {
     const plan = this.#planOf(now, service);
-    hear(now, plan, vm);
+    this.#hear(now, service, plan, vm);
     this.#handle(now, service, plan, {
       kind: 'told',
       vm,
@@ -179,25 +190,41 @@
   /** This VM stood still: whoever planned meanwhile knows what it does not. */
   #resumed(now: number): void {
     this.#log.warn({ services: this.#plans.size }, 'Stood still; plans cautiously for a moment.');
-    for (const { planner } of this.#plans.values()) planner.startCautiously(now + CAUTION_MS);
+    for (const [service, plan] of this.#plans) this.#beCautious(now, service, plan);
+  }
+
+  /**
+   * A VM said something about a service. After a long silence other VMs planned it
+   * meanwhile, and what is in place is unknown until they have told.
+   */
+  #hear(now: number, service: string, record: Plan, vm: string): void {
+    const silentMs = now - record.heardAt;
+    record.heardAt = now;
+    record.heard.set(vm, now);
+    if (silentMs > SILENT_MS) this.#beCautious(now, service, record);
+  }
+
+  /** Holds back for a moment, and has the VMs tell at once: left to their period they took two seconds, in which full runners looked free or free ones full. */
+  #beCautious(now: number, service: string, { planner }: Plan): void {
+    planner.startCautiously(now + CAUTION_MS);
+    this.#onUnsure(service);
   }
 
   #planOf(now: number, service: string): Plan {
     const known = this.#plans.get(service);
     if (known) return known;
-    const planner = new Planner();
-    planner.startCautiously(now + CAUTION_MS);
     const plan: Plan = {
-      planner,
+      planner: new Planner(),
       sinks: new Map(),
       heard: new Map(),
       heardAt: now,
-      reportedAt: 0,
+      reportedAt: now - REPORT_MS + FIRST_REPORT_MS,
       runnersAt: -Infinity,
       revision: -1,
     };
     this.#plans.set(service, plan);
     this.#log.info({ service }, 'Began to plan.');
+    this.#beCautious(now, service, plan);
     return plan;
   }
 
@@ -315,16 +342,6 @@
   }
 }
 
-/**
- * A VM said something about a service. After a long silence other VMs planned it
- * meanwhile, and what is in place is unknown until they have told.
- */
-function hear(now: number, record: Plan, vm: string): void {
-  if (now - record.heardAt > SILENT_MS) record.planner.startCautiously(now + CAUTION_MS);
-  record.heardAt = now;
-  record.heard.set(vm, now);
-}
-
 /** The request whose gateway waits for the answer to this very call. */
 function askerOf(event: PlanEvent): string | undefined {
   if (event.kind === 'asked') return event.demand.id;
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -11,7 +11,8 @@
 
 type OwnDemand = Omit<Demand, 'vm'>;
 
-interface Owner {
+/** A VM that plans a service. */
+export interface Owner {
   readonly vm: string;
   readonly address: string;
 }
@@ -114,6 +115,18 @@
     }
   }
 
+  /** Tells a VM that asked for it what is held here, whoever this VM takes for the owner. */
+  tell(now: number, service: string, owner: Owner): void {
+    const hold: Hold = {
+      service,
+      holdings: [...this.#held.values()]
+        .filter((held) => held.service === service)
+        .map(({ demand, grant, startedAt }) => toHolding(now, demand, grant, startedAt)),
+    };
+    if (owner.vm === this.#vm) this.#host.hold(now, this.#vm, hold);
+    else this.#send(owner.address, 'hold', hold);
+  }
+
   #keep(
     service: string,
     demand: OwnDemand,
@@ -216,7 +229,7 @@
       this.#told.set(service, owner.vm);
       this.#log.info({ service, owner: owner.vm, held: this.#held.size }, 'Owner changed.');
       // What is held goes before the first request, so that a new owner counts it.
-      this.#tell(now, service, owner);
+      this.tell(now, service, owner);
     }
     return owner;
   }
@@ -224,21 +237,10 @@
   #tellAll(now: number): void {
     for (const service of this.#told.keys()) {
       const owner = this.#ownerOf(now, service);
-      if (owner) this.#tell(now, service, owner);
+      if (owner) this.tell(now, service, owner);
     }
   }
 
-  #tell(now: number, service: string, owner: Owner): void {
-    const hold: Hold = {
-      service,
-      holdings: [...this.#held.values()]
-        .filter((held) => held.service === service)
-        .map(({ demand, grant, startedAt }) => toHolding(now, demand, grant, startedAt)),
-    };
-    if (owner.vm === this.#vm) this.#host.hold(now, this.#vm, hold);
-    else this.#send(owner.address, 'hold', hold);
-  }
-
   #send(address: string, method: string, params: unknown): void {
     this.#fleet.call(address, method, params, ASK_LIMIT_MS).catch((error) => {
       this.#log.debug({ address, method }, toFailure(error).line);
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -54,6 +54,8 @@
     )
     .max(10_000),
 });
+/** Asks a VM to tell all places of a service that it holds. */
+export const gatherSchema = z.object({ service });
 /** The planner's word on a request. */
 export const verdictSchema = z.discriminatedUnion('state', [
   z.object({ state: z.literal('granted'), id, prefill: id.optional(), decode: id }),
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -45,13 +45,13 @@
 });
 
 /** A host that knows one decode runner with room for eleven and enough prefill runners. */
-function hostAt(now: number): PlanHost {
+function hostAt(now: number, onUnsure: (service: string) => void = () => {}): PlanHost {
   const knowledge = new Knowledge(log, () => {});
   knowledge.learnConfig(now, config, '', 'store');
   const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
   const facts = runners.map((entry) => ({ id: entry.id, revision: 1, runner: entry }));
   knowledge.learnRunners(now, facts, 'store');
-  return new PlanHost(knowledge, {} as RunnerClient, log);
+  return new PlanHost(knowledge, {} as RunnerClient, log, onUnsure);
 }
 
 /** Places given to a burst at one moment. */
@@ -81,6 +81,23 @@
     again.stop();
     expect([asked, unheard]).toEqual([11, 6]);
   });
+
+  /*
+   * The VMs tell what they hold every two seconds. An owner that began in between
+   * took what runners reported for somebody else's work and refused requests,
+   * though half of it were places that it was about to hear of.
+   */
+  test('has all VMs tell what they hold when it begins and after a silence', () => {
+    const now = performance.now();
+    const unsure: string[] = [];
+    const host = hostAt(now, (service) => unsure.push(service));
+    host.ask(now, 'vm2', ask('first'), () => {});
+    host.ask(now + 1000, 'vm2', ask('second'), () => {});
+    expect(unsure).toEqual(['s']);
+    host.ask(now + 10_000, 'vm2', ask('third'), () => {});
+    host.stop();
+    expect(unsure).toEqual(['s', 's']);
+  });
 });
 
 describe('a process that watches itself', () => {
