Bind another decode runner when the one bound was started anew

Cause: a runner that crashed and came back is listed under its former start for three heartbeats more and answers that it is not the one meant.

Change: such an answer counts as not reached: the decode runner is distrusted, another one takes the prompt that is kept. It takes one repeat of the budget.

Ruled out: memory (the runner had just started), a lapsed handle.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -239,7 +239,13 @@
       exchange.trail.push(`decode ${runner.id} ${reply.status}${reply.notRun ? ' not run' : ''}`);
       if (reply.notRun) {
         reply.body.resume();
-        return 'rejected';
+        const { mayRepeat } = this.#context;
+        if (!reply.misdirected || !mayRepeat(performance.now(), exchange.service))
+          return 'rejected';
+        // That runner was started anew, or changed its stage, and is still listed as it was. What was
+        // read for it lies where it lay, so that another decode runner can take it.
+        progress.sentTo.delete(runner.id);
+        return 'unreachable';
       }
       return reply;
     } catch (error) {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -88,6 +88,8 @@
   readonly genuine: boolean;
   /** The runner's word that it did not run the request and never will. */
   readonly notRun: boolean;
+  /** The answer of another runner than the one meant, or of one that now does something else; implies `notRun`. */
+  readonly misdirected: boolean;
   readonly body: IncomingMessage;
 }
 
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -221,6 +221,7 @@
     headers: forwardable(message.rawHeaders, headers.connection, none),
     genuine,
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED,
+    misdirected: status === HTTP_MISDIRECTED,
     body: message,
   };
 }
--- /dev/null
+++ b/test/router/model.test.ts
@@ -0,0 +1,133 @@
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { Readable } from 'node:stream';
+
+import type { Engine, Route, Runner } from '../../src/core/routing/types';
+import { Exchange } from '../../src/node/router/exchange';
+import type { ModelContext } from '../../src/node/router/model';
+import { ModelCaller } from '../../src/node/router/model';
+import type { CallRequest, DecodeDispatch, IngressCodec, Reply } from '../../src/node/router/types';
+
+const engine: Engine = {
+  slots: 64,
+  memoryTokens: 65_000,
+  eventTokens: 7,
+  keepMs: 500,
+  switchMs: undefined,
+};
+
+const route: Route = {
+  name: 'r',
+  host: 'h',
+  prefix: '/',
+  kind: 'stream',
+  targets: [{ service: 's', weight: 1 }],
+  timeoutMs: 14_000,
+  aimMs: 900,
+  patienceMs: 3600,
+  gapMs: 300,
+  attempts: 1,
+  priority: 1,
+  resumable: false,
+};
+
+const request: CallRequest = {
+  id: 'q',
+  host: 'h',
+  method: 'POST',
+  target: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+  deadlineMs: 14_000,
+  usage: { promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
+};
+
+const runner = (id: string, role: Runner['role']): Runner => ({
+  id,
+  role,
+  service: 's',
+  address: `${id}:80`,
+  domain: 'a',
+  slots: 64,
+  leaving: false,
+});
+
+function reply(status: number, text: string): Reply {
+  const body = Object.assign(Readable.from([Buffer.from(text)]), { complete: true });
+  const misdirected = status === 421;
+  return {
+    status,
+    headers: [],
+    genuine: !misdirected,
+    notRun: misdirected,
+    misdirected,
+    body: body as unknown as Reply['body'],
+  };
+}
+
+/** An exchange whose answer is written to `out`. */
+function exchangeInto(out: string[]): Exchange {
+  const events = new EventEmitter();
+  const res = Object.assign(events, {
+    headersSent: false,
+    destroyed: false,
+    writeHead(status: number) {
+      this.headersSent = true;
+      out.push(String(status));
+    },
+    write(chunk: Buffer) {
+      out.push(chunk.toString());
+      return true;
+    },
+    end(chunk?: Buffer) {
+      if (chunk && chunk.length > 0) out.push(chunk.toString());
+      events.emit('close');
+    },
+  });
+  const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
+  const now = performance.now();
+  return new Exchange(now, request, route, 's', res as unknown as ServerResponse, codec);
+}
+
+describe('a model request', () => {
+  /*
+   * A decode runner crashed and was started anew at its address; the list still
+   * names its former start. It answers that it is not the one meant. The prompt
+   * was read and is kept: another decode runner takes it, and it is not read again.
+   */
+  test('goes to another decode runner when the first was started anew', async () => {
+    const runners = [runner('p', 'prefill'), runner('d1', 'decode'), runner('d2', 'decode')];
+    const sent: string[] = [];
+    const context = {
+      knowledge: { runnersOf: () => runners },
+      runners: {
+        prefill: async () => {
+          sent.push('prefill');
+          return { address: 'p:80', handle: 'h' };
+        },
+        decode: async (dispatch: DecodeDispatch) => {
+          sent.push(`${dispatch.runner.id} ${dispatch.cache?.handle}`);
+          return dispatch.runner.id === 'd1' ? reply(421, '') : reply(200, 'id: 1\n\n');
+        },
+        freeCache: async () => {},
+      },
+      places: {
+        ask: async () => ({ prefill: 'p', decode: 'd1' }),
+        bind: async (
+          _service: string,
+          _id: string,
+          _ms: number,
+          _signal: AbortSignal,
+          failed: { readonly unreachable?: string } = {},
+        ) => (failed.unreachable === 'd1' ? 'd2' : 'd1'),
+        note: () => {},
+      },
+      mayRepeat: () => true,
+      spentMs: () => 0,
+    } as unknown as ModelContext;
+    const out: string[] = [];
+    await new ModelCaller(context).run(exchangeInto(out), engine);
+    expect(sent).toEqual(['prefill', 'd1 h', 'd2 h']);
+    expect(out).toEqual(['200', 'id: 1\n\n']);
+  });
+});
