--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -237,17 +237,15 @@
         afterEvent,
       });
       exchange.trail.push(`decode ${runner.id} ${reply.status}${reply.notRun ? ' not run' : ''}`);
-      if (reply.notRun) {
-        reply.body.resume();
-        const { mayRepeat } = this.#context;
-        if (!reply.misdirected || !mayRepeat(performance.now(), exchange.service))
-          return 'rejected';
-        // That runner was started anew, or changed its stage, and is still listed as it was. What was
-        // read for it lies where it lay, so that another decode runner can take it.
-        progress.sentTo.delete(runner.id);
-        return 'unreachable';
-      }
-      return reply;
+      if (!reply.notRun) return reply;
+      reply.body.resume();
+      // A runner that was started anew, or changed its stage, is still listed as it was. What was
+      // read for it lies where it lay, so that another decode runner can take it.
+      const elsewhere =
+        reply.misdirected && this.#context.mayRepeat(performance.now(), exchange.service);
+      if (!elsewhere) return 'rejected';
+      progress.sentTo.delete(runner.id);
+      return 'unreachable';
     } catch (error) {
       const { codeName } = toFailure(error);
       exchange.trail.push(`decode ${runner.id} ${codeName}`);
