Split the planner and the router's daemon: code moved, behaviour as it was

Prefills ahead, the part that late requests leave free and distrust by runner left the planner; the calls of other VMs left the daemon.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -162,6 +162,13 @@
 
   readonly prefill = new Map<string, PrefillState>();
 
+  /** Runners that get no work for now because of how their requests went. */
+  distrusted(now: number): readonly string[] {
+    return [...this.prefill.values(), ...this.decode.values()]
+      .filter(({ trust }) => now < trust.avoidUntil)
+      .map(({ runner }) => runner.id);
+  }
+
   /** Takes over the runners that may get work; the account of others is dropped, since nothing more is given to them. */
   setRunners(engine: Engine, runners: readonly Runner[]): void {
     const listed = new Map(runners.map(({ id, role }) => [id, role]));
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -9,13 +9,14 @@
 import type { Engine } from '../routing/types';
 import type { DecodeState, Holder, PrefillState } from './account';
 import { MemoryAccount, slowedByRead } from './account';
+import { allowedAhead, waitableMs } from './ahead';
 import { OutputLengths } from './lengths';
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
 import { backlogMs, learnSlowness, prefillMs } from './cost';
 import { TokenFlow } from './flow';
-import { WaitingQueue, leastMs } from './queue';
+import { WaitingQueue, sparePart } from './queue';
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
 import { Room } from './room';
@@ -35,17 +36,6 @@
 const RETRY_UNBOUND_MS = 300;
 /** Time after which a VM surely knows of a grant, in milliseconds. */
 const GRANT_TRAVEL_MS = 1000;
-/** Part of the time that a prefill is kept in which it may wait for memory; the rest covers messages and the move. */
-const KEEP_PART = 0.6;
-/** Part of the requests that should end by then that prefills may be started for; ends are only expected. */
-const AHEAD_PART = 0.25;
-/**
- * Part of a decode runner's memory that a request leaves free which is late
- * anyway. It holds its memory as long as one in time: given the last room, late
- * ones make those late that come next. In an overload by a third this and their
- * last place in the queue raise the requests served in time from 72 to 85 % of all.
- */
-const LATE_SPARE = 0.1;
 /** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
 const LAPSED_SPARE = 0.1;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
@@ -88,10 +78,7 @@
 
   /** Runners that get no work for now because of how their requests went. */
   distrusted(now: number): readonly string[] {
-    const { prefill, decode } = this.#account;
-    return [...prefill.values(), ...decode.values()]
-      .filter(({ trust }) => now < trust.avoidUntil)
-      .map(({ runner }) => runner.id);
+    return this.#account.distrusted(now);
   }
 
   /** Begins without a full account; `until` is when all VMs should have told what they hold. */
@@ -340,14 +327,13 @@
 
   /** Whether a request may have the most room that one decode runner has. */
   #mayHave(now: number, demand: Demand, largest: number): boolean {
-    const late = !demand.resuming && now + leastMs(demand) > demand.dueAt;
-    const spare = late ? LATE_SPARE * (this.#engine?.memoryTokens ?? 0) : 0;
+    const spare = sparePart(now, demand) * (this.#engine?.memoryTokens ?? 0);
     return this.#sizeOf(demand) + spare <= largest;
   }
 
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
   #bindReady(now: number): void {
-    const keepMs = (this.#engine?.keepMs ?? 0) * KEEP_PART;
+    const keepMs = waitableMs(this.#engine?.keepMs ?? 0);
     for (const [id, placed] of this.#placed) {
       if (!placed.bound && placed.readyAt !== undefined) {
         const decode = this.#findDecode(now, placed.demand);
@@ -364,20 +350,13 @@
     }
   }
 
-  /**
-   * Prefills that may start ahead of the memory for them: a part of the requests
-   * that should end while a prefill runs and is kept. Without it memory lies idle
-   * for the time of each prefill, some 7 % of it.
-   */
+  /** Prefills that may start now ahead of the memory for them. */
   #allowedAhead(): number {
     let holders = 0;
     for (const state of this.#account.decode.values()) holders += state.holders.size;
     let ahead = 0;
     for (const { bound } of this.#placed.values()) if (!bound) ahead += 1;
-    const { residenceMs } = this.#flow.workload;
-    const horizonMs = prefillMs(this.#flow.workload.promptTokens);
-    const ends = (holders * (horizonMs + (this.#engine?.keepMs ?? 0) * KEEP_PART)) / residenceMs;
-    return Math.floor(AHEAD_PART * ends) - ahead;
+    return allowedAhead(holders, this.#flow.workload, this.#engine?.keepMs ?? 0) - ahead;
   }
 
   /** Refuses what cannot be served while its caller waits. */
@@ -404,14 +383,12 @@
   }
 
   #findDecode(now: number, demand: Demand): DecodeState | undefined {
-    const slots = this.#engine?.slots ?? 0;
-    return this.#room.findDecode(now, demand, this.#sizeOf(demand), slots);
+    return this.#room.findDecode(now, demand, this.#sizeOf(demand), this.#engine?.slots ?? 0);
   }
 
   /** The decode runner that reads a prompt itself because no prefill runner can. */
   #findReader(now: number, demand: Demand): DecodeState | undefined {
-    const slots = this.#engine?.slots ?? 0;
-    return this.#room.findReader(now, demand, this.#sizeOf(demand), slots);
+    return this.#room.findReader(now, demand, this.#sizeOf(demand), this.#engine?.slots ?? 0);
   }
 
   /** What one ending request gives back: a larger one would wait for several ends at one runner. */
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -16,11 +16,25 @@
 /** Part of the wait before the due time after which a large request goes before smaller ones. */
 const AGING_PART = 0.75;
 
+/**
+ * Part of a decode runner's memory that a request leaves free which is late
+ * anyway. It holds its memory as long as one in time: given the last room, late
+ * ones make those late that come next. In an overload by a third this and their
+ * last place in the queue raise the requests served in time from 72 to 85 % of all.
+ */
+const LATE_SPARE = 0.1;
+
 /** Least time from a grant to the first event, in milliseconds. */
 export function leastMs({ promptTokens }: Demand): number {
   return prefillMs(promptTokens) + FIRST_EVENT_MS;
 }
 
+/** Part of a decode runner's memory that a request has to leave free. */
+export function sparePart(now: number, demand: Demand): number {
+  const late = now + leastMs(demand) > demand.dueAt;
+  return late && !demand.resuming ? LATE_SPARE : 0;
+}
+
 /** Those that missed their aim take what the others leave; whose caller leaves first goes first. */
 function lateKey(now: number, { lostAt }: Demand): number {
   return LATE_KEY + Math.max(0, lostAt - now);
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -3,12 +3,12 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
-import { z } from 'zod';
 
 import { RunnerHealth } from '../../core/cell/health';
-import { Failure, toFailure } from '../../core/failure';
+import { toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
 import { logOf } from '../log';
+import { PeerCalls } from './calls';
 import { Control } from './control';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
@@ -20,15 +20,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
-import {
-  askSchema,
-  factsSchema,
-  gatherSchema,
-  holdSchema,
-  noteSchema,
-  pushSchema,
-  readySchema,
-} from './plans';
+import { factsSchema } from './plans';
 import type {
   ControlCodec,
   Feed,
@@ -80,6 +72,8 @@
 
   readonly #places: Places;
 
+  readonly #calls: PeerCalls;
+
   readonly #front: Front;
 
   readonly #plain: PlainCaller;
@@ -114,16 +108,24 @@
       this.#onNews(kind, source),
     );
     this.#host = new PlanHost(this.#knowledge, ports.runners, logOf(log, 'cell'), (service) =>
-      this.#gather(service),
+      this.#calls.gather(service),
     );
     this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
-      onCall: (vm, method, params, push) => this.#onCall(vm, method, params, push),
+      onCall: (vm, method, params, push) => this.#calls.answer(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onMembers: () => this.#warmLinks(),
       onDiffers: (address) => this.#onDiffers(performance.now(), address),
       onRumour: (path, revision, address) => this.#onRumour(path, revision, address),
     });
     this.#places = new Places(settings.vm, this.#fleet, this.#host, logOf(log, 'places'));
+    this.#calls = new PeerCalls({
+      vm: settings.vm,
+      fleet: this.#fleet,
+      host: this.#host,
+      places: this.#places,
+      knowledge: this.#knowledge,
+      log: logOf(log, 'peer'),
+    });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
     this.#plain = new PlainCaller({
@@ -372,62 +374,4 @@
     this.#fleet.contact(seeds);
     seeds.filter((address) => address !== peer).forEach((address) => this.#learnFrom(address));
   }
-
-  async #onCall(
-    vm: string,
-    method: string,
-    params: unknown,
-    push: (method: string, params: unknown) => void,
-  ): Promise<unknown> {
-    const now = performance.now();
-    if (method === 'ask') {
-      return this.#host.ask(now, vm, askSchema.parse(params), (service, verdict) =>
-        push('verdict', { service, verdict }),
-      );
-    }
-    if (method === 'ready') {
-      return this.#host.ready(now, vm, readySchema.parse(params), (service, verdict) =>
-        push('verdict', { service, verdict }),
-      );
-    }
-    if (method === 'note') this.#host.note(now, vm, noteSchema.parse(params));
-    else if (method === 'hold') this.#host.hold(now, vm, holdSchema.parse(params));
-    else if (method === 'gather') this.#tellTo(now, vm, gatherSchema.parse(params).service);
-    else if (method === 'verdict') {
-      const { service, verdict } = pushSchema.parse(params);
-      this.#places.onVerdict(service, verdict);
-    } else if (method === 'facts') return this.#facts(params);
-    else throw new Failure('peerRejected', `found call ${method}, expected a known one`);
-    return null;
-  }
-
-  /** Has every VM tell what it holds of a service. */
-  #gather(service: string): void {
-    const now = performance.now();
-    const { vm: self } = this.#settings;
-    for (const { vm, address } of this.#fleet.alive) {
-      if (vm === self) this.#tellTo(now, self, service);
-      else {
-        this.#fleet.call(address, 'gather', { service }, EXCHANGE_LIMIT_MS).catch((error) => {
-          this.#log.debug({ vm }, toFailure(error).line);
-        });
-      }
-    }
-  }
-
-  #tellTo(now: number, vm: string, service: string): void {
-    const owner = this.#fleet.all.find((member) => member.vm === vm);
-    if (owner) this.#places.tell(now, service, owner);
-  }
-
-  #facts(params: unknown): z.infer<typeof factsSchema> {
-    const { configVersion } = z.object({ configVersion: z.number() }).parse(params);
-    const { rawConfig, facts } = this.#knowledge;
-    return {
-      config: configVersion < this.#knowledge.configVersion ? rawConfig : '',
-      runners: facts.map(({ id, revision, runner }) =>
-        runner ? { id, revision, runner } : { id, revision },
-      ),
-    };
-  }
 }
