--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -176,6 +176,36 @@
     expect(granted(planner.handle(1250, { kind: 'woke' }))).toEqual(['waits']);
   });
 
+  /*
+   * Kept prompts lapse at once at some runners. The bound decode runner turns the
+   * request away although the account has room there: it may read the prompt
+   * itself, and the runner that let it lapse gets no work for a while.
+   */
+  test('has the same runner read a prompt that lapsed, and blames who kept it', () => {
+    const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    const ready = { kind: 'prefilled', id: 'r', ms: 150, unreachable: undefined } as const;
+    planner.handle(150, { ...ready, shedBy: undefined });
+    const again = planner.handle(160, { ...ready, shedBy: 'd1' });
+    expect(again).toEqual([{ kind: 'bind', id: 'r', decode: 'd1' }]);
+    expect(planner.distrusted(160)).toEqual(['p1']);
+  });
+
+  /*
+   * The same where the account says that the runner is full: others use it too.
+   * Sent there again the request would be turned away again; its caller is told
+   * when to come back, and the account counts what it did not know of.
+   */
+  test('sends a caller away whose runner is fuller than the account knew', () => {
+    const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    planner.handle(10, { kind: 'reported', report: { runner: 'd1', usedTokens: 63_000 } });
+    const ready = { kind: 'prefilled', id: 'r', ms: 150, unreachable: undefined } as const;
+    const shed = planner.handle(160, { ...ready, shedBy: 'd1' });
+    expect(shed).toEqual([{ kind: 'refuse', id: 'r', retryAfterMs: 1000 }]);
+    expect(planner.distrusted(160)).toEqual([]);
+  });
+
   /*
    * A decode runner reads a prompt itself, so its streams pause. They are not a
    * sign that the runner is slow; without work its memory would lie idle.
