--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -5,6 +5,7 @@
 
 import type { Demand, PlanAction, PlanEvent } from '../../../src/core/memory/types';
 import type { Engine, Runner } from '../../../src/core/routing/types';
+import { runnerOf } from '../runner';
 import { Schedule } from '../virtual/schedule';
 import { AIM_MS, MemoryCaller } from './caller';
 import type { MemoryFigures } from './engines';
@@ -244,18 +245,6 @@
   }
 }
 
-function runnerOf(id: string, role: Runner['role']): Runner {
-  return {
-    id,
-    role,
-    service: 'model',
-    address: `${id}:80`,
-    domain: 'a',
-    slots: SLOTS,
-    leaving: false,
-  };
-}
-
 function percentile(sorted: readonly number[], part: number): number {
   return sorted[Math.floor(sorted.length * part)] ?? 0;
 }
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -1,8 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Runner } from '../../src/core/routing/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
 import { listen, readJson, sendJson } from '../fakes/http';
+import { runnerOf } from '../fakes/runner';
 
 interface Stand {
   readonly report: unknown;
@@ -21,15 +21,7 @@
     got.push({ expected: req.headers['expected-instance'], body: await readJson(req) });
     onOrder(res);
   });
-  const runner: Runner = {
-    id: 'i-1',
-    service: 's',
-    address: `127.0.0.1:${port}`,
-    domain: 'a',
-    role: 'prefill',
-    slots: 1,
-    leaving: false,
-  };
+  const runner = runnerOf('i-1', 'prefill', { address: `127.0.0.1:${port}` });
   try {
     return { outcome: await new PlatformRunnerClient().order(runner, 'decode', 'vm1', 41), got };
   } finally {
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -2,17 +2,9 @@
 
 import type { RoutingConfig, Runner } from '../../src/core/routing/types';
 import { Knowledge } from '../../src/node/router/knowledge';
+import { runnerOf } from '../fakes/runner';
 
-const runner = (id: string, change: Partial<Runner> = {}): Runner => ({
-  id,
-  service: 's',
-  address: `${id}:80`,
-  domain: 'a',
-  role: 'plain',
-  slots: 1,
-  leaving: false,
-  ...change,
-});
+const runner = (id: string, change: Partial<Runner> = {}): Runner => runnerOf(id, 'plain', change);
 
 const config = (version: number): RoutingConfig => ({
   version,
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -2,11 +2,12 @@
 import type { ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
 
-import type { Engine, Route, Runner } from '../../src/core/routing/types';
+import type { Engine, Route } from '../../src/core/routing/types';
 import { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelCaller } from '../../src/node/router/model';
 import type { CallRequest, DecodeDispatch, IngressCodec, Reply } from '../../src/node/router/types';
+import { runnerOf as runner } from '../fakes/runner';
 
 const engine: Engine = {
   slots: 64,
@@ -42,16 +43,6 @@
   usage: { promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
 };
 
-const runner = (id: string, role: Runner['role']): Runner => ({
-  id,
-  role,
-  service: 's',
-  address: `${id}:80`,
-  domain: 'a',
-  slots: 64,
-  leaving: false,
-});
-
 function reply(status: number, text: string): Reply {
   const body = Object.assign(Readable.from([Buffer.from(text)]), { complete: true });
   const misdirected = status === 421;
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -1,11 +1,12 @@
 import pino from 'pino';
 
 import { PauseWatch } from '../../src/core/pause';
-import type { RoutingConfig, Runner } from '../../src/core/routing/types';
+import type { RoutingConfig } from '../../src/core/routing/types';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { PlanHost } from '../../src/node/router/owner';
 import type { Ask } from '../../src/node/router/plans';
 import type { RunnerClient } from '../../src/node/router/types';
+import { runnerOf as runner } from '../fakes/runner';
 
 const log = pino({ level: 'silent' });
 
@@ -22,16 +23,6 @@
   limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
-const runner = (id: string, role: Runner['role']): Runner => ({
-  id,
-  service: 's',
-  address: `${id}:80`,
-  domain: 'a',
-  role,
-  slots: 64,
-  leaving: false,
-});
-
 const ask = (id: string): Ask => ({
   service: 's',
   id,
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -2,6 +2,7 @@
 import { Planner } from '../../src/core/memory/planner';
 import type { Demand, PlanAction } from '../../src/core/memory/types';
 import type { Engine, Runner } from '../../src/core/routing/types';
+import { runnerOf as runner } from '../fakes/runner';
 
 const engine: Engine = {
   slots: 64,
@@ -11,16 +12,6 @@
   switchMs: 6000,
 };
 
-const runner = (id: string, role: Runner['role']): Runner => ({
-  id,
-  role,
-  service: 'model',
-  address: `${id}:80`,
-  domain: 'a',
-  slots: 64,
-  leaving: false,
-});
-
 const demand = (id: string, now: number, change: Partial<Demand> = {}): Demand => ({
   id,
   vm: 'vm1',
