Tell the starts of a runner apart, and take no runner from another writer's entry

Cause: the id of a runner was taken for one start of it, and its time of start was decoded nowhere. A runner that starts again under its id kept the account, distrust, orders and leaving mark of a process that is gone. Entries with missing fields were filled with defaults, and one that could not be decoded left the runner in use and wrote a line with each reading.

Change: the id inside the product is made of the listing and the time of start, so that all that is kept by id begins anew and what is told late of the earlier start names nobody. An older start never replaces a newer one, at whatever revision. A report that names a later start ends the listed one. An entry must have all fields of a runner; else it names none, with one line and one count for each revision.

Ruled out: comparing the time of day of the request with the start alone, since clocks are stepped by seconds.

Tests fail without it (they name a start, which had no field).

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -235,7 +235,7 @@
     503,
     503,
     'An entry in the store cannot be decoded.',
-    'The last good one stays in force; mend the field named.',
+    'A configuration stays in force as it last was; a runner gets no work. Mend the field named.',
   ),
   internal: fault(
     599,
--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -109,7 +109,11 @@
     workload: Workload,
     idle: boolean,
   ): readonly StageChange[] {
-    for (const [id, until] of this.#changing) if (now >= until) this.#changing.delete(id);
+    // An order to a runner that has left or started anew is over with it.
+    const listed = new Set([...prefill, ...decode].map(({ runner }) => runner.id));
+    for (const [id, until] of this.#changing) {
+      if (now >= until || !listed.has(id)) this.#changing.delete(id);
+    }
     const runners = prefill.length + decode.length;
     if (this.#changing.size > 0 || runners < 2 || engine.switchMs === undefined) return [];
     const slowness = mean(prefill.map((state) => state.slowness));
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -41,6 +41,7 @@
 
 /** What a runner says of its memory; some hundred milliseconds old. */
 export interface MemoryReport {
+  /** Id of the start that told it. */
   readonly runner: string;
   /** Tokens that cannot yield. */
   readonly usedTokens: number;
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -2,16 +2,21 @@
  * What is known of runners, from the store and from peers.
  *
  * Every fact carries the store's revision of its last change. The highest
- * revision wins, so an older copy from a peer never undoes a newer one.
+ * revision wins, so an older copy from a peer never undoes a newer one. Of two
+ * starts under one listing the later one wins whatever the revisions say: a
+ * write of the earlier start may be carried out seconds after its end.
  */
 
 import type { Runner } from './types';
 
 /** One fact: a runner as of a revision, or that it is gone. */
 export interface RunnerFact {
+  /** Listing of the runner. */
   readonly id: string;
   readonly revision: number;
   readonly runner: Runner | undefined;
+  /** Why the entry names no runner although it is there. Default: it was read, or is gone. */
+  readonly unreadable?: string;
 }
 
 interface Known {
@@ -19,6 +24,8 @@
   /** The last listed form of a runner whose entry vanished, kept while its return is likely. */
   last: Runner | undefined;
   goneAt: number;
+  /** Latest start that is known, in Unix milliseconds. */
+  bornAt: number;
 }
 
 /** How long gone runners are remembered, so that an old fact cannot bring them back, in milliseconds. */
@@ -46,23 +53,48 @@
    */
   learn(now: number, fact: RunnerFact, graceMs: number): boolean {
     const known = this.#known.get(fact.id);
-    if (known && known.fact.revision >= fact.revision) return false;
+    const { bornAt = known?.bornAt ?? 0 } = fact.runner ?? {};
+    if (known && (known.fact.revision >= fact.revision || bornAt < known.bornAt)) return false;
     const before = known?.fact.runner;
     const changed = JSON.stringify(before) !== JSON.stringify(fact.runner);
     const last = fact.runner ?? before ?? known?.last;
     const goneAt = last?.leaving ? now : now + graceMs;
-    this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt });
+    this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt, bornAt });
     if (changed) this.#revision = Math.max(this.#revision, fact.revision);
     return changed;
   }
 
+  /**
+   * A runner itself told of a start. The one listed is over if that is later:
+   * its entry stays as it was until the new start has written its own.
+   * @returns whether a start that was known is over by it
+   */
+  learnStart(listing: string, bornAt: number): boolean {
+    const known = this.#known.get(listing);
+    // An entry that does not tell its start names no start that could be over.
+    if (!known || known.bornAt === 0 || bornAt <= known.bornAt) return false;
+    known.bornAt = bornAt;
+    return true;
+  }
+
+  /** The latest start that is known of a listing, in Unix milliseconds; 0 if none is. */
+  latestStart(listing: string): number {
+    return this.#known.get(listing)?.bornAt ?? 0;
+  }
+
+  /** Whether a fact was taken in before, or is older than what was. */
+  isKnown({ id, revision }: RunnerFact): boolean {
+    return (this.#known.get(id)?.fact.revision ?? -1) >= revision;
+  }
+
   /** Runners that may get work now. */
   usable(now: number): readonly Runner[] {
     const found: Runner[] = [];
-    for (const [id, { fact, last, goneAt }] of this.#known) {
+    for (const [id, { fact, last, goneAt, bornAt }] of this.#known) {
       const runner = fact.runner ?? (now < goneAt ? last : undefined);
-      if (runner && !runner.leaving) found.push(runner);
-      if (now > goneAt + FORGET_MS) this.#known.delete(id);
+      if (runner && !runner.leaving && runner.bornAt >= bornAt) found.push(runner);
+      // An entry that cannot be read stays known while it is listed: forgotten, it would be reported again.
+      if (now > goneAt + FORGET_MS && fact.unreadable === undefined) this.#known.delete(id);
     }
     return found;
   }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -74,8 +74,12 @@
 
 /** A runner as it registered itself. */
 export interface Runner {
-  /** New with each start of the runner. */
+  /** New with each start of the runner; see `startId`. */
   readonly id: string;
+  /** Id under which it is listed and addressed, which a later start may have again. */
+  readonly listing: string;
+  /** When it started, in Unix milliseconds of its own clock; 0 where it does not tell. */
+  readonly bornAt: number;
   readonly service: string;
   /** `HOST:PORT`. */
   readonly address: string;
@@ -84,3 +88,13 @@
   readonly slots: number;
   readonly leaving: boolean;
 }
+
+/**
+ * Id of one start of a runner. A runner that starts again under its listed id
+ * holds nothing of before; taken for the same one, it kept the account, the
+ * distrust and the orders of a process that is gone. Under an id of its own
+ * nothing of the earlier start can be mistaken for its own.
+ */
+export function startId(listing: string, bornAt: number): string {
+  return bornAt === 0 ? listing : `${listing}@${bornAt}`;
+}
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -19,6 +19,7 @@
   | 'places'
   | 'store'
   | 'orders'
+  | 'runner'
   | 'cli';
 
 /** Root logger of a process. */
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -13,6 +13,7 @@
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { Front } from './front';
+import { InflightClient } from './inflight';
 import { Knowledge } from './knowledge';
 import { RouterMetrics } from './metrics';
 import { ModelCaller } from './model';
@@ -68,6 +69,8 @@
 
   readonly #fleet: RouterFleet;
 
+  readonly #runners: InflightClient;
+
   readonly #host: PlanHost;
 
   readonly #places: Places;
@@ -104,10 +107,16 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = logOf(log, 'router');
-    this.#knowledge = new Knowledge(logOf(log, 'knowledge'), (kind, source) =>
-      this.#onNews(kind, source),
+    this.#knowledge = new Knowledge(logOf(log, 'knowledge'), {
+      onNews: (kind, source) => this.#onNews(kind, source),
+      onUnfitEntry: () => this.#metrics.count('entries.unfit'),
+    });
+    this.#runners = new InflightClient(
+      ports.runners,
+      (listing) => this.#knowledge.latestStart(listing),
+      logOf(log, 'runner'),
     );
-    this.#host = new PlanHost(this.#knowledge, ports.runners, logOf(log, 'cell'), (service) =>
+    this.#host = new PlanHost(this.#knowledge, this.#runners, logOf(log, 'cell'), (service) =>
       this.#calls.gather(service),
     );
     this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
@@ -130,14 +139,14 @@
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
     this.#plain = new PlainCaller({
       knowledge: this.#knowledge,
-      runners: ports.runners,
+      runners: this.#runners,
       health: (service) => this.#healthOf(service),
       mayRepeat,
       domain: settings.domain,
     });
     this.#model = new ModelCaller({
       knowledge: this.#knowledge,
-      runners: ports.runners,
+      runners: this.#runners,
       places: this.#places,
       mayRepeat,
       spentMs: (exchange) => this.#spentMs(exchange),
@@ -172,7 +181,7 @@
       vm,
       knowledge: this.#knowledge,
       host: this.#host,
-      runners: this.#ports.runners,
+      runners: this.#runners,
       lock: this.#ports.lock,
       owns: (service) => this.#owns(service),
       leaseMs: this.#settings.leaseMs,
@@ -318,7 +327,7 @@
     if (kind === 'config') {
       this.#describe();
       this.#warmLinks();
-    }
+    } else this.#runners.endLost();
     this.#fleet.setDigest(`${configVersion}/${runnersRevision}`);
     if (source !== 'store' && source !== 'list') return;
     this.#fleet.spread(kind, kind === 'config' ? configVersion : runnersRevision);
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -8,6 +8,7 @@
 import type { RunnerFact } from '../../core/routing/directory';
 import { RunnerDirectory } from '../../core/routing/directory';
 import { RouteTable } from '../../core/routing/table';
+import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
 
 /** How long after trouble with the store a vanished entry may be one that lapsed meanwhile, in milliseconds. */
@@ -27,6 +28,14 @@
  */
 const RETURNED_GRACE_MS = 1000;
 
+/** What knowledge tells of its changes. */
+export interface KnowledgeListener {
+  /** A newer configuration or a change of the runners came in, and from where. */
+  onNews(kind: 'config' | 'runners', source: string): void;
+  /** An entry came in that names no runner to use. */
+  onUnfitEntry(): void;
+}
+
 /** What one VM knows. */
 export class Knowledge {
   readonly #log: Logger;
@@ -46,12 +55,11 @@
   /** Revision of the first full list after the last trouble; none yet while it lasts. */
   #returnRevision = Infinity;
 
-  readonly #onNews: (kind: 'config' | 'runners', source: string) => void;
+  readonly #listener: KnowledgeListener;
 
-  /** @param onNews called when a newer configuration or a change of the runners came in, and from where */
-  constructor(log: Logger, onNews: (kind: 'config' | 'runners', source: string) => void) {
+  constructor(log: Logger, listener: KnowledgeListener) {
     this.#log = log;
-    this.#onNews = onNews;
+    this.#listener = listener;
   }
 
   /** Undefined until a configuration is known. */
@@ -104,7 +112,7 @@
     const { version, routes } = config;
     const storeAgeMs = Math.round(this.storeAge(now));
     this.#log.info({ version, before, routes: routes.length, source, storeAgeMs }, 'New config.');
-    this.#onNews('config', source);
+    this.#listener.onNews('config', source);
     return true;
   }
 
@@ -112,10 +120,15 @@
   learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
     let changed = false;
     for (const fact of facts) {
-      const { id, revision, runner } = fact;
-      const graceMs = runner ? 0 : this.#graceMs(now, revision);
+      const { id, revision, runner, unreadable } = fact;
+      if (unreadable !== undefined && !this.#directory.isKnown(fact)) {
+        this.#noteUnfit(id, revision, unreadable);
+      }
+      const gone = !runner && unreadable === undefined;
+      const graceMs = gone ? this.#graceMs(now, revision) : 0;
       if (this.#directory.learn(now, fact, graceMs)) {
         changed = true;
+        this.#checkService(fact);
         const leaving = runner?.leaving;
         this.#log.info(
           { runner: id, revision, gone: !runner, leaving, graceMs, source },
@@ -123,7 +136,36 @@
         );
       }
     }
-    if (changed) this.#onNews('runners', source);
+    if (changed) this.#listener.onNews('runners', source);
+  }
+
+  /** A runner told of its start itself; the one that is listed may be over by it. */
+  learnStart(listing: string, bornAt: number): void {
+    if (!this.#directory.learnStart(listing, bornAt)) return;
+    this.#log.info({ runner: listing, bornAt, source: 'report' }, 'Runner started anew.');
+    this.#listener.onNews('runners', 'report');
+  }
+
+  /** The latest start that is known of a listing, in Unix milliseconds; 0 if none is. */
+  latestStart(listing: string): number {
+    return this.#directory.latestStart(listing);
+  }
+
+  /** An entry of a service that the configuration does not name gets no request; the configuration may still come. */
+  #checkService({ id, revision, runner }: RunnerFact): void {
+    if (!runner || !this.#table || this.#table.service(runner.service)) return;
+    this.#noteUnfit(
+      id,
+      revision,
+      `runner ${id}: found service ${runner.service}, expected a known one`,
+    );
+  }
+
+  /** One line and one count for each entry and revision, however often it is read. */
+  #noteUnfit(id: string, revision: number, detail: string): void {
+    const { line } = new Failure('factUnreadable', detail);
+    this.#log.warn({ runner: id, revision }, line);
+    this.#listener.onUnfitEntry();
   }
 
   /** Runners that a full list of the store no longer names are gone as of its revision. */
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -333,6 +333,7 @@
       this.#runners
         .report(runner)
         .then((report) => {
+          this.#knowledge.learnStart(runner.listing, report.bornAt);
           this.#handle(performance.now(), service, plan, { kind: 'reported', report });
         })
         .catch((error) => {
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -66,6 +66,8 @@
 
 const runnerSchema = z.object({
   id: z.string(),
+  listing: z.string(),
+  bornAt: z.number(),
   service: z.string(),
   address: z.string(),
   domain: z.string(),
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -93,6 +93,12 @@
   readonly body: IncomingMessage;
 }
 
+/** What a runner says of itself. */
+export interface RunnerReport extends MemoryReport {
+  /** When it started, in Unix milliseconds; 0 where it does not tell. */
+  readonly bornAt: number;
+}
+
 /** Client of the runners. Rejections are `Failure`s: `runnerUnreachable` if nothing was sent. */
 export interface RunnerClient {
   send(dispatch: Dispatch): Promise<Reply>;
@@ -100,7 +106,7 @@
   /** Has the prompt read and its KV cache kept. */
   prefill(dispatch: Dispatch): Promise<CacheHandle>;
   freeCache(cache: CacheHandle): Promise<void>;
-  report(runner: Runner): Promise<MemoryReport>;
+  report(runner: Runner): Promise<RunnerReport>;
   /** Orders a runner to prefill or to decode from now on. */
   order(
     runner: Runner,
--- a/src/platform/facts.ts
+++ b/src/platform/facts.ts
@@ -1,9 +1,12 @@
 /** Decodes the store's entries into the router's own types. */
 
+import { isIPv4 } from 'node:net';
+
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
+import { startId } from '../core/routing/types';
 
 const kinds: Readonly<Record<string, CallKind>> = {
   idempotent: 'repeatable',
@@ -61,13 +64,35 @@
     .prefault({}),
 });
 
+const PORT_MOST = 65_535;
+
+/** Whether a text is `IPV4:PORT`. */
+function isAddress(text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':');
+  const number = Number(port);
+  return (
+    rest.length === 0 && isIPv4(host) && /^\d+$/.test(port) && number > 0 && number <= PORT_MOST
+  );
+}
+
+/**
+ * A runner's own entry has all of these fields. One that lacks a field or has it
+ * of another type is not a runner's, and work sent to where it points would be lost.
+ */
 const runnerSchema = z.object({
-  service: z.string(),
-  address: z.string().regex(/^[^:]+:\d+$/),
-  zone: z.string().default(''),
-  slots: z.int().default(1),
-  state: z.string().default('ready'),
-  stage: z.string().optional(),
+  service: z.string().min(1),
+  address: z.string().refine(isAddress, 'no IPV4:PORT'),
+  zone: z.string(),
+  /** Version of its software. */
+  version: z.string(),
+  slots: z.int().min(1),
+  state: z.enum(['ready', 'draining']),
+  'cold-remaining-ms': z.number(),
+  /** Orders that it accepted since its start. */
+  sequence: z.int().min(0),
+  stage: z.enum(['prefill', 'decode']).optional(),
+  /** Its start, in Unix milliseconds. */
+  born: z.int().min(0).default(0),
 });
 
 const vmSchema = z.object({ address: z.string() });
@@ -140,16 +165,17 @@
 /** Decodes a runner's entry; throws `factUnreadable`. */
 export function decodeRunner(id: string, text: string): Runner {
   const entry = parse(runnerSchema, text, `runner ${id}`);
-  const role: RunnerRole =
-    entry.stage === 'prefill' || entry.stage === 'decode' ? entry.stage : 'plain';
+  const role: RunnerRole = entry.stage ?? 'plain';
   return {
-    id,
+    id: startId(id, entry.born),
+    listing: id,
+    bornAt: entry.born,
     service: entry.service,
     address: entry.address,
     domain: entry.zone,
     role,
     slots: entry.slots,
-    leaving: entry.state !== 'ready',
+    leaving: entry.state === 'draining',
   };
 }
 
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -136,8 +136,14 @@
   return name.slice(key.runners.length);
 }
 
+/** An entry that cannot be read is a fact too: whatever was listed there before is no longer. */
 function factOf(item: Item): RunnerFact {
   const id = idOf(item);
-  const runner = item.value === undefined ? undefined : decodeRunner(id, item.value);
-  return { id, revision: item.revision, runner };
+  const { revision, value } = item;
+  try {
+    const runner = value === undefined ? undefined : decodeRunner(id, value);
+    return { id, revision, runner };
+  } catch (error) {
+    return { id, revision, runner: undefined, unreadable: toFailure(error).message };
+  }
 }
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -7,7 +7,7 @@
   deadline: 'request-deadline-ms',
   /** On answers: the runner's signature over its body; an answer without it is not a runner's. */
   signature: 'server-signature',
-  /** The id of the one start of a runner that may run the request. */
+  /** The listed id of the runner that may run the request; a later start may have it again. */
   expectedRunner: 'expected-instance',
   /** On answers: the request was not run and never will be. */
   notRun: 'not-executed',
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -6,8 +6,8 @@
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
-import type { MemoryReport } from '../core/memory/types';
 import type { Runner } from '../core/routing/types';
+import { startId } from '../core/routing/types';
 import type {
   CacheHandle,
   DecodeDispatch,
@@ -15,6 +15,7 @@
   OrderOutcome,
   Reply,
   RunnerClient,
+  RunnerReport,
 } from '../node/router/types';
 import { call, readBody } from '../utils/http';
 import { forwardable } from './ingress';
@@ -34,9 +35,14 @@
 const HTTP_MISDIRECTED = 421;
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
-const reportSchema = z.object({ 'kv-used': z.number() });
+const bornSchema = z.int().min(0).default(0);
+const reportSchema = z.object({ 'kv-used': z.number(), born: bornSchema });
 
-const orderStateSchema = z.object({ sequence: z.number(), busy: z.boolean().default(false) });
+const orderStateSchema = z.object({
+  sequence: z.number(),
+  busy: z.boolean().default(false),
+  born: bornSchema,
+});
 
 const none: ReadonlySet<string> = new Set();
 
@@ -73,29 +79,32 @@
     await call({ method: 'DELETE', url, headers, timeoutMs: SIDE_CALL_MS });
   }
 
-  async report({ id, address }: Runner): Promise<MemoryReport> {
+  async report({ id, listing, address }: Runner): Promise<RunnerReport> {
     const url = `http://${address}${path.report}`;
-    const headers = { connection: 'close' };
+    const headers = { connection: 'close', [header.expectedRunner]: listing };
     const { status, body } = await call({ method: 'GET', url, headers, timeoutMs: SIDE_CALL_MS });
     if (status !== HTTP_OK) throw new Failure('runnerFailed', `${address} reported ${status}`);
-    return { runner: id, usedTokens: reportSchema.parse(JSON.parse(body))['kv-used'] };
+    const { born, 'kv-used': usedTokens } = reportSchema.parse(JSON.parse(body));
+    // A runner that does not tell its start has a new id with each.
+    return { runner: born === 0 ? id : startId(listing, born), bornAt: born, usedTokens };
   }
 
   async order(
-    { id, address }: Runner,
+    { listing, bornAt, address }: Runner,
     role: 'prefill' | 'decode',
     holder: string,
     fence: number,
   ): Promise<OrderOutcome> {
-    const headers = { connection: 'close', [header.expectedRunner]: id };
+    const headers = { connection: 'close', [header.expectedRunner]: listing };
     const report = await call({
       method: 'GET',
       url: `http://${address}${path.report}`,
       headers,
       timeoutMs: SIDE_CALL_MS,
     });
-    const { sequence, busy } = orderStateSchema.parse(JSON.parse(report.body));
-    if (busy) return 'rejected';
+    const { sequence, busy, born } = orderStateSchema.parse(JSON.parse(report.body));
+    // Another start of the runner has another stage and knows nothing of this holder.
+    if (busy || (born !== 0 && born !== bornAt)) return 'rejected';
     try {
       const { status } = await call({
         method: 'POST',
@@ -140,7 +149,7 @@
     header.deadline,
     String(Math.max(1, Math.floor(deadlineMs))),
     header.expectedRunner,
-    runner.id,
+    runner.listing,
     ...extra,
     ...(sized ? ['content-length', String(length)] : []),
     'connection',
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -1,5 +1,7 @@
 /** The one client of the platform's store: ranges, watches and writes. */
 
+import { isUtf8 } from 'node:buffer';
+
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
@@ -59,12 +61,18 @@
 const HTTP_GONE = 410;
 const HTTP_PRECONDITION = 412;
 
+/** Bytes that are no UTF-8 read as an empty text, which no decoder of entries accepts. */
+function textOf(value: string): string {
+  const bytes = Buffer.from(value, 'base64');
+  return isUtf8(bytes) ? bytes.toString() : '';
+}
+
 function toItem({ key, value, revision, deleted }: z.infer<typeof itemSchema>): Item {
   const gone = deleted === true || value === undefined;
   return {
     key,
     revision,
-    value: gone ? undefined : Buffer.from(value ?? '', 'base64').toString(),
+    value: gone ? undefined : textOf(value),
   };
 }
 
--- a/test/fakes/runner.ts
+++ b/test/fakes/runner.ts
@@ -6,6 +6,8 @@
 export function runnerOf(id: string, role: Runner['role'], change: Partial<Runner> = {}): Runner {
   return {
     id,
+    listing: id,
+    bornAt: 0,
     role,
     service: 's',
     address: `${id}:80`,
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -71,7 +71,8 @@
 
   put(key: string, value: unknown, lease = 0): void {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
-    this.#write(key, Buffer.from(text).toString('base64'), lease);
+    const bytes = Buffer.isBuffer(value) ? value : Buffer.from(text);
+    this.#write(key, bytes.toString('base64'), lease);
     this.#wake();
   }
 
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -6,12 +6,18 @@
 
 interface Stand {
   readonly report: unknown;
+  /** The start that it is listed with, in Unix milliseconds. Default: none is told. */
+  readonly bornAt?: number;
   /** How the runner treats an order. */
   readonly onOrder: (res: ServerResponse) => void;
 }
 
 /** Gives one order to a stand-in and tells how it was taken and what the runner got. */
-async function orderTo({ report, onOrder }: Stand): Promise<{ outcome: string; got: unknown[] }> {
+async function orderTo({
+  report,
+  onOrder,
+  bornAt = 0,
+}: Stand): Promise<{ outcome: string; got: unknown[] }> {
   const got: unknown[] = [];
   const { server, port } = await listen(async (req: IncomingMessage, res, url) => {
     if (url.pathname === '/v1/report') {
@@ -21,7 +27,7 @@
     got.push({ expected: req.headers['expected-instance'], body: await readJson(req) });
     onOrder(res);
   });
-  const runner = runnerOf('i-1', 'prefill', { address: `127.0.0.1:${port}` });
+  const runner = runnerOf('i-1', 'prefill', { bornAt, address: `127.0.0.1:${port}` });
   try {
     return { outcome: await new PlatformRunnerClient().order(runner, 'decode', 'vm1', 41), got };
   } finally {
@@ -64,6 +70,16 @@
     expect([outcome, got]).toEqual(['rejected', []]);
   });
 
+  /* The runner started anew under its id: its stage is another one, and it accepted no order of this holder. */
+  test('is not given to another start of the runner', async () => {
+    const { outcome, got } = await orderTo({
+      bornAt: 1_600_000_000_000,
+      report: { sequence: 0, busy: false, born: 1_700_000_000_000 },
+      onOrder: (res) => sendJson(res, 202, {}),
+    });
+    expect([outcome, got]).toEqual(['rejected', []]);
+  });
+
   test('is rejected with a stale state or fence', async () => {
     const { outcome } = await orderTo({
       report: { sequence: 2 },
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -24,6 +24,8 @@
   return {
     runner: {
       id: 'i-1',
+      listing: 'i-1',
+      bornAt: 0,
       service: 's',
       address: `127.0.0.1:${port}`,
       domain: 'a',
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -6,10 +6,11 @@
 import { StoreLock } from '../../src/platform/lock';
 import { StoreClient } from '../../src/platform/store';
 import { eventually } from '../fakes/cluster';
+import { entryOf } from '../fakes/entry';
 import { FakeStore } from '../fakes/store';
 
 const config = (version: number): unknown => ({ version, routes: [], services: [] });
-const runner = (state: string): unknown => ({ service: 's', address: '10.0.0.1:80', state });
+const runner = (state: string): unknown => entryOf({ state });
 
 /** Collects what a feed tells. */
 class Listener implements FeedListener {
@@ -26,8 +27,9 @@
   }
 
   onRunners(facts: Parameters<FeedListener['onRunners']>[0]): void {
-    for (const { id, runner: found } of facts) {
-      this.runners.push(`${id} ${found ? (found.leaving && 'leaving') || 'ready' : 'gone'}`);
+    for (const { id, runner: found, unreadable } of facts) {
+      const lost = unreadable === undefined ? 'gone' : 'unreadable';
+      this.runners.push(`${id} ${found ? (found.leaving && 'leaving') || 'ready' : lost}`);
     }
   }
 
@@ -97,6 +99,18 @@
     expect(listener.listed.at(-1)).toEqual(['i-1', 'i-2', 'i-3']);
   });
 
+  /*
+   * Another writer has put something else where runners list themselves, over a
+   * listed runner too. Work sent to where it points would be lost; all others stay in use.
+   */
+  test('takes no runner from the entries of another writer', async () => {
+    store.put('servers/i-2', entryOf({ slots: '32' }));
+    store.put('servers/i-9', Buffer.from([0xff, 0xfe, 0x00]));
+    await eventually('both are told', () => listener.runners.includes('i-9 unreadable'));
+    expect(listener.runners.slice(4)).toEqual(['i-2 unreadable', 'i-9 unreadable']);
+    expect(listener.store).toEqual([true]);
+  });
+
   /* One entry cannot be decoded. The others are told, and the last good one of it stays in force. */
   test('passes over an entry that cannot be decoded', async () => {
     store.put('op/config', '{"version": 4');
--- a/test/router/front.test.ts
+++ b/test/router/front.test.ts
@@ -5,6 +5,7 @@
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { Front } from '../../src/node/router/front';
 import { Knowledge } from '../../src/node/router/knowledge';
+import { silentListener } from '../fakes/listener';
 import { PlatformIngress } from '../../src/platform/ingress';
 import { eventually } from '../fakes/cluster';
 
@@ -49,7 +50,7 @@
 
 describe('the front', () => {
   const log = pino({ level: 'silent' });
-  const knowledge = new Knowledge(log, () => {});
+  const knowledge = new Knowledge(log, silentListener);
   const seen: string[] = [];
   const front = new Front({
     knowledge,
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -1,8 +1,11 @@
 import pino from 'pino';
 
+import type { RunnerFact } from '../../src/core/routing/directory';
 import type { RoutingConfig, Runner } from '../../src/core/routing/types';
+import { startId } from '../../src/core/routing/types';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { runnerOf } from '../fakes/runner';
+import { silentListener } from '../fakes/listener';
 
 const runner = (id: string, change: Partial<Runner> = {}): Runner => runnerOf(id, 'plain', change);
 
@@ -13,7 +16,7 @@
   limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
-const fresh = (): Knowledge => new Knowledge(pino({ level: 'silent' }), () => {});
+const fresh = (): Knowledge => new Knowledge(pino({ level: 'silent' }), silentListener);
 
 const ids = (knowledge: Knowledge, now: number): readonly string[] =>
   knowledge.runnersOf(now, 's').map(({ id }) => id);
@@ -81,4 +84,87 @@
     knowledge.learnList(1500, new Set(), 8);
     expect(ids(knowledge, 1600)).toEqual([]);
   });
+
+  /*
+   * A runner lost power and starts again under its id. It holds nothing of before:
+   * it is another start, and what is told late of the earlier one, even at a higher
+   * revision, changes nothing.
+   */
+  test('takes a later start of a runner for another one, and never goes back', () => {
+    const knowledge = fresh();
+    const start = (bornAt: number, leaving = false): Runner =>
+      runner('r', { id: startId('r', bornAt), bornAt, leaving });
+    const tell = (revision: number, told: Runner): void =>
+      knowledge.learnRunners(0, [{ id: 'r', revision, runner: told }], 'store');
+    tell(1, start(1000, true));
+    expect(ids(knowledge, 0)).toEqual([]);
+    tell(2, start(2000));
+    expect(ids(knowledge, 0)).toEqual(['r@2000']);
+    tell(3, start(1000, true));
+    expect(ids(knowledge, 0)).toEqual(['r@2000']);
+    expect(knowledge.latestStart('r')).toBe(2000);
+  });
+
+  /* A runner's own report names a later start than its entry. The listed start is over; the new one gets work once it is listed. */
+  test('gives no work to a start that is over by the runner itself', () => {
+    const knowledge = fresh();
+    const start = (bornAt: number): Runner => runner('r', { id: startId('r', bornAt), bornAt });
+    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: start(1000) }], 'store');
+    knowledge.learnStart('r', 2000);
+    expect(ids(knowledge, 0)).toEqual([]);
+    knowledge.learnRunners(0, [{ id: 'r', revision: 2, runner: start(1000) }], 'peer');
+    expect(ids(knowledge, 0)).toEqual([]);
+    knowledge.learnRunners(0, [{ id: 'r', revision: 3, runner: start(2000) }], 'store');
+    expect(ids(knowledge, 0)).toEqual(['r@2000']);
+  });
+
+  /*
+   * Another writer has put an entry over that of a runner. It is read again with
+   * every full list and told by every peer. The runner gets no work, and the log
+   * has one line for the entry, not one for each time that it is read.
+   */
+  test('reports an entry that names no runner once for each revision', () => {
+    const lines: string[] = [];
+    let counted = 0;
+    const knowledge = new Knowledge(
+      pino({ level: 'warn' }, { write: (line) => lines.push(line) }),
+      {
+        onNews: () => {},
+        onUnfitEntry: () => {
+          counted += 1;
+        },
+      },
+    );
+    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
+    const unfit = (revision: number): RunnerFact => ({
+      id: 'r',
+      revision,
+      runner: undefined,
+      unreadable: 'runner r: at slots: unfit',
+    });
+    for (let now = 0; now < 200_000; now += 1000) {
+      knowledge.learnRunners(now, [unfit(2)], 'store');
+      expect(ids(knowledge, now)).toEqual([]);
+    }
+    knowledge.learnRunners(200_000, [unfit(3)], 'peer');
+    expect([lines.length, counted]).toEqual([2, 2]);
+    expect(lines[0]).toContain('[503] runner r: at slots: unfit');
+    knowledge.learnRunners(201_000, [{ id: 'r', revision: 4, runner: runner('r') }], 'store');
+    expect(ids(knowledge, 201_000)).toEqual(['r']);
+  });
+
+  test('reports a runner of a service that it does not know once', () => {
+    let counted = 0;
+    const knowledge = new Knowledge(pino({ level: 'silent' }), {
+      onNews: () => {},
+      onUnfitEntry: () => {
+        counted += 1;
+      },
+    });
+    knowledge.learnConfig(0, config(1), '', 'store');
+    for (let revision = 1; revision < 9; revision += 1) {
+      knowledge.learnRunners(0, [{ id: 'r', revision, runner: runner('r') }], 'store');
+    }
+    expect(counted).toBe(1);
+  });
 });
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -7,6 +7,7 @@
 import type { Ask } from '../../src/node/router/plans';
 import type { RunnerClient } from '../../src/node/router/types';
 import { runnerOf as runner } from '../fakes/runner';
+import { silentListener } from '../fakes/listener';
 
 const log = pino({ level: 'silent' });
 
@@ -37,7 +38,7 @@
 
 /** A host that knows one decode runner with room for eleven and enough prefill runners. */
 function hostAt(now: number, onUnsure: (service: string) => void = () => {}): PlanHost {
-  const knowledge = new Knowledge(log, () => {});
+  const knowledge = new Knowledge(log, silentListener);
   knowledge.learnConfig(now, config, '', 'store');
   const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
   const facts = runners.map((entry) => ({ id: entry.id, revision: 1, runner: entry }));
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -2,6 +2,7 @@
 import { Planner } from '../../src/core/memory/planner';
 import type { Demand, PlanAction } from '../../src/core/memory/types';
 import type { Engine, Runner } from '../../src/core/routing/types';
+import { startId } from '../../src/core/routing/types';
 import { runnerOf as runner } from '../fakes/runner';
 
 const engine: Engine = {
@@ -267,6 +268,52 @@
     }
     expect(new Set(started).size).toBeLessThanOrEqual(6);
   });
+
+  /*
+   * Both runners lose power and start again under their ids. Their memory is
+   * empty, their distrust was of another process, and what is told late of the
+   * earlier starts must not fill the account of the new ones.
+   */
+  test('begins anew with a runner that starts again under its id', () => {
+    const startOf = (listing: string, role: 'prefill' | 'decode', bornAt: number): Runner =>
+      runner(startId(listing, bornAt), role, { listing, bornAt });
+    const poolOf = (bornAt: number): readonly Runner[] => [
+      startOf('p', 'prefill', bornAt),
+      startOf('d', 'decode', bornAt),
+    ];
+    const planner = plannerOf(poolOf(1));
+    const ids = granted(flood(planner, 0, 3));
+    prefillAll(planner, 100, ids);
+    planner.handle(110, { kind: 'released', id: ids[0] ?? '', blame: 'd@1' });
+    const full = { runner: 'd@1', usedTokens: 60_000 };
+    planner.handle(120, { kind: 'reported', report: full });
+    expect(planner.load(120).memory).toBeGreaterThan(0.8);
+    planner.handle(200, { kind: 'runners', engine, runners: poolOf(2) });
+    const empty = planner.load(200);
+    const late = { demand: demand('late', 0), grant: { prefill: 'p@1', decode: 'd@1' } };
+    planner.handle(210, { kind: 'reported', report: full });
+    planner.handle(210, { kind: 'slow', id: ids[1] ?? '' });
+    planner.handle(210, { kind: 'finished', id: ids[1] ?? '', outputTokens: 500 });
+    planner.handle(210, { kind: 'released', id: ids[2] ?? '', blame: 'd@1' });
+    planner.handle(210, {
+      kind: 'told',
+      vm: 'vm2',
+      holdings: [{ ...late, startedAt: 100 }],
+    });
+    expect(planner.load(210)).toEqual(empty);
+    expect(empty).toMatchInlineSnapshot(`
+     {
+       "decode": [
+         "0:0.03:0",
+       ],
+       "memory": 0.03,
+       "prefill": [
+         0,
+       ],
+     }
+    `);
+    expect(planner.distrusted(210)).toEqual([]);
+  });
 });
 
 describe('the balance of stages', () => {
