Know callers that come back by their prompt, not by their deadline

Cause: how long a caller had been trying was read off its deadline, as the difference to the longest one seen on its route.

Change: the owner remembers the tries of each prompt, whose last part is the same in all tries of a caller, and counts a caller's time from the first.

Ruled out: a tolerance for the deadlines (they vary by 15 % here, by other parts elsewhere).

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -27,6 +27,7 @@
   policies: 'scripts/policies.ts',
   memory: 'scripts/memory.ts',
   slopes: 'scripts/slopes.ts',
+  account: 'scripts/account.ts',
   chaos: 'scripts/chaos/main.ts',
   soak: 'scripts/soak.ts',
   docs: 'scripts/docs/main.ts',
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -20,6 +20,7 @@
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
 import { Room } from './room';
+import { EarlierTries } from './tries';
 import type { Demand, Grant, Holding, PlanAction, PlanEvent } from './types';
 
 interface Placed {
@@ -49,6 +50,8 @@
 
   readonly #flow = new TokenFlow();
 
+  readonly #tries = new EarlierTries();
+
   readonly #balance = new StageBalance();
 
   readonly #waiting = new WaitingQueue((demand) => this.#sizeOf(demand));
@@ -144,7 +147,8 @@
     else if (!this.#waiting.has(demand.id)) this.#enqueue(now, demand);
   }
 
-  #enqueue(now: number, demand: Demand): void {
+  #enqueue(now: number, asked: Demand): void {
+    const demand = this.#tries.note(now, asked);
     this.#waiting.add(now, demand);
     this.#flow.prompt(demand.promptTokens);
     if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
@@ -201,6 +205,7 @@
   #finished(now: number, id: string, outputTokens: number): void {
     const placed = this.#placed.get(id);
     if (!placed) return;
+    this.#tries.answered(placed.demand);
     this.#lengths.learn(placed.demand, outputTokens);
     this.#flow.held(now - placed.grantedAt);
     const decode = this.#account.decode.get(placed.grant.decode);
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -7,6 +7,8 @@
   readonly id: string;
   /** VM that asked and that holds the request. */
   readonly vm: string;
+  /** Names the prompt, the same in all tries of one caller. Default: the caller tells none. */
+  readonly promptId: string | undefined;
   readonly promptTokens: number;
   /** Most output tokens. */
   readonly maxOutputTokens: number;
@@ -16,7 +18,7 @@
   readonly dueAt: number;
   /** When the caller will have left if no event came. */
   readonly lostAt: number;
-  /** Whether the caller was refused before and came back. */
+  /** Whether the caller asked for it before. */
   readonly returned: boolean;
   /** Whether the caller has a part of the answer already. */
   readonly resuming: boolean;
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -54,8 +54,6 @@
 const STORE_SILENT_MS = 3000;
 /** Least time between two such readings, in milliseconds. */
 const LEARN_PACE_MS = 700;
-/** By how much a caller's deadline may vary between first attempts, in milliseconds. */
-const DEADLINE_SLACK_MS = 20;
 
 /** A running router. */
 export class Router {
@@ -91,9 +89,6 @@
 
   readonly #health = new Map<string, RunnerHealth>();
 
-  /** Longest deadline seen on a route: what a first attempt carries. */
-  readonly #deadlines = new Map<string, number>();
-
   #orders: OrderDesk | undefined;
 
   #leaving = false;
@@ -149,7 +144,6 @@
       runners: this.#runners,
       places: this.#places,
       mayRepeat,
-      spentMs: (exchange) => this.#spentMs(exchange),
     });
     this.#control = new Control({
       codec: ports.control,
@@ -270,7 +264,9 @@
 
   #done(exchange: Exchange, ms: number): void {
     const { request, route, service, status, code, trail, callerGone } = exchange;
+    const { firstMs = ms, pauseMs } = exchange;
     const { configVersion } = this.#knowledge;
+    const inTime = firstMs <= route.aimMs && (route.gapMs === 0 || pauseMs <= route.gapMs);
     this.#metrics.ended(service, status, code, ms);
     this.#log.info(
       {
@@ -282,22 +278,15 @@
         ...(code === undefined ? {} : { code }),
         ...(callerGone ? { callerGone } : {}),
         ms: Math.round(ms),
+        firstMs: Math.round(firstMs),
+        pauseMs: Math.round(pauseMs),
+        inTime,
         trail,
       },
       'Request ended.',
     );
   }
 
-  /** Callers count their deadline down over their attempts; the longest seen is what a first one has. */
-  #spentMs({ request, route }: Exchange): number {
-    const { deadlineMs } = request;
-    if (deadlineMs === undefined) return 0;
-    const longest = Math.max(deadlineMs, this.#deadlines.get(route.name) ?? 0);
-    this.#deadlines.set(route.name, longest);
-    const spentMs = longest - deadlineMs;
-    return spentMs > DEADLINE_SLACK_MS ? spentMs : 0;
-  }
-
   #retriesOf(service: string): RetryWindow {
     const known = this.#retries.get(service);
     if (known) return known;
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -41,6 +41,14 @@
   /** Code of the router's own answer, for the log. */
   code: string | undefined;
 
+  /** Time from the request to the first part of a stream, for the log. Default: none was written. */
+  firstMs: number | undefined;
+
+  /** Longest time between two parts of a stream, in milliseconds, for the log. */
+  pauseMs = 0;
+
+  #writtenAt = 0;
+
   /** What happened on the way, for the log. */
   readonly trail: string[] = [];
 
@@ -92,8 +100,9 @@
     this.#res.writeHead(status, headers as string[]);
   }
 
-  /** Passes bytes on; resolves once the caller takes more. */
+  /** Passes a part of a stream on; resolves once the caller takes more. */
   async write(chunk: Buffer): Promise<void> {
+    this.#notePace(performance.now());
     if (this.#res.destroyed || this.#res.write(chunk)) return;
     await new Promise<void>((resolve) => {
       this.#res.once('drain', resolve);
@@ -101,6 +110,12 @@
     });
   }
 
+  #notePace(now: number): void {
+    if (this.firstMs === undefined) this.firstMs = now - this.arrivedAt;
+    else this.pauseMs = Math.max(this.pauseMs, now - this.#writtenAt);
+    this.#writtenAt = now;
+  }
+
   end(chunk?: Buffer): void {
     this.#res.end(chunk);
   }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -1,11 +1,11 @@
 /** The way of a request to a model service: a place, a prefill, then the stream of a decode runner. */
 
 import { Failure, toFailure } from '../../core/failure';
-import type { Demand } from '../../core/memory/types';
 import type { Engine, Runner } from '../../core/routing/types';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { Places } from './places';
+import type { OwnDemand } from './plans';
 import { Pace } from './pace';
 import { EventSplitter } from './splitter';
 import type { CacheHandle, Reply, RunnerClient } from './types';
@@ -17,8 +17,6 @@
   readonly places: Places;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
-  /** Time that the caller has spent on earlier attempts, in milliseconds. */
-  readonly spentMs: (exchange: Exchange) => number;
 }
 
 /** Size assumed of a request that tells none, in tokens. */
@@ -30,8 +28,6 @@
 const PREFILL_TRIES = 3;
 /** When a caller may come back after runners turned the request away, in milliseconds. */
 const RETRY_MS = 400;
-/** Time spent on earlier attempts that shows a caller to have come back, in milliseconds. */
-const RETURNED_MS = 100;
 const SERVER_ERROR = 500;
 
 /** State of one request across its attempts. */
@@ -87,7 +83,7 @@
   async #attempt(exchange: Exchange, engine: Engine, progress: Progress): Promise<boolean> {
     const { places } = this.#context;
     const { service, signal } = exchange;
-    const demand = this.#demand(exchange, progress);
+    const demand = demandOf(exchange, progress);
     const grant = await places.ask(service, demand, signal);
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
@@ -118,26 +114,6 @@
     }
   }
 
-  #demand(exchange: Exchange, progress: Progress): Omit<Demand, 'vm'> {
-    const { request, route, arrivedAt } = exchange;
-    const { usage } = request;
-    const spentMs = this.#context.spentMs(exchange);
-    const resuming = progress.splitter.events > 0;
-    progress.places += 1;
-    const patience = resuming ? performance.now() : arrivedAt;
-    return {
-      id: `${request.id}/${progress.places}`,
-      promptTokens: usage?.promptTokens ?? PROMPT_TOKENS,
-      maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
-      hintTokens: usage?.hintTokens,
-      dueAt: resuming ? performance.now() : arrivedAt + route.aimMs - spentMs,
-      lostAt: Math.min(patience + route.patienceMs, exchange.endAt),
-      returned: spentMs > RETURNED_MS,
-      resuming,
-      avoid: [...progress.avoid],
-    };
-  }
-
   /** Undefined if this runner failed and another may try. */
   async #prefill(
     exchange: Exchange,
@@ -319,6 +295,26 @@
   }
 }
 
+/** What the owner is asked for; each place has an id of its own. */
+function demandOf(exchange: Exchange, progress: Progress): OwnDemand {
+  const { request, route, arrivedAt } = exchange;
+  const { usage } = request;
+  const resuming = progress.splitter.events > 0;
+  progress.places += 1;
+  const patience = resuming ? performance.now() : arrivedAt;
+  return {
+    id: `${request.id}/${progress.places}`,
+    promptId: usage?.promptId,
+    promptTokens: usage?.promptTokens ?? PROMPT_TOKENS,
+    maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
+    hintTokens: usage?.hintTokens,
+    dueAt: resuming ? performance.now() : arrivedAt + route.aimMs,
+    lostAt: Math.min(patience + route.patienceMs, exchange.endAt),
+    resuming,
+    avoid: [...progress.avoid],
+  };
+}
+
 function find(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -290,7 +290,8 @@
 
   #decide(now: number, service: string, { planner }: Plan, action: PlanAction): Verdict {
     const { id } = action;
-    const seen = { waiting: planner.waiting, placed: planner.placed, ...planner.load(now) };
+    const load = planner.load(now);
+    const seen = { waiting: planner.waiting, placed: planner.placed, load };
     return match(action)
       .returnType<Verdict>()
       .with({ kind: 'grant' }, ({ grant }) => {
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -3,14 +3,12 @@
 import type { Logger } from 'pino';
 
 import { Failure, toFailure } from '../../core/failure';
-import type { Demand, Grant } from '../../core/memory/types';
+import type { Grant } from '../../core/memory/types';
 import type { RouterFleet } from './fleet';
 import type { PlanHost, VerdictSink } from './owner';
-import type { Hold, Note, Verdict } from './plans';
+import type { Hold, Note, OwnDemand, Verdict } from './plans';
 import { toHolding, toMessage, verdictSchema } from './plans';
 
-type OwnDemand = Omit<Demand, 'vm'>;
-
 /** A VM that plans a service. */
 export interface Owner {
   readonly vm: string;
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -12,12 +12,12 @@
 /** A demand on the wire. Clocks of VMs differ, so times are told as distances from now. */
 const demandFields = {
   id,
+  promptId: id.optional(),
   promptTokens: tokens,
   maxOutputTokens: tokens,
   hintTokens: tokens.optional(),
   dueInMs: ms,
   lostInMs: ms,
-  returned: z.boolean(),
   resuming: z.boolean(),
   avoid: z.array(id).max(64),
 };
@@ -93,19 +93,22 @@
 
 type DemandMessage = Omit<Ask, 'service'>;
 
+/** What a VM knows of a request that it asks a place for; the owner knows whether its caller came back. */
+export type OwnDemand = Omit<Demand, 'vm' | 'returned'>;
+
 /** From this VM's clock to the wire. */
-export function toMessage(now: number, demand: Omit<Demand, 'vm'>): DemandMessage {
-  const { dueAt, lostAt, hintTokens, avoid, ...same } = demand;
+export function toMessage(now: number, demand: OwnDemand): DemandMessage {
+  const { dueAt, lostAt, hintTokens, promptId, avoid, ...same } = demand;
   return {
     id: same.id,
     promptTokens: same.promptTokens,
     maxOutputTokens: same.maxOutputTokens,
-    returned: same.returned,
     resuming: same.resuming,
     avoid: [...avoid],
     dueInMs: dueAt - now,
     lostInMs: lostAt - now,
     ...(hintTokens === undefined ? {} : { hintTokens }),
+    ...(promptId === undefined ? {} : { promptId }),
   };
 }
 
@@ -114,12 +117,13 @@
   return {
     id: message.id,
     vm,
+    promptId: message.promptId,
     promptTokens: message.promptTokens,
     maxOutputTokens: message.maxOutputTokens,
     hintTokens: message.hintTokens,
     dueAt: now + message.dueInMs,
     lostAt: now + message.lostInMs,
-    returned: message.returned,
+    returned: false,
     resuming: message.resuming,
     avoid: message.avoid,
   };
@@ -128,7 +132,7 @@
 /** A place that this VM holds, for the wire. */
 export function toHolding(
   now: number,
-  demand: Omit<Demand, 'vm'>,
+  demand: OwnDemand,
   grant: Grant,
   startedAt: number | undefined,
 ): Hold['holdings'][number] {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -33,8 +33,10 @@
   readonly addressTtlMs: number;
 }
 
-/** Sizes that the caller of a model tells. */
+/** What the caller of a model tells of its request. */
 export interface Usage {
+  /** Names the prompt, the same in all tries of the caller. */
+  readonly promptId: string | undefined;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   readonly hintTokens: number | undefined;
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -10,6 +10,8 @@
 
 /** Most addresses that one directory answer may hold. */
 const ADDRESS_LIMIT = 64;
+/** Most characters of a prompt's id that are kept. */
+const PROMPT_ID_LENGTH = 64;
 /** Retry-After is in seconds and may have a fraction. */
 const RETRY_DIGITS = 1;
 
@@ -24,12 +26,19 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Of the parts `ID:TOKENS` of a prompt, in order, the last one is the request's own. */
+function promptIdOf(parts: string | undefined): string | undefined {
+  const id = parts?.split(',').at(-1)?.split(':')[0]?.trim();
+  return id === '' ? undefined : id?.slice(0, PROMPT_ID_LENGTH);
+}
+
 function usageOf(message: IncomingMessage): Usage | undefined {
   const [prompt, output] = (single(message, header.usage) ?? '').split(',').map(Number);
   if (prompt === undefined || output === undefined || Number.isNaN(prompt + output)) {
     return undefined;
   }
   return {
+    promptId: promptIdOf(single(message, header.promptParts)),
     promptTokens: prompt,
     maxOutputTokens: output,
     hintTokens: numberOf(single(message, header.lengthHint)),
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -13,6 +13,8 @@
   notRun: 'not-executed',
   /** Prompt tokens and most output tokens. */
   usage: 'token-usage',
+  /** Parts of the prompt in order, each `ID:TOKENS`; the last one is the request's own. */
+  promptParts: 'prompt-prefix',
   lengthHint: 'length-hint',
   /** `prefill` has the prompt read and kept instead of running the request. */
   stage: 'serving-stage',
--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -138,6 +138,7 @@
     const demand: Demand = {
       id: job.id,
       vm: 'vm1',
+      promptId: undefined,
       promptTokens: job.promptTokens,
       maxOutputTokens: job.maxOutputTokens,
       hintTokens: job.hintTokens,
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -2,10 +2,12 @@
 import type { ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
 
+import { Failure } from '../../src/core/failure';
 import type { Engine, Route } from '../../src/core/routing/types';
 import { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelCaller } from '../../src/node/router/model';
+import type { OwnDemand } from '../../src/node/router/plans';
 import type { CallRequest, DecodeDispatch, IngressCodec, Reply } from '../../src/node/router/types';
 import { runnerOf as runner } from '../fakes/runner';
 
@@ -40,7 +42,7 @@
   headers: [],
   body: Buffer.alloc(0),
   deadlineMs: 14_000,
-  usage: { promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
+  usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
 };
 
 function reply(status: number, text: string): Reply {
@@ -57,7 +59,7 @@
 }
 
 /** An exchange whose answer is written to `out`. */
-function exchangeInto(out: string[]): Exchange {
+function exchangeInto(out: string[], call: CallRequest = request): Exchange {
   const events = new EventEmitter();
   const res = Object.assign(events, {
     headersSent: false,
@@ -77,7 +79,7 @@
   });
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
   const now = performance.now();
-  return new Exchange(now, request, route, 's', res as unknown as ServerResponse, codec);
+  return new Exchange(now, call, route, 's', res as unknown as ServerResponse, codec);
 }
 
 describe('a model request', () => {
@@ -114,11 +116,33 @@
         note: () => {},
       },
       mayRepeat: () => true,
-      spentMs: () => 0,
     } as unknown as ModelContext;
     const out: string[] = [];
     await new ModelCaller(context).run(exchangeInto(out), engine);
     expect(sent).toEqual(['prefill', 'd1 h', 'd2 h']);
     expect(out).toEqual(['200', 'id: 1\n\n']);
   });
+
+  /*
+   * Callers draw their deadlines by themselves: one waits for 14 s, the next for
+   * 12. Both ask for the first time. The time left was taken for time spent on
+   * earlier tries, so the second looked late before it began and was served last.
+   */
+  test('is due by its aim, whatever its caller will wait', async () => {
+    const asked: OwnDemand[] = [];
+    const context = {
+      places: {
+        ask: async (_service: string, demand: OwnDemand) => {
+          asked.push(demand);
+          throw new Failure('deadlineUnreachable', 'no place', { retryAfterMs: 300 });
+        },
+      },
+    } as unknown as ModelContext;
+    const caller = new ModelCaller(context);
+    const exchanges = [14_000, 12_000].map((deadlineMs) =>
+      exchangeInto([], { ...request, deadlineMs }),
+    );
+    for (const exchange of exchanges) await caller.run(exchange, engine);
+    expect(asked.map(({ dueAt }, i) => dueAt - (exchanges[i]?.arrivedAt ?? 0))).toEqual([900, 900]);
+  });
 });
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -31,7 +31,6 @@
   maxOutputTokens: 1200,
   dueInMs: 900,
   lostInMs: 3600,
-  returned: false,
   resuming: false,
   avoid: [],
 });
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -16,6 +16,7 @@
 const demand = (id: string, now: number, change: Partial<Demand> = {}): Demand => ({
   id,
   vm: 'vm1',
+  promptId: undefined,
   promptTokens: 5000,
   maxOutputTokens: 1200,
   hintTokens: undefined,
