Have decode runners read prompts only where their answers can bear the pause

Cause: a decode runner that reads a prompt itself does so in pieces between its token steps.

Change: such a read may take half of the shortest longest pause of the runner's answers.

Ruled out: moves of memory and preemption as the cause; the late answers were those beside a grant without a prefill runner.

--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -27,6 +27,8 @@
 const PREFILL_BACKLOG_MS = 120;
 /** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
 const DIRECT_SPARE = 0.15;
+/** Part of the longest pause of an answer that a decode runner's own reading may take; the rest are the tokens between. */
+const READ_PAUSE_PART = 0.5;
 /** Runners whose load is logged one by one; in a large service they would fill the log. */
 const LOAD_RUNNERS = 6;
 
@@ -107,9 +109,11 @@
     need: number,
     mostSlots: number,
   ): DecodeState | undefined {
+    const readMs = DIRECT_READ_COST * workMs(demand.promptTokens);
     return this.#roomiest(now, demand, (state, free) => {
       const spare = free - need > state.memoryTokens * DIRECT_SPARE;
-      return spare && mostSlots > state.holders.size && directReads(now, state) === 0;
+      const able = spare && mostSlots > state.holders.size && directReads(now, state) === 0;
+      return able && (this.#account.prefill.size === 0 || readMs <= readablePause(state));
     });
   }
 
@@ -213,6 +217,20 @@
   }
 }
 
+/**
+ * Longest time for which a decode runner may read a prompt itself, in milliseconds.
+ * Its answers wait for each piece that it reads. Where an event holds many tokens
+ * the pieces of a whole prompt fall between two events: up to ten answers at a
+ * time had a pause over their limit.
+ */
+function readablePause({ holders }: DecodeState): number {
+  let leastMs = Infinity;
+  for (const { demand } of holders.values()) {
+    if (demand.gapMs > 0) leastMs = Math.min(leastMs, demand.gapMs);
+  }
+  return leastMs * READ_PAUSE_PART;
+}
+
 /** Time until that many tokens will have come free, in milliseconds; the releases are in order. */
 export function waitFor(now: number, releases: readonly Release[], tokens: number): number {
   let low = 0;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -16,6 +16,8 @@
   readonly hintTokens: number | undefined;
   /** When the first event is due. */
   readonly dueAt: number;
+  /** Longest pause between events with which the answer is on time, in milliseconds; 0 if none is set. */
+  readonly gapMs: number;
   /** When the caller will have left if no event came. */
   readonly lostAt: number;
   /** Whether the caller asked for it before. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -309,6 +309,7 @@
     maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
     hintTokens: usage?.hintTokens,
     dueAt: resuming ? performance.now() : arrivedAt + route.aimMs,
+    gapMs: route.gapMs,
     lostAt: Math.min(patience + route.patienceMs, exchange.endAt),
     resuming,
     avoid: [...progress.avoid],
--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -7,7 +7,7 @@
 import type { Engine, Runner } from '../../../src/core/routing/types';
 import { runnerOf } from '../runner';
 import { Schedule } from '../virtual/schedule';
-import { AIM_MS, MemoryCaller } from './caller';
+import { AIM_MS, MemoryCaller, PAUSE_MS } from './caller';
 import type { MemoryFigures } from './engines';
 import { DecodeEngine, PrefillEngine } from './engines';
 import type { MemoryJob } from './load';
@@ -143,6 +143,7 @@
       maxOutputTokens: job.maxOutputTokens,
       hintTokens: job.hintTokens,
       dueAt: job.at + AIM_MS,
+      gapMs: PAUSE_MS,
       lostAt,
       returned: tries > 1,
       resuming: false,
--- a/test/fakes/memory/caller.ts
+++ b/test/fakes/memory/caller.ts
@@ -4,7 +4,7 @@
 
 /** Time to the first event within which an answer is in time, and longest pause after it, in milliseconds. */
 export const AIM_MS = 900;
-const PAUSE_MS = 300;
+export const PAUSE_MS = 300;
 /** What a late answer is worth, as a part. */
 const LATE_WORTH = 0.2;
 
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -30,6 +30,7 @@
   promptTokens: 5000,
   maxOutputTokens: 1200,
   dueInMs: 900,
+  gapMs: 300,
   lostInMs: 3600,
   resuming: false,
   avoid: [],
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -21,6 +21,7 @@
   maxOutputTokens: 1200,
   hintTokens: undefined,
   dueAt: now + 900,
+  gapMs: 0,
   lostAt: now + 3600,
   returned: false,
   resuming: false,
@@ -218,6 +219,28 @@
     expect(slow(1200)).toBe(true);
   });
 
+  /*
+   * The prefill runners are behind, and a decode runner with room could read a
+   * prompt itself. Its answers allow pauses of 300 ms; a long prompt would take
+   * more than they can wait beside their tokens, a short one does not.
+   */
+  test('has no decode runner read a prompt that would break the pauses of its answers', () => {
+    const readsItself = (promptTokens: number): boolean => {
+      const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
+      const ask = (id: string, tokens: number): readonly PlanAction[] =>
+        planner.handle(0, {
+          kind: 'asked',
+          demand: demand(id, 0, { promptTokens: tokens, gapMs: 300 }),
+        });
+      ask('running', 7000);
+      ask('behind', 7000);
+      return ask('direct', promptTokens).some(
+        (action) => action.kind === 'grant' && action.grant.prefill === undefined,
+      );
+    };
+    expect([readsItself(3000), readsItself(5000)]).toEqual([true, false]);
+  });
+
   /* The answer to an ask was lost and the gateway asks again: it gets the place that is kept for it, not a second one. */
   test('gives the same place to a request that asks again', () => {
     const planner = plannerOf(pool);
--- a/test/router/tries.test.ts
+++ b/test/router/tries.test.ts
@@ -9,6 +9,7 @@
   maxOutputTokens: 1200,
   hintTokens: undefined,
   dueAt: now + 900,
+  gapMs: 300,
   lostAt: now + 3600,
   returned: false,
   resuming: false,
