See a prefill runner that falls behind, and do not leave too few of them

- A prompt counted as overdue, and no longer as backlog, after twice its usual time.
And only prompts that were read in time told how slow a runner is.
Now none is overdue before 600 ms, and one that was given up tells the time for which it lay there.
- At the start one prefill runner was left of three.
Rates within 3 % counted as the same; now within 8 %, since they count on decode runners to read what prefill runners cannot.
- The piece that a decode runner reads between two tokens was learnt from small differences and came out too large, so that none read any prompt.
It is a constant now.

--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -34,8 +34,13 @@
  * a burst, left a quarter of the decode memory unused while requests were refused.
  */
 const LEAST_GAIN = 0.1;
-/** Rates that differ by less than this part count as the same: they are measured. */
-const TIE_PART = 0.03;
+/**
+ * Rates that differ by less than this part count as the same: they are measured,
+ * and count on decode runners to read what prefill runners cannot. With 0.03 six
+ * runners were left with one that prefills, which bound in each burst: the worth
+ * of a day with trouble fell from 0.77 to 0.66.
+ */
+const TIE_PART = 0.08;
 /** Time for which an excess of prefill runners must last before they change, in milliseconds, if it is one only while lost runners are away: they are usually back sooner than a change takes. */
 const EXCESS_MS = 9000;
 /** The same for a lack of them, which costs more, in milliseconds. */
--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -15,8 +15,6 @@
   readonly readTokenMs: number;
   /** Time from the end of the prefill to the first event, in milliseconds: the move, and a step for each token of an event. */
   readonly firstEventMs: number;
-  /** Prompt tokens that a decode runner reads between two of its token steps. */
-  readonly pieceTokens: number;
   /** Milliseconds of an output token on a decode runner. */
   readonly tokenMs: number;
   /** The least that `tokenMs` may be by what was measured. */
@@ -28,11 +26,18 @@
 const START_READ_TOKEN_MS = 0.018;
 const START_FIRST_EVENT_MS = 100;
 const START_TOKEN_MS = 7;
-const START_PIECE_TOKENS = 512;
+/** Prompt tokens that a decode runner reads between two of its token steps: the usual size of a piece in engines of this kind. */
+const PIECE_TOKENS = 512;
 /** A decode runner reads a prompt at half the speed of a prefill runner. */
 export const DIRECT_READ_COST = 2;
-/** A prompt counts as overdue after this many times the time that it should take. */
+/** A prompt counts as overdue after this many times the time that it should take, and not before a time in milliseconds. */
 const OVERDUE_TIMES = 2;
+/**
+ * On engines that read fast a queue of two prompts took longer than that: all
+ * were overdue, none was counted, and the runner got more and more of them until
+ * every prefill ran into its time limit.
+ */
+const OVERDUE_LEAST_MS = 600;
 /** Weight of one measurement of a runner's slowness. */
 const STEP = 0.15;
 /** Bounds of one measurement, so that a single stray one moves little. */
@@ -68,9 +73,8 @@
  * ten answers at a time had a pause over their limit.
  */
 export function pauseOfRead(costs: Costs, promptTokens: number, eventTokens: number): number {
-  const { pieceTokens, tokenMs } = costs;
-  const tokens = Math.min(promptTokens, eventTokens * pieceTokens);
-  return eventTokens * tokenMs + DIRECT_READ_COST * workMs(costs, tokens);
+  const tokens = Math.min(promptTokens, eventTokens * PIECE_TOKENS);
+  return eventTokens * costs.tokenMs + DIRECT_READ_COST * workMs(costs, tokens);
 }
 
 /** Time that a prompt should take on a runner of slowness 1 with what lay before it, in milliseconds. */
@@ -83,7 +87,8 @@
   let tokens = 0;
   for (const entry of pending.values()) {
     const usualMs = expectedReadMs(costs, entry) * Math.max(1, slowness);
-    if (now < entry.givenAt + OVERDUE_TIMES * usualMs) tokens += entry.tokens;
+    const limitMs = Math.max(OVERDUE_LEAST_MS, OVERDUE_TIMES * usualMs);
+    if (now < entry.givenAt + limitMs) tokens += entry.tokens;
   }
   return tokens;
 }
@@ -159,8 +164,6 @@
   read(tokens: number, ms: number): void;
   /** The first event came `ms` after the prompt was read and a decode runner had room. */
   began(ms: number): void;
-  /** A decode runner read a prompt itself and brought the first event in `ms`. */
-  readBetween(tokens: number, ms: number): void;
   /** A request made tokens at `ms` for each. */
   made(ms: number): void;
 }
@@ -171,12 +174,6 @@
 
   readonly #firstEvent = new Estimate(START_FIRST_EVENT_MS, TIMES);
 
-  /** Tokens and pieces of prompts that decode runners read themselves. */
-  readonly #between = {
-    tokens: new Estimate(START_PIECE_TOKENS, TIMES),
-    pieces: new Estimate(1, TIMES),
-  };
-
   readonly #token = new Estimate(START_TOKEN_MS, TIMES);
 
   get readBaseMs(): number {
@@ -191,11 +188,6 @@
     return this.#firstEvent.value;
   }
 
-  get pieceTokens(): number {
-    const { tokens, pieces } = this.#between;
-    return tokens.value / Math.max(1, pieces.value);
-  }
-
   get tokenMs(): number {
     return this.#token.value;
   }
@@ -212,13 +204,6 @@
     this.#firstEvent.add(ms);
   }
 
-  readBetween(tokens: number, ms: number): void {
-    // What was not reading were token steps, one after each piece.
-    const stepsMs = ms - DIRECT_READ_COST * workMs(this, tokens) - this.firstEventMs;
-    this.#between.tokens.add(tokens);
-    this.#between.pieces.add(stepsMs / this.tokenMs);
-  }
-
   made(ms: number): void {
     this.#token.add(ms);
   }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -236,7 +236,6 @@
     holder.startedAt = now;
     const boundAt = this.#placed.get(id)?.boundAt;
     if (boundAt !== undefined) this.#costs.began(now - boundAt);
-    if (holder.direct) this.#costs.readBetween(holder.demand.promptTokens, now - holder.grantedAt);
   }
 
   #finished(now: number, id: string, outputTokens: number): void {
@@ -284,12 +283,23 @@
   #release(now: number, id: string, blame: string | undefined): void {
     this.#waiting.delete(id);
     const placed = this.#placed.get(id);
+    if (blame !== undefined) this.#learnOverdue(now, blame, id);
     if (placed) this.#leave(now, id, placed);
     if (blame === undefined) return;
     const state = this.#account.decode.get(blame) ?? this.#account.prefill.get(blame);
     if (state) state.trust = afterFailure(now, state.trust);
   }
 
+  /** A prompt that was given up has taken at least as long as it lay there; learnt from those that are read in time alone, a runner that falls behind looks as fast as ever. */
+  #learnOverdue(now: number, runner: string, id: string): void {
+    const state = this.#account.prefill.get(runner);
+    const pending = state?.pending.get(id);
+    if (!state || !pending) return;
+    const ms = now - pending.givenAt;
+    const expectedMs = expectedReadMs(this.#costs, pending);
+    if (ms > expectedMs) state.slowness = learntSlowness(state.slowness, expectedMs, ms);
+  }
+
   #leave(now: number, id: string, { grant }: Placed): void {
     this.#room.changed();
     this.#placed.delete(id);
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -118,7 +118,7 @@
     return this.#roomiest(now, demand, (state, free) => {
       const spare = free - need > state.memoryTokens * DIRECT_SPARE;
       const able = spare && slots > state.holders.size && directReads(now, state) === 0;
-      const short = pauseMs * state.slowness <= leastGapMs(state) * READ_PAUSE_PART;
+      const short = pauseMs <= leastGapMs(state) * READ_PAUSE_PART;
       return able && (short || this.#account.prefill.size === 0);
     });
   }
