--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -205,6 +205,7 @@
   }
 
   made(ms: number): void {
-    this.#token.add(ms);
+    // Notes of a start and an end that arrive together tell nothing, and growth is counted by this figure.
+    if (ms > 0) this.#token.add(ms);
   }
 }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -10,20 +10,12 @@
 import type { DecodeState, Holder, PrefillState } from './account';
 import { MemoryAccount, slowedByRead } from './account';
 import { allowedAhead, waitableMs } from './ahead';
-import { OutputLengths } from './lengths';
+import { Learning } from './learning';
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
 import type { CostModel, Costs } from './cost';
-import {
-  LearntCosts,
-  addPending,
-  expectedReadMs,
-  learntSlowness,
-  prefillMs,
-  residenceMs,
-} from './cost';
-import { TokenFlow } from './flow';
+import { LearntCosts, addPending } from './cost';
 import { WaitingQueue, leastMs, sparePart } from './queue';
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
@@ -49,8 +41,6 @@
 const GRANT_TRAVEL_MS = 1000;
 /** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
 const LAPSED_SPARE = 0.1;
-/** Events of which an answer must have more for its pace to be learnt: the last one is part of one. */
-const LEAST_EVENTS = 3;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
 const RETRY_FULL_MS = 1000;
 
@@ -60,9 +50,7 @@
 
   readonly #account: MemoryAccount;
 
-  readonly #lengths = new OutputLengths();
-
-  readonly #flow = new TokenFlow();
+  readonly #learning: Learning;
 
   readonly #tries = new EarlierTries();
 
@@ -82,8 +70,9 @@
 
   constructor(costs: CostModel = new LearntCosts()) {
     this.#costs = costs;
+    this.#learning = new Learning(costs);
     this.#account = new MemoryAccount(costs);
-    this.#waiting = new WaitingQueue(costs, (demand) => this.#sizeOf(demand));
+    this.#waiting = new WaitingQueue(costs, (demand) => this.#learning.sizeOf(demand));
     this.#room = new Room(this.#account, costs);
   }
 
@@ -126,8 +115,8 @@
       [...prefill.values()],
       [...decode.values()],
       {
-        ...this.#flow.sizes,
-        residenceMs: this.#residenceMs,
+        ...this.#learning.sizes,
+        residenceMs: this.#learning.residenceMs,
         readTokenMs: this.#costs.readTokenMs,
       },
       idle,
@@ -178,8 +167,7 @@
   #enqueue(now: number, asked: Demand): void {
     const demand = this.#tries.note(now, asked);
     this.#waiting.add(now, demand);
-    this.#flow.sized(demand.promptTokens, this.#lengths.expect(demand));
-    if (!demand.returned) this.#flow.asked(now, this.#sizeOf(demand));
+    this.#learning.asked(now, demand, !demand.returned);
   }
 
   /** Takes a request off a decode runner that was not reached, so that another is bound. */
@@ -207,7 +195,7 @@
       if (prefill) prefill.trust = afterFailure(now, prefill.trust);
       return;
     }
-    state.foreignTokens += this.#sizeOf(placed.demand);
+    state.foreignTokens += this.#learning.sizeOf(placed.demand);
     this.#leave(now, id, placed);
     this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
   }
@@ -225,9 +213,7 @@
     const pending = state?.pending.get(id);
     if (!state || !pending) return;
     state.pending.delete(id);
-    if (pending.aheadTokens === 0) this.#costs.read(pending.tokens, ms);
-    const expectedMs = expectedReadMs(this.#costs, pending);
-    state.slowness = learntSlowness(state.slowness, expectedMs, ms);
+    this.#learning.prefilled(state, pending, ms);
   }
 
   #started(now: number, id: string): void {
@@ -235,17 +221,17 @@
     if (!holder || holder.startedAt !== undefined) return;
     holder.startedAt = now;
     const boundAt = this.#placed.get(id)?.boundAt;
-    if (boundAt !== undefined) this.#costs.began(now - boundAt);
+    if (boundAt !== undefined) this.#learning.began(now - boundAt);
   }
 
   #finished(now: number, id: string, outputTokens: number): void {
     const placed = this.#placed.get(id);
     if (!placed) return;
     this.#tries.answered(placed.demand);
-    this.#lengths.learn(placed.demand, outputTokens);
+    this.#learning.finished(placed.demand, outputTokens);
     const decode = this.#account.decode.get(placed.grant.decode);
     if (decode) decode.trust = afterSuccess(decode.trust);
-    this.#learnFinished(now, placed, id, outputTokens);
+    this.#learnPace(now, placed, id, outputTokens);
     const prefill = this.#prefillOf(placed.grant);
     if (prefill) prefill.trust = afterSuccess(prefill.trust);
     this.#leave(now, id, placed);
@@ -253,26 +239,16 @@
 
   #reported(now: number, { runner, usedTokens, runs = [] }: MemoryReport): void {
     const decode = this.#account.decode.get(runner);
-    const ms = decode?.pace.next(now, runs);
-    if (decode && ms !== undefined) this.#learnPace(decode, ms);
+    if (decode) this.#learning.reported(now, decode, runs);
     this.#account.report(now, runner, usedTokens);
   }
 
-  /** What a finished request tells of the time of its tokens; the first event came before `startedAt`. */
-  #learnFinished(now: number, { grant }: Placed, id: string, outputTokens: number): void {
+  /** What a finished request tells of the time of its tokens. */
+  #learnPace(now: number, { grant }: Placed, id: string, outputTokens: number): void {
     const decode = this.#account.decode.get(grant.decode);
     const startedAt = decode?.holders.get(id)?.startedAt;
-    const eventTokens = this.#engine?.eventTokens ?? 0;
-    const tokens = outputTokens - eventTokens;
-    if (!decode || startedAt === undefined || tokens < LEAST_EVENTS * eventTokens) return;
-    this.#learnPace(decode, (now - startedAt) / tokens);
-  }
-
-  /** A token took so long at a decode runner, in milliseconds. */
-  #learnPace(decode: DecodeState, ms: number): void {
-    this.#costs.made(ms);
-    const state = decode;
-    state.slowness = learntSlowness(state.slowness, this.#costs.tokenMs, ms);
+    if (!decode || startedAt === undefined || !this.#engine) return;
+    this.#learning.streamed(decode, outputTokens, this.#engine.eventTokens, now - startedAt);
   }
 
   #slow(now: number, id: string): void {
@@ -283,23 +259,15 @@
   #release(now: number, id: string, blame: string | undefined): void {
     this.#waiting.delete(id);
     const placed = this.#placed.get(id);
-    if (blame !== undefined) this.#learnOverdue(now, blame, id);
+    const prefill = this.#account.prefill.get(blame ?? '');
+    const pending = prefill?.pending.get(id);
+    if (prefill && pending) this.#learning.givenUp(now, prefill, pending);
     if (placed) this.#leave(now, id, placed);
     if (blame === undefined) return;
     const state = this.#account.decode.get(blame) ?? this.#account.prefill.get(blame);
     if (state) state.trust = afterFailure(now, state.trust);
   }
 
-  /** A prompt that was given up has taken at least as long as it lay there; learnt from those that are read in time alone, a runner that falls behind looks as fast as ever. */
-  #learnOverdue(now: number, runner: string, id: string): void {
-    const state = this.#account.prefill.get(runner);
-    const pending = state?.pending.get(id);
-    if (!state || !pending) return;
-    const ms = now - pending.givenAt;
-    const expectedMs = expectedReadMs(this.#costs, pending);
-    if (ms > expectedMs) state.slowness = learntSlowness(state.slowness, expectedMs, ms);
-  }
-
   #leave(now: number, id: string, { grant }: Placed): void {
     this.#room.changed();
     this.#placed.delete(id);
@@ -338,8 +306,8 @@
     this.#account.decode.get(grant.decode)?.holders.set(demand.id, {
       demand,
       grantedAt: now,
-      expectedTokens: this.#lengths.expect(demand),
-      deviationTokens: this.#lengths.deviation(demand),
+      expectedTokens: this.#learning.expect(demand),
+      deviationTokens: this.#learning.deviation(demand),
       startedAt,
       direct: grant.prefill === undefined,
     });
@@ -381,7 +349,7 @@
       const decode = this.#mayHave(now, demand, largest)
         ? this.#findDecode(now, demand)
         : undefined;
-      const mayLead = ahead > 0 && this.#sizeOf(demand) <= this.#usualSize();
+      const mayLead = ahead > 0 && this.#learning.sizeOf(demand) <= this.#learning.usualSize;
       const chosen = decode ?? (mayLead ? this.#room.soonest(now, demand) : undefined);
       const prefill = chosen && this.#room.findPrefill(now, demand, chosen.runner.domain);
       const reader = decode && !prefill ? this.#findReader(now, demand) : undefined;
@@ -402,7 +370,7 @@
   /** Whether a request may have the most room that one decode runner has. */
   #mayHave(now: number, demand: Demand, largest: number): boolean {
     const spare = sparePart(this.#costs, now, demand) * (this.#engine?.memoryTokens ?? 0);
-    return this.#sizeOf(demand) + spare <= largest;
+    return this.#learning.sizeOf(demand) + spare <= largest;
   }
 
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
@@ -431,17 +399,16 @@
     for (const state of this.#account.decode.values()) holders += state.holders.size;
     let ahead = 0;
     for (const { bound } of this.#placed.values()) if (!bound) ahead += 1;
-    return (
-      allowedAhead(holders, this.#readMs, this.#residenceMs, this.#engine?.keepMs ?? 0) - ahead
-    );
+    const { readMs, residenceMs } = this.#learning;
+    return allowedAhead(holders, readMs, residenceMs, this.#engine?.keepMs ?? 0) - ahead;
   }
 
   /** Refuses what cannot be served while its caller waits. */
   #refuseHopeless(now: number): void {
     const hopeless = hopelessOf(now, this.#waiting.order(now), {
-      sizeOf: (demand) => this.#sizeOf(demand),
+      sizeOf: (demand) => this.#learning.sizeOf(demand),
       leastMs: (demand) => leastMs(this.#costs, demand),
-      spare: this.#flow.spare(now, this.#room.memory / this.#residenceMs),
+      spare: this.#learning.spare(now, this.#room.memory),
       releases: this.#room.releases(now),
       readMs: this.#room.readMs(now),
     });
@@ -456,33 +423,20 @@
     }
   }
 
-  #sizeOf(demand: Demand): number {
-    return demand.promptTokens + this.#lengths.expect(demand);
-  }
-
   #findDecode(now: number, demand: Demand): DecodeState | undefined {
-    return this.#room.findDecode(now, demand, this.#sizeOf(demand), this.#engine?.slots ?? 0);
+    return this.#room.findDecode(
+      now,
+      demand,
+      this.#learning.sizeOf(demand),
+      this.#engine?.slots ?? 0,
+    );
   }
 
   /** The decode runner that reads a prompt itself because no prefill runner can. */
   #findReader(now: number, demand: Demand): DecodeState | undefined {
-    return this.#engine && this.#room.findReader(now, demand, this.#sizeOf(demand), this.#engine);
-  }
-
-  /** What one ending request gives back: a larger one would wait for several ends at one runner. */
-  #usualSize(): number {
-    const { promptTokens, outputTokens } = this.#flow.sizes;
-    return promptTokens + outputTokens;
-  }
-
-  /** Time for which a usual request holds its place, in milliseconds. */
-  get #residenceMs(): number {
-    const { promptTokens, outputTokens } = this.#flow.sizes;
-    return residenceMs(this.#costs, promptTokens, outputTokens);
-  }
-
-  /** Time of a usual prefill, in milliseconds. */
-  get #readMs(): number {
-    return prefillMs(this.#costs, this.#flow.sizes.promptTokens);
+    return (
+      this.#engine &&
+      this.#room.findReader(now, demand, this.#learning.sizeOf(demand), this.#engine)
+    );
   }
 }
