--- a/test/router/overload.test.ts
+++ b/test/router/overload.test.ts
@@ -1,8 +1,10 @@
+import type { CostModel } from '../../src/core/memory/cost';
 import { Planner } from '../../src/core/memory/planner';
 import { SlotPolicy } from '../fakes/memory/baselines';
 import type { MemoryResult, PlacePolicy } from '../fakes/memory/bench';
 import { MemoryBench } from '../fakes/memory/bench';
-import { tightFigures } from '../fakes/memory/engines';
+import { fastFigures, tightFigures } from '../fakes/memory/engines';
+import { KnownCosts } from '../fakes/memory/known';
 import type { Burst, MemoryLoad } from '../fakes/memory/load';
 import { drawMemoryJobs } from '../fakes/memory/load';
 
@@ -78,4 +80,27 @@
     expect(planned.worth).toBeGreaterThan(0.87);
     expect(planned.failed).toBe(0);
   });
+
+  /*
+   * On another engine a token takes a seventh of the time and an output is nearly
+   * half of a request. On the figures of the first engine the planner takes its
+   * requests to grow slowly and to stay long: memory runs out, answers pause, and
+   * callers are sent away. It learns the times, and serves as if it were told them.
+   */
+  test('are as good on an engine whose times the planner has to learn', () => {
+    const load = { perSecond: 11, bursts, untilMs: 34_000, output: { mean: 4000, most: 7670 } };
+    const worthOf = (costs: () => CostModel | undefined): number =>
+      SEEDS.map((seed) =>
+        new MemoryBench({
+          jobs: drawMemoryJobs(load, seed),
+          policy: new Planner(costs()),
+          figures: fastFigures,
+          prefillRunners: 2,
+          decodeRunners: 5,
+        }).run(),
+      ).reduce((sum, { worth }) => sum + worth / SEEDS.length, 0);
+    const learnt = worthOf(() => undefined);
+    expect(learnt).toBeGreaterThan(0.95 * worthOf(() => new KnownCosts(fastFigures)));
+    expect(learnt).toBeGreaterThan(worthOf(() => new KnownCosts(tightFigures)));
+  }, 60_000);
 });
