--- a/src/core/memory/tries.ts
+++ b/src/core/memory/tries.ts
@@ -22,7 +22,7 @@
   /**
    * Takes note of a try, and tells what is due if the caller came back: its time
    * runs from its first try. Guessed from deadlines, which callers draw by
-   * themselves, three of four first tries looked late and were served last.
+   * themselves, two of five tries looked late before they began and were served last.
    */
   note(now: number, demand: Demand): Demand {
     this.#expire(now);
