Give the planner its rules and figures from one typed place

Cause: the figures of the planner's rules stood as constants in nine modules, so that no rule could be left out in a measurement without a change of the code that follows it. Change: `src/core/memory/policy.ts` holds them, typed, each with its unit and reason; the maker of a planner gives them to it. What memory requests count for became an interface with one class (`growth.ts`), out of the account. No switch for users, no change of behaviour. Ruled out: one flat list of figures (nine rules read and test better apart); switches in the settings (nobody should run with a rule off).

--- a/scripts/memory.ts
+++ b/scripts/memory.ts
@@ -6,6 +6,7 @@
  */
 
 import { Planner } from '../src/core/memory/planner';
+import { planPolicy } from '../src/core/memory/policy';
 import { SlotPolicy } from '../test/fakes/memory/baselines';
 import type { MemoryResult, PlacePolicy } from '../test/fakes/memory/bench';
 import { MemoryBench } from '../test/fakes/memory/bench';
@@ -23,9 +24,9 @@
 type Policies = Readonly<Record<string, (figures: MemoryFigures) => PlacePolicy>>;
 
 const planners: Policies = {
-  planner: () => new Planner(),
-  'planner that knows': (figures) => new Planner(new KnownCosts(figures)),
-  'planner on other figures': () => new Planner(new KnownCosts(tightFigures)),
+  planner: () => new Planner(planPolicy),
+  'planner that knows': (figures) => new Planner(planPolicy, new KnownCosts(figures)),
+  'planner on other figures': () => new Planner(planPolicy, new KnownCosts(tightFigures)),
 };
 
 const policies: Policies = {
--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -9,7 +9,9 @@
 
 import type { Engine, Runner } from '../routing/types';
 import type { Costs } from './cost';
+import { inBlocks, madeTokens, peakTokens } from './growth';
 import { ReportedPace } from './pace';
+import type { MemoryRules, TrustRules } from './policy';
 import type { Trust } from './trust';
 import { FULL_TRUST } from './trust';
 import type { Demand } from './types';
@@ -63,41 +65,11 @@
   trust: Trust;
 }
 
-/** Memory is taken in blocks of this many tokens. */
-const BLOCK_TOKENS = 16;
-/** Part of a runner's memory that is given out; the rest covers requests on their way and rounding to blocks. */
-const FILL = 0.99;
-/**
- * Memory that is kept free for outputs that grow over their estimate, as a
- * multiple of what they are usually off together. A fixed part of 3 % was right
- * where an output is a tenth of its request; where it is half of it, requests
- * were pushed out and read again, and their answers paused: with this margin the
- * worth of bursts on stand-in engines of that kind is 0.84, with the part 0.73.
- */
-const DEVIATIONS = 1.5;
 /** A report that still counts a request that has ended looks back at most this far, in milliseconds. */
 const REPORT_LAG_MS = 1500;
 /** Tokens by which report and account may differ for rounding and for requests on their way. */
 const REPORT_SLACK_TOKENS = 1500;
 
-function inBlocks(tokens: number): number {
-  return Math.ceil(tokens / BLOCK_TOKENS) * BLOCK_TOKENS;
-}
-
-/** Output tokens made so far, as expected. */
-function madeTokens(now: number, startedAt: number | undefined, tokenMs: number): number {
-  return startedAt === undefined ? 0 : (now - startedAt) / tokenMs;
-}
-
-/** Tokens that a request takes at its end, as expected now. */
-export function peakTokens(now: number, holder: Holder, tokenMs: number): number {
-  const { demand, expectedTokens, startedAt } = holder;
-  const made = madeTokens(now, startedAt, tokenMs);
-  // A request that has outgrown its estimate goes on for about as long again as it overran.
-  const output = made <= expectedTokens ? expectedTokens : made + (made - expectedTokens);
-  return inBlocks(demand.promptTokens + Math.min(demand.maxOutputTokens, output));
-}
-
 /** Time after which a prompt that a decode runner reads itself was read or never will be, in milliseconds: three times that of the largest. */
 const READ_LIMIT_MS = 1200;
 
@@ -128,30 +100,6 @@
   return Math.max(now + tokenMs, from + expectedTokens * tokenMs);
 }
 
-/**
- * Most tokens that requests will hold at once, as expected now. They do not all
- * reach their end together: whenever one ends, those that go on have grown by
- * what it still made. Counting each at its full length left 4 % of the memory
- * unused; on stand-in engines in an overload none is pushed out this way either.
- */
-export function comingPeak(now: number, holders: Iterable<Holder>, tokenMs: number): number {
-  const entries = [...holders].map((holder) => {
-    const held = holder.demand.promptTokens + madeTokens(now, holder.startedAt, tokenMs);
-    return { held, left: Math.max(0, peakTokens(now, holder, tokenMs) - held) };
-  });
-  entries.sort((a, b) => b.left - a.left);
-  let held = 0;
-  let peak = 0;
-  entries.forEach((entry, index) => {
-    held += entry.held;
-    peak = Math.max(peak, held + (index + 1) * entry.left);
-  });
-  return peak;
-}
-
-/** Most runners of a stage that distrust may keep without work at once, as a part: what fails everywhere is not the runners' fault. */
-const DISTRUSTED_PART = 0.5;
-
 /** By how many tokens the outputs of all are usually off together; single ones are off in both ways. */
 function deviationOf(holders: Iterable<Holder>): number {
   let squared = 0;
@@ -163,10 +111,11 @@
 export function ableOf<T extends DecodeState | PrefillState>(
   now: number,
   states: Iterable<T>,
+  { distrustedPart }: TrustRules,
 ): readonly T[] {
   const steady = [...states].filter(({ avoidUntil }) => now >= avoidUntil);
   const trusted = steady.filter(({ trust }) => now >= trust.avoidUntil);
-  return trusted.length >= steady.length * (1 - DISTRUSTED_PART) ? trusted : steady;
+  return trusted.length >= steady.length * (1 - distrustedPart) ? trusted : steady;
 }
 
 /** All runners of one service. */
@@ -175,9 +124,12 @@
 
   readonly prefill = new Map<string, PrefillState>();
 
+  readonly #rules: MemoryRules;
+
   readonly #costs: Costs;
 
-  constructor(costs: Costs) {
+  constructor(rules: MemoryRules, costs: Costs) {
+    this.#rules = rules;
     this.#costs = costs;
   }
 
@@ -189,9 +141,10 @@
   /** Tokens that may still be given out at a runner. */
   freeTokens(now: number, state: DecodeState): number {
     if (now < state.avoidUntil) return 0;
-    const peak = comingPeak(now, state.holders.values(), this.tokenMs(state));
-    const margin = DEVIATIONS * deviationOf(state.holders.values());
-    return Math.max(0, state.memoryTokens * FILL - state.foreignTokens - peak - margin);
+    const { fill, deviations, peak } = this.#rules;
+    const taken = peak.of(now, state.holders.values(), this.tokenMs(state));
+    const margin = deviations * deviationOf(state.holders.values());
+    return Math.max(0, state.memoryTokens * fill - state.foreignTokens - taken - margin);
   }
 
   /** Runners that get no work for now because of how their requests went. */
--- a/src/core/memory/balance.ts
+++ b/src/core/memory/balance.ts
@@ -9,6 +9,7 @@
 import type { Engine } from '../routing/types';
 import type { DecodeState, PrefillState } from './account';
 import { DIRECT_READ_COST } from './cost';
+import type { StageRules } from './policy';
 
 /** A change of what a runner does. */
 export interface StageChange {
@@ -26,25 +27,6 @@
   readonly residenceMs: number;
 }
 
-/** Prefill capacity kept beyond the need, as a part: a burst of prompts comes first to the prefill runners. */
-const HEADROOM = 1.2;
-/**
- * By how much a change must raise the requests served, as a part. A change takes
- * a runner away for some ten seconds; one that was ordered for less, right before
- * a burst, left a quarter of the decode memory unused while requests were refused.
- */
-const LEAST_GAIN = 0.1;
-/**
- * Rates that differ by less than this part count as the same: they are measured,
- * and count on decode runners to read what prefill runners cannot. With 0.03 six
- * runners were left with one that prefills, which bound in each burst: the worth
- * of a day with trouble fell from 0.77 to 0.66.
- */
-const TIE_PART = 0.08;
-/** Time for which an excess of prefill runners must last before they change, in milliseconds, if it is one only while lost runners are away: they are usually back sooner than a change takes. */
-const EXCESS_MS = 9000;
-/** The same for a lack of them, which costs more, in milliseconds. */
-const LACK_MS = 4000;
 /** Time for which a runner that is no longer listed may come back, in milliseconds. */
 const RETURN_MS = 9000;
 
@@ -53,13 +35,14 @@
  * the prefill runners cannot read, the decode runners read between their tokens.
  */
 export function servedRate(
+  { headroom }: StageRules,
   { memoryTokens }: Engine,
   prefill: number,
   decode: number,
   slowness: number,
   { promptTokens, readTokenMs, outputTokens, residenceMs }: Workload,
 ): number {
-  const promptMs = HEADROOM * promptTokens * readTokenMs;
+  const promptMs = headroom * promptTokens * readTokenMs;
   const prefillRate = prefill / (promptMs * slowness);
   const decodeMs = ((promptTokens + outputTokens) * residenceMs) / memoryTokens;
   if (prefillRate * decodeMs >= decode) return decode / decodeMs;
@@ -69,6 +52,7 @@
 
 /** Prefill runners with which most requests are served; in a tie more of them, since they take bursts better. */
 export function wantedPrefill(
+  rules: StageRules,
   engine: Engine,
   runners: number,
   slowness: number,
@@ -77,16 +61,13 @@
   let best = 0;
   let bestRate = 0;
   for (let prefill = 1; prefill < runners; prefill += 1) {
-    const rate = servedRate(engine, prefill, runners - prefill, slowness, workload);
-    if (rate >= bestRate * (1 - TIE_PART)) best = prefill;
+    const rate = servedRate(rules, engine, prefill, runners - prefill, slowness, workload);
+    if (rate >= bestRate * (1 - rules.tiePart)) best = prefill;
     bestRate = Math.max(bestRate, rate);
   }
   return best;
 }
 
-/** Time for which the number of runners must be the same, in milliseconds: runners register one after the other. */
-const STEADY_MS = 2500;
-
 /** Time after a change of stage in which the runner lists itself anew, in milliseconds. */
 const LISTED_MS = 2500;
 /** Time in which an order that got no answer may still be carried out, in milliseconds. */
@@ -94,6 +75,8 @@
 
 /** Decides on changes, one after the other; at once before the first work, patiently after. */
 export class StageBalance {
+  readonly #rules: StageRules;
+
   /** Since when the wanted number differs from what is there, and by what sign. */
   #since: { readonly at: number; readonly sign: number } | undefined;
 
@@ -106,6 +89,10 @@
   /** Runners that were told to change, and until when no further change is considered. */
   readonly #changing = new Map<string, number>();
 
+  constructor(rules: StageRules) {
+    this.#rules = rules;
+  }
+
   /** A runner took an order, or may have; gives the time until which that is under way. */
   ordered(now: number, runner: string, accepted: boolean, engine: Engine | undefined): number {
     const until = now + (accepted ? (engine?.switchMs ?? 0) + LISTED_MS : UNSURE_MS);
@@ -146,8 +133,9 @@
     const runners = prefill.length + decode.length;
     if (this.#changing.size > 0 || runners < 2 || engine.switchMs === undefined) return [];
     const slowness = mean(prefill.map((state) => state.slowness));
+    const { steadyMs, lackMs } = this.#rules;
     const surplusOf = (prefills: number, decodes: number): number =>
-      worthwhileSurplus(engine, prefills, decodes, slowness, workload);
+      worthwhileSurplus(this.#rules, engine, prefills, decodes, slowness, workload);
     const surplus = surplusOf(prefill.length, decode.length);
     const sign = Math.sign(surplus);
     const lost = this.#lostRunners(now, prefill, decode);
@@ -159,10 +147,10 @@
       this.#since = undefined;
     }
     if (sign !== this.#since?.sign) this.#since = { at: now, sign };
-    if (sign === 0 || now - this.#steady.at < STEADY_MS) return [];
+    if (sign === 0 || now - this.#steady.at < steadyMs) return [];
     // An excess that the return of lost runners would not end costs decode memory until it is mended.
-    const excessMs = lasting > 0 ? STEADY_MS : EXCESS_MS;
-    const patienceMs = sign > 0 ? excessMs : LACK_MS;
+    const excessMs = lasting > 0 ? steadyMs : this.#rules.excessMs;
+    const patienceMs = sign > 0 ? excessMs : lackMs;
     if (!idle && now - this.#since.at < patienceMs) return [];
     // One at a time beside work: what each brings shows before the next.
     if (sign > 0) return idlest(prefill, idle ? surplus : 1);
@@ -179,6 +167,7 @@
 
 /** Prefill runners above the wanted number; 0 if a change would not bring enough. */
 function worthwhileSurplus(
+  rules: StageRules,
   engine: Engine,
   prefill: number,
   decode: number,
@@ -186,10 +175,10 @@
   workload: Workload,
 ): number {
   const runners = prefill + decode;
-  const wanted = wantedPrefill(engine, runners, slowness, workload);
+  const wanted = wantedPrefill(rules, engine, runners, slowness, workload);
   const rateOf = (count: number): number =>
-    servedRate(engine, count, runners - count, slowness, workload);
-  return rateOf(wanted) > rateOf(prefill) * (1 + LEAST_GAIN) ? prefill - wanted : 0;
+    servedRate(rules, engine, count, runners - count, slowness, workload);
+  return rateOf(wanted) > rateOf(prefill) * (1 + rules.leastGain) ? prefill - wanted : 0;
 }
 
 function mean(values: readonly number[]): number {
--- a/src/core/memory/learning.ts
+++ b/src/core/memory/learning.ts
@@ -6,6 +6,7 @@
 import { TokenFlow } from './flow';
 import type { RequestSizes } from './flow';
 import { OutputLengths } from './lengths';
+import type { LengthRules } from './policy';
 import type { Demand, ReportedRun } from './types';
 
 /** Events of which an answer must have more for its pace to be learnt: the last one is part of one. */
@@ -15,11 +16,12 @@
 export class Learning {
   readonly #costs: CostModel;
 
-  readonly #lengths = new OutputLengths();
+  readonly #lengths: OutputLengths;
 
   readonly #flow = new TokenFlow();
 
-  constructor(costs: CostModel) {
+  constructor(rules: LengthRules, costs: CostModel) {
+    this.#lengths = new OutputLengths(rules);
     this.#costs = costs;
   }
 
--- a/src/core/memory/lengths.ts
+++ b/src/core/memory/lengths.ts
@@ -1,6 +1,7 @@
 /** How many output tokens a request will probably make, learnt from those that finished. */
 
 import { Estimate } from './estimate';
+import type { LengthRules } from './policy';
 import type { Demand } from './types';
 
 /** Share of the most output that is expected before anything was learnt. */
@@ -14,8 +15,6 @@
 const ERRORS = { startWeight: 1, leastStep: 0.02 };
 /** Error of each weight that is expected before anything was learnt, as a part of the most output. */
 const START_ERROR = 0.25;
-/** Steps of the hint's weight that are weighed against each other. */
-const HINT_WEIGHTS: readonly number[] = [0, 0.25, 0.5, 0.75, 1];
 
 /** A weight of the hint and its mean squared error, as a part of the most output. */
 interface Weighed {
@@ -27,10 +26,14 @@
 export class OutputLengths {
   readonly #share = new Estimate(START_SHARE, SHARE);
 
-  readonly #weights: readonly Weighed[] = HINT_WEIGHTS.map((weight) => ({
-    weight,
-    squaredError: new Estimate(START_ERROR ** 2, ERRORS),
-  }));
+  readonly #weights: readonly Weighed[];
+
+  constructor({ hintWeights }: LengthRules) {
+    this.#weights = hintWeights.map((weight) => ({
+      weight,
+      squaredError: new Estimate(START_ERROR ** 2, ERRORS),
+    }));
+  }
 
   /** Expected output tokens. */
   expect(demand: Demand): number {
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -17,6 +17,7 @@
 import type { CostModel, Costs } from './cost';
 import { LearntCosts, addPending } from './cost';
 import { WaitingQueue, leastMs, sparePart } from './queue';
+import type { PlanPolicy } from './policy';
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
 import { Room } from './room';
@@ -46,6 +47,8 @@
 
 /** Planner of one service. */
 export class Planner {
+  readonly #policy: PlanPolicy;
+
   readonly #costs: CostModel;
 
   readonly #account: MemoryAccount;
@@ -54,7 +57,7 @@
 
   readonly #tries = new EarlierTries();
 
-  readonly #balance = new StageBalance();
+  readonly #balance: StageBalance;
 
   readonly #waiting: WaitingQueue;
 
@@ -64,16 +67,21 @@
 
   #engine: Engine | undefined;
 
-  readonly #returnTimes = new ReturnTimes();
+  readonly #returnTimes: ReturnTimes;
 
   #actions: PlanAction[] = [];
 
-  constructor(costs: CostModel = new LearntCosts()) {
+  constructor(policy: PlanPolicy, costs: CostModel = new LearntCosts()) {
+    this.#policy = policy;
     this.#costs = costs;
-    this.#learning = new Learning(costs);
-    this.#account = new MemoryAccount(costs);
-    this.#waiting = new WaitingQueue(costs, (demand) => this.#learning.sizeOf(demand));
-    this.#room = new Room(this.#account, costs);
+    this.#balance = new StageBalance(policy.stages);
+    this.#returnTimes = new ReturnTimes(policy.refusal);
+    this.#learning = new Learning(policy.lengths, costs);
+    this.#account = new MemoryAccount(policy.memory, costs);
+    this.#waiting = new WaitingQueue(policy.order, costs, (demand) =>
+      this.#learning.sizeOf(demand),
+    );
+    this.#room = new Room(policy, this.#account, costs);
   }
 
   /** What is known of the engine's times. */
@@ -99,9 +107,9 @@
     return this.#account.distrusted(now);
   }
 
-  /** Begins without a full account; `until` is when all VMs should have told what they hold. */
-  startCautiously(until: number): void {
-    this.#room.beCautious(until);
+  /** The account may lack what other VMs hold: holds back until they had time to tell. */
+  startCautiously(now: number): void {
+    this.#room.beCautious(now);
   }
 
   /** Changes of runners' stages that would serve more requests; none while one is under way. */
@@ -174,7 +182,7 @@
   #unbind(now: number, id: string, unreachable: string | undefined): void {
     const placed = this.#placed.get(id);
     const state = this.#account.decode.get(unreachable ?? '');
-    if (state) state.trust = afterFailure(now, state.trust);
+    if (state) state.trust = afterFailure(this.#policy.trust, now, state.trust);
     if (!placed?.bound || placed.grant.decode !== unreachable) return;
     this.#account.leave(now, unreachable, id);
     placed.bound = false;
@@ -192,7 +200,7 @@
     if (!placed || !state) return;
     if (this.#room.free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
       const prefill = this.#prefillOf(placed.grant);
-      if (prefill) prefill.trust = afterFailure(now, prefill.trust);
+      if (prefill) prefill.trust = afterFailure(this.#policy.trust, now, prefill.trust);
       return;
     }
     state.foreignTokens += this.#learning.sizeOf(placed.demand);
@@ -230,10 +238,10 @@
     this.#tries.answered(placed.demand);
     this.#learning.finished(placed.demand, outputTokens);
     const decode = this.#account.decode.get(placed.grant.decode);
-    if (decode) decode.trust = afterSuccess(decode.trust);
+    if (decode) decode.trust = afterSuccess(this.#policy.trust, decode.trust);
     this.#learnPace(now, placed, id, outputTokens);
     const prefill = this.#prefillOf(placed.grant);
-    if (prefill) prefill.trust = afterSuccess(prefill.trust);
+    if (prefill) prefill.trust = afterSuccess(this.#policy.trust, prefill.trust);
     this.#leave(now, id, placed);
   }
 
@@ -253,7 +261,8 @@
 
   #slow(now: number, id: string): void {
     const decode = this.#account.decode.get(this.#placed.get(id)?.grant.decode ?? '');
-    if (decode && !slowedByRead(now, decode)) decode.trust = afterFailure(now, decode.trust);
+    if (decode && !slowedByRead(now, decode))
+      decode.trust = afterFailure(this.#policy.trust, now, decode.trust);
   }
 
   #release(now: number, id: string, blame: string | undefined): void {
@@ -265,7 +274,7 @@
     if (placed) this.#leave(now, id, placed);
     if (blame === undefined) return;
     const state = this.#account.decode.get(blame) ?? this.#account.prefill.get(blame);
-    if (state) state.trust = afterFailure(now, state.trust);
+    if (state) state.trust = afterFailure(this.#policy.trust, now, state.trust);
   }
 
   #leave(now: number, id: string, { grant }: Placed): void {
@@ -369,13 +378,14 @@
 
   /** Whether a request may have the most room that one decode runner has. */
   #mayHave(now: number, demand: Demand, largest: number): boolean {
-    const spare = sparePart(this.#costs, now, demand) * (this.#engine?.memoryTokens ?? 0);
+    const spare =
+      sparePart(this.#policy.order, this.#costs, now, demand) * (this.#engine?.memoryTokens ?? 0);
     return this.#learning.sizeOf(demand) + spare <= largest;
   }
 
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
   #bindReady(now: number): void {
-    const keepMs = waitableMs(this.#engine?.keepMs ?? 0);
+    const keepMs = waitableMs(this.#policy.ahead, this.#engine?.keepMs ?? 0);
     for (const [id, placed] of this.#placed) {
       if (!placed.bound && placed.readyAt !== undefined) {
         const decode = this.#findDecode(now, placed.demand);
@@ -400,12 +410,13 @@
     let ahead = 0;
     for (const { bound } of this.#placed.values()) if (!bound) ahead += 1;
     const { readMs, residenceMs } = this.#learning;
-    return allowedAhead(holders, readMs, residenceMs, this.#engine?.keepMs ?? 0) - ahead;
+    const keepMs = this.#engine?.keepMs ?? 0;
+    return allowedAhead(this.#policy.ahead, holders, readMs, residenceMs, keepMs) - ahead;
   }
 
   /** Refuses what cannot be served while its caller waits. */
   #refuseHopeless(now: number): void {
-    const hopeless = hopelessOf(now, this.#waiting.order(now), {
+    const hopeless = hopelessOf(this.#policy.refusal, now, this.#waiting.order(now), {
       sizeOf: (demand) => this.#learning.sizeOf(demand),
       leastMs: (demand) => leastMs(this.#costs, demand),
       spare: this.#learning.spare(now, this.#room.memory),
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -2,6 +2,7 @@
 
 import type { Costs } from './cost';
 import { prefillMs } from './cost';
+import type { OrderRules } from './policy';
 import type { Demand } from './types';
 
 /** A request that waits. */
@@ -12,26 +13,20 @@
 
 /** Above every key of a request that can still meet its aim. */
 const LATE_KEY = 1e9;
-/** Part of the wait before the due time after which a large request goes before smaller ones. */
-const AGING_PART = 0.75;
-
-/**
- * Part of a decode runner's memory that a request leaves free which is late
- * anyway. It holds its memory as long as one in time: given the last room, late
- * ones make those late that come next. In an overload by a third this and their
- * last place in the queue raise the requests served in time from 72 to 85 % of all.
- */
-const LATE_SPARE = 0.1;
-
 /** Least time from a grant to the first event, in milliseconds. */
 export function leastMs(costs: Costs, { promptTokens }: Demand): number {
   return prefillMs(costs, promptTokens) + costs.firstEventMs;
 }
 
 /** Part of a decode runner's memory that a request has to leave free. */
-export function sparePart(costs: Costs, now: number, demand: Demand): number {
+export function sparePart(
+  { lateSpare }: OrderRules,
+  costs: Costs,
+  now: number,
+  demand: Demand,
+): number {
   const late = now + leastMs(costs, demand) > demand.dueAt;
-  return late && !demand.resuming ? LATE_SPARE : 0;
+  return late && !demand.resuming ? lateSpare : 0;
 }
 
 /** Those that missed their aim take what the others leave; whose caller leaves first goes first. */
@@ -47,8 +42,11 @@
 
   readonly #costs: Costs;
 
+  readonly #rules: OrderRules;
+
   /** @param sizeOf tokens of memory that a request will take */
-  constructor(costs: Costs, sizeOf: (demand: Demand) => number) {
+  constructor(rules: OrderRules, costs: Costs, sizeOf: (demand: Demand) => number) {
+    this.#rules = rules;
     this.#costs = costs;
     this.#sizeOf = sizeOf;
   }
@@ -96,7 +94,7 @@
     const size = this.#sizeOf(demand);
     if (!inTime) return lateKey(now, demand);
     const slack = Math.max(1, demand.dueAt - needMs - since);
-    const aged = (now - since) / slack >= AGING_PART;
+    const aged = (now - since) / slack >= this.#rules.agingPart;
     return aged ? size / 2 : size;
   }
 }
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -1,5 +1,6 @@
 /** Who among the waiting requests is refused, and when their callers may come back. */
 
+import type { RefusalRules } from './policy';
 import type { Release } from './room';
 import { waitFor } from './room';
 import type { Waiting } from './queue';
@@ -29,14 +30,6 @@
 
 /** A request whose caller leaves sooner than this after its first event could come is not started, in milliseconds. */
 const LOST_MARGIN_MS = 250;
-/** Part of the estimated wait that must fit before the caller of a last try leaves: estimates vary by half. */
-const LAST_TRY_DOUBT = 0.5;
-/** Shortest and longest Retry-After, in milliseconds. */
-const RETRY_LEAST_MS = 300;
-const RETRY_MOST_MS = 4500;
-/** Longest step between the times of two refused callers, in milliseconds: in a heavy burst the times go round. */
-const RETURN_STEP_MS = 230;
-
 /**
  * Finds what cannot be served while its caller waits, as soon as that is known.
  * A request that would miss its aim waits only if memory is likely to be left
@@ -45,6 +38,7 @@
  * @param order waiting requests, who goes first in front
  */
 export function hopelessOf(
+  { lastTryDoubt }: RefusalRules,
   now: number,
   order: readonly Waiting[],
   { sizeOf, leastMs, spare, releases, readMs }: Outlook,
@@ -59,7 +53,7 @@
     const inTime = now + waitMs + leastMs(demand) <= demand.dueAt;
     const lateMs = waitMs + (late + size) / spare;
     const lastAt = demand.lostAt - LOST_MARGIN_MS - leastMs(demand);
-    const likelyMs = demand.returned ? lateMs * LAST_TRY_DOUBT : lateMs;
+    const likelyMs = demand.returned ? lateMs * lastTryDoubt : lateMs;
     const keep = now + (demand.resuming ? 0 : likelyMs) <= lastAt;
     if (!inTime && keep) late += size;
     if (!inTime && !keep) {
@@ -72,13 +66,20 @@
 
 /** Times at which refused callers may come back: one after the other, so that they do not all come at once. */
 export class ReturnTimes {
+  readonly #rules: RefusalRules;
+
   #lastAt = 0;
 
+  constructor(rules: RefusalRules) {
+    this.#rules = rules;
+  }
+
   /** Retry-After of the next one, in milliseconds. */
   next(now: number, { waitMs, turnMs }: HopelessWait): number {
-    const earliest = now + Math.min(waitMs, RETRY_MOST_MS / 2);
-    const next = Math.max(this.#lastAt, earliest) + Math.min(turnMs, RETURN_STEP_MS);
-    this.#lastAt = next > now + RETRY_MOST_MS ? earliest : next;
-    return Math.max(RETRY_LEAST_MS, this.#lastAt - now);
+    const { leastMs, mostMs, stepMs } = this.#rules;
+    const earliest = now + Math.min(waitMs, mostMs / 2);
+    const next = Math.max(this.#lastAt, earliest) + Math.min(turnMs, stepMs);
+    this.#lastAt = next > now + mostMs ? earliest : next;
+    return Math.max(leastMs, this.#lastAt - now);
   }
 }
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -5,6 +5,7 @@
 import { ableOf, directReads, endOf } from './account';
 import type { Costs } from './cost';
 import { DIRECT_READ_COST, backlogMs, pauseOfRead, prefillMs, workMs } from './cost';
+import type { PlanPolicy } from './policy';
 import type { Demand } from './types';
 
 /** What is logged with each decision. */
@@ -23,19 +24,13 @@
   readonly tokens: number;
 }
 
-/** By how much a prefill in another failure domain may be sooner and still not be preferred, in milliseconds. */
-const FAR_MS = 20;
-/** Prompts that wait at a prefill runner, in milliseconds of its work: enough that it never idles. */
-const PREFILL_BACKLOG_MS = 120;
-/** Part of a decode runner's memory that must stay free beside a prompt that it reads itself. */
-const DIRECT_SPARE = 0.15;
-/** Part of the longest pause of an answer that it may come to by a decode runner's own reading. */
-const READ_PAUSE_PART = 0.75;
 /** Runners whose load is logged one by one; in a large service they would fill the log. */
 const LOAD_RUNNERS = 6;
 
 /** A view of an account at one moment. */
 export class Room {
+  readonly #policy: PlanPolicy;
+
   readonly #account: MemoryAccount;
 
   readonly #costs: Costs;
@@ -45,17 +40,18 @@
 
   #freeAt = -1;
 
-  /** Until then only runners that are half empty by the account count as having room. */
+  /** Until then only runners that are mostly empty by the account count as having room. */
   #cautiousUntil = 0;
 
-  constructor(account: MemoryAccount, costs: Costs) {
+  constructor(policy: PlanPolicy, account: MemoryAccount, costs: Costs) {
+    this.#policy = policy;
     this.#account = account;
     this.#costs = costs;
   }
 
-  /** The account may lack what other VMs hold until then. */
-  beCautious(until: number): void {
-    this.#cautiousUntil = until;
+  /** The account may lack what other VMs hold, until they had time to tell. */
+  beCautious(now: number): void {
+    this.#cautiousUntil = now + this.#policy.caution.ms;
   }
 
   /** To be called when the account has changed. */
@@ -114,11 +110,12 @@
     need: number,
     { slots, eventTokens }: Engine,
   ): DecodeState | undefined {
+    const { directSpare, pausePart } = this.#policy.reading;
     const pauseMs = pauseOfRead(this.#costs, demand.promptTokens, eventTokens);
     return this.#roomiest(now, demand, (state, free) => {
-      const spare = free - need > state.memoryTokens * DIRECT_SPARE;
+      const spare = free - need > state.memoryTokens * directSpare;
       const able = spare && slots > state.holders.size && directReads(now, state) === 0;
-      const short = pauseMs <= leastGapMs(state) * READ_PAUSE_PART;
+      const short = pauseMs <= leastGapMs(state) * pausePart;
       return able && (short || this.#account.prefill.size === 0);
     });
   }
@@ -131,7 +128,7 @@
   ): DecodeState | undefined {
     let best: DecodeState | undefined;
     let bestFree = -Infinity;
-    for (const state of ableOf(now, this.#account.decode.values())) {
+    for (const state of ableOf(now, this.#account.decode.values(), this.#policy.trust)) {
       const free = this.free(now, state);
       const able = free > bestFree && meets(state, free) && !avoid.includes(state.runner.id);
       if (able && this.#isSafe(now, state)) {
@@ -148,14 +145,15 @@
   }
 
   findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
+    const { backlogLimitMs, farMs } = this.#policy.reading;
     let best: PrefillState | undefined;
     let bestMs = Infinity;
-    for (const state of ableOf(now, this.#account.prefill.values())) {
+    for (const state of ableOf(now, this.#account.prefill.values(), this.#policy.trust)) {
       const backlog = backlogMs(this.#costs, now, state);
-      const able = backlog <= PREFILL_BACKLOG_MS;
+      const able = backlog <= backlogLimitMs;
       // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
       const ms = backlog + prefillMs(this.#costs, demand.promptTokens, state.slowness);
-      const cost = state.runner.domain === domain ? ms : ms + FAR_MS;
+      const cost = state.runner.domain === domain ? ms : ms + farMs;
       if (able && cost < bestMs && !demand.avoid.includes(state.runner.id)) {
         best = state;
         bestMs = cost;
@@ -219,10 +217,10 @@
     return free;
   }
 
-  /** Until all VMs have told what they hold, half of each runner's memory counts as taken. */
+  /** Until all VMs have told what they hold, a part of each runner's memory counts as taken. */
   #isSafe(now: number, state: DecodeState): boolean {
     if (now >= this.#cautiousUntil) return true;
-    return this.free(now, state) > state.memoryTokens / 2;
+    return this.free(now, state) > state.memoryTokens * this.#policy.caution.freePart;
   }
 }
 
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -5,6 +5,7 @@
 
 import type { StageChange } from '../../core/memory/balance';
 import { Planner } from '../../core/memory/planner';
+import { planPolicy } from '../../core/memory/policy';
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
 import { PauseWatch } from '../../core/pause';
@@ -39,8 +40,6 @@
 const REPORT_MS = 1000;
 /** Time from the beginning of a plan to the first reports, in milliseconds: once the VMs have told, what they told is not taken for somebody else's. */
 const FIRST_REPORT_MS = 300;
-/** A new owner holds back until all VMs had time to tell what they hold, in milliseconds. */
-const CAUTION_MS = 500;
 /** A VM that tells nothing for this long holds nothing any more, in milliseconds; it tells every two seconds. */
 const SILENT_MS = 7000;
 
@@ -206,7 +205,7 @@
 
   /** Holds back for a moment, and has the VMs tell at once: left to their period they took two seconds, in which full runners looked free or free ones full. */
   #beCautious(now: number, service: string, { planner }: Plan): void {
-    planner.startCautiously(now + CAUTION_MS);
+    planner.startCautiously(now);
     this.#onUnsure(service);
   }
 
@@ -214,7 +213,7 @@
     const known = this.#plans.get(service);
     if (known) return known;
     const plan: Plan = {
-      planner: new Planner(),
+      planner: new Planner(planPolicy),
       sinks: new Map(),
       heard: new Map(),
       heardAt: now,
--- a/test/router/balance.test.ts
+++ b/test/router/balance.test.ts
@@ -1,5 +1,6 @@
 import type { DecodeState, PrefillState } from '../../src/core/memory/account';
 import { StageBalance } from '../../src/core/memory/balance';
+import { planPolicy } from '../../src/core/memory/policy';
 import type { Runner } from '../../src/core/routing/types';
 
 const engine = { slots: 64, memoryTokens: 65_000, eventTokens: 7, keepMs: 500, switchMs: 6000 };
@@ -27,7 +28,7 @@
    * were four prefill runners and two to decode, for the rest of the day.
    */
   test('waits until no more runners turn up', () => {
-    const balance = new StageBalance();
+    const balance = new StageBalance(planPolicy.stages);
     expect(changes(balance, 0, 1, 2)).toBe(0);
     expect(changes(balance, 500, 1, 2)).toBe(0);
     expect(changes(balance, 1000, 3, 3)).toBe(0);
--- a/test/router/overload.test.ts
+++ b/test/router/overload.test.ts
@@ -1,5 +1,6 @@
 import type { CostModel } from '../../src/core/memory/cost';
 import { Planner } from '../../src/core/memory/planner';
+import { planPolicy } from '../../src/core/memory/policy';
 import { SlotPolicy } from '../fakes/memory/baselines';
 import type { MemoryResult, PlacePolicy } from '../fakes/memory/bench';
 import { MemoryBench } from '../fakes/memory/bench';
@@ -42,7 +43,7 @@
    */
   test('serve more in bursts than counting slots, and read nothing in vain', () => {
     const load = { perSecond: 8, bursts, untilMs: 34_000 };
-    const planned = play(load, 2, () => new Planner());
+    const planned = play(load, 2, () => new Planner(planPolicy));
     const bySlots = play(load, 2, () => new SlotPolicy(64));
     expect(planned.worth).toBeGreaterThan(bySlots.worth);
     expect(planned.worth).toBeGreaterThan(0.915);
@@ -58,7 +59,7 @@
    */
   test('go to requests that can be in time while more come than can be served', () => {
     const load = { perSecond: 16, bursts: [], untilMs: 34_000 };
-    const planned = play(load, 2, () => new Planner());
+    const planned = play(load, 2, () => new Planner(planPolicy));
     expect(planned.worth).toBeGreaterThan(0.81);
     expect(planned.late / planned.asked).toBeLessThan(0.08);
     expect(planned.refused / planned.asked).toBeLessThan(0.12);
@@ -76,7 +77,7 @@
    */
   test('are filled by decode runners that read prompts where one prefill runner is left', () => {
     const load = { perSecond: 8, bursts, untilMs: 34_000 };
-    const planned = play(load, 1, () => new Planner());
+    const planned = play(load, 1, () => new Planner(planPolicy));
     expect(planned.worth).toBeGreaterThan(0.87);
     expect(planned.failed).toBe(0);
   });
@@ -93,7 +94,7 @@
       SEEDS.map((seed) =>
         new MemoryBench({
           jobs: drawMemoryJobs(load, seed),
-          policy: new Planner(costs()),
+          policy: new Planner(planPolicy, costs()),
           figures: fastFigures,
           prefillRunners: 2,
           decodeRunners: 5,
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -1,5 +1,6 @@
 import { StageBalance, wantedPrefill } from '../../src/core/memory/balance';
 import { Planner } from '../../src/core/memory/planner';
+import { planPolicy } from '../../src/core/memory/policy';
 import type { Demand, PlanAction } from '../../src/core/memory/types';
 import type { Engine, Runner } from '../../src/core/routing/types';
 import { startId } from '../../src/core/routing/types';
@@ -30,7 +31,7 @@
 });
 
 function plannerOf(runners: readonly Runner[]): Planner {
-  const planner = new Planner();
+  const planner = new Planner(planPolicy);
   planner.handle(0, { kind: 'runners', engine, runners });
   return planner;
 }
@@ -227,7 +228,7 @@
    */
   test('has no decode runner read a prompt that would break the pauses of its answers', () => {
     const readsItself = (promptTokens: number): boolean => {
-      const planner = new Planner();
+      const planner = new Planner(planPolicy);
       const longEvents = { ...engine, eventTokens: 59 };
       const runners = [runner('p1', 'prefill'), runner('d1', 'decode')];
       planner.handle(0, { kind: 'runners', engine: longEvents, runners });
@@ -404,7 +405,7 @@
    */
   test('wants as many prefill runners as serve most requests', () => {
     const wanted = [2, 4, 5, 6, 7, 13, 63].map((count) =>
-      wantedPrefill(engine, count, 1, workload),
+      wantedPrefill(planPolicy.stages, engine, count, 1, workload),
     );
     expect(wanted).toEqual([1, 1, 1, 2, 2, 4, 20]);
   });
@@ -414,7 +415,7 @@
    * would take a decode runner away for ten seconds to serve hardly more after.
    */
   test('orders nothing that brings less than it costs', () => {
-    const balance = new StageBalance();
+    const balance = new StageBalance(planPolicy.stages);
     const state = (id: string): never =>
       ({
         runner: runner(id, 'decode'),
@@ -460,7 +461,7 @@
    * and with them back it would be missed; none is ordered.
    */
   test('does not answer a crash that passes', () => {
-    const balance = new StageBalance();
+    const balance = new StageBalance(planPolicy.stages);
     const all = ['d1', 'd2', 'd3', 'd4', 'd5'];
     for (let now = 0; now < 4000; now += 500) {
       expect(orderedAt(balance, now, ['p1', 'p2'], all)).toBe(0);
@@ -475,7 +476,7 @@
 
   /* The same, but they are gone for good: after the time in which they might return, the order comes. */
   test('answers a crash that does not pass', () => {
-    const balance = new StageBalance();
+    const balance = new StageBalance(planPolicy.stages);
     const all = ['d1', 'd2', 'd3', 'd4', 'd5'];
     const orders: number[] = [];
     for (let now = 0; now < 20_000; now += 500) {
@@ -490,7 +491,7 @@
    * second until that is changed, requests are refused for want of decode memory.
    */
   test('changes a lasting excess as soon as the runners are known', () => {
-    const balance = new StageBalance();
+    const balance = new StageBalance(planPolicy.stages);
     const orders: number[] = [];
     for (let now = 0; now < 5000; now += 500) {
       const count = orderedAt(balance, now, ['p1', 'p2', 'p3', 'p4'], ['d1', 'd2', 'd3', 'd4']);
--- a/test/router/trust.test.ts
+++ b/test/router/trust.test.ts
@@ -1,3 +1,4 @@
+import { planPolicy } from '../../src/core/memory/policy';
 import { FULL_TRUST, afterFailure, afterSuccess } from '../../src/core/memory/trust';
 import { Pace } from '../../src/node/router/pace';
 
@@ -13,7 +14,10 @@
     while (now < 20_000) {
       if (now >= trust.avoidUntil) {
         given += 1;
-        trust = given % 2 === 0 ? afterFailure(now, trust) : afterSuccess(trust);
+        trust =
+          given % 2 === 0
+            ? afterFailure(planPolicy.trust, now, trust)
+            : afterSuccess(planPolicy.trust, trust);
       }
       now += 100;
     }
@@ -21,9 +25,11 @@
   });
 
   test('is whole again soon after one bad end', () => {
-    const trust = afterFailure(1000, FULL_TRUST);
+    const trust = afterFailure(planPolicy.trust, 1000, FULL_TRUST);
     expect(trust.avoidUntil).toBe(1400);
-    expect(afterSuccess(afterSuccess(trust)).strikes).toBe(0.25);
+    expect(afterSuccess(planPolicy.trust, afterSuccess(planPolicy.trust, trust)).strikes).toBe(
+      0.25,
+    );
   });
 
   /*
@@ -33,7 +39,10 @@
    */
   test('counts failures that come together as one', () => {
     const together = Array.from({ length: 10 }, (_, i) => 1000 + i * 10);
-    const trust = together.reduce((before, now) => afterFailure(now, before), FULL_TRUST);
+    const trust = together.reduce(
+      (before, now) => afterFailure(planPolicy.trust, now, before),
+      FULL_TRUST,
+    );
     expect(trust).toEqual({ strikes: 1, avoidUntil: 1400 });
   });
 });
