--- a/scripts/slopes.ts
+++ b/scripts/slopes.ts
@@ -301,6 +301,8 @@
       state: 'alive' as const,
       draining: false,
       gateways: [],
+      cores: 1,
+      storeLost: false,
     }));
   print(
     'working out the owners of one key, by schedulers',
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -8,38 +8,20 @@
 import { match } from 'ts-pattern';
 
 import { Gossip } from './gossip';
+import { ProbeOrder, pickSome } from './order';
 import type {
+  Description,
   ListedMember,
   Member,
   MemberState,
+  Members,
   MembershipAction,
   MembershipEvent,
+  MembershipOptions,
   Packet,
   Rumour,
 } from './types';
-
-/** Who this member is and how it probes. */
-export interface MembershipOptions {
-  readonly vm: string;
-  readonly domain: string;
-  readonly address: string;
-  /** Period of probes in milliseconds. */
-  readonly probeMs: number;
-  /** Time a suspect has to refute, in milliseconds. */
-  readonly suspectMs: number;
-  /** Random source: uniform in [0, 1). */
-  readonly random: () => number;
-  /** Starting incarnation; a restarted process must start above its last life. */
-  readonly incarnation: number;
-}
-
-/** Read-only view of the members. */
-export interface Members {
-  readonly self: Member;
-  /** All members known, this one included. */
-  readonly all: readonly Member[];
-  get(vm: string): Member | undefined;
-}
+import { isPresent } from './types';
 
 /** Part of the period that a direct ping has before others are asked to help. */
 const DIRECT_PART = 0.4;
@@ -50,6 +32,8 @@
 /** Member news and rumours in one packet, so that it fits one datagram. */
 const NEWS_PER_PACKET = 5;
 const RUMOURS_PER_PACKET = 8;
+/** Characters of the texts of rumours in one packet beside the first, for the same reason. */
+const RUMOUR_CHARACTERS = 700;
 /** Each piece of news is sent this many times the logarithm of the fleet. */
 const SENDS_PER_LOG = 3;
 /** How long dead members are remembered, in milliseconds: news of them may still go round. */
@@ -79,6 +63,10 @@
 
 const rankOf: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
+function charactersOf({ text = '' }: Rumour): number {
+  return text.length;
+}
+
 /** When a probe wants attention next. */
 function dueOf({ helped, helpAt, endAt }: Probe): number {
   return helped ? endAt : helpAt;
@@ -103,7 +91,7 @@
 
   #self: Member;
 
-  #order: string[] = [];
+  readonly #order: ProbeOrder;
 
   #probe: Probe | undefined;
 
@@ -119,7 +107,8 @@
 
   constructor(options: MembershipOptions) {
     this.#options = options;
-    const { vm, domain, address, incarnation } = options;
+    const { vm, domain, address, incarnation, cores } = options;
+    this.#order = new ProbeOrder(options.random);
     this.#self = {
       vm,
       domain,
@@ -128,6 +117,8 @@
       state: 'alive',
       draining: false,
       gateways: [],
+      cores,
+      storeLost: false,
     };
   }
 
@@ -154,10 +145,9 @@
       .with({ kind: 'packet' }, ({ packet }) => this.#receive(now, packet))
       .with({ kind: 'contact' }, ({ addresses }) => this.#contact(addresses))
       .with({ kind: 'listed' }, ({ vms }) => this.#list(now, vms))
-      .with({ kind: 'described' }, ({ gateways, draining }) =>
-        this.#describe({ gateways, draining }),
-      )
-      .with({ kind: 'rumour' }, ({ rumour }) => this.#spread(rumour))
+      .with({ kind: 'synced' }, ({ members }) => this.#sync(now, members))
+      .with({ kind: 'described' }, ({ description }) => this.#describe(description))
+      .with({ kind: 'rumours' }, ({ rumours }) => this.#spread(rumours))
       .with({ kind: 'leaving' }, () => this.#leave())
       .with({ kind: 'woke' }, () => this.#wake(now))
       .exhaustive();
@@ -186,7 +176,7 @@
     const { probeMs, random } = this.#options;
     this.#nextProbeAt = now + probeMs;
     this.#revive(random());
-    const vm = this.#nextTarget();
+    const vm = this.#order.next([...this.#known.keys()], (id) => this.#isProbed(id));
     const target = vm === undefined ? undefined : this.#known.get(vm)?.member;
     if (!target) return;
     this.#seq += 1;
@@ -229,29 +219,12 @@
     const pool = [...this.#known.values()]
       .map(({ member }) => member)
       .filter((m) => m.state === 'alive' && m.vm !== except);
-    const picked: Member[] = [];
-    while (picked.length < count && pool.length > 0) {
-      picked.push(...pool.splice(Math.floor(this.#options.random() * pool.length), 1));
-    }
-    return picked;
+    return pickSome(pool, count, this.#options.random);
   }
 
-  /** Each member once a round, in an order that is shuffled anew. */
-  #nextTarget(): string | undefined {
-    const probed = (vm: string): boolean => {
-      const state = this.#known.get(vm)?.member.state;
-      return state === 'alive' || state === 'suspect';
-    };
-    while (this.#order.length > 0) {
-      const vm = this.#order.pop();
-      if (vm !== undefined && probed(vm)) return vm;
-    }
-    this.#order = [...this.#known.keys()].filter(probed);
-    for (let i = this.#order.length - 1; i > 0; i -= 1) {
-      const j = Math.floor(this.#options.random() * (i + 1));
-      [this.#order[i], this.#order[j]] = [this.#order[j] as string, this.#order[i] as string];
-    }
-    return this.#order.pop();
+  #isProbed(vm: string): boolean {
+    const member = this.#known.get(vm)?.member;
+    return member !== undefined && isPresent(member);
   }
 
   #revive(chance: number): void {
@@ -311,11 +284,16 @@
       this.#refute(news);
       return;
     }
+    if (this.#takeOver(now, news)) this.#news.add(news.vm, news, this.#times());
+  }
+
+  /** Tells whether that was news. */
+  #takeOver(now: number, news: Member): boolean {
     const known = this.#known.get(news.vm);
-    if (known && !overrides(news, known.member)) return;
+    if (known && !overrides(news, known.member)) return false;
     this.#known.set(news.vm, { member: news, since: now });
-    this.#news.add(news.vm, news, this.#times());
     this.#actions.push({ kind: 'changed', member: news });
+    return true;
   }
 
   /** What others say of this member is answered with a higher incarnation. */
@@ -331,7 +309,7 @@
     this.#describe({ incarnation: Math.max(news.incarnation, this.#self.incarnation) });
   }
 
-  #describe(change: Partial<Member>): void {
+  #describe(change: Partial<Description & Member>): void {
     const incarnation = (change.incarnation ?? this.#self.incarnation) + 1;
     this.#self = { ...this.#self, ...change, incarnation };
     this.#news.add(this.#self.vm, this.#self, this.#times());
@@ -358,6 +336,8 @@
           state: 'alive',
           draining: true,
           gateways: [],
+          cores: 0,
+          storeLost: false,
         };
         this.#known.set(vm, { member, since: now });
         this.#seq += 1;
@@ -366,9 +346,22 @@
     }
   }
 
-  #spread(rumour: Rumour): void {
-    this.#rumours.add(rumour.path, rumour, this.#times());
-    for (const { address } of this.#pick(FANOUT, '')) this.#send(address, 'news', 0);
+  #sync(now: number, members: readonly Member[]): void {
+    for (const member of members) {
+      if (member.vm === this.#self.vm) this.#refute(member);
+      else this.#takeOver(now, member);
+    }
+  }
+
+  /** Tells a few members at once and more with the probes; as many packets as the texts need. */
+  #spread(rumours: readonly Rumour[]): void {
+    for (const rumour of rumours) this.#rumours.add(rumour.path, rumour, this.#times());
+    const characters = rumours.reduce((sum, { text = '' }) => sum + text.length, 0);
+    const packets = 1 + Math.floor(characters / RUMOUR_CHARACTERS);
+    const targets = this.#pick(FANOUT, '');
+    for (let sent = 0; sent < packets; sent += 1) {
+      for (const { address } of targets) this.#send(address, 'news', 0);
+    }
   }
 
   #leave(): void {
@@ -394,7 +387,7 @@
       address: this.#self.address,
       digest: this.#digest,
       members: [...extra, this.#self, ...this.#news.take(NEWS_PER_PACKET)],
-      rumours: this.#rumours.take(RUMOURS_PER_PACKET),
+      rumours: this.#rumours.take(RUMOURS_PER_PACKET, RUMOUR_CHARACTERS, charactersOf),
       ...(target === undefined ? {} : { target }),
     };
     this.#actions.push({ kind: 'send', to, packet });
--- /dev/null
+++ b/src/core/membership/readers.ts
@@ -0,0 +1,48 @@
+/**
+ * Which VMs read the platform's store for all others.
+ *
+ * The store counts each call, a waiting watch as one. Where every VM watched it,
+ * the calls grew with VMs times runners: 195 VMs made 156 a second on a calm day,
+ * a twentieth of the rate that the store allows. A few in each failure domain
+ * read, and all others hear of it from VM to VM. A VM that sees no other one, since
+ * it is alone or cut off, is a reader by the same rule.
+ */
+
+import { rankByCores } from '../ownership';
+import type { Member } from './types';
+import { isPresent } from './types';
+
+/** Readers in each failure domain: one that freezes counts as alive for a second and a half. */
+const READERS = 2;
+/** Time after its start in which a VM that knows no other waits for an answer of a seed, in milliseconds: a round trip and a busy start, and little of a pause. */
+const JOIN_MS = 600;
+
+/** Who reads in one failure domain. */
+export interface ReaderPlan {
+  /** Readers as long as the store answers them. */
+  readonly chosen: readonly Member[];
+  /** Read as well while the store does not answer all of the chosen. */
+  readonly deputies: readonly Member[];
+}
+
+/** The readers of a failure domain, decided alike by all who know the same members. */
+export function readersOf(domain: string, members: readonly Member[]): ReaderPlan {
+  const present = members.filter((member) => member.domain === domain && isPresent(member));
+  const ranked = rankByCores('store', present);
+  const chosen = ranked.slice(0, READERS);
+  const answered = ranked.filter(({ storeLost }) => !storeLost).slice(0, READERS);
+  return { chosen, deputies: answered.filter((member) => !chosen.includes(member)) };
+}
+
+/** Whether a VM is to read the store now. */
+export function shouldRead(
+  now: number,
+  startedAt: number,
+  self: Member,
+  members: readonly Member[],
+): boolean {
+  const isAlone = !members.some((member) => member.vm !== self.vm && isPresent(member));
+  if (isAlone && now - startedAt < JOIN_MS) return false;
+  const { chosen, deputies } = readersOf(self.domain, members);
+  return [...chosen, ...deputies].some(({ vm }) => vm === self.vm);
+}
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -16,14 +16,48 @@
   readonly draining: boolean;
   /** Callers' addresses of the gateways on the VM. */
   readonly gateways: readonly string[];
+  /** Processor cores that the VM has, as a part or a multiple of one. */
+  readonly cores: number;
+  /** Whether its calls to the platform's store fail. */
+  readonly storeLost: boolean;
 }
 
-/** News that a settings document has a new revision. */
+/** Who this member is and how it probes. */
+export interface MembershipOptions {
+  readonly vm: string;
+  readonly domain: string;
+  readonly address: string;
+  /** Processor cores of the VM. */
+  readonly cores: number;
+  /** Period of probes in milliseconds. */
+  readonly probeMs: number;
+  /** Time a suspect has to refute, in milliseconds. */
+  readonly suspectMs: number;
+  /** Random source: uniform in [0, 1). */
+  readonly random: () => number;
+  /** Starting incarnation; a restarted process must start above its last life. */
+  readonly incarnation: number;
+}
+
+/** Read-only view of the members. */
+export interface Members {
+  readonly self: Member;
+  /** All members known, this one included. */
+  readonly all: readonly Member[];
+  get(vm: string): Member | undefined;
+}
+
+/** News that something has a new revision. */
 export interface Rumour {
   readonly path: string;
   readonly revision: number;
+  /** The news itself where it is small. Default: it has to be fetched from whoever tells. */
+  readonly text?: string | undefined;
 }
 
+/** What a member tells of its VM. */
+export type Description = Pick<Member, 'gateways' | 'draining' | 'storeLost'>;
+
 /** What goes over UDP. */
 export interface Packet {
   readonly kind: 'ping' | 'ack' | 'probe' | 'news';
@@ -44,8 +78,10 @@
   /** Says hello to whoever is at these addresses, without taking them for members. */
   | { readonly kind: 'contact'; readonly addresses: readonly string[] }
   | { readonly kind: 'listed'; readonly vms: readonly ListedMember[] }
-  | { readonly kind: 'described'; readonly gateways: readonly string[]; readonly draining: boolean }
-  | { readonly kind: 'rumour'; readonly rumour: Rumour }
+  /** Members as another one knows them, taken over without telling of them. */
+  | { readonly kind: 'synced'; readonly members: readonly Member[] }
+  | { readonly kind: 'described'; readonly description: Description }
+  | { readonly kind: 'rumours'; readonly rumours: readonly Rumour[] }
   | { readonly kind: 'leaving' }
   | { readonly kind: 'woke' };
 
@@ -64,7 +100,12 @@
   /** The settings of that member differ and it may have newer ones. */
   | { readonly kind: 'differs'; readonly address: string };
 
+/** Whether a member is there, as far as is known. */
+export function isPresent({ state }: Member): boolean {
+  return state === 'alive' || state === 'suspect';
+}
+
 /** Whether a member may own cells, keys and ledger shards. */
-export function mayOwn({ state, draining }: Member): boolean {
-  return (state === 'alive' || state === 'suspect') && !draining;
+export function mayOwn(member: Member): boolean {
+  return isPresent(member) && !member.draining;
 }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -97,6 +97,12 @@
     return this.#placed.size;
   }
 
+  /** Whether a VM has requests here, waiting or placed. */
+  holdsFor(vm: string): boolean {
+    if (this.#waiting.holdsFor(vm)) return true;
+    return [...this.#placed.values()].some(({ demand }) => demand.vm === vm);
+  }
+
   /** The inputs of a decision. */
   load(now: number): PlanLoad {
     return this.#room.load(now);
@@ -261,8 +267,9 @@
 
   #slow(now: number, id: string): void {
     const decode = this.#account.decode.get(this.#placed.get(id)?.grant.decode ?? '');
-    if (decode && !slowedByRead(now, decode))
+    if (decode && !slowedByRead(now, decode)) {
       decode.trust = afterFailure(this.#policy.trust, now, decode.trust);
+    }
   }
 
   #release(now: number, id: string, blame: string | undefined): void {
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -59,6 +59,11 @@
     return this.#entries.has(id);
   }
 
+  /** Whether a request of a VM waits. */
+  holdsFor(vm: string): boolean {
+    return [...this.#entries.values()].some(({ demand }) => demand.vm === vm);
+  }
+
   add(now: number, demand: Demand): void {
     this.#entries.set(demand.id, { demand, since: now });
   }
--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -23,6 +23,22 @@
   return rank(`pool/${name}`, candidates).map(({ member }) => member);
 }
 
+/** Cores that a VM is taken to have at least: it may tell none. */
+const LEAST_CORES = 0.01;
+
+/**
+ * Members by falling claim to a key. Those with about twice the cores of others go
+ * before them: drawn alike, the owner of a service was mostly one of the many weak
+ * VMs, and one that falls behind makes its own account old.
+ */
+export function rankByCores(key: string, members: readonly Member[]): readonly Member[] {
+  const tierOf = ({ cores }: Member): number => Math.round(Math.log2(Math.max(LEAST_CORES, cores)));
+  const candidates = members.map((member) => ({ id: member.vm, weight: 1, member }));
+  const ranked = rank(key, candidates).map(({ member }) => member);
+  // The sort is stable, so that within a tier the order by claim stays.
+  return [...ranked].sort((a, b) => tierOf(b) - tierOf(a));
+}
+
 /** Owners of a key by falling claim. */
 export function ownersOfKey(key: string, members: readonly Member[]): readonly Member[] {
   const candidates = members.filter(mayOwn).map((member) => ({ id: member.vm, weight: 1, member }));
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -7,6 +7,7 @@
  * write of the earlier start may be carried out seconds after its end.
  */
 
+import { FactDigest, partOf } from './digest';
 import type { Runner } from './types';
 
 /** One fact: a runner as of a revision, or that it is gone. */
@@ -17,6 +18,8 @@
   readonly runner: Runner | undefined;
   /** Why the entry names no runner although it is there. Default: it was read, or is gone. */
   readonly unreadable?: string;
+  /** How long the runner stays in use all the same, in milliseconds, as another VM tells. Default: to be worked out here. */
+  readonly graceMs?: number | undefined;
 }
 
 interface Known {
@@ -28,6 +31,13 @@
   bornAt: number;
 }
 
+/** All of a runner that matters to routing, in one text. */
+function contentOf(runner: Runner | undefined): string | undefined {
+  if (!runner) return undefined;
+  const { id, listing, service, address, domain, role, slots, leaving } = runner;
+  return [id, listing, service, address, domain, role, slots, leaving].join(' ');
+}
+
 /** How long gone runners are remembered, so that an old fact cannot bring them back, in milliseconds. */
 const FORGET_MS = 60_000;
 
@@ -35,17 +45,43 @@
 export class RunnerDirectory {
   readonly #known = new Map<string, Known>();
 
+  readonly #digest = new FactDigest();
+
   #revision = 0;
 
+  #changes = 0;
+
   /** Highest revision of a change that matters to routing. */
   get revision(): number {
     return this.#revision;
   }
 
+  /** Grows with each change that matters to routing, in whatever order they come in. */
+  get changes(): number {
+    return this.#changes;
+  }
+
+  get digest(): FactDigest {
+    return this.#digest;
+  }
+
   get facts(): readonly RunnerFact[] {
     return [...this.#known.values()].map(({ fact }) => fact);
   }
 
+  /** Facts of some parts of the digest as another VM should take them over; no more parts than hold about `most` facts. */
+  factsIn(now: number, parts: ReadonlySet<number>, most: number): readonly RunnerFact[] {
+    const byPart = new Map<number, RunnerFact[]>();
+    for (const { fact, goneAt } of this.#known.values()) {
+      const part = partOf(fact.id);
+      const graceMs = fact.runner ? undefined : Math.max(0, goneAt - now);
+      if (parts.has(part)) byPart.set(part, [...(byPart.get(part) ?? []), { ...fact, graceMs }]);
+    }
+    const found: RunnerFact[] = [];
+    for (const facts of byPart.values()) if (found.length < most) found.push(...facts);
+    return found;
+  }
+
   /**
    * Takes a fact over if it is newer.
    * @param graceMs how long the runner stays in use if its entry vanished, in milliseconds
@@ -56,11 +92,16 @@
     const { bornAt = known?.bornAt ?? 0 } = fact.runner ?? {};
     if (known && (known.fact.revision >= fact.revision || bornAt < known.bornAt)) return false;
     const before = known?.fact.runner;
-    const changed = JSON.stringify(before) !== JSON.stringify(fact.runner);
+    const content = contentOf(fact.runner);
+    const changed = contentOf(before) !== content;
     const last = fact.runner ?? before ?? known?.last;
     const goneAt = last?.leaving ? now : now + graceMs;
     this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt, bornAt });
-    if (changed) this.#revision = Math.max(this.#revision, fact.revision);
+    if (changed) {
+      this.#revision = Math.max(this.#revision, fact.revision);
+      this.#changes += 1;
+      this.#digest.set(fact.id, content);
+    }
     return changed;
   }
 
@@ -74,6 +115,7 @@
     // An entry that does not tell its start names no start that could be over.
     if (!known || known.bornAt === 0 || bornAt <= known.bornAt) return false;
     known.bornAt = bornAt;
+    this.#changes += 1;
     return true;
   }
 
--- a/src/node/gateway/fleet.ts
+++ b/src/node/gateway/fleet.ts
@@ -186,7 +186,7 @@
     const fromHome = link.address === this.#options.home;
     for (const notice of notices) {
       if (fromHome || !this.#members.has(notice.vm)) {
-        this.#members.set(notice.vm, { ...notice, incarnation: 0 });
+        this.#members.set(notice.vm, { ...notice, incarnation: 0, cores: 1, storeLost: false });
       }
     }
     this.#owners.update(this.members);
--- a/src/node/peer/link.ts
+++ b/src/node/peer/link.ts
@@ -54,6 +54,13 @@
 
   #heardAt = 0;
 
+  #settleOpened: (() => void) | undefined;
+
+  /** Resolves when the first try to connect has ended, well or not. */
+  readonly opened = new Promise<void>((resolve) => {
+    this.#settleOpened = resolve;
+  });
+
   /** Bytes sent and received, for measurements. */
   bytes = 0;
 
@@ -112,6 +119,7 @@
     socket.on('error', () => {});
     socket.on('close', () => {
       if (this.#socket !== socket) return;
+      this.#settleOpened?.();
       this.#down();
       if (!this.#closed) this.#connectLater();
     });
@@ -150,6 +158,7 @@
 
   #welcome(): void {
     this.#up = true;
+    this.#settleOpened?.();
     this.#waitMs = RECONNECT_MS;
     this.#pinger = setInterval(() => this.#ping(), PING_MS);
     this.#options.onUp?.();
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -14,14 +14,16 @@
 import { RouterFleet } from './fleet';
 import { Front } from './front';
 import { InflightClient } from './inflight';
+import type { News } from './knowledge';
 import { Knowledge } from './knowledge';
 import { RouterMetrics } from './metrics';
 import { ModelCaller } from './model';
+import { NewsDesk } from './news';
 import { OrderDesk } from './orders';
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
-import { factsSchema } from './plans';
+import { FactSync } from './sync';
 import type {
   ControlCodec,
   Feed,
@@ -46,15 +48,6 @@
 const LAST_MS = 400;
 /** Period of looking whether all requests have ended, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
-/** Time without any other VM after which seeds are asked, in milliseconds. */
-const ALONE_MS = 1500;
-/** Time limit of reading what another VM knows, in milliseconds. */
-const EXCHANGE_LIMIT_MS = 1000;
-/** Silence of the store after which other VMs are asked for news, in milliseconds: longer than a watch takes. */
-const STORE_SILENT_MS = 3000;
-/** Least time between two such readings, in milliseconds. */
-const LEARN_PACE_MS = 700;
-
 /** A running router. */
 export class Router {
   #settings: RouterSettings;
@@ -81,6 +74,8 @@
 
   readonly #model: ModelCaller;
 
+  readonly #news: NewsDesk;
+
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -93,17 +88,12 @@
 
   #leaving = false;
 
-  #storeUp = false;
-
-  /** Steady time of the last reading from another VM. */
-  #learntAt = -Infinity;
-
   constructor(settings: RouterSettings, ports: RouterPorts, log: Logger) {
     this.#settings = settings;
     this.#ports = ports;
     this.#log = logOf(log, 'router');
     this.#knowledge = new Knowledge(logOf(log, 'knowledge'), {
-      onNews: (kind, source) => this.#onNews(kind, source),
+      onNews: (news) => this.#onNews(news),
       onUnfitEntry: () => this.#metrics.count('entries.unfit'),
     });
     this.#runners = new InflightClient(
@@ -117,9 +107,28 @@
     this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#calls.answer(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
-      onMembers: () => this.#warmLinks(),
-      onDiffers: (address) => this.#onDiffers(performance.now(), address),
-      onRumour: (path, revision, address) => this.#onRumour(path, revision, address),
+      onMembers: () => {
+        this.#warmLinks();
+        this.#news.membersChanged();
+      },
+      onDiffers: (address) => this.#news.differs(address),
+      onRumour: (rumour, address) => this.#news.heard(rumour, address),
+    });
+    const sync = new FactSync({
+      knowledge: this.#knowledge,
+      fleet: this.#fleet,
+      decodeConfig: (raw) => ports.ingress.decodeConfig(raw),
+    });
+    this.#news = new NewsDesk({
+      knowledge: this.#knowledge,
+      fleet: this.#fleet,
+      feed: ports.feed,
+      sync,
+      metrics: this.#metrics,
+      log: logOf(log, 'knowledge'),
+      seeds: settings.seeds,
+      self: settings.peer,
+      onDescription: () => this.#describe(),
     });
     this.#places = new Places(settings.vm, this.#fleet, this.#host, logOf(log, 'places'));
     this.#calls = new PeerCalls({
@@ -127,8 +136,7 @@
       fleet: this.#fleet,
       host: this.#host,
       places: this.#places,
-      knowledge: this.#knowledge,
-      log: logOf(log, 'peer'),
+      sync,
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
@@ -169,8 +177,9 @@
       onRunners: (facts) => this.#knowledge.learnRunners(performance.now(), facts, 'store'),
       onListed: (ids, revision) => this.#knowledge.learnList(performance.now(), ids, revision),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
-      onStore: (up, detail) => this.#storeAnswered(performance.now(), up, detail),
+      onStore: (up, detail) => this.#news.storeAnswered(performance.now(), up, detail),
     });
+    this.#news.start();
     this.#orders = new OrderDesk({
       vm,
       knowledge: this.#knowledge,
@@ -186,7 +195,6 @@
     if (listen.metrics !== undefined) {
       await this.#metrics.listen(listen.metrics, () => this.#beliefs(performance.now()));
     }
-    setTimeout(() => this.#askSeeds(), ALONE_MS).unref();
     this.#describe();
     this.#log.info({ vm, listen }, 'Started.');
   }
@@ -218,7 +226,7 @@
     this.#front.close();
     while (this.#front.active > 0 && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.active }, 'Stopped.');
-    this.#ports.feed.stop();
+    this.#news.stop();
     this.#places.stop();
     this.#host.stop();
     this.#control.close();
@@ -233,6 +241,7 @@
     return {
       vm: this.#settings.vm,
       ready: this.#ready,
+      readsStore: this.#news.reading,
       active: this.#front.active,
       ...this.#knowledge.beliefs(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
@@ -246,6 +255,7 @@
   #warmLinks(): void {
     const services = this.#knowledge.table?.config.services ?? [];
     const now = performance.now();
+    this.#fleet.cool();
     for (const { name, engine } of services) if (engine) this.#fleet.warm(now, name);
   }
 
@@ -308,68 +318,17 @@
   }
 
   #describe(): void {
-    if (!this.#leaving) this.#fleet.describe(this.#settings.listen.front, !this.#ready);
+    if (this.#leaving) return;
+    const { front } = this.#settings.listen;
+    const { storeLost } = this.#news;
+    this.#fleet.describe({ gateways: [front], draining: !this.#ready, storeLost });
   }
 
-  #onNews(kind: 'config' | 'runners', source: string): void {
-    const { configVersion, runnersRevision } = this.#knowledge;
-    if (kind === 'config') {
+  #onNews(news: News): void {
+    if (news.kind === 'config') {
       this.#describe();
       this.#warmLinks();
     } else this.#runners.endLost();
-    this.#fleet.setDigest(`${configVersion}/${runnersRevision}`);
-    if (source !== 'store' && source !== 'list') return;
-    this.#fleet.spread(kind, kind === 'config' ? configVersion : runnersRevision);
-  }
-
-  #onRumour(path: string, revision: number, address: string): void {
-    const { configVersion, runnersRevision } = this.#knowledge;
-    const own = path === 'config' ? configVersion : runnersRevision;
-    if (revision > own) this.#learnFrom(address);
-  }
-
-  /** Notes the end of each call to the store, and logs where that changes. */
-  #storeAnswered(now: number, up: boolean, detail: string): void {
-    if (up) this.#knowledge.heardStore(now);
-    else this.#knowledge.storeFailed(now);
-    this.#metrics.count(up ? 'store.answers' : 'store.failures');
-    if (up === this.#storeUp) return;
-    this.#storeUp = up;
-    if (up) this.#log.info({ detail }, 'The store answers.');
-    else this.#log.warn({ detail }, 'The store does not answer.');
-  }
-
-  /**
-   * Another VM knows other things. The store brings them by itself; a VM that
-   * does not reach it, or has just started, asks.
-   */
-  #onDiffers(now: number, address: string): void {
-    const cutOff = this.#knowledge.storeAge(now) > STORE_SILENT_MS || !this.#knowledge.table;
-    if (!cutOff || now - this.#learntAt < LEARN_PACE_MS) return;
-    this.#learntAt = now;
-    this.#learnFrom(address);
-  }
-
-  /** Reads what another VM knows; it may have heard what the store could not tell this one. */
-  #learnFrom(address: string): void {
-    this.#fleet
-      .call(address, 'facts', { configVersion: this.#knowledge.configVersion }, EXCHANGE_LIMIT_MS)
-      .then((result) => {
-        const { config, runners } = factsSchema.parse(result);
-        const decoded = config === '' ? undefined : this.#ports.ingress.decodeConfig(config);
-        const now = performance.now();
-        if (decoded) this.#knowledge.learnConfig(now, decoded, config, address);
-        const facts = runners.map(({ id, revision, runner }) => ({ id, revision, runner }));
-        this.#knowledge.learnRunners(now, facts, address);
-      })
-      .catch((error: Error) => this.#log.debug({ address }, error.message));
-  }
-
-  /** The store names the other VMs; only without it are the seeds of use. */
-  #askSeeds(): void {
-    if (this.#fleet.alive.length > 1) return;
-    const { seeds, peer } = this.#settings;
-    this.#fleet.contact(seeds);
-    seeds.filter((address) => address !== peer).forEach((address) => this.#learnFrom(address));
+    this.#news.learnt(news);
   }
 }
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -2,10 +2,13 @@
 
 import type { Logger } from 'pino';
 
-import type { Member } from '../../core/membership/types';
-import { mayOwn } from '../../core/membership/types';
-import { rank } from '../../core/rendezvous';
+import { setTimeout as pause } from 'node:timers/promises';
+
+import type { Description, Member, Rumour } from '../../core/membership/types';
+import { isPresent, mayOwn } from '../../core/membership/types';
+import { rankByCores } from '../../core/ownership';
 import { toFailure } from '../../core/failure';
+import { LineBudget } from '../budget';
 import type { Metrics } from '../metrics';
 import { PeerLink } from '../peer/link';
 import { PROTOCOL_VERSION } from '../peer/messages';
@@ -29,8 +32,8 @@
   onMembers(): void;
   /** Another VM knows other things than this one. */
   onDiffers(address: string): void;
-  /** Another VM has news of that kind and revision. */
-  onRumour(path: string, revision: number, address: string): void;
+  /** Another VM tells news. */
+  onRumour(rumour: Rumour, address: string): void;
 }
 
 /** Period of membership probes, in milliseconds: a dead VM is found in about a second and a half. */
@@ -42,6 +45,20 @@
 /** Time for which a VM that did not answer a call is passed over as an owner, in milliseconds. */
 const SHUNNED_MS = 1500;
 
+/** Time after which a link that is not used is closed, in milliseconds: VMs exchange news with all others, one after the other, and each link costs both a descriptor. */
+const IDLE_LINK_MS = 8000;
+/** Period of looking for such links, in milliseconds. */
+const REAP_MS = 2000;
+/** Lines of changed members in a second; all of a fleet that starts would make their square. */
+const MEMBER_LINES = 3;
+/** Time for which changes of members are gathered before others are told of them, in milliseconds. */
+const GATHER_MS = 50;
+
+interface OpenLink {
+  readonly link: PeerLink;
+  usedAt: number;
+}
+
 /** Members and links. */
 export class RouterFleet {
   readonly #settings: RouterSettings;
@@ -54,7 +71,19 @@
 
   readonly #server: PeerServer;
 
-  readonly #links = new Map<string, PeerLink>();
+  readonly #links = new Map<string, OpenLink>();
+
+  /** Links that other VMs opened to this one, by VM. */
+  readonly #callers = new Map<string, Peer>();
+
+  /** Addresses of VMs that may plan a service, to which links are kept. */
+  readonly #warm = new Set<string>();
+
+  readonly #lines: LineBudget;
+
+  #reaper: NodeJS.Timeout | undefined;
+
+  #gathering = false;
 
   readonly #shunned = new Map<string, number>();
 
@@ -65,13 +94,17 @@
     this.#settings = settings;
     this.#log = log;
     this.#listener = listener;
-    const { vm, domain, peer, peerKey } = settings;
+    this.#lines = new LineBudget(MEMBER_LINES, (lines) =>
+      log.info({ lines, present: this.alive.length }, 'More members changed.'),
+    );
+    const { vm, domain, peer, peerKey, cores } = settings;
     const [host = '', port = '0'] = peer.split(':');
     this.#members = new MembershipDriver({
       membership: {
         vm,
         domain,
         address: peer,
+        cores,
         probeMs: PROBE_MS,
         suspectMs: SUSPECT_MS,
         random: Math.random,
@@ -84,7 +117,7 @@
       metrics,
       listener: {
         onChange: (member) => this.#changed(member),
-        onRumour: ({ path, revision }, address) => listener.onRumour(path, revision, address),
+        onRumour: (rumour, address) => listener.onRumour(rumour, address),
         onDiffers: (address) => listener.onDiffers(address),
       },
     });
@@ -95,9 +128,9 @@
       vm,
       log,
       handler: {
-        onOpen: () => {},
+        onOpen: (from) => this.#callers.set(from.vm, from),
         onMessage: () => {},
-        onClose: (from) => this.#linkClosed(from.vm),
+        onClose: (from) => this.#linkClosed(from),
         onCall: (from, method, params) =>
           listener.onCall(from.vm, method, params, (name, value) => this.#push(from, name, value)),
       },
@@ -108,21 +141,27 @@
     await this.#server.listen();
     await this.#members.start();
     this.contact(this.#settings.seeds);
+    this.#reaper = setInterval(() => this.#reap(performance.now()), REAP_MS);
   }
 
   async stop(): Promise<void> {
     this.#members.stop();
-    for (const link of this.#links.values()) link.close();
+    clearInterval(this.#reaper);
+    for (const { link } of this.#links.values()) link.close();
     await this.#server.close();
   }
 
+  get self(): Member {
+    return this.#members.members.self;
+  }
+
   get all(): readonly Member[] {
     return this.#members.members.all;
   }
 
   /** VMs that live, this one included. */
   get alive(): readonly Member[] {
-    return this.all.filter(({ state }) => state === 'alive' || state === 'suspect');
+    return this.all.filter(isPresent);
   }
 
   /** Says hello to addresses at which other VMs may be. */
@@ -131,6 +170,11 @@
     this.#members.tell({ kind: 'contact', addresses: others });
   }
 
+  /** Takes over the members that another VM knows. */
+  sync(members: readonly Member[]): void {
+    this.#members.tell({ kind: 'synced', members });
+  }
+
   /** VMs that the store names; what probes say of them goes first. */
   list(vms: readonly { readonly vm: string; readonly address: string }[]): void {
     const known = new Set(this.all.map(({ address }) => address));
@@ -142,9 +186,9 @@
     });
   }
 
-  /** Tells the others whether this VM takes callers and at which address. */
-  describe(front: string, draining: boolean): void {
-    this.#members.tell({ kind: 'described', gateways: [front], draining });
+  /** Tells the others of this VM. */
+  describe(description: Description): void {
+    this.#members.tell({ kind: 'described', description });
   }
 
   /** What this VM knows, in short, for others to compare. */
@@ -156,8 +200,8 @@
     this.#members.tell({ kind: 'leaving' });
   }
 
-  spread(path: string, revision: number): void {
-    this.#members.tell({ kind: 'rumour', rumour: { path, revision } });
+  spread(rumours: readonly Rumour[]): void {
+    if (rumours.length > 0) this.#members.tell({ kind: 'rumours', rumours });
   }
 
   /** Addresses for callers, of VMs that live and stay. */
@@ -176,19 +220,23 @@
   /** Opens links to the VMs that may plan a key before they are needed: a request that had to wait for one would lose its time. */
   warm(now: number, key: string): void {
     const owners = this.ownersOf(now, key).slice(0, WARM_OWNERS);
-    owners
-      .filter(({ vm }) => vm !== this.#settings.vm)
-      .forEach(({ address }) => this.#linkTo(address));
+    const others = owners.filter(({ vm }) => vm !== this.#settings.vm);
+    for (const { address } of others) {
+      this.#warm.add(address);
+      this.#linkTo(now, address);
+    }
+  }
+
+  /** Forgets to which VMs links are kept; they are named anew. */
+  cool(): void {
+    this.#warm.clear();
   }
 
   /** Worked out once for each membership: a fleet of 65 costs 65 hashes. */
   #ranked(key: string): readonly Member[] {
     const known = this.#ranking.get(key);
     if (known) return known;
-    const candidates = this.all
-      .filter(mayOwn)
-      .map((member) => ({ id: member.vm, weight: 1, member }));
-    const owners = rank(key, candidates).map(({ member }) => member);
+    const owners = rankByCores(key, this.all.filter(mayOwn));
     this.#ranking.set(key, owners);
     return owners;
   }
@@ -197,9 +245,16 @@
     this.#shunned.set(vm, now + SHUNNED_MS);
   }
 
-  /** Calls another VM. */
-  call(address: string, method: string, params: unknown, limitMs: number): Promise<unknown> {
-    return this.#linkTo(address).call(method, params, limitMs);
+  /** Calls another VM; a link that is being opened is waited for. */
+  async call(address: string, method: string, params: unknown, limitMs: number): Promise<unknown> {
+    const link = this.#linkTo(performance.now(), address);
+    if (!link.up) await Promise.race([link.opened, pause(limitMs, undefined, { ref: false })]);
+    return link.call(method, params, limitMs);
+  }
+
+  /** Calls all VMs that have a link to this one, over those links. */
+  callBack(method: string, params: unknown): void {
+    for (const peer of this.#callers.values()) this.#push(peer, method, params);
   }
 
   #push(peer: Peer, method: string, params: unknown): void {
@@ -208,14 +263,28 @@
     });
   }
 
-  #linkClosed(vm: string): void {
+  #linkClosed(peer: Peer): void {
+    const { vm } = peer;
+    if (this.#callers.get(vm) === peer) this.#callers.delete(vm);
     const state = this.#members.members.get(vm)?.state;
     if (state === 'left' || state === 'dead') this.#listener.onLost(vm);
   }
 
-  #linkTo(address: string): PeerLink {
+  #reap(now: number): void {
+    for (const [address, { link, usedAt }] of this.#links) {
+      if (now - usedAt > IDLE_LINK_MS && !this.#warm.has(address)) {
+        link.close();
+        this.#links.delete(address);
+      }
+    }
+  }
+
+  #linkTo(now: number, address: string): PeerLink {
     const known = this.#links.get(address);
-    if (known) return known;
+    if (known) {
+      known.usedAt = now;
+      return known.link;
+    }
     const { vm, peerKey, peer } = this.#settings;
     const link = new PeerLink({
       address,
@@ -225,20 +294,32 @@
       onMessage: () => {},
       onCall: (method, params) => this.#listener.onCall(address, method, params, () => {}),
     });
-    this.#links.set(address, link);
+    this.#links.set(address, { link, usedAt: now });
     return link;
   }
 
   #changed(member: Member): void {
     const { vm, address, state, draining, incarnation } = member;
-    this.#log.info({ vm, state, draining, incarnation }, 'Member changed.');
+    if (this.#lines.allows(performance.now())) {
+      this.#log.info({ vm, state, draining, incarnation }, 'Member changed.');
+    }
     if (state === 'dead' || state === 'left') {
-      this.#links.get(address)?.close();
+      this.#links.get(address)?.link.close();
       this.#links.delete(address);
     }
     // A VM that has left still serves what it has; it is lost when its link closes.
     if (state === 'dead') this.#listener.onLost(vm);
     this.#ranking.clear();
-    this.#listener.onMembers();
+    this.#gather();
+  }
+
+  /** Changes of members come in swarms; what follows from them is worked out once for all. */
+  #gather(): void {
+    if (this.#gathering) return;
+    this.#gathering = true;
+    setTimeout(() => {
+      this.#gathering = false;
+      this.#listener.onMembers();
+    }, GATHER_MS).unref();
   }
 }
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -10,6 +10,7 @@
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
+import { LineBudget } from '../budget';
 
 /** How long after trouble with the store a vanished entry may be one that lapsed meanwhile, in milliseconds. */
 const LAPSE_MS = 3000;
@@ -28,10 +29,16 @@
  */
 const RETURNED_GRACE_MS = 1000;
 
+/** A newer configuration, or runners that changed. */
+export type News =
+  { readonly kind: 'config' } | { readonly kind: 'runners'; readonly facts: readonly RunnerFact[] };
+
+/** Lines of changed runners in a second; a fleet that starts would fill the log with them. */
+const RUNNER_LINES = 10;
+
 /** What knowledge tells of its changes. */
 export interface KnowledgeListener {
-  /** A newer configuration or a change of the runners came in, and from where. */
-  onNews(kind: 'config' | 'runners', source: string): void;
+  onNews(news: News): void;
   /** An entry came in that names no runner to use. */
   onUnfitEntry(): void;
 }
@@ -57,9 +64,14 @@
 
   readonly #listener: KnowledgeListener;
 
+  readonly #lines: LineBudget;
+
   constructor(log: Logger, listener: KnowledgeListener) {
     this.#log = log;
     this.#listener = listener;
+    this.#lines = new LineBudget(RUNNER_LINES, (lines) =>
+      log.info({ lines, runnersRevision: this.runnersRevision }, 'More runners changed.'),
+    );
   }
 
   /** Undefined until a configuration is known. */
@@ -79,8 +91,24 @@
     return this.#directory.revision;
   }
 
-  get facts(): readonly RunnerFact[] {
-    return this.#directory.facts;
+  /** Grows with each change of a runner that matters to routing. */
+  get runnerChanges(): number {
+    return this.#directory.changes;
+  }
+
+  /** All that this VM knows in short, for others to compare. */
+  get digest(): string {
+    return `${this.configVersion}/${this.#directory.digest.text}`;
+  }
+
+  /** The digest of the runners, by parts. */
+  get digestParts(): readonly number[] {
+    return this.#directory.digest.parts;
+  }
+
+  /** Facts of the parts of the digest in which another VM's differ, at most about `most`. */
+  factsBeside(now: number, theirs: readonly number[], most: number): readonly RunnerFact[] {
+    return this.#directory.factsIn(now, this.#directory.digest.differing(theirs), most);
   }
 
   heardStore(now: number): void {
@@ -112,38 +140,41 @@
     const { version, routes } = config;
     const storeAgeMs = Math.round(this.storeAge(now));
     this.#log.info({ version, before, routes: routes.length, source, storeAgeMs }, 'New config.');
-    this.#listener.onNews('config', source);
+    this.#listener.onNews({ kind: 'config' });
     return true;
   }
 
   /** Takes facts of runners over, each if it is newer. */
   learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
-    let changed = false;
+    const changed: RunnerFact[] = [];
     for (const fact of facts) {
       const { id, revision, runner, unreadable } = fact;
       if (unreadable !== undefined && !this.#directory.isKnown(fact)) {
         this.#noteUnfit(id, revision, unreadable);
       }
       const gone = !runner && unreadable === undefined;
-      const graceMs = gone ? this.#graceMs(now, revision) : 0;
+      // Another VM that tells of it knows whether its store had trouble; this one may not read it at all.
+      const graceMs = gone ? (fact.graceMs ?? this.#graceMs(now, revision)) : 0;
       if (this.#directory.learn(now, fact, graceMs)) {
-        changed = true;
+        changed.push(gone ? { ...fact, graceMs } : fact);
         this.#checkService(fact);
         const leaving = runner?.leaving;
-        this.#log.info(
-          { runner: id, revision, gone: !runner, leaving, graceMs, source },
-          'Runner changed.',
-        );
+        if (this.#lines.allows(now)) {
+          this.#log.info(
+            { runner: id, revision, gone: !runner, leaving, graceMs, source },
+            'Runner changed.',
+          );
+        }
       }
     }
-    if (changed) this.#listener.onNews('runners', source);
+    if (changed.length > 0) this.#listener.onNews({ kind: 'runners', facts: changed });
   }
 
   /** A runner told of its start itself; the one that is listed may be over by it. */
   learnStart(listing: string, bornAt: number): void {
     if (!this.#directory.learnStart(listing, bornAt)) return;
     this.#log.info({ runner: listing, bornAt, source: 'report' }, 'Runner started anew.');
-    this.#listener.onNews('runners', 'report');
+    this.#listener.onNews({ kind: 'runners', facts: [] });
   }
 
   /** The latest start that is known of a listing, in Unix milliseconds; 0 if none is. */
--- /dev/null
+++ b/src/node/router/news.ts
@@ -0,0 +1,211 @@
+/**
+ * Keeps this VM's knowledge in step with the fleet: reads the store if it is one
+ * of the readers, tells other VMs of changes, and hears of theirs.
+ */
+
+import type { Logger } from 'pino';
+
+import { toFailure } from '../../core/failure';
+import { readersOf, shouldRead } from '../../core/membership/readers';
+import type { Rumour } from '../../core/membership/types';
+import { isPresent } from '../../core/membership/types';
+import { NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
+import type { Metrics } from '../metrics';
+import type { RouterFleet } from './fleet';
+import type { Knowledge, News } from './knowledge';
+import type { FactSync } from './sync';
+import { decodeFact, encodeFact } from './sync';
+import type { Feed } from './types';
+
+/** What the desk works with. */
+export interface NewsContext {
+  readonly knowledge: Knowledge;
+  readonly fleet: RouterFleet;
+  readonly feed: Feed;
+  readonly sync: FactSync;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+  /** Addresses of VMs that may be up already. */
+  readonly seeds: readonly string[];
+  /** This VM's own address. */
+  readonly self: string;
+  /** What this VM tells of itself has changed. */
+  readonly onDescription: () => void;
+}
+
+/** Period of looking whether this VM is to read the store, in milliseconds: little beside the time in which a dead reader is found. */
+const DUTY_MS = 250;
+/** Exchanges with members while this VM is new, and the time between two, in milliseconds: news of many that start together goes round slowly. */
+const JOIN_ROUNDS = 8;
+const JOIN_PACE_MS = 500;
+/** Failed calls one after the other after which the store counts as lost: one watch alone may be cut. */
+const LOST_CALLS = 2;
+/** Time after which a VM that read in place of another, and lost the store too, may be chosen again, in milliseconds. */
+const LOST_MS = 4000;
+
+/** The news of one VM. */
+export class NewsDesk {
+  readonly #context: NewsContext;
+
+  readonly #spread = new NewsSpread();
+
+  readonly #startedAt = performance.now();
+
+  readonly #duty: NodeJS.Timeout;
+
+  #join: NodeJS.Timeout | undefined;
+
+  #joined = 0;
+
+  #fetchTimer: NodeJS.Timeout | undefined;
+
+  #reading = false;
+
+  #shouldRead = false;
+
+  #storeUp = false;
+
+  #failedCalls = 0;
+
+  #lostAt = -Infinity;
+
+  /** Whether the members changed since the readers were worked out; that takes a hash for each VM of the failure domain. */
+  #membersChanged = true;
+
+  constructor(context: NewsContext) {
+    this.#context = context;
+    this.#duty = setInterval(() => this.#checkDuty(performance.now()), DUTY_MS);
+  }
+
+  start(): void {
+    this.#join = setInterval(() => this.#joinOnce(), JOIN_PACE_MS);
+    this.#joinOnce();
+  }
+
+  stop(): void {
+    clearInterval(this.#duty);
+    clearInterval(this.#join);
+    clearTimeout(this.#fetchTimer);
+    this.#context.feed.stop();
+  }
+
+  /** Whether this VM's calls to the store fail. */
+  get storeLost(): boolean {
+    return this.#failedCalls >= LOST_CALLS;
+  }
+
+  /** Whether this VM reads the store for others. */
+  get reading(): boolean {
+    return this.#reading;
+  }
+
+  /** The members changed: others may be readers now. */
+  membersChanged(): void {
+    this.#membersChanged = true;
+  }
+
+  /** Something came in, from wherever: tells it on. */
+  learnt(news: News): void {
+    const { fleet, knowledge } = this.#context;
+    fleet.setDigest(knowledge.digest);
+    const rumours =
+      news.kind === 'config'
+        ? this.#spread.configRumours(knowledge.configVersion)
+        : this.#spread.runnerRumours(news.facts, encodeFact);
+    fleet.spread(rumours);
+  }
+
+  /** A member tells news. */
+  heard(rumour: Rumour, address: string): void {
+    const { knowledge, log } = this.#context;
+    const now = performance.now();
+    if (!rumour.path.startsWith(RUNNER_PATH) || rumour.text === undefined) {
+      this.#spread.heard(rumour, address, knowledge);
+      this.#fetchDue();
+      return;
+    }
+    try {
+      knowledge.learnRunners(now, [decodeFact(rumour.text)], address);
+    } catch (error) {
+      log.warn({ address, path: rumour.path }, toFailure(error).line);
+    }
+  }
+
+  /** A member knows other things. */
+  differs(address: string): void {
+    this.#spread.differs(performance.now(), address);
+    this.#fetchDue();
+  }
+
+  /** A call to the store has ended; logs where that changes. */
+  storeAnswered(now: number, up: boolean, detail: string): void {
+    const { knowledge, log, metrics } = this.#context;
+    if (up) knowledge.heardStore(now);
+    else knowledge.storeFailed(now);
+    metrics.count(up ? 'store.answers' : 'store.failures');
+    this.#setFailed(now, up ? 0 : this.#failedCalls + 1);
+    if (up === this.#storeUp) return;
+    this.#storeUp = up;
+    if (up) log.info({ detail }, 'The store answers.');
+    else log.warn({ detail }, 'The store does not answer.');
+  }
+
+  #setFailed(now: number, calls: number): void {
+    const before = this.storeLost;
+    this.#failedCalls = calls;
+    if (this.storeLost) this.#lostAt = now;
+    if (this.storeLost === before) return;
+    this.#context.onDescription();
+    this.#membersChanged = true;
+    this.#checkDuty(now);
+  }
+
+  #checkDuty(now: number): void {
+    const { fleet, feed, log } = this.#context;
+    const { self, all } = fleet;
+    const waitsForOthers = !this.#reading && all.length === 1;
+    if (this.#membersChanged || waitsForOthers) {
+      this.#membersChanged = false;
+      this.#shouldRead = shouldRead(now, this.#startedAt, self, all);
+    }
+    const reading = this.#shouldRead;
+    if (this.storeLost && now - this.#lostAt > LOST_MS && !reading) this.#setFailed(now, 0);
+    if (reading === this.#reading) return;
+    this.#reading = reading;
+    feed.setReading(reading);
+    const { chosen, deputies } = readersOf(self.domain, all);
+    const names = [...chosen, ...deputies].map(({ vm }) => vm);
+    log.info({ reading, readers: names }, 'Readers of the store changed.');
+  }
+
+  /** A VM that is new learns of the others from those that are there. */
+  #joinOnce(): void {
+    const { fleet, seeds, self } = this.#context;
+    const present = fleet.all.filter((member) => member.address !== self && isPresent(member));
+    const known = present.map(({ address }) => address);
+    const strangers = seeds.filter((address) => address !== self);
+    const choice = known.length > 0 && this.#joined > 0 ? known : strangers;
+    const address = choice[Math.floor(Math.random() * choice.length)];
+    this.#joined += 1;
+    if (this.#joined >= JOIN_ROUNDS) clearInterval(this.#join);
+    if (known.length === 0) fleet.contact(seeds);
+    if (address !== undefined) this.#fetch(address, true);
+  }
+
+  #fetchDue(): void {
+    const now = performance.now();
+    const address = this.#spread.takeDue(now);
+    if (address !== undefined) this.#fetch(address, false);
+    clearTimeout(this.#fetchTimer);
+    const { dueAt } = this.#spread;
+    if (Number.isFinite(dueAt)) {
+      this.#fetchTimer = setTimeout(() => this.#fetchDue(), Math.max(1, dueAt - now)).unref();
+    }
+  }
+
+  #fetch(address: string, members: boolean): void {
+    const { sync, metrics, log } = this.#context;
+    metrics.count('news.fetches');
+    sync.fetch(address, members).catch((error) => log.debug({ address }, toFailure(error).line));
+  }
+}
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -27,9 +27,9 @@
   /** When any VM was last heard of about it. */
   heardAt: number;
   reportedAt: number;
-  /** When the planner was last told its runners, and the revision it was told. */
+  /** When the planner was last told its runners, and the count of their changes by then. */
   runnersAt: number;
-  revision: number;
+  changes: number;
 }
 
 /** Period in which waiting requests are looked at again, in milliseconds: callers' patience runs out without an event. */
@@ -40,7 +40,7 @@
 const REPORT_MS = 1000;
 /** Time from the beginning of a plan to the first reports, in milliseconds: once the VMs have told, what they told is not taken for somebody else's. */
 const FIRST_REPORT_MS = 300;
-/** A VM that tells nothing for this long holds nothing any more, in milliseconds; it tells every two seconds. */
+/** A VM that tells nothing for this long holds nothing any more, in milliseconds; while it holds something, it tells every two seconds. */
 const SILENT_MS = 7000;
 
 /** All planners of this VM. */
@@ -219,7 +219,7 @@
       heardAt: now,
       reportedAt: now - REPORT_MS + FIRST_REPORT_MS,
       runnersAt: -Infinity,
-      revision: -1,
+      changes: -1,
     };
     this.#plans.set(service, plan);
     this.#log.info({ service }, 'Began to plan.');
@@ -278,11 +278,11 @@
     engine: Engine,
     record: Plan,
   ): readonly PlanAction[] {
-    const { runnersRevision } = this.#knowledge;
-    const due = now - record.runnersAt >= RUNNERS_MS || record.revision !== runnersRevision;
+    const { runnerChanges } = this.#knowledge;
+    const due = now - record.runnersAt >= RUNNERS_MS || record.changes !== runnerChanges;
     if (!due) return [];
     record.runnersAt = now;
-    record.revision = runnersRevision;
+    record.changes = runnerChanges;
     const runners = this.#knowledge.runnersOf(now, service);
     return record.planner.handle(now, { kind: 'runners', engine, runners });
   }
@@ -315,8 +315,7 @@
       for (const [vm, at] of plan.heard) {
         if (now - at > SILENT_MS) {
           plan.heard.delete(vm);
-          this.#log.info({ service, vm }, 'Forgot the places of a silent VM.');
-          this.#handle(now, service, plan, { kind: 'vmLost', vm });
+          this.#forget(now, service, plan, vm);
         }
       }
       if (plan.planner.waiting > 0) this.#handle(now, service, plan, { kind: 'woke' });
@@ -328,6 +327,13 @@
     }
   }
 
+  /** A VM that holds nothing tells nothing; one that held something and is silent is gone. */
+  #forget(now: number, service: string, plan: Plan, vm: string): void {
+    if (!plan.planner.holdsFor(vm)) return;
+    this.#log.info({ service, vm }, 'Forgot the places of a silent VM.');
+    this.#handle(now, service, plan, { kind: 'vmLost', vm });
+  }
+
   #readReports(now: number, service: string, plan: Plan): void {
     for (const runner of this.#knowledge.runnersOf(now, service, 'decode')) {
       this.#runners
--- a/src/node/router/places.ts
+++ b/src/node/router/places.ts
@@ -50,6 +50,9 @@
   /** Who was told of each service's places last. */
   readonly #told = new Map<string, string>();
 
+  /** Services of which something was held at the last period. */
+  #holding: ReadonlySet<string> = new Set();
+
   readonly #timer: NodeJS.Timeout;
 
   constructor(vm: string, fleet: RouterFleet, host: PlanHost, log: Logger) {
@@ -232,8 +235,12 @@
     return owner;
   }
 
+  /** A VM that holds nothing tells so once, in case that its last note was lost, and is silent then. */
   #tellAll(now: number): void {
-    for (const service of this.#told.keys()) {
+    const holding = new Set([...this.#held.values()].map(({ service }) => service));
+    const told = new Set([...holding, ...this.#holding]);
+    this.#holding = holding;
+    for (const service of told) {
       const owner = this.#ownerOf(now, service);
       if (owner) this.tell(now, service, owner);
     }
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -1,4 +1,4 @@
-/** Messages between VMs: places asked of the VM that plans a service, and what each knows. */
+/** Messages between VMs: places asked of the VM that plans a service. */
 
 import { z } from 'zod';
 
@@ -65,24 +65,6 @@
   z.object({ state: z.literal('waiting'), id }),
 ]);
 
-const runnerSchema = z.object({
-  id: z.string(),
-  listing: z.string(),
-  bornAt: z.number(),
-  service: z.string(),
-  address: z.string(),
-  domain: z.string(),
-  role: z.enum(['prefill', 'decode', 'plain']),
-  slots: z.number(),
-  leaving: z.boolean(),
-});
-/** What one VM tells another of what it knows. */
-export const factsSchema = z.object({
-  config: z.string(),
-  runners: z.array(
-    z.object({ id: z.string(), revision: z.number(), runner: runnerSchema.optional() }),
-  ),
-});
 /** A verdict that comes after a wait. */
 export const pushSchema = z.object({ service: z.string(), verdict: verdictSchema });
 
--- /dev/null
+++ b/src/node/router/sync.ts
@@ -0,0 +1,144 @@
+/** The exchange of what two VMs know: configuration, runners and members in one call. */
+
+import { gunzipSync, gzipSync } from 'node:zlib';
+
+import { z } from 'zod';
+
+import { Failure } from '../../core/failure';
+import type { Member } from '../../core/membership/types';
+import { DIGEST_PARTS } from '../../core/routing/digest';
+import type { RunnerFact } from '../../core/routing/directory';
+import type { RoutingConfig } from '../../core/routing/types';
+import { memberSchema } from '../scheduler/members';
+import type { RouterFleet } from './fleet';
+import type { Knowledge } from './knowledge';
+
+/** What an exchange works with. */
+export interface SyncContext {
+  readonly knowledge: Knowledge;
+  readonly fleet: RouterFleet;
+  /** Decodes a configuration; undefined if it cannot be read. */
+  readonly decodeConfig: (raw: string) => RoutingConfig | undefined;
+}
+
+/** Time limit of one exchange, in milliseconds. */
+const LIMIT_MS = 1000;
+/** Facts in one answer, about: some 250 bytes each within the largest message; the rest comes with the next exchange. */
+const FACTS_MOST = 2000;
+/** Most bytes of a configuration once it is unpacked. */
+const CONFIG_BYTES = 16 * 1024 * 1024;
+
+const runnerSchema = z.object({
+  id: z.string(),
+  listing: z.string(),
+  bornAt: z.number(),
+  service: z.string(),
+  address: z.string(),
+  domain: z.string(),
+  role: z.enum(['prefill', 'decode', 'plain']),
+  slots: z.number(),
+  leaving: z.boolean(),
+});
+const factSchema = z.object({
+  id: z.string(),
+  revision: z.number(),
+  /** Left out if the runner is gone. */
+  runner: runnerSchema.optional(),
+  graceMs: z.number().optional(),
+});
+const requestSchema = z.object({
+  configVersion: z.number(),
+  /** Digest of the runners that the asking VM knows, by parts. */
+  parts: z.array(z.number()).length(DIGEST_PARTS),
+  /** Whether the members are asked for. */
+  members: z.boolean(),
+});
+const answerSchema = z.object({
+  /** Packed with gzip: a configuration of 1,400 routes takes a tenth so. Left out if it is not newer. */
+  config: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
+  facts: z.array(factSchema),
+  members: z.array(memberSchema).optional(),
+});
+
+type Answer = Readonly<z.infer<typeof answerSchema>>;
+type WireFact = Answer['facts'][number];
+
+function toWire({ id, revision, runner, graceMs }: RunnerFact): WireFact {
+  return {
+    id,
+    revision,
+    ...(runner ? { runner } : {}),
+    ...(graceMs === undefined ? {} : { graceMs }),
+  };
+}
+
+function toWireMember(member: Member): z.infer<typeof memberSchema> {
+  return { ...member, gateways: [...member.gateways] };
+}
+
+function fromWire({ id, revision, runner, graceMs }: WireFact): RunnerFact {
+  return { id, revision, runner, graceMs };
+}
+
+/** One fact as the text of a message. */
+export function encodeFact(fact: RunnerFact): string {
+  return JSON.stringify(toWire(fact));
+}
+
+/** Rejects with `peerRejected` by throwing. */
+export function decodeFact(text: string): RunnerFact {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch {
+    throw new Failure('peerRejected', 'found a fact that is no JSON');
+  }
+  const parsed = factSchema.safeParse(value);
+  if (!parsed.success) throw new Failure('peerRejected', 'found a fact that does not fit');
+  return fromWire(parsed.data);
+}
+
+/** Both sides of the exchange. */
+export class FactSync {
+  readonly #context: SyncContext;
+
+  /** The configuration that was packed last. */
+  #packed: { readonly version: number; readonly bytes: Uint8Array } | undefined;
+
+  constructor(context: SyncContext) {
+    this.#context = context;
+  }
+
+  /** What this VM knows beside what the asking one does. */
+  answer(now: number, params: unknown): Answer {
+    const { knowledge, fleet } = this.#context;
+    const { configVersion, parts, members } = requestSchema.parse(params);
+    return {
+      ...(configVersion < knowledge.configVersion ? { config: this.#pack() } : {}),
+      facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
+      ...(members ? { members: fleet.all.map(toWireMember) } : {}),
+    };
+  }
+
+  /** Asks another VM and takes over what is newer there. */
+  async fetch(address: string, members: boolean): Promise<void> {
+    const { knowledge, fleet, decodeConfig } = this.#context;
+    const { configVersion, digestParts } = knowledge;
+    const request = { configVersion, parts: digestParts, members };
+    const answer = answerSchema.parse(await fleet.call(address, 'facts', request, LIMIT_MS));
+    const now = performance.now();
+    if (answer.config) {
+      const raw = gunzipSync(answer.config, { maxOutputLength: CONFIG_BYTES }).toString();
+      const config = decodeConfig(raw);
+      if (config) knowledge.learnConfig(now, config, raw, address);
+    }
+    knowledge.learnRunners(now, answer.facts.map(fromWire), address);
+    if (answer.members) fleet.sync(answer.members);
+  }
+
+  #pack(): Uint8Array {
+    const { configVersion: version, rawConfig } = this.#context.knowledge;
+    if (this.#packed?.version !== version) this.#packed = { version, bytes: gzipSync(rawConfig) };
+    return this.#packed.bytes;
+  }
+}
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -24,6 +24,8 @@
   /** Peer addresses of VMs that may be up already. */
   readonly seeds: readonly string[];
   readonly peerKey: string;
+  /** Processor cores of this VM, as a part or a multiple of one. */
+  readonly cores: number;
   readonly retries: RetryBounds;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
@@ -151,7 +153,10 @@
 
 /** Source of configuration, runners and VMs. */
 export interface Feed {
+  /** Nothing is read until `setReading`. */
   start(listener: FeedListener): void;
+  /** Begins to read everything and then changes, or ends that after the call under way. */
+  setReading(reading: boolean): void;
   stop(): void;
 }
 
--- a/src/node/scheduler/daemon.ts
+++ b/src/node/scheduler/daemon.ts
@@ -149,6 +149,7 @@
         vm: this.#config.vm,
         domain: this.#config.domain,
         address: `${host}:${port}`,
+        cores: 1,
         probeMs: this.#config.probeMs,
         suspectMs: this.#config.suspectMs,
         random: Math.random,
@@ -262,7 +263,8 @@
   #describe(): void {
     const open = [...this.#gateways.values()].filter(({ id }) => !this.#drainingGateways.has(id));
     const gateways = open.flatMap(({ address }) => (address === undefined ? [] : [address]));
-    this.#members?.tell({ kind: 'described', gateways, draining: this.#leaving });
+    const description = { gateways, draining: this.#leaving, storeLost: false };
+    this.#members?.tell({ kind: 'described', description });
   }
 
   #receive(peer: Peer, message: ToScheduler): void {
@@ -292,9 +294,8 @@
   #applied(documents: readonly StoredDocument[]): void {
     this.#owners.settingsChanged();
     this.#members?.members.setDigest(this.#settings.settings.digest);
-    for (const { path, revision } of documents) {
-      this.#members?.tell({ kind: 'rumour', rumour: { path, revision } });
-    }
+    const rumours = documents.map(({ path, revision }) => ({ path, revision }));
+    if (rumours.length > 0) this.#members?.tell({ kind: 'rumours', rumours });
     for (const gateway of this.#gateways.values()) {
       gateway.send({ kind: 'settings', documents: [...documents] });
     }
--- a/src/node/scheduler/members.ts
+++ b/src/node/scheduler/members.ts
@@ -9,11 +9,11 @@
 import { z } from 'zod';
 
 import { Membership } from '../../core/membership/membership';
-import type { MembershipOptions } from '../../core/membership/membership';
 import type {
   Member,
   MembershipAction,
   MembershipEvent,
+  MembershipOptions,
   Packet,
   Rumour,
 } from '../../core/membership/types';
@@ -39,7 +39,8 @@
 
 const TAG_BYTES = 16;
 
-const memberSchema = z.object({
+/** A member on the wire. */
+export const memberSchema = z.object({
   vm: z.string().max(64),
   domain: z.string().max(64),
   address: z.string().max(100),
@@ -47,6 +48,8 @@
   state: z.enum(['alive', 'suspect', 'left', 'dead']),
   draining: z.boolean(),
   gateways: z.array(z.string().max(100)).max(16),
+  cores: z.number(),
+  storeLost: z.boolean(),
 });
 const packetSchema = z.object({
   kind: z.enum(['ping', 'ack', 'probe', 'news']),
@@ -56,7 +59,15 @@
   target: z.string().max(100).optional(),
   digest: z.string().max(40),
   members: z.array(memberSchema).max(16),
-  rumours: z.array(z.object({ path: z.string().max(200), revision: z.int() })).max(32),
+  rumours: z
+    .array(
+      z.object({
+        path: z.string().max(300),
+        revision: z.int(),
+        text: z.string().max(4000).optional(),
+      }),
+    )
+    .max(32),
 });
 
 const packr = new Packr({ useRecords: false });
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -32,7 +32,10 @@
 
   #listener: FeedListener | undefined;
 
-  #stopped = false;
+  #reading = false;
+
+  /** Whether the loop of readings runs; one that was told to end may still have a call under way. */
+  #running = false;
 
   #registered = false;
 
@@ -50,15 +53,25 @@
 
   start(listener: FeedListener): void {
     this.#listener = listener;
-    this.#run().catch((error) => this.#log.error(toFailure(error).line));
+  }
+
+  setReading(reading: boolean): void {
+    this.#reading = reading;
+    if (!reading || this.#running) return;
+    this.#running = true;
+    this.#run()
+      .catch((error) => this.#log.error(toFailure(error).line))
+      .finally(() => {
+        this.#running = false;
+      });
   }
 
   stop(): void {
-    this.#stopped = true;
+    this.#reading = false;
   }
 
   async #run(): Promise<void> {
-    while (!this.#stopped) {
+    while (this.#reading) {
       try {
         await this.#follow();
       } catch (error) {
@@ -74,8 +87,7 @@
   async #follow(): Promise<void> {
     let { revision } = await this.#readAll();
     this.#waitMs = RETRY_MS;
-    this.#register();
-    while (!this.#stopped) {
+    while (this.#reading) {
       const since = performance.now();
       const news = await this.#store.watch(ALL, revision, WATCH_MS);
       if (!news) {
@@ -93,6 +105,7 @@
   async #readAll(): Promise<{ revision: number }> {
     const { items, revision } = await this.#store.range(ALL);
     this.#listener?.onStore(true, 'answers');
+    this.#register(items);
     this.#tell(items);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
     this.#listener?.onListed(new Set(ids), revision);
@@ -121,11 +134,17 @@
     if (value !== undefined) this.#listener?.onConfig(decodeConfig(value), value);
   }
 
-  /** Lists this VM, so that others find it. The entry needs no lease: probes tell who lives. */
-  #register(): void {
-    if (this.#registered) return;
+  /**
+   * Lists this VM, so that others find it. The entry needs no lease: probes tell
+   * who lives. Only readers are listed; whoever finds one of them finds all.
+   */
+  #register(items: readonly Item[]): void {
+    const name = `${key.vms}${this.#self.vm}`;
+    const entry = encodeVm(this.#self.address);
+    const isListed = items.some((item) => item.key === name && item.value === entry);
+    if (this.#registered || isListed) return;
     this.#registered = true;
-    this.#store.put(`${key.vms}${this.#self.vm}`, encodeVm(this.#self.address)).catch((error) => {
+    this.#store.put(name, entry).catch((error) => {
       this.#registered = false;
       this.#log.warn(toFailure(error).line);
     });
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -35,6 +35,13 @@
     ttl_max_s: z.number().default(5),
   }),
   platform: z.object({ address }),
+  limits: z
+    .object({
+      /** Part of each core that this VM may use. */
+      'cpu-share': z.number().positive().default(1),
+      cores: z.number().positive().default(1),
+    })
+    .prefault({}),
 });
 
 /** Settings of the router and where the store is. */
@@ -52,7 +59,7 @@
 /** Resolves the text of a settings file. */
 export function resolveSettings(text: string, source: string): PlatformSettings {
   const file = check(fileSchema, parseText(text, source), source);
-  const { bounds, ip, listen } = file;
+  const { bounds, ip, listen, limits } = file;
   const port = file['internal-port-range'][0] ?? 0;
   const router: RouterSettings = {
     vm: file['node-name'],
@@ -66,6 +73,7 @@
     peer: `${ip}:${port}`,
     seeds: file.seeds.map((seed) => `${seed.split(':')[0]}:${port}`),
     peerKey: createHash('sha256').update(`peers of ${file.platform.address}`).digest('hex'),
+    cores: limits['cpu-share'] * limits.cores,
     retries: {
       ratio: bounds['retry-budget-ratio'],
       extra: bounds['retry-budget-extra'],
--- a/test/core/membership.test.ts
+++ b/test/core/membership.test.ts
@@ -81,6 +81,8 @@
     state: 'alive' as const,
     draining: false,
     gateways: [],
+    cores: 1,
+    storeLost: false,
   }));
 
   test('of a key moves only when its owner goes', () => {
--- a/test/fakes/virtual/fleet.ts
+++ b/test/fakes/virtual/fleet.ts
@@ -71,6 +71,7 @@
         vm: `vm${number}`,
         domain: `domain-${number % 3}`,
         address: `${number}:1`,
+        cores: 1,
         probeMs: PROBE_MS,
         suspectMs: SUSPECT_MS,
         random,
@@ -90,7 +91,8 @@
     for (const node of this.#nodes) {
       const gateways = [`10.0.0.${node.number}:8080`];
       this.#schedule.add(node.wakeAt, () => {
-        this.#tell(node, { kind: 'described', gateways, draining: false });
+        const description = { gateways, draining: false, storeLost: false };
+        this.#tell(node, { kind: 'described', description });
         this.#tell(node, { kind: 'listed', vms });
       });
       this.#wakeLater(node);
@@ -184,7 +186,7 @@
   #hear(node: Node, path: string, revision: number): void {
     if ((node.revisions.get(path) ?? 0) >= revision) return;
     node.revisions.set(path, revision);
-    this.#tell(node, { kind: 'rumour', rumour: { path, revision } });
+    this.#tell(node, { kind: 'rumours', rumours: [{ path, revision }] });
   }
 
   #tell(node: Node, event: MembershipEvent): void {
--- /dev/null
+++ b/test/fakes/virtual/newsfleet.ts
@@ -0,0 +1,370 @@
+/**
+ * A fleet under virtual time whose VMs hear of configuration and runners from a
+ * store and from each other. Counts what grows with the fleet: calls to the
+ * store, exchanges between VMs, packets.
+ */
+
+import { Membership } from '../../../src/core/membership/membership';
+import { shouldRead } from '../../../src/core/membership/readers';
+import type { MembershipAction, MembershipEvent, Rumour } from '../../../src/core/membership/types';
+import { isPresent } from '../../../src/core/membership/types';
+import type { RunnerFact } from '../../../src/core/routing/directory';
+import { RunnerDirectory } from '../../../src/core/routing/directory';
+import { NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
+import { runnerOf } from '../runner';
+import { Schedule } from './schedule';
+import { seeded } from './workload';
+
+/** What a fleet did. */
+export interface NewsCost {
+  readonly storeCalls: number;
+  /** Exchanges that VMs asked of each other. */
+  readonly exchanges: number;
+  /** Most exchanges that one VM answered. */
+  readonly mostAnswered: number;
+  readonly packets: number;
+}
+
+interface Vm {
+  readonly number: number;
+  readonly startedAt: number;
+  readonly membership: Membership;
+  readonly directory: RunnerDirectory;
+  readonly spread: NewsSpread;
+  configVersion: number;
+  reading: boolean;
+  /** Whether a loop of calls to the store runs. */
+  busy: boolean;
+  failed: number;
+  /** Whether the members changed since the readers were worked out. */
+  changed: boolean;
+  answered: number;
+  dead: boolean;
+  frozen: boolean;
+}
+
+const HOP_MS = 1.5;
+const STORE_MS = 4;
+const PROBE_MS = 300;
+const SUSPECT_MS = 800;
+const DUTY_MS = 250;
+const WATCH_PACE_MS = 700;
+const CALL_LIMIT_MS = 1200;
+const JOIN_PACE_MS = 500;
+const JOIN_ROUNDS = 8;
+const SEEDS = 3;
+
+/** VMs and a store. */
+export class NewsFleet {
+  readonly #vms: Vm[];
+
+  readonly #schedule = new Schedule();
+
+  readonly #random: () => number;
+
+  /** Facts of the store, by listing, and the version of the configuration. */
+  readonly #facts = new Map<string, RunnerFact>();
+
+  #storeConfig = 1;
+
+  #revision = 1;
+
+  /** VMs whose calls the store leaves without answer. */
+  #refused: ((vm: number) => boolean) | undefined;
+
+  #storeCalls = 0;
+
+  #exchanges = 0;
+
+  #packets = 0;
+
+  /** @param readsAlways whether a VM reads the store whatever the others do */
+  constructor(size: number, runners: number, seed: number, readsAlways = false) {
+    this.#random = seeded(seed);
+    for (let i = 0; i < runners; i += 1) this.#write(`r${i}`, false);
+    this.#vms = Array.from({ length: size }, (_, number) => this.#vm(number));
+    for (const vm of this.#vms) {
+      this.#schedule.add(vm.startedAt, () => this.#start(vm, readsAlways));
+    }
+  }
+
+  get now(): number {
+    return this.#schedule.now;
+  }
+
+  get cost(): NewsCost {
+    return {
+      storeCalls: this.#storeCalls,
+      exchanges: this.#exchanges,
+      mostAnswered: Math.max(...this.#vms.map(({ answered }) => answered)),
+      packets: this.#packets,
+    };
+  }
+
+  /** VMs that read the store now. */
+  get readers(): readonly number[] {
+    return this.#vms.filter((vm) => vm.reading && !vm.dead).map(({ number }) => number);
+  }
+
+  /** A runner writes its entry; `changed` if more than its heartbeat is new. */
+  beat(runner: string, changed: boolean): void {
+    this.#write(runner, changed);
+  }
+
+  configure(): number {
+    this.#storeConfig += 1;
+    return this.#storeConfig;
+  }
+
+  freeze(vms: readonly number[], frozen: boolean): void {
+    for (const number of vms) {
+      const vm = this.#vms[number] as Vm;
+      vm.frozen = frozen;
+      if (!frozen) this.#tick(vm);
+    }
+  }
+
+  kill(vms: readonly number[]): void {
+    for (const number of vms) (this.#vms[number] as Vm).dead = true;
+  }
+
+  /** Has the store leave the calls of some VMs without answer. */
+  refuse(refused: (vm: number) => boolean): void {
+    this.#refused = refused;
+  }
+
+  run(ms: number): void {
+    this.#until(() => false, ms);
+  }
+
+  /** Time until all VMs that run have the store's configuration and runners, or the limit. */
+  settle(limitMs: number): number {
+    const digests = (): ReadonlySet<string> =>
+      new Set(
+        this.#vms
+          .filter(({ dead, frozen }) => !dead && !frozen)
+          .map(({ configVersion, directory }) => `${configVersion}/${directory.digest.text}`),
+      );
+    const leaving = [...this.#facts.values()].filter(({ runner }) => runner?.leaving).length;
+    const first = (): Vm => this.#vms.find(({ dead, frozen }) => !dead && !frozen) as Vm;
+    const isTrue = (): boolean => {
+      const { configVersion, directory } = first();
+      const usable = directory.usable(this.now).length;
+      return configVersion === this.#storeConfig && usable === this.#facts.size - leaving;
+    };
+    return this.#until(() => isTrue() && digests().size === 1, limitMs);
+  }
+
+  #until(holds: () => boolean, limitMs: number): number {
+    const began = this.now;
+    let looked = began;
+    while (this.#schedule.next() <= began + limitMs) {
+      this.#schedule.run();
+      if (this.now - looked >= 20) {
+        looked = this.now;
+        if (holds()) return this.now - began;
+      }
+    }
+    return limitMs;
+  }
+
+  #write(id: string, changed: boolean): void {
+    this.#revision += 1;
+    const before = this.#facts.get(id)?.runner;
+    const leaving = before?.leaving === true || changed;
+    this.#facts.set(id, {
+      id,
+      revision: this.#revision,
+      runner: runnerOf(id, 'plain', { leaving }),
+    });
+  }
+
+  #vm(number: number): Vm {
+    const random = this.#random;
+    return {
+      number,
+      startedAt: random() * 1000,
+      membership: new Membership({
+        vm: `vm${number}`,
+        domain: `domain-${number % 5}`,
+        address: `${number}:1`,
+        cores: number % 13 === 0 ? 1.35 : 0.324,
+        probeMs: PROBE_MS,
+        suspectMs: SUSPECT_MS,
+        random,
+        incarnation: 1,
+      }),
+      directory: new RunnerDirectory(),
+      spread: new NewsSpread(),
+      configVersion: 0,
+      reading: false,
+      busy: false,
+      failed: 0,
+      changed: true,
+      answered: 0,
+      dead: false,
+      frozen: false,
+    };
+  }
+
+  #start(vm: Vm, readsAlways: boolean): void {
+    const seeds = Array.from({ length: SEEDS }, (_, i) => `${i}:1`).filter(
+      (address) => address !== vm.membership.self.address,
+    );
+    this.#tell(vm, { kind: 'contact', addresses: seeds });
+    for (let round = 0; round < JOIN_ROUNDS; round += 1) {
+      this.#later(vm, round * JOIN_PACE_MS, () => this.#join(vm, seeds));
+    }
+    const duty = (): void => {
+      this.#duty(vm, readsAlways);
+      this.#later(vm, DUTY_MS, duty);
+    };
+    duty();
+    this.#tick(vm);
+  }
+
+  #join(vm: Vm, seeds: readonly string[]): void {
+    const { all, self } = vm.membership;
+    const known = all.filter((member) => member.vm !== self.vm && isPresent(member));
+    const choice = known.length > 0 ? known.map(({ address }) => address) : seeds;
+    const address = choice[Math.floor(this.#random() * choice.length)];
+    if (known.length === 0) this.#tell(vm, { kind: 'contact', addresses: seeds });
+    if (address !== undefined) this.#exchange(vm, address, true);
+  }
+
+  /** Runs something at a VM unless it is dead by then; a frozen one does it when it wakes. */
+  #later(vm: Vm, ms: number, run: () => void): void {
+    this.#schedule.add(this.now + ms, () => {
+      if (vm.dead) return;
+      if (vm.frozen) this.#later(vm, 50, run);
+      else run();
+    });
+  }
+
+  #tick(vm: Vm): void {
+    const at = Math.max(this.now + 1, vm.membership.nextWake());
+    this.#schedule.add(at, () => {
+      if (vm.dead || vm.frozen) return;
+      this.#tell(vm, { kind: 'woke' });
+      this.#tick(vm);
+    });
+  }
+
+  #duty(vm: Vm, readsAlways: boolean): void {
+    const state = vm;
+    const { self, all } = vm.membership;
+    if (state.changed || all.length === 1) {
+      state.changed = false;
+      state.reading = readsAlways || shouldRead(this.now, vm.startedAt, self, all);
+    }
+    if (!state.reading || state.busy) return;
+    state.busy = true;
+    this.#read(vm);
+  }
+
+  /** One call to the store after the other: what is new there, at most one call in the pace of a watch. */
+  #read(vm: Vm): void {
+    const state = vm;
+    if (!vm.reading) {
+      state.busy = false;
+      return;
+    }
+    this.#storeCalls += 1;
+    if (this.#refused?.(vm.number)) {
+      this.#later(vm, CALL_LIMIT_MS, () => {
+        this.#setFailed(vm, vm.failed + 1);
+        this.#read(vm);
+      });
+      return;
+    }
+    this.#later(vm, STORE_MS, () => {
+      this.#setFailed(vm, 0);
+      this.#learn(vm, this.#storeConfig, [...this.#facts.values()]);
+      this.#later(vm, WATCH_PACE_MS, () => this.#read(vm));
+    });
+  }
+
+  #setFailed(vm: Vm, calls: number): void {
+    const state = vm;
+    const before = state.failed >= 2;
+    state.failed = calls;
+    if (calls >= 2 === before) return;
+    const description = { gateways: [], draining: false, storeLost: calls >= 2 };
+    this.#tell(vm, { kind: 'described', description });
+  }
+
+  #learn(vm: Vm, configVersion: number, facts: readonly RunnerFact[]): void {
+    const state = vm;
+    const changed = facts.filter((fact) => vm.directory.learn(this.now, fact, 0));
+    const isNewer = configVersion > vm.configVersion;
+    if (isNewer) state.configVersion = configVersion;
+    if (!isNewer && changed.length === 0) return;
+    vm.membership.setDigest(`${vm.configVersion}/${vm.directory.digest.text}`);
+    const rumours = [
+      ...(isNewer ? vm.spread.configRumours(configVersion) : []),
+      ...(changed.length > 0
+        ? vm.spread.runnerRumours(changed, (fact) => JSON.stringify(fact))
+        : []),
+    ];
+    this.#tell(vm, { kind: 'rumours', rumours });
+  }
+
+  #hear(vm: Vm, rumour: Rumour, address: string): void {
+    if (rumour.path.startsWith(RUNNER_PATH) && rumour.text !== undefined) {
+      this.#learn(vm, 0, [JSON.parse(rumour.text) as RunnerFact]);
+      return;
+    }
+    const { configVersion, directory } = vm;
+    vm.spread.heard(rumour, address, { configVersion, runnersRevision: directory.revision });
+    this.#exchangeDue(vm);
+  }
+
+  #exchangeDue(vm: Vm): void {
+    const address = vm.spread.takeDue(this.now);
+    if (address !== undefined) this.#exchange(vm, address, false);
+    const { dueAt } = vm.spread;
+    if (Number.isFinite(dueAt)) {
+      this.#later(vm, Math.max(1, dueAt - this.now), () => this.#exchangeDue(vm));
+    }
+  }
+
+  #exchange(vm: Vm, address: string, members: boolean): void {
+    this.#exchanges += 1;
+    const { parts } = vm.directory.digest;
+    const bearer = this.#vms[Number.parseInt(address, 10)] as Vm;
+    this.#later(bearer, HOP_MS, () => {
+      if (bearer.startedAt > this.now) return;
+      bearer.answered += 1;
+      const { digest } = bearer.directory;
+      const facts = bearer.directory.factsIn(this.now, digest.differing(parts), 2000);
+      const { all } = bearer.membership;
+      const { configVersion } = bearer;
+      this.#later(vm, HOP_MS, () => {
+        this.#learn(vm, configVersion, facts);
+        if (members) this.#tell(vm, { kind: 'synced', members: all });
+      });
+    });
+  }
+
+  #tell(vm: Vm, event: MembershipEvent): void {
+    for (const action of vm.membership.handle(this.now, event)) this.#perform(vm, action);
+  }
+
+  #perform(vm: Vm, action: MembershipAction): void {
+    if (action.kind === 'changed') Object.assign(vm, { changed: true });
+    if (action.kind === 'heard') this.#hear(vm, action.rumour, action.address);
+    if (action.kind === 'differs') {
+      vm.spread.differs(this.now, action.address);
+      this.#exchangeDue(vm);
+    }
+    if (action.kind !== 'send') return;
+    this.#packets += 1;
+    const target = this.#vms[Number.parseInt(action.to, 10)];
+    if (!target) return;
+    const { packet } = action;
+    this.#schedule.add(this.now + HOP_MS, () => {
+      if (target.dead || target.frozen || target.startedAt > this.now) return;
+      this.#tell(target, { kind: 'packet', packet });
+    });
+  }
+}
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -21,6 +21,7 @@
     ttl_max_s: 5,
     'not-known-yet': true,
   },
+  limits: { 'cpu-share': 0.675, cores: 2 },
   platform: { address: '10.200.1.7:8142', form: 'kv' },
   'a-new-field': 1,
 };
@@ -31,6 +32,7 @@
     expect({ ...router, peerKey: router.peerKey.length, store }).toMatchInlineSnapshot(`
      {
        "addressTtlMs": 1000,
+       "cores": 1.35,
        "domain": "a",
        "graceMs": 8000,
        "leaseMs": 3000,
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -59,6 +59,7 @@
     const client = new StoreClient(store.address);
     feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, log);
     feed.start(listener);
+    feed.setReading(true);
     await eventually('all is read', () => listener.listed.length > 0);
   });
 
--- /dev/null
+++ b/test/router/newsfleet.test.ts
@@ -0,0 +1,109 @@
+import { NewsFleet } from '../fakes/virtual/newsfleet';
+
+const RUNNERS = 60;
+const HEARTBEAT_MS = 1200;
+
+/** Runs for so many seconds while all runners write their heartbeats. */
+function beatFor(fleet: NewsFleet, seconds: number): void {
+  const gapMs = HEARTBEAT_MS / RUNNERS;
+  for (let i = 0; i * gapMs < seconds * 1000; i += 1) {
+    fleet.beat(`r${i % RUNNERS}`, false);
+    fleet.run(gapMs);
+  }
+}
+
+describe('what grows with the fleet', () => {
+  /*
+   * All VMs start within a second and know only three seeds; runners write
+   * heartbeats all the time, and a configuration and runners change. Where each VM
+   * watches the store, every one makes a call in each 0.7 s, and the store's rate
+   * runs out as the fleet grows. A few readers make them for all, as many whatever
+   * the size; everybody knows of a change soon, and no VM is asked by all.
+   */
+  test.each([30, 200, 800])(
+    'is not the work for each VM or the store: %d VMs',
+    (size) => {
+      const fleet = new NewsFleet(size, RUNNERS, 1);
+      expect(fleet.settle(10_000)).toBeLessThan(4000);
+      fleet.run(5500 - fleet.now);
+      const start = fleet.cost;
+      expect(start.storeCalls).toBeLessThan(350);
+      expect(start.exchanges / size).toBeLessThan(20);
+      expect(start.mostAnswered).toBeLessThan(size * 1.5);
+
+      beatFor(fleet, 2);
+      const steady = fleet.cost;
+      expect(fleet.readers.length).toBe(10);
+      expect((steady.storeCalls - start.storeCalls) / 2).toBeLessThan(17);
+
+      fleet.configure();
+      expect(fleet.settle(5000)).toBeLessThan(1500);
+      fleet.beat('r1', true);
+      expect(fleet.settle(5000)).toBeLessThan(1500);
+      for (let i = 10; i < 40; i += 1) fleet.beat(`r${i}`, true);
+      expect(fleet.settle(5000)).toBeLessThan(1800);
+      const changed = fleet.cost;
+      expect((changed.exchanges - steady.exchanges) / size).toBeLessThan(12);
+      expect(changed.mostAnswered - steady.mostAnswered).toBeLessThan(60);
+    },
+    120_000,
+  );
+
+  /* Once all know the same, heartbeats are no news: nothing is exchanged for them. */
+  test('is nothing where nothing changes', () => {
+    const fleet = new NewsFleet(60, RUNNERS, 1);
+    fleet.run(9000);
+    const before = fleet.cost;
+    beatFor(fleet, 3);
+    expect(fleet.cost.exchanges).toBe(before.exchanges);
+  });
+
+  /* For comparison, each VM by itself: the calls are as many as the VMs. */
+  test('would be the calls to the store if each VM read for itself', () => {
+    const fleet = new NewsFleet(200, RUNNERS, 1, true);
+    fleet.run(5000);
+    const before = fleet.cost.storeCalls;
+    beatFor(fleet, 2);
+    expect((fleet.cost.storeCalls - before) / 2).toBeGreaterThan(250);
+  });
+
+  /*
+   * All readers freeze, or the store leaves them without answer. Others take over
+   * when they are found dead or say so; a change is known within the four seconds
+   * in which a configuration has to be in force.
+   */
+  test('is borne by others while readers are frozen', () => {
+    const fleet = new NewsFleet(200, RUNNERS, 4);
+    fleet.run(10_000);
+    const { readers } = fleet;
+    fleet.freeze(readers, true);
+    fleet.configure();
+    expect(fleet.settle(8000)).toBeLessThan(4000);
+    fleet.run(2500);
+    expect(fleet.readers.filter((vm) => !readers.includes(vm)).length).toBe(10);
+    fleet.freeze(readers, false);
+    expect(fleet.settle(8000)).toBeLessThan(8000);
+  });
+
+  test('is borne by others while the store refuses the readers', () => {
+    const fleet = new NewsFleet(200, RUNNERS, 5);
+    fleet.run(10_000);
+    const { readers } = fleet;
+    fleet.refuse((vm) => readers.includes(vm));
+    fleet.run(100);
+    fleet.configure();
+    expect(fleet.settle(8000)).toBeLessThan(4000);
+    const before = fleet.cost.storeCalls;
+    fleet.run(5000);
+    // The chosen go on trying, the deputies read.
+    expect((fleet.cost.storeCalls - before) / 5).toBeLessThan(32);
+  });
+
+  test('is borne by those that are left when most VMs are killed', () => {
+    const fleet = new NewsFleet(200, RUNNERS, 6);
+    fleet.run(10_000);
+    fleet.kill(Array.from({ length: 133 }, (_, i) => i));
+    fleet.configure();
+    expect(fleet.settle(8000)).toBeLessThan(4000);
+  });
+});
