--- a/test/core/membership.test.ts
+++ b/test/core/membership.test.ts
@@ -1,5 +1,7 @@
 import { Fleet } from '../fakes/virtual/fleet';
-import { ownersOfKey } from '../../src/core/ownership';
+import { readersOf, shouldRead } from '../../src/core/membership/readers';
+import type { Member } from '../../src/core/membership/types';
+import { ownersOfKey, rankByCores } from '../../src/core/ownership';
 import { rank } from '../../src/core/rendezvous';
 
 describe('membership', () => {
@@ -72,18 +74,60 @@
   });
 });
 
+const memberOf = (number: number, change: Partial<Member> = {}): Member => ({
+  vm: `vm${number}`,
+  domain: 'x',
+  address: '',
+  incarnation: 0,
+  state: 'alive',
+  draining: false,
+  gateways: [],
+  cores: 1,
+  storeLost: false,
+  ...change,
+});
+
+describe('readers of the store', () => {
+  const members = Array.from({ length: 12 }, (_, i) =>
+    memberOf(i, { domain: i < 6 ? 'a' : 'b', cores: i % 3 === 0 ? 1.35 : 0.324 }),
+  );
+  const names = (all: readonly Member[], domain = 'a'): readonly string[] => {
+    const { chosen, deputies } = readersOf(domain, all);
+    return [...chosen, ...deputies].map(({ vm }) => vm);
+  };
+
+  test('are two strong VMs of each failure domain, the same for all who see them', () => {
+    expect([...names(members)].sort()).toEqual(['vm0', 'vm3']);
+    expect(names([...members].reverse())).toEqual(names(members));
+  });
+
+  /* The store turns one reader away. Another VM reads in its place, and the first goes on trying. */
+  test('have deputies while the store does not answer them', () => {
+    const lost = members.map((one) => (one.vm === 'vm0' ? { ...one, storeLost: true } : one));
+    const read = names(lost);
+    expect(read).toContain('vm0');
+    expect(read.length).toBe(3);
+  });
+
+  /* A VM is cut off from all others and holds them for dead. It reads for itself. */
+  test('are whoever is left', () => {
+    const alone = members.map((one): Member =>
+      one.vm === 'vm4' ? one : { ...one, state: 'dead' },
+    );
+    expect(names(alone)).toEqual(['vm4']);
+  });
+
+  /* All VMs of a fleet start at once, each for itself alone for a moment. They do not all read the store in it. */
+  test('are not those that know no other yet', () => {
+    const [self] = members as [Member];
+    expect(shouldRead(300, 0, self, [self])).toBe(false);
+    expect(shouldRead(700, 0, self, [self])).toBe(true);
+    expect(shouldRead(300, 0, self, members)).toBe(names(members).includes(self.vm));
+  });
+});
+
 describe('ownership', () => {
-  const members = Array.from({ length: 20 }, (_, i) => ({
-    vm: `vm${i}`,
-    domain: 'x',
-    address: '',
-    incarnation: 0,
-    state: 'alive' as const,
-    draining: false,
-    gateways: [],
-    cores: 1,
-    storeLost: false,
-  }));
+  const members = Array.from({ length: 20 }, (_, i) => memberOf(i));
 
   test('of a key moves only when its owner goes', () => {
     const keys = Array.from({ length: 500 }, (_, i) => `key-${i}`);
@@ -104,6 +148,18 @@
     expect(firsts.filter((id) => id === 'a').length / 4000).toBeCloseTo(0.75, 1);
   });
 
+  /*
+   * Most VMs of a fleet are weak. Drawn alike, the owner of a service is mostly a
+   * weak one, which falls behind in a burst; it must be a strong one while one lives.
+   */
+  test('by cores goes to strong VMs first, by hash among them', () => {
+    const mixed = members.map((member, i) => ({ ...member, cores: i < 4 ? 1.35 : 0.324 }));
+    const firsts = Array.from({ length: 100 }, (_, i) => rankByCores(`s${i}`, mixed)[0]?.vm);
+    expect([...new Set(firsts)].sort()).toEqual(['vm0', 'vm1', 'vm2', 'vm3']);
+    const weak = rankByCores('s', mixed.slice(4));
+    expect(weak.map(({ vm }) => vm)).toEqual(ownersOfKey('s', mixed.slice(4)).map(({ vm }) => vm));
+  });
+
   test('passes over VMs that leave', () => {
     const leaving = members.map((member, i) => (i < 10 ? { ...member, draining: true } : member));
     const owners = Array.from({ length: 100 }, (_, i) => ownersOfKey(`k${i}`, leaving)[0]?.vm);
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -31,6 +31,9 @@
   /** Calls by path. */
   readonly calls: string[] = [];
 
+  /** Called after each page of a range, to change what the next one holds. */
+  onPage: ((after: string) => void) | undefined;
+
   #revision = 0;
 
   readonly #items = new Map<string, Item>();
@@ -150,11 +153,13 @@
   #range(prefix: string, after: string): unknown {
     const keys = [...this.#items.keys()].filter((key) => key.startsWith(prefix) && key > after);
     const page = keys.sort().slice(0, PAGE);
-    return {
+    const answer = {
       items: page.map((key) => this.#items.get(key)),
       truncated: keys.length > PAGE,
       'as-of': this.#revision,
     };
+    this.onPage?.(after);
+    return answer;
   }
 
   async #watch(prefix: string, after: number, waitMs: number): Promise<[number, unknown]> {
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -112,6 +112,47 @@
     expect(listener.store).toEqual([true]);
   });
 
+  /*
+   * While a list of over five hundred entries is read page by page, a runner that
+   * was read leaves and one that is still to come is listed anew. Pages are no
+   * snapshot: what changed after the first of them comes with the watch after it.
+   */
+  test('misses nothing that changes between the pages of a long list', async () => {
+    const ids = Array.from({ length: 510 }, (_, i) => `j-${String(i).padStart(3, '0')}`);
+    for (const id of ids) store.put(`servers/${id}`, runner('ready'));
+    store.compact();
+    store.onPage = (after) => {
+      if (after < 'servers/j-010') return;
+      store.onPage = undefined;
+      store.remove('servers/j-000');
+      store.put('servers/j-400', runner('draining'));
+      store.put('servers/j-999', runner('ready'));
+    };
+    await eventually('the removal is told', () => listener.runners.includes('j-000 gone'));
+    expect(listener.runners).toContain('j-400 leaving');
+    expect(listener.runners).toContain('j-999 ready');
+    expect(listener.listed.at(-1)?.length).toBe(515);
+  }, 20_000);
+
+  /* Others read for this VM from now on: its calls to the store end with the one under way, and begin again when it is told to. */
+  test('makes no call while others read', async () => {
+    feed.setReading(false);
+    store.put('op/config', config(4));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 900);
+    });
+    const calls = store.calls.length;
+    store.put('op/config', config(5));
+    await new Promise((resolve) => {
+      setTimeout(resolve, 900);
+    });
+    expect(store.calls.length).toBe(calls);
+    feed.setReading(true);
+    await eventually('it is read again', () => listener.versions.at(-1) === 5);
+    // It is in the store from its first reading, and is not written again.
+    expect(store.calls.filter((path) => path === '/v1/kv-txn').length).toBe(1);
+  }, 15_000);
+
   /* One entry cannot be decoded. The others are told, and the last good one of it stays in force. */
   test('passes over an entry that cannot be decoded', async () => {
     store.put('op/config', '{"version": 4');
--- /dev/null
+++ b/test/router/sync.test.ts
@@ -0,0 +1,103 @@
+import pino from 'pino';
+
+import type { RoutingConfig } from '../../src/core/routing/types';
+import type { RouterFleet } from '../../src/node/router/fleet';
+import { Knowledge } from '../../src/node/router/knowledge';
+import { FactSync, decodeFact, encodeFact } from '../../src/node/router/sync';
+import { silentListener } from '../fakes/listener';
+import { runnerOf } from '../fakes/runner';
+
+const config = (version: number): RoutingConfig => ({
+  version,
+  routes: [],
+  services: [],
+  limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+});
+
+/** Two VMs: what one asks, the other answers. */
+class Pair {
+  readonly asking = new Knowledge(pino({ level: 'silent' }), silentListener);
+
+  readonly asked = new Knowledge(pino({ level: 'silent' }), silentListener);
+
+  /** Facts in each answer. */
+  readonly answered: number[] = [];
+
+  async exchange(): Promise<void> {
+    const decodeConfig = (raw: string): RoutingConfig => JSON.parse(raw) as RoutingConfig;
+    const bearer = new FactSync({
+      knowledge: this.asked,
+      fleet: { all: [] } as unknown as RouterFleet,
+      decodeConfig,
+    });
+    const call = async (_address: string, _method: string, params: unknown): Promise<unknown> => {
+      const answer = bearer.answer(performance.now(), params);
+      this.answered.push(answer.facts.length);
+      return answer;
+    };
+    const fleet = { call, sync: () => {} } as unknown as RouterFleet;
+    await new FactSync({ knowledge: this.asking, fleet, decodeConfig }).fetch('a:1', false);
+  }
+}
+
+const fact = (id: string, revision: number): Parameters<Knowledge['learnRunners']>[1][number] => ({
+  id,
+  revision,
+  runner: runnerOf(id, 'plain'),
+});
+
+describe('the exchange of what two VMs know', () => {
+  test('brings a new VM the configuration and all runners, and then only what differs', async () => {
+    const pair = new Pair();
+    pair.asked.learnConfig(0, config(7), JSON.stringify(config(7)), 'store');
+    pair.asked.learnRunners(
+      0,
+      Array.from({ length: 300 }, (_, i) => fact(`r${i}`, i + 1)),
+      'store',
+    );
+    await pair.exchange();
+    expect(pair.asking.configVersion).toBe(7);
+    expect(pair.asking.digest).toBe(pair.asked.digest);
+    pair.asked.learnRunners(0, [{ id: 'r9', revision: 900, runner: undefined }], 'store');
+    expect(pair.asking.digest).not.toBe(pair.asked.digest);
+    await pair.exchange();
+    expect(pair.asking.digest).toBe(pair.asked.digest);
+    expect(pair.answered[0]).toBe(300);
+    expect(pair.answered[1]).toBeLessThan(20);
+  });
+
+  /*
+   * Two changes come in the wrong order, the later one first. The highest revision
+   * is the same at both VMs then, but what they know is not: it has to show.
+   */
+  test('finds a change that was overtaken by a later one', async () => {
+    const pair = new Pair();
+    pair.asked.learnRunners(0, [fact('r1', 5), fact('r2', 6)], 'store');
+    pair.asking.learnRunners(0, [fact('r2', 6)], 'peer');
+    expect(pair.asking.digest).not.toBe(pair.asked.digest);
+    await pair.exchange();
+    expect(pair.asking.runnersOf(0, 's').map(({ id }) => id)).toEqual(['r2', 'r1']);
+  });
+
+  /*
+   * The store was down, and the runners' entries lapsed. Only readers know that; a VM
+   * that hears of the removal from one has to keep the runner in use as long as it does.
+   */
+  test('tells how long a runner stays in use whose entry has lapsed', () => {
+    const pair = new Pair();
+    pair.asked.learnRunners(0, [fact('r1', 1)], 'store');
+    pair.asking.learnRunners(0, [fact('r1', 1)], 'peer');
+    pair.asked.storeFailed(1000);
+    pair.asked.learnList(1500, new Set(), 8);
+    const [gone] = pair.asked.factsBeside(2000, pair.asking.digestParts, 100);
+    expect(gone?.graceMs).toBe(2000);
+    pair.asking.learnRunners(2000, gone ? [decodeFact(encodeFact(gone))] : [], 'peer');
+    expect(pair.asking.runnersOf(3900, 's').length).toBe(1);
+    expect(pair.asking.runnersOf(4100, 's').length).toBe(0);
+  });
+
+  test('refuses a fact that does not fit', () => {
+    expect(() => decodeFact('{"id": 3}')).toThrow('does not fit');
+    expect(() => decodeFact('{')).toThrow('no JSON');
+  });
+});
