Tell callers the VMs of their failure domain first, and spread them over all VMs

Cause: a directory answer holds 64 addresses at most, and every VM gave the first 64 that it knew, mostly the same: of 195 VMs two thirds took no caller. Change: the VMs of the caller's failure domain, then others by hash of that domain; the same whoever is asked, so that callers keep their connections. Ruled out: a new draw for each answer (callers close connections to addresses that the next answer lacks). Shown by `test/core/membership.test.ts`: the answers of five failure domains name all of 195 VMs; 64 before.

--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -88,6 +88,20 @@
   }
 }
 
+/**
+ * Callers' addresses for one failure domain, the best first: VMs there, then others
+ * by hash. The same few of a large fleet for all callers would carry everything;
+ * drawn anew for each answer, callers would drop their connections with each.
+ */
+export function addressesNear(domain: string, members: readonly Member[]): readonly string[] {
+  const open = members.filter(({ state, draining }) => state === 'alive' && !draining);
+  const candidates = open.map((member) => ({ id: member.vm, weight: 1, member }));
+  const ranked = rank(`callers of ${domain}`, candidates).map(({ member }) => member);
+  const near = ranked.filter((member) => member.domain === domain);
+  const far = ranked.filter((member) => member.domain !== domain);
+  return [...near, ...far].flatMap(({ gateways }) => gateways);
+}
+
 /** Callers' addresses to answer with: of VMs that are alive and stay, spread by a random number. */
 export function chooseAddresses(
   members: readonly Member[],
--- a/src/node/router/control.ts
+++ b/src/node/router/control.ts
@@ -10,8 +10,8 @@
 export interface ControlContext {
   readonly codec: ControlCodec;
   readonly isReady: () => boolean;
-  /** Addresses of VMs that take callers. */
-  readonly callerAddresses: () => readonly string[];
+  /** Addresses of VMs that take callers, for those in a failure domain; the best first. */
+  readonly callerAddresses: (domain: string) => readonly string[];
   /** How long callers may keep an answer, in milliseconds. */
   readonly addressTtlMs: () => number;
 }
@@ -47,14 +47,16 @@
 
   #answer(req: IncomingMessage, res: ServerResponse): void {
     const { codec, isReady, callerAddresses, addressTtlMs } = this.#context;
-    const addresses = callerAddresses();
     if (codec.isReadiness(req)) {
       res.writeHead(isReady() ? HTTP_OK : HTTP_UNAVAILABLE).end();
     } else if (!codec.isLookup(req)) {
       res.writeHead(HTTP_NOT_FOUND).end();
-    } else if (addresses.length === 0) {
-      res.writeHead(HTTP_UNAVAILABLE).end();
     } else {
+      const addresses = callerAddresses(codec.domainOf(req));
+      if (addresses.length === 0) {
+        res.writeHead(HTTP_UNAVAILABLE).end();
+        return;
+      }
       const body = codec.lookupBody(addresses, addressTtlMs());
       res.writeHead(HTTP_OK, { 'content-type': 'application/json' }).end(body);
     }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -156,7 +156,7 @@
     this.#control = new Control({
       codec: ports.control,
       isReady: () => this.#ready,
-      callerAddresses: () => this.#fleet.callerAddresses,
+      callerAddresses: (domain) => this.#fleet.callerAddresses(domain),
       addressTtlMs: () => this.#settings.addressTtlMs,
     });
     this.#front = new Front({
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -6,7 +6,7 @@
 
 import type { Description, Member, Rumour } from '../../core/membership/types';
 import { isPresent, mayOwn } from '../../core/membership/types';
-import { rankByCores } from '../../core/ownership';
+import { addressesNear, rankByCores } from '../../core/ownership';
 import { toFailure } from '../../core/failure';
 import { LineBudget } from '../budget';
 import type { Metrics } from '../metrics';
@@ -90,6 +90,9 @@
   /** Owners by key, until the membership changes. */
   readonly #ranking = new Map<string, readonly Member[]>();
 
+  /** Callers' addresses by failure domain, until the membership changes. */
+  readonly #addresses = new Map<string, readonly string[]>();
+
   constructor(settings: RouterSettings, metrics: Metrics, log: Logger, listener: FleetListener) {
     this.#settings = settings;
     this.#log = log;
@@ -204,10 +207,13 @@
     if (rumours.length > 0) this.#members.tell({ kind: 'rumours', rumours });
   }
 
-  /** Addresses for callers, of VMs that live and stay. */
-  get callerAddresses(): readonly string[] {
-    const open = this.all.filter(({ state, draining }) => state === 'alive' && !draining);
-    return open.flatMap(({ gateways }) => gateways);
+  /** Addresses for callers in a failure domain, of VMs that live and stay. */
+  callerAddresses(domain: string): readonly string[] {
+    const known = this.#addresses.get(domain);
+    if (known) return known;
+    const addresses = addressesNear(domain, this.all);
+    this.#addresses.set(domain, addresses);
+    return addresses;
   }
 
   /** VMs that may plan a key, by falling claim; those that did not answer lately come last. */
@@ -310,6 +316,7 @@
     // A VM that has left still serves what it has; it is lost when its link closes.
     if (state === 'dead') this.#listener.onLost(vm);
     this.#ranking.clear();
+    this.#addresses.clear();
     this.#gather();
   }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -176,5 +176,7 @@
 export interface ControlCodec {
   isReadiness(message: IncomingMessage): boolean;
   isLookup(message: IncomingMessage): boolean;
+  /** Failure domain of the caller of a look-up; empty if it tells none. */
+  domainOf(message: IncomingMessage): string;
   lookupBody(addresses: readonly string[], ttlMs: number): string;
 }
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -123,6 +123,10 @@
     return pathOf(message) === path.lookup;
   }
 
+  domainOf({ url }: IncomingMessage): string {
+    return new URLSearchParams((url ?? '').split('?')[1] ?? '').get('zone') ?? '';
+  }
+
   lookupBody(addresses: readonly string[], ttlMs: number): string {
     return JSON.stringify({ addresses: addresses.slice(0, ADDRESS_LIMIT), 'ttl-s': ttlMs / 1000 });
   }
--- a/test/core/membership.test.ts
+++ b/test/core/membership.test.ts
@@ -1,7 +1,7 @@
 import { Fleet } from '../fakes/virtual/fleet';
 import { readersOf, shouldRead } from '../../src/core/membership/readers';
 import type { Member } from '../../src/core/membership/types';
-import { ownersOfKey, rankByCores } from '../../src/core/ownership';
+import { addressesNear, ownersOfKey, rankByCores } from '../../src/core/ownership';
 import { rank } from '../../src/core/rendezvous';
 
 describe('membership', () => {
@@ -126,6 +126,36 @@
   });
 });
 
+describe("callers' addresses", () => {
+  const members = Array.from({ length: 195 }, (_, i) =>
+    memberOf(i, { domain: `d${i % 5}`, gateways: [`vm${i}:80`] }),
+  );
+
+  /*
+   * A caller may be told 64 addresses of a fleet of 195 VMs. Told the first ones that
+   * a VM knows, all callers would go to the same third of the fleet.
+   */
+  test('are near ones first, and spread callers over all VMs', () => {
+    const told = [0, 1, 2, 3, 4].map((i) => addressesNear(`d${i}`, members).slice(0, 64));
+    const near = members.filter(({ domain }) => domain === 'd0').map(({ vm }) => `${vm}:80`);
+    expect(told[0]?.slice(0, 39).sort()).toEqual(near.sort());
+    expect(new Set(told.flat()).size).toBe(195);
+  });
+
+  /* Callers close connections to addresses that are missing from the next answer. */
+  test('stay the same while the fleet does, whoever is asked', () => {
+    const one = addressesNear('d0', members);
+    expect(addressesNear('d0', [...members].reverse())).toEqual(one);
+    const less = addressesNear('d0', members.slice(1));
+    expect(less).toEqual(one.filter((address) => address !== 'vm0:80'));
+  });
+
+  test('are of VMs that live and stay', () => {
+    const two = [memberOf(1, { draining: true, gateways: ['a'] }), memberOf(2, { state: 'dead' })];
+    expect(addressesNear('x', two)).toEqual([]);
+  });
+});
+
 describe('ownership', () => {
   const members = Array.from({ length: 20 }, (_, i) => memberOf(i));
 
