Split the planner's placements off, and do not work out twice what is known

Change: `placements.ts` keeps the placed requests; the order is worked out once, the fit with each measured prefill; the planner says whom it came to distrust.

--- a/scripts/memory.ts
+++ b/scripts/memory.ts
@@ -19,7 +19,7 @@
 } from '../test/fakes/memory/engines';
 import { KnownCosts } from '../test/fakes/memory/known';
 import type { MemoryLoad } from '../test/fakes/memory/load';
-import { drawMemoryJobs } from '../test/fakes/memory/load';
+import { drawMemoryJobs, shiftBursts as bursts } from '../test/fakes/memory/load';
 
 type Policies = Readonly<Record<string, (figures: MemoryFigures) => PlacePolicy>>;
 
@@ -46,11 +46,6 @@
 }
 
 const UNTIL_MS = 34_000;
-const bursts = [
-  { from: 6000, to: 11_000, factor: 1.8 },
-  { from: 17_000, to: 21_000, factor: 2.2 },
-  { from: 27_000, to: 31_000, factor: 1.8 },
-];
 
 /** Engines unlike the one of `tightFigures`, each near what its memory bears, with bursts above. */
 const unlike: readonly Case[] = [
--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -121,6 +121,12 @@
   return slowness + STEP * (measured - slowness);
 }
 
+/** Time of a prefill beside its tokens and for each of them, in milliseconds. */
+interface ReadTimes {
+  readonly baseMs: number;
+  readonly tokenMs: number;
+}
+
 /** Line through measured prefills by their tokens; old ones fade. */
 class ReadLine {
   #weight = 0;
@@ -133,6 +139,9 @@
 
   #product = 0;
 
+  /** Milliseconds beside the tokens and for each of them; neither is negative. */
+  line: ReadTimes = { baseMs: START_READ_BASE_MS, tokenMs: START_READ_TOKEN_MS };
+
   constructor() {
     for (const tokens of START_SIZES) {
       this.add(tokens, START_READ_BASE_MS + START_READ_TOKEN_MS * tokens, START_WEIGHT);
@@ -145,10 +154,10 @@
     this.#ms = this.#ms * READ_KEPT + weight * ms;
     this.#tokensSquared = this.#tokensSquared * READ_KEPT + weight * tokens * tokens;
     this.#product = this.#product * READ_KEPT + weight * tokens * ms;
+    this.line = this.#fit();
   }
 
-  /** Milliseconds beside the tokens and for each of them; neither is negative. */
-  get line(): { readonly baseMs: number; readonly tokenMs: number } {
+  #fit(): ReadTimes {
     const tokens = this.#tokens / this.#weight;
     const ms = this.#ms / this.#weight;
     const spread = this.#tokensSquared / this.#weight - tokens * tokens;
--- a/src/core/memory/learning.ts
+++ b/src/core/memory/learning.ts
@@ -12,6 +12,12 @@
 /** Events of which an answer must have more for its pace to be learnt: the last one is part of one. */
 const LEAST_EVENTS = 3;
 
+/** Work of a runner took `ms` where `expectedMs` are expected of slowness 1. */
+function noteTime(runner: DecodeState | PrefillState, expectedMs: number, ms: number): void {
+  const state = runner;
+  state.slowness = learntSlowness(state.slowness, expectedMs, ms);
+}
+
 /** Learns from what happens to the requests of one service. */
 export class Learning {
   readonly #costs: CostModel;
@@ -34,9 +40,7 @@
   /** A prompt was read in `ms`. */
   prefilled(prefill: PrefillState, pending: PendingPrompt, ms: number): void {
     if (pending.aheadTokens === 0) this.#costs.read(pending.tokens, ms);
-    const state = prefill;
-    const expectedMs = expectedReadMs(this.#costs, pending);
-    state.slowness = learntSlowness(state.slowness, expectedMs, ms);
+    noteTime(prefill, expectedReadMs(this.#costs, pending), ms);
   }
 
   /**
@@ -44,10 +48,9 @@
    * those that are read in time alone, a runner that falls behind looks as fast as ever.
    */
   givenUp(now: number, prefill: PrefillState, pending: PendingPrompt): void {
-    const state = prefill;
     const ms = now - pending.givenAt;
     const expectedMs = expectedReadMs(this.#costs, pending);
-    if (ms > expectedMs) state.slowness = learntSlowness(state.slowness, expectedMs, ms);
+    if (ms > expectedMs) noteTime(prefill, expectedMs, ms);
   }
 
   /** The first event came `ms` after the prompt was read and a decode runner was bound. */
@@ -75,8 +78,7 @@
   /** A token took so long at a decode runner, in milliseconds. */
   #paced(decode: DecodeState, ms: number): void {
     this.#costs.made(ms);
-    const state = decode;
-    state.slowness = learntSlowness(state.slowness, this.#costs.tokenMs, ms);
+    noteTime(decode, this.#costs.tokenMs, ms);
   }
 
   /** Output tokens that are expected of a request. */
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -7,7 +7,7 @@
 import { match } from 'ts-pattern';
 
 import type { Engine } from '../routing/types';
-import type { DecodeState, Holder, PrefillState } from './account';
+import type { DecodeState, PrefillState } from './account';
 import { MemoryAccount, slowedByRead } from './account';
 import { allowedAhead, waitableMs } from './ahead';
 import { Learning } from './learning';
@@ -15,31 +15,20 @@
 import type { StageChange } from './balance';
 import { StageBalance } from './balance';
 import type { CostModel, Costs } from './cost';
-import { LearntCosts, addPending } from './cost';
+import { LearntCosts } from './cost';
+import type { Waiting } from './queue';
 import { WaitingQueue, leastMs, sparePart } from './queue';
 import type { PlanPolicy } from './policy';
+import type { Placed } from './placements';
+import { Placements } from './placements';
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
 import { Room } from './room';
 import { EarlierTries } from './tries';
-import type { Demand, Grant, Holding, MemoryReport, PlanAction, PlanEvent } from './types';
-
-interface Placed {
-  demand: Demand;
-  grant: Grant;
-  readonly grantedAt: number;
-  /** When the prefill was done. */
-  readyAt: number | undefined;
-  /** Whether a decode runner keeps memory for it. */
-  bound: boolean;
-  /** When it was told its decode runner after the prefill. */
-  boundAt: number | undefined;
-}
+import type { Demand, Holding, MemoryReport, PlanAction, PlanEvent } from './types';
 
 /** When a caller may come back whose prefill found no memory, in milliseconds. */
 const RETRY_UNBOUND_MS = 300;
-/** Time after which a VM surely knows of a grant, in milliseconds. */
-const GRANT_TRAVEL_MS = 1000;
 /** Part of a decode runner's memory that must be free by the account for a refusal there to mean a lapsed prefill. */
 const LAPSED_SPARE = 0.1;
 /** When a caller may come back whose decode runner was full, in milliseconds. */
@@ -63,12 +52,14 @@
 
   readonly #room: Room;
 
-  readonly #placed = new Map<string, Placed>();
+  readonly #placed: Placements;
 
   #engine: Engine | undefined;
 
   readonly #returnTimes: ReturnTimes;
 
+  readonly #distrusted: string[] = [];
+
   #actions: PlanAction[] = [];
 
   constructor(policy: PlanPolicy, costs: CostModel = new LearntCosts()) {
@@ -82,6 +73,7 @@
       this.#learning.sizeOf(demand),
     );
     this.#room = new Room(policy, this.#account, costs);
+    this.#placed = new Placements(this.#account, this.#learning, costs, () => this.#room.changed());
   }
 
   /** What is known of the engine's times. */
@@ -100,7 +92,7 @@
   /** Whether a VM has requests here, waiting or placed. */
   holdsFor(vm: string): boolean {
     if (this.#waiting.holdsFor(vm)) return true;
-    return [...this.#placed.values()].some(({ demand }) => demand.vm === vm);
+    return this.#placed.holdsFor(vm);
   }
 
   /** The inputs of a decision. */
@@ -113,6 +105,11 @@
     return this.#account.distrusted(now);
   }
 
+  /** Runners that were distrusted since this was asked last. */
+  takeDistrusted(): readonly string[] {
+    return this.#distrusted.splice(0);
+  }
+
   /** The account may lack what other VMs hold: holds back until they had time to tell. */
   startCautiously(now: number): void {
     this.#room.beCautious(now);
@@ -188,7 +185,7 @@
   #unbind(now: number, id: string, unreachable: string | undefined): void {
     const placed = this.#placed.get(id);
     const state = this.#account.decode.get(unreachable ?? '');
-    if (state) state.trust = afterFailure(this.#policy.trust, now, state.trust);
+    if (state) this.#distrust(now, state);
     if (!placed?.bound || placed.grant.decode !== unreachable) return;
     this.#account.leave(now, unreachable, id);
     placed.bound = false;
@@ -205,12 +202,12 @@
     const state = this.#account.decode.get(shedBy ?? '');
     if (!placed || !state) return;
     if (this.#room.free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
-      const prefill = this.#prefillOf(placed.grant);
-      if (prefill) prefill.trust = afterFailure(this.#policy.trust, now, prefill.trust);
+      const prefill = this.#placed.prefillOf(placed.grant);
+      if (prefill) this.#distrust(now, prefill);
       return;
     }
     state.foreignTokens += this.#learning.sizeOf(placed.demand);
-    this.#leave(now, id, placed);
+    this.#placed.leave(now, id);
     this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
   }
 
@@ -223,7 +220,7 @@
     }
     if (placed.readyAt !== undefined) return;
     placed.readyAt = now;
-    const state = this.#prefillOf(placed.grant);
+    const state = this.#placed.prefillOf(placed.grant);
     const pending = state?.pending.get(id);
     if (!state || !pending) return;
     state.pending.delete(id);
@@ -231,7 +228,7 @@
   }
 
   #started(now: number, id: string): void {
-    const holder = this.#holderOf(id);
+    const holder = this.#placed.holderOf(id);
     if (!holder || holder.startedAt !== undefined) return;
     holder.startedAt = now;
     const boundAt = this.#placed.get(id)?.boundAt;
@@ -246,9 +243,9 @@
     const decode = this.#account.decode.get(placed.grant.decode);
     if (decode) decode.trust = afterSuccess(this.#policy.trust, decode.trust);
     this.#learnPace(now, placed, id, outputTokens);
-    const prefill = this.#prefillOf(placed.grant);
+    const prefill = this.#placed.prefillOf(placed.grant);
     if (prefill) prefill.trust = afterSuccess(this.#policy.trust, prefill.trust);
-    this.#leave(now, id, placed);
+    this.#placed.leave(now, id);
   }
 
   #reported(now: number, { runner, usedTokens, runs = [] }: MemoryReport): void {
@@ -267,9 +264,15 @@
 
   #slow(now: number, id: string): void {
     const decode = this.#account.decode.get(this.#placed.get(id)?.grant.decode ?? '');
-    if (decode && !slowedByRead(now, decode)) {
-      decode.trust = afterFailure(this.#policy.trust, now, decode.trust);
-    }
+    if (decode && !slowedByRead(now, decode)) this.#distrust(now, decode);
+  }
+
+  /** A request went badly at a runner. */
+  #distrust(now: number, state: DecodeState | PrefillState): void {
+    const runner = state;
+    const before = runner.trust;
+    runner.trust = afterFailure(this.#policy.trust, now, before);
+    if (runner.trust !== before) this.#distrusted.push(runner.runner.id);
   }
 
   #release(now: number, id: string, blame: string | undefined): void {
@@ -278,80 +281,20 @@
     const prefill = this.#account.prefill.get(blame ?? '');
     const pending = prefill?.pending.get(id);
     if (prefill && pending) this.#learning.givenUp(now, prefill, pending);
-    if (placed) this.#leave(now, id, placed);
+    if (placed) this.#placed.leave(now, id);
     if (blame === undefined) return;
     const state = this.#account.decode.get(blame) ?? this.#account.prefill.get(blame);
-    if (state) state.trust = afterFailure(this.#policy.trust, now, state.trust);
+    if (state) this.#distrust(now, state);
   }
 
-  #leave(now: number, id: string, { grant }: Placed): void {
-    this.#room.changed();
-    this.#placed.delete(id);
-    this.#prefillOf(grant)?.pending.delete(id);
-    this.#account.leave(now, grant.decode, id);
-  }
-
-  /**
-   * What a VM says it holds replaces what is counted for it: a planner that was
-   * frozen or cut off would go on counting requests that have long ended.
-   */
+  /** What a VM says it holds replaces what is counted for it. */
   #adopt(now: number, vm: string, holdings: readonly Holding[]): void {
-    const held = new Set(holdings.map(({ demand }) => demand.id));
-    for (const [id, placed] of this.#placed) {
-      const settled = now - placed.grantedAt > GRANT_TRAVEL_MS;
-      if (placed.demand.vm === vm && settled && !held.has(id)) this.#leave(now, id, placed);
-    }
-    for (const { demand, grant, startedAt } of holdings) {
-      if (!this.#placed.has(demand.id)) {
-        this.#waiting.delete(demand.id);
-        this.#place(now, demand, grant, true, startedAt);
-        this.#account.explain(now, grant.decode, demand.id);
-      }
-    }
+    for (const { demand } of this.#placed.adopt(now, vm, holdings)) this.#waiting.delete(demand.id);
   }
 
   #vmLost(now: number, vm: string): void {
     this.#waiting.dropVm(vm);
-    for (const [id, placed] of this.#placed) {
-      if (placed.demand.vm === vm) this.#leave(now, id, placed);
-    }
-  }
-
-  #reserve(now: number, { demand, grant }: Placed, startedAt: number | undefined): void {
-    this.#room.changed();
-    this.#account.decode.get(grant.decode)?.holders.set(demand.id, {
-      demand,
-      grantedAt: now,
-      expectedTokens: this.#learning.expect(demand),
-      deviationTokens: this.#learning.deviation(demand),
-      startedAt,
-      direct: grant.prefill === undefined,
-    });
-  }
-
-  #place(
-    now: number,
-    demand: Demand,
-    grant: Grant,
-    bound: boolean,
-    startedAt: number | undefined,
-  ): void {
-    const readyAt = startedAt === undefined ? undefined : now;
-    const placed: Placed = { demand, grant, grantedAt: now, readyAt, bound, boundAt: undefined };
-    this.#placed.set(demand.id, placed);
-    if (bound) this.#reserve(now, placed, startedAt);
-    if (readyAt !== undefined) return;
-    const state = this.#prefillOf(grant);
-    if (state) addPending(this.#costs, now, state, demand.id, demand.promptTokens);
-  }
-
-  #prefillOf({ prefill }: Grant): PrefillState | undefined {
-    return prefill === undefined ? undefined : this.#account.prefill.get(prefill);
-  }
-
-  #holderOf(id: string): Holder | undefined {
-    const placed = this.#placed.get(id);
-    return placed && this.#account.decode.get(placed.grant.decode)?.holders.get(id);
+    this.#placed.dropVm(now, vm);
   }
 
   /** Starts what can start, in order, and refuses what cannot be served. */
@@ -375,12 +318,12 @@
         if (!bound) ahead -= 1;
         const grant = { prefill: prefill?.runner.id, decode: place.runner.id };
         this.#waiting.delete(demand.id);
-        this.#place(now, demand, grant, bound, undefined);
+        this.#placed.add(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
         largest = this.#room.largest(now);
       }
     }
-    this.#refuseHopeless(now);
+    this.#refuseHopeless(now, order);
   }
 
   /** Whether a request may have the most room that one decode runner has. */
@@ -393,17 +336,14 @@
   /** Prefilled requests get memory before any other, since what was read for them lapses. */
   #bindReady(now: number): void {
     const keepMs = waitableMs(this.#policy.ahead, this.#engine?.keepMs ?? 0);
-    for (const [id, placed] of this.#placed) {
+    for (const [id, placed] of this.#placed.entries) {
       if (!placed.bound && placed.readyAt !== undefined) {
         const decode = this.#findDecode(now, placed.demand);
         if (decode) {
-          placed.bound = true;
-          placed.boundAt = now;
-          placed.grant = { ...placed.grant, decode: decode.runner.id };
-          this.#reserve(now, placed, undefined);
+          this.#placed.bind(now, placed, decode.runner.id);
           this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
         } else if (now - placed.readyAt > keepMs) {
-          this.#leave(now, id, placed);
+          this.#placed.leave(now, id);
           this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_UNBOUND_MS });
         }
       }
@@ -414,16 +354,16 @@
   #allowedAhead(): number {
     let holders = 0;
     for (const state of this.#account.decode.values()) holders += state.holders.size;
-    let ahead = 0;
-    for (const { bound } of this.#placed.values()) if (!bound) ahead += 1;
+    const ahead = this.#placed.unbound;
     const { readMs, residenceMs } = this.#learning;
     const keepMs = this.#engine?.keepMs ?? 0;
     return allowedAhead(this.#policy.ahead, holders, readMs, residenceMs, keepMs) - ahead;
   }
 
   /** Refuses what cannot be served while its caller waits. */
-  #refuseHopeless(now: number): void {
-    const hopeless = hopelessOf(this.#policy.refusal, now, this.#waiting.order(now), {
+  #refuseHopeless(now: number, order: readonly Waiting[]): void {
+    const left = order.filter(({ demand }) => this.#waiting.has(demand.id));
+    const hopeless = hopelessOf(this.#policy.refusal, now, left, {
       sizeOf: (demand) => this.#learning.sizeOf(demand),
       leastMs: (demand) => leastMs(this.#costs, demand),
       spare: this.#learning.spare(now, this.#room.memory),
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -237,7 +237,6 @@
     const engine = this.#knowledge.table?.service(service)?.engine;
     const verdicts = new Map<string, Verdict>();
     if (!engine) return verdicts;
-    const distrusted = new Set(plan.planner.distrusted(now));
     const fresh = this.#refreshRunners(now, service, engine, plan);
     fresh.forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
@@ -245,7 +244,7 @@
     plan.planner.handle(now, event).forEach((action) => {
       verdicts.set(action.id, this.#decide(now, service, plan, action));
     });
-    this.#logDistrust(now, service, plan, event, distrusted);
+    this.#logDistrust(service, plan, event);
     const asked = askerOf(event);
     for (const [id, verdict] of verdicts) {
       const sink = plan.sinks.get(id);
@@ -256,18 +255,10 @@
   }
 
   /** A runner gets no work for a while: one line with the event that was held against it. */
-  #logDistrust(
-    now: number,
-    service: string,
-    { planner }: Plan,
-    event: PlanEvent,
-    before: ReadonlySet<string>,
-  ): void {
-    for (const runner of planner.distrusted(now)) {
-      if (!before.has(runner)) {
-        const request = 'id' in event ? event.id : undefined;
-        this.#log.info({ request, service, runner, event: event.kind }, 'Distrusted a runner.');
-      }
+  #logDistrust(service: string, { planner }: Plan, event: PlanEvent): void {
+    for (const runner of planner.takeDistrusted()) {
+      const request = 'id' in event ? event.id : undefined;
+      this.#log.info({ request, service, runner, event: event.kind }, 'Distrusted a runner.');
     }
   }
 
--- a/test/fakes/memory/load.ts
+++ b/test/fakes/memory/load.ts
@@ -30,6 +30,13 @@
   readonly untilMs: number;
 }
 
+/** Three bursts of some seconds, as callers bring them at the beginning of a shift. */
+export const shiftBursts: readonly Burst[] = [
+  { from: 6000, to: 11_000, factor: 1.8 },
+  { from: 17_000, to: 21_000, factor: 2.2 },
+  { from: 27_000, to: 31_000, factor: 1.8 },
+];
+
 const MEAN_PROMPT = 5200;
 const MOST_PROMPT = 11_000;
 const PROMPT_SPREAD = 0.5;
--- a/test/router/overload.test.ts
+++ b/test/router/overload.test.ts
@@ -6,8 +6,8 @@
 import { MemoryBench } from '../fakes/memory/bench';
 import { fastFigures, tightFigures } from '../fakes/memory/engines';
 import { KnownCosts } from '../fakes/memory/known';
-import type { Burst, MemoryLoad } from '../fakes/memory/load';
-import { drawMemoryJobs } from '../fakes/memory/load';
+import type { MemoryLoad } from '../fakes/memory/load';
+import { drawMemoryJobs, shiftBursts as bursts } from '../fakes/memory/load';
 
 const SEEDS = [1, 2, 3];
 
@@ -29,12 +29,6 @@
   ) as unknown as MemoryResult;
 }
 
-const bursts: readonly Burst[] = [
-  { from: 6000, to: 11_000, factor: 1.8 },
-  { from: 17_000, to: 21_000, factor: 2.2 },
-  { from: 27_000, to: 31_000, factor: 1.8 },
-];
-
 describe('places where the memory of decode runners binds', () => {
   /*
    * Three bursts of some seconds come, each above what the decode memory bears.
