Bound the time for which a decode runner's own reading excuses slow answers

Cause: a decode runner that was to read a prompt itself and never answered counted as slowed by it until its request was released, seconds later; meanwhile it got more work however slow its streams were. Change: one question, whether it reads a prompt itself, with the limit that the choice of readers already had (1.2 s), for both uses. Test: "does not excuse a slow decode runner by a prompt that must have been read long ago" fails before the change (no runner distrusted after 3 s).

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -73,13 +73,14 @@
 /** Time after which a prompt that a decode runner reads itself was read or never will be, in milliseconds: three times that of the largest. */
 const READ_LIMIT_MS = 1200;
 
-/** Prompts that a decode runner reads itself at the moment. */
-export function directReads(now: number, { holders }: DecodeState): number {
-  let count = 0;
-  for (const { direct, startedAt, grantedAt } of holders.values()) {
-    if (direct && startedAt === undefined && now - grantedAt < READ_LIMIT_MS) count += 1;
-  }
-  return count;
+/** Whether the decode runner of a request reads its prompt itself at the moment. */
+function isBeingRead(now: number, { direct, startedAt, grantedAt }: Holder): boolean {
+  return direct && startedAt === undefined && now - grantedAt < READ_LIMIT_MS;
+}
+
+/** Whether a decode runner reads a prompt itself at the moment. */
+export function isReading(now: number, { holders }: DecodeState): boolean {
+  return [...holders.values()].some((holder) => isBeingRead(now, holder));
 }
 
 /** Time for which the streams of a decode runner show that it read a prompt itself, in milliseconds: the events over which their pace is taken. */
@@ -87,10 +88,11 @@
 
 /** Whether a decode runner's streams are slow because it reads a prompt itself, or did a moment ago. */
 export function slowedByRead(now: number, { holders }: DecodeState): boolean {
-  for (const { direct, startedAt } of holders.values()) {
-    if (direct && (startedAt === undefined || now - startedAt < READ_SHOWS_MS)) return true;
-  }
-  return false;
+  return [...holders.values()].some((holder) => {
+    const { direct, startedAt } = holder;
+    const wasReading = direct && startedAt !== undefined && now - startedAt < READ_SHOWS_MS;
+    return wasReading || isBeingRead(now, holder);
+  });
 }
 
 /** When a request will probably give its memory back. */
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -2,7 +2,7 @@
 
 import type { Engine } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
-import { ableOf, directReads, endOf } from './account';
+import { ableOf, endOf, isReading } from './account';
 import type { Costs } from './cost';
 import { DIRECT_READ_COST, backlogMs, pauseOfRead, prefillMs, workMs } from './cost';
 import type { PlanPolicy } from './policy';
@@ -114,7 +114,7 @@
     const pauseMs = pauseOfRead(this.#costs, demand.promptTokens, eventTokens);
     return this.#roomiest(now, demand, (state, free) => {
       const spare = free - need > state.memoryTokens * directSpare;
-      const able = spare && slots > state.holders.size && directReads(now, state) === 0;
+      const able = spare && slots > state.holders.size && !isReading(now, state);
       const short = pauseMs <= leastGapMs(state) * pausePart;
       return able && (short || this.#account.prefill.size === 0);
     });
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -62,6 +62,26 @@
 }
 
 describe('the planner', () => {
+  /*
+   * A decode runner was to read a prompt itself, and the answer to that never came.
+   * Its other streams are slow for seconds: by then that is no reading of a prompt,
+   * and the runner gets no further work for a while.
+   */
+  test('does not excuse a slow decode runner by a prompt that must have been read long ago', () => {
+    const planner = plannerOf([runner('d1', 'decode')]);
+    planner.handle(0, { kind: 'asked', demand: demand('read', 0) });
+    const held = {
+      demand: demand('held', 0),
+      grant: { prefill: 'p1', decode: 'd1' },
+      startedAt: -500,
+    };
+    planner.handle(0, { kind: 'told', vm: 'vm2', holdings: [held] });
+    planner.handle(1000, { kind: 'slow', id: 'held' });
+    expect(planner.distrusted(1001)).toEqual([]);
+    planner.handle(3000, { kind: 'slow', id: 'held' });
+    expect(planner.distrusted(3001)).toEqual(['d1']);
+  });
+
   /*
    * A burst of long prompts comes to one decode runner with 64 slots and memory
    * for eleven of them. With slots as the limit the twelfth would be prefilled,
