Have a VM that is alone go on asking seeds and the store

Cause: a new VM asked the seeds eight times in four seconds; where seeds and the entries of the store were all of VMs that were away, it stayed alone when the seeds came back. Change: it goes on for as long as it knows no other VM, with the same pace. 89 tests of test/router and test/platform/store pass.

--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -187,7 +187,8 @@
     const choice = known.length > 0 && this.#joined > 0 ? known : strangers;
     const address = choice[Math.floor(Math.random() * choice.length)];
     this.#joined += 1;
-    if (this.#joined >= JOIN_ROUNDS) clearInterval(this.#join);
+    // Seeds and store may both be away when a VM starts; it goes on asking for as long as it is alone.
+    if (this.#joined >= JOIN_ROUNDS && known.length > 0) clearInterval(this.#join);
     if (known.length === 0) fleet.contact(seeds);
     if (address !== undefined) this.#fetch(address, true);
   }
