--- a/src/core/membership/readers.ts
+++ b/src/core/membership/readers.ts
@@ -46,3 +46,13 @@
   const { chosen, deputies } = readersOf(self.domain, members);
   return [...chosen, ...deputies].some(({ vm }) => vm === self.vm);
 }
+
+/**
+ * Addresses of whom a new VM asks for all that is known: those of its failure
+ * domain, if there are any. All tell the same, and 195 VMs that start ask some
+ * 1,500 times; between failure domains that costs rate and money.
+ */
+export function joinTargets(domain: string, present: readonly Member[]): readonly string[] {
+  const near = present.filter((member) => member.domain === domain);
+  return (near.length > 0 ? near : present).map(({ address }) => address);
+}
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -6,7 +6,7 @@
 import type { Logger } from 'pino';
 
 import { toFailure } from '../../core/failure';
-import { readersOf, shouldRead } from '../../core/membership/readers';
+import { joinTargets, readersOf, shouldRead } from '../../core/membership/readers';
 import type { Rumour } from '../../core/membership/types';
 import { isPresent } from '../../core/membership/types';
 import { NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
@@ -182,14 +182,14 @@
   #joinOnce(): void {
     const { fleet, seeds, self } = this.#context;
     const present = fleet.all.filter((member) => member.address !== self && isPresent(member));
-    const known = present.map(({ address }) => address);
     const strangers = seeds.filter((address) => address !== self);
-    const choice = known.length > 0 && this.#joined > 0 ? known : strangers;
+    const known = this.#joined > 0 ? joinTargets(fleet.self.domain, present) : [];
+    const choice = known.length > 0 ? known : strangers;
     const address = choice[Math.floor(Math.random() * choice.length)];
     this.#joined += 1;
     // Seeds and store may both be away when a VM starts; it goes on asking for as long as it is alone.
-    if (this.#joined >= JOIN_ROUNDS && known.length > 0) clearInterval(this.#join);
-    if (known.length === 0) fleet.contact(seeds);
+    if (this.#joined >= JOIN_ROUNDS && present.length > 0) clearInterval(this.#join);
+    if (present.length === 0) fleet.contact(seeds);
     if (address !== undefined) this.#fetch(address, true);
   }
 
--- a/test/core/membership.test.ts
+++ b/test/core/membership.test.ts
@@ -1,5 +1,5 @@
 import { Fleet } from '../fakes/virtual/fleet';
-import { readersOf, shouldRead } from '../../src/core/membership/readers';
+import { joinTargets, readersOf, shouldRead } from '../../src/core/membership/readers';
 import type { Member } from '../../src/core/membership/types';
 import { addressesNear, ownersOfKey, rankByCores } from '../../src/core/ownership';
 import { rank } from '../../src/core/rendezvous';
@@ -117,6 +117,13 @@
     expect(names(alone)).toEqual(['vm4']);
   });
 
+  /* What a new VM asks for is the same at all others; between failure domains it costs rate and money. */
+  test('and all others are asked by new VMs of their failure domain first', () => {
+    const near = members.slice(0, 6).map(({ address }) => address);
+    expect(joinTargets('a', members)).toEqual(near);
+    expect(joinTargets('c', members)).toEqual(members.map(({ address }) => address));
+  });
+
   /* All VMs of a fleet start at once, each for itself alone for a moment. They do not all read the store in it. */
   test('are not those that know no other yet', () => {
     const [self] = members as [Member];
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -5,7 +5,7 @@
  */
 
 import { Membership } from '../../../src/core/membership/membership';
-import { shouldRead } from '../../../src/core/membership/readers';
+import { joinTargets, shouldRead } from '../../../src/core/membership/readers';
 import type { MembershipAction, MembershipEvent, Rumour } from '../../../src/core/membership/types';
 import { isPresent } from '../../../src/core/membership/types';
 import type { RunnerFact } from '../../../src/core/routing/directory';
@@ -226,7 +226,8 @@
   #join(vm: Vm, seeds: readonly string[]): void {
     const { all, self } = vm.membership;
     const known = all.filter((member) => member.vm !== self.vm && isPresent(member));
-    const choice = known.length > 0 ? known.map(({ address }) => address) : seeds;
+    const near = joinTargets(self.domain, known);
+    const choice = near.length > 0 ? near : seeds;
     const address = choice[Math.floor(this.#random() * choice.length)];
     if (known.length === 0) this.#tell(vm, { kind: 'contact', addresses: seeds });
     if (address !== undefined) this.#exchange(vm, address, true);
