--- a/src/core/membership/readers.ts
+++ b/src/core/membership/readers.ts
@@ -3,9 +3,8 @@
  *
  * The store counts each call, a waiting watch as one. Where every VM watched it,
  * the calls grew with VMs times runners: 195 VMs made 156 a second on a calm day,
- * a twentieth of the rate that the store allows. A few in each failure domain
- * read, and all others hear of it from VM to VM. A VM that sees no other one, since
- * it is alone or cut off, is a reader by the same rule.
+ * and ten readers make some 14. A few in each failure domain read, and all others
+ * hear of it from VM to VM. A VM that hears no other one reads for itself.
  */
 
 import { rankByCores } from '../ownership';
