Log what all attempts of a request have in common, and each run that its runner broke off

Cause: when runners end one after the other, the log cannot tell one request that ends them from runners that end by themselves. Each attempt of a caller has an id of its own, and no line says how long a run had gone on when it broke off.

Change: a fingerprint of host, method, target and body in 'Request ended.'; a line 'A run broke off.' with the time since it was sent and since the first part of its answer; a counter. No decision changes. The digest of keyed requests, which stood twice, is the same function now and gives the same bytes.

--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -1,12 +1,13 @@
 /** Model requests: checks them, brings repeats of one key together, and keeps the runs. */
 
-import { createHash, randomUUID } from 'node:crypto';
+import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import type { Logger } from 'pino';
 import { z } from 'zod';
 
 import { Failure, toFailure } from '../../core/failure';
+import { fingerprintOf } from '../../core/fingerprint';
 import { requestId } from '../../core/ids';
 import { countTokens, hashBlocks } from '../../core/prefix';
 import type { Attempt, StreamPlace } from '../../core/registry/keys';
@@ -194,9 +195,8 @@
     res: ServerResponse,
     now: number,
   ): Promise<void> {
-    const fingerprint = createHash('sha256')
-      .update(`${request.serviceName}\0${request.maxTokens}\0${request.prompt}`)
-      .digest('base64url');
+    const head = `${request.serviceName}\0${request.maxTokens}`;
+    const fingerprint = fingerprintOf(head, request.prompt);
     const gateway = this.#options.address();
     const params = { key, fingerprint, gateway, id: request.id };
     const attempt = attemptSchema.parse(
--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -1,6 +1,5 @@
 /** Plain calls: idempotent ones are tried again within a budget, others run at most once. */
 
-import { createHash } from 'node:crypto';
 import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from 'node:http';
 import { Agent, request } from 'node:http';
 import { pipeline } from 'node:stream/promises';
@@ -10,6 +9,7 @@
 import { RetryBudget } from '../../core/cell/budget';
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
+import { fingerprintOf } from '../../core/fingerprint';
 import { PlainBalancer } from '../../core/plain/balancer';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
 import { readBody } from '../../utils/http';
@@ -196,10 +196,7 @@
     const key = keyOf(req);
     if (key === undefined) throw new Failure('keyRequired', 'found no Idempotency-Key header');
     const body = await readBody(req, this.#options.bodyBytes);
-    const fingerprint = createHash('sha256')
-      .update(`${req.method} ${path}\0`)
-      .update(body)
-      .digest('base64url');
+    const fingerprint = fingerprintOf(`${req.method} ${path}`, body);
     const claim = await this.#options.ledger.claim(team, key, fingerprint);
     if (claim.kind === 'replay') {
       const { status, contentType, body: text } = claim.outcome;
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -23,6 +23,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
+import { Runs } from './runs';
 import { FactSync } from './sync';
 import type {
   ControlCodec,
@@ -140,10 +141,12 @@
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
+    const runs = new Runs({ metrics: this.#metrics, log: logOf(log, 'runner') });
     this.#plain = new PlainCaller({
       knowledge: this.#knowledge,
       runners: this.#runners,
       health: (service) => this.#healthOf(service),
+      runs,
       mayRepeat,
       domain: settings.domain,
     });
@@ -151,6 +154,7 @@
       knowledge: this.#knowledge,
       runners: this.#runners,
       places: this.#places,
+      runs,
       mayRepeat,
     });
     this.#control = new Control({
@@ -273,7 +277,7 @@
   }
 
   #done(exchange: Exchange, ms: number): void {
-    const { request, route, service, status, code, trail, callerGone } = exchange;
+    const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
     const { firstMs = ms, pauseMs } = exchange;
     const { configVersion } = this.#knowledge;
     const inTime = firstMs <= route.aimMs && (route.gapMs === 0 || pauseMs <= route.gapMs);
@@ -281,6 +285,7 @@
     this.#log.info(
       {
         request: request.id,
+        fingerprint,
         route: route.name,
         service,
         configVersion,
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -3,12 +3,15 @@
 import type { ServerResponse } from 'node:http';
 
 import { Failure } from '../../core/failure';
+import { fingerprintOf } from '../../core/fingerprint';
 import type { Route } from '../../core/routing/types';
 import { errorBody } from '../../utils/http';
 import type { CallRequest, IngressCodec } from './types';
 
 /** Largest part of the time left that a caller may be told to stay away. */
 const RETRY_PART = 1 / 3;
+/** Characters of a fingerprint, six bits each: no two requests of a fleet have the same by chance. */
+const FINGERPRINT_LENGTH = 16;
 /** By how much an answer must beat the route's timeout to count as in time, in milliseconds. */
 const TIMEOUT_MARGIN_MS = 20;
 
@@ -35,6 +38,8 @@
 
   #callerGone = false;
 
+  #fingerprint: string | undefined;
+
   /** Status sent, for the log. */
   status = 0;
 
@@ -85,6 +90,16 @@
     return this.#callerGone;
   }
 
+  /** The same for all attempts of one request, whatever their ids: host, method, target and body. */
+  get fingerprint(): string {
+    const { host, method, target, body } = this.request;
+    this.#fingerprint ??= fingerprintOf(`${host.toLowerCase()} ${method} ${target}`, body).slice(
+      0,
+      FINGERPRINT_LENGTH,
+    );
+    return this.#fingerprint;
+  }
+
   get headSent(): boolean {
     return this.#res.headersSent;
   }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -8,6 +8,7 @@
 import type { Places } from './places';
 import type { OwnDemand } from './plans';
 import { Pace } from './pace';
+import type { Run, Runs } from './runs';
 import { EventSplitter } from './splitter';
 import type { CacheHandle, Reply, RunnerClient } from './types';
 
@@ -16,6 +17,7 @@
   readonly knowledge: Knowledge;
   readonly runners: RunnerClient;
   readonly places: Places;
+  readonly runs: Runs;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
 }
@@ -46,6 +48,12 @@
   readonly ms: number;
 }
 
+/** An answer that has begun, and the run that gives it. */
+interface Answer {
+  readonly reply: Reply;
+  readonly run: Run;
+}
+
 /** Outcome of one send to a decode runner; `failed` if the runner's own failure was passed on. */
 type Outcome = 'done' | 'failed' | 'rejected' | 'broken' | 'unreachable';
 
@@ -147,6 +155,7 @@
     const now = performance.now();
     const { request, signal } = exchange;
     progress.prefills += 1;
+    const run = this.#context.runs.begin(now, exchange, runner);
     const limit = AbortSignal.timeout(PREFILL_LIMIT_MS);
     const deadlineMs = exchange.leftMs(now);
     try {
@@ -161,6 +170,7 @@
     } catch (error) {
       const { codeName } = toFailure(error);
       exchange.trail.push(`prefill ${runner.id} ${codeName}`);
+      if (codeName === 'answerLost') run.broke(performance.now());
       return codeName;
     }
   }
@@ -200,18 +210,18 @@
       return 'rejected';
     }
     progress.sentTo.add(runner.id);
-    let reply = await this.#send(exchange, progress, runner, cache);
-    if (reply === 'rejected' && cache) {
+    let answer = await this.#send(exchange, progress, runner, cache);
+    if (answer === 'rejected' && cache) {
       const { places, mayRepeat } = this.#context;
       const failed = { shedBy: runner.id };
       const again = await places.bind(service, id, cache.ms, exchange.signal, failed);
       if (again === runner.id && mayRepeat(performance.now(), service)) {
         // What was read has probably lapsed; the same runner can still read the prompt itself.
-        reply = await this.#send(exchange, progress, runner, undefined);
+        answer = await this.#send(exchange, progress, runner, undefined);
       }
     }
-    if (typeof reply === 'string') return reply;
-    return this.#relay(exchange, engine, progress, id, reply);
+    if (typeof answer === 'string') return answer;
+    return this.#relay(exchange, engine, progress, id, answer);
   }
 
   async #send(
@@ -219,9 +229,11 @@
     progress: Progress,
     runner: Runner,
     cache: CacheHandle | undefined,
-  ): Promise<Reply | 'rejected' | 'broken' | 'unreachable'> {
+  ): Promise<Answer | 'rejected' | 'broken' | 'unreachable'> {
     const { request, signal } = exchange;
-    const deadlineMs = exchange.leftMs(performance.now());
+    const now = performance.now();
+    const run = this.#context.runs.begin(now, exchange, runner);
+    const deadlineMs = exchange.leftMs(now);
     const afterEvent = progress.splitter.lastId;
     try {
       const reply = await this.#context.runners.decode({
@@ -233,7 +245,7 @@
         afterEvent,
       });
       exchange.trail.push(`decode ${runner.id} ${reply.status}${reply.notRun ? ' not run' : ''}`);
-      if (!reply.notRun) return reply;
+      if (!reply.notRun) return { reply, run };
       reply.body.resume();
       // A runner that was started anew, or changed its stage, is still listed as it was. What was
       // read for it lies where it lay, so that another decode runner can take it.
@@ -245,7 +257,10 @@
     } catch (error) {
       const { codeName } = toFailure(error);
       exchange.trail.push(`decode ${runner.id} ${codeName}`);
-      if (codeName !== 'runnerUnreachable') return 'broken';
+      if (codeName !== 'runnerUnreachable') {
+        run.broke(performance.now());
+        return 'broken';
+      }
       progress.sentTo.delete(runner.id);
       return 'unreachable';
     }
@@ -257,7 +272,7 @@
     engine: Engine,
     progress: Progress,
     id: string,
-    reply: Reply,
+    { reply, run }: Answer,
   ): Promise<Outcome> {
     const { places } = this.#context;
     const { splitter } = progress;
@@ -268,6 +283,7 @@
     }
     const pace = new Pace(exchange.route.gapMs);
     let started = false;
+    let whole = false;
     splitter.restart();
     try {
       for await (const chunk of reply.body) {
@@ -275,6 +291,7 @@
         if (events.length > 0) {
           if (!started) places.note(service, { id, kind: 'started' });
           started = true;
+          run.answered(performance.now());
           if (pace.next(performance.now(), splitter.events)) {
             places.note(service, { id, kind: 'slow' });
           }
@@ -282,10 +299,14 @@
           await exchange.write(events);
         }
       }
+      whole = reply.body.complete;
     } catch {
+      // The connection ended before the answer did.
+    }
+    if (!whole) {
+      run.broke(performance.now());
       return 'broken';
     }
-    if (!reply.body.complete) return 'broken';
     const failed = reply.status >= SERVER_ERROR;
     if (failed && mayGoOn(exchange, progress)) return 'broken';
     begin(exchange, reply);
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -6,6 +6,7 @@
 import { readBody } from '../../utils/http';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
+import type { Run, Runs } from './runs';
 import type { Reply, RunnerClient } from './types';
 
 /** What plain requests work with. */
@@ -13,6 +14,7 @@
   readonly knowledge: Knowledge;
   readonly runners: RunnerClient;
   readonly health: (service: string) => RunnerHealth;
+  readonly runs: Runs;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
   readonly domain: string;
@@ -99,13 +101,14 @@
   }
 
   async #send(exchange: Exchange, runner: Runner): Promise<Answer> {
-    const { health, runners } = this.#context;
+    const { health, runners, runs } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
     records.given(now, runner.id);
     this.#busy.set(runner.id, (this.#busy.get(runner.id) ?? 0) + 1);
     try {
-      const answer = await exchangeWith(exchange, runner, runners);
+      const run = runs.begin(now, exchange, runner);
+      const answer = await exchangeWith(exchange, runner, runners, run);
       records.succeeded(runner.id);
       return answer;
     } catch (error) {
@@ -145,11 +148,16 @@
   exchange: Exchange,
   runner: Runner,
   runners: RunnerClient,
+  run: Run,
 ): Promise<Answer> {
   const deadlineMs = exchange.leftMs(performance.now());
   const { request, signal } = exchange;
-  const reply = await runners.send({ runner, request, deadlineMs, signal });
+  const reply = await runners.send({ runner, request, deadlineMs, signal }).catch((error) => {
+    if (toFailure(error).codeName === 'runnerFailed') run.broke(performance.now());
+    throw error;
+  });
   const body = await readBody(reply.body, ANSWER_BYTES).catch((error: Error) => {
+    if (reply.body.errored) run.broke(performance.now());
     throw new Failure('runnerFailed', `${runner.id}: ${error.message}`);
   });
   if (reply.notRun) throw new Failure('runnerFull', `${runner.id} turned it away`);
--- /dev/null
+++ b/test/fakes/exchange.ts
@@ -0,0 +1,79 @@
+/** Requests, answers and exchanges as tests of the request paths need them. */
+
+import { EventEmitter } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { Readable } from 'node:stream';
+
+import type { Route } from '../../src/core/routing/types';
+import { Exchange } from '../../src/node/router/exchange';
+import type { CallRequest, IngressCodec, Reply } from '../../src/node/router/types';
+
+/** A route of streams that may not be resumed. */
+export const streamRoute: Route = {
+  name: 'r',
+  host: 'h',
+  prefix: '/',
+  kind: 'stream',
+  targets: [{ service: 's', weight: 1 }],
+  timeoutMs: 14_000,
+  aimMs: 900,
+  patienceMs: 3600,
+  gapMs: 300,
+  attempts: 1,
+  priority: 1,
+  resumable: false,
+};
+
+/** A request with a prompt of some size. */
+export const promptRequest: CallRequest = {
+  id: 'q',
+  host: 'h',
+  method: 'POST',
+  target: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+  deadlineMs: 14_000,
+  usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
+};
+
+/** An answer that is whole. */
+export function replyOf(status: number, text: string): Reply {
+  const body = Object.assign(Readable.from([Buffer.from(text)]), { complete: true });
+  const misdirected = status === 421;
+  return {
+    status,
+    headers: [],
+    genuine: !misdirected,
+    notRun: misdirected,
+    misdirected,
+    body: body as unknown as Reply['body'],
+  };
+}
+
+/** An exchange whose answer is written to `out`. */
+export function exchangeInto(
+  out: string[],
+  call: CallRequest = promptRequest,
+  route: Route = streamRoute,
+): Exchange {
+  const events = new EventEmitter();
+  const res = Object.assign(events, {
+    headersSent: false,
+    destroyed: false,
+    writeHead(status: number) {
+      this.headersSent = true;
+      out.push(String(status));
+    },
+    write(chunk: Buffer) {
+      out.push(chunk.toString());
+      return true;
+    },
+    end(chunk?: Buffer) {
+      if (chunk && chunk.length > 0) out.push(chunk.toString());
+      events.emit('close');
+    },
+  });
+  const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
+  const now = performance.now();
+  return new Exchange(now, call, route, 's', res as unknown as ServerResponse, codec);
+}
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -1,21 +1,12 @@
-import { EventEmitter } from 'node:events';
-import type { ServerResponse } from 'node:http';
-import { Readable } from 'node:stream';
-
 import { Failure } from '../../src/core/failure';
-import type { Engine, Route } from '../../src/core/routing/types';
-import { Exchange } from '../../src/node/router/exchange';
+import type { Engine } from '../../src/core/routing/types';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelCaller } from '../../src/node/router/model';
 import type { OwnDemand } from '../../src/node/router/plans';
-import type {
-  CallRequest,
-  DecodeDispatch,
-  Dispatch,
-  IngressCodec,
-  Reply,
-} from '../../src/node/router/types';
+import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
+import { exchangeInto, promptRequest, replyOf } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
+import { silentRuns } from '../fakes/runs';
 
 const engine: Engine = {
   slots: 64,
@@ -25,69 +16,6 @@
   switchMs: undefined,
 };
 
-const route: Route = {
-  name: 'r',
-  host: 'h',
-  prefix: '/',
-  kind: 'stream',
-  targets: [{ service: 's', weight: 1 }],
-  timeoutMs: 14_000,
-  aimMs: 900,
-  patienceMs: 3600,
-  gapMs: 300,
-  attempts: 1,
-  priority: 1,
-  resumable: false,
-};
-
-const request: CallRequest = {
-  id: 'q',
-  host: 'h',
-  method: 'POST',
-  target: '/',
-  headers: [],
-  body: Buffer.alloc(0),
-  deadlineMs: 14_000,
-  usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
-};
-
-function reply(status: number, text: string): Reply {
-  const body = Object.assign(Readable.from([Buffer.from(text)]), { complete: true });
-  const misdirected = status === 421;
-  return {
-    status,
-    headers: [],
-    genuine: !misdirected,
-    notRun: misdirected,
-    misdirected,
-    body: body as unknown as Reply['body'],
-  };
-}
-
-/** An exchange whose answer is written to `out`. */
-function exchangeInto(out: string[], call: CallRequest = request): Exchange {
-  const events = new EventEmitter();
-  const res = Object.assign(events, {
-    headersSent: false,
-    destroyed: false,
-    writeHead(status: number) {
-      this.headersSent = true;
-      out.push(String(status));
-    },
-    write(chunk: Buffer) {
-      out.push(chunk.toString());
-      return true;
-    },
-    end(chunk?: Buffer) {
-      if (chunk && chunk.length > 0) out.push(chunk.toString());
-      events.emit('close');
-    },
-  });
-  const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
-  const now = performance.now();
-  return new Exchange(now, call, route, 's', res as unknown as ServerResponse, codec);
-}
-
 describe('a model request', () => {
   /*
    * A decode runner crashed and was started anew at its address; the list still
@@ -106,7 +34,7 @@
         },
         decode: async (dispatch: DecodeDispatch) => {
           sent.push(`${dispatch.runner.id} ${dispatch.cache?.handle}`);
-          return dispatch.runner.id === 'd1' ? reply(421, '') : reply(200, 'id: 1\n\n');
+          return dispatch.runner.id === 'd1' ? replyOf(421, '') : replyOf(200, 'id: 1\n\n');
         },
         freeCache: async () => {},
       },
@@ -121,6 +49,7 @@
         ) => (failed.unreachable === 'd1' ? 'd2' : 'd1'),
         note: () => {},
       },
+      runs: silentRuns(),
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -146,7 +75,7 @@
         },
         decode: async (dispatch: DecodeDispatch) => {
           sent.push(`${dispatch.runner.id} ${dispatch.cache?.handle}`);
-          return reply(200, 'id: 1\n\n');
+          return replyOf(200, 'id: 1\n\n');
         },
       },
       places: {
@@ -157,6 +86,7 @@
         bind: async () => 'd',
         note: () => {},
       },
+      runs: silentRuns(),
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -182,7 +112,7 @@
     } as unknown as ModelContext;
     const caller = new ModelCaller(context);
     const exchanges = [14_000, 12_000].map((deadlineMs) =>
-      exchangeInto([], { ...request, deadlineMs }),
+      exchangeInto([], { ...promptRequest, deadlineMs }),
     );
     for (const exchange of exchanges) await caller.run(exchange, engine);
     expect(asked.map(({ dueAt }, i) => Math.round(dueAt - (exchanges[i]?.arrivedAt ?? 0)))).toEqual(
