Bring about a request that ends its runners in a test, which fails

Callers of a model service see their streams cut and callers of a plain one get 502, as one request is sent again and again: nine and ten sends after the third runner has ended under it, where three are the most allowed.

--- /dev/null
+++ b/test/fakes/routers.ts
@@ -0,0 +1,332 @@
+/**
+ * Routers on the platform inside the test's own process: real daemons with the real
+ * adapter, links and probes between them, a stand-in of the store, and stand-ins of
+ * runners that speak the platform's protocol over loopback.
+ */
+
+import { randomUUID } from 'node:crypto';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer, request } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+
+import pino from 'pino';
+
+import type { Router } from '../../src/node/router/daemon';
+import { createRouter } from '../../src/platform/run';
+import { eventually } from './cluster';
+import { entryOf } from './entry';
+import { closeServer, listen, readBody, sendJson } from './http';
+import { FakeStore } from './store';
+
+/** What a body holds that ends each runner which begins to run it. */
+export const DEADLY = 'ends its runner';
+
+/** Services of the deployment. */
+export const services = { model: 'reader', plain: 'desk' } as const;
+
+/** How to start. */
+export interface RoutersOptions {
+  /** Default: 3. */
+  readonly vms?: number;
+  /** Decode runners, and as many plain ones. Default: 6. */
+  readonly runners?: number;
+  /** Time after which a runner that ended is back under a new id, in milliseconds. Default: 600. */
+  readonly backMs?: number;
+}
+
+/** How a caller saw its request end. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly retryAfter: string | undefined;
+  readonly whole: boolean;
+}
+
+type Role = 'prefill' | 'decode' | 'plain';
+
+const LEASE_LAPSE_MS = 400;
+const EVENTS = 3;
+const EVENT_MS = 10;
+/** Time from the beginning of a deadly run to the end of its runner, in milliseconds. */
+const DEADLY_MS = 20;
+
+const configOf = (version: number): unknown => ({
+  version,
+  routes: [
+    {
+      name: 'r-model',
+      host: 'h.example',
+      'path-prefix': '/model/',
+      kind: 'streaming',
+      service: services.model,
+      'timeout-ms': 5000,
+      'target-latency-ms': 900,
+      'max-attempts': 1,
+    },
+    {
+      name: 'r-plain',
+      host: 'h.example',
+      'path-prefix': '/plain/',
+      kind: 'idempotent',
+      service: services.plain,
+      'timeout-ms': 3000,
+      'max-attempts': 2,
+    },
+  ],
+  services: [
+    {
+      name: services.model,
+      engine: { slots: 16, 'kv-capacity-tokens': 50_000, stride: 7, 'kv-hold-s': 1 },
+    },
+    { name: services.plain },
+  ],
+});
+
+/** A runner on a loopback port. */
+class RunnerServer {
+  readonly id = `i-${randomUUID().slice(0, 8)}`;
+
+  /** Requests sent to it, prefills included. */
+  reached = 0;
+
+  readonly #role: Role;
+
+  readonly #onEnd: (runner: RunnerServer) => void;
+
+  #server: Server | undefined;
+
+  #address = '';
+
+  #ended = false;
+
+  constructor(role: Role, onEnd: (runner: RunnerServer) => void) {
+    this.#role = role;
+    this.#onEnd = onEnd;
+  }
+
+  get role(): Role {
+    return this.#role;
+  }
+
+  get entry(): unknown {
+    const service = this.#role === 'plain' ? services.plain : services.model;
+    const stage = this.#role === 'plain' ? {} : { stage: this.#role };
+    return entryOf({ service, address: this.#address, ...stage });
+  }
+
+  async start(): Promise<void> {
+    const { server, port } = await listen((req, res, url) => this.#handle(req, res, url));
+    this.#server = server;
+    this.#address = `127.0.0.1:${port}`;
+  }
+
+  async stop(): Promise<void> {
+    this.#ended = true;
+    if (this.#server) await closeServer(this.#server);
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse, { pathname }: URL): Promise<void> {
+    if (pathname === '/v1/report') {
+      sendJson(res, 200, { 'kv-used': 0, runs: [] });
+      return;
+    }
+    const body = await readBody(req);
+    if (pathname.startsWith('/v1/')) {
+      sendJson(res, 200, {});
+      return;
+    }
+    this.reached += 1;
+    const headers = {
+      'request-id': req.headers['request-id'] ?? '',
+      'server-signature': `by ${this.id}`,
+    };
+    if (req.headers['serving-stage'] === 'prefill') {
+      res.writeHead(200, { ...headers, 'content-type': 'application/json' });
+      res.end(JSON.stringify({ 'kv-handle': randomUUID(), tokens: 100, version: 1 }));
+      return;
+    }
+    res.writeHead(200, headers);
+    if (body.includes(DEADLY)) {
+      res.flushHeaders();
+      await pause(DEADLY_MS);
+      this.#end();
+      return;
+    }
+    for (let event = 1; event <= EVENTS; event += 1) {
+      await pause(EVENT_MS);
+      res.write(`id: ${event}\ndata: x\n\n`);
+    }
+    res.end();
+  }
+
+  /** The process is gone: every connection is reset, and nothing listens any more. */
+  #end(): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#server?.close();
+    this.#server?.closeAllConnections();
+    this.#onEnd(this);
+  }
+}
+
+/** A port that is free now. */
+async function freePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+  await closeServer(server);
+  return port;
+}
+
+interface Vm {
+  readonly name: string;
+  readonly front: string;
+  readonly peer: string;
+  readonly ready: string;
+  router: Router;
+}
+
+/** A started deployment. */
+export class Routers {
+  readonly store = new FakeStore();
+
+  /** Runners that ended under a request, in order. */
+  readonly ended: string[] = [];
+
+  readonly #options: Required<RoutersOptions>;
+
+  readonly #runners: RunnerServer[] = [];
+
+  readonly #vms: Vm[] = [];
+
+  #stopping = false;
+
+  constructor({ vms = 3, runners = 6, backMs = 600 }: RoutersOptions = {}) {
+    this.#options = { vms, runners, backMs };
+  }
+
+  /** Requests that reached runners, prefills included. */
+  get reached(): number {
+    return this.#runners.reduce((sum, { reached }) => sum + reached, 0);
+  }
+
+  async start(): Promise<void> {
+    const { vms, runners } = this.#options;
+    await this.store.start();
+    this.store.put('op/config', configOf(1));
+    await this.#add('prefill');
+    for (let i = 0; i < runners; i += 1) {
+      await this.#add('decode');
+      await this.#add('plain');
+    }
+    for (let i = 0; i < vms; i += 1) this.#vms.push(await this.#startVm(`vm${i + 1}`));
+    await this.#settled();
+  }
+
+  async stop(): Promise<void> {
+    this.#stopping = true;
+    await Promise.all(this.#vms.map(({ router }) => router.stop()));
+    await Promise.all(this.#runners.map((runner) => runner.stop()));
+    this.store.stop();
+  }
+
+  /** Sends one request to a VM, by turns, under an id of its own. */
+  async ask(turn: number, path: string, body: string): Promise<CallerAnswer> {
+    const vm = this.#vms[turn % this.#vms.length];
+    const headers = {
+      host: 'h.example',
+      'request-id': randomUUID(),
+      'request-deadline-ms': '5000',
+      connection: 'close',
+      ...(path.startsWith('/model/')
+        ? { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` }
+        : {}),
+    };
+    return fetchRaw(vm?.front ?? '', path, headers, body);
+  }
+
+  async #startVm(name: string): Promise<Vm> {
+    const [front, peer, ready] = (await Promise.all([freePort(), freePort(), freePort()])).map(
+      (port) => `127.0.0.1:${port}`,
+    ) as [string, string, string];
+    const router = this.#routerOf(name, front, peer, ready);
+    await router.start();
+    return { name, front, peer, ready, router };
+  }
+
+  #routerOf(name: string, front: string, peer: string, ready: string): Router {
+    const seed = this.#vms[0]?.peer;
+    return createRouter(
+      {
+        router: {
+          vm: name,
+          domain: 'a',
+          listen: { front, ready, directory: undefined, metrics: undefined },
+          peer,
+          seeds: seed === undefined ? [] : [seed],
+          peerKey: 'test-key-test-key',
+          cores: 1,
+          retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+          graceMs: 1000,
+          leaseMs: 3000,
+          addressTtlMs: 1000,
+        },
+        store: this.store.address,
+      },
+      pino({ level: 'silent' }),
+    );
+  }
+
+  /** Every VM serves both services. */
+  async #settled(): Promise<void> {
+    for (let turn = 0; turn < this.#vms.length; turn += 1) {
+      for (const path of ['/model/warm', '/plain/warm']) {
+        await eventually(`VM ${turn} serves ${path}`, async () => {
+          const { status, whole } = await this.ask(turn, path, `warm ${randomUUID()}`);
+          return status === 200 && whole;
+        });
+      }
+    }
+  }
+
+  async #add(role: Role): Promise<void> {
+    const runner = new RunnerServer(role, (ended) => this.#onEnd(ended));
+    await runner.start();
+    this.#runners.push(runner);
+    this.store.put(`servers/${runner.id}`, runner.entry);
+  }
+
+  /** Its lease runs out, and it is back under a new id. */
+  #onEnd(runner: RunnerServer): void {
+    this.ended.push(runner.id);
+    const { backMs } = this.#options;
+    setTimeout(() => this.store.remove(`servers/${runner.id}`), LEASE_LAPSE_MS).unref();
+    setTimeout(() => {
+      if (!this.#stopping) this.#add(runner.role).catch(() => undefined);
+    }, backMs).unref();
+  }
+}
+
+/** One request whose answer may break off. */
+function fetchRaw(
+  address: string,
+  path: string,
+  headers: Readonly<Record<string, string>>,
+  body: string,
+): Promise<CallerAnswer> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve) => {
+    const options = { host, port, path, method: 'POST', headers, agent: false };
+    const req = request(options, (res) => {
+      const end = (whole: boolean): void =>
+        resolve({ status: res.statusCode ?? 0, retryAfter: res.headers['retry-after'], whole });
+      res.resume();
+      res.on('end', () => end(res.complete));
+      res.on('error', () => end(false));
+    });
+    req.on('error', () => resolve({ status: 0, retryAfter: undefined, whole: false }));
+    req.end(body);
+  });
+}
