Keep a request from the runners once it has ended three of them

Seen: decode runners end one after the other, eight, sixteen and ten in a series; the summaries on them are cut, callers of one route get 502 and come again.

Cause: a request that ends each runner which begins it is sent on with every attempt of its caller. Each attempt has an id of its own and comes to any VM, and retries were bounded by attempt and by service only: nothing knew that two attempts are the same request, nor that its runs end runners.

Change: all VMs count, for the content of a request, the starts of runners that ended under it; from the third on it is refused (code 312, 503 with a time to come back) for ten minutes. News goes with the rumours that are there, in the exchange where digests differ, and through the store for VMs that all start anew. Every send to a runner asks first: arrivals, prefills, decodes, plain calls, repeats.

Why this holds: a request of this kind breaks each of its runs off, so three ends are all it takes; innocent ones on the same runner had brought answers before, or come again at most once or twice, or are answered whole, and each of the three keeps them out. Ruled out: quarantine at one end (every crash would refuse what it hit); at each VM alone (3 runners times VMs); counting at an owner (lost when VMs stop in turn); a 4xx (not said by the route, and callers that come back within their time may find it taken again).

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -171,6 +171,12 @@
     'The runners turned the request away and did not run it.',
     'Come back after the time in Retry-After.',
   ),
+  quarantined: refusal(
+    312,
+    503,
+    'Several runners ended under this very request, so it is kept from runners for a while.',
+    'Change the request, or mend what ends the runners; it is taken again after ten minutes.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -17,6 +17,7 @@
   | 'front'
   | 'knowledge'
   | 'places'
+  | 'quarantine'
   | 'store'
   | 'orders'
   | 'runner'
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -23,6 +23,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
+import { QuarantineDesk } from './quarantine';
 import { Runs } from './runs';
 import { FactSync } from './sync';
 import type {
@@ -32,6 +33,7 @@
   OrderLock,
   RouterSettings,
   RunnerClient,
+  SuspectArchive,
 } from './types';
 
 /** The system around the router. */
@@ -41,6 +43,7 @@
   readonly ingress: IngressCodec;
   readonly control: ControlCodec;
   readonly lock: OrderLock;
+  readonly archive: SuspectArchive;
 }
 
 /** How long a leaving VM goes on taking connections, as a part of the grace: callers keep old addresses for a while. */
@@ -77,6 +80,10 @@
 
   readonly #news: NewsDesk;
 
+  readonly #quarantine: QuarantineDesk;
+
+  readonly #runs: Runs;
+
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -115,13 +122,23 @@
       onDiffers: (address) => this.#news.differs(address),
       onRumour: (rumour, address) => this.#news.heard(rumour, address),
     });
+    this.#quarantine = new QuarantineDesk({
+      archive: ports.archive,
+      readsStore: () => this.#news.reading,
+      metrics: this.#metrics,
+      log: logOf(log, 'quarantine'),
+      onNews: (suspects) => this.#news.suspected(suspects),
+      onRefused: () => this.#news.setDigest(),
+    });
     const sync = new FactSync({
       knowledge: this.#knowledge,
+      quarantine: this.#quarantine,
       fleet: this.#fleet,
       decodeConfig: (raw) => ports.ingress.decodeConfig(raw),
     });
     this.#news = new NewsDesk({
       knowledge: this.#knowledge,
+      quarantine: this.#quarantine,
       fleet: this.#fleet,
       feed: ports.feed,
       sync,
@@ -141,12 +158,16 @@
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
-    const runs = new Runs({ metrics: this.#metrics, log: logOf(log, 'runner') });
+    this.#runs = new Runs({
+      quarantine: this.#quarantine,
+      metrics: this.#metrics,
+      log: logOf(log, 'runner'),
+    });
     this.#plain = new PlainCaller({
       knowledge: this.#knowledge,
       runners: this.#runners,
       health: (service) => this.#healthOf(service),
-      runs,
+      runs: this.#runs,
       mayRepeat,
       domain: settings.domain,
     });
@@ -154,7 +175,7 @@
       knowledge: this.#knowledge,
       runners: this.#runners,
       places: this.#places,
-      runs,
+      runs: this.#runs,
       mayRepeat,
     });
     this.#control = new Control({
@@ -181,6 +202,7 @@
       onRunners: (facts) => this.#knowledge.learnRunners(performance.now(), facts, 'store'),
       onListed: (ids, revision) => this.#knowledge.learnList(performance.now(), ids, revision),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
+      onSuspects: (suspects, isAll) => this.#quarantine.stored(performance.now(), suspects, isAll),
       onStore: (up, detail) => this.#news.storeAnswered(performance.now(), up, detail),
     });
     this.#news.start();
@@ -231,6 +253,7 @@
     while (this.#front.active > 0 && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.active }, 'Stopped.');
     this.#news.stop();
+    this.#quarantine.stop();
     this.#places.stop();
     this.#host.stop();
     this.#control.close();
@@ -247,6 +270,7 @@
       ready: this.#ready,
       readsStore: this.#news.reading,
       active: this.#front.active,
+      refuses: this.#quarantine.beliefs(now),
       ...this.#knowledge.beliefs(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
@@ -270,7 +294,13 @@
 
   async #serve(exchange: Exchange): Promise<void> {
     const { service } = exchange;
-    this.#retriesOf(service).first(performance.now());
+    const now = performance.now();
+    this.#retriesOf(service).first(now);
+    const refusal = this.#runs.refusal(now, exchange);
+    if (refusal) {
+      exchange.fail(now, refusal);
+      return;
+    }
     const engine = this.#knowledge.table?.service(service)?.engine;
     if (engine) await this.#model.run(exchange, engine);
     else await this.#plain.run(exchange);
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -41,6 +41,8 @@
   readonly avoid: string[];
   prefills: number;
   places: number;
+  /** Whether a decode runner may have run it. */
+  ran: boolean;
 }
 
 /** A prompt that lies at a prefill runner, and the time it took to read. */
@@ -72,6 +74,7 @@
       avoid: [],
       prefills: 0,
       places: 0,
+      ran: false,
     };
     try {
       let more = true;
@@ -98,6 +101,8 @@
     let blame: string | undefined;
     try {
       const { prefill } = grant;
+      const refused = this.#refused(exchange, progress);
+      if (refused) throw refused;
       const cache =
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
@@ -123,6 +128,12 @@
     }
   }
 
+  /** Other attempts of this request may have ended their runners meanwhile. */
+  #refused(exchange: Exchange, { ran }: Progress): Failure | undefined {
+    const refused = this.#context.runs.refusal(performance.now(), exchange);
+    return refused && ran ? new Failure('runnerFailed', refused.message) : refused;
+  }
+
   /** Undefined if this runner failed and another may try. */
   async #prefill(
     exchange: Exchange,
@@ -184,6 +195,8 @@
   #again(exchange: Exchange, progress: Progress, failed: string): boolean {
     const now = performance.now();
     progress.avoid.push(failed);
+    const refused = this.#refused(exchange, progress);
+    if (refused) throw refused;
     const may = progress.prefills < PREFILL_TRIES && this.#context.mayRepeat(now, exchange.service);
     if (may || exchange.signal.aborted) return may;
     throw refusal(progress, 'the prefill failed');
@@ -209,6 +222,11 @@
       if (cache) this.#free(cache);
       return 'rejected';
     }
+    const refused = this.#refused(exchange, progress);
+    if (refused) {
+      if (cache) this.#free(cache);
+      throw refused;
+    }
     progress.sentTo.add(runner.id);
     let answer = await this.#send(exchange, progress, runner, cache);
     if (answer === 'rejected' && cache) {
@@ -307,6 +325,7 @@
       run.broke(performance.now());
       return 'broken';
     }
+    run.completed(performance.now());
     const failed = reply.status >= SERVER_ERROR;
     if (failed && mayGoOn(exchange, progress)) return 'broken';
     begin(exchange, reply);
@@ -328,9 +347,11 @@
     if (signal.aborted) return false;
     progress.avoid.push(decode);
     const ran = outcome === 'broken';
+    progress.ran ||= ran;
     const allowed = ran ? route.resumable : true;
     const left = progress.sentTo.size < route.attempts;
-    if (allowed && left && this.#context.mayRepeat(performance.now(), service)) return true;
+    const again = allowed && left && !this.#refused(exchange, progress);
+    if (again && this.#context.mayRepeat(performance.now(), service)) return true;
     if (ran) throw new Failure('runnerFailed', `${decode} broke the answer off`);
     throw refusal(progress, `${decode} turned it away`);
   }
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -8,11 +8,14 @@
 import { toFailure } from '../../core/failure';
 import { isIsolated, joinTargets, readersOf, shouldRead } from '../../core/membership/readers';
 import type { Rumour } from '../../core/membership/types';
+import type { Suspect } from '../../core/quarantine/types';
 import { isPresent } from '../../core/membership/types';
 import { NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
 import type { Knowledge, News } from './knowledge';
+import type { QuarantineDesk } from './quarantine';
+import { SUSPECT_PATH, fromRumour, toRumour } from './suspects';
 import type { FactSync } from './sync';
 import { decodeFact, encodeFact } from './sync';
 import type { Feed } from './types';
@@ -20,6 +23,7 @@
 /** What the desk works with. */
 export interface NewsContext {
   readonly knowledge: Knowledge;
+  readonly quarantine: QuarantineDesk;
   readonly fleet: RouterFleet;
   readonly feed: Feed;
   readonly sync: FactSync;
@@ -107,7 +111,7 @@
   /** Something came in, from wherever: tells it on. */
   learnt(news: News): void {
     const { fleet, knowledge } = this.#context;
-    fleet.setDigest(knowledge.digest);
+    this.setDigest();
     const rumours =
       news.kind === 'config'
         ? this.#spread.configRumours(knowledge.configVersion)
@@ -115,17 +119,31 @@
     fleet.spread(rumours);
   }
 
+  /** Others compare what this VM knows with what they know. */
+  setDigest(): void {
+    const { fleet, knowledge, quarantine } = this.#context;
+    const refused = quarantine.digest(performance.now());
+    fleet.setDigest(refused === '' ? knowledge.digest : `${knowledge.digest}/${refused}`);
+  }
+
+  /** Runners ended under requests. */
+  suspected(suspects: readonly Suspect[]): void {
+    this.#context.fleet.spread(suspects.map(toRumour));
+  }
+
   /** A member tells news. */
   heard(rumour: Rumour, address: string): void {
-    const { knowledge, log } = this.#context;
+    const { knowledge, quarantine, log } = this.#context;
     const now = performance.now();
-    if (!rumour.path.startsWith(RUNNER_PATH) || rumour.text === undefined) {
+    const isSuspect = rumour.path.startsWith(SUSPECT_PATH);
+    if (!isSuspect && (!rumour.path.startsWith(RUNNER_PATH) || rumour.text === undefined)) {
       this.#spread.heard(rumour, address, knowledge);
       this.#fetchDue();
       return;
     }
     try {
-      knowledge.learnRunners(now, [decodeFact(rumour.text)], address);
+      if (isSuspect) quarantine.learn(now, [fromRumour(rumour)], address);
+      else knowledge.learnRunners(now, [decodeFact(rumour.text ?? '')], address);
     } catch (error) {
       log.warn({ address, path: rumour.path }, toFailure(error).line);
     }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -50,6 +50,9 @@
     let last = new Failure('noRunner', `no runner of ${service}`, { retryAfterMs: RETRY_MS });
     for (let reach = 0; reach < REACH_TRIES && sent < route.attempts; reach += 1) {
       const now = performance.now();
+      const refused = this.#context.runs.refusal(now, exchange);
+      if (refused && sent === 0) last = refused;
+      if (refused) break;
       const runner = this.#choose(now, service, tried);
       if (!runner || exchange.signal.aborted) break;
       if (sent > 0 && !this.#context.mayRepeat(now, service)) break;
@@ -110,6 +113,7 @@
       const run = runs.begin(now, exchange, runner);
       const answer = await exchangeWith(exchange, runner, runners, run);
       records.succeeded(runner.id);
+      run.completed(performance.now());
       return answer;
     } catch (error) {
       if (exchange.callerGone) records.inconclusive(runner.id);
@@ -138,7 +142,8 @@
 /** Unsent and unrun requests are refused as such; for others the outcome is said to be unknown. */
 function verdictOf(exchange: Exchange, last: Failure): Failure {
   if (last.code.notRun) {
-    return new Failure(last.codeName, last.message, { retryAfterMs: RETRY_MS });
+    const { retryAfterMs = RETRY_MS } = last;
+    return new Failure(last.codeName, last.message, { retryAfterMs });
   }
   const timedOut = exchange.leftMs(performance.now()) <= 0;
   return timedOut ? new Failure('timedOut', 'the runner did not answer in time') : last;
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -1,13 +1,20 @@
-/** Follows the runs of requests at runners, and logs each that its runner broke off. */
+/**
+ * Follows the runs of requests at runners: keeps requests from them that end them,
+ * and logs each run that its runner broke off.
+ */
 
 import type { Logger } from 'pino';
 
+import type { Failure } from '../../core/failure';
+import { isTelling } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Metrics } from '../metrics';
 import type { Exchange } from './exchange';
+import type { QuarantineDesk } from './quarantine';
 
 /** What runs work with. */
 export interface RunsContext {
+  readonly quarantine: QuarantineDesk;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -36,12 +43,19 @@
     this.#answeredAt ??= now;
   }
 
-  /** Its connection ended before its answer did. Nothing is held against a runner whose caller left or whose time was up. */
+  /** Its answer came whole, whatever it says: the runner outlived it. */
+  completed(now: number): void {
+    this.#context.quarantine.completed(now, this.#exchange.fingerprint);
+  }
+
+  /** Its connection ended before its answer did. Nothing is held against either if the caller left or its time was up. */
   broke(now: number): void {
     const { request, service, fingerprint, signal } = this.#exchange;
     if (signal.aborted) return;
-    const { metrics, log } = this.#context;
+    const { quarantine, metrics, log } = this.#context;
     const { id: runner, role } = this.#runner;
+    const answeredAt = this.#answeredAt;
+    const ends = isTelling(now, answeredAt) ? quarantine.ended(now, fingerprint, runner) : 0;
     metrics.count('runs.broken');
     log.info(
       {
@@ -51,9 +65,8 @@
         runner,
         role,
         sentMs: Math.round(now - this.#sentAt),
-        ...(this.#answeredAt === undefined
-          ? {}
-          : { answeredMs: Math.round(now - this.#answeredAt) }),
+        ...(answeredAt === undefined ? {} : { answeredMs: Math.round(now - answeredAt) }),
+        ends,
       },
       'A run broke off.',
     );
@@ -68,6 +81,11 @@
     this.#context = context;
   }
 
+  /** Why a request must not reach a runner. Default: it may. */
+  refusal(now: number, { fingerprint }: Exchange): Failure | undefined {
+    return this.#context.quarantine.refusal(now, fingerprint);
+  }
+
   begin(now: number, exchange: Exchange, runner: Runner): Run {
     return new Run(now, this.#context, exchange, runner);
   }
--- a/src/node/router/sync.ts
+++ b/src/node/router/sync.ts
@@ -6,16 +6,20 @@
 
 import { Failure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
+import type { Suspect } from '../../core/quarantine/types';
 import { DIGEST_PARTS } from '../../core/routing/digest';
 import type { RunnerFact } from '../../core/routing/directory';
 import type { RoutingConfig } from '../../core/routing/types';
 import { memberSchema } from '../scheduler/members';
 import type { RouterFleet } from './fleet';
 import type { Knowledge } from './knowledge';
+import type { QuarantineDesk } from './quarantine';
+import { suspectSchema } from './suspects';
 
 /** What an exchange works with. */
 export interface SyncContext {
   readonly knowledge: Knowledge;
+  readonly quarantine: QuarantineDesk;
   readonly fleet: RouterFleet;
   /** Decodes a configuration; undefined if it cannot be read. */
   readonly decodeConfig: (raw: string) => RoutingConfig | undefined;
@@ -52,12 +56,15 @@
   parts: z.array(z.number()).length(DIGEST_PARTS),
   /** Whether the members are asked for. */
   members: z.boolean(),
+  /** Digest of the requests that the asking VM refuses. */
+  refused: z.string().default(''),
 });
 const answerSchema = z.object({
   /** Packed with gzip: a configuration of 1,400 routes takes a tenth so. Left out if it is not newer. */
   config: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   facts: z.array(factSchema),
   members: z.array(memberSchema).optional(),
+  suspects: z.array(suspectSchema).default([]),
 });
 
 type Answer = Readonly<z.infer<typeof answerSchema>>;
@@ -76,6 +83,10 @@
   return { ...member, gateways: [...member.gateways] };
 }
 
+function toWireSuspect(suspect: Suspect): z.infer<typeof suspectSchema> {
+  return { ...suspect, ends: [...suspect.ends] };
+}
+
 function fromWire({ id, revision, runner, graceMs }: WireFact): RunnerFact {
   return { id, revision, runner, graceMs };
 }
@@ -111,22 +122,27 @@
 
   /** What this VM knows beside what the asking one does. */
   answer(now: number, params: unknown): Answer {
-    const { knowledge, fleet } = this.#context;
-    const { configVersion, parts, members } = requestSchema.parse(params);
+    const { knowledge, quarantine, fleet } = this.#context;
+    const { configVersion, parts, members, refused } = requestSchema.parse(params);
+    const tellsSuspects = members || refused !== quarantine.digest(now);
     return {
       ...(configVersion < knowledge.configVersion ? { config: this.#pack() } : {}),
       facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
+      suspects: tellsSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
     };
   }
 
   /** Asks another VM and takes over what is newer there. */
   async fetch(address: string, members: boolean): Promise<void> {
-    const { knowledge, fleet, decodeConfig } = this.#context;
+    const { knowledge, quarantine, fleet, decodeConfig } = this.#context;
     const { configVersion, digestParts } = knowledge;
-    const request = { configVersion, parts: digestParts, members };
+    const refused = quarantine.digest(performance.now());
+    const request = { configVersion, parts: digestParts, members, refused };
     const answer = answerSchema.parse(await fleet.call(address, 'facts', request, LIMIT_MS));
     const now = performance.now();
+    // Before the configuration, with which this VM begins to take callers.
+    quarantine.learn(now, answer.suspects, address);
     if (answer.config) {
       const raw = gunzipSync(answer.config, { maxOutputLength: CONFIG_BYTES }).toString();
       const config = decodeConfig(raw);
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { MemoryReport } from '../../core/memory/types';
+import type { Suspect } from '../../core/quarantine/types';
 import type { RunnerFact } from '../../core/routing/directory';
 import type { RetryBounds } from '../../core/retries';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
@@ -140,6 +141,12 @@
   acquire(): Promise<OrderRight | undefined>;
 }
 
+/** Where requests that are refused outlast all VMs. */
+export interface SuspectArchive {
+  /** @param keptMs time after which it is forgotten, in milliseconds */
+  save(suspect: Suspect, keptMs: number): Promise<void>;
+}
+
 /** What a feed of facts tells. */
 export interface FeedListener {
   onConfig(config: RoutingConfig, raw: string): void;
@@ -147,6 +154,8 @@
   /** The full list of runners as of now. */
   onListed(ids: ReadonlySet<string>, revision: number): void;
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
+  /** Requests that are refused, as some VM saved them; `isAll` if the store holds no others. */
+  onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
   /** After each call to the store: whether it was answered. */
   onStore(up: boolean, detail: string): void;
 }
--- a/src/platform/facts.ts
+++ b/src/platform/facts.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
+import type { Suspect } from '../core/quarantine/types';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
 import { startId } from '../core/routing/types';
 
@@ -97,6 +98,12 @@
 
 const vmSchema = z.object({ address: z.string() });
 
+/** A refused request. Times of day, in Unix milliseconds: all VMs may have started anew when it is read. */
+const suspectSchema = z.object({
+  ends: z.array(z.object({ runner: z.string(), at: z.number() })),
+  completedAt: z.number().optional(),
+});
+
 function parse<T>(schema: z.ZodType<T>, text: string, what: string): T {
   let value: unknown;
   try {
@@ -191,3 +198,25 @@
 export function encodeVm(address: string): string {
   return JSON.stringify({ address });
 }
+
+/**
+ * Decodes the router's own entry of a refused request; throws `factUnreadable`.
+ * @param wallNow time of day, in Unix milliseconds; clocks differ, and an end in the future counts as one of now
+ */
+export function decodeSuspect(wallNow: number, fingerprint: string, text: string): Suspect {
+  const { ends, completedAt } = parse(suspectSchema, text, `request ${fingerprint}`);
+  const ago = (at: number): number => Math.max(0, wallNow - at);
+  return {
+    fingerprint,
+    ends: ends.map(({ runner, at }) => ({ runner, agoMs: ago(at) })),
+    ...(completedAt === undefined ? {} : { completedAgoMs: ago(completedAt) }),
+  };
+}
+
+/** @param wallNow time of day, in Unix milliseconds */
+export function encodeSuspect(wallNow: number, { ends, completedAgoMs }: Suspect): string {
+  return JSON.stringify({
+    ends: ends.map(({ runner, agoMs }) => ({ runner, at: Math.round(wallNow - agoMs) })),
+    ...(completedAgoMs === undefined ? {} : { completedAt: Math.round(wallNow - completedAgoMs) }),
+  });
+}
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -5,9 +5,10 @@
 import type { Logger } from 'pino';
 
 import { toFailure } from '../core/failure';
+import type { Suspect } from '../core/quarantine/types';
 import type { RunnerFact } from '../core/routing/directory';
 import type { Feed, FeedListener } from '../node/router/types';
-import { decodeConfig, decodeRunner, decodeVm, encodeVm } from './facts';
+import { decodeConfig, decodeRunner, decodeSuspect, decodeVm, encodeVm } from './facts';
 import { key } from './names';
 import type { Item, StoreClient } from './store';
 
@@ -95,7 +96,7 @@
       } else {
         this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, news.revision);
-        this.#tell(news.items);
+        this.#tell(news.items, false);
       }
       const left = WATCH_PACE_MS - (performance.now() - since);
       if (left > 0) await pause(left);
@@ -106,14 +107,16 @@
     const { items, revision } = await this.#store.range(ALL);
     this.#listener?.onStore(true, 'answers');
     this.#register(items);
-    this.#tell(items);
+    this.#tell(items, true);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
     this.#listener?.onListed(new Set(ids), revision);
     return { revision };
   }
 
-  #tell(items: readonly Item[]): void {
+  /** @param isAll whether the store holds no other items */
+  #tell(items: readonly Item[], isAll: boolean): void {
     const runners: RunnerFact[] = [];
+    const suspects: Suspect[] = [];
     const vms: { vm: string; address: string }[] = [];
     for (const item of items) {
       try {
@@ -121,11 +124,15 @@
         else if (item.key.startsWith(key.runners)) runners.push(factOf(item));
         else if (item.key.startsWith(key.vms) && item.value !== undefined) {
           vms.push(decodeVm(item.key.slice(key.vms.length), item.value));
+        } else if (item.key.startsWith(key.suspects) && item.value !== undefined) {
+          const fingerprint = item.key.slice(key.suspects.length);
+          suspects.push(decodeSuspect(Date.now(), fingerprint, item.value));
         }
       } catch (error) {
         this.#log.error({ key: item.key, revision: item.revision }, toFailure(error).line);
       }
     }
+    if (suspects.length > 0 || isAll) this.#listener?.onSuspects(suspects, isAll);
     if (runners.length > 0) this.#listener?.onRunners(runners);
     if (vms.length > 0) this.#listener?.onVms(vms);
   }
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -59,6 +59,8 @@
   /** Followed by the VM's name: the router's own. */
   vms: 'goldcrestdock/vms/',
   orders: 'goldcrestdock/orders/',
+  /** Followed by a request's fingerprint, under a lease: requests that are refused. */
+  suspects: 'goldcrestdock/suspects/',
   /** Under a lease: who may give orders to runners. */
   orderHolder: 'goldcrestdock/orders/holder',
   /** Without a lease: who had that right last. */
--- a/src/platform/run.ts
+++ b/src/platform/run.ts
@@ -12,6 +12,7 @@
 import type { PlatformSettings } from './settings';
 import { SETTINGS_VARIABLE, loadSettings } from './settings';
 import { StoreClient } from './store';
+import { StoreSuspects } from './suspects';
 
 /** Settings at the path that the environment names. */
 export function settingsOfEnvironment(
@@ -40,6 +41,7 @@
       ingress: new PlatformIngress(),
       control: new PlatformControl(),
       lock: new StoreLock(client, vm),
+      archive: new StoreSuspects(client),
     },
     log,
   );
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -232,6 +232,22 @@
     this.store.stop();
   }
 
+  /** Stops all VMs, and starts them anew with nothing but the store to know things from. */
+  async restart(): Promise<void> {
+    await Promise.all(this.#vms.map(({ router }) => router.stop()));
+    for (const one of this.#vms) {
+      one.router = this.#routerOf(one.name, one.front, one.peer, one.ready);
+      await one.router.start();
+    }
+    await this.#settled();
+  }
+
+  /** One more VM, that knows nothing yet. */
+  async addVm(): Promise<void> {
+    this.#vms.push(await this.#startVm(`vm${this.#vms.length + 1}`));
+    await this.#settled();
+  }
+
   /** Sends one request to a VM, by turns, under an id of its own. */
   async ask(turn: number, path: string, body: string): Promise<CallerAnswer> {
     const vm = this.#vms[turn % this.#vms.length];
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -101,6 +101,10 @@
     }
   }
 
+  get keys(): readonly string[] {
+    return [...this.#items.keys()];
+  }
+
   get leases(): readonly number[] {
     return [...this.#live];
   }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -39,6 +39,8 @@
 
   onVms(): void {}
 
+  onSuspects(): void {}
+
   onStore(up: boolean): void {
     if (this.store.at(-1) !== up) this.store.push(up);
   }
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -4,9 +4,9 @@
 import { ModelCaller } from '../../src/node/router/model';
 import type { OwnDemand } from '../../src/node/router/plans';
 import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
-import { exchangeInto, promptRequest, replyOf } from '../fakes/exchange';
+import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { silentRuns } from '../fakes/runs';
+import { quarantineOf, runsOf } from '../fakes/runs';
 
 const engine: Engine = {
   slots: 64,
@@ -49,7 +49,7 @@
         ) => (failed.unreachable === 'd1' ? 'd2' : 'd1'),
         note: () => {},
       },
-      runs: silentRuns(),
+      runs: runsOf(),
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -86,7 +86,7 @@
         bind: async () => 'd',
         note: () => {},
       },
-      runs: silentRuns(),
+      runs: runsOf(),
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -119,4 +119,32 @@
       [900, 900],
     );
   });
+
+  /*
+   * A stream that may be resumed has ended its runner, and is the third to do so. It is
+   * not sent on; but it has run, so that its caller is not told that it has not.
+   */
+  test('is not said not to have run when it is kept from runners after a run', async () => {
+    const quarantine = quarantineOf();
+    const out: string[] = [];
+    const route = { ...streamRoute, attempts: 3, resumable: true };
+    const exchange = exchangeInto(out, promptRequest, route);
+    for (const id of ['x', 'y']) quarantine.ended(performance.now(), exchange.fingerprint, id);
+    const sent: string[] = [];
+    const context = {
+      knowledge: { runnersOf: () => [runner('d1', 'decode'), runner('d2', 'decode')] },
+      runners: {
+        decode: async (dispatch: DecodeDispatch) => {
+          sent.push(dispatch.runner.id);
+          throw new Failure('runnerFailed', 'reset');
+        },
+      },
+      places: { ask: async () => ({ decode: `d${sent.length + 1}` }), note: () => {} },
+      runs: runsOf(quarantine),
+      mayRepeat: () => true,
+    } as unknown as ModelContext;
+    await new ModelCaller(context).run(exchange, engine);
+    expect(sent).toEqual(['d1']);
+    expect([out[0], exchange.code]).toEqual(['502', 'runnerFailed']);
+  });
 });
--- a/test/router/quarantine.test.ts
+++ b/test/router/quarantine.test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { eventually } from '../fakes/cluster';
 import { DEADLY, Routers } from '../fakes/routers';
 
 /** Time between two attempts of the caller, in milliseconds: news is with all VMs well before. */
@@ -45,3 +46,46 @@
     30_000,
   );
 });
+
+describe('a request that is kept from runners', () => {
+  const routers = new Routers();
+
+  beforeAll(() => routers.start(), 30_000);
+  afterAll(() => routers.stop(), 30_000);
+
+  /** Statuses of one attempt at each VM, one after the other. */
+  const askAll = async (vms: number, body: string): Promise<readonly number[]> => {
+    const statuses: number[] = [];
+    for (let turn = 0; turn < vms; turn += 1) {
+      statuses.push((await routers.ask(turn, '/model/x', body)).status);
+      await pause(ATTEMPT_MS);
+    }
+    return statuses;
+  };
+
+  /*
+   * The store is silent while the request ends its third runner, so that nobody can save
+   * it there. All VMs know it from each other. Once the store answers it is saved, and VMs
+   * that all start anew know it before a runner gets it again.
+   */
+  test('is known to VMs that are new, and when all start anew', async () => {
+    expect(await askAll(2, DEADLY)).toEqual([502, 502]);
+    routers.store.mood = 'busy';
+    expect(await askAll(4, DEADLY)).toEqual([502, 503, 503, 503]);
+    routers.store.mood = 'well';
+    const saved = (): boolean => routers.store.keys.some((key) => key.includes('/suspects/'));
+    await eventually('it is saved', saved);
+    await routers.addVm();
+    expect(await askAll(4, DEADLY)).toEqual([503, 503, 503, 503]);
+    await routers.restart();
+    expect(await askAll(4, DEADLY)).toEqual([503, 503, 503, 503]);
+    expect(routers.ended.length).toBe(3);
+  }, 30_000);
+
+  test('has the time to come back told, and no other request is refused', async () => {
+    const { status, retryAfter } = await routers.ask(0, '/model/x', DEADLY);
+    // A third of the five seconds that the caller waits.
+    expect([status, retryAfter]).toEqual([503, '1.7']);
+    expect(await askAll(4, 'another')).toEqual([200, 200, 200, 200]);
+  });
+});
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -6,6 +6,7 @@
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, promptRequest } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
+import { quarantineOf } from '../fakes/runs';
 
 /** Runs and the lines that they log. */
 class LoggedRuns {
@@ -23,7 +24,7 @@
         done();
       },
     });
-    this.runs = new Runs({ metrics: this.metrics, log: pino(sink) });
+    this.runs = new Runs({ quarantine: quarantineOf(), metrics: this.metrics, log: pino(sink) });
   }
 }
 
@@ -46,6 +47,7 @@
     expect(lines).toMatchInlineSnapshot(`
      [
        {
+         "ends": 1,
          "fingerprint": "W2oDcAc2mx1xBhOB",
          "msg": "A run broke off.",
          "request": "first",
@@ -56,6 +58,7 @@
        },
        {
          "answeredMs": 100,
+         "ends": 1,
          "fingerprint": "W2oDcAc2mx1xBhOB",
          "msg": "A run broke off.",
          "request": "second",
--- a/test/router/sync.test.ts
+++ b/test/router/sync.test.ts
@@ -6,6 +6,7 @@
 import { FactSync, decodeFact, encodeFact } from '../../src/node/router/sync';
 import { silentListener } from '../fakes/listener';
 import { runnerOf } from '../fakes/runner';
+import { quarantineOf } from '../fakes/runs';
 
 const config = (version: number): RoutingConfig => ({
   version,
@@ -20,6 +21,8 @@
 
   readonly asked = new Knowledge(pino({ level: 'silent' }), silentListener);
 
+  readonly quarantines = { asking: quarantineOf(), asked: quarantineOf() };
+
   /** Facts in each answer. */
   readonly answered: number[] = [];
 
@@ -27,6 +30,7 @@
     const decodeConfig = (raw: string): RoutingConfig => JSON.parse(raw) as RoutingConfig;
     const bearer = new FactSync({
       knowledge: this.asked,
+      quarantine: this.quarantines.asked,
       fleet: { all: [] } as unknown as RouterFleet,
       decodeConfig,
     });
@@ -36,7 +40,9 @@
       return answer;
     };
     const fleet = { call, sync: () => {} } as unknown as RouterFleet;
-    await new FactSync({ knowledge: this.asking, fleet, decodeConfig }).fetch('a:1', false);
+    const quarantine = this.quarantines.asking;
+    const sync = new FactSync({ knowledge: this.asking, quarantine, fleet, decodeConfig });
+    await sync.fetch('a:1', false);
   }
 }
 
