--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -147,4 +147,37 @@
     expect(sent).toEqual(['d1']);
     expect([out[0], exchange.code]).toEqual(['502', 'runnerFailed']);
   });
+
+  /*
+   * A stream that may be resumed is cut by its runner before its first event. Asked for
+   * another place, the owner has none in time. The caller is not told that the request
+   * has not run: a runner had begun it.
+   */
+  test('is not said not to have run when no second place is found after a run', async () => {
+    const out: string[] = [];
+    const route = { ...streamRoute, attempts: 2, resumable: true };
+    const exchange = exchangeInto(out, promptRequest, route);
+    let asked = 0;
+    const context = {
+      knowledge: { runnersOf: () => [runner('d1', 'decode')] },
+      runners: {
+        decode: async () => {
+          throw new Failure('runnerFailed', 'reset');
+        },
+      },
+      places: {
+        ask: async () => {
+          asked += 1;
+          if (asked === 1) return { decode: 'd1' };
+          throw new Failure('deadlineUnreachable', 'no place in time', { retryAfterMs: 300 });
+        },
+        note: () => {},
+      },
+      runs: runsOf(),
+      mayRepeat: () => true,
+    } as unknown as ModelContext;
+    await new ModelCaller(context).run(exchange, engine);
+    expect(asked).toBe(2);
+    expect([out[0], exchange.code]).toEqual(['502', 'runnerFailed']);
+  });
 });
