Tell no caller that its request has not run once a runner may have begun it

Callers saw 503, which promises that nothing ran and never will, for a resumable stream whose first runner had cut it before its first event, and for an idempotent call whose first runner had broken it off.

Cause: the answer was chosen by the last attempt alone; whether an earlier one had reached a runner was read from the events seen, which a run that breaks at once does not have, or was not asked at all.

Change: each request keeps whether a runner may have run it, and its final answer is 502 then. Why it holds: all ways to a final answer pass one function in each of the two paths.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -85,7 +85,7 @@
         exchange.fail(performance.now(), timeUp(progress));
       }
     } catch (error) {
-      const failure = exchange.signal.aborted ? timeUp(progress) : toFailure(error);
+      const failure = verdictOf(exchange, progress, toFailure(error));
       exchange.trail.push(failure.codeName);
       exchange.fail(performance.now(), failure);
     }
@@ -101,7 +101,7 @@
     let blame: string | undefined;
     try {
       const { prefill } = grant;
-      const refused = this.#refused(exchange, progress);
+      const refused = this.#refused(exchange);
       if (refused) throw refused;
       const cache =
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
@@ -129,9 +129,8 @@
   }
 
   /** Other attempts of this request may have ended their runners meanwhile. */
-  #refused(exchange: Exchange, { ran }: Progress): Failure | undefined {
-    const refused = this.#context.runs.refusal(performance.now(), exchange);
-    return refused && ran ? new Failure('runnerFailed', refused.message) : refused;
+  #refused(exchange: Exchange): Failure | undefined {
+    return this.#context.runs.refusal(performance.now(), exchange);
   }
 
   /** Undefined if this runner failed and another may try. */
@@ -195,11 +194,11 @@
   #again(exchange: Exchange, progress: Progress, failed: string): boolean {
     const now = performance.now();
     progress.avoid.push(failed);
-    const refused = this.#refused(exchange, progress);
+    const refused = this.#refused(exchange);
     if (refused) throw refused;
     const may = progress.prefills < PREFILL_TRIES && this.#context.mayRepeat(now, exchange.service);
     if (may || exchange.signal.aborted) return may;
-    throw refusal(progress, 'the prefill failed');
+    throw refusal('the prefill failed');
   }
 
   async #decode(
@@ -212,7 +211,7 @@
   ): Promise<Outcome> {
     if (decode === undefined) {
       if (cache) this.#free(cache);
-      throw refusal(progress, 'no decode runner had room while the prefill was kept');
+      throw refusal('no decode runner had room while the prefill was kept');
     }
     const { knowledge } = this.#context;
     const { service } = exchange;
@@ -222,7 +221,7 @@
       if (cache) this.#free(cache);
       return 'rejected';
     }
-    const refused = this.#refused(exchange, progress);
+    const refused = this.#refused(exchange);
     if (refused) {
       if (cache) this.#free(cache);
       throw refused;
@@ -350,10 +349,10 @@
     progress.ran ||= ran;
     const allowed = ran ? route.resumable : true;
     const left = progress.sentTo.size < route.attempts;
-    const again = allowed && left && !this.#refused(exchange, progress);
+    const again = allowed && left && !this.#refused(exchange);
     if (again && this.#context.mayRepeat(performance.now(), service)) return true;
     if (ran) throw new Failure('runnerFailed', `${decode} broke the answer off`);
-    throw refusal(progress, `${decode} turned it away`);
+    throw refusal(`${decode} turned it away`);
   }
 }
 
@@ -382,11 +381,15 @@
   return runners.find((runner) => runner.id === id);
 }
 
-/** A request that no decode runner has begun is refused; of others the outcome is unknown. */
-function refusal({ splitter }: Progress, detail: string): Failure {
-  return splitter.events === 0
-    ? new Failure('runnerFull', detail, { retryAfterMs: RETRY_MS })
-    : new Failure('runnerFailed', detail);
+function refusal(detail: string): Failure {
+  return new Failure('runnerFull', detail, { retryAfterMs: RETRY_MS });
+}
+
+/** What the caller is told. A refusal of a later attempt says that nothing ran, which an earlier one may have. */
+function verdictOf({ signal }: Exchange, progress: Progress, failure: Failure): Failure {
+  if (signal.aborted) return timeUp(progress);
+  const untrue = progress.ran && failure.code.notRun;
+  return untrue ? new Failure('runnerFailed', failure.message) : failure;
 }
 
 /** Whether a request that may run again has another decode runner left. */
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -47,11 +47,12 @@
     const { route, service } = exchange;
     const tried: string[] = [];
     let sent = 0;
+    let ran = false;
     let last = new Failure('noRunner', `no runner of ${service}`, { retryAfterMs: RETRY_MS });
     for (let reach = 0; reach < REACH_TRIES && sent < route.attempts; reach += 1) {
       const now = performance.now();
       const refused = this.#context.runs.refusal(now, exchange);
-      if (refused && sent === 0) last = refused;
+      last = refused ?? last;
       if (refused) break;
       const runner = this.#choose(now, service, tried);
       if (!runner || exchange.signal.aborted) break;
@@ -67,15 +68,17 @@
           return;
         }
         sent += 1;
+        ran = true;
         last = new Failure('runnerFailed', `${runner.id} answered ${reply.status}`);
       } catch (error) {
         last = toFailure(error);
         exchange.trail.push(`${runner.id} ${last.codeName}`);
         if (last.codeName !== 'runnerUnreachable') sent += 1;
+        ran ||= !last.code.notRun;
         if (!last.code.notRun && route.kind !== 'repeatable') break;
       }
     }
-    exchange.fail(performance.now(), verdictOf(exchange, last));
+    exchange.fail(performance.now(), verdictOf(exchange, ran, last));
   }
 
   #another(service: string, tried: readonly string[]): boolean {
@@ -139,14 +142,15 @@
   return [...headers, 'content-length', String(length)];
 }
 
-/** Unsent and unrun requests are refused as such; for others the outcome is said to be unknown. */
-function verdictOf(exchange: Exchange, last: Failure): Failure {
-  if (last.code.notRun) {
+/** Requests that no runner had are refused as such; for others the outcome is said to be unknown, whatever the last try says. */
+function verdictOf(exchange: Exchange, ran: boolean, last: Failure): Failure {
+  if (!ran) {
     const { retryAfterMs = RETRY_MS } = last;
     return new Failure(last.codeName, last.message, { retryAfterMs });
   }
   const timedOut = exchange.leftMs(performance.now()) <= 0;
-  return timedOut ? new Failure('timedOut', 'the runner did not answer in time') : last;
+  if (timedOut) return new Failure('timedOut', 'the runner did not answer in time');
+  return last.code.notRun ? new Failure('runnerFailed', last.message) : last;
 }
 
 async function exchangeWith(
