Show that gateways and cells too go on with a request that ends its runners

One model request takes eleven engines, until its team's budget of repeats is spent; six attempts of a plain call take sixteen runners. Three are allowed.

--- a/src/core/cell/types.ts
+++ b/src/core/cell/types.ts
@@ -33,6 +33,8 @@
   readonly deadline: number;
   /** Prefix block hashes, first block first. */
   readonly blocks: readonly number[];
+  /** The same for all attempts of one request. Default: its gateway tells none. */
+  readonly fingerprint?: string | undefined;
 }
 
 /** What a runner last said of itself; always late. */
--- a/test/core/cell.test.ts
+++ b/test/core/cell.test.ts
@@ -156,6 +156,58 @@
     expect(cell.counters.retries).toBeLessThanOrEqual(10 + 40 * 0.2);
   });
 
+  /*
+   * One request ends each engine that begins it, before its first token. Queued again it
+   * took engine after engine until the budget of its team was spent, and the next attempt
+   * of its caller went on with it.
+   */
+  test('keeps a request from engines once three ended under it', () => {
+    const cell = newCell(1, 8);
+    const decodes: string[] = [];
+    const attempt = (id: string, fingerprint: string): readonly CellAction[] => {
+      let actions = cell.handle(0, { kind: 'arrived', arrival: arrival(id, { fingerprint }) });
+      while (actions[0]?.kind === 'prefill') {
+        actions = cell.handle(50, { kind: 'prefilled', id, cachedTokens: 0, keptUntil: 850 });
+        const [decode] = actions;
+        if (decode?.kind === 'decode') {
+          decodes.push(decode.runner);
+          const { runner } = decode;
+          actions = cell.handle(60, { kind: 'failed', id, runner, reason: 'lost', tokens: 0 });
+        }
+      }
+      return actions;
+    };
+    const seen = [attempt('a', 'f'), attempt('b', 'f')].flat();
+    expect(decodes.length).toBe(3);
+    expect(seen.map((action) => action.kind === 'refuse' && [action.code, action.notRun])).toEqual([
+      ['quarantined', false],
+      ['quarantined', true],
+    ]);
+  });
+
+  /* An engine that ends takes all of its requests with it. Those that had brought tokens for seconds are not held for the cause. */
+  test('goes on with a request that streamed when its engines ended', () => {
+    const cell = newCell(1, 8);
+    cell.handle(0, { kind: 'arrived', arrival: arrival('a', { fingerprint: 'f' }) });
+    let actions: readonly CellAction[] = [];
+    let now = 0;
+    for (let round = 1; round <= 4; round += 1) {
+      actions = cell.handle(now, {
+        kind: 'prefilled',
+        id: 'a',
+        cachedTokens: 0,
+        keptUntil: now + 800,
+      });
+      const [decode] = actions;
+      expect(decode?.kind).toBe('decode');
+      cell.handle(now + 10, { kind: 'started', id: 'a' });
+      const runner = decode?.kind === 'decode' ? decode.runner : '';
+      now += 5000;
+      cell.handle(now, { kind: 'failed', id: 'a', runner, reason: 'lost', tokens: round * 100 });
+    }
+    expect(cell.requests.has('a')).toBe(true);
+  });
+
   /* Four signs of leaving: the report, a refusal, the platform's list, the settings. Each alone stops new work at once. */
   test.each([
     [
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -20,6 +20,9 @@
 
   leaving = false;
 
+  /** Breaks off each call whose body holds this text. */
+  deadly = '';
+
   #server: Server | undefined;
 
   #host = '127.0.0.1';
@@ -49,7 +52,8 @@
         const run = (this.runs.get(key) ?? 0) + 1;
         this.runs.set(key, run);
         await pause(this.delayMs);
-        if (this.dropAnswers) res.destroy();
+        const ends = this.deadly !== '' && body.includes(this.deadly);
+        if (this.dropAnswers || ends) res.destroy();
         else {
           sendJson(res, 200, {
             path: url.pathname,
