Bound by the request, too, how many runners gateways and cells try

Callers of the product's own interface: one prompt took eleven engines in one request, one idempotent call eleven runners, and each further attempt went on.

A lost run was repeated as long as the team's budget of repeats allowed; that bounds the load on runners, not what one request does to them.

Change: the owner of a cell and each gateway (plain calls) count the runners that broke off under one content and refuse it from the third on. A connection that never came about is a reason of its own ('unreachable') and does not count, nor a time-out of ours; the peer protocol's number is raised for it. Engines keep their ids here when they start anew, so each end counts.

Limits: plain calls are counted by each gateway for itself, and a new owner of a cell begins anew; one request path for both halves takes this away.

--- a/src/core/cell/admit.ts
+++ b/src/core/cell/admit.ts
@@ -2,7 +2,7 @@
 
 import type { CodeName } from '../codes';
 import { uncachedTokens } from '../prefix';
-import type { Admission } from './admission';
+import type { Admission, Verdict } from './admission';
 import { bestHitBlocks, jitter } from './admission';
 import type { CellBoard } from './board';
 import { RESUME_LANE } from './board';
@@ -39,7 +39,7 @@
       return;
     }
     board.counters.arrived += 1;
-    const verdict = this.#admission.decide(now, board, arrival);
+    const verdict = this.#decide(now, arrival);
     if (!verdict.admitted) {
       board.counters.refused += 1;
       const { code, retryAfterMs } = verdict;
@@ -55,9 +55,25 @@
     this.#expectLoss(entry);
   }
 
+  /** A request that ended its engines is not taken in, whatever room there is. */
+  #decide(now: number, arrival: Arrival): Verdict {
+    const retryAfterMs = this.#refusedForMs(now, arrival);
+    if (retryAfterMs !== undefined) return { admitted: false, code: 'quarantined', retryAfterMs };
+    return this.#admission.decide(now, this.#board, arrival);
+  }
+
+  #refusedForMs(now: number, { fingerprint }: Arrival): number | undefined {
+    if (fingerprint === undefined) return undefined;
+    return this.#board.quarantine.refusedForMs(now, fingerprint);
+  }
+
   /** Queues a request again, before the others, if the retry budget allows; gives it up otherwise. */
   retry(now: number, entry: Entry): void {
     const board = this.#board;
+    if (this.#refusedForMs(now, entry.arrival) !== undefined) {
+      this.giveUp(now, entry, 'quarantined');
+      return;
+    }
     if (!board.budget.spend(entry.arrival.team)) {
       this.giveUp(now, entry, 'retriesSpent');
       return;
--- a/src/core/cell/board.ts
+++ b/src/core/cell/board.ts
@@ -9,6 +9,7 @@
 import type { PrefillPlace } from './places';
 import { PlaceBook } from './places';
 import { PrefixMap } from './prefixes';
+import { Quarantine } from '../quarantine/quarantine';
 import { Margins } from './margins';
 import { FairQueue } from './shares';
 import type { CellAction, CellPolicy } from './types';
@@ -70,6 +71,9 @@
 
   readonly budget = new RetryBudget();
 
+  /** Written by the lifecycle controller: requests that end their engines. */
+  readonly quarantine = new Quarantine();
+
   readonly counters: CellCounters = {
     arrived: 0,
     refused: 0,
--- a/src/core/cell/lifecycle.ts
+++ b/src/core/cell/lifecycle.ts
@@ -5,6 +5,7 @@
 import type { Entry } from './entry';
 import { newEntry } from './entry';
 import { ageOf } from './forecast';
+import { isTelling } from '../quarantine/quarantine';
 import type { Adoption, CellEvent } from './types';
 
 type Failed = Extract<CellEvent, { kind: 'failed' }>;
@@ -36,6 +37,8 @@
       board.costs.observeTokens(this.#batchOf(entry), (now - entry.since) / fresh);
     }
     board.counters.finished += 1;
+    const { fingerprint } = entry.arrival;
+    if (fingerprint !== undefined) board.quarantine.completed(now, fingerprint);
     board.drop(now, entry);
   }
 
@@ -72,6 +75,7 @@
     const entry = board.requests.get(id);
     if (!entry || (entry.prefillRunner !== runner && entry.decodeRunner !== runner)) return;
     this.#judge(now, failed);
+    if (reason === 'lost') this.#suspect(now, entry, runner);
     const keepsPrefill =
       reason === 'full' && entry.decodeRunner === runner && entry.keptUntil > now;
     if (keepsPrefill) {
@@ -132,7 +136,7 @@
 
   #judge(now: number, { runner, reason }: Failed): void {
     const { health, prefixes, places } = this.#board;
-    if (reason === 'lost') {
+    if (reason === 'lost' || reason === 'unreachable') {
       health.failed(now, runner);
       prefixes.forget(runner);
     } else {
@@ -141,6 +145,14 @@
     if (reason === 'leaving') places.refusedAsLeaving(runner, now);
   }
 
+  /** The engine may have ended under this request. Engines keep their ids when they start anew, so each end counts. */
+  #suspect(now: number, { arrival, stage, since }: Entry, runner: string): void {
+    const { fingerprint } = arrival;
+    const answeredAt = stage === 'decoding' ? since : undefined;
+    if (fingerprint === undefined || !isTelling(now, answeredAt)) return;
+    this.#board.quarantine.ended(now, fingerprint, `${runner}@${now}`);
+  }
+
   /** A finished prefill whose decode place was lost is used again while it is kept. */
   #backToPrefilled(now: number, entry: Entry): void {
     const board = this.#board;
--- a/src/core/cell/types.ts
+++ b/src/core/cell/types.ts
@@ -80,8 +80,11 @@
   | { readonly kind: 'departing'; readonly runners: readonly string[] }
   | { readonly kind: 'woke' };
 
-/** Why a runner did not finish a step. `full` and `evicted` are its own word that it ran nothing. */
-export type FailureReason = 'full' | 'evicted' | 'leaving' | 'lost';
+/**
+ * Why a runner did not finish a step. `full` and `evicted` are its own word that it ran
+ * nothing; no connection to an `unreachable` one came about; of a `lost` one nothing is known.
+ */
+export type FailureReason = 'full' | 'evicted' | 'leaving' | 'unreachable' | 'lost';
 
 /** A request that ran under an earlier owner and is told to the new one. */
 export interface Adoption {
--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod';
 
 import { Failure, toFailure } from '../../core/failure';
-import { fingerprintOf } from '../../core/fingerprint';
+import { contentIdOf, fingerprintOf } from '../../core/fingerprint';
 import { requestId } from '../../core/ids';
 import { countTokens, hashBlocks } from '../../core/prefix';
 import type { Attempt, StreamPlace } from '../../core/registry/keys';
@@ -161,6 +161,7 @@
       prompt,
       promptTokens: countTokens(prompt),
       maxTokens: Math.min(service.maxTokens, wanted ?? service.maxTokens),
+      fingerprint: contentIdOf(`${team} ${model}`, prompt),
       blocks: hashBlocks(salt, prompt),
       salt,
       keyed,
--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -9,10 +9,11 @@
 import { RetryBudget } from '../../core/cell/budget';
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
-import { fingerprintOf } from '../../core/fingerprint';
+import { contentIdOf, fingerprintOf } from '../../core/fingerprint';
 import { PlainBalancer } from '../../core/plain/balancer';
+import { Quarantine } from '../../core/quarantine/quarantine';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
-import { readBody } from '../../utils/http';
+import { isRefusedConnect, readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Ticket } from './ledger';
@@ -41,11 +42,11 @@
   readonly path: string;
 }
 
-/** How one dispatch ended. `refused`: the runner said, or the connection proves, that nothing ran. */
+/** How one dispatch ended. `refused`: the runner said, or the connection proves, that nothing ran. `brokeOff`: it was not given up here. */
 type Dispatch =
   | { readonly kind: 'answered'; readonly answer: IncomingMessage }
   | { readonly kind: 'refused'; readonly leaving: boolean }
-  | { readonly kind: 'lost'; readonly error: Error };
+  | { readonly kind: 'lost'; readonly error: Error; readonly brokeOff: boolean };
 
 /** Bodies up to this size are kept, so that the call can be sent again; larger ones stream through once. */
 const KEPT_BODY_BYTES = 256 * 1024;
@@ -78,10 +79,6 @@
   });
 }
 
-function isRefusedConnect(error: Error): boolean {
-  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
-}
-
 /** Takes plain calls of callers. */
 export class PlainHandler {
   readonly #options: PlainHandlerOptions;
@@ -90,6 +87,9 @@
 
   readonly #budget = new RetryBudget();
 
+  /** Calls that end their runners, as this gateway has seen. */
+  readonly #quarantine = new Quarantine();
+
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 256 });
 
   #open = 0;
@@ -149,6 +149,7 @@
     }
     const tried = new Set<string>();
     for (;;) {
+      this.#refuseEnding(call, body, tried.size > 0);
       const runner = this.#choose(call, tried);
       const sent = await this.#dispatch(call, runner, body);
       if (sent.kind === 'answered') {
@@ -160,6 +161,26 @@
     }
   }
 
+  /** Throws if runners ended under this very call, whoever sent it. */
+  #refuseEnding(call: PlainCall, body: Buffer | undefined, ran: boolean): void {
+    if (!body) return;
+    const retryAfterMs = this.#quarantine.refusedForMs(Date.now(), contentOf(call, body));
+    if (retryAfterMs === undefined) return;
+    const detail = 'several runners ended under this call';
+    if (ran) throw new Failure('runnerFailed', detail);
+    throw new Failure('quarantined', detail, { retryAfterMs });
+  }
+
+  /** Runners keep their ids when they start anew, so each end counts. */
+  #noteEnd(call: PlainCall, body: Buffer, sent: Dispatch, runner: string): void {
+    const now = Date.now();
+    const fingerprint = contentOf(call, body);
+    if (sent.kind === 'answered') this.#quarantine.completed(now, fingerprint);
+    else if (sent.kind === 'lost' && sent.brokeOff) {
+      this.#quarantine.ended(now, fingerprint, `${runner}@${now}`);
+    }
+  }
+
   /** A call that was sent may have run; only idempotent calls get here, and each repeat is paid from the budget. */
   #mayRetry(
     { team }: PlainCall,
@@ -196,6 +217,7 @@
     const key = keyOf(req);
     if (key === undefined) throw new Failure('keyRequired', 'found no Idempotency-Key header');
     const body = await readBody(req, this.#options.bodyBytes);
+    this.#refuseEnding(call, body, false);
     const fingerprint = fingerprintOf(`${req.method} ${path}`, body);
     const claim = await this.#options.ledger.claim(team, key, fingerprint);
     if (claim.kind === 'replay') {
@@ -273,6 +295,7 @@
       return { kind: 'refused', leaving };
     }
     this.#balancer.end(Date.now(), runner.id, sent.kind === 'answered' ? 'ok' : 'lost');
+    if (body) this.#noteEnd(call, body, sent, runner.id);
     return sent;
   }
 
@@ -290,9 +313,8 @@
         resolve({ kind: 'answered', answer });
       });
       out.on('error', (error) => {
-        resolve(
-          isRefusedConnect(error) ? { kind: 'refused', leaving: false } : { kind: 'lost', error },
-        );
+        if (isRefusedConnect(error)) resolve({ kind: 'refused', leaving: false });
+        else resolve({ kind: 'lost', error, brokeOff: !signal.aborted });
       });
       if (body === undefined) this.#streamBody(req, out);
       else out.end(body);
@@ -327,6 +349,11 @@
   }
 }
 
+/** What all attempts of one call have in common. */
+function contentOf({ team, serviceName, req, path }: PlainCall, body: Buffer): string {
+  return contentIdOf(`${team} ${serviceName} ${req.method} ${path}`, body);
+}
+
 /** A 503 counts as "not run" only if the runner says so in its body. */
 async function saysNotRun(answer: IncomingMessage): Promise<boolean> {
   if (answer.headers['content-type'] !== 'application/json') return false;
--- a/src/node/gateway/request.ts
+++ b/src/node/gateway/request.ts
@@ -22,6 +22,8 @@
   readonly prompt: string;
   readonly promptTokens: number;
   readonly maxTokens: number;
+  /** The same for all attempts of one request. */
+  readonly fingerprint: string;
   readonly blocks: readonly number[];
   /** Keeps the prefix caches of teams apart. */
   readonly salt: string;
@@ -82,9 +84,10 @@
 
 /** What the owner needs to know of a request to place it. */
 export function arrivalOf(request: ModelRequest, dueInMs: number): Omit<Message<'arrive'>, 'kind'> {
-  const { team, service, promptTokens, maxTokens, blocks } = request;
+  const { team, service, promptTokens, maxTokens, blocks, fingerprint } = request;
   const { tier } = service;
-  return { ...nameOf(request), team, tier, promptTokens, maxTokens, blocks: [...blocks], dueInMs };
+  const size = { promptTokens, maxTokens, blocks: [...blocks] };
+  return { ...nameOf(request), team, tier, ...size, fingerprint, dueInMs };
 }
 
 /** The engine's job for a run. Tokens that are out become part of the prompt, so that the engine goes on behind them. */
--- a/src/node/peer/messages.ts
+++ b/src/node/peer/messages.ts
@@ -6,7 +6,7 @@
 import { codes } from '../../core/codes';
 
 /** Grows with each change that older processes would not understand. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 
 const id = z.string().min(1).max(200);
 const name = z.string().min(1).max(64);
@@ -29,6 +29,7 @@
   /** Time left until the first token is due; clocks of VMs differ, so no absolute time crosses. */
   dueInMs: ms,
   blocks: z.array(z.int().min(0)).max(64),
+  fingerprint: z.string().max(64).optional(),
 };
 
 const hello = z.object({
@@ -66,7 +67,7 @@
   pool: name,
   id,
   runner: name,
-  reason: z.enum(['full', 'evicted', 'leaving', 'lost']),
+  reason: z.enum(['full', 'evicted', 'leaving', 'unreachable', 'lost']),
   tokens: count,
 });
 const cancelled = z.object({ kind: z.literal('cancelled'), pool: name, id });
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -3,15 +3,13 @@
 import type { ServerResponse } from 'node:http';
 
 import { Failure } from '../../core/failure';
-import { fingerprintOf } from '../../core/fingerprint';
+import { contentIdOf } from '../../core/fingerprint';
 import type { Route } from '../../core/routing/types';
 import { errorBody } from '../../utils/http';
 import type { CallRequest, IngressCodec } from './types';
 
 /** Largest part of the time left that a caller may be told to stay away. */
 const RETRY_PART = 1 / 3;
-/** Characters of a fingerprint, six bits each: no two requests of a fleet have the same by chance. */
-const FINGERPRINT_LENGTH = 16;
 /** By how much an answer must beat the route's timeout to count as in time, in milliseconds. */
 const TIMEOUT_MARGIN_MS = 20;
 
@@ -93,10 +91,7 @@
   /** The same for all attempts of one request, whatever their ids: host, method, target and body. */
   get fingerprint(): string {
     const { host, method, target, body } = this.request;
-    this.#fingerprint ??= fingerprintOf(`${host.toLowerCase()} ${method} ${target}`, body).slice(
-      0,
-      FINGERPRINT_LENGTH,
-    );
+    this.#fingerprint ??= contentIdOf(`${host.toLowerCase()} ${method} ${target}`, body);
     return this.#fingerprint;
   }
 
--- a/src/node/runner/client.ts
+++ b/src/node/runner/client.ts
@@ -7,7 +7,7 @@
 
 import type { FailureReason } from '../../core/cell/types';
 import { END_OF_EVENTS, openStream, readEvents } from '../../utils/events';
-import { call } from '../../utils/http';
+import { call, isRefusedConnect } from '../../utils/http';
 
 /** Thrown when a runner did not do what it was asked; `full`, `evicted` and `leaving` are its own word that it ran nothing. */
 export class RunnerFailure extends Error {
@@ -127,6 +127,10 @@
   });
 }
 
+function brokenOff(error: Error): RunnerFailure {
+  return new RunnerFailure(isRefusedConnect(error) ? 'unreachable' : 'lost', error.message);
+}
+
 /** The client on Node's http. */
 export class HttpRunnerClient implements RunnerClient {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 512 });
@@ -140,7 +144,7 @@
       timeoutMs: PREFILL_LIMIT_MS,
       signal,
     }).catch((error: Error) => {
-      throw new RunnerFailure('lost', error.message);
+      throw brokenOff(error);
     });
     if (answer.status !== 200) {
       throw new RunnerFailure(reasons[answer.status] ?? 'lost', `status ${answer.status}`);
@@ -232,7 +236,7 @@
   ): Promise<IncomingMessage> {
     const stream = await openStream({ method, url, body: text, agent: this.#agent, signal }).catch(
       (error: Error) => {
-        throw new RunnerFailure('lost', error.message);
+        throw brokenOff(error);
       },
     );
     const { statusCode = 0 } = stream;
--- a/src/node/scheduler/cells.ts
+++ b/src/node/scheduler/cells.ts
@@ -45,8 +45,9 @@
 const CLAIMS_SERVED = 2;
 
 function arrivalOf(now: number, message: Message<'arrive'> | Message<'adopt'>): Arrival {
-  const { id, team, tier, promptTokens, maxTokens, dueInMs, blocks } = message;
-  return { id, team, tier, promptTokens, maxTokens, blocks, deadline: now + dueInMs };
+  const { id, team, tier, promptTokens, maxTokens, dueInMs, blocks, fingerprint } = message;
+  const deadline = now + dueInMs;
+  return { id, team, tier, promptTokens, maxTokens, blocks, fingerprint, deadline };
 }
 
 function eventOf(now: number, message: CellMessage): CellEvent {
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -11,6 +11,11 @@
 
 import { Failure } from '../core/failure';
 
+/** Whether nothing listens where a connection was asked for: nothing was sent. */
+export function isRefusedConnect(error: Error): boolean {
+  return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+}
+
 /** What to send. */
 export interface CallOptions {
   readonly method: string;
--- a/test/core/cell.test.ts
+++ b/test/core/cell.test.ts
@@ -164,15 +164,19 @@
   test('keeps a request from engines once three ended under it', () => {
     const cell = newCell(1, 8);
     const decodes: string[] = [];
+    let now = 0;
     const attempt = (id: string, fingerprint: string): readonly CellAction[] => {
-      let actions = cell.handle(0, { kind: 'arrived', arrival: arrival(id, { fingerprint }) });
+      let actions = cell.handle(now, { kind: 'arrived', arrival: arrival(id, { fingerprint }) });
       while (actions[0]?.kind === 'prefill') {
-        actions = cell.handle(50, { kind: 'prefilled', id, cachedTokens: 0, keptUntil: 850 });
+        now += 50;
+        const keptUntil = now + 800;
+        actions = cell.handle(now, { kind: 'prefilled', id, cachedTokens: 0, keptUntil });
         const [decode] = actions;
         if (decode?.kind === 'decode') {
           decodes.push(decode.runner);
           const { runner } = decode;
-          actions = cell.handle(60, { kind: 'failed', id, runner, reason: 'lost', tokens: 0 });
+          now += 10;
+          actions = cell.handle(now, { kind: 'failed', id, runner, reason: 'lost', tokens: 0 });
         }
       }
       return actions;
