--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -13,6 +13,14 @@
 
 type Change = Item | { readonly key: string; readonly revision: number; readonly deleted: true };
 
+/** A copy of all that the store holds. */
+export interface StoreCopy {
+  readonly revision: number;
+  readonly items: ReadonlyMap<string, Item>;
+  readonly history: readonly Change[];
+  readonly leases: readonly number[];
+}
+
 interface Txn {
   readonly expected: readonly { key: string; revision: number }[];
   readonly writes: readonly { key: string; value: string; lease: number }[];
@@ -34,6 +42,9 @@
   /** Called after each page of a range, to change what the next one holds. */
   onPage: ((after: string) => void) | undefined;
 
+  /** Number of this life of the store, in all answers. Default: it tells none. */
+  era: string | undefined;
+
   #revision = 0;
 
   readonly #items = new Map<string, Item>();
@@ -93,6 +104,28 @@
     this.#wake();
   }
 
+  copy(): StoreCopy {
+    return {
+      revision: this.#revision,
+      items: new Map(this.#items),
+      history: [...this.#history],
+      leases: this.leases,
+    };
+  }
+
+  /** Comes back from an older copy: what was acknowledged since is lost, and revisions are given out again. */
+  comeBack({ revision, items, history, leases }: StoreCopy): void {
+    this.era = String(Number(this.era ?? 0) + 1);
+    this.#revision = revision;
+    this.#items.clear();
+    for (const [key, item] of items) this.#items.set(key, item);
+    this.#history = [...history];
+    this.#live.clear();
+    for (const lease of leases) this.#live.add(lease);
+    this.#server.closeAllConnections();
+    this.#wake();
+  }
+
   /** Lets a lease run out. */
   expire(lease: number): void {
     this.#live.delete(lease);
@@ -123,6 +156,7 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const url = new URL(req.url ?? '/', 'http://store');
     this.calls.push(url.pathname);
+    if (this.era !== undefined) res.setHeader('store-era', this.era);
     if (this.mood === 'silent') return;
     if (this.mood === 'busy') {
       res.writeHead(503).end();
@@ -169,7 +203,7 @@
   async #watch(prefix: string, after: number, waitMs: number): Promise<[number, unknown]> {
     const news = (): Change[] =>
       this.#history.filter(({ key, revision }) => key.startsWith(prefix) && revision > after);
-    if (after >= this.#forgotten && news().length === 0) {
+    if (after >= this.#forgotten && after <= this.#revision && news().length === 0) {
       await new Promise<void>((resolve) => {
         const done = (): void => {
           this.#watches.delete(done);
@@ -179,7 +213,7 @@
         setTimeout(done, waitMs).unref();
       });
     }
-    if (after < this.#forgotten) return [410, {}];
+    if (after < this.#forgotten || after > this.#revision) return [410, {}];
     return [200, { events: news(), 'as-of': this.#revision }];
   }
 
--- /dev/null
+++ b/test/platform/olderstore.test.ts
@@ -0,0 +1,138 @@
+import pino from 'pino';
+
+import { Knowledge } from '../../src/node/router/knowledge';
+import { StoreFeed } from '../../src/platform/feed';
+import { StoreLock } from '../../src/platform/lock';
+import { StoreClient } from '../../src/platform/store';
+import { eventually } from '../fakes/cluster';
+import { entryOf } from '../fakes/entry';
+import { silentListener } from '../fakes/listener';
+import { FakeStore } from '../fakes/store';
+
+const log = pino({ level: 'silent' });
+
+/** A VM that reads a store, and what it knows from it. */
+class Reader {
+  readonly knowledge = new Knowledge(log, silentListener);
+
+  readonly #feed: StoreFeed;
+
+  constructor(store: FakeStore) {
+    this.#feed = new StoreFeed(
+      new StoreClient(store.address),
+      { vm: 'vm1', address: '10.0.0.9:1' },
+      log,
+    );
+    const { knowledge } = this;
+    this.#feed.start({
+      onConfig: (config, raw) => knowledge.learnConfig(performance.now(), config, raw, 'store'),
+      onRunners: (facts) => knowledge.learnRunners(performance.now(), facts, 'store'),
+      onListed: (ids, revision) => knowledge.learnList(performance.now(), ids, revision),
+      onVms: () => {},
+      onStore: (up) => {
+        if (up) knowledge.heardStore(performance.now());
+        else knowledge.storeFailed(performance.now());
+      },
+      onSuspects: () => {},
+    });
+    this.#feed.setReading(true);
+  }
+
+  stop(): void {
+    this.#feed.stop();
+  }
+
+  get runners(): readonly string[] {
+    return this.knowledge
+      .runnersOf(performance.now(), 's')
+      .map(({ id }) => id)
+      .sort();
+  }
+
+  async sees(...ids: readonly string[]): Promise<void> {
+    await eventually(`it sees ${ids.join(' ')}`, () => this.runners.join(' ') === ids.join(' '));
+  }
+}
+
+describe('a store that comes back from an older copy', () => {
+  let store: FakeStore;
+  let reader: Reader;
+  const put = (id: string, change: Readonly<Record<string, unknown>> = {}): void =>
+    store.put(`servers/${id}`, entryOf(change));
+
+  beforeEach(async () => {
+    store = new FakeStore();
+    store.era = '4';
+    await store.start();
+    store.put('op/config', { version: 3, routes: [], services: [{ name: 's' }] });
+    for (const id of ['a', 'b', 'c']) put(id);
+    reader = new Reader(store);
+    await reader.sees('a', 'b', 'c');
+  });
+
+  afterEach(() => {
+    reader.stop();
+    store.stop();
+  });
+
+  /*
+   * The copy is a second old, and others write at once, so that it has passed the revision
+   * that this VM watched from before the watch is made again: no 410 tells of the change.
+   * A runner that came meanwhile was never seen, and one that said it leaves got work on.
+   */
+  test('is read whole, though it has passed the revision that was watched from', async () => {
+    const copy = store.copy();
+    put('z');
+    // Its watch has just been answered, and the next one comes a moment later.
+    await reader.sees('a', 'b', 'c', 'z');
+    store.comeBack(copy);
+    put('d');
+    put('b', { state: 'draining' });
+    for (let i = 0; i < 9; i += 1) put('a');
+    await reader.sees('a', 'c', 'd');
+    expect(store.keys).toContain('goldcrestdock/vms/vm1');
+  }, 15_000);
+
+  /*
+   * Since the copy was made, runner a said that it leaves, b was removed, and d came. The
+   * copy has a and b as they were and lacks d. What was acknowledged as leaving gets no
+   * work; d is living, and refused at once, every request for it would be; e is not
+   * written again, and is gone after the time in which the living are.
+   */
+  test('brings back no runner that had left, and takes none that lives', async () => {
+    const copy = store.copy();
+    put('a', { state: 'draining' });
+    store.remove('servers/b');
+    put('d');
+    put('e');
+    await reader.sees('c', 'd', 'e');
+    store.comeBack(copy);
+    const seen = new Set<string>();
+    const until = performance.now() + 1500;
+    await eventually('the copy is read', () => {
+      seen.add(reader.runners.join(' '));
+      return performance.now() > until;
+    });
+    expect([...seen]).toEqual(['c d e']);
+    put('a', { state: 'draining' });
+    put('c');
+    put('d');
+    await reader.sees('c', 'd');
+  }, 15_000);
+
+  /*
+   * The right to give orders was taken after the copy was made, so that the copy knows
+   * nothing of it. The next holder's fence came from a revision that was given out before:
+   * runners that check fences refuse its orders, and others obey two holders under one.
+   */
+  test('gives the next holder of orders a higher fence than any before', async () => {
+    const copy = store.copy();
+    for (let i = 0; i < 20; i += 1) put('a');
+    const first = await new StoreLock(new StoreClient(store.address), 'vm1').acquire();
+    store.comeBack(copy);
+    const second = await new StoreLock(new StoreClient(store.address), 'vm2').acquire();
+    expect(second?.fence).toBeGreaterThan(first?.fence ?? Infinity);
+    expect(second?.fresh).toBe(false);
+    expect(await first?.renew()).toBe(false);
+  });
+});
