--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -249,6 +249,12 @@
     'An entry in the store cannot be decoded.',
     'A configuration stays in force as it last was; a runner gets no work. Mend the field named.',
   ),
+  eraUnfit: fault(
+    504,
+    503,
+    'An answer of the store names no era, none that is a number, or an earlier one than before.',
+    'What was known stays in force, and the store is read whole in place of its changes. Mend what stands between the VMs and the store.',
+  ),
   internal: fault(
     599,
     500,
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -1,20 +1,23 @@
 /**
  * What is known of runners, from the store and from peers.
  *
- * Every fact carries the store's revision of its last change. The highest
- * revision wins, so an older copy from a peer never undoes a newer one. Of two
- * starts under one listing the later one wins whatever the revisions say: a
- * write of the earlier start may be carried out seconds after its end.
+ * Every fact carries the position of its last change in the store's history. The
+ * latest wins, so an older copy from a peer, or of the store itself, never undoes a
+ * newer one. Of two starts under one listing the later one wins whatever the
+ * positions say: a write of the earlier start may be carried out seconds after its
+ * end. A start that leaves never stays after all.
  */
 
 import { FactDigest, partOf } from './digest';
+import type { Position } from './position';
+import { START, isLater } from './position';
 import type { Runner } from './types';
 
-/** One fact: a runner as of a revision, or that it is gone. */
+/** One fact: a runner as of a position, or that it is gone. */
 export interface RunnerFact {
   /** Listing of the runner. */
   readonly id: string;
-  readonly revision: number;
+  readonly position: Position;
   readonly runner: Runner | undefined;
   /** Why the entry names no runner although it is there. Default: it was read, or is gone. */
   readonly unreadable?: string;
@@ -47,13 +50,13 @@
 
   readonly #digest = new FactDigest();
 
-  #revision = 0;
+  #position = START;
 
   #changes = 0;
 
-  /** Highest revision of a change that matters to routing. */
-  get revision(): number {
-    return this.#revision;
+  /** Latest position of a change that matters to routing. */
+  get position(): Position {
+    return this.#position;
   }
 
   /** Grows with each change that matters to routing, in whatever order they come in. */
@@ -87,10 +90,12 @@
    * @param graceMs how long the runner stays in use if its entry vanished, in milliseconds
    * @returns whether anything that matters changed
    */
-  learn(now: number, fact: RunnerFact, graceMs: number): boolean {
-    const known = this.#known.get(fact.id);
-    const { bornAt = known?.bornAt ?? 0 } = fact.runner ?? {};
-    if (known && (known.fact.revision >= fact.revision || bornAt < known.bornAt)) return false;
+  learn(now: number, told: RunnerFact, graceMs: number): boolean {
+    const known = this.#known.get(told.id);
+    const { bornAt = known?.bornAt ?? 0 } = told.runner ?? {};
+    if (known && bornAt < known.bornAt) return false;
+    const fact = join(known, told);
+    if (!fact) return false;
     const before = known?.fact.runner;
     const content = contentOf(fact.runner);
     const changed = contentOf(before) !== content;
@@ -98,7 +103,7 @@
     const goneAt = last?.leaving ? now : now + graceMs;
     this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt, bornAt });
     if (changed) {
-      this.#revision = Math.max(this.#revision, fact.revision);
+      if (isLater(fact.position, this.#position)) this.#position = fact.position;
       this.#changes += 1;
       this.#digest.set(fact.id, content);
     }
@@ -125,8 +130,9 @@
   }
 
   /** Whether a fact was taken in before, or is older than what was. */
-  isKnown({ id, revision }: RunnerFact): boolean {
-    return (this.#known.get(id)?.fact.revision ?? -1) >= revision;
+  isKnown({ id, position }: RunnerFact): boolean {
+    const known = this.#known.get(id);
+    return known !== undefined && !isLater(position, known.fact.position);
   }
 
   /** Runners that may get work now. */
@@ -148,3 +154,22 @@
       .map(({ fact }) => fact.id);
   }
 }
+
+/**
+ * The later of two facts; undefined if that is the known one. That a start leaves
+ * goes into either: an older copy of the store shows it as it was before it said so,
+ * and work that it gets by that is lost with it.
+ */
+function join(known: Known | undefined, told: RunnerFact): RunnerFact | undefined {
+  if (!known) return told;
+  const { fact, last } = known;
+  if (isLater(told.position, fact.position)) {
+    return saysLeaving(last, told.runner) ? { ...told, runner: last } : told;
+  }
+  return saysLeaving(told.runner, fact.runner) ? { ...fact, runner: told.runner } : undefined;
+}
+
+/** Whether one form of a runner says that it leaves, of which the other, of the same start, does not. */
+function saysLeaving(one: Runner | undefined, other: Runner | undefined): boolean {
+  return one?.leaving === true && other?.leaving === false && one.id === other.id;
+}
--- a/src/core/routing/spread.ts
+++ b/src/core/routing/spread.ts
@@ -7,11 +7,15 @@
 
 import type { Rumour } from '../membership/types';
 import type { RunnerFact } from './directory';
+import type { Position } from './position';
+import { latest, ordinalOf } from './position';
 
 /** Path of news that the configuration changed. */
 export const CONFIG_PATH = 'config';
 /** Path of news that many runners changed. */
 export const RUNNERS_PATH = 'runners';
+/** Path of news that the store came back from an older copy. */
+export const ERA_PATH = 'era';
 /** Path of news of one runner, followed by its listing. */
 export const RUNNER_PATH = 'runner/';
 
@@ -28,8 +32,8 @@
 /** What a VM knows, for comparison with what it hears. */
 export interface KnownState {
   readonly configVersion: number;
-  /** Highest revision of a change of a runner. */
-  readonly runnersRevision: number;
+  /** Latest position of a change of a runner. */
+  readonly runnersPosition: Position;
 }
 
 /** Decides what one VM tells on and from whom it fetches. */
@@ -53,18 +57,24 @@
     encode: (fact: RunnerFact) => string,
   ): readonly Rumour[] {
     this.#differsSince = undefined;
-    const revision = Math.max(0, ...facts.map((fact) => fact.revision));
+    const revision = ordinalOf(latest(facts.map(({ position }) => position)));
     if (facts.length > TOLD_MOST) return [{ path: RUNNERS_PATH, revision }];
     return facts.map((fact) => ({
       path: `${RUNNER_PATH}${fact.id}`,
-      revision: fact.revision,
+      revision: ordinalOf(fact.position),
       text: encode(fact),
     }));
   }
 
+  /** What to tell others of the start of the store's era. */
+  eraRumours(start: Position): readonly Rumour[] {
+    this.#differsSince = undefined;
+    return [{ path: ERA_PATH, revision: start.era, text: JSON.stringify(start) }];
+  }
+
   /** A member told that it has something newer which is not in the message. */
   heard({ path, revision }: Rumour, address: string, known: KnownState): void {
-    const own = path === CONFIG_PATH ? known.configVersion : known.runnersRevision;
+    const own = path === CONFIG_PATH ? known.configVersion : ordinalOf(known.runnersPosition);
     if ((path === CONFIG_PATH || path === RUNNERS_PATH) && revision > own) this.#bearer = address;
   }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -3,10 +3,12 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
+import { match } from 'ts-pattern';
 
 import { RunnerHealth } from '../../core/cell/health';
 import { toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
+import type { History } from '../../core/routing/position';
 import { logOf } from '../log';
 import { PeerCalls } from './calls';
 import { Control } from './control';
@@ -38,6 +40,8 @@
 
 /** The system around the router. */
 export interface RouterPorts {
+  /** The store's history, which the feed writes and reads too. */
+  readonly history: History;
   readonly feed: Feed;
   readonly runners: RunnerClient;
   readonly ingress: IngressCodec;
@@ -100,7 +104,7 @@
     this.#settings = settings;
     this.#ports = ports;
     this.#log = logOf(log, 'router');
-    this.#knowledge = new Knowledge(logOf(log, 'knowledge'), {
+    this.#knowledge = new Knowledge(ports.history, logOf(log, 'knowledge'), {
       onNews: (news) => this.#onNews(news),
       onUnfitEntry: () => this.#metrics.count('entries.unfit'),
     });
@@ -200,7 +204,8 @@
       onConfig: (config, raw) =>
         this.#knowledge.learnConfig(performance.now(), config, raw, 'store'),
       onRunners: (facts) => this.#knowledge.learnRunners(performance.now(), facts, 'store'),
-      onListed: (ids, revision) => this.#knowledge.learnList(performance.now(), ids, revision),
+      onEra: (start) => this.#knowledge.learnEra(performance.now(), start, 'store'),
+      onListed: (ids, position) => this.#knowledge.learnList(performance.now(), ids, position),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
       onSuspects: (suspects, isAll) => this.#quarantine.stored(performance.now(), suspects, isAll),
       onStore: (up, detail) => this.#news.storeAnswered(performance.now(), up, detail),
@@ -360,10 +365,16 @@
   }
 
   #onNews(news: News): void {
-    if (news.kind === 'config') {
-      this.#describe();
-      this.#warmLinks();
-    } else this.#runners.endLost();
+    match(news)
+      .with({ kind: 'config' }, () => {
+        this.#describe();
+        this.#warmLinks();
+      })
+      .with({ kind: 'runners' }, () => this.#runners.endLost())
+      .with({ kind: 'era' }, ({ cameBack }) => {
+        if (cameBack) this.#orders?.storeCameBack(performance.now());
+      })
+      .exhaustive();
     this.#news.learnt(news);
   }
 }
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -7,6 +7,8 @@
 
 import type { RunnerFact } from '../../core/routing/directory';
 import { RunnerDirectory } from '../../core/routing/directory';
+import type { History, Position } from '../../core/routing/position';
+import { isLater } from '../../core/routing/position';
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
@@ -31,7 +33,10 @@
 
 /** A newer configuration, or runners that changed. */
 export type News =
-  { readonly kind: 'config' } | { readonly kind: 'runners'; readonly facts: readonly RunnerFact[] };
+  | { readonly kind: 'config' }
+  | { readonly kind: 'runners'; readonly facts: readonly RunnerFact[] }
+  /** `cameBack`: another era was known before. */
+  | { readonly kind: 'era'; readonly start: Position; readonly cameBack: boolean };
 
 /** Lines of changed runners in a second; a fleet that starts would fill the log with them. */
 const RUNNER_LINES = 10;
@@ -49,6 +54,8 @@
 
   readonly #directory = new RunnerDirectory();
 
+  readonly #history: History;
+
   #table: RouteTable | undefined;
 
   #rawConfig = '';
@@ -59,18 +66,19 @@
   /** Steady time of the last failed call to the store. */
   #troubleAt = -Infinity;
 
-  /** Revision of the first full list after the last trouble; none yet while it lasts. */
-  #returnRevision = Infinity;
+  /** Position of the first full list after the last trouble; none yet while it lasts. */
+  #returnedAt: Position | undefined;
 
   readonly #listener: KnowledgeListener;
 
   readonly #lines: LineBudget;
 
-  constructor(log: Logger, listener: KnowledgeListener) {
+  constructor(history: History, log: Logger, listener: KnowledgeListener) {
+    this.#history = history;
     this.#log = log;
     this.#listener = listener;
     this.#lines = new LineBudget(RUNNER_LINES, (lines) =>
-      log.info({ lines, runnersRevision: this.runnersRevision }, 'More runners changed.'),
+      log.info({ lines, ...this.runnersPosition }, 'More runners changed.'),
     );
   }
 
@@ -87,8 +95,14 @@
     return this.#table?.config.version ?? 0;
   }
 
-  get runnersRevision(): number {
-    return this.#directory.revision;
+  /** Latest position of a change of a runner. */
+  get runnersPosition(): Position {
+    return this.#directory.position;
+  }
+
+  /** Start of the store's era. Default: nobody told. */
+  get era(): Position | undefined {
+    return this.#history.start;
   }
 
   /** Grows with each change of a runner that matters to routing. */
@@ -98,7 +112,7 @@
 
   /** All that this VM knows in short, for others to compare. */
   get digest(): string {
-    return `${this.configVersion}/${this.#directory.digest.text}`;
+    return `${this.configVersion}/${this.#directory.digest.text}/${this.#history.era ?? 0}`;
   }
 
   /** The digest of the runners, by parts. */
@@ -117,13 +131,29 @@
 
   storeFailed(now: number): void {
     this.#troubleAt = now;
-    this.#returnRevision = Infinity;
+    this.#returnedAt = undefined;
+  }
+
+  /**
+   * Takes over that the store is of another era. What is missing in it may be lost with
+   * the copy, as in an outage: living runners write again within the same time.
+   */
+  learnEra(now: number, start: Position, source: string): void {
+    const { era: before } = this.#history;
+    const cameBack = this.#history.learn(start);
+    if (cameBack) {
+      this.storeFailed(now);
+      this.#log.warn({ ...start, before, source }, 'The store came back from an older copy.');
+    }
+    const isFirst = before === undefined && start.era > 0;
+    if (cameBack || isFirst) this.#listener.onNews({ kind: 'era', start, cameBack });
   }
 
-  /** How long a runner stays in use whose entry is gone as of a revision, in milliseconds. */
-  #graceMs(now: number, revision: number): number {
+  /** How long a runner stays in use whose entry is gone as of a position, in milliseconds. */
+  #graceMs(now: number, position: Position): number {
     if (now - this.#troubleAt >= LAPSE_MS) return 0;
-    return revision <= this.#returnRevision ? LAPSED_GRACE_MS : RETURNED_GRACE_MS;
+    const returned = this.#returnedAt !== undefined && isLater(position, this.#returnedAt);
+    return returned ? RETURNED_GRACE_MS : LAPSED_GRACE_MS;
   }
 
   /** Time since the store was last heard, in milliseconds. */
@@ -148,20 +178,20 @@
   learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
     const changed: RunnerFact[] = [];
     for (const fact of facts) {
-      const { id, revision, runner, unreadable } = fact;
+      const { id, position, runner, unreadable } = fact;
       if (unreadable !== undefined && !this.#directory.isKnown(fact)) {
-        this.#noteUnfit(id, revision, unreadable);
+        this.#noteUnfit(id, position, unreadable);
       }
       const gone = !runner && unreadable === undefined;
       // Another VM that tells of it knows whether its store had trouble; this one may not read it at all.
-      const graceMs = gone ? (fact.graceMs ?? this.#graceMs(now, revision)) : 0;
+      const graceMs = gone ? (fact.graceMs ?? this.#graceMs(now, position)) : 0;
       if (this.#directory.learn(now, fact, graceMs)) {
         changed.push(gone ? { ...fact, graceMs } : fact);
         this.#checkService(fact);
         const leaving = runner?.leaving;
         if (this.#lines.allows(now)) {
           this.#log.info(
-            { runner: id, revision, gone: !runner, leaving, graceMs, source },
+            { runner: id, ...position, gone: !runner, leaving, graceMs, source },
             'Runner changed.',
           );
         }
@@ -183,28 +213,28 @@
   }
 
   /** An entry of a service that the configuration does not name gets no request; the configuration may still come. */
-  #checkService({ id, revision, runner }: RunnerFact): void {
+  #checkService({ id, position, runner }: RunnerFact): void {
     if (!runner || !this.#table || this.#table.service(runner.service)) return;
     this.#noteUnfit(
       id,
-      revision,
+      position,
       `runner ${id}: found service ${runner.service}, expected a known one`,
     );
   }
 
-  /** One line and one count for each entry and revision, however often it is read. */
-  #noteUnfit(id: string, revision: number, detail: string): void {
+  /** One line and one count for each entry and position, however often it is read. */
+  #noteUnfit(id: string, position: Position, detail: string): void {
     const { line } = new Failure('factUnreadable', detail);
-    this.#log.warn({ runner: id, revision }, line);
+    this.#log.warn({ runner: id, ...position }, line);
     this.#listener.onUnfitEntry();
   }
 
-  /** Runners that a full list of the store no longer names are gone as of its revision. */
-  learnList(now: number, listed: ReadonlySet<string>, revision: number): void {
-    this.#returnRevision = Math.min(this.#returnRevision, revision);
+  /** Runners that a full list of the store no longer names are gone as of its position. */
+  learnList(now: number, listed: ReadonlySet<string>, position: Position): void {
+    this.#returnedAt ??= position;
     const gone = this.#directory
       .missing(listed)
-      .map((id): RunnerFact => ({ id, revision, runner: undefined }));
+      .map((id): RunnerFact => ({ id, position, runner: undefined }));
     this.learnRunners(now, gone, 'list');
   }
 
@@ -215,9 +245,10 @@
       configVersion: this.configVersion,
       routes: this.#table?.config.routes.length ?? 0,
       storeAgeMs: Number.isFinite(this.#storeAt) ? Math.round(this.storeAge(now)) : null,
-      runners: this.#directory.facts.map(({ id, revision, runner }) => ({
+      era: this.#history.era ?? null,
+      runners: this.#directory.facts.map(({ id, position, runner }) => ({
         id,
-        revision,
+        ...position,
         usable: usable.has(id),
         ...(runner ?? { gone: true }),
       })),
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -4,20 +4,21 @@
  */
 
 import type { Logger } from 'pino';
+import { match } from 'ts-pattern';
 
 import { toFailure } from '../../core/failure';
 import { isIsolated, joinTargets, readersOf, shouldRead } from '../../core/membership/readers';
 import type { Rumour } from '../../core/membership/types';
 import type { Suspect } from '../../core/quarantine/types';
 import { isPresent } from '../../core/membership/types';
-import { NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
+import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
 import type { Knowledge, News } from './knowledge';
 import type { QuarantineDesk } from './quarantine';
 import { SUSPECT_PATH, fromRumour, toRumour } from './suspects';
 import type { FactSync } from './sync';
-import { decodeFact, encodeFact } from './sync';
+import { decodeFact, decodePosition, encodeFact } from './sync';
 import type { Feed } from './types';
 
 /** What the desk works with. */
@@ -110,12 +111,14 @@
 
   /** Something came in, from wherever: tells it on. */
   learnt(news: News): void {
-    const { fleet, knowledge } = this.#context;
+    const { fleet, knowledge, metrics } = this.#context;
     this.setDigest();
-    const rumours =
-      news.kind === 'config'
-        ? this.#spread.configRumours(knowledge.configVersion)
-        : this.#spread.runnerRumours(news.facts, encodeFact);
+    const rumours = match(news)
+      .with({ kind: 'config' }, () => this.#spread.configRumours(knowledge.configVersion))
+      .with({ kind: 'runners' }, ({ facts }) => this.#spread.runnerRumours(facts, encodeFact))
+      .with({ kind: 'era' }, ({ start }) => this.#spread.eraRumours(start))
+      .exhaustive();
+    if (news.kind === 'era' && news.cameBack) metrics.count('store.returns');
     fleet.spread(rumours);
   }
 
@@ -135,17 +138,18 @@
   heard(rumour: Rumour, address: string): void {
     const { knowledge, quarantine, log } = this.#context;
     const now = performance.now();
-    const isSuspect = rumour.path.startsWith(SUSPECT_PATH);
-    if (!isSuspect && (!rumour.path.startsWith(RUNNER_PATH) || rumour.text === undefined)) {
-      this.#spread.heard(rumour, address, knowledge);
-      this.#fetchDue();
-      return;
-    }
+    const { path, text } = rumour;
     try {
-      if (isSuspect) quarantine.learn(now, [fromRumour(rumour)], address);
-      else knowledge.learnRunners(now, [decodeFact(rumour.text ?? '')], address);
+      if (path.startsWith(SUSPECT_PATH)) quarantine.learn(now, [fromRumour(rumour)], address);
+      else if (path === ERA_PATH) knowledge.learnEra(now, decodePosition(text ?? ''), address);
+      else if (path.startsWith(RUNNER_PATH) && text !== undefined) {
+        knowledge.learnRunners(now, [decodeFact(text)], address);
+      } else {
+        this.#spread.heard(rumour, address, knowledge);
+        this.#fetchDue();
+      }
     } catch (error) {
-      log.warn({ address, path: rumour.path }, toFailure(error).line);
+      log.warn({ address, path }, toFailure(error).line);
     }
   }
 
--- a/src/node/router/orders.ts
+++ b/src/node/router/orders.ts
@@ -56,6 +56,19 @@
     this.#giveUp();
   }
 
+  /** The right may be lost with the copy, and another VM may have it already; its last order may be as late as any. */
+  storeCameBack(now: number): void {
+    const { fence } = this.#right ?? {};
+    if (fence !== undefined) this.#context.log.warn({ fence }, 'Gave up the right to orders.');
+    this.#right = undefined;
+    this.#notBefore = now + this.#turnMs;
+  }
+
+  /** Wait of a new holder, in milliseconds. */
+  get #turnMs(): number {
+    return Math.max(RETRY_MS, TURN_LEASES * this.#context.leaseMs);
+  }
+
   #tick(): void {
     const now = performance.now();
     if (this.#busy || now < this.#notBefore || now - this.#startedAt < SETTLE_MS) return;
@@ -85,10 +98,10 @@
   }
 
   async #acquire(): Promise<void> {
-    const { lock, log, leaseMs } = this.#context;
+    const { lock, log } = this.#context;
     this.#right = await lock.acquire();
     const { fence, fresh } = this.#right ?? {};
-    const waitMs = this.#right && fresh ? 0 : Math.max(RETRY_MS, TURN_LEASES * leaseMs);
+    const waitMs = this.#right && fresh ? 0 : this.#turnMs;
     this.#notBefore = performance.now() + waitMs;
     if (this.#right) log.info({ fence, waitMs }, 'May give orders.');
   }
--- a/src/node/router/sync.ts
+++ b/src/node/router/sync.ts
@@ -9,6 +9,7 @@
 import type { Suspect } from '../../core/quarantine/types';
 import { DIGEST_PARTS } from '../../core/routing/digest';
 import type { RunnerFact } from '../../core/routing/directory';
+import type { Position } from '../../core/routing/position';
 import type { RoutingConfig } from '../../core/routing/types';
 import { memberSchema } from '../scheduler/members';
 import type { RouterFleet } from './fleet';
@@ -43,9 +44,10 @@
   slots: z.number(),
   leaving: z.boolean(),
 });
+const positionSchema = z.object({ era: z.int().min(0), revision: z.int().min(0) });
 const factSchema = z.object({
   id: z.string(),
-  revision: z.number(),
+  position: positionSchema,
   /** Left out if the runner is gone. */
   runner: runnerSchema.optional(),
   graceMs: z.number().optional(),
@@ -56,6 +58,8 @@
   parts: z.array(z.number()).length(DIGEST_PARTS),
   /** Whether the members are asked for. */
   members: z.boolean(),
+  /** Start of the store's era. Default: the asking VM does not know it. */
+  era: positionSchema.optional(),
   /** Digest of the requests that the asking VM refuses. */
   refused: z.string().default(''),
 });
@@ -63,6 +67,8 @@
   /** Packed with gzip: a configuration of 1,400 routes takes a tenth so. Left out if it is not newer. */
   config: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   facts: z.array(factSchema),
+  /** Start of the store's era; left out if it is not known. */
+  era: positionSchema.optional(),
   members: z.array(memberSchema).optional(),
   suspects: z.array(suspectSchema).default([]),
 });
@@ -70,10 +76,10 @@
 type Answer = Readonly<z.infer<typeof answerSchema>>;
 type WireFact = Answer['facts'][number];
 
-function toWire({ id, revision, runner, graceMs }: RunnerFact): WireFact {
+function toWire({ id, position, runner, graceMs }: RunnerFact): WireFact {
   return {
     id,
-    revision,
+    position,
     ...(runner ? { runner } : {}),
     ...(graceMs === undefined ? {} : { graceMs }),
   };
@@ -87,8 +93,15 @@
   return { ...suspect, ends: [...suspect.ends] };
 }
 
-function fromWire({ id, revision, runner, graceMs }: WireFact): RunnerFact {
-  return { id, revision, runner, graceMs };
+function fromWire({ id, position, runner, graceMs }: WireFact): RunnerFact {
+  return { id, position, runner, graceMs };
+}
+
+/** Rejects with `peerRejected` by throwing. */
+export function decodePosition(text: string): Position {
+  const parsed = positionSchema.safeParse(parseJson(text));
+  if (!parsed.success) throw new Failure('peerRejected', 'found an era that does not fit');
+  return parsed.data;
 }
 
 /** One fact as the text of a message. */
@@ -98,15 +111,17 @@
 
 /** Rejects with `peerRejected` by throwing. */
 export function decodeFact(text: string): RunnerFact {
-  let value: unknown;
+  const parsed = factSchema.safeParse(parseJson(text));
+  if (!parsed.success) throw new Failure('peerRejected', 'found a fact that does not fit');
+  return fromWire(parsed.data);
+}
+
+function parseJson(text: string): unknown {
   try {
-    value = JSON.parse(text);
+    return JSON.parse(text);
   } catch {
-    throw new Failure('peerRejected', 'found a fact that is no JSON');
+    throw new Failure('peerRejected', 'found news that is no JSON');
   }
-  const parsed = factSchema.safeParse(value);
-  if (!parsed.success) throw new Failure('peerRejected', 'found a fact that does not fit');
-  return fromWire(parsed.data);
 }
 
 /** Both sides of the exchange. */
@@ -123,11 +138,13 @@
   /** What this VM knows beside what the asking one does. */
   answer(now: number, params: unknown): Answer {
     const { knowledge, quarantine, fleet } = this.#context;
-    const { configVersion, parts, members, refused } = requestSchema.parse(params);
+    const { configVersion, parts, members, era, refused } = requestSchema.parse(params);
+    if (era) knowledge.learnEra(now, era, 'asked');
     const tellsSuspects = members || refused !== quarantine.digest(now);
     return {
       ...(configVersion < knowledge.configVersion ? { config: this.#pack() } : {}),
       facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
+      ...(knowledge.era ? { era: knowledge.era } : {}),
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
       suspects: tellsSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
     };
@@ -138,7 +155,9 @@
     const { knowledge, quarantine, fleet, decodeConfig } = this.#context;
     const { configVersion, digestParts } = knowledge;
     const refused = quarantine.digest(performance.now());
-    const request = { configVersion, parts: digestParts, members, refused };
+    const { era } = knowledge;
+    const told = { configVersion, parts: digestParts, members, refused };
+    const request = era ? { ...told, era } : told;
     const answer = answerSchema.parse(await fleet.call(address, 'facts', request, LIMIT_MS));
     const now = performance.now();
     // Before the configuration, with which this VM begins to take callers.
@@ -148,6 +167,7 @@
       const config = decodeConfig(raw);
       if (config) knowledge.learnConfig(now, config, raw, address);
     }
+    if (answer.era) knowledge.learnEra(now, answer.era, address);
     knowledge.learnRunners(now, answer.facts.map(fromWire), address);
     if (answer.members) fleet.sync(answer.members);
   }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -5,6 +5,7 @@
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RunnerFact } from '../../core/routing/directory';
+import type { Position } from '../../core/routing/position';
 import type { RetryBounds } from '../../core/retries';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
 import type { Failure } from '../../core/failure';
@@ -151,8 +152,10 @@
 export interface FeedListener {
   onConfig(config: RoutingConfig, raw: string): void;
   onRunners(facts: readonly RunnerFact[]): void;
-  /** The full list of runners as of now. */
-  onListed(ids: ReadonlySet<string>, revision: number): void;
+  /** The store is of another era than was known. Told before what it holds. */
+  onEra(start: Position): void;
+  /** The full list of runners as of a position. */
+  onListed(ids: ReadonlySet<string>, position: Position): void;
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
   /** Requests that are refused, as some VM saved them; `isAll` if the store holds no others. */
   onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -7,10 +7,11 @@
 import { toFailure } from '../core/failure';
 import type { Suspect } from '../core/quarantine/types';
 import type { RunnerFact } from '../core/routing/directory';
+import type { History } from '../core/routing/position';
 import type { Feed, FeedListener } from '../node/router/types';
 import { decodeConfig, decodeRunner, decodeSuspect, decodeVm, encodeVm } from './facts';
 import { key } from './names';
-import type { Item, StoreClient } from './store';
+import type { Item, Snapshot, StoreClient } from './store';
 
 /** Longest wait of one watch, in milliseconds: a watch that hangs on a silent store is noticed soon after. */
 const WATCH_MS = 2000;
@@ -31,6 +32,8 @@
 
   readonly #self: { readonly vm: string; readonly address: string };
 
+  readonly #history: History;
+
   #listener: FeedListener | undefined;
 
   #reading = false;
@@ -40,15 +43,20 @@
 
   #registered = false;
 
+  /** Era of what was read last. */
+  #era: number | undefined;
+
   #waitMs = RETRY_MS;
 
   constructor(
     store: StoreClient,
     self: { readonly vm: string; readonly address: string },
+    history: History,
     log: Logger,
   ) {
     this.#store = store;
     this.#self = self;
+    this.#history = history;
     this.#log = log;
   }
 
@@ -86,13 +94,14 @@
 
   /** One range and the watches after it, until something fails. */
   async #follow(): Promise<void> {
-    let { revision } = await this.#readAll();
+    let { revision, era } = await this.#readAll();
     this.#waitMs = RETRY_MS;
     while (this.#reading) {
       const since = performance.now();
       const news = await this.#store.watch(ALL, revision, WATCH_MS);
-      if (!news) {
-        ({ revision } = await this.#readAll());
+      // Where the store came back from a copy, revisions mean something else: what was watched from may have been given out again.
+      if (!news || news.era !== era) {
+        ({ revision, era } = await this.#readAll());
       } else {
         this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, news.revision);
@@ -103,14 +112,19 @@
     }
   }
 
-  async #readAll(): Promise<{ revision: number }> {
-    const { items, revision } = await this.#store.range(ALL);
+  async #readAll(): Promise<Snapshot> {
+    const snapshot = await this.#store.range(ALL);
+    const { items, revision, era = this.#store.era } = snapshot;
+    // What this VM wrote since the copy was made is gone.
+    if (era !== this.#era) this.#registered = false;
+    this.#era = era;
+    if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
     this.#listener?.onStore(true, 'answers');
     this.#register(items);
     this.#tell(items, true);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
-    this.#listener?.onListed(new Set(ids), revision);
-    return { revision };
+    this.#listener?.onListed(new Set(ids), { era, revision });
+    return snapshot;
   }
 
   /** @param isAll whether the store holds no other items */
@@ -121,7 +135,7 @@
     for (const item of items) {
       try {
         if (item.key === key.config) this.#tellConfig(item);
-        else if (item.key.startsWith(key.runners)) runners.push(factOf(item));
+        else if (item.key.startsWith(key.runners)) runners.push(this.#factOf(item));
         else if (item.key.startsWith(key.vms) && item.value !== undefined) {
           vms.push(decodeVm(item.key.slice(key.vms.length), item.value));
         } else if (item.key.startsWith(key.suspects) && item.value !== undefined) {
@@ -141,6 +155,19 @@
     if (value !== undefined) this.#listener?.onConfig(decodeConfig(value), value);
   }
 
+  /** An entry that cannot be read is a fact too: whatever was listed there before is no longer. */
+  #factOf(item: Item): RunnerFact {
+    const id = idOf(item);
+    const { revision, value } = item;
+    const position = this.#history.positionOf(revision);
+    try {
+      const runner = value === undefined ? undefined : decodeRunner(id, value);
+      return { id, position, runner };
+    } catch (error) {
+      return { id, position, runner: undefined, unreadable: toFailure(error).message };
+    }
+  }
+
   /**
    * Lists this VM, so that others find it. The entry needs no lease: probes tell
    * who lives. Only readers are listed; whoever finds one of them finds all.
@@ -161,15 +188,3 @@
 function idOf({ key: name }: Item): string {
   return name.slice(key.runners.length);
 }
-
-/** An entry that cannot be read is a fact too: whatever was listed there before is no longer. */
-function factOf(item: Item): RunnerFact {
-  const id = idOf(item);
-  const { revision, value } = item;
-  try {
-    const runner = value === undefined ? undefined : decodeRunner(id, value);
-    return { id, revision, runner };
-  } catch (error) {
-    return { id, revision, runner: undefined, unreadable: toFailure(error).message };
-  }
-}
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -22,6 +22,8 @@
   cacheSource: 'kv-source',
   lastEvent: 'last-event-id',
   retryAfter: 'retry-after',
+  /** On the store's answers: how often it has come back from an older copy, one higher each time. */
+  era: 'store-era',
 } as const;
 
 /** Request headers that are the router's to set; what a caller sent under these names is dropped. */
--- a/src/platform/run.ts
+++ b/src/platform/run.ts
@@ -3,8 +3,10 @@
 import type { Logger } from 'pino';
 
 import { Failure } from '../core/failure';
+import { History } from '../core/routing/position';
 import { logOf } from '../node/log';
 import { Router } from '../node/router/daemon';
+import { EraReader } from './era';
 import { StoreFeed } from './feed';
 import { StoreLock } from './lock';
 import { PlatformControl, PlatformIngress } from './ingress';
@@ -31,11 +33,13 @@
 /** A router on the platform, not yet started. */
 export function createRouter({ router, store }: PlatformSettings, log: Logger): Router {
   const { vm, peer } = router;
-  const client = new StoreClient(store);
-  const feed = new StoreFeed(client, { vm, address: peer }, logOf(log, 'store'));
+  const history = new History();
+  const client = new StoreClient(store, new EraReader(history, logOf(log, 'store')));
+  const feed = new StoreFeed(client, { vm, address: peer }, history, logOf(log, 'store'));
   return new Router(
     router,
     {
+      history,
       feed,
       runners: new PlatformRunnerClient(),
       ingress: new PlatformIngress(),
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -5,9 +5,11 @@
 import { z } from 'zod';
 
 import { Failure } from '../core/failure';
+import type { Position } from '../core/routing/position';
 import type { Answer } from '../utils/http';
 import { call } from '../utils/http';
-import { path } from './names';
+import type { EraReader } from './era';
+import { header, path } from './names';
 
 /** An item, or that it is gone. */
 export interface Item {
@@ -22,6 +24,8 @@
 export interface Snapshot {
   readonly items: readonly Item[];
   readonly revision: number;
+  /** Undefined if the answer named none that can be used. */
+  readonly era: number | undefined;
 }
 
 /** Writes that take effect together, or not at all. */
@@ -80,23 +84,33 @@
 export class StoreClient {
   readonly #address: string;
 
-  constructor(address: string) {
+  readonly #eras: EraReader;
+
+  constructor(address: string, eras: EraReader) {
     this.#address = address;
+    this.#eras = eras;
+  }
+
+  /** The latest era of the store that is known; 0 where it tells none. */
+  get era(): number {
+    return this.#eras.latest;
   }
 
-  /** Everything below a prefix. Pages are not a snapshot; the first page's revision is the safe one to go on from. */
+  /** Everything below a prefix, of one era. Pages are not a snapshot; the first page's revision is the safe one to go on from. */
   async range(prefix: string): Promise<Snapshot> {
     const items: Item[] = [];
-    let revision: number | undefined;
+    let first: { readonly era: number | undefined; readonly revision: number } | undefined;
     let after = '';
     for (;;) {
       const query = new URLSearchParams({ 'path-prefix': prefix });
       if (after !== '') query.set('after', after);
-      const page = rangeSchema.parse(await this.#get(`${path.range}?${query}`, CALL_LIMIT_MS));
+      const { body, era } = await this.#get(`${path.range}?${query}`, CALL_LIMIT_MS);
+      const page = rangeSchema.parse(body);
+      first ??= { era, revision: page['as-of'] };
+      if (first.era !== era) throw new Failure('platformUnavailable', 'the store came back');
       items.push(...page.items.map(toItem));
-      revision ??= page['as-of'];
       const last = page.items.at(-1);
-      if (!page.truncated || !last) return { items, revision };
+      if (!page.truncated || !last) return { items, ...first };
       after = last.key;
     }
   }
@@ -108,10 +122,10 @@
       after: String(after),
       'wait-ms': String(waitMs),
     });
-    const body = await this.#get(`${path.watch}?${query}`, waitMs + WATCH_SLACK_MS);
+    const { body, era } = await this.#get(`${path.watch}?${query}`, waitMs + WATCH_SLACK_MS);
     if (body === undefined) return undefined;
     const { events, 'as-of': revision } = watchSchema.parse(body);
-    return { items: events.map(toItem), revision };
+    return { items: events.map(toItem), revision, era };
   }
 
   /** Writes one item whatever it was before. */
@@ -119,16 +133,18 @@
     await this.commit({ expected: [], writes: [{ key, value, lease: 0 }] });
   }
 
-  /** Writes all items if all conditions hold. Gives the revision, or undefined if one did not hold. */
-  async commit({ expected, writes }: Transaction): Promise<number | undefined> {
+  /** Writes all items if all conditions hold. Gives the position, or undefined if one did not hold. */
+  async commit({ expected, writes }: Transaction): Promise<Position | undefined> {
     const encoded = writes.map((write) => ({
       ...write,
       value: Buffer.from(write.value).toString('base64'),
     }));
-    const { status, body } = await this.#post(path.txn, { expected, writes: encoded, remove: [] });
+    const transaction = { expected, writes: encoded, remove: [] };
+    const { status, body, era = this.era } = await this.#post(path.txn, transaction);
     if (status === HTTP_PRECONDITION) return undefined;
     if (status !== HTTP_OK) throw new Failure('platformUnavailable', `a write got ${status}`);
-    return revisionSchema.parse(JSON.parse(body)).revision;
+    const { revision } = revisionSchema.parse(JSON.parse(body));
+    return { era, revision };
   }
 
   /** A new lease. */
@@ -156,28 +172,41 @@
     });
   }
 
-  #post(target: string, body: unknown): Promise<Answer> {
-    return call({
+  async #post(
+    target: string,
+    body: unknown,
+  ): Promise<Answer & { readonly era: number | undefined }> {
+    const answer = await call({
       method: 'POST',
       url: `http://${this.#address}${target}`,
       headers: { 'content-type': 'application/json', connection: 'close' },
       body: JSON.stringify(body),
       timeoutMs: CALL_LIMIT_MS,
     });
+    return { ...answer, era: this.#eraOf(answer) };
+  }
+
+  #eraOf({ headers }: Answer): number | undefined {
+    return this.#eras.read(headers[header.era]?.toString());
   }
 
-  /** Undefined on 410. */
-  async #get(target: string, timeoutMs: number): Promise<unknown> {
-    const { status, body } = await call({
+  /** The body is undefined on 410. */
+  async #get(
+    target: string,
+    timeoutMs: number,
+  ): Promise<{ readonly body: unknown; readonly era: number | undefined }> {
+    const answer = await call({
       method: 'GET',
       url: `http://${this.#address}${target}`,
       headers: { connection: 'close' },
       timeoutMs,
     });
-    if (status === HTTP_GONE) return undefined;
+    const { status, body } = answer;
+    const era = this.#eraOf(answer);
+    if (status === HTTP_GONE) return { body: undefined, era };
     if (status !== HTTP_OK) {
       throw new Failure('platformUnavailable', `the store answered ${status}`);
     }
-    return JSON.parse(body);
+    return { body: JSON.parse(body), era };
   }
 }
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -4,6 +4,14 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 
+import pino from 'pino';
+
+import { History } from '../../src/core/routing/position';
+import { EraReader } from '../../src/platform/era';
+import { StoreClient } from '../../src/platform/store';
+
+const silent = pino({ level: 'silent' });
+
 interface Item {
   readonly key: string;
   readonly value: string;
@@ -228,3 +236,8 @@
     return [200, { revision: this.#revision }];
   }
 }
+
+/** A client of a store that knows nothing of its history yet. */
+export function clientOf(store: FakeStore, history = new History(), log = silent): StoreClient {
+  return new StoreClient(store.address, new EraReader(history, log));
+}
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -14,6 +14,7 @@
 import { RunnerDirectory } from '../../../src/core/routing/directory';
 import { NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
 import { SUSPECT_PATH, fromRumour, toRumour } from '../../../src/node/router/suspects';
+import { at } from '../position';
 import { runnerOf } from '../runner';
 import { Schedule } from './schedule';
 import { seeded } from './workload';
@@ -204,7 +205,7 @@
     const leaving = before?.leaving === true || changed;
     this.#facts.set(id, {
       id,
-      revision: this.#revision,
+      position: at(this.#revision),
       runner: runnerOf(id, 'plain', { leaving }),
     });
   }
@@ -276,8 +277,8 @@
   }
 
   #tick(vm: Vm): void {
-    const at = Math.max(this.now + 1, vm.membership.nextWake());
-    this.#schedule.add(at, () => {
+    const due = Math.max(this.now + 1, vm.membership.nextWake());
+    this.#schedule.add(due, () => {
       if (vm.dead || vm.frozen) return;
       this.#tell(vm, { kind: 'woke' });
       this.#tick(vm);
@@ -366,7 +367,7 @@
       return;
     }
     const { configVersion, directory } = vm;
-    vm.spread.heard(rumour, address, { configVersion, runnersRevision: directory.revision });
+    vm.spread.heard(rumour, address, { configVersion, runnersPosition: directory.position });
     this.#exchangeDue(vm);
   }
 
--- a/test/platform/olderstore.test.ts
+++ b/test/platform/olderstore.test.ts
@@ -1,33 +1,33 @@
 import pino from 'pino';
 
+import { History } from '../../src/core/routing/position';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { StoreFeed } from '../../src/platform/feed';
 import { StoreLock } from '../../src/platform/lock';
-import { StoreClient } from '../../src/platform/store';
 import { eventually } from '../fakes/cluster';
 import { entryOf } from '../fakes/entry';
 import { silentListener } from '../fakes/listener';
-import { FakeStore } from '../fakes/store';
+import { FakeStore, clientOf } from '../fakes/store';
 
 const log = pino({ level: 'silent' });
 
 /** A VM that reads a store, and what it knows from it. */
 class Reader {
-  readonly knowledge = new Knowledge(log, silentListener);
+  readonly #history = new History();
+
+  readonly knowledge = new Knowledge(this.#history, log, silentListener);
 
   readonly #feed: StoreFeed;
 
   constructor(store: FakeStore) {
-    this.#feed = new StoreFeed(
-      new StoreClient(store.address),
-      { vm: 'vm1', address: '10.0.0.9:1' },
-      log,
-    );
+    const self = { vm: 'vm1', address: '10.0.0.9:1' };
+    this.#feed = new StoreFeed(clientOf(store, this.#history), self, this.#history, log);
     const { knowledge } = this;
     this.#feed.start({
       onConfig: (config, raw) => knowledge.learnConfig(performance.now(), config, raw, 'store'),
       onRunners: (facts) => knowledge.learnRunners(performance.now(), facts, 'store'),
-      onListed: (ids, revision) => knowledge.learnList(performance.now(), ids, revision),
+      onEra: (start) => knowledge.learnEra(performance.now(), start, 'store'),
+      onListed: (ids, position) => knowledge.learnList(performance.now(), ids, position),
       onVms: () => {},
       onStore: (up) => {
         if (up) knowledge.heardStore(performance.now());
@@ -128,9 +128,9 @@
   test('gives the next holder of orders a higher fence than any before', async () => {
     const copy = store.copy();
     for (let i = 0; i < 20; i += 1) put('a');
-    const first = await new StoreLock(new StoreClient(store.address), 'vm1').acquire();
+    const first = await new StoreLock(clientOf(store), 'vm1').acquire();
     store.comeBack(copy);
-    const second = await new StoreLock(new StoreClient(store.address), 'vm2').acquire();
+    const second = await new StoreLock(clientOf(store), 'vm2').acquire();
     expect(second?.fence).toBeGreaterThan(first?.fence ?? Infinity);
     expect(second?.fresh).toBe(false);
     expect(await first?.renew()).toBe(false);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,13 +1,13 @@
 import pino from 'pino';
 
+import { History } from '../../src/core/routing/position';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import type { FeedListener } from '../../src/node/router/types';
 import { StoreFeed } from '../../src/platform/feed';
 import { StoreLock } from '../../src/platform/lock';
-import { StoreClient } from '../../src/platform/store';
 import { eventually } from '../fakes/cluster';
 import { entryOf } from '../fakes/entry';
-import { FakeStore } from '../fakes/store';
+import { FakeStore, clientOf } from '../fakes/store';
 
 const config = (version: number): unknown => ({ version, routes: [], services: [] });
 const runner = (state: string): unknown => entryOf({ state });
@@ -39,6 +39,8 @@
 
   onVms(): void {}
 
+  onEra(): void {}
+
   onSuspects(): void {}
 
   onStore(up: boolean): void {
@@ -58,8 +60,9 @@
     store.put('op/config', config(3));
     for (const id of ['i-1', 'i-2', 'i-3', 'i-4']) store.put(`servers/${id}`, runner('ready'));
     listener = new Listener();
-    const client = new StoreClient(store.address);
-    feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, log);
+    const history = new History();
+    const client = clientOf(store, history);
+    feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, history, log);
     feed.start(listener);
     feed.setReading(true);
     await eventually('all is read', () => listener.listed.length > 0);
@@ -174,7 +177,7 @@
 
   afterEach(() => store.stop());
 
-  const lockOf = (vm: string): StoreLock => new StoreLock(new StoreClient(store.address), vm);
+  const lockOf = (vm: string): StoreLock => new StoreLock(clientOf(store), vm);
 
   test('is held by one VM, and its fence grows from holder to holder', async () => {
     const first = await lockOf('vm1').acquire();
--- a/test/router/front.test.ts
+++ b/test/router/front.test.ts
@@ -2,6 +2,7 @@
 
 import pino from 'pino';
 
+import { History } from '../../src/core/routing/position';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { Front } from '../../src/node/router/front';
 import { Knowledge } from '../../src/node/router/knowledge';
@@ -50,7 +51,7 @@
 
 describe('the front', () => {
   const log = pino({ level: 'silent' });
-  const knowledge = new Knowledge(log, silentListener);
+  const knowledge = new Knowledge(new History(), log, silentListener);
   const seen: string[] = [];
   const front = new Front({
     knowledge,
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -2,8 +2,10 @@
 
 import type { RunnerFact } from '../../src/core/routing/directory';
 import type { RoutingConfig, Runner } from '../../src/core/routing/types';
+import { History } from '../../src/core/routing/position';
 import { startId } from '../../src/core/routing/types';
 import { Knowledge } from '../../src/node/router/knowledge';
+import { at } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
 import { silentListener } from '../fakes/listener';
 
@@ -16,7 +18,8 @@
   limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 });
 
-const fresh = (): Knowledge => new Knowledge(pino({ level: 'silent' }), silentListener);
+const fresh = (): Knowledge =>
+  new Knowledge(new History(), pino({ level: 'silent' }), silentListener);
 
 const ids = (knowledge: Knowledge, now: number): readonly string[] =>
   knowledge.runnersOf(now, 's').map(({ id }) => id);
@@ -33,8 +36,8 @@
   test('never goes back to an older fact of a runner', () => {
     const knowledge = fresh();
     const leaving = runner('r', { leaving: true });
-    knowledge.learnRunners(0, [{ id: 'r', revision: 9, runner: leaving }], 'store');
-    knowledge.learnRunners(1, [{ id: 'r', revision: 5, runner: runner('r') }], 'peer');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(9), runner: leaving }], 'store');
+    knowledge.learnRunners(1, [{ id: 'r', position: at(5), runner: runner('r') }], 'peer');
     expect(ids(knowledge, 2)).toEqual([]);
   });
 
@@ -45,9 +48,9 @@
    */
   test('keeps runners that vanished in an outage until they had time to come back', () => {
     const knowledge = fresh();
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: runner('r') }], 'store');
     knowledge.storeFailed(1000);
-    knowledge.learnList(1500, new Set(), 8);
+    knowledge.learnList(1500, new Set(), at(8));
     expect(ids(knowledge, 2500)).toEqual(['r']);
     expect(ids(knowledge, 4100)).toEqual([]);
   });
@@ -59,10 +62,10 @@
    */
   test('keeps a runner that vanishes after the return of the store only for a moment', () => {
     const knowledge = fresh();
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: runner('r') }], 'store');
     knowledge.storeFailed(1000);
-    knowledge.learnList(1500, new Set(['r']), 8);
-    knowledge.learnRunners(2100, [{ id: 'r', revision: 9, runner: undefined }], 'store');
+    knowledge.learnList(1500, new Set(['r']), at(8));
+    knowledge.learnRunners(2100, [{ id: 'r', position: at(9), runner: undefined }], 'store');
     expect(ids(knowledge, 3000)).toEqual(['r']);
     expect(ids(knowledge, 3200)).toEqual([]);
   });
@@ -70,8 +73,8 @@
   /* Its entry is removed without an outage: the runner is leaving and serves for a while longer, but gets nothing new. */
   test('drops a runner whose entry is removed while the store is well', () => {
     const knowledge = fresh();
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
-    knowledge.learnRunners(9, [{ id: 'r', revision: 2, runner: undefined }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: runner('r') }], 'store');
+    knowledge.learnRunners(9, [{ id: 'r', position: at(2), runner: undefined }], 'store');
     expect(ids(knowledge, 10)).toEqual([]);
   });
 
@@ -79,9 +82,9 @@
   test('does not keep a runner that had said it leaves', () => {
     const knowledge = fresh();
     const leaving = runner('r', { leaving: true });
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: leaving }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: leaving }], 'store');
     knowledge.storeFailed(1000);
-    knowledge.learnList(1500, new Set(), 8);
+    knowledge.learnList(1500, new Set(), at(8));
     expect(ids(knowledge, 1600)).toEqual([]);
   });
 
@@ -95,7 +98,7 @@
     const start = (bornAt: number, leaving = false): Runner =>
       runner('r', { id: startId('r', bornAt), bornAt, leaving });
     const tell = (revision: number, told: Runner): void =>
-      knowledge.learnRunners(0, [{ id: 'r', revision, runner: told }], 'store');
+      knowledge.learnRunners(0, [{ id: 'r', position: at(revision), runner: told }], 'store');
     tell(1, start(1000, true));
     expect(ids(knowledge, 0)).toEqual([]);
     tell(2, start(2000));
@@ -109,12 +112,12 @@
   test('gives no work to a start that is over by the runner itself', () => {
     const knowledge = fresh();
     const start = (bornAt: number): Runner => runner('r', { id: startId('r', bornAt), bornAt });
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: start(1000) }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: start(1000) }], 'store');
     knowledge.learnStart('r', 2000);
     expect(ids(knowledge, 0)).toEqual([]);
-    knowledge.learnRunners(0, [{ id: 'r', revision: 2, runner: start(1000) }], 'peer');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(2), runner: start(1000) }], 'peer');
     expect(ids(knowledge, 0)).toEqual([]);
-    knowledge.learnRunners(0, [{ id: 'r', revision: 3, runner: start(2000) }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(3), runner: start(2000) }], 'store');
     expect(ids(knowledge, 0)).toEqual(['r@2000']);
   });
 
@@ -127,6 +130,7 @@
     const lines: string[] = [];
     let counted = 0;
     const knowledge = new Knowledge(
+      new History(),
       pino({ level: 'warn' }, { write: (line) => lines.push(line) }),
       {
         onNews: () => {},
@@ -135,10 +139,10 @@
         },
       },
     );
-    knowledge.learnRunners(0, [{ id: 'r', revision: 1, runner: runner('r') }], 'store');
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: runner('r') }], 'store');
     const unfit = (revision: number): RunnerFact => ({
       id: 'r',
-      revision,
+      position: at(revision),
       runner: undefined,
       unreadable: 'runner r: at slots: unfit',
     });
@@ -149,13 +153,13 @@
     knowledge.learnRunners(200_000, [unfit(3)], 'peer');
     expect([lines.length, counted]).toEqual([2, 2]);
     expect(lines[0]).toContain('[503] runner r: at slots: unfit');
-    knowledge.learnRunners(201_000, [{ id: 'r', revision: 4, runner: runner('r') }], 'store');
+    knowledge.learnRunners(201_000, [{ id: 'r', position: at(4), runner: runner('r') }], 'store');
     expect(ids(knowledge, 201_000)).toEqual(['r']);
   });
 
   test('reports a runner of a service that it does not know once', () => {
     let counted = 0;
-    const knowledge = new Knowledge(pino({ level: 'silent' }), {
+    const knowledge = new Knowledge(new History(), pino({ level: 'silent' }), {
       onNews: () => {},
       onUnfitEntry: () => {
         counted += 1;
@@ -163,7 +167,11 @@
     });
     knowledge.learnConfig(0, config(1), '', 'store');
     for (let revision = 1; revision < 9; revision += 1) {
-      knowledge.learnRunners(0, [{ id: 'r', revision, runner: runner('r') }], 'store');
+      knowledge.learnRunners(
+        0,
+        [{ id: 'r', position: at(revision), runner: runner('r') }],
+        'store',
+      );
     }
     expect(counted).toBe(1);
   });
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -2,10 +2,12 @@
 
 import { PauseWatch } from '../../src/core/pause';
 import type { RoutingConfig } from '../../src/core/routing/types';
+import { History } from '../../src/core/routing/position';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { PlanHost } from '../../src/node/router/owner';
 import type { Ask } from '../../src/node/router/plans';
 import type { RunnerClient } from '../../src/node/router/types';
+import { at } from '../fakes/position';
 import { runnerOf as runner } from '../fakes/runner';
 import { silentListener } from '../fakes/listener';
 
@@ -38,10 +40,10 @@
 
 /** A host that knows one decode runner with room for eleven and enough prefill runners. */
 function hostAt(now: number, onUnsure: (service: string) => void = () => {}): PlanHost {
-  const knowledge = new Knowledge(log, silentListener);
+  const knowledge = new Knowledge(new History(), log, silentListener);
   knowledge.learnConfig(now, config, '', 'store');
   const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
-  const facts = runners.map((entry) => ({ id: entry.id, revision: 1, runner: entry }));
+  const facts = runners.map((entry) => ({ id: entry.id, position: at(1), runner: entry }));
   knowledge.learnRunners(now, facts, 'store');
   return new PlanHost(knowledge, {} as RunnerClient, log, onUnsure);
 }
