Show a runner that comes into use again when it is removed a second time

A runner left and its entry was removed; the store came back from a copy with the entry, which is removed once more. The runner is used for a second again. Found by a model of VMs, a store that comes back from copies, and runners, under virtual time.

--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -70,6 +70,20 @@
     expect(ids(knowledge, 3200)).toEqual([]);
   });
 
+  /*
+   * A runner left, and its entry was removed; the store came back from a copy that has
+   * the entry again, and it is removed once more. Kept for a moment each time, the runner
+   * got work four seconds after it had left.
+   */
+  test('keeps a runner that is gone already no longer because it is told again', () => {
+    const knowledge = fresh();
+    knowledge.learnRunners(0, [{ id: 'r', position: at(1), runner: runner('r') }], 'store');
+    knowledge.learnRunners(9, [{ id: 'r', position: at(2), runner: undefined }], 'store');
+    knowledge.storeFailed(1000);
+    knowledge.learnRunners(2000, [{ id: 'r', position: at(3), runner: undefined }], 'store');
+    expect(ids(knowledge, 2001)).toEqual([]);
+  });
+
   /* Its entry is removed without an outage: the runner is leaving and serves for a while longer, but gets nothing new. */
   test('drops a runner whose entry is removed while the store is well', () => {
     const knowledge = fresh();
--- /dev/null
+++ b/test/router/returns.test.ts
@@ -0,0 +1,209 @@
+import fc from 'fast-check';
+
+import type { RunnerFact } from '../../src/core/routing/directory';
+import type { News } from '../../src/node/router/knowledge';
+import { seeded } from '../fakes/virtual/workload';
+import { HistoryStore, HistoryVm, TrueRunner } from '../fakes/virtual/storehistory';
+
+/** What happens at one moment. */
+type Step =
+  | { readonly kind: 'leave' | 'vanish' | 'crash'; readonly runner: number }
+  | { readonly kind: 'start' }
+  | { readonly kind: 'return'; readonly ageMs: number }
+  | { readonly kind: 'cut'; readonly vm: number; readonly forMs: number }
+  | { readonly kind: 'newVm'; readonly vm: number }
+  | { readonly kind: 'pass' };
+
+const TICK_MS = 100;
+const READ_MS = 700;
+const STEP_TICKS = 3;
+const READERS = 2;
+const VMS = 4;
+const RUNNERS = 4;
+/** Time after which all is as it should be once nothing happens: what living runners write again, what lapses, and a few rounds of news. */
+const QUIET_MS = 9000;
+/** Time after which a VM must give no work to a runner whose leaving it has acknowledged, in milliseconds: one whose entry is gone may have lapsed in an outage. */
+const BOUND_MS = 2600;
+
+const nat = fc.nat(30);
+const step: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('leave' as const), runner: nat }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('vanish' as const), runner: nat }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('crash' as const), runner: nat }) },
+  { weight: 3, arbitrary: fc.constant({ kind: 'start' as const }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant('return' as const),
+      ageMs: fc.integer({ min: 0, max: 6000 }),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('cut' as const),
+      vm: fc.nat(READERS - 1),
+      forMs: fc.integer({ min: 100, max: 4000 }),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('newVm' as const), vm: fc.nat(VMS - 1) }) },
+  { weight: 6, arbitrary: fc.constant({ kind: 'pass' as const }) },
+);
+
+/** A fleet whose news is delayed and lost at random. */
+class Fleet {
+  readonly store = new HistoryStore();
+
+  readonly runners: TrueRunner[] = [];
+
+  readonly vms: HistoryVm[] = [];
+
+  readonly broken: string[] = [];
+
+  now = 0;
+
+  /** When each VM came to know that a runner leaves, by VM and runner. */
+  readonly #acknowledged = new Map<string, number>();
+
+  readonly #random: () => number;
+
+  readonly #mail: {
+    readonly at: number;
+    readonly to: number;
+    readonly facts: readonly RunnerFact[];
+  }[] = [];
+
+  constructor(random: () => number) {
+    this.#random = random;
+    for (let i = 0; i < RUNNERS; i += 1) this.#start();
+    for (let vm = 0; vm < VMS; vm += 1) this.vms.push(this.#newVm(vm));
+  }
+
+  take(one: Step): void {
+    const { runners, store, vms } = this;
+    if (one.kind === 'leave') runners[one.runner % runners.length]?.leave(this.now, store);
+    else if (one.kind === 'vanish') runners[one.runner % runners.length]?.vanish(this.now, store);
+    else if (one.kind === 'crash') runners[one.runner % runners.length]?.crash();
+    else if (one.kind === 'start') this.#start();
+    else if (one.kind === 'return') store.comeBack(this.now, one.ageMs);
+    else if (one.kind === 'cut') {
+      const vm = vms[one.vm];
+      if (vm) vm.cutUntil = this.now + one.forMs;
+    } else if (one.kind === 'newVm') this.#replace(one.vm);
+  }
+
+  run(ms: number): void {
+    const until = this.now + ms;
+    while (this.now < until) this.#tick();
+  }
+
+  get living(): readonly string[] {
+    return this.runners
+      .filter(({ isLiving }) => isLiving)
+      .map(({ runner }) => runner.id)
+      .sort();
+  }
+
+  usable(vm: number): readonly string[] {
+    return (this.vms[vm]?.usable(this.now) ?? []).map(({ id }) => id).sort();
+  }
+
+  #start(): void {
+    this.runners.push(new TrueRunner(this.now, `r${this.runners.length}`));
+  }
+
+  #newVm(number: number): HistoryVm {
+    return new HistoryVm((news) => this.#spread(number, news));
+  }
+
+  /** A new process in place of a VM: it asks another one before it reads the store, as the router does. */
+  #replace(number: number): void {
+    const vm = this.#newVm(number);
+    this.vms[number] = vm;
+    for (const key of [...this.#acknowledged.keys()]) {
+      if (key.startsWith(`${number} `)) this.#acknowledged.delete(key);
+    }
+    const other = this.vms[(number + 1) % VMS];
+    if (other) vm.ask(this.now, other);
+  }
+
+  #spread(from: number, news: News): void {
+    if (news.kind !== 'runners') return;
+    for (let to = 0; to < VMS; to += 1) {
+      const isLost = this.#random() < 0.3;
+      const at = this.now + this.#random() * 500;
+      if (to !== from && !isLost) this.#mail.push({ at, to, facts: news.facts });
+    }
+  }
+
+  #tick(): void {
+    this.now += TICK_MS;
+    const { now, store } = this;
+    for (const runner of this.runners) runner.tick(now, store);
+    store.tick(now);
+    for (const letter of this.#mail.splice(0)) {
+      if (letter.at > now) this.#mail.push(letter);
+      else this.vms[letter.to]?.knowledge.learnRunners(now, letter.facts, 'peer');
+    }
+    this.vms.forEach((vm, number) => {
+      if (number < READERS && (now + number * 300) % READ_MS === 0) vm.read(now, store);
+      // Digests differ, or a probe says so: what differs is exchanged.
+      const other = this.vms[Math.floor(this.#random() * VMS)];
+      const differs = other && other.knowledge.digest !== vm.knowledge.digest;
+      if (differs && this.#random() < 0.2) vm.ask(now, other);
+      this.#check(number, vm);
+    });
+  }
+
+  #check(number: number, vm: HistoryVm): void {
+    const usable = new Set(vm.usable(this.now).map(({ id }) => id));
+    const leaving = leavingIn(vm, this.now);
+    for (const { runner, isLeaving } of this.runners) {
+      const { id } = runner;
+      const key = `${number} ${id}`;
+      const knows = leaving.has(id);
+      if (knows && !this.#acknowledged.has(key)) this.#acknowledged.set(key, this.now);
+      const since = this.now - (this.#acknowledged.get(key) ?? Infinity);
+      if (isLeaving && since > BOUND_MS && usable.has(id)) {
+        this.broken.push(`${this.now}: VM ${number} uses ${id}, which it knows to leave`);
+      }
+    }
+  }
+}
+
+/** Runners of which a VM knows that they leave, or are gone. */
+function leavingIn({ knowledge }: HistoryVm, now: number): ReadonlySet<string> {
+  const { runners } = knowledge.beliefs(now) as {
+    runners: readonly {
+      readonly id: string;
+      readonly leaving?: boolean;
+      readonly gone?: boolean;
+    }[];
+  };
+  return new Set(runners.filter(({ leaving, gone }) => leaving || gone).map(({ id }) => id));
+}
+
+describe('a store that comes back from older copies, whatever happens beside', () => {
+  /*
+   * Runners leave, crash and start; the store comes back from copies, several in a row
+   * too, while readers are cut off and VMs start anew. A VM that knew that a runner
+   * leaves gives it no work again, and once it is quiet all VMs know who lives, alike.
+   */
+  test('brings no leaving runner back, and all VMs to know who lives', () => {
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 40 }), fc.nat(1e6), (steps, seed) => {
+        const fleet = new Fleet(seeded(seed));
+        fleet.run(3000);
+        for (const one of steps) {
+          fleet.take(one);
+          fleet.run(STEP_TICKS * TICK_MS);
+        }
+        fleet.run(QUIET_MS);
+        const seen = fleet.vms.map((_, vm) => fleet.usable(vm));
+        expect(seen).toEqual(fleet.vms.map(() => fleet.living));
+        expect(fleet.broken).toEqual([]);
+      }),
+      { numRuns: 300, seed: 27 },
+    );
+  }, 120_000);
+});
