Give a runner that is gone no new grace when its removal is told again

Callers' requests went to a runner that had left: its removal, told a second time in or after an outage or by a store that came back from a copy, began a grace of its own, in which a runner counts as lapsed and living.

Change: the end of its use is never put off once it is gone. Why it holds: only an entry of the runner itself, later than its removal, brings it back.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -100,7 +100,8 @@
     const content = contentOf(fact.runner);
     const changed = contentOf(before) !== content;
     const last = fact.runner ?? before ?? known?.last;
-    const goneAt = last?.leaving ? now : now + graceMs;
+    // One that is gone already gets no new grace: told again, as by a copy of the store, it would come into use once more.
+    const goneAt = Math.min(known?.goneAt ?? Infinity, last?.leaving ? now : now + graceMs);
     this.#known.set(fact.id, { fact, last, goneAt: fact.runner ? Infinity : goneAt, bornAt });
     if (changed) {
       if (isLater(fact.position, this.#position)) this.#position = fact.position;
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -84,6 +84,22 @@
     expect(ids(knowledge, 2001)).toEqual([]);
   });
 
+  /*
+   * A runner said that it leaves. A heartbeat that it had sent before is carried out
+   * seconds later, over that, and at a later position. It gets no work because of it.
+   */
+  test('takes no runner back that had said it leaves', () => {
+    const knowledge = fresh();
+    const tell = (revision: number, leaving: boolean): void => {
+      const told = runner('r', { leaving });
+      knowledge.learnRunners(0, [{ id: 'r', position: at(revision), runner: told }], 'store');
+    };
+    tell(1, false);
+    tell(2, true);
+    tell(3, false);
+    expect(ids(knowledge, 9)).toEqual([]);
+  });
+
   /* Its entry is removed without an outage: the runner is leaving and serves for a while longer, but gets nothing new. */
   test('drops a runner whose entry is removed while the store is well', () => {
     const knowledge = fresh();
