Show a new VM that reads the store before it asks another VM what is in force

With a store that came back from an older copy it serves by an older configuration than all others until news comes round.

--- /dev/null
+++ b/test/router/news.test.ts
@@ -0,0 +1,99 @@
+import pino from 'pino';
+
+import type { Member } from '../../src/core/membership/types';
+import { History } from '../../src/core/routing/position';
+import { Knowledge } from '../../src/node/router/knowledge';
+import type { NewsContext } from '../../src/node/router/news';
+import { NewsDesk } from '../../src/node/router/news';
+import { RouterMetrics } from '../../src/node/router/metrics';
+import { silentListener } from '../fakes/listener';
+import { quarantineOf } from '../fakes/runs';
+
+const memberOf = (vm: string): Member => ({
+  vm,
+  domain: 'a',
+  address: `${vm}:1`,
+  incarnation: 1,
+  state: 'alive',
+  draining: false,
+  gateways: [],
+  cores: 1,
+  storeLost: false,
+});
+
+/** A VM that has just started beside others, and whether it reads the store. */
+class Newcomer {
+  reads = false;
+
+  readonly lines: string[] = [];
+
+  readonly desk: NewsDesk;
+
+  readonly #fetches: { readonly resolve: () => void; readonly reject: (error: Error) => void }[] =
+    [];
+
+  constructor(others: readonly string[]) {
+    const log = pino({ base: null }, { write: (line) => this.lines.push(line) });
+    const self = memberOf('new');
+    const all = [self, ...others.map(memberOf)];
+    this.desk = new NewsDesk({
+      knowledge: new Knowledge(new History(), log, silentListener),
+      quarantine: quarantineOf(),
+      fleet: { self, all, members: { heardAt: 0 }, contact: () => {} },
+      feed: {
+        setReading: (reading: boolean) => {
+          this.reads = reading;
+        },
+        stop: () => {},
+      },
+      sync: {
+        fetch: () =>
+          new Promise<void>((resolve, reject) => {
+            this.#fetches.push({ resolve, reject });
+          }),
+      },
+      metrics: new RouterMetrics(),
+      log,
+      seeds: [],
+      self: self.address,
+      onDescription: () => {},
+    } as unknown as NewsContext);
+    this.desk.start();
+  }
+
+  /** The VMs that were asked answer. */
+  async answer(): Promise<void> {
+    for (const { resolve } of this.#fetches.splice(0)) resolve();
+    await Promise.resolve();
+  }
+}
+
+describe('a VM that has just started', () => {
+  beforeEach(() => jest.useFakeTimers());
+
+  afterEach(() => jest.useRealTimers());
+
+  /*
+   * The store has come back from an older copy, with an older configuration than is in
+   * force. A VM that starts in that moment and reads the store first served by it: callers
+   * got 404 for a route that all other VMs served, until news came round.
+   */
+  test('reads the store only once another VM told it what is in force', async () => {
+    const newcomer = new Newcomer(['other']);
+    jest.advanceTimersByTime(600);
+    expect(newcomer.reads).toBe(false);
+    await newcomer.answer();
+    jest.advanceTimersByTime(300);
+    expect(newcomer.reads).toBe(true);
+    newcomer.desk.stop();
+  });
+
+  /* The others are there but do not answer. It cannot wait for ever: callers are told its address. */
+  test('goes by the store alone if no other VM answers, and says so', () => {
+    const newcomer = new Newcomer(['other']);
+    jest.advanceTimersByTime(2500);
+    expect(newcomer.reads).toBe(true);
+    expect(newcomer.lines.join('')).toContain('by the store alone');
+    newcomer.desk.stop();
+  });
+});
