Have a new VM read the store only once another VM told it what is in force

Callers of a VM that starts while the store has come back from an older copy got 404 for routes that all other VMs served: it read the older configuration first.

Change: a VM that is chosen to read asks another one first, as soon as it knows one, and waits for its answer for at most 1.5 s; one that is alone reads at once. It says in its log when it goes by the store alone.

--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -43,6 +43,8 @@
 /** Exchanges with members while this VM is new, and the time between two, in milliseconds: news of many that start together goes round slowly. */
 const JOIN_ROUNDS = 8;
 const JOIN_PACE_MS = 500;
+/** Time from its start for which a VM waits for another to tell what is in force before it reads the store, in milliseconds: three tries, and little of a start. */
+const TOLD_LIMIT_MS = 1500;
 /** Failed calls one after the other after which the store counts as lost: one watch alone may be cut. */
 const LOST_CALLS = 2;
 /** Time after which a VM that read in place of another, and lost the store too, may be chosen again, in milliseconds. */
@@ -62,6 +64,12 @@
 
   #joined = 0;
 
+  /** Calls to other VMs under way. */
+  #asked = 0;
+
+  /** Whether another VM told all that it knows. */
+  #wasTold = false;
+
   #fetchTimer: NodeJS.Timeout | undefined;
 
   #reading = false;
@@ -107,6 +115,7 @@
   /** The members changed: others may be readers now. */
   membersChanged(): void {
     this.#membersChanged = true;
+    if (!this.#wasTold && this.#joined > 0 && this.#asked === 0) this.#joinOnce();
   }
 
   /** Something came in, from wherever: tells it on. */
@@ -190,16 +199,28 @@
       this.#membersChanged = false;
       this.#shouldRead = shouldRead(now, this.#startedAt, self, all);
     }
-    const reading = this.#shouldRead || isIsolated(now, this.#startedAt, fleet.members);
+    const isChosen = this.#shouldRead && this.#mayRead(now);
+    const reading = isChosen || isIsolated(now, this.#startedAt, fleet.members);
     if (this.storeLost && now - this.#lostAt > LOST_MS && !reading) this.#setFailed(now, 0);
     if (reading === this.#reading) return;
     this.#reading = reading;
+    if (reading && !this.#wasTold) log.info('Goes by the store alone: no other VM told anything.');
     feed.setReading(reading);
     const { chosen, deputies } = readersOf(self.domain, all);
     const names = [...chosen, ...deputies].map(({ vm }) => vm);
     log.info({ reading, readers: names }, 'Readers of the store changed.');
   }
 
+  /**
+   * A store that came back from an older copy has an older configuration than the other
+   * VMs have in force; a new VM that reads it before they told would serve by that.
+   */
+  #mayRead(now: number): boolean {
+    const { fleet, self } = this.#context;
+    const isAlone = !fleet.all.some((one) => one.address !== self && isPresent(one));
+    return this.#wasTold || isAlone || now - this.#startedAt > TOLD_LIMIT_MS;
+  }
+
   /** A VM that is new learns of the others from those that are there. */
   #joinOnce(): void {
     const { fleet, seeds, self } = this.#context;
@@ -229,6 +250,16 @@
   #fetch(address: string, members: boolean): void {
     const { sync, metrics, log } = this.#context;
     metrics.count('news.fetches');
-    sync.fetch(address, members).catch((error) => log.debug({ address }, toFailure(error).line));
+    this.#asked += 1;
+    sync
+      .fetch(address, members)
+      .then(() => {
+        this.#wasTold = true;
+        this.#checkDuty(performance.now());
+      })
+      .catch((error) => log.debug({ address }, toFailure(error).line))
+      .finally(() => {
+        this.#asked -= 1;
+      });
   }
 }
