Test and write down what a return of the store from an older copy costs and shows

An answer without a usable era has the store read whole: the watch after it went on as if nothing were, which is mended here.

--- a/src/node/router/quarantine.ts
+++ b/src/node/router/quarantine.ts
@@ -183,6 +183,7 @@
     archive
       .save(suspect, KEPT_MS)
       .then(() => {
+        log.info({ fingerprint }, 'Saved a request that is refused.');
         this.#stored.add(fingerprint);
         this.#saveAt.delete(fingerprint);
       })
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -100,7 +100,7 @@
       const since = performance.now();
       const news = await this.#store.watch(ALL, revision, WATCH_MS);
       // Where the store came back from a copy, revisions mean something else: what was watched from may have been given out again.
-      if (!news || news.era !== era) {
+      if (!news || news.era === undefined || news.era !== era) {
         ({ revision, era } = await this.#readAll());
       } else {
         this.#listener?.onStore(true, 'answers');
@@ -178,10 +178,13 @@
     const isListed = items.some((item) => item.key === name && item.value === entry);
     if (this.#registered || isListed) return;
     this.#registered = true;
-    this.#store.put(name, entry).catch((error) => {
-      this.#registered = false;
-      this.#log.warn(toFailure(error).line);
-    });
+    this.#store
+      .put(name, entry)
+      .then(() => this.#log.info({ key: name, era: this.#era }, 'Listed this VM.'))
+      .catch((error) => {
+        this.#registered = false;
+        this.#log.warn(toFailure(error).line);
+      });
   }
 }
 
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -12,9 +12,10 @@
 import type { Suspect } from '../../../src/core/quarantine/types';
 import type { RunnerFact } from '../../../src/core/routing/directory';
 import { RunnerDirectory } from '../../../src/core/routing/directory';
-import { NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
+import type { Position } from '../../../src/core/routing/position';
+import { History } from '../../../src/core/routing/position';
+import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
 import { SUSPECT_PATH, fromRumour, toRumour } from '../../../src/node/router/suspects';
-import { at } from '../position';
 import { runnerOf } from '../runner';
 import { Schedule } from './schedule';
 import { seeded } from './workload';
@@ -34,6 +35,7 @@
   readonly startedAt: number;
   readonly membership: Membership;
   readonly directory: RunnerDirectory;
+  readonly history: History;
   readonly spread: NewsSpread;
   readonly quarantine: Quarantine;
   /** Requests of which others are still to be told. */
@@ -60,6 +62,8 @@
 const WATCH_PACE_MS = 700;
 const CALL_LIMIT_MS = 1200;
 const GATHER_MS = 20;
+/** Time in which runners write again what a copy of the store lacks. */
+const REWRITE_MS = 1200;
 const JOIN_PACE_MS = 500;
 const JOIN_ROUNDS = 8;
 const SEEDS = 3;
@@ -77,6 +81,9 @@
 
   #storeConfig = 1;
 
+  /** 0 until it comes back for the first time, as of a store that tells no era. */
+  #storeEra = 0;
+
   #revision = 1;
 
   /** VMs whose calls the store leaves without answer. */
@@ -129,6 +136,19 @@
     return this.#storeConfig;
   }
 
+  /** The store comes back from a copy that lacks some runners, which write again within a heartbeat. */
+  comeBack(lost: readonly string[]): void {
+    this.#storeEra += 1;
+    this.#revision -= Math.floor(this.#revision / 2);
+    const facts = lost.map((id) => this.#facts.get(id));
+    for (const id of lost) this.#facts.delete(id);
+    facts.forEach((fact, i) => {
+      this.#schedule.add(this.now + (REWRITE_MS * (i + 1)) / facts.length, () => {
+        if (fact) this.#write(fact.id, false);
+      });
+    });
+  }
+
   freeze(vms: readonly number[], frozen: boolean): void {
     for (const number of vms) {
       const vm = this.#vms[number] as Vm;
@@ -205,7 +225,7 @@
     const leaving = before?.leaving === true || changed;
     this.#facts.set(id, {
       id,
-      position: at(this.#revision),
+      position: { era: this.#storeEra, revision: this.#revision },
       runner: runnerOf(id, 'plain', { leaving }),
     });
   }
@@ -226,6 +246,7 @@
         incarnation: 1,
       }),
       directory: new RunnerDirectory(),
+      history: new History(),
       spread: new NewsSpread(),
       quarantine: new Quarantine(),
       suspects: new Map(),
@@ -315,11 +336,32 @@
     }
     this.#later(vm, STORE_MS, () => {
       this.#setFailed(vm, 0);
+      this.#readEra(vm);
       this.#learn(vm, this.#storeConfig, [...this.#facts.values()]);
       this.#later(vm, WATCH_PACE_MS, () => this.#read(vm));
     });
   }
 
+  /** Another era has the whole list read: runners that are missing are gone for now. */
+  #readEra(vm: Vm): void {
+    const start = { era: this.#storeEra, revision: this.#revision };
+    if (vm.history.era === start.era) return;
+    this.#storeCalls += 1;
+    this.#learnEras(vm, [start]);
+    const missing = vm.directory.missing(new Set(this.#facts.keys()));
+    const gone = missing.map((id) => ({ id, position: start, runner: undefined }));
+    this.#learn(vm, 0, gone);
+  }
+
+  #learnEras(vm: Vm, starts: readonly Position[]): void {
+    const before = vm.history.era;
+    vm.history.learn(starts);
+    if (vm.history.era === before) return;
+    setDigest(vm);
+    if (vm.history.era === 0) return;
+    this.#tell(vm, { kind: 'rumours', rumours: vm.spread.eraRumours(vm.history.starts) });
+  }
+
   #setFailed(vm: Vm, calls: number): void {
     const state = vm;
     const before = state.failed >= 2;
@@ -335,7 +377,7 @@
     const isNewer = configVersion > vm.configVersion;
     if (isNewer) state.configVersion = configVersion;
     if (!isNewer && changed.length === 0) return;
-    vm.membership.setDigest(`${vm.configVersion}/${vm.directory.digest.text}`);
+    setDigest(vm);
     const rumours = [
       ...(isNewer ? vm.spread.configRumours(configVersion) : []),
       ...(changed.length > 0
@@ -362,6 +404,10 @@
       this.#suspect(vm, vm.quarantine.learn(this.now, fromRumour(rumour)));
       return;
     }
+    if (rumour.path === ERA_PATH) {
+      this.#learnEras(vm, JSON.parse(rumour.text ?? '') as Position[]);
+      return;
+    }
     if (rumour.path.startsWith(RUNNER_PATH) && rumour.text !== undefined) {
       this.#learn(vm, 0, [JSON.parse(rumour.text) as RunnerFact]);
       return;
@@ -392,7 +438,9 @@
       const facts = bearer.directory.factsIn(this.now, digest.differing(parts), 2000);
       const { all } = bearer.membership;
       const { configVersion } = bearer;
+      const { starts } = bearer.history;
       this.#later(vm, HOP_MS, () => {
+        this.#learnEras(vm, starts);
         this.#learn(vm, configVersion, facts);
         if (members) this.#tell(vm, { kind: 'synced', members: all });
       });
@@ -421,3 +469,7 @@
     });
   }
 }
+
+function setDigest({ membership, configVersion, directory, history }: Vm): void {
+  membership.setDigest(`${configVersion}/${directory.digest.text}/${history.era ?? 0}`);
+}
--- a/test/platform/olderstore.test.ts
+++ b/test/platform/olderstore.test.ts
@@ -120,6 +120,23 @@
     await reader.sees('c', 'd');
   }, 15_000);
 
+  /*
+   * The header is lost on the way. Each answer is read whole from then on, so that nothing
+   * is missed, and what was known stays in force.
+   */
+  test('is read whole each time while its answers name no era', async () => {
+    store.era = undefined;
+    put('d');
+    await reader.sees('a', 'b', 'c', 'd');
+    store.era = 'x';
+    put('b', { state: 'draining' });
+    store.remove('servers/c');
+    await reader.sees('a', 'd');
+    store.era = '4';
+    put('e');
+    await reader.sees('a', 'd', 'e');
+  }, 15_000);
+
   /*
    * The right to give orders was taken after the copy was made, so that the copy knows
    * nothing of it. The next holder's fence came from a revision that was given out before:
--- a/test/router/newsfleet.test.ts
+++ b/test/router/newsfleet.test.ts
@@ -79,6 +79,33 @@
     expect((fleet.cost.packets - packets) / size / 10).toBeLessThan(20);
   }, 120_000);
 
+  /*
+   * The store comes back from a copy without a third of the runners, which write again
+   * within a heartbeat. All VMs read nothing for that but what their readers tell: the
+   * calls to the store, and the packets, are little more than on a calm day.
+   */
+  test.each([30, 200, 800])(
+    'is not what a store costs that comes back from an older copy: %d VMs',
+    (size) => {
+      const fleet = new NewsFleet(size, RUNNERS, 8);
+      fleet.run(10_000);
+      const before = fleet.cost;
+      fleet.run(5000);
+      const calm = fleet.cost;
+      fleet.comeBack(Array.from({ length: 20 }, (_, i) => `r${i}`));
+      fleet.run(1300);
+      expect(fleet.settle(5000)).toBeLessThan(2000);
+      fleet.run(5000 - (fleet.now - 15_000));
+      const after = fleet.cost;
+      const calmCalls = calm.storeCalls - before.storeCalls;
+      expect(after.storeCalls - calm.storeCalls - calmCalls).toBeLessThan(2 * fleet.readers.length);
+      // Of some 1.2 KB each, within the 24 KB that a VM may spend in a second.
+      expect((after.packets - calm.packets) / size / 5).toBeLessThan(20);
+      expect((after.exchanges - calm.exchanges) / size).toBeLessThan(4);
+    },
+    120_000,
+  );
+
   /* Once all know the same, heartbeats are no news: nothing is exchanged for them. */
   test('is nothing where nothing changes', () => {
     const fleet = new NewsFleet(60, RUNNERS, 1);
