--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -6,10 +6,10 @@
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { Places } from './places';
-import type { OwnDemand } from './plans';
 import { Pace } from './pace';
+import type { Progress } from './progress';
+import { demandOf, mayGoOn, newProgress, refusal, timeUp, verdictOf } from './progress';
 import type { Run, Runs } from './runs';
-import { EventSplitter } from './splitter';
 import type { CacheHandle, Reply, RunnerClient } from './types';
 
 /** What model requests work with. */
@@ -22,29 +22,12 @@
   readonly mayRepeat: (now: number, service: string) => boolean;
 }
 
-/** Size assumed of a request that tells none, in tokens. */
-const PROMPT_TOKENS = 1000;
-const OUTPUT_TOKENS = 500;
 /** A prefill that takes longer than this is given up and done elsewhere, in milliseconds. */
 const PREFILL_LIMIT_MS = 900;
 /** Prefills of one request; only the first is free of the retry budget. */
 const PREFILL_TRIES = 3;
-/** When a caller may come back after runners turned the request away, in milliseconds. */
-const RETRY_MS = 400;
 const SERVER_ERROR = 500;
 
-/** State of one request across its attempts. */
-interface Progress {
-  readonly splitter: EventSplitter;
-  /** Decode runners that it was sent to. */
-  readonly sentTo: Set<string>;
-  readonly avoid: string[];
-  prefills: number;
-  places: number;
-  /** Whether a decode runner may have run it. */
-  ran: boolean;
-}
-
 /** A prompt that lies at a prefill runner, and the time it took to read. */
 interface KeptPrompt extends CacheHandle {
   readonly ms: number;
@@ -68,14 +51,7 @@
   }
 
   async run(exchange: Exchange, engine: Engine): Promise<void> {
-    const progress: Progress = {
-      splitter: new EventSplitter(),
-      sentTo: new Set(),
-      avoid: [],
-      prefills: 0,
-      places: 0,
-      ran: false,
-    };
+    const progress = newProgress();
     try {
       let more = true;
       while (more && !exchange.signal.aborted) {
@@ -356,53 +332,10 @@
   }
 }
 
-/** What the owner is asked for; each place has an id of its own. */
-function demandOf(exchange: Exchange, progress: Progress): OwnDemand {
-  const { request, route, arrivedAt } = exchange;
-  const { usage } = request;
-  const resuming = progress.splitter.events > 0;
-  progress.places += 1;
-  const patience = resuming ? performance.now() : arrivedAt;
-  return {
-    id: `${request.id}/${progress.places}`,
-    promptId: usage?.promptId,
-    promptTokens: usage?.promptTokens ?? PROMPT_TOKENS,
-    maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
-    hintTokens: usage?.hintTokens,
-    dueAt: resuming ? performance.now() : arrivedAt + route.aimMs,
-    gapMs: route.gapMs,
-    lostAt: Math.min(patience + route.patienceMs, exchange.endAt),
-    resuming,
-    avoid: [...progress.avoid],
-  };
-}
-
 function find(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
 
-function refusal(detail: string): Failure {
-  return new Failure('runnerFull', detail, { retryAfterMs: RETRY_MS });
-}
-
-/** What the caller is told. A refusal of a later attempt says that nothing ran, which an earlier one may have. */
-function verdictOf({ signal }: Exchange, progress: Progress, failure: Failure): Failure {
-  if (signal.aborted) return timeUp(progress);
-  const untrue = progress.ran && failure.code.notRun;
-  return untrue ? new Failure('runnerFailed', failure.message) : failure;
-}
-
-/** Whether a request that may run again has another decode runner left. */
-function mayGoOn({ route }: Exchange, { sentTo }: Progress): boolean {
-  return route.resumable && sentTo.size < route.attempts;
-}
-
 function begin(exchange: Exchange, { status, headers }: Reply): void {
   if (!exchange.headSent) exchange.head(status, headers);
 }
-
-function timeUp({ sentTo }: Progress): Failure {
-  return sentTo.size === 0
-    ? new Failure('deadlineUnreachable', 'no place in time', { retryAfterMs: RETRY_MS })
-    : new Failure('timedOut', 'the answer is not complete in time');
-}
--- /dev/null
+++ b/src/node/router/progress.ts
@@ -0,0 +1,81 @@
+/** How far a model request has come over its attempts, and what follows from that alone. */
+
+import { Failure } from '../../core/failure';
+import type { Exchange } from './exchange';
+import type { OwnDemand } from './plans';
+import { EventSplitter } from './splitter';
+
+/** Size assumed of a request that tells none, in tokens. */
+const PROMPT_TOKENS = 1000;
+const OUTPUT_TOKENS = 500;
+/** When a caller may come back after runners turned the request away, in milliseconds. */
+const RETRY_MS = 400;
+
+/** State of one request across its attempts. */
+export interface Progress {
+  readonly splitter: EventSplitter;
+  /** Decode runners that it was sent to. */
+  readonly sentTo: Set<string>;
+  readonly avoid: string[];
+  prefills: number;
+  places: number;
+  /** Whether a decode runner may have run it. */
+  ran: boolean;
+}
+
+/** State of a request that has just come in. */
+export function newProgress(): Progress {
+  return {
+    splitter: new EventSplitter(),
+    sentTo: new Set(),
+    avoid: [],
+    prefills: 0,
+    places: 0,
+    ran: false,
+  };
+}
+
+/** What the owner is asked for; each place has an id of its own. */
+export function demandOf(exchange: Exchange, progress: Progress): OwnDemand {
+  const { request, route, arrivedAt } = exchange;
+  const { usage } = request;
+  const resuming = progress.splitter.events > 0;
+  progress.places += 1;
+  const patience = resuming ? performance.now() : arrivedAt;
+  return {
+    id: `${request.id}/${progress.places}`,
+    promptId: usage?.promptId,
+    promptTokens: usage?.promptTokens ?? PROMPT_TOKENS,
+    maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
+    hintTokens: usage?.hintTokens,
+    dueAt: resuming ? performance.now() : arrivedAt + route.aimMs,
+    gapMs: route.gapMs,
+    lostAt: Math.min(patience + route.patienceMs, exchange.endAt),
+    resuming,
+    avoid: [...progress.avoid],
+  };
+}
+
+/** A request that no decode runner took. */
+export function refusal(detail: string): Failure {
+  return new Failure('runnerFull', detail, { retryAfterMs: RETRY_MS });
+}
+
+/** What the caller is told. A refusal of a later attempt says that nothing ran, which an earlier one may have. */
+export function verdictOf({ signal }: Exchange, progress: Progress, failure: Failure): Failure {
+  if (signal.aborted) return timeUp(progress);
+  const untrue = progress.ran && failure.code.notRun;
+  return untrue ? new Failure('runnerFailed', failure.message) : failure;
+}
+
+/** Whether a request that may run again has another decode runner left. */
+export function mayGoOn({ route }: Exchange, { sentTo }: Progress): boolean {
+  return route.resumable && sentTo.size < route.attempts;
+}
+
+/** What a caller is told whose time is up. */
+export function timeUp({ sentTo }: Progress): Failure {
+  return sentTo.size === 0
+    ? new Failure('deadlineUnreachable', 'no place in time', { retryAfterMs: RETRY_MS })
+    : new Failure('timedOut', 'the answer is not complete in time');
+}
