--- a/src/platform/era.ts
+++ b/src/platform/era.ts
@@ -6,6 +6,8 @@
 import type { History } from '../core/routing/position';
 
 const NUMBER = /^\d{1,9}$/;
+/** Characters of what was found that are shown. */
+const SHOWN = 20;
 
 /** The eras of answers, against the latest that is known. */
 export class EraReader {
@@ -44,7 +46,7 @@
     }
     const failure = new Failure(
       'eraUnfit',
-      `found era ${text ?? 'none'}, expected a number from ${latest} on`,
+      `found era ${text?.slice(0, SHOWN) ?? 'none'}, expected a number from ${latest} on`,
     );
     if (this.#complaint !== failure.message) this.#log.error(failure.line);
     this.#complaint = failure.message;
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -64,6 +64,7 @@
 const HTTP_NOT_FOUND = 404;
 const HTTP_GONE = 410;
 const HTTP_PRECONDITION = 412;
+const HTTP_TOO_MANY = 429;
 
 /** Bytes that are no UTF-8 read as an empty text, which no decoder of entries accepts. */
 function textOf(value: string): string {
@@ -189,7 +190,9 @@
     return { ...answer, era: this.#eraOf(answer) };
   }
 
-  #eraOf({ headers }: Answer): number | undefined {
+  /** An answer that turns a call away may come from something before the store, which knows no era. */
+  #eraOf({ status, headers }: Answer): number | undefined {
+    if (status >= HTTP_TOO_MANY) return undefined;
     return this.#eras.read(headers[header.era]?.toString());
   }
 
