--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -27,6 +27,8 @@
   readonly items: ReadonlyMap<string, Item>;
   readonly history: readonly Change[];
   readonly leases: readonly number[];
+  /** Number of the lease given last. */
+  readonly leaseCount: number;
 }
 
 interface Txn {
@@ -118,11 +120,13 @@
       items: new Map(this.#items),
       history: [...this.#history],
       leases: this.leases,
+      leaseCount: this.#leases,
     };
   }
 
-  /** Comes back from an older copy: what was acknowledged since is lost, and revisions are given out again. */
-  comeBack({ revision, items, history, leases }: StoreCopy): void {
+  /** Comes back from an older copy: what was acknowledged since is lost, and revisions and leases' numbers are given out again. */
+  comeBack({ revision, items, history, leases, leaseCount }: StoreCopy): void {
+    this.#leases = leaseCount;
     this.era = String(Number(this.era ?? 0) + 1);
     this.#revision = revision;
     this.#items.clear();
--- a/test/router/quarantine.test.ts
+++ b/test/router/quarantine.test.ts
@@ -82,6 +82,18 @@
     expect(routers.ended.length).toBe(3);
   }, 30_000);
 
+  /* The store comes back from a copy of before it was saved: those who read the store save it again. */
+  test('is saved again when the store comes back without it', async () => {
+    const suspects = (): readonly string[] =>
+      routers.store.keys.filter((key) => key.includes('/suspects/'));
+    const [saved = ''] = suspects();
+    routers.store.remove(saved);
+    const copy = routers.store.copy();
+    routers.store.comeBack(copy);
+    await eventually('it is saved again', () => suspects().includes(saved));
+    expect(await askAll(2, DEADLY)).toEqual([503, 503]);
+  }, 20_000);
+
   test('has the time to come back told, and no other request is refused', async () => {
     const { status, retryAfter } = await routers.ask(0, '/model/x', DEADLY);
     // A third of the five seconds that the caller waits.
