Rank and filter members in one place, and copy no list for each fact of an exchange

No change of behaviour: three ranks and two filters of members stood beside each other in ownership.ts; factsIn copied a part's list with each of its facts.

--- a/src/core/ownership.ts
+++ b/src/core/ownership.ts
@@ -23,6 +23,17 @@
   return rank(`pool/${name}`, candidates).map(({ member }) => member);
 }
 
+/** Members by falling claim to a key, all alike. */
+function rankAlike(key: string, members: readonly Member[]): readonly Member[] {
+  const candidates = members.map((member) => ({ id: member.vm, weight: 1, member }));
+  return rank(key, candidates).map(({ member }) => member);
+}
+
+/** Members that callers may be sent to: alive, and staying. */
+function openMembers(members: readonly Member[]): readonly Member[] {
+  return members.filter(({ state, draining }) => state === 'alive' && !draining);
+}
+
 /** Cores that a VM is taken to have at least: it may tell none. */
 const LEAST_CORES = 0.01;
 
@@ -33,16 +44,13 @@
  */
 export function rankByCores(key: string, members: readonly Member[]): readonly Member[] {
   const tierOf = ({ cores }: Member): number => Math.round(Math.log2(Math.max(LEAST_CORES, cores)));
-  const candidates = members.map((member) => ({ id: member.vm, weight: 1, member }));
-  const ranked = rank(key, candidates).map(({ member }) => member);
   // The sort is stable, so that within a tier the order by claim stays.
-  return [...ranked].sort((a, b) => tierOf(b) - tierOf(a));
+  return [...rankAlike(key, members)].sort((a, b) => tierOf(b) - tierOf(a));
 }
 
 /** Owners of a key by falling claim. */
 export function ownersOfKey(key: string, members: readonly Member[]): readonly Member[] {
-  const candidates = members.filter(mayOwn).map((member) => ({ id: member.vm, weight: 1, member }));
-  return rank(key, candidates).map(({ member }) => member);
+  return rankAlike(key, members.filter(mayOwn));
 }
 
 /** Parts into which request keys are grouped, so that owners are worked out for parts and not for each key. */
@@ -94,9 +102,7 @@
  * drawn anew for each answer, callers would drop their connections with each.
  */
 export function addressesNear(domain: string, members: readonly Member[]): readonly string[] {
-  const open = members.filter(({ state, draining }) => state === 'alive' && !draining);
-  const candidates = open.map((member) => ({ id: member.vm, weight: 1, member }));
-  const ranked = rank(`callers of ${domain}`, candidates).map(({ member }) => member);
+  const ranked = rankAlike(`callers of ${domain}`, openMembers(members));
   const near = ranked.filter((member) => member.domain === domain);
   const far = ranked.filter((member) => member.domain !== domain);
   return [...near, ...far].flatMap(({ gateways }) => gateways);
@@ -108,8 +114,7 @@
   random: () => number,
   limit: number,
 ): readonly string[] {
-  const open = members.filter(({ state, draining }) => state === 'alive' && !draining);
-  const addresses = open.flatMap(({ gateways }) => gateways);
+  const addresses = openMembers(members).flatMap(({ gateways }) => gateways);
   for (let i = addresses.length - 1; i > 0; i -= 1) {
     const j = Math.floor(random() * (i + 1));
     [addresses[i], addresses[j]] = [addresses[j] as string, addresses[i] as string];
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -77,12 +77,16 @@
     const byPart = new Map<number, RunnerFact[]>();
     for (const { fact, goneAt } of this.#known.values()) {
       const part = partOf(fact.id);
-      const graceMs = fact.runner ? undefined : Math.max(0, goneAt - now);
-      if (parts.has(part)) byPart.set(part, [...(byPart.get(part) ?? []), { ...fact, graceMs }]);
+      if (parts.has(part)) {
+        const graceMs = fact.runner ? undefined : Math.max(0, goneAt - now);
+        const found = byPart.get(part) ?? [];
+        found.push({ ...fact, graceMs });
+        byPart.set(part, found);
+      }
     }
-    const found: RunnerFact[] = [];
-    for (const facts of byPart.values()) if (found.length < most) found.push(...facts);
-    return found;
+    const chosen: RunnerFact[] = [];
+    for (const facts of byPart.values()) if (chosen.length < most) chosen.push(...facts);
+    return chosen;
   }
 
   /**
