--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -22,6 +22,9 @@
 /** What a body holds that ends each runner which begins to run it. */
 export const DEADLY = 'ends its runner';
 
+/** Key of a customer under which the fake itself sends requests; where there are customers, one must hold it. */
+export const WARM_KEY = 'key-of-the-test';
+
 /** Services of the deployment. */
 export const services = { model: 'reader', plain: 'desk' } as const;
 
@@ -33,6 +36,16 @@
   readonly runners?: number;
   /** Time after which a runner that ended is back under a new id, in milliseconds. Default: 600. */
   readonly backMs?: number;
+  /** Customers as the configuration holds them. Default: requests need no key. */
+  readonly customers?: readonly unknown[];
+}
+
+/** Whose a request was, as a runner saw it. */
+export interface Arrival {
+  readonly path: string;
+  readonly stage: string | undefined;
+  readonly customer: string | undefined;
+  readonly authorization: string | undefined;
 }
 
 /** How a caller saw its request end. */
@@ -50,8 +63,9 @@
 /** Time from the beginning of a deadly run to the end of its runner, in milliseconds. */
 const DEADLY_MS = 20;
 
-const configOf = (version: number): unknown => ({
+const configOf = (version: number, customers?: readonly unknown[]): unknown => ({
   version,
+  ...(customers ? { tenants: customers } : {}),
   routes: [
     {
       name: 'r-model',
@@ -72,6 +86,15 @@
       'timeout-ms': 3000,
       'max-attempts': 2,
     },
+    {
+      name: 'r-open',
+      host: 'h.example',
+      'path-prefix': '/open/',
+      kind: 'idempotent',
+      service: services.plain,
+      'timeout-ms': 3000,
+      'allow-anonymous': true,
+    },
   ],
   services: [
     {
@@ -89,6 +112,8 @@
   /** Requests sent to it, prefills included. */
   reached = 0;
 
+  readonly arrivals: Arrival[] = [];
+
   readonly #role: Role;
 
   readonly #onEnd: (runner: RunnerServer) => void;
@@ -136,6 +161,13 @@
       return;
     }
     this.reached += 1;
+    const { 'tenant-id': customer, 'serving-stage': stage, authorization } = req.headers;
+    this.arrivals.push({
+      path: pathname,
+      stage: stage?.toString(),
+      customer: customer?.toString(),
+      authorization,
+    });
     const headers = {
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
@@ -195,7 +227,11 @@
   /** Runners that ended under a request, in order. */
   readonly ended: string[] = [];
 
-  readonly #options: Required<RoutersOptions>;
+  readonly #options: Required<Omit<RoutersOptions, 'customers'>>;
+
+  #customers: readonly unknown[] | undefined;
+
+  #version = 1;
 
   readonly #runners: RunnerServer[] = [];
 
@@ -203,8 +239,9 @@
 
   #stopping = false;
 
-  constructor({ vms = 3, runners = 6, backMs = 600 }: RoutersOptions = {}) {
+  constructor({ vms = 3, runners = 6, backMs = 600, customers }: RoutersOptions = {}) {
     this.#options = { vms, runners, backMs };
+    this.#customers = customers;
   }
 
   /** Requests that reached runners, prefills included. */
@@ -215,7 +252,7 @@
   async start(): Promise<void> {
     const { vms, runners } = this.#options;
     await this.store.start();
-    this.store.put('op/config', configOf(1));
+    this.store.put('op/config', configOf(this.#version, this.#customers));
     await this.#add('prefill');
     for (let i = 0; i < runners; i += 1) {
       await this.#add('decode');
@@ -225,6 +262,18 @@
     await this.#settled();
   }
 
+  /** What reached the runners. */
+  get arrivals(): readonly Arrival[] {
+    return this.#runners.flatMap(({ arrivals }) => arrivals);
+  }
+
+  /** The operator writes a configuration with other customers. */
+  configure(customers: readonly unknown[]): void {
+    this.#customers = customers;
+    this.#version += 1;
+    this.store.put('op/config', configOf(this.#version, customers));
+  }
+
   async stop(): Promise<void> {
     this.#stopping = true;
     await Promise.all(this.#vms.map(({ router }) => router.stop()));
@@ -249,7 +298,12 @@
   }
 
   /** Sends one request to a VM, by turns, under an id of its own. */
-  async ask(turn: number, path: string, body: string): Promise<CallerAnswer> {
+  async ask(
+    turn: number,
+    path: string,
+    body: string,
+    sent: Readonly<Record<string, string | string[]>> = {},
+  ): Promise<CallerAnswer> {
     const vm = this.#vms[turn % this.#vms.length];
     const headers = {
       host: 'h.example',
@@ -259,6 +313,7 @@
       ...(path.startsWith('/model/')
         ? { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` }
         : {}),
+      ...sent,
     };
     return fetchRaw(vm?.front ?? '', path, headers, body);
   }
@@ -300,13 +355,18 @@
     for (let turn = 0; turn < this.#vms.length; turn += 1) {
       for (const path of ['/model/warm', '/plain/warm']) {
         await eventually(`VM ${turn} serves ${path}`, async () => {
-          const { status, whole } = await this.ask(turn, path, `warm ${randomUUID()}`);
+          const body = `warm ${randomUUID()}`;
+          const { status, whole } = await this.ask(turn, path, body, this.#warmHeaders);
           return status === 200 && whole;
         });
       }
     }
   }
 
+  get #warmHeaders(): Readonly<Record<string, string>> {
+    return this.#customers ? { authorization: `Bearer ${WARM_KEY}` } : {};
+  }
+
   async #add(role: Role): Promise<void> {
     const runner = new RunnerServer(role, (ended) => this.#onEnd(ended));
     await runner.start();
@@ -329,7 +389,7 @@
 function fetchRaw(
   address: string,
   path: string,
-  headers: Readonly<Record<string, string>>,
+  headers: Readonly<Record<string, string | string[]>>,
   body: string,
 ): Promise<CallerAnswer> {
   const [host = '', port = ''] = address.split(':');
