--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -177,6 +177,12 @@
     'Several runners ended under this very request, so it is kept from runners for a while.',
     'Change the request, or mend what ends the runners; it is taken again after ten minutes.',
   ),
+  configOld: refusal(
+    313,
+    503,
+    'This VM cannot tell whether its configuration is recent enough to decide by.',
+    'Connect to another address, or come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/routing/table.ts
+++ b/src/core/routing/table.ts
@@ -1,5 +1,6 @@
 /** Finds the route of a request: its host's longest prefix that begins the path. */
 
+import { KeyRing } from '../customers/keyring';
 import type { Route, RoutingConfig, Service, Target } from './types';
 
 /** One configuration version, indexed. */
@@ -10,8 +11,12 @@
 
   readonly #services = new Map<string, Service>();
 
+  /** Undefined where requests need no key. */
+  readonly keyRing: KeyRing | undefined;
+
   constructor(config: RoutingConfig) {
     this.config = config;
+    this.keyRing = config.customers && new KeyRing(config.customers);
     for (const service of config.services) this.#services.set(service.name, service);
     for (const route of config.routes) {
       const routes = this.#hosts.get(route.host) ?? [];
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -1,5 +1,7 @@
 /** Routes, services and runners as the router knows them, whatever system they were read from. */
 
+import type { Customer } from '../customers/types';
+
 /** What may be repeated: `once` at most one run, `repeatable` any number, `stream` events with ids. */
 export type CallKind = 'once' | 'repeatable' | 'stream';
 
@@ -31,6 +33,8 @@
   readonly priority: number;
   /** Whether a broken stream may go on at another runner after the last event that got through. */
   readonly resumable: boolean;
+  /** Whether requests without a key may run. */
+  readonly anonymous: boolean;
 }
 
 /** Engine of a model service, the same on all of its runners. */
@@ -66,6 +70,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly Service[];
+  /** Whose requests may run. Default: everybody's, and no request needs a key. */
+  readonly customers?: readonly Customer[] | undefined;
   readonly limits: IngressLimits;
 }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -9,12 +9,14 @@
 import { toFailure } from '../../core/failure';
 import { RetryWindow } from '../../core/retries';
 import type { History } from '../../core/routing/position';
+import { bootNow } from '../../utils/clock';
 import { logOf } from '../log';
 import { PeerCalls } from './calls';
 import { Control } from './control';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { Front } from './front';
+import { Gate } from './gate';
 import { InflightClient } from './inflight';
 import type { News } from './knowledge';
 import { Knowledge } from './knowledge';
@@ -68,6 +70,8 @@
 
   readonly #fleet: RouterFleet;
 
+  readonly #gate: Gate;
+
   readonly #runners: InflightClient;
 
   readonly #host: PlanHost;
@@ -116,7 +120,9 @@
     this.#host = new PlanHost(this.#knowledge, this.#runners, logOf(log, 'cell'), (service) =>
       this.#calls.gather(service),
     );
-    this.#fleet = new RouterFleet(settings, this.#metrics, logOf(log, 'members'), {
+    this.#gate = new Gate(this.#knowledge, () => this.#settings.ages);
+    const proofs = this.#knowledge.proofExchange;
+    this.#fleet = new RouterFleet(settings, proofs, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) => this.#calls.answer(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onMembers: () => {
@@ -138,10 +144,10 @@
       knowledge: this.#knowledge,
       quarantine: this.#quarantine,
       fleet: this.#fleet,
-      decodeConfig: (raw) => ports.ingress.decodeConfig(raw),
     });
     this.#news = new NewsDesk({
       knowledge: this.#knowledge,
+      gate: this.#gate,
       quarantine: this.#quarantine,
       fleet: this.#fleet,
       feed: ports.feed,
@@ -164,6 +170,7 @@
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
     this.#runs = new Runs({
       quarantine: this.#quarantine,
+      gate: this.#gate,
       metrics: this.#metrics,
       log: logOf(log, 'runner'),
     });
@@ -184,12 +191,13 @@
     });
     this.#control = new Control({
       codec: ports.control,
-      isReady: () => this.#ready,
-      callerAddresses: (domain) => this.#fleet.callerAddresses(domain),
+      isReady: () => this.#serves,
+      callerAddresses: (domain) => this.#callerAddresses(domain),
       addressTtlMs: () => this.#settings.addressTtlMs,
     });
     this.#front = new Front({
       knowledge: this.#knowledge,
+      gate: this.#gate,
       codec: ports.ingress,
       log: logOf(log, 'front'),
       onRequest: (exchange) => this.#serve(exchange),
@@ -201,13 +209,15 @@
     const { listen, vm } = this.#settings;
     await this.#fleet.start();
     this.#ports.feed.start({
-      onConfig: (config, raw) =>
-        this.#knowledge.learnConfig(performance.now(), config, raw, 'store'),
+      onConfig: (config) => {
+        this.#knowledge.learnConfig(performance.now(), config, 'store');
+      },
       onRunners: (facts) => this.#knowledge.learnRunners(performance.now(), facts, 'store'),
       onEra: (start) => this.#knowledge.learnEras(performance.now(), [start], 'store'),
       onListed: (ids, position) => this.#knowledge.learnList(performance.now(), ids, position),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
       onSuspects: (suspects, isAll) => this.#quarantine.stored(performance.now(), suspects, isAll),
+      onProof: (askedAt) => this.#knowledge.freshness.storeAnswered(askedAt),
       onStore: (up, detail) => this.#news.storeAnswered(performance.now(), up, detail),
     });
     this.#news.start();
@@ -285,6 +295,13 @@
     };
   }
 
+  /** Callers' addresses, without the own one while this VM can serve nobody. */
+  #callerAddresses(domain: string): readonly string[] {
+    const addresses = this.#fleet.callerAddresses(domain);
+    if (this.#serves) return addresses;
+    return addresses.filter((address) => address !== this.#settings.listen.front);
+  }
+
   #warmLinks(): void {
     const services = this.#knowledge.table?.config.services ?? [];
     const now = performance.now();
@@ -321,6 +338,7 @@
       {
         request: request.id,
         fingerprint,
+        ...(request.customer === undefined ? {} : { customer: request.customer }),
         route: route.name,
         service,
         configVersion,
@@ -353,10 +371,16 @@
     return fresh;
   }
 
+  /** Whether this VM takes callers; see `#serves` for whether it can serve them now. */
   get #ready(): boolean {
     return !this.#leaving && this.#knowledge.table !== undefined;
   }
 
+  /** A VM that cannot rely on its keys refuses all that come with one; callers do better elsewhere. */
+  get #serves(): boolean {
+    return this.#ready && this.#gate.isSure(bootNow());
+  }
+
   #describe(): void {
     if (this.#leaving) return;
     const { front } = this.#settings.listen;
@@ -372,7 +396,9 @@
       })
       .with({ kind: 'runners' }, () => this.#runners.endLost())
       .with({ kind: 'era' }, ({ cameBack }) => {
-        if (cameBack) this.#orders?.storeCameBack(performance.now());
+        if (!cameBack) return;
+        this.#knowledge.freshness.storeCameBack(bootNow());
+        this.#orders?.storeCameBack(performance.now());
       })
       .exhaustive();
     this.#news.learnt(news);
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -88,13 +88,19 @@
     return this.#callerGone;
   }
 
-  /** The same for all attempts of one request, whatever their ids: host, method, target and body. */
+  /** The same for all attempts of one request, whatever their ids: customer, host, method, target and body. */
   get fingerprint(): string {
-    const { host, method, target, body } = this.request;
-    this.#fingerprint ??= contentIdOf(`${host.toLowerCase()} ${method} ${target}`, body);
+    const { customer, host, method, target, body } = this.request;
+    const whose = customer === undefined ? '' : `${customer} `;
+    this.#fingerprint ??= contentIdOf(`${whose}${host.toLowerCase()} ${method} ${target}`, body);
     return this.#fingerprint;
   }
 
+  /** Name of the customer whose request it is. Default: nobody's. */
+  get customer(): string | undefined {
+    return this.request.customer;
+  }
+
   get headSent(): boolean {
     return this.#res.headersSent;
   }
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -14,6 +14,7 @@
 import { PROTOCOL_VERSION } from '../peer/messages';
 import type { Peer } from '../peer/server';
 import { PeerServer } from '../peer/server';
+import type { ProofExchange } from '../scheduler/members';
 import { MembershipDriver } from '../scheduler/members';
 import type { RouterSettings } from './types';
 
@@ -93,7 +94,13 @@
   /** Callers' addresses by failure domain, until the membership changes. */
   readonly #addresses = new Map<string, readonly string[]>();
 
-  constructor(settings: RouterSettings, metrics: Metrics, log: Logger, listener: FleetListener) {
+  constructor(
+    settings: RouterSettings,
+    proofs: ProofExchange,
+    metrics: Metrics,
+    log: Logger,
+    listener: FleetListener,
+  ) {
     this.#settings = settings;
     this.#log = log;
     this.#listener = listener;
@@ -118,6 +125,7 @@
       key: peerKey,
       log,
       metrics,
+      proofs,
       listener: {
         onChange: (member) => this.#changed(member),
         onRumour: (rumour, address) => listener.onRumour(rumour, address),
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -8,17 +8,22 @@
 import type { Logger } from 'pino';
 
 import { Failure, toFailure } from '../../core/failure';
+import type { RouteTable } from '../../core/routing/table';
 import { pickTarget } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
 
+import { bootNow } from '../../utils/clock';
 import { listenOn, readBody } from '../../utils/http';
+import { LineBudget } from '../budget';
 import { Exchange, sendRefusal } from './exchange';
+import type { Gate } from './gate';
 import type { Knowledge } from './knowledge';
 import type { CallRequest, IngressCodec } from './types';
 
 /** What the front works with. */
 export interface FrontContext {
   readonly knowledge: Knowledge;
+  readonly gate: Gate;
   readonly codec: IngressCodec;
   readonly log: Logger;
   readonly onRequest: (exchange: Exchange) => Promise<void>;
@@ -33,6 +38,8 @@
 const HEADER_MS = 10_000;
 /** By how much connections are kept longer than callers were told, in milliseconds: a request that crosses the close would be lost. */
 const IDLE_SLACK_MS = 1000;
+/** Lines of requests refused at the door in a second. */
+const REFUSAL_LINES = 20;
 /** When a caller may come back to a VM that has no configuration yet, in milliseconds. */
 const NO_CONFIG_RETRY_MS = 300;
 
@@ -42,12 +49,17 @@
 
   readonly #server: Server;
 
+  readonly #lines: LineBudget;
+
   #active = 0;
 
   #leaving = false;
 
   constructor(context: FrontContext) {
     this.#context = context;
+    this.#lines = new LineBudget(REFUSAL_LINES, (lines) =>
+      context.log.info({ lines }, 'Refused more at the door.'),
+    );
     this.#server = createServer(
       { maxHeaderSize: HEADER_BYTES, keepAliveTimeout: IDLE_MS, requestTimeout: 0 },
       (req, res) => {
@@ -99,7 +111,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<Exchange | undefined> {
-    const { codec, knowledge, log } = this.#context;
+    const { codec, knowledge, gate } = this.#context;
     try {
       const limit = knowledge.table?.config.limits.bodyBytes ?? BODY_BYTES;
       const body = await readBody(req, limit);
@@ -108,8 +120,11 @@
       await yieldOnce();
       await yieldOnce();
       if (req.socket.destroyed) return undefined;
-      const request = codec.decode(req, body);
-      const route = this.#route(request);
+      const table = this.#table();
+      const decoded = codec.decode(req, body, table.keyRing !== undefined);
+      const route = this.#route(table, decoded);
+      const customer = gate.identify(bootNow(), table, route, decoded.credential);
+      const request = { ...decoded, customer: customer?.name };
       const { targets } = route;
       const service = pickTarget(targets, Math.random());
       if (service === undefined) throw new Failure('noRunner', `${route.name} names no service`);
@@ -117,25 +132,38 @@
     } catch (error) {
       const failure = toFailure(error);
       const id = codec.idOf(req);
-      const { configVersion } = knowledge;
-      log.info({ request: id, configVersion, code: failure.codeName }, 'Refused at the door.');
+      this.#logRefusal(now, id, failure);
       sendRefusal(res, failure, codec, id);
       return undefined;
     }
   }
 
-  #route(request: CallRequest): Route {
-    const { knowledge } = this.#context;
-    const { table } = knowledge;
-    if (!table) {
-      throw new Failure('noConfig', 'no configuration yet', { retryAfterMs: NO_CONFIG_RETRY_MS });
-    }
-    const path = request.target.split('?')[0] ?? '';
-    const route = table.match(request.host, path);
-    if (!route) {
-      throw new Failure('unknownRoute', `version ${table.config.version}: ${request.host}${path}`);
-    }
-    return route;
+  /** One line each, unless there are too many: anybody can send wrong keys. */
+  #logRefusal(now: number, request: string | undefined, { codeName, message }: Failure): void {
+    const { knowledge, log } = this.#context;
+    if (!this.#lines.allows(now)) return;
+    const { configVersion, freshness } = knowledge;
+    const ageMs = Math.round(freshness.ageMs(bootNow()));
+    log.info(
+      { request, configVersion, ageMs, code: codeName, detail: message },
+      'Refused at the door.',
+    );
+  }
+
+  #table(): RouteTable {
+    const { table } = this.#context.knowledge;
+    if (table) return table;
+    throw new Failure('noConfig', 'no configuration yet', { retryAfterMs: NO_CONFIG_RETRY_MS });
+  }
+
+  #route(table: RouteTable, { host, target }: CallRequest): Route {
+    const path = target.split('?')[0] ?? '';
+    const route = table.match(host, path);
+    if (route) return route;
+    const detail = `version ${table.config.version}: ${host}${path}`;
+    // Callers do not come back after a 404, so a VM that may be behind does not say it.
+    const refused = this.#context.gate.doubt(bootNow(), detail);
+    throw refused ?? new Failure('unknownRoute', detail);
   }
 
   #applyLimits(): void {
--- /dev/null
+++ b/src/node/router/gate.ts
@@ -0,0 +1,80 @@
+/** Whether a request may run, by its key: asked when it arrives and again before each send to a runner. */
+
+import type { AgeBounds, Credential } from '../../core/customers/identity';
+import { identify, tooOld } from '../../core/customers/identity';
+import type { Customer } from '../../core/customers/types';
+import { Failure, toFailure } from '../../core/failure';
+import type { RouteTable } from '../../core/routing/table';
+import type { Route } from '../../core/routing/types';
+import type { Exchange } from './exchange';
+import type { Knowledge } from './knowledge';
+
+/** Part of the age to which keys count after which a VM asks for itself: it can ask several times before its callers notice. */
+const ASK_PART = 0.5;
+/** When a caller may come back whose key has changed hands on the way, in milliseconds. */
+const CHANGED_RETRY_MS = 100;
+
+/** The keys of this VM's configuration, and how far they can be relied on. */
+export class Gate {
+  readonly #knowledge: Knowledge;
+
+  readonly #bounds: () => AgeBounds;
+
+  constructor(knowledge: Knowledge, bounds: () => AgeBounds) {
+    this.#knowledge = knowledge;
+    this.#bounds = bounds;
+  }
+
+  /**
+   * Whose request it is; undefined where none is needed. Throws the refusal.
+   * @param now boot time; see `bootNow`
+   */
+  identify(
+    now: number,
+    table: RouteTable,
+    route: Route,
+    credential: Credential,
+  ): Customer | undefined {
+    const ageMs = this.#knowledge.freshness.ageMs(now);
+    return identify(table, route, credential, ageMs, this.#bounds());
+  }
+
+  /** Why this VM cannot say for good that something is not there: it may be news to it. Default: it can. */
+  doubt(now: number, detail: string): Failure | undefined {
+    const ageMs = this.#knowledge.freshness.ageMs(now);
+    return ageMs > this.#bounds().finalMs ? tooOld(ageMs, detail) : undefined;
+  }
+
+  /**
+   * Whether this VM is to ask the store itself how old its configuration is: what others tell
+   * comes in time as a rule, so that its cost does not grow with the fleet.
+   */
+  wantsProof(now: number): boolean {
+    const { table, freshness } = this.#knowledge;
+    return table?.keyRing !== undefined && freshness.ageMs(now) > this.#bounds().keyMs * ASK_PART;
+  }
+
+  /** Whether keys can be relied on; always where none are needed. */
+  isSure(now: number): boolean {
+    const { table, freshness } = this.#knowledge;
+    return !table?.keyRing || freshness.ageMs(now) <= this.#bounds().keyMs;
+  }
+
+  /**
+   * Why a request that was let in must not reach a runner any more: while it waited, or this
+   * VM stood still, its key may have been taken away. Default: it may.
+   */
+  refusal(now: number, { route, request, customer }: Exchange): Failure | undefined {
+    const { table } = this.#knowledge;
+    if (!table) return undefined;
+    try {
+      const holder = this.identify(now, table, route, request.credential);
+      if (holder?.name === customer) return undefined;
+      return new Failure('configOld', 'the key has another holder by now', {
+        retryAfterMs: CHANGED_RETRY_MS,
+      });
+    } catch (error) {
+      return toFailure(error);
+    }
+  }
+}
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -7,12 +7,16 @@
 
 import type { RunnerFact } from '../../core/routing/directory';
 import { RunnerDirectory } from '../../core/routing/directory';
+import type { Proof } from '../../core/routing/freshness';
+import { Freshness } from '../../core/routing/freshness';
 import type { History, Position } from '../../core/routing/position';
 import { isLater } from '../../core/routing/position';
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
+import { bootNow } from '../../utils/clock';
 import { LineBudget } from '../budget';
+import type { ProofExchange } from '../scheduler/members';
 
 /** How long after trouble with the store a vanished entry may be one that lapsed meanwhile, in milliseconds. */
 const LAPSE_MS = 3000;
@@ -54,12 +58,13 @@
 
   readonly #directory = new RunnerDirectory();
 
+  /** How old the configuration can be. */
+  readonly freshness = new Freshness();
+
   readonly #history: History;
 
   #table: RouteTable | undefined;
 
-  #rawConfig = '';
-
   /** Steady time of the last word of the store. */
   #storeAt = -Infinity;
 
@@ -87,14 +92,25 @@
     return this.#table;
   }
 
-  get rawConfig(): string {
-    return this.#rawConfig;
-  }
-
   get configVersion(): number {
     return this.#table?.config.version ?? 0;
   }
 
+  /** The proof as members exchange it with their probes. */
+  get proofExchange(): ProofExchange {
+    return {
+      tell: () => this.freshness.tell(bootNow(), this.configVersion),
+      ask: (seq) => this.freshness.ask(bootNow(), seq),
+      answer: (seq, proof) => this.freshness.answer(seq, proof, this.configVersion),
+    };
+  }
+
+  /** What this VM tells others of the age of its configuration, as a field of a message. */
+  proof(now: number): { readonly proof?: Proof } {
+    const proof = this.freshness.tell(now, this.configVersion);
+    return proof ? { proof } : {};
+  }
+
   /** Latest position of a change of a runner. */
   get runnersPosition(): Position {
     return this.#directory.position;
@@ -163,18 +179,37 @@
   }
 
   /** Takes a configuration over if it is newer; a VM never goes back to an older one. */
-  learnConfig(now: number, config: RoutingConfig, raw: string, source: string): boolean {
+  learnConfig(now: number, config: RoutingConfig, source: string): boolean {
     if (this.#table && config.version <= this.#table.config.version) return false;
     const before = this.configVersion;
     this.#table = new RouteTable(config);
-    this.#rawConfig = raw;
-    const { version, routes } = config;
-    const storeAgeMs = Math.round(this.storeAge(now));
-    this.#log.info({ version, before, routes: routes.length, source, storeAgeMs }, 'New config.');
+    const { version, routes, customers } = config;
+    this.#log.info(
+      {
+        version,
+        before,
+        routes: routes.length,
+        customers: customers?.length,
+        source,
+        storeAgeMs: Math.round(this.storeAge(now)),
+      },
+      'New config.',
+    );
+    this.#noteDisputed(version);
     this.#listener.onNews({ kind: 'config' });
     return true;
   }
 
+  #noteDisputed(version: number): void {
+    const disputed = this.#table?.keyRing?.disputed ?? 0;
+    if (disputed === 0) return;
+    const { line } = new Failure(
+      'factUnreadable',
+      `found ${disputed} keys that two customers hold, expected one for each; they are refused`,
+    );
+    this.#log.warn({ version }, line);
+  }
+
   /** Takes facts of runners over, each if it is newer. */
   learnRunners(now: number, facts: readonly RunnerFact[], source: string): void {
     const changed: RunnerFact[] = [];
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -12,8 +12,10 @@
 import type { Suspect } from '../../core/quarantine/types';
 import { isPresent } from '../../core/membership/types';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
+import { bootNow } from '../../utils/clock';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
+import type { Gate } from './gate';
 import type { Knowledge, News } from './knowledge';
 import type { QuarantineDesk } from './quarantine';
 import { SUSPECT_PATH, fromRumour, toRumour } from './suspects';
@@ -24,6 +26,7 @@
 /** What the desk works with. */
 export interface NewsContext {
   readonly knowledge: Knowledge;
+  readonly gate: Gate;
   readonly quarantine: QuarantineDesk;
   readonly fleet: RouterFleet;
   readonly feed: Feed;
@@ -45,6 +48,9 @@
 const JOIN_PACE_MS = 500;
 /** Time from its start for which a VM waits for another to tell what is in force before it reads the store, in milliseconds: three tries, and little of a start. */
 const TOLD_LIMIT_MS = 1500;
+/** Waits between two questions to the store for a proof, in milliseconds; doubled up to the limit, since all VMs ask where it is away for all. */
+const CONFIRM_MS = 500;
+const CONFIRM_LIMIT_MS = 4000;
 /** Failed calls one after the other after which the store counts as lost: one watch alone may be cut. */
 const LOST_CALLS = 2;
 /** Time after which a VM that read in place of another, and lost the store too, may be chosen again, in milliseconds. */
@@ -82,12 +88,20 @@
 
   #lostAt = -Infinity;
 
+  /** When the store may be asked again for a proof, in boot time. */
+  #confirmAt = -Infinity;
+
+  #confirmWaitMs = CONFIRM_MS;
+
   /** Whether the members changed since the readers were worked out; that takes a hash for each VM of the failure domain. */
   #membersChanged = true;
 
   constructor(context: NewsContext) {
     this.#context = context;
-    this.#duty = setInterval(() => this.#checkDuty(performance.now()), DUTY_MS);
+    this.#duty = setInterval(() => {
+      this.#checkDuty(performance.now());
+      this.#checkProof(bootNow());
+    }, DUTY_MS);
   }
 
   start(): void {
@@ -211,6 +225,20 @@
     log.info({ reading, readers: names }, 'Readers of the store changed.');
   }
 
+  /** Asks the store itself where neither it nor another VM told in time; ever less often while that fails. */
+  #checkProof(now: number): void {
+    const { feed, gate, metrics } = this.#context;
+    if (this.#reading || !gate.wantsProof(now)) {
+      this.#confirmWaitMs = CONFIRM_MS;
+      return;
+    }
+    if (now < this.#confirmAt) return;
+    this.#confirmAt = now + this.#confirmWaitMs;
+    this.#confirmWaitMs = Math.min(CONFIRM_LIMIT_MS, this.#confirmWaitMs * 2);
+    metrics.count('proofs.asked');
+    feed.confirm();
+  }
+
   /**
    * A store that came back from an older copy has an older configuration than the other
    * VMs have in force; a new VM that reads it before they told would serve by that.
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -9,12 +9,15 @@
 import { isTelling } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Metrics } from '../metrics';
+import { bootNow } from '../../utils/clock';
 import type { Exchange } from './exchange';
+import type { Gate } from './gate';
 import type { QuarantineDesk } from './quarantine';
 
 /** What runs work with. */
 export interface RunsContext {
   readonly quarantine: QuarantineDesk;
+  readonly gate: Gate;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -82,11 +85,15 @@
   }
 
   /** Why a request must not reach a runner. Default: it may. */
-  refusal(now: number, { fingerprint }: Exchange): Failure | undefined {
-    return this.#context.quarantine.refusal(now, fingerprint);
+  refusal(now: number, exchange: Exchange): Failure | undefined {
+    const { gate, quarantine } = this.#context;
+    return gate.refusal(bootNow(), exchange) ?? quarantine.refusal(now, exchange.fingerprint);
   }
 
+  /** Each send begins here, so that none goes out that must not. Throws the refusal. */
   begin(now: number, exchange: Exchange, runner: Runner): Run {
+    const refused = this.refusal(now, exchange);
+    if (refused) throw refused;
     return new Run(now, this.#context, exchange, runner);
   }
 }
--- a/src/node/router/sync.ts
+++ b/src/node/router/sync.ts
@@ -1,7 +1,5 @@
 /** The exchange of what two VMs know: configuration, runners and members in one call. */
 
-import { gunzipSync, gzipSync } from 'node:zlib';
-
 import { z } from 'zod';
 
 import { Failure } from '../../core/failure';
@@ -10,8 +8,9 @@
 import { DIGEST_PARTS } from '../../core/routing/digest';
 import type { RunnerFact } from '../../core/routing/directory';
 import type { Position } from '../../core/routing/position';
-import type { RoutingConfig } from '../../core/routing/types';
+import { bootNow } from '../../utils/clock';
 import { memberSchema } from '../scheduler/members';
+import { packConfig, unpackConfig } from './configwire';
 import type { RouterFleet } from './fleet';
 import type { Knowledge } from './knowledge';
 import type { QuarantineDesk } from './quarantine';
@@ -22,16 +21,12 @@
   readonly knowledge: Knowledge;
   readonly quarantine: QuarantineDesk;
   readonly fleet: RouterFleet;
-  /** Decodes a configuration; undefined if it cannot be read. */
-  readonly decodeConfig: (raw: string) => RoutingConfig | undefined;
 }
 
 /** Time limit of one exchange, in milliseconds. */
 const LIMIT_MS = 1000;
 /** Facts in one answer, about: some 250 bytes each within the largest message; the rest comes with the next exchange. */
 const FACTS_MOST = 2000;
-/** Most bytes of a configuration once it is unpacked. */
-const CONFIG_BYTES = 16 * 1024 * 1024;
 
 const runnerSchema = z.object({
   id: z.string(),
@@ -65,12 +60,13 @@
   refused: z.string().default(''),
 });
 const answerSchema = z.object({
-  /** Packed with gzip: a configuration of 1,400 routes takes a tenth so. Left out if it is not newer. */
+  /** Left out if it is not newer. */
   config: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
   facts: z.array(factSchema),
   eras: erasSchema.default([]),
   members: z.array(memberSchema).optional(),
   suspects: z.array(suspectSchema).default([]),
+  proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
 });
 
 type Answer = Readonly<z.infer<typeof answerSchema>>;
@@ -142,38 +138,43 @@
     knowledge.learnEras(now, eras, 'asked');
     const tellsSuspects = members || refused !== quarantine.digest(now);
     return {
-      ...(configVersion < knowledge.configVersion ? { config: this.#pack() } : {}),
+      ...(configVersion < knowledge.configVersion ? { config: this.#packedConfig() } : {}),
       facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
       eras: [...knowledge.eras],
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
       suspects: tellsSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
+      ...knowledge.proof(bootNow()),
     };
   }
 
   /** Asks another VM and takes over what is newer there. */
   async fetch(address: string, members: boolean): Promise<void> {
-    const { knowledge, quarantine, fleet, decodeConfig } = this.#context;
+    const { knowledge, quarantine, fleet } = this.#context;
     const { configVersion, digestParts } = knowledge;
     const refused = quarantine.digest(performance.now());
     const { eras } = knowledge;
+    const askedAt = bootNow();
     const request = { configVersion, parts: digestParts, members, eras, refused };
     const answer = answerSchema.parse(await fleet.call(address, 'facts', request, LIMIT_MS));
     const now = performance.now();
     // Before the configuration, with which this VM begins to take callers.
     quarantine.learn(now, answer.suspects, address);
-    if (answer.config) {
-      const raw = gunzipSync(answer.config, { maxOutputLength: CONFIG_BYTES }).toString();
-      const config = decodeConfig(raw);
-      if (config) knowledge.learnConfig(now, config, raw, address);
+    if (answer.config) knowledge.learnConfig(now, unpackConfig(answer.config), address);
+    if (answer.proof) {
+      knowledge.freshness.told(askedAt, answer.proof, knowledge.configVersion);
     }
     knowledge.learnEras(now, answer.eras, address);
     knowledge.learnRunners(now, answer.facts.map(fromWire), address);
     if (answer.members) fleet.sync(answer.members);
   }
 
-  #pack(): Uint8Array {
-    const { configVersion: version, rawConfig } = this.#context.knowledge;
-    if (this.#packed?.version !== version) this.#packed = { version, bytes: gzipSync(rawConfig) };
+  #packedConfig(): Uint8Array | undefined {
+    const { table } = this.#context.knowledge;
+    if (!table) return undefined;
+    const { version } = table.config;
+    if (this.#packed?.version !== version) {
+      this.#packed = { version, bytes: packConfig(table.config) };
+    }
     return this.#packed.bytes;
   }
 }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage } from 'node:http';
 
+import type { AgeBounds, Credential } from '../../core/customers/identity';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RunnerFact } from '../../core/routing/directory';
@@ -29,6 +30,7 @@
   /** Processor cores of this VM, as a part or a multiple of one. */
   readonly cores: number;
   readonly retries: RetryBounds;
+  readonly ages: AgeBounds;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** Time for which holders of the right to give orders may not take turns, in milliseconds. */
@@ -60,6 +62,9 @@
   readonly deadlineMs: number | undefined;
   /** Default: the caller told none. */
   readonly usage: Usage | undefined;
+  readonly credential: Credential;
+  /** Whose it is, as runners are told. Default: nobody's. */
+  readonly customer: string | undefined;
 }
 
 /** A prefilled prompt that lies at a runner. */
@@ -150,7 +155,7 @@
 
 /** What a feed of facts tells. */
 export interface FeedListener {
-  onConfig(config: RoutingConfig, raw: string): void;
+  onConfig(config: RoutingConfig): void;
   onRunners(facts: readonly RunnerFact[]): void;
   /** The store is of another era than was known. Told before what it holds. */
   onEra(start: Position): void;
@@ -159,6 +164,11 @@
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
   /** Requests that are refused, as some VM saved them; `isAll` if the store holds no others. */
   onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
+  /**
+   * Told after what it holds: nothing else was in force when it was asked.
+   * @param askedAt boot time; see `bootNow`
+   */
+  onProof(askedAt: number): void;
   /** After each call to the store: whether it was answered. */
   onStore(up: boolean, detail: string): void;
 }
@@ -167,6 +177,8 @@
 export interface Feed {
   /** Nothing is read until `setReading`. */
   start(listener: FeedListener): void;
+  /** Asks once for the configuration in force. Does nothing while it asks. */
+  confirm(): void;
   /** Begins to read everything and then changes, or ends that after the call under way. */
   setReading(reading: boolean): void;
   stop(): void;
@@ -176,12 +188,13 @@
 export interface IngressCodec {
   /** The id under which logs name the request, before anything was checked. */
   idOf(message: IncomingMessage): string | undefined;
-  /** Rejects with `badRequest` by throwing. */
-  decode(message: IncomingMessage, body: Buffer): CallRequest;
+  /**
+   * Rejects with `badRequest` by throwing.
+   * @param keyed whether requests carry keys, which no runner may see
+   */
+  decode(message: IncomingMessage, body: Buffer, keyed: boolean): CallRequest;
   /** Headers of an answer of the router's own. */
   refusalHeaders(failure: Failure, id: string | undefined): Readonly<Record<string, string>>;
-  /** Decodes a configuration that a peer passed on; undefined if it cannot be read. */
-  decodeConfig(raw: string): RoutingConfig | undefined;
 }
 
 /** Whether a path on the ready or directory address is theirs, and the answer's body. */
--- a/src/node/scheduler/members.ts
+++ b/src/node/scheduler/members.ts
@@ -17,6 +17,7 @@
   Packet,
   Rumour,
 } from '../../core/membership/types';
+import type { Proof } from '../../core/routing/freshness';
 import type { Metrics } from '../metrics';
 
 /** What the rest of the scheduler hears from membership. */
@@ -26,6 +27,16 @@
   onDiffers(address: string): void;
 }
 
+/** How members tell each other of the age of what they know; see `Freshness`. */
+export interface ProofExchange {
+  /** Default: this one has no proof. */
+  tell(): Proof | undefined;
+  /** This member asks another one. */
+  ask(seq: number): void;
+  /** What it asked is answered. */
+  answer(seq: number, proof: Proof): void;
+}
+
 /** How to start. */
 export interface MembershipDriverOptions {
   readonly membership: MembershipOptions;
@@ -35,6 +46,8 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly listener: MembershipListener;
+  /** Default: nothing of the kind is told. */
+  readonly proofs?: ProofExchange;
 }
 
 const TAG_BYTES = 16;
@@ -58,6 +71,7 @@
   address: z.string().max(100),
   target: z.string().max(100).optional(),
   digest: z.string().max(40),
+  proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
   members: z.array(memberSchema).max(16),
   rumours: z
     .array(
@@ -131,7 +145,10 @@
 
   #send(to: string, packet: Packet): void {
     const [host = '', port = '0'] = to.split(':');
-    const body = packr.pack(packet);
+    const { proofs } = this.#options;
+    if (packet.kind === 'ping') proofs?.ask(packet.seq);
+    const proof = proofs?.tell();
+    const body = packr.pack(proof ? { ...packet, proof } : packet);
     const data = Buffer.concat([this.#tag(body), body]);
     this.#options.metrics.count('members.packets');
     this.#options.metrics.count('members.bytes', data.length);
@@ -147,10 +164,15 @@
       return;
     }
     const packet = packetSchema.safeParse(packr.unpack(body));
-    if (packet.success) this.tell({ kind: 'packet', packet: packet.data });
+    if (packet.success) this.#take(packet.data);
     else this.#options.metrics.count('members.rejected');
   }
 
+  #take({ proof, ...packet }: z.infer<typeof packetSchema>): void {
+    if (proof && packet.kind === 'ack') this.#options.proofs?.answer(packet.seq, proof);
+    this.tell({ kind: 'packet', packet });
+  }
+
   /** Without the tag, anyone on the network could have members called dead. */
   #tag(body: Buffer): Buffer {
     return createHmac('sha256', this.#options.key).update(body).digest().subarray(0, TAG_BYTES);
--- a/src/platform/facts.ts
+++ b/src/platform/facts.ts
@@ -4,6 +4,8 @@
 
 import { z } from 'zod';
 
+import { digestOfKey } from '../core/customers/keys';
+import type { Customer } from '../core/customers/types';
 import { Failure } from '../core/failure';
 import type { Suspect } from '../core/quarantine/types';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
@@ -36,6 +38,19 @@
   resumable: z.boolean().default(false),
   /** Longest pause between events for which a stream is on time. */
   'gap-target-ms': z.number().default(0),
+  /** Whether requests without a key may run. */
+  'allow-anonymous': z.boolean().default(false),
+});
+
+const customerSchema = z.object({
+  name: z.string().min(1),
+  'api-keys': z.array(z.string()).default([]),
+  priority: z.int().min(0).optional(),
+  unit: z.enum(['requests', 'tokens']).default('requests'),
+  'plain-tokens': z.number().min(0).default(0),
+  /** 0: any amount. */
+  'rate-per-s': z.number().min(0).default(0),
+  burst: z.number().min(0).default(0),
 });
 
 const engineSchema = z.object({
@@ -56,6 +71,11 @@
       engine: engineSchema.optional(),
     }),
   ),
+  /** Left out where requests need no key. */
+  tenants: z
+    .array(customerSchema)
+    .refine((all) => new Set(all.map(({ name }) => name)).size === all.length, 'a name twice')
+    .optional(),
   limits: z
     .object({
       'max-body-bytes': z.number().default(4_194_304),
@@ -141,6 +161,19 @@
     attempts: Math.max(1, route['max-attempts']),
     priority: route.priority,
     resumable: route.resumable,
+    anonymous: route['allow-anonymous'],
+  };
+}
+
+function customerOf(entry: z.infer<typeof customerSchema>): Customer {
+  const { name, priority: rank, unit, burst, 'rate-per-s': ratePerS } = entry;
+  const quota = { unit, ratePerS, burst, plainTokens: entry['plain-tokens'] };
+  return {
+    name,
+    // An empty key is no key: it would be held by whoever sends none.
+    keys: entry['api-keys'].filter((one) => one !== '').map(digestOfKey),
+    ...(rank === undefined ? {} : { rank }),
+    ...(ratePerS > 0 ? { quota } : {}),
   };
 }
 
@@ -161,6 +194,7 @@
         switchMs: engine['switch-s'] === undefined ? undefined : engine['switch-s'] * 1000,
       },
     })),
+    ...(file.tenants ? { customers: file.tenants.map(customerOf) } : {}),
     limits: {
       bodyBytes: file.limits['max-body-bytes'],
       headerTimeoutMs: file.limits['header-timeout-ms'],
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -9,6 +9,7 @@
 import type { RunnerFact } from '../core/routing/directory';
 import type { History } from '../core/routing/position';
 import type { Feed, FeedListener } from '../node/router/types';
+import { bootNow } from '../utils/clock';
 import { decodeConfig, decodeRunner, decodeSuspect, decodeVm, encodeVm } from './facts';
 import { key } from './names';
 import type { Item, Snapshot, StoreClient } from './store';
@@ -40,6 +41,11 @@
 
   #reading = false;
 
+  /** Revision of the last configuration that could not be read. */
+  #unfitRevision = -1;
+
+  #confirming = false;
+
   /** Whether the loop of readings runs; one that was told to end may still have a call under way. */
   #running = false;
 
@@ -80,10 +86,30 @@
       });
   }
 
+  confirm(): void {
+    if (this.#confirming) return;
+    this.#confirming = true;
+    this.#confirm()
+      .then(() => this.#listener?.onStore(true, 'answers'))
+      .catch((error) => this.#log.debug(toFailure(error).line))
+      .finally(() => {
+        this.#confirming = false;
+      });
+  }
+
   stop(): void {
     this.#reading = false;
   }
 
+  async #confirm(): Promise<void> {
+    const askedAt = bootNow();
+    const { items, revision, era } = await this.#store.get(key.config);
+    if (items.length === 0 || era === undefined) return;
+    if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
+    this.#tell(items, false);
+    this.#listener?.onProof(askedAt);
+  }
+
   async #run(): Promise<void> {
     while (this.#reading) {
       try {
@@ -104,6 +130,7 @@
     this.#waitMs = RETRY_MS;
     while (this.#reading) {
       const since = performance.now();
+      const askedAt = bootNow();
       const news = await this.#store.watch(ALL, revision, WATCH_MS);
       // Where the store came back from a copy, revisions mean something else: what was watched from may have been given out again.
       if (!news || news.era === undefined || news.era !== era) {
@@ -112,6 +139,7 @@
         this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, news.revision);
         this.#tell(news.items, false);
+        this.#listener?.onProof(askedAt);
       }
       const left = WATCH_PACE_MS - (performance.now() - since);
       if (left > 0) await pause(left);
@@ -119,6 +147,7 @@
   }
 
   async #readAll(): Promise<Snapshot> {
+    const askedAt = bootNow();
     const snapshot = await this.#store.range(ALL, this.#failed === 1 ? CHECK_LIMIT_MS : undefined);
     this.#failed = 0;
     const { items, revision, era = this.#store.era } = snapshot;
@@ -131,6 +160,7 @@
     this.#tell(items, true);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
     this.#listener?.onListed(new Set(ids), { era, revision });
+    this.#listener?.onProof(askedAt);
     return snapshot;
   }
 
@@ -158,8 +188,15 @@
     if (vms.length > 0) this.#listener?.onVms(vms);
   }
 
-  #tellConfig({ value }: Item): void {
-    if (value !== undefined) this.#listener?.onConfig(decodeConfig(value), value);
+  /** One that cannot be read changes nothing, and is complained of once. */
+  #tellConfig({ key: name, value, revision }: Item): void {
+    if (value === undefined || revision === this.#unfitRevision) return;
+    try {
+      this.#listener?.onConfig(decodeConfig(value));
+    } catch (error) {
+      this.#unfitRevision = revision;
+      this.#log.error({ key: name, revision }, toFailure(error).line);
+    }
   }
 
   /** An entry that cannot be read is a fact too: whatever was listed there before is no longer. */
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -2,10 +2,9 @@
 
 import type { IncomingMessage } from 'node:http';
 
-import { Failure, toFailure } from '../core/failure';
-import type { RoutingConfig } from '../core/routing/types';
+import { Failure } from '../core/failure';
 import type { CallRequest, ControlCodec, IngressCodec, Usage } from '../node/router/types';
-import { decodeConfig } from './facts';
+import { credentialOf } from './credential';
 import { connectionHeaders, header, path, routerHeaders } from './names';
 
 /** Most addresses that one directory answer may hold. */
@@ -68,13 +67,16 @@
   'expect',
 ]);
 
+/** Where requests carry keys, no runner may see them. */
+const droppedOfKeyed: ReadonlySet<string> = new Set([...droppedOfRequests, header.authorization]);
+
 /** Requests and refusals. */
 export class PlatformIngress implements IngressCodec {
   idOf(message: IncomingMessage): string | undefined {
     return single(message, header.requestId);
   }
 
-  decode(message: IncomingMessage, body: Buffer): CallRequest {
+  decode(message: IncomingMessage, body: Buffer, keyed: boolean): CallRequest {
     const id = this.idOf(message);
     if (id === undefined || id === '') {
       throw new Failure('badRequest', 'found no request id, expected one');
@@ -84,10 +86,16 @@
       host: (message.headers.host ?? '').replace(/:\d+$/, ''),
       method: message.method ?? 'GET',
       target: message.url ?? '/',
-      headers: forwardable(message.rawHeaders, message.headers.connection, droppedOfRequests),
+      headers: forwardable(
+        message.rawHeaders,
+        message.headers.connection,
+        keyed ? droppedOfKeyed : droppedOfRequests,
+      ),
       body,
       deadlineMs: numberOf(single(message, header.deadline)),
       usage: usageOf(message),
+      credential: keyed ? credentialOf(message) : { kind: 'none' },
+      customer: undefined,
     };
   }
 
@@ -102,15 +110,6 @@
         : { [header.retryAfter]: (retryAfterMs / 1000).toFixed(RETRY_DIGITS) }),
     };
   }
-
-  decodeConfig(raw: string): RoutingConfig | undefined {
-    try {
-      return decodeConfig(raw);
-    } catch (error) {
-      if (toFailure(error).codeName === 'factUnreadable') return undefined;
-      throw error;
-    }
-  }
 }
 
 /** Readiness and lookups. */
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -22,6 +22,10 @@
   cacheSource: 'kv-source',
   lastEvent: 'last-event-id',
   retryAfter: 'retry-after',
+  /** From callers: their key. */
+  authorization: 'authorization',
+  /** To runners: the name of the customer that holds the caller's key. */
+  customer: 'tenant-id',
   /** On the store's answers: how often it has come back from an older copy, one higher each time. */
   era: 'store-era',
 } as const;
@@ -32,6 +36,7 @@
   header.expectedRunner,
   header.stage,
   header.cacheSource,
+  header.customer,
   'expected-version',
   'kv-hold',
   'pin-ms',
@@ -73,6 +78,7 @@
 export const path = {
   readiness: '/v1/readiness',
   lookup: '/v1/lookup',
+  key: '/v1/kv-key',
   range: '/v1/kv-range',
   watch: '/v1/kv-watch',
   txn: '/v1/kv-txn',
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -174,6 +174,7 @@
     String(Math.max(1, Math.floor(deadlineMs))),
     header.expectedRunner,
     runner.listing,
+    ...(request.customer === undefined ? [] : [header.customer, request.customer]),
     ...extra,
     ...(sized ? ['content-length', String(length)] : []),
     'connection',
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -32,6 +32,10 @@
     'budget-window-s': z.number(),
     'retry-budget-extra': z.number(),
     'lease-ms': z.number().default(3000),
+    'config-apply-ms': z.number().default(2000),
+    /** Whether a key that was taken away must run nothing `revoke-ms` later. */
+    'strict-revoke': z.boolean().default(false),
+    'revoke-ms': z.number().default(5000),
     ttl_max_s: z.number().default(5),
   }),
   platform: z.object({ address }),
@@ -53,6 +57,8 @@
 
 /** Longest time that callers may keep a directory answer: they keep some for thrice as long, and a VM that stops has to serve these still, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
+/** By how much sooner than it must a key stop counting, in milliseconds: some turns of a busy event loop lie between the look at the clock and the send. */
+const KEY_MARGIN_MS = 300;
 /** Port of the metrics page; the deploy file names the same. */
 const METRICS_PORT = 9464;
 
@@ -79,6 +85,10 @@
       extra: bounds['retry-budget-extra'],
       windowMs: bounds['budget-window-s'] * 1000,
     },
+    ages: {
+      keyMs: bounds['strict-revoke'] ? bounds['revoke-ms'] - KEY_MARGIN_MS : Infinity,
+      finalMs: bounds['config-apply-ms'],
+    },
     leaseMs: bounds['lease-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, ADDRESS_TTL_MS),
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -52,6 +52,7 @@
   truncated: z.boolean().default(false),
   'as-of': z.number(),
 });
+const asOfSchema = z.object({ 'as-of': z.number() });
 const revisionSchema = z.object({ revision: z.number() });
 const leaseSchema = z.object({ lease: z.number() });
 const watchSchema = z.object({ events: z.array(itemSchema), 'as-of': z.number() });
@@ -119,6 +120,15 @@
     }
   }
 
+  /** One item as it is now; no items if there is none. */
+  async get(key: string): Promise<Snapshot> {
+    const target = `${path.key}?${new URLSearchParams({ key })}`;
+    const { body, era } = await this.#get(target, CALL_LIMIT_MS);
+    if (body === undefined) return { items: [], revision: 0, era };
+    const { 'as-of': revision } = asOfSchema.parse(body);
+    return { items: [toItem(itemSchema.parse(body))], revision, era };
+  }
+
   /** Changes below a prefix after a revision; undefined if that history is no longer there. */
   async watch(prefix: string, after: number, waitMs: number): Promise<Snapshot | undefined> {
     const query = new URLSearchParams({
@@ -196,7 +206,7 @@
     return this.#eras.read(headers[header.era]?.toString());
   }
 
-  /** The body is undefined on 410. */
+  /** The body is undefined on 404 and 410. */
   async #get(
     target: string,
     timeoutMs: number,
@@ -209,7 +219,7 @@
     });
     const { status, body } = answer;
     const era = this.#eraOf(answer);
-    if (status === HTTP_GONE) return { body: undefined, era };
+    if (status === HTTP_GONE || status === HTTP_NOT_FOUND) return { body: undefined, era };
     if (status !== HTTP_OK) {
       throw new Failure('platformUnavailable', `the store answered ${status}`);
     }
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -22,6 +22,7 @@
   attempts: 1,
   priority: 1,
   resumable: false,
+  anonymous: false,
 };
 
 /** A request with a prompt of some size. */
@@ -34,6 +35,8 @@
   body: Buffer.alloc(0),
   deadlineMs: 14_000,
   usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
+  credential: { kind: 'none' },
+  customer: undefined,
 };
 
 /** An answer that is whole. */
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -340,6 +340,7 @@
           peerKey: 'test-key-test-key',
           cores: 1,
           retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+          ages: { keyMs: 4700, finalMs: 2000 },
           graceMs: 1000,
           leaseMs: 3000,
           addressTtlMs: 1000,
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -2,10 +2,14 @@
 
 import pino from 'pino';
 
+import { History } from '../../src/core/routing/position';
+import { Gate } from '../../src/node/router/gate';
+import { Knowledge } from '../../src/node/router/knowledge';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineDesk } from '../../src/node/router/quarantine';
 import { Runs } from '../../src/node/router/runs';
+import { silentListener } from './listener';
 
 const log = pino({ level: 'silent' });
 
@@ -22,7 +26,12 @@
   });
 }
 
+/** A gate of a VM that goes by what it knows, however old that is. */
+export function gateOf(knowledge = new Knowledge(new History(), log, silentListener)): Gate {
+  return new Gate(knowledge, () => ({ keyMs: Infinity, finalMs: Infinity }));
+}
+
 /** Runs of which nobody takes notice. */
 export function runsOf(quarantine = quarantineOf()): Runs {
-  return new Runs({ quarantine, metrics: new RouterMetrics(), log });
+  return new Runs({ quarantine, gate: gateOf(), metrics: new RouterMetrics(), log });
 }
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -12,6 +12,7 @@
 import type { Suspect } from '../../../src/core/quarantine/types';
 import type { RunnerFact } from '../../../src/core/routing/directory';
 import { RunnerDirectory } from '../../../src/core/routing/directory';
+import { Freshness } from '../../../src/core/routing/freshness';
 import type { Position } from '../../../src/core/routing/position';
 import { History } from '../../../src/core/routing/position';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
@@ -36,6 +37,7 @@
   readonly membership: Membership;
   readonly directory: RunnerDirectory;
   readonly history: History;
+  readonly freshness: Freshness;
   readonly spread: NewsSpread;
   readonly quarantine: Quarantine;
   /** Requests of which others are still to be told. */
@@ -52,6 +54,9 @@
   chosen: boolean;
   dead: boolean;
   frozen: boolean;
+  /** When it may ask the store itself for a proof, and how long it waits after that. */
+  confirmAt: number;
+  confirmWaitMs: number;
 }
 
 const HOP_MS = 1.5;
@@ -66,6 +71,10 @@
 const GATHER_MS = 20;
 /** Time in which runners write again what a copy of the store lacks. */
 const REWRITE_MS = 1200;
+const CONFIRM_MS = 500;
+const CONFIRM_LIMIT_MS = 4000;
+/** Age of a proof from which a VM asks for its own. */
+const CONFIRM_AGE_MS = 2350;
 const JOIN_PACE_MS = 500;
 const JOIN_ROUNDS = 8;
 const SEEDS = 3;
@@ -177,6 +186,24 @@
     this.#until(() => false, ms);
   }
 
+  /** How old the configuration of each VM that runs can be by what it knows, the oldest last. */
+  get ages(): readonly number[] {
+    return this.#vms
+      .filter(({ dead, frozen }) => !dead && !frozen)
+      .map(({ freshness }) => freshness.ageMs(this.now))
+      .sort((a, b) => a - b);
+  }
+
+  /** The oldest that any of them was in a time. */
+  oldestIn(ms: number): number {
+    let oldest = 0;
+    this.#until(() => {
+      oldest = Math.max(oldest, this.ages.at(-1) ?? 0);
+      return false;
+    }, ms);
+    return oldest;
+  }
+
   /** A runner ends under a request that a VM sent it. */
   end(number: number, fingerprint: string, runner: string): void {
     const vm = this.#vms[number] as Vm;
@@ -249,6 +276,7 @@
       }),
       directory: new RunnerDirectory(),
       history: new History(),
+      freshness: new Freshness(),
       spread: new NewsSpread(),
       quarantine: new Quarantine(),
       suspects: new Map(),
@@ -261,6 +289,8 @@
       answered: 0,
       dead: false,
       frozen: false,
+      confirmAt: 0,
+      confirmWaitMs: CONFIRM_MS,
     };
   }
 
@@ -315,12 +345,32 @@
       state.changed = false;
       state.chosen = readsAlways || shouldRead(this.now, vm.startedAt, self, all);
     }
+    this.#checkProof(vm);
     state.reading = vm.chosen || isIsolated(this.now, vm.startedAt, vm.membership);
     if (!state.reading || state.busy) return;
     state.busy = true;
     this.#read(vm);
   }
 
+  /** Asks the store itself where nobody told in time. */
+  #checkProof(vm: Vm): void {
+    const state = vm;
+    if (vm.reading || vm.freshness.ageMs(this.now) <= CONFIRM_AGE_MS) {
+      state.confirmWaitMs = CONFIRM_MS;
+      return;
+    }
+    if (this.now < vm.confirmAt) return;
+    state.confirmAt = this.now + vm.confirmWaitMs;
+    state.confirmWaitMs = Math.min(CONFIRM_LIMIT_MS, vm.confirmWaitMs * 2);
+    this.#storeCalls += 1;
+    const askedAt = this.now;
+    if (this.#refused?.(vm.number)) return;
+    this.#later(vm, STORE_MS, () => {
+      this.#learn(vm, this.#storeConfig, []);
+      vm.freshness.storeAnswered(askedAt);
+    });
+  }
+
   /** One call to the store after the other: what is new there, at most one call in the pace of a watch. */
   #read(vm: Vm): void {
     const state = vm;
@@ -336,10 +386,12 @@
       });
       return;
     }
+    const askedAt = this.now;
     this.#later(vm, STORE_MS, () => {
       this.#setFailed(vm, 0);
       this.#readEra(vm);
       this.#learn(vm, this.#storeConfig, [...this.#facts.values()]);
+      vm.freshness.storeAnswered(askedAt);
       this.#later(vm, WATCH_PACE_MS, () => this.#read(vm));
     });
   }
@@ -465,8 +517,13 @@
     const target = this.#vms[Number.parseInt(action.to, 10)];
     if (!target || this.#cut.has(vm.number) || this.#cut.has(target.number)) return;
     const { packet } = action;
+    if (packet.kind === 'ping') vm.freshness.ask(this.now, packet.seq);
+    const proof = vm.freshness.tell(this.now, vm.configVersion);
     this.#schedule.add(this.now + HOP_MS, () => {
       if (target.dead || target.frozen || target.startedAt > this.now) return;
+      if (proof && packet.kind === 'ack') {
+        target.freshness.answer(packet.seq, proof, target.configVersion);
+      }
       this.#tell(target, { kind: 'packet', packet });
     });
   }
--- a/test/platform/facts.test.ts
+++ b/test/platform/facts.test.ts
@@ -1,4 +1,4 @@
-import { decodeRunner } from '../../src/platform/facts';
+import { decodeConfig, decodeRunner } from '../../src/platform/facts';
 import { entryOf } from '../fakes/entry';
 
 /** What a change of a whole entry is read as: its error, or what it says of the runner. */
@@ -68,3 +68,86 @@
     expect(() => decodeRunner('i-1', text)).toThrow('runner i-1');
   });
 });
+
+/** What a customer of the configuration, changed, is read as: its error, or the customer. */
+function readCustomer(change: Readonly<Record<string, unknown>>): unknown {
+  const entry = { name: 'ada', 'api-keys': ['key-1'], ...change };
+  const text = JSON.stringify({ version: 1, routes: [], services: [], tenants: [entry] });
+  try {
+    return decodeConfig(text).customers?.[0];
+  } catch (error) {
+    return (error as Error).message;
+  }
+}
+
+describe('the customers of a configuration', () => {
+  test('have digests in place of keys, and a quota only where they have a rate', () => {
+    const whole = {
+      priority: 1,
+      unit: 'tokens',
+      'plain-tokens': 200,
+      'rate-per-s': 50,
+      burst: 70,
+    };
+    expect([readCustomer(whole), readCustomer({ 'api-keys': ['', ''], burst: 70 })])
+      .toMatchInlineSnapshot(`
+     [
+       {
+         "keys": [
+           "vil0VGl443OebW2oXEvp8zTOMt8rn9S2_xtVwNV-nUQ",
+         ],
+         "name": "ada",
+         "quota": {
+           "burst": 70,
+           "plainTokens": 200,
+           "ratePerS": 50,
+           "unit": "tokens",
+         },
+         "rank": 1,
+       },
+       {
+         "keys": [],
+         "name": "ada",
+       },
+     ]
+    `);
+  });
+
+  test('are asked for where the configuration names them, were it none at all', () => {
+    const decode = (rest: object): unknown =>
+      decodeConfig(JSON.stringify({ version: 1, routes: [], services: [], ...rest })).customers;
+    expect([decode({}), decode({ tenants: [] })]).toEqual([undefined, []]);
+  });
+
+  /* Read by halves, it would let in more than the operator allowed, or less. */
+  test('make the configuration unreadable if one of them is unfit', () => {
+    const changes = [
+      { name: undefined },
+      { name: '' },
+      { 'api-keys': 'key-1' },
+      { 'api-keys': [7] },
+      { 'rate-per-s': -1 },
+      { 'rate-per-s': 'many' },
+      { burst: null },
+      { unit: 'bytes' },
+      { 'plain-tokens': -1 },
+      { priority: 'first' },
+    ];
+    expect(changes.map(readCustomer)).toMatchInlineSnapshot(`
+     [
+       "the configuration: at tenants.0.name: Invalid input: expected string, received undefined",
+       "the configuration: at tenants.0.name: Too small: expected string to have >=1 characters",
+       "the configuration: at tenants.0.api-keys: Invalid input: expected array, received string",
+       "the configuration: at tenants.0.api-keys.0: Invalid input: expected string, received number",
+       "the configuration: at tenants.0.rate-per-s: Too small: expected number to be >=0",
+       "the configuration: at tenants.0.rate-per-s: Invalid input: expected number, received string",
+       "the configuration: at tenants.0.burst: Invalid input: expected number, received null",
+       "the configuration: at tenants.0.unit: Invalid option: expected one of "requests"|"tokens"",
+       "the configuration: at tenants.0.plain-tokens: Too small: expected number to be >=0",
+       "the configuration: at tenants.0.priority: Invalid input: expected number, received string",
+     ]
+    `);
+    const twice = { version: 1, routes: [], services: [], tenants: [{ name: 'a' }, { name: 'a' }] };
+    expect(() => decodeConfig(JSON.stringify(twice))).toThrow('a name twice');
+  });
+});
--- a/test/platform/olderstore.test.ts
+++ b/test/platform/olderstore.test.ts
@@ -24,7 +24,9 @@
     this.#feed = new StoreFeed(clientOf(store, this.#history), self, this.#history, log);
     const { knowledge } = this;
     this.#feed.start({
-      onConfig: (config, raw) => knowledge.learnConfig(performance.now(), config, raw, 'store'),
+      onConfig: (config) => {
+        knowledge.learnConfig(performance.now(), config, 'store');
+      },
       onRunners: (facts) => knowledge.learnRunners(performance.now(), facts, 'store'),
       onEra: (start) => knowledge.learnEras(performance.now(), [start], 'store'),
       onListed: (ids, position) => knowledge.learnList(performance.now(), ids, position),
@@ -34,6 +36,7 @@
         else knowledge.storeFailed(performance.now());
       },
       onSuspects: () => {},
+      onProof: () => {},
     });
     this.#feed.setReading(true);
   }
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -42,6 +42,8 @@
       body: Buffer.alloc(0),
       deadlineMs: 1000,
       usage: undefined,
+      credential: { kind: 'none' },
+      customer: undefined,
     },
     deadlineMs: 1000,
     signal: new AbortController().signal,
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -32,6 +32,10 @@
     expect({ ...router, peerKey: router.peerKey.length, store }).toMatchInlineSnapshot(`
      {
        "addressTtlMs": 1000,
+       "ages": {
+         "finalMs": 2000,
+         "keyMs": Infinity,
+       },
        "cores": 1.35,
        "domain": "a",
        "graceMs": 8000,
@@ -59,6 +63,13 @@
     `);
   });
 
+  /* Work between the look at the clock and the send must not bring a key beyond its time. */
+  test('has keys stop counting before they must, where they must', () => {
+    const bounds = { ...file.bounds, 'strict-revoke': true, 'revoke-ms': 4000 };
+    const { router } = resolveSettings(JSON.stringify({ ...file, bounds }), 'boot.json');
+    expect(router.ages).toEqual({ finalMs: 2000, keyMs: 3700 });
+  });
+
   test('with a wrong field is refused with its name, what was found and a number', () => {
     const wrong = { ...file, listen: { front: 'nowhere' } };
     expect(() => resolveSettings(JSON.stringify(wrong), 'boot.json')).toThrow(
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -43,13 +43,16 @@
 
   onSuspects(): void {}
 
+  onProof(): void {}
+
   onStore(up: boolean): void {
     if (this.store.at(-1) !== up) this.store.push(up);
   }
 }
 
 describe('the feed of the store', () => {
-  const log = pino({ level: 'silent' });
+  const lines: string[] = [];
+  const log = pino({ base: null }, { write: (line) => lines.push(line) });
   let store: FakeStore;
   let feed: StoreFeed;
   let listener: Listener;
@@ -73,6 +76,21 @@
     store.stop();
   });
 
+  /* A configuration that cannot be read must not take the last one out of force, nor fill the log each time that it is seen. */
+  test('complains once of a configuration that it cannot read, and goes on', async () => {
+    const wrong = { ...(config(9) as object), tenants: [{ name: 'ada', 'rate-per-s': -1 }] };
+    store.put('op/config', wrong);
+    store.put('servers/i-1', runner('draining'));
+    await eventually('the change after it is told', () => listener.runners.includes('i-1 leaving'));
+    store.put('servers/i-2', runner('draining'));
+    store.compact();
+    await eventually('all is read again', () => listener.listed.length > 1);
+    store.put('op/config', config(11));
+    await eventually('the next one is told', () => listener.versions.includes(11));
+    expect(listener.versions).toEqual([3, 11]);
+    expect(lines.filter((line) => line.includes('[503]'))).toHaveLength(1);
+  });
+
   test('reads all pages, then changes as they come', async () => {
     expect(listener.listed[0]).toEqual(['i-1', 'i-2', 'i-3', 'i-4']);
     store.put('op/config', config(9));
--- a/test/router/front.test.ts
+++ b/test/router/front.test.ts
@@ -7,6 +7,7 @@
 import { Front } from '../../src/node/router/front';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { silentListener } from '../fakes/listener';
+import { gateOf } from '../fakes/runs';
 import { PlatformIngress } from '../../src/platform/ingress';
 import { eventually } from '../fakes/cluster';
 
@@ -26,6 +27,7 @@
       attempts: 1,
       priority: 1,
       resumable: false,
+      anonymous: false,
     },
   ],
   services: [],
@@ -55,6 +57,7 @@
   const seen: string[] = [];
   const front = new Front({
     knowledge,
+    gate: gateOf(knowledge),
     codec: new PlatformIngress(),
     log,
     onRequest: async (exchange) => {
@@ -77,7 +80,7 @@
   });
 
   test('answers 404 only by a configuration', async () => {
-    knowledge.learnConfig(0, config, '', 'test');
+    knowledge.learnConfig(0, config, 'test');
     expect(await talk(port, requestOf('/b/1'))).toMatch(/^HTTP\/1.1 404/);
     expect(await talk(port, requestOf('/a/2'))).toMatch(/^HTTP\/1.1 200/);
   });
--- a/test/router/knowledge.test.ts
+++ b/test/router/knowledge.test.ts
@@ -27,8 +27,8 @@
 describe('what a VM knows', () => {
   test('never goes back to an older configuration', () => {
     const knowledge = fresh();
-    expect(knowledge.learnConfig(0, config(7), '7', 'store')).toBe(true);
-    expect(knowledge.learnConfig(1, config(4), '4', 'peer')).toBe(false);
+    expect(knowledge.learnConfig(0, config(7), 'store')).toBe(true);
+    expect(knowledge.learnConfig(1, config(4), 'peer')).toBe(false);
     expect(knowledge.configVersion).toBe(7);
   });
 
@@ -195,7 +195,7 @@
         counted += 1;
       },
     });
-    knowledge.learnConfig(0, config(1), '', 'store');
+    knowledge.learnConfig(0, config(1), 'store');
     for (let revision = 1; revision < 9; revision += 1) {
       knowledge.learnRunners(
         0,
--- a/test/router/news.test.ts
+++ b/test/router/news.test.ts
@@ -7,7 +7,7 @@
 import { NewsDesk } from '../../src/node/router/news';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import { silentListener } from '../fakes/listener';
-import { quarantineOf } from '../fakes/runs';
+import { gateOf, quarantineOf } from '../fakes/runs';
 
 const memberOf = (vm: string): Member => ({
   vm,
@@ -36,8 +36,10 @@
     const log = pino({ base: null }, { write: (line) => this.lines.push(line) });
     const self = memberOf('new');
     const all = [self, ...others.map(memberOf)];
+    const knowledge = new Knowledge(new History(), log, silentListener);
     this.desk = new NewsDesk({
-      knowledge: new Knowledge(new History(), log, silentListener),
+      knowledge,
+      gate: gateOf(knowledge),
       quarantine: quarantineOf(),
       fleet: { self, all, members: { heardAt: 0 }, contact: () => {} },
       feed: {
--- a/test/router/newsfleet.test.ts
+++ b/test/router/newsfleet.test.ts
@@ -2,6 +2,8 @@
 
 const RUNNERS = 60;
 const HEARTBEAT_MS = 1200;
+/** Age of a configuration to which keys count by it, where they must end within five seconds. */
+const KEY_MS = 4700;
 
 /** Runs for so many seconds while all runners write their heartbeats. */
 function beatFor(fleet: NewsFleet, seconds: number): void {
@@ -64,6 +66,28 @@
     120_000,
   );
 
+  /*
+   * Keys count only while a VM knows how old its configuration can be. The store turns a
+   * third of the VMs away for nine seconds, as keys are taken away: those live on what the
+   * others proved. If each VM asked the store itself, 800 would make 1,100 calls a second.
+   */
+  test.each([30, 200, 800])(
+    'is not the age of what a VM knows, nor what it costs to know that age: %d VMs',
+    (size) => {
+      const fleet = new NewsFleet(size, RUNNERS, 4);
+      fleet.run(6000);
+      const start = fleet.cost.storeCalls;
+      expect(fleet.oldestIn(5000)).toBeLessThan(KEY_MS);
+      const calm = fleet.cost.storeCalls;
+      expect((calm - start) / 5).toBeLessThan(30);
+
+      fleet.refuse((vm) => vm % 3 === 0);
+      expect(fleet.oldestIn(9000)).toBeLessThan(KEY_MS);
+      expect((fleet.cost.storeCalls - calm) / 9 / size).toBeLessThan(0.6);
+    },
+    120_000,
+  );
+
   /*
    * A failure domain of 1,460 runners is lost at once, and each leaves two requests that
    * it had just begun. What VMs tell each other of these stays within what they may spend.
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -41,7 +41,7 @@
 /** A host that knows one decode runner with room for eleven and enough prefill runners. */
 function hostAt(now: number, onUnsure: (service: string) => void = () => {}): PlanHost {
   const knowledge = new Knowledge(new History(), log, silentListener);
-  knowledge.learnConfig(now, config, '', 'store');
+  knowledge.learnConfig(now, config, 'store');
   const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
   const facts = runners.map((entry) => ({ id: entry.id, position: at(1), runner: entry }));
   knowledge.learnRunners(now, facts, 'store');
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -6,7 +6,7 @@
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, promptRequest } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { quarantineOf } from '../fakes/runs';
+import { gateOf, quarantineOf } from '../fakes/runs';
 
 /** Runs and the lines that they log. */
 class LoggedRuns {
@@ -24,7 +24,12 @@
         done();
       },
     });
-    this.runs = new Runs({ quarantine: quarantineOf(), metrics: this.metrics, log: pino(sink) });
+    this.runs = new Runs({
+      quarantine: quarantineOf(),
+      gate: gateOf(),
+      metrics: this.metrics,
+      log: pino(sink),
+    });
   }
 }
 
--- a/test/router/sync.test.ts
+++ b/test/router/sync.test.ts
@@ -29,12 +29,10 @@
   readonly answered: number[] = [];
 
   async exchange(): Promise<void> {
-    const decodeConfig = (raw: string): RoutingConfig => JSON.parse(raw) as RoutingConfig;
     const bearer = new FactSync({
       knowledge: this.asked,
       quarantine: this.quarantines.asked,
       fleet: { all: [] } as unknown as RouterFleet,
-      decodeConfig,
     });
     const call = async (_address: string, _method: string, params: unknown): Promise<unknown> => {
       const answer = bearer.answer(performance.now(), params);
@@ -43,7 +41,7 @@
     };
     const fleet = { call, sync: () => {} } as unknown as RouterFleet;
     const quarantine = this.quarantines.asking;
-    const sync = new FactSync({ knowledge: this.asking, quarantine, fleet, decodeConfig });
+    const sync = new FactSync({ knowledge: this.asking, quarantine, fleet });
     await sync.fetch('a:1', false);
   }
 }
@@ -57,7 +55,7 @@
 describe('the exchange of what two VMs know', () => {
   test('brings a new VM the configuration and all runners, and then only what differs', async () => {
     const pair = new Pair();
-    pair.asked.learnConfig(0, config(7), JSON.stringify(config(7)), 'store');
+    pair.asked.learnConfig(0, config(7), 'store');
     pair.asked.learnRunners(
       0,
       Array.from({ length: 300 }, (_, i) => fact(`r${i}`, i + 1)),
