Refuse a request whose size is no size

Cause: Token-Usage was read with Number and checked for NaN alone. A negative or an enormous number went to the owner of the service, whose check of messages rejected it; the asking VM took that for an owner that does not answer, passed it over for 1.5 s and asked the next ones, so that one such request unsettled the planning of a service. For a quota in tokens it would have been negative too.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -25,16 +25,31 @@
   return Array.isArray(value) ? value[0] : value;
 }
 
+/** Most tokens of a prompt or an output that a request may tell. */
+const TOKENS_MOST = 1e9;
+
+/** Not a number if it is no number of tokens. */
+function tokensOf(text: string): number {
+  const tokens = text.trim() === '' ? NaN : Number(text);
+  return tokens >= 0 && tokens <= TOKENS_MOST ? tokens : NaN;
+}
+
 /** Of the parts `ID:TOKENS` of a prompt, in order, the last one is the request's own. */
 function promptIdOf(parts: string | undefined): string | undefined {
   const id = parts?.split(',').at(-1)?.split(':')[0]?.trim();
   return id === '' ? undefined : id?.slice(0, PROMPT_ID_LENGTH);
 }
 
+/**
+ * Rejects with `badRequest` by throwing if the header is there and no size: read as a
+ * request without one, it would take less of its customer's quota than it uses.
+ */
 function usageOf(message: IncomingMessage): Usage | undefined {
-  const [prompt, output] = (single(message, header.usage) ?? '').split(',').map(Number);
-  if (prompt === undefined || output === undefined || Number.isNaN(prompt + output)) {
-    return undefined;
+  const text = single(message, header.usage);
+  if (text === undefined) return undefined;
+  const [prompt = NaN, output = NaN, ...rest] = text.split(',').map(tokensOf);
+  if (Number.isNaN(prompt + output) || rest.length > 0) {
+    throw new Failure('badRequest', `${header.usage}: found no two numbers of tokens`);
   }
   return {
     promptId: promptIdOf(single(message, header.promptParts)),
