Keep customers' quotas over all VMs, each part of one with one owner

Cause: nothing counted what a customer used.

Change: one VM owns a customer's account, worked out from the members as owners of services are, and is asked before each run: before a place is asked for or a prompt is read. What is over gets 429 at once, with a time at which the quota will allow it. A run that did not take place is given back; one that may have begun counts, and once more if the request goes on elsewhere. Each VM brings an equal part of every quota to the owner by which it goes and says so; an owner gives out the parts of those alone, so that parts add up to the quota where two VMs take themselves for the owner, and a VM that reaches nobody is its own owner with its own part. The owner with most VMs gives out half of what may be over the quota for those that are missing.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -183,6 +183,12 @@
     'This VM cannot tell whether its configuration is recent enough to decide by.',
     'Connect to another address, or come back after the time in Retry-After.',
   ),
+  overQuota: refusal(
+    314,
+    429,
+    'The customer is over its quota.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- /dev/null
+++ b/src/core/customers/quota.ts
@@ -0,0 +1,152 @@
+/**
+ * A customer's quota over all VMs, kept without a coordinator.
+ *
+ * One VM owns a customer's account and is asked before each run. Owners are worked out
+ * from the members, so that two VMs may both take themselves for the owner while VMs
+ * cannot reach each other or one was frozen. An owner therefore gives out only the part
+ * of the quota that belongs to the VMs that go by it: each VM counts for an equal part,
+ * and brings it to one owner at a time. A VM that reaches no other one is its own owner,
+ * with its own part. So the parts add up to the quota, whoever can reach whom.
+ */
+
+import type { Quota } from './types';
+
+/** By how much all VMs together may be over a quota for a while. */
+export interface QuotaBounds {
+  readonly windowMs: number;
+  /** Part of what the quota allows in a window. */
+  readonly overage: number;
+  /** Beside it, in the quota's unit. */
+  readonly slack: number;
+}
+
+/** What an owner says to one run. */
+export type QuotaVerdict =
+  { readonly granted: true } | { readonly granted: false; readonly retryAfterMs: number };
+
+/** What a request tells of its size. */
+export interface RequestSize {
+  readonly promptTokens: number;
+  readonly maxOutputTokens: number;
+}
+
+/** What a run counts, in the quota's unit. */
+export function sizeOf({ unit, plainTokens }: Quota, size: RequestSize | undefined): number {
+  if (unit === 'requests') return 1;
+  return size ? size.promptTokens + size.maxOutputTokens : plainTokens;
+}
+
+/** Part of what may be over a quota that a new owner gives out at once: it does not know what the last one gave out, and two may follow each other in one window. */
+const START_PART = 0.25;
+/** Part of what may be over a quota that the owner with most VMs gives out for those that it does not hear of, so that VMs that died cost their customers nothing as a rule. */
+const MISSING_PART = 0.5;
+/** What may come at once where a quota names no burst, as a time of its rate in milliseconds: less than an overage of a tenth over the usual window allows. */
+const LEAST_BURST_MS = 500;
+const MAJORITY = 0.5;
+/** Shortest and longest time after which a caller over its quota may come back, in milliseconds. */
+const RETRY_LEAST_MS = 100;
+const RETRY_MOST_MS = 4500;
+
+/** The account of one customer at one owner. */
+export class QuotaAccount {
+  readonly #bounds: QuotaBounds;
+
+  #level = 0;
+
+  #at: number;
+
+  /** Largest part of the quota that this owner had to give out so far. */
+  #part = 0;
+
+  /** When the caller refused last may come back. */
+  #returnAt = 0;
+
+  constructor(now: number, bounds: QuotaBounds) {
+    this.#bounds = bounds;
+    this.#at = now;
+  }
+
+  /**
+   * Takes the size of a run, or says when to ask again.
+   * @param part of the quota that belongs to the VMs that go by this owner, from 0 to 1
+   */
+  take(now: number, quota: Quota, part: number, size: number): QuotaVerdict {
+    const own = this.#ownPart(quota, part);
+    const rate = (quota.ratePerS / 1000) * own;
+    const capacity = Math.max(quota.burst, (quota.ratePerS * LEAST_BURST_MS) / 1000) * own;
+    this.#credit(quota, own);
+    this.#level = Math.min(capacity, this.#level + (now - this.#at) * rate);
+    this.#at = now;
+    // A run larger than the most that there ever is would never start: it takes all and leaves a debt.
+    const need = Math.min(size, capacity);
+    if (this.#level >= need) {
+      this.#level -= size;
+      return { granted: true };
+    }
+    return { granted: false, retryAfterMs: this.#retryAfter(now, size, need, rate) };
+  }
+
+  /** Takes back what was taken for a run that did not take place. */
+  giveBack(size: number): void {
+    this.#level += size;
+  }
+
+  /** What the quota allows in a window, and how much more of it may run, in its unit. */
+  #window({ ratePerS, burst }: Quota): { readonly allowed: number; readonly over: number } {
+    const { windowMs, overage, slack } = this.#bounds;
+    const allowed = (ratePerS * windowMs) / 1000 + burst;
+    return { allowed, over: overage * allowed + slack };
+  }
+
+  /** Only one owner can have most of the VMs, so that only one gives out for those that are missing. */
+  #ownPart(quota: Quota, part: number): number {
+    if (part <= MAJORITY) return part;
+    const { allowed, over } = this.#window(quota);
+    return Math.min(1, part + (over * MISSING_PART) / allowed);
+  }
+
+  /** Each VM that comes to this owner brings its part of what a new one may give out at once. */
+  #credit(quota: Quota, part: number): void {
+    if (part <= this.#part) return;
+    const { over } = this.#window(quota);
+    this.#level += Math.min(quota.burst, over * START_PART) * (part - this.#part);
+    this.#part = part;
+  }
+
+  /** Callers that are refused come back one after the other, as the quota allows them, not all at once. */
+  #retryAfter(now: number, size: number, need: number, rate: number): number {
+    if (rate <= 0) return RETRY_MOST_MS;
+    const earliest = now + (need - this.#level) / rate;
+    const next = Math.max(this.#returnAt + size / rate, earliest);
+    this.#returnAt = next > now + RETRY_MOST_MS ? earliest : next;
+    return Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, this.#returnAt - now));
+  }
+}
+
+/** Members as an owner sees them. */
+export interface QuotaMembers {
+  /** VMs there may be: all that did not say that they leave. */
+  readonly known: number;
+  /** Those that live, this one included. */
+  readonly present: ReadonlySet<string>;
+}
+
+/**
+ * Which VMs go by one owner. Each says so when it takes up an owner; that others live
+ * as far as is known counts for nothing, since a VM that is cut off needs many seconds
+ * to find out that they do not answer.
+ */
+export class QuotaShare {
+  readonly #joined = new Set<string>();
+
+  /** A VM goes by this owner. */
+  join(vm: string): void {
+    this.#joined.add(vm);
+  }
+
+  /** Part of each quota that belongs to the VMs that go by this owner. */
+  part({ known, present }: QuotaMembers): number {
+    const own = [...this.#joined].filter((vm) => present.has(vm)).length;
+    return Math.min(1, own / Math.max(1, known));
+  }
+}
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -18,6 +18,7 @@
   | 'knowledge'
   | 'places'
   | 'quarantine'
+  | 'quotas'
   | 'store'
   | 'orders'
   | 'runner'
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -4,6 +4,7 @@
 import type { RouterFleet } from './fleet';
 import type { PlanHost } from './owner';
 import type { Places } from './places';
+import type { QuotaDesk } from './quotas';
 import type { FactSync } from './sync';
 import { askSchema, gatherSchema, holdSchema, noteSchema, pushSchema, readySchema } from './plans';
 
@@ -14,6 +15,7 @@
   readonly host: PlanHost;
   readonly places: Places;
   readonly sync: FactSync;
+  readonly quotas: QuotaDesk;
 }
 
 /** Calls back to the VM that called. */
@@ -29,14 +31,17 @@
 
   /** Rejects with `peerRejected` if there is no such call. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { host, places, sync } = this.#context;
+    const { host, places, sync, quotas } = this.#context;
     const now = performance.now();
     const sink = (service: string, verdict: unknown): void => push('verdict', { service, verdict });
     if (method === 'ask') return host.ask(now, vm, askSchema.parse(params), sink);
     if (method === 'ready') return host.ready(now, vm, readySchema.parse(params), sink);
     if (method === 'facts') return sync.answer(now, params);
+    if (method === 'quota') return quotas.onAsk(now, vm, params);
     if (method === 'note') host.note(now, vm, noteSchema.parse(params));
     else if (method === 'hold') host.hold(now, vm, holdSchema.parse(params));
+    else if (method === 'quotaJoin') quotas.onJoin(now, vm, params);
+    else if (method === 'quotaBack') quotas.onBack(params);
     else if (method === 'gather') this.#tell(now, vm, gatherSchema.parse(params).service);
     else if (method === 'verdict') {
       const { service, verdict } = pushSchema.parse(params);
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -27,6 +27,7 @@
 import { PlanHost } from './owner';
 import { Places } from './places';
 import { PlainCaller } from './plain';
+import { QuotaDesk } from './quotas';
 import { QuarantineDesk } from './quarantine';
 import { Runs } from './runs';
 import { FactSync } from './sync';
@@ -92,6 +93,8 @@
 
   readonly #runs: Runs;
 
+  readonly #quotas: QuotaDesk;
+
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -127,6 +130,7 @@
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onMembers: () => {
         this.#warmLinks();
+        this.#quotas.membersChanged(performance.now());
         this.#news.membersChanged();
       },
       onDiffers: (address) => this.#news.differs(address),
@@ -159,12 +163,21 @@
       onDescription: () => this.#describe(),
     });
     this.#places = new Places(settings.vm, this.#fleet, this.#host, logOf(log, 'places'));
+    this.#quotas = new QuotaDesk({
+      vm: settings.vm,
+      bounds: settings.quotas,
+      knowledge: this.#knowledge,
+      fleet: this.#fleet,
+      metrics: this.#metrics,
+      log: logOf(log, 'quotas'),
+    });
     this.#calls = new PeerCalls({
       vm: settings.vm,
       fleet: this.#fleet,
       host: this.#host,
       places: this.#places,
       sync,
+      quotas: this.#quotas,
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retriesOf(service).spend(now, this.#fleet.alive.length);
@@ -179,6 +192,7 @@
       runners: this.#runners,
       health: (service) => this.#healthOf(service),
       runs: this.#runs,
+      quotas: this.#quotas,
       mayRepeat,
       domain: settings.domain,
     });
@@ -187,6 +201,7 @@
       runners: this.#runners,
       places: this.#places,
       runs: this.#runs,
+      quotas: this.#quotas,
       mayRepeat,
     });
     this.#control = new Control({
@@ -269,6 +284,7 @@
     this.#log.info({ active: this.#front.active }, 'Stopped.');
     this.#news.stop();
     this.#quarantine.stop();
+    this.#quotas.stop();
     this.#places.stop();
     this.#host.stop();
     this.#control.close();
@@ -286,6 +302,7 @@
       readsStore: this.#news.reading,
       active: this.#front.active,
       refuses: this.#quarantine.beliefs(now),
+      quotas: this.#quotas.beliefs(),
       ...this.#knowledge.beliefs(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
@@ -326,6 +343,7 @@
     const engine = this.#knowledge.table?.service(service)?.engine;
     if (engine) await this.#model.run(exchange, engine);
     else await this.#plain.run(exchange);
+    this.#quotas.settle(exchange);
   }
 
   #done(exchange: Exchange, ms: number): void {
@@ -393,6 +411,7 @@
       .with({ kind: 'config' }, () => {
         this.#describe();
         this.#warmLinks();
+        this.#quotas.membersChanged(performance.now());
       })
       .with({ kind: 'runners' }, () => this.#runners.endLost())
       .with({ kind: 'era' }, ({ cameBack }) => {
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -6,6 +6,7 @@
 import { contentIdOf } from '../../core/fingerprint';
 import type { Route } from '../../core/routing/types';
 import { errorBody } from '../../utils/http';
+import { Charge } from './charge';
 import type { CallRequest, IngressCodec } from './types';
 
 /** Largest part of the time left that a caller may be told to stay away. */
@@ -23,6 +24,9 @@
 
   readonly arrivedAt: number;
 
+  /** What it took of its customer's quota. */
+  readonly charge = new Charge();
+
   /** When the request must have its final answer. */
   readonly endAt: number;
 
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -9,6 +9,7 @@
 import { Pace } from './pace';
 import type { Progress } from './progress';
 import { demandOf, mayGoOn, newProgress, refusal, timeUp, verdictOf } from './progress';
+import type { QuotaDesk } from './quotas';
 import type { Run, Runs } from './runs';
 import type { CacheHandle, Reply, RunnerClient } from './types';
 
@@ -18,6 +19,7 @@
   readonly runners: RunnerClient;
   readonly places: Places;
   readonly runs: Runs;
+  readonly quotas: Pick<QuotaDesk, 'cover'>;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
 }
@@ -69,8 +71,10 @@
 
   /** One place and what comes of it; tells whether to try again. */
   async #attempt(exchange: Exchange, engine: Engine, progress: Progress): Promise<boolean> {
-    const { places } = this.#context;
+    const { places, quotas } = this.#context;
     const { service, signal } = exchange;
+    const over = await quotas.cover(exchange);
+    if (over) throw over;
     const demand = demandOf(exchange, progress);
     const grant = await places.ask(service, demand, signal);
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
@@ -239,6 +243,7 @@
       });
       exchange.trail.push(`decode ${runner.id} ${reply.status}${reply.notRun ? ' not run' : ''}`);
       if (!reply.notRun) return { reply, run };
+      run.notRun();
       reply.body.resume();
       // A runner that was started anew, or changed its stage, is still listed as it was. What was
       // read for it lies where it lay, so that another decode runner can take it.
@@ -254,6 +259,7 @@
         run.broke(performance.now());
         return 'broken';
       }
+      run.notRun();
       progress.sentTo.delete(runner.id);
       return 'unreachable';
     }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -6,6 +6,7 @@
 import { readBody } from '../../utils/http';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
+import type { QuotaDesk } from './quotas';
 import type { Run, Runs } from './runs';
 import type { Reply, RunnerClient } from './types';
 
@@ -15,6 +16,7 @@
   readonly runners: RunnerClient;
   readonly health: (service: string) => RunnerHealth;
   readonly runs: Runs;
+  readonly quotas: Pick<QuotaDesk, 'cover'>;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
   readonly domain: string;
@@ -51,7 +53,7 @@
     let last = new Failure('noRunner', `no runner of ${service}`, { retryAfterMs: RETRY_MS });
     for (let reach = 0; reach < REACH_TRIES && sent < route.attempts; reach += 1) {
       const now = performance.now();
-      const refused = this.#context.runs.refusal(now, exchange);
+      const refused = await this.#refusal(now, exchange);
       last = refused ?? last;
       if (refused) break;
       const runner = this.#choose(now, service, tried);
@@ -81,6 +83,12 @@
     exchange.fail(performance.now(), verdictOf(exchange, ran, last));
   }
 
+  /** Why no runner may have it. Default: one may. */
+  async #refusal(now: number, exchange: Exchange): Promise<Failure | undefined> {
+    const { runs, quotas } = this.#context;
+    return runs.refusal(now, exchange) ?? (await quotas.cover(exchange));
+  }
+
   #another(service: string, tried: readonly string[]): boolean {
     const now = performance.now();
     return this.#choose(now, service, tried) !== undefined;
@@ -162,13 +170,16 @@
   const deadlineMs = exchange.leftMs(performance.now());
   const { request, signal } = exchange;
   const reply = await runners.send({ runner, request, deadlineMs, signal }).catch((error) => {
-    if (toFailure(error).codeName === 'runnerFailed') run.broke(performance.now());
+    const { codeName } = toFailure(error);
+    if (codeName === 'runnerFailed') run.broke(performance.now());
+    if (codeName === 'runnerUnreachable') run.notRun();
     throw error;
   });
   const body = await readBody(reply.body, ANSWER_BYTES).catch((error: Error) => {
     if (reply.body.errored) run.broke(performance.now());
     throw new Failure('runnerFailed', `${runner.id}: ${error.message}`);
   });
+  if (reply.notRun) run.notRun();
   if (reply.notRun) throw new Failure('runnerFull', `${runner.id} turned it away`);
   if (!reply.genuine || !reply.body.complete) {
     throw new Failure('runnerFailed', `${runner.id}: found a broken answer`);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -39,6 +39,12 @@
     this.#context = context;
     this.#exchange = exchange;
     this.#runner = runner;
+    if (runner.role !== 'prefill') exchange.charge.spend();
+  }
+
+  /** The runner did not run it and never will. */
+  notRun(): void {
+    if (this.#runner.role !== 'prefill') this.#exchange.charge.refund();
   }
 
   /** A part of its answer came. */
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { AgeBounds, Credential } from '../../core/customers/identity';
+import type { QuotaBounds } from '../../core/customers/quota';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RunnerFact } from '../../core/routing/directory';
@@ -31,6 +32,7 @@
   readonly cores: number;
   readonly retries: RetryBounds;
   readonly ages: AgeBounds;
+  readonly quotas: QuotaBounds;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** Time for which holders of the right to give orders may not take turns, in milliseconds. */
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -36,6 +36,10 @@
     /** Whether a key that was taken away must run nothing `revoke-ms` later. */
     'strict-revoke': z.boolean().default(false),
     'revoke-ms': z.number().default(5000),
+    'quota-window-s': z.number().positive().default(10),
+    /** Part of what a quota allows in a window. */
+    'quota-overage': z.number().min(0).default(0),
+    'quota-slack': z.number().min(0).default(0),
     ttl_max_s: z.number().default(5),
   }),
   platform: z.object({ address }),
@@ -89,6 +93,11 @@
       keyMs: bounds['strict-revoke'] ? bounds['revoke-ms'] - KEY_MARGIN_MS : Infinity,
       finalMs: bounds['config-apply-ms'],
     },
+    quotas: {
+      windowMs: bounds['quota-window-s'] * 1000,
+      overage: bounds['quota-overage'],
+      slack: bounds['quota-slack'],
+    },
     leaseMs: bounds['lease-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, ADDRESS_TTL_MS),
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -341,6 +341,7 @@
           cores: 1,
           retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
           ages: { keyMs: 4700, finalMs: 2000 },
+          quotas: { windowMs: 8000, overage: 0.1, slack: 0 },
           graceMs: 1000,
           leaseMs: 3000,
           addressTtlMs: 1000,
--- /dev/null
+++ b/test/fakes/virtual/quotaways.ts
@@ -0,0 +1,259 @@
+/** Ways to keep a customer's quota over a fleet: the one that is used, and others that it was weighed against. */
+
+import { QuotaAccounts, groupKey, groupOf } from '../../../src/core/customers/accounts';
+import type { QuotaBounds, QuotaMembers } from '../../../src/core/customers/quota';
+import type { Quota } from '../../../src/core/customers/types';
+import { isPresent } from '../../../src/core/membership/types';
+import type { QuotaNetwork, QuotaVm, QuotaWay } from './quotafleet';
+
+const ASK_LIMIT_MS = 150;
+const OWNERS_ASKED = 2;
+const SHUNNED_MS = 1500;
+const LOOK_MS = 250;
+
+function membersOf({ membership }: QuotaVm): QuotaMembers {
+  const { all } = membership;
+  return {
+    known: all.filter(({ state }) => state !== 'left').length,
+    present: new Set(all.filter(isPresent).map(({ vm }) => vm)),
+  };
+}
+
+/** The owner of the account is asked for each run. */
+export class OwnerAsked implements QuotaWay {
+  readonly #network: QuotaNetwork;
+
+  readonly #bounds: QuotaBounds;
+
+  readonly #accounts = new Map<QuotaVm, QuotaAccounts>();
+
+  readonly #shunned = new Map<QuotaVm, Map<QuotaVm, number>>();
+
+  readonly #owners = new Map<QuotaVm, QuotaVm>();
+
+  constructor(network: QuotaNetwork, bounds: QuotaBounds) {
+    this.#network = network;
+    this.#bounds = bounds;
+  }
+
+  ask(
+    vm: QuotaVm,
+    customer: string,
+    quota: Quota,
+    size: number,
+    done: (granted: boolean) => void,
+  ): void {
+    this.#askOne(vm, customer, quota, size, OWNERS_ASKED, done);
+  }
+
+  membersChanged(vm: QuotaVm): void {
+    const { now } = this.#network;
+    const group = groupOf('ada');
+    const [owner] = this.#ownersOf(vm, 'ada');
+    this.#accountsOf(vm).own(now, new Set(owner === vm ? [group] : []));
+    if (!owner || this.#owners.get(vm) === owner) return;
+    this.#owners.set(vm, owner);
+    this.#join(vm, owner, group);
+  }
+
+  /** Says by whom it goes, until that is answered. */
+  #join(vm: QuotaVm, owner: QuotaVm, group: number): void {
+    const network = this.#network;
+    if (owner === vm) {
+      this.#accountsOf(owner).join(network.now, group, vm.name);
+      return;
+    }
+    let open = true;
+    network.send(vm, owner, () => {
+      this.#accountsOf(owner).join(network.now, group, vm.name);
+      network.send(owner, vm, () => {
+        open = false;
+      });
+    });
+    network.later(vm, LOOK_MS, () => {
+      if (open && this.#owners.get(vm) === owner) this.#join(vm, owner, group);
+    });
+  }
+
+  resumed(vm: QuotaVm): void {
+    this.#accountsOf(vm).reset();
+    this.#owners.delete(vm);
+    this.membersChanged(vm);
+  }
+
+  #askOne(
+    vm: QuotaVm,
+    customer: string,
+    quota: Quota,
+    size: number,
+    tries: number,
+    done: (granted: boolean) => void,
+  ): void {
+    const network = this.#network;
+    const [owner] = this.#ownersOf(vm, customer);
+    if (!owner || owner === vm || tries === 0) {
+      done(this.#take(vm, vm, customer, quota, size));
+      return;
+    }
+    let open = true;
+    network.send(vm, owner, () => {
+      const granted = this.#take(owner, vm, customer, quota, size);
+      network.send(owner, vm, () => {
+        if (open) done(granted);
+        open = false;
+      });
+    });
+    network.later(vm, ASK_LIMIT_MS, () => {
+      if (!open) return;
+      open = false;
+      this.#shunnedBy(vm).set(owner, network.now + SHUNNED_MS);
+      this.#askOne(vm, customer, quota, size, tries - 1, done);
+    });
+  }
+
+  #take(owner: QuotaVm, vm: QuotaVm, customer: string, quota: Quota, size: number): boolean {
+    const { now } = this.#network;
+    const accounts = this.#accountsOf(owner);
+    return accounts.take(now, vm.name, customer, quota, membersOf(owner), size).granted;
+  }
+
+  #ownersOf(vm: QuotaVm, customer: string): readonly QuotaVm[] {
+    const { now } = this.#network;
+    const ranked = this.#network.ranked(vm, groupKey(groupOf(customer)));
+    const isShunned = (one: QuotaVm): boolean => (this.#shunnedBy(vm).get(one) ?? 0) > now;
+    return [...ranked.filter((one) => !isShunned(one)), ...ranked.filter(isShunned)];
+  }
+
+  #shunnedBy(vm: QuotaVm): Map<QuotaVm, number> {
+    const known = this.#shunned.get(vm) ?? new Map<QuotaVm, number>();
+    this.#shunned.set(vm, known);
+    return known;
+  }
+
+  #accountsOf(vm: QuotaVm): QuotaAccounts {
+    const known = this.#accounts.get(vm) ?? new QuotaAccounts(this.#bounds);
+    this.#accounts.set(vm, known);
+    return known;
+  }
+}
+
+/** Time of recent use for which a slice is drawn, and after which it lapses, in milliseconds. */
+const SLICE_MS = 500;
+const LAPSE_MS = 1000;
+
+/** VMs draw slices ahead from the owner by their recent use, and decide by themselves while one lasts. */
+export class Slices implements QuotaWay {
+  readonly #network: QuotaNetwork;
+
+  readonly #asked: OwnerAsked;
+
+  readonly #purses = new Map<
+    QuotaVm,
+    { left: number; until: number; usedAt: number; perMs: number }
+  >();
+
+  constructor(network: QuotaNetwork, bounds: QuotaBounds) {
+    this.#network = network;
+    this.#asked = new OwnerAsked(network, bounds);
+  }
+
+  ask(
+    vm: QuotaVm,
+    customer: string,
+    quota: Quota,
+    size: number,
+    done: (granted: boolean) => void,
+  ): void {
+    const { now } = this.#network;
+    const purse = this.#purses.get(vm) ?? { left: 0, until: 0, usedAt: now, perMs: 0 };
+    this.#purses.set(vm, purse);
+    const part = 1 - Math.exp(-(now - purse.usedAt) / LAPSE_MS);
+    purse.perMs += part * (size / Math.max(1, now - purse.usedAt) - purse.perMs);
+    purse.usedAt = now;
+    if (now < purse.until && purse.left >= size) {
+      purse.left -= size;
+      done(true);
+      return;
+    }
+    const slice = Math.max(size, purse.perMs * SLICE_MS);
+    this.#asked.ask(vm, customer, quota, slice, (granted) => {
+      if (granted) {
+        purse.left = slice - size;
+        purse.until = this.#network.now + LAPSE_MS;
+        done(true);
+      } else if (slice > size) this.#asked.ask(vm, customer, quota, size, done);
+      else done(false);
+    });
+  }
+
+  membersChanged(vm: QuotaVm): void {
+    this.#asked.membersChanged(vm);
+  }
+
+  resumed(vm: QuotaVm): void {
+    this.#asked.resumed(vm);
+  }
+}
+
+/** Period of telling three others what was used, in milliseconds. */
+const GOSSIP_MS = 300;
+const GOSSIP_FANOUT = 3;
+
+/** Each VM counts the whole quota by what it used itself and what it heard of others' use. */
+export class Gossiped implements QuotaWay {
+  readonly #network: QuotaNetwork;
+
+  /** Sum of what each VM used, as each VM heard it last. */
+  readonly #known = new Map<QuotaVm, Map<string, number>>();
+
+  readonly #levels = new Map<QuotaVm, { level: number; at: number; counted: number }>();
+
+  readonly #gossips = new Set<QuotaVm>();
+
+  constructor(network: QuotaNetwork) {
+    this.#network = network;
+  }
+
+  ask(
+    vm: QuotaVm,
+    _customer: string,
+    quota: Quota,
+    size: number,
+    done: (granted: boolean) => void,
+  ): void {
+    const { now } = this.#network;
+    const used = this.#usedBy(vm);
+    const state = this.#levels.get(vm) ?? { level: quota.burst, at: now, counted: 0 };
+    this.#levels.set(vm, state);
+    const sum = [...used.values()].reduce((all, one) => all + one, 0);
+    const refilled = state.level + ((now - state.at) * quota.ratePerS) / 1000;
+    state.level = Math.min(quota.burst, refilled - (sum - state.counted));
+    state.counted = sum;
+    state.at = now;
+    const granted = state.level >= size;
+    if (granted) used.set(vm.name, (used.get(vm.name) ?? 0) + size);
+    done(granted);
+    if (!this.#gossips.has(vm)) this.#gossip(vm);
+  }
+
+  #usedBy(vm: QuotaVm): Map<string, number> {
+    const known = this.#known.get(vm) ?? new Map<string, number>();
+    this.#known.set(vm, known);
+    return known;
+  }
+
+  #gossip(vm: QuotaVm): void {
+    this.#gossips.add(vm);
+    const { vms, random } = this.#network;
+    for (let i = 0; i < GOSSIP_FANOUT; i += 1) {
+      const other = vms[Math.floor(random() * vms.length)] as QuotaVm;
+      const told = [...this.#usedBy(vm)];
+      this.#network.send(vm, other, () => {
+        const known = this.#usedBy(other);
+        for (const [name, sum] of told) known.set(name, Math.max(sum, known.get(name) ?? 0));
+        if (!this.#gossips.has(other)) this.#gossip(other);
+      });
+    }
+    this.#network.later(vm, GOSSIP_MS, () => this.#gossip(vm));
+  }
+}
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -48,6 +48,11 @@
        },
        "peer": "10.1.0.38:7380",
        "peerKey": 64,
+       "quotas": {
+         "overage": 0,
+         "slack": 0,
+         "windowMs": 10000,
+       },
        "retries": {
          "extra": 56,
          "ratio": 0.2,
