Have readers ask for a proof in time, and others later

All 60 others then asked the store themselves, each at 2.35 s. The test fleet had watches end at once.

Change: a reader asks for the configuration once its proof is 1.4 s old, which brings it to all others with their probes; a VM that nobody tells asks at 3.3 s. The test fleet's watches wait. Ruled out: shorter watches, which cost calls where keys are not needed.

--- a/src/core/routing/freshness.ts
+++ b/src/core/routing/freshness.ts
@@ -22,6 +22,19 @@
  * written it again.
  */
 const RETURN_MS = 2500;
+/** Parts of the age to which a proof is good from which a VM asks the store itself: a reader, so that others have it in time, and one that nobody tells. */
+const READER_PART = 0.3;
+const ALONE_PART = 0.7;
+
+/**
+ * Age of its proof from which a VM asks the store itself, in milliseconds. A watch proves
+ * nothing while it waits, for seconds where little changes.
+ * @param goodMs age to which a proof is good
+ */
+export function proofDueMs(goodMs: number, isReader: boolean): number {
+  return goodMs * (isReader ? READER_PART : ALONE_PART);
+}
+
 /** Questions to other VMs that are kept in mind; each is answered soon or never. */
 const ASKED_MOST = 32;
 
--- a/src/node/router/gate.ts
+++ b/src/node/router/gate.ts
@@ -4,13 +4,12 @@
 import { identify, tooOld } from '../../core/customers/identity';
 import type { Customer } from '../../core/customers/types';
 import { Failure, toFailure } from '../../core/failure';
+import { proofDueMs } from '../../core/routing/freshness';
 import type { RouteTable } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 
-/** Part of the age to which keys count after which a VM asks for itself: it can ask several times before its callers notice. */
-const ASK_PART = 0.5;
 /** When a caller may come back whose key has changed hands on the way, in milliseconds. */
 const CHANGED_RETRY_MS = 100;
 
@@ -45,13 +44,11 @@
     return ageMs > this.#bounds().finalMs ? tooOld(ageMs, detail) : undefined;
   }
 
-  /**
-   * Whether this VM is to ask the store itself how old its configuration is: what others tell
-   * comes in time as a rule, so that its cost does not grow with the fleet.
-   */
-  wantsProof(now: number): boolean {
+  /** Whether this VM is to ask the store itself how old its configuration is. */
+  wantsProof(now: number, isReader: boolean): boolean {
     const { table, freshness } = this.#knowledge;
-    return table?.keyRing !== undefined && freshness.ageMs(now) > this.#bounds().keyMs * ASK_PART;
+    if (!table?.keyRing) return false;
+    return freshness.ageMs(now) > proofDueMs(this.#bounds().keyMs, isReader);
   }
 
   /** Whether keys can be relied on; always where none are needed. */
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -225,10 +225,10 @@
     log.info({ reading, readers: names }, 'Readers of the store changed.');
   }
 
-  /** Asks the store itself where neither it nor another VM told in time; ever less often while that fails. */
+  /** Asks the store itself where nobody told in time; ever less often while that fails. */
   #checkProof(now: number): void {
     const { feed, gate, metrics } = this.#context;
-    if (this.#reading || !gate.wantsProof(now)) {
+    if (!gate.wantsProof(now, this.#reading)) {
       this.#confirmWaitMs = CONFIRM_MS;
       return;
     }
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -12,7 +12,7 @@
 import type { Suspect } from '../../../src/core/quarantine/types';
 import type { RunnerFact } from '../../../src/core/routing/directory';
 import { RunnerDirectory } from '../../../src/core/routing/directory';
-import { Freshness } from '../../../src/core/routing/freshness';
+import { Freshness, proofDueMs } from '../../../src/core/routing/freshness';
 import type { Position } from '../../../src/core/routing/position';
 import { History } from '../../../src/core/routing/position';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
@@ -57,6 +57,8 @@
   /** When it may ask the store itself for a proof, and how long it waits after that. */
   confirmAt: number;
   confirmWaitMs: number;
+  /** Changes of the store that it has read. Default: none. */
+  seen: number | undefined;
   /** By how much its clock is ahead of time. */
   aheadMs: number;
 }
@@ -67,6 +69,9 @@
 const SUSPECT_MS = 800;
 const DUTY_MS = 250;
 const WATCH_PACE_MS = 700;
+const WATCH_MS = 2000;
+/** Period of looking whether a watch has something to tell. */
+const WATCH_LOOK_MS = 50;
 const CALL_LIMIT_MS = 1200;
 /** Limit of the call after one that failed. */
 const CHECK_LIMIT_MS = 600;
@@ -75,11 +80,11 @@
 const REWRITE_MS = 1200;
 const CONFIRM_MS = 500;
 const CONFIRM_LIMIT_MS = 4000;
-/** Age of a proof from which a VM asks for its own. */
-const CONFIRM_AGE_MS = 2350;
 const JOIN_PACE_MS = 500;
 const JOIN_ROUNDS = 8;
 const SEEDS = 3;
+/** Age to which keys count. */
+const KEY_MS = 4700;
 
 /** VMs and a store. */
 export class NewsFleet {
@@ -94,11 +99,17 @@
 
   #storeConfig = 1;
 
+  /** Changes of what the store holds; watches wait for them. */
+  #changes = 0;
+
   /** 0 until it comes back for the first time, as of a store that tells no era. */
   #storeEra = 0;
 
   #revision = 1;
 
+  /** Whether requests need keys, so that VMs ask how old their configuration is; heartbeats end no watch then. */
+  #keyed = false;
+
   /** VMs whose calls the store leaves without answer. */
   #refused: ((vm: number) => boolean) | undefined;
 
@@ -150,13 +161,20 @@
     this.#write(runner, changed);
   }
 
+  /** The configuration names customers, and watches wait until something changes. */
+  requireKeys(): void {
+    this.#keyed = true;
+  }
+
   configure(): number {
+    this.#changes += 1;
     this.#storeConfig += 1;
     return this.#storeConfig;
   }
 
   /** The store comes back from a copy that lacks some runners, which write again within a heartbeat. */
   comeBack(lost: readonly string[]): void {
+    this.#changes += 1;
     this.#storeEra += 1;
     this.#revision -= Math.floor(this.#revision / 2);
     const facts = lost.map((id) => this.#facts.get(id));
@@ -214,6 +232,7 @@
     this.#storeConfig -= 1;
     this.comeBack([]);
     this.#schedule.add(this.now + REWRITE_MS, () => {
+      this.#changes += 1;
       this.#storeConfig = Math.max(lost, this.#storeConfig);
     });
   }
@@ -300,6 +319,7 @@
   }
 
   #write(id: string, changed: boolean): void {
+    this.#changes += 1;
     this.#revision += 1;
     const before = this.#facts.get(id)?.runner;
     const leaving = before?.leaving === true || changed;
@@ -342,6 +362,7 @@
       frozen: false,
       confirmAt: 0,
       confirmWaitMs: CONFIRM_MS,
+      seen: undefined,
       aheadMs: 0,
     };
   }
@@ -407,7 +428,8 @@
   /** Asks the store itself where nobody told in time. */
   #checkProof(vm: Vm): void {
     const state = vm;
-    if (vm.reading || vm.freshness.ageMs(this.#clockOf(vm)) <= CONFIRM_AGE_MS) {
+    const dueMs = proofDueMs(KEY_MS, vm.reading);
+    if (!this.#keyed || vm.freshness.ageMs(this.#clockOf(vm)) <= dueMs) {
       state.confirmWaitMs = CONFIRM_MS;
       return;
     }
@@ -435,20 +457,31 @@
     if (this.#refused?.(vm.number)) {
       this.#later(vm, vm.failed === 1 ? CHECK_LIMIT_MS : CALL_LIMIT_MS, () => {
         this.#setFailed(vm, vm.failed + 1);
+        state.seen = undefined;
         this.#read(vm);
       });
       return;
     }
-    const askedAt = this.#clockOf(vm);
-    this.#later(vm, STORE_MS, () => {
+    const askedAt = this.now;
+    const proofFrom = this.#clockOf(vm);
+    this.#watch(vm, askedAt + WATCH_MS, () => {
       this.#setFailed(vm, 0);
       this.#readEra(vm);
       this.#learn(vm, this.#storeConfig, [...this.#facts.values()]);
-      vm.freshness.storeAnswered(askedAt);
-      this.#later(vm, WATCH_PACE_MS, () => this.#read(vm));
+      state.seen = this.#changes;
+      vm.freshness.storeAnswered(proofFrom);
+      const waitMs = Math.max(1, askedAt + WATCH_PACE_MS - this.now);
+      this.#later(vm, waitMs, () => this.#read(vm));
     });
   }
 
+  /** Answers once the store holds something new, or when the watch is over. */
+  #watch(vm: Vm, until: number, answer: () => void): void {
+    const isDue = !this.#keyed || vm.seen !== this.#changes || this.now >= until;
+    if (isDue) this.#later(vm, STORE_MS, answer);
+    else this.#later(vm, WATCH_LOOK_MS, () => this.#watch(vm, until, answer));
+  }
+
   /** Another era has the whole list read: runners that are missing are gone for now. */
   #readEra(vm: Vm): void {
     const start = { era: this.#storeEra, revision: this.#revision };
--- a/test/router/newsfleet.test.ts
+++ b/test/router/newsfleet.test.ts
@@ -75,6 +75,7 @@
     'is not the age of what a VM knows, nor what it costs to know that age: %d VMs',
     (size) => {
       const fleet = new NewsFleet(size, RUNNERS, 4);
+      fleet.requireKeys();
       fleet.run(6000);
       const start = fleet.cost.storeCalls;
       expect(fleet.oldestIn(5000)).toBeLessThan(KEY_MS);
--- a/test/router/revocation.test.ts
+++ b/test/router/revocation.test.ts
@@ -41,6 +41,7 @@
 
   constructor(seed: number) {
     this.#fleet = new NewsFleet(VMS, 6, seed);
+    this.#fleet.requireKeys();
     this.run(5000);
   }
 
@@ -142,6 +143,7 @@
    */
   test('does not make VMs that lost the others refuse keys while the store answers them', () => {
     const fleet = new NewsFleet(66, 6, 5);
+    fleet.requireKeys();
     fleet.run(9000);
     const readers = new Set(fleet.readers);
     const others = Array.from({ length: 66 }, (_, number) => number).filter(
