Keep shares of groups apart from the queue that goes by them

The planner of the users' platform is to share memory among customers as cells share slots among teams. The virtual times of groups move to core/fair.ts, whole; the fair queue of cells keeps its lanes and asks them. Tests of shares and cells as before.

--- a/src/core/cell/shares.ts
+++ b/src/core/cell/shares.ts
@@ -1,11 +1,6 @@
-/**
- * Weighted fair queue between groups, work-conserving.
- *
- * Each group has a virtual time that grows by cost / weight as its entries are
- * taken; the group with the least goes first. A group that was idle starts at the
- * present virtual time less a bounded credit: bursts of a group within its share
- * go before a group that floods, and nobody saves up a claim to starve others.
- */
+/** Weighted fair queue between groups, work-conserving. */
+
+import { FairShares } from '../fair';
 
 /** Read-only view of who waits. */
 export interface Waiting {
@@ -19,27 +14,17 @@
 
 /** Weight of the newest entry in the mean cost. */
 const MEAN_WEIGHT = 0.05;
-/** Groups remembered while they are idle. */
-const TAGS_LIMIT = 4096;
 
 interface Lane<T> {
   readonly name: string;
   readonly entries: T[];
-  /** Virtual time at which the next entry of this group starts. */
-  tag: number;
 }
 
 /** Entries in groups; one entry at a time is offered and then taken. */
 export class FairQueue<T> implements Waiting {
   readonly #lanes = new Map<string, Lane<T>>();
 
-  readonly #tags = new Map<string, number>();
-
-  readonly #weightOf: (group: string) => number;
-
-  readonly #credit: number;
-
-  #virtual = 0;
+  readonly #shares: FairShares;
 
   #size = 0;
 
@@ -50,8 +35,7 @@
    * @param credit cost that a group may catch up after it was idle or below its share
    */
   constructor(weightOf: (group: string) => number, credit: number) {
-    this.#weightOf = weightOf;
-    this.#credit = credit;
+    this.#shares = new FairShares(weightOf, credit);
   }
 
   get size(): number {
@@ -64,7 +48,7 @@
 
   ahead(group: string): number {
     const own = this.waitingOf(group);
-    const tag = this.#tagOf(group) + (own * this.#meanCost) / this.#weightOf(group);
+    const tag = this.#shares.tagOf(group) + this.#shares.stepOf(group, own * this.#meanCost);
     let count = own;
     for (const lane of this.#lanes.values()) {
       if (lane.name !== group) count += this.#startsBefore(lane, tag);
@@ -94,8 +78,7 @@
     if (!lane) return undefined;
     const entry = lane.entries.shift();
     this.#size -= 1;
-    this.#virtual = Math.max(this.#virtual, lane.tag);
-    lane.tag += cost / this.#weightOf(lane.name);
+    this.#shares.charge(lane.name, cost);
     this.#meanCost += MEAN_WEIGHT * (cost - this.#meanCost);
     this.#dropEmpty(lane);
     return entry;
@@ -127,50 +110,39 @@
     return true;
   }
 
-  /** Where the next entry of a group stands; a group that was away has at most its credit. */
-  #tagOf(group: string): number {
-    const lane = this.#lanes.get(group);
-    if (lane) return lane.tag;
-    return Math.max(
-      this.#tags.get(group) ?? -Infinity,
-      this.#virtual - this.#credit / this.#weightOf(group),
-    );
-  }
-
   /** Entries of a lane that start before a virtual time. */
-  #startsBefore({ name, tag, entries }: Lane<T>, time: number): number {
+  #startsBefore({ name, entries }: Lane<T>, time: number): number {
     if (this.#meanCost <= 0) return entries.length;
-    const started = Math.ceil(((time - tag) * this.#weightOf(name)) / this.#meanCost);
+    const step = this.#shares.stepOf(name, this.#meanCost);
+    const started = Math.ceil((time - this.#shares.tagOf(name)) / step);
     return Math.max(0, Math.min(entries.length, started));
   }
 
   #laneFor(group: string): Lane<T> {
     const existing = this.#lanes.get(group);
     if (existing) return existing;
-    const lane: Lane<T> = { name: group, entries: [], tag: this.#tagOf(group) };
+    const lane: Lane<T> = { name: group, entries: [] };
     this.#lanes.set(group, lane);
+    this.#shares.enter(group);
     return lane;
   }
 
   #next(): Lane<T> | undefined {
     let best: Lane<T> | undefined;
+    let least = Infinity;
     for (const lane of this.#lanes.values()) {
-      if (!best || lane.tag < best.tag) best = lane;
+      const tag = this.#shares.tagOf(lane.name);
+      if (!best || tag < least) {
+        best = lane;
+        least = tag;
+      }
     }
     return best;
   }
 
-  /** Keeps the tag of a group that emptied while it is ahead, so that leaving and coming back gains nothing. */
   #dropEmpty(lane: Lane<T>): void {
     if (lane.entries.length > 0) return;
     this.#lanes.delete(lane.name);
-    this.#tags.set(lane.name, lane.tag);
-    if (this.#tags.size > TAGS_LIMIT) this.#forgetOldTags();
-  }
-
-  #forgetOldTags(): void {
-    for (const [group, tag] of this.#tags) {
-      if (tag <= this.#virtual - this.#credit) this.#tags.delete(group);
-    }
+    this.#shares.leave(lane.name);
   }
 }
