--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -214,6 +214,7 @@
       knowledge: this.#knowledge,
       gate: this.#gate,
       codec: ports.ingress,
+      metrics: this.#metrics,
       log: logOf(log, 'front'),
       onRequest: (exchange) => this.#serve(exchange),
       onDone: (exchange, ms) => this.#done(exchange, ms),
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -15,6 +15,7 @@
 import { bootNow } from '../../utils/clock';
 import { listenOn, readBody } from '../../utils/http';
 import { LineBudget } from '../budget';
+import type { Metrics } from '../metrics';
 import { Exchange, sendRefusal } from './exchange';
 import type { Gate } from './gate';
 import type { Knowledge } from './knowledge';
@@ -25,6 +26,7 @@
   readonly knowledge: Knowledge;
   readonly gate: Gate;
   readonly codec: IngressCodec;
+  readonly metrics: Metrics;
   readonly log: Logger;
   readonly onRequest: (exchange: Exchange) => Promise<void>;
   readonly onDone: (exchange: Exchange, ms: number) => void;
@@ -138,9 +140,10 @@
     }
   }
 
-  /** One line each, unless there are too many: anybody can send wrong keys. */
+  /** Counts it, and writes one line unless there are too many: anybody can send wrong keys. */
   #logRefusal(now: number, request: string | undefined, { codeName, message }: Failure): void {
-    const { knowledge, log } = this.#context;
+    const { knowledge, metrics, log } = this.#context;
+    metrics.count(`refused.${codeName}`);
     if (!this.#lines.allows(now)) return;
     const { configVersion, freshness } = knowledge;
     const ageMs = Math.round(freshness.ageMs(bootNow()));
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -227,7 +227,8 @@
 
   /** Asks the store itself where nobody told in time; ever less often while that fails. */
   #checkProof(now: number): void {
-    const { feed, gate, metrics } = this.#context;
+    const { feed, gate, knowledge, metrics } = this.#context;
+    metrics.gauge('config.age_ms', knowledge.freshness.ageMs(now));
     if (!gate.wantsProof(now, this.#reading)) {
       this.#confirmWaitMs = CONFIRM_MS;
       return;
--- a/test/router/front.test.ts
+++ b/test/router/front.test.ts
@@ -6,6 +6,7 @@
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { Front } from '../../src/node/router/front';
 import { Knowledge } from '../../src/node/router/knowledge';
+import { RouterMetrics } from '../../src/node/router/metrics';
 import { silentListener } from '../fakes/listener';
 import { gateOf } from '../fakes/runs';
 import { PlatformIngress } from '../../src/platform/ingress';
@@ -59,6 +60,7 @@
     knowledge,
     gate: gateOf(knowledge),
     codec: new PlatformIngress(),
+    metrics: new RouterMetrics(),
     log,
     onRequest: async (exchange) => {
       seen.push(exchange.request.target);
