Say 404 at once where no keys are needed

Cause: a VM says 404 only where its configuration is known to be recent. Where no keys are needed nobody asks for its age, watches alone prove some two to four seconds, and every 404 became a 503 with a time to come back; callers came back. Change: that doubt is for configurations with customers; others are as they were. The first test failed before.

--- a/src/node/router/gate.ts
+++ b/src/node/router/gate.ts
@@ -38,10 +38,16 @@
     return identify(table, route, credential, ageMs, this.#bounds());
   }
 
-  /** Why this VM cannot say for good that something is not there: it may be news to it. Default: it can. */
+  /**
+   * Why this VM cannot say for good that something is not there: it may be news to it. Default:
+   * it can. Where no keys are needed, VMs do not ask how old their configuration is, and all
+   * that is not there would look as if it were news.
+   */
   doubt(now: number, detail: string): Failure | undefined {
-    const ageMs = this.#knowledge.freshness.ageMs(now);
-    return ageMs > this.#bounds().finalMs ? tooOld(ageMs, detail) : undefined;
+    const { table, freshness } = this.#knowledge;
+    const ageMs = freshness.ageMs(now);
+    const isNews = table?.keyRing !== undefined && ageMs > this.#bounds().finalMs;
+    return isNews ? tooOld(ageMs, detail) : undefined;
   }
 
   /** Whether this VM is to ask the store itself how old its configuration is. */
