Have VMs ask the readers for a proof, and have keys count again soon after an outage

Change: a reader asks the store every half second while its proof is too old, and any VM whose proof is over half of its time pings the readers of its failure domain, four times a second.

--- a/src/core/routing/freshness.ts
+++ b/src/core/routing/freshness.ts
@@ -22,17 +22,47 @@
  * written it again.
  */
 const RETURN_MS = 2500;
-/** Parts of the age to which a proof is good from which a VM asks the store itself: a reader, so that others have it in time, and one that nobody tells. */
-const READER_PART = 0.3;
-const ALONE_PART = 0.7;
-
 /**
- * Age of its proof from which a VM asks the store itself, in milliseconds. A watch proves
- * nothing while it waits, for seconds where little changes.
- * @param goodMs age to which a proof is good
+ * Parts of the age to which a proof is good: from the first a reader asks the store, since
+ * a watch proves nothing while it waits; from the second other VMs ask the readers of
+ * their failure domain, from the third the store itself.
  */
-export function proofDueMs(goodMs: number, isReader: boolean): number {
-  return goodMs * (isReader ? READER_PART : ALONE_PART);
+const READER_PART = 0.25;
+const ASK_PART = 0.5;
+const ALONE_PART = 0.7;
+
+/** Whom a VM is to ask how old its configuration is. */
+export type ProofSource = 'store' | 'readers' | 'nobody';
+
+/** @param goodMs age to which a proof is good, in milliseconds */
+export function proofSource(ageMs: number, goodMs: number, isReader: boolean): ProofSource {
+  if (ageMs > goodMs * (isReader ? READER_PART : ALONE_PART)) return 'store';
+  return ageMs > goodMs * ASK_PART ? 'readers' : 'nobody';
+}
+
+/** Waits between two questions to the store, in milliseconds: the first, doubled up to the limit; all VMs ask where the store is away for all, and readers bring the proof back to them. */
+const READER_WAIT_MS = { first: 250, limit: 500 };
+const ALONE_WAIT_MS = { first: 500, limit: 4000 };
+
+/** Paces the questions of one VM to the store. */
+export class ProofPace {
+  #at = -Infinity;
+
+  #waitMs = 0;
+
+  /** Whether the store may be asked now; counts as a question. */
+  asks(now: number, isReader: boolean): boolean {
+    if (now < this.#at) return false;
+    const { first, limit } = isReader ? READER_WAIT_MS : ALONE_WAIT_MS;
+    this.#waitMs = Math.min(limit, Math.max(first, this.#waitMs * 2));
+    this.#at = now + this.#waitMs;
+    return true;
+  }
+
+  /** The proof is young again. */
+  reset(): void {
+    this.#waitMs = 0;
+  }
 }
 
 /** Questions to other VMs that are kept in mind; each is answered soon or never. */
--- a/src/node/router/gate.ts
+++ b/src/node/router/gate.ts
@@ -4,7 +4,8 @@
 import { identify, tooOld } from '../../core/customers/identity';
 import type { Customer } from '../../core/customers/types';
 import { Failure, toFailure } from '../../core/failure';
-import { proofDueMs } from '../../core/routing/freshness';
+import type { ProofSource } from '../../core/routing/freshness';
+import { proofSource } from '../../core/routing/freshness';
 import type { RouteTable } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
 import type { Exchange } from './exchange';
@@ -50,11 +51,11 @@
     return isNews ? tooOld(ageMs, detail) : undefined;
   }
 
-  /** Whether this VM is to ask the store itself how old its configuration is. */
-  wantsProof(now: number, isReader: boolean): boolean {
+  /** Whom this VM is to ask how old its configuration is. */
+  proofSource(now: number, isReader: boolean): ProofSource {
     const { table, freshness } = this.#knowledge;
-    if (!table?.keyRing) return false;
-    return freshness.ageMs(now) > proofDueMs(this.#bounds().keyMs, isReader);
+    if (!table?.keyRing) return 'nobody';
+    return proofSource(freshness.ageMs(now), this.#bounds().keyMs, isReader);
   }
 
   /** Whether keys can be relied on; always where none are needed. */
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -11,6 +11,7 @@
 import type { Rumour } from '../../core/membership/types';
 import type { Suspect } from '../../core/quarantine/types';
 import { isPresent } from '../../core/membership/types';
+import { ProofPace } from '../../core/routing/freshness';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
 import { bootNow } from '../../utils/clock';
 import type { Metrics } from '../metrics';
@@ -48,9 +49,6 @@
 const JOIN_PACE_MS = 500;
 /** Time from its start for which a VM waits for another to tell what is in force before it reads the store, in milliseconds: three tries, and little of a start. */
 const TOLD_LIMIT_MS = 1500;
-/** Waits between two questions to the store for a proof, in milliseconds; doubled up to the limit, since all VMs ask where it is away for all. */
-const CONFIRM_MS = 500;
-const CONFIRM_LIMIT_MS = 4000;
 /** Failed calls one after the other after which the store counts as lost: one watch alone may be cut. */
 const LOST_CALLS = 2;
 /** Time after which a VM that read in place of another, and lost the store too, may be chosen again, in milliseconds. */
@@ -88,10 +86,7 @@
 
   #lostAt = -Infinity;
 
-  /** When the store may be asked again for a proof, in boot time. */
-  #confirmAt = -Infinity;
-
-  #confirmWaitMs = CONFIRM_MS;
+  readonly #proofPace = new ProofPace();
 
   /** Whether the members changed since the readers were worked out; that takes a hash for each VM of the failure domain. */
   #membersChanged = true;
@@ -225,17 +220,21 @@
     log.info({ reading, readers: names }, 'Readers of the store changed.');
   }
 
-  /** Asks the store itself where nobody told in time; ever less often while that fails. */
+  /**
+   * Asks how old the own configuration is before keys stop counting. Members tell with
+   * their probes, by turns; after an outage that took seconds, in which all keys were refused.
+   */
   #checkProof(now: number): void {
-    const { feed, gate, knowledge, metrics } = this.#context;
+    const { feed, fleet, gate, knowledge, metrics } = this.#context;
     metrics.gauge('config.age_ms', knowledge.freshness.ageMs(now));
-    if (!gate.wantsProof(now, this.#reading)) {
-      this.#confirmWaitMs = CONFIRM_MS;
+    const source = gate.proofSource(now, this.#reading);
+    if (source === 'nobody') {
+      this.#proofPace.reset();
       return;
     }
-    if (now < this.#confirmAt) return;
-    this.#confirmAt = now + this.#confirmWaitMs;
-    this.#confirmWaitMs = Math.min(CONFIRM_LIMIT_MS, this.#confirmWaitMs * 2);
+    const { chosen, deputies } = readersOf(fleet.self.domain, fleet.all);
+    fleet.contact([...chosen, ...deputies].map(({ address }) => address));
+    if (source !== 'store' || !this.#proofPace.asks(now, this.#reading)) return;
     metrics.count('proofs.asked');
     feed.confirm();
   }
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -5,14 +5,19 @@
  */
 
 import { Membership } from '../../../src/core/membership/membership';
-import { isIsolated, joinTargets, shouldRead } from '../../../src/core/membership/readers';
+import {
+  isIsolated,
+  joinTargets,
+  readersOf,
+  shouldRead,
+} from '../../../src/core/membership/readers';
 import type { MembershipAction, MembershipEvent, Rumour } from '../../../src/core/membership/types';
 import { isPresent } from '../../../src/core/membership/types';
 import { Quarantine } from '../../../src/core/quarantine/quarantine';
 import type { Suspect } from '../../../src/core/quarantine/types';
 import type { RunnerFact } from '../../../src/core/routing/directory';
 import { RunnerDirectory } from '../../../src/core/routing/directory';
-import { Freshness, proofDueMs } from '../../../src/core/routing/freshness';
+import { Freshness, ProofPace, proofSource } from '../../../src/core/routing/freshness';
 import type { Position } from '../../../src/core/routing/position';
 import { History } from '../../../src/core/routing/position';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
@@ -54,9 +59,7 @@
   chosen: boolean;
   dead: boolean;
   frozen: boolean;
-  /** When it may ask the store itself for a proof, and how long it waits after that. */
-  confirmAt: number;
-  confirmWaitMs: number;
+  readonly proofPace: ProofPace;
   /** Changes of the store that it has read. Default: none. */
   seen: number | undefined;
   /** By how much its clock is ahead of time. */
@@ -78,8 +81,6 @@
 const GATHER_MS = 20;
 /** Time in which runners write again what a copy of the store lacks. */
 const REWRITE_MS = 1200;
-const CONFIRM_MS = 500;
-const CONFIRM_LIMIT_MS = 4000;
 const JOIN_PACE_MS = 500;
 const JOIN_ROUNDS = 8;
 const SEEDS = 3;
@@ -360,8 +361,7 @@
       answered: 0,
       dead: false,
       frozen: false,
-      confirmAt: 0,
-      confirmWaitMs: CONFIRM_MS,
+      proofPace: new ProofPace(),
       seen: undefined,
       aheadMs: 0,
     };
@@ -425,17 +425,22 @@
     this.#read(vm);
   }
 
-  /** Asks the store itself where nobody told in time. */
   #checkProof(vm: Vm): void {
-    const state = vm;
-    const dueMs = proofDueMs(KEY_MS, vm.reading);
-    if (!this.#keyed || vm.freshness.ageMs(this.#clockOf(vm)) <= dueMs) {
-      state.confirmWaitMs = CONFIRM_MS;
+    const ageMs = vm.freshness.ageMs(this.#clockOf(vm));
+    const source = this.#keyed ? proofSource(ageMs, KEY_MS, vm.reading) : 'nobody';
+    if (source === 'nobody') {
+      vm.proofPace.reset();
       return;
     }
-    if (this.now < vm.confirmAt) return;
-    state.confirmAt = this.now + vm.confirmWaitMs;
-    state.confirmWaitMs = Math.min(CONFIRM_LIMIT_MS, vm.confirmWaitMs * 2);
+    const { self, all } = vm.membership;
+    const { chosen, deputies } = readersOf(self.domain, all);
+    const readers = [...chosen, ...deputies].filter(({ address }) => address !== self.address);
+    this.#tell(vm, { kind: 'contact', addresses: readers.map(({ address }) => address) });
+    if (source === 'store' && vm.proofPace.asks(this.now, vm.reading)) this.#confirm(vm);
+  }
+
+  /** Asks the store for the configuration in force. */
+  #confirm(vm: Vm): void {
     this.#storeCalls += 1;
     const askedAt = this.#clockOf(vm);
     if (this.#refused?.(vm.number)) return;
--- a/test/router/newsfleet.test.ts
+++ b/test/router/newsfleet.test.ts
@@ -89,6 +89,26 @@
     120_000,
   );
 
+  /*
+   * The store is away for all VMs for so long that none may rely on its keys any more.
+   * Once it is back, each second in which VMs still refuse keys is lost for all callers.
+   */
+  test.each([30, 200, 800])(
+    'is not the time until keys count again after an outage: %d VMs',
+    (size) => {
+      const fleet = new NewsFleet(size, RUNNERS, 5);
+      fleet.requireKeys();
+      fleet.run(6000);
+      fleet.refuse(() => true);
+      fleet.run(6000);
+      expect(fleet.servedBy(KEY_MS)).toHaveLength(0);
+      fleet.refuse(() => false);
+      fleet.run(1000);
+      expect(fleet.servedBy(KEY_MS)).toHaveLength(size);
+    },
+    120_000,
+  );
+
   /*
    * A failure domain of 1,460 runners is lost at once, and each leaves two requests that
    * it had just begun. What VMs tell each other of these stays within what they may spend.
