--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -8,6 +8,7 @@
 import { RouterMetrics } from '../../src/node/router/metrics';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineDesk } from '../../src/node/router/quarantine';
+import type { QuotaDesk } from '../../src/node/router/quotas';
 import { Runs } from '../../src/node/router/runs';
 import { silentListener } from './listener';
 
@@ -26,6 +27,9 @@
   });
 }
 
+/** Quotas of customers who may use any amount. */
+export const noQuotas: Pick<QuotaDesk, 'cover'> = { cover: async () => undefined };
+
 /** A gate of a VM that goes by what it knows, however old that is. */
 export function gateOf(knowledge = new Knowledge(new History(), log, silentListener)): Gate {
   return new Gate(knowledge, () => ({ keyMs: Infinity, finalMs: Infinity }));
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -6,7 +6,7 @@
 import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { quarantineOf, runsOf } from '../fakes/runs';
+import { noQuotas, quarantineOf, runsOf } from '../fakes/runs';
 
 const engine: Engine = {
   slots: 64,
@@ -50,6 +50,7 @@
         note: () => {},
       },
       runs: runsOf(),
+      quotas: noQuotas,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -87,6 +88,7 @@
         note: () => {},
       },
       runs: runsOf(),
+      quotas: noQuotas,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -103,6 +105,7 @@
   test('is due by its aim, whatever its caller will wait', async () => {
     const asked: OwnDemand[] = [];
     const context = {
+      quotas: noQuotas,
       places: {
         ask: async (_service: string, demand: OwnDemand) => {
           asked.push(demand);
@@ -141,6 +144,7 @@
       },
       places: { ask: async () => ({ decode: `d${sent.length + 1}` }), note: () => {} },
       runs: runsOf(quarantine),
+      quotas: noQuotas,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     await new ModelCaller(context).run(exchange, engine);
@@ -174,6 +178,7 @@
         note: () => {},
       },
       runs: runsOf(),
+      quotas: noQuotas,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     await new ModelCaller(context).run(exchange, engine);
