Log which events a run sent of a stream, with which status, and how its end was told

A stream that looks complete and is not had the log lines of one that was served: three causes could not be told apart. Broken runs and those that continue a stream or end within an event now say their status, framing, the event after which they were to begin, first and last event and torn bytes.

--- a/src/node/router/splitter.ts
+++ b/src/core/stream/splitter.ts
@@ -7,11 +7,18 @@
 export class EventSplitter {
   #rest: Buffer = Buffer.alloc(0);
 
+  #firstId: string | undefined;
+
   #lastId: string | undefined;
 
   /** Events seen so far. */
   events = 0;
 
+  /** Id of the first whole event of this run. */
+  get firstId(): string | undefined {
+    return this.#firstId;
+  }
+
   /** Id of the last whole event. */
   get lastId(): string | undefined {
     return this.#lastId;
@@ -39,13 +46,17 @@
   /** Begins a new run that goes on after the last whole event; a torn one is sent again from its start. */
   restart(): void {
     this.#rest = Buffer.alloc(0);
+    this.#firstId = undefined;
   }
 
   #read(text: string): void {
     for (const event of text.split('\n\n')) {
       if (event !== '') this.events += 1;
       const id = ID_FIELD.exec(event)?.[1];
-      if (id !== undefined) this.#lastId = id;
+      if (id !== undefined) {
+        this.#firstId ??= id;
+        this.#lastId = id;
+      }
     }
   }
 }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -3,6 +3,7 @@
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
 import type { Engine, Runner } from '../../core/routing/types';
+import type { EventSplitter } from '../../core/stream/splitter';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { Places } from './places';
@@ -10,7 +11,7 @@
 import type { Progress } from './progress';
 import { demandOf, mayGoOn, newProgress, refusal, timeUp, verdictOf } from './progress';
 import type { QuotaDesk } from './quotas';
-import type { Run, Runs } from './runs';
+import type { Run, Runs, StreamPart } from './runs';
 import type { CacheHandle, Reply, RunnerClient } from './types';
 
 /** What model requests work with. */
@@ -283,6 +284,7 @@
     const pace = new Pace(exchange.route.gapMs);
     let started = false;
     let whole = false;
+    const afterEvent = splitter.lastId;
     splitter.restart();
     try {
       for await (const chunk of reply.body) {
@@ -302,11 +304,12 @@
     } catch {
       // The connection ended before the answer did.
     }
+    const part = partOf(reply, afterEvent, splitter);
     if (!whole) {
-      run.broke(performance.now());
+      run.broke(performance.now(), part);
       return 'broken';
     }
-    run.completed(performance.now());
+    run.completed(performance.now(), part);
     const failed = reply.status >= SERVER_ERROR;
     if (failed && mayGoOn(exchange, progress)) return 'broken';
     begin(exchange, reply);
@@ -342,6 +345,15 @@
   return runners.find((runner) => runner.id === id);
 }
 
+function partOf(
+  { status, framing }: Reply,
+  afterEvent: string | undefined,
+  { firstId: firstEvent, lastId, rest }: EventSplitter,
+): StreamPart {
+  const lastEvent = firstEvent === undefined ? undefined : lastId;
+  return { status, framing, afterEvent, firstEvent, lastEvent, tornBytes: rest.length };
+}
+
 function begin(exchange: Exchange, { status, headers }: Reply): void {
   if (!exchange.headSent) exchange.head(status, headers);
 }
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -3,7 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { Exchange } from './exchange';
 import type { OwnDemand } from './plans';
-import { EventSplitter } from './splitter';
+import { EventSplitter } from '../../core/stream/splitter';
 
 /** Size assumed of a request that tells none, in tokens. */
 const PROMPT_TOKENS = 1000;
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -13,6 +13,19 @@
 import type { Exchange } from './exchange';
 import type { Gate } from './gate';
 import type { QuarantineDesk } from './quarantine';
+import type { Framing } from './types';
+
+/** What a run sent of a stream. */
+export interface StreamPart {
+  readonly status: number;
+  readonly framing: Framing;
+  /** Id of the event after which the run was to continue. Default: it began the stream. */
+  readonly afterEvent: string | undefined;
+  readonly firstEvent: string | undefined;
+  readonly lastEvent: string | undefined;
+  /** Bytes after the last whole event. */
+  readonly tornBytes: number;
+}
 
 /** What runs work with. */
 export interface RunsContext {
@@ -53,26 +66,24 @@
   }
 
   /** Its answer came whole, whatever it says: the runner outlived it. */
-  completed(now: number): void {
+  completed(now: number, part?: StreamPart): void {
     this.#context.quarantine.completed(now, this.#exchange.fingerprint);
+    const isPlain = part?.afterEvent === undefined && !part?.tornBytes;
+    if (part && !isPlain) this.#context.log.info(this.#lineOf(part), 'A run completed a stream.');
   }
 
   /** Its connection ended before its answer did. Nothing is held against either if the caller left or its time was up. */
-  broke(now: number): void {
-    const { request, service, fingerprint, signal } = this.#exchange;
+  broke(now: number, part?: StreamPart): void {
+    const { fingerprint, signal } = this.#exchange;
     if (signal.aborted) return;
     const { quarantine, metrics, log } = this.#context;
-    const { id: runner, role } = this.#runner;
+    const { id: runner } = this.#runner;
     const answeredAt = this.#answeredAt;
     const ends = isTelling(now, answeredAt) ? quarantine.ended(now, fingerprint, runner) : 0;
     metrics.count('runs.broken');
     log.info(
       {
-        request: request.id,
-        fingerprint,
-        service,
-        runner,
-        role,
+        ...this.#lineOf(part),
         sentMs: Math.round(now - this.#sentAt),
         ...(answeredAt === undefined ? {} : { answeredMs: Math.round(now - answeredAt) }),
         ends,
@@ -80,6 +91,12 @@
       'A run broke off.',
     );
   }
+
+  #lineOf(part: StreamPart | undefined): Readonly<Record<string, unknown>> {
+    const { request, fingerprint, service } = this.#exchange;
+    const { id: runner, role } = this.#runner;
+    return { request: request.id, fingerprint, service, runner, role, ...part };
+  }
 }
 
 /** All runs of this VM. */
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -92,9 +92,13 @@
   readonly afterEvent: string | undefined;
 }
 
+/** What tells the end of an answer: its length, its last chunk, or the close of its connection. */
+export type Framing = 'length' | 'chunked' | 'close';
+
 /** A runner's answer, once its header is there. */
 export interface Reply {
   readonly status: number;
+  readonly framing: Framing;
   /** Names and values by turns, without those that concern one connection. */
   readonly headers: readonly string[];
   /** Whether it is the runner's answer to this very request. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -12,6 +12,7 @@
   CacheHandle,
   DecodeDispatch,
   Dispatch,
+  Framing,
   OrderOutcome,
   Reply,
   RunnerClient,
@@ -241,6 +242,11 @@
   req.on('close', () => clearTimeout(timer));
 }
 
+function framingOf(headers: IncomingMessage['headers']): Framing {
+  if (headers['transfer-encoding'] !== undefined) return 'chunked';
+  return headers['content-length'] === undefined ? 'close' : 'length';
+}
+
 /** An answer counts as the runner's if it names this request, is signed and not encoded on the way. */
 function toReply({ request }: Dispatch, message: IncomingMessage): Reply {
   const { headers } = message;
@@ -252,6 +258,7 @@
     headers['content-encoding'] === undefined;
   return {
     status,
+    framing: framingOf(headers),
     headers: forwardable(message.rawHeaders, headers.connection, none),
     genuine,
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED,
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -45,6 +45,7 @@
   const misdirected = status === 421;
   return {
     status,
+    framing: 'chunked',
     headers: [],
     genuine: !misdirected,
     notRun: misdirected,
--- a/test/router/splitter.test.ts
+++ b/test/router/splitter.test.ts
@@ -1,4 +1,4 @@
-import { EventSplitter } from '../../src/node/router/splitter';
+import { EventSplitter } from '../../src/core/stream/splitter';
 
 const event = (id: number): string => `id: ${id}\ndata: token ${id}\n\n`;
 
