Reproduce a stream that is framed as complete although the run that continued it failed

A caller gets 200 and events, its runner crashes, the request goes on at another one, and that one answers 500, 404 or 204: the answer is ended as if it were whole.

--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -6,7 +6,7 @@
 
 import type { Route } from '../../src/core/routing/types';
 import { Exchange } from '../../src/node/router/exchange';
-import type { CallRequest, IngressCodec, Reply } from '../../src/node/router/types';
+import type { CallRequest, Framing, IngressCodec, Reply } from '../../src/node/router/types';
 
 /** A route of streams that may not be resumed. */
 export const streamRoute: Route = {
@@ -40,12 +40,12 @@
 };
 
 /** An answer that is whole. */
-export function replyOf(status: number, text: string): Reply {
+export function replyOf(status: number, text: string, framing: Framing = 'chunked'): Reply {
   const body = Object.assign(Readable.from([Buffer.from(text)]), { complete: true });
   const misdirected = status === 421;
   return {
     status,
-    framing: 'chunked',
+    framing,
     headers: [],
     genuine: !misdirected,
     notRun: misdirected,
@@ -54,6 +54,19 @@
   };
 }
 
+/** An answer whose connection breaks after a text. */
+export function brokenReplyOf(status: number, text: string): Reply {
+  async function* chunks(): AsyncGenerator<Buffer> {
+    yield Buffer.from(text);
+    throw new Error('aborted');
+  }
+  const body = Object.assign(Readable.from(chunks()), { complete: false });
+  return { ...replyOf(status, text), body: body as unknown as Reply['body'] };
+}
+
+/** What `exchangeInto` notes when the answer is cut off. */
+export const CUT = 'cut';
+
 /** An exchange whose answer is written to `out`. */
 export function exchangeInto(
   out: string[],
@@ -76,6 +89,10 @@
       if (chunk && chunk.length > 0) out.push(chunk.toString());
       events.emit('close');
     },
+    destroy() {
+      out.push(CUT);
+      events.emit('close');
+    },
   });
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
   const now = performance.now();
--- /dev/null
+++ b/test/router/streams.test.ts
@@ -0,0 +1,101 @@
+import type { Engine, Route } from '../../src/core/routing/types';
+import type { ModelContext } from '../../src/node/router/model';
+import { ModelCaller } from '../../src/node/router/model';
+import type { DecodeDispatch, Reply } from '../../src/node/router/types';
+import {
+  CUT,
+  brokenReplyOf,
+  exchangeInto,
+  promptRequest,
+  replyOf,
+  streamRoute,
+} from '../fakes/exchange';
+import { runnerOf as runner } from '../fakes/runner';
+import { noQuotas, runsOf } from '../fakes/runs';
+
+const engine: Engine = {
+  slots: 64,
+  memoryTokens: 65_000,
+  eventTokens: 7,
+  keepMs: 500,
+  switchMs: undefined,
+};
+
+const resumable: Route = { ...streamRoute, attempts: 2, resumable: true };
+
+/** Events with the ids from `first` to `last`. */
+function eventsOf(first: number, last: number): string {
+  const ids = Array.from({ length: last - first + 1 }, (_, index) => first + index);
+  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
+}
+
+/** What the caller gets, and which runners were asked to continue after which event. */
+interface Stream {
+  readonly out: readonly string[];
+  readonly sent: readonly string[];
+}
+
+/** Sends a request to decode runners that give these answers in turn. */
+async function streamOf(replies: readonly Reply[], route = resumable): Promise<Stream> {
+  const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
+  const sent: string[] = [];
+  const context = {
+    knowledge: { runnersOf: () => runners },
+    runners: {
+      decode: async ({ runner: { id }, afterEvent }: DecodeDispatch) => {
+        sent.push(`${id} after ${afterEvent ?? 'none'}`);
+        return replies[sent.length - 1];
+      },
+    },
+    places: { ask: async () => ({ decode: `d${sent.length + 1}` }), note: () => {} },
+    runs: runsOf(),
+    quotas: noQuotas,
+    mayRepeat: () => true,
+  } as unknown as ModelContext;
+  const out: string[] = [];
+  await new ModelCaller(context).run(exchangeInto(out, promptRequest, route), engine);
+  return { out, sent };
+}
+
+describe('a stream that continues at another runner', () => {
+  test('is whole once a run with the same status ends whole', async () => {
+    const replies = [
+      brokenReplyOf(200, `${eventsOf(1, 2)}id: 3\nda`),
+      replyOf(200, eventsOf(3, 4)),
+    ];
+    expect(await streamOf(replies)).toMatchInlineSnapshot(`
+     {
+       "out": [
+         "200",
+         "id: 1
+     data: token 1
+
+     id: 2
+     data: token 2
+
+     ",
+         "id: 3
+     data: token 3
+
+     id: 4
+     data: token 4
+
+     ",
+       ],
+       "sent": [
+         "d1 after none",
+         "d2 after 2",
+       ],
+     }
+    `);
+  });
+
+  // Guards against a stream that is framed as complete although the run that continued it failed.
+  test('is cut when that runner answers with another status', async () => {
+    const streams = [500, 404, 204].map((status) =>
+      streamOf([brokenReplyOf(200, eventsOf(1, 2)), replyOf(status, '')]),
+    );
+    const outs = (await Promise.all(streams)).map(({ out }) => out);
+    expect(outs).toEqual(Array(3).fill(['200', eventsOf(1, 2), CUT]));
+  });
+});
