Complete a stream only when the run that ends it has the caller's status

What callers saw: 200, events, and an end framed as complete although the last events were missing.

Cause: a stream can be made of several runs, and the end of the last run's answer was taken for the end of the stream. A runner that was to continue it answered 500, whole and empty; no other runner was left, so its end was passed on under the head of the first runner.

Change: AnswerStream keeps the stream apart from its runs; a run with another status than the stream's leaves it incomplete, so that another runner may continue it, or the connection is cut. The relay is a module of its own. Answers without events are read whole first and passed on only if nothing went before.

Why it works: the caller's status is fixed by the first event that was passed on, and only a run with that status reaches the end of the answer.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -3,16 +3,16 @@
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
 import type { Engine, Runner } from '../../core/routing/types';
-import type { EventSplitter } from '../../core/stream/splitter';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
 import type { Places } from './places';
-import { Pace } from './pace';
 import type { Progress } from './progress';
 import { demandOf, mayGoOn, newProgress, refusal, timeUp, verdictOf } from './progress';
 import type { QuotaDesk } from './quotas';
-import type { Run, Runs, StreamPart } from './runs';
-import type { CacheHandle, Reply, RunnerClient } from './types';
+import type { Answer, RelayOutcome } from './relay';
+import { Relay } from './relay';
+import type { Runs } from './runs';
+import type { CacheHandle, RunnerClient } from './types';
 
 /** What model requests work with. */
 export interface ModelContext {
@@ -29,21 +29,14 @@
 const PREFILL_LIMIT_MS = 900;
 /** Prefills of one request; only the first is free of the retry budget. */
 const PREFILL_TRIES = 3;
-const SERVER_ERROR = 500;
 
 /** A prompt that lies at a prefill runner, and the time it took to read. */
 interface KeptPrompt extends CacheHandle {
   readonly ms: number;
 }
 
-/** An answer that has begun, and the run that gives it. */
-interface Answer {
-  readonly reply: Reply;
-  readonly run: Run;
-}
-
-/** Outcome of one send to a decode runner; `failed` if the runner's own failure was passed on. */
-type Outcome = 'done' | 'failed' | 'rejected' | 'broken' | 'unreachable';
+/** Outcome of one send to a decode runner. */
+type Outcome = RelayOutcome | 'rejected' | 'unreachable';
 
 /** Drives model requests. */
 export class ModelCaller {
@@ -219,7 +212,15 @@
       }
     }
     if (typeof answer === 'string') return answer;
-    return this.#relay(exchange, engine, progress, id, answer);
+    const { places } = this.#context;
+    const relay = new Relay({
+      exchange,
+      engine,
+      stream: progress.stream,
+      mayGoOn: () => mayGoOn(exchange, progress),
+      onNote: (note) => places.note(service, { id, ...note }),
+    });
+    return relay.pass(answer);
   }
 
   async #send(
@@ -232,7 +233,7 @@
     const now = performance.now();
     const run = this.#context.runs.begin(now, exchange, runner);
     const deadlineMs = exchange.leftMs(now);
-    const afterEvent = progress.splitter.lastId;
+    const afterEvent = progress.stream.lastId;
     try {
       const reply = await this.#context.runners.decode({
         runner,
@@ -266,60 +267,6 @@
     }
   }
 
-  /** Passes whole events on, so that a stream can go on elsewhere after a break in the middle of one. */
-  async #relay(
-    exchange: Exchange,
-    engine: Engine,
-    progress: Progress,
-    id: string,
-    { reply, run }: Answer,
-  ): Promise<Outcome> {
-    const { places } = this.#context;
-    const { splitter } = progress;
-    const { service } = exchange;
-    if (!reply.genuine) {
-      reply.body.destroy();
-      return 'broken';
-    }
-    const pace = new Pace(exchange.route.gapMs);
-    let started = false;
-    let whole = false;
-    const afterEvent = splitter.lastId;
-    splitter.restart();
-    try {
-      for await (const chunk of reply.body) {
-        const events = splitter.push(chunk as Buffer);
-        if (events.length > 0) {
-          if (!started) places.note(service, { id, kind: 'started' });
-          started = true;
-          run.answered(performance.now());
-          if (pace.next(performance.now(), splitter.events)) {
-            places.note(service, { id, kind: 'slow' });
-          }
-          begin(exchange, reply);
-          await exchange.write(events);
-        }
-      }
-      whole = reply.body.complete;
-    } catch {
-      // The connection ended before the answer did.
-    }
-    const part = partOf(reply, afterEvent, splitter);
-    if (!whole) {
-      run.broke(performance.now(), part);
-      return 'broken';
-    }
-    run.completed(performance.now(), part);
-    const failed = reply.status >= SERVER_ERROR;
-    if (failed && mayGoOn(exchange, progress)) return 'broken';
-    begin(exchange, reply);
-    exchange.end(splitter.rest);
-    if (failed) return 'failed';
-    const outputTokens = splitter.events * engine.eventTokens;
-    places.note(service, { id, kind: 'finished', outputTokens });
-    return 'done';
-  }
-
   /** Whether the request may go to another decode runner. */
   #afterDecode(
     exchange: Exchange,
@@ -344,16 +291,3 @@
 function find(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
-
-function partOf(
-  { status, framing }: Reply,
-  afterEvent: string | undefined,
-  { firstId: firstEvent, lastId, rest }: EventSplitter,
-): StreamPart {
-  const lastEvent = firstEvent === undefined ? undefined : lastId;
-  return { status, framing, afterEvent, firstEvent, lastEvent, tornBytes: rest.length };
-}
-
-function begin(exchange: Exchange, { status, headers }: Reply): void {
-  if (!exchange.headSent) exchange.head(status, headers);
-}
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -3,7 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { Exchange } from './exchange';
 import type { OwnDemand } from './plans';
-import { EventSplitter } from '../../core/stream/splitter';
+import { AnswerStream } from '../../core/stream/answer';
 
 /** Size assumed of a request that tells none, in tokens. */
 const PROMPT_TOKENS = 1000;
@@ -13,7 +13,7 @@
 
 /** State of one request across its attempts. */
 export interface Progress {
-  readonly splitter: EventSplitter;
+  readonly stream: AnswerStream;
   /** Decode runners that it was sent to. */
   readonly sentTo: Set<string>;
   readonly avoid: string[];
@@ -26,7 +26,7 @@
 /** State of a request that has just come in. */
 export function newProgress(): Progress {
   return {
-    splitter: new EventSplitter(),
+    stream: new AnswerStream(),
     sentTo: new Set(),
     avoid: [],
     prefills: 0,
@@ -39,7 +39,7 @@
 export function demandOf(exchange: Exchange, progress: Progress): OwnDemand {
   const { request, route, arrivedAt } = exchange;
   const { usage } = request;
-  const resuming = progress.splitter.events > 0;
+  const resuming = progress.stream.events > 0;
   progress.places += 1;
   const patience = resuming ? performance.now() : arrivedAt;
   return {
--- /dev/null
+++ b/src/node/router/relay.ts
@@ -0,0 +1,130 @@
+/** Passes the answers of a request's runs on to its caller, as one stream. */
+
+import type { Engine } from '../../core/routing/types';
+import type { AnswerStream } from '../../core/stream/answer';
+import { readBody } from '../../utils/http';
+import type { Exchange } from './exchange';
+import { Pace } from './pace';
+import type { Run, StreamPart } from './runs';
+import type { Reply } from './types';
+
+/** Largest answer without events that is passed on, in bytes. */
+const ANSWER_BYTES = 4 * 1024 * 1024;
+const SUCCESS_BEGIN = 200;
+const SUCCESS_END = 300;
+const SERVER_ERROR = 500;
+
+/** An answer that has begun, and the run that gives it. */
+export interface Answer {
+  readonly reply: Reply;
+  readonly run: Run;
+}
+
+/** How far a run has come. */
+export type RelayNote =
+  | { readonly kind: 'started' }
+  | { readonly kind: 'slow' }
+  | { readonly kind: 'finished'; readonly outputTokens: number };
+
+/** `failed` if the runner's own failure was passed on; after `broken` the stream is incomplete. */
+export type RelayOutcome = 'done' | 'failed' | 'broken';
+
+/** Whose answer it is, and who hears of its progress. */
+export interface RelayContext {
+  readonly exchange: Exchange;
+  readonly engine: Engine;
+  readonly stream: AnswerStream;
+  /** Whether another run may follow one that failed. */
+  readonly mayGoOn: () => boolean;
+  readonly onNote: (note: RelayNote) => void;
+}
+
+/** Passes on what runners answer to one request. */
+export class Relay {
+  readonly #context: RelayContext;
+
+  constructor(context: RelayContext) {
+    this.#context = context;
+  }
+
+  async pass(answer: Answer): Promise<RelayOutcome> {
+    const { reply } = answer;
+    if (!reply.genuine) {
+      reply.body.destroy();
+      return 'broken';
+    }
+    const { stream } = this.#context;
+    const afterEvent = stream.lastId;
+    const fault = stream.begin(reply.status);
+    if (fault || !isSuccess(reply)) return this.#passWhole(answer, afterEvent);
+    return this.#passEvents(answer, afterEvent);
+  }
+
+  /** An answer that is no part of a stream: it is the caller's only if there was none before. */
+  async #passWhole({ reply, run }: Answer, afterEvent: string | undefined): Promise<RelayOutcome> {
+    const { exchange, stream, mayGoOn } = this.#context;
+    const body = await readBody(reply.body, ANSWER_BYTES).catch(() => undefined);
+    const part = partOf(reply, afterEvent, stream);
+    if (!body || !reply.body.complete) {
+      run.broke(performance.now(), part);
+      return 'broken';
+    }
+    run.completed(performance.now(), part);
+    const failed = reply.status >= SERVER_ERROR;
+    if (exchange.headSent || (failed && mayGoOn())) return 'broken';
+    begin(exchange, reply);
+    exchange.end(body);
+    return failed ? 'failed' : 'done';
+  }
+
+  /** Only whole events are passed on, so that the stream can continue after a break in the middle of one. */
+  async #passEvents({ reply, run }: Answer, afterEvent: string | undefined): Promise<RelayOutcome> {
+    const { exchange, engine, stream, onNote } = this.#context;
+    const pace = new Pace(exchange.route.gapMs);
+    let started = false;
+    let arrived = false;
+    try {
+      for await (const chunk of reply.body) {
+        const events = stream.push(chunk as Buffer);
+        if (events.length > 0) {
+          if (!started) onNote({ kind: 'started' });
+          started = true;
+          run.answered(performance.now());
+          if (pace.next(performance.now(), stream.events)) onNote({ kind: 'slow' });
+          begin(exchange, reply);
+          await exchange.write(events);
+        }
+      }
+      arrived = reply.body.complete;
+    } catch {
+      // The connection ended before the answer did.
+    }
+    const part = partOf(reply, afterEvent, stream);
+    if (stream.end(arrived)) {
+      run.broke(performance.now(), part);
+      return 'broken';
+    }
+    run.completed(performance.now(), part);
+    begin(exchange, reply);
+    exchange.end(stream.rest);
+    onNote({ kind: 'finished', outputTokens: stream.events * engine.eventTokens });
+    return 'done';
+  }
+}
+
+function isSuccess({ status }: Reply): boolean {
+  return status >= SUCCESS_BEGIN && status < SUCCESS_END;
+}
+
+function begin(exchange: Exchange, { status, headers }: Reply): void {
+  if (!exchange.headSent) exchange.head(status, headers);
+}
+
+function partOf(
+  { status, framing }: Reply,
+  afterEvent: string | undefined,
+  { firstId: firstEvent, lastId, rest }: AnswerStream,
+): StreamPart {
+  const lastEvent = firstEvent === undefined ? undefined : lastId;
+  return { status, framing, afterEvent, firstEvent, lastEvent, tornBytes: rest.length };
+}
