Test that a failed answer's body is not passed on as events

A 500 whose body holds blank lines was passed on as events before the request went to another runner: the caller got status 500 with the events of the other runner.

--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -99,3 +99,17 @@
     expect(outs).toEqual(Array(3).fill(['200', eventsOf(1, 2), CUT]));
   });
 });
+
+describe('a runner that answers with a failure', () => {
+  // Guards against the failure's body going out as events before the request is sent to another runner.
+  test('is passed over for another one, whatever its body holds', async () => {
+    const replies = [replyOf(500, 'out of memory\n\nat step 3\n\n'), replyOf(200, eventsOf(1, 1))];
+    expect((await streamOf(replies)).out).toEqual(['200', eventsOf(1, 1)]);
+  });
+
+  test('has its answer passed on whole if no other is left', async () => {
+    const body = 'out of memory\n\nat step 3';
+    const { out } = await streamOf([replyOf(500, body)], streamRoute);
+    expect(out.join(' ')).toBe(`500 ${body}`);
+  });
+});
