Pass on only events that follow those the caller has

What callers could see: events twice, or with ids that go back, when a runner that was to continue a stream began it anew; an event missing when it began too late.

Cause: the same class as a failed continuation: a run was taken for the part of the stream that was asked for because it came from the runner that was asked. Ids passed unchecked. Read in the code, not seen in a play.

Change: EventOrder decides by the ids whether an event may follow; a run with one that may not is given up at that event and another may continue. Ids must rise; between two runs none may be left out where all ids before rose by one. A run that adds no event counts as whole, since a stream has no end mark of its own.

The splitter now gives the events one by one; what its test said of torn events is checked by the streams' test, with the whole path.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -1,32 +1,44 @@
 /** The stream that a caller gets over all runs that make it up. The end of one run's answer is not yet its end. */
 
+import type { OrderFault } from './order';
+import { EventOrder } from './order';
+import type { ServerEvent } from './splitter';
 import { EventSplitter } from './splitter';
 
-/** Why a run leaves its stream incomplete: another status than the caller has, or an answer that was cut off. */
-export type StreamFault = 'status' | 'cut';
+/**
+ * Why a run leaves its stream incomplete: another status than the caller has, events
+ * that do not follow, or an answer that was cut off.
+ */
+export type StreamFault = 'status' | OrderFault | 'cut';
 
 /** Events of one stream, from one run after the other. */
 export class AnswerStream {
-  readonly #splitter = new EventSplitter();
+  readonly #order = new EventOrder();
+
+  #splitter = new EventSplitter();
 
   /** Status of the run that began the stream. */
   #status: number | undefined;
 
+  #events = 0;
+
+  /** Id of the first event of this run. */
+  #firstId: string | undefined;
+
   #fault: StreamFault | undefined;
 
   /** Whole events so far. */
   get events(): number {
-    return this.#splitter.events;
+    return this.#events;
   }
 
-  /** Id of the last whole event. */
-  get lastId(): string | undefined {
-    return this.#splitter.lastId;
+  get firstId(): string | undefined {
+    return this.#firstId;
   }
 
-  /** Id of the first event of this run. */
-  get firstId(): string | undefined {
-    return this.#splitter.firstId;
+  /** Id of the last whole event. */
+  get lastId(): string | undefined {
+    return this.#order.last;
   }
 
   /** Bytes of this run after the last whole event. */
@@ -34,26 +46,40 @@
     return this.#splitter.rest;
   }
 
+  /** Why this run cannot complete the stream. Default: nothing is known against it. */
+  get fault(): StreamFault | undefined {
+    return this.#fault;
+  }
+
   /** A run begins to answer. */
-  begin(status: number): StreamFault | undefined {
-    this.#splitter.restart();
-    if (this.events === 0) this.#status = status;
+  begin(status: number): void {
+    this.#splitter = new EventSplitter();
+    this.#firstId = undefined;
+    if (this.#events === 0) this.#status = status;
     this.#fault = status === this.#status ? undefined : 'status';
-    return this.#fault;
   }
 
-  /** Takes bytes of the run in and gives the whole events that they complete. */
+  /** Takes bytes of the run in and gives the whole events to pass on: none from the first that does not follow. */
   push(chunk: Buffer): Buffer {
-    return this.#splitter.push(chunk);
+    const passed: Buffer[] = [];
+    for (const event of this.#splitter.push(chunk)) {
+      this.#fault ??= this.#check(event);
+      if (this.#fault) break;
+      this.#events += 1;
+      passed.push(event.bytes);
+    }
+    return passed.length === 1 && passed[0] ? passed[0] : Buffer.concat(passed);
   }
 
-  /**
-   * The run's answer has ended.
-   * @param arrived whether all of it came
-   * @returns why the stream is not complete; undefined if it is
-   */
-  end(arrived: boolean): StreamFault | undefined {
-    this.#fault ??= arrived ? undefined : 'cut';
-    return this.#fault;
+  /** The run's answer has ended; `arrived` if all of it came. */
+  end(arrived: boolean): void {
+    if (!arrived) this.#fault ??= 'cut';
+  }
+
+  #check({ id }: ServerEvent): OrderFault | undefined {
+    if (id === undefined) return undefined;
+    const fault = this.#order.next(id, this.#firstId === undefined);
+    this.#firstId ??= id;
+    return fault;
   }
 }
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -55,8 +55,8 @@
     }
     const { stream } = this.#context;
     const afterEvent = stream.lastId;
-    const fault = stream.begin(reply.status);
-    if (fault || !isSuccess(reply)) return this.#passWhole(answer, afterEvent);
+    stream.begin(reply.status);
+    if (stream.fault || !isSuccess(reply)) return this.#passWhole(answer, afterEvent);
     return this.#passEvents(answer, afterEvent);
   }
 
@@ -69,7 +69,8 @@
       run.broke(performance.now(), part);
       return 'broken';
     }
-    run.completed(performance.now(), part);
+    run.completed(performance.now());
+    if (stream.fault) run.strayed(part, stream.fault);
     const failed = reply.status >= SERVER_ERROR;
     if (exchange.headSent || (failed && mayGoOn())) return 'broken';
     begin(exchange, reply);
@@ -94,16 +95,17 @@
           begin(exchange, reply);
           await exchange.write(events);
         }
+        if (stream.fault) break;
       }
       arrived = reply.body.complete;
     } catch {
       // The connection ended before the answer did.
     }
+    stream.end(arrived);
     const part = partOf(reply, afterEvent, stream);
-    if (stream.end(arrived)) {
-      run.broke(performance.now(), part);
-      return 'broken';
-    }
+    if (stream.fault === 'cut') run.broke(performance.now(), part);
+    else if (stream.fault) run.strayed(part, stream.fault);
+    if (stream.fault) return 'broken';
     run.completed(performance.now(), part);
     begin(exchange, reply);
     exchange.end(stream.rest);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -8,6 +8,7 @@
 import type { Failure } from '../../core/failure';
 import { isTelling } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
+import type { StreamFault } from '../../core/stream/answer';
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
 import type { Exchange } from './exchange';
@@ -72,6 +73,13 @@
     if (part && !isPlain) this.#context.log.info(this.#lineOf(part), 'A run completed a stream.');
   }
 
+  /** It did not continue the stream that it was to continue. */
+  strayed(part: StreamPart, fault: StreamFault): void {
+    const { metrics, log } = this.#context;
+    metrics.count('runs.strayed');
+    log.warn({ ...this.#lineOf(part), fault }, 'A run did not continue its stream.');
+  }
+
   /** Its connection ended before its answer did. Nothing is held against either if the caller left or its time was up. */
   broke(now: number, part?: StreamPart): void {
     const { fingerprint, signal } = this.#exchange;
--- /dev/null
+++ b/test/core/stream.test.ts
@@ -0,0 +1,75 @@
+import fc from 'fast-check';
+
+import { AnswerStream } from '../../src/core/stream/answer';
+import { EventOrder } from '../../src/core/stream/order';
+
+const eventOf = (id: number): string => `id: ${id}\ndata: token ${id}\n\n`;
+const eventsOf = (first: number, last: number): string =>
+  Array.from({ length: Math.max(0, last - first + 1) }, (_, i) => eventOf(first + i)).join('');
+
+/** Faults of ids that come in two runs. */
+function faultsOf(first: readonly string[], second: readonly string[]): readonly unknown[] {
+  const order = new EventOrder();
+  return [first, second].flatMap((ids) => ids.map((id, i) => order.next(id, i === 0) ?? id));
+}
+
+describe('the order of events', () => {
+  test.each([
+    ['rises', ['1', '2'], ['3', '4']],
+    ['goes back', ['1', '2', '3'], ['2']],
+    ['repeats the last', ['1', '2'], ['2']],
+    ['leaves one out between runs', ['1', '2'], ['4']],
+    ['leaves some out where that is usual', ['10', '20'], ['30']],
+    ['is not known of names', ['a', 'b'], ['b', 'a']],
+  ])('of ids that %s', (_, first, second) => {
+    expect(faultsOf(first, second)).toMatchSnapshot();
+  });
+});
+
+/** What a run does after it was asked to continue behind the last event. */
+const runs = fc.array(
+  fc.record({
+    status: fc.constantFrom(200, 200, 200, 500),
+    /** Where it begins, against the event that is due. */
+    shift: fc.constantFrom(0, 0, 0, -1, -2, 1),
+    events: fc.nat(6),
+    tornBytes: fc.nat(12),
+    chunkBytes: fc.integer({ min: 1, max: 40 }),
+    arrives: fc.boolean(),
+  }),
+  { minLength: 1, maxLength: 5 },
+);
+
+describe('a stream of several runs', () => {
+  const TOTAL = 12;
+
+  // Guards against events that are missing, repeated or out of order, and ends that are none.
+  test('has its events once and in order, and is complete only with the last', () => {
+    fc.assert(
+      fc.property(runs, (plan) => {
+        const stream = new AnswerStream();
+        let out = '';
+        for (const { status, shift, events, tornBytes, chunkBytes, arrives } of plan) {
+          const due = Number(stream.lastId ?? 0) + 1;
+          // A run that has nothing to add cannot be told from one that leaves out the rest.
+          const from =
+            stream.events === 0 ? 1 : Math.max(1, Math.min(due + shift, Math.max(due, TOTAL)));
+          const last = arrives ? TOTAL : Math.min(TOTAL, from + events - 1);
+          const torn = arrives ? '' : eventOf(last + 1).slice(0, tornBytes);
+          const bytes = Buffer.from(status === 200 ? eventsOf(from, last) + torn : '');
+          stream.begin(status);
+          for (let at = 0; at < bytes.length; at += chunkBytes) {
+            out += stream.push(bytes.subarray(at, at + chunkBytes)).toString();
+          }
+          stream.end(arrives);
+          expect(out).toBe(eventsOf(1, stream.events));
+          if (!stream.fault) {
+            expect(stream.events).toBe(status === 200 ? TOTAL : 0);
+            return;
+          }
+        }
+      }),
+      { seed: 34, numRuns: 2000 },
+    );
+  });
+});
--- a/test/router/splitter.test.ts
+++ b/test/router/splitter.test.ts
@@ -6,21 +6,18 @@
   test('gives whole events only, whatever the chunks', () => {
     const splitter = new EventSplitter();
     const text = event(1) + event(2);
-    const out = [...text].map((char) => splitter.push(Buffer.from(char)).toString()).join('');
-    expect(out).toBe(text);
-    expect([splitter.events, splitter.lastId]).toEqual([2, '2']);
+    const events = [...text].flatMap((char) => splitter.push(Buffer.from(char)));
+    expect(events.map(({ bytes }) => bytes.toString()).join('')).toBe(text);
+    expect(events.map(({ id }) => id)).toEqual(['1', '2']);
   });
 
-  /*
-   * A runner crashes in the middle of an event; the stream goes on at another
-   * runner after the last whole event. The caller must not see the torn half
-   * before the second runner's first event: its answer would be of two runs.
-   */
-  test('forgets a torn event when the stream goes on at another runner', () => {
+  test('takes lines that end with a carriage return too', () => {
     const splitter = new EventSplitter();
-    splitter.push(Buffer.from(`${event(1)}id: 2\ndata: to`));
-    splitter.restart();
-    expect(splitter.push(Buffer.from(event(2))).toString()).toBe(event(2));
-    expect(splitter.lastId).toBe('2');
+    const text = event(1).replaceAll('\n', '\r\n');
+    const events = [...text].flatMap((char) => splitter.push(Buffer.from(char)));
+    expect(events.map(({ id }) => id)).toEqual(['1']);
+    expect(Buffer.concat([...events.map(({ bytes }) => bytes), splitter.rest]).toString()).toBe(
+      text,
+    );
   });
 });
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -100,6 +100,20 @@
   });
 });
 
+describe('a run that is to continue a stream', () => {
+  // Guards against events that the caller gets twice, and ids that go back.
+  test('is given up for another one when it begins before the last event', async () => {
+    const replies = [
+      brokenReplyOf(200, eventsOf(1, 3)),
+      replyOf(200, eventsOf(1, 5)),
+      replyOf(200, eventsOf(4, 5)),
+    ];
+    const { out, sent } = await streamOf(replies, { ...resumable, attempts: 3 });
+    expect(out).toEqual(['200', eventsOf(1, 3), eventsOf(4, 5)]);
+    expect(sent).toEqual(['d1 after none', 'd2 after 3', 'd3 after 3']);
+  });
+});
+
 describe('a runner that answers with a failure', () => {
   // Guards against the failure's body going out as events before the request is sent to another runner.
   test('is passed over for another one, whatever its body holds', async () => {
