Continue no stream behind an event without an id

What callers could see: an event twice. A stream was continued after the last id even if events without one followed it; the next run sent those again. Without any id it began anew behind what the caller had.

Read in the code.

Change: where the last event (comments left out) has no id, no run is asked to continue, and the caller's connection is cut.

Evidence: test/router/streams.test.ts failed before ('d2 after 1' was asked); a comment still does not keep a stream from being continued.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -11,6 +11,9 @@
  */
 export type StreamFault = 'status' | OrderFault | 'cut';
 
+/** The byte of the colon that begins a comment. */
+const COLON = 0x3a;
+
 /** Events of one stream, from one run after the other. */
 export class AnswerStream {
   readonly #order = new EventOrder();
@@ -25,6 +28,9 @@
   /** Id of the first event of this run. */
   #firstId: string | undefined;
 
+  /** Whether the last event told where to continue after it. */
+  #named = true;
+
   #fault: StreamFault | undefined;
 
   /** Whole events so far. */
@@ -41,6 +47,11 @@
     return this.#order.last;
   }
 
+  /** Whether another run can be asked for exactly what is missing. */
+  get canContinue(): boolean {
+    return this.#named;
+  }
+
   /** Bytes of this run after the last whole event. */
   get rest(): Buffer {
     return this.#splitter.rest;
@@ -66,6 +77,7 @@
       this.#fault ??= this.#check(event);
       if (this.#fault) break;
       this.#events += 1;
+      if (!isComment(event)) this.#named = event.id !== undefined;
       passed.push(event.bytes);
     }
     return passed.length === 1 && passed[0] ? passed[0] : Buffer.concat(passed);
@@ -83,3 +95,7 @@
     return fault;
   }
 }
+
+function isComment({ bytes }: ServerEvent): boolean {
+  return bytes[0] === COLON;
+}
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -279,7 +279,7 @@
     progress.avoid.push(decode);
     const ran = outcome === 'broken';
     progress.ran ||= ran;
-    const allowed = ran ? route.resumable : true;
+    const allowed = ran ? route.resumable && progress.stream.canContinue : true;
     const left = progress.sentTo.size < route.attempts;
     const again = allowed && left && !this.#refused(exchange);
     if (again && this.#context.mayRepeat(performance.now(), service)) return true;
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -69,8 +69,8 @@
 }
 
 /** Whether a request that may run again has another decode runner left. */
-export function mayGoOn({ route }: Exchange, { sentTo }: Progress): boolean {
-  return route.resumable && sentTo.size < route.attempts;
+export function mayGoOn({ route }: Exchange, { sentTo, stream }: Progress): boolean {
+  return route.resumable && stream.canContinue && sentTo.size < route.attempts;
 }
 
 /** What a caller is told whose time is up. */
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -114,6 +114,27 @@
   });
 });
 
+describe('a stream whose last event has no id', () => {
+  // Guards against events that come twice: no runner can be told where to continue.
+  test('is cut when its run breaks off', async () => {
+    const replies = [
+      brokenReplyOf(200, `${eventsOf(1, 1)}data: token 2\n\n`),
+      replyOf(200, `data: token 2\n\n${eventsOf(3, 3)}`),
+    ];
+    const { out, sent } = await streamOf(replies);
+    expect(sent).toEqual(['d1 after none']);
+    expect(out).toEqual(['200', `${eventsOf(1, 1)}data: token 2\n\n`, CUT]);
+  });
+
+  test('continues elsewhere if that was a comment', async () => {
+    const replies = [
+      brokenReplyOf(200, `${eventsOf(1, 1)}: still here\n\n`),
+      replyOf(200, eventsOf(2, 2)),
+    ];
+    expect((await streamOf(replies)).sent).toEqual(['d1 after none', 'd2 after 1']);
+  });
+});
+
 describe('a runner that answers with a failure', () => {
   // Guards against the failure's body going out as events before the request is sent to another runner.
   test('is passed over for another one, whatever its body holds', async () => {
