Take an answer that ends within an event for broken

What callers could see: half an event at the end of a stream that looks complete. A runner's answer without a length ends with its connection; if the runner's process ends, the connection is closed in order, and only the torn event shows that more was to come. It was passed on.

Change: a stream whose answer has neither length nor chunks and ends within an event is incomplete. An end between events stays whole: nothing tells it from a regular one.

Evidence: test/router/streams.test.ts failed before ('id: 3, da' at the end); the model in test/core/stream.test.ts has such ends now.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -5,11 +5,22 @@
 import type { ServerEvent } from './splitter';
 import { EventSplitter } from './splitter';
 
+/** What tells the end of an answer: its length, its last chunk, or the close of its connection. */
+export type Framing = 'length' | 'chunked' | 'close';
+
+/** The head of a run's answer. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly framing: Framing;
+  /** Whether it says that its body is server-sent events. */
+  readonly isEvents: boolean;
+}
+
 /**
  * Why a run leaves its stream incomplete: another status than the caller has, events
- * that do not follow, or an answer that was cut off.
+ * that do not follow, an end within an event, or an answer that was cut off.
  */
-export type StreamFault = 'status' | OrderFault | 'cut';
+export type StreamFault = 'status' | OrderFault | 'torn' | 'cut';
 
 /** The byte of the colon that begins a comment. */
 const COLON = 0x3a;
@@ -23,6 +34,9 @@
   /** Status of the run that began the stream. */
   #status: number | undefined;
 
+  /** Head of this run. */
+  #head: AnswerHead | undefined;
+
   #events = 0;
 
   /** Id of the first event of this run. */
@@ -63,11 +77,12 @@
   }
 
   /** A run begins to answer. */
-  begin(status: number): void {
+  begin(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
     this.#firstId = undefined;
-    if (this.#events === 0) this.#status = status;
-    this.#fault = status === this.#status ? undefined : 'status';
+    this.#head = head;
+    if (this.#events === 0) this.#status = head.status;
+    this.#fault = head.status === this.#status ? undefined : 'status';
   }
 
   /** Takes bytes of the run in and gives the whole events to pass on: none from the first that does not follow. */
@@ -86,6 +101,17 @@
   /** The run's answer has ended; `arrived` if all of it came. */
   end(arrived: boolean): void {
     if (!arrived) this.#fault ??= 'cut';
+    if (this.#isTorn) this.#fault ??= 'torn';
+  }
+
+  /**
+   * A runner that ends closes its connections in order as well, so where only the close
+   * tells the end of the answer, half an event shows that it came too soon.
+   */
+  get #isTorn(): boolean {
+    const head = this.#head;
+    const hasEvents = head?.isEvents || this.#firstId !== undefined;
+    return head?.framing === 'close' && hasEvents && this.rest.length > 0;
   }
 
   #check({ id }: ServerEvent): OrderFault | undefined {
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -55,7 +55,7 @@
     }
     const { stream } = this.#context;
     const afterEvent = stream.lastId;
-    stream.begin(reply.status);
+    stream.begin(reply);
     if (stream.fault || !isSuccess(reply)) return this.#passWhole(answer, afterEvent);
     return this.#passEvents(answer, afterEvent);
   }
@@ -103,7 +103,7 @@
     }
     stream.end(arrived);
     const part = partOf(reply, afterEvent, stream);
-    if (stream.fault === 'cut') run.broke(performance.now(), part);
+    if (stream.fault === 'cut' || stream.fault === 'torn') run.broke(performance.now(), part);
     else if (stream.fault) run.strayed(part, stream.fault);
     if (stream.fault) return 'broken';
     run.completed(performance.now(), part);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -8,13 +8,12 @@
 import type { Failure } from '../../core/failure';
 import { isTelling } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
-import type { StreamFault } from '../../core/stream/answer';
+import type { Framing, StreamFault } from '../../core/stream/answer';
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
 import type { Exchange } from './exchange';
 import type { Gate } from './gate';
 import type { QuarantineDesk } from './quarantine';
-import type { Framing } from './types';
 
 /** What a run sent of a stream. */
 export interface StreamPart {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -10,6 +10,7 @@
 import type { Position } from '../../core/routing/position';
 import type { RetryBounds } from '../../core/retries';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
+import type { AnswerHead } from '../../core/stream/answer';
 import type { Failure } from '../../core/failure';
 
 /** Settings of one router process, resolved. */
@@ -92,13 +93,8 @@
   readonly afterEvent: string | undefined;
 }
 
-/** What tells the end of an answer: its length, its last chunk, or the close of its connection. */
-export type Framing = 'length' | 'chunked' | 'close';
-
 /** A runner's answer, once its header is there. */
-export interface Reply {
-  readonly status: number;
-  readonly framing: Framing;
+export interface Reply extends AnswerHead {
   /** Names and values by turns, without those that concern one connection. */
   readonly headers: readonly string[];
   /** Whether it is the runner's answer to this very request. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -7,12 +7,12 @@
 
 import { Failure, toFailure } from '../core/failure';
 import type { Runner } from '../core/routing/types';
+import type { Framing } from '../core/stream/answer';
 import { startId } from '../core/routing/types';
 import type {
   CacheHandle,
   DecodeDispatch,
   Dispatch,
-  Framing,
   OrderOutcome,
   Reply,
   RunnerClient,
@@ -51,6 +51,8 @@
   born: bornSchema,
 });
 
+const EVENT_STREAM = 'text/event-stream';
+
 const none: ReadonlySet<string> = new Set();
 
 /** Sends requests, each over a connection of its own: bytes left over from another answer can then never be read as this one. */
@@ -259,6 +261,7 @@
   return {
     status,
     framing: framingOf(headers),
+    isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
     headers: forwardable(message.rawHeaders, headers.connection, none),
     genuine,
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED,
--- a/test/core/stream.test.ts
+++ b/test/core/stream.test.ts
@@ -36,6 +36,8 @@
     tornBytes: fc.nat(12),
     chunkBytes: fc.integer({ min: 1, max: 40 }),
     arrives: fc.boolean(),
+    /** Whether only the close of the connection tells the end, also of an answer that breaks off within an event. */
+    closes: fc.boolean(),
   }),
   { minLength: 1, maxLength: 5 },
 );
@@ -49,7 +51,7 @@
       fc.property(runs, (plan) => {
         const stream = new AnswerStream();
         let out = '';
-        for (const { status, shift, events, tornBytes, chunkBytes, arrives } of plan) {
+        for (const { status, shift, events, tornBytes, chunkBytes, arrives, closes } of plan) {
           const due = Number(stream.lastId ?? 0) + 1;
           // A run that has nothing to add cannot be told from one that leaves out the rest.
           const from =
@@ -57,11 +59,11 @@
           const last = arrives ? TOTAL : Math.min(TOTAL, from + events - 1);
           const torn = arrives ? '' : eventOf(last + 1).slice(0, tornBytes);
           const bytes = Buffer.from(status === 200 ? eventsOf(from, last) + torn : '');
-          stream.begin(status);
+          stream.begin({ status, framing: closes ? 'close' : 'chunked', isEvents: true });
           for (let at = 0; at < bytes.length; at += chunkBytes) {
             out += stream.push(bytes.subarray(at, at + chunkBytes)).toString();
           }
-          stream.end(arrives);
+          stream.end(arrives || (closes && torn !== ''));
           expect(out).toBe(eventsOf(1, stream.events));
           if (!stream.fault) {
             expect(stream.events).toBe(status === 200 ? TOTAL : 0);
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -5,8 +5,9 @@
 import { Readable } from 'node:stream';
 
 import type { Route } from '../../src/core/routing/types';
+import type { Framing } from '../../src/core/stream/answer';
 import { Exchange } from '../../src/node/router/exchange';
-import type { CallRequest, Framing, IngressCodec, Reply } from '../../src/node/router/types';
+import type { CallRequest, IngressCodec, Reply } from '../../src/node/router/types';
 
 /** A route of streams that may not be resumed. */
 export const streamRoute: Route = {
@@ -46,6 +47,7 @@
   return {
     status,
     framing,
+    isEvents: text.startsWith('id:'),
     headers: [],
     genuine: !misdirected,
     notRun: misdirected,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -90,3 +90,37 @@
     expect(outcome).toMatch(/^failed/);
   });
 });
+
+describe('the head of an answer', () => {
+  const headOf = async (fields: string): Promise<unknown> => {
+    const server = await runnerOf((socket) => socket.end(`${HEAD}${fields}\r\n`));
+    const { framing, isEvents, body } = await new PlatformRunnerClient().send(dispatchTo(server));
+    body.resume();
+    server.close();
+    return { framing, isEvents };
+  };
+
+  test('says what tells its end and whether it has events', async () => {
+    const heads = [
+      'Content-Length: 0\r\nContent-Type: application/json\r\n',
+      'Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n',
+      'Content-Type: text/event-stream; charset=utf-8\r\n',
+    ];
+    expect(await Promise.all(heads.map(headOf))).toMatchInlineSnapshot(`
+     [
+       {
+         "framing": "length",
+         "isEvents": false,
+       },
+       {
+         "framing": "chunked",
+         "isEvents": true,
+       },
+       {
+         "framing": "close",
+         "isEvents": true,
+       },
+     ]
+    `);
+  });
+});
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -135,6 +135,27 @@
   });
 });
 
+describe('an answer that ends with its connection', () => {
+  // Guards against half an event at the end of a stream that looks complete.
+  test('is broken when it ends within an event', async () => {
+    const torn = `${eventsOf(1, 2)}id: 3\nda`;
+    const replies = [replyOf(200, torn, 'close'), replyOf(200, eventsOf(3, 3))];
+    expect((await streamOf(replies)).out).toEqual(['200', eventsOf(1, 2), eventsOf(3, 3)]);
+    expect((await streamOf([replyOf(200, torn, 'close')], streamRoute)).out).toEqual([
+      '200',
+      eventsOf(1, 2),
+      CUT,
+    ]);
+  });
+
+  test('is whole when it ends between events, and is passed on as it is where it has none', async () => {
+    const events = await streamOf([replyOf(200, eventsOf(1, 2), 'close')]);
+    expect(events.out).toEqual(['200', eventsOf(1, 2)]);
+    const text = await streamOf([replyOf(200, '{"text":"whole"}', 'close')]);
+    expect(text.out).toEqual(['200', '{"text":"whole"}']);
+  });
+});
+
 describe('a runner that answers with a failure', () => {
   // Guards against the failure's body going out as events before the request is sent to another runner.
   test('is passed over for another one, whatever its body holds', async () => {
