Reset the connection of a cut answer where only its close tells the end

What callers could see: part of a stream that looks complete, if they speak HTTP/1.0, as reverse proxies often do: they get no chunks, so the close of the connection is the end of the answer, and a cut answer was closed in order.

Found by reading the code for other ends that are taken for the end of a stream.

Change: such a connection is reset. Others are closed as before, since their last chunk or length is missing, and a reset could discard events that the caller has not read yet.

Evidence: test/router/exchange.test.ts, over loopback: 'closed' before, 'reset' now; a caller with chunks still lacks the last one.

--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -5,7 +5,7 @@
 import { Failure } from '../../core/failure';
 import { contentIdOf } from '../../core/fingerprint';
 import type { Route } from '../../core/routing/types';
-import { errorBody } from '../../utils/http';
+import { cutOff, errorBody } from '../../utils/http';
 import { Charge } from './charge';
 import type { CallRequest, IngressCodec } from './types';
 
@@ -147,7 +147,7 @@
   fail(now: number, failure: Failure): void {
     this.code = failure.codeName;
     if (this.#res.headersSent) {
-      this.#res.destroy();
+      cutOff(this.#res);
       return;
     }
     const { retryAfterMs } = failure;
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -112,6 +112,15 @@
   };
 }
 
+/**
+ * Ends an answer of which a part is out, so that it does not look complete. Callers
+ * without chunks take the close of the connection for its end; a reset is none.
+ */
+export function cutOff(res: ServerResponse): void {
+  if (res.req.httpVersion === '1.0') res.socket?.resetAndDestroy();
+  res.destroy();
+}
+
 /**
  * Answers with a failure and, where known, when to come back. Once a part of an
  * answer is out, cutting the connection is the only way left to say that the
@@ -123,7 +132,7 @@
   notRun = failure.code.notRun,
 ): void {
   if (res.headersSent) {
-    if (!res.writableEnded) res.destroy();
+    if (!res.writableEnded) cutOff(res);
     return;
   }
   const { retryAfterMs } = failure;
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -77,6 +77,7 @@
 ): Exchange {
   const events = new EventEmitter();
   const res = Object.assign(events, {
+    req: { httpVersion: '1.1' },
     headersSent: false,
     destroyed: false,
     writeHead(status: number) {
--- /dev/null
+++ b/test/router/exchange.test.ts
@@ -0,0 +1,73 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
+
+import { Failure } from '../../src/core/failure';
+import { Exchange } from '../../src/node/router/exchange';
+import type { IngressCodec } from '../../src/node/router/types';
+import { promptRequest, streamRoute } from '../fakes/exchange';
+
+const EVENT = 'id: 1\ndata: x\n\n';
+
+/** What a caller gets from a raw request, and how its connection ended. */
+interface Received {
+  readonly text: string;
+  readonly end: 'closed' | 'reset' | 'open';
+}
+
+/** Time after which a connection that is still open is left, in milliseconds. */
+const OPEN_MS = 300;
+
+/** Sends a raw request to a server that answers as told. */
+async function receive(
+  requestLine: string,
+  answer: (exchange: Exchange) => Promise<void>,
+): Promise<Received> {
+  const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
+  const server = createServer((req, res: ServerResponse) => {
+    const now = performance.now();
+    answer(new Exchange(now, promptRequest, streamRoute, 's', res, codec)).catch(() => {});
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  let text = '';
+  socket.on('data', (chunk) => {
+    text += chunk.toString();
+  });
+  const end = new Promise<Received['end']>((resolve) => {
+    socket.on('end', () => resolve('closed'));
+    socket.on('error', () => resolve('reset'));
+    setTimeout(() => resolve('open'), OPEN_MS);
+  });
+  socket.write(`${requestLine}\r\nHost: h\r\n\r\n`);
+  const received = { end: await end, text };
+  socket.destroy();
+  server.closeAllConnections();
+  server.close();
+  return { ...received, text };
+}
+
+describe('an answer that is cut off', () => {
+  const failure = new Failure('runnerFailed', 'd1 broke the answer off');
+
+  const cut = async (exchange: Exchange): Promise<void> => {
+    exchange.head(200, ['content-type', 'text/event-stream']);
+    await exchange.write(Buffer.from(EVENT));
+    exchange.fail(performance.now(), failure);
+  };
+
+  test('lacks its last chunk', async () => {
+    const { text } = await receive('GET / HTTP/1.1', cut);
+    expect(text).toContain(EVENT);
+    expect(text).not.toMatch(/0\r\n\r\n$/);
+  });
+
+  // Guards against callers without chunks that take the close of a cut answer for its end.
+  test('ends with a reset where only the close tells its end', async () => {
+    const { end } = await receive('GET / HTTP/1.0', cut);
+    expect(end).toBe('reset');
+  });
+});
