Take the reset of an answer without a length for a broken answer in gateways too

What callers could see, in the product's own interface: half an answer of a plain service that looks complete. A call that runs once had the half kept as its outcome, and each repeat of the call was given it.

An answer without a length ends with its connection, and Node ends it in the same way at a reset.

Evidence: test/node/answers.test.ts failed before ('200 whole part of an answer', twice with one key); now the caller's answer is cut, and the call that runs once ends as outcomeUnknown.

--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -13,7 +13,7 @@
 import { PlainBalancer } from '../../core/plain/balancer';
 import { Quarantine } from '../../core/quarantine/quarantine';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
-import { isRefusedConnect, readBody } from '../../utils/http';
+import { cutOff, failOnReset, isRefusedConnect, readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Ticket } from './ledger';
@@ -310,6 +310,7 @@
       const agent = body === undefined || req.method !== 'GET' ? false : this.#agent;
       const signal = AbortSignal.timeout(service.timeoutMs);
       const out = request(url + path, { method: req.method, headers, agent, signal }, (answer) => {
+        failOnReset(out, answer);
         resolve({ kind: 'answered', answer });
       });
       out.on('error', (error) => {
@@ -339,12 +340,12 @@
       return;
     }
     res.writeHead(answer.statusCode ?? 502, passedOn(answer.headers));
+    // The status is out: cutting the connection is the only way left to tell a part from the whole.
+    answer.once('error', () => cutOff(res));
     try {
       await pipeline(answer, res);
     } catch (error) {
-      // The status is out: cutting the connection is the only way left to tell a part from the whole.
       this.#options.log.debug(`An answer broke off. ${(error as Error).message}.`);
-      res.destroy();
     }
   }
 }
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -18,7 +18,7 @@
   RunnerClient,
   RunnerReport,
 } from '../node/router/types';
-import { call, readBody } from '../utils/http';
+import { call, failOnReset, readBody } from '../utils/http';
 import { forwardable } from './ingress';
 import { header, path } from './names';
 
@@ -208,10 +208,7 @@
       connected = true;
     });
     req.on('response', (message) => {
-      // An answer without a length ends with its connection, and Node takes a reset for such an end
-      // too: half an answer would look whole. The reset is an error of the request, so it is passed on.
-      req.on('error', (error) => message.destroy(error));
-      failOnReset(message);
+      failOnReset(req, message);
       resolve(message);
     });
     req.on('error', (error) => fail(error.message));
@@ -219,18 +216,6 @@
   });
 }
 
-/**
- * A reset that arrives together with the last bytes is reported as an end in
- * order. The kernel still tells them apart: a connection that was reset has no
- * peer any more, one that was closed in order has.
- */
-function failOnReset(message: IncomingMessage): void {
-  const { socket } = message;
-  socket.prependListener('end', () => {
-    if (socket.remoteAddress === undefined) message.destroy(new Error('reset by the runner'));
-  });
-}
-
 /** Calls back once the connection stands, and ends the request if that takes too long. */
 function onConnected(req: ClientRequest, callback: () => void): void {
   const timer = setTimeout(() => req.destroy(new Error('no connection')), CONNECT_MS);
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,6 +1,7 @@
 /** Small helpers around Node's http, without state. */
 
 import type {
+  ClientRequest,
   IncomingMessage,
   OutgoingHttpHeaders,
   Server,
@@ -16,6 +17,23 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
+/**
+ * An answer without a length ends with its connection, and Node takes a reset for such an
+ * end too, so that half an answer looks whole. Call this as soon as the answer's head is there.
+ */
+export function failOnReset(req: ClientRequest, message: IncomingMessage): void {
+  req.on('error', (error) => message.destroy(error));
+  const { socket } = message;
+  // A reset that arrives together with the last bytes is reported as an end in order. The kernel
+  // still tells them apart: a connection that was reset has no peer any more.
+  const onEnd = (): void => {
+    if (socket.remoteAddress === undefined) message.destroy(new Error('reset by the other side'));
+  };
+  socket.prependListener('end', onEnd);
+  // The connection may serve other requests after this one.
+  message.once('close', () => socket.off('end', onEnd));
+}
+
 /** What to send. */
 export interface CallOptions {
   readonly method: string;
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -5,6 +5,12 @@
 
 import { closeServer, listen, readBody, sendJson } from './http';
 
+/** What is sent of an answer that is reset. */
+export const ANSWER_PART = 'part of an answer';
+
+/** Time from that part to the reset, in milliseconds. */
+const RESET_MS = 20;
+
 /** A started service. */
 export class PlainServer {
   /** Runs by idempotency key. */
@@ -18,6 +24,9 @@
   /** Drops the connection after the run, before the answer. */
   dropAnswers = false;
 
+  /** Sends part of an answer that has no length, then resets the connection. */
+  resetsAnswers = false;
+
   leaving = false;
 
   /** Breaks off each call whose body holds this text. */
@@ -54,7 +63,12 @@
         await pause(this.delayMs);
         const ends = this.deadly !== '' && body.includes(this.deadly);
         if (this.dropAnswers || ends) res.destroy();
-        else {
+        else if (this.resetsAnswers) {
+          const { socket } = req;
+          socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${ANSWER_PART}`);
+          await pause(RESET_MS);
+          socket.resetAndDestroy();
+        } else {
           sendJson(res, 200, {
             path: url.pathname,
             method: req.method,
--- /dev/null
+++ b/test/node/answers.test.ts
@@ -0,0 +1,59 @@
+import type { IncomingMessage } from 'node:http';
+import { request } from 'node:http';
+
+import { Cluster, tokens } from '../fakes/cluster';
+import { ANSWER_PART } from '../fakes/service';
+
+/** Calls a plain service; tells what came and whether it looks whole. */
+function outcomeOf(url: string, method: string, key?: string): Promise<string> {
+  const headers = {
+    authorization: `Bearer ${tokens.clerks}`,
+    ...(key === undefined ? {} : { 'idempotency-key': key }),
+  };
+  return new Promise((resolve, reject) => {
+    const req = request(url, { method, headers }, (res: IncomingMessage) => {
+      let text = '';
+      res.on('data', (chunk: Buffer) => {
+        text += chunk.toString();
+      });
+      res.on('close', () => {
+        const name = /"name":"(\w+)"/.exec(text)?.[1];
+        resolve(`${res.statusCode} ${res.complete ? 'whole' : 'cut'} ${name ?? text}`);
+      });
+      res.on('error', () => {});
+    });
+    req.on('error', reject);
+    req.end();
+  });
+}
+
+describe('an answer without a length whose connection is reset', () => {
+  const cluster = new Cluster({ vms: 1 });
+
+  beforeAll(async () => {
+    await cluster.start();
+    for (const runner of cluster.plainRunners) runner.resetsAnswers = true;
+  }, 30_000);
+  afterAll(() => cluster.stop());
+
+  // Guards against half an answer that looks complete.
+  test('is cut for the caller too', async () => {
+    const url = `${cluster.callers(0)}/services/registry/tiles`;
+    expect(await outcomeOf(url, 'GET')).toBe(`200 cut ${ANSWER_PART}`);
+  });
+
+  // Guards against half an answer that is kept, and given to each repeat of the call.
+  test('is not kept as the outcome of a call that runs once', async () => {
+    const url = `${cluster.callers(0)}/services/registry/receipts`;
+    const outcomes = [
+      await outcomeOf(url, 'POST', 'receipt-1'),
+      await outcomeOf(url, 'POST', 'receipt-1'),
+    ];
+    expect(outcomes).toMatchInlineSnapshot(`
+     [
+       "502 whole outcomeUnknown",
+       "409 whole alreadyRunning",
+     ]
+    `);
+  });
+});
