Send no length with a stream that several runs may make up

What callers could see: a caller that waits for bytes that never come, or that reads the next answer on its connection as part of this one. The head of a stream is that of its first run; where that run named a length, it was passed on, although another run may continue the stream.

Change: a stream that may be continued is sent in chunks.

Evidence: test/router/exchange.test.ts failed before (Content-Length: 16 of the first run above two events).

--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -73,7 +73,7 @@
     if (stream.fault) run.strayed(part, stream.fault);
     const failed = reply.status >= SERVER_ERROR;
     if (exchange.headSent || (failed && mayGoOn())) return 'broken';
-    begin(exchange, reply);
+    exchange.head(reply.status, reply.headers);
     exchange.end(body);
     return failed ? 'failed' : 'done';
   }
@@ -92,7 +92,7 @@
           started = true;
           run.answered(performance.now());
           if (pace.next(performance.now(), stream.events)) onNote({ kind: 'slow' });
-          begin(exchange, reply);
+          this.#beginStream(reply);
           await exchange.write(events);
         }
         if (stream.fault) break;
@@ -107,19 +107,30 @@
     else if (stream.fault) run.strayed(part, stream.fault);
     if (stream.fault) return 'broken';
     run.completed(performance.now(), part);
-    begin(exchange, reply);
+    this.#beginStream(reply);
     exchange.end(stream.rest);
     onNote({ kind: 'finished', outputTokens: stream.events * engine.eventTokens });
     return 'done';
   }
+
+  /** The length of one run's answer is not that of a stream which another may continue. */
+  #beginStream({ status, headers }: Reply): void {
+    const { exchange } = this.#context;
+    if (exchange.headSent) return;
+    exchange.head(status, exchange.route.resumable ? withoutLength(headers) : headers);
+  }
 }
 
 function isSuccess({ status }: Reply): boolean {
   return status >= SUCCESS_BEGIN && status < SUCCESS_END;
 }
 
-function begin(exchange: Exchange, { status, headers }: Reply): void {
-  if (!exchange.headSent) exchange.head(status, headers);
+/** @param headers names and values by turns */
+function withoutLength(headers: readonly string[]): readonly string[] {
+  return headers.filter((_, index) => {
+    const name = headers[index - (index % 2)] ?? '';
+    return name.toLowerCase() !== 'content-length';
+  });
 }
 
 function partOf(
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -6,9 +6,15 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { Failure } from '../../src/core/failure';
+import type { Engine } from '../../src/core/routing/types';
+import { AnswerStream } from '../../src/core/stream/answer';
 import { Exchange } from '../../src/node/router/exchange';
-import type { IngressCodec } from '../../src/node/router/types';
-import { promptRequest, streamRoute } from '../fakes/exchange';
+import type { RelayOutcome } from '../../src/node/router/relay';
+import { Relay } from '../../src/node/router/relay';
+import type { IngressCodec, Reply } from '../../src/node/router/types';
+import { brokenReplyOf, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
+import { runnerOf } from '../fakes/runner';
+import { runsOf } from '../fakes/runs';
 
 const EVENT = 'id: 1\ndata: x\n\n';
 
@@ -32,7 +38,8 @@
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
   const server = createServer((req, res: ServerResponse) => {
     const now = performance.now();
-    answer(new Exchange(now, promptRequest, streamRoute, 's', res, codec)).catch(() => {});
+    const route = { ...streamRoute, resumable: true };
+    answer(new Exchange(now, promptRequest, route, 's', res, codec)).catch(() => {});
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -77,3 +84,39 @@
     expect(end).toBe('reset');
   });
 });
+
+describe('an answer of two runs', () => {
+  const engine: Engine = {
+    slots: 64,
+    memoryTokens: 65_000,
+    eventTokens: 7,
+    keepMs: 500,
+    switchMs: undefined,
+  };
+
+  const relayBoth = async (exchange: Exchange): Promise<void> => {
+    const stream = new AnswerStream();
+    const relay = new Relay({
+      exchange,
+      engine,
+      stream,
+      mayGoOn: () => true,
+      onNote: () => {},
+    });
+    const runs = runsOf();
+    const pass = (reply: Reply): Promise<RelayOutcome> => {
+      const run = runs.begin(performance.now(), exchange, runnerOf('d', 'decode'));
+      return relay.pass({ reply, run });
+    };
+    const headers = ['Content-Length', String(EVENT.length + 1)];
+    await pass({ ...brokenReplyOf(200, EVENT), headers });
+    await pass({ ...replyOf(200, EVENT.replace('1', '2')), headers: [] });
+  };
+
+  // Guards against callers that wait for the length of the first run's answer, or read on after it.
+  test('has no length of one of them', async () => {
+    const { text } = await receive('GET / HTTP/1.1', relayBoth);
+    expect(text).not.toMatch(/content-length/i);
+    expect(text).toMatch(/0\r\n\r\n$/);
+  });
+});
