Join runs only by what their events show

What callers could see, found by a review that had not seen the work: a stream that looks complete after the run that was to continue it answered 200 with a body without events, with half an event, or closed before any; events twice where they have no ids, or ids that are names. And good streams that were given up: ids that rise in steps of seven, an empty line at the end, a setting or an empty block as the last one.

A run with the right status and a whole answer was taken for the continuation of the stream.

Change: a run that continues a stream has no bytes besides events, begins with an id that may follow, and, where its close tells its end, has an event. Only blocks with data are events; an empty id is none; a comment is a block without data. Ids are compared at any length. A gap between runs counts once two ids showed how they rise: with one id, 7 and 14 may be neighbours, so this part of the check is narrower than before.

Evidence: of the new cases in test/router/streams.test.ts and test/core/stream.test.ts the five that leave a stream incomplete, the steps, the empty line and the blocks failed before. The model has ends before any event now.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -18,13 +18,10 @@
 
 /**
  * Why a run leaves its stream incomplete: another status than the caller has, events
- * that do not follow, an end within an event, or an answer that was cut off.
+ * that do not follow, an end within an event or before any, or an answer that was cut off.
  */
 export type StreamFault = 'status' | OrderFault | 'torn' | 'cut';
 
-/** The byte of the colon that begins a comment. */
-const COLON = 0x3a;
-
 /** Events of one stream, from one run after the other. */
 export class AnswerStream {
   readonly #order = new EventOrder();
@@ -39,6 +36,9 @@
 
   #events = 0;
 
+  /** Events before this run. */
+  #eventsBefore = 0;
+
   /** Id of the first event of this run. */
   #firstId: string | undefined;
 
@@ -47,7 +47,7 @@
 
   #fault: StreamFault | undefined;
 
-  /** Whole events so far. */
+  /** Whole events with data so far. */
   get events(): number {
     return this.#events;
   }
@@ -81,6 +81,7 @@
     this.#splitter = new EventSplitter();
     this.#firstId = undefined;
     this.#head = head;
+    this.#eventsBefore = this.#events;
     if (this.#events === 0) this.#status = head.status;
     this.#fault = head.status === this.#status ? undefined : 'status';
   }
@@ -91,8 +92,7 @@
     for (const event of this.#splitter.push(chunk)) {
       this.#fault ??= this.#check(event);
       if (this.#fault) break;
-      this.#events += 1;
-      if (!isComment(event)) this.#named = event.id !== undefined;
+      this.#take(event);
       passed.push(event.bytes);
     }
     return passed.length === 1 && passed[0] ? passed[0] : Buffer.concat(passed);
@@ -104,24 +104,36 @@
     if (this.#isTorn) this.#fault ??= 'torn';
   }
 
-  /**
-   * A runner that ends closes its connections in order as well, so where only the close
-   * tells the end of the answer, half an event shows that it came too soon.
-   */
-  get #isTorn(): boolean {
-    const head = this.#head;
-    const hasEvents = head?.isEvents || this.#firstId !== undefined;
-    return head?.framing === 'close' && hasEvents && this.rest.length > 0;
+  #take({ id, hasData }: ServerEvent): void {
+    this.#firstId ??= id;
+    if (!hasData) return;
+    this.#events += 1;
+    this.#named = id !== undefined;
   }
 
-  #check({ id }: ServerEvent): OrderFault | undefined {
-    if (id === undefined) return undefined;
-    const fault = this.#order.next(id, this.#firstId === undefined);
-    this.#firstId ??= id;
-    return fault;
+  #check({ id, hasData }: ServerEvent): OrderFault | undefined {
+    if (id !== undefined) return this.#order.next(id, this.#firstId === undefined);
+    // Without an id, nothing shows that a run continues where it was to.
+    return hasData && this.#continues && this.#isFirst ? 'order' : undefined;
   }
-}
 
-function isComment({ bytes }: ServerEvent): boolean {
-  return bytes[0] === COLON;
+  get #continues(): boolean {
+    return this.#eventsBefore > 0;
+  }
+
+  /** Whether this run has brought no event yet. */
+  get #isFirst(): boolean {
+    return this.#events === this.#eventsBefore && this.#firstId === undefined;
+  }
+
+  get #isTorn(): boolean {
+    const head = this.#head;
+    const hasRest = this.rest.toString('latin1').trim() !== '';
+    // What follows the last event of a run that continues a stream is no event, whatever its framing.
+    if (this.#continues && hasRest) return true;
+    // A runner that ends closes its connections in order as well, so where only the close tells the
+    // end of the answer, half an event or none at all shows that it came too soon.
+    const hasEvents = head?.isEvents || this.#firstId !== undefined;
+    return head?.framing === 'close' && hasEvents && (hasRest || this.#isFirst);
+  }
 }
--- a/src/core/stream/splitter.ts
+++ b/src/core/stream/splitter.ts
@@ -2,7 +2,9 @@
 
 /** The blank line that ends an event. */
 const BLANK_LINE = /\r?\n\r?\n/g;
-const ID_FIELD = /^id: ?(.*)$/m;
+/** An empty id names no event. */
+const ID_FIELD = /^id: ?(.+)$/m;
+const DATA_FIELD = /^data(:|$)/m;
 
 /** One event as it was sent. */
 export interface ServerEvent {
@@ -10,6 +12,8 @@
   readonly bytes: Buffer;
   /** Default: it names none. */
   readonly id: string | undefined;
+  /** False for comments and settings, which are no part of what callers read. */
+  readonly hasData: boolean;
 }
 
 /** Events of one run. */
@@ -29,8 +33,9 @@
     let begin = 0;
     for (const { 0: line, index } of text.matchAll(BLANK_LINE)) {
       const end = index + line.length;
-      const id = ID_FIELD.exec(text.slice(begin, index))?.[1];
-      events.push({ bytes: all.subarray(begin, end), id });
+      const block = text.slice(begin, index);
+      const id = ID_FIELD.exec(block)?.[1];
+      events.push({ bytes: all.subarray(begin, end), id, hasData: DATA_FIELD.test(block) });
       begin = end;
     }
     this.#rest = all.subarray(begin);
--- a/test/core/stream.test.ts
+++ b/test/core/stream.test.ts
@@ -1,5 +1,6 @@
 import fc from 'fast-check';
 
+import type { Framing } from '../../src/core/stream/answer';
 import { AnswerStream } from '../../src/core/stream/answer';
 import { EventOrder } from '../../src/core/stream/order';
 
@@ -15,12 +16,15 @@
 
 describe('the order of events', () => {
   test.each([
-    ['rises', ['1', '2'], ['3', '4']],
-    ['goes back', ['1', '2', '3'], ['2']],
-    ['repeats the last', ['1', '2'], ['2']],
-    ['leaves one out between runs', ['1', '2'], ['4']],
-    ['leaves some out where that is usual', ['10', '20'], ['30']],
-    ['is not known of names', ['a', 'b'], ['b', 'a']],
+    ['rise', ['1', '2'], ['3', '4']],
+    ['go back', ['1', '2', '3'], ['2']],
+    ['repeat the last', ['1', '2'], ['2']],
+    ['leave one out between runs', ['1', '2'], ['4']],
+    ['leave some out where that is usual', ['10', '20'], ['30']],
+    ['rise in steps from the first', ['7'], ['14', '21']],
+    ['are long and go back', ['1700000000000000002'], ['1700000000000000001']],
+    ['are names that begin anew', ['a', 'b'], ['a', 'b']],
+    ['are names', ['a', 'b'], ['d', 'c']],
   ])('of ids that %s', (_, first, second) => {
     expect(faultsOf(first, second)).toMatchSnapshot();
   });
@@ -36,7 +40,7 @@
     tornBytes: fc.nat(12),
     chunkBytes: fc.integer({ min: 1, max: 40 }),
     arrives: fc.boolean(),
-    /** Whether only the close of the connection tells the end, also of an answer that breaks off within an event. */
+    /** Whether only the close of the connection tells the end, also of an answer that breaks off within an event or before any. */
     closes: fc.boolean(),
   }),
   { minLength: 1, maxLength: 5 },
@@ -53,9 +57,10 @@
         let out = '';
         for (const { status, shift, events, tornBytes, chunkBytes, arrives, closes } of plan) {
           const due = Number(stream.lastId ?? 0) + 1;
-          // A run that has nothing to add cannot be told from one that leaves out the rest.
-          const from =
-            stream.events === 0 ? 1 : Math.max(1, Math.min(due + shift, Math.max(due, TOTAL)));
+          // A run that has nothing to add cannot be told from one that leaves out the rest, and one id
+          // alone does not tell by how much ids rise.
+          const most = stream.events < 2 ? due : Math.max(due, TOTAL);
+          const from = stream.events === 0 ? 1 : Math.max(1, Math.min(due + shift, most));
           const last = arrives ? TOTAL : Math.min(TOTAL, from + events - 1);
           const torn = arrives ? '' : eventOf(last + 1).slice(0, tornBytes);
           const bytes = Buffer.from(status === 200 ? eventsOf(from, last) + torn : '');
@@ -63,7 +68,7 @@
           for (let at = 0; at < bytes.length; at += chunkBytes) {
             out += stream.push(bytes.subarray(at, at + chunkBytes)).toString();
           }
-          stream.end(arrives || (closes && torn !== ''));
+          stream.end(arrives || (closes && (torn !== '' || last < from)));
           expect(out).toBe(eventsOf(1, stream.events));
           if (!stream.fault) {
             expect(stream.events).toBe(status === 200 ? TOTAL : 0);
@@ -75,3 +80,39 @@
     );
   });
 });
+
+describe('a stream of one run', () => {
+  const streamOf = (text: string, framing: Framing = 'chunked'): AnswerStream => {
+    const stream = new AnswerStream();
+    stream.begin({ status: 200, framing, isEvents: true });
+    stream.push(Buffer.from(text));
+    stream.end(true);
+    return stream;
+  };
+
+  // Guards against a whole answer that is taken for a torn one.
+  test('is whole with an empty line at its end', () => {
+    expect(streamOf(`${eventsOf(1, 2)}\n`, 'close').fault).toBeUndefined();
+  });
+
+  // Guards against a stream that is cut although another run could continue it.
+  test.each([': still here\n\n', 'retry: 100\n\n', '\n\n'])(
+    'can be continued behind the block %j, which is no event',
+    (block) => {
+      const { canContinue, events, lastId } = streamOf(eventsOf(1, 2) + block);
+      expect({ canContinue, events, lastId }).toEqual({
+        canContinue: true,
+        events: 2,
+        lastId: '2',
+      });
+    },
+  );
+
+  // Guards against events that come twice: no runner can be told where to continue.
+  test.each(['data: x\n\n', ': note\ndata: x\n\n', 'id:\ndata: x\n\n'])(
+    'cannot be continued behind the event %j, which has no id',
+    (event) => {
+      expect(streamOf(eventsOf(1, 2) + event).canContinue).toBe(false);
+    },
+  );
+});
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -114,6 +114,37 @@
   });
 });
 
+describe('a run that does not show that it continues its stream', () => {
+  const named = (id: string): string => `id: ${id}\ndata: token ${id}\n\n`;
+
+  // Guards against the end of a run that continued nothing, taken for the end of the stream.
+  test.each([
+    ['has a body without events', replyOf(200, '{"error":"no session"}')],
+    ['has half an event', replyOf(200, 'id: 3\nda')],
+    ['closes before any event', { ...replyOf(200, '', 'close'), isEvents: true }],
+    ['has events without ids', replyOf(200, 'data: token 1\n\n')],
+  ])('leaves it incomplete: it %s', async (_, reply) => {
+    const { out } = await streamOf([brokenReplyOf(200, eventsOf(1, 2)), reply]);
+    expect(out).toEqual(['200', eventsOf(1, 2), CUT]);
+  });
+
+  // Guards against events that come twice where ids are names.
+  test('leaves it incomplete: it begins anew with the first name', async () => {
+    const first = named('a') + named('b');
+    const { out } = await streamOf([brokenReplyOf(200, first), replyOf(200, first + named('c'))]);
+    expect(out).toEqual(['200', first, CUT]);
+  });
+
+  // Guards against a run that goes on at its runner beside the one that continues the stream.
+  test('is ended before another one is asked', async () => {
+    const strayed = replyOf(200, eventsOf(1, 2));
+    const replies = [brokenReplyOf(200, eventsOf(1, 2)), strayed, replyOf(200, eventsOf(3, 3))];
+    const { out } = await streamOf(replies, { ...resumable, attempts: 3 });
+    expect(out).toEqual(['200', eventsOf(1, 2), eventsOf(3, 3)]);
+    expect(strayed.body.destroyed).toBe(true);
+  });
+});
+
 describe('a stream whose last event has no id', () => {
   // Guards against events that come twice: no runner can be told where to continue.
   test('is cut when its run breaks off', async () => {
