Cut an answer off whose connection cannot bring it to its end

What callers could see: a refusal in the middle of an answer, when bytes that are no HTTP follow a request on its connection; and for callers of HTTP/1.0 an answer that ends in order, and so looks complete, when they send such bytes, stop sending, or the process ends.

Cause: the class of this incident: a connection was closed, or written to, without regard to an answer that was under way on it. Found by a review.

Change: OpenAnswers knows the answers under way on each connection; the front and the gateways cut them off before a connection ends or gets a refusal. Left: a process that is killed, or ended by a second signal, cannot reset its connections.

--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -8,6 +8,7 @@
 import type { Logger } from 'pino';
 
 import { codes } from '../../core/codes';
+import { OpenAnswers } from '../../utils/answers';
 import { errorBody } from '../../utils/http';
 import { Failure } from '../../core/failure';
 import type { GatewayConfig } from '../config';
@@ -201,6 +202,7 @@
       log: this.#log,
       phase: () => this.#phase,
     });
+    const answers = new OpenAnswers();
     const server = createServer(
       {
         maxHeaderSize: limits.headerBytes,
@@ -208,11 +210,15 @@
         connectionsCheckingInterval: 1000,
       },
       (req, res) => {
+        answers.add(req, res);
         handler.handle(req, res).catch((error: Error) => this.#log.error(error.message));
       },
     );
     server.maxConnections = limits.connections;
-    server.on('clientError', answerGarbage);
+    server.on('clientError', (error, socket) => {
+      if (answers.cutOn(socket)) socket.destroy();
+      else answerGarbage(error, socket);
+    });
     return server;
   }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -283,6 +283,7 @@
     this.#front.close();
     while (this.#front.active > 0 && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.active }, 'Stopped.');
+    this.#front.cutOff();
     this.#news.stop();
     this.#quarantine.stop();
     this.#quotas.stop();
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -13,6 +13,7 @@
 import type { Route } from '../../core/routing/types';
 
 import { bootNow } from '../../utils/clock';
+import { OpenAnswers } from '../../utils/answers';
 import { listenOn, readBody } from '../../utils/http';
 import { LineBudget } from '../budget';
 import type { Metrics } from '../metrics';
@@ -53,6 +54,8 @@
 
   readonly #lines: LineBudget;
 
+  readonly #answers = new OpenAnswers();
+
   #active = 0;
 
   #leaving = false;
@@ -65,12 +68,16 @@
     this.#server = createServer(
       { maxHeaderSize: HEADER_BYTES, keepAliveTimeout: IDLE_MS, requestTimeout: 0 },
       (req, res) => {
+        this.#answers.add(req, res);
         this.#handle(req, res).catch((error) => context.log.error(toFailure(error).line));
       },
     );
     this.#server.headersTimeout = HEADER_MS;
     this.#server.on('connection', (socket) => socket.setNoDelay(true));
-    this.#server.on('clientError', (error, socket) => rejectMalformed(error, socket as Socket));
+    this.#server.on('clientError', (error, socket) => {
+      if (this.#answers.cutOn(socket)) socket.destroy();
+      else rejectMalformed(error, socket as Socket);
+    });
   }
 
   /** Requests that have no final answer yet. */
@@ -92,6 +99,11 @@
     this.#server.closeIdleConnections();
   }
 
+  /** Ends all answers that are not complete. */
+  cutOff(): void {
+    this.#answers.cutAll();
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     const now = performance.now();
     this.#applyLimits();
--- a/test/router/front.test.ts
+++ b/test/router/front.test.ts
@@ -1,4 +1,6 @@
+import type { Socket } from 'node:net';
 import { connect } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import pino from 'pino';
 
@@ -105,3 +107,73 @@
     expect(await talk(port, 'nonsense\r\n\r\n')).toMatch(/^HTTP\/1.1 400/);
   });
 });
+
+describe('bytes on a connection whose answer is under way', () => {
+  const EVENT = 'id: 1\ndata: x\n\n';
+  const REQUEST = 'GET /a/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n';
+  /** Longer than the answers of this test take, in milliseconds. */
+  const OBSERVED_MS = 300;
+  const log = pino({ level: 'silent' });
+  const knowledge = new Knowledge(new History(), log, silentListener);
+  const front = new Front({
+    knowledge,
+    gate: gateOf(knowledge),
+    codec: new PlatformIngress(),
+    metrics: new RouterMetrics(),
+    log,
+    onRequest: async (exchange) => {
+      exchange.head(200, ['content-type', 'text/event-stream']);
+      await exchange.write(Buffer.from(EVENT));
+      await pause(OBSERVED_MS / 3);
+      exchange.end(Buffer.from(EVENT));
+    },
+    onDone: () => {},
+  });
+  const port = 18_100 + Number(process.env.JEST_WORKER_ID ?? 0);
+
+  beforeAll(() => {
+    knowledge.learnConfig(0, config, 'test');
+    return front.listen(`127.0.0.1:${port}`);
+  });
+  afterAll(() => front.close());
+
+  /** Sends a request and, once its answer has begun, what `more` does; tells how the connection ended. */
+  async function observe(
+    more: (socket: Socket) => void,
+  ): Promise<{ readonly got: string; readonly end: string }> {
+    const socket = connect(port, '127.0.0.1', () => socket.write(REQUEST));
+    let got = '';
+    let end = 'open';
+    socket.on('data', (data) => {
+      if (got === '') more(socket);
+      got += data.toString();
+    });
+    socket.on('end', () => {
+      end = 'closed';
+    });
+    socket.on('error', () => {
+      end = 'reset';
+    });
+    await pause(OBSERVED_MS);
+    socket.destroy();
+    return { got, end };
+  }
+
+  // Guards against a refusal that is written into an answer, which then looks complete.
+  test('cut it off if they are no request', async () => {
+    const { got, end } = await observe((socket) => socket.write('no request\r\n\r\n'));
+    expect([got.split('\r\n\r\n')[1], end]).toEqual([EVENT, 'reset']);
+  });
+
+  // Guards against an answer that is closed in order, and looks complete, as its caller stops sending.
+  test('cut it off if their end would close the connection in order', async () => {
+    const { got, end } = await observe((socket) => socket.end());
+    expect([got.split('\r\n\r\n')[1], end]).toEqual([EVENT, 'reset']);
+  });
+
+  // Guards against an answer without chunks that looks complete as the process ends.
+  test('are ended with a reset when the front is', async () => {
+    const { got, end } = await observe(() => front.cutOff());
+    expect([got.split('\r\n\r\n')[1], end]).toEqual([EVENT, 'reset']);
+  });
+});
