Let a request go whose caller does not read, once its time is up

What others saw: a place at a runner that stays taken past the timeout of the request, as the router waited for a caller that takes no more bytes.

Cause: the wait ended when the caller read or left, not with the request's time. Found by a review.

Evidence: test/router/exchange.test.ts did not end before.

--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -1,5 +1,6 @@
 /** One request on its way: its clock, its caller and what was sent back so far. */
 
+import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 
 import { Failure } from '../../core/failure';
@@ -120,14 +121,12 @@
     this.#res.writeHead(status, headers as string[]);
   }
 
-  /** Passes a part of a stream on; resolves once the caller takes more. */
+  /** Passes a part of a stream on; resolves once the caller takes more, or has left, or time is up. */
   async write(chunk: Buffer): Promise<void> {
     this.#notePace(performance.now());
     if (this.#res.destroyed || this.#res.write(chunk)) return;
-    await new Promise<void>((resolve) => {
-      this.#res.once('drain', resolve);
-      this.#res.once('close', resolve);
-    });
+    // A caller that does not read must not hold its place at the runner past its time.
+    await once(this.#res, 'drain', { signal: this.signal }).catch(() => undefined);
   }
 
   #notePace(now: number): void {
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -1,4 +1,4 @@
-import { once } from 'node:events';
+import { EventEmitter, once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
@@ -120,3 +120,21 @@
     expect(text).toMatch(/0\r\n\r\n$/);
   });
 });
+
+describe('a caller that does not read', () => {
+  // Guards against a request that keeps its place at a runner past its timeout.
+  test('is let go when its time is up', async () => {
+    const request = { ...promptRequest, deadlineMs: 50 };
+    const events = new EventEmitter();
+    const res = Object.assign(events, {
+      destroyed: false,
+      writeHead: () => {},
+      write: () => false,
+    });
+    const codec = {} as unknown as IngressCodec;
+    const answer = res as unknown as ServerResponse;
+    const exchange = new Exchange(performance.now(), request, streamRoute, 's', answer, codec);
+    await exchange.write(Buffer.from(EVENT));
+    expect(exchange.signal.aborted).toBe(true);
+  });
+});
