Tell failures of passing an answer on from breaks of the answer

What callers could see: the first events of a stream missing. Events counted as given as soon as they had come from the runner; if its head could not be sent on, the failure was taken for a break of the run, and another runner continued behind events that the caller never got.

Cause: one catch for reading and writing. Found by a review; no header is known that brings it about.

--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -83,25 +83,23 @@
     const { exchange, engine, stream, onNote } = this.#context;
     const pace = new Pace(exchange.route.gapMs);
     let started = false;
-    let arrived = false;
-    try {
-      for await (const chunk of reply.body) {
-        const events = stream.push(chunk as Buffer);
-        if (events.length > 0) {
-          if (!started) onNote({ kind: 'started' });
-          started = true;
-          run.answered(performance.now());
-          if (pace.next(performance.now(), stream.events)) onNote({ kind: 'slow' });
-          this.#beginStream(reply);
-          await exchange.write(events);
-        }
-        if (stream.fault) break;
+    let broke = false;
+    const chunks = untilBreak(reply.body, () => {
+      broke = true;
+    });
+    for await (const chunk of chunks) {
+      const events = stream.push(chunk);
+      if (events.length > 0) {
+        if (!started) onNote({ kind: 'started' });
+        started = true;
+        run.answered(performance.now());
+        if (pace.next(performance.now(), stream.events)) onNote({ kind: 'slow' });
+        this.#beginStream(reply);
+        await exchange.write(events);
       }
-      arrived = reply.body.complete;
-    } catch {
-      // The connection ended before the answer did.
+      if (stream.fault) break;
     }
-    stream.end(arrived);
+    stream.end(!broke && reply.body.complete);
     const part = partOf(reply, afterEvent, stream);
     if (stream.fault === 'cut' || stream.fault === 'torn') run.broke(performance.now(), part);
     else if (stream.fault) run.strayed(part, stream.fault);
@@ -125,6 +123,15 @@
   return status >= SUCCESS_BEGIN && status < SUCCESS_END;
 }
 
+/** What comes of a body. A break ends it like its end does; failures of those who read it are theirs. */
+async function* untilBreak(body: Reply['body'], onBreak: () => void): AsyncGenerator<Buffer> {
+  try {
+    for await (const chunk of body) yield chunk as Buffer;
+  } catch {
+    onBreak();
+  }
+}
+
 /** @param headers names and values by turns */
 function withoutLength(headers: readonly string[]): readonly string[] {
   return headers.filter((_, index) => {
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -1,4 +1,5 @@
 import type { Engine, Route } from '../../src/core/routing/types';
+import type { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelCaller } from '../../src/node/router/model';
 import type { DecodeDispatch, Reply } from '../../src/node/router/types';
@@ -35,8 +36,8 @@
   readonly sent: readonly string[];
 }
 
-/** Sends a request to decode runners that give these answers in turn. */
-async function streamOf(replies: readonly Reply[], route = resumable): Promise<Stream> {
+/** Drives an exchange through decode runners that give these answers in turn; tells what was sent. */
+async function sendTo(replies: readonly Reply[], exchange: Exchange): Promise<readonly string[]> {
   const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
   const sent: string[] = [];
   const context = {
@@ -52,8 +53,14 @@
     quotas: noQuotas,
     mayRepeat: () => true,
   } as unknown as ModelContext;
+  await new ModelCaller(context).run(exchange, engine);
+  return sent;
+}
+
+/** What a caller gets from decode runners that give these answers in turn. */
+async function streamOf(replies: readonly Reply[], route = resumable): Promise<Stream> {
   const out: string[] = [];
-  await new ModelCaller(context).run(exchangeInto(out, promptRequest, route), engine);
+  const sent = await sendTo(replies, exchangeInto(out, promptRequest, route));
   return { out, sent };
 }
 
@@ -145,6 +152,20 @@
   });
 });
 
+describe('a caller that cannot be given the head of a stream', () => {
+  // Guards against events that are missing: they counted as given, and another runner continued behind them.
+  test('is given none of its events by another runner', async () => {
+    const out: string[] = [];
+    const exchange = exchangeInto(out, promptRequest, resumable);
+    exchange.head = () => {
+      throw new TypeError('invalid character in header');
+    };
+    const replies = [replyOf(200, eventsOf(1, 2)), replyOf(200, eventsOf(3, 3))];
+    expect(await sendTo(replies, exchange)).toEqual(['d1 after none']);
+    expect(out[0]).toBe('500');
+  });
+});
+
 describe('a stream whose last event has no id', () => {
   // Guards against events that come twice: no runner can be told where to continue.
   test('is cut when its run breaks off', async () => {
