Fail an answer of the own interface whose streams are not the same

What callers could see: an answer that looks whole with tokens of two runs, or with some left out, after their gateway was lost and another one began the run again: the reader only counted tokens, and the end of the second run was passed on whatever the first had given.

Found by a review.

Change: a reader that is fed again compares the tokens, and takes an end only for the number that it has. Engines that answer a prompt in the same way each time lose nothing by it.

--- a/src/node/gateway/model.ts
+++ b/src/node/gateway/model.ts
@@ -192,7 +192,7 @@
   async #startKeyed(
     request: ModelRequest,
     key: string,
-    sink: Sink,
+    sink: OnceSink,
     res: ServerResponse,
     now: number,
   ): Promise<void> {
@@ -206,8 +206,7 @@
     if (attempt.kind === 'mismatch') {
       throw new Failure('keyReused', 'this key was used with another request');
     } else if (attempt.kind === 'done') {
-      sink.token(0, attempt.answer.text);
-      sink.end(attempt.answer.tokens);
+      sink.replay(attempt.answer.text, attempt.answer.tokens);
     } else if (attempt.kind === 'fresh') {
       this.#keys.set(request.id, key);
       this.#startFresh(request, sink, res, now);
@@ -301,7 +300,7 @@
   return sharingGroup === undefined ? `team/${team}` : `group/${sharingGroup}`;
 }
 
-function sinkFor(res: ServerResponse, request: ModelRequest, stream: boolean): Sink {
+function sinkFor(res: ServerResponse, request: ModelRequest, stream: boolean): OnceSink {
   const frame = { id: request.id, model: request.serviceName };
   return new OnceSink(
     stream ? new EventSink(res, frame) : new JsonSink(res, frame, request.promptTokens),
--- a/src/node/gateway/sink.ts
+++ b/src/node/gateway/sink.ts
@@ -2,7 +2,7 @@
 
 import type { ServerResponse } from 'node:http';
 
-import type { Failure } from '../../core/failure';
+import { Failure } from '../../core/failure';
 import { errorBody, sendFailure, sendJson } from '../../utils/http';
 
 /** A reader of one answer. */
@@ -17,29 +17,52 @@
 /**
  * Passes each token on once. A reader that moves from a broken stream to
  * another one is fed from the beginning again; without this it would see the
- * tokens before the break twice.
+ * tokens before the break twice. A stream that is not the same answer is failed:
+ * tokens of two answers, or with some left out, would look like a whole one.
  */
 export class OnceSink implements Sink {
   readonly #sink: Sink;
 
-  #next = 0;
+  readonly #tokens: string[] = [];
+
+  #failed = false;
 
   constructor(sink: Sink) {
     this.#sink = sink;
   }
 
   token(offset: number, text: string): void {
-    if (offset !== this.#next) return;
-    this.#next += 1;
+    if (this.#failed) return;
+    const next = this.#tokens.length;
+    if (offset < next && this.#tokens[offset] === text) return;
+    if (offset !== next) {
+      this.#contradict(`found another token ${offset} after ${next}`);
+      return;
+    }
+    this.#tokens.push(text);
     this.#sink.token(offset, text);
   }
 
   end(tokens: number): void {
+    if (this.#failed) return;
+    const given = this.#tokens.length;
+    if (tokens === given) this.#sink.end(tokens);
+    else this.#contradict(`found an end after ${tokens} tokens, expected ${given}`);
+  }
+
+  /** Gives an answer that is kept as one text. */
+  replay(text: string, tokens: number): void {
+    this.#sink.token(0, text);
     this.#sink.end(tokens);
   }
 
   fail(failure: Failure, notRun: boolean): void {
-    this.#sink.fail(failure, notRun);
+    if (!this.#failed) this.#sink.fail(failure, notRun);
+  }
+
+  #contradict(detail: string): void {
+    this.#failed = true;
+    this.#sink.fail(new Failure('runnerFailed', detail), false);
   }
 }
 
