Fail a list of the store that ends with a page without items

What operators could see: runners taken for gone. A page that says that more follow, but has no item to go on from, was taken for the last one.

Found by a review; no store is known to do it.

Evidence: the new test in test/platform/store.test.ts failed before.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -115,7 +115,9 @@
       if (first.era !== era) throw new Failure('platformUnavailable', 'the store came back');
       items.push(...page.items.map(toItem));
       const last = page.items.at(-1);
-      if (!page.truncated || !last) return { items, ...first };
+      if (!page.truncated) return { items, ...first };
+      // Taken for the whole list, it would make what it lacks look gone.
+      if (!last) throw new Failure('platformUnavailable', 'found a page without items amid a list');
       after = last.key;
     }
   }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -1,12 +1,16 @@
 import pino from 'pino';
 
+import { toFailure } from '../../src/core/failure';
 import { History } from '../../src/core/routing/position';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import type { FeedListener } from '../../src/node/router/types';
+import { EraReader } from '../../src/platform/era';
 import { StoreFeed } from '../../src/platform/feed';
 import { StoreLock } from '../../src/platform/lock';
+import { StoreClient } from '../../src/platform/store';
 import { eventually } from '../fakes/cluster';
 import { entryOf } from '../fakes/entry';
+import { closeServer, listen, sendJson } from '../fakes/http';
 import { FakeStore, clientOf } from '../fakes/store';
 
 const config = (version: number): unknown => ({ version, routes: [], services: [] });
@@ -220,3 +224,17 @@
     await expect(lockOf('vm1').acquire()).rejects.toThrow();
   });
 });
+
+describe('a list of the store', () => {
+  // Guards against a part that is taken for the whole list: what it lacks would count as gone.
+  test('fails if a page without items says that more follow', async () => {
+    const { server, port } = await listen((_req, res) =>
+      sendJson(res, 200, { items: [], truncated: true, 'as-of': 1 }),
+    );
+    const log = pino({ level: 'silent' });
+    const store = new StoreClient(`127.0.0.1:${port}`, new EraReader(new History(), log));
+    const outcome = await store.range('').catch(toFailure);
+    await closeServer(server);
+    expect(outcome).toMatchObject({ codeName: 'platformUnavailable' });
+  });
+});
