--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -10,9 +10,11 @@
 import { RetryWindow } from '../../core/retries';
 import type { History } from '../../core/routing/position';
 import { bootNow } from '../../utils/clock';
+import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
 import { PeerCalls } from './calls';
 import { Control } from './control';
+import { endLineOf } from './endline';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { Front } from './front';
@@ -59,6 +61,7 @@
 const LAST_MS = 400;
 /** Period of looking whether all requests have ended, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
+
 /** A running router. */
 export class Router {
   #settings: RouterSettings;
@@ -99,9 +102,11 @@
 
   readonly #control: Control;
 
-  readonly #retries = new Map<string, RetryWindow>();
+  readonly #retries = new LazyMap<string, RetryWindow>(
+    () => new RetryWindow(this.#settings.retries),
+  );
 
-  readonly #health = new Map<string, RunnerHealth>();
+  readonly #health = new LazyMap<string, RunnerHealth>(() => new RunnerHealth());
 
   #orders: OrderDesk | undefined;
 
@@ -180,7 +185,7 @@
       quotas: this.#quotas,
     });
     const mayRepeat = (now: number, service: string): boolean =>
-      this.#retriesOf(service).spend(now, this.#fleet.alive.length);
+      this.#retries.get(service).spend(now, this.#fleet.alive.length);
     this.#runs = new Runs({
       quarantine: this.#quarantine,
       gate: this.#gate,
@@ -190,7 +195,7 @@
     this.#plain = new PlainCaller({
       knowledge: this.#knowledge,
       runners: this.#runners,
-      health: (service) => this.#healthOf(service),
+      health: (service) => this.#health.get(service),
       runs: this.#runs,
       quotas: this.#quotas,
       mayRepeat,
@@ -336,7 +341,7 @@
   async #serve(exchange: Exchange): Promise<void> {
     const { service } = exchange;
     const now = performance.now();
-    this.#retriesOf(service).first(now);
+    this.#retries.get(service).first(now);
     const refusal = this.#runs.refusal(now, exchange);
     if (refusal) {
       exchange.fail(now, refusal);
@@ -349,46 +354,9 @@
   }
 
   #done(exchange: Exchange, ms: number): void {
-    const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
-    const { firstMs = ms, pauseMs } = exchange;
-    const { configVersion } = this.#knowledge;
-    const inTime = firstMs <= route.aimMs && (route.gapMs === 0 || pauseMs <= route.gapMs);
+    const { service, status, code } = exchange;
     this.#metrics.ended(service, status, code, ms);
-    this.#log.info(
-      {
-        request: request.id,
-        fingerprint,
-        ...(request.customer === undefined ? {} : { customer: request.customer }),
-        route: route.name,
-        service,
-        configVersion,
-        status,
-        ...(code === undefined ? {} : { code }),
-        ...(callerGone ? { callerGone } : {}),
-        ms: Math.round(ms),
-        firstMs: Math.round(firstMs),
-        pauseMs: Math.round(pauseMs),
-        inTime,
-        trail,
-      },
-      'Request ended.',
-    );
-  }
-
-  #retriesOf(service: string): RetryWindow {
-    const known = this.#retries.get(service);
-    if (known) return known;
-    const fresh = new RetryWindow(this.#settings.retries);
-    this.#retries.set(service, fresh);
-    return fresh;
-  }
-
-  #healthOf(service: string): RunnerHealth {
-    const known = this.#health.get(service);
-    if (known) return known;
-    const fresh = new RunnerHealth();
-    this.#health.set(service, fresh);
-    return fresh;
+    this.#log.info(endLineOf(exchange, ms, this.#knowledge.configVersion), 'Request ended.');
   }
 
   /** Whether this VM takes callers; see `#serves` for whether it can serve them now. */
--- /dev/null
+++ b/src/node/router/endline.ts
@@ -0,0 +1,30 @@
+/** The log line of a request that has its final answer. */
+
+import type { Exchange } from './exchange';
+
+/** @param ms time from the whole request to the end of its answer */
+export function endLineOf(
+  exchange: Exchange,
+  ms: number,
+  configVersion: number,
+): Readonly<Record<string, unknown>> {
+  const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
+  const { firstMs = ms, pauseMs } = exchange;
+  const inTime = firstMs <= route.aimMs && (route.gapMs === 0 || pauseMs <= route.gapMs);
+  return {
+    request: request.id,
+    fingerprint,
+    ...(request.customer === undefined ? {} : { customer: request.customer }),
+    route: route.name,
+    service,
+    configVersion,
+    status,
+    ...(code === undefined ? {} : { code }),
+    ...(callerGone ? { callerGone } : {}),
+    ms: Math.round(ms),
+    firstMs: Math.round(firstMs),
+    pauseMs: Math.round(pauseMs),
+    inTime,
+    trail,
+  };
+}
