--- a/src/node/router/endline.ts
+++ b/src/node/router/endline.ts
@@ -10,7 +10,8 @@
 ): Readonly<Record<string, unknown>> {
   const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
   const { firstMs = ms, pauseMs } = exchange;
-  const inTime = firstMs <= route.aimMs && (route.gapMs === 0 || pauseMs <= route.gapMs);
+  const isPaced = route.gapMs === 0 || pauseMs <= route.gapMs;
+  const inTime = code === undefined && firstMs <= route.aimMs && isPaced;
   return {
     request: request.id,
     fingerprint,
