Have customers wait in turn for memory, by the memory and time that they had

What callers saw: a customer that floods within its quota takes the places of all others, since small requests went first, whosesoever.

Change: start-time fair queueing among customers with requests that wait; a higher rank has a larger share. Two ways stand behind one interface, SmallestFirst (the order so far) and FairTurns.

Where no request names a customer the order is the same as before (test/router/turns.test.ts compares whole results).

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -68,7 +68,9 @@
     this.#returnTimes = new ReturnTimes(policy.refusal);
     this.#learning = new Learning(policy.lengths, costs);
     this.#account = new MemoryAccount(policy.memory, costs);
-    this.#waiting = new WaitingQueue(costs, (demand) => this.#learning.sizeOf(demand));
+    this.#waiting = new WaitingQueue(costs, policy.order.turns(), (demand) =>
+      this.#learning.sizeOf(demand),
+    );
     this.#room = new Room(policy, this.#account, costs);
     this.#placed = new Placements(this.#account, this.#learning, costs, () => this.#room.changed());
   }
@@ -314,7 +316,7 @@
         const bound = decode !== undefined;
         if (!bound) ahead -= 1;
         const grant = { prefill: prefill?.runner.id, decode: place.runner.id };
-        this.#waiting.delete(demand.id);
+        this.#waiting.place(demand);
         this.#placed.add(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
         largest = this.#room.largest(now);
--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -7,6 +7,8 @@
 
 import type { PeakEstimate } from './growth';
 import { ComingPeak } from './growth';
+import type { Turns } from './turns';
+import { FairTurns } from './turns';
 
 /** How decode memory is given out. */
 export interface MemoryRules {
@@ -30,6 +32,8 @@
 export interface OrderRules {
   /** Part of a decode runner's memory that a request leaves free which is late anyway. */
   readonly lateSpare: number;
+  /** Who of those that can meet their aim goes first; for one planner. */
+  readonly turns: () => Turns;
 }
 
 /** Who is refused, and when they may come back. */
@@ -134,6 +138,7 @@
   // late that come next. In an overload by a third this and their last place in the queue raise the
   // requests served in time from 72 to 85 % of all.
   lateSpare: 0.1,
+  turns: () => new FairTurns(),
 };
 
 const refusal: RefusalRules = {
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -3,11 +3,9 @@
 import type { Costs } from './cost';
 import { prefillMs } from './cost';
 import type { OrderRules } from './policy';
+import type { Turn, Turns } from './turns';
 import type { Demand } from './types';
 
-/** Above every key of a request that can still meet its aim. */
-const LATE_KEY = 1e9;
-
 /** Least time from a grant to the first event, in milliseconds. */
 export function leastMs(costs: Costs, { promptTokens }: Demand): number {
   return prefillMs(costs, promptTokens) + costs.firstEventMs;
@@ -24,11 +22,6 @@
   return late && !demand.resuming ? lateSpare : 0;
 }
 
-/** Those that missed their aim take what the others leave; whose caller leaves first goes first. */
-function lateKey(now: number, { lostAt }: Demand): number {
-  return LATE_KEY + Math.max(0, lostAt - now);
-}
-
 /** Waiting requests of one service. */
 export class WaitingQueue {
   readonly #demands = new Map<string, Demand>();
@@ -37,9 +30,15 @@
 
   readonly #costs: Costs;
 
+  readonly #turns: Turns;
+
+  /** Requests that wait, by customer. */
+  readonly #counts = new Map<string | undefined, number>();
+
   /** @param sizeOf tokens of memory that a request will take */
-  constructor(costs: Costs, sizeOf: (demand: Demand) => number) {
+  constructor(costs: Costs, turns: Turns, sizeOf: (demand: Demand) => number) {
     this.#costs = costs;
+    this.#turns = turns;
     this.#sizeOf = sizeOf;
   }
 
@@ -57,36 +56,59 @@
   }
 
   add(demand: Demand): void {
+    const count = this.#counts.get(demand.customer) ?? 0;
+    if (count === 0) this.#turns.entered(demand);
+    this.#counts.set(demand.customer, count + 1);
     this.#demands.set(demand.id, demand);
   }
 
   delete(id: string): void {
+    const demand = this.#demands.get(id);
+    if (!demand) return;
     this.#demands.delete(id);
+    const count = (this.#counts.get(demand.customer) ?? 1) - 1;
+    if (count > 0) this.#counts.set(demand.customer, count);
+    else {
+      this.#counts.delete(demand.customer);
+      this.#turns.left(demand);
+    }
+  }
+
+  /** A request has a place: it waits no more, and its customer had its turn. */
+  place(demand: Demand): void {
+    this.#turns.placed(this.#turnOf(demand));
+    this.delete(demand.id);
   }
 
   /** Forgets the requests of a VM that is gone. */
   dropVm(vm: string): void {
-    for (const [id, demand] of this.#demands) if (demand.vm === vm) this.#demands.delete(id);
+    for (const [id, demand] of this.#demands) if (demand.vm === vm) this.delete(id);
   }
 
   /**
-   * Those that can still meet their aim first; among them the small ones, since
-   * in an overload they bring the most answers for the memory. Large ones are not
-   * starved by that: in an overload of twice the load, the worth of the largest tenth is 0.37.
+   * Those whose callers would see a pause in the middle of an answer, then those that can
+   * still meet their aim, then the others: they take what is left, and whose caller leaves
+   * first goes first.
    */
   order(now: number): readonly Demand[] {
-    const keyed = [...this.#demands.values()].map((demand) => ({
-      demand,
-      key: this.#key(now, demand),
-    }));
-    keyed.sort((a, b) => a.key - b.key);
-    return keyed.map(({ demand }) => demand);
+    const all = [...this.#demands.values()];
+    const resuming = all.filter((demand) => demand.resuming);
+    const others = all.filter((demand) => !demand.resuming);
+    const inTime = others.filter((demand) => this.#isInTime(now, demand));
+    const late = others.filter((demand) => !this.#isInTime(now, demand));
+    const turns = this.#turns.order(inTime.map((demand) => this.#turnOf(demand)));
+    late.sort((a, b) => a.lostAt - b.lostAt);
+    return [...resuming, ...turns.map(({ demand }) => demand), ...late];
+  }
+
+  #isInTime(now: number, demand: Demand): boolean {
+    return now + leastMs(this.#costs, demand) <= demand.dueAt;
   }
 
-  #key(now: number, demand: Demand): number {
-    // Its caller sees a pause in the middle of an answer.
-    if (demand.resuming) return 0;
-    const inTime = now + leastMs(this.#costs, demand) <= demand.dueAt;
-    return inTime ? this.#sizeOf(demand) : lateKey(now, demand);
+  #turnOf(demand: Demand): Turn {
+    const size = this.#sizeOf(demand);
+    const heldMs =
+      leastMs(this.#costs, demand) + (size - demand.promptTokens) * this.#costs.tokenMs;
+    return { demand, size, cost: size * heldMs };
   }
 }
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -7,6 +7,10 @@
   readonly id: string;
   /** VM that asked and that holds the request. */
   readonly vm: string;
+  /** Whose it is. Default: nobody's. */
+  readonly customer: string | undefined;
+  /** 0 first. */
+  readonly rank: number;
   /** Names the prompt, the same in all tries of one caller. Default: the caller tells none. */
   readonly promptId: string | undefined;
   readonly promptTokens: number;
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -23,6 +23,9 @@
 
   readonly service: string;
 
+  /** 0 first. */
+  readonly rank: number;
+
   readonly arrivedAt: number;
 
   /** What it took of its customer's quota. */
@@ -65,12 +68,14 @@
     request: CallRequest,
     route: Route,
     service: string,
+    rank: number,
     res: ServerResponse,
     codec: IngressCodec,
   ) {
     this.request = request;
     this.route = route;
     this.service = service;
+    this.rank = rank;
     this.arrivedAt = now;
     const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
     this.endAt = now + limitMs - TIMEOUT_MARGIN_MS;
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -142,7 +142,9 @@
       const { targets } = route;
       const service = pickTarget(targets, Math.random());
       if (service === undefined) throw new Failure('noRunner', `${route.name} names no service`);
-      return new Exchange(now, request, route, service, res, codec);
+      // A customer's rank goes before its route's.
+      const rank = customer?.rank ?? route.priority;
+      return new Exchange(now, request, route, service, rank, res, codec);
     } catch (error) {
       const failure = toFailure(error);
       const id = codec.idOf(req);
--- a/src/node/router/plans.ts
+++ b/src/node/router/plans.ts
@@ -12,6 +12,8 @@
 /** A demand on the wire. Clocks of VMs differ, so times are told as distances from now. */
 const demandFields = {
   id,
+  customer: z.string().max(200).optional(),
+  rank: z.number(),
   promptId: id.optional(),
   promptTokens: tokens,
   maxOutputTokens: tokens,
@@ -84,6 +86,7 @@
   const { dueAt, lostAt, hintTokens, promptId, avoid, ...same } = demand;
   return {
     id: same.id,
+    rank: same.rank,
     promptTokens: same.promptTokens,
     maxOutputTokens: same.maxOutputTokens,
     resuming: same.resuming,
@@ -93,6 +96,7 @@
     lostInMs: lostAt - now,
     ...(hintTokens === undefined ? {} : { hintTokens }),
     ...(promptId === undefined ? {} : { promptId }),
+    ...(same.customer === undefined ? {} : { customer: same.customer }),
   };
 }
 
@@ -101,6 +105,8 @@
   return {
     id: message.id,
     vm,
+    customer: message.customer,
+    rank: message.rank,
     promptId: message.promptId,
     promptTokens: message.promptTokens,
     maxOutputTokens: message.maxOutputTokens,
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -44,6 +44,8 @@
   const patience = resuming ? performance.now() : arrivedAt;
   return {
     id: `${request.id}/${progress.places}`,
+    customer: request.customer,
+    rank: exchange.rank,
     promptId: usage?.promptId,
     promptTokens: usage?.promptTokens ?? PROMPT_TOKENS,
     maxOutputTokens: usage?.maxOutputTokens ?? OUTPUT_TOKENS,
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -99,5 +99,5 @@
   });
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
   const now = performance.now();
-  return new Exchange(now, call, route, 's', res as unknown as ServerResponse, codec);
+  return new Exchange(now, call, route, 's', 1, res as unknown as ServerResponse, codec);
 }
--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -103,6 +103,11 @@
     return this.#result();
   }
 
+  /** Part of each customer's requests that were served in time; after a run. */
+  get served(): Readonly<Record<string, number>> {
+    return servedOf([...this.#callers.values()]);
+  }
+
   #every(periodMs: number, untilMs: number, run: (now: number) => void): void {
     for (let at = periodMs; at < untilMs; at += periodMs) this.#schedule.add(at, () => run(at));
   }
@@ -139,6 +144,8 @@
     const demand: Demand = {
       id: job.id,
       vm: 'vm1',
+      customer: job.customer,
+      rank: 1,
       promptId: undefined,
       promptTokens: job.promptTokens,
       maxOutputTokens: job.maxOutputTokens,
@@ -252,6 +259,16 @@
   return sorted[Math.floor(sorted.length * part)] ?? 0;
 }
 
+function servedOf(callers: readonly MemoryCaller[]): Readonly<Record<string, number>> {
+  const names = new Set(callers.map(({ job }) => job.customer ?? ''));
+  return Object.fromEntries(
+    [...names].sort().map((name) => {
+      const own = callers.filter(({ job }) => (job.customer ?? '') === name);
+      return [name, own.filter(({ inTime }) => inTime).length / own.length];
+    }),
+  );
+}
+
 function worthOf(callers: readonly MemoryCaller[]): number {
   let earned = 0;
   let asked = 0;
--- a/test/fakes/memory/load.ts
+++ b/test/fakes/memory/load.ts
@@ -5,6 +5,8 @@
 /** A request to come. */
 export interface MemoryJob {
   readonly id: string;
+  /** Whose it is. Default: nobody's. */
+  readonly customer?: string;
   readonly at: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -39,7 +39,7 @@
   const server = createServer((req, res: ServerResponse) => {
     const now = performance.now();
     const route = { ...streamRoute, resumable: true };
-    answer(new Exchange(now, promptRequest, route, 's', res, codec)).catch(() => {});
+    answer(new Exchange(now, promptRequest, route, 's', 1, res, codec)).catch(() => {});
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -133,7 +133,7 @@
     });
     const codec = {} as unknown as IngressCodec;
     const answer = res as unknown as ServerResponse;
-    const exchange = new Exchange(performance.now(), request, streamRoute, 's', answer, codec);
+    const exchange = new Exchange(performance.now(), request, streamRoute, 's', 1, answer, codec);
     await exchange.write(Buffer.from(EVENT));
     expect(exchange.signal.aborted).toBe(true);
   });
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -29,6 +29,7 @@
 const ask = (id: string): Ask => ({
   service: 's',
   id,
+  rank: 1,
   promptTokens: 5000,
   maxOutputTokens: 1200,
   dueInMs: 900,
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -17,6 +17,8 @@
 const demand = (id: string, now: number, change: Partial<Demand> = {}): Demand => ({
   id,
   vm: 'vm1',
+  customer: undefined,
+  rank: 1,
   promptId: undefined,
   promptTokens: 5000,
   maxOutputTokens: 1200,
--- a/test/router/tries.test.ts
+++ b/test/router/tries.test.ts
@@ -4,6 +4,8 @@
 const demand = (id: string, now: number, promptId: string | undefined): Demand => ({
   id,
   vm: 'vm1',
+  customer: undefined,
+  rank: 1,
   promptId,
   promptTokens: 5000,
   maxOutputTokens: 1200,
--- /dev/null
+++ b/test/router/turns.test.ts
@@ -0,0 +1,123 @@
+import { Planner } from '../../src/core/memory/planner';
+import { planPolicy } from '../../src/core/memory/policy';
+import type { Turn, Turns } from '../../src/core/memory/turns';
+import type { Demand } from '../../src/core/memory/types';
+import { FairTurns, SmallestFirst } from '../../src/core/memory/turns';
+import { MemoryBench } from '../fakes/memory/bench';
+import { tightFigures } from '../fakes/memory/engines';
+import type { MemoryJob } from '../fakes/memory/load';
+import { drawMemoryJobs } from '../fakes/memory/load';
+
+const CUSTOMERS = 8;
+const UNTIL_MS = 34_000;
+/** What eight customers together send a second, and what one more sends beside them for ten. */
+const USUAL = 6;
+const FLOOD = 30;
+const FLOOD_FROM_MS = 8000;
+const FLOOD_MS = 10_000;
+
+const demand: Demand = {
+  id: 'q',
+  vm: 'vm1',
+  customer: undefined,
+  rank: 1,
+  promptId: undefined,
+  promptTokens: 100,
+  maxOutputTokens: 0,
+  hintTokens: undefined,
+  dueAt: 0,
+  gapMs: 0,
+  lostAt: 0,
+  returned: false,
+  resuming: false,
+  avoid: [],
+};
+
+/** Requests of eight customers, and a flood of another one whose requests have the given part of the usual size. */
+function jobsOf(seed: number, sizePart: number): readonly MemoryJob[] {
+  const usual = drawMemoryJobs({ perSecond: USUAL, bursts: [], untilMs: UNTIL_MS }, seed).map(
+    (job, i) => ({ ...job, customer: `c${i % CUSTOMERS}` }),
+  );
+  const flood = drawMemoryJobs({ perSecond: FLOOD, bursts: [], untilMs: FLOOD_MS }, seed + 1).map(
+    (job) => ({
+      ...job,
+      id: `flood ${job.id}`,
+      customer: 'flood',
+      at: job.at + FLOOD_FROM_MS,
+      promptTokens: Math.round(job.promptTokens * sizePart),
+    }),
+  );
+  return [...usual, ...flood].sort((a, b) => a.at - b.at);
+}
+
+/** Part of the requests that were served, of the flood and of the others, while it lasts. */
+function play(turns: () => Turns, sizePart: number): { flood: number; others: number } {
+  const sums = { flood: 0, others: 0 };
+  const seeds = [1, 2, 3];
+  for (const seed of seeds) {
+    const bench = new MemoryBench({
+      jobs: jobsOf(seed, sizePart),
+      policy: new Planner({ ...planPolicy, order: { ...planPolicy.order, turns } }),
+      figures: tightFigures,
+      prefillRunners: 2,
+      decodeRunners: 4,
+    });
+    bench.run();
+    const { flood = 0, ...others } = bench.served;
+    sums.flood += flood / seeds.length;
+    const parts = Object.values(others);
+    sums.others += parts.reduce((sum, part) => sum + part, 0) / parts.length / seeds.length;
+  }
+  return sums;
+}
+
+describe('turns of customers', () => {
+  /*
+   * One customer sends five times what eight others send together, for ten seconds and
+   * within its quota. Small requests went first, whosesoever, and the others, who had not
+   * changed anything, lost every seventh answer in time.
+   */
+  test('keep the others in time while one customer floods', () => {
+    const fair = play(() => new FairTurns(), 1);
+    const bySize = play(() => new SmallestFirst(), 1);
+    expect(fair.others).toBeGreaterThan(0.9);
+    expect(fair.others).toBeGreaterThan(bySize.others);
+    // What the flood loses is little beside that: memory is not left idle.
+    expect(fair.flood).toBeGreaterThan(bySize.flood * 0.8);
+  });
+
+  test('help those with larger requests than the flood', () => {
+    const fair = play(() => new FairTurns(), 0.3);
+    const bySize = play(() => new SmallestFirst(), 0.3);
+    expect(fair.others).toBeGreaterThan(bySize.others);
+  });
+
+  /* Without customers nothing is to be shared, and the order stays what it was. */
+  test('are those of the sizes where requests name no customer', () => {
+    const jobs = drawMemoryJobs({ perSecond: 12, bursts: [], untilMs: UNTIL_MS }, 5);
+    const results = [() => new FairTurns(), () => new SmallestFirst()].map((turns) =>
+      new MemoryBench({
+        jobs,
+        policy: new Planner({ ...planPolicy, order: { ...planPolicy.order, turns } }),
+        figures: tightFigures,
+        prefillRunners: 2,
+        decodeRunners: 4,
+      }).run(),
+    );
+    expect(results[0]).toEqual(results[1]);
+  });
+
+  /* A customer of the first rank has twice the share of one of the second. */
+  test('come more often to a customer of a higher rank', () => {
+    const turns = new FairTurns();
+    const turnOf = (customer: string, rank: number, i: number): Turn => ({
+      demand: { ...demand, id: `${customer}${i}`, customer, rank },
+      size: 100,
+      cost: 100,
+    });
+    const all = [0, 1, 2, 3].flatMap((i) => [turnOf('high', 0, i), turnOf('low', 1, i)]);
+    all.slice(0, 2).forEach((turn) => turns.entered(turn.demand));
+    const order = turns.order(all).map(({ demand: { id } }) => id);
+    expect(order.slice(0, 6).filter((id) => id.startsWith('high'))).toHaveLength(4);
+  });
+});
