Compare ids that are no numbers only where a run begins

A runner that gives all events of a stream one name had its stream given up at the second event; names say nothing of order within a run. What a run must not begin with is compared as before.

--- a/src/core/stream/order.ts
+++ b/src/core/stream/order.ts
@@ -30,7 +30,7 @@
    * @returns why it does not follow; undefined if it does
    */
   next(id: string, begins: boolean): OrderFault | undefined {
-    const step = this.#stepTo(id);
+    const step = this.#stepTo(id, begins);
     if (step <= 0n) return 'order';
     // Only between runs: within one, what is left out is the runner's own choice.
     if (begins && step > 1n && this.#dense && this.#ids >= DENSE_IDS) return 'gap';
@@ -41,10 +41,10 @@
     return undefined;
   }
 
-  /** By how much the id rises. Ids that are no numbers must not repeat the first or the last. */
-  #stepTo(id: string): bigint {
+  /** By how much the id rises. Of ids that are no numbers, a run must not begin with the first or the last. */
+  #stepTo(id: string, begins: boolean): bigint {
     if (this.#last === undefined) return 1n;
     if (NUMBER.test(id) && NUMBER.test(this.#last)) return BigInt(id) - BigInt(this.#last);
-    return id === this.#last || id === this.#first ? 0n : 1n;
+    return begins && (id === this.#last || id === this.#first) ? 0n : 1n;
   }
 }
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -4,7 +4,7 @@
 import type { ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
 
-import type { Route } from '../../src/core/routing/types';
+import type { Engine, Route } from '../../src/core/routing/types';
 import type { Framing } from '../../src/core/stream/answer';
 import { Exchange } from '../../src/node/router/exchange';
 import type { CallRequest, IngressCodec, Reply } from '../../src/node/router/types';
@@ -26,6 +26,15 @@
   anonymous: false,
 };
 
+/** Engine of a service whose streams are driven. */
+export const streamEngine: Engine = {
+  slots: 64,
+  memoryTokens: 65_000,
+  eventTokens: 7,
+  keepMs: 500,
+  switchMs: undefined,
+};
+
 /** A request with a prompt of some size. */
 export const promptRequest: CallRequest = {
   id: 'q',
