--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -1,28 +1,28 @@
-/** The stream that a caller gets over all runs that make it up. The end of one run's answer is not yet its end. */
+/** Assembles one stream from the answers of one or several runs, and decides when it is complete. */
 
 import type { OrderFault } from './order';
 import { EventOrder } from './order';
 import type { ServerEvent } from './splitter';
 import { EventSplitter } from './splitter';
 
-/** What tells the end of an answer: its length, its last chunk, or the close of its connection. */
+/** What marks the end of an answer: its length, its last chunk, or the close of its connection. */
 export type Framing = 'length' | 'chunked' | 'close';
 
 /** The head of a run's answer. */
 export interface AnswerHead {
   readonly status: number;
   readonly framing: Framing;
-  /** Whether it says that its body is server-sent events. */
+  /** Whether its content type is server-sent events. */
   readonly isEvents: boolean;
 }
 
 /**
- * Why a run leaves its stream incomplete: another status than the caller has, events
- * that do not follow, an end within an event or before any, or an answer that was cut off.
+ * Why a run does not complete its stream: a status other than the caller's, events out
+ * of order, an end within an event or before the first one, or a broken connection.
  */
 export type StreamFault = 'status' | OrderFault | 'torn' | 'cut';
 
-/** Events of one stream, from one run after the other. */
+/** One stream, fed by one run after the other. */
 export class AnswerStream {
   readonly #order = new EventOrder();
 
@@ -42,7 +42,7 @@
   /** Id of the first event of this run. */
   #firstId: string | undefined;
 
-  /** Whether the last event told where to continue after it. */
+  /** Whether the last event has an id. */
   #named = true;
 
   #fault: StreamFault | undefined;
@@ -61,7 +61,7 @@
     return this.#order.last;
   }
 
-  /** Whether another run can be asked for exactly what is missing. */
+  /** Whether another run can be told exactly where to continue. */
   get canContinue(): boolean {
     return this.#named;
   }
@@ -71,12 +71,12 @@
     return this.#splitter.rest;
   }
 
-  /** Why this run cannot complete the stream. Default: nothing is known against it. */
+  /** Why this run cannot complete the stream. Default: it can, as far as it has come. */
   get fault(): StreamFault | undefined {
     return this.#fault;
   }
 
-  /** A run begins to answer. */
+  /** Call this when the head of a run's answer has arrived. */
   begin(head: AnswerHead): void {
     this.#splitter = new EventSplitter();
     this.#firstId = undefined;
@@ -86,7 +86,7 @@
     this.#fault = head.status === this.#status ? undefined : 'status';
   }
 
-  /** Takes bytes of the run in and gives the whole events to pass on: none from the first that does not follow. */
+  /** Takes bytes of the run and returns the whole events to pass on, up to the first one out of order. */
   push(chunk: Buffer): Buffer {
     const passed: Buffer[] = [];
     for (const event of this.#splitter.push(chunk)) {
@@ -98,7 +98,7 @@
     return passed.length === 1 && passed[0] ? passed[0] : Buffer.concat(passed);
   }
 
-  /** The run's answer has ended; `arrived` if all of it came. */
+  /** Call this when the run's answer has ended; `arrived` if it is whole by its framing. */
   end(arrived: boolean): void {
     if (!arrived) this.#fault ??= 'cut';
     if (this.#isTorn) this.#fault ??= 'torn';
@@ -113,7 +113,7 @@
 
   #check({ id, hasData }: ServerEvent): OrderFault | undefined {
     if (id !== undefined) return this.#order.next(id, this.#firstId === undefined);
-    // Without an id, nothing shows that a run continues where it was to.
+    // Without an id, nothing shows that the run continues at the right event.
     return hasData && this.#continues && this.#isFirst ? 'order' : undefined;
   }
 
@@ -121,7 +121,7 @@
     return this.#eventsBefore > 0;
   }
 
-  /** Whether this run has brought no event yet. */
+  /** Whether this run has sent no event yet. */
   get #isFirst(): boolean {
     return this.#events === this.#eventsBefore && this.#firstId === undefined;
   }
@@ -129,10 +129,10 @@
   get #isTorn(): boolean {
     const head = this.#head;
     const hasRest = this.rest.toString('latin1').trim() !== '';
-    // What follows the last event of a run that continues a stream is no event, whatever its framing.
+    // The caller already has events, so what remains can only be part of one, whatever the framing.
     if (this.#continues && hasRest) return true;
-    // A runner that ends closes its connections in order as well, so where only the close tells the
-    // end of the answer, half an event or none at all shows that it came too soon.
+    // A process that exits closes its connections in order too. Where the close is the only mark of
+    // the end, a partial event, or none at all, shows that the answer was cut short.
     const hasEvents = head?.isEvents || this.#firstId !== undefined;
     return head?.framing === 'close' && hasEvents && (hasRest || this.#isFirst);
   }
--- a/src/core/stream/order.ts
+++ b/src/core/stream/order.ts
@@ -1,12 +1,12 @@
-/** Decides by their ids whether events of one stream follow each other. */
+/** Checks by their ids that the events of a stream are in order. */
 
-/** Ids that can be compared. */
+/** Ids that can be compared as numbers. */
 const NUMBER = /^\d{1,40}$/;
 
-/** Ids in a row, each the one before plus one, from which on a gap between two runs is taken for one. */
+/** Consecutive ids needed before a jump between two runs counts as a gap. */
 const DENSE_IDS = 2;
 
-/** An id that does not rise, or one that leaves out events between two runs. */
+/** `order`: the id does not rise; `gap`: events between two runs are missing. */
 export type OrderFault = 'order' | 'gap';
 
 /** Ids of one stream so far. */
@@ -17,7 +17,7 @@
 
   #ids = 0;
 
-  /** Whether each id so far was the one before plus one. */
+  /** Whether all ids so far are consecutive. */
   #dense = true;
 
   get last(): string | undefined {
@@ -25,14 +25,14 @@
   }
 
   /**
-   * The next event of the stream.
+   * Adds the next event of the stream.
    * @param begins whether it is the first of its run
-   * @returns why it does not follow; undefined if it does
+   * @returns undefined if it is in order
    */
   next(id: string, begins: boolean): OrderFault | undefined {
     const step = this.#stepTo(id, begins);
     if (step <= 0n) return 'order';
-    // Only between runs: within one, what is left out is the runner's own choice.
+    // Within a run, a runner may number its events as it likes.
     if (begins && step > 1n && this.#dense && this.#ids >= DENSE_IDS) return 'gap';
     this.#dense &&= step === 1n;
     this.#ids += 1;
@@ -41,7 +41,7 @@
     return undefined;
   }
 
-  /** By how much the id rises. Of ids that are no numbers, a run must not begin with the first or the last. */
+  /** By how much the id rises. A run must not begin with the first or the last id if they are not numbers. */
   #stepTo(id: string, begins: boolean): bigint {
     if (this.#last === undefined) return 1n;
     if (NUMBER.test(id) && NUMBER.test(this.#last)) return BigInt(id) - BigInt(this.#last);
--- a/src/core/stream/splitter.ts
+++ b/src/core/stream/splitter.ts
@@ -1,18 +1,18 @@
-/** Cuts bytes into whole server-sent events. */
+/** Splits bytes into server-sent events. */
 
 /** The blank line that ends an event. */
 const BLANK_LINE = /\r?\n\r?\n/g;
-/** An empty id names no event. */
+/** An empty id counts as none. */
 const ID_FIELD = /^id: ?(.+)$/m;
 const DATA_FIELD = /^data(:|$)/m;
 
 /** One event as it was sent. */
 export interface ServerEvent {
-  /** Its bytes with the blank line that ends it. */
+  /** Its bytes, including the blank line at its end. */
   readonly bytes: Buffer;
-  /** Default: it names none. */
+  /** Default: it has none. */
   readonly id: string | undefined;
-  /** False for comments and settings, which are no part of what callers read. */
+  /** False for comments and settings, which clients do not dispatch. */
   readonly hasData: boolean;
 }
 
@@ -25,7 +25,7 @@
     return this.#rest;
   }
 
-  /** Takes bytes in and gives the events that they complete. */
+  /** Takes bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly ServerEvent[] {
     const all = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
     const text = all.toString('latin1');
--- a/src/node/gateway/sink.ts
+++ b/src/node/gateway/sink.ts
@@ -17,8 +17,7 @@
 /**
  * Passes each token on once. A reader that moves from a broken stream to
  * another one is fed from the beginning again; without this it would see the
- * tokens before the break twice. A stream that is not the same answer is failed:
- * tokens of two answers, or with some left out, would look like a whole one.
+ * tokens before the break twice. Fails if the other stream is a different answer.
  */
 export class OnceSink implements Sink {
   readonly #sink: Sink;
@@ -50,7 +49,7 @@
     else this.#contradict(`found an end after ${tokens} tokens, expected ${given}`);
   }
 
-  /** Gives an answer that is kept as one text. */
+  /** Passes on a whole answer that was kept as one text. */
   replay(text: string, tokens: number): void {
     this.#sink.token(0, text);
     this.#sink.end(tokens);
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -130,7 +130,7 @@
   async write(chunk: Buffer): Promise<void> {
     this.#notePace(performance.now());
     if (this.#res.destroyed || this.#res.write(chunk)) return;
-    // A caller that does not read must not hold its place at the runner past its time.
+    // A caller that stops reading must not keep its place at the runner past the deadline.
     await once(this.#res, 'drain', { signal: this.signal }).catch(() => undefined);
   }
 
--- a/src/node/router/front.ts
+++ b/src/node/router/front.ts
@@ -99,7 +99,7 @@
     this.#server.closeIdleConnections();
   }
 
-  /** Ends all answers that are not complete. */
+  /** Cuts off all answers in progress. */
   cutOff(): void {
     this.#answers.cutAll();
   }
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -1,4 +1,4 @@
-/** Passes the answers of a request's runs on to its caller, as one stream. */
+/** Relays the answers of a request's runs to its caller as one stream. */
 
 import type { Engine } from '../../core/routing/types';
 import type { AnswerStream } from '../../core/stream/answer';
@@ -26,10 +26,10 @@
   | { readonly kind: 'slow' }
   | { readonly kind: 'finished'; readonly outputTokens: number };
 
-/** `failed` if the runner's own failure was passed on; after `broken` the stream is incomplete. */
+/** `failed`: the runner's own failure was passed on; `broken`: the stream is incomplete. */
 export type RelayOutcome = 'done' | 'failed' | 'broken';
 
-/** Whose answer it is, and who hears of its progress. */
+/** What a relay works with. */
 export interface RelayContext {
   readonly exchange: Exchange;
   readonly engine: Engine;
@@ -39,7 +39,7 @@
   readonly onNote: (note: RelayNote) => void;
 }
 
-/** Passes on what runners answer to one request. */
+/** Relays the runs of one request. */
 export class Relay {
   readonly #context: RelayContext;
 
@@ -60,7 +60,7 @@
     return this.#passEvents(answer, afterEvent);
   }
 
-  /** An answer that is no part of a stream: it is the caller's only if there was none before. */
+  /** Handles an answer that cannot be part of the stream; it is passed on only if nothing was before. */
   async #passWhole({ reply, run }: Answer, afterEvent: string | undefined): Promise<RelayOutcome> {
     const { exchange, stream, mayGoOn } = this.#context;
     const body = await readBody(reply.body, ANSWER_BYTES).catch(() => undefined);
@@ -78,7 +78,7 @@
     return failed ? 'failed' : 'done';
   }
 
-  /** Only whole events are passed on, so that the stream can continue after a break in the middle of one. */
+  /** Passes on whole events only, so that another run can continue after a break within one. */
   async #passEvents({ reply, run }: Answer, afterEvent: string | undefined): Promise<RelayOutcome> {
     const { exchange, engine, stream, onNote } = this.#context;
     const pace = new Pace(exchange.route.gapMs);
@@ -111,7 +111,7 @@
     return 'done';
   }
 
-  /** The length of one run's answer is not that of a stream which another may continue. */
+  /** A stream that another run may continue has no length known in advance. */
   #beginStream({ status, headers }: Reply): void {
     const { exchange } = this.#context;
     if (exchange.headSent) return;
@@ -123,7 +123,7 @@
   return status >= SUCCESS_BEGIN && status < SUCCESS_END;
 }
 
-/** What comes of a body. A break ends it like its end does; failures of those who read it are theirs. */
+/** Yields the chunks of a body until it ends or breaks. Errors thrown by the consumer are not caught. */
 async function* untilBreak(body: Reply['body'], onBreak: () => void): AsyncGenerator<Buffer> {
   try {
     for await (const chunk of body) yield chunk as Buffer;
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -19,7 +19,7 @@
 export interface StreamPart {
   readonly status: number;
   readonly framing: Framing;
-  /** Id of the event after which the run was to continue. Default: it began the stream. */
+  /** Id of the event after which the run was asked to continue. Default: it began the stream. */
   readonly afterEvent: string | undefined;
   readonly firstEvent: string | undefined;
   readonly lastEvent: string | undefined;
@@ -72,7 +72,7 @@
     if (part && !isPlain) this.#context.log.info(this.#lineOf(part), 'A run completed a stream.');
   }
 
-  /** It did not continue the stream that it was to continue. */
+  /** Its answer does not continue the stream. */
   strayed(part: StreamPart, fault: StreamFault): void {
     const { metrics, log } = this.#context;
     metrics.count('runs.strayed');
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -116,7 +116,7 @@
       items.push(...page.items.map(toItem));
       const last = page.items.at(-1);
       if (!page.truncated) return { items, ...first };
-      // Taken for the whole list, it would make what it lacks look gone.
+      // A partial list would make the missing items look deleted.
       if (!last) throw new Failure('platformUnavailable', 'found a page without items amid a list');
       after = last.key;
     }
--- a/src/utils/answers.ts
+++ b/src/utils/answers.ts
@@ -1,30 +1,30 @@
-/** Answers that are under way, by connection. */
+/** Tracks answers in progress by connection. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 
 import { cutOff } from './http';
 
-/** Cuts answers off whose connection cannot bring them to their end. */
+/** Answers in progress, to be cut off when their connection is about to end. */
 export class OpenAnswers {
   readonly #open = new Map<Duplex, Set<ServerResponse>>();
 
-  /** An answer begins; it is forgotten at its end. */
+  /** Adds an answer until it closes. */
   add({ socket, httpVersion }: IncomingMessage, res: ServerResponse): void {
     let answers = this.#open.get(socket);
     if (!answers) {
       answers = new Set();
       this.#open.set(socket, answers);
       socket.once('close', () => this.#open.delete(socket));
-      // Node answers the end of what a caller sends by closing in order, which such callers take
-      // for the end of the answer.
+      // Node closes the connection in order when the caller half-closes it, which HTTP/1.0 callers
+      // take for the end of the answer.
       if (httpVersion === '1.0') socket.prependListener('end', () => this.cutOn(socket));
     }
     answers.add(res);
     res.once('close', () => this.#open.get(socket)?.delete(res));
   }
 
-  /** Cuts the answers on a connection; false if there were none. */
+  /** Cuts off the answers on a connection; false if there are none. */
   cutOn(socket: Duplex): boolean {
     const answers = [...(this.#open.get(socket) ?? [])];
     answers.forEach(cutOff);
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -18,14 +18,14 @@
 }
 
 /**
- * An answer without a length ends with its connection, and Node takes a reset for such an
- * end too, so that half an answer looks whole. Call this as soon as the answer's head is there.
+ * Makes a reset fail an answer whose end is the close of its connection; Node reports it as
+ * a regular end. Call this when the answer's head arrives.
  */
 export function failOnReset(req: ClientRequest, message: IncomingMessage): void {
   req.on('error', (error) => message.destroy(error));
   const { socket } = message;
-  // A reset that arrives together with the last bytes is reported as an end in order. The kernel
-  // still tells them apart: a connection that was reset has no peer any more.
+  // A reset that arrives together with the last bytes is emitted as `end`, not as `error`, but a
+  // connection that was reset has no peer address any more.
   const onEnd = (): void => {
     if (socket.remoteAddress === undefined) message.destroy(new Error('reset by the other side'));
   };
@@ -131,8 +131,8 @@
 }
 
 /**
- * Ends an answer of which a part is out, so that it does not look complete. Callers
- * without chunks take the close of the connection for its end; a reset is none.
+ * Aborts an answer of which a part was sent, so that it does not look complete. HTTP/1.0
+ * callers take the close of the connection for its end, so theirs is reset.
  */
 export function cutOff(res: ServerResponse): void {
   if (res.req.httpVersion === '1.0') res.socket?.resetAndDestroy();
