Read the rate limits that runners name, and say in log and metrics what a VM believes of them

What callers saw: nothing. Runners that name a rate limit in their answers got as much as before; nothing in logs or metrics said that they had named one, nor what a VM believed of it, so that the hypotheses in the postmortem could be told apart by counting requests only.

Each VM now decodes the limit from every answer (plain, prefill, decode) and keeps it by start of the runner: a line when it is named, changes or ends, with the VM's source; how many requests go to limited runners; the limits in force in what a node believes. Values that are no decimal number leave the last one in force, with a line. No decision depends on it yet.

--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -19,6 +19,7 @@
   | 'places'
   | 'quarantine'
   | 'quotas'
+  | 'ratelimits'
   | 'store'
   | 'orders'
   | 'runner'
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -31,6 +31,7 @@
 import { PlainCaller } from './plain';
 import { QuotaDesk } from './quotas';
 import { QuarantineDesk } from './quarantine';
+import { RateLimitDesk } from './ratelimits';
 import { Runs } from './runs';
 import { FactSync } from './sync';
 import type {
@@ -98,6 +99,8 @@
 
   readonly #quotas: QuotaDesk;
 
+  readonly #rateLimits: RateLimitDesk;
+
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -186,9 +189,15 @@
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retries.get(service).spend(now, this.#fleet.alive.length);
+    this.#rateLimits = new RateLimitDesk({
+      knowledge: this.#knowledge,
+      metrics: this.#metrics,
+      log: logOf(log, 'ratelimits'),
+    });
     this.#runs = new Runs({
       quarantine: this.#quarantine,
       gate: this.#gate,
+      rateLimits: this.#rateLimits,
       metrics: this.#metrics,
       log: logOf(log, 'runner'),
     });
@@ -292,6 +301,7 @@
     this.#news.stop();
     this.#quarantine.stop();
     this.#quotas.stop();
+    this.#rateLimits.stop();
     this.#places.stop();
     this.#host.stop();
     this.#control.close();
@@ -310,6 +320,7 @@
       active: this.#front.active,
       refuses: this.#quarantine.beliefs(now),
       quotas: this.#quotas.beliefs(),
+      rateLimits: this.#rateLimits.beliefs(),
       ...this.#knowledge.beliefs(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
--- a/src/node/router/knowledge.ts
+++ b/src/node/router/knowledge.ts
@@ -291,10 +291,15 @@
     };
   }
 
-  /** Runners of a service that may get work now. */
+  /** Runners that may get work now. */
+  runners(now: number): readonly Runner[] {
+    return this.#directory.usable(now);
+  }
+
+  /** Those of them that serve a service. */
   runnersOf(now: number, service: string, role?: RunnerRole): readonly Runner[] {
-    return this.#directory
-      .usable(now)
-      .filter((runner) => runner.service === service && (!role || runner.role === role));
+    return this.runners(now).filter(
+      (runner) => runner.service === service && (!role || runner.role === role),
+    );
   }
 }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -148,6 +148,7 @@
         request,
         deadlineMs,
         signal: AbortSignal.any([signal, limit]),
+        onReply: (reply) => run.replied(performance.now(), reply),
       });
       exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
       return cache;
@@ -240,6 +241,7 @@
         request,
         deadlineMs,
         signal,
+        onReply: (answer) => run.replied(performance.now(), answer),
         cache,
         afterEvent,
       });
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -169,7 +169,9 @@
 ): Promise<Answer> {
   const deadlineMs = exchange.leftMs(performance.now());
   const { request, signal } = exchange;
-  const reply = await runners.send({ runner, request, deadlineMs, signal }).catch((error) => {
+  const onReply = (reply: Reply): void => run.replied(performance.now(), reply);
+  const dispatch = { runner, request, deadlineMs, signal, onReply };
+  const reply = await runners.send(dispatch).catch((error) => {
     const { codeName } = toFailure(error);
     if (codeName === 'runnerFailed') run.broke(performance.now());
     if (codeName === 'runnerUnreachable') run.notRun();
--- /dev/null
+++ b/src/node/router/ratelimits.ts
@@ -0,0 +1,103 @@
+/** What this VM believes of the rate limits that runners name, and says of them in log and metrics. */
+
+import type { Logger } from 'pino';
+
+import { Failure } from '../../core/failure';
+import { RunnerRates } from '../../core/ratelimits/rates';
+import type { RunnerRate } from '../../core/ratelimits/types';
+import type { Runner } from '../../core/routing/types';
+import { LineBudget } from '../budget';
+import type { Metrics } from '../metrics';
+import type { Knowledge } from './knowledge';
+import type { Reply } from './types';
+
+/** What rate limits work with. */
+export interface RateLimitContext {
+  readonly knowledge: Knowledge;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+}
+
+/** Answers below this status are what a runner in good order gives. */
+const SERVER_ERROR = 500;
+/** Lines of changed limits in a second. */
+const RATE_LINES = 10;
+/** Lines of values that are no rate in a second. */
+const UNREADABLE_LINES = 2;
+/** Period of forgetting limits that are over, in milliseconds. */
+const PRUNE_MS = 5000;
+
+/** Rate limits at one VM. */
+export class RateLimitDesk {
+  readonly #context: RateLimitContext;
+
+  readonly #rates = new RunnerRates();
+
+  readonly #lines: LineBudget;
+
+  readonly #unreadable: LineBudget;
+
+  readonly #timer: NodeJS.Timeout;
+
+  constructor(context: RateLimitContext) {
+    this.#context = context;
+    const { log } = context;
+    this.#lines = new LineBudget(RATE_LINES, (lines) =>
+      log.info({ lines }, 'More rate limits changed.'),
+    );
+    this.#unreadable = new LineBudget(UNREADABLE_LINES, (lines) =>
+      log.warn({ lines }, 'More rate limits were unreadable.'),
+    );
+    this.#timer = setInterval(() => this.#prune(performance.now()), PRUNE_MS).unref();
+  }
+
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** A request is sent to a runner. */
+  sent({ id }: Runner): void {
+    if (this.#rates.ratePerS(id) !== undefined) this.#context.metrics.count('ratelimits.sent');
+  }
+
+  /** An answer has begun to a request that was sent to a runner. */
+  replied(now: number, runner: Runner, sentAt: number, reply: Reply): void {
+    // Another start answered, or another service under the same address.
+    if (reply.misdirected) return;
+    const { rateNotice: notice, genuine, status } = reply;
+    if (notice.kind === 'unreadable') this.#noteUnreadable(now, runner, notice.text);
+    const provesEnd = notice.kind === 'none' && genuine && status < SERVER_ERROR;
+    const news = this.#rates.saw(now, runner, { sentAt, notice, provesEnd });
+    if (news) this.#changed(now, news, 'own');
+  }
+
+  /** The limits in force, for operators. */
+  beliefs(): readonly RunnerRate[] {
+    return this.#rates.limited;
+  }
+
+  #changed(now: number, rate: RunnerRate, source: string): void {
+    const { log, metrics } = this.#context;
+    metrics.gauge('ratelimits.runners', this.#rates.limited.length);
+    if (!this.#lines.allows(now)) return;
+    const holds = rate.ratePerS !== undefined;
+    const what = holds ? 'A runner has a rate limit.' : 'A runner has no rate limit any more.';
+    log.info({ ...rate, source }, what);
+  }
+
+  #noteUnreadable(now: number, { id: runner, service }: Runner, text: string): void {
+    this.#context.metrics.count('ratelimits.unreadable');
+    if (!this.#unreadable.allows(now)) return;
+    const detail = `found ${JSON.stringify(text)} as a rate limit, expected a decimal number`;
+    const { line } = new Failure('factUnreadable', detail);
+    this.#context.log.warn({ runner, service, keptPerS: this.#rates.ratePerS(runner) }, line);
+  }
+
+  #prune(now: number): void {
+    const { knowledge, metrics } = this.#context;
+    if (this.#rates.all.length === 0) return;
+    const listed = new Set(knowledge.runners(now).map(({ id }) => id));
+    this.#rates.prune(now, listed);
+    metrics.gauge('ratelimits.runners', this.#rates.limited.length);
+  }
+}
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -14,6 +14,8 @@
 import type { Exchange } from './exchange';
 import type { Gate } from './gate';
 import type { QuarantineDesk } from './quarantine';
+import type { RateLimitDesk } from './ratelimits';
+import type { Reply } from './types';
 
 /** What a run sent of a stream. */
 export interface StreamPart {
@@ -31,6 +33,7 @@
 export interface RunsContext {
   readonly quarantine: QuarantineDesk;
   readonly gate: Gate;
+  readonly rateLimits: RateLimitDesk;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -53,6 +56,12 @@
     this.#exchange = exchange;
     this.#runner = runner;
     if (runner.role !== 'prefill') exchange.charge.spend();
+    context.rateLimits.sent(runner);
+  }
+
+  /** Its answer has begun. */
+  replied(now: number, reply: Reply): void {
+    this.#context.rateLimits.replied(now, this.#runner, this.#sentAt, reply);
   }
 
   /** The runner did not run it and never will. */
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -6,6 +6,7 @@
 import type { QuotaBounds } from '../../core/customers/quota';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
+import type { RateNotice } from '../../core/ratelimits/types';
 import type { RunnerFact } from '../../core/routing/directory';
 import type { Position } from '../../core/routing/position';
 import type { RetryBounds } from '../../core/retries';
@@ -83,6 +84,8 @@
   /** Time that the runner has. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** Called with the head of the runner's answer, whatever becomes of its body. */
+  readonly onReply: (reply: Reply) => void;
 }
 
 /** A request for a decode runner. */
@@ -103,6 +106,7 @@
   readonly notRun: boolean;
   /** The answer of another runner than the one meant, or of one that now does something else; implies `notRun`. */
   readonly misdirected: boolean;
+  readonly rateNotice: RateNotice;
   readonly body: IncomingMessage;
 }
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -11,6 +11,8 @@
   expectedRunner: 'expected-instance',
   /** On answers: the request was not run and never will be. */
   notRun: 'not-executed',
+  /** On answers: the requests a second that the runner takes from all VMs together. */
+  rateLimit: 'server-limit',
   /** Prompt tokens and most output tokens. */
   usage: 'token-usage',
   /** Parts of the prompt in order, each `ID:TOKENS`; the last one is the request's own. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -21,6 +21,7 @@
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardable } from './ingress';
 import { header, path } from './names';
+import { rateNoticeOf } from './ratelimit';
 
 /** Time for a connection to a runner to come about, in milliseconds: many round trips, and less than the second after which a lost opening packet is sent again. */
 const CONNECT_MS = 350;
@@ -156,7 +157,9 @@
   async #exchange(dispatch: Dispatch, extra: readonly string[]): Promise<Reply> {
     for (let tries = 1; ; tries += 1) {
       try {
-        return toReply(dispatch, await exchangeOnce(dispatch, extra));
+        const reply = toReply(dispatch, await exchangeOnce(dispatch, extra));
+        dispatch.onReply(reply);
+        return reply;
       } catch (error) {
         const retry = error instanceof Failure && error.codeName === 'runnerUnreachable';
         if (!retry || tries >= CONNECT_TRIES || dispatch.signal.aborted) throw error;
@@ -251,6 +254,7 @@
     genuine,
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED,
     misdirected: status === HTTP_MISDIRECTED,
+    rateNotice: rateNoticeOf(message),
     body: message,
   };
 }
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -61,6 +61,7 @@
     genuine: !misdirected,
     notRun: misdirected,
     misdirected,
+    rateNotice: { kind: 'none' },
     body: body as unknown as Reply['body'],
   };
 }
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -9,6 +9,7 @@
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineDesk } from '../../src/node/router/quarantine';
 import type { QuotaDesk } from '../../src/node/router/quotas';
+import { RateLimitDesk } from '../../src/node/router/ratelimits';
 import { Runs } from '../../src/node/router/runs';
 import { silentListener } from './listener';
 
@@ -30,12 +31,22 @@
 /** Quotas of customers who may use any amount. */
 export const noQuotas: Pick<QuotaDesk, 'cover'> = { cover: async () => undefined };
 
+function newKnowledge(): Knowledge {
+  return new Knowledge(new History(), log, silentListener);
+}
+
 /** A gate of a VM that goes by what it knows, however old that is. */
-export function gateOf(knowledge = new Knowledge(new History(), log, silentListener)): Gate {
+export function gateOf(knowledge = newKnowledge()): Gate {
   return new Gate(knowledge, () => ({ keyMs: Infinity, finalMs: Infinity }));
 }
 
+/** Rate limits of a VM that knows no runner. */
+export function rateLimitsOf(): RateLimitDesk {
+  return new RateLimitDesk({ knowledge: newKnowledge(), metrics: new RouterMetrics(), log });
+}
+
 /** Runs of which nobody takes notice. */
 export function runsOf(quarantine = quarantineOf()): Runs {
-  return new Runs({ quarantine, gate: gateOf(), metrics: new RouterMetrics(), log });
+  const rateLimits = rateLimitsOf();
+  return new Runs({ quarantine, gate: gateOf(), rateLimits, metrics: new RouterMetrics(), log });
 }
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -47,6 +47,7 @@
     },
     deadlineMs: 1000,
     signal: new AbortController().signal,
+    onReply: () => {},
   };
 }
 
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -6,7 +6,7 @@
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, promptRequest } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { gateOf, quarantineOf } from '../fakes/runs';
+import { gateOf, quarantineOf, rateLimitsOf } from '../fakes/runs';
 
 /** Runs and the lines that they log. */
 class LoggedRuns {
@@ -27,6 +27,7 @@
     this.runs = new Runs({
       quarantine: quarantineOf(),
       gate: gateOf(),
+      rateLimits: rateLimitsOf(),
       metrics: this.metrics,
       log: pino(sink),
     });
