Reproduce runners that get more than the rate limit they name

What callers saw: nothing; the runners got as much as before they named their limits. Seven real routers, three runners of a plain service, 20 calls a second: the one that names 2.5 a second gets 34 requests in four seconds where 20 are allowed. The same with runners that decode (80, 13 allowed), with the one that reads the prompts (80, 20 allowed), and where all runners of a service name limits and the excess should be refused (35, 17 allowed).

Their bounds are those of the rule: one and a half times the limit over four seconds, and five requests, from three seconds after it was first named.

--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -55,6 +55,7 @@
   readonly whole: boolean;
 }
 
+/** What a runner does. */
 type Role = 'prefill' | 'decode' | 'plain';
 
 const LEASE_LAPSE_MS = 400;
@@ -106,14 +107,17 @@
 });
 
 /** A runner on a loopback port. */
-class RunnerServer {
+export class RunnerServer {
   readonly id = `i-${randomUUID().slice(0, 8)}`;
 
-  /** Requests sent to it, prefills included. */
-  reached = 0;
+  /** Steady times at which requests reached it, prefills included. */
+  readonly reachedAt: number[] = [];
 
   readonly arrivals: Arrival[] = [];
 
+  /** What it names as its rate limit. Default: it names none. */
+  rateLimit: string | undefined;
+
   readonly #role: Role;
 
   readonly #onEnd: (runner: RunnerServer) => void;
@@ -160,7 +164,7 @@
       sendJson(res, 200, {});
       return;
     }
-    this.reached += 1;
+    this.reachedAt.push(performance.now());
     const { 'tenant-id': customer, 'serving-stage': stage, authorization } = req.headers;
     this.arrivals.push({
       path: pathname,
@@ -171,6 +175,7 @@
     const headers = {
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
+      ...(this.rateLimit === undefined ? {} : { 'server-limit': this.rateLimit }),
     };
     if (req.headers['serving-stage'] === 'prefill') {
       res.writeHead(200, { ...headers, 'content-type': 'application/json' });
@@ -246,7 +251,7 @@
 
   /** Requests that reached runners, prefills included. */
   get reached(): number {
-    return this.#runners.reduce((sum, { reached }) => sum + reached, 0);
+    return this.#runners.reduce((sum, { reachedAt }) => sum + reachedAt.length, 0);
   }
 
   async start(): Promise<void> {
@@ -262,6 +267,11 @@
     await this.#settled();
   }
 
+  /** Runners that do one thing. */
+  runnersOf(role: Role): readonly RunnerServer[] {
+    return this.#runners.filter((runner) => runner.role === role);
+  }
+
   /** What reached the runners. */
   get arrivals(): readonly Arrival[] {
     return this.#runners.flatMap(({ arrivals }) => arrivals);
--- /dev/null
+++ b/test/router/ratelimits.test.ts
@@ -0,0 +1,99 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
+import { Routers } from '../fakes/routers';
+import type { CallerAnswer, RunnerServer } from '../fakes/routers';
+
+/** Time over which requests are counted, and time after a limit was named from which they are, in milliseconds. */
+const WINDOW_MS = 4000;
+const SETTLED_MS = 3000;
+/** What may come over a limit: a part of it, and requests. */
+const OVERAGE = 0.5;
+const SLACK = 5;
+
+/** The most requests that reached a runner in a window that ends after a time. */
+function mostAfter(from: number, { reachedAt }: RunnerServer): number {
+  const ends = reachedAt.filter((at) => at >= from);
+  const counts = ends.map((end) => reachedAt.filter((at) => at > end - WINDOW_MS && at <= end));
+  return Math.max(0, ...counts.map(({ length }) => length));
+}
+
+function allowed(ratePerS: number): number {
+  return ((ratePerS * WINDOW_MS) / 1000) * (1 + OVERAGE) + SLACK;
+}
+
+/** Sends requests at a steady pace to all VMs in turn, beginning before some runners name their limits. */
+async function load(
+  routers: Routers,
+  path: string,
+  perS: number,
+  limits: readonly (readonly [RunnerServer, number])[],
+): Promise<{ readonly answers: readonly CallerAnswer[]; readonly namedAt: number }> {
+  const count = perS * 8;
+  const asked: Promise<CallerAnswer>[] = [];
+  let namedAt = Infinity;
+  for (let i = 0; i < count; i += 1) {
+    if (i === perS) {
+      namedAt = performance.now();
+      for (const [runner, ratePerS] of limits) runner.rateLimit = String(ratePerS);
+    }
+    asked.push(routers.ask(i, path, `${path} ${i}`));
+    await pause(1000 / perS);
+  }
+  for (const [runner] of limits) runner.rateLimit = undefined;
+  return { answers: await Promise.all(asked), namedAt };
+}
+
+describe('runners that name a rate limit', () => {
+  const routers = new Routers({ vms: 7, runners: 3 });
+
+  beforeAll(() => routers.start(), 30_000);
+  afterAll(() => routers.stop(), 30_000);
+
+  /* Seven VMs send to three runners of which two name limits far below a third of the load; the third one could take it all. */
+  test('get no more than that of all VMs together: plain calls', async () => {
+    const [slow, slower] = routers.runnersOf('plain') as [RunnerServer, RunnerServer];
+    const limits = [
+      [slow, 2.5],
+      [slower, 1.4],
+    ] as const;
+    const { answers, namedAt } = await load(routers, '/plain/limited', 20, limits);
+    for (const [runner, ratePerS] of limits) {
+      expect(mostAfter(namedAt + SETTLED_MS, runner)).toBeLessThanOrEqual(allowed(ratePerS));
+    }
+    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200]));
+  }, 30_000);
+
+  /* The same with runners that decode. */
+  test('get no more than that of all VMs together: streams', async () => {
+    const [slow, slower] = routers.runnersOf('decode') as [RunnerServer, RunnerServer];
+    const limits = [
+      [slow, 2.5],
+      [slower, 1.4],
+    ] as const;
+    const { answers, namedAt } = await load(routers, '/model/limited', 20, limits);
+    for (const [runner, ratePerS] of limits) {
+      expect(mostAfter(namedAt + SETTLED_MS, runner)).toBeLessThanOrEqual(allowed(ratePerS));
+    }
+    expect(new Set(answers.map(({ status }) => status))).toEqual(new Set([200]));
+  }, 30_000);
+
+  /* A runner that names a limit reads the prompts of all requests: what it does not take is read by those that decode. */
+  test('get no more than that of all VMs together: prompts', async () => {
+    const [prefill] = routers.runnersOf('prefill') as [RunnerServer];
+    const { namedAt } = await load(routers, '/model/prompts', 20, [[prefill, 2.5]]);
+    expect(mostAfter(namedAt + SETTLED_MS, prefill)).toBeLessThanOrEqual(allowed(2.5));
+  }, 30_000);
+
+  /* All runners of a service name limits, and callers ask for more than the sum. */
+  test('are not asked for more by callers who find no other one, and these are refused at once', async () => {
+    const limits = routers.runnersOf('plain').map((runner) => [runner, 2] as const);
+    const { answers, namedAt } = await load(routers, '/plain/all', 20, limits);
+    for (const [runner] of limits) {
+      expect(mostAfter(namedAt + SETTLED_MS, runner)).toBeLessThanOrEqual(allowed(2));
+    }
+    const refused = answers.filter(({ status }) => status === 503);
+    expect(refused.length).toBeGreaterThan(0);
+    expect(refused.every(({ retryAfter }) => Number(retryAfter) > 0)).toBe(true);
+    expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(6 * 6);
+  }, 30_000);
+});
