Keep quota accounts by group and subject, apart from customers

No behaviour changes. A quota account answers how much may still run over all VMs without a coordinator; runners that name a rate limit need the same answer. So the account, the parts of VMs and the groups that have one owner move to src/core/quotas and know a rate and a subject, no customer; whom a VM goes by, and how it asks, moves from the quota desk to AccountOwners.

--- a/src/core/customers/types.ts
+++ b/src/core/customers/types.ts
@@ -1,15 +1,13 @@
 /** Customers of the users' platform: whose requests may run, and how much of them. */
 
+import type { Rate } from '../quotas/account';
+
 /** What a quota is counted in. */
 export type QuotaUnit = 'requests' | 'tokens';
 
 /** How much of a customer's work all VMs together may pass on to runners. */
-export interface Quota {
+export interface Quota extends Rate {
   readonly unit: QuotaUnit;
-  /** In the unit. */
-  readonly ratePerS: number;
-  /** What may come at once beside the rate, in the unit. */
-  readonly burst: number;
   /** What a request counts that tells no tokens of its own, in tokens. */
   readonly plainTokens: number;
 }
--- a/src/core/customers/quota.ts
+++ b/src/core/quotas/account.ts
@@ -1,7 +1,8 @@
 /**
- * A customer's quota over all VMs, kept without a coordinator.
+ * A quota over all VMs, kept without a coordinator: what a customer may use, or what a
+ * runner takes.
  *
- * One VM owns a customer's account and is asked before each run. Owners are worked out
+ * One VM owns the account and is asked before each run. Owners are worked out
  * from the members, so that two VMs may both take themselves for the owner while VMs
  * cannot reach each other or one was frozen. An owner therefore gives out only the part
  * of the quota that belongs to the VMs that go by it: each VM counts for an equal part,
@@ -9,7 +10,12 @@
  * with its own part. So the parts add up to the quota, whoever can reach whom.
  */
 
-import type { Quota } from './types';
+/** How much may run, in some unit. */
+export interface Rate {
+  readonly ratePerS: number;
+  /** What may come at once beside the rate. */
+  readonly burst: number;
+}
 
 /** By how much all VMs together may be over a quota for a while. */
 export interface QuotaBounds {
@@ -24,21 +30,9 @@
 export type QuotaVerdict =
   { readonly granted: true } | { readonly granted: false; readonly retryAfterMs: number };
 
-/** What a request tells of its size. */
-export interface RequestSize {
-  readonly promptTokens: number;
-  readonly maxOutputTokens: number;
-}
-
-/** What a run counts, in the quota's unit. */
-export function sizeOf({ unit, plainTokens }: Quota, size: RequestSize | undefined): number {
-  if (unit === 'requests') return 1;
-  return size ? size.promptTokens + size.maxOutputTokens : plainTokens;
-}
-
 /** Part of what may be over a quota that a new owner gives out at once: it does not know what the last one gave out, and two may follow each other in one window. */
 const START_PART = 0.25;
-/** Part of what may be over a quota that the owner with most VMs gives out for those that it does not hear of, so that VMs that died cost their customers nothing as a rule. */
+/** Part of what may be over a quota that the owner with most VMs gives out for those that it does not hear of, so that VMs that died cost nobody anything as a rule. */
 const MISSING_PART = 0.5;
 /** What may come at once where a quota names no burst, as a time of its rate in milliseconds: less than an overage of a tenth over the usual window allows. */
 const LEAST_BURST_MS = 500;
@@ -47,7 +41,7 @@
 const RETRY_LEAST_MS = 100;
 const RETRY_MOST_MS = 4500;
 
-/** The account of one customer at one owner. */
+/** The account of one quota at one owner. */
 export class QuotaAccount {
   readonly #bounds: QuotaBounds;
 
@@ -70,7 +64,7 @@
    * Takes the size of a run, or says when to ask again.
    * @param part of the quota that belongs to the VMs that go by this owner, from 0 to 1
    */
-  take(now: number, quota: Quota, part: number, size: number): QuotaVerdict {
+  take(now: number, quota: Rate, part: number, size: number): QuotaVerdict {
     const own = this.#ownPart(quota, part);
     const rate = (quota.ratePerS / 1000) * own;
     const capacity = Math.max(quota.burst, (quota.ratePerS * LEAST_BURST_MS) / 1000) * own;
@@ -92,21 +86,21 @@
   }
 
   /** What the quota allows in a window, and how much more of it may run, in its unit. */
-  #window({ ratePerS, burst }: Quota): { readonly allowed: number; readonly over: number } {
+  #window({ ratePerS, burst }: Rate): { readonly allowed: number; readonly over: number } {
     const { windowMs, overage, slack } = this.#bounds;
     const allowed = (ratePerS * windowMs) / 1000 + burst;
     return { allowed, over: overage * allowed + slack };
   }
 
   /** Only one owner can have most of the VMs, so that only one gives out for those that are missing. */
-  #ownPart(quota: Quota, part: number): number {
+  #ownPart(quota: Rate, part: number): number {
     if (part <= MAJORITY) return part;
     const { allowed, over } = this.#window(quota);
     return Math.min(1, part + (over * MISSING_PART) / allowed);
   }
 
   /** Each VM that comes to this owner brings its part of what a new one may give out at once. */
-  #credit(quota: Quota, part: number): void {
+  #credit(quota: Rate, part: number): void {
     if (part <= this.#part) return;
     const { over } = this.#window(quota);
     this.#level += Math.min(quota.burst, over * START_PART) * (part - this.#part);
@@ -122,31 +116,3 @@
     return Math.min(RETRY_MOST_MS, Math.max(RETRY_LEAST_MS, this.#returnAt - now));
   }
 }
-
-/** Members as an owner sees them. */
-export interface QuotaMembers {
-  /** VMs there may be: all that did not say that they leave. */
-  readonly known: number;
-  /** Those that live, this one included. */
-  readonly present: ReadonlySet<string>;
-}
-
-/**
- * Which VMs go by one owner. Each says so when it takes up an owner; that others live
- * as far as is known counts for nothing, since a VM that is cut off needs many seconds
- * to find out that they do not answer.
- */
-export class QuotaShare {
-  readonly #joined = new Set<string>();
-
-  /** A VM goes by this owner. */
-  join(vm: string): void {
-    this.#joined.add(vm);
-  }
-
-  /** Part of each quota that belongs to the VMs that go by this owner. */
-  part({ known, present }: QuotaMembers): number {
-    const own = [...this.#joined].filter((vm) => present.has(vm)).length;
-    return Math.min(1, own / Math.max(1, known));
-  }
-}
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -138,7 +138,7 @@
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onMembers: () => {
         this.#warmLinks();
-        this.#quotas.membersChanged(performance.now());
+        this.#quotas.changed(performance.now());
         this.#news.membersChanged();
       },
       onDiffers: (address) => this.#news.differs(address),
@@ -392,7 +392,7 @@
       .with({ kind: 'config' }, () => {
         this.#describe();
         this.#warmLinks();
-        this.#quotas.membersChanged(performance.now());
+        this.#quotas.changed(performance.now());
       })
       .with({ kind: 'runners' }, () => this.#runners.endLost())
       .with({ kind: 'era' }, ({ cameBack }) => {
--- a/src/node/router/quotas.ts
+++ b/src/node/router/quotas.ts
@@ -3,16 +3,16 @@
 import type { Logger } from 'pino';
 import { z } from 'zod';
 
-import { QuotaAccounts, groupKey, groupOf, groups } from '../../core/customers/accounts';
-import type { QuotaBounds, QuotaMembers, QuotaVerdict } from '../../core/customers/quota';
-import { sizeOf } from '../../core/customers/quota';
+import { groupOf, groups } from '../../core/customers/groups';
+import { sizeOf } from '../../core/customers/size';
 import type { Quota } from '../../core/customers/types';
-import { Failure, toFailure } from '../../core/failure';
-import type { Member } from '../../core/membership/types';
-import { isPresent } from '../../core/membership/types';
-import { PauseWatch } from '../../core/pause';
+import { Failure } from '../../core/failure';
+import type { QuotaBounds, QuotaVerdict } from '../../core/quotas/account';
+import type { QuotaKey } from '../../core/quotas/accounts';
+import { QuotaAccounts } from '../../core/quotas/accounts';
 import { LineBudget } from '../budget';
 import type { Metrics } from '../metrics';
+import { AccountOwners } from './accountowners';
 import type { Exchange } from './exchange';
 import type { RouterFleet } from './fleet';
 import type { Knowledge } from './knowledge';
@@ -27,12 +27,6 @@
   readonly log: Logger;
 }
 
-/** Time that an owner has to answer, in milliseconds: many round trips, and little of a request's aim. */
-const ASK_LIMIT_MS = 150;
-/** Owners asked for one run before this VM goes by its own part. */
-const OWNERS_ASKED = 2;
-/** Period of looking whether this VM stood still, in milliseconds. */
-const LOOK_MS = 250;
 /** Lines of requests over a quota in a second. */
 const REFUSAL_LINES = 20;
 
@@ -51,8 +45,6 @@
   version: z.number(),
   size: amount,
 });
-/** Tells that the sender goes by the receiver for these groups. */
-const joinSchema = z.object({ groups: z.array(z.int().min(0)).max(groups.length) });
 const backSchema = z.object({ customer: name, size: amount });
 const verdictSchema = z.discriminatedUnion('granted', [
   z.object({ granted: z.literal(true) }),
@@ -61,34 +53,40 @@
 
 type Ask = Readonly<z.infer<typeof askSchema>>;
 
+function keyOf(customer: string): QuotaKey {
+  return { group: groupOf(customer), subject: customer };
+}
+
 /** Quotas at one VM. */
 export class QuotaDesk {
   readonly #context: QuotaContext;
 
   readonly #accounts: QuotaAccounts;
 
-  readonly #pauses = new PauseWatch(LOOK_MS);
+  readonly #owners: AccountOwners;
 
   readonly #lines: LineBudget;
 
-  readonly #timer: NodeJS.Timeout;
-
-  /** Whom this VM went by last, by group. */
-  readonly #owners = new Map<number, string>();
-
-  #members: QuotaMembers | undefined;
-
   constructor(context: QuotaContext) {
+    const { vm, bounds, fleet, metrics, log } = context;
     this.#context = context;
-    this.#accounts = new QuotaAccounts(context.bounds);
+    this.#accounts = new QuotaAccounts(bounds);
+    this.#owners = new AccountOwners({
+      vm,
+      fleet,
+      accounts: this.#accounts,
+      groups: () => (this.#hasQuotas ? groups : []),
+      names: { join: 'quotaJoin', unanswered: 'quotas.unanswered' },
+      metrics,
+      log,
+    });
     this.#lines = new LineBudget(REFUSAL_LINES, (lines) =>
-      context.log.info({ lines }, 'Refused more over a quota.'),
+      log.info({ lines }, 'Refused more over a quota.'),
     );
-    this.#timer = setInterval(() => this.#look(performance.now()), LOOK_MS).unref();
   }
 
   stop(): void {
-    clearInterval(this.#timer);
+    this.#owners.stop();
   }
 
   /** Pays for one more run of a request. Gives why it must not run; undefined if it may. */
@@ -109,9 +107,8 @@
     const { customer } = request;
     const size = charge.settle();
     if (customer === undefined || size === 0) return;
-    const [owner] = this.#ownersOf(performance.now(), customer);
-    if (!owner || owner.vm === this.#context.vm) this.#accounts.giveBack(customer, size);
-    else this.#send(owner.address, 'quotaBack', { customer, size });
+    const isTold = this.#owners.tell(groupOf(customer), 'quotaBack', { customer, size });
+    if (!isTold) this.#accounts.giveBack(keyOf(customer), size);
   }
 
   /** A VM asks for a run. */
@@ -120,48 +117,22 @@
   }
 
   onJoin(now: number, vm: string, params: unknown): void {
-    for (const group of joinSchema.parse(params).groups) this.#accounts.join(now, group, vm);
+    this.#owners.onJoin(now, vm, params);
   }
 
   onBack(params: unknown): void {
     const { customer, size } = backSchema.parse(params);
-    this.#accounts.giveBack(customer, size);
+    this.#accounts.giveBack(keyOf(customer), size);
   }
 
-  /** The members changed: others may own accounts now. Each VM says by whom it goes, so that an owner knows whose parts it gives out. */
-  membersChanged(now: number): void {
-    this.#members = undefined;
-    if (!this.#hasQuotas) return;
-    const owned = new Set<number>();
-    const joined = new Map<Member, number[]>();
-    for (const group of groups) {
-      const [owner] = this.#context.fleet.ownersOf(now, groupKey(group));
-      if (owner?.vm === this.#context.vm) owned.add(group);
-      if (owner && this.#owners.get(group) !== owner.vm) {
-        this.#owners.set(group, owner.vm);
-        joined.set(owner, [...(joined.get(owner) ?? []), group]);
-      }
-    }
-    this.#accounts.own(now, owned);
-    for (const [owner, changed] of joined) this.#join(now, owner, changed);
+  /** Members or customers changed. */
+  changed(now: number): void {
+    this.#owners.changed(now);
   }
 
   /** What this VM goes by, for operators. */
   beliefs(): Readonly<Record<string, unknown>> {
-    return { accounts: this.#accounts.size, owners: Object.fromEntries(this.#owners) };
-  }
-
-  #join(now: number, owner: Member, joined: readonly number[]): void {
-    const { vm, fleet, log } = this.#context;
-    if (owner.vm === vm) {
-      for (const group of joined) this.#accounts.join(now, group, vm);
-      return;
-    }
-    fleet.call(owner.address, 'quotaJoin', { groups: joined }, ASK_LIMIT_MS).catch((error) => {
-      log.debug({ owner: owner.vm, joined }, toFailure(error).line);
-      // Said again at the next look.
-      for (const group of joined) this.#owners.delete(group);
-    });
+    return { accounts: this.#accounts.size, owners: this.#owners.beliefs() };
   }
 
   get #hasQuotas(): boolean {
@@ -174,24 +145,12 @@
     return this.#context.knowledge.table?.keyRing?.customer(customer)?.quota;
   }
 
-  #ownersOf(now: number, customer: string): readonly Member[] {
-    return this.#context.fleet.ownersOf(now, groupKey(groupOf(customer)));
-  }
-
   /** The word of the first owner that answers; with none, this VM gives out its own part. */
   async #ask(ask: Ask): Promise<QuotaVerdict> {
-    const { vm, fleet, log, metrics } = this.#context;
-    for (const owner of this.#ownersOf(performance.now(), ask.customer).slice(0, OWNERS_ASKED)) {
-      if (owner.vm === vm) break;
-      try {
-        return verdictSchema.parse(await fleet.call(owner.address, 'quota', ask, ASK_LIMIT_MS));
-      } catch (error) {
-        fleet.shun(performance.now(), owner.vm);
-        metrics.count('quotas.unanswered');
-        log.debug({ customer: ask.customer, owner: owner.vm }, toFailure(error).line);
-      }
-    }
-    return this.#take(performance.now(), vm, ask);
+    const verdict = await this.#owners.ask(groupOf(ask.customer), 'quota', ask, (answer) =>
+      verdictSchema.parse(answer),
+    );
+    return verdict ?? this.#take(performance.now(), this.#context.vm, ask);
   }
 
   /** The quota is that of the newer configuration of the two VMs. */
@@ -199,17 +158,7 @@
     const isBehind = version > this.#context.knowledge.configVersion;
     const valid = isBehind ? quota : this.#quotaOf(customer);
     if (!valid) return { granted: true };
-    return this.#accounts.take(now, vm, customer, valid, this.#membersNow(), size);
-  }
-
-  /** Worked out once for each membership: it is needed for each run. */
-  #membersNow(): QuotaMembers {
-    const { all } = this.#context.fleet;
-    this.#members ??= {
-      known: all.filter(({ state }) => state !== 'left').length,
-      present: new Set(all.filter(isPresent).map(({ vm }) => vm)),
-    };
-    return this.#members;
+    return this.#accounts.take(now, vm, keyOf(customer), valid, this.#owners.members, size);
   }
 
   #refusalOf({ request }: Exchange, size: number, retryAfterMs: number): Failure {
@@ -225,18 +174,4 @@
     }
     return new Failure('overQuota', `${customer} is over its quota`, { retryAfterMs });
   }
-
-  #look(now: number): void {
-    if (this.#pauses.tick(now, Date.now())) {
-      this.#accounts.reset();
-      this.#owners.clear();
-    }
-    if (this.#owners.size < groups.length) this.membersChanged(now);
-  }
-
-  #send(address: string, method: string, params: unknown): void {
-    this.#context.fleet.call(address, method, params, ASK_LIMIT_MS).catch((error) => {
-      this.#context.log.debug({ address, method }, toFailure(error).line);
-    });
-  }
 }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http';
 
 import type { AgeBounds, Credential } from '../../core/customers/identity';
-import type { QuotaBounds } from '../../core/customers/quota';
+import type { QuotaBounds } from '../../core/quotas/account';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RateNotice } from '../../core/ratelimits/types';
--- a/test/fakes/virtual/quotafleet.ts
+++ b/test/fakes/virtual/quotafleet.ts
@@ -5,7 +5,7 @@
  * messages, and the time that a request waited.
  */
 
-import type { QuotaBounds } from '../../../src/core/customers/quota';
+import type { QuotaBounds } from '../../../src/core/quotas/account';
 import type { Quota } from '../../../src/core/customers/types';
 import { Membership } from '../../../src/core/membership/membership';
 import type { Member, MembershipAction, MembershipEvent } from '../../../src/core/membership/types';
--- a/test/fakes/virtual/quotaways.ts
+++ b/test/fakes/virtual/quotaways.ts
@@ -1,9 +1,11 @@
 /** Ways to keep a customer's quota over a fleet: the one that is used, and others that it was weighed against. */
 
-import { QuotaAccounts, groupKey, groupOf } from '../../../src/core/customers/accounts';
-import type { QuotaBounds, QuotaMembers } from '../../../src/core/customers/quota';
+import { groupOf } from '../../../src/core/customers/groups';
 import type { Quota } from '../../../src/core/customers/types';
 import { isPresent } from '../../../src/core/membership/types';
+import type { QuotaBounds } from '../../../src/core/quotas/account';
+import { QuotaAccounts } from '../../../src/core/quotas/accounts';
+import type { QuotaMembers } from '../../../src/core/quotas/share';
 import type { QuotaNetwork, QuotaVm, QuotaWay } from './quotafleet';
 
 const ASK_LIMIT_MS = 150;
@@ -57,7 +59,7 @@
   }
 
   /** Says by whom it goes, until that is answered. */
-  #join(vm: QuotaVm, owner: QuotaVm, group: number): void {
+  #join(vm: QuotaVm, owner: QuotaVm, group: string): void {
     const network = this.#network;
     if (owner === vm) {
       this.#accountsOf(owner).join(network.now, group, vm.name);
@@ -114,12 +116,13 @@
   #take(owner: QuotaVm, vm: QuotaVm, customer: string, quota: Quota, size: number): boolean {
     const { now } = this.#network;
     const accounts = this.#accountsOf(owner);
-    return accounts.take(now, vm.name, customer, quota, membersOf(owner), size).granted;
+    const key = { group: groupOf(customer), subject: customer };
+    return accounts.take(now, vm.name, key, quota, membersOf(owner), size).granted;
   }
 
   #ownersOf(vm: QuotaVm, customer: string): readonly QuotaVm[] {
     const { now } = this.#network;
-    const ranked = this.#network.ranked(vm, groupKey(groupOf(customer)));
+    const ranked = this.#network.ranked(vm, groupOf(customer));
     const isShunned = (one: QuotaVm): boolean => (this.#shunnedBy(vm).get(one) ?? 0) > now;
     return [...ranked.filter((one) => !isShunned(one)), ...ranked.filter(isShunned)];
   }
--- a/test/router/quotafleet.test.ts
+++ b/test/router/quotafleet.test.ts
@@ -1,4 +1,4 @@
-import { groupKey, groupOf } from '../../src/core/customers/accounts';
+import { groupOf } from '../../src/core/customers/groups';
 import type { Quota } from '../../src/core/customers/types';
 import type { QuotaFigures, QuotaWayOf } from '../fakes/virtual/quotafleet';
 import { QuotaFleet } from '../fakes/virtual/quotafleet';
@@ -13,7 +13,7 @@
 /** Time in which the members find each other. */
 const START_MS = 8000;
 
-const KEY = groupKey(groupOf('ada'));
+const KEY = groupOf('ada');
 
 /** Plays something beside a load and gives what was seen of the customer. */
 function play(
