Look at the Retry-After of the flood's own refusals

The test of a flood over a customer's quota asked once more after the flood and expected a refusal. The test now looks at each refusal of the flood itself, which is more than it did before.

--- a/test/router/quotas.test.ts
+++ b/test/router/quotas.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { Routers, WARM_KEY } from '../fakes/routers';
+import type { CallerAnswer } from '../fakes/routers';
 
 const PER_S = 10;
 const BURST = 20;
@@ -26,11 +27,16 @@
   beforeAll(() => routers.start(), 30_000);
   afterAll(() => routers.stop(), 30_000);
 
-  /* Statuses of requests that come at once, to all VMs in turn. */
-  async function flood(count: number, path: string, key: string): Promise<readonly number[]> {
+  /* Answers to requests that come at once, to all VMs in turn. */
+  function answersOf(count: number, path: string, key: string): Promise<readonly CallerAnswer[]> {
     const sent = bearer(key);
     const asked = Array.from({ length: count }, (_, i) => routers.ask(i, path, `${i}`, sent));
-    return (await Promise.all(asked)).map(({ status }) => status);
+    return Promise.all(asked);
+  }
+
+  /* Their statuses. */
+  async function flood(count: number, path: string, key: string): Promise<readonly number[]> {
+    return (await answersOf(count, path, key)).map(({ status }) => status);
   }
 
   /*
@@ -42,15 +48,16 @@
     await pause((BURST / PER_S) * 1000 + 500);
     const before = routers.reached;
     const since = performance.now();
-    const statuses = await flood(BURST * 4, '/plain/flood', 'key-few');
+    const answers = await answersOf(BURST * 4, '/plain/flood', 'key-few');
+    const statuses = answers.map(({ status }) => status);
     const through = statuses.filter((status) => status === 200).length;
     const seconds = (performance.now() - since) / 1000;
     expect(through).toBeGreaterThanOrEqual(BURST);
     expect(through).toBeLessThanOrEqual(BURST + PER_S * seconds + 1);
     expect(new Set(statuses)).toEqual(new Set([200, 429]));
     expect(routers.reached - before).toBe(through);
-    const { status, retryAfter } = await routers.ask(0, '/plain/flood', 'one', bearer('key-few'));
-    expect([status, Number(retryAfter) > 0]).toEqual([429, true]);
+    const refused = answers.filter(({ status }) => status === 429);
+    expect(refused.every(({ retryAfter }) => Number(retryAfter) > 0)).toBe(true);
   });
 
   test('of one customer leave the others alone', async () => {
