Build what VMs share in a module of its own

No behaviour changes. Desks holds what VMs keep in step (news, places, quotas, refused requests, rate limits) and the calls that reach it; the daemon keeps the way of a request, start and stop.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -12,8 +12,8 @@
 import { bootNow } from '../../utils/clock';
 import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
-import { PeerCalls } from './calls';
 import { Control } from './control';
+import { Desks } from './desks';
 import { endLineOf } from './endline';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
@@ -24,16 +24,10 @@
 import { Knowledge } from './knowledge';
 import { RouterMetrics } from './metrics';
 import { ModelCaller } from './model';
-import { NewsDesk } from './news';
 import { OrderDesk } from './orders';
 import { PlanHost } from './owner';
-import { Places } from './places';
 import { PlainCaller } from './plain';
-import { QuotaDesk } from './quotas';
-import { QuarantineDesk } from './quarantine';
-import { RateLimitDesk } from './ratelimits';
 import { Runs } from './runs';
-import { FactSync } from './sync';
 import type {
   ControlCodec,
   Feed,
@@ -81,9 +75,7 @@
 
   readonly #host: PlanHost;
 
-  readonly #places: Places;
-
-  readonly #calls: PeerCalls;
+  readonly #desks: Desks;
 
   readonly #front: Front;
 
@@ -91,16 +83,8 @@
 
   readonly #model: ModelCaller;
 
-  readonly #news: NewsDesk;
-
-  readonly #quarantine: QuarantineDesk;
-
   readonly #runs: Runs;
 
-  readonly #quotas: QuotaDesk;
-
-  readonly #rateLimits: RateLimitDesk;
-
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -129,75 +113,39 @@
       logOf(log, 'runner'),
     );
     this.#host = new PlanHost(this.#knowledge, this.#runners, logOf(log, 'cell'), (service) =>
-      this.#calls.gather(service),
+      this.#desks.calls.gather(service),
     );
     this.#gate = new Gate(this.#knowledge, () => this.#settings.ages);
     const proofs = this.#knowledge.proofExchange;
     this.#fleet = new RouterFleet(settings, proofs, this.#metrics, logOf(log, 'members'), {
-      onCall: (vm, method, params, push) => this.#calls.answer(vm, method, params, push),
+      onCall: (vm, method, params, push) => this.#desks.calls.answer(vm, method, params, push),
       onLost: (vm) => this.#host.vmLost(performance.now(), vm),
       onMembers: () => {
         this.#warmLinks();
-        this.#quotas.changed(performance.now());
-        this.#news.membersChanged();
+        this.#desks.membersChanged(performance.now());
       },
-      onDiffers: (address) => this.#news.differs(address),
-      onRumour: (rumour, address) => this.#news.heard(rumour, address),
-    });
-    this.#quarantine = new QuarantineDesk({
-      archive: ports.archive,
-      readsStore: () => this.#news.reading,
-      metrics: this.#metrics,
-      log: logOf(log, 'quarantine'),
-      onNews: (suspects) => this.#news.suspected(suspects),
-      onRefused: () => this.#news.setDigest(),
-    });
-    const sync = new FactSync({
-      knowledge: this.#knowledge,
-      quarantine: this.#quarantine,
-      fleet: this.#fleet,
+      onDiffers: (address) => this.#desks.news.differs(address),
+      onRumour: (rumour, address) => this.#desks.news.heard(rumour, address),
     });
-    this.#news = new NewsDesk({
+    this.#desks = new Desks({
+      settings,
       knowledge: this.#knowledge,
       gate: this.#gate,
-      quarantine: this.#quarantine,
       fleet: this.#fleet,
+      host: this.#host,
       feed: ports.feed,
-      sync,
+      archive: ports.archive,
       metrics: this.#metrics,
-      log: logOf(log, 'knowledge'),
-      seeds: settings.seeds,
-      self: settings.peer,
+      log,
       onDescription: () => this.#describe(),
     });
-    this.#places = new Places(settings.vm, this.#fleet, this.#host, logOf(log, 'places'));
-    this.#quotas = new QuotaDesk({
-      vm: settings.vm,
-      bounds: settings.quotas,
-      knowledge: this.#knowledge,
-      fleet: this.#fleet,
-      metrics: this.#metrics,
-      log: logOf(log, 'quotas'),
-    });
-    this.#calls = new PeerCalls({
-      vm: settings.vm,
-      fleet: this.#fleet,
-      host: this.#host,
-      places: this.#places,
-      sync,
-      quotas: this.#quotas,
-    });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retries.get(service).spend(now, this.#fleet.alive.length);
-    this.#rateLimits = new RateLimitDesk({
-      knowledge: this.#knowledge,
-      metrics: this.#metrics,
-      log: logOf(log, 'ratelimits'),
-    });
+    const { quarantine, rateLimits, quotas, places } = this.#desks;
     this.#runs = new Runs({
-      quarantine: this.#quarantine,
+      quarantine,
       gate: this.#gate,
-      rateLimits: this.#rateLimits,
+      rateLimits,
       metrics: this.#metrics,
       log: logOf(log, 'runner'),
     });
@@ -206,16 +154,16 @@
       runners: this.#runners,
       health: (service) => this.#health.get(service),
       runs: this.#runs,
-      quotas: this.#quotas,
+      quotas,
       mayRepeat,
       domain: settings.domain,
     });
     this.#model = new ModelCaller({
       knowledge: this.#knowledge,
       runners: this.#runners,
-      places: this.#places,
+      places,
       runs: this.#runs,
-      quotas: this.#quotas,
+      quotas,
       mayRepeat,
     });
     this.#control = new Control({
@@ -246,11 +194,12 @@
       onEra: (start) => this.#knowledge.learnEras(performance.now(), [start], 'store'),
       onListed: (ids, position) => this.#knowledge.learnList(performance.now(), ids, position),
       onVms: (vms) => this.#fleet.list(vms.filter((entry) => entry.vm !== vm)),
-      onSuspects: (suspects, isAll) => this.#quarantine.stored(performance.now(), suspects, isAll),
+      onSuspects: (suspects, isAll) =>
+        this.#desks.quarantine.stored(performance.now(), suspects, isAll),
       onProof: (askedAt) => this.#knowledge.freshness.storeAnswered(askedAt),
-      onStore: (up, detail) => this.#news.storeAnswered(performance.now(), up, detail),
+      onStore: (up, detail) => this.#desks.news.storeAnswered(performance.now(), up, detail),
     });
-    this.#news.start();
+    this.#desks.news.start();
     this.#orders = new OrderDesk({
       vm,
       knowledge: this.#knowledge,
@@ -298,11 +247,7 @@
     while (this.#front.active > 0 && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.active }, 'Stopped.');
     this.#front.cutOff();
-    this.#news.stop();
-    this.#quarantine.stop();
-    this.#quotas.stop();
-    this.#rateLimits.stop();
-    this.#places.stop();
+    this.#desks.stop();
     this.#host.stop();
     this.#control.close();
     this.#metrics.close();
@@ -316,11 +261,8 @@
     return {
       vm: this.#settings.vm,
       ready: this.#ready,
-      readsStore: this.#news.reading,
       active: this.#front.active,
-      refuses: this.#quarantine.beliefs(now),
-      quotas: this.#quotas.beliefs(),
-      rateLimits: this.#rateLimits.beliefs(),
+      ...this.#desks.beliefs(now),
       ...this.#knowledge.beliefs(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
@@ -361,7 +303,7 @@
     const engine = this.#knowledge.table?.service(service)?.engine;
     if (engine) await this.#model.run(exchange, engine);
     else await this.#plain.run(exchange);
-    this.#quotas.settle(exchange);
+    this.#desks.quotas.settle(exchange);
   }
 
   #done(exchange: Exchange, ms: number): void {
@@ -383,7 +325,7 @@
   #describe(): void {
     if (this.#leaving) return;
     const { front } = this.#settings.listen;
-    const { storeLost } = this.#news;
+    const { storeLost } = this.#desks.news;
     this.#fleet.describe({ gateways: [front], draining: !this.#ready, storeLost });
   }
 
@@ -392,7 +334,7 @@
       .with({ kind: 'config' }, () => {
         this.#describe();
         this.#warmLinks();
-        this.#quotas.changed(performance.now());
+        this.#desks.quotas.changed(performance.now());
       })
       .with({ kind: 'runners' }, () => this.#runners.endLost())
       .with({ kind: 'era' }, ({ cameBack }) => {
@@ -400,6 +342,6 @@
         if (cameBack) this.#orders?.storeCameBack(performance.now());
       })
       .exhaustive();
-    this.#news.learnt(news);
+    this.#desks.news.learnt(news);
   }
 }
