--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -189,6 +189,12 @@
     'The customer is over its quota.',
     'Come back after the time in Retry-After.',
   ),
+  runnersLimited: refusal(
+    315,
+    503,
+    'All runners of the service name rate limits and take no more for now.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/memory/learning.ts
+++ b/src/core/memory/learning.ts
@@ -117,8 +117,11 @@
     return prefillMs(this.#costs, this.#flow.sizes.promptTokens);
   }
 
-  /** Tokens in a millisecond that first attempts leave to the others. */
-  spare(now: number, memoryTokens: number): number {
-    return this.#flow.spare(now, memoryTokens / this.residenceMs);
+  /**
+   * Tokens in a millisecond that first attempts leave to the others.
+   * @param capacity tokens that come free in a millisecond when all memory is in use
+   */
+  spare(now: number, capacity: number): number {
+    return this.#flow.spare(now, capacity);
   }
 }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -6,6 +6,8 @@
 
 import { match } from 'ts-pattern';
 
+import type { Ration } from '../ratelimits/types';
+import { unlimited } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
 import type { DecodeState, PrefillState } from './account';
 import { MemoryAccount, slowedByRead } from './account';
@@ -13,7 +15,6 @@
 import { Learning } from './learning';
 import { afterFailure, afterSuccess } from './trust';
 import type { StageChange } from './balance';
-import { StageBalance } from './balance';
 import type { CostModel, Costs } from './cost';
 import { LearntCosts } from './cost';
 import { WaitingQueue, leastMs, sparePart } from './queue';
@@ -23,6 +24,7 @@
 import type { PlanLoad } from './room';
 import { ReturnTimes, hopelessOf } from './refusal';
 import { Room } from './room';
+import { Stages } from './stages';
 import { EarlierTries } from './tries';
 import type { Demand, Holding, MemoryReport, PlanAction, PlanEvent } from './types';
 
@@ -45,12 +47,14 @@
 
   readonly #tries = new EarlierTries();
 
-  readonly #balance: StageBalance;
+  readonly #stages: Stages;
 
   readonly #waiting: WaitingQueue;
 
   readonly #room: Room;
 
+  readonly #ration: Ration;
+
   readonly #placed: Placements;
 
   #engine: Engine | undefined;
@@ -61,17 +65,22 @@
 
   #actions: PlanAction[] = [];
 
-  constructor(policy: PlanPolicy, costs: CostModel = new LearntCosts()) {
+  constructor(
+    policy: PlanPolicy,
+    costs: CostModel = new LearntCosts(),
+    ration: Ration = unlimited,
+  ) {
     this.#policy = policy;
+    this.#ration = ration;
     this.#costs = costs;
-    this.#balance = new StageBalance(policy.stages);
     this.#returnTimes = new ReturnTimes(policy.refusal);
     this.#learning = new Learning(policy.lengths, costs);
     this.#account = new MemoryAccount(policy.memory, costs);
+    this.#stages = new Stages(policy.stages, this.#account, this.#learning, costs);
     this.#waiting = new WaitingQueue(costs, policy.order.turns(), (demand) =>
       this.#learning.sizeOf(demand),
     );
-    this.#room = new Room(policy, this.#account, costs);
+    this.#room = new Room(policy, this.#account, costs, ration);
     this.#placed = new Placements(this.#account, this.#learning, costs, () => this.#room.changed());
   }
 
@@ -116,28 +125,13 @@
 
   /** Changes of runners' stages that would serve more requests; none while one is under way. */
   stageChanges(now: number): readonly StageChange[] {
-    if (!this.#engine) return [];
-    const { prefill, decode } = this.#account;
-    const idle = this.#placed.size === 0 && this.#waiting.size === 0;
-    return this.#balance.consider(
-      now,
-      this.#engine,
-      [...prefill.values()],
-      [...decode.values()],
-      {
-        ...this.#learning.sizes,
-        residenceMs: this.#learning.residenceMs,
-        readTokenMs: this.#costs.readTokenMs,
-      },
-      idle,
-    );
+    const isIdle = this.#placed.size === 0 && this.#waiting.size === 0;
+    return this.#engine ? this.#stages.changes(now, this.#engine, isIdle) : [];
   }
 
   /** A runner took an order, or may have: it gets no new work until it is listed in its new stage. */
   ordered(now: number, runner: string, accepted: boolean): void {
-    const until = this.#balance.ordered(now, runner, accepted, this.#engine);
-    const state = this.#account.prefill.get(runner) ?? this.#account.decode.get(runner);
-    if (state && accepted) state.avoidUntil = until;
+    this.#stages.ordered(now, runner, accepted, this.#engine);
   }
 
   handle(now: number, event: PlanEvent): readonly PlanAction[] {
@@ -200,7 +194,10 @@
     const placed = this.#placed.get(id);
     const state = this.#account.decode.get(shedBy ?? '');
     if (!placed || !state) return;
-    if (this.#room.free(now, state) >= state.memoryTokens * LAPSED_SPARE) {
+    const hasRoom = this.#room.free(now, state) >= state.memoryTokens * LAPSED_SPARE;
+    if (hasRoom && this.#ration.waitMs(now, state.runner.id) === 0) {
+      // The same runner is sent to once more.
+      this.#ration.take(now, state.runner.id);
       const prefill = this.#placed.prefillOf(placed.grant);
       if (prefill) this.#distrust(now, prefill);
       return;
@@ -317,6 +314,8 @@
         if (!bound) ahead -= 1;
         const grant = { prefill: prefill?.runner.id, decode: place.runner.id };
         this.#waiting.place(demand);
+        if (prefill) this.#ration.take(now, prefill.runner.id);
+        if (bound) this.#ration.take(now, place.runner.id);
         this.#placed.add(now, demand, grant, bound, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
         largest = this.#room.largest(now);
@@ -339,6 +338,7 @@
       if (!placed.bound && placed.readyAt !== undefined) {
         const decode = this.#findDecode(now, placed.demand);
         if (decode) {
+          this.#ration.take(now, decode.runner.id);
           this.#placed.bind(now, placed, decode.runner.id);
           this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
         } else if (now - placed.readyAt > keepMs) {
@@ -361,12 +361,13 @@
 
   /** Refuses what cannot be served while its caller waits. */
   #refuseHopeless(now: number, order: readonly Demand[]): void {
+    const { usualSize, residenceMs } = this.#learning;
     const left = order.filter(({ id }) => this.#waiting.has(id));
     const hopeless = hopelessOf(this.#policy.refusal, now, left, {
       sizeOf: (demand) => this.#learning.sizeOf(demand),
       leastMs: (demand) => leastMs(this.#costs, demand),
-      spare: this.#learning.spare(now, this.#room.memory),
-      releases: this.#room.releases(now),
+      spare: this.#learning.spare(now, this.#room.capacity(usualSize, residenceMs)),
+      releases: this.#room.releases(now, usualSize),
       readMs: this.#room.readMs(now),
     });
     for (const wait of hopeless) {
--- a/src/core/memory/room.ts
+++ b/src/core/memory/room.ts
@@ -1,5 +1,6 @@
 /** What the account leaves: which runner has room now, which will have it first, and when memory comes free. */
 
+import type { Ration } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
 import { ableOf, endOf, isReading } from './account';
@@ -35,6 +36,8 @@
 
   readonly #costs: Costs;
 
+  readonly #ration: Ration;
+
   /** Free tokens at one moment; forgotten with each change of the account. */
   readonly #freeKnown = new Map<DecodeState, number>();
 
@@ -43,10 +46,11 @@
   /** Until then only runners that are mostly empty by the account count as having room. */
   #cautiousUntil = 0;
 
-  constructor(policy: PlanPolicy, account: MemoryAccount, costs: Costs) {
+  constructor(policy: PlanPolicy, account: MemoryAccount, costs: Costs, ration: Ration) {
     this.#policy = policy;
     this.#account = account;
     this.#costs = costs;
+    this.#ration = ration;
   }
 
   /** The account may lack what other VMs hold, until they had time to tell. */
@@ -74,15 +78,20 @@
     return { memory, decode, prefill };
   }
 
-  /** The most that one decode runner has free. */
+  /** The most that one decode runner has free which may get a request now. */
   largest(now: number): number {
     let room = 0;
     for (const state of this.#account.decode.values()) {
-      room = Math.max(room, this.free(now, state));
+      if (this.#hasTurn(now, state)) room = Math.max(room, this.free(now, state));
     }
     return room;
   }
 
+  /** Whether a runner may get one more request by the limit that it names. */
+  #hasTurn(now: number, { runner }: DecodeState | PrefillState): boolean {
+    return this.#ration.waitMs(now, runner.id) === 0;
+  }
+
   /** The decode runner with the most room. */
   findDecode(
     now: number,
@@ -131,7 +140,7 @@
     for (const state of ableOf(now, this.#account.decode.values(), this.#policy.trust)) {
       const free = this.free(now, state);
       const able = free > bestFree && meets(state, free) && !avoid.includes(state.runner.id);
-      if (able && this.#isSafe(now, state)) {
+      if (able && this.#isSafe(now, state) && this.#hasTurn(now, state)) {
         best = state;
         bestFree = free;
       }
@@ -154,7 +163,8 @@
       // Between failure domains the KV cache moves at half the speed; a tie goes to the nearer runner.
       const ms = backlog + prefillMs(this.#costs, demand.promptTokens, state.slowness);
       const cost = state.runner.domain === domain ? ms : ms + farMs;
-      if (able && cost < bestMs && !demand.avoid.includes(state.runner.id)) {
+      const isBest = able && cost < bestMs && !demand.avoid.includes(state.runner.id);
+      if (isBest && this.#hasTurn(now, state)) {
         best = state;
         bestMs = cost;
       }
@@ -162,18 +172,20 @@
     return best;
   }
 
-  /** Tokens that are free by each moment at which one more request will probably have ended. */
-  releases(now: number): readonly Release[] {
+  /**
+   * Tokens that are free by each moment at which one more request will probably have ended. Of a
+   * runner that names a rate limit they count only as its turns come.
+   * @param usualSize tokens of memory that a request usually takes
+   */
+  releases(now: number, usualSize: number): readonly Release[] {
     const ends: Release[] = [];
     let free = 0;
     for (const state of this.#account.decode.values()) {
-      free += this.free(now, state);
-      // Taken to be longer than they may be, waits would have callers refused on a guess.
-      const tokenMs = this.#costs.leastTokenMs * state.slowness;
-      for (const holder of state.holders.values()) {
-        const tokens = holder.demand.promptTokens + holder.expectedTokens;
-        ends.push({ at: endOf(now, holder, tokenMs), tokens });
-      }
+      const ratePerS = this.#ration.ratePerS(state.runner.id);
+      if (ratePerS === undefined) {
+        free += this.free(now, state);
+        ends.push(...this.#endsOf(now, state));
+      } else ends.push(...this.#turnsOf(now, state, ratePerS, usualSize));
     }
     ends.sort((a, b) => a.at - b.at);
     const sums: Release[] = [{ at: now, tokens: free }];
@@ -184,20 +196,63 @@
     return sums;
   }
 
+  /** When the requests of a runner will probably have ended, and what each gives back. */
+  #endsOf(now: number, { holders, slowness }: DecodeState): readonly Release[] {
+    // Taken to be longer than they may be, waits would have callers refused on a guess.
+    const tokenMs = this.#costs.leastTokenMs * slowness;
+    return [...holders.values()].map((holder) => ({
+      at: endOf(now, holder, tokenMs),
+      tokens: holder.demand.promptTokens + holder.expectedTokens,
+    }));
+  }
+
+  /** When the turns of a runner with a rate limit come, and what each is taken to give. */
+  #turnsOf(
+    now: number,
+    state: DecodeState,
+    ratePerS: number,
+    usualSize: number,
+  ): readonly Release[] {
+    const firstAt = now + this.#ration.waitMs(now, state.runner.id);
+    const count = Math.floor(state.memoryTokens / Math.max(1, usualSize));
+    const turns = Array.from({ length: count }, (_, turn): Release => ({
+      at: firstAt + (turn * 1000) / ratePerS,
+      tokens: usualSize,
+    }));
+    return turns.filter(({ at }) => Number.isFinite(at));
+  }
+
   /**
    * Gives the time until prompts of so many tokens will have been read, in milliseconds.
-   * Without any prefill runner the decode runners read them all; taken for a
+   * Without any prefill runner that takes all it is given, the decode runners read them; taken for a
    * service that cannot read, it refused whatever did not start at once.
    */
   readMs(now: number): (tokens: number) => number {
-    const { prefill, decode } = this.#account;
-    if (prefill.size === 0) {
+    const { decode } = this.#account;
+    const prefill = [...this.#account.prefill.values()].filter(
+      ({ runner }) => this.#ration.ratePerS(runner.id) === undefined,
+    );
+    if (prefill.length === 0) {
       return (tokens) =>
         (DIRECT_READ_COST * workMs(this.#costs, tokens)) / Math.max(1, decode.size);
     }
     let backlog = 0;
-    for (const state of prefill.values()) backlog += backlogMs(this.#costs, now, state);
-    return (tokens) => (backlog + workMs(this.#costs, tokens)) / prefill.size;
+    for (const state of prefill) backlog += backlogMs(this.#costs, now, state);
+    return (tokens) => (backlog + workMs(this.#costs, tokens)) / prefill.length;
+  }
+
+  /**
+   * Tokens that come free in a millisecond when all runners have as much work as they take.
+   * @param usualSize tokens of memory that a request usually takes
+   * @param residenceMs time for which it usually holds them
+   */
+  capacity(usualSize: number, residenceMs: number): number {
+    let capacity = 0;
+    for (const { runner, memoryTokens } of this.#account.decode.values()) {
+      const ratePerS = this.#ration.ratePerS(runner.id) ?? Infinity;
+      capacity += Math.min(memoryTokens / residenceMs, (ratePerS * usualSize) / 1000);
+    }
+    return capacity;
   }
 
   get memory(): number {
--- a/src/core/quotas/account.ts
+++ b/src/core/quotas/account.ts
@@ -24,11 +24,17 @@
   readonly overage: number;
   /** Beside it, in the quota's unit. */
   readonly slack: number;
+  /**
+   * Whether an owner gives out nothing whose part of what may be over does not bear a whole
+   * run: many owners with a small part each, one run each, are over together.
+   */
+  readonly wholeRuns: boolean;
 }
 
-/** What an owner says to one run. */
+/** What an owner says to one run: that it may begin after a wait, or when to ask again. */
 export type QuotaVerdict =
-  { readonly granted: true } | { readonly granted: false; readonly retryAfterMs: number };
+  | { readonly granted: true; readonly waitMs: number }
+  | { readonly granted: false; readonly retryAfterMs: number };
 
 /** Part of what may be over a quota that a new owner gives out at once: it does not know what the last one gave out, and two may follow each other in one window. */
 const START_PART = 0.25;
@@ -63,28 +69,47 @@
   /**
    * Takes the size of a run, or says when to ask again.
    * @param part of the quota that belongs to the VMs that go by this owner, from 0 to 1
+   * @param mostWaitMs longest time that the run may wait for its turn
    */
-  take(now: number, quota: Rate, part: number, size: number): QuotaVerdict {
-    const own = this.#ownPart(quota, part);
-    const rate = (quota.ratePerS / 1000) * own;
-    const capacity = Math.max(quota.burst, (quota.ratePerS * LEAST_BURST_MS) / 1000) * own;
-    this.#credit(quota, own);
-    this.#level = Math.min(capacity, this.#level + (now - this.#at) * rate);
-    this.#at = now;
-    // A run larger than the most that there ever is would never start: it takes all and leaves a debt.
-    const need = Math.min(size, capacity);
-    if (this.#level >= need) {
+  take(now: number, quota: Rate, part: number, size: number, mostWaitMs = 0): QuotaVerdict {
+    const { rate, need, waitMs } = this.#turn(now, quota, part, size);
+    if (waitMs <= mostWaitMs) {
       this.#level -= size;
-      return { granted: true };
+      return { granted: true, waitMs };
     }
     return { granted: false, retryAfterMs: this.#retryAfter(now, size, need, rate) };
   }
 
+  /** Time until a run of that size could begin, in milliseconds; see `take`. */
+  waitMs(now: number, quota: Rate, part: number, size: number): number {
+    return this.#turn(now, quota, part, size).waitMs;
+  }
+
   /** Takes back what was taken for a run that did not take place. */
   giveBack(size: number): void {
     this.#level += size;
   }
 
+  /** Brings the account up to now, and works out when a run could begin. */
+  #turn(
+    now: number,
+    quota: Rate,
+    part: number,
+    size: number,
+  ): { readonly rate: number; readonly need: number; readonly waitMs: number } {
+    const own = this.#ownPart(quota, part);
+    const rate = (quota.ratePerS / 1000) * own;
+    const capacity = Math.max(quota.burst, (quota.ratePerS * LEAST_BURST_MS) / 1000) * own;
+    this.#credit(quota, own);
+    this.#level = Math.min(capacity, this.#level + (now - this.#at) * rate);
+    this.#at = now;
+    // A run larger than the most that there ever is would never start: it takes all and leaves a debt.
+    const need = Math.min(size, capacity);
+    const isTooSmall = this.#bounds.wholeRuns && this.#window(quota).over * own < size;
+    const lack = isTooSmall ? Infinity : need - this.#level;
+    return { rate, need, waitMs: lack > 0 ? lack / rate : 0 };
+  }
+
   /** What the quota allows in a window, and how much more of it may run, in its unit. */
   #window({ ratePerS, burst }: Rate): { readonly allowed: number; readonly over: number } {
     const { windowMs, overage, slack } = this.#bounds;
--- a/src/core/quotas/accounts.ts
+++ b/src/core/quotas/accounts.ts
@@ -52,24 +52,38 @@
     known.share.join(vm);
   }
 
-  /** A VM asks for a run. */
+  /** A VM goes by another one for a group. */
+  leave(group: string, vm: string): void {
+    this.#groups.get(group)?.share.leave(vm);
+  }
+
+  /**
+   * A VM asks for a run, which brings its part to this one.
+   * @param mostWaitMs longest time that the run may wait for its turn
+   */
   take(
     now: number,
     vm: string,
-    { group, subject }: QuotaKey,
+    key: QuotaKey,
     quota: Rate,
     members: QuotaMembers,
     size: number,
+    mostWaitMs = 0,
   ): QuotaVerdict {
-    this.join(now, group, vm);
-    const { beganAt, share, accounts } = this.#of(now, group);
-    let account = accounts.get(subject);
-    if (!account) {
-      // Nobody else gave anything out since this VM owns the group.
-      account = new QuotaAccount(beganAt, this.#bounds);
-      accounts.set(subject, account);
-    }
-    return account.take(now, quota, share.part(members), size);
+    this.join(now, key.group, vm);
+    const { share, account } = this.#accountOf(now, key);
+    return account.take(now, quota, share.part(members), size, mostWaitMs);
+  }
+
+  /** Time until a run of that size could begin, in milliseconds. */
+  waitMs(now: number, key: QuotaKey, quota: Rate, members: QuotaMembers, size: number): number {
+    const { share, account } = this.#accountOf(now, key);
+    return account.waitMs(now, quota, share.part(members), size);
+  }
+
+  /** Drops the account of a subject that has no quota any more. */
+  forget({ group, subject }: QuotaKey): void {
+    this.#groups.get(group)?.accounts.delete(subject);
   }
 
   giveBack({ group, subject }: QuotaKey, size: number): void {
@@ -81,6 +95,20 @@
     this.#groups.clear();
   }
 
+  #accountOf(
+    now: number,
+    { group, subject }: QuotaKey,
+  ): { readonly share: QuotaShare; readonly account: QuotaAccount } {
+    const { beganAt, share, accounts } = this.#of(now, group);
+    let account = accounts.get(subject);
+    if (!account) {
+      // Nobody else gave anything out since this VM owns the group.
+      account = new QuotaAccount(beganAt, this.#bounds);
+      accounts.set(subject, account);
+    }
+    return { share, account };
+  }
+
   #of(now: number, group: string): Group {
     const known = this.#groups.get(group);
     if (known) return known;
--- a/src/core/quotas/share.ts
+++ b/src/core/quotas/share.ts
@@ -16,13 +16,30 @@
 export class QuotaShare {
   readonly #joined = new Set<string>();
 
+  /** The part by the members that it was worked out from last; it is asked for with each run. */
+  #known: { readonly members: QuotaMembers; readonly part: number } | undefined;
+
   /** A VM goes by this owner. */
   join(vm: string): void {
+    if (this.#joined.has(vm)) return;
     this.#joined.add(vm);
+    this.#known = undefined;
+  }
+
+  /** A VM goes by another owner. */
+  leave(vm: string): void {
+    if (this.#joined.delete(vm)) this.#known = undefined;
   }
 
   /** Part of each quota that belongs to the VMs that go by this owner. */
-  part({ known, present }: QuotaMembers): number {
+  part(members: QuotaMembers): number {
+    if (this.#known?.members === members) return this.#known.part;
+    const part = this.#partOf(members);
+    this.#known = { members, part };
+    return part;
+  }
+
+  #partOf({ known, present }: QuotaMembers): number {
     const own = [...this.#joined].filter((vm) => present.has(vm)).length;
     return Math.min(1, own / Math.max(1, known));
   }
--- a/src/core/ratelimits/rates.ts
+++ b/src/core/ratelimits/rates.ts
@@ -46,6 +46,11 @@
     return this.#entries.get(runner)?.rate.ratePerS;
   }
 
+  /** What is known of a runner's limit. Default: it never named one. */
+  rateOf(runner: string): RunnerRate | undefined {
+    return this.#entries.get(runner)?.rate;
+  }
+
   /** The limits in force. */
   get limited(): readonly RunnerRate[] {
     return this.all.filter(({ ratePerS }) => ratePerS !== undefined);
--- a/src/core/ratelimits/types.ts
+++ b/src/core/ratelimits/types.ts
@@ -18,3 +18,20 @@
   /** Requests a second from all VMs together. Default: the limit has ended. */
   readonly ratePerS?: number | undefined;
 }
+
+/** What the limited runners of one service may still be sent. */
+export interface Ration {
+  /** Requests a second that a runner takes from all VMs together. Default: it names no limit. */
+  ratePerS(runner: string): number | undefined;
+  /** Time until one more request may go to a runner, in milliseconds; 0 where it names no limit. */
+  waitMs(now: number, runner: string): number;
+  /** One more request goes to a runner. */
+  take(now: number, runner: string): void;
+}
+
+/** Runners that name no limits. */
+export const unlimited: Ration = {
+  ratePerS: () => undefined,
+  waitMs: () => 0,
+  take: () => {},
+};
--- a/src/node/peer/messages.ts
+++ b/src/node/peer/messages.ts
@@ -6,7 +6,7 @@
 import { codes } from '../../core/codes';
 
 /** Grows with each change that older processes would not understand. */
-export const PROTOCOL_VERSION = 6;
+export const PROTOCOL_VERSION = 7;
 
 const id = z.string().min(1).max(200);
 const name = z.string().min(1).max(64);
--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -20,6 +20,11 @@
   readonly accounts: QuotaAccounts;
   /** Groups that have accounts now; a group's name is what its owners are ranked by. */
   readonly groups: () => readonly string[];
+  /**
+   * Whether a VM takes its part away from the owner by which it went before. Parts then never
+   * add up to more than the whole; but while owners are lost, less of it is given out.
+   */
+  readonly leaves: boolean;
   /** Names of the calls between VMs and of the metrics. */
   readonly names: { readonly join: string; readonly unanswered: string };
   readonly metrics: Metrics;
@@ -35,8 +40,30 @@
 /** Most groups in one message: more than there are customers' groups, or services of a deployment. */
 const GROUPS_MOST = 2000;
 
-/** Tells that the sender goes by the receiver for these groups. */
-const joinSchema = z.object({ groups: z.array(z.string().max(200)).max(GROUPS_MOST) });
+/** Tells that the sender goes by the receiver for these groups, or no longer. */
+const joinSchema = z.object({
+  groups: z.array(z.string().max(200)).max(GROUPS_MOST),
+  leaves: z.boolean().default(false),
+});
+
+/** The owner by which this VM goes for a group. */
+interface Chosen {
+  readonly vm: string;
+  readonly address: string;
+  /** A VM that was started anew knows of nobody who goes by it. */
+  readonly incarnation: number;
+}
+
+/** Groups by the address of the owner that is told of them. */
+class Moves {
+  readonly byAddress = new Map<string, string[]>();
+
+  add(address: string, group: string): void {
+    const groups = this.byAddress.get(address) ?? [];
+    groups.push(group);
+    this.byAddress.set(address, groups);
+  }
+}
 
 /** Owners by group. */
 export class AccountOwners {
@@ -47,7 +74,7 @@
   readonly #timer: NodeJS.Timeout;
 
   /** Whom this VM went by last, by group. */
-  readonly #owners = new Map<string, string>();
+  readonly #owners = new Map<string, Chosen>();
 
   #members: QuotaMembers | undefined;
 
@@ -72,31 +99,22 @@
 
   /** By whom this VM goes, for operators. */
   beliefs(): Readonly<Record<string, string>> {
-    return Object.fromEntries(this.#owners);
+    return Object.fromEntries([...this.#owners].map(([group, { vm }]) => [group, vm]));
   }
 
   onJoin(now: number, vm: string, params: unknown): void {
-    for (const group of joinSchema.parse(params).groups) {
-      this.#context.accounts.join(now, group, vm);
+    const { accounts } = this.#context;
+    const { groups, leaves } = joinSchema.parse(params);
+    for (const group of groups) {
+      if (leaves) accounts.leave(group, vm);
+      else accounts.join(now, group, vm);
     }
   }
 
-  /** The members or the groups changed: others may own accounts now. Each VM says by whom it goes, so that an owner knows whose parts it gives out. */
+  /** The members or the groups changed: others may own accounts now. */
   changed(now: number): void {
     this.#members = undefined;
-    const { vm, fleet, accounts } = this.#context;
-    const owned = new Set<string>();
-    const joined = new Map<Member, string[]>();
-    for (const group of this.#context.groups()) {
-      const [owner] = fleet.ownersOf(now, group);
-      if (owner?.vm === vm) owned.add(group);
-      if (owner && this.#owners.get(group) !== owner.vm) {
-        this.#owners.set(group, owner.vm);
-        joined.set(owner, [...(joined.get(owner) ?? []), group]);
-      }
-    }
-    accounts.own(now, owned);
-    for (const [owner, groups] of joined) this.#join(now, owner, groups);
+    this.#review(now);
   }
 
   /** The answer of the first owner of a group that answers; undefined if this VM is to answer itself. */
@@ -131,16 +149,49 @@
     return true;
   }
 
-  #join(now: number, owner: Member, groups: readonly string[]): void {
-    const { vm, fleet, accounts, names, log } = this.#context;
-    if (owner.vm === vm) {
-      for (const group of groups) accounts.join(now, group, vm);
+  /**
+   * Works out by whom this VM goes. It says so to the new owner and to the one before, so that
+   * each knows whose parts it gives out.
+   */
+  #review(now: number): void {
+    const { vm, fleet, accounts, leaves } = this.#context;
+    const owned = new Set<string>();
+    const joined = new Moves();
+    const left = new Moves();
+    const groups = this.#context.groups();
+    for (const group of groups) {
+      const [owner] = fleet.ownersOf(now, group);
+      const before = this.#owners.get(group);
+      if (owner?.vm === vm) owned.add(group);
+      if (owner && !isSame(owner, before)) {
+        const { vm: name, address, incarnation } = owner;
+        this.#owners.set(group, { vm: name, address, incarnation });
+        joined.add(address, group);
+        if (leaves && before && before.vm !== name) left.add(before.address, group);
+      }
+    }
+    for (const group of this.#owners.keys()) {
+      if (!groups.includes(group)) this.#owners.delete(group);
+    }
+    accounts.own(now, owned);
+    for (const [address, moved] of left.byAddress) this.#say(now, address, moved, true);
+    for (const [address, moved] of joined.byAddress) this.#say(now, address, moved, false);
+  }
+
+  #say(now: number, address: string, groups: readonly string[], leaves: boolean): void {
+    const { vm, fleet, names, log } = this.#context;
+    const message = { groups, leaves };
+    if (address === fleet.self.address) {
+      this.onJoin(now, vm, message);
       return;
     }
-    fleet.call(owner.address, names.join, { groups }, ASK_LIMIT_MS).catch((error) => {
-      log.debug({ owner: owner.vm, groups }, toFailure(error).line);
+    fleet.call(address, names.join, message, ASK_LIMIT_MS).catch((error) => {
+      log.debug({ address, groups, leaves }, toFailure(error).line);
+      if (leaves) return;
       // Said again at the next look.
-      for (const group of groups) this.#owners.delete(group);
+      for (const group of groups) {
+        if (this.#owners.get(group)?.address === address) this.#owners.delete(group);
+      }
     });
   }
 
@@ -149,7 +200,13 @@
       this.#context.accounts.reset();
       this.#owners.clear();
     }
-    const isOpen = this.#context.groups().some((group) => !this.#owners.has(group));
-    if (isOpen) this.changed(now);
+    const groups = this.#context.groups();
+    const isOpen = groups.some((group) => !this.#owners.has(group));
+    // Owners that did not answer lately are passed over without any change of the members.
+    if (isOpen || (this.#context.leaves && groups.length > 0)) this.#review(now);
   }
 }
+
+function isSame(owner: Member, before: Chosen | undefined): boolean {
+  return owner.vm === before?.vm && owner.incarnation === before.incarnation;
+}
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { RouterFleet } from './fleet';
 import type { PlanHost } from './owner';
+import type { PermitDesk } from './permits';
 import type { Places } from './places';
 import type { QuotaDesk } from './quotas';
 import type { FactSync } from './sync';
@@ -16,6 +17,7 @@
   readonly places: Places;
   readonly sync: FactSync;
   readonly quotas: QuotaDesk;
+  readonly permits: PermitDesk;
 }
 
 /** Calls back to the VM that called. */
@@ -31,17 +33,20 @@
 
   /** Rejects with `peerRejected` if there is no such call. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { host, places, sync, quotas } = this.#context;
+    const { host, places, sync, quotas, permits } = this.#context;
     const now = performance.now();
     const sink = (service: string, verdict: unknown): void => push('verdict', { service, verdict });
     if (method === 'ask') return host.ask(now, vm, askSchema.parse(params), sink);
     if (method === 'ready') return host.ready(now, vm, readySchema.parse(params), sink);
     if (method === 'facts') return sync.answer(now, params);
     if (method === 'quota') return quotas.onAsk(now, vm, params);
+    if (method === 'permit') return permits.onAsk(now, vm, params);
     if (method === 'note') host.note(now, vm, noteSchema.parse(params));
     else if (method === 'hold') host.hold(now, vm, holdSchema.parse(params));
     else if (method === 'quotaJoin') quotas.onJoin(now, vm, params);
     else if (method === 'quotaBack') quotas.onBack(params);
+    else if (method === 'permitJoin') permits.onJoin(now, vm, params);
+    else if (method === 'rates') permits.onTold(now, vm, params);
     else if (method === 'gather') this.#tell(now, vm, gatherSchema.parse(params).service);
     else if (method === 'verdict') {
       const { service, verdict } = pushSchema.parse(params);
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -112,9 +112,10 @@
       (listing) => this.#knowledge.latestStart(listing),
       logOf(log, 'runner'),
     );
-    this.#host = new PlanHost(this.#knowledge, this.#runners, logOf(log, 'cell'), (service) =>
-      this.#desks.calls.gather(service),
-    );
+    this.#host = new PlanHost(this.#knowledge, this.#runners, logOf(log, 'cell'), {
+      onUnsure: (service) => this.#desks.calls.gather(service),
+      rationOf: (service) => this.#desks.permits.rationOf(service),
+    });
     this.#gate = new Gate(this.#knowledge, () => this.#settings.ages);
     const proofs = this.#knowledge.proofExchange;
     this.#fleet = new RouterFleet(settings, proofs, this.#metrics, logOf(log, 'members'), {
@@ -141,7 +142,7 @@
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retries.get(service).spend(now, this.#fleet.alive.length);
-    const { quarantine, rateLimits, quotas, places } = this.#desks;
+    const { quarantine, rateLimits, permits, quotas, places } = this.#desks;
     this.#runs = new Runs({
       quarantine,
       gate: this.#gate,
@@ -155,6 +156,7 @@
       health: (service) => this.#health.get(service),
       runs: this.#runs,
       quotas,
+      permits,
       mayRepeat,
       domain: settings.domain,
     });
@@ -164,6 +166,7 @@
       places,
       runs: this.#runs,
       quotas,
+      permits,
       mayRepeat,
     });
     this.#control = new Control({
--- a/src/node/router/desks.ts
+++ b/src/node/router/desks.ts
@@ -1,4 +1,4 @@
-/** What a VM shares with the others: news, places, quotas, and requests that are refused. */
+/** What a VM shares with the others: news, places, quotas, permits, and requests that are refused. */
 
 import type { Logger } from 'pino';
 
@@ -10,9 +10,11 @@
 import type { Knowledge } from './knowledge';
 import { NewsDesk } from './news';
 import type { PlanHost } from './owner';
+import { PermitDesk } from './permits';
 import { Places } from './places';
 import { QuarantineDesk } from './quarantine';
 import { QuotaDesk } from './quotas';
+import type { RateChange } from './ratelimits';
 import { RateLimitDesk } from './ratelimits';
 import { FactSync } from './sync';
 import type { Feed, RouterSettings, SuspectArchive } from './types';
@@ -38,6 +40,8 @@
 
   readonly rateLimits: RateLimitDesk;
 
+  readonly permits: PermitDesk;
+
   readonly quotas: QuotaDesk;
 
   readonly places: Places;
@@ -61,6 +65,16 @@
       knowledge,
       metrics,
       log: logOf(log, 'ratelimits'),
+      onNews: (changes) => this.#ratesChanged(performance.now(), changes),
+    });
+    const { quarantine, rateLimits } = this;
+    this.permits = new PermitDesk({
+      vm,
+      bounds: settings.rateLimits,
+      rateLimits,
+      fleet,
+      metrics,
+      log: logOf(log, 'ratelimits'),
     });
     this.quotas = new QuotaDesk({
       vm,
@@ -71,12 +85,12 @@
       log: logOf(log, 'quotas'),
     });
     this.places = new Places(vm, fleet, host, logOf(log, 'places'));
-    const { quarantine } = this;
-    const sync = new FactSync({ knowledge, quarantine, fleet });
+    const sync = new FactSync({ knowledge, quarantine, rateLimits, fleet });
     this.news = new NewsDesk({
       knowledge,
       gate,
       quarantine,
+      rateLimits,
       fleet,
       feed,
       sync,
@@ -86,14 +100,15 @@
       self,
       onDescription: context.onDescription,
     });
-    const { places, quotas } = this;
-    this.calls = new PeerCalls({ vm, fleet, host, places, sync, quotas });
+    const { places, quotas, permits } = this;
+    this.calls = new PeerCalls({ vm, fleet, host, places, sync, quotas, permits });
   }
 
   stop(): void {
     this.news.stop();
     this.quarantine.stop();
     this.rateLimits.stop();
+    this.permits.stop();
     this.quotas.stop();
     this.places.stop();
   }
@@ -101,6 +116,7 @@
   /** The members of the fleet changed. */
   membersChanged(now: number): void {
     this.quotas.changed(now);
+    this.permits.changed(now);
     this.news.membersChanged();
   }
 
@@ -110,7 +126,12 @@
       readsStore: this.news.reading,
       refuses: this.quarantine.beliefs(now),
       quotas: this.quotas.beliefs(),
-      rateLimits: this.rateLimits.beliefs(),
+      rateLimits: this.permits.beliefs(),
     };
   }
+
+  #ratesChanged(now: number, changes: readonly RateChange[]): void {
+    this.permits.limitsChanged(now, changes);
+    this.news.rateLimited(changes.map(({ rate }) => rate));
+  }
 }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -5,6 +5,7 @@
 import type { Engine, Runner } from '../../core/routing/types';
 import type { Exchange } from './exchange';
 import type { Knowledge } from './knowledge';
+import type { PermitDesk } from './permits';
 import type { Places } from './places';
 import type { Progress } from './progress';
 import { demandOf, mayGoOn, newProgress, refusal, timeUp, verdictOf } from './progress';
@@ -21,6 +22,7 @@
   readonly places: Places;
   readonly runs: Runs;
   readonly quotas: Pick<QuotaDesk, 'cover'>;
+  readonly permits: Pick<PermitDesk, 'isLimited'>;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
 }
@@ -113,7 +115,7 @@
     progress: Progress,
     id: string,
   ): Promise<KeptPrompt | undefined> {
-    const { knowledge, mayRepeat } = this.#context;
+    const { knowledge, mayRepeat, permits } = this.#context;
     const { service, signal } = exchange;
     const startedAt = performance.now();
     const runner = find(knowledge.runnersOf(startedAt, service, 'prefill'), id);
@@ -121,8 +123,9 @@
     let cache = await this.#prefillOnce(exchange, progress, runner);
     const ms = performance.now() - startedAt;
     // The runner has read the prompt and still has it: asked again it answers at once, where another
-    // runner would read it all a second time.
-    if (cache === 'answerLost' && mayRepeat(performance.now(), service)) {
+    // runner would read it all a second time. The place covers one request to a limited runner.
+    const mayAskAgain = cache === 'answerLost' && !permits.isLimited(id);
+    if (mayAskAgain && mayRepeat(performance.now(), service)) {
       cache = await this.#prefillOnce(exchange, progress, runner);
     }
     if (typeof cache === 'string') return undefined;
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -10,6 +10,7 @@
 import { isIsolated, joinTargets, readersOf, shouldRead } from '../../core/membership/readers';
 import type { Rumour } from '../../core/membership/types';
 import type { Suspect } from '../../core/quarantine/types';
+import type { RunnerRate } from '../../core/ratelimits/types';
 import { isPresent } from '../../core/membership/types';
 import { ProofPace } from '../../core/routing/freshness';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../core/routing/spread';
@@ -19,7 +20,10 @@
 import type { Gate } from './gate';
 import type { Knowledge, News } from './knowledge';
 import type { QuarantineDesk } from './quarantine';
-import { SUSPECT_PATH, fromRumour, toRumour } from './suspects';
+import type { RateLimitDesk } from './ratelimits';
+import { RATE_PATH, rateRumour, rateSchema } from './ratewire';
+import { fromRumour } from './rumours';
+import { SUSPECT_PATH, suspectRumour, suspectSchema } from './suspects';
 import type { FactSync } from './sync';
 import { decodeFact, decodeEras, encodeFact } from './sync';
 import type { Feed } from './types';
@@ -29,6 +33,7 @@
   readonly knowledge: Knowledge;
   readonly gate: Gate;
   readonly quarantine: QuarantineDesk;
+  readonly rateLimits: RateLimitDesk;
   readonly fleet: RouterFleet;
   readonly feed: Feed;
   readonly sync: FactSync;
@@ -54,6 +59,9 @@
 /** Time after which a VM that read in place of another, and lost the store too, may be chosen again, in milliseconds. */
 const LOST_MS = 4000;
 
+/** Rate limits that are told one by one; of more at once, the others show in the digests that VMs compare. */
+const RATES_TOLD = 16;
+
 /** The news of one VM. */
 export class NewsDesk {
   readonly #context: NewsContext;
@@ -142,24 +150,34 @@
 
   /** Others compare what this VM knows with what they know. */
   setDigest(): void {
-    const { fleet, knowledge, quarantine } = this.#context;
+    const { fleet, knowledge, quarantine, rateLimits } = this.#context;
     const refused = quarantine.digest(performance.now());
-    fleet.setDigest(refused === '' ? knowledge.digest : `${knowledge.digest}/${refused}`);
+    const parts = [knowledge.digest, refused, rateLimits.digest];
+    fleet.setDigest(parts.filter((part) => part !== '').join('/'));
   }
 
   /** Runners ended under requests. */
   suspected(suspects: readonly Suspect[]): void {
-    this.#context.fleet.spread(suspects.map(toRumour));
+    this.#context.fleet.spread(suspects.map(suspectRumour));
+  }
+
+  /** Rate limits of runners changed. */
+  rateLimited(rates: readonly RunnerRate[]): void {
+    this.setDigest();
+    this.#context.fleet.spread(rates.slice(0, RATES_TOLD).map(rateRumour));
   }
 
   /** A member tells news. */
   heard(rumour: Rumour, address: string): void {
-    const { knowledge, quarantine, log } = this.#context;
+    const { knowledge, quarantine, rateLimits, log } = this.#context;
     const now = performance.now();
     const { path, text } = rumour;
     try {
-      if (path.startsWith(SUSPECT_PATH)) quarantine.learn(now, [fromRumour(rumour)], address);
-      else if (path === ERA_PATH) knowledge.learnEras(now, decodeEras(text ?? ''), address);
+      if (path.startsWith(SUSPECT_PATH)) {
+        quarantine.learn(now, [fromRumour(rumour, suspectSchema)], address);
+      } else if (path.startsWith(RATE_PATH)) {
+        rateLimits.learn(now, [fromRumour(rumour, rateSchema)], address);
+      } else if (path === ERA_PATH) knowledge.learnEras(now, decodeEras(text ?? ''), address);
       else if (path.startsWith(RUNNER_PATH) && text !== undefined) {
         knowledge.learnRunners(now, [decodeFact(text)], address);
       } else {
--- a/src/node/router/owner.ts
+++ b/src/node/router/owner.ts
@@ -9,6 +9,7 @@
 import type { PlanAction, PlanEvent } from '../../core/memory/types';
 import { Failure, toFailure } from '../../core/failure';
 import { PauseWatch } from '../../core/pause';
+import type { Ration } from '../../core/ratelimits/types';
 import type { Engine } from '../../core/routing/types';
 import type { Knowledge } from './knowledge';
 import type { Ask, Hold, Note, Ready, Verdict } from './plans';
@@ -18,6 +19,14 @@
 /** How a verdict gets back to the VM that asked. */
 export type VerdictSink = (service: string, verdict: Verdict) => void;
 
+/** What planners need of the rest of their VM. */
+export interface PlanSurroundings {
+  /** Called when what is in place of a service is unknown, to have all VMs tell what they hold. */
+  onUnsure(service: string): void;
+  /** What the limited runners of a service may still be sent. */
+  rationOf(service: string): Ration;
+}
+
 interface Plan {
   readonly planner: Planner;
   /** Where verdicts of waiting requests go, by request. */
@@ -51,7 +60,7 @@
 
   readonly #log: Logger;
 
-  readonly #onUnsure: (service: string) => void;
+  readonly #surroundings: PlanSurroundings;
 
   readonly #plans = new Map<string, Plan>();
 
@@ -61,17 +70,16 @@
 
   #leaving = false;
 
-  /** @param onUnsure called when what is in place of a service is unknown, to have all VMs tell what they hold */
   constructor(
     knowledge: Knowledge,
     runners: RunnerClient,
     log: Logger,
-    onUnsure: (service: string) => void,
+    surroundings: PlanSurroundings,
   ) {
     this.#knowledge = knowledge;
     this.#runners = runners;
     this.#log = log;
-    this.#onUnsure = onUnsure;
+    this.#surroundings = surroundings;
     this.#timer = setInterval(() => this.#wake(performance.now()), WAKE_MS);
   }
 
@@ -206,14 +214,14 @@
   /** Holds back for a moment, and has the VMs tell at once: left to their period they took two seconds, in which full runners looked free or free ones full. */
   #beCautious(now: number, service: string, { planner }: Plan): void {
     planner.startCautiously(now);
-    this.#onUnsure(service);
+    this.#surroundings.onUnsure(service);
   }
 
   #planOf(now: number, service: string): Plan {
     const known = this.#plans.get(service);
     if (known) return known;
     const plan: Plan = {
-      planner: new Planner(planPolicy),
+      planner: new Planner(planPolicy, undefined, this.#surroundings.rationOf(service)),
       sinks: new Map(),
       heard: new Map(),
       heardAt: now,
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -1,25 +1,22 @@
 /** The way of a request to a plain service. */
 
 import { Failure, toFailure } from '../../core/failure';
-import type { RunnerHealth } from '../../core/cell/health';
 import type { Runner } from '../../core/routing/types';
 import { readBody } from '../../utils/http';
 import type { Exchange } from './exchange';
-import type { Knowledge } from './knowledge';
+import type { ChoiceContext } from './plainchoice';
+import { PlainChoice } from './plainchoice';
 import type { QuotaDesk } from './quotas';
 import type { Run, Runs } from './runs';
 import type { Reply, RunnerClient } from './types';
 
 /** What plain requests work with. */
-export interface PlainContext {
-  readonly knowledge: Knowledge;
+export interface PlainContext extends ChoiceContext {
   readonly runners: RunnerClient;
-  readonly health: (service: string) => RunnerHealth;
   readonly runs: Runs;
   readonly quotas: Pick<QuotaDesk, 'cover'>;
   /** Takes one repeat from the budget of the service. */
   readonly mayRepeat: (now: number, service: string) => boolean;
-  readonly domain: string;
 }
 
 /** Largest answer that is read whole before it is passed on, in bytes. */
@@ -35,14 +32,15 @@
   readonly body: Buffer;
 }
 
-/** Requests in flight by runner, for the choice of the least busy. */
+/** Drives plain requests. */
 export class PlainCaller {
   readonly #context: PlainContext;
 
-  readonly #busy = new Map<string, number>();
+  readonly #choice: PlainChoice;
 
   constructor(context: PlainContext) {
     this.#context = context;
+    this.#choice = new PlainChoice(context);
   }
 
   async run(exchange: Exchange): Promise<void> {
@@ -51,24 +49,28 @@
     let sent = 0;
     let ran = false;
     let last = new Failure('noRunner', `no runner of ${service}`, { retryAfterMs: RETRY_MS });
+    let failed: Answer | undefined;
     for (let reach = 0; reach < REACH_TRIES && sent < route.attempts; reach += 1) {
       const now = performance.now();
       const refused = await this.#refusal(now, exchange);
       last = refused ?? last;
       if (refused) break;
-      const runner = this.#choose(now, service, tried);
-      if (!runner || exchange.signal.aborted) break;
+      const runner = await this.#choice.choose(now, exchange, tried);
+      if (runner instanceof Failure) last = runner;
+      if (!runner || runner instanceof Failure || exchange.signal.aborted) break;
       if (sent > 0 && !this.#context.mayRepeat(now, service)) break;
       tried.push(runner.id);
       try {
-        const { reply, body } = await this.#send(exchange, runner);
+        const answer = await this.#send(exchange, runner);
+        const { reply } = answer;
         const again =
           reply.status >= SERVER_ERROR && route.kind === 'repeatable' && sent + 1 < route.attempts;
         exchange.trail.push(`${runner.id} ${reply.status}`);
-        if (!again || !this.#another(service, tried)) {
-          pass(exchange, { reply, body });
+        if (!again || !this.#choice.hasAnother(performance.now(), service, tried)) {
+          pass(exchange, answer);
           return;
         }
+        failed = answer;
         sent += 1;
         ran = true;
         last = new Failure('runnerFailed', `${runner.id} answered ${reply.status}`);
@@ -80,7 +82,9 @@
         if (!last.code.notRun && route.kind !== 'repeatable') break;
       }
     }
-    exchange.fail(performance.now(), verdictOf(exchange, ran, last));
+    // No other runner took it after all: the caller gets what there is.
+    if (failed && last.code.notRun) pass(exchange, failed);
+    else exchange.fail(performance.now(), verdictOf(exchange, ran, last));
   }
 
   /** Why no runner may have it. Default: one may. */
@@ -89,37 +93,12 @@
     return runs.refusal(now, exchange) ?? (await quotas.cover(exchange));
   }
 
-  #another(service: string, tried: readonly string[]): boolean {
-    const now = performance.now();
-    return this.#choose(now, service, tried) !== undefined;
-  }
-
-  /** The least busy runner that is trusted; among equals one of the own failure domain. */
-  #choose(now: number, service: string, tried: readonly string[]): Runner | undefined {
-    const { knowledge, health, domain } = this.#context;
-    const all = knowledge.runnersOf(now, service).filter(({ id }) => !tried.includes(id));
-    const records = health(service);
-    records.setPoolSize(all.length + tried.length);
-    const trusted = all.filter(({ id }) => records.allows(now, id));
-    let best: Runner | undefined;
-    let bestCost = Infinity;
-    for (const runner of trusted.length > 0 ? trusted : all) {
-      const near = runner.domain === domain ? 0 : 0.5;
-      const cost = (this.#busy.get(runner.id) ?? 0) + near + Math.random() * 0.25;
-      if (cost < bestCost) {
-        best = runner;
-        bestCost = cost;
-      }
-    }
-    return best;
-  }
-
   async #send(exchange: Exchange, runner: Runner): Promise<Answer> {
     const { health, runners, runs } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
     records.given(now, runner.id);
-    this.#busy.set(runner.id, (this.#busy.get(runner.id) ?? 0) + 1);
+    this.#choice.begin(runner);
     try {
       const run = runs.begin(now, exchange, runner);
       const answer = await exchangeWith(exchange, runner, runners, run);
@@ -131,9 +110,7 @@
       else records.failed(performance.now(), runner.id);
       throw error;
     } finally {
-      const left = (this.#busy.get(runner.id) ?? 1) - 1;
-      if (left > 0) this.#busy.set(runner.id, left);
-      else this.#busy.delete(runner.id);
+      this.#choice.end(runner);
     }
   }
 }
--- a/src/node/router/quotas.ts
+++ b/src/node/router/quotas.ts
@@ -47,7 +47,7 @@
 });
 const backSchema = z.object({ customer: name, size: amount });
 const verdictSchema = z.discriminatedUnion('granted', [
-  z.object({ granted: z.literal(true) }),
+  z.object({ granted: z.literal(true), waitMs: z.number() }),
   z.object({ granted: z.literal(false), retryAfterMs: z.number() }),
 ]);
 
@@ -76,6 +76,7 @@
       fleet,
       accounts: this.#accounts,
       groups: () => (this.#hasQuotas ? groups : []),
+      leaves: false,
       names: { join: 'quotaJoin', unanswered: 'quotas.unanswered' },
       metrics,
       log,
@@ -157,7 +158,7 @@
   #take(now: number, vm: string, { customer, quota, version, size }: Ask): QuotaVerdict {
     const isBehind = version > this.#context.knowledge.configVersion;
     const valid = isBehind ? quota : this.#quotaOf(customer);
-    if (!valid) return { granted: true };
+    if (!valid) return { granted: true, waitMs: 0 };
     return this.#accounts.take(now, vm, keyOf(customer), valid, this.#owners.members, size);
   }
 
--- a/src/node/router/ratelimits.ts
+++ b/src/node/router/ratelimits.ts
@@ -1,4 +1,7 @@
-/** What this VM believes of the rate limits that runners name, and says of them in log and metrics. */
+/**
+ * Keeps what this VM knows of the rate limits that runners name in step with the fleet:
+ * learns them from answers, tells other VMs, and hears of theirs.
+ */
 
 import type { Logger } from 'pino';
 
@@ -11,21 +14,34 @@
 import type { Knowledge } from './knowledge';
 import type { Reply } from './types';
 
+/** A limit that changed as this VM sees it. */
+export interface RateChange {
+  readonly rate: RunnerRate;
+  /** Whether an answer to this VM told of it. */
+  readonly isOwn: boolean;
+}
+
 /** What rate limits work with. */
 export interface RateLimitContext {
   readonly knowledge: Knowledge;
   readonly metrics: Metrics;
   readonly log: Logger;
+  /** To be told to other VMs and acted upon. */
+  readonly onNews: (changes: readonly RateChange[]) => void;
 }
 
 /** Answers below this status are what a runner in good order gives. */
 const SERVER_ERROR = 500;
+/** Source of what this VM's own answers tell. */
+const OWN = 'own';
 /** Lines of changed limits in a second. */
 const RATE_LINES = 10;
 /** Lines of values that are no rate in a second. */
 const UNREADABLE_LINES = 2;
 /** Period of forgetting limits that are over, in milliseconds. */
 const PRUNE_MS = 5000;
+/** Time in which news is gathered before it is told, in milliseconds. */
+const GATHER_MS = 20;
 
 /** Rate limits at one VM. */
 export class RateLimitDesk {
@@ -39,6 +55,9 @@
 
   readonly #timer: NodeJS.Timeout;
 
+  /** News that is still to be told, by runner. */
+  readonly #fresh = new Map<string, RateChange>();
+
   constructor(context: RateLimitContext) {
     this.#context = context;
     const { log } = context;
@@ -55,6 +74,31 @@
     clearInterval(this.#timer);
   }
 
+  /** Requests a second that a runner takes from all VMs together. Default: it names no limit. */
+  ratePerS(runner: string): number | undefined {
+    return this.#rates.ratePerS(runner);
+  }
+
+  /** What is known of a runner's limit. Default: it never named one. */
+  rateOf(runner: string): RunnerRate | undefined {
+    return this.#rates.rateOf(runner);
+  }
+
+  /** The limits in force. */
+  get limited(): readonly RunnerRate[] {
+    return this.#rates.limited;
+  }
+
+  /** The limits in force and those that ended a while ago, for another VM. */
+  get all(): readonly RunnerRate[] {
+    return this.#rates.all;
+  }
+
+  /** Which runners are limited, in short, for others to compare; empty if none is. */
+  get digest(): string {
+    return this.#rates.digest;
+  }
+
   /** A request is sent to a runner. */
   sent({ id }: Runner): void {
     if (this.#rates.ratePerS(id) !== undefined) this.#context.metrics.count('ratelimits.sent');
@@ -68,16 +112,18 @@
     if (notice.kind === 'unreadable') this.#noteUnreadable(now, runner, notice.text);
     const provesEnd = notice.kind === 'none' && genuine && status < SERVER_ERROR;
     const news = this.#rates.saw(now, runner, { sentAt, notice, provesEnd });
-    if (news) this.#changed(now, news, 'own');
+    if (news) this.#changed(now, news, OWN);
   }
 
-  /** The limits in force, for operators. */
-  beliefs(): readonly RunnerRate[] {
-    return this.#rates.limited;
+  /** @param source address or name of the VM that tells */
+  learn(now: number, rates: readonly RunnerRate[], source: string): void {
+    for (const rate of rates) if (this.#rates.learn(now, rate)) this.#changed(now, rate, source);
   }
 
   #changed(now: number, rate: RunnerRate, source: string): void {
     const { log, metrics } = this.#context;
+    if (this.#fresh.size === 0) setTimeout(() => this.#tellAll(), GATHER_MS).unref();
+    this.#fresh.set(rate.runner, { rate, isOwn: source === OWN });
     metrics.gauge('ratelimits.runners', this.#rates.limited.length);
     if (!this.#lines.allows(now)) return;
     const holds = rate.ratePerS !== undefined;
@@ -85,6 +131,12 @@
     log.info({ ...rate, source }, what);
   }
 
+  #tellAll(): void {
+    const changes = [...this.#fresh.values()];
+    this.#fresh.clear();
+    this.#context.onNews(changes);
+  }
+
   #noteUnreadable(now: number, { id: runner, service }: Runner, text: string): void {
     this.#context.metrics.count('ratelimits.unreadable');
     if (!this.#unreadable.allows(now)) return;
--- a/src/node/router/suspects.ts
+++ b/src/node/router/suspects.ts
@@ -1,10 +1,10 @@
-/** Requests under which runners ended, as they go from VM to VM. */
+/** Requests under which runners ended, in the messages between VMs. */
 
 import { z } from 'zod';
 
-import { Failure } from '../../core/failure';
 import type { Rumour } from '../../core/membership/types';
 import type { Suspect } from '../../core/quarantine/types';
+import { toRumour } from './rumours';
 
 /** Path of news of one request, followed by its fingerprint. */
 export const SUSPECT_PATH = 'suspect/';
@@ -19,21 +19,7 @@
 });
 
 /** News of one request. */
-export function toRumour(suspect: Suspect): Rumour {
+export function suspectRumour(suspect: Suspect): Rumour {
   const { fingerprint, ends } = suspect;
-  const path = `${SUSPECT_PATH}${fingerprint}`;
-  return { path, revision: ends.length, text: JSON.stringify(suspect) };
-}
-
-/** Rejects with `peerRejected` by throwing. */
-export function fromRumour({ path, text = '' }: Rumour): Suspect {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch {
-    throw new Failure('peerRejected', `${path}: found no JSON`);
-  }
-  const parsed = suspectSchema.safeParse(value);
-  if (!parsed.success) throw new Failure('peerRejected', `${path}: does not fit`);
-  return parsed.data;
+  return toRumour(`${SUSPECT_PATH}${fingerprint}`, ends.length, suspect);
 }
--- a/src/node/router/sync.ts
+++ b/src/node/router/sync.ts
@@ -14,12 +14,15 @@
 import type { RouterFleet } from './fleet';
 import type { Knowledge } from './knowledge';
 import type { QuarantineDesk } from './quarantine';
+import type { RateLimitDesk } from './ratelimits';
+import { rateSchema } from './ratewire';
 import { suspectSchema } from './suspects';
 
 /** What an exchange works with. */
 export interface SyncContext {
   readonly knowledge: Knowledge;
   readonly quarantine: QuarantineDesk;
+  readonly rateLimits: RateLimitDesk;
   readonly fleet: RouterFleet;
 }
 
@@ -27,6 +30,8 @@
 const LIMIT_MS = 1000;
 /** Facts in one answer, about: some 250 bytes each within the largest message; the rest comes with the next exchange. */
 const FACTS_MOST = 2000;
+/** Rate limits in one answer, for the same reason. */
+const RATES_MOST = 2000;
 
 const runnerSchema = z.object({
   id: z.string(),
@@ -58,6 +63,8 @@
   eras: erasSchema.default([]),
   /** Digest of the requests that the asking VM refuses. */
   refused: z.string().default(''),
+  /** Digest of the runners that the asking VM knows to be rate limited. */
+  limited: z.string().default(''),
 });
 const answerSchema = z.object({
   /** Left out if it is not newer. */
@@ -66,6 +73,7 @@
   eras: erasSchema.default([]),
   members: z.array(memberSchema).optional(),
   suspects: z.array(suspectSchema).default([]),
+  rates: z.array(rateSchema).default([]),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
 });
 
@@ -133,32 +141,36 @@
 
   /** What this VM knows beside what the asking one does. */
   answer(now: number, params: unknown): Answer {
-    const { knowledge, quarantine, fleet } = this.#context;
-    const { configVersion, parts, members, eras, refused } = requestSchema.parse(params);
+    const { knowledge, quarantine, rateLimits, fleet } = this.#context;
+    const { configVersion, parts, members, eras, refused, limited } = requestSchema.parse(params);
     knowledge.learnEras(now, eras, 'asked');
     const tellsSuspects = members || refused !== quarantine.digest(now);
+    const tellsRates = members || limited !== rateLimits.digest;
     return {
       ...(configVersion < knowledge.configVersion ? { config: this.#packedConfig() } : {}),
       facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
       eras: [...knowledge.eras],
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
       suspects: tellsSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
+      rates: tellsRates ? rateLimits.all.slice(0, RATES_MOST) : [],
       ...knowledge.proof(bootNow()),
     };
   }
 
   /** Asks another VM and takes over what is newer there. */
   async fetch(address: string, members: boolean): Promise<void> {
-    const { knowledge, quarantine, fleet } = this.#context;
+    const { knowledge, quarantine, rateLimits, fleet } = this.#context;
     const { configVersion, digestParts } = knowledge;
     const refused = quarantine.digest(performance.now());
+    const { digest: limited } = rateLimits;
     const { eras } = knowledge;
     const askedAt = bootNow();
-    const request = { configVersion, parts: digestParts, members, eras, refused };
+    const request = { configVersion, parts: digestParts, members, eras, refused, limited };
     const answer = answerSchema.parse(await fleet.call(address, 'facts', request, LIMIT_MS));
     const now = performance.now();
     // Before the configuration, with which this VM begins to take callers.
     quarantine.learn(now, answer.suspects, address);
+    rateLimits.learn(now, answer.rates, address);
     if (answer.config) knowledge.learnConfig(now, unpackConfig(answer.config), address);
     if (answer.proof) {
       knowledge.freshness.told(askedAt, answer.proof, knowledge.configVersion);
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -35,6 +35,8 @@
   readonly retries: RetryBounds;
   readonly ages: AgeBounds;
   readonly quotas: QuotaBounds;
+  /** By how much all VMs together may be over the rate limit of a runner. */
+  readonly rateLimits: QuotaBounds;
   /** Time between the signal to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** Time for which holders of the right to give orders may not take turns, in milliseconds. */
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -63,6 +63,8 @@
 const ADDRESS_TTL_MS = 1000;
 /** By how much sooner than it must a key stop counting, in milliseconds: some turns of a busy event loop lie between the look at the clock and the send. */
 const KEY_MARGIN_MS = 300;
+/** By how much all VMs together may be over the rate limit that a runner names: the platform's bound. */
+const RATE_LIMITS = { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true };
 /** Port of the metrics page; the deploy file names the same. */
 const METRICS_PORT = 9464;
 
@@ -97,7 +99,9 @@
       windowMs: bounds['quota-window-s'] * 1000,
       overage: bounds['quota-overage'],
       slack: bounds['quota-slack'],
+      wholeRuns: false,
     },
+    rateLimits: RATE_LIMITS,
     leaseMs: bounds['lease-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, ADDRESS_TTL_MS),
--- /dev/null
+++ b/test/core/quotas.test.ts
@@ -0,0 +1,56 @@
+import type { QuotaBounds } from '../../src/core/quotas/account';
+import { QuotaAccount } from '../../src/core/quotas/account';
+import { QuotaShare } from '../../src/core/quotas/share';
+
+const bounds: QuotaBounds = { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true };
+const rate = { ratePerS: 1.4, burst: 0 };
+
+/** Runs that one owner grants in a time, asked every 10 ms. */
+function grantedIn(ms: number, part: number, account = new QuotaAccount(0, bounds)): number {
+  let count = 0;
+  for (let now = 0; now < ms; now += 10) {
+    if (account.take(now, rate, part, 1).granted) count += 1;
+  }
+  return count;
+}
+
+describe('an account of a rate of single runs', () => {
+  test('grants one after the other, at the rate', () => {
+    expect(grantedIn(20_000, 1)).toBe(28);
+  });
+
+  test('lets a run wait for its turn, and those after it longer', () => {
+    const account = new QuotaAccount(0, bounds);
+    const waits = Array.from({ length: 3 }, () => account.take(1000, rate, 1, 1, 1000));
+    expect(
+      waits.map((verdict) => (verdict.granted ? Math.round(verdict.waitMs) : 'refused')),
+    ).toEqual([0, 714, 'refused']);
+    expect(Math.round(account.waitMs(1000, rate, 1, 1))).toBe(1429);
+  });
+
+  /* 195 VMs reach nobody. Each lets one run through at once by its own small part, and all together are far over. */
+  test('grants nothing on a part that does not bear one run', () => {
+    expect(grantedIn(60_000, 1 / 195)).toBe(0);
+    expect(grantedIn(60_000, 1 / 8)).toBe(0);
+    expect(grantedIn(60_000, 1 / 7)).toBeGreaterThan(0);
+    const careless = new QuotaAccount(0, { ...bounds, wholeRuns: false });
+    expect(grantedIn(60_000, 1 / 195, careless)).toBeGreaterThan(0);
+  });
+
+  test('grants nothing at a rate of nothing', () => {
+    const account = new QuotaAccount(0, bounds);
+    expect(account.waitMs(1e6, { ratePerS: 0, burst: 1 }, 0, 1)).toBe(Infinity);
+  });
+});
+
+describe('the part of an owner', () => {
+  test('is that of the VMs that go by it, until they go by another one', () => {
+    const share = new QuotaShare();
+    const members = { known: 4, present: new Set(['a', 'b', 'c']) };
+    for (const vm of ['a', 'b', 'gone']) share.join(vm);
+    expect(share.part(members)).toBe(0.5);
+    share.leave('b');
+    expect(share.part(members)).toBe(0.25);
+    expect(share.part({ ...members, known: 2 })).toBe(0.5);
+  });
+});
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -6,6 +6,7 @@
 import { Gate } from '../../src/node/router/gate';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { RouterMetrics } from '../../src/node/router/metrics';
+import type { PermitDesk } from '../../src/node/router/permits';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineDesk } from '../../src/node/router/quarantine';
 import type { QuotaDesk } from '../../src/node/router/quotas';
@@ -35,6 +36,13 @@
   return new Knowledge(new History(), log, silentListener);
 }
 
+/** Permits of a VM that knows no rate limit. */
+export const noPermits: Pick<PermitDesk, 'isLimited' | 'mayTake' | 'ask'> = {
+  isLimited: () => false,
+  mayTake: () => true,
+  ask: async (_service, [runner = '']) => ({ granted: true, runner, waitMs: 0 }),
+};
+
 /** A gate of a VM that goes by what it knows, however old that is. */
 export function gateOf(knowledge = newKnowledge()): Gate {
   return new Gate(knowledge, () => ({ keyMs: Infinity, finalMs: Infinity }));
@@ -42,7 +50,12 @@
 
 /** Rate limits of a VM that knows no runner. */
 export function rateLimitsOf(): RateLimitDesk {
-  return new RateLimitDesk({ knowledge: newKnowledge(), metrics: new RouterMetrics(), log });
+  return new RateLimitDesk({
+    knowledge: newKnowledge(),
+    metrics: new RouterMetrics(),
+    log,
+    onNews: () => {},
+  });
 }
 
 /** Runs of which nobody takes notice. */
--- a/test/fakes/virtual/newsfleet.ts
+++ b/test/fakes/virtual/newsfleet.ts
@@ -21,7 +21,8 @@
 import type { Position } from '../../../src/core/routing/position';
 import { History } from '../../../src/core/routing/position';
 import { ERA_PATH, NewsSpread, RUNNER_PATH } from '../../../src/core/routing/spread';
-import { SUSPECT_PATH, fromRumour, toRumour } from '../../../src/node/router/suspects';
+import { fromRumour } from '../../../src/node/router/rumours';
+import { SUSPECT_PATH, suspectRumour, suspectSchema } from '../../../src/node/router/suspects';
 import { runnerOf } from '../runner';
 import { Schedule } from './schedule';
 import { seeded } from './workload';
@@ -537,7 +538,7 @@
     if (!news) return;
     if (vm.suspects.size === 0) {
       this.#later(vm, GATHER_MS, () => {
-        const rumours = [...vm.suspects.values()].map(toRumour);
+        const rumours = [...vm.suspects.values()].map(suspectRumour);
         vm.suspects.clear();
         this.#tell(vm, { kind: 'rumours', rumours });
       });
@@ -547,7 +548,7 @@
 
   #hear(vm: Vm, rumour: Rumour, address: string): void {
     if (rumour.path.startsWith(SUSPECT_PATH)) {
-      this.#suspect(vm, vm.quarantine.learn(this.now, fromRumour(rumour)));
+      this.#suspect(vm, vm.quarantine.learn(this.now, fromRumour(rumour, suspectSchema)));
       return;
     }
     if (rumour.path === ERA_PATH) {
--- a/test/fakes/virtual/quotaways.ts
+++ b/test/fakes/virtual/quotaways.ts
@@ -4,8 +4,10 @@
 import type { Quota } from '../../../src/core/customers/types';
 import { isPresent } from '../../../src/core/membership/types';
 import type { QuotaBounds } from '../../../src/core/quotas/account';
+import { QuotaAccount } from '../../../src/core/quotas/account';
 import { QuotaAccounts } from '../../../src/core/quotas/accounts';
 import type { QuotaMembers } from '../../../src/core/quotas/share';
+import { LazyMap } from '../../../src/utils/lazymap';
 import type { QuotaNetwork, QuotaVm, QuotaWay } from './quotafleet';
 
 const ASK_LIMIT_MS = 150;
@@ -33,9 +35,15 @@
 
   readonly #owners = new Map<QuotaVm, QuotaVm>();
 
-  constructor(network: QuotaNetwork, bounds: QuotaBounds) {
+  readonly #looking = new Set<QuotaVm>();
+
+  readonly #leaves: boolean;
+
+  /** @param leaves whether a VM takes its part away from the owner by which it went before */
+  constructor(network: QuotaNetwork, bounds: QuotaBounds, leaves = false) {
     this.#network = network;
     this.#bounds = bounds;
+    this.#leaves = leaves;
   }
 
   ask(
@@ -49,13 +57,33 @@
   }
 
   membersChanged(vm: QuotaVm): void {
-    const { now } = this.#network;
+    if (this.#leaves && !this.#looking.has(vm)) this.#look(vm);
+    this.#review(vm);
+  }
+
+  /** Owners that did not answer are passed over for a while without any change of the members. */
+  #look(vm: QuotaVm): void {
+    this.#looking.add(vm);
+    this.#network.later(vm, LOOK_MS, () => {
+      this.#review(vm);
+      this.#look(vm);
+    });
+  }
+
+  #review(vm: QuotaVm): void {
+    const network = this.#network;
     const group = groupOf('ada');
     const [owner] = this.#ownersOf(vm, 'ada');
-    this.#accountsOf(vm).own(now, new Set(owner === vm ? [group] : []));
-    if (!owner || this.#owners.get(vm) === owner) return;
+    this.#accountsOf(vm).own(network.now, new Set(owner === vm ? [group] : []));
+    const before = this.#owners.get(vm);
+    if (!owner || before === owner) return;
     this.#owners.set(vm, owner);
     this.#join(vm, owner, group);
+    if (!this.#leaves) return;
+    if (before === vm) this.#accountsOf(vm).leave(group, vm.name);
+    else if (before) {
+      network.send(vm, before, () => this.#accountsOf(before).leave(group, vm.name));
+    }
   }
 
   /** Says by whom it goes, until that is answered. */
@@ -80,7 +108,7 @@
   resumed(vm: QuotaVm): void {
     this.#accountsOf(vm).reset();
     this.#owners.delete(vm);
-    this.membersChanged(vm);
+    this.#review(vm);
   }
 
   #askOne(
@@ -260,3 +288,61 @@
     this.#network.later(vm, GOSSIP_MS, () => this.#gossip(vm));
   }
 }
+
+/** Each VM gives out an equal part by itself. */
+export class EqualParts implements QuotaWay {
+  readonly #network: QuotaNetwork;
+
+  readonly #accounts: (vm: QuotaVm) => QuotaAccount;
+
+  constructor(network: QuotaNetwork, bounds: QuotaBounds) {
+    this.#network = network;
+    const accounts = new LazyMap<QuotaVm, QuotaAccount>(
+      () => new QuotaAccount(network.now, bounds),
+    );
+    this.#accounts = (vm: QuotaVm) => accounts.get(vm);
+  }
+
+  ask(
+    vm: QuotaVm,
+    _customer: string,
+    quota: Quota,
+    size: number,
+    done: (granted: boolean) => void,
+  ): void {
+    const { known } = membersOf(vm);
+    done(this.#accounts(vm).take(this.#network.now, quota, 1 / known, size).granted);
+  }
+}
+
+/** Rate of one VM that sends, for each of which one more may. */
+const SENDER_PER_S = 5;
+
+/** A few VMs, drawn by hash, give out an equal part each; the others nothing. */
+export class FewSenders implements QuotaWay {
+  readonly #network: QuotaNetwork;
+
+  readonly #accounts: (vm: QuotaVm) => QuotaAccount;
+
+  constructor(network: QuotaNetwork, bounds: QuotaBounds) {
+    this.#network = network;
+    const accounts = new LazyMap<QuotaVm, QuotaAccount>(
+      () => new QuotaAccount(network.now, bounds),
+    );
+    this.#accounts = (vm: QuotaVm) => accounts.get(vm);
+  }
+
+  ask(
+    vm: QuotaVm,
+    customer: string,
+    quota: Quota,
+    size: number,
+    done: (granted: boolean) => void,
+  ): void {
+    const ranked = this.#network.ranked(vm, customer);
+    const count = Math.min(ranked.length, Math.max(1, Math.round(quota.ratePerS / SENDER_PER_S)));
+    const isSender = ranked.slice(0, count).includes(vm);
+    const { now } = this.#network;
+    done(isSender && this.#accounts(vm).take(now, quota, 1 / count, size).granted);
+  }
+}
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -51,8 +51,15 @@
        "quotas": {
          "overage": 0,
          "slack": 0,
+         "wholeRuns": false,
          "windowMs": 10000,
        },
+       "rateLimits": {
+         "overage": 0.5,
+         "slack": 5,
+         "wholeRuns": true,
+         "windowMs": 4000,
+       },
        "retries": {
          "extra": 56,
          "ratio": 0.2,
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -5,7 +5,7 @@
 import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { noQuotas, quarantineOf, runsOf } from '../fakes/runs';
+import { noPermits, noQuotas, quarantineOf, runsOf } from '../fakes/runs';
 
 describe('a model request', () => {
   /*
@@ -42,6 +42,7 @@
       },
       runs: runsOf(),
       quotas: noQuotas,
+      permits: noPermits,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -80,6 +81,7 @@
       },
       runs: runsOf(),
       quotas: noQuotas,
+      permits: noPermits,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -97,6 +99,7 @@
     const asked: OwnDemand[] = [];
     const context = {
       quotas: noQuotas,
+      permits: noPermits,
       places: {
         ask: async (_service: string, demand: OwnDemand) => {
           asked.push(demand);
@@ -136,6 +139,7 @@
       places: { ask: async () => ({ decode: `d${sent.length + 1}` }), note: () => {} },
       runs: runsOf(quarantine),
       quotas: noQuotas,
+      permits: noPermits,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     await new ModelCaller(context).run(exchange, streamEngine);
@@ -170,6 +174,7 @@
       },
       runs: runsOf(),
       quotas: noQuotas,
+      permits: noPermits,
       mayRepeat: () => true,
     } as unknown as ModelContext;
     await new ModelCaller(context).run(exchange, streamEngine);
--- a/test/router/owner.test.ts
+++ b/test/router/owner.test.ts
@@ -1,6 +1,7 @@
 import pino from 'pino';
 
 import { PauseWatch } from '../../src/core/pause';
+import { unlimited } from '../../src/core/ratelimits/types';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { History } from '../../src/core/routing/position';
 import { Knowledge } from '../../src/node/router/knowledge';
@@ -46,7 +47,7 @@
   const runners = [runner('d', 'decode'), ...'12345678'.split('').map((i) => runner(i, 'prefill'))];
   const facts = runners.map((entry) => ({ id: entry.id, position: at(1), runner: entry }));
   knowledge.learnRunners(now, facts, 'store');
-  return new PlanHost(knowledge, {} as RunnerClient, log, onUnsure);
+  return new PlanHost(knowledge, {} as RunnerClient, log, { onUnsure, rationOf: () => unlimited });
 }
 
 /** Places given to a burst at one moment. */
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -5,7 +5,7 @@
 import { PlainCaller } from '../../src/node/router/plain';
 import { exchangeInto, promptRequest, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { noQuotas, runsOf } from '../fakes/runs';
+import { noPermits, noQuotas, runsOf } from '../fakes/runs';
 
 /** A call whose sends end as told, one after the other; gives its status and code. */
 async function callOf(...ends: readonly CodeName[]): Promise<readonly (string | undefined)[]> {
@@ -24,6 +24,7 @@
     health: () => health,
     runs: runsOf(),
     quotas: noQuotas,
+    permits: noPermits,
     mayRepeat: () => true,
     domain: 'a',
   } as unknown as PlainContext;
--- a/test/router/quotafleet.test.ts
+++ b/test/router/quotafleet.test.ts
@@ -5,7 +5,7 @@
 import { OwnerAsked } from '../fakes/virtual/quotaways';
 
 const quota: Quota = { unit: 'tokens', ratePerS: 80_000, burst: 80_000, plainTokens: 200 };
-const bounds = { windowMs: 8000, overage: 0.1, slack: 190_000 };
+const bounds = { windowMs: 8000, overage: 0.1, slack: 190_000, wholeRuns: false };
 const SIZE = 3273;
 /** Requests a second of a customer at its usual, half of its quota, and at 7.5 times that. */
 const USUAL = 13.4;
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -13,7 +13,7 @@
   streamRoute,
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { noQuotas, runsOf } from '../fakes/runs';
+import { noPermits, noQuotas, runsOf } from '../fakes/runs';
 
 const resumable: Route = { ...streamRoute, attempts: 2, resumable: true };
 
@@ -44,6 +44,7 @@
     places: { ask: async () => ({ decode: `d${sent.length + 1}` }), note: () => {} },
     runs: runsOf(),
     quotas: noQuotas,
+    permits: noPermits,
     mayRepeat: () => true,
   } as unknown as ModelContext;
   await new ModelCaller(context).run(exchange, streamEngine);
--- a/test/router/sync.test.ts
+++ b/test/router/sync.test.ts
@@ -8,7 +8,7 @@
 import { silentListener } from '../fakes/listener';
 import { at } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
-import { quarantineOf } from '../fakes/runs';
+import { quarantineOf, rateLimitsOf } from '../fakes/runs';
 
 const config = (version: number): RoutingConfig => ({
   version,
@@ -25,6 +25,8 @@
 
   readonly quarantines = { asking: quarantineOf(), asked: quarantineOf() };
 
+  readonly rateLimits = { asking: rateLimitsOf(), asked: rateLimitsOf() };
+
   /** Facts in each answer. */
   readonly answered: number[] = [];
 
@@ -32,6 +34,7 @@
     const bearer = new FactSync({
       knowledge: this.asked,
       quarantine: this.quarantines.asked,
+      rateLimits: this.rateLimits.asked,
       fleet: { all: [] } as unknown as RouterFleet,
     });
     const call = async (_address: string, _method: string, params: unknown): Promise<unknown> => {
@@ -40,8 +43,9 @@
       return answer;
     };
     const fleet = { call, sync: () => {} } as unknown as RouterFleet;
-    const quarantine = this.quarantines.asking;
-    const sync = new FactSync({ knowledge: this.asking, quarantine, fleet });
+    const { asking: quarantine } = this.quarantines;
+    const { asking: rateLimits } = this.rateLimits;
+    const sync = new FactSync({ knowledge: this.asking, quarantine, rateLimits, fleet });
     await sync.fetch('a:1', false);
   }
 }
