See that the rate limit of a runner has ended also while others are idle

What callers saw: a runner that had recovered got nothing any more, and the others their whole load. Its limit ends in our belief with an answer that names none; but with the others idle no choice fell on it, so there was no answer: in ten seconds of calls one after the other it got none.

Each VM now sees every four seconds whether a limit still holds; the owner gives a permit for that only if the runner has got nothing else in that time. What is known of runners without a limit is dropped with the next change of any.

The test failed first (0 requests in the last of ten seconds, more than 3 expected); plainchoice: takes a limited runner at times.

--- a/src/core/quotas/accounts.ts
+++ b/src/core/quotas/accounts.ts
@@ -81,9 +81,11 @@
     return account.waitMs(now, quota, share.part(members), size);
   }
 
-  /** Drops the account of a subject that has no quota any more. */
-  forget({ group, subject }: QuotaKey): void {
-    this.#groups.get(group)?.accounts.delete(subject);
+  /** Drops the accounts of subjects that have no quota any more. */
+  retain(hasQuota: (subject: string) => boolean): void {
+    for (const { accounts } of this.#groups.values()) {
+      for (const subject of accounts.keys()) if (!hasQuota(subject)) accounts.delete(subject);
+    }
   }
 
   giveBack({ group, subject }: QuotaKey, size: number): void {
--- a/src/node/router/permits.ts
+++ b/src/node/router/permits.ts
@@ -29,8 +29,8 @@
 
 /** Runners among which an owner chooses for one request. */
 const RUNNERS_MOST = 16;
-/** Least requests a second that a limited runner gets, whatever it names: that its limit has ended shows only in an answer. */
-const TRIAL_PER_S = 0.25;
+/** Time after the last request to a limited runner after which one is sent to it though others are less busy, in milliseconds: that its limit has ended shows only in an answer. */
+const TRIAL_MS = 4000;
 
 const ms = z.number().min(0).max(1e9);
 /** Asks for a permit to send one request to one of some runners. */
@@ -41,6 +41,8 @@
   rates: z.array(rateSchema).max(RUNNERS_MOST),
   /** Longest time that the request may wait for its turn. */
   mostWaitMs: ms,
+  /** Whether it is only to see if the limit still holds. */
+  isTrial: z.boolean(),
 });
 const toldSchema = z.object({ rates: z.array(rateSchema).max(RUNNERS_MOST) });
 const permitSchema = z.discriminatedUnion('granted', [
@@ -64,6 +66,12 @@
   /** Until when it is known that a runner takes no more, by runner. */
   readonly #fullUntil = new Map<string, number>();
 
+  /** When this VM is to see whether a limit still holds, by runner. */
+  readonly #trialAt = new Map<string, number>();
+
+  /** When the last permit was given out here, by runner. */
+  readonly #grantedAt = new Map<string, number>();
+
   constructor(context: PermitContext) {
     const { vm, bounds, rateLimits, fleet, metrics, log } = context;
     this.#context = context;
@@ -94,20 +102,46 @@
     return (this.#fullUntil.get(runner) ?? 0) <= now;
   }
 
+  /** Whether this VM is to see if the limit of a runner still holds. */
+  isTrialDue(now: number, runner: string): boolean {
+    if (!this.isLimited(runner)) return false;
+    const trialAt = this.#trialAt.get(runner);
+    // VMs that hear of a limit together do not try together.
+    if (trialAt === undefined) this.#trialAt.set(runner, now + TRIAL_MS * (1 + Math.random()));
+    return trialAt !== undefined && now >= trialAt;
+  }
+
   /** Asks for a permit to send a request to one of some limited runners of a service; the first ones are preferred. */
   async ask(service: string, runners: readonly string[], mostWaitMs: number): Promise<Permit> {
-    const { vm, rateLimits, metrics } = this.#context;
     const asked = runners.slice(0, RUNNERS_MOST);
-    const rates = asked.flatMap((runner) => rateLimits.rateOf(runner) ?? []);
-    const ask: Ask = { service, runners: asked, rates, mostWaitMs };
+    const permit = await this.#ask(service, asked, mostWaitMs, false);
+    if (permit.granted) return permit;
+    const until = performance.now() + permit.retryAfterMs;
+    for (const runner of asked) this.#fullUntil.set(runner, until);
+    return permit;
+  }
+
+  /** Asks for a permit to see whether the limit of a runner still holds. */
+  async askTrial(service: string, runner: string): Promise<boolean> {
+    this.#trialAt.set(runner, performance.now() + TRIAL_MS);
+    const permit = await this.#ask(service, [runner], 0, true);
+    return permit.granted;
+  }
+
+  async #ask(
+    service: string,
+    runners: readonly string[],
+    mostWaitMs: number,
+    isTrial: boolean,
+  ): Promise<Permit> {
+    const { vm, rateLimits, metrics } = this.#context;
+    const rates = runners.flatMap((runner) => rateLimits.rateOf(runner) ?? []);
+    const ask: Ask = { service, runners: [...runners], rates, mostWaitMs, isTrial };
     const answer = await this.#owners.ask(service, 'permit', ask, (value) =>
       permitSchema.parse(value),
     );
-    const now = performance.now();
-    const permit = answer ?? this.#give(now, vm, ask);
-    if (permit.granted) return permit;
-    metrics.count('permits.refused');
-    for (const runner of asked) this.#fullUntil.set(runner, now + permit.retryAfterMs);
+    const permit = answer ?? this.#give(performance.now(), vm, ask);
+    if (!permit.granted) metrics.count('permits.refused');
     return permit;
   }
 
@@ -134,15 +168,13 @@
 
   /** Limits of runners changed. */
   limitsChanged(now: number, changes: readonly RateChange[]): void {
-    for (const { rate } of changes) {
-      const { runner, service, ratePerS } = rate;
-      this.#fullUntil.delete(runner);
-      if (ratePerS === undefined) this.#accounts.forget({ group: service, subject: runner });
-    }
+    for (const { rate } of changes) this.#fullUntil.delete(rate.runner);
+    this.#forgetOthers();
     this.#owners.changed(now);
     // The owner gives out the rest of a limit, so it must not hear of it by chance.
-    const own = changes.filter(({ isOwn }) => isOwn).map(({ rate }) => rate);
-    for (const rate of own) this.#owners.tell(rate.service, 'rates', { rates: [rate] });
+    for (const { rate, isOwn } of changes) {
+      if (isOwn) this.#owners.tell(rate.service, 'rates', { rates: [rate] });
+    }
   }
 
   /** What the planner of a service may give out. */
@@ -163,7 +195,15 @@
     return { runners: this.#context.rateLimits.limited, owners: this.#owners.beliefs() };
   }
 
-  #give(now: number, vm: string, { service, runners, mostWaitMs }: Ask): Permit {
+  /** Forgets runners that name no limit, or are gone. */
+  #forgetOthers(): void {
+    this.#accounts.retain((runner) => this.isLimited(runner));
+    for (const known of [this.#fullUntil, this.#trialAt, this.#grantedAt]) {
+      for (const runner of known.keys()) if (!this.isLimited(runner)) known.delete(runner);
+    }
+  }
+
+  #give(now: number, vm: string, { service, runners, mostWaitMs, isTrial }: Ask): Permit {
     const free = runners.find((runner) => !this.isLimited(runner));
     if (free !== undefined) return { granted: true, runner: free, waitMs: 0 };
     const turns = runners.map((runner) => ({
@@ -171,6 +211,8 @@
       waitMs: this.#waitMs(now, service, runner),
     }));
     const { runner } = turns.reduce((best, turn) => (turn.waitMs < best.waitMs ? turn : best));
+    const trialMs = (this.#grantedAt.get(runner) ?? -Infinity) + TRIAL_MS - now;
+    if (isTrial && trialMs > 0) return { granted: false, retryAfterMs: trialMs };
     const verdict = this.#take(now, vm, { group: service, subject: runner }, mostWaitMs);
     return verdict.granted ? { ...verdict, runner } : verdict;
   }
@@ -182,7 +224,10 @@
     mostWaitMs: number,
   ): ReturnType<QuotaAccounts['take']> {
     const { members } = this.#owners;
-    return this.#accounts.take(now, vm, key, this.#rateOf(key.subject), members, 1, mostWaitMs);
+    const rate = this.#rateOf(key.subject);
+    const verdict = this.#accounts.take(now, vm, key, rate, members, 1, mostWaitMs);
+    if (verdict.granted) this.#grantedAt.set(key.subject, now);
+    return verdict;
   }
 
   #waitMs(now: number, service: string, runner: string): number {
@@ -192,6 +237,6 @@
 
   #rateOf(runner: string): Rate {
     const ratePerS = this.#context.rateLimits.ratePerS(runner) ?? 0;
-    return { ratePerS: Math.max(TRIAL_PER_S, ratePerS), burst: 0 };
+    return { ratePerS: Math.max(1000 / TRIAL_MS, ratePerS), burst: 0 };
   }
 }
--- a/src/node/router/plainchoice.ts
+++ b/src/node/router/plainchoice.ts
@@ -13,7 +13,7 @@
 export interface ChoiceContext {
   readonly knowledge: Knowledge;
   readonly health: (service: string) => RunnerHealth;
-  readonly permits: Pick<PermitDesk, 'isLimited' | 'mayTake' | 'ask'>;
+  readonly permits: Pick<PermitDesk, 'isLimited' | 'mayTake' | 'isTrialDue' | 'ask' | 'askTrial'>;
   readonly domain: string;
 }
 
@@ -58,7 +58,10 @@
     exchange: Exchange,
     tried: readonly string[],
   ): Promise<Runner | Failure | undefined> {
+    const { permits } = this.#context;
     const able = this.#able(now, exchange.service, tried);
+    const trial = able.find(({ id }) => permits.isTrialDue(now, id));
+    if (trial && (await permits.askTrial(exchange.service, trial.id))) return trial;
     const best = this.#leastBusy(able);
     if (!best || !this.#isLimited(best)) return best;
     const free = able.filter((runner) => !this.#isLimited(runner));
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -6,7 +6,7 @@
 import { Gate } from '../../src/node/router/gate';
 import { Knowledge } from '../../src/node/router/knowledge';
 import { RouterMetrics } from '../../src/node/router/metrics';
-import type { PermitDesk } from '../../src/node/router/permits';
+import type { ChoiceContext } from '../../src/node/router/plainchoice';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineDesk } from '../../src/node/router/quarantine';
 import type { QuotaDesk } from '../../src/node/router/quotas';
@@ -37,9 +37,11 @@
 }
 
 /** Permits of a VM that knows no rate limit. */
-export const noPermits: Pick<PermitDesk, 'isLimited' | 'mayTake' | 'ask'> = {
+export const noPermits: ChoiceContext['permits'] = {
   isLimited: () => false,
   mayTake: () => true,
+  isTrialDue: () => false,
+  askTrial: async () => false,
   ask: async (_service, [runner = '']) => ({ granted: true, runner, waitMs: 0 }),
 };
 
--- a/test/router/plainchoice.test.ts
+++ b/test/router/plainchoice.test.ts
@@ -21,6 +21,9 @@
   /** Runners that take no more as far as this VM knows. */
   readonly full = new Set<string>();
 
+  /** Runners whose limit is to be looked at. */
+  readonly trials = new Set<string>();
+
   readonly #limited: readonly string[];
 
   readonly #permit: Permit;
@@ -35,6 +38,8 @@
     const permits: ChoiceContext['permits'] = {
       isLimited: (runner) => this.#limited.includes(runner),
       mayTake: (_now, runner) => !this.full.has(runner),
+      isTrialDue: (_now, runner) => this.trials.has(runner),
+      askTrial: async () => this.#permit.granted,
       ask: async (_service, asked, mostWaitMs) => {
         this.asked.push({ runners: asked, mostWaitMs });
         return this.#permit;
@@ -75,6 +80,17 @@
     expect(limited.asked).toEqual([]);
   });
 
+  /* All others are idle, so that a runner that has recovered would get nothing by which to say so. */
+  test('takes a limited runner at times, to see whether it still is', async () => {
+    const limited = new Limited(['near'], { granted: true, runner: 'near', waitMs: 0 });
+    const choice = new PlainChoice(limited.context([near, far]));
+    limited.trials.add('near');
+    expect(await choice.choose(0, exchange, [])).toBe(near);
+    limited.trials.clear();
+    limited.full.add('near');
+    expect(await choice.choose(0, exchange, [])).toBe(far);
+  });
+
   test('asks for all of them where all are limited, and waits for the turn within half of the aim', async () => {
     const limited = new Limited(['near', 'far'], { granted: true, runner: 'far', waitMs: 40 });
     const choice = new PlainChoice(limited.context([near, far]));
--- a/test/router/ratelimits.test.ts
+++ b/test/router/ratelimits.test.ts
@@ -24,6 +24,9 @@
   return ((ratePerS * WINDOW_MS) / 1000) * (1 + OVERAGE) + SLACK;
 }
 
+/** Time after which a runner that names no limit any more has its share, in milliseconds: some requests of the trial pace. */
+const RECOVERY_MS = 10_000;
+
 /** Sends requests at a steady pace to all VMs in turn, beginning before some runners name their limits. */
 async function load(
   routers: Routers,
@@ -99,4 +102,18 @@
     expect(refused.every(({ retryAfter }) => Number(retryAfter) > 0)).toBe(true);
     expect(answers.filter(({ status }) => status === 200).length).toBeGreaterThan(6 * 6);
   }, 30_000);
+
+  /* A runner has recovered. Its limit was so low that it hardly got a request by which to say so. */
+  test('get as much as others again once they name none', async () => {
+    const [runner] = routers.runnersOf('plain') as [RunnerServer];
+    await load(routers, '/plain/recovers', 20, [[runner, 0]]);
+    const since = performance.now();
+    let turn = 0;
+    while (performance.now() - since < RECOVERY_MS) {
+      await routers.ask(turn, '/plain/recovered', `${turn}`);
+      turn += 1;
+    }
+    const got = runner.reachedAt.filter((at) => at > since + RECOVERY_MS - 1000).length;
+    expect(got).toBeGreaterThan(3);
+  }, 30_000);
 });
