--- a/test/router/sync.test.ts
+++ b/test/router/sync.test.ts
@@ -110,4 +110,17 @@
     expect(() => decodeFact('{"id": 3}')).toThrow('does not fit');
     expect(() => decodeFact('{')).toThrow('no JSON');
   });
+
+  /* A VM that starts while a runner is limited must not find that out by sending to it. */
+  test('brings the rate limits of runners, ended ones too', async () => {
+    const pair = new Pair();
+    const { asked, asking } = pair.rateLimits;
+    const rate = { service: 's', version: 1, ratePerS: 1.4 };
+    asked.learn(0, [{ ...rate, runner: 'a' }], 'x');
+    await pair.exchange();
+    expect(asking.ratePerS('a')).toBe(1.4);
+    asked.learn(0, [{ runner: 'a', service: 's', version: 2 }], 'x');
+    await pair.exchange();
+    expect([asking.ratePerS('a'), asking.digest]).toEqual([undefined, '']);
+  });
 });
