Let VMs agree on rate limits once the runners that named them are gone

What callers saw: nothing; found by reading. VMs forget the limit of a runner that is gone one after the other, within seconds. Until the last has forgotten it their digests differ, so that they exchange all they know, and the one that had forgotten it is told of it anew, for another minute: for ever, in turn.

Digests and exchanges now hold only the limits of runners that are listed, which VMs agree on anyway, and are worked out anew every two seconds while any limit is known. Names in messages have no length of their own any more: one long name of a service would have failed the whole exchange.

--- a/src/core/ratelimits/rates.ts
+++ b/src/core/ratelimits/rates.ts
@@ -28,6 +28,12 @@
 /** Runners whose limits are kept: more than there are in the largest fleet. */
 const KEPT_MOST = 10_000;
 
+/** Which runners are limited, in short, for VMs to compare; empty if none is. */
+export function digestOf(limited: readonly RunnerRate[]): string {
+  const ids = limited.map(({ runner }) => runner);
+  return ids.length === 0 ? '' : textHash(ids.sort().join(' ')).toString(36);
+}
+
 interface Entry {
   readonly rate: RunnerRate;
   readonly changedAt: number;
@@ -61,12 +67,6 @@
     return [...this.#entries.values()].map(({ rate }) => rate);
   }
 
-  /** Which runners are limited, in short, for VMs to compare; empty if none is. */
-  get digest(): string {
-    const ids = this.limited.map(({ runner }) => runner);
-    return ids.length === 0 ? '' : textHash(ids.sort().join(' ')).toString(36);
-  }
-
   /** Takes an answer's word. Gives what is to be told to others, if that is news. */
   saw(
     now: number,
--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -42,7 +42,7 @@
 
 /** Tells that the sender goes by the receiver for these groups, or no longer. */
 const joinSchema = z.object({
-  groups: z.array(z.string().max(200)).max(GROUPS_MOST),
+  groups: z.array(z.string()).max(GROUPS_MOST),
   leaves: z.boolean().default(false),
 });
 
--- a/src/node/router/news.ts
+++ b/src/node/router/news.ts
@@ -151,8 +151,8 @@
   /** Others compare what this VM knows with what they know. */
   setDigest(): void {
     const { fleet, knowledge, quarantine, rateLimits } = this.#context;
-    const refused = quarantine.digest(performance.now());
-    const parts = [knowledge.digest, refused, rateLimits.digest];
+    const now = performance.now();
+    const parts = [knowledge.digest, quarantine.digest(now), rateLimits.digest(now)];
     fleet.setDigest(parts.filter((part) => part !== '').join('/'));
   }
 
--- a/src/node/router/permits.ts
+++ b/src/node/router/permits.ts
@@ -35,8 +35,8 @@
 const ms = z.number().min(0).max(1e9);
 /** Asks for a permit to send one request to one of some runners. */
 const askSchema = z.object({
-  service: z.string().max(200),
-  runners: z.array(z.string().min(1).max(300)).min(1).max(RUNNERS_MOST),
+  service: z.string(),
+  runners: z.array(z.string().min(1)).min(1).max(RUNNERS_MOST),
   /** What the asking VM knows of their limits. */
   rates: z.array(rateSchema).max(RUNNERS_MOST),
   /** Longest time that the request may wait for its turn. */
--- a/src/node/router/ratelimits.ts
+++ b/src/node/router/ratelimits.ts
@@ -6,7 +6,7 @@
 import type { Logger } from 'pino';
 
 import { Failure } from '../../core/failure';
-import { RunnerRates } from '../../core/ratelimits/rates';
+import { RunnerRates, digestOf } from '../../core/ratelimits/rates';
 import type { RunnerRate } from '../../core/ratelimits/types';
 import type { Runner } from '../../core/routing/types';
 import { LineBudget } from '../budget';
@@ -26,7 +26,7 @@
   readonly knowledge: Knowledge;
   readonly metrics: Metrics;
   readonly log: Logger;
-  /** To be told to other VMs and acted upon. */
+  /** To be told to other VMs and acted upon; with none where a limit may be over with its runner. */
   readonly onNews: (changes: readonly RateChange[]) => void;
 }
 
@@ -39,7 +39,7 @@
 /** Lines of values that are no rate in a second. */
 const UNREADABLE_LINES = 2;
 /** Period of forgetting limits that are over, in milliseconds. */
-const PRUNE_MS = 5000;
+const PRUNE_MS = 2000;
 /** Time in which news is gathered before it is told, in milliseconds. */
 const GATHER_MS = 20;
 
@@ -89,14 +89,17 @@
     return this.#rates.limited;
   }
 
-  /** The limits in force and those that ended a while ago, for another VM. */
-  get all(): readonly RunnerRate[] {
-    return this.#rates.all;
+  /**
+   * The limits in force and those that ended a while ago, of the runners that are listed, for
+   * another VM. VMs forget the others one after the other; told of them, none ever would.
+   */
+  told(now: number): readonly RunnerRate[] {
+    return this.#listedOf(now, this.#rates.all);
   }
 
   /** Which runners are limited, in short, for others to compare; empty if none is. */
-  get digest(): string {
-    return this.#rates.digest;
+  digest(now: number): string {
+    return digestOf(this.#listedOf(now, this.#rates.limited));
   }
 
   /** A request is sent to a runner. */
@@ -145,11 +148,22 @@
     this.#context.log.warn({ runner, service, keptPerS: this.#rates.ratePerS(runner) }, line);
   }
 
+  #listedOf(now: number, rates: readonly RunnerRate[]): readonly RunnerRate[] {
+    if (rates.length === 0) return rates;
+    const listed = this.#listed(now);
+    return rates.filter(({ runner }) => listed.has(runner));
+  }
+
+  /** Ids of the runners that may get work. */
+  #listed(now: number): ReadonlySet<string> {
+    return new Set(this.#context.knowledge.runners(now).map(({ id }) => id));
+  }
+
   #prune(now: number): void {
-    const { knowledge, metrics } = this.#context;
+    const { metrics, onNews } = this.#context;
     if (this.#rates.all.length === 0) return;
-    const listed = new Set(knowledge.runners(now).map(({ id }) => id));
-    this.#rates.prune(now, listed);
+    this.#rates.prune(now, this.#listed(now));
     metrics.gauge('ratelimits.runners', this.#rates.limited.length);
+    onNews([]);
   }
 }
--- a/src/node/router/ratewire.ts
+++ b/src/node/router/ratewire.ts
@@ -11,8 +11,8 @@
 
 /** One runner's limit in a message. */
 export const rateSchema = z.object({
-  runner: z.string().min(1).max(300),
-  service: z.string().max(200),
+  runner: z.string().min(1),
+  service: z.string(),
   version: z.int().min(1),
   /** Left out if the limit has ended. */
   ratePerS: z.number().min(0).optional(),
--- a/src/node/router/sync.ts
+++ b/src/node/router/sync.ts
@@ -145,14 +145,14 @@
     const { configVersion, parts, members, eras, refused, limited } = requestSchema.parse(params);
     knowledge.learnEras(now, eras, 'asked');
     const tellsSuspects = members || refused !== quarantine.digest(now);
-    const tellsRates = members || limited !== rateLimits.digest;
+    const tellsRates = members || limited !== rateLimits.digest(now);
     return {
       ...(configVersion < knowledge.configVersion ? { config: this.#packedConfig() } : {}),
       facts: knowledge.factsBeside(now, parts, FACTS_MOST).map(toWire),
       eras: [...knowledge.eras],
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
       suspects: tellsSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
-      rates: tellsRates ? rateLimits.all.slice(0, RATES_MOST) : [],
+      rates: tellsRates ? rateLimits.told(now).slice(0, RATES_MOST) : [],
       ...knowledge.proof(bootNow()),
     };
   }
@@ -161,8 +161,9 @@
   async fetch(address: string, members: boolean): Promise<void> {
     const { knowledge, quarantine, rateLimits, fleet } = this.#context;
     const { configVersion, digestParts } = knowledge;
-    const refused = quarantine.digest(performance.now());
-    const { digest: limited } = rateLimits;
+    const sentAt = performance.now();
+    const refused = quarantine.digest(sentAt);
+    const limited = rateLimits.digest(sentAt);
     const { eras } = knowledge;
     const askedAt = bootNow();
     const request = { configVersion, parts: digestParts, members, eras, refused, limited };
--- a/test/core/ratelimits.test.ts
+++ b/test/core/ratelimits.test.ts
@@ -24,7 +24,7 @@
     expect(see(rates, 200, 150, limited(1.4))).toBeUndefined();
     expect(rates.ratePerS('a')).toBe(1.4);
     expect(see(rates, 400, 300, none)).toEqual({ runner: 'a', service: 's', version: 2 });
-    expect([rates.ratePerS('a'), rates.digest]).toEqual([undefined, '']);
+    expect([rates.ratePerS('a'), rates.limited]).toEqual([undefined, []]);
   });
 
   /* An answer that was made before the limit was named arrives after one that names it. */
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -50,10 +50,10 @@
   return new Gate(knowledge, () => ({ keyMs: Infinity, finalMs: Infinity }));
 }
 
-/** Rate limits of a VM that knows no runner. */
-export function rateLimitsOf(): RateLimitDesk {
+/** Rate limits of a VM, by default one that knows no runner. */
+export function rateLimitsOf(knowledge = newKnowledge()): RateLimitDesk {
   return new RateLimitDesk({
-    knowledge: newKnowledge(),
+    knowledge,
     metrics: new RouterMetrics(),
     log,
     onNews: () => {},
--- a/test/router/sync.test.ts
+++ b/test/router/sync.test.ts
@@ -25,7 +25,10 @@
 
   readonly quarantines = { asking: quarantineOf(), asked: quarantineOf() };
 
-  readonly rateLimits = { asking: rateLimitsOf(), asked: rateLimitsOf() };
+  readonly rateLimits = {
+    asking: rateLimitsOf(this.asking),
+    asked: rateLimitsOf(this.asked),
+  };
 
   /** Facts in each answer. */
   readonly answered: number[] = [];
@@ -115,12 +118,26 @@
   test('brings the rate limits of runners, ended ones too', async () => {
     const pair = new Pair();
     const { asked, asking } = pair.rateLimits;
-    const rate = { service: 's', version: 1, ratePerS: 1.4 };
-    asked.learn(0, [{ ...rate, runner: 'a' }], 'x');
+    pair.asked.learnRunners(0, [fact('a', 1)], 'store');
+    asked.learn(0, [{ runner: 'a', service: 's', version: 1, ratePerS: 1.4 }], 'x');
     await pair.exchange();
     expect(asking.ratePerS('a')).toBe(1.4);
+    expect(asking.digest(0)).toBe(asked.digest(0));
     asked.learn(0, [{ runner: 'a', service: 's', version: 2 }], 'x');
     await pair.exchange();
-    expect([asking.ratePerS('a'), asking.digest]).toEqual([undefined, '']);
+    expect([asking.ratePerS('a'), asking.digest(0)]).toEqual([undefined, '']);
+  });
+
+  /*
+   * A runner that named a limit is gone, and one VM has forgotten it already. Told of it by the
+   * others, it would remember it for another while, and they by it, for ever.
+   */
+  test('brings no rate limits of runners that are gone', async () => {
+    const pair = new Pair();
+    const { asked, asking } = pair.rateLimits;
+    asked.learn(0, [{ runner: 'gone', service: 's', version: 1, ratePerS: 1.4 }], 'x');
+    expect(asked.digest(0)).toBe('');
+    await pair.exchange();
+    expect(asking.rateOf('gone')).toBeUndefined();
   });
 });
