--- a/test/router/ratelimits.test.ts
+++ b/test/router/ratelimits.test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { eventually } from '../fakes/cluster';
 import { Routers } from '../fakes/routers';
 import type { CallerAnswer, RunnerServer } from '../fakes/routers';
 
@@ -24,6 +25,10 @@
   return ((ratePerS * WINDOW_MS) / 1000) * (1 + OVERAGE) + SLACK;
 }
 
+/** Time after which VMs that started together ask each other for all they know no more, in milliseconds. */
+const JOINED_MS = 5000;
+/** Time in which all VMs hear of news, in milliseconds. */
+const NEWS_MS = 1000;
 /** Time after which a runner that names no limit any more has its share, in milliseconds: some requests of the trial pace. */
 const RECOVERY_MS = 10_000;
 
@@ -117,3 +122,28 @@
     expect(got).toBeGreaterThan(3);
   }, 30_000);
 });
+
+describe('a runner that names a rate limit to one VM', () => {
+  const routers = new Routers({ vms: 7, runners: 3 });
+
+  beforeAll(() => routers.start(), 30_000);
+  afterAll(() => routers.stop(), 30_000);
+
+  /* One VM got the answer that names the limit. If each had to get one of its own, a runner in need would get one more from each VM. */
+  test('gets nothing from VMs that only heard of its limit', async () => {
+    await pause(JOINED_MS);
+    const [runner] = routers.runnersOf('plain') as [RunnerServer];
+    runner.rateLimit = '0';
+    const before = runner.reachedAt.length;
+    await eventually('one VM got an answer', async () => {
+      await routers.ask(0, '/plain/first', 'first');
+      return runner.reachedAt.length > before;
+    });
+    await pause(NEWS_MS);
+    const told = runner.reachedAt.length;
+    for (let i = 0; i < 42; i += 1) await routers.ask(i, '/plain/heard', `${i}`);
+    // One request in four seconds sees whether the limit still holds.
+    expect(runner.reachedAt.length - told).toBeLessThanOrEqual(1);
+    runner.rateLimit = undefined;
+  }, 30_000);
+});
