End a rate limit only by answers to requests that ran, prefills included

What callers saw: nothing; found by reading. A rejection with another status than 5xx (429) that lacks the header would have ended the limit of a runner in need, and VMs would have sent it their whole load until its next answer. And the limit of a runner that reads prompts would never have ended where its answers, which are not for callers, bear no signature.

--- a/src/node/router/ratelimits.ts
+++ b/src/node/router/ratelimits.ts
@@ -111,9 +111,9 @@
   replied(now: number, runner: Runner, sentAt: number, reply: Reply): void {
     // Another start answered, or another service under the same address.
     if (reply.misdirected) return;
-    const { rateNotice: notice, genuine, status } = reply;
+    const { rateNotice: notice } = reply;
     if (notice.kind === 'unreadable') this.#noteUnreadable(now, runner, notice.text);
-    const provesEnd = notice.kind === 'none' && genuine && status < SERVER_ERROR;
+    const provesEnd = notice.kind === 'none' && isInOrder(runner, reply);
     const news = this.#rates.saw(now, runner, { sentAt, notice, provesEnd });
     if (news) this.#changed(now, news, OWN);
   }
@@ -167,3 +167,9 @@
     onNews([]);
   }
 }
+
+/** Whether a runner ran the request and answered as usual: others of its answers may lack the limit. */
+function isInOrder({ role }: Runner, { genuine, status, notRun }: Reply): boolean {
+  // Answers to prefills are not for callers and need no signature.
+  return (genuine || role === 'prefill') && status < SERVER_ERROR && !notRun;
+}
