--- a/scripts/soak.ts
+++ b/scripts/storm.ts
@@ -1,7 +1,7 @@
 /**
  * A long storm at one cell with all invariants on.
  *
- *     node build/soak.cjs [EVENTS] [SEED]
+ *     node build/storm.cjs [EVENTS] [SEED]
  */
 
 import { Storm } from '../test/fakes/virtual/storm';
