--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -29,6 +29,7 @@
   slopes: 'scripts/slopes.ts',
   account: 'scripts/account.ts',
   chaos: 'scripts/chaos/main.ts',
+  soak: 'scripts/soak/main.ts',
   storm: 'scripts/storm.ts',
   docs: 'scripts/docs/main.ts',
 };
