Log what a VM hears and fetches while a newer configuration is announced

What callers saw: 404 from a VM that did not have the configuration. Its log could not tell whether the announcement of that version never arrived, or arrived and was lost: announcements were not logged, a fetch that failed was a debug line, and one that brought nothing newer left no trace.

Each VM now logs the first announcement of a version that it lacks, the fetches that end meanwhile (versions before and after, time), and each fetch that fails; it counts announcements, packets with a differing digest, and failed fetches. No decision depends on it.

--- a/src/node/router/statesync.ts
+++ b/src/node/router/statesync.ts
@@ -13,7 +13,12 @@
 import type { RunnerRate } from '../../core/ratelimits/types';
 import { isPresent } from '../../core/membership/types';
 import { ProofBackoff } from '../../core/routing/freshness';
-import { ERA_PATH, UpdatePropagation, RUNNER_PATH } from '../../core/routing/propagation';
+import {
+  CONFIG_PATH,
+  ERA_PATH,
+  UpdatePropagation,
+  RUNNER_PATH,
+} from '../../core/routing/propagation';
 import { bootNow } from '../../utils/clock';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
@@ -96,6 +101,9 @@
 
   #fetchTimer: NodeJS.Timeout | undefined;
 
+  /** Latest version of the configuration that another VM has announced; 0 before the first. */
+  #announcedVersion = 0;
+
   #isReading = false;
 
   #shouldRead = false;
@@ -200,6 +208,7 @@
       else if (path.startsWith(RUNNER_PATH) && text !== undefined) {
         routingState.learnRunners(now, [decodeRecord(text)], address);
       } else {
+        if (path === CONFIG_PATH) this.#recordAnnouncement(update.revision, address);
         this.#propagation.receive(update, address, routingState);
         this.#fetchDue();
       }
@@ -210,6 +219,7 @@
 
   /** Schedules a state exchange with a member whose digest differs. */
   digestDiffers(address: string): void {
+    this.#context.metrics.count('digests.differ');
     this.#propagation.reportMismatch(performance.now(), address);
     this.#fetchDue();
   }
@@ -303,6 +313,16 @@
     if (address !== undefined) this.#fetch(address, true);
   }
 
+  #recordAnnouncement(version: number, address: string): void {
+    const { routingState, metrics, log } = this.#context;
+    const { configVersion: known } = routingState;
+    if (version <= known) return;
+    metrics.count('config.announcements');
+    if (version <= this.#announcedVersion) return;
+    this.#announcedVersion = version;
+    log.info({ version, known, source: address }, 'Another VM announced a newer configuration.');
+  }
+
   #fetchDue(): void {
     const now = performance.now();
     const address = this.#propagation.takeFetchTarget(now);
@@ -315,16 +335,30 @@
   }
 
   #fetch(address: string, members: boolean): void {
-    const { exchange, metrics, log } = this.#context;
+    const { exchange, metrics, log, routingState } = this.#context;
+    const { configVersion: before } = routingState;
+    const startedAt = performance.now();
+    const fieldsAt = (now: number): object => ({
+      source: address,
+      before,
+      version: routingState.configVersion,
+      announced: this.#announcedVersion,
+      ms: Math.round(now - startedAt),
+    });
     metrics.count('news.fetches');
     this.#pendingFetches += 1;
     exchange
       .fetch(address, members)
       .then(() => {
+        const now = performance.now();
+        if (this.#announcedVersion > before) log.info(fieldsAt(now), 'Fetched the state of a VM.');
         this.#hasFetched = true;
-        this.#updateReading(performance.now());
+        this.#updateReading(now);
+      })
+      .catch((error) => {
+        metrics.count('news.failures');
+        log.info(fieldsAt(performance.now()), toFailure(error).line);
       })
-      .catch((error) => log.debug({ address }, toFailure(error).line))
       .finally(() => {
         this.#pendingFetches -= 1;
       });
