Reproduce configurations and leaving runners that reach some VMs late during a release

What callers saw: 404 for an added route, 3.04 s after its configuration was acknowledged (3 s allowed).

The simulated records of runners have the size of real ones now (some 270 characters), on which it depends how many fit into a packet; the tests of the fleet that stood before pass with it.

--- a/test/fakes/virtual/syncfleet.ts
+++ b/test/fakes/virtual/syncfleet.ts
@@ -93,6 +93,12 @@
 /** Maximum age of a configuration by which keys are accepted. */
 const KEY_MAX_AGE_MS = 4700;
 
+/** Time from the start of new runners in a release to the announcement of the old ones that they leave. */
+const RELEASE_OVERLAP_MS = 1000;
+/** Time from a runner's announcement that it leaves to the removal of its entry. */
+const LEAVING_MS = 2500;
+const RUNNER_BORN_AT = 1_783_999_006_291;
+
 /** A simulated fleet of VMs and their store. */
 export class SyncFleet {
   readonly #vms: Vm[];
@@ -104,6 +110,9 @@
   /** Runner records in the store, by listing. */
   readonly #records = new Map<string, RunnerRecord>();
 
+  /** When runners announced that they leave, by listing, as long as a VM uses them. */
+  readonly #leavingSince = new Map<string, number>();
+
   #storeConfig = 1;
 
   /** Counts changes of the store's content; watches wait for the next one. */
@@ -168,6 +177,49 @@
     this.#write(runner, changed);
   }
 
+  /**
+   * Replaces all runners, `count` at a time every `gapMs`: new ones start, then as many old ones
+   * announce that they leave, and later their entries are removed.
+   */
+  release(count: number, gapMs: number): void {
+    const old = [...this.#records.keys()];
+    for (let i = 0; i * count < old.length; i += 1) {
+      const startAt = this.now + i * gapMs;
+      for (const id of old.slice(i * count, (i + 1) * count)) {
+        this.#schedule.add(startAt, () => this.#write(`${id}-new`, false));
+        this.#schedule.add(startAt + RELEASE_OVERLAP_MS, () => {
+          this.#write(id, true);
+          this.#leavingSince.set(id, this.now);
+        });
+        this.#schedule.add(startAt + RELEASE_OVERLAP_MS + LEAVING_MS, () => this.#remove(id));
+      }
+    }
+  }
+
+  /**
+   * Runs for a duration and returns the longest time in it from a runner's announcement that it
+   * leaves until no running VM uses the runner any more.
+   */
+  maxLeavingDelay(ms: number): number {
+    let longest = 0;
+    this.#leavingSince.clear();
+    this.#runUntil(() => {
+      for (const [id, since] of this.#leavingSince) {
+        if (this.#isUsed(id)) longest = Math.max(longest, this.now - since);
+        else this.#leavingSince.delete(id);
+      }
+      return false;
+    }, ms);
+    return longest;
+  }
+
+  /** Runs until all running VMs have the store's configuration; returns the time that took, or the limit. */
+  timeToConfigure(limitMs: number): number {
+    const isCurrent = ({ dead, frozen, configVersion }: Vm): boolean =>
+      dead || frozen || configVersion === this.#storeConfig;
+    return this.#runUntil(() => this.#vms.every(isCurrent), limitMs);
+  }
+
   /** Makes requests need keys; watches then wait until something changes. */
   requireKeys(): void {
     this.#keysRequired = true;
@@ -301,12 +353,12 @@
           .filter(({ dead, frozen }) => !dead && !frozen)
           .map(({ configVersion, directory }) => `${configVersion}/${directory.digest.text}`),
       );
-    const leaving = [...this.#records.values()].filter(({ runner }) => runner?.leaving).length;
+    const wanted = [...this.#records.values()].filter(({ runner }) => runner?.leaving === false);
     const first = (): Vm => this.#vms.find(({ dead, frozen }) => !dead && !frozen) as Vm;
     const isCurrent = (): boolean => {
       const { configVersion, directory } = first();
       const usable = directory.usable(this.now).length;
-      return configVersion === this.#storeConfig && usable === this.#records.size - leaving;
+      return configVersion === this.#storeConfig && usable === wanted.length;
     };
     return this.#runUntil(() => isCurrent() && digests().size === 1, limitMs);
   }
@@ -334,10 +386,31 @@
     this.#records.set(id, {
       id,
       position: { era: this.#storeEra, revision: this.#revision },
-      runner: runnerOf(id, 'plain', { leaving }),
+      runner: runnerOf(id, 'plain', {
+        id: `${id}@${RUNNER_BORN_AT}`,
+        listing: id,
+        bornAt: RUNNER_BORN_AT,
+        address: '10.1.64.45:8541',
+        domain: 'domain-1',
+        leaving,
+      }),
     });
   }
 
+  #remove(id: string): void {
+    this.#storeChanges += 1;
+    this.#revision += 1;
+    const position = { era: this.#storeEra, revision: this.#revision };
+    this.#records.set(id, { id, position, runner: undefined });
+  }
+
+  #isUsed(listing: string): boolean {
+    return this.#vms.some(
+      ({ dead, frozen, directory }) =>
+        !dead && !frozen && directory.usable(this.now).some((runner) => runner.listing === listing),
+    );
+  }
+
   #createVm(number: number): Vm {
     const random = this.#random;
     return {
