Send a new gossip update to several members at once, before those sent more often

What callers saw: nothing yet. Requests go on to a runner that leaves, from VMs that have not heard of it, and are lost with it: under virtual time, 2 runners replaced every 0.2 s, 66 VMs, for 3.4 s where 3 are allowed, and 200 VMs 4.2 s where 4 are.

A change was meant to go to three members at once. But each packet took the next updates of one queue, round robin: the change went to the first of the three, and the packets to the other two carried whatever waited longest. During a release every VM passes on some twelve changes a second, nineteen times each, where its packets hold some eighty updates a second, so the second send came half a second and more after the first, and each hop took that long.

Change: the three members get packets of equal content, until nothing unsent is left; and the queue gives out first what was sent least often, as SWIM recommends, so that a new update does not wait behind what most members have.

--- a/src/core/membership/gossip.ts
+++ b/src/core/membership/gossip.ts
@@ -6,52 +6,64 @@
 }
 
 /**
- * Holds the latest update for each key. Updates that were never sent go first and the
- * rest in round-robin order, so that the size of a packet stays bounded even if the
- * whole fleet changes at once.
+ * Holds the latest update for each key. Those that were sent least often go first, so that
+ * a new update does not wait behind a backlog of others that most members have received
+ * already. The size of a packet stays bounded even if the whole fleet changes at once.
  */
 export class GossipQueue<T> {
-  readonly #fresh = new Map<string, Item<T>>();
-
-  readonly #sent = new Map<string, Item<T>>();
+  /** Queued updates by the number of times they were sent, then by key. */
+  readonly #bySends: Map<string, Item<T>>[] = [new Map()];
 
   /** Number of queued updates. */
   get size(): number {
-    return this.#fresh.size + this.#sent.size;
+    return this.#bySends.reduce((sum, { size }) => sum + size, 0);
+  }
+
+  /** Whether any queued update was never sent. */
+  get hasUnsent(): boolean {
+    return this.#bySends[0]?.size !== 0;
   }
 
   /** Queues an update to be sent `times` times; it replaces an older update of the same key. */
   add(key: string, value: T, times: number): void {
-    this.#sent.delete(key);
-    this.#fresh.set(key, { value, remaining: times });
+    for (const updates of this.#bySends) updates.delete(key);
+    this.#bySends[0]?.set(key, { value, remaining: times });
   }
 
   /**
-   * Takes up to `limit` updates for one packet.
+   * Takes up to `limit` updates for packets of equal content.
+   * @param packets number of these packets; each counts as one time that an update is sent
    * @param maxSize total size of the updates; the first one is always included
    * @param sizeOf size of one update
    */
-  take(limit: number, maxSize = Infinity, sizeOf: (value: T) => number = () => 0): readonly T[] {
-    const taken: [string, Item<T>][] = [];
+  take(
+    limit: number,
+    packets = 1,
+    maxSize = Infinity,
+    sizeOf: (value: T) => number = () => 0,
+  ): readonly T[] {
+    const taken: [key: string, item: Item<T>, sends: number][] = [];
     let size = 0;
-    for (const entry of this.#entries()) {
-      size += sizeOf(entry[1].value);
+    for (const [key, item, sends] of this.#entries()) {
+      size += sizeOf(item.value);
       if (taken.length === limit || (size > maxSize && taken.length > 0)) break;
-      taken.push(entry);
+      taken.push([key, item, sends]);
     }
-    for (const [key, item] of taken) this.#requeue(key, item);
+    for (const [key, item, sends] of taken) this.#requeue(key, item, sends, packets);
     return taken.map(([, { value }]) => value);
   }
 
-  *#entries(): Generator<[string, Item<T>]> {
-    yield* this.#fresh;
-    yield* this.#sent;
+  *#entries(): Generator<[string, Item<T>, number]> {
+    for (const [sends, updates] of this.#bySends.entries()) {
+      for (const [key, item] of updates) yield [key, item, sends];
+    }
   }
 
-  /** Moves an update that was sent to the end of the queue, or drops it after its last send. */
-  #requeue(key: string, { value, remaining }: Item<T>): void {
-    this.#fresh.delete(key);
-    this.#sent.delete(key);
-    if (remaining > 1) this.#sent.set(key, { value, remaining: remaining - 1 });
+  /** Moves an update behind all that were sent as often, or drops it after its last send. */
+  #requeue(key: string, { value, remaining }: Item<T>, sends: number, packets: number): void {
+    this.#bySends[sends]?.delete(key);
+    if (remaining <= packets) return;
+    while (this.#bySends.length <= sends + packets) this.#bySends.push(new Map());
+    this.#bySends[sends + packets]?.set(key, { value, remaining: remaining - packets });
   }
 }
--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -7,8 +7,8 @@
 
 import { match } from 'ts-pattern';
 
-import { GossipQueue } from './gossip';
 import { ProbeOrder, sample } from './order';
+import { Outbox } from './outbox';
 import type {
   MemberStatus,
   ListedMember,
@@ -28,13 +28,6 @@
 const INDIRECT_PROBES = 3;
 /** Members that receive a gossip update immediately. */
 const FANOUT = 3;
-/** Member updates and gossip updates in one packet, bounded so that it fits one datagram. */
-const MEMBERS_PER_PACKET = 5;
-const UPDATES_PER_PACKET = 8;
-/** Maximum total length of the gossip texts after the first one in a packet, for the same reason. */
-const MAX_TEXT_LENGTH = 700;
-/** Each update is sent this many times the logarithm of the fleet size. */
-const SENDS_PER_LOG = 3;
 /** How long dead members are remembered, in milliseconds: stale updates about them may still circulate. */
 const RETENTION_MS = 120_000;
 /** Probability in each period of pinging a member declared dead, so that healed partitions are detected. */
@@ -60,9 +53,8 @@
   readonly until: number;
 }
 
-function textLengthOf({ text = '' }: GossipUpdate): number {
-  return text.length;
-}
+/** Contents of a packet that its kind does not determine; without `rumours` it has the next queued updates. */
+type PacketContent = Partial<Pick<Packet, 'target' | 'members' | 'rumours'>>;
 
 /** When a probe has to be checked next. */
 function nextCheckAt({ isIndirect, indirectAt, endAt }: Probe): number {
@@ -75,9 +67,7 @@
 
   readonly #known = new Map<string, Known>();
 
-  readonly #memberUpdates = new GossipQueue<Member>();
-
-  readonly #updates = new GossipQueue<GossipUpdate>();
+  readonly #outbox = new Outbox();
 
   readonly #relays = new Map<number, Relay>();
 
@@ -210,7 +200,7 @@
     const target = this.#known.get(vm)?.member;
     if (!target) return;
     for (const proxy of this.#sampleAlive(INDIRECT_PROBES, vm)) {
-      this.#send(proxy.address, 'probe', seq, target.address);
+      this.#send(proxy.address, 'probe', seq, { target: target.address });
     }
   }
 
@@ -233,7 +223,7 @@
     const one = dead[Math.floor((random / DEAD_PROBE_PROBABILITY) * dead.length)];
     if (!one) return;
     this.#seq += 1;
-    this.#send(one.member.address, 'ping', this.#seq, undefined, [one.member]);
+    this.#send(one.member.address, 'ping', this.#seq, { members: [one.member] });
   }
 
   #expire(now: number): void {
@@ -289,7 +279,7 @@
       this.#refute(update);
       return;
     }
-    if (this.#store(now, update)) this.#memberUpdates.add(update.vm, update, this.#sendCount());
+    if (this.#store(now, update)) this.#outbox.addMember(update, this.#fleetSize);
   }
 
   /** Stores an update if it takes precedence; returns whether it did. */
@@ -317,7 +307,7 @@
   #describe(change: Partial<MemberStatus & Member>): void {
     const incarnation = (change.incarnation ?? this.#self.incarnation) + 1;
     this.#self = { ...this.#self, ...change, incarnation };
-    this.#memberUpdates.add(this.#self.vm, this.#self, this.#sendCount());
+    this.#outbox.addMember(this.#self, this.#fleetSize);
     this.#actions.push({ kind: 'changed', member: this.#self });
   }
 
@@ -358,15 +348,19 @@
     }
   }
 
-  /** Sends updates to a few members immediately, in as many packets as the texts need; later probes carry them on. */
+  /**
+   * Sends updates to a few members immediately, in as many packets as the texts need; later probes
+   * carry them on. All of these members get the same packets: an update that went to one only
+   * would reach the fleet no faster than the probes.
+   */
   #gossip(rumours: readonly GossipUpdate[]): void {
-    for (const rumour of rumours) this.#updates.add(rumour.path, rumour, this.#sendCount());
-    const characters = rumours.reduce((sum, { text = '' }) => sum + text.length, 0);
-    const packets = 1 + Math.floor(characters / MAX_TEXT_LENGTH);
+    for (const rumour of rumours) this.#outbox.addUpdate(rumour, this.#fleetSize);
     const targets = this.#sampleAlive(FANOUT, '');
-    for (let sent = 0; sent < packets; sent += 1) {
-      for (const { address } of targets) this.#send(address, 'news', 0);
-    }
+    if (targets.length === 0) return;
+    do {
+      const taken = this.#outbox.takeUpdates(targets.length);
+      for (const { address } of targets) this.#send(address, 'news', 0, { rumours: taken });
+    } while (this.#outbox.hasUnsentUpdates);
   }
 
   #leave(): void {
@@ -374,16 +368,16 @@
     for (const { address } of this.#sampleAlive(FANOUT, '')) this.#send(address, 'news', 0);
   }
 
-  #sendCount(): number {
-    return Math.ceil(SENDS_PER_LOG * Math.log2(this.#known.size + 2));
+  /** Number of known members, including this one. */
+  get #fleetSize(): number {
+    return this.#known.size + 1;
   }
 
   #send(
     to: string,
     kind: Packet['kind'],
     seq: number,
-    target?: string,
-    extra: readonly Member[] = [],
+    { target, members = [], rumours = this.#outbox.takeUpdates() }: PacketContent = {},
   ): void {
     const packet: Packet = {
       kind,
@@ -391,8 +385,8 @@
       from: this.#self.vm,
       address: this.#self.address,
       digest: this.#digest,
-      members: [...extra, this.#self, ...this.#memberUpdates.take(MEMBERS_PER_PACKET)],
-      rumours: this.#updates.take(UPDATES_PER_PACKET, MAX_TEXT_LENGTH, textLengthOf),
+      members: [...members, this.#self, ...this.#outbox.takeMembers()],
+      rumours,
       ...(target === undefined ? {} : { target }),
     };
     this.#actions.push({ kind: 'send', to, packet });
