Fetch what an update left out also while other updates keep arriving

What callers saw: nothing yet.

Cause: a VM fetches what it lacks once digests have differed for 300 ms, and each update that it learns begins these 300 ms anew. While runners are replaced there is no such pause, so that what one announcement left out was missing until the end of the release. No other sign tells of it: the runner's entry may stay for many seconds.

Change: digests may differ for a second at most, whatever arrives meanwhile. Then the VM fetches the latest 200 of the records that differ: most of them are on their way, and to send them all would cost a fleet of thousands of runners megabits a second and VM. Without updates it is 300 ms and all records, as before. Differences that end by themselves do not add up.

Tests: test/router/releasefleet.test.ts (two cases failed before), test/core/propagation.test.ts, test/router/stateexchange.test.ts.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -10,7 +10,7 @@
 
 import { RecordDigest, partOf } from './digest';
 import type { Position } from './position';
-import { START, isLater } from './position';
+import { START, isLater, ordinalOf } from './position';
 import type { Runner } from './types';
 
 /** A runner as of a position, or the information that it was removed. */
@@ -76,6 +76,25 @@
 
   /** Records of some parts of the digest, for another VM. Includes whole parts until about `most` records are reached. */
   factsIn(now: number, parts: ReadonlySet<number>, most: number): readonly RunnerRecord[] {
+    const chosen: RunnerRecord[] = [];
+    for (const records of this.#recordsByPart(now, parts).values()) {
+      if (chosen.length < most) chosen.push(...records);
+    }
+    return chosen;
+  }
+
+  /** The `most` latest records of some parts of the digest, for another VM. */
+  latestIn(now: number, parts: ReadonlySet<number>, most: number): readonly RunnerRecord[] {
+    return [...this.#recordsByPart(now, parts).values()]
+      .flat()
+      .sort((a, b) => ordinalOf(b.position) - ordinalOf(a.position))
+      .slice(0, most);
+  }
+
+  #recordsByPart(
+    now: number,
+    parts: ReadonlySet<number>,
+  ): ReadonlyMap<number, readonly RunnerRecord[]> {
     const byPart = new Map<number, RunnerRecord[]>();
     for (const { record, goneAt } of this.#entries.values()) {
       const part = partOf(record.id);
@@ -86,9 +105,7 @@
         byPart.set(part, found);
       }
     }
-    const chosen: RunnerRecord[] = [];
-    for (const facts of byPart.values()) if (chosen.length < most) chosen.push(...facts);
-    return chosen;
+    return byPart;
   }
 
   /**
--- a/src/core/routing/propagation.ts
+++ b/src/core/routing/propagation.ts
@@ -27,10 +27,20 @@
 /** Minimum time between two fetches of one VM, in milliseconds: with 800 VMs each receives some two requests a second. */
 const FETCH_INTERVAL_MS = 400;
 /**
- * Time for which digests must differ before a VM fetches, in milliseconds: while updates
- * circulate, digests differ between VMs that will receive them anyway.
+ * Time for which digests must differ without an update at this VM before it fetches, in
+ * milliseconds: while updates circulate, digests differ between VMs that will receive
+ * them anyway.
  */
 const MISMATCH_MS = 300;
+/**
+ * Time for which digests may differ although updates keep arriving, in milliseconds. While
+ * runners are replaced one after the other there is no pause between updates; an update that
+ * passed a VM by would be missing there for as long as that takes, and the VM would send
+ * requests to runners that have left.
+ */
+const MAX_MISMATCH_MS = 1000;
+/** Time without a differing digest after which the others count as equal, in milliseconds: probes bring several in that time. */
+const AGREEMENT_MS = 600;
 
 /** Versions that a VM has, to compare with announced ones. */
 export interface KnownState {
@@ -46,6 +56,16 @@
   readonly address: string;
 }
 
+/** What a VM fetches from another one. */
+export interface FetchTarget {
+  readonly address: string;
+  /**
+   * Whether only the latest of the differing records are needed. While updates circulate, most of
+   * the records that differ are on their way.
+   */
+  readonly recentOnly: boolean;
+}
+
 /** Paths of state that has to be fetched, the most urgent first. */
 const FETCHED_PATHS: readonly string[] = [CONFIG_PATH, RUNNERS_PATH];
 
@@ -64,13 +84,20 @@
   /** Latest announcements of state to fetch as soon as the rate limit allows, by path. */
   readonly #announced = new Map<string, Announcement>();
 
-  /** Address of a VM whose digest has differed for `MISMATCH_MS`. */
-  #differing: string | undefined;
+  /** VM whose digest has differed for too long. */
+  #differing: FetchTarget | undefined;
 
   #fetchedAt = -Infinity;
 
+  /** Since when digests have differed without an update at this VM; undefined if none has since the last one. */
   #mismatchSince: number | undefined;
 
+  /** Since when digests have differed, whatever updates arrived. */
+  #differingSince = -Infinity;
+
+  /** Time of the last differing digest. */
+  #differedAt = -Infinity;
+
   /** Updates that announce changed runners. */
   runnerUpdates(
     records: readonly RunnerRecord[],
@@ -109,38 +136,44 @@
   ): void {
     this.receive({ path: CONFIG_PATH, revision: configVersion }, address, known);
     if (rest === ownRest) return;
+    if (now - this.#differedAt > AGREEMENT_MS) this.#differingSince = now;
+    this.#differedAt = now;
     this.#mismatchSince ??= now;
-    if (now - this.#mismatchSince >= MISMATCH_MS) this.#differing ??= address;
+    const isSettled = now - this.#mismatchSince >= MISMATCH_MS;
+    if (isSettled || now - this.#differingSince >= MAX_MISMATCH_MS) {
+      this.#differing ??= { address, recentOnly: !isSettled };
+    }
   }
 
   /**
-   * Takes the address to fetch from now; undefined if there is none or the rate limit does not
+   * Takes what to fetch now; undefined if there is none or the rate limit does not
    * allow it yet. An announcement counts once, whatever becomes of the fetch: while this VM lacks
    * a configuration, each probe of a VM that has it is another announcement.
    */
-  takeFetchTarget(now: number, known: KnownState): string | undefined {
-    const address = this.#nextSource(known);
-    if (address === undefined || now < this.#fetchedAt + FETCH_INTERVAL_MS) return undefined;
-    for (const [path, announced] of this.#announced) {
-      if (announced.address === address) this.#announced.delete(path);
+  takeFetchTarget(now: number, known: KnownState): FetchTarget | undefined {
+    const target = this.#nextTarget(known);
+    if (!target || now < this.#fetchedAt + FETCH_INTERVAL_MS) return undefined;
+    for (const [path, { address }] of this.#announced) {
+      if (address === target.address) this.#announced.delete(path);
     }
     this.#differing = undefined;
     this.#mismatchSince = undefined;
+    this.#differingSince = now;
     this.#fetchedAt = now;
-    return address;
+    return target;
   }
 
   /** Time of the next fetch; infinite if none is pending. */
   nextFetchAt(known: KnownState): number {
-    const isPending = this.#nextSource(known) !== undefined;
+    const isPending = this.#nextTarget(known) !== undefined;
     return isPending ? this.#fetchedAt + FETCH_INTERVAL_MS : Infinity;
   }
 
-  #nextSource(known: KnownState): string | undefined {
-    const announced = FETCHED_PATHS.map((path) => {
-      const found = this.#announced.get(path);
-      return found && found.revision > revisionOf(path, known) ? found.address : undefined;
-    });
-    return announced.find((address) => address !== undefined) ?? this.#differing;
+  #nextTarget(known: KnownState): FetchTarget | undefined {
+    for (const path of FETCHED_PATHS) {
+      const { revision = 0, address = '' } = this.#announced.get(path) ?? {};
+      if (revision > revisionOf(path, known)) return { address, recentOnly: false };
+    }
+    return this.#differing;
   }
 }
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -147,6 +147,11 @@
     return this.#directory.factsIn(now, this.#directory.digest.differingParts(theirs), most);
   }
 
+  /** The `most` latest runner records in these parts. */
+  latestDiffering(now: number, theirs: readonly number[], most: number): readonly RunnerRecord[] {
+    return this.#directory.latestIn(now, this.#directory.digest.differingParts(theirs), most);
+  }
+
   /** Records a successful call to the store. */
   storeAnswered(now: number): void {
     this.#storeAnsweredAt = now;
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -33,6 +33,11 @@
  * largest message. The rest follows with the next exchange.
  */
 const MAX_RUNNER_RECORDS = 2000;
+/**
+ * Limit of runner records in one answer to a VM that needs the latest only, some 50 KB: it may ask
+ * once a second while runners change all the time.
+ */
+const MAX_RECENT_RECORDS = 200;
 /** Limit of rate limits in one answer, for the same reason. */
 const MAX_RATE_LIMITS = 2000;
 
@@ -63,6 +68,8 @@
   parts: z.array(z.number()).length(DIGEST_PARTS),
   /** Whether the answer must include the members. */
   members: z.boolean(),
+  /** Whether the latest of the differing records suffice. */
+  recentOnly: z.boolean().default(false),
   eras: erasSchema.default([]),
   /** Digest of the requests that the calling VM has in quarantine. */
   refused: z.string().default(''),
@@ -80,6 +87,14 @@
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
 });
 
+/** What to fetch besides the configuration and runner records. */
+export interface FetchOptions {
+  /** Whether to fetch the members, too. Default: false */
+  readonly members?: boolean;
+  /** Whether the latest of the differing runner records suffice. Default: false */
+  readonly recentOnly?: boolean;
+}
+
 type Answer = Readonly<z.infer<typeof answerSchema>>;
 type WireRecord = Answer['facts'][number];
 
@@ -145,13 +160,17 @@
   /** Answers another VM with the state in which the two differ. */
   answer(now: number, params: unknown): Answer {
     const { routingState, quarantine, rateLimits, fleet } = this.#context;
-    const { configVersion, parts, members, eras, refused, limited } = fetchSchema.parse(params);
+    const { configVersion, parts, members, recentOnly, eras, refused, limited } =
+      fetchSchema.parse(params);
     routingState.learnEras(now, eras, 'asked');
     const includesSuspects = members || refused !== quarantine.digest(now);
     const includesRates = members || limited !== rateLimits.digest(now);
+    const records = recentOnly
+      ? routingState.latestDiffering(now, parts, MAX_RECENT_RECORDS)
+      : routingState.recordsDiffering(now, parts, MAX_RUNNER_RECORDS);
     return {
       ...(configVersion < routingState.configVersion ? { config: this.#packedConfig() } : {}),
-      facts: routingState.recordsDiffering(now, parts, MAX_RUNNER_RECORDS).map(toWire),
+      facts: records.map(toWire),
       eras: [...routingState.eras],
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
       suspects: includesSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
@@ -160,8 +179,11 @@
     };
   }
 
-  /** Fetches the state of another VM and applies what is newer; `members` requests its members, too. */
-  async fetch(address: string, members: boolean): Promise<void> {
+  /** Fetches the state of another VM and applies what is newer. */
+  async fetch(
+    address: string,
+    { members = false, recentOnly = false }: FetchOptions = {},
+  ): Promise<void> {
     const { routingState, quarantine, rateLimits, fleet } = this.#context;
     const { configVersion, digestParts } = routingState;
     const sentAt = performance.now();
@@ -169,9 +191,13 @@
     const limited = rateLimits.digest(sentAt);
     const { eras } = routingState;
     const askedAt = bootNow();
-    const request = { configVersion, parts: digestParts, members, eras, refused, limited };
     const answer = answerSchema.parse(
-      await fleet.call(address, 'facts', request, FETCH_TIMEOUT_MS),
+      await fleet.call(
+        address,
+        'facts',
+        { configVersion, parts: digestParts, members, recentOnly, eras, refused, limited },
+        FETCH_TIMEOUT_MS,
+      ),
     );
     const now = performance.now();
     // Before the configuration, since this VM accepts callers once it has one.
--- a/src/node/router/statesync.ts
+++ b/src/node/router/statesync.ts
@@ -32,7 +32,7 @@
 import { RATE_PATH, rateUpdate, rateSchema } from './ratewire';
 import { fromUpdate } from './updates';
 import { SUSPECT_PATH, suspectUpdate, suspectSchema } from './suspects';
-import type { StateExchange } from './stateexchange';
+import type { FetchOptions, StateExchange } from './stateexchange';
 import { decodeRecord, decodeEras, encodeRecord } from './stateexchange';
 import type { Feed } from './types';
 
@@ -322,7 +322,7 @@
     // Seeds and store may both be unreachable at the start, so this repeats until another VM is present.
     if (this.#joinRounds >= JOIN_ROUNDS && present.length > 0) clearInterval(this.#joinTimer);
     if (present.length === 0) fleet.contact(seeds);
-    if (address !== undefined) this.#fetch(address, true);
+    if (address !== undefined) this.#fetch(address, { members: true });
   }
 
   #recordAnnouncement(version: number, address: string): void {
@@ -338,8 +338,8 @@
   #fetchDue(): void {
     const { routingState } = this.#context;
     const now = performance.now();
-    const address = this.#propagation.takeFetchTarget(now, routingState);
-    if (address !== undefined) this.#fetch(address, false);
+    const target = this.#propagation.takeFetchTarget(now, routingState);
+    if (target) this.#fetch(target.address, { recentOnly: target.recentOnly });
     clearTimeout(this.#fetchTimer);
     const nextFetchAt = this.#propagation.nextFetchAt(routingState);
     if (Number.isFinite(nextFetchAt)) {
@@ -347,7 +347,7 @@
     }
   }
 
-  #fetch(address: string, members: boolean): void {
+  #fetch(address: string, options: FetchOptions): void {
     const { exchange, metrics, log, routingState } = this.#context;
     const { configVersion: before } = routingState;
     const startedAt = performance.now();
@@ -361,7 +361,7 @@
     metrics.count('news.fetches');
     this.#pendingFetches += 1;
     exchange
-      .fetch(address, members)
+      .fetch(address, options)
       .then(() => {
         const now = performance.now();
         if (this.#announcedVersion > before) log.info(fieldsAt(now), 'Fetched the state of a VM.');
--- a/test/fakes/virtual/syncfleet.ts
+++ b/test/fakes/virtual/syncfleet.ts
@@ -33,6 +33,7 @@
   UpdatePropagation,
   RUNNER_PATH,
 } from '../../../src/core/routing/propagation';
+import type { FetchOptions } from '../../../src/node/router/stateexchange';
 import { fromUpdate } from '../../../src/node/router/updates';
 import { SUSPECT_PATH, suspectUpdate, suspectSchema } from '../../../src/node/router/suspects';
 import { runnerOf } from '../runner';
@@ -105,6 +106,9 @@
 const RELEASE_OVERLAP_MS = 1000;
 /** Time from a runner's announcement that it leaves to the removal of its entry. */
 const LEAVING_MS = 2500;
+/** Limits of runner records in one exchange. */
+const MAX_RECORDS = 2000;
+const MAX_RECENT_RECORDS = 200;
 const RUNNER_BORN_AT = 1_783_999_006_291;
 
 /** A simulated fleet of VMs and their store. */
@@ -146,6 +150,9 @@
   /** VMs whose outgoing packets are lost; they still receive packets. */
   #muted: ReadonlySet<number> = new Set();
 
+  /** Fraction of datagrams between VMs that are lost. */
+  #lossRate = 0;
+
   #storeCalls = 0;
 
   #exchanges = 0;
@@ -187,9 +194,9 @@
 
   /**
    * Replaces all runners, `count` at a time every `gapMs`: new ones start, then as many old ones
-   * announce that they leave, and later their entries are removed.
+   * announce that they leave, and `leavingMs` later their entries are removed.
    */
-  release(count: number, gapMs: number): void {
+  release(count: number, gapMs: number, leavingMs = LEAVING_MS): void {
     const old = [...this.#records.keys()];
     for (let i = 0; i * count < old.length; i += 1) {
       const startAt = this.now + i * gapMs;
@@ -199,7 +206,7 @@
           this.#write(id, true);
           this.#leavingSince.set(id, this.now);
         });
-        this.#schedule.add(startAt + RELEASE_OVERLAP_MS + LEAVING_MS, () => this.#remove(id));
+        this.#schedule.add(startAt + RELEASE_OVERLAP_MS + leavingMs, () => this.#remove(id));
       }
     }
   }
@@ -281,6 +288,11 @@
     this.#muted = new Set(vms);
   }
 
+  /** Loses a fraction of the datagrams between VMs; state exchanges are not affected. */
+  loseDatagrams(fraction: number): void {
+    this.#lossRate = fraction;
+  }
+
   /** Restarts a VM with empty state. */
   restart(number: number): void {
     (this.#vms[number] as Vm).dead = true;
@@ -478,7 +490,7 @@
     const choice = near.length > 0 ? near : seeds;
     const address = choice[Math.floor(this.#random() * choice.length)];
     if (known.length === 0) this.#dispatch(vm, { kind: 'contact', addresses: seeds });
-    if (address !== undefined) this.#exchange(vm, address, true);
+    if (address !== undefined) this.#exchange(vm, address, { members: true });
   }
 
   /** Runs a task at a VM after a delay, unless the VM is dead by then; at a frozen VM it runs after the VM resumes. */
@@ -652,15 +664,15 @@
 
   #exchangeIfDue(vm: Vm): void {
     const known = knownState(vm);
-    const address = vm.propagation.takeFetchTarget(this.now, known);
-    if (address !== undefined) this.#exchange(vm, address, false);
+    const target = vm.propagation.takeFetchTarget(this.now, known);
+    if (target) this.#exchange(vm, target.address, { recentOnly: target.recentOnly });
     const nextFetchAt = vm.propagation.nextFetchAt(known);
     if (Number.isFinite(nextFetchAt)) {
       this.#runLater(vm, Math.max(1, nextFetchAt - this.now), () => this.#exchangeIfDue(vm));
     }
   }
 
-  #exchange(vm: Vm, address: string, members: boolean): void {
+  #exchange(vm: Vm, address: string, { members = false, recentOnly = false }: FetchOptions): void {
     this.#exchanges += 1;
     const { parts } = vm.directory.digest;
     const peer = this.#vms[Number.parseInt(address, 10)] as Vm;
@@ -676,7 +688,10 @@
       if (peer.startedAt > this.now) return;
       peer.answeredExchanges += 1;
       const { digest } = peer.directory;
-      const records = peer.directory.factsIn(this.now, digest.differingParts(parts), 2000);
+      const differing = digest.differingParts(parts);
+      const records = recentOnly
+        ? peer.directory.latestIn(this.now, differing, MAX_RECENT_RECORDS)
+        : peer.directory.factsIn(this.now, differing, MAX_RECORDS);
       const { all } = peer.membership;
       const { configVersion } = peer;
       const { starts } = peer.history;
@@ -717,6 +732,7 @@
     this.#packets += 1;
     const target = this.#vms[Number.parseInt(action.to, 10)];
     if (!target || this.#muted.has(vm.number) || this.#isUnreachable(vm, target)) return;
+    if (this.#lossRate > 0 && this.#random() < this.#lossRate) return;
     const { packet } = action;
     if (packet.kind === 'ping') vm.freshness.recordQuery(this.#clockOf(vm), packet.seq);
     const proof = vm.freshness.proofAt(this.#clockOf(vm), vm.configVersion);
--- a/test/router/releasefleet.test.ts
+++ b/test/router/releasefleet.test.ts
@@ -45,4 +45,16 @@
     },
     120_000,
   );
+
+  /* A VM that no announcement reaches is not told again by the runner's removal, which comes seconds later. */
+  test.each(FLEETS)(
+    'stops using runners that leave slowly, while packets are lost: $size VMs',
+    ({ size, drainMs }) => {
+      const fleet = settledFleet(size, 1);
+      fleet.loseDatagrams(0.03);
+      fleet.release(count, gapMs, 8000);
+      expect(fleet.maxLeavingDelay(8000)).toBeLessThan(drainMs);
+    },
+    120_000,
+  );
 });
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -4,6 +4,7 @@
 import { StoreHistory } from '../../src/core/routing/position';
 import type { RouterFleet } from '../../src/node/router/fleet';
 import { RoutingState } from '../../src/node/router/routingstate';
+import type { FetchOptions } from '../../src/node/router/stateexchange';
 import { StateExchange, decodeRecord, encodeRecord } from '../../src/node/router/stateexchange';
 import { noopListener } from '../fakes/listener';
 import { positionAt } from '../fakes/position';
@@ -33,7 +34,7 @@
   /** Number of runner records in each answer. */
   readonly answered: number[] = [];
 
-  async exchange(): Promise<void> {
+  async exchange(options: FetchOptions = {}): Promise<void> {
     const server = new StateExchange({
       routingState: this.callee,
       quarantine: this.quarantines.callee,
@@ -49,7 +50,7 @@
     const { caller: quarantine } = this.quarantines;
     const { caller: rateLimits } = this.rateLimits;
     const sync = new StateExchange({ routingState: this.caller, quarantine, rateLimits, fleet });
-    await sync.fetch('a:1', false);
+    await sync.fetch('a:1', options);
   }
 }
 
@@ -99,6 +100,17 @@
     expect(pair.caller.runnersOf(0, 's').map(({ id }) => id)).toEqual(['r2', 'r1']);
   });
 
+  /* While runners change all the time, most records that differ are on their way: a fleet of thousands would send them all again each second. */
+  test('transfers no more than the latest records to a VM that asks for these', async () => {
+    const pair = new Pair();
+    const records = Array.from({ length: 500 }, (_, i) => recordOf(`r${i}`, i + 1));
+    pair.callee.learnRunners(0, records, 'store');
+    await pair.exchange({ recentOnly: true });
+    expect(pair.answered).toEqual([200]);
+    expect(pair.caller.runnersPosition).toEqual(positionAt(500));
+    expect(pair.caller.runnersOf(0, 's').length).toBe(200);
+  });
+
   /*
    * The runners' entries expired in an outage of the store. Only readers of the store know of
    * the outage; a VM that learns of the removal from one must use the runner for as long.
