Give no final answer while a newer configuration is known to exist

What callers saw: 404 for a route that other VMs served already. Callers do not come back after a 404 or 401, whereas after 503 they ask another VM.

Cause: a VM looked at the age of its configuration only where keys are required, and even there took a young age for a proof that nothing newer exists. That another VM had announced a newer version, which it would fetch next, was known to the fetching only.

Change: the highest announced version is part of the routing state. While it is higher than the one in use, a missing route or an unknown key gets 503 (configOld, not run, with a time to come back) in place of 404 or 401. It costs nothing; the time from the announcement to the configuration is some 20 ms as a rule and longer when the fetch fails.

Weighed and left out: 503 by age alone also where no keys are required.

--- a/src/node/router/authorizer.ts
+++ b/src/node/router/authorizer.ts
@@ -37,20 +37,29 @@
     credential: Credential,
   ): Customer | undefined {
     const ageMs = this.#routingState.freshness.ageMs(now);
-    return identify(table, route, credential, ageMs, this.#bounds());
+    const { keyMs, finalMs } = this.#bounds();
+    const bounds = { keyMs, finalMs: this.#isOutdated ? -Infinity : finalMs };
+    return identify(table, route, credential, ageMs, bounds);
   }
 
   /**
    * The refusal for something that is missing from a configuration that may be stale; undefined
-   * if the configuration is recent enough for a final "not found". Where no keys are required,
-   * VMs do not confirm the age of their configuration, so its age is ignored: otherwise every
-   * missing item would look as if it had just been added.
+   * if the configuration is recent enough for a final "not found". A configuration is stale once
+   * another VM has announced a newer one. Where no keys are required, VMs do not confirm the age
+   * of their configuration, so its age is ignored: otherwise every missing item would look as if
+   * it had just been added.
    */
   staleRefusal(now: number, detail: string): Failure | undefined {
     const { table, freshness } = this.#routingState;
     const ageMs = freshness.ageMs(now);
-    const mayBeStale = table?.keyRing !== undefined && ageMs > this.#bounds().finalMs;
-    return mayBeStale ? staleConfigFailure(ageMs, detail) : undefined;
+    const isTooOld = table?.keyRing !== undefined && ageMs > this.#bounds().finalMs;
+    return isTooOld || this.#isOutdated ? staleConfigFailure(ageMs, detail) : undefined;
+  }
+
+  /** Whether a newer configuration than the one in use is known to exist. */
+  get #isOutdated(): boolean {
+    const { configVersion, latestVersion } = this.#routingState;
+    return latestVersion > configVersion;
   }
 
   /** The source from which this VM should confirm that its configuration is current. */
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -69,6 +69,9 @@
 
   #table: RouteTable | undefined;
 
+  /** Latest version of the configuration that another VM has announced; 0 before the first. */
+  #announcedVersion = 0;
+
   /** Monotonic time of the last successful call to the store. */
   #storeAnsweredAt = -Infinity;
 
@@ -101,6 +104,11 @@
     return this.#table?.config.version ?? 0;
   }
 
+  /** Latest version of the configuration that is known to exist, in use here or not. */
+  get latestVersion(): number {
+    return Math.max(this.#announcedVersion, this.configVersion);
+  }
+
   /** Callbacks by which members exchange freshness confirmations in their probes. */
   get freshnessExchange(): FreshnessExchange {
     return {
@@ -191,6 +199,14 @@
     return now - this.#storeAnsweredAt;
   }
 
+  /** Records that another VM has a version of the configuration. */
+  learnVersion(version: number, source: string): void {
+    const { configVersion: known } = this;
+    if (version <= this.latestVersion) return;
+    this.#announcedVersion = version;
+    this.#log.info({ version, known, source }, 'Another VM announced a newer configuration.');
+  }
+
   /** Applies a configuration if it is newer than the one in use; returns whether it is. */
   learnConfig(now: number, config: RoutingConfig, source: string): boolean {
     if (this.#table && config.version <= this.#table.config.version) return false;
--- a/src/node/router/statesync.ts
+++ b/src/node/router/statesync.ts
@@ -107,9 +107,6 @@
 
   #fetchTimer: NodeJS.Timeout | undefined;
 
-  /** Latest version of the configuration that another VM has announced; 0 before the first. */
-  #announcedVersion = 0;
-
   #isReading = false;
 
   #shouldRead = false;
@@ -326,13 +323,9 @@
   }
 
   #recordAnnouncement(version: number, address: string): void {
-    const { routingState, metrics, log } = this.#context;
-    const { configVersion: known } = routingState;
-    if (version <= known) return;
-    metrics.count('config.announcements');
-    if (version <= this.#announcedVersion) return;
-    this.#announcedVersion = version;
-    log.info({ version, known, source: address }, 'Another VM announced a newer configuration.');
+    const { routingState, metrics } = this.#context;
+    if (version > routingState.configVersion) metrics.count('config.announcements');
+    routingState.learnVersion(version, address);
   }
 
   #fetchDue(): void {
@@ -355,7 +348,7 @@
       source: address,
       before,
       version: routingState.configVersion,
-      announced: this.#announcedVersion,
+      announced: routingState.latestVersion,
       ms: Math.round(now - startedAt),
     });
     metrics.count('news.fetches');
@@ -364,7 +357,9 @@
       .fetch(address, options)
       .then(() => {
         const now = performance.now();
-        if (this.#announcedVersion > before) log.info(fieldsAt(now), 'Fetched the state of a VM.');
+        if (routingState.latestVersion > before) {
+          log.info(fieldsAt(now), 'Fetched the state of a VM.');
+        }
         this.#hasFetched = true;
         this.#updateReading(now);
       })
