Announce the status of a VM only when it has changed

What callers saw: nothing.

Cause: with each configuration a VM describes itself to the membership, which raised its incarnation and announced it to all, also where addresses, draining and the state of the store were the same. 65 VMs did so at once, and packets hold five members: the same crowding out as with runners, here of VMs that leave or lose the store.

Change: a description that changes nothing announces nothing.

test/core/gossip.test.ts failed before.

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -20,7 +20,7 @@
   Packet,
   GossipUpdate,
 } from './types';
-import { isPresent, overrides } from './types';
+import { hasStatus, isPresent, overrides } from './types';
 
 /** Fraction of the probe period after which other members are asked to ping the target. */
 const DIRECT_FRACTION = 0.4;
@@ -135,7 +135,9 @@
       .with({ kind: 'contact' }, ({ addresses }) => this.#contact(addresses))
       .with({ kind: 'listed' }, ({ vms }) => this.#list(now, vms))
       .with({ kind: 'synced' }, ({ members }) => this.#sync(now, members))
-      .with({ kind: 'described' }, ({ description }) => this.#describe(description))
+      .with({ kind: 'described' }, ({ description }) => {
+        if (!hasStatus(this.#self, description)) this.#describe(description);
+      })
       .with({ kind: 'rumours' }, ({ rumours }) => this.#gossip(rumours))
       .with({ kind: 'leaving' }, () => this.#leave())
       .with({ kind: 'woke' }, () => this.#wake(now))
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -60,6 +60,15 @@
 /** The part of a member's state that describes its VM. */
 export type MemberStatus = Pick<Member, 'gateways' | 'draining' | 'storeLost'>;
 
+/** Whether a member has a status already. */
+export function hasStatus(
+  { gateways, draining, storeLost }: Member,
+  status: MemberStatus,
+): boolean {
+  const isSame = draining === status.draining && storeLost === status.storeLost;
+  return isSame && gateways.join(' ') === status.gateways.join(' ');
+}
+
 /** A UDP datagram of the membership protocol. */
 export interface Packet {
   readonly kind: 'ping' | 'ack' | 'probe' | 'news';
--- a/test/core/gossip.test.ts
+++ b/test/core/gossip.test.ts
@@ -68,6 +68,23 @@
   });
 });
 
+describe('the status of a member', () => {
+  /* Each VM announced itself with each configuration: in a large fleet one configuration crowded out news of VMs that left. */
+  test('is announced only if it has changed', () => {
+    const membership = joinedMember();
+    const status = { gateways: ['self:80'], draining: false, storeLost: false };
+    const changes = (next: typeof status): readonly string[] =>
+      membership
+        .handle(0, { kind: 'described', description: next })
+        .filter(({ kind }) => kind === 'changed')
+        .map(({ kind }) => kind);
+    expect(changes(status)).toEqual(['changed']);
+    expect(changes({ ...status })).toEqual([]);
+    expect(changes({ ...status, gateways: ['self:81'] })).toEqual(['changed']);
+    expect(changes({ ...status, gateways: ['self:81'], draining: true })).toEqual(['changed']);
+  });
+});
+
 describe('the queue of gossip updates', () => {
   test('takes those first that were sent least often, each as often as asked', () => {
     const queue = new GossipQueue<string>();
