Bound the packets of one announcement by its own updates

What callers saw: nothing. Found on reading the change of gossip again: packets went out until nothing unsent was left. A VM that had no other member to tell for a while keeps what it learned meanwhile as unsent, so its next announcement would send all of it at once: 1,500 packets after 1,000 changes of runners.

Change: at most as many packets for each member as the announcement has updates; the rest waits for the probes. test/core/gossip.test.ts failed before (1,500 packets where 3 are meant).

--- a/src/core/membership/membership.ts
+++ b/src/core/membership/membership.ts
@@ -353,16 +353,17 @@
   /**
    * Sends updates to a few members immediately, in as many packets as the texts need; later probes
    * carry them on. All of these members get the same packets: an update that went to one only
-   * would reach the fleet no faster than the probes.
+   * would reach the fleet no faster than the probes. Updates that are left from a time without
+   * members wait for the probes, too: they may be thousands.
    */
   #gossip(rumours: readonly GossipUpdate[]): void {
     for (const rumour of rumours) this.#outbox.addUpdate(rumour, this.#fleetSize);
     const targets = this.#sampleAlive(FANOUT, '');
     if (targets.length === 0) return;
-    do {
+    for (let sent = 0; sent < rumours.length && this.#outbox.hasUnsentUpdates; sent += 1) {
       const taken = this.#outbox.takeUpdates(targets.length);
       for (const { address } of targets) this.#send(address, 'news', 0, { rumours: taken });
-    } while (this.#outbox.hasUnsentUpdates);
+    }
   }
 
   #leave(): void {
--- a/test/core/gossip.test.ts
+++ b/test/core/gossip.test.ts
@@ -18,7 +18,7 @@
 /** A text as long as that of a changed runner. */
 const TEXT = 'x'.repeat(270);
 
-function joinedMember(): Membership {
+function joinedMember(members = MEMBERS): Membership {
   const membership = new Membership({
     vm: 'self',
     domain: 'a',
@@ -29,7 +29,7 @@
     random: seeded(1),
     incarnation: 1,
   });
-  membership.handle(0, { kind: 'synced', members: MEMBERS });
+  membership.handle(0, { kind: 'synced', members });
   return membership;
 }
 
@@ -68,6 +68,21 @@
   });
 });
 
+describe('a member that was alone', () => {
+  /* Changes that it learned from the store meanwhile all went out at once: thousands of packets in a large fleet. */
+  test('sends no more packets at once than for the newest update', () => {
+    const membership = joinedMember([]);
+    for (let i = 0; i < 1000; i += 1) {
+      const rumours = [{ path: `runner/${i}`, revision: i, text: TEXT }];
+      membership.handle(i, { kind: 'rumours', rumours });
+    }
+    membership.handle(1000, { kind: 'synced', members: MEMBERS });
+    const rumours = [{ path: 'config', revision: 9 }];
+    const actions = membership.handle(1001, { kind: 'rumours', rumours });
+    expect(actions.filter(({ kind }) => kind === 'send').length).toBe(3);
+  });
+});
+
 describe('the status of a member', () => {
   /* Each VM announced itself with each configuration: in a large fleet one configuration crowded out news of VMs that left. */
   test('is announced only if it has changed', () => {
