Fetch a configuration without all runner records that differ

What callers saw: nothing. A fetch for a configuration also brought every record in the parts of the digest that differ, up to 2,000 of some 250 bytes. While runners are replaced nearly all parts differ in a fleet of thousands, so that each VM would wait for half a megabyte before it has the configuration, and one VM sends that to several (worked out, not measured).

Change: with a configuration come the latest 200 of these records at most, as in the fetch while updates keep arriving. test/core/propagation.test.ts failed before.

--- a/src/core/routing/propagation.ts
+++ b/src/core/routing/propagation.ts
@@ -61,7 +61,7 @@
   readonly address: string;
   /**
    * Whether only the latest of the differing records are needed. While updates circulate, most of
-   * the records that differ are on their way.
+   * the records that differ are on their way, and a configuration must not wait for them.
    */
   readonly recentOnly: boolean;
 }
@@ -172,7 +172,7 @@
   #nextTarget(known: KnownState): FetchTarget | undefined {
     for (const path of FETCHED_PATHS) {
       const { revision = 0, address = '' } = this.#announced.get(path) ?? {};
-      if (revision > revisionOf(path, known)) return { address, recentOnly: false };
+      if (revision > revisionOf(path, known)) return { address, recentOnly: path === CONFIG_PATH };
     }
     return this.#differing;
   }
--- a/test/core/propagation.test.ts
+++ b/test/core/propagation.test.ts
@@ -16,9 +16,9 @@
     const propagation = new UpdatePropagation();
     propagation.receive({ path: CONFIG_PATH, revision: 4 }, 'a:1', KNOWN);
     propagation.receive({ path: RUNNERS_PATH, revision: 20 }, 'b:1', KNOWN);
-    expect(propagation.takeFetchTarget(0, KNOWN)?.address).toBe('a:1');
+    expect(propagation.takeFetchTarget(0, KNOWN)).toEqual({ address: 'a:1', recentOnly: true });
     expect(propagation.takeFetchTarget(100, KNOWN)).toBeUndefined();
-    expect(propagation.takeFetchTarget(500, KNOWN)?.address).toBe('b:1');
+    expect(propagation.takeFetchTarget(500, KNOWN)).toEqual({ address: 'b:1', recentOnly: false });
   });
 
   /* With runners that change all the time, digests never differed long enough for a fetch. */
