Test that a request is quarantined in time while runners are replaced

What callers saw: nothing yet. A request that ends its runners has to be refused by all VMs within a second, since its caller may come back anywhere.

--- a/test/router/releasefleet.test.ts
+++ b/test/router/releasefleet.test.ts
@@ -57,4 +57,17 @@
     },
     120_000,
   );
+
+  /* A caller may repeat a request that ended three runners at any VM within a second; see the test without a release. */
+  test.each(FLEETS)(
+    'quarantines a request within a second: $size VMs',
+    ({ size }) => {
+      const fleet = settledFleet(size, 7);
+      fleet.release(count, gapMs);
+      fleet.run(4000);
+      for (const vm of [1, 3, 5]) fleet.crashRunner(vm, 'f', `r${vm}`);
+      expect(fleet.timeToRefuse('f', 3000)).toBeLessThan(1000);
+    },
+    120_000,
+  );
 });
