Decode what runners announce in answers, and log it

The logs of the incident cannot tell whether a VM heard that a runner leaves or wants no requests: `Request ended.` names runner and status only. No choice depends on it yet.

A date counts from the date of the answer, since clocks differ.

--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -16,6 +16,7 @@
 import { PermitController } from './permits';
 import { ReservationClient } from './reservations';
 import { QuarantineController } from './quarantine';
+import { NoticeController } from './notices';
 import { QuotaController } from './quotas';
 import type { RateChange } from './ratelimits';
 import { RateLimitController } from './ratelimits';
@@ -43,6 +44,8 @@
 
   readonly rateLimits: RateLimitController;
 
+  readonly notices: NoticeController;
+
   readonly permits: PermitController;
 
   readonly quotas: QuotaController;
@@ -70,6 +73,7 @@
       log: logOf(log, 'ratelimits'),
       onChanges: (changes) => this.#onRateChanges(performance.now(), changes),
     });
+    this.notices = new NoticeController({ metrics, log: logOf(log, 'runner') });
     const { quarantine, rateLimits } = this;
     this.permits = new PermitController({
       vm,
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -150,11 +150,12 @@
     });
     const mayRepeat = (now: number, service: string): boolean =>
       this.#retries.get(service).trySpend(now, this.#fleet.alive.length);
-    const { quarantine, rateLimits, permits, quotas, places } = this.#controllers;
+    const { quarantine, rateLimits, notices, permits, quotas, places } = this.#controllers;
     this.#runs = new Runs({
       quarantine,
       authorizer: this.#gate,
       rateLimits,
+      notices,
       metrics: this.#metrics,
       log: logOf(log, 'runner'),
     });
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -14,6 +14,7 @@
 import type { Exchange } from './exchange';
 import type { Authorizer } from './authorizer';
 import type { QuarantineController } from './quarantine';
+import type { NoticeController } from './notices';
 import type { RateLimitController } from './ratelimits';
 import type { Reply } from './types';
 
@@ -35,6 +36,7 @@
   readonly quarantine: QuarantineController;
   readonly authorizer: Authorizer;
   readonly rateLimits: RateLimitController;
+  readonly notices: NoticeController;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -63,6 +65,7 @@
   /** The headers of the response have arrived. */
   replied(now: number, reply: Reply): void {
     this.#context.rateLimits.replied(now, this.#runner, this.#sentAt, reply);
+    this.#context.notices.replied(now, this.#runner, reply);
   }
 
   /** The runner did not execute the request and never will. */
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -8,6 +8,7 @@
 import type { Suspect } from '../../core/quarantine/types';
 import type { RateNotice } from '../../core/ratelimits/types';
 import type { RunnerRecord } from '../../core/routing/directory';
+import type { RunnerNotice } from '../../core/routing/notice';
 import type { Position } from '../../core/routing/position';
 import type { RetryBounds } from '../../core/retries';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
@@ -114,6 +115,7 @@
    */
   readonly misdirected: boolean;
   readonly rateNotice: RateNotice;
+  readonly notice: RunnerNotice;
   readonly body: IncomingMessage;
 }
 
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -13,6 +13,8 @@
   notRun: 'not-executed',
   /** In responses: the rate limit of the runner for all VMs together, in requests per second. */
   rateLimit: 'server-limit',
+  /** In responses: `1` if the runner leaves. */
+  leaving: 'server-leaving',
   /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
   usage: 'token-usage',
   /** Parts of the prompt in order, each `ID:TOKENS`; the last one is specific to the request. */
@@ -23,6 +25,7 @@
   /** `HOST:PORT/HANDLE` of the KV cache of a prefilled prompt. */
   cacheSource: 'kv-source',
   lastEvent: 'last-event-id',
+  /** In rejections: when to come back, in seconds. */
   retryAfter: 'retry-after',
   /** From callers: their API key. */
   authorization: 'authorization',
--- /dev/null
+++ b/src/platform/notice.ts
@@ -0,0 +1,57 @@
+/** Reads from a response whether its runner leaves, and for how long it wants no requests. */
+
+import type { IncomingMessage } from 'node:http';
+
+import type { RunnerNotice } from '../core/routing/notice';
+import { header } from './names';
+
+const LEAVING = '1';
+const NOT_LEAVING = '0';
+const SECONDS_PATTERN = /^\d+(\.\d+)?$/;
+/** Maximum number of characters of an unreadable value that are logged. */
+const MAX_TEXT_CHARS = 40;
+
+/** Statuses of rejections, with which `retry-after` tells when to come back (RFC 9110, RFC 6585). */
+const REJECTIONS: ReadonlySet<number> = new Set([429, 503]);
+
+/** Decodes the notice in a response. */
+export function noticeOf(message: IncomingMessage): RunnerNotice {
+  const leaving = valuesOf(message, header.leaving).flatMap((value) => value.split(','));
+  const isRejection = REJECTIONS.has(message.statusCode ?? 0);
+  const delays = isRejection ? valuesOf(message, header.retryAfter) : [];
+  const delaysMs = delays.map((value) => delayMsOf(value, message.headers.date));
+  const readableMs = delaysMs.filter((delayMs) => delayMs !== undefined);
+  return {
+    leaving: leaving.some((value) => value.trim() === LEAVING),
+    backoffMs: readableMs.length === 0 ? undefined : Math.max(...readableMs),
+    unreadable: [
+      ...leaving.filter((value) => !isFlag(value.trim())).map(textOf(header.leaving)),
+      ...delays.filter((_, index) => delaysMs[index] === undefined).map(textOf(header.retryAfter)),
+    ],
+  };
+}
+
+/** All values of a header; Node's `headers` has only the first `retry-after`. */
+function valuesOf({ headersDistinct }: IncomingMessage, name: string): readonly string[] {
+  return headersDistinct[name] ?? [];
+}
+
+function isFlag(value: string): boolean {
+  return value === LEAVING || value === NOT_LEAVING;
+}
+
+function textOf(name: string): (value: string) => string {
+  return (value) => `${name}: ${value.slice(0, MAX_TEXT_CHARS)}`;
+}
+
+/**
+ * The delay in milliseconds; undefined if the value is neither a number of seconds nor a date. A
+ * date counts from the date of the response, since the clocks of VM and runner may differ.
+ */
+function delayMsOf(value: string, sentAt: string | undefined): number | undefined {
+  const text = value.trim();
+  const seconds = SECONDS_PATTERN.test(text) ? Number(text) : NaN;
+  const dateMs = /[a-z]/i.test(text) ? Date.parse(text) - Date.parse(sentAt ?? '') : NaN;
+  const delayMs = Number.isNaN(seconds) ? Math.max(0, dateMs) : seconds * 1000;
+  return Number.isFinite(delayMs) ? delayMs : undefined;
+}
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod';
 
 import { Failure, toFailure } from '../core/failure';
+import { NO_NOTICE } from '../core/routing/notice';
 import type { Runner } from '../core/routing/types';
 import type { Framing } from '../core/stream/answer';
 import { instanceId } from '../core/routing/types';
@@ -21,6 +22,7 @@
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { header, path } from './names';
+import { noticeOf } from './notice';
 import { rateNoticeOf } from './ratelimit';
 
 /** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
@@ -251,9 +253,10 @@
   const { headers } = message;
   const status = message.statusCode ?? 0;
   const echoed = headers[header.requestId];
+  const isToRequest = echoed === undefined || echoed === request.id;
   const genuine =
     headers[header.signature] !== undefined &&
-    (echoed === undefined || echoed === request.id) &&
+    isToRequest &&
     headers['content-encoding'] === undefined;
   return {
     status,
@@ -264,6 +267,7 @@
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED_REQUEST,
     misdirected: status === HTTP_MISDIRECTED_REQUEST,
     rateNotice: rateNoticeOf(message),
+    notice: isToRequest ? noticeOf(message) : NO_NOTICE,
     body: message,
   };
 }
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -4,6 +4,7 @@
 import type { ServerResponse } from 'node:http';
 import { Readable } from 'node:stream';
 
+import { NO_NOTICE } from '../../src/core/routing/notice';
 import type { Engine, Route } from '../../src/core/routing/types';
 import type { Framing } from '../../src/core/stream/answer';
 import { Exchange } from '../../src/node/router/exchange';
@@ -62,6 +63,7 @@
     notRun: misdirected,
     misdirected,
     rateNotice: { kind: 'none' },
+    notice: NO_NOTICE,
     body: body as unknown as Reply['body'],
   };
 }
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -10,6 +10,7 @@
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineController } from '../../src/node/router/quarantine';
 import type { QuotaController } from '../../src/node/router/quotas';
+import { NoticeController } from '../../src/node/router/notices';
 import { RateLimitController } from '../../src/node/router/ratelimits';
 import { Runs } from '../../src/node/router/runs';
 import { noopListener } from './listener';
@@ -60,13 +61,18 @@
   });
 }
 
+/** Returns the announcements of runners that a VM gets; its log lines are discarded. */
+export function noticesOf(): NoticeController {
+  return new NoticeController({ metrics: new RouterMetrics(), log });
+}
+
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(quarantine = quarantineOf()): Runs {
-  const rateLimits = rateLimitsOf();
   return new Runs({
     quarantine,
     authorizer: authorizerOf(),
-    rateLimits,
+    rateLimits: rateLimitsOf(),
+    notices: noticesOf(),
     metrics: new RouterMetrics(),
     log,
   });
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -6,7 +6,7 @@
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, promptRequest } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { authorizerOf, quarantineOf, rateLimitsOf } from '../fakes/runs';
+import { authorizerOf, noticesOf, quarantineOf, rateLimitsOf } from '../fakes/runs';
 
 /** Runs and the log lines that they write. */
 class LoggedRuns {
@@ -28,6 +28,7 @@
       quarantine: quarantineOf(),
       authorizer: authorizerOf(),
       rateLimits: rateLimitsOf(),
+      notices: noticesOf(),
       metrics: this.metrics,
       log: pino(sink),
     });
