--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -34,6 +34,8 @@
   readonly vms?: number;
   /** Number of decode runners, and of plain runners. Default: 6. */
   readonly runners?: number;
+  /** Number of prefill runners. Default: 1. */
+  readonly prefillRunners?: number;
   /** Time from the crash of a runner to its restart under a new id, in milliseconds. Default: 600. */
   readonly restartMs?: number;
   /** Customers in the format of the configuration. Default: requests need no key. */
@@ -42,12 +44,24 @@
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
 export interface Arrival {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  /** Name of the VM that sent it. */
+  readonly vm: string | undefined;
   readonly path: string;
   readonly stage: string | undefined;
   readonly customer: string | undefined;
   readonly authorization: string | undefined;
 }
 
+/** An answer in which a runner announced that it leaves, or rejected a request with a time to come back. */
+export interface Announcement {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  /** Name of the VM that got it. */
+  readonly vm: string | undefined;
+}
+
 /** Outcome of a request for its caller. */
 export interface CallerAnswer {
   /** HTTP status; 0 if there was no response. */
@@ -62,6 +76,9 @@
 type Role = 'prefill' | 'decode' | 'plain';
 
 const LEASE_EXPIRY_MS = 400;
+/** Header by which requests tell runners which VM received them; VMs forward it as any other. */
+const VM_HEADER = 'x-received-by';
+
 const EVENT_COUNT = 3;
 const EVENT_INTERVAL_MS = 10;
 /** Time from the start of a run that crashes its runner to the crash. */
@@ -122,6 +139,18 @@
   /** Rate limit that it announces in a response header. Default: none. */
   rateLimit: string | undefined;
 
+  /** Whether it announces in all of its answers that it leaves. */
+  isLeaving = false;
+
+  /** `Retry-After` of the 503 with which it rejects every request. Default: it rejects none. */
+  rejection: string | undefined;
+
+  /** Answers to requests that announced that it leaves. */
+  readonly leavingAnswers: Announcement[] = [];
+
+  /** Rejections. */
+  readonly rejections: Announcement[] = [];
+
   readonly #role: Role;
 
   readonly #onCrash: (runner: RunnerServer) => void;
@@ -161,6 +190,7 @@
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse, { pathname }: URL): Promise<void> {
+    if (this.isLeaving) res.setHeader('server-leaving', '1');
     if (pathname === '/v1/report') {
       sendJson(res, 200, { 'kv-used': 0, runs: [] });
       return;
@@ -170,9 +200,13 @@
       sendJson(res, 200, {});
       return;
     }
-    this.arrivedAt.push(performance.now());
+    const at = performance.now();
+    this.arrivedAt.push(at);
     const { 'tenant-id': customer, 'serving-stage': stage, authorization } = req.headers;
+    const vm = req.headers[VM_HEADER]?.toString();
     this.arrivals.push({
+      at,
+      vm,
       path: pathname,
       stage: stage?.toString(),
       customer: customer?.toString(),
@@ -183,6 +217,13 @@
       'server-signature': `by ${this.id}`,
       ...(this.rateLimit === undefined ? {} : { 'server-limit': this.rateLimit }),
     };
+    if (this.isLeaving) this.leavingAnswers.push({ at, vm });
+    if (this.rejection !== undefined) {
+      this.rejections.push({ at, vm });
+      res.writeHead(503, { 'not-executed': '1', 'retry-after': this.rejection });
+      res.end();
+      return;
+    }
     if (req.headers['serving-stage'] === 'prefill') {
       res.writeHead(200, { ...headers, 'content-type': 'application/json' });
       res.end(JSON.stringify({ 'kv-handle': randomUUID(), tokens: 100, version: 1 }));
@@ -250,8 +291,14 @@
 
   #stopping = false;
 
-  constructor({ vms = 3, runners = 6, restartMs = 600, customers }: RouterClusterOptions = {}) {
-    this.#options = { vms, runners, restartMs };
+  constructor({
+    vms = 3,
+    runners = 6,
+    prefillRunners = 1,
+    restartMs = 600,
+    customers,
+  }: RouterClusterOptions = {}) {
+    this.#options = { vms, runners, prefillRunners, restartMs };
     this.#customers = customers;
   }
 
@@ -262,10 +309,10 @@
 
   /** Starts all processes and waits until every VM serves both services. */
   async start(): Promise<void> {
-    const { vms, runners } = this.#options;
+    const { vms, runners, prefillRunners } = this.#options;
     await this.store.start();
     this.store.put('op/config', configOf(this.#version, this.#customers));
-    await this.#addRunner('prefill');
+    for (let i = 0; i < prefillRunners; i += 1) await this.#addRunner('prefill');
     for (let i = 0; i < runners; i += 1) {
       await this.#addRunner('decode');
       await this.#addRunner('plain');
@@ -328,6 +375,7 @@
       'request-id': randomUUID(),
       'request-deadline-ms': '5000',
       connection: 'close',
+      [VM_HEADER]: vm?.name ?? '',
       ...(path.startsWith('/model/')
         ? { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` }
         : {}),
