Take a runner out of use when its answer announces that it leaves

What callers saw: requests reached runners that were about to exit, more than two seconds after VMs had passed on answers of theirs that said so (DRAIN). Work there is lost with the runner.

Cause: a VM learned that a runner leaves from the store and from peers only; the answers, which every VM gets first, were not read. In the record the store took the runner's entry 12.6 s after its answers had announced it. The class: what a runner says of itself in an answer was no fact of the routing state.

Change: the announcement becomes part of the runner's record at its position, so it goes to the other VMs, into the digest and to new VMs the way records do, wins over older and newer records of the same instance that say otherwise, and ends with the instance. Reports and the question before an order count as answers. Every send checks the record again, since a choice can be older than the answer: a request between prefill and decode moves to another decode runner with its KV cache, one that has not begun asks for another reservation, and neither is charged as a retry or held against the runner, since nothing was sent. The planner, which learns by gossip, assigns no prefilled request to a decode runner that is gone.

Why it works: every chooser goes by the record (runnersOf), and Runs.begin is the only place where a run starts.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -195,6 +195,12 @@
     'All runners of the service report rate limits and accept no more requests for now.',
     'Come back after the time in Retry-After.',
   ),
+  runnerUnavailable: refusal(
+    316,
+    503,
+    'The chosen runner takes no requests any more, so nothing was sent.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -155,8 +155,10 @@
     this.#capacity.invalidate();
     match(event)
       .with({ kind: 'asked' }, ({ demand }) => this.#handleDemand(now, demand))
-      .with({ kind: 'prefilled' }, ({ id, ms, unreachable, shedBy }) => {
-        this.#unassign(now, id, unreachable);
+      .with({ kind: 'prefilled' }, ({ id, ms, unreachable, unavailable, shedBy }) => {
+        const unreached = this.#account.decode.get(unreachable ?? '');
+        if (unreached) this.#recordFailure(now, unreached);
+        this.#unassign(now, id, unreachable ?? unavailable);
         this.#handleRejection(now, id, shedBy);
         this.#recordPrefill(now, id, ms);
       })
@@ -196,20 +198,17 @@
   }
 
   /**
-   * Cancels the assignment to a decode runner that could not be reached, so that another one is
-   * assigned.
+   * Cancels the assignment to a decode runner that the request did not reach, or that is gone, so
+   * that another one is assigned.
    */
-  #unassign(now: number, id: string, unreachable: string | undefined): void {
+  #unassign(now: number, id: string, unreached: string | undefined): void {
     const reservation = this.#reservations.get(id);
-    const state = this.#account.decode.get(unreachable ?? '');
-    if (state) this.#recordFailure(now, state);
-    if (!reservation?.isAssigned || reservation.grant.decode !== unreachable) return;
-    this.#account.release(now, unreachable, id);
+    if (!reservation?.isAssigned) return;
+    const { demand, grant } = reservation;
+    if (grant.decode !== unreached && this.#account.decode.has(grant.decode)) return;
+    this.#account.release(now, grant.decode, id);
     reservation.isAssigned = false;
-    reservation.demand = {
-      ...reservation.demand,
-      avoid: [...reservation.demand.avoid, unreachable],
-    };
+    reservation.demand = { ...demand, avoid: [...demand.avoid, grant.decode] };
   }
 
   /**
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -85,6 +85,11 @@
        * runner.
        */
       readonly unreachable: string | undefined;
+      /**
+       * The decode runner that got nothing, since it takes no requests any more; the prefilled KV
+       * cache is still at the prefill runner. Default: none.
+       */
+      readonly unavailable?: string | undefined;
       /** The decode runner that rejected the request. */
       readonly shedBy: string | undefined;
     }
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -5,7 +5,8 @@
  * position wins, so an older copy from a peer or of the store itself never undoes a newer
  * record. Of two instances under one listing the one started later wins whatever their
  * positions: a write of the earlier instance may be carried out seconds after it ended.
- * An instance that announced that it leaves never becomes available again.
+ * An instance that announced that it leaves, in its entry or in an answer, never becomes
+ * available again.
  */
 
 import { RecordDigest, partOf } from './digest';
@@ -154,6 +155,24 @@
     return true;
   }
 
+  /**
+   * Applies the announcement of an instance in an answer that it leaves. Its entry says so later,
+   * or never if the store is down.
+   * @returns the changed record; undefined if the instance is not the latest known one or is
+   * already known to leave
+   */
+  applyLeaving(now: number, { id, listing }: Runner): RunnerRecord | undefined {
+    const known = this.#entries.get(listing);
+    const current = known?.record.runner ?? known?.last;
+    if (!known || current?.id !== id || current.leaving) return undefined;
+    known.last = { ...current, leaving: true };
+    if (known.record.runner) known.record = { ...known.record, runner: known.last };
+    else known.goneAt = Math.min(known.goneAt, now);
+    this.#changes += 1;
+    this.#digest.set(listing, contentOf(known.record.runner));
+    return known.record.runner ? known.record : { ...known.record, graceMs: 0 };
+  }
+
   /** Start time of the latest known instance of a listing, in Unix milliseconds; 0 if none is known. */
   latestInstanceStart(listing: string): number {
     return this.#entries.get(listing)?.bornAt ?? 0;
@@ -168,15 +187,22 @@
   /** Runners that may receive work now. */
   usable(now: number): readonly Runner[] {
     const found: Runner[] = [];
-    for (const [id, { record, last, goneAt, bornAt }] of this.#entries) {
-      const runner = record.runner ?? (now < goneAt ? last : undefined);
-      if (runner && !runner.leaving && runner.bornAt >= bornAt) found.push(runner);
+    for (const [id, entry] of this.#entries) {
+      const { record, goneAt } = entry;
+      const runner = usableIn(now, entry);
+      if (runner) found.push(runner);
       // An entry that cannot be decoded is kept while it is listed; if it were forgotten, it would be reported again.
       if (now > goneAt + RETENTION_MS && record.unreadable === undefined) this.#entries.delete(id);
     }
     return found;
   }
 
+  /** Whether an instance may receive work now. */
+  isUsable(now: number, { id, listing }: Runner): boolean {
+    const entry = this.#entries.get(listing);
+    return entry !== undefined && usableIn(now, entry)?.id === id;
+  }
+
   /** Listings that have a runner here but are missing from the store's full list. */
   missing(listed: ReadonlySet<string>): readonly string[] {
     return [...this.#entries.values()]
@@ -185,6 +211,12 @@
   }
 }
 
+/** The runner of an entry that may receive work now; undefined if there is none. */
+function usableIn(now: number, { record, last, goneAt, bornAt }: Entry): Runner | undefined {
+  const runner = record.runner ?? (now < goneAt ? last : undefined);
+  return runner && !runner.leaving && runner.bornAt >= bornAt ? runner : undefined;
+}
+
 /**
  * The later of two records; undefined if that is the known one. The announcement that an
  * instance leaves is kept in either: an older copy of the store shows the instance as it
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -73,7 +73,7 @@
       log: logOf(log, 'ratelimits'),
       onChanges: (changes) => this.#onRateChanges(performance.now(), changes),
     });
-    this.notices = new NoticeController({ metrics, log: logOf(log, 'runner') });
+    this.notices = new NoticeController({ routingState, metrics, log: logOf(log, 'runner') });
     const { quarantine, rateLimits } = this;
     this.permits = new PermitController({
       vm,
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -152,6 +152,7 @@
       this.#retries.get(service).trySpend(now, this.#fleet.alive.length);
     const { quarantine, rateLimits, notices, permits, quotas, places } = this.#controllers;
     this.#runs = new Runs({
+      routingState: this.#state,
       quarantine,
       authorizer: this.#gate,
       rateLimits,
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -41,6 +41,7 @@
   id,
   ms,
   unreachable: id.optional(),
+  unavailable: id.optional(),
   shedBy: id.optional(),
 });
 /** Reports all reservations that the sender holds for a service. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -39,13 +39,19 @@
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
 const MAX_PREFILLS = 3;
 
+/** Decode runners to which a prefilled request is moved after others that it did not reach. */
+const MAX_MOVES = 2;
+
 /** A prefilled prompt whose KV cache is kept at a prefill runner, and how long the prefill took. */
 interface KeptCache extends CacheHandle {
   readonly ms: number;
 }
 
-/** Outcome of one send to a decode runner; `unreachable`: nothing was sent, or the request was misdirected. */
-type Outcome = RelayOutcome | 'rejected' | 'unreachable';
+/**
+ * Outcome of one send to a decode runner; `unreachable`: nothing was sent, or the request was
+ * misdirected; `unavailable`: nothing was sent, since the runner takes no requests.
+ */
+type Outcome = RelayOutcome | 'rejected' | 'unreachable' | 'unavailable';
 
 /** Serves model requests, with retries at other runners. */
 export class ModelHandler {
@@ -89,6 +95,7 @@
       if (refused) throw refused;
       const cache =
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
+      if (cache === 'unavailable') return planAgain(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
         blame = prefill;
         return this.#mayPrefillAgain(exchange, progress, prefill);
@@ -97,13 +104,14 @@
         ? await reservations.assign(service, demand.id, cache.ms, signal)
         : grant.decode;
       let outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
-      if (outcome === 'unreachable' && cache) {
+      for (let moves = 0; cache && isUnsent(outcome) && moves < MAX_MOVES; moves += 1) {
         // No decode runner has the request, and the prefill runner still keeps the KV cache.
-        decode = await reservations.assign(service, demand.id, cache.ms, signal, {
-          ...(decode === undefined ? {} : { unreachable: decode }),
-        });
+        const failed = { [outcome]: decode };
+        decode = await reservations.assign(service, demand.id, cache.ms, signal, failed);
         outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       }
+      if (isUnsent(outcome) && cache) this.#freeCache(cache);
+      if (outcome === 'unavailable') return planAgain(exchange, progress, decode);
       if (outcome === 'unreachable') outcome = 'rejected';
       if (outcome === 'done') return false;
       blame = decode;
@@ -123,23 +131,27 @@
     return this.#context.runs.refusal(performance.now(), exchange);
   }
 
-  /** Runs the prefill at a runner. Returns undefined if it failed there and another runner may be tried. */
+  /**
+   * Runs the prefill at a runner. Returns undefined if it failed there and another runner may be
+   * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more.
+   */
   async #prefill(
     exchange: Exchange,
     progress: Progress,
     id: string,
-  ): Promise<KeptCache | undefined> {
+  ): Promise<KeptCache | 'unavailable' | undefined> {
     const { routingState, takeRetry, permits } = this.#context;
     const { service, signal } = exchange;
     const startedAt = performance.now();
     const runner = findRunner(routingState.runnersOf(startedAt, service, 'prefill'), id);
-    if (!runner) return undefined;
+    if (!runner) return 'unavailable';
     let cache = await this.#prefillOnce(exchange, progress, runner);
     const ms = performance.now() - startedAt;
     // The runner has completed the prefill and still keeps the KV cache: it answers a repeated
     // request at once, where another runner would repeat the whole prefill. With a rate-limited
     // runner the reservation covers one request only.
-    const mayAskAgain = cache === 'answerLost' && !permits.isLimited(id);
+    const isStillOpen = routingState.accepts(performance.now(), runner) && !permits.isLimited(id);
+    const mayAskAgain = cache === 'answerLost' && isStillOpen;
     if (mayAskAgain && takeRetry(performance.now(), service)) {
       cache = await this.#prefillOnce(exchange, progress, runner);
     }
@@ -209,11 +221,12 @@
     const { routingState } = this.#context;
     const { service } = exchange;
     const now = performance.now();
-    const runner = findRunner(routingState.runnersOf(now, service, 'decode'), decode);
-    if (!runner || exchange.signal.aborted) {
+    if (exchange.signal.aborted) {
       if (cache) this.#freeCache(cache);
       return 'rejected';
     }
+    const runner = findRunner(routingState.runnersOf(now, service, 'decode'), decode);
+    if (!runner) return 'unavailable';
     const refused = this.#recheck(exchange);
     if (refused) {
       if (cache) this.#freeCache(cache);
@@ -225,7 +238,8 @@
       const { reservations, takeRetry } = this.#context;
       const failed = { shedBy: runner.id };
       const assigned = await reservations.assign(service, id, cache.ms, exchange.signal, failed);
-      if (assigned === runner.id && takeRetry(performance.now(), service)) {
+      const isStillOpen = routingState.accepts(performance.now(), runner);
+      if (assigned === runner.id && isStillOpen && takeRetry(performance.now(), service)) {
         // The KV cache has probably expired; the same runner can still do the prefill locally.
         answer = await this.#send(exchange, progress, runner, undefined);
       }
@@ -308,6 +322,22 @@
   }
 }
 
+/** Whether no decode runner has the request. */
+function isUnsent(outcome: Outcome): outcome is 'unreachable' | 'unavailable' {
+  return outcome === 'unreachable' || outcome === 'unavailable';
+}
+
+/** Excludes a runner that takes no requests any more; returns whether to ask for another one. */
+function planAgain(
+  { trail, signal }: Exchange,
+  progress: Progress,
+  runner: string | undefined,
+): boolean {
+  if (runner !== undefined) progress.avoid.push(runner);
+  trail.push(`${runner} unavailable`);
+  return !signal.aborted;
+}
+
 function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
--- a/src/node/router/notices.ts
+++ b/src/node/router/notices.ts
@@ -1,4 +1,4 @@
-/** Reads what runners announce about themselves in their answers. */
+/** Applies to the routing state what runners announce about themselves in their answers. */
 
 import type { Logger } from 'pino';
 
@@ -6,14 +6,18 @@
 import type { Runner } from '../../core/routing/types';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
+import type { RoutingState } from './routingstate';
 import type { Reply } from './types';
 
 /** Dependencies of the notice controller. */
 export interface NoticeContext {
+  readonly routingState: Pick<RoutingState, 'learnLeaving'>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
 
+/** Source of what this VM read in an answer of a runner. */
+const ANSWER = 'answer';
 /** Log lines about announcements per second. */
 const NOTICE_LINES_PER_S = 10;
 /** Log lines about unreadable announcements per second. */
@@ -43,8 +47,11 @@
     const { leaving, backoffMs, unreadable } = reply.notice;
     for (const text of unreadable) this.#reportUnreadable(now, runner, text);
     if (!isOwnAnswer(runner, reply)) return;
-    const { metrics, log } = this.#context;
-    if (leaving) metrics.count('runners.leaving');
+    const { routingState, metrics, log } = this.#context;
+    if (leaving) {
+      metrics.count('runners.leaving');
+      routingState.learnLeaving(now, runner, ANSWER);
+    }
     if (backoffMs !== undefined) metrics.count('runners.backoffs');
     if ((!leaving && backoffMs === undefined) || !this.#lines.tryAcquire(now)) return;
     const { id, service, role } = runner;
--- a/src/node/router/orders.ts
+++ b/src/node/router/orders.ts
@@ -128,6 +128,7 @@
       return;
     }
     const outcome = await runners.order(runner, change.role, vm, right.fence);
+    if (outcome === 'leaving') routingState.learnLeaving(performance.now(), runner, 'order');
     planners.onOrderOutcome(performance.now(), change.service, change.runner, outcome);
     log.info({ ...change, fence: right.fence, outcome }, 'Ordered a stage change.');
   }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -59,7 +59,7 @@
       const refused = await this.#refusalOf(now, exchange);
       lastFailure = refused ?? lastFailure;
       if (refused) break;
-      const runner = await this.#balancer.choose(now, exchange, tried);
+      const runner = await this.#choose(exchange, tried);
       if (runner instanceof Failure) lastFailure = runner;
       if (!runner || runner instanceof Failure || exchange.signal.aborted) break;
       if (sentCount > 0 && !this.#context.takeRetry(now, service)) break;
@@ -83,7 +83,7 @@
       } catch (error) {
         lastFailure = toFailure(error);
         exchange.trail.push(`${runner.id} ${lastFailure.codeName}`);
-        if (lastFailure.codeName !== 'runnerUnreachable') sentCount += 1;
+        if (!isUnsent(lastFailure)) sentCount += 1;
         mayHaveRun ||= !lastFailure.code.notRun;
         if (!lastFailure.code.notRun && route.kind !== 'repeatable') break;
       }
@@ -93,6 +93,19 @@
     else exchange.fail(performance.now(), callerFailure(exchange, mayHaveRun, lastFailure));
   }
 
+  /** Chooses a runner; one that takes no requests any more when it is chosen, after a wait, does not count. */
+  async #choose(
+    exchange: Exchange,
+    tried: readonly string[],
+  ): Promise<Runner | Failure | undefined> {
+    const { routingState } = this.#context;
+    for (;;) {
+      const runner = await this.#balancer.choose(performance.now(), exchange, tried);
+      const isFinal = !runner || runner instanceof Failure || exchange.signal.aborted;
+      if (isFinal || routingState.accepts(performance.now(), runner)) return runner;
+    }
+  }
+
   /** The reason why the request must not be sent to any runner; undefined if it may be. */
   async #refusalOf(now: number, exchange: Exchange): Promise<Failure | undefined> {
     const { runs, quotas } = this.#context;
@@ -103,10 +116,10 @@
     const { health, runners, runs } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
+    const run = runs.begin(now, exchange, runner);
     records.recordDispatch(now, runner.id);
     this.#balancer.requestStarted(runner);
     try {
-      const run = runs.begin(now, exchange, runner);
       const answer = await callRunner(exchange, runner, runners, run);
       records.recordSuccess(runner.id);
       run.completed(performance.now());
@@ -121,6 +134,11 @@
   }
 }
 
+/** Whether nothing was sent to the runner. */
+function isUnsent({ codeName }: Failure): boolean {
+  return codeName === 'runnerUnreachable' || codeName === 'runnerUnavailable';
+}
+
 function forwardAnswer(exchange: Exchange, { reply, body }: Answer): void {
   exchange.writeHead(reply.status, withLength(reply.headers, body.length));
   exchange.end(body);
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -130,7 +130,7 @@
     report: PrefillReport,
     callback: DecisionCallback,
   ): Decision {
-    const { service, id, ms, unreachable, shedBy } = report;
+    const { service, id, ms, unreachable, unavailable, shedBy } = report;
     const plan = this.#planOf(now, service);
     this.#recordContact(now, service, plan, vm);
     plan.callbacks.set(id, callback);
@@ -139,6 +139,7 @@
       id,
       ms,
       unreachable,
+      unavailable,
       shedBy,
     });
     return decisions.get(id) ?? { state: 'waiting', id };
@@ -367,8 +368,12 @@
       this.#runners
         .report(runner)
         .then((report) => {
+          const repliedAt = performance.now();
           this.#routingState.learnStart(runner.listing, report.bornAt);
-          this.#handle(performance.now(), service, plan, { kind: 'reported', report });
+          if (report.leaving) {
+            this.#routingState.learnLeaving(repliedAt, { ...runner, id: report.runner }, 'report');
+          }
+          this.#handle(repliedAt, service, plan, { kind: 'reported', report });
         })
         .catch((error) => {
           this.#log.debug({ runner: runner.id }, toFailure(error).line);
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -8,6 +8,8 @@
 /** Sizes assumed for a request that states none, in tokens. */
 const DEFAULT_PROMPT_TOKENS = 1000;
 const DEFAULT_OUTPUT_TOKENS = 500;
+/** Number of runners to avoid that a demand names, the latest ones. */
+const MAX_AVOIDED = 64;
 /** Retry delay for callers whose request the runners rejected. */
 const RETRY_MS = 400;
 
@@ -57,7 +59,7 @@
     gapMs: route.gapMs,
     lostAt: Math.min(waitingSince + route.patienceMs, exchange.deadlineAt),
     resuming,
-    avoid: [...progress.avoid],
+    avoid: progress.avoid.slice(-MAX_AVOIDED),
   };
 }
 
--- a/src/node/router/reservations.ts
+++ b/src/node/router/reservations.ts
@@ -24,6 +24,13 @@
   startedAt: number | undefined;
 }
 
+/** Why the assigned decode runner does not run a request, each with its id. */
+export interface FailedAssignment {
+  readonly unreachable?: string | undefined;
+  readonly unavailable?: string | undefined;
+  readonly shedBy?: string | undefined;
+}
+
 /** Time that an owner has to answer a call: many round trips, but little compared with a request's latency target. */
 const CALL_TIMEOUT_MS = 250;
 /** A waiting request asks again after this time, so that a paused owner is detected while the request can still be served. */
@@ -146,14 +153,15 @@
    * decode runner to use; undefined if none had free memory while the KV cache is kept. If the
    * owner does not answer, the decode runner that was planned at the grant is returned.
    * @param ms duration of the prefill, in milliseconds
-   * @param failed the decode runner that could not be reached, or that rejected the request
+   * @param failed the decode runner that could not be reached, takes no requests any more, or
+   * rejected the request
    */
   async assign(
     service: string,
     id: string,
     ms: number,
     signal: AbortSignal,
-    failed: { readonly unreachable?: string; readonly shedBy?: string } = {},
+    failed: FailedAssignment = {},
   ): Promise<string | undefined> {
     const report = { service, id, ms, ...failed };
     const held = this.#holdings.get(id);
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -265,6 +265,16 @@
     if (changed.length > 0) this.#listener.onChange({ kind: 'runners', facts: changed });
   }
 
+  /** Applies the announcement of a runner in an answer that it leaves, and announces it to other VMs. */
+  learnLeaving(now: number, runner: Runner, source: string): void {
+    const record = this.#directory.applyLeaving(now, runner);
+    if (!record) return;
+    const { id, position } = record;
+    const gone = record.runner === undefined;
+    this.#log.info({ runner: id, ...position, gone, leaving: true, source }, 'Runner changed.');
+    this.#listener.onChange({ kind: 'runners', facts: [record] });
+  }
+
   /**
    * Applies the start time that a runner reports about itself; a listed instance that started
    * earlier is gone.
@@ -334,6 +344,11 @@
     return this.#directory.usable(now);
   }
 
+  /** Whether a request may be sent to a runner now. */
+  accepts(now: number, runner: Runner): boolean {
+    return this.#directory.isUsable(now, runner);
+  }
+
   /** Runners of a service, and of a role if one is given, that may get requests now. */
   runnersOf(now: number, service: string, role?: RunnerRole): readonly Runner[] {
     return this.runners(now).filter(
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -1,11 +1,11 @@
 /**
- * Tracks the runs of requests at runners: refuses requests that crash their runners, and logs each
- * run that was interrupted.
+ * Tracks the runs of requests at runners: refuses requests that crash their runners and runners that
+ * take no requests, and logs each run that was interrupted.
  */
 
 import type { Logger } from 'pino';
 
-import type { Failure } from '../../core/failure';
+import { Failure } from '../../core/failure';
 import { isAttributable } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Framing, StreamFault } from '../../core/stream/answer';
@@ -16,6 +16,7 @@
 import type { QuarantineController } from './quarantine';
 import type { NoticeController } from './notices';
 import type { RateLimitController } from './ratelimits';
+import type { RoutingState } from './routingstate';
 import type { Reply } from './types';
 
 /** The part of a stream that one run sent. */
@@ -33,6 +34,7 @@
 
 /** Dependencies of runs. */
 export interface RunsContext {
+  readonly routingState: Pick<RoutingState, 'accepts'>;
   readonly quarantine: QuarantineController;
   readonly authorizer: Authorizer;
   readonly rateLimits: RateLimitController;
@@ -133,10 +135,16 @@
     return authorizer.refusal(bootNow(), exchange) ?? quarantine.refusal(now, exchange.fingerprint);
   }
 
-  /** Starts a run. Every send goes through here, so that no refused request is sent. Throws the refusal. */
+  /**
+   * Starts a run. Every send goes through here, so that no refused request is sent, and none to a
+   * runner that has announced meanwhile that it leaves. Throws the refusal, or `runnerUnavailable`.
+   */
   begin(now: number, exchange: Exchange, runner: Runner): Run {
     const refused = this.refusal(now, exchange);
     if (refused) throw refused;
+    if (!this.#context.routingState.accepts(now, runner)) {
+      throw new Failure('runnerUnavailable', `${runner.id} takes no requests`);
+    }
     return new Run(now, this.#context, exchange, runner);
   }
 }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -123,6 +123,8 @@
 export interface RunnerReport extends MemoryReport {
   /** When the runner's instance started, in Unix milliseconds; 0 if it does not report that. */
   readonly bornAt: number;
+  /** Whether it announces that it leaves. */
+  readonly leaving: boolean;
 }
 
 /** Client of the runners. Its promises reject with a `Failure`: `runnerUnreachable` if nothing was sent. */
@@ -148,8 +150,11 @@
   ): Promise<OrderOutcome>;
 }
 
-/** Outcome of a role order; an `unknown` one may still be carried out seconds later. */
-export type OrderOutcome = 'accepted' | 'rejected' | 'unknown';
+/**
+ * Outcome of a role order; an `unknown` one may still be carried out seconds later. None is sent to
+ * a `leaving` runner.
+ */
+export type OrderOutcome = 'accepted' | 'rejected' | 'unknown' | 'leaving';
 
 /** The lease under which one VM at a time gives role orders. */
 export interface OrderLease {
--- a/src/platform/notice.ts
+++ b/src/platform/notice.ts
@@ -1,6 +1,6 @@
 /** Reads from a response whether its runner leaves, and for how long it wants no requests. */
 
-import type { IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 
 import type { RunnerNotice } from '../core/routing/notice';
 import { header } from './names';
@@ -16,28 +16,38 @@
 
 /** Decodes the notice in a response. */
 export function noticeOf(message: IncomingMessage): RunnerNotice {
-  const leaving = valuesOf(message, header.leaving).flatMap((value) => value.split(','));
+  const leaving = flagsOf(message.headers);
   const isRejection = REJECTIONS.has(message.statusCode ?? 0);
-  const delays = isRejection ? valuesOf(message, header.retryAfter) : [];
+  // Of several values, `headers` has only the first.
+  const delays = isRejection ? (message.headersDistinct[header.retryAfter] ?? []) : [];
   const delaysMs = delays.map((value) => delayMsOf(value, message.headers.date));
   const readableMs = delaysMs.filter((delayMs) => delayMs !== undefined);
   return {
-    leaving: leaving.some((value) => value.trim() === LEAVING),
+    leaving: isLeaving(message.headers),
     backoffMs: readableMs.length === 0 ? undefined : Math.max(...readableMs),
     unreadable: [
-      ...leaving.filter((value) => !isFlag(value.trim())).map(textOf(header.leaving)),
+      ...leaving
+        .filter((value) => value !== LEAVING && value !== NOT_LEAVING)
+        .map(textOf(header.leaving)),
       ...delays.filter((_, index) => delaysMs[index] === undefined).map(textOf(header.retryAfter)),
     ],
   };
 }
 
-/** All values of a header; Node's `headers` has only the first `retry-after`. */
-function valuesOf({ headersDistinct }: IncomingMessage, name: string): readonly string[] {
-  return headersDistinct[name] ?? [];
+/** Whether the headers of a response announce that the runner leaves. */
+export function isLeaving(headers: IncomingHttpHeaders): boolean {
+  return flagsOf(headers).includes(LEAVING);
 }
 
-function isFlag(value: string): boolean {
-  return value === LEAVING || value === NOT_LEAVING;
+/** The values of the flag; Node joins a header that occurs twice with a comma. */
+function flagsOf({ [header.leaving]: value }: IncomingHttpHeaders): readonly string[] {
+  return value === undefined
+    ? []
+    : [value]
+        .flat()
+        .join(',')
+        .split(',')
+        .map((one) => one.trim());
 }
 
 function textOf(name: string): (value: string) => string {
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -22,7 +22,7 @@
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { header, path } from './names';
-import { noticeOf } from './notice';
+import { isLeaving, noticeOf } from './notice';
 import { rateNoticeOf } from './ratelimit';
 
 /** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
@@ -107,7 +107,11 @@
   async report({ id, listing, address }: Runner): Promise<RunnerReport> {
     const url = `http://${address}${path.report}`;
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const { status, body } = await call({
+    const {
+      status,
+      headers: answered,
+      body,
+    } = await call({
       method: 'GET',
       url,
       headers,
@@ -119,6 +123,7 @@
     return {
       runner: born === 0 ? id : instanceId(listing, born),
       bornAt: born,
+      leaving: isLeaving(answered),
       usedTokens,
       runs: runs.map(([request, tokens]) => ({ request, tokens })),
     };
@@ -140,6 +145,7 @@
     const { sequence, busy, born } = orderStateSchema.parse(JSON.parse(report.body));
     // Another instance of the runner may have another stage and has no orders from this holder.
     if (busy || (born !== 0 && born !== bornAt)) return 'rejected';
+    if (isLeaving(report.headers)) return 'leaving';
     try {
       const { status } = await call({
         method: 'POST',
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -63,12 +63,17 @@
 
 /** Returns the announcements of runners that a VM gets; its log lines are discarded. */
 export function noticesOf(): NoticeController {
-  return new NoticeController({ metrics: new RouterMetrics(), log });
+  const routingState = emptyKnowledge();
+  return new NoticeController({ routingState, metrics: new RouterMetrics(), log });
 }
 
+/** A routing state in which every runner takes requests. */
+export const openRunners: Pick<RoutingState, 'accepts'> = { accepts: () => true };
+
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(quarantine = quarantineOf()): Runs {
   return new Runs({
+    routingState: openRunners,
     quarantine,
     authorizer: authorizerOf(),
     rateLimits: rateLimitsOf(),
--- a/test/platform/notice.test.ts
+++ b/test/platform/notice.test.ts
@@ -4,12 +4,15 @@
 
 const DATE = 'Wed, 02 Dec 2026 10:00:00 GMT';
 
+/** A response as Node decodes it. */
 function messageOf(
   statusCode: number,
   headersDistinct: Readonly<Record<string, readonly string[]>>,
   date?: string,
 ): IncomingMessage {
-  return { statusCode, headers: { date }, headersDistinct } as unknown as IncomingMessage;
+  const [leaving, retryAfter] = [headersDistinct['server-leaving'], headersDistinct['retry-after']];
+  const headers = { date, 'server-leaving': leaving?.join(', '), 'retry-after': retryAfter?.[0] };
+  return { statusCode, headers, headersDistinct } as unknown as IncomingMessage;
 }
 
 const nothing = { leaving: false, backoffMs: undefined, unreadable: [] };
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -6,6 +6,8 @@
 
 interface Stand {
   readonly report: unknown;
+  /** Whether its answers announce that it leaves. Default: false */
+  readonly isLeaving?: boolean;
   /** Start time in the runner's entry, in Unix milliseconds. Default: none. */
   readonly bornAt?: number;
   /** How the runner responds to an order. */
@@ -17,9 +19,11 @@
   report,
   onOrder,
   bornAt = 0,
+  isLeaving = false,
 }: Stand): Promise<{ outcome: string; got: unknown[] }> {
   const got: unknown[] = [];
   const { server, port } = await listen(async (req: IncomingMessage, res, url) => {
+    if (isLeaving) res.setHeader('server-leaving', '1');
     if (url.pathname === '/v1/report') {
       sendJson(res, 200, report);
       return;
@@ -70,6 +74,15 @@
     expect([outcome, got]).toEqual(['rejected', []]);
   });
 
+  test('is not sent to a runner whose report announces that it leaves', async () => {
+    const { outcome, got } = await orderTo({
+      report: { sequence: 2, busy: false },
+      isLeaving: true,
+      onOrder: (res) => sendJson(res, 202, {}),
+    });
+    expect([outcome, got]).toEqual(['leaving', []]);
+  });
+
   /* The runner restarted with the same id: it may have another stage, and has accepted no order of this holder. */
   test('is not sent to another instance of the runner', async () => {
     const { outcome, got } = await orderTo({
--- /dev/null
+++ b/test/router/leaving.test.ts
@@ -0,0 +1,256 @@
+import pino from 'pino';
+
+import type { RunnerRecord } from '../../src/core/routing/directory';
+import type { RunnerNotice } from '../../src/core/routing/notice';
+import { NO_NOTICE } from '../../src/core/routing/notice';
+import { StoreHistory } from '../../src/core/routing/position';
+import type { Runner } from '../../src/core/routing/types';
+import { instanceId } from '../../src/core/routing/types';
+import { RouterMetrics } from '../../src/node/router/metrics';
+import type { ModelContext } from '../../src/node/router/model';
+import { ModelHandler } from '../../src/node/router/model';
+import { NoticeController } from '../../src/node/router/notices';
+import { RoutingState } from '../../src/node/router/routingstate';
+import type { StateChange } from '../../src/node/router/routingstate';
+import { Runs } from '../../src/node/router/runs';
+import type { DecodeDispatch, Dispatch, Reply } from '../../src/node/router/types';
+import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
+import { positionAt } from '../fakes/position';
+import { runnerOf } from '../fakes/runner';
+import {
+  authorizerOf,
+  quarantineOf,
+  rateLimitsOf,
+  unlimitedPermits,
+  unlimitedQuotas,
+} from '../fakes/runs';
+
+const log = pino({ level: 'silent' });
+const leaving: RunnerNotice = { ...NO_NOTICE, leaving: true };
+
+/** The routing state of one VM, with the changes that it announces to others. */
+class VmState {
+  readonly announced: RunnerRecord[] = [];
+
+  readonly state: RoutingState;
+
+  readonly notices: NoticeController;
+
+  constructor(runners: readonly Runner[] = []) {
+    this.state = new RoutingState(new StoreHistory(), log, {
+      onChange: (change: StateChange) => {
+        if (change.kind === 'runners') this.announced.push(...change.facts);
+      },
+      onInvalidEntry: () => {},
+    });
+    this.notices = new NoticeController({
+      routingState: this.state,
+      metrics: new RouterMetrics(),
+      log,
+    });
+    runners.forEach((runner, index) => this.list(runner, index + 1));
+    this.announced.length = 0;
+  }
+
+  /** Applies an entry of the store. */
+  list(runner: Runner, revision: number, now = 0): void {
+    const record = { id: runner.listing, position: positionAt(revision), runner };
+    this.state.learnRunners(now, [record], 'store');
+  }
+
+  /** Applies the announcement in an answer of a runner. */
+  answered(runner: Runner, change: Partial<Reply> = {}): void {
+    this.notices.replied(0, runner, { ...replyOf(200, ''), notice: leaving, ...change });
+  }
+
+  idsAt(now: number): readonly string[] {
+    return this.state.runnersOf(now, 's').map(({ id }) => id);
+  }
+}
+
+const a = runnerOf('a', 'plain');
+const b = runnerOf('b', 'plain');
+
+describe('a runner that announces in an answer that it leaves', () => {
+  test('gets no work from then on, and the other VMs hear of it', () => {
+    const vm = new VmState([a, b]);
+    vm.answered(a);
+    vm.answered(a);
+    expect(vm.idsAt(0)).toEqual(['b']);
+    expect(vm.announced).toEqual([
+      { id: 'a', position: positionAt(1), runner: { ...a, leaving: true } },
+    ]);
+    const other = new VmState([a, b]);
+    other.state.learnRunners(0, vm.announced, 'peer');
+    expect(other.idsAt(0)).toEqual(['b']);
+    expect(other.state.digest).toEqual(vm.state.digest);
+  });
+
+  /* The store does not know yet: it is down, and later lists the runner with another heartbeat or address. */
+  test('is not used again for an entry, a peer or a copy of the store that says otherwise', () => {
+    const vm = new VmState([a]);
+    vm.answered(a);
+    vm.list(a, 1);
+    vm.list({ ...a, slots: 8 }, 7);
+    vm.state.learnRunners(0, [{ id: 'a', position: positionAt(0), runner: a }], 'peer');
+    vm.state.learnEras(0, [{ era: 1, revision: 0 }], 'store');
+    vm.state.learnRunners(0, [{ id: 'a', position: positionAt(1, 1), runner: a }], 'store');
+    expect(vm.idsAt(0)).toEqual([]);
+  });
+
+  /* Its lease expired while the store was down, so that it stays in use for some seconds. */
+  test('is not used for the rest of its grace period after its entry has vanished', () => {
+    const vm = new VmState([a, b]);
+    vm.state.storeFailed(1000);
+    vm.state.learnList(1500, new Set(['b']), positionAt(8));
+    expect(vm.idsAt(1600)).toEqual(['a', 'b']);
+    vm.answered(a);
+    expect(vm.idsAt(1600)).toEqual(['b']);
+    vm.list(a, 9, 1700);
+    expect(vm.idsAt(1800)).toEqual(['b']);
+  });
+
+  /* A runner starts again under its listing while an answer of the earlier instance is under way. */
+  test('says nothing of another instance under the same listing', () => {
+    const started = (bornAt: number): Runner =>
+      runnerOf('a', 'plain', { id: instanceId('a', bornAt), bornAt });
+    const vm = new VmState([started(1000)]);
+    vm.list(started(2000), 2);
+    vm.answered(started(1000));
+    expect(vm.idsAt(0)).toEqual(['a@2000']);
+    vm.answered(started(2000));
+    expect(vm.idsAt(0)).toEqual([]);
+    vm.list(started(3000), 3);
+    expect(vm.idsAt(0)).toEqual(['a@3000']);
+  });
+
+  test.each<[string, Partial<Reply>]>([
+    ['is that of another instance', { misdirected: true, notRun: true, genuine: false }],
+    ['lacks the signature', { genuine: false }],
+  ])('is not believed if the answer %s', (_case, change) => {
+    const vm = new VmState([a]);
+    vm.answered(a, change);
+    expect(vm.idsAt(0)).toEqual(['a']);
+  });
+
+  test('is believed if the answer is a rejection, which has no signature, or that to a prefill', () => {
+    const prefill = runnerOf('p', 'prefill');
+    const vm = new VmState([a, prefill]);
+    vm.answered(a, { status: 503, notRun: true, genuine: false });
+    vm.answered(prefill, { genuine: false });
+    expect(vm.idsAt(0)).toEqual([]);
+  });
+});
+
+/** Serves one model request while some answers announce that their runners leave; returns what was sent. */
+async function serve(
+  runners: readonly Runner[],
+  leavesWith: (dispatch: Dispatch | DecodeDispatch) => readonly Runner[],
+  grants: readonly { readonly prefill?: string; readonly decode: string }[],
+  moveTo: string,
+): Promise<{ readonly sent: readonly string[]; readonly out: readonly string[] }> {
+  const { state, notices } = new VmState(runners);
+  const sent: string[] = [];
+  const out: string[] = [];
+  const reply = replyOf(200, 'id: 1\n\n');
+  const send = (kind: string, dispatch: Dispatch): void => {
+    sent.push(`${kind} ${dispatch.runner.id}`);
+    const now = performance.now();
+    for (const one of leavesWith(dispatch)) {
+      notices.replied(now, one, { ...reply, notice: leaving });
+    }
+  };
+  let reserved = 0;
+  const context = {
+    routingState: state,
+    runners: {
+      prefill: async (dispatch: Dispatch) => {
+        send('prefill', dispatch);
+        return { address: 'p:80', handle: 'h' };
+      },
+      decode: async (dispatch: DecodeDispatch) => {
+        send(`decode ${dispatch.cache?.handle}`, dispatch);
+        return reply;
+      },
+      freeCache: async () => {
+        sent.push('free');
+      },
+    },
+    reservations: {
+      reserve: async () => {
+        const grant = grants[reserved];
+        reserved += 1;
+        return grant;
+      },
+      assign: async (
+        _service: string,
+        _id: string,
+        _ms: number,
+        _signal: AbortSignal,
+        { unavailable }: { readonly unavailable?: string } = {},
+      ) => (unavailable === undefined ? grants[reserved - 1]?.decode : moveTo),
+      reportProgress: () => {},
+    },
+    runs: new Runs({
+      routingState: state,
+      quarantine: quarantineOf(),
+      authorizer: authorizerOf(),
+      rateLimits: rateLimitsOf(),
+      notices,
+      metrics: new RouterMetrics(),
+      log,
+    }),
+    quotas: unlimitedQuotas,
+    permits: unlimitedPermits,
+    takeRetry: () => false,
+  } as unknown as ModelContext;
+  const exchange = exchangeInto(out, promptRequest, { ...streamRoute, attempts: 1 });
+  await new ModelHandler(context).run(exchange, streamEngine);
+  return { sent, out };
+}
+
+describe('a model request whose runner leaves', () => {
+  const p1 = runnerOf('p1', 'prefill');
+  const p2 = runnerOf('p2', 'prefill');
+  const d1 = runnerOf('d1', 'decode');
+  const d2 = runnerOf('d2', 'decode');
+
+  /* The decode runner announces it to another request between prefill and decode. No retry is charged, since nothing was sent. */
+  test('keeps its KV cache and decodes at another runner', async () => {
+    const { sent, out } = await serve(
+      [p1, d1, d2],
+      ({ runner }) => (runner.id === 'p1' ? [d1] : []),
+      [{ prefill: 'p1', decode: 'd1' }],
+      'd2',
+    );
+    expect(sent).toEqual(['prefill p1', 'decode h d2']);
+    expect(out).toEqual(['200', 'id: 1\n\n']);
+  });
+
+  /* The owner has not heard of it yet and assigns the runner again. */
+  test('asks for another reservation where the owner knows no other decode runner', async () => {
+    const { sent, out } = await serve(
+      [p1, d1, d2],
+      ({ runner }) => (runner.id === 'p1' ? [d1] : []),
+      [{ prefill: 'p1', decode: 'd1' }, { decode: 'd2' }],
+      'd1',
+    );
+    expect(sent).toEqual(['prefill p1', 'free', 'decode undefined d2']);
+    expect(out).toEqual(['200', 'id: 1\n\n']);
+  });
+
+  /* The announcement came while the request waited for its reservation. */
+  test('asks for another reservation where its prefill runner leaves', async () => {
+    const { sent, out } = await serve(
+      [{ ...p1, leaving: true }, p2, d1],
+      () => [],
+      [
+        { prefill: 'p1', decode: 'd1' },
+        { prefill: 'p2', decode: 'd1' },
+      ],
+      'd1',
+    );
+    expect(sent).toEqual(['prefill p2', 'decode h d1']);
+    expect(out).toEqual(['200', 'id: 1\n\n']);
+  });
+});
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -5,7 +5,13 @@
 import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { unlimitedPermits, unlimitedQuotas, quarantineOf, runsOf } from '../fakes/runs';
+import {
+  openRunners,
+  quarantineOf,
+  runsOf,
+  unlimitedPermits,
+  unlimitedQuotas,
+} from '../fakes/runs';
 
 describe('a model request', () => {
   /*
@@ -17,7 +23,7 @@
     const runners = [runner('p', 'prefill'), runner('d1', 'decode'), runner('d2', 'decode')];
     const sent: string[] = [];
     const context = {
-      routingState: { runnersOf: () => runners },
+      routingState: { ...openRunners, runnersOf: () => runners },
       runners: {
         prefill: async () => {
           sent.push('prefill');
@@ -58,7 +64,10 @@
   test('retries at the same prefill runner when its response was lost', async () => {
     const sent: string[] = [];
     const context = {
-      routingState: { runnersOf: () => [runner('p', 'prefill'), runner('d', 'decode')] },
+      routingState: {
+        ...openRunners,
+        runnersOf: () => [runner('p', 'prefill'), runner('d', 'decode')],
+      },
       runners: {
         prefill: async (dispatch: Dispatch) => {
           sent.push(`prefill ${dispatch.runner.id}`);
@@ -128,7 +137,10 @@
     for (const id of ['x', 'y']) quarantine.crashed(performance.now(), exchange.fingerprint, id);
     const sent: string[] = [];
     const context = {
-      routingState: { runnersOf: () => [runner('d1', 'decode'), runner('d2', 'decode')] },
+      routingState: {
+        ...openRunners,
+        runnersOf: () => [runner('d1', 'decode'), runner('d2', 'decode')],
+      },
       runners: {
         decode: async (dispatch: DecodeDispatch) => {
           sent.push(dispatch.runner.id);
@@ -160,7 +172,7 @@
     const exchange = exchangeInto(out, promptRequest, route);
     let asked = 0;
     const context = {
-      routingState: { runnersOf: () => [runner('d1', 'decode')] },
+      routingState: { ...openRunners, runnersOf: () => [runner('d1', 'decode')] },
       runners: {
         decode: async () => {
           throw new Failure('runnerFailed', 'reset');
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -163,6 +163,32 @@
     expect(again).toEqual([{ kind: 'bind', id: 'r', decode: other }]);
   });
 
+  /*
+   * A decode runner announces between prefill and decode that it leaves, to the VM that has the
+   * request or to all. It has not failed, so it is not ejected.
+   */
+  test('assigns another decode runner when the first takes no requests any more', () => {
+    const runners = [...pool, runner('d2', 'decode'), runner('d3', 'decode')];
+    const planner = plannerOf(runners);
+    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    const ready = {
+      kind: 'prefilled',
+      id: 'r',
+      ms: 150,
+      unreachable: undefined,
+      shedBy: undefined,
+    } as const;
+    const decodeOf = (actions: readonly PlanAction[]): string =>
+      actions[0]?.kind === 'bind' ? actions[0].decode : '';
+    const first = decodeOf(planner.handle(150, ready));
+    const second = decodeOf(planner.handle(160, { ...ready, unavailable: first }));
+    const left = runners.filter(({ id }) => id !== second);
+    planner.handle(170, { kind: 'runners', engine, runners: left });
+    const third = decodeOf(planner.handle(180, ready));
+    expect(new Set([first, second, third]).size).toBe(3);
+    expect(planner.ejected(180)).toEqual([]);
+  });
+
   /*
    * The answer for a finished prefill is lost, or the VM that waits for it is paused. The owner
    * gets no report of it for over a second. The runner is idle meanwhile and has to get other
