--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -201,6 +201,12 @@
     'The chosen runner takes no requests any more, so nothing was sent.',
     'Come back after the time in Retry-After.',
   ),
+  runnersBackingOff: refusal(
+    317,
+    503,
+    'All runners of the service have rejected requests and asked this VM for a pause.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -7,6 +7,7 @@
 import type { Engine } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
 import { eligibleOf, expectedEndOf, isPrefillingLocally } from './account';
+import type { VmAccess, VmBackoffs } from './backoffs';
 import type { Costs } from './cost';
 import {
   LOCAL_PREFILL_COST,
@@ -52,6 +53,8 @@
 
   readonly #allowance: RateAllowance;
 
+  readonly #backoffs: VmBackoffs;
+
   /** Cached free tokens at `#freeAt`; cleared with each change of the account. */
   readonly #freeCache = new Map<DecodeState, number>();
 
@@ -62,11 +65,18 @@
    */
   #warmUpUntil = 0;
 
-  constructor(policy: PlanPolicy, account: MemoryAccount, costs: Costs, allowance: RateAllowance) {
+  constructor(
+    policy: PlanPolicy,
+    account: MemoryAccount,
+    costs: Costs,
+    allowance: RateAllowance,
+    backoffs: VmBackoffs,
+  ) {
     this.#policy = policy;
     this.#account = account;
     this.#costs = costs;
     this.#allowance = allowance;
+    this.#backoffs = backoffs;
   }
 
   /**
@@ -147,24 +157,69 @@
   ): DecodeState | undefined {
     const { localFreeShare, localPauseShare } = this.#policy.prefill;
     const pauseMs = localPrefillPauseMs(this.#costs, demand.promptTokens, eventTokens);
+    const hasPrefill = [...this.#account.prefill.keys()].some((id) =>
+      this.#backoffs.isOpen(now, id, demand.vm),
+    );
     return this.#findMostFree(now, demand, (state, free) => {
       const hasSpareMemory = free - need > state.memoryTokens * localFreeShare;
       const isCandidate =
         hasSpareMemory && slots > state.allocations.size && !isPrefillingLocally(now, state);
       const isShortPause = pauseMs <= minGapMs(state) * localPauseShare;
-      return isCandidate && (isShortPause || this.#account.prefill.size === 0);
+      return isCandidate && (isShortPause || !hasPrefill);
     });
   }
 
+  /**
+   * Runners of one stage that may get work of a VM, in the order in which they are tried: those
+   * that accept requests of every VM, then those that rejected other VMs and are probably full.
+   */
+  #openTiers<T extends DecodeState | PrefillState>(
+    now: number,
+    states: ReadonlyMap<string, T>,
+    vm: string,
+  ): readonly (readonly T[])[] {
+    const { ejection } = this.#policy;
+    if (this.#backoffs.isEmpty) return [eligibleOf(now, states.values(), ejection)];
+    const open = [...states.values()].filter(({ runner }) =>
+      this.#backoffs.isOpen(now, runner.id, vm),
+    );
+    const eligible = eligibleOf(now, open, ejection);
+    const isOpenToAll = ({ runner }: T): boolean => this.#backoffs.isOpenToAll(now, runner.id);
+    return [eligible.filter(isOpenToAll), eligible.filter((state) => !isOpenToAll(state))];
+  }
+
+  /** How far the decode runners are open to the VM of a request. */
+  accessOf(now: number): (demand: Demand) => VmAccess {
+    const byVm = new Map<string, VmAccess>();
+    return ({ vm }) => {
+      const access = byVm.get(vm) ?? this.#backoffs.accessOf(now, this.#account.decode.keys(), vm);
+      byVm.set(vm, access);
+      return access;
+    };
+  }
+
   /** The eligible decode runner with the most free memory that satisfies a condition. */
   #findMostFree(
     now: number,
+    demand: Demand,
+    meets: (state: DecodeState, free: number) => boolean,
+  ): DecodeState | undefined {
+    for (const states of this.#openTiers(now, this.#account.decode, demand.vm)) {
+      const found = this.#mostFreeOf(now, states, demand, meets);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
+  #mostFreeOf(
+    now: number,
+    states: readonly DecodeState[],
     { avoid }: Demand,
     meets: (state: DecodeState, free: number) => boolean,
   ): DecodeState | undefined {
     let best: DecodeState | undefined;
     let bestFree = -Infinity;
-    for (const state of eligibleOf(now, this.#account.decode.values(), this.#policy.ejection)) {
+    for (const state of states) {
       const free = this.free(now, state);
       const isCandidate = free > bestFree && meets(state, free) && !avoid.includes(state.runner.id);
       if (isCandidate && this.#isAllowedInWarmUp(now, state) && this.#isWithinRate(now, state)) {
@@ -188,10 +243,23 @@
    * limit; undefined if there is none.
    */
   findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
+    for (const states of this.#openTiers(now, this.#account.prefill, demand.vm)) {
+      const found = this.#soonestPrefillOf(now, states, demand, domain);
+      if (found) return found;
+    }
+    return undefined;
+  }
+
+  #soonestPrefillOf(
+    now: number,
+    states: readonly PrefillState[],
+    demand: Demand,
+    domain: string,
+  ): PrefillState | undefined {
     const { backlogLimitMs, crossDomainMs } = this.#policy.prefill;
     let best: PrefillState | undefined;
     let bestMs = Infinity;
-    for (const state of eligibleOf(now, this.#account.prefill.values(), this.#policy.ejection)) {
+    for (const state of states) {
       const backlog = backlogMs(this.#costs, now, state);
       const isCandidate = backlog <= backlogLimitMs;
       // Between failure domains the KV cache is transferred at half the speed; a tie goes to the
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -11,6 +11,7 @@
 import type { Engine } from '../routing/types';
 import type { DecodeState, PrefillState } from './account';
 import { MemoryAccount, isSlowedByLocalPrefill } from './account';
+import { VmBackoffs } from './backoffs';
 import { maxPrefillsAhead, maxWaitMs } from './ahead';
 import { WorkloadStats } from './stats';
 import { afterFailure, afterSuccess } from './ejection';
@@ -56,6 +57,8 @@
 
   readonly #queue: WaitingQueue;
 
+  readonly #backoffs = new VmBackoffs();
+
   readonly #capacity: CapacityView;
 
   readonly #allowance: RateAllowance;
@@ -85,7 +88,7 @@
     this.#queue = new WaitingQueue(costs, policy.order.createOrder(), (demand) =>
       this.#stats.sizeOf(demand),
     );
-    this.#capacity = new CapacityView(policy, this.#account, costs, allowance);
+    this.#capacity = new CapacityView(policy, this.#account, costs, allowance, this.#backoffs);
     this.#reservations = new Reservations(this.#account, this.#stats, costs, () =>
       this.#capacity.invalidate(),
     );
@@ -169,11 +172,16 @@
       .with({ kind: 'slow' }, ({ id }) => this.#handleSlowStream(now, id))
       .with({ kind: 'released' }, ({ id, blame }) => this.#release(now, id, blame))
       .with({ kind: 'told' }, ({ vm, holdings }) => this.#reconcile(now, vm, holdings))
+      .with({ kind: 'backedOff' }, ({ vm, backoffs }) => {
+        for (const { runner, until } of backoffs) this.#backoffs.record(vm, runner, until);
+      })
       .with({ kind: 'vmLost' }, ({ vm }) => this.#dropVm(now, vm))
       .with({ kind: 'reported' }, ({ report }) => this.#recordReport(now, report))
       .with({ kind: 'runners' }, ({ engine, runners }) => {
         this.#engine = engine;
         this.#account.setRunners(engine, runners);
+        const listed = new Set(runners.map(({ id }) => id));
+        this.#backoffs.prune(now, (id) => listed.has(id));
       })
       .with({ kind: 'woke' }, () => {})
       .exhaustive();
@@ -198,14 +206,16 @@
   }
 
   /**
-   * Cancels the assignment to a decode runner that the request did not reach, or that is gone, so
-   * that another one is assigned.
+   * Cancels the assignment to a decode runner that the request did not reach, that is gone, or that
+   * wants no requests of its VM, so that another one is assigned.
    */
   #unassign(now: number, id: string, unreached: string | undefined): void {
     const reservation = this.#reservations.get(id);
     if (!reservation?.isAssigned) return;
     const { demand, grant } = reservation;
-    if (grant.decode !== unreached && this.#account.decode.has(grant.decode)) return;
+    const isOpen =
+      this.#account.decode.has(grant.decode) && this.#backoffs.isOpen(now, grant.decode, demand.vm);
+    if (grant.decode !== unreached && isOpen) return;
     this.#account.release(now, grant.decode, id);
     reservation.isAssigned = false;
     reservation.demand = { ...demand, avoid: [...demand.avoid, grant.decode] };
@@ -409,6 +419,7 @@
         this.#capacity.capacity(usualSizeTokens, residenceMs),
       ),
       releases: this.#capacity.releases(now, usualSizeTokens),
+      accessOf: this.#capacity.accessOf(now),
       prefillWaitMs: this.#capacity.prefillWaitMs(now),
     });
     for (const request of unservable) {
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -1,5 +1,6 @@
 /** Which waiting requests are refused, and when their callers may retry. */
 
+import type { VmAccess } from './backoffs';
 import type { RefusalRules } from './policy';
 import type { Release } from './capacity';
 import { waitForTokensMs } from './capacity';
@@ -14,6 +15,8 @@
   /** Tokens per millisecond that are not used by first attempts. */
   readonly spareTokensPerMs: number;
   readonly releases: readonly Release[];
+  /** How far the decode runners are open to the VM of a request. */
+  readonly accessOf: (demand: Demand) => VmAccess;
   /** Time until a number of prompt tokens will have been prefilled, in milliseconds. */
   readonly prefillWaitMs: (tokens: number) => number;
 }
@@ -25,6 +28,8 @@
   readonly waitMs: number;
   /** Time that its memory takes of the capacity left over for late requests, in milliseconds. */
   readonly slotMs: number;
+  /** Time until a decode runner accepts requests of its VM, in milliseconds. */
+  readonly openInMs: number;
 }
 
 /**
@@ -43,7 +48,14 @@
   { lastAttemptFactor }: RefusalRules,
   now: number,
   order: readonly Demand[],
-  { sizeOf, minFirstEventMs, spareTokensPerMs, releases, prefillWaitMs }: CapacityForecast,
+  {
+    sizeOf,
+    minFirstEventMs,
+    spareTokensPerMs,
+    releases,
+    accessOf,
+    prefillWaitMs,
+  }: CapacityForecast,
 ): readonly UnservableRequest[] {
   const found: UnservableRequest[] = [];
   let tokensAhead = 0;
@@ -51,19 +63,21 @@
   for (const demand of order) {
     const size = sizeOf(demand);
     tokensAhead += size;
-    const waitMs = Math.max(
-      waitForTokensMs(now, releases, tokensAhead),
-      prefillWaitMs(tokensAhead),
-    );
+    const { openShare, openInMs } = accessOf(demand);
+    // The runners that are open to the VM have a like share of the memory that all will have free.
+    const memoryWaitMs =
+      openShare === 0 ? 0 : waitForTokensMs(now, releases, tokensAhead / openShare);
+    const waitMs = Math.max(openInMs, memoryWaitMs, prefillWaitMs(tokensAhead));
     const isInTime = now + waitMs + minFirstEventMs(demand) <= demand.dueAt;
     const lateMs = waitMs + (lateTokens + size) / spareTokensPerMs;
     const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - minFirstEventMs(demand);
     const likelyMs = demand.returned ? lateMs * lastAttemptFactor : lateMs;
-    const keepsWaiting = now + (demand.resuming ? 0 : likelyMs) <= latestStartAt;
+    const startInMs = Math.max(openInMs, demand.resuming ? 0 : likelyMs);
+    const keepsWaiting = now + startInMs <= latestStartAt;
     if (!isInTime && keepsWaiting) lateTokens += size;
     if (!isInTime && !keepsWaiting) {
       tokensAhead -= size;
-      found.push({ demand, waitMs: lateMs, slotMs: size / spareTokensPerMs });
+      found.push({ demand, waitMs: lateMs, slotMs: size / spareTokensPerMs, openInMs });
     }
   }
   return found;
@@ -80,11 +94,11 @@
   }
 
   /** Retry-After of the next refused request, in milliseconds. */
-  next(now: number, { waitMs, slotMs }: UnservableRequest): number {
+  next(now: number, { waitMs, slotMs, openInMs }: UnservableRequest): number {
     const { minMs, maxMs, maxStepMs } = this.#rules;
-    const earliest = now + Math.min(waitMs, maxMs / 2);
+    const earliest = now + Math.max(openInMs, Math.min(waitMs, maxMs / 2));
     const next = Math.max(this.#lastAt, earliest) + Math.min(slotMs, maxStepMs);
-    this.#lastAt = next > now + maxMs ? earliest : next;
+    this.#lastAt = next > now + Math.max(maxMs, openInMs + maxMs / 2) ? earliest : next;
     return Math.max(minMs, this.#lastAt - now);
   }
 }
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -101,6 +101,12 @@
   | { readonly kind: 'released'; readonly id: string; readonly blame: string | undefined }
   /** All reservations that a VM holds. */
   | { readonly kind: 'told'; readonly vm: string; readonly holdings: readonly Holding[] }
+  /** Runners want no requests of a VM until some time. */
+  | {
+      readonly kind: 'backedOff';
+      readonly vm: string;
+      readonly backoffs: readonly { readonly runner: string; readonly until: number }[];
+    }
   /** A VM is gone, and with it the callers of its requests. */
   | { readonly kind: 'vmLost'; readonly vm: string }
   | { readonly kind: 'reported'; readonly report: MemoryReport }
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -9,6 +9,7 @@
 import type { StateExchange } from './stateexchange';
 import {
   askSchema,
+  backoffSchema,
   gatherSchema,
   holdSchema,
   noteSchema,
@@ -50,6 +51,7 @@
     if (method === 'quota') return quotas.onAsk(now, vm, params);
     if (method === 'permit') return permits.onAsk(now, vm, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
+    else if (method === 'backoff') planners.onBackoffs(now, vm, backoffSchema.parse(params));
     else if (method === 'hold') planners.onHoldings(now, vm, holdSchema.parse(params));
     else if (method === 'quotaJoin') quotas.onJoin(now, vm, params);
     else if (method === 'quotaBack') quotas.onRefund(params);
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -73,7 +73,12 @@
       log: logOf(log, 'ratelimits'),
       onChanges: (changes) => this.#onRateChanges(performance.now(), changes),
     });
-    this.notices = new NoticeController({ routingState, metrics, log: logOf(log, 'runner') });
+    this.notices = new NoticeController({
+      routingState,
+      onBackoff: ({ id, service }, ms) => this.places.reportBackoff(service, id, ms),
+      metrics,
+      log: logOf(log, 'runner'),
+    });
     const { quarantine, rateLimits } = this;
     this.permits = new PermitController({
       vm,
@@ -91,7 +96,7 @@
       metrics,
       log: logOf(log, 'quotas'),
     });
-    this.places = new ReservationClient(vm, fleet, host, logOf(log, 'places'));
+    this.places = new ReservationClient(vm, routingState, fleet, host, logOf(log, 'places'));
     const sync = new StateExchange({ routingState, quarantine, rateLimits, fleet });
     this.stateSync = new StateSync({
       routingState,
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -44,7 +44,13 @@
   unavailable: id.optional(),
   shedBy: id.optional(),
 });
-/** Reports all reservations that the sender holds for a service. */
+/** Most pauses that one message names. */
+const MAX_BACKOFFS = 10_000;
+/** Pauses that runners asked the sender for, with the time left in milliseconds. */
+const backoffs = z.array(z.object({ runner: id, ms: z.number().min(0) })).max(MAX_BACKOFFS);
+/** Reports new pauses that runners of a service asked the sender for. */
+export const backoffSchema = z.object({ service, backoffs });
+/** Reports all reservations that the sender holds for a service, and the pauses that last. */
 export const holdSchema = z.object({
   service,
   holdings: z
@@ -57,6 +63,7 @@
       }),
     )
     .max(10_000),
+  backoffs: backoffs.default([]),
 });
 /** Requests a report of all reservations that the receiver holds for a service. */
 export const gatherSchema = z.object({ service });
@@ -75,6 +82,7 @@
 export type ProgressReport = Readonly<z.infer<typeof noteSchema>>;
 export type PrefillReport = Readonly<z.infer<typeof readySchema>>;
 export type HoldingsReport = Readonly<z.infer<typeof holdSchema>>;
+export type BackoffReport = Readonly<z.infer<typeof backoffSchema>>;
 export type Decision = Readonly<z.infer<typeof decisionSchema>>;
 
 type WireDemand = Omit<ReservationRequest, 'service'>;
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -97,7 +97,7 @@
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
       if (cache === 'unavailable') return planAgain(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
-        blame = prefill;
+        blame = this.#blameOf(service, prefill);
         return this.#mayPrefillAgain(exchange, progress, prefill);
       }
       let decode = cache
@@ -114,7 +114,7 @@
       if (outcome === 'unavailable') return planAgain(exchange, progress, decode);
       if (outcome === 'unreachable') outcome = 'rejected';
       if (outcome === 'done') return false;
-      blame = decode;
+      blame = this.#blameOf(service, decode);
       if (outcome === 'failed') return false;
       return this.#mayDecodeAgain(exchange, progress, decode ?? '', outcome);
     } finally {
@@ -126,6 +126,12 @@
     }
   }
 
+  /** The runner to blame for a failure; undefined if it leaves or asked for a pause, which is no fault. */
+  #blameOf(service: string, id: string | undefined): string | undefined {
+    const open = this.#context.routingState.openRunnersOf(performance.now(), service);
+    return id !== undefined && findRunner(open, id) ? id : undefined;
+  }
+
   /** The reason why the request must not be sent any more: its key was revoked, or other attempts crashed their runners meanwhile. */
   #recheck(exchange: Exchange): Failure | undefined {
     return this.#context.runs.refusal(performance.now(), exchange);
@@ -143,7 +149,7 @@
     const { routingState, takeRetry, permits } = this.#context;
     const { service, signal } = exchange;
     const startedAt = performance.now();
-    const runner = findRunner(routingState.runnersOf(startedAt, service, 'prefill'), id);
+    const runner = findRunner(routingState.openRunnersOf(startedAt, service, 'prefill'), id);
     if (!runner) return 'unavailable';
     let cache = await this.#prefillOnce(exchange, progress, runner);
     const ms = performance.now() - startedAt;
@@ -225,7 +231,7 @@
       if (cache) this.#freeCache(cache);
       return 'rejected';
     }
-    const runner = findRunner(routingState.runnersOf(now, service, 'decode'), decode);
+    const runner = findRunner(routingState.openRunnersOf(now, service, 'decode'), decode);
     if (!runner) return 'unavailable';
     const refused = this.#recheck(exchange);
     if (refused) {
@@ -234,12 +240,16 @@
     }
     progress.sentTo.add(runner.id);
     let answer = await this.#send(exchange, progress, runner, cache);
-    if (answer === 'rejected' && cache) {
+    if (answer === 'rejected' && cache && !routingState.accepts(performance.now(), runner)) {
+      if (this.#maySendAgain(exchange, progress)) return 'unavailable';
+      this.#freeCache(cache);
+    } else if (answer === 'rejected' && cache) {
       const { reservations, takeRetry } = this.#context;
       const failed = { shedBy: runner.id };
       const assigned = await reservations.assign(service, id, cache.ms, exchange.signal, failed);
-      const isStillOpen = routingState.accepts(performance.now(), runner);
-      if (assigned === runner.id && isStillOpen && takeRetry(performance.now(), service)) {
+      const rejectedAt = performance.now();
+      const isOpen = assigned === runner.id && routingState.accepts(rejectedAt, runner);
+      if (isOpen && takeRetry(rejectedAt, service)) {
         // The KV cache has probably expired; the same runner can still do the prefill locally.
         answer = await this.#send(exchange, progress, runner, undefined);
       }
@@ -301,6 +311,12 @@
     }
   }
 
+  /** Whether attempts are left, and the retry budget allows one more. */
+  #maySendAgain({ route, service }: Exchange, { sentTo }: Progress): boolean {
+    const hasAttemptsLeft = sentTo.size < route.attempts;
+    return hasAttemptsLeft && this.#context.takeRetry(performance.now(), service);
+  }
+
   /** Whether the request may be sent to another decode runner; false if it was aborted. Throws if it may not. */
   #mayDecodeAgain(
     exchange: Exchange,
@@ -308,15 +324,14 @@
     decode: string,
     outcome: 'rejected' | 'broken',
   ): boolean {
-    const { route, service, signal } = exchange;
+    const { route, signal } = exchange;
     if (signal.aborted) return false;
     progress.avoid.push(decode);
     const ran = outcome === 'broken';
     progress.mayHaveRun ||= ran;
     const allowed = ran ? route.resumable && progress.stream.canContinue : true;
-    const hasAttemptsLeft = progress.sentTo.size < route.attempts;
-    const mayRetry = allowed && hasAttemptsLeft && !this.#recheck(exchange);
-    if (mayRetry && this.#context.takeRetry(performance.now(), service)) return true;
+    const mayRetry = allowed && !this.#recheck(exchange);
+    if (mayRetry && this.#maySendAgain(exchange, progress)) return true;
     if (ran) throw new Failure('runnerFailed', `${decode} ended its response early`);
     throw runnerFullFailure(`${decode} rejected the request`);
   }
--- a/src/node/router/notices.ts
+++ b/src/node/router/notices.ts
@@ -11,7 +11,9 @@
 
 /** Dependencies of the notice controller. */
 export interface NoticeContext {
-  readonly routingState: Pick<RoutingState, 'learnLeaving'>;
+  readonly routingState: Pick<RoutingState, 'learnLeaving' | 'learnBackoff' | 'backoffs'>;
+  /** Called with a runner that asked this VM for a pause, and the time left of it in milliseconds. */
+  readonly onBackoff: (runner: Runner, ms: number) => void;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -42,17 +44,26 @@
     );
   }
 
-  /** Reads the announcements in the head of a runner's answer. */
-  replied(now: number, runner: Runner, reply: Reply): void {
+  /** Counts a request that is sent to a runner. */
+  sent(now: number, { id }: Runner): void {
+    this.#context.routingState.backoffs.sent(now, id);
+  }
+
+  /** Reads the announcements in the head of a runner's answer to a request sent at `sentAt`. */
+  replied(now: number, runner: Runner, sentAt: number, reply: Reply): void {
     const { leaving, backoffMs, unreadable } = reply.notice;
     for (const text of unreadable) this.#reportUnreadable(now, runner, text);
     if (!isOwnAnswer(runner, reply)) return;
-    const { routingState, metrics, log } = this.#context;
+    const { routingState, onBackoff, metrics, log } = this.#context;
     if (leaving) {
       metrics.count('runners.leaving');
       routingState.learnLeaving(now, runner, ANSWER);
     }
-    if (backoffMs !== undefined) metrics.count('runners.backoffs');
+    if (backoffMs === undefined) routingState.backoffs.accepted(sentAt, runner.id);
+    else {
+      metrics.count('runners.backoffs');
+      onBackoff(runner, routingState.learnBackoff(now, runner, backoffMs));
+    }
     if ((!leaving && backoffMs === undefined) || !this.#lines.tryAcquire(now)) return;
     const { id, service, role } = runner;
     log.info(
--- a/src/node/router/orders.ts
+++ b/src/node/router/orders.ts
@@ -118,7 +118,7 @@
     const { planners, runners, vm, routingState, log } = this.#context;
     const now = performance.now();
     const runner = routingState
-      .runnersOf(now, change.service)
+      .openRunnersOf(now, change.service)
       .find(({ id }) => id === change.runner);
     if (!runner || this.#right !== right) return;
     if (!(await right.renew())) {
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -113,7 +113,7 @@
   }
 
   async #send(exchange: Exchange, runner: Runner): Promise<Answer> {
-    const { health, runners, runs } = this.#context;
+    const { health, routingState, runners, runs } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
     const run = runs.begin(now, exchange, runner);
@@ -125,7 +125,9 @@
       run.completed(performance.now());
       return answer;
     } catch (error) {
-      if (exchange.callerGone) records.recordInconclusive(runner.id);
+      // A runner that asked for a pause gets nothing for that time, which need not be longer.
+      const isPaused = !routingState.accepts(performance.now(), runner);
+      if (exchange.callerGone || isPaused) records.recordInconclusive(runner.id);
       else records.recordFailure(performance.now(), runner.id);
       throw error;
     } finally {
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -27,6 +27,9 @@
 /** Part of the time left to its latency target for which a request may wait for a permit of a rate-limited runner; the rest is for its run. */
 const MAX_WAIT_PART = 0.5;
 
+/** Time over which callers return after a pause of all runners, in milliseconds. */
+const RETURN_SPREAD_MS = 1000;
+
 /** Counts requests in flight by runner and chooses the runner with the lowest cost. */
 export class PlainBalancer {
   readonly #context: BalancerContext;
@@ -65,6 +68,7 @@
   ): Promise<Runner | Failure | undefined> {
     const { permits } = this.#context;
     const candidates = this.#candidates(now, exchange.service, tried);
+    if (candidates.length === 0) return this.#backoffFailure(now, exchange.service);
     const trial = candidates.find(({ id }) => permits.isTrialDue(now, id));
     if (trial && (await permits.askTrial(exchange.service, trial.id))) return trial;
     const best = this.#cheapest(candidates);
@@ -75,14 +79,29 @@
     return permitted ? best : this.#cheapest(unlimited);
   }
 
-  /** Untried runners that are not ejected; all untried ones if every one of them is. */
+  /**
+   * Untried runners that accept requests of this VM and are not ejected; if every one of them is
+   * ejected, or has been sent the first request after a pause, all of them.
+   */
   #candidates(now: number, service: string, tried: readonly string[]): readonly Runner[] {
     const { routingState, health } = this.#context;
-    const all = routingState.runnersOf(now, service).filter(({ id }) => !tried.includes(id));
+    const { backoffs } = routingState;
     const records = health(service);
-    records.setPoolSize(all.length + tried.length);
-    const allowed = all.filter(({ id }) => records.allows(now, id));
-    return allowed.length > 0 ? allowed : all;
+    records.setPoolSize(routingState.runnersOf(now, service).length);
+    const open = routingState.openRunnersOf(now, service).filter(({ id }) => !tried.includes(id));
+    const allowed = open.filter(
+      ({ id }) => records.allows(now, id) && !backoffs.isProbing(now, id),
+    );
+    return allowed.length > 0 ? allowed : open;
+  }
+
+  /** The failure if runners asked for a pause and no other is left; undefined if none did. */
+  #backoffFailure(now: number, service: string): Failure | undefined {
+    const pauses = this.#context.routingState.backoffsOf(now, service).map(({ ms }) => ms);
+    if (pauses.length === 0) return undefined;
+    return new Failure('runnersBackingOff', `the runners of ${service} asked for a pause`, {
+      retryAfterMs: Math.min(...pauses) + Math.random() * RETURN_SPREAD_MS,
+    });
   }
 
   #cheapest(runners: readonly Runner[]): Runner | undefined {
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -13,6 +13,7 @@
 import type { Engine } from '../../core/routing/types';
 import type { RoutingState } from './routingstate';
 import type {
+  BackoffReport,
   ReservationRequest,
   HoldingsReport,
   ProgressReport,
@@ -165,10 +166,19 @@
     this.#handle(now, report.service, plan, event);
   }
 
+  /** Handles pauses that runners of a service asked a VM for. */
+  onBackoffs(now: number, vm: string, { service, backoffs }: BackoffReport): void {
+    if (backoffs.length === 0) return;
+    const plan = this.#planOf(now, service);
+    const ends = backoffs.map(({ runner, ms }) => ({ runner, until: now + ms }));
+    this.#handle(now, service, plan, { kind: 'backedOff', vm, backoffs: ends });
+  }
+
   /** Handles a report of all reservations that a VM holds for a service. */
-  onHoldings(now: number, vm: string, { service, holdings }: HoldingsReport): void {
+  onHoldings(now: number, vm: string, { service, holdings, backoffs }: HoldingsReport): void {
     const plan = this.#planOf(now, service);
     this.#recordContact(now, service, plan, vm);
+    this.onBackoffs(now, vm, { service, backoffs });
     this.#handle(now, service, plan, {
       kind: 'told',
       vm,
@@ -364,7 +374,7 @@
   }
 
   #requestReports(now: number, service: string, plan: ServicePlan): void {
-    for (const runner of this.#routingState.runnersOf(now, service, 'decode')) {
+    for (const runner of this.#routingState.openRunnersOf(now, service, 'decode')) {
       this.#runners
         .report(runner)
         .then((report) => {
--- a/src/node/router/reservations.ts
+++ b/src/node/router/reservations.ts
@@ -5,8 +5,15 @@
 import { Failure, toFailure } from '../../core/failure';
 import type { Grant } from '../../core/memory/types';
 import type { RouterFleet } from './fleet';
+import type { RoutingState } from './routingstate';
 import type { PlannerHost, DecisionCallback } from './plannerhost';
-import type { HoldingsReport, ProgressReport, LocalDemand, Decision } from './messages';
+import type {
+  BackoffReport,
+  HoldingsReport,
+  ProgressReport,
+  LocalDemand,
+  Decision,
+} from './messages';
 import { toWireHolding, toWireDemand, decisionSchema } from './messages';
 
 /** The VM that plans a service. */
@@ -46,6 +53,8 @@
 export class ReservationClient {
   readonly #vm: string;
 
+  readonly #routingState: Pick<RoutingState, 'table' | 'backoffsOf'>;
+
   readonly #fleet: RouterFleet;
 
   readonly #planners: PlannerHost;
@@ -64,8 +73,15 @@
 
   readonly #timer: NodeJS.Timeout;
 
-  constructor(vm: string, fleet: RouterFleet, planners: PlannerHost, log: Logger) {
+  constructor(
+    vm: string,
+    routingState: Pick<RoutingState, 'table' | 'backoffsOf'>,
+    fleet: RouterFleet,
+    planners: PlannerHost,
+    log: Logger,
+  ) {
     this.#vm = vm;
+    this.#routingState = routingState;
     this.#fleet = fleet;
     this.#planners = planners;
     this.#log = log;
@@ -117,6 +133,17 @@
     else this.#send(owner.address, 'note', message);
   }
 
+  /** Tells the owner that a runner of a model service wants no requests of this VM for a time; see `reportHoldings`. */
+  reportBackoff(service: string, runner: string, ms: number): void {
+    if (ms === 0 || !this.#routingState.table?.service(service)?.engine) return;
+    const now = performance.now();
+    const owner = this.#ownerOf(now, service);
+    if (!owner) return;
+    const report: BackoffReport = { service, backoffs: [{ runner, ms }] };
+    if (owner.vm === this.#vm) this.#planners.onBackoffs(now, this.#vm, report);
+    else this.#send(owner.address, 'backoff', report);
+  }
+
   /** Handles a decision that an owner sends for a waiting request. Releases a grant that nobody waits for. */
   onDecision(service: string, decision: Decision): void {
     const resolve = this.#pendingDecisions.get(decision.id);
@@ -126,13 +153,14 @@
     }
   }
 
-  /** Reports the reservations of a service to the VM that asked for them, even if this VM takes another one for the owner. */
+  /** Reports the reservations of a service, and the pauses that its runners asked this VM for, to the VM that asked for them, even if this VM takes another one for the owner. */
   reportHoldings(now: number, service: string, owner: Owner): void {
     const report: HoldingsReport = {
       service,
       holdings: [...this.#holdings.values()]
         .filter((held) => held.service === service)
         .map(({ demand, grant, startedAt }) => toWireHolding(now, demand, grant, startedAt)),
+      backoffs: [...this.#routingState.backoffsOf(now, service)],
     };
     if (owner.vm === this.#vm) this.#planners.onHoldings(now, this.#vm, report);
     else this.#send(owner.address, 'hold', report);
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -5,6 +5,8 @@
 
 import type { Logger } from 'pino';
 
+import type { RunnerBackoff } from '../../core/routing/backoffs';
+import { RunnerBackoffs } from '../../core/routing/backoffs';
 import type { StateDigest } from '../../core/routing/digest';
 import type { RunnerRecord } from '../../core/routing/directory';
 import { RunnerDirectory } from '../../core/routing/directory';
@@ -62,6 +64,9 @@
 
   readonly #directory = new RunnerDirectory();
 
+  /** Pauses that runners asked this VM for. */
+  readonly backoffs = new RunnerBackoffs();
+
   /** Tracks the maximum age of the configuration. */
   readonly freshness = new Freshness();
 
@@ -330,6 +335,7 @@
       routes: this.#table?.config.routes.length ?? 0,
       storeAgeMs: Number.isFinite(this.#storeAnsweredAt) ? Math.round(this.storeAgeMs(now)) : null,
       era: this.#history.era ?? null,
+      backoffs: this.backoffs.pending(now),
       runners: this.#directory.facts.map(({ id, position, runner }) => ({
         id,
         ...position,
@@ -344,12 +350,36 @@
     return this.#directory.usable(now);
   }
 
-  /** Whether a request may be sent to a runner now. */
+  /**
+   * Applies the pause that a runner asks this VM for when it rejects a request; returns how long
+   * this VM keeps to it, in milliseconds.
+   */
+  learnBackoff(now: number, { id }: Runner, ms: number): number {
+    return this.backoffs.record(now, id, ms, Math.random());
+  }
+
+  /** The pauses that runners of a service asked this VM for. */
+  backoffsOf(now: number, service: string): readonly RunnerBackoff[] {
+    const pending = this.backoffs.pending(now);
+    if (pending.length === 0) return pending;
+    const ids = new Set(this.runnersOf(now, service).map(({ id }) => id));
+    return pending.filter(({ runner }) => ids.has(runner));
+  }
+
+  /** Whether this VM may send a request to a runner now. */
   accepts(now: number, runner: Runner): boolean {
-    return this.#directory.isUsable(now, runner);
+    const isOpen = this.backoffs.remainingMs(now, runner.id) === 0;
+    return isOpen && this.#directory.isUsable(now, runner);
+  }
+
+  /** Runners of a service, and of a role if one is given, to which this VM may send requests now. */
+  openRunnersOf(now: number, service: string, role?: RunnerRole): readonly Runner[] {
+    return this.runnersOf(now, service, role).filter(
+      ({ id }) => this.backoffs.remainingMs(now, id) === 0,
+    );
   }
 
-  /** Runners of a service, and of a role if one is given, that may get requests now. */
+  /** Runners of a service, and of a role if one is given, that may get requests of some VM now. */
   runnersOf(now: number, service: string, role?: RunnerRole): readonly Runner[] {
     return this.runners(now).filter(
       (runner) => runner.service === service && (!role || runner.role === role),
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -62,12 +62,13 @@
     this.#runner = runner;
     if (runner.role !== 'prefill') exchange.charge.spend();
     context.rateLimits.sent(runner);
+    context.notices.sent(now, runner);
   }
 
   /** The headers of the response have arrived. */
   replied(now: number, reply: Reply): void {
     this.#context.rateLimits.replied(now, this.#runner, this.#sentAt, reply);
-    this.#context.notices.replied(now, this.#runner, reply);
+    this.#context.notices.replied(now, this.#runner, this.#sentAt, reply);
   }
 
   /** The runner did not execute the request and never will. */
@@ -137,7 +138,8 @@
 
   /**
    * Starts a run. Every send goes through here, so that no refused request is sent, and none to a
-   * runner that has announced meanwhile that it leaves. Throws the refusal, or `runnerUnavailable`.
+   * runner that has announced meanwhile that it leaves or wants none of this VM. Throws the refusal,
+   * or `runnerUnavailable`.
    */
   begin(now: number, exchange: Exchange, runner: Runner): Run {
     const refused = this.refusal(now, exchange);
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -44,21 +44,17 @@
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
 export interface Arrival {
-  /** Monotonic time in milliseconds. */
-  readonly at: number;
-  /** Name of the VM that sent it. */
-  readonly vm: string | undefined;
   readonly path: string;
   readonly stage: string | undefined;
   readonly customer: string | undefined;
   readonly authorization: string | undefined;
 }
 
-/** An answer in which a runner announced that it leaves, or rejected a request with a time to come back. */
-export interface Announcement {
+/** A request that reached a runner, or its answer. */
+export interface Contact {
   /** Monotonic time in milliseconds. */
   readonly at: number;
-  /** Name of the VM that got it. */
+  /** Name of the VM. */
   readonly vm: string | undefined;
 }
 
@@ -146,10 +142,13 @@
   rejection: string | undefined;
 
   /** Answers to requests that announced that it leaves. */
-  readonly leavingAnswers: Announcement[] = [];
+  readonly leavingAnswers: Contact[] = [];
 
   /** Rejections. */
-  readonly rejections: Announcement[] = [];
+  readonly rejections: Contact[] = [];
+
+  /** Requests received, in order, prefills included. */
+  readonly contacts: Contact[] = [];
 
   readonly #role: Role;
 
@@ -204,9 +203,8 @@
     this.arrivedAt.push(at);
     const { 'tenant-id': customer, 'serving-stage': stage, authorization } = req.headers;
     const vm = req.headers[VM_HEADER]?.toString();
+    this.contacts.push({ at, vm });
     this.arrivals.push({
-      at,
-      vm,
       path: pathname,
       stage: stage?.toString(),
       customer: customer?.toString(),
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -2,7 +2,9 @@
 
 import pino from 'pino';
 
+import { RunnerBackoffs } from '../../src/core/routing/backoffs';
 import { StoreHistory } from '../../src/core/routing/position';
+import type { Runner } from '../../src/core/routing/types';
 import { Authorizer } from '../../src/node/router/authorizer';
 import { RoutingState } from '../../src/node/router/routingstate';
 import { RouterMetrics } from '../../src/node/router/metrics';
@@ -64,16 +66,35 @@
 /** Returns the announcements of runners that a VM gets; its log lines are discarded. */
 export function noticesOf(): NoticeController {
   const routingState = emptyKnowledge();
-  return new NoticeController({ routingState, metrics: new RouterMetrics(), log });
+  return new NoticeController({
+    routingState,
+    onBackoff: () => {},
+    metrics: new RouterMetrics(),
+    log,
+  });
 }
 
-/** A routing state in which every runner takes requests. */
-export const openRunners: Pick<RoutingState, 'accepts'> = { accepts: () => true };
+/** The part of a routing state by which runners are chosen. */
+type OpenState = Pick<
+  RoutingState,
+  'accepts' | 'backoffs' | 'backoffsOf' | 'openRunnersOf' | 'runnersOf'
+>;
+
+/** Returns a routing state with some runners, all of which take requests. */
+export function openStateOf(runners: readonly Runner[] = []): OpenState {
+  return {
+    accepts: () => true,
+    backoffs: new RunnerBackoffs(),
+    backoffsOf: () => [],
+    openRunnersOf: () => runners,
+    runnersOf: () => runners,
+  };
+}
 
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(quarantine = quarantineOf()): Runs {
   return new Runs({
-    routingState: openRunners,
+    routingState: openStateOf(),
     quarantine,
     authorizer: authorizerOf(),
     rateLimits: rateLimitsOf(),
--- a/test/router/announcements.test.ts
+++ b/test/router/announcements.test.ts
@@ -1,7 +1,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { RouterCluster } from '../fakes/routers';
-import type { Announcement, CallerAnswer, RunnerServer } from '../fakes/routers';
+import type { CallerAnswer, Contact, RunnerServer } from '../fakes/routers';
 
 /** Time after a VM learned that a runner leaves from which it may send it nothing, in milliseconds. */
 const DRAIN_MS = 2000;
@@ -31,19 +31,19 @@
 
 /** Requests that reach a runner from the VM that got an announcement, in a span after it. */
 function arrivalsAfter(
-  { arrivals }: RunnerServer,
-  { at: announcedAt, vm: announcedTo }: Announcement,
+  { contacts }: RunnerServer,
+  { at: announcedAt, vm: announcedTo }: Contact,
   fromMs: number,
   toMs: number,
 ): number {
   const isIn = (at: number): boolean => at > announcedAt + fromMs && at < announcedAt + toMs;
-  return arrivals.filter(({ at, vm }) => vm === announcedTo && isIn(at)).length;
+  return contacts.filter(({ at, vm }) => vm === announcedTo && isIn(at)).length;
 }
 
 /** The most requests that reach a runner from one VM in a span after any of its announcements. */
 function mostAfter(
   runner: RunnerServer,
-  announcements: readonly Announcement[],
+  announcements: readonly Contact[],
   fromMs: number,
   toMs = Infinity,
 ): number {
@@ -54,7 +54,7 @@
 /** Some runners of a role, those with the most requests first. */
 function busiestOf(routers: RouterCluster, role: Role, count: number): readonly RunnerServer[] {
   const runners = [...routers.runnersOf(role)];
-  return runners.sort((a, b) => b.arrivals.length - a.arrivals.length).slice(0, count);
+  return runners.sort((a, b) => b.contacts.length - a.contacts.length).slice(0, count);
 }
 
 /** Sends requests to all VMs in turn; calls back after `BEFORE_MS`. */
--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -1,72 +1,24 @@
-import pino from 'pino';
-
-import type { RunnerRecord } from '../../src/core/routing/directory';
-import type { RunnerNotice } from '../../src/core/routing/notice';
 import { NO_NOTICE } from '../../src/core/routing/notice';
-import { StoreHistory } from '../../src/core/routing/position';
 import type { Runner } from '../../src/core/routing/types';
 import { instanceId } from '../../src/core/routing/types';
-import { RouterMetrics } from '../../src/node/router/metrics';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelHandler } from '../../src/node/router/model';
-import { NoticeController } from '../../src/node/router/notices';
-import { RoutingState } from '../../src/node/router/routingstate';
-import type { StateChange } from '../../src/node/router/routingstate';
-import { Runs } from '../../src/node/router/runs';
 import type { DecodeDispatch, Dispatch, Reply } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { positionAt } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
-import {
-  authorizerOf,
-  quarantineOf,
-  rateLimitsOf,
-  unlimitedPermits,
-  unlimitedQuotas,
-} from '../fakes/runs';
-
-const log = pino({ level: 'silent' });
-const leaving: RunnerNotice = { ...NO_NOTICE, leaving: true };
-
-/** The routing state of one VM, with the changes that it announces to others. */
-class VmState {
-  readonly announced: RunnerRecord[] = [];
-
-  readonly state: RoutingState;
-
-  readonly notices: NoticeController;
-
-  constructor(runners: readonly Runner[] = []) {
-    this.state = new RoutingState(new StoreHistory(), log, {
-      onChange: (change: StateChange) => {
-        if (change.kind === 'runners') this.announced.push(...change.facts);
-      },
-      onInvalidEntry: () => {},
-    });
-    this.notices = new NoticeController({
-      routingState: this.state,
-      metrics: new RouterMetrics(),
-      log,
-    });
-    runners.forEach((runner, index) => this.list(runner, index + 1));
-    this.announced.length = 0;
-  }
-
-  /** Applies an entry of the store. */
-  list(runner: Runner, revision: number, now = 0): void {
-    const record = { id: runner.listing, position: positionAt(revision), runner };
-    this.state.learnRunners(now, [record], 'store');
-  }
-
-  /** Applies the announcement in an answer of a runner. */
-  answered(runner: Runner, change: Partial<Reply> = {}): void {
-    this.notices.replied(0, runner, { ...replyOf(200, ''), notice: leaving, ...change });
-  }
+import { unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { VmState } from '../fakes/vmstate';
+
+/** An answer that announces it. */
+const leavingReply = (change: Partial<Reply> = {}): Reply => ({
+  ...replyOf(200, ''),
+  notice: { ...NO_NOTICE, leaving: true },
+  ...change,
+});
 
-  idsAt(now: number): readonly string[] {
-    return this.state.runnersOf(now, 's').map(({ id }) => id);
-  }
-}
+const idsAt = ({ state }: VmState, now: number): readonly string[] =>
+  state.runnersOf(now, 's').map(({ id }) => id);
 
 const a = runnerOf('a', 'plain');
 const b = runnerOf('b', 'plain');
@@ -74,28 +26,28 @@
 describe('a runner that announces in an answer that it leaves', () => {
   test('gets no work from then on, and the other VMs hear of it', () => {
     const vm = new VmState([a, b]);
-    vm.answered(a);
-    vm.answered(a);
-    expect(vm.idsAt(0)).toEqual(['b']);
+    vm.answered(a, leavingReply());
+    vm.answered(a, leavingReply());
+    expect(idsAt(vm, 0)).toEqual(['b']);
     expect(vm.announced).toEqual([
       { id: 'a', position: positionAt(1), runner: { ...a, leaving: true } },
     ]);
     const other = new VmState([a, b]);
     other.state.learnRunners(0, vm.announced, 'peer');
-    expect(other.idsAt(0)).toEqual(['b']);
+    expect(idsAt(other, 0)).toEqual(['b']);
     expect(other.state.digest).toEqual(vm.state.digest);
   });
 
   /* The store does not know yet: it is down, and later lists the runner with another heartbeat or address. */
   test('is not used again for an entry, a peer or a copy of the store that says otherwise', () => {
     const vm = new VmState([a]);
-    vm.answered(a);
+    vm.answered(a, leavingReply());
     vm.list(a, 1);
     vm.list({ ...a, slots: 8 }, 7);
     vm.state.learnRunners(0, [{ id: 'a', position: positionAt(0), runner: a }], 'peer');
     vm.state.learnEras(0, [{ era: 1, revision: 0 }], 'store');
     vm.state.learnRunners(0, [{ id: 'a', position: positionAt(1, 1), runner: a }], 'store');
-    expect(vm.idsAt(0)).toEqual([]);
+    expect(idsAt(vm, 0)).toEqual([]);
   });
 
   /* Its lease expired while the store was down, so that it stays in use for some seconds. */
@@ -103,11 +55,11 @@
     const vm = new VmState([a, b]);
     vm.state.storeFailed(1000);
     vm.state.learnList(1500, new Set(['b']), positionAt(8));
-    expect(vm.idsAt(1600)).toEqual(['a', 'b']);
-    vm.answered(a);
-    expect(vm.idsAt(1600)).toEqual(['b']);
+    expect(idsAt(vm, 1600)).toEqual(['a', 'b']);
+    vm.answered(a, leavingReply());
+    expect(idsAt(vm, 1600)).toEqual(['b']);
     vm.list(a, 9, 1700);
-    expect(vm.idsAt(1800)).toEqual(['b']);
+    expect(idsAt(vm, 1800)).toEqual(['b']);
   });
 
   /* A runner starts again under its listing while an answer of the earlier instance is under way. */
@@ -116,12 +68,12 @@
       runnerOf('a', 'plain', { id: instanceId('a', bornAt), bornAt });
     const vm = new VmState([started(1000)]);
     vm.list(started(2000), 2);
-    vm.answered(started(1000));
-    expect(vm.idsAt(0)).toEqual(['a@2000']);
-    vm.answered(started(2000));
-    expect(vm.idsAt(0)).toEqual([]);
+    vm.answered(started(1000), leavingReply());
+    expect(idsAt(vm, 0)).toEqual(['a@2000']);
+    vm.answered(started(2000), leavingReply());
+    expect(idsAt(vm, 0)).toEqual([]);
     vm.list(started(3000), 3);
-    expect(vm.idsAt(0)).toEqual(['a@3000']);
+    expect(idsAt(vm, 0)).toEqual(['a@3000']);
   });
 
   test.each<[string, Partial<Reply>]>([
@@ -129,16 +81,16 @@
     ['lacks the signature', { genuine: false }],
   ])('is not believed if the answer %s', (_case, change) => {
     const vm = new VmState([a]);
-    vm.answered(a, change);
-    expect(vm.idsAt(0)).toEqual(['a']);
+    vm.answered(a, leavingReply(change));
+    expect(idsAt(vm, 0)).toEqual(['a']);
   });
 
   test('is believed if the answer is a rejection, which has no signature, or that to a prefill', () => {
     const prefill = runnerOf('p', 'prefill');
     const vm = new VmState([a, prefill]);
-    vm.answered(a, { status: 503, notRun: true, genuine: false });
-    vm.answered(prefill, { genuine: false });
-    expect(vm.idsAt(0)).toEqual([]);
+    vm.answered(a, leavingReply({ status: 503, notRun: true, genuine: false }));
+    vm.answered(prefill, leavingReply({ genuine: false }));
+    expect(idsAt(vm, 0)).toEqual([]);
   });
 });
 
@@ -149,20 +101,17 @@
   grants: readonly { readonly prefill?: string; readonly decode: string }[],
   moveTo: string,
 ): Promise<{ readonly sent: readonly string[]; readonly out: readonly string[] }> {
-  const { state, notices } = new VmState(runners);
+  const vm = new VmState(runners);
   const sent: string[] = [];
   const out: string[] = [];
   const reply = replyOf(200, 'id: 1\n\n');
   const send = (kind: string, dispatch: Dispatch): void => {
     sent.push(`${kind} ${dispatch.runner.id}`);
-    const now = performance.now();
-    for (const one of leavesWith(dispatch)) {
-      notices.replied(now, one, { ...reply, notice: leaving });
-    }
+    for (const one of leavesWith(dispatch)) vm.answered(one, leavingReply());
   };
   let reserved = 0;
   const context = {
-    routingState: state,
+    routingState: vm.state,
     runners: {
       prefill: async (dispatch: Dispatch) => {
         send('prefill', dispatch);
@@ -191,15 +140,7 @@
       ) => (unavailable === undefined ? grants[reserved - 1]?.decode : moveTo),
       reportProgress: () => {},
     },
-    runs: new Runs({
-      routingState: state,
-      quarantine: quarantineOf(),
-      authorizer: authorizerOf(),
-      rateLimits: rateLimitsOf(),
-      notices,
-      metrics: new RouterMetrics(),
-      log,
-    }),
+    runs: vm.runs,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
     takeRetry: () => false,
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -6,7 +6,7 @@
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
 import {
-  openRunners,
+  openStateOf,
   quarantineOf,
   runsOf,
   unlimitedPermits,
@@ -23,7 +23,7 @@
     const runners = [runner('p', 'prefill'), runner('d1', 'decode'), runner('d2', 'decode')];
     const sent: string[] = [];
     const context = {
-      routingState: { ...openRunners, runnersOf: () => runners },
+      routingState: openStateOf(runners),
       runners: {
         prefill: async () => {
           sent.push('prefill');
@@ -64,10 +64,7 @@
   test('retries at the same prefill runner when its response was lost', async () => {
     const sent: string[] = [];
     const context = {
-      routingState: {
-        ...openRunners,
-        runnersOf: () => [runner('p', 'prefill'), runner('d', 'decode')],
-      },
+      routingState: openStateOf([runner('p', 'prefill'), runner('d', 'decode')]),
       runners: {
         prefill: async (dispatch: Dispatch) => {
           sent.push(`prefill ${dispatch.runner.id}`);
@@ -137,10 +134,7 @@
     for (const id of ['x', 'y']) quarantine.crashed(performance.now(), exchange.fingerprint, id);
     const sent: string[] = [];
     const context = {
-      routingState: {
-        ...openRunners,
-        runnersOf: () => [runner('d1', 'decode'), runner('d2', 'decode')],
-      },
+      routingState: openStateOf([runner('d1', 'decode'), runner('d2', 'decode')]),
       runners: {
         decode: async (dispatch: DecodeDispatch) => {
           sent.push(dispatch.runner.id);
@@ -172,7 +166,7 @@
     const exchange = exchangeInto(out, promptRequest, route);
     let asked = 0;
     const context = {
-      routingState: { ...openRunners, runnersOf: () => [runner('d1', 'decode')] },
+      routingState: openStateOf([runner('d1', 'decode')]),
       runners: {
         decode: async () => {
           throw new Failure('runnerFailed', 'reset');
--- a/test/router/orders.test.ts
+++ b/test/router/orders.test.ts
@@ -3,6 +3,7 @@
 import type { OrderContext } from '../../src/node/router/orders';
 import { OrderController } from '../../src/node/router/orders';
 import { runnerOf } from '../fakes/runner';
+import { openStateOf } from '../fakes/runs';
 
 const LEASE_MS = 3000;
 
@@ -21,7 +22,7 @@
     let fence = 0;
     const controller = new OrderController({
       vm: 'vm1',
-      routingState: { runnersOf: () => [runnerOf('p', 'prefill')] },
+      routingState: openStateOf([runnerOf('p', 'prefill')]),
       planners: {
         stageChanges: () => [{ service: 's', runner: 'p', role: 'decode' }],
         onOrderOutcome: () => {},
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -5,7 +5,7 @@
 import { PlainHandler } from '../../src/node/router/plain';
 import { exchangeInto, promptRequest, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { openRunners, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 
 /** Runs a call whose sends fail with the given codes, one after the other; returns its status and code. */
 async function callOf(...failures: readonly CodeName[]): Promise<readonly (string | undefined)[]> {
@@ -15,10 +15,7 @@
   const health = new RunnerHealth();
   const remaining = [...failures];
   const context = {
-    routingState: {
-      ...openRunners,
-      runnersOf: () => ['a', 'b', 'c'].map((id) => runnerOf(id, 'plain')),
-    },
+    routingState: openStateOf(['a', 'b', 'c'].map((id) => runnerOf(id, 'plain'))),
     runners: {
       send: async () => {
         throw new Failure(remaining.shift() ?? 'internal', 'failed by the test');
--- a/test/router/plainbalancer.test.ts
+++ b/test/router/plainbalancer.test.ts
@@ -10,7 +10,7 @@
 import type { Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { openRunners, runsOf, unlimitedQuotas } from '../fakes/runs';
+import { openStateOf, runsOf, unlimitedQuotas } from '../fakes/runs';
 
 const route = { ...streamRoute, kind: 'repeatable' as const, attempts: 2, aimMs: 200 };
 
@@ -45,7 +45,7 @@
         return this.#permit;
       },
     };
-    const routingState = { ...openRunners, runnersOf: () => runners } as unknown as RoutingState;
+    const routingState = openStateOf(runners) as unknown as RoutingState;
     return { routingState, health: () => health, permits, domain: 'near' };
   }
 }
--- a/test/router/plannerhost.test.ts
+++ b/test/router/plannerhost.test.ts
@@ -71,10 +71,10 @@
   test('warms up again after a long time without requests', () => {
     const now = performance.now();
     const fresh = hostAt(now);
-    fresh.onHoldings(now, 'vm2', { service: 's', holdings: [] });
+    fresh.onHoldings(now, 'vm2', { service: 's', holdings: [], backoffs: [] });
     const inService = burst(fresh, now + 1000);
     const again = hostAt(now);
-    again.onHoldings(now, 'vm2', { service: 's', holdings: [] });
+    again.onHoldings(now, 'vm2', { service: 's', holdings: [], backoffs: [] });
     const afterSilence = burst(again, now + 10_000);
     fresh.stop();
     again.stop();
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -6,7 +6,7 @@
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, promptRequest } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { authorizerOf, noticesOf, openRunners, quarantineOf, rateLimitsOf } from '../fakes/runs';
+import { authorizerOf, noticesOf, openStateOf, quarantineOf, rateLimitsOf } from '../fakes/runs';
 
 /** Runs and the log lines that they write. */
 class LoggedRuns {
@@ -25,7 +25,7 @@
       },
     });
     this.runs = new Runs({
-      routingState: openRunners,
+      routingState: openStateOf(),
       quarantine: quarantineOf(),
       authorizer: authorizerOf(),
       rateLimits: rateLimitsOf(),
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -13,7 +13,7 @@
   streamRoute,
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { openRunners, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 
 const resumable: Route = { ...streamRoute, attempts: 2, resumable: true };
 
@@ -34,7 +34,7 @@
   const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
   const sent: string[] = [];
   const context = {
-    routingState: { ...openRunners, runnersOf: () => runners },
+    routingState: openStateOf(runners),
     runners: {
       decode: async ({ runner: { id }, afterEvent }: DecodeDispatch) => {
         sent.push(`${id} after ${afterEvent ?? 'none'}`);
