Have the soak's runners announce in answers that they leave and when to come back

Planned work of the soak: the answers of a runner that leaves say so, and the store of half of them does not; a runner rejects everything for 8 s and asks for pauses of 0.5 to 4 s. Two promises hold between each VM and runner: nothing 2.5 s after it was told (drain), and two requests at most from 0.5 s after a rejection to the end of the pause (pause).

--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -4,6 +4,8 @@
  * after a fault-free period.
  */
 
+import type { Announcement } from './announcements';
+import { AnnouncementChecker } from './announcements';
 import { bounds } from './vm';
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
@@ -34,6 +36,8 @@
 /** What was observed of a request. */
 interface RequestRecord {
   readonly request: SentRequest;
+  /** Address of the VM that it was sent to. */
+  readonly vm: string;
   readonly digest: string;
   readonly sentAt: number;
   /** Number of runs so far, without prefills. */
@@ -60,6 +64,8 @@
 const LIMIT_OVERAGE_FACTOR = 1.5;
 /** Additional requests allowed in a window. */
 const LIMIT_SLACK_REQUESTS = 5;
+/** Requests of one VM that may reach a runner during a pause that it asked for. */
+const MAX_DURING_PAUSE = 2;
 /** Time after which a draining runner must receive no more requests; includes the delay of requests on their way. */
 const DRAIN_GRACE_MS = 2500;
 
@@ -87,6 +93,8 @@
   /** Rate limits announced by runner instances: since when, and times of recent arrivals. */
   readonly #limits = new Map<string, { ratePerS: number; since: number; readonly at: number[] }>();
 
+  readonly #announcements = new AnnouncementChecker();
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -94,11 +102,12 @@
     this.#context = context;
   }
 
-  sent(request: SentRequest): void {
+  sent(request: SentRequest, vm: string): void {
     const now = Date.now();
     this.#requestTimes.push(now);
     this.#records.set(request.id, {
       request,
+      vm,
       digest: digestOf(request.path, request.body),
       sentAt: now,
       runs: 0,
@@ -137,6 +146,7 @@
     this.#checkLimit(now, arrival.instanceId);
     this.#checkDraining(now, arrival);
     if (!record) return;
+    this.#checkAnnouncements(now, record, arrival);
     // A prefill that precedes the first decode is not a retry.
     if (arrival.role === 'prefill' && record.arrivalCount === 0) return;
     record.arrivalCount += 1;
@@ -146,6 +156,11 @@
     }
   }
 
+  announced(announcement: Announcement): void {
+    const { vm } = this.#records.get(announcement.requestId) ?? {};
+    if (vm !== undefined) this.#announcements.announced(Date.now(), vm, announcement);
+  }
+
   began(arrival: Arrival): void {
     const { requestId: id, digest, customer, hasKey, instanceId: runner } = arrival;
     const record = this.#records.get(id);
@@ -283,6 +298,21 @@
     }
   }
 
+  #checkAnnouncements(
+    now: number,
+    { vm }: RequestRecord,
+    { requestId, instanceId }: Arrival,
+  ): void {
+    const unwanted = this.#announcements.arrived(now, vm, instanceId);
+    // A VM that was restarted knows nothing, and one that was frozen or cut off sends late.
+    const faultFreeMs = this.#context.faultFreeMs('vm', 'runner');
+    for (const { promise, afterMs, count } of unwanted.filter((one) => one.afterMs < faultFreeMs)) {
+      const subject = `${requestId} reached ${instanceId} from ${vm} ${afterMs} ms after its announcement`;
+      if (promise === 'pause') this.#checkBound(promise, count, MAX_DURING_PAUSE, subject);
+      else this.#report(promise, subject);
+    }
+  }
+
   #checkLimit(now: number, runner: string): void {
     const limit = this.#limits.get(runner);
     if (!limit) return;
--- a/scripts/soak/maintenance.ts
+++ b/scripts/soak/maintenance.ts
@@ -1,4 +1,4 @@
-/** Planned changes of runners, independent of faults: runners drain and restart, or announce a rate limit for a limited time. */
+/** Planned changes of runners, independent of faults: runners drain and restart, announce a rate limit, or reject everything for a limited time. */
 
 import { setTimeout as pause } from 'node:timers/promises';
 
@@ -22,6 +22,12 @@
 /** Time for which a runner announces a rate limit. */
 const RATE_LIMIT_MS = 14_000;
 const MAX_RATE_LIMIT_PER_S = 1.5;
+/** Time for which a runner rejects everything. */
+const REJECTION_MS = 8000;
+/** Longest pause that a rejecting runner asks for, in seconds; whole and fractional ones. */
+const MAX_PAUSE_S = 4;
+/** Fraction of draining runners whose store entry says nothing of it. */
+const UNLISTED_RATIO = 0.5;
 
 /** Applies planned changes to random runners. */
 export class Maintenance {
@@ -43,17 +49,35 @@
         (member) => member.runner.isUp && !this.#busyRunners.has(member),
       );
       const member = free[Math.floor(random() * free.length)];
-      if (member) work.push(random() < 0.5 ? this.#restart(member) : this.#limit(member, until));
+      if (member) work.push(this.#change(member, until));
     }
     await Promise.all(work);
   }
 
+  #change(member: PooledRunner, until: number): Promise<void> {
+    const kind = this.#context.random();
+    if (kind < 0.4) return this.#restart(member);
+    return kind < 0.7 ? this.#limit(member, until) : this.#reject(member, until);
+  }
+
+  async #reject(member: PooledRunner, until: number): Promise<void> {
+    const { random } = this.#context;
+    const { runner } = member;
+    const { instanceId } = runner;
+    this.#busyRunners.add(member);
+    runner.pauseMs = Math.ceil(random() * MAX_PAUSE_S * 2) * 500;
+    await pause(Math.max(0, Math.min(REJECTION_MS, until - Date.now())));
+    if (runner.instanceId === instanceId) runner.pauseMs = undefined;
+    this.#busyRunners.delete(member);
+  }
+
   async #restart(member: PooledRunner): Promise<void> {
-    const { pool, onDraining } = this.#context;
+    const { random, pool, onDraining } = this.#context;
     const { runnerId } = member.runner;
     this.#busyRunners.add(member);
-    pool.drain(member);
-    onDraining(runnerId, true);
+    const isListed = random() >= UNLISTED_RATIO;
+    pool.drain(member, isListed);
+    if (isListed) onDraining(runnerId, true);
     await pause(DRAIN_MS);
     if (member.runner.isUp) await pool.restart(member, DOWN_MS);
     onDraining(runnerId, false);
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -92,10 +92,14 @@
     this.publish(runner);
   }
 
-  /** Marks a runner as draining and updates its store entry. */
-  drain({ runner }: PooledRunner): void {
+  /**
+   * Marks a runner as draining: its answers announce that it leaves.
+   * @param isListed whether its store entry says so as well
+   */
+  drain({ runner }: PooledRunner, isListed: boolean): void {
     const drained = runner;
-    drained.isDraining = true;
+    drained.isLeaving = true;
+    drained.isDraining = isListed;
     this.publish(runner);
   }
 
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -9,6 +9,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { closeServer, listen, readBody, sendJson } from '../../test/fakes/http';
+import type { Announcement } from './announcements';
 import { digestOf, eventOf, eventCountOf, plainAnswer, signatureOf } from './requests';
 
 /** What a runner does; orders switch engines between `prefill` and `decode`. */
@@ -43,6 +44,8 @@
   arrived(arrival: Arrival): void;
   /** The request started to run. */
   began(arrival: Arrival): void;
+  /** The answer to a request announces that the runner leaves or wants a pause. */
+  announced(announcement: Announcement): void;
   /** The run ended, successfully or not. */
   ended(arrival: Arrival): void;
   /** An order arrived, whether or not it is obeyed. */
@@ -111,9 +114,17 @@
     };
   }
 
-  /** Rejects the request and declares that it has not run and will not. */
-  reject(status: number): void {
-    this.#res.writeHead(status, { ...this.#headers, 'not-executed': '1' }).end();
+  /**
+   * Rejects the request and declares that it has not run and will not.
+   * @param pauseMs time for which the runner wants no requests of the VM, in milliseconds
+   */
+  reject(status: number, pauseMs?: number): void {
+    const headers = {
+      ...this.#headers,
+      'not-executed': '1',
+      ...(pauseMs === undefined ? {} : { 'retry-after': String(pauseMs / 1000) }),
+    };
+    this.#res.writeHead(status, headers).end();
   }
 
   fail(): void {
@@ -173,6 +184,12 @@
   /** Whether its entry in the store says that it drains. */
   isDraining = false;
 
+  /** Whether its answers announce that it leaves. */
+  isLeaving = false;
+
+  /** Time for which it wants no requests of a VM that it rejects, in milliseconds; it rejects everything. Undefined: it does not. */
+  pauseMs: number | undefined;
+
   #role: RunnerRole;
 
   readonly #context: RunnerContext;
@@ -247,6 +264,8 @@
     this.#runningTokens.clear();
     this.#plainRunCount = 0;
     this.ratePerS = undefined;
+    this.isLeaving = false;
+    this.pauseMs = undefined;
     const { server } = await listen((req, res, url) => this.#handle(req, res, url), port, host);
     this.#server = server;
   }
@@ -275,6 +294,7 @@
 
   async #handle(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
     const { pathname } = url;
+    if (this.isLeaving) res.setHeader('server-leaving', '1');
     if (pathname === '/v1/report') this.#sendReport(res);
     else if (pathname === '/v1/order') this.#handleOrder(res, JSON.parse(await readBody(req)));
     else if (pathname.startsWith('/v1/kv-handle/')) {
@@ -342,6 +362,15 @@
       return;
     }
     this.#observer.arrived(arrival);
+    const { instanceId, isLeaving, pauseMs } = this;
+    if (isLeaving || pauseMs !== undefined) {
+      const announcement = { requestId: id, instanceId, isLeaving, pauseMs };
+      res.once('finish', () => this.#observer.announced(announcement));
+    }
+    if (pauseMs !== undefined) {
+      answer.reject(503, pauseMs);
+      return;
+    }
     if (this.#random() < this.behaviour.shedRatio || this.#isSwitchingRole) {
       answer.reject(503);
       return;
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -81,7 +81,7 @@
       vms,
       random: seeded(seed + 1),
       onBreach,
-      onSent: (request) => this.#guarantees.sent(request),
+      onSent: (request, vm) => this.#guarantees.sent(request, vm),
       faultFreeMs: () => this.#faults.faultFreeMs('vm', 'store'),
     });
     this.#guarantees = new GuaranteeChecker({
@@ -153,7 +153,7 @@
     return Array.from({ length: CALLER_GROUPS }, (_, group) =>
       new CallerGroup({
         observer: {
-          sent: (request) => guarantees.sent(request),
+          sent: (request, vm) => guarantees.sent(request, vm),
           answered: (request, vm, answer) => {
             timeline.recordAnswer(answer);
             guarantees.answered(request, vm, answer);
