--- a/test/fakes/virtual/syncfleet.ts
+++ b/test/fakes/virtual/syncfleet.ts
@@ -211,13 +211,21 @@
     }
   }
 
+  /** A VM reads in an answer of a runner that it leaves; the store knows nothing of it. */
+  readLeavingAnswer(number: number, listing: string): void {
+    const vm = this.#vms[number] as Vm;
+    const runner = vm.directory.usable(this.now).find((one) => one.listing === listing);
+    const record = runner && vm.directory.applyLeaving(this.now, runner);
+    if (!this.#leavingSince.has(listing)) this.#leavingSince.set(listing, this.now);
+    if (record) this.#announceRunners(vm, [record]);
+  }
+
   /**
    * Runs for a duration and returns the longest time in it from a runner's announcement that it
    * leaves until no running VM uses the runner any more.
    */
   maxLeavingDelay(ms: number): number {
     let longest = 0;
-    this.#leavingSince.clear();
     this.#runUntil(() => {
       for (const [id, since] of this.#leavingSince) {
         if (this.#isUsed(id)) longest = Math.max(longest, this.now - since);
@@ -633,6 +641,12 @@
     this.#dispatch(vm, { kind: 'rumours', rumours });
   }
 
+  #announceRunners(vm: Vm, records: readonly RunnerRecord[]): void {
+    setDigest(vm);
+    const rumours = vm.propagation.runnerUpdates(records, (record) => JSON.stringify(record));
+    this.#dispatch(vm, { kind: 'rumours', rumours });
+  }
+
   #announceSuspect(vm: Vm, suspect: Suspect | undefined): void {
     if (!suspect) return;
     if (vm.suspects.size === 0) {
