Let one model request go first when the pause of a runner is over

The planner placed all requests that had waited at once when a pause ended: three of three in the test, as far as memory allows. A runner that still rejects would turn all of them away, each after a prefill.

Test failed first: q1, q2 and q3 placed at the end of the pause, q1 wanted.

Candidates and the forecast of free memory become modules of their own.

--- a/src/core/memory/backoffs.ts
+++ b/src/core/memory/backoffs.ts
@@ -11,7 +11,7 @@
 /** Access to runners none of which asked for a pause. */
 const FULL_ACCESS: VmAccess = { openShare: 1, openInMs: 0 };
 
-/** Ends of the pauses by runner and VM. */
+/** Ends of the pauses by runner and VM. A runner is kept until it has accepted a request after them. */
 export class VmBackoffs {
   readonly #byRunner = new Map<string, Map<string, number>>();
 
@@ -27,6 +27,11 @@
     this.#byRunner.set(runner, byVm);
   }
 
+  /** Records that a runner accepted a request; during a pause that says nothing of the next one. */
+  accepted(now: number, runner: string): void {
+    if (this.isOpenToAll(now, runner)) this.#byRunner.delete(runner);
+  }
+
   /** Time until a runner accepts requests of a VM, in milliseconds; 0 if it does. */
   remainingMs(now: number, runner: string, vm: string): number {
     return Math.max(0, (this.#byRunner.get(runner)?.get(vm) ?? 0) - now);
@@ -43,6 +48,11 @@
     return true;
   }
 
+  /** Whether the pauses of a runner are over and it has accepted no request since. */
+  isUnconfirmed(now: number, runner: string): boolean {
+    return this.#byRunner.has(runner) && this.isOpenToAll(now, runner);
+  }
+
   /** How far some runners are open to a VM. */
   accessOf(now: number, runners: Iterable<string>, vm: string): VmAccess {
     if (this.isEmpty) return FULL_ACCESS;
@@ -52,11 +62,10 @@
     return { openShare: open.length / waitsMs.length, openInMs: Math.min(...waitsMs) };
   }
 
-  /** Drops the pauses that are over, and those of runners that are gone. */
-  prune(now: number, isListed: (runner: string) => boolean): void {
-    for (const [runner, byVm] of this.#byRunner) {
-      for (const [vm, until] of byVm) if (until <= now) byVm.delete(vm);
-      if (byVm.size === 0 || !isListed(runner)) this.#byRunner.delete(runner);
+  /** Drops the pauses of runners that are gone. */
+  retain(isListed: (runner: string) => boolean): void {
+    for (const runner of this.#byRunner.keys()) {
+      if (!isListed(runner)) this.#byRunner.delete(runner);
     }
   }
 }
--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -6,8 +6,9 @@
 import type { RateAllowance } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
-import { eligibleOf, expectedEndOf, isPrefillingLocally } from './account';
+import { expectedEndOf, isPrefillingLocally } from './account';
 import type { VmAccess, VmBackoffs } from './backoffs';
+import { RunnerCandidates } from './candidates';
 import type { Costs } from './cost';
 import {
   LOCAL_PREFILL_COST,
@@ -17,6 +18,7 @@
   prefillWorkMs,
 } from './cost';
 import type { PlanPolicy } from './policy';
+import type { Release } from './releases';
 import type { Demand } from './types';
 
 /** Load of a service as logged with each decision. */
@@ -32,12 +34,6 @@
   readonly prefill: readonly number[];
 }
 
-/** Total number of tokens expected to be free at a time. */
-export interface Release {
-  readonly at: number;
-  readonly tokens: number;
-}
-
 /**
  * Largest number of runners of a stage whose load is logged; a large service would fill the log.
  */
@@ -55,6 +51,8 @@
 
   readonly #backoffs: VmBackoffs;
 
+  readonly #candidates: RunnerCandidates;
+
   /** Cached free tokens at `#freeAt`; cleared with each change of the account. */
   readonly #freeCache = new Map<DecodeState, number>();
 
@@ -77,6 +75,7 @@
     this.#costs = costs;
     this.#allowance = allowance;
     this.#backoffs = backoffs;
+    this.#candidates = new RunnerCandidates(policy.ejection, backoffs);
   }
 
   /**
@@ -169,25 +168,6 @@
     });
   }
 
-  /**
-   * Runners of one stage that may get work of a VM, in the order in which they are tried: those
-   * that accept requests of every VM, then those that rejected other VMs and are probably full.
-   */
-  #openTiers<T extends DecodeState | PrefillState>(
-    now: number,
-    states: ReadonlyMap<string, T>,
-    vm: string,
-  ): readonly (readonly T[])[] {
-    const { ejection } = this.#policy;
-    if (this.#backoffs.isEmpty) return [eligibleOf(now, states.values(), ejection)];
-    const open = [...states.values()].filter(({ runner }) =>
-      this.#backoffs.isOpen(now, runner.id, vm),
-    );
-    const eligible = eligibleOf(now, open, ejection);
-    const isOpenToAll = ({ runner }: T): boolean => this.#backoffs.isOpenToAll(now, runner.id);
-    return [eligible.filter(isOpenToAll), eligible.filter((state) => !isOpenToAll(state))];
-  }
-
   /** How far the decode runners are open to the VM of a request. */
   accessOf(now: number): (demand: Demand) => VmAccess {
     const byVm = new Map<string, VmAccess>();
@@ -204,7 +184,7 @@
     demand: Demand,
     meets: (state: DecodeState, free: number) => boolean,
   ): DecodeState | undefined {
-    for (const states of this.#openTiers(now, this.#account.decode, demand.vm)) {
+    for (const states of this.#candidates.groupsOf(now, this.#account.decode, demand.vm)) {
       const found = this.#mostFreeOf(now, states, demand, meets);
       if (found) return found;
     }
@@ -243,7 +223,7 @@
    * limit; undefined if there is none.
    */
   findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
-    for (const states of this.#openTiers(now, this.#account.prefill, demand.vm)) {
+    for (const states of this.#candidates.groupsOf(now, this.#account.prefill, demand.vm)) {
       const found = this.#soonestPrefillOf(now, states, demand, domain);
       if (found) return found;
     }
@@ -401,19 +381,3 @@
   }
   return leastMs;
 }
-
-/**
- * Time until a number of tokens will be free, in milliseconds; Infinity if never. The releases are
- * sorted by time.
- */
-export function waitForTokensMs(now: number, releases: readonly Release[], tokens: number): number {
-  let low = 0;
-  let high = releases.length;
-  while (low < high) {
-    const middle = Math.floor((low + high) / 2);
-    if ((releases[middle]?.tokens ?? 0) >= tokens) high = middle;
-    else low = middle + 1;
-  }
-  const release = releases[low];
-  return release ? Math.max(0, release.at - now) : Infinity;
-}
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -181,7 +181,7 @@
         this.#engine = engine;
         this.#account.setRunners(engine, runners);
         const listed = new Set(runners.map(({ id }) => id));
-        this.#backoffs.prune(now, (id) => listed.has(id));
+        this.#backoffs.retain((id) => listed.has(id));
       })
       .with({ kind: 'woke' }, () => {})
       .exhaustive();
@@ -257,6 +257,7 @@
     const pending = state?.pending.get(id);
     if (!state || !pending) return;
     state.pending.delete(id);
+    this.#backoffs.accepted(now, state.runner.id);
     this.#stats.recordPrefill(state, pending, ms);
   }
 
@@ -264,6 +265,7 @@
     const allocation = this.#reservations.allocationOf(id);
     if (!allocation || allocation.startedAt !== undefined) return;
     allocation.startedAt = now;
+    this.#backoffs.accepted(now, this.#reservations.get(id)?.grant.decode ?? '');
     const assignedAt = this.#reservations.get(id)?.assignedAt;
     if (assignedAt !== undefined) this.#stats.recordFirstEvent(now - assignedAt);
   }
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -2,8 +2,8 @@
 
 import type { VmAccess } from './backoffs';
 import type { RefusalRules } from './policy';
-import type { Release } from './capacity';
-import { waitForTokensMs } from './capacity';
+import type { Release } from './releases';
+import { waitForTokensMs } from './releases';
 import type { Demand } from './types';
 
 /** Expected capacity of the runners. */
--- a/test/core/backoffs.test.ts
+++ b/test/core/backoffs.test.ts
@@ -78,13 +78,18 @@
     expect(backoffs.accessOf(1000, ['a'], 'vm2')).toEqual({ openShare: 1, openInMs: 0 });
   });
 
-  test('are dropped when they are over or their runner is gone', () => {
+  test('are dropped when their runner is gone, or has accepted a request after them', () => {
     const backoffs = new VmBackoffs();
     backoffs.record('vm1', 'a', 3000);
     backoffs.record('vm1', 'b', 1000);
-    backoffs.prune(1000, () => true);
-    expect(backoffs.isOpen(0, 'b', 'vm1')).toBe(true);
-    backoffs.prune(1000, (id) => id !== 'a');
+    backoffs.accepted(999, 'b');
+    expect([backoffs.isUnconfirmed(999, 'b'), backoffs.isUnconfirmed(1000, 'b')]).toEqual([
+      false,
+      true,
+    ]);
+    backoffs.accepted(1000, 'b');
+    expect(backoffs.isUnconfirmed(1000, 'b')).toBe(false);
+    backoffs.retain((id) => id !== 'a');
     expect(backoffs.isEmpty).toBe(true);
   });
 });
--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -210,6 +210,19 @@
     expect(grantOf(planner.handle(301, { kind: 'woke' }))).toEqual(['p1', 'd1']);
   });
 
+  /* All requests that waited would be sent at once, be rejected and lose their prefills. */
+  test('sends one request first when a pause is over, and the others once it has started', () => {
+    const planner = plannerOf([p1, d1]);
+    backOff(planner, 'vm1', ['d1'], 300);
+    const waiting = ['q1', 'q2', 'q3'].flatMap((id) => ask(planner, 0, demand(id, 'vm1')));
+    expect(waiting).toEqual([]);
+    const grantedBy = (actions: readonly PlanAction[]): readonly string[] =>
+      actions.filter(({ kind }) => kind === 'grant').map(({ id }) => id);
+    expect(grantedBy(planner.handle(301, { kind: 'woke' }))).toEqual(['q1']);
+    expect(grantedBy(planner.handle(400, { kind: 'woke' }))).toEqual([]);
+    expect(grantedBy(planner.handle(500, { kind: 'started', id: 'q1' }))).toEqual(['q2', 'q3']);
+  });
+
   /* The prompt was being read when another request of its VM was rejected by the decode runner. */
   test('assigns a prefilled request to another decode runner', () => {
     const planner = plannerOf([p1, d1, d2]);
