Tell a rejected caller when the only runners are back

A plain request that may be sent once and whose runner rejects it with a pause got Retry-After 0.3 s, also where no other runner takes requests; its caller came back to be rejected again. It now gets the time of the first runner that is back. Test in test/router/backoffs.test.ts: 300 ms before, 2700 or more wanted for a pause of 3 s.

Changed runners are logged within the limit of lines also when an answer tells of them, and the balancer lists the runners of a service once.

--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -90,7 +90,11 @@
     }
     // No other runner accepted the request: the caller gets the last error response.
     if (failedAnswer && lastFailure.code.notRun) forwardAnswer(exchange, failedAnswer);
-    else exchange.fail(performance.now(), callerFailure(exchange, mayHaveRun, lastFailure));
+    else {
+      const retryAfterMs = this.#balancer.retryAfterMs(performance.now(), service);
+      const failure = callerFailure(exchange, mayHaveRun, lastFailure, retryAfterMs);
+      exchange.fail(performance.now(), failure);
+    }
   }
 
   /** Chooses a runner; one that takes no requests any more when it is chosen, after a wait, does not count. */
@@ -153,10 +157,19 @@
   return [...headers, 'content-length', String(length)];
 }
 
-/** The failure to send to the caller. If no runner executed the request, the last failure states so; otherwise the outcome is reported as unknown, whatever the last attempt's failure was. */
-function callerFailure(exchange: Exchange, mayHaveRun: boolean, lastFailure: Failure): Failure {
+/**
+ * The failure to send to the caller. If no runner executed the request, the last failure states so;
+ * otherwise the outcome is reported as unknown, whatever the last attempt's failure was.
+ * @param defaultRetryMs retry delay if the last failure has none, in milliseconds
+ */
+function callerFailure(
+  exchange: Exchange,
+  mayHaveRun: boolean,
+  lastFailure: Failure,
+  defaultRetryMs = RETRY_MS,
+): Failure {
   if (!mayHaveRun) {
-    const { retryAfterMs = RETRY_MS } = lastFailure;
+    const { retryAfterMs = defaultRetryMs } = lastFailure;
     return new Failure(lastFailure.codeName, lastFailure.message, { retryAfterMs });
   }
   const timedOut = exchange.remainingMs(performance.now()) <= 0;
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -87,21 +87,27 @@
     const { routingState, health } = this.#context;
     const { backoffs } = routingState;
     const records = health(service);
-    records.setPoolSize(routingState.runnersOf(now, service).length);
-    const open = routingState.openRunnersOf(now, service).filter(({ id }) => !tried.includes(id));
+    const all = routingState.runnersOf(now, service);
+    records.setPoolSize(all.length);
+    const open = all.filter(({ id }) => backoffs.remainingMs(now, id) === 0 && !tried.includes(id));
     const allowed = open.filter(
       ({ id }) => records.allows(now, id) && !backoffs.isProbing(now, id),
     );
     return allowed.length > 0 ? allowed : open;
   }
 
-  /** The failure if runners asked for a pause and no other is left; undefined if none did. */
+  /** The failure if all runners asked this VM for a pause; undefined if some did not. */
   #backoffFailure(now: number, service: string): Failure | undefined {
-    const pauses = this.#context.routingState.backoffsOf(now, service).map(({ ms }) => ms);
-    if (pauses.length === 0) return undefined;
-    return new Failure('runnersBackingOff', `the runners of ${service} asked for a pause`, {
-      retryAfterMs: Math.min(...pauses) + Math.random() * RETURN_SPREAD_MS,
-    });
+    const retryAfterMs = this.retryAfterMs(now, service);
+    if (retryAfterMs === undefined) return undefined;
+    const detail = `all runners of ${service} asked for a pause`;
+    return new Failure('runnersBackingOff', detail, { retryAfterMs });
+  }
+
+  /** When callers are to come back if all runners asked this VM for a pause, in milliseconds; undefined if some did not. */
+  retryAfterMs(now: number, service: string): number | undefined {
+    const openInMs = this.#context.routingState.openInMs(now, service);
+    return openInMs === 0 ? undefined : openInMs + Math.random() * RETURN_SPREAD_MS;
   }
 
   #cheapest(runners: readonly Runner[]): Runner | undefined {
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -276,7 +276,9 @@
     if (!record) return;
     const { id, position } = record;
     const gone = record.runner === undefined;
-    this.#log.info({ runner: id, ...position, gone, leaving: true, source }, 'Runner changed.');
+    if (this.#lines.tryAcquire(now)) {
+      this.#log.info({ runner: id, ...position, gone, leaving: true, source }, 'Runner changed.');
+    }
     this.#listener.onChange({ kind: 'runners', facts: [record] });
   }
 
@@ -366,6 +368,15 @@
     return pending.filter(({ runner }) => ids.has(runner));
   }
 
+  /**
+   * Time until the first runner of a service accepts requests of this VM again, in milliseconds; 0
+   * if one does, or if there are none.
+   */
+  openInMs(now: number, service: string): number {
+    const waits = this.runnersOf(now, service).map(({ id }) => this.backoffs.remainingMs(now, id));
+    return waits.length === 0 ? 0 : Math.min(...waits);
+  }
+
   /** Whether this VM may send a request to a runner now. */
   accepts(now: number, runner: Runner): boolean {
     const isOpen = this.backoffs.remainingMs(now, runner.id) === 0;
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -77,7 +77,7 @@
 /** The part of a routing state by which runners are chosen. */
 type OpenState = Pick<
   RoutingState,
-  'accepts' | 'backoffs' | 'backoffsOf' | 'openRunnersOf' | 'runnersOf'
+  'accepts' | 'backoffs' | 'openInMs' | 'openRunnersOf' | 'runnersOf'
 >;
 
 /** Returns a routing state with some runners, all of which take requests. */
@@ -85,7 +85,7 @@
   return {
     accepts: () => true,
     backoffs: new RunnerBackoffs(),
-    backoffsOf: () => [],
+    openInMs: () => 0,
     openRunnersOf: () => runners,
     runnersOf: () => runners,
   };
--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -96,6 +96,18 @@
     expect(await servePlain(context, 1)).toEqual(['runnersBackingOff']);
   });
 
+  /* Told to come back after the usual 0.3 s, the caller of a call that may be sent once would be rejected again. */
+  test('tell a rejected caller when the runner is back', async () => {
+    const vm = new VmState([a]);
+    const out: string[] = [];
+    const exchange = exchangeInto(out, promptRequest, { ...plainRoute, kind: 'once', attempts: 1 });
+    const failed = jest.spyOn(exchange, 'fail');
+    await new PlainHandler(plainContextOf(vm, () => rejection)).run(exchange);
+    const [[, failure] = []] = failed.mock.calls;
+    expect(failure?.codeName).toBe('runnerFull');
+    expect(failure?.retryAfterMs).toBeGreaterThan(PAUSE_MS * 0.9);
+  });
+
   /* Three rejections in a row would eject the runner for a time of its own, beyond the one that it asked for. */
   test('do not eject a runner that says when it is back', async () => {
     const vm = new VmState([a, b]);
