--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -94,6 +94,25 @@
   });
 });
 
+describe('a run', () => {
+  /* Whatever chose the runner, and whenever: a choice may be older than the answer. */
+  test.each([
+    ['leaves', leavingReply()],
+    [
+      'asked for a pause',
+      { ...replyOf(503, ''), notRun: true, notice: { ...NO_NOTICE, backoffMs: 500 } },
+    ],
+  ])('does not begin at a runner that %s', (_case, reply) => {
+    const vm = new VmState([a, b]);
+    const exchange = exchangeInto([]);
+    const begin = (): unknown => vm.runs.begin(performance.now(), exchange, a);
+    expect(begin).not.toThrow();
+    vm.answered(a, reply);
+    expect(begin).toThrow('a takes no requests');
+    exchange.end();
+  });
+});
+
 /** Serves one model request while some answers announce that their runners leave; returns what was sent. */
 async function serve(
   runners: readonly Runner[],
