--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -11,6 +11,7 @@
 import { PlainHandler } from '../../src/node/router/plain';
 import { PlainBalancer } from '../../src/node/router/plainbalancer';
 import type { DecodeDispatch, Dispatch, Reply } from '../../src/node/router/types';
+import { demandOf } from '../fakes/demand';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
 import { unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
@@ -130,24 +131,6 @@
   });
 });
 
-const demand = (id: string, vm: string, change: Partial<Demand> = {}): Demand => ({
-  id,
-  vm,
-  customer: undefined,
-  rank: 1,
-  promptId: undefined,
-  promptTokens: 5000,
-  maxOutputTokens: 1200,
-  hintTokens: undefined,
-  dueAt: 900,
-  gapMs: 0,
-  lostAt: 3600,
-  returned: false,
-  resuming: false,
-  avoid: [],
-  ...change,
-});
-
 const p1 = runnerOf('p1', 'prefill');
 const p2 = runnerOf('p2', 'prefill');
 const d1 = runnerOf('d1', 'decode');
@@ -177,17 +160,17 @@
   test('places its requests elsewhere, and those of other VMs there last', () => {
     const planner = plannerOf([p1, p2, d1, d2]);
     backOff(planner, 'vm1', ['p1', 'd1'], PAUSE_MS);
-    expect(grantOf(ask(planner, 0, demand('q1', 'vm1')))).toEqual(['p2', 'd2']);
-    expect(grantOf(ask(planner, 0, demand('q2', 'vm2')))).toEqual(['p2', 'd2']);
+    expect(grantOf(ask(planner, 0, demandOf('q1', 0)))).toEqual(['p2', 'd2']);
+    expect(grantOf(ask(planner, 0, demandOf('q2', 0, { vm: 'vm2' })))).toEqual(['p2', 'd2']);
     const left = plannerOf([p1, d1]);
     backOff(left, 'vm1', ['p1', 'd1'], PAUSE_MS);
-    expect(grantOf(ask(left, 0, demand('q2', 'vm2')))).toEqual(['p1', 'd1']);
+    expect(grantOf(ask(left, 0, demandOf('q2', 0, { vm: 'vm2' })))).toEqual(['p1', 'd1']);
   });
 
   /* A request waits for memory when the answer comes that asks for a pause. */
   test('does not place waiting requests there', () => {
     const planner = plannerOf([p1, d1]);
-    const first = Array.from({ length: 40 }, (_, i) => ask(planner, 0, demand(`q${i}`, 'vm1')));
+    const first = Array.from({ length: 40 }, (_, i) => ask(planner, 0, demandOf(`q${i}`, 0)));
     const granted = first.flat().filter(({ kind }) => kind === 'grant');
     expect(planner.waiting).toBeGreaterThan(0);
     backOff(planner, 'vm1', ['d1'], PAUSE_MS);
@@ -200,14 +183,14 @@
   test('has decode runners prefill where all prefill runners pause', () => {
     const planner = plannerOf([p1, d1]);
     backOff(planner, 'vm1', ['p1'], PAUSE_MS);
-    expect(grantOf(ask(planner, 0, demand('q', 'vm1')))).toEqual([undefined, 'd1']);
+    expect(grantOf(ask(planner, 0, demandOf('q', 0)))).toEqual([undefined, 'd1']);
   });
 
   test('refuses at once what no runner takes before its caller leaves, with the time of the first', () => {
     const planner = plannerOf([p1, d1, d2]);
     backOff(planner, 'vm1', ['d1'], 5000);
     backOff(planner, 'vm1', ['d2'], 8000);
-    const refusals = ['q1', 'q2'].flatMap((id) => ask(planner, 0, demand(id, 'vm1')));
+    const refusals = ['q1', 'q2'].flatMap((id) => ask(planner, 0, demandOf(id, 0)));
     const times = refusals.map((one) => (one.kind === 'refuse' ? one.retryAfterMs : 0));
     expect(times).toHaveLength(2);
     expect(Math.min(...times)).toBeGreaterThanOrEqual(5000);
@@ -218,7 +201,7 @@
   test('lets a request wait for a pause that ends before it is late', () => {
     const planner = plannerOf([p1, d1]);
     backOff(planner, 'vm1', ['d1'], 300);
-    expect(ask(planner, 0, demand('q', 'vm1'))).toEqual([]);
+    expect(ask(planner, 0, demandOf('q', 0))).toEqual([]);
     expect(grantOf(planner.handle(301, { kind: 'woke' }))).toEqual(['p1', 'd1']);
   });
 
@@ -226,7 +209,7 @@
   test('sends one request first when a pause is over, and the others once it has started', () => {
     const planner = plannerOf([p1, d1]);
     backOff(planner, 'vm1', ['d1'], 300);
-    const waiting = ['q1', 'q2', 'q3'].flatMap((id) => ask(planner, 0, demand(id, 'vm1')));
+    const waiting = ['q1', 'q2', 'q3'].flatMap((id) => ask(planner, 0, demandOf(id, 0)));
     expect(waiting).toEqual([]);
     const grantedBy = (actions: readonly PlanAction[]): readonly string[] =>
       actions.filter(({ kind }) => kind === 'grant').map(({ id }) => id);
@@ -238,7 +221,7 @@
   /* The prompt was being read when another request of its VM was rejected by the decode runner. */
   test('assigns a prefilled request to another decode runner', () => {
     const planner = plannerOf([p1, d1, d2]);
-    const [, decode = ''] = grantOf(ask(planner, 0, demand('q', 'vm1')));
+    const [, decode = ''] = grantOf(ask(planner, 0, demandOf('q', 0)));
     backOff(planner, 'vm1', [decode], PAUSE_MS);
     const ready = { kind: 'prefilled', id: 'q', ms: 150 } as const;
     const bound = planner.handle(150, { ...ready, unreachable: undefined, shedBy: undefined });
--- a/test/router/pausemodel.test.ts
+++ b/test/router/pausemodel.test.ts
@@ -2,7 +2,8 @@
 
 import { Planner } from '../../src/core/memory/planner';
 import { planPolicy } from '../../src/core/memory/policy';
-import type { Demand, PlanAction, PlanEvent } from '../../src/core/memory/types';
+import type { PlanAction, PlanEvent } from '../../src/core/memory/types';
+import { demandOf } from '../fakes/demand';
 import { streamEngine } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
 
@@ -90,22 +91,7 @@
 
   #ask(now: number, asker: string, promptTokens: number): void {
     this.#asked += 1;
-    const demand: Demand = {
-      id: `q${this.#asked}`,
-      vm: asker,
-      customer: undefined,
-      rank: 1,
-      promptId: undefined,
-      promptTokens,
-      maxOutputTokens: 1200,
-      hintTokens: undefined,
-      dueAt: now + 900,
-      gapMs: 300,
-      lostAt: now + 3600,
-      returned: false,
-      resuming: false,
-      avoid: [],
-    };
+    const demand = demandOf(`q${this.#asked}`, now, { vm: asker, promptTokens, gapMs: 300 });
     this.#vmOf.set(demand.id, asker);
     this.#handle(now, { kind: 'asked', demand });
   }
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -1,9 +1,10 @@
 import { StageBalancer, optimalPrefillCount } from '../../src/core/memory/balance';
 import { Planner } from '../../src/core/memory/planner';
 import { planPolicy } from '../../src/core/memory/policy';
-import type { Demand, PlanAction } from '../../src/core/memory/types';
+import type { PlanAction } from '../../src/core/memory/types';
 import type { Engine, Runner } from '../../src/core/routing/types';
 import { instanceId } from '../../src/core/routing/types';
+import { demandOf } from '../fakes/demand';
 import { runnerOf as runner } from '../fakes/runner';
 
 const engine: Engine = {
@@ -14,24 +15,6 @@
   switchMs: 6000,
 };
 
-const demand = (id: string, now: number, change: Partial<Demand> = {}): Demand => ({
-  id,
-  vm: 'vm1',
-  customer: undefined,
-  rank: 1,
-  promptId: undefined,
-  promptTokens: 5000,
-  maxOutputTokens: 1200,
-  hintTokens: undefined,
-  dueAt: now + 900,
-  gapMs: 0,
-  lostAt: now + 3600,
-  returned: false,
-  resuming: false,
-  avoid: [],
-  ...change,
-});
-
 function plannerOf(runners: readonly Runner[]): Planner {
   const planner = new Planner(planPolicy);
   planner.handle(0, { kind: 'runners', engine, runners });
@@ -46,7 +29,7 @@
 /** Sends `count` requests at once and returns the decisions. */
 function flood(planner: Planner, now: number, count: number): readonly PlanAction[] {
   return Array.from({ length: count }, (_, i) =>
-    planner.handle(now, { kind: 'asked', demand: demand(`r${i}`, now) }),
+    planner.handle(now, { kind: 'asked', demand: demandOf(`r${i}`, now) }),
   ).flat();
 }
 
@@ -70,9 +53,9 @@
    */
   test('ejects a slow decode runner whose local prefill should have ended long ago', () => {
     const planner = plannerOf([runner('d1', 'decode')]);
-    planner.handle(0, { kind: 'asked', demand: demand('read', 0) });
+    planner.handle(0, { kind: 'asked', demand: demandOf('read', 0) });
     const held = {
-      demand: demand('held', 0),
+      demand: demandOf('held', 0),
       grant: { prefill: 'p1', decode: 'd1' },
       startedAt: -500,
     };
@@ -138,7 +121,7 @@
   test('runs a local prefill on each decode runner with free memory', () => {
     const planner = plannerOf(['d1', 'd2', 'd3'].map((id) => runner(id, 'decode')));
     const held = ['d2', 'd2', 'd3', 'd3'].map((decode, i) => ({
-      demand: demand(`held${i}`, 0),
+      demand: demandOf(`held${i}`, 0),
       grant: { prefill: undefined, decode },
       startedAt: -1000,
     }));
@@ -154,7 +137,7 @@
    */
   test('assigns another decode runner when the first could not be reached', () => {
     const planner = plannerOf([...pool, runner('d2', 'decode')]);
-    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    planner.handle(0, { kind: 'asked', demand: demandOf('r', 0) });
     const ready = { kind: 'prefilled', id: 'r', ms: 150, shedBy: undefined } as const;
     const bound = planner.handle(150, { ...ready, unreachable: undefined, shedBy: undefined });
     const first = bound[0]?.kind === 'bind' ? bound[0].decode : '';
@@ -170,7 +153,7 @@
   test('assigns another decode runner when the first takes no requests any more', () => {
     const runners = [...pool, runner('d2', 'decode'), runner('d3', 'decode')];
     const planner = plannerOf(runners);
-    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    planner.handle(0, { kind: 'asked', demand: demandOf('r', 0) });
     const ready = {
       kind: 'prefilled',
       id: 'r',
@@ -197,7 +180,7 @@
   test('gives a prefill runner work while the answer for a prompt is overdue', () => {
     const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
     const ask = (now: number, id: string): readonly PlanAction[] =>
-      planner.handle(now, { kind: 'asked', demand: demand(id, now, { promptTokens: 8000 }) });
+      planner.handle(now, { kind: 'asked', demand: demandOf(id, now, { promptTokens: 8000 }) });
     const prefill = (actions: readonly PlanAction[]): string | undefined =>
       actions[0]?.kind === 'grant' ? actions[0].grant.prefill : undefined;
     expect(prefill(ask(0, 'lost'))).toBe('p1');
@@ -212,7 +195,7 @@
   test('allows another local prefill when one is overdue', () => {
     const planner = plannerOf([runner('d1', 'decode')]);
     const ask = (now: number, id: string): readonly string[] =>
-      granted(planner.handle(now, { kind: 'asked', demand: demand(id, now) }));
+      granted(planner.handle(now, { kind: 'asked', demand: demandOf(id, now) }));
     expect(ask(0, 'lost')).toEqual(['lost']);
     expect(ask(600, 'waits')).toEqual([]);
     expect(granted(planner.handle(1250, { kind: 'woke' }))).toEqual(['waits']);
@@ -225,7 +208,7 @@
    */
   test('uses a local prefill when a kept prefill has expired, and ejects its prefill runner', () => {
     const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
-    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    planner.handle(0, { kind: 'asked', demand: demandOf('r', 0) });
     const ready = { kind: 'prefilled', id: 'r', ms: 150, unreachable: undefined } as const;
     planner.handle(150, { ...ready, shedBy: undefined });
     const again = planner.handle(160, { ...ready, shedBy: 'd1' });
@@ -240,7 +223,7 @@
    */
   test('refuses a request whose runner is fuller than the account shows', () => {
     const planner = plannerOf([runner('p1', 'prefill'), runner('d1', 'decode')]);
-    planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
+    planner.handle(0, { kind: 'asked', demand: demandOf('r', 0) });
     planner.handle(10, { kind: 'reported', report: { runner: 'd1', usedTokens: 63_000 } });
     const ready = { kind: 'prefilled', id: 'r', ms: 150, unreachable: undefined } as const;
     const shed = planner.handle(160, { ...ready, shedBy: 'd1' });
@@ -281,7 +264,7 @@
       const ask = (id: string, now: number, tokens: number): readonly PlanAction[] =>
         planner.handle(now, {
           kind: 'asked',
-          demand: demand(id, now, { promptTokens: tokens, gapMs: 300 }),
+          demand: demandOf(id, now, { promptTokens: tokens, gapMs: 300 }),
         });
       // One request sets the token time to one millisecond.
       ask('first', 0, 5000);
@@ -303,8 +286,8 @@
    */
   test('returns the existing reservation for a repeated request', () => {
     const planner = plannerOf(pool);
-    const first = planner.handle(0, { kind: 'asked', demand: demand('r', 0) });
-    const again = planner.handle(50, { kind: 'asked', demand: demand('r', 0) });
+    const first = planner.handle(0, { kind: 'asked', demand: demandOf('r', 0) });
+    const again = planner.handle(50, { kind: 'asked', demand: demandOf('r', 0) });
     expect(again).toEqual(first);
     expect(planner.placed).toBe(1);
   });
@@ -329,7 +312,7 @@
     const planner = plannerOf(pool);
     planner.handle(0, { kind: 'reported', report: { runner: 'd1', usedTokens: 32_000 } });
     const holdings = Array.from({ length: 6 }, (_, i) => ({
-      demand: demand(`held${i}`, 0),
+      demand: demandOf(`held${i}`, 0),
       grant: { prefill: undefined, decode: 'd1' },
       startedAt: -2000,
     }));
@@ -368,7 +351,7 @@
     let given = 0;
     const onTime: (() => void)[] = [];
     for (let now = 0; now < 10_000; now += 100) {
-      const actions = planner.handle(now, { kind: 'asked', demand: demand(`r${now}`, now) });
+      const actions = planner.handle(now, { kind: 'asked', demand: demandOf(`r${now}`, now) });
       const reads = actions.filter((action) => action.kind === 'grant' && action.grant.prefill);
       given += reads.length;
       for (const { id } of reads) {
@@ -421,7 +404,7 @@
     expect(planner.load(120).memory).toBeGreaterThan(0.8);
     planner.handle(200, { kind: 'runners', engine, runners: poolOf(2) });
     const empty = planner.load(200);
-    const late = { demand: demand('late', 0), grant: { prefill: 'p@1', decode: 'd@1' } };
+    const late = { demand: demandOf('late', 0), grant: { prefill: 'p@1', decode: 'd@1' } };
     planner.handle(210, { kind: 'reported', report: full });
     planner.handle(210, { kind: 'slow', id: ids[1] ?? '' });
     planner.handle(210, { kind: 'finished', id: ids[1] ?? '', outputTokens: 500 });
