Charge the prefill that is repeated under another reservation to the retry budget

It now takes a retry, and is rejected as not run without one. Test failed first: a second run with no retry left.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -111,7 +111,12 @@
         outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       }
       if (isUnsent(outcome) && cache) this.#freeCache(cache);
-      if (outcome === 'unavailable') return planAgain(exchange, progress, decode);
+      if (outcome === 'unavailable') {
+        // With a KV cache, the next reservation repeats the prefill.
+        return cache
+          ? this.#mayPrefillAgain(exchange, progress, decode)
+          : planAgain(exchange, progress, decode);
+      }
       if (outcome === 'unreachable') outcome = 'rejected';
       if (outcome === 'done') return false;
       blame = this.#blameOf(service, decode);
@@ -201,10 +206,10 @@
     this.#context.runners.freeCache(cache).catch(() => undefined);
   }
 
-  /** Whether another prefill runner may be tried; false if the request was aborted. Throws if the attempts or the retry budget are used up. */
-  #mayPrefillAgain(exchange: Exchange, progress: Progress, failed: string): boolean {
+  /** Whether another prefill may be tried after the failure of a runner; false if the request was aborted. Throws if the attempts or the retry budget are used up. */
+  #mayPrefillAgain(exchange: Exchange, progress: Progress, failed: string | undefined): boolean {
     const now = performance.now();
-    progress.avoid.push(failed);
+    if (failed !== undefined) progress.avoid.push(failed);
     const refused = this.#recheck(exchange);
     if (refused) throw refused;
     const may = progress.prefills < MAX_PREFILLS && this.#context.takeRetry(now, exchange.service);
--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -119,7 +119,8 @@
   leavesWith: (dispatch: Dispatch | DecodeDispatch) => readonly Runner[],
   grants: readonly { readonly prefill?: string; readonly decode: string }[],
   moveTo: string,
-): Promise<{ readonly sent: readonly string[]; readonly out: readonly string[] }> {
+  retries = 0,
+): Promise<{ readonly sent: readonly string[]; readonly outcome: string | undefined }> {
   const vm = new VmState(runners);
   const sent: string[] = [];
   const out: string[] = [];
@@ -129,6 +130,7 @@
     for (const one of leavesWith(dispatch)) vm.answered(one, leavingReply());
   };
   let reserved = 0;
+  let retriesLeft = retries;
   const context = {
     routingState: vm.state,
     runners: {
@@ -162,11 +164,14 @@
     runs: vm.runs,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
-    takeRetry: () => false,
+    takeRetry: () => {
+      retriesLeft -= 1;
+      return retriesLeft >= 0;
+    },
   } as unknown as ModelContext;
   const exchange = exchangeInto(out, promptRequest, { ...streamRoute, attempts: 1 });
   await new ModelHandler(context).run(exchange, streamEngine);
-  return { sent, out };
+  return { sent, outcome: exchange.code ?? out.join(' ') };
 }
 
 describe('a model request whose runner leaves', () => {
@@ -177,31 +182,37 @@
 
   /* The decode runner announces it to another request between prefill and decode. No retry is charged, since nothing was sent. */
   test('keeps its KV cache and decodes at another runner', async () => {
-    const { sent, out } = await serve(
+    const { sent, outcome } = await serve(
       [p1, d1, d2],
       ({ runner }) => (runner.id === 'p1' ? [d1] : []),
       [{ prefill: 'p1', decode: 'd1' }],
       'd2',
     );
     expect(sent).toEqual(['prefill p1', 'decode h d2']);
-    expect(out).toEqual(['200', 'id: 1\n\n']);
+    expect(outcome).toBe('200 id: 1\n\n');
   });
 
-  /* The owner has not heard of it yet and assigns the runner again. */
-  test('asks for another reservation where the owner knows no other decode runner', async () => {
-    const { sent, out } = await serve(
-      [p1, d1, d2],
-      ({ runner }) => (runner.id === 'p1' ? [d1] : []),
-      [{ prefill: 'p1', decode: 'd1' }, { decode: 'd2' }],
-      'd1',
-    );
-    expect(sent).toEqual(['prefill p1', 'free', 'decode undefined d2']);
-    expect(out).toEqual(['200', 'id: 1\n\n']);
-  });
+  /* The owner has not heard of it yet and assigns the runner again. The prompt is prefilled a second time, which the retry budget counts. */
+  test.each([
+    [1, ['prefill p1', 'free', 'decode undefined d2'], '200 id: 1\n\n'],
+    [0, ['prefill p1', 'free'], 'runnerFull'],
+  ])(
+    'asks for another reservation where the owner knows no other decode runner, with %d retries left',
+    async (retries, expected, outcome) => {
+      const served = await serve(
+        [p1, d1, d2],
+        ({ runner }) => (runner.id === 'p1' ? [d1] : []),
+        [{ prefill: 'p1', decode: 'd1' }, { decode: 'd2' }],
+        'd1',
+        retries,
+      );
+      expect(served).toEqual({ sent: expected, outcome });
+    },
+  );
 
   /* The announcement came while the request waited for its reservation. */
   test('asks for another reservation where its prefill runner leaves', async () => {
-    const { sent, out } = await serve(
+    const { sent, outcome } = await serve(
       [{ ...p1, leaving: true }, p2, d1],
       () => [],
       [
@@ -211,6 +222,6 @@
       'd1',
     );
     expect(sent).toEqual(['prefill p2', 'decode h d1']);
-    expect(out).toEqual(['200', 'id: 1\n\n']);
+    expect(outcome).toBe('200 id: 1\n\n');
   });
 });
