Log requests that do not reach a runner, and whose request ejects one

The logs of the incident cannot tell why a runner was ejected: the planner's line names neither the VM nor the reason, and a VM says only in the trail of the ended request that it did not reach a runner, not how long it tried nor how the connection failed. Each run that does not reach its runner is one line now (10 a second) and one count; an ejection names the VM that reported it. No decision depends on either.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -194,9 +194,11 @@
       exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
       return cache;
     } catch (error) {
-      const { codeName } = toFailure(error);
+      const failure = toFailure(error);
+      const { codeName } = failure;
       exchange.trail.push(`prefill ${runner.id} ${codeName}`);
       if (codeName === 'answerLost') run.interrupted(performance.now());
+      if (codeName === 'runnerUnreachable') run.unreached(performance.now(), failure);
       return codeName;
     }
   }
@@ -304,13 +306,13 @@
       progress.sentTo.delete(runner.id);
       return 'unreachable';
     } catch (error) {
-      const { codeName } = toFailure(error);
-      exchange.trail.push(`decode ${runner.id} ${codeName}`);
-      if (codeName !== 'runnerUnreachable') {
+      const failure = toFailure(error);
+      exchange.trail.push(`decode ${runner.id} ${failure.codeName}`);
+      if (failure.codeName !== 'runnerUnreachable') {
         run.interrupted(performance.now());
         return 'broken';
       }
-      run.notRun();
+      run.unreached(performance.now(), failure);
       progress.sentTo.delete(runner.id);
       return 'unreachable';
     }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -188,9 +188,9 @@
   const onReply = (reply: Reply): void => run.replied(performance.now(), reply);
   const dispatch = { runner, request, deadlineMs, signal, onReply };
   const reply = await runners.send(dispatch).catch((error) => {
-    const { codeName } = toFailure(error);
-    if (codeName === 'runnerFailed') run.interrupted(performance.now());
-    if (codeName === 'runnerUnreachable') run.notRun();
+    const failure = toFailure(error);
+    if (failure.codeName === 'runnerFailed') run.interrupted(performance.now());
+    if (failure.codeName === 'runnerUnreachable') run.unreached(performance.now(), failure);
     throw error;
   });
   const body = await readBody(reply.body, MAX_ANSWER_BYTES).catch((error: Error) => {
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -135,14 +135,20 @@
     const plan = this.#planOf(now, service);
     this.#recordContact(now, service, plan, vm);
     plan.callbacks.set(id, callback);
-    const decisions = this.#handle(now, service, plan, {
-      kind: 'prefilled',
-      id,
-      ms,
-      unreachable,
-      unavailable,
-      shedBy,
-    });
+    const decisions = this.#handle(
+      now,
+      service,
+      plan,
+      {
+        kind: 'prefilled',
+        id,
+        ms,
+        unreachable,
+        unavailable,
+        shedBy,
+      },
+      vm,
+    );
     return decisions.get(id) ?? { state: 'waiting', id };
   }
 
@@ -163,7 +169,7 @@
       .with({ kind: 'released' }, ({ blame }) => ({ kind: 'released', id, blame }))
       .exhaustive();
     if (report.kind === 'released') plan.callbacks.delete(id);
-    this.#handle(now, report.service, plan, event);
+    this.#handle(now, report.service, plan, event, vm);
   }
 
   /** Handles pauses that runners of a service asked a VM for. */
@@ -268,12 +274,16 @@
     return plan;
   }
 
-  /** Passes an event to the planner. Its decisions are sent to the waiting VMs and returned by request id. */
+  /**
+   * Passes an event to the planner. Its decisions are sent to the waiting VMs and returned by request id.
+   * @param source the VM that reported the event, for the log
+   */
   #handle(
     now: number,
     service: string,
     plan: ServicePlan,
     event: PlanEvent,
+    source?: string,
   ): ReadonlyMap<string, Decision> {
     const engine = this.#routingState.table?.service(service)?.engine;
     const decisions = new Map<string, Decision>();
@@ -285,7 +295,7 @@
     plan.planner.handle(now, event).forEach((action) => {
       decisions.set(action.id, this.#decide(now, service, plan, action));
     });
-    this.#logEjections(service, plan, event);
+    this.#logEjections(service, plan, event, source);
     const callingRequest = callingRequestOf(event);
     for (const [id, decision] of decisions) {
       const callback = plan.callbacks.get(id);
@@ -296,10 +306,15 @@
   }
 
   /** Logs each runner that was ejected, with the event that caused it. */
-  #logEjections(service: string, { planner }: ServicePlan, event: PlanEvent): void {
+  #logEjections(
+    service: string,
+    { planner }: ServicePlan,
+    event: PlanEvent,
+    source: string | undefined,
+  ): void {
     for (const runner of planner.takeEjected()) {
       const request = 'id' in event ? event.id : undefined;
-      this.#log.info({ request, service, runner, event: event.kind }, 'Ejected a runner.');
+      this.#log.info({ request, service, runner, event: event.kind, source }, 'Ejected a runner.');
     }
   }
 
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -9,6 +9,7 @@
 import { isAttributable } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Framing, StreamFault } from '../../core/stream/answer';
+import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
 import type { Exchange } from './exchange';
@@ -19,6 +20,9 @@
 import type { RoutingState } from './routingstate';
 import type { Reply } from './types';
 
+/** Log lines per second about runners that were not reached. */
+const UNREACHED_LINES_PER_S = 10;
+
 /** The part of a stream that one run sent. */
 export interface StreamPart {
   readonly status: number;
@@ -43,9 +47,15 @@
   readonly log: Logger;
 }
 
+/** Dependencies of one run. */
+interface RunContext extends RunsContext {
+  /** Budget for the lines about runners that were not reached. */
+  readonly lines: LogRateLimiter;
+}
+
 /** One run: a request sent to one runner. */
 export class Run {
-  readonly #context: RunsContext;
+  readonly #context: RunContext;
 
   readonly #exchange: Exchange;
 
@@ -55,7 +65,7 @@
 
   #answeredAt: number | undefined;
 
-  constructor(now: number, context: RunsContext, exchange: Exchange, runner: Runner) {
+  constructor(now: number, context: RunContext, exchange: Exchange, runner: Runner) {
     this.#sentAt = now;
     this.#context = context;
     this.#exchange = exchange;
@@ -76,6 +86,16 @@
     if (this.#runner.role !== 'prefill') this.#exchange.charge.refund();
   }
 
+  /** No connection to the runner was established: it did not receive the request. */
+  unreached(now: number, { message: detail }: Failure): void {
+    const { metrics, lines, log } = this.#context;
+    this.notRun();
+    metrics.count('runs.unreached');
+    if (!lines.tryAcquire(now)) return;
+    const sentMs = Math.round(now - this.#sentAt);
+    log.info({ ...this.#fields(undefined), sentMs, detail }, 'Did not reach a runner.');
+  }
+
   /** A part of the response arrived. */
   answered(now: number): void {
     this.#answeredAt ??= now;
@@ -124,10 +144,13 @@
 
 /** Starts the runs of this VM. */
 export class Runs {
-  readonly #context: RunsContext;
+  readonly #context: RunContext;
 
   constructor(context: RunsContext) {
-    this.#context = context;
+    const lines = new LogRateLimiter(UNREACHED_LINES_PER_S, (count) =>
+      context.log.info({ lines: count }, 'Did not reach runners for more requests.'),
+    );
+    this.#context = { ...context, lines };
   }
 
   /** The reason why a request must not be sent to a runner; undefined if it may be. */
