Open connections to runners through a dialer that tests can replace

All VMs of a test run in one process and share its address, so that nothing on the network tells whose connections to runners to cut. No behaviour changes: one connection a request without a pool, as before.

--- a/src/platform/router.ts
+++ b/src/platform/router.ts
@@ -6,6 +6,8 @@
 import { StoreHistory } from '../core/routing/position';
 import { logOf } from '../node/log';
 import { Router } from '../node/router/daemon';
+import type { Dialer } from '../utils/dialer';
+import { TcpDialer } from '../utils/dialer';
 import { EraReader } from './era';
 import { StoreFeed } from './feed';
 import { StoreLock } from './lock';
@@ -33,8 +35,15 @@
   return loadSettings(file);
 }
 
-/** Creates a router that uses the platform's store, protocol and lock. It is not started yet. */
-export function createRouter({ router, store }: PlatformSettings, log: Logger): Router {
+/**
+ * Creates a router that uses the platform's store, protocol and lock. It is not started yet.
+ * @param dialer opens the connections to runners. Default: over TCP
+ */
+export function createRouter(
+  { router, store }: PlatformSettings,
+  log: Logger,
+  dialer: Dialer = new TcpDialer(),
+): Router {
   const { vm, peer } = router;
   const history = new StoreHistory();
   const client = new StoreClient(store, new EraReader(history, logOf(log, 'store')));
@@ -44,7 +53,7 @@
     {
       history,
       feed,
-      runners: new PlatformRunnerClient(),
+      runners: new PlatformRunnerClient(dialer),
       ingress: new PlatformIngress(),
       control: new PlatformControl(),
       lock: new StoreLock(client, vm),
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -19,6 +19,8 @@
   RunnerClient,
   RunnerReport,
 } from '../node/router/types';
+import type { Dialer } from '../utils/dialer';
+import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { header, path } from './names';
@@ -60,6 +62,12 @@
 
 /** Sends each request over a new connection, so that left-over bytes of another response are never read as part of this one. */
 export class PlatformRunnerClient implements RunnerClient {
+  readonly #dialer: Dialer;
+
+  constructor(dialer: Dialer) {
+    this.#dialer = dialer;
+  }
+
   send(dispatch: Dispatch): Promise<Reply> {
     return this.#exchange(dispatch, []);
   }
@@ -99,24 +107,14 @@
   }
 
   async freeCache({ address, handle }: CacheHandle): Promise<void> {
-    const url = `http://${address}${path.cacheHandle}${encodeURIComponent(handle)}`;
-    const headers = { connection: 'close' };
-    await call({ method: 'DELETE', url, headers, timeoutMs: CONTROL_CALL_TIMEOUT_MS });
+    const target = `${path.cacheHandle}${encodeURIComponent(handle)}`;
+    await this.#call(address, target, { method: 'DELETE', headers: { connection: 'close' } });
   }
 
   async report({ id, listing, address }: Runner): Promise<RunnerReport> {
-    const url = `http://${address}${path.report}`;
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const {
-      status,
-      headers: answered,
-      body,
-    } = await call({
-      method: 'GET',
-      url,
-      headers,
-      timeoutMs: CONTROL_CALL_TIMEOUT_MS,
-    });
+    const report = await this.#call(address, path.report, { method: 'GET', headers });
+    const { status, headers: answered, body } = report;
     if (status !== HTTP_OK) throw new Failure('runnerFailed', `${address} answered ${status}`);
     const { born, runs, 'kv-used': usedTokens } = reportSchema.parse(JSON.parse(body));
     // A runner that reports no start time gets a new id at each start.
@@ -136,20 +134,14 @@
     fence: number,
   ): Promise<OrderOutcome> {
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const report = await call({
-      method: 'GET',
-      url: `http://${address}${path.report}`,
-      headers,
-      timeoutMs: CONTROL_CALL_TIMEOUT_MS,
-    });
+    const report = await this.#call(address, path.report, { method: 'GET', headers });
     const { sequence, busy, born } = orderStateSchema.parse(JSON.parse(report.body));
     // Another instance of the runner may have another stage and has no orders from this holder.
     if (busy || (born !== 0 && born !== bornAt)) return 'rejected';
     if (isLeaving(report.headers)) return 'leaving';
     try {
-      const { status } = await call({
+      const { status } = await this.#call(address, path.order, {
         method: 'POST',
-        url: `http://${address}${path.order}`,
         headers: { ...headers, 'content-type': 'application/json' },
         // `expected` is the number of orders accepted so far, so that an order that arrives late has no effect.
         body: JSON.stringify({
@@ -159,7 +151,6 @@
           'fencing-token': fence,
           expected: sequence,
         }),
-        timeoutMs: CONTROL_CALL_TIMEOUT_MS,
       });
       return status === HTTP_OK || status === HTTP_ACCEPTED ? 'accepted' : 'rejected';
     } catch {
@@ -167,10 +158,24 @@
     }
   }
 
+  /** Makes a call that carries no request of a caller. */
+  #call(
+    address: string,
+    target: string,
+    options: Pick<CallOptions, 'method' | 'headers' | 'body'>,
+  ): Promise<HttpResponse> {
+    return call({
+      ...options,
+      url: `http://${address}${target}`,
+      createConnection: () => this.#dialer.dial(address),
+      timeoutMs: CONTROL_CALL_TIMEOUT_MS,
+    });
+  }
+
   async #exchange(dispatch: Dispatch, extra: readonly string[]): Promise<Reply> {
     for (let attempts = 1; ; attempts += 1) {
       try {
-        const reply = toReply(dispatch, await exchangeOnce(dispatch, extra));
+        const reply = toReply(dispatch, await exchangeOnce(this.#dialer, dispatch, extra));
         dispatch.onReply(reply);
         return reply;
       } catch (error) {
@@ -205,7 +210,11 @@
 }
 
 /** Makes one attempt. Rejects with `runnerUnreachable` if nothing was sent, otherwise with `runnerFailed`. */
-function exchangeOnce(dispatch: Dispatch, extra: readonly string[]): Promise<IncomingMessage> {
+function exchangeOnce(
+  dialer: Dialer,
+  dispatch: Dispatch,
+  extra: readonly string[],
+): Promise<IncomingMessage> {
   const { runner, request, signal } = dispatch;
   const [host = '', port = ''] = runner.address.split(':');
   return new Promise((resolve, reject) => {
@@ -220,7 +229,7 @@
       method: request.method,
       path: request.target,
       headers: headersOf(dispatch, extra),
-      agent: false,
+      createConnection: () => dialer.dial(runner.address),
       signal,
     });
     onConnected(req, () => {
@@ -239,7 +248,6 @@
 function onConnected(req: ClientRequest, callback: () => void): void {
   const timer = setTimeout(() => req.destroy(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
   req.on('socket', (socket) => {
-    socket.setNoDelay(true);
     socket.once('connect', () => {
       clearTimeout(timer);
       callback();
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -9,6 +9,7 @@
   Agent,
 } from 'node:http';
 import { request } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { Failure } from '../core/failure';
 
@@ -42,6 +43,8 @@
   readonly headers?: OutgoingHttpHeaders;
   /** Pool of connections to use. Default: Node's global one. */
   readonly agent?: Agent;
+  /** Opens the connection to use. Default: one of the pool. */
+  readonly createConnection?: () => Socket;
   /** Time within which the whole response must arrive, in milliseconds. */
   readonly timeoutMs: number;
   /** Aborts the call. Default: none. */
@@ -74,11 +77,13 @@
 
 /** Makes one call and reads the whole response; rejects on a connection error, a timeout or an abort. */
 export function call(options: CallOptions): Promise<HttpResponse> {
-  const { method, url, body, headers, agent, timeoutMs, signal } = options;
+  const { method, url, body, headers, agent, createConnection, timeoutMs, signal } = options;
   const limit = AbortSignal.timeout(timeoutMs);
   const stop = signal ? AbortSignal.any([signal, limit]) : limit;
   return new Promise((resolve, reject) => {
-    const req = request(url, { method, headers: headers ?? {}, agent, signal: stop }, (res) => {
+    const connection = createConnection ? { createConnection } : { agent };
+    const requested = { method, headers: headers ?? {}, ...connection, signal: stop };
+    const req = request(url, requested, (res) => {
       readBody(res, MAX_RESPONSE_BYTES)
         .then((text) =>
           resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text.toString() }),
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -4,6 +4,7 @@
 
 import type { Dispatch } from '../../src/node/router/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
+import { TcpDialer } from '../../src/utils/dialer';
 import { readBody } from '../../src/utils/http';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n';
@@ -55,7 +56,7 @@
 async function outcomeOf(answer: (socket: Socket) => void): Promise<string> {
   const server = await runnerOf(answer);
   try {
-    const reply = await new PlatformRunnerClient().send(dispatchTo(server));
+    const reply = await new PlatformRunnerClient(new TcpDialer()).send(dispatchTo(server));
     const body = await readBody(reply.body, 1000);
     return `${reply.body.complete ? 'whole' : 'short'} ${body.toString()}`;
   } catch (error) {
@@ -95,7 +96,9 @@
 describe('the headers of a response', () => {
   const headOf = async (fields: string): Promise<unknown> => {
     const server = await runnerOf((socket) => socket.end(`${HEAD}${fields}\r\n`));
-    const { framing, isEvents, body } = await new PlatformRunnerClient().send(dispatchTo(server));
+    const { framing, isEvents, body } = await new PlatformRunnerClient(new TcpDialer()).send(
+      dispatchTo(server),
+    );
     body.resume();
     server.close();
     return { framing, isEvents };
