Reproduce callers who are not served at VMs that are partitioned from all runners

Five real routers, six decode, six plain and three prefill runners, 60 requests a second, both services in turn. The connections of two or four VMs to all runners are cut for 7 s: open and new ones hang, or are reset and refused, or open ones go on and new ones are refused. Callers, the store and the other VMs still reach them.

--- /dev/null
+++ b/test/fakes/partition.ts
@@ -0,0 +1,133 @@
+/** Partitions of VMs from runners: every connection of a VM to a runner goes through a proxy that can be cut. */
+
+import { once } from 'node:events';
+import type { AddressInfo, Server } from 'node:net';
+import { Socket, connect, createServer } from 'node:net';
+
+import type { Dialer } from '../../src/utils/dialer';
+
+/**
+ * What becomes of connections in a partition. `hang`: neither open nor new ones get through;
+ * `reset`: open ones are reset, and new ones refused; `live`: open ones go on, and new ones are
+ * refused.
+ */
+export type Cut = 'hang' | 'reset' | 'live';
+
+/** Connections of one VM to all runners. */
+class Paths implements Dialer {
+  #cut: Cut | undefined;
+
+  readonly #proxies = new Map<string, Promise<Server>>();
+
+  readonly #pairs = new Set<readonly [Socket, Socket]>();
+
+  dial(address: string): Socket {
+    // Node holds back what is written to a socket until it is connected.
+    const socket = Object.assign(new Socket(), { connecting: true });
+    socket.setNoDelay(true);
+    if (this.#cut === 'hang') return socket;
+    if (this.#cut !== undefined) {
+      const refused = Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' });
+      setImmediate(() => socket.destroy(refused));
+      return socket;
+    }
+    this.#proxyOf(address)
+      .then((server) => {
+        if (!socket.destroyed) socket.connect((server.address() as AddressInfo).port, '127.0.0.1');
+      })
+      .catch((error: Error) => socket.destroy(error));
+    return socket;
+  }
+
+  cut(cut: Cut): void {
+    this.#cut = cut;
+    if (cut === 'live') return;
+    for (const [caller, runner] of this.#pairs) {
+      if (cut === 'reset') caller.resetAndDestroy();
+      caller.unpipe(runner);
+      runner.unpipe(caller);
+      caller.pause();
+      runner.pause();
+    }
+  }
+
+  heal(): void {
+    this.#cut = undefined;
+    for (const pair of this.#pairs) {
+      const [caller, runner] = pair;
+      if (caller.destroyed) runner.resetAndDestroy();
+      else this.#join(pair);
+    }
+  }
+
+  async stop(): Promise<void> {
+    for (const socket of [...this.#pairs].flat()) socket.destroy();
+    for (const server of await Promise.all(this.#proxies.values())) server.close();
+  }
+
+  #proxyOf(address: string): Promise<Server> {
+    const known = this.#proxies.get(address);
+    if (known) return known;
+    const [host, port] = address.split(':');
+    const server = createServer((caller) => {
+      const runner = connect({ host, port: Number(port), noDelay: true });
+      caller.setNoDelay(true);
+      if (this.#cut === undefined) this.#add([caller, runner]);
+      else caller.resetAndDestroy();
+    });
+    const listening = once(server.listen(0, '127.0.0.1'), 'listening').then(() => server);
+    this.#proxies.set(address, listening);
+    return listening;
+  }
+
+  #add(pair: readonly [Socket, Socket]): void {
+    const [caller, runner] = pair;
+    this.#pairs.add(pair);
+    this.#join(pair);
+    const onClose = (other: Socket, hadError: boolean): void => {
+      if (this.#cut === 'hang' || this.#cut === 'reset') return;
+      if (hadError) other.resetAndDestroy();
+      else other.destroySoon();
+      if (caller.destroyed && runner.destroyed) this.#pairs.delete(pair);
+    };
+    caller.on('error', () => {});
+    runner.on('error', () => {});
+    caller.on('close', (hadError) => onClose(runner, hadError));
+    runner.on('close', (hadError) => onClose(caller, hadError));
+  }
+
+  #join([caller, runner]: readonly [Socket, Socket]): void {
+    caller.pipe(runner);
+    runner.pipe(caller);
+  }
+}
+
+/** The connections of all VMs of a deployment to its runners. */
+export class Partition {
+  readonly #paths = new Map<string, Paths>();
+
+  /** Opens the connections of a VM. */
+  dialerOf(vm: string): Dialer {
+    return this.#pathsOf(vm);
+  }
+
+  /** Partitions VMs from all runners until `heal`. */
+  cut(vms: readonly string[], cut: Cut): void {
+    for (const vm of vms) this.#pathsOf(vm).cut(cut);
+  }
+
+  /** Ends the partition of all VMs. */
+  heal(): void {
+    for (const paths of this.#paths.values()) paths.heal();
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.#paths.values()].map((paths) => paths.stop()));
+  }
+
+  #pathsOf(vm: string): Paths {
+    const paths = this.#paths.get(vm) ?? new Paths();
+    this.#paths.set(vm, paths);
+    return paths;
+  }
+}
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -17,6 +17,7 @@
 import { waitUntil } from './cluster';
 import { entryOf } from './entry';
 import { closeServer, listen, readBody, sendJson } from './http';
+import type { Partition } from './partition';
 import { FakeStore } from './store';
 
 /** Text in a request body that crashes each runner that starts to process it. */
@@ -40,6 +41,8 @@
   readonly restartMs?: number;
   /** Customers in the format of the configuration. Default: requests need no key. */
   readonly customers?: readonly unknown[];
+  /** Can cut VMs off from all runners. Default: none is ever cut off. */
+  readonly partition?: Partition;
 }
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
@@ -277,7 +280,9 @@
   /** Ids of runners that crashed while processing a request, in order. */
   readonly crashed: string[] = [];
 
-  readonly #options: Required<Omit<RouterClusterOptions, 'customers'>>;
+  readonly #options: Required<Omit<RouterClusterOptions, 'customers' | 'partition'>>;
+
+  readonly #partition: Partition | undefined;
 
   #customers: readonly unknown[] | undefined;
 
@@ -295,7 +300,9 @@
     prefillRunners = 1,
     restartMs = 600,
     customers,
+    partition,
   }: RouterClusterOptions = {}) {
+    this.#partition = partition;
     this.#options = { vms, runners, prefillRunners, restartMs };
     this.#customers = customers;
   }
@@ -341,6 +348,7 @@
     this.#stopping = true;
     await Promise.all(this.#vms.map(({ router }) => router.stop()));
     await Promise.all(this.#runners.map((runner) => runner.stop()));
+    await this.#partition?.stop();
     this.store.stop();
   }
 
@@ -414,6 +422,7 @@
         store: this.store.address,
       },
       pino({ level: 'silent' }),
+      this.#partition?.dialerOf(name),
     );
   }
 
