Reach runners through another VM where the direct path is lost

Cause: a VM had one way to a runner, its own connections, and took their failure for that of the runner. It tried two or three runners and rejected. That it could not reach a runner was no fact of its own, so nothing could act on it. The class: the state of a path is taken for the state of what is at its end.

Change: what a VM reaches is kept apart from what it knows of runners (core/paths). A connection is opened as in RFC 8305: directly, after 60 ms or a failure also through up to four other VMs one after the other, and the first that is established is used. Nothing is sent before, so no request runs twice. While the direct path is lost, requests go through another VM at once; probes find out when it is back. The other VM forwards bytes (CONNECT on the peer port), one hop only, so that the VM that took the request remains the one that retries, counts quotas, permits and budgets, and answers. Connections that stall on a lost path are given up if the request may run again. Orders go directly only, since a runner takes those of two VMs for two holders'.

Why it works: every call to a runner opens its connection here, and where any VM that is asked reaches the runner, the connection is established.

--- /dev/null
+++ b/src/core/paths/forwarders.ts
@@ -0,0 +1,124 @@
+/** Choice of the VMs through which a VM reaches runners that it does not reach directly. */
+
+import type { Member } from '../membership/types';
+
+/** Time for which a VM that did not forward is not asked again, in milliseconds. */
+const AVOIDED_MS = 1500;
+/** Time for which a VM that forwarded is asked first, in milliseconds; then others are tried again, nearer ones first. */
+const PREFERRED_MS = 5000;
+/** VMs that do not reach a runner either, from which the runner is taken to be at fault. */
+const CONFIRMATIONS = 2;
+/** Entries from which expired ones are removed. */
+const MAX_ENTRIES = 1000;
+
+/** What did not work: the VM as a whole, or its path to one runner. */
+export type ForwardFailure = 'vm' | 'runner';
+
+function keyOf(vm: string, address: string): string {
+  return `${vm} ${address}`;
+}
+
+/** Merges two lists in turn, beginning with the first. */
+function alternating<T>(first: readonly T[], second: readonly T[]): readonly T[] {
+  const length = Math.max(first.length, second.length);
+  return Array.from({ length }, (_, index) => [
+    ...first.slice(index, index + 1),
+    ...second.slice(index, index + 1),
+  ]).flat();
+}
+
+/** Removes entries whose time is over. */
+function expire(now: number, ends: Map<string, number>): void {
+  for (const [key, until] of ends) if (until <= now) ends.delete(key);
+}
+
+/** Returns a copy in random order. */
+function shuffled<T>(values: readonly T[], random: () => number): readonly T[] {
+  return values
+    .map((value) => ({ value, order: random() }))
+    .sort((a, b) => a.order - b.order)
+    .map(({ value }) => value);
+}
+
+/** The VMs that may forward connections of this VM, and which of them failed lately. */
+export class Forwarders {
+  readonly #vm: string;
+
+  readonly #domain: string;
+
+  /** End of the time in which a VM, or a VM for one runner, is avoided. */
+  readonly #avoidedUntil = new Map<string, number>();
+
+  /** End of the time in which a VM is asked first. */
+  readonly #preferredUntil = new Map<string, number>();
+
+  constructor(vm: string, domain: string) {
+    this.#vm = vm;
+    this.#domain = domain;
+  }
+
+  /** Records that a VM forwarded a connection. */
+  recordSuccess(now: number, vm: string): void {
+    if ((this.#preferredUntil.get(vm) ?? 0) > now) return;
+    if (this.#preferredUntil.size >= MAX_ENTRIES) expire(now, this.#preferredUntil);
+    this.#preferredUntil.set(vm, now + PREFERRED_MS);
+  }
+
+  /** Records that a VM did not forward a connection to a runner. */
+  recordFailure(now: number, vm: string, address: string, failure: ForwardFailure): void {
+    this.#preferredUntil.delete(vm);
+    if (this.#avoidedUntil.size >= MAX_ENTRIES) expire(now, this.#avoidedUntil);
+    this.#avoidedUntil.set(failure === 'vm' ? vm : keyOf(vm, address), now + AVOIDED_MS);
+  }
+
+  /**
+   * Whether a runner is out of reach: several VMs did not reach it either, or there is none left
+   * to ask.
+   */
+  isExhausted(now: number, members: readonly Member[], address: string): boolean {
+    const open = this.#openMembers(members);
+    const confirmed = open.filter(
+      ({ vm }) => (this.#avoidedUntil.get(keyOf(vm, address)) ?? 0) > now,
+    );
+    if (confirmed.length >= CONFIRMATIONS) return true;
+    return open.every(({ vm }) => this.#avoidedUntilOf(vm, address) > now);
+  }
+
+  /**
+   * Up to `most` VMs to ask for a connection to a runner, in order: one that forwarded lately, then
+   * in turn those of this VM's failure domain and others, since the VMs of a failure domain may
+   * have lost their paths together. They are drawn at random, so that the load of many VMs without
+   * paths spreads. If all failed lately, the one that failed first is asked again.
+   */
+  order(
+    now: number,
+    members: readonly Member[],
+    address: string,
+    most: number,
+    random: () => number,
+  ): readonly Member[] {
+    const open = this.#openMembers(members);
+    const untilOf = ({ vm }: Member): number => this.#avoidedUntilOf(vm, address);
+    const usable = shuffled(
+      open.filter((member) => untilOf(member) <= now),
+      random,
+    );
+    if (usable.length === 0) return [...open].sort((a, b) => untilOf(a) - untilOf(b)).slice(0, 1);
+    const preferred = usable.find(({ vm }) => (this.#preferredUntil.get(vm) ?? 0) > now);
+    const others = usable.filter((member) => member !== preferred);
+    const near = others.filter(({ domain }) => domain === this.#domain);
+    const far = others.filter(({ domain }) => domain !== this.#domain);
+    return [...(preferred ? [preferred] : []), ...alternating(near, far)].slice(0, most);
+  }
+
+  #openMembers(members: readonly Member[]): readonly Member[] {
+    return members.filter(
+      ({ vm, state, draining }) => vm !== this.#vm && state === 'alive' && !draining,
+    );
+  }
+
+  #avoidedUntilOf(vm: string, address: string): number {
+    const forRunner = this.#avoidedUntil.get(keyOf(vm, address)) ?? 0;
+    return Math.max(forRunner, this.#avoidedUntil.get(vm) ?? 0);
+  }
+}
--- /dev/null
+++ b/src/core/paths/table.ts
@@ -0,0 +1,154 @@
+/**
+ * What one VM can reach: for each runner whether the VM connects to it directly, only through
+ * another VM, or not at all. That says nothing about the runner itself, which other VMs may reach.
+ */
+
+/** How a VM reaches a runner: by its own connections, by those of another VM, or not at all. */
+export type Path = 'direct' | 'tunnel' | 'none';
+
+/** A runner as a destination. */
+export interface Destination {
+  /** `HOST:PORT`. */
+  readonly address: string;
+  /** Id of the runner's instance; undefined if it is not known. */
+  readonly id: string | undefined;
+}
+
+/** A runner that the VM does not reach directly. */
+interface LostPath extends Destination {
+  readonly since: number;
+  /** Whether the runner was not reached through other VMs either. */
+  isTunnelLost: boolean;
+  probeAt: number;
+  probeMs: number;
+}
+
+/** A lost path, for operators. */
+export interface LostPathStatus {
+  readonly address: string;
+  readonly path: Path;
+  readonly agoMs: number;
+}
+
+/** Time to the first probe of a lost path, in milliseconds. */
+const FIRST_PROBE_MS = 500;
+/** Maximum time between two probes, in milliseconds. */
+const MAX_PROBE_MS = 2000;
+/** Share of the time between probes by which it varies, so that VMs that lost their paths together do not probe together. */
+const PROBE_SPREAD = 0.5;
+
+/** Sets the time of the next probe. */
+function postpone(now: number, path: LostPath, random: number): void {
+  const lost = path;
+  lost.probeAt = now + lost.probeMs * (1 + PROBE_SPREAD * (random - 0.5));
+}
+
+/** The paths of one VM to runners. All are direct until a connection fails. */
+export class PathTable {
+  readonly #lost = new Map<string, LostPath>();
+
+  /** When the last direct connection was established, by address. */
+  readonly #connectedAt = new Map<string, number>();
+
+  /** Whether any path is lost. */
+  get hasLost(): boolean {
+    return this.#lost.size > 0;
+  }
+
+  /** Addresses that this VM does not reach directly. */
+  get lost(): readonly string[] {
+    return [...this.#lost.keys()];
+  }
+
+  /** How this VM reaches an address. */
+  pathTo(address: string): Path {
+    const lost = this.#lost.get(address);
+    if (!lost) return 'direct';
+    return lost.isTunnelLost ? 'none' : 'tunnel';
+  }
+
+  /** When the direct path to an address was lost; undefined if it is not. */
+  lostSince(address: string): number | undefined {
+    return this.#lost.get(address)?.since;
+  }
+
+  /** Whether a direct connection to an address was established after a time. */
+  connectedAfter(address: string, time: number): boolean {
+    return (this.#connectedAt.get(address) ?? -Infinity) >= time;
+  }
+
+  /** Records a direct connection; returns for how long the path had been lost, in milliseconds, undefined if it was not. */
+  recordConnected(now: number, address: string): number | undefined {
+    this.#connectedAt.set(address, now);
+    const since = this.lostSince(address);
+    this.#lost.delete(address);
+    return since === undefined ? undefined : now - since;
+  }
+
+  /** Records that a direct connection failed; returns whether the path was not lost before. */
+  recordLost(now: number, destination: Destination, random: number): boolean {
+    const known = this.#lost.get(destination.address);
+    if (known) {
+      postpone(now, known, random);
+      return false;
+    }
+    const lost: LostPath = {
+      ...destination,
+      since: now,
+      isTunnelLost: false,
+      probeAt: 0,
+      probeMs: FIRST_PROBE_MS,
+    };
+    postpone(now, lost, random);
+    this.#lost.set(destination.address, lost);
+    return true;
+  }
+
+  /** Records whether a runner was reached through another VM; returns whether that differs from before. */
+  recordTunnel(address: string, isReached: boolean): boolean {
+    const lost = this.#lost.get(address);
+    if (!lost || lost.isTunnelLost !== isReached) return false;
+    lost.isTunnelLost = !isReached;
+    return true;
+  }
+
+  /** Lost paths that are due to be probed, `most` at most; none of them is due again before its next time. */
+  takeDue(now: number, most: number, random: () => number): readonly Destination[] {
+    const due = [...this.#lost.values()].filter(({ probeAt }) => probeAt <= now);
+    const taken = due.sort((a, b) => a.probeAt - b.probeAt).slice(0, most);
+    for (const lost of taken) {
+      lost.probeMs = Math.min(MAX_PROBE_MS, lost.probeMs * 2);
+      postpone(now, lost, random());
+    }
+    return taken.map(({ address, id }) => ({ address, id }));
+  }
+
+  /** Makes all lost paths due: one of them is back, and the others probably are. */
+  expedite(now: number): void {
+    for (const lost of this.#lost.values()) {
+      lost.probeAt = now;
+      lost.probeMs = FIRST_PROBE_MS;
+    }
+  }
+
+  /** Forgets paths to runners that are not listed any more or have been started anew. */
+  retain(runners: readonly { readonly address: string; readonly id: string }[]): void {
+    const ids = new Map(runners.map(({ address, id }) => [address, id]));
+    for (const [address, { id }] of this.#lost) {
+      const listed = ids.get(address);
+      if (listed === undefined || (id !== undefined && id !== listed)) this.#lost.delete(address);
+    }
+    for (const address of this.#connectedAt.keys()) {
+      if (!ids.has(address)) this.#connectedAt.delete(address);
+    }
+  }
+
+  /** The lost paths, for operators. */
+  snapshot(now: number): readonly LostPathStatus[] {
+    return [...this.#lost.values()].map(({ address, since }) => ({
+      address,
+      path: this.pathTo(address),
+      agoMs: Math.round(now - since),
+    }));
+  }
+}
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -22,6 +22,7 @@
   | 'ratelimits'
   | 'store'
   | 'orders'
+  | 'paths'
   | 'runner'
   | 'cli';
 
--- a/src/node/peer/server.ts
+++ b/src/node/peer/server.ts
@@ -1,8 +1,9 @@
 /** Server side of peer links. */
 
 import { timingSafeEqual } from 'node:crypto';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
+import type { Socket } from 'node:net';
 
 import type { Logger } from 'pino';
 import type WebSocket from 'ws';
@@ -14,6 +15,8 @@
 import { MESSAGE_LIMIT, decode, encode } from './codec';
 import type { Message, ToGateway, ToScheduler } from './messages';
 import { PROTOCOL_VERSION, toSchedulerSchema } from './messages';
+import type { TunnelRequest } from './tunnel';
+import { decodeTunnel, keyOfTunnel, rejectTunnel } from './tunnel';
 
 /** A connected peer that completed the handshake. */
 export interface Peer {
@@ -33,6 +36,8 @@
   onMessage(peer: Peer, message: ToScheduler): void;
   onCall(peer: Peer, method: string, params: unknown): Promise<unknown>;
   onClose(peer: Peer): void;
+  /** Handles a request for a tunnel. Default: all are rejected. */
+  onTunnel?(request: TunnelRequest, socket: Socket): void;
 }
 
 /** Options of a `PeerServer`. */
@@ -102,6 +107,9 @@
       res.end();
     });
     this.#http.on('clientError', (_error, socket) => socket.destroy());
+    this.#http.on('connect', (req: IncomingMessage, socket: Socket) =>
+      this.#acceptTunnel(req, socket),
+    );
     this.#sockets = new WebSocketServer({
       server: this.#http,
       path: '/peer',
@@ -163,6 +171,23 @@
     });
   }
 
+  #acceptTunnel(req: IncomingMessage, socket: Socket): void {
+    const { key, handler, log } = this.#options;
+    socket.on('error', () => {});
+    try {
+      if (!isSameKey(keyOfTunnel(req), key)) {
+        throw new Failure('peerRejected', 'found another peer key');
+      }
+      const request = decodeTunnel(req);
+      if (!handler.onTunnel) throw new Failure('peerRejected', 'found a request for a tunnel');
+      socket.setNoDelay(true);
+      handler.onTunnel(request, socket);
+    } catch (error) {
+      log.warn(`Rejected a tunnel. ${toFailure(error).line}.`);
+      rejectTunnel(socket, 'vm', 'rejected');
+    }
+  }
+
   #handshake(socket: WebSocket, message: ToScheduler): Connection {
     const { key, vm } = this.#options;
     if (message.kind !== 'hello') {
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -13,6 +13,7 @@
 import { RetryWindow } from '../../core/retries';
 import type { StoreHistory } from '../../core/routing/position';
 import { bootNow } from '../../utils/clock';
+import type { Dialer } from '../../utils/dialer';
 import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
 import { Control } from './control';
@@ -28,9 +29,11 @@
 import { RouterMetrics } from './metrics';
 import { ModelHandler } from './model';
 import { OrderController } from './orders';
+import { PathController } from './paths';
 import { PlannerHost } from './plannerhost';
 import { PlainHandler } from './plain';
 import { Runs } from './runs';
+import { Tunnels } from './tunnels';
 import type {
   ControlCodec,
   Feed,
@@ -38,6 +41,7 @@
   OrderLock,
   RouterSettings,
   RunnerClient,
+  RunnerConnector,
   SuspectArchive,
 } from './types';
 
@@ -46,7 +50,10 @@
   /** The store's eras, shared with the feed, which reads and updates it. */
   readonly history: StoreHistory;
   readonly feed: Feed;
-  readonly runners: RunnerClient;
+  /** Creates the client of the runners, which opens its connections through a connector. */
+  readonly runners: (connector: RunnerConnector) => RunnerClient;
+  /** Opens the direct connections to runners. */
+  readonly dialer: Dialer;
   readonly ingress: IngressCodec;
   readonly control: ControlCodec;
   readonly lock: OrderLock;
@@ -77,6 +84,10 @@
 
   readonly #gate: Authorizer;
 
+  readonly #paths: PathController;
+
+  readonly #tunnels: Tunnels;
+
   readonly #runners: InflightClient;
 
   readonly #planHost: PlannerHost;
@@ -113,8 +124,24 @@
       onChange: (change) => this.#onStateChange(change),
       onInvalidEntry: () => this.#metrics.count('entries.unfit'),
     });
+    this.#paths = new PathController({
+      vm: settings.vm,
+      domain: settings.domain,
+      dialer: ports.dialer,
+      members: () => this.#fleet.all,
+      runners: (now) => this.#state.runners(now),
+      openTunnel: (via, request, signal) => this.#fleet.openTunnel(via, request, signal),
+      metrics: this.#metrics,
+      log: logOf(log, 'paths'),
+    });
+    this.#tunnels = new Tunnels({
+      routingState: this.#state,
+      paths: this.#paths,
+      metrics: this.#metrics,
+      log: logOf(log, 'paths'),
+    });
     this.#runners = new InflightClient(
-      ports.runners,
+      ports.runners(this.#paths),
       (listing) => this.#state.latestStart(listing),
       logOf(log, 'runner'),
     );
@@ -127,7 +154,10 @@
     this.#fleet = new RouterFleet(settings, proofs, this.#metrics, logOf(log, 'members'), {
       onCall: (vm, method, params, push) =>
         this.#controllers.calls.answer(vm, method, params, push),
-      onVmLost: (vm) => this.#planHost.onVmLost(performance.now(), vm),
+      onVmLost: (vm, address) => {
+        this.#planHost.onVmLost(performance.now(), vm);
+        this.#paths.vmLost(address);
+      },
       onMembersChange: () => {
         this.#warmLinks();
         this.#controllers.membersChanged(performance.now());
@@ -135,6 +165,11 @@
       onDigestDiffers: (address, digest) =>
         this.#controllers.stateSync.digestDiffers(address, digest),
       onUpdate: (update, address) => this.#controllers.stateSync.receive(update, address),
+      onTunnel: (request, socket) => {
+        this.#tunnels
+          .open(request, socket)
+          .catch((error) => this.#log.error(toFailure(error).line));
+      },
     });
     this.#controllers = new Controllers({
       settings,
@@ -263,13 +298,16 @@
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
+    this.#tunnels.startDraining();
     this.#fleet.leave();
     this.#describe();
     while (performance.now() < leaveUntil) await pause(DRAIN_CHECK_MS);
     this.#front.close();
-    while (this.#front.activeRequests > 0 && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
+    while (this.#isBusy && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
+    this.#tunnels.cutOff();
+    this.#paths.stop();
     this.#controllers.stop();
     this.#planHost.stop();
     this.#control.close();
@@ -287,6 +325,8 @@
       active: this.#front.activeRequests,
       ...this.#controllers.snapshot(now),
       ...this.#state.snapshot(now),
+      ...this.#paths.snapshot(now),
+      forwarding: this.#tunnels.active,
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
         models.map((name) => [name, this.#fleet.ownersOf(now, name)[0]?.vm ?? null]),
@@ -335,6 +375,11 @@
     this.#log.info(accessLogFields(exchange, ms, this.#state.configVersion), 'Request ended.');
   }
 
+  /** Whether requests of its own callers or of other VMs are in progress. */
+  get #isBusy(): boolean {
+    return this.#front.activeRequests + this.#tunnels.active > 0;
+  }
+
   /** Whether this VM accepts callers; see `#isServing` for whether it can serve them now. */
   get #isReady(): boolean {
     return !this.#isLeaving && this.#state.table !== undefined;
@@ -362,7 +407,10 @@
         this.#warmLinks();
         this.#controllers.quotas.refresh(performance.now());
       })
-      .with({ kind: 'runners' }, () => this.#runners.abortLost())
+      .with({ kind: 'runners' }, () => {
+        this.#runners.abortLost();
+        this.#paths.runnersChanged(performance.now());
+      })
       .with({ kind: 'era' }, ({ cameBack }) => {
         this.#state.freshness.recordStoreRestore(bootNow());
         if (cameBack) this.#orders?.onStoreRestored(performance.now());
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -1,9 +1,10 @@
 /** The router's fleet of VMs: their membership, the links between them, and the calls over these links. */
 
-import type { Logger } from 'pino';
-
+import type { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
+import type { Logger } from 'pino';
+
 import type { MemberStatus, Member, Members, GossipUpdate } from '../../core/membership/types';
 import { isPresent, canOwn } from '../../core/membership/types';
 import { addressesNear, rankByCores } from '../../core/ownership';
@@ -14,6 +15,8 @@
 import { PROTOCOL_VERSION } from '../peer/messages';
 import type { Peer } from '../peer/server';
 import { PeerServer } from '../peer/server';
+import type { TunnelRequest } from '../peer/tunnel';
+import { openTunnel } from '../peer/tunnel';
 import type { FreshnessExchange } from '../scheduler/members';
 import { MembershipDriver } from '../scheduler/members';
 import type { RouterSettings } from './types';
@@ -28,13 +31,15 @@
     push: (method: string, params: unknown) => void,
   ): Promise<unknown>;
   /** A VM is gone, and so are its requests. */
-  onVmLost(vm: string): void;
+  onVmLost(vm: string, address: string): void;
   /** The membership changed. */
   onMembersChange(): void;
   /** The digest of another VM's state differs from this VM's. */
   onDigestDiffers(address: string, digest: string): void;
   /** A gossip update of another VM arrived. */
   onUpdate(update: GossipUpdate, address: string): void;
+  /** Another VM asks for a tunnel to a runner. */
+  onTunnel(request: TunnelRequest, socket: Socket): void;
 }
 
 /** Period of membership probes, in milliseconds; a dead VM is detected within about 1.5 s. */
@@ -147,6 +152,7 @@
         onClose: (from) => this.#onLinkClosed(from),
         onCall: (from, method, params) =>
           listener.onCall(from.vm, method, params, (name, value) => this.#push(from, name, value)),
+        onTunnel: (request, socket) => listener.onTunnel(request, socket),
       },
     });
   }
@@ -286,6 +292,11 @@
     return link.call(method, params, limitMs);
   }
 
+  /** Opens a tunnel to a runner through another VM; see `openTunnel`. */
+  openTunnel({ address }: Member, request: TunnelRequest, signal: AbortSignal): Promise<Socket> {
+    return openTunnel(address, this.#settings.peerKey, request, signal);
+  }
+
   /** Calls a method of all VMs that have opened a link to this VM, over these links. */
   callClients(method: string, params: unknown): void {
     for (const peer of this.#clients.values()) this.#push(peer, method, params);
@@ -300,8 +311,8 @@
   #onLinkClosed(peer: Peer): void {
     const { vm } = peer;
     if (this.#clients.get(vm) === peer) this.#clients.delete(vm);
-    const state = this.#members.members.get(vm)?.state;
-    if (state === 'left' || state === 'dead') this.#listener.onVmLost(vm);
+    const { state, address = '' } = this.#members.members.get(vm) ?? {};
+    if (state === 'left' || state === 'dead') this.#listener.onVmLost(vm, address);
   }
 
   #closeIdle(now: number): void {
@@ -342,7 +353,7 @@
       this.#links.delete(address);
     }
     // A VM that has left still completes its requests; it counts as lost when its link closes.
-    if (state === 'dead') this.#listener.onVmLost(vm);
+    if (state === 'dead') this.#listener.onVmLost(vm, address);
     this.#ranking.clear();
     this.#addresses.clear();
     this.#batchChanges();
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -189,6 +189,7 @@
         request,
         deadlineMs,
         signal: AbortSignal.any([signal, limit]),
+        mayRepeat: true,
         onReply: (reply) => run.replied(performance.now(), reply),
       });
       exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
@@ -290,6 +291,7 @@
         request,
         deadlineMs,
         signal,
+        mayRepeat: exchange.route.resumable,
         onReply: (answer) => run.replied(performance.now(), answer),
         cache,
         afterEvent,
--- /dev/null
+++ b/src/node/router/paths.ts
@@ -0,0 +1,350 @@
+/** The paths of this VM to runners: opens connections, directly or through another VM, and probes lost paths. */
+
+import type { Socket } from 'node:net';
+
+import type { Logger } from 'pino';
+
+import { Failure } from '../../core/failure';
+import type { Member } from '../../core/membership/types';
+import { Forwarders } from '../../core/paths/forwarders';
+import type { Destination, Path } from '../../core/paths/table';
+import { PathTable } from '../../core/paths/table';
+import type { Runner } from '../../core/routing/types';
+import type { Dialer } from '../../utils/dialer';
+import { LogRateLimiter } from '../loglimiter';
+import type { Metrics } from '../metrics';
+import type { TunnelRequest } from '../peer/tunnel';
+import { TunnelFailure } from '../peer/tunnel';
+import { OpenConnections } from './openconnections';
+import type { Way } from './race';
+import { firstConnection } from './race';
+import type { RunnerConnection, RunnerConnector, RunnerTarget } from './types';
+
+/** Dependencies of the paths. */
+export interface PathContext {
+  readonly vm: string;
+  readonly domain: string;
+  readonly dialer: Dialer;
+  /** The members of the fleet. */
+  readonly members: () => readonly Member[];
+  /** The runners that this VM may use. */
+  readonly runners: (now: number) => readonly Runner[];
+  /** Opens a tunnel through another VM. Rejects with `TunnelFailure`. */
+  readonly openTunnel: (
+    via: Member,
+    request: TunnelRequest,
+    signal: AbortSignal,
+  ) => Promise<Socket>;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+}
+
+/** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
+const CONNECT_TIMEOUT_MS = 350;
+/** Time after which another VM is asked although the direct attempt goes on, in milliseconds: many round trips, but little compared with a request's latency target. */
+const FIRST_TUNNEL_MS = 60;
+/** Time after which one more VM is asked, in milliseconds. */
+const TUNNEL_STAGGER_MS = 100;
+/** VMs asked for one connection. */
+const MAX_TUNNELS = 4;
+/** Period of checking for probes that are due and for stalled connections, in milliseconds. */
+const TICK_MS = 200;
+/** Maximum number of probes in one period. */
+const MAX_PROBES = 8;
+/** Paths lost in a row, without a direct connection between them, after which all are checked. */
+const LOSSES_TO_CHECK_ALL = 2;
+/** Shortest time between two checks of all paths, in milliseconds. */
+const CHECK_ALL_MS = 2000;
+/** Maximum number of paths in such a check; others are found by requests. */
+const MAX_CHECKED = 64;
+/** Share of the runners that this VM does not reach from which its paths, not they, are at fault. */
+const LOST_SHARE = 0.5;
+const LINES_PER_S = 10;
+
+/** Paths of this VM. */
+export class PathController implements RunnerConnector {
+  readonly #context: PathContext;
+
+  readonly #table = new PathTable();
+
+  readonly #forwarders: Forwarders;
+
+  readonly #open = new OpenConnections();
+
+  readonly #lines: LogRateLimiter;
+
+  #lossesInARow = 0;
+
+  #checkedAllAt = -Infinity;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(context: PathContext) {
+    this.#context = context;
+    this.#forwarders = new Forwarders(context.vm, context.domain);
+    this.#lines = new LogRateLimiter(LINES_PER_S, (lines) =>
+      context.log.info({ lines }, 'More paths to runners changed.'),
+    );
+  }
+
+  /** Stops the probes. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** How this VM reaches a runner. */
+  pathTo({ address }: Pick<Runner, 'address'>): Path {
+    return this.#table.pathTo(address);
+  }
+
+  /** Whether this VM reaches a runner, directly or not. */
+  reaches({ address }: Pick<Runner, 'address'>): boolean {
+    return this.#table.pathTo(address) !== 'none';
+  }
+
+  /**
+   * Whether a failure of a request that was sent to a runner is the runner's. It is not if the
+   * direct path was lost under the request, or if this VM reaches hardly any runner.
+   */
+  isAtFault(now: number, { address }: Pick<Runner, 'address'>, sentAt: number): boolean {
+    const lostSince = this.#table.lostSince(address);
+    if (lostSince === undefined) return true;
+    if (this.#table.pathTo(address) === 'none') {
+      return !this.#hasLost(now, (path) => path === 'none');
+    }
+    return lostSince < sentAt;
+  }
+
+  /** Whether this VM reaches hardly any runner directly, so that it cannot forward connections. */
+  isPartitioned(now: number): boolean {
+    return this.#hasLost(now, (path) => path !== 'direct');
+  }
+
+  /** Must be called when runners were listed, started anew, or are gone. */
+  runnersChanged(now: number): void {
+    this.#table.retain(this.#context.runners(now));
+  }
+
+  /** State of the paths, for operators. */
+  snapshot(now: number): Readonly<Record<string, unknown>> {
+    return { lostPaths: this.#table.snapshot(now) };
+  }
+
+  async connect(target: RunnerTarget, signal: AbortSignal): Promise<RunnerConnection> {
+    const { address } = target;
+    const path = this.#table.pathTo(address);
+    if (path === 'none') throw new Failure('runnerUnreachable', `${address}: no path`);
+    const now = performance.now();
+    try {
+      return await this.#race(now, target, signal);
+    } catch (error) {
+      if (signal.aborted) throw new Failure('runnerUnreachable', `${address}: aborted`);
+      this.#onAllFailed(performance.now(), address);
+      throw new Failure('runnerUnreachable', `${address}: ${(error as Error).message}`);
+    }
+  }
+
+  async connectDirectly({ address, id, mayAbandon }: RunnerTarget): Promise<Socket> {
+    if (this.#table.pathTo(address) !== 'direct') {
+      throw new Failure('runnerUnreachable', `${address}: no direct path`);
+    }
+    const socket = await this.#openDirect({ address, id });
+    if (mayAbandon) this.#open.add(performance.now(), address, socket);
+    return socket;
+  }
+
+  async #race(now: number, target: RunnerTarget, signal: AbortSignal): Promise<RunnerConnection> {
+    const { address, mayAbandon } = target;
+    const { way, socket } = await firstConnection(this.#waysTo(now, target), signal);
+    const { via } = way;
+    if (via === undefined) {
+      if (mayAbandon) this.#open.add(performance.now(), address, socket);
+      return { socket, via };
+    }
+    this.#context.metrics.count('tunnels.opened');
+    this.#table.recordTunnel(address, true);
+    if (mayAbandon) this.#open.add(performance.now(), via, socket);
+    return { socket, via };
+  }
+
+  /** Gives up the connections through another VM that is gone. */
+  vmLost(address: string): void {
+    this.#open.abandon(address);
+  }
+
+  #waysTo(now: number, target: RunnerTarget): readonly Way[] {
+    const { address } = target;
+    const isLost = this.#table.pathTo(address) !== 'direct';
+    const members = this.#context.members();
+    const vms = this.#forwarders.order(now, members, address, MAX_TUNNELS, Math.random);
+    const firstMs = isLost ? 0 : FIRST_TUNNEL_MS;
+    const tunnels = vms.map((vm, index) =>
+      this.#tunnelWay(target, vm, firstMs + index * TUNNEL_STAGGER_MS),
+    );
+    // Requests do not wait for a path that is known to be lost; probes find out when it is back.
+    if (isLost && tunnels.length > 0) return tunnels;
+    // The second direct attempt makes up for a lost SYN of the first.
+    const last = this.#directWay(target, CONNECT_TIMEOUT_MS);
+    return [this.#directWay(target, 0), ...tunnels, last];
+  }
+
+  #directWay(target: RunnerTarget, delayMs: number): Way {
+    return { via: undefined, delayMs, open: () => this.#openDirect(target) };
+  }
+
+  #tunnelWay(target: RunnerTarget, vm: Member, delayMs: number): Way {
+    return {
+      via: vm.address,
+      delayMs,
+      open: (signal) => this.#openTunnel(target, vm, signal),
+    };
+  }
+
+  async #openTunnel(
+    { address, id, request, mayAbandon }: RunnerTarget,
+    via: Member,
+    signal: AbortSignal,
+  ): Promise<Socket> {
+    const { vm, openTunnel, metrics } = this.#context;
+    const asked: TunnelRequest = {
+      address,
+      vm,
+      mayAbandon,
+      ...(id === undefined ? {} : { runner: id }),
+      ...(request === undefined ? {} : { request }),
+    };
+    try {
+      const socket = await openTunnel(via, asked, signal);
+      socket.on('error', () => {});
+      this.#forwarders.recordSuccess(performance.now(), via.vm);
+      return socket;
+    } catch (error) {
+      if (signal.aborted) throw error;
+      const failure = error instanceof TunnelFailure ? error.failure : 'vm';
+      this.#forwarders.recordFailure(performance.now(), via.vm, address, failure);
+      metrics.count('tunnels.failed');
+      throw error;
+    }
+  }
+
+  /** Connects directly and records the outcome, also if the connection is not needed any more. */
+  async #openDirect(destination: Destination): Promise<Socket> {
+    const { address } = destination;
+    const socket = this.#context.dialer.dial(address);
+    socket.on('error', () => {});
+    try {
+      await connected(socket);
+    } catch (error) {
+      this.#onDirectFailed(performance.now(), destination, error as Error);
+      throw error;
+    }
+    this.#onConnected(performance.now(), address);
+    return socket;
+  }
+
+  #onConnected(now: number, address: string): void {
+    this.#lossesInARow = 0;
+    const lostMs = this.#table.recordConnected(now, address);
+    if (lostMs === undefined) return;
+    const { metrics, log } = this.#context;
+    metrics.count('paths.back');
+    this.#table.expedite(now);
+    if (!this.#lines.tryAcquire(now)) return;
+    log.info({ address, lostMs: Math.round(lostMs) }, 'The path to a runner is back.');
+  }
+
+  #onDirectFailed(now: number, destination: Destination, { message: detail }: Error): void {
+    if (!this.#table.recordLost(now, destination, Math.random())) return;
+    const { metrics, log } = this.#context;
+    metrics.count('paths.lost');
+    this.#lossesInARow += 1;
+    if (this.#lossesInARow >= LOSSES_TO_CHECK_ALL) this.#checkAll(now);
+    this.#timer ??= setInterval(() => this.#tick(performance.now()), TICK_MS);
+    if (!this.#lines.tryAcquire(now)) return;
+    const { address } = destination;
+    log.info({ address, detail, lost: this.#table.lost.length }, 'Lost the path to a runner.');
+  }
+
+  #onAllFailed(now: number, address: string): void {
+    const { members, metrics, log } = this.#context;
+    if (!this.#forwarders.isExhausted(now, members(), address)) return;
+    if (!this.#table.recordTunnel(address, false)) return;
+    metrics.count('paths.unreachable');
+    if (!this.#lines.tryAcquire(now)) return;
+    log.info({ address }, 'No other VM reaches the runner either.');
+  }
+
+  /** Checks the paths that have not been used since the losses began, before requests find them lost. */
+  #checkAll(now: number): void {
+    if (now - this.#checkedAllAt < CHECK_ALL_MS) return;
+    this.#checkedAllAt = now;
+    const unknown = this.#context
+      .runners(now)
+      .filter(({ address }) => this.pathTo({ address }) === 'direct')
+      .filter(({ address }) => !this.#table.connectedAfter(address, now - CONNECT_TIMEOUT_MS));
+    for (const runner of unknown.slice(0, MAX_CHECKED)) this.#probeDirect(runner);
+  }
+
+  #tick(now: number): void {
+    this.runnersChanged(now);
+    for (const address of this.#table.lost) {
+      const lostSince = this.#table.lostSince(address) ?? now;
+      const count = this.#open.abandonStalled(now, address, lostSince);
+      if (count > 0) this.#context.log.info({ address, count }, 'Gave up stalled connections.');
+    }
+    for (const destination of this.#table.takeDue(now, MAX_PROBES, Math.random)) {
+      this.#probeDirect(destination);
+      if (!this.reaches(destination)) this.#probeTunnels(now, destination);
+    }
+    if (this.#table.hasLost) return;
+    clearInterval(this.#timer);
+    this.#timer = undefined;
+  }
+
+  #probeDirect({ address, id }: Destination): void {
+    this.#openDirect({ address, id })
+      .then((socket) => socket.destroy())
+      .catch(() => undefined);
+  }
+
+  /** Probes through other VMs whether one of them reaches a runner. */
+  #probeTunnels(now: number, { address, id }: Destination): void {
+    const target: RunnerTarget = { address, id, request: undefined, mayAbandon: true };
+    this.#race(now, target, AbortSignal.timeout(CONNECT_TIMEOUT_MS * 2))
+      .then(({ socket }) => {
+        socket.destroy();
+        this.#table.expedite(performance.now());
+      })
+      .catch(() => undefined);
+  }
+
+  /** Whether so many paths are lost that the runners are not at fault. */
+  #hasLost(now: number, isLost: (path: Path) => boolean): boolean {
+    if (!this.#table.hasLost) return false;
+    const runners = this.#context.runners(now);
+    const lost = runners.filter((runner) => isLost(this.pathTo(runner)));
+    return lost.length >= runners.length * LOST_SHARE;
+  }
+}
+
+/** Resolves when a socket is connected. Destroys it and rejects after the connect timeout. */
+function connected(socket: Socket): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const onTimeout = (): void => {
+      // The connection may have been established while the process was busy or paused.
+      setImmediate(() => {
+        if (socket.connecting) socket.destroy(new Error('connect timeout'));
+      });
+    };
+    const timer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+    socket.once('error', reject);
+    socket.once('close', () => {
+      clearTimeout(timer);
+      reject(new Error('closed before it was connected'));
+    });
+  });
+}
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -184,9 +184,10 @@
   run: Run,
 ): Promise<Answer> {
   const deadlineMs = exchange.remainingMs(performance.now());
-  const { request, signal } = exchange;
+  const { request, route, signal } = exchange;
   const onReply = (reply: Reply): void => run.replied(performance.now(), reply);
-  const dispatch = { runner, request, deadlineMs, signal, onReply };
+  const mayRepeat = route.kind === 'repeatable';
+  const dispatch = { runner, request, deadlineMs, signal, mayRepeat, onReply };
   const reply = await runners.send(dispatch).catch((error) => {
     const failure = toFailure(error);
     if (failure.codeName === 'runnerFailed') run.interrupted(performance.now());
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -347,6 +347,11 @@
     };
   }
 
+  /** Whether a runner is listed at an address, also one that leaves. */
+  isListed(address: string): boolean {
+    return this.#directory.facts.some(({ runner }) => runner?.address === address);
+  }
+
   /** Runners that may get requests now. */
   runners(now: number): readonly Runner[] {
     return this.#directory.usable(now);
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -1,12 +1,14 @@
 /** Interfaces between the router and its adapters to the platform. */
 
 import type { IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 
 import type { AgeBounds, Credential } from '../../core/customers/identity';
 import type { QuotaBounds } from '../../core/quotas/account';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RateNotice } from '../../core/ratelimits/types';
+import type { Destination } from '../../core/paths/table';
 import type { RunnerRecord } from '../../core/routing/directory';
 import type { RunnerNotice } from '../../core/routing/notice';
 import type { Position } from '../../core/routing/position';
@@ -89,6 +91,8 @@
   /** Time that the runner has to answer, in milliseconds. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
+  /** Whether the request may run again, so that it may be given up when its connection stalls. */
+  readonly mayRepeat: boolean;
   /** Called with the head of the runner's answer, even if the body fails later. */
   readonly onReply: (reply: Reply) => void;
 }
@@ -116,9 +120,34 @@
   readonly misdirected: boolean;
   readonly rateNotice: RateNotice;
   readonly notice: RunnerNotice;
+  /** Peer address of the VM that forwarded the request; undefined if it went directly. */
+  readonly via: string | undefined;
   readonly body: IncomingMessage;
 }
 
+/** What a connection to a runner is for. */
+export interface RunnerTarget extends Destination {
+  /** Id of the caller's request; undefined for calls of the router itself. */
+  readonly request: string | undefined;
+  /** Whether the connection may be given up when it stalls. */
+  readonly mayAbandon: boolean;
+}
+
+/** A connection to a runner. */
+export interface RunnerConnection {
+  readonly socket: Socket;
+  /** Peer address of the VM that forwards it; undefined if it is direct. */
+  readonly via: string | undefined;
+}
+
+/** Opens connections to runners. Rejects with `runnerUnreachable`; nothing was sent then. */
+export interface RunnerConnector {
+  /** Connects directly, or through another VM that reaches the runner. */
+  connect(target: RunnerTarget, signal: AbortSignal): Promise<RunnerConnection>;
+  /** Connects directly, if the path is not lost. */
+  connectDirectly(target: RunnerTarget): Promise<Socket>;
+}
+
 /** Status that a runner reports about itself. */
 export interface RunnerReport extends MemoryReport {
   /** When the runner's instance started, in Unix milliseconds; 0 if it does not report that. */
--- a/src/platform/router.ts
+++ b/src/platform/router.ts
@@ -53,7 +53,8 @@
     {
       history,
       feed,
-      runners: new PlatformRunnerClient(dialer),
+      runners: (connector) => new PlatformRunnerClient(connector),
+      dialer,
       ingress: new PlatformIngress(),
       control: new PlatformControl(),
       lock: new StoreLock(client, vm),
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -1,11 +1,13 @@
 /** HTTP client of the runners. */
 
-import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import { request as httpRequest } from 'node:http';
+import type { Socket } from 'node:net';
 
 import { z } from 'zod';
 
 import { Failure, toFailure } from '../core/failure';
+import type { Destination } from '../core/paths/table';
 import { NO_NOTICE } from '../core/routing/notice';
 import type { Runner } from '../core/routing/types';
 import type { Framing } from '../core/stream/answer';
@@ -17,9 +19,10 @@
   OrderOutcome,
   Reply,
   RunnerClient,
+  RunnerConnector,
   RunnerReport,
+  RunnerTarget,
 } from '../node/router/types';
-import type { Dialer } from '../utils/dialer';
 import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
@@ -27,10 +30,6 @@
 import { isLeaving, noticeOf } from './notice';
 import { rateNoticeOf } from './ratelimit';
 
-/** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
-const CONNECT_TIMEOUT_MS = 350;
-/** Connection attempts before a runner counts as unreachable. Nothing has been sent until one succeeds. */
-const MAX_CONNECT_ATTEMPTS = 2;
 /** Timeout of calls that carry no request: reports, orders and freeing a cache, in milliseconds. */
 const CONTROL_CALL_TIMEOUT_MS = 1000;
 /** Maximum size of the response to a prefill, in bytes. */
@@ -62,10 +61,10 @@
 
 /** Sends each request over a new connection, so that left-over bytes of another response are never read as part of this one. */
 export class PlatformRunnerClient implements RunnerClient {
-  readonly #dialer: Dialer;
+  readonly #connector: RunnerConnector;
 
-  constructor(dialer: Dialer) {
-    this.#dialer = dialer;
+  constructor(connector: RunnerConnector) {
+    this.#connector = connector;
   }
 
   send(dispatch: Dispatch): Promise<Reply> {
@@ -108,12 +107,14 @@
 
   async freeCache({ address, handle }: CacheHandle): Promise<void> {
     const target = `${path.cacheHandle}${encodeURIComponent(handle)}`;
-    await this.#call(address, target, { method: 'DELETE', headers: { connection: 'close' } });
+    const options = { method: 'DELETE', headers: { connection: 'close' } };
+    await this.#call({ address, id: undefined }, target, options);
   }
 
   async report({ id, listing, address }: Runner): Promise<RunnerReport> {
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const report = await this.#call(address, path.report, { method: 'GET', headers });
+    const destination = { address, id };
+    const report = await this.#call(destination, path.report, { method: 'GET', headers });
     const { status, headers: answered, body } = report;
     if (status !== HTTP_OK) throw new Failure('runnerFailed', `${address} answered ${status}`);
     const { born, runs, 'kv-used': usedTokens } = reportSchema.parse(JSON.parse(body));
@@ -127,20 +128,22 @@
     };
   }
 
+  /** Goes by direct connections only: a runner takes orders from two VMs for those of two holders. */
   async order(
-    { listing, bornAt, address }: Runner,
+    { id, listing, bornAt, address }: Runner,
     role: 'prefill' | 'decode',
     holder: string,
     fence: number,
   ): Promise<OrderOutcome> {
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const report = await this.#call(address, path.report, { method: 'GET', headers });
+    const target = { address, id, request: undefined, mayAbandon: false };
+    const report = await this.#callDirectly(target, path.report, { method: 'GET', headers });
     const { sequence, busy, born } = orderStateSchema.parse(JSON.parse(report.body));
     // Another instance of the runner may have another stage and has no orders from this holder.
     if (busy || (born !== 0 && born !== bornAt)) return 'rejected';
     if (isLeaving(report.headers)) return 'leaving';
     try {
-      const { status } = await this.#call(address, path.order, {
+      const { status } = await this.#callDirectly(target, path.order, {
         method: 'POST',
         headers: { ...headers, 'content-type': 'application/json' },
         // `expected` is the number of orders accepted so far, so that an order that arrives late has no effect.
@@ -159,33 +162,61 @@
   }
 
   /** Makes a call that carries no request of a caller. */
-  #call(
-    address: string,
+  async #call(
+    destination: Destination,
     target: string,
-    options: Pick<CallOptions, 'method' | 'headers' | 'body'>,
+    options: ControlCall,
   ): Promise<HttpResponse> {
-    return call({
-      ...options,
-      url: `http://${address}${target}`,
-      createConnection: () => this.#dialer.dial(address),
-      timeoutMs: CONTROL_CALL_TIMEOUT_MS,
-    });
+    const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
+    const { socket } = await this.#connector.connect(
+      { ...destination, request: undefined, mayAbandon: true },
+      limit,
+    );
+    return callOn(socket, destination, target, options);
+  }
+
+  async #callDirectly(
+    target: RunnerTarget,
+    requestPath: string,
+    options: ControlCall,
+  ): Promise<HttpResponse> {
+    return callOn(await this.#connector.connectDirectly(target), target, requestPath, options);
   }
 
   async #exchange(dispatch: Dispatch, extra: readonly string[]): Promise<Reply> {
-    for (let attempts = 1; ; attempts += 1) {
-      try {
-        const reply = toReply(dispatch, await exchangeOnce(this.#dialer, dispatch, extra));
-        dispatch.onReply(reply);
-        return reply;
-      } catch (error) {
-        const retry = error instanceof Failure && error.codeName === 'runnerUnreachable';
-        if (!retry || attempts >= MAX_CONNECT_ATTEMPTS || dispatch.signal.aborted) throw error;
-      }
-    }
+    const { runner, request, deadlineMs, signal, mayRepeat } = dispatch;
+    const { id, address } = runner;
+    const startedAt = performance.now();
+    const { socket, via } = await this.#connector.connect(
+      { address, id, request: request.id, mayAbandon: mayRepeat },
+      signal,
+    );
+    const remainingMs = deadlineMs - (performance.now() - startedAt);
+    const sent = { ...dispatch, deadlineMs: remainingMs };
+    const reply = toReply(dispatch, await exchangeOn(socket, sent, extra), via);
+    dispatch.onReply(reply);
+    return reply;
   }
 }
 
+/** A call of the router itself. */
+type ControlCall = Pick<CallOptions, 'method' | 'headers' | 'body'>;
+
+/** Makes a call over an open connection. */
+function callOn(
+  socket: Socket,
+  { address }: Pick<Destination, 'address'>,
+  target: string,
+  options: ControlCall,
+): Promise<HttpResponse> {
+  return call({
+    ...options,
+    url: `http://${address}${target}`,
+    createConnection: () => socket,
+    timeoutMs: CONTROL_CALL_TIMEOUT_MS,
+  });
+}
+
 /** Raw headers to send: those of the caller and the ones that the router sets. */
 function headersOf({ runner, request, deadlineMs }: Dispatch, extra: readonly string[]): string[] {
   const headers = [...request.headers];
@@ -209,53 +240,32 @@
   ];
 }
 
-/** Makes one attempt. Rejects with `runnerUnreachable` if nothing was sent, otherwise with `runnerFailed`. */
-function exchangeOnce(
-  dialer: Dialer,
+/** Sends a request over an open connection. Rejects with `runnerFailed`. */
+function exchangeOn(
+  socket: Socket,
   dispatch: Dispatch,
   extra: readonly string[],
 ): Promise<IncomingMessage> {
   const { runner, request, signal } = dispatch;
-  const [host = '', port = ''] = runner.address.split(':');
   return new Promise((resolve, reject) => {
-    let connected = false;
-    const fail = (detail: string): void => {
-      const name = connected ? 'runnerFailed' : 'runnerUnreachable';
-      reject(new Failure(name, `${runner.address}: ${detail}`));
-    };
     const req = httpRequest({
-      host,
-      port,
       method: request.method,
       path: request.target,
       headers: headersOf(dispatch, extra),
-      createConnection: () => dialer.dial(runner.address),
+      createConnection: () => socket,
       signal,
     });
-    onConnected(req, () => {
-      connected = true;
-    });
     req.on('response', (message) => {
       failOnReset(req, message);
       resolve(message);
     });
-    req.on('error', (error) => fail(error.message));
+    req.on('error', (error) =>
+      reject(new Failure('runnerFailed', `${runner.address}: ${error.message}`)),
+    );
     req.end(request.body);
   });
 }
 
-/** Calls back once the connection is established, and destroys the request after the connect timeout. */
-function onConnected(req: ClientRequest, callback: () => void): void {
-  const timer = setTimeout(() => req.destroy(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
-  req.on('socket', (socket) => {
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      callback();
-    });
-  });
-  req.on('close', () => clearTimeout(timer));
-}
-
 /** How the end of a response body is marked. */
 function framingOf(headers: IncomingMessage['headers']): Framing {
   if (headers['transfer-encoding'] !== undefined) return 'chunked';
@@ -263,7 +273,7 @@
 }
 
 /** A response counts as the runner's if it is signed, carries no other request id and has no content encoding added on the way. */
-function toReply({ request }: Dispatch, message: IncomingMessage): Reply {
+function toReply({ request }: Dispatch, message: IncomingMessage, via: string | undefined): Reply {
   const { headers } = message;
   const status = message.statusCode ?? 0;
   const echoed = headers[header.requestId];
@@ -282,6 +292,7 @@
     misdirected: status === HTTP_MISDIRECTED_REQUEST,
     rateNotice: rateNoticeOf(message),
     notice: isToRequest ? noticeOf(message) : NO_NOTICE,
+    via,
     body: message,
   };
 }
--- a/test/platform/orders.test.ts
+++ b/test/platform/orders.test.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
 import { PlatformRunnerClient } from '../../src/platform/runner';
-import { TcpDialer } from '../../src/utils/dialer';
+import { directConnector } from '../fakes/connector';
 import { listen, readJson, sendJson } from '../fakes/http';
 import { runnerOf } from '../fakes/runner';
 
@@ -35,7 +35,7 @@
   const runner = runnerOf('i-1', 'prefill', { bornAt, address: `127.0.0.1:${port}` });
   try {
     return {
-      outcome: await new PlatformRunnerClient(new TcpDialer()).order(runner, 'decode', 'vm1', 41),
+      outcome: await new PlatformRunnerClient(directConnector).order(runner, 'decode', 'vm1', 41),
       got,
     };
   } finally {
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -4,7 +4,7 @@
 
 import type { Dispatch } from '../../src/node/router/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
-import { TcpDialer } from '../../src/utils/dialer';
+import { directConnector } from '../fakes/connector';
 import { readBody } from '../../src/utils/http';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Signature: s\r\n';
@@ -48,6 +48,7 @@
     },
     deadlineMs: 1000,
     signal: new AbortController().signal,
+    mayRepeat: false,
     onReply: () => {},
   };
 }
@@ -56,7 +57,7 @@
 async function outcomeOf(answer: (socket: Socket) => void): Promise<string> {
   const server = await runnerOf(answer);
   try {
-    const reply = await new PlatformRunnerClient(new TcpDialer()).send(dispatchTo(server));
+    const reply = await new PlatformRunnerClient(directConnector).send(dispatchTo(server));
     const body = await readBody(reply.body, 1000);
     return `${reply.body.complete ? 'whole' : 'short'} ${body.toString()}`;
   } catch (error) {
@@ -96,7 +97,7 @@
 describe('the headers of a response', () => {
   const headOf = async (fields: string): Promise<unknown> => {
     const server = await runnerOf((socket) => socket.end(`${HEAD}${fields}\r\n`));
-    const { framing, isEvents, body } = await new PlatformRunnerClient(new TcpDialer()).send(
+    const { framing, isEvents, body } = await new PlatformRunnerClient(directConnector).send(
       dispatchTo(server),
     );
     body.resume();
