Choose runners by what this VM reaches, and reject at once what it cannot

What callers saw: at a VM that reached no runner, nor a VM that did, a plain request was tried at three runners for 2.1 s and then rejected, each one anew.

Cause: runners were chosen by what they are alone. One without a path has nothing in flight and looks the idlest.

Change: the balancer of plain requests leaves out runners that this VM does not reach, directly or through another VM, and prefers direct paths; a model request names them to the planner as runners to avoid, and does not use one that was planned before. If no runner of the service is reached, the request is rejected at once, not run, with a time after which paths have been probed.

Why it works: the table of paths is kept up by probes, so the choice needs no request that fails first.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -197,6 +197,7 @@
     });
     this.#plain = new PlainHandler({
       routingState: this.#state,
+      paths: this.#paths,
       runners: this.#runners,
       health: (service) => this.#health.get(service),
       runs: this.#runs,
@@ -207,6 +208,7 @@
     });
     this.#model = new ModelHandler({
       routingState: this.#state,
+      paths: this.#paths,
       runners: this.#runners,
       reservations: places,
       runs: this.#runs,
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -20,11 +20,13 @@
 import type { Answer, RelayOutcome } from './relay';
 import { Relay } from './relay';
 import type { Runs } from './runs';
-import type { CacheHandle, RunnerClient } from './types';
+import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
+import { unreachedFailure } from './unreached';
 
 /** Dependencies of the model request handler. */
 export interface ModelContext {
   readonly routingState: RoutingState;
+  readonly paths: RunnerPaths;
   readonly runners: RunnerClient;
   readonly reservations: ReservationClient;
   readonly runs: Runs;
@@ -85,7 +87,7 @@
     const { service, signal } = exchange;
     const overQuota = await quotas.cover(exchange);
     if (overQuota) throw overQuota;
-    const demand = demandOf(exchange, progress);
+    const demand = demandOf(exchange, progress, this.#unreached(service));
     const grant = await reservations.reserve(service, demand, signal);
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
@@ -131,6 +133,20 @@
     }
   }
 
+  /** Ids of the runners that this VM does not reach. Throws if it reaches no decode runner, since nothing can be served then. */
+  #unreached(service: string): readonly string[] {
+    const { routingState, paths } = this.#context;
+    const now = performance.now();
+    const failure = unreachedFailure(
+      service,
+      routingState.runnersOf(now, service, 'decode'),
+      paths,
+    );
+    if (failure) throw failure;
+    const runners = routingState.runnersOf(now, service);
+    return runners.filter((runner) => !paths.reaches(runner)).map(({ id }) => id);
+  }
+
   /** The runner to blame for a failure; undefined if it leaves or asked for a pause, which is no fault. */
   #blameOf(service: string, id: string | undefined): string | undefined {
     const open = this.#context.routingState.openRunnersOf(performance.now(), service);
@@ -144,18 +160,19 @@
 
   /**
    * Runs the prefill at a runner. Returns undefined if it failed there and another runner may be
-   * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more.
+   * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more or is
+   * out of reach.
    */
   async #prefill(
     exchange: Exchange,
     progress: Progress,
     id: string,
   ): Promise<KeptCache | 'unavailable' | undefined> {
-    const { routingState, takeRetry, permits } = this.#context;
+    const { routingState, paths, takeRetry, permits } = this.#context;
     const { service, signal } = exchange;
     const startedAt = performance.now();
     const runner = findRunner(routingState.openRunnersOf(startedAt, service, 'prefill'), id);
-    if (!runner) return 'unavailable';
+    if (!runner || !paths.reaches(runner)) return 'unavailable';
     let cache = await this.#prefillOnce(exchange, progress, runner);
     const ms = performance.now() - startedAt;
     // The runner has completed the prefill and still keeps the KV cache: it answers a repeated
@@ -232,7 +249,7 @@
       if (cache) this.#freeCache(cache);
       throw runnerFullFailure('no decode runner had free memory while the KV cache was kept');
     }
-    const { routingState } = this.#context;
+    const { routingState, paths } = this.#context;
     const { service } = exchange;
     const now = performance.now();
     if (exchange.signal.aborted) {
@@ -240,7 +257,7 @@
       return 'rejected';
     }
     const runner = findRunner(routingState.openRunnersOf(now, service, 'decode'), decode);
-    if (!runner) return 'unavailable';
+    if (!runner || !paths.reaches(runner)) return 'unavailable';
     const refused = this.#recheck(exchange);
     if (refused) {
       if (cache) this.#freeCache(cache);
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -18,7 +18,7 @@
 import { OpenConnections } from './openconnections';
 import type { Way } from './race';
 import { firstConnection } from './race';
-import type { RunnerConnection, RunnerConnector, RunnerTarget } from './types';
+import type { RunnerConnection, RunnerConnector, RunnerPaths, RunnerTarget } from './types';
 
 /** Dependencies of the paths. */
 export interface PathContext {
@@ -62,7 +62,7 @@
 const LINES_PER_S = 10;
 
 /** Paths of this VM. */
-export class PathController implements RunnerConnector {
+export class PathController implements RunnerConnector, RunnerPaths {
   readonly #context: PathContext;
 
   readonly #table = new PathTable();
@@ -92,12 +92,10 @@
     clearInterval(this.#timer);
   }
 
-  /** How this VM reaches a runner. */
   pathTo({ address }: Pick<Runner, 'address'>): Path {
     return this.#table.pathTo(address);
   }
 
-  /** Whether this VM reaches a runner, directly or not. */
   reaches({ address }: Pick<Runner, 'address'>): boolean {
     return this.#table.pathTo(address) !== 'none';
   }
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -8,10 +8,13 @@
 import type { Exchange } from './exchange';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
+import type { RunnerPaths } from './types';
+import { unreachedFailure } from './unreached';
 
 /** Dependencies of the balancer. */
 export interface BalancerContext {
   readonly routingState: RoutingState;
+  readonly paths: RunnerPaths;
   readonly health: (service: string) => RunnerHealth;
   readonly permits: Pick<
     PermitController,
@@ -22,6 +25,8 @@
 
 /** Extra cost of a runner in another failure domain, or of one with a rate limit, in requests in flight. */
 const REMOTE_COST = 0.5;
+/** Extra cost of a runner that is reached only through another VM, in requests in flight. */
+const TUNNEL_COST = 0.5;
 /** Ties are broken at random within this range, in requests in flight, since all VMs would otherwise choose the same runner. */
 const TIE_RANGE = 0.25;
 /** Part of the time left to its latency target for which a request may wait for a permit of a rate-limited runner; the rest is for its run. */
@@ -68,7 +73,7 @@
   ): Promise<Runner | Failure | undefined> {
     const { permits } = this.#context;
     const candidates = this.#candidates(now, exchange.service, tried);
-    if (candidates.length === 0) return this.#backoffFailure(now, exchange.service);
+    if (candidates.length === 0) return this.#closedFailure(now, exchange.service);
     const trial = candidates.find(({ id }) => permits.isTrialDue(now, id));
     if (trial && (await permits.askTrial(exchange.service, trial.id))) return trial;
     const best = this.#cheapest(candidates);
@@ -80,28 +85,32 @@
   }
 
   /**
-   * Untried runners that accept requests of this VM and are not ejected; if every one of them is
+   * Untried runners that accept requests of this VM, are reached by it and are not ejected; if every one of them is
    * ejected, or has been sent the first request after a pause, all of them.
    */
   #candidates(now: number, service: string, tried: readonly string[]): readonly Runner[] {
-    const { routingState, health } = this.#context;
+    const { routingState, paths, health } = this.#context;
     const { backoffs } = routingState;
     const records = health(service);
     const all = routingState.runnersOf(now, service);
     records.setPoolSize(all.length);
-    const open = all.filter(({ id }) => backoffs.remainingMs(now, id) === 0 && !tried.includes(id));
+    const untried = all.filter((runner) => paths.reaches(runner) && !tried.includes(runner.id));
+    const open = untried.filter(({ id }) => backoffs.remainingMs(now, id) === 0);
     const allowed = open.filter(
       ({ id }) => records.allows(now, id) && !backoffs.isProbing(now, id),
     );
     return allowed.length > 0 ? allowed : open;
   }
 
-  /** The failure if all runners asked this VM for a pause; undefined if some did not. */
-  #backoffFailure(now: number, service: string): Failure | undefined {
+  /** The failure if all runners asked this VM for a pause, or none is reached; undefined otherwise. */
+  #closedFailure(now: number, service: string): Failure | undefined {
+    const { routingState, paths } = this.#context;
     const retryAfterMs = this.retryAfterMs(now, service);
-    if (retryAfterMs === undefined) return undefined;
-    const detail = `all runners of ${service} asked for a pause`;
-    return new Failure('runnersBackingOff', detail, { retryAfterMs });
+    if (retryAfterMs !== undefined) {
+      const detail = `all runners of ${service} asked for a pause`;
+      return new Failure('runnersBackingOff', detail, { retryAfterMs });
+    }
+    return unreachedFailure(service, routingState.runnersOf(now, service), paths);
   }
 
   /** When callers are to come back if all runners asked this VM for a pause, in milliseconds; undefined if some did not. */
@@ -125,7 +134,9 @@
 
   #costOf(runner: Runner): number {
     const isPreferred = runner.domain === this.#context.domain && !this.#isLimited(runner);
-    return (this.#inFlight.get(runner.id) ?? 0) + (isPreferred ? 0 : REMOTE_COST);
+    const isDirect = this.#context.paths.pathTo(runner) === 'direct';
+    const extra = (isPreferred ? 0 : REMOTE_COST) + (isDirect ? 0 : TUNNEL_COST);
+    return (this.#inFlight.get(runner.id) ?? 0) + extra;
   }
 
   #isLimited({ id }: Runner): boolean {
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -40,8 +40,16 @@
   };
 }
 
-/** The demand to send to the owner. Each reservation has its own id, made of the request's id and a counter. */
-export function demandOf(exchange: Exchange, progress: Progress): LocalDemand {
+/**
+ * The demand to send to the owner. Each reservation has its own id, made of the request's id and a
+ * counter.
+ * @param unreached ids of runners that this VM does not reach
+ */
+export function demandOf(
+  exchange: Exchange,
+  progress: Progress,
+  unreached: readonly string[] = [],
+): LocalDemand {
   const { request, route, arrivedAt } = exchange;
   const { usage } = request;
   const resuming = progress.stream.events > 0;
@@ -59,7 +67,7 @@
     gapMs: route.gapMs,
     lostAt: Math.min(waitingSince + route.patienceMs, exchange.deadlineAt),
     resuming,
-    avoid: progress.avoid.slice(-MAX_AVOIDED),
+    avoid: [...new Set([...unreached, ...progress.avoid])].slice(-MAX_AVOIDED),
   };
 }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -8,7 +8,7 @@
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
 import type { RateNotice } from '../../core/ratelimits/types';
-import type { Destination } from '../../core/paths/table';
+import type { Destination, Path } from '../../core/paths/table';
 import type { RunnerRecord } from '../../core/routing/directory';
 import type { RunnerNotice } from '../../core/routing/notice';
 import type { Position } from '../../core/routing/position';
@@ -140,6 +140,14 @@
   readonly via: string | undefined;
 }
 
+/** What this VM reaches, by which runners are chosen. */
+export interface RunnerPaths {
+  /** How this VM reaches a runner. */
+  pathTo(runner: Pick<Runner, 'address'>): Path;
+  /** Whether this VM reaches a runner, directly or through another VM. */
+  reaches(runner: Pick<Runner, 'address'>): boolean;
+}
+
 /** Opens connections to runners. Rejects with `runnerUnreachable`; nothing was sent then. */
 export interface RunnerConnector {
   /** Connects directly, or through another VM that reaches the runner. */
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -2,6 +2,7 @@
 
 import pino from 'pino';
 
+import type { Path } from '../../src/core/paths/table';
 import { RunnerBackoffs } from '../../src/core/routing/backoffs';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { Runner } from '../../src/core/routing/types';
@@ -15,6 +16,7 @@
 import { NoticeController } from '../../src/node/router/notices';
 import { RateLimitController } from '../../src/node/router/ratelimits';
 import { Runs } from '../../src/node/router/runs';
+import type { RunnerPaths } from '../../src/node/router/types';
 import { noopListener } from './listener';
 
 const log = pino({ level: 'silent' });
@@ -82,15 +84,27 @@
 
 /** Returns a routing state with some runners, all of which take requests. */
 export function openStateOf(runners: readonly Runner[] = []): OpenState {
+  const runnersOf: OpenState['runnersOf'] = (_now, _service, role) =>
+    runners.filter((runner) => !role || runner.role === role);
   return {
     accepts: () => true,
     backoffs: new RunnerBackoffs(),
     openInMs: () => 0,
-    openRunnersOf: () => runners,
-    runnersOf: () => runners,
+    openRunnersOf: runnersOf,
+    runnersOf,
   };
 }
 
+/** Paths of a VM that reaches all runners directly. */
+export const directPaths: RunnerPaths = { pathTo: () => 'direct', reaches: () => true };
+
+/** Paths of a VM to runners by their ids. Default: direct. */
+export function pathsOf(paths: Readonly<Record<string, Path>>): RunnerPaths {
+  const pathTo = ({ address }: Pick<Runner, 'address'>): Path =>
+    paths[address.split(':')[0] ?? ''] ?? 'direct';
+  return { pathTo, reaches: (runner) => pathTo(runner) !== 'none' };
+}
+
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(quarantine = quarantineOf()): Runs {
   return new Runs({
--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -14,7 +14,7 @@
 import { demandOf } from '../fakes/demand';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 import { VmState } from '../fakes/vmstate';
 
 const PAUSE_MS = 3000;
@@ -46,6 +46,7 @@
       },
     },
     runs: vm.runs,
+    paths: directPaths,
     quotas: unlimitedQuotas,
     takeRetry: () => true,
   } as unknown as PlainContext;
@@ -268,6 +269,7 @@
       },
     },
     runs: vm.runs,
+    paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
     takeRetry: () => isRetryAllowed,
--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -7,7 +7,7 @@
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { positionAt } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
-import { unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 import { VmState } from '../fakes/vmstate';
 
 /** An answer that announces it. */
@@ -162,6 +162,7 @@
       reportProgress: () => {},
     },
     runs: vm.runs,
+    paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
     takeRetry: () => {
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -6,6 +6,7 @@
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
 import {
+  directPaths,
   openStateOf,
   quarantineOf,
   runsOf,
@@ -47,6 +48,7 @@
         reportProgress: () => {},
       },
       runs: runsOf(),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
       takeRetry: () => true,
@@ -85,6 +87,7 @@
         reportProgress: () => {},
       },
       runs: runsOf(),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
       takeRetry: () => true,
@@ -103,6 +106,8 @@
   test('is due by its latency target, whatever the deadline of its caller', async () => {
     const asked: LocalDemand[] = [];
     const context = {
+      routingState: openStateOf(),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
       reservations: {
@@ -146,6 +151,7 @@
         reportProgress: () => {},
       },
       runs: runsOf(quarantine),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
       takeRetry: () => true,
@@ -181,6 +187,7 @@
         reportProgress: () => {},
       },
       runs: runsOf(),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
       takeRetry: () => true,
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -5,7 +5,7 @@
 import { PlainHandler } from '../../src/node/router/plain';
 import { exchangeInto, promptRequest, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 
 /** Runs a call whose sends fail with the given codes, one after the other; returns its status and code. */
 async function callOf(...failures: readonly CodeName[]): Promise<readonly (string | undefined)[]> {
@@ -23,6 +23,7 @@
     },
     health: () => health,
     runs: runsOf(),
+    paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
     takeRetry: () => true,
--- a/test/router/plainbalancer.test.ts
+++ b/test/router/plainbalancer.test.ts
@@ -10,7 +10,7 @@
 import type { Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { openStateOf, runsOf, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, openStateOf, runsOf, unlimitedQuotas } from '../fakes/runs';
 
 const route = { ...streamRoute, kind: 'repeatable' as const, attempts: 2, aimMs: 200 };
 
@@ -46,7 +46,8 @@
       },
     };
     const routingState = openStateOf(runners) as unknown as RoutingState;
-    return { routingState, health: () => health, permits, domain: 'near' };
+    const paths = directPaths;
+    return { routingState, paths, health: () => health, permits, domain: 'near' };
   }
 }
 
@@ -126,6 +127,7 @@
       ...limited.context([near, far]),
       runners: { send: async ({ runner }: Dispatch) => replyOf(500, `of ${runner.id}`) },
       runs: runsOf(),
+      paths: directPaths,
       quotas: unlimitedQuotas,
       takeRetry: () => true,
     } as unknown as PlainContext;
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -13,7 +13,7 @@
   streamRoute,
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 
 const resumable: Route = { ...streamRoute, attempts: 2, resumable: true };
 
@@ -46,6 +46,7 @@
       reportProgress: () => {},
     },
     runs: runsOf(),
+    paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
     takeRetry: () => true,
