Keep to the pause of a runner also at the VM that forwards requests to it

What a runner saw: it rejected a request with Retry-After and got more from the same VM before that time was over, if they came from other VMs through it.

Cause: only the VM that took the request reads the answer; the one whose connection the runner sees passes on bytes. A pause holds between one instance and the VM that it rejected.

Change: the VM that reads such an answer tells the one that forwarded it, which heeds the pause as its own, tells the planner, and forwards nothing there meanwhile.

--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { RouterFleet } from './fleet';
 import type { PlannerHost } from './plannerhost';
+import type { NoticeController } from './notices';
 import type { PermitController } from './permits';
 import type { ReservationClient } from './reservations';
 import type { QuotaController } from './quotas';
@@ -10,6 +11,7 @@
 import {
   askSchema,
   backoffSchema,
+  forwardedBackoffSchema,
   gatherSchema,
   holdSchema,
   noteSchema,
@@ -26,6 +28,7 @@
   readonly sync: StateExchange;
   readonly quotas: QuotaController;
   readonly permits: PermitController;
+  readonly notices: NoticeController;
 }
 
 /** Sends a call back to the VM that called. */
@@ -41,7 +44,7 @@
 
   /** Answers one call; the result of one without an answer is null. Rejects with `peerRejected` if the method is unknown. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { planners, reservations, sync, quotas, permits } = this.#context;
+    const { planners, reservations, sync, quotas, permits, notices } = this.#context;
     const now = performance.now();
     const reply = (service: string, verdict: unknown): void =>
       push('verdict', { service, verdict });
@@ -52,7 +55,10 @@
     if (method === 'permit') return permits.onAsk(now, vm, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
     else if (method === 'backoff') planners.onBackoffs(now, vm, backoffSchema.parse(params));
-    else if (method === 'hold') planners.onHoldings(now, vm, holdSchema.parse(params));
+    else if (method === 'forwardedBackoff') {
+      const { runner, ms } = forwardedBackoffSchema.parse(params);
+      notices.onForwarded(now, runner, ms);
+    } else if (method === 'hold') planners.onHoldings(now, vm, holdSchema.parse(params));
     else if (method === 'quotaJoin') quotas.onJoin(now, vm, params);
     else if (method === 'quotaBack') quotas.onRefund(params);
     else if (method === 'permitJoin') permits.onJoin(now, vm, params);
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -5,6 +5,7 @@
 
 import type { Logger } from 'pino';
 
+import { toFailure } from '../../core/failure';
 import { logOf } from '../log';
 import type { Metrics } from '../metrics';
 import { PeerCalls } from './calls';
@@ -12,6 +13,7 @@
 import type { Authorizer } from './authorizer';
 import type { RoutingState } from './routingstate';
 import { StateSync } from './statesync';
+import type { ForwardedBackoff } from './messages';
 import type { PlannerHost } from './plannerhost';
 import { PermitController } from './permits';
 import { ReservationClient } from './reservations';
@@ -23,6 +25,9 @@
 import { StateExchange } from './stateexchange';
 import type { Feed, RouterSettings, SuspectArchive } from './types';
 
+/** Timeout of the message to a VM that forwarded a request, in milliseconds. */
+const FORWARDED_TIMEOUT_MS = 500;
+
 /** Dependencies of the controllers. */
 export interface ControllersContext {
   readonly settings: RouterSettings;
@@ -76,6 +81,12 @@
     this.notices = new NoticeController({
       routingState,
       onBackoff: ({ id, service }, ms) => this.places.reportBackoff(service, id, ms),
+      onForwardedBackoff: (via, { id: runner }, ms) => {
+        const message: ForwardedBackoff = { runner, ms };
+        fleet.call(via, 'forwardedBackoff', message, FORWARDED_TIMEOUT_MS).catch((error) => {
+          logOf(log, 'runner').warn({ via, runner }, toFailure(error).line);
+        });
+      },
       metrics,
       log: logOf(log, 'runner'),
     });
@@ -121,6 +132,7 @@
       sync,
       quotas,
       permits,
+      notices: this.notices,
     });
   }
 
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -50,6 +50,8 @@
 const backoffs = z.array(z.object({ runner: id, ms: z.number().min(0) })).max(MAX_BACKOFFS);
 /** Reports new pauses that runners of a service asked the sender for. */
 export const backoffSchema = z.object({ service, backoffs });
+/** Tells the VM that forwarded a request that its runner asked for a pause. */
+export const forwardedBackoffSchema = z.object({ runner: id, ms: z.number().min(0) });
 /** Reports all reservations that the sender holds for a service, and the pauses that last. */
 export const holdSchema = z.object({
   service,
@@ -82,6 +84,7 @@
 export type ProgressReport = Readonly<z.infer<typeof noteSchema>>;
 export type PrefillReport = Readonly<z.infer<typeof readySchema>>;
 export type HoldingsReport = Readonly<z.infer<typeof holdSchema>>;
+export type ForwardedBackoff = Readonly<z.infer<typeof forwardedBackoffSchema>>;
 export type BackoffReport = Readonly<z.infer<typeof backoffSchema>>;
 export type Decision = Readonly<z.infer<typeof decisionSchema>>;
 
--- a/src/node/router/notices.ts
+++ b/src/node/router/notices.ts
@@ -11,9 +11,14 @@
 
 /** Dependencies of the notice controller. */
 export interface NoticeContext {
-  readonly routingState: Pick<RoutingState, 'learnLeaving' | 'learnBackoff' | 'backoffs'>;
+  readonly routingState: Pick<
+    RoutingState,
+    'learnLeaving' | 'learnBackoff' | 'backoffs' | 'runners'
+  >;
   /** Called with a runner that asked this VM for a pause, and the time left of it in milliseconds. */
   readonly onBackoff: (runner: Runner, ms: number) => void;
+  /** Called with the VM that forwarded a request whose runner asked for a pause, and its length in milliseconds. */
+  readonly onForwardedBackoff: (via: string, runner: Runner, ms: number) => void;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -54,7 +59,7 @@
     const { leaving, backoffMs, unreadable } = reply.notice;
     for (const text of unreadable) this.#reportUnreadable(now, runner, text);
     if (!isOwnAnswer(runner, reply)) return;
-    const { routingState, onBackoff, metrics, log } = this.#context;
+    const { routingState, onBackoff, onForwardedBackoff, metrics, log } = this.#context;
     if (leaving) {
       metrics.count('runners.leaving');
       routingState.learnLeaving(now, runner, ANSWER);
@@ -63,6 +68,8 @@
     else {
       metrics.count('runners.backoffs');
       onBackoff(runner, routingState.learnBackoff(now, runner, backoffMs));
+      // The runner sees the VM that forwards as the sender.
+      if (reply.via !== undefined) onForwardedBackoff(reply.via, runner, backoffMs);
     }
     if ((!leaving && backoffMs === undefined) || !this.#lines.tryAcquire(now)) return;
     const { id, service, role } = runner;
@@ -72,6 +79,13 @@
     );
   }
 
+  /** Applies a pause that a runner asked for in its answer to a request that this VM forwarded. */
+  onForwarded(now: number, id: string, backoffMs: number): void {
+    const { routingState, onBackoff } = this.#context;
+    const runner = routingState.runners(now).find((one) => one.id === id);
+    if (runner) onBackoff(runner, routingState.learnBackoff(now, runner, backoffMs));
+  }
+
   #reportUnreadable(now: number, { id: runner, service }: Runner, text: string): void {
     this.#context.metrics.count('runners.unreadable');
     if (!this.#unreadableLines.tryAcquire(now)) return;
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -71,6 +71,7 @@
   return new NoticeController({
     routingState,
     onBackoff: () => {},
+    onForwardedBackoff: () => {},
     metrics: new RouterMetrics(),
     log,
   });
--- a/test/fakes/vmstate.ts
+++ b/test/fakes/vmstate.ts
@@ -27,6 +27,9 @@
 
   readonly runs: Runs;
 
+  /** Pauses that it tells VMs that forwarded its requests. */
+  readonly forwardedBackoffs: unknown[] = [];
+
   constructor(runners: readonly Runner[]) {
     const metrics = new RouterMetrics();
     this.state = new RoutingState(new StoreHistory(), log, {
@@ -38,6 +41,7 @@
     this.notices = new NoticeController({
       routingState: this.state,
       onBackoff: () => {},
+      onForwardedBackoff: (via, { id }, ms) => this.forwardedBackoffs.push({ via, id, ms }),
       metrics,
       log,
     });
