Give no orders to runners that this VM does not reach directly

What happens: the VM that plans a service loses its paths and goes on giving orders. They do not arrive, or arrive seconds late; each counts as one that may still be carried out, which takes its runner out of use. Through another VM they would be orders of a second holder to the runner.

Change: a stage change of such a runner waits until the path is back; its lease is not renewed for it. Other runners get theirs.

Evidence: test/router/orders.test.ts, the new test fails before: the runner without a direct path is ordered.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -258,6 +258,7 @@
       routingState: this.#state,
       planners: this.#planHost,
       runners: this.#runners,
+      paths: this.#paths,
       lock: this.#ports.lock,
       owns: (service) => this.#owns(service),
       leaseMs: this.#settings.leaseMs,
--- a/src/node/router/orders.ts
+++ b/src/node/router/orders.ts
@@ -6,7 +6,7 @@
 import type { StageChange } from '../../core/memory/balance';
 import type { RoutingState } from './routingstate';
 import type { PlannerHost } from './plannerhost';
-import type { OrderLock, OrderLease, RunnerClient } from './types';
+import type { OrderLock, OrderLease, RunnerClient, RunnerPaths } from './types';
 
 /** Dependencies of the controller. */
 export interface OrderContext {
@@ -14,6 +14,7 @@
   readonly routingState: RoutingState;
   readonly planners: PlannerHost;
   readonly runners: RunnerClient;
+  readonly paths: Pick<RunnerPaths, 'pathTo'>;
   readonly lock: OrderLock;
   /** Whether this VM plans the service. */
   readonly owns: (service: string) => boolean;
@@ -115,12 +116,14 @@
     right: OrderLease,
     change: StageChange & { readonly service: string },
   ): Promise<void> {
-    const { planners, runners, vm, routingState, log } = this.#context;
+    const { planners, runners, paths, vm, routingState, log } = this.#context;
     const now = performance.now();
     const runner = routingState
       .openRunnersOf(now, change.service)
       .find(({ id }) => id === change.runner);
     if (!runner || this.#right !== right) return;
+    // An order through another VM would be one of another holder to the runner.
+    if (paths.pathTo(runner) !== 'direct') return;
     if (!(await right.renew())) {
       this.#right = undefined;
       this.#notBefore = performance.now() + RETRY_MS;
--- a/test/router/orders.test.ts
+++ b/test/router/orders.test.ts
@@ -1,9 +1,10 @@
 import pino from 'pino';
 
+import type { Runner } from '../../src/core/routing/types';
 import type { OrderContext } from '../../src/node/router/orders';
 import { OrderController } from '../../src/node/router/orders';
 import { runnerOf } from '../fakes/runner';
-import { openStateOf } from '../fakes/runs';
+import { directPaths, openStateOf, pathsOf } from '../fakes/runs';
 
 const LEASE_MS = 3000;
 
@@ -39,6 +40,7 @@
           return { fence, fresh: fence === 1, renew: async () => true, release: async () => {} };
         },
       },
+      paths: directPaths,
       owns: () => true,
       leaseMs: LEASE_MS,
       log: pino({ level: 'silent' }),
@@ -52,4 +54,43 @@
     expect(new Set(orders.slice(2))).toEqual(new Set([2]));
     controller.stop();
   });
+
+  /* The order would reach the runner late or through another VM, which the runner takes for another holder. */
+  test('gives no orders to a runner that this VM does not reach directly', async () => {
+    const orders: string[] = [];
+    let renewals = 0;
+    const controller = new OrderController({
+      vm: 'vm1',
+      routingState: openStateOf([runnerOf('a', 'prefill'), runnerOf('b', 'prefill')]),
+      planners: {
+        stageChanges: () => ['a', 'b'].map((runner) => ({ service: 's', runner, role: 'decode' })),
+        onOrderOutcome: () => {},
+      },
+      runners: {
+        order: async ({ id }: Runner) => {
+          orders.push(id);
+          return 'accepted';
+        },
+      },
+      paths: pathsOf({ a: 'tunnel' }),
+      lock: {
+        acquire: async () => ({
+          fence: 1,
+          fresh: true,
+          renew: async () => {
+            renewals += 1;
+            return true;
+          },
+          release: async () => {},
+        }),
+      },
+      owns: () => true,
+      leaseMs: LEASE_MS,
+      log: pino({ level: 'silent' }),
+    } as unknown as OrderContext);
+    await jest.advanceTimersByTimeAsync(2600);
+    controller.stop();
+    expect(new Set(orders)).toEqual(new Set(['b']));
+    expect(renewals).toBe(orders.length);
+  });
 });
