Probe the paths of connections that fall silent

What a caller saw: its stream stood still until its deadline, although the route allows another runner to continue it. A connection that is cut off gives no sign, and that its path was lost is noticed at the next new connection only; a VM with little traffic has none for seconds.

Change: a connection of a request that may run again, and that has been silent for a second, has its path probed by one more connection. If that fails, the stalled one is given up as before, and the request continues elsewhere. A runner that is silent for a moment accepts connections, so nothing is given up there.

--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -143,7 +143,7 @@
       throw new Failure('runnerUnreachable', `${address}: no direct path`);
     }
     const socket = await this.#openDirect({ address, id });
-    if (mayAbandon) this.#open.add(performance.now(), address, socket);
+    if (mayAbandon) this.#track(address, socket);
     return socket;
   }
 
@@ -152,12 +152,12 @@
     const { way, socket } = await firstConnection(this.#waysTo(now, target), signal);
     const { via } = way;
     if (via === undefined) {
-      if (mayAbandon) this.#open.add(performance.now(), address, socket);
+      if (mayAbandon) this.#track(address, socket);
       return { socket, via };
     }
     this.#context.metrics.count('tunnels.opened');
     this.#table.recordTunnel(address, true);
-    if (mayAbandon) this.#open.add(performance.now(), via, socket);
+    if (mayAbandon) this.#track(via, socket);
     return { socket, via };
   }
 
@@ -166,6 +166,15 @@
     this.#open.abandon(address);
   }
 
+  #track(address: string, socket: Socket): void {
+    this.#open.add(performance.now(), address, socket);
+    this.#startTimer();
+  }
+
+  #startTimer(): void {
+    this.#timer ??= setInterval(() => this.#tick(performance.now()), TICK_MS);
+  }
+
   #waysTo(now: number, target: RunnerTarget): readonly Way[] {
     const { address } = target;
     const isLost = this.#table.pathTo(address) !== 'direct';
@@ -253,7 +262,7 @@
     metrics.count('paths.lost');
     this.#lossesInARow += 1;
     if (this.#lossesInARow >= LOSSES_TO_CHECK_ALL) this.#checkAll(now);
-    this.#timer ??= setInterval(() => this.#tick(performance.now()), TICK_MS);
+    this.#startTimer();
     if (!this.#lines.tryAcquire(now)) return;
     const { address } = destination;
     log.info({ address, detail, lost: this.#table.lost.length }, 'Lost the path to a runner.');
@@ -280,7 +289,8 @@
   }
 
   #tick(now: number): void {
-    this.runnersChanged(now);
+    if (this.#table.hasLost) this.runnersChanged(now);
+    this.#probeSilent(now);
     for (const address of this.#table.lost) {
       const lostSince = this.#table.lostSince(address) ?? now;
       const count = this.#open.abandonStalled(now, address, lostSince);
@@ -290,11 +300,22 @@
       this.#probeDirect(destination);
       if (!this.reaches(destination)) this.#probeTunnels(now, destination);
     }
-    if (this.#table.hasLost) return;
+    if (this.#table.hasLost || !this.#open.isEmpty) return;
     clearInterval(this.#timer);
     this.#timer = undefined;
   }
 
+  /** Probes the paths of connections that are silent: a connection that is cut off gives no sign. */
+  #probeSilent(now: number): void {
+    const silent = new Set(this.#open.takeSilent(now));
+    if (silent.size === 0) return;
+    for (const { address, id } of this.#context.runners(now)) {
+      if (silent.has(address) && this.pathTo({ address }) === 'direct') {
+        this.#probeDirect({ address, id });
+      }
+    }
+  }
+
   #probeDirect({ address, id }: Destination): void {
     this.#openDirect({ address, id })
       .then((socket) => socket.destroy())
--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -21,7 +21,11 @@
 
   readonly #pairs = new Set<readonly [Socket, Socket]>();
 
+  /** Connections that were begun. */
+  dialCount = 0;
+
   dial(address: string): Socket {
+    this.dialCount += 1;
     // Node holds back what is written to a socket until it is connected.
     const socket = Object.assign(new Socket(), { connecting: true });
     socket.setNoDelay(true);
@@ -106,6 +110,11 @@
 export class Partition {
   readonly #paths = new Map<string, Paths>();
 
+  /** Connections to runners that all VMs began. */
+  get dialCount(): number {
+    return [...this.#paths.values()].reduce((sum, paths) => sum + paths.dialCount, 0);
+  }
+
   /** Opens the connections of a VM. */
   dialerOf(vm: string): Dialer {
     return this.#pathsOf(vm);
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -69,6 +69,7 @@
   readonly retryAfter: string | undefined;
   /** Whether the response was received completely. */
   readonly whole: boolean;
+  readonly body: string;
 }
 
 /** Stage that a runner serves; `plain` for a runner of the plain service. */
@@ -78,7 +79,11 @@
 /** Header by which requests tell runners which VM received them; VMs forward it as any other. */
 const VM_HEADER = 'x-received-by';
 
+/** Events of an answer, except of one whose path asks for more. */
 const EVENT_COUNT = 3;
+/** Path of requests whose streams are long and may be resumed. */
+export const LONG_PATH = '/long/';
+const LONG_EVENT_COUNT = 300;
 const EVENT_INTERVAL_MS = 10;
 /** Time from the start of a run that crashes its runner to the crash. */
 const CRASH_DELAY_MS = 20;
@@ -97,6 +102,17 @@
       'target-latency-ms': 900,
       'max-attempts': 1,
     },
+    {
+      name: 'r-long',
+      host: 'h.example',
+      'path-prefix': LONG_PATH,
+      kind: 'streaming',
+      service: services.model,
+      'timeout-ms': 10_000,
+      'target-latency-ms': 900,
+      'max-attempts': 3,
+      resumable: true,
+    },
     {
       name: 'r-plain',
       host: 'h.example',
@@ -153,6 +169,12 @@
   /** Requests received, in order, prefills included. */
   readonly contacts: Contact[] = [];
 
+  /** Runs of requests, by the path, which is unique to the request where a test counts them. */
+  readonly runs = new Map<string, number>();
+
+  /** Until when it sends nothing, a monotonic time in milliseconds. */
+  silentUntil = 0;
+
   readonly #role: Role;
 
   readonly #onCrash: (runner: RunnerServer) => void;
@@ -230,15 +252,22 @@
       res.end(JSON.stringify({ 'kv-handle': randomUUID(), tokens: 100, version: 1 }));
       return;
     }
-    res.writeHead(200, headers);
+    const isStream = this.#role !== 'plain';
+    res.writeHead(200, {
+      ...headers,
+      ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
+    });
     if (body.includes(CRASH_TEXT)) {
       res.flushHeaders();
       await pause(CRASH_DELAY_MS);
       this.#crash();
       return;
     }
-    for (let event = 1; event <= EVENT_COUNT; event += 1) {
-      await pause(EVENT_INTERVAL_MS);
+    this.runs.set(pathname, (this.runs.get(pathname) ?? 0) + 1);
+    const first = Number(req.headers['last-event-id'] ?? 0) + 1;
+    const last = pathname.startsWith(LONG_PATH) ? LONG_EVENT_COUNT : EVENT_COUNT;
+    for (let event = first; event <= last && !res.destroyed; event += 1) {
+      await pause(Math.max(EVENT_INTERVAL_MS, this.silentUntil - performance.now()));
       res.write(`id: ${event}\ndata: x\n\n`);
     }
     res.end();
@@ -379,10 +408,10 @@
     const headers = {
       host: 'h.example',
       'request-id': randomUUID(),
-      'request-deadline-ms': '5000',
+      'request-deadline-ms': path.startsWith(LONG_PATH) ? '10000' : '5000',
       connection: 'close',
       [VM_HEADER]: vm?.name ?? '',
-      ...(path.startsWith('/model/')
+      ...(path.startsWith('/model/') || path.startsWith(LONG_PATH)
         ? { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` }
         : {}),
       ...extraHeaders,
@@ -472,13 +501,22 @@
   return new Promise((resolve) => {
     const options = { host, port, path, method: 'POST', headers, agent: false };
     const req = request(options, (res) => {
+      let received = '';
       const end = (whole: boolean): void =>
-        resolve({ status: res.statusCode ?? 0, retryAfter: res.headers['retry-after'], whole });
-      res.resume();
+        resolve({
+          status: res.statusCode ?? 0,
+          retryAfter: res.headers['retry-after'],
+          whole,
+          body: received,
+        });
+      res.setEncoding('utf8');
+      res.on('data', (chunk: string) => {
+        received += chunk;
+      });
       res.on('end', () => end(res.complete));
       res.on('error', () => end(false));
     });
-    req.on('error', () => resolve({ status: 0, retryAfter: undefined, whole: false }));
+    req.on('error', () => resolve({ status: 0, retryAfter: undefined, whole: false, body: '' }));
     req.end(body);
   });
 }
--- a/test/router/partition.test.ts
+++ b/test/router/partition.test.ts
@@ -3,7 +3,7 @@
 import type { Cut } from '../fakes/partition';
 import { Partition } from '../fakes/partition';
 import type { CallerAnswer } from '../fakes/routers';
-import { RouterCluster } from '../fakes/routers';
+import { LONG_PATH, RouterCluster } from '../fakes/routers';
 
 const VMS = 5;
 const REQUESTS_PER_S = 60;
@@ -18,6 +18,9 @@
 /** Time in which a request is rejected that is known not to be servable, in milliseconds. */
 const REJECT_MS = 50;
 
+/** How long streams run before something happens, in milliseconds. */
+const STREAMING_MS = 500;
+
 const services = ['plain', 'model'] as const;
 
 /** A first attempt of a caller. */
@@ -127,4 +130,92 @@
     },
     30_000,
   );
+
+  /** Sends long streams to the first VM; returns the ids of the events that each caller gets, and how often each ran. */
+  async function longStreams(
+    count: number,
+    disturb: () => Promise<void>,
+  ): Promise<readonly unknown[]> {
+    const paths = Array.from({ length: count }, (_, index) => `${LONG_PATH}${index}`);
+    const answers = paths.map((path) => routers.sendRequest(0, path, path));
+    await pause(STREAMING_MS);
+    await disturb();
+    const done = await Promise.all(answers);
+    return done.map(({ status, whole, body }, index) => {
+      const ids = [...body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+      const isInOrder = ids.every((id, position) => id === position + 1);
+      const runs = routers
+        .runnersOf('decode')
+        .reduce((sum, runner) => sum + (runner.runs.get(paths[index] ?? '') ?? 0), 0);
+      return { status, whole, isInOrder, events: ids.length, runs };
+    });
+  }
+
+  const wholeStream = { status: 200, whole: true, isInOrder: true, events: 300 };
+
+  /* Streams on lost connections stood still until their callers left. */
+  test.each<readonly [Cut, number]>([
+    ['hang', 2],
+    ['reset', 2],
+    ['live', 1],
+  ])(
+    'continue streams that may be resumed: connections %s',
+    async (cut, runs) => {
+      const streams = await longStreams(4, async () => partition.cut(['vm1'], cut));
+      expect(streams).toEqual(streams.map(() => ({ ...wholeStream, runs })));
+    },
+    30_000,
+  );
+
+  /* The runner is sound and goes on after a moment; giving it up would run the request twice. */
+  test('are not assumed when runners fall silent for a moment', async () => {
+    const streams = await longStreams(4, async () => {
+      const silentUntil = performance.now() + 1200;
+      for (const runner of routers.runnersOf('decode')) runner.silentUntil = silentUntil;
+    });
+    expect(streams).toEqual(streams.map(() => ({ ...wholeStream, runs: 1 })));
+  }, 30_000);
+
+  /* Each VM in turn is partitioned for a second while the others still ask it to forward. */
+  test('serve callers also while the partition moves from VM to VM', async () => {
+    const startedAt = performance.now();
+    const attempts: Promise<Attempt>[] = [];
+    let cutVm = -1;
+    for (let turn = 0; performance.now() - startedAt < VMS * 1000; turn += 1) {
+      const next = Math.floor((performance.now() - startedAt) / 1000);
+      if (next !== cutVm) {
+        partition.heal();
+        partition.cut([`vm${next + 1}`], next % 2 === 0 ? 'hang' : 'reset');
+        cutVm = next;
+      }
+      attempts.push(attempt(turn, startedAt));
+      await pause(1000 / REQUESTS_PER_S);
+    }
+    partition.heal();
+    const plain = (await Promise.all(attempts)).filter(({ service }) => service === 'plain');
+    expect(statusesOf(plain)).toEqual({ 200: plain.length });
+  }, 30_000);
+
+  /* A VM that has never reached a runner knows them from the other VMs only. */
+  test('serve callers from their start', async () => {
+    partition.cut([`vm${VMS + 1}`], 'hang');
+    await routers.addVm();
+    const answers = await Promise.all(
+      Array.from({ length: 10 }, (_, turn) => routers.sendRequest(VMS, '/plain/x', `${turn}`)),
+    );
+    expect(answers.map(({ status }) => status)).toEqual(answers.map(() => 200));
+  });
+
+  /* Connections cost runners and VMs; where nothing is lost, each request has one. */
+  test('cost nothing where there are none', async () => {
+    const before = { dials: partition.dialCount, arrivals: routers.arrivalCount };
+    const attempts = await Promise.all(
+      Array.from({ length: 100 }, async (_, turn) => {
+        await pause(turn * 10);
+        return attempt(turn * 2, 0);
+      }),
+    );
+    expect(statusesOf(attempts)).toEqual({ 200: 100 });
+    expect(partition.dialCount - before.dials).toBe(routers.arrivalCount - before.arrivals);
+  });
 });
