Name the VM that forwarded a request in its trail, and probe through one VM at a time

On-call can follow a request over both VMs: its line at the VM that took it names the other one, whose line "Forwarded a connection." has the same id.

A probe of a runner that nobody reaches asked four other VMs every two seconds; one is enough, since the next probe asks others.

--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -1,6 +1,12 @@
 /** The access log line of a completed request. */
 
 import type { Exchange } from './exchange';
+import type { Reply } from './types';
+
+/** Names the VM that forwarded a request in a step of its trail; empty if it went directly. */
+export function viaText({ via }: Pick<Reply, 'via'>): string {
+  return via === undefined ? '' : ` via ${via}`;
+}
 
 /**
  * The fields of the log line.
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -47,6 +47,8 @@
 const TUNNEL_STAGGER_MS = 100;
 /** VMs asked for one connection. */
 const MAX_TUNNELS = 4;
+/** VMs asked in one probe; the next probe asks others. */
+const PROBE_TUNNELS = 1;
 /** Period of checking for probes that are due and for stalled connections, in milliseconds. */
 const TICK_MS = 200;
 /** Maximum number of probes in one period. */
@@ -147,9 +149,15 @@
     return socket;
   }
 
-  async #race(now: number, target: RunnerTarget, signal: AbortSignal): Promise<RunnerConnection> {
+  async #race(
+    now: number,
+    target: RunnerTarget,
+    signal: AbortSignal,
+    maxTunnels = MAX_TUNNELS,
+  ): Promise<RunnerConnection> {
     const { address, mayAbandon } = target;
-    const { way, socket } = await firstConnection(this.#waysTo(now, target), signal);
+    const ways = this.#waysTo(now, target, maxTunnels);
+    const { way, socket } = await firstConnection(ways, signal);
     const { via } = way;
     if (via === undefined) {
       if (mayAbandon) this.#track(address, socket);
@@ -175,11 +183,11 @@
     this.#timer ??= setInterval(() => this.#tick(performance.now()), TICK_MS);
   }
 
-  #waysTo(now: number, target: RunnerTarget): readonly Way[] {
+  #waysTo(now: number, target: RunnerTarget, maxTunnels: number): readonly Way[] {
     const { address } = target;
     const isLost = this.#table.pathTo(address) !== 'direct';
     const members = this.#context.members();
-    const vms = this.#forwarders.order(now, members, address, MAX_TUNNELS, Math.random);
+    const vms = this.#forwarders.order(now, members, address, maxTunnels, Math.random);
     const firstMs = isLost ? 0 : FIRST_TUNNEL_MS;
     const tunnels = vms.map((vm, index) =>
       this.#tunnelWay(target, vm, firstMs + index * TUNNEL_STAGGER_MS),
@@ -322,10 +330,11 @@
       .catch(() => undefined);
   }
 
-  /** Probes through other VMs whether one of them reaches a runner. */
+  /** Probes through another VM whether it reaches a runner. */
   #probeTunnels(now: number, { address, id }: Destination): void {
     const target: RunnerTarget = { address, id, request: undefined, mayAbandon: true };
-    this.#race(now, target, AbortSignal.timeout(CONNECT_TIMEOUT_MS * 2))
+    const limit = AbortSignal.timeout(CONNECT_TIMEOUT_MS * 2);
+    this.#race(now, target, limit, PROBE_TUNNELS)
       .then(({ socket }) => {
         socket.destroy();
         this.#table.expedite(performance.now());
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -3,6 +3,7 @@
 import { Failure, toFailure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
 import { readBody } from '../../utils/http';
+import { viaText } from './accesslog';
 import type { Exchange } from './exchange';
 import type { BalancerContext } from './plainbalancer';
 import { PlainBalancer } from './plainbalancer';
@@ -71,7 +72,7 @@
           reply.status >= SERVER_ERROR &&
           route.kind === 'repeatable' &&
           sentCount + 1 < route.attempts;
-        exchange.trail.push(`${runner.id} ${reply.status}`);
+        exchange.trail.push(`${runner.id} ${reply.status}${viaText(reply)}`);
         if (!shouldRetry || !this.#balancer.hasAlternative(performance.now(), service, tried)) {
           forwardAnswer(exchange, answer);
           return;
