--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -8,32 +8,26 @@
 import type { Logger } from 'pino';
 import { match } from 'ts-pattern';
 
-import { RunnerHealth } from '../../core/cell/health';
 import { toFailure } from '../../core/failure';
-import { RetryWindow } from '../../core/retries';
 import type { StoreHistory } from '../../core/routing/position';
 import { bootNow } from '../../utils/clock';
 import type { Dialer } from '../../utils/dialer';
-import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
 import { Control } from './control';
+import { Connectivity } from './connectivity';
 import { Controllers } from './controllers';
 import { accessLogFields } from './accesslog';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { FrontEnd } from './frontend';
 import { Authorizer } from './authorizer';
+import { Handlers } from './handlers';
 import { InflightClient } from './inflight';
 import type { StateChange } from './routingstate';
 import { RoutingState } from './routingstate';
 import { RouterMetrics } from './metrics';
-import { ModelHandler } from './model';
 import { OrderController } from './orders';
-import { PathController } from './paths';
 import { PlannerHost } from './plannerhost';
-import { PlainHandler } from './plain';
-import { Runs } from './runs';
-import { Tunnels } from './tunnels';
 import type {
   ControlCodec,
   Feed,
@@ -84,9 +78,7 @@
 
   readonly #gate: Authorizer;
 
-  readonly #paths: PathController;
-
-  readonly #tunnels: Tunnels;
+  readonly #connectivity: Connectivity;
 
   readonly #runners: InflightClient;
 
@@ -96,22 +88,12 @@
 
   readonly #front: FrontEnd;
 
-  readonly #plain: PlainHandler;
-
-  readonly #model: ModelHandler;
-
-  readonly #runs: Runs;
+  readonly #handlers: Handlers;
 
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
 
-  readonly #retries = new LazyMap<string, RetryWindow>(
-    () => new RetryWindow(this.#settings.retries),
-  );
-
-  readonly #health = new LazyMap<string, RunnerHealth>(() => new RunnerHealth());
-
   #orders: OrderController | undefined;
 
   #isLeaving = false;
@@ -124,24 +106,17 @@
       onChange: (change) => this.#onStateChange(change),
       onInvalidEntry: () => this.#metrics.count('entries.unfit'),
     });
-    this.#paths = new PathController({
-      vm: settings.vm,
-      domain: settings.domain,
+    this.#connectivity = new Connectivity({
+      settings,
       dialer: ports.dialer,
-      members: () => this.#fleet.all,
-      runners: (now) => this.#state.runners(now),
-      openTunnel: (via, request, signal) => this.#fleet.openTunnel(via, request, signal),
-      metrics: this.#metrics,
-      log: logOf(log, 'paths'),
-    });
-    this.#tunnels = new Tunnels({
       routingState: this.#state,
-      paths: this.#paths,
+      fleet: () => this.#fleet,
       metrics: this.#metrics,
-      log: logOf(log, 'paths'),
+      log,
     });
+    const { paths } = this.#connectivity;
     this.#runners = new InflightClient(
-      ports.runners(this.#paths),
+      ports.runners(paths),
       (listing) => this.#state.latestStart(listing),
       logOf(log, 'runner'),
     );
@@ -156,7 +131,7 @@
         this.#controllers.calls.answer(vm, method, params, push),
       onVmLost: (vm, address) => {
         this.#planHost.onVmLost(performance.now(), vm);
-        this.#paths.vmLost(address);
+        paths.vmLost(address);
       },
       onMembersChange: () => {
         this.#warmLinks();
@@ -165,11 +140,7 @@
       onDigestDiffers: (address, digest) =>
         this.#controllers.stateSync.digestDiffers(address, digest),
       onUpdate: (update, address) => this.#controllers.stateSync.receive(update, address),
-      onTunnel: (request, socket) => {
-        this.#tunnels
-          .open(request, socket)
-          .catch((error) => this.#log.error(toFailure(error).line));
-      },
+      onTunnel: (request, socket) => this.#connectivity.onTunnel(request, socket),
     });
     this.#controllers = new Controllers({
       settings,
@@ -183,39 +154,16 @@
       log,
       onDescription: () => this.#describe(),
     });
-    const mayRepeat = (now: number, service: string): boolean =>
-      this.#retries.get(service).trySpend(now, this.#fleet.alive.length);
-    const { quarantine, rateLimits, notices, permits, quotas, places } = this.#controllers;
-    this.#runs = new Runs({
+    this.#handlers = new Handlers({
+      settings: () => this.#settings,
       routingState: this.#state,
-      paths: this.#paths,
-      quarantine,
+      paths,
+      runners: this.#runners,
       authorizer: this.#gate,
-      rateLimits,
-      notices,
+      controllers: this.#controllers,
+      fleet: this.#fleet,
       metrics: this.#metrics,
-      log: logOf(log, 'runner'),
-    });
-    this.#plain = new PlainHandler({
-      routingState: this.#state,
-      paths: this.#paths,
-      runners: this.#runners,
-      health: (service) => this.#health.get(service),
-      runs: this.#runs,
-      quotas,
-      permits,
-      takeRetry: mayRepeat,
-      domain: settings.domain,
-    });
-    this.#model = new ModelHandler({
-      routingState: this.#state,
-      paths: this.#paths,
-      runners: this.#runners,
-      reservations: places,
-      runs: this.#runs,
-      quotas,
-      permits,
-      takeRetry: mayRepeat,
+      log,
     });
     this.#control = new Control({
       codec: ports.control,
@@ -229,7 +177,7 @@
       codec: ports.ingress,
       metrics: this.#metrics,
       log: logOf(log, 'front'),
-      onRequest: (exchange) => this.#serve(exchange),
+      onRequest: (exchange) => this.#handlers.serve(exchange),
       onDone: (exchange, ms) => this.#done(exchange, ms),
     });
   }
@@ -258,7 +206,7 @@
       routingState: this.#state,
       planners: this.#planHost,
       runners: this.#runners,
-      paths: this.#paths,
+      paths: this.#connectivity.paths,
       lock: this.#ports.lock,
       owns: (service) => this.#owns(service),
       leaseMs: this.#settings.leaseMs,
@@ -302,7 +250,7 @@
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
-    this.#tunnels.startDraining();
+    this.#connectivity.startDraining();
     this.#fleet.leave();
     this.#describe();
     while (performance.now() < leaveUntil) await pause(DRAIN_CHECK_MS);
@@ -310,8 +258,7 @@
     while (this.#isBusy && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
-    this.#tunnels.cutOff();
-    this.#paths.stop();
+    this.#connectivity.stop();
     this.#controllers.stop();
     this.#planHost.stop();
     this.#control.close();
@@ -329,8 +276,7 @@
       active: this.#front.activeRequests,
       ...this.#controllers.snapshot(now),
       ...this.#state.snapshot(now),
-      ...this.#paths.snapshot(now),
-      forwarding: this.#tunnels.active,
+      ...this.#connectivity.snapshot(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
         models.map((name) => [name, this.#fleet.ownersOf(now, name)[0]?.vm ?? null]),
@@ -358,21 +304,6 @@
     return !this.#isLeaving && owner?.vm === this.#settings.vm;
   }
 
-  async #serve(exchange: Exchange): Promise<void> {
-    const { service } = exchange;
-    const now = performance.now();
-    this.#retries.get(service).recordFirst(now);
-    const refusal = this.#runs.refusal(now, exchange);
-    if (refusal) {
-      exchange.fail(now, refusal);
-      return;
-    }
-    const engine = this.#state.table?.service(service)?.engine;
-    if (engine) await this.#model.run(exchange, engine);
-    else await this.#plain.run(exchange);
-    this.#controllers.quotas.settle(exchange);
-  }
-
   #done(exchange: Exchange, ms: number): void {
     const { service, status, code } = exchange;
     this.#metrics.recordRequest(service, status, code, ms);
@@ -381,7 +312,7 @@
 
   /** Whether requests of its own callers or of other VMs are in progress. */
   get #isBusy(): boolean {
-    return this.#front.activeRequests + this.#tunnels.active > 0;
+    return this.#front.activeRequests + this.#connectivity.forwarding > 0;
   }
 
   /** Whether this VM accepts callers; see `#isServing` for whether it can serve them now. */
@@ -413,7 +344,7 @@
       })
       .with({ kind: 'runners' }, () => {
         this.#runners.abortLost();
-        this.#paths.runnersChanged(performance.now());
+        this.#connectivity.paths.runnersChanged(performance.now());
       })
       .with({ kind: 'era' }, ({ cameBack }) => {
         this.#state.freshness.recordStoreRestore(bootNow());
--- /dev/null
+++ b/src/node/router/handlers.ts
@@ -0,0 +1,90 @@
+/** Serves the requests of callers by the handler of their kind of service. */
+
+import type { Logger } from 'pino';
+
+import { RunnerHealth } from '../../core/cell/health';
+import { RetryWindow } from '../../core/retries';
+import { LazyMap } from '../../utils/lazymap';
+import { logOf } from '../log';
+import type { Metrics } from '../metrics';
+import type { Authorizer } from './authorizer';
+import type { Controllers } from './controllers';
+import type { Exchange } from './exchange';
+import type { RouterFleet } from './fleet';
+import { ModelHandler } from './model';
+import { PlainHandler } from './plain';
+import type { RoutingState } from './routingstate';
+import { Runs } from './runs';
+import type { RouterSettings, RunnerClient, RunnerPaths } from './types';
+
+/** Dependencies of the handlers. */
+export interface HandlersContext {
+  /** The settings in force. */
+  readonly settings: () => Pick<RouterSettings, 'retries' | 'domain'>;
+  readonly routingState: RoutingState;
+  readonly paths: RunnerPaths;
+  readonly runners: RunnerClient;
+  readonly authorizer: Authorizer;
+  readonly controllers: Controllers;
+  readonly fleet: Pick<RouterFleet, 'alive'>;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+}
+
+/** The handlers of one VM, with what they keep for each service. */
+export class Handlers {
+  readonly #context: HandlersContext;
+
+  readonly #retries: LazyMap<string, RetryWindow>;
+
+  readonly #health = new LazyMap<string, RunnerHealth>(() => new RunnerHealth());
+
+  readonly #runs: Runs;
+
+  readonly #plain: PlainHandler;
+
+  readonly #model: ModelHandler;
+
+  constructor(context: HandlersContext) {
+    this.#context = context;
+    const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
+    const { quarantine, rateLimits, notices, permits, quotas, places } = controllers;
+    this.#retries = new LazyMap(() => new RetryWindow(settings().retries));
+    const takeRetry = (now: number, service: string): boolean =>
+      this.#retries.get(service).trySpend(now, fleet.alive.length);
+    this.#runs = new Runs({
+      routingState,
+      paths,
+      quarantine,
+      authorizer,
+      rateLimits,
+      notices,
+      metrics: context.metrics,
+      log: logOf(context.log, 'runner'),
+    });
+    const shared = { routingState, paths, runners, runs: this.#runs, quotas, permits, takeRetry };
+    this.#plain = new PlainHandler({
+      ...shared,
+      health: (service) => this.#health.get(service),
+      domain: settings().domain,
+    });
+    this.#model = new ModelHandler({ ...shared, reservations: places });
+  }
+
+  /** Serves one request to its end. */
+  async serve(exchange: Exchange): Promise<void> {
+    const { routingState, controllers } = this.#context;
+    const { service } = exchange;
+    const now = performance.now();
+    this.#retries.get(service).recordFirst(now);
+    const refusal = this.#runs.refusal(now, exchange);
+    if (refusal) {
+      exchange.fail(now, refusal);
+      return;
+    }
+    const engine = routingState.table?.service(service)?.engine;
+    if (engine) await this.#model.run(exchange, engine);
+    else await this.#plain.run(exchange);
+    controllers.quotas.settle(exchange);
+  }
+}
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -3,6 +3,7 @@
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
 import type { Engine, Runner } from '../../core/routing/types';
+import { viaText } from './accesslog';
 import type { Exchange } from './exchange';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
@@ -15,6 +16,7 @@
   runnerFullFailure,
   timeoutFailure,
   callerFailure,
+  planAgain,
 } from './progress';
 import type { QuotaController } from './quotas';
 import type { Answer, RelayOutcome } from './relay';
@@ -330,7 +332,8 @@
         cache,
         afterEvent,
       });
-      exchange.trail.push(`decode ${runner.id} ${reply.status}${reply.notRun ? ' not run' : ''}`);
+      const notRun = reply.notRun ? ' not run' : '';
+      exchange.trail.push(`decode ${runner.id} ${reply.status}${notRun}${viaText(reply)}`);
       if (!reply.notRun) return { reply, run };
       run.notRun();
       reply.body.resume();
@@ -385,17 +388,6 @@
   return outcome === 'unreachable' || outcome === 'unavailable';
 }
 
-/** Excludes a runner that takes no requests any more; returns whether to ask for another one. */
-function planAgain(
-  { trail, signal }: Exchange,
-  progress: Progress,
-  runner: string | undefined,
-): boolean {
-  if (runner !== undefined) progress.avoid.push(runner);
-  trail.push(`${runner} unavailable`);
-  return !signal.aborted;
-}
-
 function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -94,3 +94,14 @@
     ? new Failure('deadlineUnreachable', 'no reservation in time', { retryAfterMs: RETRY_MS })
     : new Failure('timedOut', 'the response was not complete in time');
 }
+
+/** Excludes a runner that takes no requests any more; returns whether to ask for another one. */
+export function planAgain(
+  { trail, signal }: Exchange,
+  progress: Progress,
+  runner: string | undefined,
+): boolean {
+  if (runner !== undefined) progress.avoid.push(runner);
+  trail.push(`${runner} unavailable`);
+  return !signal.aborted;
+}
