Partition VMs from all runners in the soak

A new kind of fault, path-runners, cuts the connections of a VM to all runners for 5 to 11 s: open ones go on and new ones hang, or open ones are reset and new ones refused. One VM at least keeps its paths. The VM counts as sound meanwhile, so the other guarantees hold for it. New guarantee, reach: from 3 s after the cut its callers are served at least two thirds as often as those of the other VMs, or little fails.

--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -8,7 +8,7 @@
 import type { LinkProxy, LinkState } from './proxy';
 import type { RunnerBehaviour } from './runner';
 import { healthyBehaviour } from './runner';
-import type { Vm } from './vm';
+import type { RunnerCut, Vm } from './vm';
 
 /** What faults act on, and callbacks about them. */
 export interface FaultContext {
@@ -19,6 +19,8 @@
   readonly pool: RunnerPool;
   /** Called after the store was restored from an older copy. */
   readonly onStoreRestored: () => void;
+  /** Called when a VM is partitioned from all runners, or not any more. */
+  readonly onRunnersCut: (vm: Vm, isCut: boolean) => void;
   /** Called when a fault begins or ends. */
   readonly onFault: (id: number, name: string, target: string, begins: boolean) => void;
 }
@@ -35,7 +37,7 @@
 type FaultStarter = () => ActiveFault | undefined;
 
 /** What a kind of fault acts on: the prefix of its name. */
-export type FaultFamily = 'vm' | 'store' | 'runner';
+export type FaultFamily = 'vm' | 'store' | 'runner' | 'path';
 
 /** Time during which faults are injected. */
 const BURST_MS = 16_000;
@@ -51,6 +53,8 @@
 const MIN_ISOLATION_MS = 6000;
 /** Time after the store was restored before the operator and the runners write to it again. */
 const RESTORE_REWRITE_DELAY_MS = 1500;
+/** Minimum time for which a VM is partitioned from all runners. */
+const MIN_RUNNERS_CUT_MS = 5000;
 /** Time that VMs need to reconnect after a network partition; counted as part of the fault. */
 const RECONNECT_MS = 2000;
 /** Range of clock steps: the clock moves by at most half of it in either direction. */
@@ -75,6 +79,9 @@
 
   readonly #startedAt = Date.now();
 
+  /** VMs that are partitioned from all runners. */
+  readonly #cutVms = new Set<Vm>();
+
   #lastId = 0;
 
   #storeCopy: StoreCopy | undefined;
@@ -170,6 +177,7 @@
       'store-older': () => this.#onStore(async () => this.#restoreStore()),
       'store-strange': () => this.#onStore(async () => this.#writeMalformedEntry()),
       'store-link': () => this.#onStoreLink(),
+      'path-runners': () => this.#onPath(),
       'runner-crash': () => this.#onRunner((member) => this.#crash(member)),
       'runner-fails': () => this.#disturbRunner({ failRatio: 0.4 }),
       'runner-all-fail': () => this.#failPlainRunners(),
@@ -204,6 +212,25 @@
     return this.#context.mesh.hasPairs ? this.#onVm(work) : undefined;
   }
 
+  /** Partitions a VM from all runners. One VM at least keeps its paths. */
+  #onPath(): ActiveFault | undefined {
+    const { vms } = this.#context;
+    const isLast = this.#cutVms.size + 1 >= vms.length;
+    return isLast ? undefined : this.#onVm((vm) => this.#cutFromRunners(vm));
+  }
+
+  async #cutFromRunners(vm: Vm): Promise<void> {
+    const { onRunnersCut } = this.#context;
+    const cuts: readonly RunnerCut[] = ['silent', 'refuse'];
+    this.#cutVms.add(vm);
+    vm.cutFromRunners(this.#pick(cuts));
+    onRunnersCut(vm, true);
+    await pause(MIN_RUNNERS_CUT_MS + this.#drawDurationMs());
+    vm.cutFromRunners(undefined);
+    onRunnersCut(vm, false);
+    this.#cutVms.delete(vm);
+  }
+
   #othersOf(vm: Vm): readonly Vm[] {
     return this.#context.vms.filter((other) => other !== vm);
   }
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -9,6 +9,7 @@
 import { bounds } from './vm';
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
+import { ReachChecker } from './reach';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
 import type { Arrival, Order, RunnerObserver } from './runner';
@@ -95,6 +96,8 @@
 
   readonly #announcements = new AnnouncementChecker();
 
+  readonly #reach = new ReachChecker();
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -118,12 +121,18 @@
     });
   }
 
-  answered(
-    request: SentRequest,
-    vm: string,
-    { outcome, integrityError: error, status }: CallerAnswer,
-  ): void {
+  /** Records that a VM is partitioned from all runners, or not any more. */
+  setRunnersCut(vm: string, isCut: boolean): void {
+    if (isCut) this.#reach.begin(Date.now(), vm);
+    const loss = isCut ? undefined : this.#reach.end(vm);
+    if (loss) this.#report('reach', loss.detail);
+  }
+
+  answered(request: SentRequest, vm: string, answer: CallerAnswer): void {
+    const { outcome, integrityError: error, status } = answer;
     const record = this.#records.get(request.id);
+    const quietMs = this.#context.faultFreeMs('vm', 'runner', 'store');
+    if (record && quietMs >= MIN_FAULT_FREE_MS) this.#reach.answered(record.sentAt, vm, answer);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     if (outcome === 'served' && record && record.runs === 0) {
       this.#report('whole', `${request.id} at ${vm}: success for a request that never ran`);
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -6,13 +6,13 @@
 import { LinkProxy } from './proxy';
 import type { RunnerContext, RunnerRole } from './runner';
 import { SoakRunner } from './runner';
+import { RUNNER_PORT as PORT } from './vm';
 
 /** Names of the services: one served by engines, and a plain one. */
 export const services = { model: 'reader', plain: 'desk' } as const;
 
 /** Time after which the store entry of a crashed runner expires. */
 const ENTRY_EXPIRY_MS = 3000;
-const PORT = 8528;
 
 /** A runner with its addresses and its proxy. */
 export interface PooledRunner {
--- a/scripts/soak/shim.cjs
+++ b/scripts/soak/shim.cjs
@@ -1,15 +1,33 @@
 // Preloaded into a VM's process to inject clock and network faults. Reads the file named by
 // GOLDCRESTDOCK_SOAK at the start and on each SIGUSR2. The file sets the offset of the wall clock,
-// redirects connections to proxies, and lists hosts to which datagrams are dropped:
-// `{"stepMs": 0, "routes": {"HOST:PORT": "HOST:PORT"}, "lost": ["HOST"]}`.
+// redirects connections to proxies, lists hosts to which datagrams are dropped, and cuts connections to
+// a port: open ones go on, or are reset, and new ones hang, or are refused:
+// `{"stepMs": 0, "routes": {"HOST:PORT": "HOST:PORT"}, "lost": ["HOST"], "cut": {"port": 1, "how": "silent"}}`.
 const dgram = require('node:dgram');
 const { readFileSync } = require('node:fs');
 const net = require('node:net');
 
-let { stepMs, routes, lost } = { stepMs: 0, routes: {}, lost: [] };
+let { stepMs, routes, lost, cut } = { stepMs: 0, routes: {}, lost: [], cut: undefined };
+
+/** Open connections by their port. */
+const open = new Map();
+
+function fault(code) {
+  return Object.assign(new Error(code), { code });
+}
 
 function readSettings() {
-  ({ stepMs, routes, lost } = JSON.parse(readFileSync(process.env.GOLDCRESTDOCK_SOAK, 'utf8')));
+  ({ stepMs, routes, lost, cut } = JSON.parse(
+    readFileSync(process.env.GOLDCRESTDOCK_SOAK, 'utf8'),
+  ));
+  const reset = cut?.how === 'refuse' ? (open.get(cut.port) ?? []) : [];
+  for (const socket of reset) socket.destroy(fault('ECONNRESET'));
+}
+
+function track(socket, port) {
+  if (!open.has(port)) open.set(port, new Set());
+  open.get(port).add(socket);
+  socket.once('close', () => open.get(port).delete(socket));
 }
 
 readSettings();
@@ -21,6 +39,14 @@
 const realConnect = net.Socket.prototype.connect;
 net.Socket.prototype.connect = function connect(...args) {
   const [first] = Array.isArray(args[0]) ? args[0] : args;
+  const target = Number(first?.port);
+  if (cut !== undefined && target === cut.port) {
+    // Node holds back what is written to a socket until it is connected.
+    this.connecting = true;
+    if (cut.how === 'refuse') process.nextTick(() => this.destroy(fault('ECONNREFUSED')));
+    return this;
+  }
+  track(this, target);
   const route =
     first && typeof first === 'object' ? routes[`${first.host}:${first.port}`] : undefined;
   if (route !== undefined) {
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -105,6 +105,8 @@
         store,
         pool: this.#pool,
         onStoreRestored: () => this.#operator.rewrite(),
+        onRunnersCut: ({ frontAddress }, isCut) =>
+          this.#guarantees.setRunnersCut(frontAddress, isCut),
         onFault: (id, name, target, begins) => timeline.recordFault(id, name, target, begins),
       },
       options.faults,
--- a/scripts/soak/vm.ts
+++ b/scripts/soak/vm.ts
@@ -11,6 +11,8 @@
 const METRICS_PORT = 9464;
 const PROGRAM = 'build/goldcrestdock.cjs';
 const SHIM = './scripts/soak/shim.cjs';
+/** Port of all runners. */
+export const RUNNER_PORT = 8528;
 /** Port of connections and probes between VMs. */
 export const PEER_PORT = INTERNAL_PORTS[0];
 
@@ -46,6 +48,9 @@
   readonly folder: string;
 }
 
+/** What becomes of a VM's connections to runners: new ones hang, or open ones are reset and new ones refused. */
+export type RunnerCut = 'silent' | 'refuse';
+
 /** One VM; its process can be started repeatedly. */
 export class Vm {
   readonly options: VmOptions;
@@ -67,6 +72,8 @@
   /** Hosts to which its datagrams are dropped. */
   readonly #lossyHosts = new Set<string>();
 
+  #runnerCut: { readonly port: number; readonly how: RunnerCut } | undefined;
+
   #clockStepMs = 0;
 
   #startedAt = 0;
@@ -152,6 +159,12 @@
     this.#updateShim();
   }
 
+  /** Cuts its connections to all runners, which listen on one port; undefined ends that. */
+  cutFromRunners(how: RunnerCut | undefined): void {
+    this.#runnerCut = how && { port: RUNNER_PORT, how };
+    this.#updateShim();
+  }
+
   /** Resolves once its process has exited. */
   async waitForExit(): Promise<void> {
     const child = this.#process;
@@ -171,6 +184,7 @@
       stepMs: this.#clockStepMs,
       routes: Object.fromEntries(this.#routes),
       lost: [...this.#lossyHosts],
+      cut: this.#runnerCut,
     });
     // Replaced atomically: the process may read the file at any moment.
     const temporary = join(folder, `${name}.shim.fresh`);
