Forward to the runners that are reached while half of them are not

Now a VM says that it cannot forward at all from nine tenths on, and four VMs have to confirm that a runner is not reached, as many as one request asks.

The path of a silent connection is not probed where another connection to the runner was established meanwhile: in an overload first answers take that long.

--- a/src/core/paths/forwarders.ts
+++ b/src/core/paths/forwarders.ts
@@ -6,8 +6,8 @@
 const AVOIDED_MS = 1500;
 /** Time for which a VM that forwarded is asked first, in milliseconds; then others are tried again, nearer ones first. */
 const PREFERRED_MS = 5000;
-/** VMs that do not reach a runner either, from which the runner is taken to be at fault. */
-const CONFIRMATIONS = 2;
+/** VMs that do not reach a runner either, from which it counts as out of reach. Part of them may be partitioned as well. */
+const CONFIRMATIONS = 4;
 /** Entries from which expired ones are removed. */
 const MAX_ENTRIES = 1000;
 
--- a/src/node/router/openconnections.ts
+++ b/src/node/router/openconnections.ts
@@ -15,7 +15,7 @@
  */
 const STALL_MS = 700;
 /** Time without bytes after which the path of a connection is probed, in milliseconds, and between two probes. */
-const SILENT_MS = 1000;
+export const SILENT_MS = 1000;
 
 /** Connections by the address to which they were opened: of a runner, or of the VM that forwards. */
 export class OpenConnections {
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -15,7 +15,7 @@
 import type { Metrics } from '../metrics';
 import type { TunnelRequest } from '../peer/tunnel';
 import { TunnelFailure } from '../peer/tunnel';
-import { OpenConnections } from './openconnections';
+import { OpenConnections, SILENT_MS } from './openconnections';
 import type { Way } from './race';
 import { firstConnection } from './race';
 import type { RunnerConnection, RunnerConnector, RunnerPaths, RunnerTarget } from './types';
@@ -59,8 +59,10 @@
 const CHECK_ALL_MS = 2000;
 /** Maximum number of paths in such a check; others are found by requests. */
 const MAX_CHECKED = 64;
-/** Share of the runners that this VM does not reach from which its paths, not they, are at fault. */
-const LOST_SHARE = 0.5;
+/** Share of the runners that this VM does not reach directly from which other VMs ask others to forward. */
+const PARTITIONED_SHARE = 0.9;
+/** Share of the runners that this VM does not reach at all from which it, not they, is at fault. */
+const ISOLATED_SHARE = 0.5;
 const LINES_PER_S = 10;
 
 /** Paths of this VM. */
@@ -106,14 +108,14 @@
     const lostSince = this.#table.lostSince(address);
     if (lostSince === undefined) return true;
     if (this.#table.pathTo(address) === 'none') {
-      return !this.#hasLost(now, (path) => path === 'none');
+      return this.#lostShare(now, (path) => path === 'none') < ISOLATED_SHARE;
     }
     return lostSince < sentAt;
   }
 
   /** Whether this VM reaches hardly any runner directly, so that it cannot forward connections. */
   isPartitioned(now: number): boolean {
-    return this.#hasLost(now, (path) => path !== 'direct');
+    return this.#lostShare(now, (path) => path !== 'direct') >= PARTITIONED_SHARE;
   }
 
   /** Must be called when runners were listed, started anew, or are gone. */
@@ -313,12 +315,16 @@
     this.#timer = undefined;
   }
 
-  /** Probes the paths of connections that are silent: a connection that is cut off gives no sign. */
+  /**
+   * Probes the paths of connections that are silent, unless others were established meanwhile: a
+   * connection that is cut off gives no sign.
+   */
   #probeSilent(now: number): void {
     const silent = new Set(this.#open.takeSilent(now));
     if (silent.size === 0) return;
     for (const { address, id } of this.#context.runners(now)) {
-      if (silent.has(address) && this.pathTo({ address }) === 'direct') {
+      const isKnown = this.#table.connectedAfter(address, now - SILENT_MS);
+      if (silent.has(address) && !isKnown && this.pathTo({ address }) === 'direct') {
         this.#probeDirect({ address, id });
       }
     }
@@ -342,12 +348,12 @@
       .catch(() => undefined);
   }
 
-  /** Whether so many paths are lost that the runners are not at fault. */
-  #hasLost(now: number, isLost: (path: Path) => boolean): boolean {
-    if (!this.#table.hasLost) return false;
+  /** Share of the runners whose paths are lost. */
+  #lostShare(now: number, isLost: (path: Path) => boolean): number {
+    if (!this.#table.hasLost) return 0;
     const runners = this.#context.runners(now);
     const lost = runners.filter((runner) => isLost(this.pathTo(runner)));
-    return lost.length >= runners.length * LOST_SHARE;
+    return lost.length / Math.max(1, runners.length);
   }
 }
 
--- a/src/node/router/tunnels.ts
+++ b/src/node/router/tunnels.ts
@@ -100,10 +100,9 @@
     now: number,
     { address, runner: id, request }: TunnelRequest,
   ): Rejection | undefined {
-    const { routingState, paths } = this.#context;
+    const { routingState } = this.#context;
     if (this.#isDraining) return { failure: 'vm', detail: 'draining' };
     if (this.#callers.size > MAX_TUNNELS) return { failure: 'vm', detail: 'too many tunnels' };
-    if (paths.isPartitioned(now)) return { failure: 'vm', detail: 'partitioned' };
     if (request === undefined) {
       return routingState.isListed(address) ? undefined : { failure: 'runner', detail: 'unknown' };
     }
--- a/test/router/partition.test.ts
+++ b/test/router/partition.test.ts
@@ -196,6 +196,21 @@
     expect(statusesOf(plain)).toEqual({ 200: plain.length });
   }, 30_000);
 
+  /* No VM reaches all runners, and each runner is reached by two or three of the five. */
+  test('serve callers where each VM reaches a part of the runners', async () => {
+    namesOf(VMS).forEach((name, vm) => {
+      partition.cut([name], 'hang', (address) => (Number(address.split(':')[1]) + vm) % 2 === 0);
+    });
+    const startedAt = performance.now();
+    const attempts: Promise<Attempt>[] = [];
+    for (let turn = 0; performance.now() - startedAt < STABLE_MS; turn += 1) {
+      attempts.push(attempt(turn, startedAt));
+      await pause(1000 / REQUESTS_PER_S);
+    }
+    const done = await Promise.all(attempts);
+    expect(statusesOf(done)).toEqual({ 200: done.length });
+  }, 30_000);
+
   /* A VM that has never reached a runner knows them from the other VMs only. */
   test('serve callers from their start', async () => {
     partition.cut([`vm${VMS + 1}`], 'hang');
