--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -122,6 +122,15 @@
       'timeout-ms': 3000,
       'max-attempts': 2,
     },
+    {
+      name: 'r-once',
+      host: 'h.example',
+      'path-prefix': '/once/',
+      kind: 'non_idempotent',
+      service: services.plain,
+      'timeout-ms': 3000,
+      'max-attempts': 2,
+    },
     {
       name: 'r-open',
       host: 'h.example',
@@ -172,6 +181,9 @@
   /** Runs of requests, by the path, which is unique to the request where a test counts them. */
   readonly runs = new Map<string, number>();
 
+  /** Monotonic times at which connections closed before their answers were complete, in milliseconds. */
+  readonly abandonedAt: number[] = [];
+
   /** Until when it sends nothing, a monotonic time in milliseconds. */
   silentUntil = 0;
 
@@ -252,6 +264,9 @@
       res.end(JSON.stringify({ 'kv-handle': randomUUID(), tokens: 100, version: 1 }));
       return;
     }
+    res.on('close', () => {
+      if (!res.writableFinished) this.abandonedAt.push(performance.now());
+    });
     const isStream = this.#role !== 'plain';
     res.writeHead(200, {
       ...headers,
@@ -302,6 +317,19 @@
   router: Router;
 }
 
+/** Headers of a request with a new id. */
+function headersOf(vm: string, path: string, body: string): Readonly<Record<string, string>> {
+  const isLong = path.startsWith(LONG_PATH);
+  const usage = { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` };
+  return {
+    host: 'h.example',
+    'request-id': randomUUID(),
+    'request-deadline-ms': isLong ? '10000' : '5000',
+    [VM_HEADER]: vm,
+    ...(isLong || path.startsWith('/model/') ? usage : {}),
+  };
+}
+
 /** A deployment of routers, runners and a store. */
 export class RouterCluster {
   readonly store = new FakeStore();
@@ -406,19 +434,27 @@
   ): Promise<CallerAnswer> {
     const vm = this.#vms[turn % this.#vms.length];
     const headers = {
-      host: 'h.example',
-      'request-id': randomUUID(),
-      'request-deadline-ms': path.startsWith(LONG_PATH) ? '10000' : '5000',
+      ...headersOf(vm?.name ?? '', path, body),
       connection: 'close',
-      [VM_HEADER]: vm?.name ?? '',
-      ...(path.startsWith('/model/') || path.startsWith(LONG_PATH)
-        ? { 'token-usage': '100,50', 'prompt-prefix': `${body.length}:100` }
-        : {}),
       ...extraHeaders,
     };
     return fetchRaw(vm?.front ?? '', path, headers, body);
   }
 
+  /** Sends one request and closes its connection after a time; resolves to when that was. */
+  async leaveAfter(turn: number, path: string, body: string, ms: number): Promise<number> {
+    const vm = this.#vms[turn % this.#vms.length];
+    const [host, port] = (vm?.front ?? '').split(':');
+    const headers = { ...headersOf(vm?.name ?? '', path, body), connection: 'close' };
+    const req = request({ host, port, path, method: 'POST', headers, agent: false });
+    req.on('error', () => {});
+    req.on('response', (res) => res.on('error', () => {}).resume());
+    req.end(body);
+    await pause(ms);
+    req.destroy();
+    return performance.now();
+  }
+
   async #startVm(name: string): Promise<Vm> {
     const [front, peer, ready] = (await Promise.all([freePort(), freePort(), freePort()])).map(
       (port) => `127.0.0.1:${port}`,
