Blame no runner that no VM has tried to reach for a partitioned one

Found by reading: while the direct path is lost and the VMs that are asked are partitioned themselves, or stop, a request that reached nobody counted against its runner at the planner, as if it had been sent through another VM and failed.

Now a failure counts against a runner without a direct path only if a VM forwarded a connection there after the request began, or one that reaches others tried to and did not.

Evidence: test/router/paths.test.ts; its test "is not the runner's if no VM forwarded it" fails on the code before. The others tell when a failure is the runner's.

--- a/src/core/paths/forwarders.ts
+++ b/src/core/paths/forwarders.ts
@@ -77,13 +77,16 @@
    */
   isExhausted(now: number, members: readonly Member[], address: string): boolean {
     const open = this.#openMembers(members);
-    const confirmed = open.filter(
-      ({ vm }) => (this.#avoidedUntil.get(keyOf(vm, address)) ?? 0) > now,
-    );
-    if (confirmed.length >= CONFIRMATIONS) return true;
+    if (this.#confirmations(now, open, address) >= CONFIRMATIONS) return true;
     return open.every(({ vm }) => this.#avoidedUntilOf(vm, address) > now);
   }
 
+  /** Whether some VM that reaches others did not reach a runner, or there is no other VM. */
+  isConfirmed(now: number, members: readonly Member[], address: string): boolean {
+    const open = this.#openMembers(members);
+    return open.length === 0 || this.#confirmations(now, open, address) > 0;
+  }
+
   /**
    * Up to `most` VMs to ask for a connection to a runner, in order: one that forwarded lately, then
    * in turn those of this VM's failure domain and others, since the VMs of a failure domain may
@@ -111,6 +114,12 @@
     return [...(preferred ? [preferred] : []), ...alternating(near, far)].slice(0, most);
   }
 
+  #confirmations(now: number, open: readonly Member[], address: string): number {
+    const isConfirming = ({ vm }: Member): boolean =>
+      (this.#avoidedUntil.get(keyOf(vm, address)) ?? 0) > now;
+    return open.filter(isConfirming).length;
+  }
+
   #openMembers(members: readonly Member[]): readonly Member[] {
     return members.filter(
       ({ vm, state, draining }) => vm !== this.#vm && state === 'alive' && !draining,
--- a/src/core/paths/table.ts
+++ b/src/core/paths/table.ts
@@ -19,6 +19,10 @@
   readonly since: number;
   /** Whether the runner was not reached through other VMs either. */
   isTunnelLost: boolean;
+  /** Whether another VM tried to reach the runner and did not. */
+  isConfirmed: boolean;
+  /** When the runner was last reached through another VM. */
+  forwardedAt: number;
   probeAt: number;
   probeMs: number;
 }
@@ -96,6 +100,8 @@
       ...destination,
       since: now,
       isTunnelLost: false,
+      isConfirmed: false,
+      forwardedAt: -Infinity,
       probeAt: 0,
       probeMs: FIRST_PROBE_MS,
     };
@@ -104,12 +110,36 @@
     return true;
   }
 
-  /** Records whether a runner was reached through another VM; returns whether that differs from before. */
-  recordTunnel(address: string, isReached: boolean): boolean {
+  /** Records that a runner was reached through another VM. */
+  recordForwarded(now: number, address: string): void {
     const lost = this.#lost.get(address);
-    if (!lost || lost.isTunnelLost !== isReached) return false;
-    lost.isTunnelLost = !isReached;
-    return true;
+    if (!lost) return;
+    lost.isTunnelLost = false;
+    lost.forwardedAt = now;
+  }
+
+  /**
+   * Records that a runner was not reached through other VMs; returns whether that is new.
+   * @param isConfirmed whether another VM tried to reach it; if none did, that says nothing of it
+   */
+  recordNotForwarded(address: string, isConfirmed: boolean): boolean {
+    const lost = this.#lost.get(address);
+    if (!lost) return false;
+    const isNew = !lost.isTunnelLost;
+    lost.isTunnelLost = true;
+    lost.isConfirmed = isConfirmed;
+    return isNew;
+  }
+
+  /** Whether neither this VM nor another one that tried reaches a runner. */
+  isConfirmedLost(address: string): boolean {
+    const { isTunnelLost = false, isConfirmed = false } = this.#lost.get(address) ?? {};
+    return isTunnelLost && isConfirmed;
+  }
+
+  /** Whether a runner without a direct path was reached through another VM after a time. */
+  forwardedAfter(address: string, time: number): boolean {
+    return (this.#lost.get(address)?.forwardedAt ?? -Infinity) >= time;
   }
 
   /** Lost paths that are due to be probed, `most` at most; none of them is due again before its next time. */
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -59,7 +59,7 @@
 const CHECK_ALL_MS = 2000;
 /** Maximum number of paths in such a check; others are found by requests. */
 const MAX_CHECKED = 64;
-/** Share of the runners that this VM does not reach directly from which other VMs ask others to forward. */
+/** Share of lost paths from which this VM counts as partitioned, so that other VMs ask others to forward. */
 const PARTITIONED_SHARE = 0.9;
 /** Share of the runners that this VM does not reach at all from which it, not they, is at fault. */
 const ISOLATED_SHARE = 0.5;
@@ -108,9 +108,10 @@
     const lostSince = this.#table.lostSince(address);
     if (lostSince === undefined) return true;
     if (this.#table.pathTo(address) === 'none') {
-      return this.#lostShare(now, (path) => path === 'none') < ISOLATED_SHARE;
+      const isIsolated = this.#lostShare(now, (path) => path === 'none') >= ISOLATED_SHARE;
+      return this.#table.isConfirmedLost(address) && !isIsolated;
     }
-    return lostSince < sentAt;
+    return lostSince < sentAt && this.#table.forwardedAfter(address, sentAt);
   }
 
   /** Whether this VM reaches hardly any runner directly, so that it cannot forward connections. */
@@ -166,7 +167,7 @@
       return { socket, via };
     }
     this.#context.metrics.count('tunnels.opened');
-    this.#table.recordTunnel(address, true);
+    this.#table.recordForwarded(performance.now(), address);
     if (mayAbandon) this.#track(via, socket);
     return { socket, via };
   }
@@ -281,7 +282,8 @@
   #onAllFailed(now: number, address: string): void {
     const { members, metrics, log } = this.#context;
     if (!this.#forwarders.isExhausted(now, members(), address)) return;
-    if (!this.#table.recordTunnel(address, false)) return;
+    const isConfirmed = this.#forwarders.isConfirmed(now, members(), address);
+    if (!this.#table.recordNotForwarded(address, isConfirmed)) return;
     metrics.count('paths.unreachable');
     if (!this.#lines.tryAcquire(now)) return;
     log.info({ address }, 'No other VM reaches the runner either.');
@@ -333,6 +335,7 @@
   #probeDirect({ address, id }: Destination): void {
     this.#openDirect({ address, id })
       .then((socket) => socket.destroy())
+      // The table has the outcome; a loss that is new is logged where it is recorded.
       .catch(() => undefined);
   }
 
@@ -345,6 +348,7 @@
         socket.destroy();
         this.#table.expedite(performance.now());
       })
+      // The runner stays out of reach until the next probe.
       .catch(() => undefined);
   }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -147,8 +147,8 @@
   /** Whether this VM reaches a runner, directly or through another VM. */
   reaches(runner: Pick<Runner, 'address'>): boolean;
   /**
-   * Whether a failure of a request that was sent to a runner is the runner's. It is not if the
-   * direct path was lost under the request, or if this VM reaches hardly any runner.
+   * Whether a failure of a request to a runner is the runner's. It is not if the direct path was
+   * lost under the request, if no VM forwarded it, or if this VM reaches hardly any runner.
    */
   isAtFault(now: number, runner: Pick<Runner, 'address'>, sentAt: number): boolean;
 }
--- a/test/core/paths.test.ts
+++ b/test/core/paths.test.ts
@@ -46,7 +46,8 @@
             probedAt.clear();
             for (const lost of table.lost) probedAt.set(lost, -Infinity);
           } else if (kind !== 'wait' && expected.has(address)) {
-            table.recordTunnel(address, kind === 'forwarded');
+            if (kind === 'forwarded') table.recordForwarded(now, address);
+            else table.recordNotForwarded(address, true);
             expected.set(address, kind === 'forwarded' ? 'tunnel' : 'none');
           }
           for (const due of table.takeDue(now, 8, () => random)) {
--- /dev/null
+++ b/test/router/paths.test.ts
@@ -0,0 +1,143 @@
+import { Socket } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
+
+import pino from 'pino';
+
+import type { Member } from '../../src/core/membership/types';
+import { TunnelFailure } from '../../src/node/peer/tunnel';
+import { RouterMetrics } from '../../src/node/router/metrics';
+import { PathController } from '../../src/node/router/paths';
+import type { RunnerTarget } from '../../src/node/router/types';
+import { runnerOf } from '../fakes/runner';
+
+const runners = ['a', 'b', 'c', 'd'].map((id) => runnerOf(id, 'plain'));
+const never = new AbortController().signal;
+
+function memberOf(vm: string): Member {
+  return {
+    vm,
+    domain: 'a',
+    address: `${vm}:1`,
+    incarnation: 1,
+    state: 'alive',
+    draining: false,
+    gateways: [],
+    cores: 1,
+    storeLost: false,
+  };
+}
+
+function targetOf(id: string): RunnerTarget {
+  return { address: `${id}:80`, id, request: 'q', mayAbandon: false };
+}
+
+/** Paths of a VM whose connections fail or not as a test says. */
+class TestPaths {
+  /** Runners that the VM does not reach directly. */
+  readonly lost = new Set<string>();
+
+  /** Runners that no other VM reaches. */
+  readonly down = new Set<string>();
+
+  /** Whether other VMs do not forward at all. */
+  areOthersPartitioned = false;
+
+  readonly paths = new PathController({
+    vm: 'self',
+    domain: 'a',
+    dialer: { dial: (address) => this.#dial(address) },
+    members: () => [memberOf('vm1'), memberOf('vm2')],
+    runners: () => runners,
+    openTunnel: async (_via, { address }) => {
+      if (this.areOthersPartitioned) throw new TunnelFailure('vm', 'partitioned');
+      if (this.down.has(address)) throw new TunnelFailure('runner', 'not reached');
+      return new Socket();
+    },
+    metrics: new RouterMetrics(),
+    log: pino({ level: 'silent' }),
+  });
+
+  /** Connects for one request; resolves to whether that succeeded. */
+  async connect(id: string): Promise<boolean> {
+    return this.paths.connect(targetOf(id), never).then(
+      () => true,
+      () => false,
+    );
+  }
+
+  /** Whether a failure now, of a request that was sent at a time, is the runner's. */
+  isAtFault(id: string, sentAt: number): boolean {
+    return this.paths.isAtFault(performance.now(), runnerOf(id, 'plain'), sentAt);
+  }
+
+  #dial(address: string): Socket {
+    const socket = Object.assign(new Socket(), { connecting: true });
+    setImmediate(() => {
+      if (this.lost.has(address)) socket.destroy(new Error('refused'));
+      else socket.emit('connect');
+    });
+    return socket;
+  }
+}
+
+describe('a failure of a request', () => {
+  let vm: TestPaths;
+
+  beforeEach(() => {
+    vm = new TestPaths();
+  });
+  afterEach(() => vm.paths.stop());
+
+  test("is the runner's while it is reached directly", async () => {
+    expect(await vm.connect('a')).toBe(true);
+    expect(vm.isAtFault('a', 0)).toBe(true);
+  });
+
+  /* Its connection may have been cut off, and the runner may have done its work. */
+  test("is not the runner's if the path was lost under it", async () => {
+    const sentAt = performance.now();
+    vm.lost.add('a:80');
+    expect(await vm.connect('a')).toBe(true);
+    expect(vm.isAtFault('a', sentAt)).toBe(false);
+  });
+
+  test("is the runner's if another VM forwarded it after the path was lost", async () => {
+    vm.lost.add('a:80');
+    await vm.connect('a');
+    await pause(2);
+    const sentAt = performance.now();
+    expect(await vm.connect('a')).toBe(true);
+    expect(vm.isAtFault('a', sentAt)).toBe(true);
+  });
+
+  /* The other VMs that were asked were partitioned, too: nobody tried the runner. */
+  test("is not the runner's if no VM forwarded it", async () => {
+    vm.lost.add('a:80');
+    await vm.connect('a');
+    vm.areOthersPartitioned = true;
+    await pause(2);
+    const sentAt = performance.now();
+    expect(await vm.connect('a')).toBe(false);
+    expect(vm.isAtFault('a', sentAt)).toBe(false);
+  });
+
+  test("is the runner's if it alone is reached by no VM", async () => {
+    vm.lost.add('a:80');
+    vm.down.add('a:80');
+    expect(await vm.connect('a')).toBe(false);
+    expect(vm.paths.reaches(runnerOf('a', 'plain'))).toBe(false);
+    expect(vm.isAtFault('a', performance.now())).toBe(true);
+  });
+
+  /* All runners at once: it is the network, or this VM. */
+  test("is not the runners' if most of them are reached by no VM", async () => {
+    for (const { id, address } of runners) {
+      vm.lost.add(address);
+      vm.down.add(address);
+      await vm.connect(id);
+    }
+    expect(runners.map(({ id }) => vm.isAtFault(id, performance.now()))).toEqual(
+      runners.map(() => false),
+    );
+  });
+});
