Rank the VMs that forward only when one of them is needed

Each connection ranked all members of the fleet before it began, also where the runner is reached directly: work at every request that grows with the fleet. They are drawn now when the first of them is asked. A model request lists its service's runners once in place of twice.

Evidence: test/router/paths.test.ts, "other VMs are not ranked for a direct connection", fails before (one read of the members, none allowed).

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -139,14 +139,10 @@
   /** Ids of the runners that this VM does not reach. Throws if it reaches no decode runner, since nothing can be served then. */
   #unreached(service: string): readonly string[] {
     const { routingState, paths } = this.#context;
-    const now = performance.now();
-    const failure = unreachedFailure(
-      service,
-      routingState.runnersOf(now, service, 'decode'),
-      paths,
-    );
+    const runners = routingState.runnersOf(performance.now(), service);
+    const decoding = runners.filter(({ role }) => role === 'decode');
+    const failure = unreachedFailure(service, decoding, paths);
     if (failure) throw failure;
-    const runners = routingState.runnersOf(now, service);
     return runners.filter((runner) => !paths.reaches(runner)).map(({ id }) => id);
   }
 
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -160,8 +160,7 @@
   ): Promise<RunnerConnection> {
     const { address, mayAbandon } = target;
     const ways = this.#waysTo(now, target, maxTunnels);
-    const { way, socket } = await firstConnection(ways, signal);
-    const { via } = way;
+    const { socket, via } = await firstConnection(ways, signal);
     if (via === undefined) {
       if (mayAbandon) this.#track(address, socket);
       return { socket, via };
@@ -189,28 +188,44 @@
   #waysTo(now: number, target: RunnerTarget, maxTunnels: number): readonly Way[] {
     const { address } = target;
     const isLost = this.#table.pathTo(address) !== 'direct';
-    const members = this.#context.members();
-    const vms = this.#forwarders.order(now, members, address, maxTunnels, Math.random);
     const firstMs = isLost ? 0 : FIRST_TUNNEL_MS;
-    const tunnels = vms.map((vm, index) =>
-      this.#tunnelWay(target, vm, firstMs + index * TUNNEL_STAGGER_MS),
+    // Drawn when the first is needed: most connections need none, and it costs time for each member.
+    let drawn: readonly Member[] | undefined;
+    const vmAt = (index: number): Member | undefined => {
+      drawn ??= this.#forwarders.order(
+        now,
+        this.#context.members(),
+        address,
+        maxTunnels,
+        Math.random,
+      );
+      return drawn[index];
+    };
+    const tunnels = Array.from({ length: maxTunnels }, (_, index) =>
+      this.#tunnelWay(target, () => vmAt(index), firstMs + index * TUNNEL_STAGGER_MS),
     );
     // Requests do not wait for a path that is known to be lost; probes find out when it is back.
-    if (isLost && tunnels.length > 0) return tunnels;
+    if (isLost) return tunnels;
     // The second direct attempt makes up for a lost SYN of the first.
     const last = this.#directWay(target, CONNECT_TIMEOUT_MS);
     return [this.#directWay(target, 0), ...tunnels, last];
   }
 
   #directWay(target: RunnerTarget, delayMs: number): Way {
-    return { via: undefined, delayMs, open: () => this.#openDirect(target) };
+    return {
+      delayMs,
+      open: async () => ({ socket: await this.#openDirect(target), via: undefined }),
+    };
   }
 
-  #tunnelWay(target: RunnerTarget, vm: Member, delayMs: number): Way {
+  #tunnelWay(target: RunnerTarget, vmOf: () => Member | undefined, delayMs: number): Way {
     return {
-      via: vm.address,
       delayMs,
-      open: (signal) => this.#openTunnel(target, vm, signal),
+      open: async (signal) => {
+        const vm = vmOf();
+        if (!vm) throw new Error('no other VM to ask');
+        return { socket: await this.#openTunnel(target, vm, signal), via: vm.address };
+      },
     };
   }
 
--- a/src/node/router/race.ts
+++ b/src/node/router/race.ts
@@ -1,23 +1,14 @@
 /** Opens a connection in several ways of which the first that succeeds is used, as RFC 8305 does for addresses. */
 
-import type { Socket } from 'node:net';
-
 import { toFailure } from '../../core/failure';
+import type { RunnerConnection } from './types';
 
 /** A way to connect to a runner. */
 export interface Way {
-  /** Name of the VM through which it goes; undefined for a direct connection. */
-  readonly via: string | undefined;
   /** How long after the first way this one begins at the latest, in milliseconds. */
   readonly delayMs: number;
   /** Opens a connection. An aborted attempt is not needed any more and may still succeed. */
-  open(signal: AbortSignal): Promise<Socket>;
-}
-
-/** The way that succeeded, and its connection. */
-export interface Opened {
-  readonly way: Way;
-  readonly socket: Socket;
+  open(signal: AbortSignal): Promise<RunnerConnection>;
 }
 
 /** One race; see `firstConnection`. */
@@ -26,7 +17,7 @@
 
   readonly #controller = new AbortController();
 
-  readonly #resolve: (opened: Opened) => void;
+  readonly #resolve: (connection: RunnerConnection) => void;
 
   readonly #reject: (error: Error) => void;
 
@@ -40,7 +31,7 @@
 
   constructor(
     ways: readonly Way[],
-    resolve: (opened: Opened) => void,
+    resolve: (connection: RunnerConnection) => void,
     reject: (error: Error) => void,
   ) {
     this.#ways = ways;
@@ -61,7 +52,7 @@
       this.#timer = setTimeout(() => setImmediate(() => this.next()), waitMs);
     }
     way.open(this.#controller.signal).then(
-      (socket) => this.#opened(way, socket),
+      (connection) => this.#opened(connection),
       (error) => this.#failed(error),
     );
   }
@@ -72,13 +63,13 @@
     this.#reject(error);
   }
 
-  #opened(way: Way, socket: Socket): void {
+  #opened(connection: RunnerConnection): void {
     if (this.#isOver) {
-      socket.destroy();
+      connection.socket.destroy();
       return;
     }
     this.#end();
-    this.#resolve({ way, socket });
+    this.#resolve(connection);
   }
 
   #failed(error: unknown): void {
@@ -99,7 +90,10 @@
  * Resolves with the first connection that is established; others are closed. Rejects with the
  * last error if all ways fail, or when the signal is aborted.
  */
-export async function firstConnection(ways: readonly Way[], signal: AbortSignal): Promise<Opened> {
+export async function firstConnection(
+  ways: readonly Way[],
+  signal: AbortSignal,
+): Promise<RunnerConnection> {
   signal.throwIfAborted();
   let onAbort = (): void => {};
   try {
--- a/test/router/paths.test.ts
+++ b/test/router/paths.test.ts
@@ -39,6 +39,9 @@
   /** Runners that no other VM reaches. */
   readonly down = new Set<string>();
 
+  /** How often the members of the fleet were read. */
+  memberReads = 0;
+
   /** Whether other VMs do not forward at all. */
   areOthersPartitioned = false;
 
@@ -46,7 +49,10 @@
     vm: 'self',
     domain: 'a',
     dialer: { dial: (address) => this.#dial(address) },
-    members: () => [memberOf('vm1'), memberOf('vm2')],
+    members: () => {
+      this.memberReads += 1;
+      return [memberOf('vm1'), memberOf('vm2')];
+    },
     runners: () => runners,
     openTunnel: async (_via, { address }) => {
       if (this.areOthersPartitioned) throw new TunnelFailure('vm', 'partitioned');
@@ -80,6 +86,14 @@
   }
 }
 
+/* Ranking them costs time for each VM of the fleet, at every request. */
+test('other VMs are not ranked for a direct connection', async () => {
+  const vm = new TestPaths();
+  expect(await vm.connect('a')).toBe(true);
+  expect(vm.memberReads).toBe(0);
+  vm.paths.stop();
+});
+
 describe('a failure of a request', () => {
   let vm: TestPaths;
 
--- a/test/router/race.test.ts
+++ b/test/router/race.test.ts
@@ -7,13 +7,13 @@
 /** A way that succeeds or fails after a time; notes in a log when it begins and whether its connection is closed. */
 function wayOf(log: string[], name: string, delayMs: number, ms: number, isOpened: boolean): Way {
   return {
-    via: name,
     delayMs,
     open: async () => {
       log.push(`${name} begins`);
       await pause(ms);
       if (!isOpened) throw new Error(`${name} failed`);
-      return { destroy: () => log.push(`${name} closed`) } as unknown as Socket;
+      const socket = { destroy: () => log.push(`${name} closed`) } as unknown as Socket;
+      return { socket, via: name };
     },
   };
 }
@@ -24,16 +24,16 @@
   test('is the direct one where it is in time, and nothing else begins', async () => {
     const log: string[] = [];
     const ways = [wayOf(log, 'a', 0, 10, true), wayOf(log, 'b', 100, 10, true)];
-    const { way } = await firstConnection(ways, never);
+    const { via } = await firstConnection(ways, never);
     await pause(150);
-    expect([way.via, ...log]).toEqual(['a', 'a begins']);
+    expect([via, ...log]).toEqual(['a', 'a begins']);
   });
 
   test('is another one where it is slow; the slow one is closed when it is established', async () => {
     const log: string[] = [];
     const ways = [wayOf(log, 'a', 0, 200, true), wayOf(log, 'b', 50, 10, true)];
-    const { way } = await firstConnection(ways, never);
-    expect([way.via, ...log]).toEqual(['b', 'a begins', 'b begins']);
+    const { via } = await firstConnection(ways, never);
+    expect([via, ...log]).toEqual(['b', 'a begins', 'b begins']);
     await pause(250);
     expect(log.at(-1)).toBe('a closed');
   });
@@ -41,8 +41,8 @@
   test('is sought at once in the next way where one fails', async () => {
     const log: string[] = [];
     const ways = [wayOf(log, 'a', 0, 5, false), wayOf(log, 'b', 5000, 5, true)];
-    const { way } = await firstConnection(ways, never);
-    expect(way.via).toBe('b');
+    const { via } = await firstConnection(ways, never);
+    expect(via).toBe('b');
   });
 
   test('is missed only when all have failed', async () => {
