--- a/src/core/paths/table.ts
+++ b/src/core/paths/table.ts
@@ -34,6 +34,8 @@
   readonly agoMs: number;
 }
 
+/** Maximum number of addresses whose last connections are kept: more than the largest fleet has runners. */
+const MAX_CONNECTED = 10_000;
 /** Time to the first probe of a lost path, in milliseconds. */
 const FIRST_PROBE_MS = 500;
 /** Maximum time between two probes, in milliseconds. */
@@ -51,7 +53,7 @@
 export class PathTable {
   readonly #lost = new Map<string, LostPath>();
 
-  /** When the last direct connection was established, by address. */
+  /** When the last direct connection was established, by address, in this order. */
   readonly #connectedAt = new Map<string, number>();
 
   /** Whether any path is lost. */
@@ -83,7 +85,12 @@
 
   /** Records a direct connection; returns for how long the path had been lost, in milliseconds, undefined if it was not. */
   recordConnected(now: number, address: string): number | undefined {
+    this.#connectedAt.delete(address);
     this.#connectedAt.set(address, now);
+    const [oldest] = this.#connectedAt.keys();
+    if (this.#connectedAt.size > MAX_CONNECTED && oldest !== undefined) {
+      this.#connectedAt.delete(oldest);
+    }
     const since = this.lostSince(address);
     this.#lost.delete(address);
     return since === undefined ? undefined : now - since;
@@ -168,9 +175,6 @@
       const listed = ids.get(address);
       if (listed === undefined || (id !== undefined && id !== listed)) this.#lost.delete(address);
     }
-    for (const address of this.#connectedAt.keys()) {
-      if (!ids.has(address)) this.#connectedAt.delete(address);
-    }
   }
 
   /** The lost paths, for operators. */
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -121,7 +121,7 @@
 
   /** Must be called when runners were listed, started anew, or are gone. */
   runnersChanged(now: number): void {
-    this.#table.retain(this.#context.runners(now));
+    if (this.#table.hasLost) this.#table.retain(this.#context.runners(now));
   }
 
   /** State of the paths, for operators. */
@@ -316,7 +316,7 @@
   }
 
   #tick(now: number): void {
-    if (this.#table.hasLost) this.runnersChanged(now);
+    this.runnersChanged(now);
     this.#probeSilent(now);
     for (const address of this.#table.lost) {
       const lostSince = this.#table.lostSince(address) ?? now;
