Ask VMs that do not answer last, not never

What a caller saw beside load: at four of five partitioned VMs requests were rejected for half a second, 4 of 30, although the fifth VM reached every runner.

Cause: it had not answered one request for a connection in 0.42 s, so it was left out for 1.5 s like one that rejects. The others rejected, nobody was left to ask, and the runner counted as out of reach until the next probe. That a VM is slow was taken for that it cannot.

Change: a VM that does not answer in time is asked last, and does not count among those that did not reach the runner. It has 0.7 s, while others are asked meanwhile.

Evidence: test/core/paths.test.ts, "are asked last, but still asked, if they did not answer".

--- a/src/core/paths/forwarders.ts
+++ b/src/core/paths/forwarders.ts
@@ -2,7 +2,7 @@
 
 import type { Member } from '../membership/types';
 
-/** Time for which a VM that did not forward is not asked again, in milliseconds. */
+/** Time for which a VM that rejected is not asked again, in milliseconds, and one that did not answer is asked last. */
 const AVOIDED_MS = 1500;
 /** Time for which a VM that forwarded is asked first, in milliseconds; then others are tried again, nearer ones first. */
 const PREFERRED_MS = 5000;
@@ -11,8 +11,11 @@
 /** Entries from which expired ones are removed. */
 const MAX_ENTRIES = 1000;
 
-/** What did not work: the VM as a whole, or its path to one runner. */
-export type ForwardFailure = 'vm' | 'runner';
+/**
+ * Why a VM did not forward: it reaches hardly any runner or forwards no more, it does not reach this
+ * one, or it did not answer in time.
+ */
+export type ForwardFailure = 'vm' | 'runner' | 'slow';
 
 function keyOf(vm: string, address: string): string {
   return `${vm} ${address}`;
@@ -49,6 +52,9 @@
   /** End of the time in which a VM, or a VM for one runner, is avoided. */
   readonly #avoidedUntil = new Map<string, number>();
 
+  /** End of the time in which a VM that did not answer is asked last. */
+  readonly #slowUntil = new Map<string, number>();
+
   /** End of the time in which a VM is asked first. */
   readonly #preferredUntil = new Map<string, number>();
 
@@ -59,6 +65,7 @@
 
   /** Records that a VM forwarded a connection. */
   recordSuccess(now: number, vm: string): void {
+    this.#slowUntil.delete(vm);
     if ((this.#preferredUntil.get(vm) ?? 0) > now) return;
     if (this.#preferredUntil.size >= MAX_ENTRIES) expire(now, this.#preferredUntil);
     this.#preferredUntil.set(vm, now + PREFERRED_MS);
@@ -67,13 +74,18 @@
   /** Records that a VM did not forward a connection to a runner. */
   recordFailure(now: number, vm: string, address: string, failure: ForwardFailure): void {
     this.#preferredUntil.delete(vm);
+    if (failure === 'slow') {
+      if (this.#slowUntil.size >= MAX_ENTRIES) expire(now, this.#slowUntil);
+      this.#slowUntil.set(vm, now + AVOIDED_MS);
+      return;
+    }
     if (this.#avoidedUntil.size >= MAX_ENTRIES) expire(now, this.#avoidedUntil);
     this.#avoidedUntil.set(failure === 'vm' ? vm : keyOf(vm, address), now + AVOIDED_MS);
   }
 
   /**
-   * Whether a runner is out of reach: several VMs did not reach it either, or there is none left
-   * to ask.
+   * Whether a runner is out of reach: several VMs did not reach it either, or all rejected. One
+   * that does not answer may be busy.
    */
   isExhausted(now: number, members: readonly Member[], address: string): boolean {
     const open = this.#openMembers(members);
@@ -90,8 +102,9 @@
   /**
    * Up to `most` VMs to ask for a connection to a runner, in order: one that forwarded lately, then
    * in turn those of this VM's failure domain and others, since the VMs of a failure domain may
-   * have lost their paths together. They are drawn at random, so that the load of many VMs without
-   * paths spreads. If all failed lately, the one that failed first is asked again.
+   * have lost their paths together, and last those that did not answer lately. They are drawn at
+   * random, so that the load of many VMs without paths spreads. If all rejected lately, the one that
+   * did first is asked again.
    */
   order(
     now: number,
@@ -107,11 +120,15 @@
       random,
     );
     if (usable.length === 0) return [...open].sort((a, b) => untilOf(a) - untilOf(b)).slice(0, 1);
-    const preferred = usable.find(({ vm }) => (this.#preferredUntil.get(vm) ?? 0) > now);
-    const others = usable.filter((member) => member !== preferred);
+    const isSlow = ({ vm }: Member): boolean => (this.#slowUntil.get(vm) ?? 0) > now;
+    const slow = usable.filter(isSlow);
+    const answering = usable.filter((member) => !isSlow(member));
+    const preferred = answering.find(({ vm }) => (this.#preferredUntil.get(vm) ?? 0) > now);
+    const others = answering.filter((member) => member !== preferred);
     const near = others.filter(({ domain }) => domain === this.#domain);
     const far = others.filter(({ domain }) => domain !== this.#domain);
-    return [...(preferred ? [preferred] : []), ...alternating(near, far)].slice(0, most);
+    const first = preferred ? [preferred] : [];
+    return [...first, ...alternating(near, far), ...slow].slice(0, most);
   }
 
   #confirmations(now: number, open: readonly Member[], address: string): number {
--- a/src/node/peer/tunnel.ts
+++ b/src/node/peer/tunnel.ts
@@ -40,8 +40,8 @@
 /** Header of a rejection that tells whether it concerns the VM or its path to the runner. */
 const FAILURE_HEADER = 'goldcrestdock-failure';
 const KEY_SCHEME = 'Bearer ';
-/** Time in which a VM has to open a tunnel, in milliseconds: its own connect timeout, and the way to it and back. */
-const TUNNEL_TIMEOUT_MS = 420;
+/** Time in which a VM has to open a tunnel, in milliseconds: its own connect timeout, and the same again if it is busy. */
+const TUNNEL_TIMEOUT_MS = 700;
 const HTTP_OK = 200;
 
 /** Rejection of a tunnel. */
@@ -80,7 +80,7 @@
     });
     const timer = setTimeout(() => req.destroy(new Error('no answer in time')), TUNNEL_TIMEOUT_MS);
     req.on('close', () => clearTimeout(timer));
-    req.on('error', (error) => reject(new TunnelFailure('vm', `${via}: ${error.message}`)));
+    req.on('error', (error) => reject(new TunnelFailure('slow', `${via}: ${error.message}`)));
     req.on('connect', (message: IncomingMessage, socket: Socket) => {
       clearTimeout(timer);
       if (message.statusCode === HTTP_OK) {
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -249,7 +249,7 @@
       return socket;
     } catch (error) {
       if (signal.aborted) throw error;
-      const failure = error instanceof TunnelFailure ? error.failure : 'vm';
+      const failure = error instanceof TunnelFailure ? error.failure : 'slow';
       this.#forwarders.recordFailure(performance.now(), via.vm, address, failure);
       metrics.count('tunnels.failed');
       throw error;
--- a/test/core/paths.test.ts
+++ b/test/core/paths.test.ts
@@ -126,6 +126,20 @@
     expect(namesOf(forwarders, 6000)).toEqual(['near1', 'far1', 'near2', 'far2']);
   });
 
+  /* The only VM that reaches the runners was busy for half a second, and was not asked any more. */
+  test('are asked last, but still asked, if they did not answer', () => {
+    const forwarders = new Forwarders('self', 'x');
+    for (const vm of ['near1', 'near2', 'far1']) forwarders.recordFailure(0, vm, 'r:80', 'vm');
+    forwarders.recordFailure(0, 'far2', 'r:80', 'slow');
+    expect(namesOf(forwarders, 10)).toEqual(['far2']);
+    expect(forwarders.isExhausted(10, members, 'r:80')).toBe(false);
+    const slow = new Forwarders('self', 'x');
+    slow.recordFailure(0, 'near1', 'r:80', 'slow');
+    expect(namesOf(slow, 10)).toEqual(['near2', 'far1', 'far2', 'near1']);
+    slow.recordSuccess(20, 'near1');
+    expect(namesOf(slow, 30)).toEqual(['near1', 'near2', 'far1', 'far2']);
+  });
+
   test('are asked one at a time if all failed, the one that failed first', () => {
     const forwarders = new Forwarders('self', 'x');
     ['far1', 'near1', 'near2', 'far2'].forEach((vm, at) =>
--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -28,6 +28,9 @@
   /** Connections that were begun. */
   dialCount = 0;
 
+  /** How long connections took to be established, in milliseconds. */
+  readonly connectMs: number[] = [];
+
   dial(address: string): Socket {
     this.dialCount += 1;
     // Node holds back what is written to a socket until it is connected.
@@ -40,6 +43,8 @@
       setImmediate(() => socket.destroy(refused));
       return socket;
     }
+    const dialedAt = performance.now();
+    socket.once('connect', () => this.connectMs.push(performance.now() - dialedAt));
     this.#proxyOf(address)
       .then((server) => {
         if (!socket.destroyed) socket.connect((server.address() as AddressInfo).port, '127.0.0.1');
@@ -124,6 +129,11 @@
     return [...this.#paths.values()].reduce((sum, paths) => sum + paths.dialCount, 0);
   }
 
+  /** How long connections to runners took to be established, in milliseconds. */
+  get connectMs(): readonly number[] {
+    return [...this.#paths.values()].flatMap(({ connectMs }) => connectMs);
+  }
+
   /** Opens the connections of a VM. */
   dialerOf(vm: string): Dialer {
     return this.#pathsOf(vm);
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -181,6 +181,9 @@
   /** Runs of requests, by the path, which is unique to the request where a test counts them. */
   readonly runs = new Map<string, number>();
 
+  /** Number of reports, orders and freed KV caches. */
+  controlCalls = 0;
+
   /** Monotonic times at which connections closed before their answers were complete, in milliseconds. */
   readonly abandonedAt: number[] = [];
 
@@ -227,6 +230,7 @@
 
   async #handle(req: IncomingMessage, res: ServerResponse, { pathname }: URL): Promise<void> {
     if (this.isLeaving) res.setHeader('server-leaving', '1');
+    if (pathname.startsWith('/v1/')) this.controlCalls += 1;
     if (pathname === '/v1/report') {
       sendJson(res, 200, { 'kv-used': 0, runs: [] });
       return;
@@ -369,6 +373,11 @@
     return this.#runners.reduce((sum, { arrivedAt }) => sum + arrivedAt.length, 0);
   }
 
+  /** Number of calls to runners that carry no request: reports, orders and freed KV caches. */
+  get controlCallCount(): number {
+    return this.#runners.reduce((sum, { controlCalls }) => sum + controlCalls, 0);
+  }
+
   /** Starts all processes and waits until every VM serves both services. */
   async start(): Promise<void> {
     const { vms, runners, prefillRunners } = this.#options;
