Do not turn from a VM that forwards when it is busy

What was seen beside a load of 20 and more on eight cores: at four of five partitioned VMs, first 4, then up to 15 of 15 plain requests were rejected. Traced in logs of the VMs: the one VM that reached the runners answered late, was asked last, and every request asked the partitioned ones first, which made it later still.

Now a VM that forwarded in the last five seconds keeps its place when an answer is late, and further VMs are asked 0.3 s after it in place of 0.1 s. A connection that times out at the VM that forwards is logged as `runnerUnreachable`, not `internal`.

--- a/src/core/paths/forwarders.ts
+++ b/src/core/paths/forwarders.ts
@@ -66,19 +66,26 @@
   /** Records that a VM forwarded a connection. */
   recordSuccess(now: number, vm: string): void {
     this.#slowUntil.delete(vm);
-    if ((this.#preferredUntil.get(vm) ?? 0) > now) return;
+    if (this.isPreferred(now, vm)) return;
     if (this.#preferredUntil.size >= MAX_ENTRIES) expire(now, this.#preferredUntil);
     this.#preferredUntil.set(vm, now + PREFERRED_MS);
   }
 
+  /** Whether a VM forwarded lately. */
+  isPreferred(now: number, vm: string): boolean {
+    return (this.#preferredUntil.get(vm) ?? 0) > now;
+  }
+
   /** Records that a VM did not forward a connection to a runner. */
   recordFailure(now: number, vm: string, address: string, failure: ForwardFailure): void {
-    this.#preferredUntil.delete(vm);
     if (failure === 'slow') {
+      // One that forwards is busy. If others were asked before it, each request would cost more.
+      if (this.isPreferred(now, vm)) return;
       if (this.#slowUntil.size >= MAX_ENTRIES) expire(now, this.#slowUntil);
       this.#slowUntil.set(vm, now + AVOIDED_MS);
       return;
     }
+    this.#preferredUntil.delete(vm);
     if (this.#avoidedUntil.size >= MAX_ENTRIES) expire(now, this.#avoidedUntil);
     this.#avoidedUntil.set(failure === 'vm' ? vm : keyOf(vm, address), now + AVOIDED_MS);
   }
@@ -123,7 +130,7 @@
     const isSlow = ({ vm }: Member): boolean => (this.#slowUntil.get(vm) ?? 0) > now;
     const slow = usable.filter(isSlow);
     const answering = usable.filter((member) => !isSlow(member));
-    const preferred = answering.find(({ vm }) => (this.#preferredUntil.get(vm) ?? 0) > now);
+    const preferred = answering.find(({ vm }) => this.isPreferred(now, vm));
     const others = answering.filter((member) => member !== preferred);
     const near = others.filter(({ domain }) => domain === this.#domain);
     const far = others.filter(({ domain }) => domain !== this.#domain);
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -45,6 +45,8 @@
 const FIRST_TUNNEL_MS = 60;
 /** Time after which one more VM is asked, in milliseconds. */
 const TUNNEL_STAGGER_MS = 100;
+/** The same if the first one forwarded lately, in milliseconds: it is probably busy, and more connections would add to that. */
+const PREFERRED_STAGGER_MS = 300;
 /** VMs asked for one connection. */
 const MAX_TUNNELS = 4;
 /** VMs asked in one probe; the next probe asks others. */
@@ -147,7 +149,9 @@
     if (this.#table.pathTo(address) !== 'direct') {
       throw new Failure('runnerUnreachable', `${address}: no direct path`);
     }
-    const socket = await this.#openDirect({ address, id });
+    const socket = await this.#openDirect({ address, id }).catch(({ message }: Error) => {
+      throw new Failure('runnerUnreachable', `${address}: ${message}`);
+    });
     if (mayAbandon) this.#track(address, socket);
     return socket;
   }
@@ -188,24 +192,23 @@
   #waysTo(now: number, target: RunnerTarget, maxTunnels: number): readonly Way[] {
     const { address } = target;
     const isLost = this.#table.pathTo(address) !== 'direct';
-    const firstMs = isLost ? 0 : FIRST_TUNNEL_MS;
     // Drawn when the first is needed: most connections need none, and it costs time for each member.
     let drawn: readonly Member[] | undefined;
-    const vmAt = (index: number): Member | undefined => {
-      drawn ??= this.#forwarders.order(
-        now,
-        this.#context.members(),
-        address,
-        maxTunnels,
-        Math.random,
-      );
-      return drawn[index];
+    const draw = (): readonly Member[] => {
+      const { members } = this.#context;
+      drawn ??= this.#forwarders.order(now, members(), address, maxTunnels, Math.random);
+      return drawn;
     };
-    const tunnels = Array.from({ length: maxTunnels }, (_, index) =>
-      this.#tunnelWay(target, () => vmAt(index), firstMs + index * TUNNEL_STAGGER_MS),
-    );
-    // Requests do not wait for a path that is known to be lost; probes find out when it is back.
-    if (isLost) return tunnels;
+    const waysFrom = (firstMs: number, staggerMs: number): readonly Way[] =>
+      Array.from({ length: maxTunnels }, (_, index) =>
+        this.#tunnelWay(target, () => draw()[index], firstMs + index * staggerMs),
+      );
+    if (isLost) {
+      // Requests do not wait for a path that is known to be lost; probes find out when it is back.
+      const isPreferred = this.#forwarders.isPreferred(now, draw()[0]?.vm ?? '');
+      return waysFrom(0, isPreferred ? PREFERRED_STAGGER_MS : TUNNEL_STAGGER_MS);
+    }
+    const tunnels = waysFrom(FIRST_TUNNEL_MS, TUNNEL_STAGGER_MS);
     // The second direct attempt makes up for a lost SYN of the first.
     const last = this.#directWay(target, CONNECT_TIMEOUT_MS);
     return [this.#directWay(target, 0), ...tunnels, last];
--- a/test/core/paths.test.ts
+++ b/test/core/paths.test.ts
@@ -137,6 +137,7 @@
     slow.recordFailure(0, 'near1', 'r:80', 'slow');
     expect(namesOf(slow, 10)).toEqual(['near2', 'far1', 'far2', 'near1']);
     slow.recordSuccess(20, 'near1');
+    slow.recordFailure(25, 'near1', 'r:80', 'slow');
     expect(namesOf(slow, 30)).toEqual(['near1', 'near2', 'far1', 'far2']);
   });
 
