Log which software version served a stream and which stream a request continues

The logs of the incident could not tell a stream that goes on within one answer from one that its caller takes up again, nor the versions of the runners: an entry's version was validated and dropped, and Resumes and Last-Event-Id were forwarded like any other header.

The version is part of a runner's record now and is exchanged between VMs. 'Request ended.' names the versions whose events an answer holds and the stream that its caller continues; the lines about runs name the runner's version; two counters tell how often each happens. No decision changes.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -38,8 +38,8 @@
 /** The fields of a runner that matter to routing, as one string. */
 function contentOf(runner: Runner | undefined): string | undefined {
   if (!runner) return undefined;
-  const { id, listing, service, address, domain, role, slots, leaving } = runner;
-  return [id, listing, service, address, domain, role, slots, leaving].join(' ');
+  const { id, listing, service, address, domain, role, version, slots, leaving } = runner;
+  return [id, listing, service, address, domain, role, version, slots, leaving].join(' ');
 }
 
 /** How long removed runners are remembered, in milliseconds, so that a stale record cannot restore them. */
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -91,6 +91,8 @@
   readonly address: string;
   readonly domain: string;
   readonly role: RunnerRole;
+  /** Version of the runner's software; empty if it is not known. */
+  readonly version: string;
   readonly slots: number;
   readonly leaving: boolean;
 }
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -18,6 +18,8 @@
   configVersion: number,
 ): Readonly<Record<string, unknown>> {
   const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
+  const { continues } = request;
+  const versions = [...exchange.versions];
   const { firstMs = ms, pauseMs } = exchange;
   const isWithinGap = route.gapMs === 0 || pauseMs <= route.gapMs;
   const inTime = code === undefined && firstMs <= route.aimMs && isWithinGap;
@@ -25,6 +27,7 @@
     request: request.id,
     fingerprint,
     ...(request.customer === undefined ? {} : { customer: request.customer }),
+    ...(continues ? { continues } : {}),
     route: route.name,
     service,
     configVersion,
@@ -35,6 +38,7 @@
     firstMs: Math.round(firstMs),
     pauseMs: Math.round(pauseMs),
     inTime,
+    ...(versions.length > 0 ? { versions } : {}),
     trail,
   };
 }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -305,8 +305,10 @@
   }
 
   #done(exchange: Exchange, ms: number): void {
-    const { service, status, code } = exchange;
+    const { service, status, code, request, versions } = exchange;
     this.#metrics.recordRequest(service, status, code, ms);
+    if (request.continues) this.#metrics.count('streams.continued');
+    if (versions.size > 1) this.#metrics.count('streams.mixed');
     this.#log.info(accessLogFields(exchange, ms, this.#state.configVersion), 'Request ended.');
   }
 
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -61,6 +61,9 @@
 
   #lastWriteAt = 0;
 
+  /** Software versions of the runners whose events the response contains, for the log. */
+  readonly versions = new Set<string>();
+
   /** Steps of the request, for the log. */
   readonly trail: string[] = [];
 
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -97,9 +97,10 @@
     log.info({ ...this.#fields(undefined), sentMs, detail }, 'Did not reach a runner.');
   }
 
-  /** A part of the response arrived. */
+  /** Events of the response arrived. */
   answered(now: number): void {
     this.#answeredAt ??= now;
+    this.#exchange.versions.add(this.#runner.version);
   }
 
   /** The response is complete, whatever its status: the runner did not crash. */
@@ -144,8 +145,8 @@
 
   #fields(part: StreamPart | undefined): Readonly<Record<string, unknown>> {
     const { request, fingerprint, service } = this.#exchange;
-    const { id: runner, role } = this.#runner;
-    return { request: request.id, fingerprint, service, runner, role, ...part };
+    const { id: runner, role, version } = this.#runner;
+    return { request: request.id, fingerprint, service, runner, role, version, ...part };
   }
 }
 
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -49,6 +49,8 @@
   address: z.string(),
   domain: z.string(),
   role: z.enum(['prefill', 'decode', 'plain']),
+  /** Omitted by VMs whose program does not know it. */
+  version: z.string().default(''),
   slots: z.number(),
   leaving: z.boolean(),
 });
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -59,6 +59,14 @@
   readonly hintTokens: number | undefined;
 }
 
+/** The stream that a request continues for its caller. */
+export interface Continuation {
+  /** Id of the request that brought the stream's first event; undefined if the caller names none. */
+  readonly stream: string | undefined;
+  /** Id of the last event that the caller has; undefined if it names none. */
+  readonly afterEvent: string | undefined;
+}
+
 /** A request of a caller, with its whole body. */
 export interface CallRequest {
   readonly id: string;
@@ -73,6 +81,8 @@
   readonly deadlineMs: number | undefined;
   /** Undefined if the caller sent none. */
   readonly usage: Usage | undefined;
+  /** Undefined if the caller has no part of the answer yet. */
+  readonly continues: Continuation | undefined;
   readonly credential: Credential;
   /** Customer name that is passed on to runners; undefined if the request belongs to none. */
   readonly customer: string | undefined;
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -3,12 +3,20 @@
 import type { IncomingMessage } from 'node:http';
 
 import { Failure } from '../core/failure';
-import type { CallRequest, ControlCodec, IngressCodec, Usage } from '../node/router/types';
+import type {
+  CallRequest,
+  Continuation,
+  ControlCodec,
+  IngressCodec,
+  Usage,
+} from '../node/router/types';
 import { credentialOf } from './credential';
 import { connectionHeaders, header, path, routerHeaders } from './names';
 
 /** Maximum number of addresses in one look-up response. */
 const MAX_ADDRESSES = 64;
+/** Maximum length of the id of a stream, in characters; longer ones name none. */
+const MAX_STREAM_ID_CHARS = 200;
 /** Maximum length of a prompt id, in characters; the rest is cut off. */
 const MAX_PROMPT_ID_CHARS = 64;
 /** Decimal digits of `retry-after`, which is in seconds and may have a fraction. */
@@ -65,6 +73,16 @@
   };
 }
 
+/** What a request continues for its caller; undefined if it is a new one. */
+function continuationOf(message: IncomingMessage): Continuation | undefined {
+  const named = firstValueOf(message, header.resumes);
+  const last = firstValueOf(message, header.lastEvent);
+  // An empty header is the same as none.
+  if (!named && !last) return undefined;
+  const stream = named && named.length <= MAX_STREAM_ID_CHARS ? named : undefined;
+  return { stream, afterEvent: last === '' ? undefined : last };
+}
+
 /**
  * Raw headers that may be forwarded: without hop-by-hop headers, those listed in `connection`,
  * and those in `dropped`.
@@ -115,6 +133,7 @@
       body,
       deadlineMs: numberOf(firstValueOf(message, header.deadline)),
       usage: usageOf(message),
+      continues: continuationOf(message),
       credential: keyed ? credentialOf(message) : { kind: 'none' },
       customer: undefined,
     };
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -25,6 +25,8 @@
   /** `HOST:PORT/HANDLE` of the KV cache of a prefilled prompt. */
   cacheSource: 'kv-source',
   lastEvent: 'last-event-id',
+  /** From callers that continue a stream: the id of the request that brought its first event. */
+  resumes: 'resumes',
   /** In rejections: when to come back, in seconds. */
   retryAfter: 'retry-after',
   /** From callers: their API key. */
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -231,6 +231,7 @@
     address: entry.address,
     domain: entry.zone,
     role,
+    version: entry.version,
     slots: entry.slots,
     leaving: entry.state === 'draining',
   };
--- a/test/fakes/runner.ts
+++ b/test/fakes/runner.ts
@@ -9,6 +9,7 @@
     listing: id,
     bornAt: 0,
     role,
+    version: 'v1',
     service: 's',
     address: `${id}:80`,
     domain: 'a',
--- a/test/fakes/virtual/syncfleet.ts
+++ b/test/fakes/virtual/syncfleet.ts
@@ -418,6 +418,7 @@
         id: `${id}@${RUNNER_BORN_AT}`,
         listing: id,
         bornAt: RUNNER_BORN_AT,
+        version: 'v1',
         address: '10.1.64.45:8541',
         domain: 'domain-1',
         leaving,
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -71,6 +71,7 @@
          "runner": "d1",
          "sentMs": 300,
          "service": "s",
+         "version": "v1",
        },
        {
          "answeredMs": 100,
@@ -82,6 +83,7 @@
          "runner": "d1",
          "sentMs": 300,
          "service": "s",
+         "version": "v1",
        },
      ]
     `);
