--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -13,6 +13,7 @@
 import pino from 'pino';
 
 import type { Router } from '../../src/node/router/daemon';
+import type { RouterSettings } from '../../src/node/router/types';
 import { createRouter } from '../../src/platform/router';
 import { waitUntil } from './cluster';
 import { entryOf } from './entry';
@@ -39,6 +40,8 @@
   readonly prefillRunners?: number;
   /** Time from the crash of a runner to its restart under a new id, in milliseconds. Default: 600. */
   readonly restartMs?: number;
+  /** Software versions of the model runners, given to those of each role in turn. Default: one version. */
+  readonly versions?: readonly string[];
   /** Customers in the format of the configuration. Default: requests need no key. */
   readonly customers?: readonly unknown[];
   /** Can cut VMs off from all runners. Default: none is ever cut off. */
@@ -50,6 +53,8 @@
   readonly path: string;
   readonly stage: string | undefined;
   readonly customer: string | undefined;
+  /** Id of the event after which it is to continue. */
+  readonly afterEvent: string | undefined;
   readonly authorization: string | undefined;
 }
 
@@ -192,6 +197,9 @@
 
   readonly #role: Role;
 
+  /** Version of its software, which the data of its events names. */
+  readonly version: string;
+
   readonly #onCrash: (runner: RunnerServer) => void;
 
   #server: Server | undefined;
@@ -200,8 +208,9 @@
 
   #isStopped = false;
 
-  constructor(role: Role, onCrash: (runner: RunnerServer) => void) {
+  constructor(role: Role, version: string, onCrash: (runner: RunnerServer) => void) {
     this.#role = role;
+    this.version = version;
     this.#onCrash = onCrash;
   }
 
@@ -214,7 +223,7 @@
   get entry(): unknown {
     const service = this.#role === 'plain' ? services.plain : services.model;
     const stage = this.#role === 'plain' ? {} : { stage: this.#role };
-    return entryOf({ service, address: this.#address, ...stage });
+    return entryOf({ service, address: this.#address, version: this.version, ...stage });
   }
 
   async start(): Promise<void> {
@@ -249,6 +258,7 @@
       path: pathname,
       stage: stage?.toString(),
       customer: customer?.toString(),
+      afterEvent: req.headers['last-event-id']?.toString(),
       authorization,
     });
     const headers = {
@@ -279,7 +289,7 @@
     if (body.includes(CRASH_TEXT)) {
       res.flushHeaders();
       await pause(CRASH_DELAY_MS);
-      this.#crash();
+      this.crash();
       return;
     }
     this.runs.set(pathname, (this.runs.get(pathname) ?? 0) + 1);
@@ -287,13 +297,13 @@
     const last = pathname.startsWith(LONG_PATH) ? LONG_EVENT_COUNT : EVENT_COUNT;
     for (let event = first; event <= last && !res.destroyed; event += 1) {
       await pause(Math.max(EVENT_INTERVAL_MS, this.silentUntil - performance.now()));
-      res.write(`id: ${event}\ndata: x\n\n`);
+      res.write(`id: ${event}\ndata: ${this.version}\n\n`);
     }
     res.end();
   }
 
   /** Simulates the crash of the process: closes all connections and stops listening. */
-  #crash(): void {
+  crash(): void {
     if (this.#isStopped) return;
     this.#isStopped = true;
     this.#server?.close();
@@ -341,7 +351,9 @@
   /** Ids of runners that crashed while processing a request, in order. */
   readonly crashed: string[] = [];
 
-  readonly #options: Required<Omit<RouterClusterOptions, 'customers' | 'partition'>>;
+  readonly #options: Required<Omit<RouterClusterOptions, 'customers' | 'partition' | 'versions'>>;
+
+  readonly #versions: readonly string[];
 
   readonly #partition: Partition | undefined;
 
@@ -360,11 +372,13 @@
     runners = 6,
     prefillRunners = 1,
     restartMs = 600,
+    versions = ['v1'],
     customers,
     partition,
   }: RouterClusterOptions = {}) {
     this.#partition = partition;
     this.#options = { vms, runners, prefillRunners, restartMs };
+    this.#versions = versions;
     this.#customers = customers;
   }
 
@@ -383,10 +397,12 @@
     const { vms, runners, prefillRunners } = this.#options;
     await this.store.start();
     this.store.put('op/config', configOf(this.#version, this.#customers));
-    for (let i = 0; i < prefillRunners; i += 1) await this.#addRunner('prefill');
+    const versionOf = (index: number): string =>
+      this.#versions[index % this.#versions.length] ?? '';
+    for (let i = 0; i < prefillRunners; i += 1) await this.addRunner('prefill', versionOf(i));
     for (let i = 0; i < runners; i += 1) {
-      await this.#addRunner('decode');
-      await this.#addRunner('plain');
+      await this.addRunner('decode', versionOf(i));
+      await this.addRunner('plain', 'v1');
     }
     for (let i = 0; i < vms; i += 1) this.#vms.push(await this.#startVm(`vm${i + 1}`));
     await this.#waitUntilServing();
@@ -428,6 +444,28 @@
     await this.#waitUntilServing();
   }
 
+  /** Ends a VM at once: its requests are cut off, and what it knew is lost. */
+  async end(turn: number): Promise<void> {
+    const vm = this.#vms[turn % this.#vms.length];
+    if (!vm) return;
+    vm.router.reload(() => ({ ...this.#settingsOf(vm), graceMs: 0 }));
+    await vm.router.stop();
+  }
+
+  /** Starts a VM again that was ended, without any state. */
+  async startAgain(turn: number): Promise<void> {
+    const vm = this.#vms[turn % this.#vms.length];
+    if (!vm) return;
+    vm.router = this.#routerOf(vm.name, vm.front, vm.peer, vm.ready);
+    await vm.router.start();
+    await this.#waitUntilServing();
+  }
+
+  /** Address for callers of the VM at index `turn`, modulo the number of VMs. */
+  addressOf(turn: number): string {
+    return this.#vms[turn % this.#vms.length]?.front ?? '';
+  }
+
   /** Starts one more VM, without any state. */
   async addVm(): Promise<void> {
     this.#vms.push(await this.#startVm(`vm${this.#vms.length + 1}`));
@@ -473,28 +511,29 @@
     return { name, front, peer, ready, router };
   }
 
-  #routerOf(name: string, front: string, peer: string, ready: string): Router {
+  #settingsOf({ name, front, peer, ready }: Omit<Vm, 'router'>): RouterSettings {
     const seed = this.#vms[0]?.peer;
+    return {
+      vm: name,
+      domain: 'a',
+      listen: { front, ready, directory: undefined, metrics: undefined },
+      peer,
+      seeds: seed === undefined ? [] : [seed],
+      peerKey: 'test-key-test-key',
+      cores: 1,
+      retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+      ages: { keyMs: 4700, finalMs: 2000 },
+      quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
+      rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
+      graceMs: 1000,
+      leaseMs: 3000,
+      addressTtlMs: 1000,
+    };
+  }
+
+  #routerOf(name: string, front: string, peer: string, ready: string): Router {
     return createRouter(
-      {
-        router: {
-          vm: name,
-          domain: 'a',
-          listen: { front, ready, directory: undefined, metrics: undefined },
-          peer,
-          seeds: seed === undefined ? [] : [seed],
-          peerKey: 'test-key-test-key',
-          cores: 1,
-          retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
-          ages: { keyMs: 4700, finalMs: 2000 },
-          quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
-          rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
-          graceMs: 1000,
-          leaseMs: 3000,
-          addressTtlMs: 1000,
-        },
-        store: this.store.address,
-      },
+      { router: this.#settingsOf({ name, front, peer, ready }), store: this.store.address },
       pino({ level: 'silent' }),
       this.#partition?.dialerOf(name),
     );
@@ -517,8 +556,9 @@
     return this.#customers ? { authorization: `Bearer ${WARMUP_KEY}` } : {};
   }
 
-  async #addRunner(role: Role): Promise<void> {
-    const runner = new RunnerServer(role, (crashed) => this.#onCrash(crashed));
+  /** Starts one more runner. */
+  async addRunner(role: Role, version: string): Promise<void> {
+    const runner = new RunnerServer(role, version, (crashed) => this.#onCrash(crashed));
     await runner.start();
     this.#runners.push(runner);
     this.store.put(`servers/${runner.id}`, runner.entry);
@@ -530,7 +570,7 @@
     const { restartMs } = this.#options;
     setTimeout(() => this.store.remove(`servers/${runner.id}`), LEASE_EXPIRY_MS).unref();
     setTimeout(() => {
-      if (!this.#stopping) this.#addRunner(runner.role).catch(() => undefined);
+      if (!this.#stopping) this.addRunner(runner.role, runner.version).catch(() => undefined);
     }, restartMs).unref();
   }
 }
