Continue a stream within its answer only at the software version that began it

Callers got one answer with events of two versions: a runner broke off, and the run that continued the stream was planned for any runner of the service.

A stream has a version from its first event on. The demand for its next run carries it, the planner reserves memory only at runners that have it, and the VM checks it again before it sends, since an owner may know an older entry or be a program that does not know versions. Where no runner of the version can take the request before its caller leaves, it is refused at once, and the answer is cut; versionGone (318) says so in the log.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -207,6 +207,12 @@
     'All runners of the service have rejected requests and asked this VM for a pause.',
     'Come back after the time in Retry-After.',
   ),
+  versionGone: refusal(
+    318,
+    503,
+    'The request continues a stream, and no runner serves the software version that began it.',
+    'Come back after the time in Retry-After, or ask for a new stream.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -5,6 +5,7 @@
 
 import type { RateAllowance } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
+import { mayContinue } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
 import { expectedEndOf, isPrefillingLocally } from './account';
 import type { VmAccess, VmBackoffs } from './backoffs';
@@ -19,6 +20,7 @@
 } from './cost';
 import type { PlanPolicy } from './policy';
 import type { Release } from './releases';
+import { waitForTokensMs } from './releases';
 import type { Demand } from './types';
 
 /** Load of a service as logged with each decision. */
@@ -184,13 +186,32 @@
     demand: Demand,
     meets: (state: DecodeState, free: number) => boolean,
   ): DecodeState | undefined {
-    for (const states of this.#candidates.groupsOf(now, this.#account.decode, demand.vm)) {
+    for (const states of this.#candidates.groupsOf(now, this.#decodeOf(demand), demand.vm)) {
       const found = this.#mostFreeOf(now, states, demand, meets);
       if (found) return found;
     }
     return undefined;
   }
 
+  /** Decode runners that may run a request, by id. */
+  #decodeOf({ version }: Demand): ReadonlyMap<string, DecodeState> {
+    const { decode } = this.#account;
+    if (version === undefined) return decode;
+    return new Map([...decode].filter(([, { runner }]) => mayContinue(runner, version)));
+  }
+
+  /**
+   * Time until a runner of the software version that a request needs has free memory for it, in
+   * milliseconds: 0 if it needs none, infinite if there is no such runner.
+   */
+  versionWaitMs(now: number, demand: Demand, size: number): number {
+    if (demand.version === undefined) return 0;
+    const waits = [...this.#decodeOf(demand).values()]
+      .filter(({ runner }) => !demand.avoid.includes(runner.id))
+      .map((state) => waitForTokensMs(now, this.#releasesOf(now, [state], size), size));
+    return Math.min(...waits);
+  }
+
   #mostFreeOf(
     now: number,
     states: readonly DecodeState[],
@@ -261,9 +282,13 @@
    * @param usualSize tokens of memory that a request usually takes
    */
   releases(now: number, usualSize: number): readonly Release[] {
+    return this.#releasesOf(now, this.#account.decode.values(), usualSize);
+  }
+
+  #releasesOf(now: number, states: Iterable<DecodeState>, usualSize: number): readonly Release[] {
     const ends: Release[] = [];
     let free = 0;
-    for (const state of this.#account.decode.values()) {
+    for (const state of states) {
       const ratePerS = this.#allowance.ratePerS(state.runner.id);
       if (ratePerS === undefined) {
         free += this.free(now, state);
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -17,6 +17,8 @@
   readonly releases: readonly Release[];
   /** How far the decode runners are open to the VM of a request. */
   readonly accessOf: (demand: Demand) => VmAccess;
+  /** Time until a runner of the software version that a request needs can take it, in milliseconds. */
+  readonly versionWaitMs: (demand: Demand) => number;
   /** Time until a number of prompt tokens will have been prefilled, in milliseconds. */
   readonly prefillWaitMs: (tokens: number) => number;
 }
@@ -54,6 +56,7 @@
     spareTokensPerMs,
     releases,
     accessOf,
+    versionWaitMs,
     prefillWaitMs,
   }: CapacityForecast,
 ): readonly UnservableRequest[] {
@@ -72,7 +75,7 @@
     const lateMs = waitMs + (lateTokens + size) / spareTokensPerMs;
     const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - minFirstEventMs(demand);
     const likelyMs = demand.returned ? lateMs * lastAttemptFactor : lateMs;
-    const startInMs = Math.max(openInMs, demand.resuming ? 0 : likelyMs);
+    const startInMs = Math.max(openInMs, versionWaitMs(demand), demand.resuming ? 0 : likelyMs);
     const keepsWaiting = now + startInMs <= latestStartAt;
     if (!isInTime && keepsWaiting) lateTokens += size;
     if (!isInTime && !keepsWaiting) {
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -33,6 +33,8 @@
   readonly returned: boolean;
   /** Whether the caller has already received a part of the answer. */
   readonly resuming: boolean;
+  /** Software version that began the answer, which its decode runner must have. Default: any. */
+  readonly version?: string | undefined;
   /** Runners that failed this request and should not get it again. */
   readonly avoid: readonly string[];
 }
--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -97,6 +97,15 @@
   readonly leaving: boolean;
 }
 
+/**
+ * Whether a runner may continue a stream.
+ * @param version software version that began the stream; undefined if none has, empty if it is not
+ * known
+ */
+export function mayContinue(runner: Pick<Runner, 'version'>, version: string | undefined): boolean {
+  return version === undefined || (version !== '' && runner.version === version);
+}
+
 /**
  * Id of one instance of a runner. A runner that restarts under its listed id has none of
  * its earlier state. If it were treated as the same instance, the reservations, the
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -61,6 +61,12 @@
 
   #lastWriteAt = 0;
 
+  /**
+   * Software version of the runners that began the stream, by which alone it may be continued:
+   * what two versions write does not fit together. Undefined while the caller holds no event.
+   */
+  version: string | undefined;
+
   /** Software versions of the runners whose events the response contains, for the log. */
   readonly versions = new Set<string>();
 
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -22,6 +22,7 @@
   gapMs: ms,
   lostInMs: ms,
   resuming: z.boolean(),
+  version: z.string().max(200).optional(),
   avoid: z.array(id).max(64),
 };
 
@@ -109,6 +110,7 @@
     ...(hintTokens === undefined ? {} : { hintTokens }),
     ...(promptId === undefined ? {} : { promptId }),
     ...(rest.customer === undefined ? {} : { customer: rest.customer }),
+    ...(rest.version === undefined ? {} : { version: rest.version }),
   };
 }
 
@@ -128,6 +130,7 @@
     lostAt: now + message.lostInMs,
     returned: false,
     resuming: message.resuming,
+    version: message.version,
     avoid: message.avoid,
   };
 }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -3,6 +3,7 @@
 import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
 import type { Engine, Runner } from '../../core/routing/types';
+import { mayContinue } from '../../core/routing/types';
 import { viaText } from './accesslog';
 import type { Exchange } from './exchange';
 import type { RoutingState } from './routingstate';
@@ -43,6 +44,9 @@
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
 const MAX_PREFILLS = 3;
 
+/** Retry delay for callers whose stream no runner can continue, in milliseconds: one that crashed may restart. */
+const VERSION_RETRY_MS = 1000;
+
 /** Decode runners to which a prefilled request is moved after others that it did not reach. */
 const MAX_MOVES = 2;
 
@@ -90,7 +94,7 @@
     const startedAt = performance.now();
     const overQuota = await quotas.cover(exchange);
     if (overQuota) throw overQuota;
-    const demand = demandOf(exchange, progress, this.#unreached(service));
+    const demand = demandOf(exchange, progress, this.#unreached(exchange));
     const grant = await reservations.reserve(service, demand, signal);
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
@@ -136,11 +140,14 @@
     }
   }
 
-  /** Ids of the runners that this VM does not reach. Throws if it reaches no decode runner, since nothing can be served then. */
-  #unreached(service: string): readonly string[] {
+  /** Ids of the runners that this VM does not reach. Throws if it reaches no decode runner that may serve the request, since nothing can be served then. */
+  #unreached({ service, version }: Exchange): readonly string[] {
     const { routingState, paths } = this.#context;
     const runners = routingState.runnersOf(performance.now(), service);
-    const decoding = runners.filter(({ role }) => role === 'decode');
+    const decoding = runners.filter(
+      (runner) => runner.role === 'decode' && mayContinue(runner, version),
+    );
+    if (version !== undefined && decoding.length === 0) throw versionGoneFailure(service, version);
     const failure = unreachedFailure(service, decoding, paths);
     if (failure) throw failure;
     return runners.filter((runner) => !paths.reaches(runner)).map(({ id }) => id);
@@ -272,7 +279,9 @@
       return 'rejected';
     }
     const runner = findRunner(routingState.openRunnersOf(now, service, 'decode'), decode);
-    if (!runner || !paths.reaches(runner)) return 'unavailable';
+    // The owner may know an older entry of the runner, or be a program that does not know versions.
+    const isUsable = runner && paths.reaches(runner) && mayContinue(runner, exchange.version);
+    if (!isUsable) return 'unavailable';
     const refused = this.#recheck(exchange);
     if (refused) {
       if (cache) this.#freeCache(cache);
@@ -384,6 +393,13 @@
   return outcome === 'unreachable' || outcome === 'unavailable';
 }
 
+/** The failure of a request whose stream no runner of its software version can continue. */
+function versionGoneFailure(service: string, version: string): Failure {
+  return new Failure('versionGone', `${service} has no decode runner of version ${version}`, {
+    retryAfterMs: VERSION_RETRY_MS,
+  });
+}
+
 function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -67,6 +67,7 @@
     gapMs: route.gapMs,
     lostAt: Math.min(waitingSince + route.patienceMs, exchange.deadlineAt),
     resuming,
+    version: exchange.version,
     avoid: [...new Set([...unreached, ...progress.avoid])].slice(-MAX_AVOIDED),
   };
 }
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -100,7 +100,9 @@
   /** Events of the response arrived. */
   answered(now: number): void {
     this.#answeredAt ??= now;
-    this.#exchange.versions.add(this.#runner.version);
+    const { version } = this.#runner;
+    this.#exchange.version ??= version;
+    this.#exchange.versions.add(version);
   }
 
   /** The response is complete, whatever its status: the runner did not crash. */
