--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -207,6 +207,12 @@
     'All runners of the service have rejected requests and asked this VM for a pause.',
     'Come back after the time in Retry-After.',
   ),
+  streamUnknown: refusal(
+    319,
+    503,
+    'The request continues a stream of which no VM knows the software version that began it.',
+    'Come back after the time in Retry-After, or ask for a new stream.',
+  ),
   versionGone: refusal(
     318,
     503,
--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -13,6 +13,7 @@
 import type { Position } from './position';
 import { START, isLater, ordinalOf } from './position';
 import type { Runner } from './types';
+import { VersionHistory } from '../versions/history';
 
 /** A runner as of a position, or the information that it was removed. */
 export interface RunnerRecord {
@@ -51,6 +52,9 @@
 
   readonly #digest = new RecordDigest();
 
+  /** Software versions of the listed runners. */
+  readonly versions = new VersionHistory();
+
   #position = START;
 
   #changes = 0;
@@ -123,6 +127,7 @@
     const before = known?.record.runner;
     const content = contentOf(record.runner);
     const changed = contentOf(before) !== content;
+    this.versions.changed(now, before, record.runner);
     const last = record.runner ?? before ?? known?.last;
     // A runner that is already removed gets no new grace period: a repeated report, for example from a copy of the store, would bring it back into use.
     const goneAt = Math.min(known?.goneAt ?? Infinity, last?.leaving ? now : now + graceMs);
@@ -225,6 +230,8 @@
 function latestOf(known: Entry | undefined, update: RunnerRecord): RunnerRecord | undefined {
   if (!known) return update;
   const { record, last } = known;
+  const versioned = withVersion(record, update);
+  if (versioned) return versioned;
   if (isLater(update.position, record.position)) {
     return announcesLeaving(last, update.runner) ? { ...update, runner: last } : update;
   }
@@ -233,6 +240,18 @@
     : undefined;
 }
 
+/** A record with the software version that it lacks, as one of a VM whose program does not know versions; undefined if another one does not have it either. */
+function withVersion(
+  known: RunnerRecord,
+  { position, runner }: RunnerRecord,
+): RunnerRecord | undefined {
+  const isSame =
+    ordinalOf(known.position) === ordinalOf(position) && known.runner?.id === runner?.id;
+  if (!known.runner || !runner || !isSame) return undefined;
+  if (known.runner.version !== '' || runner.version === '') return undefined;
+  return { ...known, runner: { ...known.runner, version: runner.version } };
+}
+
 /** Whether one state of a runner announces that it leaves and the other, of the same instance, does not. */
 function announcesLeaving(one: Runner | undefined, other: Runner | undefined): boolean {
   return one?.leaving === true && other?.leaving === false && one.id === other.id;
--- /dev/null
+++ b/src/core/versions/history.ts
@@ -0,0 +1,116 @@
+/**
+ * Which software versions served each service lately.
+ *
+ * Where there was only one, it began every stream that a caller may still hold, and nothing
+ * needs to be recorded or asked. That inference holds only as far back as this VM, or one that
+ * told it, has known all runners.
+ */
+
+import type { Runner } from '../routing/types';
+import type { VersionSighting, VersionsByService } from './types';
+
+/** Time for which versions are remembered at least after their last runner is gone, in milliseconds: callers may come back that long. */
+export const MIN_RETENTION_MS = 60_000;
+
+interface Presence {
+  /** Number of listed runners. */
+  runners: number;
+  /** When the last one of them was removed; minus infinity if none was. */
+  goneAt: number;
+}
+
+/** Whether a runner begins streams. */
+function beginsStreams(runner: Runner | undefined): runner is Runner {
+  return runner !== undefined && runner.role !== 'prefill';
+}
+
+/** Versions by service. */
+export class VersionHistory {
+  readonly #services = new Map<string, Map<string, Presence>>();
+
+  /** Since when all runners have been known; infinite before the first one is. */
+  #completeSince = Infinity;
+
+  #retentionMs = MIN_RETENTION_MS;
+
+  /** Time for which versions are remembered after their last runner is gone, in milliseconds. */
+  get retentionMs(): number {
+    return this.#retentionMs;
+  }
+
+  /** @param longestStreamMs time after which no stream goes on any more, in milliseconds */
+  setLongestStream(longestStreamMs: number): void {
+    // Twice, since a caller may take a stream up again at the very end of its first attempt.
+    this.#retentionMs = Math.max(MIN_RETENTION_MS, 2 * longestStreamMs);
+  }
+
+  /** Records that the listed state of a runner has changed; undefined if it is not listed. */
+  changed(now: number, before: Runner | undefined, after: Runner | undefined): void {
+    this.#completeSince = Math.min(this.#completeSince, now);
+    if (beginsStreams(before)) {
+      const presence = this.#presenceOf(before.service, before.version);
+      presence.runners -= 1;
+      presence.goneAt = now;
+    }
+    if (beginsStreams(after)) this.#presenceOf(after.service, after.version).runners += 1;
+  }
+
+  /** Versions that served a service lately. */
+  versionsOf(now: number, service: string): readonly string[] {
+    const versions = this.#services.get(service);
+    if (!versions) return [];
+    for (const [version, { runners, goneAt }] of versions) {
+      if (runners <= 0 && now - goneAt > this.#retentionMs) versions.delete(version);
+    }
+    return [...versions.keys()];
+  }
+
+  /** Whether all versions that served lately are known. */
+  isComplete(now: number): boolean {
+    return now - this.#completeSince >= this.#retentionMs;
+  }
+
+  /** Whether the streams of a service may have begun with one of several versions. */
+  isAmbiguous(now: number, service: string): boolean {
+    return !this.isComplete(now) || this.versionsOf(now, service).length > 1;
+  }
+
+  /** The services that several versions served lately, in a fixed order. */
+  mixedServices(now: number): VersionsByService {
+    const mixed = [...this.#services.keys()]
+      .sort()
+      .map((service) => [service, [...this.versionsOf(now, service)].sort()] as const)
+      .filter(([, versions]) => versions.length > 1);
+    return Object.fromEntries(mixed);
+  }
+
+  /** All versions that served lately, for another VM. */
+  sightings(now: number): readonly VersionSighting[] {
+    return [...this.#services.keys()].flatMap((service) =>
+      this.versionsOf(now, service).map((version) => {
+        const { runners, goneAt } = this.#presenceOf(service, version);
+        return { service, version, agoMs: runners > 0 ? 0 : now - goneAt };
+      }),
+    );
+  }
+
+  /**
+   * Adds the versions that another VM or the store knows.
+   * @param isComplete whether there were no others lately
+   */
+  learn(now: number, sightings: readonly VersionSighting[], isComplete: boolean): void {
+    for (const { service, version, agoMs } of sightings) {
+      const presence = this.#presenceOf(service, version);
+      presence.goneAt = Math.max(presence.goneAt, now - agoMs);
+    }
+    if (isComplete) this.#completeSince = -Infinity;
+  }
+
+  #presenceOf(service: string, version: string): Presence {
+    const versions = this.#services.get(service) ?? new Map<string, Presence>();
+    this.#services.set(service, versions);
+    const known = versions.get(version) ?? { runners: 0, goneAt: -Infinity };
+    versions.set(version, known);
+    return known;
+  }
+}
--- /dev/null
+++ b/src/core/versions/origins.ts
@@ -0,0 +1,90 @@
+/** A table of the software versions that began streams, bounded in size and age. */
+
+import { fingerprintOf } from '../fingerprint';
+import type { KnownOrigin, OriginRecord, StreamOrigin } from './types';
+
+/** Characters of a key, six bits each: enough to make collisions within a fleet negligible. */
+const KEY_LENGTH = 16;
+/**
+ * Streams that are remembered, some 4 MB; the oldest give way. At the largest fleet a VM begins
+ * some 50 streams a second and keeps three times as many for others, 12,000 in a minute.
+ */
+const MAX_STREAMS = 25_000;
+
+/**
+ * The key of a stream. Its customer is part of it, so that no customer can find out about another
+ * one's streams by their ids.
+ * @param request id of the request that brought its first event
+ */
+export function streamKey(customer: string | undefined, request: string): string {
+  return fingerprintOf(JSON.stringify([customer ?? null]), request).slice(0, KEY_LENGTH);
+}
+
+interface Entry {
+  readonly origin: KnownOrigin;
+  readonly recordedAt: number;
+  /** Whether other VMs were told. */
+  isShared: boolean;
+}
+
+function isSame(one: KnownOrigin, other: StreamOrigin): boolean {
+  if (one === 'conflicting') return false;
+  return one.service === other.service && one.version === other.version;
+}
+
+/** Origins of streams by key, in the order in which they were last recorded. */
+export class StreamOrigins {
+  readonly #entries = new Map<string, Entry>();
+
+  readonly #maxStreams: number;
+
+  constructor(maxStreams = MAX_STREAMS) {
+    this.#maxStreams = maxStreams;
+  }
+
+  /** Number of streams that are remembered. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Records the origin of a stream, or that it goes on there; another origin than the known one makes it conflicting. */
+  record(now: number, { key, service, version }: OriginRecord, isShared: boolean): void {
+    const known = this.#entries.get(key);
+    const origin = { service, version };
+    const isConflicting = known !== undefined && !isSame(known.origin, origin);
+    this.#entries.delete(key);
+    this.#entries.set(key, {
+      origin: isConflicting ? 'conflicting' : origin,
+      recordedAt: now,
+      isShared: isShared || known?.isShared === true,
+    });
+    const [oldest] = this.#entries.keys();
+    if (this.#entries.size > this.#maxStreams && oldest !== undefined) this.#entries.delete(oldest);
+  }
+
+  /** The origin of a stream; undefined if it is not known. */
+  get(key: string): KnownOrigin | undefined {
+    return this.#entries.get(key)?.origin;
+  }
+
+  /** Takes the origins of a service's streams that other VMs were not told, to tell them. */
+  takeUnshared(service: string): readonly OriginRecord[] {
+    const taken: OriginRecord[] = [];
+    for (const [key, entry] of this.#entries) {
+      const { origin, isShared } = entry;
+      if (!isShared && origin !== 'conflicting' && origin.service === service) {
+        entry.isShared = true;
+        taken.push({ key, ...origin });
+      }
+    }
+    return taken;
+  }
+
+  /** Forgets streams that were last recorded before a time. */
+  expire(before: number): void {
+    for (const [key, { recordedAt }] of this.#entries) {
+      if (recordedAt >= before) return;
+      this.#entries.delete(key);
+    }
+  }
+}
--- /dev/null
+++ b/src/core/versions/types.ts
@@ -0,0 +1,27 @@
+/** Types of the software versions that begin streams. */
+
+/** Which software version of which service began a stream. */
+export interface StreamOrigin {
+  readonly service: string;
+  readonly version: string;
+}
+
+/** A stream's origin in a message or a table. */
+export interface OriginRecord extends StreamOrigin {
+  /** Identifies the stream; see `streamKey`. */
+  readonly key: string;
+}
+
+/**
+ * What is known of a stream's origin: `conflicting` if several streams were begun under its key,
+ * so that none of their origins can be told to be its own.
+ */
+export type KnownOrigin = StreamOrigin | 'conflicting';
+
+/** Software versions by service. */
+export type VersionsByService = Readonly<Record<string, readonly string[]>>;
+
+/** A software version that served a service, and how long ago it last did, in milliseconds. */
+export interface VersionSighting extends StreamOrigin {
+  readonly agoMs: number;
+}
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -21,6 +21,7 @@
   | 'quotas'
   | 'ratelimits'
   | 'store'
+  | 'streams'
   | 'orders'
   | 'paths'
   | 'runner'
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -18,7 +18,7 @@
   configVersion: number,
 ): Readonly<Record<string, unknown>> {
   const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
-  const { continues } = request;
+  const { continues } = exchange;
   const versions = [...exchange.versions];
   const { firstMs = ms, pauseMs } = exchange;
   const isWithinGap = route.gapMs === 0 || pauseMs <= route.gapMs;
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -4,6 +4,7 @@
 import type { RouterFleet } from './fleet';
 import type { PlannerHost } from './plannerhost';
 import type { NoticeController } from './notices';
+import type { OriginController } from './origins';
 import type { PermitController } from './permits';
 import type { ReservationClient } from './reservations';
 import type { QuotaController } from './quotas';
@@ -28,6 +29,7 @@
   readonly sync: StateExchange;
   readonly quotas: QuotaController;
   readonly permits: PermitController;
+  readonly origins: OriginController;
   readonly notices: NoticeController;
 }
 
@@ -44,7 +46,7 @@
 
   /** Answers one call; the result of one without an answer is null. Rejects with `peerRejected` if the method is unknown. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { planners, reservations, sync, quotas, permits, notices } = this.#context;
+    const { planners, reservations, sync, quotas, permits, origins, notices } = this.#context;
     const now = performance.now();
     const reply = (service: string, verdict: unknown): void =>
       push('verdict', { service, verdict });
@@ -53,6 +55,7 @@
     if (method === 'facts') return sync.answer(now, params);
     if (method === 'quota') return quotas.onAsk(now, vm, params);
     if (method === 'permit') return permits.onAsk(now, vm, params);
+    if (method === 'originOf') return origins.onAsked(now, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
     else if (method === 'backoff') planners.onBackoffs(now, vm, backoffSchema.parse(params));
     else if (method === 'forwardedBackoff') {
@@ -63,6 +66,7 @@
     else if (method === 'quotaBack') quotas.onRefund(params);
     else if (method === 'permitJoin') permits.onJoin(now, vm, params);
     else if (method === 'rates') permits.onRates(now, vm, params);
+    else if (method === 'origins') origins.onTold(now, params);
     else if (method === 'gather') this.#reportHoldings(now, vm, gatherSchema.parse(params).service);
     else if (method === 'verdict') {
       const { service, verdict } = delayedDecisionSchema.parse(params);
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -19,11 +19,13 @@
 import { ReservationClient } from './reservations';
 import { QuarantineController } from './quarantine';
 import { NoticeController } from './notices';
+import { OriginController } from './origins';
 import { QuotaController } from './quotas';
 import type { RateChange } from './ratelimits';
 import { RateLimitController } from './ratelimits';
 import { StateExchange } from './stateexchange';
-import type { Feed, RouterSettings, SuspectArchive } from './types';
+import { StoredVersions } from './storedversions';
+import type { Feed, RouterSettings, SuspectArchive, VersionArchive } from './types';
 
 /** Timeout of the message to a VM that forwarded a request, in milliseconds. */
 const FORWARDED_TIMEOUT_MS = 500;
@@ -37,6 +39,7 @@
   readonly host: PlannerHost;
   readonly feed: Feed;
   readonly archive: SuspectArchive;
+  readonly versions: VersionArchive;
   readonly metrics: Metrics;
   readonly log: Logger;
   /** Called when the description that this VM announces has changed. */
@@ -57,6 +60,10 @@
 
   readonly places: ReservationClient;
 
+  readonly storedVersions: StoredVersions;
+
+  readonly origins: OriginController;
+
   readonly stateSync: StateSync;
 
   readonly calls: PeerCalls;
@@ -123,7 +130,21 @@
       self,
       onDescription: context.onDescription,
     });
-    const { places, quotas, permits } = this;
+    this.storedVersions = new StoredVersions({
+      versions: routingState.versions,
+      archive: context.versions,
+      readsStore: () => this.stateSync.reading,
+      random: Math.random,
+      log: logOf(log, 'streams'),
+    });
+    this.origins = new OriginController({
+      vm,
+      routingState,
+      fleet,
+      metrics,
+      log: logOf(log, 'streams'),
+    });
+    const { places, quotas, permits, origins } = this;
     this.calls = new PeerCalls({
       vm,
       fleet,
@@ -132,6 +153,7 @@
       sync,
       quotas,
       permits,
+      origins,
       notices: this.notices,
     });
   }
@@ -144,12 +166,15 @@
     this.permits.stop();
     this.quotas.stop();
     this.places.stop();
+    this.origins.stop();
+    this.storedVersions.stop();
   }
 
   /** Must be called when the members of the fleet have changed. */
   membersChanged(now: number): void {
     this.quotas.refresh(now);
     this.permits.refresh(now);
+    this.origins.membersChanged();
     this.stateSync.membersChanged();
   }
 
@@ -160,6 +185,7 @@
       refuses: this.quarantine.snapshot(now),
       quotas: this.quotas.snapshot(),
       rateLimits: this.permits.snapshot(),
+      streams: this.origins.size,
     };
   }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -37,6 +37,7 @@
   RunnerClient,
   RunnerConnector,
   SuspectArchive,
+  VersionArchive,
 } from './types';
 
 /** Adapters to the systems outside the router. */
@@ -52,6 +53,7 @@
   readonly control: ControlCodec;
   readonly lock: OrderLock;
   readonly archive: SuspectArchive;
+  readonly versions: VersionArchive;
 }
 
 /**
@@ -150,6 +152,7 @@
       host: this.#planHost,
       feed: ports.feed,
       archive: ports.archive,
+      versions: ports.versions,
       metrics: this.#metrics,
       log,
       onDescription: () => this.#describe(),
@@ -196,6 +199,8 @@
       onVms: (vms) => this.#fleet.addListed(vms.filter((entry) => entry.vm !== vm)),
       onSuspects: (suspects, isAll) =>
         this.#controllers.quarantine.learnStored(performance.now(), suspects, isAll),
+      onVersions: (versions, isAll) =>
+        this.#controllers.storedVersions.learn(performance.now(), versions, isAll),
       onConfirmed: (askedAt) => this.#state.freshness.recordStoreAnswer(askedAt),
       onStore: (up, detail) =>
         this.#controllers.stateSync.storeCallEnded(performance.now(), up, detail),
@@ -305,9 +310,9 @@
   }
 
   #done(exchange: Exchange, ms: number): void {
-    const { service, status, code, request, versions } = exchange;
+    const { service, status, code, continues, versions } = exchange;
     this.#metrics.recordRequest(service, status, code, ms);
-    if (request.continues) this.#metrics.count('streams.continued');
+    if (continues) this.#metrics.count('streams.continued');
     if (versions.size > 1) this.#metrics.count('streams.mixed');
     this.#log.info(accessLogFields(exchange, ms, this.#state.configVersion), 'Request ended.');
   }
@@ -347,6 +352,7 @@
       .with({ kind: 'runners' }, () => {
         this.#runners.abortLost();
         this.#connectivity.paths.runnersChanged(performance.now());
+        this.#controllers.origins.runnersChanged(performance.now());
       })
       .with({ kind: 'era' }, ({ cameBack }) => {
         this.#state.freshness.recordStoreRestore(bootNow());
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -6,9 +6,10 @@
 import { Failure } from '../../core/failure';
 import { contentIdOf } from '../../core/fingerprint';
 import type { Route } from '../../core/routing/types';
+import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
 import { QuotaCharge } from './charge';
-import type { CallRequest, IngressCodec } from './types';
+import type { CallRequest, Continuation, IngressCodec } from './types';
 
 /** Largest part of the remaining time that the retry delay announced to a caller may take. */
 const MAX_RETRY_PART = 1 / 3;
@@ -21,14 +22,14 @@
 
   readonly route: Route;
 
-  readonly service: string;
-
   /** Scheduling priority; 0 is served first. */
   readonly rank: number;
 
   /** When the request was read, on the clock of `performance.now`, as all times here. */
   readonly arrivedAt: number;
 
+  #service: string;
+
   /** The amount reserved from the customer's quota. */
   readonly charge = new QuotaCharge();
 
@@ -84,7 +85,7 @@
   ) {
     this.request = request;
     this.route = route;
-    this.service = service;
+    this.#service = service;
     this.rank = rank;
     this.arrivedAt = now;
     const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
@@ -99,6 +100,22 @@
     });
   }
 
+  /** Service that serves the request. */
+  get service(): string {
+    return this.#service;
+  }
+
+  /** The stream that the request continues for its caller; undefined if it is a new request. */
+  get continues(): Continuation | undefined {
+    return this.route.kind === 'stream' ? this.request.continues : undefined;
+  }
+
+  /** Fixes what continues the stream. */
+  pin({ service, version }: StreamOrigin): void {
+    this.#service = service;
+    this.version = version;
+  }
+
   /** Aborted when the response closes, the caller disconnects or the deadline passes. */
   get signal(): AbortSignal {
     return this.#abort.signal;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -48,7 +48,7 @@
   constructor(context: HandlersContext) {
     this.#context = context;
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
-    const { quarantine, rateLimits, notices, permits, quotas, places } = controllers;
+    const { quarantine, rateLimits, notices, permits, quotas, places, origins } = controllers;
     this.#retries = new LazyMap(() => new RetryWindow(settings().retries));
     const takeRetry = (now: number, service: string): boolean =>
       this.#retries.get(service).trySpend(now, fleet.alive.length);
@@ -68,16 +68,17 @@
       health: (service) => this.#health.get(service),
       domain: settings().domain,
     });
-    this.#model = new ModelHandler({ ...shared, reservations: places });
+    this.#model = new ModelHandler({ ...shared, reservations: places, origins });
   }
 
   /** Serves one request to its end. */
   async serve(exchange: Exchange): Promise<void> {
     const { routingState, controllers } = this.#context;
+    const refusal =
+      this.#runs.refusal(performance.now(), exchange) ?? (await controllers.origins.pin(exchange));
     const { service } = exchange;
     const now = performance.now();
     this.#retries.get(service).recordFirst(now);
-    const refusal = this.#runs.refusal(now, exchange);
     if (refusal) {
       exchange.fail(now, refusal);
       return;
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -6,6 +6,7 @@
 import { mayContinue } from '../../core/routing/types';
 import { viaText } from './accesslog';
 import type { Exchange } from './exchange';
+import type { OriginController } from './origins';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
 import type { FailedAssignment, ReservationClient } from './reservations';
@@ -35,6 +36,7 @@
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly permits: Pick<PermitController, 'isLimited'>;
+  readonly origins: Pick<OriginController, 'began'>;
   /** Takes one retry from the service's retry budget; false if the budget is exhausted. */
   readonly takeRetry: (now: number, service: string) => boolean;
 }
@@ -304,13 +306,14 @@
       }
     }
     if (typeof answer === 'string') return answer;
-    const { reservations } = this.#context;
+    const { reservations, origins } = this.#context;
     const relay = new Relay({
       exchange,
       engine,
       stream: progress.stream,
       canResume: () => canResume(exchange, progress),
       onProgress: (report) => reservations.reportProgress(service, { id, ...report }),
+      onFirstEvents: () => origins.began(performance.now(), exchange),
     });
     return relay.forward(answer);
   }
--- /dev/null
+++ b/src/node/router/origins.ts
@@ -0,0 +1,306 @@
+/**
+ * Keeps and finds out which software version began each stream that callers may take up again.
+ *
+ * A caller may come back to any VM, also after the one that began its stream was killed. While
+ * runners of several versions serve, a VM tells a few others of each stream before it passes on the
+ * first event, and a VM that is to continue a stream asks them. With one version nothing is told.
+ */
+
+import type { Logger } from 'pino';
+import { z } from 'zod';
+
+import { Failure, toFailure } from '../../core/failure';
+import type { Member } from '../../core/membership/types';
+import { isPresent } from '../../core/membership/types';
+import { groupOf, holdersOf, HOLDERS } from '../../core/versions/holders';
+import type { OriginView } from '../../core/versions/lookup';
+import { inferredOrigin, recordedOrigin } from '../../core/versions/lookup';
+import { StreamOrigins, streamKey } from '../../core/versions/origins';
+import type { OriginRecord, StreamOrigin } from '../../core/versions/types';
+import { bootNow } from '../../utils/clock';
+import { LogRateLimiter } from '../loglimiter';
+import type { Metrics } from '../metrics';
+import type { Exchange } from './exchange';
+import type { RouterFleet } from './fleet';
+import type { RoutingState } from './routingstate';
+
+/** Dependencies of the origins of streams. */
+export interface OriginContext {
+  readonly vm: string;
+  readonly routingState: Pick<RoutingState, 'versions' | 'table' | 'freshness'>;
+  readonly fleet: Pick<RouterFleet, 'all' | 'call'>;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+}
+
+/** Time that a VM has to answer, in milliseconds: many round trips, but little of a caller's patience. */
+const ANSWER_TIMEOUT_MS = 150;
+/** VMs that are asked for one stream. */
+const MAX_ASKED = 16;
+/** Origins in one message. */
+const MAX_RECORDS = 500;
+/** Retry delay for callers whose stream cannot go on, in milliseconds: a VM that knows it may answer by then. */
+const RETRY_MS = 1000;
+/** Age of the last confirmation that this VM knows what the store holds up to which it is in contact with the fleet, in milliseconds. */
+const MAX_AGE_MS = 4000;
+/** Period of the check for old records and for services that have several versions now, in milliseconds. */
+const CHECK_MS = 1000;
+/** Log lines per second about streams that callers take up, since anybody can name one. */
+const LINES_PER_S = 20;
+
+const text = z.string().max(200);
+const originSchema = z.object({ service: text, version: text });
+/** Tells which versions began streams. */
+const recordsSchema = z.object({
+  records: z.array(originSchema.extend({ key: text })).max(MAX_RECORDS),
+});
+/** Asks for the origin of a stream. */
+const querySchema = z.object({ key: text, service: text });
+const viewSchema = z.object({
+  origin: z.union([originSchema, z.literal('conflicting')]).optional(),
+  versions: z.array(text),
+  isComplete: z.boolean(),
+});
+
+type Query = Readonly<z.infer<typeof querySchema>>;
+
+/** The result of a lookup, and how it came about, for the log. */
+interface Lookup {
+  readonly origin: StreamOrigin | undefined;
+  readonly source: 'recorded' | 'only version' | 'none';
+  readonly asked: number;
+  readonly answered: number;
+}
+
+/** Origins of streams at one VM. */
+export class OriginController {
+  readonly #context: OriginContext;
+
+  readonly #origins = new StreamOrigins();
+
+  /** Services of which other VMs are told the streams. */
+  readonly #shared = new Set<string>();
+
+  readonly #lines: LogRateLimiter;
+
+  readonly #timer: NodeJS.Timeout;
+
+  /** Cached holders by group; cleared when the membership changes. */
+  readonly #holders = new Map<number, readonly Member[]>();
+
+  constructor(context: OriginContext) {
+    this.#context = context;
+    this.#lines = new LogRateLimiter(LINES_PER_S, (lines) =>
+      context.log.info({ lines }, 'Callers took up more streams.'),
+    );
+    this.#timer = setInterval(() => this.#check(performance.now()), CHECK_MS).unref();
+  }
+
+  /** Stops the timer. */
+  stop(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Must be called when the members of the fleet have changed. */
+  membersChanged(): void {
+    this.#holders.clear();
+  }
+
+  /** Must be called when runners have changed: streams that began with the only version until now have to be told. */
+  runnersChanged(now: number): void {
+    const services = this.#context.routingState.table?.config.services ?? [];
+    for (const { name } of services) this.#updateShared(now, name);
+  }
+
+  /** Number of streams whose origin is known here, for operators. */
+  get size(): number {
+    return this.#origins.size;
+  }
+
+  /** Records the version of a stream of which events are about to be sent to the caller. */
+  began(now: number, { route, request, continues, service, version }: Exchange): void {
+    const id = continues ? continues.stream : request.id;
+    if (!route.resumable || id === undefined || version === undefined) return;
+    const record = { key: streamKey(request.customer, id), service, version };
+    const isShared = this.#context.routingState.versions.isAmbiguous(now, service);
+    this.#origins.record(now, record, isShared);
+    if (isShared) this.#share([record]);
+  }
+
+  /**
+   * Fixes the software version that continues the stream of a request, if it continues one. Returns
+   * the failure if the version is not known: any other one would write what does not fit.
+   */
+  async pin(exchange: Exchange): Promise<Failure | undefined> {
+    const { continues, service, route, request } = exchange;
+    if (!continues) return undefined;
+    const startedAt = performance.now();
+    const { stream } = continues;
+    const key = stream === undefined ? '' : streamKey(request.customer, stream);
+    const lookup = await this.#lookUp(startedAt, service, key);
+    const { origin } = lookup;
+    const now = performance.now();
+    this.#logLookup(now, exchange, lookup, now - startedAt);
+    if (!origin) {
+      this.#context.metrics.count('origins.unknown');
+      const detail = `it is not known which software version began stream ${stream ?? 'without a name'}`;
+      return new Failure('streamUnknown', detail, { retryAfterMs: RETRY_MS });
+    }
+    if (!route.targets.some((target) => target.service === origin.service)) {
+      const detail = `${route.name} does not lead to ${origin.service} any more`;
+      return new Failure('versionGone', detail, { retryAfterMs: RETRY_MS });
+    }
+    exchange.pin(origin);
+    return undefined;
+  }
+
+  /** Handles the origins that another VM tells. */
+  onTold(now: number, params: unknown): void {
+    for (const record of recordsSchema.parse(params).records) {
+      this.#origins.record(now, record, true);
+    }
+  }
+
+  /** Answers another VM what is known here. */
+  onAsked(now: number, params: unknown): OriginView {
+    return this.#viewOf(now, querySchema.parse(params));
+  }
+
+  #viewOf(now: number, { key, service }: Query): OriginView {
+    const { versions } = this.#context.routingState;
+    return {
+      origin: this.#origins.get(key),
+      versions: versions.versionsOf(now, service),
+      isComplete: versions.isComplete(now),
+    };
+  }
+
+  /**
+   * Looks here, then at the VMs that keep the origin, then at others that may have kept it before
+   * the members changed.
+   * @param key empty if the caller names no stream
+   */
+  async #lookUp(now: number, service: string, key: string): Promise<Lookup> {
+    const query = { key, service };
+    const candidates = this.#holdersOf(key);
+    const views = [this.#viewOf(now, query)];
+    let asked = 0;
+    for (const vms of [[], candidates.slice(0, HOLDERS), candidates.slice(HOLDERS)]) {
+      views.push(...(await this.#ask(vms, query)));
+      asked += vms.length;
+      const answered = views.length - 1;
+      const recorded = recordedOrigin(views);
+      if (recorded) return { origin: recorded, source: 'recorded', asked, answered };
+      const inferred = inferredOrigin(service, views);
+      if (inferred && this.#isInContact(answered, candidates.length)) {
+        return { origin: inferred, source: 'only version', asked, answered };
+      }
+    }
+    return { origin: undefined, source: 'none', asked, answered: views.length - 1 };
+  }
+
+  /**
+   * Asks VMs at the same time; resolves to the answers, as soon as one of them knows the stream or
+   * all have answered or timed out.
+   */
+  async #ask(vms: readonly Member[], query: Query): Promise<readonly OriginView[]> {
+    const { fleet, metrics, log } = this.#context;
+    const views: OriginView[] = [];
+    await new Promise<void>((resolve) => {
+      const calls = vms.map(async ({ vm, address }) => {
+        try {
+          const answer = await fleet.call(address, 'originOf', query, ANSWER_TIMEOUT_MS);
+          const view = viewSchema.parse(answer);
+          views.push({ ...view, origin: view.origin });
+          if (view.origin !== undefined) resolve();
+        } catch (error) {
+          metrics.count('origins.unanswered');
+          log.debug({ vm }, toFailure(error).line);
+        }
+      });
+      Promise.all(calls).then(() => resolve(), resolve);
+    });
+    return [...views];
+  }
+
+  /**
+   * Whether this VM would know of another software version. A part of the fleet that is cut off
+   * does not learn what the rest uses, so most of the VMs have to be present, or the store was read
+   * lately; and a VM that is cut off alone gets no answer.
+   * @param others number of VMs that can be asked
+   */
+  #isInContact(answered: number, others: number): boolean {
+    const { fleet, routingState, vm } = this.#context;
+    const known = fleet.all.filter(({ state }) => state !== 'left');
+    const isCurrent = routingState.freshness.ageMs(bootNow()) <= MAX_AGE_MS;
+    if (others === 0) return isCurrent || known.every((member) => member.vm === vm);
+    const isMajority = known.filter(isPresent).length * 2 > known.length;
+    return answered > 0 && (isMajority || isCurrent);
+  }
+
+  #updateShared(now: number, service: string): void {
+    const { log, routingState } = this.#context;
+    const versions = routingState.versions.versionsOf(now, service);
+    const isShared = routingState.versions.isAmbiguous(now, service);
+    if (isShared === this.#shared.has(service)) return;
+    if (isShared) this.#shared.add(service);
+    else this.#shared.delete(service);
+    const records = isShared ? this.#origins.takeUnshared(service) : [];
+    log.info(
+      { service, versions, isShared, streams: records.length },
+      'Whether other VMs are told of streams changed.',
+    );
+    this.#share(records);
+  }
+
+  /** Tells the holders of streams. A message that is lost costs the stream only if all of its holders miss it. */
+  #share(records: readonly OriginRecord[]): void {
+    if (records.length === 0) return;
+    const { fleet, metrics, log } = this.#context;
+    const byAddress = new Map<string, OriginRecord[]>();
+    for (const record of records) {
+      for (const { address } of this.#holdersOf(record.key).slice(0, HOLDERS)) {
+        const known = byAddress.get(address) ?? [];
+        byAddress.set(address, known);
+        known.push(record);
+      }
+    }
+    metrics.count('origins.shared', records.length);
+    for (const [address, all] of byAddress) {
+      for (let from = 0; from < all.length; from += MAX_RECORDS) {
+        const message = { records: all.slice(from, from + MAX_RECORDS) };
+        fleet.call(address, 'origins', message, ANSWER_TIMEOUT_MS).catch((error) => {
+          log.debug({ address }, toFailure(error).line);
+        });
+      }
+    }
+  }
+
+  #holdersOf(key: string): readonly Member[] {
+    const group = groupOf(key);
+    const known = this.#holders.get(group);
+    if (known) return known;
+    const { fleet, vm } = this.#context;
+    const holders = holdersOf(group, fleet.all, vm).slice(0, MAX_ASKED);
+    this.#holders.set(group, holders);
+    return holders;
+  }
+
+  #check(now: number): void {
+    const { versions } = this.#context.routingState;
+    this.#origins.expire(now - versions.retentionMs);
+    this.runnersChanged(now);
+  }
+
+  #logLookup(now: number, { request, continues }: Exchange, lookup: Lookup, ms: number): void {
+    const { log, routingState } = this.#context;
+    if (!this.#lines.tryAcquire(now)) return;
+    const { origin, ...how } = lookup;
+    const fields = { request: request.id, stream: continues?.stream, ...origin, ...how };
+    const versions = routingState.versions.sightings(now);
+    if (origin) log.info({ ...fields, ms: Math.round(ms) }, 'A caller took up a stream.');
+    else {
+      log.info({ ...fields, versions, ms: Math.round(ms) }, 'A caller took up an unknown stream.');
+    }
+  }
+}
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -52,7 +52,7 @@
 ): LocalDemand {
   const { request, route, arrivedAt } = exchange;
   const { usage } = request;
-  const resuming = progress.stream.events > 0;
+  const resuming = progress.stream.events > 0 || exchange.continues !== undefined;
   progress.reservations += 1;
   const waitingSince = resuming ? performance.now() : arrivedAt;
   return {
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -37,6 +37,8 @@
   /** Whether another run may continue the stream after a failed one. */
   readonly canResume: () => boolean;
   readonly onProgress: (progress: RelayProgress) => void;
+  /** Called before the first events of a run are sent to the caller. */
+  readonly onFirstEvents: () => void;
 }
 
 /** Relays the runs of one request. */
@@ -84,7 +86,7 @@
     { reply, run }: Answer,
     afterEvent: string | undefined,
   ): Promise<RelayOutcome> {
-    const { exchange, engine, stream, onProgress } = this.#context;
+    const { exchange, engine, stream, onProgress, onFirstEvents } = this.#context;
     const pace = new PaceMonitor(exchange.route.gapMs);
     let hasStarted = false;
     let isInterrupted = false;
@@ -94,9 +96,12 @@
     for await (const chunk of chunks) {
       const events = stream.push(chunk);
       if (events.length > 0) {
-        if (!hasStarted) onProgress({ kind: 'started' });
-        hasStarted = true;
         run.answered(performance.now());
+        if (!hasStarted) {
+          onProgress({ kind: 'started' });
+          onFirstEvents();
+        }
+        hasStarted = true;
         if (pace.observe(performance.now(), stream.events)) onProgress({ kind: 'slow' });
         this.#sendHead(reply);
         await exchange.write(events);
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -17,6 +17,7 @@
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
+import type { VersionHistory } from '../../core/versions/history';
 import { bootNow } from '../../utils/clock';
 import { LogRateLimiter } from '../loglimiter';
 import type { FreshnessExchange } from '../scheduler/members';
@@ -129,6 +130,11 @@
     return proof ? { proof } : {};
   }
 
+  /** Software versions that served each service lately. */
+  get versions(): VersionHistory {
+    return this.#directory.versions;
+  }
+
   /** Latest store position at which a runner changed. */
   get runnersPosition(): Position {
     return this.#directory.position;
@@ -217,6 +223,8 @@
     if (this.#table && config.version <= this.#table.config.version) return false;
     const before = this.configVersion;
     this.#table = new RouteTable(config);
+    const streams = config.routes.filter(({ resumable }) => resumable);
+    this.versions.setLongestStream(Math.max(0, ...streams.map(({ timeoutMs }) => timeoutMs)));
     const { version, routes, customers } = config;
     this.#log.info(
       {
@@ -338,6 +346,7 @@
       storeAgeMs: Number.isFinite(this.#storeAnsweredAt) ? Math.round(this.storeAgeMs(now)) : null,
       era: this.#history.era ?? null,
       backoffs: this.backoffs.pending(now),
+      versions: this.versions.sightings(now),
       runners: this.#directory.facts.map(({ id, position, runner }) => ({
         id,
         ...position,
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -87,6 +87,12 @@
   suspects: z.array(suspectSchema).default([]),
   rates: z.array(rateSchema).default([]),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
+  /** Software versions that served lately. */
+  versions: z
+    .array(z.object({ service: z.string(), version: z.string(), agoMs: z.number().min(0) }))
+    .default([]),
+  /** Whether there were no others. */
+  hasAllVersions: z.boolean().default(false),
 });
 
 /** What to fetch besides the configuration and runner records. */
@@ -178,6 +184,8 @@
       suspects: includesSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
       rates: includesRates ? rateLimits.shared(now).slice(0, MAX_RATE_LIMITS) : [],
       ...routingState.proof(bootNow()),
+      versions: [...routingState.versions.sightings(now)],
+      hasAllVersions: routingState.versions.isComplete(now),
     };
   }
 
@@ -211,6 +219,7 @@
     }
     routingState.learnEras(now, answer.eras, address);
     routingState.learnRunners(now, answer.facts.map(fromWire), address);
+    routingState.versions.learn(now, answer.versions, answer.hasAllVersions);
     if (answer.members) fleet.sync(answer.members);
   }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -15,6 +15,7 @@
 import type { RetryBounds } from '../../core/retries';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
 import type { AnswerHead } from '../../core/stream/answer';
+import type { VersionsByService } from '../../core/versions/types';
 import type { Failure } from '../../core/failure';
 
 /** Settings of one router process, with defaults applied. */
@@ -231,6 +232,14 @@
   save(suspect: Suspect, keptMs: number): Promise<void>;
 }
 
+/**
+ * Persistent record of the services that several software versions served lately, which survives a
+ * restart of all VMs.
+ */
+export interface VersionArchive {
+  save(versions: VersionsByService): Promise<void>;
+}
+
 /** Receives what a feed reads from the store. */
 export interface FeedListener {
   onConfig(config: RoutingConfig): void;
@@ -242,6 +251,11 @@
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
   /** Quarantined requests that VMs saved; `isAll` if the store holds no others. */
   onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
+  /**
+   * The record of the services that several software versions served lately; empty if there is none.
+   * @param isAll whether all runners were read before
+   */
+  onVersions(versions: VersionsByService, isAll: boolean): void;
   /**
    * Confirms freshness: the configuration delivered before was in force when the store was asked.
    * @param askedAt boot time of the call; see `bootNow`
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -13,7 +13,14 @@
 import type { StoreHistory } from '../core/routing/position';
 import type { Feed, FeedListener } from '../node/router/types';
 import { bootNow } from '../utils/clock';
-import { decodeConfig, decodeRunner, decodeSuspect, decodeVm, encodeVm } from './records';
+import {
+  decodeConfig,
+  decodeRunner,
+  decodeSuspect,
+  decodeVersions,
+  decodeVm,
+  encodeVm,
+} from './records';
 import { key } from './names';
 import type { Item, Snapshot, StoreClient } from './store';
 
@@ -196,6 +203,19 @@
     if (suspects.length > 0 || isAll) this.#listener?.onSuspects(suspects, isAll);
     if (runners.length > 0) this.#listener?.onRunners(runners);
     if (vms.length > 0) this.#listener?.onVms(vms);
+    this.#dispatchVersions(items, isAll);
+  }
+
+  /** A record that cannot be decoded is ignored: it may name versions that no listed runner has. */
+  #dispatchVersions(items: readonly Item[], isAll: boolean): void {
+    const item = items.find((one) => one.key === key.versions);
+    if (!item && !isAll) return;
+    try {
+      const versions = item?.value === undefined ? {} : decodeVersions(item.value);
+      this.#listener?.onVersions(versions, isAll);
+    } catch (error) {
+      this.#log.error({ key: key.versions, revision: item?.revision }, toFailure(error).line);
+    }
   }
 
   /** A configuration that cannot be decoded is ignored and logged once for each revision. */
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -75,6 +75,8 @@
   orders: 'goldcrestdock/orders/',
   /** Followed by the fingerprint of a quarantined request; with a lease. */
   suspects: 'goldcrestdock/suspects/',
+  /** The services that several software versions served lately. */
+  versions: 'goldcrestdock/versions',
   /** The VM that may give orders to runners; with a lease. */
   orderHolder: 'goldcrestdock/orders/holder',
   /** The VM that held this right last; without a lease. */
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -10,6 +10,7 @@
 import type { Suspect } from '../core/quarantine/types';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
 import { instanceId } from '../core/routing/types';
+import type { VersionsByService } from '../core/versions/types';
 
 /** Call kinds by the value of `kind` in a route. */
 const callKinds: Readonly<Record<string, CallKind>> = {
@@ -132,6 +133,9 @@
   completedAt: z.number().optional(),
 });
 
+/** Software versions by service. */
+const versionsSchema = z.record(z.string(), z.array(z.string()));
+
 /** Parses a JSON text with a schema; throws `factUnreadable`. */
 function parse<T>(schema: z.ZodType<T>, text: string, what: string): T {
   let value: unknown;
@@ -250,6 +254,16 @@
   return JSON.stringify({ address });
 }
 
+/** Decodes the record of the services that several software versions served; throws `factUnreadable`. */
+export function decodeVersions(text: string): VersionsByService {
+  return parse(versionsSchema, text, 'the software versions');
+}
+
+/** Encodes the record of the services that several software versions served. */
+export function encodeVersions(versions: VersionsByService): string {
+  return JSON.stringify(versions);
+}
+
 /**
  * Decodes the entry that a router writes for a quarantined request; throws `factUnreadable`.
  * @param wallNow wall-clock time, in Unix milliseconds; clocks of VMs differ, so a crash in the future is taken to be at this time
--- a/src/platform/router.ts
+++ b/src/platform/router.ts
@@ -17,6 +17,7 @@
 import { SETTINGS_VARIABLE, loadSettings } from './settings';
 import { StoreClient } from './store';
 import { StoreSuspects } from './suspects';
+import { StoreVersions } from './versions';
 
 /**
  * Reads the settings file named by the environment variable `SETTINGS_VARIABLE`.
@@ -59,6 +60,7 @@
       control: new PlatformControl(),
       lock: new StoreLock(client, vm),
       archive: new StoreSuspects(client),
+      versions: new StoreVersions(client),
     },
     log,
   );
--- /dev/null
+++ b/src/platform/versions.ts
@@ -0,0 +1,20 @@
+/** Stores which services several software versions served lately. */
+
+import type { VersionsByService } from '../core/versions/types';
+import type { VersionArchive } from '../node/router/types';
+import { key } from './names';
+import { encodeVersions } from './records';
+import type { StoreClient } from './store';
+
+/** Writes the record to one key of the store, without a lease: it must outlast an outage. */
+export class StoreVersions implements VersionArchive {
+  readonly #store: StoreClient;
+
+  constructor(store: StoreClient) {
+    this.#store = store;
+  }
+
+  async save(versions: VersionsByService): Promise<void> {
+    await this.#store.put(key.versions, encodeVersions(versions));
+  }
+}
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -12,6 +12,7 @@
 import type { BalancerContext } from '../../src/node/router/plainbalancer';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
 import { QuarantineController } from '../../src/node/router/quarantine';
+import type { OriginController } from '../../src/node/router/origins';
 import type { QuotaController } from '../../src/node/router/quotas';
 import { NoticeController } from '../../src/node/router/notices';
 import { RateLimitController } from '../../src/node/router/ratelimits';
@@ -34,6 +35,9 @@
   });
 }
 
+/** Origins of streams that are neither recorded nor told. */
+export const unrecordedOrigins: Pick<OriginController, 'began'> = { began: () => {} };
+
 /** Quotas that never refuse a request. */
 export const unlimitedQuotas: Pick<QuotaController, 'cover'> = { cover: async () => undefined };
 
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -108,6 +108,12 @@
     this.#notifyWatches();
   }
 
+  /** The value of a key as text; undefined if there is none. */
+  textOf(key: string): string | undefined {
+    const item = this.#items.get(key);
+    return item && Buffer.from(item.value, 'base64').toString();
+  }
+
   /** Deletes a key directly. */
   remove(key: string): void {
     this.#revision += 1;
--- a/test/platform/restore.test.ts
+++ b/test/platform/restore.test.ts
@@ -36,6 +36,7 @@
         else routingState.storeFailed(performance.now());
       },
       onSuspects: () => {},
+      onVersions: () => {},
       onConfirmed: () => {},
     });
     this.#feed.setReading(true);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -47,6 +47,8 @@
 
   onSuspects(): void {}
 
+  onVersions(): void {}
+
   onConfirmed(): void {}
 
   onStore(up: boolean): void {
--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -14,7 +14,7 @@
 import { demandOf } from '../fakes/demand';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { directPaths, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, unlimitedPermits, unlimitedQuotas, unrecordedOrigins } from '../fakes/runs';
 import { VmState } from '../fakes/vmstate';
 
 const PAUSE_MS = 3000;
@@ -37,6 +37,7 @@
     routingState: vm.state,
     health: () => health,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     domain: 'a',
     runners: {
       send: async (dispatch: Dispatch) => {
@@ -272,6 +273,7 @@
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => isRetryAllowed,
   } as unknown as ModelContext;
   const exchange = exchangeInto(out, promptRequest, { ...streamRoute, attempts });
--- a/test/router/blame.test.ts
+++ b/test/router/blame.test.ts
@@ -16,6 +16,7 @@
   runsOf,
   unlimitedPermits,
   unlimitedQuotas,
+  unrecordedOrigins,
 } from '../fakes/runs';
 
 /** Which step of a model request fails, and how. */
@@ -57,6 +58,7 @@
     runs: runsOf(),
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => false,
   } as unknown as ModelContext;
   await new ModelHandler(context).run(exchangeInto([]), streamEngine);
@@ -107,6 +109,7 @@
       runs: runsOf(),
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       takeRetry: () => true,
       domain: 'a',
     } as unknown as PlainContext;
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -99,6 +99,7 @@
       stream,
       canResume: () => true,
       onProgress: () => {},
+      onFirstEvents: () => {},
     });
     const runs = runsOf();
     const pass = (reply: Reply): Promise<RelayOutcome> => {
--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -7,7 +7,7 @@
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { positionAt } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
-import { directPaths, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import { directPaths, unlimitedPermits, unlimitedQuotas, unrecordedOrigins } from '../fakes/runs';
 import { VmState } from '../fakes/vmstate';
 
 /** An answer that announces it. */
@@ -165,6 +165,7 @@
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => {
       retriesLeft -= 1;
       return retriesLeft >= 0;
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -12,6 +12,7 @@
   runsOf,
   unlimitedPermits,
   unlimitedQuotas,
+  unrecordedOrigins,
 } from '../fakes/runs';
 
 describe('a model request', () => {
@@ -51,6 +52,7 @@
       paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       takeRetry: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -90,6 +92,7 @@
       paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       takeRetry: () => true,
     } as unknown as ModelContext;
     const out: string[] = [];
@@ -110,6 +113,7 @@
       paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       reservations: {
         reserve: async (_service: string, demand: LocalDemand) => {
           asked.push(demand);
@@ -154,6 +158,7 @@
       paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       takeRetry: () => true,
     } as unknown as ModelContext;
     await new ModelHandler(context).run(exchange, streamEngine);
@@ -190,6 +195,7 @@
       paths: directPaths,
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      origins: unrecordedOrigins,
       takeRetry: () => true,
     } as unknown as ModelContext;
     await new ModelHandler(context).run(exchange, streamEngine);
--- a/test/router/routingstate.test.ts
+++ b/test/router/routingstate.test.ts
@@ -44,6 +44,23 @@
     expect(ids(state, 2)).toEqual([]);
   });
 
+  // Guards against runners whose version stays unknown because a VM with an older program told of them first.
+  test('adds the software version to a record that lacks it', () => {
+    const state = fresh();
+    const record = (version: string): RunnerRecord => ({
+      id: 'r',
+      position: positionAt(3),
+      runner: runner('r', { version }),
+    });
+    const versions = (): readonly string[] => state.runners(1).map(({ version }) => version);
+    state.learnRunners(0, [record('')], 'peer');
+    expect(versions()).toEqual(['']);
+    state.learnRunners(0, [record('v1')], 'store');
+    state.learnRunners(0, [record('')], 'peer');
+    expect(versions()).toEqual(['v1']);
+    expect(state.versions.versionsOf(1, 's')).toContain('v1');
+  });
+
   /*
    * The runners' leases expired during an outage of the store; they register again
    * within two seconds of its end. If they were dropped at once, every request of
--- a/test/router/softwareversions.test.ts
+++ b/test/router/softwareversions.test.ts
@@ -1,5 +1,6 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
+import { waitUntil } from '../fakes/cluster';
 import { RouterCluster } from '../fakes/routers';
 import type { StreamAttempt } from '../fakes/streamcaller';
 import { StreamCaller } from '../fakes/streamcaller';
@@ -159,6 +160,32 @@
     30_000,
   );
 
+  // Guards against VMs that all start anew and take the only version that is left for the only one there was.
+  test('is rejected after all VMs have restarted, also if one version is left', async () => {
+    await start(['v1', 'v2']);
+    const callers = callersOf('restarted', VMS);
+    await Promise.all(askAll(callers, 0, FIRST_EVENTS));
+    await waitUntil('the versions are saved', async () => {
+      const saved = routers.store.textOf('goldcrestdock/versions') ?? '';
+      return saved.includes('v1') && saved.includes('v2');
+    });
+    routers.runnersOf('decode').forEach(({ version, id }) => {
+      if (version === 'v1') routers.store.remove(`servers/${id}`);
+    });
+    await routers.restart();
+    const ended = await Promise.all(askAll(callers, 0));
+    expect(ended.map(({ status }) => status)).toEqual(Array(VMS).fill(503));
+  }, 30_000);
+
+  test('goes on after all VMs have restarted where all runners have one version', async () => {
+    await start(['v1']);
+    const callers = callersOf('restarted', VMS);
+    await Promise.all(askAll(callers, 0, FIRST_EVENTS));
+    await routers.restart();
+    expect(wholeOf(await Promise.all(askAll(callers, 0)))).toBe(VMS);
+    expect(holdingsOf(callers)).toEqual(UNMIXED);
+  }, 30_000);
+
   // Guards against rejections where there is nothing to mix.
   test('goes on whatever its caller names where all runners have one version', async () => {
     await start(['v1']);
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -13,7 +13,14 @@
   streamRoute,
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
-import { directPaths, openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import {
+  directPaths,
+  openStateOf,
+  runsOf,
+  unlimitedPermits,
+  unlimitedQuotas,
+  unrecordedOrigins,
+} from '../fakes/runs';
 
 const resumable: Route = { ...streamRoute, attempts: 2, resumable: true };
 
@@ -49,6 +56,7 @@
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => true,
   } as unknown as ModelContext;
   await new ModelHandler(context).run(exchange, streamEngine);
--- a/test/router/unreached.test.ts
+++ b/test/router/unreached.test.ts
@@ -8,7 +8,14 @@
 import type { DecodeDispatch, Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { openStateOf, pathsOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
+import {
+  openStateOf,
+  pathsOf,
+  runsOf,
+  unlimitedPermits,
+  unlimitedQuotas,
+  unrecordedOrigins,
+} from '../fakes/runs';
 
 type Paths = Readonly<Partial<Record<'a' | 'b' | 'd1' | 'd2', Path>>>;
 
@@ -31,6 +38,7 @@
     runs: runsOf(),
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => true,
     domain: 'a',
   } as unknown as PlainContext;
@@ -65,6 +73,7 @@
     runs: runsOf(),
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    origins: unrecordedOrigins,
     takeRetry: () => true,
   } as unknown as ModelContext;
   const out: string[] = [];
