Check that the answer to a resumed request follows the event that its caller named

A caller that takes a stream up again names the last event that it has, and the answer was passed on whatever it began with: a runner that begins anew, or repeats that event, gave it events twice.

The stream of such a request begins with the caller's last event, so that its first run is checked as one that continues a stream. A run that does not follow is abandoned for another one within the route's attempts.

Failed before: test/router/streams.test.ts, four cases of a stream that its caller takes up again. After, the file passes.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -25,7 +25,10 @@
 
 /** One stream, assembled from consecutive runs. */
 export class AnswerStream {
-  readonly #order = new EventOrder();
+  readonly #order: EventOrder;
+
+  /** Whether the caller has the beginning of the stream from another answer. */
+  readonly #isResumed: boolean;
 
   #splitter = new EventSplitter();
 
@@ -48,6 +51,12 @@
 
   #fault: StreamFault | undefined;
 
+  /** @param afterEvent id of the last event that the caller has from another answer; undefined if it has none */
+  constructor(afterEvent?: string) {
+    this.#order = new EventOrder(afterEvent);
+    this.#isResumed = afterEvent !== undefined;
+  }
+
   /** Whole events with data so far. */
   get events(): number {
     return this.#events;
@@ -123,7 +132,7 @@
   }
 
   get #isContinuation(): boolean {
-    return this.#eventsBefore > 0;
+    return this.#isResumed || this.#eventsBefore > 0;
   }
 
   /** Whether this run has sent no event yet. */
--- a/src/core/stream/order.ts
+++ b/src/core/stream/order.ts
@@ -20,6 +20,11 @@
   /** Whether all ids so far are consecutive. */
   #isDense = true;
 
+  /** @param after id of the event that the first one follows; undefined if it is the first of all */
+  constructor(after?: string) {
+    this.#last = after;
+  }
+
   /** The last id; undefined if there is none. */
   get last(): string | undefined {
     return this.#last;
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -73,7 +73,7 @@
 
   /** Serves a request to its end; failures become the response. */
   async run(exchange: Exchange, engine: Engine): Promise<void> {
-    const progress = newProgress();
+    const progress = newProgress(exchange);
     try {
       let hasNext = true;
       while (hasNext && !exchange.signal.aborted) {
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -29,9 +29,9 @@
 }
 
 /** State of a request before its first attempt. */
-export function newProgress(): Progress {
+export function newProgress({ continues }: Exchange): Progress {
   return {
-    stream: new AnswerStream(),
+    stream: new AnswerStream(continues?.afterEvent),
     sentTo: new Set(),
     avoid: [],
     prefills: 0,
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -193,6 +193,37 @@
   });
 });
 
+describe('a stream that its caller takes up again', () => {
+  /** What a caller receives that has the events up to the second one. */
+  async function restOf(replies: readonly Reply[], attempts = 2): Promise<readonly string[]> {
+    const out: string[] = [];
+    const continues = { stream: 'q0', afterEvent: '2' };
+    const route = { ...resumable, attempts };
+    await sendTo(replies, exchangeInto(out, { ...promptRequest, continues }, route));
+    return out;
+  }
+
+  test('goes on after the event that its caller named', async () => {
+    expect(await restOf([replyOf(200, eventsOf(3, 4))])).toEqual(['200', eventsOf(3, 4)]);
+    expect(await restOf([replyOf(200, '')])).toEqual(['200']);
+  });
+
+  // Guards against events that the caller has already, or parts of them.
+  test.each([
+    ['begins anew', eventsOf(1, 4)],
+    ['repeats the last event', eventsOf(2, 4)],
+    ['has events without ids', 'data: token 1\n\n'],
+    ['has a body without events', '{"error":"no session"}'],
+  ])('goes on at another runner if a run %s, or fails', async (_, body) => {
+    const outs = await Promise.all([
+      restOf([replyOf(200, body), replyOf(200, eventsOf(3, 4))]),
+      restOf([replyOf(200, body)], 1),
+    ]);
+    expect(outs.map(([status]) => status)).toEqual(['200', '502']);
+    expect(outs[0]?.slice(1)).toEqual([eventsOf(3, 4)]);
+  });
+});
+
 describe('a response that ends with its connection', () => {
   // Guards against a truncated event at the end of a stream that looks complete.
   test('is incomplete when it ends within an event', async () => {
