Continue streams of plain services at the version that began them as well

A service without an engine may serve a streaming route, too. Its answers are passed on whole, but a caller may have a part when its VM is killed, and take it up at another one, where any runner was chosen.

The balancer chooses among the runners that may continue the stream; where there is none, the request is rejected at once as versionGone. The version is recorded before the answer is sent.

--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -5,7 +5,7 @@
 
 import { Failure } from '../../core/failure';
 import { contentIdOf } from '../../core/fingerprint';
-import type { Route } from '../../core/routing/types';
+import type { Route, Runner } from '../../core/routing/types';
 import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
 import { QuotaCharge } from './charge';
@@ -110,6 +110,12 @@
     return this.route.kind === 'stream' ? this.request.continues : undefined;
   }
 
+  /** Records that events of a runner are about to be sent; the first ones fix the stream's version. */
+  sendsEventsOf({ version }: Pick<Runner, 'version'>): void {
+    this.version ??= version;
+    this.versions.add(version);
+  }
+
   /** Fixes what continues the stream. */
   pin({ service, version }: StreamOrigin): void {
     this.#service = service;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -62,13 +62,22 @@
       metrics: context.metrics,
       log: logOf(context.log, 'runner'),
     });
-    const shared = { routingState, paths, runners, runs: this.#runs, quotas, permits, takeRetry };
+    const shared = {
+      routingState,
+      paths,
+      runners,
+      runs: this.#runs,
+      quotas,
+      permits,
+      origins,
+      takeRetry,
+    };
     this.#plain = new PlainHandler({
       ...shared,
       health: (service) => this.#health.get(service),
       domain: settings().domain,
     });
-    this.#model = new ModelHandler({ ...shared, reservations: places, origins });
+    this.#model = new ModelHandler({ ...shared, reservations: places });
   }
 
   /** Serves one request to its end. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -25,7 +25,7 @@
 import { Relay } from './relay';
 import type { Runs } from './runs';
 import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
-import { unreachedFailure } from './unreached';
+import { unreachedFailure, versionGoneFailure } from './unreached';
 
 /** Dependencies of the model request handler. */
 export interface ModelContext {
@@ -46,9 +46,6 @@
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
 const MAX_PREFILLS = 3;
 
-/** Retry delay for callers whose stream no runner can continue, in milliseconds: one that crashed may restart. */
-const VERSION_RETRY_MS = 1000;
-
 /** Decode runners to which a prefilled request is moved after others that it did not reach. */
 const MAX_MOVES = 2;
 
@@ -396,13 +393,6 @@
   return outcome === 'unreachable' || outcome === 'unavailable';
 }
 
-/** The failure of a request whose stream no runner of its software version can continue. */
-function versionGoneFailure(service: string, version: string): Failure {
-  return new Failure('versionGone', `${service} has no decode runner of version ${version}`, {
-    retryAfterMs: VERSION_RETRY_MS,
-  });
-}
-
 function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
   return runners.find((runner) => runner.id === id);
 }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -7,6 +7,7 @@
 import type { Exchange } from './exchange';
 import type { BalancerContext } from './plainbalancer';
 import { PlainBalancer } from './plainbalancer';
+import type { OriginController } from './origins';
 import type { QuotaController } from './quotas';
 import type { Run, Runs } from './runs';
 import type { Reply, RunnerClient } from './types';
@@ -16,6 +17,7 @@
   readonly runners: RunnerClient;
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
+  readonly origins: Pick<OriginController, 'began'>;
   /** Takes one retry from the service's retry budget; false if the budget is exhausted. */
   readonly takeRetry: (now: number, service: string) => boolean;
 }
@@ -30,6 +32,7 @@
 
 /** A complete response of a runner. */
 interface Answer {
+  readonly runner: Runner;
   readonly reply: Reply;
   readonly body: Buffer;
 }
@@ -73,8 +76,8 @@
           route.kind === 'repeatable' &&
           sentCount + 1 < route.attempts;
         exchange.trail.push(`${runner.id} ${reply.status}${viaText(reply)}`);
-        if (!shouldRetry || !this.#balancer.hasAlternative(performance.now(), service, tried)) {
-          forwardAnswer(exchange, answer);
+        if (!shouldRetry || !this.#balancer.hasAlternative(performance.now(), exchange, tried)) {
+          this.#forward(exchange, answer);
           return;
         }
         failedAnswer = answer;
@@ -90,7 +93,7 @@
       }
     }
     // No other runner accepted the request: the caller gets the last error response.
-    if (failedAnswer && lastFailure.code.notRun) forwardAnswer(exchange, failedAnswer);
+    if (failedAnswer && lastFailure.code.notRun) this.#forward(exchange, failedAnswer);
     else {
       const retryAfterMs = this.#balancer.retryAfterMs(performance.now(), service);
       const failure = callerFailure(exchange, mayHaveRun, lastFailure, retryAfterMs);
@@ -98,6 +101,15 @@
     }
   }
 
+  #forward(exchange: Exchange, { runner, reply, body }: Answer): void {
+    if (reply.isEvents) {
+      exchange.sendsEventsOf(runner);
+      this.#context.origins.began(performance.now(), exchange);
+    }
+    exchange.writeHead(reply.status, withLength(reply.headers, body.length));
+    exchange.end(body);
+  }
+
   /** Chooses a runner; one that takes no requests any more when it is chosen, after a wait, does not count. */
   async #choose(
     exchange: Exchange,
@@ -150,11 +162,6 @@
   return codeName === 'runnerUnreachable' || codeName === 'runnerUnavailable';
 }
 
-function forwardAnswer(exchange: Exchange, { reply, body }: Answer): void {
-  exchange.writeHead(reply.status, withLength(reply.headers, body.length));
-  exchange.end(body);
-}
-
 /** Adds the length, which is known as the response is complete, if the runner did not state it. */
 function withLength(headers: readonly string[], length: number): readonly string[] {
   const names = headers.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
@@ -208,5 +215,5 @@
   if (!reply.genuine || !reply.body.complete) {
     throw new Failure('runnerFailed', `${runner.id}: found an invalid response`);
   }
-  return { reply, body };
+  return { runner, reply, body };
 }
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -5,11 +5,12 @@
 import type { RunnerHealth } from '../../core/cell/health';
 import { Failure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
+import { mayContinue } from '../../core/routing/types';
 import type { Exchange } from './exchange';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
 import type { RunnerPaths } from './types';
-import { unreachedFailure } from './unreached';
+import { unreachedFailure, versionGoneFailure } from './unreached';
 
 /** Dependencies of the balancer. */
 export interface BalancerContext {
@@ -58,8 +59,8 @@
   }
 
   /** Whether there is an untried runner that may receive a request, by the state of this VM. */
-  hasAlternative(now: number, service: string, tried: readonly string[]): boolean {
-    return this.#candidates(now, service, tried).some((runner) => this.#mayTake(now, runner));
+  hasAlternative(now: number, exchange: Exchange, tried: readonly string[]): boolean {
+    return this.#candidates(now, exchange, tried).some((runner) => this.#mayTake(now, runner));
   }
 
   /**
@@ -72,8 +73,8 @@
     tried: readonly string[],
   ): Promise<Runner | Failure | undefined> {
     const { permits } = this.#context;
-    const candidates = this.#candidates(now, exchange.service, tried);
-    if (candidates.length === 0) return this.#closedFailure(now, exchange.service);
+    const candidates = this.#candidates(now, exchange, tried);
+    if (candidates.length === 0) return this.#closedFailure(now, exchange);
     const trial = candidates.find(({ id }) => permits.isTrialDue(now, id));
     if (trial && (await permits.askTrial(exchange.service, trial.id))) return trial;
     const best = this.#cheapest(candidates);
@@ -85,16 +86,23 @@
   }
 
   /**
-   * Untried runners that accept requests of this VM, are reached by it and are not ejected; if every one of them is
-   * ejected, or has been sent the first request after a pause, all of them.
+   * Untried runners that accept requests of this VM, may continue the stream if there is one, are reached and are not
+   * ejected; if every one of them is ejected, or has been sent the first request after a pause, all of them.
    */
-  #candidates(now: number, service: string, tried: readonly string[]): readonly Runner[] {
+  #candidates(
+    now: number,
+    { service, version }: Exchange,
+    tried: readonly string[],
+  ): readonly Runner[] {
     const { routingState, paths, health } = this.#context;
     const { backoffs } = routingState;
     const records = health(service);
     const all = routingState.runnersOf(now, service);
     records.setPoolSize(all.length);
-    const untried = all.filter((runner) => paths.reaches(runner) && !tried.includes(runner.id));
+    const untried = all.filter(
+      (runner) =>
+        mayContinue(runner, version) && paths.reaches(runner) && !tried.includes(runner.id),
+    );
     const open = untried.filter(({ id }) => backoffs.remainingMs(now, id) === 0);
     const allowed = open.filter(
       ({ id }) => records.allows(now, id) && !backoffs.isProbing(now, id),
@@ -102,15 +110,19 @@
     return allowed.length > 0 ? allowed : open;
   }
 
-  /** The failure if all runners asked this VM for a pause, or none is reached; undefined otherwise. */
-  #closedFailure(now: number, service: string): Failure | undefined {
+  /** The failure if no runner may continue the stream, all asked this VM for a pause, or none is reached; undefined otherwise. */
+  #closedFailure(now: number, { service, version }: Exchange): Failure | undefined {
     const { routingState, paths } = this.#context;
+    const runners = routingState.runnersOf(now, service);
+    if (version !== undefined && !runners.some((runner) => mayContinue(runner, version))) {
+      return versionGoneFailure(service, version);
+    }
     const retryAfterMs = this.retryAfterMs(now, service);
     if (retryAfterMs !== undefined) {
       const detail = `all runners of ${service} asked for a pause`;
       return new Failure('runnersBackingOff', detail, { retryAfterMs });
     }
-    return unreachedFailure(service, routingState.runnersOf(now, service), paths);
+    return unreachedFailure(service, runners, paths);
   }
 
   /** When callers are to come back if all runners asked this VM for a pause, in milliseconds; undefined if some did not. */
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -100,9 +100,7 @@
   /** Events of the response arrived. */
   answered(now: number): void {
     this.#answeredAt ??= now;
-    const { version } = this.#runner;
-    this.#exchange.version ??= version;
-    this.#exchange.versions.add(version);
+    this.#exchange.sendsEventsOf(this.#runner);
   }
 
   /** The response is complete, whatever its status: the runner did not crash. */
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -3,7 +3,9 @@
 import type { CodeName } from '../../src/core/codes';
 import type { PlainContext } from '../../src/node/router/plain';
 import { PlainHandler } from '../../src/node/router/plain';
-import { exchangeInto, promptRequest, streamRoute } from '../fakes/exchange';
+import type { Exchange } from '../../src/node/router/exchange';
+import type { Dispatch } from '../../src/node/router/types';
+import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
 import { directPaths, openStateOf, runsOf, unlimitedPermits, unlimitedQuotas } from '../fakes/runs';
 
@@ -48,3 +50,61 @@
     expect(await callOf(...failures)).toEqual(['503', 'runnerUnreachable']);
   });
 });
+
+/** Serves a stream by runners of two versions; returns where it was sent, what was recorded and what the caller gets. */
+async function streamOf(version: string | undefined): Promise<Readonly<Record<string, unknown>>> {
+  const out: string[] = [];
+  const exchange = exchangeInto(out, promptRequest, { ...streamRoute, resumable: true });
+  if (version !== undefined) exchange.pin({ service: 's', version });
+  const health = new RunnerHealth();
+  const sent: string[] = [];
+  const recorded: string[] = [];
+  const context = {
+    routingState: openStateOf([
+      runnerOf('a', 'plain', { version: 'v1' }),
+      runnerOf('b', 'plain', { version: 'v2' }),
+    ]),
+    runners: {
+      send: async ({ runner }: Dispatch) => {
+        sent.push(runner.version);
+        return replyOf(200, 'id: 1\ndata: x\n\n');
+      },
+    },
+    health: () => health,
+    runs: runsOf(),
+    paths: directPaths,
+    quotas: unlimitedQuotas,
+    permits: unlimitedPermits,
+    origins: {
+      began: (_now: number, { version: began }: Exchange) => {
+        recorded.push(`${began}, ${out.length} parts sent`);
+      },
+    },
+    takeRetry: () => true,
+    domain: 'a',
+  } as unknown as PlainContext;
+  await new PlainHandler(context).run(exchange);
+  return { sent, recorded, status: out[0], code: exchange.code };
+}
+
+describe('a stream of a plain service', () => {
+  // Guards against callers that hold events of two versions of a service without an engine.
+  test('goes on at a runner of the version that began it', async () => {
+    const streams = await Promise.all(Array.from({ length: 8 }, () => streamOf('v2')));
+    expect(new Set(streams.flatMap(({ sent }) => sent))).toEqual(new Set(['v2']));
+  });
+
+  test('is rejected, not run, if there is no such runner', async () => {
+    expect(await streamOf('v3')).toEqual({
+      sent: [],
+      recorded: [],
+      status: '503',
+      code: 'versionGone',
+    });
+  });
+
+  test('has its version recorded before its first event is sent', async () => {
+    const { sent, recorded } = await streamOf(undefined);
+    expect(recorded).toEqual([`${(sent as readonly string[])[0]}, 0 parts sent`]);
+  });
+});
