Release runners of other versions in the soak, with callers that take streams up again

The soak had runners of one version, and callers that left a stream for good. Every dozen seconds some model runners are replaced by ones of another version; events name the version of their runner, and callers take streams up again at any VM. Two promises are judged from the bytes that callers hold: 'version' and 'resume'.

--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -6,8 +6,9 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { call } from '../../test/fakes/http';
+import { HeldStream } from './heldstream';
 import type { RequestKind, SentRequest } from './requests';
-import { digestOf, eventOf, plainAnswer, signatureOf } from './requests';
+import { digestOf, plainAnswer, signatureOf } from './requests';
 
 /** How an attempt ended for its caller: `broken` means a truncated answer or none, `left` that the caller disconnected. */
 export type Outcome = 'served' | 'refused' | 'failed' | 'broken' | 'left';
@@ -23,6 +24,10 @@
   readonly retryAfterMs: number | undefined;
   /** What is wrong with an answer that looks complete; undefined if nothing is. */
   readonly integrityError: string | undefined;
+  /** Number of events that it brought. */
+  readonly newEvents: number;
+  /** Software versions whose events the caller holds of the stream. */
+  readonly versions: readonly string[];
 }
 
 /** Receives what callers observe. */
@@ -63,7 +68,15 @@
 const SLOW_LOOKUP_RATIO = 0.3;
 /** Fraction of attempts whose caller may disconnect before the answer is complete. */
 const DISCONNECT_RATIO = 0.06;
+/** Time within which it does so. */
+const MAX_DISCONNECT_MS = 1000;
+/** The same for streams that may be resumed, most of which are taken up again. */
+const RESUMABLE_DISCONNECT_RATIO = 0.25;
 const MAX_ATTEMPTS = 2;
+/** Attempts of a caller that takes its stream up again. */
+const MAX_STREAM_ATTEMPTS = 4;
+/** Fraction of callers that disconnected from a stream and take it up again. */
+const RETURN_RATIO = 0.8;
 /** Time beyond its deadline for which a caller waits for an answer. */
 const ANSWER_GRACE_MS = 2000;
 const kinds: readonly RequestKind[] = ['repeatable', 'once', 'stream', 'resumable'];
@@ -110,23 +123,38 @@
     const path = `${routePrefixes[kind]}${randomUUID().slice(0, 6)}`;
     const body = `events=${events} ${randomUUID()}`;
     const credentials = keys.drawKey();
-    for (let attempts = 0; attempts < MAX_ATTEMPTS; attempts += 1) {
-      const sent: SentRequest = { id: randomUUID(), kind, path, body, events, ...credentials };
-      const { outcome, retryAfterMs } = await this.#attempt(sent);
+    const held = new HeldStream();
+    const maxAttempts = kind === 'resumable' ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
+    for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
+      const resumes = kind === 'resumable' ? held.resumption : undefined;
+      const id = randomUUID();
+      const sent: SentRequest = { id, kind, path, body, events, resumes, ...credentials };
+      const { outcome, retryAfterMs } = await this.#attempt(sent, held);
+      const isBroken = outcome === 'broken' || (outcome === 'left' && random() < RETURN_RATIO);
+      const mayResume = kind === 'resumable' && isBroken && held.count > 0;
       const mayRetry = kind === 'repeatable' || outcome === 'refused';
-      if (outcome === 'served' || outcome === 'left' || !mayRetry) return;
+      const isEnded = outcome === 'served' || outcome === 'left' || !mayRetry;
+      if (isEnded && !mayResume) return;
       await pause(retryAfterMs ?? 50);
     }
   }
 
-  async #attempt(sent: SentRequest): Promise<CallerAnswer> {
+  async #attempt(sent: SentRequest, held: HeldStream): Promise<CallerAnswer> {
     const { observer, random } = this.#context;
     const address = await this.#pickAddress();
     observer.sent(sent, address);
-    const disconnectMs = random() < DISCONNECT_RATIO ? random() * 600 : undefined;
+    const ratio = sent.kind === 'resumable' ? RESUMABLE_DISCONNECT_RATIO : DISCONNECT_RATIO;
+    const disconnectMs = random() < ratio ? random() * MAX_DISCONNECT_MS : undefined;
     const began = performance.now();
-    const answer = await exchange(this.#agent, address, sent, disconnectMs);
-    const timed = { ...answer, ms: performance.now() - began };
+    const heldBefore = held.count;
+    held.beginAttempt();
+    const answer = await exchange(this.#agent, address, sent, held, disconnectMs);
+    const timed = {
+      ...answer,
+      ms: performance.now() - began,
+      newEvents: held.count - heldBefore,
+      versions: held.versions,
+    };
     if (timed.outcome === 'left') observer.disconnected(sent);
     observer.answered(sent, address, timed);
     return timed;
@@ -157,13 +185,16 @@
     'request-id': sent.id,
     'request-deadline-ms': String(DEADLINE_MS[sent.kind]),
     ...(sent.key === undefined ? {} : { authorization: `Bearer ${sent.key}` }),
+    ...(sent.resumes
+      ? { resumes: sent.resumes.stream, 'last-event-id': String(sent.resumes.afterEvent) }
+      : {}),
     ...(sent.events === 0
       ? {}
       : { 'token-usage': `400,${sent.events * 7}`, 'prompt-prefix': `${sent.body.slice(-8)}:400` }),
   };
 }
 
-type ExchangeResult = Omit<CallerAnswer, 'ms'>;
+type ExchangeResult = Omit<CallerAnswer, 'ms' | 'newEvents' | 'versions'>;
 
 const brokenResult: ExchangeResult = {
   outcome: 'broken',
@@ -177,6 +208,7 @@
   agent: Agent,
   address: string,
   sent: SentRequest,
+  held: HeldStream,
   disconnectMs: number | undefined,
 ): Promise<ExchangeResult> {
   const [host = '', port = ''] = address.split(':');
@@ -192,7 +224,7 @@
       clearTimeout(timer);
       resolve(result);
     };
-    req.on('response', (res) => collect(sent, res, end));
+    req.on('response', (res) => collect(sent, held, res, end));
     req.on('error', () => end(brokenResult));
     req.end(sent.body);
   });
@@ -200,12 +232,17 @@
 
 function collect(
   sent: SentRequest,
+  held: HeldStream,
   res: IncomingMessage,
   end: (result: ExchangeResult) => void,
 ): void {
   const chunks: Buffer[] = [];
   const status = res.statusCode ?? 0;
-  res.on('data', (chunk: Buffer) => chunks.push(chunk));
+  const isStream = sent.events > 0 && status === 200;
+  res.on('data', (chunk: Buffer) => {
+    if (isStream) held.receive(sent, chunk);
+    else chunks.push(chunk);
+  });
   res.on('error', () => end({ ...brokenResult, status }));
   res.on('end', () => {
     const text = Buffer.concat(chunks).toString();
@@ -215,7 +252,9 @@
         ...brokenResult,
         outcome: 'served',
         status,
-        integrityError: integrityErrorOf(sent, res, text),
+        integrityError: isStream
+          ? streamErrorOf(sent, held, res)
+          : integrityErrorOf(sent, res, text),
       });
     } else {
       const seconds = Number(res.headers['retry-after']);
@@ -226,21 +265,26 @@
   });
 }
 
-/** What is wrong with a successful answer; undefined if nothing is. */
+/** What is wrong with a successful answer that is no stream; undefined if nothing is. */
 function integrityErrorOf(
   sent: SentRequest,
   res: IncomingMessage,
   text: string,
 ): string | undefined {
   if (res.headers['request-id'] !== sent.id) return 'the request id does not match';
-  const digest = digestOf(sent.path, sent.body);
-  if (sent.events === 0) {
-    if (res.headers['server-signature'] !== signatureOf(text)) return 'the signature is wrong';
-    return text === plainAnswer(sent.id, digest)
-      ? undefined
-      : 'the body belongs to another request';
-  }
-  const expected = Array.from({ length: sent.events }, (_, i) => eventOf(i + 1, digest)).join('');
-  if (text === expected) return undefined;
-  return `the stream ended without an error, but differs: found ${text.length} bytes, expected ${expected.length}`;
+  if (res.headers['server-signature'] !== signatureOf(text)) return 'the signature is wrong';
+  const expected = plainAnswer(sent.id, digestOf(sent.path, sent.body));
+  return text === expected ? undefined : 'the body belongs to another request';
+}
+
+/** What is wrong with a stream that looks complete; undefined if nothing is. */
+function streamErrorOf(
+  sent: SentRequest,
+  held: HeldStream,
+  res: IncomingMessage,
+): string | undefined {
+  if (res.headers['request-id'] !== sent.id) return 'the request id does not match';
+  if (held.error !== undefined) return held.error;
+  const isWhole = held.count === sent.events && !held.isTorn;
+  return isWhole ? undefined : `the stream ended without an error after event ${held.count}`;
 }
--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -108,6 +108,11 @@
     return Date.now() - Math.max(...ends);
   }
 
+  /** Whether a fault acts on one of some targets. */
+  isBusy(targets: readonly string[]): boolean {
+    return targets.some((target) => this.#busyTargets.has(target));
+  }
+
   /** Names of all kinds of faults. */
   get kinds(): readonly string[] {
     return Object.keys(this.#kinds());
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -13,6 +13,7 @@
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
 import type { Arrival, Order, RunnerObserver } from './runner';
+import { VersionChecker } from './versions';
 
 /** A violated guarantee. */
 export interface Breach {
@@ -28,6 +29,10 @@
   readonly faultFreeMs: (...families: readonly FaultFamily[]) => number;
   /** When the configuration that revoked a key was acknowledged; undefined while the key is valid. */
   readonly revokedAt: (key: string) => number | undefined;
+  /** Whether the VM at an address is undisturbed, and has been for a while. */
+  readonly isInTouch: (vm: string) => boolean;
+  /** Number of decode runners of a software version that serve. */
+  readonly runnersOf: (version: string) => number;
   /** Request rate and burst allowed to a customer; undefined if it has no quota. */
   readonly quotaOf: (
     customer: string,
@@ -98,6 +103,8 @@
 
   readonly #reach = new ReachChecker();
 
+  readonly #versions = new VersionChecker();
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -134,6 +141,7 @@
     const quietMs = this.#context.faultFreeMs('vm', 'runner', 'store');
     if (record && quietMs >= MIN_FAULT_FREE_MS) this.#reach.answered(record.sentAt, vm, answer);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
+    this.#checkVersions(request, vm, answer);
     if (outcome === 'served' && record && record.runs === 0) {
       this.#report('whole', `${request.id} at ${vm}: success for a request that never ran`);
     }
@@ -246,6 +254,25 @@
     this.#context.onBreach({ promise, detail });
   }
 
+  /** Streams that callers took up again, and how many of them went on. */
+  get streamCounts(): Readonly<Record<string, number>> {
+    return this.#versions.counts;
+  }
+
+  /** Checks what can only be told at the end of the run. */
+  finish(): void {
+    const { finding } = this.#versions;
+    if (finding !== undefined) this.#report('resume', finding);
+  }
+
+  #checkVersions(request: SentRequest, vm: string, answer: CallerAnswer): void {
+    if (request.kind !== 'resumable') return;
+    const { isInTouch, runnersOf } = this.#context;
+    const runners = request.resumes ? runnersOf(request.resumes.version) : 0;
+    const finding = this.#versions.answered(request, answer, isInTouch(vm), runners);
+    if (finding !== undefined) this.#report('version', `${finding} at ${vm}`);
+  }
+
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
     this.peakUsage[promise] = Math.max(
       this.peakUsage[promise] ?? 0,
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -50,6 +50,7 @@
     seed,
     ...totals,
     faults: soak.faultCounts,
+    streams: soak.streamCounts,
     used: soak.peakUsage,
     breaches: breaches.length,
     ...logs,
--- a/scripts/soak/maintenance.ts
+++ b/scripts/soak/maintenance.ts
@@ -1,4 +1,4 @@
-/** Planned changes of runners, independent of faults: runners drain and restart, announce a rate limit, or reject everything for a limited time. */
+/** Planned changes of runners, independent of faults: runners drain and restart, announce a rate limit, reject everything for a limited time, or are replaced by runners of another software version. */
 
 import { setTimeout as pause } from 'node:timers/promises';
 
@@ -29,6 +29,16 @@
 /** Fraction of draining runners whose store entry says nothing of it. */
 const UNLISTED_RATIO = 0.5;
 
+/** Mean time between two releases of another software version. */
+const RELEASE_INTERVAL_MS = 12_000;
+/** Mean time between the replacement of two runners in a release. */
+const RELEASE_STEP_MS = 700;
+/** Smallest fraction of the runners that a release replaces. */
+const MIN_RELEASE_RATIO = 0.3;
+
+/** Software version of all runners at the start of a run. */
+export const FIRST_VERSION = 'v1';
+
 /** Applies planned changes to random runners. */
 export class Maintenance {
   readonly #context: MaintenanceContext;
@@ -41,6 +51,10 @@
 
   /** Applies changes until `until` (epoch milliseconds), and waits for those in progress. */
   async run(until: number): Promise<void> {
+    await Promise.all([this.#changeRunners(until), this.#releaseVersions(until)]);
+  }
+
+  async #changeRunners(until: number): Promise<void> {
     const { random, pool } = this.#context;
     const work: Promise<void>[] = [];
     while (Date.now() < until) {
@@ -54,6 +68,37 @@
     await Promise.all(work);
   }
 
+  async #releaseVersions(until: number): Promise<void> {
+    const { random, pool } = this.#context;
+    for (let release = 2; Date.now() < until; release += 1) {
+      await pause(RELEASE_INTERVAL_MS * (0.5 + random()));
+      const ratio = MIN_RELEASE_RATIO + random() * (1 - MIN_RELEASE_RATIO);
+      const replaced = pool.members.filter(
+        ({ runner }) => runner.role !== 'plain' && random() < ratio,
+      );
+      const work: Promise<void>[] = [];
+      for (const member of replaced.filter((one) => !this.#busyRunners.has(one))) {
+        await pause(RELEASE_STEP_MS * (0.5 + random()));
+        work.push(this.#replace(member, `v${release}`));
+      }
+      await Promise.all(work);
+    }
+  }
+
+  /** Starts a runner of another version, then drains and ends the old one. */
+  async #replace(member: PooledRunner, version: string): Promise<void> {
+    const { pool, onDraining } = this.#context;
+    const { runnerId, role } = member.runner;
+    this.#busyRunners.add(member);
+    await pool.add(role, version);
+    pool.drain(member, true);
+    onDraining(runnerId, true);
+    await pause(DRAIN_MS);
+    await pool.remove(member);
+    onDraining(runnerId, false);
+    this.#busyRunners.delete(member);
+  }
+
   #change(member: PooledRunner, until: number): Promise<void> {
     const kind = this.#context.random();
     if (kind < 0.4) return this.#restart(member);
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -174,6 +174,7 @@
       events: 0,
       customer: valid?.customer,
       key: valid?.key,
+      resumes: undefined,
     };
     this.#context.onSent(sent, vm.frontAddress);
     const headers = {
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -36,6 +36,9 @@
 
   readonly #domains: readonly string[];
 
+  /** Number of runners started so far. */
+  #count = 0;
+
   constructor(
     store: FakeStore,
     context: Pick<RunnerContext, 'observer' | 'random'>,
@@ -58,11 +61,12 @@
   }
 
   /** Starts a runner behind a proxy and writes its store entry. */
-  async add(role: RunnerRole): Promise<void> {
-    const number = this.members.length + 1;
+  async add(role: RunnerRole, version: string): Promise<void> {
+    this.#count += 1;
+    const number = this.#count;
     const domain = this.#domains[number % this.#domains.length] ?? '';
     const service = role === 'plain' ? services.plain : services.model;
-    const runner = new SoakRunner(role, service, domain, this.#context);
+    const runner = new SoakRunner(role, service, domain, version, this.#context);
     const host = `${this.#networkPrefix}.2.${number}`;
     const proxyHost = `${this.#networkPrefix}.3.${number}`;
     const member = {
@@ -103,6 +107,14 @@
     this.publish(runner);
   }
 
+  /** Ends a runner for good and removes its store entry. */
+  async remove(member: PooledRunner): Promise<void> {
+    this.members.splice(this.members.indexOf(member), 1);
+    this.#store.remove(`servers/${member.runner.runnerId}`);
+    await member.runner.crash();
+    member.proxy.stop();
+  }
+
   /** Writes the store entry of a runner; does nothing while it is down. */
   publish(runner: SoakRunner): void {
     const member = this.members.find((one) => one.runner === runner);
--- a/scripts/soak/requests.ts
+++ b/scripts/soak/requests.ts
@@ -16,6 +16,18 @@
   readonly customer: string | undefined;
   /** The customer's API key. */
   readonly key: string | undefined;
+  /** The stream that it continues; undefined for a new request. */
+  readonly resumes: ResumedStream | undefined;
+}
+
+/** A stream that a caller takes up again. */
+export interface ResumedStream {
+  /** Id of the request that brought its first event. */
+  readonly stream: string;
+  /** Number of the last event that the caller has. */
+  readonly afterEvent: number;
+  /** Software version of the runner that made the first event. */
+  readonly version: string;
 }
 
 /** Digest of the path and the body of a request. */
@@ -33,9 +45,18 @@
   return createHash('sha1').update(text).digest('base64url');
 }
 
-/** One event of a streaming answer; numbers start at 1. */
-export function eventOf(number: number, digest: string): string {
-  return `id: ${number}\ndata: ${digest} ${number}\n\n`;
+/** One event of a streaming answer, which names the software version of its runner; numbers start at 1. */
+export function eventOf(number: number, digest: string, version: string): string {
+  return `id: ${number}\ndata: ${digest} ${number} ${version}\n\n`;
+}
+
+/** The number, the digest and the software version of a whole event; undefined if it has another form. */
+export function partsOf(
+  event: string,
+): { readonly number: number; readonly digest: string; readonly version: string } | undefined {
+  const [, id, digest = '', number, version = ''] =
+    /^id: (\d+)\ndata: (\S+) (\d+) (\S+)$/.exec(event) ?? [];
+  return id !== undefined && id === number ? { number: Number(id), digest, version } : undefined;
 }
 
 /** Number of events that a request's body asks for; 0 if it names none. */
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -176,6 +176,9 @@
 
   readonly domain: string;
 
+  /** Version of its software, which its events name. */
+  readonly version: string;
+
   behaviour: RunnerBehaviour = healthyBehaviour;
 
   /** Rate limit that it announces in its answers, in requests per second; undefined if it announces none. */
@@ -215,10 +218,17 @@
 
   #plainRunCount = 0;
 
-  constructor(role: RunnerRole, service: string, domain: string, context: RunnerContext) {
+  constructor(
+    role: RunnerRole,
+    service: string,
+    domain: string,
+    version: string,
+    context: RunnerContext,
+  ) {
     this.#role = role;
     this.service = service;
     this.domain = domain;
+    this.version = version;
     this.#context = context;
     this.#observer = context.observer;
     this.#random = context.random;
@@ -244,7 +254,7 @@
       service: this.service,
       address,
       zone: this.domain,
-      version: 'v1',
+      version: this.version,
       slots: this.#role === 'plain' ? runnerProfile.plainSlots : runnerProfile.slots,
       state: this.isDraining ? 'draining' : 'ready',
       'cold-remaining-ms': 0,
@@ -466,10 +476,10 @@
     for (let event = after + 1; event <= events && !signal.aborted; event += 1) {
       await this.#work(runnerProfile.eventMs, signal);
       if (event >= cutsAt) {
-        answer.cut(eventOf(event, digest).slice(0, 5));
+        answer.cut(eventOf(event, digest, this.version).slice(0, 5));
         return;
       }
-      answer.event(eventOf(event, digest));
+      answer.event(eventOf(event, digest, this.version));
     }
     if (signal.aborted) answer.cut();
     else answer.end();
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -12,7 +12,7 @@
 import { FaultInjector } from './faults';
 import { Mesh } from './mesh';
 import { Operator } from './operator';
-import { Maintenance } from './maintenance';
+import { FIRST_VERSION, Maintenance } from './maintenance';
 import { RunnerPool } from './pool';
 import type { Breach } from './guarantees';
 import { GuaranteeChecker } from './guarantees';
@@ -37,6 +37,8 @@
 /** Time within which all VMs must become ready after the start. */
 const STARTUP_TIMEOUT_MS = 30_000;
 const SECOND_MS = 1000;
+/** Time since its start after which a VM is in touch. */
+const IN_TOUCH_MS = 3000;
 /** Time within which all VMs must be ready again after the last fault. */
 const RECOVERY_TIMEOUT_MS = 15_000;
 
@@ -89,6 +91,11 @@
       faultFreeMs: (...families) => this.#faults.faultFreeMs(...families),
       revokedAt: (key) => this.#operator.revokedAt(key),
       quotaOf: (customer) => this.#operator.quotaOf(customer),
+      isInTouch: (address) => this.#isInTouch(address),
+      runnersOf: (version) =>
+        this.#pool
+          .membersUp('decode')
+          .filter(({ runner }) => runner.version === version && !runner.isLeaving).length,
     });
     const observer = this.#guarantees;
     this.#pool = new RunnerPool(
@@ -118,6 +125,11 @@
     return this.#faults.counts;
   }
 
+  /** Streams that callers took up again, and how many of them went on. */
+  get streamCounts(): Readonly<Record<string, number>> {
+    return this.#guarantees.streamCounts;
+  }
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   get peakUsage(): Readonly<Record<string, number>> {
     return this.#guarantees.peakUsage;
@@ -142,12 +154,21 @@
         ...this.#callers(until),
       ]);
       await this.#checkRecovery();
+      this.#guarantees.finish();
       clearInterval(recording);
     } finally {
       await this.#stop();
     }
   }
 
+  #isInTouch(address: string): boolean {
+    const vm = this.#vms.find(({ frontAddress }) => frontAddress === address);
+    const targets = ['store', vm?.options.name ?? ''];
+    return (
+      vm !== undefined && !vm.isPaused && vm.upForMs > IN_TOUCH_MS && !this.#faults.isBusy(targets)
+    );
+  }
+
   #callers(until: number): readonly Promise<void>[] {
     const { seed, ratePerS } = this.#options;
     const guarantees = this.#guarantees;
@@ -174,10 +195,12 @@
     this.#store.era = '0';
     await this.#store.start();
     this.#operator.writeNext();
-    for (let i = 0; i < Math.ceil(runners / 3); i += 1) await this.#pool.add('prefill');
+    for (let i = 0; i < Math.ceil(runners / 3); i += 1) {
+      await this.#pool.add('prefill', FIRST_VERSION);
+    }
     for (let i = 0; i < runners; i += 1) {
-      await this.#pool.add('decode');
-      await this.#pool.add('plain');
+      await this.#pool.add('decode', FIRST_VERSION);
+      await this.#pool.add('plain', FIRST_VERSION);
     }
     for (let i = 1; i <= vms; i += 1) this.#vms.push(this.#createVm(i));
     await this.#mesh.start(this.#store.address);
--- a/scripts/soak/vm.ts
+++ b/scripts/soak/vm.ts
@@ -109,6 +109,11 @@
     return this.#process !== undefined;
   }
 
+  /** Time since its process was started, in milliseconds; 0 if it is not up. */
+  get upForMs(): number {
+    return this.isUp ? Date.now() - this.#startedAt : 0;
+  }
+
   /** Starts its process with the real clock; does nothing if it is up. */
   start(): void {
     if (this.#process) return;
