Continue a stream only at the service that began it

The origin names its service already, but with one version of each nothing is recorded at other VMs, and the only version of the drawn service was inferred.

While a route leads to several services, or has led to others within the time in which callers come back, its streams are told, and nothing is inferred. When a configuration moves a route, the streams that began before are told at once.

Failed before: test/router/origins.test.ts, the two cases about services: 's v1' and 'other v1' for one stream. After, the file passes, 20 tests.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -348,6 +348,7 @@
         this.#describe();
         this.#warmLinks();
         this.#controllers.quotas.refresh(performance.now());
+        this.#controllers.origins.configChanged(performance.now());
       })
       .with({ kind: 'runners' }, () => {
         this.#runners.abortLost();
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -13,8 +13,10 @@
 import type { Member } from '../../core/membership/types';
 import { isPresent } from '../../core/membership/types';
 import { groupOf, holdersOf, HOLDERS } from '../../core/versions/holders';
+import type { Route } from '../../core/routing/types';
 import type { OriginView } from '../../core/versions/lookup';
 import { inferredOrigin, recordedOrigin } from '../../core/versions/lookup';
+import { RouteChanges } from '../../core/versions/routechanges';
 import { StreamOrigins, streamKey } from '../../core/versions/origins';
 import type { OriginRecord, StreamOrigin } from '../../core/versions/types';
 import { bootNow } from '../../utils/clock';
@@ -78,6 +80,8 @@
 
   readonly #origins = new StreamOrigins();
 
+  readonly #routes = new RouteChanges();
+
   /** Services of which other VMs are told the streams. */
   readonly #shared = new Set<string>();
 
@@ -112,6 +116,14 @@
     for (const { name } of services) this.#updateShared(now, name);
   }
 
+  /** Must be called when the configuration has changed: routes may lead to other services now. */
+  configChanged(now: number): void {
+    const routes = this.#context.routingState.table?.config.routes ?? [];
+    for (const service of this.#routes.apply(now, routes)) {
+      this.#share(this.#origins.takeUnshared(service));
+    }
+  }
+
   /** Number of streams whose origin is known here, for operators. */
   get size(): number {
     return this.#origins.size;
@@ -122,7 +134,7 @@
     const id = continues ? continues.stream : request.id;
     if (!route.resumable || id === undefined || version === undefined) return;
     const record = { key: streamKey(request.customer, id), service, version };
-    const isShared = this.#context.routingState.versions.isAmbiguous(now, service);
+    const isShared = this.#isAmbiguous(now, route, service);
     this.#origins.record(now, record, isShared);
     if (isShared) this.#share([record]);
   }
@@ -137,7 +149,7 @@
     const startedAt = performance.now();
     const { stream } = continues;
     const key = stream === undefined ? '' : streamKey(request.customer, stream);
-    const lookup = await this.#lookUp(startedAt, service, key);
+    const lookup = await this.#lookUp(startedAt, route, { key, service });
     const { origin } = lookup;
     const now = performance.now();
     this.#logLookup(now, exchange, lookup, now - startedAt);
@@ -177,12 +189,12 @@
 
   /**
    * Looks here, then at the VMs that keep the origin, then at others that may have kept it before
-   * the members changed.
-   * @param key empty if the caller names no stream
+   * the members changed. The key is empty if the caller names no stream.
    */
-  async #lookUp(now: number, service: string, key: string): Promise<Lookup> {
-    const query = { key, service };
-    const candidates = this.#holdersOf(key);
+  async #lookUp(now: number, route: Route, query: Query): Promise<Lookup> {
+    const candidates = this.#holdersOf(query.key);
+    const { retentionMs } = this.#context.routingState.versions;
+    const isOneService = !this.#routes.isAmbiguous(now, route, retentionMs);
     const views = [this.#viewOf(now, query)];
     let asked = 0;
     for (const vms of [[], candidates.slice(0, HOLDERS), candidates.slice(HOLDERS)]) {
@@ -191,7 +203,7 @@
       const answered = views.length - 1;
       const recorded = recordedOrigin(views);
       if (recorded) return { origin: recorded, source: 'recorded', asked, answered };
-      const inferred = inferredOrigin(service, views);
+      const inferred = isOneService ? inferredOrigin(query.service, views) : undefined;
       if (inferred && this.#isInContact(answered, candidates.length)) {
         return { origin: inferred, source: 'only version', asked, answered };
       }
@@ -238,6 +250,15 @@
     return answered > 0 && (isMajority || isCurrent);
   }
 
+  /** Whether a stream may be taken for one of another version or service. */
+  #isAmbiguous(now: number, route: Route, service: string): boolean {
+    const { versions } = this.#context.routingState;
+    return (
+      versions.isAmbiguous(now, service) ||
+      this.#routes.isAmbiguous(now, route, versions.retentionMs)
+    );
+  }
+
   #updateShared(now: number, service: string): void {
     const { log, routingState } = this.#context;
     const versions = routingState.versions.versionsOf(now, service);
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -88,6 +88,7 @@
   out: string[],
   call: CallRequest = promptRequest,
   route: Route = streamRoute,
+  service = 's',
 ): Exchange {
   const events = new EventEmitter();
   const res = Object.assign(events, {
@@ -113,5 +114,5 @@
   });
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
   const now = performance.now();
-  return new Exchange(now, call, route, 's', 1, res as unknown as ServerResponse, codec);
+  return new Exchange(now, call, route, service, 1, res as unknown as ServerResponse, codec);
 }
--- a/test/fakes/originfleet.ts
+++ b/test/fakes/originfleet.ts
@@ -7,7 +7,7 @@
 import type { Member } from '../../src/core/membership/types';
 import { Freshness } from '../../src/core/routing/freshness';
 import { RouteTable } from '../../src/core/routing/table';
-import type { Route } from '../../src/core/routing/types';
+import type { Route, RoutingConfig } from '../../src/core/routing/types';
 import { VersionHistory } from '../../src/core/versions/history';
 import type { Exchange } from '../../src/node/router/exchange';
 import { RouterMetrics } from '../../src/node/router/metrics';
@@ -19,12 +19,12 @@
 /** A route whose streams may be resumed. */
 export const resumableRoute: Route = { ...streamRoute, resumable: true };
 
-const config = {
+const configOf = (route: Route): RoutingConfig => ({
   version: 1,
-  routes: [resumableRoute],
-  services: [{ name: 's', connections: 1, engine: streamEngine }],
+  routes: [route],
+  services: ['s', 'other'].map((name) => ({ name, connections: 1, engine: streamEngine })),
   limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-};
+});
 
 /** What happens to a call to a VM: `down` fails at once, `silent` is not answered. */
 export type Reachability = 'up' | 'down' | 'silent';
@@ -43,11 +43,14 @@
 
   #streams = 0;
 
+  #route = resumableRoute;
+
   /** Number of calls between VMs. */
   calls = 0;
 
   constructor(size: number) {
     for (let index = 0; index < size; index += 1) this.#start(index);
+    for (const { controller } of this.#vms.values()) controller.configChanged(performance.now());
   }
 
   /** Names of the VMs. */
@@ -60,12 +63,21 @@
     const now = performance.now();
     for (const vm of names.map((name) => this.#of(name))) {
       for (const version of versions) {
-        vm.versions.changed(now, undefined, runnerOf(`d-${version}`, 'decode', { version }));
+        for (const service of ['s', 'other']) {
+          vm.versions.changed(now, undefined, runnerOf('d', 'decode', { version, service }));
+        }
       }
       vm.controller.runnersChanged(now);
     }
   }
 
+  /** Has the route of all streams lead to other services by weight. */
+  lead(weights: Readonly<Record<string, number>>): void {
+    const targets = Object.entries(weights).map(([service, weight]) => ({ service, weight }));
+    this.#route = { ...resumableRoute, targets };
+    for (const { controller } of this.#vms.values()) controller.configChanged(performance.now());
+  }
+
   /** Sets how calls to VMs end; those that are down are not members any more if `isKnown`. */
   reach(names: readonly string[], reachability: Reachability, isKnown = false): void {
     for (const name of names) {
@@ -93,21 +105,22 @@
   begin(name: string, version: string): string {
     this.#streams += 1;
     const id = `stream-${this.#streams}`;
-    const exchange = exchangeInto([], { ...promptRequest, id }, resumableRoute);
+    const exchange = exchangeInto([], { ...promptRequest, id }, this.#route);
     exchange.version = version;
     this.#of(name).controller.began(performance.now(), exchange);
     exchange.end();
     return id;
   }
 
-  /** The version by which a VM continues a stream; undefined if it refuses to. */
+  /** The service and the version by which a VM continues a stream; undefined if it refuses to. */
   async resume(name: string, stream: string | undefined): Promise<string | undefined> {
     const continues = { stream, afterEvent: '7' };
     const request = { ...promptRequest, id: `again-${stream}`, continues };
-    const exchange: Exchange = exchangeInto([], request, resumableRoute);
+    const service = this.#route.targets[0]?.service;
+    const exchange: Exchange = exchangeInto([], request, this.#route, service);
     const refusal = await this.#of(name).controller.pin(exchange);
     exchange.end();
-    return refusal ? undefined : exchange.version;
+    return refusal ? undefined : `${exchange.service} ${exchange.version}`;
   }
 
   stop(): void {
@@ -143,11 +156,14 @@
 
   #controllerOf(name: string, versions: VersionHistory): OriginController {
     const vms = this.#vms;
+    const routeOf = (): Route => this.#route;
     return new OriginController({
       vm: name,
       routingState: {
         versions,
-        table: new RouteTable(config),
+        get table() {
+          return new RouteTable(configOf(routeOf()));
+        },
         get freshness() {
           return vms.get(name)?.freshness ?? new Freshness();
         },
--- a/test/router/origins.test.ts
+++ b/test/router/origins.test.ts
@@ -27,7 +27,7 @@
     const streams = fleet.names.map((name, i) => fleet.begin(name, i % 2 === 0 ? 'v1' : 'v2'));
     await pause(5);
     const found = await Promise.all(streams.map((stream) => resumedAt(stream)));
-    expect(found.flat()).toEqual(['v1', 'v2', 'v1', 'v2', 'v1', 'v2', 'v1']);
+    expect(found.flat()).toEqual(['s v1', 's v2', 's v1', 's v2', 's v1', 's v2', 's v1']);
   });
 
   // Guards against messages that each stream costs although there is nothing to tell apart.
@@ -36,7 +36,7 @@
     const stream = fleet.begin('vm0', 'v1');
     await pause(5);
     expect(fleet.calls).toBe(0);
-    expect(await resumedAt(stream, ['vm0'])).toEqual(['v1']);
+    expect(await resumedAt(stream, ['vm0'])).toEqual(['s v1']);
   });
 
   // Guards against streams that began just before a release and are unknown after it.
@@ -46,7 +46,7 @@
     fleet.serve(['v2']);
     await pause(5);
     fleet.reach(['vm0'], 'down', true);
-    expect(await resumedAt(stream, ['vm0'])).toEqual(['v1']);
+    expect(await resumedAt(stream, ['vm0'])).toEqual(['s v1']);
   });
 
   test('go on after their VM and one that kept them were killed, before and after that is known', async () => {
@@ -56,11 +56,11 @@
     for (const isKnown of [false, true]) {
       fleet.reach(['vm0', 'vm1'], 'down', isKnown);
       const found = streams.map((stream) => resumedAt(stream, ['vm0', 'vm1']));
-      expect((await Promise.all(found)).flat()).toEqual(streams.map(() => 'v2'));
+      expect((await Promise.all(found)).flat()).toEqual(streams.map(() => 's v2'));
     }
     ['vm0', 'vm1'].forEach((name) => fleet.restart(name));
     const again = await Promise.all(streams.map((stream) => resumedAt(stream)));
-    expect(again.flat()).toEqual(streams.map(() => 'v2'));
+    expect(again.flat()).toEqual(streams.map(() => 's v2'));
   });
 
   test('go on while VMs that kept them are silent', async () => {
@@ -68,7 +68,7 @@
     const stream = fleet.begin('vm0', 'v2');
     await pause(5);
     fleet.reach(['vm1', 'vm2'], 'silent');
-    expect(await resumedAt(stream, ['vm1', 'vm2'])).toEqual(['v2']);
+    expect(await resumedAt(stream, ['vm1', 'vm2'])).toEqual(['s v2']);
   });
 
   test.each([['never-was'], [undefined]])(
@@ -93,17 +93,38 @@
     const other = fleet.begin('vm1', 'v1');
     fleet.reach(['vm0'], 'silent');
     expect(await fleet.resume('vm0', other)).toBeUndefined();
-    expect(await fleet.resume('vm0', own)).toBe('v1');
+    expect(await fleet.resume('vm0', own)).toBe('s v1');
   });
 
   test('are refused in a minority that is cut off with the store, and go on in one that reads it', async () => {
     fleet.serve(['v1']);
     fleet.reach(fleet.names.slice(3), 'down', true);
-    expect(await fleet.resume('vm0', 'other')).toBe('v1');
+    expect(await fleet.resume('vm0', 'other')).toBe('s v1');
     fleet.losesStore(['vm0']);
     expect(await fleet.resume('vm0', 'other')).toBeUndefined();
   });
 
+  // Guards against a stream of one service that goes on at another one.
+  test('go on at the service that began them while their route leads to two, and are refused if it is not known', async () => {
+    fleet.serve(['v1']);
+    const before = fleet.begin('vm0', 'v1');
+    fleet.lead({ s: 1, other: 1 });
+    const stream = fleet.begin('vm0', 'v1');
+    await pause(5);
+    expect(await resumedAt(before)).toEqual(['s v1']);
+    expect(await resumedAt(stream)).toEqual(['s v1']);
+    expect(await resumedAt('never-was')).toEqual([undefined]);
+  });
+
+  test('are refused once their route leads to another service', async () => {
+    fleet.serve(['v1']);
+    const stream = fleet.begin('vm0', 'v1');
+    fleet.lead({ other: 1 });
+    await pause(5);
+    expect(await resumedAt(stream)).toEqual([undefined]);
+    expect(await resumedAt('never-was')).toEqual([undefined]);
+  });
+
   // Guards against a wrong version under any order of releases, kills and resumes.
   test.each([1, 2, 3, 4, 5, 6, 7, 8])(
     'never go on at another version, and mostly go on: seed %i',
@@ -125,7 +146,7 @@
           // Callers come back to the latest streams.
           const { stream, version } = pick(begun.slice(-30));
           const found = await fleet.resume(pick(up), stream);
-          if (found === version) counts.right += 1;
+          if (found === `s ${version}`) counts.right += 1;
           else if (found === undefined) counts.refused += 1;
           else counts.wrong += 1;
         } else if (kind < 0.95 && down.size < VMS / 2 - 1) {
