Do not take a runner that restarted under its id for the version that it had

A VM that has not yet heard of the restart takes the new instance for the old one: requests name the runner by its listed id, which both have. It would continue a stream at another version, or record the old version for a stream that the new one begins. Found by reading; the platform's pages give each start an id of its own, but entries with a start time come from runners that keep theirs.

Before a stream is continued at a runner whose entry has a start time, its report is asked for the start time of the instance. When an entry's version changes, the streams that this VM saw begin there in the last 10 s count as unknown, here and at the VMs that were told.

Failed before: test/router/streams.test.ts, 'a runner that has restarted under its id' (d2 continued the stream); the other new cases test what is new.

--- a/src/core/versions/history.ts
+++ b/src/core/versions/history.ts
@@ -28,6 +28,9 @@
 export class VersionHistory {
   readonly #services = new Map<string, Map<string, Presence>>();
 
+  /** Listings whose runners restarted with another version. */
+  readonly #restarted = new Set<string>();
+
   /** Since when all runners have been known; infinite before the first one is. */
   #completeSince = Infinity;
 
@@ -47,6 +50,7 @@
   /** Records that the listed state of a runner has changed; undefined if it is not listed. */
   changed(now: number, before: Runner | undefined, after: Runner | undefined): void {
     this.#completeSince = Math.min(this.#completeSince, now);
+    if (before && after && before.version !== after.version) this.#restarted.add(after.listing);
     if (beginsStreams(before)) {
       const presence = this.#presenceOf(before.service, before.version);
       presence.runners -= 1;
@@ -55,6 +59,13 @@
     if (beginsStreams(after)) this.#presenceOf(after.service, after.version).runners += 1;
   }
 
+  /** The listings whose runners restarted with another version since the last call. */
+  takeRestarted(): readonly string[] {
+    const listings = [...this.#restarted];
+    this.#restarted.clear();
+    return listings;
+  }
+
   /** Versions that served a service lately. */
   versionsOf(now: number, service: string): readonly string[] {
     const versions = this.#services.get(service);
--- a/src/core/versions/origins.ts
+++ b/src/core/versions/origins.ts
@@ -21,10 +21,12 @@
 }
 
 interface Entry {
-  readonly origin: KnownOrigin;
+  origin: KnownOrigin;
   readonly recordedAt: number;
   /** Whether other VMs were told. */
   isShared: boolean;
+  /** Listing of the runner whose events this VM passed on; undefined for a stream of another VM. */
+  readonly listing: string | undefined;
 }
 
 function isSame(one: KnownOrigin, other: StreamOrigin): boolean {
@@ -47,8 +49,17 @@
     return this.#entries.size;
   }
 
-  /** Records the origin of a stream, or that it goes on there; another origin than the known one makes it conflicting. */
-  record(now: number, { key, service, version }: OriginRecord, isShared: boolean): void {
+  /**
+   * Records the origin of a stream, or that it goes on there; another origin than the known one makes
+   * it conflicting.
+   * @param listing listing of the runner whose events this VM passes on. Default: another VM does
+   */
+  record(
+    now: number,
+    { key, service, version }: OriginRecord,
+    isShared: boolean,
+    listing?: string,
+  ): void {
     const known = this.#entries.get(key);
     const origin = { service, version };
     const isConflicting = known !== undefined && !isSame(known.origin, origin);
@@ -57,6 +68,7 @@
       origin: isConflicting ? 'conflicting' : origin,
       recordedAt: now,
       isShared: isShared || known?.isShared === true,
+      listing,
     });
     const [oldest] = this.#entries.keys();
     if (this.#entries.size > this.#maxStreams && oldest !== undefined) this.#entries.delete(oldest);
@@ -80,6 +92,23 @@
     return taken;
   }
 
+  /**
+   * Makes the origins of streams conflicting of which this VM passed on events of a runner since a
+   * time.
+   * @returns the keys of these streams and their service
+   */
+  distrust(listing: string, since: number): readonly Omit<OriginRecord, 'version'>[] {
+    const distrusted: Omit<OriginRecord, 'version'>[] = [];
+    for (const [key, entry] of this.#entries) {
+      const { origin, recordedAt } = entry;
+      if (entry.listing === listing && recordedAt >= since && origin !== 'conflicting') {
+        entry.origin = 'conflicting';
+        distrusted.push({ key, service: origin.service });
+      }
+    }
+    return distrusted;
+  }
+
   /** Forgets streams that were last recorded before a time. */
   expire(before: number): void {
     for (const [key, { recordedAt }] of this.#entries) {
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -71,6 +71,9 @@
   /** Software versions of the runners whose events the response contains, for the log. */
   readonly versions = new Set<string>();
 
+  /** Listing of the runner whose events were sent last; undefined before the first. */
+  listing: string | undefined;
+
   /** Steps of the request, for the log. */
   readonly trail: string[] = [];
 
@@ -111,8 +114,9 @@
   }
 
   /** Records that events of a runner are about to be sent; the first ones fix the stream's version. */
-  sendsEventsOf({ version }: Pick<Runner, 'version'>): void {
+  sendsEventsOf({ version, listing }: Pick<Runner, 'version' | 'listing'>): void {
     this.version ??= version;
+    this.listing = listing;
     this.versions.add(version);
   }
 
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -36,7 +36,7 @@
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly permits: Pick<PermitController, 'isLimited'>;
-  readonly origins: Pick<OriginController, 'began'>;
+  readonly origins: Pick<OriginController, 'began' | 'recheck'>;
   /** Takes one retry from the service's retry budget; false if the budget is exhausted. */
   readonly takeRetry: (now: number, service: string) => boolean;
 }
@@ -88,8 +88,9 @@
 
   /** Makes one attempt under one reservation. Returns whether another attempt should follow. */
   async #attempt(exchange: Exchange, engine: Engine, progress: Progress): Promise<boolean> {
-    const { reservations, quotas } = this.#context;
+    const { reservations, quotas, origins } = this.#context;
     const { service, signal } = exchange;
+    if (progress.stream.events > 0) origins.recheck(exchange);
     const startedAt = performance.now();
     const overQuota = await quotas.cover(exchange);
     if (overQuota) throw overQuota;
@@ -286,6 +287,9 @@
       if (cache) this.#freeCache(cache);
       throw refused;
     }
+    if (exchange.version !== undefined && !(await this.#isSameInstance(runner))) {
+      return 'unavailable';
+    }
     progress.sentTo.add(runner.id);
     let answer = await this.#send(exchange, progress, runner, cache);
     if (answer === 'rejected' && cache && !routingState.accepts(performance.now(), runner)) {
@@ -315,6 +319,19 @@
     return relay.forward(answer);
   }
 
+  /**
+   * Whether a runner is still the instance that is known. One that has restarted under the same id
+   * takes requests that are meant for its earlier instance, and may have another software version.
+   */
+  async #isSameInstance(runner: Runner): Promise<boolean> {
+    // Without a start time, each instance has an id of its own.
+    if (runner.bornAt === 0) return true;
+    const { runners, routingState } = this.#context;
+    const report = await runners.report(runner).catch(() => undefined);
+    if (report) routingState.learnStart(runner.listing, report.bornAt);
+    return report?.runner === runner.id;
+  }
+
   async #send(
     exchange: Exchange,
     progress: Progress,
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -45,6 +45,10 @@
 const RETRY_MS = 1000;
 /** Age of the last confirmation that this VM knows what the store holds up to which it is in contact with the fleet, in milliseconds. */
 const MAX_AGE_MS = 4000;
+/** Time that a VM may take to learn that a runner has restarted, in milliseconds. */
+const STALE_MS = 10_000;
+/** Version of a stream whose runner may have been another instance than was thought; no runner has it. */
+const UNKNOWN_VERSION = '';
 /** Period of the check for old records and for services that have several versions now, in milliseconds. */
 const CHECK_MS = 1000;
 /** Log lines per second about streams that callers take up, since anybody can name one. */
@@ -74,6 +78,12 @@
   readonly answered: number;
 }
 
+/** The key of the stream of a request; empty if the request continues one that it does not name. */
+function keyOf({ request, continues }: Exchange): string {
+  const id = continues ? continues.stream : request.id;
+  return id === undefined ? '' : streamKey(request.customer, id);
+}
+
 /** Origins of streams at one VM. */
 export class OriginController {
   readonly #context: OriginContext;
@@ -112,7 +122,9 @@
 
   /** Must be called when runners have changed: streams that began with the only version until now have to be told. */
   runnersChanged(now: number): void {
-    const services = this.#context.routingState.table?.config.services ?? [];
+    const { table, versions } = this.#context.routingState;
+    for (const listing of versions.takeRestarted()) this.#distrust(now, listing);
+    const services = table?.config.services ?? [];
     for (const { name } of services) this.#updateShared(now, name);
   }
 
@@ -130,26 +142,32 @@
   }
 
   /** Records the version of a stream of which events are about to be sent to the caller. */
-  began(now: number, { route, request, continues, service, version }: Exchange): void {
-    const id = continues ? continues.stream : request.id;
-    if (!route.resumable || id === undefined || version === undefined) return;
-    const record = { key: streamKey(request.customer, id), service, version };
+  began(now: number, exchange: Exchange): void {
+    const { route, service, version, listing } = exchange;
+    const key = keyOf(exchange);
+    if (!route.resumable || key === '' || version === undefined) return;
+    const record = { key, service, version };
     const isShared = this.#isAmbiguous(now, route, service);
-    this.#origins.record(now, record, isShared);
+    this.#origins.record(now, record, isShared, listing);
     if (isShared) this.#share([record]);
   }
 
+  /** Must be called before a stream is continued within its answer: its version may have turned out to be unknown. */
+  recheck(exchange: Exchange): void {
+    if (this.#origins.get(keyOf(exchange)) !== 'conflicting') return;
+    exchange.pin({ service: exchange.service, version: UNKNOWN_VERSION });
+  }
+
   /**
    * Fixes the software version that continues the stream of a request, if it continues one. Returns
    * the failure if the version is not known: any other one would write what does not fit.
    */
   async pin(exchange: Exchange): Promise<Failure | undefined> {
-    const { continues, service, route, request } = exchange;
+    const { continues, service, route } = exchange;
     if (!continues) return undefined;
     const startedAt = performance.now();
     const { stream } = continues;
-    const key = stream === undefined ? '' : streamKey(request.customer, stream);
-    const lookup = await this.#lookUp(startedAt, route, { key, service });
+    const lookup = await this.#lookUp(startedAt, route, { key: keyOf(exchange), service });
     const { origin } = lookup;
     const now = performance.now();
     this.#logLookup(now, exchange, lookup, now - startedAt);
@@ -250,6 +268,18 @@
     return answered > 0 && (isMajority || isCurrent);
   }
 
+  /** Until this VM learned of the restart, it took the new instance of a runner for the old one. */
+  #distrust(now: number, listing: string): void {
+    const streams = this.#origins.distrust(listing, now - STALE_MS);
+    if (streams.length === 0) return;
+    const { log } = this.#context;
+    log.info(
+      { runner: listing, streams: streams.length },
+      'A runner restarted with another version.',
+    );
+    this.#share(streams.map((stream) => ({ ...stream, version: UNKNOWN_VERSION })));
+  }
+
   /** Whether a stream may be taken for one of another version or service. */
   #isAmbiguous(now: number, route: Route, service: string): boolean {
     const { versions } = this.#context.routingState;
--- a/test/core/versions.test.ts
+++ b/test/core/versions.test.ts
@@ -48,6 +48,16 @@
     expect(history.versionsOf(2, 's')).toEqual(['v1', 'v2']);
   });
 
+  test('names each listing once whose runner has restarted with another version', () => {
+    const history = new VersionHistory();
+    history.changed(0, undefined, decode('v1'));
+    history.changed(1, decode('v1'), decode('v1', { bornAt: 1 }));
+    expect(history.takeRestarted()).toEqual([]);
+    history.changed(2, decode('v1'), decode('v2'));
+    expect(history.takeRestarted()).toEqual(['d']);
+    expect(history.takeRestarted()).toEqual([]);
+  });
+
   test('learns versions and completeness from another VM', () => {
     const known = new VersionHistory();
     known.changed(0, undefined, decode('v1'));
@@ -105,6 +115,17 @@
     expect(origins.takeUnshared('s')).toEqual([]);
   });
 
+  test('are conflicting after a runner restarted with another version, for its latest streams of this VM', () => {
+    const origins = new StreamOrigins();
+    origins.record(0, of('old'), true, 'r');
+    origins.record(5, of('new'), true, 'r');
+    origins.record(5, of('other'), true, 'r2');
+    origins.record(5, of('told'), true);
+    expect(origins.distrust('r', 5)).toEqual([{ key: 'new', service: 's' }]);
+    expect(origins.get('new')).toBe('conflicting');
+    expect(origins.distrust('r', 5)).toEqual([]);
+  });
+
   test('have keys that differ between customers and between requests', () => {
     const keys = [
       streamKey(undefined, 'q'),
--- a/test/fakes/originfleet.ts
+++ b/test/fakes/originfleet.ts
@@ -93,6 +93,16 @@
     for (const name of names) this.#of(name).freshness = new Freshness();
   }
 
+  /** Has all VMs learn that a runner restarted under its id with another version. */
+  restartRunner(listing: string, from: string, to: string): void {
+    const now = performance.now();
+    for (const { versions, controller } of this.#vms.values()) {
+      const before = runnerOf(listing, 'decode', { version: from });
+      versions.changed(now, before, { ...before, version: to });
+      controller.runnersChanged(now);
+    }
+  }
+
   /** Restarts a VM: it knows the versions, and no streams. */
   restart(name: string): void {
     const vm = this.#of(name);
@@ -101,12 +111,12 @@
     this.reach([name], 'up', true);
   }
 
-  /** Begins a stream at a VM; returns the id of its request. */
-  begin(name: string, version: string): string {
+  /** Begins a stream at a VM and a runner; returns the id of its request. */
+  begin(name: string, version: string, listing = 'd'): string {
     this.#streams += 1;
     const id = `stream-${this.#streams}`;
     const exchange = exchangeInto([], { ...promptRequest, id }, this.#route);
-    exchange.version = version;
+    exchange.sendsEventsOf({ version, listing });
     this.#of(name).controller.began(performance.now(), exchange);
     exchange.end();
     return id;
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -36,7 +36,10 @@
 }
 
 /** Origins of streams that are neither recorded nor told. */
-export const unrecordedOrigins: Pick<OriginController, 'began'> = { began: () => {} };
+export const unrecordedOrigins: Pick<OriginController, 'began' | 'recheck'> = {
+  began: () => {},
+  recheck: () => {},
+};
 
 /** Quotas that never refuse a request. */
 export const unlimitedQuotas: Pick<QuotaController, 'cover'> = { cover: async () => undefined };
--- a/test/router/origins.test.ts
+++ b/test/router/origins.test.ts
@@ -104,6 +104,18 @@
     expect(await fleet.resume('vm0', 'other')).toBeUndefined();
   });
 
+  // Guards against streams that a restarted runner began under its id before its VM learned of that.
+  test('are refused if their runner restarts with another version just after they began', async () => {
+    fleet.serve(['v1', 'v2']);
+    const stream = fleet.begin('vm0', 'v1', 'restarted');
+    const other = fleet.begin('vm0', 'v1', 'sound');
+    await pause(5);
+    fleet.restartRunner('restarted', 'v1', 'v2');
+    await pause(5);
+    expect(await resumedAt(stream)).toEqual([undefined]);
+    expect(await resumedAt(other)).toEqual(['s v1']);
+  });
+
   // Guards against a stream of one service that goes on at another one.
   test('go on at the service that began them while their route leads to two, and are refused if it is not known', async () => {
     fleet.serve(['v1']);
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -1,4 +1,4 @@
-import type { Route } from '../../src/core/routing/types';
+import type { Route, Runner } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelHandler } from '../../src/node/router/model';
@@ -36,11 +36,13 @@
   readonly sent: readonly string[];
 }
 
-/** Serves an exchange by decode runners that give these responses in order; returns what was sent to them. */
-async function sendTo(replies: readonly Reply[], exchange: Exchange): Promise<readonly string[]> {
-  const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
-  const sent: string[] = [];
-  const context = {
+/** A context whose decode runners give responses in order; `sent` gets what was sent to them. */
+function contextOf(
+  replies: readonly Reply[],
+  runners: readonly Runner[],
+  sent: string[],
+): ModelContext {
+  return {
     routingState: openStateOf(runners),
     runners: {
       decode: async ({ runner: { id }, afterEvent }: DecodeDispatch) => {
@@ -59,7 +61,13 @@
     origins: unrecordedOrigins,
     takeRetry: () => true,
   } as unknown as ModelContext;
-  await new ModelHandler(context).run(exchange, streamEngine);
+}
+
+/** Serves an exchange by decode runners that give these responses in order; returns what was sent to them. */
+async function sendTo(replies: readonly Reply[], exchange: Exchange): Promise<readonly string[]> {
+  const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
+  const sent: string[] = [];
+  await new ModelHandler(contextOf(replies, runners, sent)).run(exchange, streamEngine);
   return sent;
 }
 
@@ -127,6 +135,46 @@
   });
 });
 
+describe('a runner that has restarted under its id', () => {
+  // Guards against a stream that goes on at another version, which the VM takes for the one that its entry names.
+  test('does not continue a stream that it did not begin', async () => {
+    const out: string[] = [];
+    const runners = [1, 2, 3].map((born) => runner(`d${born}`, 'decode', { bornAt: born }));
+    const replies = [brokenReplyOf(200, eventsOf(1, 2)), replyOf(200, eventsOf(3, 4))];
+    const asked: string[] = [];
+    const context = {
+      ...contextOf(replies, runners, []),
+      reservations: {
+        reserve: async (_service: string, { avoid }: { readonly avoid: readonly string[] }) => ({
+          decode: runners.find(({ id }) => !avoid.includes(id))?.id,
+        }),
+        reportProgress: () => {},
+      },
+    };
+    const client = {
+      ...context.runners,
+      report: async ({ id }: Runner) => {
+        asked.push(id);
+        return { runner: id === 'd2' ? 'd2@9' : id, bornAt: 9 };
+      },
+    };
+    const routingState = { ...context.routingState, learnStart: () => {} };
+    const handler = new ModelHandler({
+      ...context,
+      runners: client,
+      routingState,
+    } as unknown as ModelContext);
+    await handler.run(
+      exchangeInto(out, promptRequest, { ...resumable, attempts: 3 }),
+      streamEngine,
+    );
+    expect({ out, asked }).toEqual({
+      out: ['200', eventsOf(1, 2), eventsOf(3, 4)],
+      asked: ['d2', 'd3'],
+    });
+  });
+});
+
 describe('a run that may not continue its stream', () => {
   const named = (id: string): string => `id: ${id}\ndata: token ${id}\n\n`;
 
