Log which VM knew a resumed stream, and bound what a version costs in messages

The line about a resumed request names the VM that knew which version began its stream, and for how long. Versions longer than 100 characters are replaced by their digest, since they are part of messages about each stream. The schemas of these messages have a file of their own. A test counts three messages to begin a stream and three to resume it at 7, 66 and 195 VMs.

--- a/src/core/versions/origins.ts
+++ b/src/core/versions/origins.ts
@@ -79,6 +79,12 @@
     return this.#entries.get(key)?.origin;
   }
 
+  /** Time since a stream was last recorded, in milliseconds; undefined if it is not known. */
+  ageMs(now: number, key: string): number | undefined {
+    const entry = this.#entries.get(key);
+    return entry && now - entry.recordedAt;
+  }
+
   /** Takes the origins of a service's streams that other VMs were not told, to tell them. */
   takeUnshared(service: string): readonly OriginRecord[] {
     const taken: OriginRecord[] = [];
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -7,8 +7,6 @@
  */
 
 import type { Logger } from 'pino';
-import { z } from 'zod';
-
 import { Failure, toFailure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
 import { isPresent } from '../../core/membership/types';
@@ -24,6 +22,8 @@
 import type { Metrics } from '../metrics';
 import type { Exchange } from './exchange';
 import type { RouterFleet } from './fleet';
+import type { OriginAnswer, OriginQuery } from './originwire';
+import { MAX_RECORDS, querySchema, recordsSchema, viewSchema } from './originwire';
 import type { RoutingState } from './routingstate';
 
 /** Dependencies of the origins of streams. */
@@ -39,8 +39,6 @@
 const ANSWER_TIMEOUT_MS = 150;
 /** VMs that are asked for one stream. */
 const MAX_ASKED = 16;
-/** Origins in one message. */
-const MAX_RECORDS = 500;
 /** Retry delay for callers whose stream cannot go on, in milliseconds: a VM that knows it may answer by then. */
 const RETRY_MS = 1000;
 /** Age of the last confirmation that this VM knows what the store holds up to which it is in contact with the fleet, in milliseconds. */
@@ -54,26 +52,20 @@
 /** Log lines per second about streams that callers take up, since anybody can name one. */
 const LINES_PER_S = 20;
 
-const text = z.string().max(200);
-const originSchema = z.object({ service: text, version: text });
-/** Tells which versions began streams. */
-const recordsSchema = z.object({
-  records: z.array(originSchema.extend({ key: text })).max(MAX_RECORDS),
-});
-/** Asks for the origin of a stream. */
-const querySchema = z.object({ key: text, service: text });
-const viewSchema = z.object({
-  origin: z.union([originSchema, z.literal('conflicting')]).optional(),
-  versions: z.array(text),
-  isComplete: z.boolean(),
-});
-
-type Query = Readonly<z.infer<typeof querySchema>>;
+/** The view of one VM. */
+interface SourcedView extends OriginView {
+  readonly vm: string;
+  /** Time since the VM last recorded the stream, in milliseconds; undefined if it does not know it. */
+  readonly agoMs: number | undefined;
+}
 
 /** The result of a lookup, and how it came about, for the log. */
 interface Lookup {
   readonly origin: StreamOrigin | undefined;
   readonly source: 'recorded' | 'only version' | 'none';
+  /** The VM that knew the stream, and for how long; undefined if none did. */
+  readonly vm?: string | undefined;
+  readonly agoMs?: number | undefined;
   readonly asked: number;
   readonly answered: number;
 }
@@ -192,14 +184,22 @@
   }
 
   /** Answers another VM what is known here. */
-  onAsked(now: number, params: unknown): OriginView {
-    return this.#viewOf(now, querySchema.parse(params));
+  onAsked(now: number, params: unknown): OriginAnswer {
+    const { origin, agoMs, versions, isComplete } = this.#viewOf(now, querySchema.parse(params));
+    return {
+      ...(origin === undefined ? {} : { origin, agoMs }),
+      versions: [...versions],
+      isComplete,
+    };
   }
 
-  #viewOf(now: number, { key, service }: Query): OriginView {
-    const { versions } = this.#context.routingState;
+  #viewOf(now: number, { key, service }: OriginQuery): SourcedView {
+    const { vm, routingState } = this.#context;
+    const { versions } = routingState;
     return {
+      vm,
       origin: this.#origins.get(key),
+      agoMs: this.#origins.ageMs(now, key),
       versions: versions.versionsOf(now, service),
       isComplete: versions.isComplete(now),
     };
@@ -209,7 +209,7 @@
    * Looks here, then at the VMs that keep the origin, then at others that may have kept it before
    * the members changed. The key is empty if the caller names no stream.
    */
-  async #lookUp(now: number, route: Route, query: Query): Promise<Lookup> {
+  async #lookUp(now: number, route: Route, query: OriginQuery): Promise<Lookup> {
     const candidates = this.#holdersOf(query.key);
     const { retentionMs } = this.#context.routingState.versions;
     const isOneService = !this.#routes.isAmbiguous(now, route, retentionMs);
@@ -220,7 +220,10 @@
       asked += vms.length;
       const answered = views.length - 1;
       const recorded = recordedOrigin(views);
-      if (recorded) return { origin: recorded, source: 'recorded', asked, answered };
+      if (recorded) {
+        const { vm, agoMs } = views.find(({ origin }) => origin !== undefined) ?? {};
+        return { origin: recorded, source: 'recorded', vm, agoMs, asked, answered };
+      }
       const inferred = isOneService ? inferredOrigin(query.service, views) : undefined;
       if (inferred && this.#isInContact(answered, candidates.length)) {
         return { origin: inferred, source: 'only version', asked, answered };
@@ -233,15 +236,15 @@
    * Asks VMs at the same time; resolves to the answers, as soon as one of them knows the stream or
    * all have answered or timed out.
    */
-  async #ask(vms: readonly Member[], query: Query): Promise<readonly OriginView[]> {
+  async #ask(vms: readonly Member[], query: OriginQuery): Promise<readonly SourcedView[]> {
     const { fleet, metrics, log } = this.#context;
-    const views: OriginView[] = [];
+    const views: SourcedView[] = [];
     await new Promise<void>((resolve) => {
       const calls = vms.map(async ({ vm, address }) => {
         try {
           const answer = await fleet.call(address, 'originOf', query, ANSWER_TIMEOUT_MS);
           const view = viewSchema.parse(answer);
-          views.push({ ...view, origin: view.origin });
+          views.push({ ...view, vm, origin: view.origin, agoMs: view.agoMs });
           if (view.origin !== undefined) resolve();
         } catch (error) {
           metrics.count('origins.unanswered');
@@ -346,8 +349,16 @@
   #logLookup(now: number, { request, continues }: Exchange, lookup: Lookup, ms: number): void {
     const { log, routingState } = this.#context;
     if (!this.#lines.tryAcquire(now)) return;
-    const { origin, ...how } = lookup;
-    const fields = { request: request.id, stream: continues?.stream, ...origin, ...how };
+    const { origin, agoMs, vm: from, ...how } = lookup;
+    const age = agoMs === undefined ? {} : { agoMs: Math.round(agoMs) };
+    const fields = {
+      request: request.id,
+      stream: continues?.stream,
+      ...origin,
+      ...how,
+      from,
+      ...age,
+    };
     const versions = routingState.versions.sightings(now);
     if (origin) log.info({ ...fields, ms: Math.round(ms) }, 'A caller took up a stream.');
     else {
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -7,6 +7,7 @@
 import { digestOfKey } from '../core/customers/keys';
 import type { Customer } from '../core/customers/types';
 import { Failure } from '../core/failure';
+import { contentIdOf } from '../core/fingerprint';
 import type { Suspect } from '../core/quarantine/types';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
 import { instanceId } from '../core/routing/types';
@@ -93,6 +94,9 @@
     .prefault({}),
 });
 
+/** Maximum length of a software version, in characters. */
+const MAX_VERSION_CHARS = 100;
+
 const MAX_PORT = 65_535;
 
 /** Whether a text has the form `IPV4:PORT`. */
@@ -220,6 +224,11 @@
   };
 }
 
+/** A long version is replaced by its digest, since it is part of messages about each stream. */
+function versionOf(version: string): string {
+  return version.length > MAX_VERSION_CHARS ? contentIdOf('version', version) : version;
+}
+
 /**
  * Decodes the entry of a runner; throws `factUnreadable`.
  * @param id the part of its key after `servers/`
@@ -235,7 +244,7 @@
     address: entry.address,
     domain: entry.zone,
     role,
-    version: entry.version,
+    version: versionOf(entry.version),
     slots: entry.slots,
     leaving: entry.state === 'draining',
   };
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -22,6 +22,14 @@
     expect(read({})).toEqual({ id: 'i-1', bornAt: 0, role: 'plain', leaving: false });
   });
 
+  test('names the software version, a long one by its digest', () => {
+    const versionOf = (version: string): string =>
+      decodeRunner('i-1', JSON.stringify(entryOf({ version }))).version;
+    expect(versionOf('v1.2')).toBe('v1.2');
+    expect(versionOf('a'.repeat(1000))).toHaveLength(16);
+    expect(versionOf('a'.repeat(1000))).not.toBe(versionOf('a'.repeat(1001)));
+  });
+
   /*
    * Guards against entries of another writer under the runners' prefix. Accepted as a
    * runner, such an entry would get requests of callers, or add memory that does not exist.
--- a/test/router/origins.test.ts
+++ b/test/router/origins.test.ts
@@ -39,6 +39,21 @@
     expect(await resumedAt(stream, ['vm0'])).toEqual(['s v1']);
   });
 
+  // Guards against a cost that grows with the fleet.
+  test.each([7, 66, 195])(
+    'cost three messages to begin and three to resume: %i VMs',
+    async (size) => {
+      const large = new OriginFleet(size);
+      large.serve(['v1', 'v2']);
+      const streams = Array.from({ length: 20 }, (_, index) => large.begin(`vm${index % 7}`, 'v1'));
+      await pause(5);
+      expect(large.calls).toBe(3 * streams.length);
+      for (const stream of streams) await large.resume('vm6', stream);
+      expect(large.calls).toBeLessThanOrEqual(6 * streams.length);
+      large.stop();
+    },
+  );
+
   // Guards against streams that began just before a release and are unknown after it.
   test('go on if they began while there was one version', async () => {
     fleet.serve(['v1']);
