Refuse at once a resumed request whose turn at its version does not come in time

The time until a runner of its version has memory was taken for each request alone. Many requests that resume streams of a version with few runners, as after the kill of a VM, all waited until their callers left, also those that stood behind more than these runners can take.

The requests of a version that come before it count as well.

Failed before: test/router/plannerversions.test.ts, 'if its turn does not come before its caller leaves': 0 of 60 refused, all waiting, at one runner that holds about ten. After, the planner's files pass.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -201,15 +201,21 @@
   }
 
   /**
-   * Time until a runner of the software version that a request needs has free memory for it, in
+   * Time until the runners of the software version that a request needs have free memory for it, in
    * milliseconds: 0 if it needs none, infinite if there is no such runner.
+   * @param size tokens of memory that the request takes
+   * @param tokensAhead the same for it and the requests of its version that come before it
    */
-  versionWaitMs(now: number, demand: Demand, size: number): number {
+  versionWaitMs(now: number, demand: Demand, size: number, tokensAhead: number): number {
     if (demand.version === undefined) return 0;
-    const waits = [...this.#decodeOf(demand).values()]
-      .filter(({ runner }) => !demand.avoid.includes(runner.id))
-      .map((state) => waitForTokensMs(now, this.#releasesOf(now, [state], size), size));
-    return Math.min(...waits);
+    const states = [...this.#decodeOf(demand).values()].filter(
+      ({ runner }) => !demand.avoid.includes(runner.id),
+    );
+    const waits = states.map((state) =>
+      waitForTokensMs(now, this.#releasesOf(now, [state], size), size),
+    );
+    const turnMs = waitForTokensMs(now, this.#releasesOf(now, states, size), tokensAhead);
+    return Math.max(turnMs, Math.min(...waits));
   }
 
   #mostFreeOf(
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -422,8 +422,8 @@
       ),
       releases: this.#capacity.releases(now, usualSizeTokens),
       accessOf: this.#capacity.accessOf(now),
-      versionWaitMs: (demand) =>
-        this.#capacity.versionWaitMs(now, demand, this.#stats.sizeOf(demand)),
+      versionWaitMs: (demand, tokensAhead) =>
+        this.#capacity.versionWaitMs(now, demand, this.#stats.sizeOf(demand), tokensAhead),
       prefillWaitMs: this.#capacity.prefillWaitMs(now),
     });
     for (const request of unservable) {
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -17,8 +17,11 @@
   readonly releases: readonly Release[];
   /** How far the decode runners are open to the VM of a request. */
   readonly accessOf: (demand: Demand) => VmAccess;
-  /** Time until a runner of the software version that a request needs can take it, in milliseconds. */
-  readonly versionWaitMs: (demand: Demand) => number;
+  /**
+   * Time until the runners of the software version that a request needs can take a number of tokens,
+   * its own included, in milliseconds.
+   */
+  readonly versionWaitMs: (demand: Demand, tokensAhead: number) => number;
   /** Time until a number of prompt tokens will have been prefilled, in milliseconds. */
   readonly prefillWaitMs: (tokens: number) => number;
 }
@@ -63,9 +66,12 @@
   const found: UnservableRequest[] = [];
   let tokensAhead = 0;
   let lateTokens = 0;
+  const aheadByVersion = new Map<string | undefined, number>();
   for (const demand of order) {
     const size = sizeOf(demand);
     tokensAhead += size;
+    const { version } = demand;
+    const versionTokens = (aheadByVersion.get(version) ?? 0) + size;
     const { openShare, openInMs } = accessOf(demand);
     // The runners that are open to the VM have a like share of the memory that all will have free.
     const memoryWaitMs =
@@ -75,8 +81,13 @@
     const lateMs = waitMs + (lateTokens + size) / spareTokensPerMs;
     const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - minFirstEventMs(demand);
     const likelyMs = demand.returned ? lateMs * lastAttemptFactor : lateMs;
-    const startInMs = Math.max(openInMs, versionWaitMs(demand), demand.resuming ? 0 : likelyMs);
+    const startInMs = Math.max(
+      openInMs,
+      versionWaitMs(demand, versionTokens),
+      demand.resuming ? 0 : likelyMs,
+    );
     const keepsWaiting = now + startInMs <= latestStartAt;
+    if (isInTime || keepsWaiting) aheadByVersion.set(version, versionTokens);
     if (!isInTime && keepsWaiting) lateTokens += size;
     if (!isInTime && !keepsWaiting) {
       tokensAhead -= size;
--- a/test/router/plannerversions.test.ts
+++ b/test/router/plannerversions.test.ts
@@ -56,6 +56,19 @@
     expect(decodeOf(ask(planner, 2, resumeOf('other', 2, 'v2')))).toEqual(['d2']);
   });
 
+  // Guards against requests that wait in vain behind others for the last runner of their version.
+  test('refuses it at once if its turn does not come before its caller leaves', () => {
+    const planner = plannerOf([runner('d1', 'v1'), runner('d2', 'v2')]);
+    const actions = Array.from({ length: 60 }, (_, index) =>
+      ask(planner, 0, resumeOf(`q${index}`, 0, 'v1')),
+    ).flat();
+    const refused = actions.filter(({ kind }) => kind === 'refuse').length;
+    expect(planner.waiting + planner.placed + refused).toBe(60);
+    // The runner's memory holds about ten requests at a time, and callers wait for a few turns at most.
+    expect(refused).toBeGreaterThanOrEqual(20);
+    expect(planner.waiting).toBeGreaterThan(0);
+  });
+
   // Guards against an ejection that leaves a version without any runner while others have some.
   test('uses an ejected runner if it is the only one of that version', () => {
     const planner = plannerOf([runner('d1', 'v1'), runner('d2', 'v2'), runner('d3', 'v2')]);
