--- a/src/core/versions/lookup.ts
+++ b/src/core/versions/lookup.ts
@@ -1,6 +1,7 @@
 /** Decides from what several VMs know which software version began a stream. */
 
 import type { KnownOrigin, StreamOrigin } from './types';
+import { isSameOrigin } from './types';
 
 /** What one VM knows of a stream and of the service that it is to continue at. */
 export interface OriginView {
@@ -12,17 +13,13 @@
   readonly isComplete: boolean;
 }
 
-function isSame(one: StreamOrigin, other: StreamOrigin): boolean {
-  return one.service === other.service && one.version === other.version;
-}
-
 /** The origin that VMs recorded; undefined if none did, or if they disagree. */
 export function recordedOrigin(views: readonly OriginView[]): StreamOrigin | undefined {
   const known = views.flatMap(({ origin }) => (origin === undefined ? [] : [origin]));
   const [first] = known;
   if (first === undefined || first === 'conflicting') return undefined;
   const agrees = (origin: KnownOrigin): boolean =>
-    origin !== 'conflicting' && isSame(origin, first);
+    origin !== 'conflicting' && isSameOrigin(origin, first);
   return known.every(agrees) ? first : undefined;
 }
 
--- a/src/core/versions/origins.ts
+++ b/src/core/versions/origins.ts
@@ -1,7 +1,8 @@
 /** A table of the software versions that began streams, bounded in size and age. */
 
 import { fingerprintOf } from '../fingerprint';
-import type { KnownOrigin, OriginRecord, StreamOrigin } from './types';
+import type { KnownOrigin, OriginRecord } from './types';
+import { isSameOrigin } from './types';
 
 /** Characters of a key, six bits each: enough to make collisions within a fleet negligible. */
 const KEY_LENGTH = 16;
@@ -29,11 +30,6 @@
   readonly listing: string | undefined;
 }
 
-function isSame(one: KnownOrigin, other: StreamOrigin): boolean {
-  if (one === 'conflicting') return false;
-  return one.service === other.service && one.version === other.version;
-}
-
 /** Origins of streams by key, in the order in which they were last recorded. */
 export class StreamOrigins {
   readonly #entries = new Map<string, Entry>();
@@ -62,7 +58,9 @@
   ): void {
     const known = this.#entries.get(key);
     const origin = { service, version };
-    const isConflicting = known !== undefined && !isSame(known.origin, origin);
+    const isConflicting =
+      known !== undefined &&
+      (known.origin === 'conflicting' || !isSameOrigin(known.origin, origin));
     this.#entries.delete(key);
     this.#entries.set(key, {
       origin: isConflicting ? 'conflicting' : origin,
--- a/src/core/versions/types.ts
+++ b/src/core/versions/types.ts
@@ -6,6 +6,11 @@
   readonly version: string;
 }
 
+/** Whether two origins are the same. */
+export function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
+  return one.service === other.service && one.version === other.version;
+}
+
 /** A stream's origin in a message or a table. */
 export interface OriginRecord extends StreamOrigin {
   /** Identifies the stream; see `streamKey`. */
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -7,15 +7,16 @@
  */
 
 import type { Logger } from 'pino';
+
 import { Failure, toFailure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
 import { isPresent } from '../../core/membership/types';
-import { groupOf, holdersOf, HOLDERS } from '../../core/versions/holders';
 import type { Route } from '../../core/routing/types';
+import { HOLDERS, groupOf, holdersOf } from '../../core/versions/holders';
 import type { OriginView } from '../../core/versions/lookup';
 import { inferredOrigin, recordedOrigin } from '../../core/versions/lookup';
-import { RouteChanges } from '../../core/versions/routechanges';
 import { StreamOrigins, streamKey } from '../../core/versions/origins';
+import { RouteChanges } from '../../core/versions/routechanges';
 import type { OriginRecord, StreamOrigin } from '../../core/versions/types';
 import { bootNow } from '../../utils/clock';
 import { LogRateLimiter } from '../loglimiter';
@@ -37,6 +38,8 @@
 
 /** Time that a VM has to answer, in milliseconds: many round trips, but little of a caller's patience. */
 const ANSWER_TIMEOUT_MS = 150;
+/** Time for a message that nobody waits for, in milliseconds; its link may have to be opened first. */
+const SHARE_TIMEOUT_MS = 1000;
 /** VMs that are asked for one stream. */
 const MAX_ASKED = 16;
 /** Retry delay for callers whose stream cannot go on, in milliseconds: a VM that knows it may answer by then. */
@@ -323,7 +326,7 @@
     for (const [address, all] of byAddress) {
       for (let from = 0; from < all.length; from += MAX_RECORDS) {
         const message = { records: all.slice(from, from + MAX_RECORDS) };
-        fleet.call(address, 'origins', message, ANSWER_TIMEOUT_MS).catch((error) => {
+        fleet.call(address, 'origins', message, SHARE_TIMEOUT_MS).catch((error) => {
           log.debug({ address }, toFailure(error).line);
         });
       }
