Log the parts of a request's prompt at its end and at runs that break off

Cause: the logs of the incident cannot tell whether requests under which runners crashed have anything in common: each has a fingerprint of its own, and no line names the parts of its prompt. Change: the ingress decodes the ids of all parts, not of the last one only; 'Request ended.' and 'A run was interrupted.' name the first 16. No decision reads them yet.

--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -1,7 +1,20 @@
 /** The access log line of a completed request. */
 
 import type { Exchange } from './exchange';
-import type { Reply } from './types';
+import type { CallRequest, Reply } from './types';
+
+/** Ids of the parts of a request's prompt, as logged. */
+interface LoggedParts {
+  readonly parts?: readonly string[];
+}
+
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 16;
+
+/** The first ids of the parts of a request's prompt, for the log; empty if it has none. */
+export function partsField({ promptParts }: Pick<CallRequest, 'promptParts'>): LoggedParts {
+  return promptParts.length === 0 ? {} : { parts: promptParts.slice(0, MAX_LOGGED_PARTS) };
+}
 
 /** Names the VM that forwarded a request in a step of its trail; empty if it went directly. */
 export function viaText({ via }: Pick<Reply, 'via'>): string {
@@ -26,6 +39,7 @@
   return {
     request: request.id,
     fingerprint,
+    ...partsField(request),
     ...(request.customer === undefined ? {} : { customer: request.customer }),
     ...(continues ? { continues } : {}),
     route: route.name,
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -12,6 +12,7 @@
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
+import { partsField } from './accesslog';
 import type { Exchange } from './exchange';
 import type { Authorizer } from './authorizer';
 import type { QuarantineController } from './quarantine';
@@ -146,7 +147,16 @@
   #fields(part: StreamPart | undefined): Readonly<Record<string, unknown>> {
     const { request, fingerprint, service } = this.#exchange;
     const { id: runner, role, version } = this.#runner;
-    return { request: request.id, fingerprint, service, runner, role, version, ...part };
+    return {
+      request: request.id,
+      fingerprint,
+      ...partsField(request),
+      service,
+      runner,
+      role,
+      version,
+      ...part,
+    };
   }
 }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -82,6 +82,11 @@
   readonly deadlineMs: number | undefined;
   /** Undefined if the caller sent none. */
   readonly usage: Usage | undefined;
+  /**
+   * Ids of the parts of the prompt, in order. Requests share parts; the last one belongs to the
+   * request or its session. Empty if the caller names none.
+   */
+  readonly promptParts: readonly string[];
   /** Undefined if the caller has no part of the answer yet. */
   readonly continues: Continuation | undefined;
   readonly credential: Credential;
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -17,8 +17,8 @@
 const MAX_ADDRESSES = 64;
 /** Maximum length of the id of a stream, in characters; longer ones name none. */
 const MAX_STREAM_ID_CHARS = 200;
-/** Maximum length of a prompt id, in characters; the rest is cut off. */
-const MAX_PROMPT_ID_CHARS = 64;
+/** Maximum length of a prompt part's id, in characters; the rest is cut off. */
+const MAX_PART_ID_CHARS = 64;
 /** Decimal digits of `retry-after`, which is in seconds and may have a fraction. */
 const RETRY_AFTER_DIGITS = 1;
 
@@ -44,18 +44,22 @@
   return tokens >= 0 && tokens <= MAX_TOKENS ? tokens : NaN;
 }
 
-/** The id of the last of the parts `ID:TOKENS`, which is the request's own prompt. */
-function promptIdOf(parts: string | undefined): string | undefined {
-  const id = parts?.split(',').at(-1)?.split(':')[0]?.trim();
-  return id === '' ? undefined : id?.slice(0, MAX_PROMPT_ID_CHARS);
+/** The ids of the parts `ID:TOKENS`, in order, without empty ones. Ids are hexadecimal, so their case does not matter. */
+function promptPartsOf(message: IncomingMessage): readonly string[] {
+  const text = firstValueOf(message, header.promptParts) ?? '';
+  return text
+    .split(',')
+    .map((part) => (part.split(':')[0] ?? '').trim().toLowerCase().slice(0, MAX_PART_ID_CHARS))
+    .filter((id) => id !== '');
 }
 
 /**
  * Declared size of a request; undefined if the header is missing. Throws `badRequest` if it
  * is malformed: treated as missing, the request would be charged less of its customer's
  * quota than it uses.
+ * @param promptId id of the last part of the prompt
  */
-function usageOf(message: IncomingMessage): Usage | undefined {
+function usageOf(message: IncomingMessage, promptId: string | undefined): Usage | undefined {
   const text = firstValueOf(message, header.usage);
   if (text === undefined) return undefined;
   const [prompt = NaN, output = NaN, ...rest] = text.split(',').map(tokensOf);
@@ -66,7 +70,7 @@
     );
   }
   return {
-    promptId: promptIdOf(firstValueOf(message, header.promptParts)),
+    promptId,
     promptTokens: prompt,
     maxOutputTokens: output,
     hintTokens: numberOf(firstValueOf(message, header.lengthHint)),
@@ -120,6 +124,7 @@
     if (id === undefined || id === '') {
       throw new Failure('badRequest', 'found no request id, expected one');
     }
+    const promptParts = promptPartsOf(message);
     return {
       id,
       host: (message.headers.host ?? '').replace(/:\d+$/, ''),
@@ -132,7 +137,8 @@
       ),
       body,
       deadlineMs: numberOf(firstValueOf(message, header.deadline)),
-      usage: usageOf(message),
+      usage: usageOf(message, promptParts.at(-1)),
+      promptParts,
       continues: continuationOf(message),
       credential: keyed ? credentialOf(message) : { kind: 'none' },
       customer: undefined,
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -46,6 +46,7 @@
   body: Buffer.alloc(0),
   deadlineMs: 14_000,
   usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
+  promptParts: [],
   continues: undefined,
   credential: { kind: 'none' },
   customer: undefined,
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -1,14 +1,22 @@
 import type { IncomingMessage } from 'node:http';
 
-import type { Continuation } from '../../src/node/router/types';
+import type { CallRequest, Continuation } from '../../src/node/router/types';
 import { PlatformIngress } from '../../src/platform/ingress';
 
-/** What a request with these headers continues. */
-function continuationOf(headers: Readonly<Record<string, string>>): Continuation | undefined {
+/** A request with these headers. */
+function decode(headers: Readonly<Record<string, string>>): CallRequest {
   const all = { 'request-id': 'q', ...headers };
   const message = { headers: all, rawHeaders: Object.entries(all).flat() };
-  return new PlatformIngress().decode(message as unknown as IncomingMessage, Buffer.alloc(0), false)
-    .continues;
+  return new PlatformIngress().decode(
+    message as unknown as IncomingMessage,
+    Buffer.alloc(0),
+    false,
+  );
+}
+
+/** What a request with these headers continues. */
+function continuationOf(headers: Readonly<Record<string, string>>): Continuation | undefined {
+  return decode(headers).continues;
 }
 
 describe('a request that continues a stream', () => {
@@ -34,3 +42,15 @@
     expect(continuationOf({ resumes: '', 'last-event-id': '' })).toBeUndefined();
   });
 });
+
+describe('the parts of a prompt', () => {
+  test.each([
+    ['in order', '5c1e07a2:800,91bd3f06:410,e4402b7d:250', ['5c1e07a2', '91bd3f06', 'e4402b7d']],
+    ['whatever their case and tokens', '5C1E07A2:800, 91bd3f06', ['5c1e07a2', '91bd3f06']],
+    ['without empty ids', ':800,,a:1,', ['a']],
+    ['none', '', []],
+    ['with their first 64 characters', `${'a'.repeat(65)}:1`, ['a'.repeat(64)]],
+  ])('are read %s', (_, header, expected) => {
+    expect(decode({ 'prompt-prefix': header }).promptParts).toEqual(expected);
+  });
+});
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -44,6 +44,7 @@
       body: Buffer.alloc(0),
       deadlineMs: 1000,
       usage: undefined,
+      promptParts: [],
       continues: undefined,
       credential: { kind: 'none' },
       customer: undefined,
