--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -46,6 +46,8 @@
   readonly customers?: readonly unknown[];
   /** Can cut VMs off from all runners. Default: none is ever cut off. */
   readonly partition?: Partition;
+  /** Default: no part of a prompt crashes a runner. */
+  readonly crashes?: CrashRules;
 }
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
@@ -56,6 +58,28 @@
   readonly authorization: string | undefined;
 }
 
+/** How runners crash under requests whose prompts hold fatal parts. */
+export interface CrashRules {
+  /** Ids of the parts that crash each decode runner that begins to write an answer. */
+  readonly fatalParts: Set<string>;
+  /** Number of events that it writes before it crashes. Default: none. */
+  readonly eventsBefore?: number;
+  /** Whether answers have neither a length nor chunks and end with their connections. Default: they have chunks. */
+  readonly endsByClose?: boolean;
+  /** Software version whose runners crash. Default: all. */
+  readonly version?: string;
+}
+
+/** A model request that reached a runner. */
+export interface Send {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  /** Ids of the parts of its prompt. */
+  readonly parts: readonly string[];
+  /** Whether the runner only prefills the prompt. */
+  readonly isPrefill: boolean;
+}
+
 /** A request that reached a runner, or its answer. */
 export interface Contact {
   /** Monotonic time in milliseconds. */
@@ -196,8 +220,13 @@
   /** Until when it sends nothing, a monotonic time in milliseconds. */
   silentUntil = 0;
 
+  /** Model requests received, in order. */
+  readonly sends: Send[] = [];
+
   readonly #role: Role;
 
+  readonly #crashes: CrashRules;
+
   /** Version of its software, which the data of its events names. */
   readonly version: string;
 
@@ -209,9 +238,15 @@
 
   #isStopped = false;
 
-  constructor(role: Role, version: string, onCrash: (runner: RunnerServer) => void) {
+  constructor(
+    role: Role,
+    version: string,
+    crashes: CrashRules,
+    onCrash: (runner: RunnerServer) => void,
+  ) {
     this.#role = role;
     this.version = version;
+    this.#crashes = crashes;
     this.#onCrash = onCrash;
   }
 
@@ -262,6 +297,8 @@
       customer: customer?.toString(),
       authorization,
     });
+    const parts = partsOf(req);
+    if (parts.length > 0) this.sends.push({ at, parts, isPrefill: stage === 'prefill' });
     const headers = {
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
@@ -283,12 +320,15 @@
       if (!res.writableFinished) this.abandonedAt.push(performance.now());
     });
     const isStream = this.#role !== 'plain';
+    if (this.#crashes.endsByClose) Object.assign(res, { useChunkedEncodingByDefault: false });
     res.writeHead(200, {
       ...headers,
       ...(isStream ? { 'content-type': 'text/event-stream' } : {}),
     });
-    if (body.includes(CRASH_TEXT)) {
+    if (body.includes(CRASH_TEXT) || this.#isFatal(parts)) {
       res.flushHeaders();
+      const { eventsBefore = 0 } = this.#crashes;
+      for (let event = 1; event <= eventsBefore; event += 1) res.write(this.#event(event));
       await pause(CRASH_DELAY_MS);
       this.crash();
       return;
@@ -298,11 +338,21 @@
     const last = pathname.startsWith(LONG_PATH) ? LONG_EVENT_COUNT : EVENT_COUNT;
     for (let event = first; event <= last && !res.destroyed; event += 1) {
       await pause(Math.max(EVENT_INTERVAL_MS, this.silentUntil - performance.now()));
-      res.write(`id: ${event}\ndata: ${this.version}\n\n`);
+      res.write(this.#event(event));
     }
     res.end();
   }
 
+  #event(id: number): string {
+    return `id: ${id}\ndata: ${this.version}\n\n`;
+  }
+
+  /** Whether the prompt crashes this runner. */
+  #isFatal(parts: readonly string[]): boolean {
+    const { fatalParts, version = this.version } = this.#crashes;
+    return version === this.version && parts.some((part) => fatalParts.has(part));
+  }
+
   /** Simulates the crash of the process: closes all connections and stops listening. */
   crash(): void {
     if (this.#isStopped) return;
@@ -313,6 +363,12 @@
   }
 }
 
+/** Ids of the parts of a request's prompt. */
+function partsOf({ headers }: IncomingMessage): readonly string[] {
+  const text = headers['prompt-prefix']?.toString() ?? '';
+  return text === '' ? [] : text.split(',').map((part) => part.split(':')[0] ?? '');
+}
+
 /** Returns a loopback port that is free at present. */
 async function freePort(): Promise<number> {
   const server = createServer();
@@ -349,10 +405,17 @@
 export class RouterCluster {
   readonly store = new FakeStore();
 
-  /** Ids of runners that crashed while processing a request, in order. */
+  /** Ids of runners that crashed, in order. */
   readonly crashed: string[] = [];
 
-  readonly #options: Required<Omit<RouterClusterOptions, 'customers' | 'partition' | 'versions'>>;
+  /** Monotonic times at which they crashed, in milliseconds. */
+  readonly crashedAt: number[] = [];
+
+  readonly #options: Required<
+    Omit<RouterClusterOptions, 'customers' | 'partition' | 'versions' | 'crashes'>
+  >;
+
+  readonly #crashes: CrashRules;
 
   readonly #versions: readonly string[];
 
@@ -376,8 +439,10 @@
     versions = ['v1'],
     customers,
     partition,
+    crashes = { fatalParts: new Set() },
   }: RouterClusterOptions = {}) {
     this.#partition = partition;
+    this.#crashes = crashes;
     this.#options = { vms, runners, prefillRunners, restartMs };
     this.#versions = versions;
     this.#customers = customers;
@@ -388,6 +453,11 @@
     return this.#runners.reduce((sum, { arrivedAt }) => sum + arrivedAt.length, 0);
   }
 
+  /** Model requests that reached runners, grouped by runner. */
+  get sends(): readonly Send[] {
+    return this.#runners.flatMap(({ sends }) => sends);
+  }
+
   /** Number of calls to runners that carry no request: reports, orders and freed KV caches. */
   get controlCallCount(): number {
     return this.#runners.reduce((sum, { controlCalls }) => sum + controlCalls, 0);
@@ -559,7 +629,9 @@
 
   /** Starts one more runner. */
   async addRunner(role: Role, version: string): Promise<void> {
-    const runner = new RunnerServer(role, version, (crashed) => this.#onCrash(crashed));
+    const runner = new RunnerServer(role, version, this.#crashes, (crashed) =>
+      this.#onCrash(crashed),
+    );
     await runner.start();
     this.#runners.push(runner);
     this.store.put(`servers/${runner.id}`, runner.entry);
@@ -568,6 +640,7 @@
   /** Removes the runner's entry when its lease expires, and restarts the runner under a new id. */
   #onCrash(runner: RunnerServer): void {
     this.crashed.push(runner.id);
+    this.crashedAt.push(performance.now());
     const { restartMs } = this.#options;
     setTimeout(() => this.store.remove(`servers/${runner.id}`), LEASE_EXPIRY_MS).unref();
     setTimeout(() => {
