Keep prompt parts that crash runners from runners

What callers see: requests that share one part of their prompts, no two alike, at any VM, crash one runner after the other; their callers get 502, and the streams beside them are cut. Cause: crashes were counted by the fingerprint of a whole request, so each of these requests counted as the first one. The class: state about one request where the fault is in what requests share. Change: a crash accuses the fingerprints of all prompt parts of a run, by service, model and software version; a run that brings output for two seconds or is answered whole clears them on all VMs, by gossip. Requests that have all that recurs among what a crash accuses are refused from the third crash on; those that have some of it run one at a time, by trials that the owner of the service grants. Waiting requests are taken out. Crashes in the same moment count once against a part. The time before a completion in which crashes do not count was a minute and is two seconds, so that a part that was sound and begins to crash runners is found; a crash is voided by any later completion, and a suspect runs alone before it is refused.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -177,6 +177,12 @@
     'Several runners crashed while running this request, so it is not sent to runners for now.',
     'Change the request, or fix what crashes the runners; it is accepted again after ten minutes.',
   ),
+  onTrial: refusal(
+    320,
+    503,
+    'Runners crashed while running requests that share a part of the prompt, and another such request is on trial.',
+    'Come back after the time in Retry-After; requests that do not crash runners are accepted again then.',
+  ),
   configOld: refusal(
     313,
     503,
--- a/src/core/fingerprint.ts
+++ b/src/core/fingerprint.ts
@@ -18,3 +18,40 @@
 export function contentIdOf(head: string, body: string | Uint8Array): string {
   return fingerprintOf(head, body).slice(0, CONTENT_ID_LENGTH);
 }
+
+/** What begins the fingerprint of a prompt part, and of nothing else. */
+const PART_PREFIX = 'part:';
+/** Characters of a digest of the scope, six bits each. */
+const SCOPE_LENGTH = 8;
+/** Maximum length of a part's id in its fingerprint, in characters; of a longer one its digest is used. */
+const MAX_PART_ID_LENGTH = 32;
+const PLAIN_ID = /^[0-9a-z]+$/;
+
+/** What runs a prompt: a part that crashes the runners of one software or model may be sound with another one. */
+export interface PromptScope {
+  readonly service: string;
+  /** Empty if the request names none. */
+  readonly model: string;
+  /** Software version of the runner. */
+  readonly version: string;
+}
+
+/** Fingerprints of the parts of prompts: the same for all requests that share a part in the same scope. */
+export function partFingerprints(
+  { service, model, version }: PromptScope,
+  parts: readonly string[],
+): readonly string[] {
+  if (parts.length === 0) return [];
+  const scope = contentIdOf(JSON.stringify([service, model, version]), '').slice(0, SCOPE_LENGTH);
+  return [...new Set(parts)].map((id) => `${PART_PREFIX}${scope}:${shortIdOf(id)}`);
+}
+
+/** Whether a fingerprint is that of a prompt part, not of a whole request. */
+export function isPart(fingerprint: string): boolean {
+  return fingerprint.startsWith(PART_PREFIX);
+}
+
+function shortIdOf(id: string): string {
+  const isShort = id.length <= MAX_PART_ID_LENGTH && PLAIN_ID.test(id);
+  return isShort ? id : contentIdOf('part', id);
+}
--- a/src/core/quarantine/completions.ts
+++ b/src/core/quarantine/completions.ts
@@ -1,7 +1,7 @@
-/** Recently completed requests, in bounded memory. */
+/** Fingerprints of recently completed requests, in bounded memory. */
 
-/** Maximum number of requests in each generation: some 100 bytes each. */
-const MAX_GENERATION_SIZE = 1000;
+/** Maximum number of fingerprints in each generation: some 100 bytes each. */
+const MAX_GENERATION_SIZE = 4096;
 
 /** Times of recent completions, by fingerprint. The older generation is dropped as a whole, so that no request has to search for expired entries. */
 export class Completions {
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -1,64 +1,81 @@
 /**
- * Quarantine for requests that crash the runners that process them.
+ * Quarantine for requests and prompt parts that crash the runners that process them.
  *
  * A request can crash each runner that starts it, together with all other work on that
- * runner. Its caller retries under another id and at any VM, so a single request can
- * crash one runner after the other: sixteen within fifteen seconds in one incident. The
- * attempts have their content in common. All VMs count the runners that crashed while
- * processing the same content; from the third crash on they refuse it for a limited time.
+ * runner. Its caller retries under another id and at any VM; or many requests, of which no two
+ * are alike, share a part of their prompts that does it. So one request or part can crash one
+ * runner after the other: 25 in half a minute in one incident. All VMs count the runners that
+ * crashed under each fingerprint: that of the whole request, and those of its prompt parts.
  *
- * A crash also affects innocent requests on the same runner. Three rules keep them out: a
- * run that had produced output for some time did not crash its runner by being started; a
- * request that was completed since the crash or shortly before it does not crash runners;
- * and three different runners must have crashed.
+ * A crash also accuses what is innocent: other requests on the same runner, and the other parts
+ * of the request. These rules keep them out:
+ * - a run that had produced output for some time did not crash its runner by being started;
+ * - a run that goes on beyond that time, or is answered whole, clears its fingerprints for all VMs;
+ * - three runners must have crashed, for a part at different moments;
+ * - a request is refused only if it has all that recurs among what one of these crashes accuses.
+ *   One that has only some of it may run, alone: it crashes its runner, or clears what it has.
  */
 
+import { isPart } from '../fingerprint';
 import { textHash } from '../hash';
 import { Completions } from './completions';
-import type { RunnerCrash, Suspect } from './types';
-
-/** Number of crashed runners from which a request is refused. Two can be coincidence if runners crash on their own and callers retry; three have not been observed in that case. */
-export const CRASH_LIMIT = 3;
-/** Time for which crashes count, in milliseconds: much longer than callers take to retry, and enough for operators to investigate. */
-export const TTL_MS = 600_000;
-/** Time from the first output of a run within which a crash of its runner is attributed to it, in milliseconds: such requests crash runners as soon as they start. */
-const EARLY_CRASH_MS = 2000;
-/** Time after a completion in which crashes do not count, in milliseconds: a frequent request runs at several runners that may crash together. */
+import type { CrashRecord } from './record';
+import {
+  CRASH_LIMIT,
+  hasChanged,
+  isRecurring,
+  mergeRecord,
+  quarantinedUntil,
+  standingCrashes,
+  toSuspect,
+  TTL_MS,
+} from './record';
+import type { Suspect, Verdict } from './types';
+
+/** Time from the first output of a run within which a crash of its runner is attributed to it, and after which it is found sound, in milliseconds: such requests crash runners as soon as they start. */
+export const EARLY_CRASH_MS = 2000;
+/** Time from the first output of a run after which a crash counts less, in milliseconds. */
+const IMMEDIATE_CRASH_MS = 250;
+/** Time for which a completion is remembered, in milliseconds: gossip of a crash arrives well before. */
 const COMPLETION_TTL_MS = 60_000;
-/** Minimum advance of the completion time that is worth spreading, in milliseconds. */
-const MIN_COMPLETION_ADVANCE_MS = 10_000;
-/** Maximum number of requests kept. If all runners of a failure domain crash at once, they leave thousands. */
-const MAX_ENTRIES = 256;
-/** Minimum age of an entry with a single crash before one reported by another VM may evict it, in milliseconds. It limits the gossip during mass crashes to some 26 updates a second. */
+/** Maximum number of fingerprints kept. If all runners of a failure domain crash at once, they leave thousands. */
+const MAX_RECORDS = 256;
+/** Minimum age of a record with a single crash before one reported by another VM may evict it, in milliseconds. It limits the gossip during mass crashes to some 26 updates a second. */
 const MIN_EVICTION_AGE_MS = 10_000;
-
-/** All times are by the monotonic clock of this VM. */
-interface Entry {
-  /** Time of the latest crash of each runner, by instance id. */
-  readonly ends: ReadonlyMap<string, number>;
-  readonly completedAt: number;
-}
+/** Maximum number of prompt parts of one run that a crash accuses. */
+const MAX_ACCUSED_PARTS = 32;
 
 /** Whether the crash of a runner is attributed to a run on it, by the time of the run's first output if it had any. */
 export function isAttributable(now: number, answeredAt: number | undefined): boolean {
   return answeredAt === undefined || now - answeredAt < EARLY_CRASH_MS;
 }
 
-/** Requests that runners crashed on, by fingerprint. */
+/** Whether a run had produced output for a while; see `RunnerCrash.late`. */
+export function isLate(now: number, answeredAt: number | undefined): boolean {
+  return answeredAt !== undefined && now - answeredAt >= IMMEDIATE_CRASH_MS;
+}
+
+/** Requests and prompt parts that runners crashed on, by fingerprint. */
 export class Quarantine {
-  readonly #entries = new Map<string, Entry>();
+  readonly #records = new Map<string, CrashRecord>();
 
   readonly #completions = new Completions(COMPLETION_TTL_MS);
 
+  /** Whether no crash is known. */
+  get isEmpty(): boolean {
+    return this.#records.size === 0;
+  }
+
   /** Records that a runner crashed while processing a request. Returns the update to spread; undefined if nothing changed. */
-  recordCrash(now: number, fingerprint: string, runner: string): Suspect | undefined {
-    return this.#merge(now, { fingerprint, ends: [{ runner, agoMs: 0 }] }, 0);
+  recordCrash(now: number, fingerprint: string, runner: string, late = false): Suspect | undefined {
+    const end = { runner, agoMs: 0, ...(late ? { late } : {}) };
+    return this.#merge(now, { fingerprint, ends: [end] }, 0);
   }
 
-  /** Records that a runner completed a request. Returns the update to spread; undefined if nothing changed. */
+  /** Records that a run was found not to crash its runner. Returns the update to spread; undefined if nothing changed. */
   recordCompletion(now: number, fingerprint: string): Suspect | undefined {
     this.#completions.add(now, fingerprint);
-    if (!this.#entries.has(fingerprint)) return undefined;
+    if (!this.#records.has(fingerprint)) return undefined;
     return this.#merge(now, { fingerprint, ends: [], completedAgoMs: 0 }, 0);
   }
 
@@ -67,116 +84,138 @@
     return this.#merge(now, suspect, suspect.ends.length > 1 ? 0 : MIN_EVICTION_AGE_MS);
   }
 
-  /** @param minAgeMs age from which another entry may be evicted, in milliseconds */
+  /** @param minAgeMs age from which another record may be evicted, in milliseconds */
   #merge(now: number, suspect: Suspect, minAgeMs: number): Suspect | undefined {
     const { fingerprint } = suspect;
-    const before = this.#entries.get(fingerprint);
-    const after = merge(now, before, suspect, this.#completions.lastOf(now, fingerprint));
-    if (after.ends.size === 0 || !hasChanged(before, after)) return undefined;
+    const before = this.#records.get(fingerprint);
+    const after = mergeRecord(now, before, suspect, this.#completions.lastOf(now, fingerprint));
+    if (after.crashes.size === 0) return undefined;
     if (!before && !this.#evict(now, minAgeMs)) return undefined;
-    this.#entries.set(fingerprint, after);
-    return toSuspect(now, fingerprint, after);
+    this.#records.set(fingerprint, after);
+    return hasChanged(now, before, after) ? toSuspect(now, fingerprint, after) : undefined;
   }
 
-  /** How much longer a request is refused, in milliseconds; undefined if it is not refused. */
+  /** How much longer a fingerprint is in quarantine, in milliseconds; undefined if it is not. */
   refusedForMs(now: number, fingerprint: string): number | undefined {
-    const entry = this.#entries.get(fingerprint);
-    const endsAt = entry && refusedUntil(now, entry);
-    return endsAt === undefined ? undefined : endsAt - now;
+    const record = this.#records.get(fingerprint);
+    const until = record && quarantinedUntil(now, fingerprint, record);
+    return until === undefined || until <= now ? undefined : until - now;
   }
 
-  /** Number of runners known to have crashed on a request, at most `CRASH_LIMIT`. */
+  /** What may become of a request, by its fingerprints. */
+  verdict(now: number, fingerprints: readonly string[]): Verdict {
+    if (this.isEmpty) return { kind: 'allowed' };
+    const all = new Set(fingerprints);
+    for (const fingerprint of all) {
+      const forMs = this.refusedForMs(now, fingerprint);
+      if (forMs !== undefined && this.#resemblesCrashed(now, fingerprint, all)) {
+        return { kind: 'refused', fingerprint, forMs };
+      }
+    }
+    const recurring = [...all].filter((one) => isPart(one) && this.#isRecurring(now, one));
+    if (recurring.length === 0) return { kind: 'allowed' };
+    return { kind: 'trial', fingerprints: recurring };
+  }
+
+  /** Number of runners known to have crashed under a fingerprint, at most `CRASH_LIMIT`. */
   crashCount(fingerprint: string): number {
-    return this.#entries.get(fingerprint)?.ends.size ?? 0;
+    return Math.min(CRASH_LIMIT, this.#records.get(fingerprint)?.crashes.size ?? 0);
   }
 
-  /** All entries, to be sent to another VM. */
+  /** All records, to be sent to another VM. */
   suspects(now: number): readonly Suspect[] {
     this.#expire(now);
-    return [...this.#entries].map(([fingerprint, entry]) => toSuspect(now, fingerprint, entry));
+    return [...this.#records].map(([fingerprint, record]) => toSuspect(now, fingerprint, record));
   }
 
-  /** The requests that are refused now. */
+  /** What is in quarantine now. */
   refused(now: number): readonly Suspect[] {
     return this.suspects(now).filter(
       ({ fingerprint }) => this.refusedForMs(now, fingerprint) !== undefined,
     );
   }
 
-  /** Digest of the refused requests, to be compared between VMs; empty if there are none. */
+  /** Digest of what is in quarantine or runs on trial, to be compared between VMs; empty if there is none. */
   digest(now: number): string {
-    const prints = this.refused(now).map(({ fingerprint }) => fingerprint);
+    this.#expire(now);
+    const prints = [...this.#records.keys()].filter(
+      (one) =>
+        this.refusedForMs(now, one) !== undefined || (isPart(one) && this.#isRecurring(now, one)),
+    );
     return prints.length === 0 ? '' : textHash(prints.sort().join(' ')).toString(36);
   }
 
+  /**
+   * The fingerprints of a request that a crash accuses. If its prompt has many parts, those that
+   * are accused already come first, and the crash of each runner picks others of the rest.
+   */
+  accused(now: number, fingerprints: readonly string[], runner: string): readonly string[] {
+    const parts = fingerprints.filter(isPart);
+    if (parts.length <= MAX_ACCUSED_PARTS) return fingerprints;
+    const rankOf = (one: string): number => (this.#standing(now, one).length > 0 ? -1 : 0);
+    const order = new Map(parts.map((one) => [one, rankOf(one) || textHash(`${runner} ${one}`)]));
+    const chosen = [...parts].sort((a, b) => (order.get(a) ?? 0) - (order.get(b) ?? 0));
+    const whole = fingerprints.filter((one) => !isPart(one));
+    return [...whole, ...chosen.slice(0, MAX_ACCUSED_PARTS)];
+  }
+
+  /** Whether a request has all that recurs among what the crash of one runner accuses. */
+  #resemblesCrashed(now: number, fingerprint: string, all: ReadonlySet<string>): boolean {
+    return this.#standing(now, fingerprint).some((runner) =>
+      this.#recurringAt(now, runner).every((one) => all.has(one)),
+    );
+  }
+
+  /** What the crash of a runner accuses and others accuse as well. */
+  #recurringAt(now: number, runner: string): readonly string[] {
+    return [...this.#records]
+      .filter(([, { crashes }]) => crashes.has(runner))
+      .map(([fingerprint]) => fingerprint)
+      .filter((one) => this.#isRecurring(now, one) && this.#standing(now, one).includes(runner));
+  }
+
+  #isRecurring(now: number, fingerprint: string): boolean {
+    const record = this.#records.get(fingerprint);
+    return record !== undefined && isRecurring(now, fingerprint, record);
+  }
+
+  /** Ids of the runners whose crashes count against a fingerprint. */
+  #standing(now: number, fingerprint: string): readonly string[] {
+    const record = this.#records.get(fingerprint);
+    return record ? standingCrashes(now, record).map(([runner]) => runner) : [];
+  }
+
   #expire(now: number): void {
-    for (const [fingerprint, { ends }] of this.#entries) {
-      if ([...ends.values()].every((at) => now - at >= TTL_MS)) this.#entries.delete(fingerprint);
+    for (const [fingerprint, { crashes }] of this.#records) {
+      const isOld = [...crashes.values()].every(({ at }) => now - at >= TTL_MS);
+      if (isOld) this.#records.delete(fingerprint);
     }
   }
 
-  /** Evicts an entry if the limit is reached: the oldest of those with the fewest crashes. Returns whether there is capacity for one more. */
+  /** Evicts a record if the limit is reached: the oldest of those with the fewest crashes that count. Returns whether there is capacity for one more. */
   #evict(now: number, minAgeMs: number): boolean {
-    if (this.#entries.size < MAX_ENTRIES) return true;
-    const weakest = this.#weakest();
+    if (this.#records.size < MAX_RECORDS) return true;
+    const weakest = this.#weakest(now);
     if (!weakest) return true;
-    const [fingerprint, { ends }] = weakest;
-    if (now - Math.max(...ends.values()) < minAgeMs) return false;
-    this.#entries.delete(fingerprint);
+    const [fingerprint, record] = weakest;
+    const lastAt = Math.max(...[...record.crashes.values()].map(({ at }) => at));
+    const isCleared = standingCrashes(now, record).length === 0;
+    if (!isCleared && now - lastAt < minAgeMs) return false;
+    this.#records.delete(fingerprint);
     return true;
   }
 
-  #weakest(): readonly [string, Entry] | undefined {
-    let weakest: [string, Entry] | undefined;
-    for (const entry of this.#entries) {
-      if (!weakest || entry[1].ends.size < weakest[1].ends.size) weakest = entry;
-      if (weakest[1].ends.size === 1) break;
+  #weakest(now: number): readonly [string, CrashRecord] | undefined {
+    let weakest: [string, CrashRecord] | undefined;
+    let fewest = Infinity;
+    for (const entry of this.#records) {
+      const count = standingCrashes(now, entry[1]).length;
+      if (count < fewest) {
+        weakest = entry;
+        fewest = count;
+      }
+      if (fewest === 0) break;
     }
     return weakest;
   }
 }
-
-/** Combines the latest crashes, one per runner, and the latest completion. */
-function merge(
-  now: number,
-  before: Entry | undefined,
-  { ends, completedAgoMs = Infinity }: Suspect,
-  completedHereAt: number,
-): Entry {
-  const reported = ends
-    .filter(({ agoMs }) => agoMs < TTL_MS)
-    .map(({ runner, agoMs }): [string, number] => [runner, now - agoMs]);
-  // Known times override reported ones: a crash reported back over another path looks slightly more recent each time.
-  const all = new Map([...reported, ...(before?.ends ?? [])]);
-  const latest = [...all].sort(([, a], [, b]) => b - a).slice(0, CRASH_LIMIT);
-  const completedAt = Math.max(
-    before?.completedAt ?? -Infinity,
-    completedHereAt,
-    now - completedAgoMs,
-  );
-  return { ends: new Map(latest), completedAt };
-}
-
-function hasChanged(before: Entry | undefined, after: Entry): boolean {
-  if (!before) return true;
-  if (after.completedAt - before.completedAt >= MIN_COMPLETION_ADVANCE_MS) return true;
-  return [...after.ends.keys()].some((runner) => !before.ends.has(runner));
-}
-
-/** When the refusal ends; undefined if the request is not refused now. */
-function refusedUntil(now: number, { ends, completedAt }: Entry): number | undefined {
-  const counted = [...ends.values()].filter((at) => at - completedAt > COMPLETION_TTL_MS);
-  if (counted.length < CRASH_LIMIT) return undefined;
-  const until = Math.min(...counted) + TTL_MS;
-  return until > now ? until : undefined;
-}
-
-function toSuspect(now: number, fingerprint: string, { ends, completedAt }: Entry): Suspect {
-  const ago = (at: number): number => Math.max(0, Math.round(now - at));
-  const crashes = [...ends].map(([runner, at]): RunnerCrash => ({ runner, agoMs: ago(at) }));
-  return {
-    fingerprint,
-    ends: crashes,
-    ...(Number.isFinite(completedAt) ? { completedAgoMs: ago(completedAt) } : {}),
-  };
-}
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -30,8 +30,8 @@
   ms: number,
   configVersion: number,
 ): Readonly<Record<string, unknown>> {
-  const { request, fingerprint, route, service, status, code, trail, callerGone } = exchange;
-  const { continues } = exchange;
+  const { request, fingerprint, route, service, status, code, detail, trail } = exchange;
+  const { continues, callerGone } = exchange;
   const versions = [...exchange.versions];
   const { firstMs = ms, pauseMs } = exchange;
   const isWithinGap = route.gapMs === 0 || pauseMs <= route.gapMs;
@@ -47,6 +47,7 @@
     configVersion,
     status,
     ...(code === undefined ? {} : { code }),
+    ...(detail === undefined ? {} : { detail }),
     ...(callerGone ? { callerGone } : {}),
     ms: Math.round(ms),
     firstMs: Math.round(firstMs),
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -9,6 +9,7 @@
 import type { ReservationClient } from './reservations';
 import type { QuotaController } from './quotas';
 import type { StateExchange } from './stateexchange';
+import type { TrialController } from './trials';
 import {
   askSchema,
   backoffSchema,
@@ -31,6 +32,7 @@
   readonly permits: PermitController;
   readonly origins: OriginController;
   readonly notices: NoticeController;
+  readonly trials: TrialController;
 }
 
 /** Sends a call back to the VM that called. */
@@ -46,7 +48,8 @@
 
   /** Answers one call; the result of one without an answer is null. Rejects with `peerRejected` if the method is unknown. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { planners, reservations, sync, quotas, permits, origins, notices } = this.#context;
+    const { planners, reservations, sync, quotas, permits, origins, notices, trials } =
+      this.#context;
     const now = performance.now();
     const reply = (service: string, verdict: unknown): void =>
       push('verdict', { service, verdict });
@@ -56,6 +59,7 @@
     if (method === 'quota') return quotas.onAsk(now, vm, params);
     if (method === 'permit') return permits.onAsk(now, vm, params);
     if (method === 'originOf') return origins.onAsked(now, params);
+    if (method === 'trial') return trials.onAsk(now, vm, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
     else if (method === 'backoff') planners.onBackoffs(now, vm, backoffSchema.parse(params));
     else if (method === 'forwardedBackoff') {
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -18,6 +18,7 @@
 import { PermitController } from './permits';
 import { ReservationClient } from './reservations';
 import { QuarantineController } from './quarantine';
+import { TrialController } from './trials';
 import { NoticeController } from './notices';
 import { OriginController } from './origins';
 import { QuotaController } from './quotas';
@@ -44,12 +45,16 @@
   readonly log: Logger;
   /** Called when the description that this VM announces has changed. */
   readonly onDescription: () => void;
+  /** Called when the set of what is in quarantine has changed. */
+  readonly onQuarantineChange: () => void;
 }
 
 /** The controllers of one VM and the handler for the calls of other VMs. */
 export class Controllers {
   readonly quarantine: QuarantineController;
 
+  readonly trials: TrialController;
+
   readonly rateLimits: RateLimitController;
 
   readonly notices: NoticeController;
@@ -77,7 +82,18 @@
       metrics,
       log: logOf(log, 'quarantine'),
       onChanges: (suspects) => this.stateSync.announceSuspects(suspects),
-      onRefusedChange: () => this.stateSync.setDigest(),
+      onRefusedChange: () => {
+        this.stateSync.setDigest();
+        context.onQuarantineChange();
+      },
+      onNews: (fingerprint) => this.trials.end(fingerprint),
+    });
+    this.trials = new TrialController({
+      vm,
+      fleet,
+      verdict: (now, fingerprints) => this.quarantine.verdict(now, fingerprints),
+      metrics,
+      log: logOf(log, 'quarantine'),
     });
     this.rateLimits = new RateLimitController({
       routingState,
@@ -155,6 +171,7 @@
       permits,
       origins,
       notices: this.notices,
+      trials: this.trials,
     });
   }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -156,6 +156,7 @@
       metrics: this.#metrics,
       log,
       onDescription: () => this.#describe(),
+      onQuarantineChange: () => this.#handlers.recheckWaiting(performance.now()),
     });
     this.#handlers = new Handlers({
       settings: () => this.#settings,
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -3,8 +3,9 @@
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 
+import type { CodeName } from '../../core/codes';
 import { Failure } from '../../core/failure';
-import { contentIdOf } from '../../core/fingerprint';
+import { contentIdOf, partFingerprints } from '../../core/fingerprint';
 import type { Route, Runner } from '../../core/routing/types';
 import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
@@ -16,6 +17,9 @@
 /** How long before the route's timeout the response must be complete to count as in time. */
 const TIMEOUT_MARGIN_MS = 20;
 
+/** Codes of failures whose messages name the fingerprints under which runners crashed. */
+const crashCodes: ReadonlySet<CodeName> = new Set(['quarantined', 'onTrial']);
+
 /** A request, its route and its response. */
 export class Exchange {
   readonly request: CallRequest;
@@ -48,12 +52,25 @@
 
   #fingerprint: string | undefined;
 
+  /** Fingerprints of the request and its prompt parts, by the software version of runners. */
+  readonly #fingerprints = new Map<string, readonly string[]>();
+
+  /** Fingerprints for which the request is on trial. */
+  readonly trials = new Set<string>();
+
+  #refusal: Failure | undefined;
+
+  readonly #refused = new AbortController();
+
   /** HTTP status sent, for the log; 0 before that. */
   status = 0;
 
   /** Failure code, for the log; undefined if a runner's response was passed on without failure. */
   code: string | undefined;
 
+  /** Which crashes the failure is about, for the log; undefined for other failures. */
+  detail: string | undefined;
+
   /** Time from the request to the first chunk of a stream, in milliseconds, for the log; undefined if none was written. */
   firstMs: number | undefined;
 
@@ -124,6 +141,7 @@
   pin({ service, version }: StreamOrigin): void {
     this.#service = service;
     this.version = version;
+    this.#fingerprints.clear();
   }
 
   /** Aborted when the response closes, the caller disconnects or the deadline passes. */
@@ -147,6 +165,33 @@
     return this.#fingerprint;
   }
 
+  /** The request's own fingerprint, then those of its prompt parts at runners of a software version. */
+  fingerprintsAt(version: string): readonly string[] {
+    const known = this.#fingerprints.get(version);
+    if (known) return known;
+    const { model, promptParts } = this.request;
+    const scope = { service: this.service, model, version };
+    const all = [this.fingerprint, ...partFingerprints(scope, promptParts)];
+    this.#fingerprints.set(version, all);
+    return all;
+  }
+
+  /** Why the request must not be sent to runners any more, found out while it waits; undefined if nothing was. */
+  get refusal(): Failure | undefined {
+    return this.#refusal;
+  }
+
+  /** Aborted as `signal` is, and when the request is refused while it waits. */
+  get waitSignal(): AbortSignal {
+    return AbortSignal.any([this.signal, this.#refused.signal]);
+  }
+
+  /** Ends the wait of the request. */
+  refuse(failure: Failure): void {
+    this.#refusal ??= failure;
+    this.#refused.abort();
+  }
+
   /** Name of the customer that sent the request; undefined where no key is required. */
   get customer(): string | undefined {
     return this.request.customer;
@@ -196,6 +241,7 @@
    */
   fail(now: number, failure: Failure): void {
     this.code = failure.codeName;
+    if (crashCodes.has(failure.codeName)) this.detail = failure.message;
     if (this.#res.headersSent) {
       abortResponse(this.#res);
       return;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -15,6 +15,7 @@
 import { PlainHandler } from './plain';
 import type { RoutingState } from './routingstate';
 import { Runs } from './runs';
+import { Screening } from './screening';
 import type { RouterSettings, RunnerClient, RunnerPaths } from './types';
 
 /** Dependencies of the handlers. */
@@ -45,10 +46,14 @@
 
   readonly #model: ModelHandler;
 
+  /** Requests that are not answered yet. */
+  readonly #open = new Set<Exchange>();
+
   constructor(context: HandlersContext) {
     this.#context = context;
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
-    const { quarantine, rateLimits, notices, permits, quotas, places, origins } = controllers;
+    const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins } =
+      controllers;
     this.#retries = new LazyMap(() => new RetryWindow(settings().retries));
     const takeRetry = (now: number, service: string): boolean =>
       this.#retries.get(service).trySpend(now, fleet.alive.length);
@@ -56,6 +61,7 @@
       routingState,
       paths,
       quarantine,
+      screening: new Screening({ quarantine, routingState, trials }),
       authorizer,
       rateLimits,
       notices,
@@ -82,19 +88,34 @@
 
   /** Serves one request to its end. */
   async serve(exchange: Exchange): Promise<void> {
-    const { routingState, controllers } = this.#context;
-    const refusal =
-      this.#runs.refusal(performance.now(), exchange) ?? (await controllers.origins.pin(exchange));
-    const { service } = exchange;
+    const { controllers } = this.#context;
+    const refusal = (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange));
     const now = performance.now();
-    this.#retries.get(service).recordFirst(now);
+    this.#retries.get(exchange.service).recordFirst(now);
     if (refusal) {
+      exchange.trail.push(refusal.codeName);
       exchange.fail(now, refusal);
       return;
     }
-    const engine = routingState.table?.service(service)?.engine;
-    if (engine) await this.#model.run(exchange, engine);
-    else await this.#plain.run(exchange);
+    this.#open.add(exchange);
+    try {
+      await this.#run(exchange);
+    } finally {
+      this.#open.delete(exchange);
+    }
     controllers.quotas.settle(exchange);
   }
+
+  /** Ends the wait of requests that must not be sent any more. */
+  recheckWaiting(now: number): void {
+    for (const exchange of this.#open) {
+      const refusal = this.#runs.refusal(now, exchange);
+      if (refusal?.codeName === 'quarantined') exchange.refuse(refusal);
+    }
+  }
+
+  #run(exchange: Exchange): Promise<void> {
+    const engine = this.#context.routingState.table?.service(exchange.service)?.engine;
+    return engine ? this.#model.run(exchange, engine) : this.#plain.run(exchange);
+  }
 }
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -89,18 +89,20 @@
   /** Makes one attempt under one reservation. Returns whether another attempt should follow. */
   async #attempt(exchange: Exchange, engine: Engine, progress: Progress): Promise<boolean> {
     const { reservations, quotas, origins } = this.#context;
-    const { service, signal } = exchange;
+    const { service, waitSignal: signal } = exchange;
     if (progress.stream.events > 0) origins.recheck(exchange);
     const startedAt = performance.now();
     const overQuota = await quotas.cover(exchange);
     if (overQuota) throw overQuota;
-    const demand = demandOf(exchange, progress, this.#unreached(exchange));
-    const grant = await reservations.reserve(service, demand, signal);
+    const demand = demandOf(exchange, progress, this.#excluded(exchange));
+    const grant = await reservations.reserve(service, demand, signal).catch((error) => {
+      throw exchange.refusal ?? error;
+    });
     exchange.trail.push(`place ${Math.round(performance.now() - exchange.arrivedAt)}`);
     let blame: string | undefined;
     try {
       const { prefill } = grant;
-      const refused = this.#recheck(exchange);
+      const refused = await this.#context.runs.admit(exchange);
       if (refused) throw refused;
       const cache =
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
@@ -140,17 +142,24 @@
     }
   }
 
-  /** Ids of the runners that this VM does not reach. Throws if it reaches no decode runner that may serve the request, since nothing can be served then. */
-  #unreached({ service, version }: Exchange): readonly string[] {
-    const { routingState, paths } = this.#context;
-    const runners = routingState.runnersOf(performance.now(), service);
+  /**
+   * Ids of the runners that this VM does not reach, or that crash under the request. Throws if it
+   * reaches no decode runner that may serve the request, since nothing can be served then.
+   */
+  #excluded(exchange: Exchange): readonly string[] {
+    const { routingState, paths, runs } = this.#context;
+    const { service, version } = exchange;
+    const now = performance.now();
+    const runners = routingState.runnersOf(now, service);
     const decoding = runners.filter(
       (runner) => runner.role === 'decode' && mayContinue(runner, version),
     );
     if (version !== undefined && decoding.length === 0) throw versionGoneFailure(service, version);
     const failure = unreachedFailure(service, decoding, paths);
     if (failure) throw failure;
-    return runners.filter((runner) => !paths.reaches(runner)).map(({ id }) => id);
+    return runners
+      .filter((runner) => !paths.reaches(runner) || !runs.allows(now, exchange, runner))
+      .map(({ id }) => id);
   }
 
   /**
@@ -282,7 +291,7 @@
     // The owner may know an older entry of the runner, or be a program that does not know versions.
     const isUsable = runner && paths.reaches(runner) && mayContinue(runner, exchange.version);
     if (!isUsable) return 'unavailable';
-    const refused = this.#recheck(exchange);
+    const refused = await this.#context.runs.admit(exchange);
     if (refused) {
       if (cache) this.#freeCache(cache);
       throw refused;
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -139,7 +139,7 @@
     try {
       const answer = await callRunner(exchange, runner, runners, run);
       records.recordSuccess(runner.id);
-      run.completed(performance.now());
+      run.completed(performance.now(), undefined, answer.reply.status < SERVER_ERROR);
       return answer;
     } catch (error) {
       const failedAt = performance.now();
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -43,12 +43,12 @@
 /**
  * The demand to send to the owner. Each reservation has its own id, made of the request's id and a
  * counter.
- * @param unreached ids of runners that this VM does not reach
+ * @param excluded ids of runners that must not get the request
  */
 export function demandOf(
   exchange: Exchange,
   progress: Progress,
-  unreached: readonly string[] = [],
+  excluded: readonly string[] = [],
 ): LocalDemand {
   const { request, route, arrivedAt } = exchange;
   const { usage } = request;
@@ -68,7 +68,7 @@
     lostAt: Math.min(waitingSince + route.patienceMs, exchange.deadlineAt),
     resuming,
     version: exchange.version,
-    avoid: [...new Set([...unreached, ...progress.avoid])].slice(-MAX_AVOIDED),
+    avoid: [...new Set([...excluded, ...progress.avoid])].slice(-MAX_AVOIDED),
   };
 }
 
--- a/src/node/router/quarantine.ts
+++ b/src/node/router/quarantine.ts
@@ -1,14 +1,16 @@
 /**
- * Replicates the quarantine of requests that crash runners: announces crashes to other VMs,
- * applies theirs, and saves quarantined requests in the platform's store, where they survive
- * a restart of all VMs.
+ * Replicates the quarantine of requests and prompt parts that crash runners: announces crashes to
+ * other VMs, applies theirs, and saves what is in quarantine in the platform's store, where it
+ * survives a restart of all VMs.
  */
 
 import type { Logger } from 'pino';
 
-import { Failure, toFailure } from '../../core/failure';
-import { TTL_MS, Quarantine } from '../../core/quarantine/quarantine';
-import type { Suspect } from '../../core/quarantine/types';
+import { toFailure } from '../../core/failure';
+import { isPart } from '../../core/fingerprint';
+import { Quarantine } from '../../core/quarantine/quarantine';
+import { TTL_MS } from '../../core/quarantine/record';
+import type { Suspect, Verdict } from '../../core/quarantine/types';
 import type { Metrics } from '../metrics';
 import type { SuspectArchive } from './types';
 
@@ -21,8 +23,10 @@
   readonly log: Logger;
   /** Called with changes to announce to other VMs. */
   readonly onChanges: (suspects: readonly Suspect[]) => void;
-  /** Called when the set of quarantined requests has changed. */
+  /** Called when the set of what is in quarantine has changed. */
   readonly onRefusedChange: () => void;
+  /** Called with a fingerprint of which more is known than before. */
+  readonly onNews?: (fingerprint: string) => void;
 }
 
 /** Period of the check for expired requests and requests to save, in milliseconds. */
@@ -40,6 +44,11 @@
 const SAVE_DELAY_MS = 2500;
 /** Time between two attempts to save a request, in milliseconds. */
 const SAVE_RETRY_MS = 1000;
+/**
+ * Maximum number of fingerprints that this VM accuses in a second: a failure domain that loses
+ * power leaves thousands, and callers choose the ids of prompt parts.
+ */
+const MAX_ACCUSED_PER_S = 256;
 
 /** The quarantine at one VM. */
 export class QuarantineController {
@@ -58,6 +67,14 @@
   /** Fingerprints that the store is known to contain. */
   #stored = new Set<string>();
 
+  /** Digest at the last check. */
+  #lastDigest = '';
+
+  /** Start of the second in which `#accusedCount` fingerprints were accused. */
+  #accusedSince = -Infinity;
+
+  #accusedCount = 0;
+
   /** When a request will be saved, by fingerprint. */
   readonly #saveAt = new Map<string, number>();
 
@@ -71,28 +88,40 @@
     clearInterval(this.#timer);
   }
 
-  /** The failure with which a quarantined request is rejected; undefined if it is not in quarantine. */
-  refusal(now: number, fingerprint: string): Failure | undefined {
-    const retryAfterMs = this.#quarantine.refusedForMs(now, fingerprint);
-    if (retryAfterMs === undefined) return undefined;
-    const ends = this.#quarantine.crashCount(fingerprint);
-    return new Failure('quarantined', `${ends} runners crashed while processing this request`, {
-      retryAfterMs,
-    });
+  /** Whether no crash is known, so that all requests are allowed. */
+  get isEmpty(): boolean {
+    return this.#quarantine.isEmpty;
+  }
+
+  /** What may become of a request, by its fingerprints. */
+  verdict(now: number, fingerprints: readonly string[]): Verdict {
+    return this.#quarantine.verdict(now, fingerprints);
+  }
+
+  /** Number of runners known to have crashed under a fingerprint. */
+  crashCount(fingerprint: string): number {
+    return this.#quarantine.crashCount(fingerprint);
   }
 
   /**
-   * Records that a runner crashed while it processed a request; returns the number of runners known
-   * to have.
+   * Records that a runner crashed while it processed a request.
+   * @param fingerprints those of the request, its own first
+   * @param late see `RunnerCrash.late`
    */
-  crashed(now: number, fingerprint: string, runner: string): number {
-    this.#changed(now, this.#quarantine.recordCrash(now, fingerprint, runner), 'own');
-    return this.#quarantine.crashCount(fingerprint);
+  crashed(now: number, fingerprints: readonly string[], runner: string, late: boolean): void {
+    for (const one of this.#quarantine.accused(now, fingerprints, runner)) {
+      const isKnown = this.#quarantine.crashCount(one) > 0;
+      if (isKnown || this.#mayAccuse(now)) {
+        this.#changed(now, this.#quarantine.recordCrash(now, one, runner, late), 'own');
+      }
+    }
   }
 
-  /** Records that a runner answered a request completely. */
-  completed(now: number, fingerprint: string): void {
-    this.#changed(now, this.#quarantine.recordCompletion(now, fingerprint), 'own');
+  /** Records that a run of a request was found not to crash its runner. */
+  completed(now: number, fingerprints: readonly string[]): void {
+    for (const one of fingerprints) {
+      this.#changed(now, this.#quarantine.recordCompletion(now, one), 'own');
+    }
   }
 
   /**
@@ -134,10 +163,20 @@
     }));
   }
 
+  #mayAccuse(now: number): boolean {
+    if (now - this.#accusedSince >= 1000) {
+      this.#accusedSince = now;
+      this.#accusedCount = 0;
+    }
+    this.#accusedCount += 1;
+    return this.#accusedCount <= MAX_ACCUSED_PER_S;
+  }
+
   #changed(now: number, suspect: Suspect | undefined, source: string): void {
     if (!suspect) return;
     this.#announce(suspect);
     const { fingerprint } = suspect;
+    this.#context.onNews?.(fingerprint);
     const isRefused = this.#quarantine.refusedForMs(now, fingerprint) !== undefined;
     if (isRefused === this.#refused.has(fingerprint)) return;
     if (source === 'own') this.#saveAt.set(fingerprint, now);
@@ -157,6 +196,9 @@
 
   #check(now: number): void {
     this.#updateRefused(now, 'time');
+    const digest = this.digest(now);
+    if (digest !== this.#lastDigest) this.#context.onRefusedChange();
+    this.#lastDigest = digest;
     if (this.#context.readsStore()) this.#checkStored(now);
     for (const [fingerprint, at] of this.#saveAt) if (now >= at) this.#save(now, fingerprint);
   }
@@ -171,9 +213,12 @@
     const released = [...before].filter((fingerprint) => !this.#refused.has(fingerprint));
     for (const { fingerprint, ends } of added) {
       const runners = ends.map(({ runner }) => runner);
-      log.warn({ fingerprint, runners, source, forMs: TTL_MS }, 'Quarantined a request.');
+      const fields = { fingerprint, runners, source, forMs: TTL_MS };
+      log.warn(fields, `Quarantined a ${kindOf(fingerprint)}.`);
+    }
+    for (const fingerprint of released) {
+      log.info({ fingerprint, source }, `Released a ${kindOf(fingerprint)}.`);
     }
-    for (const fingerprint of released) log.info({ fingerprint, source }, 'Released a request.');
     if (added.length + released.length === 0) return;
     metrics.gauge('quarantine.requests', this.#refused.size);
     onRefusedChange();
@@ -209,3 +254,7 @@
       .catch((error) => log.warn({ fingerprint }, toFailure(error).line));
   }
 }
+
+function kindOf(fingerprint: string): string {
+  return isPart(fingerprint) ? 'prompt part' : 'request';
+}
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -72,7 +72,7 @@
       run.interrupted(performance.now(), part);
       return 'broken';
     }
-    run.completed(performance.now());
+    run.completed(performance.now(), undefined, false);
     if (stream.fault) run.diverged(part, stream.fault);
     const isServerError = reply.status >= SERVER_ERROR;
     if (exchange.headSent || (isServerError && canResume())) return 'broken';
@@ -113,7 +113,7 @@
     if (stream.fault === 'cut' || stream.fault === 'torn') run.interrupted(performance.now(), part);
     else if (stream.fault) run.diverged(part, stream.fault);
     if (stream.fault) return 'broken';
-    run.completed(performance.now(), part);
+    run.completed(performance.now(), part, stream.firstId !== undefined || hasStarted);
     this.#sendHead(reply);
     exchange.end(stream.rest);
     onProgress({ kind: 'finished', outputTokens: stream.events * engine.eventTokens });
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -1,12 +1,12 @@
 /**
  * Tracks the runs of requests at runners: refuses requests that crash their runners and runners that
- * take no requests, and logs each run that was interrupted.
+ * take no requests, finds out which runs crashed their runners, and logs each that was interrupted.
  */
 
 import type { Logger } from 'pino';
 
 import { Failure } from '../../core/failure';
-import { isAttributable } from '../../core/quarantine/quarantine';
+import { EARLY_CRASH_MS, isAttributable, isLate } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Framing, StreamFault } from '../../core/stream/answer';
 import { LogRateLimiter } from '../loglimiter';
@@ -19,6 +19,7 @@
 import type { NoticeController } from './notices';
 import type { RateLimitController } from './ratelimits';
 import type { RoutingState } from './routingstate';
+import type { Screening } from './screening';
 import type { Reply, RunnerPaths } from './types';
 
 /** Log lines per second about runners that were not reached. */
@@ -42,6 +43,7 @@
   readonly routingState: Pick<RoutingState, 'accepts'>;
   readonly paths: Pick<RunnerPaths, 'isAtFault'>;
   readonly quarantine: QuarantineController;
+  readonly screening: Screening;
   readonly authorizer: Authorizer;
   readonly rateLimits: RateLimitController;
   readonly notices: NoticeController;
@@ -67,6 +69,8 @@
 
   #answeredAt: number | undefined;
 
+  #isFoundSound = false;
+
   constructor(now: number, context: RunContext, exchange: Exchange, runner: Runner) {
     this.#sentAt = now;
     this.#context = context;
@@ -102,15 +106,30 @@
   answered(now: number): void {
     this.#answeredAt ??= now;
     this.#exchange.sendsEventsOf(this.#runner);
+    if (now - this.#answeredAt >= EARLY_CRASH_MS) this.#foundSound(now);
   }
 
-  /** The response is complete, whatever its status: the runner did not crash. */
-  completed(now: number, part?: StreamPart): void {
-    this.#context.quarantine.completed(now, this.#exchange.fingerprint);
+  /**
+   * The response is complete.
+   * @param isProof whether that shows that the request does not crash its runner: an error may be
+   * the answer of a runner that did not begin to run it
+   */
+  completed(now: number, part?: StreamPart, isProof = true): void {
+    if (isProof) this.#foundSound(now);
     const isWhole = part?.afterEvent === undefined && !part?.tornBytes;
     if (part && !isWhole) this.#context.log.info(this.#fields(part), 'A run completed a stream.');
   }
 
+  #foundSound(now: number): void {
+    if (this.#isFoundSound) return;
+    this.#isFoundSound = true;
+    this.#context.quarantine.completed(now, this.#fingerprints);
+  }
+
+  get #fingerprints(): readonly string[] {
+    return this.#exchange.fingerprintsAt(this.#runner.version);
+  }
+
   /** The response does not continue the stream. */
   diverged(part: StreamPart, fault: StreamFault): void {
     const { metrics, log } = this.#context;
@@ -130,7 +149,8 @@
     const answeredAt = this.#answeredAt;
     const isPathLost = !paths.isAtFault(now, this.#runner, this.#sentAt);
     const isCrash = !isPathLost && isAttributable(now, answeredAt);
-    const ends = isCrash ? quarantine.crashed(now, fingerprint, runner) : 0;
+    if (isCrash) this.#crashed(now, runner);
+    const ends = isCrash ? quarantine.crashCount(fingerprint) : 0;
     metrics.count('runs.broken');
     log.info(
       {
@@ -144,6 +164,11 @@
     );
   }
 
+  #crashed(now: number, runner: string): void {
+    const { quarantine } = this.#context;
+    quarantine.crashed(now, this.#fingerprints, runner, isLate(now, this.#answeredAt));
+  }
+
   #fields(part: StreamPart | undefined): Readonly<Record<string, unknown>> {
     const { request, fingerprint, service } = this.#exchange;
     const { id: runner, role, version } = this.#runner;
@@ -171,10 +196,23 @@
     this.#context = { ...context, lines };
   }
 
-  /** The reason why a request must not be sent to a runner; undefined if it may be. */
+  /** The reason why a request must not be sent to any runner; undefined if it may be. */
   refusal(now: number, exchange: Exchange): Failure | undefined {
-    const { authorizer, quarantine } = this.#context;
-    return authorizer.refusal(bootNow(), exchange) ?? quarantine.refusal(now, exchange.fingerprint);
+    return this.#refusalAt(now, exchange);
+  }
+
+  /**
+   * The same, after a trial was asked for if the request may only run alone. Rejects with nothing.
+   */
+  async admit(exchange: Exchange): Promise<Failure | undefined> {
+    const { authorizer, screening } = this.#context;
+    const refused = authorizer.refusal(bootNow(), exchange);
+    return refused ?? screening.admit(exchange);
+  }
+
+  /** Whether a request may be sent to a runner, as far as crashes under the same content are known. */
+  allows(now: number, exchange: Exchange, runner: Runner): boolean {
+    return this.#context.screening.refusal(now, exchange, runner) === undefined;
   }
 
   /**
@@ -183,11 +221,16 @@
    * or `runnerUnavailable`.
    */
   begin(now: number, exchange: Exchange, runner: Runner): Run {
-    const refused = this.refusal(now, exchange);
+    const refused = this.#refusalAt(now, exchange, runner);
     if (refused) throw refused;
     if (!this.#context.routingState.accepts(now, runner)) {
       throw new Failure('runnerUnavailable', `${runner.id} takes no requests`);
     }
     return new Run(now, this.#context, exchange, runner);
   }
+
+  #refusalAt(now: number, exchange: Exchange, runner?: Runner): Failure | undefined {
+    const { authorizer, screening } = this.#context;
+    return authorizer.refusal(bootNow(), exchange) ?? screening.refusal(now, exchange, runner);
+  }
 }
--- a/src/node/router/suspects.ts
+++ b/src/node/router/suspects.ts
@@ -14,7 +14,16 @@
 /** Schema of one suspect request in a message. */
 export const suspectSchema = z.object({
   fingerprint: z.string().max(64),
-  ends: z.array(z.object({ runner: z.string().max(300), agoMs: ageSchema })).max(8),
+  ends: z
+    .array(
+      z.object({
+        runner: z.string().max(300),
+        agoMs: ageSchema,
+        /** Omitted by VMs whose program does not know it. */
+        late: z.boolean().optional(),
+      }),
+    )
+    .max(8),
   completedAgoMs: ageSchema.optional(),
 });
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -87,6 +87,8 @@
    * request or its session. Empty if the caller names none.
    */
   readonly promptParts: readonly string[];
+  /** Name of the model; empty if the caller names none. */
+  readonly model: string;
   /** Undefined if the caller has no part of the answer yet. */
   readonly continues: Continuation | undefined;
   readonly credential: Credential;
--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -139,6 +139,7 @@
       deadlineMs: numberOf(firstValueOf(message, header.deadline)),
       usage: usageOf(message, promptParts.at(-1)),
       promptParts,
+      model: firstValueOf(message, header.model) ?? '',
       continues: continuationOf(message),
       credential: keyed ? credentialOf(message) : { kind: 'none' },
       customer: undefined,
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -19,6 +19,7 @@
   usage: 'token-usage',
   /** Parts of the prompt in order, each `ID:TOKENS`; the last one is specific to the request. */
   promptParts: 'prompt-prefix',
+  model: 'model',
   lengthHint: 'length-hint',
   /** `prefill`: the runner only prefills the prompt and keeps its KV cache. */
   stage: 'serving-stage',
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -133,7 +133,7 @@
 
 /** A quarantined request. Times are wall-clock times in Unix milliseconds, because all VMs may have restarted before the entry is read. */
 const suspectSchema = z.object({
-  ends: z.array(z.object({ runner: z.string(), at: z.number() })),
+  ends: z.array(z.object({ runner: z.string(), at: z.number(), late: z.boolean().optional() })),
   completedAt: z.number().optional(),
 });
 
@@ -282,7 +282,11 @@
   const agoMsOf = (at: number): number => Math.max(0, wallNow - at);
   return {
     fingerprint,
-    ends: ends.map(({ runner, at }) => ({ runner, agoMs: agoMsOf(at) })),
+    ends: ends.map(({ runner, at, late }) => ({
+      runner,
+      agoMs: agoMsOf(at),
+      ...(late ? { late } : {}),
+    })),
     ...(completedAt === undefined ? {} : { completedAgoMs: agoMsOf(completedAt) }),
   };
 }
@@ -293,7 +297,11 @@
  */
 export function encodeSuspect(wallNow: number, { ends, completedAgoMs }: Suspect): string {
   return JSON.stringify({
-    ends: ends.map(({ runner, agoMs }) => ({ runner, at: Math.round(wallNow - agoMs) })),
+    ends: ends.map(({ runner, agoMs, late }) => ({
+      runner,
+      at: Math.round(wallNow - agoMs),
+      ...(late ? { late } : {}),
+    })),
     ...(completedAgoMs === undefined ? {} : { completedAt: Math.round(wallNow - completedAgoMs) }),
   });
 }
--- a/test/core/quarantine.test.ts
+++ b/test/core/quarantine.test.ts
@@ -1,11 +1,7 @@
 import fc from 'fast-check';
 
-import {
-  CRASH_LIMIT,
-  TTL_MS,
-  Quarantine,
-  isAttributable,
-} from '../../src/core/quarantine/quarantine';
+import { Quarantine, isAttributable } from '../../src/core/quarantine/quarantine';
+import { CRASH_LIMIT, TTL_MS } from '../../src/core/quarantine/record';
 import type { Suspect } from '../../src/core/quarantine/types';
 
 const MINUTE_MS = 60_000;
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -47,6 +47,7 @@
   deadlineMs: 14_000,
   usage: { promptId: 'p', promptTokens: 5000, maxOutputTokens: 1000, hintTokens: undefined },
   promptParts: [],
+  model: '',
   continues: undefined,
   credential: { kind: 'none' },
   customer: undefined,
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -17,6 +17,7 @@
 import { NoticeController } from '../../src/node/router/notices';
 import { RateLimitController } from '../../src/node/router/ratelimits';
 import { Runs } from '../../src/node/router/runs';
+import { Screening } from '../../src/node/router/screening';
 import type { RunnerPaths } from '../../src/node/router/types';
 import { noopListener } from './listener';
 
@@ -118,12 +119,22 @@
   return { pathTo, reaches, isAtFault: (_now, runner) => pathTo(runner) === 'direct' };
 }
 
+/** Screening by a quarantine in which every trial is granted. */
+export function screeningOf(quarantine: QuarantineController): Screening {
+  return new Screening({
+    quarantine,
+    routingState: openStateOf(),
+    trials: { ask: async () => true },
+  });
+}
+
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(quarantine = quarantineOf(), paths = directPaths): Runs {
   return new Runs({
     routingState: openStateOf(),
     paths,
     quarantine,
+    screening: screeningOf(quarantine),
     authorizer: authorizerOf(),
     rateLimits: rateLimitsOf(),
     notices: noticesOf(),
--- a/test/fakes/vmstate.ts
+++ b/test/fakes/vmstate.ts
@@ -12,7 +12,7 @@
 import { Runs } from '../../src/node/router/runs';
 import type { Reply } from '../../src/node/router/types';
 import { positionAt } from './position';
-import { authorizerOf, directPaths, quarantineOf, rateLimitsOf } from './runs';
+import { authorizerOf, directPaths, quarantineOf, rateLimitsOf, screeningOf } from './runs';
 
 const log = pino({ level: 'silent' });
 
@@ -45,10 +45,12 @@
       metrics,
       log,
     });
+    const quarantine = quarantineOf();
     this.runs = new Runs({
       routingState: this.state,
       paths: directPaths,
-      quarantine: quarantineOf(),
+      quarantine,
+      screening: screeningOf(quarantine),
       authorizer: authorizerOf(),
       rateLimits: rateLimitsOf(),
       notices: this.notices,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -45,6 +45,7 @@
       deadlineMs: 1000,
       usage: undefined,
       promptParts: [],
+      model: '',
       continues: undefined,
       credential: { kind: 'none' },
       customer: undefined,
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -140,7 +140,9 @@
     const out: string[] = [];
     const route = { ...streamRoute, attempts: 3, resumable: true };
     const exchange = exchangeInto(out, promptRequest, route);
-    for (const id of ['x', 'y']) quarantine.crashed(performance.now(), exchange.fingerprint, id);
+    for (const id of ['x', 'y']) {
+      quarantine.crashed(performance.now(), [exchange.fingerprint], id, false);
+    }
     const sent: string[] = [];
     const context = {
       routingState: openStateOf([runner('d1', 'decode'), runner('d2', 'decode')]),
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -13,6 +13,7 @@
   openStateOf,
   quarantineOf,
   rateLimitsOf,
+  screeningOf,
 } from '../fakes/runs';
 
 /** Runs and the log lines that they write. */
@@ -31,10 +32,12 @@
         done();
       },
     });
+    const quarantine = quarantineOf();
     this.runs = new Runs({
       routingState: openStateOf(),
       paths: directPaths,
-      quarantine: quarantineOf(),
+      quarantine,
+      screening: screeningOf(quarantine),
       authorizer: authorizerOf(),
       rateLimits: rateLimitsOf(),
       notices: noticesOf(),
