Tell which crashes a completion clears, not when it was

Cause: reports named the ages of crashes and of the last completion as of when they were queued, and wait for seconds to be sent. A completion seemed later at each VM, cleared newer crashes and was announced anew, without end. A crash that was trimmed from a record came back by a late report, seemed new and later, and was announced again, so that all crashes seemed to be of one moment. Change: each reported crash says whether it is cleared, which no report takes back; what a completion clears is decided where the crash and the completion are known by the VM itself. The first 32 crashes stay, and the latest 8 are reported. From older programs, which name only the age, it is compared with the ages of the crashes in the same report. Evidence: both new cases of core/quarantine.test.ts fail on the code before.

--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -21,6 +21,7 @@
 import { Completions } from './completions';
 import type { CrashRecord } from './record';
 import {
+  clearRecord,
   CRASH_LIMIT,
   hasChanged,
   isRecurring,
@@ -75,8 +76,10 @@
   /** Records that a run was found not to crash its runner. Returns the update to spread; undefined if nothing changed. */
   recordCompletion(now: number, fingerprint: string): Suspect | undefined {
     this.#completions.add(now, fingerprint);
-    if (!this.#records.has(fingerprint)) return undefined;
-    return this.#merge(now, { fingerprint, ends: [], completedAgoMs: 0 }, 0);
+    const before = this.#records.get(fingerprint);
+    if (!before) return undefined;
+    const update = this.#replace(now, fingerprint, before, clearRecord(before));
+    return update && { ...update, completedAgoMs: 0 };
   }
 
   /** Merges a report of another VM or the store. Returns the update to spread; undefined if nothing changed. */
@@ -87,10 +90,20 @@
   /** @param minAgeMs age from which another record may be evicted, in milliseconds */
   #merge(now: number, suspect: Suspect, minAgeMs: number): Suspect | undefined {
     const { fingerprint } = suspect;
-    const before = this.#records.get(fingerprint);
+    const known = this.#records.get(fingerprint);
+    const before = known ?? new Map();
     const after = mergeRecord(now, before, suspect, this.#completions.lastOf(now, fingerprint));
-    if (after.crashes.size === 0) return undefined;
-    if (!before && !this.#evict(now, minAgeMs)) return undefined;
+    if (after.size === 0) return undefined;
+    if (!known && !this.#evict(now, minAgeMs)) return undefined;
+    return this.#replace(now, fingerprint, before, after);
+  }
+
+  #replace(
+    now: number,
+    fingerprint: string,
+    before: CrashRecord,
+    after: CrashRecord,
+  ): Suspect | undefined {
     this.#records.set(fingerprint, after);
     return hasChanged(now, before, after) ? toSuspect(now, fingerprint, after) : undefined;
   }
@@ -119,7 +132,7 @@
 
   /** Number of runners known to have crashed under a fingerprint, at most `CRASH_LIMIT`. */
   crashCount(fingerprint: string): number {
-    return Math.min(CRASH_LIMIT, this.#records.get(fingerprint)?.crashes.size ?? 0);
+    return Math.min(CRASH_LIMIT, this.#records.get(fingerprint)?.size ?? 0);
   }
 
   /** All records, to be sent to another VM. */
@@ -169,7 +182,7 @@
   /** What the crash of a runner accuses and others accuse as well. */
   #recurringAt(now: number, runner: string): readonly string[] {
     return [...this.#records]
-      .filter(([, { crashes }]) => crashes.has(runner))
+      .filter(([, record]) => record.has(runner))
       .map(([fingerprint]) => fingerprint)
       .filter((one) => this.#isRecurring(now, one) && this.#standing(now, one).includes(runner));
   }
@@ -186,8 +199,8 @@
   }
 
   #expire(now: number): void {
-    for (const [fingerprint, { crashes }] of this.#records) {
-      const isOld = [...crashes.values()].every(({ at }) => now - at >= TTL_MS);
+    for (const [fingerprint, record] of this.#records) {
+      const isOld = [...record.values()].every(({ at }) => now - at >= TTL_MS);
       if (isOld) this.#records.delete(fingerprint);
     }
   }
@@ -198,7 +211,7 @@
     const weakest = this.#weakest(now);
     if (!weakest) return true;
     const [fingerprint, record] = weakest;
-    const lastAt = Math.max(...[...record.crashes.values()].map(({ at }) => at));
+    const lastAt = Math.max(...[...record.values()].map(({ at }) => at));
     const isCleared = standingCrashes(now, record).length === 0;
     if (!isCleared && now - lastAt < minAgeMs) return false;
     this.#records.delete(fingerprint);
--- a/src/core/quarantine/record.ts
+++ b/src/core/quarantine/record.ts
@@ -1,4 +1,4 @@
-/** Crashes and completions of one fingerprint: how reports are merged, and which crashes count against it. */
+/** Crashes under one fingerprint: how reports are merged, and which crashes count against it. */
 
 import { isPart } from '../fingerprint';
 import type { RunnerCrash, Suspect } from './types';
@@ -12,72 +12,76 @@
 /** Number of crashed runners from which requests with a prompt part run one at a time. */
 const TRIAL_LIMIT = 2;
 /** Maximum number of crashes kept for one fingerprint. */
-export const MAX_CRASHES = 8;
-/** Time before a completion in which crashes do not count, and after it as well, in milliseconds: requests that share a part run at many runners, which may crash together. */
+const MAX_CRASHES = 32;
+/** Maximum number of crashes in one report. */
+const MAX_REPORTED_CRASHES = 8;
+/** Time before a crash in which a completion clears it, in milliseconds: requests that share a part run at many runners, which may crash together. */
 const COMPLETION_WINDOW_MS = 2000;
 /** Minimum time between two crashes that count separately against a prompt part, in milliseconds: a failure domain that loses power crashes many runners at once, and requests that share the part ran on several of them. */
 const SEPARATION_MS = 100;
-/** Minimum advance of the completion time that is worth spreading, in milliseconds. */
-const MIN_COMPLETION_ADVANCE_MS = 10_000;
 
-/** The crash of one runner; times are by the monotonic clock of this VM. */
+/** The crash of one runner. */
 interface Crash {
+  /** Time by the monotonic clock of this VM. Reports age while they wait to be sent, so that it may be too late by seconds. */
   readonly at: number;
   readonly late: boolean;
+  readonly cleared: boolean;
 }
 
-/** What is known of one fingerprint. */
-export interface CrashRecord {
-  /** The latest crash of each runner, by instance id. */
-  readonly crashes: ReadonlyMap<string, Crash>;
-  /** Time of the last completion; minus infinity if none is known. */
-  readonly completedAt: number;
-}
+/** What is known of one fingerprint: the crash of each runner, by instance id. */
+export type CrashRecord = ReadonlyMap<string, Crash>;
 
 /** A crash that counts, and the runner's instance id. */
 type StandingCrash = readonly [runner: string, crash: Crash];
 
-/** Combines the latest crashes, one per runner, and the latest completion. */
+/** Whether a completion clears a crash: it was later, or shortly before. */
+function clears(completedAt: number, crashedAt: number): boolean {
+  return crashedAt - completedAt <= COMPLETION_WINDOW_MS;
+}
+
+/**
+ * Adds reported crashes to a record, if there is room. A crash that is cleared by any report stays so.
+ * @param completedAt time of the last completion that this VM knows by itself
+ */
 export function mergeRecord(
   now: number,
-  before: CrashRecord | undefined,
+  before: CrashRecord,
   { ends, completedAgoMs = Infinity }: Suspect,
-  completedHereAt: number,
+  completedAt: number,
 ): CrashRecord {
-  const reported = ends
-    .filter(({ agoMs }) => agoMs < TTL_MS)
-    .map(({ runner, agoMs, late = false }): [string, Crash] => [runner, { at: now - agoMs, late }]);
-  // Known crashes override reported ones: one reported back over another path looks slightly more recent each time.
-  const all = new Map([...reported, ...(before?.crashes ?? [])]);
-  const latest = [...all].sort(([, a], [, b]) => b.at - a.at).slice(0, MAX_CRASHES);
-  const completedAt = Math.max(
-    before?.completedAt ?? -Infinity,
-    completedHereAt,
-    now - completedAgoMs,
-  );
-  return { crashes: new Map(latest), completedAt };
+  const after = new Map(before);
+  for (const { runner, agoMs, late = false, cleared } of ends) {
+    const known = before.get(runner);
+    // Ages within one report are comparable, those of several are not.
+    const isCleared = cleared ?? clears(-completedAgoMs, -agoMs);
+    const at = known?.at ?? now - agoMs;
+    const crash = { at, late: known?.late ?? late, cleared: known?.cleared || isCleared };
+    if (known || (agoMs < TTL_MS && after.size < MAX_CRASHES)) after.set(runner, crash);
+  }
+  for (const [runner, crash] of after) {
+    if (clears(completedAt, crash.at)) after.set(runner, { ...crash, cleared: true });
+  }
+  return after;
 }
 
-/** Whether a merged record has something that other VMs need to know. */
-export function hasChanged(
-  now: number,
-  before: CrashRecord | undefined,
-  after: CrashRecord,
-): boolean {
-  if (!before) return true;
-  if (after.completedAt - before.completedAt >= MIN_COMPLETION_ADVANCE_MS) return true;
-  const standing = standingCrashes(now, after);
-  const isCleared = standing.length < standingCrashes(now, before).length;
-  return isCleared || standing.some(([runner]) => !before.crashes.has(runner));
+/** The record after a run was found sound: no crash so far counts. */
+export function clearRecord(before: CrashRecord): CrashRecord {
+  return new Map([...before].map(([runner, crash]) => [runner, { ...crash, cleared: true }]));
 }
 
-/** The crashes that count: no run was found sound since, or shortly before. The earliest first. */
-export function standingCrashes(
-  now: number,
-  { crashes, completedAt }: CrashRecord,
-): readonly StandingCrash[] {
-  return [...crashes]
-    .filter(([, { at }]) => now - at < TTL_MS && at - completedAt > COMPLETION_WINDOW_MS)
+/** Whether other VMs need to know the changes of a record: crashes that count, or that no longer do. */
+export function hasChanged(now: number, before: CrashRecord, after: CrashRecord): boolean {
+  const hasStood = ([runner, { cleared }]: StandingCrash): boolean =>
+    cleared && before.get(runner)?.cleared === false;
+  return (
+    standingCrashes(now, after).some(([runner]) => !before.has(runner)) || [...after].some(hasStood)
+  );
+}
+
+/** The crashes that count, the earliest first. */
+export function standingCrashes(now: number, record: CrashRecord): readonly StandingCrash[] {
+  return [...record]
+    .filter(([, { at, cleared }]) => !cleared && now - at < TTL_MS)
     .sort(([, a], [, b]) => a.at - b.at);
 }
 
@@ -87,16 +91,17 @@
   fingerprint: string,
   record: CrashRecord,
 ): number | undefined {
-  const all = separateTimes(fingerprint, standingCrashes(now, record));
+  const standing = standingCrashes(now, record);
+  const all = separateTimes(fingerprint, standing);
   const early = separateTimes(
     fingerprint,
-    standingCrashes(now, record).filter(([, { late }]) => !late),
+    standing.filter(([, { late }]) => !late),
   );
   const since = early.at(-CRASH_LIMIT) ?? all.at(-LATE_CRASH_LIMIT);
   return since === undefined ? undefined : since + TTL_MS;
 }
 
-/** Whether crashes with a prompt part recur, so that requests with it run one at a time until one is found sound or it is quarantined. */
+/** Whether crashes recur under a fingerprint: requests with such a prompt part run one at a time until one is found sound, or the part is in quarantine. */
 export function isRecurring(now: number, fingerprint: string, record: CrashRecord): boolean {
   return separateTimes(fingerprint, standingCrashes(now, record)).length >= TRIAL_LIMIT;
 }
@@ -113,20 +118,15 @@
 }
 
 /** Encodes a record for other VMs. */
-export function toSuspect(
-  now: number,
-  fingerprint: string,
-  { crashes, completedAt }: CrashRecord,
-): Suspect {
-  const ago = (at: number): number => Math.max(0, Math.round(now - at));
-  const ends = [...crashes].map(([runner, { at, late }]): RunnerCrash => ({
+export function toSuspect(now: number, fingerprint: string, record: CrashRecord): Suspect {
+  const latest = [...record].sort(([, a], [, b]) => b.at - a.at).slice(0, MAX_REPORTED_CRASHES);
+  const ends = latest.map(([runner, { at, late, cleared }]): RunnerCrash => ({
     runner,
-    agoMs: ago(at),
+    agoMs: Math.max(0, Math.round(now - at)),
     ...(late ? { late } : {}),
+    cleared,
   }));
-  return {
-    fingerprint,
-    ends,
-    ...(Number.isFinite(completedAt) ? { completedAgoMs: ago(completedAt) } : {}),
-  };
+  // For programs that do not know `cleared`.
+  const lastCleared = ends.find(({ cleared }) => cleared);
+  return { fingerprint, ends, ...(lastCleared ? { completedAgoMs: lastCleared.agoMs } : {}) };
 }
--- a/src/core/quarantine/types.ts
+++ b/src/core/quarantine/types.ts
@@ -8,12 +8,17 @@
   readonly agoMs: number;
   /** Whether the run had produced output for a while, so that its start probably did not crash the runner. Default: it had not. */
   readonly late?: boolean | undefined;
+  /**
+   * Whether a run was found sound since, or shortly before, so that the crash does not count. Undefined
+   * if the report is of a program that does not know this; then `completedAgoMs` tells.
+   */
+  readonly cleared?: boolean | undefined;
 }
 
 /** Crashes and completions of the requests with one fingerprint: that of a whole request or of a prompt part. */
 export interface Suspect {
   readonly fingerprint: string;
-  /** The latest crashes, at most `MAX_CRASHES`, each of a different runner instance. */
+  /** The latest crashes, at most `MAX_REPORTED_CRASHES`, each of a different runner instance. */
   readonly ends: readonly RunnerCrash[];
   /** Time since a run of such a request was last found not to crash its runner, in milliseconds. Default: none was. */
   readonly completedAgoMs?: number | undefined;
--- a/src/node/router/quarantine.ts
+++ b/src/node/router/quarantine.ts
@@ -10,7 +10,7 @@
 import { isPart } from '../../core/fingerprint';
 import { Quarantine } from '../../core/quarantine/quarantine';
 import { TTL_MS } from '../../core/quarantine/record';
-import type { Suspect, Verdict } from '../../core/quarantine/types';
+import type { RunnerCrash, Suspect, Verdict } from '../../core/quarantine/types';
 import type { Metrics } from '../metrics';
 import type { SuspectArchive } from './types';
 
@@ -156,10 +156,10 @@
 
   /** Requests in quarantine, for operators. */
   snapshot(now: number): readonly unknown[] {
-    return this.#quarantine.refused(now).map(({ fingerprint, ends }) => ({
-      fingerprint,
-      runners: ends.map(({ runner }) => runner),
-      forMs: Math.round(this.#quarantine.refusedForMs(now, fingerprint) ?? 0),
+    return this.#quarantine.refused(now).map((suspect) => ({
+      fingerprint: suspect.fingerprint,
+      runners: countedCrashes(suspect).map(({ runner }) => runner),
+      forMs: Math.round(this.#quarantine.refusedForMs(now, suspect.fingerprint) ?? 0),
     }));
   }
 
@@ -211,8 +211,9 @@
     const { log, metrics, onRefusedChange } = this.#context;
     const added = refused.filter(({ fingerprint }) => !before.has(fingerprint));
     const released = [...before].filter((fingerprint) => !this.#refused.has(fingerprint));
-    for (const { fingerprint, ends } of added) {
-      const runners = ends.map(({ runner }) => runner);
+    for (const suspect of added) {
+      const { fingerprint } = suspect;
+      const runners = countedCrashes(suspect).map(({ runner }) => runner);
       const fields = { fingerprint, runners, source, forMs: TTL_MS };
       log.warn(fields, `Quarantined a ${kindOf(fingerprint)}.`);
     }
@@ -245,7 +246,7 @@
     this.#saveAt.set(fingerprint, now + SAVE_RETRY_MS);
     const { archive, log } = this.#context;
     archive
-      .save(suspect, TTL_MS)
+      .save({ fingerprint, ends: countedCrashes(suspect) }, TTL_MS)
       .then(() => {
         log.info({ fingerprint }, 'Saved a quarantined request.');
         this.#stored.add(fingerprint);
@@ -255,6 +256,10 @@
   }
 }
 
+function countedCrashes({ ends }: Suspect): readonly RunnerCrash[] {
+  return ends.filter(({ cleared }) => !cleared);
+}
+
 function kindOf(fingerprint: string): string {
   return isPart(fingerprint) ? 'prompt part' : 'request';
 }
--- a/src/node/router/suspects.ts
+++ b/src/node/router/suspects.ts
@@ -19,8 +19,9 @@
       z.object({
         runner: z.string().max(300),
         agoMs: ageSchema,
-        /** Omitted by VMs whose program does not know it. */
+        /** Both are omitted by VMs whose program does not know them. */
         late: z.boolean().optional(),
+        cleared: z.boolean().optional(),
       }),
     )
     .max(8),
--- a/test/core/quarantine.test.ts
+++ b/test/core/quarantine.test.ts
@@ -87,6 +87,29 @@
   });
 });
 
+/* Reports wait for seconds in the queues of VMs, so that what they tell seems later than it was. */
+describe('a report that was on its way for long', () => {
+  test('does not clear crashes that it does not know', () => {
+    const sender = endedBy('a');
+    const update = sender.recordCompletion(3000, 'f') as Suspect;
+    const receiver = endedBy('a');
+    for (const [index, runner] of ['b', 'c', 'd'].entries()) {
+      receiver.recordCrash(10_000 + 1000 * index, 'f', runner);
+    }
+    receiver.apply(12_500, update);
+    expect(isRefused(receiver, 12_500)).toBe(true);
+  });
+
+  test('is passed on once only, however many crashes are known', () => {
+    const runners = Array.from({ length: 12 }, (_, i) => `r${i}`);
+    const reports = runners.map((runner, i) => endedBy(runner).suspects(i * 10)[0] as Suspect);
+    const receiver = new Quarantine();
+    reports.forEach((report, i) => receiver.apply(1000 + i, report));
+    const passedOn = reports.map((report, i) => receiver.apply(2000 + i, report));
+    expect(passedOn.filter((update) => update !== undefined)).toEqual([]);
+  });
+});
+
 /** An event at one of the VMs, or an exchange in which one VM sends all of its entries to another. */
 type Step =
   | { readonly kind: 'ended'; readonly vm: number; readonly runner: number }
