Do not refuse a caller for two prompt parts that crash runners

Cause: a request was refused if it had what recurs among the parts that one crash accuses. The part that had crashed one runner did not recur yet, so the caller's part alone seemed to explain that crash. Change: a request is refused if it has all shared parts that one crash accuses, or what recurs among those of two; else it is tried. The last part of a prompt, which is the request's own, counts apart from the same part as an earlier one. Evidence: 'does not have its caller refused for another one beside it' and 'is another one as the last of a prompt' of core/promptparts.test.ts fail on the code before.

--- a/src/core/fingerprint.ts
+++ b/src/core/fingerprint.ts
@@ -19,8 +19,10 @@
   return fingerprintOf(head, body).slice(0, CONTENT_ID_LENGTH);
 }
 
-/** What begins the fingerprint of a prompt part, and of nothing else. */
+/** What begins the fingerprints of prompt parts, and of nothing else. */
 const PART_PREFIX = 'part:';
+/** What begins the fingerprint of a part as the last one of a prompt, which is the request's own. */
+const OWN_PREFIX = 'own:';
 /** Characters of a digest of the scope, six bits each. */
 const SCOPE_LENGTH = 8;
 /** Maximum length of a part's id in its fingerprint, in characters; of a longer one its digest is used. */
@@ -36,21 +38,38 @@
   readonly version: string;
 }
 
-/** Fingerprints of the parts of prompts: the same for all requests that share a part in the same scope. */
+/**
+ * Fingerprints of the parts of a prompt: the same for all requests that share a part in the same
+ * scope. The last part has two, since later requests of a session may go on from it.
+ */
 export function partFingerprints(
   { service, model, version }: PromptScope,
   parts: readonly string[],
 ): readonly string[] {
-  if (parts.length === 0) return [];
+  const last = parts.at(-1);
+  if (last === undefined) return [];
   const scope = contentIdOf(JSON.stringify([service, model, version]), '').slice(0, SCOPE_LENGTH);
-  return [...new Set(parts)].map((id) => `${PART_PREFIX}${scope}:${shortIdOf(id)}`);
+  const all = [...new Set(parts)].map((id) => `${PART_PREFIX}${scope}:${shortIdOf(id)}`);
+  return [...all, `${OWN_PREFIX}${scope}:${shortIdOf(last)}`];
 }
 
 /** Whether a fingerprint is that of a prompt part, not of a whole request. */
 export function isPart(fingerprint: string): boolean {
+  return isSharedPart(fingerprint) || fingerprint.startsWith(OWN_PREFIX);
+}
+
+/** Whether a fingerprint is that of a part that is not the request's own. */
+export function isSharedPart(fingerprint: string): boolean {
   return fingerprint.startsWith(PART_PREFIX);
 }
 
+/** The fingerprints that a request itself stands for: its last part only as its own. */
+export function ownFingerprints(fingerprints: readonly string[]): readonly string[] {
+  const own = fingerprints.find((one) => one.startsWith(OWN_PREFIX));
+  const shared = own && `${PART_PREFIX}${own.slice(OWN_PREFIX.length)}`;
+  return fingerprints.filter((one) => one !== shared);
+}
+
 function shortIdOf(id: string): string {
   const isShort = id.length <= MAX_PART_ID_LENGTH && PLAIN_ID.test(id);
   return isShort ? id : contentIdOf('part', id);
--- a/src/core/quarantine/quarantine.ts
+++ b/src/core/quarantine/quarantine.ts
@@ -12,11 +12,12 @@
  * - a run that had produced output for some time did not crash its runner by being started;
  * - a run that goes on beyond that time, or is answered whole, clears its fingerprints for all VMs;
  * - three runners must have crashed, for a part at different moments;
- * - a request is refused only if it has all that recurs among what one of these crashes accuses.
- *   One that has only some of it may run, alone: it crashes its runner, or clears what it has.
+ * - a request is refused only if it has all shared parts that one of these crashes accuses, or all
+ *   that recurs among what two of them accuse. One that has only some of it may run, alone: it
+ *   crashes its runner, or clears what it has.
  */
 
-import { isPart } from '../fingerprint';
+import { isPart, isSharedPart, ownFingerprints } from '../fingerprint';
 import { textHash } from '../hash';
 import { Completions } from './completions';
 import type { CrashRecord } from './record';
@@ -43,6 +44,8 @@
 const MAX_RECORDS = 256;
 /** Minimum age of a record with a single crash before one reported by another VM may evict it, in milliseconds. It limits the gossip during mass crashes to some 26 updates a second. */
 const MIN_EVICTION_AGE_MS = 10_000;
+/** Number of crashes that accuse nothing else that recurs, from which a request is like those that crashed runners. */
+const RESEMBLED_CRASHES = 2;
 /** Maximum number of prompt parts of one run that a crash accuses. */
 const MAX_ACCUSED_PARTS = 32;
 
@@ -163,28 +166,31 @@
    * are accused already come first, and the crash of each runner picks others of the rest.
    */
   accused(now: number, fingerprints: readonly string[], runner: string): readonly string[] {
-    const parts = fingerprints.filter(isPart);
-    if (parts.length <= MAX_ACCUSED_PARTS) return fingerprints;
+    const own = ownFingerprints(fingerprints);
+    const parts = own.filter(isPart);
+    if (parts.length <= MAX_ACCUSED_PARTS) return own;
     const rankOf = (one: string): number => (this.#standing(now, one).length > 0 ? -1 : 0);
     const order = new Map(parts.map((one) => [one, rankOf(one) || textHash(`${runner} ${one}`)]));
     const chosen = [...parts].sort((a, b) => (order.get(a) ?? 0) - (order.get(b) ?? 0));
-    const whole = fingerprints.filter((one) => !isPart(one));
+    const whole = own.filter((one) => !isPart(one));
     return [...whole, ...chosen.slice(0, MAX_ACCUSED_PARTS)];
   }
 
-  /** Whether a request has all that recurs among what the crash of one runner accuses. */
+  /** Whether a request is like those that crashed runners under one of its fingerprints. */
   #resemblesCrashed(now: number, fingerprint: string, all: ReadonlySet<string>): boolean {
-    return this.#standing(now, fingerprint).some((runner) =>
-      this.#recurringAt(now, runner).every((one) => all.has(one)),
-    );
+    const accused = this.#standing(now, fingerprint).map((runner) => this.#accusedBy(now, runner));
+    const hasAll = (some: readonly string[]): boolean => some.every((one) => all.has(one));
+    if (accused.some((some) => hasAll(some.filter(isSharedPart)))) return true;
+    const recurring = accused.map((some) => some.filter((one) => this.#isRecurring(now, one)));
+    return recurring.filter(hasAll).length >= RESEMBLED_CRASHES;
   }
 
-  /** What the crash of a runner accuses and others accuse as well. */
-  #recurringAt(now: number, runner: string): readonly string[] {
+  /** The fingerprints against which the crash of a runner counts. */
+  #accusedBy(now: number, runner: string): readonly string[] {
     return [...this.#records]
       .filter(([, record]) => record.has(runner))
       .map(([fingerprint]) => fingerprint)
-      .filter((one) => this.#isRecurring(now, one) && this.#standing(now, one).includes(runner));
+      .filter((one) => this.#standing(now, one).includes(runner));
   }
 
   #isRecurring(now: number, fingerprint: string): boolean {
--- a/test/core/promptparts.test.ts
+++ b/test/core/promptparts.test.ts
@@ -151,6 +151,32 @@
     expect(crashes.verdict(requestOf('next', FIRST, FATAL))).toBe('refused');
   });
 
+  // Guards against refusing a caller for the crashes of two parts, of which one has crashed a runner only once.
+  test('does not have its caller refused for another one beside it', () => {
+    const crashes = new Crashes();
+    for (const [i, part] of ['fa1', 'fa2', 'fa1'].entries()) {
+      crashes.crash([requestOf(`q${i}`, FIRST, CALLER, part)]);
+      crashes.complete(requestOf(`sound${i}`, FIRST));
+    }
+    const verdicts = [[CALLER], [CALLER, 'fa1'], [CALLER, 'fa2']].map((parts, i) =>
+      crashes.verdict(requestOf(`next${i}`, FIRST, ...parts)),
+    );
+    expect(verdicts).toEqual(['trial', 'refused', 'refused']);
+  });
+
+  // Guards against a part that is sound as the last one of a prompt, and accused as an earlier one.
+  test('is another one as the last of a prompt, until a run with it is found sound', () => {
+    const crashes = new Crashes();
+    const session = ['q', ...partFingerprints({ service: 's', model: 'm', version: 'v1' }, ['s1'])];
+    const later = requestOf('later', 's1');
+    for (let i = 0; i < 3; i += 1) crashes.crash([session]);
+    expect([session, later].map((one) => crashes.verdict(one))).toEqual(['refused', 'allowed']);
+    for (let i = 0; i < 3; i += 1) crashes.crash([requestOf(`later${i}`, 's1')]);
+    expect(crashes.verdict(later)).toBe('refused');
+    crashes.complete(session);
+    expect([session, later].map((one) => crashes.verdict(one))).toEqual(['allowed', 'allowed']);
+  });
+
   test('is found beside another one', () => {
     const crashes = new Crashes();
     for (let i = 0; i < 3; i += 1) {
@@ -206,7 +232,8 @@
       { ...scope, version: 'v2' },
     ];
     const all = scopes.flatMap((one) => partFingerprints(one, [FATAL, FATAL, 'x'.repeat(64)]));
-    expect(new Set(all).size).toBe(8);
+    // Of each scope: both parts, and the last one as the request's own.
+    expect(new Set(all).size).toBe(12);
     expect(all.filter((one) => one.length > 64)).toEqual([]);
   });
 });
