Let requests wait for the result of another one's trial

Change: a request that holds nothing yet waits up to 2.5 s and looks every 0.25 s; one that holds a reservation or a KV cache waits up to 0.3 s. At most 64 wait at a VM. One that is refused by then is rejected at once.

--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -16,7 +16,7 @@
 import type { RoutingState } from './routingstate';
 import { RunnerChecks } from './runnerchecks';
 import { Runs } from './runs';
-import { Screening } from './screening';
+import { LONG_WAIT, Screening } from './screening';
 import type { RouterSettings, RunnerClient, RunnerPaths } from './types';
 
 /** Dependencies of the handlers. */
@@ -91,7 +91,8 @@
   /** Serves one request to its end. */
   async serve(exchange: Exchange): Promise<void> {
     const { controllers } = this.#context;
-    const refusal = (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange));
+    const refusal =
+      (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
     const now = performance.now();
     this.#retries.get(exchange.service).recordFirst(now);
     if (refusal) {
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -24,6 +24,7 @@
 import type { Answer, RelayOutcome } from './relay';
 import { Relay } from './relay';
 import type { Runs } from './runs';
+import { SHORT_WAIT } from './screening';
 import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
 import { unreachedFailure, versionGoneFailure } from './unreached';
 
@@ -102,7 +103,7 @@
     let blame: string | undefined;
     try {
       const { prefill } = grant;
-      const refused = await this.#context.runs.admit(exchange);
+      const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
       if (refused) throw refused;
       const cache =
         prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
@@ -291,7 +292,7 @@
     // The owner may know an older entry of the runner, or be a program that does not know versions.
     const isUsable = runner && paths.reaches(runner) && mayContinue(runner, exchange.version);
     if (!isUsable) return 'unavailable';
-    const refused = await this.#context.runs.admit(exchange);
+    const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
     if (refused) {
       if (cache) this.#freeCache(cache);
       throw refused;
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -20,7 +20,7 @@
 import type { RateLimitController } from './ratelimits';
 import type { RoutingState } from './routingstate';
 import type { RunnerChecks } from './runnerchecks';
-import type { Screening } from './screening';
+import type { Screening, TrialWait } from './screening';
 import type { Reply, RunnerPaths } from './types';
 
 /** Log lines per second about runners that were not reached. */
@@ -224,13 +224,11 @@
     return this.#refusalAt(now, exchange);
   }
 
-  /**
-   * The same, after a trial was asked for if the request may only run alone. Rejects with nothing.
-   */
-  async admit(exchange: Exchange): Promise<Failure | undefined> {
+  /** The same, after a trial was asked for, and waited for, if the request may only run alone. */
+  async admit(exchange: Exchange, wait: TrialWait): Promise<Failure | undefined> {
     const { authorizer, screening } = this.#context;
     const refused = authorizer.refusal(bootNow(), exchange);
-    return refused ?? screening.admit(exchange);
+    return refused ?? screening.admit(exchange, wait);
   }
 
   /** Whether a request may be sent to a runner, as far as crashes under the same content are known. */
--- a/src/node/router/screening.ts
+++ b/src/node/router/screening.ts
@@ -3,6 +3,8 @@
  * has those that may do so run one at a time.
  */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import { Failure } from '../../core/failure';
 import type { Verdict } from '../../core/quarantine/types';
 import type { Runner } from '../../core/routing/types';
@@ -21,6 +23,20 @@
 
 /** Retry delay for callers whose request may only run alone while another one does, in milliseconds. */
 const TRIAL_RETRY_MS = 1000;
+/** How long a request waits for the result of another one's trial. */
+export interface TrialWait {
+  /** Longest wait, in milliseconds. */
+  readonly limitMs: number;
+  /** Time between two looks, in milliseconds. */
+  readonly pollMs: number;
+}
+
+/** Wait of a request that holds nothing: most trials have a result by then. */
+export const LONG_WAIT: TrialWait = { limitMs: 2500, pollMs: 250 };
+/** Wait of a request that holds a reservation or a KV cache: crashes by chance are cleared by then. */
+export const SHORT_WAIT: TrialWait = { limitMs: 300, pollMs: 100 };
+/** Maximum number of requests that wait at one VM. */
+const MAX_WAITING = 64;
 
 /** A verdict on a request, and the software version of the runners to which it applies. */
 interface VersionVerdict {
@@ -34,6 +50,9 @@
 export class Screening {
   readonly #context: ScreeningContext;
 
+  /** Number of requests that wait for the result of a trial. */
+  #waiting = 0;
+
   constructor(context: ScreeningContext) {
     this.#context = context;
   }
@@ -49,19 +68,35 @@
     return isOnTrial ? undefined : trialFailure(verdict.fingerprints);
   }
 
-  /** The same, after a trial was asked for if the request may only run alone. */
-  async admit(exchange: Exchange): Promise<Failure | undefined> {
+  /**
+   * The same, after a trial was asked for if the request may only run alone. While another request is
+   * on trial this one waits: the result may clear it, so it is not known to be unservable.
+   */
+  async admit(exchange: Exchange, { limitMs, pollMs }: TrialWait): Promise<Failure | undefined> {
+    const until = performance.now() + limitMs;
+    let refused = await this.#tryAdmit(exchange);
+    if (refused?.codeName !== 'onTrial' || this.#waiting >= MAX_WAITING) return refused;
+    this.#waiting += 1;
+    try {
+      while (refused?.codeName === 'onTrial' && performance.now() < until) {
+        if (exchange.signal.aborted) break;
+        await pause(pollMs);
+        refused = await this.#tryAdmit(exchange);
+      }
+    } finally {
+      this.#waiting -= 1;
+    }
+    return refused;
+  }
+
+  async #tryAdmit(exchange: Exchange): Promise<Failure | undefined> {
     const now = performance.now();
     const { verdict, version } = this.#verdictOf(now, exchange);
-    if (verdict.kind !== 'trial') return this.refusal(now, exchange);
-    const { trials } = this.#context;
+    const refused = this.refusal(now, exchange);
+    if (verdict.kind !== 'trial' || !refused) return refused;
     const { fingerprints } = verdict;
-    const isGranted = await trials.ask(
-      now,
-      exchange,
-      exchange.fingerprintsAt(version),
-      fingerprints,
-    );
+    const all = exchange.fingerprintsAt(version);
+    const isGranted = await this.#context.trials.ask(now, exchange, all, fingerprints);
     if (!isGranted) return trialFailure(fingerprints);
     for (const one of fingerprints) exchange.trials.add(one);
     return this.refusal(performance.now(), exchange);
--- a/test/fakes/virtual/syncfleet.ts
+++ b/test/fakes/virtual/syncfleet.ts
@@ -18,7 +18,7 @@
 } from '../../../src/core/membership/types';
 import { isPresent } from '../../../src/core/membership/types';
 import { Quarantine } from '../../../src/core/quarantine/quarantine';
-import type { Suspect } from '../../../src/core/quarantine/types';
+import type { Suspect, Verdict } from '../../../src/core/quarantine/types';
 import type { StateDigest } from '../../../src/core/routing/digest';
 import { decodeDigest, encodeDigest } from '../../../src/core/routing/digest';
 import type { RunnerRecord } from '../../../src/core/routing/directory';
@@ -366,6 +366,32 @@
     this.#announceSuspect(vm, vm.quarantine.recordCrash(this.now, fingerprint, runner));
   }
 
+  /** Records at a VM that a runner crashed under a request with some fingerprints. */
+  crash(number: number, fingerprints: readonly string[], runner: string, late: boolean): void {
+    const vm = this.#vms[number] as Vm;
+    for (const one of vm.quarantine.accused(this.now, fingerprints, runner)) {
+      this.#announceSuspect(vm, vm.quarantine.recordCrash(this.now, one, runner, late));
+    }
+  }
+
+  /** Records at a VM that a run of a request was found sound. */
+  complete(number: number, fingerprints: readonly string[]): void {
+    const vm = this.#vms[number] as Vm;
+    for (const one of fingerprints) {
+      this.#announceSuspect(vm, vm.quarantine.recordCompletion(this.now, one));
+    }
+  }
+
+  /** What a VM does with a request. */
+  verdict(number: number, fingerprints: readonly string[]): Verdict {
+    return (this.#vms[number] as Vm).quarantine.verdict(this.now, fingerprints);
+  }
+
+  /** Runs a task at a virtual time, in milliseconds. */
+  runAt(at: number, task: () => void): void {
+    this.#schedule.add(at, task);
+  }
+
   /** Runs until all running VMs refuse a request; returns the time that took, or the limit. */
   timeToRefuse(fingerprint: string, limitMs: number): number {
     const isRefused = ({ quarantine, dead, frozen }: Vm): boolean =>
