Find out whether a runner that fell silent under a request has crashed

What callers see: a request whose runner loses power under it, so that no connection ends, can be sent on and on: its callers leave before the loss is known, and nothing counts it. Cause: a run that ended with its caller was held against nobody, whatever its runner did. Change: if it had no answer for a second, the runner is asked whether it runs; if not, and the path to it is not lost, that is a crash under the request, one of the kind that counts less. Evidence: 'counts against its request only if it was silent for long' of runnerchecks.test.ts fails on the code before.

--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -26,6 +26,9 @@
 /** Log lines per second about runners that were not reached. */
 const UNREACHED_LINES_PER_S = 10;
 
+/** Time without an answer after which a runner is checked whose request has ended, in milliseconds: more than a prefill takes. */
+const SILENT_MS = 1000;
+
 /** The part of a stream that one run sent. */
 export interface StreamPart {
   readonly status: number;
@@ -157,7 +160,10 @@
    */
   interrupted(now: number, part?: StreamPart): void {
     const { fingerprint, signal } = this.#exchange;
-    if (signal.aborted) return;
+    if (signal.aborted) {
+      this.#abandoned(now);
+      return;
+    }
     const { quarantine, paths, metrics, log } = this.#context;
     const { id: runner } = this.#runner;
     const answeredAt = this.#answeredAt;
@@ -178,6 +184,27 @@
     );
   }
 
+  /**
+   * The request ended before its run did. A runner that fell silent under it may have crashed: its
+   * connections do not end if it lost its power.
+   */
+  #abandoned(now: number): void {
+    const { routingState, paths, checks, quarantine, metrics, log } = this.#context;
+    const isSilent = this.#answeredAt === undefined && now - this.#sentAt >= SILENT_MS;
+    if (!isSilent || !routingState.accepts(now, this.#runner)) return;
+    checks
+      .isRunning(this.#runner)
+      .then((isRunning) => {
+        const checkedAt = performance.now();
+        if (isRunning || !paths.isAtFault(checkedAt, this.#runner, this.#sentAt)) return;
+        metrics.count('runs.silent');
+        quarantine.crashed(checkedAt, this.#fingerprints, this.#runner.id, true);
+        const sentMs = Math.round(checkedAt - this.#sentAt);
+        log.info({ ...this.#fields(undefined), sentMs }, 'A runner fell silent under a request.');
+      })
+      .catch((error) => log.error(toFailure(error).line));
+  }
+
   #crashed(now: number, runner: string): void {
     const { quarantine, routingState, checks, metrics } = this.#context;
     quarantine.crashed(now, this.#fingerprints, runner, isLate(now, this.#answeredAt));
--- a/test/router/runnerchecks.test.ts
+++ b/test/router/runnerchecks.test.ts
@@ -87,3 +87,22 @@
     exchange.end();
   });
 });
+
+describe('a run whose request has ended', () => {
+  // Guards against requests whose runners lose power under them, which ends no connection.
+  test.each([
+    ['silent for long, and its runner has crashed', 1500, crashedChecks, 1],
+    ['silent for long, and its runner runs', 1500, runningChecks, 0],
+    ['silent for a moment', 500, crashedChecks, 0],
+  ])('counts against its request only if it was %s', async (_, silentMs, checks, crashes) => {
+    const quarantine = quarantineOf();
+    const exchange = exchangeInto([]);
+    const now = performance.now();
+    const runs = runsOf(quarantine, directPaths, checks);
+    const run = runs.begin(now - silentMs, exchange, runnerOf('d', 'decode'));
+    exchange.end();
+    run.interrupted(now);
+    await new Promise(setImmediate);
+    expect(quarantine.crashCount(exchange.fingerprint)).toBe(crashes);
+  });
+});
