Quarantine leading prompt blocks that crash engines in cells

What callers see, in the product's own interface: requests whose prompts begin alike crash one engine after the other, as long as each differs in something. A cell counted crashes by the digest of the whole request. Change: a cell counts the prompt blocks as well, whose hashes it gets for its caches, by the same rules: whole answers clear them, requests like those that crashed engines are refused, others run one at a time. Waiting and prefilled requests are refused when their blocks become known.

--- a/src/core/cell/lifecycle.ts
+++ b/src/core/cell/lifecycle.ts
@@ -5,8 +5,9 @@
 import type { Entry } from './entry';
 import { newEntry } from './entry';
 import { estimateOutputTokens } from './forecast';
-import { isAttributable } from '../quarantine/quarantine';
+import { isAttributable, isLate } from '../quarantine/quarantine';
 import type { Adoption, CellEvent } from './types';
+import { fingerprintsOf } from './types';
 
 type Failed = Extract<CellEvent, { kind: 'failed' }>;
 
@@ -38,8 +39,10 @@
       state.costs.observeTokens(this.#meanBatch(entry), (now - entry.since) / newTokens);
     }
     state.counters.finished += 1;
-    const { fingerprint } = entry.arrival;
-    if (fingerprint !== undefined) state.quarantine.recordCompletion(now, fingerprint);
+    for (const one of fingerprintsOf(entry.arrival)) {
+      state.quarantine.recordCompletion(now, one);
+      state.trials.end(one);
+    }
     state.remove(now, entry);
   }
 
@@ -89,6 +92,7 @@
     entry.lastFailedRunner = runner;
     extendPrompt(entry, tokens);
     this.#queue.retry(now, entry);
+    if (reason === 'lost') this.#queue.refuseScreened(now);
   }
 
   /**
@@ -149,10 +153,14 @@
 
   /** Records that the engine may have crashed while processing this request. Engines keep their ids when they restart, so each crash gets its own key. */
   #recordCrash(now: number, { arrival, stage, since }: Entry, runner: string): void {
-    const { fingerprint } = arrival;
     const answeredAt = stage === 'decoding' ? since : undefined;
-    if (fingerprint === undefined || !isAttributable(now, answeredAt)) return;
-    this.#state.quarantine.recordCrash(now, fingerprint, `${runner}@${now}`);
+    if (!isAttributable(now, answeredAt)) return;
+    const { quarantine, trials } = this.#state;
+    const key = `${runner}@${now}`;
+    for (const one of quarantine.accused(now, fingerprintsOf(arrival), key)) {
+      quarantine.recordCrash(now, one, key, isLate(now, answeredAt));
+      trials.end(one);
+    }
   }
 
   /** Returns a request to the stage `prefilled` after it lost its decode slot, so that the prefill result is reused while it is kept. */
--- a/src/core/cell/queue.ts
+++ b/src/core/cell/queue.ts
@@ -1,5 +1,7 @@
 /** Queue controller: admits requests and refuses them as soon as they cannot be served in time. */
 
+import { match } from 'ts-pattern';
+
 import type { CodeName } from '../codes';
 import { uncachedTokens } from '../prefix';
 import type { Admission, AdmissionDecision } from './admission';
@@ -9,6 +11,13 @@
 import type { Entry } from './entry';
 import { newEntry } from './entry';
 import type { Arrival } from './types';
+import { fingerprintsOf } from './types';
+
+/** Retry delay of a request that may only run alone while another one does, in milliseconds. */
+const TRIAL_RETRY_MS = 1000;
+
+/** The decision not to admit a request. */
+type Refusal = Extract<AdmissionDecision, { readonly admitted: false }>;
 
 /** Time that a resumed request may wait in the queue, in milliseconds. */
 const RESUME_WAIT_MS = 20_000;
@@ -57,23 +66,49 @@
     this.#updateNextUnservable(entry);
   }
 
-  /** A quarantined request (one that crashed its engines) is refused regardless of free capacity. */
+  /** A request like those that crashed engines is refused regardless of free capacity. */
   #decide(now: number, arrival: Arrival): AdmissionDecision {
-    const retryAfterMs = this.#quarantineMs(now, arrival);
-    if (retryAfterMs !== undefined) return { admitted: false, code: 'quarantined', retryAfterMs };
-    return this.#admission.decide(now, this.#state, arrival);
+    return this.#screen(now, arrival) ?? this.#admission.decide(now, this.#state, arrival);
   }
 
-  #quarantineMs(now: number, { fingerprint }: Arrival): number | undefined {
-    if (fingerprint === undefined) return undefined;
-    return this.#state.quarantine.refusedForMs(now, fingerprint);
+  /** Why a request must not run, as far as crashes of engines are known; undefined if it may. */
+  #screen(now: number, arrival: Arrival): Refusal | undefined {
+    const { quarantine, trials } = this.#state;
+    const verdict = quarantine.verdict(now, fingerprintsOf(arrival));
+    return match(verdict)
+      .returnType<Refusal | undefined>()
+      .with({ kind: 'allowed' }, () => undefined)
+      .with({ kind: 'refused' }, ({ forMs }) => ({
+        admitted: false,
+        code: 'quarantined',
+        retryAfterMs: forMs,
+      }))
+      .with({ kind: 'trial' }, ({ fingerprints }) =>
+        trials.tryBegin(now, arrival.id, fingerprints)
+          ? undefined
+          : { admitted: false, code: 'onTrial', retryAfterMs: TRIAL_RETRY_MS },
+      )
+      .exhaustive();
+  }
+
+  /** Refuses queued and prefilled requests that must not run any more, since engines have crashed. */
+  refuseScreened(now: number): void {
+    const { requests } = this.#state;
+    const pending = [...requests.values()].filter(
+      ({ stage }) => stage === 'queued' || stage === 'prefilled',
+    );
+    for (const entry of pending) {
+      const refusal = this.#screen(now, entry.arrival);
+      if (refusal) this.refuse(now, entry, refusal.code);
+    }
   }
 
   /** Puts a request back at the head of its queue if the retry budget allows it; refuses it otherwise. */
   retry(now: number, entry: Entry): void {
     const state = this.#state;
-    if (this.#quarantineMs(now, entry.arrival) !== undefined) {
-      this.refuse(now, entry, 'quarantined');
+    const refusal = this.#screen(now, entry.arrival);
+    if (refusal) {
+      this.refuse(now, entry, refusal.code);
       return;
     }
     if (!state.budget.spend(entry.arrival.team)) {
--- a/src/core/cell/state.ts
+++ b/src/core/cell/state.ts
@@ -10,6 +10,7 @@
 import { CapacityTracker } from './capacity';
 import { PrefixMap } from './prefixes';
 import { Quarantine } from '../quarantine/quarantine';
+import { Trials } from '../quarantine/trials';
 import { LatenessMargins } from './margins';
 import { FairQueue } from './shares';
 import type { CellAction, CellPolicy } from './types';
@@ -72,9 +73,12 @@
   /** Written by the queue controller. */
   readonly budget = new RetryBudget();
 
-  /** Requests that crash their engines. Written by the lifecycle controller. */
+  /** Requests and prompt blocks that crash engines. Written by the lifecycle controller. */
   readonly quarantine = new Quarantine();
 
+  /** Requests that run alone with their prompt blocks. Written by the queue and lifecycle controllers. */
+  readonly trials = new Trials();
+
   readonly counters: CellCounters = {
     arrived: 0,
     refused: 0,
@@ -149,6 +153,7 @@
   remove(now: number, entry: Entry): void {
     this.releaseResources(now, entry);
     this.requests.delete(entry.arrival.id);
+    this.trials.withdraw(entry.arrival.id);
   }
 
   /** Counts the prefill of a request as discarded. */
--- a/src/core/cell/types.ts
+++ b/src/core/cell/types.ts
@@ -1,6 +1,7 @@
 /** Types of a cell: the bounded set of runners of one service that one scheduler assigns work to. */
 
 import type { CodeName } from '../codes';
+import { blockFingerprints } from '../fingerprint';
 
 /** Work that a runner does: `prefill` or `decode` for a model, or `plain` calls. */
 export type RunnerRole = 'prefill' | 'decode' | 'plain';
@@ -37,6 +38,12 @@
   readonly fingerprint?: string | undefined;
 }
 
+/** What crashes of engines may count against: a request's own fingerprint and those of its prompt blocks. */
+export function fingerprintsOf({ fingerprint, blocks }: Arrival): readonly string[] {
+  const own = fingerprint === undefined ? [] : [fingerprint];
+  return [...own, ...blockFingerprints(blocks)];
+}
+
 /** Load reported by a runner. It is always delayed. */
 export interface LoadReport {
   readonly runner: string;
--- a/src/core/fingerprint.ts
+++ b/src/core/fingerprint.ts
@@ -53,6 +53,11 @@
   return [...all, `${OWN_PREFIX}${scope}:${shortIdOf(last)}`];
 }
 
+/** Fingerprints of the blocks of a prompt, by their hashes; each stands for the prompt up to its end. */
+export function blockFingerprints(blocks: readonly number[]): readonly string[] {
+  return blocks.map((hash) => `${PART_PREFIX}block:${hash}`);
+}
+
 /** Whether a fingerprint is that of a prompt part, not of a whole request. */
 export function isPart(fingerprint: string): boolean {
   return isSharedPart(fingerprint) || fingerprint.startsWith(OWN_PREFIX);
--- a/src/core/quarantine/trials.ts
+++ b/src/core/quarantine/trials.ts
@@ -31,6 +31,13 @@
     return true;
   }
 
+  /** Ends the trial of a request that ended without a result. */
+  withdraw(request: string): void {
+    for (const [fingerprint, trial] of this.#running) {
+      if (trial.request === request) this.#running.delete(fingerprint);
+    }
+  }
+
   /** Ends the trial of a fingerprint: a crash or a completion is its result. */
   end(fingerprint: string): void {
     this.#running.delete(fingerprint);
--- a/test/core/cell.test.ts
+++ b/test/core/cell.test.ts
@@ -189,6 +189,45 @@
     ]);
   });
 
+  // Guards against a prompt's beginning that crashes each engine, in requests of which no two are alike.
+  test('quarantines leading blocks after three engines crashed under requests that share them', () => {
+    const cell = newCell(1, 16);
+    const [SHARED, FATAL] = [1, 77];
+    const outcomes: string[] = [];
+    let now = 0;
+    /** Processes a request until it is refused, finished, or its engine has crashed; it is not retried. */
+    const attempt = (id: string, blocks: readonly number[], crashes: boolean): string => {
+      now += 500;
+      const request = arrival(id, { fingerprint: id, blocks, deadline: now + 2000 });
+      const [first] = cell.handle(now, { kind: 'arrived', arrival: request });
+      if (first?.kind === 'refuse') return first.code;
+      const prefilled = { kind: 'prefilled', id, cachedTokens: 0, keptUntil: now + 800 } as const;
+      const [decode] = cell.handle(now, prefilled);
+      if (decode?.kind !== 'decode') return 'waits';
+      const { runner } = decode;
+      if (crashes) cell.handle(now + 10, { kind: 'failed', id, runner, reason: 'lost', tokens: 0 });
+      else cell.handle(now + 10, { kind: 'started', id });
+      cell.handle(
+        now + 20,
+        crashes ? { kind: 'cancelled', id } : { kind: 'finished', id, tokens: 9 },
+      );
+      return crashes ? 'crashed' : 'served';
+    };
+    for (let turn = 0; turn < 6; turn += 1) {
+      outcomes.push(attempt(`s${turn}`, [SHARED, 1000 + turn], false));
+      outcomes.push(attempt(`f${turn}`, [SHARED, FATAL, 2000 + turn], true));
+    }
+    expect(outcomes.filter((one) => one === 'crashed').length).toBe(3);
+    expect(outcomes.slice(-6)).toEqual([
+      'served',
+      'quarantined',
+      'served',
+      'quarantined',
+      'served',
+      'quarantined',
+    ]);
+  });
+
   /* An engine that crashes loses all of its requests. Requests that had been streaming for seconds are not counted as the cause. */
   test('retries a request that was streaming when its engines crashed', () => {
     const cell = newCell(1, 8);
