Log which sends of a request are repeats, and what the retry budget rests on

Nothing told which arrivals at runners are repeats, which of them were charged, how much of the budget is left and on how many VMs a share rests. Each charge or refusal has a line with the state of the window and the VMs seen, each send after the first prefill and run has one with the counts of its request, 'Request ended.' has the counts, and four counters add them up. No decision changes.

--- a/src/core/retries/window.ts
+++ b/src/core/retries/window.ts
@@ -10,6 +10,14 @@
   readonly windowMs: number;
 }
 
+/** A window of one VM at some time. */
+export interface RetryState {
+  readonly spent: number;
+  readonly allowed: number;
+  /** Requests of callers. */
+  readonly requests: number;
+}
+
 /** Fraction of the limit that is used; the rest covers windows in which the size of the fleet changes. */
 const SAFETY_FACTOR = 0.7;
 
@@ -38,14 +46,21 @@
 
   /** Takes one retry from the budget; false if none is left. */
   trySpend(now: number, vms: number): boolean {
-    this.#expire(now);
-    const { ratio, extra } = this.#bounds;
-    const allowed = SAFETY_FACTOR * (ratio * this.#firstAttempts.length + extra / Math.max(1, vms));
-    if (this.#retries.length + 1 > allowed) return false;
+    const { spent, allowed } = this.state(now, vms);
+    if (spent + 1 > allowed) return false;
     this.#retries.push(now);
     return true;
   }
 
+  /** What the window holds, for the log. */
+  state(now: number, vms: number): RetryState {
+    this.#expire(now);
+    const { ratio, extra } = this.#bounds;
+    const requests = this.#firstAttempts.length;
+    const allowed = SAFETY_FACTOR * (ratio * requests + extra / Math.max(1, vms));
+    return { spent: this.#retries.length, allowed, requests };
+  }
+
   #expire(now: number): void {
     const since = now - this.#bounds.windowMs;
     while ((this.#firstAttempts[0] ?? Infinity) < since) this.#firstAttempts.shift();
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -20,6 +20,7 @@
   | 'quarantine'
   | 'quotas'
   | 'ratelimits'
+  | 'retries'
   | 'store'
   | 'streams'
   | 'orders'
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -54,6 +54,7 @@
     pauseMs: Math.round(pauseMs),
     inTime,
     ...(versions.length > 0 ? { versions } : {}),
+    arrivals: exchange.arrivals.counts,
     trail,
   };
 }
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -6,6 +6,7 @@
 import type { CodeName } from '../../core/codes';
 import { Failure } from '../../core/failure';
 import { contentIdOf, partFingerprints } from '../../core/fingerprint';
+import { Arrivals } from '../../core/retries/arrivals';
 import type { Route, Runner } from '../../core/routing/types';
 import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
@@ -37,6 +38,9 @@
   /** The amount reserved from the customer's quota. */
   readonly charge = new QuotaCharge();
 
+  /** Its arrivals at runners. */
+  readonly arrivals = new Arrivals();
+
   /** When the response must be complete. */
   readonly deadlineAt: number;
 
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -3,7 +3,6 @@
 import type { Logger } from 'pino';
 
 import { RunnerHealth } from '../../core/cell/health';
-import { RetryWindow } from '../../core/retries';
 import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
 import type { Metrics } from '../metrics';
@@ -13,6 +12,7 @@
 import type { RouterFleet } from './fleet';
 import { ModelHandler } from './model';
 import { PlainHandler } from './plain';
+import { RetryController } from './retries';
 import type { RoutingState } from './routingstate';
 import { RunnerChecks } from './runnerchecks';
 import { Runs } from './runs';
@@ -37,7 +37,7 @@
 export class Handlers {
   readonly #context: HandlersContext;
 
-  readonly #retries: LazyMap<string, RetryWindow>;
+  readonly #retries: RetryController;
 
   readonly #health = new LazyMap<string, RunnerHealth>(() => new RunnerHealth());
 
@@ -55,9 +55,12 @@
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
     const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins } =
       controllers;
-    this.#retries = new LazyMap(() => new RetryWindow(settings().retries));
-    const takeRetry = (now: number, service: string): boolean =>
-      this.#retries.get(service).trySpend(now, fleet.alive.length);
+    this.#retries = new RetryController({
+      bounds: () => settings().retries,
+      fleet,
+      metrics: context.metrics,
+      log: logOf(context.log, 'retries'),
+    });
     this.#runs = new Runs({
       routingState,
       paths,
@@ -65,6 +68,7 @@
       screening: new Screening({ quarantine, routingState, trials }),
       checks: new RunnerChecks(runners),
       authorizer,
+      retries: this.#retries,
       rateLimits,
       notices,
       metrics: context.metrics,
@@ -78,7 +82,7 @@
       quotas,
       permits,
       origins,
-      takeRetry,
+      takeRetry: (now: number, exchange: Exchange) => this.#retries.tryTake(now, exchange),
     };
     this.#plain = new PlainHandler({
       ...shared,
@@ -94,7 +98,7 @@
     const refusal =
       (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
     const now = performance.now();
-    this.#retries.get(exchange.service).recordFirst(now);
+    this.#retries.requested(now, exchange.service);
     if (refusal) {
       exchange.trail.push(refusal.codeName);
       exchange.fail(now, refusal);
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -38,8 +38,8 @@
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly permits: Pick<PermitController, 'isLimited'>;
   readonly origins: Pick<OriginController, 'began' | 'recheck'>;
-  /** Takes one retry from the service's retry budget; false if the budget is exhausted. */
-  readonly takeRetry: (now: number, service: string) => boolean;
+  /** Takes one retry from the retry budget of the request's service; false if the budget is exhausted. */
+  readonly takeRetry: (now: number, exchange: Exchange) => boolean;
 }
 
 /** A prefill that takes longer is abandoned and repeated at another runner. */
@@ -212,7 +212,7 @@
     // runner the reservation covers one request only.
     const isStillOpen = routingState.accepts(performance.now(), runner) && !permits.isLimited(id);
     const mayAskAgain = cache === 'answerLost' && isStillOpen;
-    if (mayAskAgain && takeRetry(performance.now(), service)) {
+    if (mayAskAgain && takeRetry(performance.now(), exchange)) {
       cache = await this.#prefillOnce(exchange, progress, runner);
     }
     if (typeof cache === 'string') return undefined;
@@ -241,6 +241,7 @@
         mayRepeat: true,
         onReply: (reply) => run.replied(performance.now(), reply),
       });
+      exchange.arrivals.prefilled();
       exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
       return cache;
     } catch (error) {
@@ -264,7 +265,7 @@
     if (failed !== undefined) progress.avoid.push(failed);
     const refused = this.#recheck(exchange);
     if (refused) throw refused;
-    const may = progress.prefills < MAX_PREFILLS && this.#context.takeRetry(now, exchange.service);
+    const may = progress.prefills < MAX_PREFILLS && this.#context.takeRetry(now, exchange);
     if (may || exchange.signal.aborted) return may;
     throw runnerFullFailure('the prefill failed');
   }
@@ -311,7 +312,7 @@
       const assigned = await reservations.assign(service, id, cache.ms, exchange.signal, failed);
       const rejectedAt = performance.now();
       const isOpen = assigned === runner.id && routingState.accepts(rejectedAt, runner);
-      if (isOpen && takeRetry(rejectedAt, service)) {
+      if (isOpen && takeRetry(rejectedAt, exchange)) {
         // The KV cache has probably expired; the same runner can still do the prefill locally.
         answer = await this.#send(exchange, progress, runner, undefined);
       }
@@ -372,7 +373,7 @@
       // The listing of a runner that restarted or changed its stage is stale. The prefill runner
       // still keeps the KV cache, so that another decode runner can fetch it.
       const canRetryElsewhere =
-        reply.misdirected && this.#context.takeRetry(performance.now(), exchange.service);
+        reply.misdirected && this.#context.takeRetry(performance.now(), exchange);
       if (!canRetryElsewhere) return 'rejected';
       progress.sentTo.delete(runner.id);
       return 'unreachable';
@@ -390,9 +391,9 @@
   }
 
   /** Whether attempts are left, and the retry budget allows one more. */
-  #maySendAgain({ route, service }: Exchange, { sentTo }: Progress): boolean {
-    const hasAttemptsLeft = sentTo.size < route.attempts;
-    return hasAttemptsLeft && this.#context.takeRetry(performance.now(), service);
+  #maySendAgain(exchange: Exchange, { sentTo }: Progress): boolean {
+    const hasAttemptsLeft = sentTo.size < exchange.route.attempts;
+    return hasAttemptsLeft && this.#context.takeRetry(performance.now(), exchange);
   }
 
   /** Whether the request may be sent to another decode runner; false if it was aborted. Throws if it may not. */
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -18,8 +18,8 @@
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly origins: Pick<OriginController, 'began'>;
-  /** Takes one retry from the service's retry budget; false if the budget is exhausted. */
-  readonly takeRetry: (now: number, service: string) => boolean;
+  /** Takes one retry from the retry budget of the request's service; false if the budget is exhausted. */
+  readonly takeRetry: (now: number, exchange: Exchange) => boolean;
 }
 
 /** Largest response; it is read completely before it is passed on. */
@@ -66,7 +66,7 @@
       const runner = await this.#choose(exchange, tried);
       if (runner instanceof Failure) lastFailure = runner;
       if (!runner || runner instanceof Failure || exchange.signal.aborted) break;
-      if (sentCount > 0 && !this.#context.takeRetry(now, service)) break;
+      if (sentCount > 0 && !this.#context.takeRetry(now, exchange)) break;
       tried.push(runner.id);
       try {
         const answer = await this.#send(exchange, runner);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -18,6 +18,7 @@
 import type { QuarantineController } from './quarantine';
 import type { NoticeController } from './notices';
 import type { RateLimitController } from './ratelimits';
+import type { RetryController } from './retries';
 import type { RoutingState } from './routingstate';
 import type { RunnerChecks } from './runnerchecks';
 import type { Screening, TrialWait } from './screening';
@@ -50,6 +51,7 @@
   readonly screening: Screening;
   readonly checks: Pick<RunnerChecks, 'isRunning'>;
   readonly authorizer: Authorizer;
+  readonly retries: Pick<RetryController, 'sent'>;
   readonly rateLimits: RateLimitController;
   readonly notices: NoticeController;
   readonly metrics: Metrics;
@@ -82,6 +84,7 @@
     this.#exchange = exchange;
     this.#runner = runner;
     if (runner.role !== 'prefill') exchange.charge.spend();
+    context.retries.sent(now, exchange, runner);
     context.rateLimits.sent(runner);
     context.notices.sent(now, runner);
   }
@@ -101,6 +104,7 @@
   unreached(now: number, { message: detail }: Failure): void {
     const { metrics, lines, log } = this.#context;
     this.notRun();
+    this.#exchange.arrivals.remove(this.#runner.role === 'prefill' ? 'prefill' : 'run');
     metrics.count('runs.unreached');
     if (!lines.tryAcquire(now)) return;
     const sentMs = Math.round(now - this.#sentAt);
--- a/test/core/retries.test.ts
+++ b/test/core/retries.test.ts
@@ -1,4 +1,4 @@
-import { RetryWindow } from '../../src/core/retries';
+import { RetryWindow } from '../../src/core/retries/window';
 
 const bounds = { ratio: 0.2, extra: 56, windowMs: 10_000 };
 
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -8,6 +8,7 @@
 import type { Runner } from '../../src/core/routing/types';
 import { Authorizer } from '../../src/node/router/authorizer';
 import { RoutingState } from '../../src/node/router/routingstate';
+import { RetryController } from '../../src/node/router/retries';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import type { BalancerContext } from '../../src/node/router/plainbalancer';
 import type { QuarantineContext } from '../../src/node/router/quarantine';
@@ -129,6 +130,16 @@
   });
 }
 
+/** Retry budgets of a fleet of one VM, which are not exhausted in tests. */
+export function retriesOf(): RetryController {
+  return new RetryController({
+    bounds: () => ({ ratio: 1, extra: 1000, windowMs: 10_000 }),
+    fleet: { alive: [] },
+    metrics: new RouterMetrics(),
+    log,
+  });
+}
+
 /** Checks by which all runners run. */
 export const runningChecks: Pick<RunnerChecks, 'isRunning'> = { isRunning: async () => true };
 
@@ -148,6 +159,7 @@
     screening: screeningOf(quarantine),
     checks,
     authorizer: authorizerOf(),
+    retries: retriesOf(),
     rateLimits: rateLimitsOf(),
     notices: noticesOf(),
     metrics: new RouterMetrics(),
--- a/test/fakes/vmstate.ts
+++ b/test/fakes/vmstate.ts
@@ -17,6 +17,7 @@
   directPaths,
   quarantineOf,
   rateLimitsOf,
+  retriesOf,
   runningChecks,
   screeningOf,
 } from './runs';
@@ -60,6 +61,7 @@
       screening: screeningOf(quarantine),
       checks: runningChecks,
       authorizer: authorizerOf(),
+      retries: retriesOf(),
       rateLimits: rateLimitsOf(),
       notices: this.notices,
       metrics,
--- a/test/router/runs.test.ts
+++ b/test/router/runs.test.ts
@@ -14,6 +14,7 @@
   openStateOf,
   quarantineOf,
   rateLimitsOf,
+  retriesOf,
   screeningOf,
 } from '../fakes/runs';
 
@@ -41,6 +42,7 @@
       screening: screeningOf(quarantine),
       checks: crashedChecks,
       authorizer: authorizerOf(),
+      retries: retriesOf(),
       rateLimits: rateLimitsOf(),
       notices: noticesOf(),
       metrics: this.metrics,
