--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -17,6 +17,7 @@
 import { createRouter } from '../../src/platform/router';
 import { waitUntil } from './cluster';
 import { entryOf } from './entry';
+import type { CountedArrival } from './repeats';
 import { closeServer, listen, readBody, sendJson } from './http';
 import type { Partition } from './partition';
 import { FakeStore } from './store';
@@ -48,6 +49,10 @@
   readonly partition?: Partition;
   /** Default: no part of a prompt crashes a runner. */
   readonly crashes?: CrashRules;
+  /** Bounds of the retry budget. Default: generous ones. */
+  readonly retries?: RouterSettings['retries'];
+  /** Whether the VMs reach the store, but never each other. Default: they do. */
+  readonly isolated?: boolean;
 }
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
@@ -58,6 +63,15 @@
   readonly authorization: string | undefined;
 }
 
+/** How a runner fails a call. */
+export type CallFault =
+  /** The answer is cut after its first event. */
+  | 'cut'
+  /** It answers 500. */
+  | 'error'
+  /** It answers 503, not run. */
+  | 'rejected';
+
 /** How runners crash under requests whose prompts hold fatal parts. */
 export interface CrashRules {
   /** Ids of the parts that crash each decode runner that begins to write an answer. */
@@ -190,12 +204,18 @@
   /** Requests received, in order, prefills included. */
   readonly arrivals: Arrival[] = [];
 
+  /** The same requests, as repeats are counted. */
+  readonly counted: CountedArrival[] = [];
+
   /** Rate limit that it announces in a response header. Default: none. */
   rateLimit: string | undefined;
 
   /** Whether it announces in all of its answers that it leaves. */
   isLeaving = false;
 
+  /** How it fails a call. Default: it fails none. */
+  faultOf: ((isPrefill: boolean) => CallFault | undefined) | undefined;
+
   /** `Retry-After` of the 503 with which it rejects every request. Default: it rejects none. */
   rejection: string | undefined;
 
@@ -294,6 +314,14 @@
     const vm = req.headers[VM_HEADER]?.toString();
     this.contacts.push({ at, vm });
     if (req.headers['last-event-id'] !== undefined) this.continuationCount += 1;
+    const isPrefill = stage === 'prefill';
+    const fault = this.faultOf?.(isPrefill);
+    this.counted.push({
+      at,
+      requestId: req.headers['request-id']?.toString() ?? '',
+      isPrefill,
+      isPrefilled: isPrefill && fault === undefined && this.rejection === undefined,
+    });
     this.arrivals.push({
       path: pathname,
       stage: stage?.toString(),
@@ -301,7 +329,7 @@
       authorization,
     });
     const parts = partsOf(req);
-    if (parts.length > 0) this.sends.push({ at, parts, isPrefill: stage === 'prefill' });
+    if (parts.length > 0) this.sends.push({ at, parts, isPrefill });
     const headers = {
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
@@ -314,7 +342,13 @@
       res.end();
       return;
     }
-    if (req.headers['serving-stage'] === 'prefill') {
+    if (fault === 'rejected' || fault === 'error') {
+      const rejected = { 'not-executed': '1' };
+      res.writeHead(fault === 'error' ? 500 : 503, fault === 'error' ? headers : rejected);
+      res.end();
+      return;
+    }
+    if (isPrefill) {
       res.writeHead(200, { ...headers, 'content-type': 'application/json' });
       res.end(JSON.stringify({ 'kv-handle': randomUUID(), tokens: 100, version: 1 }));
       return;
@@ -337,6 +371,10 @@
       else this.crash();
       return;
     }
+    if (fault === 'cut') {
+      res.write(this.#event(Number(req.headers['last-event-id'] ?? 0) + 1), () => res.destroy());
+      return;
+    }
     this.runs.set(pathname, (this.runs.get(pathname) ?? 0) + 1);
     const first = Number(req.headers['last-event-id'] ?? 0) + 1;
     const last = pathname.startsWith(LONG_PATH) ? LONG_EVENT_COUNT : EVENT_COUNT;
@@ -444,10 +482,12 @@
     customers,
     partition,
     crashes = { fatalParts: new Set() },
+    retries = { ratio: 0.2, extra: 100, windowMs: 10_000 },
+    isolated = false,
   }: RouterClusterOptions = {}) {
     this.#partition = partition;
     this.#crashes = crashes;
-    this.#options = { vms, runners, prefillRunners, restartMs };
+    this.#options = { vms, runners, prefillRunners, restartMs, retries, isolated };
     this.#versions = versions;
     this.#customers = customers;
   }
@@ -527,13 +567,23 @@
     await vm.router.stop();
   }
 
-  /** Starts a VM again that was ended, without any state. */
+  /** Starts a VM again that was ended, without any state, and waits until it serves. */
   async startAgain(turn: number): Promise<void> {
+    await this.#startEnded(turn);
+    await this.#waitUntilServing();
+  }
+
+  /** Ends a VM at once and starts it again, without any state. */
+  async restartVm(turn: number): Promise<void> {
+    await this.end(turn);
+    await this.#startEnded(turn);
+  }
+
+  async #startEnded(turn: number): Promise<void> {
     const vm = this.#vms[turn % this.#vms.length];
     if (!vm) return;
     vm.router = this.#routerOf(vm.name, vm.front, vm.peer, vm.ready);
     await vm.router.start();
-    await this.#waitUntilServing();
   }
 
   /** Address for callers of the VM at index `turn`, modulo the number of VMs. */
@@ -594,9 +644,10 @@
       listen: { front, ready, directory: undefined, metrics: undefined },
       peer,
       seeds: seed === undefined ? [] : [seed],
-      peerKey: 'test-key-test-key',
+      // VMs take no messages of those with another key.
+      peerKey: this.#options.isolated ? `key-of-${name}` : 'test-key-test-key',
       cores: 1,
-      retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+      retries: this.#options.retries,
       ages: { keyMs: 4700, finalMs: 2000 },
       quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
       rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
