Charge each call to a runner where it is sent, when it is sent

A retry was charged when it was decided on, once, whatever was sent for it: after a failed run a prefill and a run went out for one charge, and a request that waited for its reservation sent them in a later window. The place that sends knew nothing of the budget.

'Runs.begin', through which each call to a runner goes, now charges it or finds it free: the first prefill that a runner completes, and the first other call of a request. A call that did not reach its runner is given back. A repeated prefill is sent only if the run that follows it can be paid, too, which is set aside. A request that cannot be sent again ends at once with 'retryBudgetSpent' (not run), or with the failure of its run; an error answer of a runner is passed on if nothing can follow. Where the budget allows one more call only, the request asks for a decode runner that prefills the prompt itself, and is refused at once if none can without delaying other streams.

The budget is filled by requests and capped, so that what requests earned before a window cannot be added to what they earn in it.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -225,6 +225,12 @@
     'The request continues a stream, and no runner serves the software version that began it.',
     'Come back after the time in Retry-After, or ask for a new stream.',
   ),
+  retryBudgetSpent: refusal(
+    321,
+    503,
+    'The request would have to be sent to another runner, and the retry budget of the service is spent.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -350,7 +350,10 @@
         prefillsLeft > 0 && this.#stats.sizeOf(demand) <= this.#stats.usualSizeTokens;
       const candidate =
         decode ?? (mayPrefillAhead ? this.#capacity.findSoonest(now, demand) : undefined);
-      const prefill = candidate && this.#capacity.findPrefill(now, demand, candidate.runner.domain);
+      const prefill =
+        candidate && !demand.prefillsLocally
+          ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
+          : undefined;
       const localPrefill = decode && !prefill ? this.#findLocalPrefill(now, demand) : undefined;
       const target = prefill ? candidate : localPrefill;
       if (target) {
@@ -412,6 +415,7 @@
   /** Refuses requests that cannot be served before their callers disconnect. */
   #refuseUnservable(now: number, order: readonly Demand[]): void {
     const { usualSizeTokens, residenceMs } = this.#stats;
+    this.#refuseLocalPrefills(order);
     const stillWaiting = order.filter(({ id }) => this.#queue.has(id));
     const unservable = findUnservable(this.#policy.refusal, now, stillWaiting, {
       sizeOf: (demand) => this.#stats.sizeOf(demand),
@@ -437,6 +441,19 @@
     }
   }
 
+  /**
+   * Refuses requests that no decode runner can prefill now. They have failed before, and runners
+   * prefill prompts themselves only while that delays no other stream.
+   */
+  #refuseLocalPrefills(order: readonly Demand[]): void {
+    for (const { id, prefillsLocally } of order) {
+      if (prefillsLocally && this.#queue.has(id)) {
+        this.#queue.delete(id);
+        this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
+      }
+    }
+  }
+
   /**
    * The decode runner with the most free memory that fits a request; undefined if there is none.
    */
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -35,6 +35,8 @@
   readonly resuming: boolean;
   /** Software version that began the answer, which its decode runner must have. Default: any. */
   readonly version?: string | undefined;
+  /** Whether its decode runner has to prefill the prompt itself, since the request may be sent to one runner only. Default: false */
+  readonly prefillsLocally?: boolean | undefined;
   /** Runners that failed this request and should not get it again. */
   readonly avoid: readonly string[];
 }
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -82,7 +82,7 @@
       quotas,
       permits,
       origins,
-      takeRetry: (now: number, exchange: Exchange) => this.#retries.tryTake(now, exchange),
+      retries: this.#retries,
     };
     this.#plain = new PlainHandler({
       ...shared,
@@ -98,7 +98,7 @@
     const refusal =
       (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
     const now = performance.now();
-    this.#retries.requested(now, exchange.service);
+    this.#retries.requested(exchange);
     if (refusal) {
       exchange.trail.push(refusal.codeName);
       exchange.fail(now, refusal);
@@ -109,6 +109,7 @@
       await this.#run(exchange);
     } finally {
       this.#open.delete(exchange);
+      this.#retries.settle(exchange);
     }
     controllers.quotas.settle(exchange);
   }
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -23,6 +23,7 @@
   lostInMs: ms,
   resuming: z.boolean(),
   version: z.string().max(200).optional(),
+  prefillsLocally: z.boolean().optional(),
   avoid: z.array(id).max(64),
 };
 
@@ -111,6 +112,7 @@
     ...(promptId === undefined ? {} : { promptId }),
     ...(rest.customer === undefined ? {} : { customer: rest.customer }),
     ...(rest.version === undefined ? {} : { version: rest.version }),
+    ...(rest.prefillsLocally ? { prefillsLocally: true } : {}),
   };
 }
 
@@ -131,6 +133,7 @@
     returned: false,
     resuming: message.resuming,
     version: message.version,
+    prefillsLocally: message.prefillsLocally,
     avoid: message.avoid,
   };
 }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -9,6 +9,7 @@
 import { PlainBalancer } from './plainbalancer';
 import type { OriginController } from './origins';
 import type { QuotaController } from './quotas';
+import type { RetryController } from './retries';
 import type { Run, Runs } from './runs';
 import type { Reply, RunnerClient } from './types';
 
@@ -18,8 +19,7 @@
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly origins: Pick<OriginController, 'began'>;
-  /** Takes one retry from the retry budget of the request's service; false if the budget is exhausted. */
-  readonly takeRetry: (now: number, exchange: Exchange) => boolean;
+  readonly retries: Pick<RetryController, 'affords'>;
 }
 
 /** Largest response; it is read completely before it is passed on. */
@@ -66,7 +66,7 @@
       const runner = await this.#choose(exchange, tried);
       if (runner instanceof Failure) lastFailure = runner;
       if (!runner || runner instanceof Failure || exchange.signal.aborted) break;
-      if (sentCount > 0 && !this.#context.takeRetry(now, exchange)) break;
+      if (sentCount > 0 && !this.#context.retries.affords(now, exchange, 'run')) break;
       tried.push(runner.id);
       try {
         const answer = await this.#send(exchange, runner);
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -1,9 +1,11 @@
-/** The retry budgets of this VM's services, and what they are spent on. */
+/** The retry budgets of this VM's services: each call to a runner for a request is charged here, or free. */
 
 import type { Logger } from 'pino';
 
-import type { RetryBounds } from '../../core/retries/window';
-import { RetryWindow } from '../../core/retries/window';
+import { Failure } from '../../core/failure';
+import type { ArrivalKind } from '../../core/retries/arrivals';
+import type { RetryBounds, RetryShare } from '../../core/retries/budget';
+import { RetryBudget } from '../../core/retries/budget';
 import type { Runner } from '../../core/routing/types';
 import { LazyMap } from '../../utils/lazymap';
 import { LogRateLimiter } from '../loglimiter';
@@ -20,66 +22,121 @@
   readonly log: Logger;
 }
 
-/** Log lines per second about charges, and about repeated sends. */
+/** Log lines per second about repeats that were refused, and about those that were sent. */
 const LINES_PER_S = 20;
+/** Retry delay for callers whose requests could not be sent again. */
+const RETRY_MS = 400;
 
-/** Charges retries to the budgets of their services. */
+/** The kind of call that a runner gets by its role. */
+export function arrivalKindOf({ role }: Pick<Runner, 'role'>): ArrivalKind {
+  return role === 'prefill' ? 'prefill' : 'run';
+}
+
+/** The failure of a request that must not be sent to a runner again. */
+export function budgetSpentFailure(service: string, kind: ArrivalKind): Failure {
+  const detail = `the budget of ${service} allows no further ${kind}`;
+  return new Failure('retryBudgetSpent', detail, { retryAfterMs: RETRY_MS });
+}
+
+/** Charges repeats to the budgets of their services. */
 export class RetryController {
   readonly #context: RetryContext;
 
-  readonly #windows: LazyMap<string, RetryWindow>;
+  readonly #budgets = new LazyMap<string, RetryBudget>(() => new RetryBudget());
 
-  readonly #chargeLines: LogRateLimiter;
+  readonly #refusedLines: LogRateLimiter;
 
-  readonly #sendLines: LogRateLimiter;
+  readonly #sentLines: LogRateLimiter;
 
   constructor(context: RetryContext) {
-    const { bounds, log } = context;
+    const { log } = context;
     this.#context = context;
-    this.#windows = new LazyMap(() => new RetryWindow(bounds()));
-    this.#chargeLines = new LogRateLimiter(LINES_PER_S, (lines) =>
-      log.info({ lines }, 'Charged or refused more retries.'),
+    this.#refusedLines = new LogRateLimiter(LINES_PER_S, (lines) =>
+      log.info({ lines }, 'Refused more retries.'),
     );
-    this.#sendLines = new LogRateLimiter(LINES_PER_S, (lines) =>
+    this.#sentLines = new LogRateLimiter(LINES_PER_S, (lines) =>
       log.info({ lines }, 'Sent more requests again.'),
     );
   }
 
   /** Records a request of a caller. */
-  requested(now: number, service: string): void {
-    this.#windows.get(service).recordFirst(now);
+  requested({ service }: Exchange): void {
+    this.#budgets.get(service).earn(this.#share);
+  }
+
+  /**
+   * Whether the budget allows one more call for a request; a prefill only if the run that follows
+   * it is allowed, too. Nothing is charged.
+   */
+  affords(now: number, exchange: Exchange, kind: ArrivalKind): boolean {
+    const { service, arrivals } = exchange;
+    const budget = this.#budgets.get(service);
+    if (budget.affords(now, this.#share, arrivals.costOf(kind), arrivals.held)) return true;
+    this.#refused(now, exchange, kind);
+    return false;
   }
 
-  /** Takes one retry from the budget of the request's service; false if it is exhausted. */
-  tryTake(now: number, { request, service, arrivals }: Exchange): boolean {
-    const { fleet, metrics, log } = this.#context;
-    const window = this.#windows.get(service);
-    const vms = fleet.alive.length;
-    const isTaken = window.trySpend(now, vms);
-    if (isTaken) arrivals.pay(1);
-    metrics.count(isTaken ? 'retries.charged' : 'retries.refused');
-    if (this.#chargeLines.tryAcquire(now)) {
-      const state = window.state(now, vms);
-      const text = isTaken ? 'Charged a retry.' : 'Refused a retry: the budget is spent.';
-      log.info({ request: request.id, service, vms, ...state }, text);
+  /** Charges a call that is sent to a runner now; throws `retryBudgetSpent` if that is not allowed. */
+  charge(now: number, exchange: Exchange, runner: Pick<Runner, 'id' | 'role'>): void {
+    const { service, arrivals } = exchange;
+    const kind = arrivalKindOf(runner);
+    const cost = arrivals.costOf(kind);
+    const isPaid = this.#budgets.get(service).spend(now, this.#share, cost, arrivals.held);
+    if (!isPaid) {
+      this.#refused(now, exchange, kind);
+      throw budgetSpentFailure(service, kind);
     }
-    return isTaken;
+    arrivals.add(kind, cost);
+    this.#sent(now, exchange, runner, cost.repeats);
+  }
+
+  /** Returns what was charged for a call that did not reach its runner. */
+  unreached({ service, arrivals }: Exchange, runner: Pick<Runner, 'role'>): void {
+    const surplus = arrivals.remove(arrivalKindOf(runner));
+    this.#budgets.get(service).giveBack(this.#share, surplus);
+  }
+
+  /** Returns what was charged for a prefill that turned out to be free. */
+  prefilled({ service, arrivals }: Exchange): void {
+    this.#budgets.get(service).giveBack(this.#share, arrivals.prefilled());
   }
 
-  /** Records that a request is sent to a runner. */
-  sent(now: number, { request, service, arrivals }: Exchange, runner: Runner): void {
+  /** Must be called when a request has ended. */
+  settle({ service, arrivals }: Exchange): void {
+    this.#budgets.get(service).release(arrivals.settle());
+  }
+
+  get #share(): RetryShare {
+    const { bounds, fleet } = this.#context;
+    return { bounds: bounds(), vms: fleet.alive.length };
+  }
+
+  #refused(now: number, { request, service, arrivals }: Exchange, kind: ArrivalKind): void {
+    const { metrics, log } = this.#context;
+    metrics.count('retries.refused');
+    if (!this.#refusedLines.tryAcquire(now)) return;
+    const fields = { request: request.id, service, kind, ...arrivals.counts };
+    log.info({ ...fields, ...this.#fields(now, service) }, 'Refused a retry.');
+  }
+
+  #sent(
+    now: number,
+    { request, service, arrivals }: Exchange,
+    { id: runner, role }: Pick<Runner, 'id' | 'role'>,
+    charged: number,
+  ): void {
     const { metrics, log } = this.#context;
-    const { id, role } = runner;
-    const before = arrivals.repeats;
-    arrivals.add(role === 'prefill' ? 'prefill' : 'run');
     const { counts } = arrivals;
-    const isRepeat = counts.repeats > before;
-    metrics.count(isRepeat ? 'arrivals.repeated' : 'arrivals.free');
+    metrics.count(charged > 0 ? 'arrivals.charged' : 'arrivals.free');
     const isFirst = counts.prefills <= 1 && counts.runs <= 1;
-    if (isFirst || !this.#sendLines.tryAcquire(now)) return;
-    log.info(
-      { request: request.id, service, runner: id, role, ...counts, isRepeat },
-      'Sent a request again.',
-    );
+    if (isFirst || !this.#sentLines.tryAcquire(now)) return;
+    const fields = { request: request.id, service, runner, role, ...counts, charged };
+    log.info({ ...fields, ...this.#fields(now, service) }, 'Sent a request again.');
+  }
+
+  /** What a decision rests on, for the log. */
+  #fields(now: number, service: string): Readonly<Record<string, unknown>> {
+    const share = this.#share;
+    return { vms: share.vms, ...this.#budgets.get(service).state(now, share) };
   }
 }
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -51,7 +51,7 @@
   readonly screening: Screening;
   readonly checks: Pick<RunnerChecks, 'isRunning'>;
   readonly authorizer: Authorizer;
-  readonly retries: Pick<RetryController, 'sent'>;
+  readonly retries: Pick<RetryController, 'charge' | 'unreached' | 'prefilled'>;
   readonly rateLimits: RateLimitController;
   readonly notices: NoticeController;
   readonly metrics: Metrics;
@@ -84,7 +84,6 @@
     this.#exchange = exchange;
     this.#runner = runner;
     if (runner.role !== 'prefill') exchange.charge.spend();
-    context.retries.sent(now, exchange, runner);
     context.rateLimits.sent(runner);
     context.notices.sent(now, runner);
   }
@@ -104,13 +103,18 @@
   unreached(now: number, { message: detail }: Failure): void {
     const { metrics, lines, log } = this.#context;
     this.notRun();
-    this.#exchange.arrivals.remove(this.#runner.role === 'prefill' ? 'prefill' : 'run');
+    this.#context.retries.unreached(this.#exchange, this.#runner);
     metrics.count('runs.unreached');
     if (!lines.tryAcquire(now)) return;
     const sentMs = Math.round(now - this.#sentAt);
     log.info({ ...this.#fields(undefined), sentMs, detail }, 'Did not reach a runner.');
   }
 
+  /** The runner has completed the prefill. */
+  prefilled(): void {
+    this.#context.retries.prefilled(this.#exchange);
+  }
+
   /** Events of the response arrived. */
   answered(now: number): void {
     this.#answeredAt ??= now;
@@ -268,9 +272,9 @@
   }
 
   /**
-   * Starts a run. Every send goes through here, so that no refused request is sent, and none to a
-   * runner that has announced meanwhile that it leaves or wants none of this VM. Throws the refusal,
-   * or `runnerUnavailable`.
+   * Starts a run. Every send goes through here, so that no refused request is sent, none to a runner
+   * that has announced meanwhile that it leaves or wants none of this VM, and none again beyond the
+   * retry budget. Throws the refusal, `runnerUnavailable` or `retryBudgetSpent`.
    */
   begin(now: number, exchange: Exchange, runner: Runner): Run {
     const refused = this.#refusalAt(now, exchange, runner);
@@ -278,6 +282,7 @@
     if (!this.#context.routingState.accepts(now, runner)) {
       throw new Failure('runnerUnavailable', `${runner.id} takes no requests`);
     }
+    this.#context.retries.charge(now, exchange, runner);
     return new Run(now, this.#context, exchange, runner);
   }
 
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -12,7 +12,7 @@
 import type { RunnerRecord } from '../../core/routing/directory';
 import type { RunnerNotice } from '../../core/routing/notice';
 import type { Position } from '../../core/routing/position';
-import type { RetryBounds } from '../../core/retries/window';
+import type { RetryBounds } from '../../core/retries/budget';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
 import type { AnswerHead } from '../../core/stream/answer';
 import type { VersionsByService } from '../../core/versions/types';
--- /dev/null
+++ b/test/router/localprefill.test.ts
@@ -0,0 +1,95 @@
+import { Failure } from '../../src/core/failure';
+import { Planner } from '../../src/core/memory/planner';
+import { planPolicy } from '../../src/core/memory/policy';
+import type { Demand, PlanAction } from '../../src/core/memory/types';
+import { fromWireDemand, toWireDemand } from '../../src/node/router/messages';
+import type { LocalDemand } from '../../src/node/router/messages';
+import type { ModelContext } from '../../src/node/router/model';
+import { ModelHandler } from '../../src/node/router/model';
+import { demandOf } from '../fakes/demand';
+import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
+import { runnerOf } from '../fakes/runner';
+import {
+  directPaths,
+  openStateOf,
+  retriesOf,
+  runsOf,
+  unlimitedPermits,
+  unlimitedQuotas,
+  unrecordedOrigins,
+} from '../fakes/runs';
+
+const runners = [runnerOf('p1', 'prefill'), runnerOf('d1', 'decode'), runnerOf('d2', 'decode')];
+
+function plannerOf(): Planner {
+  const planner = new Planner(planPolicy);
+  planner.handle(0, { kind: 'runners', engine: streamEngine, runners });
+  return planner;
+}
+
+function ask(planner: Planner, change: Partial<Demand>): readonly PlanAction[] {
+  return planner.handle(1, { kind: 'asked', demand: demandOf('q', 1, change) });
+}
+
+describe('a request that may be sent to one more runner only', () => {
+  test('is planned without a prefill runner', () => {
+    expect(ask(plannerOf(), { prefillsLocally: true })).toEqual([
+      { kind: 'grant', id: 'q', grant: { prefill: undefined, decode: 'd1' } },
+    ]);
+  });
+
+  // Guards against streams that pause for the prompt of another one's retry.
+  test('is refused at once if the prompt would delay other streams', () => {
+    const planner = plannerOf();
+    ['a', 'b'].forEach((id) => {
+      planner.handle(0, { kind: 'asked', demand: demandOf(id, 0, { gapMs: 10 }) });
+    });
+    const [refusal] = ask(planner, { prefillsLocally: true });
+    expect(refusal).toMatchObject({ kind: 'refuse', id: 'q' });
+    expect(planner.waiting).toBe(0);
+  });
+
+  test('tells the owner so', () => {
+    const { vm, returned, ...sent } = demandOf('q', 0, { prefillsLocally: true });
+    expect(fromWireDemand(0, vm, toWireDemand(0, sent))).toEqual({ ...sent, vm, returned });
+  });
+
+  // Guards against prefills after which no repeat is left for the run.
+  test.each([
+    [0, [undefined]],
+    [1, [undefined, true]],
+    [2, [undefined, undefined]],
+  ])(
+    'asks for a runner that prefills it itself, with %d repeats left',
+    async (repeats, expected) => {
+      const asked: LocalDemand[] = [];
+      const context = {
+        routingState: openStateOf(runners),
+        paths: directPaths,
+        quotas: unlimitedQuotas,
+        permits: unlimitedPermits,
+        origins: unrecordedOrigins,
+        retries: retriesOf(repeats),
+        runs: runsOf(),
+        reservations: {
+          reserve: async (_service: string, demand: LocalDemand) => {
+            asked.push(demand);
+            if (asked.length > 1) throw new Failure('deadlineUnreachable', 'no reservation');
+            return { prefill: 'p1', decode: 'd1' };
+          },
+          assign: async () => 'd1',
+          reportProgress: () => {},
+        },
+        runners: {
+          prefill: async () => ({ address: 'p1:80', handle: 'h' }),
+          decode: async () => replyOf(500, ''),
+          report: async () => ({}),
+        },
+      } as unknown as ModelContext;
+      const route = { ...streamRoute, attempts: 3, resumable: true };
+      const exchange = exchangeInto([], promptRequest, route);
+      await new ModelHandler(context).run(exchange, streamEngine);
+      expect(asked.map(({ prefillsLocally }) => prefillsLocally)).toEqual(expected);
+    },
+  );
+});
