Give a new process no additional repeats for one window

A process now has only what its own requests earn until a whole window has passed since its start. Whatever the process before it has sent, both stay within the share of their VM.

--- a/src/core/retries/budget.ts
+++ b/src/core/retries/budget.ts
@@ -62,8 +62,12 @@
  *
  * Each request earns a part of a repeat. What was saved before a window and is sent in it, and what
  * may be sent without being earned, is together at most this VM's share of the additional repeats.
+ * A process that starts has saved nothing, and for one window only what requests earn, so that it
+ * stays within the share of its VM together with the process before it.
  */
 export class RetryBudget {
+  readonly #startedAt: number;
+
   #earned = 0;
 
   #held = 0;
@@ -71,6 +75,11 @@
   /** Additional repeats sent in the window, the oldest first. */
   readonly #spends: Spend[] = [];
 
+  /** @param startedAt when the process started */
+  constructor(startedAt: number) {
+    this.#startedAt = startedAt;
+  }
+
   /** Adds what a request of a caller earns. */
   earn(share: RetryShare): void {
     this.#earned = Math.min(partsOf(share).maxEarned, this.#earned + share.bounds.ratio);
@@ -113,9 +122,11 @@
     while ((this.#spends[0]?.at ?? Infinity) < since) this.#spends.shift();
     const { maxEarned, extra } = partsOf(share);
     const spent = this.#spends.reduce((sum, { repeats }) => sum + repeats, 0);
+    // What the process before this one has sent in this window is not known.
+    const isNew = this.#startedAt > since;
     return {
       earned: Math.min(maxEarned, this.#earned),
-      extra: Math.max(0, extra - spent),
+      extra: isNew ? 0 : Math.max(0, extra - spent),
       held: this.#held,
     };
   }
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -55,7 +55,7 @@
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
     const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins } =
       controllers;
-    this.#retries = new RetryController({
+    this.#retries = new RetryController(performance.now(), {
       bounds: () => settings().retries,
       fleet,
       metrics: context.metrics,
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -42,14 +42,16 @@
 export class RetryController {
   readonly #context: RetryContext;
 
-  readonly #budgets = new LazyMap<string, RetryBudget>(() => new RetryBudget());
+  readonly #budgets: LazyMap<string, RetryBudget>;
 
   readonly #refusedLines: LogRateLimiter;
 
   readonly #sentLines: LogRateLimiter;
 
-  constructor(context: RetryContext) {
+  /** @param startedAt when the process started */
+  constructor(startedAt: number, context: RetryContext) {
     const { log } = context;
+    this.#budgets = new LazyMap(() => new RetryBudget(startedAt));
     this.#context = context;
     this.#refusedLines = new LogRateLimiter(LINES_PER_S, (lines) =>
       log.info({ lines }, 'Refused more retries.'),
--- a/test/core/retries.test.ts
+++ b/test/core/retries.test.ts
@@ -83,34 +83,58 @@
   });
 });
 
+describe('the retry budgets of a fleet', () => {
+  // Guards against processes that begin anew with a budget that the ones before them have spent.
+  test('are not exceeded by VMs that restart again and again', () => {
+    const vms = 7;
+    const share = shareOf(vms);
+    for (const restartMs of [500, 3000, 9999, 12_000]) {
+      let budgets = Array.from({ length: vms }, () => new RetryBudget(-bounds.windowMs));
+      const sent: number[] = [];
+      for (let now = 0; now < 40_000; now += 100) {
+        if (now % restartMs === 0) budgets = budgets.map(() => new RetryBudget(now));
+        for (const budget of budgets) {
+          for (let i = spendAll(budget, now, share); i > 0; i -= 1) sent.push(now);
+        }
+      }
+      const counts = sent.map(
+        (from) => sent.filter((at) => at >= from && at < from + 10_000).length,
+      );
+      expect(Math.max(0, ...counts)).toBeLessThanOrEqual(bounds.extra);
+    }
+  });
+});
+
 describe('the retry budget of one VM', () => {
   test('keeps what is set aside for the request that needs it', () => {
-    const budget = new RetryBudget();
-    const share = shareOf(56);
-    while (budget.affords(0, share, one, 0)) budget.spend(0, share, one, 0);
-    for (let i = 0; i < 20; i += 1) budget.earn(share);
-    budget.giveBack(share, 0);
-    expect(budget.spend(0, shareOf(8), { repeats: 1, held: 1 }, 0)).toBe(true);
-    const before = spendAll(budget, 0, shareOf(8));
-    expect(budget.spend(0, shareOf(8), { repeats: 1, held: 0 }, 1)).toBe(true);
-    expect(before).toBeGreaterThan(0);
+    const budget = new RetryBudget(0);
+    const share = shareOf(8);
+    for (let i = 0; i < 100; i += 1) budget.earn(share);
+    const isPrefillSent = budget.spend(20_000, share, { repeats: 1, held: 1 }, 0);
+    const others = spendAll(budget, 20_000, share);
+    const isRunSent = budget.spend(20_000, share, one, 1);
+    expect({ isPrefillSent, others, isRunSent }).toEqual({
+      isPrefillSent: true,
+      others: 3,
+      isRunSent: true,
+    });
   });
 
   test('allows no repeat while the number of VMs is not known', () => {
-    const budget = new RetryBudget();
+    const budget = new RetryBudget(0);
     for (let i = 0; i < 100; i += 1) budget.earn({ bounds, vms: undefined });
     expect(spendAll(budget, 20_000, { bounds, vms: undefined })).toBe(0);
   });
 
   test('saves no more than its share, however many requests come', () => {
-    const budget = new RetryBudget();
+    const budget = new RetryBudget(0);
     for (let i = 0; i < 1000; i += 1) budget.earn(shareOf(8));
     expect(spendAll(budget, 20_000, shareOf(8))).toBeLessThanOrEqual(bounds.extra / 8);
   });
 
   // Guards against repeats that stop for a whole window after a burst of them.
   test('is filled by requests', () => {
-    const budget = new RetryBudget();
+    const budget = new RetryBudget(0);
     spendAll(budget, 20_000, shareOf(8));
     for (let i = 0; i < 5; i += 1) budget.earn(shareOf(8));
     expect(spendAll(budget, 20_000, shareOf(8))).toBe(1);
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -137,7 +137,7 @@
 export function retriesOf(repeats = 1000): RetryController {
   // A fraction of the additional repeats is kept back, and half of the rest has to be earned by requests.
   const extra = (2 * repeats) / 0.8;
-  return new RetryController({
+  return new RetryController(-Infinity, {
     bounds: () => ({ ratio: 0, extra, windowMs: 10_000 }),
     fleet: { alive: [] },
     metrics: new RouterMetrics(),
