Give the processes of a fleet's first start their whole retry budgets

Where the platform says that the whole fleet starts for the first time, no process ran before on any VM, and the rule for new processes does not apply. The started line has it.

--- a/src/core/retries/budget.ts
+++ b/src/core/retries/budget.ts
@@ -75,7 +75,7 @@
   /** Additional repeats sent in the window, the oldest first. */
   readonly #spends: Spend[] = [];
 
-  /** @param startedAt when the process started */
+  /** @param startedAt when the process started; -Infinity if no other ran before it */
   constructor(startedAt: number) {
     this.#startedAt = startedAt;
   }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -188,7 +188,7 @@
 
   /** Joins the fleet, starts to read state and listens; rejects if an address cannot be bound. */
   async start(): Promise<void> {
-    const { listen, vm } = this.#settings;
+    const { listen, vm, isFirstStart } = this.#settings;
     await this.#fleet.start();
     this.#ports.feed.start({
       onConfig: (config) => {
@@ -224,7 +224,7 @@
       await this.#metrics.listen(listen.metrics, () => this.#snapshot(performance.now()));
     }
     this.#describe();
-    this.#log.info({ vm, listen }, 'Started.');
+    this.#log.info({ vm, listen, isFirstStart }, 'Started.');
   }
 
   /**
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -22,7 +22,7 @@
 /** Dependencies of the handlers. */
 export interface HandlersContext {
   /** The settings in force. */
-  readonly settings: () => Pick<RouterSettings, 'retries' | 'domain'>;
+  readonly settings: () => Pick<RouterSettings, 'retries' | 'domain' | 'isFirstStart'>;
   readonly routingState: RoutingState;
   readonly paths: RunnerPaths;
   readonly runners: RunnerClient;
@@ -55,7 +55,8 @@
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
     const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins } =
       controllers;
-    this.#retries = new RetryController(performance.now(), {
+    const startedAt = settings().isFirstStart ? -Infinity : performance.now();
+    this.#retries = new RetryController(startedAt, {
       bounds: () => settings().retries,
       fleet,
       metrics: context.metrics,
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -48,7 +48,7 @@
 
   readonly #sentLines: LogRateLimiter;
 
-  /** @param startedAt when the process started */
+  /** @param startedAt when the process started; -Infinity if no other ran before it */
   constructor(startedAt: number, context: RetryContext) {
     const { log } = context;
     this.#budgets = new LazyMap(() => new RetryBudget(startedAt));
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -37,6 +37,8 @@
   readonly peerKey: string;
   /** Processor cores of this VM; may be a fraction. */
   readonly cores: number;
+  /** Whether the whole fleet starts for the first time, so that no process of this VM ran before. */
+  readonly isFirstStart: boolean;
   readonly retries: RetryBounds;
   readonly ages: AgeBounds;
   readonly quotas: QuotaBounds;
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -26,6 +26,8 @@
   'internal-port-range': z.array(z.int()).min(1),
   /** Control addresses of VMs. Only the host is used, because links use the internal port. */
   seeds: z.array(address).default([]),
+  /** Whether the whole fleet starts for the first time; false at each later start of a process. */
+  bootstrap: z.boolean().default(false),
   bounds: z.object({
     'grace-s': z.number(),
     'retry-budget-ratio': z.number(),
@@ -89,6 +91,7 @@
     seeds: file.seeds.map((seed) => `${seed.split(':')[0]}:${port}`),
     peerKey: createHash('sha256').update(`peers of ${file.platform.address}`).digest('hex'),
     cores: limits['cpu-share'] * limits.cores,
+    isFirstStart: file.bootstrap,
     retries: {
       ratio: bounds['retry-budget-ratio'],
       extra: bounds['retry-budget-extra'],
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -553,7 +553,7 @@
   async restart(): Promise<void> {
     await Promise.all(this.#vms.map(({ router }) => router.stop()));
     for (const vm of this.#vms) {
-      vm.router = this.#routerOf(vm.name, vm.front, vm.peer, vm.ready);
+      vm.router = this.#routerOf(vm, false);
       await vm.router.start();
     }
     await this.#waitUntilServing();
@@ -563,7 +563,7 @@
   async end(turn: number): Promise<void> {
     const vm = this.#vms[turn % this.#vms.length];
     if (!vm) return;
-    vm.router.reload(() => ({ ...this.#settingsOf(vm), graceMs: 0 }));
+    vm.router.reload(() => ({ ...this.#settingsOf(vm, false), graceMs: 0 }));
     await vm.router.stop();
   }
 
@@ -582,7 +582,7 @@
   async #startEnded(turn: number): Promise<void> {
     const vm = this.#vms[turn % this.#vms.length];
     if (!vm) return;
-    vm.router = this.#routerOf(vm.name, vm.front, vm.peer, vm.ready);
+    vm.router = this.#routerOf(vm, false);
     await vm.router.start();
   }
 
@@ -631,12 +631,15 @@
     const [front, peer, ready] = (await Promise.all([freePort(), freePort(), freePort()])).map(
       (port) => `127.0.0.1:${port}`,
     ) as [string, string, string];
-    const router = this.#routerOf(name, front, peer, ready);
+    const router = this.#routerOf({ name, front, peer, ready }, true);
     await router.start();
     return { name, front, peer, ready, router };
   }
 
-  #settingsOf({ name, front, peer, ready }: Omit<Vm, 'router'>): RouterSettings {
+  #settingsOf(
+    { name, front, peer, ready }: Omit<Vm, 'router'>,
+    isFirstStart: boolean,
+  ): RouterSettings {
     const seed = this.#vms[0]?.peer;
     return {
       vm: name,
@@ -647,6 +650,7 @@
       // VMs take no messages of those with another key.
       peerKey: this.#options.isolated ? `key-of-${name}` : 'test-key-test-key',
       cores: 1,
+      isFirstStart,
       retries: this.#options.retries,
       ages: { keyMs: 4700, finalMs: 2000 },
       quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
@@ -657,11 +661,11 @@
     };
   }
 
-  #routerOf(name: string, front: string, peer: string, ready: string): Router {
+  #routerOf(vm: Omit<Vm, 'router'>, isFirstStart: boolean): Router {
     return createRouter(
-      { router: this.#settingsOf({ name, front, peer, ready }), store: this.store.address },
+      { router: this.#settingsOf(vm, isFirstStart), store: this.store.address },
       pino({ level: 'silent' }),
-      this.#partition?.dialerOf(name),
+      this.#partition?.dialerOf(vm.name),
     );
   }
 
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -39,6 +39,7 @@
        "cores": 1.35,
        "domain": "a",
        "graceMs": 8000,
+       "isFirstStart": false,
        "leaseMs": 3000,
        "listen": {
          "directory": "10.1.0.38:8143",
