Divide the retry budget by the VMs that may run, not by those in view

The share of a VM was the additional repeats divided by the members that it saw, so that VMs that do not hear each other took the whole fleet's share each: beside cuts 144 charges in ten seconds where 97 are allowed, most of them at VMs that saw 3 or 4 of 7; in a rolling restart shares rested on 0 to 9 VMs.

A census counts the VMs that may run. One that does not answer counts for half an hour, also after the membership has forgotten it; one that has left for a minute, in which it completes its requests. A new process goes by what the fleet has counted: by the first state exchange with another VM, or by a record that the readers keep in the store (one write when it grows; it is lowered only by a VM that has run for half an hour). Until it has either, it sends no repeats. No message per repeat. A fifth of the additional repeats is not shared out, for VMs that join while others do not hear of it.

--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -25,8 +25,15 @@
 import type { RateChange } from './ratelimits';
 import { RateLimitController } from './ratelimits';
 import { StateExchange } from './stateexchange';
+import { StoredFleetSize } from './storedfleetsize';
 import { StoredVersions } from './storedversions';
-import type { Feed, RouterSettings, SuspectArchive, VersionArchive } from './types';
+import type {
+  Feed,
+  FleetSizeArchive,
+  RouterSettings,
+  SuspectArchive,
+  VersionArchive,
+} from './types';
 
 /** Timeout of the message to a VM that forwarded a request, in milliseconds. */
 const FORWARDED_TIMEOUT_MS = 500;
@@ -41,6 +48,7 @@
   readonly feed: Feed;
   readonly archive: SuspectArchive;
   readonly versions: VersionArchive;
+  readonly fleetSize: FleetSizeArchive;
   readonly metrics: Metrics;
   readonly log: Logger;
   /** Called when the description that this VM announces has changed. */
@@ -67,6 +75,8 @@
 
   readonly storedVersions: StoredVersions;
 
+  readonly storedFleetSize: StoredFleetSize;
+
   readonly origins: OriginController;
 
   readonly stateSync: StateSync;
@@ -153,6 +163,13 @@
       random: Math.random,
       log: logOf(log, 'streams'),
     });
+    this.storedFleetSize = new StoredFleetSize({
+      census: fleet.census,
+      archive: context.fleetSize,
+      readsStore: () => this.stateSync.reading,
+      random: Math.random,
+      log: logOf(log, 'members'),
+    });
     this.origins = new OriginController({
       vm,
       routingState,
@@ -185,6 +202,7 @@
     this.places.stop();
     this.origins.stop();
     this.storedVersions.stop();
+    this.storedFleetSize.stop();
   }
 
   /** Must be called when the members of the fleet have changed. */
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -31,6 +31,7 @@
 import type {
   ControlCodec,
   Feed,
+  FleetSizeArchive,
   IngressCodec,
   OrderLock,
   RouterSettings,
@@ -54,6 +55,7 @@
   readonly lock: OrderLock;
   readonly archive: SuspectArchive;
   readonly versions: VersionArchive;
+  readonly fleetSize: FleetSizeArchive;
 }
 
 /**
@@ -153,6 +155,7 @@
       feed: ports.feed,
       archive: ports.archive,
       versions: ports.versions,
+      fleetSize: ports.fleetSize,
       metrics: this.#metrics,
       log,
       onDescription: () => this.#describe(),
@@ -202,6 +205,7 @@
         this.#controllers.quarantine.learnStored(performance.now(), suspects, isAll),
       onVersions: (versions, isAll) =>
         this.#controllers.storedVersions.learn(performance.now(), versions, isAll),
+      onFleetSize: (vms) => this.#controllers.storedFleetSize.learn(performance.now(), vms),
       onConfirmed: (askedAt) => this.#state.freshness.recordStoreAnswer(askedAt),
       onStore: (up, detail) =>
         this.#controllers.stateSync.storeCallEnded(performance.now(), up, detail),
@@ -283,6 +287,7 @@
       ...this.#controllers.snapshot(now),
       ...this.#state.snapshot(now),
       ...this.#connectivity.snapshot(now),
+      countedVms: this.#fleet.census.size(now),
       vms: this.#fleet.all.map(({ vm, state, draining }) => ({ vm, state, draining })),
       owners: Object.fromEntries(
         models.map((name) => [name, this.#fleet.ownersOf(now, name)[0]?.vm ?? null]),
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -5,6 +5,7 @@
 
 import type { Logger } from 'pino';
 
+import { FleetCensus } from '../../core/membership/census';
 import type { MemberStatus, Member, Members, GossipUpdate } from '../../core/membership/types';
 import { isPresent, canOwn } from '../../core/membership/types';
 import { addressesNear, rankByCores } from '../../core/ownership';
@@ -78,6 +79,9 @@
 
   readonly #members: MembershipDriver;
 
+  /** The number of VMs that may run. */
+  readonly census = new FleetCensus(performance.now());
+
   readonly #server: PeerServer;
 
   readonly #links = new Map<string, OpenLink>();
@@ -365,6 +369,7 @@
     this.#isBatching = true;
     setTimeout(() => {
       this.#isBatching = false;
+      this.census.update(performance.now(), this.all);
       this.#listener.onMembersChange();
     }, MEMBER_BATCH_MS).unref();
   }
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -28,7 +28,7 @@
   readonly runners: RunnerClient;
   readonly authorizer: Authorizer;
   readonly controllers: Controllers;
-  readonly fleet: Pick<RouterFleet, 'alive'>;
+  readonly fleet: Pick<RouterFleet, 'census'>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -58,7 +58,7 @@
     const startedAt = settings().isFirstStart ? -Infinity : performance.now();
     this.#retries = new RetryController(startedAt, {
       bounds: () => settings().retries,
-      fleet,
+      census: fleet.census,
       metrics: context.metrics,
       log: logOf(context.log, 'retries'),
     });
@@ -99,7 +99,7 @@
     const refusal =
       (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
     const now = performance.now();
-    this.#retries.requested(exchange);
+    this.#retries.requested(now, exchange);
     if (refusal) {
       exchange.trail.push(refusal.codeName);
       exchange.fail(now, refusal);
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -248,7 +248,7 @@
         mayRepeat: true,
         onReply: (reply) => run.replied(performance.now(), reply),
       });
-      run.prefilled();
+      run.prefilled(performance.now());
       exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
       return cache;
     } catch (error) {
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 
 import { Failure } from '../../core/failure';
+import type { FleetCensus } from '../../core/membership/census';
 import type { ArrivalKind } from '../../core/retries/arrivals';
 import type { RetryBounds, RetryShare } from '../../core/retries/budget';
 import { RetryBudget } from '../../core/retries/budget';
@@ -11,13 +12,12 @@
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import type { Exchange } from './exchange';
-import type { RouterFleet } from './fleet';
 
 /** Dependencies of the retry budgets. */
 export interface RetryContext {
   /** The bounds in force. */
   readonly bounds: () => RetryBounds;
-  readonly fleet: Pick<RouterFleet, 'alive'>;
+  readonly census: Pick<FleetCensus, 'size' | 'isComplete'>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -62,8 +62,10 @@
   }
 
   /** Records a request of a caller. */
-  requested({ service }: Exchange): void {
-    this.#budgets.get(service).earn(this.#share);
+  requested(now: number, { service }: Exchange): void {
+    const share = this.#share(now);
+    this.#context.metrics.gauge('retries.vms', share.vms ?? 0);
+    this.#budgets.get(service).earn(share);
   }
 
   /**
@@ -73,7 +75,7 @@
   affords(now: number, exchange: Exchange, kind: ArrivalKind): boolean {
     const { service, arrivals } = exchange;
     const budget = this.#budgets.get(service);
-    if (budget.affords(now, this.#share, arrivals.costOf(kind), arrivals.held)) return true;
+    if (budget.affords(now, this.#share(now), arrivals.costOf(kind), arrivals.held)) return true;
     this.#refused(now, exchange, kind);
     return false;
   }
@@ -83,7 +85,7 @@
     const { service, arrivals } = exchange;
     const kind = arrivalKindOf(runner);
     const cost = arrivals.costOf(kind);
-    const isPaid = this.#budgets.get(service).spend(now, this.#share, cost, arrivals.held);
+    const isPaid = this.#budgets.get(service).spend(now, this.#share(now), cost, arrivals.held);
     if (!isPaid) {
       this.#refused(now, exchange, kind);
       throw budgetSpentFailure(service, kind);
@@ -93,14 +95,14 @@
   }
 
   /** Returns what was charged for a call that did not reach its runner. */
-  unreached({ service, arrivals }: Exchange, runner: Pick<Runner, 'role'>): void {
+  unreached(now: number, { service, arrivals }: Exchange, runner: Pick<Runner, 'role'>): void {
     const surplus = arrivals.remove(arrivalKindOf(runner));
-    this.#budgets.get(service).giveBack(this.#share, surplus);
+    this.#budgets.get(service).giveBack(this.#share(now), surplus);
   }
 
   /** Returns what was charged for a prefill that turned out to be free. */
-  prefilled({ service, arrivals }: Exchange): void {
-    this.#budgets.get(service).giveBack(this.#share, arrivals.prefilled());
+  prefilled(now: number, { service, arrivals }: Exchange): void {
+    this.#budgets.get(service).giveBack(this.#share(now), arrivals.prefilled());
   }
 
   /** Must be called when a request has ended. */
@@ -108,9 +110,9 @@
     this.#budgets.get(service).release(arrivals.settle());
   }
 
-  get #share(): RetryShare {
-    const { bounds, fleet } = this.#context;
-    return { bounds: bounds(), vms: fleet.alive.length };
+  #share(now: number): RetryShare {
+    const { bounds, census } = this.#context;
+    return { bounds: bounds(), vms: census.isComplete ? census.size(now) : undefined };
   }
 
   #refused(now: number, { request, service, arrivals }: Exchange, kind: ArrivalKind): void {
@@ -138,7 +140,7 @@
 
   /** What a decision rests on, for the log. */
   #fields(now: number, service: string): Readonly<Record<string, unknown>> {
-    const share = this.#share;
+    const share = this.#share(now);
     return { vms: share.vms, ...this.#budgets.get(service).state(now, share) };
   }
 }
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -103,7 +103,7 @@
   unreached(now: number, { message: detail }: Failure): void {
     const { metrics, lines, log } = this.#context;
     this.notRun();
-    this.#context.retries.unreached(this.#exchange, this.#runner);
+    this.#context.retries.unreached(now, this.#exchange, this.#runner);
     metrics.count('runs.unreached');
     if (!lines.tryAcquire(now)) return;
     const sentMs = Math.round(now - this.#sentAt);
@@ -111,8 +111,8 @@
   }
 
   /** The runner has completed the prefill. */
-  prefilled(): void {
-    this.#context.retries.prefilled(this.#exchange);
+  prefilled(now: number): void {
+    this.#context.retries.prefilled(now, this.#exchange);
   }
 
   /** Events of the response arrived. */
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -84,6 +84,8 @@
   facts: z.array(factSchema),
   eras: erasSchema.default([]),
   members: z.array(memberSchema).optional(),
+  /** Number of VMs that may run, with the members. */
+  vms: z.int().min(0).default(0),
   suspects: z.array(suspectSchema).default([]),
   rates: z.array(rateSchema).default([]),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
@@ -181,6 +183,7 @@
       facts: records.map(toWire),
       eras: [...routingState.eras],
       ...(members ? { members: fleet.all.map(toWireMember) } : {}),
+      vms: members ? fleet.census.size(now) : 0,
       suspects: includesSuspects ? quarantine.suspects(now).map(toWireSuspect) : [],
       rates: includesRates ? rateLimits.shared(now).slice(0, MAX_RATE_LIMITS) : [],
       ...routingState.proof(bootNow()),
@@ -220,7 +223,10 @@
     routingState.learnEras(now, answer.eras, address);
     routingState.learnRunners(now, answer.facts.map(fromWire), address);
     routingState.versions.learn(now, answer.versions, answer.hasAllVersions);
-    if (answer.members) fleet.sync(answer.members);
+    if (answer.members) {
+      fleet.sync(answer.members);
+      fleet.census.learn(now, answer.vms);
+    }
   }
 
   #packedConfig(): Uint8Array | undefined {
--- a/src/node/router/storedversions.ts
+++ b/src/node/router/storedversions.ts
@@ -10,6 +10,7 @@
 import type { VersionHistory } from '../../core/versions/history';
 import type { VersionsByService } from '../../core/versions/types';
 import type { VersionArchive } from './types';
+import { WriteDelay } from './writedelay';
 
 /** Dependencies of the stored versions. */
 export interface StoredVersionsContext {
@@ -21,12 +22,6 @@
   readonly log: Logger;
 }
 
-/**
- * Time within which one of the readers of the store writes a change, in milliseconds. Each draws
- * its own time, so that the others mostly see the change before they write it again.
- */
-const MAX_DELAY_MS = 2000;
-
 /** Period of the check for changes, in milliseconds. */
 const CHECK_MS = 500;
 
@@ -37,12 +32,13 @@
   /** The record as it was last read or written, as text; undefined before. */
   #stored: string | undefined;
 
-  #writeAt: number | undefined;
+  readonly #delay: WriteDelay;
 
   readonly #timer: NodeJS.Timeout;
 
   constructor(context: StoredVersionsContext) {
     this.#context = context;
+    this.#delay = new WriteDelay(context.random);
     this.#timer = setInterval(() => this.check(performance.now()), CHECK_MS).unref();
   }
 
@@ -68,16 +64,11 @@
 
   /** Writes the record if the store lacks a change. */
   check(now: number): void {
-    const { versions, archive, readsStore, random, log } = this.#context;
+    const { versions, archive, readsStore, log } = this.#context;
     const mixed = versions.mixedServices(now);
     const wanted = JSON.stringify(mixed);
-    if (!readsStore() || this.#stored === undefined || wanted === this.#stored) {
-      this.#writeAt = undefined;
-      return;
-    }
-    this.#writeAt ??= now + random() * MAX_DELAY_MS;
-    if (now < this.#writeAt) return;
-    this.#writeAt = now + MAX_DELAY_MS;
+    const lacksChange = this.#stored !== undefined && wanted !== this.#stored;
+    if (!this.#delay.isDue(now, readsStore() && lacksChange)) return;
     archive
       .save(mixed)
       .then(() => {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -251,6 +251,11 @@
   save(versions: VersionsByService): Promise<void>;
 }
 
+/** Persistent record of the number of VMs, which survives a restart of all VMs. */
+export interface FleetSizeArchive {
+  save(vms: number): Promise<void>;
+}
+
 /** Receives what a feed reads from the store. */
 export interface FeedListener {
   onConfig(config: RoutingConfig): void;
@@ -267,6 +272,8 @@
    * @param isAll whether all runners were read before
    */
   onVersions(versions: VersionsByService, isAll: boolean): void;
+  /** The number of VMs that was saved; 0 if there is none. */
+  onFleetSize(vms: number): void;
   /**
    * Confirms freshness: the configuration delivered before was in force when the store was asked.
    * @param askedAt boot time of the call; see `bootNow`
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -15,6 +15,7 @@
 import { bootNow } from '../utils/clock';
 import {
   decodeConfig,
+  decodeFleetSize,
   decodeRunner,
   decodeSuspect,
   decodeVersions,
@@ -204,6 +205,7 @@
     if (runners.length > 0) this.#listener?.onRunners(runners);
     if (vms.length > 0) this.#listener?.onVms(vms);
     this.#dispatchVersions(items, isAll);
+    this.#dispatchFleetSize(items, isAll);
   }
 
   /** A record that cannot be decoded is ignored: it may name versions that no listed runner has. */
@@ -218,6 +220,17 @@
     }
   }
 
+  /** A number that cannot be decoded is ignored; the VMs that are known count anyway. */
+  #dispatchFleetSize(items: readonly Item[], isAll: boolean): void {
+    const item = items.find((one) => one.key === key.fleetSize);
+    if (!item && !isAll) return;
+    try {
+      this.#listener?.onFleetSize(item?.value === undefined ? 0 : decodeFleetSize(item.value));
+    } catch (error) {
+      this.#log.error({ key: key.fleetSize, revision: item?.revision }, toFailure(error).line);
+    }
+  }
+
   /** A configuration that cannot be decoded is ignored and logged once for each revision. */
   #dispatchConfig({ key: name, value, revision }: Item): void {
     if (value === undefined || revision === this.#invalidRevision) return;
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -78,6 +78,8 @@
   suspects: 'goldcrestdock/suspects/',
   /** The services that several software versions served lately. */
   versions: 'goldcrestdock/versions',
+  /** The number of VMs. */
+  fleetSize: 'goldcrestdock/fleet',
   /** The VM that may give orders to runners; with a lease. */
   orderHolder: 'goldcrestdock/orders/holder',
   /** The VM that held this right last; without a lease. */
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -129,6 +129,9 @@
   born: z.int().min(0).default(0),
 });
 
+/** A fleet of more VMs is taken for an error. */
+const MAX_VMS = 100_000;
+
 const vmSchema = z.object({ address: z.string() });
 
 /** A quarantined request. Times are wall-clock times in Unix milliseconds, because all VMs may have restarted before the entry is read. */
@@ -137,6 +140,9 @@
   completedAt: z.number().optional(),
 });
 
+/** The number of VMs. */
+const fleetSizeSchema = z.object({ vms: z.int().min(1).max(MAX_VMS) });
+
 /** Software versions by service. */
 const versionsSchema = z.record(z.string(), z.array(z.string()));
 
@@ -273,6 +279,16 @@
   return JSON.stringify(versions);
 }
 
+/** Decodes the number of VMs; throws `factUnreadable`. */
+export function decodeFleetSize(text: string): number {
+  return parse(fleetSizeSchema, text, 'the number of VMs').vms;
+}
+
+/** Encodes the number of VMs. */
+export function encodeFleetSize(vms: number): string {
+  return JSON.stringify({ vms });
+}
+
 /**
  * Decodes the entry that a router writes for a quarantined request; throws `factUnreadable`.
  * @param wallNow wall-clock time, in Unix milliseconds; clocks of VMs differ, so a crash in the future is taken to be at this time
--- a/src/platform/router.ts
+++ b/src/platform/router.ts
@@ -10,6 +10,7 @@
 import { TcpDialer } from '../utils/dialer';
 import { EraReader } from './era';
 import { StoreFeed } from './feed';
+import { StoreFleetSize } from './fleetsize';
 import { StoreLock } from './lock';
 import { PlatformControl, PlatformIngress } from './ingress';
 import { PlatformRunnerClient } from './runner';
@@ -61,6 +62,7 @@
       lock: new StoreLock(client, vm),
       archive: new StoreSuspects(client),
       versions: new StoreVersions(client),
+      fleetSize: new StoreFleetSize(client),
     },
     log,
   );
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -139,7 +139,7 @@
   const extra = (2 * repeats) / 0.8;
   return new RetryController(-Infinity, {
     bounds: () => ({ ratio: 0, extra, windowMs: 10_000 }),
-    fleet: { alive: [] },
+    census: { isComplete: true, size: () => 1 },
     metrics: new RouterMetrics(),
     log,
   });
--- a/test/platform/restore.test.ts
+++ b/test/platform/restore.test.ts
@@ -37,6 +37,7 @@
       },
       onSuspects: () => {},
       onVersions: () => {},
+      onFleetSize: () => {},
       onConfirmed: () => {},
     });
     this.#feed.setReading(true);
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -49,6 +49,8 @@
 
   onVersions(): void {}
 
+  onFleetSize(): void {}
+
   onConfirmed(): void {}
 
   onStore(up: boolean): void {
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -1,5 +1,6 @@
 import pino from 'pino';
 
+import { FleetCensus } from '../../src/core/membership/census';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { RouterFleet } from '../../src/node/router/fleet';
@@ -31,6 +32,8 @@
     callee: rateLimitsOf(this.callee),
   };
 
+  readonly censuses = { caller: new FleetCensus(0), callee: new FleetCensus(0) };
+
   /** Number of runner records in each answer. */
   readonly answered: number[] = [];
 
@@ -39,14 +42,15 @@
       routingState: this.callee,
       quarantine: this.quarantines.callee,
       rateLimits: this.rateLimits.callee,
-      fleet: { all: [] } as unknown as RouterFleet,
+      fleet: { all: [], census: this.censuses.callee } as unknown as RouterFleet,
     });
     const call = async (_address: string, _method: string, params: unknown): Promise<unknown> => {
       const answer = server.answer(performance.now(), params);
       this.answered.push(answer.facts.length);
       return answer;
     };
-    const fleet = { call, sync: () => {} } as unknown as RouterFleet;
+    const { caller: census } = this.censuses;
+    const fleet = { call, sync: () => {}, census } as unknown as RouterFleet;
     const { caller: quarantine } = this.quarantines;
     const { caller: rateLimits } = this.rateLimits;
     const sync = new StateExchange({ routingState: this.caller, quarantine, rateLimits, fleet });
@@ -159,4 +163,15 @@
     await pair.exchange();
     expect(caller.rateOf('gone')).toBeUndefined();
   });
+
+  // Guards against a VM that starts, hears one other only and takes half of what belongs to the fleet.
+  test('transfers the number of VMs with the members', async () => {
+    const pair = new Pair();
+    const { caller, callee } = pair.censuses;
+    callee.learn(0, 66);
+    await pair.exchange();
+    expect([caller.isComplete, caller.size(0)]).toEqual([false, 1]);
+    await pair.exchange({ members: true });
+    expect([caller.isComplete, caller.size(0)]).toEqual([true, 66]);
+  });
 });
