Share quotas and rate limits among the VMs that may run, not those in view

The part of a VM of each quota was one divided by the members that it saw. A process that starts and reaches no other VM saw itself alone and granted the whole quota; so would each VM of a fleet that cannot reach each other, once its membership has forgotten the others.

Parts are divided by the census of VMs that may run, or by the members in view where those are more.

--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -102,9 +102,10 @@
    * attempt needs them.
    */
   get members(): QuotaMembers {
-    const { all } = this.#context.fleet;
+    const { all, census } = this.#context.fleet;
+    const seen = all.filter(({ state }) => state !== 'left').length;
     this.#members ??= {
-      known: all.filter(({ state }) => state !== 'left').length,
+      known: Math.max(seen, census.staying(performance.now())),
       present: new Set(all.filter(isPresent).map(({ vm }) => vm)),
     };
     return this.#members;
@@ -246,7 +247,9 @@
       this.#context.accounts.reset();
       this.#owners.clear();
     }
-    // The ranking of owners that did not answer changes without a change of the members.
+    // The number of VMs that may run changes without a change of the members.
+    this.#members = undefined;
+    // The ranking of owners that did not answer does, too.
     if (this.#context.groups().length > 0) this.#updateOwners(now);
   }
 }
--- a/test/router/accountowners.test.ts
+++ b/test/router/accountowners.test.ts
@@ -2,6 +2,7 @@
 
 import pino from 'pino';
 
+import { FleetCensus } from '../../src/core/membership/census';
 import type { Member } from '../../src/core/membership/types';
 import { QuotaAccounts } from '../../src/core/quotas/accounts';
 import { AccountOwners } from '../../src/node/router/accountowners';
@@ -35,6 +36,8 @@
   /** Registrations sent since the last call of `changed`. */
   #calls: string[] = [];
 
+  readonly census = new FleetCensus(0);
+
   readonly owners: AccountOwners;
 
   constructor() {
@@ -45,7 +48,8 @@
       this.#calls.push(`${leaves ? 'leave' : 'join'} ${address} ${groups.join(' ')}`);
       return null;
     };
-    const fleet = { self, all: [self], call, ownersOf: () => this.ranked };
+    const { census } = this;
+    const fleet = { self, all: [self], census, call, ownersOf: () => this.ranked };
     this.owners = new AccountOwners({
       vm: 'self',
       fleet: fleet as unknown as RouterFleet,
@@ -65,6 +69,14 @@
 }
 
 describe('a VM', () => {
+  // Guards against a process that starts, reaches no other VM and grants whole quotas.
+  test('shares accounts among the VMs that may run, although it is alone', () => {
+    const view = new FleetView();
+    view.census.learn(0, 66);
+    view.changed([memberOf('self')]);
+    expect([view.owners.members.known, [...view.owners.members.present]]).toEqual([66, ['self']]);
+  });
+
   const [one, other] = [memberOf('one'), memberOf('other')];
 
   test('registers with the owner once', () => {
