Continue a stream whose runner stopped sending without ending its connection

A runner that loses power leaves its connections open. Callers of its streams got nothing more: they disconnected after their patience, or waited for the rest of their time budgets.

A stream without events for twice its longest allowed pause (at least 0.6 s) has its runner checked, if another run may continue it. If the runner does not answer within 0.4 s, its response is ended, which makes the request continue after the last event as after a broken connection, within its attempts and retry budget. A runner that answers keeps its stream.

--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -6,6 +6,7 @@
 import type { Exchange } from './exchange';
 import { PaceMonitor } from './pace';
 import type { Run, StreamPart } from './runs';
+import { SilenceWatch } from './silence';
 import type { Reply } from './types';
 
 /** Largest response without events that is passed on. */
@@ -93,10 +94,12 @@
     const chunks = chunksUntilError(reply.body, () => {
       isInterrupted = true;
     });
+    const silence = this.#watchSilence(reply, run);
     for await (const chunk of chunks) {
       const events = stream.push(chunk);
       if (events.length > 0) {
         run.answered(performance.now());
+        silence.heard(performance.now());
         if (!hasStarted) {
           onProgress({ kind: 'started' });
           onFirstEvents();
@@ -108,6 +111,7 @@
       }
       if (stream.fault) break;
     }
+    silence.stop();
     const hasArrived = !isInterrupted && reply.body.complete;
     const mayBeWhole =
       hasArrived && (reply.framing !== 'close' || (await run.mayEndByClose(performance.now())));
@@ -123,6 +127,17 @@
     return 'done';
   }
 
+  #watchSilence({ body }: Reply, run: Run): SilenceWatch {
+    const { exchange, canResume } = this.#context;
+    return new SilenceWatch({
+      body,
+      gapMs: exchange.route.gapMs,
+      canResume,
+      isRunning: () => run.isRunnerRunning(),
+      onStalled: (silentMs) => run.stalled(silentMs),
+    });
+  }
+
   /** Sends the headers. The length of a stream that another run may continue is not known in advance. */
   #sendHead({ status, headers }: Reply): void {
     const { exchange } = this.#context;
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -144,6 +144,19 @@
     return checks.isRunning(this.#runner);
   }
 
+  /** Whether the runner's process runs, by a check that begins now. */
+  isRunnerRunning(): Promise<boolean> {
+    return this.#context.checks.isRunning(this.#runner);
+  }
+
+  /** The runner sends nothing any more, on this connection or to a check. */
+  stalled(silentMs: number): void {
+    const { metrics, log } = this.#context;
+    metrics.count('runs.stalled');
+    const ms = Math.round(silentMs);
+    log.info({ ...this.#fields(undefined), silentMs: ms }, 'A runner stopped within a stream.');
+  }
+
   #foundSound(now: number): void {
     if (this.#isFoundSound) return;
     this.#isFoundSound = true;
--- /dev/null
+++ b/src/node/router/silence.ts
@@ -0,0 +1,82 @@
+/** Detects that a runner has stopped in the middle of a stream without ending its connection. */
+
+import type { Readable } from 'node:stream';
+import { setTimeout as pause } from 'node:timers/promises';
+
+/** Multiple of the longest allowed pause between events after which a stream counts as silent. */
+const SILENCE_PAUSES = 2;
+/** Silence of streams whose routes allow short pauses or set none, in milliseconds: longer than a preempted request usually waits. */
+const MIN_SILENCE_MS = 600;
+/**
+ * Time that the runner of a silent stream has to answer a check, in milliseconds: its callers
+ * disconnect some two seconds after the last event, and another run needs the rest of that time.
+ */
+const CHECK_MS = 400;
+
+/** What a watch needs of its stream. */
+export interface SilenceContext {
+  readonly body: Pick<Readable, 'destroy'>;
+  /** Longest pause between events that the route allows, in milliseconds; 0 if it sets none. */
+  readonly gapMs: number;
+  /** Whether another run could continue the stream. */
+  readonly canResume: () => boolean;
+  /** Whether the runner's process runs. */
+  readonly isRunning: () => Promise<boolean>;
+  /** Called before the stream is ended. */
+  readonly onStalled: (silentMs: number) => void;
+}
+
+/**
+ * Ends a stream that has been silent for long, if its runner does not answer either and another
+ * run can continue it. The connections of a runner that lost power never end by themselves:
+ * without this, callers disconnected, or waited for the rest of their time budget.
+ */
+export class SilenceWatch {
+  readonly #context: SilenceContext;
+
+  readonly #silenceMs: number;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  #heardAt = 0;
+
+  #isStopped = false;
+
+  constructor(context: SilenceContext) {
+    this.#context = context;
+    this.#silenceMs = Math.max(MIN_SILENCE_MS, SILENCE_PAUSES * context.gapMs);
+  }
+
+  /** Events of the stream have arrived. */
+  heard(now: number): void {
+    this.#heardAt = now;
+    if (this.#timer) this.#timer.refresh();
+    else this.#schedule();
+  }
+
+  /** Ends the watch; must be called when the response has ended. */
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  #schedule(): void {
+    this.#timer = setTimeout(() => {
+      this.#check(this.#heardAt).catch(() => undefined);
+    }, this.#silenceMs).unref();
+  }
+
+  async #check(heardAt: number): Promise<void> {
+    const { body, canResume, isRunning, onStalled } = this.#context;
+    this.#timer = undefined;
+    if (!canResume()) return;
+    const isAlive = await Promise.race([isRunning(), pause(CHECK_MS, false, { ref: false })]);
+    if (this.#isStopped || this.#heardAt !== heardAt) return;
+    if (isAlive) {
+      this.#schedule();
+      return;
+    }
+    onStalled(performance.now() - heardAt);
+    body.destroy(new Error('the stream and its runner are silent'));
+  }
+}
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -1,3 +1,5 @@
+import { Readable } from 'node:stream';
+
 import type { Route, Runner } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
@@ -14,8 +16,10 @@
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
 import {
+  crashedChecks,
   directPaths,
   openStateOf,
+  quarantineOf,
   retriesOf,
   runsOf,
   unlimitedPermits,
@@ -42,6 +46,7 @@
   replies: readonly Reply[],
   runners: readonly Runner[],
   sent: string[],
+  runs = runsOf(),
 ): ModelContext {
   return {
     routingState: openStateOf(runners),
@@ -55,7 +60,7 @@
       reserve: async () => ({ decode: `d${sent.length + 1}` }),
       reportProgress: () => {},
     },
-    runs: runsOf(),
+    runs,
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
@@ -65,10 +70,14 @@
 }
 
 /** Serves an exchange by decode runners that give these responses in order; returns what was sent to them. */
-async function sendTo(replies: readonly Reply[], exchange: Exchange): Promise<readonly string[]> {
+async function sendTo(
+  replies: readonly Reply[],
+  exchange: Exchange,
+  runs = runsOf(),
+): Promise<readonly string[]> {
   const runners = replies.map((_, index) => runner(`d${index + 1}`, 'decode'));
   const sent: string[] = [];
-  await new ModelHandler(contextOf(replies, runners, sent)).run(exchange, streamEngine);
+  await new ModelHandler(contextOf(replies, runners, sent, runs)).run(exchange, streamEngine);
   return sent;
 }
 
@@ -307,3 +316,52 @@
     expect(out.join(' ')).toBe(`500 ${body}`);
   });
 });
+
+describe('a stream whose runner sends nothing more', () => {
+  /** A reply that sends some events, and the rest later. */
+  function silentReply(text: string, silentMs: number, rest: string): Reply {
+    const body = new Readable({ read: () => {} });
+    body.push(Buffer.from(text));
+    setTimeout(() => {
+      body.push(Buffer.from(rest));
+      body.push(null);
+    }, silentMs).unref();
+    return { ...replyOf(200, text), body: Object.assign(body, { complete: true }) as never };
+  }
+
+  // Guards against callers that wait for a runner that lost power: its connections do not end.
+  test('continues at another one soon if the runner does not answer a check either', async () => {
+    const out: string[] = [];
+    const replies = [
+      silentReply(eventsOf(1, 2), 5000, eventsOf(3, 3)),
+      replyOf(200, eventsOf(3, 4)),
+    ];
+    const exchange = exchangeInto(out, promptRequest, resumable);
+    const sent = await sendTo(
+      replies,
+      exchange,
+      runsOf(quarantineOf(), directPaths, crashedChecks),
+    );
+    expect({ out, sent }).toEqual({
+      out: ['200', eventsOf(1, 2), eventsOf(3, 4)],
+      sent: ['d1 after none', 'd2 after 2'],
+    });
+  });
+
+  // Guards against a second run while the first one is only slow.
+  test.each([
+    ['its runner answers', resumable, runsOf()],
+    ['it may not be resumed', streamRoute, runsOf(quarantineOf(), directPaths, crashedChecks)],
+  ])('waits for it if %s', async (_, route, runs) => {
+    const out: string[] = [];
+    const replies = [
+      silentReply(eventsOf(1, 2), 1500, eventsOf(3, 3)),
+      replyOf(200, eventsOf(3, 4)),
+    ];
+    const sent = await sendTo(replies, exchangeInto(out, promptRequest, route), runs);
+    expect({ out, sent }).toEqual({
+      out: ['200', eventsOf(1, 2), eventsOf(3, 3)],
+      sent: ['d1 after none'],
+    });
+  });
+});
