Check runners at which requests fail, and use those that do not answer only later

A runner that loses power fails each request only by a timeout: 0.9 s for a prefill, some 0.4 s for a connection to a decode runner. A failure ejected it for 0.4 s at first, whatever the cause, so that it got requests again after each ejection.

The owner of the service calls for the report of a runner that was ejected for a failed request. Without an answer in 0.4 s the runner stays ejected, and is checked every 0.5 s until it answers or is no longer listed. At most half of a stage is ejected at once, as before, so that an owner that is cut off does not stop the service. One call for each such failure, two a second for each lost runner.

--- a/src/core/memory/ejection.ts
+++ b/src/core/memory/ejection.ts
@@ -42,3 +42,12 @@
 ): FailureScore {
   return { failures: failures * successFactor, ejectedUntil };
 }
+
+/** Score of a runner that did not answer a check: it stays ejected until the check after the next one. */
+export function afterSilence(
+  { recheckMs }: EjectionRules,
+  now: number,
+  { failures, ejectedUntil }: FailureScore,
+): FailureScore {
+  return { failures, ejectedUntil: Math.max(ejectedUntil, now + 2 * recheckMs) };
+}
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -14,7 +14,7 @@
 import { VmBackoffs } from './backoffs';
 import { maxPrefillsAhead, maxWaitMs } from './ahead';
 import { WorkloadStats } from './stats';
-import { afterFailure, afterSuccess } from './ejection';
+import { afterFailure, afterSilence, afterSuccess } from './ejection';
 import type { StageChange } from './balance';
 import type { CostModel, Costs } from './cost';
 import { MeasuredCosts } from './cost';
@@ -177,6 +177,7 @@
       })
       .with({ kind: 'vmLost' }, ({ vm }) => this.#dropVm(now, vm))
       .with({ kind: 'reported' }, ({ report }) => this.#recordReport(now, report))
+      .with({ kind: 'silent' }, ({ runner }) => this.#recordSilence(now, runner))
       .with({ kind: 'runners' }, ({ engine, runners }) => {
         this.#engine = engine;
         this.#account.setRunners(engine, runners);
@@ -289,6 +290,12 @@
     this.#account.applyReport(now, runner, usedTokens);
   }
 
+  /** A runner that does not answer gets no work for the time until it is checked again. */
+  #recordSilence(now: number, runner: string): void {
+    const state = this.#account.decode.get(runner) ?? this.#account.prefill.get(runner);
+    if (state) state.failureScore = afterSilence(this.#policy.ejection, now, state.failureScore);
+  }
+
   /** Measures the time of a token from a finished request. */
   #recordPace(now: number, { grant }: Reservation, id: string, outputTokens: number): void {
     const decode = this.#account.decode.get(grant.decode);
--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -102,6 +102,8 @@
   readonly successFactor: number;
   /** Largest share of a stage's runners that may be ejected at once. */
   readonly maxEjectedShare: number;
+  /** Time after which a runner that did not answer a check is checked again, in milliseconds. */
+  readonly recheckMs: number;
 }
 
 /** How output lengths are estimated. */
@@ -199,6 +201,8 @@
   successFactor: 0.5,
   // A failure that affects most runners is not caused by the runners.
   maxEjectedShare: 0.5,
+  // A runner that restarts is used again soon, and a lost one costs two small calls a second.
+  recheckMs: 500,
 };
 
 const lengths: LengthRules = { hintWeights: [0, 0.25, 0.5, 0.75, 1] };
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -114,6 +114,8 @@
   /** A VM is gone, and with it the callers of its requests. */
   | { readonly kind: 'vmLost'; readonly vm: string }
   | { readonly kind: 'reported'; readonly report: MemoryReport }
+  /** A runner that had failed requests did not answer a check either. */
+  | { readonly kind: 'silent'; readonly runner: string }
   | { readonly kind: 'runners'; readonly engine: Engine; readonly runners: readonly Runner[] }
   | { readonly kind: 'woke' };
 
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -21,6 +21,7 @@
   Decision,
 } from './messages';
 import { fromWireHolding, fromWireDemand } from './messages';
+import { SilentRunners } from './silentrunners';
 import type { OrderOutcome, RunnerClient } from './types';
 
 /** Sends a decision back to the VM that requested it. */
@@ -77,6 +78,8 @@
 
   readonly #pauses = new PauseDetector(TICK_MS);
 
+  readonly #silentRunners: SilentRunners;
+
   #draining = false;
 
   constructor(
@@ -90,6 +93,14 @@
     this.#log = log;
     this.#context = context;
     this.#timer = setInterval(() => this.#tick(performance.now()), TICK_MS);
+    this.#silentRunners = new SilentRunners({
+      runners,
+      recheckMs: planPolicy.ejection.recheckMs,
+      find: (service, id) =>
+        routingState.openRunnersOf(performance.now(), service).find((one) => one.id === id),
+      onSilent: (now, service, runner) => this.#onSilentRunner(now, service, runner),
+      log,
+    });
   }
 
   /** Accepts no more requests. Waiting ones are answered with `waiting`, so that they ask again at the next owner. */
@@ -104,6 +115,7 @@
   /** Stops the periodic work. */
   stop(): void {
     clearInterval(this.#timer);
+    this.#silentRunners.stop();
   }
 
   /** Handles a request for a reservation. Returns the decision, or `waiting` if it goes to the callback later. Throws `noOwner` while shutting down. */
@@ -200,6 +212,7 @@
       placed: planner.placed,
       ...planner.load(now),
       distrusted: planner.ejected(now),
+      silent: this.#silentRunners.silent,
       heardAgoMs: Object.fromEntries(
         [...lastSeen].map(([vm, at]) => [vm, Math.round(now - at)] as const),
       ),
@@ -315,9 +328,16 @@
     for (const runner of planner.takeEjected()) {
       const request = 'id' in event ? event.id : undefined;
       this.#log.info({ request, service, runner, event: event.kind, source }, 'Ejected a runner.');
+      // A slow runner answers, and its failures alone decide how long it is ejected.
+      if (event.kind !== 'slow') this.#silentRunners.check(service, runner);
     }
   }
 
+  #onSilentRunner(now: number, service: string, runner: string): void {
+    const plan = this.#plans.get(service);
+    if (plan) this.#handle(now, service, plan, { kind: 'silent', runner });
+  }
+
   /** Passes the list of runners to the planner if it may have changed. */
   #refreshRunners(
     now: number,
