Allow calls that cost no retry budget while others have set repeats aside

More repeats can be set aside than a budget has left: its share shrinks when the number of VMs grows or is not known, and repeats that are given back to a budget that has saved all it may are set aside without being saved. The right side of the comparison is negative then, and first calls of new requests, which cost nothing, were refused until the other requests ended.

A call that costs nothing is now allowed without a comparison. Repeats are limited as before.

--- a/src/core/retries/budget.ts
+++ b/src/core/retries/budget.ts
@@ -86,10 +86,13 @@
   }
 
   /**
-   * Whether repeats may be sent now, and others set aside.
+   * Whether repeats may be sent now, and others set aside. A call that costs nothing is always
+   * allowed: more may be set aside than is left, after the share has shrunk or repeats were given
+   * back to a budget that has saved all it may.
    * @param held what is set aside for the same request already
    */
   affords(now: number, share: RetryShare, cost: ArrivalCost, held: number): boolean {
+    if (cost.repeats + cost.held === 0) return true;
     const { earned, extra } = this.state(now, share);
     return cost.repeats + cost.held <= earned + extra - (this.#held - held);
   }
--- a/test/core/retries.test.ts
+++ b/test/core/retries.test.ts
@@ -120,6 +120,34 @@
     });
   });
 
+  // Guards against budgets that reject first calls of new requests when others have set repeats aside.
+  test.each<readonly [string, RetryShare]>([
+    ['the number of VMs is not known', { bounds, vms: undefined }],
+    ['its share has shrunk', shareOf(1000)],
+  ])('allows calls that are no repeats while %s', (_, share) => {
+    const budget = new RetryBudget(0);
+    for (let i = 0; i < 100; i += 1) budget.earn(shareOf(8));
+    const isPrefillSent = budget.spend(20_000, shareOf(8), { repeats: 1, held: 2 }, 0);
+    const calls = [
+      budget.affords(20_000, share, { repeats: 0, held: 0 }, 0),
+      budget.spend(20_000, share, { repeats: 0, held: 0 }, 0),
+      budget.spend(20_000, share, one, 0),
+    ];
+    expect({ isPrefillSent, calls }).toEqual({ isPrefillSent: true, calls: [true, true, false] });
+  });
+
+  // Guards against the same where repeats are given back to a budget that has saved all it may.
+  test('allows calls that are no repeats after repeats are given back', () => {
+    const budget = new RetryBudget(0);
+    const share = shareOf(8);
+    for (let i = 0; i < 100; i += 1) budget.earn(share);
+    const paid = spendAll(budget, 20_000, share);
+    for (let i = 0; i < 100; i += 1) budget.earn(share);
+    budget.giveBack(share, paid);
+    expect(budget.affords(20_000, share, { repeats: 0, held: 0 }, 0)).toBe(true);
+    expect(budget.affords(20_000, share, one, 0)).toBe(false);
+  });
+
   test('allows no repeat while the number of VMs is not known', () => {
     const budget = new RetryBudget(0);
     for (let i = 0; i < 100; i += 1) budget.earn({ bounds, vms: undefined });
