Test that unknown streams are rejected without a wait, not within 50 ms

The bound on the wall clock failed on a machine with other busy processes. Timers are now held back while the streams are asked for, so that a rejection that waits for any timer never arrives and the test fails. No runner may get a call either; so far only continuations were counted.

All three tests fail when a timeout or a pause of 1 ms or an interval of 5 ms is added before the rejection.

--- a/test/router/softwareversions.test.ts
+++ b/test/router/softwareversions.test.ts
@@ -4,6 +4,7 @@
 import { RouterCluster } from '../fakes/routers';
 import type { StreamAttempt } from '../fakes/streamcaller';
 import { StreamCaller } from '../fakes/streamcaller';
+import { TimerGate } from '../fakes/timergate';
 
 const VMS = 5;
 const RUNNERS = 8;
@@ -12,8 +13,6 @@
 const FIRST_EVENTS = 20;
 /** Time after which all streams have begun, in milliseconds. */
 const BEGUN_MS = 700;
-/** Time in which a request is rejected that is known not to be servable, in milliseconds. */
-const REJECT_MS = 50;
 /** Share of the streams that callers take up again, relative to new ones, that goes on at least. */
 const MIN_SHARE = 0.5;
 
@@ -45,7 +44,10 @@
     await routers.start();
   }
 
-  afterEach(() => routers.stop(), 30_000);
+  afterEach(async () => {
+    await routers.stop();
+    jest.restoreAllMocks();
+  }, 30_000);
 
   /** Has all callers ask VMs in turn, the first of them the VM at an index. */
   function askAll(
@@ -137,7 +139,10 @@
     expect(holdingsOf(callers)).toEqual(UNMIXED);
   }, 30_000);
 
-  // Guards against guesses: whichever version is taken, it may be the wrong one.
+  /*
+   * Guards against guesses, since any version may be the wrong one, and against rejections that come
+   * late: no timer may fire before they are sent, and no runner may be asked.
+   */
   test.each<readonly [string, Readonly<Record<string, string>>]>([
     ['no VM knows', { resumes: 'never-was', 'last-event-id': '7' }],
     ['its caller does not name', { 'last-event-id': '7' }],
@@ -145,17 +150,19 @@
   ])(
     'is rejected at once, not run, if %s',
     async (_, headers) => {
+      const gate = new TimerGate();
+      gate.install();
       await start(['v1', 'v2']);
       const callers = callersOf('unknown', VMS);
-      const ended = await Promise.all(
-        callers.map((caller, index) => caller.ask(routers.addressOf(index), { headers })),
+      const arrivals = routers.arrivalCount;
+      const ended = await gate.whileClosed(() =>
+        Promise.all(
+          callers.map((caller, index) => caller.ask(routers.addressOf(index), { headers })),
+        ),
       );
       expect(ended.map(({ status }) => status)).toEqual(Array(VMS).fill(503));
       expect(ended.filter(({ retryAfter }) => retryAfter === undefined)).toEqual([]);
-      const counts = routers.runnersOf('decode').map(({ continuationCount }) => continuationCount);
-      expect(counts).toEqual(Array(RUNNERS).fill(0));
-      const [slowest = 0] = ended.map(({ ms }) => ms).sort((a, b) => b - a);
-      expect(slowest).toBeLessThan(REJECT_MS);
+      expect(routers.arrivalCount - arrivals).toBe(0);
     },
     30_000,
   );
