Reject VM entries in the store whose address cannot be used

The entry of a VM was accepted with any text as its address. For an address without a usable port, such as "nowhere", sending a membership probe throws a RangeError: in a cluster of two VMs it was thrown within 4 s of the entry, outside any handler. The address must now be HOST:PORT with a port from 1 to 65535; an entry that does not fit is logged and ignored, as one that cannot be decoded.

--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -99,12 +99,12 @@
 
 const MAX_PORT = 65_535;
 
-/** Whether a text has the form `IPV4:PORT`. */
-function isAddress(text: string): boolean {
+/** Whether a text has the form `HOST:PORT` and a host that fits. */
+function isHostPort(text: string, isHost: (host: string) => boolean): boolean {
   const [host = '', port = '', ...rest] = text.split(':');
   const number = Number(port);
   return (
-    rest.length === 0 && isIPv4(host) && /^\d+$/.test(port) && number > 0 && number <= MAX_PORT
+    rest.length === 0 && isHost(host) && /^\d+$/.test(port) && number > 0 && number <= MAX_PORT
   );
 }
 
@@ -115,7 +115,7 @@
  */
 const runnerSchema = z.object({
   service: z.string().min(1),
-  address: z.string().refine(isAddress, 'expected IPV4:PORT'),
+  address: z.string().refine((text) => isHostPort(text, isIPv4), 'expected IPV4:PORT'),
   zone: z.string(),
   /** Software version of the runner. */
   version: z.string(),
@@ -132,7 +132,12 @@
 /** A fleet of more VMs is taken for an error. */
 const MAX_VMS = 100_000;
 
-const vmSchema = z.object({ address: z.string() });
+/** The entry of a VM. Sending a packet to an address without a usable port throws. */
+const vmSchema = z.object({
+  address: z
+    .string()
+    .refine((text) => isHostPort(text, (host) => host !== ''), 'expected HOST:PORT'),
+});
 
 /** A quarantined request. Times are wall-clock times in Unix milliseconds, because all VMs may have restarted before the entry is read. */
 const suspectSchema = z.object({
