Decode the load that runners report in their responses

Runners report running and waiting requests and slots, some also how long work takes at the moment. The router ignored the header. It is decoded into a typed load; a missing, repeated or malformed header gives none.

--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -7,6 +7,7 @@
 import type { QuotaBounds } from '../../core/quotas/account';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
+import type { RunnerLoad } from '../../core/plain/types';
 import type { RateNotice } from '../../core/ratelimits/types';
 import type { Destination, Path } from '../../core/paths/table';
 import type { RunnerRecord } from '../../core/routing/directory';
@@ -139,6 +140,8 @@
    */
   readonly misdirected: boolean;
   readonly rateNotice: RateNotice;
+  /** The load that the runner reports; undefined if it reports none or an unreadable one. */
+  readonly load: RunnerLoad | undefined;
   readonly notice: RunnerNotice;
   /** Peer address of the VM that forwarded the request; undefined if it went directly. */
   readonly via: string | undefined;
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -13,6 +13,8 @@
   notRun: 'not-executed',
   /** In responses: the rate limit of the runner for all VMs together, in requests per second. */
   rateLimit: 'server-limit',
+  /** In responses: running and waiting requests, slots and, from some runners, the time that work takes in percent of the usual. */
+  load: 'server-load',
   /** In responses: `1` if the runner leaves. */
   leaving: 'server-leaving',
   /** Number of prompt tokens and maximum number of output tokens, separated by a comma. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -26,6 +26,7 @@
 import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
+import { loadOf } from './load';
 import { header, path } from './names';
 import { isLeaving, noticeOf } from './notice';
 import { rateNoticeOf } from './ratelimit';
@@ -307,6 +308,7 @@
     notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED_REQUEST,
     misdirected: status === HTTP_MISDIRECTED_REQUEST,
     rateNotice: rateNoticeOf(message),
+    load: isToRequest ? loadOf(message) : undefined,
     notice: isToRequest ? noticeOf(message) : NO_NOTICE,
     via,
     body: message,
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -66,6 +66,7 @@
     notRun: misdirected,
     misdirected,
     rateNotice: { kind: 'none' },
+    load: undefined,
     via: undefined,
     notice: NO_NOTICE,
     body: body as unknown as Reply['body'],
