Balance plain services by reported load, shared through their owner

A VM that sends about one request a second sees a response of each runner every 2 s, too seldom for runners whose speed changes within 600 ms.

Where runners report their slowness and more than three VMs serve, VMs pass on what they saw and sent to the owner of the service, and get its table and a runner for the request in the answer: at most one message per 100 ms and VM, and one for a response that differs much from what was expected. A request waits for the owner 20 ms at most; without it the VM uses its own table. Services without reported slowness are balanced as before, without messages. 'Request ended.' has the load at the time of the choice.

--- a/src/core/plain/usualtimes.ts
+++ b/src/core/plain/usualtimes.ts
@@ -3,6 +3,9 @@
 /** Weight of a new response time in the mean. */
 const NEW_WEIGHT = 0.05;
 
+/** Lower bound of a response time, in milliseconds, since expected times are divided by it. */
+const MIN_MS = 1;
+
 class MovingMean {
   #value = 0;
 
@@ -14,7 +17,7 @@
 
   add(value: number): void {
     this.#count += 1;
-    this.#value += (value - this.#value) * Math.max(NEW_WEIGHT, 1 / this.#count);
+    this.#value += (Math.max(MIN_MS, value) - this.#value) * Math.max(NEW_WEIGHT, 1 / this.#count);
   }
 }
 
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -25,6 +25,7 @@
   | 'streams'
   | 'orders'
   | 'paths'
+  | 'plain'
   | 'runner'
   | 'cli';
 
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -1,6 +1,6 @@
 /** The access log line of a completed request. */
 
-import type { Exchange } from './exchange';
+import type { Exchange, Placement } from './exchange';
 import type { CallRequest, Reply } from './types';
 
 /** Ids of the parts of a request's prompt, as logged. */
@@ -21,6 +21,24 @@
   return via === undefined ? '' : ` via ${via}`;
 }
 
+/** The load of the chosen runner at the time of the choice, for the log. */
+function loadField(placement: Placement | undefined): Readonly<Record<string, unknown>> {
+  if (!placement) return {};
+  const { runner, expected, ageMs } = placement;
+  const { inFlight, slots, slowness, waitMs, finishMs } = expected;
+  return {
+    load: {
+      runner,
+      inFlight: Math.round(inFlight * 10) / 10,
+      slots,
+      slowness: Math.round(slowness * 100) / 100,
+      waitMs: Math.round(waitMs),
+      finishMs: Math.round(finishMs),
+      ...(ageMs === undefined ? {} : { ageMs: Math.round(ageMs) }),
+    },
+  };
+}
+
 /**
  * The fields of the log line.
  * @param ms time from the complete request to the end of its response
@@ -55,6 +73,7 @@
     inTime,
     ...(versions.length > 0 ? { versions } : {}),
     arrivals: exchange.arrivals.counts,
+    ...loadField(exchange.placement),
     trail,
   };
 }
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -6,6 +6,7 @@
 import type { NoticeController } from './notices';
 import type { OriginController } from './origins';
 import type { PermitController } from './permits';
+import type { PlainLoads } from './plainloads';
 import type { ReservationClient } from './reservations';
 import type { QuotaController } from './quotas';
 import type { StateExchange } from './stateexchange';
@@ -30,6 +31,7 @@
   readonly sync: StateExchange;
   readonly quotas: QuotaController;
   readonly permits: PermitController;
+  readonly loads: PlainLoads;
   readonly origins: OriginController;
   readonly notices: NoticeController;
   readonly trials: TrialController;
@@ -48,7 +50,7 @@
 
   /** Answers one call; the result of one without an answer is null. Rejects with `peerRejected` if the method is unknown. */
   async answer(vm: string, method: string, params: unknown, push: Push): Promise<unknown> {
-    const { planners, reservations, sync, quotas, permits, origins, notices, trials } =
+    const { planners, reservations, sync, quotas, permits, loads, origins, notices, trials } =
       this.#context;
     const now = performance.now();
     const reply = (service: string, verdict: unknown): void =>
@@ -58,6 +60,7 @@
     if (method === 'facts') return sync.answer(now, params);
     if (method === 'quota') return quotas.onAsk(now, vm, params);
     if (method === 'permit') return permits.onAsk(now, vm, params);
+    if (method === 'plainLoad') return loads.onAsk(now, params);
     if (method === 'originOf') return origins.onAsked(now, params);
     if (method === 'trial') return trials.onAsk(now, vm, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
@@ -69,6 +72,7 @@
     else if (method === 'quotaJoin') quotas.onJoin(now, vm, params);
     else if (method === 'quotaBack') quotas.onRefund(params);
     else if (method === 'permitJoin') permits.onJoin(now, vm, params);
+    else if (method === 'plainNews') loads.onNews(now, params);
     else if (method === 'rates') permits.onRates(now, vm, params);
     else if (method === 'origins') origins.onTold(now, params);
     else if (method === 'gather') this.#reportHoldings(now, vm, gatherSchema.parse(params).service);
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -16,6 +16,7 @@
 import type { ForwardedBackoff } from './messages';
 import type { PlannerHost } from './plannerhost';
 import { PermitController } from './permits';
+import { PlainLoads } from './plainloads';
 import { ReservationClient } from './reservations';
 import { QuarantineController } from './quarantine';
 import { TrialController } from './trials';
@@ -69,6 +70,8 @@
 
   readonly permits: PermitController;
 
+  readonly loads: PlainLoads;
+
   readonly quotas: QuotaController;
 
   readonly places: ReservationClient;
@@ -132,6 +135,7 @@
       metrics,
       log: logOf(log, 'ratelimits'),
     });
+    this.loads = new PlainLoads({ vm, fleet, routingState, metrics, log: logOf(log, 'plain') });
     this.quotas = new QuotaController({
       vm,
       bounds: settings.quotas,
@@ -177,7 +181,7 @@
       metrics,
       log: logOf(log, 'streams'),
     });
-    const { places, quotas, permits, origins } = this;
+    const { places, quotas, permits, loads, origins } = this;
     this.calls = new PeerCalls({
       vm,
       fleet,
@@ -186,6 +190,7 @@
       sync,
       quotas,
       permits,
+      loads,
       origins,
       notices: this.notices,
       trials: this.trials,
@@ -220,6 +225,7 @@
       refuses: this.quarantine.snapshot(now),
       quotas: this.quotas.snapshot(),
       rateLimits: this.permits.snapshot(),
+      plainLoads: this.loads.snapshot(now),
       streams: this.origins.size,
     };
   }
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -7,6 +7,7 @@
 import { Failure } from '../../core/failure';
 import { contentIdOf, partFingerprints } from '../../core/fingerprint';
 import { Arrivals } from '../../core/retries/arrivals';
+import type { Expectation } from '../../core/plain/loadtable';
 import type { Route, Runner } from '../../core/routing/types';
 import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
@@ -21,6 +22,17 @@
 /** Codes of failures whose messages name the fingerprints under which runners crashed. */
 const crashCodes: ReadonlySet<CodeName> = new Set(['quarantined', 'onTrial']);
 
+/** The choice of a runner by its reported load. */
+export interface Placement {
+  readonly runner: string;
+  /** Whether the owner of the service has counted the request at the runner. */
+  readonly isCounted: boolean;
+  /** What was expected at the time of the choice. */
+  readonly expected: Expectation;
+  /** Age of the runner's newest report, in milliseconds; undefined if there was none. */
+  readonly ageMs: number | undefined;
+}
+
 /** A request, its route and its response. */
 export class Exchange {
   readonly request: CallRequest;
@@ -95,6 +107,8 @@
   /** Listing of the runner whose events were sent last; undefined before the first. */
   listing: string | undefined;
 
+  #placement: Placement | undefined;
+
   /** Steps of the request, for the log. */
   readonly trail: string[] = [];
 
@@ -141,6 +155,16 @@
     this.versions.add(version);
   }
 
+  /** The last choice of a runner by its load; undefined if none was made by load. */
+  get placement(): Placement | undefined {
+    return this.#placement;
+  }
+
+  /** Records the choice of a runner by its load. */
+  place(placement: Placement): void {
+    this.#placement = placement;
+  }
+
   /** Fixes what continues the stream. */
   pin({ service, version }: StreamOrigin): void {
     this.#service = service;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -53,7 +53,7 @@
   constructor(context: HandlersContext) {
     this.#context = context;
     const { settings, routingState, paths, runners, authorizer, controllers, fleet } = context;
-    const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins } =
+    const { quarantine, trials, rateLimits, notices, permits, quotas, places, origins, loads } =
       controllers;
     const startedAt = settings().isFirstStart ? -Infinity : performance.now();
     this.#retries = new RetryController(startedAt, {
@@ -82,6 +82,7 @@
       runs: this.#runs,
       quotas,
       permits,
+      loads,
       origins,
       retries: this.#retries,
     };
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -130,14 +130,19 @@
   }
 
   async #send(exchange: Exchange, runner: Runner): Promise<Answer> {
-    const { health, routingState, paths, runners, runs } = this.#context;
+    const { health, routingState, paths, runners, runs, loads } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
     const run = runs.begin(now, exchange, runner);
     records.recordDispatch(now, runner.id);
-    this.#balancer.requestStarted(runner);
+    this.#balancer.requestStarted(now, exchange, runner);
     try {
-      const answer = await callRunner(exchange, runner, runners, run);
+      const onReply = (reply: Reply): void => {
+        const repliedAt = performance.now();
+        run.replied(repliedAt, reply);
+        loads.replied(repliedAt, exchange, runner, now, reply);
+      };
+      const answer = await callRunner(exchange, runner, runners, run, onReply);
       records.recordSuccess(runner.id);
       run.completed(performance.now(), undefined, answer.reply.status < SERVER_ERROR);
       return answer;
@@ -194,10 +199,10 @@
   runner: Runner,
   runners: RunnerClient,
   run: Run,
+  onReply: (reply: Reply) => void,
 ): Promise<Answer> {
   const deadlineMs = exchange.remainingMs(performance.now());
   const { request, route, signal } = exchange;
-  const onReply = (reply: Reply): void => run.replied(performance.now(), reply);
   const mayRepeat = route.kind === 'repeatable';
   const dispatch = { runner, request, deadlineMs, signal, mayRepeat, onReply };
   const reply = await runners.send(dispatch).catch((error) => {
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -1,4 +1,7 @@
-/** Load balancing of plain requests, by the requests in flight and failures of this VM and by the rate limits that runners announce. */
+/**
+ * Load balancing of plain requests, by the load that runners report or else the requests in flight of
+ * this VM, by failures, and by the rate limits that runners announce.
+ */
 
 import { setTimeout as pause } from 'node:timers/promises';
 
@@ -9,6 +12,7 @@
 import type { Exchange } from './exchange';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
+import type { PlainLoads } from './plainloads';
 import type { RunnerPaths } from './types';
 import { unreachedFailure, versionGoneFailure } from './unreached';
 
@@ -21,6 +25,7 @@
     PermitController,
     'isLimited' | 'mayTake' | 'isTrialDue' | 'ask' | 'askTrial'
   >;
+  readonly loads: Pick<PlainLoads, 'isActive' | 'refresh' | 'best' | 'place' | 'sent' | 'replied'>;
   readonly domain: string;
 }
 
@@ -47,7 +52,9 @@
   }
 
   /** Counts a request that is sent to a runner. */
-  requestStarted({ id }: Runner): void {
+  requestStarted(now: number, exchange: Exchange, runner: Runner): void {
+    const { id } = runner;
+    this.#context.loads.sent(now, exchange, runner);
     this.#inFlight.set(id, (this.#inFlight.get(id) ?? 0) + 1);
   }
 
@@ -77,12 +84,29 @@
     if (candidates.length === 0) return this.#closedFailure(now, exchange);
     const trial = candidates.find(({ id }) => permits.isTrialDue(now, id));
     if (trial && (await permits.askTrial(exchange.service, trial.id))) return trial;
-    const best = this.#cheapest(candidates);
+    const best = await this.#best(now, exchange, candidates);
     if (!best || !this.#isLimited(best)) return best;
     const unlimited = candidates.filter((runner) => !this.#isLimited(runner));
     if (unlimited.length === 0) return this.#waitForPermit(now, exchange, candidates);
     const permitted = this.#mayTake(now, best) && (await this.#hasPermit(exchange, best));
-    return permitted ? best : this.#cheapest(unlimited);
+    return permitted ? best : this.#cheapest(exchange, unlimited);
+  }
+
+  /** The best runner by the owner's table, or by this VM's where the owner is not asked. */
+  async #best(
+    now: number,
+    exchange: Exchange,
+    candidates: readonly Runner[],
+  ): Promise<Runner | undefined> {
+    const { loads } = this.#context;
+    if (!loads.isActive(now, exchange.service)) return this.#cheapest(exchange, candidates);
+    const unlimited = candidates.filter((runner) => !this.#isLimited(runner));
+    const allowed = unlimited.length > 0 ? unlimited : candidates;
+    const chosen = await loads.refresh(now, exchange, allowed);
+    const runner = allowed.find(({ id }) => id === chosen);
+    if (!runner) return this.#cheapest(exchange, candidates);
+    loads.place(performance.now(), exchange, runner, true);
+    return runner;
   }
 
   /**
@@ -131,7 +155,22 @@
     return openInMs === 0 ? undefined : openInMs + Math.random() * RETURN_SPREAD_MS;
   }
 
-  #cheapest(runners: readonly Runner[]): Runner | undefined {
+  #cheapest(exchange: Exchange, runners: readonly Runner[]): Runner | undefined {
+    const { loads } = this.#context;
+    const now = performance.now();
+    if (!loads.isActive(now, exchange.service)) return this.#leastInFlight(runners);
+    const candidates = runners.map((runner) => ({
+      id: runner.id,
+      slots: runner.slots,
+      extra: this.#extraOf(runner),
+      runner,
+    }));
+    const best = loads.best(now, exchange, candidates)?.runner.runner;
+    if (best) loads.place(now, exchange, best, false);
+    return best;
+  }
+
+  #leastInFlight(runners: readonly Runner[]): Runner | undefined {
     let best: Runner | undefined;
     let bestCost = Infinity;
     for (const runner of runners) {
@@ -145,10 +184,14 @@
   }
 
   #costOf(runner: Runner): number {
+    return (this.#inFlight.get(runner.id) ?? 0) + this.#extraOf(runner);
+  }
+
+  /** Cost of the way to a runner, in requests in flight. */
+  #extraOf(runner: Runner): number {
     const isPreferred = runner.domain === this.#context.domain && !this.#isLimited(runner);
     const isDirect = this.#context.paths.pathTo(runner) === 'direct';
-    const extra = (isPreferred ? 0 : REMOTE_COST) + (isDirect ? 0 : TUNNEL_COST);
-    return (this.#inFlight.get(runner.id) ?? 0) + extra;
+    return (isPreferred ? 0 : REMOTE_COST) + (isDirect ? 0 : TUNNEL_COST);
   }
 
   #isLimited({ id }: Runner): boolean {
--- /dev/null
+++ b/src/node/router/plainloads.ts
@@ -0,0 +1,269 @@
+/**
+ * Load of the runners of plain services at one VM, shared with the other VMs through the owner of
+ * the service. See `docs/design/plain-load.md`.
+ */
+
+import { setTimeout as pause } from 'node:timers/promises';
+
+import type { Logger } from 'pino';
+
+import { toFailure } from '../../core/failure';
+import type { Member } from '../../core/membership/types';
+import { LoadShare } from '../../core/plain/loadshare';
+import type { Candidate, Choice } from '../../core/plain/loadtable';
+import { LoadTable } from '../../core/plain/loadtable';
+import type { Runner } from '../../core/routing/types';
+import { LazyMap } from '../../utils/lazymap';
+import type { Metrics } from '../metrics';
+import type { Exchange } from './exchange';
+import type { RouterFleet } from './fleet';
+import type { LoadAnswer, LoadAsk } from './plainloadwire';
+import {
+  fromWireNews,
+  fromWireRows,
+  loadAnswerOf,
+  loadAskOf,
+  toWireNews,
+  toWireRows,
+} from './plainloadwire';
+import type { RoutingState } from './routingstate';
+import type { Reply } from './types';
+
+/** Dependencies of the loads. */
+export interface PlainLoadContext {
+  readonly vm: string;
+  readonly fleet: Pick<RouterFleet, 'ownersOf' | 'call' | 'deprioritize'>;
+  readonly routingState: Pick<RoutingState, 'runnersOf'>;
+  readonly metrics: Metrics;
+  readonly log: Logger;
+}
+
+/** Number of VMs up to which each uses its own table: it sees enough responses of each runner. */
+const FEW_VMS = 3;
+/** Longest time that a request waits for a refresh, in milliseconds. */
+const REFRESH_WAIT_MS = 20;
+/** Timeout of a call to the owner, in milliseconds; one that exceeds it is skipped. */
+const CALL_TIMEOUT_MS = 150;
+/** Part of a route's latency target that is its usual time before the first response. */
+const ASSUMED_AIM_PART = 0.25;
+const SERVER_ERROR = 500;
+
+interface ServiceState {
+  readonly table: LoadTable;
+  readonly share: LoadShare;
+  /** The refresh in progress, with its start. */
+  refresh: { readonly startedAt: number; readonly done: Promise<string | undefined> } | undefined;
+}
+
+/** Load tables of all plain services. */
+export class PlainLoads {
+  readonly #context: PlainLoadContext;
+
+  readonly #services = new LazyMap<string, ServiceState>(() => {
+    const table = new LoadTable();
+    return { table, share: new LoadShare(table), refresh: undefined };
+  });
+
+  readonly #names = new Set<string>();
+
+  constructor(context: PlainLoadContext) {
+    this.#context = context;
+  }
+
+  /** Whether a service is balanced by reported load: its runners report their slowness. */
+  isActive(now: number, service: string): boolean {
+    return this.#names.has(service) && this.#services.get(service).table.reportsSlowness(now);
+  }
+
+  /**
+   * Refreshes this VM's copy of the owner's table if it is old, which takes 20 ms at most.
+   * Resolves to the runner that the owner chose for this request, if it was asked.
+   * @param candidates runners that may get the request
+   */
+  async refresh(
+    now: number,
+    exchange: Exchange,
+    candidates: readonly Runner[],
+  ): Promise<string | undefined> {
+    const { service } = exchange;
+    const state = this.#services.get(service);
+    const owner = this.#ownerOf(now, service);
+    if (!owner || !state.share.isStale(now)) return undefined;
+    if (state.refresh) {
+      const leftMs = state.refresh.startedAt + REFRESH_WAIT_MS - now;
+      if (leftMs > 0) await Promise.race([state.refresh.done, pause(leftMs)]);
+      return undefined;
+    }
+    if (!state.share.isDue(now)) return undefined;
+    const allowed = new Set(candidates.map(({ id }) => id));
+    const runners = this.#context.routingState.runnersOf(now, service);
+    const avoid = runners.map(({ id }) => id).filter((id) => !allowed.has(id));
+    const want = { ms: this.#usualMs(exchange), avoid };
+    const done = this.#ask(now, state, owner, service, want);
+    const timeout = pause(REFRESH_WAIT_MS, undefined);
+    const chosen = await Promise.race([done, timeout]);
+    if (state.refresh) this.#context.metrics.count('plainload.late');
+    return chosen;
+  }
+
+  /** The candidate at which a request is expected to finish first; undefined without candidates. */
+  best<T extends Candidate>(
+    now: number,
+    exchange: Exchange,
+    candidates: readonly T[],
+  ): Choice<T> | undefined {
+    const { table } = this.#services.get(exchange.service);
+    return table.best(now, candidates, this.#usualMs(exchange), Math.random);
+  }
+
+  /** Records a choice in the exchange, for its log line. */
+  place(now: number, exchange: Exchange, { id, slots }: Runner, isCounted: boolean): void {
+    const { table } = this.#services.get(exchange.service);
+    const expected = table.expect(now, { id, slots }, this.#usualMs(exchange));
+    const reportedAt = table.reportOf(id)?.at;
+    const ageMs = reportedAt === undefined ? undefined : now - reportedAt;
+    exchange.place({ runner: id, isCounted, expected, ageMs });
+  }
+
+  /** Records that a request is sent to a runner. */
+  sent(now: number, exchange: Exchange, runner: Runner): void {
+    const { service, placement } = exchange;
+    if (!this.isActive(now, service)) return;
+    const state = this.#services.get(service);
+    const isCounted = placement?.runner === runner.id && placement.isCounted;
+    state.share.sent(now, runner, this.#usualMs(exchange), isCounted);
+    const owner = this.#ownerOf(now, service);
+    if (owner && !isCounted && !state.refresh && state.share.isDue(now)) {
+      this.#ask(now, state, owner, service, undefined).catch(() => undefined);
+    }
+  }
+
+  /** Records the load in a response. */
+  replied(now: number, exchange: Exchange, runner: Runner, sentAt: number, reply: Reply): void {
+    const { load, status, genuine, notRun, misdirected, isEvents } = reply;
+    const { service, placement, route } = exchange;
+    if (!load || misdirected || !(genuine || notRun)) return;
+    this.#names.add(service);
+    const state = this.#services.get(service);
+    const { table, share } = state;
+    const report = { runner: runner.id, at: now, load };
+    const usualMs = this.#usualMs(exchange);
+    const isNews = share.reported(now, report, table.expect(now, runner, usualMs));
+    const expected = placement?.runner === runner.id ? placement.expected : undefined;
+    const isTimed = !notRun && !isEvents && status < SERVER_ERROR;
+    if (isTimed) table.responded(report, route.name, now - sentAt, expected, usualMs);
+    else table.reported(report);
+    const owner = isNews && this.isActive(now, service) && this.#ownerOf(now, service);
+    if (owner) this.#tell(now, state, owner, service);
+  }
+
+  /** Answers a VM that asks for the table, as the owner. */
+  onAsk(now: number, params: unknown): LoadAnswer {
+    const ask = loadAskOf(params);
+    const runners = this.#learn(now, ask);
+    const { service, want } = ask;
+    const { table } = this.#services.get(service);
+    const avoid = new Set(want?.avoid);
+    const candidates = runners
+      .filter(({ id }) => !avoid.has(id))
+      .map(({ id, slots }) => ({ id, slots, extra: 0 }));
+    const best = want && table.best(now, candidates, want.ms, Math.random);
+    if (best) table.sent(now, best.runner, now, want.ms);
+    if (want) table.usual.observeOther(want.ms);
+    const ids = runners.map(({ id }) => id);
+    return { runner: best?.runner.id ?? null, rows: toWireRows(now, table.rows(now, ids)) };
+  }
+
+  /** Handles what a VM passes on without asking, as the owner. */
+  onNews(now: number, params: unknown): void {
+    this.#learn(now, loadAskOf(params));
+  }
+
+  /** State for operators. */
+  snapshot(now: number): Readonly<Record<string, unknown>> {
+    const active = [...this.#names].filter((service) => this.isActive(now, service));
+    const rows = active.map((service) => [
+      service,
+      {
+        owner: this.#ownerOf(now, service)?.vm ?? null,
+        runners: this.#services.get(service).table.snapshot(now),
+      },
+    ]);
+    return Object.fromEntries(rows);
+  }
+
+  /** Applies what another VM passes on; returns the runners of the service. */
+  #learn(now: number, ask: LoadAsk): readonly Runner[] {
+    const { service } = ask;
+    const runners = this.#context.routingState.runnersOf(now, service);
+    if (runners.length === 0) return runners;
+    this.#names.add(service);
+    const { table } = this.#services.get(service);
+    const byId = new Map(runners.map((runner) => [runner.id, runner]));
+    const { reports, sent } = fromWireNews(now, ask);
+    for (const report of reports) if (byId.has(report.runner)) table.reported(report);
+    for (const { runner: id, at } of sent) {
+      const runner = byId.get(id);
+      if (runner) table.sent(now, runner, at, table.usual.mean ?? 0);
+    }
+    table.retain(new Set(byId.keys()));
+    return runners;
+  }
+
+  /** The owner of a service, if the VMs share a table and this VM is not the owner. */
+  #ownerOf(now: number, service: string): Member | undefined {
+    const { fleet, vm } = this.#context;
+    const owners = fleet.ownersOf(now, service);
+    const [owner] = owners;
+    return owners.length > FEW_VMS && owner?.vm !== vm ? owner : undefined;
+  }
+
+  #usualMs({ service, route }: Exchange): number {
+    return this.#services.get(service).table.usual.of(route.name, route.aimMs * ASSUMED_AIM_PART);
+  }
+
+  /** Asks the owner and merges its answer; never rejects. */
+  #ask(
+    now: number,
+    state: ServiceState,
+    owner: Member,
+    service: string,
+    want: LoadAsk['want'],
+  ): Promise<string | undefined> {
+    const news = toWireNews(now, state.share.take(now));
+    this.#context.metrics.count('plainload.refreshes');
+    const done = this.#exchange(state, owner, { service, ...news, ...(want ? { want } : {}) });
+    state.refresh = { startedAt: now, done };
+    return done;
+  }
+
+  async #exchange(state: ServiceState, owner: Member, ask: LoadAsk): Promise<string | undefined> {
+    const { fleet, metrics, log, routingState } = this.#context;
+    try {
+      const answer = await fleet.call(owner.address, 'plainLoad', ask, CALL_TIMEOUT_MS);
+      const now = performance.now();
+      const { runner, rows } = loadAnswerOf(answer);
+      const ids = new Set(routingState.runnersOf(now, ask.service).map(({ id }) => id));
+      const known = fromWireRows(now, rows).filter((row) => ids.has(row.runner));
+      state.share.merge(now, known, ask.want?.ms ?? state.table.usual.mean ?? 0);
+      state.table.retain(ids);
+      return runner ?? undefined;
+    } catch (error) {
+      fleet.deprioritize(performance.now(), owner.vm);
+      metrics.count('plainload.unanswered');
+      log.debug({ service: ask.service, owner: owner.vm }, toFailure(error).line);
+      return undefined;
+    } finally {
+      state.refresh = undefined;
+    }
+  }
+
+  #tell(now: number, { share }: ServiceState, owner: Member, service: string): void {
+    const { fleet, metrics, log } = this.#context;
+    const news: LoadAsk = { service, ...toWireNews(now, share.take(now)) };
+    metrics.count('plainload.news');
+    fleet.call(owner.address, 'plainNews', news, CALL_TIMEOUT_MS).catch((error) => {
+      log.debug({ service, owner: owner.vm }, toFailure(error).line);
+    });
+  }
+}
--- /dev/null
+++ b/src/node/router/plainloadwire.ts
@@ -0,0 +1,111 @@
+/**
+ * Messages by which VMs share the load of the runners of a plain service. Tuples keep them short,
+ * and times are sent as ages in milliseconds, since the clocks of VMs differ.
+ */
+
+import { z } from 'zod';
+
+import { Failure } from '../../core/failure';
+import type { LoadNews } from '../../core/plain/loadshare';
+import type { LoadRow } from '../../core/plain/loadtable';
+import type { LoadReport } from '../../core/plain/types';
+
+/** Most runners, and most requests sent, that a message names. */
+const MAX_ENTRIES = 256;
+const MAX_AGE_MS = 60_000;
+
+const id = z.string().min(1).max(200);
+const count = z.int().min(0).max(1_000_000);
+const ageMs = z.number().min(0).max(MAX_AGE_MS);
+/** Running, waiting, slots, slowness and age. */
+const report = z.tuple([count, count, count.min(1), z.number().positive().nullable(), ageMs]);
+
+/** What a VM passes on, and the request for which it asks the owner for a runner. */
+const askSchema = z.object({
+  service: id,
+  seen: z.array(z.tuple([id, report])).max(MAX_ENTRIES),
+  sent: z.array(z.tuple([id, ageMs])).max(MAX_ENTRIES),
+  want: z
+    .object({ ms: z.number().positive().max(MAX_AGE_MS), avoid: z.array(id).max(MAX_ENTRIES) })
+    .optional(),
+});
+/** The runner for the request, and for each runner the requests sent since its newest report. */
+const answerSchema = z.object({
+  runner: id.nullable(),
+  rows: z.array(z.tuple([id, count, report.nullable()])).max(MAX_ENTRIES),
+});
+
+export type LoadAsk = Readonly<z.infer<typeof askSchema>>;
+export type LoadAnswer = Readonly<z.infer<typeof answerSchema>>;
+type WireReport = z.infer<typeof report>;
+
+/** Decodes a message to the owner; throws a `peerRejected` failure. */
+export function loadAskOf(params: unknown): LoadAsk {
+  return decode(askSchema, params);
+}
+
+/** Decodes the owner's answer; throws a `peerRejected` failure. */
+export function loadAnswerOf(answer: unknown): LoadAnswer {
+  return decode(answerSchema, answer);
+}
+
+/** Encodes what a VM passes on. */
+export function toWireNews(
+  now: number,
+  { reports, sent }: LoadNews,
+): Pick<LoadAsk, 'seen' | 'sent'> {
+  return {
+    seen: reports.slice(0, MAX_ENTRIES).map((one) => [one.runner, toWireReport(now, one)]),
+    sent: sent.slice(-MAX_ENTRIES).map(({ runner, at }) => [runner, ageOf(now, at)]),
+  };
+}
+
+/** Decodes what another VM passes on. */
+export function fromWireNews(now: number, { seen, sent }: LoadAsk): LoadNews {
+  return {
+    reports: seen.map(([runner, one]) => fromWireReport(now, runner, one)),
+    sent: sent.map(([runner, age]) => ({ runner, at: now - age })),
+  };
+}
+
+/** Encodes rows of the owner's table. */
+export function toWireRows(now: number, rows: readonly LoadRow[]): LoadAnswer['rows'] {
+  return rows
+    .slice(0, MAX_ENTRIES)
+    .map((row) => [row.runner, row.sent, row.report ? toWireReport(now, row.report) : null]);
+}
+
+/** Decodes rows of the owner's table. */
+export function fromWireRows(now: number, rows: LoadAnswer['rows']): readonly LoadRow[] {
+  return rows.map(([runner, sent, one]) => ({
+    runner,
+    sent,
+    report: one ? fromWireReport(now, runner, one) : undefined,
+  }));
+}
+
+function toWireReport(now: number, { at, load }: LoadReport): WireReport {
+  const { running, waiting, slots, slowness = null } = load;
+  return [running, waiting, slots, slowness, ageOf(now, at)];
+}
+
+function fromWireReport(
+  now: number,
+  runner: string,
+  [running, waiting, slots, slowness, age]: WireReport,
+): LoadReport {
+  const load = { running, waiting, slots, slowness: slowness ?? undefined };
+  return { runner, at: now - age, load };
+}
+
+function ageOf(now: number, at: number): number {
+  return Math.round(Math.min(MAX_AGE_MS, Math.max(0, now - at)));
+}
+
+function decode<T>(schema: z.ZodType<T>, value: unknown): T {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  const [issue] = parsed.error.issues;
+  const field = issue?.path.join('.') ?? '';
+  throw new Failure('peerRejected', `found a load message whose ${field} does not fit`);
+}
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -60,6 +60,16 @@
   ask: async (_service, [runner = '']) => ({ granted: true, runner, waitMs: 0 }),
 };
 
+/** Loads of a VM whose runners report none. */
+export const unreportedLoads: BalancerContext['loads'] = {
+  isActive: () => false,
+  refresh: async () => undefined,
+  best: () => undefined,
+  place: () => {},
+  sent: () => {},
+  replied: () => {},
+};
+
 /** Returns an authorizer that accepts configuration of any age. */
 export function authorizerOf(routingState = emptyKnowledge()): Authorizer {
   return new Authorizer(routingState, () => ({ keyMs: Infinity, finalMs: Infinity }));
--- a/test/router/backoffs.test.ts
+++ b/test/router/backoffs.test.ts
@@ -18,6 +18,7 @@
   directPaths,
   retriesOf,
   unlimitedPermits,
+  unreportedLoads,
   unlimitedQuotas,
   unrecordedOrigins,
 } from '../fakes/runs';
@@ -43,6 +44,7 @@
     routingState: vm.state,
     health: () => health,
     permits: unlimitedPermits,
+    loads: unreportedLoads,
     origins: unrecordedOrigins,
     domain: 'a',
     runners: {
--- a/test/router/blame.test.ts
+++ b/test/router/blame.test.ts
@@ -16,6 +16,7 @@
   retriesOf,
   runsOf,
   unlimitedPermits,
+  unreportedLoads,
   unlimitedQuotas,
   unrecordedOrigins,
 } from '../fakes/runs';
@@ -110,6 +111,7 @@
       runs: runsOf(),
       quotas: unlimitedQuotas,
       permits: unlimitedPermits,
+      loads: unreportedLoads,
       origins: unrecordedOrigins,
       retries: retriesOf(),
       domain: 'a',
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -13,6 +13,7 @@
   retriesOf,
   runsOf,
   unlimitedPermits,
+  unreportedLoads,
   unlimitedQuotas,
 } from '../fakes/runs';
 
@@ -35,6 +36,7 @@
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    loads: unreportedLoads,
     retries: retriesOf(),
     domain: 'a',
   } as unknown as PlainContext;
@@ -82,6 +84,7 @@
     paths: directPaths,
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    loads: unreportedLoads,
     origins: {
       began: (_now: number, { version: began }: Exchange) => {
         recorded.push(`${began}, ${out.length} parts sent`);
--- a/test/router/plainbalancer.test.ts
+++ b/test/router/plainbalancer.test.ts
@@ -1,4 +1,5 @@
 import { RunnerHealth } from '../../src/core/cell/health';
+import { LoadTable } from '../../src/core/plain/loadtable';
 import { Failure } from '../../src/core/failure';
 import type { Runner } from '../../src/core/routing/types';
 import type { RoutingState } from '../../src/node/router/routingstate';
@@ -10,7 +11,14 @@
 import type { Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
-import { directPaths, openStateOf, retriesOf, runsOf, unlimitedQuotas } from '../fakes/runs';
+import {
+  directPaths,
+  openStateOf,
+  retriesOf,
+  runsOf,
+  unlimitedQuotas,
+  unreportedLoads,
+} from '../fakes/runs';
 
 const route = { ...streamRoute, kind: 'repeatable' as const, attempts: 2, aimMs: 200 };
 
@@ -47,7 +55,8 @@
     };
     const routingState = openStateOf(runners) as unknown as RoutingState;
     const paths = directPaths;
-    return { routingState, paths, health: () => health, permits, domain: 'near' };
+    const loads = unreportedLoads;
+    return { routingState, paths, health: () => health, permits, loads, domain: 'near' };
   }
 }
 
@@ -108,6 +117,26 @@
     expect([...(limited.asked[0]?.runners ?? [])].sort()).toEqual(['far', 'near']);
   });
 
+  /* The owner does not know which runners this VM may use. */
+  test('follows the owner of the load table unless that runner was tried or is limited', async () => {
+    const limited = new LimitedRunners(['near'], refused);
+    const asked: string[] = [];
+    const table = new LoadTable();
+    const loads: BalancerContext['loads'] = {
+      ...unreportedLoads,
+      isActive: () => true,
+      best: (now, _exchange, candidates) => table.best(now, candidates, 100, () => 0),
+      refresh: async (_now, _exchange, allowed) => {
+        asked.push(allowed.map(({ id }) => id).join());
+        return 'far';
+      },
+    };
+    const balancer = new PlainBalancer({ ...limited.context([near, far]), loads });
+    expect(await balancer.choose(0, exchange, [])).toBe(far);
+    expect(await balancer.choose(0, exchange, ['far'])).toBeInstanceOf(Failure);
+    expect(asked).toEqual(['far', 'near']);
+  });
+
   test('fails with a retry delay where no permit is granted', async () => {
     const limited = new LimitedRunners(['near', 'far'], refused);
     const balancer = new PlainBalancer(limited.context([near, far]));
--- a/test/router/unreached.test.ts
+++ b/test/router/unreached.test.ts
@@ -14,6 +14,7 @@
   retriesOf,
   runsOf,
   unlimitedPermits,
+  unreportedLoads,
   unlimitedQuotas,
   unrecordedOrigins,
 } from '../fakes/runs';
@@ -39,6 +40,7 @@
     runs: runsOf(),
     quotas: unlimitedQuotas,
     permits: unlimitedPermits,
+    loads: unreportedLoads,
     origins: unrecordedOrigins,
     retries: retriesOf(),
     domain: 'a',
