Hold plain requests while all runners are full, by urgency and deadline

Runners reject or queue requests in the order of arrival, whatever their urgency. A request that may run once is not held after it was sent. 'Request ended.' has the time in heldMs.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -231,6 +231,12 @@
     'The request would have to be sent to another runner, and the retry budget of the service is spent.',
     'Come back after the time in Retry-After.',
   ),
+  runnersBusy: refusal(
+    322,
+    503,
+    'All runners of the service are full, and the request cannot end within its time limit.',
+    'Come back after the time in Retry-After.',
+  ),
   runnerUnreachable: refusal(
     311,
     503,
--- a/src/core/plain/loadtable.ts
+++ b/src/core/plain/loadtable.ts
@@ -36,6 +36,8 @@
 export interface Choice<T extends Candidate> {
   readonly runner: T;
   readonly expected: Expectation;
+  /** Whether all candidates are full. */
+  readonly areAllFull: boolean;
 }
 
 /** A row for other VMs: the newest report of a runner and the number of requests sent after it. */
@@ -64,6 +66,11 @@
  * others reject requests (`test/core/plainload.test.ts`: 1.8 times the failures).
  */
 const WAIT_WEIGHT = 3;
+/**
+ * Requests that may wait at a runner before it counts as full. They take the slots that become free
+ * while a VM does not know it yet.
+ */
+const SPARE_WAITING = 2;
 /** Range of the random cost that breaks ties, in requests in flight. */
 const TIE_RANGE = 0.25;
 /** Usual time before any response is known, in milliseconds. */
@@ -164,19 +171,21 @@
     ownMs: number,
     random: () => number,
   ): Choice<T> | undefined {
-    let best: Choice<T> | undefined;
+    let best: Omit<Choice<T>, 'areAllFull'> | undefined;
     let bestCost = Infinity;
+    let areAllFull = true;
     for (const runner of candidates) {
       const expected = this.expect(now, runner, ownMs);
       const perRequestMs = (ownMs * expected.slowness) / expected.slots;
       const extraMs = (runner.extra + random() * TIE_RANGE) * perRequestMs;
+      areAllFull &&= expected.inFlight >= expected.slots + SPARE_WAITING;
       const cost = expected.finishMs + (WAIT_WEIGHT - 1) * expected.waitMs + extraMs;
       if (cost < bestCost) {
         best = { runner, expected };
         bestCost = cost;
       }
     }
-    return best;
+    return best && { ...best, areAllFull };
   }
 
   /** The newest report of a runner; undefined if there is none. */
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -74,6 +74,7 @@
     ...(versions.length > 0 ? { versions } : {}),
     arrivals: exchange.arrivals.counts,
     ...loadField(exchange.placement),
+    ...(exchange.heldMs > 0 ? { heldMs: Math.round(exchange.heldMs) } : {}),
     trail,
   };
 }
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -29,6 +29,8 @@
   readonly isCounted: boolean;
   /** What was expected at the time of the choice. */
   readonly expected: Expectation;
+  /** Whether all runners that could be chosen were full. */
+  readonly areAllFull: boolean;
   /** Age of the runner's newest report, in milliseconds; undefined if there was none. */
   readonly ageMs: number | undefined;
 }
@@ -109,6 +111,8 @@
 
   #placement: Placement | undefined;
 
+  #heldMs = 0;
+
   /** Steps of the request, for the log. */
   readonly trail: string[] = [];
 
@@ -165,6 +169,16 @@
     this.#placement = placement;
   }
 
+  /** Time for which the request was held because all runners were full, in milliseconds. */
+  get heldMs(): number {
+    return this.#heldMs;
+  }
+
+  /** Adds to the time for which the request was held. */
+  held(ms: number): void {
+    this.#heldMs += ms;
+  }
+
   /** Fixes what continues the stream. */
   pin({ service, version }: StreamOrigin): void {
     this.#service = service;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -88,6 +88,7 @@
     };
     this.#plain = new PlainHandler({
       ...shared,
+      metrics: context.metrics,
       health: (service) => this.#health.get(service),
       domain: settings().domain,
     });
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -4,9 +4,11 @@
 import type { Runner } from '../../core/routing/types';
 import { readBody } from '../../utils/http';
 import { viaText } from './accesslog';
+import type { Metrics } from '../metrics';
 import type { Exchange } from './exchange';
 import type { BalancerContext } from './plainbalancer';
 import { PlainBalancer } from './plainbalancer';
+import { PlainHolds } from './plainholds';
 import type { OriginController } from './origins';
 import type { QuotaController } from './quotas';
 import type { RetryController } from './retries';
@@ -20,6 +22,7 @@
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly origins: Pick<OriginController, 'began'>;
   readonly retries: Pick<RetryController, 'affords'>;
+  readonly metrics: Metrics;
 }
 
 /** Largest response; it is read completely before it is passed on. */
@@ -43,9 +46,12 @@
 
   readonly #balancer: PlainBalancer;
 
+  readonly #holds: PlainHolds;
+
   constructor(context: PlainContext) {
     this.#context = context;
     this.#balancer = new PlainBalancer(context);
+    this.#holds = new PlainHolds(context);
   }
 
   /** Serves a request to its end; failures become the response. */
@@ -115,11 +121,22 @@
     exchange: Exchange,
     tried: readonly string[],
   ): Promise<Runner | Failure | undefined> {
-    const { routingState } = this.#context;
+    const { routingState, permits } = this.#context;
     for (;;) {
       const runner = await this.#balancer.choose(performance.now(), exchange, tried);
       const isFinal = !runner || runner instanceof Failure || exchange.signal.aborted;
-      if (isFinal || routingState.accepts(performance.now(), runner)) return runner;
+      if (isFinal) {
+        this.#holds.leave(exchange);
+        return runner;
+      }
+      const now = performance.now();
+      if (routingState.accepts(now, runner)) {
+        // A request that may run once is not held after it was sent, and a permit lapses.
+        const mayWait = tried.length === 0 || exchange.route.kind !== 'once';
+        const mayHold = mayWait && !permits.isLimited(runner.id);
+        const outcome = mayHold ? await this.#holds.pass(now, exchange, runner) : 'send';
+        if (outcome !== 'again') return outcome === 'send' ? runner : outcome;
+      }
     }
   }
 
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -7,6 +7,7 @@
 
 import type { RunnerHealth } from '../../core/cell/health';
 import { Failure } from '../../core/failure';
+import type { Candidate } from '../../core/plain/loadtable';
 import type { Runner } from '../../core/routing/types';
 import { mayContinue } from '../../core/routing/types';
 import type { Exchange } from './exchange';
@@ -25,7 +26,10 @@
     PermitController,
     'isLimited' | 'mayTake' | 'isTrialDue' | 'ask' | 'askTrial'
   >;
-  readonly loads: Pick<PlainLoads, 'isActive' | 'refresh' | 'best' | 'place' | 'sent' | 'replied'>;
+  readonly loads: Pick<
+    PlainLoads,
+    'isActive' | 'refresh' | 'best' | 'choiceOf' | 'place' | 'sent' | 'replied' | 'slotsOf'
+  >;
   readonly domain: string;
 }
 
@@ -103,10 +107,17 @@
     const unlimited = candidates.filter((runner) => !this.#isLimited(runner));
     const allowed = unlimited.length > 0 ? unlimited : candidates;
     const chosen = await loads.refresh(now, exchange, allowed);
-    const runner = allowed.find(({ id }) => id === chosen);
-    if (!runner) return this.#cheapest(exchange, candidates);
-    loads.place(performance.now(), exchange, runner, true);
-    return runner;
+    const listed = allowed.map((runner) => this.#candidateOf(runner));
+    const candidate = listed.find(({ id }) => id === chosen);
+    if (!candidate) return this.#cheapest(exchange, candidates);
+    const later = performance.now();
+    loads.place(later, exchange, loads.choiceOf(later, exchange, candidate, listed), true);
+    return candidate.runner;
+  }
+
+  #candidateOf(runner: Runner): Candidate & { readonly runner: Runner } {
+    const { id, slots } = runner;
+    return { id, slots, extra: this.#extraOf(runner), runner };
   }
 
   /**
@@ -159,15 +170,13 @@
     const { loads } = this.#context;
     const now = performance.now();
     if (!loads.isActive(now, exchange.service)) return this.#leastInFlight(runners);
-    const candidates = runners.map((runner) => ({
-      id: runner.id,
-      slots: runner.slots,
-      extra: this.#extraOf(runner),
-      runner,
-    }));
-    const best = loads.best(now, exchange, candidates)?.runner.runner;
-    if (best) loads.place(now, exchange, best, false);
-    return best;
+    const candidates = runners.map((runner) => this.#candidateOf(runner));
+    const best = loads.best(now, exchange, candidates);
+    const { placement } = exchange;
+    // The owner counted a request that is held when it was asked for a runner.
+    const isCounted = placement?.isCounted && placement.runner === best?.runner.id;
+    if (best) loads.place(now, exchange, best, isCounted ?? false);
+    return best?.runner.runner;
   }
 
   #leastInFlight(runners: readonly Runner[]): Runner | undefined {
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -88,7 +88,11 @@
     const { service } = exchange;
     const state = this.#services.get(service);
     const owner = this.#ownerOf(now, service);
-    if (!owner || !state.share.isStale(now)) return undefined;
+    if (!owner) return undefined;
+    if (!state.share.isStale(now)) {
+      if (exchange.heldMs > 0) this.#refreshAhead(now, state, owner, service);
+      return undefined;
+    }
     if (state.refresh) {
       const leftMs = state.refresh.startedAt + REFRESH_WAIT_MS - now;
       if (leftMs > 0) await Promise.race([state.refresh.done, pause(leftMs)]);
@@ -98,7 +102,10 @@
     const allowed = new Set(candidates.map(({ id }) => id));
     const runners = this.#context.routingState.runnersOf(now, service);
     const avoid = runners.map(({ id }) => id).filter((id) => !allowed.has(id));
-    const want = { ms: this.#usualMs(exchange), avoid };
+    const { placement } = exchange;
+    // A request that is held was counted before.
+    const isCounted = placement?.isCounted && allowed.has(placement.runner);
+    const want = isCounted ? undefined : { ms: this.#usualMs(exchange), avoid };
     const done = this.#ask(now, state, owner, service, want);
     const timeout = pause(REFRESH_WAIT_MS, undefined);
     const chosen = await Promise.race([done, timeout]);
@@ -116,13 +123,38 @@
     return table.best(now, candidates, this.#usualMs(exchange), Math.random);
   }
 
-  /** Records a choice in the exchange, for its log line. */
-  place(now: number, exchange: Exchange, { id, slots }: Runner, isCounted: boolean): void {
+  /** Records a choice in the exchange. */
+  place<T extends Candidate>(
+    now: number,
+    exchange: Exchange,
+    { runner: { id }, expected, areAllFull }: Choice<T>,
+    isCounted: boolean,
+  ): void {
     const { table } = this.#services.get(exchange.service);
-    const expected = table.expect(now, { id, slots }, this.#usualMs(exchange));
     const reportedAt = table.reportOf(id)?.at;
     const ageMs = reportedAt === undefined ? undefined : now - reportedAt;
-    exchange.place({ runner: id, isCounted, expected, ageMs });
+    exchange.place({ runner: id, isCounted, expected, areAllFull, ageMs });
+  }
+
+  /** What is expected of a request at a runner, and whether all candidates are full. */
+  choiceOf<T extends Candidate>(
+    now: number,
+    exchange: Exchange,
+    runner: T,
+    candidates: readonly T[],
+  ): Choice<T> {
+    const { table } = this.#services.get(exchange.service);
+    const expected = table.expect(now, runner, this.#usualMs(exchange));
+    const areAllFull = this.best(now, exchange, candidates)?.areAllFull ?? false;
+    return { runner, expected, areAllFull };
+  }
+
+  /** Slots of all runners of a service. */
+  slotsOf(now: number, service: string): number {
+    const { table } = this.#services.get(service);
+    return this.#context.routingState
+      .runnersOf(now, service)
+      .reduce((sum, runner) => sum + table.expect(now, runner, 0).slots, 0);
   }
 
   /** Records that a request is sent to a runner. */
@@ -130,12 +162,12 @@
     const { service, placement } = exchange;
     if (!this.isActive(now, service)) return;
     const state = this.#services.get(service);
-    const isCounted = placement?.runner === runner.id && placement.isCounted;
+    // A report may have replaced the owner's count of a request that was held.
+    const isCounted =
+      placement?.runner === runner.id && placement.isCounted && exchange.heldMs === 0;
     state.share.sent(now, runner, this.#usualMs(exchange), isCounted);
     const owner = this.#ownerOf(now, service);
-    if (owner && !isCounted && !state.refresh && state.share.isDue(now)) {
-      this.#ask(now, state, owner, service, undefined).catch(() => undefined);
-    }
+    if (owner && !isCounted) this.#refreshAhead(now, state, owner, service);
   }
 
   /** Records the load in a response. */
@@ -222,6 +254,12 @@
     return this.#services.get(service).table.usual.of(route.name, route.aimMs * ASSUMED_AIM_PART);
   }
 
+  /** Refreshes the copy without waiting, for the next request. */
+  #refreshAhead(now: number, state: ServiceState, owner: Member, service: string): void {
+    if (state.refresh || !state.share.isDue(now)) return;
+    this.#ask(now, state, owner, service, undefined).catch(() => undefined);
+  }
+
   /** Asks the owner and merges its answer; never rejects. */
   #ask(
     now: number,
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -65,6 +65,10 @@
   isActive: () => false,
   refresh: async () => undefined,
   best: () => undefined,
+  choiceOf: () => {
+    throw new Error('found no load');
+  },
+  slotsOf: () => 0,
   place: () => {},
   sent: () => {},
   replied: () => {},
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -1,8 +1,12 @@
+import pino from 'pino';
+
 import { RunnerHealth } from '../../src/core/cell/health';
 import { Failure } from '../../src/core/failure';
 import type { CodeName } from '../../src/core/codes';
 import type { PlainContext } from '../../src/node/router/plain';
+import { RouterMetrics } from '../../src/node/router/metrics';
 import { PlainHandler } from '../../src/node/router/plain';
+import { PlainLoads } from '../../src/node/router/plainloads';
 import type { Exchange } from '../../src/node/router/exchange';
 import type { Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamRoute } from '../fakes/exchange';
@@ -118,3 +122,62 @@
     expect(recorded).toEqual([`${(sent as readonly string[])[0]}, 0 parts sent`]);
   });
 });
+
+/** Serves a call by one runner of one slot, which has reported requests that wait. */
+async function heldCallOf(
+  waiting: number,
+  deadlineMs: number,
+): Promise<Readonly<Record<string, unknown>>> {
+  const runner = runnerOf('a', 'plain', { slots: 1 });
+  const routingState = openStateOf([runner]);
+  const metrics = new RouterMetrics();
+  const loads = new PlainLoads({
+    vm: 'v',
+    fleet: { ownersOf: () => [], call: async () => null, deprioritize: () => {} },
+    routingState,
+    metrics,
+    log: pino({ level: 'silent' }),
+  });
+  const out: string[] = [];
+  const route = { ...streamRoute, kind: 'once' as const };
+  const exchange = exchangeInto(out, { ...promptRequest, deadlineMs }, route);
+  const now = performance.now();
+  const load = { running: 1, waiting, slots: 1, slowness: 1 };
+  loads.replied(now, exchange, runner, now, { ...replyOf(200, ''), load });
+  let sentCount = 0;
+  const context = {
+    routingState,
+    runners: {
+      send: async () => {
+        sentCount += 1;
+        return replyOf(200, 'x');
+      },
+    },
+    health: () => new RunnerHealth(),
+    runs: runsOf(),
+    paths: directPaths,
+    quotas: unlimitedQuotas,
+    permits: unlimitedPermits,
+    loads,
+    metrics,
+    retries: retriesOf(),
+    domain: 'a',
+  } as unknown as PlainContext;
+  await new PlainHandler(context).run(exchange);
+  const { code, heldMs } = exchange;
+  return { status: out[0], code, sentCount, isHeld: heldMs > 0 };
+}
+
+describe('a plain call while all runners are full', () => {
+  // Guards against rejections by full runners, and against a wait that no slot ends.
+  test('is held until a slot is expected', async () => {
+    const served = { status: '200', code: undefined, sentCount: 1 };
+    expect(await heldCallOf(4, 10_000)).toEqual({ ...served, isHeld: true });
+    expect(await heldCallOf(0, 10_000)).toEqual({ ...served, isHeld: false });
+  });
+
+  test('is rejected at once, not run, if it cannot end within its time budget', async () => {
+    const rejected = { status: '503', code: 'runnersBusy', sentCount: 0, isHeld: false };
+    expect(await heldCallOf(50, 2000)).toEqual(rejected);
+  });
+});
--- a/test/router/plainbalancer.test.ts
+++ b/test/router/plainbalancer.test.ts
@@ -126,6 +126,10 @@
       ...unreportedLoads,
       isActive: () => true,
       best: (now, _exchange, candidates) => table.best(now, candidates, 100, () => 0),
+      choiceOf: (now, _exchange, runner) => {
+        const expected = table.expect(now, runner, 100);
+        return { runner, expected, areAllFull: false };
+      },
       refresh: async (_now, _exchange, allowed) => {
         asked.push(allowed.map(({ id }) => id).join());
         return 'far';
