Count plain requests until a later report of their runner arrives

Requests counted as ended at their expected end, so that a runner that does not answer any more looked idle and got most of the load. They now count until a later report, or for 4 s, the shortest time budget of callers.

The expectation of the test of counts changes with this rule; a test of a runner that does not answer is added.

--- a/src/core/plain/loadtable.ts
+++ b/src/core/plain/loadtable.ts
@@ -73,14 +73,20 @@
 const SPARE_WAITING = 2;
 /** Range of the random cost that breaks ties, in requests in flight. */
 const TIE_RANGE = 0.25;
+/**
+ * Time for which a request counts although no later report of its runner arrives, in milliseconds:
+ * the shortest time budget of callers. A runner that does not answer any more would look idle when
+ * its requests were expected to end, and get most of the load.
+ */
+const UNREPORTED_MS = 4000;
 /** Usual time before any response is known, in milliseconds. */
 const DEFAULT_USUAL_MS = 100;
 
 interface Entry {
   report: LoadReport | undefined;
   meanSlowness: number;
-  /** Expected ends of the requests sent after the report, with the times of sending. */
-  sent: readonly { readonly at: number; readonly endAt: number }[];
+  /** Requests sent after the report, and until when they count without a later one. */
+  sent: readonly { readonly at: number; readonly countedUntil: number }[];
   readonly speed: RunnerSpeed;
 }
 
@@ -114,13 +120,14 @@
     return true;
   }
 
-  /** Counts a request that is sent to a runner, until a later report or its expected end. */
+  /** Counts a request that is sent to a runner, until a later report of the runner. */
   sent(now: number, candidate: Pick<Candidate, 'id' | 'slots'>, at: number, ownMs: number): void {
     const entry = this.#entryOf(candidate.id);
     const reportAt = entry.report?.at ?? -Infinity;
     if (at <= reportAt - TRANSIT_MS) return;
-    const endAt = at + this.expect(now, candidate, ownMs).finishMs;
-    if (endAt > now) entry.sent = [...entry.sent, { at, endAt }];
+    const { finishMs } = this.expect(now, candidate, ownMs);
+    const countedUntil = at + Math.max(finishMs, UNREPORTED_MS);
+    if (countedUntil > now) entry.sent = [...entry.sent, { at, countedUntil }];
   }
 
   /**
@@ -198,7 +205,7 @@
     return runners.flatMap((runner) => {
       const entry = this.#entries.get(runner);
       if (!entry) return [];
-      const sent = entry.sent.filter(({ endAt }) => endAt > now).length;
+      const sent = entry.sent.filter(({ countedUntil }) => countedUntil > now).length;
       return [{ runner, report: entry.report, sent }];
     });
   }
@@ -208,9 +215,10 @@
     if (report) this.reported(report);
     const entry = this.#entryOf(runner);
     const paceMs = (this.usual.mean ?? DEFAULT_USUAL_MS) * slownessAt(now, entry);
+    // The copy is replaced soon, so that its entries may end when the requests are expected to.
     entry.sent = Array.from({ length: sent }, (_, index) => ({
       at: now,
-      endAt: now + (paceMs * (index + 1)) / sent,
+      countedUntil: now + (paceMs * (index + 1)) / sent,
     }));
   }
 
@@ -250,7 +258,7 @@
 
 /** Reported requests that have not ended at the given time for each, and those sent after the report. */
 function inFlightAt(now: number, { report, sent }: Entry, paceMs: number): number {
-  const sentCount = sent.reduce((count, { endAt }) => count + (endAt > now ? 1 : 0), 0);
+  const sentCount = sent.filter(({ countedUntil }) => countedUntil > now).length;
   if (!report) return sentCount;
   const { running, waiting, slots } = report.load;
   const count = running + waiting;
--- a/test/core/plainload.test.ts
+++ b/test/core/plainload.test.ts
@@ -249,17 +249,31 @@
   });
 
   /* Counted both in the report and as sent, a request would make a runner look fuller than it is. */
-  test('counts requests sent after the newest report, until their expected end', () => {
+  test('counts requests sent after the newest report, and reported ones until they should have ended', () => {
     const table = new LoadTable();
     table.usual.observeOther(100);
     table.sent(0, runner, 0, 100);
     table.reported(reportOf(50, 4, 0));
     table.sent(60, runner, 60, 100);
-    const inFlight = [60, 75, 100, 400].map((now) => table.expect(now, runner, 100).inFlight);
-    expect(inFlight.map((count) => Math.round(count * 10) / 10)).toEqual([4.6, 4, 3, 0]);
+    const inFlight = [60, 75, 100, 400, 4100].map((now) => table.expect(now, runner, 100).inFlight);
+    expect(inFlight.map((count) => Math.round(count * 10) / 10)).toEqual([4.6, 4, 3, 1, 0]);
     expect(table.reported(reportOf(40, 0, 0))).toBe(false);
   });
 
+  // A runner that hangs reports nothing: with counts that expire it gets most requests, and all are lost.
+  test('avoids a runner that does not answer the requests sent to it', () => {
+    const table = new LoadTable();
+    const candidates = ['a', 'b'].map((id) => ({ id, slots: SLOTS, extra: 0 }));
+    const chosen: string[] = [];
+    for (let now = 0; now < 3000; now += 20) {
+      const { id = '' } = table.best(now, candidates, 100, () => 0.5)?.runner ?? {};
+      chosen.push(id);
+      table.sent(now, { id, slots: SLOTS }, now, 100);
+      table.reported({ ...reportOf(now, 4, 0), runner: 'b' });
+    }
+    expect(chosen.filter((id) => id === 'a').length).toBeLessThan(10);
+  });
+
   // A slowdown ends while nobody sends: a runner avoided forever would stay without requests.
   test('lets an old slowness return to its mean', () => {
     const table = new LoadTable();
