Keep counts of plain requests sent shortly before a report

A report that was on the way, or waited in the owner's process, looks newer than it is and dropped the counts of requests sent meanwhile. The margin is 20 ms, the longest wait for the owner, in place of 5 ms.

--- a/src/core/plain/loadtable.ts
+++ b/src/core/plain/loadtable.ts
@@ -51,8 +51,11 @@
 const SLOWNESS_DECAY_MS = 600;
 /** Weight of a new report in the mean slowness. */
 const SLOWNESS_WEIGHT = 0.05;
-/** Requests sent this long before a report may not be in it yet, in milliseconds. */
-const TRANSIT_MS = 5;
+/**
+ * Requests sent this long before a report may not be in it yet, in milliseconds: they were on the
+ * way, or the report was, which makes it look newer than it is.
+ */
+const TRANSIT_MS = 20;
 /** Time after which a runner that reported no slowness since is balanced by own counts again, in milliseconds. */
 const FORGET_MS = 30_000;
 /**
