--- a/src/node/router/plainholds.ts
+++ b/src/node/router/plainholds.ts
@@ -46,12 +46,16 @@
     if (decision.kind === 'send') return this.#leave(exchange, 'send');
     const { metrics } = this.#context;
     if (decision.kind === 'reject') {
-      metrics.count('plainload.rejected');
+      metrics.count(`plain.${service}.rejected`);
       return this.#leave(exchange, failureOf('runnersBusy', service, decision.retryAfterMs));
     }
     const { waitMs } = placement.expected;
-    queue.overflow(slots)?.refuse(failureOf('queueFull', service, waitMs));
-    if (exchange.heldMs === 0) metrics.count('plainload.held');
+    const last = queue.overflow(slots);
+    if (last) {
+      metrics.count(`plain.${service}.rejected`);
+      last.refuse(failureOf('queueFull', service, waitMs));
+    }
+    if (exchange.heldMs === 0) metrics.count(`plain.${service}.held`);
     if (!placement.areAllFull && queue.first) this.#wakes.get(queue.first)?.();
     await this.#wait(exchange, decision.ms);
     exchange.held(performance.now() - now);
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -109,7 +109,7 @@
     const done = this.#ask(now, state, owner, service, want);
     const timeout = pause(REFRESH_WAIT_MS, undefined);
     const chosen = await Promise.race([done, timeout]);
-    if (state.refresh) this.#context.metrics.count('plainload.late');
+    if (state.refresh) this.#context.metrics.count(`plain.${service}.late`);
     return chosen;
   }
 
@@ -269,7 +269,7 @@
     want: LoadAsk['want'],
   ): Promise<string | undefined> {
     const news = toWireNews(now, state.share.take(now));
-    this.#context.metrics.count('plainload.refreshes');
+    this.#context.metrics.count(`plain.${service}.refreshes`);
     const done = this.#exchange(state, owner, { service, ...news, ...(want ? { want } : {}) });
     state.refresh = { startedAt: now, done };
     return done;
@@ -288,7 +288,7 @@
       return runner ?? undefined;
     } catch (error) {
       fleet.deprioritize(performance.now(), owner.vm);
-      metrics.count('plainload.unanswered');
+      metrics.count(`plain.${ask.service}.unanswered`);
       log.debug({ service: ask.service, owner: owner.vm }, toFailure(error).line);
       return undefined;
     } finally {
@@ -299,7 +299,7 @@
   #tell(now: number, { share }: ServiceState, owner: Member, service: string): void {
     const { fleet, metrics, log } = this.#context;
     const news: LoadAsk = { service, ...toWireNews(now, share.take(now)) };
-    metrics.count('plainload.news');
+    metrics.count(`plain.${service}.news`);
     fleet.call(owner.address, 'plainNews', news, CALL_TIMEOUT_MS).catch((error) => {
       log.debug({ service, owner: owner.vm }, toFailure(error).line);
     });
