--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -287,9 +287,11 @@
       state.table.retain(ids);
       return runner ?? undefined;
     } catch (error) {
-      fleet.deprioritize(performance.now(), owner.vm);
+      const failure = toFailure(error);
+      // An owner of another version, which rejects the message, still answers for other services.
+      if (failure.codeName !== 'peerRejected') fleet.deprioritize(performance.now(), owner.vm);
       metrics.count(`plain.${ask.service}.unanswered`);
-      log.debug({ service: ask.service, owner: owner.vm }, toFailure(error).line);
+      log.debug({ service: ask.service, owner: owner.vm }, failure.line);
       return undefined;
     } finally {
       state.refresh = undefined;
--- a/test/router/plainloads.test.ts
+++ b/test/router/plainloads.test.ts
@@ -3,6 +3,7 @@
 
 import pino from 'pino';
 
+import { Failure } from '../../src/core/failure';
 import type { Member } from '../../src/core/membership/types';
 import type { Runner } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
@@ -29,6 +30,8 @@
 
   isFrozen = false;
 
+  rejects = false;
+
   readonly #timeout = new EventEmitter();
 
   readonly #loads: PlainLoads[];
@@ -75,6 +78,7 @@
 
   async #call(method: string, params: unknown): Promise<unknown> {
     this.messages.push(method);
+    if (this.rejects) throw new Failure('peerRejected', 'found an unknown method');
     if (this.isFrozen) await once(this.#timeout, 'timeout');
     if (this.isFrozen) throw new Error('found no answer in time');
     const sent: unknown = JSON.parse(JSON.stringify(params));
@@ -151,6 +155,16 @@
     expect(fleet.skipped).toEqual(['v0']);
   });
 
+  // During an update of the fleet, an owner of the version before would be skipped for model services as well.
+  test('do not skip an owner that rejects their messages', async () => {
+    const fleet = fleetOf();
+    const now = performance.now();
+    fleet.vm(1).replied(now, fleet.exchange(), a, now, replyWith(3, 1));
+    fleet.rejects = true;
+    expect(await fleet.vm(1).refresh(now, fleet.exchange(), runners)).toBeUndefined();
+    expect([fleet.messages, fleet.skipped]).toEqual([['plainLoad'], []]);
+  });
+
   test('reject messages that do not fit the schema, and are not changed by them', () => {
     const fleet = fleetOf();
     const ask = { service: 's', seen: [['a', [1, 0, 0, 2.5, 0]]], sent: [] };
