Send few plain requests to a runner that fails more than the others

A runner may answer errors, or lose its answers, while its health checks pass. The balancer knew only consecutive failures without an answer, each VM its own: one of three runners that answered 500 to everything for 6.4 s got a third of the requests of 71 VMs, and 270 of them failed. With loads it would get more, since a runner that answers at once looks idle and fast.

The load table counts the results of each runner over some 1.5 s; VMs pass theirs on with the reports, a failure at once, and get those of the fleet with the owner's rows. The share of failures beyond that of the other runners (and a tolerance of 0.12) counts as expected time in the choice: 1 s for a request that fails. As the counts age, the runner is tried again. Rejections and lost paths do not count.

--- a/src/core/plain/loadshare.ts
+++ b/src/core/plain/loadshare.ts
@@ -3,6 +3,7 @@
  * on yet, how old its copy of the owner's table is, and which reports are worth a message.
  */
 
+import type { Outcomes } from './failures';
 import type { Candidate, Expectation, LoadRow, LoadTable } from './loadtable';
 import type { LoadReport } from './types';
 
@@ -16,6 +17,7 @@
 export interface LoadNews {
   readonly reports: readonly LoadReport[];
   readonly sent: readonly SentRequest[];
+  readonly outcomes: readonly Outcomes[];
 }
 
 /** Age of the copy from which a refresh is due, and least time between two messages of a VM, in milliseconds. */
@@ -47,6 +49,8 @@
 
   #sent: readonly SentRequest[] = [];
 
+  readonly #outcomes = new Map<string, Outcomes>();
+
   constructor(table: LoadTable) {
     this.#table = table;
   }
@@ -87,10 +91,24 @@
     return isNews && now - this.#messageAt >= REFRESH_MS;
   }
 
+  /** Records the result of a request; returns whether it is to be passed on at once. */
+  ended(now: number, runner: string, hasFailed: boolean): boolean {
+    const { succeeded, failed } = this.#outcomes.get(runner) ?? { succeeded: 0, failed: 0 };
+    const counts = hasFailed
+      ? { succeeded, failed: failed + 1 }
+      : { succeeded: succeeded + 1, failed };
+    this.#outcomes.set(runner, { runner, ...counts });
+    const one = { runner, succeeded: hasFailed ? 0 : 1, failed: hasFailed ? 1 : 0 };
+    this.#table.failures.record(now, one);
+    return hasFailed && now - this.#messageAt >= REFRESH_MS;
+  }
+
   /** Takes what has not been passed on, for a message that is sent now. */
   take(now: number): LoadNews {
-    const news = { reports: [...this.#reports.values()], sent: this.#sent };
+    const outcomes = [...this.#outcomes.values()];
+    const news = { reports: [...this.#reports.values()], sent: this.#sent, outcomes };
     this.#reports.clear();
+    this.#outcomes.clear();
     this.#sent = [];
     this.#messageAt = now;
     return news;
@@ -103,5 +121,6 @@
     for (const { runner, at } of this.#sent) {
       this.#table.sent(now, { id: runner, slots: 1 }, at, ownMs);
     }
+    for (const outcome of this.#outcomes.values()) this.#table.failures.record(now, outcome);
   }
 }
--- a/src/core/plain/loadtable.ts
+++ b/src/core/plain/loadtable.ts
@@ -7,6 +7,8 @@
  * at a time. Reports are then some 100 ms old; entries of requests sent later bridge that time.
  */
 
+import type { Outcomes } from './failures';
+import { FailureShares } from './failures';
 import { RunnerSpeed } from './speed';
 import type { LoadReport } from './types';
 import { UsualTimes } from './usualtimes';
@@ -45,6 +47,8 @@
   readonly runner: string;
   readonly report: LoadReport | undefined;
   readonly sent: number;
+  /** Recent results of its requests; undefined if there are none. */
+  readonly outcomes: Outcomes | undefined;
 }
 
 /** Time constant with which a reported slowness decays to its mean, in milliseconds: a slowdown lasts about 600 ms. */
@@ -71,6 +75,11 @@
  * while a VM does not know it yet.
  */
 const SPARE_WAITING = 2;
+/**
+ * Cost of a request that fails, in milliseconds: its caller has to try again, or gets no answer.
+ * Longer than any wait at a runner that has room.
+ */
+const FAILURE_COST_MS = 1000;
 /** Range of the random cost that breaks ties, in requests in flight. */
 const TIE_RANGE = 0.25;
 /**
@@ -94,6 +103,8 @@
 export class LoadTable {
   readonly usual = new UsualTimes();
 
+  readonly failures = new FailureShares();
+
   readonly #entries = new Map<string, Entry>();
 
   #slownessAt = -Infinity;
@@ -186,7 +197,9 @@
       const perRequestMs = (ownMs * expected.slowness) / expected.slots;
       const extraMs = (runner.extra + random() * TIE_RANGE) * perRequestMs;
       areAllFull &&= expected.inFlight >= expected.slots + SPARE_WAITING;
-      const cost = expected.finishMs + (WAIT_WEIGHT - 1) * expected.waitMs + extraMs;
+      const failureMs = this.failures.excess(now, runner.id) * FAILURE_COST_MS;
+      const waitMs = (WAIT_WEIGHT - 1) * expected.waitMs;
+      const cost = expected.finishMs + waitMs + extraMs + failureMs;
       if (cost < bestCost) {
         best = { runner, expected };
         bestCost = cost;
@@ -202,17 +215,19 @@
 
   /** Rows about some runners, for another VM. */
   rows(now: number, runners: readonly string[]): readonly LoadRow[] {
+    const results = new Map(this.failures.rows(now).map((one) => [one.runner, one]));
     return runners.flatMap((runner) => {
       const entry = this.#entries.get(runner);
       if (!entry) return [];
       const sent = entry.sent.filter(({ countedUntil }) => countedUntil > now).length;
-      return [{ runner, report: entry.report, sent }];
+      return [{ runner, report: entry.report, sent, outcomes: results.get(runner) }];
     });
   }
 
   /** Replaces what is known of the requests sent to a runner by the row of another VM, and applies its report. */
-  merge(now: number, { runner, report, sent }: LoadRow): void {
+  merge(now: number, { runner, report, sent, outcomes }: LoadRow): void {
     if (report) this.reported(report);
+    if (outcomes) this.failures.replace(now, outcomes);
     const entry = this.#entryOf(runner);
     const paceMs = (this.usual.mean ?? DEFAULT_USUAL_MS) * slownessAt(now, entry);
     // The copy is replaced soon, so that its entries may end when the requests are expected to.
@@ -227,6 +242,7 @@
     for (const runner of this.#entries.keys()) {
       if (!runners.has(runner)) this.#entries.delete(runner);
     }
+    this.failures.retain(runners);
   }
 
   /** State for operators: in-flight requests, slots and slowness by runner. */
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -161,7 +161,9 @@
       };
       const answer = await callRunner(exchange, runner, runners, run, onReply);
       records.recordSuccess(runner.id);
-      run.completed(performance.now(), undefined, answer.reply.status < SERVER_ERROR);
+      const isError = answer.reply.status >= SERVER_ERROR;
+      loads.ended(performance.now(), exchange, runner, isError);
+      run.completed(performance.now(), undefined, !isError);
       return answer;
     } catch (error) {
       const failedAt = performance.now();
@@ -170,8 +172,11 @@
       // Whether a runner is reached says nothing about it; probes of the path find out.
       const isUnreached = toFailure(error).codeName === 'runnerUnreachable';
       const isAtFault = !isPaused && !isUnreached && paths.isAtFault(failedAt, runner, now);
-      if (exchange.callerGone || !isAtFault) records.recordInconclusive(runner.id);
+      const isConclusive = !exchange.callerGone && isAtFault;
+      if (!isConclusive) records.recordInconclusive(runner.id);
       else records.recordFailure(failedAt, runner.id);
+      const hasRejected = toFailure(error).codeName === 'runnerFull';
+      if (isConclusive && !hasRejected) loads.ended(failedAt, exchange, runner, true);
       throw error;
     } finally {
       this.#balancer.requestEnded(runner);
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -28,7 +28,15 @@
   >;
   readonly loads: Pick<
     PlainLoads,
-    'isActive' | 'refresh' | 'best' | 'choiceOf' | 'place' | 'sent' | 'replied' | 'slotsOf'
+    | 'isActive'
+    | 'refresh'
+    | 'best'
+    | 'choiceOf'
+    | 'place'
+    | 'sent'
+    | 'replied'
+    | 'ended'
+    | 'slotsOf'
   >;
   readonly domain: string;
 }
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -189,6 +189,15 @@
     if (owner) this.#tell(now, state, owner, service);
   }
 
+  /** Records the result of a request: whether it failed at its runner. */
+  ended(now: number, { service }: Exchange, { id }: Runner, hasFailed: boolean): void {
+    if (!this.isActive(now, service)) return;
+    const state = this.#services.get(service);
+    const isNews = state.share.ended(now, id, hasFailed);
+    const owner = isNews && this.#ownerOf(now, service);
+    if (owner) this.#tell(now, state, owner, service);
+  }
+
   /** Answers a VM that asks for the table, as the owner. */
   onAsk(now: number, params: unknown): LoadAnswer {
     const ask = loadAskOf(params);
@@ -232,8 +241,9 @@
     this.#names.add(service);
     const { table } = this.#services.get(service);
     const byId = new Map(runners.map((runner) => [runner.id, runner]));
-    const { reports, sent } = fromWireNews(now, ask);
+    const { reports, sent, outcomes } = fromWireNews(now, ask);
     for (const report of reports) if (byId.has(report.runner)) table.reported(report);
+    for (const one of outcomes) if (byId.has(one.runner)) table.failures.record(now, one);
     for (const { runner: id, at } of sent) {
       const runner = byId.get(id);
       if (runner) table.sent(now, runner, at, table.usual.mean ?? 0);
--- a/src/node/router/plainloadwire.ts
+++ b/src/node/router/plainloadwire.ts
@@ -6,6 +6,7 @@
 import { z } from 'zod';
 
 import { Failure } from '../../core/failure';
+import type { Outcomes } from '../../core/plain/failures';
 import type { LoadNews } from '../../core/plain/loadshare';
 import type { LoadRow } from '../../core/plain/loadtable';
 import type { LoadReport } from '../../core/plain/types';
@@ -20,11 +21,19 @@
 /** Running, waiting, slots, slowness and age. */
 const report = z.tuple([count, count, count.min(1), z.number().positive().nullable(), ageMs]);
 
+const results = z.number().min(0).max(1_000_000);
+/** Requests of a runner that succeeded and that failed. */
+const outcomes = z.tuple([results, results]);
+
 /** What a VM passes on, and the request for which it asks the owner for a runner. */
 const askSchema = z.object({
   service: id,
   seen: z.array(z.tuple([id, report])).max(MAX_ENTRIES),
   sent: z.array(z.tuple([id, ageMs])).max(MAX_ENTRIES),
+  ended: z
+    .array(z.tuple([id, outcomes]))
+    .max(MAX_ENTRIES)
+    .default([]),
   want: z
     .object({ ms: z.number().positive().max(MAX_AGE_MS), avoid: z.array(id).max(MAX_ENTRIES) })
     .optional(),
@@ -32,7 +41,9 @@
 /** The runner for the request, and for each runner the requests sent since its newest report. */
 const answerSchema = z.object({
   runner: id.nullable(),
-  rows: z.array(z.tuple([id, count, report.nullable()])).max(MAX_ENTRIES),
+  rows: z
+    .array(z.tuple([id, count, report.nullable(), outcomes.nullable().default(null)]))
+    .max(MAX_ENTRIES),
 });
 
 export type LoadAsk = Readonly<z.infer<typeof askSchema>>;
@@ -52,19 +63,21 @@
 /** Encodes what a VM passes on. */
 export function toWireNews(
   now: number,
-  { reports, sent }: LoadNews,
-): Pick<LoadAsk, 'seen' | 'sent'> {
+  { reports, sent, outcomes: ended }: LoadNews,
+): Pick<LoadAsk, 'seen' | 'sent' | 'ended'> {
   return {
     seen: reports.slice(0, MAX_ENTRIES).map((one) => [one.runner, toWireReport(now, one)]),
     sent: sent.slice(-MAX_ENTRIES).map(({ runner, at }) => [runner, ageOf(now, at)]),
+    ended: ended.slice(0, MAX_ENTRIES).map((one) => [one.runner, toWireOutcomes(one)]),
   };
 }
 
 /** Decodes what another VM passes on. */
-export function fromWireNews(now: number, { seen, sent }: LoadAsk): LoadNews {
+export function fromWireNews(now: number, { seen, sent, ended }: LoadAsk): LoadNews {
   return {
     reports: seen.map(([runner, one]) => fromWireReport(now, runner, one)),
     sent: sent.map(([runner, age]) => ({ runner, at: now - age })),
+    outcomes: ended.map(([runner, counts]) => fromWireOutcomes(runner, counts)),
   };
 }
 
@@ -72,15 +85,21 @@
 export function toWireRows(now: number, rows: readonly LoadRow[]): LoadAnswer['rows'] {
   return rows
     .slice(0, MAX_ENTRIES)
-    .map((row) => [row.runner, row.sent, row.report ? toWireReport(now, row.report) : null]);
+    .map(({ runner, sent, report: one, outcomes: recent }) => [
+      runner,
+      sent,
+      one ? toWireReport(now, one) : null,
+      recent ? toWireOutcomes(recent) : null,
+    ]);
 }
 
 /** Decodes rows of the owner's table. */
 export function fromWireRows(now: number, rows: LoadAnswer['rows']): readonly LoadRow[] {
-  return rows.map(([runner, sent, one]) => ({
+  return rows.map(([runner, sent, one, recent]) => ({
     runner,
     sent,
     report: one ? fromWireReport(now, runner, one) : undefined,
+    outcomes: recent ? fromWireOutcomes(runner, recent) : undefined,
   }));
 }
 
@@ -98,6 +117,18 @@
   return { runner, at: now - age, load };
 }
 
+function toWireOutcomes({ succeeded, failed }: Outcomes): z.infer<typeof outcomes> {
+  return [roundCount(succeeded), roundCount(failed)];
+}
+
+function fromWireOutcomes(runner: string, [succeeded, failed]: z.infer<typeof outcomes>): Outcomes {
+  return { runner, succeeded, failed };
+}
+
+function roundCount(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
 function ageOf(now: number, at: number): number {
   return Math.round(Math.min(MAX_AGE_MS, Math.max(0, now - at)));
 }
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -72,6 +72,7 @@
   place: () => {},
   sent: () => {},
   replied: () => {},
+  ended: () => {},
 };
 
 /** Returns an authorizer that accepts configuration of any age. */
