Measure local prefills and the streams that they slow

The pause that a local prefill causes was computed from an assumed chunk of 512 prompt tokens. Streams slowed by local prefills also made the token time of the service and the slowness of their runner look longer: with 13,000-token prompts at 55.6 tokens a millisecond, 7.4 ms were measured for tokens that take 6.1 ms.

The time of a local prefill and the token time of other streams meanwhile are now measured from starts and ends of streams. A local prefill counts as running for twice its expected time if that exceeds 1.2 s.

test/router/cost.test.ts: the pause follows the measurement.

--- a/src/core/memory/account.ts
+++ b/src/core/memory/account.ts
@@ -28,6 +28,14 @@
   startedAt: number | undefined;
   /** Whether the decode runner prefills the prompt itself. */
   readonly isLocalPrefill: boolean;
+  /** Expected time of that, in milliseconds. */
+  readonly localPrefillMs: number;
+}
+
+/** A time span in milliseconds. */
+export interface Span {
+  readonly from: number;
+  readonly to: number;
 }
 
 /** A decode runner and its allocations. */
@@ -49,6 +57,8 @@
   slowness: number;
   /** Token time by the runner's reports. */
   readonly pace: ReportedPace;
+  /** The last local prefills that ended. */
+  readonly localPrefills: Span[];
 }
 
 /** A prompt queued or running at a prefill runner. */
@@ -82,17 +92,20 @@
 const REPORT_SLACK_TOKENS = 1500;
 
 /**
- * Time after which a local prefill is done or has failed, in milliseconds: three times that of the
- * largest prompt.
+ * A local prefill is done or has failed after this time, in milliseconds, or after
+ * `LOCAL_PREFILL_LIMIT_FACTOR` times its expected time if that is longer. With the fixed time alone,
+ * long prompts were prefilled two at a time on one runner.
  */
 const LOCAL_PREFILL_LIMIT_MS = 1200;
+const LOCAL_PREFILL_LIMIT_FACTOR = 2;
 
 /** Whether the decode runner of an allocation is prefilling its prompt at the moment. */
 function isInLocalPrefill(
   now: number,
-  { isLocalPrefill, startedAt, grantedAt }: Allocation,
+  { isLocalPrefill, startedAt, grantedAt, localPrefillMs }: Allocation,
 ): boolean {
-  return isLocalPrefill && startedAt === undefined && now - grantedAt < LOCAL_PREFILL_LIMIT_MS;
+  const limitMs = Math.max(LOCAL_PREFILL_LIMIT_MS, LOCAL_PREFILL_LIMIT_FACTOR * localPrefillMs);
+  return isLocalPrefill && startedAt === undefined && now - grantedAt < limitMs;
 }
 
 /** Whether a decode runner is running a local prefill at the moment. */
@@ -100,6 +113,25 @@
   return [...allocations.values()].some((allocation) => isInLocalPrefill(now, allocation));
 }
 
+/** Number of ended local prefills that are kept for each runner: those during one stream. */
+const MAX_LOCAL_PREFILLS = 16;
+
+/** Records a local prefill that ended. */
+export function recordLocalPrefillSpan({ localPrefills }: DecodeState, span: Span): void {
+  localPrefills.push(span);
+  if (localPrefills.length > MAX_LOCAL_PREFILLS) localPrefills.shift();
+}
+
+/** Time since `from` in which a decode runner ran a local prefill, in milliseconds. */
+export function localPrefillMsSince(now: number, state: DecodeState, from: number): number {
+  let ms = 0;
+  for (const span of state.localPrefills) ms += Math.max(0, span.to - Math.max(from, span.from));
+  for (const allocation of state.allocations.values()) {
+    if (isInLocalPrefill(now, allocation)) ms += now - Math.max(from, allocation.grantedAt);
+  }
+  return Math.min(ms, now - from);
+}
+
 /**
  * Time for which a finished local prefill still slows the measured pace of the other streams on
  * that runner, in milliseconds: the span of events over which the pace is measured.
@@ -208,6 +240,7 @@
           failureScore: NO_FAILURES,
           slowness: 1,
           pace: new ReportedPace(),
+          localPrefills: [],
         });
       }
       if (runner.role === 'prefill' && !this.prefill.has(runner.id)) {
--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -6,6 +6,7 @@
 
 import type { PendingPrompt, PrefillState } from './account';
 import { Estimate } from './estimate';
+import { LocalPrefillTimes } from './localprefill';
 
 /** Times of an engine whose runners have slowness 1. */
 export interface Costs {
@@ -22,6 +23,12 @@
   readonly tokenMs: number;
   /** Lower bound of `tokenMs` by its measured error. */
   readonly minTokenMs: number;
+  /** Time of a local prefill on a decode runner per prompt token, in milliseconds. */
+  readonly localPrefillTokenMs: number;
+  /** Time of an output token on a decode runner that runs a local prefill, in milliseconds. */
+  readonly slowedTokenMs: number;
+  /** Whether `slowedTokenMs` was measured recently and is not an assumption. */
+  isSlowedTokenMeasured(now: number): boolean;
 }
 
 /** Initial values until the first measurement: those of a mid-sized engine. */
@@ -30,12 +37,15 @@
 const INITIAL_FIRST_EVENT_MS = 100;
 const INITIAL_TOKEN_MS = 7;
 /**
- * Prompt tokens that a decode runner prefills between two token steps: the usual chunk size of
- * chunked prefill.
+ * Prompt tokens that a decode runner prefills between two token steps, until that is measured: the
+ * usual chunk size of chunked prefill.
  */
 const CHUNK_TOKENS = 512;
+/** The same on the engines with the smallest chunks. */
+const MIN_CHUNK_TOKENS = 128;
 /**
- * Cost of a local prefill relative to a prefill runner: a decode runner prefills at half the speed.
+ * Cost of a local prefill relative to a prefill runner, until that is measured: a decode runner
+ * prefills at half the speed.
  */
 export const LOCAL_PREFILL_COST = 2;
 /**
@@ -79,6 +89,11 @@
   return prefillMs(costs, promptTokens) + costs.firstEventMs + outputTokens * costs.tokenMs;
 }
 
+/** Time of a local prefill on a runner of the given slowness, in milliseconds. */
+export function localPrefillMs(costs: Costs, tokens: number, slowness = 1): number {
+  return tokens * costs.localPrefillTokenMs * slowness;
+}
+
 /**
  * Time between two events of a stream on a decode runner that runs a local prefill, in
  * milliseconds. A chunk is prefilled before each token; where an event holds many tokens, all
@@ -90,8 +105,21 @@
   promptTokens: number,
   eventTokens: number,
 ): number {
-  const tokens = Math.min(promptTokens, eventTokens * CHUNK_TOKENS);
-  return eventTokens * costs.tokenMs + LOCAL_PREFILL_COST * prefillWorkMs(costs, tokens);
+  const wholePromptMs = eventTokens * costs.tokenMs + localPrefillMs(costs, promptTokens);
+  return Math.min(eventTokens * costs.slowedTokenMs, wholePromptMs);
+}
+
+/** The same on an engine with the smallest chunks; a longer pause is not worth measuring. */
+export function minLocalPrefillPauseMs(costs: Costs, eventTokens: number): number {
+  return eventTokens * assumedSlowedTokenMs(costs, MIN_CHUNK_TOKENS);
+}
+
+/** Time of an output token on a runner that prefills a chunk before each, in milliseconds. */
+export function assumedSlowedTokenMs(
+  costs: Pick<Costs, 'tokenMs' | 'prefillTokenMs'>,
+  chunkTokens = CHUNK_TOKENS,
+): number {
+  return costs.tokenMs + LOCAL_PREFILL_COST * chunkTokens * costs.prefillTokenMs;
 }
 
 /**
@@ -206,6 +234,10 @@
   recordFirstEvent(ms: number): void;
   /** Records a token time of a request. */
   recordTokenTime(ms: number): void;
+  /** Records that a decode runner prefilled a prompt in `ms`. */
+  recordLocalPrefill(tokens: number, ms: number): void;
+  /** Records that a stream had `tokens` output tokens in `ms` of local prefills on its runner. */
+  recordSlowedTokens(now: number, tokens: number, ms: number): void;
 }
 
 /** Costs of one engine, measured while it runs. */
@@ -216,6 +248,8 @@
 
   readonly #token = new Estimate(INITIAL_TOKEN_MS, ESTIMATE_OPTIONS);
 
+  readonly #local = new LocalPrefillTimes();
+
   get prefillBaseMs(): number {
     return this.#prefills.line.baseMs;
   }
@@ -236,6 +270,18 @@
     return Math.max(0, this.#token.value - this.#token.error);
   }
 
+  get localPrefillTokenMs(): number {
+    return this.#local.tokenMs(LOCAL_PREFILL_COST * this.prefillTokenMs);
+  }
+
+  get slowedTokenMs(): number {
+    return Math.max(this.tokenMs, this.#local.slowedTokenMs(assumedSlowedTokenMs(this)));
+  }
+
+  isSlowedTokenMeasured(now: number): boolean {
+    return this.#local.isMeasured(now);
+  }
+
   recordPrefill(tokens: number, ms: number): void {
     this.#prefills.add(tokens, ms);
   }
@@ -249,4 +295,13 @@
     // would make the expected growth infinite.
     if (ms > 0) this.#token.add(ms);
   }
+
+  recordLocalPrefill(tokens: number, ms: number): void {
+    // A local prefill that is faster than one on a prefill runner began before this planner.
+    if (ms >= tokens * this.prefillTokenMs) this.#local.recordPrefill(tokens, ms);
+  }
+
+  recordSlowedTokens(now: number, tokens: number, ms: number): void {
+    this.#local.recordSlowed(now, tokens, ms);
+  }
 }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -9,7 +9,7 @@
 import type { RateAllowance } from '../ratelimits/types';
 import { unlimited } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
-import type { DecodeState, PrefillState } from './account';
+import type { Allocation, DecodeState, PrefillState } from './account';
 import { MemoryAccount, isSlowedByLocalPrefill } from './account';
 import { VmBackoffs } from './backoffs';
 import { maxPrefillsAhead, maxWaitMs } from './ahead';
@@ -265,11 +265,18 @@
     const allocation = this.#reservations.allocationOf(id);
     if (!allocation || allocation.startedAt !== undefined) return;
     allocation.startedAt = now;
+    this.#recordLocalPrefill(now, id, allocation);
     this.#backoffs.accepted(now, this.#reservations.get(id)?.grant.decode ?? '');
     const assignedAt = this.#reservations.get(id)?.assignedAt;
     if (assignedAt !== undefined) this.#stats.recordFirstEvent(now - assignedAt);
   }
 
+  #recordLocalPrefill(now: number, id: string, allocation: Allocation): void {
+    const decode = this.#account.decode.get(this.#reservations.get(id)?.grant.decode ?? '');
+    if (!allocation.isLocalPrefill || !decode || !this.#engine) return;
+    this.#stats.recordLocalPrefill(now, decode, allocation, this.#engine.eventTokens);
+  }
+
   #recordFinish(now: number, id: string, outputTokens: number): void {
     const reservation = this.#reservations.get(id);
     if (!reservation) return;
@@ -294,7 +301,7 @@
     const decode = this.#account.decode.get(grant.decode);
     const startedAt = decode?.allocations.get(id)?.startedAt;
     if (!decode || startedAt === undefined || !this.#engine) return;
-    this.#stats.recordStream(decode, outputTokens, this.#engine.eventTokens, now - startedAt);
+    this.#stats.recordStream(now, decode, outputTokens, this.#engine.eventTokens, startedAt);
   }
 
   #handleSlowStream(now: number, id: string): void {
--- a/src/core/memory/reservations.ts
+++ b/src/core/memory/reservations.ts
@@ -2,7 +2,7 @@
 
 import type { Allocation, MemoryAccount, PrefillState } from './account';
 import type { Costs } from './cost';
-import { addPending } from './cost';
+import { addPending, localPrefillMs } from './cost';
 import type { WorkloadStats } from './stats';
 import type { Demand, Grant, Holding } from './types';
 
@@ -159,6 +159,7 @@
       deviationTokens: this.#stats.deviationTokens(demand),
       startedAt,
       isLocalPrefill: grant.prefill === undefined,
+      localPrefillMs: localPrefillMs(this.#costs, demand.promptTokens),
     });
   }
 }
--- a/src/core/memory/stats.ts
+++ b/src/core/memory/stats.ts
@@ -3,7 +3,8 @@
  * derived from them.
  */
 
-import type { DecodeState, PendingPrompt, PrefillState } from './account';
+import type { Allocation, DecodeState, PendingPrompt, PrefillState } from './account';
+import { localPrefillMsSince, recordLocalPrefillSpan } from './account';
 import type { CostModel } from './cost';
 import { expectedPrefillMs, updatedSlowness, prefillMs, residenceMs } from './cost';
 import { TokenFlow } from './flow';
@@ -18,6 +19,16 @@
  */
 const MIN_EVENTS = 3;
 
+/**
+ * Largest share of a stream's time with local prefills on its runner at which the rest still gives
+ * the token time.
+ */
+const MAX_SLOWED_SHARE = 0.25;
+/** Smallest such share at which the stream shows how slow streams are during local prefills. */
+const MIN_SLOWED_SHARE = 0.1;
+/** Time between two reports of a runner, in milliseconds. */
+const REPORT_INTERVAL_MS = 1000;
+
 /**
  * Updates a runner's slowness after work that took `ms`, where `expectedMs` is the time at slowness
  * 1.
@@ -76,16 +87,51 @@
     this.#lengths.record(demand, outputTokens);
   }
 
-  /** Records a stream whose output took `ms` after its first event. */
-  recordStream(decode: DecodeState, outputTokens: number, eventTokens: number, ms: number): void {
+  /**
+   * Records the first event of a request whose prompt its decode runner prefilled itself.
+   * @param eventTokens output tokens of the first event
+   */
+  recordLocalPrefill(
+    now: number,
+    decode: DecodeState,
+    { demand, grantedAt }: Allocation,
+    eventTokens: number,
+  ): void {
+    const to = now - eventTokens * this.#costs.tokenMs * decode.slowness;
+    if (to <= grantedAt) return;
+    this.#costs.recordLocalPrefill(demand.promptTokens, (to - grantedAt) / decode.slowness);
+    recordLocalPrefillSpan(decode, { from: grantedAt, to });
+  }
+
+  /** Records a stream that ended and had its first event at `startedAt`. */
+  recordStream(
+    now: number,
+    decode: DecodeState,
+    outputTokens: number,
+    eventTokens: number,
+    startedAt: number,
+  ): void {
     const tokens = outputTokens - eventTokens;
-    if (tokens >= MIN_EVENTS * eventTokens) this.#recordTokenTime(decode, ms / tokens);
+    if (tokens < MIN_EVENTS * eventTokens) return;
+    const ms = now - startedAt;
+    const slowedMs = localPrefillMsSince(now, decode, startedAt);
+    const { tokenMs, slowedTokenMs } = this.#costs;
+    if (slowedMs >= MIN_SLOWED_SHARE * ms) {
+      const slowedTokens = tokens - (ms - slowedMs) / (tokenMs * decode.slowness);
+      this.#costs.recordSlowedTokens(now, slowedTokens, slowedMs / decode.slowness);
+    }
+    const usualTokens = tokens - slowedMs / (slowedTokenMs * decode.slowness);
+    if (slowedMs <= MAX_SLOWED_SHARE * ms && usualTokens > tokens / 2) {
+      this.#recordTokenTime(decode, (ms - slowedMs) / usualTokens);
+    }
   }
 
   /** Records a runner's report of its running requests. */
   recordReport(now: number, decode: DecodeState, runs: readonly ReportedRun[]): void {
     const ms = decode.pace.update(now, runs);
-    if (ms !== undefined) this.#recordTokenTime(decode, ms);
+    const slowedMs = localPrefillMsSince(now, decode, now - REPORT_INTERVAL_MS);
+    const isSlowed = slowedMs > MIN_SLOWED_SHARE * REPORT_INTERVAL_MS;
+    if (ms !== undefined && !isSlowed) this.#recordTokenTime(decode, ms);
   }
 
   /** Records a measured token time of a decode runner, in milliseconds. */
--- a/test/fakes/memory/costs.ts
+++ b/test/fakes/memory/costs.ts
@@ -19,17 +19,32 @@
 
   readonly minTokenMs: number;
 
+  readonly localPrefillTokenMs: number;
+
+  readonly slowedTokenMs: number;
+
   constructor(figures: MemoryFigures) {
     this.prefillBaseMs = figures.prefillBaseMs;
     this.prefillTokenMs = 1 / figures.prefillTokensPerMs;
     this.tokenMs = figures.stepMs + figures.stepSlotMs * TYPICAL_BATCH;
     this.minTokenMs = this.tokenMs;
+    const chunkMs = (2 * figures.chunkTokens) / figures.prefillTokensPerMs;
+    this.slowedTokenMs = this.tokenMs + chunkMs;
+    this.localPrefillTokenMs = this.slowedTokenMs / figures.chunkTokens;
     this.firstEventMs = KV_TRANSFER_MS + figures.eventTokens * this.tokenMs;
   }
 
+  isSlowedTokenMeasured(): boolean {
+    return true;
+  }
+
   recordPrefill(): void {}
 
   recordFirstEvent(): void {}
 
   recordTokenTime(): void {}
+
+  recordLocalPrefill(): void {}
+
+  recordSlowedTokens(): void {}
 }
--- a/test/router/cost.test.ts
+++ b/test/router/cost.test.ts
@@ -59,4 +59,23 @@
     );
     expect(pauses).toEqual([37, 129, 180]);
   });
+
+  /*
+   * An engine prefills half of the assumed tokens between two output tokens. If that is not
+   * measured, long prompts are never prefilled locally; if it is never measured again, a change of
+   * the engine is not noticed.
+   */
+  test('include the token time of streams during a local prefill', () => {
+    const costs = new MeasuredCosts();
+    const pauseMs = (): number => Math.round(localPrefillPauseMs(costs, 13_000, 7));
+    const assumedMs = pauseMs();
+    const before = costs.isSlowedTokenMeasured(1000);
+    for (let i = 0; i < 30; i += 1) costs.recordSlowedTokens(1000, 60, 600);
+    expect([assumedMs, pauseMs()]).toEqual([178, 70]);
+    expect([before, ...[2000, 12_000].map((now) => costs.isSlowedTokenMeasured(now))]).toEqual([
+      false,
+      true,
+      false,
+    ]);
+  });
 });
