Bound the prefill time per token from below

Where a runner that was slow for a moment prefilled the first small prompts, the regression gave no time per prompt token. All backlogs counted as 0, one prefill runner got every prompt, and since only runners without a backlog are measured, that never ended.

At least a third of the mean prefill time now depends on the prompt.

--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -71,6 +71,12 @@
  */
 const INITIAL_SIZES_TOKENS: readonly number[] = [1000, 9000];
 const INITIAL_SIZE_WEIGHT = 0.1;
+/**
+ * Smallest part of the mean prefill time that depends on the prompt. Where a slow runner got small
+ * prompts, no dependence was measured: all backlogs counted as 0, one runner got every prompt, and
+ * as only idle runners are measured, that never ended.
+ */
+const MIN_TOKEN_PART = 1 / 3;
 /** Decay of older prefill measurements with each further one. */
 const PREFILL_DECAY = 0.98;
 
@@ -218,7 +224,8 @@
     const ms = this.#ms / this.#weight;
     const spread = this.#tokensSquared / this.#weight - tokens * tokens;
     const slope = (this.#product / this.#weight - tokens * ms) / Math.max(1, spread);
-    const tokenMs = Math.min(ms / Math.max(1, tokens), Math.max(0, slope));
+    const meanTokenMs = ms / Math.max(1, tokens);
+    const tokenMs = Math.min(meanTokenMs, Math.max(MIN_TOKEN_PART * meanTokenMs, slope));
     return { baseMs: ms - tokenMs * tokens, tokenMs };
   }
 }
--- a/test/router/cost.test.ts
+++ b/test/router/cost.test.ts
@@ -30,6 +30,18 @@
     expect(prefillMs(costs, 5000)).toBeCloseTo(70, 0);
   });
 
+  /*
+   * A runner that is slow for a moment got the first small prompt. Prefill times seemed not to
+   * depend on the prompt: all backlogs counted as 0, one runner got every prompt, and since only
+   * idle runners are measured, that never ended.
+   */
+  test('depend on the size of the prompt whatever was measured', () => {
+    const costs = new MeasuredCosts();
+    costs.recordPrefill(2000, 240);
+    costs.recordPrefill(9000, 200);
+    expect(costs.prefillTokenMs).toBeGreaterThan(0.01);
+  });
+
   /*
    * A start and an end arrive in the same packet and are handled at the same moment. A token time
    * of 0 would make the expected growth of every request infinite, and no request would get a
