Test a service whose runners differ in speed

Stand-in engines may be slower or faster than usual, by a function of time. With 0.6 to 1.6 of the usual time, at least 0.95 of the value is served.

--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -8,7 +8,7 @@
 import { runnerOf } from '../runner';
 import { Schedule } from '../virtual/schedule';
 import { TARGET_MS, MemoryCaller, MAX_GAP_MS } from './caller';
-import type { MemoryFigures } from './engines';
+import type { MemoryFigures, Slowness } from './engines';
 import { DecodeEngine, PrefillEngine } from './engines';
 import type { MemoryJob } from './load';
 
@@ -25,6 +25,8 @@
   readonly figures: MemoryFigures;
   readonly prefillRunners: number;
   readonly decodeRunners: number;
+  /** Speed of the runner with an index, prefill runners first. Default: the usual one. */
+  readonly slownessOf?: (index: number) => Slowness;
 }
 
 /** Results of a simulation; `asked` to `failed` are numbers of requests. */
@@ -76,16 +78,17 @@
 
   constructor(options: MemoryBenchOptions) {
     this.#options = options;
-    const { figures, prefillRunners, decodeRunners } = options;
+    const { figures, prefillRunners, decodeRunners, slownessOf } = options;
     for (let i = 0; i < prefillRunners; i += 1) {
-      this.#prefills.set(`p${i}`, new PrefillEngine(figures));
+      this.#prefills.set(`p${i}`, new PrefillEngine(figures, slownessOf?.(i)));
     }
     const listener = {
       onEvent: (now: number, id: string) => this.#onEvent(now, id),
       onEnd: (now: number, id: string) => this.#onEnd(now, id),
     };
     for (let i = 0; i < decodeRunners; i += 1) {
-      this.#decodes.set(`d${i}`, new DecodeEngine(figures, this.#schedule, listener));
+      const slowness = slownessOf?.(prefillRunners + i);
+      this.#decodes.set(`d${i}`, new DecodeEngine(figures, this.#schedule, listener, slowness));
     }
   }
 
--- a/test/fakes/memory/engines.ts
+++ b/test/fakes/memory/engines.ts
@@ -89,20 +89,30 @@
   readonly onEnd: (now: number, id: string) => void;
 }
 
+/** Time of a runner's work at a moment relative to the usual time. */
+export type Slowness = (now: number) => number;
+
+const usualSpeed: Slowness = () => 1;
+
 /** A prefill runner. */
 export class PrefillEngine {
   readonly #figures: MemoryFigures;
 
+  readonly #slowness: Slowness;
+
   #busyUntil = 0;
 
-  constructor(figures: MemoryFigures) {
+  constructor(figures: MemoryFigures, slowness = usualSpeed) {
     this.#figures = figures;
+    this.#slowness = slowness;
   }
 
   /** Queues a prompt and returns the time at which its prefill completes. */
   prefill(now: number, tokens: number): number {
-    this.#busyUntil = Math.max(now, this.#busyUntil) + tokens / this.#figures.prefillTokensPerMs;
-    return this.#busyUntil + this.#figures.prefillBaseMs;
+    const startAt = Math.max(now, this.#busyUntil);
+    const slowness = this.#slowness(startAt);
+    this.#busyUntil = startAt + (slowness * tokens) / this.#figures.prefillTokensPerMs;
+    return this.#busyUntil + slowness * this.#figures.prefillBaseMs;
   }
 }
 
@@ -122,6 +132,8 @@
 
   readonly #listener: EngineListener;
 
+  readonly #slowness: Slowness;
+
   readonly #running = new Map<string, Running>();
 
   #stepping = false;
@@ -129,7 +141,13 @@
   /** Tokens that have to be prefilled again after a preemption. */
   recomputedTokens = 0;
 
-  constructor(figures: MemoryFigures, schedule: Schedule, listener: EngineListener) {
+  constructor(
+    figures: MemoryFigures,
+    schedule: Schedule,
+    listener: EngineListener,
+    slowness = usualSpeed,
+  ) {
+    this.#slowness = slowness;
     this.#figures = figures;
     this.#schedule = schedule;
     this.#listener = listener;
@@ -167,7 +185,8 @@
     const chunk = Math.min(chunkTokens, prefilling?.prefillLeft ?? 0);
     // A decode runner prefills at half the speed of a prefill runner.
     const prefillMs = (2 * chunk) / prefillTokensPerMs;
-    const end = now + stepMs + stepSlotMs * this.#running.size + prefillMs;
+    const workMs = stepMs + stepSlotMs * this.#running.size + prefillMs;
+    const end = now + this.#slowness(now) * workMs;
     this.#schedule.add(end, () => {
       if (prefilling) prefilling.prefillLeft -= chunk;
       this.#produceTokens(end);
--- a/test/router/stages.test.ts
+++ b/test/router/stages.test.ts
@@ -2,7 +2,8 @@
 import { planPolicy } from '../../src/core/memory/policy';
 import { demandOf } from '../fakes/demand';
 import { MemoryBench } from '../fakes/memory/bench';
-import { longPromptFigures } from '../fakes/memory/engines';
+import type { Slowness } from '../fakes/memory/engines';
+import { longPromptFigures, smallMemoryFigures } from '../fakes/memory/engines';
 import type { MemoryLoad } from '../fakes/memory/load';
 import { drawMemoryJobs } from '../fakes/memory/load';
 import { runnerOf } from '../fakes/runner';
@@ -66,3 +67,26 @@
     expect(actions.filter(({ kind }) => kind === 'refuse')).toEqual([]);
   });
 });
+
+describe('runners of different speeds', () => {
+  /*
+   * Work takes 0.6 to 1.6 of the usual time, by runner. If slow runners got as many prompts as fast
+   * ones, their requests would be late.
+   */
+  test('serve nearly as much as even ones', () => {
+    const slownessOf = (index: number): Slowness => {
+      const slowness = 0.6 + ((index * 7) % 11) / 10;
+      return () => slowness;
+    };
+    const { worth, failed } = new MemoryBench({
+      jobs: drawMemoryJobs({ perSecond: 24, bursts: [], untilMs: 12_000 }, 1),
+      policy: new Planner(planPolicy),
+      figures: smallMemoryFigures,
+      prefillRunners: 4,
+      decodeRunners: 12,
+      slownessOf,
+    }).run();
+    expect(failed).toBe(0);
+    expect(worth).toBeGreaterThan(0.95);
+  });
+});
