--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -6,6 +6,7 @@
 
 import type { PendingPrompt, PrefillState } from './account';
 import { Estimate } from './estimate';
+import { LocalPrefillTimes } from './localprefill';
 
 /** Times of an engine whose runners have slowness 1. */
 export interface Costs {
@@ -22,6 +23,12 @@
   readonly tokenMs: number;
   /** Lower bound of `tokenMs` by its measured error. */
   readonly minTokenMs: number;
+  /** Time of a local prefill on a decode runner per prompt token, in milliseconds. */
+  readonly localPrefillTokenMs: number;
+  /** Time of an output token on a decode runner that runs a local prefill, in milliseconds. */
+  readonly slowedTokenMs: number;
+  /** Whether these two times were measured recently and are no assumptions. */
+  isLocalPrefillMeasured(now: number): boolean;
 }
 
 /** Initial values until the first measurement: those of a mid-sized engine. */
@@ -30,12 +37,15 @@
 const INITIAL_FIRST_EVENT_MS = 100;
 const INITIAL_TOKEN_MS = 7;
 /**
- * Prompt tokens that a decode runner prefills between two token steps: the usual chunk size of
- * chunked prefill.
+ * Prompt tokens that a decode runner prefills between two token steps, until that is measured: the
+ * usual chunk size of chunked prefill.
  */
 const CHUNK_TOKENS = 512;
+/** The same on the engines with the smallest chunks. */
+const MIN_CHUNK_TOKENS = 128;
 /**
- * Cost of a local prefill relative to a prefill runner: a decode runner prefills at half the speed.
+ * Cost of a local prefill relative to a prefill runner, until that is measured: a decode runner
+ * prefills at half the speed.
  */
 export const LOCAL_PREFILL_COST = 2;
 /**
@@ -61,6 +71,12 @@
  */
 const INITIAL_SIZES_TOKENS: readonly number[] = [1000, 9000];
 const INITIAL_SIZE_WEIGHT = 0.1;
+/**
+ * Smallest part of the mean prefill time that depends on the prompt. Where a slow runner got small
+ * prompts, no dependence was measured: all backlogs counted as 0, one runner got every prompt, and
+ * as only idle runners are measured, that never ended.
+ */
+const MIN_TOKEN_PART = 1 / 3;
 /** Decay of older prefill measurements with each further one. */
 const PREFILL_DECAY = 0.98;
 
@@ -79,6 +95,11 @@
   return prefillMs(costs, promptTokens) + costs.firstEventMs + outputTokens * costs.tokenMs;
 }
 
+/** Time of a local prefill on a runner of the given slowness, in milliseconds. */
+export function localPrefillMs(costs: Costs, tokens: number, slowness = 1): number {
+  return tokens * costs.localPrefillTokenMs * slowness;
+}
+
 /**
  * Time between two events of a stream on a decode runner that runs a local prefill, in
  * milliseconds. A chunk is prefilled before each token; where an event holds many tokens, all
@@ -90,8 +111,21 @@
   promptTokens: number,
   eventTokens: number,
 ): number {
-  const tokens = Math.min(promptTokens, eventTokens * CHUNK_TOKENS);
-  return eventTokens * costs.tokenMs + LOCAL_PREFILL_COST * prefillWorkMs(costs, tokens);
+  const wholePromptMs = eventTokens * costs.tokenMs + localPrefillMs(costs, promptTokens);
+  return Math.min(eventTokens * costs.slowedTokenMs, wholePromptMs);
+}
+
+/** The same on an engine with the smallest chunks; a longer pause is not worth measuring. */
+export function minLocalPrefillPauseMs(costs: Costs, eventTokens: number): number {
+  return eventTokens * slowedTokenMsOf(costs, MIN_CHUNK_TOKENS);
+}
+
+/** Time of an output token on a runner that prefills a chunk before each, in milliseconds. */
+export function slowedTokenMsOf(
+  costs: Pick<Costs, 'tokenMs' | 'prefillTokenMs'>,
+  chunkTokens: number,
+): number {
+  return costs.tokenMs + LOCAL_PREFILL_COST * chunkTokens * costs.prefillTokenMs;
 }
 
 /**
@@ -190,7 +224,8 @@
     const ms = this.#ms / this.#weight;
     const spread = this.#tokensSquared / this.#weight - tokens * tokens;
     const slope = (this.#product / this.#weight - tokens * ms) / Math.max(1, spread);
-    const tokenMs = Math.min(ms / Math.max(1, tokens), Math.max(0, slope));
+    const meanTokenMs = ms / Math.max(1, tokens);
+    const tokenMs = Math.min(meanTokenMs, Math.max(MIN_TOKEN_PART * meanTokenMs, slope));
     return { baseMs: ms - tokenMs * tokens, tokenMs };
   }
 }
@@ -206,6 +241,10 @@
   recordFirstEvent(ms: number): void;
   /** Records a token time of a request. */
   recordTokenTime(ms: number): void;
+  /** Records that a decode runner prefilled a prompt in `ms`. */
+  recordLocalPrefill(now: number, tokens: number, ms: number): void;
+  /** Records that a stream had `tokens` output tokens in `ms` of local prefills on its runner. */
+  recordSlowedTokens(tokens: number, ms: number): void;
 }
 
 /** Costs of one engine, measured while it runs. */
@@ -216,6 +255,8 @@
 
   readonly #token = new Estimate(INITIAL_TOKEN_MS, ESTIMATE_OPTIONS);
 
+  readonly #local = new LocalPrefillTimes();
+
   get prefillBaseMs(): number {
     return this.#prefills.line.baseMs;
   }
@@ -236,6 +277,21 @@
     return Math.max(0, this.#token.value - this.#token.error);
   }
 
+  get localPrefillTokenMs(): number {
+    return this.#local.tokenMs(LOCAL_PREFILL_COST * this.prefillTokenMs);
+  }
+
+  get slowedTokenMs(): number {
+    const workMs = LOCAL_PREFILL_COST * this.prefillTokenMs;
+    const chunkTokens = this.#local.chunkTokens(workMs, this.tokenMs, CHUNK_TOKENS);
+    const expectedMs = slowedTokenMsOf(this, chunkTokens);
+    return Math.max(this.tokenMs, this.#local.slowedTokenMs(expectedMs));
+  }
+
+  isLocalPrefillMeasured(now: number): boolean {
+    return this.#local.isMeasured(now);
+  }
+
   recordPrefill(tokens: number, ms: number): void {
     this.#prefills.add(tokens, ms);
   }
@@ -249,4 +305,13 @@
     // would make the expected growth infinite.
     if (ms > 0) this.#token.add(ms);
   }
+
+  recordLocalPrefill(now: number, tokens: number, ms: number): void {
+    // A local prefill that is faster than one on a prefill runner began before this planner.
+    if (ms >= tokens * this.prefillTokenMs) this.#local.recordPrefill(now, tokens, ms);
+  }
+
+  recordSlowedTokens(tokens: number, ms: number): void {
+    this.#local.recordSlowed(tokens, ms);
+  }
 }
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -9,7 +9,7 @@
 import type { RateAllowance } from '../ratelimits/types';
 import { unlimited } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
-import type { DecodeState, PrefillState } from './account';
+import type { Allocation, DecodeState, PrefillState } from './account';
 import { MemoryAccount, isSlowedByLocalPrefill } from './account';
 import { VmBackoffs } from './backoffs';
 import { maxPrefillsAhead, maxWaitMs } from './ahead';
@@ -266,11 +266,18 @@
     const allocation = this.#reservations.allocationOf(id);
     if (!allocation || allocation.startedAt !== undefined) return;
     allocation.startedAt = now;
+    this.#recordLocalPrefill(now, id, allocation);
     this.#backoffs.accepted(now, this.#reservations.get(id)?.grant.decode ?? '');
     const assignedAt = this.#reservations.get(id)?.assignedAt;
     if (assignedAt !== undefined) this.#stats.recordFirstEvent(now - assignedAt);
   }
 
+  #recordLocalPrefill(now: number, id: string, allocation: Allocation): void {
+    const decode = this.#account.decode.get(this.#reservations.get(id)?.grant.decode ?? '');
+    if (!allocation.isLocalPrefill || !decode || !this.#engine) return;
+    this.#stats.recordLocalPrefill(now, decode, allocation, this.#engine.eventTokens);
+  }
+
   #recordFinish(now: number, id: string, outputTokens: number): void {
     const reservation = this.#reservations.get(id);
     if (!reservation) return;
@@ -301,7 +308,7 @@
     const decode = this.#account.decode.get(grant.decode);
     const startedAt = decode?.allocations.get(id)?.startedAt;
     if (!decode || startedAt === undefined || !this.#engine) return;
-    this.#stats.recordStream(decode, outputTokens, this.#engine.eventTokens, now - startedAt);
+    this.#stats.recordStream(now, decode, outputTokens, this.#engine.eventTokens, startedAt);
   }
 
   #handleSlowStream(now: number, id: string): void {
@@ -349,6 +356,7 @@
     const order = this.#queue.order(now);
     let prefillsLeft = this.#allowedPrefillsAhead();
     let largest = this.#capacity.largestFreeTokens(now);
+    let promptTokensAhead = 0;
     for (const demand of order) {
       const decode = this.#fitsLargest(now, demand, largest)
         ? this.#findDecode(now, demand)
@@ -361,7 +369,8 @@
         candidate && !demand.prefillsLocally
           ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
           : undefined;
-      const localPrefill = decode && !prefill ? this.#findLocalPrefill(now, demand) : undefined;
+      const localPrefill =
+        decode && !prefill ? this.#findLocalPrefill(now, demand, promptTokensAhead) : undefined;
       const target = prefill ? candidate : localPrefill;
       if (target) {
         const isAssigned = decode !== undefined;
@@ -373,7 +382,7 @@
         this.#reservations.add(now, demand, grant, isAssigned, undefined);
         this.#actions.push({ kind: 'grant', id: demand.id, grant });
         largest = this.#capacity.largestFreeTokens(now);
-      }
+      } else promptTokensAhead += demand.promptTokens;
     }
     this.#refuseUnservable(now, order);
   }
@@ -421,7 +430,8 @@
 
   /** Refuses requests that cannot be served before their callers disconnect. */
   #refuseUnservable(now: number, order: readonly Demand[]): void {
-    const { usualSizeTokens, residenceMs } = this.#stats;
+    if (!this.#engine) return;
+    const { usualSizeTokens, usual } = this.#stats;
     this.#refuseLocalPrefills(order);
     const stillWaiting = order.filter(({ id }) => this.#queue.has(id));
     const unservable = findUnservable(this.#policy.refusal, now, stillWaiting, {
@@ -429,13 +439,13 @@
       minFirstEventMs: (demand) => minFirstEventMs(this.#costs, demand),
       spareTokensPerMs: this.#stats.spareTokensPerMs(
         now,
-        this.#capacity.capacity(usualSizeTokens, residenceMs),
+        this.#capacity.capacity(usual, this.#engine),
       ),
       releases: this.#capacity.releases(now, usualSizeTokens),
       accessOf: this.#capacity.accessOf(now),
       versionWaitMs: (demand, tokensAhead) =>
         this.#capacity.versionWaitMs(now, demand, this.#stats.sizeOf(demand), tokensAhead),
-      prefillWaitMs: this.#capacity.prefillWaitMs(now),
+      prefillWaitMs: this.#capacity.prefillWaitMs(now, usual, this.#engine),
     });
     for (const request of unservable) {
       const { id } = request.demand;
@@ -474,10 +484,11 @@
   }
 
   /** The decode runner that prefills a prompt itself because no prefill runner can. */
-  #findLocalPrefill(now: number, demand: Demand): DecodeState | undefined {
+  #findLocalPrefill(now: number, demand: Demand, tokensAhead: number): DecodeState | undefined {
+    const need = this.#stats.sizeOf(demand);
     return (
       this.#engine &&
-      this.#capacity.findLocalPrefill(now, demand, this.#stats.sizeOf(demand), this.#engine)
+      this.#capacity.findLocalPrefill(now, { demand, need, tokensAhead }, this.#engine)
     );
   }
 }
--- a/test/router/cost.test.ts
+++ b/test/router/cost.test.ts
@@ -30,6 +30,18 @@
     expect(prefillMs(costs, 5000)).toBeCloseTo(70, 0);
   });
 
+  /*
+   * A runner that is slow for a moment got the first small prompt. Prefill times seemed not to
+   * depend on the prompt: all backlogs counted as 0, one runner got every prompt, and since only
+   * idle runners are measured, that never ended.
+   */
+  test('depend on the size of the prompt whatever was measured', () => {
+    const costs = new MeasuredCosts();
+    costs.recordPrefill(2000, 240);
+    costs.recordPrefill(9000, 200);
+    expect(costs.prefillTokenMs).toBeGreaterThan(0.01);
+  });
+
   /*
    * A start and an end arrive in the same packet and are handled at the same moment. A token time
    * of 0 would make the expected growth of every request infinite, and no request would get a
@@ -59,4 +71,27 @@
     );
     expect(pauses).toEqual([37, 129, 180]);
   });
+
+  /*
+   * An engine prefills 256 tokens between two output tokens, not the assumed 512. If that is not
+   * measured, long prompts are never prefilled locally; if it is never measured again, a change of
+   * the engine is not noticed.
+   */
+  test('include the token time of streams during a local prefill', () => {
+    const costs = new MeasuredCosts();
+    const pauseMs = (): number => Math.round(localPrefillPauseMs(costs, 13_000, 7));
+    const assumedMs = pauseMs();
+    const before = costs.isLocalPrefillMeasured(1000);
+    costs.recordLocalPrefill(
+      1000,
+      13_000,
+      13_000 * (2 * costs.prefillTokenMs + costs.tokenMs / 256),
+    );
+    const byPrefillMs = pauseMs();
+    // Streams that are slower than that take precedence when there are enough of them.
+    for (let i = 0; i < 100; i += 1) costs.recordSlowedTokens(20, 600);
+    expect([assumedMs, byPrefillMs, pauseMs()]).toEqual([178, 114, 188]);
+    const later = [2000, 12_000].map((now) => costs.isLocalPrefillMeasured(now));
+    expect([before, ...later]).toEqual([false, true, false]);
+  });
 });
