Move the scheduling step out of the planner

It becomes a module of its own, without a change of behavior: test/router/planner.test.ts passes as before.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -12,34 +12,27 @@
 import type { DecodeState, PrefillState } from './account';
 import { MemoryAccount, isSlowedByLocalPrefill } from './account';
 import { VmBackoffs } from './backoffs';
-import { maxPrefillsAhead, maxWaitMs } from './ahead';
 import { WorkloadStats } from './stats';
 import { afterFailure, afterSuccess } from './ejection';
 import type { StageChange } from './balance';
 import type { CostModel, Costs } from './cost';
 import { MeasuredCosts } from './cost';
-import { WaitingQueue, minFirstEventMs, requiredFreeShare } from './queue';
+import { WaitingQueue } from './queue';
 import type { PlanPolicy } from './policy';
 import type { Reservation } from './reservations';
 import { Reservations } from './reservations';
 import type { PlanLoad } from './capacity';
-import { RetryTimes, findUnservable } from './refusal';
 import { CapacityView } from './capacity';
+import { Scheduler, RETRY_FULL_MS } from './scheduler';
 import { StageController } from './stages';
 import { PreviousAttempts } from './attempts';
 import type { Demand, Holding, MemoryReport, PlanAction, PlanEvent } from './types';
 
-/**
- * Retry-After of a request that was prefilled but found no decode memory in time, in milliseconds.
- */
-const RETRY_UNASSIGNED_MS = 300;
 /**
  * Free share of a decode runner's memory above which a rejection there is taken to mean that the
  * kept prefill has expired.
  */
 const EXPIRED_PREFILL_FREE_SHARE = 0.1;
-/** Retry-After of a request whose decode runner was full, in milliseconds. */
-const RETRY_FULL_MS = 1000;
 
 /** Planner of one service. */
 export class Planner {
@@ -67,7 +60,7 @@
 
   #engine: Engine | undefined;
 
-  readonly #retryTimes: RetryTimes;
+  readonly #scheduler: Scheduler;
 
   readonly #ejected: string[] = [];
 
@@ -81,7 +74,6 @@
     this.#policy = policy;
     this.#allowance = allowance;
     this.#costs = costs;
-    this.#retryTimes = new RetryTimes(policy.refusal);
     this.#stats = new WorkloadStats(policy.lengths, costs);
     this.#account = new MemoryAccount(policy.memory, costs);
     this.#stages = new StageController(policy.stages, this.#account, this.#stats, costs);
@@ -92,6 +84,16 @@
     this.#reservations = new Reservations(this.#account, this.#stats, costs, () =>
       this.#capacity.invalidate(),
     );
+    this.#scheduler = new Scheduler({
+      policy,
+      costs,
+      allowance,
+      account: this.#account,
+      stats: this.#stats,
+      queue: this.#queue,
+      capacity: this.#capacity,
+      reservations: this.#reservations,
+    });
   }
 
   /** Measured times of the engine. */
@@ -185,7 +187,7 @@
       })
       .with({ kind: 'woke' }, () => {})
       .exhaustive();
-    this.#schedule(now);
+    this.#actions.push(...this.#scheduler.run(now, this.#engine));
     return this.#actions;
   }
 
@@ -331,146 +333,4 @@
     this.#queue.dropVm(vm);
     this.#reservations.dropVm(now, vm);
   }
-
-  /**
-   * Starts waiting requests in scheduling order as far as capacity allows, and refuses those that
-   * cannot be served in time.
-   */
-  #schedule(now: number): void {
-    this.#assignPrefilled(now);
-    if (this.#queue.size === 0) return;
-    const order = this.#queue.order(now);
-    let prefillsLeft = this.#allowedPrefillsAhead();
-    let largest = this.#capacity.largestFreeTokens(now);
-    for (const demand of order) {
-      const decode = this.#fitsLargest(now, demand, largest)
-        ? this.#findDecode(now, demand)
-        : undefined;
-      const mayPrefillAhead =
-        prefillsLeft > 0 && this.#stats.sizeOf(demand) <= this.#stats.usualSizeTokens;
-      const candidate =
-        decode ?? (mayPrefillAhead ? this.#capacity.findSoonest(now, demand) : undefined);
-      const prefill =
-        candidate && !demand.prefillsLocally
-          ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
-          : undefined;
-      const localPrefill = decode && !prefill ? this.#findLocalPrefill(now, demand) : undefined;
-      const target = prefill ? candidate : localPrefill;
-      if (target) {
-        const isAssigned = decode !== undefined;
-        if (!isAssigned) prefillsLeft -= 1;
-        const grant = { prefill: prefill?.runner.id, decode: target.runner.id };
-        this.#queue.removeReserved(demand);
-        if (prefill) this.#allowance.take(now, prefill.runner.id);
-        if (isAssigned) this.#allowance.take(now, target.runner.id);
-        this.#reservations.add(now, demand, grant, isAssigned, undefined);
-        this.#actions.push({ kind: 'grant', id: demand.id, grant });
-        largest = this.#capacity.largestFreeTokens(now);
-      }
-    }
-    this.#refuseUnservable(now, order);
-  }
-
-  /** Whether the largest free memory of any one decode runner is enough for a request. */
-  #fitsLargest(now: number, demand: Demand, largest: number): boolean {
-    const requiredFreeTokens =
-      requiredFreeShare(this.#policy.order, this.#costs, now, demand) *
-      (this.#engine?.memoryTokens ?? 0);
-    return this.#stats.sizeOf(demand) + requiredFreeTokens <= largest;
-  }
-
-  /**
-   * Assigns decode runners to prefilled requests. They get memory before all others, since their
-   * kept prefills expire.
-   */
-  #assignPrefilled(now: number): void {
-    const keepMs = maxWaitMs(this.#policy.ahead, this.#engine?.keepMs ?? 0);
-    for (const [id, reservation] of this.#reservations.entries) {
-      if (!reservation.isAssigned && reservation.prefilledAt !== undefined) {
-        const decode = this.#findDecode(now, reservation.demand);
-        if (decode) {
-          this.#allowance.take(now, decode.runner.id);
-          this.#reservations.assign(now, reservation, decode.runner.id);
-          this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
-        } else if (now - reservation.prefilledAt > keepMs) {
-          this.#reservations.release(now, id);
-          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_UNASSIGNED_MS });
-        }
-      }
-    }
-  }
-
-  /** Number of prefills that may start now before decode memory is free for them. */
-  #allowedPrefillsAhead(): number {
-    let allocations = 0;
-    for (const state of this.#account.decode.values()) allocations += state.allocations.size;
-    const unassigned = this.#reservations.unassignedCount;
-    const { prefillMs, residenceMs } = this.#stats;
-    const keepMs = this.#engine?.keepMs ?? 0;
-    return (
-      maxPrefillsAhead(this.#policy.ahead, allocations, prefillMs, residenceMs, keepMs) - unassigned
-    );
-  }
-
-  /** Refuses requests that cannot be served before their callers disconnect. */
-  #refuseUnservable(now: number, order: readonly Demand[]): void {
-    const { usualSizeTokens, residenceMs } = this.#stats;
-    this.#refuseLocalPrefills(order);
-    const stillWaiting = order.filter(({ id }) => this.#queue.has(id));
-    const unservable = findUnservable(this.#policy.refusal, now, stillWaiting, {
-      sizeOf: (demand) => this.#stats.sizeOf(demand),
-      minFirstEventMs: (demand) => minFirstEventMs(this.#costs, demand),
-      spareTokensPerMs: this.#stats.spareTokensPerMs(
-        now,
-        this.#capacity.capacity(usualSizeTokens, residenceMs),
-      ),
-      releases: this.#capacity.releases(now, usualSizeTokens),
-      accessOf: this.#capacity.accessOf(now),
-      versionWaitMs: (demand, tokensAhead) =>
-        this.#capacity.versionWaitMs(now, demand, this.#stats.sizeOf(demand), tokensAhead),
-      prefillWaitMs: this.#capacity.prefillWaitMs(now),
-    });
-    for (const request of unservable) {
-      const { id } = request.demand;
-      this.#queue.delete(id);
-      this.#actions.push({
-        kind: 'refuse',
-        id,
-        retryAfterMs: this.#retryTimes.next(now, request),
-      });
-    }
-  }
-
-  /**
-   * Refuses requests that no decode runner can prefill now. They have failed before, and runners
-   * prefill prompts themselves only while that delays no other stream.
-   */
-  #refuseLocalPrefills(order: readonly Demand[]): void {
-    for (const { id, prefillsLocally } of order) {
-      if (prefillsLocally && this.#queue.has(id)) {
-        this.#queue.delete(id);
-        this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
-      }
-    }
-  }
-
-  /**
-   * The decode runner with the most free memory that fits a request; undefined if there is none.
-   */
-  #findDecode(now: number, demand: Demand): DecodeState | undefined {
-    return this.#capacity.findDecode(
-      now,
-      demand,
-      this.#stats.sizeOf(demand),
-      this.#engine?.slots ?? 0,
-    );
-  }
-
-  /** The decode runner that prefills a prompt itself because no prefill runner can. */
-  #findLocalPrefill(now: number, demand: Demand): DecodeState | undefined {
-    return (
-      this.#engine &&
-      this.#capacity.findLocalPrefill(now, demand, this.#stats.sizeOf(demand), this.#engine)
-    );
-  }
 }
