Log the rank, place, forecast and reason of each refusal

The log line of a refusal showed the load only. Whether memory, prefill runners or the order cost the request could not be told apart. The decision now carries its cause.

The expected refusal in test/router/planner.test.ts names its cause too; the rest of it is unchanged.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -243,7 +243,8 @@
     }
     state.unexplainedTokens += this.#stats.sizeOf(reservation.demand);
     this.#reservations.release(now, id);
-    this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
+    const cause = { rank: reservation.demand.rank, reason: 'runnerFull' } as const;
+    this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS, cause });
   }
 
   #recordPrefill(now: number, id: string, ms: number): void {
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -4,7 +4,7 @@
 import type { RefusalRules } from './policy';
 import type { Release } from './releases';
 import { waitForTokensMs } from './releases';
-import type { Demand } from './types';
+import type { Demand, RefusalCause, RefusalReason } from './types';
 
 /** Expected capacity of the runners. */
 export interface CapacityForecast {
@@ -35,6 +35,7 @@
   readonly slotMs: number;
   /** Time until a decode runner accepts requests of its VM, in milliseconds. */
   readonly openInMs: number;
+  readonly cause: RefusalCause;
 }
 
 /**
@@ -67,7 +68,7 @@
   let tokensAhead = 0;
   let lateTokens = 0;
   const aheadByVersion = new Map<string | undefined, number>();
-  for (const demand of order) {
+  for (const [place, demand] of order.entries()) {
     const size = sizeOf(demand);
     tokensAhead += size;
     const { version } = demand;
@@ -76,27 +77,62 @@
     // The runners that are open to the VM have a like share of the memory that all will have free.
     const memoryWaitMs =
       openShare === 0 ? 0 : waitForTokensMs(now, releases, tokensAhead / openShare);
-    const waitMs = Math.max(openInMs, memoryWaitMs, prefillWaitMs(tokensAhead));
-    const isInTime = now + waitMs + minFirstEventMs(demand) <= demand.dueAt;
+    const prefillMs = prefillWaitMs(tokensAhead);
+    const waitMs = Math.max(openInMs, memoryWaitMs, prefillMs);
+    const firstEventMs = minFirstEventMs(demand);
+    const isInTime = now + waitMs + firstEventMs <= demand.dueAt;
     const lateMs = waitMs + (lateTokens + size) / spareTokensPerMs;
-    const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - minFirstEventMs(demand);
+    const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - firstEventMs;
     const likelyMs = demand.returned ? lateMs * lastAttemptFactor : lateMs;
-    const startInMs = Math.max(
-      openInMs,
-      versionWaitMs(demand, versionTokens),
-      demand.resuming ? 0 : likelyMs,
-    );
+    const versionMs = versionWaitMs(demand, versionTokens);
+    const startInMs = Math.max(openInMs, versionMs, demand.resuming ? 0 : likelyMs);
     const keepsWaiting = now + startInMs <= latestStartAt;
     if (isInTime || keepsWaiting) aheadByVersion.set(version, versionTokens);
     if (!isInTime && keepsWaiting) lateTokens += size;
     if (!isInTime && !keepsWaiting) {
       tokensAhead -= size;
-      found.push({ demand, waitMs: lateMs, slotMs: size / spareTokensPerMs, openInMs });
+      const leftMs = latestStartAt - now;
+      found.push({
+        demand,
+        waitMs: lateMs,
+        slotMs: size / spareTokensPerMs,
+        openInMs,
+        cause: {
+          rank: demand.rank,
+          reason: reasonOf(leftMs, { openInMs, versionMs, memoryMs: memoryWaitMs, prefillMs }),
+          forecast: {
+            place,
+            waitMs: Math.round(waitMs),
+            lateMs: Math.round(lateMs),
+            dueInMs: Math.round(demand.dueAt - firstEventMs - now),
+            lostInMs: Math.round(demand.lostAt - now),
+          },
+        },
+      });
     }
   }
   return found;
 }
 
+/** Times until parts of the capacity that a request needs are available, in milliseconds. */
+interface CapacityWaits {
+  readonly openInMs: number;
+  readonly versionMs: number;
+  readonly memoryMs: number;
+  readonly prefillMs: number;
+}
+
+/** The part of the capacity that comes too late; `late` if each comes in time on its own. */
+function reasonOf(
+  leftMs: number,
+  { openInMs, versionMs, memoryMs, prefillMs }: CapacityWaits,
+): RefusalReason {
+  if (openInMs > leftMs) return 'paused';
+  if (versionMs > leftMs) return 'version';
+  if (Math.max(memoryMs, prefillMs) <= leftMs) return 'late';
+  return memoryMs >= prefillMs ? 'memory' : 'prefill';
+}
+
 /** Retry times of refused callers, spread over time so that they do not all retry at once. */
 export class RetryTimes {
   readonly #rules: RefusalRules;
--- a/src/core/memory/scheduler.ts
+++ b/src/core/memory/scheduler.ts
@@ -139,7 +139,9 @@
           this.#actions.push({ kind: 'bind', id, decode: decode.runner.id });
         } else if (now - reservation.prefilledAt > keepMs) {
           this.#reservations.release(now, id);
-          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_UNASSIGNED_MS });
+          const { rank } = reservation.demand;
+          const cause = { rank, reason: 'unassigned' } as const;
+          this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_UNASSIGNED_MS, cause });
         }
       }
     }
@@ -182,6 +184,7 @@
         kind: 'refuse',
         id,
         retryAfterMs: this.#retryTimes.next(now, request),
+        cause: request.cause,
       });
     }
   }
@@ -191,10 +194,11 @@
    * prefill prompts themselves only while that delays no other stream.
    */
   #refuseLocalPrefills(order: readonly Demand[]): void {
-    for (const { id, prefillsLocally } of order) {
+    for (const { id, rank, prefillsLocally } of order) {
       if (prefillsLocally && this.#queue.has(id)) {
         this.#queue.delete(id);
-        this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS });
+        const cause = { rank, reason: 'localPrefill' } as const;
+        this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS, cause });
       }
     }
   }
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -117,9 +117,52 @@
   | { readonly kind: 'runners'; readonly engine: Engine; readonly runners: readonly Runner[] }
   | { readonly kind: 'woke' };
 
+/**
+ * Why a request is refused. `memory`, `prefill`: no capacity before its caller disconnects; `paused`:
+ * no decode runner accepts requests of its VM before then; `version`: no runner of its software
+ * version is free before then; `late`: it misses its deadline, and no capacity is left for it;
+ * `unassigned`: it was prefilled and found no decode memory; `runnerFull`: its decode runner rejected
+ * it; `localPrefill`: no decode runner can prefill it now.
+ */
+export type RefusalReason =
+  | 'memory'
+  | 'prefill'
+  | 'paused'
+  | 'version'
+  | 'late'
+  | 'unassigned'
+  | 'runnerFull'
+  | 'localPrefill';
+
+/** What was expected for a waiting request when it was refused. Times in milliseconds from then. */
+export interface RefusalForecast {
+  /** Number of waiting requests before it. */
+  readonly place: number;
+  /** Time until its turn by memory, prefill capacity and pauses. */
+  readonly waitMs: number;
+  /** The same with the capacity left for late requests. */
+  readonly lateMs: number;
+  /** Time until it has to start for its deadline, and until its caller disconnects. */
+  readonly dueInMs: number;
+  readonly lostInMs: number;
+}
+
+/** Why a request was refused, for the log. */
+export interface RefusalCause {
+  readonly rank: number;
+  readonly reason: RefusalReason;
+  /** Undefined if it did not wait in the queue. */
+  readonly forecast?: RefusalForecast | undefined;
+}
+
 /** Decision of the planner. */
 export type PlanAction =
   | { readonly kind: 'grant'; readonly id: string; readonly grant: Grant }
   /** The prefill is done, and this decode runner has memory for the request. */
   | { readonly kind: 'bind'; readonly id: string; readonly decode: string }
-  | { readonly kind: 'refuse'; readonly id: string; readonly retryAfterMs: number };
+  | {
+      readonly kind: 'refuse';
+      readonly id: string;
+      readonly retryAfterMs: number;
+      readonly cause: RefusalCause;
+    };
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -353,9 +353,9 @@
         );
         return { state: 'bound', id, decode };
       })
-      .with({ kind: 'refuse' }, ({ retryAfterMs }) => {
+      .with({ kind: 'refuse' }, ({ retryAfterMs, cause }) => {
         this.#log.info(
-          { request: id, service, retryAfterMs, ...summary },
+          { request: id, service, retryAfterMs, ...cause, ...summary },
           'Refused a reservation.',
         );
         return { state: 'refused', id, retryAfterMs };
--- a/test/fakes/memory/baselines.ts
+++ b/test/fakes/memory/baselines.ts
@@ -39,7 +39,8 @@
     const [prefill, assignedTokens = 0] =
       [...this.#prefillTokens].sort(([, a], [, b]) => a - b)[0] ?? [];
     if (decode === undefined || !held || held.size >= this.#slots) {
-      return { kind: 'refuse', id, retryAfterMs: RETRY_AFTER_MS };
+      const cause = { rank: demand.rank, reason: 'memory' } as const;
+      return { kind: 'refuse', id, retryAfterMs: RETRY_AFTER_MS, cause };
     }
     held.add(id);
     if (prefill !== undefined) this.#prefillTokens.set(prefill, assignedTokens + promptTokens);
--- a/test/router/planner.test.ts
+++ b/test/router/planner.test.ts
@@ -227,7 +227,9 @@
     planner.handle(10, { kind: 'reported', report: { runner: 'd1', usedTokens: 63_000 } });
     const ready = { kind: 'prefilled', id: 'r', ms: 150, unreachable: undefined } as const;
     const shed = planner.handle(160, { ...ready, shedBy: 'd1' });
-    expect(shed).toEqual([{ kind: 'refuse', id: 'r', retryAfterMs: 1000 }]);
+    expect(shed).toEqual([
+      { kind: 'refuse', id: 'r', retryAfterMs: 1000, cause: { rank: 1, reason: 'runnerFull' } },
+    ]);
     expect(planner.ejected(160)).toEqual([]);
   });
 
