Order waiting requests by rank, and hold runners for those whose turn it is

Requests were ordered by size only, so that in an overload each kind lost the same share whatever its priority, and the largest requests were refused while smaller ones took the memory of each one that ended. Where the routes of a service have different priorities, requests are now ordered by rank; less urgent ranks get a tenth each of the memory started while they wait. In each rank, every fourth start is the oldest request. A decode runner is held for a request whose turn has come and that does not fit yet.

--- a/src/core/memory/order.ts
+++ b/src/core/memory/order.ts
@@ -14,8 +14,11 @@
 
 /** A scheduling order. */
 export interface QueueOrder {
-  /** Returns the entries in scheduling order. */
-  order(entries: readonly QueueEntry[]): readonly QueueEntry[];
+  /**
+   * Returns the entries in scheduling order.
+   * @param byAge whether the first one is chosen by age instead of size
+   */
+  order(entries: readonly QueueEntry[], byAge: boolean): readonly QueueEntry[];
   /** A customer without waiting requests got one. */
   customerQueued(demand: Demand): void;
   /** A customer's last waiting request was removed. */
@@ -28,13 +31,24 @@
   return a.size - b.size;
 }
 
+/** Moves the entry with the earliest deadline to the front. */
+function moveOldestToFront(entries: QueueEntry[]): void {
+  let oldest = 0;
+  for (const [i, { demand }] of entries.entries()) {
+    if (demand.dueAt < (entries[oldest]?.demand.dueAt ?? Infinity)) oldest = i;
+  }
+  entries.unshift(...entries.splice(oldest, 1));
+}
+
 /**
  * Smallest requests first, regardless of their customers: in an overload they give the most answers
  * for the memory.
  */
 export class SmallestFirst implements QueueOrder {
-  order(entries: readonly QueueEntry[]): readonly QueueEntry[] {
-    return [...entries].sort(bySize);
+  order(entries: readonly QueueEntry[], byAge: boolean): readonly QueueEntry[] {
+    const ordered = [...entries].sort(bySize);
+    if (byAge) moveOldestToFront(ordered);
+    return ordered;
   }
 
   customerQueued(): void {}
@@ -67,8 +81,10 @@
 
   readonly #shares = new FairShares((group) => this.#weights.get(group) ?? 1, 0);
 
-  order(entries: readonly QueueEntry[]): readonly QueueEntry[] {
+  order(entries: readonly QueueEntry[], byAge: boolean): readonly QueueEntry[] {
     const lanes = this.#groupIntoLanes(entries);
+    const first = byAge ? leastLane(lanes) : undefined;
+    if (first) moveOldestToFront(first.entries);
     const ordered: QueueEntry[] = [];
     while (ordered.length < entries.length) {
       const lane = leastLane(lanes);
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -77,9 +77,7 @@
     this.#stats = new WorkloadStats(policy.lengths, costs);
     this.#account = new MemoryAccount(policy.memory, costs);
     this.#stages = new StageController(policy.stages, this.#account, this.#stats, costs);
-    this.#queue = new WaitingQueue(costs, policy.order.createOrder(), (demand) =>
-      this.#stats.sizeOf(demand),
-    );
+    this.#queue = new WaitingQueue(costs, policy.order, (demand) => this.#stats.sizeOf(demand));
     this.#capacity = new CapacityView(policy, this.#account, costs, allowance, this.#backoffs);
     this.#reservations = new Reservations(this.#account, this.#stats, costs, () =>
       this.#capacity.invalidate(),
@@ -179,8 +177,9 @@
       })
       .with({ kind: 'vmLost' }, ({ vm }) => this.#dropVm(now, vm))
       .with({ kind: 'reported' }, ({ report }) => this.#recordReport(now, report))
-      .with({ kind: 'runners' }, ({ engine, runners }) => {
+      .with({ kind: 'runners' }, ({ engine, runners, byRank = false }) => {
         this.#engine = engine;
+        this.#queue.turns.distinguish(byRank);
         this.#account.setRunners(engine, runners);
         const listed = new Set(runners.map(({ id }) => id));
         this.#backoffs.retain((id) => listed.has(id));
--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -34,6 +34,12 @@
 export interface OrderRules {
   /** Share of a decode runner's memory that a late request must leave free. */
   readonly lateFreeShare: number;
+  /**
+   * Share of the memory started for a rank that each less urgent rank gets as well while it waits.
+   */
+  readonly lessUrgentShare: number;
+  /** In each rank, one of this number of starts is chosen by age instead of size. */
+  readonly startsPerAged: number;
   /** Creates the order of the requests that can still meet their deadline; one for each planner. */
   readonly createOrder: () => QueueOrder;
 }
@@ -155,6 +161,8 @@
   // delays the requests that follow. In an overload by a third, this reserve and their last place
   // in the queue raise the share of requests served in time from 72 to 85 %.
   lateFreeShare: 0.1,
+  lessUrgentShare: 0.1,
+  startsPerAged: 4,
   createOrder: () => new FairOrder(),
 };
 
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -4,6 +4,7 @@
 import { prefillMs } from './cost';
 import type { OrderRules } from './policy';
 import type { QueueEntry, QueueOrder } from './order';
+import { RankTurns } from './ranks';
 import type { Demand } from './types';
 
 /** Shortest time from a grant to the first event, in milliseconds. */
@@ -32,13 +33,18 @@
 
   readonly #queueOrder: QueueOrder;
 
+  readonly #turns: RankTurns;
+
+  #aged: ReadonlySet<string> = new Set();
+
   /** Number of waiting requests by customer. */
   readonly #counts = new Map<string | undefined, number>();
 
   /** @param sizeOf tokens of memory that a request will take */
-  constructor(costs: Costs, queueOrder: QueueOrder, sizeOf: (demand: Demand) => number) {
+  constructor(costs: Costs, rules: OrderRules, sizeOf: (demand: Demand) => number) {
     this.#costs = costs;
-    this.#queueOrder = queueOrder;
+    this.#queueOrder = rules.createOrder();
+    this.#turns = new RankTurns(rules);
     this.#sizeOf = sizeOf;
   }
 
@@ -47,6 +53,16 @@
     return this.#demands.size;
   }
 
+  /** Order between ranks. */
+  get turns(): RankTurns {
+    return this.#turns;
+  }
+
+  /** Whether the turn of a request in the last order is by age. */
+  isAged({ id }: Demand): boolean {
+    return this.#aged.has(id);
+  }
+
   /** Whether a request waits. */
   has(id: string): boolean {
     return this.#demands.has(id);
@@ -82,7 +98,9 @@
 
   /** Removes a request that got a reservation and charges its customer's share. */
   removeReserved(demand: Demand): void {
-    this.#queueOrder.reserved(this.#entryOf(demand));
+    const entry = this.#entryOf(demand);
+    this.#queueOrder.reserved(entry);
+    this.#turns.reserved(entry);
     this.delete(demand.id);
   }
 
@@ -94,7 +112,7 @@
   /**
    * All waiting requests in scheduling order: first those that resume an interrupted answer, since
    * their callers see a pause; then those that can still meet their deadline; then late ones, which
-   * get the remaining capacity, ordered by when their callers disconnect.
+   * get the remaining capacity, ordered by rank, then by when their callers disconnect.
    */
   order(now: number): readonly Demand[] {
     const all = [...this.#demands.values()];
@@ -102,9 +120,13 @@
     const others = all.filter((demand) => !demand.resuming);
     const onTime = others.filter((demand) => this.#isInTime(now, demand));
     const late = others.filter((demand) => !this.#isInTime(now, demand));
-    const ordered = this.#queueOrder.order(onTime.map((demand) => this.#entryOf(demand)));
-    late.sort((a, b) => a.lostAt - b.lostAt);
-    return [...resuming, ...ordered.map(({ demand }) => demand), ...late];
+    const { entries, aged } = this.#turns.order(
+      onTime.map((demand) => this.#entryOf(demand)),
+      (own, byAge) => this.#queueOrder.order(own, byAge),
+    );
+    this.#aged = aged;
+    late.sort((a, b) => this.#turns.rankOf(a) - this.#turns.rankOf(b) || a.lostAt - b.lostAt);
+    return [...resuming, ...entries.map(({ demand }) => demand), ...late];
   }
 
   #isInTime(now: number, demand: Demand): boolean {
--- a/src/core/memory/scheduler.ts
+++ b/src/core/memory/scheduler.ts
@@ -2,10 +2,11 @@
 
 import type { RateAllowance } from '../ratelimits/types';
 import type { Engine } from '../routing/types';
-import type { DecodeState, MemoryAccount } from './account';
+import type { DecodeState, MemoryAccount, PrefillState } from './account';
 import { maxPrefillsAhead, maxWaitMs } from './ahead';
 import type { CapacityView } from './capacity';
 import type { Costs } from './cost';
+import { RunnerHolds } from './holds';
 import type { PlanPolicy } from './policy';
 import type { WaitingQueue } from './queue';
 import { minFirstEventMs, requiredFreeShare } from './queue';
@@ -33,6 +34,24 @@
   readonly reservations: Reservations;
 }
 
+/** State of one scheduling step. */
+interface SchedulingStep {
+  /** Prefills that may still start before decode memory is free for them. */
+  prefillsLeft: number;
+  /** Largest free memory of any one decode runner, in tokens. */
+  largest: number;
+  readonly holds: RunnerHolds;
+}
+
+/** Where a request starts. */
+interface Placement {
+  /** Undefined if the decode runner prefills the prompt itself. */
+  readonly prefill: PrefillState | undefined;
+  readonly target: DecodeState;
+  /** Whether memory is allocated at once. */
+  readonly isAssigned: boolean;
+}
+
 /** Scheduler of one service. */
 export class Scheduler {
   readonly #policy: PlanPolicy;
@@ -85,37 +104,69 @@
     this.#assignPrefilled(now);
     if (this.#queue.size === 0) return;
     const order = this.#queue.order(now);
-    let prefillsLeft = this.#allowedPrefillsAhead();
-    let largest = this.#capacity.largestFreeTokens(now);
-    for (const demand of order) {
-      const decode = this.#fitsLargest(now, demand, largest)
-        ? this.#findDecode(now, demand)
-        : undefined;
-      const mayPrefillAhead =
-        prefillsLeft > 0 && this.#stats.sizeOf(demand) <= this.#stats.usualSizeTokens;
-      const candidate =
-        decode ?? (mayPrefillAhead ? this.#capacity.findSoonest(now, demand) : undefined);
-      const prefill =
-        candidate && !demand.prefillsLocally
-          ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
-          : undefined;
-      const localPrefill = decode && !prefill ? this.#findLocalPrefill(now, demand) : undefined;
-      const target = prefill ? candidate : localPrefill;
-      if (target) {
-        const isAssigned = decode !== undefined;
-        if (!isAssigned) prefillsLeft -= 1;
-        const grant = { prefill: prefill?.runner.id, decode: target.runner.id };
-        this.#queue.removeReserved(demand);
-        if (prefill) this.#allowance.take(now, prefill.runner.id);
-        if (isAssigned) this.#allowance.take(now, target.runner.id);
-        this.#reservations.add(now, demand, grant, isAssigned, undefined);
-        this.#actions.push({ kind: 'grant', id: demand.id, grant });
-        largest = this.#capacity.largestFreeTokens(now);
-      }
-    }
+    const step = {
+      prefillsLeft: this.#allowedPrefillsAhead(),
+      largest: this.#capacity.largestFreeTokens(now),
+      holds: new RunnerHolds(),
+    };
+    for (const demand of order) this.#startOrHold(now, demand, step);
     this.#refuseUnservable(now, order);
   }
 
+  /** Starts a request if capacity allows it; otherwise holds a runner for it if its turn has come. */
+  #startOrHold(now: number, waiting: Demand, step: SchedulingStep): void {
+    const rank = this.#queue.turns.rankOf(waiting);
+    if (step.holds.blocks(rank)) return;
+    const demand = step.holds.applyTo(waiting, rank);
+    const decode = this.#fitsLargest(now, demand, step.largest)
+      ? this.#findDecode(now, demand)
+      : undefined;
+    const mayPrefillAhead =
+      step.prefillsLeft > 0 &&
+      demand === waiting &&
+      this.#stats.sizeOf(demand) <= this.#stats.usualSizeTokens;
+    const candidate =
+      decode ?? (mayPrefillAhead ? this.#capacity.findSoonest(now, demand) : undefined);
+    const prefill =
+      candidate && !demand.prefillsLocally
+        ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
+        : undefined;
+    const localPrefill = decode && !prefill ? this.#findLocalPrefill(now, demand) : undefined;
+    const target = prefill ? candidate : localPrefill;
+    if (target) this.#start(now, waiting, { prefill, target, isAssigned: !!decode }, step);
+    else if (!decode) this.#hold(now, demand, step.holds);
+  }
+
+  #start(
+    now: number,
+    demand: Demand,
+    { prefill, target, isAssigned }: Placement,
+    state: SchedulingStep,
+  ): void {
+    const step = state;
+    if (!isAssigned) step.prefillsLeft -= 1;
+    const grant = { prefill: prefill?.runner.id, decode: target.runner.id };
+    this.#queue.removeReserved(demand);
+    if (prefill) this.#allowance.take(now, prefill.runner.id);
+    if (isAssigned) this.#allowance.take(now, target.runner.id);
+    this.#reservations.add(now, demand, grant, isAssigned, undefined);
+    this.#actions.push({ kind: 'grant', id: demand.id, grant });
+    step.largest = this.#capacity.largestFreeTokens(now);
+  }
+
+  /**
+   * Holds the runner that is likely to fit a request first: for one whose turn is by age from all
+   * others, and for an urgent one from less urgent ones. Late requests get what is left over.
+   */
+  #hold(now: number, demand: Demand, holds: RunnerHolds): void {
+    const { turns } = this.#queue;
+    const isAged = this.#queue.isAged(demand);
+    if (holds.isFull || (!isAged && !turns.isDistinguished)) return;
+    if (now + minFirstEventMs(this.#costs, demand) > demand.dueAt) return;
+    const runner = this.#capacity.findSoonest(now, demand)?.runner.id;
+    if (runner !== undefined) holds.add(runner, turns.rankOf(demand), isAged);
+  }
+
   /** Whether the largest free memory of any one decode runner is enough for a request. */
   #fitsLargest(now: number, demand: Demand, largest: number): boolean {
     const requiredFreeTokens =
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -114,7 +114,13 @@
   /** A VM is gone, and with it the callers of its requests. */
   | { readonly kind: 'vmLost'; readonly vm: string }
   | { readonly kind: 'reported'; readonly report: MemoryReport }
-  | { readonly kind: 'runners'; readonly engine: Engine; readonly runners: readonly Runner[] }
+  | {
+      readonly kind: 'runners';
+      readonly engine: Engine;
+      readonly runners: readonly Runner[];
+      /** Whether requests of different ranks are ordered by rank. Default: false. */
+      readonly byRank?: boolean | undefined;
+    }
   | { readonly kind: 'woke' };
 
 /**
--- a/src/core/routing/table.ts
+++ b/src/core/routing/table.ts
@@ -11,6 +11,9 @@
 
   readonly #services = new Map<string, Service>();
 
+  /** Services whose routes have different priorities. */
+  readonly #ranked: ReadonlySet<string>;
+
   /** Customers by key; undefined if requests need no key. */
   readonly keyRing: KeyRing | undefined;
 
@@ -23,6 +26,7 @@
       routes.push(route);
       this.#hosts.set(route.host, routes);
     }
+    this.#ranked = servicesWithRanks(config.routes);
     for (const routes of this.#hosts.values()) {
       routes.sort((a, b) => b.prefix.length - a.prefix.length);
     }
@@ -40,6 +44,24 @@
   service(name: string): Service | undefined {
     return this.#services.get(name);
   }
+
+  /** Whether the routes of a service have different priorities. */
+  hasRanks(service: string): boolean {
+    return this.#ranked.has(service);
+  }
+}
+
+/** Names of the services whose routes have different priorities. */
+function servicesWithRanks(routes: readonly Route[]): ReadonlySet<string> {
+  const priorities = new Map<string, number>();
+  const ranked = new Set<string>();
+  for (const { targets, priority } of routes) {
+    for (const { service } of targets) {
+      if ((priorities.get(service) ?? priority) !== priority) ranked.add(service);
+      priorities.set(service, priority);
+    }
+  }
+  return ranked;
 }
 
 /** Picks a target at random by weight; `random` is uniform in [0, 1). Undefined if there are no targets. */
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -332,7 +332,8 @@
     record.runnersAt = now;
     record.runnerChanges = runnerChanges;
     const runners = this.#routingState.runnersOf(now, service);
-    return record.planner.handle(now, { kind: 'runners', engine, runners });
+    const byRank = this.#routingState.table?.hasRanks(service);
+    return record.planner.handle(now, { kind: 'runners', engine, runners, byRank });
   }
 
   #decide(now: number, service: string, { planner }: ServicePlan, action: PlanAction): Decision {
--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -92,7 +92,9 @@
   /** Runs the simulation to the deadline of the last request. */
   run(): MemoryResult {
     const { jobs } = this.#options;
-    this.#dispatch(0, { kind: 'runners', engine: this.#engine(), runners: this.#runners() });
+    const byRank = new Set(jobs.map(({ rank }) => rank)).size > 1;
+    const runners = this.#runners();
+    this.#dispatch(0, { kind: 'runners', engine: this.#engine(), runners, byRank });
     for (const job of jobs) {
       const caller = new MemoryCaller(job);
       this.#callers.set(job.id, caller);
@@ -110,6 +112,11 @@
     return servedFractions([...this.#callers.values()]);
   }
 
+  /** All callers; valid after `run`. */
+  get callers(): readonly MemoryCaller[] {
+    return [...this.#callers.values()];
+  }
+
   #every(periodMs: number, untilMs: number, run: (now: number) => void): void {
     for (let at = periodMs; at < untilMs; at += periodMs) this.#schedule.add(at, () => run(at));
   }
@@ -147,7 +154,7 @@
       id: job.id,
       vm: 'vm1',
       customer: job.customer,
-      rank: 1,
+      rank: job.rank ?? 1,
       promptId: undefined,
       promptTokens: job.promptTokens,
       maxOutputTokens: job.maxOutputTokens,
--- a/test/fakes/memory/load.ts
+++ b/test/fakes/memory/load.ts
@@ -7,6 +7,8 @@
   readonly id: string;
   /** Customer that sends it. Default: none. */
   readonly customer?: string;
+  /** Priority; 0 is the highest. Default: 1. */
+  readonly rank?: number;
   readonly at: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
--- a/test/router/order.test.ts
+++ b/test/router/order.test.ts
@@ -123,7 +123,7 @@
     });
     const all = [0, 1, 2, 3].flatMap((i) => [entryOf('high', 0, i), entryOf('low', 1, i)]);
     all.slice(0, 2).forEach((entry) => order.customerQueued(entry.demand));
-    const ids = order.order(all).map(({ demand: { id } }) => id);
+    const ids = order.order(all, false).map(({ demand: { id } }) => id);
     expect(ids.slice(0, 6).filter((id) => id.startsWith('high'))).toHaveLength(4);
   });
 });
--- a/test/router/urgency.test.ts
+++ b/test/router/urgency.test.ts
@@ -1,8 +1,100 @@
+import { FairOrder } from '../../src/core/memory/order';
 import { Planner } from '../../src/core/memory/planner';
 import { planPolicy } from '../../src/core/memory/policy';
+import { RankTurns } from '../../src/core/memory/ranks';
 import { demandOf } from '../fakes/demand';
+import { MemoryBench } from '../fakes/memory/bench';
+import type { MemoryCaller } from '../fakes/memory/caller';
+import { smallMemoryFigures } from '../fakes/memory/engines';
+import { drawMemoryJobs } from '../fakes/memory/load';
 import { runnerOf as runner } from '../fakes/runner';
 
+/** All callers of 1.5 times the capacity in requests of three ranks, with different sizes. */
+function playRanks(): readonly MemoryCaller[] {
+  return [1, 2, 3].flatMap((seed) => {
+    const jobs = drawMemoryJobs({ perSecond: 18, bursts: [], untilMs: 34_000 }, seed).map(
+      (job, i) => ({ ...job, rank: i % 3 }),
+    );
+    const bench = new MemoryBench({
+      jobs,
+      policy: new Planner(planPolicy),
+      figures: smallMemoryFigures,
+      prefillRunners: 2,
+      decodeRunners: 4,
+    });
+    bench.run();
+    return bench.callers;
+  });
+}
+
+const shareOf = (
+  callers: readonly MemoryCaller[],
+  meets: (caller: MemoryCaller) => boolean,
+): number => callers.filter(meets).length / callers.length;
+
+describe('order by rank', () => {
+  const callers = playRanks();
+  const ranks = [0, 1, 2].map((rank) => callers.filter(({ job }) => job.rank === rank));
+  const served = ranks.map((own) => shareOf(own, ({ state }) => state === 'done'));
+
+  /*
+   * Ordered by size alone, each rank lost the same share, and only 0.78 of the most urgent requests
+   * were in time.
+   */
+  test('serves the most urgent requests in time at 1.5 times the capacity', () => {
+    const inTime = ranks.map((own) => shareOf(own, (caller) => caller.inTime));
+    expect(inTime[0]).toBeGreaterThan(0.95);
+    expect(served).toEqual([...served].sort((a, b) => b - a));
+    expect(served[2]).toBeGreaterThan(0.5);
+  });
+
+  /* Smaller requests took the memory of each one that ended, so that large ones were refused. */
+  test('serves the largest requests at least half as often as all of them', () => {
+    const sizes = callers.map(({ job }) => job.promptTokens).sort((a, b) => a - b);
+    const large = sizes[Math.floor(sizes.length * 0.9)] ?? 0;
+    const largest = callers.filter(({ job }) => job.promptTokens >= large);
+    const isServed = ({ state }: MemoryCaller): boolean => state === 'done';
+    expect(shareOf(largest, isServed)).toBeGreaterThan(0.5 * shareOf(callers, isServed));
+  });
+
+  /* Where the routes of a service have one priority, a customer's own priority must not matter. */
+  test('is that of sizes where ranks are not distinguished', () => {
+    const turns = new RankTurns(planPolicy.order);
+    const sizes = [300, 100, 200].map((size, i) => ({
+      demand: demandOf(`q${i}`, 0, { rank: i }),
+      size,
+      cost: size,
+    }));
+    const order = new FairOrder();
+    const idsOf = (): readonly string[] =>
+      turns.order(sizes, (own) => order.order(own, false)).entries.map(({ demand: { id } }) => id);
+    const single = idsOf();
+    turns.distinguish(true);
+    expect([single, idsOf()]).toEqual([
+      ['q1', 'q2', 'q0'],
+      ['q0', 'q1', 'q2'],
+    ]);
+  });
+
+  /* A flood of urgent requests must not keep less urgent ones out for as long as it lasts. */
+  test('leaves less urgent ranks a tenth each of the memory started', () => {
+    const turns = new RankTurns(planPolicy.order);
+    turns.distinguish(true);
+    const waiting = [0, 1, 2].map((rank) => ({
+      demand: demandOf(`q${rank}`, 0, { rank }),
+      size: 100,
+      cost: 100,
+    }));
+    const starts = Array.from({ length: 120 }, () => {
+      const [first] = turns.order(waiting, (own) => own).entries;
+      if (first) turns.reserved(first);
+      return first?.demand.rank;
+    });
+    const counts = [0, 1, 2].map((rank) => starts.filter((started) => started === rank).length);
+    expect(counts).toEqual([100, 10, 10]);
+  });
+});
+
 describe('a refusal', () => {
   /*
    * Without the reason and the forecast, the log of an overload does not show whether memory,
