Keep late requests waiting while memory is idle, and last attempts longer

A late request was refused by the rate at which a full service frees memory, also while memory for it and all requests before it was free: the prefill runners were the bottleneck. In a flood to one prefill runner, the eighth of eleven requests that fit was refused 2.9 s before its caller would have disconnected. Such requests now wait for their turn. A last attempt, which has no further one, is refused later (factor 0.3, was 0.5, but not before its turn comes too late).

--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -47,8 +47,8 @@
 /** Which requests are refused, and when their callers may retry. */
 export interface RefusalRules {
   /**
-   * Factor on the estimated wait of a last attempt before it is compared with the time until the
-   * caller disconnects.
+   * Factor on the estimated wait of a last attempt for capacity left over, before it is compared with
+   * the time until the caller disconnects.
    */
   readonly lastAttemptFactor: number;
   /** Shortest Retry-After, in milliseconds. */
@@ -167,8 +167,9 @@
 };
 
 const refusal: RefusalRules = {
-  // Estimates of waits vary by half.
-  lastAttemptFactor: 0.5,
+  // Estimates of waits vary by half, and the capacity left over is estimated from first attempts that
+  // are refused in part. With 0, callers that are refused for good wait more than 3.5 s.
+  lastAttemptFactor: 0.3,
   minMs: 300,
   maxMs: 4500,
   // In a heavy burst the retry times wrap around instead of exceeding the time that callers wait.
--- a/src/core/memory/refusal.ts
+++ b/src/core/memory/refusal.ts
@@ -46,8 +46,8 @@
 /**
  * Finds the requests that cannot be served before their callers disconnect, as early as that is
  * known. A request that would miss its deadline keeps waiting only if capacity for it is likely to
- * be left over. A returning caller has no further attempt, so its request also waits for less
- * likely capacity.
+ * be left over; while memory is idle, that is once its turn comes. A returning caller has no further
+ * attempt, so its request also waits for less likely capacity.
  * @param order waiting requests in scheduling order
  */
 export function findUnservable(
@@ -81,9 +81,11 @@
     const waitMs = Math.max(openInMs, memoryWaitMs, prefillMs);
     const firstEventMs = minFirstEventMs(demand);
     const isInTime = now + waitMs + firstEventMs <= demand.dueAt;
-    const lateMs = waitMs + (lateTokens + size) / spareTokensPerMs;
+    // While all requests before it and itself fit into free memory, only its turn matters.
+    const isMemoryIdle = tokensAhead <= (releases[0]?.tokens ?? 0);
+    const lateMs = isMemoryIdle ? waitMs : waitMs + (lateTokens + size) / spareTokensPerMs;
     const latestStartAt = demand.lostAt - DISCONNECT_MARGIN_MS - firstEventMs;
-    const likelyMs = demand.returned ? lateMs * lastAttemptFactor : lateMs;
+    const likelyMs = demand.returned ? Math.max(waitMs, lateMs * lastAttemptFactor) : lateMs;
     const versionMs = versionWaitMs(demand, versionTokens);
     const startInMs = Math.max(openInMs, versionMs, demand.resuming ? 0 : likelyMs);
     const keepsWaiting = now + startInMs <= latestStartAt;
--- a/test/router/urgency.test.ts
+++ b/test/router/urgency.test.ts
@@ -2,6 +2,7 @@
 import { Planner } from '../../src/core/memory/planner';
 import { planPolicy } from '../../src/core/memory/policy';
 import { RankTurns } from '../../src/core/memory/ranks';
+import type { PlanAction } from '../../src/core/memory/types';
 import { demandOf } from '../fakes/demand';
 import { MemoryBench } from '../fakes/memory/bench';
 import type { MemoryCaller } from '../fakes/memory/caller';
@@ -95,27 +96,40 @@
   });
 });
 
+const engine = {
+  slots: 64,
+  memoryTokens: 65_000,
+  eventTokens: 7,
+  keepMs: 500,
+  switchMs: undefined,
+};
+
+/** Refusals in a flood to one prefill runner and a decode runner with memory for eleven requests. */
+function refusalsOf(requests: number): readonly PlanAction[] {
+  const planner = new Planner(planPolicy);
+  const runners = [runner('p1', 'prefill'), runner('d1', 'decode')];
+  planner.handle(0, { kind: 'runners', engine, runners });
+  return Array.from({ length: requests }, (_, i) =>
+    planner.handle(0, { kind: 'asked', demand: demandOf(`r${i}`, 0) }),
+  )
+    .flat()
+    .filter(({ kind }) => kind === 'refuse');
+}
+
 describe('a refusal', () => {
   /*
    * Without the reason and the forecast, the log of an overload does not show whether memory,
    * prefill runners or the order of the queue cost the request.
    */
   test('names the rank, the place in the queue, the forecast and the reason', () => {
-    const planner = new Planner(planPolicy);
-    const engine = {
-      slots: 64,
-      memoryTokens: 65_000,
-      eventTokens: 7,
-      keepMs: 500,
-      switchMs: undefined,
-    };
-    const runners = [runner('p1', 'prefill'), runner('d1', 'decode')];
-    planner.handle(0, { kind: 'runners', engine, runners });
-    const [refusal] = Array.from({ length: 60 }, (_, i) =>
-      planner.handle(0, { kind: 'asked', demand: demandOf(`r${i}`, 0) }),
-    )
-      .flat()
-      .filter(({ kind }) => kind === 'refuse');
-    expect(refusal).toMatchSnapshot();
+    expect(refusalsOf(60)[0]).toMatchSnapshot();
+  });
+
+  /*
+   * Prompts wait for the prefill runner while there is memory for all of them. By the rate at which
+   * busy runners free memory, the eighth was refused 2.9 s before its caller would have left.
+   */
+  test('does not follow from memory rates while memory is idle', () => {
+    expect(refusalsOf(11)).toEqual([]);
   });
 });
