Tell runners the priority of a request where routes of its service differ

Runners admit and preempt by the header Request-Priority, which was never sent, so that urgent requests that were started late were preempted like others. It is sent where the routes of a service have different priorities, with the request's rank bounded to 0 to 9. The value is fixed when the request is read, so that a continued decode or one whose prompt was read never carries a less urgent value. test/router/frontend.test.ts and test/platform/runner.test.ts check when and what is sent; the gain at real runners is not measured.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -140,12 +140,13 @@
       const decoded = codec.decode(req, body, table.keyRing !== undefined);
       const route = this.#routeOf(table, decoded);
       const customer = authorizer.identify(bootNow(), table, route, decoded.credential);
-      const request = { ...decoded, customer: customer?.name };
       const { targets } = route;
       const service = pickTarget(targets, Math.random());
       if (service === undefined) throw new Failure('noRunner', `${route.name} names no service`);
       // A customer's priority takes precedence over the route's.
       const rank = customer?.rank ?? route.priority;
+      const priority = table.hasRanks(service) ? rank : undefined;
+      const request = { ...decoded, customer: customer?.name, priority };
       return new Exchange(now, request, route, service, rank, res, codec);
     } catch (error) {
       const failure = toFailure(error);
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -96,6 +96,11 @@
   readonly credential: Credential;
   /** Customer name that is passed on to runners; undefined if the request belongs to none. */
   readonly customer: string | undefined;
+  /**
+   * Priority that is passed on to runners, the same in all attempts; 0 is the highest. Undefined if
+   * the routes of the service have one priority. Default: undefined.
+   */
+  readonly priority?: number | undefined;
 }
 
 /** The KV cache of a prefilled prompt that a runner holds. */
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -34,6 +34,8 @@
   authorization: 'authorization',
   /** To runners: the name of the customer that the caller's API key belongs to. */
   customer: 'tenant-id',
+  /** To runners: priority from 0, the first, to 9; as 5 if it is absent. */
+  priority: 'request-priority',
   /** In responses of the store: its era, which increases by one each time it is restored from an older copy. */
   era: 'store-era',
 } as const;
@@ -50,7 +52,7 @@
   'pin-ms',
   'kv-backup',
   'kv-fetch',
-  'request-priority',
+  header.priority,
 ]);
 
 /** Hop-by-hop headers, which are not forwarded. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -14,6 +14,7 @@
 import { instanceId } from '../core/routing/types';
 import type {
   CacheHandle,
+  CallRequest,
   DecodeDispatch,
   Dispatch,
   OrderOutcome,
@@ -35,6 +36,9 @@
 /** Maximum size of the response to a prefill, in bytes. */
 const MAX_PREFILL_RESPONSE_BYTES = 64 * 1024;
 
+/** Largest value of the priority header. */
+const LEAST_URGENT = 9;
+
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED_REQUEST = 421;
@@ -233,6 +237,13 @@
   });
 }
 
+/** The priority header; none if the request has no priority. */
+function priorityOf({ priority }: CallRequest): readonly string[] {
+  if (priority === undefined) return [];
+  const bounded = Math.min(LEAST_URGENT, Math.max(0, Math.round(priority)));
+  return [header.priority, String(bounded)];
+}
+
 /** Raw headers to send: those of the caller and the ones that the router sets. */
 function headersOf({ runner, request, deadlineMs }: Dispatch, extra: readonly string[]): string[] {
   const headers = [...request.headers];
@@ -248,6 +259,7 @@
     String(Math.max(1, Math.floor(deadlineMs))),
     header.expectedRunner,
     runner.listing,
+    ...priorityOf(request),
     ...(request.customer === undefined ? [] : [header.customer, request.customer]),
     ...extra,
     ...(hasLength ? ['content-length', String(length)] : []),
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -133,3 +133,27 @@
     `);
   });
 });
+
+describe('the priority header', () => {
+  /** The priority that a runner receives; undefined if there is no header. */
+  const sentPriority = async (priority: number | undefined): Promise<string | undefined> => {
+    let head = '';
+    const server = await runnerOf((socket) => socket.end());
+    server.on('connection', (socket: Socket) => {
+      socket.once('data', (data: Buffer) => {
+        head = data.toString();
+      });
+    });
+    const dispatch = dispatchTo(server);
+    const request = { ...dispatch.request, priority };
+    await new PlatformRunnerClient(directConnector).send({ ...dispatch, request }).catch(() => {});
+    server.close();
+    return /request-priority: (.*)\r\n/.exec(head)?.[1];
+  };
+
+  /* A runner takes a value outside of 0 to 9 for a missing one, which counts as 5. */
+  test('has the priority of the request within its bounds', async () => {
+    const sent = await Promise.all([undefined, 0, 2, 12].map(sentPriority));
+    expect(sent).toEqual([undefined, '0', '2', '9']);
+  });
+});
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -73,8 +73,10 @@
 describe('the front end', () => {
   const routingState = new RoutingState(new StoreHistory(), log, noopListener);
   const seen: string[] = [];
+  const priorities: (number | undefined)[] = [];
   const front = frontOf(routingState, async (exchange) => {
     seen.push(exchange.request.target);
+    priorities.push(exchange.request.priority);
     exchange.writeHead(200, ['content-length', '2']);
     exchange.end(Buffer.from('ok'));
   });
@@ -110,6 +112,19 @@
     expect(seen).toEqual(['/a/2', '/a/after']);
   });
 
+  /* Runners order requests by the value, so it must be absent where a service has one priority. */
+  test('gives requests a priority only while the routes of their service have different ones', async () => {
+    const [route] = config.routes;
+    if (!route) throw new Error('no route');
+    const urgent = { ...route, name: 'u', prefix: '/u/', priority: 0 };
+    priorities.length = 0;
+    await talk(port, requestOf('/a/3'));
+    routingState.learnConfig(1, { ...config, version: 2, routes: [route, urgent] }, 'test');
+    await talk(port, requestOf('/a/4'));
+    await talk(port, requestOf('/u/5'));
+    expect(priorities).toEqual([undefined, 1, 0]);
+  });
+
   test('answers malformed HTTP once and closes the connection', async () => {
     expect(await talk(port, 'nonsense\r\n\r\n')).toMatch(/^HTTP\/1.1 400/);
   });
--- a/test/router/urgency.test.ts
+++ b/test/router/urgency.test.ts
@@ -3,7 +3,9 @@
 import { planPolicy } from '../../src/core/memory/policy';
 import { RankTurns } from '../../src/core/memory/ranks';
 import type { PlanAction } from '../../src/core/memory/types';
+import { RouteTable } from '../../src/core/routing/table';
 import { demandOf } from '../fakes/demand';
+import { streamRoute } from '../fakes/exchange';
 import { MemoryBench } from '../fakes/memory/bench';
 import type { MemoryCaller } from '../fakes/memory/caller';
 import { smallMemoryFigures } from '../fakes/memory/engines';
@@ -33,6 +35,25 @@
   meets: (caller: MemoryCaller) => boolean,
 ): number => callers.filter(meets).length / callers.length;
 
+describe('a service whose routes have different priorities', () => {
+  /* Ranks and the priority header must not change services whose routes have one priority. */
+  test('is told from those whose routes have one', () => {
+    const routes = [
+      { name: 'a', priority: 0, targets: [{ service: 'mixed', weight: 1 }] },
+      {
+        name: 'b',
+        priority: 2,
+        targets: ['mixed', 'single'].map((service) => ({ service, weight: 1 })),
+      },
+      { name: 'c', priority: 2, targets: [{ service: 'single', weight: 1 }] },
+    ].map((change) => ({ ...streamRoute, ...change }));
+    const limits = { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    const table = new RouteTable({ version: 1, routes, services: [], limits });
+    const names = ['mixed', 'single', 'none'];
+    expect(names.filter((name) => table.hasRanks(name))).toEqual(['mixed']);
+  });
+});
+
 describe('order by rank', () => {
   const callers = playRanks();
   const ranks = [0, 1, 2].map((rank) => callers.filter(({ job }) => job.rank === rank));
