Count outcomes by rank, and show the waiting requests by rank

Whether an overload costs urgent or less urgent requests could not be seen in metrics or in `ctl node`. Where the routes of a service have different priorities, the counter ranked_requests_total has the outcome of each request by service and rank, and `Request ended.` has the rank.

--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -104,6 +104,11 @@
     return this.#queue.size;
   }
 
+  /** Number of waiting requests by rank. */
+  get waitingByRank(): Readonly<Record<number, number>> {
+    return this.#queue.countsByRank;
+  }
+
   /** Number of reservations. */
   get placed(): number {
     return this.#reservations.size;
--- a/src/core/memory/queue.ts
+++ b/src/core/memory/queue.ts
@@ -53,6 +53,13 @@
     return this.#demands.size;
   }
 
+  /** Number of waiting requests by rank. */
+  get countsByRank(): Readonly<Record<number, number>> {
+    const counts: Record<number, number> = {};
+    for (const { rank } of this.#demands.values()) counts[rank] = (counts[rank] ?? 0) + 1;
+    return counts;
+  }
+
   /** Order between ranks. */
   get turns(): RankTurns {
     return this.#turns;
--- a/src/node/router/accesslog.ts
+++ b/src/node/router/accesslog.ts
@@ -21,6 +21,12 @@
   return via === undefined ? '' : ` via ${via}`;
 }
 
+/** Whether a request was answered within the latency target and the allowed pauses of its route. */
+export function isInTime({ route, code, firstMs, pauseMs }: Exchange, ms: number): boolean {
+  const isWithinGap = route.gapMs === 0 || pauseMs <= route.gapMs;
+  return code === undefined && (firstMs ?? ms) <= route.aimMs && isWithinGap;
+}
+
 /**
  * The fields of the log line.
  * @param ms time from the complete request to the end of its response
@@ -34,8 +40,6 @@
   const { continues, callerGone } = exchange;
   const versions = [...exchange.versions];
   const { firstMs = ms, pauseMs } = exchange;
-  const isWithinGap = route.gapMs === 0 || pauseMs <= route.gapMs;
-  const inTime = code === undefined && firstMs <= route.aimMs && isWithinGap;
   return {
     request: request.id,
     fingerprint,
@@ -52,7 +56,8 @@
     ms: Math.round(ms),
     firstMs: Math.round(firstMs),
     pauseMs: Math.round(pauseMs),
-    inTime,
+    inTime: isInTime(exchange, ms),
+    ...(request.priority === undefined ? {} : { rank: request.priority }),
     ...(versions.length > 0 ? { versions } : {}),
     arrivals: exchange.arrivals.counts,
     trail,
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -16,7 +16,7 @@
 import { Control } from './control';
 import { Connectivity } from './connectivity';
 import { Controllers } from './controllers';
-import { accessLogFields } from './accesslog';
+import { accessLogFields, isInTime } from './accesslog';
 import type { Exchange } from './exchange';
 import { RouterFleet } from './fleet';
 import { FrontEnd } from './frontend';
@@ -318,6 +318,11 @@
   #done(exchange: Exchange, ms: number): void {
     const { service, status, code, continues, versions } = exchange;
     this.#metrics.recordRequest(service, status, code, ms);
+    const { priority } = exchange.request;
+    if (priority !== undefined) {
+      const late = code === undefined ? 'late' : 'failed';
+      this.#metrics.recordRank(service, priority, isInTime(exchange, ms) ? 'inTime' : late);
+    }
     if (continues) this.#metrics.count('streams.continued');
     if (versions.size > 1) this.#metrics.count('streams.mixed');
     this.#log.info(accessLogFields(exchange, ms, this.#state.configVersion), 'Request ended.');
--- a/src/node/router/metrics.ts
+++ b/src/node/router/metrics.ts
@@ -30,6 +30,8 @@
 
   readonly #ended: Counter;
 
+  readonly #ranked: Counter;
+
   readonly #latency: Histogram;
 
   #server: Server | undefined;
@@ -42,6 +44,12 @@
       labelNames: ['service', 'status', 'code'],
       registers,
     });
+    this.#ranked = new Counter({
+      name: metricName('ranked_requests_total'),
+      help: 'Requests to services with several priorities, by service, rank and outcome.',
+      labelNames: ['service', 'rank', 'outcome'],
+      registers,
+    });
     this.#latency = new Histogram({
       name: metricName('request_seconds'),
       help: 'Time from the whole request to the end of its answer, by service.',
@@ -62,6 +70,11 @@
     this.#latency.observe({ service }, ms / 1000);
   }
 
+  /** Records the outcome of a request to a service whose routes have different priorities. */
+  recordRank(service: string, rank: number, outcome: 'inTime' | 'late' | 'failed'): void {
+    this.#ranked.inc({ service, rank: String(rank), outcome });
+  }
+
   /** Increments a counter, which is created on first use. */
   count(name: string, by = 1): void {
     this.#values[name] = (this.#values[name] ?? 0) + by;
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -197,6 +197,7 @@
     return [...this.#plans].map(([service, { planner, lastSeen }]) => ({
       service,
       waiting: planner.waiting,
+      waitingByRank: planner.waitingByRank,
       placed: planner.placed,
       ...planner.load(now),
       distrusted: planner.ejected(now),
--- a/test/router/plannerhost.test.ts
+++ b/test/router/plannerhost.test.ts
@@ -97,6 +97,23 @@
     host.stop();
     expect(incomplete).toEqual(['s', 's']);
   });
+
+  /* Operators could not see which kind of request waits in an overload. */
+  test('shows its waiting requests by rank', () => {
+    const now = performance.now();
+    const host = hostAt(now);
+    const states = Array.from({ length: 24 }, (_, i) => {
+      const request = { ...ask(`q${i}`), rank: i % 2, dueInMs: 60_000, lostInMs: 60_000 };
+      return host.reserve(now + 1000, 'vm2', request, () => {}).state;
+    });
+    const [plan] = host.snapshot(now + 1000) as readonly { readonly waitingByRank: unknown }[];
+    host.stop();
+    const waiting = [0, 1].map(
+      (rank) => states.filter((state, i) => state === 'waiting' && i % 2 === rank).length,
+    );
+    expect(plan?.waitingByRank).toEqual({ ...waiting });
+    expect(Math.min(...waiting)).toBeGreaterThan(0);
+  });
 });
 
 describe('pause detection', () => {
--- a/test/router/snapshot.test.ts
+++ b/test/router/snapshot.test.ts
@@ -7,6 +7,7 @@
     const metrics = new RouterMetrics();
     const address = '127.0.0.1:19464';
     metrics.recordRequest('deed-reader', 503, 'runnerFull', 120);
+    metrics.recordRank('deed-reader', 0, 'inTime');
     await metrics.listen(address, () => ({ vm: 'front-1', configVersion: 7 }));
     const get = (path: string): ReturnType<typeof call> =>
       call({
@@ -21,5 +22,8 @@
     expect(text.body).toContain(
       'goldcrestdock_requests_total{service="deed-reader",status="503",code="runnerFull"} 1',
     );
+    expect(text.body).toContain(
+      'goldcrestdock_ranked_requests_total{service="deed-reader",rank="0",outcome="inTime"} 1',
+    );
   });
 });
