--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -34,6 +34,12 @@
 export interface OrderRules {
   /** Share of a decode runner's memory that a late request must leave free. */
   readonly lateFreeShare: number;
+  /**
+   * Share of the memory started for a rank that each less urgent rank gets as well while it waits.
+   */
+  readonly lessUrgentShare: number;
+  /** In each rank, one of this number of starts is chosen by age instead of size. */
+  readonly startsPerAged: number;
   /** Creates the order of the requests that can still meet their deadline; one for each planner. */
   readonly createOrder: () => QueueOrder;
 }
@@ -41,8 +47,8 @@
 /** Which requests are refused, and when their callers may retry. */
 export interface RefusalRules {
   /**
-   * Factor on the estimated wait of a last attempt before it is compared with the time until the
-   * caller disconnects.
+   * Factor on the estimated wait of a last attempt for capacity left over, before it is compared with
+   * the time until the caller disconnects.
    */
   readonly lastAttemptFactor: number;
   /** Shortest Retry-After, in milliseconds. */
@@ -157,12 +163,15 @@
   // delays the requests that follow. In an overload by a third, this reserve and their last place
   // in the queue raise the share of requests served in time from 72 to 85 %.
   lateFreeShare: 0.1,
+  lessUrgentShare: 0.1,
+  startsPerAged: 4,
   createOrder: () => new FairOrder(),
 };
 
 const refusal: RefusalRules = {
-  // Estimates of waits vary by half.
-  lastAttemptFactor: 0.5,
+  // Estimates of waits vary by half, and the capacity left over is estimated from first attempts that
+  // are refused in part. With 0, callers that are refused for good wait more than 3.5 s.
+  lastAttemptFactor: 0.3,
   minMs: 300,
   maxMs: 4500,
   // In a heavy burst the retry times wrap around instead of exceeding the time that callers wait.
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -209,6 +209,7 @@
     return [...this.#plans].map(([service, { planner, lastSeen }]) => ({
       service,
       waiting: planner.waiting,
+      waitingByRank: planner.waitingByRank,
       placed: planner.placed,
       ...planner.load(now),
       distrusted: planner.ejected(now),
@@ -352,7 +353,8 @@
     record.runnersAt = now;
     record.runnerChanges = runnerChanges;
     const runners = this.#routingState.runnersOf(now, service);
-    return record.planner.handle(now, { kind: 'runners', engine, runners });
+    const byRank = this.#routingState.table?.hasRanks(service);
+    return record.planner.handle(now, { kind: 'runners', engine, runners, byRank });
   }
 
   #decide(now: number, service: string, { planner }: ServicePlan, action: PlanAction): Decision {
@@ -373,9 +375,9 @@
         );
         return { state: 'bound', id, decode };
       })
-      .with({ kind: 'refuse' }, ({ retryAfterMs }) => {
+      .with({ kind: 'refuse' }, ({ retryAfterMs, cause }) => {
         this.#log.info(
-          { request: id, service, retryAfterMs, ...summary },
+          { request: id, service, retryAfterMs, ...cause, ...summary },
           'Refused a reservation.',
         );
         return { state: 'refused', id, retryAfterMs };
