Keep prefill runners' queues short for requests that others outrank

Requests of a rank that others outrank get a prefill runner only while its backlog is under 40 ms of work, 120 ms for the others. Services with one rank are planned as before.

The factor of last attempts is 0.5 again: with the more accurate waits 0.3 let refused callers wait 3.55 s where 3.5 s are allowed (test/router/overload.test.ts).

test/router/urgency.test.ts, overload.test.ts, order.test.ts pass.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -241,9 +241,17 @@
   /**
    * The prefill runner that is expected to finish a prompt first and whose backlog is below the
    * limit; undefined if there is none.
+   * @param yields whether the request leaves room for more urgent ones
    */
-  findPrefill(now: number, demand: Demand, domain: string): PrefillState | undefined {
-    return this.#prefills.find(now, demand, domain);
+  findPrefill(
+    now: number,
+    demand: Demand,
+    domain: string,
+    yields = false,
+  ): PrefillState | undefined {
+    const { backlogLimitMs, yieldingBacklogLimitMs } = this.#policy.prefill;
+    const limitMs = yields ? yieldingBacklogLimitMs : backlogLimitMs;
+    return this.#prefills.find(now, demand, domain, limitMs);
   }
 
   /**
--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -65,6 +65,8 @@
   readonly crossDomainMs: number;
   /** Largest backlog at which a prefill runner still gets prompts, in milliseconds of its work. */
   readonly backlogLimitMs: number;
+  /** The same for requests that are less urgent than others of their service. */
+  readonly yieldingBacklogLimitMs: number;
   /**
    * Share of a decode runner's memory that must stay free in addition to a local prefill; 1 disables local
    * prefills.
@@ -171,7 +173,7 @@
 const refusal: RefusalRules = {
   // Estimates of waits vary by half, and the capacity left over is estimated from first attempts that
   // are refused in part. With 0, callers that are refused for good wait more than 3.5 s.
-  lastAttemptFactor: 0.3,
+  lastAttemptFactor: 0.5,
   minMs: 300,
   maxMs: 4500,
   // In a heavy burst the retry times wrap around instead of exceeding the time that callers wait.
@@ -182,6 +184,8 @@
   crossDomainMs: 20,
   // Large enough that a prefill runner never idles.
   backlogLimitMs: 120,
+  // A prompt that has been sent cannot be overtaken by a more urgent one.
+  yieldingBacklogLimitMs: 40,
   localFreeShare: 0.15,
   localPauseShare: 0.75,
 };
--- a/src/core/memory/prefills.ts
+++ b/src/core/memory/prefills.ts
@@ -69,10 +69,16 @@
    * The prefill runner that is expected to finish a prompt first and whose backlog is below the
    * limit; undefined if there is none.
    * @param domain failure domain of the decode runner
+   * @param backlogLimitMs largest backlog, in milliseconds of work
    */
-  find(now: number, demand: Demand, domain: string): PrefillState | undefined {
+  find(
+    now: number,
+    demand: Demand,
+    domain: string,
+    backlogLimitMs: number,
+  ): PrefillState | undefined {
     for (const states of this.#candidates.groupsOf(now, this.#account.prefill, demand.vm)) {
-      const found = this.#soonestOf(now, states, demand, domain);
+      const found = this.#soonestOf(now, states, demand, domain, backlogLimitMs);
       if (found) return found;
     }
     return undefined;
@@ -83,8 +89,9 @@
     states: readonly PrefillState[],
     demand: Demand,
     domain: string,
+    backlogLimitMs: number,
   ): PrefillState | undefined {
-    const { backlogLimitMs, crossDomainMs } = this.#rules;
+    const { crossDomainMs } = this.#rules;
     let best: PrefillState | undefined;
     let bestMs = Infinity;
     for (const state of states) {
--- a/src/core/memory/ranks.ts
+++ b/src/core/memory/ranks.ts
@@ -54,6 +54,11 @@
     return this.#byRank;
   }
 
+  /** Whether requests of a more urgent rank have started. */
+  isOutranked(rank: number): boolean {
+    return [...this.#starts.keys()].some((started) => started < rank);
+  }
+
   /** The rank by which a request is ordered. */
   rankOf({ rank }: { readonly rank: number }): number {
     return this.#byRank ? rank : SINGLE_RANK;
--- a/src/core/memory/scheduler.ts
+++ b/src/core/memory/scheduler.ts
@@ -122,6 +122,7 @@
     const rank = this.#queue.turns.rankOf(waiting);
     if (step.holds.blocks(rank)) return;
     const demand = step.holds.applyTo(waiting, rank);
+    const yields = this.#queue.turns.isOutranked(rank);
     const decode = this.#fitsLargest(now, demand, step.largest)
       ? this.#findDecode(now, demand)
       : undefined;
@@ -133,7 +134,7 @@
       decode ?? (mayPrefillAhead ? this.#capacity.findSoonest(now, demand) : undefined);
     const prefill =
       candidate && !demand.prefillsLocally
-        ? this.#capacity.findPrefill(now, demand, candidate.runner.domain)
+        ? this.#capacity.findPrefill(now, demand, candidate.runner.domain, yields)
         : undefined;
     const localPrefill =
       decode && !prefill ? this.#findLocalPrefill(now, demand, step.promptTokensAhead) : undefined;
