--- a/src/node/router/silentrunners.ts
+++ b/src/node/router/silentrunners.ts
@@ -71,8 +71,9 @@
 
   #onAnswer(service: string, runner: string): void {
     const { log } = this.#context;
-    if (this.#checked.get(runner)?.isSilent)
-      { log.info({ service, runner }, 'A runner answers again.'); }
+    if (this.#checked.get(runner)?.isSilent) {
+      log.info({ service, runner }, 'A runner answers again.');
+    }
     this.#checked.delete(runner);
   }
 
