Log what the owner of a quota granted and refused in each window

A log of single refusals is limited to 20 lines a second and does not show whether a quota was used. The owner now logs, for each customer and window in which something was refused, what was asked, granted and refused, and its limit. Records exist only for customers that asked within the last window.

--- a/src/core/quotas/account.ts
+++ b/src/core/quotas/account.ts
@@ -39,6 +39,15 @@
   | { readonly granted: true; readonly waitMs: number }
   | { readonly granted: false; readonly retryAfterMs: number };
 
+/** What a quota allows in a window and the allowed excess, in its unit. */
+export function allowanceOf(
+  { windowMs, overage, slack }: QuotaBounds,
+  { ratePerS, burst }: Rate,
+): { readonly allowed: number; readonly excess: number } {
+  const allowed = (ratePerS * windowMs) / 1000 + burst;
+  return { allowed, excess: overage * allowed + slack };
+}
+
 /** Fraction of the allowed excess that a new owner grants at once. It does not know what the last owner granted, and two owner changes may fall into one window. */
 const INITIAL_GRANT_FRACTION = 0.25;
 /** Fraction of the allowed excess that owners grant on behalf of VMs that no owner has contact with, each in proportion to its own part, so that dead VMs reduce the total only a little. */
@@ -116,16 +125,9 @@
     return { rate, need, waitMs: shortfall > 0 ? shortfall / rate : 0 };
   }
 
-  /** What the quota allows in a window and the allowed excess, in its unit. */
-  #allowance({ ratePerS, burst }: Rate): { readonly allowed: number; readonly excess: number } {
-    const { windowMs, overage, slack } = this.#bounds;
-    const allowed = (ratePerS * windowMs) / 1000 + burst;
-    return { allowed, excess: overage * allowed + slack };
-  }
-
   /** The allowed excess less the part that is granted for missing VMs. */
   #grantableExcess(quota: Rate): number {
-    return this.#allowance(quota).excess * (1 - MISSING_VM_FRACTION);
+    return allowanceOf(this.#bounds, quota).excess * (1 - MISSING_VM_FRACTION);
   }
 
   /**
@@ -135,14 +137,14 @@
    */
   #effectivePart(now: number, quota: Rate, part: number): number {
     if (now - this.#startedAt < this.#bounds.windowMs) return part;
-    const { allowed, excess } = this.#allowance(quota);
+    const { allowed, excess } = allowanceOf(this.#bounds, quota);
     return allowed > 0 ? Math.min(1, part * (1 + (excess * MISSING_VM_FRACTION) / allowed)) : part;
   }
 
   /** Credits the initial grant for the parts of VMs that have newly joined this owner. */
   #creditInitialGrant(quota: Rate, part: number): void {
     if (part <= this.#maxPart) return;
-    const { excess } = this.#allowance(quota);
+    const { excess } = allowanceOf(this.#bounds, quota);
     this.#balance +=
       Math.min(quota.burst, excess * INITIAL_GRANT_FRACTION) * (part - this.#maxPart);
     this.#maxPart = part;
--- a/src/core/quotas/accounts.ts
+++ b/src/core/quotas/accounts.ts
@@ -86,6 +86,11 @@
     return account.waitMs(now, quota, share.part(now, members), size);
   }
 
+  /** Part of the quotas of a group that belongs to the VMs that use this owner, from 0 to 1. */
+  part(now: number, group: string, members: QuotaMembers): number {
+    return this.#groupOf(now, group).share.part(now, members);
+  }
+
   /** Drops the accounts of subjects that no longer have a quota. */
   retain(hasQuota: (subject: string) => boolean): void {
     for (const { accounts } of this.#groups.values()) {
--- a/src/node/router/quotas.ts
+++ b/src/node/router/quotas.ts
@@ -11,8 +11,10 @@
 import type { Quota } from '../../core/customers/types';
 import { Failure } from '../../core/failure';
 import type { QuotaBounds, QuotaDecision } from '../../core/quotas/account';
+import { allowanceOf } from '../../core/quotas/account';
 import type { QuotaKey } from '../../core/quotas/accounts';
 import { QuotaAccounts } from '../../core/quotas/accounts';
+import { QuotaTallies } from '../../core/quotas/tally';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import { AccountOwners } from './accountowners';
@@ -32,6 +34,8 @@
 
 /** Log lines about requests over a quota per second. */
 const REJECTION_LINES_PER_S = 20;
+/** Period of the check for windows that have ended, in milliseconds. */
+const TALLY_CHECK_MS = 1000;
 
 const name = z.string().min(1).max(200);
 const amount = z.number().min(0).max(1e15);
@@ -70,6 +74,11 @@
 
   readonly #lines: LogRateLimiter;
 
+  /** What this VM granted and refused as an owner. */
+  readonly #tallies: QuotaTallies;
+
+  readonly #timer: NodeJS.Timeout;
+
   constructor(context: QuotaContext) {
     const { vm, bounds, fleet, metrics, log } = context;
     this.#context = context;
@@ -86,10 +95,14 @@
     this.#lines = new LogRateLimiter(REJECTION_LINES_PER_S, (lines) =>
       log.info({ lines }, 'Rejected more requests over a quota.'),
     );
+    this.#tallies = new QuotaTallies(bounds.windowMs);
+    const report = (): void => this.#reportWindows(performance.now());
+    this.#timer = setInterval(report, TALLY_CHECK_MS).unref();
   }
 
-  /** Stops the timer. */
+  /** Stops the timers. */
   stop(): void {
+    clearInterval(this.#timer);
     this.#owners.stop();
   }
 
@@ -170,7 +183,24 @@
     const isOutdated = version > this.#context.routingState.configVersion;
     const valid = isOutdated ? quota : this.#quotaOf(customer);
     if (!valid) return { granted: true, waitMs: 0 };
-    return this.#accounts.take(now, vm, keyOf(customer), valid, this.#owners.members, size);
+    const { members } = this.#owners;
+    const key = keyOf(customer);
+    const verdict = this.#accounts.take(now, vm, key, valid, members, size);
+    const part = this.#accounts.part(now, key.group, members);
+    const limit = allowanceOf(this.#context.bounds, valid).allowed * part;
+    this.#tallies.record(now, customer, size, verdict.granted, limit);
+    return verdict;
+  }
+
+  /** Logs the windows that have ended and in which something was refused. */
+  #reportWindows(now: number): void {
+    for (const { subject: customer, ...sums } of this.#tallies.close(now)) {
+      const rounded = Object.entries(sums).map(([sum, value]) => [sum, Math.round(value)]);
+      this.#context.log.info(
+        { customer, ...Object.fromEntries(rounded) },
+        'Refused requests of a customer in a window.',
+      );
+    }
   }
 
   #rejectionOf({ request }: Exchange, size: number, retryAfterMs: number): Failure {
--- a/test/core/quotas.test.ts
+++ b/test/core/quotas.test.ts
@@ -1,6 +1,7 @@
 import type { QuotaBounds } from '../../src/core/quotas/account';
 import { QuotaAccount } from '../../src/core/quotas/account';
 import { QuotaShare, renewIntervalMs } from '../../src/core/quotas/share';
+import { QuotaTallies } from '../../src/core/quotas/tally';
 
 const bounds: QuotaBounds = { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true };
 const rate = { ratePerS: 1.4, burst: 0 };
@@ -93,3 +94,18 @@
     expect(share.part(0, { ...members, known: 2 })).toBe(0.5);
   });
 });
+
+describe('the tally of an owner', () => {
+  /* Without the sums of a window, a log of single refusals does not show whether the quota was used. */
+  test('reports windows with refusals, once, and no others', () => {
+    const tallies = new QuotaTallies(8000);
+    tallies.record(0, 'ada', 10, true, 100);
+    tallies.record(10, 'ada', 5, false, 90);
+    tallies.record(20, 'eve', 5, true, 100);
+    expect(tallies.close(7999)).toEqual([]);
+    expect(tallies.close(8020)).toEqual([
+      { subject: 'ada', ms: 8020, asked: 15, granted: 10, refused: 5, refusals: 1, limit: 90 },
+    ]);
+    expect(tallies.close(99_000)).toEqual([]);
+  });
+});
