Rank the requests of one customer by the priorities of their routes

The rank is the customer's priority first, then the route's. Shares between customers go by the customer's part of it, as before. Less urgent ranks are owed a tenth of the memory started each, but two tenths together, since there are more ranks now.

--- a/src/core/memory/order.ts
+++ b/src/core/memory/order.ts
@@ -1,5 +1,6 @@
 /** Scheduling order of the waiting requests that can still meet their deadline. */
 
+import { customerPriorityOf } from '../customers/rank';
 import { FairShares } from '../fair';
 import type { Demand } from './types';
 
@@ -98,7 +99,7 @@
 
   customerQueued(demand: Demand): void {
     const group = groupOf(demand);
-    this.#weights.set(group, 1 / (1 + demand.rank));
+    this.#weights.set(group, 1 / (1 + customerPriorityOf(demand.rank)));
     this.#shares.enter(group);
   }
 
--- a/src/core/memory/policy.ts
+++ b/src/core/memory/policy.ts
@@ -38,6 +38,8 @@
    * Share of the memory started for a rank that each less urgent rank gets as well while it waits.
    */
   readonly lessUrgentShare: number;
+  /** The same for all less urgent ranks together. */
+  readonly maxLessUrgentShare: number;
   /** In each rank, one of this number of starts is chosen by age instead of size. */
   readonly startsPerAged: number;
   /** Creates the order of the requests that can still meet their deadline; one for each planner. */
@@ -166,6 +168,7 @@
   // in the queue raise the share of requests served in time from 72 to 85 %.
   lateFreeShare: 0.1,
   lessUrgentShare: 0.1,
+  maxLessUrgentShare: 0.2,
   startsPerAged: 4,
   createOrder: () => new FairOrder(),
 };
--- a/src/core/memory/ranks.ts
+++ b/src/core/memory/ranks.ts
@@ -90,8 +90,11 @@
   reserved({ demand, size }: QueueEntry): void {
     const rank = this.rankOf(demand);
     this.#starts.set(rank, (this.#starts.get(rank) ?? 0) + 1);
+    const { lessUrgentShare, maxLessUrgentShare } = this.#rules;
+    const lower = [...this.#owed.keys()].filter((other) => other > rank).length;
+    const share = Math.min(lessUrgentShare, maxLessUrgentShare / Math.max(1, lower));
     for (const [other, tokens] of this.#owed) {
-      if (other > rank) this.#owed.set(other, tokens + size * this.#rules.lessUrgentShare);
+      if (other > rank) this.#owed.set(other, tokens + size * share);
       if (other === rank) this.#owed.set(other, Math.max(0, tokens - size));
     }
   }
--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -7,6 +7,7 @@
 
 import type { Logger } from 'pino';
 
+import { rankOf, runnerPriorityOf } from '../../core/customers/rank';
 import { Failure, toFailure } from '../../core/failure';
 import type { RouteTable } from '../../core/routing/table';
 import { pickTarget } from '../../core/routing/table';
@@ -143,9 +144,8 @@
       const { targets } = route;
       const service = pickTarget(targets, Math.random());
       if (service === undefined) throw new Failure('noRunner', `${route.name} names no service`);
-      // A customer's priority takes precedence over the route's.
-      const rank = customer?.rank ?? route.priority;
-      const priority = table.hasRanks(service) ? rank : undefined;
+      const rank = rankOf(customer?.rank, route.priority);
+      const priority = table.hasRanks(service) ? runnerPriorityOf(rank) : undefined;
       const request = { ...decoded, customer: customer?.name, priority };
       return new Exchange(now, request, route, service, rank, res, codec);
     } catch (error) {
--- a/test/router/order.test.ts
+++ b/test/router/order.test.ts
@@ -1,3 +1,4 @@
+import { rankOf } from '../../src/core/customers/rank';
 import { Planner } from '../../src/core/memory/planner';
 import { planPolicy } from '../../src/core/memory/policy';
 import type { QueueEntry, QueueOrder } from '../../src/core/memory/order';
@@ -117,7 +118,7 @@
   test('prefers a customer with a higher priority', () => {
     const order = new FairOrder();
     const entryOf = (customer: string, rank: number, i: number): QueueEntry => ({
-      demand: { ...demand, id: `${customer}${i}`, customer, rank },
+      demand: { ...demand, id: `${customer}${i}`, customer, rank: rankOf(rank, 1) },
       size: 100,
       cost: 100,
     });
