Tell all VMs of a plain runner that fails more than the others

Results of requests were passed on with reported load, which only runners that report their slowness have.

While the failures of a runner exceed those of the others by 0.2, the owner of the service tells all VMs the results, at most twice a second. The choice by requests in flight counts the excess as up to 20 requests. Nothing is sent while all requests succeed.

test/router/plainloads.test.ts, plainbalancer.test.ts: a VM that has seen no failure itself, and the choice by it, went on with the failing runner before.

--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -73,6 +73,7 @@
     else if (method === 'quotaBack') quotas.onRefund(params);
     else if (method === 'permitJoin') permits.onJoin(now, vm, params);
     else if (method === 'plainNews') loads.onNews(now, params);
+    else if (method === 'plainFailures') loads.onFailures(now, params);
     else if (method === 'rates') permits.onRates(now, vm, params);
     else if (method === 'origins') origins.onTold(now, params);
     else if (method === 'gather') this.#reportHoldings(now, vm, gatherSchema.parse(params).service);
--- a/src/node/router/plainbalancer.ts
+++ b/src/node/router/plainbalancer.ts
@@ -36,6 +36,7 @@
     | 'sent'
     | 'replied'
     | 'ended'
+    | 'failureExcess'
     | 'slotsOf'
   >;
   readonly domain: string;
@@ -45,6 +46,8 @@
 const REMOTE_COST = 0.5;
 /** Extra cost of a runner that is reached only through another VM, in requests in flight. */
 const TUNNEL_COST = 0.5;
+/** Extra cost of a runner all of whose requests fail while those of others succeed, in requests in flight. */
+const FAILURE_COST = 20;
 /** Ties are broken at random within this range, in requests in flight, since all VMs would otherwise choose the same runner. */
 const TIE_RANGE = 0.25;
 /** Part of the time left to its latency target for which a request may wait for a permit of a rate-limited runner; the rest is for its run. */
@@ -177,7 +180,7 @@
   #cheapest(exchange: Exchange, runners: readonly Runner[]): Runner | undefined {
     const { loads } = this.#context;
     const now = performance.now();
-    if (!loads.isActive(now, exchange.service)) return this.#leastInFlight(runners);
+    if (!loads.isActive(now, exchange.service)) return this.#leastInFlight(now, runners);
     const candidates = runners.map((runner) => this.#candidateOf(runner));
     const best = loads.best(now, exchange, candidates);
     const { placement } = exchange;
@@ -187,11 +190,13 @@
     return best?.runner.runner;
   }
 
-  #leastInFlight(runners: readonly Runner[]): Runner | undefined {
+  #leastInFlight(now: number, runners: readonly Runner[]): Runner | undefined {
+    const { loads } = this.#context;
     let best: Runner | undefined;
     let bestCost = Infinity;
     for (const runner of runners) {
-      const cost = this.#costOf(runner) + Math.random() * TIE_RANGE;
+      const failureCost = FAILURE_COST * loads.failureExcess(now, runner.service, runner.id);
+      const cost = this.#costOf(runner) + failureCost + Math.random() * TIE_RANGE;
       if (cost < bestCost) {
         best = runner;
         bestCost = cost;
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -9,6 +9,7 @@
 
 import { toFailure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
+import { isPresent } from '../../core/membership/types';
 import { LoadShare } from '../../core/plain/loadshare';
 import type { Candidate, Choice } from '../../core/plain/loadtable';
 import { LoadTable } from '../../core/plain/loadtable';
@@ -19,10 +20,12 @@
 import type { RouterFleet } from './fleet';
 import type { LoadAnswer, LoadAsk } from './plainloadwire';
 import {
+  failuresOf,
   fromWireNews,
   fromWireRows,
   loadAnswerOf,
   loadAskOf,
+  toWireFailures,
   toWireNews,
   toWireRows,
 } from './plainloadwire';
@@ -32,7 +35,7 @@
 /** Dependencies of the loads. */
 export interface PlainLoadContext {
   readonly vm: string;
-  readonly fleet: Pick<RouterFleet, 'ownersOf' | 'call' | 'deprioritize'>;
+  readonly fleet: Pick<RouterFleet, 'ownersOf' | 'call' | 'deprioritize' | 'all'>;
   readonly routingState: Pick<RoutingState, 'runnersOf'>;
   readonly metrics: Metrics;
   readonly log: Logger;
@@ -44,6 +47,12 @@
 const REFRESH_WAIT_MS = 20;
 /** Timeout of a call to the owner, in milliseconds; one that exceeds it is skipped. */
 const CALL_TIMEOUT_MS = 150;
+/**
+ * Excess of failures at which the owner tells all VMs, and time between two such messages, in
+ * milliseconds: VMs without reported load do not ask for the table.
+ */
+const TOLD_EXCESS = 0.2;
+const TELL_FAILURES_MS = 500;
 /** Part of a route's latency target that is its usual time before the first response. */
 const ASSUMED_AIM_PART = 0.25;
 const SERVER_ERROR = 500;
@@ -53,6 +62,8 @@
   readonly share: LoadShare;
   /** The refresh in progress, with its start. */
   refresh: { readonly startedAt: number; readonly done: Promise<string | undefined> } | undefined;
+  /** When this VM, as the owner, last told all VMs of failures. */
+  failuresToldAt: number;
 }
 
 /** Load tables of all plain services. */
@@ -61,7 +72,7 @@
 
   readonly #services = new LazyMap<string, ServiceState>(() => {
     const table = new LoadTable();
-    return { table, share: new LoadShare(table), refresh: undefined };
+    return { table, share: new LoadShare(table), refresh: undefined, failuresToldAt: -Infinity };
   });
 
   readonly #names = new Set<string>();
@@ -191,11 +202,24 @@
 
   /** Records the result of a request: whether it failed at its runner. */
   ended(now: number, { service }: Exchange, { id }: Runner, hasFailed: boolean): void {
-    if (!this.isActive(now, service)) return;
     const state = this.#services.get(service);
     const isNews = state.share.ended(now, id, hasFailed);
     const owner = isNews && this.#ownerOf(now, service);
     if (owner) this.#tell(now, state, owner, service);
+    else if (isNews) this.#tellFailures(now, state, service);
+  }
+
+  /** By how much the failures of a runner exceed those of the others, from 0 to 1. */
+  failureExcess(now: number, service: string, runner: string): number {
+    return this.#services.get(service).table.failures.excess(now, runner);
+  }
+
+  /** Takes the results of a service's runners from its owner. */
+  onFailures(now: number, params: unknown): void {
+    const { service, ended } = failuresOf(params);
+    const known = new Set(this.#context.routingState.runnersOf(now, service).map(({ id }) => id));
+    const { failures } = this.#services.get(service).table;
+    for (const one of ended) if (known.has(one.runner)) failures.replace(now, one);
   }
 
   /** Answers a VM that asks for the table, as the owner. */
@@ -217,7 +241,10 @@
 
   /** Handles what a VM passes on without asking, as the owner. */
   onNews(now: number, params: unknown): void {
-    this.#learn(now, loadAskOf(params));
+    const news = loadAskOf(params);
+    this.#learn(now, news);
+    const state = this.#services.get(news.service);
+    if (!this.isActive(now, news.service)) this.#tellFailures(now, state, news.service);
   }
 
   /** State for operators. */
@@ -308,6 +335,28 @@
     }
   }
 
+  /** Tells all VMs, as the owner, of a runner that fails more than the others. */
+  #tellFailures(now: number, known: ServiceState, service: string): void {
+    const { fleet, vm, routingState, metrics, log } = this.#context;
+    const state = known;
+    const { failures } = state.table;
+    const runners = routingState.runnersOf(now, service);
+    const isFailing = runners.some(({ id }) => failures.excess(now, id) > TOLD_EXCESS);
+    if (!isFailing || now - state.failuresToldAt < TELL_FAILURES_MS) return;
+    if (fleet.ownersOf(now, service).length <= FEW_VMS) return;
+    state.failuresToldAt = now;
+    const message = toWireFailures(service, failures.rows(now));
+    metrics.count('plainload.failures');
+    log.info(message, 'Told all VMs of a runner that fails more than the others.');
+    for (const member of fleet.all) {
+      if (isPresent(member) && member.vm !== vm) {
+        fleet.call(member.address, 'plainFailures', message, CALL_TIMEOUT_MS).catch((error) => {
+          log.debug({ service, vm: member.vm }, toFailure(error).line);
+        });
+      }
+    }
+  }
+
   #tell(now: number, { share }: ServiceState, owner: Member, service: string): void {
     const { fleet, metrics, log } = this.#context;
     const news: LoadAsk = { service, ...toWireNews(now, share.take(now)) };
--- a/src/node/router/plainloadwire.ts
+++ b/src/node/router/plainloadwire.ts
@@ -46,6 +46,12 @@
     .max(MAX_ENTRIES),
 });
 
+/** Results of a service's runners, from its owner. */
+const failuresSchema = z.object({
+  service: id,
+  ended: z.array(z.tuple([id, outcomes])).max(MAX_ENTRIES),
+});
+
 export type LoadAsk = Readonly<z.infer<typeof askSchema>>;
 export type LoadAnswer = Readonly<z.infer<typeof answerSchema>>;
 type WireReport = z.infer<typeof report>;
@@ -60,6 +66,27 @@
   return decode(answerSchema, answer);
 }
 
+/** Results of the requests to a service by runner. */
+export interface ServiceOutcomes {
+  readonly service: string;
+  readonly ended: readonly Outcomes[];
+}
+
+/** Decodes the results of a service's runners; throws a `peerRejected` failure. */
+export function failuresOf(params: unknown): ServiceOutcomes {
+  const { service, ended } = decode(failuresSchema, params);
+  return { service, ended: ended.map(([runner, counts]) => fromWireOutcomes(runner, counts)) };
+}
+
+/** Encodes the results of a service's runners. */
+export function toWireFailures(
+  service: string,
+  ended: readonly Outcomes[],
+): z.infer<typeof failuresSchema> {
+  const rows = ended.slice(0, MAX_ENTRIES);
+  return { service, ended: rows.map((one) => [one.runner, toWireOutcomes(one)]) };
+}
+
 /** Encodes what a VM passes on. */
 export function toWireNews(
   now: number,
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -73,6 +73,7 @@
   sent: () => {},
   replied: () => {},
   ended: () => {},
+  failureExcess: () => 0,
 };
 
 /** Returns an authorizer that accepts configuration of any age. */
--- a/test/router/plain.test.ts
+++ b/test/router/plain.test.ts
@@ -133,7 +133,7 @@
   const metrics = new RouterMetrics();
   const loads = new PlainLoads({
     vm: 'v',
-    fleet: { ownersOf: () => [], call: async () => null, deprioritize: () => {} },
+    fleet: { all: [], ownersOf: () => [], call: async () => null, deprioritize: () => {} },
     routingState,
     metrics,
     log: pino({ level: 'silent' }),
--- a/test/router/plainbalancer.test.ts
+++ b/test/router/plainbalancer.test.ts
@@ -69,6 +69,21 @@
 
   afterAll(() => exchange.end());
 
+  // Guards against a runner that answers errors while its health checks pass.
+  test('avoids a runner that fails more requests than the others, where no load is reported', async () => {
+    const limited = new LimitedRunners([], refused);
+    const failureExcess = (_now: number, _service: string, id: string): number =>
+      id === 'near' ? 0.4 : 0;
+    const loads = { ...unreportedLoads, failureExcess };
+    const balancer = new PlainBalancer({ ...limited.context([near, far]), loads });
+    const sound = new PlainBalancer(limited.context([near, far]));
+    const now = performance.now();
+    expect([
+      await balancer.choose(now, exchange, []),
+      await sound.choose(now, exchange, []),
+    ]).toEqual([far, near]);
+  });
+
   /* A rate-limited runner is idle in the own failure domain. All VMs of that domain would choose it as the cheapest. */
   test('does not prefer a rate-limited runner for its failure domain', async () => {
     const limited = new LimitedRunners(['near'], refused);
--- a/test/router/plainloads.test.ts
+++ b/test/router/plainloads.test.ts
@@ -39,14 +39,19 @@
   readonly #open: Exchange[] = [];
 
   constructor(count: number) {
-    const members = Array.from({ length: count }, (_, i) => ({ vm: `v${i}`, address: `v${i}` }));
+    const members = Array.from({ length: count }, (_, i) => ({
+      vm: `v${i}`,
+      address: `v${i}`,
+      state: 'alive',
+    }));
     this.#loads = members.map(
       ({ vm }) =>
         new PlainLoads({
           vm,
           fleet: {
+            all: members as unknown as readonly Member[],
             ownersOf: () => members as unknown as readonly Member[],
-            call: (_address, method, params) => this.#call(method, params),
+            call: (address, method, params) => this.#call(address, method, params),
             deprioritize: (_now, skipped) => this.skipped.push(skipped),
           },
           routingState: openStateOf(runners),
@@ -76,7 +81,7 @@
     for (const exchange of this.#open) exchange.end();
   }
 
-  async #call(method: string, params: unknown): Promise<unknown> {
+  async #call(address: string, method: string, params: unknown): Promise<unknown> {
     this.messages.push(method);
     if (this.rejects) throw new Failure('peerRejected', 'found an unknown method');
     if (this.isFrozen) await once(this.#timeout, 'timeout');
@@ -84,6 +89,7 @@
     const sent: unknown = JSON.parse(JSON.stringify(params));
     const owner = this.vm(0);
     const now = performance.now();
+    if (method === 'plainFailures') return this.vm(Number(address.slice(1))).onFailures(now, sent);
     return method === 'plainLoad' ? owner.onAsk(now, sent) : owner.onNews(now, sent);
   }
 }
@@ -131,6 +137,25 @@
     expect(fleet.messages).toEqual(Array.from({ length: 4 }, () => 'plainLoad'));
   });
 
+  // Guards against a runner that fails for seconds at VMs that have not seen it fail themselves.
+  test('include failures, of which the owner tells all VMs where no load is reported', async () => {
+    const fleet = fleetOf();
+    const now = performance.now();
+    const end = (vm: number, runner: Runner, hasFailed: boolean): void =>
+      fleet.vm(vm).ended(now + 200 * vm, fleet.exchange(), runner, hasFailed);
+    end(1, b, false);
+    expect(fleet.messages).toEqual([]);
+    for (const vm of [1, 2, 3, 4]) {
+      end(vm, b, false);
+      end(vm, a, true);
+    }
+    await setImmediate();
+    const excess = fleet.vm(4).failureExcess(now + 800, 's', 'a');
+    expect(excess).toBeGreaterThan(0.3);
+    expect(fleet.vm(1).failureExcess(now + 800, 's', 'b')).toBe(0);
+    expect(new Set(fleet.messages)).toEqual(new Set(['plainNews', 'plainFailures']));
+  });
+
   test('are told to the owner at once when a response differs from what was expected', async () => {
     const fleet = fleetOf();
     const now = performance.now();
