Prefill locally for a VM that reaches no prefill runner

A decode runner prefilled a prompt itself only if that was in time or sooner than a prefill runner, and prefill runners counted that the request must avoid.

Prefill runners that a request avoids do not count any more.

test/router/localprefill.test.ts: the request got no grant before, one with a local prefill now.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -156,8 +156,9 @@
    */
   findLocalPrefill(now: number, local: LocalDemand, engine: Engine): DecodeState | undefined {
     const { demand } = local;
-    const hasPrefillRunner = [...this.#account.prefill.keys()].some((id) =>
-      this.#backoffs.isOpen(now, id, demand.vm),
+    // A VM that reaches no prefill runner names them all; its requests would wait for one in vain.
+    const hasPrefillRunner = [...this.#account.prefill.keys()].some(
+      (id) => this.#backoffs.isOpen(now, id, demand.vm) && !demand.avoid.includes(id),
     );
     const isAllowed = this.#prefills.mayPrefillLocally(now, local, engine, hasPrefillRunner);
     return this.#findMostFree(now, demand, isAllowed);
--- a/test/router/localprefill.test.ts
+++ b/test/router/localprefill.test.ts
@@ -31,6 +31,16 @@
   return planner.handle(1, { kind: 'asked', demand: demandOf('q', 1, change) });
 }
 
+describe('a request of a VM that reaches no prefill runner', () => {
+  // Guards against requests that wait for a prefill runner until their callers leave.
+  test('is prefilled by its decode runner, however long that takes', () => {
+    const change = { promptTokens: 40_000, avoid: ['p1'] };
+    expect(ask(plannerOf(), change)).toEqual([
+      { kind: 'grant', id: 'q', grant: { prefill: undefined, decode: 'd1' } },
+    ]);
+  });
+});
+
 describe('a request that may be sent to one more runner only', () => {
   test('is planned without a prefill runner', () => {
     expect(ask(plannerOf(), { prefillsLocally: true })).toEqual([
