Use ejected runners for a request that avoids all others

Cause: A runner that does not answer stays ejected until it answers again. A request that avoids the only other runner, as its VM has lost the path to it, found no runner and waited for its patience of 3.3 s, although ejected runners are used where no others are left: the runner that it avoids still counted as one.

Change: Runners that a request avoids are left out before the choice between eligible and ejected runners is made.

--- a/src/core/memory/candidates.ts
+++ b/src/core/memory/candidates.ts
@@ -4,6 +4,7 @@
 import { eligibleOf } from './account';
 import type { VmBackoffs } from './backoffs';
 import type { EjectionRules } from './policy';
+import type { Demand } from './types';
 
 /**
  * Time for which the first request after a pause is the only one at its runner if it does not
@@ -23,18 +24,20 @@
   }
 
   /**
-   * Runners that may get work of a VM, in groups: those that accept requests of every VM, then
-   * those that rejected requests of other VMs and are probably full.
+   * Runners that may get a request, in groups: those that accept requests of every VM, then those
+   * that rejected requests of other VMs and are probably full. Runners that the request avoids do
+   * not count: if all others are ejected, it gets one of them, as nothing else can serve it.
    */
   groupsOf<T extends DecodeState | PrefillState>(
     now: number,
     states: ReadonlyMap<string, T>,
-    vm: string,
+    { vm, avoid }: Pick<Demand, 'vm' | 'avoid'>,
   ): readonly (readonly T[])[] {
-    if (this.#backoffs.isEmpty) return [eligibleOf(now, states.values(), this.#rules)];
-    const open = [...states.values()].filter(({ runner }) =>
-      this.#backoffs.isOpen(now, runner.id, vm),
-    );
+    const all = [...states.values()];
+    const usable =
+      avoid.length === 0 ? all : all.filter(({ runner }) => !avoid.includes(runner.id));
+    if (this.#backoffs.isEmpty) return [eligibleOf(now, usable, this.#rules)];
+    const open = usable.filter(({ runner }) => this.#backoffs.isOpen(now, runner.id, vm));
     const eligible = eligibleOf(now, open, this.#rules);
     const ready = eligible.filter((state) => !this.#isProbing(now, state));
     const isOpenToAll = ({ runner }: T): boolean => this.#backoffs.isOpenToAll(now, runner.id);
--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -180,7 +180,7 @@
     demand: Demand,
     meets: (state: DecodeState, free: number) => boolean,
   ): DecodeState | undefined {
-    for (const states of this.#candidates.groupsOf(now, this.#decodeOf(demand), demand.vm)) {
+    for (const states of this.#candidates.groupsOf(now, this.#decodeOf(demand), demand)) {
       const found = this.#mostFreeOf(now, states, demand, meets);
       if (found) return found;
     }
--- a/src/core/memory/prefills.ts
+++ b/src/core/memory/prefills.ts
@@ -77,7 +77,7 @@
     domain: string,
     backlogLimitMs: number,
   ): PrefillState | undefined {
-    for (const states of this.#candidates.groupsOf(now, this.#account.prefill, demand.vm)) {
+    for (const states of this.#candidates.groupsOf(now, this.#account.prefill, demand)) {
       const found = this.#soonestOf(now, states, demand, domain, backlogLimitMs);
       if (found) return found;
     }
--- a/test/router/silentrunners.test.ts
+++ b/test/router/silentrunners.test.ts
@@ -2,13 +2,16 @@
 
 import pino from 'pino';
 
+import { Planner } from '../../src/core/memory/planner';
+import { planPolicy } from '../../src/core/memory/policy';
 import { unlimited } from '../../src/core/ratelimits/types';
-import type { RoutingConfig } from '../../src/core/routing/types';
+import type { Engine, RoutingConfig } from '../../src/core/routing/types';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { Decision } from '../../src/node/router/messages';
 import { PlannerHost } from '../../src/node/router/plannerhost';
 import { RoutingState } from '../../src/node/router/routingstate';
 import type { RunnerClient, RunnerReport } from '../../src/node/router/types';
+import { demandOf } from '../fakes/demand';
 import { noopListener } from '../fakes/listener';
 import { positionAt } from '../fakes/position';
 import { runnerOf } from '../fakes/runner';
@@ -105,6 +108,19 @@
     expect([whileSilent, used('back')]).toEqual([['d1', 'd3'], decoding]);
   });
 
+  // Guards against requests of a VM that lost its path to one runner, which wait while the other one is ejected.
+  test('uses a runner that does not answer for a request that avoids all others', () => {
+    const planner = new Planner(planPolicy);
+    const engine = config.services[0]?.engine as Engine;
+    const runners = [runnerOf('p', 'prefill'), runnerOf('d1', 'decode'), runnerOf('d2', 'decode')];
+    planner.handle(0, { kind: 'runners', engine, runners });
+    planner.handle(1000, { kind: 'silent', runner: 'd2' });
+    const demand = demandOf('q', 1001, { avoid: ['d1'] });
+    expect(planner.handle(1001, { kind: 'asked', demand })).toEqual([
+      { kind: 'grant', id: 'q', grant: { prefill: 'p', decode: 'd2' } },
+    ]);
+  });
+
   // Guards against a longer loss of a runner that failed one request and runs.
   test('uses a runner that failed and answers after its ejection', async () => {
     await pause(AFTER_EJECTION_MS);
