Place long answers where they end within the caller's time budget

Cause: The planner knew when the caller of a request disconnects before the first event, but not when its time budget ends.

Change: Requests for a reservation say when the time budget ends. Runners that are too slow to end the expected output before that come after all others.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -11,7 +11,7 @@
 import type { VmAccess, VmBackoffs } from './backoffs';
 import { RunnerCandidates } from './candidates';
 import type { Costs } from './cost';
-import { backlogMs } from './cost';
+import { backlogMs, decodeMs } from './cost';
 import type { PlanPolicy } from './policy';
 import type { LocalDemand, UsualRequest } from './prefills';
 import { PrefillPlacement } from './prefills';
@@ -134,6 +134,8 @@
 
   /**
    * The decode runner with the most free memory that fits a request; undefined if there is none.
+   * Runners that are too slow to end the answer within the caller's time budget come last: where
+   * runners differ in speed, the longest answers were cut off at the slowest ones.
    */
   findDecode(
     now: number,
@@ -141,11 +143,18 @@
     need: number,
     mostSlots: number,
   ): DecodeState | undefined {
-    return this.#findMostFree(
+    const fits = (state: DecodeState, free: number): boolean =>
+      free >= need && mostSlots > state.allocations.size;
+    const { endsBy } = demand;
+    if (endsBy === undefined) return this.#findMostFree(now, demand, fits);
+    const outputTokens = need - demand.promptTokens;
+    const inTime = this.#findMostFree(
       now,
       demand,
-      (state, free) => free >= need && mostSlots > state.allocations.size,
+      (state, free) =>
+        fits(state, free) && now + decodeMs(this.#costs, outputTokens, state.slowness) <= endsBy,
     );
+    return inTime ?? this.#findMostFree(now, demand, fits);
   }
 
   /**
--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -95,6 +95,11 @@
   return prefillMs(costs, promptTokens) + costs.firstEventMs + outputTokens * costs.tokenMs;
 }
 
+/** Time in which a decode runner writes an answer, in milliseconds. */
+export function decodeMs(costs: Costs, outputTokens: number, slowness: number): number {
+  return costs.firstEventMs + outputTokens * costs.tokenMs * slowness;
+}
+
 /** Time of a local prefill on a runner of the given slowness, in milliseconds. */
 export function localPrefillMs(costs: Costs, tokens: number, slowness = 1): number {
   return tokens * costs.localPrefillTokenMs * slowness;
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -29,6 +29,8 @@
   readonly gapMs: number;
   /** When the caller disconnects if no event has arrived. */
   readonly lostAt: number;
+  /** When the caller's time budget ends, after which the rest of the answer is lost. Default: never */
+  readonly endsBy?: number | undefined;
   /** Whether an earlier attempt of the same caller was seen. */
   readonly returned: boolean;
   /** Whether the caller has already received a part of the answer. */
--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -21,6 +21,7 @@
   dueInMs: ms,
   gapMs: ms,
   lostInMs: ms,
+  endsInMs: ms.optional(),
   resuming: z.boolean(),
   version: z.string().max(200).optional(),
   prefillsLocally: z.boolean().optional(),
@@ -97,7 +98,7 @@
 
 /** Converts a demand from this VM's clock to the wire. */
 export function toWireDemand(now: number, demand: LocalDemand): WireDemand {
-  const { dueAt, lostAt, hintTokens, promptId, avoid, ...rest } = demand;
+  const { dueAt, lostAt, endsBy, hintTokens, promptId, avoid, ...rest } = demand;
   return {
     id: rest.id,
     rank: rest.rank,
@@ -108,6 +109,7 @@
     dueInMs: dueAt - now,
     gapMs: rest.gapMs,
     lostInMs: lostAt - now,
+    ...(endsBy === undefined ? {} : { endsInMs: endsBy - now }),
     ...(hintTokens === undefined ? {} : { hintTokens }),
     ...(promptId === undefined ? {} : { promptId }),
     ...(rest.customer === undefined ? {} : { customer: rest.customer }),
@@ -130,6 +132,7 @@
     dueAt: now + message.dueInMs,
     gapMs: message.gapMs,
     lostAt: now + message.lostInMs,
+    endsBy: message.endsInMs === undefined ? undefined : now + message.endsInMs,
     returned: false,
     resuming: message.resuming,
     version: message.version,
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -66,6 +66,7 @@
     dueAt: resuming ? performance.now() : arrivedAt + route.aimMs,
     gapMs: route.gapMs,
     lostAt: Math.min(waitingSince + route.patienceMs, exchange.deadlineAt),
+    endsBy: exchange.deadlineAt,
     resuming,
     version: exchange.version,
     avoid: [...new Set([...excluded, ...progress.avoid])].slice(-MAX_AVOIDED),
