--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -97,6 +97,11 @@
   readonly leaving: boolean;
 }
 
+/** The runner of an instance id; undefined if it is not among those given. */
+export function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
+  return runners.find((runner) => runner.id === id);
+}
+
 /**
  * Whether a runner may continue a stream.
  * @param version software version that began the stream; undefined if none has, empty if it is not
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -1,15 +1,16 @@
 /** Serves requests to model services: reserves KV-cache memory, runs the prefill, then relays the decode runner's stream. */
 
-import type { CodeName } from '../../core/codes';
 import { Failure, toFailure } from '../../core/failure';
 import type { Engine, Runner } from '../../core/routing/types';
-import { mayContinue } from '../../core/routing/types';
+import { findRunner, mayContinue } from '../../core/routing/types';
 import { viaText } from './accesslog';
 import type { Exchange } from './exchange';
 import type { OriginController } from './origins';
 import type { RoutingState } from './routingstate';
 import type { PermitController } from './permits';
 import type { FailedAssignment, ReservationClient } from './reservations';
+import type { KeptCache } from './prefillattempts';
+import { PrefillAttempts } from './prefillattempts';
 import type { Progress } from './progress';
 import {
   demandOf,
@@ -43,19 +44,12 @@
   readonly retries: Pick<RetryController, 'affords'>;
 }
 
-/** A prefill that takes longer is abandoned and repeated at another runner. */
-const PREFILL_TIMEOUT_MS = 900;
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
 const MAX_PREFILLS = 3;
 
 /** Decode runners to which a prefilled request is moved after others that it did not reach. */
 const MAX_MOVES = 2;
 
-/** A prefilled prompt whose KV cache is kept at a prefill runner, and how long the prefill took. */
-interface KeptCache extends CacheHandle {
-  readonly ms: number;
-}
-
 /**
  * Outcome of one send to a decode runner; `unreachable`: nothing was sent, or the request was
  * misdirected; `unavailable`: nothing was sent, since the runner takes no requests.
@@ -66,8 +60,11 @@
 export class ModelHandler {
   readonly #context: ModelContext;
 
+  readonly #prefills: PrefillAttempts;
+
   constructor(context: ModelContext) {
     this.#context = context;
+    this.#prefills = new PrefillAttempts(context);
   }
 
   /** Serves a request to its end; failures become the response. */
@@ -113,7 +110,7 @@
       const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
       if (refused) throw refused;
       const cache =
-        prefill === undefined ? undefined : await this.#prefill(exchange, progress, prefill);
+        prefill === undefined ? undefined : await this.#prefills.run(exchange, progress, prefill);
       if (cache === 'unavailable') return planAgain(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
         blame = this.#blameOf(service, prefill, startedAt);
@@ -129,7 +126,7 @@
         decode = await reservations.assign(service, demand.id, cache.ms, signal, failed);
         outcome = await this.#decode(exchange, engine, progress, demand.id, decode, cache);
       }
-      if (isUnsent(outcome) && cache) this.#freeCache(cache);
+      if (isUnsent(outcome) && cache) this.#prefills.free(cache);
       if (outcome === 'unavailable') {
         // With a KV cache, the next reservation repeats the prefill.
         return cache
@@ -197,75 +194,6 @@
     return this.#context.runs.refusal(performance.now(), exchange);
   }
 
-  /**
-   * Runs the prefill at a runner. Returns undefined if it failed there and another runner may be
-   * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more or is
-   * out of reach.
-   */
-  async #prefill(
-    exchange: Exchange,
-    progress: Progress,
-    id: string,
-  ): Promise<KeptCache | 'unavailable' | undefined> {
-    const { routingState, paths, retries, permits } = this.#context;
-    const { service, signal } = exchange;
-    const startedAt = performance.now();
-    const runner = findRunner(routingState.openRunnersOf(startedAt, service, 'prefill'), id);
-    if (!runner || !paths.reaches(runner)) return 'unavailable';
-    let cache = await this.#prefillOnce(exchange, progress, runner);
-    const ms = performance.now() - startedAt;
-    // The runner has completed the prefill and still keeps the KV cache: it answers a repeated
-    // request at once, where another runner would repeat the whole prefill. With a rate-limited
-    // runner the reservation covers one request only.
-    const isStillOpen = routingState.accepts(performance.now(), runner) && !permits.isLimited(id);
-    const mayAskAgain = cache === 'answerLost' && isStillOpen;
-    if (mayAskAgain && retries.affords(performance.now(), exchange, 'prefill')) {
-      cache = await this.#prefillOnce(exchange, progress, runner);
-    }
-    if (typeof cache === 'string') return undefined;
-    if (signal.aborted) this.#freeCache(cache);
-    return { ...cache, ms };
-  }
-
-  /** The handle of the KV cache, or the code of the failure. */
-  async #prefillOnce(
-    exchange: Exchange,
-    progress: Progress,
-    runner: Runner,
-  ): Promise<CacheHandle | CodeName> {
-    const now = performance.now();
-    const { request, signal } = exchange;
-    progress.prefills += 1;
-    const run = this.#context.runs.begin(now, exchange, runner);
-    const limit = AbortSignal.timeout(PREFILL_TIMEOUT_MS);
-    const deadlineMs = exchange.remainingMs(now);
-    try {
-      const cache = await this.#context.runners.prefill({
-        runner,
-        request,
-        deadlineMs,
-        signal: AbortSignal.any([signal, limit]),
-        mayRepeat: true,
-        onReply: (reply) => run.replied(performance.now(), reply),
-      });
-      run.prefilled(performance.now());
-      exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
-      return cache;
-    } catch (error) {
-      const failure = toFailure(error);
-      const { codeName } = failure;
-      exchange.trail.push(`prefill ${runner.id} ${codeName}`);
-      if (codeName === 'answerLost') run.interrupted(performance.now());
-      if (codeName === 'runnerUnreachable') run.unreached(performance.now(), failure);
-      return codeName;
-    }
-  }
-
-  #freeCache(cache: CacheHandle): void {
-    // A handle that cannot be freed expires when the engine stops keeping it.
-    this.#context.runners.freeCache(cache).catch(() => undefined);
-  }
-
   /** Whether another prefill may be tried after the failure of a runner; false if the request was aborted. Throws if the attempts or the retry budget are used up. */
   #mayPrefillAgain(exchange: Exchange, progress: Progress, failed: string | undefined): boolean {
     if (failed !== undefined) progress.avoid.push(failed);
@@ -285,14 +213,14 @@
     cache: KeptCache | undefined,
   ): Promise<Outcome> {
     if (decode === undefined) {
-      if (cache) this.#freeCache(cache);
+      if (cache) this.#prefills.free(cache);
       throw runnerFullFailure('no decode runner had free memory while the KV cache was kept');
     }
     const { routingState, paths } = this.#context;
     const { service } = exchange;
     const now = performance.now();
     if (exchange.signal.aborted) {
-      if (cache) this.#freeCache(cache);
+      if (cache) this.#prefills.free(cache);
       return 'rejected';
     }
     const runner = findRunner(routingState.openRunnersOf(now, service, 'decode'), decode);
@@ -301,21 +229,21 @@
     if (!isUsable) return 'unavailable';
     const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
     if (refused) {
-      if (cache) this.#freeCache(cache);
+      if (cache) this.#prefills.free(cache);
       throw refused;
     }
     if (exchange.version !== undefined && !(await this.#isSameInstance(runner))) {
       return 'unavailable';
     }
     if (!this.#affordsRun(exchange)) {
-      if (cache) this.#freeCache(cache);
+      if (cache) this.#prefills.free(cache);
       throw budgetSpentFailure(service, 'run');
     }
     progress.sentTo.add(runner.id);
     let answer = await this.#send(exchange, progress, runner, cache);
     if (answer === 'rejected' && cache && !routingState.accepts(performance.now(), runner)) {
       if (this.#maySendAgain(exchange, progress)) return 'unavailable';
-      this.#freeCache(cache);
+      this.#prefills.free(cache);
     } else if (answer === 'rejected' && cache) {
       const { reservations } = this.#context;
       const failed = { shedBy: runner.id };
@@ -434,7 +362,3 @@
 function isUnsent(outcome: Outcome): outcome is 'unreachable' | 'unavailable' {
   return outcome === 'unreachable' || outcome === 'unavailable';
 }
-
-function findRunner(runners: readonly Runner[], id: string): Runner | undefined {
-  return runners.find((runner) => runner.id === id);
-}
--- /dev/null
+++ b/src/node/router/prefillattempts.ts
@@ -0,0 +1,110 @@
+/** Prefills of one request at prefill runners, whose KV caches decode runners fetch. */
+
+import type { CodeName } from '../../core/codes';
+import { toFailure } from '../../core/failure';
+import type { Runner } from '../../core/routing/types';
+import { findRunner } from '../../core/routing/types';
+import type { Exchange } from './exchange';
+import type { PermitController } from './permits';
+import type { Progress } from './progress';
+import type { RetryController } from './retries';
+import type { RoutingState } from './routingstate';
+import type { Runs } from './runs';
+import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
+
+/** Dependencies of the prefills. */
+export interface PrefillContext {
+  readonly routingState: Pick<RoutingState, 'openRunnersOf' | 'accepts'>;
+  readonly paths: Pick<RunnerPaths, 'reaches'>;
+  readonly runners: Pick<RunnerClient, 'prefill' | 'freeCache'>;
+  readonly runs: Pick<Runs, 'begin'>;
+  readonly permits: Pick<PermitController, 'isLimited'>;
+  readonly retries: Pick<RetryController, 'affords'>;
+}
+
+/** A prefill that takes longer is abandoned and repeated at another runner. */
+const PREFILL_TIMEOUT_MS = 900;
+
+/** A prefilled prompt whose KV cache is kept at a prefill runner, and how long the prefill took. */
+export interface KeptCache extends CacheHandle {
+  readonly ms: number;
+}
+
+/** Runs prefills, each at the runner that the planner chose. */
+export class PrefillAttempts {
+  readonly #context: PrefillContext;
+
+  constructor(context: PrefillContext) {
+    this.#context = context;
+  }
+
+  /**
+   * Runs the prefill at a runner. Returns undefined if it failed there and another runner may be
+   * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more or is
+   * out of reach.
+   */
+  async run(
+    exchange: Exchange,
+    progress: Progress,
+    id: string,
+  ): Promise<KeptCache | 'unavailable' | undefined> {
+    const { routingState, paths, retries, permits } = this.#context;
+    const { service, signal } = exchange;
+    const startedAt = performance.now();
+    const runner = findRunner(routingState.openRunnersOf(startedAt, service, 'prefill'), id);
+    if (!runner || !paths.reaches(runner)) return 'unavailable';
+    let cache = await this.#send(exchange, progress, runner);
+    const ms = performance.now() - startedAt;
+    // The runner has completed the prefill and still keeps the KV cache: it answers a repeated
+    // request at once, where another runner would repeat the whole prefill. With a rate-limited
+    // runner the reservation covers one request only.
+    const isStillOpen = routingState.accepts(performance.now(), runner) && !permits.isLimited(id);
+    const mayAskAgain = cache === 'answerLost' && isStillOpen;
+    if (mayAskAgain && retries.affords(performance.now(), exchange, 'prefill')) {
+      cache = await this.#send(exchange, progress, runner);
+    }
+    if (typeof cache === 'string') return undefined;
+    if (signal.aborted) this.free(cache);
+    return { ...cache, ms };
+  }
+
+  /** The handle of the KV cache, or the code of the failure. */
+  async #send(
+    exchange: Exchange,
+    progress: Progress,
+    runner: Runner,
+  ): Promise<CacheHandle | CodeName> {
+    const now = performance.now();
+    const { request, signal } = exchange;
+    progress.prefills += 1;
+    const run = this.#context.runs.begin(now, exchange, runner);
+    const limit = AbortSignal.timeout(PREFILL_TIMEOUT_MS);
+    const deadlineMs = exchange.remainingMs(now);
+    try {
+      const cache = await this.#context.runners.prefill({
+        runner,
+        request,
+        deadlineMs,
+        signal: AbortSignal.any([signal, limit]),
+        mayRepeat: true,
+        onReply: (reply) => run.replied(performance.now(), reply),
+      });
+      run.prefilled(performance.now());
+      exchange.trail.push(`prefill ${runner.id} ${Math.round(performance.now() - now)}`);
+      return cache;
+    } catch (error) {
+      const failure = toFailure(error);
+      const { codeName } = failure;
+      exchange.trail.push(`prefill ${runner.id} ${codeName}`);
+      if (codeName === 'answerLost') run.interrupted(performance.now());
+      if (codeName === 'runnerUnreachable') run.unreached(performance.now(), failure);
+      return codeName;
+    }
+  }
+
+  /** Tells the prefill runner that a KV cache is not needed any more. */
+  free(cache: CacheHandle): void {
+    // A handle that cannot be freed expires when the engine stops keeping it.
+    this.#context.runners.freeCache(cache).catch(() => undefined);
+  }
+}
