--- a/test/fakes/memory/bench.ts
+++ b/test/fakes/memory/bench.ts
@@ -27,6 +27,10 @@
   readonly decodeRunners: number;
   /** Speed of the runner with an index, prefill runners first. Default: the usual one. */
   readonly slownessOf?: (index: number) => Slowness;
+  /** Whether decode runners report their running requests. Default: false. */
+  readonly reportsRuns?: boolean;
+  /** VM that a caller uses for an attempt. Default: one VM for all. */
+  readonly vmOf?: (job: MemoryJob, attempt: number) => string;
 }
 
 /** Results of a simulation; `asked` to `failed` are numbers of requests. */
@@ -44,10 +48,14 @@
   readonly refusedAfterMs: number;
   /** Value earned by the largest tenth of the prompts, as a fraction of the value of these. */
   readonly worthOfLargest: number;
+  /** Attempts of callers and runs at runners beyond the first of each request. */
+  readonly repeats: number;
+  /** Refusals while nothing else waited and a prefill and a decode runner were idle. */
+  readonly refusedBesideIdle: number;
 }
 
 /** One-way latency between gateway and owner, or gateway and runner. */
-const LATENCY_MS = 1.5;
+export const LATENCY_MS = 1.5;
 const MAX_WAIT_MS = 3600;
 const DEADLINE_MS = 14_000;
 const KEEP_MS = 500;
@@ -76,11 +84,22 @@
 
   #wastedTokens = 0;
 
+  #repeats = 0;
+
+  #refusedBesideIdle = 0;
+
+  /** Times that all runners have restarted. */
+  #restarts = 0;
+
   constructor(options: MemoryBenchOptions) {
     this.#options = options;
-    const { figures, prefillRunners, decodeRunners, slownessOf } = options;
+    this.#startRunners('');
+  }
+
+  #startRunners(suffix: string): void {
+    const { figures, prefillRunners, decodeRunners, slownessOf } = this.#options;
     for (let i = 0; i < prefillRunners; i += 1) {
-      this.#prefills.set(`p${i}`, new PrefillEngine(figures, slownessOf?.(i)));
+      this.#prefills.set(`p${i}${suffix}`, new PrefillEngine(figures, slownessOf?.(i)));
     }
     const listener = {
       onEvent: (now: number, id: string) => this.#onEvent(now, id),
@@ -88,16 +107,61 @@
     };
     for (let i = 0; i < decodeRunners; i += 1) {
       const slowness = slownessOf?.(prefillRunners + i);
-      this.#decodes.set(`d${i}`, new DecodeEngine(figures, this.#schedule, listener, slowness));
+      const engine = new DecodeEngine(figures, this.#schedule, listener, slowness);
+      this.#decodes.set(`d${i}${suffix}`, engine);
     }
   }
 
+  /** Schedules a fault; must be called before `run`. */
+  at(ms: number, run: (now: number) => void): void {
+    this.#schedule.add(ms, () => run(ms));
+  }
+
+  /** Ends all requests of VMs that crash; their callers send them again to another VM, as new ones. */
+  loseVms(now: number, vms: ReadonlySet<string>): void {
+    for (const caller of [...this.#callers.values()]) {
+      const { job, decode } = caller;
+      const isOpen = caller.state === 'waiting' || caller.state === 'away';
+      if (isOpen && vms.has(this.#vmOf(job, caller.attempts))) {
+        this.#decodes.get(decode ?? '')?.cancel(job.id);
+        caller.disconnect();
+        const again = new MemoryCaller({ ...job, id: `${job.id}+`, at: now + LATENCY_MS });
+        this.#callers.set(again.job.id, again);
+        this.#repeats += 1;
+        this.#after(LATENCY_MS, (at) => this.#send(at, again));
+      }
+    }
+  }
+
+  /** All runners crash; all of them are listed again, empty, after a time in milliseconds. */
+  restartRunners(now: number, afterMs: number): void {
+    const lost = [...this.#callers.values()].filter(
+      ({ state, prefilled, decode }) => state === 'waiting' && (prefilled || decode !== undefined),
+    );
+    const decodes = new Map(this.#decodes);
+    this.#prefills.clear();
+    this.#decodes.clear();
+    this.#list(now);
+    for (const caller of lost) {
+      const { job, decode } = caller;
+      const engine = decodes.get(decode ?? '');
+      this.#dispatch(now, { kind: 'released', id: job.id, blame: undefined });
+      caller.loseRun(engine?.producedOf(job.id) ?? 0);
+      engine?.cancel(job.id);
+      const demand = { ...this.#demandOf(now, caller), resuming: caller.hasEvents };
+      this.#after(LATENCY_MS, (at) => this.#dispatch(at, { kind: 'asked', demand }));
+    }
+    this.#after(afterMs, (at) => {
+      this.#restarts += 1;
+      this.#startRunners(`@${this.#restarts}`);
+      this.#list(at);
+    });
+  }
+
   /** Runs the simulation to the deadline of the last request. */
   run(): MemoryResult {
     const { jobs } = this.#options;
-    const byRank = new Set(jobs.map(({ rank }) => rank)).size > 1;
-    const runners = this.#runners();
-    this.#dispatch(0, { kind: 'runners', engine: this.#engine(), runners, byRank });
+    this.#list(0);
     for (const job of jobs) {
       const caller = new MemoryCaller(job);
       this.#callers.set(job.id, caller);
@@ -120,6 +184,16 @@
     return [...this.#callers.values()];
   }
 
+  #list(now: number): void {
+    const byRank = new Set(this.#options.jobs.map(({ rank }) => rank)).size > 1;
+    const runners = this.#runners();
+    this.#dispatch(now, { kind: 'runners', engine: this.#engine(), runners, byRank });
+  }
+
+  #vmOf(job: MemoryJob, attempt: number): string {
+    return this.#options.vmOf?.(job, attempt) ?? 'vm1';
+  }
+
   #every(periodMs: number, untilMs: number, run: (now: number) => void): void {
     for (let at = periodMs; at < untilMs; at += periodMs) this.#schedule.add(at, () => run(at));
   }
@@ -131,7 +205,9 @@
 
   #report(now: number): void {
     for (const [runner, engine] of this.#decodes) {
-      this.#dispatch(now, { kind: 'reported', report: { runner, usedTokens: engine.usedTokens } });
+      const { usedTokens, runs } = engine;
+      const known = this.#options.reportsRuns ? { runs } : {};
+      this.#dispatch(now, { kind: 'reported', report: { runner, usedTokens, ...known } });
     }
   }
 
@@ -148,14 +224,18 @@
   }
 
   #send(now: number, caller: MemoryCaller): void {
-    const { job } = caller;
+    if (caller.attempts > 0) this.#repeats += 1;
     caller.startAttempt(now);
     const { attempts } = caller;
-    const giveUpAt = Math.min(now + MAX_WAIT_MS, job.at + DEADLINE_MS);
-    this.#schedule.add(giveUpAt, () => this.#disconnect(giveUpAt, caller, attempts));
-    const demand: Demand = {
+    const demand = this.#demandOf(now, caller);
+    this.#schedule.add(demand.lostAt, () => this.#disconnect(demand.lostAt, caller, attempts));
+    this.#after(LATENCY_MS, (at) => this.#dispatch(at, { kind: 'asked', demand }));
+  }
+
+  #demandOf(now: number, { job, attempts }: MemoryCaller): Demand {
+    return {
       id: job.id,
-      vm: 'vm1',
+      vm: this.#vmOf(job, attempts),
       customer: job.customer,
       rank: job.rank ?? 1,
       promptId: undefined,
@@ -164,12 +244,11 @@
       hintTokens: job.hintTokens,
       dueAt: job.at + TARGET_MS,
       gapMs: MAX_GAP_MS,
-      lostAt: giveUpAt,
+      lostAt: Math.min(now + MAX_WAIT_MS, job.at + DEADLINE_MS),
       returned: attempts > 1,
       resuming: false,
       avoid: [],
     };
-    this.#after(LATENCY_MS, (at) => this.#dispatch(at, { kind: 'asked', demand }));
   }
 
   /** Disconnects a caller that received no event within its waiting time. */
@@ -201,10 +280,12 @@
   #prefill(now: number, caller: MemoryCaller, runner: string): void {
     const { id, promptTokens } = caller.job;
     if (caller.prefilled) this.#wastedTokens += promptTokens;
+    this.#countRun(caller);
+    const { runs } = caller;
     caller.startPrefill();
     const doneAt = this.#prefills.get(runner)?.prefill(now, promptTokens) ?? now;
     this.#schedule.add(doneAt + LATENCY_MS, () => {
-      if (caller.state !== 'waiting') return;
+      if (caller.state !== 'waiting' || caller.runs !== runs) return;
       const prefilled = { kind: 'prefilled', id, ms: doneAt - now } as const;
       this.#dispatch(doneAt + LATENCY_MS, {
         ...prefilled,
@@ -216,17 +297,38 @@
 
   #decode(now: number, caller: MemoryCaller, runner: string, transferred: boolean): void {
     const { job } = caller;
+    if (!transferred) this.#countRun(caller);
+    const { runs } = caller;
     caller.assignDecode(runner);
     this.#after(transferred ? KV_TRANSFER_MS : LATENCY_MS, (at) => {
       const cached = transferred ? job.promptTokens : 0;
-      if (caller.state !== 'waiting' || this.#decodes.get(runner)?.admit(at, job, cached)) return;
+      if (caller.state !== 'waiting' || caller.runs !== runs) return;
+      if (this.#decodes.get(runner)?.admit(at, job, cached)) return;
       if (transferred) this.#wastedTokens += job.promptTokens;
       this.#dispatch(now, { kind: 'released', id: job.id, blame: undefined });
       this.#refuse(at, caller, TARGET_MS);
     });
   }
 
+  #countRun(caller: MemoryCaller): void {
+    if (caller.runs > 0) this.#repeats += 1;
+    caller.startRun();
+  }
+
+  /** Whether a prefill runner has nothing to do, and a decode runner has most of its memory free. */
+  #hasIdleRunners(now: number): boolean {
+    const { memoryTokens } = this.#options.figures;
+    return (
+      [...this.#prefills.values()].some((engine) => engine.isIdle(now)) &&
+      [...this.#decodes.values()].some(({ usedTokens }) => usedTokens < memoryTokens / 2)
+    );
+  }
+
   #refuse(now: number, caller: MemoryCaller, retryAfterMs: number): void {
+    const isAnyWaiting = [...this.#callers.values()].some(
+      (one) => one !== caller && one.state === 'waiting' && one.runs === 0,
+    );
+    if (!isAnyWaiting && this.#hasIdleRunners(now)) this.#refusedBesideIdle += 1;
     caller.refuse(now, MAX_ATTEMPTS);
     if (caller.state !== 'away') return;
     const leftMs = caller.job.at + DEADLINE_MS - now;
@@ -269,6 +371,8 @@
         0.95,
       ),
       worthOfLargest: earnedFraction(callers.filter(({ job }) => job.promptTokens >= large)),
+      repeats: this.#repeats,
+      refusedBesideIdle: this.#refusedBesideIdle,
     };
   }
 }
--- a/test/fakes/memory/caller.ts
+++ b/test/fakes/memory/caller.ts
@@ -14,7 +14,8 @@
 
 /** A caller and the state of its request. Times in milliseconds. */
 export class MemoryCaller {
-  readonly job: MemoryJob;
+  /** The request; without the part of the answer that was received if its run was lost. */
+  job: MemoryJob;
 
   #state: CallerState = 'waiting';
 
@@ -34,6 +35,10 @@
 
   #prefilled = false;
 
+  #runs = 0;
+
+  #hasRunEvents = false;
+
   constructor(job: MemoryJob) {
     this.job = job;
   }
@@ -68,6 +73,28 @@
     return this.#prefilled;
   }
 
+  /** Runs at runners so far: prefills, and decodes that prefill the prompt themselves. */
+  get runs(): number {
+    return this.#runs;
+  }
+
+  /** Records the start of a run. */
+  startRun(): void {
+    this.#runs += 1;
+  }
+
+  /** Records that the runners of the current run are gone, after some tokens of output. */
+  loseRun(produced: number): void {
+    this.job = {
+      ...this.job,
+      promptTokens: this.job.promptTokens + produced,
+      outputTokens: this.job.outputTokens - produced,
+    };
+    this.#prefilled = false;
+    this.#decode = undefined;
+    this.#hasRunEvents = false;
+  }
+
   /** Records the start of a prefill. */
   startPrefill(): void {
     this.#prefilled = true;
@@ -97,13 +124,15 @@
     this.#state = 'left';
   }
 
-  /** Records an event of the stream; true if it is the first. */
+  /** Records an event of the stream; true if it is the first of its run. */
   takeEvent(now: number): boolean {
     const first = this.#firstEventAt === undefined;
     this.#firstEventAt ??= now;
     if (!first && now - this.#lastEventAt > MAX_GAP_MS) this.#exceededGap = true;
     this.#lastEventAt = now;
-    return first;
+    const isFirstOfRun = !this.#hasRunEvents;
+    this.#hasRunEvents = true;
+    return isFirstOfRun;
   }
 
   /** Records the end of the stream. */
--- a/test/fakes/memory/engines.ts
+++ b/test/fakes/memory/engines.ts
@@ -107,6 +107,11 @@
     this.#slowness = slowness;
   }
 
+  /** Whether no prompt is queued or being processed. */
+  isIdle(now: number): boolean {
+    return this.#busyUntil <= now;
+  }
+
   /** Queues a prompt and returns the time at which its prefill completes. */
   prefill(now: number, tokens: number): number {
     const startAt = Math.max(now, this.#busyUntil);
@@ -160,6 +165,14 @@
     return used;
   }
 
+  /** Running requests with their memory. */
+  get runs(): readonly { readonly request: string; readonly tokens: number }[] {
+    return [...this.#running.values()].map(({ job, produced }) => ({
+      request: job.id,
+      tokens: job.promptTokens + produced,
+    }));
+  }
+
   /** Admits a request; false if the memory does not suffice. `prefilledTokens` of its prompt need no local prefill. */
   admit(now: number, job: EngineJob, prefilledTokens: number): boolean {
     if (this.usedTokens + job.promptTokens > this.#figures.memoryTokens) return false;
@@ -172,6 +185,11 @@
     return true;
   }
 
+  /** Output tokens of a request so far. */
+  producedOf(id: string): number {
+    return this.#running.get(id)?.produced ?? 0;
+  }
+
   /** Removes a request and frees its memory. */
   cancel(id: string): void {
     this.#running.delete(id);
