Keep local prefills from pausing the streams of services with long events

Cause: Local prefills are measured on runners with few streams, where they take about as long as on a prefill runner. The pause of the other streams went by that measured time.

Change: The expected pause goes by the measured time only where it is longer than the assumed one, twice that of a prefill runner.

--- a/src/core/memory/cost.ts
+++ b/src/core/memory/cost.ts
@@ -109,14 +109,17 @@
  * Time between two events of a stream on a decode runner that runs a local prefill, in
  * milliseconds. A chunk is prefilled before each token; where an event holds many tokens, all
  * chunks of a prompt fall between two events, and up to ten streams at a time exceeded their
- * allowed pause.
+ * allowed pause. Local prefills are measured on runners with few streams too, where they are
+ * faster, so the pauses of streams do not go by a measured time below the assumed one.
  */
 export function localPrefillPauseMs(
   costs: Costs,
   promptTokens: number,
   eventTokens: number,
 ): number {
-  const wholePromptMs = eventTokens * costs.tokenMs + localPrefillMs(costs, promptTokens);
+  const assumedMs = LOCAL_PREFILL_COST * prefillWorkMs(costs, promptTokens);
+  const promptMs = Math.max(assumedMs, localPrefillMs(costs, promptTokens));
+  const wholePromptMs = eventTokens * costs.tokenMs + promptMs;
   return Math.min(eventTokens * costs.slowedTokenMs, wholePromptMs);
 }
 
--- a/test/router/cost.test.ts
+++ b/test/router/cost.test.ts
@@ -72,6 +72,18 @@
     expect(pauses).toEqual([37, 129, 180]);
   });
 
+  // Guards against the speed of a local prefill beside few streams that is taken for that beside many.
+  test('give no shorter pause after a fast local prefill', () => {
+    const costs = new MeasuredCosts();
+    const pauseMs = (): number => localPrefillPauseMs(costs, 5000, 59);
+    const assumedMs = pauseMs();
+    for (let i = 0; i < 20; i += 1) {
+      costs.recordLocalPrefill(1000, 5000, 5000 * 1.1 * costs.prefillTokenMs);
+    }
+    expect(costs.localPrefillTokenMs).toBeLessThan(1.2 * costs.prefillTokenMs);
+    expect(pauseMs()).toBeCloseTo(assumedMs);
+  });
+
   /*
    * An engine prefills 256 tokens between two output tokens, not the assumed 512. If that is not
    * measured, long prompts are never prefilled locally; if it is never measured again, a change of
