Decide what a VM buffers for slow callers and whom it disconnects

Cause: A plain response to a caller that does not read stays in memory without a limit: 60 unread responses of 4 MiB took 240 MiB and still took 264 MiB after 20 s. A stream to such a caller is held back at its runner, which aborted 8 MiB after 3.1 s.

--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 
 import type { AgeBounds, Credential } from '../../core/customers/identity';
+import type { BufferBounds } from '../../core/delivery/buffers';
 import type { QuotaBounds } from '../../core/quotas/account';
 import type { MemoryReport } from '../../core/memory/types';
 import type { Suspect } from '../../core/quarantine/types';
@@ -45,6 +46,8 @@
   readonly quotas: QuotaBounds;
   /** By how much all VMs together may exceed the rate limit of a runner. */
   readonly rateLimits: QuotaBounds;
+  /** What this VM buffers for callers that read slowly. */
+  readonly buffers: BufferBounds;
   /** Time between the termination signal and the kill, in milliseconds. */
   readonly graceMs: number;
   /** Duration of the lease for role orders, in milliseconds: no other VM can acquire it meanwhile. */
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -4,6 +4,7 @@
 
 import { z } from 'zod';
 
+import { FREE_BYTES } from '../core/delivery/buffers';
 import { validate, parseJsonc } from '../core/settings/parse';
 import { readText } from '../node/config';
 import type { RouterSettings } from '../node/router/types';
@@ -13,6 +14,11 @@
 
 const address = z.string().regex(/^[^:]+:\d+$/);
 
+const MIB = 1024 * 1024;
+/** What a response may buffer in any case; see `FREE_BYTES` of `src/core/delivery/buffers.ts`. */
+const MIN_RESPONSE_BUFFER_BYTES = FREE_BYTES;
+const MAX_BUFFER_BYTES = 1024 * MIB;
+
 const fileSchema = z.object({
   'node-name': z.string().min(1).max(64),
   zone: z.string().min(1),
@@ -50,6 +56,24 @@
       /** Fraction of each core that this VM may use. */
       'cpu-share': z.number().positive().default(1),
       cores: z.number().positive().default(1),
+      /** Bytes of one response buffered for a caller that reads slowly. Default: the largest plain response. */
+      'response-buffer-bytes': z
+        .int()
+        .min(MIN_RESPONSE_BUFFER_BYTES)
+        .max(MAX_BUFFER_BYTES)
+        .default(4 * MIB),
+      /** The same of all responses together. */
+      'caller-buffer-bytes': z
+        .int()
+        .min(MIB)
+        .max(MAX_BUFFER_BYTES)
+        .default(64 * MIB),
+      /** How long a caller may read nothing while one of these bounds is reached. */
+      'caller-stall-ms': z.int().min(1000).max(60_000).default(5000),
+    })
+    .refine((limits) => limits['response-buffer-bytes'] <= limits['caller-buffer-bytes'], {
+      path: ['response-buffer-bytes'],
+      message: 'expected at most caller-buffer-bytes',
     })
     .prefault({}),
 });
@@ -108,6 +132,11 @@
       wholeRuns: false,
     },
     rateLimits: RATE_LIMIT_BOUNDS,
+    buffers: {
+      responseBytes: limits['response-buffer-bytes'],
+      vmBytes: limits['caller-buffer-bytes'],
+      stallMs: limits['caller-stall-ms'],
+    },
     leaseMs: bounds['lease-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, MAX_ADDRESS_TTL_MS),
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -657,6 +657,7 @@
       ages: { keyMs: 4700, finalMs: 2000 },
       quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
       rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
+      buffers: { responseBytes: 4_194_304, vmBytes: 67_108_864, stallMs: 5000 },
       graceMs: 1000,
       leaseMs: 3000,
       addressTtlMs: 1000,
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -36,6 +36,11 @@
          "finalMs": 2000,
          "keyMs": Infinity,
        },
+       "buffers": {
+         "responseBytes": 4194304,
+         "stallMs": 5000,
+         "vmBytes": 67108864,
+       },
        "cores": 1.35,
        "domain": "a",
        "graceMs": 8000,
@@ -83,6 +88,28 @@
     expect(router.ages).toEqual({ finalMs: 2000, keyMs: 3700 });
   });
 
+  test('takes bounds of what is buffered for callers', () => {
+    const limits = { 'response-buffer-bytes': 65_536, 'caller-buffer-bytes': 1_048_576 };
+    const { router } = resolveSettings(JSON.stringify({ ...file, limits }), 'boot.json');
+    expect(router.buffers).toEqual({ responseBytes: 65_536, vmBytes: 1_048_576, stallMs: 5000 });
+  });
+
+  /* A response that may buffer more than the VM would never reach its own bound. */
+  test.each([
+    { 'response-buffer-bytes': 65_535 },
+    { 'response-buffer-bytes': 2_097_152, 'caller-buffer-bytes': 1_048_576 },
+    { 'caller-buffer-bytes': 1_048_575 },
+    { 'caller-stall-ms': 999 },
+    { 'caller-stall-ms': '5000' },
+  ])('is rejected with the bounds %j', (limits) => {
+    expect(() => resolveSettings(JSON.stringify({ ...file, limits }), 'boot.json')).toThrow(
+      expect.objectContaining({
+        codeName: 'settingsInvalid',
+        message: expect.stringMatching(/boot.json: at limits\.(response-buffer|caller)/),
+      }),
+    );
+  });
+
   test('with an invalid field is rejected with its name and a code', () => {
     const wrong = { ...file, listen: { front: 'nowhere' } };
     expect(() => resolveSettings(JSON.stringify(wrong), 'boot.json')).toThrow(
