Buffer responses for slow callers and disconnect those that read nothing

Cause: A stream was held back at its runner as soon as its caller did not read; a runner that waits 3 s aborted 8 MiB after 3.1 s. Plain responses to callers that do not read stayed in memory until the connection closed: 60 of 4 MiB took 240 MiB, and 264 MiB after 20 s.

Change: Responses are read at the runner's pace and buffered up to a bound for each response and for the VM. At a bound a stream is held back at its runner, and a caller that has read nothing for 5 s is disconnected: code 409 callerStalled, a metric, one log line. A VM that stops waits for callers that still read. Time in which the process did not run does not count.

--- a/src/core/codes.ts
+++ b/src/core/codes.ts
@@ -291,6 +291,12 @@
     'The connection to the runner ended before its answer.',
     'A repeat is safe for idempotent requests.',
   ),
+  callerStalled: fault(
+    409,
+    408,
+    'The caller read nothing of its response for seconds while the buffers for callers were full, so it was disconnected.',
+    'Read responses as they arrive.',
+  ),
   peerRejected: fault(
     501,
     400,
--- a/src/core/delivery/buffers.ts
+++ b/src/core/delivery/buffers.ts
@@ -34,7 +34,7 @@
 /** The buffer of one response. */
 interface Buffered {
   bytes: number;
-  /** When the caller last read, or when the first bytes were buffered. */
+  /** When the caller last read, or when the first bytes were buffered, less all pauses before. */
   readAt: number;
 }
 
@@ -52,6 +52,9 @@
 
   #bytes = 0;
 
+  /** Time for which the process did not run, in milliseconds. */
+  #pausedMs = 0;
+
   /** @param bounds the limits in force */
   constructor(bounds: () => BufferBounds) {
     this.#bounds = bounds;
@@ -77,7 +80,7 @@
     const buffered = this.#buffered.get(response);
     this.#bytes += bytes;
     if (buffered) buffered.bytes += bytes;
-    else this.#buffered.set(response, { bytes, readAt: now });
+    else this.#buffered.set(response, { bytes, readAt: now - this.#pausedMs });
   }
 
   /**
@@ -88,11 +91,16 @@
     const buffered = this.#buffered.get(response);
     if (!buffered) return;
     buffered.bytes -= bytes;
-    buffered.readAt = now;
+    buffered.readAt = now - this.#pausedMs;
     this.#bytes -= bytes;
     if (buffered.bytes <= 0) this.#buffered.delete(response);
   }
 
+  /** The process did not run for a time, in which no caller could be seen to read. */
+  paused(ms: number): void {
+    this.#pausedMs += ms;
+  }
+
   /** Nothing of a response is buffered any more. */
   remove(response: T): void {
     this.#bytes -= this.#buffered.get(response)?.bytes ?? 0;
@@ -114,15 +122,16 @@
    */
   stalled(now: number): readonly StalledResponse<T>[] {
     const { responseBytes, vmBytes, stallMs } = this.#bounds();
+    const ranAt = now - this.#pausedMs;
     const silent = [...this.#buffered]
-      .filter(([, { readAt }]) => now - readAt >= stallMs)
+      .filter(([, { readAt }]) => ranAt - readAt >= stallMs)
       .sort(([, a], [, b]) => a.readAt - b.readAt);
     const isLarge = ([, { bytes }]: (typeof silent)[number]): boolean => bytes >= responseBytes;
     let left = this.#bytes;
     const stalled: StalledResponse<T>[] = [];
     const take = (bound: ReachedBound, [response, { bytes, readAt }]: [T, Buffered]): void => {
       left -= bytes;
-      stalled.push({ response, bytes, silentMs: now - readAt, bound });
+      stalled.push({ response, bytes, silentMs: ranAt - readAt, bound });
     };
     for (const entry of silent.filter(isLarge)) take('response', entry);
     for (const entry of silent.filter((one) => !isLarge(one))) {
--- a/src/node/log.ts
+++ b/src/node/log.ts
@@ -14,6 +14,7 @@
   | 'keys'
   | 'peer'
   | 'router'
+  | 'callers'
   | 'front'
   | 'knowledge'
   | 'places'
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -13,6 +13,7 @@
 import { bootNow } from '../../utils/clock';
 import type { Dialer } from '../../utils/dialer';
 import { logOf } from '../log';
+import { CallerBuffers } from './callerbuffers';
 import { Control } from './control';
 import { Connectivity } from './connectivity';
 import { Controllers } from './controllers';
@@ -94,6 +95,8 @@
 
   readonly #handlers: Handlers;
 
+  readonly #buffers: CallerBuffers;
+
   readonly #metrics = new RouterMetrics();
 
   readonly #control: Control;
@@ -178,10 +181,16 @@
       callerAddresses: (domain) => this.#callerAddresses(domain),
       addressTtlMs: () => this.#settings.addressTtlMs,
     });
+    this.#buffers = new CallerBuffers({
+      bounds: () => this.#settings.buffers,
+      metrics: this.#metrics,
+      log: logOf(log, 'callers'),
+    });
     this.#front = new FrontEnd({
       routingState: this.#state,
       authorizer: this.#gate,
       codec: ports.ingress,
+      buffers: this.#buffers,
       metrics: this.#metrics,
       log: logOf(log, 'front'),
       onRequest: (exchange) => this.#handlers.serve(exchange),
@@ -238,8 +247,8 @@
   reload(read: () => RouterSettings): void {
     try {
       this.#settings = read();
-      const { retries, graceMs, leaseMs, seeds } = this.#settings;
-      this.#log.info({ retries, graceMs, leaseMs, seeds }, 'Reloaded the settings.');
+      const { retries, buffers, graceMs, leaseMs, seeds } = this.#settings;
+      this.#log.info({ retries, buffers, graceMs, leaseMs, seeds }, 'Reloaded the settings.');
     } catch (error) {
       this.#log.error(
         `Kept the old settings: failed to load the new ones. ${toFailure(error).line}.`,
@@ -284,6 +293,7 @@
       vm: this.#settings.vm,
       ready: this.#isReady,
       active: this.#front.activeRequests,
+      callerBuffers: this.#buffers.snapshot(),
       ...this.#controllers.snapshot(now),
       ...this.#state.snapshot(now),
       ...this.#connectivity.snapshot(now),
@@ -328,9 +338,10 @@
     this.#log.info(accessLogFields(exchange, ms, this.#state.configVersion), 'Request ended.');
   }
 
-  /** Whether requests of its own callers or of other VMs are in progress. */
+  /** Whether requests of its own callers or of other VMs are in progress, or callers still read responses. */
   get #isBusy(): boolean {
-    return this.#front.activeRequests + this.#connectivity.forwarding > 0;
+    const { forwarding } = this.#connectivity;
+    return this.#front.activeRequests + forwarding + this.#buffers.size > 0;
   }
 
   /** Whether this VM accepts callers; see `#isServing` for whether it can serve them now. */
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -1,6 +1,5 @@
 /** One HTTP exchange: a request, its deadline, its caller and the response sent so far. */
 
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
 
 import type { CodeName } from '../../core/codes';
@@ -12,6 +11,8 @@
 import type { StreamOrigin } from '../../core/versions/types';
 import { abortResponse, errorBody } from '../../utils/http';
 import { QuotaCharge } from './charge';
+import type { DeliveryBuffers } from './delivery';
+import { Delivery } from './delivery';
 import type { CallRequest, Continuation, IngressCodec } from './types';
 
 /** Largest part of the remaining time that the retry delay announced to a caller may take. */
@@ -60,6 +61,8 @@
 
   readonly #res: ServerResponse;
 
+  readonly #delivery: Delivery;
+
   readonly #codec: IngressCodec;
 
   readonly #abort = new AbortController();
@@ -124,6 +127,7 @@
     rank: number,
     res: ServerResponse,
     codec: IngressCodec,
+    buffers: DeliveryBuffers,
   ) {
     this.request = request;
     this.route = route;
@@ -133,6 +137,11 @@
     const limitMs = Math.min(route.timeoutMs, request.deadlineMs ?? route.timeoutMs);
     this.deadlineAt = now + limitMs - TIMEOUT_MARGIN_MS;
     this.#res = res;
+    this.#delivery = new Delivery(res, buffers, {
+      id: request.id,
+      service,
+      disconnect: (failure) => this.fail(performance.now(), failure),
+    });
     this.#codec = codec;
     this.#timer = setTimeout(() => this.#abort.abort(), Math.max(1, limitMs - TIMEOUT_MARGIN_MS));
     res.on('close', () => {
@@ -258,12 +267,16 @@
     this.#res.writeHead(status, headers as string[]);
   }
 
-  /** Sends a chunk of a stream. Resolves when the caller can take more, has disconnected or the deadline has passed. */
+  /**
+   * Sends a chunk of a stream, or buffers it for a slow caller. Resolves when more may be buffered,
+   * the caller has disconnected or the deadline has passed.
+   */
   async write(chunk: Buffer): Promise<void> {
-    this.#recordTiming(performance.now());
-    if (this.#res.destroyed || this.#res.write(chunk)) return;
+    const now = performance.now();
+    this.#recordTiming(now);
+    this.#delivery.write(now, chunk);
     // A caller that stops reading must not hold its reservation at the runner past the deadline.
-    await once(this.#res, 'drain', { signal: this.signal }).catch(() => undefined);
+    await this.#delivery.room(this.signal);
   }
 
   #recordTiming(now: number): void {
@@ -272,9 +285,9 @@
     this.#lastWriteAt = now;
   }
 
-  /** Completes the response, after a last chunk if one is given. */
+  /** Completes the response, after a last chunk if one is given. The caller may still have to read a part of it. */
   end(chunk?: Buffer): void {
-    this.#res.end(chunk);
+    this.#delivery.end(performance.now(), chunk);
   }
 
   /**
--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -20,6 +20,7 @@
 import type { Metrics } from '../metrics';
 import { Exchange, sendRefusal } from './exchange';
 import type { Authorizer } from './authorizer';
+import type { DeliveryBuffers } from './delivery';
 import type { RoutingState } from './routingstate';
 import type { CallRequest, IngressCodec } from './types';
 
@@ -28,6 +29,7 @@
   readonly routingState: RoutingState;
   readonly authorizer: Authorizer;
   readonly codec: IngressCodec;
+  readonly buffers: DeliveryBuffers;
   readonly metrics: Metrics;
   readonly log: Logger;
   readonly onRequest: (exchange: Exchange) => Promise<void>;
@@ -128,7 +130,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<Exchange | undefined> {
-    const { codec, routingState, authorizer } = this.#context;
+    const { codec, routingState, authorizer, buffers } = this.#context;
     try {
       const limit = routingState.table?.config.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
       const body = await readBody(req, limit);
@@ -147,7 +149,7 @@
       const rank = rankOf(customer?.rank, route.priority);
       const priority = table.hasRanks(service) ? runnerPriorityOf(rank) : undefined;
       const request = { ...decoded, customer: customer?.name, priority };
-      return new Exchange(now, request, route, service, rank, res, codec);
+      return new Exchange(now, request, route, service, rank, res, codec, buffers);
     } catch (error) {
       const failure = toFailure(error);
       const id = codec.idOf(req);
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -10,6 +10,7 @@
 import { FrontEnd } from '../../src/node/router/frontend';
 import { RoutingState } from '../../src/node/router/routingstate';
 import { RouterMetrics } from '../../src/node/router/metrics';
+import { unboundedBuffers } from '../fakes/exchange';
 import { noopListener } from '../fakes/listener';
 import { authorizerOf } from '../fakes/runs';
 import { PlatformIngress } from '../../src/platform/ingress';
@@ -63,6 +64,7 @@
     routingState,
     authorizer: authorizerOf(routingState),
     codec: new PlatformIngress(),
+    buffers: unboundedBuffers,
     metrics: new RouterMetrics(),
     log,
     onRequest,
