Ask an owner in the own failure domain before deciding quotas alone

Cause: A VM asked two owners of an account by rank and then granted from its own part. When a failure domain is cut off in a flood, both are mostly on the other side.

Change: A VM asks the first other owner in its own failure domain as well, also for permits of rate limits.

Longer pauses of silent owners and registering with owners in the own failure domain were tried and changed nothing or made it worse.

--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -11,6 +11,7 @@
 import { isPresent } from '../../core/membership/types';
 import { PauseDetector } from '../../core/pause';
 import type { QuotaAccounts } from '../../core/quotas/accounts';
+import { ownersToAsk } from '../../core/quotas/asked';
 import type { QuotaMembers } from '../../core/quotas/share';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
@@ -34,8 +35,6 @@
  * request's latency target.
  */
 const CALL_TIMEOUT_MS = 150;
-/** Owners asked per attempt before this VM grants from its own share. */
-const MAX_OWNERS_ASKED = 2;
 /** Time for which an owner that did not answer a registration is ranked last, in milliseconds. */
 const SKIP_MS = 1500;
 /** Period of the check whether this process was paused, in milliseconds. */
@@ -142,7 +141,8 @@
     decode: (answer: unknown) => T,
   ): Promise<T | undefined> {
     const { vm, fleet, log, metrics, names } = this.#context;
-    for (const owner of this.#ownersOf(performance.now(), group).slice(0, MAX_OWNERS_ASKED)) {
+    const ranked = this.#ownersOf(performance.now(), group);
+    for (const owner of ownersToAsk(ranked, fleet.self.domain)) {
       if (owner.vm === vm) return undefined;
       try {
         const answer = decode(await fleet.call(owner.address, method, params, CALL_TIMEOUT_MS));
