Claim loopback addresses of tests by binding

Clusters of test/node used the prefix 127.100 plus the number of the Jest worker, and two tests used fixed ports of 127.0.0.1, so that two test runs on one machine collided (EADDRINUSE).

Each cluster claims the first prefix from 127.120 on whose claim port it can listen on, and releases it when it stops. The front end and the metrics address are tested on free ports. What the tests check is the same.

--- a/test/fakes/cluster.ts
+++ b/test/fakes/cluster.ts
@@ -11,6 +11,7 @@
 import type { EngineFigures } from './engine/model';
 import { EngineServer } from './engine/server';
 import { call } from './http';
+import { LoopbackPrefix } from './loopback';
 import { PlatformServer } from './platform';
 import { PlainServer } from './service';
 
@@ -73,8 +74,8 @@
 
   readonly #options: ClusterOptions;
 
-  /** Loopback prefix; each Jest worker has its own, so that clusters of parallel workers do not collide. */
-  readonly #net = `127.${100 + Number(process.env.JEST_WORKER_ID ?? 0)}`;
+  /** Loopback prefix from the start on; each cluster has its own, so that those of other workers and test runs do not collide. */
+  #prefix: LoopbackPrefix | undefined;
 
   readonly #log = pino({ level: process.env.GOLDCRESTDOCK_LOG ?? 'silent' });
 
@@ -82,6 +83,11 @@
     this.#options = options;
   }
 
+  get #net(): string {
+    if (!this.#prefix) throw new Error('the cluster was not started');
+    return this.#prefix.text;
+  }
+
   /** All prefill and decode runners. */
   get engines(): readonly EngineServer[] {
     return [...this.prefillRunners, ...this.decodeRunners];
@@ -115,6 +121,7 @@
   /** Starts all processes and waits until they are ready. */
   async start(): Promise<this> {
     const { prefillRunners = 1, decodeRunners = 2, plainRunners = 2 } = this.#options;
+    this.#prefix = await LoopbackPrefix.claim();
     await this.platform.start(8500, `${this.#net}.9.1`);
     for (let i = 0; i < prefillRunners; i += 1) {
       this.prefillRunners.push(await this.#engine(`prefill-${i}`, i));
@@ -172,6 +179,7 @@
     await Promise.all(this.engines.map((engine) => engine.stop()));
     await Promise.all(this.plainRunners.map((runner) => runner.stop()));
     await this.platform.stop();
+    await this.#prefix?.release();
   }
 
   async #engine(id: string, number: number): Promise<EngineServer> {
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -6,8 +6,7 @@
 
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer, request } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { request } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import pino from 'pino';
@@ -19,6 +18,7 @@
 import { entryOf } from './entry';
 import type { CountedArrival } from './repeats';
 import { closeServer, listen, readBody, sendJson } from './http';
+import { freePort } from './loopback';
 import type { Partition } from './partition';
 import { FakeStore } from './store';
 
@@ -418,17 +418,6 @@
   return text === '' ? [] : text.split(',').map((part) => part.split(':')[0] ?? '');
 }
 
-/** Returns a loopback port that is free at present. */
-async function freePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as AddressInfo;
-  await closeServer(server);
-  return port;
-}
-
 interface Vm {
   readonly name: string;
   readonly front: string;
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -14,6 +14,7 @@
 import { authorizerOf } from '../fakes/runs';
 import { PlatformIngress } from '../../src/platform/ingress';
 import { waitUntil } from '../fakes/cluster';
+import { freePort } from '../fakes/loopback';
 
 const config: RoutingConfig = {
   version: 1,
@@ -80,9 +81,12 @@
     exchange.writeHead(200, ['content-length', '2']);
     exchange.end(Buffer.from('ok'));
   });
-  const port = 18_000 + Number(process.env.JEST_WORKER_ID ?? 0);
+  let port: number;
 
-  beforeAll(() => front.listen(`127.0.0.1:${port}`));
+  beforeAll(async () => {
+    port = await freePort();
+    await front.listen(`127.0.0.1:${port}`);
+  });
   afterAll(() => front.close());
 
   /* A VM that has just started has no routes. Callers take a 404 for a removed route and do not retry. */
@@ -142,11 +146,12 @@
     await pause(OBSERVED_MS / 3);
     exchange.end(Buffer.from(EVENT));
   });
-  const port = 18_100 + Number(process.env.JEST_WORKER_ID ?? 0);
+  let port: number;
 
-  beforeAll(() => {
+  beforeAll(async () => {
     routingState.learnConfig(0, config, 'test');
-    return front.listen(`127.0.0.1:${port}`);
+    port = await freePort();
+    await front.listen(`127.0.0.1:${port}`);
   });
   afterAll(() => front.close());
 
--- a/test/router/snapshot.test.ts
+++ b/test/router/snapshot.test.ts
@@ -1,11 +1,12 @@
 import { RouterMetrics } from '../../src/node/router/metrics';
 import { call } from '../../src/utils/http';
+import { freePort } from '../fakes/loopback';
 
 describe('the metrics address', () => {
   /* Operators read a node's state snapshot from the address that also serves its metrics. */
   test('serves the state snapshot on one path and metrics on the others', async () => {
     const metrics = new RouterMetrics();
-    const address = '127.0.0.1:19464';
+    const address = `127.0.0.1:${await freePort()}`;
     metrics.recordRequest('deed-reader', 503, 'runnerFull', 120);
     metrics.recordRank('deed-reader', 0, 'inTime');
     await metrics.listen(address, () => ({ vm: 'front-1', configVersion: 7 }));
