Let streams that go on wait while decode runners prefill

All streams of such a runner ask to go on within the same moment. Most VMs have no retry budget for a prefill and a run then, so decode runners prefill their prompts, one at a time; the owner refused all others at once, although the usual prefill takes some 20 ms.

Change: A request that continues a stream waits while a decode runner prefills a prompt, as long as its caller would wait. All others are refused at once, as before.

The new test of localprefill.test.ts fails without the change.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -7,7 +7,7 @@
 import type { Engine } from '../routing/types';
 import { mayContinue } from '../routing/types';
 import type { DecodeState, MemoryAccount, PrefillState } from './account';
-import { expectedEndOf } from './account';
+import { expectedEndOf, isPrefillingLocally } from './account';
 import type { VmAccess, VmBackoffs } from './backoffs';
 import { RunnerCandidates } from './candidates';
 import type { Costs } from './cost';
@@ -164,6 +164,11 @@
     return this.#findMostFree(now, demand, isAllowed);
   }
 
+  /** Whether a decode runner is running a local prefill at the moment. */
+  isPrefillingLocally(now: number): boolean {
+    return [...this.#account.decode.values()].some((state) => isPrefillingLocally(now, state));
+  }
+
   /** How far the decode runners are open to the VM of a request. */
   accessOf(now: number): (demand: Demand) => VmAccess {
     const byVm = new Map<string, VmAccess>();
--- a/src/core/memory/scheduler.ts
+++ b/src/core/memory/scheduler.ts
@@ -224,7 +224,7 @@
   #refuseUnservable(now: number, order: readonly Demand[]): void {
     if (!this.#engine) return;
     const { usualSizeTokens, usual } = this.#stats;
-    this.#refuseLocalPrefills(order);
+    this.#refuseLocalPrefills(now, order);
     const stillWaiting = order.filter(({ id }) => this.#queue.has(id));
     const unservable = findUnservable(this.#policy.refusal, now, stillWaiting, {
       sizeOf: (demand) => this.#stats.sizeOf(demand),
@@ -253,11 +253,15 @@
 
   /**
    * Refuses requests that no decode runner can prefill now. They have failed before, and runners
-   * prefill prompts themselves only while that delays no other stream.
+   * prefill prompts themselves only while that delays no other stream. A stream that goes on waits
+   * while a runner prefills: all streams of a lost runner ask at once, each runner prefills one prompt
+   * at a time, and a refusal ends the stream.
    */
-  #refuseLocalPrefills(order: readonly Demand[]): void {
-    for (const { id, rank, prefillsLocally } of order) {
-      if (prefillsLocally && this.#queue.has(id)) {
+  #refuseLocalPrefills(now: number, order: readonly Demand[]): void {
+    const isPrefilling = this.#capacity.isPrefillingLocally(now);
+    for (const { id, rank, prefillsLocally, resuming } of order) {
+      const mayWait = resuming && isPrefilling;
+      if (prefillsLocally && !mayWait && this.#queue.has(id)) {
         this.#queue.delete(id);
         const cause = { rank, reason: 'localPrefill' } as const;
         this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS, cause });
--- a/test/router/localprefill.test.ts
+++ b/test/router/localprefill.test.ts
@@ -59,6 +59,20 @@
     expect(planner.waiting).toBe(0);
   });
 
+  // Guards against the loss of all but a few streams of a runner that lost power.
+  test('waits for the local prefills of other streams if it continues one', () => {
+    const planner = plannerOf();
+    const change = { prefillsLocally: true, resuming: true };
+    const [first, second, third] = ['a', 'b', 'c'].map((id) =>
+      planner.handle(0, { kind: 'asked', demand: demandOf(id, 0, change) }),
+    );
+    expect([first, second]).toMatchObject([[{ kind: 'grant' }], [{ kind: 'grant' }]]);
+    expect(third).toEqual([]);
+    expect(planner.waiting).toBe(1);
+    const actions = planner.handle(20, { kind: 'started', id: 'a' });
+    expect(actions).toMatchObject([{ kind: 'grant', id: 'c' }]);
+  });
+
   test('tells the owner so', () => {
     const { vm, returned, ...sent } = demandOf('q', 0, { prefillsLocally: true });
     expect(fromWireDemand(0, vm, toWireDemand(0, sent))).toEqual({ ...sent, vm, returned });
