Cover reported load, priorities, floods and lost runners in the soak

Cause: The soak knew none of the parts for load beyond capacity (item E7 of OVERLOAD.md).

Change: Runners report their load in each response and in the health path, plain ones their slowness as well with odd seeds, and one plain runner slows down at times. Customers and the routes of the model service have different priorities, which change with configurations. One customer at a time floods the model service. Each storm begins with a decode runner that stops answering with its connections open. New checks: order, priority, silent; whole covers events of answers that end early. Slow plain runners took the square of their factor, which would not agree with the slowness that they report; they take the factor now. The time for which a runner drains ends with its instance. Answers of runners are moved to a file of their own.

--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -53,6 +53,8 @@
   readonly keys: KeySource;
   /** `HOST:PORT` of the directories of all VMs. */
   readonly directories: readonly string[];
+  /** Kinds of requests that are drawn with equal probability. */
+  readonly kinds: readonly RequestKind[];
 }
 
 const HOST = 'soak.example';
@@ -79,7 +81,8 @@
 const RETURN_RATIO = 0.8;
 /** Time beyond its deadline for which a caller waits for an answer. */
 const ANSWER_GRACE_MS = 2000;
-const kinds: readonly RequestKind[] = ['repeatable', 'once', 'stream', 'resumable'];
+export const allKinds: readonly RequestKind[] = ['repeatable', 'once', 'stream', 'resumable'];
+export const streamKinds: readonly RequestKind[] = ['stream', 'resumable'];
 /** Path prefix of the route of each kind of request. */
 export const routePrefixes: Readonly<Record<RequestKind, string>> = {
   repeatable: '/look/',
@@ -116,7 +119,7 @@
 
   /** Sends one request, with the caller's own retries. */
   async #sendRequest(): Promise<void> {
-    const { random, keys } = this.#context;
+    const { random, keys, kinds } = this.#context;
     const kind = kinds[Math.floor(random() * kinds.length)] ?? 'once';
     const isStream = kind === 'stream' || kind === 'resumable';
     const events = isStream ? 5 + Math.floor(random() * 30) : 0;
@@ -151,6 +154,8 @@
     const answer = await exchange(this.#agent, address, sent, held, disconnectMs);
     const timed = {
       ...answer,
+      // Also of a stream that ended early, which may be taken up again.
+      integrityError: answer.integrityError ?? held.error,
       ms: performance.now() - began,
       newEvents: held.count - heldBefore,
       versions: held.versions,
--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -21,6 +21,8 @@
   readonly onStoreRestored: () => void;
   /** Called when a VM is partitioned from all runners, or not any more. */
   readonly onRunnersCut: (vm: Vm, isCut: boolean) => void;
+  /** Called when a runner stops answering, with all its connections open. */
+  readonly onLost: (member: PooledRunner) => void;
   /** Called when a fault begins or ends. */
   readonly onFault: (id: number, name: string, target: string, begins: boolean) => void;
 }
@@ -57,6 +59,10 @@
 const MIN_RUNNERS_CUT_MS = 5000;
 /** Time that VMs need to reconnect after a network partition; counted as part of the fault. */
 const RECONNECT_MS = 2000;
+/** Each burst begins with a fault of this kind: only a few streams are under way at one runner. */
+const LOSS = 'runner-lost';
+/** Minimum time for which a lost runner does not answer: its streams would have ended in half of it. */
+const MIN_LOST_MS = 4000;
 /** Range of clock steps: the clock moves by at most half of it in either direction. */
 const CLOCK_STEP_RANGE_MS = 8000;
 
@@ -136,6 +142,8 @@
     const kinds = Object.entries(this.#kinds()).filter(
       ([name]) => !this.#enabledKinds || this.#enabledKinds.has(name),
     );
+    const loss = kinds.find(([name]) => name === LOSS);
+    if (loss) this.#begin(LOSS, loss[1]());
     while (Date.now() < until && kinds.length > 0) {
       const [name, fault] = kinds[Math.floor(random() * kinds.length)] as [string, FaultStarter];
       this.#begin(name, fault());
@@ -184,6 +192,8 @@
       'store-link': () => this.#onStoreLink(),
       'path-runners': () => this.#onPath(),
       'runner-crash': () => this.#onRunner((member) => this.#crash(member)),
+      [LOSS]: () =>
+        this.#onRunner((member) => this.#lose(member), this.#context.pool.redundantDecoders),
       'runner-fails': () => this.#disturbRunner({ failRatio: 0.4 }),
       'runner-all-fail': () => this.#failPlainRunners(),
       'runner-sheds': () => this.#disturbRunner({ shedRatio: 0.4 }),
@@ -345,8 +355,11 @@
     proxy.reset(random, 1);
   }
 
-  #onRunner(work: (member: PooledRunner) => Promise<void>): ActiveFault | undefined {
-    const free = this.#context.pool.members.filter(
+  #onRunner(
+    work: (member: PooledRunner) => Promise<void>,
+    members: readonly PooledRunner[] = this.#context.pool.members,
+  ): ActiveFault | undefined {
+    const free = members.filter(
       ({ runner }) => runner.isUp && !this.#busyTargets.has(runner.runnerId),
     );
     const member = this.#pick(free);
@@ -359,6 +372,21 @@
     await pause(1500);
   }
 
+  /** Stops a runner as a loss of power does: no connection ends, and it comes back without its state. */
+  async #lose(member: PooledRunner): Promise<void> {
+    const { pool, onLost, random } = this.#context;
+    const { proxy } = member;
+    proxy.state = 'silent';
+    onLost(member);
+    const untilListing = pool.expire(member);
+    await pause(MIN_LOST_MS + this.#drawDurationMs() / 2);
+    clearTimeout(untilListing);
+    if (member.runner.isUp) await pool.restart(member, 0);
+    proxy.state = 'well';
+    proxy.reset(random, 1);
+    await pause(1500);
+  }
+
   /** Makes all plain runners fail most of their requests. */
   #failPlainRunners(): ActiveFault | undefined {
     const members = this.#context.pool.membersUp('plain');
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -10,9 +10,11 @@
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
 import { ReachChecker } from './reach';
+import { LostStreamChecker } from './loststreams';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
 import type { Arrival, Order, RunnerObserver } from './runner';
+import { UrgencyChecker } from './urgency';
 import { VersionChecker } from './versions';
 
 /** A violated guarantee. */
@@ -61,7 +63,7 @@
 /** Time within which a request must be cancelled at its runners after its caller disconnected. */
 const CANCELLATION_MS = 700;
 /** Fault-free time required before a guarantee with a time limit is checked. */
-const MIN_FAULT_FREE_MS = 4000;
+export const MIN_FAULT_FREE_MS = 4000;
 /** Sliding window over which requests to a rate-limited runner are counted. */
 const LIMIT_WINDOW_MS = 4000;
 /** Time after a runner announced a limit before the check applies; longer than a window, so that windows begin after the announcement. */
@@ -93,7 +95,7 @@
   /** Last order that each runner instance received. */
   readonly #lastOrders = new Map<string, { holder: string; fence: number; at: number }>();
 
-  /** Draining runners, and when the store recorded that they drain. */
+  /** Draining runner instances, and when the store recorded that they drain. */
   readonly #drainingSince = new Map<string, number>();
 
   /** Rate limits announced by runner instances: since when, and times of recent arrivals. */
@@ -105,6 +107,10 @@
 
   readonly #versions = new VersionChecker();
 
+  readonly #urgency = new UrgencyChecker();
+
+  readonly #lostStreams = new LostStreamChecker();
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -135,11 +141,30 @@
     if (loss) this.#report('reach', loss.detail);
   }
 
+  /** Records that a runner instance no longer answers, while others can continue its streams. */
+  setLost(runner: string): void {
+    for (const { request, vm, activeRuns } of this.#records.values()) {
+      const isThere = [...activeRuns].some(
+        ({ instanceId, role }) => instanceId === runner && role === 'decode',
+      );
+      const isResumable = request.kind === 'resumable';
+      if (isThere && isResumable && this.#context.isInTouch(vm)) this.#lostStreams.lost(request);
+    }
+  }
+
   answered(request: SentRequest, vm: string, answer: CallerAnswer): void {
     const { outcome, integrityError: error, status } = answer;
     const record = this.#records.get(request.id);
     const quietMs = this.#context.faultFreeMs('vm', 'runner', 'store');
     if (record && quietMs >= MIN_FAULT_FREE_MS) this.#reach.answered(record.sentAt, vm, answer);
+    const undisturbedMs = Math.min(quietMs, this.#context.faultFreeMs('path'));
+    const isRevoked = request.key !== undefined && this.#context.revokedAt(request.key);
+    const isUndisturbed = undisturbedMs >= MIN_FAULT_FREE_MS + Date.now() - (record?.sentAt ?? 0);
+    if (record && isUndisturbed && !isRevoked) {
+      this.#urgency.answered(record.sentAt, request, answer);
+    }
+    const lostError = this.#lostStreams.answered(request, answer);
+    if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
     if (outcome === 'served' && record && record.runs === 0) {
@@ -164,6 +189,8 @@
     this.#checkDraining(now, arrival);
     if (!record) return;
     this.#checkAnnouncements(now, record, arrival);
+    const finding = this.#urgency.arrived(record.request, arrival);
+    if (finding !== undefined) this.#report('priority', finding);
     // A prefill that precedes the first decode is not a retry.
     if (arrival.role === 'prefill' && record.arrivalCount === 0) return;
     record.arrivalCount += 1;
@@ -197,6 +224,7 @@
     this.#checkKey(record, runner);
     if (arrival.role === 'prefill') return;
     record.runs += 1;
+    this.#lostStreams.began(request);
     const isOnce = request.kind === 'once' || request.kind === 'stream';
     if (isOnce && record.runs > 1) this.#report('once', `${id} ran ${record.runs} times`);
     if (record.isRefused) this.#report('not run', `${id} ran at ${runner} after it was refused`);
@@ -226,10 +254,10 @@
     }
   }
 
-  /** Records that a runner's store entry is marked as draining, or no longer is. */
-  setDraining(runnerId: string, isDraining: boolean): void {
-    if (isDraining) this.#drainingSince.set(runnerId, Date.now());
-    else this.#drainingSince.delete(runnerId);
+  /** Records that the store entry of a runner instance is marked as draining, or no longer is. */
+  setDraining(instanceId: string, isDraining: boolean): void {
+    if (isDraining) this.#drainingSince.set(instanceId, Date.now());
+    else this.#drainingSince.delete(instanceId);
   }
 
   /** Records the rate limit that a runner instance announces; undefined if it announces none. */
@@ -254,15 +282,23 @@
     this.#context.onBreach({ promise, detail });
   }
 
-  /** Streams that callers took up again, and how many of them went on. */
+  /** Streams that callers took up again or whose runners fell silent, and how many of them went on. */
   get streamCounts(): Readonly<Record<string, number>> {
-    return this.#versions.counts;
+    return { ...this.#versions.counts, ...this.#lostStreams.counts };
+  }
+
+  /** By how much less urgent kinds of streams are served more often than more urgent ones. */
+  get leads(): Readonly<Record<string, number>> {
+    return this.#urgency.leads;
   }
 
   /** Checks what can only be told at the end of the run. */
   finish(): void {
     const { finding } = this.#versions;
     if (finding !== undefined) this.#report('resume', finding);
+    const lostFinding = this.#lostStreams.finding;
+    if (lostFinding !== undefined) this.#report('silent', lostFinding);
+    this.#urgency.findings.forEach((detail) => this.#report('order', detail));
   }
 
   #checkVersions(request: SentRequest, vm: string, answer: CallerAnswer): void {
@@ -324,8 +360,7 @@
   }
 
   #checkDraining(now: number, { requestId, instanceId }: Arrival): void {
-    const runnerId = instanceId.split('@')[0] ?? '';
-    const forMs = now - (this.#drainingSince.get(runnerId) ?? Infinity);
+    const forMs = now - (this.#drainingSince.get(instanceId) ?? Infinity);
     if (forMs > DRAIN_GRACE_MS && this.#context.faultFreeMs('vm', 'store') >= forMs) {
       this.#report(
         'drain',
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -51,6 +51,7 @@
     ...totals,
     faults: soak.faultCounts,
     streams: soak.streamCounts,
+    leads: soak.leads,
     used: soak.peakUsage,
     breaches: breaches.length,
     ...logs,
--- a/scripts/soak/maintenance.ts
+++ b/scripts/soak/maintenance.ts
@@ -1,4 +1,4 @@
-/** Planned changes of runners, independent of faults: runners drain and restart, announce a rate limit, reject everything for a limited time, or are replaced by runners of another software version. */
+/** Planned changes of runners, independent of faults: runners drain and restart, announce a rate limit, reject everything for a limited time, or are replaced by runners of another software version; one plain runner slows down at times. */
 
 import { setTimeout as pause } from 'node:timers/promises';
 
@@ -8,8 +8,8 @@
 export interface MaintenanceContext {
   readonly random: () => number;
   readonly pool: RunnerPool;
-  /** Called when a runner begins to drain, and when it is back. */
-  readonly onDraining: (runnerId: string, isDraining: boolean) => void;
+  /** Called when a runner instance begins to drain, and when it has ended. */
+  readonly onDraining: (instanceId: string, isDraining: boolean) => void;
   /** Called when a runner instance announces a rate limit; with undefined when it stops doing so. */
   readonly onRateLimit: (instanceId: string, ratePerS: number | undefined) => void;
 }
@@ -36,6 +36,11 @@
 /** Smallest fraction of the runners that a release replaces. */
 const MIN_RELEASE_RATIO = 0.3;
 
+/** Mean time between two slowdowns of one plain runner, their duration and the factor on its work; from docs/OVERLOAD.md. */
+const SLOWDOWN_INTERVAL_MS = 2000;
+const SLOWDOWN_MS = 600;
+const SLOWDOWN_FACTOR = 2.5;
+
 /** Software version of all runners at the start of a run. */
 export const FIRST_VERSION = 'v1';
 
@@ -51,7 +56,22 @@
 
   /** Applies changes until `until` (epoch milliseconds), and waits for those in progress. */
   async run(until: number): Promise<void> {
-    await Promise.all([this.#changeRunners(until), this.#releaseVersions(until)]);
+    await Promise.all([
+      this.#changeRunners(until),
+      this.#releaseVersions(until),
+      this.#slowDown(until),
+    ]);
+  }
+
+  async #slowDown(until: number): Promise<void> {
+    const { random, pool } = this.#context;
+    const runner = pool.membersUp('plain')[0]?.runner;
+    while (runner && Date.now() < until) {
+      await pause(SLOWDOWN_INTERVAL_MS * (0.5 + random()));
+      runner.momentarySlowdown = SLOWDOWN_FACTOR;
+      await pause(SLOWDOWN_MS);
+      runner.momentarySlowdown = 1;
+    }
   }
 
   async #changeRunners(until: number): Promise<void> {
@@ -88,14 +108,14 @@
   /** Starts a runner of another version, then drains and ends the old one. */
   async #replace(member: PooledRunner, version: string): Promise<void> {
     const { pool, onDraining } = this.#context;
-    const { runnerId, role } = member.runner;
+    const { instanceId, role } = member.runner;
     this.#busyRunners.add(member);
     await pool.add(role, version);
     pool.drain(member, true);
-    onDraining(runnerId, true);
+    onDraining(instanceId, true);
     await pause(DRAIN_MS);
     await pool.remove(member);
-    onDraining(runnerId, false);
+    onDraining(instanceId, false);
     this.#busyRunners.delete(member);
   }
 
@@ -118,14 +138,14 @@
 
   async #restart(member: PooledRunner): Promise<void> {
     const { random, pool, onDraining } = this.#context;
-    const { runnerId } = member.runner;
+    const { instanceId } = member.runner;
     this.#busyRunners.add(member);
     const isListed = random() >= UNLISTED_RATIO;
     pool.drain(member, isListed);
-    if (isListed) onDraining(runnerId, true);
+    if (isListed) onDraining(instanceId, true);
     await pause(DRAIN_MS);
     if (member.runner.isUp) await pool.restart(member, DOWN_MS);
-    onDraining(runnerId, false);
+    onDraining(instanceId, false);
     this.#busyRunners.delete(member);
   }
 
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -8,7 +8,7 @@
 import type { CallerObserver, KeySource } from './callers';
 import { routePrefixes } from './callers';
 import { services } from './pool';
-import type { SentRequest } from './requests';
+import type { RequestKind, SentRequest } from './requests';
 import type { Breach } from './guarantees';
 import { runnerProfile } from './runner';
 import type { Vm } from './vm';
@@ -18,6 +18,15 @@
 const CUSTOMERS = ['ada', 'bob', 'cyd'] as const;
 /** Rate limits of customers; undefined for none. */
 const QUOTAS = { ada: undefined, bob: { ratePerS: 16, burst: 20 }, cyd: undefined } as const;
+/** Priorities of customers; 0 is the most urgent. */
+export const customerPriorities: Readonly<Record<string, number>> = { ada: 0, bob: 1, cyd: 2 };
+/** Priorities of the routes of the model service, one after the other as configurations change. */
+export const routePriorities: Readonly<Partial<Record<RequestKind, readonly number[]>>> = {
+  stream: [0, 1],
+  resumable: [1, 2],
+};
+/** Configuration versions between changes of the priorities of routes. */
+const PRIORITY_VERSIONS = 4;
 const KEYS_PER_CUSTOMER = 2;
 /** Fraction of requests that use a revoked key. */
 const REVOKED_KEY_RATIO = 0.08;
@@ -79,11 +88,17 @@
     return this.#version;
   }
 
-  /** Draws a valid key in most cases; otherwise a revoked one, as from a caller that still uses it. */
-  drawKey(): ApiKey {
+  /**
+   * Draws a valid key in most cases; otherwise a revoked one, as from a caller that still uses it.
+   * @param only the customer; undefined for any
+   */
+  drawKey(only?: string): ApiKey {
     const { random } = this.#context;
     const isOld = this.#recentlyRevoked.length > 0 && random() < REVOKED_KEY_RATIO;
-    const keys = isOld ? this.#recentlyRevoked : this.#keys;
+    const keys =
+      only === undefined
+        ? (isOld && this.#recentlyRevoked) || this.#keys
+        : this.#keys.filter(({ customer }) => customer === only);
     return keys[Math.floor(random() * keys.length)] as ApiKey;
   }
 
@@ -203,19 +218,26 @@
       ...extra,
     });
     const model = { service: services.model, 'timeout-ms': 6000, 'target-latency-ms': 900 };
+    const turn = Math.floor(this.#version / PRIORITY_VERSIONS) % 2;
+    const priorityOf = (kind: RequestKind): object => ({ priority: routePriorities[kind]?.[turn] });
     const plain = { service: services.plain, 'timeout-ms': 1500, 'target-latency-ms': 200 };
     return {
       version: this.#version,
       tenants: CUSTOMERS.map((name) => ({
         name,
+        priority: customerPriorities[name],
         'api-keys': this.#keys.filter(({ customer }) => customer === name).map(({ key }) => key),
         ...(QUOTAS[name] ? { 'rate-per-s': QUOTAS[name].ratePerS, burst: QUOTAS[name].burst } : {}),
       })),
       routes: [
         route('look', routePrefixes.repeatable, 'idempotent', plain),
         route('pay', routePrefixes.once, 'non_idempotent', plain),
-        route('read', routePrefixes.stream, 'streaming', model),
-        route('note', routePrefixes.resumable, 'streaming', { ...model, resumable: true }),
+        route('read', routePrefixes.stream, 'streaming', { ...model, ...priorityOf('stream') }),
+        route('note', routePrefixes.resumable, 'streaming', {
+          ...model,
+          ...priorityOf('resumable'),
+          resumable: true,
+        }),
         route('version', `/version/${this.#version}/`, 'idempotent', plain),
       ],
       services: [
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -41,7 +41,7 @@
 
   constructor(
     store: FakeStore,
-    context: Pick<RunnerContext, 'observer' | 'random'>,
+    context: Pick<RunnerContext, 'observer' | 'random' | 'reportsSlowness'>,
     net: string,
     domains: readonly string[],
   ) {
@@ -60,6 +60,22 @@
     return this.members.filter(({ runner }) => runner.role === role && runner.isUp);
   }
 
+  /** Decode runners of a software version that serve. */
+  decodersOf(version: string): readonly PooledRunner[] {
+    return this.membersUp('decode').filter(
+      ({ runner }) => runner.version === version && !runner.isLeaving,
+    );
+  }
+
+  /** Decode runners whose streams another one can continue, that is, one of their version with a working link. */
+  get redundantDecoders(): readonly PooledRunner[] {
+    return this.membersUp('decode').filter((member) =>
+      this.decodersOf(member.runner.version).some(
+        (other) => other !== member && other.proxy.state === 'well',
+      ),
+    );
+  }
+
   /** Starts a runner behind a proxy and writes its store entry. */
   async add(role: RunnerRole, version: string): Promise<void> {
     this.#count += 1;
@@ -85,10 +101,7 @@
   async restart(member: PooledRunner, downMs: number): Promise<void> {
     const { runner, host } = member;
     await runner.crash();
-    const expiry = setTimeout(
-      () => this.#store.remove(`servers/${runner.runnerId}`),
-      ENTRY_EXPIRY_MS,
-    );
+    const expiry = this.expire(member);
     await pause(downMs);
     clearTimeout(expiry);
     runner.isDraining = false;
@@ -96,6 +109,11 @@
     this.publish(runner);
   }
 
+  /** Removes the store entry of a runner that no longer renews it, after some time. */
+  expire({ runner }: PooledRunner): NodeJS.Timeout {
+    return setTimeout(() => this.#store.remove(`servers/${runner.runnerId}`), ENTRY_EXPIRY_MS);
+  }
+
   /**
    * Marks a runner as draining: its answers announce that it leaves.
    * @param isListed whether its store entry says so as well
--- a/scripts/soak/reach.ts
+++ b/scripts/soak/reach.ts
@@ -29,7 +29,7 @@
 const ALLOWED_FAILURES = 10;
 const ALLOWED_FAILURE_RATIO = 1 / 50;
 /** Statuses of attempts that are not to be served: without a valid key, or over a quota. */
-const UNOWED: ReadonlySet<number> = new Set([401, 403, 429]);
+export const UNOWED: ReadonlySet<number> = new Set([401, 403, 429]);
 
 /** Partitions by the VM's address. */
 export class ReachChecker {
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -10,7 +10,8 @@
 
 import { closeServer, listen, readBody, sendJson } from '../../test/fakes/http';
 import type { Announcement } from './announcements';
-import { digestOf, eventOf, eventCountOf, plainAnswer, signatureOf } from './requests';
+import { Reply } from './reply';
+import { digestOf, eventOf, eventCountOf, plainAnswer } from './requests';
 
 /** What a runner does; orders switch engines between `prefill` and `decode`. */
 export type RunnerRole = 'prefill' | 'decode' | 'plain';
@@ -28,6 +29,8 @@
   readonly customer: string | undefined;
   /** Whether it carried the caller's API key, which must not reach runners. */
   readonly hasKey: boolean;
+  /** How urgent it is, from 0, the first, to 9; undefined if it does not say. */
+  readonly priority: number | undefined;
 }
 
 /** A role-change order as a runner received it. */
@@ -58,6 +61,8 @@
   readonly random: () => number;
   /** Called when the runner's entry in the store must be updated. */
   readonly onEntryChange: (runner: SoakRunner) => void;
+  /** Whether plain runners report how long work takes at the moment, beside their counts. */
+  readonly reportsSlowness: boolean;
   /** Fetches the KV cache of a handle, `HOST:PORT/HANDLE`, from the runner that holds it; returns whether it existed. */
   readonly takeCache: (source: string) => boolean;
 }
@@ -99,67 +104,6 @@
   plainQueueSlots: 6,
 } as const;
 
-/** Writes a runner's answer to one request. */
-class Reply {
-  readonly #res: ServerResponse;
-
-  readonly #headers: Readonly<Record<string, string>>;
-
-  constructor(res: ServerResponse, id: string, runnerId: string, ratePerS: number | undefined) {
-    this.#res = res;
-    this.#headers = {
-      'request-id': id,
-      'server-signature': runnerId,
-      ...(ratePerS === undefined ? {} : { 'server-limit': String(ratePerS) }),
-    };
-  }
-
-  /**
-   * Rejects the request and declares that it has not run and will not.
-   * @param pauseMs time for which the runner wants no requests of the VM, in milliseconds
-   */
-  reject(status: number, pauseMs?: number): void {
-    const headers = {
-      ...this.#headers,
-      'not-executed': '1',
-      ...(pauseMs === undefined ? {} : { 'retry-after': String(pauseMs / 1000) }),
-    };
-    this.#res.writeHead(status, headers).end();
-  }
-
-  fail(): void {
-    this.#res.writeHead(500, this.#headers).end('failed');
-  }
-
-  json(value: unknown): void {
-    this.#res.writeHead(200, { ...this.#headers, 'content-type': 'application/json' });
-    this.#res.end(JSON.stringify(value));
-  }
-
-  text(text: string): void {
-    const headers = { ...this.#headers, 'server-signature': signatureOf(text) };
-    this.#res.writeHead(200, headers).end(text);
-  }
-
-  event(text: string): void {
-    if (!this.#res.headersSent) {
-      this.#res.writeHead(200, { ...this.#headers, 'content-type': 'text/event-stream' });
-    }
-    this.#res.write(text);
-  }
-
-  end(): void {
-    if (!this.#res.headersSent) this.event('');
-    this.#res.end();
-  }
-
-  /** Resets the connection, after a partial event if one is given. */
-  cut(last = ''): void {
-    if (last !== '') this.event(last);
-    this.#res.socket?.resetAndDestroy();
-  }
-}
-
 /** KV cache of a prefilled prompt. */
 interface PromptCache {
   readonly tokens: number;
@@ -181,6 +125,9 @@
 
   behaviour: RunnerBehaviour = healthyBehaviour;
 
+  /** Factor on the duration of all work at this moment, beside that of its behaviour. */
+  momentarySlowdown = 1;
+
   /** Rate limit that it announces in its answers, in requests per second; undefined if it announces none. */
   ratePerS: number | undefined;
 
@@ -302,10 +249,24 @@
     return [...this.#runningTokens.values()].reduce((sum, tokens) => sum + tokens, cached);
   }
 
+  get #slowdown(): number {
+    return this.behaviour.slowdown * this.momentarySlowdown;
+  }
+
+  /** Value of the header `Server-Load`: running, waiting, slots and, if reported, the slowness in percent. */
+  #load(): string {
+    if (this.#role !== 'plain') return `${this.#runningTokens.size},0,${runnerProfile.slots}`;
+    const { plainSlots } = runnerProfile;
+    const running = Math.min(this.#plainRunCount, plainSlots);
+    const counts = `${running},${this.#plainRunCount - running},${plainSlots}`;
+    return this.#context.reportsSlowness ? `${counts},${this.#slowdown * 100}` : counts;
+  }
+
   async #handle(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
     const { pathname } = url;
     if (this.isLeaving) res.setHeader('server-leaving', '1');
-    if (pathname === '/v1/report') this.#sendReport(res);
+    if (pathname === '/health') res.writeHead(200, { 'server-load': this.#load() }).end();
+    else if (pathname === '/v1/report') this.#sendReport(res);
     else if (pathname === '/v1/order') this.#handleOrder(res, JSON.parse(await readBody(req)));
     else if (pathname.startsWith('/v1/kv-handle/')) {
       this.#caches.delete(pathname.split('/').at(-1) ?? '');
@@ -356,6 +317,7 @@
     const { headers } = req;
     const id = String(headers['request-id'] ?? '');
     const isPrefill = headers['serving-stage'] === 'prefill';
+    const priority = headers['request-priority'];
     const arrival: Arrival = {
       requestId: id,
       instanceId: this.instanceId,
@@ -364,8 +326,9 @@
       digest: digestOf(pathname, body),
       customer: headers['tenant-id']?.toString(),
       hasKey: headers.authorization !== undefined,
+      priority: priority === undefined ? undefined : Number(priority),
     };
-    const answer = new Reply(res, id, this.runnerId, this.ratePerS);
+    const answer = new Reply(res, id, this, () => this.#load());
     const wrongStage = isPrefill !== (this.#role === 'prefill');
     if (headers['expected-instance'] !== this.runnerId || wrongStage) {
       answer.reject(421);
@@ -412,7 +375,7 @@
     this.#observer.began(arrival);
     const handle = randomUUID().slice(0, 12);
     this.#caches.set(handle, { tokens, expiry: Infinity });
-    await pause(tokens * runnerProfile.prefillTokenMs * this.behaviour.slowdown);
+    await pause(tokens * runnerProfile.prefillTokenMs * this.#slowdown);
     this.#caches.set(handle, { tokens, expiry: Date.now() + runnerProfile.cacheHoldMs });
     this.#observer.ended(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
@@ -426,8 +389,7 @@
     }
     this.#plainRunCount += 1;
     this.#observer.began(arrival);
-    const factor =
-      Math.max(1, this.#plainRunCount / runnerProfile.plainSlots) * this.behaviour.slowdown;
+    const factor = Math.max(1, this.#plainRunCount / runnerProfile.plainSlots);
     await this.#work(runnerProfile.plainMs * factor, signal);
     this.#plainRunCount -= 1;
     this.#observer.ended(arrival);
@@ -488,7 +450,7 @@
   /** Waits for the duration of some work, or for a minute if it hangs; ends early when the request is aborted. */
   async #work(ms: number, signal: AbortSignal): Promise<void> {
     const isHanging = this.#random() < this.behaviour.hangRatio;
-    const durationMs = isHanging ? 60_000 : ms * this.behaviour.slowdown;
+    const durationMs = isHanging ? 60_000 : ms * this.#slowdown;
     await pause(durationMs, undefined, { signal, ref: false }).catch(() => undefined);
   }
 }
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -8,14 +8,14 @@
 import { call } from '../../test/fakes/http';
 import { FakeStore } from '../../test/fakes/store';
 import { seeded } from '../../test/fakes/virtual/workload';
-import { CallerGroup } from './callers';
+import { allKinds, CallerGroup, streamKinds } from './callers';
 import { FaultInjector } from './faults';
 import { Mesh } from './mesh';
-import { Operator } from './operator';
+import { customerPriorities, Operator } from './operator';
 import { FIRST_VERSION, Maintenance } from './maintenance';
 import { RunnerPool } from './pool';
 import type { Breach } from './guarantees';
-import { GuaranteeChecker } from './guarantees';
+import { GuaranteeChecker, MIN_FAULT_FREE_MS } from './guarantees';
 import type { FleetView, Timeline } from './timeline';
 import { Vm } from './vm';
 
@@ -34,6 +34,13 @@
 
 const DOMAINS = ['north', 'centre', 'south'];
 const CALLER_GROUPS = 6;
+/**
+ * Streams per second of a flood, relative to all requests of all customers: its customer then sends seven
+ * times its usual streams, and all together nearly twice what the decode runners can serve.
+ */
+const FLOOD_FACTOR = 1;
+const FLOOD_INTERVAL_MS = 6000;
+const FLOOD_MS = 4000;
 /** Time within which all VMs must become ready after the start. */
 const STARTUP_TIMEOUT_MS = 30_000;
 const SECOND_MS = 1000;
@@ -92,15 +99,12 @@
       revokedAt: (key) => this.#operator.revokedAt(key),
       quotaOf: (customer) => this.#operator.quotaOf(customer),
       isInTouch: (address) => this.#isInTouch(address),
-      runnersOf: (version) =>
-        this.#pool
-          .membersUp('decode')
-          .filter(({ runner }) => runner.version === version && !runner.isLeaving).length,
+      runnersOf: (version) => this.#pool.decodersOf(version).length,
     });
     const observer = this.#guarantees;
     this.#pool = new RunnerPool(
       store,
-      { observer, random: seeded(seed + 2) },
+      { observer, random: seeded(seed + 2), reportsSlowness: seed % 2 === 1 },
       this.#networkPrefix,
       DOMAINS,
     );
@@ -114,6 +118,7 @@
         onStoreRestored: () => this.#operator.rewrite(),
         onRunnersCut: ({ frontAddress }, isCut) =>
           this.#guarantees.setRunnersCut(frontAddress, isCut),
+        onLost: ({ runner }) => this.#guarantees.setLost(runner.instanceId),
         onFault: (id, name, target, begins) => timeline.recordFault(id, name, target, begins),
       },
       options.faults,
@@ -130,6 +135,11 @@
     return this.#guarantees.streamCounts;
   }
 
+  /** By how much less urgent kinds of streams were served more often than more urgent ones. */
+  get leads(): Readonly<Record<string, number>> {
+    return this.#guarantees.leads;
+  }
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   get peakUsage(): Readonly<Record<string, number>> {
     return this.#guarantees.peakUsage;
@@ -144,7 +154,8 @@
       const maintenance = new Maintenance({
         random: seeded(this.#options.seed + 3),
         pool: this.#pool,
-        onDraining: (runnerId, isDraining) => this.#guarantees.setDraining(runnerId, isDraining),
+        onDraining: (instanceId, isDraining) =>
+          this.#guarantees.setDraining(instanceId, isDraining),
         onRateLimit: (instanceId, ratePerS) => this.#guarantees.setRateLimit(instanceId, ratePerS),
       });
       await Promise.all([
@@ -152,6 +163,7 @@
         this.#operator.run(until),
         maintenance.run(until),
         ...this.#callers(until),
+        this.#flood(until),
       ]);
       await this.#checkRecovery();
       this.#guarantees.finish();
@@ -171,23 +183,51 @@
 
   #callers(until: number): readonly Promise<void>[] {
     const { seed, ratePerS } = this.#options;
+    return Array.from({ length: CALLER_GROUPS }, (_, group) =>
+      this.#callerGroup(seeded(seed + 10 + group)).run(ratePerS / CALLER_GROUPS, until),
+    );
+  }
+
+  /** Floods of one customer at a time, alternately at any moment and while no fault is in progress. */
+  async #flood(until: number): Promise<void> {
+    const { seed, ratePerS } = this.#options;
+    const random = seeded(seed + 4);
+    for (let flood = 0; Date.now() < until - FLOOD_MS; flood += 1) {
+      await pause(FLOOD_INTERVAL_MS * (0.5 + random()));
+      const awaitsCalm = flood % 2 === 0;
+      while (awaitsCalm && !this.#isCalm && Date.now() < until) await pause(100);
+      // Without a quota, so that the model runners are overloaded.
+      const names = Object.keys(customerPriorities).filter(
+        (name) => !awaitsCalm || this.#operator.quotaOf(name) === undefined,
+      );
+      const customer = names[Math.floor(random() * names.length)];
+      const end = Math.min(until, Date.now() + FLOOD_MS);
+      await this.#callerGroup(random, customer).run(ratePerS * FLOOD_FACTOR, end);
+    }
+  }
+
+  get #isCalm(): boolean {
+    return this.#faults.faultFreeMs('vm', 'store', 'runner', 'path') >= MIN_FAULT_FREE_MS;
+  }
+
+  /** @param customer whose streams its callers send; undefined for all requests of all customers */
+  #callerGroup(random: () => number, customer?: string): CallerGroup {
     const guarantees = this.#guarantees;
     const timeline = this.#timeline;
-    return Array.from({ length: CALLER_GROUPS }, (_, group) =>
-      new CallerGroup({
-        observer: {
-          sent: (request, vm) => guarantees.sent(request, vm),
-          answered: (request, vm, answer) => {
-            timeline.recordAnswer(answer);
-            guarantees.answered(request, vm, answer);
-          },
-          disconnected: (request) => guarantees.disconnected(request),
+    return new CallerGroup({
+      observer: {
+        sent: (request, vm) => guarantees.sent(request, vm),
+        answered: (request, vm, answer) => {
+          timeline.recordAnswer(answer);
+          guarantees.answered(request, vm, answer);
         },
-        random: seeded(seed + 10 + group),
-        keys: this.#operator,
-        directories: this.#vms.map(({ directoryAddress }) => directoryAddress),
-      }).run(ratePerS / CALLER_GROUPS, until),
-    );
+        disconnected: (request) => guarantees.disconnected(request),
+      },
+      random,
+      keys: { drawKey: () => this.#operator.drawKey(customer) },
+      kinds: customer === undefined ? allKinds : streamKinds,
+      directories: this.#vms.map(({ directoryAddress }) => directoryAddress),
+    });
   }
 
   async #start(): Promise<void> {
