End the buffers of a test with its caller

Cause: A caller of exchange.test.ts never reads, and the check for such callers went on after the test. In a run of all tests it fired a minute later, in the next file of the same process (partition.test.ts), whose suite failed. slowcallers.test.ts used a port by worker, which two checkouts on one machine share.

Change: The caller disconnects, and nothing is buffered for it then; the port is a free one.

--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -146,5 +146,7 @@
     const exchange = new Exchange(now, request, streamRoute, 's', 1, answer, codec, buffers);
     await exchange.write(Buffer.from(EVENT));
     expect(exchange.signal.aborted).toBe(true);
+    events.emit('close');
+    expect(buffers.size).toBe(0);
   });
 });
--- a/test/router/slowcallers.test.ts
+++ b/test/router/slowcallers.test.ts
@@ -16,6 +16,7 @@
 import { streamRoute } from '../fakes/exchange';
 import { authorizerOf } from '../fakes/runs';
 import { VmState } from '../fakes/vmstate';
+import { freePort } from '../fakes/loopback';
 
 const MIB = 1024 * 1024;
 const CHUNK_BYTES = 16 * 1024;
@@ -61,7 +62,7 @@
   /** Requests whose streams were read from the runner completely. */
   readonly read: string[] = [];
 
-  readonly #port = 18_300 + Number(process.env.JEST_WORKER_ID ?? 0);
+  #port = 0;
 
   readonly #front: FrontEnd;
 
@@ -86,6 +87,7 @@
   }
 
   async start(): Promise<this> {
+    this.#port = await freePort();
     await this.#front.listen(`127.0.0.1:${this.#port}`);
     return this;
   }
