--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -11,6 +11,7 @@
 import { PathTable } from '../../core/paths/table';
 import type { Runner } from '../../core/routing/types';
 import type { Dialer } from '../../utils/dialer';
+import { connected } from '../../utils/dialer';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import type { TunnelRequest } from '../peer/tunnel';
@@ -265,7 +266,7 @@
     const socket = this.#context.dialer.dial(address);
     socket.on('error', () => {});
     try {
-      await connected(socket);
+      await connected(socket, CONNECT_TIMEOUT_MS);
     } catch (error) {
       this.#onDirectFailed(performance.now(), destination, error as Error);
       throw error;
@@ -378,25 +379,3 @@
     return lost.length / Math.max(1, runners.length);
   }
 }
-
-/** Resolves when a socket is connected. Destroys it and rejects after the connect timeout. */
-function connected(socket: Socket): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const onTimeout = (): void => {
-      // The connection may have been established while the process was busy or paused.
-      setImmediate(() => {
-        if (socket.connecting) socket.destroy(new Error('connect timeout'));
-      });
-    };
-    const timer = setTimeout(onTimeout, CONNECT_TIMEOUT_MS);
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      resolve();
-    });
-    socket.once('error', reject);
-    socket.once('close', () => {
-      clearTimeout(timer);
-      reject(new Error('closed before it was connected'));
-    });
-  });
-}
--- a/src/utils/dialer.ts
+++ b/src/utils/dialer.ts
@@ -16,3 +16,28 @@
     return connect({ host, port: Number(port), noDelay: true });
   }
 }
+
+/**
+ * Resolves when a socket is connected. Destroys it and rejects after a timeout.
+ * @param timeoutMs time to connect, in milliseconds
+ */
+export function connected(socket: Socket, timeoutMs: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    const onTimeout = (): void => {
+      // The connection may have been established while the process was busy or paused.
+      setImmediate(() => {
+        if (socket.connecting) socket.destroy(new Error('connect timeout'));
+      });
+    };
+    const timer = setTimeout(onTimeout, timeoutMs);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+    socket.once('error', reject);
+    socket.once('close', () => {
+      clearTimeout(timer);
+      reject(new Error('closed before it was connected'));
+    });
+  });
+}
