--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -24,7 +24,7 @@
 import { Authorizer } from './authorizer';
 import { Handlers } from './handlers';
 import { InflightClient } from './inflight';
-import type { StateChange } from './routingstate';
+import type { StateChange } from './routingstatelistener';
 import { RoutingState } from './routingstate';
 import { RouterMetrics } from './metrics';
 import { OrderController } from './orders';
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -21,6 +21,7 @@
 import { bootNow } from '../../utils/clock';
 import { LogRateLimiter } from '../loglimiter';
 import type { FreshnessExchange } from '../scheduler/members';
+import type { RoutingStateListener } from './routingstatelistener';
 
 /**
  * How long after a failure of the store a missing entry may be one that expired during the outage,
@@ -42,23 +43,9 @@
  */
 const REMOVAL_GRACE_MS = 1000;
 
-/** A change of the configuration, of runners or of the store's era. */
-export type StateChange =
-  | { readonly kind: 'config' }
-  | { readonly kind: 'runners'; readonly facts: readonly RunnerRecord[] }
-  /** `cameBack`: a different era was known before, so the store was restored from an older copy. */
-  | { readonly kind: 'era'; readonly cameBack: boolean };
-
 /** Log lines about changed runners per second; a fleet that starts would flood the log otherwise. */
 const RUNNER_LINES_PER_S = 10;
 
-/** Receives the changes of the routing state. */
-export interface RoutingStateListener {
-  onChange(change: StateChange): void;
-  /** An entry was received that describes no usable runner. */
-  onInvalidEntry(): void;
-}
-
 /** Configuration and runners as one VM knows them. */
 export class RoutingState {
   readonly #log: Logger;
--- a/test/fakes/virtual/storehistory.ts
+++ b/test/fakes/virtual/storehistory.ts
@@ -10,7 +10,7 @@
 import { StoreHistory } from '../../../src/core/routing/position';
 import type { Runner } from '../../../src/core/routing/types';
 
-import type { StateChange } from '../../../src/node/router/routingstate';
+import type { StateChange } from '../../../src/node/router/routingstatelistener';
 import { RoutingState } from '../../../src/node/router/routingstate';
 import { runnerOf } from '../runner';
 
--- a/test/fakes/vmstate.ts
+++ b/test/fakes/vmstate.ts
@@ -7,7 +7,7 @@
 import type { Runner } from '../../src/core/routing/types';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import { NoticeController } from '../../src/node/router/notices';
-import type { StateChange } from '../../src/node/router/routingstate';
+import type { StateChange } from '../../src/node/router/routingstatelistener';
 import { RoutingState } from '../../src/node/router/routingstate';
 import { Runs } from '../../src/node/router/runs';
 import type { Reply } from '../../src/node/router/types';
--- a/test/router/storerestore.test.ts
+++ b/test/router/storerestore.test.ts
@@ -2,7 +2,7 @@
 
 import type { RunnerRecord } from '../../src/core/routing/directory';
 import type { Position } from '../../src/core/routing/position';
-import type { StateChange } from '../../src/node/router/routingstate';
+import type { StateChange } from '../../src/node/router/routingstatelistener';
 import { seeded } from '../fakes/virtual/workload';
 import { HistoryStore, HistoryVm, SimulatedRunner } from '../fakes/virtual/storehistory';
 
