Move the decisions of planners to a file of their own

Change: plannerdecisions.ts converts an action of a planner to the decision that is sent, and logs it.

--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -21,12 +21,11 @@
   Decision,
 } from './messages';
 import { fromWireHolding, fromWireDemand } from './messages';
+import type { DecisionCallback } from './plannerdecisions';
+import { callingRequestOf, decisionOf } from './plannerdecisions';
 import { SilentRunners } from './silentrunners';
 import type { OrderOutcome, RunnerClient } from './types';
 
-/** Sends a decision back to the VM that requested it. */
-export type DecisionCallback = (service: string, decision: Decision) => void;
-
 /** Dependencies of the planners on the rest of the VM. */
 export interface PlannerHostContext {
   /** Called when the existing reservations of a service are unknown, to request reports from all VMs. */
@@ -304,10 +303,10 @@
     if (!engine) return decisions;
     const refreshed = this.#refreshRunners(now, service, engine, plan);
     refreshed.forEach((action) => {
-      decisions.set(action.id, this.#decide(now, service, plan, action));
+      decisions.set(action.id, decisionOf(this.#log, now, service, plan.planner, action));
     });
     plan.planner.handle(now, event).forEach((action) => {
-      decisions.set(action.id, this.#decide(now, service, plan, action));
+      decisions.set(action.id, decisionOf(this.#log, now, service, plan.planner, action));
     });
     this.#logEjections(service, plan, event, source);
     const callingRequest = callingRequestOf(event);
@@ -357,42 +356,13 @@
     return record.planner.handle(now, { kind: 'runners', engine, runners, byRank });
   }
 
-  #decide(now: number, service: string, { planner }: ServicePlan, action: PlanAction): Decision {
-    const { id } = action;
-    const load = planner.load(now);
-    const summary = { waiting: planner.waiting, placed: planner.placed, load };
-    return match(action)
-      .returnType<Decision>()
-      .with({ kind: 'grant' }, ({ grant }) => {
-        this.#log.info({ request: id, service, ...grant, ...summary }, 'Gave a place.');
-        const { prefill, decode } = grant;
-        return { state: 'granted', id, decode, ...(prefill === undefined ? {} : { prefill }) };
-      })
-      .with({ kind: 'bind' }, ({ decode }) => {
-        this.#log.info(
-          { request: id, service, bound: decode, ...summary },
-          'Assigned a request to a decode runner.',
-        );
-        return { state: 'bound', id, decode };
-      })
-      .with({ kind: 'refuse' }, ({ retryAfterMs, cause }) => {
-        this.#log.info(
-          { request: id, service, retryAfterMs, ...cause, ...summary },
-          'Refused a reservation.',
-        );
-        return { state: 'refused', id, retryAfterMs };
-      })
-      .exhaustive();
-  }
-
   #tick(now: number): void {
     if (this.#pauses.tick(now, Date.now())) this.#onPause(now);
     for (const [service, plan] of this.#plans) {
-      for (const [vm, at] of plan.lastSeen) {
-        if (now - at > VM_TIMEOUT_MS) {
-          plan.lastSeen.delete(vm);
-          this.#dropSilentVm(now, service, plan, vm);
-        }
+      const silent = [...plan.lastSeen].filter(([, at]) => now - at > VM_TIMEOUT_MS);
+      for (const [vm] of silent) {
+        plan.lastSeen.delete(vm);
+        this.#dropSilentVm(now, service, plan, vm);
       }
       if (plan.planner.waiting > 0) this.#handle(now, service, plan, { kind: 'woke' });
       const isBusy = plan.planner.waiting + plan.planner.placed > 0;
@@ -428,9 +398,3 @@
     }
   }
 }
-
-/** The request whose decision is returned by the call itself, not through its callback. */
-function callingRequestOf(event: PlanEvent): string | undefined {
-  if (event.kind === 'asked') return event.demand.id;
-  return event.kind === 'prefilled' ? event.id : undefined;
-}
--- a/src/node/router/reservations.ts
+++ b/src/node/router/reservations.ts
@@ -6,7 +6,8 @@
 import type { Grant } from '../../core/memory/types';
 import type { RouterFleet } from './fleet';
 import type { RoutingState } from './routingstate';
-import type { PlannerHost, DecisionCallback } from './plannerhost';
+import type { DecisionCallback } from './plannerdecisions';
+import type { PlannerHost } from './plannerhost';
 import type {
   BackoffReport,
   HoldingsReport,
