Refuse late requests that a stopping VM might have to cut off

Callers lost streams that they sent to a VM by an old look-up answer 3.1 to 3.5 s after its SIGTERM: the stream began at a runner, and its connection was reset 7.6 s after the signal.

Cause: a VM that is told to stop took requests for 0.6 of its grace period whatever they needed, and reset what still ran 0.4 s before the kill. Nothing compared a request's limit with the time left.

After the time for which callers may hold the address, requests are taken only if their limits end before the cut. Others get 503 draining at once, not run: another VM serves them.

--- /dev/null
+++ b/src/core/shutdown.ts
@@ -0,0 +1,52 @@
+/** Which requests a VM that shuts down still takes. Times are on the clock of `performance.now`. */
+
+/** The last times of a VM that was told to stop. */
+export interface Shutdown {
+  /** When it was told to. */
+  readonly beganAt: number;
+  /** Until when callers may connect by a look-up answer that names the VM. */
+  readonly addressedUntil: number;
+  /** Until when it accepts connections. */
+  readonly acceptsUntil: number;
+  /** When the requests that still run are cut off. */
+  readonly cutOffAt: number;
+}
+
+/** Settings on which a shutdown depends. */
+export interface ShutdownBounds {
+  /** Time between the termination signal and the kill, in milliseconds. */
+  readonly graceMs: number;
+  /** How long callers may cache a look-up answer, in milliseconds. */
+  readonly addressTtlMs: number;
+}
+
+/** Some callers use a look-up answer for this many times as long as they may. */
+const CACHED_TIMES = 3;
+/** Time that a busy process takes to handle the termination signal, in milliseconds. */
+const SIGNAL_DELAY_MS = 300;
+/**
+ * Fraction of the grace period for which connections are accepted: callers that obtain no new
+ * look-up answer go on using the old one.
+ */
+const ACCEPT_GRACE_FRACTION = 0.6;
+/** Time before the kill at which requests are cut off, in milliseconds. */
+const CUT_OFF_MS = 400;
+
+/** The shutdown of a VM that is told to stop now. */
+export function shutdownOf(now: number, { graceMs, addressTtlMs }: ShutdownBounds): Shutdown {
+  return {
+    beganAt: now,
+    addressedUntil: now + Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS),
+    acceptsUntil: now + graceMs * ACCEPT_GRACE_FRACTION,
+    cutOffAt: now + graceMs - CUT_OFF_MS,
+  };
+}
+
+/**
+ * Whether a request that ends by `deadlineAt` at the latest is taken. Callers that look addresses up
+ * in time are served, and most of their requests end long before their deadlines. Later ones are
+ * taken only if they cannot be cut off; other VMs serve the rest.
+ */
+export function mayTake(now: number, shutdown: Shutdown, deadlineAt: number): boolean {
+  return now < shutdown.addressedUntil || deadlineAt <= shutdown.cutOffAt;
+}
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -29,6 +29,7 @@
 import { RouterMetrics } from './metrics';
 import { OrderController } from './orders';
 import { PlannerHost } from './plannerhost';
+import { ShutdownController } from './shutdown';
 import type {
   ControlCodec,
   Feed,
@@ -59,13 +60,6 @@
   readonly fleetSize: FleetSizeArchive;
 }
 
-/**
- * Fraction of the grace period for which a VM that shuts down still accepts connections:
- * callers cache directory answers and use old addresses until these expire.
- */
-const ACCEPT_GRACE_FRACTION = 0.6;
-/** Time before the kill at which the process cuts off the requests that still run, in milliseconds. */
-const CUT_OFF_MS = 400;
 /** Period of the check whether all requests have ended, in milliseconds. */
 const DRAIN_CHECK_MS = 50;
 
@@ -103,12 +97,17 @@
 
   #orders: OrderController | undefined;
 
-  #isLeaving = false;
+  readonly #shutdown: ShutdownController;
 
   constructor(settings: RouterSettings, ports: RouterPorts, log: Logger) {
     this.#settings = settings;
     this.#ports = ports;
     this.#log = logOf(log, 'router');
+    this.#shutdown = new ShutdownController({
+      vm: settings.vm,
+      bounds: () => this.#settings,
+      log: this.#log,
+    });
     this.#state = new RoutingState(ports.history, logOf(log, 'knowledge'), {
       onChange: (change) => this.#onStateChange(change),
       onInvalidEntry: () => this.#metrics.count('entries.unfit'),
@@ -193,7 +192,7 @@
       buffers: this.#buffers,
       metrics: this.#metrics,
       log: logOf(log, 'front'),
-      onRequest: (exchange) => this.#handlers.serve(exchange),
+      onRequest: (exchange) => this.#serve(performance.now(), exchange),
       onDone: (exchange, ms) => this.#done(exchange, ms),
     });
   }
@@ -261,20 +260,18 @@
    * all requests are answered or the grace period is about to end.
    */
   async stop(): Promise<void> {
-    const { graceMs } = this.#settings;
-    const endAt = performance.now() + graceMs - CUT_OFF_MS;
-    const leaveUntil = performance.now() + graceMs * ACCEPT_GRACE_FRACTION;
+    const { acceptsUntil, cutOffAt } = this.#shutdown.begin(performance.now());
     this.#log.info({ active: this.#front.activeRequests }, 'Draining.');
-    this.#isLeaving = true;
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
     this.#connectivity.startDraining();
     this.#fleet.leave();
     this.#describe();
-    while (performance.now() < leaveUntil) await pause(DRAIN_CHECK_MS);
+    while (performance.now() < acceptsUntil) await pause(DRAIN_CHECK_MS);
     this.#front.close();
-    while (this.#isBusy && performance.now() < endAt) await pause(DRAIN_CHECK_MS);
+    while (this.#isBusy && performance.now() < cutOffAt) await pause(DRAIN_CHECK_MS);
+    this.#shutdown.reportCutOff(performance.now(), this.#handlers.open);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
     this.#connectivity.stop();
@@ -285,6 +282,16 @@
     await this.#fleet.stop();
   }
 
+  async #serve(now: number, exchange: Exchange): Promise<void> {
+    const refused = this.#shutdown.refusal(now, exchange);
+    if (!refused) {
+      await this.#handlers.serve(exchange);
+      return;
+    }
+    exchange.trail.push(refused.codeName);
+    exchange.fail(now, refused);
+  }
+
   /** The state on which this VM bases its decisions, for operators. */
   #snapshot(now: number): Readonly<Record<string, unknown>> {
     const services = this.#state.table?.config.services ?? [];
@@ -322,7 +329,7 @@
 
   #owns(service: string): boolean {
     const [owner] = this.#fleet.ownersOf(performance.now(), service);
-    return !this.#isLeaving && owner?.vm === this.#settings.vm;
+    return !this.#shutdown.hasBegun && owner?.vm === this.#settings.vm;
   }
 
   #done(exchange: Exchange, ms: number): void {
@@ -346,7 +353,7 @@
 
   /** Whether this VM accepts callers; see `#isServing` for whether it can serve them now. */
   get #isReady(): boolean {
-    return !this.#isLeaving && this.#state.table !== undefined;
+    return !this.#shutdown.hasBegun && this.#state.table !== undefined;
   }
 
   /**
@@ -358,7 +365,7 @@
   }
 
   #describe(): void {
-    if (this.#isLeaving) return;
+    if (this.#shutdown.hasBegun) return;
     const { front } = this.#settings.listen;
     const { isStoreLost: storeLost } = this.#controllers.stateSync;
     this.#fleet.describe({ gateways: [front], draining: !this.#isReady, storeLost });
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -95,6 +95,11 @@
     this.#model = new ModelHandler({ ...shared, reservations: places });
   }
 
+  /** The requests in progress, oldest first. */
+  get open(): readonly Exchange[] {
+    return [...this.#open];
+  }
+
   /** Serves one request to its end. */
   async serve(exchange: Exchange): Promise<void> {
     const { controllers } = this.#context;
--- /dev/null
+++ b/src/node/router/shutdown.ts
@@ -0,0 +1,64 @@
+/** Refuses requests that a VM that shuts down might have to cut off, and reports those that it cuts off. */
+
+import type { Logger } from 'pino';
+
+import { Failure } from '../../core/failure';
+import type { Shutdown, ShutdownBounds } from '../../core/shutdown';
+import { mayTake, shutdownOf } from '../../core/shutdown';
+import type { Exchange } from './exchange';
+
+/** Dependencies of the shutdown. */
+export interface ShutdownContext {
+  readonly vm: string;
+  /** The settings in force. */
+  readonly bounds: () => ShutdownBounds;
+  readonly log: Logger;
+}
+
+/** Retry delay for callers whose requests are not taken: other VMs take them now. */
+const RETRY_MS = 0;
+/** Log lines about requests that are cut off. */
+const MAX_CUT_OFF_LINES = 50;
+
+/** The shutdown of one VM. */
+export class ShutdownController {
+  readonly #context: ShutdownContext;
+
+  #shutdown: Shutdown | undefined;
+
+  constructor(context: ShutdownContext) {
+    this.#context = context;
+  }
+
+  /** Whether the VM was told to stop. */
+  get hasBegun(): boolean {
+    return this.#shutdown !== undefined;
+  }
+
+  /** Must be called when the VM is told to stop. */
+  begin(now: number): Shutdown {
+    this.#shutdown ??= shutdownOf(now, this.#context.bounds());
+    return this.#shutdown;
+  }
+
+  /** The reason why a request is not taken; undefined if it is. */
+  refusal(now: number, { deadlineAt }: Pick<Exchange, 'deadlineAt'>): Failure | undefined {
+    if (!this.#shutdown || mayTake(now, this.#shutdown, deadlineAt)) return undefined;
+    const { vm } = this.#context;
+    return new Failure('draining', `${vm} may stop before the deadline of the request`, {
+      retryAfterMs: RETRY_MS,
+    });
+  }
+
+  /** Logs the requests in progress, which are about to be cut off. */
+  reportCutOff(now: number, exchanges: readonly Exchange[]): void {
+    const { log } = this.#context;
+    const beganAt = this.#shutdown?.beganAt ?? now;
+    for (const exchange of exchanges.slice(0, MAX_CUT_OFF_LINES)) {
+      const { request, service, arrivedAt } = exchange;
+      const arrivedMs = Math.round(arrivedAt - beganAt);
+      const remainingMs = Math.round(exchange.remainingMs(now));
+      log.warn({ request: request.id, service, arrivedMs, remainingMs }, 'Cut off a request.');
+    }
+  }
+}
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -55,6 +55,10 @@
   readonly retries?: RouterSettings['retries'];
   /** Whether the VMs reach the store, but never each other. Default: they do. */
   readonly isolated?: boolean;
+  /** Time that a VM has to stop, in milliseconds. Default: a second. */
+  readonly graceMs?: number;
+  /** How long callers may cache a look-up answer, in milliseconds. Default: a second. */
+  readonly addressTtlMs?: number;
 }
 
 /** A request as a runner received it; a field is undefined if its header was absent. */
@@ -424,6 +428,8 @@
   readonly peer: string;
   readonly ready: string;
   router: Router;
+  /** Undefined until the VM was told to stop. */
+  stopping?: Promise<void>;
 }
 
 /** Headers of a request with a new id. */
@@ -481,10 +487,22 @@
     crashes = { fatalParts: new Set() },
     retries = { ratio: 0.2, extra: 100, windowMs: 10_000 },
     isolated = false,
+    graceMs = 1000,
+    addressTtlMs = 1000,
   }: RouterClusterOptions = {}) {
     this.#partition = partition;
     this.#crashes = crashes;
-    this.#options = { vms, runners, plainRunners, prefillRunners, restartMs, retries, isolated };
+    this.#options = {
+      vms,
+      runners,
+      plainRunners,
+      prefillRunners,
+      restartMs,
+      retries,
+      isolated,
+      graceMs,
+      addressTtlMs,
+    };
     this.#versions = versions;
     this.#customers = customers;
   }
@@ -538,7 +556,7 @@
   /** Stops all processes. */
   async stop(): Promise<void> {
     this.#stopping = true;
-    await Promise.all(this.#vms.map(({ router }) => router.stop()));
+    await Promise.all(this.#vms.map(({ router, stopping }) => stopping ?? router.stop()));
     await Promise.all(this.#runners.map((runner) => runner.stop()));
     await this.#partition?.stop();
     this.store.stop();
@@ -554,6 +572,14 @@
     await this.#waitUntilServing();
   }
 
+  /** Tells a VM to stop; resolves when it has. */
+  async stopVm(turn: number): Promise<void> {
+    const vm = this.#vms[turn % this.#vms.length];
+    if (!vm) return;
+    vm.stopping ??= vm.router.stop();
+    await vm.stopping;
+  }
+
   /** Ends a VM at once: its requests are cut off, and what it knew is lost. */
   async end(turn: number): Promise<void> {
     const vm = this.#vms[turn % this.#vms.length];
@@ -651,9 +677,9 @@
       quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
       rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
       buffers: { responseBytes: 4_194_304, vmBytes: 67_108_864, stallMs: 5000 },
-      graceMs: 1000,
+      graceMs: this.#options.graceMs,
       leaseMs: 3000,
-      addressTtlMs: 1000,
+      addressTtlMs: this.#options.addressTtlMs,
     };
   }
 
