Take the end of a tunnel for the end of an answer only if its runner closed it

A caller got status 200, ten of 24 events and a regular end of its stream after the VM was killed through which its own VM read the answer.

Cause: a tunnel has no mark of its own end. The kernel of a killed process closes its connections in order, and an answer without a length or chunks was taken for complete if its runner ran. A trace of the code as it was shows framing "close", the path through the killed VM, no error, taken for whole after 10 events.

The VM that forwards keeps how many bytes a runner had sent when it closed its connection. The other one asks for that where an answer ends by its close alone, and counts it as cut without the same number.

--- a/src/node/peer/tunnel.ts
+++ b/src/node/peer/tunnel.ts
@@ -27,6 +27,8 @@
   request: name.optional(),
   /** Whether the connection may be given up when it stalls, since the request may run again. */
   mayAbandon: z.boolean(),
+  /** Id by which the VM that asks may ask later how the tunnel ended. Default: it does not ask. */
+  id: name.optional(),
 });
 
 /** A request of another VM for a tunnel. */
@@ -44,6 +46,13 @@
 const TUNNEL_TIMEOUT_MS = 700;
 const HTTP_OK = 200;
 
+/** An open tunnel. */
+export interface OpenTunnel {
+  readonly socket: Socket;
+  /** Bytes that the socket read before those of the runner. */
+  readonly headBytes: number;
+}
+
 /** Rejection of a tunnel. */
 export class TunnelFailure extends Error {
   readonly failure: ForwardFailure;
@@ -65,7 +74,7 @@
   key: string,
   { address, ...fields }: TunnelRequest,
   signal: AbortSignal,
-): Promise<Socket> {
+): Promise<OpenTunnel> {
   const [host = '', port = ''] = via.split(':');
   const text = encodeURIComponent(JSON.stringify({ version: PROTOCOL_VERSION, ...fields }));
   return new Promise((resolve, reject) => {
@@ -81,11 +90,11 @@
     const timer = setTimeout(() => req.destroy(new Error('no answer in time')), TUNNEL_TIMEOUT_MS);
     req.on('close', () => clearTimeout(timer));
     req.on('error', (error) => reject(new TunnelFailure('slow', `${via}: ${error.message}`)));
-    req.on('connect', (message: IncomingMessage, socket: Socket) => {
+    req.on('connect', (message: IncomingMessage, socket: Socket, first: Buffer) => {
       clearTimeout(timer);
       if (message.statusCode === HTTP_OK) {
         socket.setNoDelay(true);
-        resolve(socket);
+        resolve({ socket, headBytes: socket.bytesRead - first.length });
         return;
       }
       socket.destroy();
--- a/src/node/router/calls.ts
+++ b/src/node/router/calls.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { RouterFleet } from './fleet';
 import type { PlannerHost } from './plannerhost';
+import type { Connectivity } from './connectivity';
 import type { NoticeController } from './notices';
 import type { OriginController } from './origins';
 import type { PermitController } from './permits';
@@ -35,6 +36,7 @@
   readonly origins: OriginController;
   readonly notices: NoticeController;
   readonly trials: TrialController;
+  readonly connectivity: Pick<Connectivity, 'onTunnelAsked'>;
 }
 
 /** Sends a call back to the VM that called. */
@@ -62,6 +64,7 @@
     if (method === 'permit') return permits.onAsk(now, vm, params);
     if (method === 'plainLoad') return loads.onAsk(now, params);
     if (method === 'originOf') return origins.onAsked(now, params);
+    if (method === 'tunnelEnd') return this.#context.connectivity.onTunnelAsked(now, params);
     if (method === 'trial') return trials.onAsk(now, vm, params);
     if (method === 'note') planners.onProgress(now, vm, noteSchema.parse(params));
     else if (method === 'backoff') planners.onBackoffs(now, vm, backoffSchema.parse(params));
--- a/src/node/router/connectivity.ts
+++ b/src/node/router/connectivity.ts
@@ -53,6 +53,11 @@
     return this.#tunnels.active;
   }
 
+  /** Answers a VM that asks how a tunnel ended; see `Tunnels`. */
+  onTunnelAsked(now: number, params: unknown): number | null {
+    return this.#tunnels.onAsked(now, params);
+  }
+
   /** Handles the request of another VM for a tunnel. */
   onTunnel(request: TunnelRequest, socket: Socket): void {
     this.#tunnels.open(request, socket).catch((error) => {
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -9,6 +9,7 @@
 import { logOf } from '../log';
 import type { Metrics } from '../metrics';
 import { PeerCalls } from './calls';
+import type { Connectivity } from './connectivity';
 import type { RouterFleet } from './fleet';
 import type { Authorizer } from './authorizer';
 import type { RoutingState } from './routingstate';
@@ -50,6 +51,7 @@
   readonly archive: SuspectArchive;
   readonly versions: VersionArchive;
   readonly fleetSize: FleetSizeArchive;
+  readonly connectivity: Connectivity;
   readonly metrics: Metrics;
   readonly log: Logger;
   /** Called when the description that this VM announces has changed. */
@@ -194,6 +196,7 @@
       origins,
       notices: this.notices,
       trials: this.trials,
+      connectivity: context.connectivity,
     });
   }
 
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -158,6 +158,7 @@
       archive: ports.archive,
       versions: ports.versions,
       fleetSize: ports.fleetSize,
+      connectivity: this.#connectivity,
       metrics: this.#metrics,
       log,
       onDescription: () => this.#describe(),
--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -16,7 +16,7 @@
 import { PROTOCOL_VERSION } from '../peer/messages';
 import type { Peer } from '../peer/server';
 import { PeerServer } from '../peer/server';
-import type { TunnelRequest } from '../peer/tunnel';
+import type { OpenTunnel, TunnelRequest } from '../peer/tunnel';
 import { openTunnel } from '../peer/tunnel';
 import type { FreshnessExchange } from '../scheduler/members';
 import { MembershipDriver } from '../scheduler/members';
@@ -297,7 +297,11 @@
   }
 
   /** Opens a tunnel to a runner through another VM; see `openTunnel`. */
-  openTunnel({ address }: Member, request: TunnelRequest, signal: AbortSignal): Promise<Socket> {
+  openTunnel(
+    { address }: Member,
+    request: TunnelRequest,
+    signal: AbortSignal,
+  ): Promise<OpenTunnel> {
     return openTunnel(address, this.#settings.peerKey, request, signal);
   }
 
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../metrics';
 import type { Authorizer } from './authorizer';
 import type { Controllers } from './controllers';
+import { AnswerEnds } from './answerends';
 import type { Exchange } from './exchange';
 import type { RouterFleet } from './fleet';
 import { ModelHandler } from './model';
@@ -28,7 +29,7 @@
   readonly runners: RunnerClient;
   readonly authorizer: Authorizer;
   readonly controllers: Controllers;
-  readonly fleet: Pick<RouterFleet, 'census'>;
+  readonly fleet: Pick<RouterFleet, 'census' | 'call'>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -62,18 +63,27 @@
       metrics: context.metrics,
       log: logOf(context.log, 'retries'),
     });
+    const checks = new RunnerChecks(runners);
+    const runnerLog = logOf(context.log, 'runner');
     this.#runs = new Runs({
       routingState,
       paths,
       quarantine,
       screening: new Screening({ quarantine, routingState, trials }),
-      checks: new RunnerChecks(runners),
+      checks,
+      ends: new AnswerEnds({
+        routingState,
+        fleet,
+        checks,
+        metrics: context.metrics,
+        log: runnerLog,
+      }),
       authorizer,
       retries: this.#retries,
       rateLimits,
       notices,
       metrics: context.metrics,
-      log: logOf(context.log, 'runner'),
+      log: runnerLog,
     });
     const shared = {
       routingState,
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -1,5 +1,6 @@
 /** The paths of this VM to runners: opens connections, directly or through another VM, and probes lost paths. */
 
+import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 
 import type { Logger } from 'pino';
@@ -14,7 +15,7 @@
 import { connected } from '../../utils/dialer';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
-import type { TunnelRequest } from '../peer/tunnel';
+import type { OpenTunnel, TunnelRequest } from '../peer/tunnel';
 import { TunnelFailure } from '../peer/tunnel';
 import { OpenConnections, SILENT_MS } from './openconnections';
 import type { Way } from './race';
@@ -35,7 +36,7 @@
     via: Member,
     request: TunnelRequest,
     signal: AbortSignal,
-  ) => Promise<Socket>;
+  ) => Promise<OpenTunnel>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -165,15 +166,16 @@
   ): Promise<RunnerConnection> {
     const { address, mayAbandon } = target;
     const ways = this.#waysTo(now, target, maxTunnels);
-    const { socket, via } = await firstConnection(ways, signal);
+    const connection = await firstConnection(ways, signal);
+    const { socket, via } = connection;
     if (via === undefined) {
       if (mayAbandon) this.#track(address, socket);
-      return { socket, via };
+      return connection;
     }
     this.#context.metrics.count('tunnels.opened');
     this.#table.recordForwarded(performance.now(), address);
     if (mayAbandon) this.#track(via, socket);
-    return { socket, via };
+    return connection;
   }
 
   /** Gives up the connections through another VM that is gone. */
@@ -228,7 +230,7 @@
       open: async (signal) => {
         const vm = vmOf();
         if (!vm) throw new Error('no other VM to ask');
-        return { socket: await this.#openTunnel(target, vm, signal), via: vm.address };
+        return this.#openTunnel(target, vm, signal);
       },
     };
   }
@@ -237,20 +239,23 @@
     { address, id, request, mayAbandon }: RunnerTarget,
     via: Member,
     signal: AbortSignal,
-  ): Promise<Socket> {
+  ): Promise<RunnerConnection> {
     const { vm, openTunnel, metrics } = this.#context;
+    const tunnelId = randomUUID();
     const asked: TunnelRequest = {
       address,
       vm,
       mayAbandon,
+      id: tunnelId,
       ...(id === undefined ? {} : { runner: id }),
       ...(request === undefined ? {} : { request }),
     };
     try {
-      const socket = await openTunnel(via, asked, signal);
+      const { socket, headBytes } = await openTunnel(via, asked, signal);
       socket.on('error', () => {});
       this.#forwarders.recordSuccess(performance.now(), via.vm);
-      return socket;
+      const arrivedBytes = (): number => socket.bytesRead - headBytes;
+      return { socket, via: via.address, tunnel: { id: tunnelId, arrivedBytes } };
     } catch (error) {
       if (signal.aborted) throw error;
       const failure = error instanceof TunnelFailure ? error.failure : 'slow';
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -239,9 +239,9 @@
   });
   if (reply.notRun) run.notRun();
   if (reply.notRun) throw new Failure('runnerFull', `${runner.id} rejected the request`);
-  const mayBeWhole = reply.framing !== 'close' || (await run.mayEndByClose(performance.now()));
-  if (!mayBeWhole) run.interrupted(performance.now());
-  if (!mayBeWhole || !reply.genuine || !reply.body.complete) {
+  const isWhole = await run.hasWholeAnswer(reply);
+  if (!isWhole) run.interrupted(performance.now());
+  if (!isWhole || !reply.genuine || !reply.body.complete) {
     throw new Failure('runnerFailed', `${runner.id}: found an invalid response`);
   }
   return { runner, reply, body };
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -69,7 +69,7 @@
     const { exchange, stream, canResume } = this.#context;
     const body = await readBody(reply.body, MAX_ANSWER_BYTES).catch(() => undefined);
     const part = streamPartOf(reply, afterEvent, stream);
-    if (!body || !reply.body.complete) {
+    if (!body || !reply.body.complete || !(await run.hasWholeAnswer(reply))) {
       run.interrupted(performance.now(), part);
       return 'broken';
     }
@@ -113,9 +113,7 @@
     }
     silence.stop();
     const hasArrived = !isInterrupted && reply.body.complete;
-    const mayBeWhole =
-      hasArrived && (reply.framing !== 'close' || (await run.mayEndByClose(performance.now())));
-    stream.end(mayBeWhole);
+    stream.end(hasArrived && (await run.hasWholeAnswer(reply)));
     const part = streamPartOf(reply, afterEvent, stream);
     if (stream.fault === 'cut' || stream.fault === 'torn') run.interrupted(performance.now(), part);
     else if (stream.fault) run.diverged(part, stream.fault);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -13,6 +13,7 @@
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
 import { partsField } from './accesslog';
+import type { AnswerEnds, EndedReply } from './answerends';
 import type { Exchange } from './exchange';
 import type { Authorizer } from './authorizer';
 import type { QuarantineController } from './quarantine';
@@ -50,6 +51,7 @@
   readonly quarantine: QuarantineController;
   readonly screening: Screening;
   readonly checks: Pick<RunnerChecks, 'isRunning'>;
+  readonly ends: Pick<AnswerEnds, 'isWhole'>;
   readonly authorizer: Authorizer;
   readonly retries: Pick<RetryController, 'charge' | 'unreached' | 'prefilled'>;
   readonly rateLimits: RateLimitController;
@@ -133,15 +135,9 @@
     if (part && !isWhole) this.#context.log.info(this.#fields(part), 'A run completed a stream.');
   }
 
-  /**
-   * Whether the end of the connection may be taken for the end of a response that has no other mark
-   * of its end: not if the runner crashed, which ends its connections as well. A runner that leaves
-   * may stop after its last response, and one that asked for a pause gets no call to find out.
-   */
-  async mayEndByClose(now: number): Promise<boolean> {
-    const { routingState, checks } = this.#context;
-    if (!routingState.accepts(now, this.#runner)) return true;
-    return checks.isRunning(this.#runner);
+  /** Whether an answer of the runner is complete whose body has arrived without an error. */
+  hasWholeAnswer(reply: EndedReply): Promise<boolean> {
+    return this.#context.ends.isWhole(this.#exchange.request.id, reply, this.#runner);
   }
 
   /** Whether the runner's process runs, by a check that begins now. */
--- a/src/node/router/tunnels.ts
+++ b/src/node/router/tunnels.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 
 import type { Logger } from 'pino';
+import { z } from 'zod';
 
 import { toFailure } from '../../core/failure';
 import type { ForwardFailure } from '../../core/paths/forwarders';
@@ -24,6 +25,10 @@
 /** Tunnels that one VM forwards at the same time; its own callers need descriptors and memory, too. */
 const MAX_TUNNELS = 256;
 const LINES_PER_S = 20;
+/** Time for which the ends of tunnels are kept, in milliseconds: other VMs ask for them at once. */
+const END_KEPT_MS = 10_000;
+/** Most ends that are kept. */
+const MAX_ENDS = 4096;
 
 /** Why a tunnel is rejected. */
 interface Rejection {
@@ -31,6 +36,15 @@
   readonly detail: string;
 }
 
+/** A tunnel whose runner closed its connection without a reset. */
+interface TunnelEnd {
+  readonly at: number;
+  /** Bytes that the runner had sent. */
+  readonly bytes: number;
+}
+
+const endSchema = z.object({ id: z.string() });
+
 /** The tunnels that this VM forwards. */
 export class Tunnels {
   readonly #context: TunnelContext;
@@ -39,6 +53,9 @@
 
   readonly #callers = new Set<Socket>();
 
+  /** The ends of tunnels by their ids, oldest first. */
+  readonly #ends = new Map<string, TunnelEnd>();
+
   #isDraining = false;
 
   constructor(context: TunnelContext) {
@@ -63,6 +80,16 @@
     for (const caller of this.#callers) caller.resetAndDestroy();
   }
 
+  /**
+   * Answers a VM that asks how a tunnel ended: the number of bytes that the runner sent before it
+   * closed its connection, null if it did not or that is not known any more. Throws if the message
+   * does not fit.
+   */
+  onAsked(now: number, params: unknown): number | null {
+    const end = this.#ends.get(endSchema.parse(params).id);
+    return end && now - end.at <= END_KEPT_MS ? end.bytes : null;
+  }
+
   /** Handles the request of another VM for a tunnel. */
   async open(request: TunnelRequest, caller: Socket): Promise<void> {
     const startedAt = performance.now();
@@ -77,7 +104,7 @@
 
   /** Connects to the runner and joins the two connections; returns why it does not. */
   async #forward(
-    { address, runner: id, request, mayAbandon }: TunnelRequest,
+    { address, runner: id, request, mayAbandon, id: tunnel }: TunnelRequest,
     caller: Socket,
   ): Promise<Rejection | undefined> {
     const { paths } = this.#context;
@@ -88,7 +115,9 @@
         return undefined;
       }
       acceptTunnel(caller);
-      join(caller, runner);
+      join(caller, runner, () => {
+        if (tunnel !== undefined) this.#ended(performance.now(), tunnel, runner.bytesRead);
+      });
       return undefined;
     } catch (error) {
       const failure = paths.isPartitioned(performance.now()) ? 'vm' : 'runner';
@@ -112,6 +141,14 @@
     return isOpen ? undefined : { failure: 'runner', detail: 'unavailable' };
   }
 
+  #ended(now: number, tunnel: string, bytes: number): void {
+    for (const [id, { at }] of this.#ends) {
+      if (this.#ends.size < MAX_ENDS && now - at <= END_KEPT_MS) break;
+      this.#ends.delete(id);
+    }
+    this.#ends.set(tunnel, { at: now, bytes });
+  }
+
   #report(startedAt: number, tunnel: TunnelRequest, rejection: Rejection | undefined): void {
     const { metrics, log } = this.#context;
     metrics.count(rejection ? 'tunnels.rejected' : 'tunnels.forwarded');
@@ -124,8 +161,11 @@
   }
 }
 
-/** Passes on all bytes between two connections, and how each ends. */
-function join(caller: Socket, runner: Socket): void {
+/**
+ * Passes on all bytes between two connections, and how each ends.
+ * @param onEnd called when the runner has closed its connection without a reset
+ */
+function join(caller: Socket, runner: Socket, onEnd: () => void): void {
   caller.pipe(runner);
   runner.pipe(caller);
   const end = (other: Socket, hadError: boolean): void => {
@@ -136,6 +176,7 @@
   // remote address after a reset.
   runner.prependOnceListener('end', () => {
     if (runner.remoteAddress === undefined) caller.resetAndDestroy();
+    else onEnd();
   });
   runner.once('close', (hadError) => end(caller, hadError));
   caller.once('close', (hadError) => end(runner, hadError));
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -153,6 +153,8 @@
   readonly notice: RunnerNotice;
   /** Peer address of the VM that forwarded the request; undefined if it went directly. */
   readonly via: string | undefined;
+  /** The tunnel through that VM. Default: none. */
+  readonly tunnel?: Tunnel | undefined;
   readonly body: IncomingMessage;
 }
 
@@ -164,11 +166,21 @@
   readonly mayAbandon: boolean;
 }
 
+/** A tunnel through another VM, as the VM knows it that asked for it. */
+export interface Tunnel {
+  /** Id by which the other VM tells how it ended. */
+  readonly id: string;
+  /** Number of the runner's bytes that have arrived. */
+  arrivedBytes(): number;
+}
+
 /** A connection to a runner. */
 export interface RunnerConnection {
   readonly socket: Socket;
   /** Peer address of the VM that forwards it; undefined if it is direct. */
   readonly via: string | undefined;
+  /** The tunnel through that VM. Default: none. */
+  readonly tunnel?: Tunnel;
 }
 
 /** What this VM reaches, by which runners are chosen. */
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -20,6 +20,7 @@
   OrderOutcome,
   Reply,
   RunnerClient,
+  RunnerConnection,
   RunnerConnector,
   RunnerReport,
   RunnerTarget,
@@ -208,13 +209,13 @@
     const { runner, request, deadlineMs, signal, mayRepeat } = dispatch;
     const { id, address } = runner;
     const startedAt = performance.now();
-    const { socket, via } = await this.#connector.connect(
+    const connection = await this.#connector.connect(
       { address, id, request: request.id, mayAbandon: mayRepeat },
       signal,
     );
     const remainingMs = deadlineMs - (performance.now() - startedAt);
     const sent = { ...dispatch, deadlineMs: remainingMs };
-    const reply = toReply(dispatch, await exchangeOn(socket, sent, extra), via);
+    const reply = toReply(dispatch, await exchangeOn(connection.socket, sent, extra), connection);
     dispatch.onReply(reply);
     return reply;
   }
@@ -302,7 +303,11 @@
 }
 
 /** A response counts as the runner's if it is signed, carries no other request id and has no content encoding added on the way. */
-function toReply({ request }: Dispatch, message: IncomingMessage, via: string | undefined): Reply {
+function toReply(
+  { request }: Dispatch,
+  message: IncomingMessage,
+  { via, tunnel }: RunnerConnection,
+): Reply {
   const { headers } = message;
   const status = message.statusCode ?? 0;
   const echoed = headers[header.requestId];
@@ -323,6 +328,7 @@
     load: isToRequest ? loadOf(message) : undefined,
     notice: isToRequest ? noticeOf(message) : NO_NOTICE,
     via,
+    tunnel,
     body: message,
   };
 }
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -6,6 +6,7 @@
 import { RunnerBackoffs } from '../../src/core/routing/backoffs';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { Runner } from '../../src/core/routing/types';
+import { AnswerEnds } from '../../src/node/router/answerends';
 import { Authorizer } from '../../src/node/router/authorizer';
 import { RoutingState } from '../../src/node/router/routingstate';
 import { RetryController } from '../../src/node/router/retries';
@@ -167,6 +168,23 @@
 /** Checks by which all runners have crashed. */
 export const crashedChecks: Pick<RunnerChecks, 'isRunning'> = { isRunning: async () => false };
 
+/** Returns how answers end at a VM that reaches no other one. */
+export function endsOf(
+  checks: Pick<RunnerChecks, 'isRunning'>,
+  routingState: Pick<RoutingState, 'accepts'> = openStateOf(),
+): AnswerEnds {
+  const call = async (): Promise<never> => {
+    throw new Error('not connected');
+  };
+  return new AnswerEnds({
+    routingState,
+    fleet: { call },
+    checks,
+    metrics: new RouterMetrics(),
+    log,
+  });
+}
+
 /** Returns runs whose metrics and log lines are discarded. */
 export function runsOf(
   quarantine = quarantineOf(),
@@ -179,6 +197,7 @@
     quarantine,
     screening: screeningOf(quarantine),
     checks,
+    ends: endsOf(checks),
     authorizer: authorizerOf(),
     retries: retriesOf(),
     rateLimits: rateLimitsOf(),
--- a/test/fakes/vmstate.ts
+++ b/test/fakes/vmstate.ts
@@ -18,6 +18,7 @@
   quarantineOf,
   rateLimitsOf,
   retriesOf,
+  endsOf,
   runningChecks,
   screeningOf,
 } from './runs';
@@ -61,6 +62,7 @@
       quarantine,
       screening: screeningOf(quarantine),
       checks: runningChecks,
+      ends: endsOf(runningChecks, this.state),
       authorizer: authorizerOf(),
       retries,
       rateLimits: rateLimitsOf(),
--- a/test/router/paths.test.ts
+++ b/test/router/paths.test.ts
@@ -57,7 +57,7 @@
     openTunnel: async (_via, { address }) => {
       if (this.areOthersPartitioned) throw new TunnelFailure('vm', 'partitioned');
       if (this.down.has(address)) throw new TunnelFailure('runner', 'not reached');
-      return new Socket();
+      return { socket: new Socket(), headBytes: 0 };
     },
     metrics: new RouterMetrics(),
     log: pino({ level: 'silent' }),
--- a/test/router/tunnels.test.ts
+++ b/test/router/tunnels.test.ts
@@ -99,7 +99,8 @@
   /** Opens a tunnel; resolves to its socket, or to why it is rejected. */
   async tunnelTo(request: TunnelRequest, key = KEY): Promise<Socket | string> {
     const { signal } = new AbortController();
-    return openTunnel(this.#address, key, request, signal).catch(
+    return openTunnel(this.#address, key, request, signal).then(
+      ({ socket }) => socket,
       ({ failure, message }) => `${failure}: ${message.replace(/^\S+ /, '')}`,
     );
   }
@@ -162,6 +163,24 @@
     await expect(text(socket)).rejects.toThrow('ECONNRESET');
   });
 
+  /* Guards against an answer that looks complete since the VM that forwarded it was killed: only this VM can tell. */
+  test.each([
+    ['closes it after its answer', (socket: Socket) => socket.end('answer'), 6],
+    ['resets it', (socket: Socket) => socket.write('half', () => socket.resetAndDestroy()), null],
+    ['keeps it open', (socket: Socket) => socket.write('half'), null],
+  ])('is known to have ended only if the runner %s', async (_, answer, bytes) => {
+    onSocket = (socket) => socket.once('data', () => answer(socket));
+    const socket = await forwarder.socketTo({ ...request, id: 't1' });
+    socket.write('asked');
+    await Promise.race([text(socket).catch(() => undefined), pause(100)]);
+    const { tunnels } = forwarder;
+    const now = performance.now();
+    expect(tunnels.onAsked(now, { id: 't1' })).toBe(bytes);
+    expect(tunnels.onAsked(now, { id: 't2' })).toBeNull();
+    expect(tunnels.onAsked(now + 10_001, { id: 't1' })).toBeNull();
+    socket.destroy();
+  });
+
   /* A runner would work on for a caller that has left. */
   test('closes the connection to the runner when the VM that asked for it closes', async () => {
     const closed = new Promise<number>((resolve) => {
