Wait between registrations with owners that do not answer

A VM that had got SIGTERM used 1.1 of a core and answered nothing, neither its callers nor the platform, once the only other VM was killed. A stream that it had accepted before stopped at its caller after 8 of 24 events.

Cause: an owner of accounts that does not answer a registration is ranked last and the next one is asked at once. A VM that leaves owns nothing, so the next one was the one that had just failed. The call to a killed process fails in the same turn of the event loop, so that no timer ran any more. A profile of the process shows it: call and failAll 38 %, #onUnanswered 17 %, #updateOwners 15 %, garbage collection 44 %.

An owner gets no registration for 1.5 s after one without an answer, then 3 and 6 s with jitter, unless a new instance of it is known.

--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -6,6 +6,7 @@
 import type { Logger } from 'pino';
 import { z } from 'zod';
 
+import type { Failure } from '../../core/failure';
 import { toFailure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
 import { isPresent } from '../../core/membership/types';
@@ -13,6 +14,8 @@
 import type { QuotaAccounts } from '../../core/quotas/accounts';
 import { ownersToAsk } from '../../core/quotas/asked';
 import type { QuotaMembers } from '../../core/quotas/share';
+import { RetryDelays } from '../../core/retrydelays';
+import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import type { RouterFleet } from './fleet';
 
@@ -35,8 +38,13 @@
  * request's latency target.
  */
 const CALL_TIMEOUT_MS = 150;
-/** Time for which an owner that did not answer a registration is ranked last, in milliseconds. */
-const SKIP_MS = 1500;
+/**
+ * Time for which an owner that did not answer a registration is ranked last and gets none. The first
+ * is as long as the membership takes to detect that a VM is dead.
+ */
+const REGISTRATION_DELAYS = { firstMs: 1500, maxMs: 6000 };
+/** Log lines about registrations without an answer, per second. */
+const UNANSWERED_LINES_PER_S = 2;
 /** Period of the check whether this process was paused, in milliseconds. */
 const CHECK_MS = 250;
 /** Most groups in one message; more than the groups of customers or the services of a deployment. */
@@ -80,13 +88,18 @@
   /** The current owner by group. */
   readonly #owners = new Map<string, CurrentOwner>();
 
-  /** Until when owners that did not answer are ranked last, by VM. */
-  readonly #skippedUntil = new Map<string, number>();
+  /** Delays of registrations, by the instance of the owner. */
+  readonly #delays = new RetryDelays(REGISTRATION_DELAYS);
+
+  readonly #lines: LogRateLimiter;
 
   #members: QuotaMembers | undefined;
 
   constructor(context: AccountOwnersContext) {
     this.#context = context;
+    this.#lines = new LogRateLimiter(UNANSWERED_LINES_PER_S, (lines) =>
+      context.log.info({ lines }, 'More registrations were not answered.'),
+    );
     this.#timer = setInterval(() => this.#check(performance.now()), CHECK_MS).unref();
   }
 
@@ -173,6 +186,7 @@
 
   /** Records that an owner answered `ask`, which renews the registration as well. */
   #renewed(now: number, group: string, owner: Member): void {
+    this.#delays.succeeded(instanceOf(owner));
     const state = this.#owners.get(group);
     if (state && isSameOwner(owner, state)) state.contactedAt = now;
   }
@@ -194,7 +208,7 @@
       const isDue =
         !isSameOwner(owner, before) ||
         now - before.contactedAt > accounts.renewIntervalMs(this.members);
-      if (owner && isDue) {
+      if (owner && isDue && !this.#isDelayed(now, owner)) {
         const { vm: name, address, incarnation } = owner;
         this.#owners.set(group, { vm: name, address, incarnation, contactedAt: now });
         joined.add(address, group);
@@ -216,33 +230,66 @@
       this.onJoin(now, vm, message);
       return;
     }
-    fleet.call(address, names.join, message, CALL_TIMEOUT_MS).catch((error) => {
-      log.debug({ address, groups, leaves }, toFailure(error).line);
-      if (!leaves) this.#onUnanswered(performance.now(), address, groups);
-    });
+    fleet
+      .call(address, names.join, message, CALL_TIMEOUT_MS)
+      .then(() => {
+        if (!leaves) this.#onRegistered(address, groups);
+      })
+      .catch((error) => {
+        log.debug({ address, groups, leaves }, toFailure(error).line);
+        if (!leaves) this.#onUnanswered(performance.now(), address, groups, toFailure(error));
+      });
+  }
+
+  #onRegistered(address: string, groups: readonly string[]): void {
+    for (const owner of this.#chosenAt(address, groups)) this.#delays.succeeded(instanceOf(owner));
   }
 
   /** Switches to the next owner when one does not answer, before the membership detects its failure. */
-  #onUnanswered(now: number, address: string, groups: readonly string[]): void {
-    for (const group of groups) {
-      const chosen = this.#owners.get(group);
-      if (chosen?.address === address) {
-        this.#skippedUntil.set(chosen.vm, now + SKIP_MS);
-        chosen.contactedAt = -Infinity;
-      }
+  #onUnanswered(
+    now: number,
+    address: string,
+    groups: readonly string[],
+    { line: detail }: Failure,
+  ): void {
+    const { metrics, names, log } = this.#context;
+    metrics.count(names.unanswered);
+    for (const owner of this.#chosenAt(address, groups)) {
+      this.#delays.failed(now, instanceOf(owner), Math.random());
+      owner.contactedAt = -Infinity;
+    }
+    if (this.#lines.tryAcquire(now)) {
+      const call = names.join;
+      log.info(
+        { call, address, groups: groups.length, detail },
+        'A registration was not answered.',
+      );
     }
     this.#updateOwners(now);
   }
 
+  /** The chosen owners of some groups that are at an address. */
+  #chosenAt(address: string, groups: readonly string[]): readonly CurrentOwner[] {
+    const chosen = groups.flatMap((group) => this.#owners.get(group) ?? []);
+    return chosen.filter((owner) => owner.address === address);
+  }
+
+  #isDelayed(now: number, owner: Pick<Member, 'vm' | 'incarnation'>): boolean {
+    return !this.#delays.isEmpty && this.#delays.isWaiting(now, instanceOf(owner));
+  }
+
   #ownersOf(now: number, group: string): readonly Member[] {
     const owners = this.#context.fleet.ownersOf(now, group);
-    const isSkipped = ({ vm }: Member): boolean => (this.#skippedUntil.get(vm) ?? 0) > now;
-    if (this.#skippedUntil.size === 0 || !owners.some(isSkipped)) return owners;
-    return [...owners.filter((owner) => !isSkipped(owner)), ...owners.filter(isSkipped)];
+    const delayed = owners.filter((owner) => this.#isDelayed(now, owner));
+    if (delayed.length === 0) return owners;
+    return [...owners.filter((owner) => !delayed.includes(owner)), ...delayed];
   }
 
   #check(now: number): void {
-    for (const [vm, until] of this.#skippedUntil) if (until < now) this.#skippedUntil.delete(vm);
+    if (!this.#delays.isEmpty) {
+      const members = new Set(this.#context.fleet.all.map(instanceOf));
+      this.#delays.retain((instance) => members.has(instance));
+    }
     if (this.#pauseWatch.tick(now, Date.now())) {
       this.#context.accounts.reset();
       this.#owners.clear();
@@ -254,6 +301,11 @@
   }
 }
 
+/** Key of one instance of a VM. */
+function instanceOf({ vm, incarnation }: Pick<Member, 'vm' | 'incarnation'>): string {
+  return `${vm} ${incarnation}`;
+}
+
 function isSameOwner(
   owner: Member | undefined,
   before: CurrentOwner | undefined,
--- a/test/router/accountowners.test.ts
+++ b/test/router/accountowners.test.ts
@@ -1,4 +1,4 @@
-import { setImmediate } from 'node:timers/promises';
+import { setImmediate, setTimeout as pause } from 'node:timers/promises';
 
 import pino from 'pino';
 
@@ -9,6 +9,9 @@
 import type { RouterFleet } from '../../src/node/router/fleet';
 import { RouterMetrics } from '../../src/node/router/metrics';
 
+/** Calls to VMs that do not answer, after which these answer no more. */
+const MAX_CALLS = 10_000;
+
 const bounds = { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true };
 
 const memberOf = (vm: string, incarnation = 1): Member => ({
@@ -33,6 +36,9 @@
   /** Addresses of VMs that do not answer. */
   silent: readonly string[] = [];
 
+  /** Registrations with VMs that do not answer, and questions to them. */
+  unansweredCalls = 0;
+
   /** Registrations sent since the last call of `changed`. */
   #calls: string[] = [];
 
@@ -43,7 +49,13 @@
   constructor() {
     const self = memberOf('self');
     const call = async (address: string, method: string, params: unknown): Promise<unknown> => {
-      if (this.silent.includes(address)) throw new Error('no answer');
+      if (this.silent.includes(address)) {
+        const { leaves = false } = params as { leaves?: boolean };
+        if (!leaves) this.unansweredCalls += 1;
+        // A caller that never waits would hold the event loop for good.
+        if (this.unansweredCalls > MAX_CALLS) return new Promise(() => {});
+        throw new Error('no answer');
+      }
       if (method === 'ask') return address;
       const { groups, leaves } = params as { groups: readonly string[]; leaves: boolean };
       this.#calls.push(`${leaves ? 'leave' : 'join'} ${address} ${groups.join(' ')}`);
@@ -51,7 +63,17 @@
     };
     const { census } = this;
     const deprioritize = (): void => {};
-    const fleet = { self, all: [self], census, call, deprioritize, ownersOf: () => this.ranked };
+    const all = (): readonly Member[] => [self, ...this.ranked];
+    const fleet = {
+      self,
+      get all() {
+        return all();
+      },
+      census,
+      call,
+      deprioritize,
+      ownersOf: () => this.ranked,
+    };
     this.owners = new AccountOwners({
       vm: 'self',
       fleet: fleet as unknown as RouterFleet,
@@ -129,6 +151,38 @@
     view.owners.stop();
   });
 
+  /*
+   * The VM leaves, so that it owns nothing, and all others were killed: each call fails at once. Guards
+   * against a VM that registers with them again and again and serves nothing else.
+   */
+  test('waits between registrations while no owner answers', async () => {
+    const view = new FleetView();
+    view.silent = ['one:1', 'other:1'];
+    view.changed([one, other]);
+    const startedAt = performance.now();
+    await pause(1);
+    const timerMs = performance.now() - startedAt;
+    expect(view.unansweredCalls).toBe(2);
+    expect(timerMs).toBeLessThan(50);
+    await pause(1000);
+    expect(view.unansweredCalls).toBe(2);
+    view.silent = [];
+    await pause(1500);
+    expect(view.owners.snapshot()).toEqual({ g: 'one' });
+    view.owners.stop();
+  });
+
+  test('registers at once with a new instance of an owner that did not answer', async () => {
+    const view = new FleetView();
+    view.silent = ['one:1'];
+    view.changed([one]);
+    await setImmediate();
+    view.silent = [];
+    expect(view.changed([one])).toEqual([]);
+    expect(view.changed([memberOf('one', 2)])).toEqual(['join one:1 g']);
+    view.owners.stop();
+  });
+
   /*
    * The VM's failure domain is cut off, and the first owners by rank are in others. Guards against
    * requests that the VM decides by its own small part although it reaches another VM.
