Accept connections on a stopping VM until a second before the cut

A VM that stops closed its port at 0.6 of its grace period (4.8 s of 8), because what it took later could not end. It takes nothing that cannot end any more, so callers that obtain no new addresses may be served until shortly before the cut (6.6 s). A VM is stopped for up to 1.8 s longer in a rolling restart.

--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -24,21 +24,24 @@
 const CACHED_TIMES = 3;
 /** Time that a busy process takes to handle the termination signal, in milliseconds. */
 const SIGNAL_DELAY_MS = 300;
-/**
- * Fraction of the grace period for which connections are accepted: callers that obtain no new
- * look-up answer go on using the old one.
- */
+/** Fraction of the grace period for which connections are accepted at least. */
 const ACCEPT_GRACE_FRACTION = 0.6;
 /** Time before the kill at which requests are cut off, in milliseconds. */
 const CUT_OFF_MS = 400;
+/**
+ * Time before the cut from which no connections are accepted, in milliseconds. Callers that obtain no
+ * new look-up answer go on using the old one, and their short requests still end before it.
+ */
+const LAST_REQUEST_MS = 1000;
 
 /** The shutdown of a VM that is told to stop now. */
 export function shutdownOf(now: number, { graceMs, addressTtlMs }: ShutdownBounds): Shutdown {
+  const cutOffAt = now + graceMs - CUT_OFF_MS;
   return {
     beganAt: now,
     addressedUntil: now + Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS),
-    acceptsUntil: now + graceMs * ACCEPT_GRACE_FRACTION,
-    cutOffAt: now + graceMs - CUT_OFF_MS,
+    acceptsUntil: Math.max(now + graceMs * ACCEPT_GRACE_FRACTION, cutOffAt - LAST_REQUEST_MS),
+    cutOffAt,
   };
 }
 
