Answer requests whose handlers fail, and label metrics by service

Callers got no answer, not even at the route's limit, after a route was moved between services named registry-app and registry_app.

Cause: counters had the service in their name, with other signs replaced by "_", so that two services shared one and the registry threw. That error left the handler, and the front end only logged it.

Names of a configuration are values of labels now. A request whose handler fails is answered 500, or reset if its response has begun, and its quota is settled.

--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -2,10 +2,22 @@
 
 import { StatsD } from 'hot-shots';
 
+/** Values by the name of their label. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** Key of a metric with its labels. */
+export function metricKey(name: string, labels: MetricLabels = {}): string {
+  const pairs = Object.entries(labels).map(([label, value]) => `${label}=${JSON.stringify(value)}`);
+  return pairs.length === 0 ? name : `${name}{${pairs.join(',')}}`;
+}
+
 /** Counters, gauges and timings by name. */
 export interface Metrics {
-  /** Increments a counter, by 1 by default. */
-  count(name: string, by?: number): void;
+  /**
+   * Increments a counter, by 1 by default. Names that a configuration gives are values of labels,
+   * never parts of `name`; a counter has the same labels at each call.
+   */
+  count(name: string, by?: number, labels?: MetricLabels): void;
   gauge(name: string, value: number): void;
   /** Sends a duration in milliseconds; timings are not kept in `values`. */
   timing(name: string, ms: number): void;
@@ -41,9 +53,10 @@
     return this.#values;
   }
 
-  count(name: string, by = 1): void {
-    this.#values[name] = (this.#values[name] ?? 0) + by;
-    this.#client?.increment(name, by);
+  count(name: string, by = 1, labels: MetricLabels = {}): void {
+    const key = metricKey(name, labels);
+    this.#values[key] = (this.#values[key] ?? 0) + by;
+    this.#client?.increment(name, by, labels);
   }
 
   gauge(name: string, value: number): void {
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -116,6 +116,8 @@
 
   #heldMs = 0;
 
+  #isSettled = false;
+
   /** Steps of the request, for the log. */
   readonly trail: string[] = [];
 
@@ -248,6 +250,11 @@
     return this.request.customer;
   }
 
+  /** Whether the response was completed, also if its caller has yet to read a part of it, or has failed. */
+  get isSettled(): boolean {
+    return this.#isSettled;
+  }
+
   /** Whether the status and headers have been sent. */
   get headSent(): boolean {
     return this.#res.headersSent;
@@ -287,6 +294,7 @@
 
   /** Completes the response, after a last chunk if one is given. The caller may still have to read a part of it. */
   end(chunk?: Buffer): void {
+    this.#isSettled = true;
     this.#delivery.end(performance.now(), chunk);
   }
 
@@ -295,6 +303,7 @@
    * connection is cut instead, which is the only way left to mark the response as incomplete.
    */
   fail(now: number, failure: Failure): void {
+    this.#isSettled = true;
     this.code = failure.codeName;
     if (crashCodes.has(failure.codeName)) this.detail = failure.message;
     if (this.#res.headersSent) {
--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -117,13 +117,28 @@
     try {
       const exchange = await this.#accept(now, req, res);
       if (!exchange) return;
-      await this.#context.onRequest(exchange);
+      await this.#serve(exchange);
       this.#context.onDone(exchange, performance.now() - now);
     } finally {
       this.#activeRequests -= 1;
     }
   }
 
+  /** Serves a request; one that an error leaves without an end is answered 500, or reset if its response has begun. */
+  async #serve(exchange: Exchange): Promise<void> {
+    const { onRequest, metrics, log } = this.#context;
+    try {
+      await onRequest(exchange);
+    } catch (error) {
+      const failure = toFailure(error);
+      const { request, service } = exchange;
+      log.error({ request: request.id, service, stack: failure.stack }, failure.line);
+      metrics.count('requests.failed');
+      exchange.trail.push(failure.codeName);
+      if (!exchange.isSettled) exchange.fail(performance.now(), failure);
+    }
+  }
+
   /** Reads, decodes and authenticates a request. Returns undefined if it was refused or its caller disconnected. */
   async #accept(
     now: number,
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -128,8 +128,8 @@
     } finally {
       this.#open.delete(exchange);
       this.#retries.settle(exchange);
+      controllers.quotas.settle(exchange);
     }
-    controllers.quotas.settle(exchange);
   }
 
   /** Ends the wait of requests that must not be sent any more. */
--- a/src/node/router/metrics.ts
+++ b/src/node/router/metrics.ts
@@ -7,7 +7,8 @@
 
 import { listenOn } from '../../utils/http';
 import { SNAPSHOT_PATH } from '../../types/snapshot';
-import type { Metrics } from '../metrics';
+import type { MetricLabels, Metrics } from '../metrics';
+import { metricKey } from '../metrics';
 
 /** Bucket bounds of the latency histograms in seconds, from one round trip to the longest deadline. */
 const LATENCY_BUCKETS_S: readonly number[] = [0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3, 6, 12];
@@ -75,16 +76,23 @@
     this.#ranked.inc({ service, rank: String(rank), outcome });
   }
 
-  /** Increments a counter, which is created on first use. */
-  count(name: string, by = 1): void {
-    this.#values[name] = (this.#values[name] ?? 0) + by;
+  /** Increments a counter, which is created with its labels on first use. */
+  count(name: string, by = 1, labels: MetricLabels = {}): void {
+    const key = metricKey(name, labels);
+    this.#values[key] = (this.#values[key] ?? 0) + by;
     let counter = this.#counters.get(name);
     if (!counter) {
+      const labelNames = Object.keys(labels);
       const registers = [this.#registry];
-      counter = new Counter({ name: metricName(`${name}_total`), help: name, registers });
+      counter = new Counter({
+        name: metricName(`${name}_total`),
+        help: name,
+        labelNames,
+        registers,
+      });
       this.#counters.set(name, counter);
     }
-    counter.inc(by);
+    counter.inc({ ...labels }, by);
   }
 
   /** Sets a gauge, which is created on first use. */
--- a/src/node/router/plainholds.ts
+++ b/src/node/router/plainholds.ts
@@ -46,16 +46,16 @@
     if (decision.kind === 'send') return this.#leave(exchange, 'send');
     const { metrics } = this.#context;
     if (decision.kind === 'reject') {
-      metrics.count(`plain.${service}.rejected`);
+      metrics.count('plain.rejected', 1, { service });
       return this.#leave(exchange, failureOf('runnersBusy', service, decision.retryAfterMs));
     }
     const { waitMs } = placement.expected;
     const last = queue.overflow(slots);
     if (last) {
-      metrics.count(`plain.${service}.rejected`);
+      metrics.count('plain.rejected', 1, { service });
       last.refuse(failureOf('queueFull', service, waitMs));
     }
-    if (exchange.heldMs === 0) metrics.count(`plain.${service}.held`);
+    if (exchange.heldMs === 0) metrics.count('plain.held', 1, { service });
     if (!placement.areAllFull && queue.first) this.#wakes.get(queue.first)?.();
     await this.#wait(exchange, decision.ms);
     exchange.held(performance.now() - now);
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -120,7 +120,7 @@
     const done = this.#ask(now, state, owner, service, want);
     const timeout = pause(REFRESH_WAIT_MS, undefined);
     const chosen = await Promise.race([done, timeout]);
-    if (state.refresh) this.#context.metrics.count(`plain.${service}.late`);
+    if (state.refresh) this.#context.metrics.count('plain.late', 1, { service });
     return chosen;
   }
 
@@ -306,7 +306,7 @@
     want: LoadAsk['want'],
   ): Promise<string | undefined> {
     const news = toWireNews(now, state.share.take(now));
-    this.#context.metrics.count(`plain.${service}.refreshes`);
+    this.#context.metrics.count('plain.refreshes', 1, { service });
     const done = this.#exchange(state, owner, { service, ...news, ...(want ? { want } : {}) });
     state.refresh = { startedAt: now, done };
     return done;
@@ -327,7 +327,7 @@
       const failure = toFailure(error);
       // An owner of another version, which rejects the message, still answers for other services.
       if (failure.codeName !== 'peerRejected') fleet.deprioritize(performance.now(), owner.vm);
-      metrics.count(`plain.${ask.service}.unanswered`);
+      metrics.count('plain.unanswered', 1, { service: ask.service });
       log.debug({ service: ask.service, owner: owner.vm }, failure.line);
       return undefined;
     } finally {
@@ -360,7 +360,7 @@
   #tell(now: number, { share }: ServiceState, owner: Member, service: string): void {
     const { fleet, metrics, log } = this.#context;
     const news: LoadAsk = { service, ...toWireNews(now, share.take(now)) };
-    metrics.count(`plain.${service}.news`);
+    metrics.count('plain.news', 1, { service });
     fleet.call(owner.address, 'plainNews', news, CALL_TIMEOUT_MS).catch((error) => {
       log.debug({ service, owner: owner.vm }, toFailure(error).line);
     });
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -6,6 +6,7 @@
 
 import { StoreHistory } from '../../src/core/routing/position';
 import type { RoutingConfig } from '../../src/core/routing/types';
+import type { Exchange } from '../../src/node/router/exchange';
 import type { FrontEndContext } from '../../src/node/router/frontend';
 import { FrontEnd } from '../../src/node/router/frontend';
 import { RoutingState } from '../../src/node/router/routingstate';
@@ -57,6 +58,27 @@
   });
 }
 
+/** Sends text on a connection; returns what is received within a moment, and whether the connection is closed then. */
+async function readAll(
+  port: number,
+  text: string,
+): Promise<{ readonly got: string; readonly isClosed: boolean }> {
+  let got = '';
+  let isClosed = false;
+  const socket = connect(port, '127.0.0.1', () => socket.write(text));
+  socket.on('data', (data) => {
+    got += data.toString();
+  });
+  socket.on('error', () => {});
+  socket.on('close', () => {
+    isClosed = true;
+  });
+  await pause(300);
+  const received = { got, isClosed };
+  socket.destroy();
+  return received;
+}
+
 const log = pino({ level: 'silent' });
 
 /** A front end that passes its requests to `onRequest`. */
@@ -197,3 +219,44 @@
     expect([got.split('\r\n\r\n')[1], end]).toEqual([EVENT, 'reset']);
   });
 });
+
+describe('an error in the handler of a request', () => {
+  /* Guards against a request that stays without any answer since a counter could not be created under its handler. */
+  test.each<readonly [string, (exchange: Exchange) => void]>([
+    ['before its response', () => {}],
+    [
+      'within its response',
+      (exchange) => {
+        exchange.writeHead(200, ['content-length', '9']);
+        exchange.write(Buffer.from('half')).catch(() => {});
+      },
+    ],
+    [
+      'after its response',
+      (exchange) => {
+        exchange.writeHead(200, ['content-length', '5']);
+        exchange.end(Buffer.from('whole'));
+      },
+    ],
+  ])('ends it: %s', async (name, respond) => {
+    const routingState = new RoutingState(new StoreHistory(), log, noopListener);
+    routingState.learnConfig(0, config, 'store');
+    const front = frontOf(routingState, async (exchange) => {
+      respond(exchange);
+      await pause(20);
+      throw new Error('a metric with this name is registered');
+    });
+    const port = await freePort();
+    await front.listen(`127.0.0.1:${port}`);
+    const { got, isClosed } = await readAll(port, requestOf('/a/'));
+    const [head = '', body] = got.split('\r\n\r\n');
+    const code = body?.startsWith('{') ? JSON.parse(body).error.code : undefined;
+    expect({
+      [name]: [head.split('\r\n')[0], /content-length: \d/i.exec(head)?.[0], code ?? body],
+      active: front.activeRequests,
+      isClosed,
+    }).toMatchSnapshot();
+    front.close();
+    front.cutOff();
+  });
+});
