Check that a runner that leaves still runs before its answer counts as complete

A runner that had said that it leaves and was killed left streams without a length that looked complete with half of their events.

Cause: where a runner takes no requests, the end of its connection was taken for the end of its answer without a check, since it may stop after its last answer. Nothing told that from a kill.

Such a runner now has to accept a connection after the end, on which nothing is sent: it wants no calls. One that exits in that moment has its answer cut.

The new row of test/router/answerends.test.ts failed before ("done" where "broken" is expected). Not played with real processes.

--- a/src/node/router/answerends.ts
+++ b/src/node/router/answerends.ts
@@ -54,10 +54,11 @@
    */
   async isWhole(request: string, reply: EndedReply, runner: Runner): Promise<boolean> {
     if (reply.framing !== 'close') return true;
-    const { metrics, log } = this.#context;
+    const { routingState, checks, metrics, log } = this.#context;
     const [tunnel, isRunning] = await Promise.all([
       this.#tunnelBytes(reply),
-      this.#isRunning(performance.now(), runner),
+      // A runner that leaves or asked for a pause wants no calls.
+      checks.isRunning(runner, routingState.accepts(performance.now(), runner)),
     ]);
     if (isWholeByClose({ tunnel, isRunning })) return true;
     metrics.count('answers.cut');
@@ -68,12 +69,6 @@
     return false;
   }
 
-  /** A runner that leaves may stop after its last response, and one that asked for a pause gets no call. */
-  async #isRunning(now: number, runner: Runner): Promise<boolean> {
-    const { routingState, checks } = this.#context;
-    return !routingState.accepts(now, runner) || checks.isRunning(runner);
-  }
-
   /** Undefined if the connection was direct. */
   async #tunnelBytes({ via, tunnel }: EndedReply): Promise<TunnelBytes | undefined> {
     if (via === undefined) return undefined;
--- a/src/node/router/inflight.ts
+++ b/src/node/router/inflight.ts
@@ -83,8 +83,8 @@
     return this.#client.report(runner);
   }
 
-  isRunning(runner: Runner): Promise<boolean> {
-    return this.#client.isRunning(runner);
+  isRunning(runner: Runner, mayCall = true): Promise<boolean> {
+    return this.#client.isRunning(runner, mayCall);
   }
 
   order(
--- a/src/node/router/runnerchecks.ts
+++ b/src/node/router/runnerchecks.ts
@@ -21,17 +21,20 @@
     this.#runners = runners;
   }
 
-  /** Whether a runner's process runs, by a check that begins after the call. */
-  isRunning(runner: Runner): Promise<boolean> {
+  /**
+   * Whether a runner's process runs, by a check that begins after the call.
+   * @param mayCall see `RunnerClient`
+   */
+  isRunning(runner: Runner, mayCall = true): Promise<boolean> {
     const check = this.#checks.get(runner.id);
-    if (!check) return this.#begin(runner);
+    if (!check) return this.#begin(runner, mayCall);
     // The check in progress may have begun before the connection ended.
-    check.next ??= check.current.then(() => this.#begin(runner));
+    check.next ??= check.current.then(() => this.#begin(runner, mayCall));
     return check.next;
   }
 
-  #begin(runner: Runner): Promise<boolean> {
-    const current = this.#runners.isRunning(runner).finally(() => {
+  #begin(runner: Runner, mayCall: boolean): Promise<boolean> {
+    const current = this.#runners.isRunning(runner, mayCall).finally(() => {
       const check = this.#checks.get(runner.id);
       if (check?.current === current && !check.next) this.#checks.delete(runner.id);
     });
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -223,8 +223,11 @@
   /** Releases a KV cache. */
   freeCache(cache: CacheHandle): Promise<void>;
   report(runner: Runner): Promise<RunnerReport>;
-  /** Whether a runner's process runs: false if it answers no more, or another instance answers. Never rejects. */
-  isRunning(runner: Runner): Promise<boolean>;
+  /**
+   * Whether a runner's process runs: false if it answers no more, or another instance answers. Never rejects.
+   * @param mayCall whether it may be sent a call; otherwise it runs if it accepts connections. Default: it may
+   */
+  isRunning(runner: Runner, mayCall?: boolean): Promise<boolean>;
   /**
    * Orders a runner to switch its role; `holder` and `fence` identify the lease under which the
    * order is given.
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -135,9 +135,11 @@
   }
 
   /** A runner of a plain service has no report; its process runs if it accepts connections. */
-  async isRunning(runner: Runner): Promise<boolean> {
+  async isRunning(runner: Runner, mayCall = true): Promise<boolean> {
     try {
-      if (runner.role !== 'plain') return (await this.report(runner)).runner === runner.id;
+      if (mayCall && runner.role !== 'plain') {
+        return (await this.report(runner)).runner === runner.id;
+      }
       const { address, id } = runner;
       const target = { address, id, request: undefined, mayAbandon: true };
       const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
--- a/test/router/answerends.test.ts
+++ b/test/router/answerends.test.ts
@@ -5,6 +5,7 @@
 import { AnswerEnds } from '../../src/node/router/answerends';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import { Relay } from '../../src/node/router/relay';
+import type { RunnerChecks } from '../../src/node/router/runnerchecks';
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, replyOf, streamEngine } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
@@ -29,14 +30,21 @@
   readonly tunnelEnd?: number | null | 'gone';
   readonly arrivedBytes?: number;
   readonly isRunning: boolean;
+  /** Whether the runner leaves or asked for a pause. Default: it takes requests. */
+  readonly isClosed?: boolean;
 }
 
 /** Runs of a VM that finds out this evidence. */
-function runsWith({ tunnelEnd, isRunning }: Evidence): Runs {
+function runsWith({ tunnelEnd, isRunning, isClosed = false }: Evidence): Runs {
   const routingState = openStateOf();
   const quarantine = quarantineOf();
   const metrics = new RouterMetrics();
-  const checks = { isRunning: async () => isRunning };
+  const checks: Pick<RunnerChecks, 'isRunning'> = {
+    isRunning: async (_runner, mayCall) => {
+      if (mayCall === isClosed) throw new Error('called a runner that wants no calls');
+      return isRunning;
+    },
+  };
   const call = async (): Promise<unknown> => {
     if (tunnelEnd === 'gone') throw new Error('not connected');
     return tunnelEnd;
@@ -47,7 +55,13 @@
     quarantine,
     screening: screeningOf(quarantine),
     checks,
-    ends: new AnswerEnds({ routingState, fleet: { call }, checks, metrics, log }),
+    ends: new AnswerEnds({
+      routingState: { accepts: () => !isClosed },
+      fleet: { call },
+      checks,
+      metrics,
+      log,
+    }),
     authorizer: authorizerOf(),
     retries: retriesOf(),
     rateLimits: rateLimitsOf(),
@@ -110,6 +124,16 @@
       { framing: 'close', tunnelEnd: 400, arrivedBytes: 400, isRunning: false },
       'broken',
     ],
+    [
+      'came from a runner that leaves and runs',
+      { framing: 'close', isRunning: true, isClosed: true },
+      'done',
+    ],
+    [
+      'came from a runner that had said that it leaves, and was killed',
+      { framing: 'close', isRunning: false, isClosed: true },
+      'broken',
+    ],
   ])('is complete or cut: it %s', async (_, evidence, outcome) => {
     expect(await outcomeOf(evidence)).toBe(outcome);
   });
