Settle exchanges that end without a response or an error

A runner that answered 101 left its request open past the route's limit.

Cause: Node reports a switch of protocols by an event of its own and closes the connection without "response" or "error" if nothing listens. Exchanges with runners and the router's own calls now also end with "upgrade" and with "close" before a response. Streams are given up when over 256 KiB came without the end of an event, which was kept without bound before.

Before, the two tests with 101 in test/platform/runner.test.ts ran into their limit of 5 s, and the test of an endless event found no bound.

--- a/src/core/stream/answer.ts
+++ b/src/core/stream/answer.ts
@@ -5,6 +5,9 @@
 import type { ServerEvent } from './splitter';
 import { EventSplitter } from './splitter';
 
+/** Bytes without the end of an event at which an answer is given up; no event of a model is as long. */
+const MAX_EVENT_BYTES = 256 * 1024;
+
 /** How the end of an answer is marked: by its length, its last chunk, or the close of its connection. */
 export type Framing = 'length' | 'chunked' | 'close';
 
@@ -19,9 +22,9 @@
 /**
  * Why a run does not complete its stream: `status` differs from the status sent to the
  * caller, `order` and `gap` see `OrderFault`, `torn` an end within an event or before the
- * first one, `cut` a broken connection.
+ * first one, `cut` a broken connection, `oversized` bytes without the end of an event.
  */
-export type StreamFault = 'status' | OrderFault | 'torn' | 'cut';
+export type StreamFault = 'status' | OrderFault | 'torn' | 'cut' | 'oversized';
 
 /** One stream, assembled from consecutive runs. */
 export class AnswerStream {
@@ -106,6 +109,7 @@
       this.#accept(event);
       passed.push(event.bytes);
     }
+    if (this.rest.length > MAX_EVENT_BYTES) this.#fault ??= 'oversized';
     return passed.length === 1 && passed[0] ? passed[0] : Buffer.concat(passed);
   }
 
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -291,9 +291,14 @@
       failOnReset(req, message);
       resolve(message);
     });
-    req.on('error', (error) =>
-      reject(new Failure('runnerFailed', `${runner.address}: ${error.message}`)),
-    );
+    const fail = (detail: string): void =>
+      reject(new Failure('runnerFailed', `${runner.address}: ${detail}`));
+    req.on('upgrade', (_message, upgraded) => {
+      upgraded.destroy();
+      fail('found a switch of protocols, which the request did not ask for');
+    });
+    req.on('error', ({ message }) => fail(message));
+    req.on('close', () => fail('the connection was closed before the response'));
     req.end(request.body);
   });
 }
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -83,7 +83,9 @@
   return new Promise((resolve, reject) => {
     const connection = createConnection ? { createConnection } : { agent };
     const requested = { method, headers: headers ?? {}, ...connection, signal: stop };
+    let hasResponse = false;
     const req = request(url, requested, (res) => {
+      hasResponse = true;
       readBody(res, MAX_RESPONSE_BYTES)
         .then((text) =>
           resolve({ status: res.statusCode ?? 0, headers: res.headers, body: text.toString() }),
@@ -91,6 +93,13 @@
         .catch(reject);
     });
     req.on('error', reject);
+    req.on('upgrade', (_message, socket) => {
+      socket.destroy();
+      reject(new Error('found a switch of protocols, which the call did not ask for'));
+    });
+    req.on('close', () => {
+      if (!hasResponse) reject(new Error('the connection was closed before the response'));
+    });
     req.end(body);
   });
 }
--- a/test/core/stream.test.ts
+++ b/test/core/stream.test.ts
@@ -121,3 +121,29 @@
     },
   );
 });
+
+describe('bytes without the end of an event', () => {
+  /* Guards against the memory of a VM that a runner fills with bytes that never become an event. */
+  test('end the answer at a bounded size', () => {
+    const stream = new AnswerStream();
+    stream.begin({ status: 200, framing: 'close', isEvents: true });
+    const sizes: number[] = [];
+    const chunk = Buffer.alloc(64 * 1024, 'x');
+    while (!stream.fault && sizes.length < 100) {
+      stream.push(chunk);
+      sizes.push(stream.rest.length / 1024);
+    }
+    expect({ fault: stream.fault, sizes }).toMatchInlineSnapshot(`
+     {
+       "fault": "oversized",
+       "sizes": [
+         64,
+         128,
+         192,
+         256,
+         320,
+       ],
+     }
+    `);
+  });
+});
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -157,3 +157,26 @@
     expect(sent).toEqual([undefined, '0', '2', '9']);
   });
 });
+
+describe('an answer that is none', () => {
+  const switched = 'HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n';
+  /* Guards against a request that stays open past its limit: Node reports none of these as a response or an error. */
+  test.each<readonly [string, (socket: Socket) => void]>([
+    ['a switch of protocols', (socket) => socket.write(switched)],
+    ['a switch of protocols with bytes after it', (socket) => socket.write(`${switched}more`)],
+    ['an end before the head', (socket) => socket.end()],
+    [
+      'a head without end',
+      (socket) => socket.write(`HTTP/1.1 200 OK\r\nx: ${'y'.repeat(100_000)}`),
+    ],
+  ])('fails the request and the call at once: %s', async (_, answer) => {
+    const server = await runnerOf(answer);
+    const client = new PlatformRunnerClient(directConnector);
+    const dispatch = dispatchTo(server);
+    const startedAt = performance.now();
+    await expect(client.send(dispatch)).rejects.toMatchObject({ codeName: 'runnerFailed' });
+    await expect(client.report(dispatch.runner)).rejects.toThrow();
+    expect(performance.now() - startedAt).toBeLessThan(500);
+    server.close();
+  });
+});
