End a process that could not start

Callers saw nothing of it, but the fleet did: a router whose port for callers was in use printed EADDRINUSE and went on. It took part in the membership, read the store and registered itself there, and neither served nor ended until a signal came, so that nothing started it again.

Cause: a failed command only set the exit code and left it to Node to end once nothing is open. A daemon that fails in the middle of its start has sockets and timers open by then.

Now it exits with 2 and leaves nothing.

The fix exits on every failure that ends the command. Output that is written before is not lost: pipes, files and terminals are written synchronously, and the log flushes on exit.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -8,12 +8,12 @@
 
 const FAILURE_EXIT_CODE = 2;
 
-/** Prints a failure as one line without a stack trace and sets the exit code. */
-function printFailure(error: unknown): void {
+/** Prints a failure as one line without a stack trace and exits, which ends a daemon that has started in part. */
+function exitOnFailure(error: unknown): void {
   const isUsage = error instanceof Error && error.name === 'CACError';
   const failure = isUsage ? new Failure('usage', error.message) : toFailure(error);
   process.stderr.write(`goldcrestdock: ${failure.line}\n`);
-  process.exitCode = FAILURE_EXIT_CODE;
+  process.exit(FAILURE_EXIT_CODE);
 }
 
 /** Parses the command line and runs the command; failures are printed. */
@@ -28,8 +28,8 @@
     if (!cli.matchedCommand) throw unknownCommand(cli.args);
     await cli.runMatchedCommand();
   } catch (error) {
-    printFailure(error);
+    exitOnFailure(error);
   }
 }
 
-main(process.argv).catch(printFailure);
+main(process.argv).catch(exitOnFailure);
