Handle signals from the first moment of a process

A reload or a stop that was asked for while a process started ended it at once by the signal's default action: SIGHUP ended the router in place of a reload, SIGTERM and SIGINT ended it with the signal in place of code 0.

Cause: the handlers were registered as the last step of the start.

The handlers are now the first thing that the program does for a daemon, before it loads the rest of itself, and they remember what was asked for. The program is loaded in one turn of the event loop and signals are delivered at its end, so a stop asked for by then ends the process before it reads its settings or opens a port. One asked for during the start drains as usual, for its port may have taken requests; a reload is done after the start. The gateway and the scheduler use the same handlers. They had none for SIGHUP; as they have nothing to reload, they ignore it now.

What remains is the time that Node itself needs before it runs any code of the program; it resets the signals' dispositions that it inherits, so nothing can be done about it from inside.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -71,7 +71,7 @@
   },
   { files: ['scripts/**', 'test/**'], rules: { 'no-console': 'off' } },
   {
-    files: ['scripts/*.mjs', 'scripts/**/*.cjs'],
-    languageOptions: { globals: { URL: 'readonly', process: 'readonly' } },
+    files: ['scripts/*.mjs', 'scripts/**/*.cjs', 'test/**/*.cjs'],
+    languageOptions: { globals: { URL: 'readonly', process: 'readonly', setTimeout: 'readonly' } },
   },
 ];
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,35 +1,15 @@
 /** Entry point of the `goldcrestdock` program. */
 
-import { cac } from 'cac';
+import { daemonSignals } from './signals';
 
-import { Failure, toFailure } from '../core/failure';
-import { version } from '../version';
-import { registerCommands, unknownCommand } from './commands';
+const DAEMONS: ReadonlySet<string | undefined> = new Set(['gateway', 'scheduler', 'node']);
 
-const FAILURE_EXIT_CODE = 2;
+// Until they are handled, signals end the process, and loading the program takes a while.
+if (DAEMONS.has(process.argv[2])) daemonSignals();
 
-/** Prints a failure as one line without a stack trace and exits, which ends a daemon that has started in part. */
-function exitOnFailure(error: unknown): void {
-  const isUsage = error instanceof Error && error.name === 'CACError';
-  const failure = isUsage ? new Failure('usage', error.message) : toFailure(error);
-  process.stderr.write(`goldcrestdock: ${failure.line}\n`);
-  process.exit(FAILURE_EXIT_CODE);
-}
-
-/** Parses the command line and runs the command; failures are printed. */
-export async function main(argv: readonly string[]): Promise<void> {
-  const cli = cac('goldcrestdock');
-  registerCommands(cli);
-  cli.help();
-  cli.version(version);
-  try {
-    cli.parse([...argv], { run: false });
-    if (cli.options.help || cli.options.version) return;
-    if (!cli.matchedCommand) throw unknownCommand(cli.args);
-    await cli.runMatchedCommand();
-  } catch (error) {
-    exitOnFailure(error);
-  }
-}
-
-main(process.argv).catch(exitOnFailure);
+import('./program')
+  .then(({ main }) => main(process.argv))
+  .catch((error: Error) => {
+    process.stderr.write(`goldcrestdock: ${error.message}\n`);
+    process.exit(1);
+  });
--- a/src/cli/node.ts
+++ b/src/cli/node.ts
@@ -2,14 +2,18 @@
 
 import { createBoundedLog } from '../node/log';
 import { createRouter, loadEnvironmentSettings } from '../platform/router';
-import { stopOnSignal } from './signals';
+import { daemonSignals } from './signals';
 
 /** Runs a router with the settings file named by the environment until a signal stops it. SIGHUP reloads the settings. */
 export async function runNode(): Promise<void> {
-  const settings = loadEnvironmentSettings(process.env);
-  const { log, flush } = createBoundedLog('info', settings.router.vm);
-  const router = createRouter(settings, log);
-  await router.start();
-  stopOnSignal(() => router.stop().finally(flush));
-  process.on('SIGHUP', () => router.reload(() => loadEnvironmentSettings(process.env).router));
+  await daemonSignals().run(async () => {
+    const settings = loadEnvironmentSettings(process.env);
+    const { log, flush } = createBoundedLog('info', settings.router.vm);
+    const router = createRouter(settings, log);
+    await router.start();
+    return {
+      stop: () => router.stop().finally(flush),
+      reload: () => router.reload(() => loadEnvironmentSettings(process.env).router),
+    };
+  });
 }
--- a/src/cli/signals.ts
+++ b/src/cli/signals.ts
@@ -1,18 +1,73 @@
-/** Handling of the signals that stop a daemon. */
-
-/** Shuts the process down gracefully on SIGTERM or SIGINT; a second signal exits immediately with code 1. */
-export function stopOnSignal(stop: () => Promise<void>): void {
-  let isStopping = false;
-  const onSignal = (): void => {
-    if (isStopping) process.exit(1);
-    isStopping = true;
-    stop()
+/** Handling of the signals that stop a daemon or reload its settings. */
+
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
+/** What a running daemon does on signals. */
+export interface Daemon {
+  /** Shuts down gracefully. */
+  readonly stop: () => Promise<void>;
+  /** Reads the settings again. Default: SIGHUP is ignored. */
+  readonly reload?: () => void;
+}
+
+/**
+ * Signals to this process. SIGTERM and SIGINT shut the daemon down; a second one exits immediately
+ * with code 1. SIGHUP reloads its settings. Signals that arrive before the daemon runs are
+ * remembered until it does.
+ */
+export class DaemonSignals {
+  #daemon: Daemon | undefined;
+
+  #isStopping = false;
+
+  #isReloadRequested = false;
+
+  /** Handles signals from now on. */
+  constructor() {
+    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+      process.on(signal, () => this.#onStopSignal());
+    }
+    process.on('SIGHUP', () => {
+      this.#isReloadRequested = true;
+      this.#handle();
+    });
+  }
+
+  /** Starts a daemon, unless a signal stopped it while the program was loaded. */
+  async run(start: () => Promise<Daemon>): Promise<void> {
+    // The program is loaded in one turn of the event loop; signals are delivered at its end.
+    await nextTurn();
+    if (this.#isStopping) process.exit(0);
+    this.#daemon = await start();
+    this.#handle();
+  }
+
+  #onStopSignal(): void {
+    if (this.#isStopping) process.exit(1);
+    this.#isStopping = true;
+    this.#handle();
+  }
+
+  #handle(): void {
+    const daemon = this.#daemon;
+    if (!daemon) return;
+    if (this.#isReloadRequested) daemon.reload?.();
+    this.#isReloadRequested = false;
+    if (!this.#isStopping) return;
+    daemon
+      .stop()
       .then(() => process.exit(0))
       .catch((error: Error) => {
         process.stderr.write(`${error.message}\n`);
         process.exit(1);
       });
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
+  }
+}
+
+let signals: DaemonSignals | undefined;
+
+/** The signals to this process, which are handled from the first call on. */
+export function daemonSignals(): DaemonSignals {
+  signals ??= new DaemonSignals();
+  return signals;
 }
--- a/test/fakes/nodeprocess.ts
+++ b/test/fakes/nodeprocess.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path';
 
 const PROGRAM = 'build/goldcrestdock.cjs';
+const PRELOAD = './test/fakes/signalself.cjs';
 const PORTS = { front: 8149, ready: 8141, peer: 7380 } as const;
 
 /** How a process ended. */
@@ -17,6 +18,9 @@
   readonly signal: NodeJS.Signals | null;
 }
 
+/** A moment of the start: when it requires its n-th module or reads the settings, or a time after it was loaded. */
+export type Moment = `${number} modules` | 'settings' | `${number} ms`;
+
 /** Settings of the process. */
 export interface NodeOptions {
   /** Its IP address, at which nothing else listens. */
@@ -25,6 +29,8 @@
   readonly store: string;
   /** Time that it has to stop, in seconds. */
   readonly graceS: number;
+  /** Signals that it receives at a moment of its start. Default: none. */
+  readonly early?: { readonly signals: readonly NodeJS.Signals[]; readonly at: Moment };
 }
 
 /** A started process. */
@@ -39,13 +45,13 @@
 
   readonly #child: ChildProcess;
 
-  constructor({ ip, store, graceS }: NodeOptions) {
+  constructor({ ip, store, graceS, early }: NodeOptions) {
     this.#ip = ip;
     const folder = mkdtempSync(join(tmpdir(), 'goldcrestdock-node-'));
     const file = join(folder, 'settings.json');
     writeFileSync(file, JSON.stringify(settingsOf(ip, store, graceS)));
-    this.#child = spawn(process.execPath, [PROGRAM, 'node'], {
-      env: { GOLDCRESTDOCK_CONFIG: file },
+    this.#child = spawn(process.execPath, ['-r', PRELOAD, PROGRAM, 'node'], {
+      env: { GOLDCRESTDOCK_CONFIG: file, SIGNAL_SELF: JSON.stringify(early) },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     for (const stream of [this.#child.stdout, this.#child.stderr]) {
