Keep draining when a stop is asked for again

Callers lost every stream that was open at a VM that drained, at once, when the platform sent SIGTERM a second time, or SIGINT after it.

Cause: a second signal counted as the wish of a person at a terminal to end the process immediately, with code 1. Platforms and supervisors send their stop signals in series, and series overlap; what ends a stop early is their SIGKILL.

Once a stop is asked for, further signals change nothing; that includes SIGHUP, as settings that change during a stop would have no use. Only SIGINT still exits immediately with code 1, and only if the standard input is a terminal.

--- a/src/cli/signals.ts
+++ b/src/cli/signals.ts
@@ -1,6 +1,10 @@
 /** Handling of the signals that stop a daemon or reload its settings. */
 
 import { setImmediate as nextTurn } from 'node:timers/promises';
+import { isatty } from 'node:tty';
+
+/** File descriptor of the standard input. */
+const STDIN = 0;
 
 /** What a running daemon does on signals. */
 export interface Daemon {
@@ -11,9 +15,9 @@
 }
 
 /**
- * Signals to this process. SIGTERM and SIGINT shut the daemon down; a second one exits immediately
- * with code 1. SIGHUP reloads its settings. Signals that arrive before the daemon runs are
- * remembered until it does.
+ * Signals to this process. SIGTERM and SIGINT shut the daemon down; while it does, further signals
+ * change nothing, except that SIGINT from a terminal exits immediately with code 1. SIGHUP reloads
+ * the settings. Signals that arrive before the daemon runs are remembered until it does.
  */
 export class DaemonSignals {
   #daemon: Daemon | undefined;
@@ -24,9 +28,11 @@
 
   /** Handles signals from now on. */
   constructor() {
-    for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-      process.on(signal, () => this.#onStopSignal());
-    }
+    process.on('SIGTERM', () => this.#requestStop());
+    process.on('SIGINT', () => {
+      if (this.#isStopping && isatty(STDIN)) process.exit(1);
+      this.#requestStop();
+    });
     process.on('SIGHUP', () => {
       this.#isReloadRequested = true;
       this.#handle();
@@ -42,8 +48,7 @@
     this.#handle();
   }
 
-  #onStopSignal(): void {
-    if (this.#isStopping) process.exit(1);
+  #requestStop(): void {
     this.#isStopping = true;
     this.#handle();
   }
@@ -54,6 +59,7 @@
     if (this.#isReloadRequested) daemon.reload?.();
     this.#isReloadRequested = false;
     if (!this.#isStopping) return;
+    this.#daemon = undefined;
     daemon
       .stop()
       .then(() => process.exit(0))
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -625,13 +625,8 @@
     body: string,
     extraHeaders: Readonly<Record<string, string | string[]>> = {},
   ): Promise<CallerAnswer> {
-    const vm = this.#vms[turn % this.#vms.length];
-    const headers = {
-      ...headersOf(vm?.name ?? '', path, body),
-      connection: 'close',
-      ...extraHeaders,
-    };
-    return fetchRaw(vm?.front ?? '', path, headers, body);
+    const { front = '', name } = this.#vms[turn % this.#vms.length] ?? {};
+    return sendRequestTo(front, path, body, name, extraHeaders);
   }
 
   /** Sends one request and closes its connection after a time; resolves to when that was. */
@@ -730,6 +725,18 @@
   }
 }
 
+/** Sends one request with a new id to a VM's `HOST:PORT`. */
+export function sendRequestTo(
+  address: string,
+  path: string,
+  body: string,
+  vm = '',
+  extraHeaders: Readonly<Record<string, string | string[]>> = {},
+): Promise<CallerAnswer> {
+  const headers = { ...headersOf(vm, path, body), connection: 'close', ...extraHeaders };
+  return fetchRaw(address, path, headers, body);
+}
+
 /** Sends one request on its own connection; never rejects, since the response may be cut off. */
 function fetchRaw(
   address: string,
--- a/test/signals.test.ts
+++ b/test/signals.test.ts
@@ -1,10 +1,12 @@
 import { createServer } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { listenOn } from '../src/utils/http';
 import { waitUntil } from './fakes/cluster';
 import { LoopbackPrefix } from './fakes/loopback';
 import type { Moment } from './fakes/nodeprocess';
 import { NodeProcess } from './fakes/nodeprocess';
+import { LONG_EVENT_COUNT, LONG_PATH, RouterCluster, sendRequestTo } from './fakes/routers';
 import { FakeStore } from './fakes/store';
 
 const MOMENTS: readonly Moment[] = [
@@ -26,7 +28,7 @@
 beforeAll(async () => {
   prefix = await LoopbackPrefix.claim();
   await store.start();
-  store.put('config', { version: 1, routes: [], services: [] });
+  store.put('op/config', { version: 1, routes: [], services: [] });
 });
 afterAll(async () => {
   store.stop();
@@ -50,7 +52,7 @@
        "signal": null,
      }
     `);
-    expect(store.keys).toEqual(['config']);
+    expect(store.keys).toEqual(['op/config']);
   }, 10_000);
 });
 
@@ -64,7 +66,14 @@
   }
 
   // Guards against signals that end the process by their default action until it runs.
-  test.each([[['SIGTERM']], [['SIGINT']], [['SIGHUP', 'SIGTERM']]] as const)(
+  test.each([
+    [['SIGTERM']],
+    [['SIGINT']],
+    [['SIGHUP', 'SIGTERM']],
+    [['SIGTERM', 'SIGTERM']],
+    [['SIGINT', 'SIGINT']],
+    [['SIGTERM', 'SIGHUP']],
+  ] as const)(
     'it stops with code 0: %s',
     async (signals) => {
       const exits = await Promise.all(MOMENTS.map((at) => start(at, signals).exited));
@@ -98,3 +107,39 @@
     30_000,
   );
 });
+
+describe('a process of the platform that is signalled while it stops', () => {
+  const cluster = new RouterCluster({ vms: 0, runners: 1, plainRunners: 0 });
+
+  beforeAll(() => cluster.start());
+  afterAll(() => cluster.stop());
+
+  // Guards against a repeated signal that drops all open streams.
+  test.each(['SIGTERM', 'SIGINT', 'SIGHUP'] as const)(
+    'it completes an open stream after a further %s',
+    async (signal) => {
+      const ip = `${prefix.text}.2.1`;
+      const node = new NodeProcess({ ip, store: cluster.store.address, graceS: 6 });
+      await waitUntil('it serves', async () => {
+        const { status } = await sendRequestTo(node.front, '/model/warm', 'warm');
+        return status === 200;
+      });
+      const before = cluster.arrivalCount;
+      const answer = sendRequestTo(node.front, `${LONG_PATH}${signal}`, signal);
+      await waitUntil('the stream runs', async () => cluster.arrivalCount > before);
+      node.signal('SIGTERM');
+      await waitUntil('it drains', async () => node.lineCount('Draining.') > 0);
+      node.signal(signal);
+      await pause(100);
+      node.signal(signal);
+      const { status, whole, body } = await answer;
+      expect({ status, whole, events: body.match(/^id:/gm)?.length }).toEqual({
+        status: 200,
+        whole: true,
+        events: LONG_EVENT_COUNT,
+      });
+      expect(await node.exited).toEqual({ code: 0, signal: null });
+    },
+    30_000,
+  );
+});
