Print each stream of the soak whose runner fell silent

The summary said only how many of them went on, so that a breach of `silent` left no record of which streams were lost. A line for each now names the request, the runner, how the caller's attempt ended and how long after the loss, to look it up in the logs of the VMs. The check is unchanged.

--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -10,6 +10,7 @@
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
 import { ReachChecker } from './reach';
+import type { LostStreamEnd } from './loststreams';
 import { LostStreamChecker } from './loststreams';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
@@ -27,6 +28,8 @@
 /** What guarantees are checked against. */
 export interface GuaranteeContext {
   readonly onBreach: (breach: Breach) => void;
+  /** Called for each stream that ended after its runner had fallen silent. */
+  readonly onLostStreamEnd: (end: LostStreamEnd) => void;
   /** Time since the last fault of the given families ended, in milliseconds; 0 while one is in progress. */
   readonly faultFreeMs: (...families: readonly FaultFamily[]) => number;
   /** When the configuration that revoked a key was acknowledged; undefined while the key is valid. */
@@ -109,13 +112,14 @@
 
   readonly #urgency = new UrgencyChecker();
 
-  readonly #lostStreams = new LostStreamChecker();
+  readonly #lostStreams: LostStreamChecker;
 
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
   constructor(context: GuaranteeContext) {
     this.#context = context;
+    this.#lostStreams = new LostStreamChecker(context.onLostStreamEnd);
   }
 
   sent(request: SentRequest, vm: string): void {
@@ -148,7 +152,9 @@
         ({ instanceId, role }) => instanceId === runner && role === 'decode',
       );
       const isResumable = request.kind === 'resumable';
-      if (isThere && isResumable && this.#context.isInTouch(vm)) this.#lostStreams.lost(request);
+      if (isThere && isResumable && this.#context.isInTouch(vm)) {
+        this.#lostStreams.lost(Date.now(), request, runner);
+      }
     }
   }
 
@@ -163,7 +169,7 @@
     if (record && isUndisturbed && !isRevoked) {
       this.#urgency.answered(record.sentAt, request, answer);
     }
-    const lostError = this.#lostStreams.answered(request, answer);
+    const lostError = this.#lostStreams.answered(Date.now(), request, answer);
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -95,6 +95,7 @@
     });
     this.#guarantees = new GuaranteeChecker({
       onBreach,
+      onLostStreamEnd: (end) => timeline.recordLostStreamEnd(end),
       faultFreeMs: (...families) => this.#faults.faultFreeMs(...families),
       revokedAt: (key) => this.#operator.revokedAt(key),
       quotaOf: (customer) => this.#operator.quotaOf(customer),
--- a/scripts/soak/timeline.ts
+++ b/scripts/soak/timeline.ts
@@ -2,6 +2,7 @@
 
 import type { CallerAnswer, Outcome } from './callers';
 import type { Breach } from './guarantees';
+import type { LostStreamEnd } from './loststreams';
 
 /** Measurements of one second of a run. */
 export interface Second {
@@ -86,6 +87,11 @@
     if (span && !begins) span.to = at;
   }
 
+  /** Records the end of a stream whose runner had fallen silent. */
+  recordLostStreamEnd(end: LostStreamEnd): void {
+    this.#print({ at: this.#elapsedS, lostStream: end });
+  }
+
   /** Records a violated guarantee. */
   recordBreach(breach: Breach): void {
     this.breaches.push(breach);
