Register with no owner where no VM can own an account

A VM that had been told to stop, and was the last one of its fleet, ended by itself with exit code 1: the caller of a stream got 22 of 24 events.

Cause: after a pause of the process AccountOwners forgets the owners that it has chosen. A VM that leaves owns nothing, so that the ranking is empty once all others are dead. isSameOwner took the missing owner and the missing previous one for the same, and its type predicate hid from the compiler that the next term reads a property of undefined. The error was thrown in a timer.

The new test failed before the change with the same error.

The change compares owners only where there are two, and drops the predicate.

--- a/src/node/router/accountowners.ts
+++ b/src/node/router/accountowners.ts
@@ -205,10 +205,7 @@
       const [owner] = this.#ownersOf(now, group);
       const before = this.#owners.get(group);
       if (owner?.vm === vm) owned.add(group);
-      const isDue =
-        !isSameOwner(owner, before) ||
-        now - before.contactedAt > accounts.renewIntervalMs(this.members);
-      if (owner && isDue && !this.#isDelayed(now, owner)) {
+      if (owner && this.#isDue(now, owner, before) && !this.#isDelayed(now, owner)) {
         const { vm: name, address, incarnation } = owner;
         this.#owners.set(group, { vm: name, address, incarnation, contactedAt: now });
         joined.add(address, group);
@@ -223,6 +220,12 @@
     for (const [address, moved] of joined.byAddress) this.#sendJoin(now, address, moved, false);
   }
 
+  /** Whether to register with an owner, for the first time or again. */
+  #isDue(now: number, owner: Member, before: CurrentOwner | undefined): boolean {
+    if (!before || !isSameOwner(owner, before)) return true;
+    return now - before.contactedAt > this.#context.accounts.renewIntervalMs(this.members);
+  }
+
   #sendJoin(now: number, address: string, groups: readonly string[], leaves: boolean): void {
     const { vm, fleet, names, log } = this.#context;
     const message = { groups, leaves };
@@ -306,9 +309,6 @@
   return `${vm} ${incarnation}`;
 }
 
-function isSameOwner(
-  owner: Member | undefined,
-  before: CurrentOwner | undefined,
-): before is CurrentOwner {
-  return owner?.vm === before?.vm && owner?.incarnation === before?.incarnation;
+function isSameOwner(owner: Member, before: CurrentOwner): boolean {
+  return owner.vm === before.vm && owner.incarnation === before.incarnation;
 }
--- a/test/router/accountowners.test.ts
+++ b/test/router/accountowners.test.ts
@@ -172,6 +172,16 @@
     view.owners.stop();
   });
 
+  // Guards against a draining VM that ends with an error after a pause, since all other VMs are gone.
+  test('registers with nobody while no VM can own a group, and with the next one that can', () => {
+    const view = new FleetView();
+    expect(view.changed([])).toEqual([]);
+    expect(view.owners.snapshot()).toEqual({});
+    expect(view.changed([one])).toEqual(['join one:1 g']);
+    expect(view.changed([])).toEqual([]);
+    view.owners.stop();
+  });
+
   test('registers at once with a new instance of an owner that did not answer', async () => {
     const view = new FleetView();
     view.silent = ['one:1'];
