Continue a silent stream once the retry budget allows it

A stream whose runner lost power with its connection open was held until the caller's deadline if the retry budget was spent at the moment when its silence was noticed: the watch ended for good, although requests earn repeats again within a second. And the streams of one runner fall silent together: each of them found the same repeat free, ended its run, and all but the first were then cut.

A stream now sets the other run aside in the budget before its silent run is ended, so that no other stream counts on it, and asks again, with a new check of the runner, while the budget allows none. After 2 s of silence it is cut, so that its caller can take it up, rather than held to the deadline.

The three new tests failed before the change: the first and the third held the stream until its runner's connection ended, the second cut two of three streams. The relay's tests state the two new members of its context; their checks are unchanged.

--- a/src/core/retries/arrivals.ts
+++ b/src/core/retries/arrivals.ts
@@ -53,6 +53,11 @@
     return this.#held;
   }
 
+  /** Records how many repeats are set aside for this request now. */
+  hold(repeats: number): void {
+    this.#held = repeats;
+  }
+
   /** Counts a call that is sent to a runner, at its cost. */
   add(kind: ArrivalKind, { repeats, held }: ArrivalCost): void {
     if (kind === 'prefill') this.#prefills += 1;
--- a/src/core/retries/budget.ts
+++ b/src/core/retries/budget.ts
@@ -108,6 +108,13 @@
     return true;
   }
 
+  /** Sets aside repeats for a call that will follow; false if there are not enough. See `affords`. */
+  hold(now: number, share: RetryShare, repeats: number, held: number): boolean {
+    if (!this.affords(now, share, { repeats, held: 0 }, held)) return false;
+    this.#held += repeats - held;
+    return true;
+  }
+
   /** Sets aside repeats that were taken and not sent. */
   giveBack(share: RetryShare, repeats: number): void {
     this.#earned = Math.min(partsOf(share).maxEarned, this.#earned + repeats);
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -41,7 +41,7 @@
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly permits: Pick<PermitController, 'isLimited'>;
   readonly origins: Pick<OriginController, 'began' | 'recheck'>;
-  readonly retries: Pick<RetryController, 'affords'>;
+  readonly retries: Pick<RetryController, 'affords' | 'holdRun'>;
 }
 
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
@@ -261,7 +261,9 @@
       exchange,
       engine,
       stream: progress.stream,
-      canResume: () => canResume(exchange, progress) && this.#affordsRun(exchange),
+      canResume: () => canResume(exchange, progress),
+      affordsRun: () => this.#affordsRun(exchange),
+      holdRun: () => this.#context.retries.holdRun(performance.now(), exchange),
       onProgress: (report) => reservations.reportProgress(service, { id, ...report }),
       onFirstEvents: () => origins.began(performance.now(), exchange),
     });
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -35,8 +35,12 @@
   readonly exchange: Exchange;
   readonly engine: Engine;
   readonly stream: AnswerStream;
-  /** Whether another run may continue the stream after a failed one. */
+  /** Whether another run may continue the stream after a failed one, if the retry budget allows it. */
   readonly canResume: () => boolean;
+  /** Whether the retry budget allows another run. */
+  readonly affordsRun: () => boolean;
+  /** Sets aside another run of the retry budget for this request; false if it allows none. */
+  readonly holdRun: () => boolean;
   readonly onProgress: (progress: RelayProgress) => void;
   /** Called before the first events of a run are sent to the caller. */
   readonly onFirstEvents: () => void;
@@ -66,7 +70,7 @@
 
   /** Handles a response that cannot be part of the stream. It is passed on only if nothing was sent before. */
   async #relayWhole({ reply, run }: Answer, afterEvent: string | undefined): Promise<RelayOutcome> {
-    const { exchange, stream, canResume } = this.#context;
+    const { exchange, stream, canResume, affordsRun } = this.#context;
     const body = await readBody(reply.body, MAX_ANSWER_BYTES).catch(() => undefined);
     const part = streamPartOf(reply, afterEvent, stream);
     if (!body || !reply.body.complete || !(await run.hasWholeAnswer(reply))) {
@@ -76,7 +80,7 @@
     run.completed(performance.now(), undefined, false);
     if (stream.fault) run.diverged(part, stream.fault);
     const isServerError = reply.status >= SERVER_ERROR;
-    if (exchange.headSent || (isServerError && canResume())) return 'broken';
+    if (exchange.headSent || (isServerError && canResume() && affordsRun())) return 'broken';
     exchange.writeHead(reply.status, reply.headers);
     exchange.end(body);
     return isServerError ? 'failed' : 'done';
@@ -126,11 +130,12 @@
   }
 
   #watchSilence({ body }: Reply, run: Run): SilenceWatch {
-    const { exchange, canResume } = this.#context;
+    const { exchange, canResume, holdRun } = this.#context;
     return new SilenceWatch({
       body,
       gapMs: exchange.route.gapMs,
       canResume,
+      holdRun,
       isRunning: () => run.isRunnerRunning(),
       onStalled: (silentMs) => run.stalled(silentMs),
     });
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -80,6 +80,17 @@
     return false;
   }
 
+  /**
+   * Sets aside what one more run of a request costs; false if the budget does not allow that. What
+   * is not used is released when the request ends.
+   */
+  holdRun(now: number, { service, arrivals }: Exchange): boolean {
+    const repeats = Math.max(arrivals.held, arrivals.costOf('run').repeats);
+    const isHeld = this.#budgets.get(service).hold(now, this.#share(now), repeats, arrivals.held);
+    if (isHeld) arrivals.hold(repeats);
+    return isHeld;
+  }
+
   /** Charges a call that is sent to a runner now; throws `retryBudgetSpent` if that is not allowed. */
   charge(now: number, exchange: Exchange, runner: Pick<Runner, 'id' | 'role'>): void {
     const { service, arrivals } = exchange;
--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -13,6 +13,14 @@
  */
 const CHECK_MS = 400;
 
+/** Period at which another run is asked for again while the retry budget allows none, in milliseconds. */
+const HOLD_RETRY_MS = 100;
+/**
+ * Silence after which a stream is ended that no other run may continue yet, in milliseconds, so
+ * that its caller can take it up.
+ */
+const GIVE_UP_MS = 2000;
+
 /** What a watch needs of its stream. */
 export interface SilenceContext {
   readonly body: Pick<Readable, 'destroy'>;
@@ -20,6 +28,8 @@
   readonly gapMs: number;
   /** Whether another run could continue the stream. */
   readonly canResume: () => boolean;
+  /** Sets aside the other run; false if the retry budget allows none now. */
+  readonly holdRun: () => boolean;
   /** Whether the runner's process runs. */
   readonly isRunning: () => Promise<boolean>;
   /** Called before the stream is ended. */
@@ -67,16 +77,28 @@
   }
 
   async #check(heardAt: number): Promise<void> {
-    const { body, canResume, isRunning, onStalled } = this.#context;
+    const { body, canResume, onStalled } = this.#context;
     this.#timer = undefined;
     if (!canResume()) return;
+    let next = await this.#checkRunner(heardAt);
+    while (next === 'wait' && performance.now() - heardAt < GIVE_UP_MS) {
+      await pause(HOLD_RETRY_MS, undefined, { ref: false });
+      next = await this.#checkRunner(heardAt);
+    }
+    if (next === 'none') return;
+    onStalled(performance.now() - heardAt);
+    body.destroy(new Error('the stream and its runner are silent'));
+  }
+
+  /** What to do: `end` the stream, `wait` for the retry budget, or nothing. */
+  async #checkRunner(heardAt: number): Promise<'end' | 'wait' | 'none'> {
+    const { isRunning, holdRun } = this.#context;
     const isAlive = await Promise.race([isRunning(), pause(CHECK_MS, false, { ref: false })]);
-    if (this.#isStopped || this.#heardAt !== heardAt) return;
+    if (this.#isStopped || this.#heardAt !== heardAt) return 'none';
     if (isAlive) {
       this.#schedule();
-      return;
+      return 'none';
     }
-    onStalled(performance.now() - heardAt);
-    body.destroy(new Error('the stream and its runner are silent'));
+    return holdRun() ? 'end' : 'wait';
   }
 }
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -190,6 +190,7 @@
   quarantine = quarantineOf(),
   paths = directPaths,
   checks = runningChecks,
+  retries = retriesOf(),
 ): Runs {
   return new Runs({
     routingState: openStateOf(),
@@ -199,7 +200,7 @@
     checks,
     ends: endsOf(checks),
     authorizer: authorizerOf(),
-    retries: retriesOf(),
+    retries,
     rateLimits: rateLimitsOf(),
     notices: noticesOf(),
     metrics: new RouterMetrics(),
--- a/test/router/answerends.test.ts
+++ b/test/router/answerends.test.ts
@@ -81,6 +81,8 @@
     engine: streamEngine,
     stream: new AnswerStream(),
     canResume: () => false,
+    affordsRun: () => true,
+    holdRun: () => true,
     onProgress: () => {},
     onFirstEvents: () => {},
   });
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -104,6 +104,8 @@
       engine: streamEngine,
       stream,
       canResume: () => true,
+      affordsRun: () => true,
+      holdRun: () => true,
       onProgress: () => {},
       onFirstEvents: () => {},
     });
--- a/test/router/runnerchecks.test.ts
+++ b/test/router/runnerchecks.test.ts
@@ -60,6 +60,8 @@
       engine: streamEngine,
       stream: new AnswerStream(),
       canResume: () => true,
+      affordsRun: () => true,
+      holdRun: () => true,
       onProgress: () => {},
       onFirstEvents: () => {},
     });
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -1,9 +1,14 @@
 import { Readable } from 'node:stream';
+import { setTimeout as pause } from 'node:timers/promises';
+
+import pino from 'pino';
 
 import type { Route, Runner } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
 import type { ModelContext } from '../../src/node/router/model';
 import { ModelHandler } from '../../src/node/router/model';
+import { RouterMetrics } from '../../src/node/router/metrics';
+import { RetryController } from '../../src/node/router/retries';
 import type { DecodeDispatch, Reply } from '../../src/node/router/types';
 import {
   ABORTED,
@@ -348,6 +353,60 @@
     });
   });
 
+  /** A budget that allows one repeat for each caller's request, and saves one at most. */
+  function earnedRetries(): RetryController {
+    return new RetryController(-Infinity, {
+      bounds: () => ({ ratio: 1, extra: 1.25, windowMs: 10_000 }),
+      census: { isComplete: true, size: () => 1 },
+      metrics: new RouterMetrics(),
+      log: pino({ level: 'silent' }),
+    });
+  }
+
+  /** Serves streams whose runners send two events and nothing more; the budget gets requests at these times. */
+  async function outsOf(
+    count: number,
+    requestsAtMs: readonly number[],
+  ): Promise<readonly string[][]> {
+    const retries = earnedRetries();
+    // Long enough for all streams to be checked at the same time.
+    const checks = { isRunning: () => pause(20, false) };
+    const runs = runsOf(quarantineOf(), directPaths, checks, retries);
+    const outs = Array.from({ length: count }, (): string[] => []);
+    const served = outs.map((out) => {
+      const replies = [silentReply(eventsOf(1, 2), 3000, ''), replyOf(200, eventsOf(3, 4))];
+      const context = {
+        ...contextOf(replies, [runner('d1', 'decode'), runner('d2', 'decode')], [], runs),
+        retries,
+      };
+      const exchange = exchangeInto(out, promptRequest, resumable);
+      return new ModelHandler(context).run(exchange, streamEngine);
+    });
+    const other = { service: 's' } as Exchange;
+    requestsAtMs.forEach((ms) => setTimeout(() => retries.requested(performance.now(), other), ms));
+    await Promise.all(served);
+    return outs;
+  }
+
+  const continued = ['200', eventsOf(1, 2), eventsOf(3, 4)];
+
+  // Guards against a stream that is held until its deadline, since the budget was spent when it was checked.
+  test('continues at another one once the retry budget allows that', async () => {
+    expect(await outsOf(1, [1200])).toEqual([continued]);
+  });
+
+  // Guards against streams that are cut since each of them counted on the same repeat.
+  test('continues at another one although other streams take what the budget allows', async () => {
+    expect(await outsOf(3, [0, 1200, 1600])).toEqual([continued, continued, continued]);
+  });
+
+  // Guards against a caller that waits for its deadline and could take the stream up itself.
+  test('is cut after a time if the retry budget allows no other run', async () => {
+    const startedAt = performance.now();
+    expect(await outsOf(1, [])).toEqual([['200', eventsOf(1, 2), ABORTED]]);
+    expect(performance.now() - startedAt).toBeLessThan(2700);
+  });
+
   // Guards against a second run while the first one is only slow.
   test.each([
     ['its runner answers', resumable, runsOf()],
