Count the times of a stop from when its signal may have arrived

Callers of a VM with little processor time lose streams that it takes too late after its SIGTERM: they begin at a runner, and the kill cuts them.

Cause: all times of a stop count from when the process handles the signal. Class of fault: a bound that counts from the observation of an event instead of the event.

A timer observes the polls of the event loop, and the last one that found no signal bounds its arrival. What a stopping VM takes, and until when it accepts connections, counts from there. What still runs is cut at the latest time, as before, since the signal may have arrived just now.

"Cut off a request." also tells how far the request had come: its status, arrivals at runners and trail.

--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -2,12 +2,14 @@
 
 /** The last times of a VM that was told to stop. */
 export interface Shutdown {
-  /** When it was told to. */
+  /** The earliest time at which it may have been told to. */
   readonly beganAt: number;
   /** Until when callers may connect by a look-up answer that names the VM. */
   readonly addressedUntil: number;
   /** Until when it accepts connections. */
   readonly acceptsUntil: number;
+  /** Until when requests must have ended that are to end for sure. */
+  readonly endsBy: number;
   /** When the requests that still run are cut off. */
   readonly cutOffAt: number;
 }
@@ -34,14 +36,23 @@
  */
 const LAST_REQUEST_MS = 1000;
 
-/** The shutdown of a VM that is told to stop now. */
-export function shutdownOf(now: number, { graceMs, addressTtlMs }: ShutdownBounds): Shutdown {
-  const cutOffAt = now + graceMs - CUT_OFF_MS;
+/**
+ * The shutdown of a VM that finds out now that it was told to stop.
+ * @param beganAt the earliest time at which it may have been told to
+ */
+export function shutdownOf(
+  now: number,
+  { graceMs, addressTtlMs }: ShutdownBounds,
+  beganAt = now,
+): Shutdown {
+  const endsBy = beganAt + graceMs - CUT_OFF_MS;
   return {
-    beganAt: now,
-    addressedUntil: now + Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS),
-    acceptsUntil: Math.max(now + graceMs * ACCEPT_GRACE_FRACTION, cutOffAt - LAST_REQUEST_MS),
-    cutOffAt,
+    beganAt,
+    addressedUntil: beganAt + Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS),
+    acceptsUntil: Math.max(beganAt + graceMs * ACCEPT_GRACE_FRACTION, endsBy - LAST_REQUEST_MS),
+    endsBy,
+    // The signal may have arrived just now: what still runs has until then.
+    cutOffAt: now + graceMs - CUT_OFF_MS,
   };
 }
 
@@ -51,5 +62,5 @@
  * taken only if they cannot be cut off; other VMs serve the rest.
  */
 export function mayTake(now: number, shutdown: Shutdown, deadlineAt: number): boolean {
-  return now < shutdown.addressedUntil || deadlineAt <= shutdown.cutOffAt;
+  return now < shutdown.addressedUntil || deadlineAt <= shutdown.endsBy;
 }
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -201,6 +201,7 @@
   /** Joins the fleet, starts to read state and listens; rejects if an address cannot be bound. */
   async start(): Promise<void> {
     const { listen, vm, isFirstStart } = this.#settings;
+    this.#shutdown.watch(performance.now());
     await this.#fleet.start();
     this.#ports.feed.start({
       onConfig: (config) => {
@@ -261,8 +262,8 @@
    * all requests are answered or the grace period is about to end.
    */
   async stop(): Promise<void> {
-    const { acceptsUntil, cutOffAt } = this.#shutdown.begin(performance.now());
-    this.#log.info({ active: this.#front.activeRequests }, 'Draining.');
+    const { activeRequests } = this.#front;
+    const { acceptsUntil, cutOffAt } = this.#shutdown.begin(performance.now(), activeRequests);
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
--- a/src/node/router/shutdown.ts
+++ b/src/node/router/shutdown.ts
@@ -5,6 +5,7 @@
 import { Failure } from '../../core/failure';
 import type { Shutdown, ShutdownBounds } from '../../core/shutdown';
 import { mayTake, shutdownOf } from '../../core/shutdown';
+import { LoopPolls } from '../../utils/looppolls';
 import type { Exchange } from './exchange';
 
 /** Dependencies of the shutdown. */
@@ -24,6 +25,8 @@
 export class ShutdownController {
   readonly #context: ShutdownContext;
 
+  readonly #polls = new LoopPolls();
+
   #shutdown: Shutdown | undefined;
 
   constructor(context: ShutdownContext) {
@@ -35,9 +38,21 @@
     return this.#shutdown !== undefined;
   }
 
-  /** Must be called when the VM is told to stop. */
-  begin(now: number): Shutdown {
-    this.#shutdown ??= shutdownOf(now, this.#context.bounds());
+  /** Must be called when the VM starts. */
+  watch(now: number): void {
+    this.#polls.start(now);
+  }
+
+  /**
+   * Must be called when the VM handles the signal to stop.
+   * @param active number of requests in progress, for the log
+   */
+  begin(now: number, active: number): Shutdown {
+    const { bounds, log } = this.#context;
+    const signalledAfter = this.#polls.signalledAfter(now);
+    this.#polls.stop();
+    this.#shutdown ??= shutdownOf(now, bounds(), signalledAfter);
+    log.info({ active, waitedMs: Math.round(now - signalledAfter) }, 'Draining.');
     return this.#shutdown;
   }
 
@@ -55,10 +70,12 @@
     const { log } = this.#context;
     const beganAt = this.#shutdown?.beganAt ?? now;
     for (const exchange of exchanges.slice(0, MAX_CUT_OFF_LINES)) {
-      const { request, service, arrivedAt } = exchange;
+      const { request, service, arrivedAt, status, arrivals, trail } = exchange;
       const arrivedMs = Math.round(arrivedAt - beganAt);
       const remainingMs = Math.round(exchange.remainingMs(now));
-      log.warn({ request: request.id, service, arrivedMs, remainingMs }, 'Cut off a request.');
+      const times = { arrivedMs, cutMs: Math.round(now - beganAt), remainingMs };
+      const progress = { status, arrivals: arrivals.counts, trail };
+      log.warn({ request: request.id, service, ...times, ...progress }, 'Cut off a request.');
     }
   }
 }
--- a/test/core/shutdown.test.ts
+++ b/test/core/shutdown.test.ts
@@ -58,7 +58,20 @@
         "addressedUntil": 2700,
         "beganAt": 0,
         "cutOffAt": 7600,
+        "endsBy": 7600,
       }
     `);
   });
+
+  /* Guards against a stream that is taken by a VM that handled its signal late, and ends with the kill. */
+  test('takes none that the kill would cut off if the signal came when it was last idle', () => {
+    const late = shutdownOf(1500, { graceMs: 8000, addressTtlMs: 1000 }, 0);
+    const { beganAt, cutOffAt, ...times } = late;
+    expect({ ...times, isCutAfter: cutOffAt - shutdown.cutOffAt }).toEqual({
+      addressedUntil: shutdown.addressedUntil,
+      acceptsUntil: shutdown.acceptsUntil,
+      endsBy: shutdown.endsBy,
+      isCutAfter: 1500,
+    });
+  });
 });
