Answer requests that have no response yet when their VM stops

Callers of a VM that was told to stop had their connections reset 7.6 s after SIGTERM also where no response had begun: requests that waited for a place at a runner, and ones whose runner had not answered. They could not tell that a request had not run, and none of it is excused by a runner at work: the VM itself held it.

Cause: the cut was made for responses that are partly sent, where a reset is the only way to mark them incomplete, and applied to all. Class of fault: one way to end for requests in different states.

0.2 s before the cut, requests without a response end as at their deadlines: 503 draining if no runner has got them, else 504 or 502, which promise nothing. Requests are taken only if they end by then, so that the limits of 14 s and 4 s of the callers are treated as before.

Requests that wait for a trial or for the origin of a stream count as open, too.

--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -8,9 +8,9 @@
   readonly addressedUntil: number;
   /** Until when it accepts connections. */
   readonly acceptsUntil: number;
-  /** Until when requests must have ended that are to end for sure. */
+  /** Until when requests must have ended that are to end for sure; those without a response get an error then. */
   readonly endsBy: number;
-  /** When the requests that still run are cut off. */
+  /** When the responses that are not complete are cut off. */
   readonly cutOffAt: number;
 }
 
@@ -28,8 +28,10 @@
 const SIGNAL_DELAY_MS = 300;
 /** Fraction of the grace period for which connections are accepted at least. */
 const ACCEPT_GRACE_FRACTION = 0.6;
-/** Time before the kill at which requests are cut off, in milliseconds. */
+/** Time before the kill at which responses are cut off, in milliseconds. */
 const CUT_OFF_MS = 400;
+/** Time before the cut in which error responses are sent, in milliseconds. */
+const ERROR_MS = 200;
 /**
  * Time before the cut from which no connections are accepted, in milliseconds. Callers that obtain no
  * new look-up answer go on using the old one, and their short requests still end before it.
@@ -45,11 +47,14 @@
   { graceMs, addressTtlMs }: ShutdownBounds,
   beganAt = now,
 ): Shutdown {
-  const endsBy = beganAt + graceMs - CUT_OFF_MS;
+  const cutFrom = beganAt + graceMs - CUT_OFF_MS;
+  const endsBy = cutFrom - ERROR_MS;
+  const addressedMs = Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS);
+  const acceptsMs = graceMs * ACCEPT_GRACE_FRACTION;
   return {
     beganAt,
-    addressedUntil: beganAt + Math.max(0, CACHED_TIMES * addressTtlMs - SIGNAL_DELAY_MS),
-    acceptsUntil: Math.max(beganAt + graceMs * ACCEPT_GRACE_FRACTION, endsBy - LAST_REQUEST_MS),
+    addressedUntil: Math.min(endsBy, beganAt + addressedMs),
+    acceptsUntil: Math.min(endsBy, Math.max(beganAt + acceptsMs, cutFrom - LAST_REQUEST_MS)),
     endsBy,
     // The signal may have arrived just now: what still runs has until then.
     cutOffAt: now + graceMs - CUT_OFF_MS,
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -262,8 +262,8 @@
    * all requests are answered or the grace period is about to end.
    */
   async stop(): Promise<void> {
-    const { activeRequests } = this.#front;
-    const { acceptsUntil, cutOffAt } = this.#shutdown.begin(performance.now(), activeRequests);
+    const { activeRequests: active } = this.#front;
+    const { acceptsUntil, endsBy, cutOffAt } = this.#shutdown.begin(performance.now(), active);
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
@@ -272,6 +272,8 @@
     this.#describe();
     while (performance.now() < acceptsUntil) await pause(DRAIN_CHECK_MS);
     this.#front.close();
+    while (this.#isBusy && performance.now() < endsBy) await pause(DRAIN_CHECK_MS);
+    this.#shutdown.expire(this.#handlers.open);
     while (this.#isBusy && performance.now() < cutOffAt) await pause(DRAIN_CHECK_MS);
     this.#shutdown.reportCutOff(performance.now(), this.#handlers.open);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -245,6 +245,13 @@
     this.#refused.abort();
   }
 
+  /** Ends the request before its deadline if its response has not begun: it is answered as if the deadline had passed. */
+  expire(failure: Failure): void {
+    if (this.headSent) return;
+    this.refuse(failure);
+    this.#abort.abort();
+  }
+
   /** Name of the customer that sent the request; undefined where no key is required. */
   get customer(): string | undefined {
     return this.request.customer;
--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -112,6 +112,15 @@
 
   /** Serves one request to its end. */
   async serve(exchange: Exchange): Promise<void> {
+    this.#open.add(exchange);
+    try {
+      await this.#admitAndRun(exchange);
+    } finally {
+      this.#open.delete(exchange);
+    }
+  }
+
+  async #admitAndRun(exchange: Exchange): Promise<void> {
     const { controllers } = this.#context;
     const refusal =
       (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
@@ -122,11 +131,9 @@
       exchange.fail(now, refusal);
       return;
     }
-    this.#open.add(exchange);
     try {
       await this.#run(exchange);
     } finally {
-      this.#open.delete(exchange);
       this.#retries.settle(exchange);
       controllers.quotas.settle(exchange);
     }
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -98,6 +98,7 @@
         if (!lastFailure.code.notRun && route.kind !== 'repeatable') break;
       }
     }
+    if (!mayHaveRun) lastFailure = exchange.refusal ?? lastFailure;
     // No other runner accepted the request: the caller gets the last error response.
     if (failedAnswer && lastFailure.code.notRun) this.#forward(exchange, failedAnswer);
     else {
--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -79,8 +79,8 @@
 }
 
 /** The failure to send to the caller. A failure whose code states that nothing was executed is replaced if an earlier attempt may have been. */
-export function callerFailure({ signal }: Exchange, progress: Progress, failure: Failure): Failure {
-  if (signal.aborted) return timeoutFailure(progress);
+export function callerFailure(exchange: Exchange, progress: Progress, failure: Failure): Failure {
+  if (exchange.signal.aborted) return timeoutFailure(exchange, progress);
   const isContradicted = progress.mayHaveRun && failure.code.notRun;
   return isContradicted ? new Failure('runnerFailed', failure.message) : failure;
 }
@@ -90,11 +90,11 @@
   return route.resumable && stream.canContinue && sentTo.size < route.attempts;
 }
 
-/** The failure of a request whose deadline has passed. */
-export function timeoutFailure({ sentTo }: Progress): Failure {
-  return sentTo.size === 0
-    ? new Failure('deadlineUnreachable', 'no reservation in time', { retryAfterMs: RETRY_MS })
-    : new Failure('timedOut', 'the response was not complete in time');
+/** The failure of a request whose deadline has passed, or whose VM stops before. */
+export function timeoutFailure({ refusal }: Exchange, { sentTo }: Progress): Failure {
+  if (sentTo.size > 0) return new Failure('timedOut', 'the response was not complete in time');
+  const unplaced = { retryAfterMs: RETRY_MS };
+  return refusal ?? new Failure('deadlineUnreachable', 'no reservation in time', unplaced);
 }
 
 /** Excludes a runner that takes no requests any more; returns whether to ask for another one. */
--- a/src/node/router/shutdown.ts
+++ b/src/node/router/shutdown.ts
@@ -59,10 +59,18 @@
   /** The reason why a request is not taken; undefined if it is. */
   refusal(now: number, { deadlineAt }: Pick<Exchange, 'deadlineAt'>): Failure | undefined {
     if (!this.#shutdown || mayTake(now, this.#shutdown, deadlineAt)) return undefined;
+    return this.#draining('may stop before the deadline of the request');
+  }
+
+  /** Ends the requests whose responses have not begun, so that their callers get errors. */
+  expire(exchanges: readonly Exchange[]): void {
+    const failure = this.#draining('stops');
+    exchanges.forEach((exchange) => exchange.expire(failure));
+  }
+
+  #draining(detail: string): Failure {
     const { vm } = this.#context;
-    return new Failure('draining', `${vm} may stop before the deadline of the request`, {
-      retryAfterMs: RETRY_MS,
-    });
+    return new Failure('draining', `${vm} ${detail}`, { retryAfterMs: RETRY_MS });
   }
 
   /** Logs the requests in progress, which are about to be cut off. */
