Do not begin streams on a stopping VM that it may have to cut off

Callers lost streams that they had sent in time, also before SIGTERM: the stream waited for memory at a runner, began seconds after the signal, and its connection was closed within it when the VM stopped.

Cause: a stopping VM judges a request when it arrives, but the run begins after the waits for a reservation and the prefill, up to 3.6 s later. Class of fault: a decision that is made before a wait and not again after it.

From the time on when late requests are refused, requests that have not been sent to a runner are judged alike: they get 503 draining at once, not run, and other VMs serve them. Kept prefills of theirs are freed. What was sent goes on, also at another runner.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -262,19 +262,20 @@
    * all requests are answered or the grace period is about to end.
    */
   async stop(): Promise<void> {
-    const { activeRequests: active } = this.#front;
-    const { acceptsUntil, endsBy, cutOffAt } = this.#shutdown.begin(performance.now(), active);
+    const times = this.#shutdown.begin(performance.now(), this.#front.activeRequests);
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
     this.#connectivity.startDraining();
     this.#fleet.leave();
     this.#describe();
-    while (performance.now() < acceptsUntil) await pause(DRAIN_CHECK_MS);
+    while (performance.now() < times.addressedUntil) await pause(DRAIN_CHECK_MS);
+    this.#shutdown.refuseUnsent(performance.now(), this.#handlers.open);
+    while (performance.now() < times.acceptsUntil) await pause(DRAIN_CHECK_MS);
     this.#front.close();
-    while (this.#isBusy && performance.now() < endsBy) await pause(DRAIN_CHECK_MS);
+    while (this.#isBusy && performance.now() < times.endsBy) await pause(DRAIN_CHECK_MS);
     this.#shutdown.expire(this.#handlers.open);
-    while (this.#isBusy && performance.now() < cutOffAt) await pause(DRAIN_CHECK_MS);
+    while (this.#isBusy && performance.now() < times.cutOffAt) await pause(DRAIN_CHECK_MS);
     this.#shutdown.reportCutOff(performance.now(), this.#handlers.open);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -234,6 +234,11 @@
     return this.#refusal;
   }
 
+  /** Whether the request, not only its prompt to be prefilled, was sent to a runner. */
+  get isSent(): boolean {
+    return this.headSent || this.arrivals.counts.runs > 0;
+  }
+
   /** Aborted as `signal` is, and when the request is refused while it waits. */
   get waitSignal(): AbortSignal {
     return AbortSignal.any([this.signal, this.#refused.signal]);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -271,7 +271,7 @@
   /** The same, after a trial was asked for, and waited for, if the request may only run alone. */
   async admit(exchange: Exchange, wait: TrialWait): Promise<Failure | undefined> {
     const { authorizer, screening } = this.#context;
-    const refused = authorizer.refusal(bootNow(), exchange);
+    const refused = drainingRefusal(exchange) ?? authorizer.refusal(bootNow(), exchange);
     return refused ?? screening.admit(exchange, wait);
   }
 
@@ -297,6 +297,12 @@
 
   #refusalAt(now: number, exchange: Exchange, runner?: Runner): Failure | undefined {
     const { authorizer, screening } = this.#context;
-    return authorizer.refusal(bootNow(), exchange) ?? screening.refusal(now, exchange, runner);
+    const refused = drainingRefusal(exchange) ?? authorizer.refusal(bootNow(), exchange);
+    return refused ?? screening.refusal(now, exchange, runner);
   }
 }
+
+/** The refusal of a request whose VM stops, unless it was sent to a runner before. */
+function drainingRefusal({ refusal, isSent }: Exchange): Failure | undefined {
+  return refusal?.codeName === 'draining' && !isSent ? refusal : undefined;
+}
--- a/src/node/router/shutdown.ts
+++ b/src/node/router/shutdown.ts
@@ -62,6 +62,17 @@
     return this.#draining('may stop before the deadline of the request');
   }
 
+  /**
+   * Refuses the requests that have not been sent to a runner and would not be taken any more: their
+   * runs would begin too late. Must be called once callers may not use the address any more.
+   */
+  refuseUnsent(now: number, exchanges: readonly Exchange[]): void {
+    for (const exchange of exchanges) {
+      const refused = exchange.isSent ? undefined : this.refusal(now, exchange);
+      if (refused) exchange.refuse(refused);
+    }
+  }
+
   /** Ends the requests whose responses have not begun, so that their callers get errors. */
   expire(exchanges: readonly Exchange[]): void {
     const failure = this.#draining('stops');
