--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -201,6 +201,7 @@
   /** Joins the fleet, starts to read state and listens; rejects if an address cannot be bound. */
   async start(): Promise<void> {
     const { listen, vm, isFirstStart } = this.#settings;
+    this.#shutdown.watch(performance.now());
     await this.#fleet.start();
     this.#ports.feed.start({
       onConfig: (config) => {
@@ -261,17 +262,20 @@
    * all requests are answered or the grace period is about to end.
    */
   async stop(): Promise<void> {
-    const { acceptsUntil, cutOffAt } = this.#shutdown.begin(performance.now());
-    this.#log.info({ active: this.#front.activeRequests }, 'Draining.');
+    const times = this.#shutdown.begin(performance.now(), this.#front.activeRequests);
     this.#orders?.stop();
     this.#planHost.startDraining();
     this.#front.startDraining();
     this.#connectivity.startDraining();
     this.#fleet.leave();
     this.#describe();
-    while (performance.now() < acceptsUntil) await pause(DRAIN_CHECK_MS);
+    while (performance.now() < times.addressedUntil) await pause(DRAIN_CHECK_MS);
+    this.#shutdown.refuseUnsent(performance.now(), this.#handlers.open);
+    while (performance.now() < times.acceptsUntil) await pause(DRAIN_CHECK_MS);
     this.#front.close();
-    while (this.#isBusy && performance.now() < cutOffAt) await pause(DRAIN_CHECK_MS);
+    while (this.#isBusy && performance.now() < times.endsBy) await pause(DRAIN_CHECK_MS);
+    this.#shutdown.expire(this.#handlers.open);
+    while (this.#isBusy && performance.now() < times.cutOffAt) await pause(DRAIN_CHECK_MS);
     this.#shutdown.reportCutOff(performance.now(), this.#handlers.open);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -234,6 +234,11 @@
     return this.#refusal;
   }
 
+  /** Whether the request, not only its prompt to be prefilled, was sent to a runner. */
+  get isSent(): boolean {
+    return this.headSent || this.arrivals.counts.runs > 0;
+  }
+
   /** Aborted as `signal` is, and when the request is refused while it waits. */
   get waitSignal(): AbortSignal {
     return AbortSignal.any([this.signal, this.#refused.signal]);
@@ -245,6 +250,13 @@
     this.#refused.abort();
   }
 
+  /** Ends the request before its deadline if its response has not begun: it is answered as if the deadline had passed. */
+  expire(failure: Failure): void {
+    if (this.headSent) return;
+    this.refuse(failure);
+    this.#abort.abort();
+  }
+
   /** Name of the customer that sent the request; undefined where no key is required. */
   get customer(): string | undefined {
     return this.request.customer;
--- a/src/node/router/shutdown.ts
+++ b/src/node/router/shutdown.ts
@@ -5,6 +5,7 @@
 import { Failure } from '../../core/failure';
 import type { Shutdown, ShutdownBounds } from '../../core/shutdown';
 import { mayTake, shutdownOf } from '../../core/shutdown';
+import { LoopPolls } from '../../utils/looppolls';
 import type { Exchange } from './exchange';
 
 /** Dependencies of the shutdown. */
@@ -24,6 +25,8 @@
 export class ShutdownController {
   readonly #context: ShutdownContext;
 
+  readonly #polls = new LoopPolls();
+
   #shutdown: Shutdown | undefined;
 
   constructor(context: ShutdownContext) {
@@ -35,19 +38,50 @@
     return this.#shutdown !== undefined;
   }
 
-  /** Must be called when the VM is told to stop. */
-  begin(now: number): Shutdown {
-    this.#shutdown ??= shutdownOf(now, this.#context.bounds());
+  /** Must be called when the VM starts. */
+  watch(now: number): void {
+    this.#polls.start(now);
+  }
+
+  /**
+   * Must be called when the VM handles the signal to stop.
+   * @param active number of requests in progress, for the log
+   */
+  begin(now: number, active: number): Shutdown {
+    const { bounds, log } = this.#context;
+    const signalledAfter = this.#polls.signalledAfter(now);
+    this.#polls.stop();
+    this.#shutdown ??= shutdownOf(now, bounds(), signalledAfter);
+    log.info({ active, waitedMs: Math.round(now - signalledAfter) }, 'Draining.');
     return this.#shutdown;
   }
 
   /** The reason why a request is not taken; undefined if it is. */
   refusal(now: number, { deadlineAt }: Pick<Exchange, 'deadlineAt'>): Failure | undefined {
     if (!this.#shutdown || mayTake(now, this.#shutdown, deadlineAt)) return undefined;
+    return this.#draining('may stop before the deadline of the request');
+  }
+
+  /**
+   * Refuses the requests that have not been sent to a runner and would not be taken any more: their
+   * runs would begin too late. Must be called once callers may not use the address any more.
+   */
+  refuseUnsent(now: number, exchanges: readonly Exchange[]): void {
+    for (const exchange of exchanges) {
+      const refused = exchange.isSent ? undefined : this.refusal(now, exchange);
+      if (refused) exchange.refuse(refused);
+    }
+  }
+
+  /** Ends the requests whose responses have not begun, so that their callers get errors. */
+  expire(exchanges: readonly Exchange[]): void {
+    const failure = this.#draining('stops');
+    exchanges.forEach((exchange) => exchange.expire(failure));
+  }
+
+  #draining(detail: string): Failure {
     const { vm } = this.#context;
-    return new Failure('draining', `${vm} may stop before the deadline of the request`, {
-      retryAfterMs: RETRY_MS,
-    });
+    return new Failure('draining', `${vm} ${detail}`, { retryAfterMs: RETRY_MS });
   }
 
   /** Logs the requests in progress, which are about to be cut off. */
@@ -55,10 +89,12 @@
     const { log } = this.#context;
     const beganAt = this.#shutdown?.beganAt ?? now;
     for (const exchange of exchanges.slice(0, MAX_CUT_OFF_LINES)) {
-      const { request, service, arrivedAt } = exchange;
+      const { request, service, arrivedAt, status, arrivals, trail } = exchange;
       const arrivedMs = Math.round(arrivedAt - beganAt);
       const remainingMs = Math.round(exchange.remainingMs(now));
-      log.warn({ request: request.id, service, arrivedMs, remainingMs }, 'Cut off a request.');
+      const times = { arrivedMs, cutMs: Math.round(now - beganAt), remainingMs };
+      const progress = { status, arrivals: arrivals.counts, trail };
+      log.warn({ request: request.id, service, ...times, ...progress }, 'Cut off a request.');
     }
   }
 }
