Stop VMs as planned and restart the whole fleet in the fault soak

Callers of these times look addresses up for themselves, keep an answer up to three times its time to live and longer if they obtain none, go on at open connections, and use streams of up to 11 s with a limit of 14 s. VMs are stopped one or two at a time, overlapping, with repeated signals, after SIGHUP, soon after their start and while they are slow. The new guarantee, stop: a request that a VM around its SIGTERM has read gets a complete answer unless the exceptions of the rule apply. The fleet is restarted during releases of runners.

--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -5,7 +5,8 @@
 import { Agent, request } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
-import { call } from '../../test/fakes/http';
+import type { AddressBook } from './addresses';
+import { HOST } from './addresses';
 import { HeldStream } from './heldstream';
 import type { RequestKind, SentRequest } from './requests';
 import { digestOf, plainAnswer, signatureOf } from './requests';
@@ -22,6 +23,8 @@
   readonly ms: number;
   /** When the caller may retry; undefined if the answer does not say. */
   readonly retryAfterMs: number | undefined;
+  /** Time from its last byte to the end of the attempt, in milliseconds; undefined if it was not sent whole. */
+  readonly sinceSentMs: number | undefined;
   /** What is wrong with an answer that looks complete; undefined if nothing is. */
   readonly integrityError: string | undefined;
   /** Number of events that it brought. */
@@ -46,28 +49,38 @@
   drawKey(): { readonly customer: string; readonly key: string };
 }
 
+/** The length of callers' streams, and how often callers take them up again. */
+export interface StreamUse {
+  /** Draws the number of events. */
+  readonly drawEvents: (random: () => number) => number;
+  /** Time limit of each attempt, in milliseconds. */
+  readonly deadlineMs: number;
+  /** Attempts at a stream that may be resumed. */
+  readonly maxAttempts: number;
+  /** Longest pause before a stream that broke off is taken up again, in milliseconds. */
+  readonly maxPauseMs: number;
+}
+
 /** Dependencies of callers. */
 export interface CallerContext {
   readonly observer: CallerObserver;
   readonly random: () => number;
   readonly keys: KeySource;
-  /** `HOST:PORT` of the directories of all VMs. */
-  readonly directories: readonly string[];
+  readonly addresses: AddressBook;
   /** Kinds of requests that are drawn with equal probability. */
   readonly kinds: readonly RequestKind[];
+  /** How its callers use streams. */
+  readonly streams: StreamUse;
 }
 
-const HOST = 'soak.example';
-const DEADLINE_MS: Readonly<Record<RequestKind, number>> = {
-  repeatable: 1500,
-  once: 1500,
-  stream: 6000,
-  resumable: 6000,
+const PLAIN_DEADLINE_MS = 1500;
+/** Streams that end long before the grace period of a stop. */
+export const shortStreams: StreamUse = {
+  drawEvents: (random) => 5 + Math.floor(random() * 30),
+  deadlineMs: 6000,
+  maxAttempts: 4,
+  maxPauseMs: 50,
 };
-/** How often callers look up addresses. */
-const LOOKUP_INTERVAL_MS = 1000;
-/** Probability that a caller accepts addresses three times as old. */
-const SLOW_LOOKUP_RATIO = 0.3;
 /** Fraction of attempts whose caller may disconnect before the answer is complete. */
 const DISCONNECT_RATIO = 0.06;
 /** Time within which it does so. */
@@ -75,8 +88,9 @@
 /** The same for streams that may be resumed, most of which are taken up again. */
 const RESUMABLE_DISCONNECT_RATIO = 0.25;
 const MAX_ATTEMPTS = 2;
-/** Attempts of a caller that takes its stream up again. */
-const MAX_STREAM_ATTEMPTS = 4;
+const RETRY_MS = 50;
+/** How often callers without requests look whether that has changed. */
+const IDLE_MS = 100;
 /** Fraction of callers that disconnected from a stream and take it up again. */
 const RETURN_RATIO = 0.8;
 /** Time beyond its deadline for which a caller waits for an answer. */
@@ -97,21 +111,20 @@
 
   readonly #agent = new Agent({ keepAlive: true, maxSockets: 64 });
 
-  #addresses: readonly string[] = [];
-
-  #lookedUpAt = -Infinity;
-
   constructor(context: CallerContext) {
     this.#context = context;
   }
 
-  /** Sends requests at random times until `until` (epoch milliseconds), and waits for their answers. */
-  async run(ratePerS: number, until: number): Promise<void> {
+  /** Sends requests at random times, at a rate that may change, until `until` (epoch milliseconds), and waits for their answers. */
+  async run(ratePerS: () => number, until: number): Promise<void> {
     const open = new Set<Promise<void>>();
     while (Date.now() < until) {
-      const work = this.#sendRequest().finally(() => open.delete(work));
-      open.add(work);
-      await pause((-Math.log(1 - this.#context.random()) * 1000) / ratePerS);
+      const rate = ratePerS();
+      if (rate > 0) {
+        const work = this.#sendRequest().finally(() => open.delete(work));
+        open.add(work);
+        await pause((-Math.log(1 - this.#context.random()) * 1000) / rate);
+      } else await pause(IDLE_MS);
     }
     await Promise.all(open);
     this.#agent.destroy();
@@ -119,32 +132,35 @@
 
   /** Sends one request, with the caller's own retries. */
   async #sendRequest(): Promise<void> {
-    const { random, keys, kinds } = this.#context;
+    const { random, keys, kinds, streams } = this.#context;
     const kind = kinds[Math.floor(random() * kinds.length)] ?? 'once';
     const isStream = kind === 'stream' || kind === 'resumable';
-    const events = isStream ? 5 + Math.floor(random() * 30) : 0;
+    const events = isStream ? streams.drawEvents(random) : 0;
+    const deadlineMs = isStream ? streams.deadlineMs : PLAIN_DEADLINE_MS;
     const path = `${routePrefixes[kind]}${randomUUID().slice(0, 6)}`;
     const body = `events=${events} ${randomUUID()}`;
     const credentials = keys.drawKey();
     const held = new HeldStream();
-    const maxAttempts = kind === 'resumable' ? MAX_STREAM_ATTEMPTS : MAX_ATTEMPTS;
+    const maxAttempts = kind === 'resumable' ? streams.maxAttempts : MAX_ATTEMPTS;
     for (let attempts = 0; attempts < maxAttempts; attempts += 1) {
       const resumes = kind === 'resumable' ? held.resumption : undefined;
       const id = randomUUID();
-      const sent: SentRequest = { id, kind, path, body, events, resumes, ...credentials };
+      const content = { kind, path, body, events, deadlineMs };
+      const sent: SentRequest = { id, resumes, ...content, ...credentials };
       const { outcome, retryAfterMs } = await this.#attempt(sent, held);
       const isBroken = outcome === 'broken' || (outcome === 'left' && random() < RETURN_RATIO);
       const mayResume = kind === 'resumable' && isBroken && held.count > 0;
       const mayRetry = kind === 'repeatable' || outcome === 'refused';
       const isEnded = outcome === 'served' || outcome === 'left' || !mayRetry;
       if (isEnded && !mayResume) return;
-      await pause(retryAfterMs ?? 50);
+      const maxPauseMs = mayResume ? streams.maxPauseMs : RETRY_MS;
+      await pause(retryAfterMs ?? (maxPauseMs > RETRY_MS ? random() * maxPauseMs : RETRY_MS));
     }
   }
 
   async #attempt(sent: SentRequest, held: HeldStream): Promise<CallerAnswer> {
-    const { observer, random } = this.#context;
-    const address = await this.#pickAddress();
+    const { observer, random, addresses } = this.#context;
+    const address = await addresses.pick();
     observer.sent(sent, address);
     const ratio = sent.kind === 'resumable' ? RESUMABLE_DISCONNECT_RATIO : DISCONNECT_RATIO;
     const disconnectMs = random() < ratio ? random() * MAX_DISCONNECT_MS : undefined;
@@ -161,34 +177,17 @@
       versions: held.versions,
     };
     if (timed.outcome === 'left') observer.disconnected(sent);
+    if (timed.status === 0 && timed.outcome === 'broken') addresses.failed(address);
     observer.answered(sent, address, timed);
     return timed;
   }
-
-  async #pickAddress(): Promise<string> {
-    const { random, directories } = this.#context;
-    const maxAgeMs = random() < SLOW_LOOKUP_RATIO ? LOOKUP_INTERVAL_MS * 3 : LOOKUP_INTERVAL_MS;
-    if (performance.now() - this.#lookedUpAt > maxAgeMs) {
-      this.#lookedUpAt = performance.now();
-      const directory = directories[Math.floor(random() * directories.length)] ?? '';
-      const url = `http://${directory}/v1/lookup?name=${HOST}&region=r&zone=a`;
-      const answer = await Promise.race([
-        call('GET', url).catch(() => undefined),
-        pause(LOOKUP_INTERVAL_MS, undefined, { ref: false }),
-      ]);
-      const addresses =
-        (answer?.body as { addresses?: readonly string[] } | undefined)?.addresses ?? [];
-      if (addresses.length > 0) this.#addresses = addresses;
-    }
-    return this.#addresses[Math.floor(random() * this.#addresses.length)] ?? '127.0.0.1:9';
-  }
 }
 
 function headersOf(sent: SentRequest): Readonly<Record<string, string>> {
   return {
     host: HOST,
     'request-id': sent.id,
-    'request-deadline-ms': String(DEADLINE_MS[sent.kind]),
+    'request-deadline-ms': String(sent.deadlineMs),
     ...(sent.key === undefined ? {} : { authorization: `Bearer ${sent.key}` }),
     ...(sent.resumes
       ? { resumes: sent.resumes.stream, 'last-event-id': String(sent.resumes.afterEvent) }
@@ -206,6 +205,7 @@
   status: 0,
   retryAfterMs: undefined,
   integrityError: undefined,
+  sinceSentMs: undefined,
 };
 
 /** Makes one attempt, on a new or a reused connection. */
@@ -224,11 +224,16 @@
       req.destroy();
       resolve({ ...brokenResult, outcome: 'left' });
     };
-    const timer = setTimeout(disconnect, disconnectMs ?? DEADLINE_MS[sent.kind] + ANSWER_GRACE_MS);
+    const timer = setTimeout(disconnect, disconnectMs ?? sent.deadlineMs + ANSWER_GRACE_MS);
+    let sentAt: number | undefined;
     const end = (result: ExchangeResult): void => {
       clearTimeout(timer);
-      resolve(result);
+      const sinceSentMs = sentAt === undefined ? undefined : performance.now() - sentAt;
+      resolve({ ...result, sinceSentMs });
     };
+    req.once('finish', () => {
+      sentAt = performance.now();
+    });
     req.on('response', (res) => collect(sent, held, res, end));
     req.on('error', () => end(brokenResult));
     req.end(sent.body);
--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -7,6 +7,8 @@
 import type { Mesh } from './mesh';
 import type { LinkProxy, LinkState } from './proxy';
 import type { RunnerBehaviour } from './runner';
+import { RolloutPlanner } from './rollouts';
+import type { Rollout } from './rollouts';
 import { healthyBehaviour } from './runner';
 import type { RunnerCut, Vm } from './vm';
 
@@ -19,6 +21,10 @@
   readonly pool: RunnerPool;
   /** Called after the store was restored from an older copy. */
   readonly onStoreRestored: () => void;
+  /** Begins a release of another software version of runners. */
+  readonly onRelease: () => void;
+  /** Random numbers of planned stops and restarts, apart from those of other faults. */
+  readonly rolloutRandom: () => number;
   /** Called when a VM is partitioned from all runners, or not any more. */
   readonly onRunnersCut: (vm: Vm, isCut: boolean) => void;
   /** Called when a runner stops answering, with all its connections open. */
@@ -29,7 +35,7 @@
 
 /** A fault in progress. */
 interface ActiveFault {
-  /** Name of the VM, runner or link that the fault acts on. */
+  /** Name of the VM, runner or link that the fault acts on, or several with blanks between. */
   readonly target: string;
   /** Resolves once the fault has ended. */
   readonly done: Promise<void>;
@@ -47,6 +53,14 @@
 const PAUSE_MS = 12_000;
 /** Range of the random part of a fault's duration; the fixed part is 200 ms. */
 const MAX_EXTRA_FAULT_MS = 6000;
+/** Time in which planned stops begin. */
+const ROLLOUT_MS = 12_000;
+/** Largest pause between the beginnings of two planned stops. */
+const MAX_STOP_INTERVAL_MS = 1500;
+/** Pause between parts of a cycle that are no bursts. */
+const SHORT_PAUSE_MS = 3500;
+/** Kinds of planned work, beside those that begin with `stop-`. */
+const PLANNED_KINDS: ReadonlySet<string> = new Set(['vm-stop', 'vm-hangup']);
 /** Fraction of the VMs that may be down or paused at the same time. */
 const MAX_DOWN_RATIO = 0.5;
 /** How often the store is copied for later restoration. */
@@ -66,6 +80,9 @@
 /** Range of clock steps: the clock moves by at most half of it in either direction. */
 const CLOCK_STEP_RANGE_MS = 8000;
 
+/** Between the names of targets. */
+const BETWEEN_TARGETS = ', ';
+
 /** Draws faults, begins them and ends them. */
 export class FaultInjector {
   readonly #context: FaultContext;
@@ -88,6 +105,10 @@
   /** VMs that are partitioned from all runners. */
   readonly #cutVms = new Set<Vm>();
 
+  readonly #rollouts: RolloutPlanner;
+
+  #isRollingOut = false;
+
   #lastId = 0;
 
   #storeCopy: StoreCopy | undefined;
@@ -95,6 +116,7 @@
   /** @param enabledKinds names of the kinds to draw from; all if undefined */
   constructor(context: FaultContext, enabledKinds?: readonly string[]) {
     this.#context = context;
+    this.#rollouts = new RolloutPlanner({ ...context, random: context.rolloutRandom });
     this.#enabledKinds = enabledKinds && new Set(enabledKinds);
   }
 
@@ -108,10 +130,18 @@
    * was none, and 0 while one is in progress.
    */
   faultFreeMs(...families: readonly FaultFamily[]): number {
-    const isActive = [...this.#active.values()].some((name) => families.includes(familyOf(name)));
-    if (isActive) return 0;
-    const ends = families.map((family) => this.#endedAt.get(family) ?? this.#startedAt);
-    return Date.now() - Math.max(...ends);
+    return this.#freeMs((name) => families.includes(familyOf(name)));
+  }
+
+  /** The same for all faults that are no planned stops. */
+  get unplannedFreeMs(): number {
+    return this.#freeMs((name) => !isPlanned(name));
+  }
+
+  #freeMs(counts: (name: string) => boolean): number {
+    if ([...this.#active.values()].some(counts)) return 0;
+    const ends = [...this.#endedAt].filter(([name]) => counts(name)).map(([, at]) => at);
+    return Date.now() - Math.max(this.#startedAt, ...ends);
   }
 
   /** Whether a fault acts on one of some targets. */
@@ -130,18 +160,62 @@
       this.#storeCopy = this.#context.store.copy();
     }, STORE_COPY_INTERVAL_MS);
     while (Date.now() < until) {
-      await this.#runBurst(Math.min(until, Date.now() + BURST_MS));
-      await Promise.all(this.#active.keys());
-      await pause(Math.max(0, Math.min(PAUSE_MS, until - Date.now())));
+      await this.#runRollout((end) => this.#stopVms(end), until);
+      await this.#runStorm(until);
+      await this.#runRollout(() => this.#restartFleet(), until);
     }
     clearInterval(copying);
   }
 
-  async #runBurst(until: number): Promise<void> {
-    const { random } = this.#context;
-    const kinds = Object.entries(this.#kinds()).filter(
+  async #runStorm(until: number): Promise<void> {
+    if (this.#enabled(this.#kinds()).length === 0) return;
+    await this.#runBurst(Math.min(until, Date.now() + BURST_MS));
+    await Promise.all(this.#active.keys());
+    await pause(Math.max(0, Math.min(PAUSE_MS, until - Date.now())));
+  }
+
+  /** Whether planned stops or restarts of the fleet are under way. */
+  get isRollingOut(): boolean {
+    return this.#isRollingOut;
+  }
+
+  async #runRollout(work: (until: number) => Promise<void>, until: number): Promise<void> {
+    if (Date.now() >= until) return;
+    this.#isRollingOut = true;
+    await work(Math.min(until, Date.now() + ROLLOUT_MS));
+    await Promise.all(this.#active.keys());
+    this.#isRollingOut = false;
+    await pause(SHORT_PAUSE_MS);
+  }
+
+  async #restartFleet(): Promise<void> {
+    const kinds = this.#enabled(this.#rollouts.restarts());
+    const [name, draw] = kinds[Math.floor(this.#context.rolloutRandom() * kinds.length)] ?? [];
+    if (name === undefined || !draw) return;
+    this.#begin(name, activeOf(draw()));
+  }
+
+  async #stopVms(until: number): Promise<void> {
+    const { rolloutRandom: random } = this.#context;
+    const isFree = ({ options }: Vm): boolean => !this.#busyTargets.has(options.name);
+    const kinds = this.#enabled(this.#rollouts.stops(isFree));
+    while (Date.now() < until && kinds.length > 0) {
+      const [name, draw] = kinds[Math.floor(random() * kinds.length)] ?? [];
+      const rollout = draw?.();
+      if (name !== undefined && rollout) this.#begin(name, activeOf(rollout));
+      await pause(random() * MAX_STOP_INTERVAL_MS);
+    }
+  }
+
+  #enabled<T>(kinds: Readonly<Record<string, T>>): readonly (readonly [string, T])[] {
+    return Object.entries(kinds).filter(
       ([name]) => !this.#enabledKinds || this.#enabledKinds.has(name),
     );
+  }
+
+  async #runBurst(until: number): Promise<void> {
+    const { random } = this.#context;
+    const kinds = this.#enabled(this.#kinds());
     const loss = kinds.find(([name]) => name === LOSS);
     if (loss) this.#begin(LOSS, loss[1]());
     while (Date.now() < until && kinds.length > 0) {
@@ -156,15 +230,15 @@
     const { target, done } = fault;
     this.#lastId += 1;
     const id = this.#lastId;
-    this.#busyTargets.add(target);
+    target.split(BETWEEN_TARGETS).forEach((one) => this.#busyTargets.add(one));
     this.#counts[name] = (this.#counts[name] ?? 0) + 1;
     this.#context.onFault(id, name, target, true);
     const work = done
       .catch((error: Error) => console.error(`${name}: ${error.message}`))
       .finally(() => {
         this.#active.delete(work);
-        this.#busyTargets.delete(target);
-        this.#endedAt.set(familyOf(name), Date.now());
+        target.split(BETWEEN_TARGETS).forEach((one) => this.#busyTargets.delete(one));
+        this.#endedAt.set(name, Date.now());
         this.#context.onFault(id, name, target, false);
       });
     this.#active.set(work, name);
@@ -280,8 +354,11 @@
 
   #restartVm(signal: 'SIGKILL' | 'SIGTERM'): ActiveFault | undefined {
     return this.#onVm(async (vm) => {
-      vm.signal(signal);
-      await vm.waitForExit();
+      if (signal === 'SIGTERM') await vm.terminate();
+      else {
+        vm.signal(signal);
+        await vm.waitForExit();
+      }
       await pause(this.#drawDurationMs() / 2);
       vm.start();
       // The start-up counts as part of the fault: the other VMs do not know the new process yet.
@@ -410,6 +487,15 @@
   }
 }
 
+function activeOf({ vms, run }: Rollout): ActiveFault {
+  return { target: vms.map(({ options }) => options.name).join(BETWEEN_TARGETS), done: run() };
+}
+
+function isPlanned(name: string): boolean {
+  return name.startsWith('stop-') || PLANNED_KINDS.has(name);
+}
+
 function familyOf(name: string): FaultFamily {
-  return name.split('-')[0] as FaultFamily;
+  const [family] = name.split('-');
+  return family === 'stop' || family === 'fleet' ? 'vm' : (family as FaultFamily);
 }
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -10,6 +10,7 @@
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
 import { ReachChecker } from './reach';
+import { StopChecker } from './stops';
 import { LostStreamChecker } from './loststreams';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
@@ -31,6 +32,8 @@
   readonly faultFreeMs: (...families: readonly FaultFamily[]) => number;
   /** When the configuration that revoked a key was acknowledged; undefined while the key is valid. */
   readonly revokedAt: (key: string) => number | undefined;
+  /** Time since the last fault that is no planned stop ended, in milliseconds; 0 while one is in progress. */
+  readonly unplannedFreeMs: () => number;
   /** Whether the VM at an address is undisturbed, and has been for a while. */
   readonly isInTouch: (vm: string) => boolean;
   /** Number of decode runners of a software version that serve. */
@@ -56,6 +59,10 @@
   arrivalCount: number;
   isRefused: boolean;
   disconnectedAt: number | undefined;
+  /** When the last run ended; -Infinity if none did. */
+  lastEndedAt: number;
+  /** Whether the runner of the last run that ended was ended or restarted. */
+  hasBrokenOff: boolean;
 }
 
 /** Time for which the record of a request is retained after it was sent. */
@@ -111,6 +118,8 @@
 
   readonly #lostStreams = new LostStreamChecker();
 
+  readonly #stops = new StopChecker({ graceMs: bounds['grace-s'] * 1000 });
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -131,6 +140,8 @@
       arrivalCount: 0,
       isRefused: false,
       disconnectedAt: undefined,
+      lastEndedAt: -Infinity,
+      hasBrokenOff: false,
     });
   }
 
@@ -141,6 +152,11 @@
     if (loss) this.#report('reach', loss.detail);
   }
 
+  /** Records that a VM gets its first SIGTERM. */
+  setStopping(vm: string): void {
+    this.#stops.stopping(Date.now(), vm);
+  }
+
   /** Records that a runner instance no longer answers, while others can continue its streams. */
   setLost(runner: string): void {
     for (const { request, vm, activeRuns } of this.#records.values()) {
@@ -167,6 +183,7 @@
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
+    if (record) this.#checkStop(record, answer);
     if (outcome === 'served' && record && record.runs === 0) {
       this.#report('whole', `${request.id} at ${vm}: success for a request that never ran`);
     }
@@ -231,8 +248,12 @@
     this.#checkQuota(request.customer);
   }
 
-  ended(arrival: Arrival): void {
-    this.#records.get(arrival.requestId)?.activeRuns.delete(arrival);
+  ended(arrival: Arrival, isOver: boolean): void {
+    const record = this.#records.get(arrival.requestId);
+    if (!record) return;
+    record.activeRuns.delete(arrival);
+    record.lastEndedAt = Date.now();
+    record.hasBrokenOff = isOver;
   }
 
   ordered({ instanceId: runner, holder, fence }: Order): void {
@@ -287,6 +308,11 @@
     return { ...this.#versions.counts, ...this.#lostStreams.counts };
   }
 
+  /** Requests that ended while their VM stopped. */
+  get stopCounts(): Readonly<Record<string, number>> {
+    return this.#stops.counts;
+  }
+
   /** By how much less urgent kinds of streams are served more often than more urgent ones. */
   get leads(): Readonly<Record<string, number>> {
     return this.#urgency.leads;
@@ -309,6 +335,19 @@
     if (finding !== undefined) this.#report('version', `${finding} at ${vm}`);
   }
 
+  #checkStop(record: RequestRecord, answer: CallerAnswer): void {
+    const { arrivalCount, runs, activeRuns, lastEndedAt, hasBrokenOff } = record;
+    const now = Date.now();
+    const work = {
+      wasPassedOn: arrivalCount > 0 || runs > 0,
+      lastAtWorkAt: activeRuns.size > 0 ? now : lastEndedAt,
+      hasBrokenOff,
+    };
+    const freeMs = this.#context.unplannedFreeMs();
+    const finding = this.#stops.answered(now, record.sentAt, record, answer, work, freeMs);
+    if (finding !== undefined) this.#report('stop', finding);
+  }
+
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
     this.peakUsage[promise] = Math.max(
       this.peakUsage[promise] ?? 0,
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -23,6 +23,7 @@
   readonly runners: number;
   readonly rate: number;
   readonly faults?: string;
+  readonly program: string;
   readonly report?: string;
   readonly keep?: boolean;
 }
@@ -32,10 +33,18 @@
 };
 
 async function run(flags: Flags): Promise<void> {
-  const { seed, minutes, vms, runners, rate, faults, report } = flags;
+  const { seed, minutes, vms, runners, rate, faults, program, report } = flags;
   const timeline = new Timeline(print);
   const soak = new Soak(
-    { seed, seconds: minutes * 60, vms, runners, ratePerS: rate, faults: faults?.split(',') },
+    {
+      seed,
+      seconds: minutes * 60,
+      vms,
+      runners,
+      ratePerS: rate,
+      faults: faults?.split(','),
+      program,
+    },
     timeline,
   );
   process.once('SIGTERM', () => process.exit(1));
@@ -51,6 +60,7 @@
     ...totals,
     faults: soak.faultCounts,
     streams: soak.streamCounts,
+    stops: soak.stopCounts,
     leads: soak.leads,
     used: soak.peakUsage,
     breaches: breaches.length,
@@ -67,6 +77,7 @@
   .option('--runners <number>', 'Number of decode runners, and of plain runners', { default: 4 })
   .option('--rate <number>', 'Requests per second of all callers together', { default: 60 })
   .option('--faults <kinds>', 'Kinds of faults to draw from, separated by commas')
+  .option('--program <file>', 'Program that the VMs run', { default: 'build/goldcrestdock.cjs' })
   .option('--report <file>', 'Write an HTML page with plots to this file')
   .option('--keep', 'Keep the logs of the VMs even if no guarantee was violated')
   .action((flags: Flags) => run(flags));
--- a/scripts/soak/maintenance.ts
+++ b/scripts/soak/maintenance.ts
@@ -50,6 +50,9 @@
 
   readonly #busyRunners = new Set<PooledRunner>();
 
+  /** Number of software versions so far. */
+  #releases = 1;
+
   constructor(context: MaintenanceContext) {
     this.#context = context;
   }
@@ -89,22 +92,30 @@
   }
 
   async #releaseVersions(until: number): Promise<void> {
-    const { random, pool } = this.#context;
-    for (let release = 2; Date.now() < until; release += 1) {
+    const { random } = this.#context;
+    while (Date.now() < until) {
       await pause(RELEASE_INTERVAL_MS * (0.5 + random()));
-      const ratio = MIN_RELEASE_RATIO + random() * (1 - MIN_RELEASE_RATIO);
-      const replaced = pool.members.filter(
-        ({ runner }) => runner.role !== 'plain' && random() < ratio,
-      );
-      const work: Promise<void>[] = [];
-      for (const member of replaced.filter((one) => !this.#busyRunners.has(one))) {
-        await pause(RELEASE_STEP_MS * (0.5 + random()));
-        work.push(this.#replace(member, `v${release}`));
-      }
-      await Promise.all(work);
+      await this.release();
     }
   }
 
+  /** Replaces some of the model runners by runners of the next software version. */
+  async release(): Promise<void> {
+    const { random, pool } = this.#context;
+    this.#releases += 1;
+    const version = `v${this.#releases}`;
+    const ratio = MIN_RELEASE_RATIO + random() * (1 - MIN_RELEASE_RATIO);
+    const replaced = pool.members.filter(
+      ({ runner }) => runner.role !== 'plain' && random() < ratio,
+    );
+    const work: Promise<void>[] = [];
+    for (const member of replaced.filter((one) => !this.#busyRunners.has(one))) {
+      await pause(RELEASE_STEP_MS * (0.5 + random()));
+      if (!this.#busyRunners.has(member)) work.push(this.#replace(member, version));
+    }
+    await Promise.all(work);
+  }
+
   /** Starts a runner of another version, then drains and ends the old one. */
   async #replace(member: PooledRunner, version: string): Promise<void> {
     const { pool, onDraining } = this.#context;
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -5,6 +5,7 @@
 
 import { call } from '../../test/fakes/http';
 import type { FakeStore } from '../../test/fakes/store';
+import { HOST } from './addresses';
 import type { CallerObserver, KeySource } from './callers';
 import { routePrefixes } from './callers';
 import { services } from './pool';
@@ -14,7 +15,6 @@
 import type { Vm } from './vm';
 import { bounds } from './vm';
 
-const HOST = 'soak.example';
 const CUSTOMERS = ['ada', 'bob', 'cyd'] as const;
 /** Rate limits of customers; undefined for none. */
 const QUOTAS = { ada: undefined, bob: { ratePerS: 16, burst: 20 }, cyd: undefined } as const;
@@ -36,6 +36,9 @@
 const CHANGE_INTERVAL_MS = 3500;
 /** Time between probes of the version that each VM applies. */
 const PROBE_INTERVAL_MS = 700;
+const PROBE_DEADLINE_MS = 1000;
+/** Time limit of the routes of the model service. */
+export const MODEL_TIMEOUT_MS = 14_000;
 /** Time after which a VM that served with a configuration must not serve with an older one. */
 const ROLLBACK_MS = 250;
 /** Time after which a VM must apply a written configuration, if there are no faults. */
@@ -187,6 +190,7 @@
       path: `/version/${version}/`,
       body: 'probe',
       events: 0,
+      deadlineMs: PROBE_DEADLINE_MS,
       customer: valid?.customer,
       key: valid?.key,
       resumes: undefined,
@@ -195,7 +199,7 @@
     const headers = {
       host: HOST,
       'request-id': sent.id,
-      'request-deadline-ms': '1000',
+      'request-deadline-ms': String(PROBE_DEADLINE_MS),
       authorization: `Bearer ${valid?.key}`,
       connection: 'close',
     };
@@ -217,7 +221,11 @@
       'max-attempts': 2,
       ...extra,
     });
-    const model = { service: services.model, 'timeout-ms': 6000, 'target-latency-ms': 900 };
+    const model = {
+      service: services.model,
+      'timeout-ms': MODEL_TIMEOUT_MS,
+      'target-latency-ms': 900,
+    };
     const turn = Math.floor(this.#version / PRIORITY_VERSIONS) % 2;
     const priorityOf = (kind: RequestKind): object => ({ priority: routePriorities[kind]?.[turn] });
     const plain = { service: services.plain, 'timeout-ms': 1500, 'target-latency-ms': 200 };
--- a/scripts/soak/requests.ts
+++ b/scripts/soak/requests.ts
@@ -13,6 +13,8 @@
   readonly body: string;
   /** Number of events in its answer; 0 for a plain answer. */
   readonly events: number;
+  /** Its time limit in milliseconds. */
+  readonly deadlineMs: number;
   readonly customer: string | undefined;
   /** The customer's API key. */
   readonly key: string | undefined;
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -49,8 +49,11 @@
   began(arrival: Arrival): void;
   /** The answer to a request announces that the runner leaves or wants a pause. */
   announced(announcement: Announcement): void;
-  /** The run ended, successfully or not. */
-  ended(arrival: Arrival): void;
+  /**
+   * The run ended, successfully or not.
+   * @param isOver whether its runner has ended or was restarted
+   */
+  ended(arrival: Arrival, isOver: boolean): void;
   /** An order arrived, whether or not it is obeyed. */
   ordered(order: Order): void;
 }
@@ -377,7 +380,7 @@
     this.#caches.set(handle, { tokens, expiry: Infinity });
     await pause(tokens * runnerProfile.prefillTokenMs * this.#slowdown);
     this.#caches.set(handle, { tokens, expiry: Date.now() + runnerProfile.cacheHoldMs });
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else answer.json({ 'kv-handle': handle, tokens, version: 1 });
   }
@@ -392,7 +395,7 @@
     const factor = Math.max(1, this.#plainRunCount / runnerProfile.plainSlots);
     await this.#work(runnerProfile.plainMs * factor, signal);
     this.#plainRunCount -= 1;
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else if (this.#random() < this.behaviour.cutRatio) answer.cut();
     else answer.text(plainAnswer(arrival.requestId, arrival.digest));
@@ -423,7 +426,7 @@
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else await this.#stream(arrival, answer, job.after, job.events, signal);
     this.#runningTokens.delete(arrival.requestId);
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
   }
 
   async #stream(
@@ -447,6 +450,10 @@
     else answer.end();
   }
 
+  #reportEnd(arrival: Arrival): void {
+    this.#observer.ended(arrival, !this.isUp || this.instanceId !== arrival.instanceId);
+  }
+
   /** Waits for the duration of some work, or for a minute if it hangs; ends early when the request is aborted. */
   async #work(ms: number, signal: AbortSignal): Promise<void> {
     const isHanging = this.#random() < this.behaviour.hangRatio;
--- a/scripts/soak/shim.cjs
+++ b/scripts/soak/shim.cjs
@@ -1,13 +1,18 @@
 // Preloaded into a VM's process to inject clock and network faults. Reads the file named by
 // GOLDCRESTDOCK_SOAK at the start and on each SIGUSR2. The file sets the offset of the wall clock,
 // redirects connections to proxies, lists hosts to which datagrams are dropped, and cuts connections to
-// a port: open ones go on, or are reset, and new ones hang, or are refused:
-// `{"stepMs": 0, "routes": {"HOST:PORT": "HOST:PORT"}, "lost": ["HOST"], "cut": {"port": 1, "how": "silent"}}`.
+// a port: open ones go on, or are reset, and new ones hang, or are refused. It also blocks the event loop
+// in slices, without using the processor:
+// `{"stepMs": 0, "routes": {"HOST:PORT": "HOST:PORT"}, "lost": ["HOST"], "cut": {"port": 1, "how": "silent"},
+// "block": {"everyMs": 250, "forMs": 0}}`.
 const dgram = require('node:dgram');
 const { readFileSync } = require('node:fs');
 const net = require('node:net');
+const { clearInterval, setInterval } = require('node:timers');
 
 let { stepMs, routes, lost, cut } = { stepMs: 0, routes: {}, lost: [], cut: undefined };
+let blocking;
+const never = new Int32Array(new SharedArrayBuffer(4));
 
 /** Open connections by their port. */
 const open = new Map();
@@ -16,10 +21,18 @@
   return Object.assign(new Error(code), { code });
 }
 
+function setBlock({ everyMs, forMs }) {
+  clearInterval(blocking);
+  if (forMs === 0) return;
+  blocking = setInterval(() => Atomics.wait(never, 0, 0, forMs), everyMs).unref();
+}
+
 function readSettings() {
-  ({ stepMs, routes, lost, cut } = JSON.parse(
+  let block;
+  ({ stepMs, routes, lost, cut, block } = JSON.parse(
     readFileSync(process.env.GOLDCRESTDOCK_SOAK, 'utf8'),
   ));
+  setBlock(block);
   const reset = cut?.how === 'refuse' ? (open.get(cut.port) ?? []) : [];
   for (const socket of reset) socket.destroy(fault('ECONNRESET'));
 }
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -8,10 +8,13 @@
 import { call } from '../../test/fakes/http';
 import { FakeStore } from '../../test/fakes/store';
 import { seeded } from '../../test/fakes/virtual/workload';
-import { allKinds, CallerGroup, streamKinds } from './callers';
+import type { AddressBook } from './addresses';
+import { OwnAddresses, SharedAddresses } from './addresses';
+import type { StreamUse } from './callers';
+import { allKinds, CallerGroup, shortStreams, streamKinds } from './callers';
 import { FaultInjector } from './faults';
 import { Mesh } from './mesh';
-import { customerPriorities, Operator } from './operator';
+import { customerPriorities, MODEL_TIMEOUT_MS, Operator } from './operator';
 import { FIRST_VERSION, Maintenance } from './maintenance';
 import { RunnerPool } from './pool';
 import type { Breach } from './guarantees';
@@ -30,10 +33,41 @@
   readonly ratePerS: number;
   /** Kinds of faults to draw from; undefined for all. */
   readonly faults: readonly string[] | undefined;
+  /** File of the program that the VMs run. */
+  readonly program: string;
+}
+
+/** How a group of callers differs from the usual. */
+interface CallerOptions {
+  /** Whose streams its callers send; undefined for all requests of all customers. */
+  readonly customer?: string | undefined;
+  readonly addresses?: AddressBook;
+  readonly streams?: StreamUse;
 }
 
 const DOMAINS = ['north', 'centre', 'south'];
 const CALLER_GROUPS = 6;
+/** Callers that look up addresses for themselves and use long streams, during planned stops and restarts. */
+const LONG_CALLERS = 16;
+/** Their requests per second, relative to those of all others outside of that time, and those of the others in it. */
+const LONG_CALLER_FACTOR = 0.3;
+const ROLLOUT_FACTOR = 0.3;
+/** Event counts of their streams: short ones, ones of 2 to 6 s, and ones that may outlast the grace period. */
+const EVENT_RANGES = [
+  [5, 33],
+  [33, 100],
+  [33, 100],
+  [110, 190],
+] as const;
+const longStreams: StreamUse = {
+  drawEvents: (random) => {
+    const [min, max] = EVENT_RANGES[Math.floor(random() * EVENT_RANGES.length)] ?? EVENT_RANGES[0];
+    return min + Math.floor(random() * (max - min));
+  },
+  deadlineMs: MODEL_TIMEOUT_MS,
+  maxAttempts: 20,
+  maxPauseMs: 800,
+};
 /**
  * Streams per second of a flood, relative to all requests of all customers: its customer then sends seven
  * times its usual streams, and all together nearly twice what the decode runners can serve.
@@ -72,6 +106,8 @@
 
   readonly #faults: FaultInjector;
 
+  readonly #maintenance: Maintenance;
+
   readonly #networkPrefix: string;
 
   constructor(options: SoakOptions, timeline: Timeline) {
@@ -98,6 +134,7 @@
       faultFreeMs: (...families) => this.#faults.faultFreeMs(...families),
       revokedAt: (key) => this.#operator.revokedAt(key),
       quotaOf: (customer) => this.#operator.quotaOf(customer),
+      unplannedFreeMs: () => this.#faults.unplannedFreeMs,
       isInTouch: (address) => this.#isInTouch(address),
       runnersOf: (version) => this.#pool.decodersOf(version).length,
     });
@@ -108,6 +145,12 @@
       this.#networkPrefix,
       DOMAINS,
     );
+    this.#maintenance = new Maintenance({
+      random: seeded(seed + 3),
+      pool: this.#pool,
+      onDraining: (instanceId, isDraining) => observer.setDraining(instanceId, isDraining),
+      onRateLimit: (instanceId, ratePerS) => observer.setRateLimit(instanceId, ratePerS),
+    });
     this.#faults = new FaultInjector(
       {
         random,
@@ -115,6 +158,10 @@
         mesh: this.#mesh,
         store,
         pool: this.#pool,
+        rolloutRandom: seeded(seed + 5),
+        onRelease: () => {
+          this.#maintenance.release().catch((error: Error) => console.error(error.message));
+        },
         onStoreRestored: () => this.#operator.rewrite(),
         onRunnersCut: ({ frontAddress }, isCut) =>
           this.#guarantees.setRunnersCut(frontAddress, isCut),
@@ -135,6 +182,11 @@
     return this.#guarantees.streamCounts;
   }
 
+  /** Requests that ended while their VM stopped. */
+  get stopCounts(): Readonly<Record<string, number>> {
+    return this.#guarantees.stopCounts;
+  }
+
   /** By how much less urgent kinds of streams were served more often than more urgent ones. */
   get leads(): Readonly<Record<string, number>> {
     return this.#guarantees.leads;
@@ -151,18 +203,12 @@
       await this.#start();
       const until = Date.now() + this.#options.seconds * 1000;
       const recording = setInterval(() => this.#recordSecond(), SECOND_MS);
-      const maintenance = new Maintenance({
-        random: seeded(this.#options.seed + 3),
-        pool: this.#pool,
-        onDraining: (instanceId, isDraining) =>
-          this.#guarantees.setDraining(instanceId, isDraining),
-        onRateLimit: (instanceId, ratePerS) => this.#guarantees.setRateLimit(instanceId, ratePerS),
-      });
       await Promise.all([
         this.#faults.run(until),
         this.#operator.run(until),
-        maintenance.run(until),
+        this.#maintenance.run(until),
         ...this.#callers(until),
+        ...this.#longCallers(until),
         this.#flood(until),
       ]);
       await this.#checkRecovery();
@@ -184,10 +230,26 @@
   #callers(until: number): readonly Promise<void>[] {
     const { seed, ratePerS } = this.#options;
     return Array.from({ length: CALLER_GROUPS }, (_, group) =>
-      this.#callerGroup(seeded(seed + 10 + group)).run(ratePerS / CALLER_GROUPS, until),
+      this.#callerGroup(seeded(seed + 10 + group)).run(
+        () => (ratePerS / CALLER_GROUPS) * (this.#faults.isRollingOut ? ROLLOUT_FACTOR : 1),
+        until,
+      ),
     );
   }
 
+  #longCallers(until: number): readonly Promise<void>[] {
+    const { seed, ratePerS } = this.#options;
+    return Array.from({ length: LONG_CALLERS }, async (_, index) => {
+      const random = seeded(seed + 100 + index);
+      const addresses = new OwnAddresses(this.#directories, random);
+      const caller = this.#callerGroup(random, { addresses, streams: longStreams });
+      await caller.run(
+        () => (this.#faults.isRollingOut ? (ratePerS * LONG_CALLER_FACTOR) / LONG_CALLERS : 0),
+        until,
+      );
+    });
+  }
+
   /** Floods of one customer at a time, alternately at any moment and while no fault is in progress. */
   async #flood(until: number): Promise<void> {
     const { seed, ratePerS } = this.#options;
@@ -195,14 +257,16 @@
     for (let flood = 0; Date.now() < until - FLOOD_MS; flood += 1) {
       await pause(FLOOD_INTERVAL_MS * (0.5 + random()));
       const awaitsCalm = flood % 2 === 0;
-      while (awaitsCalm && !this.#isCalm && Date.now() < until) await pause(100);
+      while (Date.now() < until && (this.#faults.isRollingOut || (awaitsCalm && !this.#isCalm))) {
+        await pause(100);
+      }
       // Without a quota, so that the model runners are overloaded.
       const names = Object.keys(customerPriorities).filter(
         (name) => !awaitsCalm || this.#operator.quotaOf(name) === undefined,
       );
       const customer = names[Math.floor(random() * names.length)];
       const end = Math.min(until, Date.now() + FLOOD_MS);
-      await this.#callerGroup(random, customer).run(ratePerS * FLOOD_FACTOR, end);
+      await this.#callerGroup(random, { customer }).run(() => ratePerS * FLOOD_FACTOR, end);
     }
   }
 
@@ -210,8 +274,19 @@
     return this.#faults.faultFreeMs('vm', 'store', 'runner', 'path') >= MIN_FAULT_FREE_MS;
   }
 
-  /** @param customer whose streams its callers send; undefined for all requests of all customers */
-  #callerGroup(random: () => number, customer?: string): CallerGroup {
+  get #directories(): readonly string[] {
+    return this.#vms.map(({ directoryAddress }) => directoryAddress);
+  }
+
+  /** By default, its callers share look-ups and use short streams. */
+  #callerGroup(
+    random: () => number,
+    {
+      customer,
+      addresses = new SharedAddresses(this.#directories, random),
+      streams = shortStreams,
+    }: CallerOptions = {},
+  ): CallerGroup {
     const guarantees = this.#guarantees;
     const timeline = this.#timeline;
     return new CallerGroup({
@@ -226,7 +301,8 @@
       random,
       keys: { drawKey: () => this.#operator.drawKey(customer) },
       kinds: customer === undefined ? allKinds : streamKinds,
-      directories: this.#vms.map(({ directoryAddress }) => directoryAddress),
+      addresses,
+      streams,
     });
   }
 
@@ -256,6 +332,8 @@
       store: this.#store.address,
       seed: `${this.#networkPrefix}.0.1`,
       folder: this.folder,
+      program: this.#options.program,
+      onStopping: ({ frontAddress }) => this.#guarantees.setStopping(frontAddress),
     });
   }
 
--- a/scripts/soak/vm.ts
+++ b/scripts/soak/vm.ts
@@ -9,13 +9,14 @@
 const PORTS = { front: 8149, ready: 8141, control: 8144, directory: 8143 } as const;
 const INTERNAL_PORTS = [7380, 7395] as const;
 const METRICS_PORT = 9464;
-const PROGRAM = 'build/goldcrestdock.cjs';
 const SHIM = './scripts/soak/shim.cjs';
 /** Port of all runners. */
 export const RUNNER_PORT = 8528;
 /** Port of connections and probes between VMs. */
 export const PEER_PORT = INTERNAL_PORTS[0];
 
+/** Time between the beginnings of two blocks of a slow VM's event loop. */
+export const SLICE_MS = 250;
 /** Time after which a started process has certainly loaded the shim. */
 const SHIM_LOAD_MS = 2000;
 
@@ -46,6 +47,10 @@
   readonly seed: string;
   /** Folder of its settings file and its log. */
   readonly folder: string;
+  /** File of the program that it runs. */
+  readonly program: string;
+  /** Called when a process gets its first SIGTERM. */
+  readonly onStopping: (vm: Vm) => void;
 }
 
 /** What becomes of a VM's connections to runners: new ones hang, or open ones are reset and new ones refused. */
@@ -76,6 +81,8 @@
 
   #clockStepMs = 0;
 
+  #blockedMs = 0;
+
   #startedAt = 0;
 
   #isStopping = false;
@@ -121,9 +128,10 @@
     const settings = join(folder, `${name}.json`);
     writeFileSync(settings, JSON.stringify(this.#settings()));
     this.#clockStepMs = 0;
+    this.#blockedMs = 0;
     this.#updateShim();
     this.#startedAt = Date.now();
-    const args = ['--max-old-space-size=90', '-r', SHIM, PROGRAM, 'node'];
+    const args = ['--max-old-space-size=90', '-r', SHIM, this.options.program, 'node'];
     const child = spawn(process.execPath, args, {
       env: { GOLDCRESTDOCK_CONFIG: settings, GOLDCRESTDOCK_SOAK: this.#shimFile },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -139,6 +147,8 @@
 
   /** Sends a signal to its process. An exit after SIGTERM or SIGKILL is expected. */
   signal(signal: NodeJS.Signals): void {
+    const isFirstStop = signal === 'SIGTERM' && !this.#isStopping && this.isUp;
+    if (isFirstStop) this.options.onStopping(this);
     if (signal === 'SIGTERM' || signal === 'SIGKILL') this.#isStopping = true;
     if (signal === 'SIGSTOP') this.isPaused = true;
     if (signal === 'SIGCONT' || signal === 'SIGKILL') this.isPaused = false;
@@ -151,6 +161,12 @@
     this.#updateShim();
   }
 
+  /** Blocks its event loop for part of each `SLICE_MS`, in milliseconds; 0 ends that. A new process begins without. */
+  block(blockedMs: number): void {
+    this.#blockedMs = blockedMs;
+    this.#updateShim();
+  }
+
   /** Redirects its outgoing connections from one `HOST:PORT` to another. */
   redirect(from: string, to: string): void {
     this.#routes.set(from, to);
@@ -170,6 +186,14 @@
     this.#updateShim();
   }
 
+  /** Stops its process as the platform does: SIGTERM, then SIGKILL after the grace period. Resolves once it has exited. */
+  async terminate(): Promise<void> {
+    this.signal('SIGTERM');
+    const kill = setTimeout(() => this.signal('SIGKILL'), bounds['grace-s'] * 1000);
+    await this.waitForExit();
+    clearTimeout(kill);
+  }
+
   /** Resolves once its process has exited. */
   async waitForExit(): Promise<void> {
     const child = this.#process;
@@ -187,6 +211,7 @@
     const { name, folder } = this.options;
     const text = JSON.stringify({
       stepMs: this.#clockStepMs,
+      block: { everyMs: SLICE_MS, forMs: this.#blockedMs },
       routes: Object.fromEntries(this.#routes),
       lost: [...this.#lossyHosts],
       cut: this.#runnerCut,
@@ -198,8 +223,9 @@
     // Before the shim is loaded, SIGUSR2 would terminate the process. A signal deferred until then is
     // enough: the shim also reads the file when it loads.
     const untilLoadedMs = this.#startedAt + SHIM_LOAD_MS - Date.now();
-    if (untilLoadedMs > 0) setTimeout(() => this.#process?.kill('SIGUSR2'), untilLoadedMs).unref();
-    else this.#process?.kill('SIGUSR2');
+    const child = this.#process;
+    if (untilLoadedMs > 0) setTimeout(() => child?.kill('SIGUSR2'), untilLoadedMs).unref();
+    else child?.kill('SIGUSR2');
   }
 
   #onExit(code: number | null, signal: NodeJS.Signals | null): void {
