Tell the soak's checks of stops when a runner breaks off and when time runs out

A runner reports the end of its runs when it crashes, not when each run notices. VMs hand runners what is left of a request's time, so a stream at its limit ends some milliseconds before it: 13,991 of 14,000 ms in a trace.

Streams that callers take up after all VMs were killed at once no longer count for resume: with two versions in service no VM knows which one began them, and docs/design/software-versions.md has them refused as streamUnknown. In a trace all 162 such refusals followed a restart of the fleet. The check of versions still covers them.

The summary says how long the soak's own event loop was blocked at most.

--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -23,6 +23,8 @@
   readonly onStoreRestored: () => void;
   /** Begins a release of another software version of runners. */
   readonly onRelease: () => void;
+  /** Called when all VMs are killed at once. */
+  readonly onFleetKill: () => void;
   /** Random numbers of planned stops and restarts, apart from those of other faults. */
   readonly rolloutRandom: () => number;
   /** Called when a VM is partitioned from all runners, or not any more. */
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -61,7 +61,7 @@
   disconnectedAt: number | undefined;
   /** When the last run ended; -Infinity if none did. */
   lastEndedAt: number;
-  /** Whether the runner of the last run that ended was ended or restarted. */
+  /** Whether the runner of the last run ended in the middle of it. */
   hasBrokenOff: boolean;
 }
 
@@ -118,6 +118,8 @@
 
   readonly #lostStreams = new LostStreamChecker();
 
+  #fleetKilledAt = -Infinity;
+
   readonly #stops = new StopChecker({ graceMs: bounds['grace-s'] * 1000 });
 
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
@@ -152,6 +154,11 @@
     if (loss) this.#report('reach', loss.detail);
   }
 
+  /** Records that all VMs are killed at once: none of them knows the streams so far. */
+  setFleetKilled(): void {
+    this.#fleetKilledAt = Date.now();
+  }
+
   /** Records that a VM gets its first SIGTERM. */
   setStopping(vm: string): void {
     this.#stops.stopping(Date.now(), vm);
@@ -231,6 +238,7 @@
     }
     const { request } = record;
     record.activeRuns.add(arrival);
+    record.hasBrokenOff = false;
     if (digest !== record.digest) this.#report('bytes', `${id} reached ${runner} altered`);
     if (customer !== request.customer || hasKey) {
       this.#report(
@@ -248,12 +256,12 @@
     this.#checkQuota(request.customer);
   }
 
-  ended(arrival: Arrival, isOver: boolean): void {
+  ended(arrival: Arrival, wasCrash: boolean): void {
     const record = this.#records.get(arrival.requestId);
     if (!record) return;
     record.activeRuns.delete(arrival);
     record.lastEndedAt = Date.now();
-    record.hasBrokenOff = isOver;
+    record.hasBrokenOff = wasCrash;
   }
 
   ordered({ instanceId: runner, holder, fence }: Order): void {
@@ -331,7 +339,9 @@
     if (request.kind !== 'resumable') return;
     const { isInTouch, runnersOf } = this.#context;
     const runners = request.resumes ? runnersOf(request.resumes.version) : 0;
-    const finding = this.#versions.answered(request, answer, isInTouch(vm), runners);
+    const begunAt = this.#records.get(request.resumes?.stream ?? request.id)?.sentAt ?? -Infinity;
+    const isKnown = begunAt > this.#fleetKilledAt;
+    const finding = this.#versions.answered(request, answer, isKnown && isInTouch(vm), runners);
     if (finding !== undefined) this.#report('version', `${finding} at ${vm}`);
   }
 
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -7,6 +7,7 @@
  */
 
 import { rmSync, writeFileSync } from 'node:fs';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 
 import { cac } from 'cac';
 
@@ -48,6 +49,8 @@
     timeline,
   );
   process.once('SIGTERM', () => process.exit(1));
+  const delays = monitorEventLoopDelay();
+  delays.enable();
   await soak.run();
   const { breaches, totals } = timeline;
   const title = `Soak, seed ${seed}, ${minutes} min, ${vms} VMs, ${runners * 2} decode and plain runners, and prefill runners`;
@@ -61,6 +64,8 @@
     faults: soak.faultCounts,
     streams: soak.streamCounts,
     stops: soak.stopCounts,
+    // Of the soak's own process, in which callers, runners and links live.
+    maxDelayMs: Math.round(delays.max / 1e6),
     leads: soak.leads,
     used: soak.peakUsage,
     breaches: breaches.length,
--- a/scripts/soak/rollouts.ts
+++ b/scripts/soak/rollouts.ts
@@ -11,6 +11,8 @@
   readonly vms: readonly Vm[];
   /** Begins to replace some runners by others of another software version. */
   readonly onRelease: () => void;
+  /** Called when all VMs are killed at once. */
+  readonly onFleetKill: () => void;
 }
 
 /** Work on some VMs. */
@@ -126,11 +128,12 @@
   }
 
   async #restartFleet(kills: readonly (readonly [number, number])[]): Promise<void> {
-    const { vms, random, onRelease } = this.#context;
+    const { vms, random, onRelease, onFleetKill } = this.#context;
     onRelease();
     await pause(random() * MAX_RELEASE_MS);
     for (const [ratio, pauseMs] of kills) {
       const killed = vms.slice(0, Math.ceil(vms.length * ratio));
+      if (killed.length === vms.length) onFleetKill();
       await Promise.all(killed.map((vm) => this.#restart(vm)));
       await pause(pauseMs);
     }
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -51,9 +51,9 @@
   announced(announcement: Announcement): void;
   /**
    * The run ended, successfully or not.
-   * @param isOver whether its runner has ended or was restarted
+   * @param wasCrash whether its runner ended in the middle of it
    */
-  ended(arrival: Arrival, isOver: boolean): void;
+  ended(arrival: Arrival, wasCrash: boolean): void;
   /** An order arrived, whether or not it is obeyed. */
   ordered(order: Order): void;
 }
@@ -163,6 +163,9 @@
 
   readonly #caches = new Map<string, PromptCache>();
 
+  /** Work of this instance in progress, prefills too. */
+  readonly #running = new Set<Arrival>();
+
   /** KV memory in tokens by running request. */
   readonly #runningTokens = new Map<string, number>();
 
@@ -241,6 +244,8 @@
   async crash(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
+    for (const arrival of this.#running) this.#observer.ended(arrival, true);
+    this.#running.clear();
     if (server) await closeServer(server);
   }
 
@@ -375,7 +380,7 @@
       answer.reject(503);
       return;
     }
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     const handle = randomUUID().slice(0, 12);
     this.#caches.set(handle, { tokens, expiry: Infinity });
     await pause(tokens * runnerProfile.prefillTokenMs * this.#slowdown);
@@ -391,7 +396,7 @@
       return;
     }
     this.#plainRunCount += 1;
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     const factor = Math.max(1, this.#plainRunCount / runnerProfile.plainSlots);
     await this.#work(runnerProfile.plainMs * factor, signal);
     this.#plainRunCount -= 1;
@@ -420,7 +425,7 @@
       answer.reject(503);
       return;
     }
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     this.#runningTokens.set(arrival.requestId, neededTokens);
     if (!job.isPrefilled) await this.#work(job.tokens * runnerProfile.prefillTokenMs * 2, signal);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
@@ -450,8 +455,13 @@
     else answer.end();
   }
 
+  #reportBegin(arrival: Arrival): void {
+    this.#running.add(arrival);
+    this.#observer.began(arrival);
+  }
+
   #reportEnd(arrival: Arrival): void {
-    this.#observer.ended(arrival, !this.isUp || this.instanceId !== arrival.instanceId);
+    if (this.#running.delete(arrival)) this.#observer.ended(arrival, false);
   }
 
   /** Waits for the duration of some work, or for a minute if it hangs; ends early when the request is aborted. */
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -159,6 +159,7 @@
         store,
         pool: this.#pool,
         rolloutRandom: seeded(seed + 5),
+        onFleetKill: () => this.#guarantees.setFleetKilled(),
         onRelease: () => {
           this.#maintenance.release().catch((error: Error) => console.error(error.message));
         },
--- a/scripts/soak/stops.ts
+++ b/scripts/soak/stops.ts
@@ -24,6 +24,8 @@
 const UNREAD_MS = 200;
 /** Time after the signal up to which a caller may hold the address of the VM. */
 const ADDRESSED_MS = 3000;
+/** The VM and the runner count the time of a request from when they get it, and end it slightly sooner. */
+const TIME_SLACK_MS = 200;
 /** Last part of the grace period in which runners may still be at work. */
 const LAST_PART = 1 / 6;
 /** Time without unplanned faults before a request is sent from which on it is checked. */
@@ -73,7 +75,8 @@
     if (answer.outcome !== 'broken') return undefined;
     const wasAtWork = work.lastAtWorkAt >= stoppedAt + this.#graceMs * (1 - LAST_PART);
     const isAllowed = wasAtWork && sentAt <= stoppedAt + ADDRESSED_MS;
-    if (isAllowed || work.hasBrokenOff || answer.ms >= request.deadlineMs) {
+    const hasTimedOut = answer.ms >= request.deadlineMs - TIME_SLACK_MS;
+    if (isAllowed || work.hasBrokenOff || hasTimedOut) {
       this.#excused += 1;
       return undefined;
     }
--- a/scripts/soak/versions.ts
+++ b/scripts/soak/versions.ts
@@ -24,7 +24,7 @@
   /**
    * Counts the end of an attempt at a stream that may be resumed; returns what is wrong with what its
    * caller holds, and undefined if nothing is.
-   * @param isInTouch whether the VM was undisturbed
+   * @param isInTouch whether the VM was undisturbed, and some VM may know the stream
    * @param runners number of runners that serve the version of the stream
    */
   answered(
