--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -14,6 +14,7 @@
 import { LostStreamChecker } from './loststreams';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
+import { StopChecker } from './stops';
 import type { Arrival, Order, RunnerObserver } from './runner';
 import { UrgencyChecker } from './urgency';
 import { VersionChecker } from './versions';
@@ -34,6 +35,8 @@
   readonly faultFreeMs: (...families: readonly FaultFamily[]) => number;
   /** When the configuration that revoked a key was acknowledged; undefined while the key is valid. */
   readonly revokedAt: (key: string) => number | undefined;
+  /** Time since the last fault that is no planned stop ended, in milliseconds; 0 while one is in progress. */
+  readonly unplannedFreeMs: () => number;
   /** Whether the VM at an address is undisturbed, and has been for a while. */
   readonly isInTouch: (vm: string) => boolean;
   /** Number of decode runners of a software version that serve. */
@@ -59,6 +62,10 @@
   arrivalCount: number;
   isRefused: boolean;
   disconnectedAt: number | undefined;
+  /** When the last run ended; -Infinity if none did. */
+  lastEndedAt: number;
+  /** Whether the runner of the last run ended in the middle of it. */
+  hasBrokenOff: boolean;
 }
 
 /** Time for which the record of a request is retained after it was sent. */
@@ -114,6 +121,10 @@
 
   readonly #lostStreams: LostStreamChecker;
 
+  #fleetKilledAt = -Infinity;
+
+  readonly #stops = new StopChecker({ graceMs: bounds['grace-s'] * 1000 });
+
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
   readonly peakUsage: Record<string, number> = {};
 
@@ -135,6 +146,8 @@
       arrivalCount: 0,
       isRefused: false,
       disconnectedAt: undefined,
+      lastEndedAt: -Infinity,
+      hasBrokenOff: false,
     });
   }
 
@@ -145,6 +158,16 @@
     if (loss) this.#report('reach', loss.detail);
   }
 
+  /** Records that all VMs are killed at once: none of them knows the streams so far. */
+  setFleetKilled(): void {
+    this.#fleetKilledAt = Date.now();
+  }
+
+  /** Records that a VM gets its first SIGTERM. */
+  setStopping(vm: string): void {
+    this.#stops.stopping(Date.now(), vm);
+  }
+
   /** Records that a runner instance no longer answers, while others can continue its streams. */
   setLost(runner: string): void {
     for (const { request, vm, activeRuns } of this.#records.values()) {
@@ -173,6 +196,7 @@
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
+    if (record) this.#checkStop(record, answer);
     if (outcome === 'served' && record && record.runs === 0) {
       this.#report('whole', `${request.id} at ${vm}: success for a request that never ran`);
     }
@@ -220,6 +244,7 @@
     }
     const { request } = record;
     record.activeRuns.add(arrival);
+    record.hasBrokenOff = false;
     if (digest !== record.digest) this.#report('bytes', `${id} reached ${runner} altered`);
     if (customer !== request.customer || hasKey) {
       this.#report(
@@ -237,8 +262,12 @@
     this.#checkQuota(request.customer);
   }
 
-  ended(arrival: Arrival): void {
-    this.#records.get(arrival.requestId)?.activeRuns.delete(arrival);
+  ended(arrival: Arrival, wasCrash: boolean): void {
+    const record = this.#records.get(arrival.requestId);
+    if (!record) return;
+    record.activeRuns.delete(arrival);
+    record.lastEndedAt = Date.now();
+    record.hasBrokenOff = wasCrash;
   }
 
   ordered({ instanceId: runner, holder, fence }: Order): void {
@@ -293,6 +322,11 @@
     return { ...this.#versions.counts, ...this.#lostStreams.counts };
   }
 
+  /** Requests that ended while their VM stopped. */
+  get stopCounts(): Readonly<Record<string, number>> {
+    return this.#stops.counts;
+  }
+
   /** By how much less urgent kinds of streams are served more often than more urgent ones. */
   get leads(): Readonly<Record<string, number>> {
     return this.#urgency.leads;
@@ -311,10 +345,25 @@
     if (request.kind !== 'resumable') return;
     const { isInTouch, runnersOf } = this.#context;
     const runners = request.resumes ? runnersOf(request.resumes.version) : 0;
-    const finding = this.#versions.answered(request, answer, isInTouch(vm), runners);
+    const begunAt = this.#records.get(request.resumes?.stream ?? request.id)?.sentAt ?? -Infinity;
+    const isKnown = begunAt > this.#fleetKilledAt;
+    const finding = this.#versions.answered(request, answer, isKnown && isInTouch(vm), runners);
     if (finding !== undefined) this.#report('version', `${finding} at ${vm}`);
   }
 
+  #checkStop(record: RequestRecord, answer: CallerAnswer): void {
+    const { arrivalCount, runs, activeRuns, lastEndedAt, hasBrokenOff } = record;
+    const now = Date.now();
+    const work = {
+      wasPassedOn: arrivalCount > 0 || runs > 0,
+      lastAtWorkAt: activeRuns.size > 0 ? now : lastEndedAt,
+      hasBrokenOff,
+    };
+    const freeMs = this.#context.unplannedFreeMs();
+    const finding = this.#stops.answered(now, record.sentAt, record, answer, work, freeMs);
+    if (finding !== undefined) this.#report('stop', finding);
+  }
+
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
     this.peakUsage[promise] = Math.max(
       this.peakUsage[promise] ?? 0,
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -7,6 +7,7 @@
  */
 
 import { rmSync, writeFileSync } from 'node:fs';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 
 import { cac } from 'cac';
 
@@ -23,6 +24,7 @@
   readonly runners: number;
   readonly rate: number;
   readonly faults?: string;
+  readonly program: string;
   readonly report?: string;
   readonly keep?: boolean;
 }
@@ -32,13 +34,23 @@
 };
 
 async function run(flags: Flags): Promise<void> {
-  const { seed, minutes, vms, runners, rate, faults, report } = flags;
+  const { seed, minutes, vms, runners, rate, faults, program, report } = flags;
   const timeline = new Timeline(print);
   const soak = new Soak(
-    { seed, seconds: minutes * 60, vms, runners, ratePerS: rate, faults: faults?.split(',') },
+    {
+      seed,
+      seconds: minutes * 60,
+      vms,
+      runners,
+      ratePerS: rate,
+      faults: faults?.split(','),
+      program,
+    },
     timeline,
   );
   process.once('SIGTERM', () => process.exit(1));
+  const delays = monitorEventLoopDelay();
+  delays.enable();
   await soak.run();
   const { breaches, totals } = timeline;
   const title = `Soak, seed ${seed}, ${minutes} min, ${vms} VMs, ${runners * 2} decode and plain runners, and prefill runners`;
@@ -51,6 +63,9 @@
     ...totals,
     faults: soak.faultCounts,
     streams: soak.streamCounts,
+    stops: soak.stopCounts,
+    // Of the soak's own process, in which callers, runners and links live.
+    maxDelayMs: Math.round(delays.max / 1e6),
     leads: soak.leads,
     used: soak.peakUsage,
     breaches: breaches.length,
@@ -67,6 +82,7 @@
   .option('--runners <number>', 'Number of decode runners, and of plain runners', { default: 4 })
   .option('--rate <number>', 'Requests per second of all callers together', { default: 60 })
   .option('--faults <kinds>', 'Kinds of faults to draw from, separated by commas')
+  .option('--program <file>', 'Program that the VMs run', { default: 'build/goldcrestdock.cjs' })
   .option('--report <file>', 'Write an HTML page with plots to this file')
   .option('--keep', 'Keep the logs of the VMs even if no guarantee was violated')
   .action((flags: Flags) => run(flags));
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -49,8 +49,11 @@
   began(arrival: Arrival): void;
   /** The answer to a request announces that the runner leaves or wants a pause. */
   announced(announcement: Announcement): void;
-  /** The run ended, successfully or not. */
-  ended(arrival: Arrival): void;
+  /**
+   * The run ended, successfully or not.
+   * @param wasCrash whether its runner ended in the middle of it
+   */
+  ended(arrival: Arrival, wasCrash: boolean): void;
   /** An order arrived, whether or not it is obeyed. */
   ordered(order: Order): void;
 }
@@ -160,6 +163,9 @@
 
   readonly #caches = new Map<string, PromptCache>();
 
+  /** Work of this instance in progress, prefills too. */
+  readonly #running = new Set<Arrival>();
+
   /** KV memory in tokens by running request. */
   readonly #runningTokens = new Map<string, number>();
 
@@ -238,6 +244,8 @@
   async crash(): Promise<void> {
     const server = this.#server;
     this.#server = undefined;
+    for (const arrival of this.#running) this.#observer.ended(arrival, true);
+    this.#running.clear();
     if (server) await closeServer(server);
   }
 
@@ -372,12 +380,12 @@
       answer.reject(503);
       return;
     }
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     const handle = randomUUID().slice(0, 12);
     this.#caches.set(handle, { tokens, expiry: Infinity });
     await pause(tokens * runnerProfile.prefillTokenMs * this.#slowdown);
     this.#caches.set(handle, { tokens, expiry: Date.now() + runnerProfile.cacheHoldMs });
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else answer.json({ 'kv-handle': handle, tokens, version: 1 });
   }
@@ -388,11 +396,11 @@
       return;
     }
     this.#plainRunCount += 1;
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     const factor = Math.max(1, this.#plainRunCount / runnerProfile.plainSlots);
     await this.#work(runnerProfile.plainMs * factor, signal);
     this.#plainRunCount -= 1;
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else if (this.#random() < this.behaviour.cutRatio) answer.cut();
     else answer.text(plainAnswer(arrival.requestId, arrival.digest));
@@ -417,13 +425,13 @@
       answer.reject(503);
       return;
     }
-    this.#observer.began(arrival);
+    this.#reportBegin(arrival);
     this.#runningTokens.set(arrival.requestId, neededTokens);
     if (!job.isPrefilled) await this.#work(job.tokens * runnerProfile.prefillTokenMs * 2, signal);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else await this.#stream(arrival, answer, job.after, job.events, signal);
     this.#runningTokens.delete(arrival.requestId);
-    this.#observer.ended(arrival);
+    this.#reportEnd(arrival);
   }
 
   async #stream(
@@ -447,6 +455,15 @@
     else answer.end();
   }
 
+  #reportBegin(arrival: Arrival): void {
+    this.#running.add(arrival);
+    this.#observer.began(arrival);
+  }
+
+  #reportEnd(arrival: Arrival): void {
+    if (this.#running.delete(arrival)) this.#observer.ended(arrival, false);
+  }
+
   /** Waits for the duration of some work, or for a minute if it hangs; ends early when the request is aborted. */
   async #work(ms: number, signal: AbortSignal): Promise<void> {
     const isHanging = this.#random() < this.behaviour.hangRatio;
