Record the software versions of all services, not only of those with several

What callers saw: all VMs were killed at once, or just after a release, and came back. Streams that they took up again were answered 200 and ran to the end, but went on at the version that had replaced the one that began them.

Cause: VMs that all start anew know the listed runners and the record in the store. It named only services with several versions, and the versions of any other were taken to be the listed ones. A service whose runners were replaced while no VM ran, or whose second version was not recorded yet (up to 2.5 s), so seemed to have had one version ever.

Why it works: the record and the list are added up, so that a late record still names the old version and the list the new one. A service that the record lacks may have had any version. A first record is written at once.

Costs: one more key a service in the same record, no call while nothing changes. The key is a new one, since older programs would overwrite the record with theirs in turn.

--- a/src/core/versions/types.ts
+++ b/src/core/versions/types.ts
@@ -1,5 +1,8 @@
 /** Types of the software versions that begin streams. */
 
+/** Stands for a version that is not known; no runner is sent a stream by it. */
+export const UNKNOWN_VERSION = '';
+
 /** Which software version of which service began a stream. */
 export interface StreamOrigin {
   readonly service: string;
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -18,6 +18,7 @@
 import { StreamOrigins, streamKey } from '../../core/versions/origins';
 import { RouteChanges } from '../../core/versions/routechanges';
 import type { OriginRecord, StreamOrigin } from '../../core/versions/types';
+import { UNKNOWN_VERSION } from '../../core/versions/types';
 import { bootNow } from '../../utils/clock';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
@@ -48,8 +49,6 @@
 const MAX_AGE_MS = 4000;
 /** Time that a VM may take to learn that a runner has restarted, in milliseconds. */
 const STALE_MS = 10_000;
-/** Version of a stream whose runner may have been another instance than was thought; no runner has it. */
-const UNKNOWN_VERSION = '';
 /** Period of the check for old records and for services that have several versions now, in milliseconds. */
 const CHECK_MS = 1000;
 /** Log lines per second about streams that callers take up, since anybody can name one. */
--- a/src/node/router/storedversions.ts
+++ b/src/node/router/storedversions.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps in the store which services several software versions served lately. VMs that all start
- * anew know only the runners that are listed now: without the record, a version that has just gone
- * could not be told from one that never was.
+ * Keeps in the store which software versions served each service lately. VMs that all start anew
+ * know only the runners that are listed now: without the record, a version that has just gone
+ * could not be told from one that never was, and that may happen to any service while no VM runs.
  */
 
 import type { Logger } from 'pino';
@@ -32,6 +32,9 @@
   /** The record as it was last read or written, as text; undefined before. */
   #stored: string | undefined;
 
+  /** Whether there is no record yet. */
+  #isFirst = false;
+
   readonly #delay: WriteDelay;
 
   readonly #timer: NodeJS.Timeout;
@@ -49,31 +52,33 @@
 
   /**
    * Applies the record that was read from the store.
+   * @param stored undefined if no VM has ever written one
    * @param isAll whether all runners were read before
    */
-  learn(now: number, stored: VersionsByService, isAll: boolean): void {
-    this.#stored = JSON.stringify(stored);
+  learn(now: number, stored: VersionsByService | undefined, isAll: boolean): void {
+    this.#isFirst = stored === undefined;
+    this.#stored = JSON.stringify(stored ?? {});
     const { versions } = this.#context;
     // A VM that knows all versions itself also knows when they were last seen.
     if (versions.isComplete(now)) return;
-    const sightings = Object.entries(stored).flatMap(([service, names]) =>
-      names.map((version) => ({ service, version, agoMs: 0 })),
-    );
-    versions.learn(now, sightings, isAll);
+    if (stored) versions.learnRecord(now, stored, isAll);
+    else versions.learn(now, [], isAll);
   }
 
   /** Writes the record if the store lacks a change. */
   check(now: number): void {
     const { versions, archive, readsStore, log } = this.#context;
-    const mixed = versions.mixedServices(now);
-    const wanted = JSON.stringify(mixed);
-    const lacksChange = this.#stored !== undefined && wanted !== this.#stored;
-    if (!this.#delay.isDue(now, readsStore() && lacksChange)) return;
+    const served = versions.byService(now);
+    const wanted = JSON.stringify(served);
+    const lacksChange = readsStore() && this.#stored !== undefined && wanted !== this.#stored;
+    const isDue = this.#delay.isDue(now, lacksChange);
+    if (!isDue && !(lacksChange && this.#isFirst)) return;
     archive
-      .save(mixed)
+      .save(served)
       .then(() => {
         this.#stored = wanted;
-        log.info({ versions: mixed }, 'Saved which services have several software versions.');
+        this.#isFirst = false;
+        log.info({ versions: served }, 'Saved which software versions serve.');
       })
       .catch((error) => log.warn(toFailure(error).line));
   }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -270,7 +270,7 @@
 }
 
 /**
- * Persistent record of the services that several software versions served lately, which survives a
+ * Persistent record of the software versions that served each service lately, which survives a
  * restart of all VMs.
  */
 export interface VersionArchive {
@@ -294,10 +294,10 @@
   /** Quarantined requests that VMs saved; `isAll` if the store holds no others. */
   onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
   /**
-   * The record of the services that several software versions served lately; empty if there is none.
+   * The record of the software versions that served each service lately; undefined if there is none.
    * @param isAll whether all runners were read before
    */
-  onVersions(versions: VersionsByService, isAll: boolean): void;
+  onVersions(versions: VersionsByService | undefined, isAll: boolean): void;
   /** The number of VMs that was saved; 0 if there is none. */
   onFleetSize(vms: number): void;
   /**
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -213,7 +213,7 @@
     const item = items.find((one) => one.key === key.versions);
     if (!item && !isAll) return;
     try {
-      const versions = item?.value === undefined ? {} : decodeVersions(item.value);
+      const versions = item?.value === undefined ? undefined : decodeVersions(item.value);
       this.#listener?.onVersions(versions, isAll);
     } catch (error) {
       this.#log.error({ key: key.versions, revision: item?.revision }, toFailure(error).line);
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -80,8 +80,8 @@
   orders: 'goldcrestdock/orders/',
   /** Followed by the fingerprint of a quarantined request; with a lease. */
   suspects: 'goldcrestdock/suspects/',
-  /** The services that several software versions served lately. */
-  versions: 'goldcrestdock/versions',
+  /** The software versions that served each service lately. */
+  versions: 'goldcrestdock/served',
   /** The number of VMs. */
   fleetSize: 'goldcrestdock/fleet',
   /** The VM that may give orders to runners; with a lease. */
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -274,12 +274,12 @@
   return JSON.stringify({ address });
 }
 
-/** Decodes the record of the services that several software versions served; throws `factUnreadable`. */
+/** Decodes the record of the software versions that served each service; throws `factUnreadable`. */
 export function decodeVersions(text: string): VersionsByService {
   return parse(versionsSchema, text, 'the software versions');
 }
 
-/** Encodes the record of the services that several software versions served. */
+/** Encodes the record of the software versions that served each service. */
 export function encodeVersions(versions: VersionsByService): string {
   return JSON.stringify(versions);
 }
--- a/src/platform/versions.ts
+++ b/src/platform/versions.ts
@@ -1,4 +1,4 @@
-/** Stores which services several software versions served lately. */
+/** Stores which software versions served each service lately. */
 
 import type { VersionsByService } from '../core/versions/types';
 import type { VersionArchive } from '../node/router/types';
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -600,6 +600,24 @@
     await this.#startEnded(turn);
   }
 
+  /** Ends all VMs at once: their requests are cut off, and what they knew is lost. */
+  async endAll(): Promise<void> {
+    await Promise.all(this.#vms.map((_, turn) => this.end(turn)));
+  }
+
+  /** Starts all VMs again that were ended, without any state, and waits until they serve. */
+  async startAllAgain(): Promise<void> {
+    await Promise.all(this.#vms.map((_, turn) => this.#startEnded(turn)));
+    await this.#waitUntilServing();
+  }
+
+  /** Removes the entries of all decode runners of a version. */
+  withdraw(version: string): void {
+    for (const runner of this.runnersOf('decode')) {
+      if (runner.version === version) this.store.remove(`servers/${runner.id}`);
+    }
+  }
+
   async #startEnded(turn: number): Promise<void> {
     const vm = this.#vms[turn % this.#vms.length];
     if (!vm) return;
