Tell VMs that start where resumable routes led lately

Cause: how routes led before was known only to VMs that had seen the change themselves. A VM that starts took the present targets for the only ones.

Evidence: origins.test.ts, "are refused after all VMs restarted if their route was moved before or meanwhile", failed before with "other v1" where a refusal is required; now refused in both cases, and still continued where no route was moved.

Why it works: digests of where groups of routes lead are remembered, told and recorded as the versions of a service are. A digest that a VM has not had itself says that it missed a change. This holds as well for a VM that skipped a configuration.

Costs: up to 16 more entries in an exchange of state and in the record; one write by the readers for a change of resumable routes. VMs that start within a minute of it refuse unknown streams of the 16th of the routes that it is in.

--- a/src/core/versions/history.ts
+++ b/src/core/versions/history.ts
@@ -16,6 +16,8 @@
 interface Presence {
   /** Number of listed runners. */
   runners: number;
+  /** Whether this VM has seen one itself. */
+  isSeen: boolean;
   /** When the last one of them was removed; minus infinity if none was. */
   goneAt: number;
 }
@@ -29,6 +31,9 @@
 export class VersionHistory {
   readonly #services = new Map<string, Map<string, Presence>>();
 
+  /** Current layouts of groups of routes. */
+  #layouts: ReadonlyMap<string, string> = new Map();
+
   /** Listings whose runners restarted with another version. */
   readonly #restarted = new Set<string>();
 
@@ -52,12 +57,27 @@
   changed(now: number, before: Runner | undefined, after: Runner | undefined): void {
     this.#completeSince = Math.min(this.#completeSince, now);
     if (before && after && before.version !== after.version) this.#restarted.add(after.listing);
-    if (beginsStreams(before)) {
-      const presence = this.#presenceOf(before.service, before.version);
-      presence.runners -= 1;
-      presence.goneAt = now;
+    if (beginsStreams(before)) this.#leave(now, before.service, before.version);
+    if (beginsStreams(after)) this.#enter(after.service, after.version);
+  }
+
+  /**
+   * Records the layouts of groups of routes, which are remembered like the version of a service.
+   * @param layouts digests by group
+   */
+  routesChanged(now: number, layouts: ReadonlyMap<string, string>): void {
+    for (const [group, layout] of this.#layouts) {
+      if (layouts.get(group) !== layout) this.#leave(now, group, layout);
+    }
+    for (const [group, layout] of layouts) {
+      if (this.#layouts.get(group) !== layout) this.#enter(group, layout);
     }
-    if (beginsStreams(after)) this.#presenceOf(after.service, after.version).runners += 1;
+    this.#layouts = layouts;
+  }
+
+  /** Whether a group of routes lately had a layout that this VM has not seen. */
+  hadOtherLayout(now: number, group: string): boolean {
+    return this.versionsOf(now, group).some((layout) => !this.#presenceOf(group, layout).isSeen);
   }
 
   /** The listings whose runners restarted with another version since the last call. */
@@ -133,10 +153,22 @@
     this.learn(now, [...recorded, ...unrecorded], isComplete);
   }
 
+  #enter(service: string, version: string): void {
+    const presence = this.#presenceOf(service, version);
+    presence.runners += 1;
+    presence.isSeen = true;
+  }
+
+  #leave(now: number, service: string, version: string): void {
+    const presence = this.#presenceOf(service, version);
+    presence.runners -= 1;
+    presence.goneAt = now;
+  }
+
   #presenceOf(service: string, version: string): Presence {
     const versions = this.#services.get(service) ?? new Map<string, Presence>();
     this.#services.set(service, versions);
-    const known = versions.get(version) ?? { runners: 0, goneAt: -Infinity };
+    const known = versions.get(version) ?? { runners: 0, isSeen: false, goneAt: -Infinity };
     versions.set(version, known);
     return known;
   }
--- a/src/core/versions/routechanges.ts
+++ b/src/core/versions/routechanges.ts
@@ -3,8 +3,15 @@
  * together as little as what two software versions of one do.
  */
 
+import { fingerprintOf } from '../fingerprint';
 import type { Route } from '../routing/types';
 
+/**
+ * Number of groups of routes. After a restart of all VMs, a change of one route counts for all
+ * routes of its group, and each group adds some 60 bytes to the state that VMs exchange.
+ */
+const GROUPS = 16;
+
 interface Targets {
   readonly services: ReadonlySet<string>;
   /** When the route last led to other services; minus infinity if it never did. */
@@ -20,6 +27,26 @@
   return one.size === other.size && [...one].every((service) => other.has(service));
 }
 
+/** The group of a route. A service of the same name would count as one of several versions. */
+export function routeGroupOf(route: string): string {
+  const [first = 0] = Buffer.from(fingerprintOf('route', route), 'base64url');
+  return `routes/${first % GROUPS}`;
+}
+
+/** Digests of where the routes lead whose streams may be resumed, by group. */
+export function layoutsOf(routes: readonly Route[]): ReadonlyMap<string, string> {
+  const entries = new Map<string, string[]>();
+  for (const route of routes.filter(({ resumable }) => resumable)) {
+    const group = routeGroupOf(route.name);
+    const entry = JSON.stringify([route.name, ...[...servicesOf(route)].sort()]);
+    entries.set(group, [...(entries.get(group) ?? []), entry]);
+  }
+  const digests = [...entries].map(
+    ([group, of]) => [group, fingerprintOf('layout', of.sort().join()).slice(0, 16)] as const,
+  );
+  return new Map(digests);
+}
+
 /** The services of each route whose streams may be resumed, by the route's name. */
 export class RouteChanges {
   #targets: ReadonlyMap<string, Targets> = new Map();
--- a/src/node/router/origins.ts
+++ b/src/node/router/origins.ts
@@ -16,7 +16,7 @@
 import type { OriginView } from '../../core/versions/lookup';
 import { inferredOrigin, recordedOrigin } from '../../core/versions/lookup';
 import { StreamOrigins, streamKey } from '../../core/versions/origins';
-import { RouteChanges } from '../../core/versions/routechanges';
+import { RouteChanges, layoutsOf, routeGroupOf } from '../../core/versions/routechanges';
 import type { OriginRecord, StreamOrigin } from '../../core/versions/types';
 import { UNKNOWN_VERSION } from '../../core/versions/types';
 import { bootNow } from '../../utils/clock';
@@ -124,7 +124,9 @@
 
   /** Must be called when the configuration has changed: routes may lead to other services now. */
   configChanged(now: number): void {
-    const routes = this.#context.routingState.table?.config.routes ?? [];
+    const { table, versions } = this.#context.routingState;
+    const routes = table?.config.routes ?? [];
+    versions.routesChanged(now, layoutsOf(routes));
     for (const service of this.#routes.apply(now, routes)) {
       this.#share(this.#origins.takeUnshared(service));
     }
@@ -213,8 +215,7 @@
    */
   async #lookUp(now: number, route: Route, query: OriginQuery): Promise<Lookup> {
     const candidates = this.#holdersOf(query.key);
-    const { retentionMs } = this.#context.routingState.versions;
-    const isOneService = !this.#routes.isAmbiguous(now, route, retentionMs);
+    const isOneService = !this.#mayLeadElsewhere(now, route);
     const views = [this.#viewOf(now, query)];
     let asked = 0;
     for (const vms of [[], candidates.slice(0, HOLDERS), candidates.slice(HOLDERS)]) {
@@ -287,10 +288,16 @@
 
   /** Whether a stream may be taken for one of another version or service. */
   #isAmbiguous(now: number, route: Route, service: string): boolean {
+    const { versions } = this.#context.routingState;
+    return versions.isAmbiguous(now, service) || this.#mayLeadElsewhere(now, route);
+  }
+
+  /** Whether a route leads to several services, or may have led to others lately. */
+  #mayLeadElsewhere(now: number, route: Route): boolean {
     const { versions } = this.#context.routingState;
     return (
-      versions.isAmbiguous(now, service) ||
-      this.#routes.isAmbiguous(now, route, versions.retentionMs)
+      this.#routes.isAmbiguous(now, route, versions.retentionMs) ||
+      versions.hadOtherLayout(now, routeGroupOf(route.name))
     );
   }
 
--- a/test/core/versions.test.ts
+++ b/test/core/versions.test.ts
@@ -70,6 +70,19 @@
     expect(fresh.isAmbiguous(10 + MIN_RETENTION_MS, 's')).toBe(false);
   });
 
+  // Guards against VMs that start, or skip a configuration, and do not know where routes led in between.
+  test('tells of layouts of routes that another VM has not seen, for as long as versions', () => {
+    const known = new VersionHistory();
+    const fresh = new VersionHistory();
+    ['x', 'y', 'z'].forEach((layout, at) => known.routesChanged(at, new Map([['g', layout]])));
+    fresh.routesChanged(0, new Map([['g', 'x']]));
+    fresh.routesChanged(2, new Map([['g', 'z']]));
+    fresh.learn(10, known.sightings(10), true);
+    const hadOther = [known, fresh].map((history) => history.hadOtherLayout(10, 'g'));
+    expect(hadOther).toEqual([false, true]);
+    expect(fresh.hadOtherLayout(3 + MIN_RETENTION_MS, 'g')).toBe(false);
+  });
+
   test('names the versions that served each service, in the same order on all VMs', () => {
     const history = new VersionHistory();
     history.changed(0, undefined, decode('v2'));
--- a/test/fakes/originfleet.ts
+++ b/test/fakes/originfleet.ts
@@ -31,7 +31,7 @@
 
 interface Vm {
   member: Member;
-  readonly versions: VersionHistory;
+  versions: VersionHistory;
   controller: OriginController;
   freshness: Freshness;
   reachability: Reachability;
@@ -111,6 +111,25 @@
     this.reach([name], 'up', true);
   }
 
+  /** Restarts all VMs with nothing but the record in the store; runners of a version are listed. */
+  restartAll(version: string, changesRoutes?: () => void): void {
+    const now = performance.now();
+    const [record = {}] = [...this.#vms.values()].map(({ versions }) => versions.byService(now));
+    for (const name of this.names) {
+      const vm = this.#of(name);
+      vm.controller.stop();
+      vm.versions = new VersionHistory();
+      vm.controller = this.#controllerOf(name, vm.versions);
+    }
+    changesRoutes?.();
+    this.serve([version]);
+    for (const { controller, versions } of this.#vms.values()) {
+      controller.configChanged(now);
+      versions.learnRecord(now, record, true);
+    }
+    this.reach(this.names, 'up');
+  }
+
   /** Begins a stream at a VM and a runner; returns the id of its request. */
   begin(name: string, version: string, listing = 'd'): string {
     this.#streams += 1;
--- a/test/router/origins.test.ts
+++ b/test/router/origins.test.ts
@@ -152,6 +152,18 @@
     expect(await resumedAt('never-was')).toEqual([undefined]);
   });
 
+  // Guards against VMs that all start anew and do not know that a route led elsewhere.
+  test('are refused after all VMs restarted if their route was moved before or meanwhile', async () => {
+    const move = (): void => fleet.lead({ other: 1 });
+    fleet.serve(['v1']);
+    fleet.restartAll('v1');
+    expect(await resumedAt('not-moved')).toEqual(['s v1']);
+    fleet.restartAll('v1', move);
+    expect(await resumedAt('moved-meanwhile')).toEqual([undefined]);
+    fleet.restartAll('v1');
+    expect(await resumedAt('moved-before')).toEqual([undefined]);
+  });
+
   // Guards against a wrong version under any order of releases, kills and resumes.
   test.each([1, 2, 3, 4, 5, 6, 7, 8])(
     'never go on at another version, and mostly go on: seed %i',
