--- a/test/router/softwareversions.test.ts
+++ b/test/router/softwareversions.test.ts
@@ -217,6 +217,29 @@
     30_000,
   );
 
+  // Guards against VMs that confirm each other, or overwrite what was recorded, as they start together.
+  test('never goes on at another version after most VMs, then all, then all again were killed', async () => {
+    await start(['v1', 'v2']);
+    const callers = callersOf('again');
+    let open = callers;
+    let attempts = askAll(callers, 0);
+    const restart = async (turns: readonly number[]): Promise<void> => {
+      await pause(BEGUN_MS);
+      await Promise.all(turns.map((turn) => routers.end(turn)));
+      await Promise.all(turns.map((turn) => routers.startAgain(turn)));
+      const ended = await Promise.all(attempts);
+      open = open.filter((_, index) => wholeOf(ended.slice(index, index + 1)) === 0);
+      attempts = askAll(open, 0);
+    };
+    await restart([0, 1, 2]);
+    await restart([0, 1, 2, 3, 4]);
+    routers.withdraw('v1');
+    await restart([0, 1, 2, 3, 4]);
+    await Promise.all(attempts);
+    expect(open.length).toBeGreaterThan(CALLERS / VMS);
+    expect(holdingsOf(callers)).toEqual(UNMIXED);
+  }, 40_000);
+
   test('goes on after all VMs have restarted where all runners have one version', async () => {
     await start(['v1']);
     const callers = callersOf('restarted', VMS);
--- a/test/router/versionrecord.test.ts
+++ b/test/router/versionrecord.test.ts
@@ -73,4 +73,24 @@
     },
     30_000,
   );
+
+  // Guards against streams of a version that was gone again before it was recorded.
+  test('none takes the old version for the only one after the new one served for a second', async () => {
+    const mistaken: number[] = [];
+    for (let killAt = 0; killAt <= SPAN_MS; killAt += STEP_MS) {
+      const fleet = new RecordFleet(seeded(killAt + 1));
+      fleet.list('v1');
+      fleet.start(READERS);
+      await fleet.pass(10_000);
+      fleet.list('v2');
+      await fleet.pass(Math.min(killAt, 1000));
+      fleet.remove('v2');
+      await fleet.pass(Math.max(0, killAt - 1000));
+      fleet.kill(READERS);
+      await fleet.pass(1000);
+      fleet.start(READERS);
+      if ((await fleet.pass(5000)).length > 0) mistaken.push(killAt);
+    }
+    expect(mistaken).toEqual([]);
+  }, 30_000);
 });
