Refuse requests that reach a stopping VM once all others have ended

Callers could lose a request that they sent on an open connection while the VM's process was about to exit: it was sent to a runner, and the exit closed the connection.

Cause: a VM that stops early, as nothing is in progress, still took requests whose limits end before the planned cut. Class of fault: a decision by the planned end of the process instead of the actual one.

Once the VM has ended its requests it refuses all others, not run.

test/router/shutdownend.test.ts failed before: 200, by a runner, after the VM had stopped; now 503 draining, and no runner is called.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -276,7 +276,7 @@
     while (this.#isBusy && performance.now() < times.endsBy) await pause(DRAIN_CHECK_MS);
     this.#shutdown.expire(this.#handlers.open);
     while (this.#isBusy && performance.now() < times.cutOffAt) await pause(DRAIN_CHECK_MS);
-    this.#shutdown.reportCutOff(performance.now(), this.#handlers.open);
+    this.#shutdown.end(performance.now(), this.#handlers.open);
     this.#log.info({ active: this.#front.activeRequests }, 'Stopped.');
     this.#front.cutOff();
     this.#connectivity.stop();
--- a/src/node/router/shutdown.ts
+++ b/src/node/router/shutdown.ts
@@ -29,6 +29,8 @@
 
   #shutdown: Shutdown | undefined;
 
+  #hasEnded = false;
+
   constructor(context: ShutdownContext) {
     this.#context = context;
   }
@@ -58,7 +60,8 @@
 
   /** The reason why a request is not taken; undefined if it is. */
   refusal(now: number, { deadlineAt }: Pick<Exchange, 'deadlineAt'>): Failure | undefined {
-    if (!this.#shutdown || mayTake(now, this.#shutdown, deadlineAt)) return undefined;
+    if (!this.#shutdown) return undefined;
+    if (!this.#hasEnded && mayTake(now, this.#shutdown, deadlineAt)) return undefined;
     return this.#draining('may stop before the deadline of the request');
   }
 
@@ -84,8 +87,9 @@
     return new Failure('draining', `${vm} ${detail}`, { retryAfterMs: RETRY_MS });
   }
 
-  /** Logs the requests in progress, which are about to be cut off. */
-  reportCutOff(now: number, exchanges: readonly Exchange[]): void {
+  /** Takes no more requests, and logs those in progress, which are about to be cut off. */
+  end(now: number, exchanges: readonly Exchange[]): void {
+    this.#hasEnded = true;
     const { log } = this.#context;
     const beganAt = this.#shutdown?.beganAt ?? now;
     for (const exchange of exchanges.slice(0, MAX_CUT_OFF_LINES)) {
