Let streams that go on wait for a free slot

The streams of a runner that fell silent were cut with "no reservation in time" while the other decode runners had all their slots taken, although these become free within a fraction of a second.

Cause: a VM without a retry budget for a prefill and a run asks for a decode runner that prefills the prompt itself. The scheduler refused that at once unless some decode runner was prefilling.

A stream that goes on now waits if a decode runner may prefill its prompt once it is free. Where the pause would be too long for the streams there, it is refused at once as before.

The new test of a free slot failed before the change.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -164,18 +164,24 @@
    * memory was idle while requests were refused.
    */
   findLocalPrefill(now: number, local: LocalDemand, engine: Engine): DecodeState | undefined {
-    const { demand } = local;
-    // A VM that reaches no prefill runner names them all; its requests would wait for one in vain.
-    const hasPrefillRunner = [...this.#account.prefill.keys()].some(
-      (id) => this.#backoffs.isOpen(now, id, demand.vm) && !demand.avoid.includes(id),
-    );
-    const isAllowed = this.#prefills.mayPrefillLocally(now, local, engine, hasPrefillRunner);
-    return this.#findMostFree(now, demand, isAllowed);
+    const hasOther = this.#hasPrefillRunner(now, local.demand);
+    const isAllowed = this.#prefills.mayPrefillLocally(now, local, engine, hasOther);
+    return this.#findMostFree(now, local.demand, isAllowed);
+  }
+
+  /** Whether a decode runner may prefill a prompt once others have been prefilled or streams have ended. */
+  mayPrefillLater(now: number, local: LocalDemand, engine: Engine): boolean {
+    const runners = [...this.#account.decode.values()];
+    if (runners.some((state) => isPrefillingLocally(now, state))) return true;
+    const hasOther = this.#hasPrefillRunner(now, local.demand);
+    const isAllowed = this.#prefills.mayPrefillWhenFree(now, local, engine, hasOther);
+    return this.#findMostFree(now, local.demand, isAllowed) !== undefined;
   }
 
-  /** Whether a decode runner is running a local prefill at the moment. */
-  isPrefillingLocally(now: number): boolean {
-    return [...this.#account.decode.values()].some((state) => isPrefillingLocally(now, state));
+  /** A VM that reaches no prefill runner names them all; its requests would wait for one in vain. */
+  #hasPrefillRunner(now: number, { vm, avoid }: Demand): boolean {
+    const ids = [...this.#account.prefill.keys()];
+    return ids.some((id) => this.#backoffs.isOpen(now, id, vm) && !avoid.includes(id));
   }
 
   /** How far the decode runners are open to the VM of a request. */
--- a/src/core/memory/prefills.ts
+++ b/src/core/memory/prefills.ts
@@ -122,13 +122,26 @@
     engine: Engine,
     hasPrefillRunner: boolean,
   ): (state: DecodeState, free: number) => boolean {
-    const isShortPause = this.#shortPauses(now, local.demand.promptTokens, engine);
-    const isSooner = this.#isSoonerLocally(now, local);
+    const mayWhenFree = this.mayPrefillWhenFree(now, local, engine, hasPrefillRunner);
     return (state, free) => {
       const hasSpareMemory =
         free - local.need > state.memoryTokens * this.#rules.localFreeShare &&
         engine.slots > state.allocations.size;
-      if (!hasSpareMemory || isPrefillingLocally(now, state)) return false;
+      return hasSpareMemory && !isPrefillingLocally(now, state) && mayWhenFree(state);
+    };
+  }
+
+  /** Whether a decode runner may prefill the prompt of a request once it is free; see above. */
+  mayPrefillWhenFree(
+    now: number,
+    local: LocalDemand,
+    engine: Engine,
+    hasPrefillRunner: boolean,
+  ): (state: DecodeState) => boolean {
+    const isShortPause = this.#shortPauses(now, local.demand.promptTokens, engine);
+    const isSooner = this.#isSoonerLocally(now, local);
+    return (state) => {
+      if (local.need >= state.memoryTokens * (1 - this.#rules.localFreeShare)) return false;
       return !hasPrefillRunner || (isShortPause(state) && isSooner(state));
     };
   }
--- a/src/core/memory/scheduler.ts
+++ b/src/core/memory/scheduler.ts
@@ -254,14 +254,13 @@
   /**
    * Refuses requests that no decode runner can prefill now. They have failed before, and runners
    * prefill prompts themselves only while that delays no other stream. A stream that goes on waits
-   * while a runner prefills: all streams of a lost runner ask at once, each runner prefills one prompt
-   * at a time, and a refusal ends the stream.
+   * for a runner that is only busy: all streams of a lost runner ask at once, when the others are
+   * full, each runner prefills one prompt at a time, and a refusal ends the stream.
    */
   #refuseLocalPrefills(now: number, order: readonly Demand[]): void {
-    const isPrefilling = this.#capacity.isPrefillingLocally(now);
-    for (const { id, rank, prefillsLocally, resuming } of order) {
-      const mayWait = resuming && isPrefilling;
-      if (prefillsLocally && !mayWait && this.#queue.has(id)) {
+    for (const demand of order) {
+      const { id, rank, prefillsLocally } = demand;
+      if (prefillsLocally && this.#queue.has(id) && !this.#mayWaitForPrefill(now, demand)) {
         this.#queue.delete(id);
         const cause = { rank, reason: 'localPrefill' } as const;
         this.#actions.push({ kind: 'refuse', id, retryAfterMs: RETRY_FULL_MS, cause });
@@ -269,6 +268,12 @@
     }
   }
 
+  #mayWaitForPrefill(now: number, demand: Demand): boolean {
+    if (!demand.resuming || !this.#engine) return false;
+    const local = { demand, need: this.#stats.sizeOf(demand), tokensAhead: 0 };
+    return this.#capacity.mayPrefillLater(now, local, this.#engine);
+  }
+
   /**
    * The decode runner with the most free memory that fits a request; undefined if there is none.
    */
--- a/test/router/localprefill.test.ts
+++ b/test/router/localprefill.test.ts
@@ -73,6 +73,42 @@
     expect(actions).toMatchObject([{ kind: 'grant', id: 'c' }]);
   });
 
+  /** A planner whose decode runners have no free slot. */
+  function fullPlannerOf(change: Partial<Demand>): Planner {
+    const planner = new Planner(planPolicy);
+    const engine = { ...streamEngine, slots: 2 };
+    planner.handle(0, { kind: 'runners', engine, runners });
+    ['a', 'b', 'c', 'd'].forEach((id) => {
+      const demand = demandOf(id, 0, { promptTokens: 100, ...change });
+      planner.handle(0, { kind: 'asked', demand });
+      planner.handle(0, {
+        kind: 'prefilled',
+        id,
+        ms: 1,
+        unreachable: undefined,
+        shedBy: undefined,
+      });
+      planner.handle(0, { kind: 'started', id });
+    });
+    return planner;
+  }
+
+  // Guards against streams of a lost runner that are cut while all slots of the others are taken.
+  test('waits for a free slot if it continues a stream', () => {
+    const planner = fullPlannerOf({});
+    const change = { prefillsLocally: true, resuming: true, promptTokens: 100 };
+    expect(ask(planner, change)).toEqual([]);
+    expect(planner.handle(20, { kind: 'finished', id: 'a', outputTokens: 100 })).toMatchObject([
+      { kind: 'grant', id: 'q', grant: { prefill: undefined } },
+    ]);
+  });
+
+  test('is refused although it continues a stream if no free slot lets a runner prefill it', () => {
+    const planner = fullPlannerOf({ gapMs: 10 });
+    const change = { prefillsLocally: true, resuming: true, promptTokens: 100 };
+    expect(ask(planner, change)).toMatchObject([{ kind: 'refuse', id: 'q' }]);
+  });
+
   test('tells the owner so', () => {
     const { vm, returned, ...sent } = demandOf('q', 0, { prefillsLocally: true });
     expect(fromWireDemand(0, vm, toWireDemand(0, sent))).toEqual({ ...sent, vm, returned });
