Hold a silent stream for which no other run may begin

A stream whose runner was silent for 2 s was ended if the retry budget allowed no other run, also while its VM was told to stop.

--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -15,11 +15,6 @@
 
 /** Period at which another run is asked for again while the retry budget allows none, in milliseconds. */
 const HOLD_RETRY_MS = 100;
-/**
- * Silence after which a stream is ended that no other run may continue yet, in milliseconds, so
- * that its caller can take it up.
- */
-const GIVE_UP_MS = 2000;
 
 /** What a watch needs of its stream. */
 export interface SilenceContext {
@@ -81,7 +76,7 @@
     this.#timer = undefined;
     if (!canResume()) return;
     let next = await this.#checkRunner(heardAt);
-    while (next === 'wait' && performance.now() - heardAt < GIVE_UP_MS) {
+    while (next === 'wait') {
       await pause(HOLD_RETRY_MS, undefined, { ref: false });
       next = await this.#checkRunner(heardAt);
     }
