Count no check of a silent runner during which the VM itself was busy

A VM that had no processor time for 0.4 s took its own delay for the silence of a runner: its timer fired before the runner's answer was read, so that it ended a sound stream and repeated the run elsewhere.

Cause: the check of a runner raced an answer against a timer, and in an event loop that was blocked the timer wins. The time for a check begins anew if its timer fires late, and what has arrived is read before it counts.

The test blocks the loop for 0.6 s while the answer arrives after 30 ms; before the change the stream was ended.

--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -1,7 +1,7 @@
 /** Detects that a runner has stopped in the middle of a stream without ending its connection. */
 
 import type { Readable } from 'node:stream';
-import { setTimeout as pause } from 'node:timers/promises';
+import { setImmediate as yieldOnce, setTimeout as pause } from 'node:timers/promises';
 
 /** Multiple of the longest allowed pause between events after which a stream counts as silent. */
 const SILENCE_PAUSES = 2;
@@ -12,6 +12,8 @@
  * disconnect some two seconds after the last event, and another run needs the rest of that time.
  */
 const CHECK_MS = 400;
+/** Delay of a timer from which on this VM counts as busy, in milliseconds: an answer may wait in its sockets. */
+const BUSY_MS = 100;
 
 /** Period at which another run is asked for again while the retry budget allows none, in milliseconds. */
 const HOLD_RETRY_MS = 100;
@@ -88,7 +90,7 @@
   /** What to do: `end` the stream, `wait` for the retry budget, or nothing. */
   async #checkRunner(heardAt: number): Promise<'end' | 'wait' | 'none'> {
     const { isRunning, holdRun } = this.#context;
-    const isAlive = await Promise.race([isRunning(), pause(CHECK_MS, false, { ref: false })]);
+    const isAlive = await Promise.race([isRunning(), noAnswer()]);
     if (this.#isStopped || this.#heardAt !== heardAt) return 'none';
     if (isAlive) {
       this.#schedule();
@@ -97,3 +99,16 @@
     return holdRun() ? 'end' : 'wait';
   }
 }
+
+/** Resolves to false after the time for a check, which begins anew while this VM is busy. */
+async function noAnswer(): Promise<false> {
+  let lateMs = Infinity;
+  while (lateMs > BUSY_MS) {
+    const startedAt = performance.now();
+    await pause(CHECK_MS, undefined, { ref: false });
+    lateMs = performance.now() - startedAt - CHECK_MS;
+  }
+  // What has arrived is read before the time counts as over.
+  await yieldOnce();
+  return false;
+}
--- /dev/null
+++ b/test/router/silence.test.ts
@@ -0,0 +1,51 @@
+import { setTimeout as pause } from 'node:timers/promises';
+import { Worker } from 'node:worker_threads';
+
+import { SilenceWatch } from '../../src/node/router/silence';
+
+/** Answers each message after 30 ms. */
+const ANSWERING = `
+  const { parentPort } = require('node:worker_threads');
+  parentPort.on('message', () => setTimeout(() => parentPort.postMessage('running'), 30));
+`;
+const BUSY_MS = 600;
+
+function block(ms: number): void {
+  const until = performance.now() + ms;
+  while (performance.now() < until);
+}
+
+describe('the watch of a silent stream', () => {
+  // Guards against a VM that is busy, takes its own delay for the silence of a runner, and ends a sound stream.
+  test('counts no check during which this VM was busy', async () => {
+    const runner = new Worker(ANSWERING, { eval: true });
+    let ended = 0;
+    const watch: SilenceWatch = new SilenceWatch({
+      body: {
+        destroy: () => {
+          ended += 1;
+          watch.stop();
+          return undefined as never;
+        },
+      },
+      gapMs: 10,
+      canResume: () => true,
+      holdRun: () => true,
+      isRunning: () =>
+        new Promise((resolve) => {
+          runner.once('message', () => {
+            watch.heard(performance.now());
+            resolve(true);
+          });
+          runner.postMessage('check');
+          setTimeout(() => setImmediate(() => block(BUSY_MS)), 5);
+        }),
+      onStalled: () => undefined,
+    });
+    watch.heard(performance.now());
+    await pause(1700);
+    watch.stop();
+    await runner.terminate();
+    expect(ended).toBe(0);
+  }, 20_000);
+});
