--- a/scripts/soak/vm.ts
+++ b/scripts/soak/vm.ts
@@ -87,6 +87,9 @@
 
   #isStopping = false;
 
+  /** Whether its process has logged that it has stopped. */
+  #hasStopped = false;
+
   constructor(options: VmOptions) {
     this.options = options;
   }
@@ -139,6 +142,10 @@
     const log = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
+    this.#hasStopped = false;
+    child.stdout.on('data', (lines: Buffer) => {
+      if (lines.includes('"Stopped."')) this.#hasStopped = true;
+    });
     child.once('exit', (code, signal) => this.#onExit(code, signal));
     this.#process = child;
     this.#isStopping = false;
@@ -189,7 +196,10 @@
   /** Stops its process as the platform does: SIGTERM, then SIGKILL after the grace period. Resolves once it has exited. */
   async terminate(): Promise<void> {
     this.signal('SIGTERM');
-    const kill = setTimeout(() => this.signal('SIGKILL'), bounds['grace-s'] * 1000);
+    const kill = setTimeout(() => {
+      if (this.#hasStopped) this.crashes.push(`${this.options.name} stopped and did not exit`);
+      this.signal('SIGKILL');
+    }, bounds['grace-s'] * 1000);
     await this.waitForExit();
     clearTimeout(kill);
   }
