--- a/src/core/shutdown.ts
+++ b/src/core/shutdown.ts
@@ -8,7 +8,7 @@
   readonly addressedUntil: number;
   /** Until when it accepts connections. */
   readonly acceptsUntil: number;
-  /** Until when requests must have ended that are to end for sure; those without a response get an error then. */
+  /** Deadline for late requests that are still taken; requests without a response get an error then. */
   readonly endsBy: number;
   /** When the responses that are not complete are cut off. */
   readonly cutOffAt: number;
--- a/src/utils/looppolls.ts
+++ b/src/utils/looppolls.ts
@@ -9,13 +9,13 @@
 
   #polledAt = -Infinity;
 
-  /** Starts to observe; does not keep the process alive. */
+  /** Starts observing; does not keep the process alive. */
   start(now: number): void {
     this.#polledAt = now;
     this.#timer ??= setInterval(() => this.#willPoll(performance.now()), PERIOD_MS).unref();
   }
 
-  /** Stops to observe. */
+  /** Stops observing. */
   stop(): void {
     clearInterval(this.#timer);
     this.#timer = undefined;
