Reset connections with a response in progress when their callers send malformed data

What callers saw: a response of HTTP/1.1 that was cut because its caller sent malformed data ended with a regular close of the connection, only one of HTTP/1.0 with a reset.

The test `a connection whose response is in progress is reset when the caller sends malformed data` failed on each run on Node 20.19.0 (llhttp 8.1.2): both events arrived and the connection ended in order, where a reset was expected. Its request is one of HTTP/1.0 without keep-alive. This parser reads nothing after such a request, so nobody sees the malformed bytes and the whole response is right; later parsers of Node 20 report them. The check depended on the parser and left out the callers whose connections are kept, for which every parser reports the bytes.

Replaced by checks that do not depend on the parser. Connections that are kept (chunked, with a length, HTTP/1.0 with keep-alive): exactly the bytes of the first event, then a reset; no error text. HTTP/1.0 that is not kept: whole and closed, or the first event and a reset; nothing else.

OpenResponses.resetOn resets it first; the gateway uses it too.

--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -217,8 +217,7 @@
     );
     server.maxConnections = limits.connections;
     server.on('clientError', (error, socket) => {
-      if (answers.abortOn(socket)) socket.destroy();
-      else respondToMalformedInput(error, socket);
+      if (!answers.resetOn(socket)) respondToMalformedInput(error, socket);
     });
     return server;
   }
--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -78,8 +78,7 @@
     this.#server.headersTimeout = DEFAULT_HEADER_MS;
     this.#server.on('connection', (socket) => socket.setNoDelay(true));
     this.#server.on('clientError', (error, socket) => {
-      if (this.#openResponses.abortOn(socket)) socket.destroy();
-      else rejectMalformed(error, socket as Socket);
+      if (!this.#openResponses.resetOn(socket)) rejectMalformed(error, socket as Socket);
     });
   }
 
--- a/src/utils/responses.ts
+++ b/src/utils/responses.ts
@@ -1,6 +1,7 @@
 /** Tracks the responses in progress on each connection. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
 import { abortResponse } from './http';
@@ -31,6 +32,14 @@
     return responses.length > 0;
   }
 
+  /** Resets a connection if a response is in progress on it, whatever its version of HTTP; false if there is none. */
+  resetOn(socket: Duplex): boolean {
+    if (!this.#bySocket.get(socket)?.size) return false;
+    // Servers of `node:http` have no other sockets.
+    (socket as Socket).resetAndDestroy();
+    return this.abortOn(socket);
+  }
+
   /** Aborts all responses in progress. */
   abortAll(): void {
     [...this.#bySocket.keys()].forEach((socket) => this.abortOn(socket));
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -160,12 +160,14 @@
 
 describe('a connection whose response is in progress', () => {
   const EVENT = 'id: 1\ndata: x\n\n';
-  const REQUEST = 'GET /a/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n';
+  const ONE_REQUEST = 'GET /a/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n';
   /** Time to observe a connection, longer than a response of this test takes. */
   const OBSERVED_MS = 300;
   const routingState = new RoutingState(new StoreHistory(), log, noopListener);
   const front = frontOf(routingState, async (exchange) => {
-    exchange.writeHead(200, ['content-type', 'text/event-stream']);
+    const hasLength = exchange.request.target === '/a/length';
+    const length = hasLength ? ['content-length', String(2 * EVENT.length)] : [];
+    exchange.writeHead(200, ['content-type', 'text/event-stream', ...length]);
     await exchange.write(Buffer.from(EVENT));
     await pause(OBSERVED_MS / 3);
     exchange.end(Buffer.from(EVENT));
@@ -182,8 +184,9 @@
   /** Sends a request and calls `more` once its response has begun; returns what was received and how the connection ended. */
   async function observe(
     more: (socket: Socket) => void,
+    request = ONE_REQUEST,
   ): Promise<{ readonly got: string; readonly end: string }> {
-    const socket = connect(port, '127.0.0.1', () => socket.write(REQUEST));
+    const socket = connect(port, '127.0.0.1', () => socket.write(request));
     let got = '';
     let end = 'open';
     socket.on('data', (data) => {
@@ -202,9 +205,27 @@
   }
 
   // Guards against an error response that is written into a response, which then looks complete.
-  test('is reset when the caller sends malformed data', async () => {
+  test.each([
+    ['in chunks', requestOf('/a/'), `f\r\n${EVENT}\r\n`],
+    ['with a length', requestOf('/a/length'), EVENT],
+    [
+      'with a length, HTTP/1.0',
+      ONE_REQUEST.replace('/a/', '/a/length').replace('Host', 'Connection: keep-alive\r\nHost'),
+      EVENT,
+    ],
+  ])(
+    'is reset when the caller of a kept one sends malformed data: %s',
+    async (_, request, begun) => {
+      const { got, end } = await observe((socket) => socket.write('no request\r\n\r\n'), request);
+      expect([/\r\n\r\n(.*)/s.exec(got)?.[1], end]).toEqual([begun, 'reset']);
+    },
+  );
+
+  // Guards against the same where parsers differ: some read nothing after the last request of a connection.
+  test('is whole or reset when the caller of one that is not kept sends malformed data', async () => {
     const { got, end } = await observe((socket) => socket.write('no request\r\n\r\n'));
-    expect([got.split('\r\n\r\n')[1], end]).toEqual([EVENT, 'reset']);
+    const body = /\r\n\r\n(.*)/s.exec(got)?.[1];
+    expect([body, end]).toEqual(end === 'reset' ? [EVENT, end] : [EVENT + EVENT, 'closed']);
   });
 
   // Guards against a response that looks complete because its connection is closed normally when the caller half-closes it.
