Give up stalled connections only where the replacement is certain

What callers saw: a sound runner held all bytes for 1.8 s, and calls in progress there that may be repeated ended with 502, since no other runner could take them.

Cause: a connection that isn't there in 350 ms marks the path lost, and 0.7 s later all connections on it whose requests may run again were closed. Whether anything could replace them was asked afterwards. The same held for resumable streams with events, prefills, and connections that a VM forwards for another one.

Fix: the owner of a connection is asked when it has stalled. It allows the close if attempts are left, another runner is reached, the quota covers the run and the retry budget has set it aside. Streams with events are given up only if this VM is cut off: another VM reached the runner after the path was lost, and a direct connection that began later failed. A silent runner is reached by none, so that the two are told apart. Prefills are left to their time limit. A VM that forwards gives up only what may be repeated, and only where it is cut off itself.

Probes: one through another VM for each direct one, while connections are open.

--- a/src/core/paths/forwarders.ts
+++ b/src/core/paths/forwarders.ts
@@ -8,6 +8,12 @@
 const PREFERRED_MS = 5000;
 /** VMs that do not reach a runner either, from which it counts as out of reach. Part of them may be partitioned as well. */
 const CONFIRMATIONS = 4;
+/** Time after which another VM is asked although the direct attempt goes on, in milliseconds: many round trips, but little compared with a request's latency target. */
+const FIRST_TUNNEL_MS = 60;
+/** Time after which one more VM is asked, in milliseconds. */
+const TUNNEL_STAGGER_MS = 100;
+/** The same if the first one forwarded lately, in milliseconds: it is probably busy, and more connections would add to that. */
+const PREFERRED_STAGGER_MS = 300;
 /** Entries from which expired ones are removed. */
 const MAX_ENTRIES = 1000;
 
@@ -30,6 +36,21 @@
   ]).flat();
 }
 
+/**
+ * When the VMs are asked for one connection, in milliseconds after it is sought.
+ * @param isLost whether the direct path is known to be lost, so that no direct attempt is made
+ * @param isPreferred whether the first VM forwarded lately
+ */
+export function tunnelDelays(
+  count: number,
+  isLost: boolean,
+  isPreferred: boolean,
+): readonly number[] {
+  const firstMs = isLost ? 0 : FIRST_TUNNEL_MS;
+  const staggerMs = isLost && isPreferred ? PREFERRED_STAGGER_MS : TUNNEL_STAGGER_MS;
+  return Array.from({ length: count }, (_, index) => firstMs + index * staggerMs);
+}
+
 /** Removes entries whose time is over. */
 function expire(now: number, ends: Map<string, number>): void {
   for (const [key, until] of ends) if (until <= now) ends.delete(key);
--- a/src/core/paths/table.ts
+++ b/src/core/paths/table.ts
@@ -23,6 +23,10 @@
   isConfirmed: boolean;
   /** When the runner was last reached through another VM. */
   forwardedAt: number;
+  /** When it was first reached through another VM after the loss; undefined if it was not. */
+  firstForwardedAt: number | undefined;
+  /** Whether a direct connection failed that began after that. */
+  isCutOff: boolean;
   probeAt: number;
   probeMs: number;
 }
@@ -96,10 +100,14 @@
     return since === undefined ? undefined : now - since;
   }
 
-  /** Records that a direct connection failed; returns whether the path was not lost before. */
-  recordLost(now: number, destination: Destination, random: number): boolean {
+  /**
+   * Records that a direct connection failed; returns whether the path was not lost before.
+   * @param beganAt when the connection began. Default: just now
+   */
+  recordLost(now: number, destination: Destination, random: number, beganAt = now): boolean {
     const known = this.#lost.get(destination.address);
     if (known) {
+      known.isCutOff ||= beganAt >= (known.firstForwardedAt ?? Infinity);
       postpone(now, known, random);
       return false;
     }
@@ -109,6 +117,8 @@
       isTunnelLost: false,
       isConfirmed: false,
       forwardedAt: -Infinity,
+      firstForwardedAt: undefined,
+      isCutOff: false,
       probeAt: 0,
       probeMs: FIRST_PROBE_MS,
     };
@@ -117,12 +127,20 @@
     return true;
   }
 
-  /** Records that a runner was reached through another VM. */
-  recordForwarded(now: number, address: string): void {
+  /** Records that a runner was reached through another VM; returns whether that is the first time since its path was lost. */
+  recordForwarded(now: number, address: string): boolean {
     const lost = this.#lost.get(address);
-    if (!lost) return;
+    if (!lost) return false;
+    const isFirst = lost.firstForwardedAt === undefined;
     lost.isTunnelLost = false;
     lost.forwardedAt = now;
+    lost.firstForwardedAt ??= now;
+    return isFirst;
+  }
+
+  /** Whether another VM reaches an address, and direct connections of this VM fail after that as well. */
+  isCutOff(address: string): boolean {
+    return this.#lost.get(address)?.isCutOff ?? false;
   }
 
   /**
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -28,6 +28,7 @@
 import { budgetSpentFailure } from './retries';
 import type { Runs } from './runs';
 import { SHORT_WAIT } from './screening';
+import { abandonmentOf } from './streamabandonment';
 import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
 import { unreachedFailure, versionGoneFailure } from './unreached';
 
@@ -300,7 +301,7 @@
         request,
         deadlineMs,
         signal,
-        mayRepeat: exchange.route.resumable,
+        mayAbandon: abandonmentOf(this.#context, exchange, progress, runner),
         onReply: (answer) => run.replied(performance.now(), answer),
         cache,
         afterEvent,
--- a/src/node/router/openconnections.ts
+++ b/src/node/router/openconnections.ts
@@ -2,15 +2,18 @@
 
 import type { Socket } from 'node:net';
 
+import type { Abandonment } from './types';
+
 interface OpenConnection {
   readonly socket: Socket;
+  readonly mayAbandon: Abandonment;
   bytesRead: number;
   /** Since when nothing has arrived, as far as it was checked. */
   silentSince: number;
 }
 
 /**
- * Time without bytes after which a connection on a lost path is given up, in milliseconds. Some
+ * Time without bytes after which a connection on a lost path may be given up, in milliseconds. Some
  * connections go on while new ones fail; a prefill may take that long before its answer.
  */
 const STALL_MS = 700;
@@ -29,10 +32,15 @@
     return this.#byAddress.size === 0;
   }
 
+  /** Whether there are any to an address. */
+  has(address: string): boolean {
+    return this.#byAddress.has(address);
+  }
+
   /** Adds a connection until it closes. */
-  add(now: number, address: string, socket: Socket): void {
+  add(now: number, address: string, socket: Socket, mayAbandon: Abandonment): void {
     const known = this.#byAddress.get(address) ?? new Set();
-    const connection = { socket, bytesRead: socket.bytesRead, silentSince: now };
+    const connection = { socket, mayAbandon, bytesRead: socket.bytesRead, silentSince: now };
     known.add(connection);
     this.#byAddress.set(address, known);
     socket.once('close', () => this.#remove(address, connection));
@@ -57,13 +65,14 @@
   }
 
   /**
-   * Gives up the connections to an address that have stalled since its path was lost; returns how
-   * many.
+   * Gives up the connections to an address that have stalled since its path was lost and whose
+   * owners allow it; returns how many.
    */
   abandonStalled(now: number, address: string, lostSince: number): number {
     this.#update(now);
     const stalled = [...(this.#byAddress.get(address) ?? [])].filter(
-      ({ silentSince }) => now - Math.max(silentSince, lostSince) >= STALL_MS,
+      ({ silentSince, mayAbandon }) =>
+        now - Math.max(silentSince, lostSince) >= STALL_MS && mayAbandon(),
     );
     for (const { socket } of stalled) socket.destroy(new Error('stalled on a lost path'));
     return stalled.length;
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -7,7 +7,7 @@
 
 import { Failure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
-import { Forwarders } from '../../core/paths/forwarders';
+import { Forwarders, tunnelDelays } from '../../core/paths/forwarders';
 import type { Destination, Path } from '../../core/paths/table';
 import { PathTable } from '../../core/paths/table';
 import type { Runner } from '../../core/routing/types';
@@ -20,7 +20,13 @@
 import { OpenConnections, SILENT_MS } from './openconnections';
 import type { Way } from './race';
 import { firstConnection } from './race';
-import type { RunnerConnection, RunnerConnector, RunnerPaths, RunnerTarget } from './types';
+import type {
+  Abandonment,
+  RunnerConnection,
+  RunnerConnector,
+  RunnerPaths,
+  RunnerTarget,
+} from './types';
 
 /** Dependencies of the paths. */
 export interface PathContext {
@@ -43,12 +49,6 @@
 
 /** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 350;
-/** Time after which another VM is asked although the direct attempt goes on, in milliseconds: many round trips, but little compared with a request's latency target. */
-const FIRST_TUNNEL_MS = 60;
-/** Time after which one more VM is asked, in milliseconds. */
-const TUNNEL_STAGGER_MS = 100;
-/** The same if the first one forwarded lately, in milliseconds: it is probably busy, and more connections would add to that. */
-const PREFERRED_STAGGER_MS = 300;
 /** VMs asked for one connection. */
 const MAX_TUNNELS = 4;
 /** VMs asked in one probe; the next probe asks others. */
@@ -108,6 +108,10 @@
     return this.#table.pathTo(address) !== 'none';
   }
 
+  isCutOff({ address }: Pick<Runner, 'address'>): boolean {
+    return this.#table.isCutOff(address);
+  }
+
   isAtFault(now: number, { address }: Pick<Runner, 'address'>, sentAt: number): boolean {
     const lostSince = this.#table.lostSince(address);
     if (lostSince === undefined) return true;
@@ -154,7 +158,7 @@
     const socket = await this.#openDirect({ address, id }).catch(({ message }: Error) => {
       throw new Failure('runnerUnreachable', `${address}: ${message}`);
     });
-    if (mayAbandon) this.#track(address, socket);
+    if (mayAbandon) this.#track(address, socket, mayAbandon);
     return socket;
   }
 
@@ -169,12 +173,12 @@
     const connection = await firstConnection(ways, signal);
     const { socket, via } = connection;
     if (via === undefined) {
-      if (mayAbandon) this.#track(address, socket);
+      if (mayAbandon) this.#track(address, socket, mayAbandon);
       return connection;
     }
     this.#context.metrics.count('tunnels.opened');
-    this.#table.recordForwarded(performance.now(), address);
-    if (mayAbandon) this.#track(via, socket);
+    this.#onForwarded(performance.now(), target);
+    if (mayAbandon) this.#track(via, socket, mayAbandon);
     return connection;
   }
 
@@ -183,8 +187,8 @@
     this.#open.abandon(address);
   }
 
-  #track(address: string, socket: Socket): void {
-    this.#open.add(performance.now(), address, socket);
+  #track(address: string, socket: Socket, mayAbandon: Abandonment): void {
+    this.#open.add(performance.now(), address, socket, mayAbandon);
     this.#startTimer();
   }
 
@@ -202,16 +206,12 @@
       drawn ??= this.#forwarders.order(now, members(), address, maxTunnels, Math.random);
       return drawn;
     };
-    const waysFrom = (firstMs: number, staggerMs: number): readonly Way[] =>
-      Array.from({ length: maxTunnels }, (_, index) =>
-        this.#tunnelWay(target, () => draw()[index], firstMs + index * staggerMs),
-      );
-    if (isLost) {
-      // Requests do not wait for a path that is known to be lost; probes find out when it is back.
-      const isPreferred = this.#forwarders.isPreferred(now, draw()[0]?.vm ?? '');
-      return waysFrom(0, isPreferred ? PREFERRED_STAGGER_MS : TUNNEL_STAGGER_MS);
-    }
-    const tunnels = waysFrom(FIRST_TUNNEL_MS, TUNNEL_STAGGER_MS);
+    const isPreferred = isLost && this.#forwarders.isPreferred(now, draw()[0]?.vm ?? '');
+    const tunnels = tunnelDelays(maxTunnels, isLost, isPreferred).map((delayMs, index) =>
+      this.#tunnelWay(target, () => draw()[index], delayMs),
+    );
+    // Requests do not wait for a path that is known to be lost; probes find out when it is back.
+    if (isLost) return tunnels;
     // The second direct attempt makes up for a lost SYN of the first.
     const last = this.#directWay(target, CONNECT_TIMEOUT_MS);
     return [this.#directWay(target, 0), ...tunnels, last];
@@ -245,7 +245,7 @@
     const asked: TunnelRequest = {
       address,
       vm,
-      mayAbandon,
+      mayAbandon: mayAbandon !== undefined,
       id: tunnelId,
       ...(id === undefined ? {} : { runner: id }),
       ...(request === undefined ? {} : { request }),
@@ -268,12 +268,13 @@
   /** Connects directly and records the outcome, also if the connection is not needed any more. */
   async #openDirect(destination: Destination): Promise<Socket> {
     const { address } = destination;
+    const beganAt = performance.now();
     const socket = this.#context.dialer.dial(address);
     socket.on('error', () => {});
     try {
       await connected(socket, CONNECT_TIMEOUT_MS);
     } catch (error) {
-      this.#onDirectFailed(performance.now(), destination, error as Error);
+      this.#onDirectFailed(performance.now(), destination, beganAt, error as Error);
       throw error;
     }
     this.#onConnected(performance.now(), address);
@@ -291,15 +292,26 @@
     log.info({ address, lostMs: Math.round(lostMs) }, 'The path to a runner is back.');
   }
 
-  #onDirectFailed(now: number, destination: Destination, { message: detail }: Error): void {
-    if (!this.#table.recordLost(now, destination, Math.random())) return;
+  /** The runner is not silent if another VM reaches it: a direct attempt that begins now tells whether this VM is cut off. */
+  #onForwarded(now: number, { address, id }: Destination): void {
+    if (this.#table.recordForwarded(now, address)) this.#probeDirect({ address, id });
+  }
+
+  #onDirectFailed(
+    now: number,
+    destination: Destination,
+    beganAt: number,
+    { message: detail }: Error,
+  ): void {
+    if (!this.#table.recordLost(now, destination, Math.random(), beganAt)) return;
     const { metrics, log } = this.#context;
     metrics.count('paths.lost');
     this.#lossesInARow += 1;
     if (this.#lossesInARow >= LOSSES_TO_CHECK_ALL) this.#checkAll(now);
     this.#startTimer();
-    if (!this.#lines.tryAcquire(now)) return;
     const { address } = destination;
+    if (this.#open.has(address)) this.#probeTunnels(now, destination);
+    if (!this.#lines.tryAcquire(now)) return;
     log.info({ address, detail, lost: this.#table.lost.length }, 'Lost the path to a runner.');
   }
 
@@ -334,7 +346,9 @@
     }
     for (const destination of this.#table.takeDue(now, MAX_PROBES, Math.random)) {
       this.#probeDirect(destination);
-      if (!this.reaches(destination)) this.#probeTunnels(now, destination);
+      const { address } = destination;
+      const isUndecided = this.#open.has(address) && !this.isCutOff(destination);
+      if (isUndecided || !this.reaches(destination)) this.#probeTunnels(now, destination);
     }
     if (this.#table.hasLost || !this.#open.isEmpty) return;
     clearInterval(this.#timer);
@@ -365,7 +379,7 @@
 
   /** Probes through another VM whether it reaches a runner. */
   #probeTunnels(now: number, { address, id }: Destination): void {
-    const target: RunnerTarget = { address, id, request: undefined, mayAbandon: true };
+    const target: RunnerTarget = { address, id, request: undefined, mayAbandon: () => true };
     const limit = AbortSignal.timeout(CONNECT_TIMEOUT_MS * 2);
     this.#race(now, target, limit, PROBE_TUNNELS)
       .then(({ socket }) => {
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -11,9 +11,10 @@
 import { PlainHolds } from './plainholds';
 import type { OriginController } from './origins';
 import type { QuotaController } from './quotas';
+import { Replacement } from './replacement';
 import type { RetryController } from './retries';
 import type { Run, Runs } from './runs';
-import type { Reply, RunnerClient } from './types';
+import type { Abandonment, Dispatch, Reply, RunnerClient } from './types';
 
 /** Dependencies of the plain request handler. */
 export interface PlainContext extends BalancerContext {
@@ -21,7 +22,7 @@
   readonly runs: Runs;
   readonly quotas: Pick<QuotaController, 'cover'>;
   readonly origins: Pick<OriginController, 'began'>;
-  readonly retries: Pick<RetryController, 'affords'>;
+  readonly retries: Pick<RetryController, 'affords' | 'holdRun'>;
   readonly metrics: Metrics;
 }
 
@@ -75,7 +76,12 @@
       if (sentCount > 0 && !this.#context.retries.affords(now, exchange, 'run')) break;
       tried.push(runner.id);
       try {
-        const answer = await this.#send(exchange, runner);
+        const hasAttempt = sentCount + 1 < route.attempts && attempt + 1 < MAX_RUNNERS_TRIED;
+        const mayAbandon =
+          hasAttempt && route.kind === 'repeatable'
+            ? this.#abandonment(exchange, tried)
+            : undefined;
+        const answer = await this.#send(exchange, runner, mayAbandon);
         const { reply } = answer;
         const shouldRetry =
           reply.status >= SERVER_ERROR &&
@@ -108,6 +114,13 @@
     }
   }
 
+  /** A request whose connection has stalled is sent to another runner if that is certain. */
+  #abandonment(exchange: Exchange, tried: readonly string[]): Abandonment {
+    const hasNext = (now: number): boolean => this.#balancer.hasAlternative(now, exchange, tried);
+    const replacement = new Replacement(this.#context, exchange, hasNext);
+    return () => replacement.isCertain(performance.now());
+  }
+
   #forward(exchange: Exchange, { runner, reply, body }: Answer): void {
     if (reply.isEvents) {
       exchange.sendsEventsOf(runner);
@@ -147,7 +160,11 @@
     return runs.refusal(now, exchange) ?? (await quotas.cover(exchange));
   }
 
-  async #send(exchange: Exchange, runner: Runner): Promise<Answer> {
+  async #send(
+    exchange: Exchange,
+    runner: Runner,
+    mayAbandon: Abandonment | undefined,
+  ): Promise<Answer> {
     const { health, routingState, paths, runners, runs, loads } = this.#context;
     const records = health(exchange.service);
     const now = performance.now();
@@ -160,7 +177,7 @@
         run.replied(repliedAt, reply);
         loads.replied(repliedAt, exchange, runner, now, reply);
       };
-      const answer = await callRunner(exchange, runner, runners, run, onReply);
+      const answer = await callRunner(exchange, { runner, mayAbandon, onReply }, runners, run);
       records.recordSuccess(runner.id);
       const isError = answer.reply.status >= SERVER_ERROR;
       loads.ended(performance.now(), exchange, runner, isError);
@@ -219,15 +236,14 @@
 
 async function callRunner(
   exchange: Exchange,
-  runner: Runner,
+  send: Pick<Dispatch, 'runner' | 'mayAbandon' | 'onReply'>,
   runners: RunnerClient,
   run: Run,
-  onReply: (reply: Reply) => void,
 ): Promise<Answer> {
   const deadlineMs = exchange.remainingMs(performance.now());
-  const { request, route, signal } = exchange;
-  const mayRepeat = route.kind === 'repeatable';
-  const dispatch = { runner, request, deadlineMs, signal, mayRepeat, onReply };
+  const { request, signal } = exchange;
+  const { runner } = send;
+  const dispatch = { ...send, request, deadlineMs, signal };
   const reply = await runners.send(dispatch).catch((error) => {
     const failure = toFailure(error);
     if (failure.codeName === 'runnerFailed') run.interrupted(performance.now());
--- a/src/node/router/prefillattempts.ts
+++ b/src/node/router/prefillattempts.ts
@@ -86,7 +86,8 @@
         request,
         deadlineMs,
         signal: AbortSignal.any([signal, limit]),
-        mayRepeat: true,
+        // Its time limit ends it.
+        mayAbandon: () => false,
         onReply: (reply) => run.replied(performance.now(), reply),
       });
       run.prefilled(performance.now());
--- a/src/node/router/tunnels.ts
+++ b/src/node/router/tunnels.ts
@@ -17,7 +17,7 @@
 /** Dependencies of the tunnels. */
 export interface TunnelContext {
   readonly routingState: Pick<RoutingState, 'accepts' | 'runners' | 'isListed'>;
-  readonly paths: Pick<PathController, 'connectDirectly' | 'isPartitioned'>;
+  readonly paths: Pick<PathController, 'connectDirectly' | 'isPartitioned' | 'isCutOff'>;
   readonly metrics: Metrics;
   readonly log: Logger;
 }
@@ -104,10 +104,12 @@
 
   /** Connects to the runner and joins the two connections; returns why it does not. */
   async #forward(
-    { address, runner: id, request, mayAbandon, id: tunnel }: TunnelRequest,
+    { address, runner: id, request, id: tunnel, ...asked }: TunnelRequest,
     caller: Socket,
   ): Promise<Rejection | undefined> {
     const { paths } = this.#context;
+    // What replaces the request is known to the VM that asks; one that is cut off is of no use to it.
+    const mayAbandon = asked.mayAbandon ? () => paths.isCutOff({ address }) : undefined;
     try {
       const runner = await paths.connectDirectly({ address, id, request, mayAbandon });
       if (caller.destroyed) {
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -113,6 +113,12 @@
   readonly handle: string;
 }
 
+/**
+ * Whether a stalled connection may be given up now. A runner that is silent for a moment goes on,
+ * so that this holds only if what replaces the request is certain.
+ */
+export type Abandonment = () => boolean;
+
 /** One attempt of a request at a runner. */
 export interface Dispatch {
   readonly runner: Runner;
@@ -120,8 +126,8 @@
   /** Time that the runner has to answer, in milliseconds. */
   readonly deadlineMs: number;
   readonly signal: AbortSignal;
-  /** Whether the request may run again, so that it may be given up when its connection stalls. */
-  readonly mayRepeat: boolean;
+  /** See `RunnerTarget`. */
+  readonly mayAbandon: Abandonment | undefined;
   /** Called with the head of the runner's answer, even if the body fails later. */
   readonly onReply: (reply: Reply) => void;
 }
@@ -162,8 +168,8 @@
 export interface RunnerTarget extends Destination {
   /** Id of the caller's request; undefined for calls of the router itself. */
   readonly request: string | undefined;
-  /** Whether the connection may be given up when it stalls. */
-  readonly mayAbandon: boolean;
+  /** Asked when the connection has stalled on a lost path; undefined if it must never be given up. */
+  readonly mayAbandon: Abandonment | undefined;
 }
 
 /** A tunnel through another VM, as the VM knows it that asked for it. */
@@ -189,6 +195,12 @@
   pathTo(runner: Pick<Runner, 'address'>): Path;
   /** Whether this VM reaches a runner, directly or through another VM. */
   reaches(runner: Pick<Runner, 'address'>): boolean;
+  /**
+   * Whether this VM, not the runner, is at fault: another VM has reached the runner since the
+   * direct path was lost, and a direct connection that began later failed. A runner that is silent
+   * is reached by none.
+   */
+  isCutOff(runner: Pick<Runner, 'address'>): boolean;
   /**
    * Whether a failure of a request to a runner is the runner's. It is not if the direct path was
    * lost under the request, if no VM forwarded it, or if this VM reaches hardly any runner.
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -141,7 +141,7 @@
         return (await this.report(runner)).runner === runner.id;
       }
       const { address, id } = runner;
-      const target = { address, id, request: undefined, mayAbandon: true };
+      const target = { address, id, request: undefined, mayAbandon: () => true };
       const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
       const { socket } = await this.#connector.connect(target, limit);
       socket.destroy();
@@ -160,7 +160,7 @@
     fence: number,
   ): Promise<OrderOutcome> {
     const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const target = { address, id, request: undefined, mayAbandon: false };
+    const target = { address, id, request: undefined, mayAbandon: undefined };
     const report = await this.#callDirectly(target, path.report, { method: 'GET', headers });
     const { sequence, busy, born } = orderStateSchema.parse(JSON.parse(report.body));
     // Another instance of the runner may have another stage and has no orders from this holder.
@@ -193,7 +193,7 @@
   ): Promise<HttpResponse> {
     const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
     const { socket } = await this.#connector.connect(
-      { ...destination, request: undefined, mayAbandon: true },
+      { ...destination, request: undefined, mayAbandon: () => true },
       limit,
     );
     return callOn(socket, destination, target, options);
@@ -208,11 +208,11 @@
   }
 
   async #exchange(dispatch: Dispatch, extra: readonly string[]): Promise<Reply> {
-    const { runner, request, deadlineMs, signal, mayRepeat } = dispatch;
+    const { runner, request, deadlineMs, signal, mayAbandon } = dispatch;
     const { id, address } = runner;
     const startedAt = performance.now();
     const connection = await this.#connector.connect(
-      { address, id, request: request.id, mayAbandon: mayRepeat },
+      { address, id, request: request.id, mayAbandon },
       signal,
     );
     const remainingMs = deadlineMs - (performance.now() - startedAt);
--- a/test/core/paths.test.ts
+++ b/test/core/paths.test.ts
@@ -76,6 +76,22 @@
     table.retain([runner('a'), { address: 'b:80', id: 'b@2' }]);
     expect(table.lost).toEqual(['a:80']);
   });
+
+  /* A silent runner is reached by nobody, and by everybody once it goes on. */
+  test('are cut off only if a direct attempt fails after another VM reached the runner', () => {
+    const table = new PathTable();
+    const isCutOff = [
+      () => table.recordLost(350, runner('a'), 0.5, 0),
+      () => table.recordForwarded(400, 'a:80'),
+      () => table.recordLost(700, runner('a'), 0.5, 350),
+      () => table.recordLost(800, runner('a'), 0.5, 450),
+      () => table.recordConnected(900, 'a:80'),
+    ].map((happen) => {
+      happen();
+      return table.isCutOff('a:80');
+    });
+    expect(isCutOff).toEqual([false, false, false, true, false]);
+  });
 });
 
 function memberOf(vm: string, domain: string, change: Partial<Member> = {}): Member {
--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -9,9 +9,9 @@
 /**
  * What becomes of connections in a partition. `hang`: neither open nor new ones get through;
  * `reset`: open ones are reset, and new ones refused; `live`: open ones go on, and new ones are
- * refused.
+ * refused; `silence`: as `hang`, and all go on once it is healed, new ones as well.
  */
-export type Cut = 'hang' | 'reset' | 'live';
+export type Cut = 'hang' | 'reset' | 'live' | 'silence';
 
 /** Connections of one VM to all runners. */
 class Paths implements Dialer {
@@ -25,6 +25,9 @@
   /** Open connections, each with the address of its runner. */
   readonly #pairs = new Map<readonly [Socket, Socket], string>();
 
+  /** Connections that were begun in a silence. */
+  readonly #held = new Map<Socket, string>();
+
   /** Connections that were begun. */
   dialCount = 0;
 
@@ -38,11 +41,20 @@
     socket.setNoDelay(true);
     const cut = this.#isReached(address) ? undefined : this.#cut;
     if (cut === 'hang') return socket;
+    if (cut === 'silence') {
+      this.#held.set(socket, address);
+      return socket;
+    }
     if (cut !== undefined) {
       const refused = Object.assign(new Error('connect ECONNREFUSED'), { code: 'ECONNREFUSED' });
       setImmediate(() => socket.destroy(refused));
       return socket;
     }
+    this.#connect(socket, address);
+    return socket;
+  }
+
+  #connect(socket: Socket, address: string): void {
     const dialedAt = performance.now();
     socket.once('connect', () => this.connectMs.push(performance.now() - dialedAt));
     this.#proxyOf(address)
@@ -50,7 +62,6 @@
         if (!socket.destroyed) socket.connect((server.address() as AddressInfo).port, '127.0.0.1');
       })
       .catch((error: Error) => socket.destroy(error));
-    return socket;
   }
 
   cut(cut: Cut, isReached: (address: string) => boolean): void {
@@ -75,6 +86,10 @@
       if (caller.destroyed) runner.resetAndDestroy();
       else this.#join(pair);
     }
+    for (const [socket, address] of this.#held) {
+      if (!socket.destroyed) this.#connect(socket, address);
+    }
+    this.#held.clear();
   }
 
   async stop(): Promise<void> {
@@ -102,7 +117,7 @@
     this.#pairs.set(pair, address);
     this.#join(pair);
     const onClose = (other: Socket, hadError: boolean): void => {
-      const isCut = this.#cut === 'hang' || this.#cut === 'reset';
+      const isCut = this.#cut === 'hang' || this.#cut === 'reset' || this.#cut === 'silence';
       if (isCut && !this.#isReached(address)) return;
       if (hadError) other.resetAndDestroy();
       else other.destroySoon();
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -128,6 +128,7 @@
   pathTo: () => 'direct',
   reaches: () => true,
   isAtFault: () => true,
+  isCutOff: () => false,
 };
 
 /** Paths of a VM to runners by their ids. Default: direct. */
@@ -135,7 +136,12 @@
   const pathTo = ({ address }: Pick<Runner, 'address'>): Path =>
     paths[address.split(':')[0] ?? ''] ?? 'direct';
   const reaches: RunnerPaths['reaches'] = (runner) => pathTo(runner) !== 'none';
-  return { pathTo, reaches, isAtFault: (_now, runner) => pathTo(runner) === 'direct' };
+  return {
+    pathTo,
+    reaches,
+    isAtFault: (_now, runner) => pathTo(runner) === 'direct',
+    isCutOff: (runner) => pathTo(runner) === 'tunnel',
+  };
 }
 
 /** Screening by a quarantine in which every trial is granted. */
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -52,7 +52,7 @@
     },
     deadlineMs: 1000,
     signal: new AbortController().signal,
-    mayRepeat: false,
+    mayAbandon: undefined,
     onReply: () => {},
   };
 }
--- a/test/router/paths.test.ts
+++ b/test/router/paths.test.ts
@@ -28,7 +28,7 @@
 }
 
 function targetOf(id: string): RunnerTarget {
-  return { address: `${id}:80`, id, request: 'q', mayAbandon: false };
+  return { address: `${id}:80`, id, request: 'q', mayAbandon: undefined };
 }
 
 /** Paths of a VM whose connections fail or not as a test says. */
--- a/test/router/tunnels.test.ts
+++ b/test/router/tunnels.test.ts
@@ -53,6 +53,7 @@
   constructor(runner: Runner) {
     this.vm = new VmState([runner]);
     const paths: TunnelContext['paths'] = {
+      isCutOff: () => false,
       isPartitioned: () => this.isPartitioned,
       connectDirectly: async ({ address }) => {
         if (this.isPartitioned) throw new Failure('runnerUnreachable', address);
