Check requests at each of their stages amid a change of the configuration

The configuration may change while the body of a request is read, while it waits for memory, a permit or a free runner, while it is at a runner, or between two of its runs. No test played that. A whole VM with its real front end, whose store and runners are played by the test, is brought to each of 15 stages; then the configuration changes and the request goes on. It has to be served to its end, or refused with a true 'not run' where the new version demands it. Nothing may be held afterwards, and no rejection left unhandled.

--- /dev/null
+++ b/test/fakes/scriptedvm.ts
@@ -0,0 +1,374 @@
+/**
+ * A whole VM whose store and runners are played by the test: the real daemon behind its real front
+ * end, so that the configuration can change at an exact stage of a request.
+ */
+
+import type { ClientRequest, Server } from 'node:http';
+import { request } from 'node:http';
+import { PassThrough } from 'node:stream';
+
+import pino from 'pino';
+
+import { Failure } from '../../src/core/failure';
+import type { CodeName } from '../../src/core/codes';
+import { NO_NOTICE } from '../../src/core/routing/notice';
+import { StoreHistory } from '../../src/core/routing/position';
+import type { Runner, RoutingConfig } from '../../src/core/routing/types';
+import { Router } from '../../src/node/router/daemon';
+import type {
+  CacheHandle,
+  DecodeDispatch,
+  Dispatch,
+  Feed,
+  FeedListener,
+  Reply,
+  RouterSettings,
+  RunnerClient,
+} from '../../src/node/router/types';
+import { PlatformControl, PlatformIngress } from '../../src/platform/ingress';
+import { SNAPSHOT_PATH } from '../../src/types/snapshot';
+import { TcpDialer } from '../../src/utils/dialer';
+import { bootNow } from '../../src/utils/clock';
+import { waitUntil } from './cluster';
+import { call, closeServer, listen } from './http';
+import { freePort } from './loopback';
+import { positionAt } from './position';
+
+/** A call that a runner has received and not answered. */
+export class RunnerCall {
+  readonly kind: 'send' | 'decode' | 'prefill';
+
+  readonly dispatch: Dispatch & Partial<DecodeDispatch>;
+
+  /** Whether it completed a prefill, whose KV cache it keeps. */
+  isPrefilled = false;
+
+  /** Whether it has fetched a KV cache. */
+  hasCache: boolean;
+
+  readonly #settle: (value: Reply | CacheHandle | Failure) => void;
+
+  readonly #body = Object.assign(new PassThrough(), { complete: false });
+
+  constructor(
+    kind: RunnerCall['kind'],
+    dispatch: Dispatch & Partial<DecodeDispatch>,
+    settle: (value: Reply | CacheHandle | Failure) => void,
+  ) {
+    this.kind = kind;
+    this.dispatch = dispatch;
+    this.hasCache = dispatch.cache !== undefined;
+    this.#settle = settle;
+    this.#body.on('error', () => {});
+    dispatch.signal.addEventListener('abort', () => this.cut(), { once: true });
+  }
+
+  /** Sends the head of an answer. */
+  head(change: Partial<Reply> = {}): void {
+    const { kind, dispatch } = this;
+    const reply: Reply = {
+      status: 200,
+      framing: 'chunked',
+      isEvents: kind === 'decode',
+      headers: [],
+      genuine: true,
+      notRun: false,
+      misdirected: false,
+      rateNotice: { kind: 'none' },
+      load: undefined,
+      via: undefined,
+      notice: NO_NOTICE,
+      body: this.#body as unknown as Reply['body'],
+      ...change,
+    };
+    dispatch.onReply(reply);
+    this.#settle(reply);
+  }
+
+  /** Completes a prefill. */
+  prefilled(): void {
+    this.isPrefilled = true;
+    this.#settle({ address: this.dispatch.runner.address, handle: 'kept' });
+  }
+
+  /** Fails before the head of an answer. */
+  fail(code: CodeName): void {
+    this.#settle(new Failure(code, 'failed by the test'));
+  }
+
+  /** Answers as another runner than the one that was meant. */
+  misdirect(): void {
+    this.hasCache = false;
+    this.head({ status: 421, genuine: false, notRun: true, misdirected: true });
+    this.end();
+  }
+
+  /** Sends events of a stream. */
+  events(from: number, to: number): void {
+    for (let id = from; id <= to; id += 1) this.#body.write(`id: ${id}\ndata: x\n\n`);
+  }
+
+  /** Answers the call as a sound runner does: a stream has five events. */
+  answer(change: Partial<Reply> = {}): void {
+    if (this.kind === 'prefill') this.prefilled();
+    else {
+      this.head(change);
+      if (this.kind === 'decode') this.events(Number(this.dispatch.afterEvent ?? 0) + 1, 5);
+      this.end(this.kind === 'send' ? 'done' : '');
+    }
+  }
+
+  /** Ends the answer in order. */
+  end(text = ''): void {
+    this.#body.complete = true;
+    this.#body.end(text);
+  }
+
+  /** Breaks the connection. */
+  cut(): void {
+    this.fail('runnerFailed');
+    this.#body.destroy(new Error('cut'));
+  }
+}
+
+/** An answer as its caller received it. */
+export interface Answer {
+  /** HTTP status; 0 if the connection ended without one. */
+  readonly status: number;
+  readonly whole: boolean;
+  readonly body: string;
+  readonly ms: number;
+}
+
+/** A request whose body the test may hold back. */
+export class CallerRequest {
+  readonly #req: ClientRequest;
+
+  readonly #body: string;
+
+  readonly answer: Promise<Answer>;
+
+  constructor(front: string, path: string, headers: Readonly<Record<string, string>>) {
+    const [host, port] = front.split(':');
+    const body = 'a body in two parts';
+    this.#body = body;
+    const sent = { host: 'h.example', 'content-length': String(body.length), ...headers };
+    const options = { host, port, path, method: 'POST', agent: false, headers: sent };
+    this.#req = request(options);
+    const startedAt = performance.now();
+    this.answer = new Promise((resolve) => {
+      let text = '';
+      const end = (status: number, whole: boolean): void =>
+        resolve({ status, whole, body: text, ms: performance.now() - startedAt });
+      this.#req.on('error', () => end(0, false));
+      this.#req.on('response', (res) => {
+        res.setEncoding('utf8').on('data', (chunk: string) => {
+          text += chunk;
+        });
+        res.on('error', () => end(res.statusCode ?? 0, false));
+        res.on('end', () => end(res.statusCode ?? 0, res.complete));
+      });
+    });
+    this.#req.write(body.slice(0, 5));
+  }
+
+  /** Closes the connection. */
+  leave(): void {
+    this.#req.destroy();
+  }
+
+  /** Sends the rest of the body. */
+  finish(): this {
+    this.#req.end(this.#body.slice(5));
+    return this;
+  }
+}
+
+/** The part of a snapshot that tells what a VM holds. */
+interface Held {
+  readonly active: number;
+  readonly plans: readonly { readonly waiting: number; readonly placed: number }[];
+}
+
+/** A VM under the control of a test. */
+export class ScriptedVm {
+  readonly calls: RunnerCall[] = [];
+
+  /** Number of calls to runners that were not listed for the service of the request. */
+  strayed = 0;
+
+  /** Whether calls are answered as they arrive. */
+  #answers = false;
+
+  #freed = 0;
+
+  #listener: FeedListener | undefined;
+
+  #router: Router | undefined;
+
+  #settings: RouterSettings | undefined;
+
+  #config: RoutingConfig | undefined;
+
+  #revision = 0;
+
+  #listed: readonly Runner[] = [];
+
+  #runnerServer: Server | undefined;
+
+  #runnerAddress = '';
+
+  #requests = 0;
+
+  /** Starts the VM with a configuration and runners, whose addresses are replaced. */
+  async start(config: RoutingConfig, runners: readonly Runner[]): Promise<void> {
+    const { server, port } = await listen((_req, res) => {
+      res.end();
+    });
+    this.#runnerServer = server;
+    this.#runnerAddress = `127.0.0.1:${port}`;
+    const ports = await Promise.all([freePort(), freePort(), freePort()]);
+    const [front = '', peer = '', metrics = ''] = ports.map((one) => `127.0.0.1:${one}`);
+    this.#settings = {
+      vm: 'vm1',
+      domain: 'a',
+      listen: { front, ready: undefined, directory: undefined, metrics },
+      peer,
+      seeds: [],
+      peerKey: 'test-key-test-key',
+      cores: 1,
+      isFirstStart: true,
+      retries: { ratio: 0.2, extra: 100, windowMs: 10_000 },
+      ages: { keyMs: Infinity, finalMs: 2000 },
+      quotas: { windowMs: 8000, overage: 0.1, slack: 0, wholeRuns: false },
+      rateLimits: { windowMs: 4000, overage: 0.5, slack: 5, wholeRuns: true },
+      buffers: { responseBytes: 4_194_304, vmBytes: 67_108_864, stallMs: 5000 },
+      graceMs: 1000,
+      leaseMs: 3000,
+      addressTtlMs: 100,
+    };
+    const feed: Feed = {
+      start: (listener) => {
+        this.#listener = listener;
+      },
+      confirmConfig: () => this.#listener?.onConfirmed(bootNow()),
+      setReading: () => {},
+      leave: () => {},
+      stop: () => {},
+    };
+    const save = async (): Promise<void> => {};
+    this.#router = new Router(
+      this.#settings,
+      {
+        history: new StoreHistory(),
+        feed,
+        runners: () => this.#client(),
+        dialer: new TcpDialer(),
+        ingress: new PlatformIngress(),
+        control: new PlatformControl(),
+        lock: { acquire: async () => undefined },
+        archive: { save },
+        versions: { save },
+        fleetSize: { save },
+      },
+      pino({ level: process.env.VM_LOG ?? 'silent' }),
+    );
+    await this.#router.start();
+    this.configure(() => config);
+    this.list(runners);
+    this.#listener?.onFleetSize(1);
+  }
+
+  async stop(): Promise<void> {
+    await this.#router?.stop();
+    if (this.#runnerServer) await closeServer(this.#runnerServer);
+  }
+
+  /** Puts the next version of the configuration in force. */
+  configure(change: (config: RoutingConfig) => RoutingConfig): void {
+    const next = change(this.#config ?? ({} as RoutingConfig));
+    this.#config = { ...next, version: (this.#config?.version ?? 0) + 1 };
+    this.#listener?.onConfig(this.#config);
+    this.#listener?.onConfirmed(bootNow());
+  }
+
+  /** Lists these runners and no others. */
+  list(runners: readonly Runner[]): void {
+    this.#revision += 1;
+    const position = positionAt(this.#revision);
+    const gone = this.#listed.filter(({ id }) => !runners.some((runner) => runner.id === id));
+    this.#listed = runners;
+    this.#listener?.onRunners([
+      ...gone.map(({ id }) => ({ id, position, runner: undefined })),
+      ...runners.map((runner) => ({
+        id: runner.id,
+        position,
+        runner: { ...runner, address: this.#runnerAddress },
+      })),
+    ]);
+  }
+
+  /** Plays a SIGHUP: the settings are read again. */
+  reload(change: Partial<RouterSettings> = {}): void {
+    const settings = this.#settings;
+    if (settings) this.#router?.reload(() => ({ ...settings, ...change }));
+  }
+
+  /** Begins a request with a new id. */
+  begin(path: string, headers: Readonly<Record<string, string>> = {}): CallerRequest {
+    this.#requests += 1;
+    return new CallerRequest(this.#settings?.listen.front ?? '', path, {
+      'request-id': `q${this.#requests}`,
+      'request-deadline-ms': '4000',
+      ...headers,
+    });
+  }
+
+  /** Waits until a runner has received its call with this index, counted from 0. */
+  async callAt(index: number): Promise<RunnerCall> {
+    await waitUntil(`call ${index}`, () => this.calls.length > index, 3000);
+    return this.calls[index] as RunnerCall;
+  }
+
+  /** Has runners answer all further calls. */
+  answerAll(): void {
+    this.#answers = true;
+  }
+
+  /** Number of requests, places and KV caches that the VM holds now. */
+  async held(): Promise<number> {
+    const url = `http://${this.#settings?.listen.metrics}${SNAPSHOT_PATH}`;
+    const { active, plans } = (await call('GET', url)).body as Held;
+    const places = plans.reduce((sum, plan) => sum + plan.waiting + plan.placed, 0);
+    const kept = this.calls.filter(({ isPrefilled }) => isPrefilled).length;
+    const fetched = this.calls.filter(({ hasCache }) => hasCache).length;
+    return active + places + kept - fetched - this.#freed;
+  }
+
+  #client(): RunnerClient {
+    const received = <T>(kind: RunnerCall['kind'], dispatch: Dispatch): Promise<T> =>
+      new Promise((resolve, reject) => {
+        const one = new RunnerCall(kind, dispatch, (value) => {
+          if (value instanceof Failure) reject(value);
+          else resolve(value as T);
+        });
+        this.calls.push(one);
+        const { id, service } = dispatch.runner;
+        if (!this.#listed.some((runner) => runner.id === id && runner.service === service)) {
+          this.strayed += 1;
+        }
+        if (this.#answers) setTimeout(() => one.answer(), 5);
+      });
+    return {
+      send: (dispatch) => received('send', dispatch),
+      decode: (dispatch) => received('decode', dispatch),
+      prefill: (dispatch) => received('prefill', dispatch),
+      freeCache: async () => {
+        this.#freed += 1;
+      },
+      report: async ({ id, bornAt }) => ({ runner: id, usedTokens: 0, bornAt, leaving: false }),
+      isRunning: async () => true,
+      order: async () => 'accepted',
+    };
+  }
+}
--- /dev/null
+++ b/test/router/configchanges.test.ts
@@ -0,0 +1,145 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
+import { digestOfKey } from '../../src/core/customers/keys';
+import type { Customer } from '../../src/core/customers/types';
+import type { Route, RoutingConfig } from '../../src/core/routing/types';
+import type { Stage } from '../fakes/configstages';
+import { baseConfig, moves, quota, routeTo, runners, stages } from '../fakes/configstages';
+import { ScriptedVm } from '../fakes/scriptedvm';
+
+/** Time after which a request has neither an answer nor a refusal, in milliseconds: its caller has left. */
+const LIMIT_MS = 5000;
+/** What a caller has received of a stream, of the rest of one, and of a plain answer. */
+const wholeBodies = [
+  [1, 2, 3, 4, 5],
+  [3, 4, 5],
+].map((ids) => ids.map((id) => `id: ${id}\ndata: x\n\n`).join(''));
+
+type Change = (vm: ScriptedVm) => void;
+
+/** How a request ended whose stage saw a change: `served`, or the status of its refusal. */
+async function outcomeOf(stage: Stage, change: Change): Promise<string> {
+  const vm = new ScriptedVm();
+  await vm.start(baseConfig, runners);
+  const { request, proceed } = await stage(vm);
+  change(vm);
+  vm.answerAll();
+  const { answer } = ((await proceed()) as typeof request | undefined) ?? request;
+  const ended = await Promise.race([answer, pause(LIMIT_MS, undefined, { ref: false })]);
+  await pause(50);
+  const held = await vm.held();
+  const { strayed } = vm;
+  await vm.stop();
+  if (!ended) return 'nothing';
+  const { status, whole, body } = ended;
+  const isServed = status === 200 && ['done', ...wholeBodies].includes(body);
+  const isRefused = [401, 404, 413, 503].includes(status) && body.includes('"notRun":true');
+  const word = isServed ? 'served' : `${status}${isRefused ? '' : ' in part'}`;
+  const faults = [whole ? '' : ', cut', held ? `, ${held} held` : '', strayed ? ', strayed' : ''];
+  return `${word}${faults.join('')}`;
+}
+
+/** The outcomes at all stages that are not `served`. */
+async function exceptionsOf(change: Change): Promise<Readonly<Record<string, string>>> {
+  const outcomes = Object.entries(stages).map(
+    async ([name, stage]) => [name, await outcomeOf(stage, change)] as const,
+  );
+  const all = await Promise.all(outcomes);
+  return Object.fromEntries(all.filter(([, outcome]) => outcome !== 'served'));
+}
+
+const withConfig =
+  (change: (config: RoutingConfig) => Partial<RoutingConfig>): Change =>
+  (vm) =>
+    vm.configure((config) => ({ ...config, ...change(config) }));
+const withRoutes = (change: (route: Route) => readonly Route[]): Change =>
+  withConfig(({ routes }) => ({ routes: routes.flatMap(change) }));
+const withCustomers = (customers: readonly Customer[] | undefined): Change =>
+  withConfig(() => ({ customers }));
+
+const keys = [digestOfKey('k')];
+const moved = (route: Route): readonly Route[] => [
+  routeTo(moves[route.targets[0]?.service ?? ''] ?? '', route.name, {
+    kind: route.kind,
+    resumable: route.resumable,
+  }),
+];
+const bodies = (status: string): Readonly<Record<string, string>> => ({
+  'body of a stream': status,
+  'body of a plain one': status,
+});
+const strict: Partial<Route> = {
+  kind: 'once',
+  attempts: 1,
+  timeoutMs: 500,
+  aimMs: 300,
+  gapMs: 1,
+  priority: 9,
+  resumable: false,
+};
+
+describe('requests amid a change of the configuration', () => {
+  const unhandled: unknown[] = [];
+  const onUnhandled = (error: unknown): void => {
+    unhandled.push(error);
+  };
+
+  beforeAll(() => process.on('unhandledRejection', onUnhandled));
+  afterAll(() => {
+    process.off('unhandledRejection', onUnhandled);
+    expect(unhandled).toEqual([]);
+  });
+
+  /* A request that waits, runs or is between two runs would be closed or lose its terms. */
+  test.each<[string, Change]>([
+    ['none', () => {}],
+    ['routes become strict', withRoutes((route) => [{ ...route, ...strict }])],
+    ['the quota goes', withCustomers([{ name: 'a', keys }])],
+    [
+      'the quota and rank change',
+      withCustomers([{ name: 'a', rank: 3, keys, quota: { ...quota, ratePerS: 1e6 } }]),
+    ],
+    [
+      'the settings are reloaded',
+      (vm) => vm.reload({ retries: { ratio: 0.1, extra: 50, windowMs: 5000 } }),
+    ],
+    [
+      '400 routes come',
+      withConfig(({ routes }) => ({
+        routes: [...routes, ...Array.from({ length: 400 }, (_, i) => routeTo('p', `more${i}`))],
+      })),
+    ],
+  ])('are served to their ends: %s', async (_name, change) => {
+    expect(await exceptionsOf(change)).toEqual({});
+  });
+
+  /* Only what is sent after the change is handled as the new version demands. */
+  test.each<[string, Change, Readonly<Record<string, string>>]>([
+    ['routes go', withRoutes(() => []), { ...bodies('404'), 'stream that is taken up': '404' }],
+    ['routes move', withRoutes(moved), { 'stream that is taken up': '503' }],
+    [
+      'limits shrink',
+      withConfig(() => ({ limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })),
+      { 'stream that is taken up': '413' },
+    ],
+  ])('are served if they came before: %s', async (_name, change, later) => {
+    expect(await exceptionsOf(change)).toEqual(later);
+  });
+
+  /* A request whose key was taken away would be sent to a runner, or closed. */
+  test('are refused before their next run when their key goes', async () => {
+    expect(await exceptionsOf(withCustomers([{ name: 'a', keys: [], quota }]))).toEqual({
+      ...bodies('401'),
+      waiting: '401',
+      prefill: '401',
+      'prefill that is lost': '401',
+      'decode that is rejected': '401',
+      'stream that breaks': '200 in part, cut',
+      'stream that is taken up': '401',
+      'plain that fails': '502 in part',
+      'once that is not sent': '401',
+      held: '401',
+      unpermitted: '401',
+    });
+  });
+});
