Keep idle connections for as long as their responses announce

What callers saw: Keep-Alive announced more than was kept. On the first requests of a process, and after a configuration that lowers the idle limit, a request sent within the announced time met the close of its connection and got neither an answer nor a refusal.

Cause: the limit was set as `keepAliveTimeout` while a request was handled. Node stamps the announcement earlier, with the previous value, and starts the timer at the end of the response with the value of that time; how much later than announced it closes depends on its version. 16 s were announced for a limit of 15 s. A timer that ran late closed a connection whose next request had arrived and was not read yet.

Now each response announces, as its headers are written, the limit in force, in whole seconds rounded down, at least one. Its connection has an idle timer of its own and is kept for what it announced, or for a limit that was raised since, and for a margin of 2 s beyond that; Node's own timer and announcement are switched off. A timer that is due lets one turn of the event loop read what has arrived before it closes. Headers are added to the runner's own list, so that repeated ones stay. Responses of HTTP/1.0 announce nothing any more: whether Node keeps such a connection depends on their other headers.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -1,6 +1,6 @@
 /** HTTP front end for callers: reads each request completely, resolves its route and dispatches it. */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as yieldOnce } from 'node:timers/promises';
@@ -13,9 +13,11 @@
 import { pickTarget } from '../../core/routing/table';
 import type { Route } from '../../core/routing/types';
 
+import { CallerResponse } from '../../utils/callerresponse';
 import { bootNow } from '../../utils/clock';
-import { OpenResponses } from '../../utils/responses';
 import { listenOn, readBody } from '../../utils/http';
+import { KeptConnections } from '../../utils/keptconnections';
+import { OpenResponses } from '../../utils/responses';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import { Exchange, sendRefusal } from './exchange';
@@ -42,8 +44,6 @@
 const DEFAULT_BODY_BYTES = 4 * 1024 * 1024;
 const DEFAULT_IDLE_MS = 15_000;
 const DEFAULT_HEADER_MS = 10_000;
-/** Idle connections stay open this much longer than announced to callers: a request sent while the connection is closing would be lost. */
-const IDLE_SLACK_MS = 1000;
 /** Log lines per second for requests refused at admission. */
 const REFUSAL_LINES_PER_S = 20;
 /** Retry delay for callers of a VM that has no configuration yet. */
@@ -53,7 +53,9 @@
 export class FrontEnd {
   readonly #context: FrontEndContext;
 
-  readonly #server: Server;
+  readonly #server: Server<typeof IncomingMessage, typeof CallerResponse>;
+
+  readonly #connections: KeptConnections;
 
   readonly #logBudget: LogRateLimiter;
 
@@ -61,21 +63,30 @@
 
   #activeRequests = 0;
 
-  #draining = false;
-
   constructor(context: FrontEndContext) {
     this.#context = context;
     this.#logBudget = new LogRateLimiter(REFUSAL_LINES_PER_S, (lines) =>
       context.log.info({ lines }, 'Suppressed log lines of refused requests.'),
     );
     this.#server = createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_MS, requestTimeout: 0 },
+      // How long Node keeps idle connections beyond what it announces depends on its version.
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        keepAliveTimeout: 0,
+        ServerResponse: CallerResponse,
+      },
       (req, res) => {
         this.#openResponses.add(req, res);
+        this.#connections.track(req, res);
         this.#handle(req, res).catch((error) => context.log.error(toFailure(error).line));
       },
     );
     this.#server.headersTimeout = DEFAULT_HEADER_MS;
+    this.#connections = new KeptConnections(
+      this.#server,
+      () => context.routingState.table?.config.limits.idleTimeoutMs ?? DEFAULT_IDLE_MS,
+    );
     this.#server.on('connection', (socket) => socket.setNoDelay(true));
     this.#server.on('clientError', (error, socket) => {
       if (!this.#openResponses.resetOn(socket)) rejectMalformed(error, socket as Socket);
@@ -94,7 +105,7 @@
 
   /** Keeps serving, but closes each connection after its response, so that callers send their next request to another address. */
   startDraining(): void {
-    this.#draining = true;
+    this.#connections.leave();
   }
 
   /** Accepts no new connections and closes idle ones. */
@@ -108,10 +119,9 @@
     this.#openResponses.abortAll();
   }
 
-  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async #handle(req: IncomingMessage, res: CallerResponse): Promise<void> {
     const now = performance.now();
     this.#applyLimits();
-    if (this.#draining) res.setHeader('connection', 'close');
     this.#activeRequests += 1;
     try {
       const exchange = await this.#accept(now, req, res);
@@ -142,7 +152,7 @@
   async #accept(
     now: number,
     req: IncomingMessage,
-    res: ServerResponse,
+    res: CallerResponse,
   ): Promise<Exchange | undefined> {
     const { codec, routingState, authorizer, buffers } = this.#context;
     try {
@@ -205,7 +215,6 @@
   #applyLimits(): void {
     const limits = this.#context.routingState.table?.config.limits;
     if (!limits) return;
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_SLACK_MS;
     this.#server.headersTimeout = limits.headerTimeoutMs;
   }
 }
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -2,48 +2,11 @@
 import { connect } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
-import pino from 'pino';
-
-import { StoreHistory } from '../../src/core/routing/position';
-import type { RoutingConfig } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
-import type { FrontEndContext } from '../../src/node/router/frontend';
-import { FrontEnd } from '../../src/node/router/frontend';
-import { RoutingState } from '../../src/node/router/routingstate';
-import { RouterMetrics } from '../../src/node/router/metrics';
-import { unboundedBuffers } from '../fakes/exchange';
-import { noopListener } from '../fakes/listener';
-import { authorizerOf } from '../fakes/runs';
-import { PlatformIngress } from '../../src/platform/ingress';
 import { waitUntil } from '../fakes/cluster';
+import { emptyState, frontOf, oneRoute, requestOf } from '../fakes/frontend';
 import { freePort } from '../fakes/loopback';
 
-const config: RoutingConfig = {
-  version: 1,
-  routes: [
-    {
-      name: 'r',
-      host: 'h.example',
-      prefix: '/a/',
-      kind: 'once',
-      targets: [{ service: 's', weight: 1 }],
-      timeoutMs: 1000,
-      aimMs: 100,
-      patienceMs: 1000,
-      gapMs: 0,
-      attempts: 1,
-      priority: 1,
-      resumable: false,
-      anonymous: false,
-    },
-  ],
-  services: [],
-  limits: { bodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 },
-};
-
-const requestOf = (path: string): string =>
-  `GET ${path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n`;
-
 /** Sends text on a connection and returns all that is received until the response headers are complete or the connection closes. */
 function talk(port: number, text: string): Promise<string> {
   return new Promise((resolve) => {
@@ -79,24 +42,8 @@
   return received;
 }
 
-const log = pino({ level: 'silent' });
-
-/** A front end that passes its requests to `onRequest`. */
-function frontOf(routingState: RoutingState, onRequest: FrontEndContext['onRequest']): FrontEnd {
-  return new FrontEnd({
-    routingState,
-    authorizer: authorizerOf(routingState),
-    codec: new PlatformIngress(),
-    buffers: unboundedBuffers,
-    metrics: new RouterMetrics(),
-    log,
-    onRequest,
-    onDone: () => {},
-  });
-}
-
 describe('the front end', () => {
-  const routingState = new RoutingState(new StoreHistory(), log, noopListener);
+  const routingState = emptyState();
   const seen: string[] = [];
   const priorities: (number | undefined)[] = [];
   const front = frontOf(routingState, async (exchange) => {
@@ -121,7 +68,7 @@
   });
 
   test('answers 404 only once it has a configuration', async () => {
-    routingState.learnConfig(0, config, 'test');
+    routingState.learnConfig(0, oneRoute, 'test');
     expect(await talk(port, requestOf('/b/1'))).toMatch(/^HTTP\/1.1 404/);
     expect(await talk(port, requestOf('/a/2'))).toMatch(/^HTTP\/1.1 200/);
   });
@@ -142,12 +89,12 @@
 
   /* Runners order requests by the value, so it must be absent where a service has one priority. */
   test('gives requests a priority only while the routes of their service have different ones', async () => {
-    const [route] = config.routes;
+    const [route] = oneRoute.routes;
     if (!route) throw new Error('no route');
     const urgent = { ...route, name: 'u', prefix: '/u/', priority: 0 };
     priorities.length = 0;
     await talk(port, requestOf('/a/3'));
-    routingState.learnConfig(1, { ...config, version: 2, routes: [route, urgent] }, 'test');
+    routingState.learnConfig(1, { ...oneRoute, version: 2, routes: [route, urgent] }, 'test');
     await talk(port, requestOf('/a/4'));
     await talk(port, requestOf('/u/5'));
     expect(priorities).toEqual([undefined, 1, 0]);
@@ -163,7 +110,7 @@
   const ONE_REQUEST = 'GET /a/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: r1\r\n\r\n';
   /** Time to observe a connection, longer than a response of this test takes. */
   const OBSERVED_MS = 300;
-  const routingState = new RoutingState(new StoreHistory(), log, noopListener);
+  const routingState = emptyState();
   const front = frontOf(routingState, async (exchange) => {
     const hasLength = exchange.request.target === '/a/length';
     const length = hasLength ? ['content-length', String(2 * EVENT.length)] : [];
@@ -175,7 +122,7 @@
   let port: number;
 
   beforeAll(async () => {
-    routingState.learnConfig(0, config, 'test');
+    routingState.learnConfig(0, oneRoute, 'test');
     port = await freePort();
     await front.listen(`127.0.0.1:${port}`);
   });
@@ -260,8 +207,8 @@
       },
     ],
   ])('ends it: %s', async (name, respond) => {
-    const routingState = new RoutingState(new StoreHistory(), log, noopListener);
-    routingState.learnConfig(0, config, 'store');
+    const routingState = emptyState();
+    routingState.learnConfig(0, oneRoute, 'store');
     const front = frontOf(routingState, async (exchange) => {
       respond(exchange);
       await pause(20);
