Handle a request only while its connection can carry the answer

What callers saw: requests that were passed on to a runner and whose connection ended without their answer. Two ways: requests that were read behind another one (pipelined) while the VM began to stop, since the first response announced `connection: close` and ended the connection; and a request whose headers became complete after the header timeout had answered 408 and ended the response direction.

Cause: Node hands requests on as they are parsed, whatever becomes of the responses before them.

Now the requests of a connection are handled one after the other, and one is handled only if the connection can still be written to. A response ends its connection only if no other request was read behind it.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -78,7 +78,6 @@
       },
       (req, res) => {
         this.#openResponses.add(req, res);
-        this.#connections.track(req, res);
         this.#handle(req, res).catch((error) => context.log.error(toFailure(error).line));
       },
     );
@@ -122,6 +121,7 @@
   async #handle(req: IncomingMessage, res: CallerResponse): Promise<void> {
     const now = performance.now();
     this.#applyLimits();
+    if (!(await this.#connections.admit(req, res))) return;
     this.#activeRequests += 1;
     try {
       const exchange = await this.#accept(now, req, res);
--- a/src/utils/keptconnections.ts
+++ b/src/utils/keptconnections.ts
@@ -23,6 +23,9 @@
   /** Number of responses that are not complete. */
   #open = 0;
 
+  /** Resolves when the response to the last request so far is complete. */
+  #lastEnd: Promise<void> = Promise.resolve();
+
   #announcedMs = 0;
 
   #idleSince = 0;
@@ -39,14 +42,25 @@
     this.#becomeIdle(now);
   }
 
-  track({ httpVersion }: IncomingMessage, res: CallerResponse): void {
+  async admit({ httpVersion }: IncomingMessage, res: CallerResponse): Promise<boolean> {
+    const previousEnd = this.#lastEnd;
     this.#open += 1;
     res.addAtBegin(() => this.#headersOf(res, httpVersion));
-    res.once('close', () => this.#end(performance.now()));
+    this.#lastEnd = new Promise((resolve) => {
+      res.once('close', () => {
+        this.#end(performance.now());
+        resolve();
+      });
+    });
+    await previousEnd;
+    const { writable } = this.#socket;
+    if (!writable) res.destroy();
+    return writable;
   }
 
   #headersOf(res: CallerResponse, httpVersion: string): Readonly<Record<string, string>> {
-    if (this.#terms.isLeaving()) return { connection: 'close' };
+    // Requests that were read behind this one are answered first.
+    if (this.#terms.isLeaving() && this.#open === 1) return { connection: 'close' };
     // Whether a connection of HTTP/1.0 is kept depends on the other headers.
     if (!res.shouldKeepAlive || httpVersion === '1.0') return {};
     const seconds = announcedSeconds(this.#terms.limitMs());
@@ -119,8 +133,12 @@
     this.#isLeaving = true;
   }
 
-  /** Must be called for each request as it arrives. */
-  track(req: IncomingMessage, res: CallerResponse): void {
-    this.#connections.get(req.socket)?.track(req, res);
+  /**
+   * Must be called for each request as it arrives. Resolves once the responses to earlier requests
+   * of its connection are complete, with false if the connection has ended: then the request must
+   * not be handled.
+   */
+  async admit(req: IncomingMessage, res: CallerResponse): Promise<boolean> {
+    return (await this.#connections.get(req.socket)?.admit(req, res)) ?? false;
   }
 }
--- a/test/fakes/frontend.ts
+++ b/test/fakes/frontend.ts
@@ -99,8 +99,9 @@
   /** When the connection ended, on the clock of `performance.now`; undefined while it is open. */
   closedAt: number | undefined;
 
-  constructor(port: number) {
-    this.socket = connect(port, '127.0.0.1');
+  /** @param allowHalfOpen whether it goes on sending once the other side has ended the connection */
+  constructor(port: number, allowHalfOpen = false) {
+    this.socket = connect({ port, host: '127.0.0.1', allowHalfOpen });
     this.socket.on('data', (data) => {
       this.#got += data.toString();
     });
