Plan the requests of a model service to their ends after the configuration drops it

Callers saw: a stream whose run broke after its service had left the configuration was closed at its deadline, 4 s later, without its end.

Cause: the owner of a service looks up its engine with each message. Without one it ignored the message: requests for a place were answered 'waiting' until the caller's deadline, and reports that a request had ended were lost, so that its place stayed taken for as long as the process ran or the service stayed away.

Evidence, before (test/router/configchanges.test.ts, 'are served when their services go'): decode, prefill, stream: served, 1 held; waiting: served, 3 held; stream that breaks: 200 in part, cut, 1 held.

A route table now keeps the engines of the services that earlier versions had, and the owner goes on with the last one. New requests do not reach the service: no route leads to it. A VM that has never seen the service still answers 'waiting'.

After: all stages are served and nothing is held; a stream that is taken up again is refused with 503, since its route leads elsewhere. The tests also stop their VMs when a stage fails.

--- a/src/core/routing/table.ts
+++ b/src/core/routing/table.ts
@@ -1,7 +1,7 @@
 /** Route lookup: the longest path prefix of the request's host that matches the path. */
 
 import { KeyRing } from '../customers/keyring';
-import type { Route, RoutingConfig, Service, Target } from './types';
+import type { Engine, Route, RoutingConfig, Service, Target } from './types';
 
 /** Indexes of one configuration version. */
 export class RouteTable {
@@ -11,16 +11,24 @@
 
   readonly #services = new Map<string, Service>();
 
+  /** Engines of model services, those included that the configuration has dropped. */
+  readonly #engines = new Map<string, Engine>();
+
   /** Services whose routes have different priorities. */
   readonly #ranked: ReadonlySet<string>;
 
   /** Customers by key; undefined if requests need no key. */
   readonly keyRing: KeyRing | undefined;
 
-  constructor(config: RoutingConfig) {
+  /** @param before the table of the last version. Default: there was none */
+  constructor(config: RoutingConfig, before?: RouteTable) {
     this.config = config;
+    if (before) before.#engines.forEach((engine, name) => this.#engines.set(name, engine));
     this.keyRing = config.customers && new KeyRing(config.customers);
-    for (const service of config.services) this.#services.set(service.name, service);
+    for (const service of config.services) {
+      this.#services.set(service.name, service);
+      if (service.engine) this.#engines.set(service.name, service.engine);
+    }
     for (const route of config.routes) {
       const routes = this.#hosts.get(route.host) ?? [];
       routes.push(route);
@@ -45,6 +53,14 @@
     return this.#services.get(name);
   }
 
+  /**
+   * The engine of a model service, by the last version that has it as one: requests under way are
+   * planned to their ends after the service was dropped. Undefined if no version has it.
+   */
+  engineOf(service: string): Engine | undefined {
+    return this.#engines.get(service);
+  }
+
   /** Whether the routes of a service have different priorities. */
   hasRanks(service: string): boolean {
     return this.#ranked.has(service);
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -298,7 +298,7 @@
     event: PlanEvent,
     source?: string,
   ): ReadonlyMap<string, Decision> {
-    const engine = this.#routingState.table?.service(service)?.engine;
+    const engine = this.#routingState.table?.engineOf(service);
     const decisions = new Map<string, Decision>();
     if (!engine) return decisions;
     const refreshed = this.#refreshRunners(now, service, engine, plan);
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -209,7 +209,7 @@
   learnConfig(now: number, config: RoutingConfig, source: string): boolean {
     if (this.#table && config.version <= this.#table.config.version) return false;
     const before = this.configVersion;
-    this.#table = new RouteTable(config);
+    this.#table = new RouteTable(config, this.#table);
     const streams = config.routes.filter(({ resumable }) => resumable);
     this.versions.setLongestStream(Math.max(0, ...streams.map(({ timeoutMs }) => timeoutMs)));
     const { version, routes, customers } = config;
--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -146,12 +146,15 @@
 
   readonly #body: string;
 
+  readonly path: string;
+
   readonly answer: Promise<Answer>;
 
   constructor(front: string, path: string, headers: Readonly<Record<string, string>>) {
     const [host, port] = front.split(':');
     const body = 'a body in two parts';
     this.#body = body;
+    this.path = path;
     const sent = { host: 'h.example', 'content-length': String(body.length), ...headers };
     const options = { host, port, path, method: 'POST', agent: false, headers: sent };
     this.#req = request(options);
--- a/test/router/configchanges.test.ts
+++ b/test/router/configchanges.test.ts
@@ -9,30 +9,28 @@
 
 /** Time after which a request has neither an answer nor a refusal, in milliseconds: its caller has left. */
 const LIMIT_MS = 5000;
-/** What a caller has received of a stream, of the rest of one, and of a plain answer. */
-const wholeBodies = [
+/** A stream, and the rest of one, as its caller receives it. */
+const wholeStreams = [
   [1, 2, 3, 4, 5],
   [3, 4, 5],
 ].map((ids) => ids.map((id) => `id: ${id}\ndata: x\n\n`).join(''));
 
 type Change = (vm: ScriptedVm) => void;
 
-/** How a request ended whose stage saw a change: `served`, or the status of its refusal. */
-async function outcomeOf(stage: Stage, change: Change): Promise<string> {
-  const vm = new ScriptedVm();
-  await vm.start(baseConfig, runners);
+/** How a request at a VM ended whose stage saw a change: `served`, or the status of its refusal. */
+async function outcomeAt(vm: ScriptedVm, stage: Stage, change: Change): Promise<string> {
   const { request, proceed } = await stage(vm);
   change(vm);
   vm.answerAll();
-  const { answer } = ((await proceed()) as typeof request | undefined) ?? request;
+  const { answer, path } = ((await proceed()) as typeof request | undefined) ?? request;
   const ended = await Promise.race([answer, pause(LIMIT_MS, undefined, { ref: false })]);
   await pause(50);
   const held = await vm.held();
   const { strayed } = vm;
-  await vm.stop();
   if (!ended) return 'nothing';
   const { status, whole, body } = ended;
-  const isServed = status === 200 && ['done', ...wholeBodies].includes(body);
+  const wholes = path.startsWith('/stream/') ? wholeStreams : ['done'];
+  const isServed = status === 200 && wholes.includes(body);
   const isRefused = [401, 404, 413, 503].includes(status) && body.includes('"notRun":true');
   const word = isServed ? 'served' : `${status}${isRefused ? '' : ' in part'}`;
   const faults = [whole ? '' : ', cut', held ? `, ${held} held` : '', strayed ? ', strayed' : ''];
@@ -41,9 +39,15 @@
 
 /** The outcomes at all stages that are not `served`. */
 async function exceptionsOf(change: Change): Promise<Readonly<Record<string, string>>> {
-  const outcomes = Object.entries(stages).map(
-    async ([name, stage]) => [name, await outcomeOf(stage, change)] as const,
-  );
+  const outcomes = Object.entries(stages).map(async ([name, stage]) => {
+    const vm = new ScriptedVm();
+    try {
+      await vm.start(baseConfig, runners);
+      return [name, await outcomeAt(vm, stage, change)] as const;
+    } finally {
+      await vm.stop();
+    }
+  });
   const all = await Promise.all(outcomes);
   return Object.fromEntries(all.filter(([, outcome]) => outcome !== 'served'));
 }
@@ -142,4 +146,13 @@
       unpermitted: '401',
     });
   });
+
+  /* The places of its requests stayed taken, and a stream between two runs waited until its deadline and was cut. */
+  test('are served when their services go', async () => {
+    const change = withConfig(({ routes, services }) => ({
+      routes: routes.flatMap(moved),
+      services: services.filter(({ name }) => moves[name] === undefined),
+    }));
+    expect(await exceptionsOf(change)).toEqual({ 'stream that is taken up': '503' });
+  });
 });
