Let the soak play silences of sound runners as planned work

The link of one runner (prefill, decode or plain) holds all bytes of all its connections, open and new ones, in both directions for 0.3 to 2 s and passes them on in order: kind runner-quiet, about one every 2 s at the default size, in all parts of the cycle, never two on one runner. It is no fault: no promise waits for its end. Promise quiet: no answer ends without its end, and none fails, because of one. Each request that breaks it gets a line with its kind, its runner, how long that was silent, the events received and how it ended; the summary counts by kind how requests ended that met a silence.

Not counted as broken: requests whose VM, runner or store another fault touched from 3 s before they were sent, runners that ended meanwhile, the last sixth of the grace period of a stop, a request's own time limit. A VM that is partitioned from all runners counts as undisturbed between the beginning and the end of the partition, as others forward its requests.

--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -2,50 +2,33 @@
 
 import { setTimeout as pause } from 'node:timers/promises';
 
-import type { FakeStore, StoreCopy } from '../../test/fakes/store';
-import type { PooledRunner, RunnerPool } from './pool';
-import type { Mesh } from './mesh';
-import type { LinkProxy, LinkState } from './proxy';
-import type { RunnerBehaviour } from './runner';
-import { RolloutPlanner } from './rollouts';
+import type { ActiveFault, FaultTargets } from './kinds';
+import { FaultKinds, LOSS } from './kinds';
 import type { Rollout } from './rollouts';
-import { healthyBehaviour } from './runner';
-import type { RunnerCut, Vm } from './vm';
+import { RolloutPlanner } from './rollouts';
+import type { Vm } from './vm';
 
 /** What faults act on, and callbacks about them. */
-export interface FaultContext {
-  readonly random: () => number;
-  readonly vms: readonly Vm[];
-  readonly mesh: Mesh;
-  readonly store: FakeStore;
-  readonly pool: RunnerPool;
-  /** Called after the store was restored from an older copy. */
-  readonly onStoreRestored: () => void;
+export interface FaultContext extends FaultTargets {
   /** Begins a release of another software version of runners. */
   readonly onRelease: () => void;
   /** Called when all VMs are killed at once. */
   readonly onFleetKill: () => void;
   /** Random numbers of planned stops and restarts, apart from those of other faults. */
   readonly rolloutRandom: () => number;
-  /** Called when a VM is partitioned from all runners, or not any more. */
-  readonly onRunnersCut: (vm: Vm, isCut: boolean) => void;
-  /** Called when a runner stops answering, with all its connections open. */
-  readonly onLost: (member: PooledRunner) => void;
-  /** Called when a fault begins or ends. */
-  readonly onFault: (id: number, name: string, target: string, begins: boolean) => void;
+  /** Called when a fault begins; returns what to call when it ends. */
+  readonly onFault: (name: string, target: string) => () => void;
 }
 
-/** A fault in progress. */
-interface ActiveFault {
-  /** Name of the VM, runner or link that the fault acts on, or several with blanks between. */
-  readonly target: string;
-  /** Resolves once the fault has ended. */
-  readonly done: Promise<void>;
+/** A fault that has begun, and that has ended if it says when. */
+interface FaultRecord {
+  readonly name: string;
+  readonly targets: readonly string[];
+  readonly began: number;
+  /** Infinite while the fault is in progress. */
+  ended: number;
 }
 
-/** Begins a fault; undefined if no suitable target is free. */
-type FaultStarter = () => ActiveFault | undefined;
-
 /** What a kind of fault acts on: the prefix of its name. */
 export type FaultFamily = 'vm' | 'store' | 'runner' | 'path';
 
@@ -53,8 +36,6 @@
 const BURST_MS = 16_000;
 /** Fault-free time between two bursts. */
 const PAUSE_MS = 12_000;
-/** Range of the random part of a fault's duration; the fixed part is 200 ms. */
-const MAX_EXTRA_FAULT_MS = 6000;
 /** Time in which planned stops begin. */
 const ROLLOUT_MS = 12_000;
 /** Largest pause between the beginnings of two planned stops. */
@@ -63,25 +44,10 @@
 const SHORT_PAUSE_MS = 3500;
 /** Kinds of planned work, beside those that begin with `stop-`. */
 const PLANNED_KINDS: ReadonlySet<string> = new Set(['vm-stop', 'vm-hangup']);
-/** Fraction of the VMs that may be down or paused at the same time. */
-const MAX_DOWN_RATIO = 0.5;
+/** Kinds that act on the links between the VM that they name and others. */
+const MESH_KINDS: ReadonlySet<string> = new Set(['vm-cut', 'vm-alone', 'vm-cut-some', 'vm-links']);
 /** How often the store is copied for later restoration. */
 const STORE_COPY_INTERVAL_MS = 5000;
-/** Minimum time for which a VM is isolated. */
-const MIN_ISOLATION_MS = 6000;
-/** Time after the store was restored before the operator and the runners write to it again. */
-const RESTORE_REWRITE_DELAY_MS = 1500;
-/** Minimum time for which a VM is partitioned from all runners. */
-const MIN_RUNNERS_CUT_MS = 5000;
-/** Time that VMs need to reconnect after a network partition; counted as part of the fault. */
-const RECONNECT_MS = 2000;
-/** Each burst begins with a fault of this kind: only a few streams are under way at one runner. */
-const LOSS = 'runner-lost';
-/** Minimum time for which a lost runner does not answer: its streams would have ended in half of it. */
-const MIN_LOST_MS = 4000;
-/** Range of clock steps: the clock moves by at most half of it in either direction. */
-const CLOCK_STEP_RANGE_MS = 8000;
-
 /** Between the names of targets. */
 const BETWEEN_TARGETS = ', ';
 
@@ -96,28 +62,23 @@
   /** Targets of faults in progress; no other fault chooses them until the fault has ended. */
   readonly #busyTargets = new Set<string>();
 
-  /** Names of the faults in progress. */
-  readonly #active = new Map<Promise<void>, string>();
+  /** Work of the faults in progress. */
+  readonly #active = new Set<Promise<void>>();
 
-  /** When the last fault of each family ended. */
-  readonly #endedAt = new Map<string, number>();
+  readonly #records: FaultRecord[] = [];
 
   readonly #startedAt = Date.now();
 
-  /** VMs that are partitioned from all runners. */
-  readonly #cutVms = new Set<Vm>();
+  readonly #kinds: FaultKinds;
 
   readonly #rollouts: RolloutPlanner;
 
   #isRollingOut = false;
 
-  #lastId = 0;
-
-  #storeCopy: StoreCopy | undefined;
-
   /** @param enabledKinds names of the kinds to draw from; all if undefined */
   constructor(context: FaultContext, enabledKinds?: readonly string[]) {
     this.#context = context;
+    this.#kinds = new FaultKinds(context, (target) => this.#busyTargets.has(target));
     this.#rollouts = new RolloutPlanner({ ...context, random: context.rolloutRandom });
     this.#enabledKinds = enabledKinds && new Set(enabledKinds);
   }
@@ -132,18 +93,35 @@
    * was none, and 0 while one is in progress.
    */
   faultFreeMs(...families: readonly FaultFamily[]): number {
-    return this.#freeMs((name) => families.includes(familyOf(name)));
+    return this.#freeMs(({ name }) => families.includes(familyOf(name)));
   }
 
   /** The same for all faults that are no planned stops. */
   get unplannedFreeMs(): number {
-    return this.#freeMs((name) => !isPlanned(name));
+    return this.#freeMs(({ name }) => !isPlanned(name));
   }
 
-  #freeMs(counts: (name: string) => boolean): number {
-    if ([...this.#active.values()].some(counts)) return 0;
-    const ends = [...this.#endedAt].filter(([name]) => counts(name)).map(([, at]) => at);
-    return Date.now() - Math.max(this.#startedAt, ...ends);
+  /**
+   * The same for those that act on one of some targets. A VM that is partitioned from all runners counts
+   * as undisturbed between the beginning and the end of the partition.
+   */
+  unplannedFreeMsOf(targets: readonly string[]): number {
+    const actsOn = (fault: FaultRecord): boolean =>
+      MESH_KINDS.has(fault.name) || fault.targets.some((one) => targets.includes(one));
+    return this.#freeMs(
+      (fault) => !isPlanned(fault.name) && actsOn(fault),
+      (fault) => (familyOf(fault.name) === 'path' ? fault.began : Date.now()),
+    );
+  }
+
+  #freeMs(
+    counts: (fault: FaultRecord) => boolean,
+    lastActOf: (active: FaultRecord) => number = () => Date.now(),
+  ): number {
+    const acts = this.#records
+      .filter(counts)
+      .map((fault) => (fault.ended === Infinity ? lastActOf(fault) : fault.ended));
+    return Date.now() - acts.reduce((last, at) => Math.max(last, at), this.#startedAt);
   }
 
   /** Whether a fault acts on one of some targets. */
@@ -151,16 +129,9 @@
     return targets.some((target) => this.#busyTargets.has(target));
   }
 
-  /** Names of all kinds of faults. */
-  get kinds(): readonly string[] {
-    return Object.keys(this.#kinds());
-  }
-
   /** Injects faults until the given time (epoch milliseconds), and waits until they have ended. */
   async run(until: number): Promise<void> {
-    const copying = setInterval(() => {
-      this.#storeCopy = this.#context.store.copy();
-    }, STORE_COPY_INTERVAL_MS);
+    const copying = setInterval(() => this.#kinds.copyStore(), STORE_COPY_INTERVAL_MS);
     while (Date.now() < until) {
       await this.#runRollout((end) => this.#stopVms(end), until);
       await this.#runStorm(until);
@@ -170,9 +141,9 @@
   }
 
   async #runStorm(until: number): Promise<void> {
-    if (this.#enabled(this.#kinds()).length === 0) return;
+    if (this.#enabled(this.#kinds.starters).length === 0) return;
     await this.#runBurst(Math.min(until, Date.now() + BURST_MS));
-    await Promise.all(this.#active.keys());
+    await Promise.all(this.#active);
     await pause(Math.max(0, Math.min(PAUSE_MS, until - Date.now())));
   }
 
@@ -185,7 +156,7 @@
     if (Date.now() >= until) return;
     this.#isRollingOut = true;
     await work(Math.min(until, Date.now() + ROLLOUT_MS));
-    await Promise.all(this.#active.keys());
+    await Promise.all(this.#active);
     this.#isRollingOut = false;
     await pause(SHORT_PAUSE_MS);
   }
@@ -217,280 +188,38 @@
 
   async #runBurst(until: number): Promise<void> {
     const { random } = this.#context;
-    const kinds = this.#enabled(this.#kinds());
+    const kinds = this.#enabled(this.#kinds.starters);
     const loss = kinds.find(([name]) => name === LOSS);
     if (loss) this.#begin(LOSS, loss[1]());
     while (Date.now() < until && kinds.length > 0) {
-      const [name, fault] = kinds[Math.floor(random() * kinds.length)] as [string, FaultStarter];
-      this.#begin(name, fault());
+      const [name, start] = kinds[Math.floor(random() * kinds.length)] ?? [];
+      if (name !== undefined && start) this.#begin(name, start());
       await pause(100 + random() * 1800);
     }
   }
 
   #begin(name: string, fault: ActiveFault | undefined): void {
     if (!fault) return;
-    const { target, done } = fault;
-    this.#lastId += 1;
-    const id = this.#lastId;
-    target.split(BETWEEN_TARGETS).forEach((one) => this.#busyTargets.add(one));
+    const { targets, done } = fault;
+    const record: FaultRecord = { name, targets, began: Date.now(), ended: Infinity };
+    this.#records.push(record);
+    targets.forEach((one) => this.#busyTargets.add(one));
     this.#counts[name] = (this.#counts[name] ?? 0) + 1;
-    this.#context.onFault(id, name, target, true);
+    const onEnd = this.#context.onFault(name, targets.join(BETWEEN_TARGETS));
     const work = done
       .catch((error: Error) => console.error(`${name}: ${error.message}`))
       .finally(() => {
         this.#active.delete(work);
-        target.split(BETWEEN_TARGETS).forEach((one) => this.#busyTargets.delete(one));
-        this.#endedAt.set(name, Date.now());
-        this.#context.onFault(id, name, target, false);
+        targets.forEach((one) => this.#busyTargets.delete(one));
+        record.ended = Date.now();
+        onEnd();
       });
-    this.#active.set(work, name);
-  }
-
-  #kinds(): Readonly<Record<string, FaultStarter>> {
-    return {
-      'vm-kill': () => this.#restartVm('SIGKILL'),
-      'vm-stop': () => this.#restartVm('SIGTERM'),
-      'vm-freeze': () => this.#onVm((vm) => this.#pauseVm(vm)),
-      'vm-clock': () => this.#onVm((vm) => this.#stepClock(vm)),
-      'vm-hangup': () => this.#onVm(async (vm) => vm.signal('SIGHUP')),
-      'vm-cut': () => this.#onMesh((vm) => this.#partition(vm, this.#othersOf(vm))),
-      'vm-alone': () => this.#onMesh((vm) => this.#isolate(vm)),
-      'vm-cut-some': () =>
-        this.#onMesh((vm) => this.#partition(vm, this.#someOf(this.#othersOf(vm)))),
-      'vm-links': () =>
-        this.#onMesh(async (vm) => this.#context.mesh.reset(vm, this.#context.random, 0.5)),
-      'store-silent': () => this.#disturbStore('silent'),
-      'store-busy': () => this.#disturbStore('busy'),
-      'store-deaf': () => this.#disturbStore('deaf'),
-      'store-forgets': () => this.#onStore(async () => this.#context.store.compact()),
-      'store-older': () => this.#onStore(async () => this.#restoreStore()),
-      'store-strange': () => this.#onStore(async () => this.#writeMalformedEntry()),
-      'store-link': () => this.#onStoreLink(),
-      'path-runners': () => this.#onPath(),
-      'runner-crash': () => this.#onRunner((member) => this.#crash(member)),
-      [LOSS]: () =>
-        this.#onRunner((member) => this.#lose(member), this.#context.pool.redundantDecoders),
-      'runner-fails': () => this.#disturbRunner({ failRatio: 0.4 }),
-      'runner-all-fail': () => this.#failPlainRunners(),
-      'runner-sheds': () => this.#disturbRunner({ shedRatio: 0.4 }),
-      'runner-cuts': () => this.#disturbRunner({ cutRatio: 0.4 }),
-      'runner-mute': () => this.#disturbRunner({ hangRatio: 0.2 }),
-      'runner-slow': () => this.#disturbRunner({ slowdown: 4 }),
-      'runner-link': () => this.#onRunner((member) => this.#disturbLink(member.proxy)),
-      'runner-reset': () =>
-        this.#onRunner(async ({ proxy }) => proxy.reset(this.#context.random, 0.5)),
-    };
-  }
-
-  #pick<T>(all: readonly T[]): T | undefined {
-    return all[Math.floor(this.#context.random() * all.length)];
-  }
-
-  #drawDurationMs(): number {
-    return 200 + this.#context.random() * MAX_EXTRA_FAULT_MS;
-  }
-
-  #onVm(work: (vm: Vm) => Promise<void>): ActiveFault | undefined {
-    const { vms } = this.#context;
-    const down = vms.filter(({ isUp, isPaused }) => !isUp || isPaused).length;
-    const free = vms.filter(({ isUp, options }) => isUp && !this.#busyTargets.has(options.name));
-    const vm = this.#pick(free);
-    if (!vm || down + 1 > vms.length * MAX_DOWN_RATIO) return undefined;
-    return { target: vm.options.name, done: work(vm) };
-  }
-
-  #onMesh(work: (vm: Vm) => Promise<void>): ActiveFault | undefined {
-    return this.#context.mesh.hasPairs ? this.#onVm(work) : undefined;
-  }
-
-  /** Partitions a VM from all runners. One VM at least keeps its paths. */
-  #onPath(): ActiveFault | undefined {
-    const { vms } = this.#context;
-    const isLast = this.#cutVms.size + 1 >= vms.length;
-    return isLast ? undefined : this.#onVm((vm) => this.#cutFromRunners(vm));
-  }
-
-  async #cutFromRunners(vm: Vm): Promise<void> {
-    const { onRunnersCut } = this.#context;
-    const cuts: readonly RunnerCut[] = ['silent', 'refuse'];
-    this.#cutVms.add(vm);
-    vm.cutFromRunners(this.#pick(cuts));
-    onRunnersCut(vm, true);
-    await pause(MIN_RUNNERS_CUT_MS + this.#drawDurationMs());
-    vm.cutFromRunners(undefined);
-    onRunnersCut(vm, false);
-    this.#cutVms.delete(vm);
-  }
-
-  #othersOf(vm: Vm): readonly Vm[] {
-    return this.#context.vms.filter((other) => other !== vm);
-  }
-
-  #someOf(vms: readonly Vm[]): readonly Vm[] {
-    return vms.filter(() => this.#context.random() < 0.5);
-  }
-
-  /** Partitions a VM from others, in both directions or in one. */
-  async #partition(vm: Vm, others: readonly Vm[]): Promise<void> {
-    const { mesh, random } = this.#context;
-    const states: readonly LinkState[] = ['silent', 'forward', 'back'];
-    mesh.cut(vm, others, this.#pick(states) ?? 'silent');
-    await pause(this.#drawDurationMs());
-    mesh.cut(vm, others, 'well');
-    // Connections silenced during the partition stay silent until a peer closes them.
-    if (random() < 0.5) mesh.reset(vm, random, 1);
-    await pause(RECONNECT_MS);
-  }
-
-  /** Isolates a VM from all others and from the store, for longer than a revoked key may still be accepted. */
-  async #isolate(vm: Vm): Promise<void> {
-    const { mesh, vms, random } = this.#context;
-    const link = mesh.storeLinks[vms.indexOf(vm)];
-    mesh.cut(vm, this.#othersOf(vm), 'silent');
-    if (link) link.state = 'silent';
-    await pause(MIN_ISOLATION_MS * (1 + random()));
-    mesh.cut(vm, this.#othersOf(vm), 'well');
-    if (link) link.state = 'well';
-    await pause(RECONNECT_MS);
-  }
-
-  #restartVm(signal: 'SIGKILL' | 'SIGTERM'): ActiveFault | undefined {
-    return this.#onVm(async (vm) => {
-      if (signal === 'SIGTERM') await vm.terminate();
-      else {
-        vm.signal(signal);
-        await vm.waitForExit();
-      }
-      await pause(this.#drawDurationMs() / 2);
-      vm.start();
-      // The start-up counts as part of the fault: the other VMs do not know the new process yet.
-      await pause(2000);
-    });
-  }
-
-  async #pauseVm(vm: Vm): Promise<void> {
-    vm.signal('SIGSTOP');
-    await pause(this.#drawDurationMs());
-    vm.signal('SIGCONT');
-  }
-
-  async #stepClock(vm: Vm): Promise<void> {
-    vm.stepClock((this.#context.random() - 0.5) * CLOCK_STEP_RANGE_MS);
-    await pause(this.#drawDurationMs());
-    vm.stepClock(0);
-  }
-
-  #onStore(work: () => Promise<void>): ActiveFault | undefined {
-    return this.#busyTargets.has('store') ? undefined : { target: 'store', done: work() };
-  }
-
-  #disturbStore(mood: FakeStore['fault']): ActiveFault | undefined {
-    return this.#onStore(async () => {
-      const { store } = this.#context;
-      store.fault = mood;
-      await pause(this.#drawDurationMs());
-      store.fault = 'well';
-    });
-  }
-
-  /** Restores the store from the last copy; the operator and the runners then rewrite the entries that it lacks. */
-  async #restoreStore(): Promise<void> {
-    const { store, pool, onStoreRestored } = this.#context;
-    if (this.#storeCopy) store.restore(this.#storeCopy);
-    await pause(RESTORE_REWRITE_DELAY_MS);
-    onStoreRestored();
-    for (const member of pool.members) pool.publish(member.runner);
-    await pause(500);
-  }
-
-  async #writeMalformedEntry(): Promise<void> {
-    const { store } = this.#context;
-    const malformed = ['{', '{"service":7}', '{"service":"desk","address":"nowhere"}'];
-    store.put('servers/i-strange', this.#pick(malformed));
-    await pause(this.#drawDurationMs());
-    store.remove('servers/i-strange');
-  }
-
-  #onStoreLink(): ActiveFault | undefined {
-    const { storeLinks } = this.#context.mesh;
-    const index = Math.floor(this.#context.random() * storeLinks.length);
-    const link = storeLinks[index];
-    const target = `store link ${index + 1}`;
-    return link && !this.#busyTargets.has(target)
-      ? { target, done: this.#disturbLink(link) }
-      : undefined;
-  }
-
-  async #disturbLink(link: LinkProxy): Promise<void> {
-    const proxy = link;
-    const { random } = this.#context;
-    const states: readonly LinkState[] = ['silent', 'forward', 'back', 'refuse', 'well'];
-    proxy.state = this.#pick(states) ?? 'well';
-    if (proxy.state === 'well') proxy.delayMs = random() * 300;
-    await pause(this.#drawDurationMs());
-    proxy.state = 'well';
-    proxy.delayMs = 0;
-    // Silenced connections stay silent, so they are reset.
-    proxy.reset(random, 1);
-  }
-
-  #onRunner(
-    work: (member: PooledRunner) => Promise<void>,
-    members: readonly PooledRunner[] = this.#context.pool.members,
-  ): ActiveFault | undefined {
-    const free = members.filter(
-      ({ runner }) => runner.isUp && !this.#busyTargets.has(runner.runnerId),
-    );
-    const member = this.#pick(free);
-    return member && { target: member.runner.runnerId, done: work(member) };
-  }
-
-  async #crash(member: PooledRunner): Promise<void> {
-    await this.#context.pool.restart(member, this.#drawDurationMs());
-    // Time for the VMs to learn of the new instance, and for requests of the old one to end.
-    await pause(1500);
-  }
-
-  /** Stops a runner as a loss of power does: no connection ends, and it comes back without its state. */
-  async #lose(member: PooledRunner): Promise<void> {
-    const { pool, onLost, random } = this.#context;
-    const { proxy } = member;
-    proxy.state = 'silent';
-    onLost(member);
-    const untilListing = pool.expire(member);
-    await pause(MIN_LOST_MS + this.#drawDurationMs() / 2);
-    clearTimeout(untilListing);
-    if (member.runner.isUp) await pool.restart(member, 0);
-    proxy.state = 'well';
-    proxy.reset(random, 1);
-    await pause(1500);
-  }
-
-  /** Makes all plain runners fail most of their requests. */
-  #failPlainRunners(): ActiveFault | undefined {
-    const members = this.#context.pool.membersUp('plain');
-    const runners = members.map(({ runner }) => runner);
-    if (runners.some(({ runnerId }) => this.#busyTargets.has(runnerId))) return undefined;
-    const run = async (): Promise<void> => {
-      for (const runner of runners) runner.behaviour = { ...healthyBehaviour, failRatio: 0.8 };
-      await pause(this.#drawDurationMs());
-      for (const runner of runners) runner.behaviour = healthyBehaviour;
-    };
-    return { target: 'all plain runners', done: run() };
-  }
-
-  #disturbRunner(change: Partial<RunnerBehaviour>): ActiveFault | undefined {
-    return this.#onRunner(async ({ runner }) => {
-      const changed = runner;
-      changed.behaviour = { ...healthyBehaviour, ...change };
-      await pause(this.#drawDurationMs());
-      changed.behaviour = healthyBehaviour;
-    });
+    this.#active.add(work);
   }
 }
 
 function activeOf({ vms, run }: Rollout): ActiveFault {
-  return { target: vms.map(({ options }) => options.name).join(BETWEEN_TARGETS), done: run() };
+  return { targets: vms.map(({ options }) => options.name), done: run() };
 }
 
 function isPlanned(name: string): boolean {
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -4,17 +4,22 @@
  * after a fault-free period.
  */
 
+import type { Quota } from './allowances';
+import { AllowanceChecker } from './allowances';
 import type { Announcement } from './announcements';
-import { AnnouncementChecker } from './announcements';
 import { bounds } from './vm';
 import type { CallerAnswer, CallerObserver } from './callers';
 import type { FaultFamily } from './faults';
+import type { QuietContext } from './quiet';
+import { QuietChecker } from './quiet';
 import { ReachChecker } from './reach';
 import type { LostStreamEnd } from './loststreams';
 import { LostStreamChecker } from './loststreams';
 import type { SentRequest } from './requests';
 import { digestOf } from './requests';
+import type { SilenceLog } from './silences';
 import { StopChecker } from './stops';
+import { MIN_FAULT_FREE_MS, TermsChecker } from './terms';
 import type { Arrival, Order, RunnerObserver } from './runner';
 import { UrgencyChecker } from './urgency';
 import { VersionChecker } from './versions';
@@ -42,9 +47,10 @@
   /** Number of decode runners of a software version that serve. */
   readonly runnersOf: (version: string) => number;
   /** Request rate and burst allowed to a customer; undefined if it has no quota. */
-  readonly quotaOf: (
-    customer: string,
-  ) => { readonly ratePerS: number; readonly burst: number } | undefined;
+  readonly quotaOf: (customer: string) => Quota | undefined;
+  /** Silences of sound runners. */
+  readonly silences: SilenceLog;
+  readonly isUndisturbed: QuietContext['isUndisturbed'];
 }
 
 /** What was observed of a request. */
@@ -72,20 +78,6 @@
 const RECORD_RETENTION_MS = 90_000;
 /** Time within which a request must be cancelled at its runners after its caller disconnected. */
 const CANCELLATION_MS = 700;
-/** Fault-free time required before a guarantee with a time limit is checked. */
-export const MIN_FAULT_FREE_MS = 4000;
-/** Sliding window over which requests to a rate-limited runner are counted. */
-const LIMIT_WINDOW_MS = 4000;
-/** Time after a runner announced a limit before the check applies; longer than a window, so that windows begin after the announcement. */
-const LIMIT_SETTLE_MS = 4500;
-/** Factor by which the requests of a window may exceed the announced rate. */
-const LIMIT_OVERAGE_FACTOR = 1.5;
-/** Additional requests allowed in a window. */
-const LIMIT_SLACK_REQUESTS = 5;
-/** Requests of one VM that may reach a runner during a pause that it asked for. */
-const MAX_DURING_PAUSE = 2;
-/** Time after which a draining runner must receive no more requests; includes the delay of requests on their way. */
-const DRAIN_GRACE_MS = 2500;
 
 /** Checks all guarantees of one run. */
 export class GuaranteeChecker implements CallerObserver, RunnerObserver {
@@ -93,25 +85,14 @@
 
   readonly #records = new Map<string, RequestRecord>();
 
-  /** Times of arrivals beyond the first of each request. */
-  readonly #retryTimes: number[] = [];
-
-  /** Times at which callers sent requests. */
-  readonly #requestTimes: number[] = [];
-
-  /** Start times of runs by customer. */
-  readonly #runTimesByCustomer = new Map<string, number[]>();
-
   /** Last order that each runner instance received. */
   readonly #lastOrders = new Map<string, { holder: string; fence: number; at: number }>();
 
-  /** Draining runner instances, and when the store recorded that they drain. */
-  readonly #drainingSince = new Map<string, number>();
+  readonly #allowances: AllowanceChecker;
 
-  /** Rate limits announced by runner instances: since when, and times of recent arrivals. */
-  readonly #limits = new Map<string, { ratePerS: number; since: number; readonly at: number[] }>();
+  readonly #terms: TermsChecker;
 
-  readonly #announcements = new AnnouncementChecker();
+  readonly #quiet: QuietChecker;
 
   readonly #reach = new ReachChecker();
 
@@ -130,12 +111,22 @@
 
   constructor(context: GuaranteeContext) {
     this.#context = context;
+    const { quotaOf, faultFreeMs, silences, isUndisturbed } = context;
     this.#lostStreams = new LostStreamChecker(context.onLostStreamEnd);
+    const checkBound = this.#checkBound.bind(this);
+    const report = this.#report.bind(this);
+    this.#allowances = new AllowanceChecker({ checkBound, quotaOf });
+    this.#terms = new TermsChecker({ checkBound, report, faultFreeMs });
+    this.#quiet = new QuietChecker({
+      log: silences,
+      isUndisturbed,
+      isForwarded: (vm) => this.#reach.isCut(vm),
+    });
   }
 
   sent(request: SentRequest, vm: string): void {
     const now = Date.now();
-    this.#requestTimes.push(now);
+    this.#allowances.sent(now);
     this.#records.set(request.id, {
       request,
       vm,
@@ -196,7 +187,10 @@
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
-    if (record) this.#checkStop(record, answer);
+    if (record) {
+      this.#checkStop(record, answer);
+      this.#checkQuiet(record, answer);
+    }
     if (outcome === 'served' && record && record.runs === 0) {
       this.#report('whole', `${request.id} at ${vm}: success for a request that never ran`);
     }
@@ -215,24 +209,20 @@
   arrived(arrival: Arrival): void {
     const now = Date.now();
     const record = this.#records.get(arrival.requestId);
-    this.#checkLimit(now, arrival.instanceId);
-    this.#checkDraining(now, arrival);
+    this.#terms.arrived(now, arrival.requestId, arrival.instanceId, record?.vm);
     if (!record) return;
-    this.#checkAnnouncements(now, record, arrival);
+    this.#quiet.arrived(now, arrival.requestId, runnerIdOf(arrival), arrival.role);
     const finding = this.#urgency.arrived(record.request, arrival);
     if (finding !== undefined) this.#report('priority', finding);
     // A prefill that precedes the first decode is not a retry.
     if (arrival.role === 'prefill' && record.arrivalCount === 0) return;
     record.arrivalCount += 1;
-    if (record.arrivalCount > 1) {
-      this.#retryTimes.push(now);
-      this.#checkBudget(now);
-    }
+    if (record.arrivalCount > 1) this.#allowances.repeated(now);
   }
 
   announced(announcement: Announcement): void {
     const { vm } = this.#records.get(announcement.requestId) ?? {};
-    if (vm !== undefined) this.#announcements.announced(Date.now(), vm, announcement);
+    if (vm !== undefined) this.#terms.announced(Date.now(), vm, announcement);
   }
 
   began(arrival: Arrival): void {
@@ -259,12 +249,13 @@
     const isOnce = request.kind === 'once' || request.kind === 'stream';
     if (isOnce && record.runs > 1) this.#report('once', `${id} ran ${record.runs} times`);
     if (record.isRefused) this.#report('not run', `${id} ran at ${runner} after it was refused`);
-    this.#checkQuota(request.customer);
+    this.#allowances.began(Date.now(), request.customer);
   }
 
   ended(arrival: Arrival, wasCrash: boolean): void {
     const record = this.#records.get(arrival.requestId);
     if (!record) return;
+    this.#quiet.worked(Date.now(), arrival.requestId, runnerIdOf(arrival));
     record.activeRuns.delete(arrival);
     record.lastEndedAt = Date.now();
     record.hasBrokenOff = wasCrash;
@@ -289,28 +280,31 @@
     }
   }
 
+  /** Records that the link of a runner holds a request. */
+  setHeld(requestId: string, runnerId: string): void {
+    if (this.#records.has(requestId)) this.#quiet.held(Date.now(), requestId, runnerId);
+  }
+
   /** Records that the store entry of a runner instance is marked as draining, or no longer is. */
   setDraining(instanceId: string, isDraining: boolean): void {
-    if (isDraining) this.#drainingSince.set(instanceId, Date.now());
-    else this.#drainingSince.delete(instanceId);
+    this.#terms.setDraining(Date.now(), instanceId, isDraining);
   }
 
   /** Records the rate limit that a runner instance announces; undefined if it announces none. */
   setRateLimit(instanceId: string, ratePerS: number | undefined): void {
-    if (ratePerS === undefined) this.#limits.delete(instanceId);
-    else this.#limits.set(instanceId, { ratePerS, since: Date.now(), at: [] });
+    this.#terms.setRateLimit(Date.now(), instanceId, ratePerS);
   }
 
   /** Removes records and times that no check needs any more. */
   prune(): void {
     const now = Date.now();
     for (const [id, { sentAt }] of this.#records) {
-      if (now - sentAt > RECORD_RETENTION_MS) this.#records.delete(id);
-    }
-    const windowMs = bounds['budget-window-s'] * 1000;
-    for (const times of [this.#retryTimes, this.#requestTimes]) {
-      while ((times[0] ?? now) < now - windowMs * 2) times.shift();
+      if (now - sentAt > RECORD_RETENTION_MS) {
+        this.#records.delete(id);
+        this.#quiet.forget(id);
+      }
     }
+    this.#allowances.prune(now);
   }
 
   #report(promise: string, detail: string): void {
@@ -327,6 +321,11 @@
     return this.#stops.counts;
   }
 
+  /** Attempts whose runners were silent for a while. */
+  get quietCounts(): Readonly<Record<string, unknown>> {
+    return this.#quiet.counts;
+  }
+
   /** By how much less urgent kinds of streams are served more often than more urgent ones. */
   get leads(): Readonly<Record<string, number>> {
     return this.#urgency.leads;
@@ -364,6 +363,17 @@
     if (finding !== undefined) this.#report('stop', finding);
   }
 
+  #checkQuiet(
+    { request, vm, sentAt, runs, hasBrokenOff }: RequestRecord,
+    answer: CallerAnswer,
+  ): void {
+    const now = Date.now();
+    const isEndOfStop = this.#stops.isEnding(now, this.#reach.isCut(vm) ? undefined : vm);
+    const attempt = { request, vm, sentAt, runs, hasBrokenOff, isEndOfStop };
+    const finding = this.#quiet.answered(now, attempt, answer);
+    if (finding !== undefined) this.#report('quiet', finding);
+  }
+
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
     this.peakUsage[promise] = Math.max(
       this.peakUsage[promise] ?? 0,
@@ -387,67 +397,8 @@
     const lateMs = Date.now() - (revokedAt ?? Infinity) - bounds['revoke-ms'];
     if (lateMs > 0) this.#report('keys', `${request.id} ran at ${runner} ${lateMs} ms too late`);
   }
+}
 
-  #checkQuota(customer: string | undefined): void {
-    const quota = customer === undefined ? undefined : this.#context.quotaOf(customer);
-    if (customer === undefined || !quota) return;
-    const now = Date.now();
-    const windowMs = bounds['quota-window-s'] * 1000;
-    const times = this.#runTimesByCustomer.get(customer) ?? [];
-    this.#runTimesByCustomer.set(customer, times);
-    times.push(now);
-    while ((times[0] ?? now) < now - windowMs) times.shift();
-    const allowed = quota.ratePerS * bounds['quota-window-s'] + quota.burst;
-    const max = allowed * (1 + bounds['quota-overage']) + bounds['quota-slack'];
-    this.#checkBound('quota', times.length, max, customer);
-  }
-
-  #checkBudget(now: number): void {
-    const windowMs = bounds['budget-window-s'] * 1000;
-    const since = now - windowMs;
-    const retries = this.#retryTimes.filter((at) => at > since).length;
-    const counts = [0, windowMs / 2, windowMs].map(
-      (back) => this.#requestTimes.filter((at) => at > since - back && at <= now - back).length,
-    );
-    const max =
-      bounds['retry-budget-ratio'] * Math.max(...counts) + bounds['retry-budget-extra'] * 2;
-    this.#checkBound('budget', retries, max, 'retries in 10 s');
-  }
-
-  #checkDraining(now: number, { requestId, instanceId }: Arrival): void {
-    const forMs = now - (this.#drainingSince.get(instanceId) ?? Infinity);
-    if (forMs > DRAIN_GRACE_MS && this.#context.faultFreeMs('vm', 'store') >= forMs) {
-      this.#report(
-        'drain',
-        `${requestId} reached ${instanceId} ${forMs} ms after it began to drain`,
-      );
-    }
-  }
-
-  #checkAnnouncements(
-    now: number,
-    { vm }: RequestRecord,
-    { requestId, instanceId }: Arrival,
-  ): void {
-    const unwanted = this.#announcements.arrived(now, vm, instanceId);
-    // A VM that was restarted knows nothing, and one that was frozen or cut off sends late.
-    const faultFreeMs = this.#context.faultFreeMs('vm', 'runner');
-    for (const { promise, afterMs, count } of unwanted.filter((one) => one.afterMs < faultFreeMs)) {
-      const subject = `${requestId} reached ${instanceId} from ${vm} ${afterMs} ms after its announcement`;
-      if (promise === 'pause') this.#checkBound(promise, count, MAX_DURING_PAUSE, subject);
-      else this.#report(promise, subject);
-    }
-  }
-
-  #checkLimit(now: number, runner: string): void {
-    const limit = this.#limits.get(runner);
-    if (!limit) return;
-    limit.at.push(now);
-    while ((limit.at[0] ?? now) < now - LIMIT_WINDOW_MS) limit.at.shift();
-    const max =
-      (limit.ratePerS * LIMIT_WINDOW_MS * LIMIT_OVERAGE_FACTOR) / 1000 + LIMIT_SLACK_REQUESTS;
-    const isSettled = now - limit.since > LIMIT_SETTLE_MS;
-    const isQuiet = this.#context.faultFreeMs('vm') >= MIN_FAULT_FREE_MS;
-    if (isSettled && isQuiet) this.#checkBound('limit', limit.at.length, max, `${runner} in 4 s`);
-  }
+function runnerIdOf({ instanceId }: Arrival): string {
+  return instanceId.split('@')[0] ?? instanceId;
 }
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -64,6 +64,7 @@
     faults: soak.faultCounts,
     streams: soak.streamCounts,
     stops: soak.stopCounts,
+    quiet: soak.quietCounts,
     // Of the soak's own process, in which callers, runners and links live.
     maxDelayMs: Math.round(delays.max / 1e6),
     leads: soak.leads,
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -55,6 +55,11 @@
     };
   }
 
+  /** The runner of an id; undefined if it was ended for good. */
+  find(runnerId: string): PooledRunner | undefined {
+    return this.members.find(({ runner }) => runner.runnerId === runnerId);
+  }
+
   /** Runners of a role that are up. */
   membersUp(role: RunnerRole): readonly PooledRunner[] {
     return this.members.filter(({ runner }) => runner.role === role && runner.isUp);
--- a/scripts/soak/proxy.ts
+++ b/scripts/soak/proxy.ts
@@ -1,4 +1,4 @@
-/** A loopback TCP proxy that injects link faults: delay, silence, one-way traffic, refused and reset connections. */
+/** A loopback TCP proxy that injects link faults: delay, silence, one-way traffic, refused and reset connections; and that holds bytes for a while. */
 
 import type { Server, Socket } from 'node:net';
 import { connect, createServer } from 'node:net';
@@ -28,6 +28,13 @@
 
   #state: LinkState = 'well';
 
+  #isHolding = false;
+
+  /** What is held of all connections, in the order of its arrival. */
+  #held: (() => void)[] = [];
+
+  #onHeld: ((bytes: Buffer) => void) | undefined;
+
   constructor(target: string) {
     this.#target = target;
     this.#server = createServer({ allowHalfOpen: true }, (client) => this.#accept(client));
@@ -43,6 +50,23 @@
     for (const connection of this.#connections) this.#pauseBlocked(connection);
   }
 
+  /**
+   * Holds all bytes, ends and resets, in both directions, of open and new connections, until `release`.
+   * @param onHeld called with bytes of clients when they are held
+   */
+  hold(onHeld: (bytes: Buffer) => void): void {
+    this.#isHolding = true;
+    this.#onHeld = onHeld;
+  }
+
+  /** Passes on what is held. */
+  release(): void {
+    this.#isHolding = false;
+    const held = this.#held;
+    this.#held = [];
+    for (const pass of held) pass();
+  }
+
   /** Listens at the given address. */
   async start(host: string, port: number): Promise<void> {
     await new Promise<void>((resolve) => {
@@ -78,8 +102,8 @@
     const server = connect({ host, port: Number(port), allowHalfOpen: true });
     const connection = { client, server };
     this.#connections.add(connection);
-    this.#forward(client, server);
-    this.#forward(server, client);
+    this.#forward(client, server, true);
+    this.#forward(server, client, false);
     const close = (): void => {
       this.#connections.delete(connection);
     };
@@ -88,25 +112,36 @@
   }
 
   /** Forwards bytes, an orderly end as an end, and a reset as a reset. */
-  #forward(from: Socket, to: Socket): void {
+  #forward(from: Socket, to: Socket, isFromClient: boolean): void {
     from.setNoDelay(true);
     from.on('data', (chunk) => {
-      const write = (): void => {
+      if (this.#isHolding && isFromClient) this.#onHeld?.(chunk);
+      this.#pass(() => {
         if (!to.destroyed) to.write(chunk);
-      };
-      if (this.delayMs > 0) setTimeout(write, this.delayMs);
-      else write();
+      });
     });
-    from.on('end', () => {
-      if (this.delayMs > 0) setTimeout(() => to.end(), this.delayMs);
-      else to.end();
-    });
-    from.on('error', () => to.resetAndDestroy());
+    from.on('end', () => this.#pass(() => to.end()));
+    from.on('error', () => this.#passReset(to));
     from.on('close', (failed) => {
-      if (failed) to.resetAndDestroy();
+      if (failed) this.#passReset(to);
     });
   }
 
+  #passReset(to: Socket): void {
+    this.#holdOr(() => to.resetAndDestroy());
+  }
+
+  /** Passes something on after the delay of the link. */
+  #pass(act: () => void): void {
+    if (this.delayMs > 0) setTimeout(() => this.#holdOr(act), this.delayMs);
+    else this.#holdOr(act);
+  }
+
+  #holdOr(act: () => void): void {
+    if (this.#isHolding) this.#held.push(act);
+    else act();
+  }
+
   /** Stops reading from each side whose bytes must not pass; the other side sees a silent peer. */
   #pauseBlocked({ client, server }: Connection): void {
     if (this.#state === 'silent' || this.#state === 'back') client.pause();
--- a/scripts/soak/reach.ts
+++ b/scripts/soak/reach.ts
@@ -58,6 +58,11 @@
     return { detail };
   }
 
+  /** Whether a VM is partitioned from all runners. */
+  isCut(vm: string): boolean {
+    return this.#cuts.has(vm);
+  }
+
   /** Counts an attempt that no other fault affected. */
   answered(sentAt: number, vm: string, { outcome, status }: CallerAnswer): void {
     if (outcome === 'left' || UNOWED.has(status)) return;
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -196,6 +196,11 @@
     return `${this.runnerId}@${this.#startedAt}`;
   }
 
+  /** Time since the start of the current instance, in milliseconds; 0 if it is not up. */
+  get upForMs(): number {
+    return this.isUp ? Date.now() - this.#startedAt : 0;
+  }
+
   /** Whether it listens. */
   get isUp(): boolean {
     return this.#server !== undefined;
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -8,17 +8,18 @@
 import { call } from '../../test/fakes/http';
 import { FakeStore } from '../../test/fakes/store';
 import { seeded } from '../../test/fakes/virtual/workload';
-import type { AddressBook } from './addresses';
-import { OwnAddresses, SharedAddresses } from './addresses';
-import type { StreamUse } from './callers';
-import { allKinds, CallerGroup, shortStreams, streamKinds } from './callers';
+import type { CallerObserver } from './callers';
+import { Crowd } from './crowd';
 import { FaultInjector } from './faults';
+import { ALL_PLAIN } from './kinds';
 import { Mesh } from './mesh';
-import { customerPriorities, MODEL_TIMEOUT_MS, Operator } from './operator';
+import { Operator } from './operator';
 import { FIRST_VERSION, Maintenance } from './maintenance';
 import { RunnerPool } from './pool';
 import type { Breach } from './guarantees';
-import { GuaranteeChecker, MIN_FAULT_FREE_MS } from './guarantees';
+import { GuaranteeChecker } from './guarantees';
+import { QUIET, RunnerSilences, SilenceLog } from './silences';
+import { MIN_FAULT_FREE_MS } from './terms';
 import type { FleetView, Timeline } from './timeline';
 import { Vm } from './vm';
 
@@ -37,47 +38,12 @@
   readonly program: string;
 }
 
-/** How a group of callers differs from the usual. */
-interface CallerOptions {
-  /** Whose streams its callers send; undefined for all requests of all customers. */
-  readonly customer?: string | undefined;
-  readonly addresses?: AddressBook;
-  readonly streams?: StreamUse;
-}
-
 const DOMAINS = ['north', 'centre', 'south'];
-const CALLER_GROUPS = 6;
-/** Callers that look up addresses for themselves and use long streams, during planned stops and restarts. */
-const LONG_CALLERS = 16;
-/** Their requests per second, relative to those of all others outside of that time, and those of the others in it. */
-const LONG_CALLER_FACTOR = 0.3;
-const ROLLOUT_FACTOR = 0.3;
-/** Event counts of their streams: short ones, ones of 2 to 6 s, and ones that may outlast the grace period. */
-const EVENT_RANGES = [
-  [5, 33],
-  [33, 100],
-  [33, 100],
-  [110, 190],
-] as const;
-const longStreams: StreamUse = {
-  drawEvents: (random) => {
-    const [min, max] = EVENT_RANGES[Math.floor(random() * EVENT_RANGES.length)] ?? EVENT_RANGES[0];
-    return min + Math.floor(random() * (max - min));
-  },
-  deadlineMs: MODEL_TIMEOUT_MS,
-  maxAttempts: 20,
-  maxPauseMs: 800,
-};
-/**
- * Streams per second of a flood, relative to all requests of all customers: its customer then sends seven
- * times its usual streams, and all together nearly twice what the decode runners can serve.
- */
-const FLOOD_FACTOR = 1;
-const FLOOD_INTERVAL_MS = 6000;
-const FLOOD_MS = 4000;
 /** Time within which all VMs must become ready after the start. */
 const STARTUP_TIMEOUT_MS = 30_000;
 const SECOND_MS = 1000;
+/** Time without faults before a request is sent from which on silences of its runner count. */
+const UNDISTURBED_MS = 3000;
 /** Time since its start after which a VM is in touch. */
 const IN_TOUCH_MS = 3000;
 /** Time within which all VMs must be ready again after the last fault. */
@@ -108,6 +74,8 @@
 
   readonly #maintenance: Maintenance;
 
+  readonly #silences: RunnerSilences;
+
   readonly #networkPrefix: string;
 
   constructor(options: SoakOptions, timeline: Timeline) {
@@ -129,8 +97,11 @@
       onSent: (request, vm) => this.#guarantees.sent(request, vm),
       faultFreeMs: () => this.#faults.faultFreeMs('vm', 'store'),
     });
+    const silences = new SilenceLog();
     this.#guarantees = new GuaranteeChecker({
       onBreach,
+      silences,
+      isUndisturbed: (vm, runnerIds, sentAt) => this.#isUndisturbed(vm, runnerIds, sentAt),
       onLostStreamEnd: (end) => timeline.recordLostStreamEnd(end),
       faultFreeMs: (...families) => this.#faults.faultFreeMs(...families),
       revokedAt: (key) => this.#operator.revokedAt(key),
@@ -168,10 +139,18 @@
         onRunnersCut: ({ frontAddress }, isCut) =>
           this.#guarantees.setRunnersCut(frontAddress, isCut),
         onLost: ({ runner }) => this.#guarantees.setLost(runner.instanceId),
-        onFault: (id, name, target, begins) => timeline.recordFault(id, name, target, begins),
+        onFault: (name, target) => timeline.recordFault(name, target),
       },
       options.faults,
     );
+    this.#silences = new RunnerSilences({
+      random: seeded(seed + 6),
+      pool: this.#pool,
+      log: silences,
+      isBusy: (runnerId) => this.#faults.isBusy([runnerId]),
+      onSilence: (runnerId) => timeline.recordFault(QUIET, runnerId),
+      onHeldRequest: (requestId, runnerId) => observer.setHeld(requestId, runnerId),
+    });
   }
 
   /** Number of injected faults by kind. */
@@ -189,6 +168,11 @@
     return this.#guarantees.stopCounts;
   }
 
+  /** Requests whose runners were silent for a while, by kind and ending. */
+  get quietCounts(): Readonly<Record<string, unknown>> {
+    return this.#guarantees.quietCounts;
+  }
+
   /** By how much less urgent kinds of streams were served more often than more urgent ones. */
   get leads(): Readonly<Record<string, number>> {
     return this.#guarantees.leads;
@@ -209,9 +193,8 @@
         this.#faults.run(until),
         this.#operator.run(until),
         this.#maintenance.run(until),
-        ...this.#callers(until),
-        ...this.#longCallers(until),
-        this.#flood(until),
+        ...this.#planned(until),
+        this.#createCrowd().run(until),
       ]);
       await this.#checkRecovery();
       this.#guarantees.finish();
@@ -229,82 +212,51 @@
     );
   }
 
-  #callers(until: number): readonly Promise<void>[] {
-    const { seed, ratePerS } = this.#options;
-    return Array.from({ length: CALLER_GROUPS }, (_, group) =>
-      this.#callerGroup(seeded(seed + 10 + group)).run(
-        () => (ratePerS / CALLER_GROUPS) * (this.#faults.isRollingOut ? ROLLOUT_FACTOR : 1),
-        until,
-      ),
-    );
+  /**
+   * Whether no fault acts on a VM, on some runners or on the store, and none has from some time before `sentAt`
+   * on. Others forward the requests of a VM that is partitioned from all runners, so that all count then.
+   */
+  #isUndisturbed(address: string, runnerIds: readonly string[], sentAt: number): boolean {
+    const forMs = Date.now() - sentAt;
+    const vm = this.#vms.find(({ frontAddress }) => frontAddress === address);
+    const vms = vm?.isCutFromRunners ? this.#vms : [vm];
+    const members = runnerIds.map((id) => this.#pool.find(id));
+    const isPlain = members.some((member) => member?.runner.role === 'plain');
+    const targets = [
+      'store',
+      ...this.#vms.map((_, index) => `store link ${index + 1}`),
+      ...vms.map((one) => one?.options.name ?? ''),
+      ...runnerIds,
+      ...(isPlain ? [ALL_PLAIN] : []),
+    ];
+    const isSound = this.#faults.unplannedFreeMsOf(targets) >= forMs + UNDISTURBED_MS;
+    return isSound && members.every((member) => (member?.runner.upForMs ?? 0) >= forMs);
   }
 
-  #longCallers(until: number): readonly Promise<void>[] {
-    const { seed, ratePerS } = this.#options;
-    return Array.from({ length: LONG_CALLERS }, async (_, index) => {
-      const random = seeded(seed + 100 + index);
-      const addresses = new OwnAddresses(this.#directories, random);
-      const caller = this.#callerGroup(random, { addresses, streams: longStreams });
-      await caller.run(
-        () => (this.#faults.isRollingOut ? (ratePerS * LONG_CALLER_FACTOR) / LONG_CALLERS : 0),
-        until,
-      );
-    });
+  #planned(until: number): readonly Promise<void>[] {
+    const { faults } = this.#options;
+    return faults === undefined || faults.includes(QUIET) ? [this.#silences.run(until)] : [];
   }
 
-  /** Floods of one customer at a time, alternately at any moment and while no fault is in progress. */
-  async #flood(until: number): Promise<void> {
+  #createCrowd(): Crowd {
     const { seed, ratePerS } = this.#options;
-    const random = seeded(seed + 4);
-    for (let flood = 0; Date.now() < until - FLOOD_MS; flood += 1) {
-      await pause(FLOOD_INTERVAL_MS * (0.5 + random()));
-      const awaitsCalm = flood % 2 === 0;
-      while (Date.now() < until && (this.#faults.isRollingOut || (awaitsCalm && !this.#isCalm))) {
-        await pause(100);
-      }
-      // Without a quota, so that the model runners are overloaded.
-      const names = Object.keys(customerPriorities).filter(
-        (name) => !awaitsCalm || this.#operator.quotaOf(name) === undefined,
-      );
-      const customer = names[Math.floor(random() * names.length)];
-      const end = Math.min(until, Date.now() + FLOOD_MS);
-      await this.#callerGroup(random, { customer }).run(() => ratePerS * FLOOD_FACTOR, end);
-    }
-  }
-
-  get #isCalm(): boolean {
-    return this.#faults.faultFreeMs('vm', 'store', 'runner', 'path') >= MIN_FAULT_FREE_MS;
-  }
-
-  get #directories(): readonly string[] {
-    return this.#vms.map(({ directoryAddress }) => directoryAddress);
-  }
-
-  /** By default, its callers share look-ups and use short streams. */
-  #callerGroup(
-    random: () => number,
-    {
-      customer,
-      addresses = new SharedAddresses(this.#directories, random),
-      streams = shortStreams,
-    }: CallerOptions = {},
-  ): CallerGroup {
     const guarantees = this.#guarantees;
-    const timeline = this.#timeline;
-    return new CallerGroup({
-      observer: {
-        sent: (request, vm) => guarantees.sent(request, vm),
-        answered: (request, vm, answer) => {
-          timeline.recordAnswer(answer);
-          guarantees.answered(request, vm, answer);
-        },
-        disconnected: (request) => guarantees.disconnected(request),
+    const observer: CallerObserver = {
+      sent: (request, vm) => guarantees.sent(request, vm),
+      answered: (request, vm, answer) => {
+        this.#timeline.recordAnswer(answer);
+        guarantees.answered(request, vm, answer);
       },
-      random,
-      keys: { drawKey: () => this.#operator.drawKey(customer) },
-      kinds: customer === undefined ? allKinds : streamKinds,
-      addresses,
-      streams,
+      disconnected: (request) => guarantees.disconnected(request),
+    };
+    return new Crowd({
+      seed,
+      ratePerS,
+      directories: this.#vms.map(({ directoryAddress }) => directoryAddress),
+      observer,
+      operator: this.#operator,
+      isRollingOut: () => this.#faults.isRollingOut,
+      isCalm: () => this.#faults.faultFreeMs('vm', 'store', 'runner', 'path') >= MIN_FAULT_FREE_MS,
     });
   }
 
--- a/scripts/soak/stops.ts
+++ b/scripts/soak/stops.ts
@@ -87,6 +87,18 @@
     return `${request.id} at ${vm}, SIGTERM ${stoppedAt}: ${sent}, broke off ${after}, at work until ${atWork}`;
   }
 
+  /**
+   * Whether a VM is about to end as planned: in the last part of its grace period or shortly after it.
+   * @param vm its address; undefined for any VM
+   */
+  isEnding(now: number, vm?: string): boolean {
+    return [...this.#stoppedAt].some(([address, at]) => {
+      const isMeant = vm === undefined || vm === address;
+      const begins = at + this.#graceMs * (1 - LAST_PART);
+      return isMeant && now >= begins && now <= at + this.#graceMs + AFTER_GRACE_MS;
+    });
+  }
+
   /** Requests that ended while their VM stopped, those that broke off as allowed, and those that were lost. */
   get counts(): Readonly<Record<string, number>> {
     return { ended: this.#ended, excused: this.#excused, lost: this.#lost };
--- a/scripts/soak/timeline.ts
+++ b/scripts/soak/timeline.ts
@@ -53,8 +53,6 @@
 
   readonly #print: (line: unknown) => void;
 
-  readonly #activeFaults = new Map<number, FaultSpan>();
-
   #outcomeCounts = new Map<Outcome, number>();
 
   #servedMs: number[] = [];
@@ -74,17 +72,24 @@
     if (outcome === 'served') this.#servedMs.push(ms);
   }
 
-  /** Records the beginning or the end of a fault. */
-  recordFault(id: number, name: string, target: string, begins: boolean): void {
+  /** Records the beginning of a fault; returns what to call when it ends. */
+  recordFault(name: string, target: string): () => void {
+    const span: FaultSpan = {
+      name,
+      target,
+      from: this.#printFault(name, target, true),
+      to: Infinity,
+    };
+    this.faults.push(span);
+    return () => {
+      span.to = this.#printFault(name, target, false);
+    };
+  }
+
+  #printFault(fault: string, target: string, begins: boolean): number {
     const at = Math.round(this.#elapsedS * 1000) / 1000;
-    this.#print({ at, fault: name, target, begins });
-    if (begins) {
-      const span = { name, target, from: at, to: Infinity };
-      this.#activeFaults.set(id, span);
-      this.faults.push(span);
-    }
-    const span = this.#activeFaults.get(id);
-    if (span && !begins) span.to = at;
+    this.#print({ at, fault, target, begins });
+    return at;
   }
 
   /** Records the end of a stream whose runner had fallen silent. */
--- a/scripts/soak/vm.ts
+++ b/scripts/soak/vm.ts
@@ -114,6 +114,11 @@
     return `http://${this.options.ip}:${METRICS_PORT}/beliefs`;
   }
 
+  /** Whether its connections to all runners are cut. */
+  get isCutFromRunners(): boolean {
+    return this.#runnerCut !== undefined;
+  }
+
   /** Whether its process exists, suspended or not. */
   get isUp(): boolean {
     return this.#process !== undefined;
