Let the soak's callers keep connections for as long as VMs announce

Callers reuse a connection until 0.2 s before the end of what Keep-Alive announced for it, and close it then. Twenty more use one connection each, most of the time late in that time, also while its VM stops, until it is closed; every other one of them heeds four fifths of the idle limit of the newest configuration known for 2.5 s as well. The operator changes the idle limit (15, 2, 8 and 3 s), every fourth change is a series of three configurations within 0.3 s, and a new kind, vm-hangups, sends a VM five SIGHUPs in a row.

Promise kept: a request on a kept connection is answered or refused, and no VM closes an idle connection before the announced time is over, as a request could cross the close; unless the VM stops, is killed, frozen or cut off from others.

gone: the bound stays at 700 ms, but what a silent link holds meanwhile does not count against the VM, and the check looks again when that is over.

--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -2,11 +2,13 @@
 
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { AddressBook } from './addresses';
 import { HOST } from './addresses';
+import type { KeptConnection } from './connections';
+import { KeptConnections } from './connections';
 import { HeldStream } from './heldstream';
 import type { RequestKind, SentRequest } from './requests';
 import { digestOf, plainAnswer, signatureOf } from './requests';
@@ -25,6 +27,8 @@
   readonly retryAfterMs: number | undefined;
   /** Time from its last byte to the end of the attempt, in milliseconds; undefined if it was not sent whole. */
   readonly sinceSentMs: number | undefined;
+  /** How its connection was kept before; undefined if it is a new one. */
+  readonly kept: KeptConnection | undefined;
   /** What is wrong with an answer that looks complete; undefined if nothing is. */
   readonly integrityError: string | undefined;
   /** Number of events that it brought. */
@@ -39,6 +43,8 @@
   sent(request: SentRequest, vm: string): void;
   /** An attempt ended, also by the caller disconnecting. */
   answered(request: SentRequest, vm: string, answer: CallerAnswer): void;
+  /** A VM, given by its IP address, closes an idle connection before the time that it announced is over. */
+  closedEarly(ip: string, kept: KeptConnection): void;
   /** The caller closed its connection before the end. */
   disconnected(request: SentRequest): void;
 }
@@ -88,6 +94,10 @@
 /** The same for streams that may be resumed, most of which are taken up again. */
 const RESUMABLE_DISCONNECT_RATIO = 0.25;
 const MAX_ATTEMPTS = 2;
+const MAX_CONNECTIONS = 64;
+/** Fraction of idle connections that are used again late in the time for which they are kept, and that part of it. */
+const LATE_RATIO = 0.7;
+const LATE_PART = 0.15;
 const RETRY_MS = 50;
 /** How often callers without requests look whether that has changed. */
 const IDLE_MS = 100;
@@ -109,10 +119,14 @@
 export class CallerGroup {
   readonly #context: CallerContext;
 
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 64 });
+  readonly #connections: KeptConnections;
 
   constructor(context: CallerContext) {
     this.#context = context;
+    const { observer } = context;
+    this.#connections = new KeptConnections(MAX_CONNECTIONS, (ip, kept) =>
+      observer.closedEarly(ip, kept),
+    );
   }
 
   /** Sends requests at random times, at a rate that may change, until `until` (epoch milliseconds), and waits for their answers. */
@@ -127,11 +141,31 @@
       } else await pause(IDLE_MS);
     }
     await Promise.all(open);
-    this.#agent.destroy();
+    this.#connections.destroy();
+  }
+
+  /**
+   * Sends one request after the other on one connection for as long as its VM keeps it, each after a pause up to
+   * the longest that `maxIdleMs` allows by what was announced, until `until` (epoch milliseconds).
+   */
+  async runIdle(maxIdleMs: (announcedMs: number) => number, until: number): Promise<void> {
+    const { random } = this.#context;
+    while (Date.now() < until) {
+      const address = await this.#context.addresses.pick();
+      let announcedMs: number | undefined = 0;
+      while (announcedMs !== undefined && Date.now() < until) {
+        await this.#sendRequest(address);
+        announcedMs = this.#connections.idleAnnouncedMs(address);
+        const maxMs = announcedMs === undefined ? IDLE_MS : maxIdleMs(announcedMs);
+        const share = random() < LATE_RATIO ? 1 - LATE_PART * random() : random();
+        await pause(Math.max(0, Math.min(maxMs * share, until - Date.now())));
+      }
+    }
+    this.#connections.destroy();
   }
 
   /** Sends one request, with the caller's own retries. */
-  async #sendRequest(): Promise<void> {
+  async #sendRequest(address?: string): Promise<void> {
     const { random, keys, kinds, streams } = this.#context;
     const kind = kinds[Math.floor(random() * kinds.length)] ?? 'once';
     const isStream = kind === 'stream' || kind === 'resumable';
@@ -147,7 +181,7 @@
       const id = randomUUID();
       const content = { kind, path, body, events, deadlineMs };
       const sent: SentRequest = { id, resumes, ...content, ...credentials };
-      const { outcome, retryAfterMs } = await this.#attempt(sent, held);
+      const { outcome, retryAfterMs } = await this.#attempt(sent, held, address);
       const isBroken = outcome === 'broken' || (outcome === 'left' && random() < RETURN_RATIO);
       const mayResume = kind === 'resumable' && isBroken && held.count > 0;
       const mayRetry = kind === 'repeatable' || outcome === 'refused';
@@ -158,16 +192,20 @@
     }
   }
 
-  async #attempt(sent: SentRequest, held: HeldStream): Promise<CallerAnswer> {
+  async #attempt(
+    sent: SentRequest,
+    held: HeldStream,
+    at: string | undefined,
+  ): Promise<CallerAnswer> {
     const { observer, random, addresses } = this.#context;
-    const address = await addresses.pick();
+    const address = at ?? (await addresses.pick());
     observer.sent(sent, address);
     const ratio = sent.kind === 'resumable' ? RESUMABLE_DISCONNECT_RATIO : DISCONNECT_RATIO;
     const disconnectMs = random() < ratio ? random() * MAX_DISCONNECT_MS : undefined;
     const began = performance.now();
     const heldBefore = held.count;
     held.beginAttempt();
-    const answer = await exchange(this.#agent, address, sent, held, disconnectMs);
+    const answer = await exchange(this.#connections, address, sent, held, disconnectMs);
     const timed = {
       ...answer,
       // Also of a stream that ended early, which may be taken up again.
@@ -206,11 +244,12 @@
   retryAfterMs: undefined,
   integrityError: undefined,
   sinceSentMs: undefined,
+  kept: undefined,
 };
 
 /** Makes one attempt, on a new or a reused connection. */
 function exchange(
-  agent: Agent,
+  agent: KeptConnections,
   address: string,
   sent: SentRequest,
   held: HeldStream,
@@ -229,12 +268,15 @@
     const end = (result: ExchangeResult): void => {
       clearTimeout(timer);
       const sinceSentMs = sentAt === undefined ? undefined : performance.now() - sentAt;
-      resolve({ ...result, sinceSentMs });
+      resolve({ ...result, sinceSentMs, kept: agent.keptFor(req) });
     };
     req.once('finish', () => {
       sentAt = performance.now();
     });
-    req.on('response', (res) => collect(sent, held, res, end));
+    req.on('response', (res) => {
+      agent.announced(res);
+      collect(sent, held, res, end);
+    });
     req.on('error', () => end(brokenResult));
     req.end(sent.body);
   });
--- a/scripts/soak/crowd.ts
+++ b/scripts/soak/crowd.ts
@@ -7,6 +7,7 @@
 import { OwnAddresses, SharedAddresses } from './addresses';
 import type { CallerObserver, StreamUse } from './callers';
 import { allKinds, CallerGroup, shortStreams, streamKinds } from './callers';
+import { CALLER_MARGIN_MS } from './connections';
 import type { Operator } from './operator';
 import { customerPriorities, MODEL_TIMEOUT_MS } from './operator';
 
@@ -38,6 +39,11 @@
 const LONG_CALLERS = 16;
 /** Their requests per second, relative to those of all others outside of that time, and those of the others in it. */
 const LONG_CALLER_FACTOR = 0.3;
+/** Callers that use one connection each, after pauses. */
+const IDLE_CALLERS = 20;
+/** Part of the idle limit up to which they use it, and the age from which on they know a configuration. */
+const IDLE_PART = 0.8;
+const KNOWN_AFTER_MS = 2500;
 const ROLLOUT_FACTOR = 0.3;
 /** Event counts of their streams: short ones, ones of 2 to 6 s, and ones that may outlast the grace period. */
 const EVENT_RANGES = [
@@ -73,7 +79,12 @@
 
   /** Sends requests until `until` (epoch milliseconds), and waits for their answers. */
   async run(until: number): Promise<void> {
-    await Promise.all([...this.#callers(until), ...this.#longCallers(until), this.#flood(until)]);
+    await Promise.all([
+      ...this.#callers(until),
+      ...this.#longCallers(until),
+      ...this.#idleCallers(until),
+      this.#flood(until),
+    ]);
   }
 
   #callers(until: number): readonly Promise<void>[] {
@@ -99,6 +110,18 @@
     });
   }
 
+  /** Callers that use one connection after pauses; every other one heeds the idle limit of the configuration as well. */
+  #idleCallers(until: number): readonly Promise<void>[] {
+    const { seed, operator } = this.#context;
+    return Array.from({ length: IDLE_CALLERS }, (_, index) => {
+      const maxIdleMs = (announcedMs: number): number => {
+        const limitMs = operator.idleLimitMsAt(Date.now() - KNOWN_AFTER_MS) * IDLE_PART;
+        return Math.min(announcedMs - CALLER_MARGIN_MS, index % 2 === 0 ? limitMs : Infinity);
+      };
+      return this.#callerGroup(seeded(seed + 200 + index)).runIdle(maxIdleMs, until);
+    });
+  }
+
   /** Floods of one customer at a time, alternately at any moment and while no fault is in progress. */
   async #flood(until: number): Promise<void> {
     const { seed, ratePerS } = this.#context;
--- a/scripts/soak/faults.ts
+++ b/scripts/soak/faults.ts
@@ -43,7 +43,9 @@
 /** Pause between parts of a cycle that are no bursts. */
 const SHORT_PAUSE_MS = 3500;
 /** Kinds of planned work, beside those that begin with `stop-`. */
-const PLANNED_KINDS: ReadonlySet<string> = new Set(['vm-stop', 'vm-hangup']);
+const PLANNED_KINDS: ReadonlySet<string> = new Set(['vm-stop', 'vm-hangup', 'vm-hangups']);
+/** Kinds after which the process of a VM goes on as before. */
+const STEADY_KINDS: ReadonlySet<string> = new Set(['vm-hangup', 'vm-hangups', 'vm-clock']);
 /** Kinds that act on the links between the VM that they name and others. */
 const MESH_KINDS: ReadonlySet<string> = new Set(['vm-cut', 'vm-alone', 'vm-cut-some', 'vm-links']);
 /** How often the store is copied for later restoration. */
@@ -114,6 +116,13 @@
     );
   }
 
+  /** The same for those, planned or not, that end, suspend or cut off a VM. */
+  steadyMsOf(vm: string): number {
+    const isMeant = ({ name, targets }: FaultRecord): boolean =>
+      familyOf(name) === 'vm' && !STEADY_KINDS.has(name) && targets.includes(vm);
+    return this.#freeMs(isMeant);
+  }
+
   #freeMs(
     counts: (fault: FaultRecord) => boolean,
     lastActOf: (active: FaultRecord) => number = () => Date.now(),
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -9,9 +9,13 @@
 import type { Announcement } from './announcements';
 import { bounds } from './vm';
 import type { CallerAnswer, CallerObserver } from './callers';
+import { CancellationChecker } from './cancellations';
+import type { KeptConnection } from './connections';
 import type { FaultFamily } from './faults';
 import type { QuietContext } from './quiet';
 import { QuietChecker } from './quiet';
+import type { KeptContext } from './kept';
+import { KeptChecker } from './kept';
 import { ReachChecker } from './reach';
 import type { LostStreamEnd } from './loststreams';
 import { LostStreamChecker } from './loststreams';
@@ -20,7 +24,8 @@
 import type { SilenceLog } from './silences';
 import { StopChecker } from './stops';
 import { MIN_FAULT_FREE_MS, TermsChecker } from './terms';
-import type { Arrival, Order, RunnerObserver } from './runner';
+import type { Arrival, Order, RunnerObserver } from './work';
+import { runnerIdOf } from './work';
 import { UrgencyChecker } from './urgency';
 import { VersionChecker } from './versions';
 
@@ -51,6 +56,7 @@
   /** Silences of sound runners. */
   readonly silences: SilenceLog;
   readonly isUndisturbed: QuietContext['isUndisturbed'];
+  readonly isSteady: KeptContext['isSteady'];
 }
 
 /** What was observed of a request. */
@@ -67,7 +73,6 @@
   /** Number of attempts that reached a runner; prefills before the first decode do not count. */
   arrivalCount: number;
   isRefused: boolean;
-  disconnectedAt: number | undefined;
   /** When the last run ended; -Infinity if none did. */
   lastEndedAt: number;
   /** Whether the runner of the last run ended in the middle of it. */
@@ -76,8 +81,6 @@
 
 /** Time for which the record of a request is retained after it was sent. */
 const RECORD_RETENTION_MS = 90_000;
-/** Time within which a request must be cancelled at its runners after its caller disconnected. */
-const CANCELLATION_MS = 700;
 
 /** Checks all guarantees of one run. */
 export class GuaranteeChecker implements CallerObserver, RunnerObserver {
@@ -94,6 +97,10 @@
 
   readonly #quiet: QuietChecker;
 
+  readonly #cancellations: CancellationChecker;
+
+  readonly #kept: KeptChecker;
+
   readonly #reach = new ReachChecker();
 
   readonly #versions = new VersionChecker();
@@ -107,7 +114,7 @@
   readonly #stops = new StopChecker({ graceMs: bounds['grace-s'] * 1000 });
 
   /** Highest observed value of each bounded amount, as a fraction of its bound. */
-  readonly peakUsage: Record<string, number> = {};
+  readonly #peakUsage: Record<string, number> = {};
 
   constructor(context: GuaranteeContext) {
     this.#context = context;
@@ -117,6 +124,8 @@
     const report = this.#report.bind(this);
     this.#allowances = new AllowanceChecker({ checkBound, quotaOf });
     this.#terms = new TermsChecker({ checkBound, report, faultFreeMs });
+    this.#cancellations = new CancellationChecker({ report, faultFreeMs, silences });
+    this.#kept = new KeptChecker(context);
     this.#quiet = new QuietChecker({
       log: silences,
       isUndisturbed,
@@ -136,7 +145,6 @@
       activeRuns: new Set(),
       arrivalCount: 0,
       isRefused: false,
-      disconnectedAt: undefined,
       lastEndedAt: -Infinity,
       hasBrokenOff: false,
     });
@@ -187,6 +195,8 @@
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
+    const keptFinding = this.#kept.answered(request.id, vm, answer);
+    if (keptFinding !== undefined) this.#report('kept', keptFinding);
     if (record) {
       this.#checkStop(record, answer);
       this.#checkQuiet(record, answer);
@@ -199,11 +209,15 @@
     if (record.runs > 0) this.#report('not run', `${request.id} at ${vm}: ${status} after a run`);
   }
 
+  closedEarly(ip: string, kept: KeptConnection): void {
+    const finding = this.#kept.closed(ip, kept);
+    if (finding !== undefined) this.#report('kept', finding);
+  }
+
   disconnected({ id }: SentRequest): void {
     const record = this.#records.get(id);
     if (!record) return;
-    record.disconnectedAt = Date.now();
-    setTimeout(() => this.#checkCancellation(record), CANCELLATION_MS).unref();
+    this.#cancellations.left(Date.now(), id, record.activeRuns);
   }
 
   arrived(arrival: Arrival): void {
@@ -311,24 +325,16 @@
     this.#context.onBreach({ promise, detail });
   }
 
-  /** Streams that callers took up again or whose runners fell silent, and how many of them went on. */
-  get streamCounts(): Readonly<Record<string, number>> {
-    return { ...this.#versions.counts, ...this.#lostStreams.counts };
-  }
-
-  /** Requests that ended while their VM stopped. */
-  get stopCounts(): Readonly<Record<string, number>> {
-    return this.#stops.counts;
-  }
-
-  /** Attempts whose runners were silent for a while. */
-  get quietCounts(): Readonly<Record<string, unknown>> {
-    return this.#quiet.counts;
-  }
-
-  /** By how much less urgent kinds of streams are served more often than more urgent ones. */
-  get leads(): Readonly<Record<string, number>> {
-    return this.#urgency.leads;
+  /** What was counted: streams, requests around stops, met silences, kept connections, leads of less urgent kinds, use of bounds. */
+  get summary(): Readonly<Record<string, unknown>> {
+    return {
+      streams: { ...this.#versions.counts, ...this.#lostStreams.counts },
+      stops: this.#stops.counts,
+      quiet: this.#quiet.counts,
+      kept: this.#kept.counts,
+      leads: this.#urgency.leads,
+      used: this.#peakUsage,
+    };
   }
 
   /** Checks what can only be told at the end of the run. */
@@ -375,30 +381,16 @@
   }
 
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
-    this.peakUsage[promise] = Math.max(
-      this.peakUsage[promise] ?? 0,
+    this.#peakUsage[promise] = Math.max(
+      this.#peakUsage[promise] ?? 0,
       Math.round((amount / max) * 100) / 100,
     );
     if (amount > max) this.#report(promise, `${subject}: ${amount}, at most ${max} allowed`);
   }
 
-  #checkCancellation({ request, activeRuns, disconnectedAt = 0 }: RequestRecord): void {
-    const faultFreeMs = this.#context.faultFreeMs('vm', 'runner');
-    if (activeRuns.size === 0 || faultFreeMs < MIN_FAULT_FREE_MS + CANCELLATION_MS) return;
-    const runners = [...activeRuns].map(({ instanceId }) => instanceId).join(' ');
-    this.#report(
-      'gone',
-      `${request.id}: still running at ${runners} ${Date.now() - disconnectedAt} ms after its caller disconnected`,
-    );
-  }
-
   #checkKey({ request }: RequestRecord, runner: string): void {
     const revokedAt = request.key === undefined ? undefined : this.#context.revokedAt(request.key);
     const lateMs = Date.now() - (revokedAt ?? Infinity) - bounds['revoke-ms'];
     if (lateMs > 0) this.#report('keys', `${request.id} ran at ${runner} ${lateMs} ms too late`);
   }
 }
-
-function runnerIdOf({ instanceId }: Arrival): string {
-  return instanceId.split('@')[0] ?? instanceId;
-}
--- a/scripts/soak/kinds.ts
+++ b/scripts/soak/kinds.ts
@@ -6,8 +6,8 @@
 import type { Mesh } from './mesh';
 import type { PooledRunner, RunnerPool } from './pool';
 import type { LinkProxy, LinkState } from './proxy';
-import type { RunnerBehaviour } from './runner';
-import { healthyBehaviour } from './runner';
+import type { RunnerBehaviour } from './work';
+import { healthyBehaviour } from './work';
 import type { RunnerCut, Vm } from './vm';
 
 /** What faults act on, and callbacks about them. */
@@ -54,6 +54,9 @@
 export const ALL_PLAIN = 'all plain runners';
 /** Minimum time for which a lost runner does not answer: its streams would have ended in half of it. */
 const MIN_LOST_MS = 4000;
+/** Signals of a series, and the longest pause between two. */
+const HANGUPS = 5;
+const MAX_HANGUP_PAUSE_MS = 400;
 /** Range of clock steps: the clock moves by at most half of it in either direction. */
 const CLOCK_STEP_RANGE_MS = 8000;
 
@@ -87,6 +90,7 @@
       'vm-freeze': () => this.#onVm((vm) => this.#pauseVm(vm)),
       'vm-clock': () => this.#onVm((vm) => this.#stepClock(vm)),
       'vm-hangup': () => this.#onVm(async (vm) => vm.signal('SIGHUP')),
+      'vm-hangups': () => this.#onVm((vm) => this.#hangUpOften(vm)),
       'vm-cut': () => this.#onMesh((vm) => this.#partition(vm, this.#othersOf(vm))),
       'vm-alone': () => this.#onMesh((vm) => this.#isolate(vm)),
       'vm-cut-some': () =>
@@ -202,6 +206,14 @@
     });
   }
 
+  /** Lets a VM read its settings again several times, also while it does so. */
+  async #hangUpOften(vm: Vm): Promise<void> {
+    for (let signals = 0; signals < HANGUPS; signals += 1) {
+      vm.signal('SIGHUP');
+      await pause(this.#context.random() * MAX_HANGUP_PAUSE_MS);
+    }
+  }
+
   async #pauseVm(vm: Vm): Promise<void> {
     vm.signal('SIGSTOP');
     await pause(this.#drawDurationMs());
--- a/scripts/soak/main.ts
+++ b/scripts/soak/main.ts
@@ -61,14 +61,9 @@
   print({
     seed,
     ...totals,
-    faults: soak.faultCounts,
-    streams: soak.streamCounts,
-    stops: soak.stopCounts,
-    quiet: soak.quietCounts,
+    ...soak.summary,
     // Of the soak's own process, in which callers, runners and links live.
     maxDelayMs: Math.round(delays.max / 1e6),
-    leads: soak.leads,
-    used: soak.peakUsage,
     breaches: breaches.length,
     ...logs,
   });
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -11,7 +11,7 @@
 import { services } from './pool';
 import type { RequestKind, SentRequest } from './requests';
 import type { Breach } from './guarantees';
-import { runnerProfile } from './runner';
+import { runnerProfile } from './work';
 import type { Vm } from './vm';
 import { bounds } from './vm';
 
@@ -32,6 +32,12 @@
 const REVOKED_KEY_RATIO = 0.08;
 /** Number of revoked keys that callers still use. */
 const REVOKED_KEYS_IN_USE = 4;
+/** Idle limits of callers' connections, one after the other as configurations change. */
+const IDLE_LIMITS_MS = [15_000, 2000, 2000, 8000, 3000] as const;
+/** Every so many changes come as a series, of so many configurations and with this pause between them. */
+const SERIES_CHANGES = 4;
+const SERIES_LENGTH = 3;
+const SERIES_PAUSE_MS = 150;
 /** Mean time between configuration changes. */
 const CHANGE_INTERVAL_MS = 3500;
 /** Time between probes of the version that each VM applies. */
@@ -73,6 +79,8 @@
     Array.from({ length: KEYS_PER_CUSTOMER }, () => ({ customer, key: randomUUID() })),
   );
 
+  readonly #idleLimits: { readonly since: number; readonly limitMs: number }[] = [];
+
   /** Most recently revoked keys, newest first. */
   #recentlyRevoked: readonly ApiKey[] = [];
 
@@ -115,9 +123,15 @@
     return QUOTAS[customer as keyof typeof QUOTAS];
   }
 
+  /** Idle limit of the newest configuration that was written by a time (epoch milliseconds). */
+  idleLimitMsAt(at: number): number {
+    return this.#idleLimits.findLast(({ since }) => since <= at)?.limitMs ?? 0;
+  }
+
   /** Writes the next configuration. */
   writeNext(): void {
     this.#version += 1;
+    this.#idleLimits.push({ since: Date.now(), limitMs: idleLimitMsOf(this.#version) });
     this.rewrite();
   }
 
@@ -134,7 +148,7 @@
 
   async #changeConfig(until: number): Promise<void> {
     const { random } = this.#context;
-    while (Date.now() < until) {
+    for (let changes = 1; Date.now() < until; changes += 1) {
       await pause(CHANGE_INTERVAL_MS * (0.5 + random()));
       const [revoked, ...rest] = random() < 0.5 ? this.#keys : [undefined, ...this.#keys];
       if (revoked) {
@@ -143,6 +157,11 @@
         this.#recentlyRevoked = [revoked, ...this.#recentlyRevoked].slice(0, REVOKED_KEYS_IN_USE);
       }
       this.writeNext();
+      const more = changes % SERIES_CHANGES === 0 ? SERIES_LENGTH - 1 : 0;
+      for (let i = 0; i < more; i += 1) {
+        await pause(SERIES_PAUSE_MS);
+        this.writeNext();
+      }
     }
   }
 
@@ -231,6 +250,7 @@
     const plain = { service: services.plain, 'timeout-ms': 1500, 'target-latency-ms': 200 };
     return {
       version: this.#version,
+      limits: { 'idle-timeout-ms': idleLimitMsOf(this.#version) },
       tenants: CUSTOMERS.map((name) => ({
         name,
         priority: customerPriorities[name],
@@ -264,3 +284,7 @@
     };
   }
 }
+
+function idleLimitMsOf(version: number): number {
+  return IDLE_LIMITS_MS[version % IDLE_LIMITS_MS.length] ?? 0;
+}
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -4,9 +4,10 @@
 
 import type { FakeStore } from '../../test/fakes/store';
 import { LinkProxy } from './proxy';
-import type { RunnerContext, RunnerRole } from './runner';
+import type { RunnerContext } from './runner';
 import { SoakRunner } from './runner';
 import { RUNNER_PORT as PORT } from './vm';
+import type { RunnerRole } from './work';
 
 /** Names of the services: one served by engines, and a plain one. */
 export const services = { model: 'reader', plain: 'desk' } as const;
--- a/scripts/soak/quiet.ts
+++ b/scripts/soak/quiet.ts
@@ -2,7 +2,7 @@
 
 import type { CallerAnswer } from './callers';
 import type { SentRequest } from './requests';
-import type { RunnerRole } from './runner';
+import type { RunnerRole } from './work';
 import type { SilenceLog } from './silences';
 
 /** What a request had to do with one runner. */
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -101,6 +101,7 @@
     this.#guarantees = new GuaranteeChecker({
       onBreach,
       silences,
+      isSteady: (ip, forMs) => this.#isSteady(ip, forMs),
       isUndisturbed: (vm, runnerIds, sentAt) => this.#isUndisturbed(vm, runnerIds, sentAt),
       onLostStreamEnd: (end) => timeline.recordLostStreamEnd(end),
       faultFreeMs: (...families) => this.#faults.faultFreeMs(...families),
@@ -153,34 +154,9 @@
     });
   }
 
-  /** Number of injected faults by kind. */
-  get faultCounts(): Readonly<Record<string, number>> {
-    return this.#faults.counts;
-  }
-
-  /** Streams that callers took up again, and how many of them went on. */
-  get streamCounts(): Readonly<Record<string, number>> {
-    return this.#guarantees.streamCounts;
-  }
-
-  /** Requests that ended while their VM stopped. */
-  get stopCounts(): Readonly<Record<string, number>> {
-    return this.#guarantees.stopCounts;
-  }
-
-  /** Requests whose runners were silent for a while, by kind and ending. */
-  get quietCounts(): Readonly<Record<string, unknown>> {
-    return this.#guarantees.quietCounts;
-  }
-
-  /** By how much less urgent kinds of streams were served more often than more urgent ones. */
-  get leads(): Readonly<Record<string, number>> {
-    return this.#guarantees.leads;
-  }
-
-  /** Highest observed value of each bounded amount, as a fraction of its bound. */
-  get peakUsage(): Readonly<Record<string, number>> {
-    return this.#guarantees.peakUsage;
+  /** Number of injected faults by kind, and what was counted of the guarantees. */
+  get summary(): Readonly<Record<string, unknown>> {
+    return { faults: this.#faults.counts, ...this.#guarantees.summary };
   }
 
   /** Runs for the configured time, checks the recovery and stops all processes. Throws if the VMs do not become ready. */
@@ -233,6 +209,11 @@
     return isSound && members.every((member) => (member?.runner.upForMs ?? 0) >= forMs);
   }
 
+  #isSteady(ip: string, forMs: number): boolean {
+    const vm = this.#vms.find(({ options }) => options.ip === ip);
+    return vm !== undefined && this.#faults.steadyMsOf(vm.options.name) > forMs;
+  }
+
   #planned(until: number): readonly Promise<void>[] {
     const { faults } = this.#options;
     return faults === undefined || faults.includes(QUIET) ? [this.#silences.run(until)] : [];
@@ -247,6 +228,7 @@
         this.#timeline.recordAnswer(answer);
         guarantees.answered(request, vm, answer);
       },
+      closedEarly: (ip, kept) => guarantees.closedEarly(ip, kept),
       disconnected: (request) => guarantees.disconnected(request),
     };
     return new Crowd({
--- a/scripts/soak/urgency.ts
+++ b/scripts/soak/urgency.ts
@@ -5,7 +5,7 @@
 import { services } from './pool';
 import { UNOWED } from './reach';
 import type { SentRequest } from './requests';
-import type { Arrival } from './runner';
+import type { Arrival } from './work';
 
 /** Priorities of routes that the router tells apart for each priority of customers, and the last one that runners know. */
 const ROUTE_PRIORITIES = 3;
