--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -4,9 +4,10 @@
 
 import type { FakeStore } from '../../test/fakes/store';
 import { LinkProxy } from './proxy';
-import type { RunnerContext, RunnerRole } from './runner';
+import type { RunnerContext } from './runner';
 import { SoakRunner } from './runner';
 import { RUNNER_PORT as PORT } from './vm';
+import type { RunnerRole } from './work';
 
 /** Names of the services: one served by engines, and a plain one. */
 export const services = { model: 'reader', plain: 'desk' } as const;
@@ -55,6 +56,11 @@
     };
   }
 
+  /** The runner of an id; undefined if it was ended for good. */
+  find(runnerId: string): PooledRunner | undefined {
+    return this.members.find(({ runner }) => runner.runnerId === runnerId);
+  }
+
   /** Runners of a role that are up. */
   membersUp(role: RunnerRole): readonly PooledRunner[] {
     return this.members.filter(({ runner }) => runner.role === role && runner.isUp);
