Leave requests that the new instance of a runner may have to it while nothing replaces them

What callers saw: a runner restarted under its id, and a VM learned that after it had sent a request. The new instance had it and sent nothing for 0.25 s, since it was silent for a moment or worked on a call: the request was ended, with 502 where it may run once.

Cause: silence of 0.25 s counted as proof that the earlier instance had the request, within the 5 s by which clocks may differ. Calls send nothing before their answers at all, and a sound runner may be silent for two seconds.

Fix: what the clocks prove decides at once, now also that the new instance has it. Otherwise a request is sent again after 0.25 s only if that is certain (as on lost paths: attempts, runner, quota, retry budget); a stream is ended after 2.5 s without bytes, and a call waits for the rest of its time. The decisions are in src/core/routing/instancefate.ts.

Bound: repeats of all VMs stay within the retry budget, which sets each aside first.

--- a/src/node/router/inflight.ts
+++ b/src/node/router/inflight.ts
@@ -1,7 +1,8 @@
-/** Tracks requests in flight at runners. Those sent to a previous instance of a runner are aborted as soon as its restart is known. */
+/** Tracks requests in flight at runners. Those sent to a previous instance of a runner are aborted once its restart is known. */
 
 import type { Logger } from 'pino';
 
+import { fateByClock, fateBySilence } from '../../core/routing/instancefate';
 import type { Runner } from '../../core/routing/types';
 import type {
   CacheHandle,
@@ -23,19 +24,8 @@
   reply: Reply | undefined;
 }
 
-/** Largest difference assumed between the clocks of a VM and a runner: wall clocks are stepped by seconds. */
-const MAX_CLOCK_SKEW_MS = 5000;
-/** Time without bytes after which a request that either instance may have counts as lost: streams send events more often, and a prefill takes about that time. */
-const SILENCE_MS = 250;
-
-/**
- * Whether a request was certainly sent before an instance of a runner started.
- * @param sentAt in Unix milliseconds
- * @param bornAt start of the instance, in Unix milliseconds
- */
-export function wasSentBefore(sentAt: number, bornAt: number): boolean {
-  return sentAt + MAX_CLOCK_SKEW_MS < bornAt;
-}
+/** Time between two looks at a request that either instance may have, in milliseconds. */
+const CHECK_MS = 250;
 
 /**
  * Wraps a runner client and tracks its requests. A runner that loses power and restarts sends
@@ -106,15 +96,23 @@
   }
 
   #abortIfLost(entry: Inflight, bornAt: number): void {
-    if (wasSentBefore(entry.sentAt, bornAt)) {
-      this.#abort(entry);
-      return;
-    }
-    // Sent at about the time of the start: only received bytes show whether the new instance has it.
-    const bytesBefore = bytesReadOf(entry);
+    const fate = fateByClock(entry.sentAt, bornAt);
+    if (fate === 'lost') this.#abort(entry);
+    else if (fate === 'unknown') this.#watch(entry, bytesReadOf(entry), performance.now());
+  }
+
+  /** Only received bytes show that the new instance has a request. */
+  #watch(entry: Inflight, bytesBefore: number, since: number): void {
     setTimeout(() => {
-      if (this.#inflight.has(entry) && bytesReadOf(entry) === bytesBefore) this.#abort(entry);
-    }, SILENCE_MS);
+      if (!this.#inflight.has(entry) || bytesReadOf(entry) !== bytesBefore) return;
+      const fate = fateBySilence({
+        silentMs: performance.now() - since,
+        isStream: entry.reply?.isEvents ?? false,
+        hasReplacement: entry.dispatch.mayAbandon ?? (() => false),
+      });
+      if (fate === 'lost') this.#abort(entry);
+      else this.#watch(entry, bytesBefore, since);
+    }, CHECK_MS).unref();
   }
 
   #abort(entry: Inflight): void {
