Take the path to a silent runner for back as soon as the runner goes on

What callers saw: a runner was silent for a second, and requests for it were still rejected up to two seconds after it had gone on.

Cause: a connection that was not there in 350 ms was closed, and only a probe found the path again: after half a second, then one, then two, each varied by a quarter, each with another 350 ms.

Evidence, test/router/paths.test.ts on the code before: the runner goes on between two probes, the path is none before and none after, where direct is expected.

A sound runner holds it and establishes it as it goes on.

--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -3,21 +3,19 @@
 import { randomUUID } from 'node:crypto';
 import type { Socket } from 'node:net';
 
-import type { Logger } from 'pino';
-
 import { Failure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
 import { Forwarders, tunnelDelays } from '../../core/paths/forwarders';
 import type { Destination, Path } from '../../core/paths/table';
 import { PathTable } from '../../core/paths/table';
 import type { Runner } from '../../core/routing/types';
-import type { Dialer } from '../../utils/dialer';
 import { connected } from '../../utils/dialer';
 import { LogRateLimiter } from '../loglimiter';
-import type { Metrics } from '../metrics';
-import type { OpenTunnel, TunnelRequest } from '../peer/tunnel';
+import type { TunnelRequest } from '../peer/tunnel';
 import { TunnelFailure } from '../peer/tunnel';
+import { LateConnections } from './lateconnections';
 import { OpenConnections, SILENT_MS } from './openconnections';
+import type { PathContext } from './pathcontext';
 import type { Way } from './race';
 import { firstConnection } from './race';
 import type {
@@ -28,25 +26,6 @@
   RunnerTarget,
 } from './types';
 
-/** Dependencies of the paths. */
-export interface PathContext {
-  readonly vm: string;
-  readonly domain: string;
-  readonly dialer: Dialer;
-  /** The members of the fleet. */
-  readonly members: () => readonly Member[];
-  /** The runners that this VM may use. */
-  readonly runners: (now: number) => readonly Runner[];
-  /** Opens a tunnel through another VM. Rejects with `TunnelFailure`. */
-  readonly openTunnel: (
-    via: Member,
-    request: TunnelRequest,
-    signal: AbortSignal,
-  ) => Promise<OpenTunnel>;
-  readonly metrics: Metrics;
-  readonly log: Logger;
-}
-
 /** Connect timeout, in milliseconds. It allows for many round trips and is below the second after which TCP retransmits a lost SYN. */
 const CONNECT_TIMEOUT_MS = 350;
 /** VMs asked for one connection. */
@@ -79,6 +58,8 @@
 
   readonly #open = new OpenConnections();
 
+  readonly #late = new LateConnections();
+
   readonly #lines: LogRateLimiter;
 
   #lossesInARow = 0;
@@ -98,6 +79,7 @@
   /** Stops the probes. */
   stop(): void {
     clearInterval(this.#timer);
+    this.#late.stop();
   }
 
   pathTo({ address }: Pick<Runner, 'address'>): Path {
@@ -275,6 +257,7 @@
       await connected(socket, CONNECT_TIMEOUT_MS);
     } catch (error) {
       this.#onDirectFailed(performance.now(), destination, beganAt, error as Error);
+      this.#late.keep(address, socket, () => this.#onConnected(performance.now(), address));
       throw error;
     }
     this.#onConnected(performance.now(), address);
--- a/src/utils/dialer.ts
+++ b/src/utils/dialer.ts
@@ -18,7 +18,7 @@
 }
 
 /**
- * Resolves when a socket is connected. Destroys it and rejects after a timeout.
+ * Resolves when a socket is connected. Rejects after a timeout; the socket may still connect then.
  * @param timeoutMs time to connect, in milliseconds
  */
 export function connected(socket: Socket, timeoutMs: number): Promise<void> {
@@ -26,7 +26,7 @@
     const onTimeout = (): void => {
       // The connection may have been established while the process was busy or paused.
       setImmediate(() => {
-        if (socket.connecting) socket.destroy(new Error('connect timeout'));
+        if (socket.connecting) reject(new Error('connect timeout'));
       });
     };
     const timer = setTimeout(onTimeout, timeoutMs);
--- a/test/router/paths.test.ts
+++ b/test/router/paths.test.ts
@@ -11,6 +11,8 @@
 import { runnerOf } from '../fakes/runner';
 
 const runners = ['a', 'b', 'c', 'd'].map((id) => runnerOf(id, 'plain'));
+/** Time for which a runner stays silent after it was found out of reach, in milliseconds. */
+const SILENT_MS = 250;
 const never = new AbortController().signal;
 
 function memberOf(vm: string): Member {
@@ -39,6 +41,11 @@
   /** Runners that no other VM reaches. */
   readonly down = new Set<string>();
 
+  /** Whether no connection is established, neither directly nor through other VMs. */
+  isSilent = false;
+
+  readonly #held: Socket[] = [];
+
   /** How often the members of the fleet were read. */
   memberReads = 0;
 
@@ -55,6 +62,7 @@
     },
     runners: () => runners,
     openTunnel: async (_via, { address }) => {
+      if (this.isSilent) throw new TunnelFailure('runner', 'not reached');
       if (this.areOthersPartitioned) throw new TunnelFailure('vm', 'partitioned');
       if (this.down.has(address)) throw new TunnelFailure('runner', 'not reached');
       return { socket: new Socket(), headBytes: 0 };
@@ -76,8 +84,18 @@
     return this.paths.isAtFault(performance.now(), runnerOf(id, 'plain'), sentAt);
   }
 
+  /** Ends the silence: connections that were begun in it are established. */
+  goOn(): void {
+    this.isSilent = false;
+    for (const socket of this.#held) if (!socket.destroyed) socket.emit('connect');
+  }
+
   #dial(address: string): Socket {
     const socket = Object.assign(new Socket(), { connecting: true });
+    if (this.isSilent) {
+      this.#held.push(socket);
+      return socket;
+    }
     setImmediate(() => {
       if (this.lost.has(address)) socket.destroy(new Error('refused'));
       else socket.emit('connect');
@@ -155,3 +173,17 @@
     );
   });
 });
+
+/* Its requests were rejected until the next probe, up to two seconds after a sound runner had gone on. */
+test('a runner that was silent is reached as soon as it goes on', async () => {
+  const vm = new TestPaths();
+  vm.isSilent = true;
+  const path = (): string => vm.paths.pathTo(runnerOf('a', 'plain'));
+  expect([await vm.connect('a'), path()]).toEqual([false, 'none']);
+  await pause(SILENT_MS);
+  const before = path();
+  vm.goOn();
+  await pause(1);
+  expect([before, path()]).toEqual(['none', 'direct']);
+  vm.paths.stop();
+});
