Let plain requests wait for a runner that is silent for a moment

What callers saw: the only runner of a plain service was silent for 1.8 s, and all requests that arrived meanwhile were rejected with 503, though most of their time was left.

Cause: a connection that did not come about in 350 ms, nor through other VMs, ended a request once there was no other runner to try; a path without any way rejected it at once.

Fix: where no other runner takes the request, it waits for those out of reach until one is reached again, as long as its time lasts, the path was lost less than 2.5 s ago and the runner is listed. It was not sent, so that this costs neither an attempt nor budget; a request that was sent before has its next run set aside first. A VM that has lost its paths to half of the runners still rejects at once, since other VMs serve its callers.

Bound: waiting sends nothing; the one connection that is kept for each address and VM tells when the runner goes on.

--- a/src/core/paths/table.ts
+++ b/src/core/paths/table.ts
@@ -44,6 +44,8 @@
 const FIRST_PROBE_MS = 500;
 /** Maximum time between two probes, in milliseconds. */
 const MAX_PROBE_MS = 2000;
+/** Time for which a runner out of reach may be sound and go on, in milliseconds: one may be silent for two seconds. */
+const SOUND_SILENCE_MS = 2500;
 /** Share of the time between probes by which it varies, so that VMs that lost their paths together do not probe together. */
 const PROBE_SPREAD = 0.5;
 
@@ -82,6 +84,11 @@
     return this.#lost.get(address)?.since;
   }
 
+  /** Whether the direct path to an address was lost so lately that its runner may go on. */
+  mayGoOn(now: number, address: string): boolean {
+    return now - (this.lostSince(address) ?? -Infinity) < SOUND_SILENCE_MS;
+  }
+
   /** Whether a direct connection to an address was established after a time. */
   connectedAfter(address: string, time: number): boolean {
     return (this.#connectedAt.get(address) ?? -Infinity) >= time;
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -44,7 +44,7 @@
 const MAX_CHECKED = 64;
 /** Share of lost paths from which this VM counts as partitioned, so that other VMs ask others to forward. */
 const PARTITIONED_SHARE = 0.9;
-/** Share of the runners that this VM does not reach at all from which it, not they, is at fault. */
+/** Share of the runners that this VM does not reach from which it, not they, is at fault. */
 const ISOLATED_SHARE = 0.5;
 const LINES_PER_S = 10;
 
@@ -94,6 +94,11 @@
     return this.#table.isCutOff(address);
   }
 
+  mayGoOn(now: number, { address }: Pick<Runner, 'address'>): boolean {
+    if (!this.#table.mayGoOn(now, address)) return false;
+    return this.#lostShare(now, (path) => path !== 'direct') < ISOLATED_SHARE;
+  }
+
   isAtFault(now: number, { address }: Pick<Runner, 'address'>, sentAt: number): boolean {
     const lostSince = this.#table.lostSince(address);
     if (lostSince === undefined) return true;
--- a/src/node/router/plain.ts
+++ b/src/node/router/plain.ts
@@ -10,6 +10,7 @@
 import { PlainBalancer } from './plainbalancer';
 import { PlainHolds } from './plainholds';
 import type { OriginController } from './origins';
+import { PlainReturns } from './plainreturns';
 import type { QuotaController } from './quotas';
 import { Replacement } from './replacement';
 import type { RetryController } from './retries';
@@ -41,6 +42,17 @@
   readonly body: Buffer;
 }
 
+/** The attempts of a request so far. */
+interface Attempts {
+  /** Ids of the runners that are not tried again. */
+  readonly tried: string[];
+  /** Ids of those that received the request. */
+  readonly sentTo: ReadonlySet<string>;
+  readonly lastFailure: Failure;
+  /** Whether a runner answered with an error, which the caller gets if no other one answers. */
+  readonly hasAnswer: boolean;
+}
+
 /** Serves plain requests. */
 export class PlainHandler {
   readonly #context: PlainContext;
@@ -49,34 +61,43 @@
 
   readonly #holds: PlainHolds;
 
+  readonly #returns: PlainReturns;
+
   constructor(context: PlainContext) {
     this.#context = context;
     this.#balancer = new PlainBalancer(context);
     this.#holds = new PlainHolds(context);
+    this.#returns = new PlainReturns(context);
   }
 
   /** Serves a request to its end; failures become the response. */
   async run(exchange: Exchange): Promise<void> {
     const { route, service } = exchange;
     const tried: string[] = [];
+    const sentTo = new Set<string>();
     let sentCount = 0;
     let mayHaveRun = false;
     let lastFailure = new Failure('noRunner', `no runner of ${service}`, {
       retryAfterMs: RETRY_MS,
     });
     let failedAnswer: Answer | undefined;
-    for (let attempt = 0; attempt < MAX_RUNNERS_TRIED && sentCount < route.attempts; attempt += 1) {
+    while (sentCount < route.attempts) {
       const now = performance.now();
       const refused = await this.#refusalOf(now, exchange);
       lastFailure = refused ?? lastFailure;
       if (refused) break;
-      const runner = await this.#choose(exchange, tried);
+      const runner = await this.#next(exchange, {
+        tried,
+        sentTo,
+        lastFailure,
+        hasAnswer: failedAnswer !== undefined,
+      });
       if (runner instanceof Failure) lastFailure = runner;
       if (!runner || runner instanceof Failure || exchange.signal.aborted) break;
       if (sentCount > 0 && !this.#context.retries.affords(now, exchange, 'run')) break;
       tried.push(runner.id);
       try {
-        const hasAttempt = sentCount + 1 < route.attempts && attempt + 1 < MAX_RUNNERS_TRIED;
+        const hasAttempt = sentCount + 1 < route.attempts && tried.length < MAX_RUNNERS_TRIED;
         const mayAbandon =
           hasAttempt && route.kind === 'repeatable'
             ? this.#abandonment(exchange, tried)
@@ -93,13 +114,17 @@
           return;
         }
         failedAnswer = answer;
+        sentTo.add(runner.id);
         sentCount += 1;
         mayHaveRun = true;
         lastFailure = new Failure('runnerFailed', `${runner.id} answered ${reply.status}`);
       } catch (error) {
         lastFailure = toFailure(error);
         exchange.trail.push(`${runner.id} ${lastFailure.codeName}`);
-        if (!isUnsent(lastFailure)) sentCount += 1;
+        if (!isUnsent(lastFailure)) {
+          sentTo.add(runner.id);
+          sentCount += 1;
+        }
         mayHaveRun ||= !lastFailure.code.notRun;
         if (!lastFailure.code.notRun && route.kind !== 'repeatable') break;
       }
@@ -130,6 +155,27 @@
     exchange.end(body);
   }
 
+  /**
+   * Chooses the next runner. If none is reached, waits for those that may go on: nothing was sent
+   * to them, so that another attempt costs nothing.
+   */
+  async #next(
+    exchange: Exchange,
+    { tried, sentTo, lastFailure, hasAnswer }: Attempts,
+  ): Promise<Runner | Failure | undefined> {
+    const { retries } = this.#context;
+    for (;;) {
+      const mayTry = tried.length < MAX_RUNNERS_TRIED;
+      const runner = mayTry ? await this.#choose(exchange, tried) : undefined;
+      const failure = runner instanceof Failure ? runner : lastFailure;
+      const isFinal = (runner && failure !== runner) || failure.codeName !== 'runnerUnreachable';
+      if (isFinal || hasAnswer) return runner;
+      if (sentTo.size > 0 && !retries.holdRun(performance.now(), exchange)) return runner;
+      if (!(await this.#returns.wait(exchange, sentTo))) return runner;
+      tried.splice(0, tried.length, ...sentTo);
+    }
+  }
+
   /** Chooses a runner; one that takes no requests any more when it is chosen, after a wait, does not count. */
   async #choose(
     exchange: Exchange,
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -201,6 +201,11 @@
    * is reached by none.
    */
   isCutOff(runner: Pick<Runner, 'address'>): boolean;
+  /**
+   * Whether a runner that is out of reach may be a sound one that is silent for a moment. It is not
+   * if this VM has lost its paths to most runners, so that other VMs serve callers better.
+   */
+  mayGoOn(now: number, runner: Pick<Runner, 'address'>): boolean;
   /**
    * Whether a failure of a request to a runner is the runner's. It is not if the direct path was
    * lost under the request, if no VM forwarded it, or if this VM reaches hardly any runner.
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -129,6 +129,7 @@
   reaches: () => true,
   isAtFault: () => true,
   isCutOff: () => false,
+  mayGoOn: () => false,
 };
 
 /** Paths of a VM to runners by their ids. Default: direct. */
@@ -141,6 +142,7 @@
     reaches,
     isAtFault: (_now, runner) => pathTo(runner) === 'direct',
     isCutOff: (runner) => pathTo(runner) === 'tunnel',
+    mayGoOn: () => false,
   };
 }
 
--- a/test/router/silentservers.test.ts
+++ b/test/router/silentservers.test.ts
@@ -10,6 +10,8 @@
 const SILENCE_MS = 1800;
 /** How long requests run before a silence, in milliseconds. */
 const RUNNING_MS = 200;
+/** When requests arrive, in milliseconds after the silence began. */
+const ARRIVALS_MS: readonly number[] = [0, 0, 0, 300, 500, 800, 1200, 1600];
 
 describe('runners that hold all bytes for a moment', () => {
   let partition: Partition;
@@ -22,8 +24,8 @@
   };
   afterEach(() => routers.stop(), 30_000);
 
-  const silence = async (): Promise<void> => {
-    partition.cut(firstVms(VMS), 'silence');
+  const silence = async (isReached?: (address: string) => boolean): Promise<void> => {
+    partition.cut(firstVms(VMS), 'silence', isReached);
     await pause(SILENCE_MS);
     partition.heal();
   };
@@ -57,4 +59,21 @@
       answers.map(() => [200, true]),
     );
   }, 30_000);
+
+  /* Requests were rejected while no connection to the only runner came about. */
+  test.each(['/plain/', '/once/'])('answer %s requests that arrive meanwhile', async (path) => {
+    await start(1);
+    const silent = routers.runnersOf('plain').map(({ entry }) => JSON.stringify(entry));
+    const isOver = silence((address) => !silent.some((entry) => entry.includes(address)));
+    const answers = ARRIVALS_MS.map(async (ms, turn) => {
+      await pause(ms);
+      return routers.sendRequest(turn, `${path}${turn}`, `${turn}`);
+    });
+    await isOver;
+    const statuses = (await Promise.all(answers)).map(({ status }) => status);
+    expect(statuses).toEqual(ARRIVALS_MS.map(() => 200));
+    const runs = routers.runnersOf('plain').flatMap((runner) => [...runner.runs]);
+    const repeated = runs.filter(([ran, count]) => ran !== '/plain/warm' && count > 1);
+    expect(repeated).toEqual([]);
+  });
 });
