Keep idle connections while a VM stops, and answer what still arrives on them

What callers saw: a request on a kept connection that crossed the moment at which a stopping VM accepts no more connections got neither an answer nor a refusal. At that moment all idle connections were closed, although each of them was promised more time and the process ran on until its requests had ended.

Before (npx jest test/router/closes.test.ts):

a request that crosses the end of accepting, and later ones Expected: "200 close" Received: "closed"

Cause: `close` of Node's HTTP server closes idle connections, and the front end asked for the same once more. Now only the listening socket is closed. Requests that arrive on open connections are answered with `connection: close`: served while the shutdown takes requests, refused as not run after that (test/router/shutdownend.test.ts). Half-closing them earlier was left out: some callers of HTTP/1.1 give up on a request once the other side has ended the connection. What arrives after the last turn of the event loop still meets the end of the process.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
+import { Server as SocketServer } from 'node:net';
 import { setImmediate as yieldOnce } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
@@ -107,13 +108,13 @@
     this.#connections.leave();
   }
 
-  /** Accepts no new connections and closes idle ones. */
+  /** Accepts no new connections. Requests on open ones are still answered. */
   close(): void {
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // `close` of an HTTP server would end idle connections, with requests on their way.
+    SocketServer.prototype.close.call(this.#server);
   }
 
-  /** Resets the connections of all responses in progress, so that they cannot look complete. */
+  /** Resets the connections of all responses in progress, so that they cannot look complete. Idle ones end with the process. */
   cutOff(): void {
     this.#openResponses.abortAll();
   }
--- a/test/router/closes.test.ts
+++ b/test/router/closes.test.ts
@@ -1,4 +1,4 @@
-import { setTimeout as pause } from 'node:timers/promises';
+import { setTimeout as pause, setImmediate as yieldOnce } from 'node:timers/promises';
 
 import type { FrontEnd } from '../../src/node/router/frontend';
 import { KeepingCaller, emptyState, frontOf, oneRoute, requestOf } from '../fakes/frontend';
@@ -55,6 +55,21 @@
     expect([caller.received, seen]).toEqual([{ answers: ['200 close'], rest: '' }, ['/a/begun']]);
   });
 
+  // Guards against idle connections that are closed as the VM stops to accept new ones, with a request on its way.
+  test('a request that crosses the end of accepting, and later ones', async () => {
+    const other = new KeepingCaller(port);
+    expect(await caller.ask('/a/1')).toBe('200 timeout=1');
+    await other.ask('/a/1');
+    front.startDraining();
+    await yieldOnce();
+    const crossing = caller.ask('/a/2');
+    front.close();
+    expect(await crossing).toBe('200 close');
+    await pause(SLOW_MS);
+    expect(await other.ask('/a/3')).toBe('200 close');
+    expect(await new KeepingCaller(port).ask('/a/4')).toBe('closed');
+  });
+
   // Guards against a body that takes longer than the idle limit.
   test('a request whose body arrives slowly while the limit is lowered', async () => {
     const head = requestOf('/a/').replace('GET', 'POST').trimEnd();
