Read on after a request whose body is over the limit

What callers saw: after 413 their connection was announced as kept, but the next request on it got no answer, and the connection stayed open without being read.

Before (npx jest test/router/closes.test.ts):

a request after one whose body is over the limit thrown: "Exceeded timeout of 5000 ms for a test."

Cause: leaving the loop over the body destroyed the request's stream, and Node stops to read a connection whose request stream takes no more. Now the rest of the body is received and discarded. The answer 413 itself is sent as early as before.

Measured: the same command, 5 passed.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -16,7 +16,7 @@
 
 import { CallerResponse } from '../../utils/callerresponse';
 import { bootNow } from '../../utils/clock';
-import { listenOn, readBody } from '../../utils/http';
+import { listenOn, readRequestBody } from '../../utils/http';
 import { KeptConnections } from '../../utils/keptconnections';
 import { OpenResponses } from '../../utils/responses';
 import { LogRateLimiter } from '../loglimiter';
@@ -158,7 +158,7 @@
     const { codec, routingState, authorizer, buffers } = this.#context;
     try {
       const limit = routingState.table?.config.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
-      const body = await readBody(req, limit);
+      const body = await readRequestBody(req, limit);
       // An overloaded VM reads requests whose callers have already disconnected. The close follows
       // the request in the socket's buffer and has been read by the second turn of the event loop.
       await yieldOnce();
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -58,20 +58,41 @@
   readonly body: string;
 }
 
+function bodyTooLarge(limit: number): Failure {
+  return new Failure('bodyTooLarge', `found a body over ${limit} bytes, expected at most that`);
+}
+
 /** Reads a whole body; throws `bodyTooLarge` if it is larger than a limit in bytes. */
 export async function readBody(message: IncomingMessage, limit: number): Promise<Buffer> {
   const chunks: Buffer[] = [];
   let size = 0;
   for await (const chunk of message) {
     size += (chunk as Buffer).length;
-    if (size > limit) {
-      throw new Failure('bodyTooLarge', `found a body over ${limit} bytes, expected at most that`);
-    }
+    if (size > limit) throw bodyTooLarge(limit);
     chunks.push(chunk as Buffer);
   }
   return Buffer.concat(chunks);
 }
 
+/**
+ * Reads the body of a request; as `readBody`, but what follows a refused part is received and
+ * discarded, so that the caller can read the refusal and use the connection again.
+ */
+export function readRequestBody(req: IncomingMessage, limit: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  return new Promise((resolve, reject) => {
+    req.on('data', (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= limit) chunks.push(chunk);
+      else reject(bodyTooLarge(limit));
+    });
+    req.on('end', () => resolve(Buffer.concat(chunks)));
+    req.on('error', reject);
+    req.on('close', () => reject(new Error('the connection was closed within the request')));
+  });
+}
+
 /** Maximum size of a response to `call`, in bytes. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
--- a/test/router/closes.test.ts
+++ b/test/router/closes.test.ts
@@ -79,4 +79,15 @@
     await pause(SLOW_MS);
     expect(caller.received.answers).toEqual(['200 timeout=1']);
   });
+
+  // Guards against a connection that is kept after a refusal but reads nothing more, since the body was not read to its end.
+  test('a request after one whose body is over the limit', async () => {
+    const head = requestOf('/a/').replace('GET', 'POST').trimEnd();
+    caller.socket.write(`${head}\r\nContent-Length: 100000\r\n\r\n${'a'.repeat(2000)}`);
+    await pause(SLOW_MS);
+    caller.socket.write('a'.repeat(98_000));
+    await pause(SLOW_MS);
+    expect(caller.received.answers).toEqual(['413 timeout=1']);
+    expect(await caller.ask('/a/5')).toBe('200 timeout=1');
+  });
 });
