Let gateways keep and end connections of callers as the router's VMs do

What callers saw: a gateway that was told to stop went on to announce that their connections are kept, until its process ended and closed them. On versions of Node that add no buffer the announced 5 s were also all that was kept (by reading; not run).

Now the callers' port uses KeptConnections: 5 s announced, 7 s kept, requests of a connection one after the other, `connection: close` from the beginning of the stop.

--- a/src/node/gateway/daemon.ts
+++ b/src/node/gateway/daemon.ts
@@ -1,15 +1,18 @@
 /** The gateway daemon: creates, starts and stops its components. */
 
 import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
+import type { IncomingMessage, Server } from 'node:http';
 import { createServer } from 'node:http';
+import type { Server as SocketServer } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
 
 import { codes } from '../../core/codes';
-import { OpenResponses } from '../../utils/responses';
+import { CallerResponse } from '../../utils/callerresponse';
 import { errorBody } from '../../utils/http';
+import { KeptConnections } from '../../utils/keptconnections';
+import { OpenResponses } from '../../utils/responses';
 import { Failure } from '../../core/failure';
 import type { GatewayConfig } from '../config';
 import { logOf } from '../log';
@@ -36,8 +39,10 @@
 
 /** Interval between checks whether all requests have ended, in milliseconds. */
 const DRAIN_POLL_MS = 50;
+/** How long idle connections of callers are kept, in milliseconds. */
+const IDLE_LIMIT_MS = 5000;
 
-function listen(server: Server, host: string, port: number): Promise<number> {
+function listen(server: SocketServer, host: string, port: number): Promise<number> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(port, host, () => {
@@ -85,7 +90,9 @@
 
   readonly #plain: PlainHandler;
 
-  readonly #callers: Server;
+  readonly #callers: Server<typeof IncomingMessage, typeof CallerResponse>;
+
+  readonly #connections: KeptConnections;
 
   readonly #operators: Server;
 
@@ -134,6 +141,7 @@
       onOutcome: (team, service, code) => burn.recordPlain(Date.now(), team, service, code),
     });
     this.#callers = this.#createCallerServer(burn);
+    this.#connections = new KeptConnections(this.#callers, () => IDLE_LIMIT_MS);
     this.#operators = this.#createOperatorServer();
   }
 
@@ -155,6 +163,7 @@
   async stop(): Promise<void> {
     if (this.#phase !== 'open') return;
     this.#phase = 'draining';
+    this.#connections.leave();
     this.#log.info('Draining.');
     this.#fleet.localScheduler.send({ kind: 'draining' });
     await pause(this.#config.addressTtlMs);
@@ -191,7 +200,7 @@
     }
   }
 
-  #createCallerServer(burn: BurnRecorder): Server {
+  #createCallerServer(burn: BurnRecorder): Server<typeof IncomingMessage, typeof CallerResponse> {
     const { limits, peerKey, addressTtlMs } = this.#config;
     const handler = new CallerHandler({
       fleet: this.#fleet,
@@ -209,10 +218,15 @@
         maxHeaderSize: limits.headerBytes,
         headersTimeout: limits.headerTimeoutMs,
         connectionsCheckingInterval: 1000,
+        keepAliveTimeout: 0,
+        ServerResponse: CallerResponse,
       },
       (req, res) => {
         answers.add(req, res);
-        handler.handle(req, res).catch((error: Error) => this.#log.error(error.message));
+        this.#connections
+          .admit(req, res)
+          .then((isAdmitted) => (isAdmitted ? handler.handle(req, res) : undefined))
+          .catch((error: Error) => this.#log.error(error.message));
       },
     );
     server.maxConnections = limits.connections;
--- a/test/fakes/frontend.ts
+++ b/test/fakes/frontend.ts
@@ -100,8 +100,8 @@
   closedAt: number | undefined;
 
   /** @param allowHalfOpen whether it goes on sending once the other side has ended the connection */
-  constructor(port: number, allowHalfOpen = false) {
-    this.socket = connect({ port, host: '127.0.0.1', allowHalfOpen });
+  constructor(port: number, allowHalfOpen = false, host = '127.0.0.1') {
+    this.socket = connect({ port, host, allowHalfOpen });
     this.socket.on('data', (data) => {
       this.#got += data.toString();
     });
--- a/test/node/leaving.test.ts
+++ b/test/node/leaving.test.ts
@@ -1,6 +1,7 @@
 import { outputText } from '../fakes/engine/text';
 import { requestCompletion, openStream } from '../fakes/caller';
 import { Cluster, waitUntil } from '../fakes/cluster';
+import { KeepingCaller } from '../fakes/frontend';
 import { call } from '../fakes/http';
 
 describe('shutdown', () => {
@@ -72,4 +73,16 @@
       [0, 2].map((vm) => outputText(`kept ${vm} `.repeat(40), 900)),
     );
   }, 20_000);
+
+  // Guards against callers that keep a connection to a gateway whose process is about to end.
+  test('of a gateway ends kept connections with their next responses', async () => {
+    const { hostname, port } = new URL(cluster.callers(2));
+    const before = new KeepingCaller(Number(port), false, hostname);
+    const after = new KeepingCaller(Number(port), false, hostname);
+    const announced = [await before.ask('/readyz')];
+    const stopped = cluster.gateways[2]?.stop();
+    announced.push(await after.ask('/readyz'));
+    await stopped;
+    expect(announced).toEqual(['200 timeout=5', '503 close']);
+  }, 20_000);
 });
