Serve a request by the kind of service that it was admitted to

Callers saw: a stream whose request waited for the result of another one's trial while the configuration dropped its model service got an answer of a plain call: sent to any runner of the service, prefill runners included, without a place, and without the protection of streams.

Cause: whether a request is one to a model service was looked up again after its admission, which takes up to 2.5 s. A service that is not in the configuration counted as a plain one.

Evidence, before (test/router/configchanges.test.ts, 'are served when their services go', with the new stage): trial of another one: 200 in part

The table of the moment at which the request was taken now decides. After: served.

The stages now wait until the VM has taken their requests. They waited 50 ms before, and twice on a busy machine the request that is held was taken only after the change to stricter routes, whose 500 ms it could not meet (503).

--- a/src/node/router/handlers.ts
+++ b/src/node/router/handlers.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 
 import { RunnerHealth } from '../../core/cell/health';
+import type { Engine } from '../../core/routing/types';
 import { LazyMap } from '../../utils/lazymap';
 import { logOf } from '../log';
 import type { Metrics } from '../metrics';
@@ -121,7 +122,9 @@
   }
 
   async #admitAndRun(exchange: Exchange): Promise<void> {
-    const { controllers } = this.#context;
+    const { controllers, routingState } = this.#context;
+    // The configuration may drop the service while the request waits for its admission.
+    const { table } = routingState;
     const refusal =
       (await controllers.origins.pin(exchange)) ?? (await this.#runs.admit(exchange, LONG_WAIT));
     const now = performance.now();
@@ -132,7 +135,7 @@
       return;
     }
     try {
-      await this.#run(exchange);
+      await this.#run(exchange, table?.service(exchange.service)?.engine);
     } finally {
       this.#retries.settle(exchange);
       controllers.quotas.settle(exchange);
@@ -147,8 +150,7 @@
     }
   }
 
-  #run(exchange: Exchange): Promise<void> {
-    const engine = this.#context.routingState.table?.service(exchange.service)?.engine;
+  #run(exchange: Exchange, engine: Engine | undefined): Promise<void> {
     return engine ? this.#model.run(exchange, engine) : this.#plain.run(exchange);
   }
 }
--- a/test/fakes/configstages.ts
+++ b/test/fakes/configstages.ts
@@ -4,6 +4,7 @@
 
 import { digestOfKey } from '../../src/core/customers/keys';
 import type { Route, RoutingConfig, Runner } from '../../src/core/routing/types';
+import { partFingerprints } from '../../src/core/fingerprint';
 import { streamEngine, streamRoute } from './exchange';
 import { runnerOf } from './runner';
 import type { CallerRequest, RunnerCall, ScriptedVm } from './scriptedvm';
@@ -101,7 +102,7 @@
 function inBody(path: string): Stage {
   return async (vm) => {
     const request = vm.begin(path, headers);
-    await pause(SETTLE_MS);
+    await vm.taken(1);
     return { request, proceed: () => request.finish() };
   };
 }
@@ -114,7 +115,8 @@
     if (call.kind === 'prefill') call.prefilled();
   }
   const request = vm.begin('/stream/1', headers).finish();
-  await pause(2 * SETTLE_MS);
+  await vm.taken(3);
+  await pause(SETTLE_MS);
   const proceed = async (): Promise<void> => {
     vm.calls.filter(({ kind }) => kind === 'decode').forEach((call) => call.answer());
     await Promise.all(others.map(({ answer }) => answer));
@@ -130,6 +132,7 @@
   const other = await vm.callAt(0);
   other.head({ load });
   const request = vm.begin('/plain/1', headers).finish();
+  await vm.taken(2);
   await pause(SETTLE_MS);
   return { request, proceed: () => other.end() };
 };
@@ -146,16 +149,31 @@
   for (;;) {
     const before = vm.calls.length;
     const request = vm.begin('/plain/1', headers).finish();
+    await vm.taken(1);
     await pause(SETTLE_MS);
     if (vm.calls.length === before) return { request, proceed: () => {} };
     answerAll();
   }
 };
 
+/** Waits for the result of another one's trial. */
+const untried: Stage = async (vm) => {
+  partFingerprints({ service: 's', model: '', version: 'v1' }, ['p']).forEach((one) =>
+    vm.suspect(one),
+  );
+  vm.begin('/stream/0', headers).finish();
+  const other = await vm.callAt(0);
+  const request = vm.begin('/stream/1', headers).finish();
+  await vm.taken(2);
+  await pause(SETTLE_MS);
+  return { request, proceed: () => other.prefilled() };
+};
+
 /** The stages by name. */
 export const stages: Readonly<Record<string, Stage>> = {
   'body of a stream': inBody('/stream/1'),
   'body of a plain one': inBody('/plain/1'),
+  'trial of another one': untried,
   waiting,
   prefill: atRunner('/stream/1', 0, (call) => call.prefilled()),
   'prefill that is lost': atRunner('/stream/1', 0, (call) => call.fail('answerLost')),
--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -311,6 +311,12 @@
     ]);
   }
 
+  /** Tells the VM that two runners crashed under a fingerprint. */
+  suspect(fingerprint: string): void {
+    const ends = [6000, 3000].map((agoMs) => ({ runner: `crashed${agoMs}`, agoMs }));
+    this.#listener?.onSuspects([{ fingerprint, ends }], false);
+  }
+
   /** Plays a SIGHUP: the settings are read again. */
   reload(change: Partial<RouterSettings> = {}): void {
     const settings = this.#settings;
@@ -338,16 +344,26 @@
     this.#answers = true;
   }
 
+  /** Waits until the VM has some requests in progress. */
+  async taken(count: number): Promise<void> {
+    const isTaken = async (): Promise<boolean> => (await this.#snapshot()).active >= count;
+    await waitUntil(`${count} requests in progress`, isTaken, 3000);
+  }
+
   /** Number of requests, places and KV caches that the VM holds now. */
   async held(): Promise<number> {
-    const url = `http://${this.#settings?.listen.metrics}${SNAPSHOT_PATH}`;
-    const { active, plans } = (await call('GET', url)).body as Held;
+    const { active, plans } = await this.#snapshot();
     const places = plans.reduce((sum, plan) => sum + plan.waiting + plan.placed, 0);
     const kept = this.calls.filter(({ isPrefilled }) => isPrefilled).length;
     const fetched = this.calls.filter(({ hasCache }) => hasCache).length;
     return active + places + kept - fetched - this.#freed;
   }
 
+  async #snapshot(): Promise<Held> {
+    const url = `http://${this.#settings?.listen.metrics}${SNAPSHOT_PATH}`;
+    return (await call('GET', url)).body as Held;
+  }
+
   #client(): RunnerClient {
     const received = <T>(kind: RunnerCall['kind'], dispatch: Dispatch): Promise<T> =>
       new Promise((resolve, reject) => {
--- a/test/router/configchanges.test.ts
+++ b/test/router/configchanges.test.ts
@@ -82,6 +82,8 @@
   resumable: false,
 };
 
+jest.setTimeout(20_000);
+
 describe('requests amid a change of the configuration', () => {
   const unhandled: unknown[] = [];
   const onUnhandled = (error: unknown): void => {
@@ -138,6 +140,7 @@
       prefill: '401',
       'prefill that is lost': '401',
       'decode that is rejected': '401',
+      'trial of another one': '503',
       'stream that breaks': '200 in part, cut',
       'stream that is taken up': '401',
       'plain that fails': '502 in part',
