Send no request to a runner that is listed with another service

Runners saw: requests of a service to which they do not belong any more, sent by VMs that had chosen them before the change and then waited, for a permit of their rate limit or for the first prefill.

Cause: before each send a VM asks whether the instance is still usable, and compared its id alone.

Evidence, before (test/router/configchanges.test.ts, 'runners move to another service as others come'): prefill that is lost: served, strayed; unpermitted: served, strayed

An instance is usable for a request if it is listed with the service of the choice. The request then goes to another runner, as if this one had left. After: all stages are served, none strayed.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -202,10 +202,11 @@
     return found;
   }
 
-  /** Whether an instance may receive work now. */
-  isUsable(now: number, { id, listing }: Runner): boolean {
+  /** Whether an instance may receive work of its service now. */
+  isUsable(now: number, { id, listing, service }: Runner): boolean {
     const entry = this.#entries.get(listing);
-    return entry !== undefined && usableIn(now, entry)?.id === id;
+    const runner = entry && usableIn(now, entry);
+    return runner?.id === id && runner.service === service;
   }
 
   /** Listings that have a runner here but are missing from the store's full list. */
--- a/test/router/configchanges.test.ts
+++ b/test/router/configchanges.test.ts
@@ -2,7 +2,7 @@
 
 import { digestOfKey } from '../../src/core/customers/keys';
 import type { Customer } from '../../src/core/customers/types';
-import type { Route, RoutingConfig } from '../../src/core/routing/types';
+import type { Route, RoutingConfig, Runner } from '../../src/core/routing/types';
 import type { Stage } from '../fakes/configstages';
 import { baseConfig, moves, quota, routeTo, runners, stages } from '../fakes/configstages';
 import { ScriptedVm } from '../fakes/scriptedvm';
@@ -72,6 +72,10 @@
   'body of a stream': status,
   'body of a plain one': status,
 });
+const movedRunner = (runner: Runner): Runner => ({
+  ...runner,
+  service: moves[runner.service] ?? runner.service,
+});
 const strict: Partial<Route> = {
   kind: 'once',
   attempts: 1,
@@ -96,7 +100,7 @@
     expect(unhandled).toEqual([]);
   });
 
-  /* A request that waits, runs or is between two runs would be closed or lose its terms. */
+  /* A request that waits, runs or is between two runs would be closed, lose its terms or go to a runner of another service. */
   test.each<[string, Change]>([
     ['none', () => {}],
     ['routes become strict', withRoutes((route) => [{ ...route, ...strict }])],
@@ -115,6 +119,14 @@
         routes: [...routes, ...Array.from({ length: 400 }, (_, i) => routeTo('p', `more${i}`))],
       })),
     ],
+    [
+      'runners move to another service as others come',
+      (vm) =>
+        vm.list([
+          ...runners.map((one) => (one.id.endsWith('1') ? movedRunner(one) : one)),
+          ...runners.map((one) => ({ ...one, id: `${one.id}b`, listing: `${one.id}b` })),
+        ]),
+    ],
   ])('are served to their ends: %s', async (_name, change) => {
     expect(await exceptionsOf(change)).toEqual({});
   });
