Give work to a model runner as soon as it answers again

What callers saw: a request failed at a runner that was silent for a moment, the owner's check got no answer in 0.4 s, and the runner got no work for a second after its last missed check, whether it answered by then or not.

Cause: an answer ended the checks, but neither the ejection of the runner nor the failure that counts towards longer ones; an answer that was late by some milliseconds was discarded, up to the next check.

Evidence, test/router/silentrunners.test.ts on the code before: d2 misses a check and then answers; d1 and d3 alone get requests, where d2 is expected with them.

Fix: a late answer ends the silence too, and an answer ends the ejection and takes back the failure that led to the checks. A runner that fails requests and answers its first check is ejected as before. Its rate limit and its measurements are untouched by either.

Bound: no further calls; the checks are the same.

Measured after: d2 gets requests within 1 ms of its answer, three times in a row; ejection, blame, planner and plannerhost tests pass.

--- a/src/core/memory/ejection.ts
+++ b/src/core/memory/ejection.ts
@@ -43,6 +43,14 @@
   return { failures: failures * successFactor, ejectedUntil };
 }
 
+/**
+ * Score of a runner that answers again. The failure that led to the checks came of its silence, and
+ * those while it is ejected are not counted.
+ */
+export function afterReturn({ failures }: FailureScore): FailureScore {
+  return { failures: Math.max(0, failures - 1), ejectedUntil: 0 };
+}
+
 /** Score of a runner that did not answer a check: it stays ejected until the check after the next one. */
 export function afterSilence(
   { recheckMs }: EjectionRules,
--- a/src/core/memory/planner.ts
+++ b/src/core/memory/planner.ts
@@ -13,7 +13,7 @@
 import { MemoryAccount, isSlowedByLocalPrefill } from './account';
 import { VmBackoffs } from './backoffs';
 import { WorkloadStats } from './stats';
-import { afterFailure, afterSilence, afterSuccess } from './ejection';
+import { afterFailure, afterReturn, afterSilence, afterSuccess } from './ejection';
 import type { StageChange } from './balance';
 import type { CostModel, Costs } from './cost';
 import { MeasuredCosts } from './cost';
@@ -183,6 +183,7 @@
       .with({ kind: 'vmLost' }, ({ vm }) => this.#dropVm(now, vm))
       .with({ kind: 'reported' }, ({ report }) => this.#recordReport(now, report))
       .with({ kind: 'silent' }, ({ runner }) => this.#recordSilence(now, runner))
+      .with({ kind: 'answered' }, ({ runner }) => this.#recordReturn(runner))
       .with({ kind: 'runners' }, ({ engine, runners, byRank = false }) => {
         this.#engine = engine;
         this.#queue.turns.distinguish(byRank);
@@ -310,6 +311,12 @@
     if (state) state.failureScore = afterSilence(this.#policy.ejection, now, state.failureScore);
   }
 
+  /** A runner that answers again gets work at once. */
+  #recordReturn(runner: string): void {
+    const state = this.#account.decode.get(runner) ?? this.#account.prefill.get(runner);
+    if (state) state.failureScore = afterReturn(state.failureScore);
+  }
+
   /** Measures the time of a token from a finished request. */
   #recordPace(now: number, { grant }: Reservation, id: string, outputTokens: number): void {
     const decode = this.#account.decode.get(grant.decode);
--- a/src/core/memory/types.ts
+++ b/src/core/memory/types.ts
@@ -124,6 +124,8 @@
   | { readonly kind: 'reported'; readonly report: MemoryReport }
   /** A runner that had failed requests did not answer a check either. */
   | { readonly kind: 'silent'; readonly runner: string }
+  /** Such a runner answers again. */
+  | { readonly kind: 'answered'; readonly runner: string }
   | {
       readonly kind: 'runners';
       readonly engine: Engine;
--- a/src/node/router/plannerhost.ts
+++ b/src/node/router/plannerhost.ts
@@ -97,7 +97,7 @@
       recheckMs: planPolicy.ejection.recheckMs,
       find: (service, id) =>
         routingState.openRunnersOf(performance.now(), service).find((one) => one.id === id),
-      onSilent: (now, service, runner) => this.#onSilentRunner(now, service, runner),
+      onChecked: (now, service, runner, kind) => this.#onChecked(now, service, runner, kind),
       log,
     });
   }
@@ -333,9 +333,9 @@
     }
   }
 
-  #onSilentRunner(now: number, service: string, runner: string): void {
+  #onChecked(now: number, service: string, runner: string, kind: 'silent' | 'answered'): void {
     const plan = this.#plans.get(service);
-    if (plan) this.#handle(now, service, plan, { kind: 'silent', runner });
+    if (plan) this.#handle(now, service, plan, { kind, runner });
   }
 
   /** Passes the list of runners to the planner if it may have changed. */
--- a/src/node/router/silentrunners.ts
+++ b/src/node/router/silentrunners.ts
@@ -12,6 +12,9 @@
 /** Time that a runner has to answer a check, in milliseconds: reports are answered at once, even by full runners. */
 const ANSWER_MS = 400;
 
+/** What the checks of a runner that failed a request find. */
+export type CheckOutcome = 'silent' | 'answered';
+
 /** Dependencies of the checks. */
 export interface SilentRunnersContext {
   readonly runners: Pick<RunnerClient, 'report'>;
@@ -19,8 +22,8 @@
   readonly recheckMs: number;
   /** The listed runner with an id; undefined if it is gone. */
   readonly find: (service: string, id: string) => Runner | undefined;
-  /** Called for each check that a runner did not answer. */
-  readonly onSilent: (now: number, service: string, runner: string) => void;
+  /** Called for each check that a runner did not answer, and when such a runner answers, also late. */
+  readonly onChecked: (now: number, service: string, runner: string, outcome: CheckOutcome) => void;
   readonly log: Logger;
 }
 
@@ -61,8 +64,11 @@
       this.#checked.delete(id);
       return;
     }
-    this.#answers(runner)
+    const record = this.#checked.get(id);
+    this.#answers(service, runner)
       .then((hasAnswered) => {
+        // An earlier check was answered late meanwhile.
+        if (this.#checked.get(id) !== record) return;
         if (hasAnswered) this.#onAnswer(service, id);
         else this.#onSilence(service, id);
       })
@@ -70,31 +76,38 @@
   }
 
   #onAnswer(service: string, runner: string): void {
-    const { log } = this.#context;
-    if (this.#checked.get(runner)?.isSilent) {
-      log.info({ service, runner }, 'A runner answers again.');
-    }
+    const { onChecked, log } = this.#context;
+    const isSilent = this.#checked.get(runner)?.isSilent;
     this.#checked.delete(runner);
+    if (!isSilent || this.#isStopped) return;
+    log.info({ service, runner }, 'A runner answers again.');
+    onChecked(performance.now(), service, runner, 'answered');
   }
 
   #onSilence(service: string, id: string): void {
-    const { recheckMs, onSilent, log } = this.#context;
+    const { recheckMs, onChecked, log } = this.#context;
     const record = this.#checked.get(id);
-    if (record && !record.isSilent) {
+    if (!record) return;
+    if (!record.isSilent) {
       record.isSilent = true;
       log.info({ service, runner: id }, 'A runner does not answer.');
     }
-    onSilent(performance.now(), service, id);
-    setTimeout(() => this.#checkOnce(service, id), recheckMs).unref();
+    onChecked(performance.now(), service, id, 'silent');
+    setTimeout(() => {
+      if (this.#checked.get(id) === record) this.#checkOnce(service, id);
+    }, recheckMs).unref();
   }
 
-  /** Whether a runner answers with a report in time. */
-  #answers(runner: Runner): Promise<boolean> {
+  /** Whether a runner answers with a report in time; a late answer ends its silence as well. */
+  #answers(service: string, runner: Runner): Promise<boolean> {
     return new Promise((resolve) => {
       const timer = setTimeout(() => resolve(false), ANSWER_MS).unref();
       this.#context.runners
         .report(runner)
-        .then(() => resolve(true))
+        .then(() => {
+          resolve(true);
+          if (this.#checked.get(runner.id)?.isSilent) this.#onAnswer(service, runner.id);
+        })
         .catch(() => resolve(false))
         .finally(() => clearTimeout(timer));
     });
--- a/test/router/silentrunners.test.ts
+++ b/test/router/silentrunners.test.ts
@@ -33,6 +33,8 @@
 
 /** Time after which a runner would get requests again if only its failure counted, in milliseconds. */
 const AFTER_EJECTION_MS = 1000;
+/** Time after which a check without an answer counts as missed, in milliseconds, with a margin. */
+const AFTER_CHECK_MS = 450;
 
 describe('the owner of a service', () => {
   const decoding = ['d1', 'd2', 'd3'];
@@ -40,6 +42,9 @@
   /** Runners that do not answer. */
   const silent = new Set<string>();
 
+  /** Releases the answers that silent runners hold. */
+  const held: (() => void)[] = [];
+
   let host: PlannerHost;
 
   beforeEach(() => {
@@ -50,7 +55,11 @@
     const facts = runners.map((runner) => ({ id: runner.id, position: positionAt(1), runner }));
     routingState.learnRunners(performance.now(), facts, 'store');
     const report = async ({ id }: { readonly id: string }): Promise<RunnerReport> => {
-      if (silent.has(id)) await new Promise(() => {});
+      if (silent.has(id)) {
+        await new Promise<void>((resolve) => {
+          held.push(resolve);
+        });
+      }
       return { runner: id, bornAt: 0, leaving: false, usedTokens: 0, runs: [] };
     };
     host = new PlannerHost(routingState, { report } as unknown as RunnerClient, log, {
@@ -108,6 +117,21 @@
     expect([whileSilent, used('back')]).toEqual([['d1', 'd3'], decoding]);
   });
 
+  // Guards against sound runners that are held off for a second after they have gone on.
+  test('uses a runner at once that was silent for a moment and goes on', async () => {
+    await pause(AFTER_EJECTION_MS);
+    for (let failures = 0; failures < 3; failures += 1) {
+      silent.add('d2');
+      fail('d2');
+      await pause(AFTER_CHECK_MS);
+      const whileSilent = used(`silent${failures}`);
+      silent.clear();
+      for (const release of held.splice(0)) release();
+      await pause(1);
+      expect([whileSilent, used(`back${failures}`)]).toEqual([['d1', 'd3'], decoding]);
+    }
+  });
+
   // Guards against requests of a VM that lost its path to one runner, which wait while the other one is ejected.
   test('uses a runner that does not answer for a request that avoids all others', () => {
     const planner = new Planner(planPolicy);
