Keep a silent run until its continuation is prepared

Callers of streams that may be resumed got a closed connection some 1.0 s after the last event although their runner was sound and went on 0.1 to 0.5 s later.

Cause: the watch of a silent stream ended its run once the retry budget had set aside one run. Quota, a prefill from the budget, a reservation, a runner of the stream's version and admission came afterwards and each could refuse. The check of the runner took "no answer" for "gone".

The refusals could be told apart by `trail`; that a run was kept could not, so `Kept a silent run` has the code and `silentMs`.

An attempt is split in two. Placements do all that may refuse: quota, budget, reservation, admission, prefill, and the check of the decode runner. A continuation does that for a silent stream while its run stays open; the run is ended only when the other one is prepared, and the other one is sent at once. Events that arrive before win, and everything is given back. A refusal is followed by another try after a growing, jittered delay.

Checks tell `running`, `gone` and `unknown`. What is gone is replaced at once; what does not answer when the callers' patience leaves one second for another run. A runner that was replaced for silence is not blamed, and its request is not counted as a crash.

Fewer go on, since a runner that does not answer keeps its streams for 2.6 s in place of 1.0 s there.

Test changes beyond additions: fakes of checks give the three states (`false` became `gone`, by which a run is replaced at once as before); the watch's own test got the new shape of its context.

--- /dev/null
+++ b/src/core/stream/silence.ts
@@ -0,0 +1,74 @@
+/** Decides when a stream whose runner sends nothing is continued at another runner. */
+
+/**
+ * What a check of a runner shows. `gone`: the instance has certainly ended; `unknown`: it did not
+ * answer, as a runner that lost power, and as a sound one that is silent for a moment.
+ */
+export type RunnerState = 'running' | 'gone' | 'unknown';
+
+/** What a route says about pauses, in milliseconds. */
+export interface SilenceBounds {
+  /** Longest pause between events that is still on time; 0 if none is named. */
+  readonly gapMs: number;
+  /** Callers disconnect after this time without an event. */
+  readonly patienceMs: number;
+}
+
+/** What to do about a silent stream. */
+export type SilenceStep =
+  /** The runner is sound: its silence is measured anew. */
+  | { readonly kind: 'rest' }
+  /** The runner is to be checked again after a time in milliseconds. */
+  | { readonly kind: 'wait'; readonly ms: number }
+  /** Another run is to be prepared. */
+  | { readonly kind: 'prepare' };
+
+/** Multiple of the longest allowed pause between events after which a stream counts as silent. */
+const SILENCE_PAUSES = 2;
+/** Silence of streams whose routes allow short pauses or set none, in milliseconds: longer than a preempted request usually waits. */
+const MIN_SILENCE_MS = 600;
+/** Part of the callers' patience that another run needs for a reservation, the prompt and its first event, in milliseconds. */
+const CONTINUATION_MS = 1000;
+/** Longest time between two checks of a silent runner, in milliseconds. */
+const RECHECK_MS = 250;
+/** Time until another run is asked for again after the first refusal, in milliseconds; doubles with each further one. */
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 800;
+/** The same if the retry budget of this VM allowed none: repeats that are earned and not taken soon are lost. */
+const MAX_BUDGET_RETRY_MS = 400;
+/** Smallest part of a retry delay: streams of one runner fall silent at once and must not ask at once. */
+const MIN_RETRY_PART = 0.5;
+
+/** Time without events after which the runner of a stream is checked, in milliseconds. */
+export function silenceMsOf({ gapMs }: Pick<SilenceBounds, 'gapMs'>): number {
+  return Math.max(MIN_SILENCE_MS, SILENCE_PAUSES * gapMs);
+}
+
+/**
+ * The next step after a check. A runner that is gone is replaced at once, and one that does not
+ * answer as late as the patience of callers allows, since it may go on.
+ * @param heardAt when the last events arrived
+ */
+export function nextStep(
+  now: number,
+  heardAt: number,
+  state: RunnerState,
+  { patienceMs }: Pick<SilenceBounds, 'patienceMs'>,
+): SilenceStep {
+  if (state === 'running') return { kind: 'rest' };
+  const waitMs = heardAt + patienceMs - CONTINUATION_MS - now;
+  if (state === 'gone' || waitMs <= 0) return { kind: 'prepare' };
+  return { kind: 'wait', ms: Math.min(waitMs, RECHECK_MS) };
+}
+
+/**
+ * Time until another run is asked for again, in milliseconds.
+ * @param refusals how often one was refused during this silence, at least 1
+ * @param isBudgetSpent whether the retry budget of this VM allowed none, so that nobody else was asked
+ * @param random a number from 0 to below 1
+ */
+export function retryDelayMs(refusals: number, isBudgetSpent: boolean, random: number): number {
+  const limit = isBudgetSpent ? MAX_BUDGET_RETRY_MS : MAX_RETRY_MS;
+  const longest = Math.min(limit, FIRST_RETRY_MS * 2 ** (refusals - 1));
+  return longest * (MIN_RETRY_PART + (1 - MIN_RETRY_PART) * random);
+}
--- /dev/null
+++ b/src/node/router/continuation.ts
@@ -0,0 +1,107 @@
+/** Prepares the run that continues a silent stream, while the silent run may still go on. */
+
+import { Failure, toFailure } from '../../core/failure';
+import type { Runner } from '../../core/routing/types';
+import type { Exchange } from './exchange';
+import type { PlacedRun, Placements } from './placements';
+import type { Progress } from './progress';
+import type { RetryController } from './retries';
+import { budgetSpentFailure } from './retries';
+
+/** Dependencies of a continuation. */
+export interface ContinuationContext {
+  readonly placements: Pick<Placements, 'place' | 'decodeRunner' | 'giveBack'>;
+  readonly retries: Pick<RetryController, 'holdRun' | 'settle'>;
+}
+
+/** A run that only has to be sent. */
+export interface PreparedRun {
+  readonly placed: PlacedRun;
+  readonly runner: Runner;
+}
+
+interface Preparation {
+  readonly result: Promise<PreparedRun | Failure>;
+  readonly controller: AbortController;
+}
+
+/** The continuation of one request; at most one is prepared at a time. */
+export class Continuation {
+  readonly #context: ContinuationContext;
+
+  readonly #exchange: Exchange;
+
+  readonly #progress: Progress;
+
+  #current: Preparation | undefined;
+
+  constructor(context: ContinuationContext, exchange: Exchange, progress: Progress) {
+    this.#context = context;
+    this.#exchange = exchange;
+    this.#progress = progress;
+  }
+
+  /**
+   * Prepares a run at another runner than the silent one: quota, retry budget, reservation,
+   * admission, prefill, and the check of the runner. Resolves to why that is not possible now, when
+   * nothing of it is kept; undefined if it is prepared.
+   */
+  async prepare(silentRunner: string): Promise<Failure | undefined> {
+    const controller = new AbortController();
+    const result = this.#prepare(silentRunner, controller.signal).catch(toFailure);
+    const current = { result, controller };
+    this.#current = current;
+    const prepared = await result;
+    if (!(prepared instanceof Failure)) return undefined;
+    if (this.#current !== current) return prepared;
+    this.#current = undefined;
+    this.#context.retries.settle(this.#exchange);
+    return prepared;
+  }
+
+  /** Gives back what is prepared, also if it is still being prepared. */
+  cancel(): void {
+    const current = this.#current;
+    if (!current) return;
+    this.#current = undefined;
+    current.controller.abort();
+    const { placements, retries } = this.#context;
+    retries.settle(this.#exchange);
+    current.result
+      .then((prepared) => {
+        if (!(prepared instanceof Failure)) placements.giveBack(this.#exchange, prepared.placed);
+      })
+      .catch(() => undefined);
+  }
+
+  /** Hands over the prepared run, or awaits it; undefined if there is none. */
+  async take(): Promise<PreparedRun | undefined> {
+    const current = this.#current;
+    if (!current) return undefined;
+    const prepared = await current.result;
+    if (this.#current !== current) return undefined;
+    this.#current = undefined;
+    return prepared instanceof Failure ? undefined : prepared;
+  }
+
+  async #prepare(silentRunner: string, signal: AbortSignal): Promise<PreparedRun | Failure> {
+    const { placements, retries } = this.#context;
+    const exchange = this.#exchange;
+    const { service } = exchange;
+    if (!retries.holdRun(performance.now(), exchange)) return budgetSpentFailure(service, 'run');
+    const options = { cancelled: signal, excluded: [silentRunner] };
+    const placed = await placements.place(exchange, this.#progress, options);
+    if (typeof placed === 'boolean') {
+      return new Failure('runnerUnavailable', 'the prefill failed, or its runner is unavailable');
+    }
+    try {
+      const runner = await placements.decodeRunner(exchange, placed.decode);
+      if (runner && runner.id !== silentRunner && !signal.aborted) return { placed, runner };
+    } catch (error) {
+      placements.giveBack(exchange, placed);
+      throw error;
+    }
+    placements.giveBack(exchange, placed);
+    return new Failure('runnerUnavailable', `${placed.decode ?? 'no runner'} takes no requests`);
+  }
+}
--- a/src/node/router/inflight.ts
+++ b/src/node/router/inflight.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'pino';
 
 import type { Runner } from '../../core/routing/types';
+import type { RunnerState } from '../../core/stream/silence';
 import type {
   CacheHandle,
   DecodeDispatch,
@@ -83,8 +84,8 @@
     return this.#client.report(runner);
   }
 
-  isRunning(runner: Runner, mayCall = true): Promise<boolean> {
-    return this.#client.isRunning(runner, mayCall);
+  stateOf(runner: Runner, mayCall = true): Promise<RunnerState> {
+    return this.#client.stateOf(runner, mayCall);
   }
 
   order(
--- a/src/node/router/paths.ts
+++ b/src/node/router/paths.ts
@@ -143,7 +143,7 @@
     } catch (error) {
       if (signal.aborted) throw new Failure('runnerUnreachable', `${address}: aborted`);
       this.#onAllFailed(performance.now(), address);
-      throw new Failure('runnerUnreachable', `${address}: ${(error as Error).message}`);
+      throw new Failure('runnerUnreachable', address, { cause: error as Error });
     }
   }
 
--- a/src/node/router/prefillattempts.ts
+++ b/src/node/router/prefillattempts.ts
@@ -22,6 +22,9 @@
   readonly retries: Pick<RetryController, 'affords'>;
 }
 
+/** Prefill attempts per request; all but the first are charged to the retry budget. */
+export const MAX_PREFILLS = 3;
+
 /** A prefill that takes longer is abandoned and repeated at another runner. */
 const PREFILL_TIMEOUT_MS = 900;
 
@@ -42,18 +45,20 @@
    * Runs the prefill at a runner. Returns undefined if it failed there and another runner may be
    * tried, and `unavailable` if nothing was sent, since the runner takes no requests any more or is
    * out of reach.
+   * @param signal aborted when the prefill is not needed any more
    */
   async run(
     exchange: Exchange,
     progress: Progress,
     id: string,
+    signal: AbortSignal,
   ): Promise<KeptCache | 'unavailable' | undefined> {
     const { routingState, paths, retries, permits } = this.#context;
-    const { service, signal } = exchange;
+    const { service } = exchange;
     const startedAt = performance.now();
     const runner = findRunner(routingState.openRunnersOf(startedAt, service, 'prefill'), id);
     if (!runner || !paths.reaches(runner)) return 'unavailable';
-    let cache = await this.#send(exchange, progress, runner);
+    let cache = await this.#send(exchange, progress, runner, signal);
     const ms = performance.now() - startedAt;
     // The runner has completed the prefill and still keeps the KV cache: it answers a repeated
     // request at once, where another runner would repeat the whole prefill. With a rate-limited
@@ -61,10 +66,9 @@
     const isStillOpen = routingState.accepts(performance.now(), runner) && !permits.isLimited(id);
     const mayAskAgain = cache === 'answerLost' && isStillOpen;
     if (mayAskAgain && retries.affords(performance.now(), exchange, 'prefill')) {
-      cache = await this.#send(exchange, progress, runner);
+      cache = await this.#send(exchange, progress, runner, signal);
     }
     if (typeof cache === 'string') return undefined;
-    if (signal.aborted) this.free(cache);
     return { ...cache, ms };
   }
 
@@ -73,9 +77,10 @@
     exchange: Exchange,
     progress: Progress,
     runner: Runner,
+    signal: AbortSignal,
   ): Promise<CacheHandle | CodeName> {
     const now = performance.now();
-    const { request, signal } = exchange;
+    const { request } = exchange;
     progress.prefills += 1;
     const run = this.#context.runs.begin(now, exchange, runner);
     const limit = AbortSignal.timeout(PREFILL_TIMEOUT_MS);
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -1,7 +1,9 @@
 /** Relays the responses of a request's runs to its caller as one stream. */
 
+import type { Failure } from '../../core/failure';
 import type { Engine } from '../../core/routing/types';
 import type { AnswerStream } from '../../core/stream/answer';
+import type { RunnerState } from '../../core/stream/silence';
 import { readBody } from '../../utils/http';
 import type { Exchange } from './exchange';
 import { PaceMonitor } from './pace';
@@ -27,8 +29,12 @@
   | { readonly kind: 'slow' }
   | { readonly kind: 'finished'; readonly outputTokens: number };
 
-/** `done`: the response is complete; `failed`: the runner's error response was passed on; `broken`: the stream is incomplete. */
-export type RelayOutcome = 'done' | 'failed' | 'broken';
+/**
+ * `done`: the response is complete; `failed`: the runner's error response was passed on; `broken`:
+ * the stream is incomplete; `replaced`: it is incomplete since its silent run, whose runner may be
+ * sound, was ended for another one that is prepared.
+ */
+export type RelayOutcome = 'done' | 'failed' | 'broken' | 'replaced';
 
 /** Dependencies of a relay. */
 export interface RelayContext {
@@ -39,8 +45,12 @@
   readonly canResume: () => boolean;
   /** Whether the retry budget allows another run. */
   readonly affordsRun: () => boolean;
-  /** Sets aside another run of the retry budget for this request; false if it allows none. */
-  readonly holdRun: () => boolean;
+  /** Whether the runner is listed. */
+  readonly isListed: () => boolean;
+  /** Prepares another run up to its send; see `SilenceContext`. */
+  readonly prepare: () => Promise<Failure | undefined>;
+  /** Gives back what was prepared. */
+  readonly cancelPrepared: () => void;
   readonly onProgress: (progress: RelayProgress) => void;
   /** Called before the first events of a run are sent to the caller. */
   readonly onFirstEvents: () => void;
@@ -98,7 +108,12 @@
     const chunks = chunksUntilError(reply.body, () => {
       isInterrupted = true;
     });
-    const silence = this.#watchSilence(reply, run);
+    let replacedAfterMs: number | undefined;
+    const silence = this.#watchSilence(reply, run, (silentMs, state) => {
+      // What is known to be gone was interrupted, whoever ended its connection.
+      if (state === 'unknown') replacedAfterMs = silentMs;
+      else run.stalled(silentMs);
+    });
     for await (const chunk of chunks) {
       const events = stream.push(chunk);
       if (events.length > 0) {
@@ -119,6 +134,10 @@
     const hasArrived = !isInterrupted && reply.body.complete;
     stream.end(hasArrived && (await run.hasWholeAnswer(reply)));
     const part = streamPartOf(reply, afterEvent, stream);
+    if (stream.fault && replacedAfterMs !== undefined) {
+      run.replaced(replacedAfterMs, part);
+      return 'replaced';
+    }
     if (stream.fault === 'cut' || stream.fault === 'torn') run.interrupted(performance.now(), part);
     else if (stream.fault) run.diverged(part, stream.fault);
     if (stream.fault) return 'broken';
@@ -129,15 +148,24 @@
     return 'done';
   }
 
-  #watchSilence({ body }: Reply, run: Run): SilenceWatch {
-    const { exchange, canResume, holdRun } = this.#context;
+  #watchSilence(
+    { body }: Reply,
+    run: Run,
+    onReplaced: (silentMs: number, state: RunnerState) => void,
+  ): SilenceWatch {
+    const { exchange, canResume, isListed, prepare, cancelPrepared } = this.#context;
     return new SilenceWatch({
       body,
-      gapMs: exchange.route.gapMs,
+      bounds: exchange.route,
       canResume,
-      holdRun,
-      isRunning: () => run.isRunnerRunning(),
-      onStalled: (silentMs) => run.stalled(silentMs),
+      runnerState: async () => {
+        const state = await run.runnerState();
+        return state === 'unknown' && !isListed() ? 'gone' : state;
+      },
+      prepare,
+      cancel: cancelPrepared,
+      onRefused: (silentMs, failure) => run.notReplaced(silentMs, failure),
+      onReplaced,
     });
   }
 
--- a/src/node/router/retries.ts
+++ b/src/node/router/retries.ts
@@ -82,10 +82,20 @@
 
   /**
    * Sets aside what one more run of a request costs; false if the budget does not allow that. What
-   * is not used is released when the request ends.
+   * is not used is released by `settle`.
    */
-  holdRun(now: number, { service, arrivals }: Exchange): boolean {
-    const repeats = Math.max(arrivals.held, arrivals.costOf('run').repeats);
+  holdRun(now: number, exchange: Exchange): boolean {
+    return this.#hold(now, exchange, exchange.arrivals.costOf('run').repeats);
+  }
+
+  /** The same for one more prefill and the run that follows it. */
+  holdPrefill(now: number, exchange: Exchange): boolean {
+    const { repeats, held } = exchange.arrivals.costOf('prefill');
+    return this.#hold(now, exchange, repeats + held);
+  }
+
+  #hold(now: number, { service, arrivals }: Exchange, cost: number): boolean {
+    const repeats = Math.max(arrivals.held, cost);
     const isHeld = this.#budgets.get(service).hold(now, this.#share(now), repeats, arrivals.held);
     if (isHeld) arrivals.hold(repeats);
     return isHeld;
@@ -116,7 +126,7 @@
     this.#budgets.get(service).giveBack(this.#share(now), arrivals.prefilled());
   }
 
-  /** Must be called when a request has ended. */
+  /** Releases what is set aside for a request; must be called when it has ended. */
   settle({ service, arrivals }: Exchange): void {
     this.#budgets.get(service).release(arrivals.settle());
   }
--- a/src/node/router/runnerchecks.ts
+++ b/src/node/router/runnerchecks.ts
@@ -1,31 +1,37 @@
 /** Checks whether the processes of runners still run after connections to them ended. */
 
 import type { Runner } from '../../core/routing/types';
+import type { RunnerState } from '../../core/stream/silence';
 import type { RunnerClient } from './types';
 
 /** The checks of one runner. */
 interface RunnerCheck {
   /** The check in progress. */
-  readonly current: Promise<boolean>;
+  readonly current: Promise<RunnerState>;
   /** The check that follows it, for those who asked since it began; undefined if nobody has. */
-  next: Promise<boolean> | undefined;
+  next: Promise<RunnerState> | undefined;
 }
 
 /** Checks of one VM. A runner that crashes ends many connections at once; they share its checks. */
 export class RunnerChecks {
-  readonly #runners: Pick<RunnerClient, 'isRunning'>;
+  readonly #runners: Pick<RunnerClient, 'stateOf'>;
 
   readonly #checks = new Map<string, RunnerCheck>();
 
-  constructor(runners: Pick<RunnerClient, 'isRunning'>) {
+  constructor(runners: Pick<RunnerClient, 'stateOf'>) {
     this.#runners = runners;
   }
 
+  /** Whether a runner has shown that its process runs, by a check that begins after the call. */
+  async isRunning(runner: Runner, mayCall = true): Promise<boolean> {
+    return (await this.stateOf(runner, mayCall)) === 'running';
+  }
+
   /**
-   * Whether a runner's process runs, by a check that begins after the call.
+   * What a check of a runner shows that begins after the call.
    * @param mayCall see `RunnerClient`
    */
-  isRunning(runner: Runner, mayCall = true): Promise<boolean> {
+  stateOf(runner: Runner, mayCall = true): Promise<RunnerState> {
     const check = this.#checks.get(runner.id);
     if (!check) return this.#begin(runner, mayCall);
     // The check in progress may have begun before the connection ended.
@@ -33,8 +39,8 @@
     return check.next;
   }
 
-  #begin(runner: Runner, mayCall: boolean): Promise<boolean> {
-    const current = this.#runners.isRunning(runner, mayCall).finally(() => {
+  #begin(runner: Runner, mayCall: boolean): Promise<RunnerState> {
+    const current = this.#runners.stateOf(runner, mayCall).finally(() => {
       const check = this.#checks.get(runner.id);
       if (check?.current === current && !check.next) this.#checks.delete(runner.id);
     });
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -9,6 +9,7 @@
 import { EARLY_CRASH_MS, isAttributable, isLate } from '../../core/quarantine/quarantine';
 import type { Runner } from '../../core/routing/types';
 import type { Framing, StreamFault } from '../../core/stream/answer';
+import type { RunnerState } from '../../core/stream/silence';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import { bootNow } from '../../utils/clock';
@@ -50,7 +51,7 @@
   readonly paths: Pick<RunnerPaths, 'isAtFault'>;
   readonly quarantine: QuarantineController;
   readonly screening: Screening;
-  readonly checks: Pick<RunnerChecks, 'isRunning'>;
+  readonly checks: Pick<RunnerChecks, 'isRunning' | 'stateOf'>;
   readonly ends: Pick<AnswerEnds, 'isWhole'>;
   readonly authorizer: Authorizer;
   readonly retries: Pick<RetryController, 'charge' | 'unreached' | 'prefilled'>;
@@ -140,12 +141,33 @@
     return this.#context.ends.isWhole(this.#exchange.request.id, reply, this.#runner);
   }
 
-  /** Whether the runner's process runs, by a check that begins now. */
-  isRunnerRunning(): Promise<boolean> {
-    return this.#context.checks.isRunning(this.#runner);
+  /** What a check of the runner shows that begins now. */
+  runnerState(): Promise<RunnerState> {
+    return this.#context.checks.stateOf(this.#runner);
   }
 
-  /** The runner sends nothing any more, on this connection or to a check. */
+  /** The silent run was ended for another one, although its runner may be sound. */
+  replaced(silentMs: number, part: StreamPart): void {
+    const { metrics, log } = this.#context;
+    metrics.count('runs.replaced');
+    log.info(
+      { ...this.#fields(part), silentMs: Math.round(silentMs) },
+      'Replaced a silent run whose runner does not answer.',
+    );
+  }
+
+  /** No other run could be prepared for the silent one, which goes on. */
+  notReplaced(silentMs: number, { codeName: code, message: detail }: Failure): void {
+    const { metrics, lines, log } = this.#context;
+    metrics.count('runs.notReplaced');
+    if (!lines.tryAcquire(performance.now())) return;
+    log.info(
+      { ...this.#fields(undefined), silentMs: Math.round(silentMs), code, detail },
+      'Kept a silent run: no other one is possible now.',
+    );
+  }
+
+  /** The runner, which sent nothing any more, is gone. */
   stalled(silentMs: number): void {
     const { metrics, log } = this.#context;
     metrics.count('runs.stalled');
--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -3,40 +3,41 @@
 import type { Readable } from 'node:stream';
 import { setImmediate as yieldOnce, setTimeout as pause } from 'node:timers/promises';
 
-/** Multiple of the longest allowed pause between events after which a stream counts as silent. */
-const SILENCE_PAUSES = 2;
-/** Silence of streams whose routes allow short pauses or set none, in milliseconds: longer than a preempted request usually waits. */
-const MIN_SILENCE_MS = 600;
-/**
- * Time that the runner of a silent stream has to answer a check, in milliseconds: its callers
- * disconnect some two seconds after the last event, and another run needs the rest of that time.
- */
+import type { Failure } from '../../core/failure';
+import type { RunnerState, SilenceBounds } from '../../core/stream/silence';
+import { nextStep, retryDelayMs, silenceMsOf } from '../../core/stream/silence';
+
+/** Time that the runner of a silent stream has to answer a check, in milliseconds. */
 const CHECK_MS = 400;
 /** Delay of a timer from which on this VM counts as busy, in milliseconds: an answer may wait in its sockets. */
 const BUSY_MS = 100;
 
-/** Period at which another run is asked for again while the retry budget allows none, in milliseconds. */
-const HOLD_RETRY_MS = 100;
-
 /** What a watch needs of its stream. */
 export interface SilenceContext {
   readonly body: Pick<Readable, 'destroy'>;
-  /** Longest pause between events that the route allows, in milliseconds; 0 if it sets none. */
-  readonly gapMs: number;
+  readonly bounds: SilenceBounds;
   /** Whether another run could continue the stream. */
   readonly canResume: () => boolean;
-  /** Sets aside the other run; false if the retry budget allows none now. */
-  readonly holdRun: () => boolean;
-  /** Whether the runner's process runs. */
-  readonly isRunning: () => Promise<boolean>;
-  /** Called before the stream is ended. */
-  readonly onStalled: (silentMs: number) => void;
+  /** What is known of the runner. */
+  readonly runnerState: () => Promise<RunnerState>;
+  /**
+   * Prepares another run up to its send, while this one goes on. Resolves to why none is possible
+   * now; undefined if it is prepared.
+   */
+  readonly prepare: () => Promise<Failure | undefined>;
+  /** Gives back what was prepared: this run goes on. */
+  readonly cancel: () => void;
+  /** Called each time that no other run was possible. */
+  readonly onRefused: (silentMs: number, failure: Failure) => void;
+  /** Called before the run is ended for another one. */
+  readonly onReplaced: (silentMs: number, state: RunnerState) => void;
 }
 
 /**
- * Ends a stream that has been silent for long, if its runner does not answer either and another
- * run can continue it. The connections of a runner that lost power never end by themselves:
- * without this, callers disconnected, or waited for the rest of their time budget.
+ * Watches a stream. If it has been silent for long and its runner does not answer either, another
+ * run is prepared; the silent one is ended only once that is done, and goes on if events arrive
+ * before. The connections of a runner that lost power never end by themselves: without this,
+ * callers disconnected, or waited for the rest of their time budget.
  */
 export class SilenceWatch {
   readonly #context: SilenceContext;
@@ -47,21 +48,24 @@
 
   #heardAt = 0;
 
+  #isPreparing = false;
+
   #isStopped = false;
 
   constructor(context: SilenceContext) {
     this.#context = context;
-    this.#silenceMs = Math.max(MIN_SILENCE_MS, SILENCE_PAUSES * context.gapMs);
+    this.#silenceMs = silenceMsOf(context.bounds);
   }
 
   /** Events of the stream have arrived. */
   heard(now: number): void {
     this.#heardAt = now;
+    if (this.#isPreparing) this.#context.cancel();
     if (this.#timer) this.#timer.refresh();
     else this.#schedule();
   }
 
-  /** Ends the watch; must be called when the response has ended. */
+  /** Ends the watch; must be called when the response has ended. What is being prepared is not given back. */
   stop(): void {
     this.#isStopped = true;
     clearTimeout(this.#timer);
@@ -69,39 +73,71 @@
 
   #schedule(): void {
     this.#timer = setTimeout(() => {
-      this.#check(this.#heardAt).catch(() => undefined);
+      this.#timer = undefined;
+      this.#follow(this.#heardAt).catch(() => undefined);
     }, this.#silenceMs).unref();
   }
 
-  async #check(heardAt: number): Promise<void> {
-    const { body, canResume, onStalled } = this.#context;
-    this.#timer = undefined;
+  #isSilentSince(heardAt: number): boolean {
+    return !this.#isStopped && this.#heardAt === heardAt;
+  }
+
+  /** Follows a silence to its end. */
+  async #follow(heardAt: number): Promise<void> {
+    const { bounds, canResume, onRefused } = this.#context;
     if (!canResume()) return;
-    let next = await this.#checkRunner(heardAt);
-    while (next === 'wait') {
-      await pause(HOLD_RETRY_MS, undefined, { ref: false });
-      next = await this.#checkRunner(heardAt);
+    let state: RunnerState = 'unknown';
+    let refusals = 0;
+    while (this.#isSilentSince(heardAt)) {
+      // A runner that is gone does not come back under its id.
+      if (state !== 'gone') state = await this.#checkRunner();
+      if (!this.#isSilentSince(heardAt)) return;
+      const step = nextStep(performance.now(), heardAt, state, bounds);
+      if (step.kind === 'rest') {
+        this.#schedule();
+        return;
+      }
+      if (step.kind === 'wait') await pause(step.ms, undefined, { ref: false });
+      else {
+        const failure = await this.#prepare();
+        if (!this.#isSilentSince(heardAt)) return;
+        if (!failure) {
+          this.#replace(heardAt, state);
+          return;
+        }
+        refusals += 1;
+        onRefused(performance.now() - heardAt, failure);
+        const isBudgetSpent = failure.codeName === 'retryBudgetSpent';
+        const delayMs = retryDelayMs(refusals, isBudgetSpent, Math.random());
+        await pause(delayMs, undefined, { ref: false });
+      }
     }
-    if (next === 'none') return;
-    onStalled(performance.now() - heardAt);
-    body.destroy(new Error('the stream and its runner are silent'));
   }
 
-  /** What to do: `end` the stream, `wait` for the retry budget, or nothing. */
-  async #checkRunner(heardAt: number): Promise<'end' | 'wait' | 'none'> {
-    const { isRunning, holdRun } = this.#context;
-    const isAlive = await Promise.race([isRunning(), noAnswer()]);
-    if (this.#isStopped || this.#heardAt !== heardAt) return 'none';
-    if (isAlive) {
-      this.#schedule();
-      return 'none';
+  async #prepare(): Promise<Failure | undefined> {
+    this.#isPreparing = true;
+    try {
+      const failure = await this.#context.prepare();
+      // What has arrived is read before the run counts as silent still.
+      if (!failure) await yieldOnce();
+      return failure;
+    } finally {
+      this.#isPreparing = false;
     }
-    return holdRun() ? 'end' : 'wait';
+  }
+
+  #replace(heardAt: number, state: RunnerState): void {
+    this.#context.onReplaced(performance.now() - heardAt, state);
+    this.#context.body.destroy(new Error('the stream and its runner are silent'));
+  }
+
+  async #checkRunner(): Promise<RunnerState> {
+    return Promise.race([this.#context.runnerState(), noAnswer()]);
   }
 }
 
-/** Resolves to false after the time for a check, which begins anew while this VM is busy. */
-async function noAnswer(): Promise<false> {
+/** Resolves to `unknown` after the time for a check, which begins anew while this VM is busy. */
+async function noAnswer(): Promise<RunnerState> {
   let lateMs = Infinity;
   while (lateMs > BUSY_MS) {
     const startedAt = performance.now();
@@ -110,5 +146,5 @@
   }
   // What has arrived is read before the time counts as over.
   await yieldOnce();
-  return false;
+  return 'unknown';
 }
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -17,6 +17,7 @@
 import type { RetryBounds } from '../../core/retries/budget';
 import type { Runner, RoutingConfig } from '../../core/routing/types';
 import type { AnswerHead } from '../../core/stream/answer';
+import type { RunnerState } from '../../core/stream/silence';
 import type { VersionsByService } from '../../core/versions/types';
 import type { Failure } from '../../core/failure';
 
@@ -224,10 +225,11 @@
   freeCache(cache: CacheHandle): Promise<void>;
   report(runner: Runner): Promise<RunnerReport>;
   /**
-   * Whether a runner's process runs: false if it answers no more, or another instance answers. Never rejects.
+   * Whether a runner's process runs: it is gone if another instance answers, or if its address refuses
+   * connections. Never rejects.
    * @param mayCall whether it may be sent a call; otherwise it runs if it accepts connections. Default: it may
    */
-  isRunning(runner: Runner, mayCall?: boolean): Promise<boolean>;
+  stateOf(runner: Runner, mayCall?: boolean): Promise<RunnerState>;
   /**
    * Orders a runner to switch its role; `holder` and `fence` identify the lease under which the
    * order is given.
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -4,6 +4,7 @@
 import { request as httpRequest } from 'node:http';
 import type { Socket } from 'node:net';
 
+import VError from 'verror';
 import { z } from 'zod';
 
 import { Failure, toFailure } from '../core/failure';
@@ -11,6 +12,7 @@
 import { NO_NOTICE } from '../core/routing/notice';
 import type { Runner } from '../core/routing/types';
 import type { Framing } from '../core/stream/answer';
+import type { RunnerState } from '../core/stream/silence';
 import { instanceId } from '../core/routing/types';
 import type {
   CacheHandle,
@@ -26,7 +28,7 @@
   RunnerTarget,
 } from '../node/router/types';
 import type { CallOptions, HttpResponse } from '../utils/http';
-import { call, failOnReset, readBody } from '../utils/http';
+import { call, failOnReset, isConnectionRefused, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { loadOf } from './load';
 import { header, path } from './names';
@@ -117,41 +119,51 @@
     await this.#call({ address, id: undefined }, target, options);
   }
 
-  async report({ id, listing, address }: Runner): Promise<RunnerReport> {
-    const headers = { connection: 'close', [header.expectedRunner]: listing };
-    const destination = { address, id };
-    const report = await this.#call(destination, path.report, { method: 'GET', headers });
-    const { status, headers: answered, body } = report;
+  async report(runner: Runner): Promise<RunnerReport> {
+    const { status, headers, body } = await this.#report(runner);
+    const { id, listing, address } = runner;
     if (status !== HTTP_OK) throw new Failure('runnerFailed', `${address} answered ${status}`);
     const { born, runs, 'kv-used': usedTokens } = reportSchema.parse(JSON.parse(body));
     // A runner that reports no start time gets a new id at each start.
     return {
       runner: born === 0 ? id : instanceId(listing, born),
       bornAt: born,
-      leaving: isLeaving(answered),
+      leaving: isLeaving(headers),
       usedTokens,
       runs: runs.map(([request, tokens]) => ({ request, tokens })),
     };
   }
 
+  #report({ id, listing, address }: Runner): Promise<HttpResponse> {
+    const headers = { connection: 'close', [header.expectedRunner]: listing };
+    return this.#call({ address, id }, path.report, { method: 'GET', headers });
+  }
+
   /** A runner of a plain service has no report; its process runs if it accepts connections. */
-  async isRunning(runner: Runner, mayCall = true): Promise<boolean> {
+  async stateOf(runner: Runner, mayCall = true): Promise<RunnerState> {
     try {
-      if (mayCall && runner.role !== 'plain') {
-        return (await this.report(runner)).runner === runner.id;
-      }
+      if (mayCall && runner.role !== 'plain') return await this.#reportedState(runner);
       const { address, id } = runner;
       const target = { address, id, request: undefined, mayAbandon: true };
       const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
       const { socket } = await this.#connector.connect(target, limit);
       socket.destroy();
-      return true;
-    } catch {
-      // Whatever the failure is, the runner has not shown that it runs.
-      return false;
+      return 'running';
+    } catch (error) {
+      return isRefusal(error as Error) ? 'gone' : 'unknown';
     }
   }
 
+  async #reportedState(runner: Runner): Promise<RunnerState> {
+    const { status, body } = await this.#report(runner);
+    // Another runner has the address.
+    if (status === HTTP_MISDIRECTED_REQUEST) return 'gone';
+    if (status !== HTTP_OK) return 'unknown';
+    const { born } = reportSchema.parse(JSON.parse(body));
+    const isSame = born === 0 || instanceId(runner.listing, born) === runner.id;
+    return isSame ? 'running' : 'gone';
+  }
+
   /** Goes by direct connections only: a runner takes orders from two VMs for those of two holders. */
   async order(
     { id, listing, bornAt, address }: Runner,
@@ -223,6 +235,13 @@
   }
 }
 
+/** Whether an error, or one that caused it, is that nobody listens at the address. */
+function isRefusal(error: Error): boolean {
+  if (isConnectionRefused(error)) return true;
+  const cause = VError.cause(error);
+  return cause !== null && isRefusal(cause);
+}
+
 /** A call of the router itself. */
 type ControlCall = Pick<CallOptions, 'method' | 'headers' | 'body'>;
 
--- /dev/null
+++ b/test/core/silence.test.ts
@@ -0,0 +1,46 @@
+import { nextStep, retryDelayMs, silenceMsOf } from '../../src/core/stream/silence';
+
+describe('the wait before the runner of a silent stream is checked', () => {
+  test('is twice the longest pause, and longer than a preempted request waits', () => {
+    expect([0, 100, 300, 500].map((gapMs) => silenceMsOf({ gapMs }))).toEqual([
+      600, 600, 600, 1000,
+    ]);
+  });
+});
+
+describe('the step after a check', () => {
+  const at = (now: number, state: 'running' | 'gone' | 'unknown', patienceMs = 3600): unknown =>
+    nextStep(now, 0, state, { patienceMs });
+
+  test('is to measure the silence of a sound runner anew', () => {
+    expect(at(9000, 'running')).toEqual({ kind: 'rest' });
+  });
+
+  test('is to replace a runner that is gone at once', () => {
+    expect(at(601, 'gone')).toEqual({ kind: 'prepare' });
+  });
+
+  // Guards against a second run for a silence of a second that callers do not mind, and one too late for them.
+  test('is to wait for one that does not answer until another run needs the rest of the time', () => {
+    expect([1000, 2400, 2600, 2700].map((now) => at(now, 'unknown'))).toEqual([
+      { kind: 'wait', ms: 250 },
+      { kind: 'wait', ms: 200 },
+      { kind: 'prepare' },
+      { kind: 'prepare' },
+    ]);
+    expect(at(1000, 'unknown', 2000)).toEqual({ kind: 'prepare' });
+  });
+});
+
+describe('the delay until another run is asked for again', () => {
+  // Guards against streams that ask in the same turn of the event loop, or all at the same time.
+  test('grows up to a bound and varies', () => {
+    const delaysOf = (isBudgetSpent: boolean, random: number): readonly number[] =>
+      [1, 2, 3, 4, 50].map((refusals) => Math.round(retryDelayMs(refusals, isBudgetSpent, random)));
+    expect([delaysOf(false, 0), delaysOf(false, 0.999), delaysOf(true, 0.999)]).toEqual([
+      [50, 100, 200, 400, 400],
+      [100, 200, 400, 800, 800],
+      [100, 200, 400, 400, 400],
+    ]);
+  });
+});
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -1,11 +1,14 @@
 /** Quarantine, runs, quotas and rate limits for tests of request handling. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import pino from 'pino';
 
 import type { Path } from '../../src/core/paths/table';
 import { RunnerBackoffs } from '../../src/core/routing/backoffs';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { Runner } from '../../src/core/routing/types';
+import type { RunnerState } from '../../src/core/stream/silence';
 import { AnswerEnds } from '../../src/node/router/answerends';
 import { Authorizer } from '../../src/node/router/authorizer';
 import { RoutingState } from '../../src/node/router/routingstate';
@@ -162,11 +165,26 @@
   });
 }
 
+/** The checks that a run makes. */
+export type StateChecks = Pick<RunnerChecks, 'isRunning' | 'stateOf'>;
+
+/**
+ * Checks by which all runners are in one state.
+ * @param ms how long each takes. Default: no time
+ */
+export function checksOf(state: RunnerState, ms = 0): StateChecks {
+  const stateOf = async (): Promise<RunnerState> => (ms > 0 ? pause(ms, state) : state);
+  return { stateOf, isRunning: async () => (await stateOf()) === 'running' };
+}
+
 /** Checks by which all runners run. */
-export const runningChecks: Pick<RunnerChecks, 'isRunning'> = { isRunning: async () => true };
+export const runningChecks: StateChecks = checksOf('running');
 
 /** Checks by which all runners have crashed. */
-export const crashedChecks: Pick<RunnerChecks, 'isRunning'> = { isRunning: async () => false };
+export const crashedChecks: StateChecks = checksOf('gone');
+
+/** Checks that no runner answers. */
+export const unansweredChecks: StateChecks = checksOf('unknown');
 
 /** Returns how answers end at a VM that reaches no other one. */
 export function endsOf(
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -180,3 +180,50 @@
     server.close();
   });
 });
+
+describe('the state of a runner', () => {
+  /** What a check shows of a runner whose report is answered in this way; it is known to have started at 5. */
+  async function stateAfter(answer: (socket: Socket) => void): Promise<string> {
+    const server = await runnerOf(answer);
+    const { runner } = dispatchTo(server);
+    const client = new PlatformRunnerClient(directConnector);
+    const state = await client.stateOf({ ...runner, id: 'i-1@5', bornAt: 5, role: 'decode' });
+    server.close();
+    return state;
+  }
+
+  const reportOf =
+    (status: string, body: string) =>
+    (socket: Socket): void => {
+      socket.end(`HTTP/1.1 ${status}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+    };
+
+  // Guards against a sound runner that is silent for a moment and is taken for one that ended.
+  test('is known only if an answer shows it', async () => {
+    expect({
+      same: await stateAfter(reportOf('200 OK', '{"kv-used":0,"born":5}')),
+      other: await stateAfter(reportOf('200 OK', '{"kv-used":0,"born":6}')),
+      misdirected: await stateAfter(reportOf('421 Misdirected Request', '')),
+      failing: await stateAfter(reportOf('500 Internal Server Error', '')),
+      silent: await stateAfter(() => {}),
+      broken: await stateAfter((socket) => socket.destroy()),
+    }).toEqual({
+      same: 'running',
+      other: 'gone',
+      misdirected: 'gone',
+      failing: 'unknown',
+      silent: 'unknown',
+      broken: 'unknown',
+    });
+  });
+
+  test('is gone if its address refuses connections', async () => {
+    const server = await runnerOf(() => {});
+    const { runner } = dispatchTo(server);
+    server.close();
+    await once(server, 'close');
+    const client = new PlatformRunnerClient(directConnector);
+    expect(await client.stateOf({ ...runner, role: 'decode' })).toBe('gone');
+    expect(await client.stateOf(runner)).toBe('gone');
+  });
+});
--- a/test/router/answerends.test.ts
+++ b/test/router/answerends.test.ts
@@ -5,10 +5,10 @@
 import { AnswerEnds } from '../../src/node/router/answerends';
 import { RouterMetrics } from '../../src/node/router/metrics';
 import { Relay } from '../../src/node/router/relay';
-import type { RunnerChecks } from '../../src/node/router/runnerchecks';
 import { Runs } from '../../src/node/router/runs';
 import { exchangeInto, replyOf, streamEngine } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
+import type { StateChecks } from '../fakes/runs';
 import {
   authorizerOf,
   directPaths,
@@ -39,7 +39,8 @@
   const routingState = openStateOf();
   const quarantine = quarantineOf();
   const metrics = new RouterMetrics();
-  const checks: Pick<RunnerChecks, 'isRunning'> = {
+  const checks: StateChecks = {
+    stateOf: async () => (isRunning ? 'running' : 'gone'),
     isRunning: async (_runner, mayCall) => {
       if (mayCall === isClosed) throw new Error('called a runner that wants no calls');
       return isRunning;
@@ -82,7 +83,9 @@
     stream: new AnswerStream(),
     canResume: () => false,
     affordsRun: () => true,
-    holdRun: () => true,
+    isListed: () => true,
+    prepare: async () => undefined,
+    cancelPrepared: () => {},
     onProgress: () => {},
     onFirstEvents: () => {},
   });
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -105,7 +105,9 @@
       stream,
       canResume: () => true,
       affordsRun: () => true,
-      holdRun: () => true,
+      isListed: () => true,
+      prepare: async () => undefined,
+      cancelPrepared: () => {},
       onProgress: () => {},
       onFirstEvents: () => {},
     });
--- a/test/router/runnerchecks.test.ts
+++ b/test/router/runnerchecks.test.ts
@@ -1,4 +1,5 @@
 import type { Runner } from '../../src/core/routing/types';
+import type { RunnerState } from '../../src/core/stream/silence';
 import { RunnerChecks } from '../../src/node/router/runnerchecks';
 import { Relay } from '../../src/node/router/relay';
 import { AnswerStream } from '../../src/core/stream/answer';
@@ -10,9 +11,9 @@
 class SlowClient {
   readonly begun: string[] = [];
 
-  readonly #ends: ((isRunning: boolean) => void)[] = [];
+  readonly #ends: ((state: RunnerState) => void)[] = [];
 
-  isRunning({ id }: Runner): Promise<boolean> {
+  stateOf({ id }: Runner): Promise<RunnerState> {
     this.begun.push(id);
     return new Promise((resolve) => {
       this.#ends.push(resolve);
@@ -20,8 +21,8 @@
   }
 
   /** Ends the check that began first. */
-  async end(isRunning: boolean): Promise<void> {
-    this.#ends.shift()?.(isRunning);
+  async end(state: RunnerState): Promise<void> {
+    this.#ends.shift()?.(state);
     await new Promise(setImmediate);
   }
 }
@@ -34,10 +35,10 @@
     const [a, b] = [runnerOf('a', 'decode'), runnerOf('b', 'decode')];
     const answers = [a, a, a, b].map((runner) => checks.isRunning(runner));
     expect(client.begun).toEqual(['a', 'b']);
-    await client.end(true);
-    await client.end(true);
+    await client.end('running');
+    await client.end('running');
     expect(client.begun).toEqual(['a', 'b', 'a']);
-    await client.end(false);
+    await client.end('gone');
     expect(await Promise.all(answers)).toEqual([true, false, false, true]);
     checks.isRunning(a).catch(() => {});
     expect(client.begun).toEqual(['a', 'b', 'a', 'a']);
@@ -61,7 +62,9 @@
       stream: new AnswerStream(),
       canResume: () => true,
       affordsRun: () => true,
-      holdRun: () => true,
+      isListed: () => true,
+      prepare: async () => undefined,
+      cancelPrepared: () => {},
       onProgress: () => {},
       onFirstEvents: () => {},
     });
--- a/test/router/silence.test.ts
+++ b/test/router/silence.test.ts
@@ -28,19 +28,21 @@
           return undefined as never;
         },
       },
-      gapMs: 10,
+      bounds: { gapMs: 10, patienceMs: 0 },
       canResume: () => true,
-      holdRun: () => true,
-      isRunning: () =>
+      prepare: async () => undefined,
+      cancel: () => {},
+      runnerState: () =>
         new Promise((resolve) => {
           runner.once('message', () => {
             watch.heard(performance.now());
-            resolve(true);
+            resolve('running');
           });
           runner.postMessage('check');
           setTimeout(() => setImmediate(() => block(BUSY_MS)), 5);
         }),
-      onStalled: () => undefined,
+      onRefused: () => {},
+      onReplaced: () => {},
     });
     watch.heard(performance.now());
     await pause(1700);
--- a/test/router/streams.test.ts
+++ b/test/router/streams.test.ts
@@ -1,5 +1,4 @@
 import { Readable } from 'node:stream';
-import { setTimeout as pause } from 'node:timers/promises';
 
 import pino from 'pino';
 
@@ -21,6 +20,7 @@
 } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
 import {
+  checksOf,
   crashedChecks,
   directPaths,
   openStateOf,
@@ -371,7 +371,7 @@
   ): Promise<readonly string[][]> {
     const retries = earnedRetries();
     // Long enough for all streams to be checked at the same time.
-    const checks = { isRunning: () => pause(20, false) };
+    const checks = checksOf('gone', 20);
     const runs = runsOf(quarantineOf(), directPaths, checks, retries);
     const outs = Array.from({ length: count }, (): string[] => []);
     const served = outs.map((out) => {
