Confirm a prepared run before the silent one is ended

In a run of the soak one stream of 37 was ended for a prepared run that was then refused: `Replaced a silent run`, and `Request ended` with `runnerFailed` in the same millisecond. By reading, its repeat was lost when its prefill was given back to a budget that had saved all it may. What this VM knows (budget, paths, announcements, quarantine, keys) is looked at again just before the silent run is ended, and a key that was revoked is found before the owner is asked.

Checks go on during the delay after a refusal, and not after it.

The test `takes no requests once its run is prepared` covers the confirmation.

--- a/src/core/stream/silence.ts
+++ b/src/core/stream/silence.ts
@@ -29,8 +29,12 @@
 const MIN_SILENCE_MS = 600;
 /** Part of the callers' patience that another run needs for a reservation, the prompt and its first event, in milliseconds. */
 const CONTINUATION_MS = 1000;
-/** Longest time between two checks of a silent runner, in milliseconds. */
-const RECHECK_MS = 250;
+/** Time that the runner of a silent stream has to answer a check, in milliseconds. */
+export const CHECK_MS = 400;
+/** Longest time between the ends of two checks of a silent runner, in milliseconds. */
+const RECHECK_MS = 650;
+/** Time before the end of the wait for a runner that is too short for a check, in milliseconds. */
+const MIN_WAIT_MS = 100;
 /** Time until another run is asked for again after the first refusal, in milliseconds; doubles with each further one. */
 const FIRST_RETRY_MS = 100;
 const MAX_RETRY_MS = 800;
@@ -57,8 +61,10 @@
 ): SilenceStep {
   if (state === 'running') return { kind: 'rest' };
   const waitMs = heardAt + patienceMs - CONTINUATION_MS - now;
-  if (state === 'gone' || waitMs <= 0) return { kind: 'prepare' };
-  return { kind: 'wait', ms: Math.min(waitMs, RECHECK_MS) };
+  if (state === 'gone' || waitMs < MIN_WAIT_MS) return { kind: 'prepare' };
+  // The last check ends when the wait does.
+  const checks = Math.ceil(waitMs / RECHECK_MS);
+  return { kind: 'wait', ms: Math.max(0, waitMs / checks - CHECK_MS) };
 }
 
 /**
--- a/src/node/router/continuation.ts
+++ b/src/node/router/continuation.ts
@@ -10,7 +10,10 @@
 
 /** Dependencies of a continuation. */
 export interface ContinuationContext {
-  readonly placements: Pick<Placements, 'place' | 'decodeRunner' | 'giveBack'>;
+  readonly placements: Pick<
+    Placements,
+    'place' | 'decodeRunner' | 'recheck' | 'sendRefusal' | 'giveBack'
+  >;
   readonly retries: Pick<RetryController, 'holdRun' | 'settle'>;
 }
 
@@ -33,6 +36,8 @@
 
   readonly #progress: Progress;
 
+  #prepared: PreparedRun | undefined;
+
   #current: Preparation | undefined;
 
   constructor(context: ContinuationContext, exchange: Exchange, progress: Progress) {
@@ -52,18 +57,34 @@
     const current = { result, controller };
     this.#current = current;
     const prepared = await result;
-    if (!(prepared instanceof Failure)) return undefined;
-    if (this.#current !== current) return prepared;
+    if (this.#current !== current) return new Failure('internal', 'the silent run goes on');
+    if (!(prepared instanceof Failure)) {
+      this.#prepared = prepared;
+      return undefined;
+    }
     this.#current = undefined;
     this.#context.retries.settle(this.#exchange);
     return prepared;
   }
 
+  /** Why the prepared run must not be sent any more, as far as this VM knows; undefined if it may be. */
+  confirm(now: number): Failure | undefined {
+    const { placements, retries } = this.#context;
+    if (!this.#prepared) return new Failure('runnerUnavailable', 'nothing is prepared');
+    const exchange = this.#exchange;
+    const refused = placements.sendRefusal(now, exchange, this.#prepared.runner);
+    if (refused) return refused;
+    // What was given back to a full budget after a prefill is not set aside any more.
+    const isPaid = retries.holdRun(now, exchange);
+    return isPaid ? undefined : budgetSpentFailure(exchange.service, 'run');
+  }
+
   /** Gives back what is prepared, also if it is still being prepared. */
   cancel(): void {
     const current = this.#current;
     if (!current) return;
     this.#current = undefined;
+    this.#prepared = undefined;
     current.controller.abort();
     const { placements, retries } = this.#context;
     retries.settle(this.#exchange);
@@ -81,6 +102,7 @@
     const prepared = await current.result;
     if (this.#current !== current) return undefined;
     this.#current = undefined;
+    this.#prepared = undefined;
     return prepared instanceof Failure ? undefined : prepared;
   }
 
@@ -88,6 +110,8 @@
     const { placements, retries } = this.#context;
     const exchange = this.#exchange;
     const { service } = exchange;
+    const refused = placements.recheck(exchange);
+    if (refused) return refused;
     if (!retries.holdRun(performance.now(), exchange)) return budgetSpentFailure(service, 'run');
     const options = { cancelled: signal, excluded: [silentRunner] };
     const placed = await placements.place(exchange, this.#progress, options);
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -204,8 +204,11 @@
       affordsRun: () => this.#affordsRun(exchange),
       isListed: () =>
         findRunner(routingState.runnersOf(performance.now(), service), runner.id) !== undefined,
-      prepare: () => continuation.prepare(runner.id),
-      cancelPrepared: () => continuation.cancel(),
+      continuation: {
+        prepare: () => continuation.prepare(runner.id),
+        confirm: () => continuation.confirm(performance.now()),
+        cancel: () => continuation.cancel(),
+      },
       onProgress: (report) => reservations.reportProgress(service, { id, ...report }),
       onFirstEvents: () => origins.began(performance.now(), exchange),
     });
--- a/src/node/router/placements.ts
+++ b/src/node/router/placements.ts
@@ -1,6 +1,6 @@
 /** Places runs of model requests: quota, reservation, prefill and the check of the decode runner, up to the send. */
 
-import type { Failure } from '../../core/failure';
+import { Failure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
 import { findRunner, mayContinue } from '../../core/routing/types';
 import type { Exchange } from './exchange';
@@ -134,6 +134,15 @@
     return this.#context.paths.reaches(runner) && mayContinue(runner, version);
   }
 
+  /** Why the request must not be sent to a runner that was checked before, as far as this VM knows; undefined if it may be. */
+  sendRefusal(now: number, exchange: Exchange, runner: Runner): Failure | undefined {
+    const isOpen = this.#context.routingState.accepts(now, runner);
+    if (!isOpen || !this.isUsable(exchange, runner)) {
+      return new Failure('runnerUnavailable', `${runner.id} takes no requests`);
+    }
+    return this.#context.runs.refusal(now, exchange, runner);
+  }
+
   /** Gives back a place that is not used. */
   giveBack({ service }: Exchange, { id, cache }: PlacedRun): void {
     if (cache) this.free(cache);
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -1,6 +1,5 @@
 /** Relays the responses of a request's runs to its caller as one stream. */
 
-import type { Failure } from '../../core/failure';
 import type { Engine } from '../../core/routing/types';
 import type { AnswerStream } from '../../core/stream/answer';
 import type { RunnerState } from '../../core/stream/silence';
@@ -8,6 +7,7 @@
 import type { Exchange } from './exchange';
 import { PaceMonitor } from './pace';
 import type { Run, StreamPart } from './runs';
+import type { SilenceContext } from './silence';
 import { SilenceWatch } from './silence';
 import type { Reply } from './types';
 
@@ -47,10 +47,8 @@
   readonly affordsRun: () => boolean;
   /** Whether the runner is listed. */
   readonly isListed: () => boolean;
-  /** Prepares another run up to its send; see `SilenceContext`. */
-  readonly prepare: () => Promise<Failure | undefined>;
-  /** Gives back what was prepared. */
-  readonly cancelPrepared: () => void;
+  /** The run that may continue the stream while its own is silent. */
+  readonly continuation: Pick<SilenceContext, 'prepare' | 'confirm' | 'cancel'>;
   readonly onProgress: (progress: RelayProgress) => void;
   /** Called before the first events of a run are sent to the caller. */
   readonly onFirstEvents: () => void;
@@ -153,8 +151,9 @@
     run: Run,
     onReplaced: (silentMs: number, state: RunnerState) => void,
   ): SilenceWatch {
-    const { exchange, canResume, isListed, prepare, cancelPrepared } = this.#context;
+    const { exchange, canResume, isListed, continuation } = this.#context;
     return new SilenceWatch({
+      ...continuation,
       body,
       bounds: exchange.route,
       canResume,
@@ -162,8 +161,6 @@
         const state = await run.runnerState();
         return state === 'unknown' && !isListed() ? 'gone' : state;
       },
-      prepare,
-      cancel: cancelPrepared,
       onRefused: (silentMs, failure) => run.notReplaced(silentMs, failure),
       onReplaced,
     });
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -285,9 +285,9 @@
     this.#context = { ...context, lines };
   }
 
-  /** The reason why a request must not be sent to any runner; undefined if it may be. */
-  refusal(now: number, exchange: Exchange): Failure | undefined {
-    return this.#refusalAt(now, exchange);
+  /** The reason why a request must not be sent to a runner, or without one to any; undefined if it may be. */
+  refusal(now: number, exchange: Exchange, runner?: Runner): Failure | undefined {
+    return this.#refusalAt(now, exchange, runner);
   }
 
   /** The same, after a trial was asked for, and waited for, if the request may only run alone. */
--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -5,10 +5,8 @@
 
 import type { Failure } from '../../core/failure';
 import type { RunnerState, SilenceBounds } from '../../core/stream/silence';
-import { nextStep, retryDelayMs, silenceMsOf } from '../../core/stream/silence';
+import { CHECK_MS, nextStep, retryDelayMs, silenceMsOf } from '../../core/stream/silence';
 
-/** Time that the runner of a silent stream has to answer a check, in milliseconds. */
-const CHECK_MS = 400;
 /** Delay of a timer from which on this VM counts as busy, in milliseconds: an answer may wait in its sockets. */
 const BUSY_MS = 100;
 
@@ -25,6 +23,8 @@
    * now; undefined if it is prepared.
    */
   readonly prepare: () => Promise<Failure | undefined>;
+  /** Why what was prepared must not be sent any more; undefined if it may be. */
+  readonly confirm: () => Failure | undefined;
   /** Gives back what was prepared: this run goes on. */
   readonly cancel: () => void;
   /** Called each time that no other run was possible. */
@@ -86,19 +86,18 @@
   async #follow(heardAt: number): Promise<void> {
     const { bounds, canResume, onRefused } = this.#context;
     if (!canResume()) return;
-    let state: RunnerState = 'unknown';
+    let state = await this.#checkRunner();
     let refusals = 0;
     while (this.#isSilentSince(heardAt)) {
-      // A runner that is gone does not come back under its id.
-      if (state !== 'gone') state = await this.#checkRunner();
-      if (!this.#isSilentSince(heardAt)) return;
       const step = nextStep(performance.now(), heardAt, state, bounds);
       if (step.kind === 'rest') {
         this.#schedule();
         return;
       }
-      if (step.kind === 'wait') await pause(step.ms, undefined, { ref: false });
-      else {
+      if (step.kind === 'wait') {
+        await pause(step.ms, undefined, { ref: false });
+        state = await this.#checkRunner();
+      } else {
         const failure = await this.#prepare();
         if (!this.#isSilentSince(heardAt)) return;
         if (!failure) {
@@ -109,7 +108,10 @@
         onRefused(performance.now() - heardAt, failure);
         const isBudgetSpent = failure.codeName === 'retryBudgetSpent';
         const delayMs = retryDelayMs(refusals, isBudgetSpent, Math.random());
-        await pause(delayMs, undefined, { ref: false });
+        const delay = pause(delayMs, undefined, { ref: false });
+        // A runner that is gone does not come back under its id.
+        if (state !== 'gone') state = await this.#checkRunner();
+        await delay;
       }
     }
   }
@@ -119,8 +121,11 @@
     try {
       const failure = await this.#context.prepare();
       // What has arrived is read before the run counts as silent still.
-      if (!failure) await yieldOnce();
-      return failure;
+      if (failure) return failure;
+      await yieldOnce();
+      const changed = this.#context.confirm();
+      if (changed) this.#context.cancel();
+      return changed;
     } finally {
       this.#isPreparing = false;
     }
--- a/test/router/silence.test.ts
+++ b/test/router/silence.test.ts
@@ -31,6 +31,7 @@
       bounds: { gapMs: 10, patienceMs: 0 },
       canResume: () => true,
       prepare: async () => undefined,
+      confirm: () => undefined,
       cancel: () => {},
       runnerState: () =>
         new Promise((resolve) => {
--- a/test/router/silentstreams.test.ts
+++ b/test/router/silentstreams.test.ts
@@ -3,7 +3,7 @@
 
 import { Failure } from '../../src/core/failure';
 import type { Grant } from '../../src/core/memory/types';
-import type { Route } from '../../src/core/routing/types';
+import type { Route, Runner } from '../../src/core/routing/types';
 import type { Exchange } from '../../src/node/router/exchange';
 import type { LocalDemand, ProgressReport } from '../../src/node/router/messages';
 import type { ModelContext } from '../../src/node/router/model';
@@ -193,6 +193,19 @@
     expect(cover.mock.calls.length).toBeGreaterThan(1);
   });
 
+  // Guards against the same where what was prepared may not be sent any more.
+  test('is whole although the other runner takes no requests once its run is prepared', async () => {
+    const state = openStateOf([runnerOf('d1', 'decode'), runnerOf('d2', 'decode')]);
+    const accepts = ({ id }: Runner): boolean => id !== 'd2';
+    const routingState = { ...state, accepts: (_now: number, one: Runner) => accepts(one) };
+    const options = { routingState: routingState as ModelContext['routingState'] };
+    const { out, runs, steps } = await new SilentStream(1500, granted, options).serve();
+    expect({ out, runs }).toEqual({ out: inTurn, runs: 1 });
+    expect(steps.filter((step) => step === 'asked').length).toBe(
+      steps.filter((step) => step.startsWith('released')).length - 1,
+    );
+  });
+
   // Guards against a second run for a silence that callers with more patience do not mind.
   test('keeps its run while its callers wait longer', async () => {
     const toRoute = { ...route, patienceMs: 3600 };
