Keep a slow prefill until another one is certain

Callers got a 503 for a request whose prefill runner was sound and silent for over 0.9 s.

Cause: a prefill was abandoned after 0.9 s, and its repetition was then refused by the retry budget, or by the owner where a decode runner would have had to prefill the prompt.

A prefill is abandoned after 0.9 s only if there is another prefill runner and the budget has set aside that prefill and its run. A prefill by a decode runner may still be refused, so it is asked for in the last second of the callers' patience. It is decided in core/stream/silence.ts.

Weighed: holding a second reservation before the first prefill is given up, which would also rule out a refusal of the owner; not done, so that the owner may still refuse a prefill that the budget allows.

--- a/src/core/stream/silence.ts
+++ b/src/core/stream/silence.ts
@@ -1,4 +1,4 @@
-/** Decides when a stream whose runner sends nothing is continued at another runner. */
+/** Decides when what a runner does not answer is done at another runner: the rest of a stream, or a prefill. */
 
 /**
  * What a check of a runner shows. `gone`: the instance has certainly ended; `unknown`: it did not
@@ -43,6 +43,16 @@
 /** Smallest part of a retry delay: streams of one runner fall silent at once and must not ask at once. */
 const MIN_RETRY_PART = 0.5;
 
+/** Time that most prefills take at most, in milliseconds. */
+export const PREFILL_MS = 900;
+
+/** A prefill that has not ended. */
+export interface PendingPrefill extends Pick<SilenceBounds, 'patienceMs'> {
+  readonly sentAt: number;
+  /** Since when the caller waits for an event. */
+  readonly waitingSince: number;
+}
+
 /** Time without events after which the runner of a stream is checked, in milliseconds. */
 export function silenceMsOf({ gapMs }: Pick<SilenceBounds, 'gapMs'>): number {
   return Math.max(MIN_SILENCE_MS, SILENCE_PAUSES * gapMs);
@@ -78,3 +88,16 @@
   const longest = Math.min(limit, FIRST_RETRY_MS * 2 ** (refusals - 1));
   return longest * (MIN_RETRY_PART + (1 - MIN_RETRY_PART) * random);
 }
+
+/**
+ * Whether a prefill may be given up. One at another prefill runner takes its place early. A decode
+ * runner may refuse to do it, and is asked as late as the patience of callers allows.
+ */
+export function mayAbandon(
+  now: number,
+  { sentAt, waitingSince, patienceMs }: PendingPrefill,
+  hasOtherRunner: boolean,
+): boolean {
+  if (now < sentAt + PREFILL_MS) return false;
+  return hasOtherRunner || now >= waitingSince + patienceMs - CONTINUATION_MS;
+}
--- a/src/node/router/prefillattempts.ts
+++ b/src/node/router/prefillattempts.ts
@@ -4,6 +4,8 @@
 import { toFailure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
 import { findRunner } from '../../core/routing/types';
+import type { PendingPrefill } from '../../core/stream/silence';
+import { mayAbandon, PREFILL_MS } from '../../core/stream/silence';
 import type { Exchange } from './exchange';
 import type { PermitController } from './permits';
 import type { Progress } from './progress';
@@ -19,14 +21,14 @@
   readonly runners: Pick<RunnerClient, 'prefill' | 'freeCache'>;
   readonly runs: Pick<Runs, 'begin'>;
   readonly permits: Pick<PermitController, 'isLimited'>;
-  readonly retries: Pick<RetryController, 'affords'>;
+  readonly retries: Pick<RetryController, 'affords' | 'holdPrefill' | 'holdRun'>;
 }
 
 /** Prefill attempts per request; all but the first are charged to the retry budget. */
 export const MAX_PREFILLS = 3;
 
-/** A prefill that takes longer is abandoned and repeated at another runner. */
-const PREFILL_TIMEOUT_MS = 900;
+/** Period at which another prefill is asked for again while none is certain, in milliseconds. */
+const RECHECK_MS = 100;
 
 /** A prefilled prompt whose KV cache is kept at a prefill runner, and how long the prefill took. */
 export interface KeptCache extends CacheHandle {
@@ -83,14 +85,14 @@
     const { request } = exchange;
     progress.prefills += 1;
     const run = this.#context.runs.begin(now, exchange, runner);
-    const limit = AbortSignal.timeout(PREFILL_TIMEOUT_MS);
+    const limit = this.#limitOf(now, exchange, progress, runner);
     const deadlineMs = exchange.remainingMs(now);
     try {
       const cache = await this.#context.runners.prefill({
         runner,
         request,
         deadlineMs,
-        signal: AbortSignal.any([signal, limit]),
+        signal: AbortSignal.any([signal, limit.signal]),
         mayRepeat: true,
         onReply: (reply) => run.replied(performance.now(), reply),
       });
@@ -104,9 +106,55 @@
       if (codeName === 'answerLost') run.interrupted(performance.now());
       if (codeName === 'runnerUnreachable') run.unreached(performance.now(), failure);
       return codeName;
+    } finally {
+      limit.stop();
     }
   }
 
+  /** Aborts a prefill that takes long once another one is certain; until then its runner, which may be sound, keeps it. */
+  #limitOf(
+    sentAt: number,
+    exchange: Exchange,
+    progress: Progress,
+    runner: Runner,
+  ): { readonly signal: AbortSignal; readonly stop: () => void } {
+    const { patienceMs } = exchange.route;
+    const isResuming = progress.stream.events > 0;
+    const waitingSince = isResuming ? sentAt : exchange.arrivedAt;
+    const pending = { sentAt, waitingSince, patienceMs };
+    const controller = new AbortController();
+    let timer: NodeJS.Timeout;
+    const check = (): void => {
+      const isCertain = this.#holdsOther(performance.now(), exchange, progress, runner, pending);
+      if (isCertain) controller.abort();
+      else timer = setTimeout(check, RECHECK_MS);
+    };
+    timer = setTimeout(check, PREFILL_MS);
+    return { signal: controller.signal, stop: () => clearTimeout(timer) };
+  }
+
+  /** Sets aside in the retry budget what another prefill needs; false if there may be none now. */
+  #holdsOther(
+    now: number,
+    exchange: Exchange,
+    progress: Progress,
+    runner: Runner,
+    pending: PendingPrefill,
+  ): boolean {
+    const { routingState, paths, retries } = this.#context;
+    if (progress.prefills >= MAX_PREFILLS) return false;
+    const hasOther = routingState
+      .openRunnersOf(now, exchange.service, 'prefill')
+      .some(({ id, address }) => {
+        const isLeftOut = id === runner.id || progress.avoid.includes(id);
+        return !isLeftOut && paths.reaches({ address });
+      });
+    if (hasOther && mayAbandon(now, pending, true) && retries.holdPrefill(now, exchange)) {
+      return true;
+    }
+    return mayAbandon(now, pending, false) && retries.holdRun(now, exchange);
+  }
+
   /** Tells the prefill runner that a KV cache is not needed any more. */
   free(cache: CacheHandle): void {
     // A handle that cannot be freed expires when the engine stops keeping it.
--- a/test/core/silence.test.ts
+++ b/test/core/silence.test.ts
@@ -1,4 +1,4 @@
-import { nextStep, retryDelayMs, silenceMsOf } from '../../src/core/stream/silence';
+import { mayAbandon, nextStep, retryDelayMs, silenceMsOf } from '../../src/core/stream/silence';
 
 describe('the wait before the runner of a silent stream is checked', () => {
   test('is twice the longest pause, and longer than a preempted request waits', () => {
@@ -45,3 +45,18 @@
     ]);
   });
 });
+
+describe('a prefill that takes long', () => {
+  // Guards against a request that is refused since its prefill was given up before another one was certain.
+  test('is given up early only if there is another prefill runner', () => {
+    const pending = { sentAt: 500, waitingSince: 0, patienceMs: 3600 };
+    const times = [1300, 1400, 2500, 2600];
+    expect(times.map((now) => mayAbandon(now, pending, true))).toEqual([false, true, true, true]);
+    expect(times.map((now) => mayAbandon(now, pending, false))).toEqual([
+      false,
+      false,
+      false,
+      true,
+    ]);
+  });
+});
