Do not take a slow caller for a silent runner

A stream is not read while its caller does not take what was sent, and the watch measured that as the silence of its runner. A runner that did not answer a check then lost its run although its events were waiting in the connection. Found by reading.

The silence is now measured from when the stream is read again. The watch also stops when passing on events fails, so that no run is prepared for a request that has ended.

--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -112,23 +112,28 @@
       if (state === 'unknown') replacedAfterMs = silentMs;
       else run.stalled(silentMs);
     });
-    for await (const chunk of chunks) {
-      const events = stream.push(chunk);
-      if (events.length > 0) {
-        run.answered(performance.now());
-        silence.heard(performance.now());
-        if (!hasStarted) {
-          onProgress({ kind: 'started' });
-          onFirstEvents();
+    try {
+      for await (const chunk of chunks) {
+        const events = stream.push(chunk);
+        if (events.length > 0) {
+          run.answered(performance.now());
+          silence.heard(performance.now());
+          if (!hasStarted) {
+            onProgress({ kind: 'started' });
+            onFirstEvents();
+          }
+          hasStarted = true;
+          if (pace.observe(performance.now(), stream.events)) onProgress({ kind: 'slow' });
+          this.#sendHead(reply);
+          silence.hold();
+          await exchange.write(events);
+          silence.heard(performance.now());
         }
-        hasStarted = true;
-        if (pace.observe(performance.now(), stream.events)) onProgress({ kind: 'slow' });
-        this.#sendHead(reply);
-        await exchange.write(events);
+        if (stream.fault) break;
       }
-      if (stream.fault) break;
+    } finally {
+      silence.stop();
     }
-    silence.stop();
     const hasArrived = !isInterrupted && reply.body.complete;
     stream.end(hasArrived && (await run.hasWholeAnswer(reply)));
     const part = streamPartOf(reply, afterEvent, stream);
--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -48,6 +48,8 @@
 
   #heardAt = 0;
 
+  #isHeld = false;
+
   #isPreparing = false;
 
   #isStopped = false;
@@ -57,8 +59,14 @@
     this.#silenceMs = silenceMsOf(context.bounds);
   }
 
-  /** Events of the stream have arrived. */
+  /** The stream is not read until `heard` is called: its events are being passed on. */
+  hold(): void {
+    this.#isHeld = true;
+  }
+
+  /** Events of the stream have arrived, or it is read again. */
   heard(now: number): void {
+    this.#isHeld = false;
     this.#heardAt = now;
     if (this.#isPreparing) this.#context.cancel();
     if (this.#timer) this.#timer.refresh();
@@ -74,7 +82,8 @@
   #schedule(): void {
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
-      this.#follow(this.#heardAt).catch(() => undefined);
+      if (this.#isHeld) this.#schedule();
+      else this.#follow(this.#heardAt).catch(() => undefined);
     }, this.#silenceMs).unref();
   }
 
--- a/test/router/silentstreams.test.ts
+++ b/test/router/silentstreams.test.ts
@@ -232,6 +232,19 @@
     expect(stream.exchange.arrivals.held).toBe(0);
   });
 
+  // Guards against taking this VM, which does not read while the caller does not, for a silent runner.
+  test('is whole although its caller reads slowly', async () => {
+    const stream = new SilentStream(100, granted);
+    const { exchange } = stream;
+    const write = exchange.write.bind(exchange);
+    exchange.write = async (chunk) => {
+      await write(chunk);
+      await pause(2200);
+    };
+    const { out, runs, asked } = await stream.serve();
+    expect({ out, runs, asked: asked.length }).toEqual({ out: inTurn, runs: 1, asked: 1 });
+  });
+
   // Guards against an end of a run that nothing can follow.
   test.each([
     ['may not be resumed', { ...route, resumable: false }],
