--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -386,7 +386,7 @@
         this.#freed += 1;
       },
       report: async ({ id, bornAt }) => ({ runner: id, usedTokens: 0, bornAt, leaving: false }),
-      isRunning: async () => true,
+      stateOf: async () => 'running',
       order: async () => 'accepted',
     };
   }
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -105,7 +105,8 @@
       stream,
       canResume: () => true,
       affordsRun: () => true,
-      holdRun: () => true,
+      isListed: () => true,
+      continuation: { prepare: async () => undefined, confirm: () => undefined, cancel: () => {} },
       onProgress: () => {},
       onFirstEvents: () => {},
     });
