Bound the delay of the idle timer of a caller's connection

With an idle limit over 24.8 days the timer of each idle connection would end at once, again and again, since timers take 2^31 - 1 ms at most.

--- a/src/utils/keptconnections.ts
+++ b/src/utils/keptconnections.ts
@@ -6,6 +6,9 @@
 import { announcedSeconds, closesAt } from '../core/idle';
 import type { CallerResponse } from './callerresponse';
 
+/** Longest delay of a timer; longer ones would end at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** What the connections of a server have in common. */
 interface Terms {
   /** The idle limit in force, in milliseconds. */
@@ -82,7 +85,7 @@
 
   #schedule(now: number): void {
     clearTimeout(this.#timer);
-    const waitMs = Math.ceil(this.#closesAt - now);
+    const waitMs = Math.min(MAX_TIMER_MS, Math.ceil(this.#closesAt - now));
     this.#timer = setTimeout(() => this.#check(performance.now()), waitMs).unref();
   }
 
--- a/test/router/keepalive.test.ts
+++ b/test/router/keepalive.test.ts
@@ -102,6 +102,17 @@
     expect(await askLate(caller, first)).toBe('200 timeout=1');
   });
 
+  // Guards against a timer that ends at once, again and again, since its delay is over what timers take.
+  test('may be longer than a timer can wait', async () => {
+    const { caller } = await setUp(10_000_000_000);
+    const timers = jest.spyOn(globalThis, 'setTimeout');
+    expect(await caller.ask('/a/')).toBe('200 timeout=10000000');
+    await pause(50);
+    const longest = Math.max(...timers.mock.calls.map(([, ms = 0]) => ms));
+    timers.mockRestore();
+    expect(longest).toBe(2 ** 31 - 1);
+  });
+
   // Guards against connections that are never closed.
   test('is exceeded by a margin only, also on connections without a request', async () => {
     const { caller, port } = await setUp(1000);
