Refuse requests under way only if their key was taken away

Callers saw: when the configuration stopped requiring keys, waiting requests with a key were refused with 503, and a stream between two runs was closed without its end. When it began to require them, requests that had come without were refused with 401, for good, and such a stream was closed as well.

Cause: before each send a VM identifies the caller again and compares the customers. A request that is not tied to a customer, or is not any more, differs from its admission although no key was revoked.

The check now applies to requests that were admitted by a key, while keys are required. A key that goes is refused as before ('are refused before their next run when their key goes').

--- a/src/node/router/authorizer.ts
+++ b/src/node/router/authorizer.ts
@@ -77,11 +77,12 @@
 
   /**
    * The reason why an admitted request must not be sent to a runner any more: its key may have
-   * been revoked while it waited or while this VM was paused. Undefined if it may be sent.
+   * been revoked while it waited or while this VM was paused. Undefined if it may be sent, as it may
+   * if it was admitted without a key, or if no keys are required any more.
    */
   refusal(now: number, { route, request, customer }: Exchange): Failure | undefined {
     const { table } = this.#routingState;
-    if (!table) return undefined;
+    if (!table?.keyRing || customer === undefined) return undefined;
     try {
       const holder = this.identify(now, table, route, request.credential);
       if (holder?.name === customer) return undefined;
