Eject a plain runner once for requests that fail together

What callers saw: nothing for up to 30 s from a plain runner that had been silent for about a second.

Cause: each request that timed out in the silence doubled the ejection, also while the runner was ejected already: ten of them made it 30 s, where the first ejection is meant to last one second.

Evidence, test/core/learning.test.ts on the code before: ten failures within 10 ms, and the runner is still ejected 1.1 s later.

Fix: failures while a runner is ejected are not counted again, as for model runners. The one probe after an ejection still doubles it if it fails.

Measured after: the runner gets its probe after 1.1 s in the same test.

--- a/src/core/cell/health.ts
+++ b/src/core/cell/health.ts
@@ -63,7 +63,10 @@
     this.#records.delete(runner);
   }
 
-  /** Records a failure, and ejects the runner after several consecutive ones. */
+  /**
+   * Records a failure, and ejects the runner after several consecutive ones. Requests that a runner
+   * has at the same time fail together: those while it is ejected say nothing new.
+   */
   recordFailure(now: number, runner: string): void {
     const record = this.#records.get(runner) ?? {
       failures: 0,
@@ -72,6 +75,7 @@
       probing: false,
     };
     this.#records.set(runner, record);
+    if (now < record.ejectedUntil) return;
     record.failures += 1;
     record.probing = false;
     if (record.failures < FAILURES_TO_EJECT || !this.#mayEject(now)) return;
--- a/test/core/learning.test.ts
+++ b/test/core/learning.test.ts
@@ -67,6 +67,14 @@
     expect(seen).toEqual([false, true, false, true]);
   });
 
+  /* Ten requests time out in one silence of a sound runner; each of them doubled its ejection, to 30 s. */
+  test('is not ejected for longer by requests that fail together', () => {
+    const health = new RunnerHealth();
+    health.setPoolSize(4);
+    for (let i = 0; i < 10; i += 1) health.recordFailure(i, 'a');
+    expect([health.allows(900, 'a'), health.allows(1100, 'a')]).toEqual([false, true]);
+  });
+
   /* A whole failure domain fails. Ejecting the whole pool would turn a partial failure into a total one. */
   test('never ejects more than half of a pool', () => {
     const health = new RunnerHealth();
