Await what is given back before a request ends

A prefill that was cancelled because its silent stream went on could return its repeat after the request had released what was set aside for it. The repeat then stayed set aside for good, and the budget of the VM shrank. A request now ends when its continuation has been given back.

--- a/src/node/router/continuation.ts
+++ b/src/node/router/continuation.ts
@@ -38,6 +38,9 @@
 
   #prepared: PreparedRun | undefined;
 
+  /** What is being given back. */
+  readonly #returns = new Set<Promise<void>>();
+
   #current: Preparation | undefined;
 
   constructor(context: ContinuationContext, exchange: Exchange, progress: Progress) {
@@ -88,11 +91,17 @@
     current.controller.abort();
     const { placements, retries } = this.#context;
     retries.settle(this.#exchange);
-    current.result
-      .then((prepared) => {
-        if (!(prepared instanceof Failure)) placements.giveBack(this.#exchange, prepared.placed);
-      })
-      .catch(() => undefined);
+    const returned = current.result.then((prepared) => {
+      if (!(prepared instanceof Failure)) placements.giveBack(this.#exchange, prepared.placed);
+      this.#returns.delete(returned);
+    });
+    this.#returns.add(returned);
+  }
+
+  /** Gives back what is prepared; resolves when nothing is charged or set aside for it any more. Must be called when the request ends. */
+  async close(): Promise<void> {
+    this.cancel();
+    await Promise.all(this.#returns);
   }
 
   /** Hands over the prepared run, or awaits it; undefined if there is none. */
--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -72,7 +72,7 @@
       exchange.trail.push(failure.codeName);
       exchange.fail(performance.now(), failure);
     } finally {
-      continuation.cancel();
+      await continuation.close();
     }
   }
 
--- a/test/router/silentstreams.test.ts
+++ b/test/router/silentstreams.test.ts
@@ -232,6 +232,22 @@
     expect(stream.exchange.arrivals.held).toBe(0);
   });
 
+  // Guards against repeats that stay set aside after the request, until the budget allows none.
+  test('leaves nothing set aside when it ends while its prompt is prefilled elsewhere', async () => {
+    const retries = retriesOf(1);
+    const onAsked = async (): Promise<Grant> => ({ prefill: 'p1', decode: 'd2' });
+    const stream = new SilentStream(1200, onAsked, { retries, prefillMs: 500 });
+    const { out, exchange } = await stream.serve();
+    retries.settle(exchange);
+    await pause(500);
+    const next = exchangeInto([]);
+    next.arrivals.add('run', next.arrivals.costOf('run'));
+    expect({ out, isAllowed: retries.holdRun(performance.now(), next) }).toEqual({
+      out: inTurn,
+      isAllowed: true,
+    });
+  });
+
   // Guards against taking this VM, which does not read while the caller does not, for a silent runner.
   test('is whole although its caller reads slowly', async () => {
     const stream = new SilentStream(100, granted);
