--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -73,7 +73,7 @@
       exchange.trail.push(failure.codeName);
       exchange.fail(performance.now(), failure);
     } finally {
-      continuation.cancel();
+      await continuation.close();
     }
   }
 
