Log the limits that a new configuration sets for callers

Two explanations of a connection that closes under a request could not be told apart from the logs: that its idle limit was lowered, or that the change itself ended it. The line on a new configuration now names the limits in force.

--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -210,15 +210,16 @@
     if (this.#table && config.version <= this.#table.config.version) return false;
     const before = this.configVersion;
     this.#table = new RouteTable(config, this.#table);
-    const streams = config.routes.filter(({ resumable }) => resumable);
-    this.versions.setLongestStream(Math.max(0, ...streams.map(({ timeoutMs }) => timeoutMs)));
-    const { version, routes, customers } = config;
+    const { version, routes, customers, limits } = config;
+    const streamMs = routes.map(({ resumable, timeoutMs }) => (resumable ? timeoutMs : 0));
+    this.versions.setLongestStream(Math.max(0, ...streamMs));
     this.#log.info(
       {
         version,
         before,
         routes: routes.length,
         customers: customers?.length,
+        limits,
         source,
         storeAgeMs: Math.round(this.storeAgeMs(now)),
       },
