Find the usable slots of a runner without work for each slot

Callers saw 500, or no answer: an entry of another writer named many slots, and from then on each request of its service, at each VM that read it, did work and took memory for each of them.

Cause: RunnerSpeed.usableSlots built an array of as many items as the runner has slots, for each candidate of each request. From 2^32 on that throws, below it the VM is busy. Runners whose answers report their load bring it about.

Within one of the eight ranges of occupancy more slots serve more, so only the last slot of each range can be the best: at most eight are looked at. The result is the same: a property compares it with a search of all slots for 2,000 runners of up to 1,500 slots, and held before the change too.

--- a/src/core/plain/speed.ts
+++ b/src/core/plain/speed.ts
@@ -51,15 +51,24 @@
     return this.#factor;
   }
 
-  /** The slots with which the runner serves most: fewer than it has if it slows down when it is nearly full. */
+  /**
+   * The slots with which the runner serves most: fewer than it has if it slows down when it is
+   * nearly full. Within a range more slots serve more, so only the last one of each is looked at.
+   */
   usableSlots(now: number, slots: number): number {
-    const throughputs = Array.from({ length: slots }, (_, index) =>
-      this.#throughput(now, index + 1, slots),
-    );
-    const whole = throughputs[slots - 1] ?? 0;
+    const whole = this.#throughput(now, slots, slots);
     if (whole === 0) return slots;
-    const best = throughputs.reduce((most, one) => Math.max(most, one), 0);
-    return best > whole * MIN_GAIN ? throughputs.indexOf(best) + 1 : slots;
+    let best = slots;
+    let most = whole * MIN_GAIN;
+    for (let range = 1; range < BINS; range += 1) {
+      const last = Math.floor((slots * range) / BINS);
+      const throughput = last > 0 ? this.#throughput(now, last, slots) : 0;
+      if (throughput > most) {
+        best = last;
+        most = throughput;
+      }
+    }
+    return best;
   }
 
   /** Requests per usual time with some slots in use; 0 if that is not known. */
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -220,6 +220,9 @@
   /** Rate limit that it announces in a response header. Default: none. */
   rateLimit: string | undefined;
 
+  /** Load that it reports in a response header. Default: none. */
+  load: string | undefined;
+
   /** Whether it announces in all of its answers that it leaves. */
   isLeaving = false;
 
@@ -343,6 +346,7 @@
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
       ...(this.rateLimit === undefined ? {} : { 'server-limit': this.rateLimit }),
+      ...(this.load === undefined ? {} : { 'server-load': this.load }),
     };
     if (this.isLeaving) this.leavingAnswers.push({ at, vm });
     if (this.rejection !== undefined) {
