Read no runner from an entry whose numbers cannot be true

What callers saw: with an entry of 2^53 - 1 slots the VMs held requests for slots that do not exist, and one with a start time in microseconds displaced each later instance of its runner.

Cause: the schema of an entry had no upper bounds, so that such an entry named a runner like any other.

Each number is bounded where it enters, in terms of its field: slots by the ports of an address (65,535), start times by the year 2100, orders, the time that a start takes; names by what messages between VMs carry (200 characters). Such an entry is unreadable, like one with a field of another type: it names no runner, and is logged once for each change.

--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -78,6 +78,12 @@
 /** Kind of work that a runner does. */
 export type RunnerRole = 'prefill' | 'decode' | 'plain';
 
+/**
+ * Most slots of a runner: each request that it executes has a connection, and an address has this
+ * many ports. Of a runner that names more nothing else is believed either.
+ */
+export const MAX_SLOTS = 65_535;
+
 /** A runner as it registered itself. */
 export interface Runner {
   /** Id of the instance, new with each start; see `instanceId`. */
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -10,7 +10,7 @@
 import { contentIdOf } from '../core/fingerprint';
 import type { Suspect } from '../core/quarantine/types';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
-import { instanceId } from '../core/routing/types';
+import { MAX_SLOTS, instanceId } from '../core/routing/types';
 import type { VersionsByService } from '../core/versions/types';
 
 /** Call kinds by the value of `kind` in a route. */
@@ -94,6 +94,8 @@
     .prefault({}),
 });
 
+/** Maximum length of the name of a service or failure domain, in characters: messages between VMs carry no longer ones. */
+const MAX_NAME_CHARS = 200;
 /** Maximum length of a software version, in characters. */
 const MAX_VERSION_CHARS = 100;
 
@@ -108,25 +110,32 @@
   );
 }
 
+/** A runner that is slow for longer is not starting, in milliseconds. */
+const MAX_COLD_MS = 24 * 3600 * 1000;
+/** More orders than one each millisecond for a week. */
+const MAX_ORDERS = 1_000_000_000;
+/** Start times are in milliseconds; those in microseconds lie after this one. */
+const MAX_BORN = Date.UTC(2100, 0);
+
 /**
- * The entry of a runner, with all fields that runners write. An entry that lacks a field
- * or has one of another type was not written by a runner, and requests sent to its
- * address would be lost.
+ * The entry of a runner, with all fields that runners write. An entry that lacks a field, has
+ * one of another type or a number that cannot be true was not written by a runner, and requests
+ * sent to its address would be lost.
  */
 const runnerSchema = z.object({
-  service: z.string().min(1),
+  service: z.string().min(1).max(MAX_NAME_CHARS),
   address: z.string().refine((text) => isHostPort(text, isIPv4), 'expected IPV4:PORT'),
-  zone: z.string(),
+  zone: z.string().max(MAX_NAME_CHARS),
   /** Software version of the runner. */
   version: z.string(),
-  slots: z.int().min(1),
+  slots: z.int().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
-  'cold-remaining-ms': z.number(),
+  'cold-remaining-ms': z.number().min(-MAX_COLD_MS).max(MAX_COLD_MS),
   /** Number of orders that the runner accepted since it started. */
-  sequence: z.int().min(0),
+  sequence: z.int().min(0).max(MAX_ORDERS),
   stage: z.enum(['prefill', 'decode']).optional(),
   /** Start time of the runner, in Unix milliseconds; 0 if it reports none. */
-  born: z.int().min(0).default(0),
+  born: z.int().min(0).max(MAX_BORN).default(0),
 });
 
 /** A fleet of more VMs is taken for an error. */
--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -9,18 +9,18 @@
 import { EraReader } from '../../src/platform/era';
 import { StoreClient } from '../../src/platform/store';
 
-/** Values by which other writers replace a field: each is of another type, or names nothing that is known. */
+/** Values by which other writers replace a field: each is of another type, names nothing that is known, or cannot be true. */
 const unfit: Readonly<Record<string, readonly unknown[]>> = {
-  service: ['', 7, null],
+  service: ['', 7, null, 's'.repeat(201)],
   address: ['nowhere', '10.0.0.1', '10.0.0.1:0', '10.0.0.1:70000', ':::80', 80, null],
   zone: [1, null],
   version: [1, null, {}],
-  slots: [0, -1, 1.5, '32', null],
+  slots: [0, -1, 1.5, '32', null, 65_536, 2 ** 32, Number.MAX_SAFE_INTEGER],
   state: ['gone', '', true, null],
-  'cold-remaining-ms': ['0', null],
-  sequence: [-1, 0.5, '0', null],
+  'cold-remaining-ms': ['0', null, 1e308, -1e308],
+  sequence: [-1, 0.5, '0', null, 1e300],
   stage: ['encode', '', 1, null],
-  born: [-1, 0.5, 'now', null],
+  born: [-1, 0.5, 'now', null, Number.MAX_SAFE_INTEGER],
 };
 const optional = ['stage', 'born'];
 
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -34,7 +34,7 @@
    * Guards against entries of another writer under the runners' prefix. Accepted as a
    * runner, such an entry would get requests of callers, or add memory that does not exist.
    */
-  test('is rejected if a field is missing, or has a wrong type or an unknown value', () => {
+  test('is rejected if a field is missing, or has a wrong type, an unknown value or a number that cannot be true', () => {
     const fields = Object.keys(entryOf());
     const missing = fields.map((field) => read({ [field]: undefined }));
     expect(missing.filter((found) => typeof found !== 'string')).toEqual([]);
@@ -46,11 +46,18 @@
       { address: 'elsewhere:80' },
       { slots: 0 },
       { slots: '32' },
+      { slots: 65_536 },
+      { slots: Number.MAX_SAFE_INTEGER },
       { state: 'asleep' },
       { stage: 'both' },
       { sequence: 1.5 },
       { born: 1.5 },
       { born: 'today' },
+      { born: 1_700_000_000_123_000 },
+      { sequence: Number.MAX_SAFE_INTEGER },
+      { 'cold-remaining-ms': -1e308 },
+      { service: 's'.repeat(201) },
+      { zone: 'z'.repeat(201) },
       { 'cold-remaining-ms': null },
     ];
     expect(changes.map(read)).toMatchInlineSnapshot(`
@@ -62,11 +69,18 @@
        "runner i-1: at address: expected IPV4:PORT",
        "runner i-1: at slots: Too small: expected number to be >=1",
        "runner i-1: at slots: Invalid input: expected number, received string",
+       "runner i-1: at slots: Too big: expected number to be <=65535",
+       "runner i-1: at slots: Too big: expected number to be <=65535",
        "runner i-1: at state: Invalid option: expected one of "ready"|"draining"",
        "runner i-1: at stage: Invalid option: expected one of "prefill"|"decode"",
        "runner i-1: at sequence: Invalid input: expected int, received number",
        "runner i-1: at born: Invalid input: expected int, received number",
        "runner i-1: at born: Invalid input: expected number, received string",
+       "runner i-1: at born: Too big: expected number to be <=4102444800000",
+       "runner i-1: at sequence: Too big: expected number to be <=1000000000",
+       "runner i-1: at cold-remaining-ms: Too small: expected number to be >=-86400000",
+       "runner i-1: at service: Too big: expected string to have <=200 characters",
+       "runner i-1: at zone: Too big: expected string to have <=200 characters",
        "runner i-1: at cold-remaining-ms: Invalid input: expected number, received null",
      ]
     `);
