Count the time limit of a request from its headers where its body arrives slowly

Callers saw a request held past its limit by the time that its body took, or by the response to an earlier request of its connection, if its runner fell silent; and one whose limit was over when it had been read was sent to a runner with 1 ms, counted as run and was answered 504, so that a request that may run once could not be sent again.

The timer is now set for what is left of the limit, and a request without any time left is aborted before it is sent.

--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -67,7 +67,7 @@
 
   readonly #abort = new AbortController();
 
-  readonly #timer: NodeJS.Timeout;
+  readonly #timer: NodeJS.Timeout | undefined;
 
   #callerGone = false;
 
@@ -145,7 +145,10 @@
       disconnect: (failure) => this.fail(performance.now(), failure),
     });
     this.#codec = codec;
-    this.#timer = setTimeout(() => this.#abort.abort(), Math.max(1, limitMs - TIMEOUT_MARGIN_MS));
+    // The body, or the response to an earlier request of the connection, may have taken a part of the time.
+    const leftMs = this.deadlineAt - performance.now();
+    if (leftMs > 0) this.#timer = setTimeout(() => this.#abort.abort(), leftMs);
+    else this.#abort.abort();
     res.on('close', () => {
       if (!res.writableFinished) this.#callerGone = true;
       this.#abort.abort();
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -95,12 +95,16 @@
 /** Entry that `exchangeInto` appends when the response is aborted. */
 export const ABORTED = 'cut';
 
-/** An exchange that appends the status and the chunks of its response to `out`. */
+/**
+ * An exchange that appends the status and the chunks of its response to `out`.
+ * @param arrivedMs when the request arrived, in milliseconds from now
+ */
 export function exchangeInto(
   out: string[],
   call: CallRequest = promptRequest,
   route: Route = streamRoute,
   service = 's',
+  arrivedMs = 0,
 ): Exchange {
   const events = new EventEmitter();
   const res = Object.assign(events, {
@@ -125,7 +129,7 @@
     },
   });
   const codec = { refusalHeaders: () => ({}) } as unknown as IngressCodec;
-  const now = performance.now();
+  const now = performance.now() + arrivedMs;
   const answer = res as unknown as ServerResponse;
   return new Exchange(now, call, route, service, 1, answer, codec, unboundedBuffers);
 }
