Lose an odd gossip update instead of the message that carries it

What was seen: VMs that live took each other for dead, and heard of no later change, while one update was passed on that the others reject: a runner's record with a text of over 4,000 characters.

Cause: updates travel in the packets of the membership protocol. The receiver rejected a whole packet for one item, and a text that no datagram holds was never sent; since the same update is in each packet for a while, pings and answers were lost with it.

An update that no packet can carry is not queued: members find it by comparing digests and fetch it. Of lists in a packet, only the items that do not fit are left out.

--- a/src/core/membership/outbox.ts
+++ b/src/core/membership/outbox.ts
@@ -8,6 +8,9 @@
 const UPDATES_PER_PACKET = 8;
 /** Maximum total length of the gossip texts after the first one in a packet, for the same reason. */
 const MAX_TEXT_LENGTH = 700;
+/** Longest path and text of an update, in characters; a packet of several such updates fits one datagram. */
+export const MAX_PATH_CHARS = 300;
+export const MAX_TEXT_CHARS = 4000;
 /** Each update is sent this many times the logarithm of the fleet size. */
 const SENDS_PER_LOG = 3;
 
@@ -15,6 +18,12 @@
   return text.length;
 }
 
+/** Whether a packet can carry an update. One that cannot would cost all packets that it is in. */
+function fits({ path, revision, text = '' }: GossipUpdate): boolean {
+  const isShort = path.length <= MAX_PATH_CHARS && text.length <= MAX_TEXT_CHARS;
+  return isShort && Number.isSafeInteger(revision);
+}
+
 /** Number of times that an update is sent in a fleet of some members. */
 function sendCount(fleetSize: number): number {
   return Math.ceil(SENDS_PER_LOG * Math.log2(fleetSize + 1));
@@ -36,8 +45,9 @@
     this.#members.add(member.vm, member, sendCount(fleetSize));
   }
 
-  /** Queues an update about a resource. */
+  /** Queues an update about a resource; other members find one that fits no packet by comparing digests. */
   addUpdate(update: GossipUpdate, fleetSize: number): void {
+    if (!fits(update)) return;
     this.#updates.add(update.path, update, sendCount(fleetSize));
   }
 
--- a/src/node/scheduler/members.ts
+++ b/src/node/scheduler/members.ts
@@ -9,6 +9,7 @@
 import { z } from 'zod';
 
 import { Membership } from '../../core/membership/membership';
+import { MAX_PATH_CHARS, MAX_TEXT_CHARS } from '../../core/membership/outbox';
 import type {
   Member,
   MembershipAction,
@@ -19,6 +20,7 @@
 } from '../../core/membership/types';
 import type { FreshnessProof } from '../../core/routing/freshness';
 import type { Metrics } from '../metrics';
+import { listOf } from '../wire';
 
 /** Callbacks for changes that the membership protocol detects. */
 export interface MembershipListener {
@@ -78,16 +80,15 @@
   target: z.string().max(100).optional(),
   digest: z.string().max(40),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
-  members: z.array(memberSchema).max(16),
-  rumours: z
-    .array(
-      z.object({
-        path: z.string().max(300),
-        revision: z.int(),
-        text: z.string().max(4000).optional(),
-      }),
-    )
-    .max(32),
+  members: listOf(memberSchema, 16),
+  rumours: listOf(
+    z.object({
+      path: z.string().max(MAX_PATH_CHARS),
+      revision: z.int(),
+      text: z.string().max(MAX_TEXT_CHARS).optional(),
+    }),
+    32,
+  ),
 });
 
 const packr = new Packr({ useRecords: false });
