Join in the test's partition only connections that it held back

'heal' of the fake joined all connections of all VMs, also those that had never been held: of VMs that were not cut off, of addresses that were still reached, and of the cut 'live'. These passed on all bytes twice from then on.

--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -80,11 +80,13 @@
   }
 
   heal(): void {
+    const wasHeld = this.#cut !== undefined && this.#cut !== 'live';
     this.#cut = undefined;
-    for (const pair of this.#pairs.keys()) {
+    for (const [pair, address] of this.#pairs) {
       const [caller, runner] = pair;
       if (caller.destroyed) runner.resetAndDestroy();
-      else this.#join(pair);
+      // Connections that went on would pass on all bytes twice.
+      else if (wasHeld && !this.#isReached(address)) this.#join(pair);
     }
     for (const [socket, address] of this.#held) {
       if (!socket.destroyed) this.#connect(socket, address);
