Take the blame for a crash back from requests whose silent runners go on

What callers saw: a request that is refused for ten minutes, or that may run only alone, since it crashes runners, although no runner crashed.

Cause: a request that leaves a runner which has been silent for a second, or whose connection breaks there, is blamed for a crash until one check shows that the runner runs. A check without an answer counted as a crash for good, though a sound runner may be silent for two seconds.

Evidence, test/router/runnerchecks.test.ts on the code before, five and three runners that do not answer two checks and then do:

leaves its request allowed if its runners go on Expected: "allowed" Received: "refused" counts against its request if its runner is silent for a moment Expected: "allowed" Received: "refused"

Fix: the blame stands at once, as before, and while a runner does not answer it is checked again each quarter of a second for 2.5 s. If it answers as the same instance, its request is found sound. Plain runners have no report that tells instances apart, so one check decides for them as before.

Weighed: the same for answers that end with their connections, which a check without an answer cuts. It delayed the blame for real crashes there by up to 2.5 s where the path to the runner was lost already; in one run of promptpartsbegun.test.ts (load average 24) four requests more than allowed reached runners, in three later ones (16 to 21) none.

Bound: checks of a runner are shared by all requests of a VM, so that one more call in a quarter of a second is made for each runner that does not answer.

After: runnerchecks, answerends, runs, blame, model, quarantine, promptpartsbegun and promptpartssound tests pass.

--- a/src/core/stream/silence.ts
+++ b/src/core/stream/silence.ts
@@ -43,6 +43,9 @@
 /** Smallest part of a retry delay: streams of one runner fall silent at once and must not ask at once. */
 const MIN_RETRY_PART = 0.5;
 
+/** Time for which a sound runner may be silent, in milliseconds: two seconds, and a margin. */
+export const SOUND_SILENCE_MS = 2500;
+
 /** Time that most prefills take at most, in milliseconds. */
 export const PREFILL_MS = 900;
 
--- a/src/node/router/runnerchecks.ts
+++ b/src/node/router/runnerchecks.ts
@@ -1,9 +1,15 @@
 /** Checks whether the processes of runners still run after connections to them ended. */
 
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Runner } from '../../core/routing/types';
 import type { RunnerState } from '../../core/stream/silence';
+import { SOUND_SILENCE_MS } from '../../core/stream/silence';
 import type { RunnerClient } from './types';
 
+/** Time until a runner that did not answer is checked again, in milliseconds. */
+const RECHECK_MS = 250;
+
 /** The checks of one runner. */
 interface RunnerCheck {
   /** The check in progress. */
@@ -27,6 +33,22 @@
     return (await this.stateOf(runner, mayCall)) === 'running';
   }
 
+  /**
+   * Whether a runner turns out to run. One that does not answer is checked again as long as a sound
+   * one may be silent.
+   */
+  async survives(runner: Runner): Promise<boolean> {
+    const until = performance.now() + SOUND_SILENCE_MS;
+    // Without a report, a new instance at the address looks like the one before.
+    const mayGoOn = runner.role !== 'plain';
+    let state = await this.stateOf(runner);
+    while (state === 'unknown' && mayGoOn && performance.now() < until) {
+      await pause(RECHECK_MS, undefined, { ref: false });
+      state = await this.stateOf(runner);
+    }
+    return state === 'running';
+  }
+
   /**
    * What a check of a runner shows that begins after the call.
    * @param mayCall see `RunnerClient`
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -51,7 +51,7 @@
   readonly paths: Pick<RunnerPaths, 'isAtFault'>;
   readonly quarantine: QuarantineController;
   readonly screening: Screening;
-  readonly checks: Pick<RunnerChecks, 'isRunning' | 'stateOf'>;
+  readonly checks: Pick<RunnerChecks, 'survives' | 'stateOf'>;
   readonly ends: Pick<AnswerEnds, 'isWhole'>;
   readonly authorizer: Authorizer;
   readonly retries: Pick<RetryController, 'charge' | 'unreached' | 'prefilled'>;
@@ -232,30 +232,33 @@
     const isSilent = this.#answeredAt === undefined && now - this.#sentAt >= SILENT_MS;
     if (!isSilent || !routingState.accepts(now, this.#runner)) return;
     checks
-      .isRunning(this.#runner)
-      .then((isRunning) => {
+      .stateOf(this.#runner)
+      .then((state) => {
         const checkedAt = performance.now();
-        if (isRunning || !paths.isAtFault(checkedAt, this.#runner, this.#sentAt)) return;
+        const isAtFault = paths.isAtFault(checkedAt, this.#runner, this.#sentAt);
+        if (state === 'running' || !isAtFault) return undefined;
         metrics.count('runs.silent');
         quarantine.crashed(checkedAt, this.#fingerprints, this.#runner.id, true);
         const sentMs = Math.round(checkedAt - this.#sentAt);
         log.info({ ...this.#fields(undefined), sentMs }, 'A runner fell silent under a request.');
+        return state === 'unknown' ? this.#clearIfSurvived() : undefined;
       })
       .catch((error) => log.error(toFailure(error).line));
   }
 
   #crashed(now: number, runner: string): void {
-    const { quarantine, routingState, checks, metrics } = this.#context;
+    const { quarantine, routingState, log } = this.#context;
     quarantine.crashed(now, this.#fingerprints, runner, isLate(now, this.#answeredAt));
     if (!routingState.accepts(now, this.#runner)) return;
-    checks
-      .isRunning(this.#runner)
-      .then((isRunning) => {
-        if (!isRunning) return;
-        metrics.count('runs.survived');
-        this.#foundSound(performance.now());
-      })
-      .catch((error) => this.#context.log.error(toFailure(error).line));
+    this.#clearIfSurvived().catch((error) => log.error(toFailure(error).line));
+  }
+
+  /** Takes the blame for a crash back if the runner turns out to have survived. */
+  async #clearIfSurvived(): Promise<void> {
+    const { checks, metrics } = this.#context;
+    if (!(await checks.survives(this.#runner))) return;
+    metrics.count('runs.survived');
+    this.#foundSound(performance.now());
   }
 
   #fields(part: StreamPart | undefined): Readonly<Record<string, unknown>> {
--- a/test/fakes/runs.ts
+++ b/test/fakes/runs.ts
@@ -174,7 +174,7 @@
 }
 
 /** The checks that a run makes. */
-export type StateChecks = Pick<RunnerChecks, 'isRunning' | 'stateOf'>;
+export type StateChecks = Pick<RunnerChecks, 'isRunning' | 'stateOf' | 'survives'>;
 
 /**
  * Checks by which all runners are in one state.
@@ -182,7 +182,8 @@
  */
 export function checksOf(state: RunnerState, ms = 0): StateChecks {
   const stateOf = async (): Promise<RunnerState> => (ms > 0 ? pause(ms, state) : state);
-  return { stateOf, isRunning: async () => (await stateOf()) === 'running' };
+  const isRunning = async (): Promise<boolean> => (await stateOf()) === 'running';
+  return { stateOf, isRunning, survives: isRunning };
 }
 
 /** Checks by which all runners run. */
--- a/test/router/answerends.test.ts
+++ b/test/router/answerends.test.ts
@@ -41,6 +41,7 @@
   const metrics = new RouterMetrics();
   const checks: StateChecks = {
     stateOf: async () => (isRunning ? 'running' : 'gone'),
+    survives: async () => isRunning,
     isRunning: async (_runner, mayCall) => {
       if (mayCall === isClosed) throw new Error('called a runner that wants no calls');
       return isRunning;
--- a/test/router/runnerchecks.test.ts
+++ b/test/router/runnerchecks.test.ts
@@ -1,3 +1,5 @@
+import { setTimeout as pause } from 'node:timers/promises';
+
 import type { Runner } from '../../src/core/routing/types';
 import type { RunnerState } from '../../src/core/stream/silence';
 import { RunnerChecks } from '../../src/node/router/runnerchecks';
@@ -45,6 +47,33 @@
   });
 });
 
+/** Checks that find each runner in these states in turn, the last one from then on. */
+function checksInTurn(...states: readonly RunnerState[]): RunnerChecks {
+  const turns = new Map<string, number>();
+  const stateOf = async ({ id }: Runner): Promise<RunnerState> => {
+    const turn = turns.get(id) ?? 0;
+    turns.set(id, Math.min(turn + 1, states.length - 1));
+    return states[turn] ?? 'unknown';
+  };
+  return new RunnerChecks({ stateOf });
+}
+
+/** Checks of a sound runner that is silent for a moment. */
+const resumedChecks = (): RunnerChecks => checksInTurn('unknown', 'unknown', 'running');
+
+describe('a runner that does not answer a check', () => {
+  // Guards against a sound runner that is taken for one that ended since it is silent for a moment.
+  test.each<readonly [string, RunnerChecks, boolean]>([
+    ['goes on', resumedChecks(), true],
+    ['is gone', checksInTurn('unknown', 'gone'), false],
+    ['stays silent', checksInTurn('unknown'), false],
+  ])('is checked again: it %s', async (_, checks, survives) => {
+    const startedAt = performance.now();
+    expect(await checks.survives(runnerOf('d', 'decode'))).toBe(survives);
+    expect(performance.now() - startedAt).toBeLessThan(4000);
+  });
+});
+
 describe('an answer that ends with its connection', () => {
   // Guards against the end of a crashed runner's connections that is taken for the end of its answers.
   test.each([
@@ -77,9 +106,11 @@
 describe('an interrupted run', () => {
   // Guards against requests that are refused since their connections broke at runners that go on.
   test.each([
-    ['survived', runningChecks, 'allowed'],
-    ['crashed', crashedChecks, 'refused'],
-  ])('counts against its request if its runner %s: %s', async (_, checks, kind) => {
+    ['survived', runningChecks, 0, 'allowed'],
+    ['crashed', crashedChecks, 0, 'refused'],
+    ['is silent for a moment', resumedChecks(), 1000, 'allowed'],
+    ['stays silent', checksInTurn('unknown'), 0, 'refused'],
+  ])('counts against its request if its runner %s', async (_, checks, waitMs, kind) => {
     const quarantine = quarantineOf();
     const runs = runsOf(quarantine, directPaths, checks);
     const exchange = exchangeInto([]);
@@ -87,6 +118,7 @@
       runs.begin(0, exchange, runnerOf(id, 'decode')).interrupted(performance.now());
       await new Promise(setImmediate);
     }
+    await pause(waitMs);
     expect(quarantine.verdict(performance.now(), [exchange.fingerprint]).kind).toBe(kind);
     exchange.end();
   });
@@ -109,4 +141,22 @@
     await new Promise(setImmediate);
     expect(quarantine.crashCount(exchange.fingerprint)).toBe(crashes);
   });
+
+  // Guards against requests that are refused since sound runners were silent under them for a moment.
+  test.each([
+    ['refused', 'stay silent', checksInTurn('unknown')],
+    ['allowed', 'go on', resumedChecks()],
+  ])('leaves its request %s if its runners %s', async (verdict, _, checks) => {
+    const quarantine = quarantineOf();
+    const exchange = exchangeInto([]);
+    const now = performance.now();
+    const runs = runsOf(quarantine, directPaths, checks);
+    const begun = ['a', 'b', 'c', 'd', 'e'].map((id) =>
+      runs.begin(now - 1500, exchange, runnerOf(id, 'decode')),
+    );
+    exchange.end();
+    begun.forEach((run) => run.interrupted(now));
+    await pause(1500);
+    expect(quarantine.verdict(performance.now(), [exchange.fingerprint]).kind).toBe(verdict);
+  });
 });
