Cut answers of runners at every byte through whole VMs

Callers are reported to have got a 200 with an empty or short body, framed as whole, from a runner that stopped within its head.

--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -125,6 +125,11 @@
     };
     caller.on('error', () => {});
     runner.on('error', () => {});
+    // A reset that arrives together with the last bytes is emitted as `end`, but the socket has no
+    // remote address after a reset.
+    runner.prependOnceListener('end', () => {
+      if (runner.remoteAddress === undefined) caller.resetAndDestroy();
+    });
     caller.on('close', (hadError) => onClose(runner, hadError));
     runner.on('close', (hadError) => onClose(caller, hadError));
   }
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { request } from 'node:http';
+import type { Socket } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 
 import pino from 'pino';
@@ -226,6 +227,9 @@
   /** How it fails a call. Default: it fails none. */
   faultOf: ((isPrefill: boolean) => CallFault | undefined) | undefined;
 
+  /** Answers a call in bytes of its own; returns whether it did. Default: it answers none so. */
+  answerOn: ((socket: Socket, req: IncomingMessage) => boolean) | undefined;
+
   /** `Retry-After` of the 503 with which it rejects every request. Default: it rejects none. */
   rejection: string | undefined;
 
@@ -339,6 +343,7 @@
     });
     const parts = partsOf(req);
     if (parts.length > 0) this.sends.push({ at, parts, isPrefill });
+    if (this.answerOn?.(req.socket, req)) return;
     const headers = {
       'request-id': req.headers['request-id'] ?? '',
       'server-signature': `by ${this.id}`,
