Reset cut responses to callers of every version that gets no chunks

Callers that write HTTP/2.0 or HTTP/0.9 on their request line got a 200 that looked complete where the runner's answer had ended early: the parser takes these versions, Node sends chunks to HTTP/1.1 only, and only responses to HTTP/1.0 were reset. What matters is whether the caller gets chunks, so all but HTTP/1.1 are reset, also when such a caller half-closes its connection.

Before: 'ends with a reset where only a closed connection marks the end: HTTP/0.9' and 'HTTP/2.0': expected "reset", received "closed"; HTTP/1.0 passed. After: all reset.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -168,12 +168,17 @@
   };
 }
 
+/** Whether a caller gets no chunks, so that a regular close of the connection may be the end of a response. Node sends chunks to HTTP/1.1 only. */
+export function readsUntilClose({ httpVersion }: Pick<IncomingMessage, 'httpVersion'>): boolean {
+  return httpVersion !== '1.1';
+}
+
 /**
- * Aborts a response that was partly sent, so that it does not look complete. HTTP/1.0 callers
- * take a regular close of the connection for the end of the response, so theirs is reset.
+ * Aborts a response that was partly sent, so that it does not look complete: connections whose
+ * regular close may be its end are reset.
  */
 export function abortResponse(res: ServerResponse): void {
-  if (res.req.httpVersion === '1.0') res.socket?.resetAndDestroy();
+  if (readsUntilClose(res.req)) res.socket?.resetAndDestroy();
   res.destroy();
 }
 
--- a/src/utils/responses.ts
+++ b/src/utils/responses.ts
@@ -4,22 +4,22 @@
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 
-import { abortResponse } from './http';
+import { abortResponse, readsUntilClose } from './http';
 
 /** Responses in progress, to be aborted when their connection is about to close. */
 export class OpenResponses {
   readonly #bySocket = new Map<Duplex, Set<ServerResponse>>();
 
   /** Tracks a response until it closes. */
-  add({ socket, httpVersion }: IncomingMessage, res: ServerResponse): void {
+  add(req: IncomingMessage, res: ServerResponse): void {
+    const { socket } = req;
     let responses = this.#bySocket.get(socket);
     if (!responses) {
       responses = new Set();
       this.#bySocket.set(socket, responses);
       socket.once('close', () => this.#bySocket.delete(socket));
-      // Node closes the connection gracefully when the caller half-closes it, which HTTP/1.0
-      // callers take for the end of the response.
-      if (httpVersion === '1.0') socket.prependListener('end', () => this.abortOn(socket));
+      // Node closes the connection gracefully when the caller half-closes it.
+      if (readsUntilClose(req)) socket.prependListener('end', () => this.abortOn(socket));
     }
     responses.add(res);
     res.once('close', () => this.#bySocket.get(socket)?.delete(res));
--- a/test/router/exchange.test.ts
+++ b/test/router/exchange.test.ts
@@ -89,11 +89,14 @@
     expect(text).not.toMatch(/0\r\n\r\n$/);
   });
 
-  // Guards against HTTP/1.0 callers that take the closed connection of a cut response for its end.
-  test('ends with a reset where only a closed connection marks the end', async () => {
-    const { end } = await receive('GET / HTTP/1.0', sendAndCut);
-    expect(end).toBe('reset');
-  });
+  // Guards against callers that take the closed connection of a cut response for its end: Node sends chunks to HTTP/1.1 only.
+  test.each(['1.0', '0.9', '2.0'])(
+    'ends with a reset where only a closed connection marks the end: HTTP/%s',
+    async (version) => {
+      const { end } = await receive(`GET / HTTP/${version}`, sendAndCut);
+      expect(end).toBe('reset');
+    },
+  );
 });
 
 describe('a response of two runs', () => {
