Take refusals and KV caches from answers to this request only

A late answer to another request that said that it was not run was taken for a refusal of this one: the caller got 503, which promises that its request has not run, though its runner ran it. A prefill took the KV cache of whatever answer arrived. Runners name the request in their answers; one that names another tells nothing about this one, and the request counts as one that may have run.

Before: 'does not state that this one was not run': expected [false, false, false], received [true, true, true] for 503, 421 and 429; 'has no KV cache for this one': resolved to "k". Through a whole VM, a 503 to another request, and the whole answer behind it, gave 503 runnerFull on a route that may run once. After: both pass; answers without an id, as refusals may be, count as before.

--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -90,6 +90,9 @@
   async prefill(dispatch: Dispatch): Promise<CacheHandle> {
     const { reply, body } = await this.#prefillResponse(dispatch);
     const { address } = dispatch.runner;
+    if (!isTo(dispatch, reply.body)) {
+      throw new Failure('runnerFailed', `${address} answered another request`);
+    }
     if (reply.status !== HTTP_OK) {
       const name = reply.notRun ? 'runnerFull' : 'runnerFailed';
       throw new Failure(name, `${address} answered the prefill with ${reply.status}`);
@@ -328,16 +331,22 @@
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
+/** Whether a response is to this request, not a late one to another. */
+function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
+  const echoed = headers[header.requestId];
+  return echoed === undefined || echoed === request.id;
+}
+
 /** A response counts as the runner's if it is signed, carries no other request id and has no content encoding added on the way. */
 function toReply(
-  { request }: Dispatch,
+  dispatch: Dispatch,
   message: IncomingMessage,
   { via, tunnel }: RunnerConnection,
 ): Reply {
   const { headers } = message;
   const status = message.statusCode ?? 0;
-  const echoed = headers[header.requestId];
-  const isToRequest = echoed === undefined || echoed === request.id;
+  const isToRequest = isTo(dispatch, message);
+  const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
   const genuine =
     headers[header.signature] !== undefined &&
     isToRequest &&
@@ -348,8 +357,8 @@
     isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
     headers: forwardableHeaders(message.rawHeaders, headers.connection, noHeaders),
     genuine,
-    notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED_REQUEST,
-    misdirected: status === HTTP_MISDIRECTED_REQUEST,
+    notRun: misdirected || (isToRequest && headers[header.notRun] !== undefined),
+    misdirected,
     rateNotice: rateNoticeOf(message),
     load: isToRequest ? loadOf(message) : undefined,
     notice: isToRequest ? noticeOf(message) : NO_NOTICE,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
-import type { Dispatch } from '../../src/node/router/types';
+import type { Dispatch, Reply } from '../../src/node/router/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
 import { directConnector } from '../fakes/connector';
 import { readBody } from '../../src/utils/http';
@@ -134,6 +134,47 @@
   });
 });
 
+describe('a response to another request', () => {
+  const refusals = [
+    '503 Service Unavailable\r\nNot-Executed: 1',
+    '421 Misdirected Request',
+    '429 Too Many Requests\r\nNot-Executed: 1',
+  ];
+  const replyTo = async (id: string, refusal: string): Promise<Reply> => {
+    const head = `HTTP/1.1 ${refusal}\r\n${id}Content-Length: 0\r\n\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const reply = await new PlatformRunnerClient(directConnector).send(dispatchTo(server));
+    reply.body.resume();
+    server.close();
+    return reply;
+  };
+
+  // Guards against a caller that is told that its request did not run, and sends it again, since a late refusal of another one arrived.
+  test('does not state that this one was not run', async () => {
+    const ids = ['Request-Id: r2\r\n', 'Request-Id: r1\r\n', ''];
+    const notRun = ids.map((id) =>
+      Promise.all(refusals.map(async (refusal) => (await replyTo(id, refusal)).notRun)),
+    );
+    expect(await Promise.all(notRun)).toEqual([
+      [false, false, false],
+      [true, true, true],
+      [true, true, true],
+    ]);
+  });
+
+  // Guards against a stream that continues from the KV cache of another request's prompt.
+  test('has no KV cache for this one', async () => {
+    const prefill = async (id: string): Promise<unknown> => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n\r\n`;
+      const server = await runnerOf((socket) => socket.end(`${head}{"kv-handle":"k"}`));
+      const cache = new PlatformRunnerClient(directConnector).prefill(dispatchTo(server));
+      return cache.then(({ handle }) => handle).finally(() => server.close());
+    };
+    expect(await prefill('r1')).toBe('k');
+    await expect(prefill('r2')).rejects.toMatchObject({ codeName: 'runnerFailed' });
+  });
+});
+
 describe('the priority header', () => {
   /** The priority that a runner receives; undefined if there is no header. */
   const sentPriority = async (priority: number | undefined): Promise<string | undefined> => {
