Take a prefill for lost when its response was cut in order

A prefill whose response ended in order within its JSON, without a length, failed as an internal error: its runner was not asked again for the KV cache that it keeps, the prompt was prefilled anew elsewhere, and the log had no line of an interrupted run. The parse error was raised outside of what tells a lost answer.

Before: 'is known to be lost if its response ends at any byte of its body': a SyntaxError without a code at each of 30 places. After: answerLost at each.

--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -97,7 +97,7 @@
       const name = reply.notRun ? 'runnerFull' : 'runnerFailed';
       throw new Failure(name, `${address} answered the prefill with ${reply.status}`);
     }
-    const parsed = prefillSchema.safeParse(JSON.parse(body.toString()));
+    const parsed = prefillSchema.safeParse(jsonOf(body, address));
     if (!parsed.success) throw new Failure('runnerFailed', `${address} sent no cache handle`);
     return { address, handle: parsed.data['kv-handle'] };
   }
@@ -331,6 +331,15 @@
   return headers['content-length'] === undefined ? 'close' : 'length';
 }
 
+/** Parses the response to a prefill, which is JSON unless it was cut: the runner keeps the KV cache then. */
+function jsonOf(body: Buffer, address: string): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    throw new Failure('answerLost', `${address} ended its answer early`);
+  }
+}
+
 /** Whether a response is to this request, not a late one to another. */
 function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
   const echoed = headers[header.requestId];
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -2,6 +2,7 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
+import type { Failure } from '../../src/core/failure';
 import type { Dispatch, Reply } from '../../src/node/router/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
 import { directConnector } from '../fakes/connector';
@@ -175,6 +176,21 @@
   });
 });
 
+describe('a prefill', () => {
+  // Guards against a prompt that is prefilled twice, since a cut response was no sign that its runner keeps the KV cache.
+  test('is known to be lost if its response ends at any byte of its body', async () => {
+    const body = '{"kv-handle":"k","tokens":100}';
+    const codes = [...body].map(async (_, length) => {
+      const head = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n';
+      const server = await runnerOf((socket) => socket.end(head + body.slice(0, length)));
+      const cache = new PlatformRunnerClient(directConnector).prefill(dispatchTo(server));
+      const code = cache.then(String, (error: Failure) => error.codeName);
+      return code.finally(() => server.close());
+    });
+    expect(new Set(await Promise.all(codes))).toEqual(new Set(['answerLost']));
+  });
+});
+
 describe('the priority header', () => {
   /** The priority that a runner receives; undefined if there is no header. */
   const sentPriority = async (priority: number | undefined): Promise<string | undefined> => {
