Judge the end of an answer by what marks it

Any Transfer-Encoding was taken for chunks, whose last one proves that an answer is whole. The parser reads other codings to the close of the connection, so an answer with one from a process that was killed was passed on as complete without a check of its runner. Bytes in a coding other than chunks were passed on without it. The other way round, answers that have no body by their status (204, 304) or method (HEAD) were taken for marked by the close: whole ones were refused or cut when their runner exited, and a 204 to a stream was 502.

Now only chunks alone count as chunks, identity as none, and other codings as not the runner's body, as Content-Encoding does; answers without a body end with their headers.

Before: 7 of 9 rows of 'is marked by its status, headers and method' failed (identity: expected "close", received "chunked"; 204: expected "length", received "close"). After: all pass.

--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -46,6 +46,9 @@
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED_REQUEST = 421;
+/** Statuses of responses that end with their headers: 204 and 304. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+const CHUNKED = 'chunked';
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
 const bornSchema = z.int().min(0).default(0);
@@ -325,10 +328,18 @@
   });
 }
 
+/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
+function transferCodingOf({ headers }: IncomingMessage): string {
+  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
+  return coding === 'identity' ? '' : coding;
+}
+
 /** How the end of a response body is marked. */
-function framingOf(headers: IncomingMessage['headers']): Framing {
-  if (headers['transfer-encoding'] !== undefined) return 'chunked';
-  return headers['content-length'] === undefined ? 'close' : 'length';
+function framingOf({ request }: Dispatch, message: IncomingMessage): Framing {
+  if (request.method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
+  if (transferCodingOf(message) === CHUNKED) return 'chunked';
+  const hasLength = message.headers['content-length'] !== undefined;
+  return hasLength ? 'length' : 'close';
 }
 
 /** Parses the response to a prefill, which is JSON unless it was cut: the runner keeps the KV cache then. */
@@ -346,7 +357,13 @@
   return echoed === undefined || echoed === request.id;
 }
 
-/** A response counts as the runner's if it is signed, carries no other request id and has no content encoding added on the way. */
+/** Whether the body is the runner's as it arrives, without an encoding of its content or transfer but chunks. */
+function isPlain(message: IncomingMessage): boolean {
+  const isEncoded = message.headers['content-encoding'] !== undefined;
+  return !isEncoded && ['', CHUNKED].includes(transferCodingOf(message));
+}
+
+/** A response counts as the runner's if it is signed, carries no other request id and no encoding added on the way. */
 function toReply(
   dispatch: Dispatch,
   message: IncomingMessage,
@@ -356,13 +373,10 @@
   const status = message.statusCode ?? 0;
   const isToRequest = isTo(dispatch, message);
   const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
-  const genuine =
-    headers[header.signature] !== undefined &&
-    isToRequest &&
-    headers['content-encoding'] === undefined;
+  const genuine = headers[header.signature] !== undefined && isToRequest && isPlain(message);
   return {
     status,
-    framing: framingOf(headers),
+    framing: framingOf(dispatch, message),
     isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
     headers: forwardableHeaders(message.rawHeaders, headers.connection, noHeaders),
     genuine,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -135,6 +135,40 @@
   });
 });
 
+describe('the end of a response', () => {
+  /** Its framing, and whether it counts as the runner's. */
+  const readingOf = async (status: string, fields: string, method = 'GET'): Promise<unknown> => {
+    const signed = 'Request-Id: r1\r\nServer-Signature: s\r\n';
+    const head = `HTTP/1.1 ${status}\r\n${signed}${fields}\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const dispatch = dispatchTo(server);
+    const request = { ...dispatch.request, method };
+    const client = new PlatformRunnerClient(directConnector);
+    const { framing, genuine, body } = await client.send({ ...dispatch, request });
+    body.on('error', () => {}).resume();
+    server.close();
+    return `${framing}${genuine ? '' : ', not genuine'}`;
+  };
+
+  // Guards against a killed runner's answer that looks complete, since a coding other than chunks was taken for chunks, and against whole answers without a body that are taken for cut.
+  test.each([
+    ['200 OK', 'Transfer-Encoding: Chunked\r\n', 'GET', 'chunked'],
+    ['200 OK', 'Transfer-Encoding: identity\r\n', 'GET', 'close'],
+    ['200 OK', 'Transfer-Encoding: gzip\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Transfer-Encoding: chunked, gzip\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Transfer-Encoding: gzip, chunked\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Content-Encoding: gzip\r\n', 'GET', 'close, not genuine'],
+    ['204 No Content', '', 'GET', 'length'],
+    ['304 Not Modified', '', 'GET', 'length'],
+    ['200 OK', '', 'HEAD', 'length'],
+  ])(
+    'is marked by its status, headers and method: %s %j %s',
+    async (status, fields, method, as) => {
+      expect(await readingOf(status, fields, method)).toBe(as);
+    },
+  );
+});
+
 describe('a response to another request', () => {
   const refusals = [
     '503 Service Unavailable\r\nNot-Executed: 1',
