Pass on no answer whose signature or head cannot be passed on

An answer whose Connection header named the signature was passed on as a success without it, since headers named there concern one connection. A status of 099 or a header name with a space are read by Node but not written: the request got 500 internal, though another runner might have answered. Such answers do not count as the runner's now.

--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -43,6 +43,9 @@
 /** Largest value of the priority header. */
 const LEAST_URGENT = 9;
 
+const MIN_STATUS = 100;
+/** A header name (RFC 9110, 5.6.2). */
+const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED_REQUEST = 421;
@@ -363,7 +366,7 @@
   return !isEncoded && ['', CHUNKED].includes(transferCodingOf(message));
 }
 
-/** A response counts as the runner's if it is signed, carries no other request id and no encoding added on the way. */
+/** A response counts as the runner's if it can be passed on with its signature, and carries no other request id and no encoding added on the way. */
 function toReply(
   dispatch: Dispatch,
   message: IncomingMessage,
@@ -373,12 +376,17 @@
   const status = message.statusCode ?? 0;
   const isToRequest = isTo(dispatch, message);
   const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
-  const genuine = headers[header.signature] !== undefined && isToRequest && isPlain(message);
+  const forwarded = forwardableHeaders(message.rawHeaders, headers.connection, noHeaders);
+  const names = forwarded.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
+  const isSigned = names.includes(header.signature);
+  // Node reads heads that it does not write.
+  const isWritable = status >= MIN_STATUS && names.every((name) => TOKEN.test(name));
+  const genuine = isSigned && isWritable && isToRequest && isPlain(message);
   return {
     status,
     framing: framingOf(dispatch, message),
     isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
-    headers: forwardableHeaders(message.rawHeaders, headers.connection, noHeaders),
+    headers: forwarded,
     genuine,
     notRun: misdirected || (isToRequest && headers[header.notRun] !== undefined),
     misdirected,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -169,6 +169,23 @@
   );
 });
 
+describe('a response that cannot be passed on', () => {
+  // Guards against a success without its signature, and against an internal error where another runner could answer.
+  test.each([
+    ['whose Connection header names the signature', '200 OK', 'Connection: Server-Signature'],
+    ['with a status that is none', '099 OK', 'X: y'],
+    ['with a header name that is none', '200 OK', 'X y: z'],
+  ])("is not the runner's: one %s", async (_, status, field) => {
+    const signed = 'Request-Id: r1\r\nServer-Signature: s\r\n';
+    const head = `HTTP/1.1 ${status}\r\n${signed}${field}\r\nContent-Length: 0\r\n\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const reply = await new PlatformRunnerClient(directConnector).send(dispatchTo(server));
+    reply.body.resume();
+    server.close();
+    expect(reply.genuine).toBe(false);
+  });
+});
+
 describe('a response to another request', () => {
   const refusals = [
     '503 Service Unavailable\r\nNot-Executed: 1',
