--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -43,9 +43,15 @@
 /** Largest value of the priority header. */
 const LEAST_URGENT = 9;
 
+const MIN_STATUS = 100;
+/** A header name (RFC 9110, 5.6.2). */
+const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED_REQUEST = 421;
+/** Statuses of responses that end with their headers: 204 and 304. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+const CHUNKED = 'chunked';
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
 const bornSchema = z.int().min(0).default(0);
@@ -90,11 +96,14 @@
   async prefill(dispatch: Dispatch): Promise<CacheHandle> {
     const { reply, body } = await this.#prefillResponse(dispatch);
     const { address } = dispatch.runner;
+    if (!isTo(dispatch, reply.body)) {
+      throw new Failure('runnerFailed', `${address} answered another request`);
+    }
     if (reply.status !== HTTP_OK) {
       const name = reply.notRun ? 'runnerFull' : 'runnerFailed';
       throw new Failure(name, `${address} answered the prefill with ${reply.status}`);
     }
-    const parsed = prefillSchema.safeParse(JSON.parse(body.toString()));
+    const parsed = prefillSchema.safeParse(jsonOf(body, address));
     if (!parsed.success) throw new Failure('runnerFailed', `${address} sent no cache handle`);
     return { address, handle: parsed.data['kv-handle'] };
   }
@@ -322,34 +331,65 @@
   });
 }
 
+/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
+function transferCodingOf({ headers }: IncomingMessage): string {
+  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
+  return coding === 'identity' ? '' : coding;
+}
+
 /** How the end of a response body is marked. */
-function framingOf(headers: IncomingMessage['headers']): Framing {
-  if (headers['transfer-encoding'] !== undefined) return 'chunked';
-  return headers['content-length'] === undefined ? 'close' : 'length';
+function framingOf({ request }: Dispatch, message: IncomingMessage): Framing {
+  if (request.method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
+  if (transferCodingOf(message) === CHUNKED) return 'chunked';
+  const hasLength = message.headers['content-length'] !== undefined;
+  return hasLength ? 'length' : 'close';
 }
 
-/** A response counts as the runner's if it is signed, carries no other request id and has no content encoding added on the way. */
+/** Parses the response to a prefill, which is JSON unless it was cut: the runner keeps the KV cache then. */
+function jsonOf(body: Buffer, address: string): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    throw new Failure('answerLost', `${address} ended its answer early`);
+  }
+}
+
+/** Whether a response is to this request, not a late one to another. */
+function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
+  const echoed = headers[header.requestId];
+  return echoed === undefined || echoed === request.id;
+}
+
+/** Whether the body is the runner's as it arrives, without an encoding of its content or transfer but chunks. */
+function isPlain(message: IncomingMessage): boolean {
+  const isEncoded = message.headers['content-encoding'] !== undefined;
+  return !isEncoded && ['', CHUNKED].includes(transferCodingOf(message));
+}
+
+/** A response counts as the runner's if it can be passed on with its signature, and carries no other request id and no encoding added on the way. */
 function toReply(
-  { request }: Dispatch,
+  dispatch: Dispatch,
   message: IncomingMessage,
   { via, tunnel }: RunnerConnection,
 ): Reply {
   const { headers } = message;
   const status = message.statusCode ?? 0;
-  const echoed = headers[header.requestId];
-  const isToRequest = echoed === undefined || echoed === request.id;
-  const genuine =
-    headers[header.signature] !== undefined &&
-    isToRequest &&
-    headers['content-encoding'] === undefined;
+  const isToRequest = isTo(dispatch, message);
+  const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
+  const forwarded = forwardableHeaders(message.rawHeaders, headers.connection, noHeaders);
+  const names = forwarded.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
+  const isSigned = names.includes(header.signature);
+  // Node reads heads that it does not write.
+  const isWritable = status >= MIN_STATUS && names.every((name) => TOKEN.test(name));
+  const genuine = isSigned && isWritable && isToRequest && isPlain(message);
   return {
     status,
-    framing: framingOf(headers),
+    framing: framingOf(dispatch, message),
     isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
-    headers: forwardableHeaders(message.rawHeaders, headers.connection, noHeaders),
+    headers: forwarded,
     genuine,
-    notRun: headers[header.notRun] !== undefined || status === HTTP_MISDIRECTED_REQUEST,
-    misdirected: status === HTTP_MISDIRECTED_REQUEST,
+    notRun: misdirected || (isToRequest && headers[header.notRun] !== undefined),
+    misdirected,
     rateNotice: rateNoticeOf(message),
     load: isToRequest ? loadOf(message) : undefined,
     notice: isToRequest ? noticeOf(message) : NO_NOTICE,
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -2,7 +2,8 @@
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 
-import type { Dispatch } from '../../src/node/router/types';
+import type { Failure } from '../../src/core/failure';
+import type { Dispatch, Reply } from '../../src/node/router/types';
 import { PlatformRunnerClient } from '../../src/platform/runner';
 import { directConnector } from '../fakes/connector';
 import { readBody } from '../../src/utils/http';
@@ -134,6 +135,113 @@
   });
 });
 
+describe('the end of a response', () => {
+  /** Its framing, and whether it counts as the runner's. */
+  const readingOf = async (status: string, fields: string, method = 'GET'): Promise<unknown> => {
+    const signed = 'Request-Id: r1\r\nServer-Signature: s\r\n';
+    const head = `HTTP/1.1 ${status}\r\n${signed}${fields}\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const dispatch = dispatchTo(server);
+    const request = { ...dispatch.request, method };
+    const client = new PlatformRunnerClient(directConnector);
+    const { framing, genuine, body } = await client.send({ ...dispatch, request });
+    body.on('error', () => {}).resume();
+    server.close();
+    return `${framing}${genuine ? '' : ', not genuine'}`;
+  };
+
+  // Guards against a killed runner's answer that looks complete, since a coding other than chunks was taken for chunks, and against whole answers without a body that are taken for cut.
+  test.each([
+    ['200 OK', 'Transfer-Encoding: Chunked\r\n', 'GET', 'chunked'],
+    ['200 OK', 'Transfer-Encoding: identity\r\n', 'GET', 'close'],
+    ['200 OK', 'Transfer-Encoding: gzip\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Transfer-Encoding: chunked, gzip\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Transfer-Encoding: gzip, chunked\r\n', 'GET', 'close, not genuine'],
+    ['200 OK', 'Content-Encoding: gzip\r\n', 'GET', 'close, not genuine'],
+    ['204 No Content', '', 'GET', 'length'],
+    ['304 Not Modified', '', 'GET', 'length'],
+    ['200 OK', '', 'HEAD', 'length'],
+  ])(
+    'is marked by its status, headers and method: %s %j %s',
+    async (status, fields, method, as) => {
+      expect(await readingOf(status, fields, method)).toBe(as);
+    },
+  );
+});
+
+describe('a response that cannot be passed on', () => {
+  // Guards against a success without its signature, and against an internal error where another runner could answer.
+  test.each([
+    ['whose Connection header names the signature', '200 OK', 'Connection: Server-Signature'],
+    ['with a status that is none', '099 OK', 'X: y'],
+    ['with a header name that is none', '200 OK', 'X y: z'],
+  ])("is not the runner's: one %s", async (_, status, field) => {
+    const signed = 'Request-Id: r1\r\nServer-Signature: s\r\n';
+    const head = `HTTP/1.1 ${status}\r\n${signed}${field}\r\nContent-Length: 0\r\n\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const reply = await new PlatformRunnerClient(directConnector).send(dispatchTo(server));
+    reply.body.resume();
+    server.close();
+    expect(reply.genuine).toBe(false);
+  });
+});
+
+describe('a response to another request', () => {
+  const refusals = [
+    '503 Service Unavailable\r\nNot-Executed: 1',
+    '421 Misdirected Request',
+    '429 Too Many Requests\r\nNot-Executed: 1',
+  ];
+  const replyTo = async (id: string, refusal: string): Promise<Reply> => {
+    const head = `HTTP/1.1 ${refusal}\r\n${id}Content-Length: 0\r\n\r\n`;
+    const server = await runnerOf((socket) => socket.end(head));
+    const reply = await new PlatformRunnerClient(directConnector).send(dispatchTo(server));
+    reply.body.resume();
+    server.close();
+    return reply;
+  };
+
+  // Guards against a caller that is told that its request did not run, and sends it again, since a late refusal of another one arrived.
+  test('does not state that this one was not run', async () => {
+    const ids = ['Request-Id: r2\r\n', 'Request-Id: r1\r\n', ''];
+    const notRun = ids.map((id) =>
+      Promise.all(refusals.map(async (refusal) => (await replyTo(id, refusal)).notRun)),
+    );
+    expect(await Promise.all(notRun)).toEqual([
+      [false, false, false],
+      [true, true, true],
+      [true, true, true],
+    ]);
+  });
+
+  // Guards against a stream that continues from the KV cache of another request's prompt.
+  test('has no KV cache for this one', async () => {
+    const prefill = async (id: string): Promise<unknown> => {
+      const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${id}\r\n\r\n`;
+      const server = await runnerOf((socket) => socket.end(`${head}{"kv-handle":"k"}`));
+      const cache = new PlatformRunnerClient(directConnector).prefill(dispatchTo(server));
+      return cache.then(({ handle }) => handle).finally(() => server.close());
+    };
+    expect(await prefill('r1')).toBe('k');
+    await expect(prefill('r2')).rejects.toMatchObject({ codeName: 'runnerFailed' });
+  });
+});
+
+describe('a prefill', () => {
+  // Guards against a prompt that is prefilled twice, since a cut response was no sign that its runner keeps the KV cache.
+  test('is known to be lost if its response ends at any byte of its body', async () => {
+    const body = '{"kv-handle":"k","tokens":100}';
+    const codes = [...body].map(async (_, length) => {
+      const head = 'HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n\r\n';
+      const server = await runnerOf((socket) => socket.end(head + body.slice(0, length)));
+      const cache = new PlatformRunnerClient(directConnector).prefill(dispatchTo(server));
+      const code = cache.then(String, (error: Failure) => error.codeName);
+      return code.finally(() => server.close());
+    });
+    expect(new Set(await Promise.all(codes))).toEqual(new Set(['answerLost']));
+  });
+});
+
 describe('the priority header', () => {
   /** The priority that a runner receives; undefined if there is no header. */
   const sentPriority = async (priority: number | undefined): Promise<string | undefined> => {
