Soak: odd entries of other writers, cut heads, answers without a length

Two reports of other operators are played as kinds of their own: odd entries in the store as planned work (numbers beyond range, addresses, nesting, bytes, entries under the router's prefix, also in place of a sound runner's own), and answers that end within their heads or, without a length, with the process of their runner. New promises: answered, served, used.

Links refuse connections while the process behind them does not run: a check by a connection took it for running. The message of kept names the request before; the test of it expects that name as well.

--- a/scripts/soak/callers.ts
+++ b/scripts/soak/callers.ts
@@ -104,7 +104,7 @@
 /** Fraction of callers that disconnected from a stream and take it up again. */
 const RETURN_RATIO = 0.8;
 /** Time beyond its deadline for which a caller waits for an answer. */
-const ANSWER_GRACE_MS = 2000;
+export const ANSWER_GRACE_MS = 2000;
 export const allKinds: readonly RequestKind[] = ['repeatable', 'once', 'stream', 'resumable'];
 export const streamKinds: readonly RequestKind[] = ['stream', 'resumable'];
 /** Path prefix of the route of each kind of request. */
@@ -263,10 +263,18 @@
       req.destroy();
       resolve({ ...brokenResult, outcome: 'left' });
     };
-    const timer = setTimeout(disconnect, disconnectMs ?? sent.deadlineMs + ANSWER_GRACE_MS);
     let sentAt: number | undefined;
+    let isEnded = false;
+    // An answer that arrived while this process was busy is read first.
+    const giveUp = (): void => {
+      setImmediate(() => {
+        if (!isEnded) disconnect();
+      });
+    };
+    const timer = setTimeout(giveUp, disconnectMs ?? sent.deadlineMs + ANSWER_GRACE_MS);
     const end = (result: ExchangeResult): void => {
       clearTimeout(timer);
+      isEnded = true;
       const sinceSentMs = sentAt === undefined ? undefined : performance.now() - sentAt;
       resolve({ ...result, sinceSentMs, kept: agent.keptFor(req) });
     };
--- a/scripts/soak/connections.ts
+++ b/scripts/soak/connections.ts
@@ -10,8 +10,14 @@
   readonly idleMs: number;
   /** For how long the VM had announced to keep it. */
   readonly announcedMs: number;
+  /** Id of the request whose answer announced it. */
+  readonly after: string;
 }
 
+type Announced = Omit<KeptConnection, 'idleMs'>;
+
+const nothing: Announced = { announcedMs: 0, after: '' };
+
 interface Idle {
   readonly since: number;
   readonly expiry: NodeJS.Timeout;
@@ -30,7 +36,7 @@
 export class KeptConnections extends Agent {
   readonly #onClosed: (host: string, kept: KeptConnection) => void;
 
-  readonly #announcedMs = new WeakMap<Duplex, number>();
+  readonly #announced = new WeakMap<Duplex, Announced>();
 
   readonly #idle = new WeakMap<Duplex, Idle>();
 
@@ -53,19 +59,20 @@
   idleAnnouncedMs(address: string): number | undefined {
     const free = this.freeSockets[`${address}:`] ?? [];
     const socket = free.find((one) => this.#idle.has(one));
-    return socket && this.#announcedMs.get(socket);
+    return socket && this.#announced.get(socket)?.announcedMs;
   }
 
   /** Notes what a VM announces in an answer on a connection. */
   announced({ socket, headers }: IncomingMessage): void {
     const announcedMs = announcedMsOf(headers['keep-alive']?.toString());
-    if (announcedMs === undefined) this.#announcedMs.delete(socket);
-    else this.#announcedMs.set(socket, announcedMs);
+    const after = String(headers['request-id']);
+    if (announcedMs === undefined) this.#announced.delete(socket);
+    else this.#announced.set(socket, { announcedMs, after });
   }
 
   override keepSocketAlive(socket: Duplex): boolean {
-    const announcedMs = this.#announcedMs.get(socket);
-    if (announcedMs === undefined || announcedMs <= CALLER_MARGIN_MS) return false;
+    const { announcedMs } = this.#announced.get(socket) ?? nothing;
+    if (announcedMs <= CALLER_MARGIN_MS) return false;
     const since = performance.now();
     const expiry = setTimeout(() => {
       this.#idle.delete(socket);
@@ -83,8 +90,8 @@
     if (idle) {
       clearTimeout(idle.expiry);
       this.#idle.delete(socket);
-      const announcedMs = this.#announcedMs.get(socket) ?? 0;
-      this.#kept.set(request, { idleMs: performance.now() - idle.since, announcedMs });
+      const idleMs = performance.now() - idle.since;
+      this.#kept.set(request, { idleMs, ...(this.#announced.get(socket) ?? nothing) });
     }
     super.reuseSocket(socket, request);
   }
@@ -113,6 +120,6 @@
     const idle = this.#forget(socket);
     if (!idle) return;
     const idleMs = performance.now() - idle.since;
-    this.#onClosed(host, { idleMs, announcedMs: this.#announcedMs.get(socket) ?? 0 });
+    this.#onClosed(host, { idleMs, ...(this.#announced.get(socket) ?? nothing) });
   }
 }
--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -16,6 +16,8 @@
 import { QuietChecker } from './quiet';
 import type { KeptContext } from './kept';
 import { KeptChecker } from './kept';
+import { OddChecker } from './oddcheck';
+import { OrderChecker } from './orders';
 import { ReachChecker } from './reach';
 import type { LostStreamEnd } from './loststreams';
 import { LostStreamChecker } from './loststreams';
@@ -57,6 +59,8 @@
   readonly silences: SilenceLog;
   readonly isUndisturbed: QuietContext['isUndisturbed'];
   readonly isSteady: KeptContext['isSteady'];
+  /** Whether an odd entry of another writer was in the store at a time (epoch milliseconds). */
+  readonly wasBesideOdd: (at: number) => boolean;
 }
 
 /** What was observed of a request. */
@@ -88,8 +92,9 @@
 
   readonly #records = new Map<string, RequestRecord>();
 
-  /** Last order that each runner instance received. */
-  readonly #lastOrders = new Map<string, { holder: string; fence: number; at: number }>();
+  readonly #odd: OddChecker;
+
+  readonly #orders = new OrderChecker();
 
   readonly #allowances: AllowanceChecker;
 
@@ -126,6 +131,7 @@
     this.#terms = new TermsChecker({ checkBound, report, faultFreeMs });
     this.#cancellations = new CancellationChecker({ report, faultFreeMs, silences });
     this.#kept = new KeptChecker(context);
+    this.#odd = new OddChecker(context);
     this.#quiet = new QuietChecker({
       log: silences,
       isUndisturbed,
@@ -190,13 +196,15 @@
     const isUndisturbed = undisturbedMs >= MIN_FAULT_FREE_MS + Date.now() - (record?.sentAt ?? 0);
     if (record && isUndisturbed && !isRevoked) {
       this.#urgency.answered(record.sentAt, request, answer);
+      if (request.events === 0) this.#odd.count(this.#context.wasBesideOdd(record.sentAt), answer);
     }
+    this.#reportIf('answered', this.#odd.answered(request, vm, answer));
     const lostError = this.#lostStreams.answered(Date.now(), request, answer);
     if (lostError !== undefined) this.#report('silent', `${request.id} at ${vm}: ${lostError}`);
     if (error !== undefined) this.#report('whole', `${request.id} at ${vm}: ${error}`);
     this.#checkVersions(request, vm, answer);
     const keptFinding = this.#kept.answered(request.id, vm, answer);
-    if (keptFinding !== undefined) this.#report('kept', keptFinding);
+    this.#reportIf('kept', keptFinding);
     if (record) {
       this.#checkStop(record, answer);
       this.#checkQuiet(record, answer);
@@ -210,8 +218,7 @@
   }
 
   closedEarly(ip: string, kept: KeptConnection): void {
-    const finding = this.#kept.closed(ip, kept);
-    if (finding !== undefined) this.#report('kept', finding);
+    this.#reportIf('kept', this.#kept.closed(ip, kept));
   }
 
   disconnected({ id }: SentRequest): void {
@@ -223,11 +230,11 @@
   arrived(arrival: Arrival): void {
     const now = Date.now();
     const record = this.#records.get(arrival.requestId);
+    this.#reportIf('used', this.#odd.arrived(now, arrival));
     this.#terms.arrived(now, arrival.requestId, arrival.instanceId, record?.vm);
     if (!record) return;
     this.#quiet.arrived(now, arrival.requestId, runnerIdOf(arrival), arrival.role);
-    const finding = this.#urgency.arrived(record.request, arrival);
-    if (finding !== undefined) this.#report('priority', finding);
+    this.#reportIf('priority', this.#urgency.arrived(record.request, arrival));
     // A prefill that precedes the first decode is not a retry.
     if (arrival.role === 'prefill' && record.arrivalCount === 0) return;
     record.arrivalCount += 1;
@@ -275,23 +282,8 @@
     record.hasBrokenOff = wasCrash;
   }
 
-  ordered({ instanceId: runner, holder, fence }: Order): void {
-    const now = Date.now();
-    const before = this.#lastOrders.get(runner);
-    this.#lastOrders.set(runner, { holder, fence, at: now });
-    if (!before) return;
-    if (fence < before.fence) {
-      this.#report(
-        'one holder',
-        `${runner}: ${holder} sent an order with fence ${fence} after ${before.fence}`,
-      );
-    }
-    if (before.holder !== holder && fence === before.fence) {
-      this.#report(
-        'one holder',
-        `${runner}: ${holder} and ${before.holder} both use fence ${fence}`,
-      );
-    }
+  ordered(order: Order): void {
+    this.#orders.ordered(order).forEach((detail) => this.#report('one holder', detail));
   }
 
   /** Records that the link of a runner holds a request. */
@@ -304,6 +296,11 @@
     this.#terms.setDraining(Date.now(), instanceId, isDraining);
   }
 
+  /** Records that a runner is registered beside odd entries. */
+  setRegistered(instanceId: string): void {
+    this.#odd.registered(Date.now(), instanceId);
+  }
+
   /** Records the rate limit that a runner instance announces; undefined if it announces none. */
   setRateLimit(instanceId: string, ratePerS: number | undefined): void {
     this.#terms.setRateLimit(Date.now(), instanceId, ratePerS);
@@ -321,6 +318,10 @@
     this.#allowances.prune(now);
   }
 
+  #reportIf(promise: string, finding: string | undefined): void {
+    if (finding !== undefined) this.#report(promise, finding);
+  }
+
   #report(promise: string, detail: string): void {
     this.#context.onBreach({ promise, detail });
   }
@@ -332,6 +333,7 @@
       stops: this.#stops.counts,
       quiet: this.#quiet.counts,
       kept: this.#kept.counts,
+      odd: this.#odd.counts,
       leads: this.#urgency.leads,
       used: this.#peakUsage,
     };
@@ -339,10 +341,10 @@
 
   /** Checks what can only be told at the end of the run. */
   finish(): void {
-    const { finding } = this.#versions;
-    if (finding !== undefined) this.#report('resume', finding);
+    this.#reportIf('resume', this.#versions.finding);
     const lostFinding = this.#lostStreams.finding;
-    if (lostFinding !== undefined) this.#report('silent', lostFinding);
+    this.#reportIf('silent', lostFinding);
+    this.#reportIf('served', this.#odd.finding);
     this.#urgency.findings.forEach((detail) => this.#report('order', detail));
   }
 
@@ -365,8 +367,7 @@
       hasBrokenOff,
     };
     const freeMs = this.#context.unplannedFreeMs();
-    const finding = this.#stops.answered(now, record.sentAt, record, answer, work, freeMs);
-    if (finding !== undefined) this.#report('stop', finding);
+    this.#reportIf('stop', this.#stops.answered(now, record.sentAt, record, answer, work, freeMs));
   }
 
   #checkQuiet(
@@ -376,8 +377,7 @@
     const now = Date.now();
     const isEndOfStop = this.#stops.isEnding(now, this.#reach.isCut(vm) ? undefined : vm);
     const attempt = { request, vm, sentAt, runs, hasBrokenOff, isEndOfStop };
-    const finding = this.#quiet.answered(now, attempt, answer);
-    if (finding !== undefined) this.#report('quiet', finding);
+    this.#reportIf('quiet', this.#quiet.answered(now, attempt, answer));
   }
 
   #checkBound(promise: string, amount: number, max: number, subject: string): void {
--- a/scripts/soak/kept.ts
+++ b/scripts/soak/kept.ts
@@ -52,6 +52,6 @@
   }
 }
 
-function textOf({ idleMs, announcedMs }: KeptConnection): string {
-  return `a connection idle for ${Math.round(idleMs)} ms, announced for ${announcedMs} ms`;
+function textOf({ idleMs, announcedMs, after }: KeptConnection): string {
+  return `a connection idle for ${Math.round(idleMs)} ms after ${after}, announced for ${announcedMs} ms`;
 }
--- a/scripts/soak/kinds.ts
+++ b/scripts/soak/kinds.ts
@@ -54,6 +54,9 @@
 export const ALL_PLAIN = 'all plain runners';
 /** Minimum time for which a lost runner does not answer: its streams would have ended in half of it. */
 const MIN_LOST_MS = 4000;
+/** Time in which a runner that is to end within an answer has to get a request, and how often that is looked at. */
+const MAX_STOP_WAIT_MS = 3000;
+const STOP_LOOK_MS = 20;
 /** Signals of a series, and the longest pause between two. */
 const HANGUPS = 5;
 const MAX_HANGUP_PAUSE_MS = 400;
@@ -112,6 +115,8 @@
       'runner-all-fail': () => this.#failPlainRunners(),
       'runner-sheds': () => this.#disturbRunner({ shedRatio: 0.4 }),
       'runner-cuts': () => this.#disturbRunner({ cutRatio: 0.4 }),
+      'runner-heads': () => this.#disturbRunner({ headCutRatio: 0.4 }),
+      'runner-stops': () => this.#onRunner((member) => this.#stopWithinAnswer(member)),
       'runner-mute': () => this.#disturbRunner({ hangRatio: 0.2 }),
       'runner-slow': () => this.#disturbRunner({ slowdown: 4 }),
       'runner-link': () => this.#onRunner((member) => this.#disturbLink(member.proxy)),
@@ -295,6 +300,16 @@
     await pause(1500);
   }
 
+  /** Lets the process of a runner end within an answer; it is restarted in any case. */
+  async #stopWithinAnswer(member: PooledRunner): Promise<void> {
+    const { runner } = member;
+    runner.behaviour = { ...healthyBehaviour, stopRatio: 0.5 };
+    const until = Date.now() + MAX_STOP_WAIT_MS;
+    while (runner.isUp && Date.now() < until) await pause(STOP_LOOK_MS);
+    runner.behaviour = healthyBehaviour;
+    await this.#crash(member);
+  }
+
   /** Stops a runner as a loss of power does: no connection ends, and it comes back without its state. */
   async #lose(member: PooledRunner): Promise<void> {
     const { pool, onLost, random } = this.#context;
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -42,7 +42,7 @@
 
   constructor(
     store: FakeStore,
-    context: Pick<RunnerContext, 'observer' | 'random' | 'reportsSlowness'>,
+    context: Pick<RunnerContext, 'observer' | 'random' | 'reportsSlowness' | 'unsizedRatio'>,
     net: string,
     domains: readonly string[],
   ) {
@@ -52,6 +52,7 @@
     this.#context = {
       ...context,
       onEntryChange: (runner) => this.publish(runner),
+      onUpChange: ({ runnerId, isUp }) => this.find(runnerId)?.proxy.setAccepting(isUp),
       takeCache: (source) => this.#takeCache(source),
     };
   }
@@ -83,7 +84,7 @@
   }
 
   /** Starts a runner behind a proxy and writes its store entry. */
-  async add(role: RunnerRole, version: string): Promise<void> {
+  async add(role: RunnerRole, version: string): Promise<PooledRunner> {
     this.#count += 1;
     const number = this.#count;
     const domain = this.#domains[number % this.#domains.length] ?? '';
@@ -101,6 +102,7 @@
     await member.proxy.start(proxyHost, PORT);
     await runner.start(host, PORT);
     this.publish(runner);
+    return member;
   }
 
   /** Crashes a runner and restarts it under the same id; its store entry expires if it is down for long. */
--- a/scripts/soak/proxy.ts
+++ b/scripts/soak/proxy.ts
@@ -24,6 +24,8 @@
 
   readonly #server: Server;
 
+  #address: { readonly host: string; readonly port: number } | undefined;
+
   readonly #connections = new Set<Connection>();
 
   #state: LinkState = 'well';
@@ -69,11 +71,20 @@
 
   /** Listens at the given address. */
   async start(host: string, port: number): Promise<void> {
+    this.#address = { host, port };
     await new Promise<void>((resolve) => {
       this.#server.listen(port, host, resolve);
     });
   }
 
+  /** Sets whether new connections are accepted, as by a machine on which the process does not run; open ones go on. */
+  setAccepting(isAccepting: boolean): void {
+    if (!isAccepting) this.#server.close();
+    else if (!this.#server.listening && this.#address) {
+      this.#server.listen(this.#address.port, this.#address.host);
+    }
+  }
+
   /** Resets open connections, each with the given probability. */
   reset(random: () => number, probability: number): void {
     for (const { client, server } of this.#connections) {
@@ -86,6 +97,7 @@
 
   /** Stops listening and closes all connections. */
   stop(): void {
+    this.#address = undefined;
     this.#server.close();
     for (const { client, server } of this.#connections) {
       client.destroy();
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -9,6 +9,8 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { closeServer, listen, readBody, sendJson } from '../../test/fakes/http';
+import { drawFate } from './fates';
+import { KvMemory } from './kvmemory';
 import { Reply } from './reply';
 import { digestOf, eventOf, eventCountOf, plainAnswer } from './requests';
 import type { Arrival, RunnerBehaviour, RunnerObserver, RunnerRole } from './work';
@@ -20,19 +22,16 @@
   readonly random: () => number;
   /** Called when the runner's entry in the store must be updated. */
   readonly onEntryChange: (runner: SoakRunner) => void;
+  /** Called when its process has started or ended. */
+  readonly onUpChange: (runner: SoakRunner) => void;
   /** Whether plain runners report how long work takes at the moment, beside their counts. */
   readonly reportsSlowness: boolean;
+  /** Fraction of answers without a length, which end with their connections. */
+  readonly unsizedRatio: number;
   /** Fetches the KV cache of a handle, `HOST:PORT/HANDLE`, from the runner that holds it; returns whether it existed. */
   readonly takeCache: (source: string) => boolean;
 }
 
-/** KV cache of a prefilled prompt. */
-interface PromptCache {
-  readonly tokens: number;
-  /** Epoch milliseconds; infinite until the prefill has ended. */
-  readonly expiry: number;
-}
-
 /** One runner at one address; it can be restarted, as a new instance. */
 export class SoakRunner {
   /** Id under which it is registered in the store; the same for all instances. */
@@ -80,14 +79,11 @@
 
   #isSwitchingRole = false;
 
-  readonly #caches = new Map<string, PromptCache>();
+  readonly #memory = new KvMemory();
 
   /** Work of this instance in progress, prefills too. */
   readonly #running = new Set<Arrival>();
 
-  /** KV memory in tokens by running request. */
-  readonly #runningTokens = new Map<string, number>();
-
   #plainRunCount = 0;
 
   constructor(
@@ -147,21 +143,19 @@
     this.#sequence = 0;
     this.#fence = 0;
     this.#isSwitchingRole = false;
-    this.#caches.clear();
-    this.#runningTokens.clear();
+    this.#memory.clear();
     this.#plainRunCount = 0;
     this.ratePerS = undefined;
     this.isLeaving = false;
     this.pauseMs = undefined;
     const { server } = await listen((req, res, url) => this.#handle(req, res, url), port, host);
     this.#server = server;
+    this.#context.onUpChange(this);
   }
 
   /** Removes a KV cache for its transfer to another runner; returns whether it existed and had not expired. */
   takeCache(handle: string): boolean {
-    const cached = this.#caches.get(handle);
-    this.#caches.delete(handle);
-    return cached !== undefined && cached.expiry >= Date.now();
+    return this.#memory.take(handle);
   }
 
   /** Stops at once: every connection is reset. */
@@ -170,15 +164,11 @@
     this.#server = undefined;
     for (const arrival of this.#running) this.#observer.ended(arrival, true);
     this.#running.clear();
-    if (server) await closeServer(server);
-  }
-
-  /** KV memory in use, in tokens; removes expired caches. */
-  get #usedTokens(): number {
-    const now = Date.now();
-    for (const [handle, { expiry }] of this.#caches) if (expiry < now) this.#caches.delete(handle);
-    const cached = [...this.#caches.values()].reduce((sum, { tokens }) => sum + tokens, 0);
-    return [...this.#runningTokens.values()].reduce((sum, tokens) => sum + tokens, cached);
+    if (server) {
+      const closing = closeServer(server);
+      this.#context.onUpChange(this);
+      await closing;
+    }
   }
 
   get #slowdown(): number {
@@ -187,7 +177,7 @@
 
   /** Value of the header `Server-Load`: running, waiting, slots and, if reported, the slowness in percent. */
   #load(): string {
-    if (this.#role !== 'plain') return `${this.#runningTokens.size},0,${runnerProfile.slots}`;
+    if (this.#role !== 'plain') return `${this.#memory.running.size},0,${runnerProfile.slots}`;
     const { plainSlots } = runnerProfile;
     const running = Math.min(this.#plainRunCount, plainSlots);
     const counts = `${running},${this.#plainRunCount - running},${plainSlots}`;
@@ -201,7 +191,7 @@
     else if (pathname === '/v1/report') this.#sendReport(res);
     else if (pathname === '/v1/order') this.#handleOrder(res, JSON.parse(await readBody(req)));
     else if (pathname.startsWith('/v1/kv-handle/')) {
-      this.#caches.delete(pathname.split('/').at(-1) ?? '');
+      this.#memory.take(pathname.split('/').at(-1) ?? '');
       sendJson(res, 200, {});
     } else await this.#serve(req, res, url);
   }
@@ -213,12 +203,12 @@
       busy: this.#isSwitchingRole,
       sequence: this.#sequence,
       queued: 0,
-      running: this.#runningTokens.size,
-      'kv-used': this.#usedTokens,
+      running: this.#memory.running.size,
+      'kv-used': this.#memory.usedTokens,
       'kv-total': runnerProfile.memoryTokens,
-      'kv-handles': this.#caches.size,
+      'kv-handles': this.#memory.cacheCount,
       born: this.#startedAt,
-      runs: [...this.#runningTokens].map(([id, tokens]) => [id, tokens, 0, 5]),
+      runs: [...this.#memory.running].map(([id, tokens]) => [id, tokens, 0, 5]),
     });
   }
 
@@ -260,7 +250,7 @@
       hasKey: headers.authorization !== undefined,
       priority: priority === undefined ? undefined : Number(priority),
     };
-    const answer = new Reply(res, id, this, () => this.#load());
+    const answer = this.#replyTo(res, id);
     const wrongStage = isPrefill !== (this.#role === 'prefill');
     if (headers['expected-instance'] !== this.runnerId || wrongStage) {
       answer.reject(421);
@@ -299,16 +289,29 @@
     clearTimeout(timer);
   }
 
+  #replyTo(res: ServerResponse, id: string): Reply {
+    const { runnerId, ratePerS, instanceId, isLeaving, pauseMs, behaviour } = this;
+    // Whether its process runs is checked with a connection at most then, which its link accepts.
+    const wantsCalls = !isLeaving && pauseMs === undefined;
+    const { stopRatio, headCutRatio } = behaviour;
+    const ratios = { headCutRatio, stopRatio: wantsCalls ? stopRatio : 0 };
+    const fate = drawFate(this.#random, ratios, this.#context.unsizedRatio);
+    const stop = (): void => {
+      if (this.instanceId === instanceId) this.crash().catch(() => undefined);
+    };
+    return new Reply(res, id, { runnerId, ratePerS, fate, load: () => this.#load(), stop });
+  }
+
   async #prefill(arrival: Arrival, answer: Reply, tokens: number): Promise<void> {
-    if (this.#usedTokens + tokens > runnerProfile.memoryTokens) {
+    if (this.#memory.usedTokens + tokens > runnerProfile.memoryTokens) {
       answer.reject(503);
       return;
     }
     this.#reportBegin(arrival);
     const handle = randomUUID().slice(0, 12);
-    this.#caches.set(handle, { tokens, expiry: Infinity });
+    this.#memory.keep(handle, tokens, Infinity);
     await pause(tokens * runnerProfile.prefillTokenMs * this.#slowdown);
-    this.#caches.set(handle, { tokens, expiry: Date.now() + runnerProfile.cacheHoldMs });
+    this.#memory.keep(handle, tokens, Date.now() + runnerProfile.cacheHoldMs);
     this.#reportEnd(arrival);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else answer.json({ 'kv-handle': handle, tokens, version: 1 });
@@ -343,18 +346,18 @@
   ): Promise<void> {
     const neededTokens = job.tokens + job.events * runnerProfile.eventTokens;
     if (
-      this.#usedTokens + neededTokens > runnerProfile.memoryTokens ||
-      this.#runningTokens.size >= runnerProfile.slots
+      this.#memory.usedTokens + neededTokens > runnerProfile.memoryTokens ||
+      this.#memory.running.size >= runnerProfile.slots
     ) {
       answer.reject(503);
       return;
     }
     this.#reportBegin(arrival);
-    this.#runningTokens.set(arrival.requestId, neededTokens);
+    this.#memory.running.set(arrival.requestId, neededTokens);
     if (!job.isPrefilled) await this.#work(job.tokens * runnerProfile.prefillTokenMs * 2, signal);
     if (this.#random() < this.behaviour.failRatio) answer.fail();
     else await this.#stream(arrival, answer, job.after, job.events, signal);
-    this.#runningTokens.delete(arrival.requestId);
+    this.#memory.running.delete(arrival.requestId);
     this.#reportEnd(arrival);
   }
 
@@ -365,12 +368,13 @@
     events: number,
     signal: AbortSignal,
   ): Promise<void> {
-    const cutsAt =
-      this.#random() < this.behaviour.cutRatio ? after + 1 + this.#random() * events : Infinity;
+    const isReset = this.#random() < this.behaviour.cutRatio;
+    const cutsAt = answer.breaksAt(after, events, isReset, this.#random);
     for (let event = after + 1; event <= events && !signal.aborted; event += 1) {
       await this.#work(runnerProfile.eventMs, signal);
       if (event >= cutsAt) {
-        answer.cut(eventOf(event, digest, this.version).slice(0, 5));
+        const text = eventOf(event, digest, this.version);
+        answer.cut(text.slice(0, 1 + this.#random() * text.length));
         return;
       }
       answer.event(eventOf(event, digest, this.version));
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -13,6 +13,7 @@
 import { FaultInjector } from './faults';
 import { ALL_PLAIN } from './kinds';
 import { Mesh } from './mesh';
+import { OddEntries, oddKinds } from './oddentries';
 import { Operator } from './operator';
 import { FIRST_VERSION, Maintenance } from './maintenance';
 import { RunnerPool } from './pool';
@@ -39,6 +40,9 @@
 }
 
 const DOMAINS = ['north', 'centre', 'south'];
+/** Name of the kind of planned work in which some answers have no length, and the fraction of them. */
+const UNSIZED = 'runner-unsized';
+const UNSIZED_RATIO = 0.1;
 /** Time within which all VMs must become ready after the start. */
 const STARTUP_TIMEOUT_MS = 30_000;
 const SECOND_MS = 1000;
@@ -76,6 +80,8 @@
 
   readonly #silences: RunnerSilences;
 
+  readonly #odd: OddEntries;
+
   readonly #networkPrefix: string;
 
   constructor(options: SoakOptions, timeline: Timeline) {
@@ -109,12 +115,18 @@
       quotaOf: (customer) => this.#operator.quotaOf(customer),
       unplannedFreeMs: () => this.#faults.unplannedFreeMs,
       isInTouch: (address) => this.#isInTouch(address),
+      wasBesideOdd: (at) => this.#odd.wasStanding(at),
       runnersOf: (version) => this.#pool.decodersOf(version).length,
     });
     const observer = this.#guarantees;
     this.#pool = new RunnerPool(
       store,
-      { observer, random: seeded(seed + 2), reportsSlowness: seed % 2 === 1 },
+      {
+        observer,
+        random: seeded(seed + 2),
+        reportsSlowness: seed % 2 === 1,
+        unsizedRatio: this.#isEnabled(UNSIZED) ? UNSIZED_RATIO : 0,
+      },
       this.#networkPrefix,
       DOMAINS,
     );
@@ -136,7 +148,10 @@
         onRelease: () => {
           this.#maintenance.release().catch((error: Error) => console.error(error.message));
         },
-        onStoreRestored: () => this.#operator.rewrite(),
+        onStoreRestored: () => {
+          this.#operator.rewrite();
+          this.#odd.clean();
+        },
         onRunnersCut: ({ frontAddress }, isCut) =>
           this.#guarantees.setRunnersCut(frontAddress, isCut),
         onLost: ({ runner }) => this.#guarantees.setLost(runner.instanceId),
@@ -144,6 +159,17 @@
       },
       options.faults,
     );
+    this.#odd = new OddEntries({
+      random: seeded(seed + 7),
+      kinds: oddKinds.filter((kind) => this.#isEnabled(kind)),
+      store,
+      pool: this.#pool,
+      networkPrefix: this.#networkPrefix,
+      version: FIRST_VERSION,
+      onEntry: (kind, what) => timeline.recordFault(kind, what),
+      onRegistered: (instanceId) => observer.setRegistered(instanceId),
+      onDraining: (instanceId, isDraining) => observer.setDraining(instanceId, isDraining),
+    });
     this.#silences = new RunnerSilences({
       random: seeded(seed + 6),
       pool: this.#pool,
@@ -156,7 +182,8 @@
 
   /** Number of injected faults by kind, and what was counted of the guarantees. */
   get summary(): Readonly<Record<string, unknown>> {
-    return { faults: this.#faults.counts, ...this.#guarantees.summary };
+    const counts = { faults: this.#faults.counts, oddEntries: this.#odd.counts };
+    return { ...counts, ...this.#guarantees.summary };
   }
 
   /** Runs for the configured time, checks the recovery and stops all processes. Throws if the VMs do not become ready. */
@@ -215,8 +242,15 @@
   }
 
   #planned(until: number): readonly Promise<void>[] {
+    return [
+      ...(this.#isEnabled(QUIET) ? [this.#silences.run(until)] : []),
+      ...(oddKinds.some((kind) => this.#isEnabled(kind)) ? [this.#odd.run(until)] : []),
+    ];
+  }
+
+  #isEnabled(kind: string): boolean {
     const { faults } = this.#options;
-    return faults === undefined || faults.includes(QUIET) ? [this.#silences.run(until)] : [];
+    return faults === undefined || faults.includes(kind);
   }
 
   #createCrowd(): Crowd {
--- a/scripts/soak/work.ts
+++ b/scripts/soak/work.ts
@@ -55,6 +55,10 @@
   readonly shedRatio: number;
   /** Fraction whose connection is reset before the answer is complete. */
   readonly cutRatio: number;
+  /** Fraction whose connection ends, in order or by a reset, within the head of the answer. */
+  readonly headCutRatio: number;
+  /** Fraction in whose answer, which has no length, the runner's process ends. */
+  readonly stopRatio: number;
   /** Fraction of work steps that hang. A step is a plain request, a local prefill or one event of a stream. */
   readonly hangRatio: number;
   /** Factor on the duration of all work. */
@@ -66,6 +70,8 @@
   failRatio: 0,
   shedRatio: 0,
   cutRatio: 0,
+  headCutRatio: 0,
+  stopRatio: 0,
   hangRatio: 0,
   slowdown: 1,
 };
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -109,6 +109,17 @@
     this.#notifyWatches();
   }
 
+  /** Writes a key directly, with a value that need not be base64. */
+  putEncoded(key: string, value: string): void {
+    this.#write(key, value, 0);
+    this.#notifyWatches();
+  }
+
+  /** The value of a key as the store sends it; undefined if there is none. */
+  encodedOf(key: string): string | undefined {
+    return this.#items.get(key)?.value;
+  }
+
   /** The value of a key as text; undefined if there is none. */
   textOf(key: string): string | undefined {
     const item = this.#items.get(key);
--- a/test/soak/kept.test.ts
+++ b/test/soak/kept.test.ts
@@ -15,7 +15,7 @@
   idleMs: number,
 ): Promise<{ readonly kept: KeptConnection | undefined; readonly breaches: readonly string[] }> {
   const server = createServer((req, res) => {
-    res.writeHead(200, { 'keep-alive': `timeout=${ANNOUNCED_MS / 1000}` }).end();
+    res.writeHead(200, { 'request-id': 'r', 'keep-alive': `timeout=${ANNOUNCED_MS / 1000}` }).end();
     setTimeout(() => req.socket.destroy(), closesAfterMs).unref();
   });
   server.listen(0, '127.0.0.1');
@@ -37,7 +37,7 @@
   agent.destroy();
   server.closeAllConnections();
   server.close();
-  return { kept, breaches: breaches.map((text) => text.replace(/\d+ ms,/, 'some ms,')) };
+  return { kept, breaches: breaches.map((text) => text.replace(/\d+ ms after/, 'some ms after')) };
 }
 
 describe('connections that callers keep', () => {
@@ -57,7 +57,7 @@
       expired: { kept: undefined, breaches: [] },
       cut: {
         kept: undefined,
-        breaches: ['127.0.0.1 closed a connection idle for some ms, announced for 1000 ms'],
+        breaches: ['127.0.0.1 closed a connection idle for some ms after r, announced for 1000 ms'],
       },
     });
   });
--- a/test/soak/proxy.test.ts
+++ b/test/soak/proxy.test.ts
@@ -25,6 +25,27 @@
   return () => Buffer.concat(chunks).toString();
 }
 
+describe('a link to a process that has ended', () => {
+  // Guards against a link that accepts connections for a process that does not run, which VMs take for one that does.
+  it('refuses connections until the process runs again', async () => {
+    const { link, server, dial } = await startLink();
+    const errorOf = async (): Promise<unknown> => {
+      const socket = dial();
+      const error = await once(socket, 'connect').catch((reason: NodeJS.ErrnoException) => reason);
+      socket.destroy();
+      return 'code' in error ? error.code : undefined;
+    };
+    link.setAccepting(false);
+    const during = await errorOf();
+    link.setAccepting(true);
+    await pause(HOLD_MS);
+    const after = await errorOf();
+    link.stop();
+    server.close();
+    expect({ during, after }).toEqual({ during: 'ECONNREFUSED', after: undefined });
+  });
+});
+
 describe('a link that holds bytes', () => {
   // Guards against a silence that loses, reorders or lets through bytes of open or new connections.
   it('passes nothing until it is released, and then everything in order', async () => {
