Soak: count events that a link holds as the work of their runner during stops

What a runner sends counts from when its link passes it on, as for gone and quiet.

test/soak/stops.test.ts: the case failed before (found stop where nothing is expected), the other three pass before and after. Runners that leave or pause stop within answers as well now: their links refuse connections after it.

--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -77,7 +77,7 @@
   /** Number of attempts that reached a runner; prefills before the first decode do not count. */
   arrivalCount: number;
   isRefused: boolean;
-  /** When the last run ended; -Infinity if none did. */
+  /** When the end of the last run gets through to the VM; -Infinity if none ended. */
   lastEndedAt: number;
   /** Whether the runner of the last run ended in the middle of it. */
   hasBrokenOff: boolean;
@@ -276,9 +276,10 @@
   ended(arrival: Arrival, wasCrash: boolean): void {
     const record = this.#records.get(arrival.requestId);
     if (!record) return;
-    this.#quiet.worked(Date.now(), arrival.requestId, runnerIdOf(arrival));
+    const now = Date.now();
+    this.#quiet.worked(now, arrival.requestId, runnerIdOf(arrival));
     record.activeRuns.delete(arrival);
-    record.lastEndedAt = Date.now();
+    record.lastEndedAt = this.#context.silences.passesAt(now, runnerIdOf(arrival));
     record.hasBrokenOff = wasCrash;
   }
 
--- a/scripts/soak/runner.ts
+++ b/scripts/soak/runner.ts
@@ -290,12 +290,8 @@
   }
 
   #replyTo(res: ServerResponse, id: string): Reply {
-    const { runnerId, ratePerS, instanceId, isLeaving, pauseMs, behaviour } = this;
-    // Whether its process runs is checked with a connection at most then, which its link accepts.
-    const wantsCalls = !isLeaving && pauseMs === undefined;
-    const { stopRatio, headCutRatio } = behaviour;
-    const ratios = { headCutRatio, stopRatio: wantsCalls ? stopRatio : 0 };
-    const fate = drawFate(this.#random, ratios, this.#context.unsizedRatio);
+    const { runnerId, ratePerS, instanceId, behaviour } = this;
+    const fate = drawFate(this.#random, behaviour, this.#context.unsizedRatio);
     const stop = (): void => {
       if (this.instanceId === instanceId) this.crash().catch(() => undefined);
     };
