Keep the items of the store beside one that is malformed

What was seen: with one item without a key, with a revision that is no whole number or a value that is no text, a VM no longer followed the store: each list and each watch with it failed as a whole ("The store is unreachable."). Entries of VMs, suspects, versions and the number of VMs that cannot be decoded were logged again with each list.

Cause: the schema of a response held the schema of its items. Only the configuration was remembered as unreadable.

Items are read one by one. One without a usable key (a text of up to 200 bytes, the store's own limit) or revision names no entry and is left out; one with another value is unreadable. What cannot be read is logged once for each change, and remembered until it is gone or the store is restored, which gives out its revisions again.

Evidence, before (test/platform/store.test.ts): "its changes keep the items beside malformed ones, over all pages" fails with a ZodError, "expected string, received number"; "logs each entry that it cannot decode once for each change" gets four lines too many.

--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -24,6 +24,7 @@
 } from './records';
 import { key } from './names';
 import type { Item, Snapshot, StoreClient } from './store';
+import { UnreadableItems } from './unreadable';
 
 /** Longest wait of one watch call, in milliseconds. Kept short so that a hung store is detected soon. */
 const WATCH_WAIT_MS = 2000;
@@ -53,8 +54,7 @@
 
   #isReading = false;
 
-  /** Revision of the last configuration that could not be decoded; -1 if there was none. */
-  #invalidRevision = -1;
+  readonly #unreadable: UnreadableItems;
 
   #isConfirming = false;
 
@@ -86,6 +86,7 @@
     this.#self = self;
     this.#history = history;
     this.#log = log;
+    this.#unreadable = new UnreadableItems(log);
   }
 
   start(listener: FeedListener): void {
@@ -128,10 +129,11 @@
 
   async #confirm(): Promise<void> {
     const askedAt = bootNow();
-    const { items, revision, era } = await this.#store.get(key.config);
+    const snapshot = await this.#store.get(key.config);
+    const { items, revision, era } = snapshot;
     if (items.length === 0 || era === undefined) return;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
-    this.#dispatch(items, false);
+    this.#dispatch(snapshot, false);
     this.#listener?.onConfirmed(askedAt);
   }
 
@@ -163,7 +165,7 @@
       } else {
         this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, changes.revision);
-        this.#dispatch(changes.items, false);
+        this.#dispatch(changes, false);
         this.#listener?.onConfirmed(askedAt);
       }
       const remainingMs = MIN_WATCH_INTERVAL_MS - (performance.now() - watchStartedAt);
@@ -179,13 +181,14 @@
     );
     this.#failureCount = 0;
     const { items, revision, era = this.#store.era } = snapshot;
+    if (era !== this.#era) this.#unreadable.forget();
     // After a restore from an older copy the entry of this VM may be missing.
     if (era !== this.#era) this.#isRegistered = false;
     this.#era = era;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
     this.#listener?.onStore(true, 'answers');
     this.#register(items);
-    this.#dispatch(items, true);
+    this.#dispatch(snapshot, true);
     const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
     this.#listener?.onListed(new Set(ids), { era, revision });
     this.#listener?.onConfirmed(askedAt);
@@ -194,24 +197,22 @@
 
   /**
    * Decodes entries and passes them to the listener.
-   * @param isAll whether `items` are all entries of the store
+   * @param isAll whether the snapshot holds all entries of the store
    */
-  #dispatch(items: readonly Item[], isAll: boolean): void {
+  #dispatch({ items, malformed }: Snapshot, isAll: boolean): void {
+    if (isAll) this.#unreadable.retain(items, malformed);
     const runners: RunnerRecord[] = [];
     const suspects: Suspect[] = [];
     const vms: { vm: string; address: string }[] = [];
     for (const item of items) {
-      try {
-        if (item.key === key.config) this.#dispatchConfig(item);
-        else if (item.key.startsWith(key.runners)) runners.push(this.#recordOf(item));
-        else if (item.key.startsWith(key.vms) && item.value !== undefined) {
-          vms.push(decodeVm(item.key.slice(key.vms.length), item.value));
-        } else if (item.key.startsWith(key.suspects) && item.value !== undefined) {
-          const fingerprint = item.key.slice(key.suspects.length);
-          suspects.push(decodeSuspect(Date.now(), fingerprint, item.value));
-        }
-      } catch (error) {
-        this.#log.error({ key: item.key, revision: item.revision }, toFailure(error).line);
+      const { key: name, value } = item;
+      if (name === key.config) this.#dispatchConfig(item);
+      else if (name.startsWith(key.runners)) runners.push(this.#recordOf(item));
+      else if (name.startsWith(key.vms) && value !== undefined) {
+        this.#read(item, () => vms.push(decodeVm(name.slice(key.vms.length), value)));
+      } else if (name.startsWith(key.suspects) && value !== undefined) {
+        const fingerprint = name.slice(key.suspects.length);
+        this.#read(item, () => suspects.push(decodeSuspect(Date.now(), fingerprint, value)));
       }
     }
     if (suspects.length > 0 || isAll) this.#listener?.onSuspects(suspects, isAll);
@@ -221,38 +222,39 @@
     this.#dispatchFleetSize(items, isAll);
   }
 
+  /** Reads an item; one that cannot be read is ignored. */
+  #read(item: Item | undefined, read: () => void): void {
+    try {
+      read();
+    } catch (error) {
+      if (item) this.#unreadable.report(item, toFailure(error));
+    }
+  }
+
   /** A record that cannot be decoded is ignored: it may name versions that no listed runner has. */
   #dispatchVersions(items: readonly Item[], isAll: boolean): void {
     const item = items.find((one) => one.key === key.versions);
     if (!item && !isAll) return;
-    try {
+    this.#read(item, () => {
       const versions = item?.value === undefined ? undefined : decodeVersions(item.value);
       this.#listener?.onVersions(versions, isAll);
-    } catch (error) {
-      this.#log.error({ key: key.versions, revision: item?.revision }, toFailure(error).line);
-    }
+    });
   }
 
   /** A number that cannot be decoded is ignored; the VMs that are known count anyway. */
   #dispatchFleetSize(items: readonly Item[], isAll: boolean): void {
     const item = items.find((one) => one.key === key.fleetSize);
     if (!item && !isAll) return;
-    try {
-      this.#listener?.onFleetSize(item?.value === undefined ? 0 : decodeFleetSize(item.value));
-    } catch (error) {
-      this.#log.error({ key: key.fleetSize, revision: item?.revision }, toFailure(error).line);
-    }
+    this.#read(item, () =>
+      this.#listener?.onFleetSize(item?.value === undefined ? 0 : decodeFleetSize(item.value)),
+    );
   }
 
-  /** A configuration that cannot be decoded is ignored and logged once for each revision. */
-  #dispatchConfig({ key: name, value, revision }: Item): void {
-    if (value === undefined || revision === this.#invalidRevision) return;
-    try {
-      this.#listener?.onConfig(decodeConfig(value));
-    } catch (error) {
-      this.#invalidRevision = revision;
-      this.#log.error({ key: name, revision }, toFailure(error).line);
-    }
+  /** A configuration that cannot be decoded is ignored, and decoded once only. */
+  #dispatchConfig(item: Item): void {
+    const { value } = item;
+    if (value === undefined || this.#unreadable.has(item)) return;
+    this.#read(item, () => this.#listener?.onConfig(decodeConfig(value)));
   }
 
   /** An entry that cannot be decoded also yields a record, because it replaced the runner that was listed under this key. */
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -23,6 +23,8 @@
 /** Items of the store at a revision. */
 export interface Snapshot {
   readonly items: readonly Item[];
+  /** Number of further items that cannot be read. */
+  readonly malformed: number;
   readonly revision: number;
   /** Undefined if the response has no valid era. */
   readonly era: number | undefined;
@@ -42,22 +44,27 @@
   readonly remove?: readonly string[];
 }
 
+/** Longest key that the store accepts, in bytes. */
+const MAX_KEY_BYTES = 200;
+
+const keySchema = z.object({ key: z.string() });
+const revisionNumber = z.int().min(0);
 const itemSchema = z.object({
-  key: z.string(),
+  key: z.string().refine((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES),
   /** Standard base64. */
-  value: z.string().optional(),
-  revision: z.number(),
-  deleted: z.boolean().optional(),
+  value: z.unknown().optional(),
+  revision: revisionNumber,
+  deleted: z.unknown().optional(),
 });
 const rangeSchema = z.object({
-  items: z.array(itemSchema),
+  items: z.array(z.unknown()),
   truncated: z.boolean().default(false),
-  'as-of': z.number(),
+  'as-of': revisionNumber,
 });
-const asOfSchema = z.object({ 'as-of': z.number() });
+const asOfSchema = z.object({ 'as-of': revisionNumber });
 const revisionSchema = z.object({ revision: z.number() });
 const leaseSchema = z.object({ lease: z.number() });
-const watchSchema = z.object({ events: z.array(itemSchema), 'as-of': z.number() });
+const watchSchema = z.object({ events: z.array(z.unknown()), 'as-of': revisionNumber });
 
 /** Timeout of one call, in milliseconds. A healthy store answers within a few milliseconds, a slow one within hundreds. */
 const CALL_TIMEOUT_MS = 1200;
@@ -69,19 +76,32 @@
 const HTTP_PRECONDITION_FAILED = 412;
 const HTTP_TOO_MANY_REQUESTS = 429;
 
-/** Decodes base64. Invalid UTF-8 yields an empty text, which every decoder of entries rejects. */
-function textOf(value: string): string {
-  const bytes = Buffer.from(value, 'base64');
+/** Decodes base64. Anything but UTF-8 in it yields an empty text, which every decoder of entries rejects. */
+function textOf(value: unknown): string {
+  const bytes = Buffer.from(typeof value === 'string' ? value : '', 'base64');
   return isUtf8(bytes) ? bytes.toString() : '';
 }
 
-function toItem({ key, value, revision, deleted }: z.infer<typeof itemSchema>): Item {
-  const isDeleted = deleted === true || value === undefined;
-  return {
-    key,
-    revision,
-    value: isDeleted ? undefined : textOf(value),
-  };
+/** The items that can be read: one that has no key or no revision names no entry. */
+function toItems(values: readonly unknown[]): readonly Item[] {
+  return values.flatMap((raw) => {
+    const parsed = itemSchema.safeParse(raw);
+    if (!parsed.success) return [];
+    const { key, revision, value, deleted } = parsed.data;
+    const isDeleted = deleted === true || value === undefined;
+    return [{ key, revision, value: isDeleted ? undefined : textOf(value) }];
+  });
+}
+
+/** The last key of a page, after which the next one begins; undefined if it has none. */
+function lastKeyOf(values: readonly unknown[]): string | undefined {
+  const keys = values.map((raw) => keySchema.safeParse(raw).data?.key);
+  return keys.filter((key) => key !== undefined).at(-1);
+}
+
+function snapshotOf(values: readonly unknown[], at: Pick<Snapshot, 'revision' | 'era'>): Snapshot {
+  const items = toItems(values);
+  return { ...at, items, malformed: values.length - items.length };
 }
 
 /** Calls the store. Each call uses a new connection, so that a hung connection affects one call only. */
@@ -107,7 +127,7 @@
    * @param limitMs timeout of each page, in milliseconds
    */
   async range(prefix: string, limitMs = CALL_TIMEOUT_MS): Promise<Snapshot> {
-    const items: Item[] = [];
+    const items: unknown[] = [];
     let first: { readonly era: number | undefined; readonly revision: number } | undefined;
     let after = '';
     for (;;) {
@@ -117,12 +137,14 @@
       const page = rangeSchema.parse(body);
       first ??= { era, revision: page['as-of'] };
       if (first.era !== era) throw new Failure('platformUnavailable', 'the store was restored');
-      items.push(...page.items.map(toItem));
-      const last = page.items.at(-1);
-      if (!page.truncated) return { items, ...first };
+      items.push(...page.items);
+      if (!page.truncated) return snapshotOf(items, first);
+      const last = lastKeyOf(page.items);
       // Items that are missing from a partial list would be taken for deleted ones.
-      if (!last) throw new Failure('platformUnavailable', 'found an empty page before the last');
-      after = last.key;
+      if (last === undefined || last === after) {
+        throw new Failure('platformUnavailable', 'found no further key in a page before the last');
+      }
+      after = last;
     }
   }
 
@@ -130,9 +152,9 @@
   async get(key: string): Promise<Snapshot> {
     const target = `${path.key}?${new URLSearchParams({ key })}`;
     const { body, era } = await this.#get(target, CALL_TIMEOUT_MS);
-    if (body === undefined) return { items: [], revision: 0, era };
+    if (body === undefined) return snapshotOf([], { revision: 0, era });
     const { 'as-of': revision } = asOfSchema.parse(body);
-    return { items: [toItem(itemSchema.parse(body))], revision, era };
+    return snapshotOf([body], { revision, era });
   }
 
   /**
@@ -148,7 +170,7 @@
     const { body, era } = await this.#get(`${path.watch}?${query}`, waitMs + WATCH_GRACE_MS);
     if (body === undefined) return undefined;
     const { events, 'as-of': revision } = watchSchema.parse(body);
-    return { items: events.map(toItem), revision, era };
+    return snapshotOf(events, { revision, era });
   }
 
   /** Writes one item unconditionally and without a lease. */
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -101,6 +101,29 @@
     expect(lines.filter((line) => line.includes('[503]'))).toHaveLength(1);
   });
 
+  // Guards against a log that fills up with the same line while the store's history is short.
+  test('logs each entry that it cannot decode once for each change', async () => {
+    const keys = ['vms/a', 'suspects/b', 'served', 'fleet'].map((name) => `goldcrestdock/${name}`);
+    const logged = (): readonly string[] =>
+      lines
+        .map((line) => `${(JSON.parse(line) as { key?: string }).key}`)
+        .filter((key) => keys.includes(key));
+    lines.length = 0;
+    const readAgain = async (): Promise<void> => {
+      const reads = listener.listed.length;
+      store.put('servers/i-1', runner('ready'));
+      store.compact();
+      await waitUntil('all entries are read again', () => listener.listed.length > reads);
+    };
+    for (const key of keys) store.put(key, '7');
+    await readAgain();
+    await readAgain();
+    expect([...logged()].sort()).toEqual([...keys].sort());
+    store.put('goldcrestdock/vms/a', '8');
+    await readAgain();
+    expect(logged().slice(keys.length)).toEqual(['goldcrestdock/vms/a']);
+  }, 15_000);
+
   test('reads all pages, then changes as they occur', async () => {
     expect(listener.listed[0]).toEqual(['i-1', 'i-2', 'i-3', 'i-4']);
     store.put('op/config', config(9));
@@ -233,6 +256,43 @@
 });
 
 describe('a list of the store', () => {
+  const entry = { value: Buffer.from('{}').toString('base64'), revision: 7 };
+  const malformed = [
+    { ...entry, key: 7 },
+    { ...entry },
+    { ...entry, key: 'k'.repeat(201) },
+    { ...entry, key: 'b', revision: -1 },
+    { ...entry, key: 'b', revision: 2 ** 60 },
+    { ...entry, key: 'b', revision: '7' },
+    null,
+    'item',
+  ];
+
+  // Guards against VMs that follow the store no longer because of one item: all others were lost with it.
+  test('and its changes keep the items beside malformed ones, over all pages', async () => {
+    const pages = [
+      [{ ...entry, key: 'a' }, ...malformed.slice(0, 4)],
+      [...malformed.slice(4), { ...entry, key: 'b', value: 7 }, { ...entry, key: 'c' }],
+    ];
+    const { server, port } = await listen((_req, res, { pathname, searchParams }) => {
+      const page = searchParams.get('after') === null ? 0 : 1;
+      const isWatch = pathname.endsWith('watch');
+      const list = { items: pages[page], truncated: page === 0, 'as-of': 9 };
+      sendJson(res, 200, isWatch ? { events: pages.flat(), 'as-of': 9 } : list);
+    });
+    const log = pino({ level: 'silent' });
+    const client = new StoreClient(`127.0.0.1:${port}`, new EraReader(new StoreHistory(), log));
+    const calls = [client.range(''), client.watch('', 1, 100)];
+    const results = await Promise.all(calls).finally(() => closeServer(server));
+    const items = [
+      { key: 'a', revision: 7, value: '{}' },
+      { key: 'b', revision: 7, value: '' },
+      { key: 'c', revision: 7, value: '{}' },
+    ];
+    const read = { items, malformed: malformed.length, revision: 9, era: 0 };
+    expect(results).toEqual([read, read]);
+  });
+
   // Guards against a partial list that is taken for the whole one: entries missing from it would count as deleted.
   test('fails if an empty page is marked as truncated', async () => {
     const { server, port } = await listen((_req, res) =>
