Lose an odd item of a message between VMs, not the message

What was seen: with one suspect request whose fingerprint has 65 characters, or one record at a revision that is no whole number, a VM learnt nothing of another one, neither configuration nor runners; with one runner whose id has over 200 characters, the VMs no longer shared the load of its service. A key of the store may have 200 bytes, and an id is part of a key with the start time of its runner, which may be 206 characters. More than 256 runners to avoid had the same effect.

Cause: lists in messages were accepted as a whole, and the limit of ids was below what the store allows. The number of requests on their way to a runner, up to 1,000,000, became the length of a list for each row.

Items of lists are read one by one. Ids may have 256 characters, and requests on their way to one runner are counted up to 4,096, both named in one place. A VM names 256 runners to avoid at most.

--- a/src/node/router/messages.ts
+++ b/src/node/router/messages.ts
@@ -3,8 +3,9 @@
 import { z } from 'zod';
 
 import type { Demand, Grant, Holding } from '../../core/memory/types';
+import { MAX_ID_CHARS, listOf } from '../wire';
 
-const id = z.string().min(1).max(200);
+const id = z.string().min(1).max(MAX_ID_CHARS);
 const service = z.string().min(1).max(200);
 const tokens = z.number().min(0).max(1e9);
 const ms = z.number();
@@ -25,7 +26,7 @@
   resuming: z.boolean(),
   version: z.string().max(200).optional(),
   prefillsLocally: z.boolean().optional(),
-  avoid: z.array(id).max(64),
+  avoid: listOf(id, 64),
 };
 
 /** Requests a reservation. */
@@ -50,7 +51,7 @@
 /** Most pauses that one message names. */
 const MAX_BACKOFFS = 10_000;
 /** Pauses that runners asked the sender for, with the time left in milliseconds. */
-const backoffs = z.array(z.object({ runner: id, ms: z.number().min(0) })).max(MAX_BACKOFFS);
+const backoffs = listOf(z.object({ runner: id, ms: z.number().min(0) }), MAX_BACKOFFS);
 /** Reports new pauses that runners of a service asked the sender for. */
 export const backoffSchema = z.object({ service, backoffs });
 /** Tells the VM that forwarded a request that its runner asked for a pause. */
@@ -58,16 +59,15 @@
 /** Reports all reservations that the sender holds for a service, and the pauses that last. */
 export const holdSchema = z.object({
   service,
-  holdings: z
-    .array(
-      z.object({
-        ...demandFields,
-        prefill: id.optional(),
-        decode: id,
-        startedAgoMs: ms.optional(),
-      }),
-    )
-    .max(10_000),
+  holdings: listOf(
+    z.object({
+      ...demandFields,
+      prefill: id.optional(),
+      decode: id,
+      startedAgoMs: ms.optional(),
+    }),
+    10_000,
+  ),
   backoffs: backoffs.default([]),
 });
 /** Requests a report of all reservations that the receiver holds for a service. */
--- a/src/node/router/originwire.ts
+++ b/src/node/router/originwire.ts
@@ -2,6 +2,8 @@
 
 import { z } from 'zod';
 
+import { listOf } from '../wire';
+
 /** Most origins in one message. */
 export const MAX_RECORDS = 500;
 
@@ -9,7 +11,7 @@
 const originSchema = z.object({ service: text, version: text });
 /** Tells which versions began streams. */
 export const recordsSchema = z.object({
-  records: z.array(originSchema.extend({ key: text })).max(MAX_RECORDS),
+  records: listOf(originSchema.extend({ key: text }), MAX_RECORDS),
 });
 /** Asks for the origin of a stream. */
 export const querySchema = z.object({ key: text, service: text });
@@ -18,7 +20,7 @@
   origin: z.union([originSchema, z.literal('conflicting')]).optional(),
   /** Time since the stream was last recorded. */
   agoMs: z.number().min(0).optional(),
-  versions: z.array(text),
+  versions: listOf(text),
   isComplete: z.boolean(),
 });
 
--- a/src/node/router/permits.ts
+++ b/src/node/router/permits.ts
@@ -12,6 +12,7 @@
 import { QuotaAccounts } from '../../core/quotas/accounts';
 import type { RateAllowance } from '../../core/ratelimits/types';
 import type { Metrics } from '../metrics';
+import { listOf } from '../wire';
 import { AccountOwners } from './accountowners';
 import type { RouterFleet } from './fleet';
 import type { RateChange, RateLimitController } from './ratelimits';
@@ -42,13 +43,13 @@
   service: z.string(),
   runners: z.array(z.string().min(1)).min(1).max(MAX_RUNNERS),
   /** The rate limits of these runners that the calling VM knows. */
-  rates: z.array(rateSchema).max(MAX_RUNNERS),
+  rates: listOf(rateSchema, MAX_RUNNERS),
   /** Longest time that the request may wait before it is sent, in milliseconds. */
   mostWaitMs: ms,
   /** Whether the request is a trial that only tests whether the limit still holds. */
   isTrial: z.boolean(),
 });
-const ratesSchema = z.object({ rates: z.array(rateSchema).max(MAX_RUNNERS) });
+const ratesSchema = z.object({ rates: listOf(rateSchema, MAX_RUNNERS) });
 const permitSchema = z.discriminatedUnion('granted', [
   z.object({ granted: z.literal(true), runner: z.string(), waitMs: ms }),
   z.object({ granted: z.literal(false), retryAfterMs: ms }),
--- a/src/node/router/plainloads.ts
+++ b/src/node/router/plainloads.ts
@@ -25,6 +25,7 @@
   fromWireRows,
   loadAnswerOf,
   loadAskOf,
+  toWireAvoid,
   toWireFailures,
   toWireNews,
   toWireRows,
@@ -116,7 +117,7 @@
     const { placement } = exchange;
     // A request that is held was counted before.
     const isCounted = placement?.isCounted && allowed.has(placement.runner);
-    const want = isCounted ? undefined : { ms: this.#usualMs(exchange), avoid };
+    const want = isCounted ? undefined : { ms: this.#usualMs(exchange), avoid: toWireAvoid(avoid) };
     const done = this.#ask(now, state, owner, service, want);
     const timeout = pause(REFRESH_WAIT_MS, undefined);
     const chosen = await Promise.race([done, timeout]);
--- a/src/node/router/plainloadwire.ts
+++ b/src/node/router/plainloadwire.ts
@@ -10,12 +10,15 @@
 import type { LoadNews } from '../../core/plain/loadshare';
 import type { LoadRow } from '../../core/plain/loadtable';
 import type { LoadReport } from '../../core/plain/types';
+import { MAX_ID_CHARS, listOf } from '../wire';
 
 /** Most runners, and most requests sent, that a message names. */
 const MAX_ENTRIES = 256;
 const MAX_AGE_MS = 60_000;
+/** Most requests on their way to one runner that a message counts; each takes memory where it is read. */
+const MAX_SENT = 4096;
 
-const id = z.string().min(1).max(200);
+const id = z.string().min(1).max(MAX_ID_CHARS);
 const count = z.int().min(0).max(1_000_000);
 const ageMs = z.number().min(0).max(MAX_AGE_MS);
 /** Running, waiting, slots, slowness and age. */
@@ -28,28 +31,26 @@
 /** What a VM passes on, and the request for which it asks the owner for a runner. */
 const askSchema = z.object({
   service: id,
-  seen: z.array(z.tuple([id, report])).max(MAX_ENTRIES),
-  sent: z.array(z.tuple([id, ageMs])).max(MAX_ENTRIES),
-  ended: z
-    .array(z.tuple([id, outcomes]))
-    .max(MAX_ENTRIES)
-    .default([]),
+  seen: listOf(z.tuple([id, report]), MAX_ENTRIES),
+  sent: listOf(z.tuple([id, ageMs]), MAX_ENTRIES),
+  ended: listOf(z.tuple([id, outcomes]), MAX_ENTRIES).default([]),
   want: z
-    .object({ ms: z.number().positive().max(MAX_AGE_MS), avoid: z.array(id).max(MAX_ENTRIES) })
+    .object({ ms: z.number().positive().max(MAX_AGE_MS), avoid: listOf(id, MAX_ENTRIES) })
     .optional(),
 });
 /** The runner for the request, and for each runner the requests sent since its newest report. */
 const answerSchema = z.object({
   runner: id.nullable(),
-  rows: z
-    .array(z.tuple([id, count, report.nullable(), outcomes.nullable().default(null)]))
-    .max(MAX_ENTRIES),
+  rows: listOf(
+    z.tuple([id, count.max(MAX_SENT), report.nullable(), outcomes.nullable().default(null)]),
+    MAX_ENTRIES,
+  ),
 });
 
 /** Results of a service's runners, from its owner. */
 const failuresSchema = z.object({
   service: id,
-  ended: z.array(z.tuple([id, outcomes])).max(MAX_ENTRIES),
+  ended: listOf(z.tuple([id, outcomes]), MAX_ENTRIES),
 });
 
 export type LoadAsk = Readonly<z.infer<typeof askSchema>>;
@@ -108,13 +109,18 @@
   };
 }
 
+/** The runners that a message names as those to avoid. */
+export function toWireAvoid(runners: readonly string[]): string[] {
+  return runners.slice(0, MAX_ENTRIES);
+}
+
 /** Encodes rows of the owner's table. */
 export function toWireRows(now: number, rows: readonly LoadRow[]): LoadAnswer['rows'] {
   return rows
     .slice(0, MAX_ENTRIES)
     .map(({ runner, sent, report: one, outcomes: recent }) => [
       runner,
-      sent,
+      Math.min(MAX_SENT, sent),
       one ? toWireReport(now, one) : null,
       recent ? toWireOutcomes(recent) : null,
     ]);
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -8,8 +8,10 @@
 import { DIGEST_PARTS } from '../../core/routing/digest';
 import type { RunnerRecord } from '../../core/routing/directory';
 import type { Position } from '../../core/routing/position';
+import { MAX_SLOTS } from '../../core/routing/types';
 import { bootNow } from '../../utils/clock';
 import { memberSchema } from '../scheduler/members';
+import { listOf } from '../wire';
 import { packConfig, unpackConfig } from './configwire';
 import type { RouterFleet } from './fleet';
 import type { RoutingState } from './routingstate';
@@ -51,7 +53,7 @@
   role: z.enum(['prefill', 'decode', 'plain']),
   /** Omitted by VMs whose program does not know it. */
   version: z.string().default(''),
-  slots: z.number(),
+  slots: z.int().min(1).max(MAX_SLOTS),
   leaving: z.boolean(),
 });
 const positionSchema = z.object({ era: z.int().min(0), revision: z.int().min(0) });
@@ -81,18 +83,18 @@
 const answerSchema = z.object({
   /** Omitted if it is not newer than the caller's. */
   config: z.custom<Uint8Array>((value) => value instanceof Uint8Array).optional(),
-  facts: z.array(factSchema),
+  facts: listOf(factSchema),
   eras: erasSchema.default([]),
-  members: z.array(memberSchema).optional(),
+  members: listOf(memberSchema).optional(),
   /** Number of VMs that may run, with the members. */
   vms: z.int().min(0).default(0),
-  suspects: z.array(suspectSchema).default([]),
-  rates: z.array(rateSchema).default([]),
+  suspects: listOf(suspectSchema).default([]),
+  rates: listOf(rateSchema).default([]),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
   /** Software versions that served lately. */
-  versions: z
-    .array(z.object({ service: z.string(), version: z.string(), agoMs: z.number().min(0) }))
-    .default([]),
+  versions: listOf(
+    z.object({ service: z.string(), version: z.string(), agoMs: z.number().min(0) }),
+  ).default([]),
   /** Whether there were no others. */
   hasAllVersions: z.boolean().default(false),
 });
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -1,6 +1,7 @@
 import pino from 'pino';
 
 import { FleetCensus } from '../../src/core/membership/census';
+import type { Suspect } from '../../src/core/quarantine/types';
 import type { RoutingConfig } from '../../src/core/routing/types';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { RouterFleet } from '../../src/node/router/fleet';
@@ -91,6 +92,25 @@
     expect(pair.answered[1]).toBeLessThan(20);
   });
 
+  // Guards against a VM that learns nothing of any other because of one record: the whole answer was rejected.
+  test('loses odd records and suspect requests, not those beside them', async () => {
+    const pair = new Pair();
+    const odd = { ...recordOf('odd', 1), runner: runnerOf('odd', 'plain', { slots: 2 ** 40 }) };
+    const fraction = { ...recordOf('fraction', 2), position: { era: 0, revision: 2.5 } };
+    pair.callee.learnRunners(0, [odd, fraction, recordOf('r1', 3)], 'store');
+    const suspectOf = (fingerprint: string): Suspect => ({
+      fingerprint,
+      ends: ['a', 'b', 'c'].map((runner) => ({ runner, agoMs: 1 })),
+    });
+    const now = performance.now();
+    const suspects = ['f'.repeat(65), 'sound'].map(suspectOf);
+    pair.quarantines.callee.learn(now, suspects, 'store');
+    await pair.exchange({ members: true });
+    expect(pair.caller.runnersOf(0, 's').map(({ id }) => id)).toEqual(['r1']);
+    const learnt = pair.quarantines.caller.suspects(performance.now());
+    expect(learnt.map(({ fingerprint }) => fingerprint)).toEqual(['sound']);
+  });
+
   /*
    * Two changes arrive in the wrong order, the later one first. The highest revision is then
    * the same at both VMs, but their records differ: the digests must show that.
