Bound an entry before it is parsed, and what messages carry of it

What was seen: an entry of 6 MB nested three million deep blocked VMs at each read of the list, so that requests beside it got 503. An entry of a quarantined request with a fingerprint of 65 characters, or more than eight crashes, was accepted and then made messages between VMs unreadable.

Cause: entries were parsed whatever their length, and those of quarantined requests had no limits but the ones where messages are read.

Entries other than the configuration and the versions have 65,536 characters at most, the versions as many as the store accepts, and the entry of a quarantined request has the limits of messages.

--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -148,10 +148,26 @@
     .refine((text) => isHostPort(text, (host) => host !== ''), 'expected HOST:PORT'),
 });
 
+/** Longest fingerprint and runner id, and most crashes, of a quarantined request, as in messages between VMs. */
+const MAX_FINGERPRINT_CHARS = 64;
+const MAX_RUNNER_CHARS = 300;
+const MAX_CRASHES = 8;
+/** The largest time that a date can have, in Unix milliseconds. */
+const MAX_TIME = 8.64e15;
+const unixMs = z.number().min(0).max(MAX_TIME);
+
 /** A quarantined request. Times are wall-clock times in Unix milliseconds, because all VMs may have restarted before the entry is read. */
 const suspectSchema = z.object({
-  ends: z.array(z.object({ runner: z.string(), at: z.number(), late: z.boolean().optional() })),
-  completedAt: z.number().optional(),
+  ends: z
+    .array(
+      z.object({
+        runner: z.string().max(MAX_RUNNER_CHARS),
+        at: unixMs,
+        late: z.boolean().optional(),
+      }),
+    )
+    .max(MAX_CRASHES),
+  completedAt: unixMs.optional(),
 });
 
 /** The number of VMs. */
@@ -160,8 +176,25 @@
 /** Software versions by service. */
 const versionsSchema = z.record(z.string(), z.array(z.string()));
 
+/**
+ * Longest entry other than the configuration and the versions, in characters; runners write some
+ * 300. Parsing takes time by the length, whatever the text says: 0.2 s for three million brackets.
+ */
+const MAX_ENTRY_CHARS = 65_536;
+/** The same of the software versions: the largest value that the store accepts. */
+const MAX_VERSIONS_CHARS = 1_048_576;
+
 /** Parses a JSON text with a schema; throws `factUnreadable`. */
-function parse<T>(schema: z.ZodType<T>, text: string, what: string): T {
+function parse<T>(
+  schema: z.ZodType<T>,
+  text: string,
+  what: string,
+  mostChars = MAX_ENTRY_CHARS,
+): T {
+  if (text.length > mostChars) {
+    const detail = `found ${text.length} characters, expected ${mostChars} at most`;
+    throw new Failure('factUnreadable', `${what}: ${detail}`);
+  }
   let value: unknown;
   try {
     value = JSON.parse(text);
@@ -220,7 +253,7 @@
 
 /** Decodes the configuration; throws `factUnreadable`. */
 export function decodeConfig(text: string): RoutingConfig {
-  const file = parse(configSchema, text, 'the configuration');
+  const file = parse(configSchema, text, 'the configuration', Infinity);
   return {
     version: file.version,
     routes: file.routes.map(routeOf),
@@ -285,7 +318,7 @@
 
 /** Decodes the record of the software versions that served each service; throws `factUnreadable`. */
 export function decodeVersions(text: string): VersionsByService {
-  return parse(versionsSchema, text, 'the software versions');
+  return parse(versionsSchema, text, 'the software versions', MAX_VERSIONS_CHARS);
 }
 
 /** Encodes the record of the software versions that served each service. */
@@ -308,7 +341,11 @@
  * @param wallNow wall-clock time, in Unix milliseconds; clocks of VMs differ, so a crash in the future is taken to be at this time
  */
 export function decodeSuspect(wallNow: number, fingerprint: string, text: string): Suspect {
-  const { ends, completedAt } = parse(suspectSchema, text, `request ${fingerprint}`);
+  const what = `request ${fingerprint}`;
+  if (fingerprint.length > MAX_FINGERPRINT_CHARS) {
+    throw new Failure('factUnreadable', `${what}: found an id of ${fingerprint.length} characters`);
+  }
+  const { ends, completedAt } = parse(suspectSchema, text, what);
   const agoMsOf = (at: number): number => Math.max(0, wallNow - at);
   return {
     fingerprint,
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -1,4 +1,4 @@
-import { decodeConfig, decodeRunner } from '../../src/platform/records';
+import { decodeConfig, decodeRunner, decodeSuspect } from '../../src/platform/records';
 import { entryOf } from '../fakes/entry';
 
 /** The error for a valid entry with changed fields, or the decoded fields of the runner. */
@@ -11,6 +11,38 @@
   }
 }
 
+describe('the entry of a quarantined request', () => {
+  const end = { runner: 'i-1', at: 1_700_000_000_000 };
+  const readSuspect = (ends: unknown, fingerprint = 'f'): unknown => {
+    try {
+      return decodeSuspect(end.at, fingerprint, JSON.stringify({ ends })).ends.length;
+    } catch (error) {
+      return (error as Error).message;
+    }
+  };
+
+  // Guards against an entry that no message between VMs can carry: what is told beside it was lost.
+  test('is rejected if messages cannot carry it', () => {
+    const odd = [
+      readSuspect([end], 'f'.repeat(65)),
+      readSuspect(Array.from({ length: 9 }, () => end)),
+      readSuspect([{ ...end, runner: 'i'.repeat(301) }]),
+      readSuspect([{ ...end, at: 1e308 }]),
+      readSuspect([{ ...end, at: -1 }]),
+    ];
+    expect([readSuspect([end], 'f'.repeat(64)), ...odd]).toMatchInlineSnapshot(`
+     [
+       1,
+       "request fffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffffff: found an id of 65 characters",
+       "request f: at ends: Too big: expected array to have <=8 items",
+       "request f: at ends.0.runner: Too big: expected string to have <=300 characters",
+       "request f: at ends.0.at: Too big: expected number to be <=8640000000000000",
+       "request f: at ends.0.at: Too small: expected number to be >=0",
+     ]
+    `);
+  });
+});
+
 describe('the entry of a runner', () => {
   test('identifies one instance of the runner', () => {
     expect(read({ born: 1_700_000_000_123, stage: 'decode', state: 'draining' })).toEqual({
@@ -30,6 +62,12 @@
     expect(versionOf('a'.repeat(1000))).not.toBe(versionOf('a'.repeat(1001)));
   });
 
+  // Guards against entries whose parsing takes the time of the requests: three million brackets took 0.2 s at each read.
+  test('is rejected before it is parsed if it is longer than any that a runner writes', () => {
+    const text = `{"extra":${'['.repeat(3_000_000)}`;
+    expect(() => decodeRunner('i-1', text)).toThrow('expected 65536 at most');
+  });
+
   /*
    * Guards against entries of another writer under the runners' prefix. Accepted as a
    * runner, such an entry would get requests of callers, or add memory that does not exist.
