Play more changes of the configuration at each stage of a request

Changes that were not played: 4,000 routes more, all entries read again, weights that become 0 or go to another service, services that get an engine or lose it, ten changes of all kinds in one turn of the event loop that end as they began (with a reload of the settings and a reading of all entries among them), and a VM that is told to stop right behind a configuration with 350 routes more.

A stream that a runner breaks is cut where its VM stops and no other VM could plan it, which is so in this test alone.

The test's runners answer streams as streams whatever kind of service they belong to.

--- a/test/fakes/configstages.ts
+++ b/test/fakes/configstages.ts
@@ -7,7 +7,8 @@
 import { partFingerprints } from '../../src/core/fingerprint';
 import { streamEngine, streamRoute } from './exchange';
 import { runnerOf } from './runner';
-import type { CallerRequest, RunnerCall, ScriptedVm } from './scriptedvm';
+import type { RunnerCall } from './runnercall';
+import type { CallerRequest, ScriptedVm } from './scriptedvm';
 
 /** Engine of which a decode runner has memory for one request. */
 export const smallEngine = { ...streamEngine, memoryTokens: 3000, keepMs: 1000 };
--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -5,23 +5,17 @@
 
 import type { ClientRequest, Server } from 'node:http';
 import { request } from 'node:http';
-import { PassThrough } from 'node:stream';
 
 import pino from 'pino';
 
 import { Failure } from '../../src/core/failure';
-import type { CodeName } from '../../src/core/codes';
-import { NO_NOTICE } from '../../src/core/routing/notice';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { Runner, RoutingConfig } from '../../src/core/routing/types';
 import { Router } from '../../src/node/router/daemon';
 import type {
-  CacheHandle,
-  DecodeDispatch,
   Dispatch,
   Feed,
   FeedListener,
-  Reply,
   RouterSettings,
   RunnerClient,
 } from '../../src/node/router/types';
@@ -33,103 +27,7 @@
 import { call, closeServer, listen } from './http';
 import { freePort } from './loopback';
 import { positionAt } from './position';
-
-/** A call that a runner has received and not answered. */
-export class RunnerCall {
-  readonly kind: 'send' | 'decode' | 'prefill';
-
-  readonly dispatch: Dispatch & Partial<DecodeDispatch>;
-
-  /** Whether it completed a prefill, whose KV cache it keeps. */
-  isPrefilled = false;
-
-  /** Whether it has fetched a KV cache. */
-  hasCache: boolean;
-
-  readonly #settle: (value: Reply | CacheHandle | Failure) => void;
-
-  readonly #body = Object.assign(new PassThrough(), { complete: false });
-
-  constructor(
-    kind: RunnerCall['kind'],
-    dispatch: Dispatch & Partial<DecodeDispatch>,
-    settle: (value: Reply | CacheHandle | Failure) => void,
-  ) {
-    this.kind = kind;
-    this.dispatch = dispatch;
-    this.hasCache = dispatch.cache !== undefined;
-    this.#settle = settle;
-    this.#body.on('error', () => {});
-    dispatch.signal.addEventListener('abort', () => this.cut(), { once: true });
-  }
-
-  /** Sends the head of an answer. */
-  head(change: Partial<Reply> = {}): void {
-    const { kind, dispatch } = this;
-    const reply: Reply = {
-      status: 200,
-      framing: 'chunked',
-      isEvents: kind === 'decode',
-      headers: [],
-      genuine: true,
-      notRun: false,
-      misdirected: false,
-      rateNotice: { kind: 'none' },
-      load: undefined,
-      via: undefined,
-      notice: NO_NOTICE,
-      body: this.#body as unknown as Reply['body'],
-      ...change,
-    };
-    dispatch.onReply(reply);
-    this.#settle(reply);
-  }
-
-  /** Completes a prefill. */
-  prefilled(): void {
-    this.isPrefilled = true;
-    this.#settle({ address: this.dispatch.runner.address, handle: 'kept' });
-  }
-
-  /** Fails before the head of an answer. */
-  fail(code: CodeName): void {
-    this.#settle(new Failure(code, 'failed by the test'));
-  }
-
-  /** Answers as another runner than the one that was meant. */
-  misdirect(): void {
-    this.hasCache = false;
-    this.head({ status: 421, genuine: false, notRun: true, misdirected: true });
-    this.end();
-  }
-
-  /** Sends events of a stream. */
-  events(from: number, to: number): void {
-    for (let id = from; id <= to; id += 1) this.#body.write(`id: ${id}\ndata: x\n\n`);
-  }
-
-  /** Answers the call as a sound runner does: a stream has five events. */
-  answer(change: Partial<Reply> = {}): void {
-    if (this.kind === 'prefill') this.prefilled();
-    else {
-      this.head(change);
-      if (this.kind === 'decode') this.events(Number(this.dispatch.afterEvent ?? 0) + 1, 5);
-      this.end(this.kind === 'send' ? 'done' : '');
-    }
-  }
-
-  /** Ends the answer in order. */
-  end(text = ''): void {
-    this.#body.complete = true;
-    this.#body.end(text);
-  }
-
-  /** Breaks the connection. */
-  cut(): void {
-    this.fail('runnerFailed');
-    this.#body.destroy(new Error('cut'));
-  }
-}
+import { RunnerCall } from './runnercall';
 
 /** An answer as its caller received it. */
 export interface Answer {
@@ -223,6 +121,8 @@
 
   #requests = 0;
 
+  #stopping: Promise<void> | undefined;
+
   /** Starts the VM with a configuration and runners, whose addresses are replaced. */
   async start(config: RoutingConfig, runners: readonly Runner[]): Promise<void> {
     const { server, port } = await listen((_req, res) => {
@@ -282,8 +182,14 @@
     this.#listener?.onFleetSize(1);
   }
 
+  /** Tells the VM to stop. */
+  drain(): void {
+    this.reload({ graceMs: 6000 });
+    this.#stopping ??= this.#router?.stop();
+  }
+
   async stop(): Promise<void> {
-    await this.#router?.stop();
+    await (this.#stopping ?? this.#router?.stop());
     if (this.#runnerServer) await closeServer(this.#runnerServer);
   }
 
@@ -295,6 +201,16 @@
     this.#listener?.onConfirmed(bootNow());
   }
 
+  /** Reads all entries of the store again, as after its history was compacted. */
+  readAgain(): void {
+    this.#listener?.onSuspects([], true);
+    this.list(this.#listed);
+    const ids = new Set(this.#listed.map(({ id }) => id));
+    this.#listener?.onListed(ids, positionAt(this.#revision));
+    if (this.#config) this.#listener?.onConfig(this.#config);
+    this.#listener?.onConfirmed(bootNow());
+  }
+
   /** Lists these runners and no others. */
   list(runners: readonly Runner[]): void {
     this.#revision += 1;
--- a/test/router/configchanges.test.ts
+++ b/test/router/configchanges.test.ts
@@ -4,7 +4,15 @@
 import type { Customer } from '../../src/core/customers/types';
 import type { Route, RoutingConfig, Runner } from '../../src/core/routing/types';
 import type { Stage } from '../fakes/configstages';
-import { baseConfig, moves, quota, routeTo, runners, stages } from '../fakes/configstages';
+import {
+  baseConfig,
+  moves,
+  quota,
+  routeTo,
+  runners,
+  smallEngine,
+  stages,
+} from '../fakes/configstages';
 import { ScriptedVm } from '../fakes/scriptedvm';
 
 /** Time after which a request has neither an answer nor a refusal, in milliseconds: its caller has left. */
@@ -64,6 +72,30 @@
 const withCustomers = (customers: readonly Customer[] | undefined): Change =>
   withConfig(() => ({ customers }));
 
+const withMoreRoutes = (count: number): Change =>
+  withConfig(({ routes }) => ({
+    routes: [...routes, ...Array.from({ length: count }, (_, i) => routeTo('p', `more${i}`))],
+  }));
+const withLimits = (idleTimeoutMs: number): Change =>
+  withConfig(() => ({ limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs } }));
+/** Services become plain that had engines, and the other way round. */
+const withKinds = withConfig(({ services }) => ({
+  services: services.map((one) => ({ ...one, engine: one.engine ? undefined : smallEngine })),
+}));
+const inTurn =
+  (...changes: readonly Change[]): Change =>
+  (vm) =>
+    changes.forEach((change) => change(vm));
+/** The route with weights for its service and the one to which that moves. */
+const splitOf = (route: Route, weight: number, other: number): Route => {
+  const { service = '' } = route.targets[0] ?? {};
+  const targets = [
+    { service, weight },
+    { service: moves[service] ?? '', weight: other },
+  ];
+  return { ...route, targets };
+};
+
 const keys = [digestOfKey('k')];
 const moved = (route: Route): readonly Route[] => [
   routeTo(moves[route.targets[0]?.service ?? ''] ?? '', route.name, {
@@ -116,11 +148,25 @@
       'the settings are reloaded',
       (vm) => vm.reload({ retries: { ratio: 0.1, extra: 50, windowMs: 5000 } }),
     ],
+    ['400 routes come', withMoreRoutes(400)],
+    ['4,000 routes come', withMoreRoutes(4000)],
+    ['all entries are read again', (vm) => vm.readAgain()],
+    ['weights become 0', withRoutes((route) => [splitOf(route, 0, 0)])],
+    ['all weight goes to another service', withRoutes((route) => [splitOf(route, 0, 1)])],
     [
-      '400 routes come',
-      withConfig(({ routes }) => ({
-        routes: [...routes, ...Array.from({ length: 400 }, (_, i) => routeTo('p', `more${i}`))],
-      })),
+      'all at once, and back',
+      inTurn(
+        withMoreRoutes(350),
+        withLimits(1),
+        withRoutes(() => []),
+        withConfig(() => ({ services: [] })),
+        withCustomers([]),
+        (vm) => vm.reload(),
+        (vm) => vm.readAgain(),
+        withKinds,
+        withLimits(8000),
+        withConfig(() => baseConfig),
+      ),
     ],
     [
       'runners move to another service as others come',
@@ -138,11 +184,8 @@
   test.each<[string, Change, Readonly<Record<string, string>>]>([
     ['routes go', withRoutes(() => []), { ...bodies('404'), 'stream that is taken up': '404' }],
     ['routes move', withRoutes(moved), { 'stream that is taken up': '503' }],
-    [
-      'limits shrink',
-      withConfig(() => ({ limits: { bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })),
-      { 'stream that is taken up': '413' },
-    ],
+    ['limits shrink', withLimits(1), { 'stream that is taken up': '413' }],
+    ['services change their kinds', withKinds, { 'body of a plain one': '503' }],
   ])('are served if they came before: %s', async (_name, change, later) => {
     expect(await exceptionsOf(change)).toEqual(later);
   });
@@ -174,6 +217,35 @@
     expect(await exceptionsOf(change)).toEqual({ 'stream that is taken up': '503' });
   });
 
+  /* Nobody else plans its services; the places that it planned itself end with it. */
+  test('are answered or refused by a VM that is told to stop behind it', async () => {
+    const outcomes = await exceptionsOf(inTurn(withMoreRoutes(350), (vm) => vm.drain()));
+    const answers = Object.entries(outcomes).map(([stage, outcome]) => [
+      stage,
+      outcome.replace(/, \d held$/, ''),
+    ]);
+    expect(answers.filter(([, answer]) => answer !== 'served')).toMatchInlineSnapshot(`
+     [
+       [
+         "body of a stream",
+         "503",
+       ],
+       [
+         "trial of another one",
+         "503",
+       ],
+       [
+         "stream that breaks",
+         "200 in part, cut",
+       ],
+       [
+         "stream that is taken up",
+         "503",
+       ],
+     ]
+    `);
+  });
+
   /* Runs that need no key any more were refused, and a stream between two runs was cut. */
   test('are served when keys are not required any more', async () => {
     expect(await exceptionsOf(withCustomers(undefined))).toEqual({
