Refuse bodies over a limit for good only by the newest known configuration

While a configuration that raises the body limit spread, callers got 413 from VMs that did not have it yet, or had no configuration at all, and from each VM for a body whose first part it had read before. Callers do not retry after a 413.

Cause: unlike 404 and 401, a 413 was sent whatever is known of newer configurations.

Evidence: 'answers 413 only while it knows of no newer configuration' (test/router/frontend.test.ts) failed before: received 'HTTP/1.1 413 Payload Too Large' where 503 is expected.

A VM answers 503 (not run, with a time to come back) if it has no configuration, knows of a newer one, has one that is too old for a final answer, or raised the limit while the body arrived.

--- a/src/node/router/frontend.ts
+++ b/src/node/router/frontend.ts
@@ -8,6 +8,7 @@
 
 import type { Logger } from 'pino';
 
+import { staleConfigFailure } from '../../core/customers/identity';
 import { rankOf, runnerPriorityOf } from '../../core/customers/rank';
 import { Failure, toFailure } from '../../core/failure';
 import type { RouteTable } from '../../core/routing/table';
@@ -158,9 +159,9 @@
     req: IncomingMessage,
     res: CallerResponse,
   ): Promise<Exchange | undefined> {
-    const { codec, routingState, authorizer, buffers } = this.#context;
+    const { codec, authorizer, buffers } = this.#context;
+    const limit = this.#bodyLimit;
     try {
-      const limit = routingState.table?.config.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
       const body = await readRequestBody(req, limit);
       // An overloaded VM reads requests whose callers have already disconnected. The close follows
       // the request in the socket's buffer and has been read by the second turn of the event loop.
@@ -179,7 +180,7 @@
       const request = { ...decoded, customer: customer?.name, priority };
       return new Exchange(now, request, route, service, rank, res, codec, buffers);
     } catch (error) {
-      const failure = toFailure(error);
+      const failure = this.#refusalOf(toFailure(error), limit);
       const id = codec.idOf(req);
       this.#logRefusal(now, id, failure);
       sendRefusal(res, failure, codec, id);
@@ -187,6 +188,24 @@
     }
   }
 
+  /** Largest body that is read, in bytes. */
+  get #bodyLimit(): number {
+    return this.#context.routingState.table?.config.limits.bodyBytes ?? DEFAULT_BODY_BYTES;
+  }
+
+  /**
+   * The refusal for a failure. Callers do not retry after a 413, so a VM that may lack a configuration with a higher limit
+   * does not send one.
+   * @param limit the limit by which the body was read, in bytes
+   */
+  #refusalOf(failure: Failure, limit: number): Failure {
+    if (failure.codeName !== 'bodyTooLarge') return failure;
+    const { message: detail } = failure;
+    if (!this.#context.routingState.table) return noConfigFailure();
+    if (this.#bodyLimit > limit) return staleConfigFailure(0, detail);
+    return this.#context.authorizer.staleRefusal(bootNow(), detail) ?? failure;
+  }
+
   /** Counts a refusal and logs it within the line budget, since anybody can flood the log with invalid keys. */
   #logRefusal(now: number, request: string | undefined, { codeName, message }: Failure): void {
     const { routingState, metrics, log } = this.#context;
@@ -203,7 +222,7 @@
   #requireTable(): RouteTable {
     const { table } = this.#context.routingState;
     if (table) return table;
-    throw new Failure('noConfig', 'no configuration yet', { retryAfterMs: NO_CONFIG_RETRY_MS });
+    throw noConfigFailure();
   }
 
   #routeOf(table: RouteTable, { host, target }: CallRequest): Route {
@@ -223,6 +242,10 @@
   }
 }
 
+function noConfigFailure(): Failure {
+  return new Failure('noConfig', 'no configuration yet', { retryAfterMs: NO_CONFIG_RETRY_MS });
+}
+
 /** Code of the error that headers were not complete in time. */
 const LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 
--- a/test/router/frontend.test.ts
+++ b/test/router/frontend.test.ts
@@ -4,7 +4,7 @@
 
 import type { Exchange } from '../../src/node/router/exchange';
 import { waitUntil } from '../fakes/cluster';
-import { emptyState, frontOf, oneRoute, requestOf } from '../fakes/frontend';
+import { KeepingCaller, emptyState, frontOf, oneRoute, requestOf } from '../fakes/frontend';
 import { freePort } from '../fakes/loopback';
 
 /** Sends text on a connection and returns all that is received until the response headers are complete or the connection closes. */
@@ -100,6 +100,27 @@
     expect(priorities).toEqual([undefined, 1, 0]);
   });
 
+  /* Callers do not retry after a 413, and a newer configuration may have raised the limit. */
+  test('answers 413 only while it knows of no newer configuration', async () => {
+    const { limits } = oneRoute;
+    const body = 'a'.repeat(2 * limits.bodyBytes);
+    const head = requestOf('/a/large').replace('GET', 'POST').trimEnd();
+    const request = `${head}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+    routingState.learnVersion(3, 'test');
+    expect(await talk(port, request)).toMatch(/^HTTP\/1.1 503/);
+    routingState.learnConfig(2, { ...oneRoute, version: 3 }, 'test');
+    expect(await talk(port, request)).toMatch(/^HTTP\/1.1 413/);
+    const caller = new KeepingCaller(port);
+    caller.socket.write(request.slice(0, -limits.bodyBytes - 1));
+    await pause(100);
+    const raised = { ...limits, bodyBytes: body.length };
+    routingState.learnConfig(3, { ...oneRoute, version: 4, limits: raised }, 'test');
+    caller.socket.write(request.slice(-limits.bodyBytes - 1));
+    await waitUntil('an answer', () => caller.received.answers.length > 0);
+    caller.close();
+    expect(caller.received.answers).toEqual(['503 timeout=1']);
+  });
+
   test('answers malformed HTTP once and closes the connection', async () => {
     expect(await talk(port, 'nonsense\r\n\r\n')).toMatch(/^HTTP\/1.1 400/);
   });
