Blame no model runner for a caller that leaves

What callers saw: sound runners without work for 0.4 s, and twice as long with each further time, whenever the caller of one of their streams left; others waited or were rejected meanwhile. All VMs are affected, since the owner of the service ejects the runner.

Cause: a request that ends because its caller disconnected, or because its time is over, looks like one that its runner broke off: the connection to the runner is closed by this VM, and the error that follows was counted as the runner's. Plain runners were exempt already.

Evidence, test/router/blame.test.ts on the code before: a caller leaves 0.3 s after an event, the send, or the send of the prefill

- Object {} + Object { "blame": "d" }

Fix: a runner is blamed for a request that ended here only if it had been silent for a second (decode), or the prefill had taken 0.9 s. A caller that leaves a runner that lost its power does so after longer silences, so that the owner still checks that runner.

--- a/src/node/router/placements.ts
+++ b/src/node/router/placements.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
 import { findRunner, mayContinue } from '../../core/routing/types';
+import { PREFILL_MS } from '../../core/stream/silence';
 import type { Exchange } from './exchange';
 import type { OriginController } from './origins';
 import type { KeptCache, PrefillContext } from './prefillattempts';
@@ -92,13 +93,15 @@
       const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
       if (refused) throw refused;
       if (cancelled?.aborted) return false;
+      const prefillAt = performance.now();
       const cache =
         prefill === undefined
           ? undefined
           : await this.#prefills.run(exchange, progress, prefill, signal);
       if (cache === 'unavailable') return planAgain(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
-        if (!cancelled?.aborted) blame = this.blameOf(service, prefill, startedAt);
+        const wasLeft = signal.aborted && performance.now() - prefillAt < PREFILL_MS;
+        if (!cancelled?.aborted && !wasLeft) blame = this.blameOf(service, prefill, startedAt);
         return this.mayPrefillAgain(exchange, progress, prefill);
       }
       const decode = cache
--- a/src/node/router/relay.ts
+++ b/src/node/router/relay.ts
@@ -32,9 +32,10 @@
 /**
  * `done`: the response is complete; `failed`: the runner's error response was passed on; `broken`:
  * the stream is incomplete; `replaced`: it is incomplete since its silent run, whose runner may be
- * sound, was ended for another one that is prepared.
+ * sound, was ended for another one that is prepared; `left`: the request has ended, by its caller or
+ * its deadline, while its runner worked on it.
  */
-export type RelayOutcome = 'done' | 'failed' | 'broken' | 'replaced';
+export type RelayOutcome = 'done' | 'failed' | 'broken' | 'replaced' | 'left';
 
 /** Dependencies of a relay. */
 export interface RelayContext {
@@ -83,7 +84,7 @@
     const part = streamPartOf(reply, afterEvent, stream);
     if (!body || !reply.body.complete || !(await run.hasWholeAnswer(reply))) {
       run.interrupted(performance.now(), part);
-      return 'broken';
+      return run.wasLeft(performance.now()) ? 'left' : 'broken';
     }
     run.completed(performance.now(), undefined, false);
     if (stream.fault) run.diverged(part, stream.fault);
@@ -128,6 +129,7 @@
           silence.hold();
           await exchange.write(events);
           silence.heard(performance.now());
+          run.resumed(performance.now());
         }
         if (stream.fault) break;
       }
@@ -143,7 +145,7 @@
     }
     if (stream.fault === 'cut' || stream.fault === 'torn') run.interrupted(performance.now(), part);
     else if (stream.fault) run.diverged(part, stream.fault);
-    if (stream.fault) return 'broken';
+    if (stream.fault) return run.wasLeft(performance.now()) ? 'left' : 'broken';
     run.completed(performance.now(), part, stream.firstId !== undefined || hasStarted);
     this.#sendHead(reply);
     exchange.end(stream.rest);
--- a/src/node/router/runs.ts
+++ b/src/node/router/runs.ts
@@ -29,7 +29,7 @@
 /** Log lines per second about runners that were not reached. */
 const UNREACHED_LINES_PER_S = 10;
 
-/** Time without an answer after which a runner is checked whose request has ended, in milliseconds: more than a prefill takes. */
+/** Silence from which a runner is suspected whose request has ended, in milliseconds: more than a prefill takes. */
 const SILENT_MS = 1000;
 
 /** The part of a stream that one run sent. */
@@ -79,10 +79,14 @@
 
   #answeredAt: number | undefined;
 
+  /** When the runner was last heard, or its stream was read again; before that, when the request was sent. */
+  #heardAt: number;
+
   #isFoundSound = false;
 
   constructor(now: number, context: RunContext, exchange: Exchange, runner: Runner) {
     this.#sentAt = now;
+    this.#heardAt = now;
     this.#context = context;
     this.#exchange = exchange;
     this.#runner = runner;
@@ -93,6 +97,7 @@
 
   /** The headers of the response have arrived. */
   replied(now: number, reply: Reply): void {
+    this.#heardAt = now;
     this.#context.rateLimits.replied(now, this.#runner, this.#sentAt, reply);
     this.#context.notices.replied(now, this.#runner, this.#sentAt, reply);
   }
@@ -120,11 +125,22 @@
 
   /** Events of the response arrived. */
   answered(now: number): void {
+    this.#heardAt = now;
     this.#answeredAt ??= now;
     this.#exchange.sendsEventsOf(this.#runner);
     if (now - this.#answeredAt >= EARLY_CRASH_MS) this.#foundSound(now);
   }
 
+  /** The stream is read again, which it was not while the caller did not take its events. */
+  resumed(now: number): void {
+    this.#heardAt = now;
+  }
+
+  /** Whether the request has ended while its runner, as far as is known, worked on it. */
+  wasLeft(now: number): boolean {
+    return this.#exchange.signal.aborted && now - this.#heardAt < SILENT_MS;
+  }
+
   /**
    * The response is complete.
    * @param isProof whether that shows that the request does not crash its runner: an error may be
--- a/test/router/blame.test.ts
+++ b/test/router/blame.test.ts
@@ -1,3 +1,6 @@
+import { Readable } from 'node:stream';
+import { setTimeout as pause } from 'node:timers/promises';
+
 import { RunnerHealth } from '../../src/core/cell/health';
 import { Failure } from '../../src/core/failure';
 import type { Path } from '../../src/core/paths/table';
@@ -7,6 +10,7 @@
 import { PlainHandler } from '../../src/node/router/plain';
 import type { ProgressReport } from '../../src/node/router/messages';
 import type { FailedAssignment } from '../../src/node/router/reservations';
+import type { Dispatch } from '../../src/node/router/types';
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf } from '../fakes/runner';
 import {
@@ -67,6 +71,64 @@
   return told[0];
 }
 
+/** What the planner is told of a runner if the caller leaves its request there, which has been silent for a time. */
+async function toldOnLeaving(
+  role: 'prefill' | 'decode',
+  events: string,
+  silentMs: number,
+): Promise<unknown> {
+  const told: unknown[] = [];
+  const body = new Readable({ read: () => {} }).on('error', () => {});
+  if (events !== '') body.push(events);
+  const context = {
+    routingState: openStateOf([runnerOf('r', role), runnerOf('d', 'decode')]),
+    paths: pathsOf({}),
+    runners: {
+      [role]: ({ signal }: Pick<Dispatch, 'signal'>) =>
+        new Promise((resolve, reject) => {
+          signal.addEventListener('abort', () => {
+            body.destroy(new Error('aborted'));
+            reject(new Failure('runnerFailed', 'aborted'));
+          });
+          if (events !== '') resolve({ ...replyOf(200, events), body });
+        }),
+    },
+    reservations: {
+      reserve: async () => ({ decode: 'd', [role]: 'r' }),
+      reportProgress: (_service: string, { kind, blame }: ProgressReport) => {
+        if (kind === 'released') told.push(blame ? { blame } : {});
+      },
+    },
+    runs: runsOf(),
+    quotas: unlimitedQuotas,
+    permits: unlimitedPermits,
+    origins: unrecordedOrigins,
+    retries: retriesOf(),
+  } as unknown as ModelContext;
+  const exchange = exchangeInto([]);
+  const served = new ModelHandler(context).run(exchange, streamEngine);
+  await pause(silentMs);
+  exchange.end();
+  await served;
+  return told[0];
+}
+
+/* Half of the ejections in a run of the soak were of sound runners whose callers had left. */
+describe('a runner is not blamed for a caller that leaves', () => {
+  const event = 'id: 1\ndata: x\n\n';
+
+  test.each<readonly [string, 'prefill' | 'decode', string, number, unknown]>([
+    ['soon after an event', 'decode', event, 300, {}],
+    ['soon after the send', 'decode', '', 300, {}],
+    ['soon after the prefill was sent', 'prefill', '', 300, {}],
+    ['after a silence within the stream', 'decode', event, 1300, { blame: 'r' }],
+    ['after a silence since the send', 'decode', '', 1300, { blame: 'r' }],
+    ['after a long prefill', 'prefill', '', 1300, { blame: 'r' }],
+  ])('%s', async (_, role, events, silentMs, expected) => {
+    expect(await toldOnLeaving(role, events, silentMs)).toEqual(expected);
+  });
+});
+
 /* Reports of VMs that had lost their paths ejected sound runners 49 times in nine seconds, for all VMs. */
 describe('a runner is not blamed for a path that was lost under a request', () => {
   test.each<readonly [Fault, string, unknown, unknown]>([
