Blame no decode runner for a caller that leaves before the send

A request whose caller left while its decode runner was assigned or connected was counted as rejected by that runner, or as one that it could not be reached for, and the owner ejected the runner.

Evidence, test/router/blame.test.ts on the code before, caller gone after 0.3 s:

while the decode runner is assigned { "blame": "d" } while the runner is connected { "blame": "r" }

where {} is expected. Both have the outcome 'left' now, and the KV cache is given back as before.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -171,11 +171,11 @@
     exchange: Exchange,
     { decode, cache }: PlacedRun,
     ready: Runner | undefined,
-  ): Promise<Runner | 'rejected' | 'unavailable'> {
+  ): Promise<Runner | 'left' | 'unavailable'> {
     const placements = this.#placements;
     if (exchange.signal.aborted) {
       if (cache) placements.free(cache);
-      return 'rejected';
+      return 'left';
     }
     try {
       const isReady = ready && placements.isUsable(exchange, ready);
@@ -258,7 +258,9 @@
       }
       run.unreached(performance.now(), failure);
       progress.sentTo.delete(runner.id);
-      return 'unreachable';
+      if (!run.wasLeft(performance.now())) return 'unreachable';
+      if (cache) this.#placements.free(cache);
+      return 'left';
     }
   }
 
--- a/src/node/router/placements.ts
+++ b/src/node/router/placements.ts
@@ -16,7 +16,7 @@
 import type { RoutingState } from './routingstate';
 import type { Runs } from './runs';
 import { SHORT_WAIT } from './screening';
-import type { RunnerClient, RunnerPaths } from './types';
+import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
 import { unreachedFailure, versionGoneFailure } from './unreached';
 
 /** Dependencies of placements. */
@@ -162,7 +162,7 @@
   }
 
   /** Tells the prefill runner that a KV cache is not needed any more. */
-  free(cache: KeptCache): void {
+  free(cache: CacheHandle): void {
     this.#prefills.free(cache);
   }
 
--- a/test/router/blame.test.ts
+++ b/test/router/blame.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import { RunnerHealth } from '../../src/core/cell/health';
+import type { CodeName } from '../../src/core/codes';
 import { Failure } from '../../src/core/failure';
 import type { Path } from '../../src/core/paths/table';
 import type { ModelContext } from '../../src/node/router/model';
@@ -76,6 +77,7 @@
   role: 'prefill' | 'decode',
   events: string,
   silentMs: number,
+  code: CodeName = 'runnerFailed',
 ): Promise<unknown> {
   const told: unknown[] = [];
   const body = new Readable({ read: () => {} }).on('error', () => {});
@@ -88,12 +90,14 @@
         new Promise((resolve, reject) => {
           signal.addEventListener('abort', () => {
             body.destroy(new Error('aborted'));
-            reject(new Failure('runnerFailed', 'aborted'));
+            reject(new Failure(code, 'aborted'));
           });
           if (events !== '') resolve({ ...replyOf(200, events), body });
         }),
+      freeCache: async () => {},
     },
     reservations: {
+      assign: () => pause(500, 'd'),
       reserve: async () => ({ decode: 'd', [role]: 'r' }),
       reportProgress: (_service: string, { kind, blame }: ProgressReport) => {
         if (kind === 'released') told.push(blame ? { blame } : {});
@@ -121,12 +125,17 @@
     ['soon after an event', 'decode', event, 300, {}],
     ['soon after the send', 'decode', '', 300, {}],
     ['soon after the prefill was sent', 'prefill', '', 300, {}],
+    ['while the decode runner is assigned', 'prefill', event, 300, {}],
     ['after a silence within the stream', 'decode', event, 1300, { blame: 'r' }],
     ['after a silence since the send', 'decode', '', 1300, { blame: 'r' }],
     ['after a long prefill', 'prefill', '', 1300, { blame: 'r' }],
   ])('%s', async (_, role, events, silentMs, expected) => {
     expect(await toldOnLeaving(role, events, silentMs)).toEqual(expected);
   });
+
+  test('while the runner is connected', async () => {
+    expect(await toldOnLeaving('decode', '', 300, 'runnerUnreachable')).toEqual({});
+  });
 });
 
 /* Reports of VMs that had lost their paths ejected sound runners 49 times in nine seconds, for all VMs. */
