--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -114,7 +114,7 @@
           : planAgain(exchange, progress, decode);
       }
       if (outcome === 'unreachable') outcome = 'rejected';
-      if (outcome === 'done') return false;
+      if (outcome === 'done' || outcome === 'left') return false;
       if (outcome === 'replaced') {
         // The runner may be sound: it is not blamed, and only the prepared run leaves it out.
         progress.mayHaveRun = true;
@@ -171,11 +171,11 @@
     exchange: Exchange,
     { decode, cache }: PlacedRun,
     ready: Runner | undefined,
-  ): Promise<Runner | 'rejected' | 'unavailable'> {
+  ): Promise<Runner | 'left' | 'unavailable'> {
     const placements = this.#placements;
     if (exchange.signal.aborted) {
       if (cache) placements.free(cache);
-      return 'rejected';
+      return 'left';
     }
     try {
       const isReady = ready && placements.isUsable(exchange, ready);
@@ -221,7 +221,7 @@
     progress: Progress,
     runner: Runner,
     cache: CacheHandle | undefined,
-  ): Promise<Answer | 'rejected' | 'broken' | 'unreachable'> {
+  ): Promise<Answer | 'rejected' | 'broken' | 'unreachable' | 'left'> {
     const { request, signal } = exchange;
     const now = performance.now();
     const run = this.#context.runs.begin(now, exchange, runner);
@@ -254,11 +254,13 @@
       exchange.trail.push(`decode ${runner.id} ${failure.codeName}`);
       if (failure.codeName !== 'runnerUnreachable') {
         run.interrupted(performance.now());
-        return 'broken';
+        return run.wasLeft(performance.now()) ? 'left' : 'broken';
       }
       run.unreached(performance.now(), failure);
       progress.sentTo.delete(runner.id);
-      return 'unreachable';
+      if (!run.wasLeft(performance.now())) return 'unreachable';
+      if (cache) this.#placements.free(cache);
+      return 'left';
     }
   }
 
--- a/src/node/router/placements.ts
+++ b/src/node/router/placements.ts
@@ -3,6 +3,7 @@
 import { Failure } from '../../core/failure';
 import type { Runner } from '../../core/routing/types';
 import { findRunner, mayContinue } from '../../core/routing/types';
+import { PREFILL_MS } from '../../core/stream/silence';
 import type { Exchange } from './exchange';
 import type { OriginController } from './origins';
 import type { KeptCache, PrefillContext } from './prefillattempts';
@@ -15,7 +16,7 @@
 import type { RoutingState } from './routingstate';
 import type { Runs } from './runs';
 import { SHORT_WAIT } from './screening';
-import type { RunnerClient, RunnerPaths } from './types';
+import type { CacheHandle, RunnerClient, RunnerPaths } from './types';
 import { unreachedFailure, versionGoneFailure } from './unreached';
 
 /** Dependencies of placements. */
@@ -92,13 +93,15 @@
       const refused = await this.#context.runs.admit(exchange, SHORT_WAIT);
       if (refused) throw refused;
       if (cancelled?.aborted) return false;
+      const prefillAt = performance.now();
       const cache =
         prefill === undefined
           ? undefined
           : await this.#prefills.run(exchange, progress, prefill, signal);
       if (cache === 'unavailable') return planAgain(exchange, progress, prefill);
       if (prefill !== undefined && !cache) {
-        if (!cancelled?.aborted) blame = this.blameOf(service, prefill, startedAt);
+        const wasLeft = signal.aborted && performance.now() - prefillAt < PREFILL_MS;
+        if (!cancelled?.aborted && !wasLeft) blame = this.blameOf(service, prefill, startedAt);
         return this.mayPrefillAgain(exchange, progress, prefill);
       }
       const decode = cache
@@ -159,7 +162,7 @@
   }
 
   /** Tells the prefill runner that a KV cache is not needed any more. */
-  free(cache: KeptCache): void {
+  free(cache: CacheHandle): void {
     this.#prefills.free(cache);
   }
 
