--- /dev/null
+++ b/src/platform/reply.ts
@@ -0,0 +1,81 @@
+/** Reads the heads of the runners' responses: whose answers they are, and how their ends are marked. */
+
+import type { IncomingMessage } from 'node:http';
+
+import { NO_NOTICE } from '../core/routing/notice';
+import type { Framing } from '../core/stream/answer';
+import type { Dispatch, Reply, RunnerConnection } from '../node/router/types';
+import { forwardableHeaders } from './ingress';
+import { loadOf } from './load';
+import { header } from './names';
+import { noticeOf } from './notice';
+import { rateNoticeOf } from './ratelimit';
+
+const MIN_STATUS = 100;
+/** A header name (RFC 9110, 5.6.2). */
+const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
+/** Statuses of responses that end with their headers: 204 and 304. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+const CHUNKED = 'chunked';
+const EVENT_STREAM = 'text/event-stream';
+const noHeaders: ReadonlySet<string> = new Set();
+const HTTP_MISDIRECTED_REQUEST = 421;
+
+/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
+function transferCodingOf({ headers }: IncomingMessage): string {
+  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
+  return coding === 'identity' ? '' : coding;
+}
+
+/** How the end of a response body is marked. */
+function framingOf({ request }: Dispatch, message: IncomingMessage): Framing {
+  if (request.method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
+  if (transferCodingOf(message) === CHUNKED) return 'chunked';
+  const hasLength = message.headers['content-length'] !== undefined;
+  return hasLength ? 'length' : 'close';
+}
+
+/** Whether a response is to this request, not a late one to another. */
+export function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
+  const echoed = headers[header.requestId];
+  return echoed === undefined || echoed === request.id;
+}
+
+/** Whether the body is the runner's as it arrives, without an encoding of its content or transfer but chunks. */
+function isPlain(message: IncomingMessage): boolean {
+  const isEncoded = message.headers['content-encoding'] !== undefined;
+  return !isEncoded && ['', CHUNKED].includes(transferCodingOf(message));
+}
+
+/** A response counts as the runner's if it can be passed on with its signature, and carries no other request id and no encoding added on the way. */
+export function toReply(
+  dispatch: Dispatch,
+  message: IncomingMessage,
+  { via, tunnel }: RunnerConnection,
+): Reply {
+  const { headers } = message;
+  const status = message.statusCode ?? 0;
+  const isToRequest = isTo(dispatch, message);
+  const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
+  const forwarded = forwardableHeaders(message.rawHeaders, headers.connection, noHeaders);
+  const names = forwarded.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
+  const isSigned = names.includes(header.signature);
+  // Node reads heads that it does not write.
+  const isWritable = status >= MIN_STATUS && names.every((name) => TOKEN.test(name));
+  const genuine = isSigned && isWritable && isToRequest && isPlain(message);
+  return {
+    status,
+    framing: framingOf(dispatch, message),
+    isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
+    headers: forwarded,
+    genuine,
+    notRun: misdirected || (isToRequest && headers[header.notRun] !== undefined),
+    misdirected,
+    rateNotice: rateNoticeOf(message),
+    load: isToRequest ? loadOf(message) : undefined,
+    notice: isToRequest ? noticeOf(message) : NO_NOTICE,
+    via,
+    tunnel,
+    body: message,
+  };
+}
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -9,9 +9,7 @@
 
 import { Failure, toFailure } from '../core/failure';
 import type { Destination } from '../core/paths/table';
-import { NO_NOTICE } from '../core/routing/notice';
 import type { Runner } from '../core/routing/types';
-import type { Framing } from '../core/stream/answer';
 import type { RunnerState } from '../core/stream/silence';
 import { instanceId } from '../core/routing/types';
 import type {
@@ -22,7 +20,6 @@
   OrderOutcome,
   Reply,
   RunnerClient,
-  RunnerConnection,
   RunnerConnector,
   RunnerReport,
   RunnerTarget,
@@ -30,10 +27,9 @@
 import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, isConnectionRefused, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
-import { loadOf } from './load';
 import { header, path } from './names';
-import { isLeaving, noticeOf } from './notice';
-import { rateNoticeOf } from './ratelimit';
+import { isLeaving } from './notice';
+import { isTo, toReply } from './reply';
 
 /** Timeout of calls that carry no request: reports, orders and freeing a cache, in milliseconds. */
 const CONTROL_CALL_TIMEOUT_MS = 1000;
@@ -43,15 +39,9 @@
 /** Largest value of the priority header. */
 const LEAST_URGENT = 9;
 
-const MIN_STATUS = 100;
-/** A header name (RFC 9110, 5.6.2). */
-const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 const HTTP_OK = 200;
 const HTTP_ACCEPTED = 202;
 const HTTP_MISDIRECTED_REQUEST = 421;
-/** Statuses of responses that end with their headers: 204 and 304. */
-const bodiless: ReadonlySet<number> = new Set([204, 304]);
-const CHUNKED = 'chunked';
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
 const bornSchema = z.int().min(0).default(0);
@@ -69,10 +59,6 @@
   born: bornSchema,
 });
 
-const EVENT_STREAM = 'text/event-stream';
-
-const noHeaders: ReadonlySet<string> = new Set();
-
 /** Sends each request over a new connection, so that left-over bytes of another response are never read as part of this one. */
 export class PlatformRunnerClient implements RunnerClient {
   readonly #connector: RunnerConnector;
@@ -331,20 +317,6 @@
   });
 }
 
-/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
-function transferCodingOf({ headers }: IncomingMessage): string {
-  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
-  return coding === 'identity' ? '' : coding;
-}
-
-/** How the end of a response body is marked. */
-function framingOf({ request }: Dispatch, message: IncomingMessage): Framing {
-  if (request.method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
-  if (transferCodingOf(message) === CHUNKED) return 'chunked';
-  const hasLength = message.headers['content-length'] !== undefined;
-  return hasLength ? 'length' : 'close';
-}
-
 /** Parses the response to a prefill, which is JSON unless it was cut: the runner keeps the KV cache then. */
 function jsonOf(body: Buffer, address: string): unknown {
   try {
@@ -353,48 +325,3 @@
     throw new Failure('answerLost', `${address} ended its answer early`);
   }
 }
-
-/** Whether a response is to this request, not a late one to another. */
-function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
-  const echoed = headers[header.requestId];
-  return echoed === undefined || echoed === request.id;
-}
-
-/** Whether the body is the runner's as it arrives, without an encoding of its content or transfer but chunks. */
-function isPlain(message: IncomingMessage): boolean {
-  const isEncoded = message.headers['content-encoding'] !== undefined;
-  return !isEncoded && ['', CHUNKED].includes(transferCodingOf(message));
-}
-
-/** A response counts as the runner's if it can be passed on with its signature, and carries no other request id and no encoding added on the way. */
-function toReply(
-  dispatch: Dispatch,
-  message: IncomingMessage,
-  { via, tunnel }: RunnerConnection,
-): Reply {
-  const { headers } = message;
-  const status = message.statusCode ?? 0;
-  const isToRequest = isTo(dispatch, message);
-  const misdirected = isToRequest && status === HTTP_MISDIRECTED_REQUEST;
-  const forwarded = forwardableHeaders(message.rawHeaders, headers.connection, noHeaders);
-  const names = forwarded.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
-  const isSigned = names.includes(header.signature);
-  // Node reads heads that it does not write.
-  const isWritable = status >= MIN_STATUS && names.every((name) => TOKEN.test(name));
-  const genuine = isSigned && isWritable && isToRequest && isPlain(message);
-  return {
-    status,
-    framing: framingOf(dispatch, message),
-    isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
-    headers: forwarded,
-    genuine,
-    notRun: misdirected || (isToRequest && headers[header.notRun] !== undefined),
-    misdirected,
-    rateNotice: rateNoticeOf(message),
-    load: isToRequest ? loadOf(message) : undefined,
-    notice: isToRequest ? noticeOf(message) : NO_NOTICE,
-    via,
-    tunnel,
-    body: message,
-  };
-}
