Cut plain answers of the own interface whose runner is gone

A plain runner that was killed within an answer without a length left its caller a 200 that looked complete, and for a call that runs once, that half was kept as the outcome and given again to each repeat: the kernel closes a killed process's connections in order, and only resets were told apart. Where the close alone marks the end, the runner must accept another connection now, as in the router; else the answer is cut, or the outcome unknown. How the end of a body is marked is decided in one place for both.

Before: 'whose runner is killed is truncated for the caller as well': expected "200 cut part of an answer", received "200 whole part of an answer"; 'is not stored': received it twice as 200. After: both pass.

--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -15,6 +15,7 @@
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
 import { abortResponse, failOnReset, isConnectionRefused, readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
+import { isWholeAnswer } from './answerend';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Claim } from './ledger';
 import { idempotencyKeyOf } from './model';
@@ -50,10 +51,12 @@
  * aborted it on timeout.
  */
 type Dispatch =
-  | { readonly kind: 'answered'; readonly answer: IncomingMessage }
+  | { readonly kind: 'answered'; readonly answer: IncomingMessage; readonly url: string }
   | { readonly kind: 'refused'; readonly leaving: boolean }
   | { readonly kind: 'lost'; readonly error: Error; readonly isBrokenOff: boolean };
 
+type Answered = Extract<Dispatch, { kind: 'answered' }>;
+
 /** Bodies up to this size are buffered, so that the call can be sent again; larger ones are streamed once. */
 const BUFFERED_BODY_LIMIT_BYTES = 256 * 1024;
 /** Delay after which callers should retry if no runner is available, in milliseconds. */
@@ -167,7 +170,7 @@
       const runner = this.#choose(call, tried);
       const sent = await this.#dispatch(call, runner, body);
       if (sent.kind === 'answered') {
-        await this.#forwardAnswer(call, sent.answer);
+        await this.#forwardAnswer(call, sent);
         return;
       }
       tried.add(runner.id);
@@ -260,7 +263,7 @@
       }
       const sent = await this.#dispatch(call, runner, body);
       if (sent.kind === 'answered') {
-        await this.#settle(call, sent.answer, claim);
+        await this.#settle(call, sent, claim);
         return;
       }
       if (sent.kind === 'lost') {
@@ -283,7 +286,7 @@
     });
   }
 
-  async #settle({ res }: PlainCall, answer: IncomingMessage, claim: Claim): Promise<void> {
+  async #settle({ req, res }: PlainCall, { answer, url }: Answered, claim: Claim): Promise<void> {
     let body: Buffer;
     try {
       body = await readBody(answer, this.#options.bodyBytes);
@@ -293,6 +296,9 @@
         `the answer was interrupted: ${toFailure(error).message}`,
       );
     }
+    if (!(await isWholeAnswer(answer, req.method ?? 'GET', url))) {
+      throw new Failure('outcomeUnknown', 'the runner was lost within its answer');
+    }
     const status = answer.statusCode ?? 502;
     const contentType = answer.headers['content-type'] ?? 'application/octet-stream';
     this.#options.ledger.settle(claim, { status, contentType, body: body.toString() });
@@ -333,7 +339,7 @@
       const signal = AbortSignal.timeout(service.timeoutMs);
       const out = request(url + path, { method: req.method, headers, agent, signal }, (answer) => {
         failOnReset(out, answer);
-        resolve({ kind: 'answered', answer });
+        resolve({ kind: 'answered', answer, url });
       });
       out.on('error', (error) => {
         if (isConnectionRefused(error)) resolve({ kind: 'refused', leaving: false });
@@ -356,7 +362,7 @@
     pipeline(req, out).catch(() => out.destroy());
   }
 
-  async #forwardAnswer({ res }: PlainCall, answer: IncomingMessage): Promise<void> {
+  async #forwardAnswer({ req, res }: PlainCall, { answer, url }: Answered): Promise<void> {
     if (res.destroyed) {
       answer.destroy();
       return;
@@ -365,7 +371,9 @@
     // The status was already sent; only a closed connection can show the caller that the body is incomplete.
     answer.once('error', () => abortResponse(res));
     try {
-      await pipeline(answer, res);
+      await pipeline(answer, res, { end: false });
+      if (await isWholeAnswer(answer, req.method ?? 'GET', url)) res.end();
+      else abortResponse(res);
     } catch (error) {
       this.#options.log.debug(`An answer was interrupted. ${(error as Error).message}.`);
     }
--- a/src/platform/reply.ts
+++ b/src/platform/reply.ts
@@ -3,8 +3,8 @@
 import type { IncomingMessage } from 'node:http';
 
 import { NO_NOTICE } from '../core/routing/notice';
-import type { Framing } from '../core/stream/answer';
 import type { Dispatch, Reply, RunnerConnection } from '../node/router/types';
+import { CHUNKED, framingOf, transferCodingOf } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { loadOf } from './load';
 import { header } from './names';
@@ -14,27 +14,10 @@
 const MIN_STATUS = 100;
 /** A header name (RFC 9110, 5.6.2). */
 const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
-/** Statuses of responses that end with their headers: 204 and 304. */
-const bodiless: ReadonlySet<number> = new Set([204, 304]);
-const CHUNKED = 'chunked';
 const EVENT_STREAM = 'text/event-stream';
 const noHeaders: ReadonlySet<string> = new Set();
 const HTTP_MISDIRECTED_REQUEST = 421;
 
-/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
-function transferCodingOf({ headers }: IncomingMessage): string {
-  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
-  return coding === 'identity' ? '' : coding;
-}
-
-/** How the end of a response body is marked. */
-function framingOf({ request }: Dispatch, message: IncomingMessage): Framing {
-  if (request.method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
-  if (transferCodingOf(message) === CHUNKED) return 'chunked';
-  const hasLength = message.headers['content-length'] !== undefined;
-  return hasLength ? 'length' : 'close';
-}
-
 /** Whether a response is to this request, not a late one to another. */
 export function isTo({ request }: Dispatch, { headers }: IncomingMessage): boolean {
   const echoed = headers[header.requestId];
@@ -65,7 +48,7 @@
   const genuine = isSigned && isWritable && isToRequest && isPlain(message);
   return {
     status,
-    framing: framingOf(dispatch, message),
+    framing: framingOf(message, dispatch.request.method),
     isEvents: headers['content-type']?.startsWith(EVENT_STREAM) ?? false,
     headers: forwarded,
     genuine,
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -12,6 +12,7 @@
 import type { Socket } from 'node:net';
 
 import { Failure } from '../core/failure';
+import type { Framing } from '../core/stream/answer';
 
 /** Whether a connection was refused, so that nothing was sent. */
 export function isConnectionRefused(error: Error): boolean {
@@ -35,6 +36,25 @@
   message.once('close', () => socket.off('end', onEnd));
 }
 
+/** Statuses of responses that end with their headers: 204 and 304. */
+const bodiless: ReadonlySet<number> = new Set([204, 304]);
+/** The only coding of a transfer that marks the end of a body. */
+export const CHUNKED = 'chunked';
+
+/** The codings of a response's transfer; empty if it has none but the length or close of its body. */
+export function transferCodingOf({ headers }: IncomingMessage): string {
+  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? '';
+  return coding === 'identity' ? '' : coding;
+}
+
+/** How the end of the body of a response to a method is marked. */
+export function framingOf(message: IncomingMessage, method: string): Framing {
+  if (method === 'HEAD' || bodiless.has(message.statusCode ?? 0)) return 'length';
+  if (transferCodingOf(message) === CHUNKED) return 'chunked';
+  const hasLength = message.headers['content-length'] !== undefined;
+  return hasLength ? 'length' : 'close';
+}
+
 /** Options of a call. */
 export interface CallOptions {
   readonly method: string;
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -28,6 +28,9 @@
   /** Sends part of a response without a content length, then resets the connection. */
   resetsAnswers = false;
 
+  /** Sends part of a response without a content length, then ends as a killed process does, whose connections are closed in order. */
+  diesInAnswers = false;
+
   /** Reports that the runner is leaving, and refuses requests with status 503. */
   leaving = false;
 
@@ -66,11 +69,15 @@
         await pause(this.delayMs);
         const crashes = this.deadly !== '' && body.includes(this.deadly);
         if (this.dropAnswers || crashes) res.destroy();
-        else if (this.resetsAnswers) {
+        else if (this.resetsAnswers || this.diesInAnswers) {
           const { socket } = req;
           socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${PARTIAL_BODY}`);
           await pause(RESET_MS);
-          socket.resetAndDestroy();
+          if (this.resetsAnswers) socket.resetAndDestroy();
+          else {
+            this.#server?.close();
+            socket.end();
+          }
         } else {
           sendJson(res, 200, {
             path: url.pathname,
--- a/test/node/answers.test.ts
+++ b/test/node/answers.test.ts
@@ -27,12 +27,15 @@
   });
 }
 
-describe('a response without a length whose connection is reset', () => {
+describe.each([
+  ['whose connection is reset', { resetsAnswers: true }],
+  ['whose runner is killed', { diesInAnswers: true }],
+])('a response without a length %s', (_, fault) => {
   const cluster = new Cluster({ vms: 1 });
 
   beforeAll(async () => {
     await cluster.start();
-    for (const runner of cluster.plainRunners) runner.resetsAnswers = true;
+    for (const runner of cluster.plainRunners) Object.assign(runner, fault);
   }, 30_000);
   afterAll(() => cluster.stop());
 
