Soak: look at whether runners registered beside odd entries are used at each VM

The runner is now the only one of its service, and each VM has to serve a request by it from 2.5 to 6 s after it was registered, which is stricter: before, one request at one VM was enough.

--- a/scripts/soak/guarantees.ts
+++ b/scripts/soak/guarantees.ts
@@ -230,7 +230,6 @@
   arrived(arrival: Arrival): void {
     const now = Date.now();
     const record = this.#records.get(arrival.requestId);
-    this.#reportIf('used', this.#odd.arrived(now, arrival));
     this.#terms.arrived(now, arrival.requestId, arrival.instanceId, record?.vm);
     if (!record) return;
     this.#quiet.arrived(now, arrival.requestId, runnerIdOf(arrival), arrival.role);
@@ -297,11 +296,6 @@
     this.#terms.setDraining(Date.now(), instanceId, isDraining);
   }
 
-  /** Records that a runner is registered beside odd entries. */
-  setRegistered(instanceId: string): void {
-    this.#odd.registered(Date.now(), instanceId);
-  }
-
   /** Records the rate limit that a runner instance announces; undefined if it announces none. */
   setRateLimit(instanceId: string, ratePerS: number | undefined): void {
     this.#terms.setRateLimit(Date.now(), instanceId, ratePerS);
--- a/scripts/soak/oddentries.ts
+++ b/scripts/soak/oddentries.ts
@@ -10,6 +10,7 @@
 import type { FakeStore } from '../../test/fakes/store';
 import type { OddEntry, OddValue, SoundEntry } from './oddvalues';
 import { drawOwn, drawRunner, ODD_ID, OWN_KIND, runnerKinds, RUNNERS } from './oddvalues';
+import type { Newcomers } from './newcomers';
 import type { PooledRunner, RunnerPool } from './pool';
 import { RUNNER_PORT } from './vm';
 
@@ -28,13 +29,8 @@
 const MAX_WRITE_PAUSE_MS = 300;
 /** Fraction of series among the runners that change the entry of a sound one. */
 const CHANGE_RATIO = 0.35;
-/** Time after the beginning of a phase at which a runner is registered, and for which it serves. */
-const REGISTERED_AFTER_MS = 800;
-const SERVING_MS = 6000;
-/** Time that a phase must have left for that. */
-const USED_AFTER_MS = 6000;
-const DRAIN_MS = 4000;
-
+/** Shortest phase in which a runner is registered. */
+const MIN_PHASE_MS = 6000;
 /** Part of a key that is printed. */
 const MAX_SHOWN_CHARS = 40;
 /** Time after its removal for which VMs may still know an entry. */
@@ -49,14 +45,10 @@
   readonly pool: RunnerPool;
   /** First two parts of all addresses. */
   readonly networkPrefix: string;
-  /** Software version of runners that are registered beside odd entries. */
-  readonly version: string;
   /** Called when an entry is written; returns what to call when it is removed. */
   readonly onEntry: (kind: string, what: string) => () => void;
-  /** Called when a runner is registered beside odd entries. */
-  readonly onRegistered: (instanceId: string) => void;
-  /** Called when a runner begins to drain, and when it has ended. */
-  readonly onDraining: (instanceId: string, isDraining: boolean) => void;
+  /** Runners that are registered beside odd entries. */
+  readonly newcomers: Newcomers;
 }
 
 /** Writes odd entries and removes them. */
@@ -104,7 +96,7 @@
     while (Date.now() < until) {
       await pause(Math.min(REST_MS * (0.5 + random()), Math.max(0, until - Date.now())));
       const end = Math.min(until, Date.now() + PHASE_MS);
-      if (end > Date.now() + USED_AFTER_MS) work.push(this.#register(until));
+      if (end > Date.now() + MIN_PHASE_MS) work.push(this.#context.newcomers.run());
       while (Date.now() < end) {
         work.push(this.#writeSeries());
         await pause(INTERVAL_MS * (0.5 + random()));
@@ -123,20 +115,6 @@
     return `${this.#context.networkPrefix}.5.1`;
   }
 
-  async #register(until: number): Promise<void> {
-    const { pool, version, onRegistered, onDraining } = this.#context;
-    await pause(REGISTERED_AFTER_MS);
-    const member = await pool.add('plain', version);
-    const { instanceId } = member.runner;
-    onRegistered(instanceId);
-    await pause(Math.min(SERVING_MS, until - Date.now()));
-    pool.drain(member, true);
-    onDraining(instanceId, true);
-    await pause(Date.now() < until ? DRAIN_MS : 0);
-    await pool.remove(member);
-    onDraining(instanceId, false);
-  }
-
   async #writeSeries(): Promise<void> {
     const { random, kinds } = this.#context;
     const kind = kinds[Math.floor(random() * kinds.length)] ?? '';
--- a/scripts/soak/oddvalues.ts
+++ b/scripts/soak/oddvalues.ts
@@ -27,11 +27,13 @@
 
 /** Literals of numbers: JSON has no bounds. */
 const numbers: Readonly<Record<string, readonly string[]>> = {
-  slots: ['1000000', '50000000', '4294967296', '9007199254740991', '1e308', '0', '-1'],
+  slots: ['1000000', '50000000', '4294967296', '9007199254740991'],
   sequence: ['9007199254740991', '1e300', '1e400', '-1'],
   'cold-remaining-ms': ['9007199254740991', '1e308', '-1e308', '1e400'],
   born: ['9007199254740991', '8640000000000001', '1e300', '-1', '1e400'],
 };
+/** Fraction of odd numbers that are slots in any case: most work depends on them. */
+const SLOTS_RATIO = 0.5;
 const ports = ['0', '65536', '100000000000000000000', '-1', ''];
 
 function nested(levels: number): string {
@@ -53,8 +55,8 @@
 type Kind = (random: () => number, entry: SoundEntry) => Drawn;
 
 const drawNumber: Kind = (random, entry) => {
-  const [field, literals] = pick(random, Object.entries(numbers));
-  const literal = pick(random, literals);
+  const field = random() < SLOTS_RATIO ? 'slots' : pick(random, Object.keys(numbers));
+  const literal = pick(random, numbers[field] ?? []);
   return [`${field} ${literal}`, withField(entry, field, literal)];
 };
 
--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -8,6 +8,7 @@
 import { HOST } from './addresses';
 import type { CallerObserver, KeySource } from './callers';
 import { routePrefixes } from './callers';
+import { LATE_PREFIX } from './newcomers';
 import { services } from './pool';
 import type { RequestKind, SentRequest } from './requests';
 import type { Breach } from './guarantees';
@@ -182,7 +183,7 @@
     const writtenAt = this.#writtenAt;
     const askedAt = Date.now();
     const instance = `${vm.options.name}/${vm.startCount}`;
-    const status = await this.#probeRoute(vm, version);
+    const status = await this.probe(vm, `/version/${version}/`);
     if (instance !== `${vm.options.name}/${vm.startCount}`) return;
     const isOverdue = askedAt - writtenAt > APPLY_MS && this.#context.faultFreeMs() > APPLY_MS;
     // Only if the version is still current: a newer one removes the route.
@@ -201,12 +202,13 @@
     if (status === 200) this.#lastServed.set(instance, { version, at: Date.now() });
   }
 
-  async #probeRoute(vm: Vm, version: number): Promise<number> {
+  /** Sends a plain request to a VM with a valid key; returns the status of the answer, 0 without one. */
+  async probe(vm: Vm, path: string): Promise<number> {
     const [valid] = this.#keys;
     const sent: SentRequest = {
       id: randomUUID(),
       kind: 'repeatable',
-      path: `/version/${version}/`,
+      path,
       body: 'probe',
       events: 0,
       deadlineMs: PROBE_DEADLINE_MS,
@@ -266,6 +268,7 @@
           ...priorityOf('resumable'),
           resumable: true,
         }),
+        route('late', LATE_PREFIX, 'idempotent', { ...plain, service: services.late }),
         route('version', `/version/${this.#version}/`, 'idempotent', plain),
       ],
       services: [
@@ -280,6 +283,7 @@
           },
         },
         { name: services.plain },
+        { name: services.late },
       ],
     };
   }
--- a/scripts/soak/pool.ts
+++ b/scripts/soak/pool.ts
@@ -9,8 +9,8 @@
 import { RUNNER_PORT as PORT } from './vm';
 import type { RunnerRole } from './work';
 
-/** Names of the services: one served by engines, and a plain one. */
-export const services = { model: 'reader', plain: 'desk' } as const;
+/** Names of the services: one served by engines, a plain one, and one whose runners come and go. */
+export const services = { model: 'reader', plain: 'desk', late: 'porter' } as const;
 
 /** Time after which the store entry of a crashed runner expires. */
 const ENTRY_EXPIRY_MS = 3000;
@@ -84,11 +84,14 @@
   }
 
   /** Starts a runner behind a proxy and writes its store entry. */
-  async add(role: RunnerRole, version: string): Promise<PooledRunner> {
+  async add(
+    role: RunnerRole,
+    version: string,
+    service: string = role === 'plain' ? services.plain : services.model,
+  ): Promise<PooledRunner> {
     this.#count += 1;
     const number = this.#count;
     const domain = this.#domains[number % this.#domains.length] ?? '';
-    const service = role === 'plain' ? services.plain : services.model;
     const runner = new SoakRunner(role, service, domain, version, this.#context);
     const host = `${this.#networkPrefix}.2.${number}`;
     const proxyHost = `${this.#networkPrefix}.3.${number}`;
--- a/scripts/soak/soak.ts
+++ b/scripts/soak/soak.ts
@@ -13,6 +13,7 @@
 import { FaultInjector } from './faults';
 import { ALL_PLAIN } from './kinds';
 import { Mesh } from './mesh';
+import { Newcomers } from './newcomers';
 import { OddEntries, oddKinds } from './oddentries';
 import { Operator } from './operator';
 import { FIRST_VERSION, Maintenance } from './maintenance';
@@ -80,6 +81,8 @@
 
   readonly #silences: RunnerSilences;
 
+  readonly #newcomers: Newcomers;
+
   readonly #odd: OddEntries;
 
   readonly #networkPrefix: string;
@@ -159,16 +162,24 @@
       },
       options.faults,
     );
+    this.#newcomers = new Newcomers({
+      pool: this.#pool,
+      vms,
+      version: FIRST_VERSION,
+      probe: (vm, path) => this.#operator.probe(vm, path),
+      isInTouch: (address) => this.#isInTouch(address),
+      unplannedFreeMs: () => this.#faults.unplannedFreeMs,
+      onBreach,
+      onDraining: (instanceId, isDraining) => observer.setDraining(instanceId, isDraining),
+    });
     this.#odd = new OddEntries({
       random: seeded(seed + 7),
       kinds: oddKinds.filter((kind) => this.#isEnabled(kind)),
       store,
       pool: this.#pool,
       networkPrefix: this.#networkPrefix,
-      version: FIRST_VERSION,
+      newcomers: this.#newcomers,
       onEntry: (kind, what) => timeline.recordFault(kind, what),
-      onRegistered: (instanceId) => observer.setRegistered(instanceId),
-      onDraining: (instanceId, isDraining) => observer.setDraining(instanceId, isDraining),
     });
     this.#silences = new RunnerSilences({
       random: seeded(seed + 6),
@@ -182,7 +193,8 @@
 
   /** Number of injected faults by kind, and what was counted of the guarantees. */
   get summary(): Readonly<Record<string, unknown>> {
-    const counts = { faults: this.#faults.counts, oddEntries: this.#odd.counts };
+    const odd = { oddEntries: this.#odd.counts, newcomers: this.#newcomers.counts };
+    const counts = { faults: this.#faults.counts, ...odd };
     return { ...counts, ...this.#guarantees.summary };
   }
 
