Keep a late prefill while nothing can take its place

What callers saw: 503 (noOwner) 3.7 to 4.2 s after their request, whose prompt had been placed late, and whose prefill runner was sound.

Cause: a prefill of 0.9 s was given up for another one also after the patience of callers, when the owner is not asked for a place any more, so that the refusal was certain.

place 3206, prefill i- runnerFailed, noOwner (4,109 ms)

and test/core/silence.test.ts, 'is kept past the patience of callers for as long as a sound runner may be silent', on the code before:

- false, false, true + true, true, true

Fix: after that time a prefill is given up only 2.5 s after its send, when a sound runner would have gone on. Before it, nothing changes.

The soak was not run for this.

--- a/src/core/stream/silence.ts
+++ b/src/core/stream/silence.ts
@@ -94,7 +94,8 @@
 
 /**
  * Whether a prefill may be given up. One at another prefill runner takes its place early. A decode
- * runner may refuse to do it, and is asked as late as the patience of callers allows.
+ * runner may refuse to do it, and is asked as late as the patience of callers allows. After that
+ * nothing can take its place, and it is kept for as long as its runner may be sound.
  */
 export function mayAbandon(
   now: number,
@@ -102,5 +103,7 @@
   hasOtherRunner: boolean,
 ): boolean {
   if (now < sentAt + PREFILL_MS) return false;
+  // The owner gives no place any more: the request would certainly be refused.
+  if (now >= waitingSince + patienceMs) return now >= sentAt + SOUND_SILENCE_MS;
   return hasOtherRunner || now >= waitingSince + patienceMs - CONTINUATION_MS;
 }
--- a/test/core/silence.test.ts
+++ b/test/core/silence.test.ts
@@ -59,4 +59,14 @@
       true,
     ]);
   });
+
+  // Guards against a request whose sound prefill is given up when the owner gives no place any more.
+  test('is kept past the patience of callers for as long as a sound runner may be silent', () => {
+    const pending = { sentAt: 3200, waitingSince: 0, patienceMs: 3600 };
+    const times = [4100, 5600, 5700];
+    for (const hasOtherRunner of [true, false]) {
+      const given = times.map((now) => mayAbandon(now, pending, hasOtherRunner));
+      expect(given).toEqual([false, false, true]);
+    }
+  });
 });
