Keep requests of routes whose time limit is longer than a timer

After a configuration that gives a route a time limit of 25 days or more, each request without a shorter limit of its own was ended at once: a plain one that a runner had got 502, one of a model service 503.

Cause: Node takes delays above 2^31 - 1 ms for 1 ms, and the timer that ends the request had the whole limit.

Evidence: 'a time limit that is longer than a timer does not end a request' (test/router/requestlimits.test.ts, 2^31 + 100 ms) failed before for /plain/1 with 502 and for /stream/1 with 503, where 200 is expected.

The delay is bounded as that of idle connections was already. Both pass, as do those of the exchange and kept connections.

--- a/src/node/router/exchange.ts
+++ b/src/node/router/exchange.ts
@@ -9,6 +9,7 @@
 import type { Expectation } from '../../core/plain/loadtable';
 import type { Route, Runner } from '../../core/routing/types';
 import type { StreamOrigin } from '../../core/versions/types';
+import { MAX_TIMER_MS } from '../../utils/clock';
 import { abortResponse, errorBody } from '../../utils/http';
 import { QuotaCharge } from './charge';
 import type { DeliveryBuffers } from './delivery';
@@ -146,7 +147,7 @@
     });
     this.#codec = codec;
     // The body, or the response to an earlier request of the connection, may have taken a part of the time.
-    const leftMs = this.deadlineAt - performance.now();
+    const leftMs = Math.min(MAX_TIMER_MS, this.deadlineAt - performance.now());
     if (leftMs > 0) this.#timer = setTimeout(() => this.#abort.abort(), leftMs);
     else this.#abort.abort();
     res.on('close', () => {
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -1,4 +1,7 @@
-/** A monotonic clock that includes the time during which the VM is suspended. */
+/** A monotonic clock that includes the time during which the VM is suspended, and the limit of timers. */
+
+/** Longest delay of a timer, in milliseconds; Node takes longer ones for 1 ms. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
 
 /** Advance of the wall clock over the monotonic clock between two readings, in milliseconds, up to which no suspension is assumed. The wall clock may be slewed by a few parts per thousand. */
 const MAX_SLEW_MS = 50;
--- a/test/router/requestlimits.test.ts
+++ b/test/router/requestlimits.test.ts
@@ -37,3 +37,20 @@
     },
   );
 });
+
+describe('a time limit that is longer than a timer', () => {
+  // Guards against requests that are ended at once: Node's timers take such delays for 1 ms.
+  test.each(['/plain/1', '/stream/1'])('does not end a request: %s', async (path) => {
+    const routes = baseConfig.routes.map((route) => ({ ...route, timeoutMs: 2 ** 31 + 100 }));
+    const vm = new ScriptedVm();
+    await vm.start({ ...baseConfig, routes, customers: undefined }, runners);
+    const request = vm.begin(path, { 'request-deadline-ms': '1e12' }).finish();
+    await vm.callAt(0);
+    await pause(100);
+    vm.calls.forEach((call) => call.answer());
+    vm.answerAll();
+    const { status, whole } = await request.answer;
+    await vm.stop();
+    expect({ status, whole }).toEqual({ status: 200, whole: true });
+  });
+});
