Bound the numbers of a configuration to what timers and messages take

What was seen: a time limit above 2^31 - 1 ms ("no limit") is set as a timer of 1 ms by Node (TimeoutOverflowWarning; fired after 8 ms in a trial), which ends each request of the route. With a number near the end of a double, the products that are taken of it are infinite, for which JSON has no text: each VM that read the configuration from another one rejected it, and with it the runners told beside it.

Cause: numbers of the configuration had no upper bounds.

They are bounded where they enter, named by what bounds them: times by timers, slots by the ports of an address, counts by what messages carry. A larger one counts as the bound, since it means the same; so the configuration is applied.

Evidence, before (test/platform/records.test.ts): "Failure: found a malformed configuration" from another VM's side.

--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -30,20 +30,36 @@
 const PATIENCE_LATENCY_TARGETS = 4;
 const PATIENCE_GAP_TARGETS = 8;
 
+/** A number of which more than `most` means the same. */
+function atMost(most: number): z.ZodType<number, number> {
+  return z.number().transform((value) => Math.min(value, most));
+}
+
+/** Timers of Node that are longer end at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+const milliseconds = atMost(MAX_TIMER_MS);
+const seconds = atMost(MAX_TIMER_MS / 1000);
+/** Largest number of tokens, requests or parts: what messages between VMs carry, and far from the end of a double. */
+const MAX_COUNT = 1_000_000_000;
+const count = atMost(MAX_COUNT);
+/** More does not fit into one buffer. */
+const MAX_BODY_BYTES = 2 ** 31 - 1;
+const positiveCount = z.number().min(0).pipe(count);
+
 const routeSchema = z.object({
   name: z.string(),
   host: z.string(),
   'path-prefix': z.string(),
   kind: z.string(),
   service: z.string().optional(),
-  'traffic-split': z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
-  'timeout-ms': z.number().default(DEFAULT_TIMEOUT_MS),
-  'target-latency-ms': z.number().default(1000),
+  'traffic-split': z.array(z.object({ service: z.string(), weight: count })).optional(),
+  'timeout-ms': milliseconds.default(DEFAULT_TIMEOUT_MS),
+  'target-latency-ms': milliseconds.default(1000),
   'max-attempts': z.int().default(1),
   priority: z.int().default(5),
   resumable: z.boolean().default(false),
   /** Target for the longest pause between two events of a stream, in milliseconds; 0 means no target. */
-  'gap-target-ms': z.number().default(0),
+  'gap-target-ms': milliseconds.default(0),
   /** Whether requests without an API key are admitted. */
   'allow-anonymous': z.boolean().default(false),
 });
@@ -53,18 +69,18 @@
   'api-keys': z.array(z.string()).default([]),
   priority: z.int().min(0).optional(),
   unit: z.enum(['requests', 'tokens']).default('requests'),
-  'plain-tokens': z.number().min(0).default(0),
+  'plain-tokens': positiveCount.default(0),
   /** 0 means no limit. */
-  'rate-per-s': z.number().min(0).default(0),
-  burst: z.number().min(0).default(0),
+  'rate-per-s': positiveCount.default(0),
+  burst: positiveCount.default(0),
 });
 
 const engineSchema = z.object({
-  slots: z.int(),
-  'kv-capacity-tokens': z.number(),
-  stride: z.number().default(1),
-  'kv-hold-s': z.number().default(1),
-  'switch-s': z.number().optional(),
+  slots: z.int().transform((slots) => Math.min(slots, MAX_SLOTS)),
+  'kv-capacity-tokens': count,
+  stride: count.default(1),
+  'kv-hold-s': seconds.default(1),
+  'switch-s': seconds.optional(),
 });
 
 const configSchema = z.object({
@@ -73,7 +89,7 @@
   services: z.array(
     z.object({
       name: z.string(),
-      'max-connections': z.number().default(100),
+      'max-connections': count.default(100),
       engine: engineSchema.optional(),
     }),
   ),
@@ -87,9 +103,9 @@
     .optional(),
   limits: z
     .object({
-      'max-body-bytes': z.number().default(4_194_304),
-      'header-timeout-ms': z.number().default(10_000),
-      'idle-timeout-ms': z.number().default(15_000),
+      'max-body-bytes': atMost(MAX_BODY_BYTES).default(4_194_304),
+      'header-timeout-ms': milliseconds.default(10_000),
+      'idle-timeout-ms': milliseconds.default(15_000),
     })
     .prefault({}),
 });
@@ -227,10 +243,9 @@
     timeoutMs: route['timeout-ms'],
     aimMs,
     gapMs,
-    patienceMs: Math.max(
-      MIN_PATIENCE_MS,
-      PATIENCE_LATENCY_TARGETS * aimMs,
-      PATIENCE_GAP_TARGETS * gapMs,
+    patienceMs: Math.min(
+      MAX_TIMER_MS,
+      Math.max(MIN_PATIENCE_MS, PATIENCE_LATENCY_TARGETS * aimMs, PATIENCE_GAP_TARGETS * gapMs),
     ),
     attempts: Math.max(1, route['max-attempts']),
     priority: route.priority,
--- a/test/platform/records.test.ts
+++ b/test/platform/records.test.ts
@@ -1,3 +1,4 @@
+import { packConfig, unpackConfig } from '../../src/node/router/configwire';
 import { decodeConfig, decodeRunner, decodeSuspect } from '../../src/platform/records';
 import { entryOf } from '../fakes/entry';
 
@@ -140,6 +141,103 @@
   }
 }
 
+describe('the numbers of a configuration', () => {
+  // Guards against timers that end at once, which answered each request of a route with 504, and against numbers that JSON has no text for, with which VMs passed on no configuration.
+  test('are bounded so that timers keep to them and messages carry them', () => {
+    const most = 1e308;
+    const config = decodeConfig(
+      JSON.stringify({
+        version: 1,
+        routes: [
+          {
+            name: 'r',
+            host: 'h',
+            'path-prefix': '/',
+            kind: 'idempotent',
+            'traffic-split': [{ service: 's', weight: most }],
+            'timeout-ms': most,
+            'target-latency-ms': most,
+            'gap-target-ms': most,
+          },
+        ],
+        services: [
+          {
+            name: 's',
+            'max-connections': most,
+            engine: {
+              slots: Number.MAX_SAFE_INTEGER,
+              'kv-capacity-tokens': most,
+              stride: most,
+              'kv-hold-s': most,
+              'switch-s': most,
+            },
+          },
+        ],
+        tenants: [{ name: 'c', 'rate-per-s': most, burst: most, 'plain-tokens': most }],
+        limits: { 'max-body-bytes': most, 'header-timeout-ms': most, 'idle-timeout-ms': most },
+      }),
+    );
+    expect(unpackConfig(packConfig(config))).toEqual(config);
+    expect(config).toMatchInlineSnapshot(`
+     {
+       "customers": [
+         {
+           "keys": [],
+           "name": "c",
+           "quota": {
+             "burst": 1000000000,
+             "plainTokens": 1000000000,
+             "ratePerS": 1000000000,
+             "unit": "requests",
+           },
+         },
+       ],
+       "limits": {
+         "bodyBytes": 2147483647,
+         "headerTimeoutMs": 2147483647,
+         "idleTimeoutMs": 2147483647,
+       },
+       "routes": [
+         {
+           "aimMs": 2147483647,
+           "anonymous": false,
+           "attempts": 1,
+           "gapMs": 2147483647,
+           "host": "h",
+           "kind": "repeatable",
+           "name": "r",
+           "patienceMs": 2147483647,
+           "prefix": "/",
+           "priority": 5,
+           "resumable": false,
+           "targets": [
+             {
+               "service": "s",
+               "weight": 1000000000,
+             },
+           ],
+           "timeoutMs": 2147483647,
+         },
+       ],
+       "services": [
+         {
+           "connections": 1000000000,
+           "engine": {
+             "eventTokens": 1000000000,
+             "keepMs": 2147483647,
+             "memoryTokens": 1000000000,
+             "slots": 65535,
+             "switchMs": 2147483647,
+           },
+           "name": "s",
+         },
+       ],
+       "version": 1,
+     }
+    `);
+  });
+});
+
 describe('the customers of a configuration', () => {
   test('have digests instead of keys, and a quota only if they have a rate', () => {
     const whole = {
