Bound the releases that a rate-limited runner is expected to have

What callers see: with a runner that announces a rate limit, each decision of the planner builds a list of its memory divided by the size of a request. The memory is a number of the configuration, the size one that a caller names: a request of one token at a runner of 90,000 tokens makes 90,000 items.

Cause: one release for each request that fits, without a bound.

From 256 releases on several requests count as one, when the last of them is allowed; below, the list is the same. The function stands apart from the account now, so that a test without one shows it.

No request was sent through a whole VM to show it.

--- a/src/core/memory/capacity.ts
+++ b/src/core/memory/capacity.ts
@@ -16,7 +16,7 @@
 import type { LocalDemand, UsualRequest } from './prefills';
 import { PrefillPlacement } from './prefills';
 import type { Release } from './releases';
-import { waitForTokensMs } from './releases';
+import { rateLimitedReleases, waitForTokensMs } from './releases';
 import type { Demand } from './types';
 
 /** Load of a service as logged with each decision. */
@@ -324,12 +324,7 @@
     usualSize: number,
   ): readonly Release[] {
     const firstAt = now + this.#allowance.waitMs(now, state.runner.id);
-    const count = Math.floor(state.memoryTokens / Math.max(1, usualSize));
-    const releases = Array.from({ length: count }, (_, index): Release => ({
-      at: firstAt + (index * 1000) / ratePerS,
-      tokens: usualSize,
-    }));
-    return releases.filter(({ at }) => Number.isFinite(at));
+    return rateLimitedReleases(firstAt, ratePerS, state.memoryTokens, usualSize);
   }
 
   /**
