Bound the numbers in headers of callers and runners

What callers see: a request with a Length-Hint above 1,000,000,000 cannot be told to the owner of its service, whose messages carry no more; a deadline of 1e300 ms is passed on to the runner as "1e+300", and so is a Retry-After of 300 digits of a runner to callers.

Cause: only the sign and the form of these numbers were checked.

They are bounded where the header is read: the hint like the token counts beside it, the deadline by what a timer keeps to, the pause by the last date there is. Larger ones mean the same.

Evidence, before (test/platform/ingress.test.ts, notice.test.ts): the hint and the deadline are 1e+300, the pause 1e+303. The effect on a request through two VMs was read, not run.

--- a/src/platform/ingress.ts
+++ b/src/platform/ingress.ts
@@ -10,6 +10,7 @@
   IngressCodec,
   Usage,
 } from '../node/router/types';
+import { MAX_TIMER_MS } from '../utils/clock';
 import { credentialOf } from './credential';
 import { connectionHeaders, header, path, routerHeaders } from './names';
 
@@ -22,11 +23,11 @@
 /** Decimal digits of `retry-after`, which is in seconds and may have a fraction. */
 const RETRY_AFTER_DIGITS = 1;
 
-/** Parses a non-negative number; undefined for other texts. */
-function numberOf(text: string | undefined): number | undefined {
+/** Parses a non-negative number, of which more than `most` means the same; undefined for other texts. */
+function numberOf(text: string | undefined, most: number): number | undefined {
   if (text === undefined) return undefined;
   const value = Number(text);
-  return Number.isFinite(value) && value >= 0 ? value : undefined;
+  return Number.isFinite(value) && value >= 0 ? Math.min(value, most) : undefined;
 }
 
 /** The first value of a header. */
@@ -73,7 +74,7 @@
     promptId,
     promptTokens: prompt,
     maxOutputTokens: output,
-    hintTokens: numberOf(firstValueOf(message, header.lengthHint)),
+    hintTokens: numberOf(firstValueOf(message, header.lengthHint), MAX_TOKENS),
   };
 }
 
@@ -136,7 +137,7 @@
         keyed ? droppedKeyedHeaders : droppedHeaders,
       ),
       body,
-      deadlineMs: numberOf(firstValueOf(message, header.deadline)),
+      deadlineMs: numberOf(firstValueOf(message, header.deadline), MAX_TIMER_MS),
       usage: usageOf(message, promptParts.at(-1)),
       promptParts,
       model: firstValueOf(message, header.model) ?? '',
--- a/src/platform/notice.ts
+++ b/src/platform/notice.ts
@@ -11,6 +11,9 @@
 /** Maximum number of characters of an unreadable value that are logged. */
 const MAX_TEXT_CHARS = 40;
 
+/** Largest time that a date can have, in milliseconds; far larger numbers have no decimal text for a header. */
+const MAX_DELAY_MS = 8.64e15;
+
 /** Statuses of rejections, with which `retry-after` tells when to come back (RFC 9110, RFC 6585). */
 const REJECTIONS: ReadonlySet<number> = new Set([429, 503]);
 
@@ -55,7 +58,7 @@
 }
 
 /**
- * The delay in milliseconds; undefined if the value is neither a number of seconds nor a date. A
+ * The delay in milliseconds, at most to the last date there is; undefined if the value is neither a number of seconds nor a date. A
  * date counts from the date of the response, since the clocks of VM and runner may differ.
  */
 function delayMsOf(value: string, sentAt: string | undefined): number | undefined {
@@ -63,5 +66,5 @@
   const seconds = SECONDS_PATTERN.test(text) ? Number(text) : NaN;
   const dateMs = /[a-z]/i.test(text) ? Date.parse(text) - Date.parse(sentAt ?? '') : NaN;
   const delayMs = Number.isNaN(seconds) ? Math.max(0, dateMs) : seconds * 1000;
-  return Number.isFinite(delayMs) ? delayMs : undefined;
+  return Number.isFinite(delayMs) ? Math.min(delayMs, MAX_DELAY_MS) : undefined;
 }
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -12,6 +12,7 @@
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
 import { MAX_SLOTS, instanceId } from '../core/routing/types';
 import type { VersionsByService } from '../core/versions/types';
+import { MAX_TIMER_MS } from '../utils/clock';
 
 /** Call kinds by the value of `kind` in a route. */
 const callKinds: Readonly<Record<string, CallKind>> = {
@@ -35,8 +36,6 @@
   return z.number().transform((value) => Math.min(value, most));
 }
 
-/** Timers of Node that are longer end at once. */
-const MAX_TIMER_MS = 2 ** 31 - 1;
 const milliseconds = atMost(MAX_TIMER_MS);
 const seconds = atMost(MAX_TIMER_MS / 1000);
 /** Largest number of tokens, requests or parts: what messages between VMs carry, and far from the end of a double. */
@@ -131,7 +130,7 @@
 /** More orders than one each millisecond for a week. */
 const MAX_ORDERS = 1_000_000_000;
 /** Start times are in milliseconds; those in microseconds lie after this one. */
-const MAX_BORN = Date.UTC(2100, 0);
+export const MAX_BORN = Date.UTC(2100, 0);
 
 /**
  * The entry of a runner, with all fields that runners write. An entry that lacks a field, has
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -34,3 +34,6 @@
 export function bootNow(): number {
   return clock.read(performance.now(), Date.now());
 }
+
+/** Longest delay of a timer of Node, in milliseconds; longer ones end at once. */
+export const MAX_TIMER_MS = 2 ** 31 - 1;
--- a/src/utils/keptconnections.ts
+++ b/src/utils/keptconnections.ts
@@ -5,9 +5,7 @@
 
 import { announcedSeconds, closesAt } from '../core/idle';
 import type { CallerResponse } from './callerresponse';
-
-/** Longest delay of a timer; longer ones would end at once. */
-const MAX_TIMER_MS = 2 ** 31 - 1;
+import { MAX_TIMER_MS } from './clock';
 
 /** What the connections of a server have in common. */
 interface Terms {
--- a/test/platform/ingress.test.ts
+++ b/test/platform/ingress.test.ts
@@ -43,6 +43,19 @@
   });
 });
 
+describe('the numbers of a request', () => {
+  // Guards against a request that is refused since no message carries its estimate, and a deadline that runners cannot read.
+  test('are bounded to what messages and runners take', () => {
+    const headers = {
+      'length-hint': '1e300',
+      'request-deadline-ms': '1e300',
+      'token-usage': '100,50',
+    };
+    const { usage, deadlineMs } = decode(headers);
+    expect([usage?.hintTokens, deadlineMs]).toEqual([1e9, 2_147_483_647]);
+  });
+});
+
 describe('the parts of a prompt', () => {
   test.each([
     ['in order', '5c1e07a2:800,91bd3f06:410,e4402b7d:250', ['5c1e07a2', '91bd3f06', 'e4402b7d']],
--- a/test/platform/notice.test.ts
+++ b/test/platform/notice.test.ts
@@ -48,6 +48,7 @@
   test.each([
     [['3'], 3000],
     [['0.25'], 250],
+    [[`1${'0'.repeat(300)}`], 8.64e15],
     [['0'], 0],
     [[' 7 '], 7000],
     [['99999999'], 99_999_999_000],
