Believe no number in a runner's report that cannot be true

What was seen: a report with one odd run was unreadable as a whole, so that memory in use at that runner was unknown; one with memory of -1 or 1e308 tokens was believed, and one with a start time of 2^53 - 1 displaces each later instance of the runner, also at the other VMs.

Cause: the numbers of a report had no bounds, and its runs were read all at once.

Tokens and events are bounded as in messages and configurations, the start as in the runner's entry; runs are read one by one.

Evidence, before (test/platform/runner.test.ts): "has numbers that can be true, and loses odd runs only" fails in all four cases.

--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -39,7 +39,7 @@
 const milliseconds = atMost(MAX_TIMER_MS);
 const seconds = atMost(MAX_TIMER_MS / 1000);
 /** Largest number of tokens, requests or parts: what messages between VMs carry, and far from the end of a double. */
-const MAX_COUNT = 1_000_000_000;
+export const MAX_COUNT = 1_000_000_000;
 const count = atMost(MAX_COUNT);
 /** More does not fit into one buffer. */
 const MAX_BODY_BYTES = 2 ** 31 - 1;
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -27,12 +27,14 @@
   RunnerReport,
   RunnerTarget,
 } from '../node/router/types';
+import { listOf } from '../node/wire';
 import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, isConnectionRefused, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { loadOf } from './load';
 import { header, path } from './names';
 import { isLeaving, noticeOf } from './notice';
+import { MAX_BORN, MAX_COUNT } from './records';
 import { rateNoticeOf } from './ratelimit';
 
 /** Timeout of calls that carry no request: reports, orders and freeing a cache, in milliseconds. */
@@ -48,12 +50,14 @@
 const HTTP_MISDIRECTED_REQUEST = 421;
 
 const prefillSchema = z.object({ 'kv-handle': z.string() });
-const bornSchema = z.int().min(0).default(0);
+const bornSchema = z.int().min(0).max(MAX_BORN).default(0);
+/** No runner holds more tokens, nor has it made more events. */
+const count = z.number().min(0).max(MAX_COUNT);
 /** Request id, tokens in memory, events generated, priority. */
-const runSchema = z.tuple([z.string(), z.number(), z.number()]).rest(z.unknown());
+const runSchema = z.tuple([z.string(), count, count]).rest(z.unknown());
 const reportSchema = z.object({
-  'kv-used': z.number(),
-  runs: z.array(runSchema).default([]),
+  'kv-used': count,
+  runs: listOf(runSchema).default([]),
   born: bornSchema,
 });
 
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -181,6 +181,33 @@
   });
 });
 
+describe('the report of a runner', () => {
+  async function readReport(report: unknown): Promise<unknown> {
+    const body = JSON.stringify(report);
+    const server = await runnerOf((socket) => {
+      socket.end(`HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+    });
+    const reading = new PlatformRunnerClient(directConnector).report(dispatchTo(server).runner);
+    return reading.catch(() => 'unreadable').finally(() => server.close());
+  }
+
+  // Guards against memory that no runner has, against a start that displaces each later instance, and against one odd run that hides all others.
+  test('has numbers that can be true, and loses odd runs only', async () => {
+    const runs = [['a', -1e308, 1], ['b', 7, 1, 5], ['c', 1e308, 1], null];
+    expect([
+      await readReport({ 'kv-used': 1, runs }),
+      await readReport({ 'kv-used': -1 }),
+      await readReport({ 'kv-used': 1e308 }),
+      await readReport({ 'kv-used': 1, born: Number.MAX_SAFE_INTEGER }),
+    ]).toEqual([
+      expect.objectContaining({ usedTokens: 1, runs: [{ request: 'b', tokens: 7 }] }),
+      'unreadable',
+      'unreadable',
+      'unreadable',
+    ]);
+  });
+});
+
 describe('the state of a runner', () => {
   /** What a check shows of a runner whose report is answered in this way; it is known to have started at 5. */
   async function stateAfter(answer: (socket: Socket) => void): Promise<string> {
