Check whether a runner runs once a process that ends would have closed its listener

Callers got a 200 with a part of the body, framed as whole, from plain runners that were killed within an answer without a length. Such an answer is complete if its runner still runs, which a connection to it had to show. But the kernel closes the connections of a process that ends one after the other, its listener not first: the check met a listener that still accepted, and passed for a sound runner.

Now the connection is made 20 ms after the end, in the own interface as well. An answer without a length from a plain runner takes that much longer; others do not.

Before: 'is that of a process that ends, and still listens for a moment': expected "gone", received "running". After: it passes, and a runner that closes connections beyond its limit is still found to run.

--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -24,6 +24,7 @@
   RunnerReport,
   RunnerTarget,
 } from '../node/router/types';
+import { confirmListening } from '../utils/dialer';
 import type { CallOptions, HttpResponse } from '../utils/http';
 import { call, failOnReset, isConnectionRefused, readBody } from '../utils/http';
 import { forwardableHeaders } from './ingress';
@@ -134,15 +135,14 @@
     return this.#call({ address, id }, path.report, { method: 'GET', headers });
   }
 
-  /** A runner of a plain service has no report; its process runs if it accepts connections. */
+  /** A runner of a plain service has no report; its process runs if it goes on accepting connections. */
   async stateOf(runner: Runner, mayCall = true): Promise<RunnerState> {
     try {
       if (mayCall && runner.role !== 'plain') return await this.#reportedState(runner);
       const { address, id } = runner;
       const target = { address, id, request: undefined, mayAbandon: () => true };
       const limit = AbortSignal.timeout(CONTROL_CALL_TIMEOUT_MS);
-      const { socket } = await this.#connector.connect(target, limit);
-      socket.destroy();
+      await confirmListening(async () => (await this.#connector.connect(target, limit)).socket);
       return 'running';
     } catch (error) {
       return isRefusal(error as Error) ? 'gone' : 'unknown';
--- a/src/utils/dialer.ts
+++ b/src/utils/dialer.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
+import { setTimeout as pause } from 'node:timers/promises';
 
 /** Opens connections from this VM to runners. */
 export interface Dialer {
@@ -41,3 +42,19 @@
     });
   });
 }
+
+/**
+ * Time in which the kernel closes all connections and listeners of a process that ends, in
+ * milliseconds: some connections are closed before the listener, which still accepts others then.
+ */
+const ENDING_MS = 20;
+
+/**
+ * Resolves if the process that closed a connection just now goes on listening. Rejects as `open` does
+ * if a connection is not established.
+ * @param open opens a connection to the process
+ */
+export async function confirmListening(open: () => Promise<Socket>): Promise<void> {
+  await pause(ENDING_MS);
+  (await open()).destroy();
+}
--- a/test/platform/runner.test.ts
+++ b/test/platform/runner.test.ts
@@ -325,6 +325,19 @@
     });
   });
 
+  // Guards against a killed runner's answer that looks complete: the kernel closes some connections before the listener.
+  test.each([
+    ['ends, and still listens for a moment', true, 'gone'],
+    ['closes connections beyond its limit', false, 'running'],
+  ])('is that of a process that %s', async (_, isEnding, state) => {
+    const server = createServer((socket) => socket.on('error', () => {}).destroy());
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    const { runner } = dispatchTo(server);
+    if (isEnding) setTimeout(() => server.close(), 3);
+    expect(await new PlatformRunnerClient(directConnector).stateOf(runner)).toBe(state);
+    server.close();
+  });
+
   test('is gone if its address refuses connections', async () => {
     const server = await runnerOf(() => {});
     const { runner } = dispatchTo(server);
