Pass on answers of plain runners in full when they might have been refusals

In the own interface, a 503 in JSON was read to see whether it is a refusal, and then passed on without the body that was read: a caller with a length waited for it without end, others got an empty body as whole, and for calls that run once that was kept as the outcome. Where such an answer was cut, the caller got 500 internal and nothing was tried elsewhere. A switch of protocols left the call open.

Now what was read is passed on and kept, and what ends early is a lost runner.

--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -15,7 +15,8 @@
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
 import { abortResponse, failOnReset, isConnectionRefused, readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
-import { isWholeAnswer } from './answerend';
+import type { RunnerAnswer } from './answerend';
+import { isWholeAnswer, verdictOf } from './answerend';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Claim } from './ledger';
 import { idempotencyKeyOf } from './model';
@@ -51,12 +52,10 @@
  * aborted it on timeout.
  */
 type Dispatch =
-  | { readonly kind: 'answered'; readonly answer: IncomingMessage; readonly url: string }
+  | ({ readonly kind: 'answered' } & RunnerAnswer)
   | { readonly kind: 'refused'; readonly leaving: boolean }
   | { readonly kind: 'lost'; readonly error: Error; readonly isBrokenOff: boolean };
 
-type Answered = Extract<Dispatch, { kind: 'answered' }>;
-
 /** Bodies up to this size are buffered, so that the call can be sent again; larger ones are streamed once. */
 const BUFFERED_BODY_LIMIT_BYTES = 256 * 1024;
 /** Delay after which callers should retry if no runner is available, in milliseconds. */
@@ -286,17 +285,18 @@
     });
   }
 
-  async #settle({ req, res }: PlainCall, { answer, url }: Answered, claim: Claim): Promise<void> {
+  async #settle({ res }: PlainCall, received: RunnerAnswer, claim: Claim): Promise<void> {
+    const { answer } = received;
     let body: Buffer;
     try {
-      body = await readBody(answer, this.#options.bodyBytes);
+      body = received.body ?? (await readBody(answer, this.#options.bodyBytes));
     } catch (error) {
       throw new Failure(
         'outcomeUnknown',
         `the answer was interrupted: ${toFailure(error).message}`,
       );
     }
-    if (!(await isWholeAnswer(answer, req.method ?? 'GET', url))) {
+    if (!(await isWholeAnswer(received))) {
       throw new Failure('outcomeUnknown', 'the runner was lost within its answer');
     }
     const status = answer.statusCode ?? 502;
@@ -313,14 +313,12 @@
     body: Buffer | undefined,
   ): Promise<Dispatch> {
     this.#balancer.begin(runner.id);
-    const sent = await this.#send(call, runner, body);
-    const isLeaving =
-      sent.kind === 'answered' &&
-      sent.answer.statusCode === 503 &&
-      (await statesNotRun(sent.answer));
-    if (isLeaving) {
+    const received = await this.#send(call, runner, body);
+    const sent: Dispatch =
+      received.kind === 'answered' ? { ...received, ...(await verdictOf(received)) } : received;
+    if (sent.kind === 'refused' && sent.leaving) {
       this.#balancer.end(Date.now(), runner.id, 'leaving');
-      return { kind: 'refused', leaving: isLeaving };
+      return sent;
     }
     this.#balancer.end(Date.now(), runner.id, sent.kind === 'answered' ? 'ok' : 'lost');
     if (body) this.#reportToQuarantine(call, body, sent, runner.id);
@@ -334,12 +332,18 @@
   ): Promise<Dispatch> {
     return new Promise((resolve) => {
       const headers = forwardedHeaders(req.headers);
+      const { method = 'GET' } = req;
       // If the runner closes a kept-alive connection at this moment, the call looks lost; a call that cannot be repeated therefore opens a new connection.
-      const agent = body === undefined || req.method !== 'GET' ? false : this.#agent;
+      const agent = body === undefined || method !== 'GET' ? false : this.#agent;
       const signal = AbortSignal.timeout(service.timeoutMs);
-      const out = request(url + path, { method: req.method, headers, agent, signal }, (answer) => {
+      const out = request(url + path, { method, headers, agent, signal }, (answer) => {
         failOnReset(out, answer);
-        resolve({ kind: 'answered', answer, url });
+        resolve({ kind: 'answered', answer, method, url });
+      });
+      out.on('upgrade', (_message, socket) => {
+        socket.destroy();
+        const error = new Error('found a switch of protocols, which the call did not ask for');
+        resolve({ kind: 'lost', error, isBrokenOff: true });
       });
       out.on('error', (error) => {
         if (isConnectionRefused(error)) resolve({ kind: 'refused', leaving: false });
@@ -362,17 +366,22 @@
     pipeline(req, out).catch(() => out.destroy());
   }
 
-  async #forwardAnswer({ req, res }: PlainCall, { answer, url }: Answered): Promise<void> {
+  async #forwardAnswer({ res }: PlainCall, received: RunnerAnswer): Promise<void> {
+    const { answer, body } = received;
     if (res.destroyed) {
       answer.destroy();
       return;
     }
     res.writeHead(answer.statusCode ?? 502, forwardedHeaders(answer.headers));
+    if (body) {
+      res.end(body);
+      return;
+    }
     // The status was already sent; only a closed connection can show the caller that the body is incomplete.
     answer.once('error', () => abortResponse(res));
     try {
       await pipeline(answer, res, { end: false });
-      if (await isWholeAnswer(answer, req.method ?? 'GET', url)) res.end();
+      if (await isWholeAnswer(received)) res.end();
       else abortResponse(res);
     } catch (error) {
       this.#options.log.debug(`An answer was interrupted. ${(error as Error).message}.`);
@@ -384,14 +393,3 @@
 function callFingerprint({ team, serviceName, req, path }: PlainCall, body: Buffer): string {
   return contentIdOf(`${team} ${serviceName} ${req.method} ${path}`, body);
 }
-
-/** Whether the body of a 503 response states that the call did not run; without it, the call may have run. */
-async function statesNotRun(answer: IncomingMessage): Promise<boolean> {
-  if (answer.headers['content-type'] !== 'application/json') return false;
-  const text = (await readBody(answer, BUFFERED_BODY_LIMIT_BYTES)).toString();
-  try {
-    return (JSON.parse(text) as { not_run?: boolean }).not_run === true;
-  } catch {
-    return false;
-  }
-}
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -31,6 +31,9 @@
   /** Sends part of a response without a content length, then ends as a killed process does, whose connections are closed in order. */
   diesInAnswers = false;
 
+  /** Bytes that it sends in answer to each request before it closes the connection; empty disables it. */
+  rawAnswer = '';
+
   /** Reports that the runner is leaving, and refuses requests with status 503. */
   leaving = false;
 
@@ -69,6 +72,7 @@
         await pause(this.delayMs);
         const crashes = this.deadly !== '' && body.includes(this.deadly);
         if (this.dropAnswers || crashes) res.destroy();
+        else if (this.rawAnswer !== '') req.socket.end(this.rawAnswer);
         else if (this.resetsAnswers || this.diesInAnswers) {
           const { socket } = req;
           socket.write(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${PARTIAL_BODY}`);
--- a/test/node/answers.test.ts
+++ b/test/node/answers.test.ts
@@ -60,3 +60,40 @@
     `);
   });
 });
+
+describe('an answer that may be a refusal', () => {
+  const cluster = new Cluster({ vms: 1 });
+  const BUSY = '{"error":"busy"}';
+  const REFUSAL = '{"not_run":true}';
+  const answerOf = (body: string, length: number): string =>
+    `HTTP/1.1 503 x\r\nContent-Type: application/json\r\nContent-Length: ${length}\r\n\r\n${body}`;
+
+  beforeAll(() => cluster.start(), 30_000);
+  afterAll(() => cluster.stop());
+
+  // Guards against a caller that waits for a body that was read on the way, an outcome that is kept without it, and an internal error for a runner that was lost.
+  test.each([
+    ['is whole', answerOf(BUSY, BUSY.length), `503 whole ${BUSY}`, `503 whole ${BUSY}`],
+    ['is cut', answerOf(BUSY, 90), '502 whole runnerFailed', '502 whole outcomeUnknown'],
+    [
+      'is a cut refusal',
+      answerOf(REFUSAL, 90),
+      '502 whole runnerFailed',
+      '502 whole outcomeUnknown',
+    ],
+    [
+      'switches protocols',
+      'HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n',
+      '502 whole runnerFailed',
+      '502 whole outcomeUnknown',
+    ],
+  ])('and %s reaches its caller', async (name, rawAnswer, idempotent, once) => {
+    for (const runner of cluster.plainRunners) Object.assign(runner, { rawAnswer });
+    const url = `${cluster.callers(0)}/services/registry`;
+    const path = encodeURIComponent(name);
+    expect([
+      await outcomeOf(`${url}/tiles?${path}`, 'GET'),
+      await outcomeOf(`${url}/receipts?${path}`, 'POST', path),
+    ]).toEqual([idempotent, once]);
+  });
+});
