--- a/scripts/soak/operator.ts
+++ b/scripts/soak/operator.ts
@@ -204,7 +204,8 @@
 
   /** Sends a plain request to a VM with a valid key; returns the status of the answer, 0 without one. */
   async probe(vm: Vm, path: string): Promise<number> {
-    const [valid] = this.#keys;
+    // Of a customer without a quota, so that the answer tells about the route.
+    const valid = this.#keys.find(({ customer }) => this.quotaOf(customer) === undefined);
     const sent: SentRequest = {
       id: randomUUID(),
       kind: 'repeatable',
--- a/scripts/soak/shim.cjs
+++ b/scripts/soak/shim.cjs
@@ -62,11 +62,15 @@
   track(this, target);
   const route =
     first && typeof first === 'object' ? routes[`${first.host}:${first.port}`] : undefined;
-  if (route !== undefined) {
-    const [host, port] = route.split(':');
-    Object.assign(first, { host, port: Number(port) });
-  }
-  return realConnect.apply(this, args);
+  if (route === undefined) return realConnect.apply(this, args);
+  const [host, port] = route.split(':');
+  // A copy: agents of HTTP find the socket again by these options, and would keep it for ever.
+  const redirected = { ...first, host, port: Number(port) };
+  if (!Array.isArray(args[0])) return realConnect.call(this, redirected, ...args.slice(1));
+  const normalized = Object.assign([...args[0]], { 0: redirected });
+  // Node marks arguments that it has normalized with a symbol.
+  for (const mark of Object.getOwnPropertySymbols(args[0])) normalized[mark] = args[0][mark];
+  return realConnect.call(this, normalized);
 };
 
 const realSend = dgram.Socket.prototype.send;
