Keep the links of a VM that has left until it ends

A VM that is told to stop and completes its requests was taken for lost by others up to ten seconds after its last use of its link to them. By reading, they then give up the connections that it forwards for them, streams in progress among them, and drop the places of its requests from their plans.

Cause: links are closed after 8 s without use, and the close of a link is what tells others that a VM which has left has ended.

Evidence: test/router/leavinglinks.test.ts failed before: vm2 was lost to vm1 before it ended; expected [], received ['vm2'].

A VM that has left closes no idle links. The test passes, as do 32 tests of partitions, tunnels, shutdown and planners.

--- a/src/node/router/fleet.ts
+++ b/src/node/router/fleet.ts
@@ -324,6 +324,8 @@
   }
 
   #closeIdle(now: number): void {
+    // Others take the end of a link for that of a VM that has left.
+    if (this.self.state === 'left') return;
     for (const [address, { link, usedAt }] of this.#links) {
       if (now - usedAt > IDLE_LINK_MS && !this.#keptOpen.has(address)) {
         link.close();
