End an event stream whose runner switches protocols

A stream of the own interface whose runner answers 101 stayed open: Node reports neither a response nor an error, not even when its signal is aborted.

--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -30,6 +30,10 @@
   return new Promise((resolve, reject) => {
     const req = request(url, { method, headers: headers ?? {}, agent, signal }, resolve);
     req.on('error', reject);
+    req.on('upgrade', (_message, socket) => {
+      socket.destroy();
+      reject(new Error('found a switch of protocols, which the request did not ask for'));
+    });
     req.end(body);
   });
 }
