--- a/test/router/oddentries.test.ts
+++ b/test/router/oddentries.test.ts
@@ -88,4 +88,33 @@
     await cluster.startAgain(1);
     await expectServed();
   }, 30_000);
+
+  // Guards against a list that takes too long, or fills a message, because of what others wrote.
+  test('is harmless five hundred times at once', async () => {
+    const names = Object.keys(odd);
+    const keys = Array.from({ length: 500 }, (_, index) => `servers/many-${index}`);
+    keys.forEach((key, index) => {
+      const entry = entryOf({ service: services.plain, address });
+      cluster.store.put(key, odd[names[index % names.length] ?? '']?.(entry));
+    });
+    await expectServed();
+    for (const key of keys) cluster.store.remove(key);
+  }, 60_000);
+
+  // Guards against a sound runner that stays out of use once another writer has replaced its entry.
+  test('is harmless in the place of a runner that writes its own again', async () => {
+    const [only, ...others] = cluster.runnersOf('plain');
+    for (const { id } of others) cluster.store.remove(`servers/${id}`);
+    for (const change of Object.values(odd)) {
+      cluster.store.put(`servers/${only?.id}`, change(only?.entry as Record<string, unknown>));
+      cluster.store.put(`servers/${only?.id}`, only?.entry);
+    }
+    const sound = Array.from({ length: REQUESTS }, () => 200);
+    await waitUntil('the only runner is used', async () => {
+      const before = only?.contacts.length ?? 0;
+      const statuses = await statusesOf('/plain/');
+      const served = (only?.contacts.length ?? 0) - before;
+      return served === REQUESTS && statuses.join() === sound.join();
+    });
+  }, 30_000);
 });
