Count no more slots of a runner than another one reports

What callers see: beside an entry of 65,535 slots at an address where nobody listens, a VM holds as many requests as its service seems to have slots, and expects them to end at once.

Cause: the slots of a registration counted until the runner reports its own, which one that does not exist never does.

Until then it counts with no more than the most that a runner of the service has reported.

Evidence, before (test/core/plainload.test.ts): 65535 where 6 are reported.

--- a/src/core/plain/loadtable.ts
+++ b/src/core/plain/loadtable.ts
@@ -112,6 +112,9 @@
 
   #slownessAt = -Infinity;
 
+  /** Most slots that a runner of the service has reported; infinite before the first report. */
+  #mostSlots = Infinity;
+
   /** Whether runners of the service report their slowness. */
   reportsSlowness(now: number): boolean {
     return now - this.#slownessAt < FORGET_MS;
@@ -131,6 +134,8 @@
     }
     entry.report = report;
     entry.sent = entry.sent.filter((one) => one.at > at - TRANSIT_MS);
+    const known = Number.isFinite(this.#mostSlots) ? this.#mostSlots : 0;
+    this.#mostSlots = Math.max(known, load.slots);
     return true;
   }
 
@@ -170,7 +175,9 @@
   /** What is expected of a request with a usual time of `ownMs` at a runner. */
   expect(now: number, { id, slots }: Pick<Candidate, 'id' | 'slots'>, ownMs: number): Expectation {
     const entry = this.#entries.get(id);
-    const allSlots = entry?.report?.load.slots ?? Math.max(1, slots);
+    // A registration may come from another writer; slots that no runner has would hold requests.
+    const registered = Math.max(1, Math.min(slots, this.#mostSlots));
+    const allSlots = entry?.report?.load.slots ?? registered;
     const usable = entry?.speed.usableSlots(now, allSlots) ?? allSlots;
     const slowness = entry ? slownessAt(now, entry) : 1;
     const factor = slowness * (entry?.speed.factor ?? 1);
--- a/test/core/plainload.test.ts
+++ b/test/core/plainload.test.ts
@@ -46,6 +46,22 @@
     expect(table.reported(reportOf(40, 0, 0))).toBe(false);
   });
 
+  // Guards against requests that are held for slots that only an entry of another writer has.
+  test('counts no more slots of a runner that reports none than another one reports', () => {
+    const table = new LoadTable();
+    const odd = { id: 'odd', slots: 65_535 };
+    const slotsOf = (): number => table.expect(100, odd, 100).slots;
+    const before = slotsOf();
+    table.reported(reportOf(50, 4, 0));
+    const beside = slotsOf();
+    table.reported({
+      ...reportOf(60, 0, 0),
+      runner: 'odd',
+      load: { ...reportOf(60, 0, 0).load, slots: 64 },
+    });
+    expect([before, beside, slotsOf()]).toEqual([65_535, SLOTS, 64]);
+  });
+
   // A runner that hangs reports nothing: with counts that expire it gets most requests, and all are lost.
   test('avoids a runner that does not answer the requests sent to it', () => {
     const table = new LoadTable();
