Serve model requests with long ids

What callers saw: 503 for each model request whose id has more than some 200 characters; callers choose the ids.

Cause: the id of a reservation is that of the request and a counter, and no message to the owner of the service carries a longer one, so that the request found no runner.

A longer id is replaced by its digest in reservations; runners and callers get the one that was sent.

--- a/src/node/router/progress.ts
+++ b/src/node/router/progress.ts
@@ -1,13 +1,17 @@
 /** Progress of a model request over its attempts, and the decisions that depend on it alone. */
 
 import { Failure } from '../../core/failure';
+import { contentIdOf } from '../../core/fingerprint';
 import type { Exchange } from './exchange';
 import type { LocalDemand } from './messages';
+import type { CallRequest } from './types';
 import { AnswerStream } from '../../core/stream/answer';
 
 /** Sizes assumed for a request that states none, in tokens. */
 const DEFAULT_PROMPT_TOKENS = 1000;
 const DEFAULT_OUTPUT_TOKENS = 500;
+/** Longest id of a request that is used as it is, in characters; a message has room for it and a counter. */
+const MAX_REQUEST_ID_CHARS = 200;
 /** Number of runners to avoid that a demand names, the latest ones. */
 const MAX_AVOIDED = 64;
 /** Retry delay for callers whose request the runners rejected. */
@@ -40,6 +44,11 @@
   };
 }
 
+/** The id of a request in messages between VMs; a longer one, which callers choose, is replaced by its digest. */
+function nameOf({ id }: Pick<CallRequest, 'id'>): string {
+  return id.length > MAX_REQUEST_ID_CHARS ? contentIdOf('request', id) : id;
+}
+
 /**
  * The demand to send to the owner. Each reservation has its own id, made of the request's id and a
  * counter.
@@ -56,7 +65,7 @@
   progress.reservations += 1;
   const waitingSince = resuming ? performance.now() : arrivedAt;
   return {
-    id: `${request.id}/${progress.reservations}`,
+    id: `${nameOf(request)}/${progress.reservations}`,
     customer: request.customer,
     rank: exchange.rank,
     promptId: usage?.promptId,
