--- a/test/router/oddentries.test.ts
+++ b/test/router/oddentries.test.ts
@@ -30,6 +30,24 @@
   'no text': () => Buffer.from([0xff, 0xfe, 0x00]),
 };
 
+/** Entries of another writer under the prefix of the VMs' own, by key. */
+const oddOwn: Readonly<Record<string, unknown>> = {
+  'vms/zero': { address: 'a\u0000b:1' },
+  'vms/numbers': { address: '999.999.999.999:1' },
+  'vms/space': { address: ' :1' },
+  'vms/long': { address: `${'x'.repeat(5000)}:1` },
+  'vms/everyone': { address: '255.255.255.255:1' },
+  [`vms/${'x'.repeat(150)}`]: { address: '127.0.0.1:1' },
+  'vms/nested': nested(30_000),
+  'suspects/nested': nested(30_000),
+  'suspects/many': { ends: Array.from({ length: 5000 }, () => ({ runner: 'a', at: 1 })) },
+  'suspects/late': { ends: [{ runner: 'a', at: 1e308 }] },
+  [`suspects/${'x'.repeat(150)}`]: { ends: [{ runner: 'a', at: Date.now() }] },
+  served: { desk: Array.from({ length: 5000 }, (_, index) => `v${index}`) },
+  fleet: { vms: 100_000 },
+  'orders/last': nested(30_000),
+};
+
 describe('an odd entry among those of the runners', () => {
   const cluster = new RouterCluster({ vms: 2, runners: 2, plainRunners: 2 });
   let address = '';
@@ -89,6 +107,17 @@
     await expectServed();
   }, 30_000);
 
+  // Guards against an address that cannot be written to, and a record that no message carries.
+  test('is harmless under the prefix of the VMs, also to a VM that starts after it', async () => {
+    const keys = Object.keys(oddOwn).map((name) => `goldcrestdock/${name}`);
+    Object.values(oddOwn).forEach((value, index) => cluster.store.put(keys[index] ?? '', value));
+    await expectServed();
+    await cluster.end(1);
+    await cluster.startAgain(1);
+    await expectServed();
+    for (const key of keys) cluster.store.remove(key);
+  }, 60_000);
+
   // Guards against a list that takes too long, or fills a message, because of what others wrote.
   test('is harmless five hundred times at once', async () => {
     const names = Object.keys(odd);
