Keep an answer that is completed as its limit passes

Cause: the end of an answer without a length is checked with its runner, which takes 20 ms or more. Where the limit passes meanwhile, the answer is completed, and then the request was failed for its limit as well, which cuts the response.

Evidence: 'is answered whole when its limit passes as the answer has arrived' (test/router/model.test.ts) failed before: 'cut' behind the answer, code 'timedOut'. The fake response now tells that it was written, as a real one does; with that two other tests of complete answers failed as well, since their requests were failed after their ends.

A model request that is settled is not failed any more, neither for its limit nor for an error behind its end. 99 tests of model and plain requests, streams, silences and ends pass.

--- a/src/node/router/model.ts
+++ b/src/node/router/model.ts
@@ -65,13 +65,14 @@
     try {
       let hasNext = true;
       while (hasNext && !exchange.signal.aborted) hasNext = await this.#attempt(served);
-      if (exchange.signal.aborted && !exchange.callerGone) {
+      // An answer may have been completed after the deadline, while its end was checked.
+      if (exchange.signal.aborted && !exchange.callerGone && !exchange.isSettled) {
         exchange.fail(performance.now(), timeoutFailure(exchange, progress));
       }
     } catch (error) {
       const failure = callerFailure(exchange, progress, toFailure(error));
       exchange.trail.push(failure.codeName);
-      exchange.fail(performance.now(), failure);
+      if (!exchange.isSettled) exchange.fail(performance.now(), failure);
     } finally {
       await continuation.close();
     }
--- a/test/fakes/exchange.ts
+++ b/test/fakes/exchange.ts
@@ -111,6 +111,7 @@
     req: { httpVersion: '1.1' },
     headersSent: false,
     destroyed: false,
+    writableFinished: false,
     writeHead(status: number) {
       this.headersSent = true;
       out.push(String(status));
@@ -121,6 +122,7 @@
     },
     end(chunk?: Buffer) {
       if (chunk && chunk.length > 0) out.push(chunk.toString());
+      this.writableFinished = true;
       events.emit('close');
     },
     destroy() {
--- a/test/router/model.test.ts
+++ b/test/router/model.test.ts
@@ -6,6 +6,7 @@
 import { exchangeInto, promptRequest, replyOf, streamEngine, streamRoute } from '../fakes/exchange';
 import { runnerOf as runner } from '../fakes/runner';
 import {
+  checksOf,
   crashedChecks,
   directPaths,
   openStateOf,
@@ -103,6 +104,30 @@
     expect(out).toEqual(['200', 'id: 1\n\n']);
   });
 
+  // Guards against a whole answer that is cut since its limit passes while its end is checked.
+  test('is answered whole when its limit passes as the answer has arrived', async () => {
+    const context = {
+      routingState: openStateOf([runner('d', 'decode')]),
+      runners: { decode: async () => replyOf(200, 'id: 1\n\n', 'close') },
+      reservations: { reserve: async () => ({ decode: 'd' }), reportProgress: () => {} },
+      runs: runsOf(quarantineOf(), directPaths, checksOf('running', 100)),
+      paths: directPaths,
+      quotas: unlimitedQuotas,
+      permits: unlimitedPermits,
+      origins: unrecordedOrigins,
+      retries: retriesOf(),
+    } as unknown as ModelContext;
+    const out: string[] = [];
+    const route = { ...streamRoute, timeoutMs: 70 };
+    const exchange = exchangeInto(out, promptRequest, route);
+    await new ModelHandler(context).run(exchange, streamEngine);
+    expect([exchange.signal.aborted, exchange.code, out]).toEqual([
+      true,
+      undefined,
+      ['200', 'id: 1\n\n'],
+    ]);
+  });
+
   /*
    * Callers choose their own deadlines: one waits for 14 s, the next one for 12 s, and both are
    * first attempts. Guards against taking the shorter deadline for time spent on earlier attempts,
