Pass on in the soak's links a reset that comes with the last bytes

Cause: the link took a reset that arrives together with the last bytes for an end in order, since Node emits 'end' for both. The router tells them apart by the remote address that the socket has lost then; the link stood between.

A connection that was closed in both directions has no address either, and still ends in order ('passes nothing until it is released' fails otherwise).

--- a/scripts/soak/proxy.ts
+++ b/scripts/soak/proxy.ts
@@ -132,7 +132,15 @@
         if (!to.destroyed) to.write(chunk);
       });
     });
-    from.on('end', () => this.#pass(() => to.end()));
+    from.on('end', () => {
+      // A reset that arrives together with the last bytes is emitted as `end`, but the socket has no
+      // remote address after a reset. Neither has one that ended in both directions.
+      const isReset = from.remoteAddress === undefined && !from.writableEnded;
+      this.#pass(() => {
+        if (isReset) to.resetAndDestroy();
+        else to.end();
+      });
+    });
     from.on('error', () => this.#passReset(to));
     from.on('close', (failed) => {
       if (failed) this.#passReset(to);
--- a/test/soak/proxy.test.ts
+++ b/test/soak/proxy.test.ts
@@ -46,6 +46,35 @@
   });
 });
 
+describe('a link to a process that resets a connection', () => {
+  // Guards against a reset with the last bytes that is passed on as an end in order, so that what was cut looks whole.
+  it('passes the reset on, also with bytes before it', async () => {
+    const server = createServer((socket) => {
+      socket.once('data', () => socket.write('bytes', () => socket.resetAndDestroy()));
+    });
+    await once(server.listen(0, '127.0.0.1'), 'listening');
+    const { port } = server.address() as { port: number };
+    const link = new LinkProxy(`127.0.0.1:${port}`);
+    await link.start('127.77.0.1', port);
+    const endOf = async (): Promise<boolean> => {
+      const socket = connect(port, '127.77.0.1');
+      let isReset = false;
+      socket.on('error', () => {}).resume();
+      // A reset that arrives together with the last bytes is emitted as `end`, without a remote address.
+      socket.once('end', () => {
+        isReset = socket.remoteAddress === undefined;
+      });
+      socket.write('request');
+      const [hasError] = (await once(socket, 'close')) as [boolean];
+      return hasError || isReset;
+    };
+    const ends = await Promise.all(Array.from({ length: 20 }, endOf));
+    link.stop();
+    server.close();
+    expect(ends.filter((isReset) => !isReset)).toEqual([]);
+  });
+});
+
 describe('a link that holds bytes', () => {
   // Guards against a silence that loses, reorders or lets through bytes of open or new connections.
   it('passes nothing until it is released, and then everything in order', async () => {
