Check no runner all the time where a route allows pauses of weeks

What is seen: with a gap target above 12.4 days (half a timer's longest delay), the runner of each resumable stream is checked about once a millisecond, and Node prints a TimeoutOverflowWarning for each.

Cause: a stream counts as silent after twice the gap target. The target is bounded by what a timer takes, twice of it is not, and Node takes longer delays for 1 ms.

Evidence: 'checks no runner before a pause that is longer than a timer has passed' (test/router/silence.test.ts) failed before: expected 0 checks in 100 ms, received 88. It passes with the delay bounded, as do the tests of silences.

--- a/src/node/router/silence.ts
+++ b/src/node/router/silence.ts
@@ -6,6 +6,7 @@
 import type { Failure } from '../../core/failure';
 import type { RunnerState, SilenceBounds } from '../../core/stream/silence';
 import { CHECK_MS, nextStep, retryDelayMs, silenceMsOf } from '../../core/stream/silence';
+import { MAX_TIMER_MS } from '../../utils/clock';
 
 /** Delay of a timer from which on this VM counts as busy, in milliseconds: an answer may wait in its sockets. */
 const BUSY_MS = 100;
@@ -56,7 +57,7 @@
 
   constructor(context: SilenceContext) {
     this.#context = context;
-    this.#silenceMs = silenceMsOf(context.bounds);
+    this.#silenceMs = Math.min(MAX_TIMER_MS, silenceMsOf(context.bounds));
   }
 
   /** The stream is not read until `heard` is called: its events are being passed on. */
--- a/test/router/silence.test.ts
+++ b/test/router/silence.test.ts
@@ -51,4 +51,28 @@
     await runner.terminate();
     expect(ended).toBe(0);
   }, 20_000);
+
+  // Guards against checks of a runner all the time where a route names a pause that is longer than a timer.
+  test('checks no runner before a pause that is longer than a timer has passed', async () => {
+    const longest = 2 ** 31 - 1;
+    let checks = 0;
+    const watch = new SilenceWatch({
+      body: { destroy: () => undefined as never },
+      bounds: { gapMs: longest, patienceMs: longest },
+      canResume: () => true,
+      prepare: async () => undefined,
+      confirm: () => undefined,
+      cancel: () => {},
+      runnerState: async () => {
+        checks += 1;
+        return 'running';
+      },
+      onRefused: () => {},
+      onReplaced: () => {},
+    });
+    watch.heard(performance.now());
+    await pause(100);
+    watch.stop();
+    expect(checks).toBe(0);
+  });
 });
