Keep the quotas of large customers as the configuration names them

What callers see: a customer whose burst is above 1,000,000,000 tokens is refused when it has used that many. At 36,000 requests a second with prompts of ten thousand tokens, a customer that makes up a twentieth of them uses 18,000,000 tokens a second; bursts of a minute lie above that bound.

Cause: quotas were bounded like counts of tokens of one runner or request, by what messages about these carry. Messages about quotas carry amounts up to 10^15.

Rates and bursts have the bound of messages about quotas now, named in one place.

--- a/src/core/quotas/account.ts
+++ b/src/core/quotas/account.ts
@@ -13,6 +13,9 @@
 
 import { RankPrecedence } from './urgency';
 
+/** Largest amount in a quota or a charge; far from what a double counts one by one. */
+export const MAX_AMOUNT = 1e15;
+
 /** A rate limit in some unit, enforced as a token bucket. */
 export interface Rate {
   readonly ratePerS: number;
--- a/src/node/router/quotas.ts
+++ b/src/node/router/quotas.ts
@@ -11,7 +11,7 @@
 import type { Quota } from '../../core/customers/types';
 import { Failure } from '../../core/failure';
 import type { QuotaBounds, QuotaDecision } from '../../core/quotas/account';
-import { allowanceOf } from '../../core/quotas/account';
+import { MAX_AMOUNT, allowanceOf } from '../../core/quotas/account';
 import type { QuotaKey } from '../../core/quotas/accounts';
 import { QuotaAccounts } from '../../core/quotas/accounts';
 import { QuotaTallies } from '../../core/quotas/tally';
@@ -38,7 +38,7 @@
 const TALLY_CHECK_MS = 1000;
 
 const name = z.string().min(1).max(200);
-const amount = z.number().min(0).max(1e15);
+const amount = z.number().min(0).max(MAX_AMOUNT);
 const quotaSchema = z.object({
   unit: z.enum(['requests', 'tokens']),
   ratePerS: amount,
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -9,6 +9,7 @@
 import { Failure } from '../core/failure';
 import { contentIdOf } from '../core/fingerprint';
 import type { Suspect } from '../core/quarantine/types';
+import { MAX_AMOUNT } from '../core/quotas/account';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
 import { MAX_SLOTS, instanceId } from '../core/routing/types';
 import type { VersionsByService } from '../core/versions/types';
@@ -44,6 +45,7 @@
 /** More does not fit into one buffer. */
 const MAX_BODY_BYTES = 2 ** 31 - 1;
 const positiveCount = z.number().min(0).pipe(count);
+const amount = z.number().min(0).pipe(atMost(MAX_AMOUNT));
 
 const routeSchema = z.object({
   name: z.string(),
@@ -70,8 +72,8 @@
   unit: z.enum(['requests', 'tokens']).default('requests'),
   'plain-tokens': positiveCount.default(0),
   /** 0 means no limit. */
-  'rate-per-s': positiveCount.default(0),
-  burst: positiveCount.default(0),
+  'rate-per-s': amount.default(0),
+  burst: amount.default(0),
 });
 
 const engineSchema = z.object({
