Learn no start time from another VM that cannot be true

What callers see: a runner that is not used, whichever entry it writes, since an instance with a later start time counts as its latest one. Entries with a start time in microseconds are unreadable, but a VM with an older program beside it still reads them and passes them on, and each VM that starts learns them from the others: the runner stays unused after all VMs have the new program.

Cause: the bound of start times was in the entry only, not in the records of runners that VMs exchange, whose slots are bounded.

Evidence: 'learns no instance whose start time cannot be true' (test/router/stateexchange.test.ts) failed before: expected [r@], received [r@]. After: 159 tests of test/platform, the state exchange, odd items and propagation pass. Two programs side by side were not run.

--- a/src/core/routing/types.ts
+++ b/src/core/routing/types.ts
@@ -84,6 +84,9 @@
  */
 export const MAX_SLOTS = 65_535;
 
+/** Start times of runners are in Unix milliseconds; those in microseconds lie after this one. */
+export const MAX_BORN = Date.UTC(2100, 0);
+
 /** A runner as it registered itself. */
 export interface Runner {
   /** Id of the instance, new with each start; see `instanceId`. */
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -8,7 +8,7 @@
 import { DIGEST_PARTS } from '../../core/routing/digest';
 import type { RunnerRecord } from '../../core/routing/directory';
 import type { Position } from '../../core/routing/position';
-import { MAX_SLOTS } from '../../core/routing/types';
+import { MAX_BORN, MAX_SLOTS } from '../../core/routing/types';
 import { bootNow } from '../../utils/clock';
 import { memberSchema } from '../scheduler/members';
 import { listOf } from '../wire';
@@ -46,7 +46,7 @@
 const runnerSchema = z.object({
   id: z.string(),
   listing: z.string(),
-  bornAt: z.number(),
+  bornAt: z.int().min(0).max(MAX_BORN),
   service: z.string(),
   address: z.string(),
   domain: z.string(),
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -11,7 +11,7 @@
 import type { Suspect } from '../core/quarantine/types';
 import { MAX_AMOUNT } from '../core/quotas/account';
 import type { CallKind, RoutingConfig, Runner, RunnerRole } from '../core/routing/types';
-import { MAX_SLOTS, instanceId } from '../core/routing/types';
+import { MAX_BORN, MAX_SLOTS, instanceId } from '../core/routing/types';
 import type { VersionsByService } from '../core/versions/types';
 import { MAX_TIMER_MS } from '../utils/clock';
 
@@ -131,8 +131,6 @@
 const MAX_COLD_MS = 24 * 3600 * 1000;
 /** More orders than one each millisecond for a week. */
 const MAX_ORDERS = 1_000_000_000;
-/** Start times are in milliseconds; those in microseconds lie after this one. */
-export const MAX_BORN = Date.UTC(2100, 0);
 
 /**
  * The entry of a runner, with all fields that runners write. An entry that lacks a field, has
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -11,7 +11,7 @@
 import type { Destination } from '../core/paths/table';
 import type { Runner } from '../core/routing/types';
 import type { RunnerState } from '../core/stream/silence';
-import { instanceId } from '../core/routing/types';
+import { MAX_BORN, instanceId } from '../core/routing/types';
 import type {
   CacheHandle,
   CallRequest,
@@ -31,7 +31,7 @@
 import { forwardableHeaders } from './ingress';
 import { header, path } from './names';
 import { isLeaving } from './notice';
-import { MAX_BORN, MAX_COUNT } from './records';
+import { MAX_COUNT } from './records';
 import { isTo, toReply } from './reply';
 
 /** Timeout of calls that carry no request: reports, orders and freeing a cache, in milliseconds. */
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -2,7 +2,7 @@
 
 import { FleetCensus } from '../../src/core/membership/census';
 import type { Suspect } from '../../src/core/quarantine/types';
-import type { RoutingConfig } from '../../src/core/routing/types';
+import type { RoutingConfig, Runner } from '../../src/core/routing/types';
 import { StoreHistory } from '../../src/core/routing/position';
 import type { RouterFleet } from '../../src/node/router/fleet';
 import { RoutingState } from '../../src/node/router/routingstate';
@@ -111,6 +111,20 @@
     expect(learnt.map(({ fingerprint }) => fingerprint)).toEqual(['sound']);
   });
 
+  // Guards against VMs of an older program that pass on a start time in microseconds, beside which no later instance counts.
+  test('learns no instance whose start time cannot be true', async () => {
+    const pair = new Pair();
+    const startedAt = (bornAt: number): Runner =>
+      runnerOf(`r@${bornAt}`, 'plain', { listing: 'r', bornAt });
+    const odd = { id: 'r', position: positionAt(1), runner: startedAt(1_700_000_000_000_000) };
+    pair.callee.learnRunners(0, [odd], 'store');
+    await pair.exchange();
+    const sound = { id: 'r', position: positionAt(2), runner: startedAt(1_700_000_000_000) };
+    pair.caller.learnRunners(0, [sound], 'store');
+    expect(pair.caller.runnersOf(0, 's').map(({ id }) => id)).toEqual([sound.runner.id]);
+    expect(() => decodeRecord(encodeRecord(odd))).toThrow('does not fit');
+  });
+
   /*
    * Two changes arrive in the wrong order, the later one first. The highest revision is then
    * the same at both VMs, but their records differ: the digests must show that.
