Keep runners whose items of the store are malformed, and miss no removal

What is seen, of a store that answers with an item whose revision is no whole number: its runner counts as gone, since the list of readable items lacks it; and if a change is such an item, it is skipped for good, so that a runner that it removed stays in use, or a configuration that it held is not applied while the VM takes its own for confirmed.

Cause: items are read one by one since, and what was left out of a list or of the changes was not regarded further. Before, the whole answer failed, so that the VM went on with what it knew.

Items with a usable key count as listed whatever else they say; a malformed change has the VM read the list, and a malformed item of the configuration confirms nothing.

Evidence: 'still names the runner, and a malformed change is looked up in the list' (test/platform/store.test.ts) failed before: 'the list is read again: condition not met within 3000 ms'. After: all of test/platform passes. That a writer can bring this about was not found: the store itself gives keys and revisions.

--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -160,7 +160,9 @@
       const askedAt = bootNow();
       const changes = await this.#store.watch(ALL_KEYS, revision, WATCH_WAIT_MS);
       // After the store was restored from an older copy, revisions are issued a second time, so the last one read is no valid start for a watch.
-      if (!changes || changes.era === undefined || changes.era !== era) {
+      // A change that cannot be read may be that an entry is gone, which only the list shows.
+      const isReadable = changes?.malformed === 0 && changes.era !== undefined;
+      if (!isReadable || changes.era !== era) {
         ({ revision, era } = await this.#readAll());
       } else {
         this.#listener?.onStore(true, 'answers');
@@ -180,7 +182,7 @@
       this.#failureCount === 1 ? RECHECK_TIMEOUT_MS : undefined,
     );
     this.#failureCount = 0;
-    const { items, revision, era = this.#store.era } = snapshot;
+    const { items, malformedKeys, revision, era = this.#store.era } = snapshot;
     if (era !== this.#era) this.#unreadable.forget();
     // After a restore from an older copy the entry of this VM may be missing.
     if (era !== this.#era) this.#isRegistered = false;
@@ -189,9 +191,11 @@
     this.#listener?.onStore(true, 'answers');
     this.#register(items);
     this.#dispatch(snapshot, true);
-    const ids = items.filter((item) => item.key.startsWith(key.runners)).map(idOf);
+    // A malformed item of a runner tells nothing new of it, but that it is listed.
+    const listed = [...items, ...malformedKeys.map((name) => ({ key: name }))];
+    const ids = listed.filter((item) => item.key.startsWith(key.runners)).map(idOf);
     this.#listener?.onListed(new Set(ids), { era, revision });
-    this.#listener?.onConfirmed(askedAt);
+    if (!malformedKeys.includes(key.config)) this.#listener?.onConfirmed(askedAt);
     return snapshot;
   }
 
@@ -300,6 +304,6 @@
   }
 }
 
-function idOf({ key: name }: Item): string {
+function idOf({ key: name }: Pick<Item, 'key'>): string {
   return name.slice(key.runners.length);
 }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -25,6 +25,8 @@
   readonly items: readonly Item[];
   /** Number of further items that cannot be read. */
   readonly malformed: number;
+  /** The keys of those of them that name an entry. */
+  readonly malformedKeys: readonly string[];
   readonly revision: number;
   /** Undefined if the response has no valid era. */
   readonly era: number | undefined;
@@ -48,9 +50,11 @@
 const MAX_KEY_BYTES = 200;
 
 const keySchema = z.object({ key: z.string() });
-const revisionNumber = z.int().min(0);
-const itemSchema = z.object({
+const namedSchema = z.object({
   key: z.string().refine((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES),
+});
+const revisionNumber = z.int().min(0);
+const itemSchema = namedSchema.extend({
   /** Standard base64. */
   value: z.unknown().optional(),
   revision: revisionNumber,
@@ -99,9 +103,17 @@
   return keys.filter((key) => key !== undefined).at(-1);
 }
 
+/** The key of an item that cannot be read; empty if it has none. */
+function malformedKeyOf(raw: unknown): readonly string[] {
+  const named = namedSchema.safeParse(raw);
+  return named.success && !itemSchema.safeParse(raw).success ? [named.data.key] : [];
+}
+
 function snapshotOf(values: readonly unknown[], at: Pick<Snapshot, 'revision' | 'era'>): Snapshot {
   const items = toItems(values);
-  return { ...at, items, malformed: values.length - items.length };
+  const malformed = values.length - items.length;
+  const malformedKeys = malformed === 0 ? [] : values.flatMap(malformedKeyOf);
+  return { ...at, items, malformed, malformedKeys };
 }
 
 /** Calls the store. Each call uses a new connection, so that a hung connection affects one call only. */
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -219,6 +219,39 @@
   });
 });
 
+describe('a list with a malformed item', () => {
+  // Guards against a runner that counts as gone since its item is malformed, and against one that stays in use since the change that removed it was.
+  test('still names the runner, and a malformed change is looked up in the list', async () => {
+    const value = Buffer.from(JSON.stringify(runner('ready'))).toString('base64');
+    const lists = [
+      [1, 2].map((revision) => ({ key: `servers/i-${revision}`, value, revision })),
+      [{ key: 'servers/i-2', value, revision: '2' }],
+    ];
+    const removal = { key: 'servers/i-1', revision: '3', deleted: true };
+    let reads = 0;
+    const { server, port } = await listen((_req, res, { pathname, searchParams }) => {
+      const events = searchParams.get('after') === '2' ? [removal] : [];
+      const items = lists[reads] ?? [];
+      if (pathname.endsWith('range')) reads += 1;
+      sendJson(res, 200, { events, items, 'as-of': 1 + Math.max(1, reads) });
+    });
+    const history = new StoreHistory();
+    const log = pino({ level: 'silent' });
+    const client = new StoreClient(`127.0.0.1:${port}`, new EraReader(history, log));
+    const feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, history, log);
+    const listener = new Listener();
+    feed.start(listener);
+    feed.setReading(true);
+    await waitUntil('the list is read again', () => listener.listed.length > 1, 3000).finally(
+      () => {
+        feed.stop();
+        return closeServer(server);
+      },
+    );
+    expect(listener.listed).toEqual([['i-1', 'i-2'], ['i-2']]);
+  });
+});
+
 describe('the lock for orders', () => {
   let store: FakeStore;
 
@@ -289,7 +322,8 @@
       { key: 'b', revision: 7, value: '' },
       { key: 'c', revision: 7, value: '{}' },
     ];
-    const read = { items, malformed: malformed.length, revision: 9, era: 0 };
+    const unread = { malformed: malformed.length, malformedKeys: ['b', 'b', 'b'] };
+    const read = { items, ...unread, revision: 9, era: 0 };
     expect(results).toEqual([read, read]);
   });
 
