Learn what another VM tells beside a configuration that does not fit

Cause: the configuration is decoded before the rest is applied, and its error ended the exchange.

Evidence: 'transfers the runners beside a configuration that does not fit' (test/router/stateexchange.test.ts) failed before: expected ["r1"], received []. The rest is applied now, and the exchange still fails, so that it is repeated with another VM as before. Two programs side by side were not run.

--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -2,7 +2,7 @@
 
 import { z } from 'zod';
 
-import { Failure } from '../../core/failure';
+import { Failure, toFailure } from '../../core/failure';
 import type { Member } from '../../core/membership/types';
 import type { Suspect } from '../../core/quarantine/types';
 import { DIGEST_PARTS } from '../../core/routing/digest';
@@ -194,7 +194,7 @@
     };
   }
 
-  /** Fetches the state of another VM and applies what is newer. */
+  /** Fetches the state of another VM and applies what is newer. Rejects if that is not all of it. */
   async fetch(
     address: string,
     { members = false, recentOnly = false }: FetchOptions = {},
@@ -218,7 +218,7 @@
     // Before the configuration, since this VM accepts callers once it has one.
     quarantine.learn(now, answer.suspects, address);
     rateLimits.learn(now, answer.rates, address);
-    if (answer.config) routingState.learnConfig(now, unpackConfig(answer.config), address);
+    const failure = this.#learnConfig(now, answer, address);
     if (answer.proof) {
       routingState.freshness.acceptProof(askedAt, answer.proof, routingState.configVersion);
     }
@@ -229,6 +229,17 @@
       fleet.sync(answer.members);
       fleet.census.learn(now, answer.vms);
     }
+    if (failure) throw failure;
+  }
+
+  /** Applies the configuration of an answer; returns why it cannot be, which says nothing about the rest. */
+  #learnConfig(now: number, { config }: Answer, address: string): Failure | undefined {
+    try {
+      if (config) this.#context.routingState.learnConfig(now, unpackConfig(config), address);
+      return undefined;
+    } catch (error) {
+      return toFailure(error);
+    }
   }
 
   #packedConfig(): Uint8Array | undefined {
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -125,6 +125,17 @@
     expect(() => decodeRecord(encodeRecord(odd))).toThrow('does not fit');
   });
 
+  // Guards against a VM that learns no runners since the configuration of the other one, of another program, does not fit.
+  test('transfers the runners beside a configuration that does not fit', async () => {
+    const pair = new Pair();
+    const limits = { bodyBytes: Infinity, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+    pair.callee.learnConfig(0, { ...config(7), limits }, 'store');
+    pair.callee.learnRunners(0, [recordOf('r1', 1)], 'store');
+    await expect(pair.exchange()).rejects.toThrow('malformed configuration');
+    expect(pair.caller.configVersion).toBe(0);
+    expect(pair.caller.runnersOf(0, 's').map(({ id }) => id)).toEqual(['r1']);
+  });
+
   /*
    * Two changes arrive in the wrong order, the later one first. The highest revision is then
    * the same at both VMs, but their records differ: the digests must show that.
