Shorten state digests that are too long for a packet

What is seen: VMs that live take each other for dead, all of them, once the configuration has a version of 16 digits or a fraction and there are suspect requests and rate limits as well.

Cause: each packet of the membership protocol carries the version and three digests as one text, for which receivers accept 40 characters; the sender had no such limit. A version is a number of the configuration, which has no bound.

Both sides of the limit are named in one place.

A digest that is too long has a hash in place of its parts, which VMs compare only as a whole. Digests up to the limit are as before, so that VMs with an older program agree on them; longer ones they rejected anyway.

--- a/src/core/routing/digest.ts
+++ b/src/core/routing/digest.ts
@@ -24,6 +24,20 @@
   readonly rest: string;
 }
 
+/** Longest encoded state digest, in characters: a version has 25 at most, a hash 7. */
+export const MAX_DIGEST_CHARS = 40;
+
+/**
+ * The digest of a state. One that would be too long for a packet is shortened.
+ * @param parts digests of everything but the configuration; those that are empty do not count
+ */
+export function stateDigestOf(configVersion: number, parts: readonly string[]): StateDigest {
+  const rest = parts.filter((part) => part !== '').join(SEPARATOR);
+  const digest = { configVersion, rest };
+  const fits = encodeDigest(digest).length <= MAX_DIGEST_CHARS;
+  return fits ? digest : { configVersion, rest: textHash(rest).toString(36) };
+}
+
 /** Encodes a state digest for a packet. */
 export function encodeDigest({ configVersion, rest }: StateDigest): string {
   return `${configVersion}${SEPARATOR}${rest}`;
--- a/src/node/router/statesync.ts
+++ b/src/node/router/statesync.ts
@@ -13,7 +13,7 @@
 import type { RunnerRate } from '../../core/ratelimits/types';
 import { isPresent } from '../../core/membership/types';
 import type { StateDigest } from '../../core/routing/digest';
-import { decodeDigest, encodeDigest } from '../../core/routing/digest';
+import { decodeDigest, encodeDigest, stateDigestOf } from '../../core/routing/digest';
 import { ProofBackoff } from '../../core/routing/freshness';
 import {
   CONFIG_PATH,
@@ -187,7 +187,7 @@
     const now = performance.now();
     const { configVersion, rest } = routingState.digest;
     const parts = [rest, quarantine.digest(now), rateLimits.digest(now)];
-    this.#digest = { configVersion, rest: parts.filter((part) => part !== '').join('/') };
+    this.#digest = stateDigestOf(configVersion, parts);
     fleet.setDigest(encodeDigest(this.#digest));
   }
 
--- a/src/node/scheduler/members.ts
+++ b/src/node/scheduler/members.ts
@@ -18,6 +18,7 @@
   Packet,
   GossipUpdate,
 } from '../../core/membership/types';
+import { MAX_DIGEST_CHARS } from '../../core/routing/digest';
 import type { FreshnessProof } from '../../core/routing/freshness';
 import type { Metrics } from '../metrics';
 import { listOf } from '../wire';
@@ -78,7 +79,7 @@
   from: z.string().max(64),
   address: z.string().max(100),
   target: z.string().max(100).optional(),
-  digest: z.string().max(40),
+  digest: z.string().max(MAX_DIGEST_CHARS),
   proof: z.object({ version: z.number(), ageMs: z.number().min(0) }).optional(),
   members: listOf(memberSchema, 16),
   rumours: listOf(
--- a/test/node/members.test.ts
+++ b/test/node/members.test.ts
@@ -1,6 +1,7 @@
 import pino from 'pino';
 
 import type { GossipUpdate } from '../../src/core/membership/types';
+import { encodeDigest, stateDigestOf } from '../../src/core/routing/digest';
 import type { MembershipListener } from '../../src/node/scheduler/members';
 import { MembershipDriver } from '../../src/node/scheduler/members';
 import { RouterMetrics } from '../../src/node/router/metrics';
@@ -18,7 +19,7 @@
   'a revision beyond whole numbers': { path: 'runner/a', revision: 2 ** 60, text: '{}' },
 };
 
-describe('a gossip update that a message cannot carry', () => {
+describe('what a message cannot carry', () => {
   const drivers: MembershipDriver[] = [];
 
   async function start(vm: string, listener: Partial<MembershipListener>): Promise<string> {
@@ -51,7 +52,7 @@
   afterEach(() => drivers.splice(0).forEach((driver) => driver.stop()));
 
   // Guards against messages that are rejected, or never sent, because of one update in them: VMs that live counted as dead.
-  test.each(Object.keys(odd))('loses that update, not the message: %s', async (name) => {
+  test.each(Object.keys(odd))('costs a gossip update, not the message: %s', async (name) => {
     const states: string[] = [];
     const paths: string[] = [];
     await start('vm1', { onChange: ({ vm, state }) => states.push(`${vm} ${state}`) });
@@ -68,4 +69,24 @@
     });
     expect([states, [...new Set(paths)]]).toEqual([['vm2 alive'], ['runner/b']]);
   });
+
+  // Guards against VMs that count as dead since the version of the configuration has many digits.
+  test.each([Number.MAX_SAFE_INTEGER, 0.1 + 0.2, 1e300])(
+    'is no part of a digest, whatever the version of the configuration: %d',
+    async (version) => {
+      const states: string[] = [];
+      await start('vm1', { onChange: ({ vm, state }) => states.push(`${vm} ${state}`) });
+      const address = await start('vm2', {});
+      const parts = ['zzzzzzz/999999999', 'zzzzzzz', 'zzzzzzz'];
+      const digest = encodeDigest(stateDigestOf(version, parts));
+      const [sender, receiver] = drivers;
+      sender?.handle({ kind: 'contact', addresses: [address] });
+      await waitUntil('the members know each other', () => states.includes('vm2 alive'));
+      receiver?.members.setDigest(digest);
+      await new Promise((resolve) => {
+        setTimeout(resolve, 500);
+      });
+      expect(states).toEqual(['vm2 alive']);
+    },
+  );
 });
