--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -145,7 +145,8 @@
   version: z.string(),
   slots: z.int().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
-  'cold-remaining-ms': z.number().min(-MAX_COLD_MS).max(MAX_COLD_MS),
+  /** Below zero once the runner is no longer starting; it has run since a time that its clock can show. */
+  'cold-remaining-ms': z.number().min(-MAX_BORN).max(MAX_COLD_MS),
   /** Number of orders that the runner accepted since it started. */
   sequence: z.int().min(0).max(MAX_ORDERS),
   stage: z.enum(['prefill', 'decode']).optional(),
