Read a configuration of a restored store whose revision was unreadable before

What is seen, at a VM that does not read the list of the store: after a restore, a configuration is ignored, and the one in use counts as confirmed, if the store gives it the revision at which it could not be read before.

Cause: revisions of unreadable items are forgotten when the list is read in another era, but a VM that only confirms its configuration reads no list. The same was so for the one revision that was remembered before.

Evidence: 'is read although one with its revision was unreadable before' (test/platform/store.test.ts) failed before: expected versions [4], received [].

--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -133,6 +133,7 @@
     const { items, revision, era } = snapshot;
     if (items.length === 0 || era === undefined) return;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
+    this.#unreadable.enter(era);
     this.#dispatch(snapshot, false);
     this.#listener?.onConfirmed(askedAt);
   }
@@ -183,7 +184,7 @@
     );
     this.#failureCount = 0;
     const { items, malformedKeys, revision, era = this.#store.era } = snapshot;
-    if (era !== this.#era) this.#unreadable.forget();
+    this.#unreadable.enter(era);
     // After a restore from an older copy the entry of this VM may be missing.
     if (era !== this.#era) this.#isRegistered = false;
     this.#era = era;
--- a/src/platform/unreadable.ts
+++ b/src/platform/unreadable.ts
@@ -11,6 +11,8 @@
 
   readonly #revisions = new Map<string, number>();
 
+  #era: number | undefined;
+
   /** Items of the last list that have no key or no revision. */
   #malformed = 0;
 
@@ -47,8 +49,9 @@
     this.#malformed = malformed;
   }
 
-  /** Forgets all items: a restored store gives out its revisions again. */
-  forget(): void {
-    this.#revisions.clear();
+  /** Forgets all items if the era is another one: a restored store gives out its revisions again. */
+  enter(era: number): void {
+    if (era !== this.#era) this.#revisions.clear();
+    this.#era = era;
   }
 }
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -219,6 +219,33 @@
   });
 });
 
+describe('a configuration of a restored store', () => {
+  // Guards against a configuration that is ignored, and taken for confirmed, since one with its revision could not be read before the store was restored.
+  test('is read although one with its revision was unreadable before', async () => {
+    const texts = ['{', JSON.stringify(config(4))];
+    let era = 0;
+    const { server, port } = await listen((_req, res) => {
+      const value = Buffer.from(texts[era] ?? '').toString('base64');
+      res.setHeader('store-era', String(era));
+      sendJson(res, 200, { key: 'op/config', value, revision: 5, 'as-of': 5 });
+    });
+    const history = new StoreHistory();
+    const log = pino({ level: 'silent' });
+    const client = new StoreClient(`127.0.0.1:${port}`, new EraReader(history, log));
+    const feed = new StoreFeed(client, { vm: 'vm1', address: '10.0.0.9:1' }, history, log);
+    const listener = new Listener();
+    feed.start(listener);
+    for (; era < texts.length; era += 1) {
+      listener.store.length = 0;
+      feed.confirmConfig();
+      await waitUntil('the answer is handled', () => listener.store.length > 0, 2000);
+      await new Promise(setImmediate);
+    }
+    await closeServer(server);
+    expect(listener.versions).toEqual([4]);
+  });
+});
+
 describe('a list with a malformed item', () => {
   // Guards against a runner that counts as gone since its item is malformed, and against one that stays in use since the change that removed it was.
   test('still names the runner, and a malformed change is looked up in the list', async () => {
