Bring the test's stage 'trial of another one' about again when its prefill was given up

'requests amid a change of the configuration are served to their ends: none' once gave `trial of another one: served, 1 held` beside load. Traced: the stage holds a prefill on trial open. A busy process may outlast the 900 ms after which the VM gives that prefill up for one at another runner. If this happens in the turn of the event loop in which the stage ends, the test completes the prefill that the VM has already left, and counts its KV cache as held; the one at the other runner is fetched. The failure itself was not caught again: the order was forced by a delay (trials).

By reading, a VM has no handle of a prefill that it has left, so that it can't free it.

The stage is now brought about again, with another part of the prompt on trial, until the prefill was not given up in the turn in which the configuration changes; what is demanded of it is the same.

--- a/test/fakes/configstages.ts
+++ b/test/fakes/configstages.ts
@@ -5,6 +5,7 @@
 import { digestOfKey } from '../../src/core/customers/keys';
 import type { Route, RoutingConfig, Runner } from '../../src/core/routing/types';
 import { partFingerprints } from '../../src/core/fingerprint';
+import { waitUntil } from './cluster';
 import { streamEngine, streamRoute } from './exchange';
 import { runnerOf } from './runner';
 import type { RunnerCall } from './runnercall';
@@ -164,17 +165,27 @@
   }
 };
 
-/** Waits for the result of another one's trial. */
+/**
+ * Waits for the result of another one's trial. A busy process may outlast the time after which the
+ * prefill on trial is given up for one at another runner.
+ */
 const untried: Stage = async (vm) => {
-  partFingerprints({ service: 's', model: '', version: 'v1' }, ['p']).forEach((one) =>
-    vm.suspect(one),
-  );
-  vm.begin('/stream/0', headers).finish();
-  const other = await vm.callAt(0);
-  const request = vm.begin('/stream/1', headers).finish();
-  await vm.taken(2);
-  await pause(SETTLE_MS);
-  return { request, proceed: () => other.prefilled() };
+  for (let round = 0; ; round += 1) {
+    const part = `p${round}`;
+    partFingerprints({ service: 's', model: '', version: 'v1' }, [part]).forEach((one) =>
+      vm.suspect(one),
+    );
+    const index = vm.calls.length;
+    const suspected = { ...headers, 'prompt-prefix': `${part}:900` };
+    const onTrial = vm.begin('/stream/0', suspected).finish();
+    const other = await vm.callAt(index);
+    const request = vm.begin('/stream/1', suspected).finish();
+    await vm.taken(2);
+    await pause(SETTLE_MS);
+    if (!other.dispatch.signal.aborted) return { request, proceed: () => other.prefilled() };
+    [onTrial, request].forEach((one) => one.leave());
+    await waitUntil('nothing held', async () => (await vm.held()) === 0, 3000);
+  }
 };
 
 /** The stages by name. */
