Keep the repeat of a cancelled continuation set aside until its owner has decided

'a stream whose runner stays silent asks the owner only with a repeat set aside, one stream for each' once saw 3 where 2 are allowed, beside load. When the events of a silent stream went on while the owner was still being asked for another run, the repeat that was set aside for that question was released at once. Another stream of the same runner took it and asked, too, while the first question was not withdrawn, which takes until the owner answers or its call times out. As the streams of a runner go on one after another, each of them passes its repeat on, so that the bound on what a slow owner is asked was not kept. The test's streams go on at the same moment where the process is not busy, so that it did not show.

The repeat is now released when the preparation has ended and what it got is given back. The same stream waits for that before it prepares anew, and a next attempt that has begun meanwhile keeps what is set aside.

--- a/src/node/router/continuation.ts
+++ b/src/node/router/continuation.ts
@@ -41,6 +41,9 @@
   /** What is being given back. */
   readonly #returns = new Set<Promise<void>>();
 
+  /** Number of attempts that the request has begun; each uses what is set aside for the request. */
+  #attempts = 0;
+
   #current: Preparation | undefined;
 
   constructor(context: ContinuationContext, exchange: Exchange, progress: Progress) {
@@ -82,7 +85,10 @@
     return isPaid ? undefined : budgetSpentFailure(exchange.service, 'run');
   }
 
-  /** Gives back what is prepared, also if it is still being prepared. */
+  /**
+   * Gives back what is prepared, also if it is still being prepared. Its repeat stays set aside
+   * until nobody is asked for the run any more, so that no other stream asks in its place before.
+   */
   cancel(): void {
     const current = this.#current;
     if (!current) return;
@@ -90,9 +96,10 @@
     this.#prepared = undefined;
     current.controller.abort();
     const { placements, retries } = this.#context;
-    retries.settle(this.#exchange);
+    const attempts = this.#attempts;
     const returned = current.result.then((prepared) => {
       if (!(prepared instanceof Failure)) placements.giveBack(this.#exchange, prepared.placed);
+      if (attempts === this.#attempts) retries.settle(this.#exchange);
       this.#returns.delete(returned);
     });
     this.#returns.add(returned);
@@ -106,6 +113,7 @@
 
   /** Hands over the prepared run, or awaits it; undefined if there is none. */
   async take(): Promise<PreparedRun | undefined> {
+    this.#attempts += 1;
     const current = this.#current;
     if (!current) return undefined;
     const prepared = await current.result;
@@ -119,8 +127,11 @@
     const { placements, retries } = this.#context;
     const exchange = this.#exchange;
     const { service } = exchange;
+    // What an earlier preparation gives back would be taken from this one.
+    await Promise.all(this.#returns);
     const refused = placements.recheck(exchange);
     if (refused) return refused;
+    if (signal.aborted) return new Failure('internal', 'the silent run goes on');
     if (!retries.holdRun(performance.now(), exchange)) return budgetSpentFailure(service, 'run');
     const options = { cancelled: signal, excluded: [silentRunner] };
     const placed = await placements.place(exchange, this.#progress, options);
--- a/test/router/silentstreams.test.ts
+++ b/test/router/silentstreams.test.ts
@@ -322,20 +322,29 @@
     expect(Math.max(...perTenth.values())).toBeLessThanOrEqual(32);
   });
 
-  // Guards against streams that take from the budget, all at once, what one of them may use.
-  test('asks the owner only with a repeat set aside, one stream for each', async () => {
-    let waiting = 0;
-    let most = 0;
-    const onAsked = async (): Promise<Grant> => {
-      waiting += 1;
-      most = Math.max(most, waiting);
-      await pause(100);
-      waiting -= 1;
-      return refused();
-    };
-    const retries = retriesOf(2);
-    const streams = Array.from({ length: 16 }, () => new SilentStream(2500, onAsked, { retries }));
-    await Promise.all(streams.map((stream) => stream.serve()));
-    expect(most).toBe(2);
-  });
+  // Guards against streams that take from the budget, all at once, what one of them may use, and against those that ask with the repeat of one that goes on while its owner still decides.
+  test.each([
+    ['at once', 0, 100],
+    ['one after another', 20, 300],
+  ])(
+    'asks the owner only with a repeat set aside, one stream for each: they go on %s',
+    async (_, apartMs, ownerMs) => {
+      let waiting = 0;
+      let most = 0;
+      const onAsked = async (): Promise<Grant> => {
+        waiting += 1;
+        most = Math.max(most, waiting);
+        await pause(ownerMs);
+        waiting -= 1;
+        return refused();
+      };
+      const retries = retriesOf(2);
+      const streams = Array.from(
+        { length: 32 },
+        (__, index) => new SilentStream(2500 + index * apartMs, onAsked, { retries }),
+      );
+      await Promise.all(streams.map((stream) => stream.serve()));
+      expect(most).toBe(2);
+    },
+  );
 });
