Pause the clients while the runners of the DRAIN cases leave

A leaving runner may say in its answers that it leaves, which some deployments' news tell. The cases must not rest on whether it does.

Moves the two cases to review/6 and review/7. Their clients pause from before the runner leaves until shortly before it exits, so that it answers nothing in between.

--- a/review/5/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the flapping and the step of the clock.
+# Exits with 1 if DRAIN was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no watch is cut.
 cd "$(dirname "$0")" || exit 2
 exec node case.mjs "$(cd ../.. && pwd)" "$PWD/record.txt"
