--- a/review/standins-2/kit.mjs
+++ b/review/standins-2/kit.mjs
@@ -590,6 +590,9 @@
   /** Outcomes by request id. */
   outcomes = new Map();
 
+  /** When each request was sent. */
+  sentAt = new Map();
+
   constructor(routers, { budgetMs, body = Buffer.from('{}'), onOutcome }) {
     this.routers = routers;
     this.budgetMs = budgetMs;
@@ -612,6 +615,7 @@
       'content-length': this.body.length,
     };
     const agent = this.#agents.get(router);
+    this.sentAt.set(id, Date.now());
     const options = { ...router.front, method: 'POST', path: `/one/${id}`, headers, agent };
     const answered = new Promise((resolve) => {
       const done = (outcome) => {
