Hold runners of a version that is not recorded yet

Cause: streams of a version were passed on as soon as a VM knew of it, but the record in the store, by which VMs that all start anew know what served lately, named it up to 0.5 s + 2 s later. What it did not name counted as never having served, so the version that was still listed was taken for the origin of all streams.

Why this works: a runner whose version the record lacks gets no work, as long as another one of its service and role is left, until some VM has written the version; so no stream can begin at a version that VMs which start anew would not know of. Readers write such a version at once, and only over the record that they have read. No first event waits for the store: streams begin at the other runners meanwhile. Where there are none, or the store takes no writes for three seconds, the runner is used all the same.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -6,7 +6,8 @@
  * record. Of two instances under one listing the one started later wins whatever their
  * positions: a write of the earlier instance may be carried out seconds after it ended.
  * An instance that announced that it leaves, in its entry or in an answer, never becomes
- * available again.
+ * available again. One that is held, because the store's record of software versions lacks its
+ * version, becomes available as soon as any VM says that it is held no longer.
  */
 
 import { RecordDigest, partOf } from './digest';
@@ -25,6 +26,8 @@
   readonly unreadable?: string;
   /** How much longer the removed runner stays in use, in milliseconds, as reported by another VM. Default: determined by the receiver. */
   readonly graceMs?: number | undefined;
+  /** Whether the store's record of software versions lacks the runner's version. Default: it does not */
+  readonly held?: boolean | undefined;
 }
 
 interface Entry {
@@ -34,18 +37,27 @@
   goneAt: number;
   /** Start time of the latest known instance, in Unix milliseconds. */
   bornAt: number;
+  /** Until when the runner is held; minus infinity if it is not. */
+  heldUntil: number;
 }
 
-/** The fields of a runner that matter to routing, as one string. */
-function contentOf(runner: Runner | undefined): string | undefined {
+/** The fields of a record that matter to routing, as one string. */
+function contentOf({ runner, held }: RunnerRecord): string | undefined {
   if (!runner) return undefined;
   const { id, listing, service, address, domain, role, version, slots, leaving } = runner;
-  return [id, listing, service, address, domain, role, version, slots, leaving].join(' ');
+  const fields = [id, listing, service, address, domain, role, version, slots, leaving];
+  return [...fields, ...(held ? ['held'] : [])].join(' ');
 }
 
 /** How long removed runners are remembered, in milliseconds, so that a stale record cannot restore them. */
 const RETENTION_MS = 60_000;
 
+/**
+ * How long a runner is held at most, in milliseconds: several attempts to write the record. Where
+ * the store takes no writes, the runner is needed more than the record.
+ */
+const MAX_HOLD_MS = 3000;
+
 /** Runner records by listing. */
 export class RunnerDirectory {
   readonly #entries = new Map<string, Entry>();
@@ -125,8 +137,8 @@
     const record = latestOf(known, update);
     if (!record) return false;
     const before = known?.record.runner;
-    const content = contentOf(record.runner);
-    const changed = contentOf(before) !== content;
+    const content = contentOf(record);
+    const changed = (known && contentOf(known.record)) !== content;
     this.versions.changed(now, before, record.runner);
     const last = record.runner ?? before ?? known?.last;
     // A runner that is already removed gets no new grace period: a repeated report, for example from a copy of the store, would bring it back into use.
@@ -136,6 +148,7 @@
       last,
       goneAt: record.runner ? Infinity : goneAt,
       bornAt,
+      heldUntil: heldUntil(now, known, record),
     });
     if (changed) {
       if (isLater(record.position, this.#position)) this.#position = record.position;
@@ -174,7 +187,7 @@
     if (known.record.runner) known.record = { ...known.record, runner: known.last };
     else known.goneAt = Math.min(known.goneAt, now);
     this.#changes += 1;
-    this.#digest.set(listing, contentOf(known.record.runner));
+    this.#digest.set(listing, contentOf(known.record));
     return known.record.runner ? known.record : { ...known.record, graceMs: 0 };
   }
 
@@ -189,24 +202,36 @@
     return known !== undefined && !isLater(position, known.record.position);
   }
 
-  /** Runners that may receive work now. */
+  /** Records of the runners that are held. */
+  get held(): readonly RunnerRecord[] {
+    return this.facts.filter(({ held }) => held);
+  }
+
+  /**
+   * Runners that may receive work now. Those that are held are among them only where no other
+   * runner of their service and role is left.
+   */
   usable(now: number): readonly Runner[] {
     const found: Runner[] = [];
+    const held: Runner[] = [];
     for (const [id, entry] of this.#entries) {
       const { record, goneAt } = entry;
       const runner = usableIn(now, entry);
-      if (runner) found.push(runner);
+      if (runner) (now < entry.heldUntil ? held : found).push(runner);
       // An entry that cannot be decoded is kept while it is listed; if it were forgotten, it would be reported again.
       if (now > goneAt + RETENTION_MS && record.unreadable === undefined) this.#entries.delete(id);
     }
-    return found;
+    const needed = held.filter((runner) => !found.some((other) => isSubstitute(other, runner)));
+    return needed.length === 0 ? found : [...found, ...needed];
   }
 
   /** Whether an instance may receive work of its service now. */
   isUsable(now: number, { id, listing, service }: Runner): boolean {
     const entry = this.#entries.get(listing);
-    const runner = entry && usableIn(now, entry);
-    return runner?.id === id && runner.service === service;
+    if (!entry) return false;
+    const runner = usableIn(now, entry);
+    if (runner?.id !== id || runner.service !== service) return false;
+    return now >= entry.heldUntil || this.usable(now).includes(runner);
   }
 
   /** Listings that have a runner here but are missing from the store's full list. */
@@ -223,14 +248,44 @@
   return runner && !runner.leaving && runner.bornAt >= bornAt ? runner : undefined;
 }
 
+/** Whether one runner can take the work of another. */
+function isSubstitute(one: Runner, other: Runner): boolean {
+  return one.service === other.service && one.role === other.role;
+}
+
+/** Until when a runner is held from its record on; minus infinity if it is not. A further record does not extend that. */
+function heldUntil(now: number, known: Entry | undefined, { runner, held }: RunnerRecord): number {
+  if (!runner) return known?.heldUntil ?? -Infinity;
+  if (!held) return -Infinity;
+  const isContinued = known?.record.held === true && known.record.runner?.id === runner.id;
+  return isContinued ? known.heldUntil : now + MAX_HOLD_MS;
+}
+
+/** Whether two records are of one instance with the same software version. */
+function isSameRelease({ runner: one }: RunnerRecord, { runner: other }: RunnerRecord): boolean {
+  return one !== undefined && one.id === other?.id && one.version === other.version;
+}
+
+/**
+ * What a record changes; undefined if nothing. Whichever record says that the instance is not held,
+ * that holds: some VM has found its version in the store.
+ */
+function latestOf(known: Entry | undefined, update: RunnerRecord): RunnerRecord | undefined {
+  if (!known) return update;
+  const { record } = known;
+  const later = laterOf(known, update);
+  const isHeldByOne = Boolean(record.held) !== Boolean(update.held);
+  if (!isHeldByOne || !isSameRelease(record, update)) return later;
+  if (later) return { ...later, held: false };
+  return record.held ? { ...record, held: false } : undefined;
+}
+
 /**
  * The later of two records; undefined if that is the known one. The announcement that an
  * instance leaves is kept in either: an older copy of the store shows the instance as it
  * was before, and work sent to it on that basis would be lost with it.
  */
-function latestOf(known: Entry | undefined, update: RunnerRecord): RunnerRecord | undefined {
-  if (!known) return update;
-  const { record, last } = known;
+function laterOf({ record, last }: Entry, update: RunnerRecord): RunnerRecord | undefined {
   const versioned = withVersion(record, update);
   if (versioned) return versioned;
   if (isLater(update.position, record.position)) {
--- a/src/core/versions/history.ts
+++ b/src/core/versions/history.ts
@@ -23,7 +23,7 @@
 }
 
 /** Whether a runner begins streams. */
-function beginsStreams(runner: Runner | undefined): runner is Runner {
+export function beginsStreams(runner: Runner | undefined): runner is Runner {
   return runner !== undefined && runner.role !== 'prefill';
 }
 
--- a/src/core/versions/types.ts
+++ b/src/core/versions/types.ts
@@ -29,6 +29,14 @@
 /** Software versions by service. */
 export type VersionsByService = Readonly<Record<string, readonly string[]>>;
 
+/** The record of the software versions that served each service lately, as the store holds it. */
+export interface VersionRecord {
+  /** Revision of the store at which it was written. */
+  readonly revision: number;
+  /** Undefined if it cannot be read. */
+  readonly versions: VersionsByService | undefined;
+}
+
 /** A software version that served a service, and how long ago it last did, in milliseconds. */
 export interface VersionSighting extends StreamOrigin {
   readonly agoMs: number;
--- a/src/node/router/controllers.ts
+++ b/src/node/router/controllers.ts
@@ -167,6 +167,8 @@
       archive: context.versions,
       readsStore: () => this.stateSync.reading,
       random: Math.random,
+      onRecorded: () =>
+        routingState.releaseHeld(performance.now(), (runner) => this.storedVersions.isHeld(runner)),
       log: logOf(log, 'streams'),
     });
     this.storedFleetSize = new StoredFleetSize({
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -207,14 +207,21 @@
       onConfig: (config) => {
         this.#state.learnConfig(performance.now(), config, 'store');
       },
-      onRunners: (facts) => this.#state.learnRunners(performance.now(), facts, 'store'),
+      onRunners: (facts) => {
+        const { storedVersions } = this.#controllers;
+        this.#state.learnRunners(performance.now(), storedVersions.hold(facts), 'store');
+        storedVersions.check(performance.now());
+      },
       onEra: (start) => this.#state.learnEras(performance.now(), [start], 'store'),
-      onListed: (ids, position) => this.#state.learnList(performance.now(), ids, position),
+      onListed: (ids, position) => {
+        this.#state.learnList(performance.now(), ids, position);
+        this.#controllers.storedVersions.listed(performance.now());
+      },
       onVms: (vms) => this.#fleet.addListed(vms.filter((entry) => entry.vm !== vm)),
       onSuspects: (suspects, isAll) =>
         this.#controllers.quarantine.learnStored(performance.now(), suspects, isAll),
-      onVersions: (versions, isAll) =>
-        this.#controllers.storedVersions.learn(performance.now(), versions, isAll),
+      onVersions: (record, isAll) =>
+        this.#controllers.storedVersions.learn(performance.now(), record, isAll),
       onFleetSize: (vms) => this.#controllers.storedFleetSize.learn(performance.now(), vms),
       onConfirmed: (askedAt) => this.#state.freshness.recordStoreAnswer(askedAt),
       onStore: (up, detail) =>
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -254,10 +254,11 @@
       if (this.#directory.apply(now, fact, graceMs)) {
         changed.push(gone ? { ...fact, graceMs } : fact);
         this.#checkService(fact);
-        const leaving = runner?.leaving;
+        const { leaving, version } = runner ?? {};
+        const { held } = fact;
         if (this.#lines.tryAcquire(now)) {
           this.#log.info(
-            { runner: id, ...position, gone: !runner, leaving, graceMs, source },
+            { runner: id, ...position, gone: !runner, leaving, version, held, graceMs, source },
             'Runner changed.',
           );
         }
@@ -266,6 +267,17 @@
     if (changed.length > 0) this.#listener.onChange({ kind: 'runners', facts: changed });
   }
 
+  /**
+   * Lets runners get work again that are held no longer, and announces them to other VMs.
+   * @param isHeld whether the store's record of software versions still lacks a runner's version
+   */
+  releaseHeld(now: number, isHeld: (runner: Runner) => boolean): void {
+    const released = this.#directory.held.flatMap((record) =>
+      record.runner && !isHeld(record.runner) ? [{ ...record, held: false }] : [],
+    );
+    this.learnRunners(now, released, 'record');
+  }
+
   /** Applies the announcement of a runner in an answer that it leaves, and announces it to other VMs. */
   learnLeaving(now: number, runner: Runner, source: string): void {
     const record = this.#directory.applyLeaving(now, runner);
--- a/src/node/router/stateexchange.ts
+++ b/src/node/router/stateexchange.ts
@@ -65,6 +65,8 @@
   /** Omitted if the runner is gone. */
   runner: runnerSchema.optional(),
   graceMs: z.number().optional(),
+  /** Omitted if the runner is not held. */
+  held: z.boolean().optional(),
 });
 const fetchSchema = z.object({
   configVersion: z.number(),
@@ -110,12 +112,13 @@
 type Answer = Readonly<z.infer<typeof answerSchema>>;
 type WireRecord = Answer['facts'][number];
 
-function toWire({ id, position, runner, graceMs }: RunnerRecord): WireRecord {
+function toWire({ id, position, runner, graceMs, held }: RunnerRecord): WireRecord {
   return {
     id,
     position,
     ...(runner ? { runner } : {}),
     ...(graceMs === undefined ? {} : { graceMs }),
+    ...(held ? { held } : {}),
   };
 }
 
@@ -127,8 +130,8 @@
   return { ...suspect, ends: [...suspect.ends] };
 }
 
-function fromWire({ id, position, runner, graceMs }: WireRecord): RunnerRecord {
-  return { id, position, runner, graceMs };
+function fromWire({ id, position, runner, graceMs, held }: WireRecord): RunnerRecord {
+  return { id, position, runner, graceMs, held };
 }
 
 /** Decodes start positions of eras; throws a `peerRejected` failure. */
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -18,7 +18,7 @@
 import type { Runner, RoutingConfig } from '../../core/routing/types';
 import type { AnswerHead } from '../../core/stream/answer';
 import type { RunnerState } from '../../core/stream/silence';
-import type { VersionsByService } from '../../core/versions/types';
+import type { VersionRecord, VersionsByService } from '../../core/versions/types';
 import type { Failure } from '../../core/failure';
 
 /** Settings of one router process, with defaults applied. */
@@ -293,7 +293,12 @@
  * restart of all VMs.
  */
 export interface VersionArchive {
-  save(versions: VersionsByService): Promise<void>;
+  /**
+   * Replaces the record, unless it has changed.
+   * @param revision revision of the record that is replaced; 0 if there is none
+   * @returns the revision of the new record; undefined if another one is stored by now
+   */
+  save(versions: VersionsByService, revision: number): Promise<number | undefined>;
 }
 
 /** Persistent record of the number of VMs, which survives a restart of all VMs. */
@@ -304,19 +309,20 @@
 /** Receives what a feed reads from the store. */
 export interface FeedListener {
   onConfig(config: RoutingConfig): void;
+  /** Called after `onVersions` if one read brings both. */
   onRunners(facts: readonly RunnerRecord[]): void;
   /** The store is in another era than the last known one. Called before the store's content is delivered. */
   onEra(start: Position): void;
-  /** The ids of all listed runners as of a position of the store. */
+  /** The ids of all listed runners as of a position of the store. Called at the end of a full read. */
   onListed(ids: ReadonlySet<string>, position: Position): void;
   onVms(vms: readonly { readonly vm: string; readonly address: string }[]): void;
   /** Quarantined requests that VMs saved; `isAll` if the store holds no others. */
   onSuspects(suspects: readonly Suspect[], isAll: boolean): void;
   /**
    * The record of the software versions that served each service lately; undefined if there is none.
-   * @param isAll whether all runners were read before
+   * @param isAll whether it is part of a full read
    */
-  onVersions(versions: VersionsByService | undefined, isAll: boolean): void;
+  onVersions(record: VersionRecord | undefined, isAll: boolean): void;
   /** The number of VMs that was saved; 0 if there is none. */
   onFleetSize(vms: number): void;
   /**
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -11,6 +11,7 @@
 import type { Suspect } from '../core/quarantine/types';
 import type { RunnerRecord } from '../core/routing/directory';
 import type { StoreHistory } from '../core/routing/position';
+import type { VersionsByService } from '../core/versions/types';
 import type { Feed, FeedListener } from '../node/router/types';
 import { bootNow } from '../utils/clock';
 import {
@@ -206,6 +207,7 @@
    */
   #dispatch({ items, malformed }: Snapshot, isAll: boolean): void {
     if (isAll) this.#unreadable.retain(items, malformed);
+    this.#dispatchVersions(items, isAll);
     const runners: RunnerRecord[] = [];
     const suspects: Suspect[] = [];
     const vms: { vm: string; address: string }[] = [];
@@ -223,7 +225,6 @@
     if (suspects.length > 0 || isAll) this.#listener?.onSuspects(suspects, isAll);
     if (runners.length > 0) this.#listener?.onRunners(runners);
     if (vms.length > 0) this.#listener?.onVms(vms);
-    this.#dispatchVersions(items, isAll);
     this.#dispatchFleetSize(items, isAll);
   }
 
@@ -236,14 +237,20 @@
     }
   }
 
-  /** A record that cannot be decoded is ignored: it may name versions that no listed runner has. */
+  /** A record that cannot be decoded may name versions that no listed runner has. */
   #dispatchVersions(items: readonly Item[], isAll: boolean): void {
     const item = items.find((one) => one.key === key.versions);
     if (!item && !isAll) return;
+    if (item?.value === undefined) {
+      this.#listener?.onVersions(undefined, isAll);
+      return;
+    }
+    const { value, revision } = item;
+    let versions: VersionsByService | undefined;
     this.#read(item, () => {
-      const versions = item?.value === undefined ? undefined : decodeVersions(item.value);
-      this.#listener?.onVersions(versions, isAll);
+      versions = decodeVersions(value);
     });
+    this.#listener?.onVersions({ revision, versions }, isAll);
   }
 
   /** A number that cannot be decoded is ignored; the VMs that are known count anyway. */
--- a/src/platform/versions.ts
+++ b/src/platform/versions.ts
@@ -14,7 +14,11 @@
     this.#store = store;
   }
 
-  async save(versions: VersionsByService): Promise<void> {
-    await this.#store.put(key.versions, encodeVersions(versions));
+  async save(versions: VersionsByService, revision: number): Promise<number | undefined> {
+    const written = await this.#store.commit({
+      expected: [{ key: key.versions, revision }],
+      writes: [{ key: key.versions, value: encodeVersions(versions), lease: 0 }],
+    });
+    return written?.revision;
   }
 }
--- a/test/fakes/recordfleet.ts
+++ b/test/fakes/recordfleet.ts
@@ -4,19 +4,21 @@
 
 import pino from 'pino';
 
-import { VersionHistory } from '../../src/core/versions/history';
+import { StoreHistory } from '../../src/core/routing/position';
 import { inferredOrigin } from '../../src/core/versions/lookup';
-import type { VersionsByService } from '../../src/core/versions/types';
+import type { VersionRecord, VersionsByService } from '../../src/core/versions/types';
+import { RoutingState } from '../../src/node/router/routingstate';
 import { StoredVersions } from '../../src/node/router/storedversions';
+import { noopListener } from './listener';
+import { positionAt } from './position';
 import { runnerOf } from './runner';
 
 const STEP_MS = 100;
 const CHECK_MS = 500;
 const WATCH_MS = 700;
-const WRITE_MS = 100;
 
 interface Reader {
-  readonly versions: VersionHistory;
+  readonly state: RoutingState;
   readonly stored: StoredVersions;
   /** Versions that it takes for listed. */
   readonly listed: Set<string>;
@@ -30,13 +32,17 @@
 export class RecordFleet {
   readonly #random: () => number;
 
+  readonly #writeMs: number;
+
   readonly #listed = new Set<string>();
 
-  #record: VersionsByService | undefined;
+  #record: VersionRecord | undefined;
+
+  #revision = 0;
 
   #readers: Reader[] = [];
 
-  #writes: { readonly at: number; readonly apply: () => void }[] = [];
+  #writes: { readonly at: number; readonly apply: () => void; readonly lose: () => void }[] = [];
 
   #now = 0;
 
@@ -49,8 +55,10 @@
   /** Number of writes. */
   writes = 0;
 
-  constructor(random: () => number) {
+  /** @param writeMs time that a write takes */
+  constructor(random: () => number, writeMs = 100) {
     this.#random = random;
+    this.#writeMs = writeMs;
   }
 
   /** Lists a runner of a version. */
@@ -71,6 +79,7 @@
   /** Kills the first readers; writes that are on their way are lost. */
   kill(count: number): void {
     this.#readers.splice(0, count);
+    this.#writes.forEach(({ lose }) => lose());
     this.#writes = [];
     for (const reader of this.#readers) reader.isSurvivor = true;
     this.#lost = [...this.#begun];
@@ -90,10 +99,10 @@
 
   /** What readers take for the only version: each alone, or together where some were not killed. */
   #mistaken(): readonly string[] {
-    const views = this.#readers.map(({ versions }) => ({
+    const views = this.#readers.map(({ state }) => ({
       origin: undefined,
-      versions: versions.versionsOf(this.#now, 's'),
-      isComplete: versions.isComplete(this.#now),
+      versions: state.versions.versionsOf(this.#now, 's'),
+      isComplete: state.versions.isComplete(this.#now),
     }));
     const hasSurvivors = this.#readers.some(({ isSurvivor }) => isSurvivor);
     return (hasSurvivors ? [views] : views.map((view) => [view]))
@@ -102,27 +111,35 @@
   }
 
   #reader(): Reader {
-    const versions = new VersionHistory();
-    const stored = new StoredVersions({
-      versions,
-      archive: { save: (record) => this.#save(record) },
+    const log = pino({ level: 'silent' });
+    const state = new RoutingState(new StoreHistory(), log, noopListener);
+    const stored: StoredVersions = new StoredVersions({
+      versions: state.versions,
+      archive: { save: (versions, revision) => this.#save(versions, revision) },
       readsStore: () => true,
       random: this.#random,
-      log: pino({ level: 'silent' }),
+      onRecorded: () => state.releaseHeld(this.#now, (runner) => stored.isHeld(runner)),
+      log,
     });
     stored.stop();
     const phase = Math.floor(this.#random() * 35) * STEP_MS;
-    return { versions, stored, listed: new Set(), phase, isNew: true, isSurvivor: false };
+    return { state, stored, listed: new Set(), phase, isNew: true, isSurvivor: false };
   }
 
-  #save(record: VersionsByService): Promise<void> {
+  #save(versions: VersionsByService, revision: number): Promise<number | undefined> {
     this.writes += 1;
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const apply = (): void => {
-        this.#record = record;
-        resolve();
+        if (revision !== (this.#record?.revision ?? 0)) {
+          resolve(undefined);
+          return;
+        }
+        this.#revision += 1;
+        this.#record = { revision: this.#revision, versions };
+        resolve(this.#revision);
       };
-      this.#writes.push({ at: this.#now + WRITE_MS, apply });
+      const lose = (): void => reject(new Error('lost'));
+      this.#writes.push({ at: this.#now + this.#writeMs, apply, lose });
     });
   }
 
@@ -133,21 +150,26 @@
   }
 
   #step(reader: Reader): void {
-    const { versions, stored, listed, phase, isNew } = reader;
+    const { state, stored, listed, phase, isNew } = reader;
     if (isNew || (this.#now + phase) % WATCH_MS === 0) {
+      stored.learn(this.#now, this.#record, isNew);
       for (const version of new Set([...this.#listed, ...listed])) {
         const runner = runnerOf(version, 'decode', { version });
         const isListed = this.#listed.has(version);
         if (isListed !== listed.has(version)) {
-          versions.changed(this.#now, isListed ? undefined : runner, isListed ? runner : undefined);
+          this.#revision += 1;
+          const position = positionAt(this.#revision);
+          const fact = { id: version, position, runner: isListed ? runner : undefined };
+          state.learnRunners(this.#now, stored.hold([fact]), 'store');
         }
         if (isListed) listed.add(version);
         else listed.delete(version);
       }
-      stored.learn(this.#now, this.#record, isNew);
+      if (isNew) stored.listed(this.#now);
+      stored.check(this.#now);
       Object.assign(reader, { isNew: false });
     }
-    listed.forEach((version) => this.#begun.add(version));
+    for (const { version } of state.runnersOf(this.#now, 's')) this.#begun.add(version);
     if ((this.#now + phase) % CHECK_MS === 0) stored.check(this.#now);
   }
 }
--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -171,7 +171,7 @@
         control: new PlatformControl(),
         lock: { acquire: async () => undefined },
         archive: { save },
-        versions: { save },
+        versions: { save: async () => 1 },
         fleetSize: { save },
       },
       pino({ level: process.env.VM_LOG ?? 'silent' }),
--- a/test/router/routingstate.test.ts
+++ b/test/router/routingstate.test.ts
@@ -227,6 +227,67 @@
     expect(ids(state, 201_000)).toEqual(['r']);
   });
 
+  describe('with a runner whose version is not recorded yet', () => {
+    const fact = (id: string, version: string, held: boolean, revision = 1): RunnerRecord => ({
+      id,
+      position: positionAt(revision),
+      runner: runner(id, { version }),
+      held,
+    });
+    const release = (state: RoutingState, now: number): void => state.releaseHeld(now, () => false);
+
+    // Guards against streams of a version that VMs which all start anew do not know of.
+    test('uses others until it is recorded', () => {
+      const state = fresh();
+      state.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', true)], 'store');
+      expect(ids(state, 100)).toEqual(['old']);
+      expect(state.accepts(100, runner('new', { version: 'v2' }))).toBe(false);
+      release(state, 200);
+      expect(ids(state, 200)).toEqual(['old', 'new']);
+      expect(state.accepts(200, runner('new', { version: 'v2' }))).toBe(true);
+    });
+
+    // Guards against a service that stands still while the store takes no writes.
+    test('uses it where no other is left, and after a time in any case', () => {
+      const state = fresh();
+      state.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', true)], 'store');
+      state.learnRunners(1000, [fact('new', 'v2', true, 2)], 'store');
+      expect([ids(state, 2900), ids(state, 3000)]).toEqual([['old'], ['old', 'new']]);
+      const other = fresh();
+      other.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', true)], 'store');
+      other.learnRunners(9, [{ id: 'old', position: positionAt(2), runner: undefined }], 'store');
+      expect(ids(other, 10)).toEqual(['new']);
+      expect(other.accepts(10, runner('new', { version: 'v2' }))).toBe(true);
+    });
+
+    test.each([1, 2])('uses it as soon as another VM says it is recorded: %i', (revision) => {
+      const state = fresh();
+      state.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', true, revision)], 'store');
+      const { rest } = state.digest;
+      state.learnRunners(50, [fact('new', 'v2', false, 1)], 'peer');
+      expect(ids(state, 100)).toEqual(['old', 'new']);
+      expect(state.digest.rest).not.toBe(rest);
+      // A reader that has not read the record yet still takes it for missing.
+      state.learnRunners(100, [fact('new', 'v2', true, 3)], 'peer');
+      expect(ids(state, 150)).toEqual(['old', 'new']);
+    });
+
+    test('holds it again if it restarts with a further version', () => {
+      const state = fresh();
+      state.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', false)], 'store');
+      state.learnRunners(100, [fact('new', 'v3', true, 2)], 'store');
+      expect(ids(state, 150)).toEqual(['old']);
+    });
+
+    test('gives no work to it in the grace period after an outage of the store', () => {
+      const state = fresh();
+      state.learnRunners(0, [fact('old', 'v1', false), fact('new', 'v2', true)], 'store');
+      const gone = { id: 'new', position: positionAt(2), runner: undefined, graceMs: 2500 };
+      state.learnRunners(100, [gone], 'peer');
+      expect(ids(state, 150)).toEqual(['old']);
+    });
+  });
+
   test('reports a runner of an unknown service once', () => {
     let counted = 0;
     const state = new RoutingState(new StoreHistory(), pino({ level: 'silent' }), {
--- a/test/router/versionrecord.test.ts
+++ b/test/router/versionrecord.test.ts
@@ -5,6 +5,8 @@
 /** Time from the first to the last kill that is tried, and between two, in milliseconds. */
 const SPAN_MS = 3000;
 const STEP_MS = 100;
+/** Time of a write where the store is slow, in milliseconds. */
+const SLOW_WRITE_MS = 600;
 
 interface Release {
   /** Time from the start of the new version to the end of the old one, in milliseconds. */
@@ -93,4 +95,31 @@
     }
     expect(mistaken).toEqual([]);
   }, 30_000);
+
+  // Guards against streams that begin before their version is recorded, and against a record that loses one to a reader that knows less.
+  test('none takes the old version for the only one after two others served, beside slow writes', async () => {
+    const mistaken: number[] = [];
+    for (let killAt = 0; killAt <= SPAN_MS; killAt += STEP_MS) {
+      const fleet = new RecordFleet(seeded(killAt + 1), SLOW_WRITE_MS);
+      const changes = [
+        { at: 0, act: () => fleet.list('v2') },
+        { at: 300, act: () => fleet.list('v3') },
+        { at: 900, act: () => fleet.remove('v2') },
+        { at: 1200, act: () => fleet.remove('v3') },
+      ].filter(({ at }) => at <= killAt);
+      fleet.list('v1');
+      fleet.start(READERS);
+      let now = -10_000;
+      for (const { at, act } of [...changes, { at: killAt, act: () => fleet.kill(READERS) }]) {
+        await fleet.pass(at - now);
+        now = at;
+        act();
+      }
+      for (const version of ['v2', 'v3']) fleet.remove(version);
+      await fleet.pass(1000);
+      fleet.start(READERS);
+      if ((await fleet.pass(5000)).length > 0) mistaken.push(killAt);
+    }
+    expect(mistaken).toEqual([]);
+  }, 30_000);
 });
