Give no grace to runners that left while a call to the store failed

Cause: any failed call counted as an outage of the store, and an entry that is missing in the first list after an outage has 2.5 s to come back, since leases expire while the store is away.

Evidence: "Runner changed." with graceMs 2500 within 225 ms of the cut, while each other call was answered.

Why this works: an entry of a running runner can expire only if the store is away for nearly two heartbeat intervals. The grace is given only if it answered no VM for 1.75 of them, as far as this VM knows by its own calls and by the confirmations of others. A watch waits 0.8 s and is given up 0.4 s later without counting as a failure, so that no single call that fails lasts as long. A VM that begins to read goes by what it knows of the others' last answer; it gave no grace at all and would have dropped all runners after an outage that others saw.

Tests of outages say now for how long the store was away; their bounds are the same.

--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -108,10 +108,15 @@
       bounds: () => this.#settings,
       log: this.#log,
     });
-    this.#state = new RoutingState(ports.history, logOf(log, 'knowledge'), {
-      onChange: (change) => this.#onStateChange(change),
-      onInvalidEntry: () => this.#metrics.count('entries.unfit'),
-    });
+    this.#state = new RoutingState(
+      ports.history,
+      logOf(log, 'knowledge'),
+      {
+        onChange: (change) => this.#onStateChange(change),
+        onInvalidEntry: () => this.#metrics.count('entries.unfit'),
+      },
+      settings.heartbeatMs,
+    );
     this.#connectivity = new Connectivity({
       settings,
       dialer: ports.dialer,
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -12,8 +12,8 @@
 import { RunnerDirectory } from '../../core/routing/directory';
 import type { FreshnessProof } from '../../core/routing/freshness';
 import { Freshness } from '../../core/routing/freshness';
+import { HEARTBEAT_MS, StoreOutages } from '../../core/routing/outages';
 import type { StoreHistory, Position } from '../../core/routing/position';
-import { isLater } from '../../core/routing/position';
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
@@ -23,26 +23,6 @@
 import type { FreshnessExchange } from '../scheduler/members';
 import type { RoutingStateListener } from './routingstatelistener';
 
-/**
- * How long after a failure of the store a missing entry may be one that expired during the outage,
- * in milliseconds.
- */
-const EXPIRY_WINDOW_MS = 3000;
-
-/**
- * How long a runner stays in use whose entry is missing in the first full list after an
- * outage of the store, in milliseconds. Leases expire during an outage, and running runners
- * register again within two seconds of its end. Without the grace period every runner would
- * be dropped at once at the end of an outage, and all requests would be rejected.
- */
-const OUTAGE_GRACE_MS = 2500;
-
-/**
- * The same for an entry that is removed after the first full list, in milliseconds. Most
- * likely the runner shuts down, and it must get no work two seconds after that.
- */
-const REMOVAL_GRACE_MS = 1000;
-
 /** Log lines about changed runners per second; a fleet that starts would flood the log otherwise. */
 const RUNNER_LINES_PER_S = 10;
 
@@ -65,21 +45,21 @@
   /** Latest version of the configuration that another VM has announced; 0 before the first. */
   #announcedVersion = 0;
 
-  /** Monotonic time of the last successful call to the store. */
-  #storeAnsweredAt = -Infinity;
-
-  /** Monotonic time of the last failed call to the store. */
-  #storeFailedAt = -Infinity;
-
-  /** Position of the first full list after the last failure; undefined until there is one. */
-  #relistedAt: Position | undefined;
+  readonly #outages: StoreOutages;
 
   readonly #listener: RoutingStateListener;
 
   readonly #lines: LogRateLimiter;
 
-  constructor(history: StoreHistory, log: Logger, listener: RoutingStateListener) {
+  /** @param heartbeatMs interval at which runners write their entries, in milliseconds */
+  constructor(
+    history: StoreHistory,
+    log: Logger,
+    listener: RoutingStateListener,
+    heartbeatMs = HEARTBEAT_MS,
+  ) {
     this.#history = history;
+    this.#outages = new StoreOutages(heartbeatMs);
     this.#log = log;
     this.#listener = listener;
     this.#lines = new LogRateLimiter(RUNNER_LINES_PER_S, (lines) =>
@@ -158,15 +138,25 @@
     return this.#directory.latestIn(now, this.#directory.digest.differingParts(theirs), most);
   }
 
+  /** Records that this VM begins to read the store. */
+  storeReadingBegan(): void {
+    this.#outages.began();
+  }
+
   /** Records a successful call to the store. */
   storeAnswered(now: number): void {
-    this.#storeAnsweredAt = now;
+    // An answer to another VM confirms the configuration here.
+    const silentMs = this.#outages.answered(now, now - this.freshness.ageMs(bootNow()));
+    if (silentMs === 0) return;
+    this.#log.info(
+      { silentMs: Math.round(silentMs) },
+      'The store was unavailable for so long that entries of running runners may have expired.',
+    );
   }
 
   /** Records a failed call to the store. */
-  storeFailed(now: number): void {
-    this.#storeFailedAt = now;
-    this.#relistedAt = undefined;
+  storeFailed(): void {
+    this.#outages.failed();
   }
 
   /**
@@ -178,23 +168,16 @@
     const cameBack = this.#history.apply(starts);
     const [start] = this.#history.starts;
     if (cameBack) {
-      this.storeFailed(now);
+      this.#outages.restored(now);
       this.#log.warn({ ...start, before, source }, 'The store was restored from an older copy.');
     }
     const isFirst = before === undefined && start !== undefined && start.era > 0;
     if (cameBack || isFirst) this.#listener.onChange({ kind: 'era', cameBack });
   }
 
-  /** How long a runner stays in use whose entry is missing as of a position, in milliseconds. */
-  #graceMs(now: number, position: Position): number {
-    if (now - this.#storeFailedAt >= EXPIRY_WINDOW_MS) return 0;
-    const isRelisted = this.#relistedAt !== undefined && isLater(position, this.#relistedAt);
-    return isRelisted ? REMOVAL_GRACE_MS : OUTAGE_GRACE_MS;
-  }
-
   /** Time since the last successful call to the store, in milliseconds. */
   storeAgeMs(now: number): number {
-    return now - this.#storeAnsweredAt;
+    return now - this.#outages.answeredAt;
   }
 
   /** Records that another VM has a version of the configuration. */
@@ -250,7 +233,7 @@
       }
       const gone = !runner && unreadable === undefined;
       // The sender's value takes precedence: this VM may not read the store and thus not know of its outage.
-      const graceMs = gone ? (fact.graceMs ?? this.#graceMs(now, position)) : 0;
+      const graceMs = gone ? (fact.graceMs ?? this.#outages.graceMs(now, position)) : 0;
       if (this.#directory.apply(now, fact, graceMs)) {
         changed.push(gone ? { ...fact, graceMs } : fact);
         this.#checkService(fact);
@@ -330,7 +313,7 @@
 
   /** Applies a full list of the store: runners that it lacks are gone as of its position. */
   learnList(now: number, listed: ReadonlySet<string>, position: Position): void {
-    this.#relistedAt ??= position;
+    this.#outages.listed(position);
     const gone = this.#directory
       .missing(listed)
       .map((id): RunnerRecord => ({ id, position, runner: undefined }));
@@ -343,7 +326,9 @@
     return {
       configVersion: this.configVersion,
       routes: this.#table?.config.routes.length ?? 0,
-      storeAgeMs: Number.isFinite(this.#storeAnsweredAt) ? Math.round(this.storeAgeMs(now)) : null,
+      storeAgeMs: Number.isFinite(this.#outages.answeredAt)
+        ? Math.round(this.storeAgeMs(now))
+        : null,
       era: this.#history.era ?? null,
       backoffs: this.backoffs.pending(now),
       versions: this.versions.sightings(now),
--- a/src/node/router/statesync.ts
+++ b/src/node/router/statesync.ts
@@ -240,7 +240,7 @@
   storeCallEnded(now: number, up: boolean, detail: string): void {
     const { routingState, log, metrics } = this.#context;
     if (up) routingState.storeAnswered(now);
-    else routingState.storeFailed(now);
+    else routingState.storeFailed();
     metrics.count(up ? 'store.answers' : 'store.failures');
     this.#setFailed(now, up ? 0 : this.#failedCalls + 1);
     if (up === this.#isStoreUp) return;
@@ -260,7 +260,7 @@
   }
 
   #updateReading(now: number): void {
-    const { fleet, feed, log } = this.#context;
+    const { fleet, feed, log, routingState } = this.#context;
     const { self, all } = fleet;
     const waitsForOthers = !this.#isReading && all.length === 1;
     if (this.#haveMembersChanged || waitsForOthers) {
@@ -272,6 +272,7 @@
     if (this.isStoreLost && now - this.#lostAt > LOST_PAUSE_MS && !reading) this.#setFailed(now, 0);
     if (reading === this.#isReading) return;
     this.#isReading = reading;
+    if (reading) routingState.storeReadingBegan();
     if (reading && !this.#hasFetched) log.info('Configured by the store alone: no VM answered.');
     feed.setReading(reading);
     const { primaries, standbys } = readersOf(self.domain, all);
--- a/src/node/router/types.ts
+++ b/src/node/router/types.ts
@@ -53,6 +53,8 @@
   readonly graceMs: number;
   /** Duration of the lease for role orders, in milliseconds: no other VM can acquire it meanwhile. */
   readonly leaseMs: number;
+  /** Interval at which runners write their entries in the store. */
+  readonly heartbeatMs: number;
   /** How long callers may cache a directory answer, in milliseconds. */
   readonly addressTtlMs: number;
 }
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -27,8 +27,11 @@
 import type { Item, Snapshot, StoreClient } from './store';
 import { UnreadableItems } from './unreadable';
 
-/** Longest wait of one watch call, in milliseconds. Kept short so that a hung store is detected soon. */
-const WATCH_WAIT_MS = 2000;
+/**
+ * Longest wait of one watch call, in milliseconds. Kept so short that a watch that hangs is given up
+ * before entries could expire, if the store is sound, and before a runner that has left exits.
+ */
+const WATCH_WAIT_MS = 800;
 /** Minimum interval between two watch calls, in milliseconds. Heartbeats of runners would otherwise complete a watch every 100 ms, and each call costs money. */
 const MIN_WATCH_INTERVAL_MS = 700;
 /** First delay before a retry, in milliseconds; it doubles with each failure up to the maximum. */
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 
 import { FREE_BYTES } from '../core/delivery/buffers';
+import { HEARTBEAT_MS } from '../core/routing/outages';
 import { validate, parseJsonc } from '../core/settings/parse';
 import { readText } from '../node/config';
 import type { RouterSettings } from '../node/router/types';
@@ -34,6 +35,7 @@
   seeds: z.array(address).default([]),
   /** Whether the whole fleet starts for the first time; false at each later start of a process. */
   bootstrap: z.boolean().default(false),
+  'heartbeat-ms': z.number().positive().default(HEARTBEAT_MS),
   bounds: z.object({
     'grace-s': z.number(),
     'retry-budget-ratio': z.number(),
@@ -138,6 +140,7 @@
       stallMs: limits['caller-stall-ms'],
     },
     leaseMs: bounds['lease-ms'],
+    heartbeatMs: file['heartbeat-ms'],
     graceMs: bounds['grace-s'] * 1000,
     addressTtlMs: Math.min(bounds.ttl_max_s * 1000, MAX_ADDRESS_TTL_MS),
   };
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -72,8 +72,8 @@
 
 /** Timeout of one call, in milliseconds. A healthy store answers within a few milliseconds, a slow one within hundreds. */
 const CALL_TIMEOUT_MS = 1200;
-/** Time beyond the requested wait after which a watch times out, in milliseconds. */
-const WATCH_GRACE_MS = 700;
+/** Time beyond the requested wait after which a watch is given up, in milliseconds. */
+const WATCH_GRACE_MS = 400;
 const HTTP_OK = 200;
 const HTTP_NOT_FOUND = 404;
 const HTTP_GONE = 410;
@@ -170,16 +170,33 @@
   }
 
   /**
-   * Waits for changes below a prefix after a revision; undefined if the store no longer has that history.
+   * Waits for changes below a prefix after a revision; undefined if the store no longer has that history,
+   * or does not answer in time: a single connection may hang although the store is sound.
    * @param waitMs time after which the store answers without changes, in milliseconds
    */
   async watch(prefix: string, after: number, waitMs: number): Promise<Snapshot | undefined> {
+    const limit = AbortSignal.timeout(waitMs + WATCH_GRACE_MS);
+    try {
+      return await this.#changes(prefix, after, waitMs, limit);
+    } catch (error) {
+      if (limit.aborted) return undefined;
+      throw error;
+    }
+  }
+
+  async #changes(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    limit: AbortSignal,
+  ): Promise<Snapshot | undefined> {
     const query = new URLSearchParams({
       'path-prefix': prefix,
       after: String(after),
       'wait-ms': String(waitMs),
     });
-    const { body, era } = await this.#get(`${path.watch}?${query}`, waitMs + WATCH_GRACE_MS);
+    const timeoutMs = waitMs + 2 * WATCH_GRACE_MS;
+    const { body, era } = await this.#get(`${path.watch}?${query}`, timeoutMs, limit);
     if (body === undefined) return undefined;
     const { events, 'as-of': revision } = watchSchema.parse(body);
     return snapshotOf(events, { revision, era });
@@ -258,12 +275,14 @@
   async #get(
     target: string,
     timeoutMs: number,
+    signal?: AbortSignal,
   ): Promise<{ readonly body: unknown; readonly era: number | undefined }> {
     const answer = await call({
       method: 'GET',
       url: `http://${this.#address}${target}`,
       headers: { connection: 'close' },
       timeoutMs,
+      ...(signal ? { signal } : {}),
     });
     const { status, body } = answer;
     const era = this.#eraOf(answer);
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -710,6 +710,7 @@
       buffers: { responseBytes: 4_194_304, vmBytes: 67_108_864, stallMs: 5000 },
       graceMs: this.#options.graceMs,
       leaseMs: 3000,
+      heartbeatMs: 1200,
       addressTtlMs: this.#options.addressTtlMs,
     };
   }
--- a/test/fakes/scriptedvm.ts
+++ b/test/fakes/scriptedvm.ts
@@ -148,6 +148,7 @@
       buffers: { responseBytes: 4_194_304, vmBytes: 67_108_864, stallMs: 5000 },
       graceMs: 1000,
       leaseMs: 3000,
+      heartbeatMs: 1200,
       addressTtlMs: 100,
     };
     const feed: Feed = {
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -73,7 +73,8 @@
 
   readonly #liveLeases = new Set<number>();
 
-  readonly #watches = new Set<() => void>();
+  /** Watches that wait: what ends each regularly, and its response. */
+  readonly #watches = new Map<() => void, ServerResponse>();
 
   readonly #server: Server;
 
@@ -141,6 +142,13 @@
     this.#notifyWatches();
   }
 
+  /** Ends the watches that wait in another way than with an answer. */
+  breakWatches(end: (res: ServerResponse) => void): void {
+    const waiting = [...this.#watches.values()];
+    this.#watches.clear();
+    waiting.forEach(end);
+  }
+
   /** Copies the whole state. */
   copy(): StoreCopy {
     return {
@@ -192,7 +200,7 @@
   }
 
   #notifyWatches(): void {
-    for (const watch of [...this.#watches]) watch();
+    for (const watch of [...this.#watches.keys()]) watch();
   }
 
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -207,17 +215,22 @@
     const chunks: Buffer[] = [];
     for await (const chunk of req) chunks.push(chunk as Buffer);
     const body = Buffer.concat(chunks).toString();
-    const [status, answer] = await this.#answer(url, req.method ?? 'GET', body);
+    const [status, answer] = await this.#answer(url, req.method ?? 'GET', body, res);
     if (this.fault === 'deaf' && req.method === 'POST') return;
     res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(answer));
   }
 
-  async #answer(url: URL, method: string, body: string): Promise<[number, unknown]> {
+  async #answer(
+    url: URL,
+    method: string,
+    body: string,
+    res: ServerResponse,
+  ): Promise<[number, unknown]> {
     const { pathname: path, searchParams: query } = url;
     const prefix = query.get('path-prefix') ?? '';
     if (path === '/v1/kv-range') return [200, this.#range(prefix, query.get('after') ?? '')];
     if (path === '/v1/kv-watch') {
-      return this.#watch(prefix, Number(query.get('after')), Number(query.get('wait-ms')));
+      return this.#watch(prefix, Number(query.get('after')), Number(query.get('wait-ms')), res);
     }
     if (path === '/v1/kv-txn') return this.#commit(JSON.parse(body) as Txn);
     if (path === '/v1/kv-lease') {
@@ -242,16 +255,20 @@
     return answer;
   }
 
-  async #watch(prefix: string, after: number, waitMs: number): Promise<[number, unknown]> {
+  async #watch(
+    prefix: string,
+    after: number,
+    waitMs: number,
+    res: ServerResponse,
+  ): Promise<[number, unknown]> {
     const changes = (): Change[] =>
       this.#history.filter(({ key, revision }) => key.startsWith(prefix) && revision > after);
     if (after >= this.#compactedRevision && after <= this.#revision && changes().length === 0) {
       await new Promise<void>((resolve) => {
         const done = (): void => {
-          this.#watches.delete(done);
-          resolve();
+          if (this.#watches.delete(done)) resolve();
         };
-        this.#watches.add(done);
+        this.#watches.set(done, res);
         setTimeout(done, waitMs).unref();
       });
     }
--- a/test/fakes/virtual/storehistory.ts
+++ b/test/fakes/virtual/storehistory.ts
@@ -173,7 +173,7 @@
   /** Reads what is new in the store. */
   readStore(now: number, store: HistoryStore): void {
     if (now < this.storeLostUntil) {
-      this.routingState.storeFailed(now);
+      this.routingState.storeFailed();
       this.#cursor = undefined;
       return;
     }
--- a/test/platform/restore.test.ts
+++ b/test/platform/restore.test.ts
@@ -1,67 +1,12 @@
-import pino from 'pino';
-
-import { StoreHistory } from '../../src/core/routing/position';
-import { RoutingState } from '../../src/node/router/routingstate';
-import { StoreFeed } from '../../src/platform/feed';
 import { StoreLock } from '../../src/platform/lock';
 import { waitUntil } from '../fakes/cluster';
 import { entryOf } from '../fakes/entry';
-import { noopListener } from '../fakes/listener';
 import { FakeStore, clientOf } from '../fakes/store';
-
-const log = pino({ level: 'silent' });
-
-/** A VM that reads the store, with the state that it builds from it. */
-class Reader {
-  readonly #history = new StoreHistory();
-
-  readonly routingState = new RoutingState(this.#history, log, noopListener);
-
-  readonly #feed: StoreFeed;
-
-  constructor(store: FakeStore) {
-    const self = { vm: 'vm1', address: '10.0.0.9:1' };
-    this.#feed = new StoreFeed(clientOf(store, this.#history), self, this.#history, log);
-    const { routingState } = this;
-    this.#feed.start({
-      onConfig: (config) => {
-        routingState.learnConfig(performance.now(), config, 'store');
-      },
-      onRunners: (facts) => routingState.learnRunners(performance.now(), facts, 'store'),
-      onEra: (start) => routingState.learnEras(performance.now(), [start], 'store'),
-      onListed: (ids, position) => routingState.learnList(performance.now(), ids, position),
-      onVms: () => {},
-      onStore: (up) => {
-        if (up) routingState.storeAnswered(performance.now());
-        else routingState.storeFailed(performance.now());
-      },
-      onSuspects: () => {},
-      onVersions: () => {},
-      onFleetSize: () => {},
-      onConfirmed: () => {},
-    });
-    this.#feed.setReading(true);
-  }
-
-  stop(): void {
-    this.#feed.stop();
-  }
-
-  get runners(): readonly string[] {
-    return this.routingState
-      .runnersOf(performance.now(), 's')
-      .map(({ id }) => id)
-      .sort();
-  }
-
-  async sees(...ids: readonly string[]): Promise<void> {
-    await waitUntil(`it sees ${ids.join(' ')}`, () => this.runners.join(' ') === ids.join(' '));
-  }
-}
+import { StoreReader } from '../fakes/storereader';
 
 describe('a store that is restored from an older copy', () => {
   let store: FakeStore;
-  let reader: Reader;
+  let reader: StoreReader;
   const put = (id: string, change: Readonly<Record<string, unknown>> = {}): void =>
     store.put(`servers/${id}`, entryOf(change));
 
@@ -71,7 +16,7 @@
     await store.start();
     store.put('op/config', { version: 3, routes: [], services: [{ name: 's' }] });
     for (const id of ['a', 'b', 'c']) put(id);
-    reader = new Reader(store);
+    reader = new StoreReader(store);
     await reader.sees('a', 'b', 'c');
   });
 
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -44,6 +44,7 @@
        "cores": 1.35,
        "domain": "a",
        "graceMs": 8000,
+       "heartbeatMs": 1200,
        "isFirstStart": false,
        "leaseMs": 3000,
        "listen": {
--- a/test/router/leaving.test.ts
+++ b/test/router/leaving.test.ts
@@ -59,7 +59,9 @@
   /* Its lease expired while the store was down, so that it stays in use for some seconds. */
   test('is not used for the rest of its grace period after its entry has vanished', () => {
     const vm = new VmState([a, b]);
-    vm.state.storeFailed(1000);
+    vm.state.storeAnswered(-1000);
+    vm.state.storeFailed();
+    vm.state.storeAnswered(1500);
     vm.state.learnList(1500, new Set(['b']), positionAt(8));
     expect(idsAt(vm, 1600)).toEqual(['a', 'b']);
     vm.answered(a, leavingReply());
--- a/test/router/routingstate.test.ts
+++ b/test/router/routingstate.test.ts
@@ -24,6 +24,13 @@
 const ids = (state: RoutingState, now: number): readonly string[] =>
   state.runnersOf(now, 's').map(({ id }) => id);
 
+/** Has the store unavailable from one time to another. */
+function loseStore(state: RoutingState, from: number, to: number): void {
+  state.storeAnswered(from);
+  state.storeFailed();
+  state.storeAnswered(to);
+}
+
 describe('the routing state of a VM', () => {
   test('never returns to an older configuration', () => {
     const state = fresh();
@@ -69,7 +76,7 @@
   test('keeps runners that disappeared in an outage until they had time to register again', () => {
     const state = fresh();
     state.learnRunners(0, [{ id: 'r', position: positionAt(1), runner: runner('r') }], 'store');
-    state.storeFailed(1000);
+    loseStore(state, -1000, 1500);
     state.learnList(1500, new Set(), positionAt(8));
     expect(ids(state, 2500)).toEqual(['r']);
     expect(ids(state, 4100)).toEqual([]);
@@ -83,7 +90,7 @@
   test('keeps a runner that disappears after the first full list only for the short grace period', () => {
     const state = fresh();
     state.learnRunners(0, [{ id: 'r', position: positionAt(1), runner: runner('r') }], 'store');
-    state.storeFailed(1000);
+    loseStore(state, -1000, 1500);
     state.learnList(1500, new Set(['r']), positionAt(8));
     state.learnRunners(2100, [{ id: 'r', position: positionAt(9), runner: undefined }], 'store');
     expect(ids(state, 3000)).toEqual(['r']);
@@ -99,7 +106,7 @@
     const state = fresh();
     state.learnRunners(0, [{ id: 'r', position: positionAt(1), runner: runner('r') }], 'store');
     state.learnRunners(9, [{ id: 'r', position: positionAt(2), runner: undefined }], 'store');
-    state.storeFailed(1000);
+    loseStore(state, -1000, 1500);
     state.learnRunners(2000, [{ id: 'r', position: positionAt(3), runner: undefined }], 'store');
     expect(ids(state, 2001)).toEqual([]);
   });
@@ -143,7 +150,7 @@
     const state = fresh();
     const leaving = runner('r', { leaving: true });
     state.learnRunners(0, [{ id: 'r', position: positionAt(1), runner: leaving }], 'store');
-    state.storeFailed(1000);
+    loseStore(state, -1000, 1500);
     state.learnList(1500, new Set(), positionAt(8));
     expect(ids(state, 1600)).toEqual([]);
   });
--- a/test/router/stateexchange.test.ts
+++ b/test/router/stateexchange.test.ts
@@ -168,7 +168,9 @@
     const pair = new Pair();
     pair.callee.learnRunners(0, [recordOf('r1', 1)], 'store');
     pair.caller.learnRunners(0, [recordOf('r1', 1)], 'peer');
-    pair.callee.storeFailed(1000);
+    pair.callee.storeAnswered(-1000);
+    pair.callee.storeFailed();
+    pair.callee.storeAnswered(1500);
     pair.callee.learnList(1500, new Set(), positionAt(8));
     const [gone] = pair.callee.recordsDiffering(2000, pair.caller.digestParts, 100);
     expect(gone?.graceMs).toBe(2000);
