Read a list of the store page by page, and keep what the router uses

With such entries in the store no router gets ready.

Cause: a list was collected whole, the text of all pages and each value as base64 and decoded, before any of it was used. What a process kept of it grew with the store: each entry that could not be read was a record in the directory, sent to all other VMs, looped over for each request and logged.

Why the fix works: pages are decoded one by one and only what they say is kept. After the first page, which is one of the whole store, only the prefixes and keys that the router uses are read. What takes longer than 0.8 s is read beside the watch and used page by page, a page that fails is read again, and only a whole list makes runners count as removed. Entries that cannot be read are kept only where they replaced a runner in use; older records of other VMs do not bring it back. Log lines are bounded.

Two tests now wait for the end of the list: the configuration is confirmed, and the watch begins, before it.

--- a/src/core/routing/directory.ts
+++ b/src/core/routing/directory.ts
@@ -52,6 +52,9 @@
 /** How long removed runners are remembered, in milliseconds, so that a stale record cannot restore them. */
 const RETENTION_MS = 60_000;
 
+/** Most records of removed entries that never named a runner here: other writers may leave any number. */
+const MAX_WITHOUT_RUNNER = 1000;
+
 /**
  * How long a runner is held at most, in milliseconds: several attempts to write the record. Where
  * the store takes no writes, the runner is needed more than the record.
@@ -64,6 +67,9 @@
 
   readonly #digest = new RecordDigest();
 
+  /** Ids of the records that have never named a runner here. */
+  readonly #withoutRunner = new Set<string>();
+
   /** Software versions of the listed runners. */
   readonly versions = new VersionHistory();
 
@@ -134,6 +140,7 @@
     const known = this.#entries.get(update.id);
     const { bornAt = known?.bornAt ?? 0 } = update.runner ?? {};
     if (known && bornAt < known.bornAt) return false;
+    if (!known && !this.#isKept(update)) return false;
     const record = latestOf(known, update);
     if (!record) return false;
     const before = known?.record.runner;
@@ -143,6 +150,8 @@
     const last = record.runner ?? before ?? known?.last;
     // A runner that is already removed gets no new grace period: a repeated report, for example from a copy of the store, would bring it back into use.
     const goneAt = Math.min(known?.goneAt ?? Infinity, last?.leaving ? now : now + graceMs);
+    if (last) this.#withoutRunner.delete(record.id);
+    else this.#withoutRunner.add(record.id);
     this.#entries.set(record.id, {
       record,
       last,
@@ -158,6 +167,12 @@
     return changed;
   }
 
+  /** Whether the first record of an id is kept: one that names no runner only tells that older ones do not hold. */
+  #isKept({ runner, unreadable }: RunnerRecord): boolean {
+    if (runner) return true;
+    return unreadable === undefined && this.#withoutRunner.size < MAX_WITHOUT_RUNNER;
+  }
+
   /**
    * Applies the start time that a runner reported itself. If it is later than that of the
    * listed instance, the listed instance has ended; its entry stays as it is until the new
@@ -196,6 +211,11 @@
     return this.#entries.get(listing)?.bornAt ?? 0;
   }
 
+  /** Whether there is a record of a listing. */
+  has(id: string): boolean {
+    return this.#entries.has(id);
+  }
+
   /** Whether the known record is as late as this one or later. */
   isKnown({ id, position }: RunnerRecord): boolean {
     const known = this.#entries.get(id);
@@ -219,12 +239,17 @@
       const runner = usableIn(now, entry);
       if (runner) (now < entry.heldUntil ? held : found).push(runner);
       // An entry that cannot be decoded is kept while it is listed; if it were forgotten, it would be reported again.
-      if (now > goneAt + RETENTION_MS && record.unreadable === undefined) this.#entries.delete(id);
+      if (now > goneAt + RETENTION_MS && record.unreadable === undefined) this.#forget(id);
     }
     const needed = held.filter((runner) => !found.some((other) => isSubstitute(other, runner)));
     return needed.length === 0 ? found : [...found, ...needed];
   }
 
+  #forget(id: string): void {
+    this.#entries.delete(id);
+    this.#withoutRunner.delete(id);
+  }
+
   /** Whether an instance may receive work of its service now. */
   isUsable(now: number, { id, listing, service }: Runner): boolean {
     const entry = this.#entries.get(listing);
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -12,8 +12,10 @@
 import { RunnerDirectory } from '../../core/routing/directory';
 import type { FreshnessProof } from '../../core/routing/freshness';
 import { Freshness } from '../../core/routing/freshness';
+import { InvalidEntries } from '../../core/routing/invalidentries';
 import { HEARTBEAT_MS, StoreOutages } from '../../core/routing/outages';
 import type { StoreHistory, Position } from '../../core/routing/position';
+import { isLater } from '../../core/routing/position';
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
@@ -26,6 +28,12 @@
 /** Log lines about changed runners per second; a fleet that starts would flood the log otherwise. */
 const RUNNER_LINES_PER_S = 10;
 
+/** Log lines about invalid entries per second; other writers may leave any number. */
+const INVALID_LINES_PER_S = 20;
+
+/** The source of records that were read from the store. */
+const STORE = 'store';
+
 /** Configuration and runners as one VM knows them. */
 export class RoutingState {
   readonly #log: Logger;
@@ -51,6 +59,13 @@
 
   readonly #lines: LogRateLimiter;
 
+  readonly #invalidLines: LogRateLimiter;
+
+  readonly #invalid = new InvalidEntries();
+
+  /** The last full list of the store; undefined before the first. */
+  #list: { readonly ids: ReadonlySet<string>; readonly position: Position } | undefined;
+
   /** @param heartbeatMs interval at which runners write their entries, in milliseconds */
   constructor(
     history: StoreHistory,
@@ -65,6 +80,9 @@
     this.#lines = new LogRateLimiter(RUNNER_LINES_PER_S, (lines) =>
       log.info({ lines, ...this.runnersPosition }, 'More runners changed.'),
     );
+    this.#invalidLines = new LogRateLimiter(INVALID_LINES_PER_S, (lines) =>
+      log.warn({ lines }, 'Found more invalid entries.'),
+    );
   }
 
   /** Undefined until a configuration is known. */
@@ -226,17 +244,17 @@
   /** Applies runner records, each if it is newer than the known one. */
   learnRunners(now: number, facts: readonly RunnerRecord[], source: string): void {
     const changed: RunnerRecord[] = [];
-    for (const fact of facts) {
+    for (const fact of source === STORE ? facts : facts.flatMap((one) => this.#withRemoval(one))) {
       const { id, position, runner, unreadable } = fact;
       if (unreadable !== undefined && !this.#directory.isKnown(fact)) {
-        this.#reportInvalidEntry(id, position, unreadable);
+        this.#reportInvalidEntry(now, id, position, unreadable);
       }
       const gone = !runner && unreadable === undefined;
       // The sender's value takes precedence: this VM may not read the store and thus not know of its outage.
       const graceMs = gone ? (fact.graceMs ?? this.#outages.graceMs(now, position)) : 0;
       if (this.#directory.apply(now, fact, graceMs)) {
         changed.push(gone ? { ...fact, graceMs } : fact);
-        this.#checkService(fact);
+        this.#checkService(now, fact);
         const { leaving, version } = runner ?? {};
         const { held } = fact;
         if (this.#lines.tryAcquire(now)) {
@@ -250,6 +268,18 @@
     if (changed.length > 0) this.#listener.onChange({ kind: 'runners', facts: changed });
   }
 
+  /**
+   * A record, followed by the removal of its runner if the last full list shows that the entry was
+   * removed or replaced by one that cannot be read: another VM may be out of date.
+   */
+  #withRemoval(fact: RunnerRecord): readonly RunnerRecord[] {
+    const { id, position, runner } = fact;
+    if (!runner || !this.#list || this.#directory.has(id)) return [fact];
+    const { ids, position: listedAt } = this.#list;
+    if (ids.has(id) || isLater(position, listedAt)) return [fact];
+    return [fact, { id, position: listedAt, runner: undefined }];
+  }
+
   /**
    * Lets runners get work again that are held no longer, and announces them to other VMs.
    * @param isHeld whether the store's record of software versions still lacks a runner's version
@@ -292,28 +322,29 @@
    * Reports a runner whose service the configuration does not define. It gets no requests until a
    * configuration does.
    */
-  #checkService({ id, position, runner }: RunnerRecord): void {
+  #checkService(now: number, { id, position, runner }: RunnerRecord): void {
     if (!runner || !this.#table || this.#table.service(runner.service)) return;
     this.#reportInvalidEntry(
+      now,
       id,
       position,
       `runner ${id}: found service ${runner.service}, expected a known one`,
     );
   }
 
-  /**
-   * Logs and counts an invalid entry. Callers ensure that this happens once per entry and position,
-   * however often it is read.
-   */
-  #reportInvalidEntry(id: string, position: Position, detail: string): void {
+  /** Logs and counts an invalid entry, unless that was done at this position. */
+  #reportInvalidEntry(now: number, id: string, position: Position, detail: string): void {
+    if (!this.#invalid.record(id, position)) return;
+    this.#listener.onInvalidEntry();
+    if (!this.#invalidLines.tryAcquire(now)) return;
     const { line } = new Failure('factUnreadable', detail);
     this.#log.warn({ runner: id, ...position }, line);
-    this.#listener.onInvalidEntry();
   }
 
   /** Applies a full list of the store: runners that it lacks are gone as of its position. */
   learnList(now: number, listed: ReadonlySet<string>, position: Position): void {
     this.#outages.listed(position);
+    this.#list = { ids: listed, position };
     const gone = this.#directory
       .missing(listed)
       .map((id): RunnerRecord => ({ id, position, runner: undefined }));
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -6,26 +6,22 @@
 import { setTimeout as pause } from 'node:timers/promises';
 
 import type { Logger } from 'pino';
+import { match } from 'ts-pattern';
 
-import { toFailure } from '../core/failure';
-import type { Suspect } from '../core/quarantine/types';
-import type { RunnerRecord } from '../core/routing/directory';
-import type { StoreHistory } from '../core/routing/position';
+import { Failure, toFailure } from '../core/failure';
+import type { Position, StoreHistory } from '../core/routing/position';
 import type { VersionsByService } from '../core/versions/types';
 import type { Feed, FeedListener } from '../node/router/types';
 import { bootNow } from '../utils/clock';
-import {
-  decodeConfig,
-  decodeFleetSize,
-  decodeRunner,
-  decodeSuspect,
-  decodeVersions,
-  decodeVm,
-  encodeVm,
-} from './records';
+import type { ListedVm } from './entries';
+import { Entries } from './entries';
+import type { ListCall } from './listing';
+import { Listing } from './listing';
+import type { SingleKey } from './names';
 import { key } from './names';
-import type { Item, Snapshot, StoreClient } from './store';
-import { UnreadableItems } from './unreadable';
+import { decodeConfig, decodeFleetSize, decodeVersions, encodeVm } from './records';
+import type { Item, Page, Snapshot, StoreClient } from './store';
+import { UnreadableItems, readItem } from './unreadable';
 
 /**
  * Longest wait of one watch call, in milliseconds. Kept so short that a watch that hangs is given up
@@ -41,9 +37,23 @@
 /** Timeout of the first call after a failed one, in milliseconds. A slow store still answers within it, and an unreachable store is detected half a second sooner, so that other VMs start to read it in time. */
 const RECHECK_TIMEOUT_MS = 600;
 
+/** Time in which a list is read before any of it is used, in milliseconds: a list of the fleet's own entries takes less. */
+const SHORT_LIST_MS = 800;
+/** Pause between two pages of a longer list, in milliseconds, so that a long list leaves most of the processor and of the store's calls to requests. */
+const PAGE_PAUSE_MS = 20;
+
 /** Prefix of all keys: one watch covers the configuration, runners and VMs. */
 const ALL_KEYS = '';
 
+/** What one call of a list has brought. */
+interface ListPart {
+  readonly entries: Entries;
+  /** Keys of which the entries show whether they have one. */
+  readonly singles: readonly SingleKey[];
+  /** Boot time of the call. */
+  readonly askedAt: number;
+}
+
 /** Reads the store and passes its entries to the router's listener. */
 export class StoreFeed implements Feed {
   readonly #store: StoreClient;
@@ -77,7 +87,10 @@
 
   #retryDelayMs = MIN_RETRY_DELAY_MS;
 
-  /** Failed attempts since the last complete read of all entries. */
+  /** The list of the store that is read or was read last. */
+  #listing: Listing | undefined;
+
+  /** Failed attempts since the last list was begun. */
   #failureCount = 0;
 
   constructor(
@@ -138,7 +151,7 @@
     if (items.length === 0 || era === undefined) return;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
     this.#unreadable.enter(era);
-    this.#dispatch(snapshot, false);
+    this.#dispatchChanges(snapshot);
     this.#listener?.onConfirmed(askedAt);
   }
 
@@ -156,9 +169,12 @@
     }
   }
 
-  /** Reads all entries, then watches for changes until a call fails or reading is turned off. */
+  /**
+   * Begins a list of all entries, then watches for changes until a call fails or reading is turned off.
+   * A list of several pages is read meanwhile.
+   */
   async #readAndWatch(): Promise<void> {
-    let { revision, era } = await this.#readAll();
+    let { revision, era } = await this.#list();
     this.#retryDelayMs = MIN_RETRY_DELAY_MS;
     while (this.#isReading) {
       const watchStartedAt = performance.now();
@@ -167,12 +183,12 @@
       // After the store was restored from an older copy, revisions are issued a second time, so the last one read is no valid start for a watch.
       // A change that cannot be read may be that an entry is gone, which only the list shows.
       const isReadable = changes?.malformed === 0 && changes.era !== undefined;
-      if (!isReadable || changes.era !== era) {
-        ({ revision, era } = await this.#readAll());
+      if (!isReadable || changes.era !== era || !this.#listing) {
+        ({ revision, era } = await this.#list());
       } else {
         this.#listener?.onStore(true, 'answers');
         revision = Math.max(revision, changes.revision);
-        this.#dispatch(changes, false);
+        this.#dispatchChanges(changes);
         this.#listener?.onConfirmed(askedAt);
       }
       const remainingMs = MIN_WATCH_INTERVAL_MS - (performance.now() - watchStartedAt);
@@ -180,109 +196,181 @@
     }
   }
 
-  async #readAll(): Promise<Snapshot> {
+  /** Reads the first page of a list, and returns the position from which to watch for changes. */
+  async #list(): Promise<Position> {
+    this.#listing = undefined;
+    const startedAt = performance.now();
     const askedAt = bootNow();
-    const snapshot = await this.#store.range(
-      ALL_KEYS,
-      this.#failureCount === 1 ? RECHECK_TIMEOUT_MS : undefined,
-    );
+    const limitMs = this.#failureCount === 1 ? RECHECK_TIMEOUT_MS : undefined;
+    const page = await this.#store.range(ALL_KEYS, '', limitMs);
+    const { revision, last, era = this.#store.era } = page;
+    const listing = new Listing(startedAt, { era, revision }, last);
+    this.#listing = listing;
     this.#failureCount = 0;
-    const { items, malformedKeys, revision, era = this.#store.era } = snapshot;
     this.#unreadable.enter(era);
+    this.#unreadable.begin();
     // After a restore from an older copy the entry of this VM may be missing.
     if (era !== this.#era) this.#isRegistered = false;
     this.#era = era;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
     this.#listener?.onStore(true, 'answers');
-    this.#register(items);
-    this.#dispatch(snapshot, true);
-    // A malformed item of a runner tells nothing new of it, but that it is listed.
-    const listed = [...items, ...malformedKeys.map((name) => ({ key: name }))];
-    const ids = listed.filter((item) => item.key.startsWith(key.runners)).map(idOf);
-    this.#listener?.onListed(new Set(ids), { era, revision });
-    if (!malformedKeys.includes(key.config)) this.#listener?.onConfirmed(askedAt);
-    return snapshot;
+    const parts = [{ entries: this.#take(listing, page), singles: listing.singles, askedAt }];
+    parts.push(...(await this.#readShort(listing)));
+    this.#listener?.onSuspects([], true);
+    parts.forEach((part) => this.#dispatchPart(part));
+    this.#register(parts.flatMap(({ entries }) => entries.vms));
+    if (!listing.next) this.#endList(listing);
+    else this.#readFurther(listing).catch((error) => this.#log.error(toFailure(error).line));
+    return listing.position;
   }
 
   /**
-   * Decodes entries and passes them to the listener.
-   * @param isAll whether the snapshot holds all entries of the store
+   * Reads what a list holds after its first page, unless that takes long: VMs begin to serve with all
+   * runners then. The single keys are always read, since runners are held as the record of versions
+   * says, so that the watch must not bring them before it.
    */
-  #dispatch({ items, malformed }: Snapshot, isAll: boolean): void {
-    if (isAll) this.#unreadable.retain(items, malformed);
-    this.#dispatchVersions(items, isAll);
-    const runners: RunnerRecord[] = [];
-    const suspects: Suspect[] = [];
-    const vms: { vm: string; address: string }[] = [];
-    for (const item of items) {
-      const { key: name, value } = item;
-      if (name === key.config) this.#dispatchConfig(item);
-      else if (name.startsWith(key.runners)) runners.push(this.#recordOf(item));
-      else if (name.startsWith(key.vms) && value !== undefined) {
-        this.#read(item, () => vms.push(decodeVm(name.slice(key.vms.length), value)));
-      } else if (name.startsWith(key.suspects) && value !== undefined) {
-        const fingerprint = name.slice(key.suspects.length);
-        this.#read(item, () => suspects.push(decodeSuspect(Date.now(), fingerprint, value)));
+  async #readShort(listing: Listing): Promise<readonly ListPart[]> {
+    const parts: ListPart[] = [];
+    const endAt = performance.now() + SHORT_LIST_MS;
+    for (let call = listing.next; call; call = listing.next) {
+      if (call.kind === 'range' && performance.now() > endAt) break;
+      const askedAt = bootNow();
+      let page: Page;
+      try {
+        page = await this.#read(listing, call);
+      } catch (error) {
+        if (call.kind === 'key') throw error;
+        this.#failed(listing, error);
+        break;
       }
+      const singles = call.kind === 'key' ? [call.key] : [];
+      parts.push({ entries: this.#take(listing, page), singles, askedAt });
+      listing.advance(page.last);
     }
-    if (suspects.length > 0 || isAll) this.#listener?.onSuspects(suspects, isAll);
-    if (runners.length > 0) this.#listener?.onRunners(runners);
-    if (vms.length > 0) this.#listener?.onVms(vms);
-    this.#dispatchFleetSize(items, isAll);
+    return parts;
+  }
+
+  #dispatchPart({ entries, singles, askedAt }: ListPart): void {
+    singles.forEach((name) => this.#dispatchSingle(name, entries, askedAt));
+    this.#dispatch(entries);
+  }
+
+  /** Passes on the entry of a single key as a list has it. */
+  #dispatchSingle(name: SingleKey, entries: Entries, askedAt: number): void {
+    const item = entries.itemsOf(name).at(-1);
+    match(name)
+      .with(key.versions, () => this.#dispatchVersions(item, true))
+      .with(key.fleetSize, () => this.#dispatchFleetSize(item))
+      .with(key.config, () => {
+        if (item) this.#dispatchConfig(item);
+        if (!entries.hasMalformedConfig) this.#listener?.onConfirmed(askedAt);
+      })
+      .exhaustive();
+  }
+
+  /** Reads the rest of a long list, page by page; a call that fails is repeated, and what the others brought is kept. */
+  async #readFurther(listing: Listing): Promise<void> {
+    let delayMs = MIN_RETRY_DELAY_MS;
+    const isCurrent = (): boolean => this.#isReading && this.#listing === listing;
+    for (let call = listing.next; call && isCurrent(); call = listing.next) {
+      try {
+        const page = await this.#read(listing, call);
+        if (!isCurrent()) break;
+        this.#dispatch(this.#take(listing, page));
+        listing.advance(page.last);
+        delayMs = MIN_RETRY_DELAY_MS;
+        await pause(PAGE_PAUSE_MS);
+      } catch (error) {
+        this.#failed(listing, error);
+        await pause(delayMs * (0.5 + Math.random()));
+        delayMs = Math.min(MAX_RETRY_DELAY_MS, delayMs * 2);
+      }
+    }
+    if (isCurrent()) this.#endList(listing);
+    // Should reading be turned on again before the watch has ended, another list is needed.
+    else if (this.#listing === listing) this.#listing = undefined;
   }
 
-  /** Reads an item; one that cannot be read is ignored. */
-  #read(item: Item | undefined, read: () => void): void {
-    try {
-      read();
-    } catch (error) {
-      if (item) this.#unreadable.report(item, toFailure(error));
+  #failed(listing: Listing, error: unknown): void {
+    listing.failed();
+    this.#log.debug(toFailure(error).line);
+  }
+
+  /** Makes a call of a list; throws `platformUnavailable` if the era has changed, which the watch finds as well. */
+  async #read({ position }: Listing, call: ListCall): Promise<Page> {
+    const page =
+      call.kind === 'key'
+        ? { ...(await this.#store.get(call.key)), last: undefined }
+        : await this.#store.range(call.prefix, call.after);
+    if ((page.era ?? this.#store.era) !== position.era) {
+      throw new Failure('platformUnavailable', 'the store was restored');
     }
+    return page;
+  }
+
+  /** Decodes a page of a list. */
+  #take(listing: Listing, page: Page): Entries {
+    this.#unreadable.take(page);
+    const entries = new Entries(page, this.#history, this.#unreadable);
+    listing.take(entries);
+    return entries;
+  }
+
+  #endList(listing: Listing): void {
+    const { listed, position, unreadable, callCount: calls, failures, startedAt } = listing;
+    if (calls > 1) {
+      const ms = Math.round(performance.now() - startedAt);
+      this.#log.info({ calls, ms, failures, ...position }, 'Read a list of several pages.');
+    }
+    this.#unreadable.end(unreadable);
+    this.#listener?.onListed(listed, position);
+  }
+
+  /** Decodes changes and passes them to the listener. */
+  #dispatchChanges(changes: Snapshot): void {
+    const entries = new Entries(changes, this.#history, this.#unreadable);
+    const versions = entries.itemsOf(key.versions).at(-1);
+    if (versions) this.#dispatchVersions(versions, false);
+    entries.itemsOf(key.config).forEach((item) => this.#dispatchConfig(item));
+    this.#dispatch(entries);
+    const fleetSize = entries.itemsOf(key.fleetSize).at(-1);
+    if (fleetSize) this.#dispatchFleetSize(fleetSize);
+  }
+
+  #dispatch({ runners, suspects, vms }: Entries): void {
+    if (suspects.length > 0) this.#listener?.onSuspects(suspects, false);
+    if (runners.length > 0) this.#listener?.onRunners(runners);
+    if (vms.length > 0) this.#listener?.onVms(vms);
   }
 
   /** A record that cannot be decoded may name versions that no listed runner has. */
-  #dispatchVersions(items: readonly Item[], isAll: boolean): void {
-    const item = items.find((one) => one.key === key.versions);
-    if (!item && !isAll) return;
+  #dispatchVersions(item: Item | undefined, isAll: boolean): void {
     if (item?.value === undefined) {
       this.#listener?.onVersions(undefined, isAll);
       return;
     }
-    const { value, revision } = item;
     let versions: VersionsByService | undefined;
-    this.#read(item, () => {
+    readItem(this.#unreadable, item, (value) => {
       versions = decodeVersions(value);
     });
-    this.#listener?.onVersions({ revision, versions }, isAll);
+    this.#listener?.onVersions({ revision: item.revision, versions }, isAll);
   }
 
   /** A number that cannot be decoded is ignored; the VMs that are known count anyway. */
-  #dispatchFleetSize(items: readonly Item[], isAll: boolean): void {
-    const item = items.find((one) => one.key === key.fleetSize);
-    if (!item && !isAll) return;
-    this.#read(item, () =>
-      this.#listener?.onFleetSize(item?.value === undefined ? 0 : decodeFleetSize(item.value)),
+  #dispatchFleetSize(item: Item | undefined): void {
+    if (item?.value === undefined) {
+      this.#listener?.onFleetSize(0);
+      return;
+    }
+    readItem(this.#unreadable, item, (value) =>
+      this.#listener?.onFleetSize(decodeFleetSize(value)),
     );
   }
 
   /** A configuration that cannot be decoded is ignored, and decoded once only. */
   #dispatchConfig(item: Item): void {
-    const { value } = item;
-    if (value === undefined || this.#unreadable.has(item)) return;
-    this.#read(item, () => this.#listener?.onConfig(decodeConfig(value)));
-  }
-
-  /** An entry that cannot be decoded also yields a record, because it replaced the runner that was listed under this key. */
-  #recordOf(item: Item): RunnerRecord {
-    const id = idOf(item);
-    const { revision, value } = item;
-    const position = this.#history.positionOf(revision);
-    try {
-      const runner = value === undefined ? undefined : decodeRunner(id, value);
-      return { id, position, runner };
-    } catch (error) {
-      return { id, position, runner: undefined, unreadable: toFailure(error).message };
-    }
+    if (item.value === undefined || this.#unreadable.has(item)) return;
+    readItem(this.#unreadable, item, (value) => this.#listener?.onConfig(decodeConfig(value)));
   }
 
   /**
@@ -290,10 +378,11 @@
    * because membership probes detect which VMs are alive. Only VMs that read the store
    * register: a VM that contacts one of them learns of all others from it.
    */
-  #register(items: readonly Item[]): void {
-    const name = `${key.vms}${this.#self.vm}`;
-    const entry = encodeVm(this.#self.address);
-    const isListed = items.some((item) => item.key === name && item.value === entry);
+  #register(vms: readonly ListedVm[]): void {
+    const { vm: self, address } = this.#self;
+    const name = `${key.vms}${self}`;
+    const entry = encodeVm(address);
+    const isListed = vms.some((listed) => listed.vm === self && listed.address === address);
     if (this.#isLeaving || this.#isRegistered) return;
     this.#isRegistered = true;
     if (isListed) return;
@@ -314,7 +403,3 @@
     this.#log.info({ key: name, era: this.#era }, 'Removed the entry of this VM.');
   }
 }
-
-function idOf({ key: name }: Pick<Item, 'key'>): string {
-  return name.slice(key.runners.length);
-}
--- a/src/platform/lock.ts
+++ b/src/platform/lock.ts
@@ -3,7 +3,7 @@
 import { ordinalOf } from '../core/routing/position';
 import type { OrderLock, OrderLease } from '../node/router/types';
 import { key } from './names';
-import type { StoreClient } from './store';
+import type { Item, StoreClient } from './store';
 
 /** Time to live of the lease, in milliseconds. Three renewals in a row may fail before it expires. */
 const LEASE_TTL_MS = 6000;
@@ -25,7 +25,7 @@
   }
 
   async acquire(): Promise<OrderLease | undefined> {
-    const { items } = await this.#store.range(key.orders);
+    const items = await this.#items();
     if (items.some((item) => item.key === key.orderHolder)) return undefined;
     const last = items.find((item) => item.key === key.orderLast);
     const lease = await this.#store.grantLease(LEASE_TTL_MS);
@@ -51,6 +51,15 @@
     };
   }
 
+  /** The items of the lock: one call, unless other writers have left more than a page below its prefix. */
+  async #items(): Promise<readonly Item[]> {
+    const page = await this.#store.range(key.orders);
+    if (page.last === undefined) return page.items;
+    const holder = await this.#store.get(key.orderHolder);
+    const last = await this.#store.get(key.orderLast);
+    return [...holder.items, ...last.items];
+  }
+
   /** Whether no other VM has held the lock before. A store that was restored from an older copy may lack the last holder. */
   #isFresh(lastHolder: string | undefined, mine: string): boolean {
     return lastHolder === undefined ? this.#store.era === 0 : lastHolder === mine;
--- a/src/platform/names.ts
+++ b/src/platform/names.ts
@@ -90,6 +90,14 @@
   orderLast: 'goldcrestdock/orders/last',
 } as const;
 
+/**
+ * Keys of which the router uses one entry, in the order in which they are read: runners are held as the
+ * record of versions says.
+ */
+export const singleKeys = [key.versions, key.config, key.fleetSize] as const;
+
+export type SingleKey = (typeof singleKeys)[number];
+
 /** URL paths; those that end with a slash are followed by an id. */
 export const path = {
   readiness: '/v1/readiness',
--- a/src/platform/records.ts
+++ b/src/platform/records.ts
@@ -198,6 +198,9 @@
  */
 const MAX_ENTRY_CHARS = 65_536;
 
+/** Longest path of a field in an error message, in characters: other writers choose the names of their fields. */
+const MAX_PATH_CHARS = 200;
+
 /** Parses a JSON text with a schema; throws `factUnreadable`. */
 function parse<T>(
   schema: z.ZodType<T>,
@@ -218,7 +221,7 @@
   const result = schema.safeParse(value);
   if (result.success) return result.data;
   const [issue] = result.error.issues;
-  const where = issue?.path.join('.') ?? '';
+  const where = issue?.path.join('.').slice(0, MAX_PATH_CHARS) ?? '';
   throw new Failure('factUnreadable', `${what}: at ${where}: ${issue?.message ?? 'unfit'}`);
 }
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -4,12 +4,12 @@
 
 import { z } from 'zod';
 
-import { Failure } from '../core/failure';
+import { Failure, toFailure } from '../core/failure';
 import type { Position } from '../core/routing/position';
 import type { HttpResponse } from '../utils/http';
 import { call } from '../utils/http';
 import type { EraReader } from './era';
-import { header, path } from './names';
+import { header, key as keys, path } from './names';
 
 /** An entry of the store, or its deletion. */
 export interface Item {
@@ -18,6 +18,8 @@
   readonly revision: number;
   /** Undefined if the item was deleted. */
   readonly value: string | undefined;
+  /** Why the value was not decoded; it is empty then. Default: it was */
+  readonly unreadable?: string;
 }
 
 /** Items of the store at a revision. */
@@ -32,6 +34,12 @@
   readonly era: number | undefined;
 }
 
+/** A part of the items below a prefix. */
+export interface Page extends Snapshot {
+  /** The key after which the next page begins; undefined if there is none. */
+  readonly last: string | undefined;
+}
+
 /** Writes and deletions that are applied atomically if all conditions hold. */
 export interface Transaction {
   /** Conditions: the revision that each key must have; 0 means that the key must not exist. */
@@ -49,6 +57,9 @@
 /** Longest key that the store accepts, in bytes. */
 const MAX_KEY_BYTES = 200;
 
+/** Longest value of any item but the configuration, in bytes; runners write some 300. Longer ones of other writers are not decoded. */
+const MAX_ENTRY_BYTES = 65_536;
+
 const keySchema = z.object({ key: z.string() });
 const namedSchema = z.object({
   key: z.string().refine((key) => Buffer.byteLength(key) <= MAX_KEY_BYTES),
@@ -80,10 +91,20 @@
 const HTTP_PRECONDITION_FAILED = 412;
 const HTTP_TOO_MANY_REQUESTS = 429;
 
-/** Decodes base64. Anything but UTF-8 in it yields an empty text, which every decoder of entries rejects. */
-function textOf(value: unknown): string {
-  const bytes = Buffer.from(typeof value === 'string' ? value : '', 'base64');
-  return isUtf8(bytes) ? bytes.toString() : '';
+/** Decodes base64, unless it is longer than the value of a key may be. */
+function valueOf(key: string, value: unknown): Pick<Item, 'value' | 'unreadable'> {
+  const encoded = typeof value === 'string' ? value : '';
+  const length = Buffer.byteLength(encoded, 'base64');
+  if (key !== keys.config && length > MAX_ENTRY_BYTES) {
+    return {
+      value: '',
+      unreadable: `found ${length} bytes, expected ${MAX_ENTRY_BYTES} at most`,
+    };
+  }
+  const bytes = Buffer.from(encoded, 'base64');
+  return isUtf8(bytes)
+    ? { value: bytes.toString() }
+    : { value: '', unreadable: 'found bytes that are no UTF-8, expected a text' };
 }
 
 /** The items that can be read: one that has no key or no revision names no entry. */
@@ -93,14 +114,14 @@
     if (!parsed.success) return [];
     const { key, revision, value, deleted } = parsed.data;
     const isDeleted = deleted === true || value === undefined;
-    return [{ key, revision, value: isDeleted ? undefined : textOf(value) }];
+    return [{ key, revision, ...(isDeleted ? { value: undefined } : valueOf(key, value)) }];
   });
 }
 
 /** The last key of a page, after which the next one begins; undefined if it has none. */
 function lastKeyOf(values: readonly unknown[]): string | undefined {
-  const keys = values.map((raw) => keySchema.safeParse(raw).data?.key);
-  return keys.filter((key) => key !== undefined).at(-1);
+  const names = values.map((raw) => keySchema.safeParse(raw).data?.key);
+  return names.filter((name) => name !== undefined).at(-1);
 }
 
 /** The key of an item that cannot be read; empty if it has none. */
@@ -133,31 +154,22 @@
   }
 
   /**
-   * Reads all items below a prefix, page by page. Throws `platformUnavailable` if the era changes
-   * between pages. Pages are read at different revisions; the result has the revision of the
-   * first one, so that a watch from there misses no change.
-   * @param limitMs timeout of each page, in milliseconds
+   * Reads a page of the items below a prefix. Throws `platformUnavailable` if the page is not the last
+   * one but has no key after which the next one begins.
+   * @param after the key after which the page begins; empty for the first page
+   * @param limitMs timeout, in milliseconds
    */
-  async range(prefix: string, limitMs = CALL_TIMEOUT_MS): Promise<Snapshot> {
-    const items: unknown[] = [];
-    let first: { readonly era: number | undefined; readonly revision: number } | undefined;
-    let after = '';
-    for (;;) {
-      const query = new URLSearchParams({ 'path-prefix': prefix });
-      if (after !== '') query.set('after', after);
-      const { body, era } = await this.#get(`${path.range}?${query}`, limitMs);
-      const page = rangeSchema.parse(body);
-      first ??= { era, revision: page['as-of'] };
-      if (first.era !== era) throw new Failure('platformUnavailable', 'the store was restored');
-      items.push(...page.items);
-      if (!page.truncated) return snapshotOf(items, first);
-      const last = lastKeyOf(page.items);
-      // Items that are missing from a partial list would be taken for deleted ones.
-      if (last === undefined || last === after) {
-        throw new Failure('platformUnavailable', 'found no further key in a page before the last');
-      }
-      after = last;
+  async range(prefix: string, after = '', limitMs = CALL_TIMEOUT_MS): Promise<Page> {
+    const query = new URLSearchParams({ 'path-prefix': prefix });
+    if (after !== '') query.set('after', after);
+    const { body, era } = await this.#get(`${path.range}?${query}`, limitMs);
+    const { items, truncated, 'as-of': revision } = rangeSchema.parse(body);
+    const last = truncated ? lastKeyOf(items) : undefined;
+    // Items that are missing from a partial list would be taken for deleted ones.
+    if (truncated && (last === undefined || last === after)) {
+      throw new Failure('platformUnavailable', 'found no further key in a page before the last');
     }
+    return { ...snapshotOf(items, { revision, era }), last };
   }
 
   /** Reads one item; `items` is empty if the key does not exist. */
@@ -171,7 +183,8 @@
 
   /**
    * Waits for changes below a prefix after a revision; undefined if the store no longer has that history,
-   * or does not answer in time: a single connection may hang although the store is sound.
+   * if the changes are too long for one response, or if the store does not answer in time: a single
+   * connection may hang although it is sound.
    * @param waitMs time after which the store answers without changes, in milliseconds
    */
   async watch(prefix: string, after: number, waitMs: number): Promise<Snapshot | undefined> {
@@ -179,7 +192,7 @@
     try {
       return await this.#changes(prefix, after, waitMs, limit);
     } catch (error) {
-      if (limit.aborted) return undefined;
+      if (limit.aborted || toFailure(error).codeName === 'bodyTooLarge') return undefined;
       throw error;
     }
   }
--- a/test/fakes/nodeprocess.ts
+++ b/test/fakes/nodeprocess.ts
@@ -31,6 +31,8 @@
   readonly graceS: number;
   /** Signals that it receives at a moment of its start. Default: none. */
   readonly early?: { readonly signals: readonly NodeJS.Signals[]; readonly at: Moment };
+  /** Options of Node. Default: none */
+  readonly flags?: readonly string[];
 }
 
 /** A started process. */
@@ -45,12 +47,12 @@
 
   readonly #child: ChildProcess;
 
-  constructor({ ip, store, graceS, early }: NodeOptions) {
+  constructor({ ip, store, graceS, early, flags = [] }: NodeOptions) {
     this.#ip = ip;
     const folder = mkdtempSync(join(tmpdir(), 'goldcrestdock-node-'));
     const file = join(folder, 'settings.json');
     writeFileSync(file, JSON.stringify(settingsOf(ip, store, graceS)));
-    this.#child = spawn(process.execPath, ['-r', PRELOAD, PROGRAM, 'node'], {
+    this.#child = spawn(process.execPath, [...flags, '-r', PRELOAD, PROGRAM, 'node'], {
       env: { GOLDCRESTDOCK_CONFIG: file, SIGNAL_SELF: JSON.stringify(early) },
       stdio: ['ignore', 'pipe', 'pipe'],
     });
--- a/test/fakes/store.ts
+++ b/test/fakes/store.ts
@@ -8,6 +8,7 @@
 
 import { StoreHistory } from '../../src/core/routing/position';
 import { EraReader } from '../../src/platform/era';
+import type { Snapshot } from '../../src/platform/store';
 import { StoreClient } from '../../src/platform/store';
 
 const silentLog = pino({ level: 'silent' });
@@ -43,14 +44,27 @@
 /** How calls are handled: `well` normally, `silent` without a response, `busy` with status 503; `deaf` executes POST requests, but sends them no response. */
 export type StoreFault = 'well' | 'silent' | 'busy' | 'deaf';
 
-/** Most items in one page of a range. */
-const PAGE_ITEMS = 3;
+/** Most characters of values in one page of a range or one answer to a watch, unless one value has more. */
+const PAGE_CHARS = 1_000_000;
+
+/** The first items that fit into one page. */
+function pageOf<T extends Change>(items: readonly T[], mostItems: number): readonly T[] {
+  let chars = 0;
+  const end = items.findIndex((item, index) => {
+    chars += 'value' in item ? item.value.length : 0;
+    return index > 0 && (index >= mostItems || chars > PAGE_CHARS);
+  });
+  return end < 0 ? items : items.slice(0, end);
+}
 
 /** Server of the store's protocol on a free loopback port. */
 export class FakeStore {
   /** Injected fault. */
   fault: StoreFault = 'well';
 
+  /** Most items in one page of a range. */
+  pageItems = 3;
+
   /** Paths of all calls, in order. */
   readonly calls: string[] = [];
 
@@ -229,6 +243,10 @@
     const { pathname: path, searchParams: query } = url;
     const prefix = query.get('path-prefix') ?? '';
     if (path === '/v1/kv-range') return [200, this.#range(prefix, query.get('after') ?? '')];
+    if (path === '/v1/kv-key') {
+      const item = this.#items.get(query.get('key') ?? '');
+      return item ? [200, { ...item, 'as-of': this.#revision }] : [404, {}];
+    }
     if (path === '/v1/kv-watch') {
       return this.#watch(prefix, Number(query.get('after')), Number(query.get('wait-ms')), res);
     }
@@ -245,10 +263,14 @@
 
   #range(prefix: string, after: string): unknown {
     const keys = [...this.#items.keys()].filter((key) => key.startsWith(prefix) && key > after);
-    const page = keys.sort().slice(0, PAGE_ITEMS);
+    const first = keys.sort().slice(0, this.pageItems);
+    const items = pageOf(
+      first.flatMap((key) => this.#items.get(key) ?? []),
+      this.pageItems,
+    );
     const answer = {
-      items: page.map((key) => this.#items.get(key)),
-      truncated: keys.length > PAGE_ITEMS,
+      items,
+      truncated: keys.length > items.length,
       'as-of': this.#revision,
     };
     this.onPage?.(after);
@@ -297,3 +319,21 @@
 ): StoreClient {
   return new StoreClient(store.address, new EraReader(history, log));
 }
+
+/** Reads all items below a prefix, page by page, as of the revision of the first page. */
+export async function listOf(client: StoreClient, prefix: string): Promise<Snapshot> {
+  const { last, ...first } = await client.range(prefix);
+  let after = last;
+  let whole: Snapshot = first;
+  while (after !== undefined) {
+    const page = await client.range(prefix, after);
+    whole = {
+      ...whole,
+      items: [...whole.items, ...page.items],
+      malformed: whole.malformed + page.malformed,
+      malformedKeys: [...whole.malformedKeys, ...page.malformedKeys],
+    };
+    after = page.last;
+  }
+  return whole;
+}
--- a/test/platform/store.test.ts
+++ b/test/platform/store.test.ts
@@ -11,7 +11,7 @@
 import { waitUntil } from '../fakes/cluster';
 import { entryOf } from '../fakes/entry';
 import { closeServer, listen, sendJson } from '../fakes/http';
-import { FakeStore, clientOf } from '../fakes/store';
+import { FakeStore, clientOf, listOf } from '../fakes/store';
 
 const config = (version: number): unknown => ({ version, routes: [], services: [] });
 const runner = (state: string): unknown => entryOf({ state });
@@ -188,6 +188,7 @@
     await waitUntil('the removal is reported', () => listener.runners.includes('j-000 gone'));
     expect(listener.runners).toContain('j-400 leaving');
     expect(listener.runners).toContain('j-999 ready');
+    await waitUntil('the list is read', () => listener.listed.length > 1);
     expect(listener.listed.at(-1)?.length).toBe(515);
   }, 20_000);
 
@@ -342,7 +343,7 @@
     });
     const log = pino({ level: 'silent' });
     const client = new StoreClient(`127.0.0.1:${port}`, new EraReader(new StoreHistory(), log));
-    const calls = [client.range(''), client.watch('', 1, 100)];
+    const calls = [listOf(client, ''), client.watch('', 1, 100)];
     const results = await Promise.all(calls).finally(() => closeServer(server));
     const items = [
       { key: 'a', revision: 7, value: '{}' },
--- a/test/router/routingstate.test.ts
+++ b/test/router/routingstate.test.ts
@@ -295,6 +295,69 @@
     });
   });
 
+  // Guards against a process and a log that grow with what other writers leave in the store.
+  test('keeps no invalid entry but one that replaced a runner, and logs a bounded number', () => {
+    const lines: string[] = [];
+    const log = pino({ level: 'warn' }, { write: (line) => lines.push(line) });
+    const state = new RoutingState(new StoreHistory(), log, noopListener);
+    state.learnRunners(0, [{ id: 'r', position: positionAt(1), runner: runner('r') }], 'store');
+    const invalid = (id: string, revision: number): RunnerRecord => ({
+      id,
+      position: positionAt(revision),
+      runner: undefined,
+      unreadable: 'found 1048576 bytes',
+    });
+    const flood = Array.from({ length: 20_000 }, (_, index) => invalid(`x${index}`, index + 2));
+    for (let now = 0; now < 500; now += 100) state.learnRunners(now, flood, 'store');
+    const kept = (): readonly string[] =>
+      state.recordsDiffering(500, Array(64).fill(-1), 50_000).map(({ id }) => id);
+    expect(kept()).toEqual(['r']);
+    expect(lines.length).toBe(20);
+    state.learnRunners(500, [invalid('r', 30_000)], 'store');
+    expect([ids(state, 500), kept()]).toEqual([[], ['r']]);
+  });
+
+  // Guards against a process that grows with the entries that other writers remove again.
+  test('remembers a bounded number of removals of what named no runner', () => {
+    const state = new RoutingState(new StoreHistory(), pino({ level: 'silent' }), noopListener);
+    const removed = Array.from({ length: 20_000 }, (_, index) => ({
+      id: `x${index}`,
+      position: positionAt(index + 1),
+      runner: undefined,
+    }));
+    state.learnRunners(0, removed, 'store');
+    expect(state.recordsDiffering(0, Array(64).fill(-1), 50_000).length).toBe(1000);
+    // They are forgotten like those of runners.
+    expect(state.runners(61_001)).toEqual([]);
+    expect(state.recordsDiffering(61_001, Array(64).fill(-1), 50_000)).toEqual([]);
+  });
+
+  // Guards against requests to a runner whose entry was replaced, since a VM that is out of date told of it.
+  test('uses no runner of which another VM tells if the last list lacks it', () => {
+    const state = new RoutingState(new StoreHistory(), pino({ level: 'silent' }), noopListener);
+    const record = (id: string, revision: number): RunnerRecord => ({
+      id,
+      position: positionAt(revision),
+      runner: runner(id),
+    });
+    state.learnList(0, new Set(['listed']), positionAt(20));
+    state.learnRunners(
+      1,
+      [record('older', 10), record('listed', 10), record('newer', 21)],
+      '10.0.0.2:1',
+    );
+    expect(ids(state, 1)).toEqual(['listed', 'newer']);
+    // Other VMs learn that it is gone.
+    const told = state.recordsDiffering(1, Array(64).fill(-1), 50_000);
+    expect(told.find(({ id }) => id === 'older')).toMatchObject({
+      position: positionAt(20),
+      runner: undefined,
+      graceMs: 0,
+    });
+    state.learnRunners(2, [record('older', 22)], 'store');
+    expect(ids(state, 2)).toEqual(['older', 'listed', 'newer']);
+  });
+
   test('reports a runner of an unknown service once', () => {
     let counted = 0;
     const state = new RoutingState(new StoreHistory(), pino({ level: 'silent' }), {
