Put back the property of foreign entries as it was

A short list is passed on as a whole again, so that the confirmation of the configuration follows all of its entries and the watch begins after them.

--- a/test/platform/entries.test.ts
+++ b/test/platform/entries.test.ts
@@ -65,16 +65,12 @@
           passed.runners[id] = runner?.address;
         }),
       onEra: ignored,
-      onListed: () => resolve(),
-      // The watch that goes on beside the list also brings the entry of this VM.
-      onVms: (vms) => {
-        const others = vms.filter(({ vm }) => vm !== 'self');
-        passed.vms.push(...others.map(({ vm, address }) => `${vm} ${address}`));
-      },
+      onListed: ignored,
+      onVms: (vms) => passed.vms.push(...vms.map(({ vm, address }) => `${vm} ${address}`)),
       onSuspects: ignored,
       onVersions: ignored,
       onFleetSize: ignored,
-      onConfirmed: ignored,
+      onConfirmed: () => resolve(),
       onStore: ignored,
     };
     feed.start(listener);
