--- a/src/node/gateway/run.ts
+++ b/src/node/gateway/run.ts
@@ -3,12 +3,11 @@
 import type { CodeName } from '../../core/codes';
 import { codes } from '../../core/codes';
 import { Failure } from '../../core/failure';
-import { runIdOf } from '../../core/ids';
 import type { PeerLink } from '../peer/link';
 import type { Message, ToGateway, ToScheduler } from '../peer/messages';
 import type { Token } from '../runner/client';
 import { RunnerFailure } from '../runner/client';
-import { IdleTimeout } from './timeout';
+import { Executions } from './executions';
 import type {
   ModelRequest,
   Execution,
@@ -48,15 +47,15 @@
 
   #stage: RunStage = 'queued';
 
-  #attempt = 0;
-
   #prefill: Execution | undefined;
 
   #decode: Execution | undefined;
 
   #owner: PeerLink | undefined;
 
-  #controller = new AbortController();
+  readonly #controller = new AbortController();
+
+  readonly #executions: Executions;
 
   #retryTimer: NodeJS.Timeout | undefined;
 
@@ -68,6 +67,7 @@
     this.request = request;
     this.#context = context;
     this.#startedAt = now;
+    this.#executions = new Executions(request, context.fleet, this.#controller.signal);
     this.#deadlineTimer = setTimeout(
       () => this.#fail('timedOut', 'the time limit of the answer has passed'),
       request.service.totalMs,
@@ -148,18 +148,17 @@
 
   /** Resumes an answer that a runner streams for a run of another gateway. */
   takeOver(runner: string, runId: string): void {
-    const url = this.#urlOf(runner);
-    if (url === undefined) {
+    const execution = this.#executions.of(runner, runId);
+    if (!execution) {
       this.requestPlacement();
       return;
     }
     this.#isDispatched = true;
     this.#stage = 'decoding';
-    const execution = { runner, url, runId, idleTimeout: new IdleTimeout(this.#controller.signal) };
     this.#decode = execution;
     this.requestPlacement();
     this.#startStream(
-      this.#context.runners.resume(url, runId, 0, execution.idleTimeout.signal),
+      this.#context.runners.resume(execution.url, runId, 0, execution.idleTimeout.signal),
       execution,
     );
   }
@@ -219,23 +218,6 @@
     this.#fail(code, codes[code].meaning, retryAfterMs);
   }
 
-  #urlOf(runner: string): string | undefined {
-    const pool = this.#context.fleet.settings.pool(this.request.service.pool);
-    return pool?.runners.find(({ id }) => id === runner)?.url;
-  }
-
-  #newExecution(runner: string): Execution | undefined {
-    const url = this.#urlOf(runner);
-    if (url === undefined) return undefined;
-    this.#attempt += 1;
-    return {
-      runner,
-      url,
-      runId: runIdOf(this.request.id, this.#attempt),
-      idleTimeout: new IdleTimeout(this.#controller.signal),
-    };
-  }
-
   /**
    * Handles an action of the owner that does not match the state of this run, which
    * happens when messages cross during a change of owner. If it were ignored, the
@@ -252,7 +234,7 @@
       this.#resolveMismatch(this.#stage === 'prefilling' && this.#prefill?.runner === runner);
       return;
     }
-    const execution = this.#newExecution(runner);
+    const execution = this.#executions.next(runner);
     if (!execution) {
       this.#sendFailed(runner, 'lost');
       return;
@@ -289,7 +271,7 @@
       this.#resolveMismatch(this.#stage === 'decoding' && this.#decode?.runner === runner);
       return;
     }
-    const execution = this.#newExecution(runner);
+    const execution = this.#executions.next(runner);
     if (!execution) {
       this.#sendFailed(runner, 'lost');
       return;
--- a/src/node/router/daemon.ts
+++ b/src/node/router/daemon.ts
@@ -30,6 +30,7 @@
 import { OrderController } from './orders';
 import { PlannerHost } from './plannerhost';
 import { ShutdownController } from './shutdown';
+import { StoreListener } from './storelistener';
 import type {
   ControlCodec,
   Feed,
@@ -208,30 +209,14 @@
     const { listen, vm, isFirstStart } = this.#settings;
     this.#shutdown.watch(performance.now());
     await this.#fleet.start();
-    this.#ports.feed.start({
-      onConfig: (config) => {
-        this.#state.learnConfig(performance.now(), config, 'store');
-      },
-      onRunners: (facts) => {
-        const { storedVersions } = this.#controllers;
-        this.#state.learnRunners(performance.now(), storedVersions.hold(facts), 'store');
-        storedVersions.check(performance.now());
-      },
-      onEra: (start) => this.#state.learnEras(performance.now(), [start], 'store'),
-      onListed: (ids, position) => {
-        this.#state.learnList(performance.now(), ids, position);
-        this.#controllers.storedVersions.listed(performance.now());
-      },
-      onVms: (vms) => this.#fleet.addListed(vms.filter((entry) => entry.vm !== vm)),
-      onSuspects: (suspects, isAll) =>
-        this.#controllers.quarantine.learnStored(performance.now(), suspects, isAll),
-      onVersions: (record, isAll) =>
-        this.#controllers.storedVersions.learn(performance.now(), record, isAll),
-      onFleetSize: (vms) => this.#controllers.storedFleetSize.learn(performance.now(), vms),
-      onConfirmed: (askedAt) => this.#state.freshness.recordStoreAnswer(askedAt),
-      onStore: (up, detail) =>
-        this.#controllers.stateSync.storeCallEnded(performance.now(), up, detail),
-    });
+    this.#ports.feed.start(
+      new StoreListener({
+        vm,
+        routingState: this.#state,
+        fleet: this.#fleet,
+        controllers: this.#controllers,
+      }),
+    );
     this.#controllers.stateSync.start();
     this.#orders = new OrderController({
       vm,
--- a/src/node/router/routingstate.ts
+++ b/src/node/router/routingstate.ts
@@ -12,10 +12,9 @@
 import { RunnerDirectory } from '../../core/routing/directory';
 import type { FreshnessProof } from '../../core/routing/freshness';
 import { Freshness } from '../../core/routing/freshness';
-import { InvalidEntries } from '../../core/routing/invalidentries';
 import { HEARTBEAT_MS, StoreOutages } from '../../core/routing/outages';
 import type { StoreHistory, Position } from '../../core/routing/position';
-import { isLater } from '../../core/routing/position';
+import { StoreList } from '../../core/routing/storelist';
 import { RouteTable } from '../../core/routing/table';
 import { Failure } from '../../core/failure';
 import type { Runner, RunnerRole, RoutingConfig } from '../../core/routing/types';
@@ -23,17 +22,12 @@
 import { bootNow } from '../../utils/clock';
 import { LogRateLimiter } from '../loglimiter';
 import type { FreshnessExchange } from '../scheduler/members';
+import { InvalidEntryReport } from './invalidentryreport';
 import type { RoutingStateListener } from './routingstatelistener';
 
 /** Log lines about changed runners per second; a fleet that starts would flood the log otherwise. */
 const RUNNER_LINES_PER_S = 10;
 
-/** Log lines about invalid entries per second; other writers may leave any number. */
-const INVALID_LINES_PER_S = 20;
-
-/** The source of records that were read from the store. */
-const STORE = 'store';
-
 /** Configuration and runners as one VM knows them. */
 export class RoutingState {
   readonly #log: Logger;
@@ -59,12 +53,9 @@
 
   readonly #lines: LogRateLimiter;
 
-  readonly #invalidLines: LogRateLimiter;
-
-  readonly #invalid = new InvalidEntries();
+  readonly #invalid: InvalidEntryReport;
 
-  /** The last full list of the store; undefined before the first. */
-  #list: { readonly ids: ReadonlySet<string>; readonly position: Position } | undefined;
+  readonly #list = new StoreList();
 
   /** @param heartbeatMs interval at which runners write their entries, in milliseconds */
   constructor(
@@ -80,9 +71,7 @@
     this.#lines = new LogRateLimiter(RUNNER_LINES_PER_S, (lines) =>
       log.info({ lines, ...this.runnersPosition }, 'More runners changed.'),
     );
-    this.#invalidLines = new LogRateLimiter(INVALID_LINES_PER_S, (lines) =>
-      log.warn({ lines }, 'Found more invalid entries.'),
-    );
+    this.#invalid = new InvalidEntryReport(log, listener);
   }
 
   /** Undefined until a configuration is known. */
@@ -244,10 +233,13 @@
   /** Applies runner records, each if it is newer than the known one. */
   learnRunners(now: number, facts: readonly RunnerRecord[], source: string): void {
     const changed: RunnerRecord[] = [];
-    for (const fact of source === STORE ? facts : facts.flatMap((one) => this.#withRemoval(one))) {
+    // Another VM may be out of date.
+    const withRemoval = (one: RunnerRecord) => [one, ...this.#list.removalOf(one)];
+    const isNew = ({ id }: RunnerRecord): boolean => source !== 'store' && !this.#directory.has(id);
+    for (const fact of facts.flatMap((one) => (isNew(one) ? withRemoval(one) : one))) {
       const { id, position, runner, unreadable } = fact;
       if (unreadable !== undefined && !this.#directory.isKnown(fact)) {
-        this.#reportInvalidEntry(now, id, position, unreadable);
+        this.#invalid.report(now, id, position, unreadable);
       }
       const gone = !runner && unreadable === undefined;
       // The sender's value takes precedence: this VM may not read the store and thus not know of its outage.
@@ -268,18 +260,6 @@
     if (changed.length > 0) this.#listener.onChange({ kind: 'runners', facts: changed });
   }
 
-  /**
-   * A record, followed by the removal of its runner if the last full list shows that the entry was
-   * removed or replaced by one that cannot be read: another VM may be out of date.
-   */
-  #withRemoval(fact: RunnerRecord): readonly RunnerRecord[] {
-    const { id, position, runner } = fact;
-    if (!runner || !this.#list || this.#directory.has(id)) return [fact];
-    const { ids, position: listedAt } = this.#list;
-    if (ids.has(id) || isLater(position, listedAt)) return [fact];
-    return [fact, { id, position: listedAt, runner: undefined }];
-  }
-
   /**
    * Lets runners get work again that are held no longer, and announces them to other VMs.
    * @param isHeld whether the store's record of software versions still lacks a runner's version
@@ -324,7 +304,7 @@
    */
   #checkService(now: number, { id, position, runner }: RunnerRecord): void {
     if (!runner || !this.#table || this.#table.service(runner.service)) return;
-    this.#reportInvalidEntry(
+    this.#invalid.report(
       now,
       id,
       position,
@@ -332,19 +312,10 @@
     );
   }
 
-  /** Logs and counts an invalid entry, unless that was done at this position. */
-  #reportInvalidEntry(now: number, id: string, position: Position, detail: string): void {
-    if (!this.#invalid.record(id, position)) return;
-    this.#listener.onInvalidEntry();
-    if (!this.#invalidLines.tryAcquire(now)) return;
-    const { line } = new Failure('factUnreadable', detail);
-    this.#log.warn({ runner: id, ...position }, line);
-  }
-
   /** Applies a full list of the store: runners that it lacks are gone as of its position. */
   learnList(now: number, listed: ReadonlySet<string>, position: Position): void {
     this.#outages.listed(position);
-    this.#list = { ids: listed, position };
+    this.#list.learn(listed, position);
     const gone = this.#directory
       .missing(listed)
       .map((id): RunnerRecord => ({ id, position, runner: undefined }));
--- a/src/platform/feed.ts
+++ b/src/platform/feed.ts
@@ -19,7 +19,8 @@
 import { Listing } from './listing';
 import type { SingleKey } from './names';
 import { key } from './names';
-import { decodeConfig, decodeFleetSize, decodeVersions, encodeVm } from './records';
+import { decodeConfig, decodeFleetSize, decodeVersions } from './records';
+import { Registration } from './registration';
 import type { Item, Page, Snapshot, StoreClient } from './store';
 import { UnreadableItems, readItem } from './unreadable';
 
@@ -60,8 +61,6 @@
 
   readonly #log: Logger;
 
-  readonly #self: { readonly vm: string; readonly address: string };
-
   readonly #history: StoreHistory;
 
   #listener: FeedListener | undefined;
@@ -75,15 +74,7 @@
   /** Whether the read loop is running; after `setReading(false)` it still completes the call in progress. */
   #isRunning = false;
 
-  #isRegistered = false;
-
-  /** Resolves once the entry of this VM is written. */
-  #registration: Promise<void> | undefined;
-
-  #isLeaving = false;
-
-  /** Era of the last full read; undefined before the first one. */
-  #era: number | undefined;
+  readonly #registration: Registration;
 
   #retryDelayMs = MIN_RETRY_DELAY_MS;
 
@@ -93,17 +84,12 @@
   /** Failed attempts since the last list was begun. */
   #failureCount = 0;
 
-  constructor(
-    store: StoreClient,
-    self: { readonly vm: string; readonly address: string },
-    history: StoreHistory,
-    log: Logger,
-  ) {
+  constructor(store: StoreClient, self: ListedVm, history: StoreHistory, log: Logger) {
     this.#store = store;
-    this.#self = self;
     this.#history = history;
     this.#log = log;
     this.#unreadable = new UnreadableItems(log);
+    this.#registration = new Registration(store, self, log);
   }
 
   start(listener: FeedListener): void {
@@ -133,15 +119,12 @@
   }
 
   leave(): void {
-    if (this.#isLeaving) return;
-    this.#isLeaving = true;
-    if (!this.#isRegistered) return;
-    this.#unregister().catch((error) => this.#log.warn(toFailure(error).line));
+    this.#registration.leave();
   }
 
   stop(): void {
     this.#isReading = false;
-    this.#isLeaving = true;
+    this.#registration.stop();
   }
 
   async #confirm(): Promise<void> {
@@ -209,16 +192,16 @@
     this.#failureCount = 0;
     this.#unreadable.enter(era);
     this.#unreadable.begin();
-    // After a restore from an older copy the entry of this VM may be missing.
-    if (era !== this.#era) this.#isRegistered = false;
-    this.#era = era;
     if (era !== this.#history.era) this.#listener?.onEra({ era, revision });
     this.#listener?.onStore(true, 'answers');
     const parts = [{ entries: this.#take(listing, page), singles: listing.singles, askedAt }];
     parts.push(...(await this.#readShort(listing)));
     this.#listener?.onSuspects([], true);
     parts.forEach((part) => this.#dispatchPart(part));
-    this.#register(parts.flatMap(({ entries }) => entries.vms));
+    this.#registration.ensure(
+      era,
+      parts.flatMap(({ entries }) => entries.vms),
+    );
     if (!listing.next) this.#endList(listing);
     else this.#readFurther(listing).catch((error) => this.#log.error(toFailure(error).line));
     return listing.position;
@@ -372,34 +355,4 @@
     if (item.value === undefined || this.#unreadable.has(item)) return;
     readItem(this.#unreadable, item, (value) => this.#listener?.onConfig(decodeConfig(value)));
   }
-
-  /**
-   * Registers this VM in the store, so that other VMs find it. The entry needs no lease,
-   * because membership probes detect which VMs are alive. Only VMs that read the store
-   * register: a VM that contacts one of them learns of all others from it.
-   */
-  #register(vms: readonly ListedVm[]): void {
-    const { vm: self, address } = this.#self;
-    const name = `${key.vms}${self}`;
-    const entry = encodeVm(address);
-    const isListed = vms.some((listed) => listed.vm === self && listed.address === address);
-    if (this.#isLeaving || this.#isRegistered) return;
-    this.#isRegistered = true;
-    if (isListed) return;
-    this.#registration = this.#store
-      .put(name, entry)
-      .then(() => this.#log.info({ key: name, era: this.#era }, 'Registered this VM.'))
-      .catch((error) => {
-        this.#isRegistered = false;
-        this.#log.warn(toFailure(error).line);
-      });
-  }
-
-  /** Deletes the entry of this VM, once a write in progress has ended. */
-  async #unregister(): Promise<void> {
-    const name = `${key.vms}${this.#self.vm}`;
-    await this.#registration;
-    await this.#store.remove(name);
-    this.#log.info({ key: name, era: this.#era }, 'Removed the entry of this VM.');
-  }
 }
