Take no answer whose status is none

A status 000 reached no caller as an answer.

Cause: Node's parser passes on any number. The platform's half checked the lower end, the own interface nothing.

Why the fix works: both halves check the status (RFC 9110, 15) as the head arrives. The answer is not the runner's then, or the runner counts as lost, so that nothing is recorded.

--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -13,7 +13,13 @@
 import { PlainBalancer } from '../../core/plain/balancer';
 import { Quarantine } from '../../core/quarantine/quarantine';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
-import { abortResponse, failOnReset, isConnectionRefused, readBody } from '../../utils/http';
+import {
+  abortResponse,
+  failOnReset,
+  isConnectionRefused,
+  isStatus,
+  readBody,
+} from '../../utils/http';
 import type { Metrics } from '../metrics';
 import type { RunnerAnswer } from './answerend';
 import { isWholeAnswer, verdictOf } from './answerend';
@@ -338,6 +344,13 @@
       const signal = AbortSignal.timeout(service.timeoutMs);
       const out = request(url + path, { method, headers, agent, signal }, (answer) => {
         failOnReset(out, answer);
+        const { statusCode = 0 } = answer;
+        if (!isStatus(statusCode)) {
+          const error = new Error(`found status ${statusCode}, expected one from 100 to 599`);
+          resolve({ kind: 'lost', error, isBrokenOff: false });
+          out.destroy();
+          return;
+        }
         resolve({ kind: 'answered', answer, method, url });
       });
       out.on('upgrade', (_message, socket) => {
--- a/src/platform/reply.ts
+++ b/src/platform/reply.ts
@@ -4,14 +4,13 @@
 
 import { NO_NOTICE } from '../core/routing/notice';
 import type { Dispatch, Reply, RunnerConnection } from '../node/router/types';
-import { CHUNKED, framingOf, transferCodingOf } from '../utils/http';
+import { CHUNKED, framingOf, isStatus, transferCodingOf } from '../utils/http';
 import { forwardableHeaders } from './ingress';
 import { loadOf } from './load';
 import { header } from './names';
 import { noticeOf } from './notice';
 import { rateNoticeOf } from './ratelimit';
 
-const MIN_STATUS = 100;
 /** A header name (RFC 9110, 5.6.2). */
 const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 const EVENT_STREAM = 'text/event-stream';
@@ -43,8 +42,8 @@
   const forwarded = forwardableHeaders(message.rawHeaders, headers.connection, noHeaders);
   const names = forwarded.filter((_, index) => index % 2 === 0).map((name) => name.toLowerCase());
   const isSigned = names.includes(header.signature);
-  // Node reads heads that it does not write.
-  const isWritable = status >= MIN_STATUS && names.every((name) => TOKEN.test(name));
+  // Node reads heads that it does not write, and statuses that are none.
+  const isWritable = isStatus(status) && names.every((name) => TOKEN.test(name));
   const genuine = isSigned && isWritable && isToRequest && isPlain(message);
   return {
     status,
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -39,6 +39,15 @@
   message.once('close', () => socket.off('end', onEnd));
 }
 
+/** First and last status of a response (RFC 9110, 15). */
+const MIN_STATUS = 100;
+const MAX_STATUS = 599;
+
+/** Whether a number is a status. The parser passes on any number. */
+export function isStatus(status: number): boolean {
+  return status >= MIN_STATUS && status <= MAX_STATUS;
+}
+
 /** Statuses of responses that end with their headers: 204 and 304. */
 const bodiless: ReadonlySet<number> = new Set([204, 304]);
 /** The only coding of a transfer that marks the end of a body. */
--- a/test/node/answers.test.ts
+++ b/test/node/answers.test.ts
@@ -87,7 +87,13 @@
       '502 whole runnerFailed',
       '502 whole outcomeUnknown',
     ],
-  ])('and %s reaches its caller', async (name, rawAnswer, idempotent, once) => {
+    ...['000', '099', '600', '999'].map((status) => [
+      `has status ${status}`,
+      `HTTP/1.1 ${status} x\r\nContent-Length: 4\r\n\r\nbody`,
+      '502 whole runnerFailed',
+      '502 whole outcomeUnknown',
+    ]),
+  ])('and %s reaches its caller', async (name = '', rawAnswer = '', idempotent = '', once = '') => {
     for (const runner of cluster.plainRunners) Object.assign(runner, { rawAnswer });
     const url = `${cluster.callers(0)}/services/registry`;
     const path = encodeURIComponent(name);
