Cut answers whose runners have not read the request to its end

Cause: such an answer ended with the FIN, and the connection was closed in that moment, so that the reset was never seen. The kernel had taken the upload.

--- a/src/node/gateway/answerend.ts
+++ b/src/node/gateway/answerend.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 
 import { confirmListening, connected, TcpDialer } from '../../utils/dialer';
-import { framingOf, readBody } from '../../utils/http';
+import { framingOf, isStatus, readBody } from '../../utils/http';
 
 /** An answer of a plain runner. */
 export interface RunnerAnswer {
@@ -29,6 +29,12 @@
 /** Time that a runner has to accept a connection, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 1000;
 
+/** The error of an answer whose status is none; undefined if it is one. */
+export function statusErrorOf({ statusCode = 0 }: IncomingMessage): Error | undefined {
+  if (isStatus(statusCode)) return undefined;
+  return new Error(`found status ${statusCode}, expected one from 100 to 599`);
+}
+
 /**
  * Whether an answer is complete whose body has arrived without an error. A process that is killed
  * closes its connections as one that has sent everything; if nothing else marks the end, its runner
--- a/src/node/gateway/plain.ts
+++ b/src/node/gateway/plain.ts
@@ -13,16 +13,11 @@
 import { PlainBalancer } from '../../core/plain/balancer';
 import { Quarantine } from '../../core/quarantine/quarantine';
 import type { PlainService, RunnerSettings } from '../../core/settings/schema';
-import {
-  abortResponse,
-  failOnReset,
-  isConnectionRefused,
-  isStatus,
-  readBody,
-} from '../../utils/http';
+import { failOnEarlyEnd } from '../../utils/earlyends';
+import { abortResponse, isConnectionRefused, readBody } from '../../utils/http';
 import type { Metrics } from '../metrics';
 import type { RunnerAnswer } from './answerend';
-import { isWholeAnswer, verdictOf } from './answerend';
+import { isWholeAnswer, statusErrorOf, verdictOf } from './answerend';
 import type { Fleet } from './fleet';
 import type { LedgerClient, Claim } from './ledger';
 import { idempotencyKeyOf } from './model';
@@ -343,15 +338,11 @@
       const agent = body === undefined || method !== 'GET' ? false : this.#agent;
       const signal = AbortSignal.timeout(service.timeoutMs);
       const out = request(url + path, { method, headers, agent, signal }, (answer) => {
-        failOnReset(out, answer);
-        const { statusCode = 0 } = answer;
-        if (!isStatus(statusCode)) {
-          const error = new Error(`found status ${statusCode}, expected one from 100 to 599`);
-          resolve({ kind: 'lost', error, isBrokenOff: false });
-          out.destroy();
-          return;
-        }
-        resolve({ kind: 'answered', answer, method, url });
+        failOnEarlyEnd(out, answer);
+        const error = statusErrorOf(answer);
+        if (error) resolve({ kind: 'lost', error, isBrokenOff: false });
+        else resolve({ kind: 'answered', answer, method, url });
+        if (error) out.destroy();
       });
       out.on('upgrade', (_message, socket) => {
         socket.destroy();
--- a/src/node/router/tunnels.ts
+++ b/src/node/router/tunnels.ts
@@ -7,6 +7,7 @@
 
 import { toFailure } from '../../core/failure';
 import type { ForwardFailure } from '../../core/paths/forwarders';
+import { delayEnd, isReset } from '../../utils/earlyends';
 import { LogRateLimiter } from '../loglimiter';
 import type { Metrics } from '../metrics';
 import type { TunnelRequest } from '../peer/tunnel';
@@ -165,7 +166,7 @@
 
 /**
  * Passes on all bytes between two connections, and how each ends.
- * @param onEnd called when the runner has closed its connection without a reset
+ * @param onEnd called when the runner has read all that was passed on and closed its connection without a reset
  */
 function join(caller: Socket, runner: Socket, onEnd: () => void): void {
   caller.pipe(runner);
@@ -174,11 +175,11 @@
     if (hadError) other.resetAndDestroy();
     else other.destroySoon();
   };
-  // A reset that arrives together with the last bytes is emitted as `end`, but the socket has no
-  // remote address after a reset.
+  delayEnd(runner);
+  // A reset that arrives together with the last bytes is emitted as `end`.
   runner.prependOnceListener('end', () => {
-    if (runner.remoteAddress === undefined) caller.resetAndDestroy();
-    else onEnd();
+    if (isReset(runner)) caller.resetAndDestroy();
+    else if (runner.writableLength === 0) onEnd();
   });
   runner.once('close', (hadError) => end(caller, hadError));
   caller.once('close', (hadError) => end(runner, hadError));
--- a/src/platform/runner.ts
+++ b/src/platform/runner.ts
@@ -27,7 +27,8 @@
 import { listOf } from '../node/wire';
 import { confirmListening } from '../utils/dialer';
 import type { CallOptions, HttpResponse } from '../utils/http';
-import { call, failOnReset, isConnectionRefused, readBody } from '../utils/http';
+import { failOnEarlyEnd } from '../utils/earlyends';
+import { call, isConnectionRefused, readBody } from '../utils/http';
 import { limitResponsePieces } from '../utils/pieces';
 import { forwardableHeaders } from './ingress';
 import { header, path } from './names';
@@ -308,7 +309,7 @@
     });
     limitResponsePieces(req);
     req.on('response', (message) => {
-      failOnReset(req, message);
+      failOnEarlyEnd(req, message);
       resolve(message);
     });
     const fail = (detail: string): void =>
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,7 +1,6 @@
 /** Stateless helpers around Node's http. */
 
 import type {
-  ClientRequest,
   IncomingMessage,
   OutgoingHttpHeaders,
   Server,
@@ -22,23 +21,6 @@
   return (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
 }
 
-/**
- * Makes a connection reset fail a response that ends with the close of its connection; Node
- * reports the reset as a regular end. Call this when the headers of the response arrive.
- */
-export function failOnReset(req: ClientRequest, message: IncomingMessage): void {
-  req.on('error', (error) => message.destroy(error));
-  const { socket } = message;
-  // A reset that arrives together with the last bytes is emitted as `end`, not as `error`, but the
-  // socket has no remote address after a reset.
-  const onEnd = (): void => {
-    if (socket.remoteAddress === undefined) message.destroy(new Error('connection reset by peer'));
-  };
-  socket.prependListener('end', onEnd);
-  // The connection may serve other requests after this one.
-  message.once('close', () => socket.off('end', onEnd));
-}
-
 /** First and last status of a response (RFC 9110, 15). */
 const MIN_STATUS = 100;
 const MAX_STATUS = 599;
--- a/test/fakes/partition.ts
+++ b/test/fakes/partition.ts
@@ -146,6 +146,13 @@
 export class Partition {
   readonly #paths = new Map<string, Paths>();
 
+  readonly #direct: ReadonlySet<string>;
+
+  /** @param direct VMs whose connections go through no proxy, so that runners' resets reach them as they are */
+  constructor(direct: readonly string[] = []) {
+    this.#direct = new Set(direct);
+  }
+
   /** Connections to runners that all VMs began. */
   get dialCount(): number {
     return [...this.#paths.values()].reduce((sum, paths) => sum + paths.dialCount, 0);
@@ -156,9 +163,9 @@
     return [...this.#paths.values()].flatMap(({ connectMs }) => connectMs);
   }
 
-  /** Opens the connections of a VM. */
-  dialerOf(vm: string): Dialer {
-    return this.#pathsOf(vm);
+  /** Opens the connections of a VM; undefined if it opens them itself. */
+  dialerOf(vm: string): Dialer | undefined {
+    return this.#direct.has(vm) ? undefined : this.#pathsOf(vm);
   }
 
   /**
--- a/test/fakes/routers.ts
+++ b/test/fakes/routers.ts
@@ -235,6 +235,9 @@
   /** Answers a call in bytes of its own; returns whether it did. Default: it answers none so. */
   answerOn: ((socket: Socket, req: IncomingMessage) => boolean) | undefined;
 
+  /** The same before the body of the call is read. */
+  answerEarlyOn: ((socket: Socket, req: IncomingMessage) => boolean) | undefined;
+
   /** `Retry-After` of the 503 with which it rejects every request. Default: it rejects none. */
   rejection: string | undefined;
 
@@ -322,6 +325,7 @@
       sendJson(res, 200, { 'kv-used': 0, runs: [] });
       return;
     }
+    if (this.answerEarlyOn?.(req.socket, req)) return;
     const body = await readBody(req);
     if (pathname.startsWith('/v1/')) {
       sendJson(res, 200, {});
--- a/test/fakes/service.ts
+++ b/test/fakes/service.ts
@@ -31,6 +31,9 @@
   /** Sends part of a response without a content length, then ends as a killed process does, whose connections are closed in order. */
   diesInAnswers = false;
 
+  /** Sends part of a response without a content length before it reads the request, closes its direction, and resets the connection later. */
+  abandonsRequests = false;
+
   /** Bytes that it sends in answer to each request before it closes the connection; empty disables it. */
   rawAnswer = '';
 
@@ -65,6 +68,14 @@
           sendJson(res, 503, { error: 'leaving', not_run: true });
           return;
         }
+        if (this.abandonsRequests) {
+          const { socket } = req;
+          req.pause();
+          socket.end(`HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n${PARTIAL_BODY}`);
+          await pause(RESET_MS);
+          socket.resetAndDestroy();
+          return;
+        }
         const body = await readBody(req);
         const key = String(req.headers['idempotency-key'] ?? '');
         const run = (this.runs.get(key) ?? 0) + 1;
--- a/test/node/answers.test.ts
+++ b/test/node/answers.test.ts
@@ -1,12 +1,31 @@
-import type { IncomingMessage } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
 import { request } from 'node:http';
+import { setTimeout as pause } from 'node:timers/promises';
 
 import { Cluster, tokens } from '../fakes/cluster';
 import { PARTIAL_BODY } from '../fakes/service';
 
-/** Calls a plain service; returns status, whether the response is complete, and its error name or text. */
-function outcomeOf(url: string, method: string, key?: string): Promise<string> {
+const PIECES = 9;
+const PIECE = 'x'.repeat(100_000);
+/** Pause between two pieces of a body, in milliseconds. */
+const PIECE_MS = 50;
+
+/** Sends a body of 0.9 MB at 2 MB/s. */
+async function upload(req: ClientRequest): Promise<void> {
+  for (let piece = 0; piece < PIECES; piece += 1) {
+    req.write(PIECE);
+    await pause(PIECE_MS);
+  }
+  req.end();
+}
+
+/**
+ * Calls a plain service; returns status, whether the response is complete, and its error name or text.
+ * @param hasUpload whether the call has a long body
+ */
+function outcomeOf(url: string, method: string, key?: string, hasUpload = false): Promise<string> {
   const headers = {
+    ...(hasUpload ? { 'content-length': PIECES * PIECE.length } : {}),
     authorization: `Bearer ${tokens.clerks}`,
     ...(key === undefined ? {} : { 'idempotency-key': key }),
   };
@@ -22,8 +41,9 @@
       });
       res.on('error', () => {});
     });
-    req.on('error', reject);
-    req.end();
+    req.on('error', hasUpload ? () => resolve('reset') : reject);
+    if (hasUpload) upload(req).catch(reject);
+    else req.end();
   });
 }
 
@@ -61,6 +81,31 @@
   });
 });
 
+describe('a response without a length whose runner does not read the request', () => {
+  const cluster = new Cluster({ vms: 1 });
+
+  beforeAll(async () => {
+    await cluster.start();
+    for (const runner of cluster.plainRunners) runner.abandonsRequests = true;
+  }, 30_000);
+  afterAll(() => cluster.stop());
+
+  // Guards against a truncated response that looks complete, or that is stored as the outcome of the call.
+  test('is truncated for the caller as well, and no outcome is stored', async () => {
+    const url = `${cluster.callers(0)}/services/registry`;
+    const idempotent = await Promise.all(
+      [1, 2, 3].map((call) => outcomeOf(`${url}/tiles?${call}`, 'PUT', undefined, true)),
+    );
+    const once = [
+      await outcomeOf(`${url}/receipts`, 'POST', 'receipt-9', true),
+      await outcomeOf(`${url}/receipts`, 'POST', 'receipt-9', true),
+    ];
+    const isCut = (outcome: string): boolean => /^(200 cut|502 whole)|^reset/.test(outcome);
+    expect(idempotent.filter((outcome) => !isCut(outcome))).toEqual([]);
+    expect(once).toEqual(['502 whole outcomeUnknown', '409 whole alreadyRunning']);
+  });
+});
+
 describe('an answer that may be a refusal', () => {
   const cluster = new Cluster({ vms: 1 });
   const BUSY = '{"error":"busy"}';
